Lay the workspace, resource types and wire types

Change: workspace, strict lints, ids, verdict, reasons, declared resources with their own checks, and the bodies exchanged with targets and platform.

--- /dev/null
+++ b/src/ids.rs
@@ -0,0 +1,42 @@
+//! Type aliases for every identifier that crosses a module boundary.
+
+use std::sync::Arc;
+
+/// Identifies one request of a caller, unique across the whole system.
+pub type RequestId = Arc<str>;
+/// The settings' name of one host of this system.
+pub type HostId = Arc<str>;
+/// A daemon's life on a host: a new one is drawn at each start.
+pub type IncarnationId = u64;
+/// Name of an availability zone.
+pub type ZoneId = Arc<str>;
+/// Name of a declared organisation.
+pub type OrganisationId = Arc<str>;
+/// Name of a declared target.
+pub type TargetId = Arc<str>;
+/// Name of a declared model.
+pub type ModelId = Arc<str>;
+/// Name of a version of a model.
+pub type VersionId = Arc<str>;
+/// Name of a declared pipeline.
+pub type PipelineId = Arc<str>;
+/// Name of a declared plain service.
+pub type ServiceId = Arc<str>;
+/// Name of an operator, as given by the operator's credentials.
+pub type OperatorId = Arc<str>;
+/// Unique id that a writer chooses for a log record before the first append.
+pub type RecordId = Arc<str>;
+/// Position of a record in one stream of the platform's log.
+pub type LogOffset = u64;
+/// Which attempt of a run produced something; grows by one at each repair.
+pub type AttemptNumber = u32;
+/// Index of a stage in its pipeline, from zero.
+pub type StageIndex = usize;
+/// Position of a token in the sequence of prompt and generated tokens, from zero.
+pub type TokenPosition = u64;
+/// Index of a layer of a model, from zero.
+pub type LayerIndex = u32;
+/// One token of a model's vocabulary.
+pub type TokenValue = u64;
+/// The key with which a caller marks a non-idempotent request.
+pub type IdempotencyKey = Arc<str>;
--- /dev/null
+++ b/src/platform.rs
@@ -0,0 +1,3 @@
+//! The client side of the platform: its log service and its host list.
+
+pub mod wire;
--- /dev/null
+++ b/src/reason.rs
@@ -0,0 +1,132 @@
+//! The closed sets of reasons that feed counters, log lines and `explain`.
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+/// Why a request was refused or given up.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, JsonSchema,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum RefusalReason {
+    /// The organisation's bought capacity is used up.
+    CapacityUsedUp,
+    /// The organisation's queue is full.
+    QueueFull,
+    /// The estimate says that the deadline cannot be met.
+    DeadlineUnreachable,
+    /// The deadline passed.
+    DeadlinePassed,
+    /// No usable target for some stage.
+    NoRoute,
+    /// The daemon is shutting down.
+    Draining,
+    /// The daemon has no usable configuration yet.
+    NotReady,
+    /// The platform's log is unavailable and the request needs it.
+    LogUnavailable,
+    /// Another host holds the claim on this idempotency key.
+    ClaimedElsewhere,
+    /// The idempotency key is older than the key window.
+    KeyExpired,
+    /// The bearer token is missing or unknown.
+    Unauthenticated,
+    /// The request is malformed.
+    Malformed,
+    /// No such model, service or resource.
+    Unknown,
+    /// The retry budget is spent.
+    RetryBudgetSpent,
+    /// A target failed and the request may not be repeated.
+    TargetFailed,
+    /// The caller went away.
+    CallerGone,
+}
+
+impl RefusalReason {
+    /// Every reason, for registering one counter each.
+    pub const ALL: [Self; 16] = [
+        Self::CapacityUsedUp,
+        Self::QueueFull,
+        Self::DeadlineUnreachable,
+        Self::DeadlinePassed,
+        Self::NoRoute,
+        Self::Draining,
+        Self::NotReady,
+        Self::LogUnavailable,
+        Self::ClaimedElsewhere,
+        Self::KeyExpired,
+        Self::Unauthenticated,
+        Self::Malformed,
+        Self::Unknown,
+        Self::RetryBudgetSpent,
+        Self::TargetFailed,
+        Self::CallerGone,
+    ];
+
+    /// The name used in metrics, logs and bodies.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::CapacityUsedUp => "capacity_used_up",
+            Self::QueueFull => "queue_full",
+            Self::DeadlineUnreachable => "deadline_unreachable",
+            Self::DeadlinePassed => "deadline_passed",
+            Self::NoRoute => "no_route",
+            Self::Draining => "draining",
+            Self::NotReady => "not_ready",
+            Self::LogUnavailable => "log_unavailable",
+            Self::ClaimedElsewhere => "claimed_elsewhere",
+            Self::KeyExpired => "key_expired",
+            Self::Unauthenticated => "unauthenticated",
+            Self::Malformed => "malformed",
+            Self::Unknown => "unknown",
+            Self::RetryBudgetSpent => "retry_budget_spent",
+            Self::TargetFailed => "target_failed",
+            Self::CallerGone => "caller_gone",
+        }
+    }
+}
+
+/// Why a step or an order was sent again, or a stage replaced.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, JsonSchema,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum RetryReason {
+    /// The connection could not be made; nothing was sent.
+    ConnectFailed,
+    /// The connection broke or timed out after bytes were sent.
+    AnswerLost,
+    /// The target refused the order.
+    TargetRefused,
+    /// The target no longer knows the session.
+    SessionLost,
+    /// The target is leaving or draining.
+    TargetLeaving,
+    /// The target answered with something that does not match the order.
+    AnswerMismatched,
+}
+
+impl RetryReason {
+    /// Every reason, for registering one counter each.
+    pub const ALL: [Self; 6] = [
+        Self::ConnectFailed,
+        Self::AnswerLost,
+        Self::TargetRefused,
+        Self::SessionLost,
+        Self::TargetLeaving,
+        Self::AnswerMismatched,
+    ];
+
+    /// The name used in metrics, logs and bodies.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::ConnectFailed => "connect_failed",
+            Self::AnswerLost => "answer_lost",
+            Self::TargetRefused => "target_refused",
+            Self::SessionLost => "session_lost",
+            Self::TargetLeaving => "target_leaving",
+            Self::AnswerMismatched => "answer_mismatched",
+        }
+    }
+}
--- /dev/null
+++ b/src/resources/service.rs
@@ -0,0 +1,17 @@
+//! Plain services beside the engines.
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+use crate::ids::TargetId;
+
+/// A plain service: any of its targets can answer a call.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceSpec {
+    /// Targets that serve the calls.
+    pub targets: Vec<TargetId>,
+    /// Operations that are non-idempotent whatever the caller says.
+    #[serde(default)]
+    pub non_idempotent: Vec<String>,
+}
--- /dev/null
+++ b/src/target/wire.rs
@@ -0,0 +1,225 @@
+//! Bodies exchanged with targets: JSON over HTTP/1.1.
+//!
+//! | call | body | answer |
+//! |---|---|---|
+//! | `POST /v1/steps` | [`StepOrder`] | 200 [`StepAnswer`], else [`TargetRefusal`] |
+//! | `DELETE /v1/sessions/{session}` | none | 204, also when unknown |
+//! | `GET /v1/sessions/{session}/cache` | none | 200 [`CacheExport`] or 404 |
+//! | `PUT /v1/sessions/{session}/cache` | [`CacheExport`] | 204 |
+//! | `GET /v1/load` | none | 200 [`LoadReport`] |
+//! | `GET /v1/state` | none | 200 [`TargetState`] |
+//! | `PUT /v1/state` | [`StateOrder`] | 200 [`TargetState`], 412 if the fencing number is old |
+//! | `GET /v1/cache-events?from=N` | none | 200 [`CacheEvents`] |
+//! | `POST /v1/calls/{operation}` | caller's JSON | service's answer |
+//!
+//! A step is idempotent: a step at a position that the session has already
+//! run hands back the recorded outputs, one ahead of it is refused with 409.
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{
+    AttemptNumber, LayerIndex, LogOffset, ModelId, RequestId, StageIndex, TokenPosition, VersionId,
+};
+
+/// Header that carries the request id to a plain service.
+pub const REQUEST_ID_HEADER: &str = "x-request-id";
+/// Header that carries the idempotency key to a plain service.
+pub const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
+
+/// What identifies one stage's part of one attempt, echoed in each answer.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize, JsonSchema)]
+pub struct StepLabel {
+    /// Request served.
+    pub request: RequestId,
+    /// Attempt that opened the session on this stage.
+    pub attempt: AttemptNumber,
+    /// Stage of the pipeline.
+    pub stage: StageIndex,
+}
+
+impl StepLabel {
+    /// The engine's session name for this label.
+    pub fn session(&self) -> String {
+        format!("{}.{}.{}", self.request, self.attempt, self.stage)
+    }
+}
+
+/// An order to run consecutive positions through a layer range.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct StepOrder {
+    /// Request, attempt and stage.
+    pub label: StepLabel,
+    /// Model to run.
+    pub model: ModelId,
+    /// Version to run.
+    pub version: VersionId,
+    /// First layer, inclusive.
+    pub first_layer: LayerIndex,
+    /// Last layer, inclusive.
+    pub last_layer: LayerIndex,
+    /// Position of the first input.
+    pub position: TokenPosition,
+    /// One value a position: token values for the first stage, the previous
+    /// stage's outputs for the others.
+    pub inputs: Vec<u64>,
+    /// Higher goes first in the engine's batch.
+    #[serde(default)]
+    pub priority: u8,
+}
+
+/// Outputs for the positions of a [`StepOrder`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct StepAnswer {
+    /// Copied from the order.
+    pub label: StepLabel,
+    /// Copied from the order.
+    pub position: TokenPosition,
+    /// One output a position: values for the next stage, or token values if
+    /// the range ends with the model's last layer.
+    pub outputs: Vec<u64>,
+}
+
+/// Why a target refused; sent only when nothing of the order ran.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum TargetRefusalKind {
+    /// The position is ahead of what the session has run, or the session is unknown.
+    UnknownPosition,
+    /// Model, version or layers are not loaded.
+    NotLoaded,
+    /// The target is leaving and takes no new session.
+    Leaving,
+    /// The batch queue is full.
+    Overloaded,
+    /// The fencing number is older than one seen.
+    OldFencing,
+    /// The body could not be understood.
+    Malformed,
+}
+
+/// Body of a target's refusal (status 4xx or 503).
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct TargetRefusal {
+    /// Why.
+    pub refused: TargetRefusalKind,
+    /// Next position that the session can run, if it is known.
+    #[serde(default)]
+    pub next_position: Option<TokenPosition>,
+}
+
+/// KV cache of a session, opaque to the router.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct CacheExport {
+    /// Model that filled the cache.
+    pub model: ModelId,
+    /// Version that filled the cache.
+    pub version: VersionId,
+    /// First layer held.
+    pub first_layer: LayerIndex,
+    /// Last layer held.
+    pub last_layer: LayerIndex,
+    /// Positions held: from zero up to and without this one.
+    pub next_position: TokenPosition,
+    /// Opaque contents, one entry a layer.
+    pub layers: Vec<u64>,
+    /// Outputs for the positions held, so that a step can be resumed.
+    pub outputs: Vec<u64>,
+}
+
+/// Load as a target publishes it; it lags behind.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+pub struct LoadReport {
+    /// Steps or calls running.
+    pub running: u32,
+    /// Steps or calls waiting.
+    pub waiting: u32,
+    /// Tokens a second over the last seconds.
+    pub tokens_per_second: f64,
+    /// Age of these figures when they were sent, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// A model version with a layer range, as loaded on a target.
+#[derive(
+    Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, JsonSchema,
+)]
+pub struct LoadedRange {
+    /// Model loaded.
+    pub model: ModelId,
+    /// Version loaded.
+    pub version: VersionId,
+    /// First layer, inclusive.
+    pub first_layer: LayerIndex,
+    /// Last layer, inclusive.
+    pub last_layer: LayerIndex,
+    /// Adapters loaded beside it.
+    #[serde(default)]
+    pub adapters: Vec<String>,
+}
+
+/// The role of an engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum EngineRole {
+    /// Prompt processing and decoding.
+    #[default]
+    Mixed,
+    /// Prompt processing only.
+    Prefill,
+    /// Decoding only.
+    Decode,
+}
+
+/// What a target holds and whether it takes new work.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct TargetState {
+    /// Ranges that are loaded and can serve.
+    pub loaded: Vec<LoadedRange>,
+    /// Ranges whose weights are still being fetched.
+    #[serde(default)]
+    pub loading: Vec<LoadedRange>,
+    /// Role of the engine.
+    #[serde(default)]
+    pub role: EngineRole,
+    /// Whether the target refuses new sessions.
+    #[serde(default)]
+    pub leaving: bool,
+    /// Highest fencing number seen, for targets that check it.
+    #[serde(default)]
+    pub fencing: Option<LogOffset>,
+}
+
+/// A declarative order: be in this state.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct StateOrder {
+    /// Ranges to hold; others are unloaded.
+    pub loaded: Vec<LoadedRange>,
+    /// Role to take.
+    #[serde(default)]
+    pub role: EngineRole,
+    /// Fencing number of the lease under which the order is given.
+    pub fencing: LogOffset,
+    /// The target drops the order if it has not begun within this time.
+    pub deadline_ms: u64,
+}
+
+/// One change of an engine's prefix cache.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct CacheEvent {
+    /// Number of the event; a gap means that events were dropped.
+    pub number: u64,
+    /// Hash of the prompt prefix.
+    pub prefix: u64,
+    /// Whether the prefix was stored; else it was evicted.
+    pub stored: bool,
+}
+
+/// Cache events from a number on.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize, JsonSchema)]
+pub struct CacheEvents {
+    /// Events in order, possibly with gaps.
+    pub events: Vec<CacheEvent>,
+    /// Number to ask from next time.
+    pub next: u64,
+}
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform, the engines and the services.
