Land the typed events and decisions

Cause: the modules meet at these types, so they come before the modules. Change: run events and decisions, route and admission messages, log record envelope, operator and caller bodies, peer schema with its generated code.

--- /dev/null
+++ b/schema/peer.capnp
@@ -0,0 +1,87 @@
+@0xd2c1f5a4b3e69788;
+# Calls between the daemons of one system.
+
+struct TargetLoad {
+  target @0 :Text;
+  running @1 :UInt32;
+  waiting @2 :UInt32;
+  tokensPerSecond @3 :Float64;
+  ageMs @4 :UInt64;
+  # Age of the figures when this heartbeat was sent.
+  leaving @5 :Bool;
+}
+
+struct OrganisationDemand {
+  organisation @0 :Text;
+  inFlight @1 :UInt32;
+  waiting @2 :UInt32;
+  heldGrant @3 :UInt32;
+  # Concurrent requests that the host may still use under its last grant.
+  grantNumber @4 :UInt64;
+}
+
+struct Heartbeat {
+  host @0 :Text;
+  zone @1 :Text;
+  incarnation @2 :UInt64;
+  sequence @3 :UInt64;
+  appliedOffset @4 :UInt64;
+  # Offset after the last applied declaration record.
+  draining @5 :Bool;
+  loads @6 :List(TargetLoad);
+  demands @7 :List(OrganisationDemand);
+  peerAddress @8 :Text;
+}
+
+struct Grant {
+  organisation @0 :Text;
+  concurrentRequests @1 :UInt32;
+  requestsPerSecond @2 :UInt32;
+  number @3 :UInt64;
+}
+
+struct HeartbeatReply {
+  host @0 :Text;
+  incarnation @1 :UInt64;
+  appliedOffset @2 :UInt64;
+  draining @3 :Bool;
+  grants @4 :List(Grant);
+  # Present only if the receiver holds the lease on the zone's shares.
+  leaseOffset @5 :UInt64;
+  leasedGrants @6 :Bool;
+}
+
+struct RelayedRecord {
+  offset @0 :UInt64;
+  body @1 :Text;
+}
+
+struct RecordRange {
+  firstOffset @0 :UInt64;
+  # Oldest offset that the sender can relay.
+  endOffset @1 :UInt64;
+  records @2 :List(RelayedRecord);
+  checkpoint @3 :Text;
+  # JSON text of a checkpoint; empty if the records suffice.
+}
+
+struct PeerCall {
+  requestId @0 :Text;
+  service @1 :Text;
+  operation @2 :Text;
+  idempotencyKey @3 :Text;
+  organisation @4 :Text;
+}
+
+struct PeerCallReply {
+  known @0 :Bool;
+  verdict @1 :Text;
+  status @2 :UInt16;
+  body @3 :Data;
+}
+
+interface Peer {
+  heartbeat @0 (beat :Heartbeat) -> (reply :HeartbeatReply);
+  records @1 (stream :Text, from :UInt64, limit :UInt32) -> (range :RecordRange);
+  claimOutcome @2 (call :PeerCall) -> (reply :PeerCallReply);
+}
--- /dev/null
+++ b/src/api.rs
@@ -0,0 +1,3 @@
+//! The HTTP interfaces towards callers and operators.
+
+pub mod wire;
--- a/src/resources/spec.rs
+++ b/src/resources/spec.rs
@@ -68,7 +68,7 @@
     }
 }
 
-fn bad(field: &str, found: impl ToString, legal: &'static str) -> SpecError {
+fn bad<V: ToString + ?Sized>(field: &str, found: &V, legal: &'static str) -> SpecError {
     SpecError::BadValue {
         field: field.to_owned(),
         found: found.to_string(),
@@ -81,7 +81,7 @@
         return Err(bad("offered", &model.offered, "one of the versions listed"));
     }
     match model.versions.iter().find(|version| version.layers == 0) {
-        Some(_) => Err(bad("versions.layers", 0, "at least 1")),
+        Some(_) => Err(bad("versions.layers", &0, "at least 1")),
         None => Ok(()),
     }
 }
@@ -99,14 +99,14 @@
         if stage.first_layer != expected {
             return Err(bad(
                 "stages.first_layer",
-                stage.first_layer,
+                &stage.first_layer,
                 "the layer after the stage before",
             ));
         }
         if stage.last_layer < stage.first_layer {
             return Err(bad(
                 "stages.last_layer",
-                stage.last_layer,
+                &stage.last_layer,
                 "at least first_layer",
             ));
         }
@@ -134,10 +134,10 @@
         return Err(bad("token_digest", "a value", "64 lower-case hex digits"));
     }
     if organisation.capacity.concurrent_requests == 0 {
-        return Err(bad("capacity.concurrent_requests", 0, "at least 1"));
+        return Err(bad("capacity.concurrent_requests", &0, "at least 1"));
     }
     if organisation.capacity.requests_per_second == 0 {
-        return Err(bad("capacity.requests_per_second", 0, "at least 1"));
+        return Err(bad("capacity.requests_per_second", &0, "at least 1"));
     }
     Ok(())
 }
@@ -146,12 +146,12 @@
     if !target.tokens_per_second.is_finite() || target.tokens_per_second <= 0.0 {
         return Err(bad(
             "tokens_per_second",
-            target.tokens_per_second,
+            &target.tokens_per_second,
             "above 0",
         ));
     }
     if target.concurrency == 0 {
-        return Err(bad("concurrency", 0, "at least 1"));
+        return Err(bad("concurrency", &0, "at least 1"));
     }
     Ok(())
 }
--- /dev/null
+++ b/src/routing.rs
@@ -0,0 +1,5 @@
+//! Choosing one target for each stage of a pipeline.
+
+mod route;
+
+pub use route::{PlannedRoute, RouteRefusal, RouteRequest, RouteScore};
