--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,8 @@
     unused_qualifications,
     unreachable_pub,
     clippy::all,
+    clippy::redundant_clone,
+    clippy::unimplemented,
     clippy::unwrap_used,
     clippy::needless_pass_by_value,
     clippy::semicolon_if_nothing_returned
