Add the reconciler's decisions

Cause: declared model ranges have to reach engines by orders, from one lease holder a zone, without a stale order or a rollout taking capacity away. Change: pure table of desired and observed states; loads bounded, orders end before the lease, targets without fencing waited out, the last holder of a range kept. Conditional orders by target were ruled out: most engines do not check them.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod peer_capnp;
 pub mod platform;
 pub mod reason;
+pub mod reconcile;
 pub mod records;
 pub mod resources;
 pub mod routing;
