Add the stand-ins for the platform, engines and services

Cause: nothing of the router can be tried or proved without something that speaks the other side of the wire protocols, records what it really did and fails on demand.

Ruled out: dropshot as the server here, since it always answers, and a lost answer after effect needs a connection that closes without one. So the servers run hyper's HTTP/1.1 connection over a tokio listener.

Change: a platform (log with offsets, long poll, expiry, lagging host list), an engine (sessions, continuous batch with priorities, prefix cache, KV export and import, load report with lag, cache events with gaps, state orders with and without fencing) and a plain service, each as a handle and as a thin program. Faults are switched at run time. The reference module computes the right tokens naively; each layer folds all earlier inputs, so a skipped, doubled or reordered step changes what follows.

Tests: six new ones pass. Each failure test was seen failing with its mechanism broken: resume that runs again, skip and double fault without effect, a restart that keeps sessions, an append and a service call closed before instead of after their effect; in each of these six runs one test failed and five passed.

Conclusion: a chain of three engines gives the reference answer; the faults do what their names say as far as the tests reach. Crossed and repeated answers, freeze, leaving, cache events and KV import have no test of their own yet.

--- /dev/null
+++ b/standins/src/engine.rs
@@ -0,0 +1,106 @@
+//! Stand-in for a model engine that holds ranges of layers.
+//!
+//! Besides the targets' protocol it serves:
+//!
+//! | call | body |
+//! |---|---|
+//! | `GET`, `PUT /control/faults` | [`EngineFaults`] |
+//! | `GET /control/record` | answers a list of [`StepRecord`] |
+
+mod calls;
+mod prefix_cache;
+mod range_store;
+mod record;
+mod session;
+mod settings;
+mod steps;
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use tokio::task::JoinHandle;
+
+use crate::faults::FaultSwitch;
+use crate::http_server::HttpServer;
+use calls::EngineCalls;
+pub use prefix_cache::prefix_hashes;
+pub use record::{StepKind, StepRecord};
+pub use settings::{EngineFaults, EngineSettings, FencingMode};
+
+/// A running engine; dropping it stops it.
+#[derive(Debug)]
+pub struct EngineServer {
+    http: HttpServer,
+    calls: Arc<EngineCalls>,
+    gauge_task: JoinHandle<()>,
+}
+
+impl EngineServer {
+    /// Listens on `addr`.
+    pub async fn bind(addr: SocketAddr, settings: EngineSettings) -> io::Result<Self> {
+        let calls = Arc::new(EngineCalls::new(settings));
+        let handler = {
+            let calls = Arc::clone(&calls);
+            move |call| {
+                let calls = Arc::clone(&calls);
+                async move { calls.serve(call).await }
+            }
+        };
+        let http = HttpServer::bind(addr, calls.faults.clone(), |faults| faults.dead, handler);
+        let http = http.await?;
+        let gauge_task = tokio::spawn({
+            let calls = Arc::clone(&calls);
+            async move { calls.refresh_load().await }
+        });
+        Ok(Self {
+            http,
+            calls,
+            gauge_task,
+        })
+    }
+
+    /// Address on which the engine listens.
+    pub fn local_addr(&self) -> SocketAddr {
+        self.http.local_addr()
+    }
+
+    /// Name from the settings.
+    pub fn name(&self) -> &str {
+        &self.calls.settings.name
+    }
+
+    /// Faults to switch.
+    pub fn faults(&self) -> FaultSwitch<EngineFaults> {
+        self.calls.faults.clone()
+    }
+
+    /// What the engine ran and handed back, in order, up to the record's cap.
+    pub fn record(&self) -> Vec<StepRecord> {
+        self.calls.steps.record.entries()
+    }
+
+    /// Acts dead: resets every connection and refuses new ones.
+    pub fn die(&self) {
+        self.calls.faults.update(|faults| faults.dead = true);
+    }
+
+    /// Comes back after [`EngineServer::die`], without any session or cache.
+    pub fn revive(&self) {
+        self.calls.steps.forget_all();
+        self.calls.faults.update(|faults| faults.dead = false);
+    }
+
+    /// Stops listening and closes every connection.
+    pub fn shutdown(&self) {
+        self.http.shutdown();
+        self.gauge_task.abort();
+        self.calls.steps.forget_all();
+    }
+}
+
+impl Drop for EngineServer {
+    fn drop(&mut self) {
+        self.shutdown();
+    }
+}
--- /dev/null
+++ b/standins/src/http_server.rs
@@ -0,0 +1,265 @@
+//! An HTTP/1.1 server that can close a connection instead of answering, and
+//! that can act dead and come back on the same port.
+
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{JoinHandle, JoinSet};
+
+use crate::faults::FaultSwitch;
+
+/// One call, read to its end.
+#[derive(Debug)]
+pub struct ServedCall {
+    /// Method of the call.
+    pub method: Method,
+    /// Path, split at each `/`.
+    pub segments: Vec<String>,
+    /// Query string, still encoded.
+    pub query: String,
+    /// Headers of the call.
+    pub headers: HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+}
+
+impl ServedCall {
+    /// Path segments as slices, for matching.
+    pub fn path(&self) -> Vec<&str> {
+        self.segments.iter().map(String::as_str).collect()
+    }
+
+    /// A whole number from the query string.
+    pub fn query_number(&self, name: &str) -> Option<u64> {
+        let mut pairs = self
+            .query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='));
+        let (_, value) = pairs.find(|(key, _)| *key == name)?;
+        value.parse().ok()
+    }
+
+    /// Text of a header, if it is there and readable.
+    pub fn header_text(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
+    /// The body read as JSON; the outcome to send when it cannot be read.
+    pub fn json<T>(&self) -> Result<T, CallOutcome>
+    where
+        T: DeserializeOwned,
+    {
+        serde_json::from_slice(&self.body)
+            .map_err(|error| CallOutcome::json(StatusCode::BAD_REQUEST, &error.to_string()))
+    }
+}
+
+/// What becomes of a call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CallOutcome {
+    /// An answer with a status and perhaps a JSON body.
+    Answer {
+        /// Status of the answer.
+        status: StatusCode,
+        /// JSON text, or nothing.
+        body: Bytes,
+    },
+    /// The connection is closed without an answer.
+    Close,
+}
+
+impl CallOutcome {
+    /// An answer with a JSON body.
+    pub fn json<T>(status: StatusCode, body: &T) -> Self
+    where
+        T: Serialize + ?Sized,
+    {
+        match serde_json::to_vec(body) {
+            Ok(text) => Self::Answer {
+                status,
+                body: text.into(),
+            },
+            Err(_) => Self::empty(StatusCode::INTERNAL_SERVER_ERROR),
+        }
+    }
+
+    /// A 200 answer with a JSON body.
+    pub fn ok<T>(body: &T) -> Self
+    where
+        T: Serialize + ?Sized,
+    {
+        Self::json(StatusCode::OK, body)
+    }
+
+    /// An answer without a body.
+    pub fn empty(status: StatusCode) -> Self {
+        Self::Answer {
+            status,
+            body: Bytes::new(),
+        }
+    }
+}
+
+/// A running server; dropping it stops the server.
+#[derive(Debug)]
+pub struct HttpServer {
+    local_addr: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl HttpServer {
+    /// Listens on `addr` and hands each call to `handler`. While `is_dead`
+    /// holds, connections are reset and new ones are refused.
+    pub async fn bind<F, H, R>(
+        addr: SocketAddr,
+        faults: FaultSwitch<F>,
+        is_dead: fn(&F) -> bool,
+        handler: H,
+    ) -> io::Result<Self>
+    where
+        F: Clone + Send + Sync + 'static,
+        H: Fn(ServedCall) -> R + Clone + Send + Sync + 'static,
+        R: Future<Output = CallOutcome> + Send + 'static,
+    {
+        let listener = TcpListener::bind(addr).await?;
+        let local_addr = listener.local_addr()?;
+        let task = tokio::spawn(serve_lives(listener, local_addr, faults, is_dead, handler));
+        Ok(Self { local_addr, task })
+    }
+
+    /// Address on which the server listens.
+    pub fn local_addr(&self) -> SocketAddr {
+        self.local_addr
+    }
+
+    /// Stops listening and closes every connection.
+    pub fn shutdown(&self) {
+        self.task.abort();
+    }
+}
+
+impl Drop for HttpServer {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn serve_lives<F, H, R>(
+    listener: TcpListener,
+    addr: SocketAddr,
+    faults: FaultSwitch<F>,
+    is_dead: fn(&F) -> bool,
+    handler: H,
+) where
+    F: Clone + Send + Sync + 'static,
+    H: Fn(ServedCall) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = CallOutcome> + Send + 'static,
+{
+    let mut next_listener = Some(listener);
+    loop {
+        faults.wait_until(|faults| !is_dead(faults)).await;
+        let listener = match next_listener.take() {
+            Some(listener) => listener,
+            None => match TcpListener::bind(addr).await {
+                Ok(listener) => listener,
+                Err(error) => {
+                    log::error!("cannot listen on {addr} again: {error}");
+                    return;
+                }
+            },
+        };
+        tokio::select! {
+            () = accept_all(&listener, &handler) => {}
+            () = faults.wait_until(is_dead) => {}
+        }
+    }
+}
+
+/// Serves connections; they are all closed when this future is dropped.
+async fn accept_all<H, R>(listener: &TcpListener, handler: &H)
+where
+    H: Fn(ServedCall) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = CallOutcome> + Send + 'static,
+{
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    connections.spawn(serve_connection(stream, handler.clone()));
+                }
+                Err(error) => log::warn!("accept failed: {error}"),
+            },
+            Some(_) = connections.join_next() => {}
+        }
+    }
+}
+
+async fn serve_connection<H, R>(stream: TcpStream, handler: H)
+where
+    H: Fn(ServedCall) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = CallOutcome> + Send + 'static,
+{
+    // Small answers would wait for the peer's delayed acknowledgement.
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| serve_call(request, handler.clone()));
+    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    if let Err(error) = connection.await {
+        log::debug!("connection ended: {error}");
+    }
+}
+
+/// The error that makes hyper close a connection without an answer.
+#[derive(Debug)]
+struct ClosedByFault;
+
+impl std::fmt::Display for ClosedByFault {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str("closed by a fault")
+    }
+}
+
+impl std::error::Error for ClosedByFault {}
+
+async fn serve_call<H, R>(
+    request: Request<Incoming>,
+    handler: H,
+) -> Result<Response<Full<Bytes>>, ClosedByFault>
+where
+    H: Fn(ServedCall) -> R,
+    R: Future<Output = CallOutcome>,
+{
+    let (parts, body) = request.into_parts();
+    let body = body.collect().await.map_err(|_| ClosedByFault)?.to_bytes();
+    let path = parts.uri.path().trim_matches('/');
+    let call = ServedCall {
+        method: parts.method,
+        segments: path.split('/').map(str::to_owned).collect(),
+        query: parts.uri.query().unwrap_or_default().to_owned(),
+        headers: parts.headers,
+        body,
+    };
+    match handler(call).await {
+        CallOutcome::Answer { status, body } => json_response(status, body),
+        CallOutcome::Close => Err(ClosedByFault),
+    }
+}
+
+fn json_response(status: StatusCode, body: Bytes) -> Result<Response<Full<Bytes>>, ClosedByFault> {
+    Response::builder()
+        .status(status)
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(Full::new(body))
+        .map_err(|_| ClosedByFault)
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,1 +1,18 @@
 //! Stand-ins for the platform, the engines and the services.
+//!
+//! Each speaks the wire protocol of its role over HTTP/1.1, records what it
+//! really did and can be told to fail in a given way, by a Rust handle or by
+//! `PUT /control/faults`. [`reference`] computes the right answer naively.
+//! None of this is shipped.
+
+mod batch;
+pub mod command_line;
+pub mod engine;
+pub mod faults;
+pub mod http_server;
+mod load_gauge;
+pub mod platform;
+mod record_list;
+pub mod reference;
+mod refusal;
+pub mod service;
--- /dev/null
+++ b/standins/src/service.rs
@@ -0,0 +1,93 @@
+//! Stand-in for a plain service, some of whose calls may not be repeated.
+//!
+//! Besides `POST /v1/calls/{operation}`, `GET /v1/load` and `/v1/state` it
+//! serves:
+//!
+//! | call | body |
+//! |---|---|
+//! | `GET`, `PUT /control/faults` | [`ServiceFaults`] |
+//! | `GET /control/record` | answers a list of [`CallRecord`] |
+
+mod calls;
+mod settings;
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use tokio::task::JoinHandle;
+
+use crate::faults::FaultSwitch;
+use crate::http_server::HttpServer;
+use calls::ServiceCalls;
+pub use settings::{CallRecord, DeathPoint, ServiceAnswer, ServiceFaults, ServiceSettings};
+
+/// A running service; dropping it stops it.
+#[derive(Debug)]
+pub struct ServiceServer {
+    http: HttpServer,
+    calls: Arc<ServiceCalls>,
+    gauge_task: JoinHandle<()>,
+}
+
+impl ServiceServer {
+    /// Listens on `addr`.
+    pub async fn bind(addr: SocketAddr, settings: ServiceSettings) -> io::Result<Self> {
+        let calls = Arc::new(ServiceCalls::new(settings));
+        let handler = {
+            let calls = Arc::clone(&calls);
+            move |call| {
+                let calls = Arc::clone(&calls);
+                async move { calls.serve(call).await }
+            }
+        };
+        let http = HttpServer::bind(addr, calls.faults.clone(), |faults| faults.dead, handler);
+        let http = http.await?;
+        let gauge_task = tokio::spawn({
+            let calls = Arc::clone(&calls);
+            async move { calls.refresh_load().await }
+        });
+        Ok(Self {
+            http,
+            calls,
+            gauge_task,
+        })
+    }
+
+    /// Address on which the service listens.
+    pub fn local_addr(&self) -> SocketAddr {
+        self.http.local_addr()
+    }
+
+    /// Faults to switch.
+    pub fn faults(&self) -> FaultSwitch<ServiceFaults> {
+        self.calls.faults.clone()
+    }
+
+    /// Calls that really ran, in order, up to the record's cap.
+    pub fn record(&self) -> Vec<CallRecord> {
+        self.calls.record.entries()
+    }
+
+    /// Acts dead: resets every connection and refuses new ones.
+    pub fn die(&self) {
+        self.calls.faults.update(|faults| faults.dead = true);
+    }
+
+    /// Comes back after it died.
+    pub fn revive(&self) {
+        self.calls.faults.update(|faults| faults.dead = false);
+    }
+
+    /// Stops listening and closes every connection.
+    pub fn shutdown(&self) {
+        self.http.shutdown();
+        self.gauge_task.abort();
+    }
+}
+
+impl Drop for ServiceServer {
+    fn drop(&mut self) {
+        self.shutdown();
+    }
+}
--- /dev/null
+++ b/standins/src/service/calls.rs
@@ -0,0 +1,175 @@
+//! The service's calls.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use http::{Method, StatusCode};
+use jackdawwick::target::wire::{
+    EngineRole, IDEMPOTENCY_KEY_HEADER, REQUEST_ID_HEADER, TargetRefusalKind, TargetState,
+};
+use serde_json::Value;
+use tokio::time::{MissedTickBehavior, interval, sleep, sleep_until};
+
+use super::settings::{CallRecord, DeathPoint, ServiceAnswer, ServiceFaults, ServiceSettings};
+use crate::batch::StepBatch;
+use crate::faults::FaultSwitch;
+use crate::http_server::{CallOutcome, ServedCall};
+use crate::load_gauge::LoadGauge;
+use crate::record_list::{RecordList, next_order, now_micros};
+use crate::refusal::refusal_outcome;
+
+#[derive(Debug)]
+pub(super) struct ServiceCalls {
+    settings: ServiceSettings,
+    pub(super) faults: FaultSwitch<ServiceFaults>,
+    pub(super) record: RecordList<CallRecord>,
+    batch: Arc<StepBatch>,
+    gauge: LoadGauge,
+    ran: AtomicU64,
+}
+
+impl ServiceCalls {
+    pub(super) fn new(settings: ServiceSettings) -> Self {
+        Self {
+            faults: FaultSwitch::new(ServiceFaults::default()),
+            record: RecordList::new(settings.record_cap),
+            batch: Arc::new(StepBatch::new(settings.concurrency, settings.max_waiting)),
+            gauge: LoadGauge::new(Instant::now()),
+            ran: AtomicU64::new(0),
+            settings,
+        }
+    }
+
+    /// Refreshes the load report for ever.
+    pub(super) async fn refresh_load(&self) {
+        let mut ticks = interval(self.settings.load_lag.max(Duration::from_millis(1)));
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            self.gauge.refresh(self.batch.load(), Instant::now());
+        }
+    }
+
+    pub(super) async fn serve(self: Arc<Self>, call: ServedCall) -> CallOutcome {
+        if call.path().first() == Some(&"control") {
+            return self.serve_control(&call).unwrap_or_else(|outcome| outcome);
+        }
+        self.faults.wait_until(|faults| !faults.frozen).await;
+        // A task of its own: the call goes on if the caller hangs up.
+        let serving = {
+            let calls = Arc::clone(&self);
+            async move { calls.serve_target(&call).await }
+        };
+        let outcome = tokio::spawn(serving).await;
+        self.faults.wait_until(|faults| !faults.frozen).await;
+        let link_delay_ms = self.faults.read(|faults| faults.link_delay_ms);
+        if link_delay_ms > 0 {
+            sleep(Duration::from_millis(link_delay_ms)).await;
+        }
+        match outcome {
+            Ok(Ok(outcome) | Err(outcome)) => outcome,
+            Err(_) => CallOutcome::Close,
+        }
+    }
+
+    fn serve_control(&self, call: &ServedCall) -> Result<CallOutcome, CallOutcome> {
+        match (&call.method, &call.path()[1..]) {
+            (&Method::GET, ["faults"]) => Ok(CallOutcome::ok(&self.faults.get())),
+            (&Method::GET, ["record"]) => Ok(CallOutcome::ok(&self.record.entries())),
+            (&Method::PUT, ["faults"]) => {
+                self.faults.set(call.json()?);
+                Ok(CallOutcome::empty(StatusCode::NO_CONTENT))
+            }
+            _ => Err(CallOutcome::empty(StatusCode::NOT_FOUND)),
+        }
+    }
+
+    async fn serve_target(&self, call: &ServedCall) -> Result<CallOutcome, CallOutcome> {
+        match (&call.method, &call.path()[..]) {
+            (&Method::POST, ["v1", "calls", operation]) => self.run(call, operation).await,
+            (&Method::GET, ["v1", "load"]) => {
+                Ok(CallOutcome::ok(&self.gauge.report(Instant::now())))
+            }
+            (&Method::GET, ["v1", "state"]) => Ok(CallOutcome::ok(&self.state())),
+            _ => Err(CallOutcome::empty(StatusCode::NOT_FOUND)),
+        }
+    }
+
+    fn state(&self) -> TargetState {
+        TargetState {
+            loaded: Vec::new(),
+            loading: Vec::new(),
+            role: EngineRole::Mixed,
+            leaving: self.faults.read(|faults| faults.leaving),
+            fencing: None,
+        }
+    }
+
+    async fn run(&self, call: &ServedCall, operation: &str) -> Result<CallOutcome, CallOutcome> {
+        self.admit()?;
+        let body: Value = serde_json::from_slice(&call.body)
+            .map_err(|_| refusal_outcome(TargetRefusalKind::Malformed, None))?;
+        let slot = self.batch.acquire(0).await;
+        let mut slot = slot.map_err(|_| refusal_outcome(TargetRefusalKind::Overloaded, None))?;
+        // Whoever dies while the call waits for its slot never runs it.
+        self.pass(DeathPoint::Before)?;
+        let ran = self.ran.fetch_add(1, Ordering::Relaxed) + 1;
+        self.note(call, operation, body);
+        self.pass(DeathPoint::During)?;
+        let slow_factor = self.faults.read(|faults| faults.slow_factor).max(0.0);
+        let done_at = slot.book(self.settings.call_time.mul_f64(slow_factor));
+        sleep_until(done_at.into()).await;
+        drop(slot);
+        self.gauge.count(1);
+        self.pass(DeathPoint::After)?;
+        if self.faults.take_one(|faults| &mut faults.lose_answers) {
+            return Err(CallOutcome::Close);
+        }
+        Ok(CallOutcome::ok(&ServiceAnswer {
+            ran,
+            operation: operation.to_owned(),
+        }))
+    }
+
+    fn admit(&self) -> Result<(), CallOutcome> {
+        if self.faults.take_one(|faults| &mut faults.lose_calls) {
+            return Err(CallOutcome::Close);
+        }
+        if self.faults.take_one(|faults| &mut faults.refuse_calls) {
+            let kind = self.faults.read(|faults| faults.refusal);
+            return Err(refusal_outcome(kind, None));
+        }
+        match self.faults.read(|faults| faults.leaving) {
+            true => Err(refusal_outcome(TargetRefusalKind::Leaving, None)),
+            false => Ok(()),
+        }
+    }
+
+    /// Dies here if a fault says so; a dead service goes no further.
+    fn pass(&self, point: DeathPoint) -> Result<(), CallOutcome> {
+        self.faults.update_if(|faults| {
+            let dies = faults.die_at == Some(point);
+            if dies {
+                faults.dead = true;
+                faults.die_at = None;
+            }
+            dies
+        });
+        match self.faults.read(|faults| faults.dead) {
+            true => Err(CallOutcome::Close),
+            false => Ok(()),
+        }
+    }
+
+    fn note(&self, call: &ServedCall, operation: &str, body: Value) {
+        self.record.push(|| CallRecord {
+            order: next_order(),
+            request: call.header_text(REQUEST_ID_HEADER).map(Into::into),
+            idempotency_key: call.header_text(IDEMPOTENCY_KEY_HEADER).map(Into::into),
+            operation: operation.to_owned(),
+            body,
+            at_micros: now_micros(),
+        });
+    }
+}
--- /dev/null
+++ b/standins/tests/standins.rs
@@ -0,0 +1,282 @@
+//! The stand-ins tell the truth: what they answer and record is what they did.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use jackdawwick::platform::wire::{AppendBody, ReadAnswer};
+use jackdawwick::target::wire::{StepAnswer, StepLabel, StepOrder, TargetRefusal};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use standins::engine::{EngineServer, EngineSettings, StepKind};
+use standins::platform::{PlatformServer, PlatformSettings};
+use standins::reference;
+use standins::service::{ServiceAnswer, ServiceServer, ServiceSettings};
+use tokio::time::timeout;
+
+const MODEL: &str = "reader";
+const VERSION: &str = "v1";
+const MODEL_LAYERS: u32 = 12;
+const RANGES: [(u32, u32); 3] = [(0, 3), (4, 7), (8, 11)];
+const PROMPT: [u64; 5] = [17, 4, 4, 49_999, 0];
+const TOKENS: usize = 8;
+const DEADLINE: Duration = Duration::from_secs(10);
+
+type TestResult = Result<(), Box<dyn std::error::Error>>;
+type HttpClient = Client<HttpConnector, Full<Bytes>>;
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn client() -> HttpClient {
+    // A pool would send a lost call again by itself.
+    Client::builder(TokioExecutor::new())
+        .pool_max_idle_per_host(0)
+        .build_http()
+}
+
+struct HttpAnswer {
+    status: StatusCode,
+    body: Bytes,
+}
+
+impl HttpAnswer {
+    fn json<T>(&self) -> Result<T, serde_json::Error>
+    where
+        T: DeserializeOwned,
+    {
+        serde_json::from_slice(&self.body)
+    }
+}
+
+async fn call<T>(
+    method: Method,
+    addr: SocketAddr,
+    path: &str,
+    body: &T,
+) -> Result<HttpAnswer, Box<dyn std::error::Error>>
+where
+    T: Serialize,
+{
+    let request = Request::builder()
+        .method(method)
+        .uri(format!("http://{addr}{path}"))
+        .body(Full::new(serde_json::to_vec(body)?.into()))?;
+    let response = client().request(request).await?;
+    let status = response.status();
+    let body = response.into_body().collect().await?.to_bytes();
+    Ok(HttpAnswer { status, body })
+}
+
+fn order(stage: usize, position: u64, inputs: &[u64]) -> StepOrder {
+    let (first_layer, last_layer) = RANGES[stage];
+    StepOrder {
+        label: StepLabel {
+            request: "request-1".into(),
+            attempt: 1,
+            stage,
+        },
+        model: MODEL.into(),
+        version: VERSION.into(),
+        first_layer,
+        last_layer,
+        position,
+        inputs: inputs.to_vec(),
+        priority: 0,
+    }
+}
+
+async fn step(
+    addr: SocketAddr,
+    order: &StepOrder,
+) -> Result<HttpAnswer, Box<dyn std::error::Error>> {
+    call(Method::POST, addr, "/v1/steps", order).await
+}
+
+async fn bind_engines() -> std::io::Result<Vec<EngineServer>> {
+    let mut engines = Vec::new();
+    for (first, last) in RANGES {
+        let settings = EngineSettings::new(MODEL, VERSION, MODEL_LAYERS, first, last);
+        engines.push(EngineServer::bind(any_port(), settings).await?);
+    }
+    Ok(engines)
+}
+
+/// Drives the chain of engines as a router without faults would.
+async fn generate(engines: &[EngineServer]) -> Result<Vec<u64>, Box<dyn std::error::Error>> {
+    let mut tokens = Vec::new();
+    let mut position = 0;
+    let mut inputs = PROMPT.to_vec();
+    while tokens.len() < TOKENS {
+        let mut values = inputs.clone();
+        for (stage, engine) in engines.iter().enumerate() {
+            let answer = step(engine.local_addr(), &order(stage, position, &values)).await?;
+            values = answer.json::<StepAnswer>()?.outputs;
+        }
+        position += inputs.len() as u64;
+        let token = values.last().copied().ok_or("no output")?;
+        tokens.push(token);
+        inputs = vec![token];
+    }
+    Ok(tokens)
+}
+
+fn right_answer() -> Vec<u64> {
+    reference::generate(MODEL, VERSION, MODEL_LAYERS, &PROMPT, TOKENS)
+}
+
+#[tokio::test]
+async fn a_chain_of_engines_gives_the_reference_answer() -> TestResult {
+    let engines = bind_engines().await?;
+    assert_eq!(generate(&engines).await?, right_answer());
+    let record = engines[1].record();
+    assert_eq!(record.len(), PROMPT.len() + TOKENS - 1);
+    assert!(record.iter().all(|entry| entry.layers == [4, 5, 6, 7]));
+    Ok(())
+}
+
+// Symptom: a caller gets tokens that the model would not give.
+// Sequence: one stage leaves out a layer of its range, or runs one twice.
+// Cause: a faulty engine; a checker that compares with the reference sees it.
+#[tokio::test]
+async fn faulty_layers_change_the_answer() -> TestResult {
+    let engines = bind_engines().await?;
+    engines[1]
+        .faults()
+        .update(|faults| faults.skip_layer = Some(5));
+    assert_ne!(generate(&engines).await?, right_answer());
+    assert!(
+        engines[1]
+            .record()
+            .iter()
+            .all(|entry| entry.layers == [4, 6, 7])
+    );
+
+    let engines = bind_engines().await?;
+    engines[2]
+        .faults()
+        .update(|faults| faults.double_layer = Some(8));
+    assert_ne!(generate(&engines).await?, right_answer());
+    Ok(())
+}
+
+// Symptom: a position runs twice and every later token is wrong.
+// Sequence: a step runs, its answer is lost, and the step is sent again, twice
+// at once. Cause: an engine that does not look up what the session has run.
+#[tokio::test]
+async fn a_repeated_step_is_handed_back_and_one_ahead_is_refused() -> TestResult {
+    let engines = bind_engines().await?;
+    let engine = &engines[0];
+    engine.faults().update(|faults| faults.lose_answers = 1);
+    let prefill = order(0, 0, &PROMPT);
+    assert!(step(engine.local_addr(), &prefill).await.is_err());
+
+    // Two at once: neither may run the positions again.
+    let (first, second) = tokio::join!(
+        step(engine.local_addr(), &prefill),
+        step(engine.local_addr(), &prefill)
+    );
+    assert_eq!(first?.json::<StepAnswer>()?, second?.json::<StepAnswer>()?);
+    let kinds: Vec<_> = engine.record().iter().map(|entry| entry.kind).collect();
+    let (ran, resumed) = kinds.split_at(PROMPT.len());
+    assert!(ran.iter().all(|kind| *kind == StepKind::Ran));
+    assert!(resumed.iter().all(|kind| *kind == StepKind::Resumed));
+    assert_eq!(resumed.len(), 2 * PROMPT.len());
+
+    let ahead = step(engine.local_addr(), &order(0, 9, &[1])).await?;
+    assert_eq!(ahead.status, StatusCode::CONFLICT);
+    let next_position = ahead.json::<TargetRefusal>()?.next_position;
+    assert_eq!(next_position, Some(PROMPT.len() as u64));
+    Ok(())
+}
+
+// Symptom: a step goes on after a restart as if the KV cache had survived.
+// Sequence: a prefill, death, restart, the next decode step.
+// Cause: sessions that outlive the process which held them.
+#[tokio::test]
+async fn a_dead_engine_refuses_connections_and_comes_back_empty() -> TestResult {
+    let engines = bind_engines().await?;
+    let engine = &engines[0];
+    let prefill = order(0, 0, &PROMPT);
+    step(engine.local_addr(), &prefill).await?;
+    engine.die();
+    let is_refused = async {
+        while step(engine.local_addr(), &prefill).await.is_ok() {
+            tokio::task::yield_now().await;
+        }
+    };
+    timeout(DEADLINE, is_refused).await?;
+    engine.revive();
+    let next = order(0, PROMPT.len() as u64, &[1]);
+    let first_answer = async {
+        loop {
+            match step(engine.local_addr(), &next).await {
+                Ok(answer) => return answer,
+                Err(_) => tokio::task::yield_now().await,
+            }
+        }
+    };
+    let answer = timeout(DEADLINE, first_answer).await?;
+    assert_eq!(answer.status, StatusCode::CONFLICT);
+    Ok(())
+}
+
+// Symptom: a writer takes an append for failed, and its record shows up later.
+// Sequence: one append loses its answer, one is lost whole, two go well.
+// Cause: the connection breaks after the effect, or before it.
+#[tokio::test]
+async fn an_append_whose_answer_is_lost_takes_effect() -> TestResult {
+    let platform = PlatformServer::bind(any_port(), PlatformSettings::default()).await?;
+    let addr = platform.local_addr();
+    let path = "/v1/streams/claims/records";
+    let body = |text: &str| AppendBody {
+        records: vec![text.to_owned()],
+    };
+    platform
+        .faults()
+        .update(|faults| faults.lose_append_answers = 1);
+    assert!(call(Method::POST, addr, path, &body("1")).await.is_err());
+    platform.faults().update(|faults| faults.lose_appends = 1);
+    assert!(call(Method::POST, addr, path, &body("2")).await.is_err());
+    call(Method::POST, addr, path, &body("3")).await?;
+    call(Method::POST, addr, path, &body("4")).await?;
+
+    call(Method::PUT, addr, "/control/retention", &2).await?;
+    let read = call(Method::GET, addr, &format!("{path}?from=0"), &()).await?;
+    let read: ReadAnswer = read.json()?;
+    assert_eq!((read.first_offset, read.end_offset), (1, 3));
+    let bodies: Vec<_> = read.records.iter().map(|record| &record.body[..]).collect();
+    assert_eq!(bodies, ["3", "4"]);
+    assert_eq!(platform.record("claims").len(), 3);
+    Ok(())
+}
+
+// Symptom: a call that failed for its caller has run, or the reverse.
+// Sequence: one call loses its answer, one is refused, one goes well.
+// Cause: the connection breaks after the effect.
+#[tokio::test]
+async fn a_service_records_each_call_that_ran() -> TestResult {
+    let service = ServiceServer::bind(any_port(), ServiceSettings::default()).await?;
+    let addr = service.local_addr();
+    let path = "/v1/calls/charge";
+    service.faults().update(|faults| faults.lose_answers = 1);
+    assert!(call(Method::POST, addr, path, &"a").await.is_err());
+    service.faults().update(|faults| faults.refuse_calls = 1);
+    let refused = call(Method::POST, addr, path, &"b").await?;
+    assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+    let answer: ServiceAnswer = call(Method::POST, addr, path, &"c").await?.json()?;
+    assert_eq!(answer.ran, 2);
+    let bodies: Vec<_> = service
+        .record()
+        .into_iter()
+        .map(|entry| entry.body)
+        .collect();
+    assert_eq!(bodies, ["a", "c"]);
+    Ok(())
+}
