Check the daemon's settings and report every mistake at once

Cause: the daemon needs its addresses, availability zone and limits from one TOML file and its command line, and an operator should see all mistakes of a file in one start.

Ruled out: serde structs with deny_unknown_fields. They stop at the first mistake, so a file with five needs five starts. Each section is instead read by a function that asks for its keys by name; what it did not ask for is an unknown key, and what it asked for is the list that the sample file is tested against.

Change: module options with DaemonOptions::from_toml, daemon_command and plan_startup, and sample.toml with every key, its default and legal range.

--- /dev/null
+++ b/src/options/limits.rs
@@ -0,0 +1,45 @@
+//! Section `[limits]`: bounds on what callers may send and on what is kept.
+
+use super::range::NumberRange;
+use super::section::SectionReader;
+
+const MAX_BODY_BYTES: NumberRange<usize> = NumberRange::new(1024, 1 << 30, 1 << 20);
+const MAX_HEADER_COUNT: NumberRange<usize> = NumberRange::new(8, 1000, 64);
+const MAX_HEADER_BYTES: NumberRange<usize> = NumberRange::new(1024, 1 << 20, 16 << 10);
+const MAX_CONNECTIONS: NumberRange<usize> = NumberRange::new(1, 1_000_000, 1024);
+const MAX_QUEUED: NumberRange<usize> = NumberRange::new(0, 1_000_000, 256);
+const JOURNAL_ENTRIES: NumberRange<usize> = NumberRange::new(1, 10_000_000, 10_000);
+
+/// Bounds on what callers may send and on what is kept in memory.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LimitOptions {
+    /// Longest body of a request, in bytes.
+    pub max_body_bytes: usize,
+    /// Most headers of a request.
+    pub max_header_count: usize,
+    /// Longest header section of a request, in bytes.
+    pub max_header_bytes: usize,
+    /// Most connections of callers at once.
+    pub max_connections: usize,
+    /// Most requests of one organisation that wait at once on this host.
+    pub max_queued_per_organisation: usize,
+    /// Decisions kept for `explain`, the oldest dropped first.
+    pub journal_entries: usize,
+}
+
+pub(super) fn read(section: &mut SectionReader<'_>) -> Option<LimitOptions> {
+    let max_body_bytes = section.integer("max_body_bytes", MAX_BODY_BYTES);
+    let max_header_count = section.integer("max_header_count", MAX_HEADER_COUNT);
+    let max_header_bytes = section.integer("max_header_bytes", MAX_HEADER_BYTES);
+    let max_connections = section.integer("max_connections", MAX_CONNECTIONS);
+    let max_queued_per_organisation = section.integer("max_queued_per_organisation", MAX_QUEUED);
+    let journal_entries = section.integer("journal_entries", JOURNAL_ENTRIES);
+    Some(LimitOptions {
+        max_body_bytes: max_body_bytes?,
+        max_header_count: max_header_count?,
+        max_header_bytes: max_header_bytes?,
+        max_connections: max_connections?,
+        max_queued_per_organisation: max_queued_per_organisation?,
+        journal_entries: journal_entries?,
+    })
+}
--- /dev/null
+++ b/src/options/reader.rs
@@ -0,0 +1,77 @@
+//! Reads the sections of a parsed settings file.
+
+use toml::{Table, Value};
+
+use super::OptionMistake;
+use super::section::{SectionReader, bad_value};
+
+/// A key that a settings file may have.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DocumentedKey {
+    /// Section or list, such as `timing` or `peers.seeds`.
+    pub section: String,
+    /// Name within the section.
+    pub key: &'static str,
+    /// The legal range, in words.
+    pub legal: String,
+}
+
+/// A whole file being read.
+pub(super) struct FileReader<'t> {
+    table: &'t Table,
+    sections: Vec<&'static str>,
+    documented: Vec<DocumentedKey>,
+    mistakes: Vec<OptionMistake>,
+}
+
+impl<'t> FileReader<'t> {
+    /// Starts reading a parsed file.
+    pub(super) fn new(table: &'t Table) -> Self {
+        Self {
+            table,
+            sections: Vec::new(),
+            documented: Vec::new(),
+            mistakes: Vec::new(),
+        }
+    }
+
+    /// Reads one section; an absent one counts as empty.
+    pub(super) fn section<T, F>(&mut self, name: &'static str, read: F) -> Option<T>
+    where
+        F: FnOnce(&mut SectionReader<'_>) -> Option<T>,
+    {
+        self.sections.push(name);
+        let empty = Table::new();
+        let table = match self.table.get(name) {
+            None => &empty,
+            Some(Value::Table(table)) => table,
+            Some(other) => {
+                self.mistakes.push(bad_value(name, other, "a table"));
+                return None;
+            }
+        };
+        let mut section = SectionReader::new(name.to_owned(), table);
+        let value = read(&mut section);
+        section.finish(&mut self.documented, &mut self.mistakes);
+        value
+    }
+
+    /// Ends the reading: unknown sections count as mistakes too.
+    pub(super) fn finish(mut self) -> Vec<OptionMistake> {
+        let known = self.sections.join(", ");
+        for key in self.table.keys() {
+            if !self.sections.contains(&key.as_str()) {
+                self.mistakes.push(OptionMistake::UnknownKey {
+                    key: key.clone(),
+                    known: known.clone(),
+                });
+            }
+        }
+        self.mistakes
+    }
+
+    /// Every key that was asked for, found or not.
+    pub(super) fn into_documented(self) -> Vec<DocumentedKey> {
+        self.documented
+    }
+}
--- /dev/null
+++ b/src/options/startup.rs
@@ -0,0 +1,69 @@
+//! What the daemon's `main` is to do, from its command line.
+
+use std::ffi::OsString;
+use std::path::{Path, PathBuf};
+
+use super::arguments::{CHECK, CONFIG, PRINT_SAMPLE, daemon_command};
+use super::{DaemonOptions, SAMPLE_TOML};
+
+/// Exit status for a wrong command line or wrong settings.
+const USAGE_STATUS: u8 = 2;
+
+/// What the daemon's `main` is to do.
+#[derive(Debug, Clone, PartialEq)]
+pub enum StartupAction {
+    /// Run with these settings.
+    Run(Box<DaemonOptions>),
+    /// Print the text to standard output and exit with status 0.
+    Print(String),
+    /// Print the message to standard error and exit with the status.
+    Fail {
+        /// What is wrong and what to do next.
+        message: String,
+        /// Exit status.
+        status: u8,
+    },
+}
+
+/// Reads the command line, the program's name first, and the settings file
+/// that it names.
+pub fn plan_startup<I, T>(arguments: I) -> StartupAction
+where
+    I: IntoIterator<Item = T>,
+    T: Into<OsString> + Clone,
+{
+    let matches = match daemon_command().try_get_matches_from(arguments) {
+        Ok(matches) => matches,
+        Err(error) if error.use_stderr() => return fail(error.to_string()),
+        Err(help) => return StartupAction::Print(help.to_string()),
+    };
+    if matches.get_flag(PRINT_SAMPLE) {
+        return StartupAction::Print(SAMPLE_TOML.to_owned());
+    }
+    match matches.get_one::<PathBuf>(CONFIG) {
+        Some(path) => load(path, matches.get_flag(CHECK)),
+        None => fail("name a settings file with --config FILE".to_owned()),
+    }
+}
+
+fn load(path: &Path, check_only: bool) -> StartupAction {
+    let shown = path.display();
+    let text = match std::fs::read_to_string(path) {
+        Ok(text) => text,
+        Err(error) => return fail(format!("{shown}: cannot be read: {error}")),
+    };
+    match DaemonOptions::from_toml(&text) {
+        Ok(_) if check_only => StartupAction::Print(format!("{shown}: valid\n")),
+        Ok(options) => StartupAction::Run(Box::new(options)),
+        Err(error) => fail(format!(
+            "{shown}: {error}\nSee `jackdawwickd --print-sample` for every key."
+        )),
+    }
+}
+
+fn fail(message: String) -> StartupAction {
+    StartupAction::Fail {
+        message,
+        status: USAGE_STATUS,
+    }
+}
--- /dev/null
+++ b/src/options/timing.rs
@@ -0,0 +1,131 @@
+//! Section `[timing]`: intervals, timeouts and windows.
+
+use std::time::Duration;
+
+use super::range::{DurationRange, NumberRange};
+use super::section::SectionReader;
+
+const SECOND: u64 = 1000;
+const MINUTE: u64 = 60 * SECOND;
+const HOUR: u64 = 60 * MINUTE;
+const DAY: u64 = 24 * HOUR;
+
+const HEARTBEAT_INTERVAL: DurationRange = DurationRange::millis(20, 10 * SECOND, 500);
+const PEER_TIMEOUT: DurationRange = DurationRange::millis(50, MINUTE, 2 * SECOND);
+const HOST_LIST_INTERVAL: DurationRange = DurationRange::millis(20, MINUTE, SECOND);
+const LOAD_INTERVAL: DurationRange = DurationRange::millis(20, MINUTE, SECOND);
+const LOG_WAIT: DurationRange = DurationRange::millis(10, 30 * SECOND, SECOND);
+const DEFAULT_DEADLINE: DurationRange = DurationRange::millis(100, HOUR, 30 * SECOND);
+const IDEMPOTENCY_WINDOW: DurationRange = DurationRange::millis(MINUTE, 30 * DAY, DAY);
+const CLAIM_TIMEOUT: DurationRange = DurationRange::millis(50, MINUTE, 2 * SECOND);
+const STEP_TIMEOUT: DurationRange = DurationRange::millis(20, 5 * MINUTE, 2 * SECOND);
+const CONNECT_TIMEOUT: DurationRange = DurationRange::millis(10, 30 * SECOND, 300);
+const LEASE_DURATION: DurationRange = DurationRange::millis(200, 5 * MINUTE, 5 * SECOND);
+const CLOCK_RATE_MARGIN: NumberRange<f64> = NumberRange::new(0.0, 0.5, 0.01);
+const DRAIN_TIMEOUT: DurationRange = DurationRange::millis(100, HOUR, MINUTE);
+
+/// Intervals, timeouts and windows.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct TimingOptions {
+    /// Time between two heartbeats to a peer.
+    pub heartbeat_interval: Duration,
+    /// Silence after which a peer counts as unreachable.
+    pub peer_timeout: Duration,
+    /// Time between two reads of the platform's host list.
+    pub host_list_interval: Duration,
+    /// Time between two reads of a watched target's load report.
+    pub load_interval: Duration,
+    /// How long a read of the log waits for new records.
+    pub log_wait: Duration,
+    /// Deadline of a request that names none.
+    pub default_deadline: Duration,
+    /// Age after which an idempotency key is refused.
+    pub idempotency_window: Duration,
+    /// How long a claim on an idempotency key may take to settle.
+    pub claim_timeout: Duration,
+    /// How long a target may take for one step of a stage.
+    pub step_timeout: Duration,
+    /// How long a connection may take to open.
+    pub connect_timeout: Duration,
+    /// Length of a lease, from before its append was sent.
+    pub lease_duration: Duration,
+    /// Bound on the difference of two hosts' clock rates, as a fraction.
+    pub clock_rate_margin: f64,
+    /// How long a shutdown waits for requests in flight.
+    pub drain_timeout: Duration,
+}
+
+pub(super) fn read(section: &mut SectionReader<'_>) -> Option<TimingOptions> {
+    let heartbeat_interval = section.duration("heartbeat_interval", HEARTBEAT_INTERVAL);
+    let peer_timeout = section.duration("peer_timeout", PEER_TIMEOUT);
+    let host_list_interval = section.duration("host_list_interval", HOST_LIST_INTERVAL);
+    let load_interval = section.duration("load_interval", LOAD_INTERVAL);
+    let log_wait = section.duration("log_wait", LOG_WAIT);
+    let default_deadline = section.duration("default_deadline", DEFAULT_DEADLINE);
+    let idempotency_window = section.duration("idempotency_window", IDEMPOTENCY_WINDOW);
+    let claim_timeout = section.duration("claim_timeout", CLAIM_TIMEOUT);
+    let step_timeout = section.duration("step_timeout", STEP_TIMEOUT);
+    let connect_timeout = section.duration("connect_timeout", CONNECT_TIMEOUT);
+    let lease_duration = section.duration("lease_duration", LEASE_DURATION);
+    let clock_rate_margin = section.fraction("clock_rate_margin", CLOCK_RATE_MARGIN);
+    let drain_timeout = section.duration("drain_timeout", DRAIN_TIMEOUT);
+    check_pairs(
+        section,
+        &[
+            // With less than two heartbeats in the timeout, one lost heartbeat
+            // makes a healthy peer look unreachable and its grants look free.
+            PairRule {
+                key: "peer_timeout",
+                found: peer_timeout,
+                holds: peer_timeout >= heartbeat_interval.map(|interval| 2 * interval),
+                legal: "at least twice timing.heartbeat_interval",
+            },
+            PairRule {
+                key: "connect_timeout",
+                found: connect_timeout,
+                holds: step_timeout.is_none() || connect_timeout <= step_timeout,
+                legal: "at most timing.step_timeout",
+            },
+            PairRule {
+                key: "claim_timeout",
+                found: claim_timeout,
+                holds: default_deadline.is_none() || claim_timeout <= default_deadline,
+                legal: "at most timing.default_deadline",
+            },
+        ],
+    );
+    Some(TimingOptions {
+        heartbeat_interval: heartbeat_interval?,
+        peer_timeout: peer_timeout?,
+        host_list_interval: host_list_interval?,
+        load_interval: load_interval?,
+        log_wait: log_wait?,
+        default_deadline: default_deadline?,
+        idempotency_window: idempotency_window?,
+        claim_timeout: claim_timeout?,
+        step_timeout: step_timeout?,
+        connect_timeout: connect_timeout?,
+        lease_duration: lease_duration?,
+        clock_rate_margin: clock_rate_margin?,
+        drain_timeout: drain_timeout?,
+    })
+}
+
+/// A rule on a duration that only makes sense in relation to another one.
+struct PairRule {
+    key: &'static str,
+    found: Option<Duration>,
+    holds: bool,
+    legal: &'static str,
+}
+
+/// Reports the rules that do not hold; a duration that is itself a mistake is
+/// not judged against another.
+fn check_pairs(section: &mut SectionReader<'_>, rules: &[PairRule]) {
+    for rule in rules.iter().filter(|rule| !rule.holds) {
+        if let Some(found) = rule.found {
+            let found = humantime::format_duration(found);
+            section.report_conflict(rule.key, &found, rule.legal);
+        }
+    }
+}
