Add admission and routing tables with their signatures

Cause: the daemon needs admission and routing decisions to build against.

Change: pure tables, the time and the generator passed in. - Admission: share by concurrency and token bucket, one bounded queue an organisation, start-time fair queueing over the host's capacity (weight = share), refusal at once where wait and service pass the deadline, demand for the division of shares (in flight, waiting and lately refused, since a host without a share would otherwise never show demand). - Routing: whole pipelines of one version, per target the steps ahead (local count plus faded report), measured step and prompt times, link time and prefix affinity; two random candidates a stage, all if few; the baselines random, least outstanding and round robin behind RoutePolicy. - Retry: budget, jittered backoff, ejection with a cap and slow start.

Ruled out: serving the lowest in-flight-to-share ratio first; with one slot and instant requests every ratio is zero and the largest weight always wins.

Conclusion: signatures stand, policy is to be measured next.

--- /dev/null
+++ b/src/admission/commands.rs
@@ -0,0 +1,232 @@
+//! Changing the table: shares, arrivals, ends and the passing of time.
+
+use std::cmp::Reverse;
+use std::time::{Duration, Instant};
+
+use crate::ids::{OrganisationId, RequestId};
+use crate::reason::RefusalReason;
+
+use super::organisation::{OrganisationState, QueuePlace};
+use super::table::WaitingPlace;
+use super::{AdmissionDecision, AdmissionRequest, AdmissionTable, ReleaseCause, ShareLimit};
+
+/// What becomes of a request on its arrival.
+enum ArrivalVerdict {
+    Start,
+    Wait,
+    Refuse(RefusalReason),
+}
+
+impl AdmissionTable {
+    /// Sets what this host may use of an organisation's capacity. What is in
+    /// flight above a lowered share runs on; nothing new starts meanwhile.
+    /// Waiting requests start or are refused at the next `tick`.
+    pub fn set_share(&mut self, organisation: OrganisationId, limit: ShareLimit, now: Instant) {
+        let settings = &self.settings;
+        let state = self
+            .organisations
+            .entry(organisation)
+            .or_insert_with(|| OrganisationState::new(limit, settings, now));
+        if state.limit != limit {
+            state.bucket.set_rate(limit.requests_per_second, now);
+            state.limit = limit;
+            state.drain.reset();
+        }
+        state.is_removed = false;
+    }
+
+    /// Forgets an organisation that is no longer declared. Nothing of it
+    /// starts any more; what waits is refused at the next `tick`.
+    pub fn remove_share(&mut self, organisation: &OrganisationId, now: Instant) {
+        if !self.organisations.contains_key(organisation) {
+            return;
+        }
+        self.set_share(organisation.clone(), ShareLimit::default(), now);
+        if let Some(state) = self.organisations.get_mut(organisation) {
+            state.is_removed = true;
+        }
+    }
+
+    /// Sets how many requests the targets can carry at once.
+    pub fn set_capacity(&mut self, concurrent: u32) {
+        self.capacity = concurrent;
+    }
+
+    /// Decides about a request that has just arrived.
+    ///
+    /// A request id that already runs or waits is refused as malformed: the
+    /// release of one would otherwise free the slot of the other.
+    pub fn admit(&mut self, request: AdmissionRequest, now: Instant) -> AdmissionDecision {
+        let place = (Reverse(request.priority), self.arrivals);
+        self.arrivals += 1;
+        match self.verdict_on_arrival(&request, place, now) {
+            ArrivalVerdict::Start => self.start(&request),
+            ArrivalVerdict::Wait => self.enqueue(request, place),
+            ArrivalVerdict::Refuse(reason) => self.refuse(&request, reason, now),
+        }
+    }
+
+    fn verdict_on_arrival(
+        &mut self,
+        request: &AdmissionRequest,
+        place: QueuePlace,
+        now: Instant,
+    ) -> ArrivalVerdict {
+        if let Some(state) = self.organisations.get_mut(&request.organisation) {
+            state.bucket.refill(now);
+        }
+        let Some(state) = self.organisations.get(&request.organisation) else {
+            return ArrivalVerdict::Refuse(RefusalReason::CapacityUsedUp);
+        };
+        let ahead = state.queue.range(..place).count();
+        let has_slot = self.running.len() < self.capacity as usize;
+        let starts_now = has_slot && state.queue.is_empty() && state.may_start();
+        let is_known = self.running.contains_key(&request.request)
+            || self.waiting.contains_key(&request.request);
+        let is_full = state.queue.len() >= self.settings.queue_length
+            || self.waiting.len() >= self.settings.total_queue_length;
+        let in_time = match starts_now {
+            true => now + request.service_time <= request.deadline,
+            false => self.is_reachable(state, request, ahead, now),
+        };
+        match () {
+            () if is_known => ArrivalVerdict::Refuse(RefusalReason::Malformed),
+            () if now >= request.deadline => ArrivalVerdict::Refuse(RefusalReason::DeadlinePassed),
+            () if state.has_no_share() => ArrivalVerdict::Refuse(RefusalReason::CapacityUsedUp),
+            () if !in_time => ArrivalVerdict::Refuse(RefusalReason::DeadlineUnreachable),
+            () if starts_now => ArrivalVerdict::Start,
+            // With room on the host, it is the share that holds the queue up.
+            () if is_full && has_slot => ArrivalVerdict::Refuse(RefusalReason::CapacityUsedUp),
+            () if is_full => ArrivalVerdict::Refuse(RefusalReason::QueueFull),
+            () => ArrivalVerdict::Wait,
+        }
+    }
+
+    fn enqueue(&mut self, request: AdmissionRequest, place: QueuePlace) -> AdmissionDecision {
+        let decision = AdmissionDecision::Wait {
+            request: request.request.clone(),
+        };
+        let waiting = WaitingPlace {
+            organisation: request.organisation.clone(),
+            place,
+        };
+        self.waiting.insert(request.request.clone(), waiting);
+        if let Some(state) = self.organisations.get_mut(&request.organisation) {
+            state.queue.insert(place, request);
+        }
+        decision
+    }
+
+    /// Takes a started request off and returns the decisions about those that
+    /// waited for its slot. An unknown request changes nothing.
+    pub fn release(
+        &mut self,
+        request: &RequestId,
+        now: Instant,
+        cause: ReleaseCause,
+    ) -> Vec<AdmissionDecision> {
+        let Some(organisation) = self.running.remove(request) else {
+            return Vec::new();
+        };
+        if let Some(state) = self.organisations.get_mut(&organisation) {
+            state.in_flight = state.in_flight.saturating_sub(1);
+            if cause == ReleaseCause::Completed {
+                state.drain.ended(!state.queue.is_empty(), now);
+            }
+        }
+        self.tick(now)
+    }
+
+    /// Gives up what can no longer be answered in time and starts what may
+    /// start now.
+    pub fn tick(&mut self, now: Instant) -> Vec<AdmissionDecision> {
+        for state in self.organisations.values_mut() {
+            state.bucket.refill(now);
+        }
+        let mut decisions = Vec::new();
+        self.start_waiting(now, &mut decisions);
+        self.give_up_waiting(now, &mut decisions);
+        self.organisations
+            .retain(|_, state| !state.is_removed || !state.is_idle());
+        decisions
+    }
+
+    /// Drops a request that waits; one that runs has to be released instead.
+    /// Returns whether it waited.
+    pub fn cancel(&mut self, request: &RequestId, _now: Instant) -> bool {
+        let Some(waiting) = self.waiting.remove(request) else {
+            return false;
+        };
+        if let Some(state) = self.organisations.get_mut(&waiting.organisation) {
+            state.queue.remove(&waiting.place);
+        }
+        true
+    }
+
+    /// Refuses each waiting request whose estimate passes its deadline.
+    ///
+    /// A request that is kept although it cannot be answered in time takes
+    /// the place of one that can, and its caller learns too late to go
+    /// elsewhere; one would see goodput fall while everything is busy.
+    fn give_up_waiting(&mut self, now: Instant, decisions: &mut Vec<AdmissionDecision>) {
+        for request in self.unreachable(now) {
+            self.cancel(&request.request, now);
+            decisions.push(self.refuse_waiting(&request, now));
+        }
+    }
+
+    fn unreachable(&self, now: Instant) -> Vec<AdmissionRequest> {
+        let mut given_up = Vec::new();
+        for state in self.organisations.values() {
+            let mut ahead = 0;
+            for request in state.queue.values() {
+                match self.is_reachable(state, request, ahead, now) {
+                    true => ahead += 1,
+                    false => given_up.push(request.clone()),
+                }
+            }
+        }
+        given_up
+    }
+
+    pub(super) fn refuse_waiting(
+        &mut self,
+        request: &AdmissionRequest,
+        now: Instant,
+    ) -> AdmissionDecision {
+        let no_share = self
+            .organisations
+            .get(&request.organisation)
+            .is_none_or(OrganisationState::has_no_share);
+        let reason = match () {
+            () if now >= request.deadline => RefusalReason::DeadlinePassed,
+            () if no_share => RefusalReason::CapacityUsedUp,
+            () => RefusalReason::DeadlineUnreachable,
+        };
+        self.refuse(request, reason, now)
+    }
+
+    fn refuse(
+        &mut self,
+        request: &AdmissionRequest,
+        reason: RefusalReason,
+        now: Instant,
+    ) -> AdmissionDecision {
+        let window = self.settings.demand_window;
+        if let Some(state) = self.organisations.get_mut(&request.organisation) {
+            state.refusals.count(window, now);
+        }
+        let wait = self.drain_time(&request.organisation, request.service_time);
+        AdmissionDecision::Refuse {
+            request: request.request.clone(),
+            reason,
+            retry_after: self.retry_after(wait),
+        }
+    }
+
+    /// Time in which an organisation's whole queue drains.
+    fn drain_time(&self, organisation: &OrganisationId, service: Duration) -> Option<Duration> {
+        let state = self.organisations.get(organisation)?;
+        self.estimated_wait(state, state.queue.len(), service)
+    }
+}
--- /dev/null
+++ b/src/admission/organisation.rs
@@ -0,0 +1,109 @@
+//! One organisation's share, queue and counts.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use super::bucket::TokenBucket;
+use super::drain::DrainRate;
+use super::{AdmissionRequest, AdmissionSettings, ShareLimit};
+
+/// Place in a queue: higher priority first, then order of arrival.
+pub(super) type QueuePlace = (Reverse<u8>, u64);
+
+/// State of one organisation.
+#[derive(Debug, Clone)]
+pub(super) struct OrganisationState {
+    pub(super) limit: ShareLimit,
+    pub(super) bucket: TokenBucket,
+    pub(super) queue: BTreeMap<QueuePlace, AdmissionRequest>,
+    pub(super) in_flight: u32,
+    pub(super) drain: DrainRate,
+    /// Virtual time up to which it has been served.
+    pub(super) served_until: f64,
+    pub(super) refusals: RecentRefusals,
+    /// Whether it is no longer declared; it goes once nothing of it runs.
+    pub(super) is_removed: bool,
+}
+
+impl OrganisationState {
+    /// An organisation with nothing in flight.
+    pub(super) fn new(limit: ShareLimit, settings: &AdmissionSettings, now: Instant) -> Self {
+        Self {
+            limit,
+            bucket: TokenBucket::new(limit.requests_per_second, settings.rate_burst, now),
+            queue: BTreeMap::new(),
+            in_flight: 0,
+            drain: DrainRate::default(),
+            served_until: 0.0,
+            refusals: RecentRefusals::new(now),
+            is_removed: false,
+        }
+    }
+
+    /// Whether its own share lets it start one more, as of the last refill.
+    pub(super) fn may_start(&self) -> bool {
+        self.in_flight < self.limit.concurrent_requests && self.bucket.has_token()
+    }
+
+    /// Whether its share lets it start nothing at all.
+    pub(super) fn has_no_share(&self) -> bool {
+        self.limit.concurrent_requests == 0 || self.limit.requests_per_second == 0
+    }
+
+    /// Its weight against the other organisations.
+    pub(super) fn weight(&self) -> f64 {
+        f64::from(self.limit.concurrent_requests.max(1))
+    }
+
+    /// Whether nothing of it is left to keep.
+    pub(super) fn is_idle(&self) -> bool {
+        self.in_flight == 0 && self.queue.is_empty()
+    }
+}
+
+/// Refusals in the present and the last window.
+///
+/// A host whose share is too small refuses at once, so nothing waits; if only
+/// waiting requests counted as demand, the share would never move here and
+/// one would see a host refuse while others are idle.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct RecentRefusals {
+    window_start: Instant,
+    present: u32,
+    last: u32,
+}
+
+impl RecentRefusals {
+    fn new(now: Instant) -> Self {
+        Self {
+            window_start: now,
+            present: 0,
+            last: 0,
+        }
+    }
+
+    /// Counts a refusal for want of capacity.
+    pub(super) fn count(&mut self, window: Duration, now: Instant) {
+        let passed = now.saturating_duration_since(self.window_start);
+        if passed >= window {
+            self.last = match passed < window * 2 {
+                true => self.present,
+                false => 0,
+            };
+            self.present = 0;
+            self.window_start = now;
+        }
+        self.present = self.present.saturating_add(1);
+    }
+
+    /// Refusals of the last one to two windows.
+    pub(super) fn recent(&self, window: Duration, now: Instant) -> u32 {
+        let passed = now.saturating_duration_since(self.window_start);
+        match passed {
+            passed if passed < window => self.present.saturating_add(self.last),
+            passed if passed < window * 2 => self.present,
+            _ => 0,
+        }
+    }
+}
--- /dev/null
+++ b/src/admission/queries.rs
@@ -0,0 +1,59 @@
+//! Reading the table.
+
+use std::time::Instant;
+
+use crate::ids::OrganisationId;
+
+use super::AdmissionTable;
+
+impl AdmissionTable {
+    /// Requests of an organisation that run, wait, or were lately refused for
+    /// want of capacity: what the division of shares should move towards.
+    pub fn demand(&self, organisation: &OrganisationId, now: Instant) -> u32 {
+        let Some(state) = self.organisations.get(organisation) else {
+            return 0;
+        };
+        let waiting = u32::try_from(state.queue.len()).unwrap_or(u32::MAX);
+        let refused = state.refusals.recent(self.settings.demand_window, now);
+        state
+            .in_flight
+            .saturating_add(waiting)
+            .saturating_add(refused)
+    }
+
+    /// Requests of an organisation that run.
+    pub fn in_flight(&self, organisation: &OrganisationId) -> u32 {
+        self.organisations
+            .get(organisation)
+            .map_or(0, |state| state.in_flight)
+    }
+
+    /// Requests of an organisation that wait.
+    pub fn waiting(&self, organisation: &OrganisationId) -> usize {
+        self.organisations
+            .get(organisation)
+            .map_or(0, |state| state.queue.len())
+    }
+
+    /// When `tick` is due next if nothing else happens: a request's last
+    /// chance, or the next token of a rate; `None` if nobody waits.
+    pub fn next_tick(&self) -> Option<Instant> {
+        self.organisations
+            .values()
+            .filter(|state| !state.queue.is_empty())
+            .flat_map(|state| {
+                let last_chances = state.queue.values().map(|request| {
+                    let deadline = request.deadline;
+                    deadline
+                        .checked_sub(request.service_time)
+                        .unwrap_or(deadline)
+                });
+                let token = match state.in_flight < state.limit.concurrent_requests {
+                    true => state.bucket.time_until(1),
+                    false => None,
+                };
+                last_chances.chain(token.map(|wait| state.bucket.filled() + wait))
+            })
+            .min()
+    }
+}
--- a/src/admission/ticket.rs
+++ b/src/admission/ticket.rs
@@ -52,3 +52,12 @@
     /// Requests started per second.
     pub requests_per_second: u32,
 }
+
+/// How a started request ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReleaseCause {
+    /// It was served to its end.
+    Completed,
+    /// It failed, was given up or its caller went away.
+    Abandoned,
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod reason;
 pub mod records;
 pub mod resources;
+pub mod retry;
 pub mod routing;
 pub mod run;
 pub mod target;
--- /dev/null
+++ b/src/retry.rs
@@ -0,0 +1,9 @@
+//! Retries: the budget, the backoff and the ejection of outliers.
+
+mod backoff;
+mod budget;
+mod outlier;
+
+pub use backoff::{BackoffSettings, backoff_delay};
+pub use budget::{BudgetSettings, RetryBudget};
+pub use outlier::{EjectionSettings, TargetHealth};
--- /dev/null
+++ b/src/retry/backoff.rs
@@ -0,0 +1,41 @@
+//! How long to wait before the next try.
+
+use std::time::Duration;
+
+use rand::{Rng, RngExt};
+
+/// Shape of the exponential backoff.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BackoffSettings {
+    /// Upper bound of the first delay.
+    pub first: Duration,
+    /// Upper bound of any delay.
+    pub longest: Duration,
+}
+
+impl Default for BackoffSettings {
+    fn default() -> Self {
+        Self {
+            first: Duration::from_millis(5),
+            longest: Duration::from_secs(1),
+        }
+    }
+}
+
+/// Doublings after which the bound is `longest` in any case.
+const DOUBLINGS_AT_MOST: u32 = 20;
+
+/// Delay before a retry, drawn evenly between half the bound and the bound.
+///
+/// `failures` counts the failures so far, from zero; the bound doubles with
+/// each. The jitter keeps callers that failed together from coming back
+/// together, which would show as waves of load at the doubling times.
+pub fn backoff_delay<R>(settings: BackoffSettings, failures: u32, rng: &mut R) -> Duration
+where
+    R: Rng + ?Sized,
+{
+    let doublings = failures.min(DOUBLINGS_AT_MOST);
+    let bound = settings.first.saturating_mul(1 << doublings);
+    let bound = bound.min(settings.longest);
+    bound.mul_f64(rng.random_range(0.5..=1.0))
+}
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -1,5 +1,22 @@
 //! Choosing one target for each stage of a pipeline.
+//!
+//! [`RouteTable`] holds the declared pipelines and what this host knows about
+//! their targets. Commands record what happened; queries plan routes from it.
 
+mod affinity;
+mod commands;
+mod declare;
+mod entry;
+mod estimate;
+mod load;
+mod policy;
+mod queries;
 mod route;
+mod settings;
+mod table;
 
+pub use policy::RoutePolicy;
+pub use queries::ReplaceRequest;
 pub use route::{PlannedRoute, RouteRefusal, RouteRequest, RouteScore};
+pub use settings::RouteSettings;
+pub use table::RouteTable;
--- /dev/null
+++ b/src/routing/affinity.rs
@@ -0,0 +1,104 @@
+//! Which prompt prefixes a target probably holds.
+
+use std::time::{Duration, Instant};
+
+use crate::collections::FastMap;
+use crate::target::wire::CacheEvents;
+
+use super::load::fade;
+
+/// Prefixes remembered per target and generation; two generations are kept.
+const GENERATION_SIZE: usize = 2_048;
+
+/// Certainty left in older knowledge after one gap in the events.
+const CERTAINTY_AFTER_GAP: f64 = 0.5;
+
+/// A prefix that was stored, and when this host learnt of it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct StoredPrefix {
+    learnt: Instant,
+    gaps_before: u32,
+}
+
+/// What cache events say about one target's prefix cache.
+///
+/// Memory is bounded by two generations: when the newer one is full it
+/// becomes the older one, whose prefixes are dropped.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub(super) struct PrefixView {
+    newer: FastMap<u64, StoredPrefix>,
+    older: FastMap<u64, StoredPrefix>,
+    next: u64,
+    gaps: u32,
+}
+
+impl PrefixView {
+    /// Takes in events that arrived together.
+    ///
+    /// A missing event may have been an eviction, so everything learnt before
+    /// a gap is only half as certain. Without this, prompts follow prefixes
+    /// that are long gone; one sees prefills as slow as on a cold target.
+    pub(super) fn observe(&mut self, events: &CacheEvents, now: Instant) {
+        for event in &events.events {
+            if event.number < self.next {
+                // Numbers that go back mean that the engine was restarted and
+                // that its cache is empty.
+                self.newer.clear();
+                self.older.clear();
+            } else if event.number > self.next {
+                self.gaps = self.gaps.saturating_add(1);
+            }
+            self.next = event.number + 1;
+            match event.stored {
+                true => self.remember(event.prefix, now),
+                false => self.forget(event.prefix),
+            }
+        }
+        if events.next > self.next {
+            self.gaps = self.gaps.saturating_add(1);
+            self.next = events.next;
+        }
+    }
+
+    fn remember(&mut self, prefix: u64, now: Instant) {
+        if self.newer.len() >= GENERATION_SIZE {
+            self.older = std::mem::take(&mut self.newer);
+        }
+        let stored = StoredPrefix {
+            learnt: now,
+            gaps_before: self.gaps,
+        };
+        self.newer.insert(prefix, stored);
+    }
+
+    fn forget(&mut self, prefix: u64) {
+        self.newer.remove(&prefix);
+        self.older.remove(&prefix);
+    }
+
+    /// Probability that the prefix is held, from 0 to 1.
+    fn certainty(&self, prefix: u64, decay: Duration, now: Instant) -> f64 {
+        let stored = self.newer.get(&prefix).or_else(|| self.older.get(&prefix));
+        let Some(stored) = stored else {
+            return 0.0;
+        };
+        let gaps = self.gaps.saturating_sub(stored.gaps_before);
+        let age = now.saturating_duration_since(stored.learnt);
+        CERTAINTY_AFTER_GAP.powf(f64::from(gaps)) * fade(age, decay)
+    }
+
+    /// Part of a prompt that is expected to be held, from 0 to 1.
+    ///
+    /// `prefixes` are evenly spaced over the prompt, shortest first.
+    pub(super) fn expected_hit(&self, prefixes: &[u64], decay: Duration, now: Instant) -> f64 {
+        if self.newer.is_empty() && self.older.is_empty() {
+            return 0.0;
+        }
+        let count = prefixes.len() as f64;
+        prefixes
+            .iter()
+            .zip(1_u32..)
+            .map(|(prefix, nth)| self.certainty(*prefix, decay, now) * f64::from(nth) / count)
+            .fold(0.0, f64::max)
+    }
+}
--- /dev/null
+++ b/src/routing/commands.rs
@@ -0,0 +1,156 @@
+//! Recording what happened to targets and runs.
+
+use std::time::{Duration, Instant};
+
+use crate::ids::TargetId;
+use crate::reason::RetryReason;
+use crate::target::wire::{CacheEvents, LoadReport};
+
+use super::entry::MeasuredValue;
+use super::load::ReportedLoad;
+use super::{PlannedRoute, RouteTable};
+
+impl RouteTable {
+    /// Counts a run onto the targets of its route.
+    pub fn run_started(&mut self, route: &PlannedRoute) {
+        self.started = self.started.wrapping_add(1);
+        for stage in &route.stages {
+            if let Some(entry) = self.targets.get_mut(&stage.target) {
+                entry.runs += 1;
+            }
+        }
+    }
+
+    /// Takes a run off the targets that it used last.
+    pub fn run_ended(&mut self, route: &PlannedRoute) {
+        for stage in &route.stages {
+            if let Some(entry) = self.targets.get_mut(&stage.target) {
+                entry.runs = entry.runs.saturating_sub(1);
+            }
+        }
+    }
+
+    /// Moves a stage of `route` to another target and counts the run there;
+    /// `run_ended` is to be called with the changed route.
+    pub fn stage_moved(&mut self, route: &mut PlannedRoute, stage: usize, to: &TargetId) {
+        let Some(planned) = route.stages.get_mut(stage) else {
+            return;
+        };
+        if let Some(entry) = self.targets.get_mut(&planned.target) {
+            entry.runs = entry.runs.saturating_sub(1);
+        }
+        if let Some(entry) = self.targets.get_mut(to) {
+            entry.runs += 1;
+        }
+        planned.target = to.clone();
+    }
+
+    /// Counts a step or call that was sent.
+    pub fn step_sent(&mut self, target: &TargetId, _now: Instant) {
+        if let Some(entry) = self.targets.get_mut(target) {
+            entry.steps += 1;
+        }
+    }
+
+    /// Records a step or call that was answered with `tokens` positions after
+    /// `latency`, link included.
+    pub fn step_answered(
+        &mut self,
+        target: &TargetId,
+        latency: Duration,
+        tokens: u64,
+        now: Instant,
+    ) {
+        let settings = &self.settings;
+        let Some(entry) = self.targets.get_mut(target) else {
+            return;
+        };
+        let ahead = entry.steps_ahead(1.0, settings, now).max(1.0);
+        entry.steps = entry.steps.saturating_sub(1);
+
+        let link = entry.link_time(settings, now);
+        let at_target = (latency.as_secs_f64() - link).max(SHORTEST_STEP);
+        // A step waits while more steps than slots are there; only the time
+        // in the slot says how fast the target is.
+        let in_slot = at_target / (ahead / entry.slots()).max(1.0);
+        match tokens {
+            0 | 1 => {
+                let slow = in_slot > settings.ejection.slow_factor * entry.declared_step();
+                let prior = entry.declared_step();
+                MeasuredValue::add(&mut entry.step_seconds, prior, in_slot, now);
+                match slow {
+                    true => entry.health.answered_slowly(&settings.ejection, now),
+                    false => entry.health.answered(&settings.ejection, now),
+                }
+            }
+            _ => {
+                let prior = entry.spec.tokens_per_second.recip();
+                let sample = in_slot / tokens as f64;
+                MeasuredValue::add(&mut entry.prefill_seconds, prior, sample, now);
+                entry.health.answered(&settings.ejection, now);
+            }
+        }
+    }
+
+    /// Records a step or call that brought no usable answer.
+    pub fn step_failed(&mut self, target: &TargetId, reason: RetryReason, now: Instant) {
+        let Some(entry) = self.targets.get_mut(target) else {
+            return;
+        };
+        entry.steps = entry.steps.saturating_sub(1);
+        match reason {
+            RetryReason::ConnectFailed
+            | RetryReason::AnswerLost
+            | RetryReason::SessionLost
+            | RetryReason::AnswerMismatched => {
+                entry.health.failed(&self.settings.ejection, now);
+            }
+            // The target is well and said so; load and phase are told by
+            // other means.
+            RetryReason::TargetRefused | RetryReason::TargetLeaving => (),
+        }
+    }
+
+    /// Takes in a load report; one that is older than the last is dropped.
+    pub fn observe_load(&mut self, target: &TargetId, report: &LoadReport, received: Instant) {
+        let Some(entry) = self.targets.get_mut(target) else {
+            return;
+        };
+        let load = ReportedLoad::new(report, f64::from(entry.steps), received);
+        match entry.load {
+            Some(known) if known.observed() > load.observed() => (),
+            _ => entry.load = Some(load),
+        }
+    }
+
+    /// Takes in cache events.
+    pub fn observe_cache_events(&mut self, target: &TargetId, events: &CacheEvents, now: Instant) {
+        if let Some(entry) = self.targets.get_mut(target) {
+            entry.prefixes.observe(events, now);
+        }
+    }
+
+    /// Takes in a measured round trip without service time.
+    pub fn observe_link(&mut self, target: &TargetId, round_trip: Duration, now: Instant) {
+        let settings = &self.settings;
+        let Some(entry) = self.targets.get_mut(target) else {
+            return;
+        };
+        let prior = entry.assumed_link(settings);
+        let sample = round_trip.as_secs_f64();
+        MeasuredValue::add(&mut entry.link_seconds, prior, sample, now);
+    }
+
+    /// Sets whether a target is known to be leaving; such a target gets no
+    /// new work, whatever is declared.
+    pub fn set_leaving(&mut self, target: &TargetId, leaving: bool) {
+        match leaving {
+            true => self.leaving.insert(target.clone()),
+            false => self.leaving.remove(target),
+        };
+    }
+}
+
+/// Seconds that a step takes at least; guards against links that were
+/// overestimated.
+const SHORTEST_STEP: f64 = 1e-5;
--- /dev/null
+++ b/src/routing/declare.rs
@@ -0,0 +1,103 @@
+//! Taking in what operators declared.
+
+use std::collections::BTreeMap;
+
+use crate::collections::FastMap;
+use crate::resources::{PipelineSpec, ResourceKey, ResourceSpec, StageSpec, TargetSpec};
+
+use super::RouteTable;
+use super::entry::TargetEntry;
+use super::table::{DeclaredPipeline, ModelRoutes};
+
+impl RouteTable {
+    /// Replaces the pipelines and targets by those among `resources`.
+    ///
+    /// What was counted and measured about a target stays, unless the target
+    /// moved to another address. Pipelines of models that are not declared
+    /// and stages over undeclared targets are left out of every plan.
+    pub fn set_pipelines<'r, I>(&mut self, resources: I)
+    where
+        I: IntoIterator<Item = (&'r ResourceKey, &'r ResourceSpec)>,
+    {
+        let mut models = BTreeMap::new();
+        let mut pipelines = Vec::new();
+        let mut targets = FastMap::default();
+        for (key, spec) in resources {
+            match spec {
+                ResourceSpec::Model(model) => {
+                    let routes = ModelRoutes {
+                        offered: model.offered.clone(),
+                        versions: BTreeMap::new(),
+                    };
+                    models.insert(key.name.clone(), routes);
+                }
+                ResourceSpec::Pipeline(pipeline) => pipelines.push((key, pipeline)),
+                ResourceSpec::Target(target) => {
+                    let entry = self.kept_entry(key, target);
+                    targets.insert(key.name.clone(), entry);
+                }
+                ResourceSpec::Service(_) | ResourceSpec::Organisation(_) => (),
+            }
+        }
+        pipelines.sort_by(|one, other| one.0.cmp(other.0));
+        for (key, pipeline) in pipelines {
+            add_pipeline(&mut models, key, pipeline);
+        }
+        self.models = models;
+        self.targets = targets;
+    }
+
+    fn kept_entry(&self, key: &ResourceKey, spec: &TargetSpec) -> TargetEntry {
+        let fresh = TargetEntry::new(spec.clone());
+        match self.targets.get(&key.name) {
+            Some(known) if known.spec.address == spec.address => TargetEntry {
+                spec: spec.clone(),
+                ..known.clone()
+            },
+            Some(known) => TargetEntry {
+                runs: known.runs,
+                steps: known.steps,
+                ..fresh
+            },
+            None => fresh,
+        }
+    }
+}
+
+fn add_pipeline(
+    models: &mut BTreeMap<crate::ids::ModelId, ModelRoutes>,
+    key: &ResourceKey,
+    pipeline: &PipelineSpec,
+) {
+    if !tiles(&pipeline.stages) {
+        return;
+    }
+    let Some(routes) = models.get_mut(&pipeline.model) else {
+        return;
+    };
+    let declared = DeclaredPipeline {
+        id: key.name.clone(),
+        stages: pipeline.stages.clone(),
+    };
+    routes
+        .versions
+        .entry(pipeline.version.clone())
+        .or_default()
+        .push(declared);
+}
+
+/// Whether layer ranges follow each other from zero without gap or overlap.
+///
+/// A gap would leave a layer out of every answer and show only as wrong text.
+/// Declarations are checked before they are accepted; this holds even for one
+/// that slipped past, since a plan is made from nothing else.
+fn tiles(stages: &[StageSpec]) -> bool {
+    let mut expected = 0;
+    for stage in stages {
+        if stage.first_layer != expected || stage.last_layer < stage.first_layer {
+            return false;
+        }
+        expected = stage.last_layer + 1;
+    }
+    !stages.is_empty()
+}
--- /dev/null
+++ b/src/routing/entry.rs
@@ -0,0 +1,140 @@
+//! What this host knows about one target.
+
+use std::time::{Duration, Instant};
+
+use crate::resources::{TargetPhase, TargetSpec};
+use crate::retry::TargetHealth;
+
+use super::RouteSettings;
+use super::affinity::PrefixView;
+use super::load::{ReportedLoad, fade};
+
+/// Weight of a new sample in a moving average.
+const SAMPLE_WEIGHT: f64 = 0.1;
+
+/// A moving average and when it last got a sample.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) struct MeasuredValue {
+    value: f64,
+    sampled: Instant,
+}
+
+impl MeasuredValue {
+    /// Adds a sample to `measured`, which begins with `prior`.
+    pub(super) fn add(measured: &mut Option<Self>, prior: f64, sample: f64, now: Instant) {
+        let before = measured.map_or(prior, |measured| measured.value);
+        *measured = Some(Self {
+            value: before + SAMPLE_WEIGHT * (sample - before),
+            sampled: now,
+        });
+    }
+
+    /// The average, drawn back to `prior` as the last sample grows old.
+    ///
+    /// A target that was slow once gets no work and thus no new sample, so
+    /// without this it would be avoided for ever; one would see an idle
+    /// target beside busy ones.
+    fn now_or(measured: Option<Self>, prior: f64, decay: Duration, now: Instant) -> f64 {
+        let Some(measured) = measured else {
+            return prior;
+        };
+        let weight = fade(now.saturating_duration_since(measured.sampled), decay);
+        prior + weight * (measured.value - prior)
+    }
+}
+
+/// One target: declared, counted, measured and reported.
+#[derive(Debug, Clone)]
+pub(super) struct TargetEntry {
+    /// As declared.
+    pub(super) spec: TargetSpec,
+    /// Runs of this host that use it as a stage.
+    pub(super) runs: u32,
+    /// Steps and calls of this host that are out.
+    pub(super) steps: u32,
+    /// Seconds that a step holds its slot; the prior is declared.
+    pub(super) step_seconds: Option<MeasuredValue>,
+    /// Seconds that a prompt token takes; the prior is declared.
+    pub(super) prefill_seconds: Option<MeasuredValue>,
+    /// Seconds of a round trip; the prior depends on the zone.
+    pub(super) link_seconds: Option<MeasuredValue>,
+    /// Last load report.
+    pub(super) load: Option<ReportedLoad>,
+    /// What its prefix cache probably holds.
+    pub(super) prefixes: PrefixView,
+    /// Recent failures.
+    pub(super) health: TargetHealth,
+}
+
+impl TargetEntry {
+    /// A target of which only the declaration is known.
+    pub(super) fn new(spec: TargetSpec) -> Self {
+        Self {
+            spec,
+            runs: 0,
+            steps: 0,
+            step_seconds: None,
+            prefill_seconds: None,
+            link_seconds: None,
+            load: None,
+            prefixes: PrefixView::default(),
+            health: TargetHealth::default(),
+        }
+    }
+
+    /// Whether the declaration lets it take new work.
+    pub(super) fn is_serving(&self) -> bool {
+        self.spec.phase == TargetPhase::Serving
+    }
+
+    /// Steps that run at once.
+    pub(super) fn slots(&self) -> f64 {
+        f64::from(self.spec.concurrency.max(1))
+    }
+
+    /// Seconds that a step holds its slot according to the declaration: with
+    /// all slots busy the declared rate comes out.
+    pub(super) fn declared_step(&self) -> f64 {
+        self.slots() / self.spec.tokens_per_second
+    }
+
+    /// Seconds that a step holds its slot.
+    pub(super) fn step_time(&self, settings: &RouteSettings, now: Instant) -> f64 {
+        let declared = self.declared_step();
+        MeasuredValue::now_or(self.step_seconds, declared, settings.rate_decay, now)
+    }
+
+    /// Seconds that a prompt token outside the prefix cache takes.
+    pub(super) fn prefill_time(&self, settings: &RouteSettings, now: Instant) -> f64 {
+        let declared = self.spec.tokens_per_second.recip();
+        MeasuredValue::now_or(self.prefill_seconds, declared, settings.rate_decay, now)
+    }
+
+    /// Seconds of a round trip.
+    pub(super) fn link_time(&self, settings: &RouteSettings, now: Instant) -> f64 {
+        let assumed = self.assumed_link(settings);
+        MeasuredValue::now_or(self.link_seconds, assumed, settings.rate_decay, now)
+    }
+
+    /// Seconds of a round trip before any is measured.
+    pub(super) fn assumed_link(&self, settings: &RouteSettings) -> f64 {
+        match self.spec.zone == settings.zone {
+            true => settings.near_link.as_secs_f64(),
+            false => settings.far_link.as_secs_f64(),
+        }
+    }
+
+    /// Steps of this host at the target: those that are out, or the part of
+    /// its runs that is expected there if that is more.
+    pub(super) fn local_steps(&self, stages: f64) -> f64 {
+        f64::from(self.steps).max(f64::from(self.runs) / stages)
+    }
+
+    /// Steps at the target, this host's and the others'.
+    pub(super) fn steps_ahead(&self, stages: f64, settings: &RouteSettings, now: Instant) -> f64 {
+        let others = self
+            .load
+            .map_or(0.0, |load| load.others(settings.load_decay, now));
+        self.local_steps(stages) + others
+    }
+}
--- /dev/null
+++ b/src/routing/estimate.rs
@@ -0,0 +1,79 @@
+//! Estimating when a request would be done on given targets.
+
+use std::time::{Duration, Instant};
+
+use super::entry::TargetEntry;
+use super::{RouteRequest, RouteScore, RouteSettings};
+
+/// Seconds that one target adds to a request.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub(super) struct StageEstimate {
+    /// Waiting for a slot, for each step.
+    pub(super) wait: f64,
+    /// In the slot, for each step.
+    pub(super) step: f64,
+    /// On the link, for each step.
+    pub(super) link: f64,
+    /// Prompt processing outside the prefix cache, once.
+    pub(super) prefill: f64,
+}
+
+/// Steps that a request of `max_tokens` sends to each stage.
+pub(super) fn step_count(max_tokens: u64) -> f64 {
+    max_tokens.max(1) as f64
+}
+
+impl StageEstimate {
+    /// The estimate for one target of a route with `stages` stages.
+    pub(super) fn new(
+        entry: &TargetEntry,
+        request: &RouteRequest,
+        stages: usize,
+        settings: &RouteSettings,
+        now: Instant,
+    ) -> Self {
+        let weight = entry.health.weight(&settings.ejection, now);
+        let step = entry.step_time(settings, now) / weight;
+        let ahead = entry.steps_ahead(stages as f64, settings, now);
+        // With more steps than slots, a step gets its slot after the others'
+        // turns: its time grows by the ratio.
+        let crowding = ((ahead + 1.0) / entry.slots() - 1.0).max(0.0);
+        let hit = entry
+            .prefixes
+            .expected_hit(&request.prefixes, settings.cache_decay, now);
+        let computed = request.prompt_tokens as f64 * (1.0 - hit);
+        Self {
+            wait: step * crowding,
+            step,
+            link: entry.link_time(settings, now),
+            prefill: entry.prefill_time(settings, now) / weight * computed,
+        }
+    }
+
+    /// Seconds that the target adds to the whole request.
+    pub(super) fn total(&self, max_tokens: u64) -> f64 {
+        (self.wait + self.step + self.link) * step_count(max_tokens) + self.prefill
+    }
+}
+
+/// Sums the stages of a route up to its score.
+///
+/// A token crosses each stage and each link in turn before the next begins,
+/// so every part counts once a token.
+pub(super) fn route_score(stages: &[StageEstimate], max_tokens: u64) -> RouteScore {
+    let count = step_count(max_tokens);
+    let sum = |part: fn(&StageEstimate) -> f64| stages.iter().map(part).sum::<f64>();
+    RouteScore {
+        queue: seconds(sum(|stage| stage.wait) * count),
+        prefill: seconds(sum(|stage| stage.prefill)),
+        decode: seconds(sum(|stage| stage.step) * count),
+        links: seconds(sum(|stage| stage.link) * count),
+    }
+}
+
+/// Longest estimate, so that sums of estimates cannot overflow.
+const LONGEST_ESTIMATE: f64 = 1e6;
+
+fn seconds(value: f64) -> Duration {
+    Duration::try_from_secs_f64(value.min(LONGEST_ESTIMATE)).unwrap_or_default()
+}
--- /dev/null
+++ b/src/routing/settings.rs
@@ -0,0 +1,51 @@
+//! What an operator or a test can set about routing.
+
+use std::time::Duration;
+
+use crate::ids::ZoneId;
+use crate::retry::EjectionSettings;
+
+use super::RoutePolicy;
+
+/// Settings of a [`super::RouteTable`].
+#[derive(Debug, Clone, PartialEq)]
+pub struct RouteSettings {
+    /// Availability zone of this host.
+    pub zone: ZoneId,
+    /// How targets are chosen.
+    pub policy: RoutePolicy,
+    /// Time after which reported load counts for 1/e.
+    pub load_decay: Duration,
+    /// Time after which a measured rate counts for 1/e against the declared one.
+    pub rate_decay: Duration,
+    /// Time after which a cache event counts for 1/e.
+    pub cache_decay: Duration,
+    /// Candidates up to which a stage scores all of them; above it, two random ones.
+    pub score_all: usize,
+    /// Assumed round trip to a target of the same zone, until it is measured.
+    pub near_link: Duration,
+    /// Assumed round trip to a target of another zone, until it is measured.
+    pub far_link: Duration,
+    /// When targets are ejected.
+    pub ejection: EjectionSettings,
+    /// When a caller should come back if there is no route.
+    pub retry_after: Duration,
+}
+
+impl RouteSettings {
+    /// The defaults for a host in `zone`.
+    pub fn new(zone: ZoneId) -> Self {
+        Self {
+            zone,
+            policy: RoutePolicy::default(),
+            load_decay: Duration::from_millis(500),
+            rate_decay: Duration::from_secs(10),
+            cache_decay: Duration::from_secs(60),
+            score_all: 2,
+            near_link: Duration::from_micros(200),
+            far_link: Duration::from_millis(1),
+            ejection: EjectionSettings::default(),
+            retry_after: Duration::from_secs(1),
+        }
+    }
+}
