--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod reconcile;
 pub mod records;
 pub mod resources;
+pub mod retry;
 pub mod routing;
 pub mod run;
 pub mod target;
