Add the callers' and operators' HTTP interfaces

Cause: requests, declared changes and probes had typed bodies but no way in.

Ruled out: endpoints that know the daemon's tables (they could be tested only through a whole daemon); an error type for each endpoint (the library gives error types a status and a body, but no headers, so Retry-After would be lost); the library's eager body extractor (a stranger with a bad body would get a detailed 400 before the 401, without the request's id).

Change: two listeners over backends of closures. Answers carry refusals with status, verdict, Retry-After and challenge headers; the library's own extractor errors become the same refusal body. Generations answer with server-sent events, and a backend that drops its sender early yields a last error event, so that a part is never taken for the whole. A non-idempotent service call runs to its end when its caller goes away. Tokens are compared by digest in constant time over every entry.

Conclusion: the daemon can be put behind the interfaces.

--- /dev/null
+++ b/src/api/answer.rs
@@ -0,0 +1,177 @@
+//! Answers of the endpoints: a success, or a refusal with its headers.
+
+use std::fmt;
+
+use dropshot::{
+    ApiEndpointResponse, Body, ErrorStatusCode, HttpError, HttpResponse, HttpResponseError,
+};
+use http::{HeaderValue, Response, StatusCode, header};
+use schemars::JsonSchema;
+use serde::Serialize;
+
+use super::backend::ChangeRefusal;
+use super::refusal::status_of;
+use super::wire::{ConflictBody, RefusalBody};
+use crate::reason::RefusalReason;
+use crate::verdict::RunVerdict;
+
+/// Header that repeats the verdict of a refusal, for callers that look at the
+/// head only.
+pub(super) const VERDICT_HEADER: &str = "x-verdict";
+/// How callers authenticate, as told with a 401.
+const CHALLENGE: &str = "Bearer";
+/// Media type of JSON.
+pub(super) const JSON: &str = "application/json";
+
+/// The body of a refused change.
+#[derive(Debug, Serialize, JsonSchema)]
+#[serde(untagged)]
+pub(super) enum ChangeErrorBody {
+    /// It lost a race.
+    Conflict(ConflictBody),
+    /// It was refused.
+    Refused(RefusalBody),
+}
+
+impl From<ChangeRefusal> for ChangeErrorBody {
+    fn from(refusal: ChangeRefusal) -> Self {
+        match refusal {
+            ChangeRefusal::Conflict(conflict) => Self::Conflict(conflict),
+            ChangeRefusal::Refused(refusal) => Self::Refused(refusal),
+        }
+    }
+}
+
+impl From<RefusalBody> for ChangeErrorBody {
+    fn from(refusal: RefusalBody) -> Self {
+        Self::Refused(refusal)
+    }
+}
+
+impl From<HttpError> for ChangeErrorBody {
+    fn from(error: HttpError) -> Self {
+        Self::Refused(error.into())
+    }
+}
+
+impl fmt::Display for ChangeErrorBody {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Conflict(conflict) => formatter.write_str(&conflict.message),
+            Self::Refused(refusal) => refusal.fmt(formatter),
+        }
+    }
+}
+
+impl HttpResponseError for ChangeErrorBody {
+    fn status_code(&self) -> ErrorStatusCode {
+        match self {
+            Self::Conflict(_) => ErrorStatusCode::CONFLICT,
+            Self::Refused(refusal) => status_of(refusal),
+        }
+    }
+}
+
+/// An error body with the headers that go with it.
+pub(super) trait ErrorHeaders: HttpResponseError + Serialize {
+    /// The refusal, if it is one.
+    fn refusal(&self) -> Option<&RefusalBody>;
+}
+
+impl ErrorHeaders for RefusalBody {
+    fn refusal(&self) -> Option<&RefusalBody> {
+        Some(self)
+    }
+}
+
+impl ErrorHeaders for ChangeErrorBody {
+    fn refusal(&self) -> Option<&RefusalBody> {
+        match self {
+            Self::Conflict(_) => None,
+            Self::Refused(refusal) => Some(refusal),
+        }
+    }
+}
+
+/// A success of type `T`, or a complete error response.
+///
+/// The library lets error types choose status and body but no headers. An
+/// endpoint therefore returns its refusals as an `Answer`; the error type in
+/// its signature documents them and carries the library's own errors.
+pub(super) enum Answer<T> {
+    Given(T),
+    Refused(Response<Body>),
+}
+
+impl<T> Answer<T> {
+    /// Builds the answer from an endpoint's result.
+    pub(super) fn from_result<E>(result: Result<T, E>) -> Self
+    where
+        E: ErrorHeaders,
+    {
+        match result {
+            Ok(given) => Self::Given(given),
+            Err(error) => Self::Refused(error_response(&error)),
+        }
+    }
+}
+
+impl<T> HttpResponse for Answer<T>
+where
+    T: HttpResponse,
+{
+    fn to_result(self) -> Result<Response<Body>, HttpError> {
+        match self {
+            Self::Given(given) => given.to_result(),
+            Self::Refused(response) => Ok(response),
+        }
+    }
+
+    fn response_metadata() -> ApiEndpointResponse {
+        T::response_metadata()
+    }
+
+    fn status_code(&self) -> StatusCode {
+        match self {
+            Self::Given(given) => given.status_code(),
+            Self::Refused(response) => response.status(),
+        }
+    }
+}
+
+fn verdict_name(verdict: RunVerdict) -> &'static str {
+    match verdict {
+        RunVerdict::NotRun => "not_run",
+        RunVerdict::MayHaveRun => "may_have_run",
+        RunVerdict::Ran => "ran",
+    }
+}
+
+/// The whole response of an error.
+pub(super) fn error_response<E>(error: &E) -> Response<Body>
+where
+    E: ErrorHeaders,
+{
+    let body = serde_json::to_vec(error).unwrap_or_default();
+    let mut response = Response::new(Body::from(body));
+    *response.status_mut() = error.status_code().as_status();
+    let headers = response.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(JSON));
+    let Some(refusal) = error.refusal() else {
+        return response;
+    };
+    headers.insert(
+        VERDICT_HEADER,
+        HeaderValue::from_static(verdict_name(refusal.verdict)),
+    );
+    if let Some(seconds) = refusal.retry_after_seconds() {
+        headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    if refusal.reason == RefusalReason::Unauthenticated {
+        headers.insert(
+            header::WWW_AUTHENTICATE,
+            HeaderValue::from_static(CHALLENGE),
+        );
+    }
+    response
+}
--- /dev/null
+++ b/src/api/callers.rs
@@ -0,0 +1,234 @@
+//! The callers' endpoints.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use bytes::Bytes;
+use dropshot::{
+    ApiDescription, ApiDescriptionRegisterError, Body, Header, HttpResponseOk, Path,
+    RequestContext, UntypedBody, endpoint,
+};
+use http::{HeaderValue, Response, StatusCode, header};
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use tokio_util::task::TaskTracker;
+
+use super::answer::{Answer, JSON};
+use super::backend::{CallerBackend, GenerateCall, ServiceCall, ServiceReply};
+use super::body::DeferredBody;
+use super::credentials::identify;
+use super::head::{CallHead, CallHeaders, is_label, malformed};
+use super::stream::{EventResponse, stream_response};
+use super::wire::{GenerateBody, RefusalBody};
+use crate::ids::OrganisationId;
+use crate::reason::RefusalReason;
+use crate::verdict::RunVerdict;
+
+/// What the callers' endpoints share.
+pub(super) struct CallerContext {
+    pub(super) backend: CallerBackend,
+    /// Calls that go on when their caller goes away.
+    pub(super) detached: TaskTracker,
+}
+
+type Shared = Arc<CallerContext>;
+
+/// Answer of the balancer's probes.
+#[derive(Debug, Serialize, JsonSchema)]
+struct ProbeBody {
+    /// Always `true`; the opposite is a refusal.
+    ok: bool,
+}
+
+/// A service and one of its operations.
+#[derive(Debug, Deserialize, JsonSchema)]
+struct ServicePath {
+    /// Name of the declared service.
+    service: String,
+    /// Operation of the service.
+    operation: String,
+}
+
+/// All endpoints of the callers' listener.
+pub(super) fn description() -> Result<ApiDescription<Shared>, ApiDescriptionRegisterError> {
+    let mut api = ApiDescription::new();
+    api.register(generate)?;
+    api.register(call_service)?;
+    api.register(healthz)?;
+    api.register(readyz)?;
+    Ok(api)
+}
+
+/// Generate tokens.
+///
+/// Answers with server-sent events: each is one line `data: ` with the JSON of
+/// a stream event. The last event is `done` with the number of tokens, or
+/// `error` with a refusal; an answer without either was cut off on the way.
+#[endpoint { method = POST, path = "/v1/generate", operation_id = "generate" }]
+async fn generate(
+    context: RequestContext<Shared>,
+    headers: Header<CallHeaders>,
+    body: DeferredBody<GenerateBody>,
+) -> Result<Answer<EventResponse>, RefusalBody> {
+    let backend = &context.context().backend;
+    let result = start_generation(backend, &headers.into_inner(), body).await;
+    Ok(Answer::from_result(result))
+}
+
+async fn start_generation(
+    backend: &CallerBackend,
+    headers: &CallHeaders,
+    body: DeferredBody<GenerateBody>,
+) -> Result<EventResponse, RefusalBody> {
+    let admitted = admit(backend, headers)?;
+    let request = admitted.head.request.clone();
+    let named = |refusal: RefusalBody| refusal.for_request(request.clone());
+    let body = body.into_inner().map_err(named)?;
+    check_generate(&body).map_err(named)?;
+    let call = GenerateCall {
+        request: admitted.head.request,
+        organisation: admitted.organisation,
+        body,
+        non_idempotent: admitted.head.non_idempotent,
+        key: admitted.head.key,
+        received: admitted.received,
+    };
+    let events = (backend.generate)(call).await.map_err(named)?;
+    Ok(stream_response(request, events))
+}
+
+fn check_generate(body: &GenerateBody) -> Result<(), RefusalBody> {
+    match body {
+        body if body.prompt.is_empty() => Err(malformed("prompt must hold at least one token")),
+        body if body.max_tokens == 0 => Err(malformed("max_tokens must be at least 1")),
+        _ => Ok(()),
+    }
+}
+
+/// Call an operation of a plain service.
+///
+/// The body is passed on as it is, and so are status and body of the answer.
+#[endpoint { method = POST, path = "/v1/services/{service}/{operation}" }]
+async fn call_service(
+    context: RequestContext<Shared>,
+    path: Path<ServicePath>,
+    headers: Header<CallHeaders>,
+    body: UntypedBody,
+) -> Result<Answer<Response<Body>>, RefusalBody> {
+    let shared = context.context();
+    let bytes = Bytes::copy_from_slice(body.as_bytes());
+    let result = run_service(shared, path.into_inner(), &headers.into_inner(), bytes).await;
+    Ok(Answer::from_result(result))
+}
+
+async fn run_service(
+    shared: &Shared,
+    path: ServicePath,
+    headers: &CallHeaders,
+    body: Bytes,
+) -> Result<Response<Body>, RefusalBody> {
+    let admitted = admit(&shared.backend, headers)?;
+    let request = admitted.head.request.clone();
+    let named = |refusal: RefusalBody| refusal.for_request(request.clone());
+    if !is_label(&path.service) || !is_label(&path.operation) {
+        return Err(named(malformed(
+            "service and operation must be 1 to 128 visible ASCII characters",
+        )));
+    }
+    let call = ServiceCall {
+        request: admitted.head.request,
+        organisation: admitted.organisation,
+        service: path.service.into(),
+        operation: path.operation.into(),
+        body,
+        non_idempotent: admitted.head.non_idempotent,
+        key: admitted.head.key,
+        received: admitted.received,
+    };
+    let reply = carry_out(shared, call).await.map_err(named)?;
+    reply_response(reply).map_err(named)
+}
+
+/// Runs a call. A non-idempotent one is run to its end even if its caller goes
+/// away: dropped after its claim was won, the claim would stand for good and a
+/// repeat with the same key could never learn what became of it.
+async fn carry_out(shared: &Shared, call: ServiceCall) -> Result<ServiceReply, RefusalBody> {
+    let non_idempotent = call.non_idempotent;
+    let running = (shared.backend.call_service)(call);
+    if !non_idempotent {
+        return running.await;
+    }
+    shared
+        .detached
+        .spawn(running)
+        .await
+        .unwrap_or_else(|_| Err(may_have_run("the call broke off")))
+}
+
+fn reply_response(reply: ServiceReply) -> Result<Response<Body>, RefusalBody> {
+    let status = StatusCode::from_u16(reply.status)
+        .map_err(|_| may_have_run("the service answered with an invalid status"))?;
+    let mut response = Response::new(Body::from(reply.body));
+    *response.status_mut() = status;
+    let media_type = reply
+        .content_type
+        .and_then(|text| HeaderValue::from_str(&text).ok())
+        .unwrap_or(HeaderValue::from_static(JSON));
+    response
+        .headers_mut()
+        .insert(header::CONTENT_TYPE, media_type);
+    Ok(response)
+}
+
+fn may_have_run(message: &str) -> RefusalBody {
+    RefusalBody {
+        verdict: RunVerdict::MayHaveRun,
+        ..RefusalBody::not_run(RefusalReason::TargetFailed, message)
+    }
+}
+
+/// A call whose caller is known.
+struct AdmittedCall {
+    head: CallHead,
+    organisation: OrganisationId,
+    received: Instant,
+}
+
+fn admit(backend: &CallerBackend, headers: &CallHeaders) -> Result<AdmittedCall, RefusalBody> {
+    let received = Instant::now();
+    let request = headers.request()?;
+    let named = |refusal: RefusalBody| refusal.for_request(request.clone());
+    let organisation =
+        identify(headers.authorization.as_deref(), &backend.organisation_of).map_err(named)?;
+    let head = headers.head(request.clone()).map_err(named)?;
+    Ok(AdmittedCall {
+        head,
+        organisation,
+        received,
+    })
+}
+
+/// Whether the daemon is alive.
+#[endpoint { method = GET, path = "/healthz" }]
+async fn healthz(
+    context: RequestContext<Shared>,
+) -> Result<Answer<HttpResponseOk<ProbeBody>>, RefusalBody> {
+    let healthy = (context.context().backend.healthy)();
+    Ok(probe(healthy, "the daemon is not healthy"))
+}
+
+/// Whether the daemon takes new work.
+#[endpoint { method = GET, path = "/readyz" }]
+async fn readyz(
+    context: RequestContext<Shared>,
+) -> Result<Answer<HttpResponseOk<ProbeBody>>, RefusalBody> {
+    let ready = (context.context().backend.ready)();
+    Ok(probe(ready, "the daemon takes no new work"))
+}
+
+fn probe(ok: bool, message: &str) -> Answer<HttpResponseOk<ProbeBody>> {
+    Answer::from_result(match ok {
+        true => Ok(HttpResponseOk(ProbeBody { ok })),
+        false => Err(RefusalBody::not_run(RefusalReason::NotReady, message)),
+    })
+}
--- /dev/null
+++ b/src/api/head.rs
@@ -0,0 +1,126 @@
+//! The headers of a call, checked.
+
+use std::sync::Arc;
+
+use schemars::JsonSchema;
+use serde::Deserialize;
+use uuid::Uuid;
+
+use super::wire::RefusalBody;
+use crate::ids::{IdempotencyKey, RequestId};
+use crate::reason::RefusalReason;
+
+/// Longest request id or idempotency key, in bytes.
+const LABEL_MAX_LENGTH: usize = 128;
+
+/// The headers of a call as documented.
+#[derive(Debug, Deserialize, JsonSchema)]
+pub(super) struct CallHeaders {
+    /// `Bearer` and the organisation's token.
+    pub(super) authorization: Option<String>,
+    /// Key under which a repeat of a non-idempotent request is recognised: a
+    /// quoted string, or the bare key of 1 to 128 visible ASCII characters.
+    #[serde(rename = "idempotency-key")]
+    idempotency_key: Option<String>,
+    /// `true` if the request may run at most once; `false` if absent.
+    #[serde(rename = "x-non-idempotent")]
+    non_idempotent: Option<String>,
+    /// The caller's own id of the request: 1 to 128 visible ASCII characters.
+    #[serde(rename = "x-request-id")]
+    request_id: Option<String>,
+}
+
+/// The checked labels of a call.
+#[derive(Debug, Clone)]
+pub(super) struct CallHead {
+    /// The request.
+    pub(super) request: RequestId,
+    /// Whether it may run at most once.
+    pub(super) non_idempotent: bool,
+    /// Key under which repeats are recognised.
+    pub(super) key: Option<IdempotencyKey>,
+}
+
+impl CallHeaders {
+    /// The request's id: the caller's if it gave one, else a fresh one.
+    ///
+    /// # Errors
+    /// A refusal if the caller's id is not usable in headers and log lines.
+    pub(super) fn request(&self) -> Result<RequestId, RefusalBody> {
+        match self.request_id.as_deref() {
+            None => Ok(Uuid::new_v4().to_string().into()),
+            Some(text) if is_label(text) => Ok(text.into()),
+            Some(_) => Err(malformed(
+                "x-request-id must be 1 to 128 visible ASCII characters",
+            )),
+        }
+    }
+
+    /// Checks the remaining labels of the call.
+    ///
+    /// # Errors
+    /// A refusal that names the header.
+    pub(super) fn head(&self, request: RequestId) -> Result<CallHead, RefusalBody> {
+        Ok(CallHead {
+            request,
+            non_idempotent: self.non_idempotent()?,
+            key: self.key()?,
+        })
+    }
+
+    fn non_idempotent(&self) -> Result<bool, RefusalBody> {
+        match self.non_idempotent.as_deref() {
+            None | Some("false") => Ok(false),
+            Some("true") => Ok(true),
+            // Taken as "false", a misspelt mark would let a request be
+            // repeated that its caller wants to run at most once.
+            Some(_) => Err(malformed("x-non-idempotent must be true or false")),
+        }
+    }
+
+    fn key(&self) -> Result<Option<IdempotencyKey>, RefusalBody> {
+        let Some(text) = self.idempotency_key.as_deref() else {
+            return Ok(None);
+        };
+        let key = match text.starts_with('"') {
+            true => unquote(text),
+            false => Some(text.to_owned()),
+        };
+        match key {
+            Some(key) if is_label(&key) => Ok(Some(Arc::from(key))),
+            _ => Err(malformed(
+                "Idempotency-Key must be a quoted string or 1 to 128 visible ASCII characters",
+            )),
+        }
+    }
+}
+
+/// Whether a text may stand in headers, log lines and records as it is.
+pub(super) fn is_label(text: &str) -> bool {
+    let visible = text.bytes().all(|byte| byte.is_ascii_graphic());
+    visible && (1..=LABEL_MAX_LENGTH).contains(&text.len())
+}
+
+/// Reads a structured-field string: only `"` and `\` may be escaped.
+fn unquote(text: &str) -> Option<String> {
+    let inner = text.strip_prefix('"')?.strip_suffix('"')?;
+    let mut plain = String::with_capacity(inner.len());
+    let mut characters = inner.chars();
+    while let Some(character) = characters.next() {
+        match character {
+            '"' => return None,
+            '\\' => plain.push(
+                characters
+                    .next()
+                    .filter(|next| matches!(next, '"' | '\\'))?,
+            ),
+            other => plain.push(other),
+        }
+    }
+    Some(plain)
+}
+
+/// The refusal of a malformed call.
+pub(super) fn malformed(message: &str) -> RefusalBody {
+    RefusalBody::not_run(RefusalReason::Malformed, message)
+}
--- /dev/null
+++ b/src/api/openapi.rs
@@ -0,0 +1,50 @@
+//! The OpenAPI documents of both listeners.
+
+use dropshot::{ApiDescription, ServerContext};
+use semver::Version;
+use serde_json::Value;
+
+use super::answer::JSON;
+use super::stream::EVENT_STREAM;
+use super::{ApiError, callers, operators};
+
+/// Version of both interfaces: that of the paths.
+const API_VERSION: Version = Version::new(1, 0, 0);
+
+/// Pointer to the contents of a successful answer to a generation.
+const GENERATE_CONTENT: &str = "/paths/~1v1~1generate/post/responses/200/content";
+
+/// The document of the callers' listener, as formatted JSON.
+///
+/// # Errors
+/// If two endpoints clash.
+pub fn callers_document() -> Result<String, ApiError> {
+    let mut json = document(&callers::description()?, "Jackdawwick for callers")?;
+    // The library knows one media type for typed answers; the events are JSON,
+    // but they come as a stream.
+    if let Some(Value::Object(content)) = json.pointer_mut(GENERATE_CONTENT) {
+        let event = content.remove(JSON).unwrap_or_default();
+        content.insert(EVENT_STREAM.to_owned(), event);
+    }
+    Ok(formatted(&json))
+}
+
+/// The document of the operators' listener, as formatted JSON.
+///
+/// # Errors
+/// If two endpoints clash.
+pub fn operators_document() -> Result<String, ApiError> {
+    let json = document(&operators::description()?, "Jackdawwick for operators")?;
+    Ok(formatted(&json))
+}
+
+fn document<C>(api: &ApiDescription<C>, title: &str) -> Result<Value, ApiError>
+where
+    C: ServerContext,
+{
+    Ok(api.openapi(title, API_VERSION).json()?)
+}
+
+fn formatted(json: &Value) -> String {
+    format!("{json:#}\n")
+}
--- /dev/null
+++ b/src/api/stream.rs
@@ -0,0 +1,95 @@
+//! The answer of a generation as server-sent events.
+
+use std::convert::Infallible;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use dropshot::{ApiEndpointResponse, Body, HttpError, HttpResponse, HttpResponseOk};
+use futures::stream;
+use http::{HeaderValue, Response, StatusCode, header};
+use http_body_util::StreamBody;
+use hyper::body::Frame;
+
+use super::backend::GenerateStream;
+use super::wire::{RefusalBody, StreamEvent};
+use crate::ids::RequestId;
+use crate::reason::RefusalReason;
+use crate::verdict::RunVerdict;
+
+/// Media type of server-sent events.
+pub(super) const EVENT_STREAM: &str = "text/event-stream";
+/// Intermediaries must neither keep nor hold back events.
+const NO_STORE: &str = "no-store";
+
+/// A response whose body is a stream of events.
+pub(super) struct EventResponse(Response<Body>);
+
+impl HttpResponse for EventResponse {
+    fn to_result(self) -> Result<Response<Body>, HttpError> {
+        Ok(self.0)
+    }
+
+    /// Documents one event; the media type is put right in the document.
+    fn response_metadata() -> ApiEndpointResponse {
+        <HttpResponseOk<StreamEvent> as HttpResponse>::response_metadata()
+    }
+
+    fn status_code(&self) -> StatusCode {
+        self.0.status()
+    }
+}
+
+/// The response whose body is the stream of events.
+pub(super) fn stream_response(request: RequestId, events: GenerateStream) -> EventResponse {
+    let mut writer = EventWriter {
+        request,
+        events,
+        ended: false,
+    };
+    let frames = stream::poll_fn(move |context| writer.poll_frame(context));
+    let mut response = Response::new(Body::wrap(StreamBody::new(frames)));
+    let headers = response.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(EVENT_STREAM));
+    headers.insert(header::CACHE_CONTROL, HeaderValue::from_static(NO_STORE));
+    EventResponse(response)
+}
+
+/// Writes events as frames until the last one.
+struct EventWriter {
+    request: RequestId,
+    events: GenerateStream,
+    ended: bool,
+}
+
+impl EventWriter {
+    fn poll_frame(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        if self.ended {
+            return Poll::Ready(None);
+        }
+        self.events.poll_recv(context).map(|event| {
+            // A backend task that dies drops its sender. Without this event the
+            // caller would see the stream end and could take a part of the
+            // answer for the whole.
+            let event = event.unwrap_or_else(|| self.broken_off());
+            self.ended = matches!(event, StreamEvent::Done { .. } | StreamEvent::Error(_));
+            Some(Ok(Frame::data(event_bytes(&event))))
+        })
+    }
+
+    fn broken_off(&self) -> StreamEvent {
+        StreamEvent::Error(RefusalBody {
+            verdict: RunVerdict::MayHaveRun,
+            ..RefusalBody::not_run(RefusalReason::TargetFailed, "the answer broke off")
+                .for_request(self.request.clone())
+        })
+    }
+}
+
+/// One event as it goes over the wire.
+fn event_bytes(event: &StreamEvent) -> Bytes {
+    let json = serde_json::to_string(event).unwrap_or_default();
+    Bytes::from(format!("data: {json}\n\n"))
+}
--- a/src/api/wire.rs
+++ b/src/api/wire.rs
@@ -3,7 +3,7 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{HostId, LogOffset, ModelId, OperatorId, RequestId, TokenValue};
+use crate::ids::{HostId, LogOffset, ModelId, OperatorId, RequestId, TargetId, TokenValue, ZoneId};
 use crate::reason::RefusalReason;
 use crate::resources::{ResourceKey, ResourceSpec};
 use crate::verdict::RunVerdict;
@@ -148,3 +148,55 @@
     /// Whether it is shutting down.
     pub draining: bool,
 }
+
+/// What was decided about one request or resource, and why.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct ExplainView {
+    /// The request or resource asked about.
+    pub subject: String,
+    /// Decisions, oldest first.
+    pub entries: Vec<ExplainEntry>,
+}
+
+/// One decision of an [`ExplainView`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct ExplainEntry {
+    /// When it was taken, in milliseconds since the Unix epoch.
+    pub at_ms: u64,
+    /// What it was about.
+    pub subject: String,
+    /// The decision and its reason, for a person.
+    pub text: String,
+}
+
+/// How a host sees itself and the targets.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+pub struct StatusView {
+    /// The host that answers.
+    pub host: HostId,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Whether it takes new work.
+    pub ready: bool,
+    /// Whether it is shutting down.
+    pub draining: bool,
+    /// Offset after the last record that it has applied.
+    pub applied: LogOffset,
+    /// The declared targets as this host sees them.
+    pub targets: Vec<TargetStatusView>,
+}
+
+/// One target of a [`StatusView`].
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+pub struct TargetStatusView {
+    /// The target.
+    pub target: TargetId,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Whether it gets new work from this host.
+    pub usable: bool,
+    /// Why not, or how it does, for a person.
+    pub condition: String,
+    /// Steps and calls of this host in flight there.
+    pub in_flight: u64,
+}
--- /dev/null
+++ b/src/auth.rs
@@ -0,0 +1,107 @@
+//! Bearer tokens and the digests by which they are recognised.
+//!
+//! Only digests are declared or configured. A token lives as long as its
+//! request's head and is neither logged nor journalled.
+
+use std::fmt;
+use std::sync::Arc;
+
+use sha2::{Digest, Sha256};
+use subtle::{Choice, ConstantTimeEq};
+
+/// Bytes in a SHA-256 digest.
+const DIGEST_LENGTH: usize = 32;
+/// Scheme of the `Authorization` header, compared without regard to case.
+const BEARER_SCHEME: &str = "bearer";
+
+/// SHA-256 digest of a bearer token.
+#[derive(Clone, Copy)]
+pub struct TokenDigest([u8; DIGEST_LENGTH]);
+
+impl TokenDigest {
+    /// Digests a token.
+    pub fn of_token(token: &str) -> Self {
+        Self(Sha256::digest(token.as_bytes()).into())
+    }
+
+    /// Reads the 64 lower-case hex digits of a declared digest.
+    pub fn from_hex(text: &str) -> Option<Self> {
+        let digits = text.as_bytes();
+        if digits.len() != 2 * DIGEST_LENGTH {
+            return None;
+        }
+        let mut bytes = [0; DIGEST_LENGTH];
+        for (byte, pair) in bytes.iter_mut().zip(digits.chunks_exact(2)) {
+            *byte = (hex_value(pair[0])? << 4) | hex_value(pair[1])?;
+        }
+        Some(Self(bytes))
+    }
+
+    /// The digest as it is declared: 64 lower-case hex digits.
+    pub fn to_hex(&self) -> String {
+        self.0.iter().map(|byte| format!("{byte:02x}")).collect()
+    }
+
+    /// Compares in a time that does not depend on the digests.
+    pub fn matches(&self, other: &Self) -> Choice {
+        self.0.ct_eq(&other.0)
+    }
+}
+
+/// Shows no digit: whoever knows a digest can test guesses of a weak token.
+impl fmt::Debug for TokenDigest {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("TokenDigest")
+    }
+}
+
+fn hex_value(digit: u8) -> Option<u8> {
+    match digit {
+        b'0'..=b'9' => Some(digit - b'0'),
+        b'a'..=b'f' => Some(digit - b'a' + 10),
+        _ => None,
+    }
+}
+
+/// Who may call, with the digests of their tokens.
+#[derive(Debug, Clone, Default)]
+pub struct CredentialTable {
+    entries: Vec<CredentialEntry>,
+}
+
+#[derive(Debug, Clone)]
+struct CredentialEntry {
+    name: Arc<str>,
+    digest: TokenDigest,
+}
+
+impl CredentialTable {
+    /// Adds a name with the digest of its token.
+    pub fn insert(&mut self, name: Arc<str>, digest: TokenDigest) {
+        self.entries.push(CredentialEntry { name, digest });
+    }
+
+    /// The name whose token has this digest. If two names share a token, the
+    /// one added last is given.
+    // An early exit or a hash lookup would let a stranger learn from answer
+    // times how much of a digest is right; so every entry is compared whole.
+    pub fn lookup(&self, presented: &TokenDigest) -> Option<Arc<str>> {
+        let mut found = None;
+        for entry in &self.entries {
+            if bool::from(entry.digest.matches(presented)) {
+                found = Some(&entry.name);
+            }
+        }
+        found.cloned()
+    }
+}
+
+/// Digests the token of an `Authorization: Bearer` header.
+pub fn bearer_digest(header: &str) -> Option<TokenDigest> {
+    let (scheme, token) = header.split_once(' ')?;
+    let token = token.trim();
+    match scheme.eq_ignore_ascii_case(BEARER_SCHEME) && !token.is_empty() {
+        true => Some(TokenDigest::of_token(token)),
+        false => None,
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod admission;
 pub mod api;
+pub mod auth;
 pub mod collections;
 pub mod ids;
 #[allow(
