--- /dev/null
+++ b/src/platform/client.rs
@@ -0,0 +1,199 @@
+//! Single calls to the platform over HTTP/1.1.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::de::DeserializeOwned;
+
+use crate::ids::LogOffset;
+use crate::platform::error::{AppendError, CallFailure, ReadError};
+use crate::platform::wire::{AppendAnswer, AppendBody, HostList, ReadAnswer};
+
+/// Largest answer that is read, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+
+/// How long the parts of a call may take.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PlatformTimeouts {
+    /// Until the connection stands.
+    pub connect: Duration,
+    /// From the start of the call to the whole answer, long polling excluded.
+    pub answer: Duration,
+}
+
+/// A client of the platform. Clones share their connections.
+#[derive(Debug, Clone)]
+pub struct PlatformClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+    address: SocketAddr,
+    timeouts: PlatformTimeouts,
+}
+
+impl PlatformClient {
+    /// Opens a client; connections are made when calls need them.
+    pub fn open(address: SocketAddr, timeouts: PlatformTimeouts) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(timeouts.connect));
+        connector.set_nodelay(true);
+        // The library would by itself repeat a request on a new connection
+        // when a pooled one turns out closed. Appends are repeated only by
+        // those who know that their record ids make it harmless.
+        let client = Client::builder(TokioExecutor::new())
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self {
+            client,
+            address,
+            timeouts,
+        }
+    }
+
+    /// Appends records to a stream, in order, as one batch.
+    ///
+    /// # Errors
+    ///
+    /// The error's verdict says whether the records may have been stored.
+    pub async fn append(
+        &self,
+        stream: &str,
+        records: Vec<String>,
+    ) -> Result<AppendAnswer, AppendError> {
+        self.post_records(stream, records)
+            .await
+            .map_err(AppendError::judge)
+    }
+
+    /// Reads up to `limit` records of a stream from offset `from` on, waiting
+    /// up to `wait` when none is there yet.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no whole answer comes, or if its records do not follow on
+    /// from `from` (or from the oldest kept offset) without gaps.
+    pub async fn read(
+        &self,
+        stream: &str,
+        from: LogOffset,
+        limit: usize,
+        wait: Duration,
+    ) -> Result<ReadAnswer, ReadError> {
+        self.get_records(stream, from, limit, wait)
+            .await
+            .map_err(|failure| ReadError { failure })
+    }
+
+    /// The platform's list of live and leaving hosts and targets.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no whole answer comes.
+    pub async fn hosts(&self) -> Result<HostList, ReadError> {
+        self.get("/v1/hosts", Duration::ZERO)
+            .await
+            .map_err(|failure| ReadError { failure })
+    }
+
+    async fn post_records(
+        &self,
+        stream: &str,
+        records: Vec<String>,
+    ) -> Result<AppendAnswer, CallFailure> {
+        let body = serde_json::to_vec(&AppendBody { records })
+            .map_err(|error| CallFailure::Request(error.to_string()))?;
+        let path = format!("/v1/streams/{stream}/records");
+        self.call(Method::POST, &path, body, Duration::ZERO).await
+    }
+
+    async fn get_records(
+        &self,
+        stream: &str,
+        from: LogOffset,
+        limit: usize,
+        wait: Duration,
+    ) -> Result<ReadAnswer, CallFailure> {
+        let wait_ms = wait.as_millis();
+        let path =
+            format!("/v1/streams/{stream}/records?from={from}&limit={limit}&wait_ms={wait_ms}");
+        let answer = self.get(&path, wait).await?;
+        check_sequence(from, &answer)?;
+        Ok(answer)
+    }
+
+    async fn get<A>(&self, path: &str, wait: Duration) -> Result<A, CallFailure>
+    where
+        A: DeserializeOwned,
+    {
+        self.call(Method::GET, path, Vec::new(), wait).await
+    }
+
+    async fn call<A>(
+        &self,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+        wait: Duration,
+    ) -> Result<A, CallFailure>
+    where
+        A: DeserializeOwned,
+    {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address))
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|error| CallFailure::Request(error.to_string()))?;
+        let bytes = tokio::time::timeout(self.timeouts.answer + wait, self.exchange(request))
+            .await
+            .map_err(|_| CallFailure::Timeout)??;
+        serde_json::from_slice(&bytes).map_err(|error| CallFailure::Malformed(error.to_string()))
+    }
+
+    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Bytes, CallFailure> {
+        let response = match self.client.request(request).await {
+            Ok(response) => response,
+            Err(error) if error.is_connect() => {
+                return Err(CallFailure::Connect(error.to_string()));
+            }
+            Err(error) => return Err(CallFailure::Broken(error.to_string())),
+        };
+        let status = response.status();
+        if status != StatusCode::OK {
+            return Err(CallFailure::Status(status));
+        }
+        Limited::new(response.into_body(), MAX_ANSWER_BYTES)
+            .collect()
+            .await
+            .map(http_body_util::Collected::to_bytes)
+            .map_err(|error| CallFailure::Broken(error.to_string()))
+    }
+}
+
+/// Checks that the records follow on without gaps.
+///
+/// Replay judges by order. A gap that went unnoticed would show as hosts with
+/// different states at the same offset; an answer with one is refused, and
+/// read again.
+fn check_sequence(from: LogOffset, answer: &ReadAnswer) -> Result<(), CallFailure> {
+    let start = from.max(answer.first_offset);
+    let follows = answer
+        .records
+        .iter()
+        .zip(start..)
+        .all(|(record, expected)| record.offset == expected);
+    let within = answer
+        .records
+        .last()
+        .is_none_or(|record| record.offset < answer.end_offset);
+    if follows && within && answer.first_offset <= answer.end_offset {
+        return Ok(());
+    }
+    Err(CallFailure::Malformed(format!(
+        "records do not follow on from offset {start}"
+    )))
+}
