Let a stand-in finish a call whose caller hung up

Cause: hyper drops a handler when its connection goes. A call that reached a frozen or hanging stand-in then vanished with its caller's timeout, while a real process would carry it out after the thaw: exactly the late effect that the router has to survive.

Ruled out: a task for each step alone, as before; it covers neither a call that waits for the thaw nor the platform's appends.

Change: the server runs every call in a task of its own, which only death ends; a dead stand-in therefore runs nothing more, also when it was in the middle. The separate tasks of engine and service and the `Died` outcome go, and the refresh of the load report now stands once. Shutdown acts as death.

--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -51,7 +51,10 @@
         let http = http.await?;
         let gauge_task = tokio::spawn({
             let calls = Arc::clone(&calls);
-            async move { calls.refresh_load().await }
+            async move {
+                let (steps, lag) = (&calls.steps, calls.settings.load_lag);
+                steps.gauge.refresh_every(lag, &steps.batch).await;
+            }
         });
         Ok(Self {
             http,
@@ -86,6 +89,7 @@
     }
 
     /// Comes back after [`EngineServer::die`], without any session or cache.
+    /// Wait in between until a call fails: a death that nobody saw is none.
     pub fn revive(&self) {
         self.calls.steps.forget_all();
         self.calls.faults.update(|faults| faults.dead = false);
@@ -93,6 +97,7 @@
 
     /// Stops listening and closes every connection.
     pub fn shutdown(&self) {
+        self.die();
         self.http.shutdown();
         self.gauge_task.abort();
         self.calls.steps.forget_all();
--- a/standins/src/engine/calls.rs
+++ b/standins/src/engine/calls.rs
@@ -5,23 +5,23 @@
 
 use http::{Method, StatusCode};
 use jackdawwick::target::wire::{
-    CacheExport, StateOrder, StepAnswer, StepOrder, TargetRefusalKind,
+    CacheExport, StateOrder, StepAnswer, StepOrder, TargetRefusal, TargetRefusalKind,
 };
 use parking_lot::Mutex;
-use tokio::time::{MissedTickBehavior, interval, sleep};
+use tokio::time::sleep;
 
 use super::range_store::RangeStore;
 use super::settings::{EngineFaults, EngineSettings};
-use super::steps::{StepFailure, StepRunner, refused};
+use super::steps::StepRunner;
 use crate::faults::FaultSwitch;
 use crate::http_server::{CallOutcome, ServedCall};
-use crate::refusal::refusal_outcome;
+use crate::refusal::{refusal_outcome, refused};
 
 #[derive(Debug)]
 pub(super) struct EngineCalls {
     pub(super) settings: Arc<EngineSettings>,
     pub(super) faults: FaultSwitch<EngineFaults>,
-    pub(super) steps: Arc<StepRunner>,
+    pub(super) steps: StepRunner,
     ranges: Mutex<RangeStore>,
     /// Last answers of two different sessions, for the crossed answers.
     recent_answers: Mutex<Vec<StepAnswer>>,
@@ -38,7 +38,7 @@
             settings.role,
         );
         Self {
-            steps: Arc::new(StepRunner::new(Arc::clone(&settings), faults.clone())),
+            steps: StepRunner::new(Arc::clone(&settings), faults.clone()),
             settings,
             faults,
             ranges: Mutex::new(ranges),
@@ -46,17 +46,6 @@
         }
     }
 
-    /// Refreshes the load report for ever.
-    pub(super) async fn refresh_load(&self) {
-        let mut ticks = interval(self.settings.load_lag.max(Duration::from_millis(1)));
-        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        loop {
-            ticks.tick().await;
-            let load = self.steps.batch.load();
-            self.steps.gauge.refresh(load, Instant::now());
-        }
-    }
-
     pub(super) async fn serve(&self, call: ServedCall) -> CallOutcome {
         if call.path().first() == Some(&"control") {
             return self.serve_control(&call).unwrap_or_else(|outcome| outcome);
@@ -124,7 +113,7 @@
         let deadline = Duration::from_millis(order.deadline_ms);
         if now.saturating_duration_since(arrived_at) <= deadline {
             let ordered = self.ranges.lock().order(order, now);
-            ordered.map_err(|kind| refusal_outcome(kind, None))?;
+            ordered.map_err(|kind| refusal_outcome(refused(kind)))?;
         }
         Ok(self.state(now))
     }
@@ -145,17 +134,13 @@
     async fn step(&self, call: &ServedCall) -> Result<CallOutcome, CallOutcome> {
         let order: StepOrder = match call.json() {
             Ok(order) => order,
-            Err(_) => return Err(refusal_outcome(TargetRefusalKind::Malformed, None)),
+            Err(_) => return Err(refusal_outcome(refused(TargetRefusalKind::Malformed))),
         };
         if self.faults.take_one(|faults| &mut faults.lose_steps) {
             return Err(CallOutcome::Close);
         }
-        self.admit(&order).map_err(failure_outcome)?;
-        // A task of its own: the step goes on if the caller hangs up.
-        let steps = Arc::clone(&self.steps);
-        let task = tokio::spawn(async move { steps.run(&order).await });
-        let result = task.await.map_err(|_| CallOutcome::Close)?;
-        let result = result.map_err(failure_outcome)?;
+        self.admit(&order).map_err(refusal_outcome)?;
+        let result = self.steps.run(&order).await.map_err(refusal_outcome)?;
         let crossed = self.cross(&result.answer);
         if self.faults.take_one(|faults| &mut faults.lose_answers) {
             return Err(CallOutcome::Close);
@@ -171,7 +156,7 @@
         }
     }
 
-    fn admit(&self, order: &StepOrder) -> Result<(), StepFailure> {
+    fn admit(&self, order: &StepOrder) -> Result<(), TargetRefusal> {
         if order.inputs.is_empty() {
             return Err(refused(TargetRefusalKind::Malformed));
         }
@@ -207,10 +192,3 @@
     foreign.outputs.iter_mut().for_each(|output| *output ^= 1);
     foreign
 }
-
-fn failure_outcome(failure: StepFailure) -> CallOutcome {
-    match failure {
-        StepFailure::Refused(refusal) => refusal_outcome(refusal.refused, refusal.next_position),
-        StepFailure::Died => CallOutcome::Close,
-    }
-}
--- a/standins/src/engine/steps.rs
+++ b/standins/src/engine/steps.rs
@@ -16,6 +16,7 @@
 use crate::faults::FaultSwitch;
 use crate::load_gauge::LoadGauge;
 use crate::record_list::{RecordList, next_order, now_micros};
+use crate::refusal::refused;
 
 /// Everything that a step needs.
 #[derive(Debug)]
@@ -37,15 +38,6 @@
     pub(super) previous: Option<StepAnswer>,
 }
 
-/// Why a step gave no answer.
-#[derive(Debug)]
-pub(super) enum StepFailure {
-    /// Nothing of it ran.
-    Refused(TargetRefusal),
-    /// The engine died meanwhile.
-    Died,
-}
-
 impl StepRunner {
     pub(super) fn new(settings: Arc<EngineSettings>, faults: FaultSwitch<EngineFaults>) -> Self {
         let limits = CacheLimits {
@@ -72,7 +64,7 @@
     }
 
     /// Runs the positions of `order` that have not run yet.
-    pub(super) async fn run(&self, order: &StepOrder) -> Result<StepResult, StepFailure> {
+    pub(super) async fn run(&self, order: &StepOrder) -> Result<StepResult, TargetRefusal> {
         let session = self.session_for(order)?;
         let mut data = session.data.lock().await;
         let result = self.run_in(order, &session, &mut data).await;
@@ -84,7 +76,7 @@
         result
     }
 
-    fn session_for(&self, order: &StepOrder) -> Result<Arc<EngineSession>, StepFailure> {
+    fn session_for(&self, order: &StepOrder) -> Result<Arc<EngineSession>, TargetRefusal> {
         match self.sessions.find(&order.label.session()) {
             Some(session) => Ok(session),
             None if order.position > 0 => Err(unknown_position(0)),
@@ -100,7 +92,7 @@
         order: &StepOrder,
         session: &EngineSession,
         data: &mut SessionData,
-    ) -> Result<StepResult, StepFailure> {
+    ) -> Result<StepResult, TargetRefusal> {
         let next = data.next_position();
         match order {
             _ if session.is_closed() => return Err(unknown_position(0)),
@@ -150,7 +142,7 @@
         order: &StepOrder,
         inputs: &[u64],
         session: &EngineSession,
-    ) -> Result<(), StepFailure> {
+    ) -> Result<(), TargetRefusal> {
         let work = async {
             let mut slot = self.batch.acquire(order.priority).await;
             if let Ok(slot) = &mut slot {
@@ -161,9 +153,10 @@
             slot
         };
         let slot = tokio::select! {
-            slot = work => slot,
+            // In this order, so that no cancelled session goes on.
+            biased;
             () = session.closed() => return Err(unknown_position(0)),
-            () = self.faults.wait_until(|faults| faults.dead) => return Err(StepFailure::Died),
+            slot = work => slot,
         };
         slot.map_err(|_| refused(TargetRefusalKind::Overloaded))?;
         if order.position == 0 {
@@ -217,16 +210,9 @@
     }
 }
 
-pub(super) fn refused(kind: TargetRefusalKind) -> StepFailure {
-    StepFailure::Refused(TargetRefusal {
-        refused: kind,
-        next_position: None,
-    })
-}
-
-fn unknown_position(next: TokenPosition) -> StepFailure {
-    StepFailure::Refused(TargetRefusal {
+fn unknown_position(next: TokenPosition) -> TargetRefusal {
+    TargetRefusal {
         refused: TargetRefusalKind::UnknownPosition,
         next_position: Some(next),
-    })
+    }
 }
--- a/standins/src/http_server.rs
+++ b/standins/src/http_server.rs
@@ -120,7 +120,8 @@
 
 impl HttpServer {
     /// Listens on `addr` and hands each call to `handler`. While `is_dead`
-    /// holds, connections are reset and new ones are refused.
+    /// holds, connections are reset, new ones are refused, and calls that were
+    /// being handled go no further.
     pub async fn bind<F, H, R>(
         addr: SocketAddr,
         faults: FaultSwitch<F>,
@@ -134,7 +135,12 @@
     {
         let listener = TcpListener::bind(addr).await?;
         let local_addr = listener.local_addr()?;
-        let task = tokio::spawn(serve_lives(listener, local_addr, faults, is_dead, handler));
+        let lasting_handler = {
+            let faults = faults.clone();
+            move |call| run_to_end(handler(call), faults.clone(), is_dead)
+        };
+        let lives = serve_lives(listener, local_addr, faults, is_dead, lasting_handler);
+        let task = tokio::spawn(lives);
         Ok(Self { local_addr, task })
     }
 
@@ -186,6 +192,27 @@
     }
 }
 
+/// Handles a call to its end even if its caller hangs up, for a real target
+/// would not notice; only death ends it early.
+async fn run_to_end<F, R>(
+    handling: R,
+    faults: FaultSwitch<F>,
+    is_dead: fn(&F) -> bool,
+) -> CallOutcome
+where
+    F: Clone + Send + Sync + 'static,
+    R: Future<Output = CallOutcome> + Send + 'static,
+{
+    let task = tokio::spawn(async move {
+        tokio::select! {
+            biased;
+            () = faults.wait_until(is_dead) => CallOutcome::Close,
+            outcome = handling => outcome,
+        }
+    });
+    task.await.unwrap_or(CallOutcome::Close)
+}
+
 /// Serves connections; they are all closed when this future is dropped.
 async fn accept_all<H, R>(listener: &TcpListener, handler: &H)
 where
--- a/standins/src/load_gauge.rs
+++ b/standins/src/load_gauge.rs
@@ -1,12 +1,16 @@
 //! The load report, refreshed now and then.
 
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use jackdawwick::target::wire::LoadReport;
 use parking_lot::Mutex;
+use tokio::time::{MissedTickBehavior, interval};
 
-use crate::batch::BatchLoad;
+use crate::batch::{BatchLoad, StepBatch};
+
+/// Shortest time between two snapshots.
+const MIN_LAG: Duration = Duration::from_millis(1);
 
 /// Counts tokens and keeps the last snapshot of the load.
 #[derive(Debug)]
@@ -40,8 +44,17 @@
         self.tokens.fetch_add(tokens as u64, Ordering::Relaxed);
     }
 
-    /// Takes a new snapshot.
-    pub(crate) fn refresh(&self, load: BatchLoad, now: Instant) {
+    /// Takes a new snapshot of `batch` again and again.
+    pub(crate) async fn refresh_every(&self, lag: Duration, batch: &StepBatch) {
+        let mut ticks = interval(lag.max(MIN_LAG));
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            self.refresh(batch.load(), Instant::now());
+        }
+    }
+
+    fn refresh(&self, load: BatchLoad, now: Instant) {
         let tokens = self.tokens.swap(0, Ordering::Relaxed);
         let mut snapshot = self.snapshot.lock();
         let elapsed = now.saturating_duration_since(snapshot.taken_at);
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -79,6 +79,13 @@
 
     /// Stops listening and closes every connection.
     pub fn shutdown(&self) {
+        self.calls.faults.update(|faults| faults.dead = true);
         self.http.shutdown();
     }
 }
+
+impl Drop for PlatformServer {
+    fn drop(&mut self) {
+        self.shutdown();
+    }
+}
--- a/standins/src/refusal.rs
+++ b/standins/src/refusal.rs
@@ -1,21 +1,22 @@
 //! The answer by which a target refuses.
 
 use http::StatusCode;
-use jackdawwick::ids::TokenPosition;
 use jackdawwick::target::wire::{TargetRefusal, TargetRefusalKind};
 
 use crate::http_server::CallOutcome;
 
-/// A refusal with the status that belongs to its kind.
-pub(crate) fn refusal_outcome(
-    refused: TargetRefusalKind,
-    next_position: Option<TokenPosition>,
-) -> CallOutcome {
-    let refusal = TargetRefusal {
-        refused,
-        next_position,
-    };
-    CallOutcome::json(status_of(refused), &refusal)
+/// A refusal that says nothing of positions.
+pub(crate) fn refused(kind: TargetRefusalKind) -> TargetRefusal {
+    TargetRefusal {
+        refused: kind,
+        next_position: None,
+    }
+}
+
+/// The answer for a refusal, with the status that belongs to its kind.
+#[expect(clippy::needless_pass_by_value, reason = "made for `map_err`")]
+pub(crate) fn refusal_outcome(refusal: TargetRefusal) -> CallOutcome {
+    CallOutcome::json(status_of(refusal.refused), &refusal)
 }
 
 fn status_of(kind: TargetRefusalKind) -> StatusCode {
--- a/standins/src/service.rs
+++ b/standins/src/service.rs
@@ -45,7 +45,10 @@
         let http = http.await?;
         let gauge_task = tokio::spawn({
             let calls = Arc::clone(&calls);
-            async move { calls.refresh_load().await }
+            async move {
+                let lag = calls.settings.load_lag;
+                calls.gauge.refresh_every(lag, &calls.batch).await;
+            }
         });
         Ok(Self {
             http,
@@ -74,13 +77,15 @@
         self.calls.faults.update(|faults| faults.dead = true);
     }
 
-    /// Comes back after it died.
+    /// Comes back after it died. Wait in between until a call fails: a death
+    /// that nobody saw is none.
     pub fn revive(&self) {
         self.calls.faults.update(|faults| faults.dead = false);
     }
 
     /// Stops listening and closes every connection.
     pub fn shutdown(&self) {
+        self.die();
         self.http.shutdown();
         self.gauge_task.abort();
     }
--- a/standins/src/service/calls.rs
+++ b/standins/src/service/calls.rs
@@ -9,7 +9,7 @@
     EngineRole, IDEMPOTENCY_KEY_HEADER, REQUEST_ID_HEADER, TargetRefusalKind, TargetState,
 };
 use serde_json::Value;
-use tokio::time::{MissedTickBehavior, interval, sleep, sleep_until};
+use tokio::time::{sleep, sleep_until};
 
 use super::settings::{CallRecord, DeathPoint, ServiceAnswer, ServiceFaults, ServiceSettings};
 use crate::batch::StepBatch;
@@ -17,15 +17,15 @@
 use crate::http_server::{CallOutcome, ServedCall};
 use crate::load_gauge::LoadGauge;
 use crate::record_list::{RecordList, next_order, now_micros};
-use crate::refusal::refusal_outcome;
+use crate::refusal::{refusal_outcome, refused};
 
 #[derive(Debug)]
 pub(super) struct ServiceCalls {
-    settings: ServiceSettings,
+    pub(super) settings: ServiceSettings,
     pub(super) faults: FaultSwitch<ServiceFaults>,
     pub(super) record: RecordList<CallRecord>,
-    batch: Arc<StepBatch>,
-    gauge: LoadGauge,
+    pub(super) batch: Arc<StepBatch>,
+    pub(super) gauge: LoadGauge,
     ran: AtomicU64,
 }
 
@@ -41,36 +41,18 @@
         }
     }
 
-    /// Refreshes the load report for ever.
-    pub(super) async fn refresh_load(&self) {
-        let mut ticks = interval(self.settings.load_lag.max(Duration::from_millis(1)));
-        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        loop {
-            ticks.tick().await;
-            self.gauge.refresh(self.batch.load(), Instant::now());
-        }
-    }
-
-    pub(super) async fn serve(self: Arc<Self>, call: ServedCall) -> CallOutcome {
+    pub(super) async fn serve(&self, call: ServedCall) -> CallOutcome {
         if call.path().first() == Some(&"control") {
             return self.serve_control(&call).unwrap_or_else(|outcome| outcome);
         }
         self.faults.wait_until(|faults| !faults.frozen).await;
-        // A task of its own: the call goes on if the caller hangs up.
-        let serving = {
-            let calls = Arc::clone(&self);
-            async move { calls.serve_target(&call).await }
-        };
-        let outcome = tokio::spawn(serving).await;
+        let outcome = self.serve_target(&call).await;
         self.faults.wait_until(|faults| !faults.frozen).await;
         let link_delay_ms = self.faults.read(|faults| faults.link_delay_ms);
         if link_delay_ms > 0 {
             sleep(Duration::from_millis(link_delay_ms)).await;
         }
-        match outcome {
-            Ok(Ok(outcome) | Err(outcome)) => outcome,
-            Err(_) => CallOutcome::Close,
-        }
+        outcome.unwrap_or_else(|outcome| outcome)
     }
 
     fn serve_control(&self, call: &ServedCall) -> Result<CallOutcome, CallOutcome> {
@@ -109,9 +91,9 @@
     async fn run(&self, call: &ServedCall, operation: &str) -> Result<CallOutcome, CallOutcome> {
         self.admit()?;
         let body: Value = serde_json::from_slice(&call.body)
-            .map_err(|_| refusal_outcome(TargetRefusalKind::Malformed, None))?;
+            .map_err(|_| refusal_outcome(refused(TargetRefusalKind::Malformed)))?;
         let slot = self.batch.acquire(0).await;
-        let mut slot = slot.map_err(|_| refusal_outcome(TargetRefusalKind::Overloaded, None))?;
+        let mut slot = slot.map_err(|_| refusal_outcome(refused(TargetRefusalKind::Overloaded)))?;
         // Whoever dies while the call waits for its slot never runs it.
         self.pass(DeathPoint::Before)?;
         let ran = self.ran.fetch_add(1, Ordering::Relaxed) + 1;
@@ -138,10 +120,10 @@
         }
         if self.faults.take_one(|faults| &mut faults.refuse_calls) {
             let kind = self.faults.read(|faults| faults.refusal);
-            return Err(refusal_outcome(kind, None));
+            return Err(refusal_outcome(refused(kind)));
         }
         match self.faults.read(|faults| faults.leaving) {
-            true => Err(refusal_outcome(TargetRefusalKind::Leaving, None)),
+            true => Err(refusal_outcome(refused(TargetRefusalKind::Leaving))),
             false => Ok(()),
         }
     }
