--- /dev/null
+++ b/standins/src/json_client.rs
@@ -0,0 +1,59 @@
+//! A plain JSON client for tests, the demo and control calls.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Why a call gave no answer; it may have taken effect.
+pub type CallError = Box<dyn std::error::Error + Send + Sync>;
+
+/// An answer, read to its end.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct JsonReply {
+    /// Status of the answer.
+    pub status: StatusCode,
+    /// JSON text, or nothing.
+    pub body: Bytes,
+}
+
+impl JsonReply {
+    /// The body as `T`.
+    pub fn json<T>(&self) -> Result<T, serde_json::Error>
+    where
+        T: DeserializeOwned,
+    {
+        serde_json::from_slice(&self.body)
+    }
+}
+
+/// Sends one call over a connection of its own.
+pub async fn call<T>(
+    method: Method,
+    addr: SocketAddr,
+    path: &str,
+    body: &T,
+) -> Result<JsonReply, CallError>
+where
+    T: Serialize + ?Sized,
+{
+    let request = Request::builder()
+        .method(method)
+        .uri(format!("http://{addr}{path}"))
+        .body(Full::new(Bytes::from(serde_json::to_vec(body)?)))?;
+    // A pool would send a lost call again by itself, and the caller would
+    // not learn that it may have run twice.
+    let client = Client::builder(TokioExecutor::new())
+        .pool_max_idle_per_host(0)
+        .retry_canceled_requests(false)
+        .build_http();
+    let response = client.request(request).await?;
+    let status = response.status();
+    let body = response.into_body().collect().await?.to_bytes();
+    Ok(JsonReply { status, body })
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod engine;
 pub mod faults;
 pub mod http_server;
+pub mod json_client;
 mod load_gauge;
 pub mod platform;
 mod record_list;
--- a/standins/tests/standins.rs
+++ b/standins/tests/standins.rs
@@ -3,17 +3,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::{Method, Request, StatusCode};
-use http_body_util::{BodyExt, Full};
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
+use http::{Method, StatusCode};
 use jackdawwick::platform::wire::{AppendBody, ReadAnswer};
 use jackdawwick::target::wire::{StepAnswer, StepLabel, StepOrder, TargetRefusal};
-use serde::Serialize;
-use serde::de::DeserializeOwned;
 use standins::engine::{EngineServer, EngineSettings, StepKind};
+use standins::json_client::{CallError, JsonReply, call};
 use standins::platform::{PlatformServer, PlatformSettings};
 use standins::reference;
 use standins::service::{ServiceAnswer, ServiceServer, ServiceSettings};
@@ -27,53 +21,12 @@
 const TOKENS: usize = 8;
 const DEADLINE: Duration = Duration::from_secs(10);
 
-type TestResult = Result<(), Box<dyn std::error::Error>>;
-type HttpClient = Client<HttpConnector, Full<Bytes>>;
+type TestResult = Result<(), CallError>;
 
 fn any_port() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
-fn client() -> HttpClient {
-    // A pool would send a lost call again by itself.
-    Client::builder(TokioExecutor::new())
-        .pool_max_idle_per_host(0)
-        .build_http()
-}
-
-struct HttpAnswer {
-    status: StatusCode,
-    body: Bytes,
-}
-
-impl HttpAnswer {
-    fn json<T>(&self) -> Result<T, serde_json::Error>
-    where
-        T: DeserializeOwned,
-    {
-        serde_json::from_slice(&self.body)
-    }
-}
-
-async fn call<T>(
-    method: Method,
-    addr: SocketAddr,
-    path: &str,
-    body: &T,
-) -> Result<HttpAnswer, Box<dyn std::error::Error>>
-where
-    T: Serialize,
-{
-    let request = Request::builder()
-        .method(method)
-        .uri(format!("http://{addr}{path}"))
-        .body(Full::new(serde_json::to_vec(body)?.into()))?;
-    let response = client().request(request).await?;
-    let status = response.status();
-    let body = response.into_body().collect().await?.to_bytes();
-    Ok(HttpAnswer { status, body })
-}
-
 fn order(stage: usize, position: u64, inputs: &[u64]) -> StepOrder {
     let (first_layer, last_layer) = RANGES[stage];
     StepOrder {
@@ -92,10 +45,7 @@
     }
 }
 
-async fn step(
-    addr: SocketAddr,
-    order: &StepOrder,
-) -> Result<HttpAnswer, Box<dyn std::error::Error>> {
+async fn step(addr: SocketAddr, order: &StepOrder) -> Result<JsonReply, CallError> {
     call(Method::POST, addr, "/v1/steps", order).await
 }
 
@@ -109,7 +59,7 @@
 }
 
 /// Drives the chain of engines as a router without faults would.
-async fn generate(engines: &[EngineServer]) -> Result<Vec<u64>, Box<dyn std::error::Error>> {
+async fn generate(engines: &[EngineServer]) -> Result<Vec<u64>, CallError> {
     let mut tokens = Vec::new();
     let mut position = 0;
     let mut inputs = PROMPT.to_vec();
