Run a request stage by stage with typed calls to targets

Cause: plans, events and decisions were there, but nothing decided on them and nothing spoke to targets.

Ruled out: one cursor per stage with its own state (prefill, decode, replay) as three paths; a single range of positions that ends with the last known token and begins with the earliest position some stage ahead lacks covers all three. Recognising a pooled connection closed before the request was written: the client library does not promise it to its callers, so it counts as may-have-run, and calls that may not be repeated take a new connection.

Change: RunMachine (pure) matches answers by request, attempt, stage, position, count and target asked; delivers numbered tokens; asks again, reopens, moves or replaces a stage within bounds; derives the verdict from a ledger of sends. RunDecision::SendStep gains a delay, RunEvent gains CacheMoved. TargetClient speaks the targets' protocol without hidden retries and with bounded answers; drive_run connects the two.

Faults are not tested yet.

Conclusion: enough for the thin path; proofs under faults follow.

--- a/src/run/decision.rs
+++ b/src/run/decision.rs
@@ -1,5 +1,7 @@
 //! What a run decides.
 
+use std::time::Duration;
+
 use crate::ids::{StageIndex, TargetId, TokenValue};
 use crate::reason::{RefusalReason, RetryReason};
 use crate::target::wire::StepOrder;
@@ -16,6 +18,8 @@
         order: StepOrder,
         /// Why it is sent again, if it is.
         retry: Option<RetryReason>,
+        /// How long to wait before it is sent.
+        delay: Duration,
     },
     /// Give the caller one token.
     DeliverToken {
@@ -33,7 +37,8 @@
         /// Why.
         reason: RetryReason,
     },
-    /// Move a session's KV cache to another holder of the same range.
+    /// Move a session's KV cache to another holder of the same range, and
+    /// report [`RunEvent::CacheMoved`](super::RunEvent::CacheMoved).
     MoveCache {
         /// Target that holds the session.
         from: TargetId,
--- a/src/run/event.rs
+++ b/src/run/event.rs
@@ -33,6 +33,13 @@
         /// The new target; `None` if no usable target is left.
         target: Option<TargetId>,
     },
+    /// A move of a KV cache ended.
+    CacheMoved {
+        /// Session that was to take the cache.
+        to_session: String,
+        /// Next position that it can run; `None` if the move failed.
+        next_position: Option<TokenPosition>,
+    },
     /// A target that serves a stage is leaving, but still answers.
     TargetLeaving {
         /// The target.
--- /dev/null
+++ b/src/run/machine/repair.rs
@@ -0,0 +1,243 @@
+//! Failures of a step: ask again, replace the stage, or give up.
+
+use std::time::Instant;
+
+use super::{RunMachine, RunPhase};
+use crate::ids::{StageIndex, TargetId, TokenPosition};
+use crate::reason::{RefusalReason, RetryReason};
+use crate::run::{RecoveryMode, RunDecision, StepFailure};
+use crate::target::wire::{StepLabel, TargetRefusalKind};
+
+/// What a failed step calls for.
+enum StepRepair {
+    /// The same step again: it hands back what it recorded, if it ran.
+    Resend,
+    /// A new session on the same target, which forgot the old one.
+    Reopen,
+    /// Another target.
+    Replace,
+}
+
+impl RunMachine {
+    pub(super) fn on_failure(
+        &mut self,
+        label: &StepLabel,
+        position: TokenPosition,
+        failure: &StepFailure,
+        now: Instant,
+        decisions: &mut Vec<RunDecision>,
+    ) {
+        let resends = match &self.phase {
+            RunPhase::AwaitAnswer(awaited)
+                if awaited.order.label == *label && awaited.order.position == position =>
+            {
+                awaited.resends
+            }
+            _ => return,
+        };
+        self.ledger.record_failed(failure.verdict);
+        let stage = self.wave.stage;
+        match self.repair_for(failure, resends) {
+            StepRepair::Resend => self.resend_step(resends, failure.reason, now, decisions),
+            StepRepair::Reopen if self.has_repairs_left() => {
+                self.cancel_session(stage, decisions);
+                self.open_session(stage, decisions);
+                self.send_wave(Some(failure.reason), decisions);
+            }
+            StepRepair::Replace if self.has_repairs_left() => {
+                self.ask_replacement(stage, failure.reason, resends, decisions);
+            }
+            StepRepair::Reopen | StepRepair::Replace => {
+                self.give_up(RefusalReason::RetryBudgetSpent, decisions);
+            }
+        }
+    }
+
+    fn repair_for(&self, failure: &StepFailure, resends: u32) -> StepRepair {
+        let may_resend = resends < self.limits.resends_per_step;
+        let refusal = failure.refusal.as_ref().map(|refusal| refusal.refused);
+        match (failure.reason, refusal) {
+            (_, Some(TargetRefusalKind::UnknownPosition)) if self.wave.start > 0 => {
+                StepRepair::Reopen
+            }
+            (_, Some(TargetRefusalKind::Overloaded)) if may_resend => StepRepair::Resend,
+            (_, Some(_)) => StepRepair::Replace,
+            (RetryReason::AnswerLost | RetryReason::AnswerMismatched, None) if may_resend => {
+                StepRepair::Resend
+            }
+            _ => StepRepair::Replace,
+        }
+    }
+
+    pub(super) fn has_repairs_left(&self) -> bool {
+        self.attempt - self.first_attempt < self.limits.max_repairs
+    }
+
+    pub(super) fn ask_replacement(
+        &mut self,
+        stage: StageIndex,
+        reason: RetryReason,
+        resends: u32,
+        decisions: &mut Vec<RunDecision>,
+    ) {
+        let target = &self.stages[stage].target;
+        if !self.excluded.contains(target) {
+            self.excluded.push(target.clone());
+        }
+        self.phase = RunPhase::AwaitReplacement {
+            stage,
+            reason,
+            resends,
+        };
+        decisions.push(RunDecision::ChooseReplacement {
+            stage,
+            excluded: self.excluded.clone(),
+            reason,
+        });
+    }
+
+    pub(super) fn on_replacement(
+        &mut self,
+        chosen_stage: StageIndex,
+        target: Option<TargetId>,
+        now: Instant,
+        decisions: &mut Vec<RunDecision>,
+    ) {
+        let (reason, resends) = match self.phase {
+            RunPhase::AwaitReplacement {
+                stage,
+                reason,
+                resends,
+            } if stage == chosen_stage => (reason, resends),
+            _ => return,
+        };
+        match target {
+            Some(target) if self.can_move_cache(chosen_stage, reason) => {
+                self.move_cache(chosen_stage, target, reason, decisions);
+            }
+            Some(target) => {
+                self.cancel_session(chosen_stage, decisions);
+                self.stages[chosen_stage].replace_target(target);
+                self.open_session(chosen_stage, decisions);
+                self.send_wave(Some(reason), decisions);
+            }
+            // Asked before the target refused anything: it still serves.
+            None if self.stages[chosen_stage].is_leaving => {
+                self.stages[chosen_stage].is_leaving = false;
+                self.send_wave(None, decisions);
+            }
+            None if resends < self.limits.resends_per_step => {
+                self.resend_step(resends, reason, now, decisions);
+            }
+            None => self.give_up(RefusalReason::NoRoute, decisions),
+        }
+    }
+
+    /// A move is tried only if the old target itself has just answered: the
+    /// export from one that is dead or frozen would cost a whole timeout
+    /// before the replay that is needed anyway.
+    fn can_move_cache(&self, stage: StageIndex, reason: RetryReason) -> bool {
+        let still_answers = matches!(
+            reason,
+            RetryReason::TargetLeaving | RetryReason::TargetRefused
+        );
+        let holds_cache = self.stages[stage].next_position > 0;
+        self.limits.recovery == RecoveryMode::MoveCache && still_answers && holds_cache
+    }
+
+    fn move_cache(
+        &mut self,
+        stage: StageIndex,
+        to: TargetId,
+        reason: RetryReason,
+        decisions: &mut Vec<RunDecision>,
+    ) {
+        let attempt = self.next_attempt();
+        let session = &mut self.stages[stage];
+        let from_session = session.label(&self.plan.request, stage).session();
+        let from = session.replace_target(to.clone());
+        session.reopen(attempt);
+        // The import may take effect although its answer is lost.
+        session.is_used = true;
+        decisions.push(RunDecision::MoveCache {
+            from: from.clone(),
+            from_session: from_session.clone(),
+            to,
+            to_session: session.label(&self.plan.request, stage).session(),
+        });
+        self.phase = RunPhase::AwaitMove {
+            stage,
+            reason,
+            from,
+            from_session,
+        };
+    }
+
+    pub(super) fn on_cache_moved(
+        &mut self,
+        to_session: &str,
+        next_position: Option<TokenPosition>,
+        decisions: &mut Vec<RunDecision>,
+    ) {
+        let (stage, reason, old) = match &self.phase {
+            RunPhase::AwaitMove {
+                stage,
+                reason,
+                from,
+                from_session,
+            } if self.stages[*stage]
+                .label(&self.plan.request, *stage)
+                .session()
+                == to_session =>
+            {
+                let old = RunDecision::CancelSession {
+                    target: from.clone(),
+                    session: from_session.clone(),
+                };
+                (*stage, *reason, old)
+            }
+            _ => return,
+        };
+        decisions.push(old);
+        match next_position {
+            Some(position) => {
+                let end = self.sequence.len() as TokenPosition;
+                self.stages[stage].next_position = position.min(end);
+            }
+            // The import may still arrive and put an old cache in place of a
+            // live session, so the replay gets a label that no import names.
+            None => {
+                self.cancel_session(stage, decisions);
+                self.open_session(stage, decisions);
+            }
+        }
+        self.send_wave(Some(reason), decisions);
+    }
+
+    pub(super) fn on_leaving(&mut self, target: &TargetId) {
+        let sessions = self.stages.iter_mut();
+        for session in sessions.filter(|session| session.target == *target) {
+            session.is_leaving = true;
+        }
+    }
+
+    /// Gives a stage an empty session under a new label; with
+    /// [`RecoveryMode::NewAttempt`] every stage.
+    fn open_session(&mut self, stage: StageIndex, decisions: &mut Vec<RunDecision>) {
+        let attempt = self.next_attempt();
+        if self.limits.recovery != RecoveryMode::NewAttempt {
+            return self.stages[stage].reopen(attempt);
+        }
+        for other in 0..self.stages.len() {
+            if other != stage {
+                self.cancel_session(other, decisions);
+            }
+            self.stages[other].reopen(attempt);
+        }
+    }
+
+    fn next_attempt(&mut self) -> u32 {
+        self.attempt += 1;
+        self.attempt
+    }
+}
--- /dev/null
+++ b/src/run/machine/token_wave.rs
@@ -0,0 +1,36 @@
+//! The range of positions that travels through the stages.
+
+use crate::ids::{StageIndex, TokenPosition};
+
+/// Consecutive positions on their way to a stage.
+#[derive(Debug, Default)]
+pub(super) struct TokenWave {
+    /// Stage that runs them next.
+    pub(super) stage: StageIndex,
+    /// First position.
+    pub(super) start: TokenPosition,
+    /// Inputs of that stage, one a position.
+    pub(super) inputs: Vec<u64>,
+}
+
+impl TokenWave {
+    /// Position after the last one.
+    pub(super) fn end(&self) -> TokenPosition {
+        self.start + self.inputs.len() as TokenPosition
+    }
+
+    /// Goes on to the next stage with this stage's outputs.
+    pub(super) fn advance(&mut self, outputs: &[u64]) {
+        self.stage += 1;
+        self.inputs.clear();
+        self.inputs.extend_from_slice(outputs);
+    }
+
+    /// Drops the positions below `start`, but never the last one.
+    pub(super) fn skip_to(&mut self, start: TokenPosition) {
+        let last = self.end().saturating_sub(1);
+        let skipped = start.min(last).saturating_sub(self.start);
+        self.inputs.drain(..skipped as usize);
+        self.start += skipped;
+    }
+}
--- a/src/target.rs
+++ b/src/target.rs
@@ -1,3 +1,9 @@
 //! The client side of targets: engines that hold layer ranges, and services.
 
+pub mod client;
 pub mod wire;
+
+mod failure;
+mod transport;
+
+pub use failure::{CallFailure, TargetFailure};
--- /dev/null
+++ b/src/target/client/engine_calls.rs
@@ -0,0 +1,125 @@
+//! Calls that engines serve.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::Method;
+
+use super::{MAX_ANSWER_BYTES, MAX_EXPORT_BYTES, TargetClient, accept, encode, parse, request};
+use crate::run::StepFailure;
+use crate::target::TargetFailure;
+use crate::target::wire::{
+    CacheEvents, CacheExport, LoadReport, StateOrder, StepAnswer, StepOrder, TargetState,
+};
+
+impl TargetClient {
+    /// Runs a step.
+    ///
+    /// # Errors
+    /// With the verdict on whether the step may have run.
+    pub async fn step(
+        &self,
+        address: SocketAddr,
+        order: &StepOrder,
+    ) -> Result<StepAnswer, StepFailure> {
+        let answer = self.try_step(address, order).await;
+        answer.map_err(StepFailure::from)
+    }
+
+    async fn try_step(
+        &self,
+        address: SocketAddr,
+        order: &StepOrder,
+    ) -> Result<StepAnswer, TargetFailure> {
+        let further = order.inputs.len().saturating_sub(1);
+        let further = u32::try_from(further).unwrap_or(u32::MAX);
+        let timeout = self.timeouts.answer + self.timeouts.per_position.saturating_mul(further);
+        let request = request(Method::POST, address, "/v1/steps", encode(order)?)?;
+        let answer = self
+            .transport
+            .send(request, true, timeout, MAX_ANSWER_BYTES);
+        parse(&accept(answer.await?)?)
+    }
+
+    /// Cancels a session; it is no error if the engine does not know it.
+    ///
+    /// # Errors
+    /// If the engine cannot be reached or does not answer.
+    pub async fn cancel(&self, address: SocketAddr, session: &str) -> Result<(), TargetFailure> {
+        let path = format!("/v1/sessions/{session}");
+        let request = request(Method::DELETE, address, &path, Bytes::new())?;
+        self.send(request, MAX_ANSWER_BYTES).await.map(drop)
+    }
+
+    /// Reads a session's KV cache.
+    ///
+    /// # Errors
+    /// If the engine does not know the session or does not answer.
+    pub async fn export_cache(
+        &self,
+        address: SocketAddr,
+        session: &str,
+    ) -> Result<CacheExport, TargetFailure> {
+        let path = format!("/v1/sessions/{session}/cache");
+        let request = request(Method::GET, address, &path, Bytes::new())?;
+        parse(&self.send(request, MAX_EXPORT_BYTES).await?)
+    }
+
+    /// Puts a KV cache into a session.
+    ///
+    /// # Errors
+    /// If the engine refuses or does not answer; it may then hold the cache.
+    pub async fn import_cache(
+        &self,
+        address: SocketAddr,
+        session: &str,
+        export: &CacheExport,
+    ) -> Result<(), TargetFailure> {
+        let path = format!("/v1/sessions/{session}/cache");
+        let request = request(Method::PUT, address, &path, encode(export)?)?;
+        self.send(request, MAX_ANSWER_BYTES).await.map(drop)
+    }
+
+    /// Reads the load, as late as the target reports it.
+    ///
+    /// # Errors
+    /// If the target does not answer.
+    pub async fn load(&self, address: SocketAddr) -> Result<LoadReport, TargetFailure> {
+        self.get(address, "/v1/load").await
+    }
+
+    /// Reads what the target holds.
+    ///
+    /// # Errors
+    /// If the target does not answer.
+    pub async fn state(&self, address: SocketAddr) -> Result<TargetState, TargetFailure> {
+        self.get(address, "/v1/state").await
+    }
+
+    /// Orders a state.
+    ///
+    /// # Errors
+    /// If the target refuses, for example an old fencing number, or does not
+    /// answer; in the latter case it may have taken the order.
+    pub async fn order_state(
+        &self,
+        address: SocketAddr,
+        order: &StateOrder,
+    ) -> Result<TargetState, TargetFailure> {
+        let request = request(Method::PUT, address, "/v1/state", encode(order)?)?;
+        parse(&self.send(request, MAX_ANSWER_BYTES).await?)
+    }
+
+    /// Reads changes of the prefix cache from number `from` on.
+    ///
+    /// # Errors
+    /// If the engine does not answer.
+    pub async fn cache_events(
+        &self,
+        address: SocketAddr,
+        from: u64,
+    ) -> Result<CacheEvents, TargetFailure> {
+        let path = format!("/v1/cache-events?from={from}");
+        self.get(address, &path).await
+    }
+}
--- /dev/null
+++ b/src/target/client/service_calls.rs
@@ -0,0 +1,67 @@
+//! Calls that plain services serve.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, StatusCode};
+
+use super::{MAX_ANSWER_BYTES, TargetClient, request};
+use crate::target::{CallFailure, TargetFailure};
+
+/// A call to a plain service.
+#[derive(Debug, Clone)]
+pub struct CallOrder {
+    /// Operation, one path segment.
+    pub operation: String,
+    /// Headers passed on, such as the request id.
+    pub headers: HeaderMap,
+    /// Caller's JSON.
+    pub body: Bytes,
+    /// Whether the call may be sent over a connection used before.
+    ///
+    /// The far end may close such a connection just as the call is sent;
+    /// whether it ran is then unknown. A call that may not be repeated goes
+    /// over a new connection, where that does not arise.
+    pub use_pool: bool,
+}
+
+/// A service's own answer, of any status; it has run.
+#[derive(Debug, Clone)]
+pub struct CallAnswer {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl TargetClient {
+    /// Calls a plain service, once.
+    ///
+    /// # Errors
+    /// With the verdict on whether the call may have run.
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        order: CallOrder,
+    ) -> Result<CallAnswer, CallFailure> {
+        let is_segment = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_');
+        if order.operation.is_empty() || !order.operation.bytes().all(is_segment) {
+            return Err(TargetFailure::Connect("not an operation's name".to_owned()));
+        }
+        let path = format!("/v1/calls/{}", order.operation);
+        let mut request = request(Method::POST, address, &path, order.body)?;
+        request.headers_mut().extend(order.headers);
+        let timeout = self.timeouts.answer;
+        let answer = self
+            .transport
+            .send(request, order.use_pool, timeout, MAX_ANSWER_BYTES)
+            .await?;
+        Ok(CallAnswer {
+            status: answer.status,
+            headers: answer.headers,
+            body: answer.body,
+        })
+    }
+}
--- /dev/null
+++ b/src/target/transport.rs
@@ -0,0 +1,140 @@
+//! HTTP/1.1 to targets: pooled connections, bounded answers, no hidden retry.
+
+use std::error::Error;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+
+use super::TargetFailure;
+use super::wire::TargetRefusal;
+
+/// How long an unused connection is kept.
+const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Unused connections kept for one target.
+const POOL_IDLE_CONNECTIONS: usize = 32;
+
+/// Whole answer that is not a [`TargetRefusal`], of any status.
+#[derive(Debug)]
+pub(super) struct RawAnswer {
+    pub(super) status: StatusCode,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+}
+
+/// Sends requests; cheap to clone, clones share their connections.
+#[derive(Debug, Clone)]
+pub(super) struct TargetTransport {
+    pooled: Client<HttpConnector, Full<Bytes>>,
+    unpooled: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl TargetTransport {
+    pub(super) fn open(connect_timeout: Duration) -> Self {
+        Self {
+            pooled: open_client(connect_timeout, POOL_IDLE_CONNECTIONS),
+            unpooled: open_client(connect_timeout, 0),
+        }
+    }
+
+    /// Sends `request` and reads the answer, at most `max_bytes` of it.
+    pub(super) async fn send(
+        &self,
+        request: Request<Full<Bytes>>,
+        use_pool: bool,
+        answer_timeout: Duration,
+        max_bytes: usize,
+    ) -> Result<RawAnswer, TargetFailure> {
+        let client = match use_pool {
+            true => &self.pooled,
+            false => &self.unpooled,
+        };
+        let exchange = exchange(client, request, max_bytes);
+        match tokio::time::timeout(answer_timeout, exchange).await {
+            Ok(answer) => answer,
+            // The order may be running on a target that is frozen or slow.
+            Err(_) => Err(TargetFailure::AnswerLost("timeout".to_owned())),
+        }
+    }
+}
+
+fn open_client(
+    connect_timeout: Duration,
+    idle_connections: usize,
+) -> Client<HttpConnector, Full<Bytes>> {
+    let mut connector = HttpConnector::new();
+    connector.set_connect_timeout(Some(connect_timeout));
+    // Steps are small messages in lock-step; with Nagle's algorithm each could
+    // wait for the acknowledgement of the one before.
+    connector.set_nodelay(true);
+    let mut builder = Client::builder(TokioExecutor::new());
+    builder
+        // A library that repeats an order by itself hides that it may have
+        // run; the caller would be told `NotRun` for something that ran.
+        .retry_canceled_requests(false)
+        .pool_timer(TokioTimer::new())
+        .pool_idle_timeout(POOL_IDLE_TIMEOUT)
+        .pool_max_idle_per_host(idle_connections);
+    builder.build(connector)
+}
+
+async fn exchange(
+    client: &Client<HttpConnector, Full<Bytes>>,
+    request: Request<Full<Bytes>>,
+    max_bytes: usize,
+) -> Result<RawAnswer, TargetFailure> {
+    let sent = client.request(request).await;
+    let response = sent.map_err(|error| send_failure(&error))?;
+    let (head, body) = response.into_parts();
+    let collected = Limited::new(body, max_bytes).collect().await;
+    let body = collected.map_err(|error| body_failure(error.as_ref()))?;
+    let body = body.to_bytes();
+    match refusal(head.status, &body) {
+        Some(refusal) => Err(TargetFailure::Refused(refusal)),
+        None => Ok(RawAnswer {
+            status: head.status,
+            headers: head.headers,
+            body,
+        }),
+    }
+}
+
+/// A refusal counts as one only if the target said so in its own words: the
+/// bare status may come from something between us, or from a crash half-way.
+fn refusal(status: StatusCode, body: &[u8]) -> Option<TargetRefusal> {
+    let may_refuse = status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE;
+    match may_refuse {
+        true => serde_json::from_slice(body).ok(),
+        false => None,
+    }
+}
+
+fn send_failure(error: &hyper_util::client::legacy::Error) -> TargetFailure {
+    match error.is_connect() {
+        true => TargetFailure::Connect(describe(error)),
+        false => TargetFailure::AnswerLost(describe(error)),
+    }
+}
+
+fn body_failure(error: &(dyn Error + Send + Sync + 'static)) -> TargetFailure {
+    match error.is::<http_body_util::LengthLimitError>() {
+        true => TargetFailure::Unusable(error.to_string()),
+        false => TargetFailure::AnswerLost(describe(error)),
+    }
+}
+
+/// The message of an error with those of its sources.
+fn describe(error: &(dyn Error + 'static)) -> String {
+    let mut message = error.to_string();
+    let mut source = error.source();
+    while let Some(inner) = source {
+        message.push_str(": ");
+        message.push_str(&inner.to_string());
+        source = inner.source();
+    }
+    message
+}
