Add the metrics of a daemon

Cause: refusals, retries and what a request cost were not counted.

Ruled out: derived label values (they show the names of variants, not those used in bodies and logs); series that arise on first use (a reason that has never occurred could not be told from one that is not counted); free text as a label (the number of series would be unbounded).

Change: one set with counters for each refusal and retry reason, requests by shape and end, tokens, dropped answers, claims and appends, gauges for the applied offset and requests in flight, and histograms of the time to the first token and between tokens. Every series is there from the start.

Conclusion: the counters that operators need can be wired in.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 )]
 #[rustfmt::skip]
 pub mod peer_capnp;
+pub mod metrics;
 pub mod platform;
 pub mod reason;
 pub mod records;
--- /dev/null
+++ b/src/metrics/queries.rs
@@ -0,0 +1,46 @@
+//! What can be read of the metrics.
+
+use prometheus_client::encoding::text;
+
+use super::labels::{KindLabel, ReasonLabel, RequestKind};
+use super::set::MetricSet;
+use crate::reason::{RefusalReason, RetryReason};
+
+impl MetricSet {
+    /// All metrics in the OpenMetrics text format.
+    pub fn encode(&self) -> String {
+        let mut text = String::new();
+        match text::encode(&mut text, &self.registry) {
+            Ok(()) => text,
+            // Writing to memory does not fail; a metric that cannot be encoded
+            // must not pass for a whole set.
+            Err(error) => format!("# {error}\n"),
+        }
+    }
+
+    /// Refusals so far for one reason.
+    pub fn refusal_count(&self, reason: RefusalReason) -> u64 {
+        let reason = reason.name();
+        self.refusals.get_or_create(&ReasonLabel { reason }).get()
+    }
+
+    /// Retries so far for one reason.
+    pub fn retry_count(&self, reason: RetryReason) -> u64 {
+        let reason = reason.name();
+        self.retries.get_or_create(&ReasonLabel { reason }).get()
+    }
+
+    /// Requests of one shape in flight.
+    pub fn in_flight_count(&self, kind: RequestKind) -> u64 {
+        let count = self
+            .in_flight
+            .get_or_create(&KindLabel { kind: kind.name() })
+            .get();
+        u64::try_from(count).unwrap_or(0)
+    }
+
+    /// Tokens given to callers so far.
+    pub fn token_count(&self) -> u64 {
+        self.tokens.get()
+    }
+}
--- /dev/null
+++ b/src/metrics/set.rs
@@ -0,0 +1,183 @@
+//! The set of metrics and its registry.
+
+use std::hash::Hash;
+
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::{Registry, Unit};
+
+use super::labels::{
+    AppendLabels, AppendOutcome, CauseLabel, ClaimLabel, ClaimResult, DropCause, KindLabel,
+    ReasonLabel, RequestKind, RequestLabels, RequestOutcome, STREAMS,
+};
+use crate::reason::{RefusalReason, RetryReason};
+
+/// Prefix of every metric.
+const PREFIX: &str = "jackdawwick";
+/// Lowest bucket bound of the latency histograms, in seconds.
+const LOWEST_BUCKET: f64 = 0.001;
+/// Ratio between neighbouring bucket bounds.
+const BUCKET_FACTOR: f64 = 2.0;
+/// Number of buckets: 1 ms to about 33 s.
+const BUCKET_COUNT: u16 = 16;
+
+/// The metrics of one daemon.
+#[derive(Debug)]
+pub struct MetricSet {
+    pub(super) registry: Registry,
+    pub(super) requests: Family<RequestLabels, Counter>,
+    pub(super) in_flight: Family<KindLabel, Gauge>,
+    pub(super) refusals: Family<ReasonLabel, Counter>,
+    pub(super) retries: Family<ReasonLabel, Counter>,
+    pub(super) tokens: Counter,
+    pub(super) first_token: Histogram,
+    pub(super) between_tokens: Histogram,
+    pub(super) dropped_answers: Family<CauseLabel, Counter>,
+    pub(super) claims: Family<ClaimLabel, Counter>,
+    pub(super) appends: Family<AppendLabels, Counter>,
+    pub(super) applied_offset: Gauge,
+    pub(super) control_sent: Counter,
+    pub(super) control_received: Counter,
+}
+
+impl Default for MetricSet {
+    fn default() -> Self {
+        let mut set = Self {
+            registry: Registry::with_prefix(PREFIX),
+            requests: Family::default(),
+            in_flight: Family::default(),
+            refusals: Family::default(),
+            retries: Family::default(),
+            tokens: Counter::default(),
+            first_token: latency_histogram(),
+            between_tokens: latency_histogram(),
+            dropped_answers: Family::default(),
+            claims: Family::default(),
+            appends: Family::default(),
+            applied_offset: Gauge::default(),
+            control_sent: Counter::default(),
+            control_received: Counter::default(),
+        };
+        set.register_requests();
+        set.register_log();
+        set.create_series();
+        set
+    }
+}
+
+fn latency_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(
+        LOWEST_BUCKET,
+        BUCKET_FACTOR,
+        BUCKET_COUNT,
+    ))
+}
+
+impl MetricSet {
+    fn register_requests(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "requests",
+            "Requests by shape and end",
+            self.requests.clone(),
+        );
+        registry.register(
+            "requests_in_flight",
+            "Requests begun and not ended",
+            self.in_flight.clone(),
+        );
+        registry.register("refusals", "Refusals by reason", self.refusals.clone());
+        registry.register(
+            "retries",
+            "Steps and orders sent again or elsewhere, by reason",
+            self.retries.clone(),
+        );
+        registry.register("tokens", "Tokens given to callers", self.tokens.clone());
+        registry.register_with_unit(
+            "first_token",
+            "Time from a request's head to its first token",
+            Unit::Seconds,
+            self.first_token.clone(),
+        );
+        registry.register_with_unit(
+            "between_tokens",
+            "Time between two tokens of an answer",
+            Unit::Seconds,
+            self.between_tokens.clone(),
+        );
+        registry.register(
+            "dropped_answers",
+            "Answers of targets that were dropped, by cause",
+            self.dropped_answers.clone(),
+        );
+    }
+
+    fn register_log(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "claims",
+            "Claims on idempotency keys by result",
+            self.claims.clone(),
+        );
+        registry.register(
+            "appends",
+            "Appends to the platform's log by stream and outcome",
+            self.appends.clone(),
+        );
+        registry.register(
+            "applied_offset",
+            "Offset after the last declared change that this host has applied",
+            self.applied_offset.clone(),
+        );
+        registry.register_with_unit(
+            "control_sent",
+            "Bytes sent to peers and to the platform",
+            Unit::Bytes,
+            self.control_sent.clone(),
+        );
+        registry.register_with_unit(
+            "control_received",
+            "Bytes received from peers and from the platform",
+            Unit::Bytes,
+            self.control_received.clone(),
+        );
+    }
+
+    /// Brings every series of every closed set into being at 0.
+    fn create_series(&self) {
+        for kind in RequestKind::ALL.map(RequestKind::name) {
+            create(&self.in_flight, &KindLabel { kind });
+            for outcome in RequestOutcome::ALL.map(RequestOutcome::name) {
+                create(&self.requests, &RequestLabels { kind, outcome });
+            }
+        }
+        for reason in RefusalReason::ALL.map(RefusalReason::name) {
+            create(&self.refusals, &ReasonLabel { reason });
+        }
+        for reason in RetryReason::ALL.map(RetryReason::name) {
+            create(&self.retries, &ReasonLabel { reason });
+        }
+        for cause in DropCause::ALL.map(DropCause::name) {
+            create(&self.dropped_answers, &CauseLabel { cause });
+        }
+        for result in ClaimResult::ALL.map(ClaimResult::name) {
+            create(&self.claims, &ClaimLabel { result });
+        }
+        for stream in STREAMS {
+            for outcome in AppendOutcome::ALL.map(AppendOutcome::name) {
+                create(&self.appends, &AppendLabels { stream, outcome });
+            }
+        }
+    }
+}
+
+/// Brings one series into being.
+fn create<L, M>(family: &Family<L, M>, labels: &L)
+where
+    L: Clone + Eq + Hash,
+    M: Default,
+{
+    drop(family.get_or_create(labels));
+}
