Serve a request through three stages in separate processes

Cause: the parts stood apart; no request had crossed them. Change: the daemon joins replay, admission, routing, run and both listeners; the stand-ins get a caller, an operator and daemon settings; one test starts platform, three engines of different speeds, a service and three daemons in two zones as processes and checks the answer against the engines' record. Ruled out for now: shares over hosts, claims and peers, which are not wired yet; each host uses the whole bought capacity until then.

--- a/src/auth.rs
+++ b/src/auth.rs
@@ -24,6 +24,11 @@
         Self(Sha256::digest(token.as_bytes()).into())
     }
 
+    /// A digest from its bytes, as the settings hold it.
+    pub fn from_bytes(bytes: [u8; DIGEST_LENGTH]) -> Self {
+        Self(bytes)
+    }
+
     /// Reads the 64 lower-case hex digits of a declared digest.
     pub fn from_hex(text: &str) -> Option<Self> {
         let digits = text.as_bytes();
--- /dev/null
+++ b/src/bin/jackdawwickd.rs
@@ -0,0 +1,80 @@
+//! The daemon's program: reads the command line, runs until told to stop.
+
+use std::io::Write;
+use std::process::ExitCode;
+
+use jackdawwick::daemon::{self, DaemonHandle};
+use jackdawwick::logging;
+use jackdawwick::options::{DaemonOptions, StartupAction, plan_startup};
+use tokio::signal::unix::{SignalKind, signal};
+
+fn main() -> ExitCode {
+    match plan_startup(std::env::args_os()) {
+        StartupAction::Print(text) => print(&text),
+        StartupAction::Fail { message, status } => fail(&message, status),
+        StartupAction::Run(options) => run(*options),
+    }
+}
+
+fn print(text: &str) -> ExitCode {
+    match std::io::stdout().lock().write_all(text.as_bytes()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(_) => ExitCode::FAILURE,
+    }
+}
+
+fn fail(message: &str, status: u8) -> ExitCode {
+    // Nothing is left to try if standard error is closed too.
+    let _ = writeln!(std::io::stderr().lock(), "{message}");
+    ExitCode::from(status)
+}
+
+fn run(options: DaemonOptions) -> ExitCode {
+    if let Err(error) = logging::install(options.log) {
+        return fail(&error.to_string(), 1);
+    }
+    let mut builder = tokio::runtime::Builder::new_multi_thread();
+    if options.host.worker_threads > 0 {
+        builder.worker_threads(options.host.worker_threads);
+    }
+    let runtime = match builder.enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => return fail(&format!("cannot start the runtime: {error}"), 1),
+    };
+    runtime.block_on(serve(options))
+}
+
+async fn serve(options: DaemonOptions) -> ExitCode {
+    let handle = match daemon::spawn(options).await {
+        Ok(handle) => handle,
+        Err(error) => return fail(&error.to_string(), 1),
+    };
+    if let Err(error) = announce(&handle) {
+        return fail(&format!("cannot write to standard output: {error}"), 1);
+    }
+    if let Err(error) = wait_for_signal().await {
+        return fail(&format!("cannot listen for signals: {error}"), 1);
+    }
+    log::info!("shutting down: finishing what is in flight");
+    handle.shutdown().await;
+    ExitCode::SUCCESS
+}
+
+/// Tells the addresses in use, since the settings may say port 0.
+fn announce(handle: &DaemonHandle) -> std::io::Result<()> {
+    let mut stdout = std::io::stdout().lock();
+    writeln!(stdout, "callers {}", handle.caller_address())?;
+    writeln!(stdout, "operators {}", handle.operator_address())?;
+    writeln!(stdout, "ready")?;
+    stdout.flush()
+}
+
+async fn wait_for_signal() -> std::io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/daemon.rs
@@ -0,0 +1,19 @@
+//! The daemon: the shell that joins the tables to the network.
+//!
+//! [`spawn`] opens the clients and listeners and starts the workers. Each
+//! worker turns I/O into events for the tables and carries out what they
+//! decide. The tables and the order of their locks stand in `tables`.
+
+mod admitting;
+mod callers;
+mod changes;
+mod core;
+mod declarations;
+mod generate;
+mod operators;
+mod services;
+mod spawn;
+mod tables;
+mod watch_steps;
+
+pub use spawn::{DaemonError, DaemonHandle, spawn};
--- /dev/null
+++ b/src/daemon/admitting.rs
@@ -0,0 +1,156 @@
+//! Carrying admission's decisions to the requests that wait for them.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use tokio::sync::oneshot;
+
+use super::core::DaemonCore;
+use super::tables::AdmissionDesk;
+use crate::admission::{AdmissionDecision, AdmissionRequest, ReleaseCause};
+use crate::api::wire::RefusalBody;
+use crate::ids::RequestId;
+use crate::reason::RefusalReason;
+
+/// Longest pause between two looks at the queues.
+const IDLE_TICK: Duration = Duration::from_millis(250);
+
+/// The right to run one request; gives it back when dropped.
+///
+/// A request whose caller goes away is dropped at any await. Without this the
+/// slot would stay taken, and an organisation would lose its capacity bit by
+/// bit.
+pub(super) struct AdmissionSlot {
+    core: Arc<DaemonCore>,
+    request: RequestId,
+    cause: ReleaseCause,
+}
+
+impl AdmissionSlot {
+    /// Notes that the request was served, so that its end counts as progress.
+    pub(super) fn complete(mut self) {
+        self.cause = ReleaseCause::Completed;
+    }
+}
+
+impl Drop for AdmissionSlot {
+    fn drop(&mut self) {
+        let mut desk = self.core.tables.admission.lock();
+        let now = Instant::now();
+        desk.waiters.remove(&self.request);
+        if desk.table.cancel(&self.request, now) {
+            return;
+        }
+        let decisions = desk.table.release(&self.request, now, self.cause);
+        tell_waiters(&mut desk, decisions);
+    }
+}
+
+/// Waits until the request may start.
+///
+/// # Errors
+/// The refusal, as soon as it is decided.
+pub(super) async fn admit(
+    core: &Arc<DaemonCore>,
+    request: AdmissionRequest,
+) -> Result<AdmissionSlot, RefusalBody> {
+    let id = request.request.clone();
+    let (decision, waiter) = ask(core, request);
+    if let AdmissionDecision::Refuse {
+        request,
+        reason,
+        retry_after,
+    } = decision
+    {
+        return Err(refusal(request, reason, retry_after));
+    }
+    let slot = AdmissionSlot {
+        core: Arc::clone(core),
+        request: id,
+        cause: ReleaseCause::Abandoned,
+    };
+    let Some(waiter) = waiter else {
+        return Ok(slot);
+    };
+    core.admission_changed.notify_one();
+    match waiter.await {
+        Ok(AdmissionDecision::Refuse {
+            request,
+            reason,
+            retry_after,
+        }) => Err(refusal(request, reason, retry_after)),
+        Ok(_) => Ok(slot),
+        Err(_) => Err(refusal(
+            slot.request.clone(),
+            RefusalReason::Draining,
+            IDLE_TICK,
+        )),
+    }
+}
+
+fn ask(
+    core: &DaemonCore,
+    request: AdmissionRequest,
+) -> (
+    AdmissionDecision,
+    Option<oneshot::Receiver<AdmissionDecision>>,
+) {
+    let mut desk = core.tables.admission.lock();
+    let id = request.request.clone();
+    let decision = desk.table.admit(request, Instant::now());
+    match decision {
+        AdmissionDecision::Wait { .. } => {
+            let (sender, waiter) = oneshot::channel();
+            desk.waiters.insert(id, sender);
+            (decision, Some(waiter))
+        }
+        _ => (decision, None),
+    }
+}
+
+fn refusal(request: RequestId, reason: RefusalReason, retry_after: Duration) -> RefusalBody {
+    let message = match reason {
+        RefusalReason::CapacityUsedUp => "the organisation's bought capacity is used up",
+        RefusalReason::QueueFull => "the queue is full",
+        RefusalReason::DeadlineUnreachable => "the deadline cannot be met",
+        RefusalReason::DeadlinePassed => "the deadline passed while the request waited",
+        RefusalReason::Malformed => "a request with this id is in flight on this host",
+        _ => "the request was not started",
+    };
+    RefusalBody::not_run(reason, message)
+        .retry_after(retry_after)
+        .for_request(request)
+}
+
+/// Hands decisions to those who wait for them.
+pub(super) fn tell_waiters(desk: &mut AdmissionDesk, decisions: Vec<AdmissionDecision>) {
+    for decision in decisions {
+        let request = match &decision {
+            AdmissionDecision::Start { request }
+            | AdmissionDecision::Wait { request }
+            | AdmissionDecision::Refuse { request, .. } => request,
+        };
+        if let Some(waiter) = desk.waiters.remove(request) {
+            // A waiter that has gone away gives its slot back when dropped.
+            let _ = waiter.send(decision);
+        }
+    }
+}
+
+/// Looks at the queues whenever something in them is due.
+pub(super) async fn run_admission(core: Arc<DaemonCore>) {
+    loop {
+        let next = {
+            let mut desk = core.tables.admission.lock();
+            let decisions = desk.table.tick(Instant::now());
+            tell_waiters(&mut desk, decisions);
+            desk.table.next_tick()
+        };
+        let latest = Instant::now() + IDLE_TICK;
+        let wake_at = next.map_or(latest, |next| next.min(latest));
+        tokio::select! {
+            () = tokio::time::sleep_until(wake_at.into()) => {}
+            () = core.admission_changed.notified() => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/daemon/callers.rs
@@ -0,0 +1,57 @@
+//! What the callers' listener asks of the daemon.
+
+use std::sync::Arc;
+
+use futures::FutureExt;
+
+use super::core::{DaemonCore, DaemonPhase};
+use super::{generate, services};
+use crate::api::backend::CallerBackend;
+use crate::api::wire::RefusalBody;
+use crate::auth::TokenDigest;
+use crate::ids::OrganisationId;
+
+/// Builds the closures over the daemon's tables.
+pub(super) fn caller_backend(core: &Arc<DaemonCore>) -> CallerBackend {
+    let identities = Arc::clone(core);
+    let generations = Arc::clone(core);
+    let calls = Arc::clone(core);
+    let phase = Arc::clone(core);
+    CallerBackend {
+        organisation_of: Arc::new(move |digest| organisation_of(&identities, digest)),
+        generate: Arc::new(move |call| {
+            let core = Arc::clone(&generations);
+            async move {
+                let answer = generate::generate(Arc::clone(&core), call).await;
+                answer.inspect_err(|refusal| count_refusal(&core, refusal))
+            }
+            .boxed()
+        }),
+        call_service: Arc::new(move |call| {
+            let core = Arc::clone(&calls);
+            async move {
+                let answer = services::call_service(Arc::clone(&core), call).await;
+                answer.inspect_err(|refusal| count_refusal(&core, refusal))
+            }
+            .boxed()
+        }),
+        ready: Arc::new(move || phase.phase() == DaemonPhase::Serving),
+        healthy: Arc::new(|| true),
+    }
+}
+
+fn organisation_of(core: &DaemonCore, digest: &TokenDigest) -> Option<OrganisationId> {
+    let declarations = core.tables.declarations.read();
+    let entry = declarations.organisation_by_digest(&digest.to_hex())?;
+    // The index was searched with an ordinary comparison; the whole digest is
+    // compared once more in constant time.
+    let declared = TokenDigest::from_hex(&entry.spec.token_digest)?;
+    bool::from(declared.matches(digest)).then(|| entry.name.clone())
+}
+
+fn count_refusal(core: &DaemonCore, refusal: &RefusalBody) {
+    core.metrics.refused(refusal.reason);
+    if let Some(request) = &refusal.request {
+        log::info!(request:% = request; "refused: {refusal}");
+    }
+}
--- /dev/null
+++ b/src/daemon/core.rs
@@ -0,0 +1,111 @@
+//! What every worker of the daemon holds on to.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
+
+use tokio::sync::{Notify, watch};
+use tokio_util::task::TaskTracker;
+
+use super::tables::SharedTables;
+use crate::ids::{HostId, IncarnationId, LogOffset, TargetId, ZoneId};
+use crate::metrics::MetricSet;
+use crate::options::DaemonOptions;
+use crate::platform::append_queue::AppendQueue;
+use crate::target::client::TargetClient;
+
+/// Phases of a daemon's life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[repr(u8)]
+pub(super) enum DaemonPhase {
+    /// No usable configuration yet: takes no work.
+    Starting,
+    /// Takes work.
+    Serving,
+    /// Finishes what is in flight and takes nothing new.
+    Draining,
+}
+
+/// Settings, tables and clients, shared by all workers.
+pub(super) struct DaemonCore {
+    pub(super) options: DaemonOptions,
+    pub(super) incarnation: IncarnationId,
+    pub(super) tables: Arc<SharedTables>,
+    pub(super) targets: TargetClient,
+    pub(super) declaration_appends: AppendQueue,
+    /// Offset after the last applied declaration record.
+    pub(super) applied: watch::Sender<LogOffset>,
+    pub(super) admission_changed: Notify,
+    /// Runs and calls in flight, waited for at shutdown.
+    pub(super) in_flight: TaskTracker,
+    pub(super) metrics: MetricSet,
+    run_numbers: AtomicU64,
+    phase: AtomicU8,
+}
+
+impl DaemonCore {
+    pub(super) fn new(
+        incarnation: IncarnationId,
+        tables: Arc<SharedTables>,
+        targets: TargetClient,
+        declaration_appends: AppendQueue,
+        options: DaemonOptions,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            options,
+            incarnation,
+            tables,
+            targets,
+            declaration_appends,
+            applied: watch::Sender::new(0),
+            admission_changed: Notify::new(),
+            in_flight: TaskTracker::new(),
+            metrics: MetricSet::default(),
+            run_numbers: AtomicU64::new(0),
+            phase: AtomicU8::new(DaemonPhase::Starting as u8),
+        })
+    }
+
+    /// A number that no other run of this incarnation has.
+    pub(super) fn next_run_number(&self) -> u64 {
+        self.run_numbers.fetch_add(1, Ordering::Relaxed)
+    }
+
+    pub(super) fn host(&self) -> &HostId {
+        &self.options.host.name
+    }
+
+    pub(super) fn zone(&self) -> &ZoneId {
+        &self.options.host.zone
+    }
+
+    pub(super) fn phase(&self) -> DaemonPhase {
+        match self.phase.load(Ordering::Acquire) {
+            phase if phase == DaemonPhase::Serving as u8 => DaemonPhase::Serving,
+            phase if phase == DaemonPhase::Draining as u8 => DaemonPhase::Draining,
+            _ => DaemonPhase::Starting,
+        }
+    }
+
+    /// Becomes ready, unless the daemon is draining already.
+    pub(super) fn become_ready(&self) {
+        let _ = self.phase.compare_exchange(
+            DaemonPhase::Starting as u8,
+            DaemonPhase::Serving as u8,
+            Ordering::AcqRel,
+            Ordering::Acquire,
+        );
+    }
+
+    /// Begins to drain; there is no way back.
+    pub(super) fn begin_draining(&self) {
+        self.phase
+            .store(DaemonPhase::Draining as u8, Ordering::Release);
+    }
+
+    /// The declared address of a target.
+    pub(super) fn target_address(&self, target: &TargetId) -> Option<SocketAddr> {
+        let declarations = self.tables.declarations.read();
+        declarations.target(target).map(|spec| spec.address)
+    }
+}
--- /dev/null
+++ b/src/daemon/generate.rs
@@ -0,0 +1,303 @@
+//! The way of one generation: admission, route, run, stream.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use tokio::sync::mpsc;
+
+use super::admitting::{AdmissionSlot, admit};
+use super::core::{DaemonCore, DaemonPhase};
+use super::watch_steps::note_step;
+use crate::admission::AdmissionRequest;
+use crate::api::backend::{GenerateCall, GenerateStream};
+use crate::api::wire::{RefusalBody, StreamEvent};
+use crate::ids::{RequestId, StageIndex, TargetId, TokenValue};
+use crate::reason::{RefusalReason, RetryReason};
+use crate::routing::{PlannedRoute, ReplaceRequest, RouteRequest};
+use crate::run::{DeliveredToken, RunHooks, RunLimits, RunMachine, RunOutcome, RunPlan, drive_run};
+use crate::target::prefix::{PREFIX_CHUNK_TOKENS, prefix_hashes};
+
+/// Tokens that may wait for a slow caller before its run waits too.
+const STREAM_BUFFER: usize = 64;
+
+/// Starts a generation and gives back the stream of its answer.
+///
+/// # Errors
+/// The refusal; nothing was sent to a target then.
+pub(super) async fn generate(
+    core: Arc<DaemonCore>,
+    call: GenerateCall,
+) -> Result<GenerateStream, RefusalBody> {
+    check_phase(&core, &call.request)?;
+    check_body(&call)?;
+    let deadline = deadline_of(&core, &call);
+    let estimate = plan_route(&core, &call, deadline)?;
+    let request = AdmissionRequest {
+        request: call.request.clone(),
+        organisation: call.organisation.clone(),
+        service_time: estimate.score.total(),
+        deadline,
+        priority: call.body.priority,
+    };
+    let slot = admit(&core, request).await?;
+    // Planned again: while the request waited, targets have come, gone or
+    // filled up.
+    let route = plan_route(&core, &call, deadline)?;
+    core.tables.routes.write().run_started(&route);
+    let (events, stream) = mpsc::channel(STREAM_BUFFER);
+    let runner = GenerationRunner {
+        core: Arc::clone(&core),
+        call,
+        route,
+        deadline,
+        events,
+    };
+    core.in_flight.spawn(runner.run(slot));
+    Ok(stream)
+}
+
+/// Refuses new work unless the daemon serves.
+pub(super) fn check_phase(core: &DaemonCore, request: &RequestId) -> Result<(), RefusalBody> {
+    let body = match core.phase() {
+        DaemonPhase::Serving => return Ok(()),
+        DaemonPhase::Starting => RefusalBody::not_run(
+            RefusalReason::NotReady,
+            "this entry host has no usable configuration yet",
+        ),
+        DaemonPhase::Draining => {
+            RefusalBody::not_run(RefusalReason::Draining, "this entry host is shutting down")
+        }
+    };
+    Err(body
+        .retry_after(Duration::from_secs(1))
+        .for_request(request.clone()))
+}
+
+fn check_body(call: &GenerateCall) -> Result<(), RefusalBody> {
+    let problem = match &call.body {
+        body if body.prompt.is_empty() => "prompt: at least one token is needed",
+        body if body.max_tokens == 0 => "max_tokens: at least 1 is needed",
+        body if delivered(call).len() as u64 >= body.max_tokens => {
+            "resume.delivered: fewer than max_tokens are allowed"
+        }
+        _ => return Ok(()),
+    };
+    Err(RefusalBody::not_run(RefusalReason::Malformed, problem).for_request(call.request.clone()))
+}
+
+fn delivered(call: &GenerateCall) -> &[TokenValue] {
+    match &call.body.resume {
+        Some(resume) => &resume.delivered,
+        None => &[],
+    }
+}
+
+fn deadline_of(core: &DaemonCore, call: &GenerateCall) -> Instant {
+    let default = core.options.timing.default_deadline;
+    let allowed = call.body.deadline_ms.map_or(default, Duration::from_millis);
+    call.received + allowed
+}
+
+fn plan_route(
+    core: &DaemonCore,
+    call: &GenerateCall,
+    deadline: Instant,
+) -> Result<PlannedRoute, RefusalBody> {
+    let prompt = whole_prompt(call);
+    let request = RouteRequest {
+        model: call.body.model.clone(),
+        version: call
+            .body
+            .resume
+            .as_ref()
+            .map(|resume| resume.version.as_str().into()),
+        prefixes: prefix_hashes(&prompt, PREFIX_CHUNK_TOKENS),
+        prompt_tokens: prompt.len() as u64,
+        max_tokens: call.body.max_tokens - delivered(call).len() as u64,
+        deadline,
+        excluded: Vec::new(),
+    };
+    let routes = core.tables.routes.read();
+    let mut random = core.tables.random.lock();
+    routes
+        .plan(&request, Instant::now(), &mut *random)
+        .map_err(|refusal| {
+            let message = match refusal.reason {
+                RefusalReason::Unknown => "no such model is declared",
+                RefusalReason::NoRoute => "no pipeline of the model has a usable target per stage",
+                _ => "the deadline cannot be met",
+            };
+            RefusalBody::not_run(refusal.reason, message)
+                .retry_after(refusal.retry_after)
+                .for_request(call.request.clone())
+        })
+}
+
+/// The prompt with the tokens that the caller already holds.
+fn whole_prompt(call: &GenerateCall) -> Vec<TokenValue> {
+    let mut prompt = call.body.prompt.clone();
+    prompt.extend_from_slice(delivered(call));
+    prompt
+}
+
+/// One generation while it runs.
+struct GenerationRunner {
+    core: Arc<DaemonCore>,
+    call: GenerateCall,
+    route: PlannedRoute,
+    deadline: Instant,
+    events: mpsc::Sender<StreamEvent>,
+}
+
+impl GenerationRunner {
+    async fn run(mut self, slot: AdmissionSlot) {
+        let started = StreamEvent::Started {
+            request: self.call.request.clone(),
+            version: self.route.version.to_string(),
+        };
+        if self.events.send(started).await.is_err() {
+            self.core.tables.routes.write().run_ended(&self.route);
+            return;
+        }
+        let (tokens, receiver) = mpsc::channel(STREAM_BUFFER);
+        let outcome = {
+            let forward = forward_tokens(receiver, self.events.clone());
+            let drive = self.drive(tokens);
+            let (outcome, ()) = tokio::join!(drive, forward);
+            outcome
+        };
+        self.core.tables.routes.write().run_ended(&self.route);
+        if outcome.refusal.is_none() {
+            slot.complete();
+        }
+        log::info!(
+            request:% = self.call.request;
+            "answered {} tokens, verdict {:?}, refusal {:?}",
+            outcome.delivered, outcome.verdict, outcome.refusal
+        );
+        // A caller that has gone away needs no closing event.
+        let _ = self.events.send(closing_event(&self.call, outcome)).await;
+    }
+
+    async fn drive(&mut self, tokens: mpsc::Sender<DeliveredToken>) -> RunOutcome {
+        let core = Arc::clone(&self.core);
+        let machine = RunMachine::new(self.plan(), run_limits(&core));
+        let route = parking_lot::Mutex::new(&mut self.route);
+        let model = self.call.body.model.clone();
+        let choose = |stage: StageIndex, excluded: &[TargetId], reason: RetryReason| {
+            choose_replacement(&core, &mut route.lock(), &model, stage, excluded, reason)
+        };
+        let address = |target: &TargetId| -> Option<SocketAddr> { core.target_address(target) };
+        let is_leaving = |target: &TargetId| core.tables.routes.read().is_leaving(target);
+        let request = self.call.request.clone();
+        let observe = |observation| note_step(&core, &request, &observation);
+        let hooks = RunHooks {
+            choose,
+            address,
+            is_leaving,
+            observe,
+        };
+        drive_run(machine, core.targets.clone(), hooks, tokens).await
+    }
+
+    fn plan(&self) -> RunPlan {
+        RunPlan {
+            request: run_id(&self.core, &self.call.request),
+            model: self.call.body.model.clone(),
+            version: self.route.version.clone(),
+            stages: self.route.stages.clone(),
+            prompt: whole_prompt(&self.call),
+            already_delivered: delivered(&self.call).len() as u64,
+            max_tokens: self.call.body.max_tokens,
+            deadline: self.deadline,
+            priority: self.call.body.priority,
+        }
+    }
+}
+
+/// The name under which engines know a run.
+///
+/// A caller that returns after its entry host died, or that sends one request
+/// to two hosts, brings the same request id. Engines would take both runs for
+/// one session and mix their positions; the suffix, new for each run, keeps
+/// them apart.
+fn run_id(core: &DaemonCore, request: &RequestId) -> RequestId {
+    let number = core.next_run_number();
+    format!("{request}~{:x}-{number:x}", core.incarnation).into()
+}
+
+fn run_limits(core: &DaemonCore) -> RunLimits {
+    RunLimits {
+        jitter_seed: core.next_run_number(),
+        ..RunLimits::default()
+    }
+}
+
+fn choose_replacement(
+    core: &DaemonCore,
+    route: &mut PlannedRoute,
+    model: &crate::ids::ModelId,
+    stage: StageIndex,
+    excluded: &[TargetId],
+    reason: RetryReason,
+) -> Option<TargetId> {
+    let request = ReplaceRequest {
+        model: model.clone(),
+        version: route.version.clone(),
+        stage: route.stages.get(stage)?.clone(),
+        excluded: excluded.to_vec(),
+    };
+    let mut routes = core.tables.routes.write();
+    let chosen = {
+        let mut random = core.tables.random.lock();
+        routes.replace(&request, Instant::now(), &mut *random)?
+    };
+    log::warn!(
+        "stage {stage} moves from {} to {chosen}: {}",
+        request.stage.target,
+        reason.name()
+    );
+    routes.stage_moved(route, stage, &chosen);
+    Some(chosen)
+}
+
+async fn forward_tokens(
+    mut tokens: mpsc::Receiver<DeliveredToken>,
+    events: mpsc::Sender<StreamEvent>,
+) {
+    loop {
+        let delivered = tokio::select! {
+            delivered = tokens.recv() => delivered,
+            // The receiver is dropped here, by which the run learns at once
+            // that nobody listens, also while no token is due.
+            () = events.closed() => return,
+        };
+        let Some(DeliveredToken { number, token }) = delivered else {
+            return;
+        };
+        if events
+            .send(StreamEvent::Token { number, token })
+            .await
+            .is_err()
+        {
+            return;
+        }
+    }
+}
+
+fn closing_event(call: &GenerateCall, outcome: RunOutcome) -> StreamEvent {
+    let Some(reason) = outcome.refusal else {
+        return StreamEvent::Done {
+            count: outcome.delivered,
+        };
+    };
+    let body = RefusalBody {
+        verdict: outcome.verdict,
+        ..RefusalBody::not_run(reason, "the answer was cut short")
+    };
+    StreamEvent::Error(
+        body.retry_after(Duration::from_secs(1))
+            .for_request(call.request.clone()),
+    )
+}
--- /dev/null
+++ b/src/daemon/operators.rs
@@ -0,0 +1,166 @@
+//! What the operators' listener asks of the daemon.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use futures::FutureExt;
+
+use super::changes;
+use super::core::{DaemonCore, DaemonPhase};
+use crate::api::backend::{AsyncCall, OperatorBackend};
+use crate::api::wire::{
+    ExplainView, ForceView, HostForceView, RefusalBody, ResourceView, StatusView, TargetStatusView,
+};
+use crate::auth::{CredentialTable, TokenDigest};
+use crate::reason::RefusalReason;
+use crate::replay::DeclaredEntry;
+use crate::resources::{ResourceKey, ResourceKind};
+
+/// Builds the closures over the daemon's tables.
+pub(super) fn operator_backend(core: &Arc<DaemonCore>) -> OperatorBackend {
+    let credentials = credential_table(core);
+    let metrics = Arc::clone(core);
+    OperatorBackend {
+        operator_of: Arc::new(move |digest| credentials.lookup(digest)),
+        list: query(core, |core, ()| Ok(list_resources(core))),
+        get: query(core, get_resource),
+        apply: command(core, changes::apply),
+        delete: command(core, changes::delete),
+        force: query(core, |core, ()| Ok(force_view(core))),
+        explain: query(core, |core, request| explain(core, &request)),
+        status: query(core, |core, ()| Ok(status_view(core))),
+        metrics: Arc::new(move || metrics.metrics.encode()),
+    }
+}
+
+fn credential_table(core: &DaemonCore) -> CredentialTable {
+    let mut table = CredentialTable::default();
+    for credential in &core.options.operators.credentials {
+        let digest = TokenDigest::from_bytes(credential.token_digest);
+        table.insert(credential.operator.clone(), digest);
+    }
+    table
+}
+
+/// A call that is answered from memory.
+fn query<C, R, F>(core: &Arc<DaemonCore>, answer: F) -> AsyncCall<C, R>
+where
+    C: 'static,
+    R: Send + 'static,
+    F: Fn(&DaemonCore, C) -> R + Send + Sync + 'static,
+{
+    let core = Arc::clone(core);
+    Arc::new(move |call| futures::future::ready(answer(&core, call)).boxed())
+}
+
+/// A call that waits for something.
+fn command<C, R, F, A>(core: &Arc<DaemonCore>, run: F) -> AsyncCall<C, R>
+where
+    C: 'static,
+    R: Send + 'static,
+    F: Fn(Arc<DaemonCore>, C) -> A + Send + Sync + 'static,
+    A: Future<Output = R> + Send + 'static,
+{
+    let core = Arc::clone(core);
+    Arc::new(move |call| run(Arc::clone(&core), call).boxed())
+}
+
+fn list_resources(core: &DaemonCore) -> Vec<ResourceView> {
+    const KINDS: [ResourceKind; 5] = [
+        ResourceKind::Model,
+        ResourceKind::Pipeline,
+        ResourceKind::Service,
+        ResourceKind::Organisation,
+        ResourceKind::Target,
+    ];
+    let declarations = core.tables.declarations.read();
+    KINDS
+        .into_iter()
+        .flat_map(|kind| declarations.list(kind))
+        .map(view)
+        .collect()
+}
+
+fn view(entry: DeclaredEntry<'_>) -> ResourceView {
+    ResourceView {
+        key: entry.key(),
+        spec: entry.resource.spec.clone(),
+        version: entry.resource.version,
+        operator: entry.resource.operator.clone(),
+    }
+}
+
+fn get_resource(core: &DaemonCore, key: ResourceKey) -> Result<ResourceView, RefusalBody> {
+    let declarations = core.tables.declarations.read();
+    match declarations.get(&key) {
+        Some(resource) => Ok(ResourceView {
+            spec: resource.spec.clone(),
+            version: resource.version,
+            operator: resource.operator.clone(),
+            key,
+        }),
+        None => Err(RefusalBody::not_run(
+            RefusalReason::Unknown,
+            format!("{key} is not declared"),
+        )),
+    }
+}
+
+fn force_view(core: &DaemonCore) -> ForceView {
+    let applied = *core.applied.borrow();
+    ForceView {
+        in_force: applied,
+        hosts: vec![HostForceView {
+            host: core.host().clone(),
+            applied,
+            reachable: true,
+            draining: core.phase() == DaemonPhase::Draining,
+        }],
+    }
+}
+
+fn explain(
+    _core: &DaemonCore,
+    request: &crate::ids::RequestId,
+) -> Result<ExplainView, RefusalBody> {
+    Err(RefusalBody::not_run(
+        RefusalReason::Unknown,
+        format!("nothing is known of {request} on this host"),
+    ))
+}
+
+fn status_view(core: &DaemonCore) -> StatusView {
+    let declarations = core.tables.declarations.read();
+    let routes = core.tables.routes.read();
+    let now = Instant::now();
+    let targets = declarations
+        .targets()
+        .map(|entry| {
+            let group = std::slice::from_ref(entry.name);
+            let usable = !routes.usable_targets(group, &[], now).is_empty();
+            TargetStatusView {
+                target: entry.name.clone(),
+                zone: entry.spec.zone.clone(),
+                usable,
+                condition: condition(usable, routes.is_leaving(entry.name)).to_owned(),
+                in_flight: u64::from(routes.steps_in_flight(entry.name)),
+            }
+        })
+        .collect();
+    StatusView {
+        host: core.host().clone(),
+        zone: core.zone().clone(),
+        ready: core.phase() == DaemonPhase::Serving,
+        draining: core.phase() == DaemonPhase::Draining,
+        applied: declarations.applied(),
+        targets,
+    }
+}
+
+fn condition(usable: bool, leaving: bool) -> &'static str {
+    match (usable, leaving) {
+        (true, _) => "serving",
+        (false, true) => "leaving",
+        (false, false) => "ejected after failures",
+    }
+}
--- /dev/null
+++ b/src/daemon/services.rs
@@ -0,0 +1,167 @@
+//! The way of one call to a plain service.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use http::{HeaderMap, HeaderValue, header::CONTENT_TYPE};
+
+use super::admitting::admit;
+use super::core::DaemonCore;
+use super::generate::check_phase;
+use crate::admission::AdmissionRequest;
+use crate::api::backend::{ServiceCall, ServiceReply};
+use crate::api::wire::RefusalBody;
+use crate::ids::TargetId;
+use crate::reason::RefusalReason;
+use crate::target::TargetFailure;
+use crate::target::client::{CallAnswer, CallOrder};
+use crate::target::wire::{IDEMPOTENCY_KEY_HEADER, REQUEST_ID_HEADER};
+use crate::verdict::RunVerdict;
+
+/// Targets tried for one call at most.
+const MAX_CALL_ATTEMPTS: usize = 3;
+/// When a caller should come back after a failed call.
+const RETRY_AFTER_FAILURE: Duration = Duration::from_millis(500);
+/// Assumed time of a service call, until the deadline is compared with it.
+const ASSUMED_CALL_TIME: Duration = Duration::from_millis(1);
+
+/// Calls a service.
+///
+/// # Errors
+/// The refusal with the verdict.
+pub(super) async fn call_service(
+    core: Arc<DaemonCore>,
+    call: ServiceCall,
+) -> Result<ServiceReply, RefusalBody> {
+    check_phase(&core, &call.request)?;
+    let targets = declared_targets(&core, &call)?;
+    let request = AdmissionRequest {
+        request: call.request.clone(),
+        organisation: call.organisation.clone(),
+        service_time: ASSUMED_CALL_TIME,
+        deadline: call.received + core.options.timing.default_deadline,
+        priority: 0,
+    };
+    let slot = admit(&core, request).await?;
+    core.tables.budget.lock().request_started();
+    let reply = attempt_call(&core, &call, &targets).await?;
+    slot.complete();
+    Ok(reply)
+}
+
+fn declared_targets(core: &DaemonCore, call: &ServiceCall) -> Result<Vec<TargetId>, RefusalBody> {
+    let declarations = core.tables.declarations.read();
+    match declarations.service(&call.service) {
+        Some(service) => Ok(service.targets.clone()),
+        None => Err(
+            RefusalBody::not_run(RefusalReason::Unknown, "no such service is declared")
+                .for_request(call.request.clone()),
+        ),
+    }
+}
+
+/// Sends the call to one target after another while the verdict, the budget
+/// and the number of attempts allow it.
+async fn attempt_call(
+    core: &DaemonCore,
+    call: &ServiceCall,
+    targets: &[TargetId],
+) -> Result<ServiceReply, RefusalBody> {
+    let mut verdict = RunVerdict::NotRun;
+    let mut excluded = Vec::new();
+    while excluded.len() < MAX_CALL_ATTEMPTS {
+        if !excluded.is_empty() && !core.tables.budget.lock().spend() {
+            return Err(failed(call, RefusalReason::RetryBudgetSpent, verdict));
+        }
+        let Some(target) = choose_target(core, targets, &excluded) else {
+            return Err(failed(call, RefusalReason::NoRoute, verdict));
+        };
+        let failure = match send_call(core, call, &target).await {
+            Ok(answer) => return Ok(reply(answer)),
+            Err(failure) => failure,
+        };
+        log::warn!(
+            request:% = call.request;
+            "call on {target} failed: {failure}"
+        );
+        verdict = verdict.join(failure.verdict());
+        excluded.push(target);
+        if call.non_idempotent && verdict != RunVerdict::NotRun {
+            break;
+        }
+    }
+    Err(failed(call, RefusalReason::TargetFailed, verdict))
+}
+
+fn choose_target(
+    core: &DaemonCore,
+    targets: &[TargetId],
+    excluded: &[TargetId],
+) -> Option<TargetId> {
+    let routes = core.tables.routes.read();
+    let mut random = core.tables.random.lock();
+    routes.choose_service(targets, excluded, Instant::now(), &mut *random)
+}
+
+async fn send_call(
+    core: &DaemonCore,
+    call: &ServiceCall,
+    target: &TargetId,
+) -> Result<CallAnswer, TargetFailure> {
+    let Some(address) = core.target_address(target) else {
+        return Err(TargetFailure::Connect("no longer declared".to_owned()));
+    };
+    let order = CallOrder {
+        operation: call.operation.to_string(),
+        headers: call_headers(call),
+        body: call.body.clone(),
+        use_pool: !call.non_idempotent,
+    };
+    let began = Instant::now();
+    core.tables.routes.write().step_sent(target, began);
+    let answer = core.targets.call(address, order).await;
+    let now = Instant::now();
+    let mut routes = core.tables.routes.write();
+    match &answer {
+        Ok(_) => routes.step_answered(target, now - began, 1, now),
+        Err(failure) => routes.step_failed(target, failure.reason(), now),
+    }
+    answer
+}
+
+fn call_headers(call: &ServiceCall) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    if let Ok(value) = HeaderValue::from_str(&call.request) {
+        headers.insert(REQUEST_ID_HEADER, value);
+    }
+    let key = call.key.as_deref().map(HeaderValue::from_str);
+    if let Some(Ok(value)) = key {
+        headers.insert(IDEMPOTENCY_KEY_HEADER, value);
+    }
+    headers
+}
+
+fn reply(answer: CallAnswer) -> ServiceReply {
+    let content_type = answer.headers.get(CONTENT_TYPE);
+    ServiceReply {
+        status: answer.status.as_u16(),
+        content_type: content_type
+            .and_then(|value| value.to_str().ok())
+            .map(str::to_owned),
+        body: answer.body,
+    }
+}
+
+fn failed(call: &ServiceCall, reason: RefusalReason, verdict: RunVerdict) -> RefusalBody {
+    let message = match reason {
+        RefusalReason::NoRoute => "no usable target",
+        RefusalReason::RetryBudgetSpent => "the target failed and no retry is left",
+        _ => "the service did not answer",
+    };
+    RefusalBody {
+        verdict,
+        ..RefusalBody::not_run(reason, message)
+    }
+    .retry_after(RETRY_AFTER_FAILURE)
+    .for_request(call.request.clone())
+}
--- /dev/null
+++ b/src/daemon/tables.rs
@@ -0,0 +1,64 @@
+//! The tables that the daemon's workers share, and the order of their locks.
+//!
+//! Lock order: a thread that holds one of these locks takes only locks that
+//! stand after it in [`SharedTables`]. Two workers that took two of them in
+//! opposite orders would wait for each other for ever; one would notice by
+//! requests that neither end nor use the processor. No lock is held across an
+//! await.
+
+use std::sync::Arc;
+
+use parking_lot::{Mutex, RwLock};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use tokio::sync::oneshot;
+
+use crate::admission::{AdmissionDecision, AdmissionSettings, AdmissionTable};
+use crate::collections::FastMap;
+use crate::ids::RequestId;
+use crate::replay::DeclarationTable;
+use crate::retry::{BudgetSettings, RetryBudget};
+use crate::routing::{RouteSettings, RouteTable};
+
+/// All shared tables, in lock order.
+pub(super) struct SharedTables {
+    /// First: what is declared.
+    pub(super) declarations: RwLock<DeclarationTable>,
+    /// Second: who may start, with those who wait to be told.
+    pub(super) admission: Mutex<AdmissionDesk>,
+    /// Third: pipelines and what is known of targets.
+    pub(super) routes: RwLock<RouteTable>,
+    /// Fourth: retries that may still be spent.
+    pub(super) budget: Mutex<RetryBudget>,
+    /// Last: randomness for routing.
+    pub(super) random: Mutex<StdRng>,
+}
+
+/// Admission together with the requests that wait for its decision.
+///
+/// Both stand under one lock: a decision taken between admitting a request and
+/// noting who waits for it would be lost, and the request would wait for ever.
+pub(super) struct AdmissionDesk {
+    pub(super) table: AdmissionTable,
+    pub(super) waiters: FastMap<RequestId, oneshot::Sender<AdmissionDecision>>,
+}
+
+impl SharedTables {
+    pub(super) fn new(
+        admission: AdmissionSettings,
+        routes: RouteSettings,
+        budget: BudgetSettings,
+        seed: u64,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            declarations: RwLock::new(DeclarationTable::default()),
+            admission: Mutex::new(AdmissionDesk {
+                table: AdmissionTable::new(admission, seed),
+                waiters: FastMap::default(),
+            }),
+            routes: RwLock::new(RouteTable::new(routes)),
+            budget: Mutex::new(RetryBudget::new(budget)),
+            random: Mutex::new(StdRng::seed_from_u64(seed)),
+        })
+    }
+}
--- a/src/platform/backoff.rs
+++ b/src/platform/backoff.rs
@@ -16,6 +16,16 @@
     pub max: Duration,
 }
 
+/// Bounds for calls to the platform: quick at first, then once a second.
+impl Default for BackoffPolicy {
+    fn default() -> Self {
+        Self {
+            base: Duration::from_millis(50),
+            max: Duration::from_secs(1),
+        }
+    }
+}
+
 impl BackoffPolicy {
     /// The delay after `failures` failures in a row (one or more).
     ///
--- a/src/routing/commands.rs
+++ b/src/routing/commands.rs
@@ -111,6 +111,14 @@
         }
     }
 
+    /// Takes off a step or call that was given up unanswered; it says nothing
+    /// about the target.
+    pub fn step_abandoned(&mut self, target: &TargetId) {
+        if let Some(entry) = self.targets.get_mut(target) {
+            entry.steps = entry.steps.saturating_sub(1);
+        }
+    }
+
     /// Takes in a load report; one that is older than the last is dropped.
     pub fn observe_load(&mut self, target: &TargetId, report: &LoadReport, received: Instant) {
         let Some(entry) = self.targets.get_mut(target) else {
--- a/src/routing/queries.rs
+++ b/src/routing/queries.rs
@@ -131,6 +131,17 @@
         stages.map(|stages| route_score(&stages, request.max_tokens))
     }
 
+    /// Whether a target is leaving, by declaration, list, peers or itself.
+    pub fn is_leaving(&self, target: &TargetId) -> bool {
+        let entry = self.targets.get(target);
+        self.leaving.contains(target) || entry.is_some_and(|entry| !entry.is_serving())
+    }
+
+    /// Steps and calls of this host in flight on a target.
+    pub fn steps_in_flight(&self, target: &TargetId) -> u32 {
+        self.targets.get(target).map_or(0, |entry| entry.steps)
+    }
+
     /// The targets of a group that may get new work now.
     pub fn usable_targets(
         &self,
--- a/src/target.rs
+++ b/src/target.rs
@@ -1,6 +1,7 @@
 //! The client side of targets: engines that hold layer ranges, and services.
 
 pub mod client;
+pub mod prefix;
 pub mod wire;
 
 mod failure;
--- /dev/null
+++ b/standins/src/caller.rs
@@ -0,0 +1,220 @@
+//! A caller of the entry hosts, which notes what it was told and when.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use eventsource_stream::Eventsource;
+use futures::StreamExt;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyDataStream, BodyExt, Full};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use jackdawwick::api::wire::{GenerateBody, RefusalBody, StreamEvent};
+
+use crate::json_client::CallError;
+
+/// The bearer token that the stand-ins give to an organisation or operator.
+pub fn token_of(name: &str) -> String {
+    format!("token-of-{name}")
+}
+
+/// A caller with its own pool of connections.
+#[derive(Debug, Clone)]
+pub struct CallerClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+    token: String,
+}
+
+/// What a caller was told about one generation.
+#[derive(Debug, Clone)]
+pub struct HeardAnswer {
+    /// When the request was sent.
+    pub sent: Instant,
+    /// HTTP status; `None` if the connection brought none.
+    pub status: Option<StatusCode>,
+    /// Events in the order heard, each with its time.
+    pub events: Vec<HeardEvent>,
+    /// Body of a refusal that came instead of a stream.
+    pub refusal: Option<RefusalBody>,
+    /// Whether the connection broke before the closing event.
+    pub broken: bool,
+    /// When the answer, the refusal or the break came.
+    pub ended: Instant,
+}
+
+/// One event of a stream.
+#[derive(Debug, Clone)]
+pub struct HeardEvent {
+    /// When it was heard.
+    pub at: Instant,
+    /// What it said.
+    pub event: StreamEvent,
+}
+
+impl HeardAnswer {
+    /// Tokens in the order of their numbers, as heard.
+    pub fn tokens(&self) -> Vec<u64> {
+        let token = |heard: &HeardEvent| match heard.event {
+            StreamEvent::Token { token, .. } => Some(token),
+            _ => None,
+        };
+        self.events.iter().filter_map(token).collect()
+    }
+
+    /// Whether the closing event came and counts what was heard.
+    pub fn is_whole(&self) -> bool {
+        self.events.iter().any(|heard| match heard.event {
+            StreamEvent::Done { count } => count == self.tokens().len() as u64,
+            _ => false,
+        })
+    }
+
+    /// Time from sending to the first token.
+    pub fn first_token(&self) -> Option<Duration> {
+        let is_token = |heard: &&HeardEvent| matches!(heard.event, StreamEvent::Token { .. });
+        let first = self.events.iter().find(is_token)?;
+        Some(first.at - self.sent)
+    }
+
+    /// The refusal, whether it came instead of a stream or ended one.
+    pub fn refused(&self) -> Option<&RefusalBody> {
+        let in_stream = self.events.iter().find_map(|heard| match &heard.event {
+            StreamEvent::Error(body) => Some(body),
+            _ => None,
+        });
+        self.refusal.as_ref().or(in_stream)
+    }
+}
+
+/// Answer of a plain service, as the caller saw it.
+#[derive(Debug, Clone)]
+pub struct HeardReply {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// One call of a plain service.
+#[derive(Debug, Clone)]
+pub struct OutgoingCall<'a> {
+    /// Service and operation, as in the path.
+    pub path: &'a str,
+    /// JSON body.
+    pub body: Bytes,
+    /// The key, for a non-idempotent call.
+    pub key: Option<&'a str>,
+}
+
+impl CallerClient {
+    /// A caller that presents an organisation's token.
+    pub fn open(organisation: &str) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new())
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self {
+            client,
+            token: token_of(organisation),
+        }
+    }
+
+    /// Asks for a generation and hears it to its end.
+    pub async fn generate(
+        &self,
+        host: SocketAddr,
+        request: &str,
+        body: &GenerateBody,
+    ) -> HeardAnswer {
+        let mut answer = HeardAnswer {
+            sent: Instant::now(),
+            status: None,
+            events: Vec::new(),
+            refusal: None,
+            broken: false,
+            ended: Instant::now(),
+        };
+        let heard = self.hear(host, request, body, &mut answer).await;
+        answer.broken = heard.is_err();
+        answer.ended = Instant::now();
+        answer
+    }
+
+    async fn hear(
+        &self,
+        host: SocketAddr,
+        request: &str,
+        body: &GenerateBody,
+        answer: &mut HeardAnswer,
+    ) -> Result<(), CallError> {
+        let response = self.start_generation(host, request, body).await?;
+        answer.status = Some(response.status());
+        if response.status() != StatusCode::OK {
+            let body = response.into_body().collect().await?.to_bytes();
+            answer.refusal = Some(serde_json::from_slice(&body)?);
+            return Ok(());
+        }
+        let mut events = BodyDataStream::new(response.into_body()).eventsource();
+        while let Some(event) = events.next().await {
+            let event: StreamEvent = serde_json::from_str(&event?.data)?;
+            let is_last = matches!(event, StreamEvent::Done { .. } | StreamEvent::Error(_));
+            let at = Instant::now();
+            answer.events.push(HeardEvent { at, event });
+            if is_last {
+                return Ok(());
+            }
+        }
+        Err("the stream ended without a closing event".into())
+    }
+
+    /// Sends a generation and gives back the response with its open stream.
+    pub async fn start_generation(
+        &self,
+        host: SocketAddr,
+        request: &str,
+        body: &GenerateBody,
+    ) -> Result<Response<Incoming>, CallError> {
+        let request = self
+            .request(Method::POST, host, "/v1/generate")
+            .header("x-request-id", request)
+            .body(Full::new(Bytes::from(serde_json::to_vec(body)?)))?;
+        Ok(self.client.request(request).await?)
+    }
+
+    /// Calls a plain service once.
+    pub async fn call_service(
+        &self,
+        host: SocketAddr,
+        request: &str,
+        call: OutgoingCall<'_>,
+    ) -> Result<HeardReply, CallError> {
+        let path = format!("/v1/services/{}", call.path);
+        let mut builder = self
+            .request(Method::POST, host, &path)
+            .header("x-request-id", request);
+        if let Some(key) = call.key {
+            builder = builder
+                .header("idempotency-key", format!("\"{key}\""))
+                .header("x-non-idempotent", "true");
+        }
+        let response = self
+            .client
+            .request(builder.body(Full::new(call.body))?)
+            .await?;
+        let status = response.status();
+        let body = response.into_body().collect().await?.to_bytes();
+        Ok(HeardReply { status, body })
+    }
+
+    fn request(&self, method: Method, host: SocketAddr, path: &str) -> http::request::Builder {
+        Request::builder()
+            .method(method)
+            .uri(format!("http://{host}{path}"))
+            .header("authorization", format!("Bearer {}", self.token))
+            .header("content-type", "application/json")
+    }
+}
--- /dev/null
+++ b/standins/src/daemon_settings.rs
@@ -0,0 +1,70 @@
+//! Settings of the daemons that the stand-ins start.
+
+use std::net::SocketAddr;
+
+use jackdawwick::auth::TokenDigest;
+
+use crate::caller::token_of;
+use crate::operator::OPERATOR;
+
+/// What differs between the daemons of one fleet.
+#[derive(Debug, Clone)]
+pub struct DaemonPlace {
+    /// Name of the entry host.
+    pub host: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// The platform's address.
+    pub platform: SocketAddr,
+    /// Address for peers; port 0 where nobody needs to know it beforehand.
+    pub peers: SocketAddr,
+    /// Daemons to contact first.
+    pub seeds: Vec<SeedPlace>,
+}
+
+/// A daemon to contact first.
+#[derive(Debug, Clone)]
+pub struct SeedPlace {
+    /// Its host.
+    pub host: String,
+    /// Its zone.
+    pub zone: String,
+    /// Its address for peers.
+    pub address: SocketAddr,
+}
+
+impl DaemonPlace {
+    /// A daemon without peers.
+    pub fn new(host: &str, zone: &str, platform: SocketAddr) -> Self {
+        Self {
+            host: host.to_owned(),
+            zone: zone.to_owned(),
+            platform,
+            peers: SocketAddr::from(([127, 0, 0, 1], 0)),
+            seeds: Vec::new(),
+        }
+    }
+
+    /// The text of its settings file; `extra` adds whole sections.
+    pub fn to_toml(&self, extra: &str) -> String {
+        let digest = TokenDigest::of_token(&token_of(OPERATOR)).to_hex();
+        let mut text = format!(
+            "[host]\nname = {host:?}\nzone = {zone:?}\n\n\
+             [listen]\ncallers = \"127.0.0.1:0\"\noperators = \"127.0.0.1:0\"\npeers = \"{peers}\"\n\n\
+             [platform]\naddress = \"{platform}\"\n\n\
+             [[operators.credentials]]\noperator = \"{OPERATOR}\"\ntoken_digest = \"{digest}\"\n",
+            host = self.host,
+            zone = self.zone,
+            peers = self.peers,
+            platform = self.platform,
+        );
+        for seed in &self.seeds {
+            text.push_str(&format!(
+                "\n[[peers.seeds]]\nhost = {:?}\nzone = {:?}\naddress = \"{}\"\n",
+                seed.host, seed.zone, seed.address
+            ));
+        }
+        text.push_str(extra);
+        text
+    }
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -6,12 +6,16 @@
 //! None of this is shipped.
 
 mod batch;
+pub mod caller;
 pub mod command_line;
+pub mod daemon_settings;
+pub mod declarations;
 pub mod engine;
 pub mod faults;
 pub mod http_server;
 pub mod json_client;
 mod load_gauge;
+pub mod operator;
 pub mod platform;
 mod record_list;
 pub mod reference;
