--- a/src/api.rs
+++ b/src/api.rs
@@ -9,6 +9,7 @@
 mod body;
 mod callers;
 mod credentials;
+mod explain;
 mod head;
 pub mod openapi;
 mod operators;
--- /dev/null
+++ b/src/journal/entry.rs
@@ -0,0 +1,60 @@
+//! Entries of the journal and what they are about.
+
+use std::fmt;
+use std::time::SystemTime;
+
+use super::event::JournalEvent;
+use crate::ids::RequestId;
+use crate::resources::{ResourceKey, ResourceKind};
+
+/// What a decision is about.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub enum JournalSubject {
+    /// A caller's request.
+    Request(RequestId),
+    /// A declared resource.
+    Resource(ResourceKey),
+}
+
+/// Every kind of resource, for reading a subject.
+const KINDS: [ResourceKind; 5] = [
+    ResourceKind::Model,
+    ResourceKind::Pipeline,
+    ResourceKind::Service,
+    ResourceKind::Organisation,
+    ResourceKind::Target,
+];
+
+impl JournalSubject {
+    /// Reads a subject: `KIND/NAME` of a resource, else the id of a request.
+    pub fn from_text(text: &str) -> Self {
+        let named = text.split_once('/').and_then(|(prefix, name)| {
+            let kind = KINDS.into_iter().find(|kind| kind.name() == prefix)?;
+            Some(ResourceKey::new(kind, name))
+        });
+        match named {
+            Some(key) => Self::Resource(key),
+            None => Self::Request(text.into()),
+        }
+    }
+}
+
+impl fmt::Display for JournalSubject {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Request(request) => formatter.write_str(request),
+            Self::Resource(key) => key.fmt(formatter),
+        }
+    }
+}
+
+/// One decision.
+#[derive(Debug, Clone, PartialEq)]
+pub struct JournalEntry {
+    /// When it was taken.
+    pub at: SystemTime,
+    /// What it is about.
+    pub subject: JournalSubject,
+    /// What was decided, and why.
+    pub event: JournalEvent,
+}
--- /dev/null
+++ b/src/journal/table.rs
@@ -0,0 +1,62 @@
+//! The journal's table and its bounds.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use super::entry::{JournalEntry, JournalSubject};
+use crate::collections::FastMap;
+
+/// Default number of entries in all: about 10 MB.
+const DEFAULT_ENTRIES: usize = 65_536;
+/// Default number of entries of one subject.
+const DEFAULT_SUBJECT_ENTRIES: usize = 128;
+
+/// How much is kept.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct JournalBounds {
+    /// Entries in all.
+    pub entries: usize,
+    /// Entries of one subject; at least 1, and at most all entries.
+    pub subject_entries: usize,
+}
+
+impl Default for JournalBounds {
+    fn default() -> Self {
+        Self {
+            entries: DEFAULT_ENTRIES,
+            subject_entries: DEFAULT_SUBJECT_ENTRIES,
+        }
+    }
+}
+
+/// The decisions kept.
+#[derive(Debug, Default)]
+pub struct JournalTable {
+    pub(super) bounds: JournalBounds,
+    pub(super) logs: FastMap<JournalSubject, SubjectLog>,
+    /// Subjects by their last write; the first one goes first.
+    pub(super) ages: BTreeMap<u64, JournalSubject>,
+    pub(super) writes: u64,
+    pub(super) kept: usize,
+}
+
+/// The decisions about one subject, oldest first.
+#[derive(Debug, Default)]
+pub(super) struct SubjectLog {
+    pub(super) entries: VecDeque<JournalEntry>,
+    pub(super) left_out: u64,
+    pub(super) last_write: u64,
+}
+
+impl JournalTable {
+    /// An empty table. Bounds that contradict each other are raised.
+    pub fn new(bounds: JournalBounds) -> Self {
+        let subject_entries = bounds.subject_entries.max(1);
+        Self {
+            bounds: JournalBounds {
+                entries: bounds.entries.max(subject_entries),
+                subject_entries,
+            },
+            ..Self::default()
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,6 +22,7 @@
 )]
 #[rustfmt::skip]
 pub mod peer_capnp;
+pub mod journal;
 pub mod metrics;
 pub mod platform;
 pub mod reason;
