--- a/src/admission/commands.rs
+++ b/src/admission/commands.rs
@@ -1,7 +1,7 @@
 //! Changing the table: shares, arrivals, ends and the passing of time.
 
 use std::cmp::Reverse;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use crate::ids::{OrganisationId, RequestId};
 use crate::reason::RefusalReason;
@@ -83,11 +83,12 @@
         let starts_now = has_slot && state.queue.is_empty() && state.may_start();
         let is_known = self.running.contains_key(&request.request)
             || self.waiting.contains_key(&request.request);
-        let is_full = state.queue.len() >= self.settings.queue_length
-            || self.waiting.len() >= self.settings.total_queue_length;
+        let is_full = self.is_full(state);
         let in_time = match starts_now {
-            true => now + request.service_time <= request.deadline,
-            false => self.is_reachable(state, request, ahead, now),
+            true => request.deadline.saturating_duration_since(now) >= request.service_time,
+            false => self
+                .wait_estimate(state, self.asking(), now)
+                .is_reachable(state, request, ahead, now),
         };
         match () {
             () if is_known => ArrivalVerdict::Refuse(RefusalReason::Malformed),
@@ -102,6 +103,19 @@
         }
     }
 
+    /// Whether an organisation may queue no more.
+    ///
+    /// If a full total refused everybody, a few large organisations could
+    /// fill it and one would see a small one refused with an empty queue; so
+    /// each may fill its even part of the total in any case, which bounds
+    /// what waits by twice the total.
+    fn is_full(&self, state: &OrganisationState) -> bool {
+        let length = state.queue.len();
+        let total = self.settings.total_queue_length;
+        let even_part = total / self.organisations.len().max(1);
+        length >= self.settings.queue_length || (self.waiting.len() >= total && length >= even_part)
+    }
+
     fn enqueue(&mut self, request: AdmissionRequest, place: QueuePlace) -> AdmissionDecision {
         let decision = AdmissionDecision::Wait {
             request: request.request.clone(),
@@ -112,6 +126,7 @@
         };
         self.waiting.insert(request.request.clone(), waiting);
         if let Some(state) = self.organisations.get_mut(&request.organisation) {
+            state.drain.press();
             state.queue.insert(place, request);
         }
         decision
@@ -134,15 +149,15 @@
                 state.drain.ended(!state.queue.is_empty(), now);
             }
         }
-        self.tick(now)
+        let mut decisions = Vec::new();
+        self.start_waiting(now, &mut decisions);
+        decisions
     }
 
-    /// Gives up what can no longer be answered in time and starts what may
-    /// start now.
+    /// Starts what may start now and gives up what can no longer be answered
+    /// in time. The cost grows with what waits, so call it every few
+    /// milliseconds rather than at every event.
     pub fn tick(&mut self, now: Instant) -> Vec<AdmissionDecision> {
-        for state in self.organisations.values_mut() {
-            state.bucket.refill(now);
-        }
         let mut decisions = Vec::new();
         self.start_waiting(now, &mut decisions);
         self.give_up_waiting(now, &mut decisions);
@@ -177,10 +192,12 @@
 
     fn unreachable(&self, now: Instant) -> Vec<AdmissionRequest> {
         let mut given_up = Vec::new();
+        let asking = self.asking();
         for state in self.organisations.values() {
+            let estimate = self.wait_estimate(state, asking, now);
             let mut ahead = 0;
             for request in state.queue.values() {
-                match self.is_reachable(state, request, ahead, now) {
+                match estimate.is_reachable(state, request, ahead, now) {
                     true => ahead += 1,
                     false => given_up.push(request.clone()),
                 }
@@ -213,20 +230,25 @@
         now: Instant,
     ) -> AdmissionDecision {
         let window = self.settings.demand_window;
-        if let Some(state) = self.organisations.get_mut(&request.organisation) {
-            state.refusals.count(window, now);
+        match self.organisations.get_mut(&request.organisation) {
+            Some(state) if wants_capacity(reason) => {
+                state.refusals.count(window, now);
+                state.drain.press();
+            }
+            _ => (),
         }
-        let wait = self.drain_time(&request.organisation, request.service_time);
         AdmissionDecision::Refuse {
             request: request.request.clone(),
             reason,
-            retry_after: self.retry_after(wait),
+            retry_after: self.retry_after(request, now),
         }
     }
+}
 
-    /// Time in which an organisation's whole queue drains.
-    fn drain_time(&self, organisation: &OrganisationId, service: Duration) -> Option<Duration> {
-        let state = self.organisations.get(organisation)?;
-        self.estimated_wait(state, state.queue.len(), service)
-    }
+/// Whether more capacity would have let the request in.
+fn wants_capacity(reason: RefusalReason) -> bool {
+    !matches!(
+        reason,
+        RefusalReason::Malformed | RefusalReason::DeadlinePassed
+    )
 }
--- a/src/admission/select.rs
+++ b/src/admission/select.rs
@@ -14,6 +14,9 @@
 impl AdmissionTable {
     /// Starts waiting requests while there is room.
     pub(super) fn start_waiting(&mut self, now: Instant, decisions: &mut Vec<AdmissionDecision>) {
+        for state in self.organisations.values_mut() {
+            state.bucket.refill(now);
+        }
         while self.running.len() < self.capacity as usize {
             let Some(organisation) = self.next_organisation() else {
                 return;
@@ -21,7 +24,8 @@
             let Some(request) = self.take_first(&organisation) else {
                 return;
             };
-            let decision = match now + request.service_time > request.deadline {
+            let left = request.deadline.saturating_duration_since(now);
+            let decision = match left < request.service_time {
                 true => self.refuse_waiting(&request, now),
                 false => self.start(&request),
             };
--- /dev/null
+++ b/tests/admission.rs
@@ -0,0 +1,248 @@
+//! Failures of admission that callers would notice.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use jackdawwick::admission::{
+    AdmissionDecision, AdmissionRequest, AdmissionSettings, AdmissionTable, ReleaseCause,
+    ShareLimit,
+};
+use jackdawwick::ids::{OrganisationId, RequestId};
+use jackdawwick::reason::RefusalReason;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const SERVICE: Duration = Duration::from_millis(100);
+
+fn share(concurrent_requests: u32) -> ShareLimit {
+    ShareLimit {
+        concurrent_requests,
+        requests_per_second: 1_000_000,
+    }
+}
+
+fn table(settings: AdmissionSettings, shares: &[(&str, u32)], now: Instant) -> AdmissionTable {
+    let mut table = AdmissionTable::new(settings, 1);
+    for (organisation, concurrent) in shares {
+        table.set_share(OrganisationId::from(*organisation), share(*concurrent), now);
+    }
+    table
+}
+
+fn request(id: &str, organisation: &str, deadline: Instant) -> AdmissionRequest {
+    AdmissionRequest {
+        request: RequestId::from(id),
+        organisation: OrganisationId::from(organisation),
+        service_time: SERVICE,
+        deadline,
+        priority: 0,
+    }
+}
+
+fn refusal(decision: &AdmissionDecision) -> Option<RefusalReason> {
+    match decision {
+        AdmissionDecision::Refuse { reason, .. } => Some(*reason),
+        _ => None,
+    }
+}
+
+fn started(decisions: &[AdmissionDecision]) -> Vec<RequestId> {
+    decisions
+        .iter()
+        .filter_map(|decision| match decision {
+            AdmissionDecision::Start { request } => Some(request.clone()),
+            _ => None,
+        })
+        .collect()
+}
+
+/// Symptom: a caller waits for its whole deadline and is refused at its end.
+/// Sequence: one slot, ten requests of 100 ms wait for it, one more arrives
+/// that has 500 ms left.
+/// Cause: the estimate is not looked at before the request is queued.
+#[test]
+fn hopeless_request_is_refused_on_arrival() {
+    let now = Instant::now();
+    let mut table = table(AdmissionSettings::default(), &[("a", 1)], now);
+    let late = now + Duration::from_secs(60);
+    for nth in 0..11 {
+        assert_eq!(
+            refusal(&table.admit(request(&format!("r{nth}"), "a", late), now)),
+            None
+        );
+    }
+    let hopeless = request("late", "a", now + Duration::from_millis(500));
+    match table.admit(hopeless, now) {
+        AdmissionDecision::Refuse {
+            reason,
+            retry_after,
+            ..
+        } => {
+            assert_eq!(reason, RefusalReason::DeadlineUnreachable);
+            // Eleven have to end before a newcomer starts, at 100 ms each.
+            let drained = SERVICE * 11;
+            assert!(
+                (drained..=drained.mul_f64(1.5)).contains(&retry_after),
+                "{retry_after:?}"
+            );
+        }
+        other => panic!("{other:?}"),
+    }
+    assert_eq!(table.waiting(&OrganisationId::from("a")), 10);
+}
+
+/// Symptom: an organisation is refused for good although its slot comes free.
+/// Sequence: its ends come 5 s apart during a stall until that is the
+/// measured drain rate; then the targets are fast again, and each request has
+/// 400 ms left, too little to wait for one such end.
+/// Cause: only ends with a request waiting are measured, and nobody is let
+/// into the queue any more.
+#[test]
+fn drain_rate_recovers_after_a_stall() {
+    let mut now = Instant::now();
+    let mut table = table(AdmissionSettings::default(), &[("a", 1)], now);
+    let mut running: Vec<RequestId> = Vec::new();
+    for nth in 0..20 {
+        let patient = request(&format!("s{nth}"), "a", now + Duration::from_secs(3_600));
+        running.extend(started(&[table.admit(patient, now)]));
+    }
+    while let Some(ended) = running.pop() {
+        now += Duration::from_secs(5);
+        running.extend(started(&table.release(
+            &ended,
+            now,
+            ReleaseCause::Completed,
+        )));
+    }
+    let mut refused_late = 0;
+    for nth in 0..200 {
+        for arrival in 0..2 {
+            let brief = request(&format!("b{nth}.{arrival}"), "a", now + 4 * SERVICE);
+            let decision = table.admit(brief, now);
+            refused_late += usize::from(nth >= 100 && refusal(&decision).is_some());
+            running.extend(started(&[decision]));
+        }
+        now += SERVICE;
+        let ended = running.remove(0);
+        running.extend(started(&table.release(
+            &ended,
+            now,
+            ReleaseCause::Completed,
+        )));
+        table.tick(now);
+    }
+    // Two arrivals for each end: about half must be refused, not nearly all
+    // but the one that finds the slot free.
+    assert!(table.waiting(&OrganisationId::from("a")) > 0);
+    assert!((80..=120).contains(&refused_late), "{refused_late} refused");
+}
+
+/// Symptom: a host refuses everything of an organisation while others are idle.
+/// Sequence: the host's share is zero, requests arrive and are refused.
+/// Cause: refused requests leave no demand, so no share is moved here.
+#[test]
+fn refusals_count_as_demand() {
+    let now = Instant::now();
+    let organisation = OrganisationId::from("a");
+    let mut table = table(AdmissionSettings::default(), &[("a", 0)], now);
+    let deadline = now + Duration::from_secs(5);
+    for nth in 0..3 {
+        let decision = table.admit(request(&format!("r{nth}"), "a", deadline), now);
+        assert_eq!(refusal(&decision), Some(RefusalReason::CapacityUsedUp));
+    }
+    assert_eq!(table.demand(&organisation, now), 3);
+    assert_eq!(table.demand(&organisation, now + Duration::from_secs(5)), 0);
+}
+
+/// Symptom: more requests run than were bought.
+/// Sequence: a caller repeats a request id while the first one runs.
+/// Cause: the second start replaces the first one's entry, and one release
+/// then frees the slot of both or of neither.
+#[test]
+fn repeated_request_id_is_refused() {
+    let now = Instant::now();
+    let mut table = table(AdmissionSettings::default(), &[("a", 2)], now);
+    let deadline = now + Duration::from_secs(5);
+    table.admit(request("same", "a", deadline), now);
+    let again = table.admit(request("same", "a", deadline), now);
+    assert_eq!(refusal(&again), Some(RefusalReason::Malformed));
+    assert_eq!(table.in_flight(&OrganisationId::from("a")), 1);
+}
+
+/// Symptom: waiting requests of a withdrawn organisation never get an answer.
+/// Sequence: one runs, one waits, the organisation is removed, the first ends.
+/// Cause: the queue is dropped with the organisation.
+#[test]
+fn removed_organisation_is_answered() {
+    let now = Instant::now();
+    let mut table = table(AdmissionSettings::default(), &[("a", 1)], now);
+    let deadline = now + Duration::from_secs(5);
+    table.admit(request("runs", "a", deadline), now);
+    table.admit(request("waits", "a", deadline), now);
+    table.remove_share(&OrganisationId::from("a"), now);
+    let refused = table.tick(now);
+    assert_eq!(refusal(&refused[0]), Some(RefusalReason::CapacityUsedUp));
+    let runs = RequestId::from("runs");
+    assert!(
+        table
+            .release(&runs, now, ReleaseCause::Completed)
+            .is_empty()
+    );
+    assert_eq!(table.in_flight(&OrganisationId::from("a")), 0);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(23),
+        cases: 100,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Symptom: a small organisation waits ever longer while a large one runs.
+    /// Sequence: all have a backlog, the shares add up to more than the host's
+    /// capacity, and slots come free one after another.
+    /// Cause: turns by arrival or by queue length instead of by share.
+    #[test]
+    fn backlogged_organisations_get_their_part(
+        shares in prop::collection::vec(1..20u32, 2..6),
+        capacity in 1..8u32,
+        picks in prop::collection::vec(0..8usize, 400),
+    ) {
+        let now = Instant::now();
+        let names: Vec<String> = (0..shares.len()).map(|nth| format!("o{nth}")).collect();
+        let limits: Vec<_> = names.iter().map(String::as_str).zip(shares.clone()).collect();
+        let settings = AdmissionSettings { queue_length: 1_000, ..AdmissionSettings::default() };
+        let mut table = table(settings, &limits, now);
+        // The host fills up before anybody else than the first one asks.
+        table.set_capacity(capacity.min(shares[0]));
+        let slots = f64::from(capacity.min(shares[0]));
+        let late = now + Duration::from_secs(1_000_000);
+        let mut running = Vec::new();
+        for name in &names {
+            for nth in 0..450 {
+                running.extend(started(&[table.admit(request(&format!("{name}.{nth}"), name, late), now)]));
+            }
+        }
+        let mut served: BTreeMap<String, f64> = BTreeMap::new();
+        for (ends, pick) in picks.into_iter().enumerate() {
+            let ended = running.swap_remove(pick % running.len());
+            for id in started(&table.release(&ended, now, ReleaseCause::Completed)) {
+                let name = id.split('.').next().expect("a name").to_owned();
+                *served.entry(name).or_default() += 1.0;
+                running.push(id);
+            }
+            for (name, share) in &limits {
+                let in_flight = table.in_flight(&OrganisationId::from(*name));
+                prop_assert!(in_flight <= *share);
+                // Of the starts, each gets its weight's part, up to one start
+                // an organisation and what the first had ahead.
+                let total: u32 = shares.iter().sum();
+                let part = (ends + 1) as f64 * f64::from(*share) / f64::from(total);
+                let got = served.get(*name).copied().unwrap_or(0.0);
+                let slack = 1.0 + shares.len() as f64 + slots;
+                prop_assert!(got >= part - slack, "{name} got {got} of {part} after {ends}");
+            }
+        }
+    }
+}
