--- a/src/daemon/admitting.rs
+++ b/src/daemon/admitting.rs
@@ -10,6 +10,7 @@
 use crate::admission::{AdmissionDecision, AdmissionRequest, ReleaseCause};
 use crate::api::wire::RefusalBody;
 use crate::ids::RequestId;
+use crate::journal::JournalEvent;
 use crate::reason::RefusalReason;
 
 /// Longest pause between two looks at the queues.
@@ -55,6 +56,7 @@
     request: AdmissionRequest,
 ) -> Result<AdmissionSlot, RefusalBody> {
     let id = request.request.clone();
+    let organisation = request.organisation.clone();
     let (decision, waiter) = ask(core, request);
     if let AdmissionDecision::Refuse {
         request,
@@ -70,8 +72,15 @@
         cause: ReleaseCause::Abandoned,
     };
     let Some(waiter) = waiter else {
+        core.note(&slot.request, JournalEvent::Admitted { organisation });
         return Ok(slot);
     };
+    core.note(
+        &slot.request,
+        JournalEvent::Queued {
+            organisation: organisation.clone(),
+        },
+    );
     core.admission_changed.notify_one();
     match waiter.await {
         Ok(AdmissionDecision::Refuse {
@@ -79,7 +88,10 @@
             reason,
             retry_after,
         }) => Err(refusal(request, reason, retry_after)),
-        Ok(_) => Ok(slot),
+        Ok(_) => {
+            core.note(&slot.request, JournalEvent::Admitted { organisation });
+            Ok(slot)
+        }
         Err(_) => Err(refusal(
             slot.request.clone(),
             RefusalReason::Draining,
--- a/src/daemon/callers.rs
+++ b/src/daemon/callers.rs
@@ -1,6 +1,7 @@
 //! What the callers' listener asks of the daemon.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use futures::FutureExt;
 
@@ -10,6 +11,7 @@
 use crate::api::wire::RefusalBody;
 use crate::auth::TokenDigest;
 use crate::ids::OrganisationId;
+use crate::journal::JournalEvent;
 
 /// Builds the closures over the daemon's tables.
 pub(super) fn caller_backend(core: &Arc<DaemonCore>) -> CallerBackend {
@@ -52,6 +54,12 @@
 fn count_refusal(core: &DaemonCore, refusal: &RefusalBody) {
     core.metrics.refused(refusal.reason);
     if let Some(request) = &refusal.request {
+        let event = JournalEvent::Refused {
+            reason: refusal.reason,
+            verdict: refusal.verdict,
+            retry_after: refusal.retry_after_ms.map(Duration::from_millis),
+        };
+        core.note(request, event);
         log::info!(request:% = request; "refused: {refusal}");
     }
 }
--- a/src/daemon/core.rs
+++ b/src/daemon/core.rs
@@ -4,11 +4,14 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
 
+use std::time::SystemTime;
+
 use tokio::sync::{Notify, watch};
 use tokio_util::task::TaskTracker;
 
 use super::tables::SharedTables;
-use crate::ids::{HostId, IncarnationId, LogOffset, TargetId, ZoneId};
+use crate::ids::{HostId, IncarnationId, LogOffset, RequestId, TargetId, ZoneId};
+use crate::journal::{JournalEntry, JournalEvent, JournalSubject};
 use crate::metrics::MetricSet;
 use crate::options::DaemonOptions;
 use crate::platform::append_queue::AppendQueue;
@@ -71,6 +74,21 @@
         self.run_numbers.fetch_add(1, Ordering::Relaxed)
     }
 
+    /// Notes a decision about a request for `explain`.
+    pub(super) fn note(&self, request: &RequestId, event: JournalEvent) {
+        self.note_about(JournalSubject::Request(request.clone()), event);
+    }
+
+    /// Notes a decision about any subject for `explain`.
+    pub(super) fn note_about(&self, subject: JournalSubject, event: JournalEvent) {
+        let entry = JournalEntry {
+            at: SystemTime::now(),
+            subject,
+            event,
+        };
+        self.tables.journal.lock().record(entry);
+    }
+
     pub(super) fn host(&self) -> &HostId {
         &self.options.host.name
     }
--- a/src/daemon/declarations.rs
+++ b/src/daemon/declarations.rs
@@ -74,6 +74,7 @@
         declarations.applied()
     };
     put_in_force(core);
+    core.metrics.set_applied_offset(applied);
     core.applied.send_replace(applied);
 }
 
--- a/src/daemon/generate.rs
+++ b/src/daemon/generate.rs
@@ -13,10 +13,13 @@
 use crate::api::backend::{GenerateCall, GenerateStream};
 use crate::api::wire::{RefusalBody, StreamEvent};
 use crate::ids::{RequestId, StageIndex, TargetId, TokenValue};
+use crate::journal::JournalEvent;
+use crate::metrics::{RequestKind, RequestOutcome};
 use crate::reason::{RefusalReason, RetryReason};
 use crate::routing::{PlannedRoute, ReplaceRequest, RouteRequest};
 use crate::run::{DeliveredToken, RunHooks, RunLimits, RunMachine, RunOutcome, RunPlan, drive_run};
 use crate::target::prefix::{PREFIX_CHUNK_TOKENS, prefix_hashes};
+use crate::verdict::RunVerdict;
 
 /// Tokens that may wait for a slow caller before its run waits too.
 const STREAM_BUFFER: usize = 64;
@@ -44,6 +47,7 @@
     // Planned again: while the request waited, targets have come, gone or
     // filled up.
     let route = plan_route(&core, &call, deadline)?;
+    core.note(&call.request, routed(&route));
     core.tables.routes.write().run_started(&route);
     let (events, stream) = mpsc::channel(STREAM_BUFFER);
     let runner = GenerationRunner {
@@ -53,6 +57,7 @@
         deadline,
         events,
     };
+    core.metrics.request_begun(RequestKind::Generate);
     core.in_flight.spawn(runner.run(slot));
     Ok(stream)
 }
@@ -141,6 +146,19 @@
     prompt
 }
 
+fn routed(route: &PlannedRoute) -> JournalEvent {
+    JournalEvent::Routed {
+        pipeline: route.pipeline.clone(),
+        version: route.version.clone(),
+        targets: route
+            .stages
+            .iter()
+            .map(|stage| stage.target.clone())
+            .collect(),
+        score: route.score,
+    }
+}
+
 /// One generation while it runs.
 struct GenerationRunner {
     core: Arc<DaemonCore>,
@@ -162,7 +180,12 @@
         }
         let (tokens, receiver) = mpsc::channel(STREAM_BUFFER);
         let outcome = {
-            let forward = forward_tokens(receiver, self.events.clone());
+            let forward = forward_tokens(
+                Arc::clone(&self.core),
+                self.call.received,
+                receiver,
+                self.events.clone(),
+            );
             let drive = self.drive(tokens);
             let (outcome, ()) = tokio::join!(drive, forward);
             outcome
@@ -171,6 +194,7 @@
         if outcome.refusal.is_none() {
             slot.complete();
         }
+        self.note_outcome(outcome);
         log::info!(
             request:% = self.call.request;
             "answered {} tokens, verdict {:?}, refusal {:?}",
@@ -180,6 +204,26 @@
         let _ = self.events.send(closing_event(&self.call, outcome)).await;
     }
 
+    fn note_outcome(&self, outcome: RunOutcome) {
+        let (core, request) = (&self.core, &self.call.request);
+        let ended = match (outcome.refusal, outcome.verdict) {
+            (None, _) => RequestOutcome::Whole,
+            (Some(RefusalReason::CallerGone), _) => RequestOutcome::CallerGone,
+            (Some(_), RunVerdict::NotRun) => RequestOutcome::NotRun,
+            (Some(_), _) => RequestOutcome::MayHaveRun,
+        };
+        core.metrics.request_ended(RequestKind::Generate, ended);
+        if let Some(reason) = outcome.refusal {
+            core.metrics.refused(reason);
+        }
+        let event = JournalEvent::Finished {
+            verdict: outcome.verdict,
+            delivered: outcome.delivered,
+            reason: outcome.refusal,
+        };
+        core.note(request, event);
+    }
+
     async fn drive(&mut self, tokens: mpsc::Sender<DeliveredToken>) -> RunOutcome {
         let core = Arc::clone(&self.core);
         let machine = RunMachine::new(self.plan(), run_limits(&core));
@@ -262,10 +306,14 @@
     Some(chosen)
 }
 
+/// Hands tokens on to the caller and measures the times between them.
 async fn forward_tokens(
+    core: Arc<DaemonCore>,
+    received: Instant,
     mut tokens: mpsc::Receiver<DeliveredToken>,
     events: mpsc::Sender<StreamEvent>,
 ) {
+    let mut last = None;
     loop {
         let delivered = tokio::select! {
             delivered = tokens.recv() => delivered,
@@ -276,6 +324,11 @@
         let Some(DeliveredToken { number, token }) = delivered else {
             return;
         };
+        let now = Instant::now();
+        match last.replace(now) {
+            None => core.metrics.first_token(now - received),
+            Some(before) => core.metrics.next_token(now - before),
+        }
         if events
             .send(StreamEvent::Token { number, token })
             .await
--- a/src/daemon/operators.rs
+++ b/src/daemon/operators.rs
@@ -1,7 +1,7 @@
 //! What the operators' listener asks of the daemon.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Instant, UNIX_EPOCH};
 
 use futures::FutureExt;
 
@@ -9,9 +9,11 @@
 use super::core::{DaemonCore, DaemonPhase};
 use crate::api::backend::{AsyncCall, OperatorBackend};
 use crate::api::wire::{
-    ExplainView, ForceView, HostForceView, RefusalBody, ResourceView, StatusView, TargetStatusView,
+    ExplainEntry, ExplainView, ForceView, HostForceView, RefusalBody, ResourceView, StatusView,
+    TargetStatusView,
 };
-use crate::auth::{CredentialTable, TokenDigest};
+use crate::auth::CredentialTable;
+use crate::journal::{JournalEntry, JournalSubject};
 use crate::reason::RefusalReason;
 use crate::replay::DeclaredEntry;
 use crate::resources::{ResourceKey, ResourceKind};
@@ -27,7 +29,9 @@
         apply: command(core, changes::apply),
         delete: command(core, changes::delete),
         force: query(core, |core, ()| Ok(force_view(core))),
-        explain: query(core, |core, request| explain(core, &request)),
+        explain: query(core, |core, request: crate::ids::RequestId| {
+            explain(core, &request)
+        }),
         status: query(core, |core, ()| Ok(status_view(core))),
         metrics: Arc::new(move || metrics.metrics.encode()),
     }
@@ -36,8 +40,7 @@
 fn credential_table(core: &DaemonCore) -> CredentialTable {
     let mut table = CredentialTable::default();
     for credential in &core.options.operators.credentials {
-        let digest = TokenDigest::from_bytes(credential.token_digest);
-        table.insert(credential.operator.clone(), digest);
+        table.insert(credential.operator.clone(), credential.token_digest);
     }
     table
 }
@@ -119,14 +122,31 @@
     }
 }
 
-fn explain(
-    _core: &DaemonCore,
-    request: &crate::ids::RequestId,
-) -> Result<ExplainView, RefusalBody> {
-    Err(RefusalBody::not_run(
-        RefusalReason::Unknown,
-        format!("nothing is known of {request} on this host"),
-    ))
+fn explain(core: &DaemonCore, subject: &str) -> Result<ExplainView, RefusalBody> {
+    let explanation = {
+        let journal = core.tables.journal.lock();
+        journal.explain(&JournalSubject::from_text(subject))
+    };
+    if explanation.entries.is_empty() {
+        return Err(RefusalBody::not_run(
+            RefusalReason::Unknown,
+            format!("this host keeps no decision about {subject}; ask the other entry hosts"),
+        ));
+    }
+    let entries = explanation.entries.iter().map(explain_entry).collect();
+    Ok(ExplainView {
+        subject: subject.to_owned(),
+        entries,
+    })
+}
+
+fn explain_entry(entry: &JournalEntry) -> ExplainEntry {
+    let since_epoch = entry.at.duration_since(UNIX_EPOCH).unwrap_or_default();
+    ExplainEntry {
+        at_ms: u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX),
+        subject: entry.subject.to_string(),
+        text: entry.event.to_string(),
+    }
 }
 
 fn status_view(core: &DaemonCore) -> StatusView {
--- a/src/daemon/spawn.rs
+++ b/src/daemon/spawn.rs
@@ -14,6 +14,7 @@
 use super::tables::SharedTables;
 use crate::admission::AdmissionSettings;
 use crate::api::{ApiError, ApiHandle, ApiSettings, spawn_callers, spawn_operators};
+use crate::journal::JournalBounds;
 use crate::logging::dropshot_logger;
 use crate::options::DaemonOptions;
 use crate::platform::append_queue::{AppendOptions, AppendQueue};
@@ -150,7 +151,11 @@
         fraction: options.retries.budget_ratio,
         burst: f64::from(options.retries.burst),
     };
-    SharedTables::new(admission, routes, budget, seed)
+    let journal = JournalBounds {
+        entries: options.limits.journal_entries,
+        ..JournalBounds::default()
+    };
+    SharedTables::new(admission, routes, budget, journal, seed)
 }
 
 fn api_settings(core: &DaemonCore, address: SocketAddr) -> ApiSettings {
--- a/src/daemon/tables.rs
+++ b/src/daemon/tables.rs
@@ -16,6 +16,7 @@
 use crate::admission::{AdmissionDecision, AdmissionSettings, AdmissionTable};
 use crate::collections::FastMap;
 use crate::ids::RequestId;
+use crate::journal::{JournalBounds, JournalTable};
 use crate::replay::DeclarationTable;
 use crate::retry::{BudgetSettings, RetryBudget};
 use crate::routing::{RouteSettings, RouteTable};
@@ -30,6 +31,8 @@
     pub(super) routes: RwLock<RouteTable>,
     /// Fourth: retries that may still be spent.
     pub(super) budget: Mutex<RetryBudget>,
+    /// Fifth: what was decided and why.
+    pub(super) journal: Mutex<JournalTable>,
     /// Last: randomness for routing.
     pub(super) random: Mutex<StdRng>,
 }
@@ -48,6 +51,7 @@
         admission: AdmissionSettings,
         routes: RouteSettings,
         budget: BudgetSettings,
+        journal: JournalBounds,
         seed: u64,
     ) -> Arc<Self> {
         Arc::new(Self {
@@ -58,6 +62,7 @@
             }),
             routes: RwLock::new(RouteTable::new(routes)),
             budget: Mutex::new(RetryBudget::new(budget)),
+            journal: Mutex::new(JournalTable::new(journal)),
             random: Mutex::new(StdRng::seed_from_u64(seed)),
         })
     }
--- a/src/daemon/watch_steps.rs
+++ b/src/daemon/watch_steps.rs
@@ -4,10 +4,13 @@
 
 use super::core::DaemonCore;
 use crate::ids::RequestId;
+use crate::journal::JournalEvent;
+use crate::metrics::DropCause;
 use crate::run::StepObservation;
 
 /// Takes one observation in.
 pub(super) fn note_step(core: &DaemonCore, request: &RequestId, observation: &StepObservation) {
+    journal_step(core, request, observation);
     let now = Instant::now();
     let mut routes = core.tables.routes.write();
     match observation {
@@ -33,3 +36,50 @@
         StepObservation::Replacing { .. } | StepObservation::AnswerDropped { .. } => {}
     }
 }
+
+/// Counts and notes what is out of the ordinary; a step that goes well is not
+/// worth an entry.
+fn journal_step(core: &DaemonCore, request: &RequestId, observation: &StepObservation) {
+    match observation {
+        StepObservation::Sent {
+            target,
+            stage,
+            retry: Some(reason),
+            ..
+        } => {
+            core.metrics.retried(*reason);
+            core.note(
+                request,
+                JournalEvent::Retried {
+                    stage: *stage,
+                    target: target.clone(),
+                    reason: *reason,
+                },
+            );
+        }
+        StepObservation::Replacing {
+            stage,
+            reason,
+            chosen,
+        } => core.note(
+            request,
+            JournalEvent::StageReplaced {
+                stage: *stage,
+                target: chosen.clone(),
+                reason: *reason,
+            },
+        ),
+        StepObservation::AnswerDropped { target } => {
+            let cause = DropCause::Unmatched;
+            core.metrics.answer_dropped(cause);
+            core.note(
+                request,
+                JournalEvent::AnswerDropped {
+                    target: target.clone(),
+                    cause,
+                },
+            );
+        }
+        _ => {}
+    }
+}
--- a/src/run/driver.rs
+++ b/src/run/driver.rs
@@ -268,6 +268,7 @@
     ) -> RunEvent {
         let positions = order.inputs.len() as u64;
         (self.hooks.observe)(StepObservation::Sent {
+            stage: order.label.stage,
             target: target.clone(),
             positions,
             retry,
--- a/src/run/hooks.rs
+++ b/src/run/hooks.rs
@@ -21,6 +21,8 @@
 pub enum StepObservation {
     /// A step was sent.
     Sent {
+        /// Stage that the step is for.
+        stage: StageIndex,
         /// Target asked.
         target: TargetId,
         /// Positions in the step.
