Add the operators' command line

Cause: operators declare resources and watch what is true, and need a program that applies files, shows races and mistakes, and says what to do next.

Ruled out: stopping at the first mistake of a resource file (each field is tried alone once the whole resource fails, so that every field's mistake is reported); leaving hosts that cannot be reached out of `watch` (such a host may go on serving the old configuration); letting the HTTP library send a request again by itself (a change whose answer is lost may have taken effect).

Change: module cli and program jackdawwick with apply, get, delete, watch, explain and status, as tables or JSON. Exit status 1 is a failure, 2 a wrong command line or file, 3 a lost race, 4 a change not in force in time. apply reads what stands, sends only what differs with the version it was taken from, in the order of reference, and stops at the first failure. serde_path_to_error, which dropshot already brings, names the field of a mistake.

--- /dev/null
+++ b/src/cli/apply.rs
@@ -0,0 +1,172 @@
+//! `apply`: compares a file with what stands and declares the difference.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+
+use std::io::Write;
+
+use super::CliError;
+use super::difference::{FieldChange, compare_specs};
+use super::resource_file::{DeclaredResource, parse_resources};
+use super::session::OperatorSession;
+use super::view::{StepOutcome, StepReport};
+use crate::api::wire::{ApplyBody, ResourceView};
+use crate::ids::LogOffset;
+use crate::resources::ResourceKey;
+
+/// What `apply` is to do about one resource.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ApplyStep {
+    /// What the file declares.
+    pub declared: DeclaredResource,
+    /// How it differs from what stands.
+    pub change: StepChange,
+}
+
+/// How a declared resource differs from what stands.
+#[derive(Debug, Clone, PartialEq)]
+pub enum StepChange {
+    /// It does not exist yet.
+    Create,
+    /// It exists and differs.
+    Update {
+        /// Version that the difference was taken from.
+        based_on: LogOffset,
+        /// The fields that differ.
+        fields: Vec<FieldChange>,
+    },
+    /// It stands as declared.
+    Unchanged {
+        /// Its version.
+        version: LogOffset,
+    },
+}
+
+/// Compares declared resources with those that stand, in the declared order.
+pub fn plan_apply(declared: Vec<DeclaredResource>, present: &[ResourceView]) -> Vec<ApplyStep> {
+    let present = present.iter().map(|view| (&view.key, view));
+    let present = present.collect::<BTreeMap<&ResourceKey, _>>();
+    let steps = declared.into_iter().map(|declared| {
+        let change = plan_step(&declared, present.get(&declared.key).copied());
+        ApplyStep { declared, change }
+    });
+    steps.collect()
+}
+
+fn plan_step(declared: &DeclaredResource, present: Option<&ResourceView>) -> StepChange {
+    let Some(view) = present else {
+        return StepChange::Create;
+    };
+    let fields = compare_specs(&view.spec, &declared.spec);
+    match fields.is_empty() {
+        true => StepChange::Unchanged {
+            version: view.version,
+        },
+        false => StepChange::Update {
+            based_on: view.version,
+            fields,
+        },
+    }
+}
+
+impl ApplyStep {
+    fn report(&self, outcome: StepOutcome, version: Option<LogOffset>) -> StepReport {
+        let fields = match &self.change {
+            StepChange::Update { fields, .. } => fields.clone(),
+            StepChange::Create => compare_created(&self.declared),
+            StepChange::Unchanged { .. } => Vec::new(),
+        };
+        StepReport {
+            resource: self.declared.key.clone(),
+            outcome,
+            version,
+            fields,
+        }
+    }
+
+    fn preview(&self) -> StepReport {
+        match self.change {
+            StepChange::Create => self.report(StepOutcome::WouldCreate, None),
+            StepChange::Update { .. } => self.report(StepOutcome::WouldChange, None),
+            StepChange::Unchanged { version } => self.report(StepOutcome::Unchanged, Some(version)),
+        }
+    }
+}
+
+fn compare_created(declared: &DeclaredResource) -> Vec<FieldChange> {
+    let fields = super::difference::flatten_spec(&declared.spec).into_iter();
+    let changes = fields.map(|(field, after)| FieldChange {
+        field,
+        before: None,
+        after: Some(after),
+    });
+    changes.collect()
+}
+
+impl<W> OperatorSession<'_, W>
+where
+    W: Write,
+{
+    /// Declares the resources of a file that differ from what stands.
+    pub(super) async fn apply(&mut self, file: &Path, dry_run: bool) -> Result<(), CliError> {
+        let declared = read_file(file)?;
+        let present = self.client.list(None).await?;
+        let steps = plan_apply(declared, &present);
+        if dry_run {
+            let reports = steps.iter().map(ApplyStep::preview).collect::<Vec<_>>();
+            return self.presenter.steps(&reports);
+        }
+        self.declare(&steps).await
+    }
+
+    /// Declares the steps in order and stops at the first that fails: what
+    /// follows may refer to it.
+    async fn declare(&mut self, steps: &[ApplyStep]) -> Result<(), CliError> {
+        let mut reports = Vec::new();
+        let mut failure = None;
+        for step in steps {
+            if failure.is_some() {
+                reports.push(step.report(StepOutcome::NotSent, None));
+                continue;
+            }
+            match self.declare_step(step).await {
+                Ok(report) => reports.push(report),
+                Err(error) => {
+                    reports.push(step.report(StepOutcome::of_failure(&error), None));
+                    failure = Some(error);
+                }
+            }
+        }
+        self.presenter.steps(&reports)?;
+        match failure {
+            Some(error) => Err(error),
+            None => Ok(()),
+        }
+    }
+
+    async fn declare_step(&self, step: &ApplyStep) -> Result<StepReport, CliError> {
+        let (based_on, outcome) = match step.change {
+            StepChange::Create => (None, StepOutcome::Created),
+            StepChange::Update { based_on, .. } => (Some(based_on), StepOutcome::Changed),
+            StepChange::Unchanged { version } => {
+                return Ok(step.report(StepOutcome::Unchanged, Some(version)));
+            }
+        };
+        let body = ApplyBody {
+            spec: step.declared.spec.clone(),
+            based_on,
+        };
+        let accepted = self.client.apply(&step.declared.key, &body).await?;
+        Ok(step.report(outcome, Some(accepted.version)))
+    }
+}
+
+fn read_file(file: &Path) -> Result<Vec<DeclaredResource>, CliError> {
+    let shown = file.display().to_string();
+    let text = std::fs::read_to_string(file)
+        .map_err(|error| CliError::Usage(format!("{shown}: cannot be read: {error}")))?;
+    parse_resources(&text).map_err(|mistakes| CliError::BadFile {
+        file: shown,
+        mistakes,
+    })
+}
--- /dev/null
+++ b/src/cli/client.rs
@@ -0,0 +1,280 @@
+//! HTTP client of the operators' interface.
+
+use std::error::Error;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderValue, Method, Request, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use super::CliError;
+use crate::api::wire::{
+    AcceptedBody, ApplyBody, ConflictBody, ExplainView, ForceView, RefusalBody, ResourceView,
+    StatusView,
+};
+use crate::ids::LogOffset;
+use crate::reason::RefusalReason;
+use crate::resources::{ResourceKey, ResourceKind};
+
+/// How long a connection may take to open.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(3);
+/// How long an answer may take: a change is answered only once it is replayed.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(30);
+/// Longest answer that is read, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+
+/// A client of one entry host's operators' listener.
+pub struct OperatorClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+    server: SocketAddr,
+    authorization: HeaderValue,
+}
+
+/// Status and body of an answer.
+struct RawAnswer {
+    status: StatusCode,
+    body: Bytes,
+}
+
+impl OperatorClient {
+    /// Builds a client; connections are opened when first used.
+    ///
+    /// # Errors
+    /// If the token cannot stand in a header.
+    pub fn open(server: SocketAddr, token: &str) -> Result<Self, CliError> {
+        let mut authorization = HeaderValue::try_from(format!("Bearer {token}")).map_err(|_| {
+            CliError::Usage("the token has characters that a header cannot carry".to_owned())
+        })?;
+        authorization.set_sensitive(true);
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        // The library would send a request again on another connection by
+        // itself; whether to repeat a change is the operator's choice.
+        let client = Client::builder(TokioExecutor::new())
+            .retry_canceled_requests(false)
+            .build(connector);
+        Ok(Self {
+            client,
+            server,
+            authorization,
+        })
+    }
+
+    /// All declared resources, or those of one kind.
+    ///
+    /// # Errors
+    /// As of every call: no connection, no answer, or a refusal.
+    pub async fn list(&self, kind: Option<ResourceKind>) -> Result<Vec<ResourceView>, CliError> {
+        match kind {
+            None => self.read("/v1/resources").await,
+            Some(kind) => self.read(&format!("/v1/resources/{}", kind.name())).await,
+        }
+    }
+
+    /// One declared resource; `None` if it does not exist.
+    ///
+    /// # Errors
+    /// As of every call: no connection, no answer, or a refusal.
+    pub async fn find(&self, key: &ResourceKey) -> Result<Option<ResourceView>, CliError> {
+        match self.read(&resource_path(key)).await {
+            Ok(view) => Ok(Some(view)),
+            Err(CliError::Refused(refusal)) if refusal.reason == RefusalReason::Unknown => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+
+    /// How far the configuration is in force.
+    ///
+    /// # Errors
+    /// As of every call: no connection, no answer, or a refusal.
+    pub async fn force(&self) -> Result<ForceView, CliError> {
+        self.read("/v1/force").await
+    }
+
+    /// What was decided about a request.
+    ///
+    /// # Errors
+    /// As of every call: no connection, no answer, or a refusal.
+    pub async fn explain(&self, request: &str) -> Result<ExplainView, CliError> {
+        self.read(&format!("/v1/explain/{}", encode_segment(request)))
+            .await
+    }
+
+    /// How the host sees itself and the targets.
+    ///
+    /// # Errors
+    /// As of every call: no connection, no answer, or a refusal.
+    pub async fn status(&self) -> Result<StatusView, CliError> {
+        self.read("/v1/status").await
+    }
+
+    /// Declares a resource.
+    ///
+    /// # Errors
+    /// As of every call, and if the change lost a race.
+    pub async fn apply(
+        &self,
+        key: &ResourceKey,
+        body: &ApplyBody,
+    ) -> Result<AcceptedBody, CliError> {
+        let body = self.encode(body)?;
+        let answer = self.send(Method::PUT, &resource_path(key), body).await?;
+        self.change_answer(key, &answer)
+    }
+
+    /// Removes a resource.
+    ///
+    /// # Errors
+    /// As of every call, and if the change lost a race.
+    pub async fn delete(
+        &self,
+        key: &ResourceKey,
+        based_on: LogOffset,
+    ) -> Result<AcceptedBody, CliError> {
+        let path = format!("{}?based_on={based_on}", resource_path(key));
+        let answer = self.send(Method::DELETE, &path, Bytes::new()).await?;
+        self.change_answer(key, &answer)
+    }
+
+    async fn read<T>(&self, path: &str) -> Result<T, CliError>
+    where
+        T: DeserializeOwned,
+    {
+        let answer = self.send(Method::GET, path, Bytes::new()).await?;
+        self.decode(&answer)
+    }
+
+    fn change_answer(
+        &self,
+        key: &ResourceKey,
+        answer: &RawAnswer,
+    ) -> Result<AcceptedBody, CliError> {
+        match serde_json::from_slice::<ConflictBody>(&answer.body) {
+            Ok(conflict) if answer.status == StatusCode::CONFLICT => Err(CliError::LostRace {
+                key: key.clone(),
+                conflict: Box::new(conflict),
+            }),
+            _ => self.decode(answer),
+        }
+    }
+
+    async fn send(&self, method: Method, path: &str, body: Bytes) -> Result<RawAnswer, CliError> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.server))
+            .header(header::AUTHORIZATION, self.authorization.clone())
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::new(body))
+            .map_err(|error| CliError::Usage(format!("{path} cannot be asked for: {error}")))?;
+        match tokio::time::timeout(ANSWER_TIMEOUT, self.exchange(request)).await {
+            Ok(answer) => answer,
+            Err(_) => Err(self.no_answer(&"timed out")),
+        }
+    }
+
+    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<RawAnswer, CliError> {
+        let response = match self.client.request(request).await {
+            Ok(response) => response,
+            Err(error) if error.is_connect() => {
+                return Err(CliError::Unreachable {
+                    server: self.server,
+                    cause: with_sources(&error),
+                });
+            }
+            Err(error) => return Err(self.no_answer(&with_sources(&error))),
+        };
+        let status = response.status();
+        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+        let body = body
+            .collect()
+            .await
+            .map_err(|error| self.no_answer(&error))?;
+        Ok(RawAnswer {
+            status,
+            body: body.to_bytes(),
+        })
+    }
+
+    fn encode<T>(&self, body: &T) -> Result<Bytes, CliError>
+    where
+        T: Serialize,
+    {
+        match serde_json::to_vec(body) {
+            Ok(text) => Ok(text.into()),
+            Err(error) => Err(CliError::Usage(format!("cannot be sent as JSON: {error}"))),
+        }
+    }
+
+    fn decode<T>(&self, answer: &RawAnswer) -> Result<T, CliError>
+    where
+        T: DeserializeOwned,
+    {
+        let not_understood = |error: serde_json::Error| CliError::NotUnderstood {
+            server: self.server,
+            cause: format!("status {}: {error}", answer.status),
+        };
+        if answer.status.is_success() {
+            return serde_json::from_slice(&answer.body).map_err(not_understood);
+        }
+        match serde_json::from_slice::<RefusalBody>(&answer.body) {
+            Ok(refusal) => Err(CliError::Refused(Box::new(refusal))),
+            Err(error) => Err(not_understood(error)),
+        }
+    }
+
+    fn no_answer<C>(&self, cause: &C) -> CliError
+    where
+        C: ToString,
+    {
+        CliError::NoAnswer {
+            server: self.server,
+            cause: cause.to_string(),
+        }
+    }
+}
+
+fn resource_path(key: &ResourceKey) -> String {
+    format!(
+        "/v1/resources/{}/{}",
+        key.kind.name(),
+        encode_segment(&key.name)
+    )
+}
+
+/// Percent-encodes a text as one segment of a path: a name with a slash or a
+/// question mark in it would otherwise address another resource.
+fn encode_segment(text: &str) -> String {
+    let mut encoded = String::with_capacity(text.len());
+    for byte in text.bytes() {
+        match byte {
+            b'a'..=b'z' | b'A'..=b'Z' | b'0'..=b'9' | b'-' | b'_' | b'~' => {
+                encoded.push(char::from(byte));
+            }
+            // Writing to a string cannot fail.
+            _ => drop(write!(encoded, "%{byte:02X}")),
+        }
+    }
+    encoded
+}
+
+/// An error with its causes; the outermost alone says only "client error".
+fn with_sources<E>(error: &E) -> String
+where
+    E: Error,
+{
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(cause) = source {
+        // Writing to a string cannot fail.
+        let _ = write!(text, ": {cause}");
+        source = cause.source();
+    }
+    text
+}
--- /dev/null
+++ b/src/cli/difference.rs
@@ -0,0 +1,65 @@
+//! The difference between two versions of a resource, field by field.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::resources::ResourceSpec;
+
+/// One field that differs.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct FieldChange {
+    /// Path of the field, such as `capacity.requests_per_second`.
+    pub field: String,
+    /// Value that stands; `None` if the field is new.
+    pub before: Option<Value>,
+    /// Value that is declared; `None` if the field goes away.
+    pub after: Option<Value>,
+}
+
+/// The fields in which two specs differ, by path.
+pub fn compare_specs(before: &ResourceSpec, after: &ResourceSpec) -> Vec<FieldChange> {
+    let before = flatten_spec(before);
+    let after = flatten_spec(after);
+    let fields = before.keys().chain(after.keys()).collect::<BTreeSet<_>>();
+    let changes = fields.into_iter().map(|field| FieldChange {
+        field: field.clone(),
+        before: before.get(field).cloned(),
+        after: after.get(field).cloned(),
+    });
+    changes
+        .filter(|change| change.before != change.after)
+        .collect()
+}
+
+/// Every plain value of a spec by its path.
+pub(super) fn flatten_spec(spec: &ResourceSpec) -> BTreeMap<String, Value> {
+    let mut fields = BTreeMap::new();
+    // A spec always has a JSON form; it came from one or goes into one.
+    if let Ok(Value::Object(tagged)) = serde_json::to_value(spec) {
+        for inner in tagged.into_iter().map(|(_, inner)| inner) {
+            flatten("", inner, &mut fields);
+        }
+    }
+    fields
+}
+
+fn flatten(path: &str, value: Value, fields: &mut BTreeMap<String, Value>) {
+    match value {
+        Value::Object(members) if !members.is_empty() => {
+            for (name, member) in members {
+                let dot = if path.is_empty() { "" } else { "." };
+                flatten(&format!("{path}{dot}{name}"), member, fields);
+            }
+        }
+        Value::Array(entries) if !entries.is_empty() => {
+            for (index, entry) in entries.into_iter().enumerate() {
+                flatten(&format!("{path}[{index}]"), entry, fields);
+            }
+        }
+        plain => {
+            fields.insert(path.to_owned(), plain);
+        }
+    }
+}
--- /dev/null
+++ b/src/cli/error.rs
@@ -0,0 +1,141 @@
+//! Errors of the command line; each says what to do next.
+
+use std::io;
+use std::net::SocketAddr;
+
+use super::force::ForceProgress;
+use super::view;
+use crate::api::wire::{ConflictBody, RefusalBody};
+use crate::reason::RefusalReason;
+use crate::resources::ResourceKey;
+use crate::verdict::RunVerdict;
+
+const FAILED_STATUS: u8 = 1;
+const USAGE_STATUS: u8 = 2;
+const LOST_RACE_STATUS: u8 = 3;
+const NOT_IN_FORCE_STATUS: u8 = 4;
+
+/// Why a command did not succeed.
+#[derive(Debug, thiserror::Error)]
+pub enum CliError {
+    /// The command line is wrong.
+    #[error("{0}")]
+    Usage(String),
+    /// The resource file has mistakes.
+    #[error("{file}: {} mistake(s), nothing was sent:\n  {}", mistakes.len(), mistakes.join("\n  "))]
+    BadFile {
+        /// The file.
+        file: String,
+        /// Every mistake, with its key.
+        mistakes: Vec<String>,
+    },
+    /// No connection could be opened, so nothing was sent.
+    #[error(
+        "cannot reach {server}: {cause}\nCheck that the daemon runs and that --server names its \
+         operators' listener, or name another entry host."
+    )]
+    Unreachable {
+        /// The server.
+        server: SocketAddr,
+        /// What the connection said.
+        cause: String,
+    },
+    /// The connection broke or timed out before an answer.
+    #[error(
+        "no answer from {server}: {cause}\nA change that was sent may have taken effect. Run the \
+         same command again: what has taken effect is not sent twice."
+    )]
+    NoAnswer {
+        /// The server.
+        server: SocketAddr,
+        /// What the connection said.
+        cause: String,
+    },
+    /// The daemon refused.
+    #[error("refused ({}): {}{}", .0.reason.name(), .0.message, refusal_advice(.0))]
+    Refused(Box<RefusalBody>),
+    /// The change lost a race.
+    #[error("{key}: lost the race: {}", conflict_text(key, conflict))]
+    LostRace {
+        /// The resource.
+        key: ResourceKey,
+        /// Who won.
+        conflict: Box<ConflictBody>,
+    },
+    /// The answer is not one that the daemon gives.
+    #[error(
+        "{server} gave an answer that is not understood ({cause})\nCheck that --server names an \
+         operators' listener and that both programs have the same version."
+    )]
+    NotUnderstood {
+        /// The server.
+        server: SocketAddr,
+        /// Status and cause.
+        cause: String,
+    },
+    /// The journal of the host has nothing on the request.
+    #[error(
+        "nothing is known about {request} here\nAsk the entry host that took the request; old \
+         decisions are dropped first."
+    )]
+    NothingKnown {
+        /// The request.
+        request: String,
+    },
+    /// The time for watching is over.
+    #[error(
+        "not in force everywhere in time: {}\nWatch on with `jackdawwick watch --version {}`, and \
+         look at the hosts named.",
+        view::describe_progress(.0),
+        .0.version()
+    )]
+    NotInForce(ForceProgress),
+    /// The result could not be written.
+    #[error("the result could not be written: {0}")]
+    Output(#[from] io::Error),
+}
+
+impl CliError {
+    /// The process's exit status.
+    pub fn exit_status(&self) -> u8 {
+        match self {
+            Self::Usage(_) | Self::BadFile { .. } => USAGE_STATUS,
+            Self::LostRace { .. } => LOST_RACE_STATUS,
+            Self::NotInForce(_) => NOT_IN_FORCE_STATUS,
+            _ => FAILED_STATUS,
+        }
+    }
+}
+
+fn conflict_text(key: &ResourceKey, conflict: &ConflictBody) -> String {
+    let next = format!(
+        "Look at it with `jackdawwick get {} {}`, then run your command again if the change is still wanted.",
+        key.kind.name(),
+        key.name
+    );
+    let operator = conflict.operator.as_deref().unwrap_or("another operator");
+    match conflict.winner {
+        Some(winner) => format!("{operator} won with version {winner}. {next}"),
+        None => format!("{operator} won: the resource does not exist now. {next}"),
+    }
+}
+
+fn refusal_advice(refusal: &RefusalBody) -> String {
+    let again = match refusal.retry_after_ms {
+        Some(wait) => format!("again in {wait} ms"),
+        None => "again later".to_owned(),
+    };
+    match (refusal.verdict, refusal.reason) {
+        (RunVerdict::MayHaveRun, _) => "\nThe change may have taken effect. Run the same command \
+             again: what has taken effect is not sent twice."
+            .to_owned(),
+        (_, RefusalReason::Unauthenticated) => "\nCheck the token against the credentials in \
+             the daemon's settings, section [operators]."
+            .to_owned(),
+        (_, RefusalReason::Unknown) => "\nList what exists with `jackdawwick get`.".to_owned(),
+        (_, RefusalReason::Malformed) => "\nCorrect it and run the command again.".to_owned(),
+        _ => {
+            format!("\nNothing was changed. Try {again}, or name another entry host with --server.")
+        }
+    }
+}
--- /dev/null
+++ b/src/cli/queries.rs
@@ -0,0 +1,77 @@
+//! The remaining commands: `get`, `delete`, `explain` and `status`.
+
+use std::io::Write;
+
+use super::CliError;
+use super::session::OperatorSession;
+use super::view::{StepOutcome, StepReport};
+use crate::api::wire::{RefusalBody, ResourceView};
+use crate::reason::RefusalReason;
+use crate::resources::{ResourceKey, ResourceKind};
+use crate::verdict::RunVerdict;
+
+impl<W> OperatorSession<'_, W>
+where
+    W: Write,
+{
+    /// Shows all resources, those of a kind, or one.
+    pub(super) async fn get(
+        &mut self,
+        kind: Option<ResourceKind>,
+        name: Option<String>,
+    ) -> Result<(), CliError> {
+        match (kind, name) {
+            (Some(kind), Some(name)) => {
+                let view = self.find(&ResourceKey::new(kind, name)).await?;
+                self.presenter.resource(&view)
+            }
+            (kind, _) => {
+                let mut views = self.client.list(kind).await?;
+                views.sort_by(|one, other| one.key.cmp(&other.key));
+                self.presenter.resources(&views)
+            }
+        }
+    }
+
+    /// Removes a resource as it stands now.
+    pub(super) async fn delete(&mut self, key: ResourceKey) -> Result<(), CliError> {
+        let view = self.find(&key).await?;
+        let accepted = self.client.delete(&key, view.version).await?;
+        self.presenter.steps(&[StepReport {
+            resource: key,
+            outcome: StepOutcome::Deleted,
+            version: Some(accepted.version),
+            fields: Vec::new(),
+        }])
+    }
+
+    /// Shows what was decided about a request.
+    pub(super) async fn explain(&mut self, request: &str) -> Result<(), CliError> {
+        let view = self.client.explain(request).await?;
+        if view.entries.is_empty() {
+            return Err(CliError::NothingKnown {
+                request: request.to_owned(),
+            });
+        }
+        self.presenter.explanation(&view)
+    }
+
+    /// Shows how the host sees itself and the targets.
+    pub(super) async fn status(&mut self) -> Result<(), CliError> {
+        let view = self.client.status().await?;
+        self.presenter.status(&view)
+    }
+
+    async fn find(&self, key: &ResourceKey) -> Result<ResourceView, CliError> {
+        match self.client.find(key).await? {
+            Some(view) => Ok(view),
+            None => Err(CliError::Refused(Box::new(RefusalBody {
+                verdict: RunVerdict::NotRun,
+                reason: RefusalReason::Unknown,
+                message: format!("there is no {key}"),
+                retry_after_ms: None,
+                request: None,
+            }))),
+        }
+    }
+}
--- /dev/null
+++ b/src/cli/resource_file.rs
@@ -0,0 +1,150 @@
+//! Reads the resources that an operator declares in a TOML file.
+
+use serde::de::DeserializeOwned;
+use toml::{Table, Value};
+
+use crate::resources::{ResourceKey, ResourceKind, ResourceSpec};
+
+/// Every kind, in the order in which resources are declared: a resource comes
+/// after those that it refers to.
+pub(super) const KINDS: [ResourceKind; 5] = [
+    ResourceKind::Target,
+    ResourceKind::Model,
+    ResourceKind::Pipeline,
+    ResourceKind::Service,
+    ResourceKind::Organisation,
+];
+
+/// One resource of a file.
+#[derive(Debug, Clone, PartialEq)]
+pub struct DeclaredResource {
+    /// Kind and name.
+    pub key: ResourceKey,
+    /// What is declared.
+    pub spec: ResourceSpec,
+}
+
+/// Reads and checks a file with tables such as `[model.NAME]`; the resources
+/// come in the order in which they are to be declared.
+///
+/// # Errors
+/// Every mistake found, each with its key.
+pub fn parse_resources(text: &str) -> Result<Vec<DeclaredResource>, Vec<String>> {
+    let table = text
+        .parse::<Table>()
+        .map_err(|error| vec![format!("not valid TOML: {}", error.to_string().trim_end())])?;
+    let mut mistakes = unknown_kinds(&table);
+    let mut resources = Vec::new();
+    for kind in KINDS {
+        match table.get(kind.name()) {
+            None => (),
+            Some(Value::Table(named)) => {
+                read_kind(kind, named, &mut resources, &mut mistakes);
+            }
+            Some(_) => mistakes.push(format!("{0}: expected tables [{0}.NAME]", kind.name())),
+        }
+    }
+    match (mistakes.is_empty(), resources.is_empty()) {
+        (false, _) => Err(mistakes),
+        (true, true) => Err(vec!["the file declares nothing".to_owned()]),
+        (true, false) => Ok(resources),
+    }
+}
+
+/// The kind with a name.
+pub(super) fn kind_by_name(name: &str) -> Option<ResourceKind> {
+    KINDS.into_iter().find(|kind| kind.name() == name)
+}
+
+fn unknown_kinds(table: &Table) -> Vec<String> {
+    let known = KINDS.map(ResourceKind::name).join(", ");
+    let unknown = table.keys().filter(|name| kind_by_name(name).is_none());
+    unknown
+        .map(|name| format!("{name}: unknown kind, known: {known}"))
+        .collect()
+}
+
+fn read_kind(
+    kind: ResourceKind,
+    named: &Table,
+    resources: &mut Vec<DeclaredResource>,
+    mistakes: &mut Vec<String>,
+) {
+    for (name, value) in named {
+        let path = format!("{}.{name}", kind.name());
+        let Value::Table(fields) = value else {
+            mistakes.push(format!("{path}: expected a table"));
+            continue;
+        };
+        match read_spec(kind, fields) {
+            Ok(spec) => resources.push(DeclaredResource {
+                key: ResourceKey::new(kind, name.as_str()),
+                spec,
+            }),
+            Err(found) => mistakes.extend(found.iter().map(|text| format!("{path}{text}"))),
+        }
+    }
+}
+
+fn read_spec(kind: ResourceKind, fields: &Table) -> Result<ResourceSpec, Vec<String>> {
+    let spec = match kind {
+        ResourceKind::Target => read_fields(fields).map(ResourceSpec::Target),
+        ResourceKind::Model => read_fields(fields).map(ResourceSpec::Model),
+        ResourceKind::Pipeline => read_fields(fields).map(ResourceSpec::Pipeline),
+        ResourceKind::Service => read_fields(fields).map(ResourceSpec::Service),
+        ResourceKind::Organisation => read_fields(fields).map(ResourceSpec::Organisation),
+    }?;
+    match spec.check() {
+        Ok(()) => Ok(spec),
+        Err(error) => Err(vec![format!(".{error}")]),
+    }
+}
+
+/// Reads a resource from its fields. The deserialiser stops at the first
+/// mistake, so on failure each field is tried alone to report one of each.
+fn read_fields<S>(fields: &Table) -> Result<S, Vec<String>>
+where
+    S: DeserializeOwned,
+{
+    let whole = match deserialize::<S>(fields.clone()) {
+        Ok(spec) => return Ok(spec),
+        Err(mistake) => mistake,
+    };
+    let alone = fields.iter().filter_map(|(name, value)| {
+        let field = Table::from_iter([(name.clone(), value.clone())]);
+        deserialize::<S>(field).err()
+    });
+    // A field alone always fails: for the fields that are missing beside it,
+    // which is said of the resource as a whole, or for a mistake of its own.
+    let mut mistakes = alone
+        .filter(|mistake| mistake.is_in_field)
+        .map(|mistake| mistake.text)
+        .collect::<Vec<_>>();
+    if !whole.is_in_field {
+        mistakes.push(whole.text);
+    }
+    Err(mistakes)
+}
+
+/// A mistake of the deserialiser.
+struct FieldMistake {
+    /// Whether it lies in a field that is there.
+    is_in_field: bool,
+    /// Path and message.
+    text: String,
+}
+
+fn deserialize<S>(fields: Table) -> Result<S, FieldMistake>
+where
+    S: DeserializeOwned,
+{
+    serde_path_to_error::deserialize(fields).map_err(|error| {
+        let is_in_field = error.path().iter().next().is_some();
+        let message = error.inner().message();
+        let text = match is_in_field {
+            true => format!(".{}: {message}", error.path()),
+            false => format!(": {message}"),
+        };
+        FieldMistake { is_in_field, text }
+    })
+}
--- /dev/null
+++ b/src/cli/table.rs
@@ -0,0 +1,56 @@
+//! Aligned columns.
+
+/// Spaces between two columns.
+const GAP: usize = 2;
+
+/// Rows of text under a header, aligned when written.
+pub(super) struct TextTable {
+    rows: Vec<Vec<String>>,
+}
+
+impl TextTable {
+    /// A table with its header.
+    pub(super) fn new(header: &[&str]) -> Self {
+        let header = header.iter().map(|&name| name.to_owned()).collect();
+        Self { rows: vec![header] }
+    }
+
+    /// Adds a row with a cell for each column.
+    pub(super) fn row<C>(&mut self, cells: C)
+    where
+        C: IntoIterator<Item = String>,
+    {
+        self.rows
+            .push(cells.into_iter().map(|cell| visible(&cell)).collect());
+    }
+
+    /// The lines, aligned.
+    pub(super) fn lines(&self) -> Vec<String> {
+        let columns = self.rows.iter().map(Vec::len).max().unwrap_or(0);
+        let widths = (0..columns).map(|column| self.width(column));
+        let widths = widths.collect::<Vec<_>>();
+        let lines = self.rows.iter().map(|row| align(row, &widths));
+        lines.collect()
+    }
+
+    fn width(&self, column: usize) -> usize {
+        let cells = self.rows.iter().filter_map(|row| row.get(column));
+        cells.map(|cell| cell.chars().count()).max().unwrap_or(0)
+    }
+}
+
+fn align(row: &[String], widths: &[usize]) -> String {
+    let mut line = String::new();
+    for (cell, &width) in row.iter().zip(widths) {
+        let padding = width + GAP - cell.chars().count();
+        line.push_str(cell);
+        line.extend(std::iter::repeat_n(' ', padding));
+    }
+    line.trim_end().to_owned()
+}
+
+/// Replaces control characters: another operator's text could otherwise move
+/// the cursor and hide what this operator is about to decide on.
+fn visible(cell: &str) -> String {
+    cell.replace(char::is_control, "?")
+}
--- /dev/null
+++ b/src/cli/watch.rs
@@ -0,0 +1,60 @@
+//! `watch`: shows how far a change is in force, until it is so everywhere.
+
+use std::io::Write;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::CliError;
+use super::force::{ForceProgress, judge_force, newest_applied};
+use super::session::OperatorSession;
+use crate::ids::LogOffset;
+
+/// Time between two looks.
+const POLL_INTERVAL: Duration = Duration::from_millis(200);
+
+impl<W> OperatorSession<'_, W>
+where
+    W: Write,
+{
+    /// Shows each progress of a change until every host has applied it.
+    pub(super) async fn watch(
+        &mut self,
+        version: Option<LogOffset>,
+        timeout: Duration,
+    ) -> Result<(), CliError> {
+        let deadline = Instant::now() + timeout;
+        let mut required = version.map(|version| version.saturating_add(1));
+        let mut shown: Option<ForceProgress> = None;
+        loop {
+            let failure = match self.client.force().await {
+                Ok(view) => {
+                    let required = *required.get_or_insert_with(|| newest_applied(&view));
+                    let progress = judge_force(&view, required);
+                    if shown.as_ref() != Some(&progress) {
+                        self.presenter.progress(&progress)?;
+                    }
+                    if progress.done {
+                        return Ok(());
+                    }
+                    shown = Some(progress);
+                    None
+                }
+                // A host that is replaced while one watches comes back or has a
+                // successor; a refusal stays.
+                Err(error @ (CliError::Unreachable { .. } | CliError::NoAnswer { .. })) => {
+                    Some(error)
+                }
+                Err(error) => return Err(error),
+            };
+            if Instant::now() + POLL_INTERVAL > deadline {
+                return Err(match (failure, shown) {
+                    (None, Some(progress)) => CliError::NotInForce(progress),
+                    (Some(error), _) => error,
+                    (None, None) => CliError::Usage("no time to watch: raise --timeout".to_owned()),
+                });
+            }
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod admission;
 pub mod api;
 pub mod auth;
+pub mod cli;
 pub mod collections;
 pub mod daemon;
 pub mod ids;
