--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -18,6 +18,25 @@
   heldGrant @3 :UInt32;
   # Concurrent requests that the host may still use under its last grant.
   grantNumber @4 :UInt64;
+  heldRate @5 :UInt32;
+  # Requests per second that the host may still start under its last grant.
+  wantedRate @6 :UInt32;
+  # Requests per second asked of the host over the last seconds.
+  grantLease @7 :UInt64;
+  # Offset of the lease under which the last grant was given.
+}
+
+struct ZoneDigest {
+  # What a host knows of the hosts in its own availability zone; bounded in size.
+  zone @0 :Text;
+  liveHosts @1 :UInt32;
+  lowestAppliedOffset @2 :UInt64;
+  # Lowest offset after the last applied declaration record over live hosts.
+  slowestHost @3 :Text;
+  unreachable @4 :List(Text);
+  # Some of the hosts that cannot be reached, by name.
+  unreachableCount @5 :UInt32;
+  # All of them, counted.
 }
 
 struct Heartbeat {
@@ -31,6 +50,10 @@
   loads @6 :List(TargetLoad);
   demands @7 :List(OrganisationDemand);
   peerAddress @8 :Text;
+  digest @9 :ZoneDigest;
+  # Present only between availability zones.
+  demandsFor @10 :UInt64;
+  # Offset of the lease to whose holder the demands are reported; 0 if none.
 }
 
 struct Grant {
@@ -38,6 +61,7 @@
   concurrentRequests @1 :UInt32;
   requestsPerSecond @2 :UInt32;
   number @3 :UInt64;
+  # Grows by one with each grant of one holder to one host.
 }
 
 struct HeartbeatReply {
@@ -49,6 +73,11 @@
   # Present only if the receiver holds the lease on the zone's shares.
   leaseOffset @5 :UInt64;
   leasedGrants @6 :Bool;
+  zone @7 :Text;
+  sequence @8 :UInt64;
+  loads @9 :List(TargetLoad);
+  peerAddress @10 :Text;
+  digest @11 :ZoneDigest;
 }
 
 struct RelayedRecord {
--- /dev/null
+++ b/src/peer/convert.rs
@@ -0,0 +1,411 @@
+//! Translation between the messages of peers and their encoding.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use super::message::{
+    ClaimOutcome, ClaimQuestion, PeerDemand, PeerGrant, PeerHeartbeat, PeerLoad, PeerReply,
+    RelayedRange, ZoneDigest,
+};
+use crate::ids::LogOffset;
+use crate::peer_capnp as wire;
+use crate::platform::wire::StoredRecord;
+use crate::verdict::RunVerdict;
+
+const VERDICT_NOT_RUN: &str = "not_run";
+const VERDICT_MAY_HAVE_RUN: &str = "may_have_run";
+const VERDICT_RAN: &str = "ran";
+
+fn text(reader: capnp::Result<capnp::text::Reader<'_>>) -> capnp::Result<Arc<str>> {
+    Ok(Arc::from(reader?.to_str()?))
+}
+
+fn string(reader: capnp::Result<capnp::text::Reader<'_>>) -> capnp::Result<String> {
+    Ok(reader?.to_string()?)
+}
+
+fn address(reader: capnp::Result<capnp::text::Reader<'_>>) -> capnp::Result<SocketAddr> {
+    let found = reader?.to_str()?;
+    found
+        .parse()
+        .map_err(|_| capnp::Error::failed(format!("{found:?} is not an IP address and port")))
+}
+
+fn length(items: usize) -> u32 {
+    u32::try_from(items).unwrap_or(u32::MAX)
+}
+
+fn milliseconds(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Zero stands for "none": no lease record has offset zero in this encoding,
+/// because offsets are written with one added.
+fn write_offset(offset: Option<LogOffset>) -> u64 {
+    offset.map_or(0, |offset| offset.saturating_add(1))
+}
+
+fn read_offset(encoded: u64) -> Option<LogOffset> {
+    encoded.checked_sub(1)
+}
+
+fn write_loads(
+    mut list: capnp::struct_list::Builder<'_, wire::target_load::Owned>,
+    loads: &[PeerLoad],
+) {
+    for (index, load) in (0..).zip(loads) {
+        let mut entry = list.reborrow().get(index);
+        entry.set_target(&*load.target);
+        entry.set_running(load.running);
+        entry.set_waiting(load.waiting);
+        entry.set_tokens_per_second(load.tokens_per_second);
+        entry.set_age_ms(milliseconds(load.age));
+        entry.set_leaving(load.leaving);
+    }
+}
+
+fn read_loads(
+    list: capnp::struct_list::Reader<'_, wire::target_load::Owned>,
+) -> capnp::Result<Vec<PeerLoad>> {
+    list.iter()
+        .map(|entry| {
+            Ok(PeerLoad {
+                target: text(entry.get_target())?,
+                running: entry.get_running(),
+                waiting: entry.get_waiting(),
+                tokens_per_second: entry.get_tokens_per_second(),
+                age: Duration::from_millis(entry.get_age_ms()),
+                leaving: entry.get_leaving(),
+            })
+        })
+        .collect()
+}
+
+fn write_digest(mut builder: wire::zone_digest::Builder<'_>, digest: &ZoneDigest) {
+    builder.set_zone(&*digest.zone);
+    builder.set_live_hosts(digest.live_hosts);
+    builder.set_lowest_applied_offset(digest.lowest_applied_offset);
+    builder.set_slowest_host(&*digest.slowest_host);
+    builder.set_unreachable_count(digest.unreachable_count);
+    let mut names = builder.init_unreachable(length(digest.unreachable.len()));
+    for (index, name) in (0..).zip(&digest.unreachable) {
+        names.set(index, &**name);
+    }
+}
+
+fn read_digest(reader: wire::zone_digest::Reader<'_>) -> capnp::Result<ZoneDigest> {
+    let unreachable = reader
+        .get_unreachable()?
+        .iter()
+        .map(text)
+        .collect::<capnp::Result<Vec<_>>>()?;
+    Ok(ZoneDigest {
+        zone: text(reader.get_zone())?,
+        live_hosts: reader.get_live_hosts(),
+        lowest_applied_offset: reader.get_lowest_applied_offset(),
+        slowest_host: text(reader.get_slowest_host())?,
+        unreachable,
+        unreachable_count: reader.get_unreachable_count(),
+    })
+}
+
+fn write_demands(
+    mut list: capnp::struct_list::Builder<'_, wire::organisation_demand::Owned>,
+    demands: &[PeerDemand],
+) {
+    for (index, demand) in (0..).zip(demands) {
+        let mut entry = list.reborrow().get(index);
+        entry.set_organisation(&*demand.organisation);
+        entry.set_in_flight(demand.in_flight);
+        entry.set_waiting(demand.waiting);
+        entry.set_wanted_rate(demand.wanted_rate);
+        entry.set_held_grant(demand.held_grant);
+        entry.set_held_rate(demand.held_rate);
+        entry.set_grant_number(demand.grant_number);
+        entry.set_grant_lease(write_offset(demand.grant_lease));
+    }
+}
+
+fn read_demands(
+    list: capnp::struct_list::Reader<'_, wire::organisation_demand::Owned>,
+) -> capnp::Result<Vec<PeerDemand>> {
+    list.iter()
+        .map(|entry| {
+            Ok(PeerDemand {
+                organisation: text(entry.get_organisation())?,
+                in_flight: entry.get_in_flight(),
+                waiting: entry.get_waiting(),
+                wanted_rate: entry.get_wanted_rate(),
+                held_grant: entry.get_held_grant(),
+                held_rate: entry.get_held_rate(),
+                grant_number: entry.get_grant_number(),
+                grant_lease: read_offset(entry.get_grant_lease()),
+            })
+        })
+        .collect()
+}
+
+/// Encodes a heartbeat.
+pub(super) fn write_heartbeat(mut builder: wire::heartbeat::Builder<'_>, beat: &PeerHeartbeat) {
+    builder.set_host(&*beat.host);
+    builder.set_zone(&*beat.zone);
+    builder.set_incarnation(beat.incarnation);
+    builder.set_sequence(beat.sequence);
+    builder.set_applied_offset(beat.applied_offset);
+    builder.set_draining(beat.draining);
+    builder.set_peer_address(beat.peer_address.to_string());
+    builder.set_demands_for(write_offset(beat.demands_for));
+    write_loads(
+        builder.reborrow().init_loads(length(beat.loads.len())),
+        &beat.loads,
+    );
+    write_demands(
+        builder.reborrow().init_demands(length(beat.demands.len())),
+        &beat.demands,
+    );
+    if let Some(digest) = &beat.digest {
+        write_digest(builder.init_digest(), digest);
+    }
+}
+
+/// Decodes a heartbeat.
+///
+/// # Errors
+/// Text that is not UTF-8, an address that is none, a pointer out of bounds.
+pub(super) fn read_heartbeat(reader: wire::heartbeat::Reader<'_>) -> capnp::Result<PeerHeartbeat> {
+    let digest = match reader.has_digest() {
+        true => Some(read_digest(reader.get_digest()?)?),
+        false => None,
+    };
+    Ok(PeerHeartbeat {
+        host: text(reader.get_host())?,
+        zone: text(reader.get_zone())?,
+        incarnation: reader.get_incarnation(),
+        sequence: reader.get_sequence(),
+        applied_offset: reader.get_applied_offset(),
+        draining: reader.get_draining(),
+        peer_address: address(reader.get_peer_address())?,
+        loads: read_loads(reader.get_loads()?)?,
+        demands: read_demands(reader.get_demands()?)?,
+        demands_for: read_offset(reader.get_demands_for()),
+        digest,
+    })
+}
+
+/// Encodes the answer to a heartbeat.
+pub(super) fn write_reply(mut builder: wire::heartbeat_reply::Builder<'_>, reply: &PeerReply) {
+    let beat = &reply.beat;
+    builder.set_host(&*beat.host);
+    builder.set_zone(&*beat.zone);
+    builder.set_incarnation(beat.incarnation);
+    builder.set_sequence(beat.sequence);
+    builder.set_applied_offset(beat.applied_offset);
+    builder.set_draining(beat.draining);
+    builder.set_peer_address(beat.peer_address.to_string());
+    builder.set_lease_offset(write_offset(reply.lease_offset));
+    builder.set_leased_grants(reply.lease_offset.is_some());
+    write_loads(
+        builder.reborrow().init_loads(length(beat.loads.len())),
+        &beat.loads,
+    );
+    write_grants(
+        builder.reborrow().init_grants(length(reply.grants.len())),
+        &reply.grants,
+    );
+    if let Some(digest) = &beat.digest {
+        write_digest(builder.init_digest(), digest);
+    }
+}
+
+fn write_grants(
+    mut list: capnp::struct_list::Builder<'_, wire::grant::Owned>,
+    grants: &[PeerGrant],
+) {
+    for (index, grant) in (0..).zip(grants) {
+        let mut entry = list.reborrow().get(index);
+        entry.set_organisation(&*grant.organisation);
+        entry.set_concurrent_requests(grant.concurrent_requests);
+        entry.set_requests_per_second(grant.requests_per_second);
+        entry.set_number(grant.number);
+    }
+}
+
+fn read_grants(
+    list: capnp::struct_list::Reader<'_, wire::grant::Owned>,
+) -> capnp::Result<Vec<PeerGrant>> {
+    list.iter()
+        .map(|entry| {
+            Ok(PeerGrant {
+                organisation: text(entry.get_organisation())?,
+                concurrent_requests: entry.get_concurrent_requests(),
+                requests_per_second: entry.get_requests_per_second(),
+                number: entry.get_number(),
+            })
+        })
+        .collect()
+}
+
+/// Decodes the answer to a heartbeat.
+///
+/// # Errors
+/// As [`read_heartbeat`].
+pub(super) fn read_reply(reader: wire::heartbeat_reply::Reader<'_>) -> capnp::Result<PeerReply> {
+    let digest = match reader.has_digest() {
+        true => Some(read_digest(reader.get_digest()?)?),
+        false => None,
+    };
+    Ok(PeerReply {
+        beat: PeerHeartbeat {
+            host: text(reader.get_host())?,
+            zone: text(reader.get_zone())?,
+            incarnation: reader.get_incarnation(),
+            sequence: reader.get_sequence(),
+            applied_offset: reader.get_applied_offset(),
+            draining: reader.get_draining(),
+            peer_address: address(reader.get_peer_address())?,
+            loads: read_loads(reader.get_loads()?)?,
+            demands: Vec::new(),
+            demands_for: None,
+            digest,
+        },
+        lease_offset: read_offset(reader.get_lease_offset()),
+        grants: read_grants(reader.get_grants()?)?,
+    })
+}
+
+/// Encodes relayed records, as many of them as fit into `byte_limit`.
+///
+/// A range that is cut short still ends where it says: the reader asks on
+/// from its last record. Without the cut, one answer over the reader's
+/// message limit would close the connection, and the next one again.
+pub(super) fn write_range(
+    mut builder: wire::record_range::Builder<'_>,
+    range: &RelayedRange,
+    byte_limit: usize,
+) {
+    builder.set_first_offset(range.first_offset);
+    builder.set_end_offset(range.end_offset);
+    let checkpoint = range.checkpoint.as_deref().unwrap_or_default();
+    builder.set_checkpoint(checkpoint);
+    let mut rest = byte_limit.saturating_sub(checkpoint.len());
+    let fitting = range
+        .records
+        .iter()
+        .take_while(|record| {
+            let fits = record.body.len() <= rest;
+            rest = rest.saturating_sub(record.body.len());
+            fits
+        })
+        .count();
+    let mut list = builder.init_records(length(fitting));
+    for (index, record) in (0..).zip(&range.records[..fitting]) {
+        let mut entry = list.reborrow().get(index);
+        entry.set_offset(record.offset);
+        entry.set_body(record.body.as_str());
+    }
+}
+
+/// Decodes relayed records.
+///
+/// # Errors
+/// As [`read_heartbeat`].
+pub(super) fn read_range(reader: wire::record_range::Reader<'_>) -> capnp::Result<RelayedRange> {
+    let records = reader
+        .get_records()?
+        .iter()
+        .map(|entry| {
+            Ok(StoredRecord {
+                offset: entry.get_offset(),
+                body: string(entry.get_body())?,
+            })
+        })
+        .collect::<capnp::Result<Vec<_>>>()?;
+    let checkpoint = string(reader.get_checkpoint())?;
+    Ok(RelayedRange {
+        first_offset: reader.get_first_offset(),
+        end_offset: reader.get_end_offset(),
+        records,
+        checkpoint: Some(checkpoint).filter(|text| !text.is_empty()),
+    })
+}
+
+/// Encodes a question about a claim.
+pub(super) fn write_question(mut builder: wire::peer_call::Builder<'_>, question: &ClaimQuestion) {
+    builder.set_request_id(&*question.request);
+    builder.set_service(&*question.service);
+    builder.set_operation(question.operation.as_str());
+    builder.set_idempotency_key(&*question.key);
+    builder.set_organisation(&*question.organisation);
+}
+
+/// Decodes a question about a claim.
+///
+/// # Errors
+/// As [`read_heartbeat`].
+pub(super) fn read_question(reader: wire::peer_call::Reader<'_>) -> capnp::Result<ClaimQuestion> {
+    Ok(ClaimQuestion {
+        request: text(reader.get_request_id())?,
+        service: text(reader.get_service())?,
+        operation: string(reader.get_operation())?,
+        key: text(reader.get_idempotency_key())?,
+        organisation: text(reader.get_organisation())?,
+    })
+}
+
+/// Encodes what became of a claim.
+pub(super) fn write_outcome(
+    mut builder: wire::peer_call_reply::Builder<'_>,
+    outcome: &ClaimOutcome,
+) {
+    let ClaimOutcome::Known {
+        verdict,
+        status,
+        body,
+    } = outcome
+    else {
+        builder.set_known(false);
+        return;
+    };
+    builder.set_known(true);
+    builder.set_verdict(verdict_name(*verdict));
+    builder.set_status(*status);
+    builder.set_body(body);
+}
+
+/// Decodes what became of a claim.
+///
+/// # Errors
+/// As [`read_heartbeat`].
+pub(super) fn read_outcome(
+    reader: wire::peer_call_reply::Reader<'_>,
+) -> capnp::Result<ClaimOutcome> {
+    if !reader.get_known() {
+        return Ok(ClaimOutcome::Unknown);
+    }
+    Ok(ClaimOutcome::Known {
+        verdict: verdict_named(reader.get_verdict()?.to_str()?),
+        status: reader.get_status(),
+        body: Bytes::copy_from_slice(reader.get_body()?),
+    })
+}
+
+fn verdict_name(verdict: RunVerdict) -> &'static str {
+    match verdict {
+        RunVerdict::NotRun => VERDICT_NOT_RUN,
+        RunVerdict::MayHaveRun => VERDICT_MAY_HAVE_RUN,
+        RunVerdict::Ran => VERDICT_RAN,
+    }
+}
+
+/// An unknown name comes from a newer program; the caller must not be told
+/// "not run" on its account, so it counts as "may have run".
+fn verdict_named(name: &str) -> RunVerdict {
+    match name {
+        VERDICT_NOT_RUN => RunVerdict::NotRun,
+        VERDICT_RAN => RunVerdict::Ran,
+        _ => RunVerdict::MayHaveRun,
+    }
+}
--- /dev/null
+++ b/src/peer/handle.rs
@@ -0,0 +1,149 @@
+//! The handle by which the rest of the daemon calls its peers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::{mpsc, oneshot};
+
+use super::error::PeerError;
+use super::handlers::PeerHandlers;
+use super::message::{
+    ClaimOutcome, ClaimQuestion, PeerHeartbeat, PeerReply, RecordsQuestion, RelayedRange,
+};
+use super::settings::PeerSettings;
+use super::traffic::PeerTraffic;
+use super::worker::{self, AnswerSender, PeerCommand};
+
+/// Calls that may wait for the thread of the RPC library.
+const COMMAND_CAPACITY: usize = 1024;
+/// Name of that thread, as seen in a debugger.
+const THREAD_NAME: &str = "peers";
+
+/// Calls peers from any thread; clones share one set of connections.
+#[derive(Debug, Clone)]
+pub struct PeerHandle {
+    local_address: SocketAddr,
+    traffic: Arc<PeerTraffic>,
+    commands: mpsc::Sender<PeerCommand>,
+}
+
+/// Listens for peers and starts the thread that serves and calls them.
+///
+/// # Errors
+/// [`PeerError::Start`] if the address cannot be bound or no thread started.
+pub fn spawn(settings: PeerSettings, handlers: PeerHandlers) -> Result<PeerHandle, PeerError> {
+    let listener = std::net::TcpListener::bind(settings.listen)?;
+    listener.set_nonblocking(true)?;
+    let local_address = listener.local_addr()?;
+    let traffic = Arc::new(PeerTraffic::default());
+    let (commands, receiver) = mpsc::channel(COMMAND_CAPACITY);
+    let counted = Arc::clone(&traffic);
+    std::thread::Builder::new()
+        .name(THREAD_NAME.to_owned())
+        .spawn(move || {
+            if let Err(cause) = worker::run(listener, settings, handlers, counted, receiver) {
+                log::error!("peer calls ended: {cause}");
+            }
+        })?;
+    Ok(PeerHandle {
+        local_address,
+        traffic,
+        commands,
+    })
+}
+
+impl PeerHandle {
+    /// The address that peers connect to.
+    pub fn local_address(&self) -> SocketAddr {
+        self.local_address
+    }
+
+    /// Counters of what the calls cost.
+    pub fn traffic(&self) -> &PeerTraffic {
+        &self.traffic
+    }
+
+    /// Sends a heartbeat and waits for the answer.
+    ///
+    /// The answer names the host that gave it. An address may have passed to
+    /// another host, so whoever calls compares that name.
+    ///
+    /// # Errors
+    /// No connection, no answer in time, or the call failed.
+    pub async fn heartbeat(
+        &self,
+        address: SocketAddr,
+        beat: PeerHeartbeat,
+    ) -> Result<PeerReply, PeerError> {
+        let beat = Box::new(beat);
+        self.ask(|answer| PeerCommand::Heartbeat {
+            address,
+            beat,
+            answer,
+        })
+        .await
+    }
+
+    /// Asks a peer for records of a log stream.
+    ///
+    /// # Errors
+    /// No connection, no answer in time, or the call failed.
+    pub async fn records(
+        &self,
+        address: SocketAddr,
+        question: RecordsQuestion,
+    ) -> Result<RelayedRange, PeerError> {
+        self.ask(|answer| PeerCommand::Records {
+            address,
+            question,
+            answer,
+        })
+        .await
+    }
+
+    /// Asks the winner of a claim what became of its request, and waits up to
+    /// `wait` for it to end. Running out of time leaves the connection as it is.
+    ///
+    /// # Errors
+    /// No connection, no answer in time, or the call failed.
+    pub async fn claim_outcome(
+        &self,
+        address: SocketAddr,
+        question: ClaimQuestion,
+        wait: Duration,
+    ) -> Result<ClaimOutcome, PeerError> {
+        self.ask(|answer| PeerCommand::ClaimOutcome {
+            address,
+            question,
+            wait,
+            answer,
+        })
+        .await
+    }
+
+    /// Closes all connections and waits until the thread has let go of them.
+    pub async fn shutdown(&self) {
+        let (done, ended) = oneshot::channel();
+        if self
+            .commands
+            .send(PeerCommand::Shutdown { done })
+            .await
+            .is_ok()
+        {
+            let _ = ended.await;
+        }
+    }
+
+    async fn ask<T, F>(&self, command: F) -> Result<T, PeerError>
+    where
+        F: FnOnce(AnswerSender<T>) -> PeerCommand,
+    {
+        let (sender, answer) = oneshot::channel();
+        self.commands
+            .send(command(sender))
+            .await
+            .map_err(|_| PeerError::Closed)?;
+        answer.await.unwrap_or(Err(PeerError::Closed))
+    }
+}
--- /dev/null
+++ b/src/peer/link_table.rs
@@ -0,0 +1,57 @@
+//! The links to all peers that are called.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use tokio::time::Instant;
+
+use super::link::PeerLink;
+use super::settings::PeerSettings;
+use super::traffic::PeerTraffic;
+
+/// Links by address, kept open between calls.
+pub(super) struct LinkTable {
+    settings: Rc<PeerSettings>,
+    traffic: Arc<PeerTraffic>,
+    links: RefCell<BTreeMap<SocketAddr, Rc<PeerLink>>>,
+}
+
+impl LinkTable {
+    /// An empty table.
+    pub(super) fn new(settings: Rc<PeerSettings>, traffic: Arc<PeerTraffic>) -> Self {
+        Self {
+            settings,
+            traffic,
+            links: RefCell::new(BTreeMap::new()),
+        }
+    }
+
+    /// The link to `address`; a new one takes the place of those long unused.
+    ///
+    /// Hosts are replaced all the time and come back at new addresses, so a
+    /// table that only grows would in the end hold every address ever used.
+    pub(super) fn link(&self, address: SocketAddr) -> Rc<PeerLink> {
+        let mut links = self.links.borrow_mut();
+        if let Some(link) = links.get(&address) {
+            return Rc::clone(link);
+        }
+        if let Some(limit) = Instant::now().checked_sub(self.settings.idle_timeout) {
+            links.retain(|_, link| link.is_used_since(limit));
+        }
+        let link = Rc::new(PeerLink::new(
+            address,
+            Rc::clone(&self.settings),
+            Arc::clone(&self.traffic),
+        ));
+        links.insert(address, Rc::clone(&link));
+        link
+    }
+
+    /// Counters of the network.
+    pub(super) fn traffic(&self) -> &PeerTraffic {
+        &self.traffic
+    }
+}
--- /dev/null
+++ b/src/peer/server.rs
@@ -0,0 +1,186 @@
+//! The serving side: incoming connections and the calls on them.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use capnp::capability::Rc as CapabilityRc;
+use capnp::message::ReaderOptions;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::{RpcSystem, twoparty};
+use futures::AsyncReadExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{Duration, Instant};
+use tokio_util::compat::TokioAsyncReadCompatExt;
+
+use super::convert;
+use super::handlers::PeerHandlers;
+use super::message::RecordsQuestion;
+use super::settings::PeerSettings;
+use super::stream::{CountedStream, ReadClock};
+use super::traffic::PeerTraffic;
+use crate::peer_capnp::peer;
+
+/// Pause after a failed accept, which mostly means too many open files.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Bytes in one word of a message.
+const WORD_BYTES: usize = 8;
+/// Deepest nesting of a message; ours have four levels.
+const NESTING_LIMIT: i32 = 32;
+
+/// Answers the calls on one connection.
+struct PeerServer {
+    handlers: PeerHandlers,
+    range_limit: usize,
+}
+
+impl peer::Server for PeerServer {
+    async fn heartbeat(
+        self: CapabilityRc<Self>,
+        params: peer::HeartbeatParams,
+        mut results: peer::HeartbeatResults,
+    ) -> capnp::Result<()> {
+        let beat = convert::read_heartbeat(params.get()?.get_beat()?)?;
+        let reply = (self.handlers.heartbeat)(beat);
+        convert::write_reply(results.get().init_reply(), &reply);
+        Ok(())
+    }
+
+    async fn records(
+        self: CapabilityRc<Self>,
+        params: peer::RecordsParams,
+        mut results: peer::RecordsResults,
+    ) -> capnp::Result<()> {
+        let params = params.get()?;
+        let question = RecordsQuestion {
+            stream: params.get_stream()?.to_string()?,
+            from: params.get_from(),
+            limit: params.get_limit(),
+        };
+        let range = (self.handlers.records)(question);
+        convert::write_range(results.get().init_range(), &range, self.range_limit);
+        Ok(())
+    }
+
+    async fn claim_outcome(
+        self: CapabilityRc<Self>,
+        params: peer::ClaimOutcomeParams,
+        mut results: peer::ClaimOutcomeResults,
+    ) -> capnp::Result<()> {
+        let question = convert::read_question(params.get()?.get_call()?)?;
+        let outcome = (self.handlers.claim_outcome)(question).await;
+        convert::write_outcome(results.get().init_reply(), &outcome);
+        Ok(())
+    }
+}
+
+/// Bounds on what is read from a peer: a longer message fails its connection
+/// before memory is set aside for it.
+pub(super) fn reader_options(settings: &PeerSettings) -> ReaderOptions {
+    let mut options = ReaderOptions::new();
+    options.traversal_limit_in_words(Some(settings.message_limit / WORD_BYTES));
+    options.nesting_limit(NESTING_LIMIT);
+    options
+}
+
+/// Takes in connections until the thread of the RPC library ends.
+pub(super) async fn accept_connections(
+    listener: TcpListener,
+    settings: Rc<PeerSettings>,
+    handlers: PeerHandlers,
+    traffic: Arc<PeerTraffic>,
+) {
+    let open = Rc::new(Cell::new(0));
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        if open.get() >= settings.connection_limit {
+            traffic.count_refused_connection();
+            continue;
+        }
+        let Ok(stream) = CountedStream::new(stream, Arc::clone(&traffic)) else {
+            continue;
+        };
+        let serving = serve_connection(stream, Rc::clone(&settings), handlers.clone());
+        let guard = OpenConnection::new(&open);
+        tokio::task::spawn_local(async move {
+            serving.await;
+            drop(guard);
+        });
+    }
+}
+
+/// Counts a connection for as long as it lives, also when its task panics.
+struct OpenConnection {
+    open: Rc<Cell<usize>>,
+}
+
+impl OpenConnection {
+    fn new(open: &Rc<Cell<usize>>) -> Self {
+        open.set(open.get() + 1);
+        Self {
+            open: Rc::clone(open),
+        }
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.open.set(self.open.get() - 1);
+    }
+}
+
+async fn serve_connection(
+    stream: CountedStream,
+    settings: Rc<PeerSettings>,
+    handlers: PeerHandlers,
+) {
+    let last_read = stream.read_clock();
+    let server = PeerServer {
+        handlers,
+        range_limit: settings.message_limit / 2,
+    };
+    let client: peer::Client = capnp_rpc::new_client(server);
+    let (reader, writer) = stream.compat().split();
+    let network =
+        twoparty::VatNetwork::new(reader, writer, Side::Server, reader_options(&settings));
+    let system = RpcSystem::new(Box::new(network), Some(client.client));
+    tokio::select! {
+        ended = system => {
+            if let Err(cause) = ended {
+                log::debug!("a peer's connection ended: {cause}");
+            }
+        }
+        () = wait_idle(&last_read, settings.idle_timeout) => {
+            log::debug!("a peer's connection was idle and is closed");
+        }
+    }
+}
+
+/// Returns once nothing was read for `idle_timeout`.
+///
+/// A peer that is cut off never closes its connections. Without this they
+/// would stay, one for each of its restarts, until no file is left to open.
+async fn wait_idle(last_read: &ReadClock, idle_timeout: Duration) {
+    loop {
+        let limit = last_read.get() + idle_timeout;
+        if Instant::now() >= limit {
+            return;
+        }
+        tokio::time::sleep_until(limit).await;
+    }
+}
+
+/// Connects to a peer.
+///
+/// # Errors
+/// What the system says.
+pub(super) async fn connect(
+    address: std::net::SocketAddr,
+    traffic: Arc<PeerTraffic>,
+) -> std::io::Result<CountedStream> {
+    let stream = TcpStream::connect(address).await?;
+    CountedStream::new(stream, traffic)
+}
--- /dev/null
+++ b/src/peer/worker.rs
@@ -0,0 +1,182 @@
+//! The thread on which all of the RPC library runs.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::LocalSet;
+
+use super::convert;
+use super::error::PeerError;
+use super::handlers::PeerHandlers;
+use super::link::CallLimit;
+use super::link_table::LinkTable;
+use super::message::{
+    ClaimOutcome, ClaimQuestion, PeerHeartbeat, PeerReply, RecordsQuestion, RelayedRange,
+};
+use super::server::accept_connections;
+use super::settings::PeerSettings;
+use super::traffic::PeerTraffic;
+use crate::peer_capnp::peer;
+
+/// Where the answer to a command goes.
+pub(super) type AnswerSender<T> = oneshot::Sender<Result<T, PeerError>>;
+
+/// A call to make, sent from any thread.
+pub(super) enum PeerCommand {
+    /// Send a heartbeat.
+    Heartbeat {
+        address: SocketAddr,
+        beat: Box<PeerHeartbeat>,
+        answer: AnswerSender<PeerReply>,
+    },
+    /// Ask for records.
+    Records {
+        address: SocketAddr,
+        question: RecordsQuestion,
+        answer: AnswerSender<RelayedRange>,
+    },
+    /// Ask what became of a claim.
+    ClaimOutcome {
+        address: SocketAddr,
+        question: ClaimQuestion,
+        wait: Duration,
+        answer: AnswerSender<ClaimOutcome>,
+    },
+    /// End the thread.
+    Shutdown { done: oneshot::Sender<()> },
+}
+
+/// Runs until a shutdown is asked for or every handle is gone.
+///
+/// # Errors
+/// What the system says about the runtime or the listening socket.
+pub(super) fn run(
+    listener: std::net::TcpListener,
+    settings: PeerSettings,
+    handlers: PeerHandlers,
+    traffic: Arc<PeerTraffic>,
+    commands: mpsc::Receiver<PeerCommand>,
+) -> std::io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let local = LocalSet::new();
+    let settings = Rc::new(settings);
+    let done = local.block_on(&runtime, async move {
+        let listener = TcpListener::from_std(listener)?;
+        let table = LinkTable::new(Rc::clone(&settings), Arc::clone(&traffic));
+        tokio::task::spawn_local(accept_connections(listener, settings, handlers, traffic));
+        Ok::<_, std::io::Error>(take_commands(Rc::new(table), commands).await)
+    })?;
+    // Dropping the tasks closes the sockets; only then is the end reported.
+    drop(local);
+    drop(runtime);
+    if let Some(done) = done {
+        let _ = done.send(());
+    }
+    Ok(())
+}
+
+async fn take_commands(
+    table: Rc<LinkTable>,
+    mut commands: mpsc::Receiver<PeerCommand>,
+) -> Option<oneshot::Sender<()>> {
+    while let Some(command) = commands.recv().await {
+        match command {
+            PeerCommand::Shutdown { done } => return Some(done),
+            call => {
+                let table = Rc::clone(&table);
+                // Each call is a task of its own: one peer that hangs delays
+                // no call to another.
+                tokio::task::spawn_local(async move { make_call(&table, call).await });
+            }
+        }
+    }
+    None
+}
+
+async fn make_call(table: &LinkTable, command: PeerCommand) {
+    match command {
+        PeerCommand::Heartbeat {
+            address,
+            beat,
+            answer,
+        } => {
+            let link = table.link(address);
+            let called = link
+                .call(CallLimit::CloseLink, |client| send_heartbeat(client, &beat))
+                .await;
+            finish(table, called, answer);
+        }
+        PeerCommand::Records {
+            address,
+            question,
+            answer,
+        } => {
+            let link = table.link(address);
+            let called = link
+                .call(CallLimit::CloseLink, |client| {
+                    send_records(client, &question)
+                })
+                .await;
+            finish(table, called, answer);
+        }
+        PeerCommand::ClaimOutcome {
+            address,
+            question,
+            wait,
+            answer,
+        } => {
+            let link = table.link(address);
+            let called = link
+                .call(CallLimit::KeepLink(wait), |client| {
+                    send_question(client, &question)
+                })
+                .await;
+            finish(table, called, answer);
+        }
+        PeerCommand::Shutdown { .. } => {}
+    }
+}
+
+fn finish<T>(table: &LinkTable, called: Result<T, PeerError>, answer: AnswerSender<T>) {
+    table.traffic().count_call(called.is_err());
+    // The asker may have gone away; then nobody needs the answer.
+    let _ = answer.send(called);
+}
+
+fn send_heartbeat(
+    client: &peer::Client,
+    beat: &PeerHeartbeat,
+) -> impl Future<Output = capnp::Result<PeerReply>> + use<> {
+    let mut request = client.heartbeat_request();
+    convert::write_heartbeat(request.get().init_beat(), beat);
+    let response = request.send().promise;
+    async move { convert::read_reply(response.await?.get()?.get_reply()?) }
+}
+
+fn send_records(
+    client: &peer::Client,
+    question: &RecordsQuestion,
+) -> impl Future<Output = capnp::Result<RelayedRange>> + use<> {
+    let mut request = client.records_request();
+    request.get().set_stream(question.stream.as_str());
+    request.get().set_from(question.from);
+    request.get().set_limit(question.limit);
+    let response = request.send().promise;
+    async move { convert::read_range(response.await?.get()?.get_range()?) }
+}
+
+fn send_question(
+    client: &peer::Client,
+    question: &ClaimQuestion,
+) -> impl Future<Output = capnp::Result<ClaimOutcome>> + use<> {
+    let mut request = client.claim_outcome_request();
+    convert::write_question(request.get().init_call(), question);
+    let response = request.send().promise;
+    async move { convert::read_outcome(response.await?.get()?.get_reply()?) }
+}
--- a/src/peer_capnp.rs
+++ b/src/peer_capnp.rs
@@ -438,11 +438,23 @@
         pub fn get_grant_number(self) -> u64 {
             self.reader.get_data_field::<u64>(2)
         }
+        #[inline]
+        pub fn get_held_rate(self) -> u32 {
+            self.reader.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn get_wanted_rate(self) -> u32 {
+            self.reader.get_data_field::<u32>(6)
+        }
+        #[inline]
+        pub fn get_grant_lease(self) -> u64 {
+            self.reader.get_data_field::<u64>(4)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 1 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -540,6 +552,30 @@
         pub fn set_grant_number(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(2, value);
         }
+        #[inline]
+        pub fn get_held_rate(self) -> u32 {
+            self.builder.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn set_held_rate(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(3, value);
+        }
+        #[inline]
+        pub fn get_wanted_rate(self) -> u32 {
+            self.builder.get_data_field::<u32>(6)
+        }
+        #[inline]
+        pub fn set_wanted_rate(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(6, value);
+        }
+        #[inline]
+        pub fn get_grant_lease(self) -> u64 {
+            self.builder.get_data_field::<u64>(4)
+        }
+        #[inline]
+        pub fn set_grant_lease(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(4, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -551,17 +587,17 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 97] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 145] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(152, 54, 237, 212, 173, 242, 112, 175),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 5, 0),
             ::capnp::word(136, 151, 230, 179, 164, 245, 193, 210),
             ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 199, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -569,84 +605,516 @@
             ::capnp::word(105, 115, 97, 116, 105, 111, 110, 68),
             ::capnp::word(101, 109, 97, 110, 100, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(217, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(225, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(229, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(253, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(5, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(111, 114, 103, 97, 110, 105, 115, 97),
             ::capnp::word(116, 105, 111, 110, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 110, 70, 108, 105, 103, 104, 116),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 97, 105, 116, 105, 110, 103, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 101, 108, 100, 71, 114, 97, 110),
+            ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(103, 114, 97, 110, 116, 78, 117, 109),
+            ::capnp::word(98, 101, 114, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 101, 108, 100, 82, 97, 116, 101),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 97, 110, 116, 101, 100, 82, 97),
+            ::capnp::word(116, 101, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(103, 114, 97, 110, 116, 76, 101, 97),
+            ::capnp::word(115, 101, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                6 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                7 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[7,4,3,5,1,0,2,6];
+        pub(crate) const TYPE_ID: u64 = 0xaf70_f2ad_d4ed_3698;
+    }
+}
+
+pub mod zone_digest {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_zone(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_zone(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_live_hosts(self) -> u32 {
+            self.reader.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn get_lowest_applied_offset(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_slowest_host(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_slowest_host(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_unreachable(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_unreachable(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
+        #[inline]
+        pub fn get_unreachable_count(self) -> u32 {
+            self.reader.get_data_field::<u32>(1)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 3 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_zone(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_zone(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_zone(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_zone(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_live_hosts(self) -> u32 {
+            self.builder.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn set_live_hosts(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(0, value);
+        }
+        #[inline]
+        pub fn get_lowest_applied_offset(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_lowest_applied_offset(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_slowest_host(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_slowest_host(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_slowest_host(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(1).init_text(size)
+        }
+        #[inline]
+        pub fn has_slowest_host(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_unreachable(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_unreachable(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+        }
+        #[inline]
+        pub fn init_unreachable(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+        }
+        #[inline]
+        pub fn has_unreachable(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
+        #[inline]
+        pub fn get_unreachable_count(self) -> u32 {
+            self.builder.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn set_unreachable_count(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(1, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 118] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(36, 107, 164, 98, 181, 232, 199, 220),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(136, 151, 230, 179, 164, 245, 193, 210),
+            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 90, 111, 110, 101, 68),
+            ::capnp::word(105, 103, 101, 115, 116, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 162, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(177, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(122, 111, 110, 101, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 118, 101, 72, 111, 115, 116),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 111, 119, 101, 115, 116, 65, 112),
+            ::capnp::word(112, 108, 105, 101, 100, 79, 102, 102),
+            ::capnp::word(115, 101, 116, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 110, 70, 108, 105, 103, 104, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 108, 111, 119, 101, 115, 116, 72),
+            ::capnp::word(111, 115, 116, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(119, 97, 105, 116, 105, 110, 103, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 110, 114, 101, 97, 99, 104, 97),
+            ::capnp::word(98, 108, 101, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 101, 108, 100, 71, 114, 97, 110),
-            ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 110, 114, 101, 97, 99, 104, 97),
+            ::capnp::word(98, 108, 101, 67, 111, 117, 110, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(103, 114, 97, 110, 116, 78, 117, 109),
-            ::capnp::word(98, 101, 114, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
@@ -654,9 +1122,10 @@
             match index {
                 0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                4 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                5 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -670,10 +1139,10 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,3,1,0,2];
-        pub(crate) const TYPE_ID: u64 = 0xaf70_f2ad_d4ed_3698;
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,3,4,5,0];
+        pub(crate) const TYPE_ID: u64 = 0xdcc7_e8b5_62a4_6b24;
     }
 }
 
@@ -794,11 +1263,23 @@
         pub fn has_peer_address(&self) -> bool {
             !self.reader.get_pointer_field(4).is_null()
         }
+        #[inline]
+        pub fn get_digest(self) -> ::capnp::Result<crate::peer_capnp::zone_digest::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(5), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_digest(&self) -> bool {
+            !self.reader.get_pointer_field(5).is_null()
+        }
+        #[inline]
+        pub fn get_demands_for(self) -> u64 {
+            self.reader.get_data_field::<u64>(4)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 5 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 6 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -960,6 +1441,30 @@
         pub fn has_peer_address(&self) -> bool {
             !self.builder.is_pointer_field_null(4)
         }
+        #[inline]
+        pub fn get_digest(self) -> ::capnp::Result<crate::peer_capnp::zone_digest::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(5), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_digest(&mut self, value: crate::peer_capnp::zone_digest::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(5), value, false)
+        }
+        #[inline]
+        pub fn init_digest(self, ) -> crate::peer_capnp::zone_digest::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(5), 0)
+        }
+        #[inline]
+        pub fn has_digest(&self) -> bool {
+            !self.builder.is_pointer_field_null(5)
+        }
+        #[inline]
+        pub fn get_demands_for(self) -> u64 {
+            self.builder.get_data_field::<u64>(4)
+        }
+        #[inline]
+        pub fn set_demands_for(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(4, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -969,89 +1474,106 @@
         }
     }
     impl Pipeline  {
+        pub fn get_digest(&self) -> crate::peer_capnp::zone_digest::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(5))
+        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 165] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 196] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(198, 221, 161, 156, 46, 134, 107, 138),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 5, 0),
             ::capnp::word(136, 151, 230, 179, 164, 245, 193, 210),
-            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 111, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 72, 101, 97, 114, 116),
             ::capnp::word(98, 101, 97, 116, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(53, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(61, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 192, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(77, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(97, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(117, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(125, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(129, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(104, 111, 115, 116, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1137,6 +1659,23 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 105, 103, 101, 115, 116, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 107, 164, 98, 181, 232, 199, 220),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 101, 109, 97, 110, 100, 115, 70),
+            ::capnp::word(111, 114, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1149,6 +1688,8 @@
                 6 => <::capnp::struct_list::Owned<crate::peer_capnp::target_load::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 7 => <::capnp::struct_list::Owned<crate::peer_capnp::organisation_demand::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 8 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                9 => <crate::peer_capnp::zone_digest::Owned as ::capnp::introspect::Introspect>::introspect(),
+                10 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1162,9 +1703,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,7,5,0,2,6,8,3,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,7,10,9,5,0,2,6,8,3,1];
         pub(crate) const TYPE_ID: u64 = 0x8a6b_862e_9ca1_ddc6;
     }
 }
@@ -1562,11 +2103,47 @@
         pub fn get_leased_grants(self) -> bool {
             self.reader.get_bool_field(129)
         }
+        #[inline]
+        pub fn get_zone(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_zone(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
+        #[inline]
+        pub fn get_sequence(self) -> u64 {
+            self.reader.get_data_field::<u64>(4)
+        }
+        #[inline]
+        pub fn get_loads(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::target_load::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_loads(&self) -> bool {
+            !self.reader.get_pointer_field(3).is_null()
+        }
+        #[inline]
+        pub fn get_peer_address(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_peer_address(&self) -> bool {
+            !self.reader.get_pointer_field(4).is_null()
+        }
+        #[inline]
+        pub fn get_digest(self) -> ::capnp::Result<crate::peer_capnp::zone_digest::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(5), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_digest(&self) -> bool {
+            !self.reader.get_pointer_field(5).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 6 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1688,6 +2265,78 @@
         pub fn set_leased_grants(&mut self, value: bool)  {
             self.builder.set_bool_field(129, value);
         }
+        #[inline]
+        pub fn get_zone(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_zone(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_zone(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(2).init_text(size)
+        }
+        #[inline]
+        pub fn has_zone(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
+        #[inline]
+        pub fn get_sequence(self) -> u64 {
+            self.builder.get_data_field::<u64>(4)
+        }
+        #[inline]
+        pub fn set_sequence(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(4, value);
+        }
+        #[inline]
+        pub fn get_loads(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::target_load::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_loads(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::target_load::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
+        }
+        #[inline]
+        pub fn init_loads(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::target_load::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
+        }
+        #[inline]
+        pub fn has_loads(&self) -> bool {
+            !self.builder.is_pointer_field_null(3)
+        }
+        #[inline]
+        pub fn get_peer_address(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_peer_address(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(4), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_peer_address(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(4).init_text(size)
+        }
+        #[inline]
+        pub fn has_peer_address(&self) -> bool {
+            !self.builder.is_pointer_field_null(4)
+        }
+        #[inline]
+        pub fn get_digest(self) -> ::capnp::Result<crate::peer_capnp::zone_digest::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(5), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_digest(&mut self, value: crate::peer_capnp::zone_digest::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(5), value, false)
+        }
+        #[inline]
+        pub fn init_digest(self, ) -> crate::peer_capnp::zone_digest::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(5), 0)
+        }
+        #[inline]
+        pub fn has_digest(&self) -> bool {
+            !self.builder.is_pointer_field_null(5)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1697,19 +2346,22 @@
         }
     }
     impl Pipeline  {
+        pub fn get_digest(&self) -> crate::peer_capnp::zone_digest::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(5))
+        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 132] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 213] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(241, 190, 143, 89, 70, 155, 5, 203),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 5, 0),
             ::capnp::word(136, 151, 230, 179, 164, 245, 193, 210),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 143, 1, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 167, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -1717,56 +2369,91 @@
             ::capnp::word(98, 101, 97, 116, 82, 101, 112, 108),
             ::capnp::word(121, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(48, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(77, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 128, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(201, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(85, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(113, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 129, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(121, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(129, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(133, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(141, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(161, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(160, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(169, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(164, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(104, 111, 115, 116, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1832,6 +2519,52 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(122, 111, 110, 101, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 113, 117, 101, 110, 99, 101),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 111, 97, 100, 115, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(35, 57, 249, 46, 237, 156, 113, 252),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 65, 100, 100, 114),
+            ::capnp::word(101, 115, 115, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 105, 103, 101, 115, 116, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 107, 164, 98, 181, 232, 199, 220),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1842,6 +2575,11 @@
                 4 => <::capnp::struct_list::Owned<crate::peer_capnp::grant::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 6 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                7 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                8 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                9 => <::capnp::struct_list::Owned<crate::peer_capnp::target_load::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                10 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                11 => <crate::peer_capnp::zone_digest::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1855,9 +2593,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,4,0,1,5,6];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,11,3,4,0,1,5,6,9,10,8,7];
         pub(crate) const TYPE_ID: u64 = 0xcb05_9b46_598f_bef1;
     }
 }
--- /dev/null
+++ b/tests/peer_rpc.rs
@@ -0,0 +1,365 @@
+//! Calls between daemons over loopback: answers, hanging and killed peers, bounds.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures::FutureExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+use jackdawwick::peer::{
+    self, ClaimOutcome, ClaimQuestion, PeerDemand, PeerError, PeerGrant, PeerHandle, PeerHandlers,
+    PeerHeartbeat, PeerLoad, PeerReply, PeerSettings, RecordsQuestion, RelayedRange, ZoneDigest,
+};
+use jackdawwick::platform::wire::StoredRecord;
+use jackdawwick::verdict::RunVerdict;
+
+const WAIT_LIMIT: Duration = Duration::from_secs(20);
+
+fn loopback(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn beat(host: &str, incarnation: u64) -> PeerHeartbeat {
+    PeerHeartbeat {
+        host: host.into(),
+        zone: "vake".into(),
+        incarnation,
+        sequence: 7,
+        applied_offset: 41,
+        draining: true,
+        peer_address: loopback(9),
+        loads: Vec::new(),
+        demands: Vec::new(),
+        demands_for: None,
+        digest: None,
+    }
+}
+
+fn load(name: &str) -> PeerLoad {
+    PeerLoad {
+        target: name.into(),
+        running: 3,
+        waiting: 4,
+        tokens_per_second: 55.5,
+        age: Duration::from_millis(120),
+        leaving: true,
+    }
+}
+
+fn demand(name: &str) -> PeerDemand {
+    PeerDemand {
+        organisation: name.into(),
+        in_flight: 1,
+        waiting: 2,
+        wanted_rate: 3,
+        held_grant: 4,
+        held_rate: 5,
+        grant_number: 6,
+        grant_lease: Some(0),
+    }
+}
+
+fn grant(name: &str) -> PeerGrant {
+    PeerGrant {
+        organisation: name.into(),
+        concurrent_requests: 9,
+        requests_per_second: 8,
+        number: 7,
+    }
+}
+
+fn full_beat(host: &str) -> PeerHeartbeat {
+    PeerHeartbeat {
+        loads: vec![load("engine-1"), load("engine-2")],
+        demands: vec![demand("acme")],
+        demands_for: Some(12),
+        digest: Some(ZoneDigest {
+            zone: "vake".into(),
+            live_hosts: 3,
+            lowest_applied_offset: 40,
+            slowest_host: "vake-2".into(),
+            unreachable: vec!["vake-3".into()],
+            unreachable_count: 2,
+        }),
+        ..beat(host, 5)
+    }
+}
+
+/// Handlers that echo the caller's heartbeat beside a fixed reply.
+fn handlers(host: &'static str, incarnation: u64) -> PeerHandlers {
+    PeerHandlers {
+        heartbeat: Arc::new(move |heard: PeerHeartbeat| PeerReply {
+            beat: PeerHeartbeat {
+                loads: heard.loads,
+                digest: heard.digest,
+                ..beat(host, incarnation)
+            },
+            lease_offset: heard.demands_for,
+            grants: heard
+                .demands
+                .iter()
+                .map(|demand| grant(&demand.organisation))
+                .collect(),
+        }),
+        records: Arc::new(|question| RelayedRange {
+            first_offset: question.from,
+            end_offset: question.from + 2,
+            records: vec![StoredRecord {
+                offset: question.from,
+                body: "{}".to_owned(),
+            }],
+            checkpoint: Some(question.stream),
+        }),
+        claim_outcome: Arc::new(|question| {
+            let outcome = ClaimOutcome::Known {
+                verdict: RunVerdict::Ran,
+                status: 200,
+                body: Bytes::copy_from_slice(question.key.as_bytes()),
+            };
+            async move { outcome }.boxed()
+        }),
+    }
+}
+
+fn settings(port: u16) -> PeerSettings {
+    PeerSettings {
+        first_backoff: Duration::from_millis(5),
+        last_backoff: Duration::from_millis(20),
+        call_timeout: WAIT_LIMIT,
+        ..PeerSettings::new(loopback(port))
+    }
+}
+
+fn spawn(host: &'static str, incarnation: u64) -> PeerHandle {
+    peer::spawn(settings(0), handlers(host, incarnation)).expect("a peer")
+}
+
+#[tokio::test]
+async fn every_field_of_every_call_arrives() {
+    let caller = spawn("vake-1", 1);
+    let callee = spawn("vake-2", 2);
+    let address = callee.local_address();
+    let sent = full_beat("vake-1");
+
+    let reply = caller
+        .heartbeat(address, sent.clone())
+        .await
+        .expect("a reply");
+    let expected = PeerReply {
+        beat: PeerHeartbeat {
+            loads: sent.loads,
+            digest: sent.digest,
+            ..beat("vake-2", 2)
+        },
+        lease_offset: Some(12),
+        grants: vec![grant("acme")],
+    };
+    assert_eq!(reply, expected);
+
+    let question = RecordsQuestion {
+        stream: "declarations".to_owned(),
+        from: 3,
+        limit: 10,
+    };
+    let range = caller.records(address, question).await.expect("a range");
+    assert_eq!((range.first_offset, range.end_offset), (3, 5));
+    assert_eq!(range.records[0].body, "{}");
+    assert_eq!(range.checkpoint.as_deref(), Some("declarations"));
+
+    let question = ClaimQuestion {
+        request: "r".into(),
+        service: "ledger".into(),
+        operation: "settle".to_owned(),
+        key: "k-1".into(),
+        organisation: "acme".into(),
+    };
+    let outcome = caller
+        .claim_outcome(address, question, WAIT_LIMIT)
+        .await
+        .expect("an outcome");
+    let expected = ClaimOutcome::Known {
+        verdict: RunVerdict::Ran,
+        status: 200,
+        body: Bytes::from_static(b"k-1"),
+    };
+    assert_eq!(outcome, expected);
+    caller.shutdown().await;
+    callee.shutdown().await;
+}
+
+/// Symptom: one frozen host makes every host of the zone look dead.
+/// Events: a peer takes the connection and never answers; meanwhile another
+/// peer is called.
+/// Cause: calls made one after the other, or a frozen connection kept for ever.
+#[tokio::test]
+async fn a_hanging_peer_delays_no_other() {
+    let frozen = tokio::net::TcpListener::bind(loopback(0))
+        .await
+        .expect("a socket");
+    let frozen_address = frozen.local_addr().expect("an address");
+    let callee = spawn("vake-2", 2);
+    let caller = spawn("vake-1", 1);
+
+    let mut hanging = Box::pin(caller.heartbeat(frozen_address, beat("vake-1", 1)));
+    assert!(hanging.as_mut().now_or_never().is_none());
+    let (_held, _) = frozen.accept().await.expect("the caller's connection");
+    for _ in 0..20 {
+        caller
+            .heartbeat(callee.local_address(), beat("vake-1", 1))
+            .await
+            .expect("the other peer answers");
+    }
+    assert!(hanging.as_mut().now_or_never().is_none());
+    caller.shutdown().await;
+    callee.shutdown().await;
+}
+
+/// Symptom: a host that froze for a while stays unreachable for the others.
+/// Events: a call runs out of time; the peer comes back.
+/// Cause: the connection on which answers never come is used again and again.
+#[tokio::test]
+async fn a_call_out_of_time_closes_the_connection() {
+    let frozen = tokio::net::TcpListener::bind(loopback(0))
+        .await
+        .expect("a socket");
+    let address = frozen.local_addr().expect("an address");
+    let quick = PeerSettings {
+        call_timeout: Duration::from_millis(30),
+        ..settings(0)
+    };
+    let caller = peer::spawn(quick, handlers("vake-1", 1)).expect("a peer");
+
+    let failed = caller.heartbeat(address, beat("vake-1", 1)).await;
+    assert!(
+        matches!(failed, Err(PeerError::Timeout { .. })),
+        "{failed:?}"
+    );
+    let (mut first, _) = frozen.accept().await.expect("a connection");
+    let mut rest = Vec::new();
+    tokio::time::timeout(WAIT_LIMIT, first.read_to_end(&mut rest))
+        .await
+        .expect("the first connection is closed")
+        .expect("by an orderly end");
+
+    let second = tokio::time::timeout(WAIT_LIMIT, async {
+        loop {
+            let _ = caller.heartbeat(address, beat("vake-1", 1)).await;
+            if let Some(accepted) = frozen.accept().now_or_never() {
+                return accepted;
+            }
+        }
+    });
+    assert!(second.await.is_ok(), "a second connection is made");
+    caller.shutdown().await;
+}
+
+/// Symptom: a replaced host is never heard again at its old address.
+/// Events: the peer is killed, calls to it fail, a new one starts there.
+/// Cause: a link that remembers its broken connection.
+#[tokio::test]
+async fn a_killed_peer_is_reached_again_after_its_restart() {
+    let caller = spawn("vake-1", 1);
+    let callee = spawn("vake-2", 2);
+    let address = callee.local_address();
+    caller
+        .heartbeat(address, beat("vake-1", 1))
+        .await
+        .expect("a reply");
+    callee.shutdown().await;
+    let failed = caller.heartbeat(address, beat("vake-1", 1)).await;
+    assert!(failed.is_err(), "{failed:?}");
+
+    let again = peer::spawn(settings(address.port()), handlers("vake-2", 3)).expect("a peer");
+    let started = Instant::now();
+    let reply = loop {
+        match caller.heartbeat(address, beat("vake-1", 1)).await {
+            Ok(reply) => break reply,
+            Err(cause) => assert!(started.elapsed() < WAIT_LIMIT, "{cause}"),
+        }
+        tokio::task::yield_now().await;
+    };
+    assert_eq!(reply.beat.incarnation, 3);
+    caller.shutdown().await;
+    again.shutdown().await;
+}
+
+/// Symptom: one damaged message takes all memory of a daemon.
+/// Events: a connection announces a message of 16 GB.
+/// Cause: memory set aside by the announced length.
+#[tokio::test]
+async fn an_oversized_message_ends_only_its_connection() {
+    let callee = spawn("vake-2", 2);
+    let caller = spawn("vake-1", 1);
+    let mut stream = tokio::net::TcpStream::connect(callee.local_address())
+        .await
+        .expect("a connection");
+    let one_segment = 0_u32.to_le_bytes();
+    let words = 0x7fff_ffff_u32.to_le_bytes();
+    stream
+        .write_all(&[one_segment, words].concat())
+        .await
+        .expect("a header");
+    let mut rest = Vec::new();
+    let ended = tokio::time::timeout(WAIT_LIMIT, stream.read_to_end(&mut rest)).await;
+    assert!(ended.is_ok(), "the connection is closed");
+    caller
+        .heartbeat(callee.local_address(), beat("vake-1", 1))
+        .await
+        .expect("others are still served");
+    caller.shutdown().await;
+    callee.shutdown().await;
+}
+
+/// Bytes on the wire of one heartbeat and its reply, both ways together.
+async fn exchange_bytes(beat: &PeerHeartbeat) -> u64 {
+    let caller = spawn("vake-1", 1);
+    let callee = spawn("vake-2", 2);
+    let address = callee.local_address();
+    let count = |caller: &PeerHandle| {
+        let traffic = caller.traffic();
+        traffic.sent_bytes() + traffic.received_bytes()
+    };
+    for _ in 0..4 {
+        caller
+            .heartbeat(address, beat.clone())
+            .await
+            .expect("a reply");
+    }
+    let before = count(&caller);
+    for _ in 0..16 {
+        caller
+            .heartbeat(address, beat.clone())
+            .await
+            .expect("a reply");
+    }
+    let after = count(&caller);
+    caller.shutdown().await;
+    callee.shutdown().await;
+    (after - before) / 16
+}
+
+/// The slopes on which the budget of control bytes in `docs/design/membership.md`
+/// rests; loads are counted in both directions because the stub echoes them.
+#[tokio::test]
+async fn the_bytes_of_a_heartbeat_stay_within_their_slopes() {
+    const ITEMS: u64 = 20;
+    let names: Vec<String> = (0..ITEMS)
+        .map(|index| format!("engine-{index:04}"))
+        .collect();
+    let empty = exchange_bytes(&beat("vake-1", 1)).await;
+    let with_loads = PeerHeartbeat {
+        loads: names.iter().map(|name| load(name)).collect(),
+        ..beat("vake-1", 1)
+    };
+    let with_demands = PeerHeartbeat {
+        demands: names.iter().map(|name| demand(name)).collect(),
+        ..beat("vake-1", 1)
+    };
+    let by_load = (exchange_bytes(&with_loads).await - empty) / (2 * ITEMS);
+    let by_demand = (exchange_bytes(&with_demands).await - empty) / ITEMS;
+    assert!((500..=524).contains(&empty), "{empty}");
+    assert_eq!(by_load, 56);
+    assert!((108..=112).contains(&by_demand), "{by_demand}");
+}
