--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,8 +9,12 @@
 pub mod collections;
 pub mod daemon;
 pub mod ids;
+pub mod journal;
 pub mod logging;
+pub mod membership;
+pub mod metrics;
 pub mod options;
+pub mod peer;
 #[allow(
     missing_docs,
     unused_qualifications,
@@ -24,8 +28,6 @@
 )]
 #[rustfmt::skip]
 pub mod peer_capnp;
-pub mod journal;
-pub mod metrics;
 pub mod platform;
 pub mod reason;
 pub mod reconcile;
