Exchange heartbeats, watch targets and read the host list

Cause: hosts knew nothing of each other, and a target that leaves was known only by its declaration. Change: workers for heartbeats, load polls by the few hosts that watch a target, and the platform's list; the force view covers all hosts heard. Ruled out: every host polling every target, which grows with hosts times targets.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -10,10 +10,12 @@
 mod core;
 mod declarations;
 mod generate;
+mod members;
 mod operators;
 mod services;
 mod spawn;
 mod tables;
+mod targets;
 mod watch_steps;
 
 pub use spawn::{DaemonError, DaemonHandle, spawn};
--- a/src/daemon/core.rs
+++ b/src/daemon/core.rs
@@ -1,8 +1,8 @@
 //! What every worker of the daemon holds on to.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
+use std::sync::{Arc, OnceLock};
 
 use std::time::SystemTime;
 
@@ -14,7 +14,9 @@
 use crate::journal::{JournalEntry, JournalEvent, JournalSubject};
 use crate::metrics::MetricSet;
 use crate::options::DaemonOptions;
+use crate::peer::PeerHandle;
 use crate::platform::append_queue::AppendQueue;
+use crate::platform::client::PlatformClient;
 use crate::target::client::TargetClient;
 
 /// Phases of a daemon's life.
@@ -42,6 +44,10 @@
     /// Runs and calls in flight, waited for at shutdown.
     pub(super) in_flight: TaskTracker,
     pub(super) metrics: MetricSet,
+    pub(super) platform: PlatformClient,
+    /// Told when a peer has applied more than this host.
+    pub(super) peer_ahead: Notify,
+    peers: OnceLock<PeerHandle>,
     run_numbers: AtomicU64,
     phase: AtomicU8,
 }
@@ -51,6 +57,7 @@
         incarnation: IncarnationId,
         tables: Arc<SharedTables>,
         targets: TargetClient,
+        platform: PlatformClient,
         declaration_appends: AppendQueue,
         options: DaemonOptions,
     ) -> Arc<Self> {
@@ -64,11 +71,25 @@
             admission_changed: Notify::new(),
             in_flight: TaskTracker::new(),
             metrics: MetricSet::default(),
+            platform,
+            peer_ahead: Notify::new(),
+            peers: OnceLock::new(),
             run_numbers: AtomicU64::new(0),
             phase: AtomicU8::new(DaemonPhase::Starting as u8),
         })
     }
 
+    /// Hands over the means to call peers, once they stand.
+    pub(super) fn set_peers(&self, peers: PeerHandle) {
+        // Called once, at the start; a second handle would be dropped.
+        let _ = self.peers.set(peers);
+    }
+
+    /// The means to call peers; `None` only while the daemon starts.
+    pub(super) fn peers(&self) -> Option<&PeerHandle> {
+        self.peers.get()
+    }
+
     /// A number that no other run of this incarnation has.
     pub(super) fn next_run_number(&self) -> u64 {
         self.run_numbers.fetch_add(1, Ordering::Relaxed)
--- a/src/daemon/declarations.rs
+++ b/src/daemon/declarations.rs
@@ -6,12 +6,13 @@
 use super::core::DaemonCore;
 use crate::admission::ShareLimit;
 use crate::ids::OrganisationId;
+use crate::membership::DeclaredTarget;
 use crate::platform::backoff::BackoffPolicy;
 use crate::platform::client::PlatformClient;
 use crate::platform::log_tail::{LogTail, TailEvent, TailOptions};
 use crate::platform::wire::StoredRecord;
 use crate::records::DECLARATION_STREAM;
-use crate::resources::{ResourceKey, ResourceKind, ResourceSpec};
+use crate::resources::{ResourceKey, ResourceKind, ResourceSpec, TargetPhase};
 
 /// Most records in one read of the log.
 const READ_LIMIT: usize = 512;
@@ -83,6 +84,7 @@
     let declarations = core.tables.declarations.read();
     let resources = declared_resources(&declarations);
     let now = Instant::now();
+    watch_declared(core, &declarations);
     let mut desk = core.tables.admission.lock();
     for (key, spec) in &resources {
         if let ResourceSpec::Organisation(organisation) = spec {
@@ -98,6 +100,18 @@
     routes.set_pipelines(resources.iter().map(|(key, spec)| (key, *spec)));
 }
 
+fn watch_declared(core: &DaemonCore, declarations: &crate::replay::DeclarationTable) {
+    let targets: Vec<DeclaredTarget> = declarations
+        .targets()
+        .map(|entry| DeclaredTarget {
+            target: entry.name.clone(),
+            zone: entry.spec.zone.clone(),
+            draining: entry.spec.phase == TargetPhase::Draining,
+        })
+        .collect();
+    core.tables.watch.lock().set_declared(&targets);
+}
+
 fn declared_resources(
     declarations: &crate::replay::DeclarationTable,
 ) -> Vec<(ResourceKey, &ResourceSpec)> {
--- /dev/null
+++ b/src/daemon/members.rs
@@ -0,0 +1,146 @@
+//! Exchanging heartbeats with the other entry hosts.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use super::core::{DaemonCore, DaemonPhase};
+use crate::ids::HostId;
+use crate::membership::MembershipDecision;
+use crate::peer::{PeerHeartbeat, PeerReply};
+use crate::target::wire::LoadReport;
+
+/// Pause between two looks at who is due for a heartbeat.
+const MEMBERSHIP_TICK: Duration = Duration::from_millis(50);
+
+/// Sends heartbeats when they are due, until the daemon ends.
+pub(super) async fn run_members(core: Arc<DaemonCore>) {
+    meet_seeds(&core);
+    let mut ticks = tokio::time::interval(MEMBERSHIP_TICK);
+    loop {
+        ticks.tick().await;
+        let decisions = {
+            let mut membership = core.tables.membership.lock();
+            membership.set_applied_offset(*core.applied.borrow());
+            membership.set_draining(core.phase() == DaemonPhase::Draining);
+            membership.tick(Instant::now())
+        };
+        carry_out(&core, decisions);
+        share_out_watching(&core);
+    }
+}
+
+fn meet_seeds(core: &DaemonCore) {
+    let mut membership = core.tables.membership.lock();
+    let now = Instant::now();
+    for seed in &core.options.peers.seeds {
+        membership.observe_known_host(seed.host.clone(), seed.zone.clone(), seed.address, now);
+    }
+}
+
+fn carry_out(core: &Arc<DaemonCore>, decisions: Vec<MembershipDecision>) {
+    for decision in decisions {
+        match decision {
+            MembershipDecision::SendHeartbeat {
+                to,
+                address,
+                remote,
+            } => {
+                tokio::spawn(exchange(Arc::clone(core), to, address, remote));
+            }
+            MembershipDecision::HostJoined { host, zone, .. } => {
+                log::info!("host {host} of zone {zone} has joined");
+            }
+            MembershipDecision::HostSuspected { host } => {
+                log::warn!("host {host} is silent");
+            }
+            MembershipDecision::HostRecovered { host } => {
+                log::info!("host {host} is heard again");
+            }
+            MembershipDecision::HostGone { host, cause, .. } => {
+                log::info!("host {host} is gone: {cause:?}");
+            }
+        }
+    }
+}
+
+async fn exchange(core: Arc<DaemonCore>, to: HostId, address: std::net::SocketAddr, remote: bool) {
+    let Some(peers) = core.peers() else {
+        return;
+    };
+    let beat = own_beat(&core, remote);
+    match peers.heartbeat(address, beat).await {
+        // An address may have passed to another host.
+        Ok(reply) if reply.beat.host == to => take_reply(&core, &reply),
+        Ok(reply) => log::warn!("{address} is {} and not {to}", reply.beat.host),
+        Err(error) => log::debug!("no heartbeat from {to}: {error}"),
+    }
+}
+
+fn own_beat(core: &DaemonCore, remote: bool) -> PeerHeartbeat {
+    let mut membership = core.tables.membership.lock();
+    let now = Instant::now();
+    let loads = {
+        let mut watch = core.tables.watch.lock();
+        match remote {
+            true => watch.remote_loads(now),
+            false => watch.zone_loads(now),
+        }
+    };
+    membership.next_heartbeat(remote, loads)
+}
+
+fn take_reply(core: &Arc<DaemonCore>, reply: &PeerReply) {
+    take_beat(core, &reply.beat);
+}
+
+/// Answers a peer's heartbeat with this host's own.
+pub(super) fn answer_beat(core: &Arc<DaemonCore>, beat: &PeerHeartbeat) -> PeerReply {
+    take_beat(core, beat);
+    let remote = beat.zone != *core.zone();
+    PeerReply {
+        beat: own_beat(core, remote),
+        lease_offset: None,
+        grants: Vec::new(),
+    }
+}
+
+fn take_beat(core: &Arc<DaemonCore>, beat: &PeerHeartbeat) {
+    let now = Instant::now();
+    let decisions = {
+        let mut membership = core.tables.membership.lock();
+        membership.observe_heartbeat(beat, now)
+    };
+    carry_out(core, decisions);
+    let mut watch = core.tables.watch.lock();
+    watch.observe_peer_loads(&beat.host, &beat.loads, now);
+    let mut routes = core.tables.routes.write();
+    for load in &beat.loads {
+        let report = LoadReport {
+            running: load.running,
+            waiting: load.waiting,
+            tokens_per_second: load.tokens_per_second,
+            age_ms: u64::try_from(load.age.as_millis()).unwrap_or(u64::MAX),
+        };
+        routes.observe_load(&load.target, &report, now);
+    }
+    drop(routes);
+    drop(watch);
+    if beat.applied_offset > *core.applied.borrow() {
+        core.peer_ahead.notify_one();
+    }
+}
+
+/// Divides the watching of targets over the hosts that are live now, and
+/// takes targets that are known to leave out of rotation.
+fn share_out_watching(core: &DaemonCore) {
+    let working = core.tables.membership.lock().working_hosts();
+    let declarations = core.tables.declarations.read();
+    let mut watch = core.tables.watch.lock();
+    watch.set_working_hosts(&working);
+    let now = Instant::now();
+    let mut routes = core.tables.routes.write();
+    for target in declarations.targets() {
+        let leaving = watch.out_of_rotation(target.name, now).is_some();
+        routes.set_leaving(target.name, leaving);
+    }
+}
--- a/src/daemon/operators.rs
+++ b/src/daemon/operators.rs
@@ -14,6 +14,7 @@
 };
 use crate::auth::CredentialTable;
 use crate::journal::{JournalEntry, JournalSubject};
+use crate::membership::MemberPhase;
 use crate::reason::RefusalReason;
 use crate::replay::DeclaredEntry;
 use crate::resources::{ResourceKey, ResourceKind};
@@ -111,14 +112,23 @@
 
 fn force_view(core: &DaemonCore) -> ForceView {
     let applied = *core.applied.borrow();
+    let membership = core.tables.membership.lock();
+    let zones = membership.force_view(Instant::now());
+    let own = HostForceView {
+        host: core.host().clone(),
+        applied,
+        reachable: true,
+        draining: core.phase() == DaemonPhase::Draining,
+    };
+    let others = membership.members().map(|member| HostForceView {
+        host: member.host.clone(),
+        applied: member.applied_offset,
+        reachable: member.phase == MemberPhase::Live,
+        draining: member.draining,
+    });
     ForceView {
-        in_force: applied,
-        hosts: vec![HostForceView {
-            host: core.host().clone(),
-            applied,
-            reachable: true,
-            draining: core.phase() == DaemonPhase::Draining,
-        }],
+        in_force: zones.lowest_applied_offset().unwrap_or(0).min(applied),
+        hosts: std::iter::once(own).chain(others).collect(),
     }
 }
 
--- a/src/daemon/spawn.rs
+++ b/src/daemon/spawn.rs
@@ -1,22 +1,30 @@
 //! Starting a daemon and shutting it down.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use futures::FutureExt;
 use tokio::task::JoinHandle;
 
 use super::admitting::run_admission;
 use super::callers::caller_backend;
 use super::core::DaemonCore;
 use super::declarations::{open_tail, run_declarations};
+use super::members::{answer_beat, run_members};
 use super::operators::operator_backend;
-use super::tables::SharedTables;
+use super::tables::{SharedTables, TableSettings};
+use super::targets::{run_host_list, run_load_polls};
 use crate::admission::AdmissionSettings;
 use crate::api::{ApiError, ApiHandle, ApiSettings, spawn_callers, spawn_operators};
+use crate::ids::IncarnationId;
 use crate::journal::JournalBounds;
 use crate::logging::dropshot_logger;
+use crate::membership::{MembershipSettings, WatchSettings};
 use crate::options::DaemonOptions;
+use crate::peer::{
+    ClaimOutcome, PeerError, PeerHandle, PeerHandlers, PeerSettings, RelayedRange, spawn_on,
+};
 use crate::platform::append_queue::{AppendOptions, AppendQueue};
 use crate::platform::client::{PlatformClient, PlatformTimeouts};
 use crate::records::DECLARATION_STREAM;
@@ -33,6 +41,9 @@
     /// A listener could not be opened.
     #[error(transparent)]
     Api(#[from] ApiError),
+    /// Peers cannot be listened to.
+    #[error(transparent)]
+    Peer(#[from] PeerError),
 }
 
 /// A running daemon.
@@ -49,21 +60,33 @@
 /// If a listener cannot be opened.
 pub async fn spawn(options: DaemonOptions) -> Result<DaemonHandle, DaemonError> {
     let seed = options.host.seed.unwrap_or_else(rand::random);
+    let incarnation = rand::random();
+    let listener = TcpListener::bind(options.listen.peers).map_err(PeerError::from)?;
+    let peer_address = match options.listen.advertised_peers {
+        Some(advertised) => advertised,
+        None => listener.local_addr().map_err(PeerError::from)?,
+    };
+    let settings = table_settings(&options, incarnation, peer_address, seed);
     let platform = open_platform(&options);
     let core = DaemonCore::new(
-        rand::random(),
-        open_tables(&options, seed),
+        incarnation,
+        SharedTables::new(settings, Instant::now()),
         TargetClient::open(target_timeouts(&options)),
+        platform.clone(),
         AppendQueue::spawn(
             platform.clone(),
             AppendOptions::for_stream(DECLARATION_STREAM),
         ),
         options,
     );
+    core.set_peers(open_peers(&core, listener, seed)?);
     let tail = open_tail(platform, &core, seed);
     let workers = vec![
         tokio::spawn(run_declarations(Arc::clone(&core), tail)),
         tokio::spawn(run_admission(Arc::clone(&core))),
+        tokio::spawn(run_members(Arc::clone(&core))),
+        tokio::spawn(run_load_polls(Arc::clone(&core))),
+        tokio::spawn(run_host_list(Arc::clone(&core))),
     ];
     let callers = spawn_callers(
         &api_settings(&core, core.options.listen.callers),
@@ -99,6 +122,11 @@
         self.operators.local_address()
     }
 
+    /// Address on which peers are served.
+    pub fn peer_address(&self) -> Option<SocketAddr> {
+        self.core.peers().map(PeerHandle::local_address)
+    }
+
     /// Shuts down gracefully: nothing new is taken, what is in flight ends.
     pub async fn shutdown(self) {
         self.core.begin_draining();
@@ -113,6 +141,9 @@
         for worker in self.workers {
             worker.abort();
         }
+        if let Some(peers) = self.core.peers() {
+            peers.shutdown().await;
+        }
     }
 }
 
@@ -132,7 +163,41 @@
     }
 }
 
-fn open_tables(options: &DaemonOptions, seed: u64) -> Arc<SharedTables> {
+fn open_peers(
+    core: &Arc<DaemonCore>,
+    listener: TcpListener,
+    seed: u64,
+) -> Result<PeerHandle, PeerError> {
+    let settings = PeerSettings {
+        connect_timeout: core.options.timing.connect_timeout,
+        seed,
+        ..PeerSettings::new(core.options.listen.peers)
+    };
+    spawn_on(listener, settings, peer_handlers(core))
+}
+
+fn peer_handlers(core: &Arc<DaemonCore>) -> PeerHandlers {
+    let beats = Arc::clone(core);
+    PeerHandlers {
+        heartbeat: Arc::new(move |beat| answer_beat(&beats, &beat)),
+        records: Arc::new(|_question| RelayedRange::default()),
+        claim_outcome: Arc::new(|_question| futures::future::ready(ClaimOutcome::Unknown).boxed()),
+    }
+}
+
+fn table_settings(
+    options: &DaemonOptions,
+    incarnation: IncarnationId,
+    peer_address: SocketAddr,
+    seed: u64,
+) -> TableSettings {
+    let (host, zone) = (&options.host.name, &options.host.zone);
+    let membership = MembershipSettings {
+        zone_interval: options.timing.heartbeat_interval,
+        suspect_after: options.timing.peer_timeout,
+        ..MembershipSettings::new(host.clone(), zone.clone(), incarnation, peer_address)
+    };
+    let watch = WatchSettings::new(host.clone(), zone.clone());
     let admission = AdmissionSettings {
         queue_length: options.limits.max_queued_per_organisation,
         ..AdmissionSettings::default()
@@ -155,7 +220,15 @@
         entries: options.limits.journal_entries,
         ..JournalBounds::default()
     };
-    SharedTables::new(admission, routes, budget, journal, seed)
+    TableSettings {
+        membership,
+        watch,
+        admission,
+        routes,
+        budget,
+        journal,
+        seed,
+    }
 }
 
 fn api_settings(core: &DaemonCore, address: SocketAddr) -> ApiSettings {
--- a/src/daemon/tables.rs
+++ b/src/daemon/tables.rs
@@ -7,6 +7,7 @@
 //! await.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use parking_lot::{Mutex, RwLock};
 use rand::SeedableRng;
@@ -17,6 +18,7 @@
 use crate::collections::FastMap;
 use crate::ids::RequestId;
 use crate::journal::{JournalBounds, JournalTable};
+use crate::membership::{MembershipSettings, MembershipTable, TargetWatch, WatchSettings};
 use crate::replay::DeclarationTable;
 use crate::retry::{BudgetSettings, RetryBudget};
 use crate::routing::{RouteSettings, RouteTable};
@@ -25,13 +27,17 @@
 pub(super) struct SharedTables {
     /// First: what is declared.
     pub(super) declarations: RwLock<DeclarationTable>,
-    /// Second: who may start, with those who wait to be told.
+    /// Second: the other entry hosts.
+    pub(super) membership: Mutex<MembershipTable>,
+    /// Third: which targets are watched, and which are leaving.
+    pub(super) watch: Mutex<TargetWatch>,
+    /// Fourth: who may start, with those who wait to be told.
     pub(super) admission: Mutex<AdmissionDesk>,
-    /// Third: pipelines and what is known of targets.
+    /// Fifth: pipelines and what is known of targets.
     pub(super) routes: RwLock<RouteTable>,
-    /// Fourth: retries that may still be spent.
+    /// Sixth: retries that may still be spent.
     pub(super) budget: Mutex<RetryBudget>,
-    /// Fifth: what was decided and why.
+    /// Seventh: what was decided and why.
     pub(super) journal: Mutex<JournalTable>,
     /// Last: randomness for routing.
     pub(super) random: Mutex<StdRng>,
@@ -46,16 +52,32 @@
     pub(super) waiters: FastMap<RequestId, oneshot::Sender<AdmissionDecision>>,
 }
 
+/// Settings of all tables.
+pub(super) struct TableSettings {
+    pub(super) membership: MembershipSettings,
+    pub(super) watch: WatchSettings,
+    pub(super) admission: AdmissionSettings,
+    pub(super) routes: RouteSettings,
+    pub(super) budget: BudgetSettings,
+    pub(super) journal: JournalBounds,
+    pub(super) seed: u64,
+}
+
 impl SharedTables {
-    pub(super) fn new(
-        admission: AdmissionSettings,
-        routes: RouteSettings,
-        budget: BudgetSettings,
-        journal: JournalBounds,
-        seed: u64,
-    ) -> Arc<Self> {
+    pub(super) fn new(settings: TableSettings, now: Instant) -> Arc<Self> {
+        let TableSettings {
+            membership,
+            watch,
+            admission,
+            routes,
+            budget,
+            journal,
+            seed,
+        } = settings;
         Arc::new(Self {
             declarations: RwLock::new(DeclarationTable::default()),
+            membership: Mutex::new(MembershipTable::new(membership, now)),
+            watch: Mutex::new(TargetWatch::new(watch)),
             admission: Mutex::new(AdmissionDesk {
                 table: AdmissionTable::new(admission, seed),
                 waiters: FastMap::default(),
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -18,7 +18,7 @@
 mod worker;
 
 pub use error::PeerError;
-pub use handle::{PeerHandle, spawn};
+pub use handle::{PeerHandle, spawn, spawn_on};
 pub use handlers::PeerHandlers;
 pub use message::{
     ClaimOutcome, ClaimQuestion, PeerDemand, PeerGrant, PeerHeartbeat, PeerLoad, PeerReply,
--- a/src/peer/handle.rs
+++ b/src/peer/handle.rs
@@ -1,6 +1,6 @@
 //! The handle by which the rest of the daemon calls its peers.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -33,7 +33,20 @@
 /// # Errors
 /// [`PeerError::Start`] if the address cannot be bound or no thread started.
 pub fn spawn(settings: PeerSettings, handlers: PeerHandlers) -> Result<PeerHandle, PeerError> {
-    let listener = std::net::TcpListener::bind(settings.listen)?;
+    let listener = TcpListener::bind(settings.listen)?;
+    spawn_on(listener, settings, handlers)
+}
+
+/// Like [`spawn`], over a listener that stands already: for handlers that
+/// have to know their own address.
+///
+/// # Errors
+/// [`PeerError::Start`] if the listener cannot be used or no thread started.
+pub fn spawn_on(
+    listener: TcpListener,
+    settings: PeerSettings,
+    handlers: PeerHandlers,
+) -> Result<PeerHandle, PeerError> {
     listener.set_nonblocking(true)?;
     let local_address = listener.local_addr()?;
     let traffic = Arc::new(PeerTraffic::default());
