Claim idempotency keys in the log before a dispatch

Cause: the same non-idempotent request may reach two hosts at once, and hosts keep nothing; something that all read in one order has to say who may send it.

Change: the first claim on (organisation, key) in log order holds the key and only its writer's incarnation may dispatch, once, by a permit that is checked right before the first byte. ClaimTable judges records without clocks. ClaimMachine is the claimant: a claim that does not show by its deadline is closed first, then the caller is told that nothing ran, then a withdrawal is appended until it shows, which frees the key for the caller's next attempt. A withdrawal that overtakes its claim is remembered. A dead writer's claim stays "may have run". Keys are UUIDs of version 7, so that a key past its window is refused without any record. A reader that missed expired records takes no such request until a time mark, or the window since its own first read, shows that none of the missed claims counts any more.

Ruled out: judging the age of missed records by the time written in the oldest one kept, because an append may reach the log long after it was written; a mark therefore names the offset that its writer had read. Repeating the claim's append when its answer is lost, which would spend the append budget where reading on settles it. Keys without a time: after expiry nothing tells an old key from a new one.

--- /dev/null
+++ b/src/claims/table/commands.rs
@@ -0,0 +1,170 @@
+//! What changes the table.
+
+use std::collections::hash_map::Entry;
+use std::time::SystemTime;
+
+use super::{ClaimHolder, ClaimJudgement, ClaimStanding, ClaimTable, HeldKey, KnownClaim};
+use crate::claims::record::{
+    ClaimBody, ClaimDetails, ClaimEntry, ClaimOutcome, ClaimOwner, ClaimRef,
+};
+use crate::ids::{LogOffset, RecordId};
+use crate::records::{JUDGING_RULES, LogRecord};
+
+impl ClaimTable {
+    /// Notes a read that succeeded at wall time `now`, before its records are
+    /// applied. If records expired unread, the table has missed them.
+    pub fn note_read(&mut self, first_offset: LogOffset, now: SystemTime) {
+        if first_offset > self.next_offset {
+            self.next_offset = first_offset;
+            self.coverage.miss(first_offset);
+        }
+        self.coverage.note_read(now);
+    }
+
+    /// Judges the record at an offset. Records come in the log's order.
+    pub fn apply(&mut self, offset: LogOffset, record: &LogRecord<ClaimBody>) -> ClaimJudgement {
+        if offset < self.next_offset {
+            return ClaimJudgement::Repeated;
+        }
+        if offset > self.next_offset {
+            self.coverage.miss(offset);
+        }
+        self.next_offset = offset + 1;
+        if record.rules > JUDGING_RULES {
+            self.unjudgeable = true;
+            return ClaimJudgement::UnknownRules;
+        }
+        let mark = &record.body.mark;
+        self.coverage.note_mark(mark);
+        self.last_mark = self.last_mark.max(mark.written);
+        let owner = ClaimOwner {
+            host: record.writer.clone(),
+            incarnation: record.incarnation,
+        };
+        match &record.body.entry {
+            ClaimEntry::Claim(details) => self.apply_claim(&record.id, owner, details),
+            ClaimEntry::Withdraw(claim) => self.apply_withdrawal(owner, claim),
+            ClaimEntry::Outcome { claim, outcome } => self.apply_outcome(&owner, claim, outcome),
+            ClaimEntry::Mark => ClaimJudgement::Marked,
+        }
+    }
+
+    /// Forgets claims on keys that are too old to be accepted again.
+    pub fn prune(&mut self, now: SystemTime) {
+        let oldest = self.window.forget_before(now);
+        self.forgotten_before = self.forgotten_before.max(oldest);
+        while let Some((created, claim)) = self.by_age.pop_first() {
+            if created >= self.forgotten_before {
+                self.by_age.insert((created, claim));
+                return;
+            }
+            if let Some(KnownClaim {
+                standing: ClaimStanding::Holds(name),
+                ..
+            }) = self.claims.remove(&claim)
+            {
+                self.holders.remove(&name);
+            }
+        }
+    }
+
+    fn apply_claim(
+        &mut self,
+        claim: &RecordId,
+        owner: ClaimOwner,
+        details: &ClaimDetails,
+    ) -> ClaimJudgement {
+        match self.claims.get(claim) {
+            // The withdrawal overtook the claim, whose append was under way
+            // while its writer gave up. Its caller was told that it did not
+            // run, so the claim must not block the key.
+            Some(known) if known.standing == ClaimStanding::Withdrawn => {
+                return ClaimJudgement::AlreadyWithdrawn;
+            }
+            Some(_) => return ClaimJudgement::Repeated,
+            None if details.created < self.forgotten_before => return ClaimJudgement::TooOld,
+            None => {}
+        }
+        let held = HeldKey {
+            holder: ClaimHolder {
+                claim: claim.clone(),
+                owner: owner.clone(),
+                request: details.request.clone(),
+            },
+            fingerprint: details.fingerprint,
+            outcome: None,
+        };
+        let (standing, judgement) = match self.holders.entry(details.name.clone()) {
+            Entry::Vacant(entry) => {
+                entry.insert(held);
+                let standing = ClaimStanding::Holds(details.name.clone());
+                (standing, ClaimJudgement::Won)
+            }
+            Entry::Occupied(entry) => {
+                let other = entry.get();
+                let judgement = ClaimJudgement::Lost {
+                    mismatched: other.fingerprint != details.fingerprint,
+                    holder: other.holder.clone(),
+                };
+                (ClaimStanding::Lost, judgement)
+            }
+        };
+        self.remember(claim, details.created, KnownClaim { owner, standing });
+        judgement
+    }
+
+    fn apply_withdrawal(&mut self, owner: ClaimOwner, claim: &ClaimRef) -> ClaimJudgement {
+        let standing = ClaimStanding::Withdrawn;
+        let Some(known) = self.claims.get_mut(&claim.claim) else {
+            let known = KnownClaim { owner, standing };
+            self.remember(&claim.claim, claim.created, known);
+            return ClaimJudgement::Settled;
+        };
+        if known.owner != owner {
+            return ClaimJudgement::Ignored;
+        }
+        match &known.standing {
+            ClaimStanding::Holds(name) if self.holders.get(name).is_some_and(HeldKey::ended) => {
+                return ClaimJudgement::Ignored;
+            }
+            ClaimStanding::Holds(name) => {
+                self.holders.remove(name);
+                known.standing = standing;
+            }
+            ClaimStanding::Lost | ClaimStanding::Withdrawn => {}
+        }
+        ClaimJudgement::Settled
+    }
+
+    fn apply_outcome(
+        &mut self,
+        owner: &ClaimOwner,
+        claim: &ClaimRef,
+        outcome: &ClaimOutcome,
+    ) -> ClaimJudgement {
+        let Some(known) = self.claims.get(&claim.claim) else {
+            return ClaimJudgement::Ignored;
+        };
+        let ClaimStanding::Holds(name) = &known.standing else {
+            return ClaimJudgement::Ignored;
+        };
+        match self.holders.get_mut(name) {
+            Some(held) if known.owner == *owner => {
+                held.outcome.get_or_insert_with(|| outcome.clone());
+                ClaimJudgement::Settled
+            }
+            _ => ClaimJudgement::Ignored,
+        }
+    }
+
+    fn remember(&mut self, claim: &RecordId, created: SystemTime, known: KnownClaim) {
+        self.by_age.insert((created, claim.clone()));
+        self.claims.insert(claim.clone(), known);
+    }
+}
+
+impl HeldKey {
+    fn ended(&self) -> bool {
+        self.outcome.is_some()
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod admission;
 pub mod api;
+pub mod claims;
 pub mod collections;
 pub mod ids;
 #[allow(
--- /dev/null
+++ b/tests/claims.rs
@@ -0,0 +1,206 @@
+//! Single matters of claims that the model test does not single out.
+
+#![allow(clippy::unwrap_used)] // A test ends at the first thing that is not there.
+
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use jackdawwick::claims::answer::{ClaimAnswer, ClaimRefusal};
+use jackdawwick::claims::key::{KeyError, parse_key};
+use jackdawwick::claims::machine::{
+    ClaimDecision, ClaimEvent, ClaimMachine, ClaimOrder, ClaimPolicy,
+};
+use jackdawwick::claims::record::{
+    ClaimBody, ClaimEntry, ClaimName, ClaimOwner, RequestFingerprint, TimeMark,
+};
+use jackdawwick::claims::table::{ClaimJudgement, ClaimTable};
+use jackdawwick::claims::window::{ClaimTime, ClaimWindow};
+use jackdawwick::records::{JUDGING_RULES, LogRecord};
+use jackdawwick::verdict::RunVerdict;
+
+const WINDOW: Duration = Duration::from_secs(100);
+const SKEW: Duration = Duration::from_secs(2);
+const SECOND: Duration = Duration::from_secs(1);
+
+fn table() -> ClaimTable {
+    ClaimTable::new(ClaimWindow::new(WINDOW, SKEW, WINDOW * 2).unwrap())
+}
+
+fn at(seconds: u64) -> SystemTime {
+    UNIX_EPOCH + Duration::from_secs(1_800_000_000 + seconds)
+}
+
+fn time(wall: SystemTime) -> ClaimTime {
+    let instant = Instant::now();
+    ClaimTime { instant, wall }
+}
+
+fn mark(seen: u64, written: SystemTime) -> LogRecord<ClaimBody> {
+    LogRecord {
+        id: "mark".into(),
+        rules: JUDGING_RULES,
+        writer: "vake-1".into(),
+        incarnation: 1,
+        body: ClaimBody {
+            mark: TimeMark { seen, written },
+            entry: ClaimEntry::Mark,
+        },
+    }
+}
+
+fn machine(claim: &str, incarnation: u64, body: &[u8], now: ClaimTime) -> ClaimMachine {
+    let order = ClaimOrder {
+        claim: claim.into(),
+        name: ClaimName {
+            organisation: "franchise".into(),
+            key: "key".into(),
+        },
+        created: now.wall,
+        request: "r".into(),
+        fingerprint: RequestFingerprint::of("ledger", body),
+        deadline: now.instant + SECOND,
+    };
+    let owner = ClaimOwner {
+        host: "vake-1".into(),
+        incarnation,
+    };
+    let policy = ClaimPolicy {
+        retry_after: SECOND,
+        ask_timeout: SECOND,
+        settle_delay: SECOND,
+    };
+    ClaimMachine::new(order, owner, policy)
+}
+
+const BEGIN: ClaimEvent = ClaimEvent::Begin {
+    log_available: true,
+};
+
+fn refusal(decisions: &[ClaimDecision]) -> ClaimRefusal {
+    match decisions.first().unwrap() {
+        ClaimDecision::Answer(ClaimAnswer::Refused { refusal, .. }) => *refusal,
+        other => panic!("not refused: {other:?}"),
+    }
+}
+
+#[test]
+fn keys_carry_their_time_and_have_one_spelling() {
+    let plain = parse_key("01932c07-a8e0-7000-8000-00000000002a").unwrap();
+    let quoted = parse_key(" \"01932C07A8E0700080000000000002A0\" ");
+    let capitals = parse_key("\"01932C07-A8E0-7000-8000-00000000002A\"").unwrap();
+    assert_eq!(plain, capitals);
+    assert_eq!(
+        plain.created,
+        UNIX_EPOCH + Duration::from_millis(0x0193_2c07_a8e0)
+    );
+    assert!(quoted.is_ok());
+    assert_eq!(parse_key("settle-up-17"), Err(KeyError::NotUuid));
+    let random = parse_key("3f0f0c39-6f3b-4a7e-9b64-0c1f2d3e4a5b");
+    assert_eq!(random, Err(KeyError::NoTime(4)));
+}
+
+/// Symptom: a host started during the day runs a charge a second time.
+/// Sequence: the claim on its key has expired from the log, sooner than the
+/// window; the new host reads what is left and takes the key for free. Cause:
+/// a host that counts itself ready without knowing how old the records are
+/// that it missed. A record written long ago but appended lately says nothing
+/// about that; one whose writer had read past them does.
+#[test]
+fn starting_host_waits_until_missed_claims_no_longer_count() {
+    let mut table = table();
+    assert!(!table.covers(at(0)), "nothing read yet");
+    table.note_read(50, at(1000));
+    assert!(!table.covers(at(1000)));
+    assert!(!table.covers(at(1104)));
+    assert!(table.covers(at(1105)), "window and skew have passed");
+
+    table.apply(50, &mark(49, at(800)));
+    assert!(
+        !table.covers(at(1000)),
+        "written at 800, appended later than 49"
+    );
+    table.apply(51, &mark(50, at(895)));
+    assert!(table.covers(at(1000)));
+
+    table.note_read(60, at(1010));
+    assert!(
+        !table.covers(at(1010)),
+        "frozen while 52..60 came and expired"
+    );
+    let begun = machine("c", 1, b"", time(at(1010))).handle(BEGIN, &table, time(at(1010)));
+    assert_eq!(refusal(&begun), ClaimRefusal::NotCovered);
+}
+
+/// Symptom: a host reports itself ready and judges otherwise than the rest.
+/// Sequence: a newer program has written records under newer rules. Cause:
+/// such records skipped as if they said nothing.
+#[test]
+fn unknown_rules_end_coverage() {
+    let mut table = table();
+    table.note_read(0, at(0));
+    assert!(table.covers(at(0)));
+    let mut record = mark(0, at(0));
+    record.rules = JUDGING_RULES + 1;
+    assert_eq!(table.apply(0, &record), ClaimJudgement::UnknownRules);
+    assert!(!table.covers(at(0)));
+}
+
+/// Symptom: a key is accepted again after its claim was forgotten. Sequence:
+/// the wall clock runs ahead, the table forgets, the clock is set back.
+/// Cause: the age of keys judged by the clock alone.
+#[test]
+fn clock_set_back_does_not_revive_forgotten_keys() {
+    let mut table = table();
+    table.note_read(0, at(0));
+    assert_eq!(table.admit(at(0), at(10)), Ok(()));
+    table.prune(at(500));
+    assert_eq!(table.admit(at(0), at(10)), Err(ClaimRefusal::KeyExpired));
+    assert_eq!(
+        table.admit(at(450), at(440)),
+        Err(ClaimRefusal::KeyFromFuture)
+    );
+}
+
+/// Symptom: a caller is told "not run" about a charge that an earlier life of
+/// the daemon sent, or another request under the same key runs. Sequence: the
+/// daemon claims, dies and starts again; the caller comes back with its key.
+/// Cause: a claim without a withdrawal taken for one that nobody carried out.
+#[test]
+fn claim_of_a_dead_incarnation_stays_unknown() {
+    let mut table = table();
+    let now = time(at(0));
+    table.note_read(0, now.wall);
+    let begun = machine("old", 1, b"pay", now).handle(BEGIN, &table, now);
+    let [ClaimDecision::Append(record)] = &begun[..] else {
+        panic!("no claim appended: {begun:?}");
+    };
+    assert_eq!(table.apply(0, record), ClaimJudgement::Won);
+
+    let answer = machine("new", 2, b"pay", now).handle(BEGIN, &table, now);
+    assert_eq!(answer, [ClaimDecision::Answer(ClaimAnswer::Unknown)]);
+    assert_eq!(ClaimAnswer::Unknown.verdict(), RunVerdict::MayHaveRun);
+    let other = machine("other", 2, b"pay twice", now).handle(BEGIN, &table, now);
+    assert_eq!(refusal(&other), ClaimRefusal::KeyReused);
+}
+
+#[test]
+fn log_outage_refuses_at_once() {
+    let mut table = table();
+    let now = time(at(0));
+    table.note_read(0, now.wall);
+    let outage = ClaimEvent::Begin {
+        log_available: false,
+    };
+    let decisions = machine("c", 1, b"pay", now).handle(outage, &table, now);
+    let refused = ClaimAnswer::Refused {
+        refusal: ClaimRefusal::LogUnavailable,
+        retry_after: Some(SECOND),
+    };
+    assert_eq!(refused.verdict(), RunVerdict::NotRun);
+    assert_eq!(decisions, [ClaimDecision::Answer(refused)]);
+}
+
+#[test]
+fn window_must_fit_the_log() {
+    assert!(ClaimWindow::new(WINDOW, SKEW, WINDOW).is_err());
+    assert!(ClaimWindow::new(WINDOW, SKEW, Duration::from_secs(157)).is_ok());
+}
