Point explain of an unknown request to the other entry hosts

Cause: tried against two running daemons, `explain` of a request that the host does not know advised to list the resources, and a dry run showed an empty text as nothing at all.

Ruled out: changing the advice for every unknown name; for resources it is right.

Change: a refusal as unknown counts as nothing known, like an empty answer, and an empty text is shown as two quotes.

Tests: tests/cli.rs, 9 tests. With the old code two of them failed (status_and_explain_are_tables_without_control_characters, apply_declares_what_differs_after_what_it_refers_to); with the new all passed.

--- a/src/cli/queries.rs
+++ b/src/cli/queries.rs
@@ -47,13 +47,17 @@
 
     /// Shows what was decided about a request.
     pub(super) async fn explain(&mut self, request: &str) -> Result<(), CliError> {
-        let view = self.client.explain(request).await?;
-        if view.entries.is_empty() {
-            return Err(CliError::NothingKnown {
-                request: request.to_owned(),
-            });
+        let nothing_known = || CliError::NothingKnown {
+            request: request.to_owned(),
+        };
+        match self.client.explain(request).await {
+            Ok(view) if view.entries.is_empty() => Err(nothing_known()),
+            Ok(view) => self.presenter.explanation(&view),
+            Err(CliError::Refused(refusal)) if refusal.reason == RefusalReason::Unknown => {
+                Err(nothing_known())
+            }
+            Err(error) => Err(error),
         }
-        self.presenter.explanation(&view)
     }
 
     /// Shows how the host sees itself and the targets.
--- a/src/cli/view.rs
+++ b/src/cli/view.rs
@@ -111,7 +111,7 @@
 /// A plain value as a person reads it.
 pub(super) fn plain(value: &Value) -> String {
     match value {
-        Value::String(text) => text.clone(),
+        Value::String(text) if !text.is_empty() => text.clone(),
         other => other.to_string(),
     }
 }
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -175,7 +175,10 @@
             let next = force.lock().next_force();
             async { Ok(next) }.boxed()
         }),
-        explain: Arc::new(|request| async move { Ok(explain(&request)) }.boxed()),
+        explain: Arc::new(move |request| {
+            let known = (&*request != "r2").then(|| explain(&request));
+            async move { known.ok_or_else(unknown) }.boxed()
+        }),
         status: Arc::new(|()| async { Ok(status()) }.boxed()),
         metrics: Arc::new(String::new),
     }
@@ -238,6 +241,11 @@
     let daemon = FakeDaemon::spawn();
     let preview = daemon.apply(FILE, &["--dry-run"]).await;
     assert_eq!(preview.status, 0, "{}", preview.errors);
+    assert!(
+        preview.output.contains("accelerator: + \"\"\n"),
+        "{}",
+        preview.output
+    );
     assert!(daemon.state.lock().changes.is_empty());
 
     let created = daemon.apply(FILE, &[]).await;
@@ -420,13 +428,15 @@
     TIME                      SUBJECT  DECISION
     1970-01-01T00:00:01.000Z  run      route e1: least queue?[2J
     "#);
-    let nothing = daemon.run(&["explain", "r2"]).await;
-    assert_eq!(nothing.status, 1);
-    assert!(
-        nothing.errors.contains("Ask the entry host"),
-        "{}",
-        nothing.errors
-    );
+    for request in ["r2", "dropped"] {
+        let nothing = daemon.run(&["explain", request]).await;
+        assert_eq!(nothing.status, 1);
+        assert!(
+            nothing.errors.contains("Ask the entry host"),
+            "{}",
+            nothing.errors
+        );
+    }
 }
 
 #[tokio::test]
