Start from checkpoints, write them, and relay records between peers

Cause: a daemon replayed the log from offset 0 only, so it could not start once records had expired, and a zone cut off from the platform stood still. Change: the start planner reads back to a usable checkpoint; peers hand on records or their state; a host that knows of newer declarations than it holds takes no work at the start; checkpoints are appended when due. Ruled out: a lease for the checkpoint writer, since a second checkpoint of the same state is harmless and a random wait mostly avoids it. The failure tests for this wiring are not written yet.

--- a/src/admission/queries.rs
+++ b/src/admission/queries.rs
@@ -7,6 +7,11 @@
 use super::AdmissionTable;
 
 impl AdmissionTable {
+    /// Organisations that have a share here, by name.
+    pub fn organisations(&self) -> impl Iterator<Item = &OrganisationId> {
+        self.organisations.keys()
+    }
+
     /// Requests of an organisation that run, wait, or were lately refused for
     /// want of capacity: what the division of shares should move towards.
     pub fn demand(&self, organisation: &OrganisationId, now: Instant) -> u32 {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -7,11 +7,14 @@
 mod admitting;
 mod callers;
 mod changes;
+mod checkpoints;
 mod core;
 mod declarations;
 mod generate;
+mod in_force;
 mod members;
 mod operators;
+mod relaying;
 mod services;
 mod spawn;
 mod tables;
--- a/src/daemon/core.rs
+++ b/src/daemon/core.rs
@@ -4,14 +4,16 @@
 use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
 use std::sync::{Arc, OnceLock};
 
-use std::time::SystemTime;
+use std::time::{Duration, Instant, SystemTime};
 
+use parking_lot::Mutex;
 use tokio::sync::{Notify, watch};
 use tokio_util::task::TaskTracker;
 
 use super::tables::SharedTables;
 use crate::ids::{HostId, IncarnationId, LogOffset, RequestId, TargetId, ZoneId};
 use crate::journal::{JournalEntry, JournalEvent, JournalSubject};
+use crate::membership::MemberPhase;
 use crate::metrics::MetricSet;
 use crate::options::DaemonOptions;
 use crate::peer::PeerHandle;
@@ -48,6 +50,10 @@
     /// Told when a peer has applied more than this host.
     pub(super) peer_ahead: Notify,
     peers: OnceLock<PeerHandle>,
+    /// Oldest offset that the stream of declarations still keeps.
+    log_horizon: AtomicU64,
+    /// When a checkpoint was last seen in the log.
+    checkpoint_seen: Mutex<Option<Instant>>,
     run_numbers: AtomicU64,
     phase: AtomicU8,
 }
@@ -74,6 +80,8 @@
             platform,
             peer_ahead: Notify::new(),
             peers: OnceLock::new(),
+            log_horizon: AtomicU64::new(0),
+            checkpoint_seen: Mutex::new(None),
             run_numbers: AtomicU64::new(0),
             phase: AtomicU8::new(DaemonPhase::Starting as u8),
         })
@@ -136,6 +144,47 @@
         );
     }
 
+    /// Takes no work any more, because what is declared can't be followed.
+    pub(super) fn become_unready(&self) {
+        let _ = self.phase.compare_exchange(
+            DaemonPhase::Serving as u8,
+            DaemonPhase::Starting as u8,
+            Ordering::AcqRel,
+            Ordering::Acquire,
+        );
+    }
+
+    /// Highest offset that a live peer has applied; `None` if none is heard.
+    pub(super) fn newest_peer_offset(&self) -> Option<LogOffset> {
+        let membership = self.tables.membership.lock();
+        membership
+            .members()
+            .filter(|member| member.phase == MemberPhase::Live)
+            .map(|member| member.applied_offset)
+            .max()
+    }
+
+    /// Notes the oldest offset that the log of declarations keeps.
+    pub(super) fn set_log_horizon(&self, first_offset: LogOffset) {
+        self.log_horizon.store(first_offset, Ordering::Relaxed);
+    }
+
+    /// The oldest offset that the log of declarations was last seen to keep.
+    pub(super) fn log_horizon(&self) -> LogOffset {
+        self.log_horizon.load(Ordering::Relaxed)
+    }
+
+    /// Notes that a good checkpoint was just read from the log.
+    pub(super) fn note_checkpoint_seen(&self) {
+        *self.checkpoint_seen.lock() = Some(Instant::now());
+    }
+
+    /// Time since a good checkpoint was read from the log.
+    pub(super) fn checkpoint_age(&self) -> Option<Duration> {
+        let seen = *self.checkpoint_seen.lock();
+        seen.map(|seen| seen.elapsed())
+    }
+
     /// Begins to drain; there is no way back.
     pub(super) fn begin_draining(&self) {
         self.phase
--- a/src/daemon/declarations.rs
+++ b/src/daemon/declarations.rs
@@ -1,130 +1,203 @@
-//! Following the stream of declarations and putting it in force here.
+//! Starting from the log, and following it.
+//!
+//! A daemon starts from the log if that can be read, else from its peers, the
+//! one with the highest offset first; until then it takes no work. Once it
+//! serves, what it has replayed stays in force whatever happens to the log.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::Duration;
 
 use super::core::DaemonCore;
-use crate::admission::ShareLimit;
-use crate::ids::OrganisationId;
-use crate::membership::DeclaredTarget;
+use super::in_force::put_in_force;
+use super::relaying::catch_up_from_peers;
 use crate::platform::backoff::BackoffPolicy;
-use crate::platform::client::PlatformClient;
 use crate::platform::log_tail::{LogTail, TailEvent, TailOptions};
 use crate::platform::wire::StoredRecord;
 use crate::records::DECLARATION_STREAM;
-use crate::resources::{ResourceKey, ResourceKind, ResourceSpec, TargetPhase};
+use crate::replay::{
+    ApplyError, DeclarationTable, Judgement, StartDecision, StartPlanner, WindowRules,
+};
 
 /// Most records in one read of the log.
 const READ_LIMIT: usize = 512;
 /// Reads that may wait to be applied.
 const READ_AHEAD: usize = 4;
+/// Pause after a start that found no usable state.
+const START_RETRY: Duration = Duration::from_millis(200);
 
-/// Opens the tail of the stream from its beginning.
-pub(super) fn open_tail(client: PlatformClient, core: &DaemonCore, seed: u64) -> LogTail {
+/// Why the tail was left.
+enum TailEnd {
+    /// Records were missed: start again from a checkpoint.
+    Missed,
+    /// The daemon is ending.
+    Closed,
+}
+
+/// Starts and follows, again and again, until the daemon ends.
+pub(super) async fn run_declarations(core: Arc<DaemonCore>, seed: u64) {
+    loop {
+        start(&core).await;
+        if let TailEnd::Closed = follow(&core, seed).await {
+            return;
+        }
+    }
+}
+
+/// Returns once the log has given a state to go on from.
+async fn start(core: &Arc<DaemonCore>) {
+    loop {
+        match start_from_log(core).await {
+            Some(table) => {
+                install(core, table);
+                core.become_ready();
+                return;
+            }
+            None => start_from_peers(core).await,
+        }
+        tokio::time::sleep(START_RETRY).await;
+    }
+}
+
+/// Reads the log until the planner has found a state; `None` if the log can't
+/// be read or holds no usable state.
+async fn start_from_log(core: &DaemonCore) -> Option<DeclarationTable> {
+    let mut planner = StartPlanner::new(
+        WindowRules::CURRENT,
+        core.options.platform.checkpoint_records,
+    );
+    let mut from = 0;
+    loop {
+        let read = core
+            .platform
+            .read(DECLARATION_STREAM, from, READ_LIMIT, Duration::ZERO)
+            .await;
+        let answer = match read {
+            Ok(answer) => answer,
+            Err(error) => {
+                log::warn!("the log cannot be read at the start: {error}");
+                return None;
+            }
+        };
+        match planner.on_read(&answer) {
+            StartDecision::ReadFrom(offset) => from = offset,
+            StartDecision::Started(table) => return Some(*table),
+            StartDecision::NotReady(obstacle) => {
+                log::error!("the log gives no usable state: {obstacle}");
+                return None;
+            }
+        }
+    }
+}
+
+/// Becomes ready on what peers hold, if that is all that any of them knows.
+async fn start_from_peers(core: &Arc<DaemonCore>) {
+    catch_up_from_peers(core).await;
+    let applied = core.tables.declarations.read().applied();
+    let newest = core.newest_peer_offset();
+    // A host that knows of newer declarations than it holds would serve a
+    // reverted configuration; one that knows of none may be cut off from all
+    // that matters.
+    if newest.is_some_and(|newest| applied >= newest && applied > 0) {
+        core.become_ready();
+    }
+}
+
+/// Puts a state from the log in force, unless a newer one stands already.
+fn install(core: &DaemonCore, table: DeclarationTable) {
+    let superseded = {
+        let mut declarations = core.tables.declarations.write();
+        match declarations.applied() {
+            0 => {
+                *declarations = table;
+                Ok(())
+            }
+            _ => declarations.supersede(table),
+        }
+    };
+    match superseded {
+        Ok(()) => put_in_force(core),
+        Err(error) => log::debug!("the state in force stays: {error}"),
+    }
+}
+
+async fn follow(core: &DaemonCore, seed: u64) -> TailEnd {
     let options = TailOptions {
         stream: DECLARATION_STREAM.to_owned(),
-        from: 0,
+        from: core.tables.declarations.read().applied(),
         limit: READ_LIMIT,
         wait: core.options.timing.log_wait,
         backoff: BackoffPolicy::default(),
         seed,
         capacity: READ_AHEAD,
     };
-    LogTail::spawn(client, options)
-}
-
-/// Applies records as they come, until the tail ends.
-pub(super) async fn run_declarations(core: Arc<DaemonCore>, mut tail: LogTail) {
+    let mut tail = LogTail::spawn(core.platform.clone(), options);
     while let Some(event) = tail.next().await {
         match event {
             TailEvent::Records {
                 records,
-                end_offset,
+                first_offset,
                 ..
             } => {
-                apply_records(&core, &records);
-                if *core.applied.borrow() >= end_offset {
-                    core.become_ready();
+                core.set_log_horizon(first_offset);
+                if let Err(ApplyError::Gap { .. }) = apply_records(core, &records) {
+                    return TailEnd::Missed;
                 }
             }
             TailEvent::Unreachable { .. } => {
-                log::warn!("the platform's log cannot be read; the configuration stays in force");
+                log::warn!("the platform's log cannot be read; what is in force stays in force");
             }
             TailEvent::Expired { first_offset, .. } => {
-                log::error!("records before offset {first_offset} expired unread");
+                let missed = core.tables.declarations.read().missed_records(first_offset);
+                if missed {
+                    log::error!("records before offset {first_offset} expired unread");
+                    return TailEnd::Missed;
+                }
             }
         }
     }
+    TailEnd::Closed
 }
 
-fn apply_records(core: &DaemonCore, records: &[StoredRecord]) {
+/// Applies records of the log or of a peer, in order.
+///
+/// # Errors
+/// The first record that could not be applied; those before it are in force.
+pub(super) fn apply_records(core: &DaemonCore, records: &[StoredRecord]) -> Result<(), ApplyError> {
     if records.is_empty() {
-        return;
+        return Ok(());
     }
     let applied = {
         let mut declarations = core.tables.declarations.write();
-        for record in records {
-            match declarations.apply_raw(record.offset, &record.body) {
-                Ok(judgement) => log::debug!("record {}: {judgement:?}", record.offset),
-                Err(error) => {
-                    log::error!("record {} cannot be applied: {error}", record.offset);
-                    break;
-                }
-            }
-        }
-        declarations.applied()
+        records
+            .iter()
+            .try_for_each(|record| apply_record(core, &mut declarations, record))
     };
+    if let Err(error @ ApplyError::UnknownRules { .. }) = &applied {
+        // Other hosts go on with declarations that this program can't judge:
+        // whatever it served would be a reverted configuration.
+        log::error!("taking no work: {error}");
+        core.become_unready();
+    }
     put_in_force(core);
-    core.metrics.set_applied_offset(applied);
-    core.applied.send_replace(applied);
+    applied
 }
 
-/// Refreshes the tables that are built from what is declared.
-fn put_in_force(core: &DaemonCore) {
-    let declarations = core.tables.declarations.read();
-    let resources = declared_resources(&declarations);
-    let now = Instant::now();
-    watch_declared(core, &declarations);
-    let mut desk = core.tables.admission.lock();
-    for (key, spec) in &resources {
-        if let ResourceSpec::Organisation(organisation) = spec {
-            let limit = ShareLimit {
-                concurrent_requests: organisation.capacity.concurrent_requests,
-                requests_per_second: organisation.capacity.requests_per_second,
-            };
-            desk.table
-                .set_share(OrganisationId::clone(&key.name), limit, now);
+fn apply_record(
+    core: &DaemonCore,
+    declarations: &mut DeclarationTable,
+    record: &StoredRecord,
+) -> Result<(), ApplyError> {
+    let judgement = declarations.apply_raw(record.offset, &record.body)?;
+    match &judgement {
+        Judgement::AlreadyApplied => return Ok(()),
+        Judgement::CheckpointDiffers { .. } | Judgement::CheckpointDamaged { .. } => {
+            core.metrics.checkpoint_differed();
+            log::error!("record {}: {judgement:?}", record.offset);
         }
+        Judgement::CheckpointMatched => core.note_checkpoint_seen(),
+        _ => log::debug!("record {}: {judgement:?}", record.offset),
     }
-    let mut routes = core.tables.routes.write();
-    routes.set_pipelines(resources.iter().map(|(key, spec)| (key, *spec)));
-}
-
-fn watch_declared(core: &DaemonCore, declarations: &crate::replay::DeclarationTable) {
-    let targets: Vec<DeclaredTarget> = declarations
-        .targets()
-        .map(|entry| DeclaredTarget {
-            target: entry.name.clone(),
-            zone: entry.spec.zone.clone(),
-            draining: entry.spec.phase == TargetPhase::Draining,
-        })
-        .collect();
-    core.tables.watch.lock().set_declared(&targets);
-}
-
-fn declared_resources(
-    declarations: &crate::replay::DeclarationTable,
-) -> Vec<(ResourceKey, &ResourceSpec)> {
-    const KINDS: [ResourceKind; 5] = [
-        ResourceKind::Target,
-        ResourceKind::Model,
-        ResourceKind::Pipeline,
-        ResourceKind::Service,
-        ResourceKind::Organisation,
-    ];
-    KINDS
-        .into_iter()
-        .flat_map(|kind| declarations.list(kind))
-        .map(|entry| (entry.key(), &entry.resource.spec))
-        .collect()
+    let mut relay = core.tables.relay.lock();
+    relay.push(record.offset, record.body.clone());
+    Ok(())
 }
--- a/src/daemon/spawn.rs
+++ b/src/daemon/spawn.rs
@@ -9,10 +9,12 @@
 
 use super::admitting::run_admission;
 use super::callers::caller_backend;
+use super::checkpoints::run_checkpoints;
 use super::core::DaemonCore;
-use super::declarations::{open_tail, run_declarations};
+use super::declarations::run_declarations;
 use super::members::{answer_beat, run_members};
 use super::operators::operator_backend;
+use super::relaying::{relay_records, run_relaying};
 use super::tables::{SharedTables, TableSettings};
 use super::targets::{run_host_list, run_load_polls};
 use crate::admission::AdmissionSettings;
@@ -22,9 +24,7 @@
 use crate::logging::dropshot_logger;
 use crate::membership::{MembershipSettings, WatchSettings};
 use crate::options::DaemonOptions;
-use crate::peer::{
-    ClaimOutcome, PeerError, PeerHandle, PeerHandlers, PeerSettings, RelayedRange, spawn_on,
-};
+use crate::peer::{ClaimOutcome, PeerError, PeerHandle, PeerHandlers, PeerSettings, spawn_on};
 use crate::platform::append_queue::{AppendOptions, AppendQueue};
 use crate::platform::client::{PlatformClient, PlatformTimeouts};
 use crate::records::DECLARATION_STREAM;
@@ -74,15 +74,16 @@
         TargetClient::open(target_timeouts(&options)),
         platform.clone(),
         AppendQueue::spawn(
-            platform.clone(),
+            platform,
             AppendOptions::for_stream(DECLARATION_STREAM),
         ),
         options,
     );
     core.set_peers(open_peers(&core, listener, seed)?);
-    let tail = open_tail(platform, &core, seed);
     let workers = vec![
-        tokio::spawn(run_declarations(Arc::clone(&core), tail)),
+        tokio::spawn(run_declarations(Arc::clone(&core), seed)),
+        tokio::spawn(run_relaying(Arc::clone(&core))),
+        tokio::spawn(run_checkpoints(Arc::clone(&core), seed)),
         tokio::spawn(run_admission(Arc::clone(&core))),
         tokio::spawn(run_members(Arc::clone(&core))),
         tokio::spawn(run_load_polls(Arc::clone(&core))),
@@ -178,9 +179,10 @@
 
 fn peer_handlers(core: &Arc<DaemonCore>) -> PeerHandlers {
     let beats = Arc::clone(core);
+    let records = Arc::clone(core);
     PeerHandlers {
         heartbeat: Arc::new(move |beat| answer_beat(&beats, &beat)),
-        records: Arc::new(|_question| RelayedRange::default()),
+        records: Arc::new(move |question| relay_records(&records, &question)),
         claim_outcome: Arc::new(|_question| futures::future::ready(ClaimOutcome::Unknown).boxed()),
     }
 }
--- a/src/daemon/tables.rs
+++ b/src/daemon/tables.rs
@@ -19,14 +19,22 @@
 use crate::ids::RequestId;
 use crate::journal::{JournalBounds, JournalTable};
 use crate::membership::{MembershipSettings, MembershipTable, TargetWatch, WatchSettings};
-use crate::replay::DeclarationTable;
+use crate::replay::{DeclarationTable, RecordRelay, RelayLimits};
 use crate::retry::{BudgetSettings, RetryBudget};
 use crate::routing::{RouteSettings, RouteTable};
 
+/// Records kept for peers: those of several hours at a few a minute.
+const RELAY_LIMITS: RelayLimits = RelayLimits {
+    records: 1024,
+    bytes: 4 * 1024 * 1024,
+};
+
 /// All shared tables, in lock order.
 pub(super) struct SharedTables {
     /// First: what is declared.
     pub(super) declarations: RwLock<DeclarationTable>,
+    /// Right after it: records to pass on to peers.
+    pub(super) relay: Mutex<RecordRelay>,
     /// Second: the other entry hosts.
     pub(super) membership: Mutex<MembershipTable>,
     /// Third: which targets are watched, and which are leaving.
@@ -76,6 +84,7 @@
         } = settings;
         Arc::new(Self {
             declarations: RwLock::new(DeclarationTable::default()),
+            relay: Mutex::new(RecordRelay::new(RELAY_LIMITS)),
             membership: Mutex::new(MembershipTable::new(membership, now)),
             watch: Mutex::new(TargetWatch::new(watch)),
             admission: Mutex::new(AdmissionDesk {
--- a/src/metrics/commands.rs
+++ b/src/metrics/commands.rs
@@ -11,6 +11,11 @@
 use crate::reason::{RefusalReason, RetryReason};
 
 impl MetricSet {
+    /// Counts a checkpoint that contradicts what this host has replayed.
+    pub fn checkpoint_differed(&self) {
+        self.differing_checkpoints.inc();
+    }
+
     /// Counts a request in flight.
     pub fn request_begun(&self, kind: RequestKind) {
         self.in_flight
--- a/src/metrics/set.rs
+++ b/src/metrics/set.rs
@@ -38,6 +38,7 @@
     pub(super) claims: Family<ClaimLabel, Counter>,
     pub(super) appends: Family<AppendLabels, Counter>,
     pub(super) applied_offset: Gauge,
+    pub(super) differing_checkpoints: Counter,
     pub(super) control_sent: Counter,
     pub(super) control_received: Counter,
 }
@@ -57,6 +58,7 @@
             claims: Family::default(),
             appends: Family::default(),
             applied_offset: Gauge::default(),
+            differing_checkpoints: Counter::default(),
             control_sent: Counter::default(),
             control_received: Counter::default(),
         };
@@ -131,6 +133,11 @@
             "Offset after the last declared change that this host has applied",
             self.applied_offset.clone(),
         );
+        registry.register(
+            "differing_checkpoints",
+            "Checkpoints in the log that are damaged or contradict this host's state",
+            self.differing_checkpoints.clone(),
+        );
         registry.register_with_unit(
             "control_sent",
             "Bytes sent to peers and to the platform",
