Let the settings choose the routing policy

Cause: the route table knows four policies, but a daemon could only be started with the default one, so the others could not be compared with it in the real system.

Change: a section [routing] with the key policy, documented in the sample and passed to the route table.

Ruled out: a command line argument, since settings of one fleet belong in one file.

--- a/src/daemon/spawn.rs
+++ b/src/daemon/spawn.rs
@@ -210,6 +210,7 @@
             fraction_out: ejection.max_fraction,
             ..EjectionSettings::default()
         },
+        policy: options.routing.policy,
         ..RouteSettings::new(options.host.zone.clone())
     };
     let budget = BudgetSettings {
--- a/src/options.rs
+++ b/src/options.rs
@@ -16,6 +16,7 @@
 mod range;
 mod reader;
 mod retries;
+mod routing;
 mod section;
 mod startup;
 mod timing;
@@ -34,6 +35,7 @@
 pub use reader::DocumentedKey;
 use reader::FileReader;
 pub use retries::{EjectionOptions, RetryOptions};
+pub use routing::RoutingOptions;
 pub use startup::{StartupAction, plan_startup};
 pub use timing::TimingOptions;
 
@@ -59,6 +61,8 @@
     pub limits: LimitOptions,
     /// Retry budget and outlier ejection.
     pub retries: RetryOptions,
+    /// How targets are chosen.
+    pub routing: RoutingOptions,
     /// Log level and format.
     pub log: LogOptions,
 }
@@ -106,6 +110,7 @@
     let timing = file.section("timing", timing::read);
     let limits = file.section("limits", limits::read);
     let retries = file.section("retries", retries::read);
+    let routing = file.section("routing", routing::read);
     let log = file.section("log", log::read);
     let host = host?;
     Some(DaemonOptions {
@@ -117,6 +122,7 @@
         timing: timing?,
         limits: limits?,
         retries: retries?,
+        routing: routing?,
         log: log?,
     })
 }
--- /dev/null
+++ b/src/options/routing.rs
@@ -0,0 +1,24 @@
+//! Section `[routing]`: how targets are chosen.
+
+use crate::routing::RoutePolicy;
+
+use super::section::SectionReader;
+
+/// How targets are chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RoutingOptions {
+    /// Policy by which a stage's target is chosen among its candidates.
+    pub policy: RoutePolicy,
+}
+
+pub(super) fn read(section: &mut SectionReader<'_>) -> Option<RoutingOptions> {
+    let names = RoutePolicy::ALL.map(|policy| format!("\"{}\"", policy.name()));
+    let legal = format!("one of {}", names.join(", "));
+    let policy = section.optional("policy", &legal, RoutePolicy::default(), |value| {
+        let name = value.as_str()?;
+        RoutePolicy::ALL
+            .into_iter()
+            .find(|policy| policy.name() == name)
+    });
+    Some(RoutingOptions { policy: policy? })
+}
--- a/tests/options.rs
+++ b/tests/options.rs
@@ -6,6 +6,7 @@
     DaemonOptions, DocumentedKey, LogFormat, SAMPLE_TOML, StartupAction, documented_keys,
     plan_startup,
 };
+use jackdawwick::routing::RoutePolicy;
 
 const REQUIRED: &str = r#"
 [host]
@@ -47,6 +48,7 @@
     assert_eq!(sample.timing, options.timing);
     assert_eq!(sample.limits, options.limits);
     assert_eq!(sample.retries, options.retries);
+    assert_eq!(sample.routing, options.routing);
     assert_eq!(sample.log, options.log);
     assert_eq!(sample.host.worker_threads, options.host.worker_threads);
     assert_eq!(
@@ -110,6 +112,8 @@
 connect_timeout = "3s"
 [retries]
 budget_ratio = 2
+[routing]
+policy = "best"
 [log]
 level = "loud"
 format = "xml"
@@ -138,6 +142,8 @@
     accepted("[timing]\nlease_duration = \"200ms\"");
     accepted("[timing]\nlease_duration = \"5m\"");
     accepted("[retries]\nbudget_ratio = 1\nejection_max_fraction = 0.0");
+    let options = accepted("[routing]\npolicy = \"least_outstanding\"");
+    assert_eq!(options.routing.policy, RoutePolicy::LeastOutstanding);
     for beyond in ["199ms", "300001ms", "-1s", "", "5"] {
         let shown = mistakes(&format!("[timing]\nlease_duration = \"{beyond}\""));
         assert!(
