Start a whole fleet of stand-ins and daemons in one process

Cause: the demo and the load tool need both users' shapes, with real daemons that can be killed while work runs.

Change: FleetLayout describes zones with entry hosts, stages of engines of mixed speeds, the plain service and the organisations; franchise() and atlas() are the users' shapes. Fleet::start opens the stand-ins, finds ports for the daemons' peers beforehand so that each daemon knows all as seeds, declares everything through the first daemon and waits until it is in force on all. Each daemon has a tokio runtime of its own, whose threads carry the host's name: ending the runtime is a kill without warning, and the threads' processor time can be counted for each daemon.

Ruled out: separate processes, since no program starts another one; and a delay by pairs of zones, since a target cannot tell over loopback from which zone it is called. Every call is delayed by a millisecond instead, as if all crossed zones.

--- /dev/null
+++ b/standins/src/fleet/daemon.rs
@@ -0,0 +1,77 @@
+//! A daemon on a runtime of its own.
+
+use std::net::SocketAddr;
+
+use jackdawwick::daemon::{self, DaemonHandle};
+use jackdawwick::options::DaemonOptions;
+use tokio::runtime::{Builder, Runtime};
+
+use crate::json_client::CallError;
+
+/// Worker threads of each daemon.
+const WORKER_THREADS: usize = 2;
+
+/// A daemon of the fleet; dropping it kills it.
+pub struct FleetDaemon {
+    /// Name of the entry host.
+    pub host: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Listener for callers.
+    pub callers: SocketAddr,
+    /// Listener for operators.
+    pub operators: SocketAddr,
+    handle: Option<DaemonHandle>,
+    runtime: Option<Runtime>,
+}
+
+impl FleetDaemon {
+    /// Starts a daemon with these settings.
+    pub(super) async fn spawn(settings: &str) -> Result<Self, CallError> {
+        let options = DaemonOptions::from_toml(settings)?;
+        let (host, zone) = (options.host.name.to_string(), options.host.zone.to_string());
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(WORKER_THREADS)
+            // By its name a thread's processor time is counted for its daemon.
+            .thread_name(&host)
+            .enable_all()
+            .build()?;
+        let handle = runtime.spawn(daemon::spawn(options)).await??;
+        Ok(Self {
+            host,
+            zone,
+            callers: handle.caller_address(),
+            operators: handle.operator_address(),
+            handle: Some(handle),
+            runtime: Some(runtime),
+        })
+    }
+
+    /// Whether it was neither killed nor shut down.
+    pub fn is_running(&self) -> bool {
+        self.runtime.is_some()
+    }
+
+    /// Ends it without warning; its connections are closed.
+    pub fn kill(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            // Waiting for the tasks here would block the caller's runtime.
+            runtime.shutdown_background();
+        }
+        self.handle = None;
+    }
+
+    /// Shuts it down gracefully.
+    pub async fn shutdown(&mut self) {
+        if let (Some(handle), Some(runtime)) = (self.handle.take(), &self.runtime) {
+            let _ = runtime.spawn(handle.shutdown()).await;
+        }
+        self.kill();
+    }
+}
+
+impl Drop for FleetDaemon {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- /dev/null
+++ b/standins/src/fleet/operations.rs
@@ -0,0 +1,86 @@
+//! What is done to a running fleet.
+
+use std::time::{Duration, Instant};
+
+use jackdawwick::api::wire::StatusView;
+use jackdawwick::ids::LogOffset;
+use jackdawwick::platform::wire::ListedPhase;
+
+use super::{Fleet, FleetDaemon, FleetEngine};
+use crate::json_client::CallError;
+use crate::operator::{self, Declaration};
+
+/// Bound on waiting for a change to be in force.
+const FORCE_PATIENCE: Duration = Duration::from_secs(20);
+/// Time between two looks.
+const LOOK_INTERVAL: Duration = Duration::from_millis(20);
+
+impl Fleet {
+    /// Declares resources through the first running daemon, and gives the
+    /// offset of the last change.
+    ///
+    /// # Errors
+    /// If no daemon runs or a declaration is refused.
+    pub async fn declare(&self, declarations: &[Declaration]) -> Result<LogOffset, CallError> {
+        let daemon = self.running().next().ok_or("no daemon runs")?;
+        operator::declare_all(daemon.operators, declarations).await
+    }
+
+    /// Waits until every running daemon has applied the change at `version`.
+    ///
+    /// # Errors
+    /// If that takes too long; the message names the daemon.
+    pub async fn wait_in_force(&self, version: LogOffset) -> Result<(), CallError> {
+        let deadline = Instant::now() + FORCE_PATIENCE;
+        for daemon in self.running() {
+            while !is_in_force(daemon, version).await {
+                if Instant::now() > deadline {
+                    return Err(format!("not in force on {}", daemon.host).into());
+                }
+                tokio::time::sleep(LOOK_INTERVAL).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Daemons that were neither killed nor shut down.
+    pub fn running(&self) -> impl Iterator<Item = &FleetDaemon> {
+        self.daemons.iter().filter(|daemon| daemon.is_running())
+    }
+
+    /// The engine of this name.
+    pub fn engine(&self, name: &str) -> Option<&FleetEngine> {
+        self.engines
+            .iter()
+            .find(|engine| engine.target.name == name)
+    }
+
+    /// Puts a target down as leaving in the platform's list.
+    pub fn leave(&mut self, target: &str) {
+        for listed in &mut self.hosts.targets {
+            if *listed.target == *target {
+                listed.phase = ListedPhase::Leaving;
+            }
+        }
+        self.platform.set_hosts(self.hosts.clone());
+    }
+
+    /// Shuts every daemon down gracefully, then the stand-ins.
+    pub async fn shutdown(&mut self) {
+        for daemon in &mut self.daemons {
+            daemon.shutdown().await;
+        }
+        for engine in &self.engines {
+            engine.server.shutdown();
+        }
+        for service in &self.services {
+            service.server.shutdown();
+        }
+        self.platform.shutdown();
+    }
+}
+
+async fn is_in_force(daemon: &FleetDaemon, version: LogOffset) -> bool {
+    let status = operator::read::<StatusView>(daemon.operators, "/v1/status").await;
+    status.is_ok_and(|status| status.ready && status.applied > version)
+}
--- /dev/null
+++ b/standins/src/fleet/start.rs
@@ -0,0 +1,226 @@
+//! Starting a fleet.
+
+use std::net::{SocketAddr, TcpListener};
+
+use jackdawwick::platform::wire::{HostList, ListedHost, ListedPhase, ListedTarget};
+
+use super::daemon::FleetDaemon;
+use super::layout::{FleetLayout, PREFILL_PER_STEP, StagePlan};
+use super::{Fleet, FleetEngine, FleetService};
+use crate::daemon_settings::{DaemonPlace, SeedPlace};
+use crate::declarations::{self, StageLayout, StageTarget, VERSION};
+use crate::engine::{EngineServer, EngineSettings};
+use crate::json_client::CallError;
+use crate::operator::Declaration;
+use crate::platform::{PlatformServer, PlatformSettings};
+use crate::service::{ServiceServer, ServiceSettings};
+
+/// Calls of the plain service that one target runs at once.
+const SERVICE_CONCURRENCY: usize = 16;
+
+impl Fleet {
+    /// Starts everything, declares it and waits until it is in force.
+    ///
+    /// # Errors
+    /// If something cannot be started or declared, or is not in force in time.
+    pub async fn start(layout: FleetLayout) -> Result<Self, CallError> {
+        let places = peer_places(&layout)?;
+        let mut engines = Vec::new();
+        for (index, stage) in layout.stages.iter().enumerate() {
+            engines.extend(start_stage(&layout, index, stage).await?);
+        }
+        let services = start_services(&layout).await?;
+        let hosts = host_list(&places, &engines, &services);
+        let settings = PlatformSettings {
+            hosts: hosts.clone(),
+            ..PlatformSettings::default()
+        };
+        let platform = PlatformServer::bind(any_port(), settings).await?;
+        let mut fleet = Self {
+            layout,
+            platform,
+            engines,
+            services,
+            hosts,
+            daemons: Vec::new(),
+        };
+        fleet.start_daemons(&places).await?;
+        let version = fleet.declare(&fleet.declarations()).await?;
+        fleet.wait_in_force(version).await?;
+        Ok(fleet)
+    }
+
+    async fn start_daemons(&mut self, places: &[SeedPlace]) -> Result<(), CallError> {
+        for (seed, place) in (self.layout.seed..).zip(places) {
+            let settings = DaemonPlace {
+                host: place.host.clone(),
+                zone: place.zone.clone(),
+                platform: self.platform.local_addr(),
+                peers: place.address,
+                seeds: places.to_vec(),
+            };
+            let extra = format!(
+                "\n[routing]\npolicy = \"{}\"\n\n[log]\nlevel = \"off\"\n",
+                self.layout.policy
+            );
+            let text = settings.to_toml(&extra).replacen(
+                "[host]\n",
+                &format!("[host]\nseed = {seed}\n"),
+                1,
+            );
+            self.daemons.push(FleetDaemon::spawn(&text).await?);
+        }
+        Ok(())
+    }
+
+    /// Every declared resource of the fleet.
+    pub fn declarations(&self) -> Vec<Declaration> {
+        let layout = &self.layout;
+        let stages = (0..).zip(&layout.stages);
+        let stages: Vec<StageLayout> = stages
+            .map(|(index, stage)| self.stage_layout(index, stage))
+            .collect();
+        let mut declarations = declarations::pipeline(&layout.model, &stages);
+        let targets: Vec<StageTarget> = self.services.iter().map(service_target).collect();
+        declarations.extend(declarations::service(
+            &layout.service.name,
+            &targets,
+            &[&layout.service.non_idempotent],
+        ));
+        declarations.extend(layout.organisations.iter().map(|organisation| {
+            declarations::organisation(
+                &organisation.name,
+                organisation.concurrent_requests,
+                organisation.requests_per_second,
+            )
+        }));
+        declarations
+    }
+
+    fn stage_layout(&self, index: usize, stage: &StagePlan) -> StageLayout {
+        let engines = self.engines.iter().filter(|engine| engine.stage == index);
+        StageLayout {
+            first_layer: stage.first_layer,
+            last_layer: stage.last_layer,
+            targets: engines.map(|engine| engine.target.clone()).collect(),
+        }
+    }
+}
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// Names the entry hosts and finds a free port for each one's peers.
+fn peer_places(layout: &FleetLayout) -> Result<Vec<SeedPlace>, CallError> {
+    let hosts = layout.zones.iter().flat_map(|zone| {
+        (1..=zone.entry_hosts).map(|number| (format!("{}-{number}", zone.name), zone.name.clone()))
+    });
+    // All are held until the last is found, so that none is found twice.
+    let mut held = Vec::new();
+    let mut places = Vec::new();
+    for (host, zone) in hosts {
+        let listener = TcpListener::bind(any_port())?;
+        let address = listener.local_addr()?;
+        held.push(listener);
+        places.push(SeedPlace {
+            host,
+            zone,
+            address,
+        });
+    }
+    Ok(places)
+}
+
+fn host_list(places: &[SeedPlace], engines: &[FleetEngine], services: &[FleetService]) -> HostList {
+    let host = |place: &SeedPlace| ListedHost {
+        host: place.host.as_str().into(),
+        zone: place.zone.as_str().into(),
+        peer_address: place.address.to_string(),
+        phase: ListedPhase::Live,
+    };
+    let names = engines
+        .iter()
+        .map(|engine| &engine.target.name)
+        .chain(services.iter().map(|service| &service.name));
+    HostList {
+        hosts: places.iter().map(host).collect(),
+        targets: names
+            .map(|name| ListedTarget {
+                target: name.as_str().into(),
+                phase: ListedPhase::Live,
+            })
+            .collect(),
+    }
+}
+
+async fn start_stage(
+    layout: &FleetLayout,
+    index: usize,
+    stage: &StagePlan,
+) -> Result<Vec<FleetEngine>, CallError> {
+    let mut engines = Vec::new();
+    for (number, plan) in stage.engines.iter().enumerate() {
+        let name = format!("engine-{index}-{number}");
+        let settings = EngineSettings {
+            name: name.clone(),
+            concurrency: plan.concurrency,
+            step_time: plan.step_time,
+            prefill_time_per_token: plan.step_time / PREFILL_PER_STEP,
+            ..EngineSettings::new(
+                &layout.model,
+                VERSION,
+                layout.layers(),
+                stage.first_layer,
+                stage.last_layer,
+            )
+        };
+        let server = EngineServer::bind(any_port(), settings).await?;
+        let link_delay_ms = layout.link_delay_ms;
+        server
+            .faults()
+            .update(|faults| faults.link_delay_ms = link_delay_ms);
+        engines.push(FleetEngine {
+            stage: index,
+            target: StageTarget {
+                name,
+                zone: plan.zone.as_str().into(),
+                address: server.local_addr(),
+                tokens_per_second: plan.tokens_per_second(),
+                concurrency: plan.concurrency as u32,
+            },
+            server,
+        });
+    }
+    Ok(engines)
+}
+
+async fn start_services(layout: &FleetLayout) -> Result<Vec<FleetService>, CallError> {
+    let mut services = Vec::new();
+    for (number, zone) in layout.service.zones.iter().enumerate() {
+        let name = format!("{}-{number}", layout.service.name);
+        let settings = ServiceSettings {
+            name: name.clone(),
+            call_time: layout.service.call_time,
+            concurrency: SERVICE_CONCURRENCY,
+            ..ServiceSettings::default()
+        };
+        let server = ServiceServer::bind(any_port(), settings).await?;
+        services.push(FleetService {
+            name,
+            zone: zone.clone(),
+            server,
+        });
+    }
+    Ok(services)
+}
+
+fn service_target(service: &FleetService) -> StageTarget {
+    StageTarget {
+        name: service.name.clone(),
+        zone: service.zone.as_str().into(),
+        address: service.server.local_addr(),
+        tokens_per_second: 1_000.0,
+        concurrency: SERVICE_CONCURRENCY as u32,
+    }
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod declarations;
 pub mod engine;
 pub mod faults;
+pub mod fleet;
 pub mod http_server;
 pub mod json_client;
 mod load_gauge;
