Check recorded histories, one checker for each promise

Cause: the load tool and the tests of failures need the same proof that an answer was whole, that each layer ran once and that a refusal told the truth.

Change: RunHistory joins the targets' records with what callers heard. Six checkers read it: layers once and in order for the chain behind each delivered token, whole answers, nothing ran after NotRun, keys at most once, no new session on a leaving target after a grace, exactly one final answer. check/layers.rs states the reading of 'exactly once' that is applied: a stage may compute a position again under a later attempt alone.

Ruled out: judging layers by counting over all records of a position, since a replacement rightly runs a position again; the chain that produced the token is followed instead.

--- /dev/null
+++ b/standins/src/check/answers.rs
@@ -0,0 +1,82 @@
+//! Whole answers, to their own request, exactly once.
+
+use jackdawwick::api::wire::StreamEvent;
+
+use super::{BrokenPromise, CheckedPromise, GenerationHistory, RunHistory};
+use crate::caller::HeardAnswer;
+use crate::reference;
+
+/// Checks that tokens are numbered without gaps, are the right ones for the
+/// request, and that the closing event counts them.
+pub fn check_whole_answers(history: &RunHistory) -> Vec<BrokenPromise> {
+    let problems = history.generations.iter().filter_map(|generation| {
+        let detail = check_tokens(generation).err()?;
+        let promise = CheckedPromise::WholeAnswer;
+        Some(BrokenPromise::new(promise, &generation.request, detail))
+    });
+    problems.collect()
+}
+
+fn check_tokens(generation: &GenerationHistory) -> Result<(), String> {
+    let heard = generation.numbered_tokens();
+    let right = reference::generate(
+        &generation.model,
+        &generation.version,
+        generation.layers,
+        &generation.prompt,
+        heard.len(),
+    );
+    for ((number, token), (expected, right)) in heard.iter().zip((0..).zip(right)) {
+        if *number != expected {
+            return Err(format!("token {number} came in place of token {expected}"));
+        }
+        if *token != right {
+            return Err(format!("token {number} is {token} in place of {right}"));
+        }
+    }
+    let count = heard.len() as u64;
+    match generation.closing_count() {
+        Some(closing) if closing != count => {
+            Err(format!("{count} tokens were heard and {closing} counted"))
+        }
+        Some(_) if count != generation.max_tokens => Err(format!(
+            "{count} tokens make the answer in place of {}",
+            generation.max_tokens
+        )),
+        _ => Ok(()),
+    }
+}
+
+/// Checks that each request got exactly one final answer: only its last
+/// answer is closed, by its count or a refusal.
+pub fn check_answered_once(history: &RunHistory) -> Vec<BrokenPromise> {
+    let promise = CheckedPromise::AnsweredOnce;
+    let generations = history.generations.iter().filter_map(|generation| {
+        let finals = generation.answers.iter().filter(|answer| is_final(answer));
+        let is_last_final = generation.answers.last().is_some_and(is_final);
+        let problem = match finals.count() {
+            1 if is_last_final => return None,
+            count => format!("{count} final answers"),
+        };
+        Some(BrokenPromise::new(promise, &generation.request, problem))
+    });
+    let calls = history.service_calls.iter().filter_map(|call| {
+        let unanswered = call.replies.iter().filter(|reply| reply.is_none());
+        let problem = match unanswered.count() {
+            0 if !call.replies.is_empty() => return None,
+            count => format!("{count} of {} calls unanswered", call.replies.len()),
+        };
+        Some(BrokenPromise::new(promise, &call.request, problem))
+    });
+    generations.chain(calls).collect()
+}
+
+fn is_final(answer: &HeardAnswer) -> bool {
+    let has_closing = answer.events.iter().any(|heard| {
+        matches!(
+            heard.event,
+            StreamEvent::Done { .. } | StreamEvent::Error(_)
+        )
+    });
+    has_closing || answer.refusal.is_some()
+}
--- /dev/null
+++ b/standins/src/check/layers.rs
@@ -0,0 +1,116 @@
+//! Every layer exactly once, in order, for each delivered token.
+//!
+//! The reading applied: for each position that a delivered token rests on there
+//! is a chain of computed steps of one run, a step a stage, in which each
+//! stage's output is the next stage's input, the layers taken together are
+//! 0, 1, ... up to the model's last, each once, and a stage ran after the one
+//! before it. The last step of the chain at a token's position gave the token.
+//! A stage may compute a position again only under a later attempt (on a
+//! replacement, say); within an attempt positions are computed one after the
+//! other, each once.
+
+use jackdawwick::collections::FastMap;
+use jackdawwick::ids::{LayerIndex, RequestId, TokenPosition};
+
+use super::history::steps_by_request;
+use super::{BrokenPromise, CheckedPromise, GenerationHistory, RunHistory};
+use crate::engine::{StepKind, StepRecord};
+
+/// Checks the layers of every delivered token.
+pub fn check_layers(history: &RunHistory) -> Vec<BrokenPromise> {
+    let steps = steps_by_request(history);
+    let mut broken = Vec::new();
+    for generation in &history.generations {
+        let records = steps.get(&*generation.request);
+        let records: Vec<&StepRecord> = records.into_iter().flatten().copied().collect();
+        if let Err(detail) = check_generation(generation, &records) {
+            let promise = CheckedPromise::LayersOnce;
+            broken.push(BrokenPromise::new(promise, &generation.request, detail));
+        }
+    }
+    broken
+}
+
+fn check_generation(generation: &GenerationHistory, records: &[&StepRecord]) -> Result<(), String> {
+    let computed: Vec<&StepRecord> = records
+        .iter()
+        .filter(|record| record.kind == StepKind::Ran)
+        .copied()
+        .collect();
+    check_sessions(&computed)?;
+    let mut at_position: FastMap<TokenPosition, Vec<&StepRecord>> = FastMap::default();
+    for record in computed {
+        at_position.entry(record.position).or_default().push(record);
+    }
+    let tokens = generation.numbered_tokens();
+    let prompt = generation.prompt.len() as u64;
+    for (number, token) in &tokens {
+        let position = prompt + number - 1;
+        let steps = at_position.get(&position).map_or(&[][..], Vec::as_slice);
+        let ends = steps.iter().filter(|step| step.output == *token);
+        check_chain(steps, ends, generation.layers)
+            .map_err(|problem| format!("token {number}: {problem}"))?;
+    }
+    // The KV state that the first token rests on comes from the whole prompt.
+    let rests_on = if tokens.is_empty() { 0 } else { prompt - 1 };
+    for position in 0..rests_on {
+        let steps = at_position.get(&position).map_or(&[][..], Vec::as_slice);
+        check_chain(steps, steps.iter(), generation.layers)
+            .map_err(|problem| format!("prompt position {position}: {problem}"))?;
+    }
+    Ok(())
+}
+
+/// Within one attempt of one stage, positions are computed one after the other.
+fn check_sessions(computed: &[&StepRecord]) -> Result<(), String> {
+    let mut last: FastMap<(&RequestId, u32, usize), TokenPosition> = FastMap::default();
+    for record in computed {
+        let session = (&record.request, record.attempt, record.stage);
+        match last.insert(session, record.position) {
+            Some(before) if record.position != before + 1 => {
+                return Err(format!(
+                    "{}, attempt {}, stage {}: position {} was computed after position {before}",
+                    record.request, record.attempt, record.stage, record.position
+                ));
+            }
+            _ => {}
+        }
+    }
+    Ok(())
+}
+
+/// Whether a chain through all layers ends in one of `ends`.
+fn check_chain<'r, I>(steps: &[&'r StepRecord], ends: I, layers: LayerIndex) -> Result<(), String>
+where
+    I: Iterator<Item = &'r &'r StepRecord>,
+{
+    let mut is_found = false;
+    for end in ends {
+        is_found |= is_chain(steps, end, layers);
+    }
+    match is_found {
+        true => Ok(()),
+        false => Err(format!("no chain runs layers 0 to {} once", layers - 1)),
+    }
+}
+
+/// Whether `step` and some steps before it run layers `0..end_layer` in order.
+fn is_chain(steps: &[&StepRecord], step: &StepRecord, end_layer: LayerIndex) -> bool {
+    let count = step.layers.len() as LayerIndex;
+    let Some(first) = end_layer.checked_sub(count).filter(|_| count > 0) else {
+        return false;
+    };
+    if !step.layers.iter().copied().eq(first..end_layer) {
+        return false;
+    }
+    if first == 0 {
+        return step.stage == 0;
+    }
+    steps.iter().any(|before| {
+        let leads_here = before.request == step.request
+            && before.stage + 1 == step.stage
+            && before.output == step.input
+            && before.order < step.order;
+        leads_here && is_chain(steps, before, first)
+    })
+}
--- /dev/null
+++ b/standins/src/check/refusals.rs
@@ -0,0 +1,45 @@
+//! What was said not to have run did not run.
+
+use jackdawwick::collections::FastSet;
+use jackdawwick::verdict::RunVerdict;
+
+use super::history::{caller_request, steps_by_request};
+use super::{BrokenPromise, CallHistory, CheckedPromise, RunHistory};
+
+/// Checks that no target ran anything of a request whose verdict is `NotRun`.
+///
+/// Of a request that was sent several times only those are judged whose every
+/// answer says so: the others may rightly have run.
+pub fn check_not_run(history: &RunHistory) -> Vec<BrokenPromise> {
+    let steps = steps_by_request(history);
+    let calls = history
+        .calls
+        .iter()
+        .filter_map(|call| call.request.as_deref());
+    let called: FastSet<&str> = calls.map(caller_request).collect();
+    let generations = history.generations.iter().filter(|generation| {
+        let refusal = generation.refusal();
+        let is_refused = refusal.is_some_and(|body| body.verdict == RunVerdict::NotRun);
+        is_refused && generation.answers.len() == 1
+    });
+    let ran = generations.filter_map(|generation| {
+        let ran = steps.get(&*generation.request)?;
+        let detail = format!("told that it did not run, but {} steps did", ran.len());
+        let promise = CheckedPromise::NotRun;
+        Some(BrokenPromise::new(promise, &generation.request, detail))
+    });
+    let refused_calls = history.service_calls.iter().filter(|call| is_not_run(call));
+    let ran_calls = refused_calls
+        .filter(|call| called.contains(&*call.request))
+        .map(|call| {
+            let detail = "told that it did not run, but it did";
+            BrokenPromise::new(CheckedPromise::NotRun, &call.request, detail)
+        });
+    ran.chain(ran_calls).collect()
+}
+
+fn is_not_run(call: &CallHistory) -> bool {
+    let refusals = call.refusals();
+    let not_run = refusals.filter(|body| body.verdict == RunVerdict::NotRun);
+    not_run.count() == call.replies.len()
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod batch;
 pub mod caller;
+pub mod check;
 pub mod command_line;
 pub mod daemon_settings;
 pub mod declarations;
--- /dev/null
+++ b/standins/tests/checkers.rs
@@ -0,0 +1,306 @@
+//! Each checker accepts a right history and notices a faulty one.
+
+use std::time::{Duration, Instant};
+
+use http::StatusCode;
+use jackdawwick::api::wire::{RefusalBody, StreamEvent};
+use jackdawwick::reason::RefusalReason;
+use standins::caller::{HeardAnswer, HeardEvent, HeardReply};
+use standins::check::{
+    CallHistory, CheckedPromise, GenerationHistory, RunHistory, TargetLeave, TargetSteps, check_all,
+};
+use standins::engine::{StepKind, StepRecord};
+use standins::reference::{EMPTY_KV_STATE, generate, run_layer, token_of};
+use standins::service::CallRecord;
+
+const MODEL: &str = "model";
+const VERSION: &str = "v1";
+const STAGES: u32 = 2;
+const STAGE_LAYERS: u32 = 2;
+const LAYERS: u32 = STAGES * STAGE_LAYERS;
+const PROMPT: [u64; 3] = [7, 8, 9];
+const TOKENS: u64 = 3;
+const GRACE: Duration = Duration::from_secs(2);
+
+fn heard(event: StreamEvent) -> HeardEvent {
+    let at = Instant::now();
+    HeardEvent { at, event }
+}
+
+fn answer(events: Vec<StreamEvent>) -> HeardAnswer {
+    HeardAnswer {
+        sent: Instant::now(),
+        status: Some(StatusCode::OK),
+        events: events.into_iter().map(heard).collect(),
+        refusal: None,
+        broken: false,
+        ended: Instant::now(),
+    }
+}
+
+fn refused() -> RefusalBody {
+    RefusalBody::not_run(RefusalReason::QueueFull, "the queue is full")
+}
+
+/// Steps of a run, position after position through both stages.
+fn run_steps(run: &str) -> Vec<StepRecord> {
+    let right = generate(MODEL, VERSION, LAYERS, &PROMPT, TOKENS as usize);
+    let inputs = PROMPT
+        .iter()
+        .chain(&right)
+        .take(PROMPT.len() + right.len() - 1);
+    let mut states = [EMPTY_KV_STATE; LAYERS as usize];
+    let mut records = Vec::new();
+    for (position, input) in (0..).zip(inputs) {
+        let mut value = *input;
+        for stage in 0..STAGES {
+            let first = stage * STAGE_LAYERS;
+            let layers: Vec<u32> = (first..first + STAGE_LAYERS).collect();
+            let input = value;
+            for layer in &layers {
+                let state = &mut states[*layer as usize];
+                let outcome = run_layer(MODEL, VERSION, *layer, *state, value);
+                *state = outcome.kv_state;
+                value = outcome.output;
+            }
+            if stage + 1 == STAGES {
+                value = token_of(value);
+            }
+            records.push(StepRecord {
+                order: records.len() as u64,
+                request: run.into(),
+                attempt: 0,
+                stage: stage as usize,
+                model: MODEL.into(),
+                version: VERSION.into(),
+                layers,
+                position,
+                input,
+                output: value,
+                kind: StepKind::Ran,
+                at_micros: 1_000_000 + position,
+            });
+        }
+    }
+    records
+}
+
+/// One whole generation and one settled call, both as they should be.
+fn right_history() -> RunHistory {
+    let tokens = generate(MODEL, VERSION, LAYERS, &PROMPT, TOKENS as usize);
+    let mut events: Vec<StreamEvent> = (0..)
+        .zip(tokens)
+        .map(|(number, token)| StreamEvent::Token { number, token })
+        .collect();
+    events.push(StreamEvent::Done { count: TOKENS });
+    RunHistory {
+        steps: vec![TargetSteps {
+            target: "engine".into(),
+            records: run_steps("request~1-1"),
+        }],
+        calls: vec![call_record("call")],
+        generations: vec![GenerationHistory {
+            request: "request".into(),
+            organisation: "desk".into(),
+            model: MODEL.to_owned(),
+            version: VERSION.to_owned(),
+            layers: LAYERS,
+            prompt: PROMPT.to_vec(),
+            max_tokens: TOKENS,
+            answers: vec![answer(events)],
+        }],
+        service_calls: vec![CallHistory {
+            request: "call".into(),
+            organisation: "desk".into(),
+            key: Some("key".to_owned()),
+            replies: vec![Some(reply(StatusCode::OK, Vec::new()))],
+        }],
+        leaves: Vec::new(),
+    }
+}
+
+fn reply(status: StatusCode, body: Vec<u8>) -> HeardReply {
+    HeardReply {
+        status,
+        body: body.into(),
+    }
+}
+
+fn call_record(request: &str) -> CallRecord {
+    CallRecord {
+        order: 100,
+        request: Some(request.into()),
+        idempotency_key: Some("key".into()),
+        operation: "settle".to_owned(),
+        body: serde_json::Value::Null,
+        at_micros: 0,
+    }
+}
+
+/// Promises broken by the right history after `fault` was put into it.
+fn broken_by<F>(fault: F) -> Vec<CheckedPromise>
+where
+    F: FnOnce(&mut RunHistory),
+{
+    let mut history = right_history();
+    fault(&mut history);
+    let broken = check_all(&history, GRACE);
+    let mut promises: Vec<_> = broken.iter().map(|broken| broken.promise).collect();
+    promises.dedup();
+    promises
+}
+
+fn records(history: &mut RunHistory) -> &mut Vec<StepRecord> {
+    &mut history.steps[0].records
+}
+
+fn events(history: &mut RunHistory) -> &mut Vec<HeardEvent> {
+    &mut history.generations[0].answers[0].events
+}
+
+#[test]
+fn a_right_history_breaks_nothing() {
+    assert_eq!(broken_by(|_| {}), []);
+}
+
+#[test]
+fn recomputation_is_allowed_under_a_later_attempt_alone() {
+    let again = |attempt: u32| {
+        move |history: &mut RunHistory| {
+            let mut again = run_steps("request~1-1");
+            for (order, record) in (50..).zip(&mut again) {
+                (record.order, record.attempt) = (order, attempt);
+            }
+            records(history).extend(again);
+        }
+    };
+    assert_eq!(broken_by(again(1)), []);
+    assert_eq!(broken_by(again(0)), [CheckedPromise::LayersOnce]);
+}
+
+#[test]
+fn wrong_layers_are_noticed() {
+    let skipped = |history: &mut RunHistory| drop(records(history)[6].layers.drain(..1));
+    let doubled = |history: &mut RunHistory| records(history)[7].layers.insert(0, 2);
+    let swapped = |history: &mut RunHistory| records(history)[6].layers.swap(0, 1);
+    let missing_stage = |history: &mut RunHistory| drop(records(history).remove(6));
+    let other_input = |history: &mut RunHistory| records(history)[7].input ^= 1;
+    let prompt_skipped = |history: &mut RunHistory| drop(records(history).drain(..2));
+    let too_early = |history: &mut RunHistory| {
+        let records = records(history);
+        let (sixth, seventh) = (records[6].order, records[7].order);
+        (records[6].order, records[7].order) = (seventh, sixth);
+    };
+    let other_run = |history: &mut RunHistory| records(history)[6].request = "request~1-2".into();
+    let faults: [fn(&mut RunHistory); 8] = [
+        skipped,
+        doubled,
+        swapped,
+        missing_stage,
+        other_input,
+        prompt_skipped,
+        too_early,
+        other_run,
+    ];
+    for (index, fault) in faults.into_iter().enumerate() {
+        assert_eq!(broken_by(fault), [CheckedPromise::LayersOnce], "{index}");
+    }
+}
+
+#[test]
+fn an_answer_with_gaps_repeats_or_a_false_count_is_noticed() {
+    let gap = |history: &mut RunHistory| drop(events(history).remove(1));
+    let twice = |history: &mut RunHistory| {
+        let token = events(history)[1].clone();
+        events(history).insert(1, token);
+    };
+    let short = |history: &mut RunHistory| {
+        events(history).drain(2..);
+        events(history).push(heard(StreamEvent::Done { count: 2 }));
+    };
+    let miscounted =
+        |history: &mut RunHistory| events(history)[3] = heard(StreamEvent::Done { count: 4 });
+    let faults: [fn(&mut RunHistory); 4] = [gap, twice, short, miscounted];
+    for (index, fault) in faults.into_iter().enumerate() {
+        assert_eq!(broken_by(fault), [CheckedPromise::WholeAnswer], "{index}");
+    }
+    // Another request's token is also one that no chain of this one gave.
+    let foreign = broken_by(|history| {
+        events(history)[1] = heard(StreamEvent::Token {
+            number: 1,
+            token: 1,
+        });
+    });
+    assert_eq!(
+        foreign,
+        [CheckedPromise::LayersOnce, CheckedPromise::WholeAnswer]
+    );
+}
+
+#[test]
+fn a_request_that_ran_although_refused_as_not_run_is_noticed() {
+    let generation = broken_by(|history| {
+        let answer = &mut history.generations[0].answers[0];
+        answer.events.clear();
+        answer.refusal = Some(refused());
+    });
+    assert_eq!(generation, [CheckedPromise::NotRun]);
+    let call = broken_by(|history| {
+        let body = serde_json::to_vec(&refused()).expect("a refusal can be written");
+        let refusal = reply(StatusCode::SERVICE_UNAVAILABLE, body);
+        history.service_calls[0].replies = vec![Some(refusal)];
+    });
+    assert_eq!(call, [CheckedPromise::NotRun]);
+}
+
+#[test]
+fn a_key_that_ran_twice_is_noticed_also_under_two_request_ids() {
+    let same = broken_by(|history| history.calls.push(call_record("call")));
+    assert_eq!(same, [CheckedPromise::AtMostOnce]);
+    let other = broken_by(|history| {
+        let mut call = history.service_calls[0].clone();
+        call.request = "call-2".into();
+        history.service_calls.push(call);
+        history.calls.push(call_record("call-2"));
+    });
+    assert_eq!(other, [CheckedPromise::AtMostOnce]);
+}
+
+#[test]
+fn a_new_session_on_a_leaving_target_is_noticed_after_the_grace() {
+    let leaving = |at_micros| {
+        move |history: &mut RunHistory| {
+            let target = "engine".into();
+            history.leaves.push(TargetLeave { target, at_micros });
+            records(history)
+                .iter_mut()
+                .for_each(|record| record.at_micros += GRACE.as_micros() as u64);
+        }
+    };
+    assert_eq!(broken_by(leaving(1_000_000)), []);
+    assert_eq!(broken_by(leaving(999_999)), [CheckedPromise::NoNewWork]);
+}
+
+#[test]
+fn a_request_without_exactly_one_final_answer_is_noticed() {
+    let unanswered = broken_by(|history| drop(events(history).pop()));
+    assert_eq!(unanswered, [CheckedPromise::AnsweredOnce]);
+    let twice = broken_by(|history| {
+        let mut closing = answer(vec![StreamEvent::Done { count: TOKENS }]);
+        closing.broken = false;
+        history.generations[0].answers.push(closing);
+    });
+    assert_eq!(twice, [CheckedPromise::AnsweredOnce]);
+    let lost_call = broken_by(|history| history.service_calls[0].replies = vec![None]);
+    assert_eq!(lost_call, [CheckedPromise::AnsweredOnce]);
+    // After an entry host has died, the caller comes back with what it holds.
+    let resumed = broken_by(|history| {
+        let answers = &mut history.generations[0].answers;
+        let rest = answers[0].events.split_off(1);
+        answers[0].broken = true;
+        let mut second = answer(Vec::new());
+        second.events = rest;
+        answers.push(second);
+    });
+    assert_eq!(resumed, []);
+}
