--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -7,11 +7,13 @@
 
 mod batch;
 pub mod caller;
+pub mod check;
 pub mod command_line;
 pub mod daemon_settings;
 pub mod declarations;
 pub mod engine;
 pub mod faults;
+pub mod fleet;
 pub mod http_server;
 pub mod json_client;
 mod load_gauge;
