Start from the log or from peers, and say when a host may take work

Cause: the table could be replayed, but nothing decided from which record to start when the prefix has expired, how to follow without the log, or when a host is too far behind to take work.

Ruled out: going on behind the record of a checkpoint (loses what lies between its state and its record), reading the whole log at each start (its checkpoints repeat the state many times), taking any peer's state, and counting the time behind from the first change missed (a steady stream of changes would turn every host unready).

Change: StartPlanner reads back from the end, further each time, until it holds a whole checkpoint and every record after its state. RecordRelay keeps the latest texts and hands on the state when they are gone; a table follows such a range and takes a state only if newer. ReadinessTracker keeps the highest offset heard; a host that never caught up takes no work, one that did may be behind for a grace passed in. A checkpoint is due by records, by age and by the horizon, since a quiet log expires too.

Tests: 12 failure tests and a second differential test, 400 logs that grow and expire while being read.

Conclusion: the pure part of the promise stands; the clients that read, append and relay are not driven by these tests.

--- a/src/replay.rs
+++ b/src/replay.rs
@@ -3,7 +3,9 @@
 //!
 //! [`DeclarationTable`] holds the state. Records are applied in the order of
 //! the log, each judged by what came before it and by nothing else: no clock,
-//! no host, no order of arrival.
+//! no host, no order of arrival. [`StartPlanner`] finds a checkpoint to start
+//! from, [`RecordRelay`] hands records on to peers that cannot read the log,
+//! and [`ReadinessTracker`] says whether the host may take work.
 
 mod check;
 mod checkpoint;
@@ -12,10 +14,16 @@
 mod index;
 mod judgement;
 mod queries;
+mod readiness;
 mod recent;
+mod relay;
+mod start;
 mod table;
 
 pub use checkpoint::{CheckpointError, CheckpointSchedule, LogHorizon};
 pub use judgement::{ApplyError, InvalidChange, Judgement, RecordOutcome};
 pub use queries::{DeclaredEntry, LatestChange, OrganisationEntry, TargetEntry};
+pub use readiness::{NotReadyReason, Readiness, ReadinessTracker};
+pub use relay::{FollowedRecord, RecordRelay, RelayError, RelayLimits, RelayRange};
+pub use start::{StartDecision, StartObstacle, StartPlanner};
 pub use table::{DeclarationTable, WindowRules};
--- /dev/null
+++ b/tests/replay.rs
@@ -0,0 +1,439 @@
+//! Failures that replay has to stand: races, lost answers, expiry, outages.
+
+mod replay_fixtures;
+
+use std::time::{Duration, Instant};
+
+use jackdawwick::ids::LogOffset;
+use jackdawwick::platform::wire::{ReadAnswer, StoredRecord};
+use jackdawwick::records::{ChangeAction, JUDGING_RULES};
+use jackdawwick::replay::{
+    ApplyError, CheckpointError, CheckpointSchedule, DeclarationTable, Judgement, LogHorizon,
+    NotReadyReason, Readiness, ReadinessTracker, RecordRelay, RelayLimits, StartDecision,
+    StartObstacle, StartPlanner, WindowRules,
+};
+use jackdawwick::resources::{ResourceKey, ResourceKind, TargetKind};
+use replay_fixtures::*;
+
+const GRACE: Duration = Duration::from_secs(2);
+const KEPT: RelayLimits = RelayLimits {
+    records: 4,
+    bytes: 1 << 20,
+};
+
+fn organisation_key() -> ResourceKey {
+    key(ResourceKind::Organisation, "tbilisi")
+}
+
+/// A log in which each record raises what one organisation bought.
+fn raises(count: u64) -> Vec<String> {
+    let raise = |number: u64| {
+        let spec = organisation('a', u32::try_from(number + 1).expect("small"));
+        text(&put(
+            &format!("raise-{number}"),
+            "tbilisi",
+            number.checked_sub(1),
+            spec,
+        ))
+    };
+    (0..count).map(raise).collect()
+}
+
+fn replayed(log: &[String]) -> DeclarationTable {
+    let mut table = DeclarationTable::default();
+    for (offset, body) in log.iter().enumerate() {
+        table.apply_raw(offset as LogOffset, body).expect("no gap");
+    }
+    table
+}
+
+fn bought(table: &DeclarationTable) -> u32 {
+    let organisation = table.organisation("tbilisi").expect("declared");
+    organisation.capacity.concurrent_requests
+}
+
+/// What the log answers when it keeps the records from `first` on.
+fn answer(log: &[String], first: usize) -> ReadAnswer {
+    let kept = log.iter().enumerate().skip(first);
+    ReadAnswer {
+        first_offset: first as LogOffset,
+        end_offset: log.len() as LogOffset,
+        records: kept
+            .map(|(offset, body)| StoredRecord {
+                offset: offset as LogOffset,
+                body: body.clone(),
+            })
+            .collect(),
+    }
+}
+
+fn start(log: &[String], first: usize) -> StartDecision {
+    StartPlanner::new(WindowRules::CURRENT, 1_000).on_read(&answer(log, first))
+}
+
+fn started(decision: StartDecision) -> DeclarationTable {
+    match decision {
+        StartDecision::Started(table) => *table,
+        other => panic!("{other:?}"),
+    }
+}
+
+// Symptom: an operator's change vanishes without a word.
+// Events: two operators read version 0; both change it; the log puts Amine's
+// first. Cause: without a check of what a change was based on, the later one
+// overwrites the earlier, and neither operator learns of it.
+#[test]
+fn the_second_of_two_racing_operators_learns_who_won() {
+    let mut table = replayed(&raises(1));
+    let raise = |id, operator, bought| {
+        let action = ChangeAction::Put(organisation('a', bought));
+        change(id, operator, &organisation_key(), Some(0), action)
+    };
+    assert_eq!(
+        table.apply(1, &raise("one", "amine", 7)),
+        Ok(Judgement::Accepted)
+    );
+    let lost = Judgement::Lost {
+        winner: Some(1),
+        operator: Some("amine".into()),
+    };
+    assert_eq!(table.apply(2, &raise("two", "nino", 9)), Ok(lost.clone()));
+    assert_eq!(bought(&table), 7);
+    assert_eq!(table.judgement_of("two").expect("recent").judgement, lost);
+}
+
+// Symptom: an organisation that was deleted is back.
+// Events: the answer to its first declaration is lost; the writer is paused;
+// another operator deletes the organisation; the writer wakes and appends its
+// record again, far outside the window of ids. Cause: a deletion that leaves
+// nothing behind makes the late record look like a first declaration.
+#[test]
+fn a_repeated_declaration_does_not_bring_back_what_was_deleted() {
+    let windows = WindowRules {
+        id_window: 1,
+        ..WindowRules::CURRENT
+    };
+    let mut table = DeclarationTable::new(windows);
+    let declared = put("first", "tbilisi", None, organisation('a', 1));
+    table.apply(0, &declared).expect("applied");
+    table
+        .apply(1, &delete("gone", &organisation_key(), Some(0)))
+        .expect("applied");
+    table
+        .apply(2, &delete("again", &organisation_key(), None))
+        .expect("applied");
+    let judgement = table.apply(3, &declared).expect("applied");
+    assert!(
+        matches!(
+            judgement,
+            Judgement::Lost {
+                winner: Some(1),
+                ..
+            }
+        ),
+        "{judgement:?}"
+    );
+    assert!(table.get(&organisation_key()).is_none());
+    let anew = put("anew", "tbilisi", Some(1), organisation('a', 1));
+    assert_eq!(table.apply(4, &anew), Ok(Judgement::Accepted));
+}
+
+// Symptom: hosts of one system hold different configurations after an upgrade
+// of some of them. Events: an upgraded host appends a record of newer rules,
+// with a body of a form that the others do not know. Cause: a host that judges
+// such a record by its own rules, or skips it as malformed, goes its own way.
+#[test]
+fn a_record_of_newer_rules_stops_the_table() {
+    let mut table = replayed(&raises(2));
+    let mut tracker = ReadinessTracker::new(GRACE);
+    let now = Instant::now();
+    tracker.advance(&table, now);
+    assert_eq!(tracker.readiness(now), Readiness::Ready);
+    let newer = format!(
+        r#"{{"id":"x","rules":{},"body":{{"rename":1}}}}"#,
+        JUDGING_RULES + 1
+    );
+    let stopped = ApplyError::UnknownRules {
+        offset: 2,
+        rules: JUDGING_RULES + 1,
+        known: JUDGING_RULES,
+    };
+    assert_eq!(table.apply_raw(2, &newer), Err(stopped.clone()));
+    let next = put("next", "tbilisi", Some(1), organisation('a', 9));
+    assert_eq!(table.apply(3, &next), Err(stopped.clone()));
+    assert_eq!(table.apply(2, &next), Err(stopped.clone()));
+    assert_eq!(table.applied(), 2);
+    tracker.advance(&table, now);
+    assert_eq!(
+        tracker.readiness(now),
+        Readiness::NotReady(NotReadyReason::UnknownRules)
+    );
+
+    let mut log = raises(2);
+    log.push(newer);
+    let obstacle = StartObstacle::Stopped(stopped);
+    assert!(matches!(start(&log, 0), StartDecision::NotReady(found) if found == obstacle));
+    let mut newer_state = replayed(&raises(2)).checkpoint();
+    newer_state.rules = JUDGING_RULES + 1;
+    let error = DeclarationTable::from_checkpoint(&newer_state).expect_err("unknown rules");
+    assert!(matches!(error, CheckpointError::UnknownRules { .. }));
+}
+
+// Symptom: capacity that was raised falls back to an older figure.
+// Events: a host takes a checkpoint as of 3, is paused, and appends it after
+// later changes; other hosts read it. Cause: a reader that takes the content
+// of each checkpoint goes back to offset 3.
+#[test]
+fn an_old_checkpoint_from_a_paused_writer_reverts_nothing() {
+    let mut log = raises(6);
+    let old = replayed(&log[..3]).checkpoint();
+    log.push(text(&checkpoint("paused", old)));
+    let mut table = replayed(&log[..6]);
+    assert_eq!(
+        table.apply_raw(6, &log[6]),
+        Ok(Judgement::CheckpointMatched)
+    );
+    assert_eq!(bought(&table), 6);
+    // Who starts with it in hand replays what came after offset 3.
+    let late = started(start(&log, 3));
+    assert_eq!((bought(&late), late.hash()), (6, table.hash()));
+}
+
+// Symptom: one host in eight refuses callers that the others know.
+// Events: its state went wrong (a fault in memory, a program error); it
+// appends a checkpoint of it. Cause: nothing compares the hosts' states, or a
+// hash is believed that does not belong to the content.
+#[test]
+fn a_checkpoint_of_another_state_is_told_and_not_started_from() {
+    let mut log = raises(4);
+    let table = replayed(&log);
+    let mut other = raises(3);
+    other.push(text(&put(
+        "raise-3",
+        "tbilisi",
+        Some(2),
+        organisation('a', 99),
+    )));
+    let differing = replayed(&other).checkpoint();
+    let judgement = table
+        .clone()
+        .apply(4, &checkpoint("wrong", differing.clone()));
+    let told = Judgement::CheckpointDiffers {
+        as_of: 4,
+        ours: table.hash(),
+        theirs: differing.hash,
+    };
+    assert_eq!(judgement, Ok(told));
+
+    let mut damaged = table.checkpoint();
+    damaged.resources.clear();
+    let error = DeclarationTable::from_checkpoint(&damaged).expect_err("damaged");
+    assert_eq!(error, CheckpointError::Damaged { as_of: 4 });
+    let mut reader = table;
+    let record = checkpoint("cut", damaged);
+    assert_eq!(
+        reader.apply(4, &record),
+        Ok(Judgement::CheckpointDamaged { as_of: 4 })
+    );
+    assert_eq!(bought(&reader), 4);
+    assert_eq!(reader.newest_checkpoint(), None);
+    log.push(text(&record));
+    assert!(matches!(start(&log, 4), StartDecision::NotReady(_)));
+}
+
+// Symptom: a new host serves a configuration with changes missing.
+// Events: a checkpoint as of 2 is appended at offset 5; the records up to 3
+// expire; a host starts. Cause: the checkpoint is still in the log, but the
+// changes 2 and 3 that it lacks are not.
+#[test]
+fn a_checkpoint_is_not_used_when_records_after_its_state_have_expired() {
+    let mut log = raises(5);
+    log.push(text(&checkpoint("old", replayed(&log[..2]).checkpoint())));
+    assert_eq!(bought(&started(start(&log, 2))), 5);
+    let obstacle = StartObstacle::NoUsableCheckpoint { first_offset: 4 };
+    let decision = start(&log, 4);
+    assert!(
+        matches!(&decision, StartDecision::NotReady(found) if *found == obstacle),
+        "{decision:?}"
+    );
+    // Another host appends a newer one: the same planner goes on from there.
+    let mut planner = StartPlanner::new(WindowRules::CURRENT, 1_000);
+    planner.on_read(&answer(&log, 4));
+    log.push(text(&checkpoint("new", replayed(&log).checkpoint())));
+    assert_eq!(bought(&started(planner.on_read(&answer(&log, 4)))), 5);
+}
+
+// Symptom: a host that was cut off for long never catches up, or falls back.
+// Events: it holds offset 3; the log has expired up to 6; it starts anew from
+// a checkpoint; meanwhile a peer relayed records to it. Cause: a table is put
+// in the place of a newer one.
+#[test]
+fn a_host_that_missed_expired_records_goes_forward_only() {
+    let mut log = raises(6);
+    log.push(text(&checkpoint("kept", replayed(&log).checkpoint())));
+    let mut table = replayed(&log[..3]);
+    assert!(table.missed_records(6));
+    assert!(!table.missed_records(3));
+    let fresh = started(start(&log, 6));
+    table.supersede(fresh.clone()).expect("newer");
+    assert_eq!(bought(&table), 6);
+    let raise = put("raise-7", "tbilisi", Some(5), organisation('a', 8));
+    table.apply(7, &raise).expect("applied");
+    let error = table.supersede(fresh).expect_err("older");
+    assert_eq!(
+        error,
+        CheckpointError::NotNewer {
+            as_of: 7,
+            applied: 8
+        }
+    );
+    assert_eq!(bought(&table), 8);
+}
+
+// Symptom: a host started in an outage of the log serves an old configuration.
+// Events: the log is down; one peer holds offset 9, another 5; the host hears
+// both in turn, is handed the older state, the newer, and the older again.
+// Cause: it takes work as soon as it holds any configuration, or lets an older
+// state replace a newer one.
+#[test]
+fn a_start_during_an_outage_waits_for_the_highest_offset_heard() {
+    let log = raises(9);
+    let (older, newer) = (replayed(&log[..5]), replayed(&log));
+    let relay = RecordRelay::new(KEPT);
+    let now = Instant::now();
+    let mut tracker = ReadinessTracker::new(GRACE);
+    assert_eq!(
+        tracker.readiness(now),
+        Readiness::NotReady(NotReadyReason::NoConfiguration)
+    );
+    tracker.learn(9, now);
+    tracker.learn(5, now);
+    let mut table = DeclarationTable::default();
+    table.follow(&relay.range(0, 10, &older)).expect("usable");
+    tracker.advance(&table, now);
+    let behind = NotReadyReason::Behind {
+        applied: 5,
+        highest_known: 9,
+    };
+    assert_eq!(tracker.readiness(now), Readiness::NotReady(behind));
+    table.follow(&relay.range(5, 10, &newer)).expect("usable");
+    tracker.advance(&table, now);
+    assert_eq!(tracker.readiness(now), Readiness::Ready);
+    table.follow(&relay.range(0, 10, &older)).expect("ignored");
+    assert_eq!(bought(&table), 9);
+}
+
+// Symptom: an availability zone cut off from the platform stays on the
+// configuration of the moment, though its peers elsewhere have a newer one.
+// Events: the log is out of reach; a peer relays; one relayed range is lost.
+// Cause: records come from the log only, or a gap in them is passed over.
+#[test]
+fn a_host_without_the_log_follows_its_peers_record_by_record() {
+    let log = raises(9);
+    let mut peer = DeclarationTable::default();
+    let mut relay = RecordRelay::new(KEPT);
+    let mut table = DeclarationTable::default();
+    let now = Instant::now();
+    let mut tracker = ReadinessTracker::new(GRACE);
+    for (offset, body) in log.iter().enumerate() {
+        peer.apply_raw(offset as LogOffset, body).expect("no gap");
+        relay.push(offset as LogOffset, body.clone());
+        if offset == 1 {
+            table.follow(&relay.range(0, 10, &peer)).expect("usable");
+            tracker.advance(&table, now);
+        }
+    }
+    tracker.learn(9, now);
+    assert_eq!(tracker.readiness(now + GRACE), Readiness::Ready);
+    let late = now + GRACE + Duration::from_millis(1);
+    assert!(matches!(tracker.readiness(late), Readiness::NotReady(_)));
+    let gap = table.follow(&jackdawwick::replay::RelayRange {
+        records: relay.range(7, 10, &peer).records,
+        ..Default::default()
+    });
+    assert!(gap.is_err(), "a gap was passed over");
+    let range = relay.range(table.applied(), 10, &peer);
+    assert!(range.checkpoint.is_some(), "offset 2 is no longer kept");
+    table.follow(&range).expect("usable");
+    assert_eq!((table.hash(), bought(&table)), (peer.hash(), 9));
+    tracker.advance(&table, late);
+    assert_eq!(tracker.readiness(late), Readiness::Ready);
+    assert_eq!(relay.range(6, 2, &peer).records.len(), 2);
+}
+
+// Symptom: under a steady stream of changes every host turns unready.
+// Events: each heartbeat names a newer offset before the last was applied.
+// Cause: the time behind is counted from the first change, although each
+// record arrives in time.
+#[test]
+fn a_host_that_keeps_up_stays_ready_under_steady_changes() {
+    let log = raises(20);
+    let begin = Instant::now();
+    let mut tracker = ReadinessTracker::new(GRACE);
+    tracker.advance(&replayed(&log[..1]), begin);
+    for second in 1..20 {
+        let now = begin + Duration::from_secs(second as u64);
+        tracker.learn(second as LogOffset + 1, now);
+        tracker.advance(&replayed(&log[..second]), now);
+        assert_eq!(tracker.readiness(now), Readiness::Ready, "second {second}");
+    }
+}
+
+// Symptom: no host can start any more, though nothing was ever wrong.
+// Events: nobody changes anything for days; the last checkpoint expires with
+// the records before it. Cause: checkpoints are due by number of records only.
+#[test]
+fn a_checkpoint_is_due_before_a_quiet_log_expires() {
+    let schedule = CheckpointSchedule {
+        max_records: 4,
+        max_age: Duration::from_secs(3_600),
+    };
+    let horizon = |first_offset, seconds| LogHorizon {
+        first_offset,
+        newest_age: Some(Duration::from_secs(seconds)),
+    };
+    let empty = DeclarationTable::default();
+    assert!(!empty.should_checkpoint(&horizon(0, 9_999), &schedule));
+    let mut table = replayed(&raises(3));
+    assert!(table.should_checkpoint(&horizon(0, 0), &schedule));
+    table
+        .apply(3, &checkpoint("one", table.checkpoint()))
+        .expect("applied");
+    assert!(!table.should_checkpoint(&horizon(3, 3_599), &schedule));
+    assert!(table.should_checkpoint(&horizon(3, 3_600), &schedule));
+    assert!(table.should_checkpoint(&horizon(4, 0), &schedule));
+    let unknown_age = LogHorizon {
+        first_offset: 0,
+        newest_age: None,
+    };
+    assert!(table.should_checkpoint(&unknown_age, &schedule));
+    table.apply_raw(4, "noise").expect("applied");
+    table.apply_raw(5, "noise").expect("applied");
+    assert!(!table.should_checkpoint(&horizon(3, 0), &schedule));
+    table.apply_raw(6, "noise").expect("applied");
+    assert!(table.should_checkpoint(&horizon(3, 0), &schedule));
+}
+
+// Symptom: after an upgrade new hosts take every checkpoint for a damaged one.
+// Events: a program version writes a resource's JSON with one field more; it
+// starts from a checkpoint of the version before. Cause: the hash is taken of
+// another text. A change of this figure needs new judging rules, or a field
+// that is left out at its default.
+#[test]
+fn the_hash_of_a_known_state_stays_as_it_is() {
+    let mut table = DeclarationTable::default();
+    let records = [
+        put("a", "m", None, model("v1", &[("v1", 2)])),
+        put("b", "t", None, target(TargetKind::Engine, 0.1)),
+        put("c", "p", None, pipeline("m", "v1", &[(1, "t")])),
+        put("d", "u", None, target(TargetKind::Service, 2.5)),
+        put("e", "s", None, service("u")),
+        put("f", "tbilisi", None, organisation('a', 3)),
+        delete("g", &organisation_key(), Some(5)),
+    ];
+    for (offset, record) in records.iter().enumerate() {
+        let judgement = table.apply(offset as LogOffset, record);
+        assert_eq!(judgement, Ok(Judgement::Accepted), "{record:?}");
+    }
+    insta::assert_snapshot!(table.hash(), @"ef0ee67ef3db50da92e8b83693f855d58e74a37417df8fe6cc7efb95a14bd714");
+}
--- a/tests/replay_fixtures/mod.rs
+++ b/tests/replay_fixtures/mod.rs
@@ -1,5 +1,7 @@
 //! Short ways to declarations and their records.
 
+#![allow(dead_code, reason = "each test file uses a part of them")]
+
 use jackdawwick::ids::LogOffset;
 use jackdawwick::records::{
     ChangeAction, DeclarationBody, JUDGING_RULES, LogRecord, ResourceChange, StateCheckpoint,
--- a/tests/replay_model.rs
+++ b/tests/replay_model.rs
@@ -7,8 +7,9 @@
 use std::collections::BTreeMap;
 
 use jackdawwick::ids::LogOffset;
+use jackdawwick::platform::wire::{ReadAnswer, StoredRecord};
 use jackdawwick::records::{ChangeAction, DeclarationBody, ResourceChange, StateCheckpoint};
-use jackdawwick::replay::{DeclarationTable, Judgement, WindowRules};
+use jackdawwick::replay::{DeclarationTable, Judgement, StartDecision, StartPlanner, WindowRules};
 use jackdawwick::resources::{ResourceKey, ResourceKind, ResourceSpec, TargetKind};
 use proptest::prelude::*;
 use proptest::test_runner::{RngSeed, TestRunner};
@@ -374,19 +375,13 @@
 ) -> Result<(), TestCaseError> {
     let mut versions: BTreeMap<ResourceKey, LogOffset> = BTreeMap::new();
     let start = usize::try_from(table.applied()).expect("small");
-    for offset in start..log.len() {
+    for (offset, body) in log.iter().enumerate().skip(start) {
         let at = offset as LogOffset;
-        prop_assert!(
-            table.apply_raw(at + 1, &log[offset]).is_err(),
-            "a gap was taken"
-        );
-        let judgement = table.apply_raw(at, &log[offset]).expect("no gap");
+        prop_assert!(table.apply_raw(at + 1, body).is_err(), "a gap was taken");
+        let judgement = table.apply_raw(at, body).expect("no gap");
         prop_assert_eq!(&fate(&judgement), &naive.fates[offset], "at {}", offset);
         let before = table.hash();
-        prop_assert_eq!(
-            table.apply_raw(at, &log[offset]),
-            Ok(Judgement::AlreadyApplied)
-        );
+        prop_assert_eq!(table.apply_raw(at, body), Ok(Judgement::AlreadyApplied));
         prop_assert_eq!(table.hash(), before);
         prop_assert_eq!(
             state_of(table),
@@ -466,7 +461,6 @@
     result.expect("readers agree");
     // The comparison says nothing about what the logs never held.
     let seen = seen.into_inner();
-    println!("{seen:?}");
     for name in [
         "Accepted",
         "Lost",
@@ -482,3 +476,108 @@
         );
     }
 }
+
+/// A log that grows and expires between two reads.
+#[derive(Debug, Clone)]
+struct MovingLog {
+    first: usize,
+    end: usize,
+    page: usize,
+    grow: usize,
+    expire: usize,
+}
+
+impl MovingLog {
+    fn read(&mut self, log: &[String], from: LogOffset) -> ReadAnswer {
+        self.end = log.len().min(self.end + self.grow);
+        self.first = self.end.min(self.first + self.expire);
+        let from = usize::try_from(from).expect("small").max(self.first);
+        let stored = |offset: usize| StoredRecord {
+            offset: offset as LogOffset,
+            body: log[offset].clone(),
+        };
+        ReadAnswer {
+            first_offset: self.first as LogOffset,
+            end_offset: self.end as LogOffset,
+            records: (from..self.end).take(self.page).map(stored).collect(),
+        }
+    }
+
+    /// Whether the records that are kept now give a state.
+    fn is_usable(&self, log: &[String]) -> bool {
+        let first = self.first as LogOffset;
+        let mut states = log[self.first..self.end]
+            .iter()
+            .filter_map(|body| checkpoint_in(body));
+        first == 0 || states.any(|state| state.as_of >= first)
+    }
+}
+
+#[test]
+fn a_start_gives_the_state_of_the_whole_log() {
+    let config = ProptestConfig {
+        rng_seed: RngSeed::Fixed(0x5eed_0005),
+        cases: 400,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    };
+    let outcomes = RefCell::new([0_usize; 3]);
+    let mut runner = TestRunner::new(config);
+    let moving = (
+        0..30_usize,
+        0..60_usize,
+        4..20_usize,
+        0..2_usize,
+        0..3_usize,
+    );
+    let strategy = (
+        proptest::collection::vec(log_step(), 1..60),
+        moving,
+        1..40_u64,
+    );
+    let result = runner.run(&strategy, |(steps, moving, lookback)| {
+        let log = build_log(&steps);
+        let (first, end, page, grow, expire) = moving;
+        let mut moving = MovingLog {
+            first: first.min(log.len()),
+            end: end.clamp(first.min(log.len()), log.len()),
+            page,
+            grow,
+            expire,
+        };
+        let mut planner = StartPlanner::new(WINDOWS, lookback);
+        let mut decision = StartDecision::ReadFrom(0);
+        let mut reads = 0;
+        while let StartDecision::ReadFrom(from) = decision {
+            reads += 1;
+            prop_assert!(reads < 200, "it reads on and on");
+            decision = planner.on_read(&moving.read(&log, from));
+        }
+        match decision {
+            StartDecision::Started(table) => {
+                let end = usize::try_from(table.applied()).expect("small");
+                prop_assert_eq!(end, moving.end);
+                let mut whole = DeclarationTable::new(WINDOWS);
+                for (offset, body) in log[..end].iter().enumerate() {
+                    whole.apply_raw(offset as LogOffset, body).expect("no gap");
+                }
+                prop_assert_eq!(table.hash(), whole.hash());
+                prop_assert_eq!(state_of(&table), state_of(&whole));
+                outcomes.borrow_mut()[0] += 1;
+                outcomes.borrow_mut()[1] += usize::from(moving.first > 0);
+            }
+            StartDecision::NotReady(obstacle) => {
+                prop_assert!(!moving.is_usable(&log), "{obstacle:?}, {moving:?}");
+                outcomes.borrow_mut()[2] += 1;
+            }
+            StartDecision::ReadFrom(_) => {}
+        }
+        Ok(())
+    });
+    result.expect("starts agree");
+    let [started, expired, refused] = outcomes.into_inner();
+    assert!(
+        expired >= 50 && refused >= 50,
+        "{started} {expired} {refused}"
+    );
+}
