Hold leases by records of the log

Cause: control work such as ordering targets or dividing capacity is to be done by one host at a time, and hosts may be frozen without noticing.

Change: acquisitions, renewals and releases are records of the lease stream; the offset of the accepted acquisition is the fencing number. LeaseTable judges records and tells from when on a lease is free by this host's clock. A record names the offset that its writer had read and is void if another record of the same name lies between.

Ruled out: judging by the last accepted record (based_on, as for declared changes), since a host that starts after older records have expired cannot know which was accepted and would judge otherwise than the rest; what lies between two offsets it does know. Judging by time, since readers see a record at different times. Refusing a renewal whose fencing number differs from the holder's: no correct host writes one, and a host that missed the acquisition would judge it otherwise.

--- /dev/null
+++ b/src/lease/table.rs
@@ -0,0 +1,240 @@
+//! Judges the records of the lease stream, alike on every host.
+//!
+//! A record is void if any record of the same name lies between what its
+//! writer had seen and itself. That needs nothing but this stretch of the log,
+//! so a host that starts after older records have expired judges like those
+//! that have read them.
+
+use std::time::{Duration, Instant};
+
+use crate::collections::FastMap;
+use crate::ids::LogOffset;
+use crate::lease::record::{
+    FencingNumber, LeaseBody, LeaseEntry, LeaseName, LeaseOwner, MAX_LEASE_DURATION,
+};
+use crate::records::{JUDGING_RULES, LogRecord};
+
+/// By how much clocks may run at different rates.
+///
+/// With rates within `1 - r` and `1 + r` of true time, the margin must be at
+/// least `2r / (1 - r)`, because the holder's clock may be the slowest and the
+/// observer's the fastest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ClockMargin {
+    /// Added to every duration that is waited out, in percent.
+    pub percent: u32,
+}
+
+impl ClockMargin {
+    /// How long to wait out a lease of another.
+    pub fn stretch(self, duration: Duration) -> Duration {
+        duration + duration * self.percent / 100
+    }
+}
+
+/// The leases that one host knows from the log.
+#[derive(Debug, Clone)]
+pub struct LeaseTable {
+    margin: ClockMargin,
+    next_offset: LogOffset,
+    /// Records below this were missed, because they had expired.
+    missed_below: LogOffset,
+    /// Until when missed records may still keep a lease; `None` until the
+    /// first read.
+    missed_until: Option<Instant>,
+    /// Set once a record has come that this program cannot judge.
+    unjudgeable: bool,
+    leases: FastMap<LeaseName, KnownLease>,
+}
+
+#[derive(Debug, Clone)]
+struct KnownLease {
+    /// Offset of the last record of this name, void ones included.
+    last_record: LogOffset,
+    holder: Option<LeaseHolder>,
+    /// Until when a holder may act, by this host's clock.
+    busy_until: Instant,
+}
+
+/// Who holds a lease.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LeaseHolder {
+    /// The holder.
+    pub owner: LeaseOwner,
+    /// Its fencing number.
+    pub fencing: FencingNumber,
+}
+
+/// How a record was judged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LeaseJudgement {
+    /// It took effect.
+    Accepted,
+    /// It took no effect: its writer had not seen the latest record, or asks
+    /// for too long a duration.
+    Void,
+    /// What its writer had seen was missed here, so it may have taken effect.
+    Unclear,
+    /// The record was seen before.
+    Repeated,
+    /// It is to be judged by rules that this program does not know.
+    UnknownRules,
+}
+
+impl LeaseTable {
+    /// An empty table, to be filled from offset zero on.
+    pub fn new(margin: ClockMargin) -> Self {
+        Self {
+            margin,
+            next_offset: 0,
+            missed_below: 0,
+            missed_until: None,
+            unjudgeable: false,
+            leases: FastMap::default(),
+        }
+    }
+
+    /// Notes a read that succeeded, before its records are applied.
+    ///
+    /// If records expired unread, a lease may rest on them. It lapses in time
+    /// unless it is renewed by a record that will be read.
+    pub fn note_read(&mut self, first_offset: LogOffset, now: Instant) {
+        if first_offset > self.next_offset {
+            self.next_offset = first_offset;
+            self.miss(first_offset, now);
+        }
+        self.missed_until.get_or_insert(now);
+    }
+
+    /// Judges the record at an offset, which was read at `seen_at`. Records
+    /// come in the log's order.
+    pub fn apply(
+        &mut self,
+        offset: LogOffset,
+        record: &LogRecord<LeaseBody>,
+        seen_at: Instant,
+    ) -> LeaseJudgement {
+        if offset < self.next_offset {
+            return LeaseJudgement::Repeated;
+        }
+        if offset > self.next_offset {
+            self.miss(offset, seen_at);
+        }
+        self.next_offset = offset + 1;
+        if record.rules > JUDGING_RULES {
+            self.unjudgeable = true;
+            return LeaseJudgement::UnknownRules;
+        }
+        let body = &record.body;
+        let margin = self.margin;
+        let unclear = body.seen < self.missed_below;
+        let known = self.leases.get(&body.name);
+        let outrun = known.is_some_and(|lease| lease.last_record >= body.seen);
+        let lease = self
+            .leases
+            .entry(body.name.clone())
+            .or_insert_with(|| KnownLease::new(seen_at));
+        lease.last_record = offset;
+        match () {
+            () if outrun || !body.entry.is_valid() => LeaseJudgement::Void,
+            () if unclear => {
+                lease.hold_off(&body.entry, margin, seen_at);
+                LeaseJudgement::Unclear
+            }
+            () => {
+                let owner = LeaseOwner::of(record);
+                lease.accept(offset, owner, &body.entry, margin, seen_at);
+                LeaseJudgement::Accepted
+            }
+        }
+    }
+
+    /// The offset that is to be applied next.
+    pub fn next_offset(&self) -> LogOffset {
+        self.next_offset
+    }
+
+    /// Who holds a lease, as far as the log was read. It may have lapsed.
+    pub fn holder(&self, name: &LeaseName) -> Option<&LeaseHolder> {
+        self.leases.get(name)?.holder.as_ref()
+    }
+
+    /// Whether every record so far could be judged.
+    pub fn is_judgeable(&self) -> bool {
+        !self.unjudgeable
+    }
+
+    /// From when on a lease may be acquired, by this host's clock; `None` if
+    /// that cannot be known.
+    pub fn free_at(&self, name: &LeaseName) -> Option<Instant> {
+        if self.unjudgeable {
+            return None;
+        }
+        let missed_until = self.missed_until?;
+        let busy_until = self.leases.get(name).map(|lease| lease.busy_until);
+        Some(busy_until.map_or(missed_until, |time| time.max(missed_until)))
+    }
+
+    fn miss(&mut self, below: LogOffset, now: Instant) {
+        self.missed_below = below;
+        self.missed_until = Some(now + self.margin.stretch(MAX_LEASE_DURATION));
+        for lease in self.leases.values_mut() {
+            lease.holder = None;
+        }
+    }
+}
+
+impl LeaseEntry {
+    fn is_valid(&self) -> bool {
+        match self {
+            Self::Acquire { duration } | Self::Renew { duration, .. } => {
+                *duration <= MAX_LEASE_DURATION
+            }
+            Self::Release { .. } => true,
+        }
+    }
+}
+
+impl KnownLease {
+    fn new(seen_at: Instant) -> Self {
+        Self {
+            last_record: 0,
+            holder: None,
+            busy_until: seen_at,
+        }
+    }
+
+    /// Carries out a record that is not void. Its writer had seen all records
+    /// of the name, so it knew who held the lease, even if that was missed here.
+    fn accept(
+        &mut self,
+        offset: LogOffset,
+        owner: LeaseOwner,
+        entry: &LeaseEntry,
+        margin: ClockMargin,
+        seen_at: Instant,
+    ) {
+        let fencing = match entry {
+            LeaseEntry::Acquire { .. } => offset,
+            LeaseEntry::Renew { fencing, .. } => *fencing,
+            LeaseEntry::Release { .. } => {
+                self.holder = None;
+                self.busy_until = seen_at;
+                return;
+            }
+        };
+        self.holder = Some(LeaseHolder { owner, fencing });
+        self.hold_off(entry, margin, seen_at);
+    }
+
+    /// Waits out the time for which a record's writer may act.
+    fn hold_off(&mut self, entry: &LeaseEntry, margin: ClockMargin, seen_at: Instant) {
+        match entry {
+            LeaseEntry::Acquire { duration } | LeaseEntry::Renew { duration, .. } => {
+                let lapses = seen_at + margin.stretch(*duration);
+                self.busy_until = self.busy_until.max(lapses);
+            }
+            LeaseEntry::Release { .. } => {}
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod claims;
 pub mod collections;
 pub mod ids;
+pub mod lease;
 #[allow(
     missing_docs,
     unused_qualifications,
