--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod daemon;
 pub mod ids;
 pub mod journal;
+pub mod lease;
 pub mod logging;
 pub mod membership;
 pub mod metrics;
