Hold the zone's leases and order its engines to what is declared

Cause: the reconciler decided but nothing carried its decisions out, and no lease was held. Change: a worker follows the lease stream and tries for the zone's leases on orders and shares; the holder observes its engines and orders them, asking the lease once more right before each order; leases are handed back when the daemon drains. Ruled out: observing by every host, which costs targets a poll per host. The failure tests of this wiring (paused holder, targets without fencing) are not written yet.

--- a/src/daemon/core.rs
+++ b/src/daemon/core.rs
@@ -134,6 +134,11 @@
         }
     }
 
+    /// Whether nothing new is taken any more.
+    pub(super) fn is_draining(&self) -> bool {
+        self.phase() == DaemonPhase::Draining
+    }
+
     /// Becomes ready, unless the daemon is draining already.
     pub(super) fn become_ready(&self) {
         let _ = self.phase.compare_exchange(
--- /dev/null
+++ b/src/daemon/leases.rs
@@ -0,0 +1,225 @@
+//! Following the stream of leases, and trying to hold this host's.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use uuid::Uuid;
+
+use super::core::DaemonCore;
+use crate::ids::{LogOffset, RecordId, ZoneId};
+use crate::lease::machine::{LeaseDecision, LeaseMachine, LeaseTerms};
+use crate::lease::record::{FencingNumber, LeaseBody, LeaseName, LeaseOwner};
+use crate::lease::table::LeaseTable;
+use crate::platform::append_queue::AppendQueue;
+use crate::platform::backoff::BackoffPolicy;
+use crate::platform::log_tail::{LogTail, TailEvent, TailOptions};
+use crate::platform::wire::StoredRecord;
+use crate::records::{LEASE_STREAM, LogRecord};
+
+/// Pause between two looks at the leases.
+const LEASE_TICK: Duration = Duration::from_millis(100);
+/// Most records in one read of the log.
+const READ_LIMIT: usize = 512;
+/// Reads that may wait to be applied.
+const READ_AHEAD: usize = 4;
+/// Renewals within one duration.
+const RENEWALS_PER_DURATION: u32 = 3;
+
+/// The table of leases with this host's part in them, under one lock.
+pub(super) struct LeaseDesk {
+    pub(super) table: LeaseTable,
+    machines: Vec<NamedMachine>,
+}
+
+struct NamedMachine {
+    name: LeaseName,
+    machine: LeaseMachine,
+}
+
+impl LeaseDesk {
+    /// A desk on which no lease is tried for yet.
+    pub(super) fn new(table: LeaseTable) -> Self {
+        Self {
+            table,
+            machines: Vec::new(),
+        }
+    }
+
+    /// The fencing number under which this host may begin something now that
+    /// takes at most `longest`.
+    pub(super) fn may_act(
+        &self,
+        name: &str,
+        now: Instant,
+        longest: Duration,
+    ) -> Option<FencingNumber> {
+        let named = self.machines.iter().find(|named| &*named.name == name)?;
+        named.machine.may_act(now, longest)
+    }
+
+    fn apply(&mut self, record: &StoredRecord, own: &LeaseOwner, seen_at: Instant) {
+        let Ok(parsed) = serde_json::from_str::<LogRecord<LeaseBody>>(&record.body) else {
+            return;
+        };
+        let judgement = self.table.apply(record.offset, &parsed, seen_at);
+        if LeaseOwner::of(&parsed) != *own {
+            return;
+        }
+        for named in &mut self.machines {
+            named
+                .machine
+                .take_judgement(&parsed.id, record.offset as LogOffset, judgement);
+        }
+    }
+}
+
+/// Name of the lease on ordering a zone's targets.
+pub(super) fn orders_lease(zone: &ZoneId) -> LeaseName {
+    format!("orders/{zone}").into()
+}
+
+/// Name of the lease on dividing a zone's shares.
+pub(super) fn shares_lease(zone: &ZoneId) -> LeaseName {
+    format!("zone-shares/{zone}").into()
+}
+
+/// Follows the stream and tries to hold the zone's leases, until the daemon
+/// ends.
+pub(super) async fn run_leases(core: Arc<DaemonCore>, appends: Arc<AppendQueue>, seed: u64) {
+    add_machines(&core, seed);
+    let mut tail = open_tail(&core, seed);
+    let mut ticks = tokio::time::interval(LEASE_TICK);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            event = tail.next() => match event {
+                Some(event) => take_event(&core, event),
+                None => return,
+            },
+            _ = ticks.tick() => decide_all(&core, &appends),
+        }
+    }
+}
+
+fn add_machines(core: &DaemonCore, seed: u64) {
+    let mut random = StdRng::seed_from_u64(seed);
+    let duration = core.options.timing.lease_duration;
+    let owner = owner(core);
+    let now = Instant::now();
+    let mut desk = core.tables.leases.lock();
+    for name in [orders_lease(core.zone()), shares_lease(core.zone())] {
+        let terms = LeaseTerms {
+            duration,
+            renew_after: duration / RENEWALS_PER_DURATION,
+            // Drawn anew for each host, so that they do not all try at once.
+            retry_after: duration.mul_f64(random.random_range(0.2..0.4)),
+        };
+        let first_try = now + duration.mul_f64(random.random_range(0.0..0.2));
+        let machine = LeaseMachine::new(name.clone(), owner.clone(), terms, first_try);
+        desk.machines.push(NamedMachine { name, machine });
+    }
+}
+
+fn owner(core: &DaemonCore) -> LeaseOwner {
+    LeaseOwner {
+        host: core.host().clone(),
+        incarnation: core.incarnation,
+    }
+}
+
+fn open_tail(core: &DaemonCore, seed: u64) -> LogTail {
+    let options = TailOptions {
+        stream: LEASE_STREAM.to_owned(),
+        from: 0,
+        limit: READ_LIMIT,
+        wait: core.options.timing.log_wait,
+        backoff: BackoffPolicy::default(),
+        seed,
+        capacity: READ_AHEAD,
+    };
+    LogTail::spawn(core.platform.clone(), options)
+}
+
+fn take_event(core: &DaemonCore, event: TailEvent) {
+    let now = Instant::now();
+    let mut desk = core.tables.leases.lock();
+    match event {
+        TailEvent::Records {
+            records,
+            first_offset,
+            ..
+        } => {
+            desk.table.note_read(first_offset, now);
+            let own = owner(core);
+            for record in &records {
+                desk.apply(record, &own, now);
+            }
+        }
+        TailEvent::Expired { first_offset, .. } => desk.table.note_read(first_offset, now),
+        // Without the log no lease is renewed, and none can be taken.
+        TailEvent::Unreachable { .. } => {}
+    }
+}
+
+/// Decides about each lease, and appends what was decided.
+fn decide_all(core: &Arc<DaemonCore>, appends: &Arc<AppendQueue>) {
+    if core.is_draining() {
+        release_all(core, appends);
+        return;
+    }
+    let now = Instant::now();
+    let mut records = Vec::new();
+    {
+        let mut desk = core.tables.leases.lock();
+        let LeaseDesk { table, machines } = &mut *desk;
+        for named in machines {
+            match named.machine.decide(table, new_id(), now) {
+                LeaseDecision::TryAcquire(record) | LeaseDecision::Renew(record) => {
+                    records.push(record);
+                }
+                LeaseDecision::StepDown => log::warn!("lease {} is lost", named.name),
+                LeaseDecision::Hold { .. } | LeaseDecision::Wait { .. } => {}
+            }
+        }
+    }
+    for record in records {
+        tokio::spawn(append(Arc::clone(core), Arc::clone(appends), record));
+    }
+}
+
+/// Hands the leases back, so that another host may begin at once.
+fn release_all(core: &Arc<DaemonCore>, appends: &Arc<AppendQueue>) {
+    let now = Instant::now();
+    let released: Vec<LogRecord<LeaseBody>> = {
+        let mut desk = core.tables.leases.lock();
+        let LeaseDesk { table, machines } = &mut *desk;
+        machines
+            .iter_mut()
+            .filter_map(|named| named.machine.release(table, new_id(), now))
+            .collect()
+    };
+    for record in released {
+        core.in_flight
+            .spawn(append(Arc::clone(core), Arc::clone(appends), record));
+    }
+}
+
+fn new_id() -> RecordId {
+    Uuid::new_v4().to_string().into()
+}
+
+async fn append(core: Arc<DaemonCore>, appends: Arc<AppendQueue>, record: LogRecord<LeaseBody>) {
+    let Ok(text) = serde_json::to_string(&record) else {
+        return;
+    };
+    let Ok(appended) = appends.submit(text) else {
+        return;
+    };
+    if let Ok(Err(error)) = appended.await {
+        let mut desk = core.tables.leases.lock();
+        for named in &mut desk.machines {
+            named.machine.take_append_failure(&record.id, error.verdict);
+        }
+    }
+}
--- /dev/null
+++ b/src/daemon/reconciling.rs
@@ -0,0 +1,147 @@
+//! Ordering the zone's engines to hold what is declared.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use super::core::DaemonCore;
+use super::leases::orders_lease;
+use crate::ids::{LogOffset, TargetId};
+use crate::journal::{JournalEvent, JournalSubject};
+use crate::reconcile::{
+    DesiredState, OrderingLease, ReconcileDecision, ReconcileLimits, ReconcileTable, desired_states,
+};
+use crate::resources::{FencingSupport, ResourceKey, ResourceKind, TargetKind};
+use crate::target::wire::StateOrder;
+
+/// Pause between two rounds of decisions.
+const RECONCILE_TICK: Duration = Duration::from_millis(250);
+
+/// The work of one host that may order its zone's engines.
+struct ZoneReconciler {
+    core: Arc<DaemonCore>,
+    table: ReconcileTable,
+    limits: ReconcileLimits,
+    /// Declarations that the desired states were worked out from.
+    desired_as_of: Option<LogOffset>,
+    lease: Option<OrderingLease>,
+}
+
+/// Observes and orders while this host holds the zone's lease, until the
+/// daemon ends.
+pub(super) async fn run_reconciling(core: Arc<DaemonCore>) {
+    let limits = ReconcileLimits::default();
+    let mut reconciler = ZoneReconciler {
+        core,
+        table: ReconcileTable::new(limits),
+        limits,
+        desired_as_of: None,
+        lease: None,
+    };
+    let mut ticks = tokio::time::interval(RECONCILE_TICK);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        reconciler.run_round().await;
+    }
+}
+
+impl ZoneReconciler {
+    async fn run_round(&mut self) {
+        self.refresh_lease();
+        // Only the holder observes: targets need not answer every host.
+        if self.lease.is_none() {
+            return;
+        }
+        self.refresh_desired();
+        for decision in self.table.decide(self.lease, Instant::now()) {
+            match decision {
+                ReconcileDecision::Observe { target } => self.observe(&target).await,
+                ReconcileDecision::Order { target, order } => self.order(&target, &order).await,
+                ReconcileDecision::Withhold { target, reason } => {
+                    log::debug!("no order for {target} yet: {reason:?}");
+                }
+            }
+        }
+    }
+
+    fn refresh_lease(&mut self) {
+        let now = Instant::now();
+        let held_since = self.lease;
+        self.lease = self.may_order(now).map(|fencing| OrderingLease {
+            fencing,
+            held_since: match held_since {
+                Some(lease) if lease.fencing == fencing => lease.held_since,
+                _ => now,
+            },
+            held_until: now + self.limits.order_deadline * 2,
+        });
+    }
+
+    /// The fencing number, if an order sent at `now` ends before the lease.
+    fn may_order(&self, now: Instant) -> Option<LogOffset> {
+        let name = orders_lease(self.core.zone());
+        let desk = self.core.tables.leases.lock();
+        desk.may_act(&name, now, self.limits.order_deadline)
+    }
+
+    fn refresh_desired(&mut self) {
+        let declarations = self.core.tables.declarations.read();
+        let applied = declarations.applied();
+        if self.desired_as_of == Some(applied) {
+            return;
+        }
+        let engines: BTreeMap<TargetId, FencingSupport> = declarations
+            .targets()
+            .filter(|entry| entry.spec.kind == TargetKind::Engine)
+            .filter(|entry| entry.spec.zone == *self.core.zone())
+            .map(|entry| (entry.name.clone(), entry.spec.fencing))
+            .collect();
+        let pipelines = declarations
+            .list(ResourceKind::Pipeline)
+            .filter_map(|entry| declarations.pipeline(entry.name));
+        let desired: BTreeMap<TargetId, DesiredState> =
+            desired_states(&engines, pipelines, |model| declarations.model(model));
+        self.desired_as_of = Some(applied);
+        self.table.set_desired(desired);
+    }
+
+    async fn observe(&mut self, target: &TargetId) {
+        let Some(address) = self.core.target_address(target) else {
+            return;
+        };
+        let state = self.core.targets.state(address).await;
+        let now = Instant::now();
+        match state {
+            Ok(state) => self.table.observe(target, state, now),
+            Err(_) => self.table.note_failure(target, now),
+        }
+    }
+
+    async fn order(&mut self, target: &TargetId, order: &StateOrder) {
+        let Some(address) = self.core.target_address(target) else {
+            return;
+        };
+        // The host may have been frozen since the decision. An order sent
+        // under a lapsed lease would race the next holder's, and a target
+        // without fencing would carry out whichever comes last.
+        if self.may_order(Instant::now()) != Some(order.fencing) {
+            return;
+        }
+        log::info!("ordering {target} to hold {} ranges", order.loaded.len());
+        let subject =
+            JournalSubject::Resource(ResourceKey::new(ResourceKind::Target, target.clone()));
+        let event = JournalEvent::OrderSent {
+            target: target.clone(),
+            fencing: order.fencing,
+        };
+        self.core.note_about(subject, event);
+        match self.core.targets.order_state(address, order).await {
+            Ok(state) => self.table.observe(target, state, Instant::now()),
+            Err(error) => {
+                log::warn!("order to {target} failed: {error}");
+                self.table.note_failure(target, Instant::now());
+            }
+        }
+    }
+}
--- a/src/daemon/spawn.rs
+++ b/src/daemon/spawn.rs
@@ -12,8 +12,10 @@
 use super::checkpoints::run_checkpoints;
 use super::core::DaemonCore;
 use super::declarations::run_declarations;
+use super::leases::run_leases;
 use super::members::{answer_beat, run_members};
 use super::operators::operator_backend;
+use super::reconciling::run_reconciling;
 use super::relaying::{relay_records, run_relaying};
 use super::tables::{SharedTables, TableSettings};
 use super::targets::{run_host_list, run_load_polls};
@@ -21,13 +23,14 @@
 use crate::api::{ApiError, ApiHandle, ApiSettings, spawn_callers, spawn_operators};
 use crate::ids::IncarnationId;
 use crate::journal::JournalBounds;
+use crate::lease::table::ClockMargin;
 use crate::logging::dropshot_logger;
 use crate::membership::{MembershipSettings, WatchSettings};
 use crate::options::DaemonOptions;
 use crate::peer::{ClaimOutcome, PeerError, PeerHandle, PeerHandlers, PeerSettings, spawn_on};
 use crate::platform::append_queue::{AppendOptions, AppendQueue};
 use crate::platform::client::{PlatformClient, PlatformTimeouts};
-use crate::records::DECLARATION_STREAM;
+use crate::records::{DECLARATION_STREAM, LEASE_STREAM};
 use crate::retry::{BudgetSettings, EjectionSettings};
 use crate::routing::RouteSettings;
 use crate::target::client::{TargetClient, TargetTimeouts};
@@ -73,17 +76,20 @@
         SharedTables::new(settings, Instant::now()),
         TargetClient::open(target_timeouts(&options)),
         platform.clone(),
-        AppendQueue::spawn(
-            platform,
-            AppendOptions::for_stream(DECLARATION_STREAM),
-        ),
+        AppendQueue::spawn(platform, AppendOptions::for_stream(DECLARATION_STREAM)),
         options,
     );
     core.set_peers(open_peers(&core, listener, seed)?);
+    let lease_appends = Arc::new(AppendQueue::spawn(
+        core.platform.clone(),
+        AppendOptions::for_stream(LEASE_STREAM),
+    ));
     let workers = vec![
         tokio::spawn(run_declarations(Arc::clone(&core), seed)),
         tokio::spawn(run_relaying(Arc::clone(&core))),
         tokio::spawn(run_checkpoints(Arc::clone(&core), seed)),
+        tokio::spawn(run_leases(Arc::clone(&core), lease_appends, seed)),
+        tokio::spawn(run_reconciling(Arc::clone(&core))),
         tokio::spawn(run_admission(Arc::clone(&core))),
         tokio::spawn(run_members(Arc::clone(&core))),
         tokio::spawn(run_load_polls(Arc::clone(&core))),
@@ -230,10 +236,18 @@
         routes,
         budget,
         journal,
+        clock_margin: clock_margin(options.timing.clock_rate_margin),
         seed,
     }
 }
 
+/// The margin for clock rates, rounded up to whole percents.
+fn clock_margin(fraction: f64) -> ClockMargin {
+    ClockMargin {
+        percent: (fraction * 100.0).ceil() as u32,
+    }
+}
+
 fn api_settings(core: &DaemonCore, address: SocketAddr) -> ApiSettings {
     ApiSettings {
         body_limit: core.options.limits.max_body_bytes,
--- a/src/daemon/tables.rs
+++ b/src/daemon/tables.rs
@@ -14,10 +14,12 @@
 use rand::rngs::StdRng;
 use tokio::sync::oneshot;
 
+use super::leases::LeaseDesk;
 use crate::admission::{AdmissionDecision, AdmissionSettings, AdmissionTable};
 use crate::collections::FastMap;
 use crate::ids::RequestId;
 use crate::journal::{JournalBounds, JournalTable};
+use crate::lease::table::{ClockMargin, LeaseTable};
 use crate::membership::{MembershipSettings, MembershipTable, TargetWatch, WatchSettings};
 use crate::replay::{DeclarationTable, RecordRelay, RelayLimits};
 use crate::retry::{BudgetSettings, RetryBudget};
@@ -35,6 +37,8 @@
     pub(super) declarations: RwLock<DeclarationTable>,
     /// Right after it: records to pass on to peers.
     pub(super) relay: Mutex<RecordRelay>,
+    /// Then: leases, with this host's part in them.
+    pub(super) leases: Mutex<LeaseDesk>,
     /// Second: the other entry hosts.
     pub(super) membership: Mutex<MembershipTable>,
     /// Third: which targets are watched, and which are leaving.
@@ -68,6 +72,7 @@
     pub(super) routes: RouteSettings,
     pub(super) budget: BudgetSettings,
     pub(super) journal: JournalBounds,
+    pub(super) clock_margin: ClockMargin,
     pub(super) seed: u64,
 }
 
@@ -80,11 +85,13 @@
             routes,
             budget,
             journal,
+            clock_margin,
             seed,
         } = settings;
         Arc::new(Self {
             declarations: RwLock::new(DeclarationTable::default()),
             relay: Mutex::new(RecordRelay::new(RELAY_LIMITS)),
+            leases: Mutex::new(LeaseDesk::new(LeaseTable::new(clock_margin))),
             membership: Mutex::new(MembershipTable::new(membership, now)),
             watch: Mutex::new(TargetWatch::new(watch)),
             admission: Mutex::new(AdmissionDesk {
