Add the demo

Cause: a newcomer needs one command that shows what the router does when a target dies.

DaemonHandle::abort ends a daemon without telling anybody: dropping its runtime alone would leave the peers' thread answering heartbeats.

Ruled out: finding the target to kill from the daemon's explanation; the engines' own record says which one really serves the run.

--- a/src/daemon/spawn.rs
+++ b/src/daemon/spawn.rs
@@ -127,6 +127,20 @@
         self.core.peers().map(PeerHandle::local_address)
     }
 
+    /// Ends at once, as far as peers can tell: nobody is told. What runs on
+    /// the current runtime goes on until that ends.
+    ///
+    /// Without this a daemon whose runtime is dropped would still answer
+    /// heartbeats from the peers' own thread, and would look alive.
+    pub async fn abort(self) {
+        for worker in &self.workers {
+            worker.abort();
+        }
+        if let Some(peers) = self.core.peers() {
+            peers.shutdown().await;
+        }
+    }
+
     /// Shuts down gracefully: nothing new is taken, what is in flight ends.
     pub async fn shutdown(self) {
         self.core.begin_draining();
--- /dev/null
+++ b/standins/src/bin/demo.rs
@@ -0,0 +1,245 @@
+//! Shows a fleet at work: real requests of both users' shapes, a stage that
+//! dies half-way, and what was decided and why.
+
+#![allow(clippy::print_stdout, reason = "a demo talks to whoever runs it")]
+
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+use clap::{Arg, ArgAction, Command};
+use jackdawwick::api::wire::{ExplainView, GenerateBody};
+use standins::caller::{CallerClient, HeardAnswer, OutgoingCall, token_of};
+use standins::check::{CallHistory, GenerationHistory, RunHistory, check_all};
+use standins::declarations::VERSION;
+use standins::fleet::{Fleet, FleetDaemon, FleetLayout};
+use standins::json_client::CallError;
+use standins::operator::{self, OPERATOR};
+
+const ORGANISATION: &str = "organisation-1";
+const PROMPT_TOKENS: u64 = 32;
+const TOKENS: u64 = 24;
+/// Stage whose target is killed.
+const KILLED_STAGE: usize = 1;
+/// Bound on waiting for the run to get half-way.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let matches = Command::new("demo")
+        .about("Starts stand-ins and daemons over loopback and shows them at work")
+        .arg(
+            Arg::new("serve")
+                .long("serve")
+                .help("Keep the first fleet running, to try it with curl")
+                .action(ArgAction::SetTrue),
+        )
+        .get_matches();
+    let result = match matches.get_flag("serve") {
+        true => serve().await,
+        false => show_both().await,
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            println!("FAILED: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn show_both() -> Result<(), CallError> {
+    for layout in [FleetLayout::franchise(), FleetLayout::atlas()] {
+        show(layout).await?;
+    }
+    println!("Every answer was whole and agrees with what the targets recorded.");
+    Ok(())
+}
+
+async fn show(layout: FleetLayout) -> Result<(), CallError> {
+    let mut fleet = start(layout).await?;
+    let mut history = RunHistory::default();
+    for (number, daemon) in fleet.daemons.iter().enumerate() {
+        let request = format!("read-{number}");
+        history
+            .generations
+            .push(ask(&fleet, daemon, &request).await);
+    }
+    history.service_calls.push(call_service(&fleet).await?);
+    let killed = ask_and_kill(&fleet).await?;
+    explain(&fleet.daemons[0], &killed.request).await?;
+    history.generations.push(killed);
+    check(&fleet, history)?;
+    fleet.shutdown().await;
+    println!();
+    Ok(())
+}
+
+async fn start(layout: FleetLayout) -> Result<Fleet, CallError> {
+    let name = layout.name.clone();
+    let fleet = Fleet::start(layout).await?;
+    println!(
+        "== {name}: {} daemons, {} engines in {} stages, {} targets of the service {}",
+        fleet.daemons.len(),
+        fleet.engines.len(),
+        fleet.layout.stages.len(),
+        fleet.services.len(),
+        fleet.layout.service.name,
+    );
+    Ok(fleet)
+}
+
+fn body(fleet: &Fleet) -> GenerateBody {
+    GenerateBody {
+        model: fleet.layout.model.as_str().into(),
+        prompt: (1..=PROMPT_TOKENS).collect(),
+        max_tokens: TOKENS,
+        deadline_ms: None,
+        priority: 0,
+        resume: None,
+    }
+}
+
+async fn ask(fleet: &Fleet, daemon: &FleetDaemon, request: &str) -> GenerationHistory {
+    let body = body(fleet);
+    let caller = CallerClient::open(ORGANISATION);
+    let answer = caller.generate(daemon.callers, request, &body).await;
+    println!("{}: {request}: {}", daemon.host, summary(&answer));
+    GenerationHistory {
+        request: request.into(),
+        organisation: ORGANISATION.into(),
+        model: fleet.layout.model.clone(),
+        version: VERSION.to_owned(),
+        layers: fleet.layout.layers(),
+        prompt: body.prompt,
+        max_tokens: body.max_tokens,
+        answers: vec![answer],
+    }
+}
+
+fn summary(answer: &HeardAnswer) -> String {
+    let first = answer.first_token().unwrap_or_default();
+    match answer.refused() {
+        Some(refusal) => format!("refused: {refusal:?}"),
+        None => format!(
+            "{} tokens, first after {first:.1?}, last after {:.1?}",
+            answer.tokens().len(),
+            answer.ended - answer.sent
+        ),
+    }
+}
+
+async fn call_service(fleet: &Fleet) -> Result<CallHistory, CallError> {
+    let service = &fleet.layout.service;
+    let caller = CallerClient::open(ORGANISATION);
+    let call = OutgoingCall {
+        path: &format!("{}/{}", service.name, service.non_idempotent),
+        body: "{}".into(),
+        key: Some("key-1"),
+    };
+    let daemon = &fleet.daemons[0];
+    let reply = caller
+        .call_service(daemon.callers, "settle-1", call)
+        .await?;
+    println!(
+        "{}: settle-1: {} {:?}",
+        daemon.host, reply.status, reply.body
+    );
+    if !reply.status.is_success() {
+        return Err("the service's call was refused".into());
+    }
+    Ok(CallHistory {
+        request: "settle-1".into(),
+        organisation: ORGANISATION.into(),
+        key: Some("key-1".to_owned()),
+        replies: vec![Some(reply)],
+        lost_sends: 0,
+    })
+}
+
+/// Asks for a generation and kills one of its targets half-way.
+async fn ask_and_kill(fleet: &Fleet) -> Result<GenerationHistory, CallError> {
+    let request = "killed-half-way";
+    let asked = ask(fleet, &fleet.daemons[0], request);
+    let (history, killed) = tokio::join!(asked, kill_half_way(fleet, request));
+    println!("(the target {} was killed half-way)", killed?);
+    Ok(history)
+}
+
+async fn kill_half_way(fleet: &Fleet, request: &str) -> Result<String, CallError> {
+    let half_way = PROMPT_TOKENS + TOKENS / 2;
+    let run = format!("{request}~");
+    let deadline = Instant::now() + PATIENCE;
+    while Instant::now() < deadline {
+        let stage = fleet.engines.iter();
+        for engine in stage.filter(|engine| engine.stage == KILLED_STAGE) {
+            let record = engine.server.record();
+            let mut steps = record.iter();
+            if steps.any(|step| step.request.starts_with(&run) && step.position >= half_way) {
+                engine.server.die();
+                return Ok(engine.target.name.clone());
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    Err("the run did not get half-way".into())
+}
+
+async fn explain(daemon: &FleetDaemon, request: &str) -> Result<(), CallError> {
+    let path = format!("/v1/explain/{request}");
+    let view: ExplainView = operator::read(daemon.operators, &path).await?;
+    println!("what {} decided about {request}, and why:", daemon.host);
+    for entry in view.entries {
+        println!("  {}", entry.text);
+    }
+    Ok(())
+}
+
+fn check(fleet: &Fleet, heard: RunHistory) -> Result<(), CallError> {
+    let history = RunHistory {
+        generations: heard.generations,
+        service_calls: heard.service_calls,
+        ..fleet.recorded()
+    };
+    let broken = check_all(&history, Duration::ZERO);
+    for promise in &broken {
+        println!("BROKEN: {promise}");
+    }
+    let refused = history
+        .generations
+        .iter()
+        .find(|generation| generation.closing_count().is_none());
+    match refused {
+        Some(generation) => Err(format!("{} was not answered", generation.request).into()),
+        None if broken.is_empty() => Ok(()),
+        None => Err(format!("{} promises were broken", broken.len()).into()),
+    }
+}
+
+/// Keeps a fleet running until it is interrupted.
+async fn serve() -> Result<(), CallError> {
+    let mut fleet = start(FleetLayout::franchise()).await?;
+    let (daemon, service) = (&fleet.daemons[0], &fleet.layout.service);
+    let caller = format!("-H 'authorization: Bearer {}'", token_of(ORGANISATION));
+    let operator = format!("-H 'authorization: Bearer {}'", token_of(OPERATOR));
+    let json = "-H 'content-type: application/json'";
+    let body = serde_json::to_string(&GenerateBody {
+        prompt: vec![1, 2, 3],
+        ..body(&fleet)
+    })?;
+    let callers = daemon.callers;
+    let operators = daemon.operators;
+    println!(
+        "curl -N {caller} {json} -H 'x-request-id: try-1' http://{callers}/v1/generate -d '{body}'"
+    );
+    println!(
+        "curl {caller} {json} http://{callers}/v1/services/{}/{} -d '{{}}'",
+        service.name, service.plain_operation
+    );
+    println!("curl {operator} http://{operators}/v1/explain/try-1");
+    println!("curl {operator} http://{operators}/v1/status");
+    println!("curl {operator} http://{operators}/metrics");
+    println!("Interrupt to end.");
+    tokio::signal::ctrl_c().await?;
+    fleet.shutdown().await;
+    Ok(())
+}
--- a/standins/src/check/history.rs
+++ b/standins/src/check/history.rs
@@ -90,8 +90,11 @@
     pub organisation: OrganisationId,
     /// Key, if the call was marked as non-idempotent.
     pub key: Option<String>,
-    /// One entry for each time that it was sent; `None` without an answer.
+    /// The last answer on each way on which it was sent; `None` if there is
+    /// none.
     pub replies: Vec<Option<HeardReply>>,
+    /// Times that the connection broke and the caller sent it again.
+    pub lost_sends: usize,
 }
 
 impl CallHistory {
--- a/standins/src/check/refusals.rs
+++ b/standins/src/check/refusals.rs
@@ -9,7 +9,9 @@
 /// Checks that no target ran anything of a request whose verdict is `NotRun`.
 ///
 /// Of a request that was sent several times only those are judged whose every
-/// answer says so: the others may rightly have run.
+/// answer says so: the others may rightly have run. A caller that sends a call
+/// without a key again after a lost answer hears about the last time alone, so
+/// such calls are not judged; with a key they are.
 pub fn check_not_run(history: &RunHistory) -> Vec<BrokenPromise> {
     let steps = steps_by_request(history);
     let calls = history
@@ -39,6 +41,9 @@
 }
 
 fn is_not_run(call: &CallHistory) -> bool {
+    if call.key.is_none() && call.lost_sends > 0 {
+        return false;
+    }
     let refusals = call.refusals();
     let not_run = refusals.filter(|body| body.verdict == RunVerdict::NotRun);
     not_run.count() == call.replies.len()
--- a/standins/src/fleet/daemon.rs
+++ b/standins/src/fleet/daemon.rs
@@ -11,7 +11,7 @@
 /// Worker threads of each daemon.
 const WORKER_THREADS: usize = 2;
 
-/// A daemon of the fleet; dropping it kills it.
+/// A daemon of the fleet; dropping it ends its runtime.
 pub struct FleetDaemon {
     /// Name of the entry host.
     pub host: String,
@@ -53,12 +53,18 @@
     }
 
     /// Ends it without warning; its connections are closed.
-    pub fn kill(&mut self) {
+    pub async fn kill(&mut self) {
+        if let (Some(handle), Some(runtime)) = (self.handle.take(), &self.runtime) {
+            let _ = runtime.spawn(handle.abort()).await;
+        }
+        self.end_runtime();
+    }
+
+    fn end_runtime(&mut self) {
         if let Some(runtime) = self.runtime.take() {
             // Waiting for the tasks here would block the caller's runtime.
             runtime.shutdown_background();
         }
-        self.handle = None;
     }
 
     /// Shuts it down gracefully.
@@ -66,12 +72,12 @@
         if let (Some(handle), Some(runtime)) = (self.handle.take(), &self.runtime) {
             let _ = runtime.spawn(handle.shutdown()).await;
         }
-        self.kill();
+        self.end_runtime();
     }
 }
 
 impl Drop for FleetDaemon {
     fn drop(&mut self) {
-        self.kill();
+        self.end_runtime();
     }
 }
--- a/standins/src/fleet/operations.rs
+++ b/standins/src/fleet/operations.rs
@@ -7,6 +7,7 @@
 use jackdawwick::platform::wire::ListedPhase;
 
 use super::{Fleet, FleetDaemon, FleetEngine};
+use crate::check::{RunHistory, TargetSteps};
 use crate::json_client::CallError;
 use crate::operator::{self, Declaration};
 
@@ -65,6 +66,20 @@
         self.platform.set_hosts(self.hosts.clone());
     }
 
+    /// What the targets have run so far; the callers' part is left empty.
+    pub fn recorded(&self) -> RunHistory {
+        let steps = self.engines.iter().map(|engine| TargetSteps {
+            target: engine.target.name.as_str().into(),
+            records: engine.server.record(),
+        });
+        let services = self.services.iter();
+        RunHistory {
+            steps: steps.collect(),
+            calls: services.flat_map(|one| one.server.record()).collect(),
+            ..RunHistory::default()
+        }
+    }
+
     /// Shuts every daemon down gracefully, then the stand-ins.
     pub async fn shutdown(&mut self) {
         for daemon in &mut self.daemons {
--- a/standins/tests/checkers.rs
+++ b/standins/tests/checkers.rs
@@ -114,6 +114,7 @@
             organisation: "desk".into(),
             key: Some("key".to_owned()),
             replies: vec![Some(reply(StatusCode::OK, Vec::new()))],
+            lost_sends: 0,
         }],
         leaves: Vec::new(),
     }
