Bound what callers may send and hold

Cause: the HTTP library bounds the length of a body and nothing else. Idle connections could pile up without end, a body could take for ever, a caller that stopped reading held its run, a panic in an endpoint closed the connection without an answer, and an unknown path was answered with a body of another type.

Change: a listener of our own before the library's, which now stands on the loopback address. It bounds connections, heads in size, number and time, bodies in length and time, and how long sent bytes may stay unacknowledged. It gives the library's own errors the refusal body, answers for an endpoint that panics, keeps the request's id, and refuses headers that stand twice. Streams are handed to it in memory. Closing goes from the outside in. `ApiSettings` has `bounds` in place of `body_limit`; the daemon passes its limits on.

Not bounded: local processes can reach the inner listener and go round these bounds, though not round authentication. Heads that cannot be read get a 400 or 431 without a body, and HTTP/2 prefaces are closed without an answer: the library does not let this be chosen.

Conclusion: every bound of the callers' interface is enforced in one place.

--- a/src/api.rs
+++ b/src/api.rs
@@ -10,6 +10,7 @@
 mod callers;
 mod credentials;
 mod explain;
+mod front;
 mod head;
 pub mod openapi;
 mod operators;
@@ -18,5 +19,6 @@
 mod stream;
 pub mod wire;
 
+pub use front::ApiBounds;
 pub use refusal::status_of;
 pub use server::{ApiError, ApiHandle, ApiSettings, spawn_callers, spawn_operators};
--- a/src/api/answer.rs
+++ b/src/api/answer.rs
@@ -15,8 +15,9 @@
 use crate::reason::RefusalReason;
 use crate::verdict::RunVerdict;
 
-/// Header that repeats the verdict of a refusal, for callers that look at the
-/// head only.
+/// Header that repeats the verdict of every error answer, for callers that
+/// look at the head only. It also sets these answers apart from the HTTP
+/// library's own.
 pub(super) const VERDICT_HEADER: &str = "x-verdict";
 /// How callers authenticate, as told with a 401.
 const CHALLENGE: &str = "Bearer";
@@ -139,12 +140,13 @@
     }
 }
 
-fn verdict_name(verdict: RunVerdict) -> &'static str {
-    match verdict {
+/// A verdict as it stands in the header.
+pub(super) fn verdict_value(verdict: RunVerdict) -> HeaderValue {
+    HeaderValue::from_static(match verdict {
         RunVerdict::NotRun => "not_run",
         RunVerdict::MayHaveRun => "may_have_run",
         RunVerdict::Ran => "ran",
-    }
+    })
 }
 
 /// The whole response of an error.
@@ -158,12 +160,10 @@
     let headers = response.headers_mut();
     headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(JSON));
     let Some(refusal) = error.refusal() else {
+        headers.insert(VERDICT_HEADER, verdict_value(RunVerdict::NotRun));
         return response;
     };
-    headers.insert(
-        VERDICT_HEADER,
-        HeaderValue::from_static(verdict_name(refusal.verdict)),
-    );
+    headers.insert(VERDICT_HEADER, verdict_value(refusal.verdict));
     if let Some(seconds) = refusal.retry_after_seconds() {
         headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
     }
--- a/src/api/callers.rs
+++ b/src/api/callers.rs
@@ -13,14 +13,15 @@
 use serde::{Deserialize, Serialize};
 use tokio_util::task::TaskTracker;
 
-use super::answer::{Answer, JSON};
-use super::backend::{CallerBackend, GenerateCall, ServiceCall, ServiceReply};
+use super::answer::{Answer, JSON, VERDICT_HEADER, verdict_value};
+use super::backend::{CallerBackend, GenerateCall, GenerateStream, ServiceCall, ServiceReply};
 use super::body::DeferredBody;
 use super::credentials::identify;
+use super::front::{SLOT_HEADER, StreamSlots};
 use super::head::{CallHead, CallHeaders, is_label, malformed};
-use super::stream::{EventResponse, stream_response};
+use super::stream::{EventResponse, stream_body};
 use super::wire::{GenerateBody, RefusalBody};
-use crate::ids::OrganisationId;
+use crate::ids::{OrganisationId, RequestId};
 use crate::reason::RefusalReason;
 use crate::verdict::RunVerdict;
 
@@ -29,6 +30,8 @@
     pub(super) backend: CallerBackend,
     /// Calls that go on when their caller goes away.
     pub(super) detached: TaskTracker,
+    /// Where streams are handed to the listener in front.
+    pub(super) slots: StreamSlots,
 }
 
 type Shared = Arc<CallerContext>;
@@ -70,16 +73,30 @@
     headers: Header<CallHeaders>,
     body: DeferredBody<GenerateBody>,
 ) -> Result<Answer<EventResponse>, RefusalBody> {
-    let backend = &context.context().backend;
-    let result = start_generation(backend, &headers.into_inner(), body).await;
-    Ok(Answer::from_result(result))
+    let shared = context.context();
+    let slot = context.request.headers().get(SLOT_HEADER);
+    let slot = slot.and_then(|name| name.to_str().ok());
+    let started = start_generation(&shared.backend, &headers.into_inner(), body).await;
+    Ok(Answer::from_result(started.map(|generation| {
+        let StartedGeneration { request, events } = generation;
+        EventResponse::new(match shared.slots.put(slot, events) {
+            Ok(()) => Body::empty(),
+            Err(events) => stream_body(request, events),
+        })
+    })))
+}
+
+/// An answer that has begun.
+struct StartedGeneration {
+    request: RequestId,
+    events: GenerateStream,
 }
 
 async fn start_generation(
     backend: &CallerBackend,
     headers: &CallHeaders,
     body: DeferredBody<GenerateBody>,
-) -> Result<EventResponse, RefusalBody> {
+) -> Result<StartedGeneration, RefusalBody> {
     let admitted = admit(backend, headers)?;
     let request = admitted.head.request.clone();
     let named = |refusal: RefusalBody| refusal.for_request(request.clone());
@@ -94,7 +111,7 @@
         received: admitted.received,
     };
     let events = (backend.generate)(call).await.map_err(named)?;
-    Ok(stream_response(request, events))
+    Ok(StartedGeneration { request, events })
 }
 
 fn check_generate(body: &GenerateBody) -> Result<(), RefusalBody> {
@@ -174,9 +191,10 @@
         .content_type
         .and_then(|text| HeaderValue::from_str(&text).ok())
         .unwrap_or(HeaderValue::from_static(JSON));
-    response
-        .headers_mut()
-        .insert(header::CONTENT_TYPE, media_type);
+    let headers = response.headers_mut();
+    headers.insert(header::CONTENT_TYPE, media_type);
+    // An error of the service itself is its answer, not a refusal.
+    headers.insert(VERDICT_HEADER, verdict_value(RunVerdict::Ran));
     Ok(response)
 }
 
--- /dev/null
+++ b/src/api/front/connection.rs
@@ -0,0 +1,69 @@
+//! One connection of a caller.
+
+use std::convert::Infallible;
+use std::time::Duration;
+
+use dropshot::Body;
+use http::{HeaderValue, Request, Response, header};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::Watcher;
+use tokio::net::TcpStream;
+
+use super::FrontContext;
+use super::forward::Forwarder;
+use super::intake;
+use crate::api::answer::error_response;
+use crate::api::wire::RefusalBody;
+use crate::reason::RefusalReason;
+
+/// Time spent on telling one connection too many that it is.
+const REFUSE_TIMEOUT: Duration = Duration::from_secs(2);
+/// When such a caller should come back.
+const REFUSE_RETRY: Duration = Duration::from_secs(1);
+
+/// Serves requests until the caller closes or a bound is reached.
+pub(super) async fn serve(socket: TcpStream, context: FrontContext, watcher: Watcher) {
+    let forwarder = Forwarder::new(context.inner, context.slots.clone());
+    let bounds = context.bounds;
+    let service = service_fn(|request: Request<Incoming>| async {
+        let answer = match intake::read(request, &bounds).await {
+            Ok(request) => forwarder.forward(request).await,
+            Err(refusal) => refusal.into_response(),
+        };
+        Ok::<_, Infallible>(answer)
+    });
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(bounds.head_timeout)
+        .max_headers(bounds.head_count)
+        .max_header_size(bounds.head_bytes)
+        .serve_connection(TokioIo::new(socket), service);
+    if let Err(error) = watcher.watch(served).await {
+        log::debug!("a caller's connection ended: {error}");
+    }
+}
+
+/// Tells a connection beyond the bound to come back, and closes it.
+pub(super) async fn refuse(socket: TcpStream) {
+    let service = service_fn(|_: Request<Incoming>| async { Ok::<_, Infallible>(too_many()) });
+    let served = http1::Builder::new()
+        .keep_alive(false)
+        .serve_connection(TokioIo::new(socket), service);
+    // A caller that sends no request leaves the place of another one taken.
+    let _ = tokio::time::timeout(REFUSE_TIMEOUT, served).await;
+}
+
+fn too_many() -> Response<Body> {
+    let refusal = RefusalBody::not_run(
+        RefusalReason::QueueFull,
+        "this host has as many connections as it takes",
+    );
+    let mut response = error_response(&refusal.retry_after(REFUSE_RETRY));
+    response
+        .headers_mut()
+        .insert(header::CONNECTION, HeaderValue::from_static("close"));
+    response
+}
--- /dev/null
+++ b/src/api/front/intake.rs
@@ -0,0 +1,145 @@
+//! Reading a request whole, within the bounds.
+
+use bytes::Bytes;
+use dropshot::Body;
+use http::{HeaderMap, HeaderName, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::{Body as _, Incoming};
+use uuid::Uuid;
+
+use super::{ApiBounds, SLOT_HEADER};
+use crate::api::answer::error_response;
+use crate::api::head::malformed;
+use crate::api::wire::{NON_IDEMPOTENT_HEADER, RefusalBody};
+
+/// Header with the request's id.
+pub(super) const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+/// How many times the bound on a body is read and thrown away before the
+/// connection is closed on a caller that is still sending.
+const DISCARD_FACTOR: usize = 4;
+
+/// Headers that may stand once. Read twice, two parts of the system could
+/// each believe another value of them.
+static SINGLE_HEADERS: [HeaderName; 4] = [
+    header::AUTHORIZATION,
+    HeaderName::from_static("idempotency-key"),
+    HeaderName::from_static(NON_IDEMPOTENT_HEADER),
+    REQUEST_ID,
+];
+
+/// Headers that concern one connection only, and the length, which is set anew.
+static HOP_HEADERS: [HeaderName; 8] = [
+    header::CONNECTION,
+    header::CONTENT_LENGTH,
+    header::EXPECT,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    HeaderName::from_static(SLOT_HEADER),
+];
+
+/// A request that broke a bound.
+#[derive(Debug)]
+pub(super) struct IntakeRefusal {
+    /// More exact than the status of its reason.
+    status: StatusCode,
+    body: RefusalBody,
+}
+
+impl IntakeRefusal {
+    fn new(status: StatusCode, message: &str) -> Self {
+        Self {
+            status,
+            body: malformed(message),
+        }
+    }
+
+    /// The whole response.
+    pub(super) fn into_response(self) -> Response<Body> {
+        let mut response = error_response(&self.body);
+        *response.status_mut() = self.status;
+        response
+    }
+}
+
+/// Reads a request and readies it for being passed on.
+///
+/// # Errors
+/// If a bound is broken.
+pub(super) async fn read(
+    request: Request<Incoming>,
+    bounds: &ApiBounds,
+) -> Result<Request<Full<Bytes>>, IntakeRefusal> {
+    let (mut parts, body) = request.into_parts();
+    let bytes = read_body(body, bounds).await?;
+    check_single(&parts.headers)?;
+    for name in &HOP_HEADERS {
+        parts.headers.remove(name);
+    }
+    parts.version = http::Version::HTTP_11;
+    parts.extensions.clear();
+    parts
+        .headers
+        .entry(REQUEST_ID)
+        .or_insert_with(fresh_request_id);
+    Ok(Request::from_parts(parts, Full::new(bytes)))
+}
+
+fn fresh_request_id() -> http::HeaderValue {
+    let id = Uuid::new_v4().to_string();
+    http::HeaderValue::try_from(id).unwrap_or(http::HeaderValue::from_static(""))
+}
+
+fn check_single(headers: &HeaderMap) -> Result<(), IntakeRefusal> {
+    let doubled = SINGLE_HEADERS
+        .iter()
+        .find(|name| headers.get_all(*name).iter().count() > 1);
+    match doubled {
+        None => Ok(()),
+        Some(name) => Err(IntakeRefusal::new(
+            StatusCode::BAD_REQUEST,
+            &format!("header {name} may stand only once"),
+        )),
+    }
+}
+
+async fn read_body(mut body: Incoming, bounds: &ApiBounds) -> Result<Bytes, IntakeRefusal> {
+    let reading = Limited::new(&mut body, bounds.body_bytes).collect();
+    let error = match tokio::time::timeout(bounds.body_timeout, reading).await {
+        Ok(Ok(collected)) => return Ok(collected.to_bytes()),
+        Ok(Err(error)) => error,
+        Err(_) => {
+            return Err(IntakeRefusal::new(
+                StatusCode::REQUEST_TIMEOUT,
+                "the body did not arrive in time",
+            ));
+        }
+    };
+    if error.downcast_ref::<LengthLimitError>().is_none() {
+        return Err(IntakeRefusal::new(
+            StatusCode::BAD_REQUEST,
+            "the body could not be read",
+        ));
+    }
+    discard(body, bounds).await;
+    let message = format!("the body is longer than {} bytes", bounds.body_bytes);
+    Err(IntakeRefusal::new(StatusCode::PAYLOAD_TOO_LARGE, &message))
+}
+
+/// Throws away the rest of a body that is too long, within bounds. Closed on
+/// unread bytes, the connection would be reset, and the caller would lose the
+/// answer that tells it why.
+async fn discard(mut body: Incoming, bounds: &ApiBounds) {
+    let mut left = bounds.body_bytes.saturating_mul(DISCARD_FACTOR);
+    let reading = async {
+        while let Some(Ok(frame)) = body.frame().await {
+            let length = frame.data_ref().map_or(0, Bytes::len);
+            left = left.saturating_sub(length);
+            if left == 0 || body.is_end_stream() {
+                return;
+            }
+        }
+    };
+    let _ = tokio::time::timeout(bounds.body_timeout, reading).await;
+}
--- a/src/api/server.rs
+++ b/src/api/server.rs
@@ -1,6 +1,6 @@
 //! The two listeners: how they are opened and closed.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 
 use dropshot::{
@@ -12,18 +12,19 @@
 
 use super::backend::{CallerBackend, OperatorBackend};
 use super::callers::{self, CallerContext};
+use super::front::{self, ApiBounds, FrontContext, FrontHandle, StreamSlots};
 use super::operators;
 
-/// Default bound on a body, in bytes.
-const BODY_LIMIT: usize = 1 << 20;
+/// Where the HTTP library listens: out of reach for other hosts.
+const INNER_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
 /// Settings of one listener.
 #[derive(Debug, Clone)]
 pub struct ApiSettings {
     /// Address to listen on; port 0 takes a free one.
     pub address: SocketAddr,
-    /// Longest body taken, in bytes.
-    pub body_limit: usize,
+    /// What callers may send and hold.
+    pub bounds: ApiBounds,
     /// Where the HTTP library logs.
     pub log: slog::Logger,
 }
@@ -33,7 +34,7 @@
     pub fn new(address: SocketAddr, log: slog::Logger) -> Self {
         Self {
             address,
-            body_limit: BODY_LIMIT,
+            bounds: ApiBounds::default(),
             log,
         }
     }
@@ -43,7 +44,15 @@
 #[derive(Debug, thiserror::Error)]
 pub enum ApiError {
     /// The address is in use or not one of this host's.
-    #[error("cannot open the HTTP listener: {0}")]
+    #[error("cannot listen on {address}: {error}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        error: std::io::Error,
+    },
+    /// The HTTP library's listener could not be opened.
+    #[error("cannot open the inner HTTP listener: {0}")]
     Open(#[from] BuildError),
     /// Two endpoints clash.
     #[error("cannot register an endpoint: {0}")]
@@ -81,12 +90,14 @@
     backend: CallerBackend,
 ) -> Result<ApiHandle, ApiError> {
     let detached = TaskTracker::new();
+    let slots = StreamSlots::default();
     let context = CallerContext {
         backend,
         detached: detached.clone(),
+        slots: slots.clone(),
     };
     let server = serve(settings, callers::description()?, Arc::new(context))?;
-    Ok(handle(server, detached))
+    open(settings, server, slots, detached)
 }
 
 /// Opens the operators' listener.
@@ -98,9 +109,10 @@
     backend: OperatorBackend,
 ) -> Result<ApiHandle, ApiError> {
     let server = serve(settings, operators::description()?, Arc::new(backend))?;
-    Ok(handle(server, TaskTracker::new()))
+    open(settings, server, StreamSlots::default(), TaskTracker::new())
 }
 
+/// Opens the HTTP library's own listener.
 fn serve<C>(
     settings: &ApiSettings,
     api: ApiDescription<C>,
@@ -110,8 +122,8 @@
     C: ServerContext,
 {
     let config = ConfigDropshot {
-        bind_address: settings.address,
-        default_request_body_max_bytes: settings.body_limit,
+        bind_address: INNER_ADDRESS,
+        default_request_body_max_bytes: settings.bounds.body_bytes,
         // A handler is dropped when its caller goes away, which is how a
         // backend notices that nobody waits for its answer.
         default_handler_task_mode: HandlerTaskMode::CancelOnDisconnect,
@@ -122,22 +134,39 @@
         .start()
 }
 
-fn handle<C>(server: HttpServer<C>, detached: TaskTracker) -> ApiHandle
+/// Opens the bounded listener before it.
+fn open<C>(
+    settings: &ApiSettings,
+    server: HttpServer<C>,
+    slots: StreamSlots,
+    detached: TaskTracker,
+) -> Result<ApiHandle, ApiError>
 where
     C: ServerContext,
 {
-    let address = server.local_addr();
-    let close = move || -> BoxFuture<'static, ()> {
-        Box::pin(async move {
-            if let Err(error) = server.close().await {
-                log::warn!("the HTTP listener on {address} ended badly: {error}");
-            }
-            detached.close();
-            detached.wait().await;
-        })
+    let address = settings.address;
+    let context = FrontContext {
+        bounds: settings.bounds,
+        inner: server.local_addr(),
+        slots,
     };
-    ApiHandle {
-        address,
-        close: Box::new(close),
+    let front =
+        front::spawn(address, context).map_err(|error| ApiError::Listen { address, error })?;
+    Ok(ApiHandle {
+        address: front.address,
+        close: Box::new(move || Box::pin(close(front, server, detached))),
+    })
+}
+
+/// Closes from the outside in: callers first, so that nothing new arrives.
+async fn close<C>(front: FrontHandle, server: HttpServer<C>, detached: TaskTracker)
+where
+    C: ServerContext,
+{
+    front.shutdown().await;
+    detached.close();
+    detached.wait().await;
+    if let Err(error) = server.close().await {
+        log::warn!("the inner HTTP listener ended badly: {error}");
     }
 }
--- a/src/api/stream.rs
+++ b/src/api/stream.rs
@@ -39,19 +39,27 @@
     }
 }
 
-/// The response whose body is the stream of events.
-pub(super) fn stream_response(request: RequestId, events: GenerateStream) -> EventResponse {
+impl EventResponse {
+    /// The head of the answer, with its events if the answer is written here
+    /// and none if they were handed over.
+    pub(super) fn new(body: Body) -> Self {
+        let mut response = Response::new(body);
+        let headers = response.headers_mut();
+        headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(EVENT_STREAM));
+        headers.insert(header::CACHE_CONTROL, HeaderValue::from_static(NO_STORE));
+        Self(response)
+    }
+}
+
+/// The events of one answer as they are written.
+pub(super) fn stream_body(request: RequestId, events: GenerateStream) -> Body {
     let mut writer = EventWriter {
         request,
         events,
         ended: false,
     };
     let frames = stream::poll_fn(move |context| writer.poll_frame(context));
-    let mut response = Response::new(Body::wrap(StreamBody::new(frames)));
-    let headers = response.headers_mut();
-    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(EVENT_STREAM));
-    headers.insert(header::CACHE_CONTROL, HeaderValue::from_static(NO_STORE));
-    EventResponse(response)
+    Body::wrap(StreamBody::new(frames))
 }
 
 /// Writes events as frames until the last one.
--- a/src/daemon/spawn.rs
+++ b/src/daemon/spawn.rs
@@ -18,7 +18,7 @@
 use super::tables::{SharedTables, TableSettings};
 use super::targets::{run_host_list, run_load_polls};
 use crate::admission::AdmissionSettings;
-use crate::api::{ApiError, ApiHandle, ApiSettings, spawn_callers, spawn_operators};
+use crate::api::{ApiBounds, ApiError, ApiHandle, ApiSettings, spawn_callers, spawn_operators};
 use crate::ids::IncarnationId;
 use crate::journal::JournalBounds;
 use crate::logging::dropshot_logger;
@@ -73,10 +73,7 @@
         SharedTables::new(settings, Instant::now()),
         TargetClient::open(target_timeouts(&options)),
         platform.clone(),
-        AppendQueue::spawn(
-            platform,
-            AppendOptions::for_stream(DECLARATION_STREAM),
-        ),
+        AppendQueue::spawn(platform, AppendOptions::for_stream(DECLARATION_STREAM)),
         options,
     );
     core.set_peers(open_peers(&core, listener, seed)?);
@@ -235,8 +232,15 @@
 }
 
 fn api_settings(core: &DaemonCore, address: SocketAddr) -> ApiSettings {
+    let limits = &core.options.limits;
     ApiSettings {
-        body_limit: core.options.limits.max_body_bytes,
+        bounds: ApiBounds {
+            connections: limits.max_connections,
+            head_bytes: limits.max_header_bytes,
+            head_count: limits.max_header_count,
+            body_bytes: limits.max_body_bytes,
+            ..ApiBounds::default()
+        },
         ..ApiSettings::new(address, dropshot_logger())
     }
 }
