Compare the routing policies on a queueing fake

Cause: the policies have to be compared on the decisions themselves before they are put under load.

Change: a fake with its own clock in which 8 hosts plan with tables of their own and hear of the load late; the test prints a table and fails if the estimate's p95 is not below each baseline's at loads 0.6 and 0.9.

--- /dev/null
+++ b/tests/policy_compare.rs
@@ -0,0 +1,308 @@
+//! Compares the routing policies on a small queueing fake with its own clock.
+//!
+//! Eight entry hosts plan runs over three stages of ten targets each, of three
+//! speeds, and hear of the load late. The figures are those of the fake, not
+//! of a machine; equal seeds give equal figures. `POLICY_SEEDS` sets the
+//! number of seeds, `POLICY_SECONDS` the length of a run.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::{Duration, Instant};
+
+use jackdawwick::ids::{ModelId, TargetId, ZoneId};
+use jackdawwick::resources::{ResourceKey, ResourceKind, ResourceSpec};
+use jackdawwick::routing::{PlannedRoute, RoutePolicy, RouteRequest, RouteSettings, RouteTable};
+use jackdawwick::target::wire::LoadReport;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+const HOSTS: usize = 8;
+const STAGES: usize = 3;
+const ZONES: [&str; 3] = ["a", "b", "c"];
+const TOKENS: u64 = 16;
+const SLOTS: usize = 8;
+/// Milliseconds that a step holds its slot, for each target of a stage.
+const STEP_MS: [u64; 10] = [5, 5, 5, 10, 10, 10, 20, 20, 20, 20];
+const REPORT_MS: u64 = 200;
+
+struct FakeTarget {
+    id: TargetId,
+    zone: usize,
+    step: Duration,
+    slots: BinaryHeap<Reverse<Instant>>,
+    present: u32,
+    reported: u32,
+}
+
+struct FakeRun {
+    host: usize,
+    route: PlannedRoute,
+    began: Instant,
+    sent: Instant,
+    token: u64,
+    stage: usize,
+    ended: bool,
+}
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrival,
+    Reached(usize),
+    Answered(usize),
+    Reports,
+}
+
+struct Fake {
+    tables: Vec<RouteTable>,
+    targets: Vec<FakeTarget>,
+    runs: Vec<FakeRun>,
+    events: BinaryHeap<Reverse<(Instant, usize, Event)>>,
+    numbered: usize,
+    rng: StdRng,
+}
+
+fn resources() -> Vec<(ResourceKey, ResourceSpec)> {
+    let mut resources = Vec::new();
+    let mut stages = Vec::new();
+    for stage in 0..STAGES {
+        let mut targets = Vec::new();
+        for (nth, step) in STEP_MS.iter().enumerate() {
+            let name = format!("t{stage}.{nth}");
+            let rate = SLOTS as f64 * 1_000.0 / *step as f64;
+            let spec = serde_json::json!({"target": {
+                "kind": "engine", "zone": ZONES[nth % 3], "address": "127.0.0.1:1",
+                "tokens_per_second": rate, "concurrency": SLOTS,
+            }});
+            targets.push(name.clone());
+            resources.push((ResourceKind::Target, name, spec));
+        }
+        stages.push(serde_json::json!({
+            "first_layer": stage, "last_layer": stage, "targets": targets,
+        }));
+    }
+    let model = serde_json::json!({"model": {
+        "offered": "v", "versions": [{"name": "v", "layers": STAGES}],
+    }});
+    let pipeline = serde_json::json!({"pipeline": {
+        "model": "m", "version": "v", "stages": stages,
+    }});
+    resources.push((ResourceKind::Model, "m".to_owned(), model));
+    resources.push((ResourceKind::Pipeline, "p".to_owned(), pipeline));
+    resources
+        .into_iter()
+        .map(|(kind, name, spec)| {
+            let spec = serde_json::from_value(spec).expect("a resource");
+            (ResourceKey::new(kind, name), spec)
+        })
+        .collect()
+}
+
+impl Fake {
+    fn new<C>(configure: &C, seed: u64, start: Instant) -> Self
+    where
+        C: Fn(&mut RouteSettings),
+    {
+        let resources = resources();
+        let tables = (0..HOSTS).map(|host| {
+            let mut settings = RouteSettings::new(ZoneId::from(ZONES[host % 3]));
+            configure(&mut settings);
+            let mut table = RouteTable::new(settings);
+            table.set_pipelines(resources.iter().map(|(key, spec)| (key, spec)));
+            table
+        });
+        let targets = (0..STAGES * STEP_MS.len()).map(|index| {
+            let nth = index % STEP_MS.len();
+            FakeTarget {
+                id: format!("t{}.{nth}", index / STEP_MS.len()).into(),
+                zone: nth % 3,
+                step: Duration::from_millis(STEP_MS[nth]),
+                slots: (0..SLOTS).map(|_| Reverse(start)).collect(),
+                present: 0,
+                reported: 0,
+            }
+        });
+        Self {
+            tables: tables.collect(),
+            targets: targets.collect(),
+            runs: Vec::new(),
+            events: BinaryHeap::new(),
+            numbered: 0,
+            rng: StdRng::seed_from_u64(seed),
+        }
+    }
+
+    fn push(&mut self, at: Instant, event: Event) {
+        self.numbered += 1;
+        self.events.push(Reverse((at, self.numbered, event)));
+    }
+
+    fn target_of(&self, run: usize) -> usize {
+        let run = &self.runs[run];
+        let id = &run.route.stages[run.stage].target;
+        self.targets
+            .iter()
+            .position(|target| target.id == *id)
+            .expect("a target")
+    }
+
+    fn one_way(&self, run: usize) -> Duration {
+        let far = self.runs[run].host % 3 != self.targets[self.target_of(run)].zone;
+        Duration::from_micros(if far { 500 } else { 100 })
+    }
+
+    fn send(&mut self, run: usize, now: Instant) {
+        let id = self.targets[self.target_of(run)].id.clone();
+        let host = self.runs[run].host;
+        self.runs[run].sent = now;
+        self.tables[host].step_sent(&id, now);
+        self.push(now + self.one_way(run), Event::Reached(run));
+    }
+
+    fn arrive(&mut self, now: Instant) {
+        let host = self.rng.random_range(0..HOSTS);
+        let request = RouteRequest {
+            model: ModelId::from("m"),
+            version: None,
+            prefixes: Vec::new(),
+            prompt_tokens: 0,
+            max_tokens: TOKENS,
+            deadline: now + Duration::from_secs(3_600),
+            excluded: Vec::new(),
+        };
+        let route = self.tables[host]
+            .plan(&request, now, &mut self.rng)
+            .expect("a route");
+        self.tables[host].run_started(&route);
+        self.runs.push(FakeRun {
+            host,
+            route,
+            began: now,
+            sent: now,
+            token: 0,
+            stage: 0,
+            ended: false,
+        });
+        self.send(self.runs.len() - 1, now);
+    }
+
+    fn answered(&mut self, run: usize, now: Instant, latencies: &mut Vec<Duration>) {
+        let target = self.target_of(run);
+        self.targets[target].present -= 1;
+        let id = self.targets[target].id.clone();
+        let FakeRun { host, sent, .. } = self.runs[run];
+        self.tables[host].step_answered(&id, now - sent, 1, now);
+        self.runs[run].stage = (self.runs[run].stage + 1) % STAGES;
+        self.runs[run].token += u64::from(self.runs[run].stage == 0);
+        if self.runs[run].token < TOKENS {
+            return self.send(run, now);
+        }
+        self.runs[run].ended = true;
+        self.tables[host].run_ended(&self.runs[run].route);
+        latencies.push(now - self.runs[run].began);
+    }
+
+    /// Hands out what was true one interval ago.
+    fn report(&mut self, now: Instant) {
+        for target in &mut self.targets {
+            let report = LoadReport {
+                running: target.reported.min(SLOTS as u32),
+                waiting: target.reported.saturating_sub(SLOTS as u32),
+                tokens_per_second: 0.0,
+                age_ms: REPORT_MS,
+            };
+            for table in &mut self.tables {
+                table.observe_load(&target.id, &report, now);
+            }
+            target.reported = target.present;
+        }
+    }
+
+    /// Runs at `load` times the bound and returns each run's time.
+    fn run(&mut self, load: f64, length: Duration, start: Instant) -> Vec<Duration> {
+        let stage_rate: f64 = STEP_MS
+            .iter()
+            .map(|step| SLOTS as f64 * 1_000.0 / *step as f64)
+            .sum();
+        let gap = TOKENS as f64 / (stage_rate * load);
+        let mut latencies = Vec::new();
+        self.push(start, Event::Arrival);
+        self.push(start, Event::Reports);
+        while let Some(Reverse((now, _, event))) = self.events.pop() {
+            match event {
+                _ if now > start + length => break,
+                Event::Arrival => {
+                    self.arrive(now);
+                    let drawn = -(1.0 - self.rng.random::<f64>()).ln() * gap;
+                    self.push(now + Duration::from_secs_f64(drawn), Event::Arrival);
+                }
+                Event::Reached(run) => {
+                    let index = self.target_of(run);
+                    let target = &mut self.targets[index];
+                    target.present += 1;
+                    let Reverse(free) = target.slots.pop().expect("a slot");
+                    let done = free.max(now) + target.step;
+                    target.slots.push(Reverse(done));
+                    self.push(done + self.one_way(run), Event::Answered(run));
+                }
+                Event::Answered(run) => self.answered(run, now, &mut latencies),
+                Event::Reports => {
+                    self.report(now);
+                    self.push(now + Duration::from_millis(REPORT_MS), Event::Reports);
+                }
+            }
+        }
+        // Runs that did not end count with the time that they have taken.
+        let open = self.runs.iter().filter(|run| !run.ended);
+        latencies.extend(open.map(|run| start + length - run.began));
+        latencies
+    }
+}
+
+fn setting(name: &str, default: u64) -> u64 {
+    std::env::var(name)
+        .ok()
+        .and_then(|value| value.parse().ok())
+        .unwrap_or(default)
+}
+
+/// Median and spread of a percentile over the seeds, in milliseconds.
+fn row<C>(name: &str, load: f64, configure: C) -> f64
+where
+    C: Fn(&mut RouteSettings),
+{
+    let length = Duration::from_secs(setting("POLICY_SECONDS", 3));
+    let mut columns = vec![Vec::new(); 3];
+    for seed in 0..setting("POLICY_SEEDS", 3) {
+        let start = Instant::now();
+        let mut latencies = Fake::new(&configure, seed, start).run(load, length, start);
+        latencies.sort();
+        for (column, part) in columns.iter_mut().zip([0.5, 0.95, 0.99]) {
+            let rank = (latencies.len() as f64 * part) as usize;
+            column.push(latencies[rank].as_secs_f64() * 1e3);
+        }
+    }
+    let mut cells = Vec::new();
+    for column in &mut columns {
+        column.sort_by(f64::total_cmp);
+        let median = column[column.len() / 2];
+        cells.push(format!(
+            "{median:.0} ({:.0}–{:.0})",
+            column[0],
+            column[column.len() - 1]
+        ));
+    }
+    println!("| {name} | {load:.2} | {} |", cells.join(" | "));
+    columns[1][columns[1].len() / 2]
+}
+
+#[test]
+fn estimate_beats_the_baselines() {
+    println!("| policy | load | p50 ms | p95 ms | p99 ms |\n|---|---|---|---|---|");
+    for load in [0.6, 0.9] {
+        let p95 = RoutePolicy::ALL
+            .map(|policy| row(policy.name(), load, |settings| settings.policy = policy));
+        for (baseline, other) in RoutePolicy::ALL.iter().zip(p95).skip(1) {
+            assert!(p95[0] < other, "{} is better at {load}", baseline.name());
+        }
+    }
+}
