Draw route candidates in proportion to their rate

Cause: drawn evenly, two slow targets of a mixed group come up together more often than their part of the work, which makes the tail at moderate load.

Change: each of the two candidates of a stage is drawn in proportion to its declared rate, less while it returns from an ejection.

--- a/src/routing/entry.rs
+++ b/src/routing/entry.rs
@@ -92,6 +92,11 @@
         f64::from(self.spec.concurrency.max(1))
     }
 
+    /// Declared tokens a second, less while the target returns from ejection.
+    pub(super) fn trusted_rate(&self, settings: &RouteSettings, now: Instant) -> f64 {
+        self.spec.tokens_per_second * self.health.weight(&settings.ejection, now)
+    }
+
     /// Seconds that a step holds its slot according to the declaration: with
     /// all slots busy the declared rate comes out.
     pub(super) fn declared_step(&self) -> f64 {
--- a/src/routing/policy.rs
+++ b/src/routing/policy.rs
@@ -54,12 +54,36 @@
         .map(|(index, _)| index)
 }
 
-/// Two different random indices below `count`, which is at least two.
-pub(super) fn two_of<R>(count: usize, rng: &mut R) -> [usize; 2]
+/// Two different random indices, each drawn in proportion to its weight.
+///
+/// Drawn evenly, two slow targets of a mixed group come up together far more
+/// often than their part of the work, and the slower of them is overloaded
+/// while fast ones idle; one would see a long tail at moderate load.
+pub(super) fn two_of<R>(weights: &[f64], rng: &mut R) -> [usize; 2]
 where
     R: Rng + ?Sized,
 {
-    let first = rng.random_range(0..count);
-    let second = rng.random_range(0..count - 1);
-    [first, second + usize::from(second >= first)]
+    let first = weighted_index(weights.iter().copied(), rng);
+    let others = weights.iter().enumerate();
+    let others = others.map(|(index, weight)| if index == first { 0.0 } else { *weight });
+    [first, weighted_index(others, rng)]
+}
+
+/// A random index in proportion to the weights, of which one is above zero.
+fn weighted_index<W, R>(weights: W, rng: &mut R) -> usize
+where
+    W: Iterator<Item = f64> + Clone,
+    R: Rng + ?Sized,
+{
+    let total: f64 = weights.clone().sum();
+    let mut left = rng.random::<f64>() * total;
+    let mut last = 0;
+    for (index, weight) in weights.enumerate().filter(|(_, weight)| *weight > 0.0) {
+        last = index;
+        left -= weight;
+        if left < 0.0 {
+            break;
+        }
+    }
+    last
 }
--- a/src/routing/queries.rs
+++ b/src/routing/queries.rs
@@ -167,7 +167,9 @@
                 vec![&pipelines[(self.started % count as u64) as usize]]
             }
             _ if count <= PIPELINES_COMPARED => pipelines.iter().collect(),
-            _ => two_of(count, rng).map(|index| &pipelines[index]).to_vec(),
+            _ => two_of(&vec![1.0; count], rng)
+                .map(|index| &pipelines[index])
+                .to_vec(),
         }
     }
 
@@ -236,7 +238,11 @@
                 lowest(count, estimate, rng)?
             }
             RoutePolicy::Estimate => {
-                let pair = two_of(count, rng);
+                let weights: Vec<_> = candidates
+                    .iter()
+                    .map(|candidate| candidate.entry.trusted_rate(&self.settings, now))
+                    .collect();
+                let pair = two_of(&weights, rng);
                 pair[lowest(2, |nth| estimate(pair[nth]), rng)?]
             }
         };
--- a/tests/policy_compare.rs
+++ b/tests/policy_compare.rs
@@ -5,6 +5,9 @@
 //! of a machine; equal seeds give equal figures. `POLICY_SEEDS` sets the
 //! number of seeds, `POLICY_SECONDS` the length of a run.
 
+// The table is what the comparison is run for.
+#![allow(clippy::print_stdout)]
+
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::time::{Duration, Instant};
