Choose targets by what a step costs in all

Cause: each request chose by its own time alone, so a target four times as fast was crowded until it was four times as slow before the next was used.

Change: a target with more steps than slots counts twice in the choice, the marginal cost of time that grows with the number there. The score of a route stays the estimate for the request itself.

--- a/src/routing/estimate.rs
+++ b/src/routing/estimate.rs
@@ -5,11 +5,14 @@
 use super::entry::TargetEntry;
 use super::{RouteRequest, RouteScore, RouteSettings};
 
+/// What a step that joins a crowded target costs in all, against its own time.
+const CROWDING_COST: f64 = 2.0;
+
 /// Seconds that one target adds to a request.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub(super) struct StageEstimate {
-    /// Waiting for a slot, for each step.
-    pub(super) wait: f64,
+    /// Steps for each slot, this one included.
+    pub(super) crowding: f64,
     /// In the slot, for each step.
     pub(super) step: f64,
     /// On the link, for each step.
@@ -24,6 +27,12 @@
 }
 
 impl StageEstimate {
+    /// Seconds that a step waits for its slot: with more steps than slots, its
+    /// time grows by the ratio.
+    fn wait(&self) -> f64 {
+        self.step * (self.crowding - 1.0).max(0.0)
+    }
+
     /// The estimate for one target of a route with `stages` stages.
     pub(super) fn new(
         entry: &TargetEntry,
@@ -35,24 +44,28 @@
         let weight = entry.health.weight(&settings.ejection, now);
         let step = entry.step_time(settings, now) / weight;
         let ahead = entry.steps_ahead(stages as f64, settings, now);
-        // With more steps than slots, a step gets its slot after the others'
-        // turns: its time grows by the ratio.
-        let crowding = ((ahead + 1.0) / entry.slots() - 1.0).max(0.0);
         let hit = entry
             .prefixes
             .expected_hit(&request.prefixes, settings.cache_decay, now);
         let computed = request.prompt_tokens as f64 * (1.0 - hit);
         Self {
-            wait: step * crowding,
+            crowding: (ahead + 1.0) / entry.slots(),
             step,
             link: entry.link_time(settings, now),
             prefill: entry.prefill_time(settings, now) / weight * computed,
         }
     }
 
-    /// Seconds that the target adds to the whole request.
-    pub(super) fn total(&self, max_tokens: u64) -> f64 {
-        (self.wait + self.step + self.link) * step_count(max_tokens) + self.prefill
+    /// Seconds that choosing the target costs this request and the others.
+    ///
+    /// A step that joins more steps than there are slots also delays those:
+    /// with time growing in proportion to the number there, the sum over all
+    /// grows twice as fast as one's own. Choosing by one's own time alone
+    /// crowds a target four times as fast as another until it is four times
+    /// as slow, and one would see the median rise to that of the slow ones.
+    pub(super) fn cost(&self, max_tokens: u64) -> f64 {
+        let step = self.step * (CROWDING_COST * self.crowding).max(1.0);
+        (step + self.link) * step_count(max_tokens) + self.prefill
     }
 }
 
@@ -64,7 +77,7 @@
     let count = step_count(max_tokens);
     let sum = |part: fn(&StageEstimate) -> f64| stages.iter().map(part).sum::<f64>();
     RouteScore {
-        queue: seconds(sum(|stage| stage.wait) * count),
+        queue: seconds(sum(StageEstimate::wait) * count),
         prefill: seconds(sum(|stage| stage.prefill)),
         decode: seconds(sum(|stage| stage.step) * count),
         links: seconds(sum(|stage| stage.link) * count),
--- a/src/routing/queries.rs
+++ b/src/routing/queries.rs
@@ -227,8 +227,7 @@
         };
         let estimate = |index: usize| {
             let entry = candidates[index].entry;
-            StageEstimate::new(entry, request, stages, &self.settings, now)
-                .total(request.max_tokens)
+            StageEstimate::new(entry, request, stages, &self.settings, now).cost(request.max_tokens)
         };
         let index = match self.settings.policy {
             RoutePolicy::Random => rng.random_range(0..count),
