--- a/src/routing/queries.rs
+++ b/src/routing/queries.rs
@@ -178,7 +178,9 @@
                 vec![&pipelines[(self.started % count as u64) as usize]]
             }
             _ if count <= PIPELINES_COMPARED => pipelines.iter().collect(),
-            _ => two_of(count, rng).map(|index| &pipelines[index]).to_vec(),
+            _ => two_of(&vec![1.0; count], rng)
+                .map(|index| &pipelines[index])
+                .to_vec(),
         }
     }
 
@@ -236,8 +238,7 @@
         };
         let estimate = |index: usize| {
             let entry = candidates[index].entry;
-            StageEstimate::new(entry, request, stages, &self.settings, now)
-                .total(request.max_tokens)
+            StageEstimate::new(entry, request, stages, &self.settings, now).cost(request.max_tokens)
         };
         let index = match self.settings.policy {
             RoutePolicy::Random => rng.random_range(0..count),
@@ -247,7 +248,11 @@
                 lowest(count, estimate, rng)?
             }
             RoutePolicy::Estimate => {
-                let pair = two_of(count, rng);
+                let weights: Vec<_> = candidates
+                    .iter()
+                    .map(|candidate| candidate.entry.trusted_rate(&self.settings, now))
+                    .collect();
+                let pair = two_of(&weights, rng);
                 pair[lowest(2, |nth| estimate(pair[nth]), rng)?]
             }
         };
