Prove whole answers while stages, answers and hosts fail

Cause: recovery was proved on the pure machine only. Change: one test file runs a small fleet and strikes the engine at work at the prefill, the first token, the middle and the last token, two stages at once, freezes and wakes one, loses, crosses and repeats answers, kills an entry host in mid-stream and lets the caller go; the checkers compare the engines' record with what callers heard.

--- /dev/null
+++ b/standins/tests/whole_answers.rs
@@ -0,0 +1,347 @@
+//! Every layer exactly once, in order, and the whole answer to its own
+//! request, while stages, answers and entry hosts fail.
+
+use std::time::{Duration, Instant};
+
+use jackdawwick::api::wire::{GenerateBody, ResumeToken, StreamEvent};
+use standins::caller::{CallerClient, HeardAnswer};
+use standins::check::{
+    GenerationHistory, RunHistory, check_answered_once, check_layers, check_whole_answers,
+};
+use standins::declarations::VERSION;
+use standins::engine::EngineFaults;
+use standins::fleet::{EnginePlan, Fleet, FleetEngine, FleetLayout, StagePlan, ZonePlan};
+
+type TestError = Box<dyn std::error::Error + Send + Sync>;
+type TestResult = Result<(), TestError>;
+
+const PROMPT: [u64; 6] = [3, 1, 4, 1, 5, 9];
+const TOKENS: u64 = 12;
+const LAYERS: u32 = 12;
+/// Tokens of an answer that takes some seconds.
+const LONG_ANSWER: u64 = 300;
+type NamedFault = (&'static str, fn(&mut EngineFaults));
+
+const PATIENCE: Duration = Duration::from_secs(20);
+/// Where in a run a fault strikes, as the position that is being worked on.
+const PREFILL: u64 = 0;
+const FIRST_TOKEN: u64 = 6;
+const MIDDLE: u64 = 11;
+const LAST_TOKEN: u64 = 16;
+
+/// Two entry hosts in two zones; three stages with three engines each.
+async fn start_fleet() -> Result<Fleet, TestError> {
+    let zone = |name: &str| ZonePlan {
+        name: name.to_owned(),
+        entry_hosts: 1,
+    };
+    let engine = |name: &str, millis: u64| EnginePlan {
+        zone: name.to_owned(),
+        step_time: Duration::from_millis(millis),
+        concurrency: 8,
+    };
+    let stage = |first_layer: u32| StagePlan {
+        first_layer,
+        last_layer: first_layer + 3,
+        engines: vec![engine("vake", 4), engine("didube", 6), engine("vake", 8)],
+    };
+    let layout = FleetLayout {
+        zones: vec![zone("vake"), zone("didube")],
+        stages: vec![stage(0), stage(4), stage(8)],
+        ..FleetLayout::franchise()
+    };
+    Fleet::start(layout).await
+}
+
+fn body(fleet: &Fleet) -> GenerateBody {
+    GenerateBody {
+        model: fleet.layout.model.as_str().into(),
+        prompt: PROMPT.to_vec(),
+        max_tokens: TOKENS,
+        deadline_ms: Some(15_000),
+        priority: 0,
+        resume: None,
+    }
+}
+
+fn caller() -> CallerClient {
+    CallerClient::open("organisation-1")
+}
+
+fn history(fleet: &Fleet, request: &str, answers: Vec<HeardAnswer>) -> RunHistory {
+    RunHistory {
+        generations: vec![GenerationHistory {
+            request: request.into(),
+            organisation: "organisation-1".into(),
+            model: fleet.layout.model.clone(),
+            version: VERSION.to_owned(),
+            layers: LAYERS,
+            prompt: PROMPT.to_vec(),
+            max_tokens: TOKENS,
+            answers,
+        }],
+        ..fleet.recorded()
+    }
+}
+
+fn assert_promises(history: &RunHistory) {
+    let mut broken = check_layers(history);
+    broken.extend(check_whole_answers(history));
+    broken.extend(check_answered_once(history));
+    assert!(broken.is_empty(), "{broken:?}");
+}
+
+/// The engine that has run the highest position of a request on a stage.
+fn engine_at<'f>(fleet: &'f Fleet, request: &str, stage: usize) -> Option<(&'f FleetEngine, u64)> {
+    let prefix = format!("{request}~");
+    let engines = fleet.engines.iter().filter(|engine| engine.stage == stage);
+    let reached = |engine: &'f FleetEngine| {
+        let records = engine.server.record();
+        let own = records
+            .iter()
+            .filter(|record| record.request.starts_with(&prefix));
+        let position = own.map(|record| record.position).max()?;
+        Some((engine, position))
+    };
+    engines
+        .filter_map(reached)
+        .max_by_key(|(_, position)| *position)
+}
+
+/// Waits until a stage has run `position` and gives the engine that did.
+async fn wait_for<'f>(
+    fleet: &'f Fleet,
+    request: &str,
+    stage: usize,
+    position: u64,
+) -> Result<&'f FleetEngine, TestError> {
+    let deadline = Instant::now() + PATIENCE;
+    while Instant::now() < deadline {
+        match engine_at(fleet, request, stage) {
+            Some((engine, reached)) if reached >= position => return Ok(engine),
+            _ => tokio::time::sleep(Duration::from_millis(1)).await,
+        }
+    }
+    Err(format!("{request}: stage {stage} has not run position {position}").into())
+}
+
+/// Runs one request and strikes the engines of `stages` once the first of
+/// them has run `position`.
+async fn strike<F>(
+    fleet: &Fleet,
+    request: &str,
+    stages: &[usize],
+    position: u64,
+    fault: F,
+) -> Result<HeardAnswer, TestError>
+where
+    F: Fn(&FleetEngine),
+{
+    let host = fleet.daemons[0].callers;
+    let body = body(fleet);
+    let name = request.to_owned();
+    let answer = tokio::spawn(async move { caller().generate(host, &name, &body).await });
+    wait_for(fleet, request, stages[0], position).await?;
+    for stage in stages {
+        if let Some((engine, _)) = engine_at(fleet, request, *stage) {
+            fault(engine);
+        }
+    }
+    Ok(answer.await?)
+}
+
+/// Symptom: an answer that stops, repeats tokens or goes on with wrong ones.
+/// Sequence: the engine of one stage dies for good while it serves a request,
+/// at the prefill, the first token, in the middle or near the last token.
+/// Cause: its KV cache is gone; what was delivered must not be run into the
+/// answer again and the rest must rest on every earlier position.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stage_that_dies_is_replaced_at_any_point() -> TestResult {
+    for stage in 0..3 {
+        let mut fleet = start_fleet().await?;
+        for position in [PREFILL, FIRST_TOKEN, MIDDLE, LAST_TOKEN] {
+            let request = format!("die-{stage}-{position}");
+            let answer = strike(&fleet, &request, &[stage], position, |engine| {
+                engine.server.die();
+            })
+            .await?;
+            assert!(answer.is_whole(), "{request}: {answer:?}");
+            assert_promises(&history(&fleet, &request, vec![answer]));
+            for engine in &fleet.engines {
+                engine.server.revive();
+            }
+        }
+        fleet.shutdown().await;
+    }
+    Ok(())
+}
+
+/// Symptom: as above, or a run that fails because no survivor is left to
+/// replay from.
+/// Sequence: the engines of two stages die in the same moment.
+/// Cause: the stage before the replaced one has lost its outputs too.
+#[tokio::test(flavor = "multi_thread")]
+async fn two_stages_that_die_at_once_are_replaced() -> TestResult {
+    let mut fleet = start_fleet().await?;
+    for (number, stages) in [[0, 1], [1, 2], [0, 2]].iter().enumerate() {
+        let request = format!("two-{number}");
+        let answer = strike(&fleet, &request, stages, MIDDLE, |engine| {
+            engine.server.die();
+        })
+        .await?;
+        assert!(answer.is_whole(), "{request}: {answer:?}");
+        assert_promises(&history(&fleet, &request, vec![answer]));
+        for engine in &fleet.engines {
+            engine.server.revive();
+        }
+    }
+    fleet.shutdown().await;
+    Ok(())
+}
+
+/// Symptom: a position run twice, or a token of another position.
+/// Sequence: an answer is lost after its step ran; a second one answers with
+/// another session's answer; a third repeats its previous answer.
+/// Cause: the step took effect, so it must be asked for again and not sent
+/// anew, and an answer that does not match what is awaited must be dropped.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_crossed_and_repeated_answers_do_no_harm() -> TestResult {
+    let mut fleet = start_fleet().await?;
+    let faults: [NamedFault; 3] = [
+        ("lost", |faults| faults.lose_answers = 1),
+        ("crossed", |faults| faults.cross_answers = 1),
+        ("repeated", |faults| faults.repeat_answers = 1),
+    ];
+    for (name, fault) in faults {
+        for stage in 0..3 {
+            let request = format!("{name}-{stage}");
+            let other = tokio::spawn({
+                let (host, body) = (fleet.daemons[1].callers, body(&fleet));
+                let name = format!("beside-{request}");
+                async move { caller().generate(host, &name, &body).await }
+            });
+            let answer = strike(&fleet, &request, &[stage], FIRST_TOKEN, |engine| {
+                engine.server.faults().update(fault);
+            })
+            .await?;
+            let beside = other.await?;
+            assert!(answer.is_whole(), "{request}: {answer:?}");
+            assert!(beside.is_whole(), "beside {request}: {beside:?}");
+            assert_promises(&history(&fleet, &request, vec![answer]));
+            let beside_request = format!("beside-{request}");
+            assert_promises(&history(&fleet, &beside_request, vec![beside]));
+        }
+    }
+    fleet.shutdown().await;
+    Ok(())
+}
+
+/// Symptom: tokens of a session that was given up turn up in the answer.
+/// Sequence: an engine freezes, its stage is replaced, the engine wakes and
+/// goes on with what it had been asked.
+/// Cause: the frozen engine does not know that it was replaced.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_engine_that_wakes_does_no_harm() -> TestResult {
+    let mut fleet = start_fleet().await?;
+    for stage in 0..3 {
+        let request = format!("frozen-{stage}");
+        let woken = std::sync::Mutex::new(None);
+        let answer = strike(&fleet, &request, &[stage], MIDDLE, |engine| {
+            let faults = engine.server.faults();
+            faults.update(|faults| faults.frozen = true);
+            *woken.lock().unwrap_or_else(|error| error.into_inner()) = Some(faults);
+        })
+        .await?;
+        assert!(answer.is_whole(), "{request}: {answer:?}");
+        let faults = woken.into_inner()?.ok_or("no engine was frozen")?;
+        faults.update(|faults| faults.frozen = false);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        assert_promises(&history(&fleet, &request, vec![answer]));
+    }
+    fleet.shutdown().await;
+    Ok(())
+}
+
+/// Symptom: a caller whose stream broke gets tokens twice or not at all.
+/// Sequence: the entry host is killed in mid-stream; the caller goes to
+/// another host with the tokens that it holds.
+/// Cause: hosts keep nothing, so only the caller knows what was delivered.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_resumes_on_another_host() -> TestResult {
+    let mut fleet = start_fleet().await?;
+    let request = "resumed";
+    let first = tokio::spawn({
+        let (host, body) = (fleet.daemons[0].callers, body(&fleet));
+        async move { caller().generate(host, request, &body).await }
+    });
+    wait_for(&fleet, request, 2, MIDDLE).await?;
+    fleet.daemons[0].kill().await;
+    let first = first.await?;
+    assert!(first.broken, "{first:?}");
+    let delivered = first.tokens();
+    assert!(!delivered.is_empty());
+    let resume = ResumeToken {
+        request: request.into(),
+        version: VERSION.to_owned(),
+        delivered: delivered.clone(),
+    };
+    let resumed = GenerateBody {
+        resume: Some(resume),
+        ..body(&fleet)
+    };
+    let second = caller()
+        .generate(fleet.daemons[1].callers, request, &resumed)
+        .await;
+    let numbers: Vec<u64> = second
+        .events
+        .iter()
+        .filter_map(|heard| match heard.event {
+            StreamEvent::Token { number, .. } => Some(number),
+            _ => None,
+        })
+        .collect();
+    let expected: Vec<u64> = (delivered.len() as u64..TOKENS).collect();
+    assert_eq!(numbers, expected);
+    assert_promises(&history(&fleet, request, vec![first, second]));
+    fleet.shutdown().await;
+    Ok(())
+}
+
+/// Symptom: engines go on working for a caller that has gone.
+/// Sequence: the caller closes its connection in mid-stream.
+/// Cause: nobody tells the engines; wasted steps are lost throughput.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_run_ends_when_its_caller_goes() -> TestResult {
+    let mut fleet = start_fleet().await?;
+    let fleet_body = GenerateBody {
+        max_tokens: LONG_ANSWER,
+        ..body(&fleet)
+    };
+    let host = fleet.daemons[0].callers;
+    let response = caller().start_generation(host, "gone", &fleet_body).await?;
+    wait_for(&fleet, "gone", 2, MIDDLE).await?;
+    drop(response);
+    let deadline = Instant::now() + PATIENCE;
+    let count = |fleet: &Fleet| -> usize {
+        fleet
+            .engines
+            .iter()
+            .map(|engine| engine.server.record().len())
+            .sum()
+    };
+    loop {
+        let before = count(&fleet);
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        if count(&fleet) == before {
+            break;
+        }
+        assert!(Instant::now() < deadline, "the run goes on");
+    }
+    let (_, reached) = engine_at(&fleet, "gone", 0).ok_or("no engine ran it")?;
+    assert!(
+        reached < LONG_ANSWER / 2,
+        "the run went on to position {reached}"
+    );
+    fleet.shutdown().await;
+    Ok(())
+}
