Read claims and leases whose rules are newer

Cause: a record under newer rules may have parts that this program cannot parse. A reader that took it for a malformed one would go on judging, and otherwise than the newer programs.

The tables of claims and leases take the text of a record: one under newer rules stops them from judging, text that is no record is skipped by all readers alike.

Ruled out: stopping at malformed text as well, because one stray append would then end all claims and leases for as long as it is kept.

Conclusion: mixed versions either judge a record alike or not at all.

--- a/src/claims/table.rs
+++ b/src/claims/table.rs
@@ -99,7 +99,8 @@
     TooOld,
     /// The withdrawal or outcome took effect, or had already.
     Settled,
-    /// The withdrawal or outcome is not its owner's, or comes too late.
+    /// The withdrawal or outcome is not its owner's, or comes too late; or the
+    /// text is no record.
     Ignored,
     /// The record was seen before.
     Repeated,
@@ -109,6 +110,15 @@
     UnknownRules,
 }
 
+/// A record's id, as far as it could be read, and how it was judged.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct JudgedClaim {
+    /// The record's id.
+    pub id: Option<RecordId>,
+    /// The judgement.
+    pub judgement: ClaimJudgement,
+}
+
 impl ClaimTable {
     /// An empty table, to be filled from offset zero on.
     pub fn new(window: ClaimWindow) -> Self {
--- a/src/claims/table/commands.rs
+++ b/src/claims/table/commands.rs
@@ -3,12 +3,14 @@
 use std::collections::hash_map::Entry;
 use std::time::SystemTime;
 
-use super::{ClaimHolder, ClaimJudgement, ClaimStanding, ClaimTable, HeldKey, KnownClaim};
+use super::{
+    ClaimHolder, ClaimJudgement, ClaimStanding, ClaimTable, HeldKey, JudgedClaim, KnownClaim,
+};
 use crate::claims::record::{
     ClaimBody, ClaimDetails, ClaimEntry, ClaimOutcome, ClaimOwner, ClaimRef,
 };
 use crate::ids::{LogOffset, RecordId};
-use crate::records::{JUDGING_RULES, LogRecord};
+use crate::records::{JUDGING_RULES, LogRecord, RawRecord};
 
 impl ClaimTable {
     /// Notes a read that succeeded at wall time `now`, before its records are
@@ -21,18 +23,28 @@
         self.coverage.note_read(now);
     }
 
+    /// Judges the text of the record at an offset. Text that is no record is
+    /// ignored by all readers alike.
+    pub fn apply_raw(&mut self, offset: LogOffset, text: &str) -> JudgedClaim {
+        match RawRecord::read(text) {
+            RawRecord::Known(record) => JudgedClaim {
+                judgement: self.apply(offset, &record),
+                id: Some(record.id),
+            },
+            unjudged => JudgedClaim {
+                judgement: self.pass_over(offset, unjudged == RawRecord::NewerRules),
+                id: None,
+            },
+        }
+    }
+
     /// Judges the record at an offset. Records come in the log's order.
     pub fn apply(&mut self, offset: LogOffset, record: &LogRecord<ClaimBody>) -> ClaimJudgement {
-        if offset < self.next_offset {
-            return ClaimJudgement::Repeated;
-        }
-        if offset > self.next_offset {
-            self.coverage.miss(offset);
-        }
-        self.next_offset = offset + 1;
         if record.rules > JUDGING_RULES {
-            self.unjudgeable = true;
-            return ClaimJudgement::UnknownRules;
+            return self.pass_over(offset, true);
+        }
+        if !self.advance(offset) {
+            return ClaimJudgement::Repeated;
         }
         let mark = &record.body.mark;
         self.coverage.note_mark(mark);
@@ -68,6 +80,29 @@
         }
     }
 
+    /// Moves on to the record at an offset, unless it was seen before.
+    fn advance(&mut self, offset: LogOffset) -> bool {
+        if offset < self.next_offset {
+            return false;
+        }
+        if offset > self.next_offset {
+            self.coverage.miss(offset);
+        }
+        self.next_offset = offset + 1;
+        true
+    }
+
+    fn pass_over(&mut self, offset: LogOffset, newer_rules: bool) -> ClaimJudgement {
+        if !self.advance(offset) {
+            return ClaimJudgement::Repeated;
+        }
+        self.unjudgeable |= newer_rules;
+        match newer_rules {
+            true => ClaimJudgement::UnknownRules,
+            false => ClaimJudgement::Ignored,
+        }
+    }
+
     fn apply_claim(
         &mut self,
         claim: &RecordId,
--- a/src/lease/table.rs
+++ b/src/lease/table.rs
@@ -8,11 +8,11 @@
 use std::time::{Duration, Instant};
 
 use crate::collections::FastMap;
-use crate::ids::LogOffset;
+use crate::ids::{LogOffset, RecordId};
 use crate::lease::record::{
     FencingNumber, LeaseBody, LeaseEntry, LeaseName, LeaseOwner, MAX_LEASE_DURATION,
 };
-use crate::records::{JUDGING_RULES, LogRecord};
+use crate::records::{JUDGING_RULES, LogRecord, RawRecord};
 
 /// By how much clocks may run at different rates.
 ///
@@ -71,7 +71,7 @@
     /// It took effect.
     Accepted,
     /// It took no effect: its writer had not seen the latest record, or asks
-    /// for too long a duration.
+    /// for too long a duration; or the text is no record.
     Void,
     /// What its writer had seen was missed here, so it may have taken effect.
     Unclear,
@@ -81,6 +81,15 @@
     UnknownRules,
 }
 
+/// A record's id, as far as it could be read, and how it was judged.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct JudgedLease {
+    /// The record's id.
+    pub id: Option<RecordId>,
+    /// The judgement.
+    pub judgement: LeaseJudgement,
+}
+
 impl LeaseTable {
     /// An empty table, to be filled from offset zero on.
     pub fn new(margin: ClockMargin) -> Self {
@@ -106,6 +115,21 @@
         self.missed_until.get_or_insert(now);
     }
 
+    /// Judges the text of the record at an offset, which was read at
+    /// `seen_at`. Text that is no record is void for all readers alike.
+    pub fn apply_raw(&mut self, offset: LogOffset, text: &str, seen_at: Instant) -> JudgedLease {
+        match RawRecord::read(text) {
+            RawRecord::Known(record) => JudgedLease {
+                judgement: self.apply(offset, &record, seen_at),
+                id: Some(record.id),
+            },
+            unjudged => JudgedLease {
+                judgement: self.pass_over(offset, unjudged == RawRecord::NewerRules, seen_at),
+                id: None,
+            },
+        }
+    }
+
     /// Judges the record at an offset, which was read at `seen_at`. Records
     /// come in the log's order.
     pub fn apply(
@@ -114,16 +138,11 @@
         record: &LogRecord<LeaseBody>,
         seen_at: Instant,
     ) -> LeaseJudgement {
-        if offset < self.next_offset {
-            return LeaseJudgement::Repeated;
-        }
-        if offset > self.next_offset {
-            self.miss(offset, seen_at);
-        }
-        self.next_offset = offset + 1;
         if record.rules > JUDGING_RULES {
-            self.unjudgeable = true;
-            return LeaseJudgement::UnknownRules;
+            return self.pass_over(offset, true, seen_at);
+        }
+        if !self.advance(offset, seen_at) {
+            return LeaseJudgement::Repeated;
         }
         let body = &record.body;
         let margin = self.margin;
@@ -175,6 +194,34 @@
         Some(busy_until.map_or(missed_until, |time| time.max(missed_until)))
     }
 
+    /// Moves on to the record at an offset, unless it was seen before.
+    fn advance(&mut self, offset: LogOffset, seen_at: Instant) -> bool {
+        if offset < self.next_offset {
+            return false;
+        }
+        if offset > self.next_offset {
+            self.miss(offset, seen_at);
+        }
+        self.next_offset = offset + 1;
+        true
+    }
+
+    fn pass_over(
+        &mut self,
+        offset: LogOffset,
+        newer_rules: bool,
+        seen_at: Instant,
+    ) -> LeaseJudgement {
+        if !self.advance(offset, seen_at) {
+            return LeaseJudgement::Repeated;
+        }
+        self.unjudgeable |= newer_rules;
+        match newer_rules {
+            true => LeaseJudgement::UnknownRules,
+            false => LeaseJudgement::Void,
+        }
+    }
+
     fn miss(&mut self, below: LogOffset, now: Instant) {
         self.missed_below = below;
         self.missed_until = Some(now + self.margin.stretch(MAX_LEASE_DURATION));
--- a/src/records.rs
+++ b/src/records.rs
@@ -2,12 +2,14 @@
 
 mod checkpoint;
 mod declaration;
+mod raw;
 
 pub use checkpoint::{
     CheckpointResource, CheckpointTombstone, DeclaredResource, RecentRecord, RecordFate,
     ResourceTombstone, STATE_HASH_BYTES, StateCheckpoint, StateHash,
 };
 pub use declaration::{ChangeAction, DeclarationBody, ResourceChange};
+pub use raw::RawRecord;
 
 use serde::{Deserialize, Serialize};
 
--- a/tests/claims.rs
+++ b/tests/claims.rs
@@ -138,10 +138,14 @@
     let mut table = table();
     table.note_read(0, at(0));
     assert!(table.covers(at(0)));
-    let mut record = mark(0, at(0));
-    record.rules = JUDGING_RULES + 1;
-    assert_eq!(table.apply(0, &record), ClaimJudgement::UnknownRules);
+    let junk = table.apply_raw(0, "{\"rules\":1}").judgement;
+    assert_eq!(junk, ClaimJudgement::Ignored);
+    assert!(table.covers(at(0)), "no record of the system's");
+    let newer = format!("{{\"rules\":{},\"parts\":[]}}", JUDGING_RULES + 1);
+    let judgement = table.apply_raw(1, &newer).judgement;
+    assert_eq!(judgement, ClaimJudgement::UnknownRules);
     assert!(!table.covers(at(0)));
+    assert_eq!(table.next_offset(), 2);
 }
 
 /// Symptom: a key is accepted again after its claim was forgotten. Sequence:
--- a/tests/claims_model.rs
+++ b/tests/claims_model.rs
@@ -13,7 +13,7 @@
     ClaimBody, ClaimDetails, ClaimEntry, ClaimName, ClaimOutcome, ClaimOwner, ClaimRef, KeptAnswer,
     RequestFingerprint, TimeMark,
 };
-use jackdawwick::claims::table::{ClaimJudgement, ClaimTable, KeyState};
+use jackdawwick::claims::table::{ClaimJudgement, ClaimTable, JudgedClaim, KeyState};
 use jackdawwick::claims::window::{ClaimTime, ClaimWindow};
 use jackdawwick::ids::RecordId;
 use jackdawwick::platform::error::AppendVerdict;
@@ -563,11 +563,11 @@
             let Some(stored) = self.log.get(usize::try_from(offset).unwrap()) else {
                 return;
             };
-            let record: LogRecord<ClaimBody> = serde_json::from_str(&stored.body).unwrap();
-            let judgement = table.apply(offset, &record);
-            match record.id.strip_suffix("/settled") {
+            let JudgedClaim { id, judgement } = table.apply_raw(offset, &stored.body);
+            let id = id.unwrap();
+            match id.strip_suffix("/settled") {
                 Some(claim) => self.event(host, &claim.into(), ClaimEvent::SettlementReplayed),
-                None => self.event(host, &record.id, ClaimEvent::ClaimReplayed(judgement)),
+                None => self.event(host, &id, ClaimEvent::ClaimReplayed(judgement)),
             }
         }
     }
--- a/tests/leases.rs
+++ b/tests/leases.rs
@@ -8,7 +8,7 @@
 
 use jackdawwick::lease::machine::{LeaseDecision, LeaseMachine, LeaseTerms};
 use jackdawwick::lease::record::{LeaseBody, LeaseEntry, LeaseName, LeaseOwner};
-use jackdawwick::lease::table::{ClockMargin, LeaseJudgement, LeaseTable};
+use jackdawwick::lease::table::{ClockMargin, JudgedLease, LeaseJudgement, LeaseTable};
 use jackdawwick::platform::error::AppendVerdict;
 use jackdawwick::records::{JUDGING_RULES, LogRecord};
 use proptest::prelude::*;
@@ -297,9 +297,8 @@
             let Some(body) = self.log.get(usize::try_from(offset).unwrap()) else {
                 return;
             };
-            let record: LogRecord<LeaseBody> = serde_json::from_str(body).unwrap();
-            let judgement = table.apply(offset, &record, now);
-            machine.take_judgement(&record.id, offset, judgement);
+            let JudgedLease { id, judgement } = table.apply_raw(offset, body, now);
+            machine.take_judgement(&id.unwrap(), offset, judgement);
             if judgement != LeaseJudgement::Unclear {
                 let first = *self.judgements.entry(offset).or_insert(judgement);
                 assert_eq!(first, judgement, "hosts judge offset {offset} differently");
@@ -402,6 +401,10 @@
     assert_eq!(table.free_at(&name()), Some(lapsed));
     let clear = acquisition("vake-1", name(), 51);
     assert_eq!(table.apply(51, &clear, lapsed), LeaseJudgement::Accepted);
+
+    let newer = table.apply_raw(52, "{\"rules\":99}", lapsed);
+    assert_eq!(newer.judgement, LeaseJudgement::UnknownRules);
+    assert_eq!(table.free_at(&name()), None);
 }
 
 /// Symptom: a holder goes on though the log names another. Sequence: a clock
