--- a/tests/api.rs
+++ b/tests/api.rs
@@ -1,26 +1,27 @@
 //! The callers' HTTP interface before a backend of canned closures.
 
+#[path = "support/callers.rs"]
+mod callers;
 #[path = "support/http.rs"]
-mod support;
+mod http_client;
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use callers::{BEARER, BODY, CannedBackend, eventually, exchange};
 use futures::FutureExt;
 use http::{Method, StatusCode};
+use http_client::{Headers, PATIENCE};
 use jackdawwick::api::ApiBounds;
 use jackdawwick::api::wire::{RefusalBody, StreamEvent};
 use jackdawwick::reason::RefusalReason;
 use jackdawwick::verdict::RunVerdict;
-use support::{BEARER, BODY, CannedBackend, PATIENCE, eventually, exchange};
+
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::{Notify, mpsc};
 use tokio::time::timeout;
 
-/// Names and values.
-type Headers<'a> = &'a [(&'a str, &'a str)];
-
 /// A generation as raw bytes, but for its body.
 fn raw_head(length: usize) -> String {
     format!(
--- a/tests/support/http.rs
+++ b/tests/support/http.rs
@@ -1,129 +1,21 @@
-//! Canned backends and a small client for the tests of the HTTP interfaces.
+//! A small client for the tests of the HTTP interfaces.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures::FutureExt;
 use http::{HeaderMap, Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
-use jackdawwick::api::backend::{
-    AsyncCall, CallerBackend, GenerateCall, GenerateStream, ServiceCall, ServiceReply,
-};
-use jackdawwick::api::wire::{RefusalBody, StreamEvent};
-use jackdawwick::api::{ApiBounds, ApiHandle, ApiSettings, spawn_callers};
-use jackdawwick::auth::{CredentialTable, TokenDigest};
-use parking_lot::Mutex;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use jackdawwick::api::wire::RefusalBody;
 use tokio::time::timeout;
 
 /// Time after which a test that waits has failed.
 pub(crate) const PATIENCE: Duration = Duration::from_secs(20);
-/// Authorization of the organisation `office`.
-pub(crate) const BEARER: (&str, &str) = ("authorization", "Bearer office-token");
-/// A whole body of a generation.
-pub(crate) const BODY: &str = r#"{"model":"reader","prompt":[1,2],"max_tokens":3}"#;
 
-/// The calls that reached the backend.
-#[derive(Default)]
-pub(crate) struct SeenCalls {
-    pub(crate) generations: Mutex<Vec<GenerateCall>>,
-    pub(crate) services: Mutex<Vec<ServiceCall>>,
-}
-
-/// A backend to be varied by a test.
-pub(crate) struct CannedBackend {
-    pub(crate) generate: AsyncCall<GenerateCall, Result<GenerateStream, RefusalBody>>,
-    pub(crate) call_service: AsyncCall<ServiceCall, Result<ServiceReply, RefusalBody>>,
-    pub(crate) ready: bool,
-    pub(crate) bounds: ApiBounds,
-}
-
-impl Default for CannedBackend {
-    fn default() -> Self {
-        Self {
-            generate: Arc::new(|call| whole_answer(call).boxed()),
-            call_service: Arc::new(|call| echo(call).boxed()),
-            ready: true,
-            bounds: ApiBounds::default(),
-        }
-    }
-}
-
-impl CannedBackend {
-    /// Refuses every generation.
-    pub(crate) fn refusing(refusal: RefusalBody) -> Self {
-        Self {
-            generate: Arc::new(move |_| futures::future::ready(Err(refusal.clone())).boxed()),
-            ..Self::default()
-        }
-    }
-
-    /// Opens the callers' listener over it.
-    pub(crate) fn serve(self) -> TestServer {
-        let seen = Arc::new(SeenCalls::default());
-        let mut table = CredentialTable::default();
-        table.insert("office".into(), TokenDigest::of_token("office-token"));
-        let (generate, call_service) = (self.generate, self.call_service);
-        let (generations, services) = (Arc::clone(&seen), Arc::clone(&seen));
-        let backend = CallerBackend {
-            organisation_of: Arc::new(move |digest| table.lookup(digest)),
-            generate: Arc::new(move |call| {
-                generations.generations.lock().push(call.clone());
-                generate(call)
-            }),
-            call_service: Arc::new(move |call| {
-                services.services.lock().push(call.clone());
-                call_service(call)
-            }),
-            ready: Arc::new(move || self.ready),
-            healthy: Arc::new(|| true),
-        };
-        let log = slog::Logger::root(slog::Discard, slog::o!());
-        let mut settings = ApiSettings::new(SocketAddr::from(([127, 0, 0, 1], 0)), log);
-        settings.bounds = self.bounds;
-        let handle = spawn_callers(&settings, backend).expect("a free port");
-        TestServer { handle, seen }
-    }
-}
-
-async fn whole_answer(call: GenerateCall) -> Result<GenerateStream, RefusalBody> {
-    let (sender, receiver) = mpsc::channel(8);
-    let events = [
-        StreamEvent::Started {
-            request: call.request,
-            version: "v1".into(),
-        },
-        StreamEvent::Token {
-            number: 0,
-            token: 7,
-        },
-        StreamEvent::Done { count: 1 },
-    ];
-    for event in events {
-        sender.try_send(event).expect("the channel has room");
-    }
-    Ok(receiver)
-}
-
-async fn echo(call: ServiceCall) -> Result<ServiceReply, RefusalBody> {
-    Ok(ServiceReply {
-        status: 418,
-        body: call.body,
-        content_type: Some("text/plain".into()),
-    })
-}
-
-/// A callers' listener and what reached its backend.
-pub(crate) struct TestServer {
-    pub(crate) handle: ApiHandle,
-    pub(crate) seen: Arc<SeenCalls>,
-}
+/// Names and values of headers.
+pub(crate) type Headers<'a> = &'a [(&'a str, &'a str)];
 
 /// An answer read to its end.
 #[derive(Debug)]
@@ -150,73 +42,32 @@
     }
 }
 
-impl TestServer {
-    /// Sends a generation and reads the answer.
-    pub(crate) async fn generate(&self, headers: &[(&str, &str)], body: &str) -> Reply {
-        self.send(Method::POST, "/v1/generate", headers, body).await
-    }
-
-    /// Sends a request and reads the answer.
-    pub(crate) async fn send(
-        &self,
-        method: Method,
-        path: &str,
-        headers: &[(&str, &str)],
-        body: &str,
-    ) -> Reply {
-        let uri = format!("http://{}{path}", self.handle.local_address());
-        let mut request = Request::builder().method(method).uri(uri);
-        for (name, value) in headers {
-            request = request.header(*name, *value);
-        }
-        let request = request
-            .body(Full::new(Bytes::copy_from_slice(body.as_bytes())))
-            .expect("a request");
-        let client = Client::builder(TokioExecutor::new()).build_http();
-        let answer = async {
-            let (parts, body) = client
-                .request(request)
-                .await
-                .expect("an answer")
-                .into_parts();
-            let body = body.collect().await.expect("a whole body").to_bytes();
-            Reply {
-                status: parts.status,
-                headers: parts.headers,
-                body,
-            }
-        };
-        timeout(PATIENCE, answer).await.expect("an answer in time")
-    }
-
-    /// Opens a connection for bytes that no client library would send.
-    pub(crate) async fn connect(&self) -> TcpStream {
-        TcpStream::connect(self.handle.local_address())
-            .await
-            .expect("a connection")
+/// Sends a request and reads the answer.
+pub(crate) async fn send(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    headers: Headers<'_>,
+    body: &str,
+) -> Reply {
+    let uri = format!("http://{address}{path}");
+    let mut request = Request::builder().method(method).uri(uri);
+    for (name, value) in headers {
+        request = request.header(*name, *value);
     }
-}
-
-/// Sends bytes and reads until the listener closes.
-pub(crate) async fn exchange(stream: &mut TcpStream, bytes: &[u8]) -> String {
-    stream.write_all(bytes).await.expect("bytes are taken");
-    let mut answer = Vec::new();
-    // A reset after the answer is an end too; what counts is what came before.
-    let _ = timeout(PATIENCE, stream.read_to_end(&mut answer))
-        .await
-        .expect("the listener closes in time");
-    String::from_utf8_lossy(&answer).into_owned()
-}
-
-/// Waits until a condition holds.
-pub(crate) async fn eventually<F>(what: &str, condition: F)
-where
-    F: Fn() -> bool,
-{
-    let waiting = async {
-        while !condition() {
-            tokio::time::sleep(Duration::from_millis(2)).await;
+    let request = request
+        .body(Full::new(Bytes::copy_from_slice(body.as_bytes())))
+        .expect("a request");
+    let client = Client::builder(TokioExecutor::new()).build_http();
+    let answer = async {
+        let answer = client.request(request).await.expect("an answer");
+        let (parts, body) = answer.into_parts();
+        let body = body.collect().await.expect("a whole body").to_bytes();
+        Reply {
+            status: parts.status,
+            headers: parts.headers,
+            body,
         }
     };
-    assert!(timeout(PATIENCE, waiting).await.is_ok(), "{what}");
+    timeout(PATIENCE, answer).await.expect("an answer in time")
 }
