Run every service call to its end

Cause: a call marked by its caller as non-idempotent outlived its caller, but a service may declare operations non-idempotent whatever the caller says. A call of such an operation was dropped with its connection, possibly between its claim and its answer. Any dropped call also left the count of steps in flight of its target raised for good, since nothing ran after the await.

Ruled out: looking the declaration up in the interface (it would have to know the daemon's tables); dropping and repairing the counts by guards (the claim would still stay unsettled).

Change: every service call runs to its end in a task of its own, for which closing waits. The call carries a token that is cancelled when its caller goes away, so that a backend that has not dispatched can stop.

Conclusion: at most once no longer depends on how a call was marked.

--- a/src/api/backend.rs
+++ b/src/api/backend.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use futures::future::BoxFuture;
 use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
 
 use super::wire::{
     AcceptedBody, ApplyBody, ConflictBody, ExplainView, ForceView, GenerateBody, RefusalBody,
@@ -64,6 +65,8 @@
     pub key: Option<IdempotencyKey>,
     /// When its head had been read.
     pub received: Instant,
+    /// Cancelled when the caller goes away before the answer.
+    pub caller_gone: CancellationToken,
 }
 
 /// A service's answer, passed on as it is.
@@ -85,8 +88,8 @@
     /// Starts a generation. The future is dropped if the caller goes away
     /// before the first event.
     pub generate: AsyncCall<GenerateCall, Result<GenerateStream, RefusalBody>>,
-    /// Calls a service. For a non-idempotent call the future is always run to
-    /// its end; for any other it is dropped if the caller goes away.
+    /// Calls a service. The future is run to its end even if the caller goes
+    /// away; the call's token says so to a backend that can still stop.
     pub call_service: AsyncCall<ServiceCall, Result<ServiceReply, RefusalBody>>,
     /// Whether the daemon takes new work; `false` while it is draining.
     pub ready: PlainQuery<bool>,
--- a/src/api/callers.rs
+++ b/src/api/callers.rs
@@ -11,6 +11,7 @@
 use http::{HeaderValue, Response, StatusCode, header};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
+use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use super::answer::{Answer, JSON, VERDICT_HEADER, verdict_value};
@@ -161,25 +162,26 @@
         non_idempotent: admitted.head.non_idempotent,
         key: admitted.head.key,
         received: admitted.received,
+        caller_gone: CancellationToken::new(),
     };
     let reply = carry_out(shared, call).await.map_err(named)?;
     reply_response(reply).map_err(named)
 }
 
-/// Runs a call. A non-idempotent one is run to its end even if its caller goes
-/// away: dropped after its claim was won, the claim would stand for good and a
-/// repeat with the same key could never learn what became of it.
+/// Runs a call to its end, even if its caller goes away. Dropped after its
+/// claim was won, a non-idempotent call could never be settled: a repeat with
+/// the same key would be told that it may have run, for ever. Which calls are
+/// non-idempotent is not known here, since a service may declare them so.
 async fn carry_out(shared: &Shared, call: ServiceCall) -> Result<ServiceReply, RefusalBody> {
-    let non_idempotent = call.non_idempotent;
+    let caller = call.caller_gone.clone().drop_guard();
     let running = (shared.backend.call_service)(call);
-    if !non_idempotent {
-        return running.await;
-    }
-    shared
+    let reply = shared
         .detached
         .spawn(running)
         .await
-        .unwrap_or_else(|_| Err(may_have_run("the call broke off")))
+        .unwrap_or_else(|_| Err(may_have_run("the call broke off")));
+    caller.disarm();
+    reply
 }
 
 fn reply_response(reply: ServiceReply) -> Result<Response<Body>, RefusalBody> {
