Let the compiler check that every decision has its text

Cause: three matches with a wildcard each wrote a decision; a new kind of decision would have been shown as an empty line, without a word from the compiler.

Ruled out: one long match with everything in its arms (the branches on optional parts drown the list of decisions).

Change: one exhaustive match, with a function for each text that depends on more than its values.

Conclusion: a decision cannot be added without its text.

--- a/src/journal/event.rs
+++ b/src/journal/event.rs
@@ -142,141 +142,104 @@
 
 impl fmt::Display for JournalEvent {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Admitted { .. }
-            | Self::Queued { .. }
-            | Self::Refused { .. }
-            | Self::Delivered { .. }
-            | Self::Finished { .. } => self.write_request(formatter),
-            Self::Routed { .. }
-            | Self::ServiceRouted { .. }
-            | Self::Retried { .. }
-            | Self::StageReplaced { .. }
-            | Self::CacheMoved { .. }
-            | Self::AnswerDropped { .. } => self.write_stage(formatter),
-            _ => self.write_control(formatter),
-        }
-    }
-}
-
-impl JournalEvent {
-    fn write_request(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
+        let text = match self {
             Self::Admitted { organisation } => {
-                write!(formatter, "admitted within the capacity of {organisation}")
+                format!("admitted within the capacity of {organisation}")
             }
             Self::Queued { organisation } => {
-                write!(formatter, "queued: {organisation} uses all of its capacity")
+                format!("queued: {organisation} uses all of its capacity")
             }
             Self::Refused {
                 reason,
                 verdict,
                 retry_after,
-            } => {
-                write!(formatter, "refused ({}): {}", reason.name(), told(*verdict))?;
-                match retry_after {
-                    Some(wait) => write!(formatter, ", to come back in {wait:.1?}"),
-                    None => Ok(()),
-                }
-            }
-            Self::Delivered { count } => write!(formatter, "{count} tokens given to the caller"),
-            Self::Finished {
-                verdict,
-                delivered,
-                reason,
-            } => match reason {
-                None => write!(formatter, "finished whole with {delivered} tokens"),
-                Some(reason) => write!(
-                    formatter,
-                    "given up ({}) after {delivered} tokens: {}",
-                    reason.name(),
-                    told(*verdict)
-                ),
-            },
-            _ => Ok(()),
-        }
-    }
-
-    fn write_stage(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
+            } => refused(*reason, *verdict, *retry_after),
             Self::Routed {
                 pipeline,
                 version,
                 targets,
                 score,
-            } => write_route(formatter, pipeline, version, targets, score),
-            Self::ServiceRouted { target } => write!(formatter, "routed to {target}"),
+            } => routed(pipeline, version, targets, score),
+            Self::ServiceRouted { target } => format!("routed to {target}"),
             Self::Retried {
                 stage,
                 target,
                 reason,
-            } => write!(
-                formatter,
-                "stage {stage} sent again to {target} ({})",
-                reason.name()
-            ),
+            } => format!("stage {stage} sent again to {target} ({})", reason.name()),
             Self::StageReplaced {
                 stage,
                 target,
                 reason,
-            } => match target {
-                Some(target) => write!(
-                    formatter,
-                    "stage {stage} moved to {target} ({})",
-                    reason.name()
-                ),
-                None => write!(
-                    formatter,
-                    "no target is left for stage {stage} ({})",
-                    reason.name()
-                ),
-            },
+            } => replaced(*stage, target.as_ref(), *reason),
             Self::CacheMoved {
                 from,
                 to,
                 next_position,
-            } => match next_position {
-                Some(next) => write!(
-                    formatter,
-                    "KV cache moved from {from} to {to}, which goes on at position {next}"
-                ),
-                None => write!(formatter, "KV cache not moved from {from} to {to}"),
-            },
+            } => moved(from, to, *next_position),
             Self::AnswerDropped { target, cause } => {
-                write!(formatter, "answer of {target} dropped ({})", cause.name())
-            }
-            _ => Ok(()),
-        }
-    }
-
-    fn write_control(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::ClaimWon { offset } => {
-                write!(formatter, "claim won at offset {offset}")
+                format!("answer of {target} dropped ({})", cause.name())
             }
-            Self::ClaimLost { holder } => write!(formatter, "claim lost: {holder} holds the key"),
-            Self::ClaimWithdrawn => formatter.write_str("claim withdrawn: it did not show in time"),
+            Self::Delivered { count } => format!("{count} tokens given to the caller"),
+            Self::Finished {
+                verdict,
+                delivered,
+                reason,
+            } => finished(*verdict, *delivered, *reason),
+            Self::ClaimWon { offset } => format!("claim won at offset {offset}"),
+            Self::ClaimLost { holder } => format!("claim lost: {holder} holds the key"),
+            Self::ClaimWithdrawn => "claim withdrawn: it did not show in time".to_owned(),
             Self::ChangeAccepted { version, operator } => {
-                write!(
-                    formatter,
-                    "change by {operator} accepted as version {version}"
-                )
+                format!("change by {operator} accepted as version {version}")
             }
-            Self::ChangeLost { winner, operator } => match winner {
-                Some(winner) => write!(formatter, "change by {operator} lost to version {winner}"),
-                None => write!(formatter, "change by {operator} lost: no such resource"),
-            },
+            Self::ChangeLost { winner, operator } => lost(*winner, operator),
             Self::OrderSent { target, fencing } => {
-                write!(
-                    formatter,
-                    "order sent to {target} with fencing number {fencing}"
-                )
+                format!("order sent to {target} with fencing number {fencing}")
             }
             Self::TargetExcluded { target, reason } => {
-                write!(formatter, "no new work for {target} ({})", reason.name())
+                format!("no new work for {target} ({})", reason.name())
             }
-            _ => Ok(()),
+        };
+        formatter.write_str(&text)
+    }
+}
+
+fn refused(reason: RefusalReason, verdict: RunVerdict, retry_after: Option<Duration>) -> String {
+    let wait = retry_after.map_or_else(String::new, |wait| format!(", to come back in {wait:.1?}"));
+    format!("refused ({}): {}{wait}", reason.name(), told(verdict))
+}
+
+fn replaced(stage: StageIndex, target: Option<&TargetId>, reason: RetryReason) -> String {
+    let reason = reason.name();
+    match target {
+        Some(target) => format!("stage {stage} moved to {target} ({reason})"),
+        None => format!("no target is left for stage {stage} ({reason})"),
+    }
+}
+
+fn moved(from: &TargetId, to: &TargetId, next_position: Option<TokenPosition>) -> String {
+    match next_position {
+        Some(next) => {
+            format!("KV cache moved from {from} to {to}, which goes on at position {next}")
         }
+        None => format!("KV cache not moved from {from} to {to}"),
+    }
+}
+
+fn finished(verdict: RunVerdict, delivered: u64, reason: Option<RefusalReason>) -> String {
+    match reason {
+        None => format!("finished whole with {delivered} tokens"),
+        Some(reason) => format!(
+            "given up ({}) after {delivered} tokens: {}",
+            reason.name(),
+            told(verdict)
+        ),
+    }
+}
+
+fn lost(winner: Option<LogOffset>, operator: &OperatorId) -> String {
+    match winner {
+        Some(winner) => format!("change by {operator} lost to version {winner}"),
+        None => format!("change by {operator} lost: no such resource"),
     }
 }
 
@@ -288,22 +251,22 @@
     }
 }
 
-fn write_route(
-    formatter: &mut fmt::Formatter<'_>,
+fn routed(
     pipeline: &PipelineId,
     version: &VersionId,
     targets: &[TargetId],
     score: &RouteScore,
-) -> fmt::Result {
-    write!(
-        formatter,
+) -> String {
+    let RouteScore {
+        queue,
+        prefill,
+        decode,
+        links,
+    } = score;
+    format!(
         "routed over {pipeline} (version {version}): {}; estimated {:.1?} = \
-         queue {:.1?} + prefill {:.1?} + decode {:.1?} + links {:.1?}",
+         queue {queue:.1?} + prefill {prefill:.1?} + decode {decode:.1?} + links {links:.1?}",
         targets.join(" > "),
         score.total(),
-        score.queue,
-        score.prefill,
-        score.decode,
-        score.links
     )
 }
