Add the load tool

Cause: policies and faults have to be compared on the real daemons, against the bound that the hardware allows.

Change: the program load starts a user's shape and offers requests in an open loop: arrivals are fixed beforehand from the seed, latencies count from the intended start. It measures the last four fifths: throughput and goodput as shares of the bound (the engines' declared rates for the mix, at the stage with the least), first token and gaps, refusals with their delay, fairness, recovery after a death against the best possible repair, processor time by daemon and control bytes. Faults by flag: a stage's death, a slow link, an entry host's death, an outage of the platform, a zone cut from the platform. Each run checks its history; a broken promise makes the exit status 1. It prints a table and writes JSON and Markdown. Runs end by themselves: at most 300 s of arrivals, then each caller's patience.

Ruled out: closed loops, which slow down with the system they measure; a killed daemon in a process of its own.

--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -4,11 +4,13 @@
 //! without warning and its processor time can be told apart.
 
 mod daemon;
+mod gate;
 mod layout;
 mod operations;
 mod start;
 
 pub use daemon::FleetDaemon;
+pub use gate::ZoneGate;
 pub use layout::{
     EnginePlan, FleetLayout, OrganisationPlan, PREFILL_PER_STEP, ServicePlan, StagePlan, ZonePlan,
 };
@@ -26,6 +28,8 @@
     pub layout: FleetLayout,
     /// The platform.
     pub platform: PlatformServer,
+    /// Each zone's way to the platform.
+    pub gates: Vec<ZoneGate>,
     /// Engines, stage after stage.
     pub engines: Vec<FleetEngine>,
     /// Targets of the plain service.
--- a/standins/src/fleet/layout.rs
+++ b/standins/src/fleet/layout.rs
@@ -22,7 +22,7 @@
 /// Units of capacity bought by each of the ten organisations.
 const CAPACITY_UNITS: [u32; 10] = [8, 8, 8, 2, 2, 2, 2, 2, 2, 2];
 /// Requests a second in one unit of capacity.
-const UNIT_RATE: u32 = 4;
+const UNIT_RATE: u32 = 6;
 /// Requests at once in one unit of capacity.
 const UNIT_CONCURRENCY: u32 = 16;
 
--- a/standins/src/fleet/start.rs
+++ b/standins/src/fleet/start.rs
@@ -6,7 +6,7 @@
 
 use super::daemon::FleetDaemon;
 use super::layout::{FleetLayout, PREFILL_PER_STEP, StagePlan};
-use super::{Fleet, FleetEngine, FleetService};
+use super::{Fleet, FleetEngine, FleetService, ZoneGate};
 use crate::daemon_settings::{DaemonPlace, SeedPlace};
 use crate::declarations::{self, StageLayout, StageTarget, VERSION};
 use crate::engine::{EngineServer, EngineSettings};
@@ -36,9 +36,14 @@
             ..PlatformSettings::default()
         };
         let platform = PlatformServer::bind(any_port(), settings).await?;
+        let mut gates = Vec::new();
+        for zone in &layout.zones {
+            gates.push(ZoneGate::bind(&zone.name, platform.local_addr()).await?);
+        }
         let mut fleet = Self {
             layout,
             platform,
+            gates,
             engines,
             services,
             hosts,
@@ -55,7 +60,7 @@
             let settings = DaemonPlace {
                 host: place.host.clone(),
                 zone: place.zone.clone(),
-                platform: self.platform.local_addr(),
+                platform: self.platform_for(&place.zone),
                 peers: place.address,
                 seeds: places.to_vec(),
             };
@@ -73,6 +78,11 @@
         Ok(())
     }
 
+    fn platform_for(&self, zone: &str) -> SocketAddr {
+        let gate = self.gates.iter().find(|gate| gate.zone == zone);
+        gate.map_or(self.platform.local_addr(), ZoneGate::local_addr)
+    }
+
     /// Every declared resource of the fleet.
     pub fn declarations(&self) -> Vec<Declaration> {
         let layout = &self.layout;
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod fleet;
 pub mod http_server;
 pub mod json_client;
+pub mod load;
 mod load_gauge;
 pub mod operator;
 pub mod platform;
--- /dev/null
+++ b/standins/src/load/driver.rs
@@ -0,0 +1,244 @@
+//! Sends the planned requests when they are due and hears the answers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use jackdawwick::api::wire::{GenerateBody, ResumeToken, StreamEvent};
+use jackdawwick::ids::TokenValue;
+use tokio::task::JoinSet;
+use tokio::time::{sleep_until, timeout};
+
+use super::outcome::{CallOutcome, GenerationOutcome, LoadOutcomes};
+use super::{PlannedKind, PlannedRequest, TrafficMix};
+use crate::caller::{CallerClient, HeardReply, OutgoingCall};
+use crate::check::{CallHistory, GenerationHistory};
+use crate::declarations::VERSION;
+use crate::fleet::Fleet;
+
+/// Times that a caller sends one request, over lost connections.
+const MAX_SENDS: usize = 4;
+/// Time after the deadline at which a caller gives up.
+const CALLER_PATIENCE: Duration = Duration::from_secs(10);
+
+/// What every caller needs.
+#[derive(Debug)]
+pub(super) struct LoadDriver {
+    /// Entry hosts, also dead ones: the balancer notices late.
+    hosts: Vec<SocketAddr>,
+    /// One caller for each organisation.
+    callers: Vec<CallerClient>,
+    organisations: Vec<String>,
+    model: String,
+    layers: u32,
+    plain_path: String,
+    keyed_path: String,
+    mix: TrafficMix,
+}
+
+enum RequestOutcome {
+    Generation(GenerationOutcome),
+    Call(CallOutcome),
+}
+
+/// What came of one way on which a call was sent.
+struct SentCall {
+    reply: Option<HeardReply>,
+    lost_sends: usize,
+}
+
+impl LoadDriver {
+    pub(super) fn new(fleet: &Fleet, mix: TrafficMix) -> Arc<Self> {
+        let layout = &fleet.layout;
+        let service = &layout.service;
+        let names = layout.organisations.iter().map(|one| one.name.clone());
+        let organisations: Vec<String> = names.collect();
+        Arc::new(Self {
+            hosts: fleet.daemons.iter().map(|daemon| daemon.callers).collect(),
+            callers: organisations
+                .iter()
+                .map(|name| CallerClient::open(name))
+                .collect(),
+            organisations,
+            model: layout.model.clone(),
+            layers: layout.layers(),
+            plain_path: format!("{}/{}", service.name, service.plain_operation),
+            keyed_path: format!("{}/{}", service.name, service.non_idempotent),
+            mix,
+        })
+    }
+
+    /// Sends every request at its time after `start`, whether or not earlier
+    /// ones were answered, and waits for the last answer.
+    pub(super) async fn drive(
+        self: Arc<Self>,
+        planned: Vec<PlannedRequest>,
+        start: Instant,
+    ) -> LoadOutcomes {
+        let mut requests = JoinSet::new();
+        for request in planned {
+            let intended = start + request.at;
+            sleep_until(intended.into()).await;
+            requests.spawn(Arc::clone(&self).send(request, intended));
+        }
+        let mut outcomes = LoadOutcomes::default();
+        while let Some(ended) = requests.join_next().await {
+            match ended {
+                Ok(RequestOutcome::Generation(outcome)) => outcomes.generations.push(outcome),
+                Ok(RequestOutcome::Call(outcome)) => outcomes.calls.push(outcome),
+                Err(error) => log::error!("a caller failed: {error}"),
+            }
+        }
+        outcomes
+    }
+
+    async fn send(self: Arc<Self>, planned: PlannedRequest, intended: Instant) -> RequestOutcome {
+        let key = format!("key-of-{}", planned.request);
+        match &planned.kind {
+            PlannedKind::Generate { prompt } => {
+                let outcome = self.generate(&planned, prompt.clone(), intended).await;
+                RequestOutcome::Generation(outcome)
+            }
+            PlannedKind::Plain => {
+                RequestOutcome::Call(self.call(&planned, None, false, intended).await)
+            }
+            PlannedKind::Keyed { doubled } => {
+                RequestOutcome::Call(self.call(&planned, Some(key), *doubled, intended).await)
+            }
+        }
+    }
+
+    fn host(&self, first: usize, sends: usize) -> SocketAddr {
+        self.hosts[(first + sends) % self.hosts.len()]
+    }
+
+    /// Asks for a generation; after a lost connection the caller goes on at
+    /// the next host with what it holds.
+    async fn generate(
+        &self,
+        planned: &PlannedRequest,
+        prompt: Vec<TokenValue>,
+        intended: Instant,
+    ) -> GenerationOutcome {
+        let mut outcome = GenerationOutcome {
+            intended,
+            organisation: planned.organisation,
+            host: planned.host,
+            history: GenerationHistory {
+                request: planned.request.as_str().into(),
+                organisation: self.organisations[planned.organisation].as_str().into(),
+                model: self.model.clone(),
+                version: VERSION.to_owned(),
+                layers: self.layers,
+                prompt,
+                max_tokens: self.mix.max_tokens,
+                answers: Vec::new(),
+            },
+        };
+        let caller = &self.callers[planned.organisation];
+        let patience = self.mix.deadline + CALLER_PATIENCE;
+        for sends in 0..MAX_SENDS {
+            let host = self.host(planned.host, sends);
+            let body = self.body(&outcome.history, intended);
+            let answer = caller.generate(host, &planned.request, &body);
+            let Ok(answer) = timeout(patience, answer).await else {
+                break;
+            };
+            let is_lost = answer.broken;
+            outcome.history.answers.push(answer);
+            if !is_lost {
+                break;
+            }
+        }
+        outcome
+    }
+
+    fn body(&self, history: &GenerationHistory, intended: Instant) -> GenerateBody {
+        let left = self.mix.deadline.saturating_sub(intended.elapsed());
+        GenerateBody {
+            model: self.model.as_str().into(),
+            prompt: history.prompt.clone(),
+            max_tokens: history.max_tokens,
+            deadline_ms: Some(left.as_millis() as u64),
+            priority: 0,
+            resume: resume_token(history),
+        }
+    }
+
+    async fn call(
+        &self,
+        planned: &PlannedRequest,
+        key: Option<String>,
+        doubled: bool,
+        intended: Instant,
+    ) -> CallOutcome {
+        let send = |host| self.call_until_answered(planned, key.as_deref(), host);
+        let sent = match doubled {
+            true => {
+                let (first, second) = tokio::join!(send(planned.host), send(planned.host + 1));
+                vec![first, second]
+            }
+            false => vec![send(planned.host).await],
+        };
+        CallOutcome {
+            intended,
+            ended: Instant::now(),
+            history: CallHistory {
+                request: planned.request.as_str().into(),
+                organisation: self.organisations[planned.organisation].as_str().into(),
+                lost_sends: sent.iter().map(|sent| sent.lost_sends).sum(),
+                replies: sent.into_iter().map(|sent| sent.reply).collect(),
+                key,
+            },
+        }
+    }
+
+    /// Calls the service, at the next host after a lost connection.
+    async fn call_until_answered(
+        &self,
+        planned: &PlannedRequest,
+        key: Option<&str>,
+        first_host: usize,
+    ) -> SentCall {
+        let path = match key {
+            Some(_) => &self.keyed_path,
+            None => &self.plain_path,
+        };
+        let caller = &self.callers[planned.organisation];
+        let patience = self.mix.deadline + CALLER_PATIENCE;
+        for lost_sends in 0..MAX_SENDS {
+            let call = OutgoingCall {
+                path,
+                body: "{}".into(),
+                key,
+            };
+            let host = self.host(first_host, lost_sends);
+            let reply = caller.call_service(host, &planned.request, call);
+            let reply = match timeout(patience, reply).await {
+                Ok(Ok(reply)) => Some(reply),
+                Ok(Err(_)) => continue,
+                Err(_) => None,
+            };
+            return SentCall { reply, lost_sends };
+        }
+        SentCall {
+            reply: None,
+            lost_sends: MAX_SENDS,
+        }
+    }
+}
+
+/// What a caller shows another host to go on from there.
+fn resume_token(history: &GenerationHistory) -> Option<ResumeToken> {
+    let mut events = history.answers.iter().flat_map(|answer| &answer.events);
+    let version = events.find_map(|heard| match &heard.event {
+        StreamEvent::Started { version, .. } => Some(version.clone()),
+        _ => None,
+    })?;
+    let tokens = history.numbered_tokens();
+    Some(ResumeToken {
+        request: history.request.clone(),
+        version,
+        delivered: tokens.into_iter().map(|(_, token)| token).collect(),
+    })
+}
--- /dev/null
+++ b/standins/src/load/fault.rs
@@ -0,0 +1,110 @@
+//! The fault in the middle of a run.
+
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use tokio::time::sleep_until;
+
+use super::LoadFault;
+use crate::fleet::{Fleet, FleetEngine};
+
+/// Stage whose target fails.
+const FAILING_STAGE: usize = 1;
+/// Delay of answers over the slow link, in milliseconds.
+const SLOW_LINK_MS: u64 = 100;
+/// Index of the entry host that dies: not the last, so that others follow it.
+const FAILING_HOST: usize = 1;
+
+/// When a fault begins and, if it does, ends.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct FaultWindow {
+    pub(super) begin: Instant,
+    pub(super) end: Instant,
+}
+
+/// What failed, and when.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) struct FaultMark {
+    /// When.
+    pub(super) at: Instant,
+    /// When, in microseconds since the Unix epoch.
+    pub(super) at_micros: u64,
+    /// The target that died, if one did.
+    pub(super) target: Option<String>,
+    /// Index of the entry host that died, if one did.
+    pub(super) host: Option<usize>,
+}
+
+/// Waits for the window, lets the fault strike and ends it.
+pub(super) async fn strike(
+    fleet: &mut Fleet,
+    fault: LoadFault,
+    window: FaultWindow,
+) -> Option<FaultMark> {
+    if fault == LoadFault::None {
+        return None;
+    }
+    sleep_until(window.begin.into()).await;
+    let mut mark = FaultMark {
+        at: Instant::now(),
+        at_micros: now_micros(),
+        target: None,
+        host: None,
+    };
+    match fault {
+        LoadFault::StageKill => {
+            let engine = fastest(fleet)?;
+            engine.server.die();
+            mark.target = Some(engine.target.name.clone());
+        }
+        LoadFault::HostKill => {
+            fleet.daemons.get_mut(FAILING_HOST)?.kill().await;
+            mark.host = Some(FAILING_HOST);
+        }
+        passing => {
+            set_passing(fleet, passing, true);
+            sleep_until(window.end.into()).await;
+            set_passing(fleet, passing, false);
+        }
+    }
+    Some(mark)
+}
+
+/// Begins or ends a fault that passes.
+fn set_passing(fleet: &Fleet, fault: LoadFault, is_on: bool) {
+    match fault {
+        LoadFault::SlowLink => {
+            let usual = fleet.layout.link_delay_ms;
+            let delay = if is_on { SLOW_LINK_MS } else { usual };
+            if let Some(engine) = fastest(fleet) {
+                let faults = engine.server.faults();
+                faults.update(|faults| faults.link_delay_ms = delay);
+            }
+        }
+        LoadFault::PlatformOutage => {
+            let faults = fleet.platform.faults();
+            faults.update(|faults| faults.outage = is_on);
+        }
+        LoadFault::ZoneCut => {
+            if let Some(gate) = fleet.gates.first() {
+                gate.set_cut(is_on);
+            }
+        }
+        LoadFault::None | LoadFault::StageKill | LoadFault::HostKill => {}
+    }
+}
+
+/// The fastest engine of the failing stage: the one whose loss hurts most.
+fn fastest(fleet: &Fleet) -> Option<&FleetEngine> {
+    let stage = fleet.engines.iter();
+    stage
+        .filter(|engine| engine.stage == FAILING_STAGE)
+        .max_by(|one, other| {
+            let (one, other) = (&one.target, &other.target);
+            one.tokens_per_second.total_cmp(&other.tokens_per_second)
+        })
+}
+
+fn now_micros() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.unwrap_or(Duration::ZERO).as_micros() as u64
+}
