Scale the local count up to the load of all hosts

Cause: load was the local count plus the reported rest, faded towards zero; between reports a host therefore believed every target to be nearly idle.

Change: the local count is taken as a sample of all steps, at the rate that is this host's part of them, and the averaged reports as a prior that counts for two steps and fades within 100 ms (conjugate estimate of a Poisson rate). Reports are common to all hosts and herd them; the local counts differ.

--- a/src/routing/commands.rs
+++ b/src/routing/commands.rs
@@ -65,7 +65,8 @@
         let Some(entry) = self.targets.get_mut(target) else {
             return;
         };
-        let ahead = entry.steps_ahead(1.0, settings, now).max(1.0);
+        let part = self.load_sums.local_part();
+        let ahead = entry.steps_ahead(1.0, part, settings, now).max(1.0);
         entry.steps = entry.steps.saturating_sub(1);
 
         let link = entry.link_time(settings, now);
@@ -116,11 +117,11 @@
         let Some(entry) = self.targets.get_mut(target) else {
             return;
         };
-        let load = ReportedLoad::new(report, f64::from(entry.steps), received);
-        match entry.load {
-            Some(known) if known.observed() > load.observed() => (),
-            _ => entry.load = Some(load),
-        }
+        let local = f64::from(entry.steps);
+        let load = ReportedLoad::after(entry.load, report, local, received);
+        self.load_sums.remove(entry.load);
+        entry.load = Some(load);
+        self.load_sums.add(entry.load);
     }
 
     /// Takes in cache events.
--- a/src/routing/declare.rs
+++ b/src/routing/declare.rs
@@ -7,6 +7,7 @@
 
 use super::RouteTable;
 use super::entry::TargetEntry;
+use super::load::LoadSums;
 use super::table::{DeclaredPipeline, ModelRoutes};
 
 impl RouteTable {
@@ -45,6 +46,10 @@
         }
         self.models = models;
         self.targets = targets;
+        self.load_sums = LoadSums::default();
+        for entry in self.targets.values() {
+            self.load_sums.add(entry.load);
+        }
     }
 
     fn kept_entry(&self, key: &ResourceKey, spec: &TargetSpec) -> TargetEntry {
--- a/src/routing/entry.rs
+++ b/src/routing/entry.rs
@@ -135,11 +135,19 @@
         f64::from(self.steps).max(f64::from(self.runs) / stages)
     }
 
-    /// Steps at the target, this host's and the others'.
-    pub(super) fn steps_ahead(&self, stages: f64, settings: &RouteSettings, now: Instant) -> f64 {
-        let others = self
-            .load
-            .map_or(0.0, |load| load.others(settings.load_decay, now));
-        self.local_steps(stages) + others
+    /// Steps at the target, this host's and the others'; `part` is the part
+    /// of all steps that are this host's.
+    pub(super) fn steps_ahead(
+        &self,
+        stages: f64,
+        part: f64,
+        settings: &RouteSettings,
+        now: Instant,
+    ) -> f64 {
+        let local = self.local_steps(stages);
+        match self.load {
+            Some(load) => load.steps(local, part, settings.load_decay, now),
+            None => local,
+        }
     }
 }
--- a/src/routing/estimate.rs
+++ b/src/routing/estimate.rs
@@ -33,17 +33,19 @@
         self.step * (self.crowding - 1.0).max(0.0)
     }
 
-    /// The estimate for one target of a route with `stages` stages.
+    /// The estimate for one target of a route with `stages` stages; `part` is
+    /// the part of all steps that are this host's.
     pub(super) fn new(
         entry: &TargetEntry,
         request: &RouteRequest,
         stages: usize,
+        part: f64,
         settings: &RouteSettings,
         now: Instant,
     ) -> Self {
         let weight = entry.health.weight(&settings.ejection, now);
         let step = entry.step_time(settings, now) / weight;
-        let ahead = entry.steps_ahead(stages as f64, settings, now);
+        let ahead = entry.steps_ahead(stages as f64, part, settings, now);
         let hit = entry
             .prefixes
             .expected_hit(&request.prefixes, settings.cache_decay, now);
--- a/src/routing/load.rs
+++ b/src/routing/load.rs
@@ -4,39 +4,102 @@
 
 use crate::target::wire::LoadReport;
 
-/// The last load report of a target.
+/// Weight of a new report in the averages.
+const REPORT_WEIGHT: f64 = 0.1;
+
+/// Steps that a fresh report counts for against the local count.
+const REPORT_STRENGTH: f64 = 2.0;
+
+/// Smallest mean, so that a target reported idle can still be thought busy.
+const SMALLEST_MEAN: f64 = 0.1;
+
+/// What the load reports of a target say.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(super) struct ReportedLoad {
-    /// Steps at the target that other hosts had sent, as of the report.
-    others: f64,
-    /// When the figures were true.
+    /// Average number of steps at the target, of all hosts.
+    total: f64,
+    /// Average number of this host's steps there.
+    local: f64,
+    /// When the last figures were true.
     observed: Instant,
 }
 
 impl ReportedLoad {
-    /// Takes in a report; `local` is what this host had there at that time,
-    /// as near as it knows.
-    pub(super) fn new(report: &LoadReport, local: f64, received: Instant) -> Self {
+    /// Takes in a report after the `known` ones; `local` is what this host
+    /// has at the target. A report older than the last changes nothing.
+    pub(super) fn after(
+        known: Option<Self>,
+        report: &LoadReport,
+        local: f64,
+        received: Instant,
+    ) -> Self {
         let age = Duration::from_millis(report.age_ms);
         let total = f64::from(report.running) + f64::from(report.waiting);
-        Self {
-            others: (total - local).max(0.0),
+        let fresh = Self {
+            total: total.max(local),
+            local,
             observed: received.checked_sub(age).unwrap_or(received),
+        };
+        match known {
+            None => fresh,
+            Some(known) if known.observed >= fresh.observed => known,
+            Some(known) => Self {
+                total: known.total + REPORT_WEIGHT * (fresh.total - known.total),
+                local: known.local + REPORT_WEIGHT * (fresh.local - known.local),
+                observed: fresh.observed,
+            },
         }
     }
 
-    /// Steps of other hosts that are believed to be there now.
+    /// Steps believed to be at the target, given the `local` count and the
+    /// part of all steps that are this host's.
     ///
-    /// An old report taken at its word sends every host to the target that
-    /// was idle some time ago; one sees load swing between targets at the
-    /// reporting interval. Fading it leaves the fresh local count to decide.
-    pub(super) fn others(&self, decay: Duration, now: Instant) -> f64 {
-        self.others * fade(now.saturating_duration_since(self.observed), decay)
+    /// The local count is fresh but a sample, of which `part` is the sampling
+    /// rate; the reported mean is a prior that counts for fewer steps the
+    /// older it is. Every host hears the same reports, so choosing by them
+    /// sends all hosts to one target; one sees load swing between targets at
+    /// the reporting interval. The hosts' own counts differ, and scaled up
+    /// they spread the load.
+    pub(super) fn steps(&self, local: f64, part: f64, decay: Duration, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.observed);
+        let strength = REPORT_STRENGTH * fade(age, decay);
+        let mean = self.total.max(SMALLEST_MEAN);
+        ((local + strength) / (part + strength / mean)).max(local)
+    }
+}
+
+/// Sums over all targets with reports, kept as they change.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub(super) struct LoadSums {
+    total: f64,
+    local: f64,
+}
+
+/// Smallest part that this host's steps are taken for.
+const SMALLEST_PART: f64 = 1e-3;
+
+impl LoadSums {
+    /// Takes out one target's averages.
+    pub(super) fn remove(&mut self, load: Option<ReportedLoad>) {
+        let Some(load) = load else { return };
+        self.total = (self.total - load.total).max(0.0);
+        self.local = (self.local - load.local).max(0.0);
     }
 
-    /// When the figures were true.
-    pub(super) fn observed(&self) -> Instant {
-        self.observed
+    /// Puts in one target's averages.
+    pub(super) fn add(&mut self, load: Option<ReportedLoad>) {
+        let Some(load) = load else { return };
+        self.total += load.total;
+        self.local += load.local;
+    }
+
+    /// Part of all steps that are this host's, above 0 and up to 1; 1 as long
+    /// as nothing is reported.
+    pub(super) fn local_part(&self) -> f64 {
+        match self.total > 0.0 {
+            true => (self.local / self.total).clamp(SMALLEST_PART, 1.0),
+            false => 1.0,
+        }
     }
 }
 
--- a/src/routing/queries.rs
+++ b/src/routing/queries.rs
@@ -122,11 +122,7 @@
         let stages: Option<Vec<_>> = targets
             .iter()
             .map(|target| self.targets.get(target))
-            .map(|entry| {
-                entry.map(|entry| {
-                    StageEstimate::new(entry, request, targets.len(), &self.settings, now)
-                })
-            })
+            .map(|entry| entry.map(|entry| self.stage_estimate(entry, request, targets.len(), now)))
             .collect();
         stages.map(|stages| route_score(&stages, request.max_tokens))
     }
@@ -144,6 +140,17 @@
             .collect()
     }
 
+    fn stage_estimate(
+        &self,
+        entry: &TargetEntry,
+        request: &RouteRequest,
+        stages: usize,
+        now: Instant,
+    ) -> StageEstimate {
+        let part = self.load_sums.local_part();
+        StageEstimate::new(entry, request, stages, part, &self.settings, now)
+    }
+
     fn refusal(&self, reason: RefusalReason) -> RouteRefusal {
         RouteRefusal {
             reason,
@@ -195,7 +202,7 @@
                 first_layer: stage.first_layer,
                 last_layer: stage.last_layer,
             });
-            let estimate = StageEstimate::new(chosen.entry, request, count, &self.settings, now);
+            let estimate = self.stage_estimate(chosen.entry, request, count, now);
             estimates.push(estimate);
         }
         Some(PlannedRoute {
@@ -227,7 +234,8 @@
         };
         let estimate = |index: usize| {
             let entry = candidates[index].entry;
-            StageEstimate::new(entry, request, stages, &self.settings, now).cost(request.max_tokens)
+            self.stage_estimate(entry, request, stages, now)
+                .cost(request.max_tokens)
         };
         let index = match self.settings.policy {
             RoutePolicy::Random => rng.random_range(0..count),
--- a/src/routing/settings.rs
+++ b/src/routing/settings.rs
@@ -38,7 +38,7 @@
         Self {
             zone,
             policy: RoutePolicy::default(),
-            load_decay: Duration::from_millis(500),
+            load_decay: Duration::from_millis(100),
             rate_decay: Duration::from_secs(10),
             cache_decay: Duration::from_secs(60),
             score_all: 2,
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -8,6 +8,7 @@
 
 use super::RouteSettings;
 use super::entry::TargetEntry;
+use super::load::LoadSums;
 
 /// The declared pipelines and what this host knows about their targets.
 ///
@@ -18,6 +19,7 @@
     pub(super) models: BTreeMap<ModelId, ModelRoutes>,
     pub(super) targets: FastMap<TargetId, TargetEntry>,
     pub(super) leaving: FastSet<TargetId>,
+    pub(super) load_sums: LoadSums,
     /// Runs started so far, by which round robin counts.
     pub(super) started: u64,
 }
@@ -46,6 +48,7 @@
             models: BTreeMap::new(),
             targets: FastMap::default(),
             leaving: FastSet::default(),
+            load_sums: LoadSums::default(),
             started: 0,
         }
     }
