Judge unreadable lease records, and hand leases back between orders

Cause: a lease record that the worker could not parse was left out, so the next one looked like a gap and the host held off for over a minute; and a lease could be handed back while an order was under way. Change: the worker hands the text to the table, which passes over what it cannot read; leases are released only when no order is under way.

--- a/src/daemon/core.rs
+++ b/src/daemon/core.rs
@@ -55,6 +55,8 @@
     /// When a checkpoint was last seen in the log.
     checkpoint_seen: Mutex<Option<Instant>>,
     run_numbers: AtomicU64,
+    /// Held while an order to a target is under way.
+    ordering: tokio::sync::Mutex<()>,
     phase: AtomicU8,
 }
 
@@ -83,6 +85,7 @@
             log_horizon: AtomicU64::new(0),
             checkpoint_seen: Mutex::new(None),
             run_numbers: AtomicU64::new(0),
+            ordering: tokio::sync::Mutex::new(()),
             phase: AtomicU8::new(DaemonPhase::Starting as u8),
         })
     }
@@ -134,6 +137,16 @@
         }
     }
 
+    /// Marks an order to a target as under way until the mark is dropped.
+    pub(super) async fn begin_ordering(&self) -> tokio::sync::MutexGuard<'_, ()> {
+        self.ordering.lock().await
+    }
+
+    /// Whether an order to a target is under way.
+    pub(super) fn is_ordering(&self) -> bool {
+        self.ordering.try_lock().is_err()
+    }
+
     /// Whether nothing new is taken any more.
     pub(super) fn is_draining(&self) -> bool {
         self.phase() == DaemonPhase::Draining
--- a/src/daemon/leases.rs
+++ b/src/daemon/leases.rs
@@ -7,7 +7,7 @@
 use uuid::Uuid;
 
 use super::core::DaemonCore;
-use crate::ids::{LogOffset, RecordId, ZoneId};
+use crate::ids::{RecordId, ZoneId};
 use crate::lease::machine::{LeaseDecision, LeaseMachine, LeaseTerms};
 use crate::lease::record::{FencingNumber, LeaseBody, LeaseName, LeaseOwner};
 use crate::lease::table::LeaseTable;
@@ -58,18 +58,16 @@
         named.machine.may_act(now, longest)
     }
 
-    fn apply(&mut self, record: &StoredRecord, own: &LeaseOwner, seen_at: Instant) {
-        let Ok(parsed) = serde_json::from_str::<LogRecord<LeaseBody>>(&record.body) else {
+    fn apply(&mut self, record: &StoredRecord, seen_at: Instant) {
+        let judged = self.table.apply_raw(record.offset, &record.body, seen_at);
+        let Some(id) = judged.id else {
             return;
         };
-        let judgement = self.table.apply(record.offset, &parsed, seen_at);
-        if LeaseOwner::of(&parsed) != *own {
-            return;
-        }
+        // Ids are unique: only the machine that sent the record knows it.
         for named in &mut self.machines {
             named
                 .machine
-                .take_judgement(&parsed.id, record.offset as LogOffset, judgement);
+                .take_judgement(&id, record.offset, judged.judgement);
         }
     }
 }
@@ -151,9 +149,8 @@
             ..
         } => {
             desk.table.note_read(first_offset, now);
-            let own = owner(core);
             for record in &records {
-                desk.apply(record, &own, now);
+                desk.apply(record, now);
             }
         }
         TailEvent::Expired { first_offset, .. } => desk.table.note_read(first_offset, now),
@@ -164,9 +161,15 @@
 
 /// Decides about each lease, and appends what was decided.
 fn decide_all(core: &Arc<DaemonCore>, appends: &Arc<AppendQueue>) {
-    if core.is_draining() {
-        release_all(core, appends);
-        return;
+    match core.is_draining() {
+        // Handed back while an order is under way, a lease would let the next
+        // holder order at the same time.
+        true if core.is_ordering() => return,
+        true => {
+            release_all(core, appends);
+            return;
+        }
+        false => {}
     }
     let now = Instant::now();
     let mut records = Vec::new();
--- a/src/daemon/reconciling.rs
+++ b/src/daemon/reconciling.rs
@@ -50,7 +50,7 @@
     async fn run_round(&mut self) {
         self.refresh_lease();
         // Only the holder observes: targets need not answer every host.
-        if self.lease.is_none() {
+        if self.lease.is_none() || self.core.is_draining() {
             return;
         }
         self.refresh_desired();
@@ -125,6 +125,7 @@
         // The host may have been frozen since the decision. An order sent
         // under a lapsed lease would race the next holder's, and a target
         // without fencing would carry out whichever comes last.
+        let ordering = self.core.begin_ordering().await;
         if self.may_order(Instant::now()) != Some(order.fencing) {
             return;
         }
@@ -143,5 +144,6 @@
                 self.table.note_failure(target, Instant::now());
             }
         }
+        drop(ordering);
     }
 }
