Tell the tests of the interfaces apart by what they hold

Ruled out: further test binaries that share a support file (what one of them does not use is dead code to the linter).

Change: one test binary with a file each for the callers' calls, for the bounds and for the operators' calls, over one client and one canned server. The assertions are the same; the test of the bound on connections now holds the first connection with a stream in place of an idle connection.

Conclusion: each file says what it holds.

--- /dev/null
+++ b/tests/api/bounds.rs
@@ -0,0 +1,113 @@
+//! What callers may send and hold.
+
+use std::time::Duration;
+
+use crate::server::{
+    BEARER, BODY, CannedBackend, eventually, exchange, in_time, raw_generation, raw_head,
+};
+use http::{Method, StatusCode};
+use jackdawwick::api::wire::StreamEvent;
+use jackdawwick::verdict::RunVerdict;
+use tokio::sync::mpsc;
+
+/// Symptom: a caller with too long a body sees a reset connection and tries
+/// again for ever.
+/// Sequence: it sends the whole body before it reads the answer.
+/// Cause: the connection was closed on bytes not yet read.
+#[tokio::test]
+async fn a_body_beyond_the_bound_is_refused() {
+    const BOUND: usize = 1 << 20;
+    let server = CannedBackend::default()
+        .bounded(|bounds| bounds.body_bytes = BOUND)
+        .serve();
+    let reply = server.generate(&[BEARER], &" ".repeat(BOUND + 1)).await;
+    assert_eq!(reply.status, StatusCode::PAYLOAD_TOO_LARGE);
+    assert_eq!(reply.refusal().verdict, RunVerdict::NotRun);
+    let long = raw_head("/v1/generate", 4 * BOUND) + &" ".repeat(4 * BOUND);
+    let answer = exchange(&mut server.connect().await, long.as_bytes()).await;
+    assert!(answer.starts_with("HTTP/1.1 413 "), "{answer:?}");
+    let padded = " ".repeat(BOUND - BODY.len()) + BODY;
+    let reply = server.generate(&[BEARER], &padded).await;
+    assert_eq!(reply.status, StatusCode::OK);
+}
+
+/// Symptom: connections of callers that never finish a request pile up until
+/// no other one is served.
+/// Sequence: a caller sends nothing, half a head, or half a body, and waits.
+/// Cause: reading was not bounded in time.
+#[tokio::test]
+async fn slow_senders_are_cut_off() {
+    let server = CannedBackend::default()
+        .bounded(|bounds| {
+            bounds.head_timeout = Duration::from_millis(50);
+            bounds.body_timeout = Duration::from_millis(50);
+        })
+        .serve();
+    exchange(&mut server.connect().await, b"").await;
+    exchange(&mut server.connect().await, b"POST /v1/gen").await;
+    let half = raw_head("/v1/generate", BODY.len()) + &BODY[..9];
+    let answer = exchange(&mut server.connect().await, half.as_bytes()).await;
+    assert!(answer.starts_with("HTTP/1.1 408 "), "{answer}");
+    assert!(answer.contains("\"not_run\""), "{answer}");
+}
+
+/// Heads that cannot be read are answered by the HTTP library without a body,
+/// and HTTP/2, whose callers could not read the answer, by closing.
+#[tokio::test]
+async fn bytes_that_are_no_request_are_refused() {
+    let server = CannedBackend::default().serve();
+    let large = format!("GET / HTTP/1.1\r\nx: {}\r\n\r\n", "y".repeat(17 << 10));
+    let many = format!("GET / HTTP/1.1\r\n{}\r\n", "x: y\r\n".repeat(65));
+    let cases = [
+        ("\0\0\0\r\n\r\n", "HTTP/1.1 400 "),
+        (large.as_str(), "HTTP/1.1 431 "),
+        (many.as_str(), "HTTP/1.1 431 "),
+        ("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", ""),
+    ];
+    for (bytes, begin) in cases {
+        let answer = exchange(&mut server.connect().await, bytes.as_bytes()).await;
+        assert!(answer.starts_with(begin), "{bytes:.40?}: {answer:?}");
+        assert_eq!(answer.is_empty(), begin.is_empty(), "{answer:?}");
+    }
+}
+
+#[tokio::test]
+async fn connections_beyond_the_bound_are_told_so() {
+    let (sender, receiver) = mpsc::channel(1);
+    let server = CannedBackend::streaming(receiver)
+        .bounded(|bounds| bounds.connections = 1)
+        .serve();
+    let first = server.begin(&raw_generation()).await;
+    eventually("the first call begins", || {
+        !server.seen.generations.lock().is_empty()
+    })
+    .await;
+    let reply = server.send(Method::GET, "/healthz", &[], "").await;
+    assert_eq!(reply.status, StatusCode::TOO_MANY_REQUESTS);
+    assert_eq!(reply.header("retry-after"), "1");
+    assert_eq!(reply.refusal().verdict, RunVerdict::NotRun);
+    drop(first);
+    in_time(sender.closed()).await;
+}
+
+/// Symptom: a run goes on for a caller that no longer takes its tokens.
+/// Sequence: a caller stops reading but keeps its connection open.
+/// Cause: the system offers the bytes again and again, for as long as the
+/// caller's system says that it has no room.
+#[tokio::test]
+async fn a_caller_that_stops_reading_is_cut_off() {
+    let (sender, receiver) = mpsc::channel(64);
+    let server = CannedBackend::streaming(receiver)
+        .bounded(|bounds| bounds.stall_timeout = Duration::from_millis(50))
+        .serve();
+    let caller = server.begin(&raw_generation()).await;
+    in_time(async {
+        let event = StreamEvent::Token {
+            number: 0,
+            token: 7,
+        };
+        while sender.send(event.clone()).await.is_ok() {}
+    })
+    .await;
+    drop(caller);
+}
--- a/tests/operators.rs
+++ b/tests/api/operators.rs
@@ -1,15 +1,12 @@
 //! The operators' HTTP interface before a backend of canned closures.
 
-#[path = "support/http.rs"]
-mod http_client;
-
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use crate::client::{Headers, Reply, send};
 use futures::FutureExt;
 use futures::future::ready;
 use http::{Method, StatusCode};
-use http_client::{Headers, Reply, send};
 use jackdawwick::api::backend::{ApplyCall, ChangeRefusal, OperatorBackend};
 use jackdawwick::api::wire::{
     AcceptedBody, ConflictBody, ExplainView, ForceView, RefusalBody, ResourceView, StatusView,
--- a/tests/support/callers.rs
+++ b/tests/api/server.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use futures::FutureExt;
+use futures::future::ready;
 use http::Method;
 use jackdawwick::api::backend::{
     AsyncCall, CallerBackend, GenerateCall, GenerateStream, ServiceCall, ServiceReply,
@@ -18,7 +19,7 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-use crate::http_client::{Headers, PATIENCE, Reply, send};
+use crate::client::{Headers, PATIENCE, Reply, send};
 
 /// Authorization of the organisation `office`.
 pub(crate) const BEARER: (&str, &str) = ("authorization", "Bearer office-token");
@@ -55,11 +56,32 @@
     /// Refuses every generation.
     pub(crate) fn refusing(refusal: RefusalBody) -> Self {
         Self {
-            generate: Arc::new(move |_| futures::future::ready(Err(refusal.clone())).boxed()),
+            generate: Arc::new(move |_| ready(Err(refusal.clone())).boxed()),
             ..Self::default()
         }
     }
 
+    /// Answers one generation with this stream.
+    pub(crate) fn streaming(receiver: GenerateStream) -> Self {
+        let slot = Mutex::new(Some(receiver));
+        Self {
+            generate: Arc::new(move |_| {
+                let receiver = slot.lock().take().expect("one generation");
+                ready(Ok(receiver)).boxed()
+            }),
+            ..Self::default()
+        }
+    }
+
+    /// The bounds changed.
+    pub(crate) fn bounded<F>(mut self, change: F) -> Self
+    where
+        F: FnOnce(&mut ApiBounds),
+    {
+        change(&mut self.bounds);
+        self
+    }
+
     /// Opens the callers' listener over it.
     pub(crate) fn serve(self) -> TestServer {
         let seen = Arc::new(SeenCalls::default());
@@ -138,6 +160,14 @@
         send(self.handle.local_address(), method, path, headers, body).await
     }
 
+    /// Opens a connection, sends a request and does not wait for the answer.
+    pub(crate) async fn begin(&self, request: &str) -> TcpStream {
+        let mut caller = self.connect().await;
+        let sent = caller.write_all(request.as_bytes()).await;
+        sent.expect("bytes are taken");
+        caller
+    }
+
     /// Opens a connection for bytes that no client library would send.
     pub(crate) async fn connect(&self) -> TcpStream {
         TcpStream::connect(self.handle.local_address())
@@ -146,6 +176,20 @@
     }
 }
 
+/// A call as raw bytes, but for its body.
+pub(crate) fn raw_head(path: &str, length: usize) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\
+         {}: {}\r\ncontent-length: {length}\r\n\r\n",
+        BEARER.0, BEARER.1
+    )
+}
+
+/// A whole generation as raw bytes.
+pub(crate) fn raw_generation() -> String {
+    raw_head("/v1/generate", BODY.len()) + BODY
+}
+
 /// Sends bytes and reads until the listener closes.
 pub(crate) async fn exchange(stream: &mut TcpStream, bytes: &[u8]) -> String {
     stream.write_all(bytes).await.expect("bytes are taken");
@@ -157,6 +201,14 @@
     String::from_utf8_lossy(&answer).into_owned()
 }
 
+/// Waits for something that must come.
+pub(crate) async fn in_time<F>(future: F) -> F::Output
+where
+    F: Future,
+{
+    timeout(PATIENCE, future).await.expect("in time")
+}
+
 /// Waits until a condition holds.
 pub(crate) async fn eventually<F>(what: &str, condition: F)
 where
