Name runs apart instead of numbering their attempts apart

Cause: two means kept a resumed run out of its predecessor's sessions: a run name new for each run, which the daemon gives, and a first attempt number, which nothing gave.

Ruled out: keeping both; a caller that forgot the number would not notice.

Conclusion: one means, stated where it is given.

--- a/src/run/machine.rs
+++ b/src/run/machine.rs
@@ -42,7 +42,6 @@
     /// Prompt and generated tokens.
     sequence: Vec<TokenValue>,
     delivered: u64,
-    first_attempt: AttemptNumber,
     /// Highest attempt used by any stage.
     attempt: AttemptNumber,
     wave: TokenWave,
@@ -96,7 +95,6 @@
             stages: sessions.collect(),
             sequence,
             delivered: plan.already_delivered,
-            first_attempt: 0,
             attempt: 0,
             wave: TokenWave::default(),
             phase: RunPhase::Idle,
@@ -109,22 +107,6 @@
         }
     }
 
-    /// Numbers the attempts from `first` on.
-    ///
-    /// A run that continues on another entry host must not share a session
-    /// with the earlier host, which may be paused and go on later: two
-    /// writers in one session would each take the other's outputs. The number
-    /// keeps them apart, so it has to differ by more than the repairs allowed.
-    #[must_use]
-    pub fn with_first_attempt(mut self, first: AttemptNumber) -> Self {
-        self.first_attempt = first;
-        self.attempt = first;
-        for session in &mut self.stages {
-            session.attempt = first;
-        }
-        self
-    }
-
     /// Takes in what happened and says what to do about it, in order.
     pub fn handle(&mut self, event: RunEvent, now: Instant) -> Vec<RunDecision> {
         let mut decisions = Vec::new();
--- a/src/run/machine/queries.rs
+++ b/src/run/machine/queries.rs
@@ -18,7 +18,7 @@
 
     /// Attempts opened after the first.
     pub fn repairs(&self) -> AttemptNumber {
-        self.attempt - self.first_attempt
+        self.attempt
     }
 
     /// Whether the run has ended.
--- a/src/run/machine/repair.rs
+++ b/src/run/machine/repair.rs
@@ -74,7 +74,7 @@
     }
 
     pub(super) fn has_repairs_left(&self) -> bool {
-        self.attempt - self.first_attempt < self.limits.max_repairs
+        self.attempt < self.limits.max_repairs
     }
 
     pub(super) fn ask_replacement(
--- a/src/run/plan.rs
+++ b/src/run/plan.rs
@@ -7,7 +7,10 @@
 /// A request with the route chosen for it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RunPlan {
-    /// Request served.
+    /// Name of this run, in every label. It must be new for each run, also of
+    /// one request that continues on another entry host: the first host may be
+    /// paused and go on, and two writers in one session would each take the
+    /// other's outputs.
     pub request: RequestId,
     /// Model asked for.
     pub model: ModelId,
