Encode names that become path segments

Cause: a request id may hold any visible ASCII sign, so a session name with `/`, `?` or `%` gave another path, and a cancelled session ran on.

Ruled out: refusing such ids, which callers already use elsewhere; a second, path-safe name for sessions, which records and logs would have to map.

Change: PathSegment percent-encodes session names and operations. A service operation may hold any sign now; empty, `.` and `..` are refused unsent.

Conclusion: cancels reach their sessions; engines must decode the segment.

--- a/src/target/client.rs
+++ b/src/target/client.rs
@@ -1,6 +1,7 @@
 //! Typed calls to targets.
 
 mod engine_calls;
+mod path_segment;
 mod service_calls;
 
 use std::net::SocketAddr;
@@ -15,6 +16,7 @@
 
 use super::TargetFailure;
 use super::transport::{RawAnswer, TargetTransport};
+use path_segment::PathSegment;
 pub use service_calls::{CallAnswer, CallOrder};
 
 const JSON_CONTENT: HeaderValue = HeaderValue::from_static("application/json");
--- a/src/target/client/engine_calls.rs
+++ b/src/target/client/engine_calls.rs
@@ -5,7 +5,9 @@
 use bytes::Bytes;
 use http::Method;
 
-use super::{MAX_ANSWER_BYTES, MAX_EXPORT_BYTES, TargetClient, accept, encode, parse, request};
+use super::{
+    MAX_ANSWER_BYTES, MAX_EXPORT_BYTES, PathSegment, TargetClient, accept, encode, parse, request,
+};
 use crate::run::StepFailure;
 use crate::target::TargetFailure;
 use crate::target::wire::{
@@ -46,7 +48,7 @@
     /// # Errors
     /// If the engine cannot be reached or does not answer.
     pub async fn cancel(&self, address: SocketAddr, session: &str) -> Result<(), TargetFailure> {
-        let path = format!("/v1/sessions/{session}");
+        let path = format!("/v1/sessions/{}", PathSegment(session));
         let request = request(Method::DELETE, address, &path, Bytes::new())?;
         self.send(request, MAX_ANSWER_BYTES).await.map(drop)
     }
@@ -60,7 +62,7 @@
         address: SocketAddr,
         session: &str,
     ) -> Result<CacheExport, TargetFailure> {
-        let path = format!("/v1/sessions/{session}/cache");
+        let path = format!("/v1/sessions/{}/cache", PathSegment(session));
         let request = request(Method::GET, address, &path, Bytes::new())?;
         parse(&self.send(request, MAX_EXPORT_BYTES).await?)
     }
@@ -75,7 +77,7 @@
         session: &str,
         export: &CacheExport,
     ) -> Result<(), TargetFailure> {
-        let path = format!("/v1/sessions/{session}/cache");
+        let path = format!("/v1/sessions/{}/cache", PathSegment(session));
         let request = request(Method::PUT, address, &path, encode(export)?)?;
         self.send(request, MAX_ANSWER_BYTES).await.map(drop)
     }
--- a/src/target/client/service_calls.rs
+++ b/src/target/client/service_calls.rs
@@ -5,13 +5,13 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode};
 
-use super::{MAX_ANSWER_BYTES, TargetClient, request};
+use super::{MAX_ANSWER_BYTES, PathSegment, TargetClient, request};
 use crate::target::{CallFailure, TargetFailure};
 
 /// A call to a plain service.
 #[derive(Debug, Clone)]
 pub struct CallOrder {
-    /// Operation, one path segment.
+    /// Operation; it becomes one path segment.
     pub operation: String,
     /// Headers passed on, such as the request id.
     pub headers: HeaderMap,
@@ -46,11 +46,11 @@
         address: SocketAddr,
         order: CallOrder,
     ) -> Result<CallAnswer, CallFailure> {
-        let is_segment = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_');
-        if order.operation.is_empty() || !order.operation.bytes().all(is_segment) {
+        // Some servers resolve these two, also when encoded, to other paths.
+        if matches!(order.operation.as_str(), "" | "." | "..") {
             return Err(TargetFailure::Connect("not an operation's name".to_owned()));
         }
-        let path = format!("/v1/calls/{}", order.operation);
+        let path = format!("/v1/calls/{}", PathSegment(&order.operation));
         let mut request = request(Method::POST, address, &path, order.body)?;
         request.headers_mut().extend(order.headers);
         let timeout = self.timeouts.answer;
--- a/tests/target_client/driver.rs
+++ b/tests/target_client/driver.rs
@@ -141,18 +141,21 @@
 }
 
 /// Symptom: engines work for callers that have left. Sequence: the caller
-/// closes its connection while no token is due. Cause: noticing only when a
-/// token is written.
+/// closes its connection while no token is due, and its request id has signs
+/// that mean something in a path. Cause: noticing only when a token is
+/// written, or cancelling a session of another name.
 #[tokio::test]
 async fn leaving_caller_cancels_the_session() {
     let server = TinyServer::bind(|request| request.map(silent_steps)).await;
-    let run = RunningRun::spawn(plan(LONG), server.address, None);
+    let mut plan = plan(LONG);
+    plan.request = "r/1?".into();
+    let run = RunningRun::spawn(plan, server.address, None);
     server.wait_for("POST /v1/steps").await;
     drop(run.tokens);
     let outcome = run.outcome.await.expect("driven");
     assert_eq!(outcome.refusal, Some(RefusalReason::CallerGone));
     assert_eq!(outcome.verdict, RunVerdict::MayHaveRun);
-    server.wait_for("DELETE /v1/sessions/r.0.0").await;
+    server.wait_for("DELETE /v1/sessions/r%2F1%3F.0.0 ").await;
     let last = run.observed.lock().last().cloned();
     assert!(matches!(last, Some(StepObservation::Abandoned { .. })));
 }
