Keep a fleet's peer ports free until its daemons listen

Symptom: now and then a fleet did not start; the run ended with a panic about dropping a runtime.

Cause: ports for peers were found on 127.0.0.1 and let go of until the daemon listened; meanwhile an outgoing connection of a daemon that was already up could get the port. The error then dropped the new runtime on the caller's thread, which tokio forbids, and so hid its own cause.

Change: peers listen on another loopback address, from which no connection goes out. A daemon that cannot start ends its runtime in the background and its error comes through. The calibration of an engine gives the first step of a session its full time: without it the engine seemed to run at 102% of its declared rate.

Ruled out: starting again with other ports, which hides the cause.

--- a/standins/src/fleet/daemon.rs
+++ b/standins/src/fleet/daemon.rs
@@ -1,6 +1,6 @@
 //! A daemon on a runtime of its own.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 use jackdawwick::daemon::{self, DaemonHandle};
 use jackdawwick::options::DaemonOptions;
@@ -11,6 +11,9 @@
 /// Worker threads of each daemon.
 const WORKER_THREADS: usize = 2;
 
+/// Address of a listener that is not open.
+const NOWHERE: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
 /// A daemon of the fleet; dropping it ends its runtime.
 pub struct FleetDaemon {
     /// Name of the entry host.
@@ -36,15 +39,22 @@
             .thread_name(&host)
             .enable_all()
             .build()?;
-        let handle = runtime.spawn(daemon::spawn(options)).await??;
-        Ok(Self {
+        let started = runtime.spawn(daemon::spawn(options)).await;
+        // From here on the runtime is ended by `drop`, also after an error: a
+        // runtime must not wait for its tasks on another one's thread.
+        let mut daemon = Self {
             host,
             zone,
-            callers: handle.caller_address(),
-            operators: handle.operator_address(),
-            handle: Some(handle),
+            callers: NOWHERE,
+            operators: NOWHERE,
+            handle: None,
             runtime: Some(runtime),
-        })
+        };
+        let handle = started??;
+        daemon.callers = handle.caller_address();
+        daemon.operators = handle.operator_address();
+        daemon.handle = Some(handle);
+        Ok(daemon)
     }
 
     /// Whether it was neither killed nor shut down.
--- a/standins/src/fleet/start.rs
+++ b/standins/src/fleet/start.rs
@@ -121,6 +121,18 @@
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
+/// A loopback address that only this process's peers use.
+///
+/// A free port of 127.0.0.1 that is found beforehand may be taken by an
+/// outgoing connection before its daemon listens; one sees "address in use" at
+/// the start, now and then. Connections go out from 127.0.0.1 alone, so on any
+/// other loopback address the port stays free.
+fn peer_address() -> SocketAddr {
+    let [.., high, low] = std::process::id().to_be_bytes();
+    // The last part keeps away from 127.0.0.1 itself.
+    SocketAddr::from(([127, high, low, 2], 0))
+}
+
 /// Names the entry hosts and finds a free port for each one's peers.
 fn peer_places(layout: &FleetLayout) -> Result<Vec<SeedPlace>, CallError> {
     let hosts = layout.zones.iter().flat_map(|zone| {
@@ -130,7 +142,7 @@
     let mut held = Vec::new();
     let mut places = Vec::new();
     for (host, zone) in hosts {
-        let listener = TcpListener::bind(any_port())?;
+        let listener = TcpListener::bind(peer_address())?;
         let address = listener.local_addr()?;
         held.push(listener);
         places.push(SeedPlace {
--- a/standins/src/load/calibrate.rs
+++ b/standins/src/load/calibrate.rs
@@ -28,6 +28,8 @@
     let settings = EngineSettings {
         concurrency: plan.concurrency,
         step_time: plan.step_time,
+        // A session's first step has a prompt of one input.
+        prefill_time_per_token: plan.step_time,
         ..EngineSettings::new(
             &layout.model,
             VERSION,
