Measure step time by the smallest recent sample

Cause: the average of step times contains waiting, which the estimate adds again by itself, and all hosts learn of it together.

Change: the smallest sample of the last one to two windows of 2 s; without one, the declared time.

--- a/src/routing/commands.rs
+++ b/src/routing/commands.rs
@@ -77,8 +77,7 @@
         match tokens {
             0 | 1 => {
                 let slow = in_slot > settings.ejection.slow_factor * entry.declared_step();
-                let prior = entry.declared_step();
-                MeasuredValue::add(&mut entry.step_seconds, prior, in_slot, now);
+                entry.step_seconds.add(at_target, settings.rate_window, now);
                 match slow {
                     true => entry.health.answered_slowly(&settings.ejection, now),
                     false => entry.health.answered(&settings.ejection, now),
--- a/src/routing/entry.rs
+++ b/src/routing/entry.rs
@@ -43,6 +43,49 @@
     }
 }
 
+/// The smallest sample of the last one to two windows.
+///
+/// An average of step times contains waiting, which the estimate adds by
+/// itself; every host would learn at the same time that a crowded target is
+/// slow and turn away from it together. The smallest sample is that of a step
+/// which found a slot free, unless none did for two whole windows.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub(super) struct RecentMinimum {
+    present: Option<f64>,
+    last: Option<f64>,
+    window_start: Option<Instant>,
+}
+
+impl RecentMinimum {
+    /// Adds a sample.
+    pub(super) fn add(&mut self, sample: f64, window: Duration, now: Instant) {
+        let age = self.window_age(now);
+        if age.is_none_or(|age| age >= window) {
+            let is_recent = age.is_some_and(|age| age < window * 2);
+            self.last = self.present.filter(|_| is_recent);
+            self.present = None;
+            self.window_start = Some(now);
+        }
+        let smallest = self.present.map_or(sample, |present| present.min(sample));
+        self.present = Some(smallest);
+    }
+
+    /// The smallest sample; `None` if the last one is two windows old.
+    fn value(&self, window: Duration, now: Instant) -> Option<f64> {
+        let age = self.window_age(now)?;
+        match (self.present, self.last) {
+            _ if age >= window * 2 => None,
+            (Some(present), Some(last)) if age < window => Some(present.min(last)),
+            (present, _) => present,
+        }
+    }
+
+    fn window_age(&self, now: Instant) -> Option<Duration> {
+        self.window_start
+            .map(|start| now.saturating_duration_since(start))
+    }
+}
+
 /// One target: declared, counted, measured and reported.
 #[derive(Debug, Clone)]
 pub(super) struct TargetEntry {
@@ -52,8 +95,8 @@
     pub(super) runs: u32,
     /// Steps and calls of this host that are out.
     pub(super) steps: u32,
-    /// Seconds that a step holds its slot; the prior is declared.
-    pub(super) step_seconds: Option<MeasuredValue>,
+    /// Seconds that a step holds its slot, as measured.
+    pub(super) step_seconds: RecentMinimum,
     /// Seconds that a prompt token takes; the prior is declared.
     pub(super) prefill_seconds: Option<MeasuredValue>,
     /// Seconds of a round trip; the prior depends on the zone.
@@ -73,7 +116,7 @@
             spec,
             runs: 0,
             steps: 0,
-            step_seconds: None,
+            step_seconds: RecentMinimum::default(),
             prefill_seconds: None,
             link_seconds: None,
             load: None,
@@ -103,10 +146,11 @@
         self.slots() / self.spec.tokens_per_second
     }
 
-    /// Seconds that a step holds its slot.
+    /// Seconds that a step holds its slot: as measured lately, else declared.
     pub(super) fn step_time(&self, settings: &RouteSettings, now: Instant) -> f64 {
-        let declared = self.declared_step();
-        MeasuredValue::now_or(self.step_seconds, declared, settings.rate_decay, now)
+        self.step_seconds
+            .value(settings.rate_window, now)
+            .unwrap_or_else(|| self.declared_step())
     }
 
     /// Seconds that a prompt token outside the prefix cache takes.
--- a/src/routing/settings.rs
+++ b/src/routing/settings.rs
@@ -16,7 +16,9 @@
     pub policy: RoutePolicy,
     /// Time after which reported load counts for 1/e.
     pub load_decay: Duration,
-    /// Time after which a measured rate counts for 1/e against the declared one.
+    /// Time over which the shortest step tells a target's rate.
+    pub rate_window: Duration,
+    /// Time after which a measured prompt or link time counts for 1/e against the declared one.
     pub rate_decay: Duration,
     /// Time after which a cache event counts for 1/e.
     pub cache_decay: Duration,
@@ -39,6 +41,7 @@
             zone,
             policy: RoutePolicy::default(),
             load_decay: Duration::from_millis(100),
+            rate_window: Duration::from_secs(2),
             rate_decay: Duration::from_secs(10),
             cache_decay: Duration::from_secs(60),
             score_all: 2,
