Choose among pipelines as among targets

Cause: with several pipelines of few targets each, up to four were compared by the run's own time and more by two drawn evenly; least outstanding had the shorter tail at load 0.6. Affinity could not be followed when the holder of a prefix was not among the two drawn. And a deadline was judged by declared rates alone, so rates declared too low would refuse every request for good.

Change: complete pipelines are drawn in proportion to the rate of their weakest stage and compared by what a run costs in all; the target or pipeline that probably holds most of the prompt joins the comparison; a deadline is refused only where every stage was measured lately. Comparing moved to a file of its own.

Tests: policy_compare fails on the commit before ("least_outstanding is better at 0.6") and passes now.

--- a/src/routing.rs
+++ b/src/routing.rs
@@ -5,6 +5,7 @@
 
 mod affinity;
 mod commands;
+mod compare;
 mod declare;
 mod entry;
 mod estimate;
--- a/src/routing/affinity.rs
+++ b/src/routing/affinity.rs
@@ -95,10 +95,15 @@
             return 0.0;
         }
         let count = prefixes.len() as f64;
-        prefixes
-            .iter()
-            .zip(1_u32..)
-            .map(|(prefix, nth)| self.certainty(*prefix, decay, now) * f64::from(nth) / count)
-            .fold(0.0, f64::max)
+        let mut best = 0.0;
+        for (index, prefix) in prefixes.iter().enumerate().rev() {
+            let covered = (index + 1) as f64 / count;
+            if covered <= best {
+                break;
+            }
+            let hit = self.certainty(*prefix, decay, now) * covered;
+            best = f64::max(best, hit);
+        }
+        best
     }
 }
--- /dev/null
+++ b/src/routing/compare.rs
@@ -0,0 +1,254 @@
+//! Comparing pipelines and, within one, the targets of each stage.
+
+use std::cmp::Reverse;
+use std::time::Instant;
+
+use rand::{Rng, RngExt};
+
+use crate::ids::{TargetId, VersionId};
+use crate::resources::StageSpec;
+use crate::run::PlannedStage;
+
+use super::entry::TargetEntry;
+use super::estimate::{StageEstimate, route_score};
+use super::policy::{highest, lowest, two_of};
+use super::table::DeclaredPipeline;
+use super::{PlannedRoute, RoutePolicy, RouteRequest, RouteTable};
+
+/// A usable target of a stage.
+#[derive(Clone, Copy)]
+pub(super) struct StageCandidate<'t> {
+    pub(super) id: &'t TargetId,
+    pub(super) entry: &'t TargetEntry,
+}
+
+/// A planned route and what it is compared by.
+pub(super) struct ComparedRoute {
+    pub(super) route: PlannedRoute,
+    pub(super) cost: f64,
+    is_measured: bool,
+}
+
+impl ComparedRoute {
+    /// Whether the deadline cannot be met.
+    ///
+    /// Declared rates that are far too low would refuse every request, so
+    /// that nothing is ever measured; one would see idle targets and refusals
+    /// for good. Without a recent measurement the request is let through.
+    pub(super) fn is_too_late(&self, request: &RouteRequest, now: Instant) -> bool {
+        let left = request.deadline.saturating_duration_since(now);
+        self.is_measured && self.route.score.total() > left
+    }
+}
+
+impl RouteTable {
+    /// The pipelines to plan and compare: all if few, else two drawn in
+    /// proportion to their rate, and the one that holds most of the prompt.
+    pub(super) fn compared<'t, R>(
+        &self,
+        pipelines: &'t [DeclaredPipeline],
+        request: &RouteRequest,
+        now: Instant,
+        rng: &mut R,
+    ) -> Vec<&'t DeclaredPipeline>
+    where
+        R: Rng + ?Sized,
+    {
+        let all: Vec<_> = pipelines
+            .iter()
+            .filter(|pipeline| self.is_complete(pipeline, request, now))
+            .collect();
+        match self.settings.policy {
+            _ if all.len() <= 1 => all,
+            RoutePolicy::Random => vec![all[rng.random_range(0..all.len())]],
+            RoutePolicy::RoundRobin => vec![all[self.turn(all.len())]],
+            RoutePolicy::LeastOutstanding => all,
+            RoutePolicy::Estimate if all.len() <= self.settings.score_all => all,
+            RoutePolicy::Estimate => {
+                let weights: Vec<_> = all.iter().map(|pipeline| pipeline.rate).collect();
+                let hit = |index: usize| self.pipeline_hit(all[index], request, now);
+                let mut chosen = two_of(&weights, rng).to_vec();
+                chosen.extend(highest(all.len(), hit));
+                chosen.into_iter().map(|index| all[index]).collect()
+            }
+        }
+    }
+
+    pub(super) fn plan_pipeline<R>(
+        &self,
+        pipeline: &DeclaredPipeline,
+        version: &VersionId,
+        request: &RouteRequest,
+        now: Instant,
+        rng: &mut R,
+    ) -> Option<ComparedRoute>
+    where
+        R: Rng + ?Sized,
+    {
+        let count = pipeline.stages.len();
+        let mut stages = Vec::with_capacity(count);
+        let mut estimates = Vec::with_capacity(count);
+        let mut outstanding = 0;
+        for stage in &pipeline.stages {
+            let candidates = self.usable(&stage.targets, &request.excluded, now);
+            let chosen = self.choose(&candidates, request, count, now, rng)?;
+            stages.push(PlannedStage {
+                target: chosen.id.clone(),
+                first_layer: stage.first_layer,
+                last_layer: stage.last_layer,
+            });
+            outstanding = outstanding.max(chosen.entry.runs);
+            estimates.push(self.stage_estimate(chosen.entry, request, count, now));
+        }
+        let cost = match self.settings.policy {
+            RoutePolicy::LeastOutstanding => f64::from(outstanding),
+            _ => estimates
+                .iter()
+                .map(|estimate| estimate.cost(request.max_tokens))
+                .sum(),
+        };
+        Some(ComparedRoute {
+            route: PlannedRoute {
+                pipeline: pipeline.id.clone(),
+                version: version.clone(),
+                stages,
+                score: route_score(&estimates, request.max_tokens),
+            },
+            cost,
+            is_measured: estimates.iter().all(|estimate| estimate.is_measured),
+        })
+    }
+
+    pub(super) fn choose<'t, R>(
+        &self,
+        candidates: &[StageCandidate<'t>],
+        request: &RouteRequest,
+        stages: usize,
+        now: Instant,
+        rng: &mut R,
+    ) -> Option<StageCandidate<'t>>
+    where
+        R: Rng + ?Sized,
+    {
+        let count = candidates.len();
+        if count == 0 {
+            return None;
+        }
+        let outstanding = |index: usize| {
+            let entry = candidates[index].entry;
+            f64::from(entry.runs.max(entry.steps))
+        };
+        let estimate = |index: usize| {
+            let entry = candidates[index].entry;
+            self.stage_estimate(entry, request, stages, now)
+                .cost(request.max_tokens)
+        };
+        let index = match self.settings.policy {
+            RoutePolicy::Random => rng.random_range(0..count),
+            RoutePolicy::RoundRobin => self.turn(count),
+            RoutePolicy::LeastOutstanding => lowest(count, outstanding, rng)?,
+            RoutePolicy::Estimate if count <= self.settings.score_all => {
+                lowest(count, estimate, rng)?
+            }
+            RoutePolicy::Estimate => {
+                let weights: Vec<_> = candidates
+                    .iter()
+                    .map(|candidate| candidate.entry.trusted_rate(&self.settings, now))
+                    .collect();
+                let hit = |index: usize| self.hit(candidates[index].entry, request, now);
+                let mut compared = two_of(&weights, rng).to_vec();
+                compared.extend(highest(count, hit));
+                compared[lowest(compared.len(), |nth| estimate(compared[nth]), rng)?]
+            }
+        };
+        Some(candidates[index])
+    }
+
+    /// Part of the request's prompt that the target is expected to hold.
+    fn hit(&self, entry: &TargetEntry, request: &RouteRequest, now: Instant) -> f64 {
+        let decay = self.settings.cache_decay;
+        entry.prefixes.expected_hit(&request.prefixes, decay, now)
+    }
+
+    /// Part of the prompt that the pipeline's stages hold, at their best.
+    fn pipeline_hit(
+        &self,
+        pipeline: &DeclaredPipeline,
+        request: &RouteRequest,
+        now: Instant,
+    ) -> f64 {
+        let stage_hit = |stage: &StageSpec| {
+            stage
+                .targets
+                .iter()
+                .filter_map(|target| self.targets.get(target))
+                .map(|entry| self.hit(entry, request, now))
+                .fold(0.0, f64::max)
+        };
+        pipeline.stages.iter().map(stage_hit).sum()
+    }
+
+    /// Whether each stage has a usable target.
+    fn is_complete(
+        &self,
+        pipeline: &DeclaredPipeline,
+        request: &RouteRequest,
+        now: Instant,
+    ) -> bool {
+        pipeline.stages.iter().all(|stage| {
+            !self
+                .usable(&stage.targets, &request.excluded, now)
+                .is_empty()
+        })
+    }
+
+    /// Index whose turn it is among `count`.
+    fn turn(&self, count: usize) -> usize {
+        (self.started % count as u64) as usize
+    }
+
+    pub(super) fn stage_estimate(
+        &self,
+        entry: &TargetEntry,
+        request: &RouteRequest,
+        stages: usize,
+        now: Instant,
+    ) -> StageEstimate {
+        let part = self.load_sums.local_part();
+        StageEstimate::new(entry, request, stages, part, &self.settings, now)
+    }
+
+    /// The members of a group that may get new work.
+    ///
+    /// Ejected members stay out, those ejected first before the others, up to
+    /// the cap on those that are left; leaving and excluded ones never come in.
+    pub(super) fn usable<'t>(
+        &'t self,
+        group: &'t [TargetId],
+        excluded: &[TargetId],
+        now: Instant,
+    ) -> Vec<StageCandidate<'t>> {
+        let mut candidates: Vec<_> = group
+            .iter()
+            .filter(|id| !excluded.contains(id) && !self.leaving.contains(*id))
+            .filter_map(|id| {
+                self.targets
+                    .get(id)
+                    .map(|entry| StageCandidate { id, entry })
+            })
+            .filter(|candidate| candidate.entry.is_serving())
+            .collect();
+        let allowed = self.settings.ejection.allowed_out(candidates.len());
+        let mut ejected: Vec<_> = candidates
+            .iter()
+            .filter(|candidate| candidate.entry.health.is_ejected(now))
+            .map(|candidate| (Reverse(candidate.entry.health.ejected_at()), candidate.id))
+            .collect();
+        // Latest first, so that what is cut off at the end stays out.
+        ejected.sort();
+        let back_in = ejected.len().saturating_sub(allowed);
+        let out: Vec<_> = ejected.split_off(back_in);
+        candidates.retain(|candidate| !out.iter().any(|(_, id)| *id == candidate.id));
+        candidates
+    }
+}
--- a/src/routing/declare.rs
+++ b/src/routing/declare.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use crate::collections::FastMap;
+use crate::ids::{ModelId, TargetId};
 use crate::resources::{PipelineSpec, ResourceKey, ResourceSpec, StageSpec, TargetSpec};
 
 use super::RouteTable;
@@ -42,7 +43,7 @@
         }
         pipelines.sort_by(|one, other| one.0.cmp(other.0));
         for (key, pipeline) in pipelines {
-            add_pipeline(&mut models, key, pipeline);
+            add_pipeline(&mut models, &targets, key, pipeline);
         }
         self.models = models;
         self.targets = targets;
@@ -70,7 +71,8 @@
 }
 
 fn add_pipeline(
-    models: &mut BTreeMap<crate::ids::ModelId, ModelRoutes>,
+    models: &mut BTreeMap<ModelId, ModelRoutes>,
+    targets: &FastMap<TargetId, TargetEntry>,
     key: &ResourceKey,
     pipeline: &PipelineSpec,
 ) {
@@ -83,6 +85,7 @@
     let declared = DeclaredPipeline {
         id: key.name.clone(),
         stages: pipeline.stages.clone(),
+        rate: bottleneck_rate(&pipeline.stages, targets),
     };
     routes
         .versions
@@ -91,6 +94,23 @@
         .push(declared);
 }
 
+/// Tokens a second that the declared targets of the weakest stage carry.
+fn bottleneck_rate(stages: &[StageSpec], targets: &FastMap<TargetId, TargetEntry>) -> f64 {
+    let stage_rate = |stage: &StageSpec| -> f64 {
+        stage
+            .targets
+            .iter()
+            .filter_map(|target| targets.get(target))
+            .map(|entry| entry.spec.tokens_per_second)
+            .sum()
+    };
+    stages
+        .iter()
+        .map(stage_rate)
+        .reduce(f64::min)
+        .unwrap_or(0.0)
+}
+
 /// Whether layer ranges follow each other from zero without gap or overlap.
 ///
 /// A gap would leave a layer out of every answer and show only as wrong text.
--- a/src/routing/entry.rs
+++ b/src/routing/entry.rs
@@ -153,6 +153,11 @@
             .unwrap_or_else(|| self.declared_step())
     }
 
+    /// Whether the time in the slot was measured lately.
+    pub(super) fn is_measured(&self, settings: &RouteSettings, now: Instant) -> bool {
+        self.step_seconds.value(settings.rate_window, now).is_some()
+    }
+
     /// Seconds that a prompt token outside the prefix cache takes.
     pub(super) fn prefill_time(&self, settings: &RouteSettings, now: Instant) -> f64 {
         let declared = self.spec.tokens_per_second.recip();
--- a/src/routing/estimate.rs
+++ b/src/routing/estimate.rs
@@ -19,6 +19,8 @@
     pub(super) link: f64,
     /// Prompt processing outside the prefix cache, once.
     pub(super) prefill: f64,
+    /// Whether the time in the slot was measured lately.
+    pub(super) is_measured: bool,
 }
 
 /// Steps that a request of `max_tokens` sends to each stage.
@@ -55,6 +57,7 @@
             step,
             link: entry.link_time(settings, now),
             prefill: entry.prefill_time(settings, now) / weight * computed,
+            is_measured: entry.is_measured(settings, now),
         }
     }
 
--- a/src/routing/policy.rs
+++ b/src/routing/policy.rs
@@ -54,6 +54,18 @@
         .map(|(index, _)| index)
 }
 
+/// Index of the highest gain above zero, if any is.
+pub(super) fn highest<G>(count: usize, gain: G) -> Option<usize>
+where
+    G: Fn(usize) -> f64,
+{
+    (0..count)
+        .map(|index| (index, gain(index)))
+        .filter(|(_, gain)| *gain > 0.0)
+        .reduce(|best, next| if next.1 > best.1 { next } else { best })
+        .map(|(index, _)| index)
+}
+
 /// Two different random indices, each drawn in proportion to its weight.
 ///
 /// Drawn evenly, two slow targets of a mixed group come up together far more
--- a/src/routing/queries.rs
+++ b/src/routing/queries.rs
@@ -1,19 +1,15 @@
 //! Planning routes.
 
-use std::cmp::Reverse;
 use std::time::Instant;
 
-use rand::{Rng, RngExt};
+use rand::Rng;
 
 use crate::ids::{ModelId, TargetId, VersionId};
 use crate::reason::RefusalReason;
 use crate::run::PlannedStage;
 
-use super::entry::TargetEntry;
-use super::estimate::{StageEstimate, route_score};
-use super::policy::{lowest, two_of};
-use super::table::DeclaredPipeline;
-use super::{PlannedRoute, RoutePolicy, RouteRefusal, RouteRequest, RouteScore, RouteTable};
+use super::estimate::route_score;
+use super::{PlannedRoute, RouteRefusal, RouteRequest, RouteScore, RouteTable};
 
 /// Asks for another target of one stage of a run.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -28,23 +24,13 @@
     pub excluded: Vec<TargetId>,
 }
 
-/// Pipelines of one version that are compared for one request.
-const PIPELINES_COMPARED: usize = 4;
-
-/// A usable target of a stage.
-#[derive(Clone, Copy)]
-struct StageCandidate<'t> {
-    id: &'t TargetId,
-    entry: &'t TargetEntry,
-}
-
 impl RouteTable {
     /// Chooses a pipeline and a target for each of its stages.
     ///
     /// # Errors
     /// `Unknown` without such a model, `NoRoute` if every pipeline has a stage
     /// without a usable target, `DeadlineUnreachable` if the estimate of the
-    /// chosen route passes the deadline.
+    /// chosen route passes the deadline and rests on measured targets.
     pub fn plan<R>(
         &self,
         request: &RouteRequest,
@@ -60,17 +46,17 @@
         let version = request.version.as_ref().unwrap_or(&routes.offered);
         let pipelines = routes.versions.get(version).map_or(&[][..], Vec::as_slice);
         let best = self
-            .compared(pipelines, rng)
+            .compared(pipelines, request, now, rng)
             .into_iter()
             .filter_map(|pipeline| self.plan_pipeline(pipeline, version, request, now, rng))
-            .min_by_key(|route| route.score.total());
+            .reduce(|best, next| if next.cost < best.cost { next } else { best });
         match best {
             None => Err(self.refusal(RefusalReason::NoRoute)),
-            Some(route) if now + route.score.total() > request.deadline => Err(RouteRefusal {
+            Some(best) if best.is_too_late(request, now) => Err(RouteRefusal {
                 reason: RefusalReason::DeadlineUnreachable,
-                retry_after: route.score.queue.max(self.settings.retry_after),
+                retry_after: best.route.score.queue.max(self.settings.retry_after),
             }),
-            Some(route) => Ok(route),
+            Some(best) => Ok(best.route),
         }
     }
 
@@ -151,17 +137,6 @@
             .collect()
     }
 
-    fn stage_estimate(
-        &self,
-        entry: &TargetEntry,
-        request: &RouteRequest,
-        stages: usize,
-        now: Instant,
-    ) -> StageEstimate {
-        let part = self.load_sums.local_part();
-        StageEstimate::new(entry, request, stages, part, &self.settings, now)
-    }
-
     fn refusal(&self, reason: RefusalReason) -> RouteRefusal {
         RouteRefusal {
             reason,
@@ -169,104 +144,6 @@
         }
     }
 
-    fn compared<'t, R>(
-        &self,
-        pipelines: &'t [DeclaredPipeline],
-        rng: &mut R,
-    ) -> Vec<&'t DeclaredPipeline>
-    where
-        R: Rng + ?Sized,
-    {
-        let count = pipelines.len();
-        match self.settings.policy {
-            _ if count <= 1 => pipelines.iter().collect(),
-            RoutePolicy::Random => vec![&pipelines[rng.random_range(0..count)]],
-            RoutePolicy::RoundRobin => {
-                vec![&pipelines[(self.started % count as u64) as usize]]
-            }
-            _ if count <= PIPELINES_COMPARED => pipelines.iter().collect(),
-            _ => two_of(&vec![1.0; count], rng)
-                .map(|index| &pipelines[index])
-                .to_vec(),
-        }
-    }
-
-    fn plan_pipeline<R>(
-        &self,
-        pipeline: &DeclaredPipeline,
-        version: &VersionId,
-        request: &RouteRequest,
-        now: Instant,
-        rng: &mut R,
-    ) -> Option<PlannedRoute>
-    where
-        R: Rng + ?Sized,
-    {
-        let count = pipeline.stages.len();
-        let mut stages = Vec::with_capacity(count);
-        let mut estimates = Vec::with_capacity(count);
-        for stage in &pipeline.stages {
-            let candidates = self.usable(&stage.targets, &request.excluded, now);
-            let chosen = self.choose(&candidates, request, count, now, rng)?;
-            stages.push(PlannedStage {
-                target: chosen.id.clone(),
-                first_layer: stage.first_layer,
-                last_layer: stage.last_layer,
-            });
-            let estimate = self.stage_estimate(chosen.entry, request, count, now);
-            estimates.push(estimate);
-        }
-        Some(PlannedRoute {
-            pipeline: pipeline.id.clone(),
-            version: version.clone(),
-            stages,
-            score: route_score(&estimates, request.max_tokens),
-        })
-    }
-
-    fn choose<'t, R>(
-        &self,
-        candidates: &[StageCandidate<'t>],
-        request: &RouteRequest,
-        stages: usize,
-        now: Instant,
-        rng: &mut R,
-    ) -> Option<StageCandidate<'t>>
-    where
-        R: Rng + ?Sized,
-    {
-        let count = candidates.len();
-        if count == 0 {
-            return None;
-        }
-        let outstanding = |index: usize| {
-            let entry = candidates[index].entry;
-            f64::from(entry.runs.max(entry.steps))
-        };
-        let estimate = |index: usize| {
-            let entry = candidates[index].entry;
-            self.stage_estimate(entry, request, stages, now)
-                .cost(request.max_tokens)
-        };
-        let index = match self.settings.policy {
-            RoutePolicy::Random => rng.random_range(0..count),
-            RoutePolicy::RoundRobin => (self.started % count as u64) as usize,
-            RoutePolicy::LeastOutstanding => lowest(count, outstanding, rng)?,
-            RoutePolicy::Estimate if count <= self.settings.score_all => {
-                lowest(count, estimate, rng)?
-            }
-            RoutePolicy::Estimate => {
-                let weights: Vec<_> = candidates
-                    .iter()
-                    .map(|candidate| candidate.entry.trusted_rate(&self.settings, now))
-                    .collect();
-                let pair = two_of(&weights, rng);
-                pair[lowest(2, |nth| estimate(pair[nth]), rng)?]
-            }
-        };
-        Some(candidates[index])
-    }
-
     /// Every target that holds the range for the version, in one pipeline or
     /// another.
     fn holders(&self, request: &ReplaceRequest) -> Vec<TargetId> {
@@ -286,40 +163,6 @@
         holders.dedup();
         holders
     }
-
-    /// The members of a group that may get new work.
-    ///
-    /// Ejected members stay out, those ejected first before the others, up to
-    /// the cap on those that are left; leaving and excluded ones never come in.
-    fn usable<'t>(
-        &'t self,
-        group: &'t [TargetId],
-        excluded: &[TargetId],
-        now: Instant,
-    ) -> Vec<StageCandidate<'t>> {
-        let mut candidates: Vec<_> = group
-            .iter()
-            .filter(|id| !excluded.contains(id) && !self.leaving.contains(*id))
-            .filter_map(|id| {
-                self.targets
-                    .get(id)
-                    .map(|entry| StageCandidate { id, entry })
-            })
-            .filter(|candidate| candidate.entry.is_serving())
-            .collect();
-        let allowed = self.settings.ejection.allowed_out(candidates.len());
-        let mut ejected: Vec<_> = candidates
-            .iter()
-            .filter(|candidate| candidate.entry.health.is_ejected(now))
-            .map(|candidate| (Reverse(candidate.entry.health.ejected_at()), candidate.id))
-            .collect();
-        // Latest first, so that what is cut off at the end stays out.
-        ejected.sort();
-        let back_in = ejected.len().saturating_sub(allowed);
-        let out: Vec<_> = ejected.split_off(back_in);
-        candidates.retain(|candidate| !out.iter().any(|(_, id)| *id == candidate.id));
-        candidates
-    }
 }
 
 /// A request for one step, by which single targets are compared.
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -38,6 +38,8 @@
 pub(super) struct DeclaredPipeline {
     pub(super) id: PipelineId,
     pub(super) stages: Vec<StageSpec>,
+    /// Declared tokens a second of the stage with the least.
+    pub(super) rate: f64,
 }
 
 impl RouteTable {
--- a/tests/policy_compare.rs
+++ b/tests/policy_compare.rs
@@ -64,33 +64,51 @@
     rng: StdRng,
 }
 
-fn resources() -> Vec<(ResourceKey, ResourceSpec)> {
-    let mut resources = Vec::new();
-    let mut stages = Vec::new();
-    for stage in 0..STAGES {
-        let mut targets = Vec::new();
-        for (nth, step) in STEP_MS.iter().enumerate() {
-            let name = format!("t{stage}.{nth}");
-            let rate = SLOTS as f64 * 1_000.0 / *step as f64;
-            let spec = serde_json::json!({"target": {
-                "kind": "engine", "zone": ZONES[nth % 3], "address": "127.0.0.1:1",
-                "tokens_per_second": rate, "concurrency": SLOTS,
-            }});
-            targets.push(name.clone());
-            resources.push((ResourceKind::Target, name, spec));
+/// Either one pipeline over interchangeable targets, or ten pipelines of one
+/// target a stage.
+#[derive(Clone, Copy, PartialEq)]
+enum Shape {
+    OnePipeline,
+    TenPipelines,
+}
+
+impl Shape {
+    fn pipelines(self) -> Vec<Vec<Vec<String>>> {
+        let name = |stage, nth| format!("t{stage}.{nth}");
+        let whole = |stage| (0..STEP_MS.len()).map(|nth| name(stage, nth)).collect();
+        match self {
+            Self::OnePipeline => vec![(0..STAGES).map(whole).collect()],
+            Self::TenPipelines => (0..STEP_MS.len())
+                .map(|nth| (0..STAGES).map(|stage| vec![name(stage, nth)]).collect())
+                .collect(),
         }
-        stages.push(serde_json::json!({
-            "first_layer": stage, "last_layer": stage, "targets": targets,
-        }));
+    }
+}
+
+fn resources(shape: Shape) -> Vec<(ResourceKey, ResourceSpec)> {
+    let mut resources = Vec::new();
+    for index in 0..STAGES * STEP_MS.len() {
+        let (stage, nth) = (index / STEP_MS.len(), index % STEP_MS.len());
+        let spec = serde_json::json!({"target": {
+            "kind": "engine", "zone": ZONES[nth % 3], "address": "127.0.0.1:1",
+            "tokens_per_second": SLOTS as f64 * 1_000.0 / STEP_MS[nth] as f64,
+            "concurrency": SLOTS,
+        }});
+        resources.push((ResourceKind::Target, format!("t{stage}.{nth}"), spec));
+    }
+    for (number, targets) in shape.pipelines().iter().enumerate() {
+        let stages = targets.iter().enumerate().map(|(stage, targets)| {
+            serde_json::json!({"first_layer": stage, "last_layer": stage, "targets": targets})
+        });
+        let spec = serde_json::json!({"pipeline": {
+            "model": "m", "version": "v", "stages": stages.collect::<Vec<_>>(),
+        }});
+        resources.push((ResourceKind::Pipeline, format!("p{number}"), spec));
     }
     let model = serde_json::json!({"model": {
         "offered": "v", "versions": [{"name": "v", "layers": STAGES}],
     }});
-    let pipeline = serde_json::json!({"pipeline": {
-        "model": "m", "version": "v", "stages": stages,
-    }});
     resources.push((ResourceKind::Model, "m".to_owned(), model));
-    resources.push((ResourceKind::Pipeline, "p".to_owned(), pipeline));
     resources
         .into_iter()
         .map(|(kind, name, spec)| {
@@ -101,11 +119,11 @@
 }
 
 impl Fake {
-    fn new<C>(configure: &C, seed: u64, start: Instant) -> Self
+    fn new<C>(shape: Shape, configure: &C, seed: u64, start: Instant) -> Self
     where
         C: Fn(&mut RouteSettings),
     {
-        let resources = resources();
+        let resources = resources(shape);
         let tables = (0..HOSTS).map(|host| {
             let mut settings = RouteSettings::new(ZoneId::from(ZONES[host % 3]));
             configure(&mut settings);
@@ -269,7 +287,7 @@
 }
 
 /// Median and spread of a percentile over the seeds, in milliseconds.
-fn row<C>(name: &str, load: f64, configure: C) -> f64
+fn row<C>(name: &str, shape: Shape, load: f64, configure: C) -> f64
 where
     C: Fn(&mut RouteSettings),
 {
@@ -277,7 +295,7 @@
     let mut columns = vec![Vec::new(); 3];
     for seed in 0..setting("POLICY_SEEDS", 3) {
         let start = Instant::now();
-        let mut latencies = Fake::new(&configure, seed, start).run(load, length, start);
+        let mut latencies = Fake::new(shape, &configure, seed, start).run(load, length, start);
         latencies.sort();
         for (column, part) in columns.iter_mut().zip([0.5, 0.95, 0.99]) {
             let rank = (latencies.len() as f64 * part) as usize;
@@ -298,14 +316,26 @@
     columns[1][columns[1].len() / 2]
 }
 
-#[test]
-fn estimate_beats_the_baselines() {
+fn compare(shape: Shape) {
     println!("| policy | load | p50 ms | p95 ms | p99 ms |\n|---|---|---|---|---|");
     for load in [0.6, 0.9] {
-        let p95 = RoutePolicy::ALL
-            .map(|policy| row(policy.name(), load, |settings| settings.policy = policy));
+        let p95 = RoutePolicy::ALL.map(|policy| {
+            row(policy.name(), shape, load, |settings| {
+                settings.policy = policy
+            })
+        });
         for (baseline, other) in RoutePolicy::ALL.iter().zip(p95).skip(1) {
             assert!(p95[0] < other, "{} is better at {load}", baseline.name());
         }
     }
 }
+
+#[test]
+fn estimate_beats_the_baselines_over_targets() {
+    compare(Shape::OnePipeline);
+}
+
+#[test]
+fn estimate_beats_the_baselines_over_pipelines() {
+    compare(Shape::TenPipelines);
+}
