--- a/tests/policy_compare.rs
+++ b/tests/policy_compare.rs
@@ -321,7 +321,7 @@
     for load in [0.6, 0.9] {
         let p95 = RoutePolicy::ALL.map(|policy| {
             row(policy.name(), shape, load, |settings| {
-                settings.policy = policy
+                settings.policy = policy;
             })
         });
         for (baseline, other) in RoutePolicy::ALL.iter().zip(p95).skip(1) {
