Divide bought capacity over zones and hosts

The capacity that an organisation bought must never be exceeded, also while zones or hosts are cut off, and a busy host should have what it needs.

`GrantTable` divides a zone's part by max-min fairness; a new holder moves what hosts hand in at once and the rest only when every registered incarnation has reported or is gone. Grants to hosts that the log does not name lapse.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -61,7 +61,10 @@
   concurrentRequests @1 :UInt32;
   requestsPerSecond @2 :UInt32;
   number @3 :UInt64;
-  # Grows by one with each grant of one holder to one host.
+  # Grows with each grant of one holder.
+  lapsesAfterMs @4 :UInt64;
+  # Time after which the grant ends unless renewed, counted by the host from
+  # when it sent the heartbeat; 0 if it stays.
 }
 
 struct HeartbeatReply {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,5 +27,6 @@
 pub mod resources;
 pub mod routing;
 pub mod run;
+pub mod shares;
 pub mod target;
 pub mod verdict;
--- a/src/membership/queries.rs
+++ b/src/membership/queries.rs
@@ -33,6 +33,22 @@
         }
     }
 
+    /// Whether an incarnation that the log names has ended, as far as this
+    /// host can tell.
+    ///
+    /// This host may be new and never have heard of it. Then the platform's
+    /// list decides, if it was fetched late enough for its lag to have passed.
+    pub fn has_ended(&self, host: &str, incarnation: IncarnationId) -> bool {
+        let settled = self.started + self.settings.gone_after;
+        match self.members.get(host) {
+            Some(member) => member
+                .incarnation
+                .is_some_and(|current| current != incarnation),
+            None if *self.settings.host == *host => self.settings.incarnation != incarnation,
+            None => self.last_list.is_some_and(|list| list >= settled),
+        }
+    }
+
     /// Hosts of this zone that are live and not draining, this one among
     /// them, by name: those that divide the zone's work.
     pub fn working_hosts(&self) -> Vec<HostId> {
--- a/src/membership/table.rs
+++ b/src/membership/table.rs
@@ -20,6 +20,7 @@
     pub(super) awake_since: Instant,
     pub(super) last_tick: Instant,
     pub(super) last_list: Option<Instant>,
+    pub(super) started: Instant,
 }
 
 impl MembershipTable {
@@ -35,6 +36,7 @@
             awake_since: now,
             last_tick: now,
             last_list: None,
+            started: now,
         }
     }
 }
--- a/src/peer/convert.rs
+++ b/src/peer/convert.rs
@@ -230,6 +230,7 @@
         entry.set_concurrent_requests(grant.concurrent_requests);
         entry.set_requests_per_second(grant.requests_per_second);
         entry.set_number(grant.number);
+        entry.set_lapses_after_ms(grant.lapse.map_or(0, milliseconds));
     }
 }
 
@@ -243,6 +244,10 @@
                 concurrent_requests: entry.get_concurrent_requests(),
                 requests_per_second: entry.get_requests_per_second(),
                 number: entry.get_number(),
+                lapse: match entry.get_lapses_after_ms() {
+                    0 => None,
+                    lapse => Some(Duration::from_millis(lapse)),
+                },
             })
         })
         .collect()
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -86,8 +86,11 @@
     pub concurrent_requests: u32,
     /// Requests started per second.
     pub requests_per_second: u32,
-    /// Grows with each grant of one holder to one host.
+    /// Grows with each grant of one holder.
     pub number: u64,
+    /// Time after which it ends unless renewed, counted from when the host
+    /// sent the heartbeat that it answers; `None` if it stays.
+    pub lapse: Option<Duration>,
 }
 
 /// A bounded summary of one availability zone, as one of its hosts sees it.
--- a/src/peer_capnp.rs
+++ b/src/peer_capnp.rs
@@ -1791,11 +1791,15 @@
         pub fn get_number(self) -> u64 {
             self.reader.get_data_field::<u64>(1)
         }
+        #[inline]
+        pub fn get_lapses_after_ms(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 1 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1885,6 +1889,14 @@
         pub fn set_number(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(1, value);
         }
+        #[inline]
+        pub fn get_lapses_after_ms(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_lapses_after_ms(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1896,52 +1908,59 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 82] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 98] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(77, 108, 127, 196, 13, 191, 113, 142),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(136, 151, 230, 179, 164, 245, 193, 210),
             ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 71, 114, 97, 110, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 0, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 0, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(145, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(111, 114, 103, 97, 110, 105, 115, 97),
             ::capnp::word(116, 105, 111, 110, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -1979,6 +1998,15 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 97, 112, 115, 101, 115, 65, 102),
+            ::capnp::word(116, 101, 114, 77, 115, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1986,6 +2014,7 @@
                 1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1999,9 +2028,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,3,0,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,4,3,0,2];
         pub(crate) const TYPE_ID: u64 = 0x8e71_bf0d_c47f_6c4d;
     }
 }
--- /dev/null
+++ b/src/shares/division.rs
@@ -0,0 +1,39 @@
+//! How an amount is divided over those who want some of it.
+
+/// Divides `available` by max-min fairness over `wants`, then spreads what
+/// nobody wants evenly, so that the next request finds some of it wherever it
+/// arrives. Remainders go to the first.
+pub fn divide(available: u32, wants: &[u32]) -> Vec<u32> {
+    let mut parts = vec![0; wants.len()];
+    let mut rest = available;
+    while rest > 0 {
+        let short: Vec<_> = (0..wants.len())
+            .filter(|index| parts[*index] < wants[*index])
+            .collect();
+        if short.is_empty() {
+            break;
+        }
+        // All who are still short have been given the same so far. A
+        // remainder is given only when no whole round is left: given earlier
+        // it would put the first ahead of the others.
+        let level = (rest / length(short.len())).max(1);
+        for index in short {
+            let given = level.min(wants[index] - parts[index]).min(rest);
+            parts[index] += given;
+            rest -= given;
+        }
+    }
+    spread(rest, &mut parts);
+    parts
+}
+
+fn spread(rest: u32, parts: &mut [u32]) {
+    let count = length(parts.len().max(1));
+    for (order, part) in (0..).zip(parts) {
+        *part += rest / count + u32::from(order < rest % count);
+    }
+}
+
+fn length(items: usize) -> u32 {
+    u32::try_from(items).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/src/shares/grant_answer.rs
@@ -0,0 +1,155 @@
+//! What the holder of a zone's shares answers a host.
+
+use std::time::Instant;
+
+use super::division::divide;
+use super::grant_entry::{GrantEntry, HolderEntry};
+use super::grant_table::{GrantTable, TablePhase};
+use super::record::GrantHolder;
+use super::units::ShareUnits;
+use crate::ids::OrganisationId;
+use crate::peer::PeerGrant;
+
+impl GrantTable {
+    /// Grants for a host that has just reported; `None` if this table does
+    /// not divide, so that the host keeps what it holds.
+    pub fn answer(&mut self, holder: &GrantHolder, now: Instant) -> Option<Vec<PeerGrant>> {
+        if !matches!(
+            self.phase(now),
+            TablePhase::Collecting | TablePhase::Dividing
+        ) {
+            return None;
+        }
+        let known = self.entries.get(holder)?.grants.keys();
+        let mut organisations: Vec<_> = self.shares.keys().chain(known).cloned().collect();
+        organisations.sort_unstable();
+        organisations.dedup();
+        let grants: Vec<_> = organisations
+            .into_iter()
+            .filter_map(|organisation| self.grant(holder, organisation, now))
+            .collect();
+        let lapsed_at = now + self.longest_lapse();
+        if let Some(entry) = self.entries.get_mut(holder) {
+            entry.lapsed_at = lapsed_at;
+        }
+        Some(grants)
+    }
+
+    fn grant(
+        &mut self,
+        holder: &GrantHolder,
+        organisation: OrganisationId,
+        now: Instant,
+    ) -> Option<PeerGrant> {
+        let units = self.due_units(holder, &organisation, now);
+        let lapse = self.settings.lapse;
+        let entry = self.entries.get_mut(holder)?;
+        let stays = entry.is_registered;
+        let grant = entry.grants.entry(organisation.clone()).or_default();
+        let is_known = match grant.number {
+            0 => units == ShareUnits::NONE && grant.counted() == ShareUnits::NONE,
+            _ => grant.is_acknowledged && grant.granted == units && grant.stays && stays,
+        };
+        if is_known {
+            return None;
+        }
+        grant.send(self.next_number, units, stays);
+        self.next_number += 1;
+        Some(PeerGrant {
+            organisation,
+            concurrent_requests: units.concurrent_requests,
+            requests_per_second: units.requests_per_second,
+            number: grant.number,
+            lapse: (!stays).then_some(lapse),
+        })
+    }
+
+    /// What the host is to have: its part of a fair division, as far as the
+    /// others have given it up.
+    fn due_units(&self, holder: &GrantHolder, organisation: &str, now: Instant) -> ShareUnits {
+        let limit = self.limit(organisation, now);
+        let others: ShareUnits = self
+            .entries
+            .iter()
+            .filter(|(other, _)| *other != holder)
+            .map(|(_, entry)| entry.counted(organisation))
+            .sum();
+        let most = limit - others;
+        let target = self.fair_part(holder, organisation, limit, now);
+        let grant = self
+            .entries
+            .get(holder)
+            .and_then(|entry| entry.grants.get(organisation));
+        match grant {
+            Some(grant) if self.may_keep(grant, target, organisation, now) => {
+                grant.granted.lower(most)
+            }
+            _ => target.lower(most),
+        }
+    }
+
+    /// Whether a grant may stay as it is although a division from scratch
+    /// would give another: nothing lies idle here, nobody is short and it is
+    /// not far off. Without this, each request that starts or ends would move
+    /// units everywhere.
+    fn may_keep(
+        &self,
+        grant: &GrantEntry,
+        target: ShareUnits,
+        organisation: &str,
+        now: Instant,
+    ) -> bool {
+        let is_near = target.is_within(grant.granted + grant.granted)
+            && target != ShareUnits::NONE
+            && grant.granted.is_within(target + target);
+        let nobody_short = self.fresh_entries(now).all(|(_, entry)| {
+            let granted = entry.grants.get(organisation).map(|other| other.granted);
+            entry
+                .want(organisation)
+                .is_within(granted.unwrap_or_default())
+        });
+        let nothing_idle = self
+            .limit(organisation, now)
+            .is_within(self.counted(organisation));
+        grant.is_acknowledged && is_near && nobody_short && nothing_idle
+    }
+
+    fn fair_part(
+        &self,
+        holder: &GrantHolder,
+        organisation: &str,
+        limit: ShareUnits,
+        now: Instant,
+    ) -> ShareUnits {
+        let silent: ShareUnits = self
+            .entries
+            .values()
+            .filter(|entry| !entry.is_fresh(self.settings.fresh_report, now))
+            .map(|entry| entry.counted(organisation))
+            .sum();
+        let available = limit - silent;
+        let wants: Vec<_> = self
+            .fresh_entries(now)
+            .map(|(_, entry)| entry.want(organisation))
+            .collect();
+        let Some(index) = self
+            .fresh_entries(now)
+            .position(|(other, _)| other == holder)
+        else {
+            return ShareUnits::NONE;
+        };
+        let concurrent: Vec<_> = wants.iter().map(|want| want.concurrent_requests).collect();
+        let rates: Vec<_> = wants.iter().map(|want| want.requests_per_second).collect();
+        ShareUnits::new(
+            divide(available.concurrent_requests, &concurrent)[index],
+            divide(available.requests_per_second, &rates)[index],
+        )
+    }
+
+    fn fresh_entries(&self, now: Instant) -> impl Iterator<Item = (&GrantHolder, &HolderEntry)> {
+        let limit = self.settings.fresh_report;
+        self.entries
+            .iter()
+            .filter(move |(_, entry)| entry.is_fresh(limit, now))
+    }
+}
--- /dev/null
+++ b/src/shares/grant_entry.rs
@@ -0,0 +1,134 @@
+//! What the holder of a zone's shares knows of one host.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use super::units::ShareUnits;
+use crate::ids::{LogOffset, OrganisationId};
+use crate::peer::PeerDemand;
+
+/// One organisation's grant to one host.
+#[derive(Debug, Clone, Default)]
+pub(super) struct GrantEntry {
+    /// Number of the last grant sent; zero if none was.
+    pub(super) number: u64,
+    /// Units of the last grant sent.
+    pub(super) granted: ShareUnits,
+    /// Most units of any grant sent since one was acknowledged.
+    outstanding: ShareUnits,
+    /// What the host said that it may use.
+    pub(super) held: ShareUnits,
+    /// What the host has use for.
+    pub(super) want: ShareUnits,
+    /// Whether the host has the last grant sent.
+    pub(super) is_acknowledged: bool,
+    /// Whether the last grant sent stays until told otherwise.
+    pub(super) stays: bool,
+}
+
+impl GrantEntry {
+    /// What the host must be thought to use. An answer may be lost, or come
+    /// late: a lowered grant counts in full until the host says it has it, and
+    /// a raised one from when it is sent.
+    pub(super) fn counted(&self) -> ShareUnits {
+        self.held.higher(self.outstanding)
+    }
+
+    pub(super) fn take_in(&mut self, demand: &PeerDemand, lease: LogOffset) {
+        self.held = ShareUnits::new(demand.held_grant, demand.held_rate);
+        self.want = ShareUnits::new(
+            demand.in_flight.saturating_add(demand.waiting),
+            demand.wanted_rate,
+        );
+        self.is_acknowledged =
+            demand.grant_lease == Some(lease) && demand.grant_number == self.number;
+        if self.is_acknowledged {
+            self.outstanding = ShareUnits::NONE;
+        }
+    }
+
+    /// The host no longer speaks of this organisation: it uses nothing of it.
+    pub(super) fn clear_report(&mut self) {
+        self.held = ShareUnits::NONE;
+        self.want = ShareUnits::NONE;
+    }
+
+    pub(super) fn send(&mut self, number: u64, units: ShareUnits, stays: bool) {
+        self.number = number;
+        self.granted = units;
+        self.outstanding = self.outstanding.higher(units);
+        self.is_acknowledged = false;
+        self.stays = stays;
+    }
+}
+
+/// One incarnation of a host.
+#[derive(Debug, Clone)]
+pub(super) struct HolderEntry {
+    pub(super) sequence: u64,
+    /// Whether the log names it, so that a later holder will ask for it.
+    pub(super) is_registered: bool,
+    pub(super) last_report: Instant,
+    /// When grants that lapse have ended for certain.
+    pub(super) lapsed_at: Instant,
+    pub(super) gone_at: Option<Instant>,
+    /// Whether it is shutting down and takes nothing new.
+    pub(super) is_draining: bool,
+    pub(super) registration_asked: Option<Instant>,
+    pub(super) grants: BTreeMap<OrganisationId, GrantEntry>,
+}
+
+impl HolderEntry {
+    pub(super) fn new(is_registered: bool, lapsed_at: Instant, now: Instant) -> Self {
+        Self {
+            sequence: 0,
+            is_registered,
+            last_report: now,
+            lapsed_at,
+            gone_at: None,
+            is_draining: false,
+            registration_asked: None,
+            grants: BTreeMap::new(),
+        }
+    }
+
+    pub(super) fn counted(&self, organisation: &str) -> ShareUnits {
+        self.grants
+            .get(organisation)
+            .map(GrantEntry::counted)
+            .unwrap_or_default()
+    }
+
+    pub(super) fn want(&self, organisation: &str) -> ShareUnits {
+        self.grants
+            .get(organisation)
+            .map(|entry| entry.want)
+            .unwrap_or_default()
+    }
+
+    pub(super) fn is_fresh(&self, limit: Duration, now: Instant) -> bool {
+        self.gone_at.is_none()
+            && !self.is_draining
+            && now.saturating_duration_since(self.last_report) <= limit
+    }
+
+    /// Whether it can hold nothing any more.
+    pub(super) fn has_ended(&self, gone_margin: Duration, now: Instant) -> bool {
+        match self.gone_at {
+            Some(gone_at) => now >= gone_at + gone_margin,
+            None => !self.is_registered && now >= self.lapsed_at,
+        }
+    }
+
+    pub(super) fn take_in(&mut self, demands: &[PeerDemand], lease: LogOffset) {
+        for entry in self.grants.values_mut() {
+            entry.clear_report();
+        }
+        for demand in demands {
+            self.grants
+                .entry(demand.organisation.clone())
+                .or_default()
+                .take_in(demand, lease);
+        }
+    }
+}
--- /dev/null
+++ b/src/shares/grant_table.rs
@@ -0,0 +1,358 @@
+//! The side of the holder of a zone's shares: what each host holds.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use super::grant_entry::HolderEntry;
+use super::ledger::AllotmentLedger;
+use super::record::{AllotmentBody, GrantHolder, ReleaseRecord};
+use super::units::ShareUnits;
+use crate::ids::{LogOffset, OrganisationId, ZoneId};
+use crate::peer::PeerDemand;
+
+/// Times of the division in a zone.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct GrantSettings {
+    /// Time after which a grant to a host that the log does not name ends.
+    pub lapse: Duration,
+    /// Added to a lapse that another host counts, for the rates of clocks.
+    pub clock_margin: Duration,
+    /// Time after which a pause makes a host ask before it uses its grants.
+    pub pause_limit: Duration,
+    /// Time between a host's end and the use of what it held; longer than
+    /// `pause_limit`.
+    pub gone_margin: Duration,
+    /// Age of a report above which a host gets no part in a new division.
+    pub fresh_report: Duration,
+    /// Time after which a record that does not show up is written again.
+    pub append_retry: Duration,
+}
+
+impl Default for GrantSettings {
+    fn default() -> Self {
+        Self {
+            lapse: Duration::from_secs(5),
+            clock_margin: Duration::from_secs(1),
+            pause_limit: Duration::from_secs(5),
+            gone_margin: Duration::from_secs(6),
+            fresh_report: Duration::from_secs(5),
+            append_retry: Duration::from_secs(2),
+        }
+    }
+}
+
+/// How far a new holder is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TablePhase {
+    /// Its opening record has not shown up in the log.
+    Opening,
+    /// It divides what hosts have handed in; others have not reported yet.
+    Collecting,
+    /// It divides the zone's whole share.
+    Dividing,
+    /// A later lease has been seen; it divides nothing any more.
+    Closed,
+}
+
+/// Divides a zone's shares over hosts, under one lease.
+///
+/// A new holder does not know what hosts hold. What they report is theirs and
+/// can be moved among them at once. Units that no one reported may still be
+/// used by a host that has not been heard, or be handed out by an earlier
+/// holder that does not know it was replaced. They are free only once every
+/// incarnation that the log names has reported under this lease, after which
+/// it takes no grant of an earlier one, or is known to be gone.
+#[derive(Debug)]
+pub struct GrantTable {
+    pub(super) settings: GrantSettings,
+    pub(super) zone: ZoneId,
+    pub(super) lease: LogOffset,
+    holder: GrantHolder,
+    is_opened: bool,
+    is_closed: bool,
+    opening_asked: Option<Instant>,
+    awaited: BTreeSet<GrantHolder>,
+    seen: BTreeSet<GrantHolder>,
+    whole_from: Option<Instant>,
+    handed_in: BTreeMap<OrganisationId, ShareUnits>,
+    pub(super) shares: BTreeMap<OrganisationId, ShareUnits>,
+    pub(super) entries: BTreeMap<GrantHolder, HolderEntry>,
+    releases_asked: BTreeMap<OrganisationId, (LogOffset, Instant)>,
+    pub(super) next_number: u64,
+}
+
+impl GrantTable {
+    /// A table for the lease that this incarnation took.
+    pub fn open(
+        settings: GrantSettings,
+        zone: ZoneId,
+        lease: LogOffset,
+        holder: GrantHolder,
+    ) -> Self {
+        Self {
+            settings,
+            zone,
+            lease,
+            holder,
+            is_opened: false,
+            is_closed: false,
+            opening_asked: None,
+            awaited: BTreeSet::new(),
+            seen: BTreeSet::new(),
+            whole_from: None,
+            handed_in: BTreeMap::new(),
+            shares: BTreeMap::new(),
+            entries: BTreeMap::new(),
+            releases_asked: BTreeMap::new(),
+            next_number: 1,
+        }
+    }
+
+    /// Stops dividing for good.
+    pub fn close(&mut self) {
+        self.is_closed = true;
+    }
+
+    /// The lease under which this table divides.
+    pub fn lease(&self) -> LogOffset {
+        self.lease
+    }
+
+    /// Takes in the ledger after records have been applied.
+    pub fn follow(&mut self, ledger: &AllotmentLedger, now: Instant) {
+        match ledger.opened(&self.zone) {
+            Some(opened) if opened > self.lease => self.close(),
+            Some(opened) if opened == self.lease && !self.is_opened => {
+                self.is_opened = true;
+                self.awaited = ledger.holders(&self.zone).cloned().collect();
+                if !ledger.is_reopened(&self.zone) {
+                    self.whole_from = Some(now);
+                }
+            }
+            _ => {}
+        }
+        self.shares = ledger.zone_shares(&self.zone);
+        let registered: BTreeSet<_> = ledger.holders(&self.zone).collect();
+        for (holder, entry) in &mut self.entries {
+            entry.is_registered = registered.contains(holder);
+        }
+    }
+
+    /// Takes in what a host holds and wants. The report names every
+    /// organisation of which it holds or wants anything.
+    pub fn observe_report(
+        &mut self,
+        holder: &GrantHolder,
+        sequence: u64,
+        demands: &[PeerDemand],
+        is_draining: bool,
+        now: Instant,
+    ) {
+        if !matches!(
+            self.phase(now),
+            TablePhase::Collecting | TablePhase::Dividing
+        ) {
+            return;
+        }
+        let was_awaited = self.awaited.remove(holder);
+        let lapsed_at = now + self.longest_lapse();
+        let entry = self
+            .entries
+            .entry(holder.clone())
+            .or_insert_with(|| HolderEntry::new(was_awaited, lapsed_at, now));
+        if entry.sequence >= sequence {
+            return;
+        }
+        entry.sequence = sequence;
+        entry.last_report = now;
+        entry.is_draining = is_draining;
+        // A host that speaks is not gone, whatever the platform says.
+        entry.gone_at = None;
+        entry.take_in(demands, self.lease);
+        // Counted once: a host that was thought gone and comes back brings
+        // units with it that have been given to others meanwhile.
+        if self.seen.insert(holder.clone()) {
+            for demand in demands {
+                let held = ShareUnits::new(demand.held_grant, demand.held_rate);
+                let handed_in = self
+                    .handed_in
+                    .entry(demand.organisation.clone())
+                    .or_default();
+                *handed_in = *handed_in + held;
+            }
+        }
+        self.settle(now);
+    }
+
+    /// Takes in that an incarnation has ended.
+    pub fn observe_gone(&mut self, holder: &GrantHolder, now: Instant) {
+        match self.entries.get_mut(holder) {
+            Some(entry) => {
+                entry.gone_at.get_or_insert(now);
+            }
+            // Its units were never counted here. It becomes an entry without
+            // any, so that the margin passes before it is no longer awaited.
+            None if self.awaited.contains(holder) => {
+                let mut entry = HolderEntry::new(true, now, now);
+                entry.gone_at = Some(now);
+                self.entries.insert(holder.clone(), entry);
+            }
+            None => {}
+        }
+    }
+
+    /// Incarnations that have not reported yet.
+    pub fn awaited(&self) -> impl Iterator<Item = &GrantHolder> {
+        self.awaited.iter()
+    }
+
+    /// How far the table is.
+    pub fn phase(&self, now: Instant) -> TablePhase {
+        match self.whole_from {
+            _ if self.is_closed => TablePhase::Closed,
+            _ if !self.is_opened => TablePhase::Opening,
+            Some(whole_from) if now >= whole_from => TablePhase::Dividing,
+            _ => TablePhase::Collecting,
+        }
+    }
+
+    /// Lets time pass, and says which records to append.
+    pub fn tick(&mut self, ledger: &AllotmentLedger, now: Instant) -> Vec<AllotmentBody> {
+        self.follow(ledger, now);
+        match self.phase(now) {
+            TablePhase::Closed => Vec::new(),
+            TablePhase::Opening => self.ask_opening(now).into_iter().collect(),
+            phase => {
+                let mut bodies = self.remove_ended(now);
+                bodies.extend(self.ask_registrations(now));
+                if phase == TablePhase::Dividing {
+                    bodies.extend(self.ask_releases(ledger, now));
+                }
+                bodies
+            }
+        }
+    }
+
+    fn ask_opening(&mut self, now: Instant) -> Option<AllotmentBody> {
+        if !is_due(self.opening_asked, self.settings.append_retry, now) {
+            return None;
+        }
+        self.opening_asked = Some(now);
+        Some(AllotmentBody::Opened {
+            zone: self.zone.clone(),
+            lease: self.lease,
+            holder: self.holder.clone(),
+        })
+    }
+
+    fn remove_ended(&mut self, now: Instant) -> Vec<AllotmentBody> {
+        let margin = self.settings.gone_margin;
+        let ended: Vec<_> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.has_ended(margin, now))
+            .map(|(holder, entry)| (holder.clone(), entry.is_registered))
+            .collect();
+        let mut bodies = Vec::new();
+        for (holder, is_registered) in ended {
+            self.entries.remove(&holder);
+            self.awaited.remove(&holder);
+            if is_registered {
+                bodies.push(AllotmentBody::Left {
+                    zone: self.zone.clone(),
+                    lease: self.lease,
+                    holder,
+                });
+            }
+        }
+        self.settle(now);
+        bodies
+    }
+
+    fn ask_registrations(&mut self, now: Instant) -> Vec<AllotmentBody> {
+        let retry = self.settings.append_retry;
+        let fresh = self.settings.fresh_report;
+        let mut bodies = Vec::new();
+        for (holder, entry) in &mut self.entries {
+            let is_due = is_due(entry.registration_asked, retry, now);
+            if entry.is_registered || !entry.is_fresh(fresh, now) || !is_due {
+                continue;
+            }
+            entry.registration_asked = Some(now);
+            bodies.push(AllotmentBody::Joined {
+                zone: self.zone.clone(),
+                lease: self.lease,
+                holder: holder.clone(),
+            });
+        }
+        bodies
+    }
+
+    fn ask_releases(&mut self, ledger: &AllotmentLedger, now: Instant) -> Vec<AllotmentBody> {
+        let retry = self.settings.append_retry;
+        let pending = ledger.pending_releases(&self.zone);
+        let mut bodies = Vec::new();
+        for release in pending {
+            let asked = self.releases_asked.get(&release.organisation);
+            let asked_at = asked
+                .filter(|(split, _)| *split == release.split)
+                .map(|(_, at)| *at);
+            let is_given_up = self.counted(&release.organisation).is_within(release.held);
+            if !is_given_up || !is_due(asked_at, retry, now) {
+                continue;
+            }
+            self.note_release(&release, now);
+            bodies.push(AllotmentBody::Released {
+                zone: self.zone.clone(),
+                lease: self.lease,
+                release,
+            });
+        }
+        bodies
+    }
+
+    fn note_release(&mut self, release: &ReleaseRecord, now: Instant) {
+        self.releases_asked
+            .insert(release.organisation.clone(), (release.split, now));
+    }
+
+    /// Notes when the last awaited incarnation is accounted for. Grants that
+    /// lapse may have been given to hosts that the log does not name; they
+    /// have ended once a lapse has passed.
+    fn settle(&mut self, now: Instant) {
+        if self.awaited.is_empty() {
+            let whole_from = now + self.longest_lapse();
+            self.whole_from.get_or_insert(whole_from);
+        }
+    }
+
+    /// Time after which a grant that lapses has ended on any host's clock.
+    pub(super) fn longest_lapse(&self) -> Duration {
+        self.settings.lapse + self.settings.clock_margin
+    }
+
+    /// What all hosts together must be thought to use.
+    pub fn counted(&self, organisation: &str) -> ShareUnits {
+        self.entries
+            .values()
+            .map(|entry| entry.counted(organisation))
+            .sum()
+    }
+
+    /// Most that may be handed out of an organisation's share.
+    pub(super) fn limit(&self, organisation: &str, now: Instant) -> ShareUnits {
+        let share = self.shares.get(organisation).copied().unwrap_or_default();
+        match self.phase(now) {
+            TablePhase::Dividing => share,
+            TablePhase::Collecting => {
+                let handed_in = self.handed_in.get(organisation).copied();
+                share.lower(handed_in.unwrap_or_default())
+            }
+            TablePhase::Opening | TablePhase::Closed => ShareUnits::NONE,
+        }
+    }
+}
+
+fn is_due(asked: Option<Instant>, retry: Duration, now: Instant) -> bool {
+    asked.is_none_or(|asked| now.saturating_duration_since(asked) >= retry)
+}
--- /dev/null
+++ b/src/shares/units.rs
@@ -0,0 +1,100 @@
+//! Amounts of capacity.
+
+use std::iter::Sum;
+use std::ops::{Add, Sub};
+
+use serde::{Deserialize, Serialize};
+
+use crate::admission::ShareLimit;
+use crate::resources::CapacitySpec;
+
+/// An amount of both kinds of capacity; operations work on each kind apart.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct ShareUnits {
+    /// Requests in flight at once.
+    pub concurrent_requests: u32,
+    /// Requests started per second.
+    pub requests_per_second: u32,
+}
+
+impl ShareUnits {
+    /// Nothing.
+    pub const NONE: Self = Self::new(0, 0);
+
+    /// An amount.
+    pub const fn new(concurrent_requests: u32, requests_per_second: u32) -> Self {
+        Self {
+            concurrent_requests,
+            requests_per_second,
+        }
+    }
+
+    /// The lower of two amounts, kind by kind.
+    #[must_use]
+    pub fn lower(self, other: Self) -> Self {
+        self.zip(other, u32::min)
+    }
+
+    /// The higher of two amounts, kind by kind.
+    #[must_use]
+    pub fn higher(self, other: Self) -> Self {
+        self.zip(other, u32::max)
+    }
+
+    /// Whether neither kind exceeds that of `limit`.
+    pub fn is_within(self, limit: Self) -> bool {
+        self.lower(limit) == self
+    }
+
+    fn zip<F>(self, other: Self, combine: F) -> Self
+    where
+        F: Fn(u32, u32) -> u32,
+    {
+        Self {
+            concurrent_requests: combine(self.concurrent_requests, other.concurrent_requests),
+            requests_per_second: combine(self.requests_per_second, other.requests_per_second),
+        }
+    }
+}
+
+impl Add for ShareUnits {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        self.zip(other, u32::saturating_add)
+    }
+}
+
+/// Subtraction stops at zero: where more is counted as used than there is,
+/// nothing is free.
+impl Sub for ShareUnits {
+    type Output = Self;
+
+    fn sub(self, other: Self) -> Self {
+        self.zip(other, u32::saturating_sub)
+    }
+}
+
+impl Sum for ShareUnits {
+    fn sum<I>(units: I) -> Self
+    where
+        I: Iterator<Item = Self>,
+    {
+        units.fold(Self::NONE, Add::add)
+    }
+}
+
+impl From<CapacitySpec> for ShareUnits {
+    fn from(capacity: CapacitySpec) -> Self {
+        Self::new(capacity.concurrent_requests, capacity.requests_per_second)
+    }
+}
+
+impl From<ShareUnits> for ShareLimit {
+    fn from(units: ShareUnits) -> Self {
+        Self {
+            concurrent_requests: units.concurrent_requests,
+            requests_per_second: units.requests_per_second,
+        }
+    }
+}
--- a/tests/peer_rpc.rs
+++ b/tests/peer_rpc.rs
@@ -67,6 +67,7 @@
         concurrent_requests: 9,
         requests_per_second: 8,
         number: 7,
+        lapse: Some(Duration::from_millis(1500)),
     }
 }
 
