--- a/src/lib.rs
+++ b/src/lib.rs
@@ -59,5 +59,6 @@
 pub mod retry;
 pub mod routing;
 pub mod run;
+pub mod shares;
 pub mod target;
 pub mod verdict;
