Keep admission to grants of the zone's share

Cause: each host used the whole bought capacity of every organisation, so eight hosts together could use eight times what was bought. Ruled out: refusing at once for want of a first grant, which sends callers round the hosts while what they bought lies idle.

--- a/src/admission/commands.rs
+++ b/src/admission/commands.rs
@@ -52,11 +52,25 @@
         self.capacity = concurrent;
     }
 
+    /// Notes that capacity of an organisation is wanted here, although no
+    /// request is decided about yet.
+    pub fn note_demand(&mut self, organisation: &OrganisationId, now: Instant) {
+        let window = self.settings.demand_window;
+        if let Some(state) = self.organisations.get_mut(organisation) {
+            state.refusals.count(window, now);
+            state.arrivals.count(window, now);
+        }
+    }
+
     /// Decides about a request that has just arrived.
     ///
     /// A request id that already runs or waits is refused as malformed: the
     /// release of one would otherwise free the slot of the other.
     pub fn admit(&mut self, request: AdmissionRequest, now: Instant) -> AdmissionDecision {
+        let window = self.settings.demand_window;
+        if let Some(state) = self.organisations.get_mut(&request.organisation) {
+            state.arrivals.count(window, now);
+        }
         let place = (Reverse(request.priority), self.arrivals);
         self.arrivals += 1;
         match self.verdict_on_arrival(&request, place, now) {
--- a/src/admission/organisation.rs
+++ b/src/admission/organisation.rs
@@ -21,7 +21,8 @@
     pub(super) drain: DrainRate,
     /// Virtual time up to which it has been served.
     pub(super) served_until: f64,
-    pub(super) refusals: RecentRefusals,
+    pub(super) refusals: RecentCount,
+    pub(super) arrivals: RecentCount,
     /// Whether it is no longer declared; it goes once nothing of it runs.
     pub(super) is_removed: bool,
 }
@@ -36,7 +37,8 @@
             in_flight: 0,
             drain: DrainRate::default(),
             served_until: 0.0,
-            refusals: RecentRefusals::new(now),
+            refusals: RecentCount::new(now),
+            arrivals: RecentCount::new(now),
             is_removed: false,
         }
     }
@@ -62,19 +64,19 @@
     }
 }
 
-/// Refusals in the present and the last window.
+/// Events in the present and the last window: refusals, and arrivals.
 ///
 /// A host whose share is too small refuses at once, so nothing waits; if only
 /// waiting requests counted as demand, the share would never move here and
 /// one would see a host refuse while others are idle.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(super) struct RecentRefusals {
+pub(super) struct RecentCount {
     window_start: Instant,
     present: u32,
     last: u32,
 }
 
-impl RecentRefusals {
+impl RecentCount {
     fn new(now: Instant) -> Self {
         Self {
             window_start: now,
@@ -83,7 +85,7 @@
         }
     }
 
-    /// Counts a refusal for want of capacity.
+    /// Counts an event.
     pub(super) fn count(&mut self, window: Duration, now: Instant) {
         let passed = now.saturating_duration_since(self.window_start);
         if passed >= window {
@@ -97,7 +99,7 @@
         self.present = self.present.saturating_add(1);
     }
 
-    /// Refusals of the last one to two windows.
+    /// Events of the last one to two windows.
     pub(super) fn recent(&self, window: Duration, now: Instant) -> u32 {
         let passed = now.saturating_duration_since(self.window_start);
         match passed {
@@ -106,4 +108,14 @@
             _ => 0,
         }
     }
+
+    /// Events of the fuller one of the last two windows.
+    pub(super) fn peak(&self, window: Duration, now: Instant) -> u32 {
+        let passed = now.saturating_duration_since(self.window_start);
+        match passed {
+            passed if passed < window => self.present.max(self.last),
+            passed if passed < window * 2 => self.present,
+            _ => 0,
+        }
+    }
 }
--- a/src/admission/queries.rs
+++ b/src/admission/queries.rs
@@ -4,12 +4,22 @@
 
 use crate::ids::OrganisationId;
 
-use super::AdmissionTable;
+use super::{AdmissionTable, ShareLimit};
 
 impl AdmissionTable {
     /// Organisations that have a share here, by name.
     pub fn organisations(&self) -> impl Iterator<Item = &OrganisationId> {
-        self.organisations.keys()
+        self.organisations
+            .iter()
+            .filter(|(_, state)| !state.is_removed)
+            .map(|(organisation, _)| organisation)
+    }
+
+    /// What this host may use of an organisation's capacity; nothing if it
+    /// knows no such organisation.
+    pub fn share(&self, organisation: &OrganisationId) -> ShareLimit {
+        let state = self.organisations.get(organisation);
+        state.map(|state| state.limit).unwrap_or_default()
     }
 
     /// Requests of an organisation that run, wait, or were lately refused for
@@ -26,6 +36,17 @@
             .saturating_add(refused)
     }
 
+    /// Requests of an organisation that arrived within one of the last
+    /// windows, scaled to a second: the rate that it wants on this host.
+    pub fn wanted_rate(&self, organisation: &OrganisationId, now: Instant) -> u32 {
+        let Some(state) = self.organisations.get(organisation) else {
+            return 0;
+        };
+        let window = self.settings.demand_window;
+        let arrived = f64::from(state.arrivals.peak(window, now));
+        (arrived / window.as_secs_f64()).ceil() as u32
+    }
+
     /// Requests of an organisation that run.
     pub fn in_flight(&self, organisation: &OrganisationId) -> u32 {
         self.organisations
--- a/src/bin/jackdawwickd.rs
+++ b/src/bin/jackdawwickd.rs
@@ -65,6 +65,9 @@
     let mut stdout = std::io::stdout().lock();
     writeln!(stdout, "callers {}", handle.caller_address())?;
     writeln!(stdout, "operators {}", handle.operator_address())?;
+    if let Some(peers) = handle.peer_address() {
+        writeln!(stdout, "peers {peers}")?;
+    }
     writeln!(stdout, "ready")?;
     stdout.flush()
 }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -18,6 +18,7 @@
 mod reconciling;
 mod relaying;
 mod services;
+mod sharing;
 mod spawn;
 mod tables;
 mod targets;
--- a/src/daemon/callers.rs
+++ b/src/daemon/callers.rs
@@ -5,7 +5,7 @@
 
 use futures::FutureExt;
 
-use super::core::{DaemonCore, DaemonPhase};
+use super::core::DaemonCore;
 use super::{generate, services};
 use crate::api::backend::CallerBackend;
 use crate::api::wire::RefusalBody;
@@ -37,7 +37,7 @@
             }
             .boxed()
         }),
-        ready: Arc::new(move || phase.phase() == DaemonPhase::Serving),
+        ready: Arc::new(move || phase.is_ready()),
         healthy: Arc::new(|| true),
     }
 }
--- a/src/daemon/core.rs
+++ b/src/daemon/core.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use parking_lot::Mutex;
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 use tokio_util::task::TaskTracker;
 
 use super::tables::SharedTables;
@@ -21,6 +21,9 @@
 use crate::platform::client::PlatformClient;
 use crate::target::client::TargetClient;
 
+/// Requests that may wait for a first grant at once; more are decided without.
+const GRANT_WAITS: usize = 256;
+
 /// Phases of a daemon's life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[repr(u8)]
@@ -43,6 +46,10 @@
     /// Offset after the last applied declaration record.
     pub(super) applied: watch::Sender<LogOffset>,
     pub(super) admission_changed: Notify,
+    /// Requests that may wait for a first grant at once.
+    pub(super) grant_waits: Semaphore,
+    /// Told when this host may use more or less of some capacity.
+    pub(super) shares_changed: Notify,
     /// Runs and calls in flight, waited for at shutdown.
     pub(super) in_flight: TaskTracker,
     pub(super) metrics: MetricSet,
@@ -77,6 +84,8 @@
             declaration_appends,
             applied: watch::Sender::new(0),
             admission_changed: Notify::new(),
+            grant_waits: Semaphore::new(GRANT_WAITS),
+            shares_changed: Notify::new(),
             in_flight: TaskTracker::new(),
             metrics: MetricSet::default(),
             platform,
@@ -147,6 +156,18 @@
         self.ordering.try_lock().is_err()
     }
 
+    /// Whether the balancer should send callers here: the configuration is
+    /// usable and, if there are organisations, somebody divides the zone's
+    /// capacity.
+    pub(super) fn is_ready(&self) -> bool {
+        if self.phase() != DaemonPhase::Serving {
+            return false;
+        }
+        let is_divided = self.tables.shares.lock().lease().is_some();
+        let desk = self.tables.admission.lock();
+        is_divided || desk.table.organisations().next().is_none()
+    }
+
     /// Whether nothing new is taken any more.
     pub(super) fn is_draining(&self) -> bool {
         self.phase() == DaemonPhase::Draining
--- a/src/daemon/in_force.rs
+++ b/src/daemon/in_force.rs
@@ -1,14 +1,16 @@
 //! Refreshing the tables that are built from what is declared.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
 use super::core::DaemonCore;
+use super::sharing::declare_shares;
 use crate::admission::ShareLimit;
-use crate::collections::FastSet;
-use crate::ids::OrganisationId;
+use crate::ids::{OrganisationId, ZoneId};
 use crate::membership::DeclaredTarget;
 use crate::replay::DeclarationTable;
 use crate::resources::{ResourceKey, ResourceKind, ResourceSpec, TargetPhase};
+use crate::shares::ShareUnits;
 
 /// Every kind of resource, in the order in which tables are refreshed.
 const KINDS: [ResourceKind; 5] = [
@@ -23,7 +25,7 @@
 pub(super) fn put_in_force(core: &DaemonCore) {
     let declarations = core.tables.declarations.read();
     watch_declared(core, &declarations);
-    set_shares(core, &declarations);
+    declare_organisations(core, &declarations);
     let resources = declared_resources(&declarations);
     let mut routes = core.tables.routes.write();
     routes.set_pipelines(resources.iter().map(|(key, spec)| (key, *spec)));
@@ -44,32 +46,38 @@
     core.tables.watch.lock().set_declared(&targets);
 }
 
-/// Sets what each organisation may use here; one that was deleted may use
-/// nothing from now on.
-fn set_shares(core: &DaemonCore, declarations: &DeclarationTable) {
-    let now = Instant::now();
-    let mut desk = core.tables.admission.lock();
-    let mut declared = FastSet::default();
+/// Tells the shares what was bought, and admission which organisations there
+/// are: what each may use here comes with the grants. One that was deleted may
+/// use nothing from now on.
+fn declare_organisations(core: &DaemonCore, declarations: &DeclarationTable) {
+    let mut bought = BTreeMap::new();
     for entry in declarations.list(ResourceKind::Organisation) {
-        let ResourceSpec::Organisation(spec) = &entry.resource.spec else {
-            continue;
-        };
-        let organisation = OrganisationId::clone(entry.name);
-        let limit = ShareLimit {
-            concurrent_requests: spec.capacity.concurrent_requests,
-            requests_per_second: spec.capacity.requests_per_second,
-        };
-        declared.insert(organisation.clone());
-        desk.table.set_share(organisation, limit, now);
+        if let ResourceSpec::Organisation(spec) = &entry.resource.spec {
+            let units = ShareUnits {
+                concurrent_requests: spec.capacity.concurrent_requests,
+                requests_per_second: spec.capacity.requests_per_second,
+            };
+            bought.insert(OrganisationId::clone(entry.name), units);
+        }
     }
-    let deleted: Vec<OrganisationId> = desk
-        .table
-        .organisations()
-        .filter(|organisation| !declared.contains(*organisation))
-        .cloned()
+    let zones: BTreeSet<ZoneId> = declarations
+        .targets()
+        .map(|target| target.spec.zone.clone())
         .collect();
-    for organisation in deleted {
-        desk.table.remove_share(&organisation, now);
+    list_organisations(core, &bought);
+    declare_shares(core, bought, zones);
+}
+
+fn list_organisations(core: &DaemonCore, declared: &BTreeMap<OrganisationId, ShareUnits>) {
+    let now = Instant::now();
+    let mut desk = core.tables.admission.lock();
+    let known: BTreeSet<OrganisationId> = desk.table.organisations().cloned().collect();
+    for organisation in declared.keys().filter(|name| !known.contains(*name)) {
+        desk.table
+            .set_share(organisation.clone(), ShareLimit::default(), now);
+    }
+    for organisation in known.iter().filter(|name| !declared.contains_key(*name)) {
+        desk.table.remove_share(organisation, now);
     }
 }
 
--- a/src/daemon/leases.rs
+++ b/src/daemon/leases.rs
@@ -82,6 +82,11 @@
     format!("zone-shares/{zone}").into()
 }
 
+/// Name of the lease on splitting capacity over zones.
+pub(super) fn allotments_lease() -> LeaseName {
+    "allotments".into()
+}
+
 /// Follows the stream and tries to hold the zone's leases, until the daemon
 /// ends.
 pub(super) async fn run_leases(core: Arc<DaemonCore>, appends: Arc<AppendQueue>, seed: u64) {
@@ -106,7 +111,11 @@
     let owner = owner(core);
     let now = Instant::now();
     let mut desk = core.tables.leases.lock();
-    for name in [orders_lease(core.zone()), shares_lease(core.zone())] {
+    for name in [
+        orders_lease(core.zone()),
+        shares_lease(core.zone()),
+        allotments_lease(),
+    ] {
         let terms = LeaseTerms {
             duration,
             renew_after: duration / RENEWALS_PER_DURATION,
--- a/src/daemon/members.rs
+++ b/src/daemon/members.rs
@@ -4,9 +4,11 @@
 use std::time::{Duration, Instant};
 
 use super::core::{DaemonCore, DaemonPhase};
+use super::sharing::{OutgoingReport, answer_report, note_gone, outgoing_report, take_grants};
 use crate::ids::HostId;
 use crate::membership::MembershipDecision;
 use crate::peer::{PeerHeartbeat, PeerReply};
+use crate::shares::GrantHolder;
 use crate::target::wire::LoadReport;
 
 /// Pause between two looks at who is due for a heartbeat.
@@ -56,8 +58,15 @@
             MembershipDecision::HostRecovered { host } => {
                 log::info!("host {host} is heard again");
             }
-            MembershipDecision::HostGone { host, cause, .. } => {
+            MembershipDecision::HostGone {
+                host,
+                incarnation,
+                cause,
+            } => {
                 log::info!("host {host} is gone: {cause:?}");
+                if let Some(incarnation) = incarnation {
+                    note_gone(core, &GrantHolder { host, incarnation });
+                }
             }
         }
     }
@@ -67,10 +76,15 @@
     let Some(peers) = core.peers() else {
         return;
     };
-    let beat = own_beat(&core, remote);
+    let mut beat = own_beat(&core, remote);
+    let sent = outgoing_report(&core, &to);
+    if let Some(sent) = &sent {
+        beat.demands_for = Some(sent.report.lease);
+        beat.demands.clone_from(&sent.report.demands);
+    }
     match peers.heartbeat(address, beat).await {
         // An address may have passed to another host.
-        Ok(reply) if reply.beat.host == to => take_reply(&core, &reply),
+        Ok(reply) if reply.beat.host == to => take_reply(&core, &reply, sent.as_ref()),
         Ok(reply) => log::warn!("{address} is {} and not {to}", reply.beat.host),
         Err(error) => log::debug!("no heartbeat from {to}: {error}"),
     }
@@ -89,18 +103,22 @@
     membership.next_heartbeat(remote, loads)
 }
 
-fn take_reply(core: &Arc<DaemonCore>, reply: &PeerReply) {
+fn take_reply(core: &Arc<DaemonCore>, reply: &PeerReply, sent: Option<&OutgoingReport>) {
     take_beat(core, &reply.beat);
+    if let (Some(lease), Some(sent)) = (reply.lease_offset, sent) {
+        take_grants(core, lease, &reply.grants, sent.sent_at);
+    }
 }
 
 /// Answers a peer's heartbeat with this host's own.
 pub(super) fn answer_beat(core: &Arc<DaemonCore>, beat: &PeerHeartbeat) -> PeerReply {
     take_beat(core, beat);
     let remote = beat.zone != *core.zone();
+    let grants = answer_report(core, beat);
     PeerReply {
         beat: own_beat(core, remote),
-        lease_offset: None,
-        grants: Vec::new(),
+        lease_offset: beat.demands_for.filter(|_| grants.is_some()),
+        grants: grants.unwrap_or_default(),
     }
 }
 
--- a/src/daemon/operators.rs
+++ b/src/daemon/operators.rs
@@ -180,7 +180,7 @@
     StatusView {
         host: core.host().clone(),
         zone: core.zone().clone(),
-        ready: core.phase() == DaemonPhase::Serving,
+        ready: core.is_ready(),
         draining: core.phase() == DaemonPhase::Draining,
         applied: declarations.applied(),
         targets,
--- /dev/null
+++ b/src/daemon/sharing.rs
@@ -0,0 +1,300 @@
+//! Dividing the capacity that organisations bought, over zones and hosts.
+//!
+//! This host reports what it holds and wants to the holder of the lease on its
+//! zone's shares, in its heartbeats; grants come in the answers. Admission
+//! keeps to them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use uuid::Uuid;
+
+use super::core::DaemonCore;
+use super::leases::{allotments_lease, shares_lease};
+use crate::admission::ShareLimit;
+use crate::ids::{HostId, LogOffset, OrganisationId, RecordId};
+use crate::peer::{PeerGrant, PeerHeartbeat};
+use crate::platform::append_queue::AppendQueue;
+use crate::platform::backoff::BackoffPolicy;
+use crate::platform::log_tail::{LogTail, TailEvent, TailOptions};
+use crate::platform::wire::StoredRecord;
+use crate::records::{ALLOTMENT_STREAM, JUDGING_RULES, LogRecord, RawRecord};
+use crate::resources::{ResourceKey, ResourceKind};
+use crate::shares::{AllotmentBody, GrantHolder, ShareReport, ShareUnits, ShareUsage};
+
+/// Pause between two rounds.
+const SHARES_TICK: Duration = Duration::from_millis(100);
+/// Rounds between two reports of the holder to itself; others report with
+/// their heartbeats.
+const ROUNDS_PER_OWN_REPORT: u64 = 2;
+/// Pause between two looks at whether splits over zones are due.
+const SPLIT_INTERVAL: Duration = Duration::from_secs(2);
+/// Records after which the stream gets a checkpoint.
+const CHECKPOINT_RECORDS: u64 = 2_000;
+/// Longest time for which writing a split may take effect.
+const LONGEST_APPEND: Duration = Duration::from_secs(2);
+/// Most records in one read of the log.
+const READ_LIMIT: usize = 512;
+/// Reads that may wait to be applied.
+const READ_AHEAD: usize = 4;
+
+/// What a heartbeat carries for the holder of the zone's shares.
+pub(super) struct OutgoingReport {
+    pub(super) report: ShareReport,
+    pub(super) sent_at: Instant,
+}
+
+/// Follows the stream, reports, and keeps admission to the grants, until the
+/// daemon ends.
+pub(super) async fn run_sharing(core: Arc<DaemonCore>, appends: Arc<AppendQueue>, seed: u64) {
+    let mut tail = open_tail(&core, seed);
+    let mut ticks = tokio::time::interval(SHARES_TICK);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut rounds = 0;
+    let mut split_at = Instant::now();
+    // A new holder writes a checkpoint first: it cannot know how long ago the
+    // last one was written.
+    let mut checkpoint_at = 0;
+    loop {
+        tokio::select! {
+            event = tail.next() => match event {
+                Some(TailEvent::Records { records, .. }) => apply_records(&core, &records),
+                Some(_) => {}
+                None => return,
+            },
+            _ = ticks.tick() => {
+                rounds += 1;
+                observe_lease(&core);
+                if rounds % ROUNDS_PER_OWN_REPORT == 0 {
+                    report_to_self(&core);
+                }
+                tick(&core, &appends);
+                if Instant::now() >= split_at {
+                    split_at = Instant::now() + SPLIT_INTERVAL;
+                    write_splits(&core, &appends, &mut checkpoint_at);
+                }
+                keep_to_grants(&core);
+            }
+        }
+    }
+}
+
+fn open_tail(core: &DaemonCore, seed: u64) -> LogTail {
+    let options = TailOptions {
+        stream: ALLOTMENT_STREAM.to_owned(),
+        from: 0,
+        limit: READ_LIMIT,
+        wait: core.options.timing.log_wait,
+        backoff: BackoffPolicy::default(),
+        seed,
+        capacity: READ_AHEAD,
+    };
+    LogTail::spawn(core.platform.clone(), options)
+}
+
+fn apply_records(core: &DaemonCore, records: &[StoredRecord]) {
+    let now = Instant::now();
+    let mut shares = core.tables.shares.lock();
+    for record in records {
+        match RawRecord::<AllotmentBody>::read(&record.body) {
+            RawRecord::Known(known) => {
+                shares.apply(record.offset, &known.body, now);
+            }
+            RawRecord::NewerRules | RawRecord::Malformed => shares.skip(record.offset),
+        }
+    }
+}
+
+/// Tells the shares who holds the zone's lease, and whom to call for grants.
+fn observe_lease(core: &DaemonCore) {
+    let holder = {
+        let desk = core.tables.leases.lock();
+        desk.table.holder(&shares_lease(core.zone())).cloned()
+    };
+    let Some(holder) = holder else {
+        return;
+    };
+    let is_own = holder.owner.host == *core.host() && holder.owner.incarnation == core.incarnation;
+    let mut membership = core.tables.membership.lock();
+    membership.set_share_holder(Some(holder.owner.host).filter(|_| !is_own));
+    let mut shares = core.tables.shares.lock();
+    shares.observe_lease(holder.fencing, is_own);
+}
+
+/// Takes in what is declared: what was bought, and the zones with targets.
+pub(super) fn declare_shares(
+    core: &DaemonCore,
+    bought: BTreeMap<OrganisationId, ShareUnits>,
+    zones: BTreeSet<crate::ids::ZoneId>,
+) {
+    core.tables.shares.lock().set_declared(bought, zones);
+}
+
+fn usage(core: &DaemonCore) -> BTreeMap<OrganisationId, ShareUsage> {
+    let now = Instant::now();
+    let desk = core.tables.admission.lock();
+    desk.table
+        .organisations()
+        .map(|organisation| {
+            let in_flight = desk.table.in_flight(organisation);
+            let demand = desk.table.demand(organisation, now);
+            let usage = ShareUsage {
+                in_flight,
+                waiting: demand.saturating_sub(in_flight),
+                wanted_rate: desk.table.wanted_rate(organisation, now),
+            };
+            (organisation.clone(), usage)
+        })
+        .collect()
+}
+
+fn report_to_self(core: &DaemonCore) {
+    let usage = usage(core);
+    let mut shares = core.tables.shares.lock();
+    shares.report_to_self(&usage, Instant::now());
+}
+
+/// The report for a heartbeat to `to`, if that host divides the shares.
+pub(super) fn outgoing_report(core: &DaemonCore, to: &HostId) -> Option<OutgoingReport> {
+    let is_holder = {
+        let desk = core.tables.leases.lock();
+        let holder = desk.table.holder(&shares_lease(core.zone()));
+        holder.is_some_and(|holder| holder.owner.host == *to)
+    };
+    if !is_holder {
+        return None;
+    }
+    let usage = usage(core);
+    let sent_at = Instant::now();
+    let report = core.tables.shares.lock().report(&usage, sent_at)?;
+    Some(OutgoingReport { report, sent_at })
+}
+
+/// Grants for a host of this zone that has just reported.
+pub(super) fn answer_report(core: &DaemonCore, beat: &PeerHeartbeat) -> Option<Vec<PeerGrant>> {
+    let lease = beat.demands_for?;
+    // A holder whose lease has lapsed may have been replaced; the grants of
+    // both together could exceed the zone's share.
+    let held = {
+        let desk = core.tables.leases.lock();
+        desk.may_act(&shares_lease(core.zone()), Instant::now(), Duration::ZERO)
+    };
+    if held != Some(lease) {
+        return None;
+    }
+    let from = GrantHolder {
+        host: beat.host.clone(),
+        incarnation: beat.incarnation,
+    };
+    let report = ShareReport {
+        lease,
+        demands: beat.demands.clone(),
+    };
+    let mut shares = core.tables.shares.lock();
+    shares.observe_report(&from, beat.sequence, &report, beat.draining, Instant::now())
+}
+
+/// Takes in the grants that came in answer to a report.
+pub(super) fn take_grants(
+    core: &DaemonCore,
+    lease: LogOffset,
+    grants: &[PeerGrant],
+    sent_at: Instant,
+) {
+    core.tables
+        .shares
+        .lock()
+        .observe_answer(lease, grants, sent_at);
+    keep_to_grants(core);
+}
+
+/// Takes in that a host's incarnation has ended.
+pub(super) fn note_gone(core: &DaemonCore, holder: &GrantHolder) {
+    core.tables
+        .shares
+        .lock()
+        .observe_gone(holder, Instant::now());
+}
+
+fn tick(core: &Arc<DaemonCore>, appends: &Arc<AppendQueue>) {
+    let bodies = core.tables.shares.lock().tick(Instant::now());
+    for body in bodies {
+        append(core, appends, body);
+    }
+}
+
+/// Writes what the split over zones should be, as the one host of the system
+/// that may.
+fn write_splits(core: &Arc<DaemonCore>, appends: &Arc<AppendQueue>, checkpoint_at: &mut LogOffset) {
+    let may_write = {
+        let desk = core.tables.leases.lock();
+        desk.may_act(&allotments_lease(), Instant::now(), LONGEST_APPEND)
+    };
+    if may_write.is_none() {
+        return;
+    }
+    let declarations = core.tables.declarations.read();
+    let version = |organisation: &OrganisationId| {
+        let key = ResourceKey::new(ResourceKind::Organisation, organisation.clone());
+        let latest = declarations.latest_change(&key);
+        latest.map_or(0, |latest| latest.version)
+    };
+    let mut bodies: Vec<AllotmentBody> = Vec::new();
+    {
+        let shares = core.tables.shares.lock();
+        let ledger = shares.ledger();
+        bodies.extend(
+            ledger
+                .due_splits(version)
+                .into_iter()
+                .map(AllotmentBody::Split),
+        );
+        let next = ledger.next_offset();
+        if next >= *checkpoint_at && next > 0 {
+            *checkpoint_at = next + CHECKPOINT_RECORDS;
+            bodies.push(ledger.checkpoint());
+        }
+    }
+    drop(declarations);
+    for body in bodies {
+        append(core, appends, body);
+    }
+}
+
+/// Appends a record. One that is lost is decided upon again.
+fn append(core: &Arc<DaemonCore>, appends: &Arc<AppendQueue>, body: AllotmentBody) {
+    let record = LogRecord {
+        id: RecordId::from(Uuid::new_v4().to_string()),
+        rules: JUDGING_RULES,
+        writer: core.host().clone(),
+        incarnation: core.incarnation,
+        body,
+    };
+    let Ok(text) = serde_json::to_string(&record) else {
+        return;
+    };
+    if appends.submit(text).is_err() {
+        log::warn!("too many allotment records wait to be appended");
+    }
+}
+
+/// Sets what admission may start for each organisation.
+fn keep_to_grants(core: &DaemonCore) {
+    let now = Instant::now();
+    let shares = core.tables.shares.lock();
+    let mut desk = core.tables.admission.lock();
+    let organisations: Vec<OrganisationId> = desk.table.organisations().cloned().collect();
+    for organisation in organisations {
+        let units = shares.limit(&organisation, now);
+        let limit = ShareLimit {
+            concurrent_requests: units.concurrent_requests,
+            requests_per_second: units.requests_per_second,
+        };
+        desk.table.set_share(organisation, limit, now);
+    }
+    drop(desk);
+    drop(shares);
+    core.admission_changed.notify_one();
+    core.shares_changed.notify_waiters();
+}
--- a/src/daemon/spawn.rs
+++ b/src/daemon/spawn.rs
@@ -17,6 +17,7 @@
 use super::operators::operator_backend;
 use super::reconciling::run_reconciling;
 use super::relaying::{relay_records, run_relaying};
+use super::sharing::run_sharing;
 use super::tables::{SharedTables, TableSettings};
 use super::targets::{run_host_list, run_load_polls};
 use crate::admission::AdmissionSettings;
@@ -30,9 +31,10 @@
 use crate::peer::{ClaimOutcome, PeerError, PeerHandle, PeerHandlers, PeerSettings, spawn_on};
 use crate::platform::append_queue::{AppendOptions, AppendQueue};
 use crate::platform::client::{PlatformClient, PlatformTimeouts};
-use crate::records::{DECLARATION_STREAM, LEASE_STREAM};
+use crate::records::{ALLOTMENT_STREAM, DECLARATION_STREAM, LEASE_STREAM};
 use crate::retry::{BudgetSettings, EjectionSettings};
 use crate::routing::RouteSettings;
+use crate::shares::{GrantHolder, GrantSettings, ZoneShares};
 use crate::target::client::{TargetClient, TargetTimeouts};
 
 /// How long the platform may take for one answer.
@@ -84,12 +86,17 @@
         core.platform.clone(),
         AppendOptions::for_stream(LEASE_STREAM),
     ));
+    let allotment_appends = Arc::new(AppendQueue::spawn(
+        core.platform.clone(),
+        AppendOptions::for_stream(ALLOTMENT_STREAM),
+    ));
     let workers = vec![
         tokio::spawn(run_declarations(Arc::clone(&core), seed)),
         tokio::spawn(run_relaying(Arc::clone(&core))),
         tokio::spawn(run_checkpoints(Arc::clone(&core), seed)),
         tokio::spawn(run_leases(Arc::clone(&core), lease_appends, seed)),
         tokio::spawn(run_reconciling(Arc::clone(&core))),
+        tokio::spawn(run_sharing(Arc::clone(&core), allotment_appends, seed)),
         tokio::spawn(run_admission(Arc::clone(&core))),
         tokio::spawn(run_members(Arc::clone(&core))),
         tokio::spawn(run_load_polls(Arc::clone(&core))),
@@ -219,6 +226,16 @@
         suspect_after: options.timing.peer_timeout,
         ..MembershipSettings::new(host.clone(), zone.clone(), incarnation, peer_address)
     };
+    let holder = GrantHolder {
+        host: host.clone(),
+        incarnation,
+    };
+    let shares = ZoneShares::new(
+        GrantSettings::default(),
+        zone.clone(),
+        holder,
+        Instant::now(),
+    );
     let watch = WatchSettings::new(host.clone(), zone.clone());
     let admission = AdmissionSettings {
         queue_length: options.limits.max_queued_per_organisation,
@@ -245,6 +262,7 @@
     };
     TableSettings {
         membership,
+        shares,
         watch,
         admission,
         routes,
--- a/src/daemon/tables.rs
+++ b/src/daemon/tables.rs
@@ -24,6 +24,7 @@
 use crate::replay::{DeclarationTable, RecordRelay, RelayLimits};
 use crate::retry::{BudgetSettings, RetryBudget};
 use crate::routing::{RouteSettings, RouteTable};
+use crate::shares::ZoneShares;
 
 /// Records kept for peers: those of several hours at a few a minute.
 const RELAY_LIMITS: RelayLimits = RelayLimits {
@@ -41,6 +42,8 @@
     pub(super) leases: Mutex<LeaseDesk>,
     /// Second: the other entry hosts.
     pub(super) membership: Mutex<MembershipTable>,
+    /// Then: what this host may use of each organisation's capacity.
+    pub(super) shares: Mutex<ZoneShares>,
     /// Third: which targets are watched, and which are leaving.
     pub(super) watch: Mutex<TargetWatch>,
     /// Fourth: who may start, with those who wait to be told.
@@ -67,6 +70,7 @@
 /// Settings of all tables.
 pub(super) struct TableSettings {
     pub(super) membership: MembershipSettings,
+    pub(super) shares: ZoneShares,
     pub(super) watch: WatchSettings,
     pub(super) admission: AdmissionSettings,
     pub(super) routes: RouteSettings,
@@ -80,6 +84,7 @@
     pub(super) fn new(settings: TableSettings, now: Instant) -> Arc<Self> {
         let TableSettings {
             membership,
+            shares,
             watch,
             admission,
             routes,
@@ -93,6 +98,7 @@
             relay: Mutex::new(RecordRelay::new(RELAY_LIMITS)),
             leases: Mutex::new(LeaseDesk::new(LeaseTable::new(clock_margin))),
             membership: Mutex::new(MembershipTable::new(membership, now)),
+            shares: Mutex::new(shares),
             watch: Mutex::new(TargetWatch::new(watch)),
             admission: Mutex::new(AdmissionDesk {
                 table: AdmissionTable::new(admission, seed),
--- a/src/shares/grant_answer.rs
+++ b/src/shares/grant_answer.rs
@@ -102,11 +102,19 @@
         let is_near = target.is_within(grant.granted + grant.granted)
             && target != ShareUnits::NONE
             && grant.granted.is_within(target + target);
+        // A host that joined after the others had divided everything wants
+        // nothing yet and holds nothing; its first request would wait.
+        let hosts = u32::try_from(self.fresh_entries(now).count()).unwrap_or(u32::MAX);
+        let one_each = ShareUnits {
+            concurrent_requests: hosts,
+            requests_per_second: hosts,
+        };
+        let has_enough = one_each.is_within(self.limit(organisation, now));
         let nobody_short = self.fresh_entries(now).all(|(_, entry)| {
             let granted = entry.grants.get(organisation).map(|other| other.granted);
-            entry
-                .want(organisation)
-                .is_within(granted.unwrap_or_default())
+            let granted = granted.unwrap_or_default();
+            let has_some = granted.concurrent_requests > 0 && granted.requests_per_second > 0;
+            entry.want(organisation).is_within(granted) && (has_some || !has_enough)
         });
         let nothing_idle = self
             .limit(organisation, now)
--- a/standins/tests/support/mod.rs
+++ b/standins/tests/support/mod.rs
@@ -99,6 +99,7 @@
     pub process: TestProcess,
     pub callers: SocketAddr,
     pub operators: SocketAddr,
+    pub peers: SocketAddr,
     _settings: tempfile::NamedTempFile,
 }
 
@@ -111,6 +112,7 @@
         Ok(Self {
             callers: process.address("callers ")?,
             operators: process.address("operators ")?,
+            peers: process.address("peers ")?,
             process,
             _settings: file,
         })
--- a/standins/tests/whole_path.rs
+++ b/standins/tests/whole_path.rs
@@ -6,6 +6,7 @@
 
 use http::Method;
 use jackdawwick::api::wire::{GenerateBody, StatusView};
+use jackdawwick::platform::wire::{HostList, ListedHost, ListedPhase};
 use standins::caller::{CallerClient, OutgoingCall};
 use standins::daemon_settings::DaemonPlace;
 use standins::declarations::{self, StageLayout, StageTarget};
@@ -21,6 +22,13 @@
 /// Time of a step on the three stages, in microseconds: mixed speeds.
 const STEP_TIMES: [u64; 3] = [200, 1_000, 400];
 
+/// Entry hosts and their availability zones.
+const PLACES: [(&str, &str); 3] = [
+    ("entry-1", "vake"),
+    ("entry-2", "vake"),
+    ("entry-3", "didube"),
+];
+
 struct ProcessFleet {
     processes: Vec<TestProcess>,
     engines: Vec<SocketAddr>,
@@ -50,23 +58,28 @@
         stages.push(StageLayout {
             first_layer: first,
             last_layer: last,
-            targets: vec![place(&format!("engine-{index}"), address)],
+            targets: vec![place(&format!("engine-{index}"), zone_of(index), address)],
         });
     }
     let ledger = start("service", &[])?;
     let mut daemons = Vec::new();
-    for (host, zone) in [
-        ("entry-1", "vake"),
-        ("entry-2", "vake"),
-        ("entry-3", "didube"),
-    ] {
+    for (host, zone) in PLACES {
         let settings = DaemonPlace::new(host, zone, platform).to_toml("");
         daemons.push(DaemonProcess::spawn(&settings)?);
     }
+    let hosts = HostList {
+        hosts: PLACES
+            .iter()
+            .zip(&daemons)
+            .map(|((host, zone), daemon)| listed(host, zone, daemon))
+            .collect(),
+        targets: Vec::new(),
+    };
+    call(Method::PUT, platform, "/control/hosts", &hosts).await?;
     let mut resources = declarations::pipeline(MODEL, &stages);
     resources.extend(declarations::service(
         "ledger",
-        &[place("ledger-1", ledger)],
+        &[place("ledger-1", "vake", ledger)],
         &["settle"],
     ));
     resources.push(declarations::organisation("desk", 100, 1_000));
@@ -89,10 +102,27 @@
     })
 }
 
-fn place(name: &str, address: SocketAddr) -> StageTarget {
+fn listed(host: &str, zone: &str, daemon: &DaemonProcess) -> ListedHost {
+    ListedHost {
+        host: host.into(),
+        zone: zone.into(),
+        peer_address: daemon.peers.to_string(),
+        phase: ListedPhase::Live,
+    }
+}
+
+/// Both zones have engines: capacity is split over the zones with targets.
+fn zone_of(index: u32) -> &'static str {
+    match index {
+        1 => "didube",
+        _ => "vake",
+    }
+}
+
+fn place(name: &str, zone: &str, address: SocketAddr) -> StageTarget {
     StageTarget {
         name: name.to_owned(),
-        zone: "vake".into(),
+        zone: zone.into(),
         address,
         tokens_per_second: 1_000.0,
         concurrency: 16,
