--- a/src/shares/zone_shares.rs
+++ b/src/shares/zone_shares.rs
@@ -200,6 +200,13 @@
         self.lease
     }
 
+    /// Incarnations that the log names and that have not reported to this
+    /// holder; empty on other hosts. Those that membership judges as ended
+    /// are to be passed to [`ZoneShares::observe_gone`].
+    pub fn awaited(&self) -> impl Iterator<Item = &GrantHolder> {
+        self.table.iter().flat_map(GrantTable::awaited)
+    }
+
     /// The table of grants given, if this host has had the lease.
     pub fn table(&self) -> Option<&GrantTable> {
         self.table.as_ref()
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -352,6 +352,25 @@
     assert_eq!(gone, vec![expected]);
 }
 
+/// Symptom: a new holder of shares waits for ever for a host that died before
+/// it started, or frees the grants of one that it merely has not heard yet.
+/// Events: the log names incarnations that this host never heard.
+/// Cause: no judgement, or a hasty one, on hosts that are not in the table.
+#[test]
+fn an_incarnation_never_heard_has_ended_once_a_late_list_lacks_it() {
+    let start = Instant::now();
+    let mut table = MembershipTable::new(settings("z0-0", 4), start);
+    table.observe_host_list(&list(&["z0-0", "z0-1"]), start);
+    assert!(!table.has_ended("z0-1", 7), "listed, not heard");
+    assert!(!table.has_ended("z0-2", 7), "the list may lag");
+    table.observe_heartbeat(&beat("z0-1", 8, 1, 0), start);
+    assert!(table.has_ended("z0-1", 7), "replaced");
+    assert!(!table.has_ended("z0-1", 8));
+    assert!(table.has_ended("z0-0", 3), "an earlier process here");
+    table.observe_host_list(&list(&["z0-0"]), start + Duration::from_secs(30));
+    assert!(table.has_ended("z0-2", 7));
+}
+
 /// Symptom: a host that was paused counts everyone else as unreachable.
 /// Events: no tick for a minute, then one.
 /// Cause: its own pause taken for the others' silence.
