Take work only with the newest configuration that is known

Cause: a daemon became ready once it had read the log or once the peers heard so far held nothing newer. A host started in an outage that heard first of a peer which had been cut off for long took work under that peer's old configuration. One that fell behind what its peers' heartbeats told, or that followed a peer to a record of newer rules, stayed ready.

Change: ReadinessTracker judges in place of the simple checks. It learns end offsets from each read of the log and from each heartbeat, and what is applied when that is put in force. Whether the daemon serves is judged at each question, since a host falls behind by time alone. A starting host takes work only after the log was read to its end, or all known peers were heard, or the peers' timeout has passed. A start from peers now goes on to follow the log, where it used to try a start from the log for as long as that was down.

Ruled out: counting a host that hears nobody as behind; it is to go on serving.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -15,6 +15,7 @@
 mod leases;
 mod members;
 mod operators;
+mod readiness;
 mod reconciling;
 mod relaying;
 mod services;
--- a/src/daemon/core.rs
+++ b/src/daemon/core.rs
@@ -1,7 +1,7 @@
 //! What every worker of the daemon holds on to.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, OnceLock};
 
 use std::time::{Duration, Instant, SystemTime};
@@ -10,6 +10,7 @@
 use tokio::sync::{Notify, watch};
 use tokio_util::task::TaskTracker;
 
+use super::readiness::ReadinessGate;
 use super::tables::SharedTables;
 use crate::ids::{HostId, IncarnationId, LogOffset, RequestId, TargetId, ZoneId};
 use crate::journal::{JournalEntry, JournalEvent, JournalSubject};
@@ -19,13 +20,14 @@
 use crate::peer::PeerHandle;
 use crate::platform::append_queue::AppendQueue;
 use crate::platform::client::PlatformClient;
+use crate::replay::Readiness;
 use crate::target::client::TargetClient;
 
 /// Phases of a daemon's life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-#[repr(u8)]
 pub(super) enum DaemonPhase {
-    /// No usable configuration yet: takes no work.
+    /// No usable configuration, or an older one than is known to exist: takes
+    /// no work.
     Starting,
     /// Takes work.
     Serving,
@@ -55,7 +57,9 @@
     /// When a checkpoint was last seen in the log.
     checkpoint_seen: Mutex<Option<Instant>>,
     run_numbers: AtomicU64,
-    phase: AtomicU8,
+    /// What is applied here against what is known to exist.
+    pub(super) readiness: ReadinessGate,
+    draining: AtomicBool,
 }
 
 impl DaemonCore {
@@ -83,7 +87,8 @@
             log_horizon: AtomicU64::new(0),
             checkpoint_seen: Mutex::new(None),
             run_numbers: AtomicU64::new(0),
-            phase: AtomicU8::new(DaemonPhase::Starting as u8),
+            readiness: ReadinessGate::new(),
+            draining: AtomicBool::new(false),
         })
     }
 
@@ -126,47 +131,25 @@
         &self.options.host.zone
     }
 
+    /// Judged afresh at each call: a host falls behind by time alone.
     pub(super) fn phase(&self) -> DaemonPhase {
-        match self.phase.load(Ordering::Acquire) {
-            phase if phase == DaemonPhase::Serving as u8 => DaemonPhase::Serving,
-            phase if phase == DaemonPhase::Draining as u8 => DaemonPhase::Draining,
-            _ => DaemonPhase::Starting,
+        match self.readiness.readiness(Instant::now()) {
+            _ if self.is_draining() => DaemonPhase::Draining,
+            Readiness::Ready => DaemonPhase::Serving,
+            Readiness::NotReady(_) => DaemonPhase::Starting,
         }
     }
 
     /// Whether nothing new is taken any more.
     pub(super) fn is_draining(&self) -> bool {
-        self.phase() == DaemonPhase::Draining
+        self.draining.load(Ordering::Acquire)
     }
 
-    /// Becomes ready, unless the daemon is draining already.
-    pub(super) fn become_ready(&self) {
-        let _ = self.phase.compare_exchange(
-            DaemonPhase::Starting as u8,
-            DaemonPhase::Serving as u8,
-            Ordering::AcqRel,
-            Ordering::Acquire,
-        );
-    }
-
-    /// Takes no work any more, because what is declared can't be followed.
-    pub(super) fn become_unready(&self) {
-        let _ = self.phase.compare_exchange(
-            DaemonPhase::Serving as u8,
-            DaemonPhase::Starting as u8,
-            Ordering::AcqRel,
-            Ordering::Acquire,
-        );
-    }
-
-    /// Highest offset that a live peer has applied; `None` if none is heard.
-    pub(super) fn newest_peer_offset(&self) -> Option<LogOffset> {
+    /// Whether all hosts known are heard.
+    pub(super) fn hears_all_peers(&self) -> bool {
         let membership = self.tables.membership.lock();
-        membership
-            .members()
-            .filter(|member| member.phase == MemberPhase::Live)
-            .map(|member| member.applied_offset)
-            .max()
+        let mut members = membership.members().peekable();
+        members.peek().is_some() && members.all(|member| member.phase == MemberPhase::Live)
     }
 
     /// Notes the oldest offset that the log of declarations keeps.
@@ -192,8 +175,7 @@
 
     /// Begins to drain; there is no way back.
     pub(super) fn begin_draining(&self) {
-        self.phase
-            .store(DaemonPhase::Draining as u8, Ordering::Release);
+        self.draining.store(true, Ordering::Release);
     }
 
     /// The declared address of a target.
--- a/src/daemon/declarations.rs
+++ b/src/daemon/declarations.rs
@@ -5,9 +5,9 @@
 //! serves, what it has replayed stays in force whatever happens to the log.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use super::core::DaemonCore;
+use super::core::{DaemonCore, DaemonPhase};
 use super::in_force::put_in_force;
 use super::relaying::catch_up_from_peers;
 use crate::platform::backoff::BackoffPolicy;
@@ -43,21 +43,35 @@
     }
 }
 
-/// Returns once the log has given a state to go on from.
+/// Returns once the log or a peer has given a state that the log can be
+/// followed from.
 async fn start(core: &Arc<DaemonCore>) {
+    let began = Instant::now();
     loop {
-        match start_from_log(core).await {
-            Some(table) => {
-                install(core, table);
-                core.become_ready();
-                return;
-            }
-            None => start_from_peers(core).await,
+        if let Some(table) = start_from_log(core).await {
+            install(core, table);
+            core.readiness.confirm();
+            return;
+        }
+        catch_up_from_peers(core).await;
+        // Peers that have not been heard by then cannot be reached.
+        if core.hears_all_peers() || began.elapsed() >= core.options.timing.peer_timeout {
+            core.readiness.confirm();
+        }
+        if can_follow(core) {
+            return;
         }
         tokio::time::sleep(START_RETRY).await;
     }
 }
 
+/// Whether the next record is, as far as is known, still kept by the log.
+fn can_follow(core: &DaemonCore) -> bool {
+    let declarations = core.tables.declarations.read();
+    let is_confirmed = core.phase() != DaemonPhase::Starting;
+    is_confirmed && !declarations.missed_records(core.log_horizon())
+}
+
 /// Reads the log until the planner has found a state; `None` if the log can't
 /// be read or holds no usable state.
 async fn start_from_log(core: &DaemonCore) -> Option<DeclarationTable> {
@@ -78,6 +92,8 @@
                 return None;
             }
         };
+        core.set_log_horizon(answer.first_offset);
+        core.readiness.learn(answer.end_offset, Instant::now());
         match planner.on_read(&answer) {
             StartDecision::ReadFrom(offset) => from = offset,
             StartDecision::Started(table) => return Some(*table),
@@ -89,19 +105,6 @@
     }
 }
 
-/// Becomes ready on what peers hold, if that is all that any of them knows.
-async fn start_from_peers(core: &Arc<DaemonCore>) {
-    catch_up_from_peers(core).await;
-    let applied = core.tables.declarations.read().applied();
-    let newest = core.newest_peer_offset();
-    // A host that knows of newer declarations than it holds would serve a
-    // reverted configuration; one that knows of none may be cut off from all
-    // that matters.
-    if newest.is_some_and(|newest| applied >= newest && applied > 0) {
-        core.become_ready();
-    }
-}
-
 /// Puts a state from the log in force, unless a newer one stands already.
 fn install(core: &DaemonCore, table: DeclarationTable) {
     let superseded = {
@@ -136,9 +139,10 @@
             TailEvent::Records {
                 records,
                 first_offset,
-                ..
+                end_offset,
             } => {
                 core.set_log_horizon(first_offset);
+                core.readiness.learn(end_offset, Instant::now());
                 if let Err(ApplyError::Gap { .. }) = apply_records(core, &records) {
                     return TailEnd::Missed;
                 }
@@ -147,6 +151,7 @@
                 log::warn!("the platform's log cannot be read; what is in force stays in force");
             }
             TailEvent::Expired { first_offset, .. } => {
+                core.set_log_horizon(first_offset);
                 let missed = core.tables.declarations.read().missed_records(first_offset);
                 if missed {
                     log::error!("records before offset {first_offset} expired unread");
@@ -172,17 +177,13 @@
             .iter()
             .try_for_each(|record| apply_record(core, &mut declarations, record))
     };
-    if let Err(error @ ApplyError::UnknownRules { .. }) = &applied {
-        // Other hosts go on with declarations that this program can't judge:
-        // whatever it served would be a reverted configuration.
-        log::error!("taking no work: {error}");
-        core.become_unready();
-    }
     put_in_force(core);
     applied
 }
 
-fn apply_record(
+/// Applies one record, counts what its judgement is worth and keeps its text
+/// for peers.
+pub(super) fn apply_record(
     core: &DaemonCore,
     declarations: &mut DeclarationTable,
     record: &StoredRecord,
--- a/src/daemon/in_force.rs
+++ b/src/daemon/in_force.rs
@@ -29,6 +29,7 @@
     routes.set_pipelines(resources.iter().map(|(key, spec)| (key, *spec)));
     let applied = declarations.applied();
     core.metrics.set_applied_offset(applied);
+    core.readiness.advance(&declarations, Instant::now());
     core.applied.send_replace(applied);
 }
 
--- a/src/daemon/members.rs
+++ b/src/daemon/members.rs
@@ -125,6 +125,7 @@
     }
     drop(routes);
     drop(watch);
+    core.readiness.learn(beat.applied_offset, now);
     if beat.applied_offset > *core.applied.borrow() {
         core.peer_ahead.notify_one();
     }
