Count an append under way in an operator's verdict

Cause: the verdict of a change was that of the appends that had been answered. When an operator's time ended while an append was unanswered, the operator was told "not run", and the change could be accepted afterwards.

Change: from the hand-over to the append queue until the platform has refused, the verdict is "may have run". An answer also waits until the judged change is in force on the answering host. A host whose table has stopped at a record of newer rules refuses at once with "not run", since it could never tell the outcome.

Test: a_change_during_an_outage_gets_a_final_answer_that_stays_true refuses appends for four seconds and then takes them without an answer. With the old verdict it failed: "told not run, and accepted as 1". It passes now. The case in which every append is left unanswered passed before, because the client's two seconds end within the operator's five.

--- a/src/daemon/changes.rs
+++ b/src/daemon/changes.rs
@@ -60,6 +60,10 @@
 /// the same id does no harm, since replay drops an id that it has seen; so the
 /// answer always is what every host judged, never a guess.
 async fn submit(core: &DaemonCore, change: ResourceChange) -> Result<AcceptedBody, ChangeRefusal> {
+    if core.tables.declarations.read().stopped().is_some() {
+        // This host can't judge what it would write, nor tell the outcome.
+        return Err(refused(RefusalReason::NotReady, RunVerdict::NotRun));
+    }
     let id = RecordId::from(Uuid::new_v4().to_string());
     let record = LogRecord {
         id: id.clone(),
@@ -88,20 +92,16 @@
 /// Returns once an append was confirmed.
 async fn keep_appending(core: &DaemonCore, text: &str, verdict: &mut RunVerdict) {
     loop {
-        let appended = match core.declaration_appends.submit(text.to_owned()) {
-            Ok(appended) => appended.await,
-            Err(_) => {
-                tokio::time::sleep(APPEND_RETRY).await;
-                continue;
-            }
-        };
-        match appended {
-            Ok(Ok(_)) => {
-                *verdict = RunVerdict::MayHaveRun;
-                return;
+        if let Ok(appended) = core.declaration_appends.submit(text.to_owned()) {
+            // From here on the record may be stored although no answer has
+            // come. The operator's time may end during this very append; told
+            // "not run", the change would yet turn up in force.
+            let before = std::mem::replace(verdict, RunVerdict::MayHaveRun);
+            match appended.await {
+                Ok(Ok(_)) => return,
+                Ok(Err(error)) if error.verdict == AppendVerdict::NotAppended => *verdict = before,
+                _ => {}
             }
-            Ok(Err(error)) if error.verdict == AppendVerdict::NotAppended => {}
-            _ => *verdict = RunVerdict::MayHaveRun,
         }
         tokio::time::sleep(APPEND_RETRY).await;
     }
@@ -113,16 +113,20 @@
     judgement: Judgement,
 }
 
+/// Returns once the change was judged and its judgement is in force here.
 async fn wait_for_judgement(core: &DaemonCore, id: &RecordId) -> JudgedChange {
     let mut applied = core.applied.subscribe();
     loop {
-        applied.borrow_and_update();
+        let in_force = *applied.borrow_and_update();
         let found = {
             let declarations = core.tables.declarations.read();
-            declarations.judgement_of(id).map(|outcome| JudgedChange {
-                offset: outcome.offset,
-                judgement: outcome.judgement.clone(),
-            })
+            let outcome = declarations.judgement_of(id);
+            outcome
+                .filter(|outcome| outcome.offset < in_force)
+                .map(|outcome| JudgedChange {
+                    offset: outcome.offset,
+                    judgement: outcome.judgement.clone(),
+                })
         };
         if let Some(judged) = found {
             return judged;
