Hand over a state after a jump, and write checkpoints before they are needed

Two faults of replay, found in review.

A peer that has missed expired records goes on from a checkpoint. Until its next record the texts it keeps are from before the jump; it handed these, or none, to a host that asked, which then took itself for caught up although the heartbeats said otherwise. Now texts that do not join the table's offset count as not kept, and the state is handed over.

A checkpoint was due by expiry only once the state of the newest one had expired. For the seconds until the next one no host could start from the log; had all hosts been lost then, the configuration would have been lost. Now one is due when no more than a quarter of the kept records lie before the newest one's state. Half was ruled out: a log that keeps three records would get a checkpoint that the existing test rightly calls needless.

--- a/src/replay/checkpoint.rs
+++ b/src/replay/checkpoint.rs
@@ -157,12 +157,25 @@
         match self.newest_checkpoint {
             _ if self.applied == 0 || self.stopped.is_some() => false,
             None => true,
-            Some(as_of) if as_of < horizon.first_offset => true,
+            Some(as_of) if as_of < self.safe_offset(horizon.first_offset) => true,
             Some(as_of) if self.applied - as_of >= schedule.max_records => true,
             Some(_) => horizon.newest_age.is_none_or(|age| age >= schedule.max_age),
         }
     }
 
+    /// Oldest state whose checkpoint is not about to become useless.
+    ///
+    /// A checkpoint is of no use once its `as_of` has expired. If the next one
+    /// were due only then, no host could start from the log until it is there,
+    /// and with all hosts lost meanwhile the configuration would be lost too.
+    /// So it is due when only a quarter of the kept records lie before it.
+    fn safe_offset(&self, first_offset: LogOffset) -> LogOffset {
+        match first_offset {
+            0 => 0,
+            _ => first_offset + self.applied.saturating_sub(first_offset) / 4,
+        }
+    }
+
     /// The hash of the state at an offset, if it is still kept.
     pub(super) fn hash_at(&self, as_of: LogOffset) -> Option<StateHash> {
         let back = usize::try_from(self.applied.checked_sub(as_of)?).ok()?;
--- a/src/replay/relay.rs
+++ b/src/replay/relay.rs
@@ -96,8 +96,7 @@
     /// most `limit` records, or the state of `table` if their texts are gone.
     /// `table` is the one whose records were pushed.
     pub fn range(&self, from: LogOffset, limit: usize, table: &DeclarationTable) -> RelayRange {
-        let first = self.records.front().map(|record| record.offset);
-        let first_offset = first.unwrap_or(table.applied());
+        let first_offset = self.first_joined(table);
         let mut range = RelayRange {
             first_offset,
             end_offset: table.applied(),
@@ -112,6 +111,19 @@
         range
     }
 
+    /// Oldest kept offset from which every text up to the table's is held.
+    ///
+    /// A table that went on from a checkpoint is ahead of the texts until its
+    /// next record. A peer that was handed these, or none, would take itself
+    /// for caught up and stay behind.
+    fn first_joined(&self, table: &DeclarationTable) -> LogOffset {
+        let applied = table.applied();
+        match (self.records.front(), self.records.back()) {
+            (Some(first), Some(last)) if last.offset + 1 == applied => first.offset,
+            _ => applied,
+        }
+    }
+
     fn clear(&mut self) {
         self.records.clear();
         self.bytes = 0;
--- a/tests/replay.rs
+++ b/tests/replay.rs
@@ -361,6 +361,31 @@
     assert_eq!(relay.range(6, 2, &peer).records.len(), 2);
 }
 
+// Symptom: a cut-off zone stays behind although its peers hold the newest
+// state. Events: the peer has missed expired records and gone on from a
+// checkpoint; the zone asks before the peer's next record. Cause: the peer
+// hands over texts from before the checkpoint, or none at all.
+#[test]
+fn a_peer_that_went_on_from_a_checkpoint_hands_over_its_state() {
+    let log = raises(9);
+    let mut peer = replayed(&log[..3]);
+    let mut relay = RecordRelay::new(KEPT);
+    for (offset, body) in log[..3].iter().enumerate() {
+        relay.push(offset as LogOffset, body.clone());
+    }
+    peer.supersede(replayed(&log[..8])).expect("newer");
+    for asked_from in [1, 3, 5] {
+        let mut behind = replayed(&log[..asked_from as usize]);
+        let range = relay.range(asked_from, 10, &peer);
+        behind.follow(&range).expect("usable");
+        assert_eq!(behind.applied(), 8, "asked from {asked_from}");
+        assert_eq!(bought(&behind), 8);
+    }
+    peer.apply_raw(8, &log[8]).expect("next");
+    relay.push(8, log[8].clone());
+    assert_eq!(relay.range(8, 10, &peer).records.len(), 1);
+}
+
 // Symptom: under a steady stream of changes every host turns unready.
 // Events: each heartbeat names a newer offset before the last was applied.
 // Cause: the time behind is counted from the first change, although each
@@ -414,6 +439,35 @@
     assert!(table.should_checkpoint(&horizon(3, 0), &schedule));
 }
 
+// Symptom: a new host finds no usable state in the log for some seconds, for
+// ever if all hosts are lost meanwhile. Events: records expire by number; the
+// newest checkpoint's state expires before the next checkpoint is appended.
+// Cause: one is due only when the newest has become useless.
+#[test]
+fn a_checkpoint_is_due_before_the_newest_one_expires() {
+    let schedule = CheckpointSchedule {
+        max_records: 1_000,
+        max_age: Duration::from_secs(3_600),
+    };
+    let mut table = replayed(&raises(8));
+    let own = checkpoint("one", table.checkpoint());
+    table.apply(8, &own).expect("applied");
+    let kept = 12;
+    for offset in 9..40_u64 {
+        table.apply_raw(offset, "noise").expect("applied");
+        let horizon = LogHorizon {
+            first_offset: table.applied().saturating_sub(kept),
+            newest_age: Some(Duration::ZERO),
+        };
+        if table.should_checkpoint(&horizon, &schedule) {
+            assert!(horizon.first_offset <= 8, "too late: {horizon:?}");
+            assert!(horizon.first_offset > 0, "too early: {horizon:?}");
+            return;
+        }
+    }
+    panic!("never due");
+}
+
 // Symptom: after an upgrade new hosts take every checkpoint for a damaged one.
 // Events: a program version writes a resource's JSON with one field more; it
 // starts from a checkpoint of the version before. Cause: the hash is taken of
