Tell what is in force of hosts that are not heard directly

Cause: of another zone a host hears a few hosts only. The others stood in the operators' view as unreachable with offset 0, so `watch` never ended on 8 hosts in 3 zones. The other way round, a zone's digest without unreachable hosts counted for every host of the zone, also for one that the platform's list already shows and the zone has not heard of; "everywhere" could be said too early.

Third cause of a watch without end: incarnations were random, and peers take a lower one for a process that was frozen while its host was replaced. About every second restart under the same name was not listened to until the old incarnation had been silent for 30 s.

Change: a host that was not heard lately counts by its zone's word if that covers as many hosts as are known here; known hosts that no digest covers make the zone's word incomplete. Incarnations begin with the clock's milliseconds.

Not covered: a host that neither the list nor any peer names is unknown to the view.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -10,6 +10,7 @@
 mod checkpoints;
 mod core;
 mod declarations;
+mod force;
 mod generate;
 mod in_force;
 mod leases;
--- /dev/null
+++ b/src/daemon/force.rs
@@ -0,0 +1,55 @@
+//! How far the configuration is in force, for operators.
+
+use std::time::Instant;
+
+use super::core::{DaemonCore, DaemonPhase};
+use crate::api::wire::{ForceView, HostForceView};
+use crate::ids::LogOffset;
+use crate::membership::{self, HostMember, MemberPhase};
+
+/// Every host known with what it is known to have applied.
+pub(super) fn force_view(core: &DaemonCore) -> ForceView {
+    let applied = *core.applied.borrow();
+    let draining = core.phase() == DaemonPhase::Draining;
+    let membership = core.tables.membership.lock();
+    let zones = membership.force_view(Instant::now());
+    let own = HostForceView {
+        host: core.host().clone(),
+        applied,
+        reachable: true,
+        draining,
+    };
+    let others = membership
+        .members()
+        .map(|member| member_view(member, &zones));
+    ForceView {
+        in_force: zones.lowest_applied_offset().unwrap_or(0).min(applied),
+        hosts: std::iter::once(own).chain(others).collect(),
+    }
+}
+
+/// A host that was not heard lately counts by its zone's word, if that speaks
+/// for every host of the zone that is known here.
+///
+/// Of another zone only a few hosts are ever heard. Without this the others
+/// would count as unreachable for ever, and no change as in force everywhere.
+fn member_view(member: &HostMember, zones: &membership::ForceView) -> HostForceView {
+    let told = match member.phase {
+        MemberPhase::Live => Some(member.applied_offset),
+        _ => told_by_zone(member, zones),
+    };
+    HostForceView {
+        host: member.host.clone(),
+        applied: member.applied_offset.max(told.unwrap_or(0)),
+        reachable: told.is_some(),
+        draining: member.draining,
+    }
+}
+
+fn told_by_zone(member: &HostMember, zones: &membership::ForceView) -> Option<LogOffset> {
+    let zone = zones.zones.get(&member.zone)?;
+    match zone.unreachable.is_empty() && zone.unnamed_unreachable == 0 {
+        true => zone.lowest_applied_offset,
+        false => None,
+    }
+}
--- a/src/daemon/operators.rs
+++ b/src/daemon/operators.rs
@@ -7,14 +7,13 @@
 
 use super::changes;
 use super::core::{DaemonCore, DaemonPhase};
+use super::force::force_view;
 use crate::api::backend::{AsyncCall, OperatorBackend};
 use crate::api::wire::{
-    ExplainEntry, ExplainView, ForceView, HostForceView, RefusalBody, ResourceView, StatusView,
-    TargetStatusView,
+    ExplainEntry, ExplainView, RefusalBody, ResourceView, StatusView, TargetStatusView,
 };
 use crate::auth::CredentialTable;
 use crate::journal::{JournalEntry, JournalSubject};
-use crate::membership::MemberPhase;
 use crate::reason::RefusalReason;
 use crate::replay::DeclaredEntry;
 use crate::resources::{ResourceKey, ResourceKind};
@@ -110,28 +109,6 @@
     }
 }
 
-fn force_view(core: &DaemonCore) -> ForceView {
-    let applied = *core.applied.borrow();
-    let membership = core.tables.membership.lock();
-    let zones = membership.force_view(Instant::now());
-    let own = HostForceView {
-        host: core.host().clone(),
-        applied,
-        reachable: true,
-        draining: core.phase() == DaemonPhase::Draining,
-    };
-    let others = membership.members().map(|member| HostForceView {
-        host: member.host.clone(),
-        applied: member.applied_offset,
-        reachable: member.phase == MemberPhase::Live,
-        draining: member.draining,
-    });
-    ForceView {
-        in_force: zones.lowest_applied_offset().unwrap_or(0).min(applied),
-        hosts: std::iter::once(own).chain(others).collect(),
-    }
-}
-
 fn explain(core: &DaemonCore, subject: &str) -> Result<ExplainView, RefusalBody> {
     let explanation = {
         let journal = core.tables.journal.lock();
--- a/src/daemon/spawn.rs
+++ b/src/daemon/spawn.rs
@@ -2,7 +2,7 @@
 
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use futures::FutureExt;
 use tokio::task::JoinHandle;
@@ -63,7 +63,7 @@
 /// If a listener cannot be opened.
 pub async fn spawn(options: DaemonOptions) -> Result<DaemonHandle, DaemonError> {
     let seed = options.host.seed.unwrap_or_else(rand::random);
-    let incarnation = rand::random();
+    let incarnation = new_incarnation(SystemTime::now());
     let listener = TcpListener::bind(options.listen.peers).map_err(PeerError::from)?;
     let peer_address = match options.listen.advertised_peers {
         Some(advertised) => advertised,
@@ -168,6 +168,17 @@
     }
 }
 
+/// A number above those of the host's earlier incarnations.
+///
+/// Peers take a lower one for a process that was frozen while its host was
+/// replaced, and do not listen to it until the other has long been silent.
+fn new_incarnation(now: SystemTime) -> IncarnationId {
+    let since_epoch = now.duration_since(UNIX_EPOCH).unwrap_or_default();
+    let millis = u64::try_from(since_epoch.as_millis()).unwrap_or(0);
+    // Two starts within a millisecond still differ.
+    (millis << 16) | u64::from(rand::random::<u16>())
+}
+
 fn open_platform(options: &DaemonOptions) -> PlatformClient {
     let timeouts = PlatformTimeouts {
         connect: options.timing.connect_timeout,
--- a/src/membership/force_view.rs
+++ b/src/membership/force_view.rs
@@ -102,7 +102,18 @@
             .flat_map(|digest| digest.unreachable.iter().cloned())
             .collect(),
     };
-    zone_force(&digests, named)
+    let mut force = zone_force(&digests, named);
+    // A host that is known here and that no digest counts is not spoken for:
+    // its zone may not have heard of it yet.
+    let covered = digests
+        .iter()
+        .map(|digest| digest.live_hosts + digest.unreachable_count)
+        .min();
+    let known = u32::try_from(members.len()).unwrap_or(u32::MAX);
+    if let Some(covered) = covered {
+        force.unnamed_unreachable += known.saturating_sub(covered);
+    }
+    force
 }
 
 fn zone_force(digests: &[&ZoneDigest], named: BTreeSet<HostId>) -> ZoneForce {
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -265,6 +265,25 @@
     }
 }
 
+/// Symptom: a change is reported in force while a host has not applied it.
+/// Events: the platform lists a new host of another zone; that zone's hosts
+/// have not read the list yet, and their digests do not count the new host.
+/// Cause: a digest without unreachable hosts taken for the word of all.
+#[test]
+fn a_host_that_its_zone_does_not_know_yet_is_not_spoken_for() {
+    let mut mesh = TableMesh::new(&hosts(2, 3));
+    mesh.run(Duration::from_secs(6));
+    let now = mesh.now;
+    assert!(mesh.table("z0-0").force_view(now).is_whole());
+    let mut names = hosts(2, 3);
+    names.push("z1-9".to_owned());
+    let names: Vec<_> = names.iter().map(String::as_str).collect();
+    mesh.table("z0-0").observe_host_list(&list(&names), now);
+    let view = mesh.table("z0-0").force_view(now);
+    assert_eq!(view.zones["z1"].unnamed_unreachable, 1);
+    assert!(!view.is_whole());
+}
+
 /// Symptom: a restarted host is shown with old figures, or vanishes.
 /// Events: a process is frozen, its host starts a new one, the old one wakes
 /// up and speaks; later a clock set back gives a lower incarnation.
