Refuse unknown callers as not ready while there is no configuration

Cause: a daemon without configuration knows no organisation, so it answered every caller with 401. A caller told that its token is unknown gives up, though it was only the host that did not know it yet.

Change: while the daemon is not ready, a caller that cannot be identified is refused with "not ready", "not run" and a time to come back.

Test: a_host_started_during_an_outage_waits_for_the_newest_state failed at the reason of the refusal before the change, and passes now.

--- a/src/api/callers.rs
+++ b/src/api/callers.rs
@@ -1,7 +1,7 @@
 //! The callers' endpoints.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use dropshot::{
@@ -25,6 +25,9 @@
 use crate::reason::RefusalReason;
 use crate::verdict::RunVerdict;
 
+/// When a caller should come back to a daemon that is not ready.
+const NOT_READY_RETRY: Duration = Duration::from_secs(1);
+
 /// What the callers' endpoints share.
 pub(super) struct CallerContext {
     pub(super) backend: CallerBackend,
@@ -216,8 +219,9 @@
     let received = Instant::now();
     let request = headers.request()?;
     let named = |refusal: RefusalBody| refusal.for_request(request.clone());
-    let organisation =
-        identify(headers.authorization.as_deref(), &backend.organisation_of).map_err(named)?;
+    let organisation = identify(headers.authorization.as_deref(), &backend.organisation_of)
+        .map_err(|refusal| unless_ready(backend, refusal))
+        .map_err(named)?;
     let head = headers.head(request.clone()).map_err(named)?;
     Ok(AdmittedCall {
         head,
@@ -226,6 +230,17 @@
     })
 }
 
+/// A daemon without configuration, or with an old one, does not know every
+/// organisation. Told that its token is unknown, a caller would give up; told
+/// that the host is not ready, it comes back or asks another.
+fn unless_ready(backend: &CallerBackend, refusal: RefusalBody) -> RefusalBody {
+    match (backend.ready)() {
+        true => refusal,
+        false => RefusalBody::not_run(RefusalReason::NotReady, "the daemon takes no new work")
+            .retry_after(NOT_READY_RETRY),
+    }
+}
+
 /// Whether the daemon is alive.
 #[endpoint { method = GET, path = "/healthz" }]
 async fn healthz(
