Prove that configuration is in force everywhere and never reverted

Real daemons in the test's process, the platform's stand-in, and a small TCP forwarder in front of the platform and of each host's listener for peers, so that links can be cut one by one. A watcher looks at all hosts all the time: on a host that takes work no resource may be older than before or than what was in force everywhere, and nothing deleted may return.

--- a/standins/src/operator.rs
+++ b/standins/src/operator.rs
@@ -43,11 +43,22 @@
     method: Method,
     path: &str,
     body: Vec<u8>,
+) -> Result<JsonReply, CallError> {
+    operate_as(OPERATOR, host, method, path, body).await
+}
+
+/// Sends one call as an operator of this name.
+pub async fn operate_as(
+    operator: &str,
+    host: SocketAddr,
+    method: Method,
+    path: &str,
+    body: Vec<u8>,
 ) -> Result<JsonReply, CallError> {
     let request = Request::builder()
         .method(method)
         .uri(format!("http://{host}{path}"))
-        .header("authorization", format!("Bearer {}", token_of(OPERATOR)))
+        .header("authorization", format!("Bearer {}", token_of(operator)))
         .header("content-type", "application/json")
         .body(Full::new(Bytes::from(body)))?;
     let client = Client::builder(TokioExecutor::new())
@@ -77,13 +88,40 @@
     host: SocketAddr,
     declaration: &Declaration,
     based_on: Option<LogOffset>,
+) -> Result<JsonReply, CallError> {
+    apply_as(OPERATOR, host, declaration, based_on).await
+}
+
+/// Declares a resource as an operator of this name.
+pub async fn apply_as(
+    operator: &str,
+    host: SocketAddr,
+    declaration: &Declaration,
+    based_on: Option<LogOffset>,
 ) -> Result<JsonReply, CallError> {
     let body = ApplyBody {
         spec: declaration.spec.clone(),
         based_on,
     };
     let path = path_of(&declaration.key);
-    operate(host, Method::PUT, &path, serde_json::to_vec(&body)?).await
+    operate_as(
+        operator,
+        host,
+        Method::PUT,
+        &path,
+        serde_json::to_vec(&body)?,
+    )
+    .await
+}
+
+/// Removes a resource.
+pub async fn delete(
+    host: SocketAddr,
+    key: &ResourceKey,
+    based_on: LogOffset,
+) -> Result<JsonReply, CallError> {
+    let path = format!("{}?based_on={based_on}", path_of(key));
+    operate(host, Method::DELETE, &path, Vec::new()).await
 }
 
 /// Declares resources one after the other, each based on what stands, and
@@ -109,6 +147,7 @@
     Ok(last)
 }
 
-fn path_of(key: &ResourceKey) -> String {
+/// Path of a resource on the operators' listener.
+pub fn path_of(key: &ResourceKey) -> String {
     format!("/v1/resources/{}/{}", key.kind.name(), key.name)
 }
--- /dev/null
+++ b/standins/tests/support/hosts.rs
@@ -0,0 +1,224 @@
+//! Entry hosts in the test's own process, behind links that can be cut, and a
+//! watcher that sees to it that no host goes back to an older configuration.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::StatusCode;
+use jackdawwick::api::wire::{AcceptedBody, ResourceView, StatusView};
+use jackdawwick::daemon::{self, DaemonHandle};
+use jackdawwick::ids::LogOffset;
+use jackdawwick::options::DaemonOptions;
+use jackdawwick::resources::ResourceKey;
+use parking_lot::Mutex;
+use standins::daemon_settings::{DaemonPlace, SeedPlace};
+use standins::declarations;
+use standins::operator::{self, Declaration};
+use tokio::task::JoinHandle;
+
+use super::forwarder::TestLink;
+use super::{TestError, TestResult, eventually};
+
+/// An entry host whose peers reach it through a link.
+pub struct TestHost {
+    pub name: String,
+    pub zone: String,
+    pub operators: SocketAddr,
+    pub callers: SocketAddr,
+    pub from_peers: TestLink,
+    handle: DaemonHandle,
+}
+
+impl TestHost {
+    /// Starts a host that knows `seeds` and reads the log at `platform`.
+    pub async fn start(
+        name: &str,
+        zone: &str,
+        platform: SocketAddr,
+        seeds: &[&TestHost],
+    ) -> Result<Self, TestError> {
+        Self::start_with(name, zone, platform, seeds, "").await
+    }
+
+    /// As [`Self::start`], with further lines for the section of times.
+    pub async fn start_with(
+        name: &str,
+        zone: &str,
+        platform: SocketAddr,
+        seeds: &[&TestHost],
+        timing: &str,
+    ) -> Result<Self, TestError> {
+        let from_peers = TestLink::bind().await?;
+        let seeds = seeds.iter().map(|seed| SeedPlace {
+            host: seed.name.clone(),
+            zone: seed.zone.clone(),
+            address: seed.from_peers.address,
+        });
+        let place = DaemonPlace {
+            seeds: seeds.collect(),
+            ..DaemonPlace::new(name, zone, platform)
+        };
+        let second = standins::caller::token_of("operator-2");
+        let digest = jackdawwick::auth::TokenDigest::of_token(&second).to_hex();
+        let extra = format!(
+            "\n[[operators.credentials]]\noperator = \"operator-2\"\ntoken_digest = \"{digest}\"\n\
+             \n[timing]\nheartbeat_interval = \"100ms\"\n{timing}\n"
+        );
+        let listen = format!("[listen]\nadvertised_peers = \"{}\"\n", from_peers.address);
+        let text = place
+            .to_toml(&extra)
+            .replacen("[listen]\n", &listen, 1)
+            .replacen("[platform]\n", "[platform]\ncheckpoint_records = 10\n", 1);
+        let handle = daemon::spawn(DaemonOptions::from_toml(&text)?).await?;
+        from_peers.lead_to(handle.peer_address().ok_or("no address for peers")?);
+        Ok(Self {
+            name: name.to_owned(),
+            zone: zone.to_owned(),
+            operators: handle.operator_address(),
+            callers: handle.caller_address(),
+            from_peers,
+            handle,
+        })
+    }
+
+    pub async fn shutdown(self) {
+        self.handle.shutdown().await;
+    }
+
+    pub async fn status(&self) -> Option<StatusView> {
+        operator::read(self.operators, "/v1/status").await.ok()
+    }
+
+    pub async fn is_ready(&self) -> bool {
+        self.status().await.is_some_and(|status| status.ready)
+    }
+
+    /// Version of a resource; `None` if it is not declared here.
+    pub async fn version(&self, key: &ResourceKey) -> Option<LogOffset> {
+        let view = operator::read::<ResourceView>(self.operators, &operator::path_of(key)).await;
+        view.ok().map(|view| view.version)
+    }
+
+    /// Declares an organisation that may use so much, and gives its version.
+    pub async fn declare(&self, name: &str, capacity: u32) -> Result<LogOffset, TestError> {
+        operator::declare_all(self.operators, &[organisation(name, capacity)]).await
+    }
+
+    /// Waits until the host takes work under this version of a resource.
+    pub async fn serves(&self, key: &ResourceKey, version: LogOffset) -> TestResult {
+        let what = format!("{} serves {key} as of {version}", self.name);
+        eventually(&what, || async {
+            self.is_ready().await && self.version(key).await == Some(version)
+        })
+        .await
+    }
+}
+
+pub fn organisation(name: &str, capacity: u32) -> Declaration {
+    declarations::organisation(name, capacity, capacity)
+}
+
+pub fn accepted(reply: &standins::json_client::JsonReply) -> Result<LogOffset, TestError> {
+    match reply.status {
+        StatusCode::OK => Ok(reply.json::<AcceptedBody>()?.version),
+        status => Err(format!("{status}: {:?}", reply.body).into()),
+    }
+}
+
+/// What was in force everywhere, and what any host was seen to serve since.
+#[derive(Default)]
+struct WatchState {
+    /// Latest change that was in force everywhere, and whether it deleted.
+    floor: BTreeMap<ResourceKey, (LogOffset, bool)>,
+    hosts: Vec<(String, SocketAddr)>,
+    /// Highest version seen, by host and resource.
+    seen: BTreeMap<(String, ResourceKey), LogOffset>,
+    looks: usize,
+    reverted: Vec<String>,
+}
+
+/// Looks at every host all the time: on a host that takes work no resource
+/// may have an older version than before on that host, or than was in force
+/// everywhere, and nothing deleted may be back.
+pub struct ForceWatcher {
+    state: Arc<Mutex<WatchState>>,
+    task: JoinHandle<()>,
+}
+
+impl ForceWatcher {
+    pub fn spawn() -> Self {
+        let state = Arc::new(Mutex::new(WatchState::default()));
+        let task = tokio::spawn(watch(Arc::clone(&state)));
+        Self { state, task }
+    }
+
+    pub fn add(&self, host: &TestHost) {
+        let mut state = self.state.lock();
+        state.hosts.push((host.name.clone(), host.operators));
+    }
+
+    /// Notes a change that is in force everywhere.
+    pub fn in_force(&self, key: &ResourceKey, version: LogOffset, deleted: bool) {
+        let mut state = self.state.lock();
+        state.floor.insert(key.clone(), (version, deleted));
+    }
+
+    /// Fails if any host went back, or if hardly anything was looked at.
+    pub fn finish(self) -> TestResult {
+        self.task.abort();
+        let state = self.state.lock();
+        match &state.reverted[..] {
+            [] if state.looks >= 10 => Ok(()),
+            [] => Err(format!("only {} looks", state.looks).into()),
+            reverted => Err(format!("reverted: {reverted:?}").into()),
+        }
+    }
+}
+
+async fn watch(state: Arc<Mutex<WatchState>>) {
+    loop {
+        let hosts = state.lock().hosts.clone();
+        for (host, address) in hosts {
+            let floor = state.lock().floor.clone();
+            let status = operator::read::<StatusView>(address, "/v1/status").await;
+            let listed = operator::read::<Vec<ResourceView>>(address, "/v1/resources").await;
+            // A host that is gone or takes no work serves nothing old.
+            let (true, Ok(views)) = (status.is_ok_and(|status| status.ready), listed) else {
+                continue;
+            };
+            compare(&mut state.lock(), &host, &floor, &views);
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+fn compare(
+    state: &mut WatchState,
+    host: &str,
+    floor: &BTreeMap<ResourceKey, (LogOffset, bool)>,
+    views: &[ResourceView],
+) {
+    state.looks += 1;
+    for (key, (least, deleted)) in floor {
+        match views.iter().find(|view| view.key == *key) {
+            Some(view) if view.version < *least => {
+                let found = view.version;
+                let text = format!("{host}: {key} is {found}, {least} was in force");
+                state.reverted.push(text);
+            }
+            None if !deleted => state.reverted.push(format!("{host}: {key} is missing")),
+            _ => {}
+        }
+    }
+    for view in views {
+        let place = (host.to_owned(), view.key.clone());
+        let before = state.seen.insert(place, view.version);
+        if before.is_some_and(|before| before > view.version) {
+            let (key, found) = (&view.key, view.version);
+            let text = format!("{host}: {key} went from {before:?} to {found}");
+            state.reverted.push(text);
+        }
+    }
+}
--- a/standins/tests/support/mod.rs
+++ b/standins/tests/support/mod.rs
@@ -6,6 +6,9 @@
     reason = "each test file uses a part of it"
 )]
 
+pub mod forwarder;
+pub mod hosts;
+
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::PathBuf;
