--- a/src/daemon/core.rs
+++ b/src/daemon/core.rs
@@ -1,7 +1,7 @@
 //! What every worker of the daemon holds on to.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, OnceLock};
 
 use std::time::{Duration, Instant, SystemTime};
@@ -10,6 +10,7 @@
 use tokio::sync::{Notify, Semaphore, watch};
 use tokio_util::task::TaskTracker;
 
+use super::readiness::ReadinessGate;
 use super::tables::SharedTables;
 use crate::ids::{HostId, IncarnationId, LogOffset, RequestId, TargetId, ZoneId};
 use crate::journal::{JournalEntry, JournalEvent, JournalSubject};
@@ -19,6 +20,7 @@
 use crate::peer::PeerHandle;
 use crate::platform::append_queue::AppendQueue;
 use crate::platform::client::PlatformClient;
+use crate::replay::Readiness;
 use crate::target::client::TargetClient;
 
 /// Requests that may wait for a first grant at once; more are decided without.
@@ -26,9 +28,9 @@
 
 /// Phases of a daemon's life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-#[repr(u8)]
 pub(super) enum DaemonPhase {
-    /// No usable configuration yet: takes no work.
+    /// No usable configuration, or an older one than is known to exist: takes
+    /// no work.
     Starting,
     /// Takes work.
     Serving,
@@ -64,7 +66,9 @@
     run_numbers: AtomicU64,
     /// Held while an order to a target is under way.
     ordering: tokio::sync::Mutex<()>,
-    phase: AtomicU8,
+    /// What is applied here against what is known to exist.
+    pub(super) readiness: ReadinessGate,
+    draining: AtomicBool,
 }
 
 impl DaemonCore {
@@ -95,7 +99,8 @@
             checkpoint_seen: Mutex::new(None),
             run_numbers: AtomicU64::new(0),
             ordering: tokio::sync::Mutex::new(()),
-            phase: AtomicU8::new(DaemonPhase::Starting as u8),
+            readiness: ReadinessGate::new(),
+            draining: AtomicBool::new(false),
         })
     }
 
@@ -138,11 +143,12 @@
         &self.options.host.zone
     }
 
+    /// Judged afresh at each call: a host falls behind by time alone.
     pub(super) fn phase(&self) -> DaemonPhase {
-        match self.phase.load(Ordering::Acquire) {
-            phase if phase == DaemonPhase::Serving as u8 => DaemonPhase::Serving,
-            phase if phase == DaemonPhase::Draining as u8 => DaemonPhase::Draining,
-            _ => DaemonPhase::Starting,
+        match self.readiness.readiness(Instant::now()) {
+            _ if self.is_draining() => DaemonPhase::Draining,
+            Readiness::Ready => DaemonPhase::Serving,
+            Readiness::NotReady(_) => DaemonPhase::Starting,
         }
     }
 
@@ -170,37 +176,14 @@
 
     /// Whether nothing new is taken any more.
     pub(super) fn is_draining(&self) -> bool {
-        self.phase() == DaemonPhase::Draining
+        self.draining.load(Ordering::Acquire)
     }
 
-    /// Becomes ready, unless the daemon is draining already.
-    pub(super) fn become_ready(&self) {
-        let _ = self.phase.compare_exchange(
-            DaemonPhase::Starting as u8,
-            DaemonPhase::Serving as u8,
-            Ordering::AcqRel,
-            Ordering::Acquire,
-        );
-    }
-
-    /// Takes no work any more, because what is declared can't be followed.
-    pub(super) fn become_unready(&self) {
-        let _ = self.phase.compare_exchange(
-            DaemonPhase::Serving as u8,
-            DaemonPhase::Starting as u8,
-            Ordering::AcqRel,
-            Ordering::Acquire,
-        );
-    }
-
-    /// Highest offset that a live peer has applied; `None` if none is heard.
-    pub(super) fn newest_peer_offset(&self) -> Option<LogOffset> {
+    /// Whether all hosts known are heard.
+    pub(super) fn hears_all_peers(&self) -> bool {
         let membership = self.tables.membership.lock();
-        membership
-            .members()
-            .filter(|member| member.phase == MemberPhase::Live)
-            .map(|member| member.applied_offset)
-            .max()
+        let mut members = membership.members().peekable();
+        members.peek().is_some() && members.all(|member| member.phase == MemberPhase::Live)
     }
 
     /// Notes the oldest offset that the log of declarations keeps.
@@ -226,8 +209,7 @@
 
     /// Begins to drain; there is no way back.
     pub(super) fn begin_draining(&self) {
-        self.phase
-            .store(DaemonPhase::Draining as u8, Ordering::Release);
+        self.draining.store(true, Ordering::Release);
     }
 
     /// The declared address of a target.
