Go on dividing a zone's shares while the log is down

Cause: a host that started during an outage of the log could not learn there who divides the zone's shares, and the holder stopped answering when its lease lapsed; the new host took no work until the outage was over (a_host_started_during_an_outage_waits_for_the_newest_state failed). Ruled out: trusting the lease's time. The division is fenced by reports, not by clocks: a next holder divides only what it was handed in until the earlier one has reported to it, after which that one divides nothing. Change: answers to heartbeats name the lease under which the speaker divides; hosts report to it; a lowered grant is reported back at once; a draining host hands its grants back once nothing waits.

--- a/src/daemon/core.rs
+++ b/src/daemon/core.rs
@@ -169,7 +169,7 @@
         if self.phase() != DaemonPhase::Serving {
             return false;
         }
-        let is_divided = self.tables.shares.lock().lease().is_some();
+        let is_divided = self.tables.shares.lock().shares.lease().is_some();
         let desk = self.tables.admission.lock();
         is_divided || desk.table.organisations().next().is_none()
     }
--- a/src/daemon/members.rs
+++ b/src/daemon/members.rs
@@ -4,13 +4,18 @@
 use std::time::{Duration, Instant};
 
 use super::core::{DaemonCore, DaemonPhase};
-use super::sharing::{OutgoingReport, answer_report, note_gone, outgoing_report, take_grants};
+use super::sharing::{
+    OutgoingReport, answer_report, dividing_lease, hear_holder, note_gone, outgoing_report,
+    take_grants,
+};
 use crate::ids::HostId;
 use crate::membership::MembershipDecision;
 use crate::peer::{PeerHeartbeat, PeerReply};
 use crate::shares::GrantHolder;
 use crate::target::wire::LoadReport;
 
+/// Heartbeats sent in a row, when the first one has to be answered at once.
+const MOST_EXCHANGES: usize = 2;
 /// Pause between two looks at who is due for a heartbeat.
 const MEMBERSHIP_TICK: Duration = Duration::from_millis(50);
 
@@ -76,17 +81,28 @@
     let Some(peers) = core.peers() else {
         return;
     };
-    let mut beat = own_beat(&core, remote);
-    let sent = outgoing_report(&core, &to);
-    if let Some(sent) = &sent {
-        beat.demands_for = Some(sent.report.lease);
-        beat.demands.clone_from(&sent.report.demands);
-    }
-    match peers.heartbeat(address, beat).await {
-        // An address may have passed to another host.
-        Ok(reply) if reply.beat.host == to => take_reply(&core, &reply, sent.as_ref()),
-        Ok(reply) => log::warn!("{address} is {} and not {to}", reply.beat.host),
-        Err(error) => log::debug!("no heartbeat from {to}: {error}"),
+    for _ in 0..MOST_EXCHANGES {
+        let mut beat = own_beat(&core, remote);
+        let sent = outgoing_report(&core, &to);
+        if let Some(sent) = &sent {
+            beat.demands_for = Some(sent.report.lease);
+            beat.demands.clone_from(&sent.report.demands);
+        }
+        let again = match peers.heartbeat(address, beat).await {
+            // An address may have passed to another host.
+            Ok(reply) if reply.beat.host == to => take_reply(&core, &reply, sent.as_ref()),
+            Ok(reply) => {
+                log::warn!("{address} is {} and not {to}", reply.beat.host);
+                false
+            }
+            Err(error) => {
+                log::debug!("no heartbeat from {to}: {error}");
+                false
+            }
+        };
+        if !again {
+            return;
+        }
     }
 }
 
@@ -103,10 +119,20 @@
     membership.next_heartbeat(remote, loads)
 }
 
-fn take_reply(core: &Arc<DaemonCore>, reply: &PeerReply, sent: Option<&OutgoingReport>) {
+/// Takes in an answer; says whether to send another heartbeat at once.
+fn take_reply(core: &Arc<DaemonCore>, reply: &PeerReply, sent: Option<&OutgoingReport>) -> bool {
     take_beat(core, &reply.beat);
-    if let (Some(lease), Some(sent)) = (reply.lease_offset, sent) {
-        take_grants(core, lease, &reply.grants, sent.sent_at);
+    let Some(lease) = reply.lease_offset else {
+        return false;
+    };
+    match sent {
+        Some(sent) if sent.report.lease == lease => {
+            take_grants(core, lease, &reply.grants, sent.sent_at)
+        }
+        _ => {
+            hear_holder(core, &reply.beat.host, lease);
+            false
+        }
     }
 }
 
@@ -117,7 +143,7 @@
     let grants = answer_report(core, beat);
     PeerReply {
         beat: own_beat(core, remote),
-        lease_offset: beat.demands_for.filter(|_| grants.is_some()),
+        lease_offset: dividing_lease(core).filter(|_| !remote),
         grants: grants.unwrap_or_default(),
     }
 }
--- a/src/daemon/sharing.rs
+++ b/src/daemon/sharing.rs
@@ -21,7 +21,9 @@
 use crate::platform::wire::StoredRecord;
 use crate::records::{ALLOTMENT_STREAM, JUDGING_RULES, LogRecord, RawRecord};
 use crate::resources::{ResourceKey, ResourceKind};
-use crate::shares::{AllotmentBody, GrantHolder, ShareReport, ShareUnits, ShareUsage};
+use crate::shares::{
+    AllotmentBody, GrantHolder, ShareReport, ShareUnits, ShareUsage, TablePhase, ZoneShares,
+};
 
 /// Pause between two rounds.
 const SHARES_TICK: Duration = Duration::from_millis(100);
@@ -39,6 +41,13 @@
 /// Reads that may wait to be applied.
 const READ_AHEAD: usize = 4;
 
+/// This host's part in the zone's shares, and who divides them.
+pub(super) struct SharesDesk {
+    pub(super) shares: ZoneShares,
+    /// The host that divides; `None` if unknown, or if it is this one.
+    pub(super) holder: Option<HostId>,
+}
+
 /// What a heartbeat carries for the holder of the zone's shares.
 pub(super) struct OutgoingReport {
     pub(super) report: ShareReport,
@@ -66,6 +75,7 @@
             _ = ticks.tick() => {
                 rounds += 1;
                 observe_lease(&core);
+                hand_back_when_drained(&core);
                 if rounds % ROUNDS_PER_OWN_REPORT == 0 {
                     report_to_self(&core);
                 }
@@ -95,17 +105,32 @@
 
 fn apply_records(core: &DaemonCore, records: &[StoredRecord]) {
     let now = Instant::now();
-    let mut shares = core.tables.shares.lock();
+    let mut desk = core.tables.shares.lock();
     for record in records {
         match RawRecord::<AllotmentBody>::read(&record.body) {
             RawRecord::Known(known) => {
-                shares.apply(record.offset, &known.body, now);
+                desk.shares.apply(record.offset, &known.body, now);
             }
-            RawRecord::NewerRules | RawRecord::Malformed => shares.skip(record.offset),
+            RawRecord::NewerRules | RawRecord::Malformed => desk.shares.skip(record.offset),
         }
     }
 }
 
+/// Gives up this host's grants once it drains and nothing waits any more: what
+/// waits could not be started without a grant.
+fn hand_back_when_drained(core: &DaemonCore) {
+    if !core.is_draining() {
+        return;
+    }
+    let is_waiting = {
+        let desk = core.tables.admission.lock();
+        !desk.waiters.is_empty()
+    };
+    if !is_waiting {
+        core.tables.shares.lock().shares.hand_back();
+    }
+}
+
 /// Tells the shares who holds the zone's lease, and whom to call for grants.
 fn observe_lease(core: &DaemonCore) {
     let holder = {
@@ -116,10 +141,45 @@
         return;
     };
     let is_own = holder.owner.host == *core.host() && holder.owner.incarnation == core.incarnation;
+    note_holder(core, &holder.owner.host, holder.fencing, is_own);
+}
+
+/// Takes in who divides the zone's shares, unless a later holder is known.
+fn note_holder(core: &DaemonCore, host: &HostId, lease: LogOffset, is_own: bool) {
     let mut membership = core.tables.membership.lock();
-    membership.set_share_holder(Some(holder.owner.host).filter(|_| !is_own));
-    let mut shares = core.tables.shares.lock();
-    shares.observe_lease(holder.fencing, is_own);
+    let mut desk = core.tables.shares.lock();
+    if desk.shares.lease().is_some_and(|known| known >= lease) {
+        return;
+    }
+    desk.shares.observe_lease(lease, is_own);
+    let other = Some(host.clone()).filter(|_| !is_own);
+    desk.holder.clone_from(&other);
+    membership.set_share_holder(other);
+}
+
+/// Takes in that a peer says that it divides the zone's shares.
+///
+/// A host that starts while the log is down can't read there who does, and
+/// without any grant it would take no work until the outage is over.
+pub(super) fn hear_holder(core: &DaemonCore, host: &HostId, lease: LogOffset) {
+    note_holder(core, host, lease, false);
+}
+
+/// The lease under which this host divides the zone's shares, for its answers
+/// to heartbeats.
+///
+/// It may have lapsed or been followed by another without this host knowing.
+/// That does no harm: the next holder divides only what it has been handed in
+/// until this host too has reported to it, after which this one divides
+/// nothing. So no clock has to be trusted, and dividing goes on while the log
+/// is down.
+pub(super) fn dividing_lease(core: &DaemonCore) -> Option<LogOffset> {
+    let desk = core.tables.shares.lock();
+    let table = desk.shares.table()?;
+    match table.phase(Instant::now()) {
+        TablePhase::Collecting | TablePhase::Dividing => Some(table.lease()),
+        TablePhase::Opening | TablePhase::Closed => None,
+    }
 }
 
 /// Takes in what is declared: what was bought, and the zones with targets.
@@ -128,7 +188,8 @@
     bought: BTreeMap<OrganisationId, ShareUnits>,
     zones: BTreeSet<crate::ids::ZoneId>,
 ) {
-    core.tables.shares.lock().set_declared(bought, zones);
+    let mut desk = core.tables.shares.lock();
+    desk.shares.set_declared(bought, zones);
 }
 
 fn usage(core: &DaemonCore) -> BTreeMap<OrganisationId, ShareUsage> {
@@ -151,38 +212,24 @@
 
 fn report_to_self(core: &DaemonCore) {
     let usage = usage(core);
-    let mut shares = core.tables.shares.lock();
-    shares.report_to_self(&usage, Instant::now());
+    let mut desk = core.tables.shares.lock();
+    desk.shares.report_to_self(&usage, Instant::now());
 }
 
 /// The report for a heartbeat to `to`, if that host divides the shares.
 pub(super) fn outgoing_report(core: &DaemonCore, to: &HostId) -> Option<OutgoingReport> {
-    let is_holder = {
-        let desk = core.tables.leases.lock();
-        let holder = desk.table.holder(&shares_lease(core.zone()));
-        holder.is_some_and(|holder| holder.owner.host == *to)
-    };
-    if !is_holder {
+    if core.tables.shares.lock().holder.as_ref() != Some(to) {
         return None;
     }
     let usage = usage(core);
     let sent_at = Instant::now();
-    let report = core.tables.shares.lock().report(&usage, sent_at)?;
+    let report = core.tables.shares.lock().shares.report(&usage, sent_at)?;
     Some(OutgoingReport { report, sent_at })
 }
 
 /// Grants for a host of this zone that has just reported.
 pub(super) fn answer_report(core: &DaemonCore, beat: &PeerHeartbeat) -> Option<Vec<PeerGrant>> {
     let lease = beat.demands_for?;
-    // A holder whose lease has lapsed may have been replaced; the grants of
-    // both together could exceed the zone's share.
-    let held = {
-        let desk = core.tables.leases.lock();
-        desk.may_act(&shares_lease(core.zone()), Instant::now(), Duration::ZERO)
-    };
-    if held != Some(lease) {
-        return None;
-    }
     let from = GrantHolder {
         host: beat.host.clone(),
         incarnation: beat.incarnation,
@@ -191,22 +238,25 @@
         lease,
         demands: beat.demands.clone(),
     };
-    let mut shares = core.tables.shares.lock();
-    shares.observe_report(&from, beat.sequence, &report, beat.draining, Instant::now())
+    let mut desk = core.tables.shares.lock();
+    desk.shares
+        .observe_report(&from, beat.sequence, &report, beat.draining, Instant::now())
 }
 
-/// Takes in the grants that came in answer to a report.
+/// Takes in the grants that came in answer to a report; says whether to report
+/// again at once, because somebody waits for what was lowered.
 pub(super) fn take_grants(
     core: &DaemonCore,
     lease: LogOffset,
     grants: &[PeerGrant],
     sent_at: Instant,
-) {
-    core.tables
-        .shares
-        .lock()
-        .observe_answer(lease, grants, sent_at);
+) -> bool {
+    let was_lowered = {
+        let mut desk = core.tables.shares.lock();
+        desk.shares.observe_answer(lease, grants, sent_at)
+    };
     keep_to_grants(core);
+    was_lowered
 }
 
 /// Takes in that a host's incarnation has ended.
@@ -214,16 +264,36 @@
     core.tables
         .shares
         .lock()
+        .shares
         .observe_gone(holder, Instant::now());
 }
 
 fn tick(core: &Arc<DaemonCore>, appends: &Arc<AppendQueue>) {
-    let bodies = core.tables.shares.lock().tick(Instant::now());
+    forget_ended(core);
+    let bodies = core.tables.shares.lock().shares.tick(Instant::now());
     for body in bodies {
         append(core, appends, body);
     }
 }
 
+/// Tells the division of incarnations that ended before they were heard here.
+fn forget_ended(core: &DaemonCore) {
+    let now = Instant::now();
+    let membership = core.tables.membership.lock();
+    let mut desk = core.tables.shares.lock();
+    let Some(table) = desk.shares.table() else {
+        return;
+    };
+    let ended: Vec<GrantHolder> = table
+        .awaited()
+        .filter(|holder| membership.has_ended(&holder.host, holder.incarnation))
+        .cloned()
+        .collect();
+    for holder in &ended {
+        desk.shares.observe_gone(holder, now);
+    }
+}
+
 /// Writes what the split over zones should be, as the one host of the system
 /// that may.
 fn write_splits(core: &Arc<DaemonCore>, appends: &Arc<AppendQueue>, checkpoint_at: &mut LogOffset) {
@@ -242,8 +312,8 @@
     };
     let mut bodies: Vec<AllotmentBody> = Vec::new();
     {
-        let shares = core.tables.shares.lock();
-        let ledger = shares.ledger();
+        let desk = core.tables.shares.lock();
+        let ledger = desk.shares.ledger();
         bodies.extend(
             ledger
                 .due_splits(version)
@@ -282,11 +352,11 @@
 /// Sets what admission may start for each organisation.
 fn keep_to_grants(core: &DaemonCore) {
     let now = Instant::now();
-    let shares = core.tables.shares.lock();
+    let shares_desk = core.tables.shares.lock();
     let mut desk = core.tables.admission.lock();
     let organisations: Vec<OrganisationId> = desk.table.organisations().cloned().collect();
     for organisation in organisations {
-        let units = shares.limit(&organisation, now);
+        let units = shares_desk.shares.limit(&organisation, now);
         let limit = ShareLimit {
             concurrent_requests: units.concurrent_requests,
             requests_per_second: units.requests_per_second,
@@ -294,7 +364,7 @@
         desk.table.set_share(organisation, limit, now);
     }
     drop(desk);
-    drop(shares);
+    drop(shares_desk);
     core.admission_changed.notify_one();
     core.shares_changed.notify_waiters();
 }
--- a/src/daemon/tables.rs
+++ b/src/daemon/tables.rs
@@ -15,6 +15,7 @@
 use tokio::sync::oneshot;
 
 use super::leases::LeaseDesk;
+use super::sharing::SharesDesk;
 use crate::admission::{AdmissionDecision, AdmissionSettings, AdmissionTable};
 use crate::collections::FastMap;
 use crate::ids::RequestId;
@@ -43,7 +44,7 @@
     /// Second: the other entry hosts.
     pub(super) membership: Mutex<MembershipTable>,
     /// Then: what this host may use of each organisation's capacity.
-    pub(super) shares: Mutex<ZoneShares>,
+    pub(super) shares: Mutex<SharesDesk>,
     /// Third: which targets are watched, and which are leaving.
     pub(super) watch: Mutex<TargetWatch>,
     /// Fourth: who may start, with those who wait to be told.
@@ -98,7 +99,10 @@
             relay: Mutex::new(RecordRelay::new(RELAY_LIMITS)),
             leases: Mutex::new(LeaseDesk::new(LeaseTable::new(clock_margin))),
             membership: Mutex::new(MembershipTable::new(membership, now)),
-            shares: Mutex::new(shares),
+            shares: Mutex::new(SharesDesk {
+                shares,
+                holder: None,
+            }),
             watch: Mutex::new(TargetWatch::new(watch)),
             admission: Mutex::new(AdmissionDesk {
                 table: AdmissionTable::new(admission, seed),
