--- a/src/routing/queries.rs
+++ b/src/routing/queries.rs
@@ -1,6 +1,6 @@
 //! Planning routes.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use rand::Rng;
 
@@ -124,6 +124,32 @@
         self.targets.get(target).map_or(0, |entry| entry.steps)
     }
 
+    /// How long the route's run takes as far as it is known: its estimate if
+    /// each stage was measured lately, else zero.
+    ///
+    /// To be given to admission, which refuses what cannot end in time: as in
+    /// [`RouteTable::plan`], declared rates alone must not refuse a request.
+    pub fn known_service_time(&self, route: &PlannedRoute, now: Instant) -> Duration {
+        let is_measured = route.stages.iter().all(|stage| {
+            let entry = self.targets.get(&stage.target);
+            entry.is_some_and(|entry| entry.is_measured(&self.settings, now))
+        });
+        match is_measured {
+            true => route.score.total(),
+            false => Duration::ZERO,
+        }
+    }
+
+    /// Steps and calls that the targets which take new work run at once; the
+    /// whole system's, of which each host admits its part.
+    pub fn slots(&self) -> u32 {
+        self.targets
+            .iter()
+            .filter(|(target, entry)| entry.is_serving() && !self.leaving.contains(*target))
+            .map(|(_, entry)| entry.spec.concurrency)
+            .fold(0, u32::saturating_add)
+    }
+
     /// The targets of a group that may get new work now.
     pub fn usable_targets(
         &self,
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -191,6 +191,32 @@
     assert_eq!(table.in_flight(&OrganisationId::from("a")), 0);
 }
 
+/// Symptom: an entry host uses a whole core while it is full.
+/// Sequence: the host's capacity is used up, one request waits with a token of
+/// its organisation's rate at hand; or the rate is used up and nothing else.
+/// Cause: the next tick is due at a time that has already passed.
+#[test]
+fn full_host_waits_for_the_next_tick() {
+    let now = Instant::now();
+    let mut table = table(AdmissionSettings::default(), &[("a", 5)], now);
+    let deadline = now + Duration::from_secs(5);
+    table.set_capacity(1);
+    table.admit(request("runs", "a", deadline), now);
+    table.admit(request("waits", "a", deadline), now);
+    assert!(table.tick(now).is_empty());
+    assert_eq!(table.next_tick(), Some(deadline - SERVICE));
+    let rate = ShareLimit {
+        concurrent_requests: 5,
+        requests_per_second: 1,
+    };
+    table.set_share(OrganisationId::from("b"), rate, now);
+    table.set_capacity(9);
+    table.admit(request("takes the token", "b", deadline), now);
+    table.admit(request("waits for one", "b", deadline), now);
+    assert_eq!(started(&table.tick(now)).len(), 1);
+    assert_eq!(table.next_tick(), Some(now + Duration::from_secs(1)));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         rng_seed: RngSeed::Fixed(23),
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -163,13 +163,15 @@
     let mut rng = StdRng::seed_from_u64(1);
     let mut brief = request(now);
     brief.deadline = now + Duration::from_millis(500);
-    assert!(table.plan(&brief, now, &mut rng).is_ok());
+    let route = table.plan(&brief, now, &mut rng).expect("a route");
+    assert_eq!(table.known_service_time(&route, now), Duration::ZERO);
     for target in 0..TARGETS {
         table.step_sent(&name(target), now);
         table.step_answered(&name(target), Duration::from_secs(1), 1, now);
     }
     let refusal = table.plan(&brief, now, &mut rng).expect_err("too slow");
     assert_eq!(refusal.reason, RefusalReason::DeadlineUnreachable);
+    assert!(table.known_service_time(&route, now) > Duration::ZERO);
     // Nothing was sent for two windows: the measurement is no longer believed.
     let later = now + Duration::from_secs(4);
     brief.deadline = later + Duration::from_millis(500);
