Let requests in with a margin on the estimated wait

Cause: a request was let in if the bare estimate met its deadline, and given up as soon as a later estimate did not.

Change: a request is let in if it would be in time with 1.5 times the estimated wait, and kept in the queue while it would be with half of it.

--- a/src/admission/commands.rs
+++ b/src/admission/commands.rs
@@ -6,6 +6,7 @@
 use crate::ids::{OrganisationId, RequestId};
 use crate::reason::RefusalReason;
 
+use super::estimate::{ARRIVAL_MARGIN, WAITING_MARGIN};
 use super::organisation::{OrganisationState, QueuePlace};
 use super::table::WaitingPlace;
 use super::{AdmissionDecision, AdmissionRequest, AdmissionTable, ReleaseCause, ShareLimit};
@@ -100,9 +101,13 @@
         let is_full = self.is_full(state);
         let in_time = match starts_now {
             true => request.deadline.saturating_duration_since(now) >= request.service_time,
-            false => self
-                .wait_estimate(state, self.asking(), now)
-                .is_reachable(state, request, ahead, now),
+            false => self.wait_estimate(state, self.asking(), now).is_reachable(
+                state,
+                request,
+                ahead,
+                ARRIVAL_MARGIN,
+                now,
+            ),
         };
         match () {
             () if is_known => ArrivalVerdict::Refuse(RefusalReason::Malformed),
@@ -211,7 +216,7 @@
             let estimate = self.wait_estimate(state, asking, now);
             let mut ahead = 0;
             for request in state.queue.values() {
-                match estimate.is_reachable(state, request, ahead, now) {
+                match estimate.is_reachable(state, request, ahead, WAITING_MARGIN, now) {
                     true => ahead += 1,
                     false => given_up.push(request.clone()),
                 }
--- a/src/admission/estimate.rs
+++ b/src/admission/estimate.rs
@@ -7,6 +7,20 @@
 use super::organisation::OrganisationState;
 use super::{AdmissionRequest, AdmissionTable};
 
+/// Margin on the estimated wait of a request that arrives.
+///
+/// Drain rates vary. A request let in on the bare estimate is given up later
+/// about as often as not; one would see callers refused after they have
+/// waited, instead of at once.
+pub(super) const ARRIVAL_MARGIN: f64 = 1.5;
+
+/// Margin on the estimated wait of a request that waits already: it is kept
+/// unless it is hopeless even if things go twice as fast.
+pub(super) const WAITING_MARGIN: f64 = 0.5;
+
+/// Longest wait that is told from any longer one.
+const LONGEST_WAIT: Duration = Duration::from_secs(1_000_000);
+
 /// What an organisation's waits are estimated from.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct WaitEstimate {
@@ -37,19 +51,20 @@
         Some(by_rate.max(interval.saturating_mul(ends_needed)))
     }
 
-    /// Whether a request with `ahead` others before it would end in time.
+    /// Whether a request with `ahead` others before it would end in time if
+    /// its wait were `margin` times the estimate.
     pub(super) fn is_reachable(
         &self,
         state: &OrganisationState,
         request: &AdmissionRequest,
         ahead: usize,
+        margin: f64,
         now: Instant,
     ) -> bool {
         let left = request.deadline.saturating_duration_since(now);
-        match self.wait(state, ahead, request.service_time) {
-            Some(wait) => wait.saturating_add(request.service_time) <= left,
-            None => false,
-        }
+        let wait = self.wait(state, ahead, request.service_time);
+        let wait = wait.map(|wait| wait.min(LONGEST_WAIT).mul_f64(margin));
+        wait.is_some_and(|wait| wait.saturating_add(request.service_time) <= left)
     }
 }
 
@@ -81,7 +96,7 @@
 
     /// Slots that the organisation can count on: its share, or its weight's
     /// part of the host's capacity among those that ask, if that is less.
-    fn slots_for(&self, state: &OrganisationState, asking: u64) -> u32 {
+    pub(super) fn slots_for(&self, state: &OrganisationState, asking: u64) -> u32 {
         let share = state.limit.concurrent_requests;
         let asking = match state.is_idle() {
             true => asking + u64::from(share),
--- a/src/admission/queries.rs
+++ b/src/admission/queries.rs
@@ -64,9 +64,10 @@
     /// When `tick` is due next if nothing else happens: a request's last
     /// chance, or the next token of a rate; `None` if nobody waits.
     ///
-    /// Only a token that is still to come is waited for. With one at hand it is the host's capacity or the share that
-    /// holds the queue up, and its release starts the next; naming a time
-    /// that has passed would keep the caller's loop busy on a whole core.
+    /// Only a token that is still to come is waited for. With one at hand it
+    /// is the host's capacity or the share that holds the queue up, and its
+    /// release starts the next; naming a time that has passed would keep the
+    /// caller's loop busy on a whole core.
     pub fn next_tick(&self) -> Option<Instant> {
         self.organisations
             .values()
