Tell cut-off zones of leaving targets, and heed refusals

Cause: two ways of leaving were not noticed. A zone cut off from the platform does not see the list, and hosts of other zones passed on only targets of their own zone; so the cut-off zone gave work to its leaving target for ever. And the refusal of a step or call by a leaving target was not taken as its word: a host that does not poll the target (another zone's) offered it work again and again.

Change: heartbeats to other zones name the targets elsewhere that the sender knows at first hand to be leaving. A refusal puts the target out of rotation at once; it lapses after the time after which a peer's word lapses, because where nobody polls the target nothing else would take it back. A target that says that it leaves is heard even if it publishes no load any more.

Ruled out: passing on hearsay, by which hosts would keep a sign alive among themselves.

Tests, as run: standins/tests/leaving.rs, four tests.

--- a/src/daemon/services.rs
+++ b/src/daemon/services.rs
@@ -8,11 +8,12 @@
 use super::admitting::admit;
 use super::core::DaemonCore;
 use super::generate::check_phase;
+use super::targets::note_leaving;
 use crate::admission::AdmissionRequest;
 use crate::api::backend::{ServiceCall, ServiceReply};
 use crate::api::wire::RefusalBody;
 use crate::ids::TargetId;
-use crate::reason::RefusalReason;
+use crate::reason::{RefusalReason, RetryReason};
 use crate::target::TargetFailure;
 use crate::target::client::{CallAnswer, CallOrder};
 use crate::target::wire::{IDEMPOTENCY_KEY_HEADER, REQUEST_ID_HEADER};
@@ -121,6 +122,10 @@
     core.tables.routes.write().step_sent(target, began);
     let answer = core.targets.call(address, order).await;
     let now = Instant::now();
+    let reason = answer.as_ref().err().map(TargetFailure::reason);
+    if reason == Some(RetryReason::TargetLeaving) {
+        note_leaving(core, target, now);
+    }
     let mut routes = core.tables.routes.write();
     match &answer {
         Ok(_) => routes.step_answered(target, now - began, 1, now),
--- a/src/daemon/targets.rs
+++ b/src/daemon/targets.rs
@@ -35,6 +35,8 @@
             let mut routes = core.tables.routes.write();
             routes.observe_load(target, &report, now);
         }
+        // That it leaves counts even if it publishes no load any more.
+        (Err(_), Ok(state)) if state.leaving => note_leaving(core, target, now),
         (Err(error), _) | (_, Err(error)) => {
             // Failing polls do not take a target out: the steps on it say
             // sooner and more surely whether it works.
@@ -43,6 +45,18 @@
     }
 }
 
+/// Takes in that a target itself said that it is leaving.
+///
+/// Only hosts of its zone poll it. A host elsewhere that dropped this word
+/// would offer it work again and again, and one would see many steps retried
+/// because their target was leaving.
+pub(super) fn note_leaving(core: &DaemonCore, target: &TargetId, now: Instant) {
+    let mut watch = core.tables.watch.lock();
+    watch.observe_refusal(target, now);
+    let mut routes = core.tables.routes.write();
+    routes.set_leaving(target, true);
+}
+
 /// Reads the platform's list of hosts and targets, again and again.
 pub(super) async fn run_host_list(core: Arc<DaemonCore>) {
     let mut ticks = tokio::time::interval(core.options.timing.host_list_interval);
--- a/src/daemon/watch_steps.rs
+++ b/src/daemon/watch_steps.rs
@@ -3,15 +3,25 @@
 use std::time::Instant;
 
 use super::core::DaemonCore;
+use super::targets::note_leaving;
 use crate::ids::RequestId;
 use crate::journal::JournalEvent;
 use crate::metrics::DropCause;
+use crate::reason::RetryReason;
 use crate::run::StepObservation;
 
 /// Takes one observation in.
 pub(super) fn note_step(core: &DaemonCore, request: &RequestId, observation: &StepObservation) {
     journal_step(core, request, observation);
     let now = Instant::now();
+    if let StepObservation::Failed {
+        target,
+        reason: RetryReason::TargetLeaving,
+        ..
+    } = observation
+    {
+        note_leaving(core, target, now);
+    }
     let mut routes = core.tables.routes.write();
     match observation {
         StepObservation::Sent { target, .. } => routes.step_sent(target, now),
--- a/src/membership/rotation.rs
+++ b/src/membership/rotation.rs
@@ -58,13 +58,15 @@
     }
 
     /// The strongest reason, if there is one.
-    pub(super) fn reason(&self, told_lapse: Duration, now: Instant) -> Option<RotationReason> {
+    ///
+    /// A word that is not repeated lapses after `lapse`.
+    pub(super) fn reason(&self, lapse: Duration, now: Instant) -> Option<RotationReason> {
         let is_told = || {
             self.told_by
                 .values()
-                .any(|told| now.saturating_duration_since(*told) < told_lapse)
+                .any(|told| now.saturating_duration_since(*told) < lapse)
         };
-        match self.first_hand() {
+        match self.first_hand(lapse, now) {
             Some(reason) => Some(reason),
             None if is_told() => Some(RotationReason::Told),
             None => None,
@@ -75,8 +77,15 @@
     ///
     /// Only this is told to the own zone. Were hearsay passed on too, two
     /// hosts would go on telling each other after the target's return.
-    pub(super) fn first_hand(&self) -> Option<RotationReason> {
-        match self.refused_at {
+    ///
+    /// Where no host polls the target, nothing takes its refusal back, and a
+    /// target that has returned would stay idle for ever. So a refusal that
+    /// no newer one confirms lapses; the next one brings the sign back.
+    pub(super) fn first_hand(&self, lapse: Duration, now: Instant) -> Option<RotationReason> {
+        let refused = self
+            .refused_at
+            .filter(|refused| now.saturating_duration_since(*refused) < lapse);
+        match refused {
             _ if self.declared => Some(RotationReason::Declared),
             _ if self.listed => Some(RotationReason::Listed),
             Some(_) => Some(RotationReason::Refused),
--- a/src/membership/settings.rs
+++ b/src/membership/settings.rs
@@ -74,7 +74,8 @@
     pub watchers: usize,
     /// Most loads in one heartbeat to another zone.
     pub remote_loads: usize,
-    /// Time after which a peer's word that a target is leaving lapses.
+    /// Time after which a peer's or the target's own word that it is leaving
+    /// lapses, unless it is repeated.
     pub told_lapse: Duration,
     /// Age above which a load is not passed on.
     pub oldest_load: Duration,
--- a/src/membership/watch_queries.rs
+++ b/src/membership/watch_queries.rs
@@ -30,7 +30,7 @@
         self.targets
             .iter()
             .filter_map(|(name, target)| {
-                let reason = target.signs.first_hand();
+                let reason = target.signs.first_hand(self.settings.told_lapse, now);
                 let is_passed_on = self.watched.contains(name) || reason.is_some();
                 is_passed_on
                     .then(|| self.load(name, target, reason.is_some(), now))
@@ -40,10 +40,12 @@
     }
 
     /// Loads for a host of another zone: a bounded part of this zone's
-    /// targets, those that wait longest to be passed on first.
+    /// targets, those that wait longest to be passed on first, and targets of
+    /// any zone that this host knows at first hand to be leaving.
     ///
-    /// What peers of this zone said is passed on too. It cannot come back as
-    /// their own word, because hosts elsewhere pass on only targets of theirs.
+    /// What peers of this zone said about its own targets is passed on too. It
+    /// cannot come back as their own word, because hosts elsewhere pass on
+    /// only targets of theirs and what they know at first hand.
     pub fn remote_loads(&mut self, now: Instant) -> Vec<PeerLoad> {
         self.remote_rounds += 1;
         let mut waiting: Vec<_> = self
@@ -53,9 +55,9 @@
             .map(|(name, target)| (target.passed_on, name.clone()))
             .collect();
         waiting.sort_unstable();
-        let mut loads = Vec::new();
+        let mut loads = self.leaving_elsewhere(now);
         for (_, name) in waiting {
-            if loads.len() == self.settings.remote_loads {
+            if loads.len() >= self.settings.remote_loads {
                 break;
             }
             let Some(target) = self.targets.get(&name) else {
@@ -70,6 +72,21 @@
         loads
     }
 
+    /// Targets of other zones that this host knows to be leaving.
+    ///
+    /// A zone cut off from the platform does not see the list any more. Unless
+    /// it is told, its hosts go on giving work to targets that the platform
+    /// takes away; their own zone's are not among this host's.
+    fn leaving_elsewhere(&self, now: Instant) -> Vec<PeerLoad> {
+        let lapse = self.settings.told_lapse;
+        self.targets
+            .iter()
+            .filter(|(_, target)| target.zone != self.settings.zone)
+            .filter(|(_, target)| target.signs.first_hand(lapse, now).is_some())
+            .filter_map(|(name, target)| self.load(name, target, true, now))
+            .collect()
+    }
+
     fn load(
         &self,
         name: &TargetId,
--- /dev/null
+++ b/standins/tests/leaving.rs
@@ -0,0 +1,336 @@
+//! A leaving target gets no new work after a few seconds, however it is known
+//! that it leaves, and what runs on it ends whole.
+
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use jackdawwick::api::wire::GenerateBody;
+use jackdawwick::resources::{ResourceSpec, TargetPhase};
+use standins::caller::{CallerClient, HeardReply, OutgoingCall};
+use standins::check::{GenerationHistory, RunHistory, TargetLeave, check_all};
+use standins::declarations::VERSION;
+use standins::fleet::{EnginePlan, Fleet, FleetLayout, StagePlan, ZonePlan};
+use tokio::sync::watch;
+use tokio::task::{JoinHandle, JoinSet};
+
+type TestError = Box<dyn std::error::Error + Send + Sync>;
+type TestResult = Result<(), TestError>;
+
+/// The few seconds of the promise.
+const GRACE: Duration = Duration::from_secs(3);
+/// How long the load goes on after that.
+const AFTER_GRACE: Duration = Duration::from_millis(1_500);
+/// Requests that must have begun and ended well after the grace.
+const LEAST_AFTER_GRACE: usize = 10;
+const PATIENCE: Duration = Duration::from_secs(20);
+const ENGINE: &str = "engine-1-0";
+const ORGANISATION: &str = "organisation-1";
+const PROMPT: [u64; 4] = [2, 7, 1, 8];
+const SHORT: u64 = 4;
+const LONG: u64 = 160;
+const PAUSE: Duration = Duration::from_millis(60);
+
+/// An entry host in each of two zones. The engine that leaves is the fastest
+/// of its stage, so that it is in use. `didube` has engines unless all are to
+/// be in `vake`.
+async fn start_fleet(engines_in: [&str; 2]) -> Result<Fleet, TestError> {
+    let zone = |name: &str| ZonePlan {
+        name: name.to_owned(),
+        entry_hosts: 1,
+    };
+    let engine = |name: &str, millis: u64| EnginePlan {
+        zone: name.to_owned(),
+        step_time: Duration::from_millis(millis),
+        concurrency: 8,
+    };
+    let stage = |first_layer: u32| StagePlan {
+        first_layer,
+        last_layer: first_layer + 3,
+        engines: vec![
+            engine("vake", 4),
+            engine(engines_in[0], 8),
+            engine(engines_in[1], 8),
+        ],
+    };
+    let mut layout = FleetLayout {
+        zones: vec![zone("vake"), zone("didube")],
+        stages: vec![stage(0), stage(4)],
+        ..FleetLayout::franchise()
+    };
+    layout.service.zones = vec!["vake".to_owned(), engines_in[0].to_owned()];
+    Fleet::start(layout).await
+}
+
+fn body(fleet: &Fleet, max_tokens: u64) -> GenerateBody {
+    GenerateBody {
+        model: fleet.layout.model.as_str().into(),
+        prompt: PROMPT.to_vec(),
+        max_tokens,
+        deadline_ms: Some(15_000),
+        priority: 0,
+        resume: None,
+    }
+}
+
+fn now_micros() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.map_or(0, |elapsed| elapsed.as_micros() as u64)
+}
+
+async fn generate(
+    fleet_body: GenerateBody,
+    host: std::net::SocketAddr,
+    request: String,
+) -> GenerationHistory {
+    let caller = CallerClient::open(ORGANISATION);
+    let answer = caller.generate(host, &request, &fleet_body).await;
+    GenerationHistory {
+        request: request.as_str().into(),
+        organisation: ORGANISATION.into(),
+        model: fleet_body.model.to_string(),
+        version: VERSION.to_owned(),
+        layers: 8,
+        prompt: PROMPT.to_vec(),
+        max_tokens: fleet_body.max_tokens,
+        answers: vec![answer],
+    }
+}
+
+/// What the callers heard.
+#[derive(Default)]
+struct HeardLoad {
+    generations: Vec<GenerationHistory>,
+    calls: Vec<Result<HeardReply, String>>,
+}
+
+/// Short requests and calls at a steady rate through all running daemons,
+/// beside a long stream through each.
+struct SteadyLoad {
+    stop: watch::Sender<bool>,
+    task: JoinHandle<HeardLoad>,
+}
+
+impl SteadyLoad {
+    fn spawn(fleet: &Fleet) -> Self {
+        let stop = watch::Sender::new(false);
+        let stopped = stop.subscribe();
+        let hosts: Vec<_> = fleet.running().map(|daemon| daemon.callers).collect();
+        let (short, long) = (body(fleet, SHORT), body(fleet, LONG));
+        let task = tokio::spawn(async move {
+            let mut generations = JoinSet::new();
+            let mut calls = JoinSet::new();
+            let mut number = 0;
+            while !*stopped.borrow() {
+                for host in hosts.iter().copied() {
+                    let request = format!("{number}-at-{}", host.port());
+                    let body = match number {
+                        0..4 => long.clone(),
+                        _ => short.clone(),
+                    };
+                    generations.spawn(generate(body, host, format!("run-{request}")));
+                    calls.spawn(async move {
+                        let call = OutgoingCall {
+                            path: "ledger/balance",
+                            body: "{}".into(),
+                            key: None,
+                        };
+                        let caller = CallerClient::open(ORGANISATION);
+                        let reply = caller
+                            .call_service(host, &format!("call-{request}"), call)
+                            .await;
+                        reply.map_err(|error| error.to_string())
+                    });
+                }
+                number += 1;
+                tokio::time::sleep(PAUSE).await;
+            }
+            HeardLoad {
+                generations: generations.join_all().await,
+                calls: calls.join_all().await,
+            }
+        });
+        Self { stop, task }
+    }
+
+    async fn end(self) -> Result<HeardLoad, TestError> {
+        self.stop.send_replace(true);
+        Ok(self.task.await?)
+    }
+}
+
+/// Waits until runs are on the engine that is to leave, and gives the service
+/// target with the most calls, which is to leave too.
+async fn wait_until_used(fleet: &Fleet) -> Result<usize, TestError> {
+    let deadline = Instant::now() + PATIENCE;
+    let engine = fleet.engine(ENGINE).ok_or("no such engine")?;
+    let calls = |index: &usize| fleet.services[*index].server.record().len();
+    loop {
+        let service = (0..fleet.services.len()).max_by_key(calls).unwrap_or(0);
+        match engine.server.record().len() {
+            100.. if calls(&service) > 0 => return Ok(service),
+            _ if Instant::now() > deadline => return Err("the targets get no work".into()),
+            _ => tokio::time::sleep(Duration::from_millis(10)).await,
+        }
+    }
+}
+
+/// Lets the load go on past the grace after the engine and the service target
+/// were put down as leaving, then checks every promise.
+async fn check_leave(fleet: &Fleet, load: SteadyLoad, service: usize) -> TestResult {
+    let at_micros = now_micros();
+    tokio::time::sleep(GRACE).await;
+    let refused_until_then = refused_as_leaving(fleet).await?;
+    let grace_over = Instant::now();
+    tokio::time::sleep(AFTER_GRACE).await;
+    let heard = load.end().await?;
+    for call in &heard.calls {
+        let status = call.as_ref().map(|reply| reply.status);
+        assert_eq!(status, Ok(http::StatusCode::OK), "{call:?}");
+    }
+    for one in &heard.generations {
+        assert!(one.answers[0].is_whole(), "{one:?}");
+    }
+    let late = heard.generations.iter().filter(|one| {
+        let sent = one.answers[0].sent;
+        sent > grace_over
+    });
+    assert!(late.count() >= LEAST_AFTER_GRACE);
+    let history = RunHistory {
+        generations: heard.generations,
+        leaves: vec![TargetLeave {
+            target: ENGINE.into(),
+            at_micros,
+        }],
+        ..fleet.recorded()
+    };
+    assert_eq!(check_all(&history, GRACE), []);
+    let latest = at_micros + GRACE.as_micros() as u64;
+    let calls = fleet.services[service].server.record();
+    let late_calls = calls.iter().filter(|call| call.at_micros > latest);
+    assert_eq!(late_calls.count(), 0, "the service target still gets calls");
+    // Work that a target has to refuse is work that it still gets.
+    let refused = refused_as_leaving(fleet).await?;
+    assert_eq!(refused, refused_until_then, "new work is still offered");
+    Ok(())
+}
+
+/// Steps that all daemons sent elsewhere because a target was leaving.
+async fn refused_as_leaving(fleet: &Fleet) -> Result<u64, TestError> {
+    let mut refused = 0;
+    for daemon in fleet.running() {
+        let reply = standins::operator::operate(
+            daemon.operators,
+            http::Method::GET,
+            "/metrics",
+            Vec::new(),
+        )
+        .await?;
+        let text = String::from_utf8(reply.body.to_vec())?;
+        let line = text
+            .lines()
+            .find(|line| line.contains("retries") && line.contains("target_leaving"))
+            .ok_or("no counter of leaving targets")?;
+        let count = line.rsplit(' ').next().ok_or("no value")?;
+        refused += count.parse::<u64>()?;
+    }
+    Ok(refused)
+}
+
+fn refuse_by_themselves(fleet: &Fleet, service: usize) -> TestResult {
+    let engine = fleet.engine(ENGINE).ok_or("no such engine")?;
+    engine
+        .server
+        .faults()
+        .update(|faults| faults.leaving = true);
+    let service = fleet.services[service].server.faults();
+    service.update(|faults| faults.leaving = true);
+    Ok(())
+}
+
+/// Symptom: runs begin on a target that the operators drain.
+/// Sequence: engine and service target are declared as draining under load.
+/// Cause: a host goes on with what was declared before.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_declared_as_draining_gets_no_new_work() -> TestResult {
+    let mut fleet = start_fleet(["didube", "vake"]).await?;
+    let load = SteadyLoad::spawn(&fleet);
+    let service = wait_until_used(&fleet).await?;
+    let name = fleet.services[service].name.clone();
+    let mut drained = Vec::new();
+    for declaration in fleet.declarations() {
+        let is_leaver = [ENGINE, &*name].contains(&&*declaration.key.name);
+        if let ResourceSpec::Target(mut spec) = declaration.spec
+            && is_leaver
+        {
+            spec.phase = TargetPhase::Draining;
+            let name = declaration.key.name.to_string();
+            drained.push(standins::operator::Declaration::new(
+                &name,
+                ResourceSpec::Target(spec),
+            ));
+        }
+    }
+    assert_eq!(drained.len(), 2);
+    fleet.declare(&drained).await?;
+    check_leave(&fleet, load, service).await?;
+    fleet.shutdown().await;
+    Ok(())
+}
+
+/// Symptom: runs begin on a target that the platform takes away.
+/// Sequence: the platform's list calls the targets leaving; the zone's host is
+/// cut off from the platform at that moment, but not from the other zone's.
+/// Cause: the list is not the only way to know: the other zone's host has it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_zone_cut_from_the_platform_learns_from_its_peers() -> TestResult {
+    let mut fleet = start_fleet(["didube", "vake"]).await?;
+    let load = SteadyLoad::spawn(&fleet);
+    let service = wait_until_used(&fleet).await?;
+    for gate in fleet.gates.iter().filter(|gate| gate.zone == "vake") {
+        gate.set_cut(true);
+    }
+    fleet.leave(ENGINE);
+    let name = fleet.services[service].name.clone();
+    fleet.leave(&name);
+    check_leave(&fleet, load, service).await?;
+    fleet.shutdown().await;
+    Ok(())
+}
+
+/// Symptom: runs are offered to a target that refuses them, again and again.
+/// Sequence: the list is down, so that only the targets say that they leave.
+/// Cause: what one host hears from a target must reach the others.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_refuses_by_itself_gets_no_new_work() -> TestResult {
+    let mut fleet = start_fleet(["didube", "vake"]).await?;
+    let load = SteadyLoad::spawn(&fleet);
+    let service = wait_until_used(&fleet).await?;
+    fleet
+        .platform
+        .faults()
+        .update(|faults| faults.outage = true);
+    refuse_by_themselves(&fleet, service)?;
+    check_leave(&fleet, load, service).await?;
+    fleet.shutdown().await;
+    Ok(())
+}
+
+/// Symptom: as above, for as long as the target's zone has no entry host.
+/// Sequence: the hosts of the targets' zone die; the list is down; targets
+/// refuse by themselves.
+/// Cause: hosts poll targets of their own zone only, so nobody polls these.
+/// The refusal of a step must count as the target's word.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refusal_counts_where_nobody_polls_the_target() -> TestResult {
+    let mut fleet = start_fleet(["vake", "vake"]).await?;
+    fleet.daemons[0].kill().await;
+    let load = SteadyLoad::spawn(&fleet);
+    let service = wait_until_used(&fleet).await?;
+    fleet
+        .platform
+        .faults()
+        .update(|faults| faults.outage = true);
+    refuse_by_themselves(&fleet, service)?;
+    check_leave(&fleet, load, service).await?;
+    fleet.shutdown().await;
+    Ok(())
+}
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -477,6 +477,22 @@
     assert_eq!(reasons(&watches, now), vec![None; 3]);
 }
 
+/// Symptom: a target that has returned stays idle for ever.
+/// Events: it refuses a host of a zone whose own hosts are gone, and returns.
+/// Cause: nobody reads it there, so nothing takes the refusal back.
+#[test]
+fn a_refusal_that_nobody_confirms_lapses() {
+    let hosts: Vec<HostId> = vec!["z0-0".into()];
+    let mut watch = watch(&hosts[0], &hosts, 1);
+    let lapse = WatchSettings::new("z0-0".into(), "z0".into()).told_lapse;
+    let refused = Instant::now();
+    watch.observe_refusal("engine-0", refused);
+    let reason_after = |passed| watch.out_of_rotation("engine-0", refused + passed);
+    let just_before = lapse - Duration::from_millis(1);
+    assert_eq!(reason_after(just_before), Some(RotationReason::Refused));
+    assert_eq!(reason_after(lapse), None);
+}
+
 /// Symptom: new work goes to a target that the platform or an operator has
 /// already marked, in a zone that is cut off from the platform.
 /// Events: only a host of another zone sees the list; it tells by heartbeat.
