End a shutdown with every answer told and every lease back

Cause: three faults of a graceful shutdown. An idle daemon ended before the worker that hands leases back had its turn, so nobody ordered the zone's targets until the leases lapsed. A drain that passed its time only logged that and then waited for the streams as long as they took. And requests in the queue and service calls were not counted as in flight, so that the time for draining did not hold for them and the listener closed while they ran.

Change: the shutdown itself hands the leases back, after any order under way and until the log has them, beside the draining. Requests count as in flight from before the phase is looked at. When draining takes too long, runs end as if their caller had gone, which cancels their sessions, and the caller is sent an error event with the verdict and the reason "draining"; queued requests are refused as not run. The listener stays open until all is done, to refuse with a verdict.

Ruled out: dropping the runs' futures, which would leave sessions on the engines and lose the exact verdict.

Tests, as run: standins/tests/shutdown.rs, four tests with daemons as processes and SIGTERM.

Not proved: a request on an idle kept-alive connection that is closed at that very moment hears nothing; a lease acquired while the shutdown begins lapses by itself.

--- a/src/daemon/admitting.rs
+++ b/src/daemon/admitting.rs
@@ -82,7 +82,14 @@
         },
     );
     core.admission_changed.notify_one();
-    match waiter.await {
+    let told = tokio::select! {
+        told = waiter => told,
+        // Nothing will be started any more.
+        () = core.drain_over.cancelled() => {
+            return Err(refusal(slot.request.clone(), RefusalReason::Draining, IDLE_TICK));
+        }
+    };
+    match told {
         Ok(AdmissionDecision::Refuse {
             request,
             reason,
--- a/src/daemon/core.rs
+++ b/src/daemon/core.rs
@@ -8,6 +8,7 @@
 
 use parking_lot::Mutex;
 use tokio::sync::{Notify, watch};
+use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use super::tables::SharedTables;
@@ -45,6 +46,9 @@
     pub(super) admission_changed: Notify,
     /// Runs and calls in flight, waited for at shutdown.
     pub(super) in_flight: TaskTracker,
+    /// Cancelled once draining has taken too long: what is still in flight
+    /// tells its caller the verdict and ends.
+    pub(super) drain_over: CancellationToken,
     pub(super) metrics: MetricSet,
     pub(super) platform: PlatformClient,
     /// Told when a peer has applied more than this host.
@@ -78,6 +82,7 @@
             applied: watch::Sender::new(0),
             admission_changed: Notify::new(),
             in_flight: TaskTracker::new(),
+            drain_over: CancellationToken::new(),
             metrics: MetricSet::default(),
             platform,
             peer_ahead: Notify::new(),
@@ -142,11 +147,6 @@
         self.ordering.lock().await
     }
 
-    /// Whether an order to a target is under way.
-    pub(super) fn is_ordering(&self) -> bool {
-        self.ordering.try_lock().is_err()
-    }
-
     /// Whether nothing new is taken any more.
     pub(super) fn is_draining(&self) -> bool {
         self.phase() == DaemonPhase::Draining
--- a/src/daemon/generate.rs
+++ b/src/daemon/generate.rs
@@ -32,6 +32,9 @@
     core: Arc<DaemonCore>,
     call: GenerateCall,
 ) -> Result<GenerateStream, RefusalBody> {
+    // Waited for by a shutdown from here on, also while it is queued. Begun
+    // before the phase is looked at: else the last one might end in between.
+    let _in_flight = core.in_flight.token();
     check_phase(&core, &call.request)?;
     check_body(&call)?;
     let deadline = deadline_of(&core, &call);
@@ -179,7 +182,7 @@
             return;
         }
         let (tokens, receiver) = mpsc::channel(STREAM_BUFFER);
-        let outcome = {
+        let mut outcome = {
             let forward = forward_tokens(
                 Arc::clone(&self.core),
                 self.call.received,
@@ -191,6 +194,10 @@
             outcome
         };
         self.core.tables.routes.write().run_ended(&self.route);
+        let is_cut = self.core.drain_over.is_cancelled() && !self.events.is_closed();
+        if is_cut && outcome.refusal == Some(RefusalReason::CallerGone) {
+            outcome.refusal = Some(RefusalReason::Draining);
+        }
         if outcome.refusal.is_none() {
             slot.complete();
         }
@@ -320,6 +327,8 @@
             // The receiver is dropped here, by which the run learns at once
             // that nobody listens, also while no token is due.
             () = events.closed() => return,
+            // Draining has taken too long: likewise.
+            () = core.drain_over.cancelled() => return,
         };
         let Some(DeliveredToken { number, token }) = delivered else {
             return;
--- a/src/daemon/leases.rs
+++ b/src/daemon/leases.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use futures::future::join_all;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use uuid::Uuid;
 
@@ -161,15 +162,8 @@
 
 /// Decides about each lease, and appends what was decided.
 fn decide_all(core: &Arc<DaemonCore>, appends: &Arc<AppendQueue>) {
-    match core.is_draining() {
-        // Handed back while an order is under way, a lease would let the next
-        // holder order at the same time.
-        true if core.is_ordering() => return,
-        true => {
-            release_all(core, appends);
-            return;
-        }
-        false => {}
+    if core.is_draining() {
+        return;
     }
     let now = Instant::now();
     let mut records = Vec::new();
@@ -191,21 +185,32 @@
     }
 }
 
-/// Hands the leases back, so that another host may begin at once.
-fn release_all(core: &Arc<DaemonCore>, appends: &Arc<AppendQueue>) {
+/// Hands the leases back, so that another host may begin at once; ends when
+/// the log has them. To be called once the daemon drains.
+///
+/// Left to a worker, this would be lost if nothing is in flight: the process
+/// would end first, and nobody would order the zone's targets until the leases
+/// lapse.
+pub(super) async fn hand_back(core: &Arc<DaemonCore>, appends: &Arc<AppendQueue>) {
+    // Handed back while an order is under way, a lease would let the next
+    // holder order at the same time.
+    let ordering = core.begin_ordering().await;
+    let released = release_all(core);
+    drop(ordering);
+    let appended = released
+        .into_iter()
+        .map(|record| append(Arc::clone(core), Arc::clone(appends), record));
+    join_all(appended).await;
+}
+
+fn release_all(core: &DaemonCore) -> Vec<LogRecord<LeaseBody>> {
     let now = Instant::now();
-    let released: Vec<LogRecord<LeaseBody>> = {
-        let mut desk = core.tables.leases.lock();
-        let LeaseDesk { table, machines } = &mut *desk;
-        machines
-            .iter_mut()
-            .filter_map(|named| named.machine.release(table, new_id(), now))
-            .collect()
-    };
-    for record in released {
-        core.in_flight
-            .spawn(append(Arc::clone(core), Arc::clone(appends), record));
-    }
+    let mut desk = core.tables.leases.lock();
+    let LeaseDesk { table, machines } = &mut *desk;
+    machines
+        .iter_mut()
+        .filter_map(|named| named.machine.release(table, new_id(), now))
+        .collect()
 }
 
 fn new_id() -> RecordId {
--- a/src/daemon/services.rs
+++ b/src/daemon/services.rs
@@ -34,6 +34,8 @@
     core: Arc<DaemonCore>,
     call: ServiceCall,
 ) -> Result<ServiceReply, RefusalBody> {
+    // Waited for by a shutdown from here on.
+    let _in_flight = core.in_flight.token();
     check_phase(&core, &call.request)?;
     let targets = declared_targets(&core, &call)?;
     let request = AdmissionRequest {
--- a/src/daemon/spawn.rs
+++ b/src/daemon/spawn.rs
@@ -1,18 +1,20 @@
 //! Starting a daemon and shutting it down.
 
 use std::net::{SocketAddr, TcpListener};
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use futures::FutureExt;
 use tokio::task::JoinHandle;
+use tokio::time::timeout;
 
 use super::admitting::run_admission;
 use super::callers::caller_backend;
 use super::checkpoints::run_checkpoints;
 use super::core::DaemonCore;
 use super::declarations::run_declarations;
-use super::leases::run_leases;
+use super::leases::{hand_back, run_leases};
 use super::members::{answer_beat, run_members};
 use super::operators::operator_backend;
 use super::reconciling::run_reconciling;
@@ -37,6 +39,9 @@
 
 /// How long the platform may take for one answer.
 const PLATFORM_ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long a shutdown tries to hand its leases back: an order that is under
+/// way may have to end first.
+const HAND_BACK_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Why a daemon could not be started.
 #[derive(Debug, thiserror::Error)]
@@ -55,6 +60,7 @@
     callers: ApiHandle,
     operators: ApiHandle,
     workers: Vec<JoinHandle<()>>,
+    lease_appends: Arc<AppendQueue>,
 }
 
 /// Starts a daemon on the current tokio runtime.
@@ -88,7 +94,11 @@
         tokio::spawn(run_declarations(Arc::clone(&core), seed)),
         tokio::spawn(run_relaying(Arc::clone(&core))),
         tokio::spawn(run_checkpoints(Arc::clone(&core), seed)),
-        tokio::spawn(run_leases(Arc::clone(&core), lease_appends, seed)),
+        tokio::spawn(run_leases(
+            Arc::clone(&core),
+            Arc::clone(&lease_appends),
+            seed,
+        )),
         tokio::spawn(run_reconciling(Arc::clone(&core))),
         tokio::spawn(run_admission(Arc::clone(&core))),
         tokio::spawn(run_members(Arc::clone(&core))),
@@ -115,6 +125,7 @@
         callers,
         operators,
         workers,
+        lease_appends,
     })
 }
 
@@ -148,26 +159,58 @@
         }
     }
 
-    /// Shuts down gracefully: nothing new is taken, what is in flight ends.
+    /// Shuts down gracefully: nothing new is taken, what is in flight ends,
+    /// leases are handed back.
+    ///
+    /// What is still in flight after the time that draining may take tells its
+    /// caller the verdict and ends.
     pub async fn shutdown(self) {
-        self.core.begin_draining();
-        self.core.in_flight.close();
-        let finished = self.core.in_flight.wait();
-        let timeout = self.core.options.timing.drain_timeout;
-        if tokio::time::timeout(timeout, finished).await.is_err() {
-            log::error!("requests were still in flight after {timeout:?}");
+        let Self {
+            core,
+            callers,
+            operators,
+            workers,
+            lease_appends,
+        } = self;
+        core.begin_draining();
+        core.in_flight.close();
+        // The listener stays open meanwhile, to refuse with a verdict.
+        let drained = async {
+            core.in_flight.wait().await;
+            callers.shutdown().await;
+        };
+        let handed_back = timeout(HAND_BACK_TIMEOUT, hand_back(&core, &lease_appends));
+        let (handed_back, ()) = tokio::join!(handed_back, end_in_time(&core, drained));
+        if handed_back.is_err() {
+            log::warn!("the leases could not be handed back; they lapse in time");
         }
-        self.callers.shutdown().await;
-        self.operators.shutdown().await;
-        for worker in self.workers {
+        operators.shutdown().await;
+        for worker in workers {
             worker.abort();
         }
-        if let Some(peers) = self.core.peers() {
+        if let Some(peers) = core.peers() {
             peers.shutdown().await;
         }
     }
 }
 
+/// Waits for `drained`; once that has taken too long, what is in flight is
+/// told to end.
+async fn end_in_time<F>(core: &DaemonCore, drained: F)
+where
+    F: Future<Output = ()>,
+{
+    let mut drained = pin!(drained);
+    let allowed = core.options.timing.drain_timeout;
+    if timeout(allowed, &mut drained).await.is_err() {
+        log::error!("requests were still in flight after {allowed:?}");
+        // A process that just ended here would cut the connections, and a
+        // caller could not tell what ran.
+        core.drain_over.cancel();
+        drained.await;
+    }
+}
+
 fn open_platform(options: &DaemonOptions) -> PlatformClient {
     let timeouts = PlatformTimeouts {
         connect: options.timing.connect_timeout,
--- /dev/null
+++ b/standins/tests/shutdown.rs
@@ -0,0 +1,352 @@
+//! A graceful shutdown cuts off nothing: daemons as separate processes, ended
+//! by a signal under load.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::StatusCode;
+use jackdawwick::api::wire::GenerateBody;
+use jackdawwick::lease::record::{LeaseBody, LeaseEntry};
+use jackdawwick::reason::RefusalReason;
+use jackdawwick::records::{LEASE_STREAM, LogRecord};
+use jackdawwick::verdict::RunVerdict;
+use standins::caller::{CallerClient, OutgoingCall};
+use standins::check::{
+    GenerationHistory, RunHistory, TargetSteps, check_answered_once, check_layers,
+    check_whole_answers,
+};
+use standins::daemon_settings::DaemonPlace;
+use standins::declarations::{self, StageLayout, StageTarget, VERSION};
+use standins::engine::{EngineServer, EngineSettings};
+use standins::operator;
+use standins::platform::{PlatformServer, PlatformSettings};
+use standins::service::{ServiceServer, ServiceSettings};
+use support::{DaemonProcess, TestError, TestResult, eventually};
+use tokio::task::JoinHandle;
+
+const MODEL: &str = "drafter";
+const LAYERS: u32 = 8;
+const ZONE: &str = "anfa";
+const HOSTS: [&str; 2] = ["entry-1", "entry-2"];
+const PROMPT: [u64; 3] = [5, 6, 7];
+/// Tokens of an answer that takes about two seconds.
+const LONG: u64 = 120;
+const STREAMS: usize = 6;
+const STEP_TIME: Duration = Duration::from_millis(5);
+const CALL_TIME: Duration = Duration::from_secs(1);
+/// May run one request at a time, so that others wait in the queue.
+const NARROW: &str = "narrow";
+const WIDE: &str = "wide";
+/// Far longer than the patience of these tests: who gets the lease sooner was
+/// handed it.
+const LEASE: &str = "30s";
+
+struct SmallFleet {
+    platform: PlatformServer,
+    engines: Vec<(StageTarget, EngineServer)>,
+    _service: ServiceServer,
+    daemons: Vec<DaemonProcess>,
+}
+
+/// Two stages with two engines each, a service, two daemons of one zone.
+async fn start_fleet(drain_timeout: &str) -> Result<SmallFleet, TestError> {
+    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    let platform = PlatformServer::bind(any_port, PlatformSettings::default()).await?;
+    let mut engines = Vec::new();
+    let mut stages = Vec::new();
+    for first_layer in [0, LAYERS / 2] {
+        let last_layer = first_layer + LAYERS / 2 - 1;
+        for number in 0..2 {
+            let settings = EngineSettings {
+                step_time: STEP_TIME,
+                ..EngineSettings::new(MODEL, VERSION, LAYERS, first_layer, last_layer)
+            };
+            let server = EngineServer::bind(any_port, settings).await?;
+            let name = format!("engine-{first_layer}-{number}");
+            engines.push((place(&name, server.local_addr()), server));
+        }
+        let targets = engines.iter().rev().take(2);
+        stages.push(StageLayout {
+            first_layer,
+            last_layer,
+            targets: targets.map(|(target, _)| target.clone()).collect(),
+        });
+    }
+    let settings = ServiceSettings {
+        call_time: CALL_TIME,
+        ..ServiceSettings::default()
+    };
+    let service = ServiceServer::bind(any_port, settings).await?;
+    let mut daemons = Vec::new();
+    for host in HOSTS {
+        let timing =
+            format!("\n[timing]\ndrain_timeout = {drain_timeout:?}\nlease_duration = {LEASE:?}\n");
+        let settings = DaemonPlace::new(host, ZONE, platform.local_addr()).to_toml(&timing);
+        daemons.push(DaemonProcess::spawn(&settings)?);
+    }
+    let mut resources = declarations::pipeline(MODEL, &stages);
+    let targets = [place("artifacts-1", service.local_addr())];
+    resources.extend(declarations::service("artifacts", &targets, &[]));
+    resources.push(declarations::organisation(WIDE, 100, 1_000));
+    resources.push(declarations::organisation(NARROW, 1, 1_000));
+    operator::declare_all(daemons[0].operators, &resources).await?;
+    let fleet = SmallFleet {
+        platform,
+        engines,
+        _service: service,
+        daemons,
+    };
+    for daemon in &fleet.daemons {
+        eventually("a request is answered", || async {
+            let caller = CallerClient::open(WIDE);
+            let answer = caller.generate(daemon.callers, "first", &body(1)).await;
+            answer.is_whole()
+        })
+        .await?;
+    }
+    Ok(fleet)
+}
+
+fn place(name: &str, address: SocketAddr) -> StageTarget {
+    StageTarget {
+        name: name.to_owned(),
+        zone: ZONE.into(),
+        address,
+        tokens_per_second: 1_000.0,
+        concurrency: 16,
+    }
+}
+
+fn body(max_tokens: u64) -> GenerateBody {
+    GenerateBody {
+        model: MODEL.into(),
+        prompt: PROMPT.to_vec(),
+        max_tokens,
+        deadline_ms: Some(60_000),
+        priority: 0,
+        resume: None,
+    }
+}
+
+fn start_run(
+    host: SocketAddr,
+    organisation: &'static str,
+    request: String,
+    max_tokens: u64,
+) -> JoinHandle<GenerationHistory> {
+    tokio::spawn(async move {
+        let caller = CallerClient::open(organisation);
+        let answer = caller.generate(host, &request, &body(max_tokens)).await;
+        GenerationHistory {
+            request: request.as_str().into(),
+            organisation: organisation.into(),
+            model: MODEL.to_owned(),
+            version: VERSION.to_owned(),
+            layers: LAYERS,
+            prompt: PROMPT.to_vec(),
+            max_tokens,
+            answers: vec![answer],
+        }
+    })
+}
+
+impl SmallFleet {
+    /// Steps that ran so far, engine by engine.
+    fn steps(&self) -> Vec<TargetSteps> {
+        let steps = self.engines.iter().map(|(target, server)| TargetSteps {
+            target: target.name.as_str().into(),
+            records: server.record(),
+        });
+        steps.collect()
+    }
+
+    fn has_run(&self, request: &str) -> bool {
+        let prefix = format!("{request}~");
+        let records = self.steps().into_iter().flat_map(|steps| steps.records);
+        let mut positions = records.filter(|record| record.request.starts_with(&prefix));
+        positions.any(|record| record.position > PROMPT.len() as u64)
+    }
+
+    fn lease_records(&self) -> Result<Vec<LogRecord<LeaseBody>>, TestError> {
+        let stored = self.platform.record(LEASE_STREAM).into_iter();
+        let parsed = stored.map(|record| serde_json::from_str(&record.body));
+        Ok(parsed.collect::<Result<_, _>>()?)
+    }
+
+    /// The daemon that took the lease on ordering targets first.
+    async fn lease_holder(&self) -> Result<usize, TestError> {
+        let name = format!("orders/{ZONE}");
+        let first = || -> Option<usize> {
+            let records = self.lease_records().ok()?;
+            let first = records.iter().find(|record| *record.body.name == *name)?;
+            HOSTS.iter().position(|host| *host == &*first.writer)
+        };
+        eventually("a host takes the lease", || async { first().is_some() }).await?;
+        first().ok_or_else(|| "no host holds the lease".into())
+    }
+
+    /// Waits until the other daemon has taken the lease after it was released.
+    async fn wait_for_handover(&self, from: usize) -> TestResult {
+        let name = format!("orders/{ZONE}");
+        let other = HOSTS[1 - from];
+        eventually("the other host holds the lease", || async {
+            let records = self.lease_records().unwrap_or_default();
+            let of_orders = records
+                .iter()
+                .filter(|record| *record.body.name == *name)
+                .skip_while(|record| !matches!(record.body.entry, LeaseEntry::Release { .. }));
+            let mut later = of_orders.skip(1);
+            later.any(|record| {
+                let is_acquired = matches!(record.body.entry, LeaseEntry::Acquire { .. });
+                is_acquired && &*record.writer == other
+            })
+        })
+        .await
+    }
+}
+
+/// The exit status of a daemon that was told to end.
+fn wait_for_exit(daemon: &mut DaemonProcess) -> Result<Option<i32>, TestError> {
+    tokio::task::block_in_place(|| daemon.process.wait())
+}
+
+async fn is_unready(daemon: SocketAddr) -> bool {
+    let path = "/readyz";
+    let reply = standins::json_client::call(http::Method::GET, daemon, path, &()).await;
+    reply.is_ok_and(|reply| reply.status == StatusCode::SERVICE_UNAVAILABLE)
+}
+
+/// Ends the lease holder by a signal under load; `strike` happens right after
+/// the signal. Everything that it had taken in must end whole.
+async fn end_under_load<F>(strike: F) -> TestResult
+where
+    F: FnOnce(&SmallFleet),
+{
+    let mut fleet = start_fleet("60s").await?;
+    let holder = fleet.lease_holder().await?;
+    let host = fleet.daemons[holder].callers;
+    let streams: Vec<_> = (0..STREAMS)
+        .map(|number| start_run(host, WIDE, format!("wide-{number}"), LONG))
+        .collect();
+    let queued: Vec<_> = (0..3)
+        .map(|number| start_run(host, NARROW, format!("narrow-{number}"), LONG / 4))
+        .collect();
+    let call = tokio::spawn(async move {
+        let call = OutgoingCall {
+            path: "artifacts/download",
+            body: "{}".into(),
+            key: None,
+        };
+        let caller = CallerClient::open(WIDE);
+        caller.call_service(host, "call", call).await
+    });
+    eventually("the streams run", || async {
+        (0..STREAMS).all(|number| fleet.has_run(&format!("wide-{number}")))
+    })
+    .await?;
+    fleet.daemons[holder].process.signal("TERM")?;
+    strike(&fleet);
+    eventually("the daemon is not ready", || is_unready(host)).await?;
+    let late = CallerClient::open(WIDE)
+        .generate(host, "late", &body(1))
+        .await;
+    let is_in_flight = streams.iter().any(|stream| !stream.is_finished());
+    assert!(is_in_flight, "the streams are too short to show anything");
+    let refusal = late.refusal.ok_or("a request was taken while draining")?;
+    assert_eq!(refusal.reason, RefusalReason::Draining);
+    assert_eq!(refusal.verdict, RunVerdict::NotRun);
+    assert!(refusal.retry_after_ms.is_some());
+    let mut generations = Vec::new();
+    for stream in streams.into_iter().chain(queued) {
+        generations.push(stream.await?);
+    }
+    assert_eq!(call.await??.status, StatusCode::OK);
+    assert_eq!(wait_for_exit(&mut fleet.daemons[holder])?, Some(0));
+    for generation in &generations {
+        assert!(generation.answers[0].is_whole(), "{generation:?}");
+    }
+    assert!(!fleet.has_run("late"));
+    let history = RunHistory {
+        generations,
+        steps: fleet.steps(),
+        ..RunHistory::default()
+    };
+    let mut broken = check_layers(&history);
+    broken.extend(check_whole_answers(&history));
+    broken.extend(check_answered_once(&history));
+    assert_eq!(broken, []);
+    fleet.wait_for_handover(holder).await
+}
+
+/// Symptom: callers see their streams cut when a host is replaced.
+/// Sequence: SIGTERM while long streams run, requests wait in the queue and a
+/// service call is in flight.
+/// Cause: the process ends, or closes connections, before they are done.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_signal_under_load_cuts_off_nothing() -> TestResult {
+    end_under_load(|_| {}).await
+}
+
+/// Symptom: as above, for the streams on one stage.
+/// Sequence: right after the SIGTERM one engine of the second stage dies.
+/// Cause: a daemon that drains must still repair the runs that it finishes.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stage_that_dies_while_draining_is_replaced() -> TestResult {
+    end_under_load(|fleet| {
+        let busiest = fleet.engines[2..]
+            .iter()
+            .max_by_key(|(_, server)| server.record().len());
+        if let Some((_, server)) = busiest {
+            server.die();
+        }
+    })
+    .await
+}
+
+/// Symptom: a caller sees its connection break and cannot tell what ran.
+/// Sequence: a stream is longer than the time that draining may take.
+/// Cause: the process ends with the stream open instead of closing it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_drain_that_takes_too_long_ends_streams_with_a_verdict() -> TestResult {
+    let mut fleet = start_fleet("300ms").await?;
+    let host = fleet.daemons[0].callers;
+    let stream = start_run(host, WIDE, "long".to_owned(), 10 * LONG);
+    let running = start_run(host, NARROW, "running".to_owned(), 10 * LONG);
+    let has_begun = || async { fleet.has_run("long") && fleet.has_run("running") };
+    eventually("the streams run", has_begun).await?;
+    let waiting = start_run(host, NARROW, "waiting".to_owned(), LONG);
+    // Nothing tells from outside that a request stands in the queue.
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    fleet.daemons[0].process.signal("TERM")?;
+    for cut in [stream.await?, running.await?] {
+        let answer = &cut.answers[0];
+        assert!(!answer.broken, "{answer:?}");
+        let refusal = answer.refused().ok_or("no error event")?;
+        assert_eq!(refusal.reason, RefusalReason::Draining);
+        assert_eq!(refusal.verdict, RunVerdict::MayHaveRun);
+        assert!(!answer.tokens().is_empty());
+    }
+    let refused = waiting.await?;
+    let refusal = refused.refusal().ok_or("the queued request hung")?;
+    assert_eq!(refusal.reason, RefusalReason::Draining);
+    assert_eq!(refusal.verdict, RunVerdict::NotRun);
+    assert!(!fleet.has_run("waiting"));
+    assert_eq!(wait_for_exit(&mut fleet.daemons[0])?, Some(0));
+    Ok(())
+}
+
+/// Symptom: nobody orders a zone's targets for a whole lease after a host was
+/// replaced.
+/// Sequence: SIGTERM to an idle lease holder.
+/// Cause: with nothing in flight the process ends before it has handed the
+/// lease back.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_idle_host_hands_its_leases_back() -> TestResult {
+    let mut fleet = start_fleet("60s").await?;
+    let holder = fleet.lease_holder().await?;
+    fleet.daemons[holder].process.signal("TERM")?;
+    assert_eq!(wait_for_exit(&mut fleet.daemons[holder])?, Some(0));
+    fleet.wait_for_handover(holder).await
+}
