Hand back leases whose acquisition or renewal is on its way

Cause: a lease that was acquired but not read back yet when the shutdown began was not known as held, so nothing was released; and a renewal that reached the log just before the release made that void. The lease then stayed with a host that was gone until it lapsed.

Change: the shutdown first waits, at most a second, for the judgement of its own records, and repeats a release until it has read that the lease is free.

Tests, as run: a new test signals a host while its acquisition is in the log and its reads of the log are slow.

--- a/src/daemon/leases.rs
+++ b/src/daemon/leases.rs
@@ -24,6 +24,10 @@
 const READ_LIMIT: usize = 512;
 /// Reads that may wait to be applied.
 const READ_AHEAD: usize = 4;
+/// How long a shutdown waits until what it wrote is read back.
+const REPLAY_WAIT: Duration = Duration::from_secs(1);
+/// Pause between two looks at that.
+const REPLAY_POLL: Duration = Duration::from_millis(10);
 /// Renewals within one duration.
 const RENEWALS_PER_DURATION: u32 = 3;
 
@@ -186,21 +190,69 @@
 }
 
 /// Hands the leases back, so that another host may begin at once; ends when
-/// the log has them. To be called once the daemon drains.
+/// this host has read that they are free. To be called once the daemon drains.
 ///
 /// Left to a worker, this would be lost if nothing is in flight: the process
 /// would end first, and nobody would order the zone's targets until the leases
 /// lapse.
 pub(super) async fn hand_back(core: &Arc<DaemonCore>, appends: &Arc<AppendQueue>) {
+    settle(core).await;
     // Handed back while an order is under way, a lease would let the next
     // holder order at the same time.
     let ordering = core.begin_ordering().await;
     let released = release_all(core);
     drop(ordering);
-    let appended = released
+    let released = released
         .into_iter()
-        .map(|record| append(Arc::clone(core), Arc::clone(appends), record));
-    join_all(appended).await;
+        .map(|record| release(core, appends, record));
+    join_all(released).await;
+}
+
+/// Waits for the judgement of records that are on their way.
+///
+/// A lease that was acquired but not read back yet could not be released, and
+/// a renewal that comes before the release makes that void; in both cases the
+/// lease would stay with a host that is gone.
+async fn settle(core: &DaemonCore) {
+    let deadline = Instant::now() + REPLAY_WAIT;
+    while Instant::now() < deadline {
+        let awaits = {
+            let desk = core.tables.leases.lock();
+            let mut machines = desk.machines.iter();
+            machines.any(|named| named.machine.awaits_judgement())
+        };
+        if !awaits {
+            return;
+        }
+        tokio::time::sleep(REPLAY_POLL).await;
+    }
+}
+
+/// Appends a release until the log shows that it took effect.
+async fn release(
+    core: &Arc<DaemonCore>,
+    appends: &Arc<AppendQueue>,
+    mut record: LogRecord<LeaseBody>,
+) {
+    loop {
+        append(Arc::clone(core), Arc::clone(appends), record.clone()).await;
+        let deadline = Instant::now() + REPLAY_WAIT;
+        while Instant::now() < deadline {
+            if !is_held(core, &record) {
+                return;
+            }
+            tokio::time::sleep(REPLAY_POLL).await;
+        }
+        record.id = new_id();
+        record.body.seen = core.tables.leases.lock().table.next_offset();
+    }
+}
+
+/// Whether the log still shows the lease as its writer's.
+fn is_held(core: &DaemonCore, record: &LogRecord<LeaseBody>) -> bool {
+    let desk = core.tables.leases.lock();
+    let holder = desk.table.holder(&record.body.name);
+    holder.is_some_and(|holder| holder.owner == LeaseOwner::of(record))
 }
 
 fn release_all(core: &DaemonCore) -> Vec<LogRecord<LeaseBody>> {
--- a/src/lease/machine.rs
+++ b/src/lease/machine.rs
@@ -98,6 +98,11 @@
         }
     }
 
+    /// Whether a record of this daemon may still be judged.
+    pub fn awaits_judgement(&self) -> bool {
+        !self.pending.is_empty()
+    }
+
     /// Decides what to do now. `id` is a fresh record id, used if a record is
     /// to be appended; that must be sent after `now`.
     pub fn decide(&mut self, table: &LeaseTable, id: RecordId, now: Instant) -> LeaseDecision {
--- a/standins/tests/shutdown.rs
+++ b/standins/tests/shutdown.rs
@@ -9,8 +9,9 @@
 use http::StatusCode;
 use jackdawwick::api::wire::GenerateBody;
 use jackdawwick::lease::record::{LeaseBody, LeaseEntry};
+use jackdawwick::platform::wire::AppendBody;
 use jackdawwick::reason::RefusalReason;
-use jackdawwick::records::{LEASE_STREAM, LogRecord};
+use jackdawwick::records::{JUDGING_RULES, LEASE_STREAM, LogRecord};
 use jackdawwick::verdict::RunVerdict;
 use standins::caller::{CallerClient, OutgoingCall};
 use standins::check::{
@@ -20,6 +21,7 @@
 use standins::daemon_settings::DaemonPlace;
 use standins::declarations::{self, StageLayout, StageTarget, VERSION};
 use standins::engine::{EngineServer, EngineSettings};
+use standins::json_client::call;
 use standins::operator;
 use standins::platform::{PlatformServer, PlatformSettings};
 use standins::service::{ServiceServer, ServiceSettings};
@@ -81,10 +83,7 @@
     let service = ServiceServer::bind(any_port, settings).await?;
     let mut daemons = Vec::new();
     for host in HOSTS {
-        let timing =
-            format!("\n[timing]\ndrain_timeout = {drain_timeout:?}\nlease_duration = {LEASE:?}\n");
-        let settings = DaemonPlace::new(host, ZONE, platform.local_addr()).to_toml(&timing);
-        daemons.push(DaemonProcess::spawn(&settings)?);
+        daemons.push(start_daemon(host, &platform, drain_timeout)?);
     }
     let mut resources = declarations::pipeline(MODEL, &stages);
     let targets = [place("artifacts-1", service.local_addr())];
@@ -109,6 +108,17 @@
     Ok(fleet)
 }
 
+fn start_daemon(
+    host: &str,
+    platform: &PlatformServer,
+    drain_timeout: &str,
+) -> Result<DaemonProcess, TestError> {
+    let timing =
+        format!("\n[timing]\ndrain_timeout = {drain_timeout:?}\nlease_duration = {LEASE:?}\n");
+    let settings = DaemonPlace::new(host, ZONE, platform.local_addr()).to_toml(&timing);
+    DaemonProcess::spawn(&settings)
+}
+
 fn place(name: &str, address: SocketAddr) -> StageTarget {
     StageTarget {
         name: name.to_owned(),
@@ -168,43 +178,45 @@
         let mut positions = records.filter(|record| record.request.starts_with(&prefix));
         positions.any(|record| record.position > PROMPT.len() as u64)
     }
+}
 
-    fn lease_records(&self) -> Result<Vec<LogRecord<LeaseBody>>, TestError> {
-        let stored = self.platform.record(LEASE_STREAM).into_iter();
-        let parsed = stored.map(|record| serde_json::from_str(&record.body));
-        Ok(parsed.collect::<Result<_, _>>()?)
-    }
+fn lease_records(platform: &PlatformServer) -> Result<Vec<LogRecord<LeaseBody>>, TestError> {
+    let stored = platform.record(LEASE_STREAM).into_iter();
+    let of_orders = format!("orders/{ZONE}");
+    let parsed: Result<Vec<LogRecord<LeaseBody>>, _> = stored
+        .map(|record| serde_json::from_str(&record.body))
+        .collect();
+    let mut records = parsed?;
+    records.retain(|record| *record.body.name == *of_orders);
+    Ok(records)
+}
 
-    /// The daemon that took the lease on ordering targets first.
-    async fn lease_holder(&self) -> Result<usize, TestError> {
-        let name = format!("orders/{ZONE}");
-        let first = || -> Option<usize> {
-            let records = self.lease_records().ok()?;
-            let first = records.iter().find(|record| *record.body.name == *name)?;
-            HOSTS.iter().position(|host| *host == &*first.writer)
-        };
-        eventually("a host takes the lease", || async { first().is_some() }).await?;
-        first().ok_or_else(|| "no host holds the lease".into())
-    }
+/// The host that took the lease on ordering targets first.
+async fn lease_holder(platform: &PlatformServer) -> Result<usize, TestError> {
+    let first = || -> Option<usize> {
+        let records = lease_records(platform).ok()?;
+        let writer = &records.first()?.writer;
+        HOSTS.iter().position(|host| **host == **writer)
+    };
+    eventually("a host takes the lease", || async { first().is_some() }).await?;
+    first().ok_or_else(|| "no host holds the lease".into())
+}
 
-    /// Waits until the other daemon has taken the lease after it was released.
-    async fn wait_for_handover(&self, from: usize) -> TestResult {
-        let name = format!("orders/{ZONE}");
-        let other = HOSTS[1 - from];
-        eventually("the other host holds the lease", || async {
-            let records = self.lease_records().unwrap_or_default();
-            let of_orders = records
-                .iter()
-                .filter(|record| *record.body.name == *name)
-                .skip_while(|record| !matches!(record.body.entry, LeaseEntry::Release { .. }));
-            let mut later = of_orders.skip(1);
-            later.any(|record| {
-                let is_acquired = matches!(record.body.entry, LeaseEntry::Acquire { .. });
-                is_acquired && &*record.writer == other
-            })
+/// Waits until the other host has taken the lease after it was released.
+async fn wait_for_handover(platform: &PlatformServer, from: usize) -> TestResult {
+    let other = HOSTS[1 - from];
+    eventually("the other host takes the lease", || async {
+        let records = lease_records(platform).unwrap_or_default();
+        let is_release = |record: &&LogRecord<LeaseBody>| {
+            matches!(record.body.entry, LeaseEntry::Release { .. })
+        };
+        let mut later = records.iter().skip_while(|record| !is_release(record));
+        later.any(|record| {
+            let is_acquired = matches!(record.body.entry, LeaseEntry::Acquire { .. });
+            is_acquired && &*record.writer == other
         })
-        .await
-    }
+    })
+    .await
 }
 
 /// The exit status of a daemon that was told to end.
@@ -214,7 +226,7 @@
 
 async fn is_unready(daemon: SocketAddr) -> bool {
     let path = "/readyz";
-    let reply = standins::json_client::call(http::Method::GET, daemon, path, &()).await;
+    let reply = call(http::Method::GET, daemon, path, &()).await;
     reply.is_ok_and(|reply| reply.status == StatusCode::SERVICE_UNAVAILABLE)
 }
 
@@ -225,7 +237,7 @@
     F: FnOnce(&SmallFleet),
 {
     let mut fleet = start_fleet("60s").await?;
-    let holder = fleet.lease_holder().await?;
+    let holder = lease_holder(&fleet.platform).await?;
     let host = fleet.daemons[holder].callers;
     let streams: Vec<_> = (0..STREAMS)
         .map(|number| start_run(host, WIDE, format!("wide-{number}"), LONG))
@@ -233,7 +245,7 @@
     let queued: Vec<_> = (0..3)
         .map(|number| start_run(host, NARROW, format!("narrow-{number}"), LONG / 4))
         .collect();
-    let call = tokio::spawn(async move {
+    let download = tokio::spawn(async move {
         let call = OutgoingCall {
             path: "artifacts/download",
             body: "{}".into(),
@@ -262,7 +274,7 @@
     for stream in streams.into_iter().chain(queued) {
         generations.push(stream.await?);
     }
-    assert_eq!(call.await??.status, StatusCode::OK);
+    assert_eq!(download.await??.status, StatusCode::OK);
     assert_eq!(wait_for_exit(&mut fleet.daemons[holder])?, Some(0));
     for generation in &generations {
         assert!(generation.answers[0].is_whole(), "{generation:?}");
@@ -277,7 +289,7 @@
     broken.extend(check_whole_answers(&history));
     broken.extend(check_answered_once(&history));
     assert_eq!(broken, []);
-    fleet.wait_for_handover(holder).await
+    wait_for_handover(&fleet.platform, holder).await
 }
 
 /// Symptom: callers see their streams cut when a host is replaced.
@@ -345,8 +357,59 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_idle_host_hands_its_leases_back() -> TestResult {
     let mut fleet = start_fleet("60s").await?;
-    let holder = fleet.lease_holder().await?;
+    let holder = lease_holder(&fleet.platform).await?;
     fleet.daemons[holder].process.signal("TERM")?;
     assert_eq!(wait_for_exit(&mut fleet.daemons[holder])?, Some(0));
-    fleet.wait_for_handover(holder).await
+    wait_for_handover(&fleet.platform, holder).await
+}
+
+/// Appends records of another lease all the time, so that each read of the
+/// stream is answered as soon as its delay has passed, and not by the record
+/// that a test waits for.
+fn keep_readers_busy(platform: SocketAddr) -> JoinHandle<()> {
+    tokio::spawn(async move {
+        loop {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            tokio::spawn(async move {
+                let body = LeaseBody {
+                    name: "orders/elsewhere".into(),
+                    seen: 0,
+                    entry: LeaseEntry::Release { fencing: 0 },
+                };
+                let record = LogRecord {
+                    id: uuid::Uuid::new_v4().to_string().into(),
+                    rules: JUDGING_RULES,
+                    writer: "elsewhere".into(),
+                    incarnation: 1,
+                    body,
+                };
+                let path = format!("/v1/streams/{LEASE_STREAM}/records");
+                let records = serde_json::to_string(&record).map(|text| vec![text]);
+                let body = AppendBody {
+                    records: records.unwrap_or_default(),
+                };
+                let _ = call(http::Method::POST, platform, &path, &body).await;
+            });
+        }
+    })
+}
+
+/// Symptom: as above.
+/// Sequence: SIGTERM right after the host's acquisition has reached the log,
+/// before the host has read it there.
+/// Cause: the host does not know yet that it holds what it has to hand back.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lease_just_acquired_is_handed_back() -> TestResult {
+    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    let platform = PlatformServer::bind(any_port, PlatformSettings::default()).await?;
+    platform.faults().update(|faults| faults.delay_ms = 400);
+    let noise = keep_readers_busy(platform.local_addr());
+    let mut daemon = start_daemon(HOSTS[0], &platform, "60s")?;
+    let holder = lease_holder(&platform).await?;
+    daemon.process.signal("TERM")?;
+    assert_eq!(wait_for_exit(&mut daemon)?, Some(0));
+    noise.abort();
+    platform.faults().update(|faults| faults.delay_ms = 0);
+    let _other = start_daemon(HOSTS[1 - holder], &platform, "60s")?;
+    wait_for_handover(&platform, holder).await
 }
