--- a/src/daemon/leases.rs
+++ b/src/daemon/leases.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use futures::future::join_all;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use uuid::Uuid;
 
@@ -23,6 +24,10 @@
 const READ_LIMIT: usize = 512;
 /// Reads that may wait to be applied.
 const READ_AHEAD: usize = 4;
+/// How long a shutdown waits until what it wrote is read back.
+const REPLAY_WAIT: Duration = Duration::from_secs(1);
+/// Pause between two looks at that.
+const REPLAY_POLL: Duration = Duration::from_millis(10);
 /// Renewals within one duration.
 const RENEWALS_PER_DURATION: u32 = 3;
 
@@ -170,15 +175,8 @@
 
 /// Decides about each lease, and appends what was decided.
 fn decide_all(core: &Arc<DaemonCore>, appends: &Arc<AppendQueue>) {
-    match core.is_draining() {
-        // Handed back while an order is under way, a lease would let the next
-        // holder order at the same time.
-        true if core.is_ordering() => return,
-        true => {
-            release_all(core, appends);
-            return;
-        }
-        false => {}
+    if core.is_draining() {
+        return;
     }
     let now = Instant::now();
     let mut records = Vec::new();
@@ -200,23 +198,82 @@
     }
 }
 
-/// Hands the leases back, so that another host may begin at once.
-fn release_all(core: &Arc<DaemonCore>, appends: &Arc<AppendQueue>) {
-    let now = Instant::now();
-    let released: Vec<LogRecord<LeaseBody>> = {
-        let mut desk = core.tables.leases.lock();
-        let LeaseDesk { table, machines } = &mut *desk;
-        machines
-            .iter_mut()
-            .filter_map(|named| named.machine.release(table, new_id(), now))
-            .collect()
-    };
-    for record in released {
-        core.in_flight
-            .spawn(append(Arc::clone(core), Arc::clone(appends), record));
+/// Hands the leases back, so that another host may begin at once; ends when
+/// this host has read that they are free. To be called once the daemon drains.
+///
+/// Left to a worker, this would be lost if nothing is in flight: the process
+/// would end first, and nobody would order the zone's targets until the leases
+/// lapse.
+pub(super) async fn hand_back(core: &Arc<DaemonCore>, appends: &Arc<AppendQueue>) {
+    settle(core).await;
+    // Handed back while an order is under way, a lease would let the next
+    // holder order at the same time.
+    let ordering = core.begin_ordering().await;
+    let released = release_all(core);
+    drop(ordering);
+    let released = released
+        .into_iter()
+        .map(|record| release(core, appends, record));
+    join_all(released).await;
+}
+
+/// Waits for the judgement of records that are on their way.
+///
+/// A lease that was acquired but not read back yet could not be released, and
+/// a renewal that comes before the release makes that void; in both cases the
+/// lease would stay with a host that is gone.
+async fn settle(core: &DaemonCore) {
+    let deadline = Instant::now() + REPLAY_WAIT;
+    while Instant::now() < deadline {
+        let awaits = {
+            let desk = core.tables.leases.lock();
+            let mut machines = desk.machines.iter();
+            machines.any(|named| named.machine.awaits_judgement())
+        };
+        if !awaits {
+            return;
+        }
+        tokio::time::sleep(REPLAY_POLL).await;
     }
 }
 
+/// Appends a release until the log shows that it took effect.
+async fn release(
+    core: &Arc<DaemonCore>,
+    appends: &Arc<AppendQueue>,
+    mut record: LogRecord<LeaseBody>,
+) {
+    loop {
+        append(Arc::clone(core), Arc::clone(appends), record.clone()).await;
+        let deadline = Instant::now() + REPLAY_WAIT;
+        while Instant::now() < deadline {
+            if !is_held(core, &record) {
+                return;
+            }
+            tokio::time::sleep(REPLAY_POLL).await;
+        }
+        record.id = new_id();
+        record.body.seen = core.tables.leases.lock().table.next_offset();
+    }
+}
+
+/// Whether the log still shows the lease as its writer's.
+fn is_held(core: &DaemonCore, record: &LogRecord<LeaseBody>) -> bool {
+    let desk = core.tables.leases.lock();
+    let holder = desk.table.holder(&record.body.name);
+    holder.is_some_and(|holder| holder.owner == LeaseOwner::of(record))
+}
+
+fn release_all(core: &DaemonCore) -> Vec<LogRecord<LeaseBody>> {
+    let now = Instant::now();
+    let mut desk = core.tables.leases.lock();
+    let LeaseDesk { table, machines } = &mut *desk;
+    machines
+        .iter_mut()
+        .filter_map(|named| named.machine.release(table, new_id(), now))
+        .collect()
+}
+
 fn new_id() -> RecordId {
     Uuid::new_v4().to_string().into()
 }
