See within half a second that a target has become slow

Cause: the step time was the smallest sample of the last 2 to 4 s, so a target that became five times as slow kept its place for as long; with one such target a stage, least outstanding had the shorter tail at load 0.6.

Change: windows of 0.25 s; what was measured last is remembered for 4 s before the declared rate takes its place.

Tests: policy_compare has the slow targets as a third shape and fails with the long windows ("least_outstanding is better at 0.6"); the naive version follows and fails without the memory's end.

--- a/src/routing/entry.rs
+++ b/src/routing/entry.rs
@@ -43,12 +43,13 @@
     }
 }
 
-/// The smallest sample of the last one to two windows.
+/// The smallest sample of the last one to two windows with samples.
 ///
 /// An average of step times contains waiting, which the estimate adds by
 /// itself; every host would learn at the same time that a crowded target is
 /// slow and turn away from it together. The smallest sample is that of a step
-/// which found a slot free, unless none did for two whole windows.
+/// which found a slot free, unless none did for two whole windows. The windows
+/// are short, so that a target that has become slow is soon seen to be.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub(super) struct RecentMinimum {
     present: Option<f64>,
@@ -70,11 +71,11 @@
         self.present = Some(smallest);
     }
 
-    /// The smallest sample; `None` if the last one is two windows old.
-    fn value(&self, window: Duration, now: Instant) -> Option<f64> {
+    /// The smallest sample; `None` if the last window began `memory` ago.
+    fn value(&self, window: Duration, memory: Duration, now: Instant) -> Option<f64> {
         let age = self.window_age(now)?;
         match (self.present, self.last) {
-            _ if age >= window * 2 => None,
+            _ if age >= memory => None,
             (Some(present), Some(last)) if age < window => Some(present.min(last)),
             (present, _) => present,
         }
@@ -148,14 +149,18 @@
 
     /// Seconds that a step holds its slot: as measured lately, else declared.
     pub(super) fn step_time(&self, settings: &RouteSettings, now: Instant) -> f64 {
-        self.step_seconds
-            .value(settings.rate_window, now)
+        self.measured_step(settings, now)
             .unwrap_or_else(|| self.declared_step())
     }
 
     /// Whether the time in the slot was measured lately.
     pub(super) fn is_measured(&self, settings: &RouteSettings, now: Instant) -> bool {
-        self.step_seconds.value(settings.rate_window, now).is_some()
+        self.measured_step(settings, now).is_some()
+    }
+
+    fn measured_step(&self, settings: &RouteSettings, now: Instant) -> Option<f64> {
+        self.step_seconds
+            .value(settings.rate_window, settings.rate_memory, now)
     }
 
     /// Seconds that a prompt token outside the prefix cache takes.
--- a/src/routing/settings.rs
+++ b/src/routing/settings.rs
@@ -18,6 +18,8 @@
     pub load_decay: Duration,
     /// Time over which the shortest step tells a target's rate.
     pub rate_window: Duration,
+    /// Time after which a measured rate gives way to the declared one.
+    pub rate_memory: Duration,
     /// Time after which a measured prompt or link time counts for 1/e against the declared one.
     pub rate_decay: Duration,
     /// Time after which a cache event counts for 1/e.
@@ -41,7 +43,8 @@
             zone,
             policy: RoutePolicy::default(),
             load_decay: Duration::from_millis(100),
-            rate_window: Duration::from_secs(2),
+            rate_window: Duration::from_millis(250),
+            rate_memory: Duration::from_secs(4),
             rate_decay: Duration::from_secs(10),
             cache_decay: Duration::from_secs(60),
             score_all: 2,
--- a/tests/policy_compare.rs
+++ b/tests/policy_compare.rs
@@ -56,6 +56,7 @@
 }
 
 struct Fake {
+    shape: Shape,
     tables: Vec<RouteTable>,
     targets: Vec<FakeTarget>,
     runs: Vec<FakeRun>,
@@ -64,11 +65,13 @@
     rng: StdRng,
 }
 
-/// Either one pipeline over interchangeable targets, or ten pipelines of one
-/// target a stage.
 #[derive(Clone, Copy, PartialEq)]
 enum Shape {
+    /// One pipeline over interchangeable targets.
     OnePipeline,
+    /// The same; a fast target of each stage becomes five times as slow.
+    SlowTargets,
+    /// Ten pipelines of one target a stage.
     TenPipelines,
 }
 
@@ -77,7 +80,7 @@
         let name = |stage, nth| format!("t{stage}.{nth}");
         let whole = |stage| (0..STEP_MS.len()).map(|nth| name(stage, nth)).collect();
         match self {
-            Self::OnePipeline => vec![(0..STAGES).map(whole).collect()],
+            Self::OnePipeline | Self::SlowTargets => vec![(0..STAGES).map(whole).collect()],
             Self::TenPipelines => (0..STEP_MS.len())
                 .map(|nth| (0..STAGES).map(|stage| vec![name(stage, nth)]).collect())
                 .collect(),
@@ -143,6 +146,7 @@
             }
         });
         Self {
+            shape,
             tables: tables.collect(),
             targets: targets.collect(),
             runs: Vec::new(),
@@ -245,6 +249,10 @@
             .map(|step| SLOTS as f64 * 1_000.0 / *step as f64)
             .sum();
         let gap = TOKENS as f64 / (stage_rate * load);
+        let slow_from = match self.shape {
+            Shape::SlowTargets => start + length / 3,
+            _ => start + length,
+        };
         let mut latencies = Vec::new();
         self.push(start, Event::Arrival);
         self.push(start, Event::Reports);
@@ -261,7 +269,8 @@
                     let target = &mut self.targets[index];
                     target.present += 1;
                     let Reverse(free) = target.slots.pop().expect("a slot");
-                    let done = free.max(now) + target.step;
+                    let is_slow = index % STEP_MS.len() == 1 && now >= slow_from;
+                    let done = free.max(now) + target.step * if is_slow { 5 } else { 1 };
                     target.slots.push(Reverse(done));
                     self.push(done + self.one_way(run), Event::Answered(run));
                 }
@@ -339,3 +348,8 @@
 fn estimate_beats_the_baselines_over_pipelines() {
     compare(Shape::TenPipelines);
 }
+
+#[test]
+fn estimate_beats_the_baselines_with_slow_targets() {
+    compare(Shape::SlowTargets);
+}
--- a/tests/routing_model.rs
+++ b/tests/routing_model.rs
@@ -283,7 +283,7 @@
         }
         let declared = SLOTS / RATE;
         match windows.as_slice() {
-            [.., (start, _)] if now - *start >= length * 2 => declared,
+            [.., (start, _)] if now - *start >= settings(0).rate_memory => declared,
             [.., (before, last), (start, present)]
                 if now - *start < length && *start - *before < length * 2 =>
             {
