Check that the log outlives the key window

Claims are judged from the log, so the log must keep them for longer than a key is accepted. Nothing told the daemon how long that is, nor by how much wall clocks may differ, and a window too long for the log would have let a host that starts accept a key whose claim had expired.

A window that the horizon cannot carry is a mistake named with platform.record_horizon; since it lies between two sections it is reported after those of the sections.

--- a/src/options.rs
+++ b/src/options.rs
@@ -23,6 +23,8 @@
 
 use toml::{Table, Value};
 
+use crate::claims::window::{ClaimWindow, WindowError};
+
 pub use arguments::daemon_command;
 pub use host::HostOptions;
 pub use limits::LimitOptions;
@@ -68,6 +70,15 @@
 }
 
 impl DaemonOptions {
+    /// The window within which idempotency keys are accepted.
+    ///
+    /// # Errors
+    /// If the log keeps records too briefly for it; settings read by
+    /// [`Self::from_toml`] have been checked for that.
+    pub fn claim_window(&self) -> Result<ClaimWindow, WindowError> {
+        claim_window(&self.platform, &self.timing)
+    }
+
     /// Reads and checks the text of a settings file.
     ///
     /// # Errors
@@ -85,6 +96,33 @@
     }
 }
 
+fn claim_window(
+    platform: &PlatformOptions,
+    timing: &TimingOptions,
+) -> Result<ClaimWindow, WindowError> {
+    ClaimWindow::new(
+        timing.idempotency_window,
+        timing.clock_skew,
+        platform.record_horizon,
+    )
+}
+
+/// With records that expire too soon a host that starts could not know every
+/// claim that still counts, and a request could run a second time.
+fn check_claim_window(
+    file: &mut FileReader<'_>,
+    platform: &PlatformOptions,
+    timing: &TimingOptions,
+) {
+    if let Err(error) = claim_window(platform, timing) {
+        let [found, needed] = [error.horizon, error.needed].map(humantime::format_duration);
+        let legal = format!(
+            "more than {needed}, for timing.idempotency_window and timing.clock_skew as they are"
+        );
+        file.report_conflict("platform.record_horizon", found.to_string(), legal);
+    }
+}
+
 /// Every key that a settings file may have, with its legal range.
 pub fn documented_keys() -> Vec<DocumentedKey> {
     // One empty entry in each list makes the reader ask for the keys of entries.
@@ -112,6 +150,9 @@
     let retries = file.section("retries", retries::read);
     let routing = file.section("routing", routing::read);
     let log = file.section("log", log::read);
+    if let (Some(platform), Some(timing)) = (&platform, &timing) {
+        check_claim_window(file, platform, timing);
+    }
     let host = host?;
     Some(DaemonOptions {
         peers: peers?.without(&host.name),
--- a/src/options/mistake.rs
+++ b/src/options/mistake.rs
@@ -44,7 +44,8 @@
 /// Every mistake that a settings file has.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub struct OptionsError {
-    /// The mistakes, in the order of the sections; at least one.
+    /// The mistakes, in the order of the sections, then those between
+    /// two sections; at least one.
     pub mistakes: Vec<OptionMistake>,
 }
 
--- a/src/options/platform.rs
+++ b/src/options/platform.rs
@@ -1,12 +1,17 @@
 //! Section `[platform]`: the log service and the host list.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
-use super::range::NumberRange;
+use super::range::{DurationRange, NumberRange};
 use super::section::SectionReader;
 
 const CHECKPOINT_RECORDS: NumberRange<u64> = NumberRange::new(10, 1_000_000, 1000);
 
+const HOUR: u64 = 60 * 60 * 1000;
+const YEAR: u64 = 8766 * HOUR;
+const RECORD_HORIZON: DurationRange = DurationRange::millis(HOUR, YEAR, 72 * HOUR);
+
 /// Where the platform is, and how often its log is condensed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PlatformOptions {
@@ -14,13 +19,17 @@
     pub address: SocketAddr,
     /// Declared changes between two checkpoints, in records.
     pub checkpoint_records: u64,
+    /// How long the log keeps a record.
+    pub record_horizon: Duration,
 }
 
 pub(super) fn read(section: &mut SectionReader<'_>) -> Option<PlatformOptions> {
     let address = section.remote_address("address");
     let checkpoint_records = section.integer("checkpoint_records", CHECKPOINT_RECORDS);
+    let record_horizon = section.duration("record_horizon", RECORD_HORIZON);
     Some(PlatformOptions {
         address: address?,
         checkpoint_records: checkpoint_records?,
+        record_horizon: record_horizon?,
     })
 }
--- a/src/options/reader.rs
+++ b/src/options/reader.rs
@@ -56,6 +56,13 @@
         value
     }
 
+    /// Reports a value that conflicts with one of another section.
+    pub(super) fn report_conflict(&mut self, key: &str, found: String, legal: String) {
+        let key = key.to_owned();
+        self.mistakes
+            .push(OptionMistake::BadValue { key, found, legal });
+    }
+
     /// Ends the reading: unknown sections count as mistakes too.
     pub(super) fn finish(mut self) -> Vec<OptionMistake> {
         let known = self.sections.join(", ");
--- a/src/options/timing.rs
+++ b/src/options/timing.rs
@@ -18,6 +18,7 @@
 const DEFAULT_DEADLINE: DurationRange = DurationRange::millis(100, HOUR, 30 * SECOND);
 const IDEMPOTENCY_WINDOW: DurationRange = DurationRange::millis(MINUTE, 30 * DAY, DAY);
 const CLAIM_TIMEOUT: DurationRange = DurationRange::millis(50, MINUTE, 2 * SECOND);
+const CLOCK_SKEW: DurationRange = DurationRange::millis(0, HOUR, 30 * SECOND);
 const STEP_TIMEOUT: DurationRange = DurationRange::millis(20, 5 * MINUTE, 2 * SECOND);
 const CONNECT_TIMEOUT: DurationRange = DurationRange::millis(10, 30 * SECOND, 300);
 const LEASE_DURATION: DurationRange = DurationRange::millis(200, 5 * MINUTE, 5 * SECOND);
@@ -43,6 +44,8 @@
     pub idempotency_window: Duration,
     /// How long a claim on an idempotency key may take to settle.
     pub claim_timeout: Duration,
+    /// Bound on the difference of two hosts' wall clocks.
+    pub clock_skew: Duration,
     /// How long a target may take for one step of a stage.
     pub step_timeout: Duration,
     /// How long a connection may take to open.
@@ -64,6 +67,7 @@
     let default_deadline = section.duration("default_deadline", DEFAULT_DEADLINE);
     let idempotency_window = section.duration("idempotency_window", IDEMPOTENCY_WINDOW);
     let claim_timeout = section.duration("claim_timeout", CLAIM_TIMEOUT);
+    let clock_skew = section.duration("clock_skew", CLOCK_SKEW);
     let step_timeout = section.duration("step_timeout", STEP_TIMEOUT);
     let connect_timeout = section.duration("connect_timeout", CONNECT_TIMEOUT);
     let lease_duration = section.duration("lease_duration", LEASE_DURATION);
@@ -103,6 +107,7 @@
         default_deadline: default_deadline?,
         idempotency_window: idempotency_window?,
         claim_timeout: claim_timeout?,
+        clock_skew: clock_skew?,
         step_timeout: step_timeout?,
         connect_timeout: connect_timeout?,
         lease_duration: lease_duration?,
--- a/tests/options.rs
+++ b/tests/options.rs
@@ -55,6 +55,10 @@
         sample.platform.checkpoint_records,
         options.platform.checkpoint_records
     );
+    assert_eq!(
+        sample.platform.record_horizon,
+        options.platform.record_horizon
+    );
 }
 
 #[test]
@@ -167,6 +171,17 @@
     "#);
 }
 
+#[test]
+fn a_window_longer_than_the_log_keeps_records_is_refused() {
+    let shown = mistakes("[timing]\nidempotency_window = \"48h\"");
+    insta::assert_snapshot!(shown, @r#"
+    1 mistake:
+      platform.record_horizon: 3days is not allowed, expected more than 3days 1m 30s, for timing.idempotency_window and timing.clock_skew as they are
+    "#);
+    let held = accepted("[timing]\nidempotency_window = \"47h\"");
+    assert!(held.claim_window().is_ok());
+}
+
 #[test]
 fn listeners_share_no_address_and_an_unspecified_one_must_be_advertised() {
     let text = REQUIRED.replace("127.0.0.1:0", "0.0.0.0:80");
