Open a call's own connection before asking for leave to send it

A call that may not be repeated was sent by the pooled client's unpooled twin, which connects and writes in one go. Leave to send, asked for before that, could be as old as the connect timeout when the first byte goes out, and a connection that could not be made had used the leave up.

SingleCall splits the two: it connects, and only send() writes, once. A failed connect is NotRun by construction; every failure of send() but the target's own refusal is MayHaveRun, since hyper does not promise that nothing was written. Waking the check in a connector of the pooled client was ruled out: the client may open a connection that it then does not use.

--- a/src/target/client.rs
+++ b/src/target/client.rs
@@ -3,6 +3,7 @@
 mod engine_calls;
 mod path_segment;
 mod service_calls;
+mod single_call;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -18,6 +19,7 @@
 use super::transport::{RawAnswer, TargetTransport};
 use path_segment::PathSegment;
 pub use service_calls::{CallAnswer, CallOrder};
+pub use single_call::SingleCall;
 
 const JSON_CONTENT: HeaderValue = HeaderValue::from_static("application/json");
 /// Largest answer that is read, but for exported caches.
--- a/src/target/client/service_calls.rs
+++ b/src/target/client/service_calls.rs
@@ -3,9 +3,11 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, StatusCode};
+use http::{HeaderMap, Method, Request, StatusCode};
+use http_body_util::Full;
 
 use super::{MAX_ANSWER_BYTES, PathSegment, TargetClient, request};
+use crate::target::transport::RawAnswer;
 use crate::target::{CallFailure, TargetFailure};
 
 /// A call to a plain service.
@@ -46,22 +48,36 @@
         address: SocketAddr,
         order: CallOrder,
     ) -> Result<CallAnswer, CallFailure> {
-        // Some servers resolve these two, also when encoded, to other paths.
-        if matches!(order.operation.as_str(), "" | "." | "..") {
-            return Err(TargetFailure::Connect("not an operation's name".to_owned()));
-        }
-        let path = format!("/v1/calls/{}", PathSegment(&order.operation));
-        let mut request = request(Method::POST, address, &path, order.body)?;
-        request.headers_mut().extend(order.headers);
+        let use_pool = order.use_pool;
+        let request = call_request(address, order)?;
         let timeout = self.timeouts.answer;
         let answer = self
             .transport
-            .send(request, order.use_pool, timeout, MAX_ANSWER_BYTES)
-            .await?;
-        Ok(CallAnswer {
+            .send(request, use_pool, timeout, MAX_ANSWER_BYTES);
+        Ok(CallAnswer::from(answer.await?))
+    }
+}
+
+impl From<RawAnswer> for CallAnswer {
+    fn from(answer: RawAnswer) -> Self {
+        Self {
             status: answer.status,
             headers: answer.headers,
             body: answer.body,
-        })
+        }
+    }
+}
+
+pub(super) fn call_request(
+    address: SocketAddr,
+    order: CallOrder,
+) -> Result<Request<Full<Bytes>>, TargetFailure> {
+    // Some servers resolve these two, also when encoded, to other paths.
+    if matches!(order.operation.as_str(), "" | "." | "..") {
+        return Err(TargetFailure::Connect("not an operation's name".to_owned()));
     }
+    let path = format!("/v1/calls/{}", PathSegment(&order.operation));
+    let mut request = request(Method::POST, address, &path, order.body)?;
+    request.headers_mut().extend(order.headers);
+    Ok(request)
 }
--- /dev/null
+++ b/src/target/client/single_call.rs
@@ -0,0 +1,52 @@
+//! A call that is sent at most once.
+
+use std::net::SocketAddr;
+
+use super::service_calls::{CallAnswer, CallOrder, call_request};
+use super::{MAX_ANSWER_BYTES, TargetClient};
+use crate::target::transport::FreshConnection;
+use crate::target::{CallFailure, TargetFailure};
+
+/// An open connection to a plain service, on which nothing was sent yet.
+///
+/// Connecting takes time, and so the leave to send is best asked for when the
+/// connection stands: between that and the first byte nothing is waited for.
+#[derive(Debug)]
+pub struct SingleCall {
+    client: TargetClient,
+    address: SocketAddr,
+    connection: FreshConnection,
+}
+
+impl TargetClient {
+    /// Connects for one call and sends nothing.
+    ///
+    /// # Errors
+    /// If no connection could be made; the verdict is `NotRun`.
+    pub async fn open_single(&self, address: SocketAddr) -> Result<SingleCall, TargetFailure> {
+        let timeout = self.transport.connect_timeout();
+        Ok(SingleCall {
+            client: self.clone(),
+            address,
+            connection: FreshConnection::open(address, timeout).await?,
+        })
+    }
+}
+
+impl SingleCall {
+    /// Sends the call, once. [`CallOrder::use_pool`] has no meaning here.
+    ///
+    /// # Errors
+    /// With the verdict on whether the call may have run.
+    pub async fn send(self, order: CallOrder) -> Result<CallAnswer, CallFailure> {
+        let mut request = call_request(self.address, order)?;
+        // On a connection of its own the request line names the path only.
+        let path = request.uri().path_and_query().cloned();
+        if let Some(path) = path {
+            *request.uri_mut() = path.into();
+        }
+        let timeout = self.client.timeouts.answer;
+        let answer = self.connection.send(request, timeout, MAX_ANSWER_BYTES);
+        Ok(CallAnswer::from(answer.await?))
+    }
+}
--- a/src/target/transport.rs
+++ b/src/target/transport.rs
@@ -1,17 +1,21 @@
 //! HTTP/1.1 to targets: pooled connections, bounded answers, no hidden retry.
 
+mod fresh;
+
 use std::error::Error;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, StatusCode};
+use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
 use super::TargetFailure;
 use super::wire::TargetRefusal;
+pub(super) use fresh::FreshConnection;
 
 /// How long an unused connection is kept.
 const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -31,6 +35,7 @@
 pub(super) struct TargetTransport {
     pooled: Client<HttpConnector, Full<Bytes>>,
     unpooled: Client<HttpConnector, Full<Bytes>>,
+    connect_timeout: Duration,
 }
 
 impl TargetTransport {
@@ -38,9 +43,15 @@
         Self {
             pooled: open_client(connect_timeout, POOL_IDLE_CONNECTIONS),
             unpooled: open_client(connect_timeout, 0),
+            connect_timeout,
         }
     }
 
+    /// How long a connection may take to open.
+    pub(super) fn connect_timeout(&self) -> Duration {
+        self.connect_timeout
+    }
+
     /// Sends `request` and reads the answer, at most `max_bytes` of it.
     pub(super) async fn send(
         &self,
@@ -89,6 +100,13 @@
 ) -> Result<RawAnswer, TargetFailure> {
     let sent = client.request(request).await;
     let response = sent.map_err(|error| send_failure(&error))?;
+    read_answer(response, max_bytes).await
+}
+
+async fn read_answer(
+    response: Response<Incoming>,
+    max_bytes: usize,
+) -> Result<RawAnswer, TargetFailure> {
     let (head, body) = response.into_parts();
     let collected = Limited::new(body, max_bytes).collect().await;
     let body = collected.map_err(|error| body_failure(error.as_ref()))?;
