Claim idempotency keys in the log before a dispatch

A non-idempotent request was sent as any other: two hosts that got one key at once both ran it. The claim machine stood, but nothing fed it.

The daemon follows the stream of claims, appends in batches, and hands replayed records and the passing of time to the machines of its requests. A service call goes this way if its caller marks it or the service declares its operation non_idempotent; so does a generation that is marked. Order: admission, claim, connection, leave, one dispatch, outcome, answer. Targets that take no connection may be followed by others, since leave has not been given yet; once it has, nothing is sent again, a target's refusal included. Whoever loses asks the holder over peer RPC, else answers what the log knows, else MayHaveRun. A repeat gets the same answer, marked idempotent-replayed, if it was kept whole. The call runs to its end as a task of its own, also where only the declaration says that it is non-idempotent. A shutdown waits until the log shows how every claim ended.

--- a/src/api/backend.rs
+++ b/src/api/backend.rs
@@ -78,6 +78,9 @@
     pub body: Bytes,
     /// Media type of the body, if the service gave one.
     pub content_type: Option<String>,
+    /// Whether it is the answer that an earlier call with the same idempotency
+    /// key got.
+    pub replayed: bool,
 }
 
 /// What the callers' listener needs.
--- a/src/api/callers.rs
+++ b/src/api/callers.rs
@@ -28,6 +28,8 @@
 
 /// When a caller should come back to a daemon that is not ready.
 const NOT_READY_RETRY: Duration = Duration::from_secs(1);
+/// Header of an answer that an earlier call with the same key got.
+const REPLAYED_HEADER: &str = "idempotent-replayed";
 
 /// What the callers' endpoints share.
 pub(super) struct CallerContext {
@@ -200,6 +202,9 @@
     headers.insert(header::CONTENT_TYPE, media_type);
     // An error of the service itself is its answer, not a refusal.
     headers.insert(VERDICT_HEADER, verdict_value(RunVerdict::Ran));
+    if reply.replayed {
+        headers.insert(REPLAYED_HEADER, HeaderValue::from_static("true"));
+    }
     Ok(response)
 }
 
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -8,6 +8,7 @@
 mod callers;
 mod changes;
 mod checkpoints;
+mod claims;
 mod core;
 mod declarations;
 mod force;
--- /dev/null
+++ b/src/daemon/claims/reply.rs
@@ -0,0 +1,93 @@
+//! What a caller is told whose request this host did not send.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use crate::api::backend::ServiceReply;
+use crate::api::wire::RefusalBody;
+use crate::claims::answer::{ClaimAnswer, ClaimRefusal};
+use crate::claims::record::{ClaimOutcome, KeptAnswer};
+use crate::ids::RequestId;
+use crate::reason::RefusalReason;
+use crate::verdict::RunVerdict;
+
+/// When a caller may come back, if nothing better is known.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// The answer that the key's request got, or the refusal.
+///
+/// # Errors
+/// The refusal, with what is known of the request under the key.
+pub(in crate::daemon) fn reply_of(
+    answer: ClaimAnswer,
+    request: &RequestId,
+) -> Result<ServiceReply, RefusalBody> {
+    match answer {
+        ClaimAnswer::Known(ClaimOutcome {
+            verdict: RunVerdict::Ran,
+            status,
+            answer: KeptAnswer::Whole(text),
+        }) => Ok(ServiceReply {
+            status,
+            body: Bytes::from(text),
+            content_type: None,
+            replayed: true,
+        }),
+        other => Err(refusal_of(&other, request)),
+    }
+}
+
+/// The refusal of a request whose answer cannot be given again.
+pub(in crate::daemon) fn refusal_of(answer: &ClaimAnswer, request: &RequestId) -> RefusalBody {
+    let body = match answer {
+        ClaimAnswer::Refused {
+            refusal,
+            retry_after,
+        } => {
+            let body = RefusalBody::not_run(refusal.reason(), refusal.to_string());
+            match (retry_after, refusal) {
+                (Some(wait), _) => body.retry_after(*wait),
+                // Not known when; the host may know all claims any moment.
+                (None, ClaimRefusal::NotCovered) => body.retry_after(RETRY_AFTER),
+                (None, _) => body,
+            }
+        }
+        ClaimAnswer::Known(outcome) => known(outcome),
+        ClaimAnswer::Unknown => {
+            may_have_run("another entry host claimed this idempotency key and cannot be asked")
+        }
+    };
+    body.for_request(request.clone())
+}
+
+fn known(outcome: &ClaimOutcome) -> RefusalBody {
+    match outcome.verdict {
+        RunVerdict::NotRun => RefusalBody::not_run(
+            RefusalReason::ClaimedElsewhere,
+            "the request under this idempotency key was not run; send it again",
+        )
+        .retry_after(RETRY_AFTER),
+        RunVerdict::MayHaveRun => {
+            may_have_run("the request under this idempotency key may have run")
+        }
+        RunVerdict::Ran => RefusalBody {
+            verdict: RunVerdict::Ran,
+            ..RefusalBody::not_run(
+                RefusalReason::ClaimedElsewhere,
+                format!(
+                    "the request under this idempotency key ran and was answered with status {}; \
+                     the answer is not kept",
+                    outcome.status
+                ),
+            )
+        },
+    }
+}
+
+fn may_have_run(message: &str) -> RefusalBody {
+    RefusalBody {
+        verdict: RunVerdict::MayHaveRun,
+        ..RefusalBody::not_run(RefusalReason::ClaimedElsewhere, message)
+    }
+}
--- a/src/daemon/core.rs
+++ b/src/daemon/core.rs
@@ -26,6 +26,9 @@
 
 /// Requests that may wait for a first grant at once; more are decided without.
 const GRANT_WAITS: usize = 256;
+/// Half of the calls to one peer that may wait for an answer, so that
+/// heartbeats always find room.
+const MAX_CLAIM_QUESTIONS: usize = 16;
 
 /// Phases of a daemon's life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -46,6 +49,9 @@
     pub(super) tables: Arc<SharedTables>,
     pub(super) targets: TargetClient,
     pub(super) declaration_appends: AppendQueue,
+    pub(super) claim_appends: AppendQueue,
+    /// Questions to holders of keys that may be open at once.
+    pub(super) claim_questions: Semaphore,
     /// Offset after the last applied declaration record.
     pub(super) applied: watch::Sender<LogOffset>,
     pub(super) admission_changed: Notify,
@@ -82,6 +88,7 @@
         targets: TargetClient,
         platform: PlatformClient,
         declaration_appends: AppendQueue,
+        claim_appends: AppendQueue,
         options: DaemonOptions,
     ) -> Arc<Self> {
         Arc::new(Self {
@@ -90,6 +97,8 @@
             tables,
             targets,
             declaration_appends,
+            claim_appends,
+            claim_questions: Semaphore::new(MAX_CLAIM_QUESTIONS),
             applied: watch::Sender::new(0),
             admission_changed: Notify::new(),
             grant_waits: Semaphore::new(GRANT_WAITS),
--- a/src/daemon/generate.rs
+++ b/src/daemon/generate.rs
@@ -1,5 +1,7 @@
 //! The way of one generation: admission, route, run, stream.
 
+mod claimed;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -7,6 +9,7 @@
 use tokio::sync::mpsc;
 
 use super::admitting::{AdmissionSlot, admit};
+use super::claims::{ClaimTicket, DispatchedClaim};
 use super::core::{DaemonCore, DaemonPhase};
 use super::watch_steps::note_step;
 use crate::admission::AdmissionRequest;
@@ -37,6 +40,7 @@
     let _in_flight = core.in_flight.token();
     check_phase(&core, &call.request)?;
     check_body(&call)?;
+    claimed::check_claimable(&call)?;
     let deadline = deadline_of(&core, &call);
     let estimate = plan_route(&core, &call, deadline)?;
     let request = AdmissionRequest {
@@ -47,6 +51,8 @@
         priority: call.body.priority,
     };
     let slot = admit(&core, request).await?;
+    // Dropped before the run begins, the ticket withdraws the claim.
+    let ticket = claimed::claim_generation(&core, &call, deadline).await?;
     // Planned again: while the request waited, targets have come, gone or
     // filled up.
     let route = plan_route(&core, &call, deadline)?;
@@ -61,7 +67,7 @@
         events,
     };
     core.metrics.request_begun(RequestKind::Generate);
-    core.in_flight.spawn(runner.run(slot));
+    core.in_flight.spawn(runner.run(slot, ticket));
     Ok(stream)
 }
 
@@ -172,7 +178,7 @@
 }
 
 impl GenerationRunner {
-    async fn run(mut self, slot: AdmissionSlot) {
+    async fn run(mut self, slot: AdmissionSlot, ticket: Option<ClaimTicket>) {
         let started = StreamEvent::Started {
             request: self.call.request.clone(),
             version: self.route.version.to_string(),
@@ -181,17 +187,9 @@
             self.core.tables.routes.write().run_ended(&self.route);
             return;
         }
-        let (tokens, receiver) = mpsc::channel(STREAM_BUFFER);
-        let mut outcome = {
-            let forward = forward_tokens(
-                Arc::clone(&self.core),
-                self.call.received,
-                receiver,
-                self.events.clone(),
-            );
-            let drive = self.drive(tokens);
-            let (outcome, ()) = tokio::join!(drive, forward);
-            outcome
+        let mut outcome = match claimed::authorise(ticket).await {
+            Ok(dispatched) => self.run_once(dispatched).await,
+            Err(outcome) => outcome,
         };
         self.core.tables.routes.write().run_ended(&self.route);
         let is_cut = self.core.drain_over.is_cancelled() && !self.events.is_closed();
@@ -211,6 +209,20 @@
         let _ = self.events.send(closing_event(&self.call, outcome)).await;
     }
 
+    async fn run_once(&mut self, dispatched: Option<DispatchedClaim>) -> RunOutcome {
+        let (tokens, receiver) = mpsc::channel(STREAM_BUFFER);
+        let forward = forward_tokens(
+            Arc::clone(&self.core),
+            self.call.received,
+            receiver,
+            self.events.clone(),
+        );
+        let drive = self.drive(tokens);
+        let (outcome, sent) = tokio::join!(drive, forward);
+        claimed::finish(dispatched, outcome, &sent);
+        outcome
+    }
+
     fn note_outcome(&self, outcome: RunOutcome) {
         let (core, request) = (&self.core, &self.call.request);
         let ended = match (outcome.refusal, outcome.verdict) {
@@ -313,25 +325,27 @@
     Some(chosen)
 }
 
-/// Hands tokens on to the caller and measures the times between them.
+/// Hands tokens on to the caller and measures the times between them; gives
+/// back those that were handed on.
 async fn forward_tokens(
     core: Arc<DaemonCore>,
     received: Instant,
     mut tokens: mpsc::Receiver<DeliveredToken>,
     events: mpsc::Sender<StreamEvent>,
-) {
+) -> Vec<TokenValue> {
     let mut last = None;
+    let mut sent = Vec::new();
     loop {
         let delivered = tokio::select! {
             delivered = tokens.recv() => delivered,
             // The receiver is dropped here, by which the run learns at once
             // that nobody listens, also while no token is due.
-            () = events.closed() => return,
+            () = events.closed() => return sent,
             // Draining has taken too long: likewise.
-            () = core.drain_over.cancelled() => return,
+            () = core.drain_over.cancelled() => return sent,
         };
         let Some(DeliveredToken { number, token }) = delivered else {
-            return;
+            return sent;
         };
         let now = Instant::now();
         match last.replace(now) {
@@ -343,8 +357,9 @@
             .await
             .is_err()
         {
-            return;
+            return sent;
         }
+        sent.push(token);
     }
 }
 
--- /dev/null
+++ b/src/daemon/generate/claimed.rs
@@ -0,0 +1,108 @@
+//! What a non-idempotent generation adds: its claim, and its end in the log.
+//!
+//! What runs at most once is the request as a whole. Its run may compute steps
+//! again to get past a failed stage, because those have no effect but the
+//! tokens, and each token is given to the caller once. A run that ends early
+//! is not begun again, on this host or another.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use crate::api::backend::GenerateCall;
+use crate::api::wire::RefusalBody;
+use crate::claims::record::RequestFingerprint;
+use crate::daemon::claims::{ClaimSubject, ClaimTicket, DispatchedClaim, refusal_of};
+use crate::daemon::core::DaemonCore;
+use crate::daemon::services::required_key;
+use crate::ids::TokenValue;
+use crate::reason::RefusalReason;
+use crate::run::RunOutcome;
+use crate::verdict::RunVerdict;
+
+/// Claims the key of a non-idempotent generation; `None` for any other.
+///
+/// # Errors
+/// The refusal, with what is known of the request under the key.
+pub(super) async fn claim_generation(
+    core: &Arc<DaemonCore>,
+    call: &GenerateCall,
+    deadline: Instant,
+) -> Result<Option<ClaimTicket>, RefusalBody> {
+    if !call.non_idempotent {
+        return Ok(None);
+    }
+    let subject = ClaimSubject {
+        request: call.request.clone(),
+        organisation: call.organisation.clone(),
+        key: required_key(call.key.as_ref(), &call.request)?,
+        fingerprint: fingerprint(call)?,
+        deadline,
+    };
+    match ClaimTicket::claim(core, subject).await {
+        Ok(ticket) => Ok(Some(ticket)),
+        Err(answer) => Err(refusal_of(&answer, &call.request)),
+    }
+}
+
+/// Checks, before anything is spent, what a non-idempotent generation needs.
+///
+/// # Errors
+/// A refusal of a missing or unusable key, and of resuming: the rest of an
+/// answer cannot be told from a second run.
+pub(super) fn check_claimable(call: &GenerateCall) -> Result<(), RefusalBody> {
+    match &call.body.resume {
+        _ if !call.non_idempotent => Ok(()),
+        Some(_) => Err(RefusalBody::not_run(
+            RefusalReason::Malformed,
+            "a non-idempotent generation cannot be resumed",
+        )
+        .for_request(call.request.clone())),
+        None => required_key(call.key.as_ref(), &call.request).map(drop),
+    }
+}
+
+fn fingerprint(call: &GenerateCall) -> Result<RequestFingerprint, RefusalBody> {
+    let body = serde_json::to_vec(&call.body).map_err(|error| {
+        RefusalBody::not_run(RefusalReason::Malformed, error.to_string())
+            .for_request(call.request.clone())
+    })?;
+    let resource = format!("generate/{}", call.body.model);
+    Ok(RequestFingerprint::of(&resource, &body))
+}
+
+/// Asks for leave to begin the run, if it needs one.
+///
+/// # Errors
+/// How the run ends without having begun.
+pub(super) async fn authorise(
+    ticket: Option<ClaimTicket>,
+) -> Result<Option<DispatchedClaim>, RunOutcome> {
+    let Some(ticket) = ticket else {
+        return Ok(None);
+    };
+    match ticket.authorise().await {
+        Ok(dispatched) => Ok(Some(dispatched)),
+        Err(answer) => Err(RunOutcome {
+            delivered: 0,
+            verdict: answer.verdict(),
+            refusal: Some(RefusalReason::DeadlinePassed),
+        }),
+    }
+}
+
+/// Notes the end of a run for every host, before its caller hears of it.
+pub(super) fn finish(
+    dispatched: Option<DispatchedClaim>,
+    outcome: RunOutcome,
+    tokens: &[TokenValue],
+) {
+    let Some(dispatched) = dispatched else {
+        return;
+    };
+    let verdict = match outcome.refusal {
+        None => RunVerdict::Ran,
+        Some(_) => outcome.verdict,
+    };
+    let text = serde_json::to_vec(tokens).unwrap_or_default();
+    dispatched.finish_stream(verdict, RequestFingerprint::of("", &text));
+}
--- a/src/daemon/services.rs
+++ b/src/daemon/services.rs
@@ -1,23 +1,29 @@
 //! The way of one call to a plain service.
 
+mod claimed;
+
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use http::{HeaderMap, HeaderValue, header::CONTENT_TYPE};
 
-use super::admitting::admit;
+use super::admitting::{AdmissionSlot, admit};
 use super::core::DaemonCore;
 use super::generate::check_phase;
 use super::targets::note_leaving;
 use crate::admission::AdmissionRequest;
 use crate::api::backend::{ServiceCall, ServiceReply};
 use crate::api::wire::RefusalBody;
+use crate::claims::key::TimedKey;
 use crate::ids::TargetId;
 use crate::reason::{RefusalReason, RetryReason};
+use crate::resources::ServiceSpec;
 use crate::target::TargetFailure;
 use crate::target::client::{CallAnswer, CallOrder};
 use crate::target::wire::{IDEMPOTENCY_KEY_HEADER, REQUEST_ID_HEADER};
 use crate::verdict::RunVerdict;
+use claimed::call_once;
+pub(super) use claimed::required_key;
 
 /// Targets tried for one call at most.
 const MAX_CALL_ATTEMPTS: usize = 3;
@@ -37,25 +43,76 @@
     // Waited for by a shutdown from here on.
     let _in_flight = core.in_flight.token();
     check_phase(&core, &call.request)?;
-    let targets = declared_targets(&core, &call)?;
+    let service = declared_service(&core, &call)?;
+    let is_listed = service
+        .non_idempotent
+        .iter()
+        .any(|operation| **operation == *call.operation);
+    if !is_listed && !call.non_idempotent {
+        return call_freely(&core, &call, &service.targets).await;
+    }
+    let key = required_key(call.key.as_ref(), &call.request)?;
+    let tracker = core.in_flight.clone();
+    let request = call.request.clone();
+    // Run to its end even if its caller goes away, also where only the
+    // service's declaration says that it is non-idempotent: dropped after its
+    // claim had won, it would leave the key blocked.
+    let running = tracker.spawn(call_claimed(core, call, service.targets, key));
+    let broke_off = || RefusalBody {
+        verdict: RunVerdict::MayHaveRun,
+        ..RefusalBody::not_run(RefusalReason::TargetFailed, "the call broke off")
+            .for_request(request)
+    };
+    running.await.unwrap_or_else(|_| Err(broke_off()))
+}
+
+async fn call_freely(
+    core: &Arc<DaemonCore>,
+    call: &ServiceCall,
+    targets: &[TargetId],
+) -> Result<ServiceReply, RefusalBody> {
+    let slot = admit_call(core, call).await?;
+    let reply = attempt_call(core, call, targets).await?;
+    slot.complete();
+    Ok(reply)
+}
+
+async fn call_claimed(
+    core: Arc<DaemonCore>,
+    call: ServiceCall,
+    targets: Vec<TargetId>,
+    key: TimedKey,
+) -> Result<ServiceReply, RefusalBody> {
+    let slot = admit_call(&core, &call).await?;
+    let reply = call_once(&core, &call, &targets, key, deadline_of(&core, &call)).await?;
+    slot.complete();
+    Ok(reply)
+}
+
+fn deadline_of(core: &DaemonCore, call: &ServiceCall) -> Instant {
+    call.received + core.options.timing.default_deadline
+}
+
+async fn admit_call(
+    core: &Arc<DaemonCore>,
+    call: &ServiceCall,
+) -> Result<AdmissionSlot, RefusalBody> {
     let request = AdmissionRequest {
         request: call.request.clone(),
         organisation: call.organisation.clone(),
         service_time: ASSUMED_CALL_TIME,
-        deadline: call.received + core.options.timing.default_deadline,
+        deadline: deadline_of(core, call),
         priority: 0,
     };
-    let slot = admit(&core, request).await?;
+    let slot = admit(core, request).await?;
     core.tables.budget.lock().request_started();
-    let reply = attempt_call(&core, &call, &targets).await?;
-    slot.complete();
-    Ok(reply)
+    Ok(slot)
 }
 
-fn declared_targets(core: &DaemonCore, call: &ServiceCall) -> Result<Vec<TargetId>, RefusalBody> {
+fn declared_service(core: &DaemonCore, call: &ServiceCall) -> Result<ServiceSpec, RefusalBody> {
     let declarations = core.tables.declarations.read();
     match declarations.service(&call.service) {
-        Some(service) => Ok(service.targets.clone()),
+        Some(service) => Ok(service.clone()),
         None => Err(
             RefusalBody::not_run(RefusalReason::Unknown, "no such service is declared")
                 .for_request(call.request.clone()),
@@ -83,15 +140,8 @@
             Ok(answer) => return Ok(reply(answer)),
             Err(failure) => failure,
         };
-        log::warn!(
-            request:% = call.request;
-            "call on {target} failed: {failure}"
-        );
         verdict = verdict.join(failure.verdict());
         excluded.push(target);
-        if call.non_idempotent && verdict != RunVerdict::NotRun {
-            break;
-        }
     }
     Err(failed(call, RefusalReason::TargetFailed, verdict))
 }
@@ -118,24 +168,35 @@
         operation: call.operation.to_string(),
         headers: call_headers(call),
         body: call.body.clone(),
-        use_pool: !call.non_idempotent,
+        use_pool: true,
     };
     let began = Instant::now();
     core.tables.routes.write().step_sent(target, began);
     let answer = core.targets.call(address, order).await;
     let now = Instant::now();
-    let reason = answer.as_ref().err().map(TargetFailure::reason);
-    if reason == Some(RetryReason::TargetLeaving) {
-        note_leaving(core, target, now);
-    }
-    let mut routes = core.tables.routes.write();
     match &answer {
-        Ok(_) => routes.step_answered(target, now - began, 1, now),
-        Err(failure) => routes.step_failed(target, failure.reason(), now),
+        Ok(_) => {
+            let mut routes = core.tables.routes.write();
+            routes.step_answered(target, now - began, 1, now);
+        }
+        Err(failure) => note_failure(core, call, target, failure),
     }
     answer
 }
 
+fn note_failure(core: &DaemonCore, call: &ServiceCall, target: &TargetId, failure: &TargetFailure) {
+    log::warn!(
+        request:% = call.request;
+        "call on {target} failed: {failure}"
+    );
+    let now = Instant::now();
+    if failure.reason() == RetryReason::TargetLeaving {
+        note_leaving(core, target, now);
+    }
+    let mut routes = core.tables.routes.write();
+    routes.step_failed(target, failure.reason(), now);
+}
+
 fn call_headers(call: &ServiceCall) -> HeaderMap {
     let mut headers = HeaderMap::new();
     if let Ok(value) = HeaderValue::from_str(&call.request) {
@@ -156,6 +217,7 @@
             .and_then(|value| value.to_str().ok())
             .map(str::to_owned),
         body: answer.body,
+        replayed: false,
     }
 }
 
--- /dev/null
+++ b/src/daemon/services/claimed.rs
@@ -0,0 +1,163 @@
+//! The way of one non-idempotent call: claim, connect, dispatch once.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use http::StatusCode;
+
+use super::{MAX_CALL_ATTEMPTS, call_headers, choose_target, failed, note_failure, reply};
+use crate::api::backend::{ServiceCall, ServiceReply};
+use crate::api::wire::RefusalBody;
+use crate::claims::key::{TimedKey, parse_key};
+use crate::claims::record::RequestFingerprint;
+use crate::daemon::claims::{ClaimSubject, ClaimTicket, DispatchedClaim, refusal_of, reply_of};
+use crate::daemon::core::DaemonCore;
+use crate::ids::{IdempotencyKey, RequestId, TargetId};
+use crate::reason::RefusalReason;
+use crate::target::client::{CallAnswer, CallOrder, SingleCall};
+use crate::target::{CallFailure, TargetFailure};
+use crate::verdict::RunVerdict;
+
+/// Reads the key that a non-idempotent request must carry.
+///
+/// # Errors
+/// A refusal that says how to make a key.
+pub(in crate::daemon) fn required_key(
+    key: Option<&IdempotencyKey>,
+    request: &RequestId,
+) -> Result<TimedKey, RefusalBody> {
+    let problem = match key.map(|key| parse_key(key)) {
+        Some(Ok(key)) => return Ok(key),
+        Some(Err(error)) => error.to_string(),
+        None => "a non-idempotent request needs an Idempotency-Key header".to_owned(),
+    };
+    let message = format!(
+        "{problem}; draw a UUID of version 7 for each request, and send the same again with \
+         every repeat of it"
+    );
+    Err(RefusalBody::not_run(RefusalReason::Malformed, message).for_request(request.clone()))
+}
+
+/// Runs a call at most once over all hosts.
+pub(super) async fn call_once(
+    core: &Arc<DaemonCore>,
+    call: &ServiceCall,
+    targets: &[TargetId],
+    key: TimedKey,
+    deadline: Instant,
+) -> Result<ServiceReply, RefusalBody> {
+    let resource = format!("services/{}/{}", call.service, call.operation);
+    let subject = ClaimSubject {
+        request: call.request.clone(),
+        organisation: call.organisation.clone(),
+        key,
+        fingerprint: RequestFingerprint::of(&resource, &call.body),
+        deadline,
+    };
+    let ticket = match ClaimTicket::claim(core, subject).await {
+        Ok(ticket) => ticket,
+        Err(answer) => return reply_of(answer, &call.request),
+    };
+    // A ticket dropped on the way withdraws the claim: nothing was sent.
+    let (target, connection) = connect(core, call, targets).await?;
+    let dispatched = match ticket.authorise().await {
+        Ok(dispatched) => dispatched,
+        Err(answer) => {
+            core.tables.routes.write().step_abandoned(&target);
+            return Err(refusal_of(&answer, &call.request));
+        }
+    };
+    let answer = send(core, call, &target, connection).await;
+    finish(call, dispatched, answer)
+}
+
+/// Connects to one target after another until one takes the connection.
+///
+/// Nothing is sent, so that a target that is down costs the call nothing but
+/// time; after the first byte there is no second target.
+async fn connect(
+    core: &DaemonCore,
+    call: &ServiceCall,
+    targets: &[TargetId],
+) -> Result<(TargetId, SingleCall), RefusalBody> {
+    let mut excluded = Vec::new();
+    while excluded.len() < MAX_CALL_ATTEMPTS {
+        if !excluded.is_empty() && !core.tables.budget.lock().spend() {
+            let reason = RefusalReason::RetryBudgetSpent;
+            return Err(failed(call, reason, RunVerdict::NotRun));
+        }
+        let Some(target) = choose_target(core, targets, &excluded) else {
+            return Err(failed(call, RefusalReason::NoRoute, RunVerdict::NotRun));
+        };
+        core.tables
+            .routes
+            .write()
+            .step_sent(&target, Instant::now());
+        match open(core, &target).await {
+            Ok(connection) => return Ok((target, connection)),
+            Err(failure) => note_failure(core, call, &target, &failure),
+        }
+        excluded.push(target);
+    }
+    Err(failed(
+        call,
+        RefusalReason::TargetFailed,
+        RunVerdict::NotRun,
+    ))
+}
+
+async fn open(core: &DaemonCore, target: &TargetId) -> Result<SingleCall, TargetFailure> {
+    match core.target_address(target) {
+        Some(address) => core.targets.open_single(address).await,
+        None => Err(TargetFailure::Connect("no longer declared".to_owned())),
+    }
+}
+
+async fn send(
+    core: &DaemonCore,
+    call: &ServiceCall,
+    target: &TargetId,
+    connection: SingleCall,
+) -> Result<CallAnswer, CallFailure> {
+    let order = CallOrder {
+        operation: call.operation.to_string(),
+        headers: call_headers(call),
+        body: call.body.clone(),
+        use_pool: false,
+    };
+    let began = Instant::now();
+    let answer = connection.send(order).await;
+    let now = Instant::now();
+    match &answer {
+        Ok(_) => {
+            let mut routes = core.tables.routes.write();
+            routes.step_answered(target, now - began, 1, now);
+        }
+        Err(failure) => note_failure(core, call, target, failure),
+    }
+    answer
+}
+
+/// Notes the outcome for every host, then answers.
+fn finish(
+    call: &ServiceCall,
+    dispatched: DispatchedClaim,
+    answer: Result<CallAnswer, CallFailure>,
+) -> Result<ServiceReply, RefusalBody> {
+    match answer {
+        Ok(answer) => {
+            let status = answer.status.as_u16();
+            dispatched.finish(RunVerdict::Ran, status, &answer.body);
+            Ok(reply(answer))
+        }
+        Err(failure) => {
+            let verdict = failure.verdict();
+            let status = match verdict {
+                RunVerdict::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+                _ => StatusCode::GATEWAY_TIMEOUT,
+            };
+            dispatched.finish(verdict, status.as_u16(), &[]);
+            Err(failed(call, RefusalReason::TargetFailed, verdict))
+        }
+    }
+}
--- a/src/daemon/spawn.rs
+++ b/src/daemon/spawn.rs
@@ -12,6 +12,7 @@
 use super::admitting::run_admission;
 use super::callers::caller_backend;
 use super::checkpoints::run_checkpoints;
+use super::claims::{answer_peer, run_claims, wait_for_settlements};
 use super::core::DaemonCore;
 use super::declarations::run_declarations;
 use super::leases::{hand_back, run_leases};
@@ -24,21 +25,24 @@
 use super::targets::{run_host_list, run_load_polls};
 use crate::admission::AdmissionSettings;
 use crate::api::{ApiBounds, ApiError, ApiHandle, ApiSettings, spawn_callers, spawn_operators};
+use crate::claims::window::WindowError;
 use crate::ids::IncarnationId;
 use crate::journal::JournalBounds;
 use crate::lease::table::ClockMargin;
 use crate::logging::dropshot_logger;
 use crate::membership::{MembershipSettings, WatchSettings};
 use crate::options::DaemonOptions;
-use crate::peer::{ClaimOutcome, PeerError, PeerHandle, PeerHandlers, PeerSettings, spawn_on};
+use crate::peer::{PeerError, PeerHandle, PeerHandlers, PeerSettings, spawn_on};
 use crate::platform::append_queue::{AppendOptions, AppendQueue};
 use crate::platform::client::{PlatformClient, PlatformTimeouts};
-use crate::records::{ALLOTMENT_STREAM, DECLARATION_STREAM, LEASE_STREAM};
+use crate::records::{ALLOTMENT_STREAM, CLAIM_STREAM, DECLARATION_STREAM, LEASE_STREAM};
 use crate::retry::{BudgetSettings, EjectionSettings};
 use crate::routing::RouteSettings;
 use crate::shares::{GrantHolder, GrantSettings, ZoneShares};
 use crate::target::client::{TargetClient, TargetTimeouts};
 
+/// Time for claims to settle that requests in flight always leave.
+const LEAST_SETTLE_TIME: Duration = Duration::from_secs(1);
 /// How long the platform may take for one answer.
 const PLATFORM_ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
 /// How long a shutdown tries to hand its leases back: an order that is under
@@ -54,6 +58,9 @@
     /// Peers cannot be listened to.
     #[error(transparent)]
     Peer(#[from] PeerError),
+    /// The log keeps records too briefly for the key window.
+    #[error("platform.record_horizon: {0}")]
+    Window(#[from] WindowError),
 }
 
 /// A running daemon.
@@ -77,14 +84,18 @@
         Some(advertised) => advertised,
         None => listener.local_addr().map_err(PeerError::from)?,
     };
-    let settings = table_settings(&options, incarnation, peer_address, seed);
+    let settings = table_settings(&options, incarnation, peer_address, seed)?;
     let platform = open_platform(&options);
     let core = DaemonCore::new(
         incarnation,
         SharedTables::new(settings, Instant::now()),
         TargetClient::open(target_timeouts(&options)),
         platform.clone(),
-        AppendQueue::spawn(platform, AppendOptions::for_stream(DECLARATION_STREAM)),
+        AppendQueue::spawn(
+            platform.clone(),
+            AppendOptions::for_stream(DECLARATION_STREAM),
+        ),
+        AppendQueue::spawn(platform, AppendOptions::for_stream(CLAIM_STREAM)),
         options,
     );
     core.set_peers(open_peers(&core, listener, seed)?);
@@ -107,6 +118,7 @@
         )),
         tokio::spawn(run_reconciling(Arc::clone(&core))),
         tokio::spawn(run_sharing(Arc::clone(&core), allotment_appends, seed)),
+        tokio::spawn(run_claims(Arc::clone(&core), seed)),
         tokio::spawn(run_admission(Arc::clone(&core))),
         tokio::spawn(run_members(Arc::clone(&core))),
         tokio::spawn(run_load_polls(Arc::clone(&core))),
@@ -179,6 +191,7 @@
             workers,
             lease_appends,
         } = self;
+        let began = Instant::now();
         core.begin_draining();
         core.in_flight.close();
         // The listener stays open meanwhile, to refuse with a verdict.
@@ -191,6 +204,7 @@
         if handed_back.is_err() {
             log::warn!("the leases could not be handed back; they lapse in time");
         }
+        settle_claims(&core, began).await;
         operators.shutdown().await;
         for worker in workers {
             worker.abort();
@@ -229,6 +243,18 @@
     }
 }
 
+/// Waits until the log shows how this host's claims ended, within what is left
+/// of the time for draining.
+async fn settle_claims(core: &DaemonCore, began: Instant) {
+    let allowed = core.options.timing.drain_timeout;
+    let left = allowed
+        .saturating_sub(began.elapsed())
+        .max(LEAST_SETTLE_TIME);
+    if timeout(left, wait_for_settlements(core)).await.is_err() {
+        log::warn!("not every claim's end is in the log; its key stays blocked");
+    }
+}
+
 fn open_platform(options: &DaemonOptions) -> PlatformClient {
     let timeouts = PlatformTimeouts {
         connect: options.timing.connect_timeout,
@@ -261,10 +287,11 @@
 fn peer_handlers(core: &Arc<DaemonCore>) -> PeerHandlers {
     let beats = Arc::clone(core);
     let records = Arc::clone(core);
+    let claims = Arc::clone(core);
     PeerHandlers {
         heartbeat: Arc::new(move |beat| answer_beat(&beats, &beat)),
         records: Arc::new(move |question| relay_records(&records, &question)),
-        claim_outcome: Arc::new(|_question| futures::future::ready(ClaimOutcome::Unknown).boxed()),
+        claim_outcome: Arc::new(move |question| answer_peer(Arc::clone(&claims), question).boxed()),
     }
 }
 
@@ -273,7 +300,7 @@
     incarnation: IncarnationId,
     peer_address: SocketAddr,
     seed: u64,
-) -> TableSettings {
+) -> Result<TableSettings, DaemonError> {
     let (host, zone) = (&options.host.name, &options.host.zone);
     let membership = MembershipSettings {
         zone_interval: options.timing.heartbeat_interval,
@@ -314,7 +341,8 @@
         entries: options.limits.journal_entries,
         ..JournalBounds::default()
     };
-    TableSettings {
+    Ok(TableSettings {
+        claims: options.claim_window()?,
         membership,
         shares,
         watch,
@@ -324,7 +352,7 @@
         journal,
         clock_margin: clock_margin(options.timing.clock_rate_margin),
         seed,
-    }
+    })
 }
 
 /// The margin for clock rates, rounded up to whole percents.
--- a/src/daemon/tables.rs
+++ b/src/daemon/tables.rs
@@ -14,9 +14,11 @@
 use rand::rngs::StdRng;
 use tokio::sync::oneshot;
 
+use super::claims::ClaimDesk;
 use super::leases::LeaseDesk;
 use super::sharing::SharesDesk;
 use crate::admission::{AdmissionDecision, AdmissionSettings, AdmissionTable};
+use crate::claims::window::ClaimWindow;
 use crate::collections::FastMap;
 use crate::ids::RequestId;
 use crate::journal::{JournalBounds, JournalTable};
@@ -41,6 +43,8 @@
     pub(super) relay: Mutex<RecordRelay>,
     /// Then: leases, with this host's part in them.
     pub(super) leases: Mutex<LeaseDesk>,
+    /// Then: claims on idempotency keys, with the requests that claim.
+    pub(super) claims: Mutex<ClaimDesk>,
     /// Second: the other entry hosts.
     pub(super) membership: Mutex<MembershipTable>,
     /// Then: what this host may use of each organisation's capacity.
@@ -70,6 +74,7 @@
 
 /// Settings of all tables.
 pub(super) struct TableSettings {
+    pub(super) claims: ClaimWindow,
     pub(super) membership: MembershipSettings,
     pub(super) shares: ZoneShares,
     pub(super) watch: WatchSettings,
@@ -84,6 +89,7 @@
 impl SharedTables {
     pub(super) fn new(settings: TableSettings, now: Instant) -> Arc<Self> {
         let TableSettings {
+            claims,
             membership,
             shares,
             watch,
@@ -98,6 +104,7 @@
             declarations: RwLock::new(DeclarationTable::default()),
             relay: Mutex::new(RecordRelay::new(RELAY_LIMITS)),
             leases: Mutex::new(LeaseDesk::new(LeaseTable::new(clock_margin))),
+            claims: Mutex::new(ClaimDesk::new(claims)),
             membership: Mutex::new(MembershipTable::new(membership, now)),
             shares: Mutex::new(SharesDesk {
                 shares,
--- a/tests/api/server.rs
+++ b/tests/api/server.rs
@@ -134,6 +134,7 @@
         status: 418,
         body: call.body,
         content_type: Some("text/plain".into()),
+        replayed: false,
     })
 }
 
