Prove that a non-idempotent request runs at most once

The claims are wired to the daemon; this tries them under every fault that the promise names, over a platform and a service whose records are the ground truth, checked with the history checkers and against one answer for each key. Tried: one key at up to three hosts at once (60 keys, seeded), an outage of the log, append answers lost after effect, appends lost before effect or arriving after the claimant gave up, a claimant killed or frozen between its claim and its dispatch, a key returning after its window to a host that knew it and to one that started after its claim had expired, a shutdown with the log slow, keys shared by organisations or bodies, keys missing or without a time.

The stand-ins' fleet takes further settings for its daemons.

Before that the two tests of a caught claimant were flaky: the claim and the claimant's next read of the slow platform arrived together, so that it was not caught, and a claimant just woken took the log for unreachable. A seeded pause keeps the two apart, and the log is waited for.

--- a/standins/src/fleet/layout.rs
+++ b/standins/src/fleet/layout.rs
@@ -51,6 +51,8 @@
     pub policy: String,
     /// Seed of the daemons' randomness.
     pub seed: u64,
+    /// Whole sections added to the daemons' settings.
+    pub extra_settings: String,
 }
 
 /// An availability zone.
@@ -162,6 +164,7 @@
             link_delay_ms: 1,
             policy: "estimate".to_owned(),
             seed: 1,
+            extra_settings: String::new(),
         }
     }
 
--- a/standins/src/fleet/start.rs
+++ b/standins/src/fleet/start.rs
@@ -65,8 +65,8 @@
                 seeds: places.to_vec(),
             };
             let extra = format!(
-                "\n[routing]\npolicy = \"{}\"\n\n[log]\nlevel = \"off\"\n",
-                self.layout.policy
+                "\n[routing]\npolicy = \"{}\"\n\n[log]\nlevel = \"off\"\n{}",
+                self.layout.policy, self.layout.extra_settings
             );
             let text = settings.to_toml(&extra).replacen(
                 "[host]\n",
--- /dev/null
+++ b/standins/tests/at_most_once.rs
@@ -0,0 +1,385 @@
+//! A non-idempotent request runs at most once, whatever fails.
+
+mod claim_fleet;
+mod support;
+
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+
+use claim_fleet::{ClaimFleet, ORGANISATION, OTHER_ORGANISATION, Told, fresh_key, key_of};
+use futures::future::join_all;
+use jackdawwick::reason::RefusalReason;
+use jackdawwick::verdict::RunVerdict;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use standins::caller::{CallerClient, OutgoingCall};
+use support::{DaemonProcess, TestError, TestResult, eventually};
+
+/// Long enough for a claim on a busy machine, where none is to be given up.
+const PATIENT_CLAIMS: &str = "\n[timing]\nclaim_timeout = \"15s\"\nstep_timeout = \"15s\"\n";
+/// Short, where giving up is what is tried.
+const HASTY_CLAIMS: &str = "\n[timing]\nclaim_timeout = \"600ms\"\nlog_wait = \"50ms\"\n";
+/// How long the platform takes for a call while a claimant is to be caught
+/// between its claim's arrival in the log and its own reading of it.
+const SLOW_PLATFORM_MS: u64 = 400;
+/// Times that a claimant is tried to be caught.
+const CATCHES: u64 = 20;
+
+/// Symptom: a traveller is charged twice.
+/// Sequence: the balancer sends one key to two or three hosts at once, and to
+/// one of them twice.
+/// Cause: each host finds the key unused and sends the request on.
+#[tokio::test(flavor = "multi_thread")]
+async fn one_key_at_several_hosts_at_once_runs_once() -> TestResult {
+    let fleet = ClaimFleet::start(3, PATIENT_CLAIMS).await?;
+    let mut random = StdRng::seed_from_u64(41);
+    let mut sent = Vec::new();
+    let keys: Vec<String> = (0..60).map(fresh_key).collect();
+    for key in &keys {
+        let first = random.random_range(0..3);
+        for place in 0..random.random_range(2..5) {
+            let host = fleet.callers((first + place) % 3);
+            sent.push((host, format!("{key}-at-{place}"), key));
+        }
+    }
+    let settle = |(host, request, key): &(_, String, &String)| {
+        let (host, request, key) = (*host, request.clone(), (*key).clone());
+        let fleet = &fleet;
+        async move { fleet.settle(host, &request, &key).await }
+    };
+    let told = join_all(sent.iter().map(settle)).await;
+    fleet.check()?;
+    for key in &keys {
+        assert_eq!(fleet.runs(key).len(), 1, "{key}");
+    }
+    for told in &told {
+        let may_have_run = told.verdict() == Some(RunVerdict::MayHaveRun);
+        assert!(told.is_answer() || may_have_run, "{told:?}");
+    }
+    let answered = told.iter().filter(|told| told.is_answer()).count();
+    assert!(answered > keys.len(), "no answer reached a second caller");
+    // Later repeats, at any host, get the answer from the log.
+    for (host, key) in (0..3).cycle().zip(&keys) {
+        let request = format!("{key}-again");
+        let told = fleet.settle(fleet.callers(host), &request, key).await;
+        assert!(told.is_answer(), "{told:?}");
+    }
+    fleet.check()?;
+    for key in &keys {
+        assert_eq!(fleet.runs(key).len(), 1, "{key}");
+    }
+    Ok(())
+}
+
+/// Symptom: a request is refused or answered with another's answer.
+/// Sequence: two organisations use one key; one organisation uses a key for
+/// two bodies; a request comes without a key, or with one that has no time.
+/// Cause: keys are taken to be unique, or unchecked.
+#[tokio::test]
+async fn a_key_belongs_to_one_request_of_one_organisation() -> TestResult {
+    let fleet = ClaimFleet::start(2, PATIENT_CLAIMS).await?;
+    let (key, host) = (fresh_key(1), fleet.callers(0));
+    fleet.settle(host, "first", &key).await.answer()?;
+    let other = fleet.settle_as(OTHER_ORGANISATION, host, "other", &key);
+    other.await.answer()?;
+    assert_eq!(fleet.runs(&key).len(), 2);
+    let caller = CallerClient::open(ORGANISATION);
+    let unusable = uuid::Builder::from_random_bytes([7; 16]).into_uuid();
+    let unusable = unusable.to_string();
+    for (body, key, hint) in [
+        ("{\"other\":1}", Some(key.as_str()), "different request"),
+        ("{}", Some(unusable.as_str()), "UUID of version 7"),
+        // Marked by the service's declaration alone.
+        ("{}", None, "UUID of version 7"),
+    ] {
+        let call = OutgoingCall {
+            path: claim_fleet::SETTLE,
+            body: body.into(),
+            key,
+        };
+        let reply = caller.call_service(host, "odd", call).await?;
+        assert_eq!(reply.status, http::StatusCode::BAD_REQUEST, "{reply:?}");
+        let text = String::from_utf8_lossy(&reply.body).into_owned();
+        assert!(text.contains("not_run") && text.contains(hint), "{text}");
+    }
+    assert_eq!(fleet.service().record().len(), 2);
+    fleet.check()
+}
+
+/// Symptom: a request runs although its caller was refused, or its key cannot
+/// be used after an outage.
+/// Sequence: the log refuses everything; the request comes; the log is back.
+/// Cause: the request is sent on without a claim, or the claim that was never
+/// written is taken to hold the key.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_outage_of_the_log_refuses_at_once_and_leaves_the_key_free() -> TestResult {
+    let fleet = ClaimFleet::start(2, PATIENT_CLAIMS).await?;
+    let faults = fleet.fleet.platform.faults();
+    faults.update(|faults| faults.outage = true);
+    for (number, host) in (0..8).zip([0, 1].into_iter().cycle()) {
+        let key = fresh_key(number);
+        let request = format!("outage-{number}");
+        let told = fleet.settle(fleet.callers(host), &request, &key).await;
+        let refusal = told.refusal()?;
+        assert_eq!(refusal.verdict, RunVerdict::NotRun);
+        assert_eq!(refusal.reason, RefusalReason::LogUnavailable);
+        assert!(refusal.retry_after_ms.is_some());
+        assert!(fleet.runs(&key).is_empty());
+    }
+    assert!(fleet.service().record().is_empty());
+    faults.update(|faults| faults.outage = false);
+    let keys: Vec<String> = (0..8).map(|number| fresh_key(100 + number)).collect();
+    for key in &keys {
+        let host = fleet.callers(1);
+        fleet.settle_until_answered(host, key, key).await?;
+        assert_eq!(fleet.runs(key).len(), 1);
+    }
+    fleet.check()
+}
+
+/// Symptom: a request runs twice, or never although its claim stands.
+/// Sequence: the append of the claim takes effect, its answer is lost.
+/// Cause: the claimant takes the claim for failed, or appends another one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_claim_whose_answer_is_lost_counts_once() -> TestResult {
+    let fleet = ClaimFleet::start(2, PATIENT_CLAIMS).await?;
+    for number in 0..10 {
+        let key = fresh_key(number);
+        let faults = fleet.fleet.platform.faults();
+        faults.update(|faults| faults.lose_append_answers = 2);
+        let (first, second) = (format!("{key}-first"), format!("{key}-second"));
+        let (first, second) = tokio::join!(
+            fleet.settle(fleet.callers(0), &first, &key),
+            fleet.settle(fleet.callers(1), &second, &key),
+        );
+        assert!(
+            first.is_answer() || second.is_answer(),
+            "{first:?}, {second:?}"
+        );
+        assert_eq!(fleet.runs(&key).len(), 1);
+    }
+    fleet.check()
+}
+
+/// Symptom: a request runs although its caller was told that it did not, or
+/// its key stays blocked.
+/// Sequence: the append of the claim is lost, or it reaches the log only after
+/// the claimant has given up; the caller comes back with the same key.
+/// Cause: a claim that turns up late is dispatched, or nobody withdraws it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_claim_that_is_lost_or_late_is_never_dispatched() -> TestResult {
+    let fleet = ClaimFleet::start(2, HASTY_CLAIMS).await?;
+    let faults = fleet.fleet.platform.faults();
+    let mut given_up = 0;
+    for (number, delay_ms) in (0..).zip([0, 900, 0, 1_200, 0, 0, 0]) {
+        let key = fresh_key(number);
+        faults.update(|faults| match delay_ms {
+            0 => faults.lose_appends = 1,
+            _ => faults.delay_ms = delay_ms,
+        });
+        let request = format!("{key}-lost");
+        let told = fleet.settle(fleet.callers(0), &request, &key).await;
+        if told.is_answer() {
+            // Another append was lost in its place, such as a time mark.
+            continue;
+        }
+        given_up += 1;
+        assert_eq!(told.refusal()?.verdict, RunVerdict::NotRun);
+        assert!(fleet.runs(&key).is_empty());
+        if delay_ms > 0 {
+            eventually("the claim turns up", || async { fleet.is_claimed(&key) }).await?;
+        }
+        faults.update(|faults| faults.delay_ms = 0);
+        let host = fleet.callers(1);
+        fleet.settle_until_answered(host, &key, &key).await?;
+        assert_eq!(fleet.runs(&key).len(), 1);
+        assert!(fleet.runs(&key)[0].request.as_deref() != Some(&*request));
+    }
+    assert!(given_up > 3, "only {given_up} claims were lost or late");
+    fleet.check()
+}
+
+/// A claimant that stands still between its claim and its dispatch.
+struct CaughtClaimant {
+    key: String,
+    told: tokio::task::JoinHandle<Told>,
+}
+
+/// Stops a claimant after its claim has reached the log and before it has
+/// sent the request on.
+async fn catch_claimant(
+    fleet: &ClaimFleet,
+    claimant: &DaemonProcess,
+) -> Result<CaughtClaimant, TestError> {
+    let faults = fleet.fleet.platform.faults();
+    let mut random = StdRng::seed_from_u64(43);
+    for number in 0..CATCHES {
+        let key = fresh_key(number);
+        faults.update(|faults| faults.delay_ms = SLOW_PLATFORM_MS);
+        // Sent at once, the claim would arrive together with the claimant's
+        // next read of the log.
+        let pause = random.random_range(SLOW_PLATFORM_MS / 4..SLOW_PLATFORM_MS / 2);
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+        let told = tokio::spawn({
+            let (book, key) = (Arc::clone(&fleet.book), key.clone());
+            let (host, request) = (claimant.callers, format!("{key}-caught"));
+            async move { book.settle(ORGANISATION, host, &request, &key).await }
+        });
+        eventually("the claim shows", || async {
+            fleet.is_claimed(&key) || told.is_finished()
+        })
+        .await?;
+        claimant.process.signal("STOP")?;
+        faults.update(|faults| faults.delay_ms = 0);
+        // Once another host has judged the key, bytes that were on their way
+        // to the service have arrived.
+        let request = format!("{key}-elsewhere");
+        let elsewhere = fleet.settle(fleet.callers(0), &request, &key).await;
+        if elsewhere.verdict() == Some(RunVerdict::MayHaveRun) && fleet.runs(&key).is_empty() {
+            return Ok(CaughtClaimant { key, told });
+        }
+        // It had gone on too far, or had claimed nothing; woken, it ends.
+        claimant.process.signal("CONT")?;
+        told.await?;
+        let (host, key) = (claimant.callers, fresh_key(1_000 + number));
+        fleet.settle_until_answered(host, &key, &key).await?;
+    }
+    Err("the claimant was never caught".into())
+}
+
+const CAUGHT_CLAIMS: &str = "\n[timing]\nclaim_timeout = \"2s\"\nlog_wait = \"10ms\"\n";
+const CLAIM_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Symptom: a request that another host reported as "may have run" is run long
+/// after its caller left.
+/// Sequence: the claimant is frozen between claim and dispatch; another host
+/// is asked for the key; the claim's deadline passes; the claimant wakes.
+/// Cause: the claimant goes on where it stood and does not look at the time.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_claimant_that_wakes_late_sends_nothing() -> TestResult {
+    let fleet = ClaimFleet::start(1, CAUGHT_CLAIMS).await?;
+    let claimant = fleet.start_process("vake-frozen", CAUGHT_CLAIMS).await?;
+    let caught = catch_claimant(&fleet, &claimant).await?;
+    // The claim was made before now, so its deadline lies before this ends.
+    tokio::time::sleep(CLAIM_TIMEOUT).await;
+    claimant.process.signal("CONT")?;
+    let told = caught.told.await?;
+    assert_eq!(told.verdict(), Some(RunVerdict::NotRun), "{told:?}");
+    assert!(fleet.runs(&caught.key).is_empty());
+    // The withdrawal frees the key, and still it runs once only.
+    let host = fleet.callers(0);
+    let request = format!("{}-back", caught.key);
+    fleet
+        .settle_until_answered(host, &request, &caught.key)
+        .await?;
+    assert_eq!(fleet.runs(&caught.key).len(), 1);
+    fleet.check()
+}
+
+/// Symptom: a request runs twice.
+/// Sequence: the claimant is killed between claim and dispatch, and a daemon
+/// starts on its host; the caller comes back to every host.
+/// Cause: a host takes the dead claimant's claim for void, though the claimant
+/// may have sent the request before it died.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_claim_of_a_killed_claimant_is_never_taken_over() -> TestResult {
+    let fleet = ClaimFleet::start(1, CAUGHT_CLAIMS).await?;
+    let mut claimant = fleet.start_process("vake-killed", CAUGHT_CLAIMS).await?;
+    let caught = catch_claimant(&fleet, &claimant).await?;
+    claimant.process.kill()?;
+    assert_eq!(caught.told.await?, Told::Nothing);
+    let successor = fleet.start_process("vake-killed", CAUGHT_CLAIMS).await?;
+    for (number, host) in [fleet.callers(0), successor.callers, fleet.callers(0)]
+        .into_iter()
+        .enumerate()
+    {
+        let request = format!("{}-{number}", caught.key);
+        let told = fleet.settle(host, &request, &caught.key).await;
+        assert_eq!(told.verdict(), Some(RunVerdict::MayHaveRun), "{told:?}");
+    }
+    assert!(fleet.runs(&caught.key).is_empty());
+    fleet.check()
+}
+
+/// Symptom: a request runs a second time long after the first.
+/// Sequence: a key comes back after its window, when its claim has expired
+/// from the log, to a host that knew it and to one that started later; or its
+/// claim has expired too early and it comes to one that started later.
+/// Cause: a key without a claim is taken for a new one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_that_returns_after_its_window_is_refused() -> TestResult {
+    const WINDOW: Duration = Duration::from_secs(60);
+    const LEFT: Duration = Duration::from_secs(4);
+    let settings = "\n[timing]\nidempotency_window = \"1m\"\nclock_skew = \"100ms\"\n";
+    let fleet = ClaimFleet::start(1, settings).await?;
+    let host = fleet.callers(0);
+    let old = key_of(SystemTime::now() - (WINDOW - LEFT), 1);
+    let young = fresh_key(2);
+    fleet.settle(host, "old", &old).await.answer()?;
+    fleet.settle(host, "young", &young).await.answer()?;
+    let expired = async |host, request: &str| {
+        let told = fleet.settle(host, request, &old).await;
+        let refusal = told.refusal();
+        refusal.is_ok_and(|body| {
+            (body.verdict, body.reason) == (RunVerdict::NotRun, RefusalReason::KeyExpired)
+        })
+    };
+    eventually("the key is too old", || expired(host, "old-again")).await?;
+    // Later claims push those on both keys out of the log; the declarations,
+    // which are fewer, stay.
+    let kept = fleet.fleet.platform.record("declarations").len() as u64;
+    for number in 10..10 + kept {
+        let key = fresh_key(number);
+        fleet.settle(host, &key, &key).await.answer()?;
+    }
+    fleet.fleet.platform.set_retention(kept);
+    let late = fleet.start_process("vake-late", settings).await?;
+    assert!(expired(late.callers, "old-late").await);
+    let told = fleet.settle(late.callers, "young-late", &young).await;
+    let refusal = told.refusal()?;
+    assert_eq!(refusal.verdict, RunVerdict::NotRun);
+    assert_eq!(refusal.reason, RefusalReason::NotReady);
+    assert!(refusal.retry_after_ms.is_some());
+    assert_eq!(fleet.runs(&old).len(), 1);
+    assert_eq!(fleet.runs(&young).len(), 1);
+    fleet.check()
+}
+
+/// Symptom: a key stays blocked, or its answer unknown, after a shutdown.
+/// Sequence: a daemon is told to stop while a request runs and the log is slow.
+/// Cause: it exits once its caller is answered, before the log shows how the
+/// request ended.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_shutdown_waits_until_the_log_shows_how_requests_ended() -> TestResult {
+    let mut fleet = ClaimFleet::start(2, PATIENT_CLAIMS).await?;
+    let key = fresh_key(1);
+    let faults = fleet.fleet.platform.faults();
+    fleet
+        .service()
+        .faults()
+        .update(|faults| faults.frozen = true);
+    let service = fleet.service().faults();
+    let mut stopping = fleet.fleet.daemons.remove(0);
+    let (callers, fleet) = (stopping.callers, &fleet);
+    let (told, ()) = tokio::join!(fleet.settle(callers, "stopping", &key), async {
+        let claimed = eventually("the key is claimed", || async { fleet.is_claimed(&key) });
+        assert!(claimed.await.is_ok());
+        faults.update(|faults| faults.delay_ms = SLOW_PLATFORM_MS);
+        let thaw = async {
+            tokio::task::yield_now().await;
+            service.update(|faults| faults.frozen = false);
+        };
+        tokio::join!(stopping.shutdown(), thaw);
+    });
+    assert!(told.is_answer(), "{told:?}");
+    let records = fleet.fleet.platform.record("claims");
+    let is_outcome = |text: &str| text.contains("outcome") && text.contains("\"ran\"");
+    assert!(
+        records.iter().any(|record| is_outcome(&record.body)),
+        "the daemon ended without an outcome in the log"
+    );
+    faults.update(|faults| faults.delay_ms = 0);
+    let repeat = fleet.settle(fleet.callers(0), "repeat", &key).await;
+    assert_eq!(repeat, told);
+    fleet.check()
+}
--- /dev/null
+++ b/standins/tests/claim_fleet/mod.rs
@@ -0,0 +1,315 @@
+//! A small fleet whose callers' non-idempotent requests are written down.
+
+#![allow(
+    unreachable_pub,
+    dead_code,
+    reason = "each test file uses a part of it"
+)]
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use http::StatusCode;
+use jackdawwick::api::wire::{ForceView, RefusalBody, StatusView};
+use jackdawwick::verdict::RunVerdict;
+use parking_lot::Mutex;
+use standins::caller::{CallerClient, HeardReply, OutgoingCall};
+use standins::check::{CallHistory, RunHistory, TargetSteps, check_at_most_once, check_not_run};
+use standins::daemon_settings::DaemonPlace;
+use standins::fleet::{
+    EnginePlan, Fleet, FleetLayout, OrganisationPlan, ServicePlan, StagePlan, ZonePlan,
+};
+use standins::operator;
+use standins::service::{CallRecord, ServiceServer};
+use uuid::Builder;
+
+use crate::support::{DaemonProcess, TestError, TestResult, eventually};
+
+pub const ZONE: &str = "vake";
+pub const MODEL: &str = "receipt-reader";
+pub const ORGANISATION: &str = "desk";
+pub const OTHER_ORGANISATION: &str = "office";
+pub const SETTLE: &str = "ledger/settle";
+
+/// A fleet with what its callers sent and heard.
+pub struct ClaimFleet {
+    pub fleet: Fleet,
+    pub book: Arc<CallBook>,
+}
+
+/// What callers sent and heard.
+#[derive(Debug, Default)]
+pub struct CallBook {
+    heard: Mutex<Vec<CallHistory>>,
+}
+
+/// What a caller was told about one call.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Told {
+    /// An answer of the service.
+    Answer(Vec<u8>),
+    /// A refusal.
+    Refused(RefusalBody),
+    /// Nothing: the connection broke.
+    Nothing,
+}
+
+impl Told {
+    pub fn is_answer(&self) -> bool {
+        matches!(self, Self::Answer(_))
+    }
+
+    pub fn answer(&self) -> Result<&[u8], TestError> {
+        match self {
+            Self::Answer(body) => Ok(body),
+            other => Err(format!("not answered: {other:?}").into()),
+        }
+    }
+
+    pub fn verdict(&self) -> Option<RunVerdict> {
+        match self {
+            Self::Refused(body) => Some(body.verdict),
+            _ => None,
+        }
+    }
+
+    pub fn refusal(&self) -> Result<&RefusalBody, TestError> {
+        match self {
+            Self::Refused(body) => Ok(body),
+            other => Err(format!("not refused: {other:?}").into()),
+        }
+    }
+}
+
+/// A key made at `created`; keys of different `number`s differ.
+pub fn key_of(created: SystemTime, number: u64) -> String {
+    let age = created.duration_since(UNIX_EPOCH).unwrap_or_default();
+    let millis = u64::try_from(age.as_millis()).unwrap_or_default();
+    let mut random = [0; 10];
+    random[2..].copy_from_slice(&number.to_be_bytes());
+    let uuid = Builder::from_unix_timestamp_millis(millis, &random).into_uuid();
+    uuid.hyphenated().to_string()
+}
+
+/// A key made now.
+pub fn fresh_key(number: u64) -> String {
+    key_of(SystemTime::now(), number)
+}
+
+fn small_layout(entry_hosts: usize, extra_settings: &str) -> FleetLayout {
+    let organisation = |name: &str| OrganisationPlan {
+        name: name.to_owned(),
+        concurrent_requests: 10_000,
+        requests_per_second: 10_000,
+    };
+    let engine = EnginePlan {
+        zone: ZONE.to_owned(),
+        step_time: Duration::from_millis(1),
+        concurrency: 16,
+    };
+    FleetLayout {
+        name: "claims".to_owned(),
+        zones: vec![ZonePlan {
+            name: ZONE.to_owned(),
+            entry_hosts,
+        }],
+        model: MODEL.to_owned(),
+        stages: vec![StagePlan {
+            first_layer: 0,
+            last_layer: 3,
+            engines: vec![engine],
+        }],
+        service: ServicePlan {
+            name: "ledger".to_owned(),
+            zones: vec![ZONE.to_owned()],
+            call_time: Duration::from_millis(5),
+            plain_operation: "balance".to_owned(),
+            non_idempotent: "settle".to_owned(),
+        },
+        organisations: [ORGANISATION, OTHER_ORGANISATION]
+            .map(organisation)
+            .to_vec(),
+        link_delay_ms: 0,
+        policy: "estimate".to_owned(),
+        seed: 7,
+        extra_settings: extra_settings.to_owned(),
+    }
+}
+
+impl ClaimFleet {
+    /// Starts entry hosts that know each other.
+    pub async fn start(entry_hosts: usize, extra_settings: &str) -> Result<Self, TestError> {
+        let fleet = Fleet::start(small_layout(entry_hosts, extra_settings)).await?;
+        for daemon in &fleet.daemons {
+            eventually("the hosts know each other", || async {
+                let view = operator::read::<ForceView>(daemon.operators, "/v1/force").await;
+                view.is_ok_and(|view| {
+                    let reachable = view.hosts.iter().filter(|host| host.reachable);
+                    reachable.count() >= entry_hosts
+                })
+            })
+            .await?;
+        }
+        Ok(Self {
+            fleet,
+            book: Arc::default(),
+        })
+    }
+
+    /// Starts a further entry host as a process of its own, without peers.
+    pub async fn start_process(
+        &self,
+        host: &str,
+        extra_settings: &str,
+    ) -> Result<DaemonProcess, TestError> {
+        let place = DaemonPlace::new(host, ZONE, self.fleet.platform.local_addr());
+        let daemon = DaemonProcess::spawn(&place.to_toml(extra_settings))?;
+        let first = self.fleet.daemons.first().ok_or("no daemon")?.operators;
+        let version = operator::read::<StatusView>(first, "/v1/status").await?;
+        eventually("the declarations are in force", || async {
+            let status = operator::read::<StatusView>(daemon.operators, "/v1/status").await;
+            status.is_ok_and(|status| status.ready && status.applied >= version.applied)
+        })
+        .await?;
+        Ok(daemon)
+    }
+
+    pub fn callers(&self, index: usize) -> SocketAddr {
+        self.fleet.daemons[index].callers
+    }
+
+    pub fn service(&self) -> &ServiceServer {
+        &self.fleet.services[0].server
+    }
+
+    /// Sends a settlement under a key and writes down what is heard.
+    pub async fn settle(&self, host: SocketAddr, request: &str, key: &str) -> Told {
+        self.settle_as(ORGANISATION, host, request, key).await
+    }
+
+    pub async fn settle_as(
+        &self,
+        organisation: &str,
+        host: SocketAddr,
+        request: &str,
+        key: &str,
+    ) -> Told {
+        self.book.settle(organisation, host, request, key).await
+    }
+
+    /// Sends a settlement again and again, each time as a request of its own,
+    /// until the service's answer comes.
+    pub async fn settle_until_answered(
+        &self,
+        host: SocketAddr,
+        request: &str,
+        key: &str,
+    ) -> TestResult {
+        let attempts = std::cell::Cell::new(0);
+        eventually("the key can be used", || async {
+            attempts.set(attempts.get() + 1);
+            let request = format!("{request}-{}", attempts.get());
+            self.settle(host, &request, key).await.is_answer()
+        })
+        .await
+    }
+
+    /// Calls that ran under a key.
+    pub fn runs(&self, key: &str) -> Vec<CallRecord> {
+        let is_own = |record: &CallRecord| record.idempotency_key.as_deref() == Some(key);
+        let records = self.service().record();
+        records.into_iter().filter(is_own).collect()
+    }
+
+    /// Whether a claim on the key stands in the log.
+    pub fn is_claimed(&self, key: &str) -> bool {
+        let records = self.fleet.platform.record("claims");
+        records.iter().any(|record| record.body.contains(key))
+    }
+
+    /// Checks the whole history: no key ran twice, nothing ran whose caller was
+    /// told that it did not, and all answers under one key are the same.
+    pub fn check(&self) -> TestResult {
+        let history = RunHistory {
+            calls: self.service().record(),
+            service_calls: self.book.heard.lock().clone(),
+            steps: self.steps(),
+            ..RunHistory::default()
+        };
+        let mut broken = check_at_most_once(&history);
+        broken.extend(check_not_run(&history));
+        if !broken.is_empty() {
+            let lines: Vec<String> = broken.iter().map(ToString::to_string).collect();
+            return Err(lines.join("\n").into());
+        }
+        self.check_same_answers()
+    }
+
+    fn check_same_answers(&self) -> TestResult {
+        let mut answers = BTreeMap::new();
+        for call in self.book.heard.lock().iter() {
+            for reply in call.replies.iter().flatten() {
+                let Told::Answer(body) = told(Some(reply.clone())) else {
+                    continue;
+                };
+                let name = (call.organisation.clone(), call.key.clone());
+                let first = answers.entry(name).or_insert_with(|| body.clone());
+                if *first != body {
+                    return Err(format!("{:?}: two different answers", call.key).into());
+                }
+            }
+        }
+        Ok(())
+    }
+
+    pub fn steps(&self) -> Vec<TargetSteps> {
+        let engines = self.fleet.engines.iter();
+        engines
+            .map(|engine| TargetSteps {
+                target: engine.target.name.as_str().into(),
+                records: engine.server.record(),
+            })
+            .collect()
+    }
+}
+
+impl CallBook {
+    /// Sends a settlement under a key and writes down what is heard.
+    pub async fn settle(
+        &self,
+        organisation: &str,
+        host: SocketAddr,
+        request: &str,
+        key: &str,
+    ) -> Told {
+        let call = OutgoingCall {
+            path: SETTLE,
+            body: format!("{{\"split\":\"{key}\"}}").into(),
+            key: Some(key),
+        };
+        let reply = CallerClient::open(organisation)
+            .call_service(host, request, call)
+            .await
+            .ok();
+        self.heard.lock().push(CallHistory {
+            request: request.into(),
+            organisation: organisation.into(),
+            key: Some(key.to_owned()),
+            replies: vec![reply.clone()],
+        });
+        told(reply)
+    }
+}
+
+fn told(reply: Option<HeardReply>) -> Told {
+    match reply {
+        None => Told::Nothing,
+        Some(reply) if reply.status == StatusCode::OK => Told::Answer(reply.body.to_vec()),
+        Some(reply) => match serde_json::from_slice(&reply.body) {
+            Ok(body) => Told::Refused(body),
+            Err(_) => Told::Nothing,
+        },
+    }
+}
