Refuse a repeat with what is known of its key's request

A repeat of a non-idempotent request could be refused as not run before anybody looked at its key: by a full queue, an unreachable deadline, a shutdown. Its caller, whose first answer was lost, would take the request that ran for one that did not, and make it once more under another key. Found by a repeat of a generation that had broken off: the host told it DeadlineUnreachable, not run.

A refusal that says NotRun is now compared with what the claim table knows of the key. If the request under it ended or is claimed, that is told instead: the same answer, or that it may have run. Looking the key up before admission alone was ruled out, because a repeat may wait in the queue while its twin runs. What this host cannot know, such as a claim made while it is cut off from the log, it cannot tell.

Tests: a repeat while its organisation has no room left gets the first answer; with the comparison taken out it was told CapacityUsedUp, not run.

--- a/src/daemon/claims.rs
+++ b/src/daemon/claims.rs
@@ -18,5 +18,5 @@
 pub(super) use ask::answer_peer;
 pub(super) use desk::ClaimDesk;
 pub(super) use follow::{run_claims, wait_for_settlements};
-pub(super) use reply::{refusal_of, reply_of};
+pub(super) use reply::{known_better, refusal_of, reply_of};
 pub(super) use ticket::{ClaimSubject, ClaimTicket, DispatchedClaim};
--- a/src/daemon/claims/reply.rs
+++ b/src/daemon/claims/reply.rs
@@ -4,10 +4,13 @@
 
 use bytes::Bytes;
 
+use super::ticket::ClaimSubject;
 use crate::api::backend::ServiceReply;
 use crate::api::wire::RefusalBody;
 use crate::claims::answer::{ClaimAnswer, ClaimRefusal};
 use crate::claims::record::{ClaimOutcome, KeptAnswer};
+use crate::claims::table::KeyState;
+use crate::daemon::core::DaemonCore;
 use crate::ids::RequestId;
 use crate::reason::RefusalReason;
 use crate::verdict::RunVerdict;
@@ -15,6 +18,25 @@
 /// When a caller may come back, if nothing better is known.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// What this host knows of a key better than that a repeat was not run.
+///
+/// A repeat may be refused for reasons of its own, such as a full queue,
+/// before its key is looked at. Told only that, its caller would take the
+/// request that ran under the key for one that did not, and make it once more
+/// under another key.
+pub(in crate::daemon) fn known_better(
+    core: &DaemonCore,
+    subject: &ClaimSubject,
+) -> Option<ClaimAnswer> {
+    let desk = core.tables.claims.lock();
+    match desk.table.look_up(&subject.name(), &subject.fingerprint) {
+        KeyState::Ended(outcome) => Some(ClaimAnswer::Known(outcome)),
+        KeyState::Held(holder) if desk.was_not_run(&holder.claim) => None,
+        KeyState::Held(_) => Some(ClaimAnswer::Unknown),
+        KeyState::Free | KeyState::Mismatched => None,
+    }
+}
+
 /// The answer that the key's request got, or the refusal.
 ///
 /// # Errors
@@ -54,9 +76,9 @@
             }
         }
         ClaimAnswer::Known(outcome) => known(outcome),
-        ClaimAnswer::Unknown => {
-            may_have_run("another entry host claimed this idempotency key and cannot be asked")
-        }
+        ClaimAnswer::Unknown => may_have_run(
+            "this idempotency key was claimed before, and what became of its request is not known",
+        ),
     };
     body.for_request(request.clone())
 }
--- a/src/daemon/claims/ticket.rs
+++ b/src/daemon/claims/ticket.rs
@@ -24,6 +24,7 @@
 const MAX_SHARED_ANSWER: usize = 64 * 1024;
 
 /// A non-idempotent request.
+#[derive(Debug, Clone)]
 pub(in crate::daemon) struct ClaimSubject {
     pub(in crate::daemon) request: RequestId,
     pub(in crate::daemon) organisation: OrganisationId,
@@ -50,6 +51,16 @@
     is_open: bool,
 }
 
+impl ClaimSubject {
+    /// The key, which is unique within its organisation.
+    pub(super) fn name(&self) -> ClaimName {
+        ClaimName {
+            organisation: self.organisation.clone(),
+            key: self.key.key.clone(),
+        }
+    }
+}
+
 impl ClaimTicket {
     /// Claims the key and waits until the claim has won.
     ///
@@ -79,10 +90,7 @@
         let (host, incarnation) = (core.host(), core.incarnation);
         let claim: RecordId = format!("{host}/{incarnation:x}/{}", core.next_run_number()).into();
         let claim_deadline = Instant::now() + core.options.timing.claim_timeout;
-        let name = ClaimName {
-            organisation: subject.organisation,
-            key: subject.key.key,
-        };
+        let name = subject.name();
         let order = ClaimOrder {
             claim: claim.clone(),
             name: name.clone(),
@@ -163,7 +171,9 @@
         // A claim that nobody will dispatch would block its key. One that has
         // not been judged is withdrawn by its machine at its deadline.
         if self.is_open && self.try_authorise() {
-            feed(&self.core, &self.claim, ClaimEvent::Finished(not_run()));
+            let outcome = not_run();
+            let shared = outcome.answer.clone();
+            close(&self.core, &self.claim, outcome, shared);
         }
     }
 }
@@ -181,7 +191,7 @@
             Ok(text) if text.len() <= MAX_SHARED_ANSWER => KeptAnswer::Whole(text.to_owned()),
             _ => outcome.answer.clone(),
         };
-        self.close(outcome, shared);
+        close(&self.core, &self.claim, outcome, shared);
     }
 
     /// Says that a generation ended; its tokens are kept as a digest only.
@@ -197,19 +207,7 @@
             answer: KeptAnswer::Digest(digest),
         };
         let shared = outcome.answer.clone();
-        self.close(outcome, shared);
-    }
-
-    fn close(&self, outcome: ClaimOutcome, shared: KeptAnswer) {
-        let mut desk = self.core.tables.claims.lock();
-        if let Some(active) = desk.active.get(&self.claim) {
-            active.outcome.send_replace(Some(ClaimOutcome {
-                answer: shared,
-                ..outcome
-            }));
-        }
-        let event = ClaimEvent::Finished(outcome);
-        feed_desk(&self.core, &mut desk, &self.claim, event);
+        close(&self.core, &self.claim, outcome, shared);
     }
 }
 
@@ -223,11 +221,24 @@
                 answer: KeptAnswer::Whole(String::new()),
             };
             let shared = outcome.answer.clone();
-            self.close(outcome, shared);
+            close(&self.core, &self.claim, outcome, shared);
         }
     }
 }
 
+/// Ends a dispatched claim: tells those who wait for the outcome here, with as
+/// much of the answer as is `shared`, and hands it to the log.
+fn close(core: &Arc<DaemonCore>, claim: &RecordId, outcome: ClaimOutcome, shared: KeptAnswer) {
+    let mut desk = core.tables.claims.lock();
+    if let Some(active) = desk.active.get(claim) {
+        active.outcome.send_replace(Some(ClaimOutcome {
+            answer: shared,
+            ..outcome
+        }));
+    }
+    feed_desk(core, &mut desk, claim, ClaimEvent::Finished(outcome));
+}
+
 /// How long the holder of a key may take to say how its request ended: as long
 /// as it may take for the claim and the call.
 fn ask_timeout(core: &DaemonCore) -> Duration {
--- a/src/daemon/generate.rs
+++ b/src/daemon/generate.rs
@@ -9,7 +9,7 @@
 use tokio::sync::mpsc;
 
 use super::admitting::{AdmissionSlot, admit};
-use super::claims::{ClaimTicket, DispatchedClaim};
+use super::claims::{ClaimSubject, ClaimTicket, DispatchedClaim};
 use super::core::{DaemonCore, DaemonPhase};
 use super::watch_steps::note_step;
 use crate::admission::AdmissionRequest;
@@ -38,11 +38,21 @@
     // Waited for by a shutdown from here on, also while it is queued. Begun
     // before the phase is looked at: else the last one might end in between.
     let _in_flight = core.in_flight.token();
-    check_phase(&core, &call.request)?;
     check_body(&call)?;
-    claimed::check_claimable(&call)?;
     let deadline = deadline_of(&core, &call);
-    let estimate = plan_route(&core, &call, deadline)?;
+    let subject = claimed::subject_of(&call, deadline)?;
+    let begun = begin(&core, call, subject.clone(), deadline).await;
+    begun.map_err(|refusal| claimed::correct_refusal(&core, subject.as_ref(), refusal))
+}
+
+async fn begin(
+    core: &Arc<DaemonCore>,
+    call: GenerateCall,
+    subject: Option<ClaimSubject>,
+    deadline: Instant,
+) -> Result<GenerateStream, RefusalBody> {
+    check_phase(core, &call.request)?;
+    let estimate = plan_route(core, &call, deadline)?;
     let request = AdmissionRequest {
         request: call.request.clone(),
         organisation: call.organisation.clone(),
@@ -50,17 +60,17 @@
         deadline,
         priority: call.body.priority,
     };
-    let slot = admit(&core, request).await?;
+    let slot = admit(core, request).await?;
     // Dropped before the run begins, the ticket withdraws the claim.
-    let ticket = claimed::claim_generation(&core, &call, deadline).await?;
+    let ticket = claimed::claim(core, subject).await?;
     // Planned again: while the request waited, targets have come, gone or
     // filled up.
-    let route = plan_route(&core, &call, deadline)?;
+    let route = plan_route(core, &call, deadline)?;
     core.note(&call.request, routed(&route));
     core.tables.routes.write().run_started(&route);
     let (events, stream) = mpsc::channel(STREAM_BUFFER);
     let runner = GenerationRunner {
-        core: Arc::clone(&core),
+        core: Arc::clone(core),
         call,
         route,
         deadline,
--- a/src/daemon/generate/claimed.rs
+++ b/src/daemon/generate/claimed.rs
@@ -11,7 +11,7 @@
 use crate::api::backend::GenerateCall;
 use crate::api::wire::RefusalBody;
 use crate::claims::record::RequestFingerprint;
-use crate::daemon::claims::{ClaimSubject, ClaimTicket, DispatchedClaim, refusal_of};
+use crate::daemon::claims::{ClaimSubject, ClaimTicket, DispatchedClaim, known_better, refusal_of};
 use crate::daemon::core::DaemonCore;
 use crate::daemon::services::required_key;
 use crate::ids::TokenValue;
@@ -19,45 +19,66 @@
 use crate::run::RunOutcome;
 use crate::verdict::RunVerdict;
 
-/// Claims the key of a non-idempotent generation; `None` for any other.
+/// What a non-idempotent generation claims; `None` for any other.
 ///
 /// # Errors
-/// The refusal, with what is known of the request under the key.
-pub(super) async fn claim_generation(
-    core: &Arc<DaemonCore>,
+/// A refusal of a missing or unusable key, and of resuming: the rest of an
+/// answer cannot be told from a second run.
+pub(super) fn subject_of(
     call: &GenerateCall,
     deadline: Instant,
-) -> Result<Option<ClaimTicket>, RefusalBody> {
+) -> Result<Option<ClaimSubject>, RefusalBody> {
     if !call.non_idempotent {
         return Ok(None);
     }
-    let subject = ClaimSubject {
+    if call.body.resume.is_some() {
+        return Err(RefusalBody::not_run(
+            RefusalReason::Malformed,
+            "a non-idempotent generation cannot be resumed",
+        )
+        .for_request(call.request.clone()));
+    }
+    Ok(Some(ClaimSubject {
         request: call.request.clone(),
         organisation: call.organisation.clone(),
         key: required_key(call.key.as_ref(), &call.request)?,
         fingerprint: fingerprint(call)?,
         deadline,
+    }))
+}
+
+/// Claims the key of a non-idempotent generation.
+///
+/// # Errors
+/// The refusal, with what is known of the request under the key.
+pub(super) async fn claim(
+    core: &Arc<DaemonCore>,
+    subject: Option<ClaimSubject>,
+) -> Result<Option<ClaimTicket>, RefusalBody> {
+    let Some(subject) = subject else {
+        return Ok(None);
     };
+    let request = subject.request.clone();
     match ClaimTicket::claim(core, subject).await {
         Ok(ticket) => Ok(Some(ticket)),
-        Err(answer) => Err(refusal_of(&answer, &call.request)),
+        Err(answer) => Err(refusal_of(&answer, &request)),
     }
 }
 
-/// Checks, before anything is spent, what a non-idempotent generation needs.
-///
-/// # Errors
-/// A refusal of a missing or unusable key, and of resuming: the rest of an
-/// answer cannot be told from a second run.
-pub(super) fn check_claimable(call: &GenerateCall) -> Result<(), RefusalBody> {
-    match &call.body.resume {
-        _ if !call.non_idempotent => Ok(()),
-        Some(_) => Err(RefusalBody::not_run(
-            RefusalReason::Malformed,
-            "a non-idempotent generation cannot be resumed",
-        )
-        .for_request(call.request.clone())),
-        None => required_key(call.key.as_ref(), &call.request).map(drop),
+/// Puts a refusal right that says less of the key's request than is known.
+pub(super) fn correct_refusal(
+    core: &DaemonCore,
+    subject: Option<&ClaimSubject>,
+    refusal: RefusalBody,
+) -> RefusalBody {
+    match subject {
+        Some(subject) if refusal.verdict == RunVerdict::NotRun => {
+            match known_better(core, subject) {
+                Some(answer) => refusal_of(&answer, &subject.request),
+                None => refusal,
+            }
+        }
+        _ => refusal,
     }
 }
 
--- a/src/daemon/services.rs
+++ b/src/daemon/services.rs
@@ -14,7 +14,6 @@
 use crate::admission::AdmissionRequest;
 use crate::api::backend::{ServiceCall, ServiceReply};
 use crate::api::wire::RefusalBody;
-use crate::claims::key::TimedKey;
 use crate::ids::TargetId;
 use crate::reason::{RefusalReason, RetryReason};
 use crate::resources::ServiceSpec;
@@ -22,7 +21,7 @@
 use crate::target::client::{CallAnswer, CallOrder};
 use crate::target::wire::{IDEMPOTENCY_KEY_HEADER, REQUEST_ID_HEADER};
 use crate::verdict::RunVerdict;
-use claimed::call_once;
+use claimed::call_claimed;
 pub(super) use claimed::required_key;
 
 /// Targets tried for one call at most.
@@ -42,28 +41,20 @@
 ) -> Result<ServiceReply, RefusalBody> {
     // Waited for by a shutdown from here on.
     let _in_flight = core.in_flight.token();
-    check_phase(&core, &call.request)?;
-    let service = declared_service(&core, &call)?;
+    // The phase is looked at with the admission, but a host without a usable
+    // configuration cannot say that a service does not exist.
+    let service = declared_service(&core, &call).or_else(|unknown| {
+        check_phase(&core, &call.request)?;
+        Err(unknown)
+    })?;
     let is_listed = service
         .non_idempotent
         .iter()
         .any(|operation| **operation == *call.operation);
-    if !is_listed && !call.non_idempotent {
-        return call_freely(&core, &call, &service.targets).await;
+    match is_listed || call.non_idempotent {
+        true => call_claimed(core, call, service.targets).await,
+        false => call_freely(&core, &call, &service.targets).await,
     }
-    let key = required_key(call.key.as_ref(), &call.request)?;
-    let tracker = core.in_flight.clone();
-    let request = call.request.clone();
-    // Run to its end even if its caller goes away, also where only the
-    // service's declaration says that it is non-idempotent: dropped after its
-    // claim had won, it would leave the key blocked.
-    let running = tracker.spawn(call_claimed(core, call, service.targets, key));
-    let broke_off = || RefusalBody {
-        verdict: RunVerdict::MayHaveRun,
-        ..RefusalBody::not_run(RefusalReason::TargetFailed, "the call broke off")
-            .for_request(request)
-    };
-    running.await.unwrap_or_else(|_| Err(broke_off()))
 }
 
 async fn call_freely(
@@ -77,18 +68,6 @@
     Ok(reply)
 }
 
-async fn call_claimed(
-    core: Arc<DaemonCore>,
-    call: ServiceCall,
-    targets: Vec<TargetId>,
-    key: TimedKey,
-) -> Result<ServiceReply, RefusalBody> {
-    let slot = admit_call(&core, &call).await?;
-    let reply = call_once(&core, &call, &targets, key, deadline_of(&core, &call)).await?;
-    slot.complete();
-    Ok(reply)
-}
-
 fn deadline_of(core: &DaemonCore, call: &ServiceCall) -> Instant {
     call.received + core.options.timing.default_deadline
 }
@@ -97,6 +76,7 @@
     core: &Arc<DaemonCore>,
     call: &ServiceCall,
 ) -> Result<AdmissionSlot, RefusalBody> {
+    check_phase(core, &call.request)?;
     let request = AdmissionRequest {
         request: call.request.clone(),
         organisation: call.organisation.clone(),
--- a/src/daemon/services/claimed.rs
+++ b/src/daemon/services/claimed.rs
@@ -5,12 +5,17 @@
 
 use http::StatusCode;
 
-use super::{MAX_CALL_ATTEMPTS, call_headers, choose_target, failed, note_failure, reply};
+use super::{
+    MAX_CALL_ATTEMPTS, admit_call, call_headers, choose_target, deadline_of, failed, note_failure,
+    reply,
+};
 use crate::api::backend::{ServiceCall, ServiceReply};
 use crate::api::wire::RefusalBody;
 use crate::claims::key::{TimedKey, parse_key};
 use crate::claims::record::RequestFingerprint;
-use crate::daemon::claims::{ClaimSubject, ClaimTicket, DispatchedClaim, refusal_of, reply_of};
+use crate::daemon::claims::{
+    ClaimSubject, ClaimTicket, DispatchedClaim, known_better, refusal_of, reply_of,
+};
 use crate::daemon::core::DaemonCore;
 use crate::ids::{IdempotencyKey, RequestId, TargetId};
 use crate::reason::RefusalReason;
@@ -39,21 +44,67 @@
 }
 
 /// Runs a call at most once over all hosts.
-pub(super) async fn call_once(
-    core: &Arc<DaemonCore>,
-    call: &ServiceCall,
-    targets: &[TargetId],
-    key: TimedKey,
-    deadline: Instant,
+///
+/// It is run to its end even if its caller goes away, also where only the
+/// service's declaration says that it is non-idempotent: dropped after its
+/// claim had won, it would leave the key blocked.
+pub(super) async fn call_claimed(
+    core: Arc<DaemonCore>,
+    call: ServiceCall,
+    targets: Vec<TargetId>,
 ) -> Result<ServiceReply, RefusalBody> {
+    let subject = subject_of(&core, &call)?;
+    let request = call.request.clone();
+    let running = call_once(Arc::clone(&core), call, targets, subject.clone());
+    let result = core.in_flight.spawn(running).await;
+    match result.unwrap_or_else(|_| Err(broke_off(&request))) {
+        Err(refusal) if refusal.verdict == RunVerdict::NotRun => {
+            match known_better(&core, &subject) {
+                Some(answer) => reply_of(answer, &request),
+                None => Err(refusal),
+            }
+        }
+        other => other,
+    }
+}
+
+fn subject_of(core: &DaemonCore, call: &ServiceCall) -> Result<ClaimSubject, RefusalBody> {
     let resource = format!("services/{}/{}", call.service, call.operation);
-    let subject = ClaimSubject {
+    Ok(ClaimSubject {
         request: call.request.clone(),
         organisation: call.organisation.clone(),
-        key,
+        key: required_key(call.key.as_ref(), &call.request)?,
         fingerprint: RequestFingerprint::of(&resource, &call.body),
-        deadline,
-    };
+        deadline: deadline_of(core, call),
+    })
+}
+
+fn broke_off(request: &RequestId) -> RefusalBody {
+    RefusalBody {
+        verdict: RunVerdict::MayHaveRun,
+        ..RefusalBody::not_run(RefusalReason::TargetFailed, "the call broke off")
+    }
+    .for_request(request.clone())
+}
+
+async fn call_once(
+    core: Arc<DaemonCore>,
+    call: ServiceCall,
+    targets: Vec<TargetId>,
+    subject: ClaimSubject,
+) -> Result<ServiceReply, RefusalBody> {
+    let slot = admit_call(&core, &call).await?;
+    let reply = call_under_claim(&core, &call, &targets, subject).await?;
+    slot.complete();
+    Ok(reply)
+}
+
+async fn call_under_claim(
+    core: &Arc<DaemonCore>,
+    call: &ServiceCall,
+    targets: &[TargetId],
+    subject: ClaimSubject,
+) -> Result<ServiceReply, RefusalBody> {
     let ticket = match ClaimTicket::claim(core, subject).await {
         Ok(ticket) => ticket,
         Err(answer) => return reply_of(answer, &call.request),
--- a/standins/src/caller.rs
+++ b/standins/src/caller.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use eventsource_stream::Eventsource;
 use futures::StreamExt;
+use http::request::Builder;
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyDataStream, BodyExt, Full};
 use hyper::body::Incoming;
@@ -129,6 +130,27 @@
         host: SocketAddr,
         request: &str,
         body: &GenerateBody,
+    ) -> HeardAnswer {
+        self.generate_under(host, request, body, None).await
+    }
+
+    /// Asks for a generation that may run at most once, under a key.
+    pub async fn generate_once(
+        &self,
+        host: SocketAddr,
+        request: &str,
+        body: &GenerateBody,
+        key: &str,
+    ) -> HeardAnswer {
+        self.generate_under(host, request, body, Some(key)).await
+    }
+
+    async fn generate_under(
+        &self,
+        host: SocketAddr,
+        request: &str,
+        body: &GenerateBody,
+        key: Option<&str>,
     ) -> HeardAnswer {
         let mut answer = HeardAnswer {
             sent: Instant::now(),
@@ -138,50 +160,39 @@
             broken: false,
             ended: Instant::now(),
         };
-        let heard = self.hear(host, request, body, &mut answer).await;
+        let heard = match self.send_generation(host, request, body, key).await {
+            Ok(response) => hear(response, &mut answer).await,
+            Err(error) => Err(error),
+        };
         answer.broken = heard.is_err();
         answer.ended = Instant::now();
         answer
     }
 
-    async fn hear(
+    /// Sends a generation and gives back the response with its open stream.
+    pub async fn start_generation(
         &self,
         host: SocketAddr,
         request: &str,
         body: &GenerateBody,
-        answer: &mut HeardAnswer,
-    ) -> Result<(), CallError> {
-        let response = self.start_generation(host, request, body).await?;
-        answer.status = Some(response.status());
-        if response.status() != StatusCode::OK {
-            let body = response.into_body().collect().await?.to_bytes();
-            answer.refusal = Some(serde_json::from_slice(&body)?);
-            return Ok(());
-        }
-        let mut events = BodyDataStream::new(response.into_body()).eventsource();
-        while let Some(event) = events.next().await {
-            let event: StreamEvent = serde_json::from_str(&event?.data)?;
-            let is_last = matches!(event, StreamEvent::Done { .. } | StreamEvent::Error(_));
-            let at = Instant::now();
-            answer.events.push(HeardEvent { at, event });
-            if is_last {
-                return Ok(());
-            }
-        }
-        Err("the stream ended without a closing event".into())
+    ) -> Result<Response<Incoming>, CallError> {
+        self.send_generation(host, request, body, None).await
     }
 
-    /// Sends a generation and gives back the response with its open stream.
-    pub async fn start_generation(
+    async fn send_generation(
         &self,
         host: SocketAddr,
         request: &str,
         body: &GenerateBody,
+        key: Option<&str>,
     ) -> Result<Response<Incoming>, CallError> {
-        let request = self
+        let mut builder = self
             .request(Method::POST, host, "/v1/generate")
-            .header("x-request-id", request)
-            .body(Full::new(Bytes::from(serde_json::to_vec(body)?)))?;
+            .header("x-request-id", request);
+        if let Some(key) = key {
+            builder = mark(builder, key);
+        }
+        let request = builder.body(Full::new(Bytes::from(serde_json::to_vec(body)?)))?;
         Ok(self.client.request(request).await?)
     }
 
@@ -197,9 +208,7 @@
             .request(Method::POST, host, &path)
             .header("x-request-id", request);
         if let Some(key) = call.key {
-            builder = builder
-                .header("idempotency-key", format!("\"{key}\""))
-                .header("x-non-idempotent", "true");
+            builder = mark(builder, key);
         }
         let response = self
             .client
@@ -210,7 +219,7 @@
         Ok(HeardReply { status, body })
     }
 
-    fn request(&self, method: Method, host: SocketAddr, path: &str) -> http::request::Builder {
+    fn request(&self, method: Method, host: SocketAddr, path: &str) -> Builder {
         Request::builder()
             .method(method)
             .uri(format!("http://{host}{path}"))
@@ -218,3 +227,30 @@
             .header("content-type", "application/json")
     }
 }
+
+async fn hear(response: Response<Incoming>, answer: &mut HeardAnswer) -> Result<(), CallError> {
+    answer.status = Some(response.status());
+    if response.status() != StatusCode::OK {
+        let body = response.into_body().collect().await?.to_bytes();
+        answer.refusal = Some(serde_json::from_slice(&body)?);
+        return Ok(());
+    }
+    let mut events = BodyDataStream::new(response.into_body()).eventsource();
+    while let Some(event) = events.next().await {
+        let event: StreamEvent = serde_json::from_str(&event?.data)?;
+        let is_last = matches!(event, StreamEvent::Done { .. } | StreamEvent::Error(_));
+        let at = Instant::now();
+        answer.events.push(HeardEvent { at, event });
+        if is_last {
+            return Ok(());
+        }
+    }
+    Err("the stream ended without a closing event".into())
+}
+
+/// Marks a request as non-idempotent.
+fn mark(builder: Builder, key: &str) -> Builder {
+    builder
+        .header("idempotency-key", format!("\"{key}\""))
+        .header("x-non-idempotent", "true")
+}
--- a/standins/tests/at_most_once.rs
+++ b/standins/tests/at_most_once.rs
@@ -6,7 +6,9 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
-use claim_fleet::{ClaimFleet, ORGANISATION, OTHER_ORGANISATION, Told, fresh_key, key_of};
+use claim_fleet::{
+    ClaimFleet, ORGANISATION, OTHER_ORGANISATION, SMALL_ORGANISATION, Told, fresh_key, key_of,
+};
 use futures::future::join_all;
 use jackdawwick::reason::RefusalReason;
 use jackdawwick::verdict::RunVerdict;
@@ -383,3 +385,77 @@
     assert_eq!(repeat, told);
     fleet.check()
 }
+
+/// Symptom: a draft is written twice under one key.
+/// Sequence: the balancer sends one marked generation to two hosts at once,
+/// and once more after it has ended.
+/// Cause: only calls of services are claimed.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_generation_under_one_key_runs_once() -> TestResult {
+    let fleet = ClaimFleet::start(2, PATIENT_CLAIMS).await?;
+    for number in 0..10 {
+        let key = fresh_key(number);
+        let requests = [0, 1, 2].map(|place| format!("draft-{number}-{place}"));
+        let (first, second) = tokio::join!(
+            fleet.generate(fleet.callers(0), &requests[0], Some(&key), 5),
+            fleet.generate(fleet.callers(1), &requests[1], Some(&key), 5),
+        );
+        assert!(
+            first.is_whole() != second.is_whole(),
+            "{first:?}, {second:?}"
+        );
+        let host = fleet.callers(number as usize % 2);
+        let third = fleet.generate(host, &requests[2], Some(&key), 5).await;
+        let refusal = third.refused().ok_or("a repeat was let through")?;
+        assert_eq!(refusal.reason, RefusalReason::ClaimedElsewhere);
+        let runs = requests
+            .iter()
+            .filter(|request| fleet.steps_of(request) > 0);
+        assert_eq!(runs.count(), 1, "{key}");
+    }
+    fleet.check()
+}
+
+/// Symptom: a caller is told "not run" of a request that ran, takes a new key,
+/// and it runs again.
+/// Sequence: the answer is lost on its way; the caller repeats the request
+/// while its organisation has no room left.
+/// Cause: the repeat is refused before anybody looks at its key.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_repeat_is_not_refused_as_not_run_after_its_request_ran() -> TestResult {
+    let settings = format!("{PATIENT_CLAIMS}\n[limits]\nmax_queued_per_organisation = 0\n");
+    let fleet = ClaimFleet::start(1, &settings).await?;
+    let daemon = &fleet.fleet.daemons[0];
+    let (host, key) = (daemon.callers, fresh_key(1));
+    let settle = |request: &'static str, key: &str| {
+        let (fleet, key) = (&fleet, key.to_owned());
+        async move {
+            fleet
+                .settle_as(SMALL_ORGANISATION, host, request, &key)
+                .await
+        }
+    };
+    let first = settle("first", &key).await;
+    first.answer()?;
+    let faults = fleet.service().faults();
+    faults.update(|faults| faults.frozen = true);
+    let (blocker, refused) = tokio::join!(
+        fleet.ask_balance(SMALL_ORGANISATION, host, "blocker"),
+        async {
+            let is_full = || async { fleet.in_flight(daemon).await > 0 };
+            let is_full = eventually("no room is left", is_full).await;
+            let told = [
+                settle("repeat", &key).await,
+                settle("new", &fresh_key(2)).await,
+            ];
+            faults.update(|faults| faults.frozen = false);
+            is_full.map(|()| told)
+        }
+    );
+    blocker.answer()?;
+    let [repeat, new] = refused?;
+    assert_eq!(repeat, first);
+    assert_eq!(new.verdict(), Some(RunVerdict::NotRun), "{new:?}");
+    assert_eq!(fleet.service().record().len(), 2);
+    fleet.check()
+}
--- a/standins/tests/claim_fleet/mod.rs
+++ b/standins/tests/claim_fleet/mod.rs
@@ -12,14 +12,18 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use http::StatusCode;
-use jackdawwick::api::wire::{ForceView, RefusalBody, StatusView};
+use jackdawwick::api::wire::{ForceView, GenerateBody, RefusalBody, StatusView};
 use jackdawwick::verdict::RunVerdict;
 use parking_lot::Mutex;
-use standins::caller::{CallerClient, HeardReply, OutgoingCall};
-use standins::check::{CallHistory, RunHistory, TargetSteps, check_at_most_once, check_not_run};
+use standins::caller::{CallerClient, HeardAnswer, HeardReply, OutgoingCall};
+use standins::check::{
+    CallHistory, GenerationHistory, RunHistory, TargetSteps, check_at_most_once, check_not_run,
+};
 use standins::daemon_settings::DaemonPlace;
+use standins::declarations::VERSION;
+use standins::engine::EngineServer;
 use standins::fleet::{
-    EnginePlan, Fleet, FleetLayout, OrganisationPlan, ServicePlan, StagePlan, ZonePlan,
+    EnginePlan, Fleet, FleetDaemon, FleetLayout, OrganisationPlan, ServicePlan, StagePlan, ZonePlan,
 };
 use standins::operator;
 use standins::service::{CallRecord, ServiceServer};
@@ -31,7 +35,13 @@
 pub const MODEL: &str = "receipt-reader";
 pub const ORGANISATION: &str = "desk";
 pub const OTHER_ORGANISATION: &str = "office";
+/// Has one request at a time.
+pub const SMALL_ORGANISATION: &str = "stall";
 pub const SETTLE: &str = "ledger/settle";
+pub const BALANCE: &str = "ledger/balance";
+pub const PROMPT: [u64; 3] = [11, 22, 33];
+pub const LAYERS: u32 = 4;
+const GENERATION_DEADLINE_MS: u64 = 4_000;
 
 /// A fleet with what its callers sent and heard.
 pub struct ClaimFleet {
@@ -43,6 +53,7 @@
 #[derive(Debug, Default)]
 pub struct CallBook {
     heard: Mutex<Vec<CallHistory>>,
+    generations: Mutex<Vec<GenerationHistory>>,
 }
 
 /// What a caller was told about one call.
@@ -99,9 +110,9 @@
 }
 
 fn small_layout(entry_hosts: usize, extra_settings: &str) -> FleetLayout {
-    let organisation = |name: &str| OrganisationPlan {
+    let organisation = |(name, concurrent_requests): (&str, u32)| OrganisationPlan {
         name: name.to_owned(),
-        concurrent_requests: 10_000,
+        concurrent_requests,
         requests_per_second: 10_000,
     };
     let engine = EnginePlan {
@@ -118,7 +129,7 @@
         model: MODEL.to_owned(),
         stages: vec![StagePlan {
             first_layer: 0,
-            last_layer: 3,
+            last_layer: LAYERS - 1,
             engines: vec![engine],
         }],
         service: ServicePlan {
@@ -128,9 +139,13 @@
             plain_operation: "balance".to_owned(),
             non_idempotent: "settle".to_owned(),
         },
-        organisations: [ORGANISATION, OTHER_ORGANISATION]
-            .map(organisation)
-            .to_vec(),
+        organisations: [
+            (ORGANISATION, 10_000),
+            (OTHER_ORGANISATION, 10_000),
+            (SMALL_ORGANISATION, 1),
+        ]
+        .map(organisation)
+        .to_vec(),
         link_delay_ms: 0,
         policy: "estimate".to_owned(),
         seed: 7,
@@ -216,6 +231,72 @@
         .await
     }
 
+    /// Sends a call that may be repeated and writes down what is heard.
+    pub async fn ask_balance(&self, organisation: &str, host: SocketAddr, request: &str) -> Told {
+        let call = OutgoingCall {
+            path: BALANCE,
+            body: "{}".into(),
+            key: None,
+        };
+        self.book.send(organisation, host, request, call).await
+    }
+
+    /// Asks for a generation, under a key if there is one, and writes down
+    /// what is heard.
+    pub async fn generate(
+        &self,
+        host: SocketAddr,
+        request: &str,
+        key: Option<&str>,
+        max_tokens: u64,
+    ) -> HeardAnswer {
+        let body = GenerateBody {
+            model: MODEL.into(),
+            prompt: PROMPT.to_vec(),
+            max_tokens,
+            deadline_ms: Some(GENERATION_DEADLINE_MS),
+            priority: 0,
+            resume: None,
+        };
+        let caller = CallerClient::open(ORGANISATION);
+        let answer = match key {
+            Some(key) => caller.generate_once(host, request, &body, key).await,
+            None => caller.generate(host, request, &body).await,
+        };
+        self.book.generations.lock().push(GenerationHistory {
+            request: request.into(),
+            organisation: ORGANISATION.into(),
+            model: MODEL.to_owned(),
+            version: VERSION.to_owned(),
+            layers: LAYERS,
+            prompt: PROMPT.to_vec(),
+            max_tokens,
+            answers: vec![answer.clone()],
+        });
+        answer
+    }
+
+    /// Steps that the engine ran for a request of a caller.
+    pub fn steps_of(&self, request: &str) -> usize {
+        let run = format!("{request}~");
+        let records = self.engine().record();
+        let own = records.iter().filter(|step| step.request.starts_with(&run));
+        own.count()
+    }
+
+    pub fn engine(&self) -> &EngineServer {
+        &self.fleet.engines[0].server
+    }
+
+    /// Calls of a host that its targets have not answered.
+    pub async fn in_flight(&self, daemon: &FleetDaemon) -> u64 {
+        let status = operator::read::<StatusView>(daemon.operators, "/v1/status").await;
+        status.map_or(0, |status| {
+            let targets = status.targets.iter();
+            targets.map(|target| target.in_flight).sum()
+        })
+    }
+
     /// Calls that ran under a key.
     pub fn runs(&self, key: &str) -> Vec<CallRecord> {
         let is_own = |record: &CallRecord| record.idempotency_key.as_deref() == Some(key);
@@ -229,6 +310,17 @@
         records.iter().any(|record| record.body.contains(key))
     }
 
+    /// Withdrawals and outcomes in the log.
+    pub fn settlements(&self) -> usize {
+        let records = self.fleet.platform.record("claims");
+        let settles = records.iter().filter(|record| {
+            ["\"withdraw\"", "\"outcome\""]
+                .iter()
+                .any(|entry| record.body.contains(entry))
+        });
+        settles.count()
+    }
+
     /// Checks the whole history: no key ran twice, nothing ran whose caller was
     /// told that it did not, and all answers under one key are the same.
     pub fn check(&self) -> TestResult {
@@ -236,6 +328,7 @@
             calls: self.service().record(),
             service_calls: self.book.heard.lock().clone(),
             steps: self.steps(),
+            generations: self.book.generations.lock().clone(),
             ..RunHistory::default()
         };
         let mut broken = check_at_most_once(&history);
@@ -289,6 +382,17 @@
             body: format!("{{\"split\":\"{key}\"}}").into(),
             key: Some(key),
         };
+        self.send(organisation, host, request, call).await
+    }
+
+    async fn send(
+        &self,
+        organisation: &str,
+        host: SocketAddr,
+        request: &str,
+        call: OutgoingCall<'_>,
+    ) -> Told {
+        let key = call.key.map(str::to_owned);
         let reply = CallerClient::open(organisation)
             .call_service(host, request, call)
             .await
@@ -296,8 +400,9 @@
         self.heard.lock().push(CallHistory {
             request: request.into(),
             organisation: organisation.into(),
-            key: Some(key.to_owned()),
+            key,
             replies: vec![reply.clone()],
+            lost_sends: 0,
         });
         told(reply)
     }
