Prove that what is told not to have run did not run

The verdicts of calls and runs were tried against single servers only. These tests put a whole entry host between caller and target and compare what the caller was told with the targets' records, for settlements under a key, plain calls, and generations with and without a key: target dead, leaving, refusing, dying before, during and after the call, losing calls or answers, hanging, crawling, far away; an engine dying in mid-answer; a deadline passing during a step. After NotRun the key serves for one more run, after anything else for none, on either host, also once the claim is settled. The connection that a single call opens is tried at each point of breaking.

--- /dev/null
+++ b/standins/tests/not_run.rs
@@ -0,0 +1,308 @@
+//! What a caller is told not to have run did not run.
+
+mod claim_fleet;
+mod support;
+
+use claim_fleet::{ClaimFleet, ORGANISATION, Told, fresh_key};
+use jackdawwick::reason::RefusalReason;
+use jackdawwick::target::wire::TargetRefusalKind;
+use jackdawwick::verdict::RunVerdict;
+use standins::caller::HeardAnswer;
+use standins::engine::EngineFaults;
+use standins::service::{DeathPoint, ServiceFaults};
+use support::{TestResult, eventually};
+
+/// Short enough for targets that hang.
+const HASTY_TARGETS: &str = "\n[timing]\nconnect_timeout = \"200ms\"\nstep_timeout = \"400ms\"\n";
+/// Slows a call of 5 ms far beyond the step timeout.
+const CRAWL: f64 = 300.0;
+/// Tokens of the generations here.
+const TOKENS: u64 = 6;
+/// Tokens of one that does not end by itself before it is cut.
+const LONG: u64 = 1_000;
+
+/// What a fault leaves behind: the verdict that is due and whether the call
+/// takes effect.
+struct CallCase {
+    name: &'static str,
+    faults: ServiceFaults,
+    verdict: RunVerdict,
+    takes_effect: bool,
+}
+
+fn call_cases() -> Vec<CallCase> {
+    use RunVerdict::{MayHaveRun, NotRun};
+    let case = |name, verdict, takes_effect, change: fn(&mut ServiceFaults)| {
+        let mut faults = ServiceFaults::default();
+        change(&mut faults);
+        CallCase {
+            name,
+            faults,
+            verdict,
+            takes_effect,
+        }
+    };
+    vec![
+        case("dead", NotRun, false, |faults| faults.dead = true),
+        case("leaving", NotRun, false, |faults| faults.leaving = true),
+        case("overloaded", NotRun, false, |faults| {
+            faults.refuse_calls = 9;
+        }),
+        case("misread", NotRun, false, |faults| {
+            faults.refuse_calls = 9;
+            faults.refusal = TargetRefusalKind::Malformed;
+        }),
+        case("lost", MayHaveRun, false, |faults| faults.lose_calls = 9),
+        case("dies before", MayHaveRun, false, |faults| {
+            faults.die_at = Some(DeathPoint::Before);
+        }),
+        case("dies during", MayHaveRun, true, |faults| {
+            faults.die_at = Some(DeathPoint::During);
+        }),
+        case("dies after", MayHaveRun, true, |faults| {
+            faults.die_at = Some(DeathPoint::After);
+        }),
+        case("answer lost", MayHaveRun, true, |faults| {
+            faults.lose_answers = 9;
+        }),
+        case("frozen", MayHaveRun, true, |faults| faults.frozen = true),
+        case("crawls", MayHaveRun, true, |faults| {
+            faults.slow_factor = CRAWL;
+        }),
+        case("far away", MayHaveRun, true, |faults| {
+            faults.link_delay_ms = 1_500;
+        }),
+    ]
+}
+
+/// Symptom: a traveller is told that a settlement was not made, settles again
+/// and pays twice.
+/// Sequence: the service is dead, refuses, dies before, during or after the
+/// call, loses the call or the answer, hangs, or is slow.
+/// Cause: a failure after the call was sent is taken for one before; or the
+/// key of a call that may have run is let through again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_settlement_told_not_run_did_not_run() -> TestResult {
+    for (number, case) in (0..).zip(call_cases()) {
+        let fleet = ClaimFleet::start(2, HASTY_TARGETS).await?;
+        let service = fleet.service();
+        service.faults().set(case.faults);
+        let key = fresh_key(number);
+        let told = fleet.settle(fleet.callers(0), "first", &key).await;
+        assert_eq!(
+            told.verdict(),
+            Some(case.verdict),
+            "{}: {told:?}",
+            case.name
+        );
+        fleet.check()?;
+        service.faults().set(ServiceFaults::default());
+        match case.verdict {
+            RunVerdict::NotRun => {
+                assert!(fleet.runs(&key).is_empty(), "{}", case.name);
+                let host = fleet.callers(1);
+                fleet.settle_until_answered(host, "again", &key).await?;
+            }
+            _ => {
+                let settled = || async { fleet.settlements() > 0 };
+                eventually("the claim is settled", settled).await?;
+                for (number, host) in (0..6).zip([1, 0].into_iter().cycle()) {
+                    let request = format!("again-{number}");
+                    let told = fleet.settle(fleet.callers(host), &request, &key).await;
+                    let verdict = told.verdict();
+                    assert_eq!(verdict, Some(RunVerdict::MayHaveRun), "{}", case.name);
+                }
+            }
+        }
+        if case.takes_effect {
+            eventually(case.name, || async { !fleet.runs(&key).is_empty() }).await?;
+        }
+        let expected = case.takes_effect || case.verdict == RunVerdict::NotRun;
+        assert_eq!(
+            fleet.runs(&key).len(),
+            usize::from(expected),
+            "{}",
+            case.name
+        );
+        fleet.check()?;
+    }
+    Ok(())
+}
+
+/// Symptom and causes as above, for a call that may be repeated.
+/// Sequence: the same failures; the router may try again where it is allowed,
+/// and what it says must cover every try.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_plain_call_told_not_run_did_not_run() -> TestResult {
+    for case in call_cases() {
+        let fleet = ClaimFleet::start(1, HASTY_TARGETS).await?;
+        let service = fleet.service();
+        service.faults().set(case.faults);
+        let told = fleet
+            .ask_balance(ORGANISATION, fleet.callers(0), "plain")
+            .await;
+        assert!(matches!(told, Told::Refused(_)), "{}: {told:?}", case.name);
+        if case.takes_effect {
+            assert_ne!(told.verdict(), Some(RunVerdict::NotRun), "{}", case.name);
+        }
+        service.faults().set(ServiceFaults::default());
+        if case.takes_effect {
+            let ran = || async { !service.record().is_empty() };
+            eventually(case.name, ran).await?;
+        }
+        fleet.check()?;
+    }
+    Ok(())
+}
+
+/// What a fault of the engine leaves behind.
+struct RunCase {
+    name: &'static str,
+    faults: EngineFaults,
+    verdict: RunVerdict,
+}
+
+fn run_cases() -> Vec<RunCase> {
+    use RunVerdict::{MayHaveRun, NotRun};
+    let case = |name, verdict, change: fn(&mut EngineFaults)| {
+        let mut faults = EngineFaults::default();
+        change(&mut faults);
+        RunCase {
+            name,
+            faults,
+            verdict,
+        }
+    };
+    vec![
+        case("dead", NotRun, |faults| faults.dead = true),
+        case("leaving", NotRun, |faults| faults.leaving = true),
+        case("overloaded", NotRun, |faults| faults.refuse_steps = 999),
+        case("lost", MayHaveRun, |faults| faults.lose_steps = 999),
+        case("answers lost", MayHaveRun, |faults| {
+            faults.lose_answers = 999;
+        }),
+        case("frozen", MayHaveRun, |faults| faults.frozen = true),
+        case("crawls", MayHaveRun, |faults| faults.slow_factor = 9_999.0),
+    ]
+}
+
+fn verdict_of(answer: &HeardAnswer) -> Option<RunVerdict> {
+    answer.refused().map(|body| body.verdict)
+}
+
+/// Symptom: a team is told that its draft was not run, though an engine ran it.
+/// Sequence: the engine is dead, refuses, loses orders or answers, hangs, or is
+/// slow, for generations that may be repeated and for those that may not.
+/// Cause: the verdict is taken from the last failure alone, or the key of a
+/// run that may have begun is let through again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_generation_told_not_run_did_not_run() -> TestResult {
+    for (number, case) in (0..).zip(run_cases()) {
+        let fleet = ClaimFleet::start(2, HASTY_TARGETS).await?;
+        let engine = fleet.engine();
+        engine.faults().set(case.faults);
+        let key = fresh_key(number);
+        let host = fleet.callers(0);
+        let (plain, keyed) = tokio::join!(
+            fleet.generate(host, "plain", None, TOKENS),
+            fleet.generate(host, "keyed", Some(&key), TOKENS),
+        );
+        for answer in [&plain, &keyed] {
+            let verdict = verdict_of(answer);
+            assert_eq!(verdict, Some(case.verdict), "{}: {answer:?}", case.name);
+        }
+        fleet.check()?;
+        engine.faults().set(EngineFaults::default());
+        if case.verdict == RunVerdict::NotRun {
+            assert_eq!(fleet.steps_of("plain") + fleet.steps_of("keyed"), 0);
+        }
+        check_key_after(&fleet, case.verdict, &key, TOKENS).await?;
+        fleet.check()?;
+    }
+    Ok(())
+}
+
+/// After "not run" the key serves for one more run; after anything else for
+/// none.
+async fn check_key_after(
+    fleet: &ClaimFleet,
+    verdict: RunVerdict,
+    key: &str,
+    tokens: u64,
+) -> TestResult {
+    let host = fleet.callers(1);
+    if verdict == RunVerdict::NotRun {
+        let attempts = std::cell::Cell::new(0);
+        return eventually("the key can be used", || async {
+            attempts.set(attempts.get() + 1);
+            let request = format!("again-{}", attempts.get());
+            let answer = fleet.generate(host, &request, Some(key), tokens).await;
+            answer.is_whole()
+        })
+        .await;
+    }
+    // While the claim is not settled, its holder answers for it; after that
+    // the log does.
+    eventually("the claim is settled", || async { fleet.settlements() > 0 }).await?;
+    for (number, host) in (0..6).zip([1, 0].into_iter().cycle()) {
+        let (request, host) = (format!("again-{number}"), fleet.callers(host));
+        let answer = fleet.generate(host, &request, Some(key), tokens).await;
+        let refusal = answer.refused().ok_or("the key was let through")?;
+        assert_eq!(refusal.reason, RefusalReason::ClaimedElsewhere);
+        assert_ne!(refusal.verdict, RunVerdict::NotRun);
+        assert_eq!(fleet.steps_of(&request), 0);
+    }
+    Ok(())
+}
+
+/// Symptom: as above. Sequence: the engine dies in mid-answer, or the caller's
+/// time is up while a step is under way.
+/// Cause: what has been delivered is not counted as run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_generation_that_breaks_in_its_middle_is_never_told_not_run() -> TestResult {
+    let fleet = ClaimFleet::start(2, HASTY_TARGETS).await?;
+    let engine = fleet.engine();
+    let slow = EngineFaults {
+        slow_factor: 20.0,
+        ..EngineFaults::default()
+    };
+    engine.faults().set(slow);
+    let key = fresh_key(1);
+    let (answer, died) = tokio::join!(
+        fleet.generate(fleet.callers(0), "broken", Some(&key), LONG),
+        async {
+            let begun = || async { fleet.steps_of("broken") > 4 };
+            let begun = eventually("the run has begun", begun).await;
+            engine.die();
+            begun
+        }
+    );
+    died?;
+    assert_eq!(verdict_of(&answer), Some(RunVerdict::MayHaveRun));
+    assert!(!answer.tokens().is_empty());
+    engine.revive();
+    check_key_after(&fleet, RunVerdict::MayHaveRun, &key, LONG).await?;
+    fleet.check()
+}
+
+/// Symptom: as above. Sequence: the engine hangs in mid-answer and the
+/// caller's time is up while the step is under way.
+/// Cause: a step without an answer is not counted as run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_generation_whose_time_is_up_is_never_told_not_run() -> TestResult {
+    let fleet = ClaimFleet::start(1, "\n[timing]\nstep_timeout = \"20s\"\n").await?;
+    let engine = fleet.engine();
+    let (answer, hung) = tokio::join!(
+        fleet.generate(fleet.callers(0), "late", None, LONG),
+        async {
+            let begun = || async { fleet.steps_of("late") > 0 };
+            let begun = eventually("the run has begun", begun).await;
+            engine.faults().update(|faults| faults.frozen = true);
+            begun
+        }
+    );
+    hung?;
+    let refusal = answer.refused().ok_or("not refused")?;
+    assert_eq!(refusal.verdict, RunVerdict::MayHaveRun, "{refusal:?}");
+    fleet.check()
+}
--- a/tests/target_client.rs
+++ b/tests/target_client.rs
@@ -153,6 +153,49 @@
     assert_eq!(refusal.refused, TargetRefusalKind::UnknownPosition);
 }
 
+/// Symptom: a charge that was made is reported as not made, and made again.
+/// Sequence: the connection of a call that may not be repeated breaks at each
+/// point after it was opened. Cause: nothing distinguishes a connection that
+/// could not be opened from one that broke before it was answered.
+#[tokio::test]
+async fn a_single_call_is_sent_once_and_not_run_only_if_certain() {
+    use RunVerdict::{MayHaveRun, NotRun};
+    let cases = [
+        (TinyReply::ResetUnread, MayHaveRun, 0),
+        (TinyReply::ResetRead, MayHaveRun, 1),
+        (TinyReply::ResetMidAnswer, MayHaveRun, 1),
+        (TinyReply::Silence, MayHaveRun, 1),
+        (TinyReply::Answer(503, REFUSAL.into()), NotRun, 1),
+        (TinyReply::Answer(500, REFUSAL.into()), RunVerdict::Ran, 1),
+    ];
+    for (reply, verdict, requests) in cases {
+        let name = format!("{reply:?}");
+        let server = TinyServer::bind(move |request| match (&reply, request) {
+            (TinyReply::ResetUnread, _) => Some(TinyReply::ResetUnread),
+            (_, None) => None,
+            (reply, Some(_)) => Some(reply.clone()),
+        });
+        let server = server.await;
+        let call = CallOrder {
+            operation: "charge".to_owned(),
+            headers: http::HeaderMap::new(),
+            body: bytes::Bytes::from_static(b"{}"),
+            use_pool: false,
+        };
+        let connection = client(SHORT).open_single(server.address).await;
+        assert_eq!(server.seen.lock().len(), 0, "{name}: sent while connecting");
+        let told = match connection.expect("connected").send(call).await {
+            Ok(_) => RunVerdict::Ran,
+            Err(failure) => failure.verdict(),
+        };
+        assert_eq!(told, verdict, "{name}");
+        assert_eq!(server.seen.lock().len(), requests, "{name}");
+    }
+    let closed = SocketAddr::from(([127, 0, 0, 1], closed_port().await));
+    let failure = client(SHORT).open_single(closed).await.expect_err("closed");
+    assert_eq!(failure.verdict(), NotRun);
+}
+
 async fn closed_port() -> u16 {
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
         .await
