--- a/src/daemon/core.rs
+++ b/src/daemon/core.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use parking_lot::Mutex;
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -24,6 +24,10 @@
 use crate::replay::Readiness;
 use crate::target::client::TargetClient;
 
+/// Half of the calls to one peer that may wait for an answer, so that
+/// heartbeats always find room.
+const MAX_CLAIM_QUESTIONS: usize = 16;
+
 /// Phases of a daemon's life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum DaemonPhase {
@@ -43,6 +47,9 @@
     pub(super) tables: Arc<SharedTables>,
     pub(super) targets: TargetClient,
     pub(super) declaration_appends: AppendQueue,
+    pub(super) claim_appends: AppendQueue,
+    /// Questions to holders of keys that may be open at once.
+    pub(super) claim_questions: Semaphore,
     /// Offset after the last applied declaration record.
     pub(super) applied: watch::Sender<LogOffset>,
     pub(super) admission_changed: Notify,
@@ -75,6 +82,7 @@
         targets: TargetClient,
         platform: PlatformClient,
         declaration_appends: AppendQueue,
+        claim_appends: AppendQueue,
         options: DaemonOptions,
     ) -> Arc<Self> {
         Arc::new(Self {
@@ -83,6 +91,8 @@
             tables,
             targets,
             declaration_appends,
+            claim_appends,
+            claim_questions: Semaphore::new(MAX_CLAIM_QUESTIONS),
             applied: watch::Sender::new(0),
             admission_changed: Notify::new(),
             in_flight: TaskTracker::new(),
--- a/src/daemon/services.rs
+++ b/src/daemon/services.rs
@@ -1,11 +1,13 @@
 //! The way of one call to a plain service.
 
+mod claimed;
+
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use http::{HeaderMap, HeaderValue, header::CONTENT_TYPE};
 
-use super::admitting::admit;
+use super::admitting::{AdmissionSlot, admit};
 use super::core::DaemonCore;
 use super::generate::check_phase;
 use super::targets::note_leaving;
@@ -14,10 +16,13 @@
 use crate::api::wire::RefusalBody;
 use crate::ids::TargetId;
 use crate::reason::{RefusalReason, RetryReason};
+use crate::resources::ServiceSpec;
 use crate::target::TargetFailure;
 use crate::target::client::{CallAnswer, CallOrder};
 use crate::target::wire::{IDEMPOTENCY_KEY_HEADER, REQUEST_ID_HEADER};
 use crate::verdict::RunVerdict;
+use claimed::call_claimed;
+pub(super) use claimed::required_key;
 
 /// Targets tried for one call at most.
 const MAX_CALL_ATTEMPTS: usize = 3;
@@ -36,26 +41,58 @@
 ) -> Result<ServiceReply, RefusalBody> {
     // Waited for by a shutdown from here on.
     let _in_flight = core.in_flight.token();
-    check_phase(&core, &call.request)?;
-    let targets = declared_targets(&core, &call)?;
+    // The phase is looked at with the admission, but a host without a usable
+    // configuration cannot say that a service does not exist.
+    let service = declared_service(&core, &call).or_else(|unknown| {
+        check_phase(&core, &call.request)?;
+        Err(unknown)
+    })?;
+    let is_listed = service
+        .non_idempotent
+        .iter()
+        .any(|operation| **operation == *call.operation);
+    match is_listed || call.non_idempotent {
+        true => call_claimed(core, call, service.targets).await,
+        false => call_freely(&core, &call, &service.targets).await,
+    }
+}
+
+async fn call_freely(
+    core: &Arc<DaemonCore>,
+    call: &ServiceCall,
+    targets: &[TargetId],
+) -> Result<ServiceReply, RefusalBody> {
+    let slot = admit_call(core, call).await?;
+    let reply = attempt_call(core, call, targets).await?;
+    slot.complete();
+    Ok(reply)
+}
+
+fn deadline_of(core: &DaemonCore, call: &ServiceCall) -> Instant {
+    call.received + core.options.timing.default_deadline
+}
+
+async fn admit_call(
+    core: &Arc<DaemonCore>,
+    call: &ServiceCall,
+) -> Result<AdmissionSlot, RefusalBody> {
+    check_phase(core, &call.request)?;
     let request = AdmissionRequest {
         request: call.request.clone(),
         organisation: call.organisation.clone(),
         service_time: ASSUMED_CALL_TIME,
-        deadline: call.received + core.options.timing.default_deadline,
+        deadline: deadline_of(core, call),
         priority: 0,
     };
-    let slot = admit(&core, request).await?;
+    let slot = admit(core, request).await?;
     core.tables.budget.lock().request_started();
-    let reply = attempt_call(&core, &call, &targets).await?;
-    slot.complete();
-    Ok(reply)
+    Ok(slot)
 }
 
-fn declared_targets(core: &DaemonCore, call: &ServiceCall) -> Result<Vec<TargetId>, RefusalBody> {
+fn declared_service(core: &DaemonCore, call: &ServiceCall) -> Result<ServiceSpec, RefusalBody> {
     let declarations = core.tables.declarations.read();
     match declarations.service(&call.service) {
-        Some(service) => Ok(service.targets.clone()),
+        Some(service) => Ok(service.clone()),
         None => Err(
             RefusalBody::not_run(RefusalReason::Unknown, "no such service is declared")
                 .for_request(call.request.clone()),
@@ -83,15 +120,8 @@
             Ok(answer) => return Ok(reply(answer)),
             Err(failure) => failure,
         };
-        log::warn!(
-            request:% = call.request;
-            "call on {target} failed: {failure}"
-        );
         verdict = verdict.join(failure.verdict());
         excluded.push(target);
-        if call.non_idempotent && verdict != RunVerdict::NotRun {
-            break;
-        }
     }
     Err(failed(call, RefusalReason::TargetFailed, verdict))
 }
@@ -118,24 +148,35 @@
         operation: call.operation.to_string(),
         headers: call_headers(call),
         body: call.body.clone(),
-        use_pool: !call.non_idempotent,
+        use_pool: true,
     };
     let began = Instant::now();
     core.tables.routes.write().step_sent(target, began);
     let answer = core.targets.call(address, order).await;
     let now = Instant::now();
-    let reason = answer.as_ref().err().map(TargetFailure::reason);
-    if reason == Some(RetryReason::TargetLeaving) {
-        note_leaving(core, target, now);
-    }
-    let mut routes = core.tables.routes.write();
     match &answer {
-        Ok(_) => routes.step_answered(target, now - began, 1, now),
-        Err(failure) => routes.step_failed(target, failure.reason(), now),
+        Ok(_) => {
+            let mut routes = core.tables.routes.write();
+            routes.step_answered(target, now - began, 1, now);
+        }
+        Err(failure) => note_failure(core, call, target, failure),
     }
     answer
 }
 
+fn note_failure(core: &DaemonCore, call: &ServiceCall, target: &TargetId, failure: &TargetFailure) {
+    log::warn!(
+        request:% = call.request;
+        "call on {target} failed: {failure}"
+    );
+    let now = Instant::now();
+    if failure.reason() == RetryReason::TargetLeaving {
+        note_leaving(core, target, now);
+    }
+    let mut routes = core.tables.routes.write();
+    routes.step_failed(target, failure.reason(), now);
+}
+
 fn call_headers(call: &ServiceCall) -> HeaderMap {
     let mut headers = HeaderMap::new();
     if let Ok(value) = HeaderValue::from_str(&call.request) {
@@ -156,6 +197,7 @@
             .and_then(|value| value.to_str().ok())
             .map(str::to_owned),
         body: answer.body,
+        replayed: false,
     }
 }
 
