Measure what a daemon spends while one thing is varied

Cause: what a daemon spends at a larger size can't be run on one machine, and could so far only be guessed from the cost of single parts.

Ruled out: summing up metrics of the daemons, because bytes to the platform and to targets are not counted there; and several sizes at once, because a slope needs one thing varied at a time.

Every connection to peers, platform and targets passes a gate that counts messages and bytes by kind. Processor time is that of each daemon's threads; the threads for peers, which have one name in all daemons, are divided evenly. Memory is the growth of the whole process by the daemons and what the stand-ins keep for them, so an upper bound. Varied are hosts, zones, targets, organisations, models and changes a second; apart from those the stages and tokens of a request through one daemon, and replay, admission and routing by themselves. A fleet's daemon can now also be started by this part of the stand-ins.

--- a/standins/src/fleet/daemon.rs
+++ b/standins/src/fleet/daemon.rs
@@ -30,7 +30,7 @@
 
 impl FleetDaemon {
     /// Starts a daemon with these settings.
-    pub(super) async fn spawn(settings: &str) -> Result<Self, CallError> {
+    pub(crate) async fn spawn(settings: &str) -> Result<Self, CallError> {
         let options = DaemonOptions::from_toml(settings)?;
         let (host, zone) = (options.host.name.to_string(), options.host.zone.to_string());
         let runtime = Builder::new_multi_thread()
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -24,3 +24,4 @@
 pub mod reference;
 mod refusal;
 pub mod service;
+pub mod slopes;
--- /dev/null
+++ b/standins/src/slopes.rs
@@ -0,0 +1,78 @@
+//! What one daemon spends, measured while one thing is varied at a time.
+//!
+//! Real daemons run before small stand-ins; every connection of theirs passes
+//! a gate that counts its bytes. From the slopes a larger size is worked out.
+
+mod control;
+mod counting_gate;
+mod data_path;
+mod fleet;
+mod pure;
+mod report;
+mod shape;
+mod usage;
+
+pub use report::markdown_report;
+pub use shape::{SERIES, SlopeShape};
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::json_client::CallError;
+
+/// Figures of one run by their name with its unit.
+pub type SlopeFigures = BTreeMap<String, f64>;
+
+/// One run of one value of a series.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct SlopeRun {
+    /// What was varied.
+    pub series: String,
+    /// Its value in this run.
+    pub value: u64,
+    /// Load average of the machine over the last minute, at the end.
+    pub load_average: f64,
+    /// What was measured.
+    pub figures: SlopeFigures,
+}
+
+/// Runs one value of a series once.
+///
+/// # Errors
+/// If the series is unknown, or the daemons or stand-ins do not start.
+pub async fn run_once(
+    series: &str,
+    value: u64,
+    window: Duration,
+    after_start: bool,
+) -> Result<SlopeRun, CallError> {
+    let count = usize::try_from(value)?;
+    let mut figures = match series {
+        "stages" => data_path::measure(count, data_path::USUAL_TOKENS, window).await?,
+        "tokens" => data_path::measure(data_path::USUAL_STAGES, value, window).await?,
+        "replay" => pure::replay(count)?,
+        "admission" => pure::admission(count),
+        "routing" => pure::routing(count),
+        _ => control::measure(&SlopeShape::varied(series, count)?, window).await?,
+    };
+    if !after_start {
+        // What an earlier run of this process has freed is used again, and
+        // its growth would come out too small.
+        figures.retain(|name, _| !name.starts_with("memory"));
+    }
+    Ok(SlopeRun {
+        series: series.to_owned(),
+        value,
+        load_average: load_average(),
+        figures,
+    })
+}
+
+fn load_average() -> f64 {
+    let text = fs::read_to_string("/proc/loadavg").unwrap_or_default();
+    let first = text.split_whitespace().next();
+    first.and_then(|word| word.parse().ok()).unwrap_or_default()
+}
--- /dev/null
+++ b/standins/src/slopes/control.rs
@@ -0,0 +1,104 @@
+//! What daemons spend while no caller calls.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use jackdawwick::lease::record::{LeaseBody, LeaseEntry};
+use jackdawwick::records::{LEASE_STREAM, LogRecord};
+use tokio::time::{MissedTickBehavior, interval, sleep};
+
+use super::fleet::{SlopeFleet, organisation};
+use super::usage::{ThreadSample, resident_megabytes};
+use super::{SlopeFigures, SlopeShape};
+use crate::json_client::CallError;
+use crate::operator;
+
+/// Time for leases to be taken and for loads to have gone round.
+const WARM_UP: Duration = Duration::from_secs(4);
+const PERCENT: f64 = 100.0;
+
+/// Starts a fleet, lets it settle and measures it for `window`.
+pub(super) async fn measure(
+    shape: &SlopeShape,
+    window: Duration,
+) -> Result<SlopeFigures, CallError> {
+    let memory_before = resident_megabytes();
+    let mut fleet = SlopeFleet::start(shape).await?;
+    let operators = fleet.daemons[0].operators;
+    let changing = (shape.changes > 0).then(|| tokio::spawn(change(operators, shape.changes)));
+    sleep(WARM_UP).await;
+    let counts_before = fleet.counts.lock().clone();
+    let before = ThreadSample::take();
+    sleep(window).await;
+    let after = ThreadSample::take();
+    let counts_after = fleet.counts.lock().clone();
+    let memory = resident_megabytes() - memory_before;
+    if let Some(changing) = changing {
+        changing.abort();
+    }
+    let daemons = fleet.daemons.len() as f64;
+    let seconds = after.seconds_since(&before);
+    let peers = after.peers_since(&before) / daemons;
+    let percent = |host: &str| (after.used_since(&before, host) + peers) / seconds * PERCENT;
+    let holder = orders_holder(&fleet).ok_or("nobody holds the lease on orders")?;
+    // The first host is the operators' in the runs with changes.
+    let ordinary = fleet.daemons[1..].iter().map(|daemon| &*daemon.host);
+    let mut ordinary: Vec<f64> = ordinary
+        .filter(|host| *host != holder)
+        .map(percent)
+        .collect();
+    ordinary.sort_by(f64::total_cmp);
+    let mut figures = SlopeFigures::new();
+    let mut put = |name: &str, figure: f64| figures.insert(name.to_owned(), figure);
+    if let Some(middle) = ordinary.get(ordinary.len() / 2) {
+        put("processor, % of a core: ordinary host", *middle);
+    }
+    put("processor, % of a core: first host", percent("host-0"));
+    put("processor, % of a core: holder of orders", percent(&holder));
+    put(
+        "processor, % of a core: thread for peers",
+        peers / seconds * PERCENT,
+    );
+    put("memory, MB a daemon", memory / daemons);
+    let mut all_bytes = 0.0;
+    for (kind, count) in &counts_after {
+        let earlier = counts_before.get(kind).copied().unwrap_or_default();
+        let each = seconds * daemons;
+        // What a peer sends another one receives: both spend it.
+        let ends = if kind == "peers" { 2.0 } else { 1.0 };
+        let messages = (count.messages - earlier.messages) as f64 * ends / each;
+        let bytes = (count.bytes - earlier.bytes) as f64 * ends / each;
+        put(&format!("messages/s a daemon: {kind}"), messages);
+        put(&format!("bytes/s a daemon: {kind}"), bytes);
+        if kind.starts_with("POST") {
+            put(&format!("appends/s in all: {kind}"), messages * daemons);
+        }
+        all_bytes += bytes;
+    }
+    put("bytes/s a daemon: all", all_bytes);
+    fleet.shutdown().await;
+    Ok(figures)
+}
+
+/// Host that took the first zone's lease on orders last.
+fn orders_holder(fleet: &SlopeFleet) -> Option<String> {
+    let records = fleet.platform.record(LEASE_STREAM);
+    records.iter().rev().find_map(|record| {
+        let record: LogRecord<LeaseBody> = serde_json::from_str(&record.body).ok()?;
+        let takes = matches!(record.body.entry, LeaseEntry::Renew { .. });
+        (takes && &*record.body.name == "orders/zone-0").then(|| record.writer.to_string())
+    })
+}
+
+/// Declares one organisation anew, again and again.
+async fn change(operators: SocketAddr, per_second: usize) {
+    let mut ticks = interval(Duration::from_secs(1) / per_second as u32);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
+    for round in 2.. {
+        ticks.tick().await;
+        let declared = operator::declare_all(operators, &[organisation(0, round)]).await;
+        if let Err(error) = declared {
+            log::warn!("not declared: {error}");
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/slopes/counting_gate.rs
@@ -0,0 +1,119 @@
+//! Passing connections on and counting what goes through, by kind of message.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
+
+/// Most bytes passed on at once.
+const CHUNK_BYTES: usize = 64 * 1024;
+/// Kind of all that is not HTTP.
+const PEERS: &str = "peers";
+
+/// What went through for one kind of message.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct WireCount {
+    /// Requests; for peers, pieces sent by the calling side.
+    pub(super) messages: u64,
+    /// Bytes both ways, without TCP's own.
+    pub(super) bytes: u64,
+}
+
+/// Counters by kind of message.
+pub(super) type WireCounts = Arc<Mutex<BTreeMap<String, WireCount>>>;
+
+/// A gate; dropping it ends its connections.
+#[derive(Debug)]
+pub(super) struct CountingGate {
+    /// Where it listens.
+    pub(super) local_addr: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl CountingGate {
+    /// Opens a gate to `far`.
+    pub(super) async fn bind(far: SocketAddr, counts: &WireCounts) -> io::Result<Self> {
+        let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
+        let local_addr = listener.local_addr()?;
+        let counts = Arc::clone(counts);
+        let task = tokio::spawn(async move {
+            let mut passing = tokio::task::JoinSet::new();
+            while let Ok((near, _)) = listener.accept().await {
+                passing.spawn(pass(near, far, Arc::clone(&counts)));
+                while passing.try_join_next().is_some() {}
+            }
+        });
+        Ok(Self { local_addr, task })
+    }
+}
+
+impl Drop for CountingGate {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn pass(near: TcpStream, far: SocketAddr, counts: WireCounts) {
+    let Ok(far) = TcpStream::connect(far).await else {
+        return;
+    };
+    // Small bodies would wait for the other side's delayed acknowledgement.
+    let _ = (near.set_nodelay(true), far.set_nodelay(true));
+    let kind = Arc::new(Mutex::new(PEERS.to_owned()));
+    let (near_read, near_write) = near.into_split();
+    let (far_read, far_write) = far.into_split();
+    let requests = pump(near_read, far_write, |piece| {
+        let mut kind = kind.lock();
+        let named = request_kind(piece);
+        let messages = u64::from(named.is_some() || *kind == PEERS);
+        if let Some(named) = named {
+            *kind = named;
+        }
+        add(&counts, &kind, messages, piece.len());
+    });
+    let answers = pump(far_read, near_write, |piece| {
+        add(&counts, &kind.lock(), 0, piece.len());
+    });
+    // Either side's end is the connection's.
+    tokio::select! {
+        () = requests => {}
+        () = answers => {}
+    }
+}
+
+async fn pump<F>(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, count: F)
+where
+    F: Fn(&[u8]),
+{
+    let mut chunk = vec![0; CHUNK_BYTES];
+    while let Ok(length @ 1..) = from.read(&mut chunk).await {
+        count(&chunk[..length]);
+        if to.write_all(&chunk[..length]).await.is_err() {
+            return;
+        }
+    }
+}
+
+fn add(counts: &WireCounts, kind: &str, messages: u64, bytes: usize) {
+    let mut counts = counts.lock();
+    let count = counts.entry(kind.to_owned()).or_default();
+    count.messages += messages;
+    count.bytes += bytes as u64;
+}
+
+/// Kind of an HTTP request, if this piece begins one.
+fn request_kind(piece: &[u8]) -> Option<String> {
+    let line = piece.split(|byte| *byte == b'\r').next()?;
+    let mut words = std::str::from_utf8(line).ok()?.split(' ');
+    let (method, path) = (words.next()?, words.next()?);
+    let path = path.split('?').next()?.strip_prefix("/v1/")?;
+    let path = path.trim_start_matches("streams/");
+    let name = path.split('/').next()?;
+    Some(format!("{method} {name}"))
+}
--- /dev/null
+++ b/standins/src/slopes/fleet.rs
@@ -0,0 +1,174 @@
+//! Starting daemons before small stand-ins, with gates in between.
+
+use std::net::{SocketAddr, TcpListener};
+use std::time::{Duration, Instant};
+
+use jackdawwick::api::wire::StatusView;
+use jackdawwick::ids::LogOffset;
+use jackdawwick::platform::wire::{HostList, ListedHost, ListedPhase, ListedTarget};
+
+use super::SlopeShape;
+use super::counting_gate::{CountingGate, WireCounts};
+use crate::daemon_settings::{DaemonPlace, SeedPlace};
+use crate::declarations::{self, StageLayout, StageTarget, VERSION};
+use crate::engine::{EngineServer, EngineSettings};
+use crate::fleet::FleetDaemon;
+use crate::json_client::CallError;
+use crate::operator::{self, Declaration};
+use crate::platform::{PlatformServer, PlatformSettings};
+
+/// Bound on waiting for the declarations to be in force.
+const FORCE_PATIENCE: Duration = Duration::from_secs(30);
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// A running fleet with what was counted.
+pub(super) struct SlopeFleet {
+    pub(super) platform: PlatformServer,
+    pub(super) counts: WireCounts,
+    pub(super) daemons: Vec<FleetDaemon>,
+    _engines: Vec<EngineServer>,
+    _gates: Vec<CountingGate>,
+}
+
+impl SlopeFleet {
+    /// Starts the stand-ins and the daemons, and declares everything.
+    pub(super) async fn start(shape: &SlopeShape) -> Result<Self, CallError> {
+        let counts = WireCounts::default();
+        let mut gates = Vec::new();
+        let mut engines = Vec::new();
+        let mut declared: Vec<Declaration> = (0..shape.organisations)
+            .map(|number| organisation(number, 1))
+            .collect();
+        let mut listed = Vec::new();
+        for model in 0..shape.models {
+            let name = format!("model-{model}");
+            let settings = EngineSettings::new(&name, VERSION, 1, 0, 0);
+            let engine = EngineServer::bind(any_port(), settings).await?;
+            let mut targets = Vec::new();
+            for number in (model..shape.targets).step_by(shape.models) {
+                let gate = CountingGate::bind(engine.local_addr(), &counts).await?;
+                targets.push(StageTarget {
+                    name: format!("engine-{number}"),
+                    zone: zone_name(number % shape.zones).as_str().into(),
+                    address: gate.local_addr,
+                    tokens_per_second: 1_000.0,
+                    concurrency: 16,
+                });
+                gates.push(gate);
+            }
+            listed.extend(targets.iter().map(|target| ListedTarget {
+                target: target.name.as_str().into(),
+                phase: ListedPhase::Live,
+            }));
+            let stage = StageLayout {
+                first_layer: 0,
+                last_layer: 0,
+                targets,
+            };
+            declared.extend(declarations::pipeline(&name, &[stage]));
+            engines.push(engine);
+        }
+        let mut fleet = Self {
+            platform: PlatformServer::bind(any_port(), PlatformSettings::default()).await?,
+            counts,
+            daemons: Vec::new(),
+            _engines: engines,
+            _gates: gates,
+        };
+        fleet.start_daemons(shape, listed).await?;
+        let version = operator::declare_all(fleet.daemons[0].operators, &declared).await?;
+        fleet.wait_in_force(version).await?;
+        Ok(fleet)
+    }
+
+    async fn start_daemons(
+        &mut self,
+        shape: &SlopeShape,
+        targets: Vec<ListedTarget>,
+    ) -> Result<(), CallError> {
+        let platform = CountingGate::bind(self.platform.local_addr(), &self.counts).await?;
+        let mut held = Vec::new();
+        let mut seeds = Vec::new();
+        for number in 0..shape.hosts * shape.zones {
+            let listener = TcpListener::bind(peer_address())?;
+            let gate = CountingGate::bind(listener.local_addr()?, &self.counts).await?;
+            seeds.push(SeedPlace {
+                host: format!("host-{number}"),
+                zone: zone_name(number % shape.zones),
+                address: gate.local_addr,
+            });
+            self._gates.push(gate);
+            held.push(listener);
+        }
+        let hosts = seeds.iter().map(listed_host).collect();
+        self.platform.set_hosts(HostList { hosts, targets });
+        for (listener, seed) in held.into_iter().zip(&seeds) {
+            let place = DaemonPlace {
+                host: seed.host.clone(),
+                zone: seed.zone.clone(),
+                platform: platform.local_addr,
+                peers: listener.local_addr()?,
+                seeds: seeds.clone(),
+            };
+            drop(listener);
+            let advertised = format!("[listen]\nadvertised_peers = \"{}\"\n", seed.address);
+            let text = place.to_toml("\n[log]\nlevel = \"off\"\n");
+            let text = text.replacen("[listen]\n", &advertised, 1);
+            self.daemons.push(FleetDaemon::spawn(&text).await?);
+        }
+        self._gates.push(platform);
+        Ok(())
+    }
+
+    async fn wait_in_force(&self, version: LogOffset) -> Result<(), CallError> {
+        let deadline = Instant::now() + FORCE_PATIENCE;
+        for daemon in &self.daemons {
+            loop {
+                let status = operator::read::<StatusView>(daemon.operators, "/v1/status").await;
+                match status {
+                    Ok(status) if status.ready && status.applied > version => break,
+                    _ if Instant::now() > deadline => {
+                        return Err(format!("not in force on {}", daemon.host).into());
+                    }
+                    _ => tokio::time::sleep(LOOK_INTERVAL).await,
+                }
+            }
+        }
+        Ok(())
+    }
+
+    pub(super) async fn shutdown(&mut self) {
+        for daemon in &mut self.daemons {
+            daemon.shutdown().await;
+        }
+    }
+}
+
+/// An organisation; `rate` sets apart one change of it from the next.
+pub(super) fn organisation(number: usize, rate: u32) -> Declaration {
+    declarations::organisation(&format!("organisation-{number}"), 1_000, 100_000 + rate)
+}
+
+fn zone_name(number: usize) -> String {
+    format!("zone-{number}")
+}
+
+fn listed_host(seed: &SeedPlace) -> ListedHost {
+    ListedHost {
+        host: seed.host.as_str().into(),
+        zone: seed.zone.as_str().into(),
+        peer_address: seed.address.to_string(),
+        phase: ListedPhase::Live,
+    }
+}
+
+pub(super) fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// A loopback address from which no connection goes out: there a free port
+/// that is found beforehand stays free until its daemon listens.
+fn peer_address() -> SocketAddr {
+    let [.., high, low] = std::process::id().to_be_bytes();
+    SocketAddr::from(([127, high, low, 2], 0))
+}
