Measure one availability zone of the size to come

Ruled out: all 390 daemons, which this machine can't run beside others' work.

Change: the series `size_to_come` runs 20 hosts of one zone and one host in each of up to 19 further zones, with 55 targets a zone, 400 organisations and 23 models. The figure of an ordinary host is that of the first zone. Declarations are appended to the log as one batch, for all series.

--- a/standins/src/slopes/control.rs
+++ b/standins/src/slopes/control.rs
@@ -7,7 +7,7 @@
 use jackdawwick::records::{LEASE_STREAM, LogRecord};
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
-use super::fleet::{SlopeFleet, organisation};
+use super::fleet::{SlopeFleet, organisation, zone_name};
 use super::usage::{ThreadSample, resident_megabytes};
 use super::{SlopeFigures, SlopeShape};
 use crate::json_client::CallError;
@@ -42,10 +42,10 @@
     let percent = |host: &str| (after.used_since(&before, host) + peers) / seconds * PERCENT;
     let holder = orders_holder(&fleet).ok_or("nobody holds the lease on orders")?;
     // The first host is the operators' in the runs with changes.
-    let ordinary = fleet.daemons[1..].iter().map(|daemon| &*daemon.host);
+    let ordinary = fleet.daemons[1..].iter();
     let mut ordinary: Vec<f64> = ordinary
-        .filter(|host| *host != holder)
-        .map(percent)
+        .filter(|daemon| daemon.zone == zone_name(0) && daemon.host != holder)
+        .map(|daemon| percent(&daemon.host))
         .collect();
     ordinary.sort_by(f64::total_cmp);
     let mut figures = SlopeFigures::new();
--- a/standins/src/slopes/fleet.rs
+++ b/standins/src/slopes/fleet.rs
@@ -5,10 +5,13 @@
 
 use jackdawwick::api::wire::StatusView;
 use jackdawwick::ids::LogOffset;
+use jackdawwick::platform::client::{PlatformClient, PlatformTimeouts};
 use jackdawwick::platform::wire::{HostList, ListedHost, ListedPhase, ListedTarget};
+use jackdawwick::records::DECLARATION_STREAM;
 
 use super::SlopeShape;
 use super::counting_gate::{CountingGate, WireCounts};
+use super::pure::record_text;
 use crate::daemon_settings::{DaemonPlace, SeedPlace};
 use crate::declarations::{self, StageLayout, StageTarget, VERSION};
 use crate::engine::{EngineServer, EngineSettings};
@@ -19,6 +22,7 @@
 
 /// Bound on waiting for the declarations to be in force.
 const FORCE_PATIENCE: Duration = Duration::from_secs(30);
+const PLATFORM_PATIENCE: Duration = Duration::from_secs(5);
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// A running fleet with what was counted.
@@ -49,7 +53,7 @@
                 let gate = CountingGate::bind(engine.local_addr(), &counts).await?;
                 targets.push(StageTarget {
                     name: format!("engine-{number}"),
-                    zone: zone_name(number % shape.zones).as_str().into(),
+                    zone: zone_name(shape.zone_of_target(number)).as_str().into(),
                     address: gate.local_addr,
                     tokens_per_second: 1_000.0,
                     concurrency: 16,
@@ -76,11 +80,27 @@
             _gates: gates,
         };
         fleet.start_daemons(shape, listed).await?;
-        let version = operator::declare_all(fleet.daemons[0].operators, &declared).await?;
-        fleet.wait_in_force(version).await?;
+        fleet.declare(&declared).await?;
         Ok(fleet)
     }
 
+    /// Appends the declarations in one batch, as one change after the other
+    /// would take long, and waits until they are in force.
+    async fn declare(&self, declared: &[Declaration]) -> Result<(), CallError> {
+        let numbered = (0..).zip(declared);
+        let records: Result<Vec<String>, CallError> = numbered
+            .map(|(number, declaration)| record_text(number, declaration))
+            .collect();
+        let timeouts = PlatformTimeouts {
+            connect: PLATFORM_PATIENCE,
+            answer: PLATFORM_PATIENCE,
+        };
+        let client = PlatformClient::open(self.platform.local_addr(), timeouts);
+        let appended = client.append(DECLARATION_STREAM, records?).await?;
+        let last = appended.first_offset + declared.len() as LogOffset - 1;
+        self.wait_in_force(last).await
+    }
+
     async fn start_daemons(
         &mut self,
         shape: &SlopeShape,
@@ -89,12 +109,12 @@
         let platform = CountingGate::bind(self.platform.local_addr(), &self.counts).await?;
         let mut held = Vec::new();
         let mut seeds = Vec::new();
-        for number in 0..shape.hosts * shape.zones {
+        for number in 0..shape.daemons() {
             let listener = TcpListener::bind(peer_address())?;
             let gate = CountingGate::bind(listener.local_addr()?, &self.counts).await?;
             seeds.push(SeedPlace {
                 host: format!("host-{number}"),
-                zone: zone_name(number % shape.zones),
+                zone: zone_name(shape.zone_of_host(number)),
                 address: gate.local_addr,
             });
             self._gates.push(gate);
@@ -149,7 +169,7 @@
     declarations::organisation(&format!("organisation-{number}"), 1_000, 100_000 + rate)
 }
 
-fn zone_name(number: usize) -> String {
+pub(super) fn zone_name(number: usize) -> String {
     format!("zone-{number}")
 }
 
--- a/standins/src/slopes/pure.rs
+++ b/standins/src/slopes/pure.rs
@@ -73,7 +73,11 @@
     Ok(figures)
 }
 
-fn record_text(number: LogOffset, declaration: &Declaration) -> Result<String, CallError> {
+/// The text of a first declaration as record `number` of the log.
+pub(super) fn record_text(
+    number: LogOffset,
+    declaration: &Declaration,
+) -> Result<String, CallError> {
     let change = ResourceChange {
         key: declaration.key.clone(),
         based_on: None,
--- a/standins/src/slopes/shape.rs
+++ b/standins/src/slopes/shape.rs
@@ -3,7 +3,7 @@
 use crate::json_client::CallError;
 
 /// Every series with its usual values.
-pub const SERIES: [(&str, &[u64]); 12] = [
+pub const SERIES: [(&str, &[u64]); 13] = [
     ("hosts", &[2, 4, 8, 16, 24]),
     ("zones", &[1, 2, 4]),
     ("targets", &[10, 40, 160, 400]),
@@ -11,6 +11,7 @@
     ("models", &[1, 8, 23]),
     ("changes", &[0, 1, 5, 20]),
     ("changes_large", &[0, 1, 5, 20]),
+    ("size_to_come", &[0, 4, 19]),
     ("stages", &[1, 2, 4]),
     ("tokens", &[16, 64, 256, 480]),
     ("replay", &[100, 400, 1_100]),
@@ -23,8 +24,10 @@
 pub struct SlopeShape {
     /// Entry hosts in each zone.
     pub hosts: usize,
-    /// Availability zones.
+    /// Availability zones with as many hosts.
     pub zones: usize,
+    /// Further availability zones with one host each.
+    pub further_zones: usize,
     /// Targets in all.
     pub targets: usize,
     /// Organisations.
@@ -40,6 +43,7 @@
     pub const BASE: Self = Self {
         hosts: 8,
         zones: 1,
+        further_zones: 0,
         targets: 48,
         organisations: 10,
         models: 1,
@@ -63,9 +67,44 @@
                 (shape.targets, shape.organisations) = (400, 400);
                 &mut shape.changes
             }
+            "size_to_come" => {
+                shape = Self::zone_to_come(value);
+                &mut shape.further_zones
+            }
             _ => return Err(format!("no series {series}").into()),
         };
         *varied = value;
         Ok(shape)
     }
+
+    /// One zone of the size to come with all its hosts, and others with one.
+    fn zone_to_come(further_zones: usize) -> Self {
+        Self {
+            hosts: 20,
+            targets: 55 * (1 + further_zones),
+            organisations: 400,
+            models: 23,
+            further_zones,
+            ..Self::BASE
+        }
+    }
+
+    /// Number of daemons.
+    pub fn daemons(&self) -> usize {
+        self.hosts * self.zones + self.further_zones
+    }
+
+    /// Zone of a daemon.
+    pub fn zone_of_host(&self, number: usize) -> usize {
+        let further = (number + 1).checked_sub(self.hosts * self.zones);
+        match further {
+            None | Some(0) => number % self.zones,
+            Some(further) => self.zones - 1 + further,
+        }
+    }
+
+    /// Zone of a target.
+    pub fn zone_of_target(&self, number: usize) -> usize {
+        number % (self.zones + self.further_zones)
+    }
 }
