Read a long host list less often

Cause: every daemon reads the platform's whole list once a second.

Ruled out: reading only a zone's part, or only what changed, which the platform does not offer as far as is known; and a longer interval for all, which would make a small system slower to notice a leaving target for no gain.

The hosts of a zone thus read at different moments; a target listed as leaving is passed on by the first that sees it with its next heartbeat, as before. A list of up to 66 entries is read once a second as before.

What is left above the budget is the stream of leases, which every daemon reads whole, and the polls of targets' state.

--- a/src/daemon/spawn.rs
+++ b/src/daemon/spawn.rs
@@ -110,7 +110,7 @@
         tokio::spawn(run_admission(Arc::clone(&core))),
         tokio::spawn(run_members(Arc::clone(&core))),
         tokio::spawn(run_load_polls(Arc::clone(&core))),
-        tokio::spawn(run_host_list(Arc::clone(&core))),
+        tokio::spawn(run_host_list(Arc::clone(&core), seed)),
     ];
     let callers = spawn_callers(
         &api_settings(&core, core.options.listen.callers),
--- a/src/daemon/targets.rs
+++ b/src/daemon/targets.rs
@@ -1,12 +1,17 @@
 //! Gathering what targets and the platform's list say about targets.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use futures::future::join_all;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
 
 use super::core::DaemonCore;
 use crate::ids::TargetId;
+use crate::platform::wire::HostList;
+
+/// Mean time that each entry adds to the pause after reading the list.
+const LIST_ENTRY_PACE: Duration = Duration::from_millis(10);
 
 /// Reads the loads of the targets that this host watches, again and again.
 pub(super) async fn run_load_polls(core: Arc<DaemonCore>) {
@@ -58,19 +63,35 @@
 }
 
 /// Reads the platform's list of hosts and targets, again and again.
-pub(super) async fn run_host_list(core: Arc<DaemonCore>) {
-    let mut ticks = tokio::time::interval(core.options.timing.host_list_interval);
-    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+///
+/// A long list is read less often, so that its bytes a second stay bounded.
+/// The hosts of a zone read it at different moments, and the first to see a
+/// target leave tells the others by heartbeat.
+pub(super) async fn run_host_list(core: Arc<DaemonCore>, seed: u64) {
+    let mut random = StdRng::seed_from_u64(seed);
+    let interval = core.options.timing.host_list_interval;
     loop {
-        ticks.tick().await;
-        match core.platform.hosts().await {
+        let entries = match core.platform.hosts().await {
             Ok(list) => {
-                let mut membership = core.tables.membership.lock();
-                membership.observe_host_list(&list, Instant::now());
-                let mut watch = core.tables.watch.lock();
-                watch.observe_host_list(&list);
+                take_host_list(&core, &list);
+                list.hosts.len() + list.targets.len()
             }
-            Err(error) => log::debug!("the platform's host list cannot be read: {error}"),
-        }
+            Err(error) => {
+                log::debug!("the platform's host list cannot be read: {error}");
+                0
+            }
+        };
+        let paced = LIST_ENTRY_PACE * u32::try_from(entries).unwrap_or(u32::MAX);
+        // Drawn anew each time: hosts that were started together would else
+        // all read at once, and a target's leaving would be seen late.
+        let drawn = paced.mul_f64(random.random_range(0.5..1.5));
+        tokio::time::sleep(interval.max(drawn)).await;
     }
 }
+
+fn take_host_list(core: &DaemonCore, list: &HostList) {
+    let mut membership = core.tables.membership.lock();
+    membership.observe_host_list(list, Instant::now());
+    let mut watch = core.tables.watch.lock();
+    watch.observe_host_list(list);
+}
--- a/standins/tests/slopes.rs
+++ b/standins/tests/slopes.rs
@@ -55,3 +55,17 @@
     assert!((sum - 2.0 * all).abs() < 1.0, "{sum} is not twice {all}");
     Ok(())
 }
+
+/// Symptom: at 390 hosts and 1,100 targets each daemon receives tens of
+/// kilobytes a second of a list that hardly ever changes. Sequence: every
+/// daemon reads the whole list once a second. Cause: the pause between two
+/// reads did not depend on the list's length.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_long_host_list_is_read_less_often() -> Result<(), CallError> {
+    let figures = run_once("targets", 400, WINDOW, true).await?.figures;
+    let lists = figures.get("messages/s a daemon: GET hosts");
+    let lists = lists.copied().unwrap_or_default();
+    // 408 entries make pauses of 2 to 6 s, so at most two reads in the window.
+    assert!(lists <= 0.7, "{lists} lists a second");
+    Ok(())
+}
