Time a change into force, and tell the holder of shares apart

Cause: since shares are divided, the holder of a zone's lease on them spends more than the others, and its cost stood among the ordinary hosts'.

Change: the processor time of the holder of shares is a figure of its own, and neither holder counts as an ordinary host. After the window one change is declared and timed until every daemon was seen to have applied it, one after the other, so the figure is an upper bound.

--- a/standins/src/slopes/control.rs
+++ b/standins/src/slopes/control.rs
@@ -1,7 +1,7 @@
 //! What daemons spend while no caller calls.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use jackdawwick::lease::record::{LeaseBody, LeaseEntry};
 use jackdawwick::records::{LEASE_STREAM, LogRecord};
@@ -40,11 +40,13 @@
     let seconds = after.seconds_since(&before);
     let peers = after.peers_since(&before) / daemons;
     let percent = |host: &str| (after.used_since(&before, host) + peers) / seconds * PERCENT;
-    let holder = orders_holder(&fleet).ok_or("nobody holds the lease on orders")?;
+    let orders = lease_holder(&fleet, "orders/zone-0")?;
+    let shares = lease_holder(&fleet, "zone-shares/zone-0")?;
     // The first host is the operators' in the runs with changes.
     let ordinary = fleet.daemons[1..].iter();
     let mut ordinary: Vec<f64> = ordinary
-        .filter(|daemon| daemon.zone == zone_name(0) && daemon.host != holder)
+        .filter(|daemon| daemon.zone == zone_name(0))
+        .filter(|daemon| daemon.host != orders && daemon.host != shares)
         .map(|daemon| percent(&daemon.host))
         .collect();
     ordinary.sort_by(f64::total_cmp);
@@ -54,7 +56,8 @@
         put("processor, % of a core: ordinary host", *middle);
     }
     put("processor, % of a core: first host", percent("host-0"));
-    put("processor, % of a core: holder of orders", percent(&holder));
+    put("processor, % of a core: holder of orders", percent(&orders));
+    put("processor, % of a core: holder of shares", percent(&shares));
     put(
         "processor, % of a core: thread for peers",
         peers / seconds * PERCENT,
@@ -76,18 +79,31 @@
         all_bytes += bytes;
     }
     put("bytes/s a daemon: all", all_bytes);
+    let seconds = time_to_force(&fleet).await?;
+    put("time until one change is in force everywhere, s", seconds);
     fleet.shutdown().await;
     Ok(figures)
 }
 
-/// Host that took the first zone's lease on orders last.
-fn orders_holder(fleet: &SlopeFleet) -> Option<String> {
+/// Seconds from an operator's call until every daemon was seen, one after the
+/// other, to have applied the change.
+async fn time_to_force(fleet: &SlopeFleet) -> Result<f64, CallError> {
+    let started = Instant::now();
+    let declared = [organisation(0, 0)];
+    let version = operator::declare_all(fleet.daemons[0].operators, &declared).await?;
+    fleet.wait_in_force(version).await?;
+    Ok(started.elapsed().as_secs_f64())
+}
+
+/// Host that renewed a lease last.
+fn lease_holder(fleet: &SlopeFleet, name: &str) -> Result<String, CallError> {
     let records = fleet.platform.record(LEASE_STREAM);
-    records.iter().rev().find_map(|record| {
+    let renewed = records.iter().rev().find_map(|record| {
         let record: LogRecord<LeaseBody> = serde_json::from_str(&record.body).ok()?;
-        let takes = matches!(record.body.entry, LeaseEntry::Renew { .. });
-        (takes && &*record.body.name == "orders/zone-0").then(|| record.writer.to_string())
-    })
+        let renews = matches!(record.body.entry, LeaseEntry::Renew { .. });
+        (renews && &*record.body.name == name).then(|| record.writer.to_string())
+    });
+    Ok(renewed.ok_or_else(|| format!("nobody holds {name}"))?)
 }
 
 /// Declares one organisation anew, again and again.
--- a/standins/src/slopes/fleet.rs
+++ b/standins/src/slopes/fleet.rs
@@ -23,7 +23,7 @@
 /// Bound on waiting for the declarations to be in force.
 const FORCE_PATIENCE: Duration = Duration::from_secs(30);
 const PLATFORM_PATIENCE: Duration = Duration::from_secs(5);
-const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+const LOOK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// A running fleet with what was counted.
 pub(super) struct SlopeFleet {
@@ -140,7 +140,7 @@
         Ok(())
     }
 
-    async fn wait_in_force(&self, version: LogOffset) -> Result<(), CallError> {
+    pub(super) async fn wait_in_force(&self, version: LogOffset) -> Result<(), CallError> {
         let deadline = Instant::now() + FORCE_PATIENCE;
         for daemon in &self.daemons {
             loop {
