--- a/src/membership/schedule.rs
+++ b/src/membership/schedule.rs
@@ -87,7 +87,10 @@
         let in_zone = member.zone == self.settings.zone;
         let is_holder = self.share_holder.as_ref() == Some(&member.host);
         let (reference, interval) = match in_zone {
-            true if is_holder => (member.last_sent, self.settings.zone_interval),
+            // Called whichever side waits, since only its answer brings grants;
+            // no oftener than others, because reports name every organisation
+            // and the holder gets those of the whole zone.
+            true if is_holder => (member.last_sent, plan.zone_interval),
             // An exchange informs both sides, so one of the two calls and the
             // other calls only if it is not called. That halves the calls.
             true if member.is_called => (member.last_sent, plan.zone_interval),
