Judge recovery against half of the usual time between tokens

Cause: a trial showed recoveries faster than the best possible one, because that was taken to include a whole usual gap between tokens. A death falls anywhere within a gap, so half of it is due anyway on average.

Change: the best possible repair of a stage is half a gap and the processing of the positions so far on a replacement of mean speed; of a host, half a gap.

Ruled out: leaving the gap out, which would count the usual wait as repair.

--- a/standins/src/load/figures.rs
+++ b/standins/src/load/figures.rs
@@ -91,8 +91,8 @@
     /// From the death to the next token that needed a repair.
     pub next_token: Quantiles,
     /// The best possible repair, median over the requests, in milliseconds:
-    /// processing the positions so far on a replacement of mean speed and one
-    /// usual time between tokens. For a host's death: the latter alone.
+    /// processing the positions so far on a replacement of mean speed, and half
+    /// of the usual time between tokens. For a host's death: the latter alone.
     pub best_possible_ms: f64,
     /// Median of each request's time over its best possible one.
     pub ratio_p50: f64,
--- a/standins/src/load/recovery.rs
+++ b/standins/src/load/recovery.rs
@@ -25,6 +25,14 @@
     pub(super) usual_gap: Duration,
 }
 
+impl RecoveryInput<'_> {
+    /// Time to the next token if nothing had died: a death falls anywhere
+    /// between two tokens, so half of the usual time on average.
+    fn usual_wait(&self) -> Duration {
+        self.usual_gap / 2
+    }
+}
+
 /// One request that was on what died.
 struct RepairedRequest {
     /// From the death to the next token that needed a repair.
@@ -88,7 +96,7 @@
         let heard = outcome.token_times().get(number as usize).copied();
         Some(RepairedRequest {
             time: heard.map(|heard| heard.saturating_duration_since(input.mark.at)),
-            best_possible: input.usual_gap + replay_time(input.layout, last + 1),
+            best_possible: input.usual_wait() + replay_time(input.layout, last + 1),
             is_whole: outcome.is_whole(),
         })
     });
@@ -106,7 +114,7 @@
         let mut after = times.into_iter().filter(|at| *at > input.mark.at);
         RepairedRequest {
             time: after.next().map(|at| at - input.mark.at),
-            best_possible: input.usual_gap,
+            best_possible: input.usual_wait(),
             is_whole: outcome.is_whole(),
         }
     });
