Count goodput when answers are heard

Cause: answers in time were counted by their arrival, tokens by when they were heard.

Change: an answer in time counts if it ended in the steady part.

Ruled out: a longer warm-up, which only makes the same error smaller.

--- a/standins/src/load/measure.rs
+++ b/standins/src/load/measure.rs
@@ -62,9 +62,15 @@
         heard as f64 / self.seconds() / self.bound.tokens_per_second
     }
 
-    /// Answers in time a second, as a share of the bound.
-    pub(super) fn goodput(&self, counts: &RequestCounts) -> f64 {
-        counts.in_time as f64 / self.seconds() / self.bound.requests_per_second
+    /// Answers in time a second, as a share of the bound. Like the tokens of
+    /// the throughput, answers count when they are heard: were those counted
+    /// that arrived, a queue that shrinks would seem to be lost capacity.
+    pub(super) fn goodput(&self, generations: &[GenerationOutcome]) -> f64 {
+        let in_time = generations.iter().filter(|one| {
+            let ended_here = one.ended().is_some_and(|ended| self.holds(ended));
+            ended_here && self.end_of(one) == GenerationEnd::InTime
+        });
+        in_time.count() as f64 / self.seconds() / self.bound.requests_per_second
     }
 
     pub(super) fn counts(&self, arrived: &[&GenerationOutcome]) -> RequestCounts {
--- a/standins/src/load/run.rs
+++ b/standins/src/load/run.rs
@@ -144,7 +144,7 @@
         bound_requests_per_second: steady.bound.requests_per_second,
         bound_tokens_per_second: steady.bound.tokens_per_second,
         throughput_of_bound: steady.throughput(&tokens),
-        goodput_of_bound: steady.goodput(&counts),
+        goodput_of_bound: steady.goodput(generations),
         counts,
         first_token: measure::first_tokens(&arrived),
         between_tokens,
