--- a/standins/src/load/report.rs
+++ b/standins/src/load/report.rs
@@ -223,8 +223,13 @@
 pub fn write_report(directory: &Path, figures: &LoadFigures) -> io::Result<()> {
     fs::create_dir_all(directory)?;
     let name = format!(
-        "{}-{}-{}-{}-{}",
-        figures.shape, figures.policy, figures.fault, figures.rate_factor, figures.seed
+        "{}-{}-{}-{}-{}-{}",
+        figures.shape,
+        figures.policy,
+        figures.fault,
+        figures.rate_factor,
+        figures.large_factor,
+        figures.seed
     );
     let json = serde_json::to_string_pretty(figures)?;
     fs::write(directory.join(format!("{name}.json")), json)?;
