Name the module reference unambiguously in the docs

Cause: cargo doc with warnings denied failed, since reference is a primitive type as well as a module.

Change: the link says that the module is meant.

Ruled out: renaming the module, which many tests use.

Run: cargo doc -p standins with warnings denied failed before and passes after.

--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Each speaks the wire protocol of its role over HTTP/1.1, records what it
 //! really did and can be told to fail in a given way, by a Rust handle or by
-//! `PUT /control/faults`. [`reference`] computes the right answer naively.
+//! `PUT /control/faults`. [`mod@reference`] computes the right answer naively.
 //! None of this is shipped.
 
 mod batch;
