Wait for grants in the claim tests, and lose every append while one is to be lost

Change: the fleet waits until every host serves both organisations; all appends are lost while the claim's is to be, which is the harder case.

--- a/src/daemon/generate.rs
+++ b/src/daemon/generate.rs
@@ -56,7 +56,7 @@
     let request = AdmissionRequest {
         request: call.request.clone(),
         organisation: call.organisation.clone(),
-        service_time: known_service_time(&core, &estimate),
+        service_time: known_service_time(core, &estimate),
         deadline,
         priority: call.body.priority,
     };
--- a/standins/tests/at_most_once.rs
+++ b/standins/tests/at_most_once.rs
@@ -176,13 +176,16 @@
     for (number, delay_ms) in (0..).zip([0, 900, 0, 1_200, 0, 0, 0]) {
         let key = fresh_key(number);
         faults.update(|faults| match delay_ms {
-            0 => faults.lose_appends = 1,
+            // All of them: hosts append other records beside the claim.
+            0 => faults.lose_appends = u32::MAX,
             _ => faults.delay_ms = delay_ms,
         });
         let request = format!("{key}-lost");
         let told = fleet.settle(fleet.callers(0), &request, &key).await;
+        faults.update(|faults| faults.lose_appends = 0);
         if told.is_answer() {
-            // Another append was lost in its place, such as a time mark.
+            // The delay was too short to be noticed.
+            faults.update(|faults| faults.delay_ms = 0);
             continue;
         }
         given_up += 1;
--- a/standins/tests/claim_fleet/mod.rs
+++ b/standins/tests/claim_fleet/mod.rs
@@ -153,6 +153,27 @@
     }
 }
 
+/// Waits until a host serves both organisations: it holds a part of what each
+/// bought.
+async fn wait_for_grants(host: SocketAddr) -> TestResult {
+    for organisation in [ORGANISATION, OTHER_ORGANISATION] {
+        eventually("the host holds grants", || async {
+            let caller = CallerClient::open(organisation);
+            let body = GenerateBody {
+                model: MODEL.into(),
+                prompt: PROMPT.to_vec(),
+                max_tokens: 1,
+                deadline_ms: Some(GENERATION_DEADLINE_MS),
+                priority: 0,
+                resume: None,
+            };
+            caller.generate(host, "warm-up", &body).await.is_whole()
+        })
+        .await?;
+    }
+    Ok(())
+}
+
 impl ClaimFleet {
     /// Starts entry hosts that know each other.
     pub async fn start(entry_hosts: usize, extra_settings: &str) -> Result<Self, TestError> {
@@ -166,6 +187,7 @@
                 })
             })
             .await?;
+            wait_for_grants(daemon.callers).await?;
         }
         Ok(Self {
             fleet,
@@ -188,6 +210,7 @@
             status.is_ok_and(|status| status.ready && status.applied >= version.applied)
         })
         .await?;
+        wait_for_grants(daemon.callers).await?;
         Ok(daemon)
     }
 
