Divide rates by the minute, and allow two seconds of burst

Cause: of the 4 requests a second that a small organisation has in a zone, a host held 1, 2 or none, and arrivals waited for a bucket of one token: the load tool saw small organisations get 84 to 95% of their answers in time without any fault, with 0.9 to 1.8 s to the first token at p95. Change: shares, grants, demands and the admission bucket count requests a minute; a host may start two seconds of its rate at once after a pause. What was bought stays in requests a second. The tests' rates are scaled by 60 and mean what they meant. The load tool's figures after the change are not taken yet.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -59,7 +59,7 @@
 struct Grant {
   organisation @0 :Text;
   concurrentRequests @1 :UInt32;
-  requestsPerSecond @2 :UInt32;
+  requestsPerMinute @2 :UInt32;
   number @3 :UInt64;
   # Grows with each grant of one holder.
   lapsesAfterMs @4 :UInt64;
--- a/src/admission/bucket.rs
+++ b/src/admission/bucket.rs
@@ -2,11 +2,11 @@
 
 use std::time::{Duration, Instant};
 
-/// Nanoseconds in a second.
-const SECOND: u128 = 1_000_000_000;
+/// Nanoseconds in a minute.
+const MINUTE: u128 = 60_000_000_000;
 
 /// A token bucket in whole numbers, so that long uptimes lose nothing to
-/// rounding: a token is [`SECOND`] parts, and each nanosecond adds `rate` parts.
+/// rounding: a token is [`MINUTE`] parts, and each nanosecond adds `rate` parts.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct TokenBucket {
     rate: u32,
@@ -16,7 +16,7 @@
 }
 
 impl TokenBucket {
-    /// A full bucket that refills with `rate` tokens a second.
+    /// A full bucket that refills with `rate` tokens a minute.
     pub(super) fn new(rate: u32, burst: Duration, now: Instant) -> Self {
         let mut bucket = Self {
             rate,
@@ -33,7 +33,7 @@
     fn capacity(&self) -> u128 {
         match self.rate {
             0 => 0,
-            rate => (u128::from(rate) * self.burst.as_nanos()).max(SECOND),
+            rate => (u128::from(rate) * self.burst.as_nanos()).max(MINUTE),
         }
     }
 
@@ -54,18 +54,18 @@
 
     /// Whether a token is there, as of the last refill.
     pub(super) fn has_token(&self) -> bool {
-        self.parts >= SECOND
+        self.parts >= MINUTE
     }
 
     /// Takes a token, which must be there.
     pub(super) fn take(&mut self) {
         debug_assert!(self.has_token());
-        self.parts = self.parts.saturating_sub(SECOND);
+        self.parts = self.parts.saturating_sub(MINUTE);
     }
 
     /// Time after the last refill until `tokens` are there; `None` if never.
     pub(super) fn time_until(&self, tokens: u64) -> Option<Duration> {
-        let needed = (u128::from(tokens) * SECOND).saturating_sub(self.parts);
+        let needed = (u128::from(tokens) * MINUTE).saturating_sub(self.parts);
         match self.rate {
             _ if needed == 0 => Some(Duration::ZERO),
             0 => None,
--- a/src/admission/commands.rs
+++ b/src/admission/commands.rs
@@ -30,7 +30,7 @@
             .or_insert_with(|| OrganisationState::new(limit, settings, now));
         if state.limit != limit {
             let had_share = !state.has_no_share();
-            state.bucket.set_rate(limit.requests_per_second, now);
+            state.bucket.set_rate(limit.requests_per_minute, now);
             state.limit = limit;
             state.drain.reset();
             state.shareless_since = (had_share && state.has_no_share()).then_some(now);
--- a/src/admission/organisation.rs
+++ b/src/admission/organisation.rs
@@ -34,7 +34,7 @@
     pub(super) fn new(limit: ShareLimit, settings: &AdmissionSettings, now: Instant) -> Self {
         Self {
             limit,
-            bucket: TokenBucket::new(limit.requests_per_second, settings.rate_burst, now),
+            bucket: TokenBucket::new(limit.requests_per_minute, settings.rate_burst, now),
             queue: BTreeMap::new(),
             in_flight: 0,
             drain: DrainRate::default(),
@@ -53,7 +53,7 @@
 
     /// Whether its share lets it start nothing at all.
     pub(super) fn has_no_share(&self) -> bool {
-        self.limit.concurrent_requests == 0 || self.limit.requests_per_second == 0
+        self.limit.concurrent_requests == 0 || self.limit.requests_per_minute == 0
     }
 
     /// Notes an arrival that finds no share. Those that come while others wait
--- a/src/admission/queries.rs
+++ b/src/admission/queries.rs
@@ -1,11 +1,14 @@
 //! Reading the table.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::ids::OrganisationId;
 
 use super::{AdmissionTable, ShareLimit};
 
+/// Time over which rates are told.
+const MINUTE: Duration = Duration::from_secs(60);
+
 impl AdmissionTable {
     /// Organisations that have a share here, by name.
     pub fn organisations(&self) -> impl Iterator<Item = &OrganisationId> {
@@ -37,14 +40,14 @@
     }
 
     /// Requests of an organisation that arrived within one of the last
-    /// windows, scaled to a second: the rate that it wants on this host.
+    /// windows, scaled to a minute: the rate that it wants on this host.
     pub fn wanted_rate(&self, organisation: &OrganisationId, now: Instant) -> u32 {
         let Some(state) = self.organisations.get(organisation) else {
             return 0;
         };
         let window = self.settings.demand_window;
         let arrived = f64::from(state.arrivals.peak(window, now));
-        (arrived / window.as_secs_f64()).ceil() as u32
+        (arrived * MINUTE.as_secs_f64() / window.as_secs_f64()).ceil() as u32
     }
 
     /// Requests of an organisation that run.
--- a/src/admission/ticket.rs
+++ b/src/admission/ticket.rs
@@ -49,8 +49,8 @@
 pub struct ShareLimit {
     /// Requests in flight at once.
     pub concurrent_requests: u32,
-    /// Requests started per second.
-    pub requests_per_second: u32,
+    /// Requests started per minute.
+    pub requests_per_minute: u32,
 }
 
 /// How a started request ended.
--- a/src/daemon/in_force.rs
+++ b/src/daemon/in_force.rs
@@ -54,10 +54,7 @@
     let mut bought = BTreeMap::new();
     for entry in declarations.list(ResourceKind::Organisation) {
         if let ResourceSpec::Organisation(spec) = &entry.resource.spec {
-            let units = ShareUnits {
-                concurrent_requests: spec.capacity.concurrent_requests,
-                requests_per_second: spec.capacity.requests_per_second,
-            };
+            let units = ShareUnits::from(spec.capacity);
             bought.insert(OrganisationId::clone(entry.name), units);
         }
     }
--- a/src/daemon/sharing.rs
+++ b/src/daemon/sharing.rs
@@ -34,6 +34,8 @@
 const SPLIT_INTERVAL: Duration = Duration::from_secs(2);
 /// Records after which the stream gets a checkpoint.
 const CHECKPOINT_RECORDS: u64 = 2_000;
+/// Requests a minute that a host asks for while something waits there.
+const LEAST_RATE: u32 = 60;
 /// Longest time for which writing a split may take effect.
 const LONGEST_APPEND: Duration = Duration::from_secs(2);
 /// Most records in one read of the log.
@@ -207,7 +209,7 @@
                 waiting,
                 // What has waited for longer than rates are counted over still
                 // needs some rate to start.
-                wanted_rate: wanted_rate.max(waiting.min(1)),
+                wanted_rate: wanted_rate.max(waiting.min(LEAST_RATE)),
             };
             (organisation.clone(), usage)
         })
@@ -367,7 +369,7 @@
         let units = shares_desk.shares.limit(&organisation, now);
         let limit = ShareLimit {
             concurrent_requests: units.concurrent_requests,
-            requests_per_second: units.requests_per_second,
+            requests_per_minute: units.requests_per_minute,
         };
         desk.table.set_share(organisation, limit, now);
     }
--- a/src/daemon/spawn.rs
+++ b/src/daemon/spawn.rs
@@ -41,6 +41,9 @@
 use crate::shares::{GrantHolder, GrantSettings, ZoneShares};
 use crate::target::client::{TargetClient, TargetTimeouts};
 
+/// Seconds of its rate that an organisation may start at once on a host after
+/// a pause. Arrivals on one of many hosts are few and uneven.
+const RATE_BURST: Duration = Duration::from_secs(2);
 /// How long requests may wait for a first grant: a few reports and their
 /// answers, since another host may have to give up first what is to come.
 const SHARE_GRACE: Duration = Duration::from_secs(3);
@@ -324,6 +327,7 @@
     let admission = AdmissionSettings {
         queue_length: options.limits.max_queued_per_organisation,
         share_grace: SHARE_GRACE,
+        rate_burst: RATE_BURST,
         ..AdmissionSettings::default()
     };
     let ejection = &options.retries.ejection;
--- a/src/peer/convert.rs
+++ b/src/peer/convert.rs
@@ -228,7 +228,7 @@
         let mut entry = list.reborrow().get(index);
         entry.set_organisation(&*grant.organisation);
         entry.set_concurrent_requests(grant.concurrent_requests);
-        entry.set_requests_per_second(grant.requests_per_second);
+        entry.set_requests_per_minute(grant.requests_per_minute);
         entry.set_number(grant.number);
         entry.set_lapses_after_ms(grant.lapse.map_or(0, milliseconds));
     }
@@ -242,7 +242,7 @@
             Ok(PeerGrant {
                 organisation: text(entry.get_organisation())?,
                 concurrent_requests: entry.get_concurrent_requests(),
-                requests_per_second: entry.get_requests_per_second(),
+                requests_per_minute: entry.get_requests_per_minute(),
                 number: entry.get_number(),
                 lapse: match entry.get_lapses_after_ms() {
                     0 => None,
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -65,11 +65,11 @@
     pub in_flight: u32,
     /// Requests waiting in the organisation's queue.
     pub waiting: u32,
-    /// Requests per second asked of the host over the last seconds.
+    /// Requests per minute asked of the host over the last seconds.
     pub wanted_rate: u32,
     /// Concurrent requests that the host may use until told otherwise.
     pub held_grant: u32,
-    /// Requests per second that the host may start until told otherwise.
+    /// Requests per minute that the host may start until told otherwise.
     pub held_rate: u32,
     /// Number of the last grant taken in.
     pub grant_number: u64,
@@ -84,8 +84,8 @@
     pub organisation: OrganisationId,
     /// Requests in flight at once.
     pub concurrent_requests: u32,
-    /// Requests started per second.
-    pub requests_per_second: u32,
+    /// Requests started per minute.
+    pub requests_per_minute: u32,
     /// Grows with each grant of one holder.
     pub number: u64,
     /// Time after which it ends unless renewed, counted from when the host
--- a/src/peer_capnp.rs
+++ b/src/peer_capnp.rs
@@ -1784,7 +1784,7 @@
             self.reader.get_data_field::<u32>(0)
         }
         #[inline]
-        pub fn get_requests_per_second(self) -> u32 {
+        pub fn get_requests_per_minute(self) -> u32 {
             self.reader.get_data_field::<u32>(1)
         }
         #[inline]
@@ -1874,11 +1874,11 @@
             self.builder.set_data_field::<u32>(0, value);
         }
         #[inline]
-        pub fn get_requests_per_second(self) -> u32 {
+        pub fn get_requests_per_minute(self) -> u32 {
             self.builder.get_data_field::<u32>(1)
         }
         #[inline]
-        pub fn set_requests_per_second(&mut self, value: u32)  {
+        pub fn set_requests_per_minute(&mut self, value: u32)  {
             self.builder.set_data_field::<u32>(1, value);
         }
         #[inline]
@@ -1981,8 +1981,8 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 113, 117, 101, 115, 116, 115),
-            ::capnp::word(80, 101, 114, 83, 101, 99, 111, 110),
-            ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(80, 101, 114, 77, 105, 110, 117, 116),
+            ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
--- a/src/shares/grant_answer.rs
+++ b/src/shares/grant_answer.rs
@@ -58,7 +58,7 @@
         Some(PeerGrant {
             organisation,
             concurrent_requests: units.concurrent_requests,
-            requests_per_second: units.requests_per_second,
+            requests_per_minute: units.requests_per_minute,
             number: grant.number,
             lapse: (!stays).then_some(lapse),
         })
@@ -107,13 +107,13 @@
         let hosts = u32::try_from(self.fresh_entries(now).count()).unwrap_or(u32::MAX);
         let one_each = ShareUnits {
             concurrent_requests: hosts,
-            requests_per_second: hosts,
+            requests_per_minute: hosts,
         };
         let has_enough = one_each.is_within(self.limit(organisation, now));
         let nobody_short = self.fresh_entries(now).all(|(_, entry)| {
             let granted = entry.grants.get(organisation).map(|other| other.granted);
             let granted = granted.unwrap_or_default();
-            let has_some = granted.concurrent_requests > 0 && granted.requests_per_second > 0;
+            let has_some = granted.concurrent_requests > 0 && granted.requests_per_minute > 0;
             entry.want(organisation).is_within(granted) && (has_some || !has_enough)
         });
         let nothing_idle = self
@@ -147,10 +147,10 @@
             return ShareUnits::NONE;
         };
         let concurrent: Vec<_> = wants.iter().map(|want| want.concurrent_requests).collect();
-        let rates: Vec<_> = wants.iter().map(|want| want.requests_per_second).collect();
+        let rates: Vec<_> = wants.iter().map(|want| want.requests_per_minute).collect();
         ShareUnits::new(
             divide(available.concurrent_requests, &concurrent)[index],
-            divide(available.requests_per_second, &rates)[index],
+            divide(available.requests_per_minute, &rates)[index],
         )
     }
 
--- a/src/shares/grant_user.rs
+++ b/src/shares/grant_user.rs
@@ -14,7 +14,7 @@
     pub in_flight: u32,
     /// Requests waiting in the queue.
     pub waiting: u32,
-    /// Requests per second asked for over the last seconds.
+    /// Requests per minute asked for over the last seconds.
     pub wanted_rate: u32,
 }
 
@@ -119,7 +119,7 @@
             // Requests in flight above a lowered grant still take up capacity;
             // it is given up only as they end.
             held_grant: granted.concurrent_requests.max(usage.in_flight),
-            held_rate: granted.requests_per_second,
+            held_rate: granted.requests_per_minute,
             grant_number: grant.map_or(0, |grant| grant.number),
             grant_lease: grant.map(|grant| grant.lease),
         }
@@ -161,7 +161,7 @@
         let before = known.map(|known| known.units).unwrap_or_default();
         let units = match self.is_handed_back {
             true => ShareUnits::NONE,
-            false => ShareUnits::new(grant.concurrent_requests, grant.requests_per_second),
+            false => ShareUnits::new(grant.concurrent_requests, grant.requests_per_minute),
         };
         let held = HeldGrant {
             lease,
--- a/src/shares/split.rs
+++ b/src/shares/split.rs
@@ -15,7 +15,7 @@
             let part = |all: u32| all / count + u32::from(index < all % count);
             let units = ShareUnits::new(
                 part(bought.concurrent_requests),
-                part(bought.requests_per_second),
+                part(bought.requests_per_minute),
             );
             (zone.clone(), units)
         })
--- a/src/shares/units.rs
+++ b/src/shares/units.rs
@@ -8,13 +8,17 @@
 use crate::admission::ShareLimit;
 use crate::resources::CapacitySpec;
 
+/// Seconds in a minute.
+pub(crate) const MINUTE_SECONDS: u32 = 60;
+
 /// An amount of both kinds of capacity; operations work on each kind apart.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct ShareUnits {
     /// Requests in flight at once.
     pub concurrent_requests: u32,
-    /// Requests started per second.
-    pub requests_per_second: u32,
+    /// Requests started per minute: a second's worth of a small organisation
+    /// does not divide over the hosts of a zone.
+    pub requests_per_minute: u32,
 }
 
 impl ShareUnits {
@@ -22,10 +26,10 @@
     pub const NONE: Self = Self::new(0, 0);
 
     /// An amount.
-    pub const fn new(concurrent_requests: u32, requests_per_second: u32) -> Self {
+    pub const fn new(concurrent_requests: u32, requests_per_minute: u32) -> Self {
         Self {
             concurrent_requests,
-            requests_per_second,
+            requests_per_minute,
         }
     }
 
@@ -52,7 +56,7 @@
     {
         Self {
             concurrent_requests: combine(self.concurrent_requests, other.concurrent_requests),
-            requests_per_second: combine(self.requests_per_second, other.requests_per_second),
+            requests_per_minute: combine(self.requests_per_minute, other.requests_per_minute),
         }
     }
 }
@@ -86,7 +90,10 @@
 
 impl From<CapacitySpec> for ShareUnits {
     fn from(capacity: CapacitySpec) -> Self {
-        Self::new(capacity.concurrent_requests, capacity.requests_per_second)
+        Self::new(
+            capacity.concurrent_requests,
+            capacity.requests_per_second.saturating_mul(MINUTE_SECONDS),
+        )
     }
 }
 
@@ -94,7 +101,7 @@
     fn from(units: ShareUnits) -> Self {
         Self {
             concurrent_requests: units.concurrent_requests,
-            requests_per_second: units.requests_per_second,
+            requests_per_minute: units.requests_per_minute,
         }
     }
 }
--- a/standins/src/slopes/pure.rs
+++ b/standins/src/slopes/pure.rs
@@ -130,7 +130,7 @@
     let mut table = AdmissionTable::new(AdmissionSettings::default(), 1);
     let limit = ShareLimit {
         concurrent_requests: 1_000,
-        requests_per_second: 1_000_000,
+        requests_per_minute: 60_000_000,
     };
     for number in 0..organisations {
         table.set_share(organisation(number), limit, now);
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -17,7 +17,7 @@
 fn share(concurrent_requests: u32) -> ShareLimit {
     ShareLimit {
         concurrent_requests,
-        requests_per_second: 1_000_000,
+        requests_per_minute: 60_000_000,
     }
 }
 
@@ -207,7 +207,7 @@
     assert_eq!(table.next_tick(), Some(deadline - SERVICE));
     let rate = ShareLimit {
         concurrent_requests: 5,
-        requests_per_second: 1,
+        requests_per_minute: 60,
     };
     table.set_share(OrganisationId::from("b"), rate, now);
     table.set_capacity(9);
@@ -290,7 +290,7 @@
     let organisation: OrganisationId = "desk".into();
     let share = |units: u32| ShareLimit {
         concurrent_requests: units,
-        requests_per_second: units * 100,
+        requests_per_minute: units * 6_000,
     };
     let request = |name: &str, now: Instant| AdmissionRequest {
         request: name.into(),
--- a/tests/admission_compare.rs
+++ b/tests/admission_compare.rs
@@ -74,7 +74,7 @@
             // the limit is above it.
             let limit = ShareLimit {
                 concurrent_requests: *share * 3 / 2,
-                requests_per_second: 1_000,
+                requests_per_minute: 60_000,
             };
             table.set_share(organisation.to_string().into(), limit, start);
         }
--- a/tests/admission_model.rs
+++ b/tests/admission_model.rs
@@ -13,8 +13,8 @@
 use proptest::test_runner::RngSeed;
 
 const ORGANISATIONS: usize = 3;
-/// Parts of a token; a nanosecond earns as many as the rate a second.
-const TOKEN: u128 = 1_000_000_000;
+/// Parts of a token; a nanosecond earns as many as the rate a minute.
+const TOKEN: u128 = 60 * 1_000_000_000;
 
 #[derive(Debug, Clone)]
 enum Event {
@@ -188,7 +188,7 @@
         let history = &self.histories[organisation];
         let limit = history.limit?;
         let needed = ((ahead as u128 + 1) * TOKEN).saturating_sub(history.parts(now));
-        let by_rate = match limit.requests_per_second {
+        let by_rate = match limit.requests_per_minute {
             _ if needed == 0 => Duration::ZERO,
             0 => return None,
             rate => Duration::from_nanos(needed.div_ceil(u128::from(rate)) as u64),
@@ -274,7 +274,7 @@
         let known = self.histories[organisation].limit.is_some();
         let reason = match () {
             () if known && now >= request.deadline => DeadlinePassed,
-            () if limit.concurrent_requests == 0 || limit.requests_per_second == 0 => {
+            () if limit.concurrent_requests == 0 || limit.requests_per_minute == 0 => {
                 CapacityUsedUp
             }
             () if late => DeadlineUnreachable,
@@ -316,7 +316,7 @@
         let limit = self.limit(self.of(request));
         let reason = match () {
             () if now >= request.deadline => DeadlinePassed,
-            () if limit.concurrent_requests == 0 || limit.requests_per_second == 0 => {
+            () if limit.concurrent_requests == 0 || limit.requests_per_minute == 0 => {
                 CapacityUsedUp
             }
             () => DeadlineUnreachable,
@@ -390,7 +390,7 @@
         let history = &mut self.histories[organisation];
         if history.limit != Some(limit) {
             history.limit = Some(limit);
-            history.tokens.push((now, Some(limit.requests_per_second)));
+            history.tokens.push((now, Some(limit.requests_per_minute)));
             history.ends.clear();
             history.pressed = false;
         }
@@ -438,10 +438,10 @@
     for (number, (gap, event)) in events.into_iter().enumerate() {
         now += Duration::from_millis(gap);
         match event {
-            Event::Share(organisation, concurrent_requests, requests_per_second) => {
+            Event::Share(organisation, concurrent_requests, requests_per_minute) => {
                 let limit = ShareLimit {
                     concurrent_requests,
-                    requests_per_second,
+                    requests_per_minute: 60 * requests_per_minute,
                 };
                 table.set_share(name(organisation), limit, now);
                 naive.set_share(organisation, limit, now);
--- a/tests/peer_rpc.rs
+++ b/tests/peer_rpc.rs
@@ -65,7 +65,7 @@
     PeerGrant {
         organisation: name.into(),
         concurrent_requests: 9,
-        requests_per_second: 8,
+        requests_per_minute: 8,
         number: 7,
         lapse: Some(Duration::from_millis(1500)),
     }
--- a/tests/shares_support/mod.rs
+++ b/tests/shares_support/mod.rs
@@ -263,7 +263,7 @@
         let part = |all: u32| all * first_zone / 4;
         let near = ShareUnits::new(
             part(BOUGHT.concurrent_requests),
-            part(BOUGHT.requests_per_second),
+            part(BOUGHT.requests_per_minute),
         );
         let known = self
             .log
