Tell a refused repeat the end that its own host knows

A repeat that was refused for want of room just after the first request had ended was told MayHaveRun: the claim was still held, since the outcome had not come back from the log, although this host had answered the first itself. Seen once in three runs of a_repeat_is_not_refused_as_not_run_after_its_request_ran.

A held claim of this host is now answered with the end that the host noted, before the log shows it.

--- a/src/daemon/claims/desk.rs
+++ b/src/daemon/claims/desk.rs
@@ -12,7 +12,6 @@
 use crate::claims::window::ClaimWindow;
 use crate::collections::FastMap;
 use crate::ids::{RecordId, RequestId};
-use crate::verdict::RunVerdict;
 
 /// How long an ended request is remembered for hosts that ask about it. Later
 /// they find its outcome in the log.
@@ -144,14 +143,9 @@
             .next()
     }
 
-    /// Whether a claim of this host ended without a dispatch, though the log
-    /// may not show it yet.
-    pub(super) fn was_not_run(&self, claim: &RecordId) -> bool {
-        let outcome = self.outcome_of(claim);
-        outcome.is_some_and(|watched| {
-            let verdict = watched.borrow().as_ref().map(|outcome| outcome.verdict);
-            verdict == Some(RunVerdict::NotRun)
-        })
+    /// How a claim of this host ended, though the log may not show it yet.
+    pub(super) fn own_end(&self, claim: &RecordId) -> Option<ClaimOutcome> {
+        self.outcome_of(claim)?.borrow().clone()
     }
 
     /// Claims whose request has not ended, or whose end the log does not show.
--- a/src/daemon/claims/reply.rs
+++ b/src/daemon/claims/reply.rs
@@ -29,11 +29,15 @@
     subject: &ClaimSubject,
 ) -> Option<ClaimAnswer> {
     let desk = core.tables.claims.lock();
-    match desk.table.look_up(&subject.name(), &subject.fingerprint) {
-        KeyState::Ended(outcome) => Some(ClaimAnswer::Known(outcome)),
-        KeyState::Held(holder) if desk.was_not_run(&holder.claim) => None,
-        KeyState::Held(_) => Some(ClaimAnswer::Unknown),
-        KeyState::Free | KeyState::Mismatched => None,
+    let outcome = match desk.table.look_up(&subject.name(), &subject.fingerprint) {
+        KeyState::Ended(outcome) => Some(outcome),
+        KeyState::Held(holder) => desk.own_end(&holder.claim),
+        KeyState::Free | KeyState::Mismatched => return None,
+    };
+    match outcome {
+        Some(outcome) if outcome.verdict == RunVerdict::NotRun => None,
+        Some(outcome) => Some(ClaimAnswer::Known(outcome)),
+        None => Some(ClaimAnswer::Unknown),
     }
 }
 
