Wait until a cut-off host hears nobody before it must go on serving

Cause: the test of the cut-off zone looked at the host for five seconds after the cut, while its peers still counted as heard.

Change: the test waits until the host's own view names every other host as out of reach, and looks for a second from there on.

--- a/standins/tests/configuration.rs
+++ b/standins/tests/configuration.rs
@@ -463,10 +463,16 @@
         .for_each(|host| host.from_peers.set(LinkState::Cut));
     let unheard = hosts[1].declare("desk", 3).await?;
     hosts[2].serves(&desk, unheard).await?;
-    for _ in 0..100 {
+    let hears_nobody = || async {
+        assert!(hosts[0].is_ready().await, "stopped serving");
+        let view = operator::read::<ForceView>(hosts[0].operators, "/v1/force").await;
+        view.is_ok_and(|view| view.hosts.iter().filter(|host| host.reachable).count() == 1)
+    };
+    eventually("the cut-off host hears nobody", hears_nobody).await?;
+    for _ in 0..50 {
         assert!(hosts[0].is_ready().await, "stopped serving");
         assert_eq!(hosts[0].version(&desk).await, Some(by_peers));
-        tokio::time::sleep(Duration::from_millis(50)).await;
+        tokio::time::sleep(Duration::from_millis(20)).await;
     }
     hosts
         .iter()
