--- /dev/null
+++ b/standins/tests/configuration_hosts.rs
@@ -0,0 +1,327 @@
+//! Configuration comes to be in force on every host and is never reverted,
+//! whatever becomes of hosts and links.
+
+mod support;
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use http::{Method, StatusCode};
+use jackdawwick::api::wire::{ForceView, GenerateBody, RefusalBody};
+use jackdawwick::cli::judge_force;
+use jackdawwick::platform::wire::{HostList, ListedHost, ListedPhase};
+use jackdawwick::reason::RefusalReason;
+use jackdawwick::records::DECLARATION_STREAM;
+use jackdawwick::verdict::RunVerdict;
+use standins::caller::CallerClient;
+use standins::declarations::{self, StageLayout, StageTarget};
+use standins::engine::{EngineServer, EngineSettings};
+use standins::{operator, reference};
+use support::configuration::*;
+use support::forwarder::{LinkState, TestLink};
+use support::hosts::{ForceWatcher, TestHost, accepted, organisation};
+use support::{TestError, TestResult, eventually};
+
+const MODEL: &str = "drafter";
+const LAYERS: u32 = 4;
+const TOKENS: u64 = 60;
+
+fn generation() -> GenerateBody {
+    GenerateBody {
+        model: MODEL.into(),
+        prompt: vec![3, 1, 4],
+        max_tokens: TOKENS,
+        deadline_ms: None,
+        priority: 0,
+        resume: None,
+    }
+}
+
+// Symptom: an old configuration is back, or a deleted resource.
+// Events: the log keeps few records and never stops changing, while every
+// host is replaced, twice. Cause: a new host takes an old checkpoint for the
+// whole state, or goes on behind a checkpoint and loses what lies between.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn configuration_outlives_its_records_and_all_its_hosts() -> TestResult {
+    let platform = start_platform(24).await?;
+    let watcher = ForceWatcher::spawn();
+    let mut hosts = Vec::from(start_hosts(platform.local_addr()).await?);
+    let kept = hosts[0].declare("kept", 7).await?;
+    let gone = hosts[0].declare("gone", 7).await?;
+    let deletion = operator::delete(hosts[0].operators, &key("gone"), gone).await?;
+    let deletion = accepted(&deletion)?;
+    all_serve(&hosts, &key("kept"), kept).await?;
+    let (mut version, mut based_on) = (deletion, None);
+    for round in 0_u32..6 {
+        let seeds: Vec<&TestHost> = hosts.iter().collect();
+        let name = format!("successor-{round}");
+        let next = TestHost::start(&name, "vake", platform.local_addr(), &seeds).await?;
+        hosts.push(next);
+        for change in 0..10 {
+            let host = &hosts[change as usize % hosts.len()];
+            let changed = organisation("desk", 10 * round + change + 1);
+            let reply = operator::apply(host.operators, &changed, based_on).await?;
+            version = accepted(&reply)?;
+            based_on = Some(version);
+        }
+        all_serve(&hosts, &key("desk"), version).await?;
+        all_serve(&hosts, &key("kept"), kept).await?;
+        watcher.in_force(&key("desk"), version, false);
+        watcher.in_force(&key("kept"), kept, false);
+        watcher.in_force(&key("gone"), deletion, true);
+        hosts
+            .iter()
+            .skip(hosts.len() - 1)
+            .for_each(|host| watcher.add(host));
+        hosts.remove(0).shutdown().await;
+    }
+    let horizon = platform.record(DECLARATION_STREAM).len() as u64 - 24;
+    assert!(
+        deletion < horizon,
+        "{deletion} is still kept from {horizon} on"
+    );
+    // Without peers a new host has the log alone. Its zone is one whose shares
+    // somebody divides: with expired lease records it could begin to do so
+    // itself only after the longest lease, and is not ready before.
+    let alone = TestHost::start("alone", "vake", platform.local_addr(), &[]).await?;
+    watcher.add(&alone);
+    alone.serves(&key("desk"), version).await?;
+    alone.serves(&key("kept"), kept).await?;
+    assert_eq!(alone.version(&key("gone")).await, None);
+    watcher.finish()
+}
+
+// Symptom: a host that starts during an outage serves an old configuration,
+// or none, to callers. Events: the platform is down; a new host hears first
+// of a peer that has been cut off for long, or of no peer at all.
+// Cause: it takes work as soon as it holds anything.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_host_started_during_an_outage_waits_for_the_newest_state() -> TestResult {
+    let platform = start_platform(u64::MAX).await?;
+    let link = TestLink::bind().await?;
+    link.lead_to(platform.local_addr());
+    let old = TestHost::start("old", "vake", link.address, &[]).await?;
+    let new = TestHost::start("new", "vake", platform.local_addr(), &[]).await?;
+    let before = new.declare("desk", 1).await?;
+    old.serves(&key("desk"), before).await?;
+    link.set(LinkState::Cut);
+    let after = new.declare("desk", 2).await?;
+    platform.faults().update(|faults| faults.outage = true);
+
+    new.from_peers.set(LinkState::Held);
+    let patient = "peer_timeout = \"50s\"";
+    let seeds = [&old, &new];
+    let started = TestHost::start_with("a", "vake", platform.local_addr(), &seeds, patient).await?;
+    let lone = TestHost::start("b", "didube", platform.local_addr(), &[]).await?;
+    eventually("the old state has come", || async {
+        started.version(&key("desk")).await == Some(before)
+    })
+    .await?;
+    for _ in 0..20 {
+        assert!(!started.is_ready().await, "takes work on the old state");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    new.from_peers.set(LinkState::Open);
+    started.serves(&key("desk"), after).await?;
+
+    let reply = operator::apply(lone.operators, &organisation("b", 1), None).await?;
+    assert_eq!(reply.json::<RefusalBody>()?.verdict, RunVerdict::NotRun);
+    let ready = standins::json_client::call(Method::GET, lone.callers, "/readyz", &()).await?;
+    assert_eq!(ready.status, StatusCode::SERVICE_UNAVAILABLE);
+    // Without configuration it knows no organisation either; a caller that
+    // was told so would not come back.
+    let caller = CallerClient::open("desk");
+    let answer = caller.generate(lone.callers, "early", &generation()).await;
+    let refusal = answer.refused().ok_or("no refusal")?;
+    assert_eq!(refusal.reason, RefusalReason::NotReady);
+    assert_eq!(refusal.verdict, RunVerdict::NotRun);
+    platform.faults().update(|faults| faults.outage = false);
+    lone.serves(&key("desk"), after).await
+}
+
+// Symptom: a zone keeps an old configuration for as long as the platform is
+// out of its reach, or stops serving, or goes back after the rejoin.
+// Events: the zone loses the platform, then also its peers, then has them back.
+// Cause: the log is the only way for records, or what is unknown counts as new.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_zone_cut_off_follows_by_its_peers_or_keeps_what_it_has() -> TestResult {
+    let platform = start_platform(u64::MAX).await?;
+    let link = TestLink::bind().await?;
+    link.lead_to(platform.local_addr());
+    let cut = TestHost::start("cut", "anfa", link.address, &[]).await?;
+    let near = TestHost::start("near", "sidi", platform.local_addr(), &[&cut]).await?;
+    let far = TestHost::start("far", "sidi", platform.local_addr(), &[&cut, &near]).await?;
+    let hosts = [cut, near, far];
+    let watcher = ForceWatcher::spawn();
+    hosts.iter().for_each(|host| watcher.add(host));
+    let desk = key("desk");
+    let first = hosts[1].declare("desk", 1).await?;
+    all_serve(&hosts, &desk, first).await?;
+    watcher.in_force(&desk, first, false);
+
+    link.set(LinkState::Cut);
+    let mut by_peers = first;
+    // Heard by their own calls, one peer after the other does not answer.
+    for mute in [&hosts[1], &hosts[2]] {
+        mute.from_peers.set(LinkState::Cut);
+        by_peers = hosts[1].declare("desk", 2).await?;
+        all_serve(&hosts, &desk, by_peers).await?;
+        watcher.in_force(&desk, by_peers, false);
+        mute.from_peers.set(LinkState::Open);
+    }
+    let [_, wrong] = right_and_wrong(&platform)?;
+    append(&platform, checkpoint("wrong", &wrong)?).await?;
+    let told = || async { metric(&hosts[0], DIFFERING).await == Some(1) };
+    eventually("the cut-off host tells of the wrong checkpoint", told).await?;
+
+    hosts
+        .iter()
+        .for_each(|host| host.from_peers.set(LinkState::Cut));
+    let unheard = hosts[1].declare("desk", 3).await?;
+    hosts[2].serves(&desk, unheard).await?;
+    let hears_nobody = || async {
+        assert!(hosts[0].is_ready().await, "stopped serving");
+        let view = operator::read::<ForceView>(hosts[0].operators, "/v1/force").await;
+        view.is_ok_and(|view| view.hosts.iter().filter(|host| host.reachable).count() == 1)
+    };
+    eventually("the cut-off host hears nobody", hears_nobody).await?;
+    for _ in 0..50 {
+        assert!(hosts[0].is_ready().await, "stopped serving");
+        assert_eq!(hosts[0].version(&desk).await, Some(by_peers));
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    hosts
+        .iter()
+        .for_each(|host| host.from_peers.set(LinkState::Open));
+    all_serve(&hosts, &desk, unheard).await?;
+    watcher.in_force(&desk, unheard, false);
+    link.set(LinkState::Open);
+    let last = hosts[0].declare("desk", 4).await?;
+    all_serve(&hosts, &desk, last).await?;
+    watcher.finish()
+}
+
+// Symptom: `watch` never ends, or ends while a host is behind.
+// Events: a fleet of 8 hosts in 3 zones, in which a host hears only 2 hosts of
+// each other zone; a host is restarted again and again under its name.
+// Cause: what is not heard directly counts as unreachable for ever; or a new
+// incarnation is taken for an old one and not listened to.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn the_view_of_what_is_in_force_comes_to_name_every_host() -> TestResult {
+    let platform = start_platform(u64::MAX).await?;
+    let address = platform.local_addr();
+    let mut hosts: Vec<TestHost> = Vec::new();
+    for (zone, count) in [("vake", 3), ("saburtalo", 3), ("didube", 2)] {
+        for number in 1..=count {
+            let seeds: Vec<&TestHost> = hosts.iter().collect();
+            let name = format!("{zone}-{number}");
+            hosts.push(TestHost::start(&name, zone, address, &seeds).await?);
+        }
+    }
+    for round in 1..=6 {
+        platform.set_hosts(host_list(&hosts));
+        let version = hosts[round as usize % 8].declare("desk", round).await?;
+        for host in &hosts {
+            let what = format!("{} sees version {version} in force on 8 hosts", host.name);
+            eventually(&what, || async {
+                let view = operator::read::<ForceView>(host.operators, "/v1/force").await;
+                view.is_ok_and(|view| view.hosts.len() == 8 && judge_force(&view, version + 1).done)
+            })
+            .await?;
+        }
+        for host in &hosts {
+            assert!(
+                host.version(&key("desk")).await >= Some(version),
+                "{}",
+                host.name
+            );
+        }
+        let old = hosts.remove(0);
+        let (name, zone) = (old.name.clone(), old.zone.clone());
+        old.shutdown().await;
+        let seeds: Vec<&TestHost> = hosts.iter().collect();
+        hosts.insert(0, TestHost::start(&name, &zone, address, &seeds).await?);
+    }
+    Ok(())
+}
+
+fn host_list(hosts: &[TestHost]) -> HostList {
+    let listed = hosts.iter().map(|host| ListedHost {
+        host: host.name.as_str().into(),
+        zone: host.zone.as_str().into(),
+        peer_address: host.from_peers.address.to_string(),
+        phase: ListedPhase::Live,
+    });
+    HostList {
+        hosts: listed.collect(),
+        targets: Vec::new(),
+    }
+}
+
+// Symptom: callers' streams break whenever an operator changes something.
+// Events: the engine, model and organisation of a running stream are declared
+// anew while it runs, and the platform goes down. Cause: tables are built
+// anew and lose what is in flight.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_stream_goes_on_over_changes_of_what_serves_it() -> TestResult {
+    let platform = start_platform(u64::MAX).await?;
+    let hosts = start_hosts(platform.local_addr()).await?;
+    let settings = EngineSettings {
+        step_time: Duration::from_millis(15),
+        ..EngineSettings::new(MODEL, declarations::VERSION, LAYERS, 0, LAYERS - 1)
+    };
+    let engine = EngineServer::bind(any_port(), settings).await?;
+    let target = |tokens_per_second: f64| StageTarget {
+        name: "engine-1".to_owned(),
+        zone: "vake".into(),
+        address: engine.local_addr(),
+        tokens_per_second,
+        concurrency: 4,
+    };
+    let stages = |rate: f64| {
+        [StageLayout {
+            first_layer: 0,
+            last_layer: LAYERS - 1,
+            targets: vec![target(rate)],
+        }]
+    };
+    let declared = declarations::pipeline(MODEL, &stages(100.0));
+    operator::declare_all(hosts[0].operators, &declared).await?;
+    let version = hosts[0].declare("desk", 100).await?;
+    all_serve(&hosts, &key("desk"), version).await?;
+    let body = generation();
+    let caller = CallerClient::open("desk");
+    let ended = AtomicBool::new(false);
+    let changes = async {
+        let mut made = 0;
+        while !ended.load(Ordering::Relaxed) {
+            let rate = 100.0 + f64::from(made);
+            let changed = declarations::pipeline(MODEL, &stages(rate));
+            operator::declare_all(hosts[1].operators, &changed).await?;
+            hosts[2].declare("desk", 100 + made).await?;
+            made += 1;
+        }
+        platform.faults().update(|faults| faults.outage = true);
+        Ok::<_, TestError>(made)
+    };
+    let stream = async {
+        let answer = caller.generate(hosts[0].callers, "long", &body).await;
+        ended.store(true, Ordering::Relaxed);
+        answer
+    };
+    let (answer, made) = tokio::join!(stream, changes);
+    let right = reference::generate(
+        MODEL,
+        declarations::VERSION,
+        LAYERS,
+        &body.prompt,
+        TOKENS as usize,
+    );
+    assert!(answer.is_whole(), "{answer:?}");
+    assert_eq!(answer.tokens(), right);
+    assert!(made? > 0, "nothing changed while the stream ran");
+    // The platform is down by now; the configuration stays in force.
+    let answer = caller.generate(hosts[0].callers, "after", &body).await;
+    assert_eq!(answer.tokens(), right);
+    Ok(())
+}
--- a/standins/tests/support/mod.rs
+++ b/standins/tests/support/mod.rs
@@ -6,6 +6,7 @@
     reason = "each test file uses a part of it"
 )]
 
+pub mod configuration;
 pub mod forwarder;
 pub mod hosts;
 
