Send idempotency keys that carry their time from the demo and the load tool

Cause: keys must be UUIDs of version 7, and both programs made up names.

Change: both make such keys. The report says how many requests with a key were answered and how many went to two hosts, so that a pass on none of them shows.

Ruled out: failing the run on refusals alone, which are rightful under faults.

--- a/standins/src/bin/demo.rs
+++ b/standins/src/bin/demo.rs
@@ -4,11 +4,11 @@
 #![allow(clippy::print_stdout, reason = "a demo talks to whoever runs it")]
 
 use std::process::ExitCode;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use clap::{Arg, ArgAction, Command};
 use jackdawwick::api::wire::{ExplainView, GenerateBody};
-use standins::caller::{CallerClient, HeardAnswer, OutgoingCall, token_of};
+use standins::caller::{CallerClient, HeardAnswer, OutgoingCall, new_key, token_of};
 use standins::check::{CallHistory, GenerationHistory, RunHistory, check_all};
 use standins::declarations::VERSION;
 use standins::fleet::{Fleet, FleetDaemon, FleetLayout};
@@ -20,6 +20,8 @@
 const TOKENS: u64 = 24;
 /// Stage whose target is killed.
 const KILLED_STAGE: usize = 1;
+/// Random part of the one idempotency key; a real caller draws it.
+const KEY_RANDOM: [u8; 10] = [7; 10];
 /// Bound on waiting for the run to get half-way.
 const PATIENCE: Duration = Duration::from_secs(10);
 
@@ -131,10 +133,11 @@
 async fn call_service(fleet: &Fleet) -> Result<CallHistory, CallError> {
     let service = &fleet.layout.service;
     let caller = CallerClient::open(ORGANISATION);
+    let key = new_key(SystemTime::now(), KEY_RANDOM);
     let call = OutgoingCall {
         path: &format!("{}/{}", service.name, service.non_idempotent),
         body: "{}".into(),
-        key: Some("key-1"),
+        key: Some(&key),
     };
     let daemon = &fleet.daemons[0];
     let reply = caller
@@ -150,7 +153,7 @@
     Ok(CallHistory {
         request: "settle-1".into(),
         organisation: ORGANISATION.into(),
-        key: Some("key-1".to_owned()),
+        key: Some(key),
         replies: vec![Some(reply)],
         lost_sends: 0,
     })
--- a/standins/src/caller.rs
+++ b/standins/src/caller.rs
@@ -1,7 +1,7 @@
 //! A caller of the entry hosts, which notes what it was told and when.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
 use eventsource_stream::Eventsource;
@@ -22,6 +22,14 @@
     format!("token-of-{name}")
 }
 
+/// An idempotency key: a UUID of version 7, which carries its creation time.
+pub fn new_key(created: SystemTime, random: [u8; 10]) -> String {
+    let since_epoch = created.duration_since(UNIX_EPOCH).unwrap_or_default();
+    let millis = u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX);
+    let uuid = uuid::Builder::from_unix_timestamp_millis(millis, &random).into_uuid();
+    uuid.to_string()
+}
+
 /// A caller with its own pool of connections.
 #[derive(Debug, Clone)]
 pub struct CallerClient {
--- a/standins/src/check/history.rs
+++ b/standins/src/check/history.rs
@@ -98,6 +98,12 @@
 }
 
 impl CallHistory {
+    /// Whether the service answered on any way.
+    pub fn is_answered(&self) -> bool {
+        let mut replies = self.replies.iter().flatten();
+        replies.any(|reply| reply.status.is_success())
+    }
+
     /// Refusals among the replies.
     pub fn refusals(&self) -> impl Iterator<Item = RefusalBody> {
         self.replies.iter().flatten().filter_map(|reply| {
--- a/standins/src/load/driver.rs
+++ b/standins/src/load/driver.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use jackdawwick::api::wire::{GenerateBody, ResumeToken, StreamEvent};
 use jackdawwick::ids::TokenValue;
@@ -11,7 +11,7 @@
 
 use super::outcome::{CallOutcome, GenerationOutcome, LoadOutcomes};
 use super::{PlannedKind, PlannedRequest, TrafficMix};
-use crate::caller::{CallerClient, HeardReply, OutgoingCall};
+use crate::caller::{CallerClient, HeardReply, OutgoingCall, new_key};
 use crate::check::{CallHistory, GenerationHistory};
 use crate::declarations::VERSION;
 use crate::fleet::Fleet;
@@ -93,7 +93,6 @@
     }
 
     async fn send(self: Arc<Self>, planned: PlannedRequest, intended: Instant) -> RequestOutcome {
-        let key = format!("key-of-{}", planned.request);
         match &planned.kind {
             PlannedKind::Generate { prompt } => {
                 let outcome = self.generate(&planned, prompt.clone(), intended).await;
@@ -102,7 +101,8 @@
             PlannedKind::Plain => {
                 RequestOutcome::Call(self.call(&planned, None, false, intended).await)
             }
-            PlannedKind::Keyed { doubled } => {
+            PlannedKind::Keyed { random, doubled } => {
+                let key = new_key(SystemTime::now(), *random);
                 RequestOutcome::Call(self.call(&planned, Some(key), *doubled, intended).await)
             }
         }
--- a/standins/src/load/figures.rs
+++ b/standins/src/load/figures.rs
@@ -156,8 +156,15 @@
     pub refusal: Quantiles,
     /// From the intended start of a plain service's call to its answer.
     pub service_call: Quantiles,
-    /// Calls of the plain service that were refused.
+    /// Calls of the plain service that were refused, each way counted.
     pub calls_refused: u64,
+    /// Requests with an idempotency key.
+    pub keyed_calls: u64,
+    /// Of these, those that were answered by the service on any way; with few,
+    /// it proves little that no key ran twice.
+    pub keyed_answered: u64,
+    /// Requests with an idempotency key that were sent to two hosts.
+    pub doubled_calls: u64,
     /// Refusals by reason, as counted by the daemons over the whole run.
     pub refusals: BTreeMap<String, u64>,
     /// Retries by reason, as counted by the daemons over the whole run.
--- a/standins/src/load/report.rs
+++ b/standins/src/load/report.rs
@@ -116,6 +116,13 @@
             triple(&figures.service_call),
         ),
         line("service calls refused", figures.calls_refused),
+        line(
+            "requests with a key, of these answered, sent to two hosts",
+            format!(
+                "{}, {}, {}",
+                figures.keyed_calls, figures.keyed_answered, figures.doubled_calls
+            ),
+        ),
         line("refusals by reason", by_reason(&figures.refusals)),
         line("retries by reason", by_reason(&figures.retries)),
         line("fairness (Jain)", format!("{:.4}", figures.fairness)),
--- a/standins/src/load/run.rs
+++ b/standins/src/load/run.rs
@@ -119,6 +119,10 @@
     let organisations = steady.organisations(&fleet.layout, &arrived);
     let between_tokens = measure::token_gaps(&arrived);
     let calls = run.outcomes.calls.iter();
+    let keyed = || {
+        let histories = run.outcomes.calls.iter().map(|call| &call.history);
+        histories.filter(|call| call.key.is_some())
+    };
     let recovery = run.mark.as_ref().and_then(|mark| {
         recovery::recovery(&RecoveryInput {
             layout: &fleet.layout,
@@ -154,6 +158,9 @@
         calls_refused: calls
             .map(|call| call.history.refusals().count() as u64)
             .sum(),
+        keyed_calls: keyed().count() as u64,
+        keyed_answered: keyed().filter(|call| call.is_answered()).count() as u64,
+        doubled_calls: keyed().filter(|call| call.replies.len() > 1).count() as u64,
         refusals: by_reason(&run.after, "jackdawwick_refusals_total"),
         retries: by_reason(&run.after, "jackdawwick_retries_total"),
         fairness: measure::fairness(&organisations),
--- a/standins/src/load/schedule.rs
+++ b/standins/src/load/schedule.rs
@@ -38,6 +38,8 @@
     Plain,
     /// A call that may not be repeated.
     Keyed {
+        /// Random part of its key.
+        random: [u8; 10],
         /// Whether it is sent to two hosts at once.
         doubled: bool,
     },
@@ -108,6 +110,7 @@
     }
     match rng.random_bool(mix.keyed_part) {
         true => PlannedKind::Keyed {
+            random: rng.random(),
             doubled: rng.random_bool(mix.doubled_part),
         },
         false => PlannedKind::Plain,
