Count whole answers when a token's cost is measured

Cause: tokens were counted when their answer ended, and the window cut answers.

Ruled out: a longer window, which only makes the fault smaller.

Change: each stream asks for whole answers until the window has passed, and processor time is taken up to the end of the last. A stream that is refused ends the run with an error instead of a wrong figure.

--- a/standins/src/slopes/data_path.rs
+++ b/standins/src/slopes/data_path.rs
@@ -1,11 +1,10 @@
 //! What a request and a token cost a daemon.
 
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
+use futures::future::join_all;
 use jackdawwick::api::wire::GenerateBody;
-use tokio::time::sleep;
 
 use super::SlopeFigures;
 use super::fleet::any_port;
@@ -28,16 +27,17 @@
 const PROMPT_TOKENS: u64 = 32;
 /// Engines of a stage.
 const ENGINES: usize = 2;
-const WARM_UP: Duration = Duration::from_secs(2);
+const WARM_UP_TOKENS: u64 = 16;
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
 const HOST: &str = "host-0";
 const MICROSECONDS: f64 = 1e6;
-const PERCENT: f64 = 100.0;
+const MILLISECONDS: f64 = 1e3;
 
-/// What callers have been given so far.
-#[derive(Debug, Default)]
+/// What one stream was given.
+#[derive(Debug)]
 struct GivenAnswers {
-    tokens: AtomicU64,
-    requests: AtomicU64,
+    tokens: f64,
+    seconds: f64,
 }
 
 /// Drives a few streams through one daemon and engines that take no time.
@@ -80,34 +80,23 @@
     let mut declared = declarations::pipeline("model", &layouts);
     declared.push(declarations::organisation("organisation-0", 1_000, 100_000));
     operator::declare_all(daemon.operators, &declared).await?;
-    let given = Arc::new(GivenAnswers::default());
     let callers = daemon.callers;
-    let streams: Vec<_> = (0..STREAMS)
-        .map(|stream| tokio::spawn(call_again(callers, stream, tokens, Arc::clone(&given))))
-        .collect();
-    sleep(WARM_UP).await;
-    let begin = (
-        given.tokens.load(Ordering::Relaxed),
-        given.requests.load(Ordering::Relaxed),
-    );
+    ask(callers, 0, WARM_UP_TOKENS, Duration::ZERO).await?;
     let before = ThreadSample::take();
-    sleep(window).await;
+    // Whole answers are counted, so the end of the last one ends the window.
+    let streams = (1..=STREAMS).map(|stream| ask(callers, stream, tokens, window));
+    let streams = join_all(streams).await;
     let after = ThreadSample::take();
-    let given_tokens = (given.tokens.load(Ordering::Relaxed) - begin.0) as f64;
-    let requests = (given.requests.load(Ordering::Relaxed) - begin.1) as f64;
-    for stream in streams {
-        stream.abort();
-    }
     daemon.shutdown().await;
-    let seconds = after.seconds_since(&before);
+    let given = streams.into_iter().collect::<Result<Vec<_>, _>>()?;
+    let given_tokens: f64 = given.iter().map(|stream| stream.tokens).sum();
+    let rate: f64 = given
+        .iter()
+        .map(|stream| stream.tokens / stream.seconds)
+        .sum();
     let used = after.used_since(&before, HOST);
     Ok(SlopeFigures::from([
-        (
-            "processor, % of a core".to_owned(),
-            used / seconds * PERCENT,
-        ),
-        ("tokens/s".to_owned(), given_tokens / seconds),
-        ("requests/s".to_owned(), requests / seconds),
+        ("tokens/s".to_owned(), rate),
         (
             "processor, µs a token".to_owned(),
             used * MICROSECONDS / given_tokens,
@@ -119,18 +108,21 @@
         ("tokens a core second".to_owned(), given_tokens / used),
         (
             "time between tokens of a stream, ms".to_owned(),
-            seconds * 1000.0 * STREAMS as f64 / given_tokens,
+            MILLISECONDS * STREAMS as f64 / rate,
         ),
     ]))
 }
 
-async fn call_again(
-    host: std::net::SocketAddr,
+/// Asks for one answer after the other, until `window` has passed.
+async fn ask(
+    host: SocketAddr,
     stream: usize,
     tokens: u64,
-    given: Arc<GivenAnswers>,
-) {
+    window: Duration,
+) -> Result<GivenAnswers, CallError> {
     let caller = CallerClient::open("organisation-0");
+    let started = Instant::now();
+    let mut heard = 0;
     for number in 0_u64.. {
         let first = (stream as u64) << 32 | number << 8;
         let body = GenerateBody {
@@ -143,10 +135,18 @@
         };
         let request = format!("request-{stream}-{number}");
         let answer = caller.generate(host, &request, &body).await;
-        let heard = answer.tokens().len() as u64;
-        given.tokens.fetch_add(heard, Ordering::Relaxed);
-        given
-            .requests
-            .fetch_add(u64::from(answer.is_whole()), Ordering::Relaxed);
+        match answer.is_whole() {
+            true => heard += tokens,
+            // Right after the start the host has no part of the capacity yet.
+            false if stream == 0 => tokio::time::sleep(RETRY_PAUSE).await,
+            false => return Err(format!("not answered: {:?}", answer.refused()).into()),
+        }
+        if heard > 0 && started.elapsed() >= window {
+            break;
+        }
     }
+    Ok(GivenAnswers {
+        tokens: heard as f64,
+        seconds: started.elapsed().as_secs_f64(),
+    })
 }
