Average the rate that a host wants over ten seconds

Cause: a host asked for the rate of its last second's arrivals. The few arrivals of a small organisation come unevenly, so grants moved all the time and a host held a third of a request a second when the next one came. Change: the wanted rate is the average of ten seconds, except that six or more arrivals within a second count at once. Admission tests and models pass.

--- a/src/admission/commands.rs
+++ b/src/admission/commands.rs
@@ -8,6 +8,7 @@
 
 use super::estimate::{ARRIVAL_MARGIN, WAITING_MARGIN};
 use super::organisation::{OrganisationState, QueuePlace};
+use super::queries::LONG_WINDOWS;
 use super::table::WaitingPlace;
 use super::{AdmissionDecision, AdmissionRequest, AdmissionTable, ReleaseCause, ShareLimit};
 
@@ -63,6 +64,7 @@
         let window = self.settings.demand_window;
         if let Some(state) = self.organisations.get_mut(&request.organisation) {
             state.arrivals.count(window, now);
+            state.arrivals_long.count(window * LONG_WINDOWS, now);
         }
         let place = (Reverse(request.priority), self.arrivals);
         self.arrivals += 1;
--- a/src/admission/organisation.rs
+++ b/src/admission/organisation.rs
@@ -23,6 +23,7 @@
     pub(super) served_until: f64,
     pub(super) refusals: RecentCount,
     pub(super) arrivals: RecentCount,
+    pub(super) arrivals_long: RecentCount,
     /// Since when requests have waited for a first share.
     pub(super) shareless_since: Option<Instant>,
     /// Whether it is no longer declared; it goes once nothing of it runs.
@@ -41,6 +42,7 @@
             served_until: 0.0,
             refusals: RecentCount::new(now),
             arrivals: RecentCount::new(now),
+            arrivals_long: RecentCount::new(now),
             shareless_since: None,
             is_removed: false,
         }
--- a/src/admission/queries.rs
+++ b/src/admission/queries.rs
@@ -9,6 +9,11 @@
 /// Time over which rates are told.
 const MINUTE: Duration = Duration::from_secs(60);
 
+/// Demand windows over which the wanted rate is averaged.
+pub(super) const LONG_WINDOWS: u32 = 10;
+/// Arrivals within one window that count as a burst.
+const LEAST_BURST: u32 = 6;
+
 impl AdmissionTable {
     /// Organisations that have a share here, by name.
     pub fn organisations(&self) -> impl Iterator<Item = &OrganisationId> {
@@ -39,15 +44,23 @@
             .saturating_add(refused)
     }
 
-    /// Requests of an organisation that arrived within one of the last
-    /// windows, scaled to a minute: the rate that it wants on this host.
+    /// Rate, in requests a minute, that an organisation wants on this host.
+    ///
+    /// Averaged over several windows: the few arrivals of a small organisation
+    /// come unevenly, and a rate that followed each of them would move grants
+    /// all the time and leave a host without any when the next one comes. A
+    /// burst that is large enough to be no accident counts at once.
     pub fn wanted_rate(&self, organisation: &OrganisationId, now: Instant) -> u32 {
         let Some(state) = self.organisations.get(organisation) else {
             return 0;
         };
         let window = self.settings.demand_window;
-        let arrived = f64::from(state.arrivals.peak(window, now));
-        (arrived * MINUTE.as_secs_f64() / window.as_secs_f64()).ceil() as u32
+        let long = window * LONG_WINDOWS;
+        let average = per_minute(state.arrivals_long.peak(long, now), long);
+        match state.arrivals.peak(window, now) {
+            burst if burst >= LEAST_BURST => average.max(per_minute(burst, window)),
+            _ => average,
+        }
     }
 
     /// Requests of an organisation that run.
@@ -92,3 +105,7 @@
             .min()
     }
 }
+
+fn per_minute(count: u32, window: Duration) -> u32 {
+    (f64::from(count) * MINUTE.as_secs_f64() / window.as_secs_f64()).ceil() as u32
+}
