Open every tail of the log in one place, and tidy what stood twice

Cause: read as a newcomer, four workers opened their tails with the same lines, three places listed every kind of resource, both ways of calling a service told the router alike, the lock order was numbered with gaps, and the counters of control bytes had no caller.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -24,6 +24,7 @@
 mod sharing;
 mod spawn;
 mod tables;
+mod tails;
 mod targets;
 mod watch_steps;
 
--- a/src/daemon/claims/follow.rs
+++ b/src/daemon/claims/follow.rs
@@ -12,16 +12,12 @@
 use crate::claims::record::{ClaimBody, ClaimEntry};
 use crate::claims::table::ClaimJudgement;
 use crate::daemon::core::DaemonCore;
+use crate::daemon::tails::{READ_LIMIT, open_tail};
 use crate::ids::{LogOffset, RecordId};
-use crate::platform::backoff::BackoffPolicy;
-use crate::platform::log_tail::{LogTail, TailEvent, TailOptions};
+use crate::platform::log_tail::TailEvent;
 use crate::platform::wire::StoredRecord;
 use crate::records::{CLAIM_STREAM, JUDGING_RULES, LogRecord};
 
-/// Most records in one read of the log.
-const READ_LIMIT: usize = 512;
-/// Reads that may wait to be applied.
-const READ_AHEAD: usize = 4;
 /// Pause between two looks at the deadlines of claims.
 const CLAIM_TICK: Duration = Duration::from_millis(20);
 /// Pause between two looks at whether all claims are settled.
@@ -37,7 +33,8 @@
 pub(in crate::daemon) async fn run_claims(core: Arc<DaemonCore>, seed: u64) {
     let mut marks = MarkWriter::new(&core, seed ^ CLAIM_SEED);
     read_at_once(&core, &mut marks).await;
-    let mut tail = open_tail(&core, seed ^ CLAIM_SEED);
+    let next = core.tables.claims.lock().table.next_offset();
+    let mut tail = open_tail(&core, CLAIM_STREAM, next, seed ^ CLAIM_SEED);
     let mut ticks = tokio::time::interval(CLAIM_TICK);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
@@ -69,20 +66,6 @@
     }
 }
 
-/// Opens the tail after what has been read.
-fn open_tail(core: &DaemonCore, seed: u64) -> LogTail {
-    let options = TailOptions {
-        stream: CLAIM_STREAM.to_owned(),
-        from: core.tables.claims.lock().table.next_offset(),
-        limit: READ_LIMIT,
-        wait: core.options.timing.log_wait,
-        backoff: BackoffPolicy::default(),
-        seed,
-        capacity: READ_AHEAD,
-    };
-    LogTail::spawn(core.platform.clone(), options)
-}
-
 fn take_event(core: &Arc<DaemonCore>, marks: &mut MarkWriter, event: TailEvent) {
     let mut desk = core.tables.claims.lock();
     match event {
--- a/src/daemon/declarations.rs
+++ b/src/daemon/declarations.rs
@@ -10,18 +10,14 @@
 use super::core::{DaemonCore, DaemonPhase};
 use super::in_force::put_in_force;
 use super::relaying::catch_up_from_peers;
-use crate::platform::backoff::BackoffPolicy;
-use crate::platform::log_tail::{LogTail, TailEvent, TailOptions};
+use super::tails::{READ_LIMIT, open_tail};
+use crate::platform::log_tail::TailEvent;
 use crate::platform::wire::StoredRecord;
 use crate::records::DECLARATION_STREAM;
 use crate::replay::{
     ApplyError, DeclarationTable, Judgement, StartDecision, StartPlanner, WindowRules,
 };
 
-/// Most records in one read of the log.
-const READ_LIMIT: usize = 512;
-/// Reads that may wait to be applied.
-const READ_AHEAD: usize = 4;
 /// Pause after a start that found no usable state.
 const START_RETRY: Duration = Duration::from_millis(200);
 
@@ -124,16 +120,8 @@
 }
 
 async fn follow(core: &DaemonCore, seed: u64) -> TailEnd {
-    let options = TailOptions {
-        stream: DECLARATION_STREAM.to_owned(),
-        from: core.tables.declarations.read().applied(),
-        limit: READ_LIMIT,
-        wait: core.options.timing.log_wait,
-        backoff: BackoffPolicy::default(),
-        seed,
-        capacity: READ_AHEAD,
-    };
-    let mut tail = LogTail::spawn(core.platform.clone(), options);
+    let from = core.tables.declarations.read().applied();
+    let mut tail = open_tail(core, DECLARATION_STREAM, from, seed);
     while let Some(event) = tail.next().await {
         match event {
             TailEvent::Records {
--- a/src/daemon/in_force.rs
+++ b/src/daemon/in_force.rs
@@ -12,15 +12,6 @@
 use crate::resources::{ResourceKey, ResourceKind, ResourceSpec, TargetPhase};
 use crate::shares::ShareUnits;
 
-/// Every kind of resource, in the order in which tables are refreshed.
-const KINDS: [ResourceKind; 5] = [
-    ResourceKind::Target,
-    ResourceKind::Model,
-    ResourceKind::Pipeline,
-    ResourceKind::Service,
-    ResourceKind::Organisation,
-];
-
 /// Puts the declared state in force on this host.
 pub(super) fn put_in_force(core: &DaemonCore) {
     let declarations = core.tables.declarations.read();
@@ -80,7 +71,7 @@
 }
 
 fn declared_resources(declarations: &DeclarationTable) -> Vec<(ResourceKey, &ResourceSpec)> {
-    KINDS
+    ResourceKind::ALL
         .into_iter()
         .flat_map(|kind| declarations.list(kind))
         .map(|entry| (entry.key(), &entry.resource.spec))
--- a/src/daemon/leases.rs
+++ b/src/daemon/leases.rs
@@ -8,22 +8,18 @@
 use uuid::Uuid;
 
 use super::core::DaemonCore;
+use super::tails::open_tail;
 use crate::ids::{RecordId, ZoneId};
 use crate::lease::machine::{LeaseDecision, LeaseMachine, LeaseTerms};
 use crate::lease::record::{FencingNumber, LeaseBody, LeaseName, LeaseOwner};
 use crate::lease::table::LeaseTable;
 use crate::platform::append_queue::AppendQueue;
-use crate::platform::backoff::BackoffPolicy;
-use crate::platform::log_tail::{LogTail, TailEvent, TailOptions};
+use crate::platform::log_tail::TailEvent;
 use crate::platform::wire::StoredRecord;
 use crate::records::{LEASE_STREAM, LogRecord};
 
 /// Pause between two looks at the leases.
 const LEASE_TICK: Duration = Duration::from_millis(100);
-/// Most records in one read of the log.
-const READ_LIMIT: usize = 512;
-/// Reads that may wait to be applied.
-const READ_AHEAD: usize = 4;
 /// How long a shutdown waits until what it wrote is read back.
 const REPLAY_WAIT: Duration = Duration::from_secs(1);
 /// Pause between two looks at that.
@@ -96,7 +92,7 @@
 /// ends.
 pub(super) async fn run_leases(core: Arc<DaemonCore>, appends: Arc<AppendQueue>, seed: u64) {
     add_machines(&core, seed);
-    let mut tail = open_tail(&core, seed);
+    let mut tail = open_tail(&core, LEASE_STREAM, 0, seed);
     let mut ticks = tokio::time::interval(LEASE_TICK);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
@@ -140,19 +136,6 @@
     }
 }
 
-fn open_tail(core: &DaemonCore, seed: u64) -> LogTail {
-    let options = TailOptions {
-        stream: LEASE_STREAM.to_owned(),
-        from: 0,
-        limit: READ_LIMIT,
-        wait: core.options.timing.log_wait,
-        backoff: BackoffPolicy::default(),
-        seed,
-        capacity: READ_AHEAD,
-    };
-    LogTail::spawn(core.platform.clone(), options)
-}
-
 fn take_event(core: &DaemonCore, event: TailEvent) {
     let now = Instant::now();
     let mut desk = core.tables.leases.lock();
--- a/src/daemon/members.rs
+++ b/src/daemon/members.rs
@@ -23,8 +23,10 @@
 pub(super) async fn run_members(core: Arc<DaemonCore>) {
     meet_seeds(&core);
     let mut ticks = tokio::time::interval(MEMBERSHIP_TICK);
+    let mut counted = CountedTraffic::default();
     loop {
         ticks.tick().await;
+        counted.count(&core);
         let decisions = {
             let mut membership = core.tables.membership.lock();
             membership.set_applied_offset(*core.applied.borrow());
@@ -36,6 +38,28 @@
     }
 }
 
+/// Bytes of peer calls that the metrics have counted already.
+#[derive(Default)]
+struct CountedTraffic {
+    sent: u64,
+    received: u64,
+}
+
+impl CountedTraffic {
+    fn count(&mut self, core: &DaemonCore) {
+        let Some(peers) = core.peers() else {
+            return;
+        };
+        let (sent, received) = (
+            peers.traffic().sent_bytes(),
+            peers.traffic().received_bytes(),
+        );
+        core.metrics.control_sent(sent - self.sent);
+        core.metrics.control_received(received - self.received);
+        *self = Self { sent, received };
+    }
+}
+
 fn meet_seeds(core: &DaemonCore) {
     let mut membership = core.tables.membership.lock();
     let now = Instant::now();
--- a/src/daemon/operators.rs
+++ b/src/daemon/operators.rs
@@ -69,15 +69,8 @@
 }
 
 fn list_resources(core: &DaemonCore) -> Vec<ResourceView> {
-    const KINDS: [ResourceKind; 5] = [
-        ResourceKind::Model,
-        ResourceKind::Pipeline,
-        ResourceKind::Service,
-        ResourceKind::Organisation,
-        ResourceKind::Target,
-    ];
     let declarations = core.tables.declarations.read();
-    KINDS
+    ResourceKind::ALL
         .into_iter()
         .flat_map(|kind| declarations.list(kind))
         .map(view)
--- a/src/daemon/services.rs
+++ b/src/daemon/services.rs
@@ -153,15 +153,25 @@
     let began = Instant::now();
     core.tables.routes.write().step_sent(target, began);
     let answer = core.targets.call(address, order).await;
-    let now = Instant::now();
-    match &answer {
+    note_answer(core, call, target, &answer, began.elapsed());
+    answer
+}
+
+/// Tells the router's table how a call went.
+fn note_answer(
+    core: &DaemonCore,
+    call: &ServiceCall,
+    target: &TargetId,
+    answer: &Result<CallAnswer, TargetFailure>,
+    latency: Duration,
+) {
+    match answer {
         Ok(_) => {
             let mut routes = core.tables.routes.write();
-            routes.step_answered(target, now - began, 1, now);
+            routes.step_answered(target, latency, 1, Instant::now());
         }
         Err(failure) => note_failure(core, call, target, failure),
     }
-    answer
 }
 
 fn note_failure(core: &DaemonCore, call: &ServiceCall, target: &TargetId, failure: &TargetFailure) {
--- a/src/daemon/services/claimed.rs
+++ b/src/daemon/services/claimed.rs
@@ -6,8 +6,8 @@
 use http::StatusCode;
 
 use super::{
-    MAX_CALL_ATTEMPTS, admit_call, call_headers, choose_target, deadline_of, failed, note_failure,
-    reply,
+    MAX_CALL_ATTEMPTS, admit_call, call_headers, choose_target, deadline_of, failed, note_answer,
+    note_failure, reply,
 };
 use crate::api::backend::{ServiceCall, ServiceReply};
 use crate::api::wire::RefusalBody;
@@ -178,14 +178,7 @@
     };
     let began = Instant::now();
     let answer = connection.send(order).await;
-    let now = Instant::now();
-    match &answer {
-        Ok(_) => {
-            let mut routes = core.tables.routes.write();
-            routes.step_answered(target, now - began, 1, now);
-        }
-        Err(failure) => note_failure(core, call, target, failure),
-    }
+    note_answer(core, call, target, &answer, began.elapsed());
     answer
 }
 
--- a/src/daemon/sharing.rs
+++ b/src/daemon/sharing.rs
@@ -12,12 +12,12 @@
 
 use super::core::DaemonCore;
 use super::leases::{allotments_lease, shares_lease};
+use super::tails::open_tail;
 use crate::admission::ShareLimit;
 use crate::ids::{HostId, LogOffset, OrganisationId, RecordId};
 use crate::peer::{PeerGrant, PeerHeartbeat};
 use crate::platform::append_queue::AppendQueue;
-use crate::platform::backoff::BackoffPolicy;
-use crate::platform::log_tail::{LogTail, TailEvent, TailOptions};
+use crate::platform::log_tail::TailEvent;
 use crate::platform::wire::StoredRecord;
 use crate::records::{ALLOTMENT_STREAM, JUDGING_RULES, LogRecord, RawRecord};
 use crate::resources::{ResourceKey, ResourceKind};
@@ -38,10 +38,6 @@
 const LEAST_RATE: u32 = 60;
 /// Longest time for which writing a split may take effect.
 const LONGEST_APPEND: Duration = Duration::from_secs(2);
-/// Most records in one read of the log.
-const READ_LIMIT: usize = 512;
-/// Reads that may wait to be applied.
-const READ_AHEAD: usize = 4;
 
 /// This host's part in the zone's shares, and who divides them.
 pub(super) struct SharesDesk {
@@ -59,7 +55,7 @@
 /// Follows the stream, reports, and keeps admission to the grants, until the
 /// daemon ends.
 pub(super) async fn run_sharing(core: Arc<DaemonCore>, appends: Arc<AppendQueue>, seed: u64) {
-    let mut tail = open_tail(&core, seed);
+    let mut tail = open_tail(&core, ALLOTMENT_STREAM, 0, seed);
     let mut ticks = tokio::time::interval(SHARES_TICK);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut rounds = 0;
@@ -92,19 +88,6 @@
     }
 }
 
-fn open_tail(core: &DaemonCore, seed: u64) -> LogTail {
-    let options = TailOptions {
-        stream: ALLOTMENT_STREAM.to_owned(),
-        from: 0,
-        limit: READ_LIMIT,
-        wait: core.options.timing.log_wait,
-        backoff: BackoffPolicy::default(),
-        seed,
-        capacity: READ_AHEAD,
-    };
-    LogTail::spawn(core.platform.clone(), options)
-}
-
 fn apply_records(core: &DaemonCore, records: &[StoredRecord]) {
     let now = Instant::now();
     let mut desk = core.tables.shares.lock();
--- a/src/daemon/tables.rs
+++ b/src/daemon/tables.rs
@@ -35,31 +35,31 @@
     bytes: 4 * 1024 * 1024,
 };
 
-/// All shared tables, in lock order.
+/// All shared tables; the fields stand in lock order.
 pub(super) struct SharedTables {
-    /// First: what is declared.
+    /// What is declared.
     pub(super) declarations: RwLock<DeclarationTable>,
-    /// Right after it: records to pass on to peers.
+    /// Records to pass on to peers.
     pub(super) relay: Mutex<RecordRelay>,
-    /// Then: leases, with this host's part in them.
+    /// Leases, with this host's part in them.
     pub(super) leases: Mutex<LeaseDesk>,
-    /// Then: claims on idempotency keys, with the requests that claim.
+    /// Claims on idempotency keys, with the requests that claim.
     pub(super) claims: Mutex<ClaimDesk>,
-    /// Second: the other entry hosts.
+    /// The other entry hosts.
     pub(super) membership: Mutex<MembershipTable>,
-    /// Then: what this host may use of each organisation's capacity.
+    /// What this host may use of each organisation's capacity.
     pub(super) shares: Mutex<SharesDesk>,
-    /// Third: which targets are watched, and which are leaving.
+    /// Which targets are watched, and which are leaving.
     pub(super) watch: Mutex<TargetWatch>,
-    /// Fourth: who may start, with those who wait to be told.
+    /// Who may start, with those who wait to be told.
     pub(super) admission: Mutex<AdmissionDesk>,
-    /// Fifth: pipelines and what is known of targets.
+    /// Pipelines and what is known of targets.
     pub(super) routes: RwLock<RouteTable>,
-    /// Sixth: retries that may still be spent.
+    /// Retries that may still be spent.
     pub(super) budget: Mutex<RetryBudget>,
-    /// Seventh: what was decided and why.
+    /// What was decided and why.
     pub(super) journal: Mutex<JournalTable>,
-    /// Last: randomness for routing.
+    /// Randomness for routing.
     pub(super) random: Mutex<StdRng>,
 }
 
--- a/src/journal/entry.rs
+++ b/src/journal/entry.rs
@@ -16,20 +16,13 @@
     Resource(ResourceKey),
 }
 
-/// Every kind of resource, for reading a subject.
-const KINDS: [ResourceKind; 5] = [
-    ResourceKind::Model,
-    ResourceKind::Pipeline,
-    ResourceKind::Service,
-    ResourceKind::Organisation,
-    ResourceKind::Target,
-];
-
 impl JournalSubject {
     /// Reads a subject: `KIND/NAME` of a resource, else the id of a request.
     pub fn from_text(text: &str) -> Self {
         let named = text.split_once('/').and_then(|(prefix, name)| {
-            let kind = KINDS.into_iter().find(|kind| kind.name() == prefix)?;
+            let kind = ResourceKind::ALL
+                .into_iter()
+                .find(|kind| kind.name() == prefix)?;
             Some(ResourceKey::new(kind, name))
         });
         match named {
--- a/src/metrics/set.rs
+++ b/src/metrics/set.rs
@@ -140,13 +140,13 @@
         );
         registry.register_with_unit(
             "control_sent",
-            "Bytes sent to peers and to the platform",
+            "Bytes sent to peers",
             Unit::Bytes,
             self.control_sent.clone(),
         );
         registry.register_with_unit(
             "control_received",
-            "Bytes received from peers and from the platform",
+            "Bytes received from peers",
             Unit::Bytes,
             self.control_received.clone(),
         );
--- a/src/resources/key.rs
+++ b/src/resources/key.rs
@@ -25,6 +25,15 @@
 }
 
 impl ResourceKind {
+    /// Every kind; what comes later may refer to what comes before.
+    pub const ALL: [Self; 5] = [
+        Self::Target,
+        Self::Model,
+        Self::Pipeline,
+        Self::Service,
+        Self::Organisation,
+    ];
+
     /// The name used in URLs, TOML and tables.
     pub fn name(self) -> &'static str {
         match self {
