Count every end of a request, and part the peer conversions by call

Ruled out: counting service calls in the listener, which knows no verdict of calls that go on after their caller left. Change: both are counted where they end; the conversions of calls about claims have a file of their own.

--- a/src/daemon/callers.rs
+++ b/src/daemon/callers.rs
@@ -7,11 +7,13 @@
 
 use super::core::DaemonCore;
 use super::{generate, services};
-use crate::api::backend::CallerBackend;
+use crate::api::backend::{CallerBackend, ServiceReply};
 use crate::api::wire::RefusalBody;
 use crate::auth::TokenDigest;
 use crate::ids::OrganisationId;
 use crate::journal::JournalEvent;
+use crate::metrics::{RequestKind, RequestOutcome};
+use crate::verdict::RunVerdict;
 
 /// Builds the closures over the daemon's tables.
 pub(super) fn caller_backend(core: &Arc<DaemonCore>) -> CallerBackend {
@@ -32,7 +34,10 @@
         call_service: Arc::new(move |call| {
             let core = Arc::clone(&calls);
             async move {
+                core.metrics.request_begun(RequestKind::Service);
                 let answer = services::call_service(Arc::clone(&core), call).await;
+                core.metrics
+                    .request_ended(RequestKind::Service, call_outcome(&answer));
                 answer.inspect_err(|refusal| count_refusal(&core, refusal))
             }
             .boxed()
@@ -51,6 +56,16 @@
     bool::from(declared.matches(digest)).then(|| entry.name.clone())
 }
 
+/// How a call ended for its caller; calls are run to their end even if the
+/// caller goes away.
+fn call_outcome(answer: &Result<ServiceReply, RefusalBody>) -> RequestOutcome {
+    match answer {
+        Ok(_) => RequestOutcome::Whole,
+        Err(refusal) if refusal.verdict == RunVerdict::NotRun => RequestOutcome::NotRun,
+        Err(_) => RequestOutcome::MayHaveRun,
+    }
+}
+
 fn count_refusal(core: &DaemonCore, refusal: &RefusalBody) {
     core.metrics.refused(refusal.reason);
     if let Some(request) = &refusal.request {
--- a/src/daemon/generate.rs
+++ b/src/daemon/generate.rs
@@ -202,6 +202,13 @@
         };
         if self.events.send(started).await.is_err() {
             self.core.tables.routes.write().run_ended(&self.route);
+            // Counted as ended like any other: the gauge of requests in flight
+            // would otherwise grow with each caller that leaves this early.
+            self.note_outcome(RunOutcome {
+                delivered: 0,
+                verdict: RunVerdict::NotRun,
+                refusal: Some(RefusalReason::CallerGone),
+            });
             return;
         }
         let mut outcome = match claimed::authorise(ticket).await {
--- /dev/null
+++ b/src/peer/convert/claim.rs
@@ -0,0 +1,95 @@
+//! Conversions of the calls about claims.
+
+use bytes::Bytes;
+
+use super::{string, text};
+use crate::peer::message::{ClaimOutcome, ClaimQuestion};
+use crate::peer_capnp as wire;
+use crate::verdict::RunVerdict;
+
+const VERDICT_NOT_RUN: &str = "not_run";
+const VERDICT_MAY_HAVE_RUN: &str = "may_have_run";
+const VERDICT_RAN: &str = "ran";
+
+/// Encodes a question about a claim.
+pub(in crate::peer) fn write_question(
+    mut builder: wire::peer_call::Builder<'_>,
+    question: &ClaimQuestion,
+) {
+    builder.set_request_id(&*question.request);
+    builder.set_service(&*question.service);
+    builder.set_operation(question.operation.as_str());
+    builder.set_idempotency_key(&*question.key);
+    builder.set_organisation(&*question.organisation);
+}
+
+/// Decodes a question about a claim.
+///
+/// # Errors
+/// As [`read_heartbeat`].
+pub(in crate::peer) fn read_question(
+    reader: wire::peer_call::Reader<'_>,
+) -> capnp::Result<ClaimQuestion> {
+    Ok(ClaimQuestion {
+        request: text(reader.get_request_id())?,
+        service: text(reader.get_service())?,
+        operation: string(reader.get_operation())?,
+        key: text(reader.get_idempotency_key())?,
+        organisation: text(reader.get_organisation())?,
+    })
+}
+
+/// Encodes what became of a claim.
+pub(in crate::peer) fn write_outcome(
+    mut builder: wire::peer_call_reply::Builder<'_>,
+    outcome: &ClaimOutcome,
+) {
+    let ClaimOutcome::Known {
+        verdict,
+        status,
+        body,
+    } = outcome
+    else {
+        builder.set_known(false);
+        return;
+    };
+    builder.set_known(true);
+    builder.set_verdict(verdict_name(*verdict));
+    builder.set_status(*status);
+    builder.set_body(body);
+}
+
+/// Decodes what became of a claim.
+///
+/// # Errors
+/// As [`read_heartbeat`].
+pub(in crate::peer) fn read_outcome(
+    reader: wire::peer_call_reply::Reader<'_>,
+) -> capnp::Result<ClaimOutcome> {
+    if !reader.get_known() {
+        return Ok(ClaimOutcome::Unknown);
+    }
+    Ok(ClaimOutcome::Known {
+        verdict: verdict_named(reader.get_verdict()?.to_str()?),
+        status: reader.get_status(),
+        body: Bytes::copy_from_slice(reader.get_body()?),
+    })
+}
+
+fn verdict_name(verdict: RunVerdict) -> &'static str {
+    match verdict {
+        RunVerdict::NotRun => VERDICT_NOT_RUN,
+        RunVerdict::MayHaveRun => VERDICT_MAY_HAVE_RUN,
+        RunVerdict::Ran => VERDICT_RAN,
+    }
+}
+
+/// An unknown name comes from a newer program; the caller must not be told
+/// "not run" on its account, so it counts as "may have run".
+fn verdict_named(name: &str) -> RunVerdict {
+    match name {
+        VERDICT_NOT_RUN => RunVerdict::NotRun,
+        VERDICT_RAN => RunVerdict::Ran,
+        _ => RunVerdict::MayHaveRun,
+    }
+}
