--- a/src/cli/arguments.rs
+++ b/src/cli/arguments.rs
@@ -8,7 +8,7 @@
 use clap::{Arg, ArgAction, ArgMatches, Command, crate_version, value_parser};
 
 use super::CliError;
-use super::resource_file::{KINDS, kind_by_name};
+use super::resource_file::kind_by_name;
 use crate::ids::{LogOffset, RequestId};
 use crate::resources::{ResourceKey, ResourceKind};
 
@@ -196,7 +196,7 @@
 }
 
 fn kind_argument() -> Arg {
-    let names = KINDS.map(ResourceKind::name);
+    let names = ResourceKind::ALL.map(ResourceKind::name);
     Arg::new("kind")
         .value_name("KIND")
         .value_parser(PossibleValuesParser::new(names))
--- a/src/cli/resource_file.rs
+++ b/src/cli/resource_file.rs
@@ -5,16 +5,6 @@
 
 use crate::resources::{ResourceKey, ResourceKind, ResourceSpec};
 
-/// Every kind, in the order in which resources are declared: a resource comes
-/// after those that it refers to.
-pub(super) const KINDS: [ResourceKind; 5] = [
-    ResourceKind::Target,
-    ResourceKind::Model,
-    ResourceKind::Pipeline,
-    ResourceKind::Service,
-    ResourceKind::Organisation,
-];
-
 /// One resource of a file.
 #[derive(Debug, Clone, PartialEq)]
 pub struct DeclaredResource {
@@ -35,7 +25,7 @@
         .map_err(|error| vec![format!("not valid TOML: {}", error.to_string().trim_end())])?;
     let mut mistakes = unknown_kinds(&table);
     let mut resources = Vec::new();
-    for kind in KINDS {
+    for kind in ResourceKind::ALL {
         match table.get(kind.name()) {
             None => (),
             Some(Value::Table(named)) => {
@@ -53,11 +43,13 @@
 
 /// The kind with a name.
 pub(super) fn kind_by_name(name: &str) -> Option<ResourceKind> {
-    KINDS.into_iter().find(|kind| kind.name() == name)
+    ResourceKind::ALL
+        .into_iter()
+        .find(|kind| kind.name() == name)
 }
 
 fn unknown_kinds(table: &Table) -> Vec<String> {
-    let known = KINDS.map(ResourceKind::name).join(", ");
+    let known = ResourceKind::ALL.map(ResourceKind::name).join(", ");
     let unknown = table.keys().filter(|name| kind_by_name(name).is_none());
     unknown
         .map(|name| format!("{name}: unknown kind, known: {known}"))
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -520,3 +520,13 @@
     assert_eq!(run(&["--help"]).status.code(), Some(0));
     assert_eq!(run(&["status"]).status.code(), Some(2));
 }
+
+/// The documented sample is what a newcomer copies from.
+#[test]
+fn the_sample_of_resources_is_valid_and_names_every_kind() {
+    let resources = parse_resources(include_str!("../docs/resources.toml")).unwrap_or_default();
+    for kind in ResourceKind::ALL {
+        let named = resources.iter().filter(|one| one.key.kind == kind);
+        assert!(named.count() > 0, "{}", kind.name());
+    }
+}
