Carry the request's id on every line about it

Cause: the HTTP library logged under an id of its own, and the line about a stage that moves had none, so a request could not be followed through the log. Ruled out: dropping the library's lines, which tell status and latency. Change: a caller that names no id gets the library's; for one that does, a line names both; a moving stage is logged where the request is known.

--- a/src/api/callers.rs
+++ b/src/api/callers.rs
@@ -82,7 +82,8 @@
     let shared = context.context();
     let slot = context.request.headers().get(SLOT_HEADER);
     let slot = slot.and_then(|name| name.to_str().ok());
-    let started = start_generation(&shared.backend, &headers.into_inner(), body).await;
+    let headers = headers.into_inner().joined_with(&context.request_id);
+    let started = start_generation(&shared.backend, &headers, body).await;
     Ok(Answer::from_result(started.map(|generation| {
         let StartedGeneration { request, events } = generation;
         EventResponse::new(match shared.slots.put(slot, events) {
@@ -140,7 +141,8 @@
 ) -> Result<Answer<Response<Body>>, RefusalBody> {
     let shared = context.context();
     let bytes = Bytes::copy_from_slice(body.as_bytes());
-    let result = run_service(shared, path.into_inner(), &headers.into_inner(), bytes).await;
+    let headers = headers.into_inner().joined_with(&context.request_id);
+    let result = run_service(shared, path.into_inner(), &headers, bytes).await;
     Ok(Answer::from_result(result))
 }
 
--- a/src/api/head.rs
+++ b/src/api/head.rs
@@ -56,6 +56,22 @@
         }
     }
 
+    /// Joins these headers with the id under which the HTTP library logs.
+    ///
+    /// A caller that names no id gets the library's, so that all lines about
+    /// the request carry one id; for one that does, a line names both.
+    #[must_use]
+    pub(super) fn joined_with(mut self, library_id: &str) -> Self {
+        match &self.request_id {
+            None => self.request_id = Some(library_id.to_owned()),
+            Some(own) if is_label(own) => {
+                log::info!(request:% = own; "the HTTP library's id is {library_id}");
+            }
+            Some(_) => {}
+        }
+        self
+    }
+
     /// Checks the remaining labels of the call.
     ///
     /// # Errors
--- a/src/daemon/generate.rs
+++ b/src/daemon/generate.rs
@@ -272,8 +272,8 @@
         let machine = RunMachine::new(self.plan(), run_limits(&core));
         let route = parking_lot::Mutex::new(&mut self.route);
         let model = self.call.body.model.clone();
-        let choose = |stage: StageIndex, excluded: &[TargetId], reason: RetryReason| {
-            choose_replacement(&core, &mut route.lock(), &model, stage, excluded, reason)
+        let choose = |stage: StageIndex, excluded: &[TargetId], _: RetryReason| {
+            choose_replacement(&core, &mut route.lock(), &model, stage, excluded)
         };
         let address = |target: &TargetId| -> Option<SocketAddr> { core.target_address(target) };
         let is_leaving = |target: &TargetId| core.tables.routes.read().is_leaving(target);
@@ -327,7 +327,6 @@
     model: &crate::ids::ModelId,
     stage: StageIndex,
     excluded: &[TargetId],
-    reason: RetryReason,
 ) -> Option<TargetId> {
     let request = ReplaceRequest {
         model: model.clone(),
@@ -340,11 +339,6 @@
         let mut random = core.tables.random.lock();
         routes.replace(&request, Instant::now(), &mut *random)?
     };
-    log::warn!(
-        "stage {stage} moves from {} to {chosen}: {}",
-        request.stage.target,
-        reason.name()
-    );
     routes.stage_moved(route, stage, &chosen);
     Some(chosen)
 }
--- a/src/daemon/watch_steps.rs
+++ b/src/daemon/watch_steps.rs
@@ -71,14 +71,20 @@
             stage,
             reason,
             chosen,
-        } => core.note(
-            request,
-            JournalEvent::StageReplaced {
-                stage: *stage,
-                target: chosen.clone(),
-                reason: *reason,
-            },
-        ),
+        } => {
+            log::warn!(
+                request:% = request;
+                "stage {stage} moves to {chosen:?}: {}", reason.name()
+            );
+            core.note(
+                request,
+                JournalEvent::StageReplaced {
+                    stage: *stage,
+                    target: chosen.clone(),
+                    reason: *reason,
+                },
+            );
+        }
         StepObservation::AnswerDropped { target } => {
             let cause = DropCause::Unmatched;
             core.metrics.answer_dropped(cause);
