Give each fleet of a process an address of its own for peers

Cause: a_generation_told_not_run_did_not_run failed in one run of the whole suite with "address already in use": fleets that start side by side in one process found the same free port on the address that they shared. Ruled out: trying again, which hides the next such clash. Change: the last part of the loopback address differs for each fleet. Whether it is gone for good only more runs can show.

--- a/standins/src/fleet/start.rs
+++ b/standins/src/fleet/start.rs
@@ -1,6 +1,7 @@
 //! Starting a fleet.
 
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU32, Ordering};
 
 use jackdawwick::platform::wire::{HostList, ListedHost, ListedPhase, ListedTarget};
 
@@ -121,7 +122,13 @@
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
-/// A loopback address that only this process's peers use.
+/// Fleets that this process has started, for an address of its own to each.
+static FLEETS: AtomicU32 = AtomicU32::new(0);
+/// Last parts of loopback addresses to choose from, from 2 on.
+const LAST_PARTS: u32 = 250;
+
+/// A loopback address that only the peers of one fleet use: two fleets of one
+/// process would otherwise find the same free port.
 ///
 /// A free port of 127.0.0.1 that is found beforehand may be taken by an
 /// outgoing connection before its daemon listens; one sees "address in use" at
@@ -129,8 +136,10 @@
 /// other loopback address the port stays free.
 fn peer_address() -> SocketAddr {
     let [.., high, low] = std::process::id().to_be_bytes();
+    let number = FLEETS.fetch_add(1, Ordering::Relaxed) % LAST_PARTS;
     // The last part keeps away from 127.0.0.1 itself.
-    SocketAddr::from(([127, high, low, 2], 0))
+    let [.., last] = (number + 2).to_be_bytes();
+    SocketAddr::from(([127, high, low, last], 0))
 }
 
 /// Names the entry hosts and finds a free port for each one's peers.
@@ -139,10 +148,11 @@
         (1..=zone.entry_hosts).map(|number| (format!("{}-{number}", zone.name), zone.name.clone()))
     });
     // All are held until the last is found, so that none is found twice.
+    let own = peer_address();
     let mut held = Vec::new();
     let mut places = Vec::new();
     for (host, zone) in hosts {
-        let listener = TcpListener::bind(peer_address())?;
+        let listener = TcpListener::bind(own)?;
         let address = listener.local_addr()?;
         held.push(listener);
         places.push(SeedPlace {
