--- a/src/bin/jackdawwickd.rs
+++ b/src/bin/jackdawwickd.rs
@@ -1,9 +1,11 @@
 //! The daemon's program: reads the command line, runs until told to stop.
 
 use std::io::Write;
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use jackdawwick::daemon::{self, DaemonHandle};
+use jackdawwick::entry::run_entry;
 use jackdawwick::logging;
 use jackdawwick::options::{DaemonOptions, StartupAction, plan_startup};
 use tokio::signal::unix::{SignalKind, signal};
@@ -13,6 +15,7 @@
         StartupAction::Print(text) => print(&text),
         StartupAction::Fail { message, status } => fail(&message, status),
         StartupAction::Run(options) => run(*options),
+        StartupAction::RunEntry(path) => run_on_platform(path),
     }
 }
 
@@ -44,6 +47,24 @@
     runtime.block_on(serve(options))
 }
 
+/// One thread: an entry host has a part of one core.
+fn run_on_platform(path: PathBuf) -> ExitCode {
+    if let Err(error) = logging::install_bounded() {
+        return fail(&error.to_string(), 1);
+    }
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(error) => return fail(&format!("cannot start the runtime: {error}"), 1),
+    };
+    match runtime.block_on(run_entry(path)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => fail(&error.to_string(), 1),
+    }
+}
+
 async fn serve(options: DaemonOptions) -> ExitCode {
     let handle = match daemon::spawn(options).await {
         Ok(handle) => handle,
--- /dev/null
+++ b/src/entry.rs
@@ -0,0 +1,12 @@
+//! An entry host on the users' platform: reads the platform's log, serves
+//! callers and keeps the engines' layers in place.
+
+mod configuring;
+mod following;
+mod placing;
+mod readiness;
+mod run;
+mod settings;
+
+pub use run::run_entry;
+pub use settings::{EntryBounds, EntrySettings};
--- /dev/null
+++ b/src/entry/following.rs
@@ -0,0 +1,141 @@
+//! Follows the targets' heartbeats.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::collections::FastSet;
+use crate::forward::ServingTables;
+use crate::ids::LogOffset;
+use crate::platform::log_calls::{KeyedRead, LogError, LogReader};
+use crate::platform::names;
+use crate::platform::target_record::parse_target;
+
+/// Pause between two reads, in parts of the time within which a leaving
+/// target must be known. Every heartbeat is a record, so a read that waits
+/// for the next one would return 30 times a second with 36 engines.
+const READS_PER_DRAIN: u32 = 3;
+/// After the store's return an entry that is still missing is gone.
+const RETURN_GRACE: Duration = Duration::from_millis(2500);
+
+/// What the follower of heartbeats remembers.
+struct TargetFollower {
+    tables: Arc<ServingTables>,
+    next: Option<LogOffset>,
+    lost: bool,
+    /// Entries that have not come back since the store's return, and until
+    /// when they may.
+    missing: Option<(Instant, FastSet<String>)>,
+}
+
+/// Keeps the table of targets up to date, for ever.
+pub(super) async fn follow_targets(
+    tables: Arc<ServingTables>,
+    mut reader: LogReader,
+    drain: Duration,
+) {
+    let pause = drain / READS_PER_DRAIN;
+    let mut follower = TargetFollower {
+        tables,
+        next: None,
+        lost: false,
+        missing: None,
+    };
+    loop {
+        let read = match follower.next {
+            None => reader.newest(names::TARGET_TOPIC).await,
+            Some(next) => reader.read(names::TARGET_TOPIC, next, Duration::ZERO).await,
+        };
+        follower.take(read, Instant::now());
+        tokio::time::sleep(pause).await;
+    }
+}
+
+impl TargetFollower {
+    fn take(&mut self, read: Result<KeyedRead, LogError>, now: Instant) {
+        match read {
+            Ok(read) => self.take_records(&read, now),
+            Err(LogError::Deleted) => {
+                log::info!("targets: history lost, reading the newest records");
+                self.next = None;
+            }
+            Err(error) => {
+                if !std::mem::replace(&mut self.lost, true) {
+                    log::warn!(error:% = error; "targets: log lost");
+                }
+            }
+        }
+        self.drop_missing(now);
+    }
+
+    fn take_records(&mut self, read: &KeyedRead, now: Instant) {
+        if std::mem::take(&mut self.lost) {
+            log::info!(next = read.next; "targets: log reached again");
+        }
+        if self.next.is_none() {
+            self.expect_all(read, now);
+        }
+        self.next = Some(read.next);
+        for record in &read.records {
+            if let Some((_, missing)) = &mut self.missing {
+                missing.remove(&record.key);
+            }
+            match &record.value {
+                None => self.remove(&record.key, "entry dropped"),
+                Some(value) => self.observe(&record.key, value),
+            }
+        }
+    }
+
+    /// After a fresh start of reading, whatever is not listed may be gone.
+    fn expect_all(&mut self, read: &KeyedRead, now: Instant) {
+        let known = self.tables.fleet.lock().ids();
+        let listed = read.records.iter().map(|record| record.key.as_str());
+        let listed = listed.collect::<FastSet<_>>();
+        let missing = known.iter().filter(|id| !listed.contains(&***id));
+        let missing = missing.map(|id| id.to_string()).collect::<FastSet<_>>();
+        if !missing.is_empty() {
+            self.missing = Some((now + RETURN_GRACE, missing));
+        }
+    }
+
+    fn drop_missing(&mut self, now: Instant) {
+        if self.missing.as_ref().is_none_or(|(until, _)| now < *until) {
+            return;
+        }
+        let missing = self
+            .missing
+            .take()
+            .map(|(_, missing)| missing)
+            .unwrap_or_default();
+        for id in missing {
+            self.remove(&id, "missing after the store's return");
+        }
+    }
+
+    fn observe(&self, id: &str, value: &[u8]) {
+        match parse_target(id, value) {
+            Ok(entry) => {
+                let line = (entry.draining, entry.layers, entry.address);
+                if self.tables.fleet.lock().observe_entry(entry) {
+                    let (draining, layers, address) = line;
+                    let layers = layers.map_or("none".to_owned(), |layers| {
+                        format!("{}-{}", layers.from, layers.to)
+                    });
+                    log::info!(
+                        target:% = id, address:% = address, draining = draining, layers:% = layers;
+                        "target"
+                    );
+                }
+            }
+            Err(error) => log::error!(target:% = id, error:% = error; "entry cannot be read"),
+        }
+    }
+
+    fn remove(&self, id: &str, reason: &str) {
+        let removed = self.tables.fleet.lock().remove(id);
+        if removed.is_some() {
+            self.tables.forget_target(id);
+            log::info!(target:% = id, reason:% = reason; "target gone");
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/placing.rs
@@ -0,0 +1,238 @@
+//! Keeps the engines' layers as planned.
+
+use std::hash::{BuildHasher, Hasher};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::Full;
+
+use crate::collections::FastMap;
+use crate::fleet::{FleetTable, LayerRange, TargetId};
+use crate::forward::{ServingTables, ask, fetch_report};
+use crate::ids::ZoneId;
+use crate::ingress::{EngineModel, IngressConfiguration};
+use crate::placing::{EngineView, PlannedRange, plan_zone};
+use crate::platform::{names, order};
+
+/// Pause between two looks at the plan.
+const LOOK_PAUSE: Duration = Duration::from_millis(250);
+/// The engines count as seen once no new one has shown up for this long; each
+/// writes a heartbeat every 1.2 s.
+const SETTLE_HEARTBEATS: f64 = 1.3;
+/// A first plan is not put off for longer than this many heartbeats.
+const MOST_HEARTBEATS: f64 = 3.5;
+/// The hosts that see a need order one after the other, spread over this time,
+/// so that one order is usually all that is sent.
+const ORDER_SPREAD: Duration = Duration::from_millis(1500);
+/// After this time an order whose effect does not show is given again.
+const ORDER_PATIENCE: Duration = Duration::from_secs(8);
+/// How long an engine may take to accept an order.
+const ORDER_LIMIT: Duration = Duration::from_secs(1);
+
+/// An order that was given, by this host or by another.
+#[derive(Debug, Clone, Copy)]
+struct GivenOrder {
+    layers: LayerRange,
+    at: Instant,
+}
+
+/// A need that was seen, and the moment at which this host orders.
+#[derive(Debug, Clone, Copy)]
+struct PendingNeed {
+    layers: LayerRange,
+    due: Instant,
+}
+
+struct PlacingWorker {
+    tables: Arc<ServingTables>,
+    host_hash: u64,
+    given: FastMap<TargetId, GivenOrder>,
+    needs: FastMap<TargetId, PendingNeed>,
+    known: usize,
+    first_seen: Option<Instant>,
+    changed_at: Instant,
+    heartbeat: Duration,
+}
+
+/// Orders engines to hold what is planned, for ever.
+pub(super) async fn keep_placed(tables: Arc<ServingTables>, host: String, heartbeat: Duration) {
+    let mut hasher = foldhash::fast::FixedState::default().build_hasher();
+    hasher.write(host.as_bytes());
+    let mut worker = PlacingWorker {
+        tables,
+        host_hash: hasher.finish(),
+        given: FastMap::default(),
+        needs: FastMap::default(),
+        known: 0,
+        first_seen: None,
+        changed_at: Instant::now(),
+        heartbeat,
+    };
+    loop {
+        tokio::time::sleep(LOOK_PAUSE).await;
+        worker.look(Instant::now()).await;
+    }
+}
+
+impl PlacingWorker {
+    async fn look(&mut self, now: Instant) {
+        let configuration = self.tables.configuration.load_full();
+        let Some(configuration) = configuration else {
+            return;
+        };
+        let (planned, known, placed) = {
+            let fleet = self.tables.fleet.lock();
+            let engines = fleet.targets().filter(|state| state.entry.kind.is_some());
+            let engines = engines.collect::<Vec<_>>();
+            let placed = engines.iter().any(|state| state.entry.layers.is_some());
+            (
+                self.plan(&configuration, &fleet, now),
+                engines.len(),
+                placed,
+            )
+        };
+        if known != self.known {
+            self.known = known;
+            self.changed_at = now;
+            self.first_seen.get_or_insert(now);
+        }
+        if !placed && !self.is_settled(now) {
+            return;
+        }
+        self.given
+            .retain(|_, order| now < order.at + ORDER_PATIENCE);
+        let wanted = planned.iter().map(|range| (range.id.clone(), range.layers));
+        let wanted = wanted.collect::<FastMap<_, _>>();
+        self.needs
+            .retain(|id, need| wanted.get(id) == Some(&need.layers));
+        for (id, layers) in wanted {
+            let due = now + self.delay(&id);
+            self.needs.entry(id).or_insert(PendingNeed { layers, due });
+        }
+        self.order_due(now).await;
+    }
+
+    /// Nothing is held anywhere: a plan from a third of the engines would have
+    /// to be made again, so it waits until all have shown up.
+    fn is_settled(&self, now: Instant) -> bool {
+        let quiet = now >= self.changed_at + self.heartbeat.mul_f64(SETTLE_HEARTBEATS);
+        let first = self.first_seen.unwrap_or(now);
+        quiet || now >= first + self.heartbeat.mul_f64(MOST_HEARTBEATS)
+    }
+
+    fn plan(
+        &self,
+        configuration: &IngressConfiguration,
+        fleet: &FleetTable,
+        now: Instant,
+    ) -> Vec<PlannedRange> {
+        let mut planned = Vec::new();
+        for service in configuration.services.values() {
+            let (Some(model), Some(members)) = (&service.engine, fleet.members(&service.name))
+            else {
+                continue;
+            };
+            let mut zones = FastMap::<&ZoneId, Vec<EngineView>>::default();
+            let usable = members.values().filter(|state| state.is_usable(now));
+            for state in usable {
+                let kind = state
+                    .entry
+                    .kind
+                    .as_deref()
+                    .and_then(|kind| model.kinds.get(kind));
+                let Some(kind) = kind else { continue };
+                let ordered = self.given.get(&state.entry.id).map(|order| order.layers);
+                zones
+                    .entry(&state.entry.zone)
+                    .or_default()
+                    .push(EngineView {
+                        id: state.entry.id.clone(),
+                        kind: *kind,
+                        layers: ordered.or(state.entry.layers),
+                    });
+            }
+            let plans = zones
+                .values()
+                .flat_map(|engines| plan_known(model, engines));
+            planned.extend(plans);
+        }
+        planned
+    }
+
+    /// A host's turn to order an engine, the same at every look.
+    fn delay(&self, id: &TargetId) -> Duration {
+        let mut hasher = foldhash::fast::FixedState::with_seed(self.host_hash).build_hasher();
+        hasher.write(id.as_bytes());
+        let part = (hasher.finish() % 1000) as f64 / 1000.0;
+        ORDER_SPREAD.mul_f64(part)
+    }
+
+    async fn order_due(&mut self, now: Instant) {
+        let due = self.needs.iter().filter(|(_, need)| need.due <= now);
+        let due = due
+            .map(|(id, need)| (id.clone(), need.layers))
+            .collect::<Vec<_>>();
+        let orders = due.into_iter().map(|(id, layers)| {
+            let tables = self.tables.clone();
+            async move {
+                let done = give_order(&tables, &id, layers, now).await;
+                (id, done)
+            }
+        });
+        for (id, done) in futures::future::join_all(orders).await {
+            self.needs.remove(&id);
+            if let Some(layers) = done {
+                self.given.insert(id, GivenOrder { layers, at: now });
+            }
+        }
+    }
+}
+
+fn plan_known(model: &EngineModel, engines: &[EngineView]) -> Vec<PlannedRange> {
+    plan_zone(model, engines)
+}
+
+/// Orders an engine to hold `layers`, unless it does or has an order already.
+/// Gives the layers that the engine is taken to hold from now on.
+async fn give_order(
+    tables: &ServingTables,
+    id: &TargetId,
+    layers: LayerRange,
+    now: Instant,
+) -> Option<LayerRange> {
+    let address = tables.fleet.lock().get(id)?.entry.address;
+    let report = fetch_report(tables, id, address, now).await.ok()?;
+    if report.layers == Some(layers) {
+        tables.fleet.lock().observe_layers(id, Some(layers));
+        return Some(layers);
+    }
+    if report.order_busy {
+        // Another host was first; its order shows in the next heartbeat.
+        return Some(layers);
+    }
+    let body = order::place_body(layers, report.order_sequence);
+    let request = Request::post(names::ORDER_PATH)
+        .header(http::header::HOST, address.to_string())
+        .header(http::header::CONTENT_TYPE, "application/json")
+        .header(names::TARGET_INSTANCE, &**id)
+        .body(Full::new(Bytes::from(body)))
+        .ok()?;
+    let answer = ask(address, request, ORDER_LIMIT).await;
+    log::info!(
+        target:% = id,
+        from = layers.from,
+        to = layers.to,
+        held:? = report.layers,
+        expected = report.order_sequence,
+        answer:? = answer.as_ref().map(|(status, _)| status.as_u16());
+        "order given"
+    );
+    match answer {
+        Ok((StatusCode::OK | StatusCode::ACCEPTED, _)) => Some(layers),
+        // May have been accepted, or may be carried out later.
+        Err(_) => Some(layers),
+        Ok(_) => None,
+    }
+}
--- /dev/null
+++ b/src/entry/run.rs
@@ -0,0 +1,112 @@
+//! An entry host from start to stop.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+use crate::entry::configuring::follow_configuration;
+use crate::entry::following::follow_targets;
+use crate::entry::placing::keep_placed;
+use crate::entry::readiness::answer_readiness;
+use crate::entry::{EntryBounds, EntrySettings};
+use crate::forward::{ServingTables, serve};
+use crate::platform::host_settings::{SettingsError, read_settings};
+use crate::platform::log_calls::LogReader;
+use crate::retry::BudgetSettings;
+
+/// How long the log service may take: it answers in 4 ms when it is well, and
+/// slow answers of a quarter of a second still count.
+const STORE_LIMIT: Duration = Duration::from_millis(1500);
+/// Part of the retries that all hosts may send which this host takes for its
+/// own requests; the rest covers unevenness.
+const OWN_RATIO_SHARE: f64 = 0.8;
+/// Hosts that the slack is divided among.
+const SLACK_HOSTS: f64 = 12.0;
+/// Time that is left to the platform before it would kill the process.
+const STOP_MARGIN: Duration = Duration::from_millis(400);
+/// The balancer asks once a second and needs two misses; callers that it sends
+/// until then are still answered.
+const ROTATION_OUT: Duration = Duration::from_millis(2600);
+
+/// Why an entry host could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum EntryError {
+    /// Its settings are unusable.
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+    /// A socket or signal could not be set up.
+    #[error("cannot start: {0}")]
+    Start(#[from] std::io::Error),
+}
+
+/// Runs an entry host until it is told to stop.
+///
+/// # Errors
+///
+/// If the settings are unusable or an address cannot be listened on.
+pub async fn run_entry(path: PathBuf) -> Result<(), EntryError> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    let settings = read_settings(&path)?;
+    log::info!(host:% = settings.host, zone:% = settings.zone; "starting");
+    let tables = ServingTables::new(settings.zone.clone(), budget(settings.bounds));
+    let tables = Arc::new(tables);
+    spawn_workers(&tables, &settings);
+    answer_readiness(tables.clone(), settings.readiness).await?;
+    let serving = serve(tables.clone(), settings.callers)?;
+    wait_for_stop(&mut terminate, &mut hangup).await;
+    log::info!(in_flight = tables.in_flight.load(Ordering::Relaxed); "stopping");
+    drain(&tables, settings.bounds.grace).await;
+    serving.stop();
+    log::info!(in_flight = tables.in_flight.load(Ordering::Relaxed); "stopped");
+    Ok(())
+}
+
+fn budget(bounds: EntryBounds) -> BudgetSettings {
+    BudgetSettings {
+        fraction: bounds.retry_ratio * OWN_RATIO_SHARE,
+        burst: bounds.retry_slack / SLACK_HOSTS,
+    }
+}
+
+fn spawn_workers(tables: &Arc<ServingTables>, settings: &EntrySettings) {
+    let reader = || LogReader::open(settings.store, STORE_LIMIT);
+    tokio::spawn(follow_configuration(tables.clone(), reader()));
+    tokio::spawn(follow_targets(
+        tables.clone(),
+        reader(),
+        settings.bounds.drain,
+    ));
+    let host = settings.host.to_string();
+    tokio::spawn(keep_placed(tables.clone(), host, settings.heartbeat));
+}
+
+/// A changed settings file needs nothing: addresses and bounds stay for the
+/// life of a process.
+async fn wait_for_stop(terminate: &mut Signal, hangup: &mut Signal) {
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return,
+            _ = hangup.recv() => log::info!("settings changed: nothing to reload"),
+        }
+    }
+}
+
+/// Answers what comes until the balancer sends nothing more, and finishes what
+/// is in flight, at most until shortly before the process would be killed.
+async fn drain(tables: &ServingTables, grace: Duration) {
+    const PAUSE: Duration = Duration::from_millis(50);
+    let started = Instant::now();
+    tables.draining.store(true, Ordering::Relaxed);
+    let last = started + grace.saturating_sub(STOP_MARGIN);
+    while Instant::now() < last {
+        let idle = tables.in_flight.load(Ordering::Relaxed) == 0;
+        if idle && Instant::now() >= started + ROTATION_OUT {
+            return;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+}
--- /dev/null
+++ b/src/fleet.rs
@@ -0,0 +1,14 @@
+//! What this host believes about the targets, and the choice of engines for a
+//! request. Pure: the present time is an argument.
+
+mod entry;
+mod load;
+mod path;
+mod pick;
+mod table;
+
+pub use entry::{EngineReport, LayerRange, TargetEntry};
+pub use load::RequestSize;
+pub use path::{EnginePath, PathHop, PathQuery, choose_path};
+pub use pick::choose_target;
+pub use table::{FleetTable, ServiceMembers, TargetId, TargetState};
--- /dev/null
+++ b/src/fleet/path.rs
@@ -0,0 +1,243 @@
+//! The choice of a path: engines whose ranges cover every layer once, in order.
+
+use std::time::Instant;
+
+use crate::collections::FastMap;
+use crate::fleet::{LayerRange, RequestSize, ServiceMembers, TargetId, TargetState};
+use crate::ids::ZoneId;
+use crate::ingress::EngineModel;
+
+/// Fixed cost of one more engine on a path, in milliseconds an event: a hop in
+/// the availability zone takes 0.2 ms one way, and a request waits for the
+/// pass that an engine is in, a few milliseconds at light load.
+const HOP_MS: f64 = 2.0;
+/// Costs of a path outside the availability zone, in milliseconds an event: a
+/// crossing of the answer and of the request, about 1 ms, plus what keeps
+/// zones apart while their loads differ little.
+const FAR_ZONE_MS: f64 = 10.0;
+/// Part of an engine's memory that is filled before it counts as full. The
+/// length hint is right at the median only, so the rest takes what answers
+/// run over.
+const USABLE_MEMORY: f64 = 0.9;
+/// Cost of an engine whose memory is full, in milliseconds an event: preferred
+/// only to no path at all.
+const FULL_MS: f64 = 1e4;
+
+/// One engine of a path and the layers that it runs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PathHop {
+    /// The engine.
+    pub target: TargetId,
+    /// Its address.
+    pub address: std::net::SocketAddr,
+    /// The layers.
+    pub layers: LayerRange,
+}
+
+/// Engines that together run every layer once, in order.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EnginePath {
+    /// The engines, in the order of their layers.
+    pub hops: Vec<PathHop>,
+    /// Expected cost, in milliseconds an event.
+    pub cost_ms: f64,
+    /// Whether an engine on it has no room left for the request.
+    pub full: bool,
+}
+
+/// What the choice depends on besides the engines.
+#[derive(Debug, Clone, Copy)]
+pub struct PathQuery<'a> {
+    /// How the engines work.
+    pub model: &'a EngineModel,
+    /// Size of the request.
+    pub size: RequestSize,
+    /// The availability zone of this host.
+    pub zone: &'a str,
+    /// Engines not to use.
+    pub avoid: &'a [TargetId],
+    /// Entry hosts that put load on the engines, this one included.
+    pub hosts: f64,
+}
+
+/// Chooses the cheapest path within one availability zone; if none has a
+/// whole one, across zones.
+pub fn choose_path<D>(
+    members: &ServiceMembers,
+    query: PathQuery<'_>,
+    now: Instant,
+    mut draw: D,
+) -> Option<EnginePath>
+where
+    D: FnMut() -> f64,
+{
+    let usable = |state: &&TargetState| {
+        state.is_usable(now)
+            && state.entry.layers.is_some()
+            && !query.avoid.contains(&state.entry.id)
+    };
+    let engines = members.values().filter(usable).collect::<Vec<_>>();
+    let mut zones = FastMap::<&ZoneId, Vec<&TargetState>>::default();
+    for engine in &engines {
+        zones.entry(&engine.entry.zone).or_default().push(engine);
+    }
+    let mut names = zones.keys().copied().collect::<Vec<_>>();
+    names.sort();
+    let mut best: Option<EnginePath> = None;
+    for name in names {
+        let Some(mut path) = cheapest(&zones[name], query, &mut draw) else {
+            continue;
+        };
+        if &**name != query.zone {
+            path.cost_ms += FAR_ZONE_MS;
+        }
+        if best.as_ref().is_none_or(|best| path.cost_ms < best.cost_ms) {
+            best = Some(path);
+        }
+    }
+    match best {
+        Some(path) if !path.full => Some(path),
+        found => cheapest(&engines, query, &mut draw)
+            .map(|mut path| {
+                path.cost_ms += FAR_ZONE_MS;
+                path
+            })
+            .filter(|path| {
+                found
+                    .as_ref()
+                    .is_none_or(|found| path.cost_ms < found.cost_ms)
+            })
+            .or(found),
+    }
+}
+
+/// Cost of an engine for a request, apart from the layers.
+struct EngineCost {
+    range: LayerRange,
+    hop_ms: f64,
+    layer_ms: f64,
+    full: bool,
+}
+
+fn engine_cost(state: &TargetState, query: PathQuery<'_>, draw: f64) -> Option<EngineCost> {
+    let range = state.entry.layers?;
+    let kind = state.entry.kind.as_deref()?;
+    let kind = *query.model.kinds.get(kind)?;
+    let model = query.model;
+    let layers = f64::from(model.layers);
+    let stride = f64::from(model.stride);
+    let context_k = query.size.tokens() / 1000.0;
+    let others = f64::from(state.in_flight) * query.hosts;
+    let each_ms =
+        model.per_request_ms * kind.read_factor + context_k * model.per_context_k_ms * kind.pace;
+    let step_ms = model.step_ms * kind.pace + (others + 1.0) * each_ms;
+    // A request waits for the rest of a pass and then for its own: the work of
+    // an engine that is busy all the time costs about one and a half passes.
+    let pass_ms = stride * step_ms * f64::from(range.width()) / layers;
+    let room = model.cache_room(kind, range.width());
+    let need = query.size.tokens() * f64::from(range.width());
+    let used = state.reserved * query.hosts;
+    let filled = (used + need) / (room * USABLE_MEMORY).max(1.0);
+    let full = filled > 1.0;
+    let crowding = filled.min(1.0).powi(4) * pass_ms;
+    Some(EngineCost {
+        range,
+        hop_ms: (HOP_MS + 0.5 * pass_ms + crowding + if full { FULL_MS } else { 0.0 })
+            * (1.0 + 0.05 * draw),
+        layer_ms: stride * step_ms / layers,
+        full,
+    })
+}
+
+/// Shortest path over the boundaries of the engines' ranges.
+fn cheapest<D>(engines: &[&TargetState], query: PathQuery<'_>, draw: &mut D) -> Option<EnginePath>
+where
+    D: FnMut() -> f64,
+{
+    let costs = engines
+        .iter()
+        .map(|state| engine_cost(state, query, draw()));
+    let costs = costs.collect::<Vec<_>>();
+    let last = query.model.layers;
+    let ranges = costs.iter().flatten().map(|cost| cost.range);
+    let mut bounds = ranges
+        .flat_map(|range| [range.from, range.to])
+        .collect::<Vec<_>>();
+    bounds.extend([0, last]);
+    bounds.retain(|bound| *bound <= last);
+    bounds.sort_unstable();
+    bounds.dedup();
+    // Cheapest way to each bound: cost, bound before, engine.
+    let mut ways = vec![(f64::INFINITY, 0_usize, usize::MAX); bounds.len()];
+    ways[0].0 = 0.0;
+    for here in 0..bounds.len() {
+        let so_far = ways[here].0;
+        if !so_far.is_finite() {
+            continue;
+        }
+        for (engine, cost) in costs.iter().enumerate() {
+            let Some(cost) = cost else { continue };
+            if !cost.range.contains(bounds[here]) {
+                continue;
+            }
+            for there in here + 1..bounds.len() {
+                if bounds[there] > cost.range.to {
+                    break;
+                }
+                let width = f64::from(bounds[there] - bounds[here]);
+                let total = so_far + cost.hop_ms + width * cost.layer_ms;
+                if total < ways[there].0 {
+                    ways[there] = (total, here, engine);
+                }
+            }
+        }
+    }
+    let mut there = bounds.len() - 1;
+    let cost_ms = ways[there].0;
+    if !cost_ms.is_finite() {
+        return None;
+    }
+    let mut hops = Vec::new();
+    while there > 0 {
+        let (_, here, engine) = ways[there];
+        hops.push((
+            engine,
+            LayerRange {
+                from: bounds[here],
+                to: bounds[there],
+            },
+        ));
+        there = here;
+    }
+    hops.reverse();
+    let hops = join_repeated(hops);
+    let full = hops
+        .iter()
+        .any(|(engine, _)| costs[*engine].as_ref().is_some_and(|cost| cost.full));
+    let hops = hops.into_iter().map(|(engine, layers)| PathHop {
+        target: engines[engine].entry.id.clone(),
+        address: engines[engine].entry.address,
+        layers,
+    });
+    Some(EnginePath {
+        hops: hops.collect(),
+        cost_ms,
+        full,
+    })
+}
+
+/// An engine may stand on a path once only: one that appears twice holds all
+/// that lies between, and takes it over.
+fn join_repeated(hops: Vec<(usize, LayerRange)>) -> Vec<(usize, LayerRange)> {
+    let mut joined: Vec<(usize, LayerRange)> = Vec::with_capacity(hops.len());
+    for (engine, layers) in hops {
+        match joined.iter().position(|(earlier, _)| *earlier == engine) {
+            Some(first) => {
+                joined.truncate(first + 1);
+                joined[first].1.to = layers.to;
+            }
+            None => joined.push((engine, layers)),
+        }
+    }
+    joined
+}
--- /dev/null
+++ b/src/fleet/pick.rs
@@ -0,0 +1,49 @@
+//! The choice of a target of a plain service.
+
+use std::time::Instant;
+
+use crate::fleet::{ServiceMembers, TargetId, TargetState};
+
+/// What a target in another availability zone has to be better by, in
+/// requests in flight: a crossing takes about a millisecond, a request 30.
+const ZONE_PENALTY: f64 = 1.0;
+
+/// Picks the target with the fewest requests of this host, the availability
+/// zone's own first; `avoid` was tried already and comes last. Targets that are
+/// out are taken only when no other is left.
+pub fn choose_target(
+    members: &ServiceMembers,
+    zone: &str,
+    avoid: &[TargetId],
+    now: Instant,
+    draw: f64,
+) -> Option<TargetId> {
+    let leaving = |state: &&TargetState| !state.entry.draining;
+    let fresh = |state: &&TargetState| !avoid.contains(&state.entry.id);
+    let candidates = members.values().filter(leaving).filter(fresh);
+    let cost = |state: &TargetState| {
+        let far = if &*state.entry.zone == zone {
+            0.0
+        } else {
+            ZONE_PENALTY
+        };
+        let out = if state.is_out(now) { 1e6 } else { 0.0 };
+        f64::from(state.in_flight) + far + out
+    };
+    let mut best = Vec::new();
+    let mut least = f64::INFINITY;
+    for state in candidates {
+        let cost = cost(state);
+        match cost.total_cmp(&least) {
+            std::cmp::Ordering::Less => {
+                least = cost;
+                best.clear();
+                best.push(state.entry.id.clone());
+            }
+            std::cmp::Ordering::Equal => best.push(state.entry.id.clone()),
+            std::cmp::Ordering::Greater => {}
+        }
+    }
+    let index = (draw * best.len() as f64) as usize;
+    best.get(index.min(best.len().saturating_sub(1))).cloned()
+}
--- /dev/null
+++ b/src/fleet/table.rs
@@ -0,0 +1,216 @@
+//! The table of targets: what they said, and what this host saw.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::collections::FastMap;
+use crate::fleet::{LayerRange, RequestSize, TargetEntry};
+use crate::ids::{ServiceId, ZoneId};
+
+/// Id of one life of a target.
+pub type TargetId = Arc<str>;
+
+/// First time that a target stays out after a failure that may pass. The
+/// usual pass of an engine takes about 50 ms, so that ten of them go by.
+const FIRST_EJECTION: Duration = Duration::from_millis(500);
+/// Longest time that a target stays out: a fault that lasts longer is probed
+/// by one request in this time.
+const LONGEST_EJECTION: Duration = Duration::from_secs(4);
+/// Failures in a row that put a target out. A single failure can be one
+/// spoiled answer of a sound target.
+const EJECTING_FAILURES: u32 = 2;
+/// How long a target that does not answer at all stays out.
+const SILENT_EJECTION: Duration = Duration::from_secs(3);
+
+/// A target, as heard of and as seen.
+#[derive(Debug, Clone)]
+pub struct TargetState {
+    /// What it last said.
+    pub entry: TargetEntry,
+    /// Requests of this host on it.
+    pub in_flight: u32,
+    /// Memory that this host's requests are expected to need, in tokens times
+    /// layers.
+    pub reserved: f64,
+    /// Failures in a row.
+    pub failures: u32,
+    /// Takes nothing before this moment.
+    pub out_until: Option<Instant>,
+    /// Smoothed time of an answer, in seconds.
+    pub answer_s: f64,
+}
+
+impl TargetState {
+    fn new(entry: TargetEntry) -> Self {
+        Self {
+            entry,
+            in_flight: 0,
+            reserved: 0.0,
+            failures: 0,
+            out_until: None,
+            answer_s: 0.0,
+        }
+    }
+
+    /// Whether the target may be given work.
+    pub fn is_usable(&self, now: Instant) -> bool {
+        !self.entry.draining && !self.is_out(now)
+    }
+
+    /// Whether the target was put out because of failures.
+    pub fn is_out(&self, now: Instant) -> bool {
+        self.out_until.is_some_and(|until| now < until)
+    }
+}
+
+/// Targets of one service in the order of their ids.
+pub type ServiceMembers = BTreeMap<TargetId, TargetState>;
+
+/// Every target known.
+#[derive(Debug, Default)]
+pub struct FleetTable {
+    services: FastMap<ServiceId, ServiceMembers>,
+    service_of: FastMap<TargetId, ServiceId>,
+}
+
+impl FleetTable {
+    /// Takes a heartbeat in; says whether what is believed has changed.
+    pub fn observe_entry(&mut self, entry: TargetEntry) -> bool {
+        let id = entry.id.clone();
+        let service = entry.service.clone();
+        self.service_of.insert(id.clone(), service.clone());
+        let members = self.services.entry(service).or_default();
+        match members.get_mut(&id) {
+            Some(state) if state.entry == entry => false,
+            Some(state) => {
+                state.entry = entry;
+                true
+            }
+            None => {
+                members.insert(id, TargetState::new(entry));
+                true
+            }
+        }
+    }
+
+    /// The target is gone for good.
+    pub fn remove(&mut self, id: &str) -> Option<TargetState> {
+        let service = self.service_of.remove(id)?;
+        self.services.get_mut(&service)?.remove(id)
+    }
+
+    /// Targets of a service.
+    pub fn members(&self, service: &str) -> Option<&ServiceMembers> {
+        self.services.get(service)
+    }
+
+    /// Every target.
+    pub fn targets(&self) -> impl Iterator<Item = &TargetState> {
+        self.services.values().flat_map(BTreeMap::values)
+    }
+
+    /// Ids of all targets.
+    pub fn ids(&self) -> Vec<TargetId> {
+        self.service_of.keys().cloned().collect()
+    }
+
+    /// A target by its id.
+    pub fn get(&self, id: &str) -> Option<&TargetState> {
+        let service = self.service_of.get(id)?;
+        self.services.get(service)?.get(id)
+    }
+
+    /// A target by its id, to change.
+    pub fn get_mut(&mut self, id: &str) -> Option<&mut TargetState> {
+        let service = self.service_of.get(id)?;
+        self.services.get_mut(service)?.get_mut(id)
+    }
+
+    /// Id of the target of a service at an address.
+    pub fn id_at(&self, service: &str, address: SocketAddr) -> Option<TargetId> {
+        let members = self.members(service)?;
+        let mut states = members.values();
+        let state = states.find(|state| state.entry.address == address)?;
+        Some(state.entry.id.clone())
+    }
+
+    /// Whether a service has a target that may be given work.
+    pub fn has_usable(&self, service: &str, now: Instant) -> bool {
+        let members = self.members(service);
+        members.is_some_and(|members| members.values().any(|state| state.is_usable(now)))
+    }
+
+    /// A request was sent to a target that runs `layers` of it.
+    pub fn observe_start(&mut self, id: &str, layers: u32, size: RequestSize) {
+        if let Some(state) = self.get_mut(id) {
+            state.in_flight += 1;
+            state.reserved += f64::from(layers) * size.tokens();
+        }
+    }
+
+    /// The request is over on that target.
+    pub fn observe_end(&mut self, id: &str, layers: u32, size: RequestSize) {
+        if let Some(state) = self.get_mut(id) {
+            state.in_flight = state.in_flight.saturating_sub(1);
+            state.reserved = (state.reserved - f64::from(layers) * size.tokens()).max(0.0);
+        }
+    }
+
+    /// A target answered as it should, after `took`.
+    pub fn observe_success(&mut self, id: &str, took: Duration) {
+        /// Part of a new observation in the smoothed time: about the last ten
+        /// answers count.
+        const WEIGHT: f64 = 0.1;
+        if let Some(state) = self.get_mut(id) {
+            state.failures = 0;
+            state.out_until = None;
+            state.answer_s += WEIGHT * (took.as_secs_f64() - state.answer_s);
+        }
+    }
+
+    /// A target failed a request; says until when it is out, if it is.
+    ///
+    /// Without this, a target that fails quickly looks idle and draws ever
+    /// more requests to it, while its health check stays good.
+    pub fn observe_failure(&mut self, id: &str, now: Instant) -> Option<Instant> {
+        let state = self.get_mut(id)?;
+        state.failures += 1;
+        if state.failures < EJECTING_FAILURES {
+            return None;
+        }
+        let doublings = (state.failures - EJECTING_FAILURES).min(4);
+        let time = (FIRST_EJECTION * 2_u32.pow(doublings)).min(LONGEST_EJECTION);
+        state.out_until = Some(now + time);
+        state.out_until
+    }
+
+    /// A target does not answer at all.
+    pub fn observe_silence(&mut self, id: &str, now: Instant) {
+        if let Some(state) = self.get_mut(id) {
+            state.failures = state.failures.max(EJECTING_FAILURES);
+            state.out_until = Some(now + SILENT_EJECTION);
+        }
+    }
+
+    /// An engine holds other layers than its heartbeat says.
+    pub fn observe_layers(&mut self, id: &str, layers: Option<LayerRange>) {
+        if let Some(state) = self.get_mut(id) {
+            state.entry.layers = layers;
+        }
+    }
+
+    /// Availability zones that a service has usable targets in.
+    pub fn zones(&self, service: &str, now: Instant) -> Vec<ZoneId> {
+        let members = self.members(service);
+        let states = members.into_iter().flat_map(BTreeMap::values);
+        let usable = states.filter(|state| state.is_usable(now));
+        let mut zones = usable
+            .map(|state| state.entry.zone.clone())
+            .collect::<Vec<_>>();
+        zones.sort();
+        zones.dedup();
+        zones
+    }
+}
--- /dev/null
+++ b/src/forward.rs
@@ -0,0 +1,24 @@
+//! The data path: requests of callers go on to targets, answers come back.
+//!
+//! [`serve`] takes connections, `exchange` carries one request, [`relay`] one
+//! stream. Decisions are taken by [`crate::ingress`], [`crate::fleet`] and
+//! [`crate::retry`].
+
+mod answer;
+mod attempt;
+mod choice;
+mod events;
+mod exchange;
+mod head;
+mod probe;
+mod relay;
+mod serve;
+pub mod socket;
+mod tables;
+
+pub use answer::{AnswerBody, Refusal};
+pub use events::EventSplitter;
+pub use exchange::answer_request;
+pub use probe::{ask, fetch_report};
+pub use serve::{ServingHandle, serve};
+pub use tables::{InFlightGuard, ServingTables};
--- /dev/null
+++ b/src/forward/attempt.rs
@@ -0,0 +1,155 @@
+//! One attempt: a connection to a target, the request, the head of its answer.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::header::{self, HeaderValue};
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper_util::rt::TokioIo;
+
+use super::choice::ChosenTarget;
+use super::head::number_value;
+use super::socket;
+use crate::platform::{names, order};
+use crate::verdict::RunVerdict;
+
+/// How long a connection may take: about a thousand times the delay of a link
+/// in the availability zone. A target that is dead or cut off never answers.
+const CONNECT_LIMIT: Duration = Duration::from_millis(250);
+
+/// What a target is sent, whichever it is.
+#[derive(Debug, Clone)]
+pub(super) struct OutgoingRequest {
+    pub(super) id: String,
+    pub(super) method: Method,
+    pub(super) uri: Uri,
+    /// Headers that stay the same for every attempt.
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+}
+
+/// Why an attempt gave no answer that may be passed on.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) struct AttemptFailure {
+    pub(super) verdict: RunVerdict,
+    pub(super) cause: FailureCause,
+    /// The engine at fault, if the target named another one.
+    pub(super) at: Option<SocketAddr>,
+}
+
+/// What went wrong.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub(super) enum FailureCause {
+    #[error("no connection")]
+    Connect,
+    #[error("connection broke")]
+    Broken,
+    #[error("no answer in time")]
+    Timeout,
+    #[error("refused by the target")]
+    Refused,
+    #[error("the engine does not hold its layers")]
+    WrongLayers,
+    #[error("answer of another request")]
+    ForeignAnswer,
+    #[error("answer without proof, or encoded")]
+    Unproven,
+}
+
+impl AttemptFailure {
+    fn new(verdict: RunVerdict, cause: FailureCause) -> Self {
+        Self {
+            verdict,
+            cause,
+            at: None,
+        }
+    }
+}
+
+/// Sends the request and waits for the head of the answer until `limit`.
+///
+/// Each attempt has a connection of its own: on a kept one, a late answer of
+/// an earlier request or a close by the target can cross the request, and a
+/// non-idempotent one could not be sent again.
+pub(super) async fn send(
+    outgoing: &OutgoingRequest,
+    chosen: &ChosenTarget,
+    last_event: Option<&str>,
+    deadline: Instant,
+    limit: Instant,
+) -> Result<Response<Incoming>, AttemptFailure> {
+    let now = Instant::now();
+    let left = limit.saturating_duration_since(now);
+    let connected = socket::connect(chosen.address, CONNECT_LIMIT.min(left)).await;
+    let not_run = |_| AttemptFailure::new(RunVerdict::NotRun, FailureCause::Connect);
+    let stream = connected.map_err(not_run)?;
+    let shaken = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
+    let (mut sender, connection) =
+        shaken.map_err(|_| AttemptFailure::new(RunVerdict::NotRun, FailureCause::Connect))?;
+    tokio::spawn(async move {
+        if let Err(error) = connection.await {
+            log::debug!("connection to a target ended: {error}");
+        }
+    });
+    let request = build(outgoing, chosen, last_event, deadline, Instant::now());
+    let answer = sender.send_request(request);
+    let answer = tokio::time::timeout_at(limit.into(), answer).await;
+    let may_have_run = |cause| AttemptFailure::new(RunVerdict::MayHaveRun, cause);
+    let response = answer
+        .map_err(|_| may_have_run(FailureCause::Timeout))?
+        .map_err(|_| may_have_run(FailureCause::Broken))?;
+    check(&outgoing.id, response)
+}
+
+fn build(
+    outgoing: &OutgoingRequest,
+    chosen: &ChosenTarget,
+    last_event: Option<&str>,
+    deadline: Instant,
+    now: Instant,
+) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(outgoing.body.clone()));
+    *request.method_mut() = outgoing.method.clone();
+    *request.uri_mut() = outgoing.uri.clone();
+    let headers = request.headers_mut();
+    *headers = outgoing.headers.clone();
+    let left = deadline.saturating_duration_since(now).as_millis().max(1);
+    headers.insert(names::DEADLINE_MS, number_value(left));
+    let path = chosen.path.as_ref().map(order::path_value);
+    let named = [
+        (names::TARGET_INSTANCE, Some(&*chosen.id)),
+        (names::ENGINE_PATH, path.as_deref()),
+        (names::LAST_EVENT_ID, last_event),
+    ];
+    for (name, value) in named {
+        if let Some(Ok(value)) = value.map(HeaderValue::from_str) {
+            headers.insert(name, value);
+        }
+    }
+    request
+}
+
+/// Takes an answer only if it is this request's and is the target's own.
+fn check(id: &str, response: Response<Incoming>) -> Result<Response<Incoming>, AttemptFailure> {
+    let headers = response.headers();
+    let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    let at = text(names::AT_SERVER).and_then(|value| value.trim().parse().ok());
+    let refused = text(names::NOT_EXECUTED).is_some();
+    let failure = |verdict, cause| Err(AttemptFailure { verdict, cause, at });
+    match response.status() {
+        StatusCode::MISDIRECTED_REQUEST => failure(RunVerdict::NotRun, FailureCause::WrongLayers),
+        _ if refused => failure(RunVerdict::NotRun, FailureCause::Refused),
+        _ if text(names::ATTEMPT_ID) != Some(id) => {
+            failure(RunVerdict::MayHaveRun, FailureCause::ForeignAnswer)
+        }
+        _ if text(names::SERVER_SEAL).is_none()
+            || headers.contains_key(header::CONTENT_ENCODING) =>
+        {
+            failure(RunVerdict::MayHaveRun, FailureCause::Unproven)
+        }
+        _ => Ok(response),
+    }
+}
--- /dev/null
+++ b/src/forward/choice.rs
@@ -0,0 +1,115 @@
+//! Where an attempt goes.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use crate::fleet::{
+    EnginePath, FleetTable, PathQuery, RequestSize, TargetId, choose_path, choose_target,
+};
+use crate::ingress::{RouteRule, ServiceShare, ServiceSpec};
+
+/// Entry hosts that are taken to send as much as this one, as long as their
+/// own counts are not known: the smallest deployment has about eight, and
+/// callers are spread over them unevenly.
+const ASSUMED_HOSTS: f64 = 6.0;
+
+/// A target, or a path of engines, for one attempt.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) struct ChosenTarget {
+    /// The target that is sent the request.
+    pub(super) id: TargetId,
+    /// Its address.
+    pub(super) address: SocketAddr,
+    /// The path, for model engines.
+    pub(super) path: Option<EnginePath>,
+    /// Size that is counted while the request is under way.
+    pub(super) size: RequestSize,
+}
+
+impl ChosenTarget {
+    /// The targets and the layers that each runs.
+    pub(super) fn parts(&self) -> Vec<(TargetId, u32)> {
+        match &self.path {
+            None => vec![(self.id.clone(), 1)],
+            Some(path) => {
+                let hops = path.hops.iter();
+                hops.map(|hop| (hop.target.clone(), hop.layers.width()))
+                    .collect()
+            }
+        }
+    }
+
+    /// The target on the path that listens at `address`.
+    pub(super) fn at(&self, address: SocketAddr) -> Option<TargetId> {
+        let hops = self.path.iter().flat_map(|path| &path.hops);
+        let mut hops = hops.filter(|hop| hop.address == address);
+        hops.next().map(|hop| hop.target.clone())
+    }
+}
+
+/// Draws a service of a route by the weights of its shares.
+pub(super) fn draw_service(route: &RouteRule, draw: f64) -> Option<&ServiceShare> {
+    let total = route
+        .services
+        .iter()
+        .map(|share| u64::from(share.weight))
+        .sum::<u64>();
+    let mut left = (draw * total as f64) as u64;
+    for share in &route.services {
+        let weight = u64::from(share.weight);
+        if left < weight {
+            return Some(share);
+        }
+        left -= weight;
+    }
+    route.services.last()
+}
+
+/// Chooses a target of a service, or a path over its engines.
+pub(super) fn choose<D>(
+    fleet: &FleetTable,
+    service: &ServiceSpec,
+    zone: &str,
+    size: RequestSize,
+    avoid: &[TargetId],
+    now: Instant,
+    mut draw: D,
+) -> Option<ChosenTarget>
+where
+    D: FnMut() -> f64,
+{
+    let members = fleet.members(&service.name)?;
+    match &service.engine {
+        None => {
+            let id = choose_target(members, zone, avoid, now, draw())?;
+            let address = members.get(&id)?.entry.address;
+            let size = RequestSize {
+                prompt: 0,
+                answer: 0,
+            };
+            Some(ChosenTarget {
+                id,
+                address,
+                path: None,
+                size,
+            })
+        }
+        Some(model) => {
+            let query = PathQuery {
+                model,
+                size,
+                zone,
+                avoid,
+                hosts: ASSUMED_HOSTS,
+            };
+            let path = choose_path(members, query, now, draw)?;
+            let first = path.hops.first()?;
+            Some(ChosenTarget {
+                id: first.target.clone(),
+                address: first.address,
+                size,
+                path: Some(path),
+            })
+        }
+    }
+}
--- /dev/null
+++ b/src/forward/exchange.rs
@@ -0,0 +1,392 @@
+//! One request of a caller, from its head to its answer.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::header::HeaderValue;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+
+use super::answer::{AnswerBody, Refusal, whole_body};
+use super::attempt::{self, AttemptFailure, FailureCause, OutgoingRequest};
+use super::choice::{self, ChosenTarget};
+use super::head::{CallerHead, forwarded, request_size};
+use super::relay;
+use super::tables::{InFlightGuard, ServingTables};
+use crate::fleet::{RequestSize, TargetId};
+use crate::ingress::{MatchedRequest, RequestKind, ServiceSpec, match_request};
+use crate::platform::names;
+use crate::reason::RefusalReason;
+use crate::verdict::RunVerdict;
+
+/// When a caller may come back that found no target: about the time in which
+/// a lost engine is noticed and its requests are moved.
+const NO_ROUTE_RETRY: Duration = Duration::from_millis(500);
+/// When a caller may come back that found no configuration: a start takes
+/// about a second.
+const NOT_READY_RETRY: Duration = Duration::from_secs(1);
+/// Time that a repeatable request leaves to its last attempt, as a part of
+/// what is left.
+const FIRST_ATTEMPT_SHARE: f64 = 0.5;
+/// How long a stream's first attempt may take to its head, in times of the
+/// route's aim. Callers of streams wait four times the aim at least.
+const STREAM_HEAD_AIMS: f64 = 2.4;
+
+/// Everything about one request that its attempts share.
+#[derive(Debug)]
+pub(super) struct Exchange {
+    pub(super) tables: Arc<ServingTables>,
+    pub(super) outgoing: OutgoingRequest,
+    pub(super) matched: MatchedRequest,
+    pub(super) service: Arc<ServiceSpec>,
+    pub(super) size: RequestSize,
+    /// The earlier of the caller's deadline and the route's timeout.
+    pub(super) deadline: Instant,
+}
+
+/// Answers a caller's request.
+pub async fn answer_request(
+    tables: Arc<ServingTables>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let arrived = Instant::now();
+    let (parts, body) = request.into_parts();
+    let head = CallerHead::read(&parts, arrived);
+    let counted = CountedRequest::open(tables.clone());
+    let opened = open(tables, parts, body, &head, arrived).await;
+    let mut response = match opened {
+        Err(refusal) => refuse(&head.id, refusal, arrived),
+        Ok(exchange) => match carry(Arc::new(exchange), counted).await {
+            Ok(response) => response,
+            Err(refusal) => refuse(&head.id, refusal, arrived),
+        },
+    };
+    if !response.headers().contains_key(names::ATTEMPT_ID)
+        && let Ok(id) = HeaderValue::from_str(&head.id)
+    {
+        response.headers_mut().insert(names::ATTEMPT_ID, id);
+    }
+    response
+}
+
+fn refuse(id: &str, refusal: Refusal, arrived: Instant) -> Response<AnswerBody> {
+    log::info!(
+        request:% = id,
+        status = refusal.status.as_u16(),
+        reason:% = refusal.reason.name(),
+        verdict:? = refusal.verdict,
+        after_ms = arrived.elapsed().as_millis() as u64;
+        "refused"
+    );
+    refusal.into_response(id)
+}
+
+/// Counts a request for as long as it is being answered.
+#[derive(Debug)]
+pub(super) struct CountedRequest {
+    tables: Arc<ServingTables>,
+}
+
+impl CountedRequest {
+    fn open(tables: Arc<ServingTables>) -> Self {
+        tables.in_flight.fetch_add(1, Ordering::Relaxed);
+        Self { tables }
+    }
+}
+
+impl Drop for CountedRequest {
+    fn drop(&mut self) {
+        self.tables.in_flight.fetch_sub(1, Ordering::Relaxed);
+        self.tables.answered.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+async fn open(
+    tables: Arc<ServingTables>,
+    parts: http::request::Parts,
+    body: Incoming,
+    head: &CallerHead,
+    arrived: Instant,
+) -> Result<Exchange, Refusal> {
+    let not_ready = || Refusal::not_run(RefusalReason::NotReady, NOT_READY_RETRY);
+    let configuration = tables.configuration.load_full().ok_or_else(not_ready)?;
+    let path = parts.uri.path();
+    let matched = match_request(&configuration, &head.host, path, head.key.as_deref());
+    let matched = matched.map_err(Refusal::rejected)?;
+    let share = choice::draw_service(&matched.route, rand::random());
+    let service = share
+        .and_then(|share| configuration.services.get(&share.service))
+        .cloned();
+    let service =
+        service.ok_or_else(|| Refusal::not_run(RefusalReason::NoRoute, NO_ROUTE_RETRY))?;
+    let body = read_body(body, configuration.limits.body_bytes).await?;
+    let timeout = arrived + matched.route.timeout;
+    let mut headers = forwarded(&parts.headers);
+    if let Some(organisation) = &matched.organisation
+        && let Ok(name) = HeaderValue::from_str(organisation)
+    {
+        headers.insert(names::ORGANISATION, name);
+    }
+    let size = service
+        .engine
+        .as_ref()
+        .map(|model| request_size(&parts.headers, model));
+    if service.engine.is_some() {
+        headers.insert(
+            names::URGENCY_CLASS,
+            HeaderValue::from(u16::from(matched.priority.min(9))),
+        );
+    }
+    tables.count_request(&service.name);
+    Ok(Exchange {
+        outgoing: OutgoingRequest {
+            id: head.id.clone(),
+            method: parts.method,
+            uri: parts
+                .uri
+                .path_and_query()
+                .map_or_else(|| parts.uri.clone(), |path| http::Uri::from(path.clone())),
+            headers,
+            body,
+        },
+        deadline: head
+            .deadline
+            .map_or(timeout, |deadline| deadline.min(timeout)),
+        size: size.unwrap_or(RequestSize {
+            prompt: 0,
+            answer: 0,
+        }),
+        matched,
+        service,
+        tables,
+    })
+}
+
+async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
+    let body = Limited::new(body, limit).collect().await;
+    let malformed = |error: Box<dyn std::error::Error + Send + Sync>| {
+        let status = match error.is::<http_body_util::LengthLimitError>() {
+            true => StatusCode::PAYLOAD_TOO_LARGE,
+            false => StatusCode::BAD_REQUEST,
+        };
+        Refusal {
+            status,
+            verdict: RunVerdict::NotRun,
+            reason: RefusalReason::Malformed,
+            retry_after: None,
+        }
+    };
+    Ok(body.map_err(malformed)?.to_bytes())
+}
+
+/// Sends the request to one target after another until one answers.
+async fn carry(
+    exchange: Arc<Exchange>,
+    counted: CountedRequest,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let mut tried = TriedTargets::default();
+    loop {
+        let (chosen, guard) = exchange.choose(&tried.avoid)?;
+        let limit = exchange.head_limit(tried.sent, Instant::now());
+        let started = Instant::now();
+        let sent = attempt::send(&exchange.outgoing, &chosen, None, exchange.deadline, limit).await;
+        let failure = match sent {
+            Ok(response) if exchange.is_stream(&response) => {
+                exchange.observe_success(&chosen, started.elapsed());
+                let relay = relay::open(exchange, chosen, guard, counted, tried, response);
+                return Ok(relay);
+            }
+            Ok(response) => match read_whole(response, exchange.deadline).await {
+                Ok(response) if exchange.may_fail_over(&response, &tried) => {
+                    exchange.observe_failure(&chosen, None);
+                    tried.count(&chosen, true);
+                    continue;
+                }
+                Ok(response) => {
+                    exchange.observe_success(&chosen, started.elapsed());
+                    drop(guard);
+                    return Ok(response);
+                }
+                Err(failure) => failure,
+            },
+            Err(failure) => failure,
+        };
+        drop(guard);
+        exchange.observe_failure(&chosen, Some(&failure));
+        tried.count(&chosen, failure.cause != FailureCause::Connect);
+        if let Some(at) = failure.at.and_then(|at| chosen.at(at)) {
+            tried.avoid_instead(at);
+        }
+        if !exchange.may_retry(&failure, &tried, Instant::now()) {
+            return Err(final_refusal(&failure, &tried));
+        }
+    }
+}
+
+/// Targets that were tried for one request.
+#[derive(Debug, Default)]
+pub(super) struct TriedTargets {
+    /// Targets not to use again.
+    pub(super) avoid: Vec<TargetId>,
+    /// Attempts that reached a target.
+    pub(super) sent: u32,
+    /// Whether one of them may have run.
+    pub(super) may_have_run: bool,
+}
+
+impl TriedTargets {
+    pub(super) fn count(&mut self, chosen: &ChosenTarget, sent: bool) {
+        self.avoid.push(chosen.id.clone());
+        self.sent += u32::from(sent);
+    }
+
+    /// Another engine of the path was at fault; the first may be used again.
+    pub(super) fn avoid_instead(&mut self, at: TargetId) {
+        self.avoid.pop();
+        self.avoid.push(at);
+    }
+}
+
+impl Exchange {
+    /// Chooses where the next attempt goes, and counts it there.
+    pub(super) fn choose(
+        &self,
+        avoid: &[TargetId],
+    ) -> Result<(ChosenTarget, InFlightGuard), Refusal> {
+        let now = Instant::now();
+        let chosen = {
+            let fleet = self.tables.fleet.lock();
+            let zone = &self.tables.zone;
+            choice::choose(
+                &fleet,
+                &self.service,
+                zone,
+                self.size,
+                avoid,
+                now,
+                rand::random,
+            )
+        };
+        let no_route = || Refusal::not_run(RefusalReason::NoRoute, NO_ROUTE_RETRY);
+        let chosen = chosen.ok_or_else(no_route)?;
+        let guard = InFlightGuard::open(self.tables.clone(), chosen.parts(), chosen.size);
+        Ok((chosen, guard))
+    }
+
+    /// Until when an attempt may take to the head of its answer.
+    fn head_limit(&self, sent: u32, now: Instant) -> Instant {
+        let route = &self.matched.route;
+        let last = sent + 1 >= route.max_attempts;
+        let left = self.deadline.saturating_duration_since(now);
+        match route.kind {
+            RequestKind::Idempotent if !last => now + left.mul_f64(FIRST_ATTEMPT_SHARE),
+            RequestKind::ResumableStream if !last => {
+                now + left.min(route.latency_aim.mul_f64(STREAM_HEAD_AIMS))
+            }
+            _ => self.deadline,
+        }
+    }
+
+    fn is_stream(&self, response: &Response<Incoming>) -> bool {
+        self.matched.route.kind.is_stream() && response.status().is_success()
+    }
+
+    /// Whether a failure that a target itself answered may be tried elsewhere.
+    fn may_fail_over(&self, response: &Response<AnswerBody>, tried: &TriedTargets) -> bool {
+        let route = &self.matched.route;
+        response.status().is_server_error()
+            && route.kind.is_repeatable()
+            && tried.sent + 1 < route.max_attempts
+            && Instant::now() < self.deadline
+            && self.tables.spend_retry(&self.service.name)
+    }
+
+    /// Whether the request may be sent once more.
+    pub(super) fn may_retry(
+        &self,
+        failure: &AttemptFailure,
+        tried: &TriedTargets,
+        now: Instant,
+    ) -> bool {
+        let route = &self.matched.route;
+        let allowed = failure.verdict == RunVerdict::NotRun || route.kind.is_repeatable();
+        let attempts_left = tried.sent < route.max_attempts && tried.avoid.len() < 6;
+        let free = failure.cause == FailureCause::Connect;
+        allowed
+            && attempts_left
+            && now < self.deadline
+            && (free || self.tables.spend_retry(&self.service.name))
+    }
+
+    pub(super) fn observe_success(&self, chosen: &ChosenTarget, took: Duration) {
+        let mut fleet = self.tables.fleet.lock();
+        fleet.observe_success(&chosen.id, took);
+    }
+
+    /// Puts down who failed; `None` stands for a failure that the target
+    /// itself answered.
+    pub(super) fn observe_failure(&self, chosen: &ChosenTarget, failure: Option<&AttemptFailure>) {
+        let now = Instant::now();
+        let at = failure
+            .and_then(|failure| failure.at)
+            .and_then(|at| chosen.at(at));
+        let id = at.unwrap_or_else(|| chosen.id.clone());
+        let cause = failure.map(|failure| failure.cause);
+        let mut fleet = self.tables.fleet.lock();
+        let out = match cause {
+            // A full engine is no faulty one.
+            Some(FailureCause::Refused) if failure.is_some_and(|failure| failure.at.is_none()) => {
+                None
+            }
+            Some(FailureCause::Connect) => {
+                fleet.observe_silence(&id, now);
+                fleet.get(&id).and_then(|state| state.out_until)
+            }
+            _ => fleet.observe_failure(&id, now),
+        };
+        drop(fleet);
+        log::info!(
+            request:% = self.outgoing.id,
+            target:% = id,
+            cause:? = cause,
+            out_ms = out.map_or(0, |out| out.saturating_duration_since(now).as_millis() as u64);
+            "attempt failed"
+        );
+    }
+}
+
+/// Reads an answer as a whole, so that one that breaks off is never passed on.
+async fn read_whole(
+    response: Response<Incoming>,
+    deadline: Instant,
+) -> Result<Response<AnswerBody>, AttemptFailure> {
+    let (head, body) = response.into_parts();
+    let failed = |cause| AttemptFailure {
+        verdict: RunVerdict::MayHaveRun,
+        cause,
+        at: None,
+    };
+    let body = tokio::time::timeout_at(deadline.into(), body.collect()).await;
+    let body = body
+        .map_err(|_| failed(FailureCause::Timeout))?
+        .map_err(|_| failed(FailureCause::Broken))?;
+    let mut response = Response::new(whole_body(body.to_bytes()));
+    *response.status_mut() = head.status;
+    *response.headers_mut() = forwarded(&head.headers);
+    Ok(response)
+}
+
+fn final_refusal(failure: &AttemptFailure, tried: &TriedTargets) -> Refusal {
+    match failure.verdict {
+        RunVerdict::NotRun if !tried.may_have_run => {
+            Refusal::not_run(RefusalReason::NoRoute, NO_ROUTE_RETRY)
+        }
+        _ if failure.cause == FailureCause::Timeout => {
+            Refusal::may_have_run(StatusCode::GATEWAY_TIMEOUT, RefusalReason::DeadlinePassed)
+        }
+        _ => Refusal::may_have_run(StatusCode::BAD_GATEWAY, RefusalReason::TargetFailed),
+    }
+}
--- /dev/null
+++ b/src/forward/head.rs
@@ -0,0 +1,119 @@
+//! What the head of a caller's request says, and the head that a target gets.
+
+use std::time::{Duration, Instant};
+
+use http::header::{self, HeaderMap, HeaderName, HeaderValue};
+use http::request::Parts;
+
+use crate::fleet::RequestSize;
+use crate::ingress::EngineModel;
+use crate::platform::names;
+
+/// The parts of a caller's head that decide.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct CallerHead {
+    /// Id of the attempt, as sent.
+    pub(super) id: String,
+    /// Host name.
+    pub(super) host: String,
+    /// API key.
+    pub(super) key: Option<String>,
+    /// When the caller stops waiting, if it says so.
+    pub(super) deadline: Option<Instant>,
+}
+
+impl CallerHead {
+    pub(super) fn read(parts: &Parts, now: Instant) -> Self {
+        let text = |name: &str| {
+            let value = parts.headers.get(name)?;
+            value.to_str().ok()
+        };
+        let wait = text(names::DEADLINE_MS).and_then(|value| value.trim().parse::<f64>().ok());
+        let authority = parts.uri.authority().map(http::uri::Authority::as_str);
+        let bearer = |value: &str| {
+            let (scheme, key) = value.split_once(' ')?;
+            scheme
+                .eq_ignore_ascii_case("bearer")
+                .then(|| key.trim().to_owned())
+        };
+        Self {
+            id: text(names::ATTEMPT_ID).unwrap_or_default().to_owned(),
+            host: text("host").or(authority).unwrap_or_default().to_owned(),
+            key: text("authorization").and_then(bearer),
+            deadline: wait.map(|wait| now + milliseconds(wait)),
+        }
+    }
+}
+
+/// At most a day, so that no sum of times overflows.
+fn milliseconds(wait: f64) -> Duration {
+    const DAY_MS: f64 = 86_400_000.0;
+    Duration::from_secs_f64(wait.clamp(0.0, DAY_MS) / 1000.0)
+}
+
+/// Headers that concern one connection only, or that only this system sets.
+const NOT_FORWARDED: [&str; 16] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "expect",
+    "authorization",
+    names::ORGANISATION,
+    names::TARGET_INSTANCE,
+    names::ENGINE_PATH,
+    names::DEADLINE_MS,
+];
+
+/// Headers of a request or an answer that go on to the other side.
+pub(super) fn forwarded(headers: &HeaderMap) -> HeaderMap {
+    let named = headers.get_all(header::CONNECTION).iter();
+    let named = named.filter_map(|value| value.to_str().ok());
+    let named = named
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_lowercase());
+    let named = named.collect::<Vec<_>>();
+    let passes = |name: &HeaderName| {
+        let name = name.as_str();
+        !NOT_FORWARDED.contains(&name)
+            && name != names::URGENCY_CLASS
+            && name != names::ASSUMED_VERSION
+            && !named.iter().any(|listed| listed == name)
+    };
+    let mut kept = HeaderMap::with_capacity(headers.len());
+    for (name, value) in headers {
+        if passes(name) {
+            kept.append(name.clone(), value.clone());
+        }
+    }
+    kept
+}
+
+/// Expected size of a request, from the counts and the hint that it carries;
+/// the model's usual sizes stand in for what is missing.
+pub(super) fn request_size(headers: &HeaderMap, model: &EngineModel) -> RequestSize {
+    let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    let counts = text(names::TOKEN_COUNTS).and_then(|value| value.split_once(','));
+    let number = |value: &str| value.trim().parse::<u32>().ok();
+    let prompt = counts.and_then(|(prompt, _)| number(prompt));
+    let most = counts
+        .and_then(|(_, most)| number(most))
+        .unwrap_or(u32::MAX);
+    let hint = text(names::LENGTH_HINT).and_then(number);
+    RequestSize {
+        prompt: prompt.unwrap_or(model.usual_prompt),
+        answer: hint.unwrap_or(model.usual_answer).min(most),
+    }
+}
+
+/// A header value of a number.
+pub(super) fn number_value(number: u128) -> HeaderValue {
+    let number = u64::try_from(number).unwrap_or(u64::MAX);
+    HeaderValue::from(number)
+}
--- /dev/null
+++ b/src/forward/probe.rs
@@ -0,0 +1,102 @@
+//! Short questions to targets: reports, orders, health.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper_util::rt::TokioIo;
+
+use crate::fleet::{EngineReport, TargetId};
+use crate::forward::{ServingTables, socket};
+use crate::platform::{names, target_record};
+
+/// Largest answer to a question, in bytes.
+const MAX_ANSWER_BYTES: usize = 1024 * 1024;
+/// Age up to which a report is used again: reports lag by 200 ms anyway, and
+/// all streams of an engine fall silent at the same moment.
+const REPORT_AGE: Duration = Duration::from_millis(150);
+/// How long an engine may take to report: link delays are below a
+/// millisecond, and a report waits for no slot.
+const REPORT_LIMIT: Duration = Duration::from_millis(250);
+
+/// Asks a target something on a connection of its own.
+///
+/// # Errors
+///
+/// If no whole answer comes within `limit`; the text says why.
+pub async fn ask(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+    limit: Duration,
+) -> Result<(StatusCode, Bytes), String> {
+    let asking = async {
+        let stream = socket::connect(address, limit)
+            .await
+            .map_err(|error| error.to_string())?;
+        let shaken = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
+        let (mut sender, connection) = shaken.map_err(|error| error.to_string())?;
+        let exchange = async {
+            let response = sender.send_request(request).await;
+            let response = response.map_err(|error| error.to_string())?;
+            let status = response.status();
+            let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
+                .collect()
+                .await;
+            let body = body.map_err(|error| error.to_string())?;
+            Ok((status, body.to_bytes()))
+        };
+        tokio::pin!(exchange);
+        tokio::select! {
+            answer = &mut exchange => answer,
+            ended = connection => match ended {
+                Ok(()) => exchange.await,
+                Err(error) => Err(error.to_string()),
+            },
+        }
+    };
+    match tokio::time::timeout(limit, asking).await {
+        Ok(answer) => answer,
+        Err(_) => Err("timeout".to_owned()),
+    }
+}
+
+/// An engine's report, not older than [`REPORT_AGE`]; callers that ask at the
+/// same time share one question.
+///
+/// # Errors
+///
+/// If the engine does not report in time.
+pub async fn fetch_report(
+    tables: &ServingTables,
+    target: &TargetId,
+    address: SocketAddr,
+    now: Instant,
+) -> Result<Arc<EngineReport>, ()> {
+    let cell = tables.report_cell(target);
+    let mut kept = cell.lock().await;
+    match &*kept {
+        Some((at, report)) if now.saturating_duration_since(*at) < REPORT_AGE => report.clone(),
+        _ => {
+            let report = ask_report(address).await.map(Arc::new).map_err(|error| {
+                log::info!(target:% = target, address:% = address, error:% = error; "no report");
+            });
+            *kept = Some((Instant::now(), report.clone()));
+            report
+        }
+    }
+}
+
+async fn ask_report(address: SocketAddr) -> Result<EngineReport, String> {
+    let request = Request::get(names::REPORT_PATH).header(http::header::HOST, address.to_string());
+    let request = request
+        .body(Full::default())
+        .map_err(|error| error.to_string())?;
+    let (status, body) = ask(address, request, REPORT_LIMIT).await?;
+    match status {
+        StatusCode::OK => target_record::parse_report(&body),
+        status => Err(format!("status {status}")),
+    }
+}
--- /dev/null
+++ b/src/forward/tables.rs
@@ -0,0 +1,126 @@
+//! What the data path shares with the workers that keep it up to date.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+
+use arc_swap::ArcSwapOption;
+use parking_lot::Mutex;
+
+use crate::collections::FastMap;
+use crate::fleet::{EngineReport, FleetTable, RequestSize, TargetId};
+use crate::ids::{ServiceId, ZoneId};
+use crate::ingress::IngressConfiguration;
+use crate::retry::{BudgetSettings, RetryBudget};
+
+/// A report and the moment at which it came; one question at a time.
+pub(super) type ReportCell =
+    Arc<tokio::sync::Mutex<Option<(std::time::Instant, Result<Arc<EngineReport>, ()>)>>>;
+
+/// Shared state of the data path. No lock is held across an await, and never
+/// two at once.
+#[derive(Debug)]
+pub struct ServingTables {
+    /// The availability zone of this host.
+    pub zone: ZoneId,
+    /// The configuration in force, once one is known.
+    pub configuration: ArcSwapOption<IngressConfiguration>,
+    /// The targets.
+    pub fleet: Mutex<FleetTable>,
+    /// Set once the process was told to stop.
+    pub draining: AtomicBool,
+    /// Requests being answered.
+    pub in_flight: AtomicUsize,
+    /// Requests answered since the start; tells a drain that callers left.
+    pub answered: AtomicUsize,
+    budgets: Mutex<FastMap<ServiceId, RetryBudget>>,
+    budget_settings: BudgetSettings,
+    reports: Mutex<FastMap<TargetId, ReportCell>>,
+}
+
+impl ServingTables {
+    /// Empty tables for a host of an availability zone.
+    pub fn new(zone: ZoneId, budget_settings: BudgetSettings) -> Self {
+        Self {
+            zone,
+            configuration: ArcSwapOption::empty(),
+            fleet: Mutex::default(),
+            draining: AtomicBool::new(false),
+            in_flight: AtomicUsize::new(0),
+            answered: AtomicUsize::new(0),
+            budgets: Mutex::default(),
+            budget_settings,
+            reports: Mutex::default(),
+        }
+    }
+
+    /// Whether the process was told to stop.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
+    /// A request for a service has come; it earns a part of a retry.
+    pub(super) fn count_request(&self, service: &ServiceId) {
+        let mut budgets = self.budgets.lock();
+        let settings = self.budget_settings;
+        let budget = budgets.entry(service.clone());
+        budget
+            .or_insert_with(|| RetryBudget::new(settings))
+            .request_started();
+    }
+
+    /// Takes one retry from a service's budget, if there is one.
+    pub(super) fn spend_retry(&self, service: &ServiceId) -> bool {
+        let mut budgets = self.budgets.lock();
+        budgets.get_mut(service).is_some_and(RetryBudget::spend)
+    }
+
+    pub(super) fn report_cell(&self, target: &TargetId) -> ReportCell {
+        self.reports
+            .lock()
+            .entry(target.clone())
+            .or_default()
+            .clone()
+    }
+
+    /// Forgets what was kept about a target that is gone.
+    pub fn forget_target(&self, target: &str) {
+        self.reports.lock().remove(target);
+    }
+}
+
+/// Counts a request on its targets for as long as it lives.
+#[derive(Debug)]
+pub struct InFlightGuard {
+    tables: Arc<ServingTables>,
+    parts: Vec<(TargetId, u32)>,
+    size: RequestSize,
+}
+
+impl InFlightGuard {
+    /// Counts a request of `size` on targets and the layers that each runs.
+    pub fn open(
+        tables: Arc<ServingTables>,
+        parts: Vec<(TargetId, u32)>,
+        size: RequestSize,
+    ) -> Self {
+        let mut fleet = tables.fleet.lock();
+        for (target, layers) in &parts {
+            fleet.observe_start(target, *layers, size);
+        }
+        drop(fleet);
+        Self {
+            tables,
+            parts,
+            size,
+        }
+    }
+}
+
+impl Drop for InFlightGuard {
+    fn drop(&mut self) {
+        let mut fleet = self.tables.fleet.lock();
+        for (target, layers) in &self.parts {
+            fleet.observe_end(target, *layers, self.size);
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,7 +29,11 @@
 pub mod cli;
 pub mod collections;
 pub mod daemon;
+pub mod entry;
+pub mod fleet;
+pub mod forward;
 pub mod ids;
+pub mod ingress;
 pub mod journal;
 pub mod lease;
 pub mod logging;
@@ -50,6 +54,7 @@
 )]
 #[rustfmt::skip]
 pub mod peer_capnp;
+pub mod placing;
 pub mod platform;
 pub mod reason;
 pub mod reconcile;
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -4,6 +4,7 @@
 //! `log::info!(request:% = id; "answered")`. Tokens are never passed to a log
 //! macro, not even as digests.
 
+mod bounded_writer;
 mod format;
 mod join;
 
@@ -11,7 +12,9 @@
 
 use log::{LevelFilter, Log, SetLoggerError};
 
-use crate::options::LogOptions;
+use crate::options::{LogFormat, LogOptions};
+
+pub use bounded_writer::BoundedWriter;
 
 pub use join::dropshot_logger;
 
@@ -29,6 +32,22 @@
     Ok(())
 }
 
+/// Starts logging as JSON to standard output, through a queue that neither
+/// blocks nor grows.
+///
+/// # Errors
+/// If a logger is already installed.
+pub fn install_bounded() -> Result<(), SetLoggerError> {
+    let options = LogOptions {
+        level: LevelFilter::Info,
+        format: LogFormat::Json,
+    };
+    let (level, logger) = logger_to(options, BoundedWriter::spawn(std::io::stdout()));
+    log::set_boxed_logger(logger)?;
+    log::set_max_level(level);
+    Ok(())
+}
+
 /// Builds a logger that writes to `writer`, and the level it needs.
 pub fn logger_to<W>(options: LogOptions, writer: W) -> (LevelFilter, Box<dyn Log>)
 where
--- /dev/null
+++ b/src/logging/bounded_writer.rs
@@ -0,0 +1,107 @@
+//! A writer whose reader may stop reading.
+
+use std::io::{self, Write};
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::time::{Duration, Instant};
+
+/// Lines that wait to be written; a line has some 200 bytes, so that the queue
+/// stays below half a megabyte.
+const QUEUE_LINES: usize = 2048;
+/// Lines a second that are written on average: about ten times what a host
+/// writes on a day with faults, and below 1% of a core.
+const LINES_PER_S: f64 = 400.0;
+/// Lines that may come at once: a lost engine touches some hundred requests.
+const BURST_LINES: f64 = 800.0;
+
+/// Passes lines to a thread that writes them. When the queue is full or the
+/// lines come too fast they are left out and counted, and the count is written
+/// with the next line that fits.
+///
+/// If the reader of the log stopped reading, a direct write would block the
+/// thread that serves requests; one would notice by all requests standing
+/// still at once.
+#[derive(Debug)]
+pub struct BoundedWriter {
+    queue: SyncSender<Vec<u8>>,
+    line: Vec<u8>,
+    left_out: u64,
+    allowance: f64,
+    counted_at: Instant,
+}
+
+impl BoundedWriter {
+    /// Starts the thread that writes to `output`.
+    pub fn spawn<W>(output: W) -> Self
+    where
+        W: Write + Send + 'static,
+    {
+        let (queue, lines) = sync_channel(QUEUE_LINES);
+        std::thread::spawn(move || write_lines(&lines, output));
+        Self {
+            queue,
+            line: Vec::new(),
+            left_out: 0,
+            allowance: BURST_LINES,
+            counted_at: Instant::now(),
+        }
+    }
+
+    fn send_line(&mut self, now: Instant) {
+        let mut line = std::mem::take(&mut self.line);
+        let passed = now.saturating_duration_since(self.counted_at);
+        self.counted_at = now;
+        let earned = passed.as_secs_f64() * LINES_PER_S;
+        self.allowance = (self.allowance + earned).min(BURST_LINES);
+        if self.allowance < 1.0 {
+            self.left_out += 1;
+            return;
+        }
+        self.allowance -= 1.0;
+        if self.left_out > 0 {
+            let count = self.left_out;
+            line.extend_from_slice(
+                format!("{{\"message\":\"lines left out\",\"count\":\"{count}\"}}\n").as_bytes(),
+            );
+        }
+        match self.queue.try_send(line) {
+            Ok(()) => self.left_out = 0,
+            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => self.left_out += 1,
+        }
+    }
+}
+
+impl Write for BoundedWriter {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.line.extend_from_slice(bytes);
+        if self.line.ends_with(b"\n") {
+            self.send_line(Instant::now());
+        }
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Writes what is there in one go, and ends when the output is closed.
+fn write_lines<W>(lines: &Receiver<Vec<u8>>, mut output: W)
+where
+    W: Write,
+{
+    /// Pause between two writes, so that lines are written together.
+    const PAUSE: Duration = Duration::from_millis(100);
+    while let Ok(mut text) = lines.recv() {
+        while let Ok(line) = lines.try_recv() {
+            text.extend_from_slice(&line);
+        }
+        if output
+            .write_all(&text)
+            .and_then(|()| output.flush())
+            .is_err()
+        {
+            return;
+        }
+        std::thread::sleep(PAUSE);
+    }
+}
--- a/src/options/arguments.rs
+++ b/src/options/arguments.rs
@@ -11,13 +11,16 @@
 /// Name of the argument that prints the sample file.
 pub(super) const PRINT_SAMPLE: &str = "print-sample";
 
+/// Name of the argument that takes the settings from the users' platform.
+pub(super) const PLATFORM: &str = "platform";
+
 /// The command line of `jackdawwickd`.
 pub fn daemon_command() -> Command {
     let config = Arg::new(CONFIG)
         .long(CONFIG)
         .value_name("FILE")
         .value_parser(value_parser!(PathBuf))
-        .required_unless_present(PRINT_SAMPLE)
+        .required_unless_present_any([PRINT_SAMPLE, PLATFORM])
         .help("TOML file with the settings");
     let check = Arg::new(CHECK)
         .long(CHECK)
@@ -28,10 +31,16 @@
         .action(ArgAction::SetTrue)
         .conflicts_with_all([CONFIG, CHECK])
         .help("Print a documented settings file and exit");
+    let platform = Arg::new(PLATFORM)
+        .long(PLATFORM)
+        .action(ArgAction::SetTrue)
+        .conflicts_with_all([CONFIG, CHECK, PRINT_SAMPLE])
+        .help("Run as an entry host with the settings that the users' platform gives");
     Command::new("jackdawwickd")
         .version(crate_version!())
         .about("Routes requests over pipelines of mixed accelerators")
         .arg(config)
         .arg(check)
         .arg(print_sample)
+        .arg(platform)
 }
--- a/src/options/startup.rs
+++ b/src/options/startup.rs
@@ -3,8 +3,9 @@
 use std::ffi::OsString;
 use std::path::{Path, PathBuf};
 
-use super::arguments::{CHECK, CONFIG, PRINT_SAMPLE, daemon_command};
+use super::arguments::{CHECK, CONFIG, PLATFORM, PRINT_SAMPLE, daemon_command};
 use super::{DaemonOptions, SAMPLE_TOML};
+use crate::platform::names::SETTINGS_VARIABLE;
 
 /// Exit status for a wrong command line or wrong settings.
 const USAGE_STATUS: u8 = 2;
@@ -14,6 +15,9 @@
 pub enum StartupAction {
     /// Run with these settings.
     Run(Box<DaemonOptions>),
+    /// Run as an entry host of the users' platform, with the settings at this
+    /// path.
+    RunEntry(PathBuf),
     /// Print the text to standard output and exit with status 0.
     Print(String),
     /// Print the message to standard error and exit with the status.
@@ -40,12 +44,22 @@
     if matches.get_flag(PRINT_SAMPLE) {
         return StartupAction::Print(SAMPLE_TOML.to_owned());
     }
+    if matches.get_flag(PLATFORM) {
+        return plan_entry();
+    }
     match matches.get_one::<PathBuf>(CONFIG) {
         Some(path) => load(path, matches.get_flag(CHECK)),
         None => fail("name a settings file with --config FILE".to_owned()),
     }
 }
 
+fn plan_entry() -> StartupAction {
+    match std::env::var_os(SETTINGS_VARIABLE) {
+        Some(path) => StartupAction::RunEntry(PathBuf::from(path)),
+        None => fail(format!("{SETTINGS_VARIABLE} names no settings file")),
+    }
+}
+
 fn load(path: &Path, check_only: bool) -> StartupAction {
     let shown = path.display();
     let text = match std::fs::read_to_string(path) {
--- /dev/null
+++ b/src/placing.rs
@@ -0,0 +1,8 @@
+//! Which engine holds which layers. Pure: from the engines that are seen to
+//! the ranges that they should hold, the same on every host that sees the same.
+
+mod first;
+mod mend;
+mod plan;
+
+pub use plan::{EngineView, PlannedRange, plan_zone};
--- /dev/null
+++ b/src/placing/plan.rs
@@ -0,0 +1,39 @@
+//! The plan of one availability zone.
+
+use crate::fleet::{LayerRange, TargetId};
+use crate::ingress::{AcceleratorKind, EngineModel};
+use crate::placing::{first, mend};
+
+/// An engine as the planner sees it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EngineView {
+    /// Id of this life of the engine.
+    pub id: TargetId,
+    /// What it can hold.
+    pub kind: AcceleratorKind,
+    /// What it holds, or was ordered to hold.
+    pub layers: Option<LayerRange>,
+}
+
+/// What an engine should hold.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlannedRange {
+    /// The engine.
+    pub id: TargetId,
+    /// The layers.
+    pub layers: LayerRange,
+}
+
+/// Ranges to order, for the engines of one availability zone; engines that are
+/// to stay as they are do not appear.
+///
+/// Engines that hold layers already are left alone as long as every layer has
+/// a holder: a load takes seconds and its share of the weights store.
+pub fn plan_zone(model: &EngineModel, engines: &[EngineView]) -> Vec<PlannedRange> {
+    let mut engines = engines.to_vec();
+    engines.sort_by(|one, other| one.id.cmp(&other.id));
+    match engines.iter().any(|engine| engine.layers.is_some()) {
+        false => first::plan_empty(model, &engines),
+        true => mend::plan_changes(model, &engines),
+    }
+}
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -6,6 +6,12 @@
 pub mod append_queue;
 pub mod backoff;
 pub mod client;
+pub mod configuration_record;
 pub mod error;
+pub mod host_settings;
+pub mod log_calls;
 pub mod log_tail;
+pub mod names;
+pub mod order;
+pub mod target_record;
 pub mod wire;
--- /dev/null
+++ b/src/platform/configuration_record.rs
@@ -0,0 +1,264 @@
+//! The operators' configuration as it stands in the log.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Deserialize;
+
+use crate::collections::FastMap;
+use crate::ingress::{
+    AcceleratorKind, CallerLimits, EngineModel, IngressConfiguration, KeyHolder, RequestKind,
+    RouteRule, ServiceShare, ServiceSpec,
+};
+
+#[derive(Deserialize)]
+struct ConfigurationBody {
+    version: u64,
+    #[serde(default)]
+    routes: Vec<RouteBody>,
+    #[serde(default)]
+    services: Vec<ServiceBody>,
+    limits: Option<LimitsBody>,
+    tenants: Option<Vec<OrganisationBody>>,
+}
+
+#[derive(Deserialize)]
+struct RouteBody {
+    name: Box<str>,
+    host: Box<str>,
+    path_prefix: Box<str>,
+    kind: String,
+    #[serde(default = "default_timeout")]
+    timeout_ms: f64,
+    /// Time to the answer (streams: to the first event) that is on time.
+    target_latency_ms: Option<f64>,
+    gap_aim_ms: Option<f64>,
+    #[serde(default)]
+    priority: u8,
+    service: Option<String>,
+    traffic_split: Option<Vec<SplitBody>>,
+    #[serde(default = "default_attempts")]
+    max_attempts: u32,
+    #[serde(default)]
+    public: bool,
+    #[serde(default)]
+    stream_resume: bool,
+}
+
+fn default_timeout() -> f64 {
+    20_000.0
+}
+
+fn default_attempts() -> u32 {
+    1
+}
+
+#[derive(Deserialize)]
+struct SplitBody {
+    service: String,
+    weight: f64,
+}
+
+#[derive(Deserialize)]
+struct ServiceBody {
+    name: String,
+    health_path: Box<str>,
+    engine: Option<EngineBody>,
+}
+
+#[derive(Deserialize)]
+struct EngineBody {
+    #[serde(default)]
+    layers: u32,
+    #[serde(default)]
+    layer_mb: f64,
+    kv_token_bytes: f64,
+    step_ms: f64,
+    per_seq_ms: f64,
+    context_per_k: f64,
+    read_per_s: f64,
+    #[serde(default = "default_stride")]
+    stride: u32,
+    #[serde(default)]
+    models: Vec<ModelBody>,
+    usual: Option<UsualBody>,
+    #[serde(default)]
+    kind_list: Vec<KindBody>,
+}
+
+fn default_stride() -> u32 {
+    1
+}
+
+#[derive(Deserialize)]
+struct ModelBody {
+    load_s: Option<f64>,
+}
+
+#[derive(Deserialize)]
+struct UsualBody {
+    prompt: f64,
+    answer: f64,
+}
+
+#[derive(Deserialize)]
+struct KindBody {
+    name: Box<str>,
+    mb: f64,
+    pace: f64,
+    read_x: f64,
+}
+
+#[derive(Deserialize)]
+struct LimitsBody {
+    max_header_bytes: usize,
+    max_body_bytes: usize,
+    idle_timeout_ms: f64,
+}
+
+#[derive(Deserialize)]
+struct OrganisationBody {
+    name: String,
+    #[serde(default)]
+    api_keys: Vec<Box<str>>,
+    priority: Option<u8>,
+}
+
+/// Converts the value of a configuration record.
+///
+/// # Errors
+///
+/// If the value is not what operators publish; the message names the field.
+pub fn parse_configuration(value: &[u8]) -> Result<IngressConfiguration, String> {
+    let mut deserializer = serde_json::Deserializer::from_slice(value);
+    let body: ConfigurationBody =
+        serde_path_to_error::deserialize(&mut deserializer).map_err(|error| error.to_string())?;
+    let mut routes = FastMap::<Box<str>, Vec<Arc<RouteRule>>>::default();
+    for route in body.routes {
+        let rules = routes.entry(route.host.clone()).or_default();
+        rules.push(Arc::new(convert_route(route)));
+    }
+    for rules in routes.values_mut() {
+        rules.sort_by_key(|rule| std::cmp::Reverse(rule.path_prefix.len()));
+    }
+    let services = body.services.into_iter().map(convert_service);
+    Ok(IngressConfiguration {
+        version: body.version,
+        routes,
+        services: services
+            .map(|service| (service.name.clone(), Arc::new(service)))
+            .collect(),
+        keys: body.tenants.map(convert_keys),
+        limits: body.limits.map_or_else(Default::default, convert_limits),
+    })
+}
+
+fn convert_route(body: RouteBody) -> RouteRule {
+    let kind = match (body.kind.as_str(), body.stream_resume) {
+        ("safe", _) => RequestKind::Idempotent,
+        ("streaming", true) => RequestKind::ResumableStream,
+        ("streaming", false) => RequestKind::Stream,
+        _ => RequestKind::NonIdempotent,
+    };
+    let timeout = milliseconds(body.timeout_ms);
+    RouteRule {
+        name: body.name,
+        path_prefix: body.path_prefix,
+        kind,
+        timeout,
+        latency_aim: body.target_latency_ms.map_or(timeout, milliseconds),
+        gap_aim: body.gap_aim_ms.map(milliseconds),
+        priority: body.priority,
+        services: convert_shares(body.service, body.traffic_split),
+        max_attempts: body.max_attempts.max(1),
+        public: body.public,
+    }
+}
+
+fn convert_shares(service: Option<String>, split: Option<Vec<SplitBody>>) -> Vec<ServiceShare> {
+    let whole = service.map(|service| ServiceShare {
+        service: service.into(),
+        weight: 1,
+    });
+    let parts = split
+        .unwrap_or_default()
+        .into_iter()
+        .map(|part| ServiceShare {
+            service: part.service.into(),
+            // Weights may be fractions; thousandths keep their ratios.
+            weight: (part.weight * 1000.0).round() as u32,
+        });
+    let parts = parts.collect::<Vec<_>>();
+    match parts.is_empty() {
+        true => whole.into_iter().collect(),
+        false => parts,
+    }
+}
+
+fn convert_service(body: ServiceBody) -> ServiceSpec {
+    ServiceSpec {
+        name: body.name.into(),
+        health_path: body.health_path,
+        engine: body.engine.and_then(convert_engine),
+    }
+}
+
+/// `None` for engines that hold whole models: they are plain targets.
+fn convert_engine(body: EngineBody) -> Option<EngineModel> {
+    if body.layers == 0 || body.kind_list.is_empty() {
+        return None;
+    }
+    let kinds = body.kind_list.into_iter().map(|kind| {
+        let accelerator = AcceleratorKind {
+            memory_mb: kind.mb,
+            pace: kind.pace,
+            read_factor: kind.read_x,
+        };
+        (kind.name, accelerator)
+    });
+    let usual = body.usual.as_ref();
+    Some(EngineModel {
+        layers: body.layers,
+        layer_mb: body.layer_mb,
+        kv_token_bytes: body.kv_token_bytes,
+        step_ms: body.step_ms,
+        per_request_ms: body.per_seq_ms,
+        per_context_k_ms: body.context_per_k,
+        read_per_s: body.read_per_s,
+        stride: body.stride.max(1),
+        load_s: body
+            .models
+            .first()
+            .and_then(|model| model.load_s)
+            .unwrap_or(0.0),
+        usual_prompt: usual.map_or(0, |usual| usual.prompt as u32),
+        usual_answer: usual.map_or(0, |usual| usual.answer as u32),
+        kinds: kinds.collect(),
+    })
+}
+
+fn convert_keys(bodies: Vec<OrganisationBody>) -> FastMap<Box<str>, KeyHolder> {
+    let mut keys = FastMap::default();
+    for body in bodies {
+        let holder = KeyHolder {
+            organisation: body.name.into(),
+            priority: body.priority,
+        };
+        for key in body.api_keys {
+            keys.insert(key, holder.clone());
+        }
+    }
+    keys
+}
+
+fn convert_limits(body: LimitsBody) -> CallerLimits {
+    CallerLimits {
+        header_bytes: body.max_header_bytes,
+        body_bytes: body.max_body_bytes,
+        idle: milliseconds(body.idle_timeout_ms),
+    }
+}
+
+fn milliseconds(value: f64) -> Duration {
+    Duration::from_secs_f64((value / 1000.0).max(0.0))
+}
--- /dev/null
+++ b/src/platform/host_settings.rs
@@ -0,0 +1,110 @@
+//! The settings file that the platform writes on each entry host.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde_with::{DurationMilliSeconds, DurationSecondsWithFrac, serde_as};
+
+use crate::collections::FastMap;
+use crate::entry::{EntryBounds, EntrySettings};
+
+/// Why the settings cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    /// The file cannot be read.
+    #[error("cannot read the settings file: {0}")]
+    Read(#[from] std::io::Error),
+    /// The text is not what the platform writes.
+    #[error("cannot parse the settings: {0}")]
+    Parse(String),
+}
+
+#[derive(Deserialize)]
+struct SettingsBody {
+    node: String,
+    zone: String,
+    listen: FastMap<String, SocketAddr>,
+    #[serde(default)]
+    seeds: Vec<SocketAddr>,
+    #[serde(default = "default_beat")]
+    heartbeat_ms: u64,
+    bounds: BoundsBody,
+    provider: ProviderBody,
+    limits: LimitsBody,
+}
+
+fn default_beat() -> u64 {
+    1200
+}
+
+#[derive(Deserialize)]
+struct LimitsBody {
+    memory_mb: u64,
+}
+
+#[derive(Deserialize)]
+struct ProviderBody {
+    address: SocketAddr,
+}
+
+#[serde_as]
+#[derive(Deserialize)]
+struct BoundsBody {
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    drain_ms: Duration,
+    #[serde_as(as = "DurationSecondsWithFrac<f64>")]
+    grace_s: Duration,
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    stall_ms: Duration,
+    retry_budget_ratio: f64,
+    #[serde_as(as = "DurationSecondsWithFrac<f64>")]
+    budget_window_s: Duration,
+    budget_slack: f64,
+}
+
+/// Reads and converts the settings file.
+///
+/// # Errors
+///
+/// If the file cannot be read, or is not what the platform writes; the
+/// message names the key.
+pub fn read_settings(path: &Path) -> Result<EntrySettings, SettingsError> {
+    let text = std::fs::read_to_string(path)?;
+    parse_settings(&text)
+}
+
+/// Converts the text of the settings file.
+///
+/// # Errors
+///
+/// If the text is not what the platform writes; the message names the key.
+pub fn parse_settings(text: &str) -> Result<EntrySettings, SettingsError> {
+    let mut deserializer = serde_json::Deserializer::from_str(text);
+    let body: SettingsBody = serde_path_to_error::deserialize(&mut deserializer)
+        .map_err(|error| SettingsError::Parse(error.to_string()))?;
+    let address = |name: &str| {
+        let missing = || SettingsError::Parse(format!("listen.{name}: missing"));
+        body.listen.get(name).copied().ok_or_else(missing)
+    };
+    Ok(EntrySettings {
+        host: body.node.into(),
+        zone: body.zone.into(),
+        callers: address("front")?,
+        readiness: address("ready")?,
+        peers: body.listen.get("control").copied(),
+        seeds: body.seeds,
+        store: body.provider.address,
+        heartbeat: Duration::from_millis(body.heartbeat_ms),
+        memory_mb: body.limits.memory_mb,
+        bounds: EntryBounds {
+            drain: body.bounds.drain_ms,
+            grace: body.bounds.grace_s,
+            stall: body.bounds.stall_ms,
+            retry_ratio: body.bounds.retry_budget_ratio,
+            retry_window: body.bounds.budget_window_s,
+            retry_slack: body.bounds.budget_slack,
+        },
+    })
+}
--- /dev/null
+++ b/src/platform/log_calls.rs
@@ -0,0 +1,257 @@
+//! Reading calls to the platform's log service: one connection, one call at a
+//! time.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use serde::Deserialize;
+
+use crate::forward::socket;
+use crate::ids::LogOffset;
+
+/// Largest answer that is read, in bytes: a read's limit plus what JSON adds.
+const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+
+/// Why a call to the log service failed.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum LogError {
+    /// No connection within the time.
+    #[error("cannot connect: {0}")]
+    Connect(String),
+    /// The connection broke, or nothing came in time.
+    #[error("no answer: {0}")]
+    NoAnswer(String),
+    /// The service refused the call.
+    #[error("refused with status {0}")]
+    Status(u16),
+    /// The records asked for are gone.
+    #[error("the records asked for were deleted")]
+    Deleted,
+    /// The answer is not in the service's format.
+    #[error("malformed answer: {0}")]
+    Malformed(String),
+}
+
+/// The newest record of a key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KeyedRecord {
+    /// Its key.
+    pub key: String,
+    /// Its value; `None` when the key was dropped.
+    pub value: Option<Vec<u8>>,
+}
+
+/// Records read from a partition.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KeyedRead {
+    /// Offset to read on from.
+    pub next: LogOffset,
+    /// The records in order.
+    pub records: Vec<KeyedRecord>,
+}
+
+/// A client that follows keyed topics of the log.
+#[derive(Debug)]
+pub struct LogReader {
+    address: SocketAddr,
+    connection: Option<hyper::client::conn::http1::SendRequest<Full<Bytes>>>,
+    answer_limit: Duration,
+}
+
+#[derive(Deserialize)]
+struct NewestBody {
+    items: Vec<ItemBody>,
+    #[serde(default)]
+    has_more: bool,
+    end_offset: LogOffset,
+}
+
+#[derive(Deserialize)]
+struct ItemBody {
+    key: String,
+    #[serde(default)]
+    value: Option<String>,
+}
+
+impl LogReader {
+    /// Opens a reader; it connects at its first call.
+    pub fn open(address: SocketAddr, answer_limit: Duration) -> Self {
+        Self {
+            address,
+            connection: None,
+            answer_limit,
+        }
+    }
+
+    /// The newest record of each key, and the offset to read on from.
+    ///
+    /// # Errors
+    ///
+    /// If any page fails.
+    pub async fn newest(&mut self, topic: &str) -> Result<KeyedRead, LogError> {
+        let mut records = Vec::new();
+        let mut after: Option<String> = None;
+        // Pages are no snapshot: reading on from the first page's end repeats
+        // what later pages already hold, and misses nothing.
+        let mut next = None;
+        loop {
+            let from = after
+                .as_ref()
+                .map(|key| format!("&after={key}"))
+                .unwrap_or_default();
+            let path = format!("/jackdawwick/log-newest?topic={topic}&part=0{from}");
+            let bytes = self.get(&path, Duration::ZERO).await?;
+            let body: NewestBody = serde_json::from_slice(&bytes)
+                .map_err(|error| LogError::Malformed(error.to_string()))?;
+            next.get_or_insert(body.end_offset);
+            after = body.items.last().map(|item| item.key.clone());
+            for item in body.items {
+                records.push(decode_item(item)?);
+            }
+            if !body.has_more || after.is_none() {
+                break;
+            }
+        }
+        Ok(KeyedRead {
+            next: next.unwrap_or(0),
+            records,
+        })
+    }
+
+    /// Records from an offset on; waits up to `wait` for one.
+    ///
+    /// # Errors
+    ///
+    /// `Deleted` when the offset is no longer kept; otherwise as the call fails.
+    pub async fn read(
+        &mut self,
+        topic: &str,
+        from: LogOffset,
+        wait: Duration,
+    ) -> Result<KeyedRead, LogError> {
+        let wait_ms = wait.as_millis();
+        let path =
+            format!("/jackdawwick/log-read?topic={topic}&part=0&from={from}&wait_ms={wait_ms}");
+        let bytes = self.get(&path, wait).await?;
+        decode_records(from, &bytes)
+    }
+
+    async fn get(&mut self, path: &str, wait: Duration) -> Result<Bytes, LogError> {
+        let limit = self.answer_limit + wait;
+        let result = tokio::time::timeout(limit, self.exchange(path)).await;
+        let result = result.unwrap_or_else(|_| Err(LogError::NoAnswer("timeout".to_owned())));
+        // A connection on which an answer was lost gives nothing more.
+        if matches!(result, Err(LogError::NoAnswer(_) | LogError::Malformed(_))) {
+            self.connection = None;
+        }
+        result
+    }
+
+    async fn exchange(&mut self, path: &str) -> Result<Bytes, LogError> {
+        if self
+            .connection
+            .as_ref()
+            .is_none_or(|sender| sender.is_closed())
+        {
+            self.connection = Some(self.connect().await?);
+        }
+        let no_answer = |error: hyper::Error| LogError::NoAnswer(error.to_string());
+        let Some(sender) = self.connection.as_mut() else {
+            return Err(LogError::Connect("no connection".to_owned()));
+        };
+        sender.ready().await.map_err(no_answer)?;
+        let request = Request::builder()
+            .method(Method::GET)
+            .uri(path)
+            .header(http::header::HOST, self.address.to_string())
+            .body(Full::new(Bytes::new()))
+            .map_err(|error| LogError::Malformed(error.to_string()))?;
+        let response = sender.send_request(request).await.map_err(no_answer)?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
+            .collect()
+            .await;
+        let bytes = body
+            .map_err(|error| LogError::NoAnswer(error.to_string()))?
+            .to_bytes();
+        match status {
+            StatusCode::OK => Ok(bytes),
+            StatusCode::GONE => Err(LogError::Deleted),
+            status => Err(LogError::Status(status.as_u16())),
+        }
+    }
+
+    async fn connect(
+        &self,
+    ) -> Result<hyper::client::conn::http1::SendRequest<Full<Bytes>>, LogError> {
+        let connected = socket::connect(self.address, self.answer_limit).await;
+        let stream = connected.map_err(|error| LogError::Connect(error.to_string()))?;
+        let io = hyper_util::rt::TokioIo::new(stream);
+        let shaken = hyper::client::conn::http1::handshake(io).await;
+        let (sender, connection) = shaken.map_err(|error| LogError::Connect(error.to_string()))?;
+        tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                log::debug!("connection to the log service ended: {error}");
+            }
+        });
+        Ok(sender)
+    }
+}
+
+fn decode_item(item: ItemBody) -> Result<KeyedRecord, LogError> {
+    let decode = |text: String| {
+        STANDARD
+            .decode(text)
+            .map_err(|error| LogError::Malformed(error.to_string()))
+    };
+    Ok(KeyedRecord {
+        key: item.key,
+        value: item.value.map(decode).transpose()?,
+    })
+}
+
+/// Decodes `end`, `first` (8 bytes each, big-endian) and records: 4 bytes of
+/// length, 1 byte of the key's length, the key, the value.
+fn decode_records(from: LogOffset, bytes: &[u8]) -> Result<KeyedRead, LogError> {
+    let malformed = |what: &str| LogError::Malformed(what.to_owned());
+    let (_end, rest) = split_number(bytes).ok_or_else(|| malformed("no end"))?;
+    let (first, mut rest) = split_number(rest).ok_or_else(|| malformed("no first"))?;
+    if first > from {
+        return Err(LogError::Deleted);
+    }
+    let mut records = Vec::new();
+    while !rest.is_empty() {
+        let (length, tail) = rest
+            .split_first_chunk::<4>()
+            .ok_or_else(|| malformed("length"))?;
+        let length = u32::from_be_bytes(*length) as usize;
+        let (record, tail) = tail
+            .split_at_checked(length)
+            .ok_or_else(|| malformed("record"))?;
+        records.push(decode_keyed(record).ok_or_else(|| malformed("key"))?);
+        rest = tail;
+    }
+    Ok(KeyedRead {
+        next: from + records.len() as u64,
+        records,
+    })
+}
+
+fn split_number(bytes: &[u8]) -> Option<(u64, &[u8])> {
+    let (number, rest) = bytes.split_first_chunk::<8>()?;
+    Some((u64::from_be_bytes(*number), rest))
+}
+
+fn decode_keyed(record: &[u8]) -> Option<KeyedRecord> {
+    let (length, rest) = record.split_first()?;
+    let (key, value) = rest.split_at_checked(usize::from(*length))?;
+    Some(KeyedRecord {
+        key: String::from_utf8_lossy(key).into_owned(),
+        value: (!value.is_empty()).then(|| value.to_vec()),
+    })
+}
