Refuse at once what no engine has room for, and what a stopping host cannot end

Change: a request whose cheapest path has an engine without room is refused with NotRun and a time to come back that grows with the share refused; a stopping host refuses streams once the balancer has had time to notice.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -10,12 +10,14 @@
 mod drain;
 mod estimate;
 mod organisation;
+mod overload;
 mod queries;
 mod select;
 mod settings;
 mod table;
 mod ticket;
 
+pub use overload::OverloadGauge;
 pub use settings::AdmissionSettings;
 pub use table::AdmissionTable;
 pub use ticket::{AdmissionDecision, AdmissionRequest, ReleaseCause, ShareLimit};
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -110,6 +110,9 @@
     tables.draining.store(true, Ordering::Relaxed);
     let last = started + grace.saturating_sub(STOP_MARGIN);
     while Instant::now() < last {
+        if Instant::now() >= started + ROTATION_OUT {
+            tables.closing.store(true, Ordering::Relaxed);
+        }
         let idle = tables.in_flight.load(Ordering::Relaxed) == 0;
         if idle && Instant::now() >= started + ROTATION_OUT {
             return;
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -29,6 +29,9 @@
 /// When a caller may come back that found no configuration: a start takes
 /// about a second.
 const NOT_READY_RETRY: Duration = Duration::from_secs(1);
+/// When a caller may come back that a stopping host refused: at once, since
+/// its next connection leads to another host.
+const DRAINING_RETRY: Duration = Duration::from_millis(50);
 /// Time that a repeatable request leaves to its last attempt, as a part of
 /// what is left.
 const FIRST_ATTEMPT_SHARE: f64 = 0.5;
@@ -123,6 +126,9 @@
         .cloned();
     let service =
         service.ok_or_else(|| Refusal::not_run(RefusalReason::NoRoute, NO_ROUTE_RETRY))?;
+    if tables.closing.load(Ordering::Relaxed) && matched.route.kind.is_stream() {
+        return Err(Refusal::not_run(RefusalReason::Draining, DRAINING_RETRY));
+    }
     let body = read_body(body, configuration.limits.body_bytes).await?;
     let timeout = arrived + matched.route.timeout;
     let mut headers = forwarded(&parts.headers);
@@ -273,6 +279,12 @@
         };
         let no_route = || Refusal::not_run(RefusalReason::NoRoute, NO_ROUTE_RETRY);
         let chosen = chosen.ok_or_else(no_route)?;
+        let full = chosen.path.as_ref().is_some_and(|path| path.full);
+        if full {
+            let after = self.tables.count_refusal(now);
+            return Err(Refusal::not_run(RefusalReason::NoRoom, after));
+        }
+        self.tables.count_start(now);
         let guard = InFlightGuard::open(self.tables.clone(), chosen.parts(), chosen.size);
         Ok((chosen, guard))
     }
--- a/src/forward/tables.rs
+++ b/src/forward/tables.rs
@@ -2,10 +2,12 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwapOption;
 use parking_lot::Mutex;
 
+use crate::admission::OverloadGauge;
 use crate::collections::FastMap;
 use crate::fleet::{EngineReport, FleetTable, RequestSize};
 use crate::ids::TargetId;
@@ -15,7 +17,7 @@
 
 /// A report and the moment at which it came; one question at a time.
 pub(super) type ReportCell =
-    Arc<tokio::sync::Mutex<Option<(std::time::Instant, Result<Arc<EngineReport>, ()>)>>>;
+    Arc<tokio::sync::Mutex<Option<(Instant, Result<Arc<EngineReport>, ()>)>>>;
 
 /// Shared state of the data path. No lock is held across an await, and never
 /// two at once.
@@ -29,10 +31,13 @@
     pub fleet: Mutex<FleetTable>,
     /// Set once the process was told to stop.
     pub draining: AtomicBool,
+    /// Set once a new stream could no longer end before the process does.
+    pub closing: AtomicBool,
     /// Requests being answered.
     pub in_flight: AtomicUsize,
     /// Requests answered since the start; tells a drain that callers left.
     pub answered: AtomicUsize,
+    overload: Mutex<OverloadGauge>,
     budgets: Mutex<FastMap<ServiceId, RetryBudget>>,
     budget_settings: BudgetSettings,
     reports: Mutex<FastMap<TargetId, ReportCell>>,
@@ -46,8 +51,10 @@
             configuration: ArcSwapOption::empty(),
             fleet: Mutex::default(),
             draining: AtomicBool::new(false),
+            closing: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
             answered: AtomicUsize::new(0),
+            overload: Mutex::default(),
             budgets: Mutex::default(),
             budget_settings,
             reports: Mutex::default(),
@@ -75,6 +82,16 @@
         budgets.get_mut(service).is_some_and(RetryBudget::spend)
     }
 
+    /// A request found a place.
+    pub(super) fn count_start(&self, now: Instant) {
+        self.overload.lock().count_start(now);
+    }
+
+    /// A request found no place; says when its caller should come back.
+    pub(super) fn count_refusal(&self, now: Instant) -> Duration {
+        self.overload.lock().count_refusal(now, rand::random())
+    }
+
     pub(super) fn report_cell(&self, target: &TargetId) -> ReportCell {
         self.reports
             .lock()
--- a/src/reason.rs
+++ b/src/reason.rs
@@ -41,11 +41,13 @@
     TargetFailed,
     /// The caller went away.
     CallerGone,
+    /// No engine has room for the request.
+    NoRoom,
 }
 
 impl RefusalReason {
     /// Every reason, for registering one counter each.
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 17] = [
         Self::CapacityUsedUp,
         Self::QueueFull,
         Self::DeadlineUnreachable,
@@ -62,6 +64,7 @@
         Self::RetryBudgetSpent,
         Self::TargetFailed,
         Self::CallerGone,
+        Self::NoRoom,
     ];
 
     /// The name used in metrics, logs and bodies.
@@ -83,6 +86,7 @@
             Self::RetryBudgetSpent => "retry_budget_spent",
             Self::TargetFailed => "target_failed",
             Self::CallerGone => "caller_gone",
+            Self::NoRoom => "no_room",
         }
     }
 }
