Move a request away from a silent engine by a new path, not a new request

An engine that was out for failures counted as dead too.

Change: a silent request asks its first engine who holds it up and orders a new path for it, while the head is awaited too; streams that have begun go on even where engines are full.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -9,6 +9,6 @@
 
 pub use entry::{EngineReport, LayerRange, TargetEntry};
 pub use load::RequestSize;
-pub use path::{EnginePath, PathHop, PathQuery, choose_path};
+pub use path::{EnginePath, PathHop, PathQuery, choose_path, repair_path};
 pub use pick::choose_target;
 pub use table::{FleetTable, ServiceMembers, TargetState, UseSource};
--- a/src/fleet/path.rs
+++ b/src/fleet/path.rs
@@ -70,12 +70,11 @@
 where
     D: FnMut() -> f64,
 {
-    let usable = |state: &&TargetState| {
-        state.is_usable(now)
-            && state.entry.layers.is_some()
-            && !query.avoid.contains(&state.entry.id)
+    let engines = usable_engines(members, query, now);
+    let whole = LayerRange {
+        from: 0,
+        to: query.model.layers,
     };
-    let engines = members.values().filter(usable).collect::<Vec<_>>();
     let mut zones = FastMap::<&ZoneId, Vec<&TargetState>>::default();
     for engine in &engines {
         zones.entry(&engine.entry.zone).or_default().push(engine);
@@ -84,7 +83,7 @@
     names.sort();
     let mut best: Option<EnginePath> = None;
     for name in names {
-        let Some(mut path) = cheapest(&zones[name], query, &mut draw) else {
+        let Some(mut path) = cheapest(&zones[name], query, whole, &mut draw) else {
             continue;
         };
         if &**name != query.zone {
@@ -96,7 +95,7 @@
     }
     match best {
         Some(path) if !path.full => Some(path),
-        found => cheapest(&engines, query, &mut draw)
+        found => cheapest(&engines, query, whole, &mut draw)
             .map(|mut path| {
                 path.cost_ms += FAR_ZONE_MS;
                 path
@@ -110,6 +109,53 @@
     }
 }
 
+/// Replaces the engine of one hop by others, and keeps the rest of the path:
+/// the other engines keep what they have read. `None` if no engine that is not
+/// on the path yet holds those layers.
+pub fn repair_path<D>(
+    members: &ServiceMembers,
+    query: PathQuery<'_>,
+    path: &EnginePath,
+    failed: usize,
+    now: Instant,
+    mut draw: D,
+) -> Option<EnginePath>
+where
+    D: FnMut() -> f64,
+{
+    let span = path.hops.get(failed)?.layers;
+    let on_path = |state: &&TargetState| path.hops.iter().any(|hop| hop.target == state.entry.id);
+    let mut engines = usable_engines(members, query, now);
+    engines.retain(|state| !on_path(state));
+    let near = engines.iter().copied();
+    let near = near.filter(|state| *state.entry.zone == *query.zone);
+    let near = near.collect::<Vec<_>>();
+    let part = match cheapest(&near, query, span, &mut draw) {
+        Some(part) if !part.full => Some(part),
+        found => cheapest(&engines, query, span, &mut draw).or(found),
+    }?;
+    let mut hops = path.hops.clone();
+    hops.splice(failed..=failed, part.hops);
+    Some(EnginePath {
+        hops,
+        cost_ms: path.cost_ms,
+        full: part.full,
+    })
+}
+
+fn usable_engines<'a>(
+    members: &'a ServiceMembers,
+    query: PathQuery<'_>,
+    now: Instant,
+) -> Vec<&'a TargetState> {
+    let usable = |state: &&TargetState| {
+        state.is_usable(now)
+            && state.entry.layers.is_some()
+            && !query.avoid.contains(&state.entry.id)
+    };
+    members.values().filter(usable).collect()
+}
+
 /// Cost of an engine for a request, apart from the layers.
 struct EngineCost {
     range: LayerRange,
@@ -148,8 +194,14 @@
     })
 }
 
-/// Shortest path over the boundaries of the engines' ranges.
-fn cheapest<D>(engines: &[&TargetState], query: PathQuery<'_>, draw: &mut D) -> Option<EnginePath>
+/// Shortest path through the layers of `span`, over the boundaries of the
+/// engines' ranges.
+fn cheapest<D>(
+    engines: &[&TargetState],
+    query: PathQuery<'_>,
+    span: LayerRange,
+    draw: &mut D,
+) -> Option<EnginePath>
 where
     D: FnMut() -> f64,
 {
@@ -157,13 +209,12 @@
         .iter()
         .map(|state| engine_cost(state, query, draw()));
     let costs = costs.collect::<Vec<_>>();
-    let last = query.model.layers;
     let ranges = costs.iter().flatten().map(|cost| cost.range);
     let mut bounds = ranges
         .flat_map(|range| [range.from, range.to])
         .collect::<Vec<_>>();
-    bounds.extend([0, last]);
-    bounds.retain(|bound| *bound <= last);
+    bounds.extend([span.from, span.to]);
+    bounds.retain(|bound| (span.from..=span.to).contains(bound));
     bounds.sort_unstable();
     bounds.dedup();
     // Cheapest way to each bound: cost, bound before, engine.
--- a/src/fleet/table.rs
+++ b/src/fleet/table.rs
@@ -43,6 +43,8 @@
     pub failures: u32,
     /// Takes nothing before this moment.
     pub out_until: Option<Instant>,
+    /// Does not answer, or other engines wait for it, until this moment.
+    pub silent_until: Option<Instant>,
     /// Smoothed time of an answer, in seconds.
     pub answer_s: f64,
 }
@@ -59,6 +61,7 @@
             remote_reserved: 0.0,
             failures: 0,
             out_until: None,
+            silent_until: None,
             answer_s: 0.0,
         }
     }
@@ -81,6 +84,11 @@
         !self.entry.draining && !self.is_out(now)
     }
 
+    /// Whether the target is taken to be dead or cut off.
+    pub fn is_silent(&self, now: Instant) -> bool {
+        self.silent_until.is_some_and(|until| now < until)
+    }
+
     /// Whether the target was put out because of failures.
     pub fn is_out(&self, now: Instant) -> bool {
         self.out_until.is_some_and(|until| now < until)
@@ -263,6 +271,7 @@
         if let Some(state) = self.get_mut(id) {
             state.failures = 0;
             state.out_until = None;
+            state.silent_until = None;
             state.answer_s += WEIGHT * (took.as_secs_f64() - state.answer_s);
         }
     }
@@ -288,6 +297,7 @@
         if let Some(state) = self.get_mut(id) {
             state.failures = state.failures.max(EJECTING_FAILURES);
             state.out_until = Some(now + SILENT_EJECTION);
+            state.silent_until = state.out_until;
         }
     }
 
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -15,6 +15,7 @@
 mod serve;
 pub mod socket;
 mod tables;
+mod watch;
 
 pub use answer::{AnswerBody, Refusal};
 pub use events::EventSplitter;
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -60,7 +60,7 @@
 }
 
 impl AttemptFailure {
-    fn new(verdict: RunVerdict, cause: FailureCause) -> Self {
+    pub(super) fn new(verdict: RunVerdict, cause: FailureCause) -> Self {
         Self {
             verdict,
             cause,
@@ -69,7 +69,8 @@
     }
 }
 
-/// Sends the request and waits for the head of the answer until `limit`.
+/// Connects and writes the request; the future that is given waits for the
+/// head of the answer.
 ///
 /// Each attempt has a connection of its own: on a kept one, a late answer of
 /// an earlier request or a close by the target can cross the request, and a
@@ -79,10 +80,12 @@
     chosen: &ChosenTarget,
     last_event: Option<&str>,
     deadline: Instant,
-    limit: Instant,
-) -> Result<Response<Incoming>, AttemptFailure> {
+) -> Result<
+    impl Future<Output = Result<Response<Incoming>, AttemptFailure>> + use<>,
+    AttemptFailure,
+> {
     let now = Instant::now();
-    let left = limit.saturating_duration_since(now);
+    let left = deadline.saturating_duration_since(now);
     let connected = socket::connect(chosen.address, CONNECT_LIMIT.min(left)).await;
     let not_run = |_| AttemptFailure::new(RunVerdict::NotRun, FailureCause::Connect);
     let stream = connected.map_err(not_run)?;
@@ -95,13 +98,12 @@
         }
     });
     let request = build(outgoing, chosen, last_event, deadline, Instant::now());
-    let answer = sender.send_request(request);
-    let answer = tokio::time::timeout_at(limit.into(), answer).await;
-    let may_have_run = |cause| AttemptFailure::new(RunVerdict::MayHaveRun, cause);
-    let response = answer
-        .map_err(|_| may_have_run(FailureCause::Timeout))?
-        .map_err(|_| may_have_run(FailureCause::Broken))?;
-    check(&outgoing.id, response)
+    let id = outgoing.id.clone();
+    Ok(async move {
+        let answer = sender.send_request(request).await;
+        let broken = |_| AttemptFailure::new(RunVerdict::MayHaveRun, FailureCause::Broken);
+        check(&id, answer.map_err(broken)?)
+    })
 }
 
 fn build(
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -11,11 +11,12 @@
 use hyper::body::Incoming;
 
 use super::answer::{AnswerBody, Refusal, whole_body};
-use super::attempt::{self, AttemptFailure, FailureCause, OutgoingRequest};
+use super::attempt::{AttemptFailure, FailureCause, OutgoingRequest};
 use super::choice::{self, ChosenTarget};
 use super::head::{CallerHead, forwarded, request_size};
 use super::relay;
 use super::tables::{InFlightGuard, ServingTables};
+use super::watch::PathWatch;
 use crate::fleet::RequestSize;
 use crate::ids::TargetId;
 use crate::ingress::{MatchedRequest, RequestKind, ServiceSpec, match_request};
@@ -196,37 +197,31 @@
 ) -> Result<Response<AnswerBody>, Refusal> {
     let mut tried = TriedTargets::default();
     loop {
-        let (chosen, guard) = exchange.choose(&tried.avoid)?;
-        let limit = exchange.head_limit(tried.sent, Instant::now());
         let started = Instant::now();
-        let sent = attempt::send(&exchange.outgoing, &chosen, None, exchange.deadline, limit).await;
-        let failure = match sent {
+        let (chosen, guard) = exchange.choose(&tried.avoid, false)?;
+        let limit = exchange.head_limit(tried.sent, started);
+        let mut watch = PathWatch::open(exchange.clone(), chosen, guard, started);
+        let failure = match watch.send(None, limit).await {
             Ok(response) if exchange.is_stream(&response) => {
-                exchange.observe_success(&chosen, started.elapsed());
-                let relay = relay::open(exchange, chosen, guard, counted, tried, response);
-                return Ok(relay);
+                exchange.observe_success(&watch.chosen, started.elapsed());
+                return Ok(relay::open(watch, counted, tried, response));
             }
             Ok(response) => match read_whole(response, exchange.deadline).await {
                 Ok(response) if exchange.may_fail_over(&response, &tried) => {
-                    exchange.observe_failure(&chosen, None);
-                    tried.count(&chosen, true);
+                    exchange.observe_failure(&watch.chosen, None);
+                    tried.count(&watch.chosen, true);
                     continue;
                 }
                 Ok(response) => {
-                    exchange.observe_success(&chosen, started.elapsed());
-                    drop(guard);
+                    exchange.observe_success(&watch.chosen, started.elapsed());
                     return Ok(response);
                 }
                 Err(failure) => failure,
             },
             Err(failure) => failure,
         };
-        drop(guard);
-        exchange.observe_failure(&chosen, Some(&failure));
-        tried.count(&chosen, failure.cause != FailureCause::Connect);
-        if let Some(at) = failure.at.and_then(|at| chosen.at(at)) {
-            tried.avoid_instead(at);
-        }
+        watch.release();
+        exchange.note_failure(&watch.chosen, &failure, &mut tried);
         if !exchange.may_retry(&failure, &tried, Instant::now()) {
             return Err(final_refusal(&failure, &tried));
         }
@@ -258,10 +253,12 @@
 }
 
 impl Exchange {
-    /// Chooses where the next attempt goes, and counts it there.
+    /// Chooses where the next attempt goes, and counts it there. `started`
+    /// tells whether the caller has a part of the answer.
     pub(super) fn choose(
         &self,
         avoid: &[TargetId],
+        started: bool,
     ) -> Result<(ChosenTarget, InFlightGuard), Refusal> {
         let now = Instant::now();
         let chosen = {
@@ -280,7 +277,9 @@
         let no_route = || Refusal::not_run(RefusalReason::NoRoute, NO_ROUTE_RETRY);
         let chosen = chosen.ok_or_else(no_route)?;
         let full = chosen.path.as_ref().is_some_and(|path| path.full);
-        if full {
+        // A stream that has begun goes on even if it has to wait for room:
+        // to cut it would waste what was done, and its caller starts over.
+        if full && !started {
             let after = self.tables.count_refusal(now);
             return Err(Refusal::not_run(RefusalReason::NoRoom, after));
         }
@@ -334,6 +333,21 @@
             && (free || self.tables.spend_retry(&self.service.name))
     }
 
+    /// Puts down a failed attempt, and whom the next one avoids.
+    pub(super) fn note_failure(
+        &self,
+        chosen: &ChosenTarget,
+        failure: &AttemptFailure,
+        tried: &mut TriedTargets,
+    ) {
+        self.observe_failure(chosen, Some(failure));
+        tried.count(chosen, failure.cause != FailureCause::Connect);
+        tried.may_have_run |= failure.verdict != RunVerdict::NotRun;
+        if let Some(at) = failure.at.and_then(|at| chosen.at(at)) {
+            tried.avoid_instead(at);
+        }
+    }
+
     pub(super) fn observe_success(&self, chosen: &ChosenTarget, took: Duration) {
         let mut fleet = self.tables.fleet.lock();
         fleet.observe_success(&chosen.id, took);
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -2,7 +2,7 @@
 //! at another path within the same answer.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bytes::Bytes;
 use futures::stream;
@@ -11,53 +11,36 @@
 use hyper::body::{Frame, Incoming};
 
 use super::answer::AnswerBody;
-use super::attempt;
-use super::choice::ChosenTarget;
 use super::events::EventSplitter;
 use super::exchange::{CountedRequest, Exchange, TriedTargets};
 use super::head::forwarded;
-use super::probe::fetch_report;
-use super::tables::InFlightGuard;
-use crate::ids::TargetId;
-
-/// Shortest silence after which a stream asks what is wrong. Reports lag by
-/// 200 ms; passes of a loaded engine take up to about 100 ms.
-const LEAST_SILENCE: Duration = Duration::from_millis(350);
-/// Silence after which a stream asks, in times of the route's longest pause.
-const SILENCE_GAPS: f64 = 1.75;
+use super::watch::{PathWatch, SilenceVerdict};
 
 /// A stream under way.
 struct StreamRelay {
     exchange: Arc<Exchange>,
-    chosen: ChosenTarget,
-    guard: Option<InFlightGuard>,
+    watch: PathWatch,
     _counted: CountedRequest,
     tried: TriedTargets,
     body: Incoming,
     events: EventSplitter,
-    /// When something last came from the target.
-    heard: Instant,
 }
 
 /// The answer to the caller whose events follow.
 pub(super) fn open(
-    exchange: Arc<Exchange>,
-    chosen: ChosenTarget,
-    guard: InFlightGuard,
+    watch: PathWatch,
     counted: CountedRequest,
     tried: TriedTargets,
     response: Response<Incoming>,
 ) -> Response<AnswerBody> {
     let (head, body) = response.into_parts();
     let relay = StreamRelay {
-        exchange,
-        chosen,
-        guard: Some(guard),
+        exchange: watch.exchange.clone(),
+        watch,
         _counted: counted,
         tried,
         body,
         events: EventSplitter::default(),
-        heard: Instant::now(),
     };
     let frames = stream::unfold(Some(relay), |relay| async move {
         let mut relay = relay?;
@@ -91,14 +74,14 @@
                 StreamStep::End => return Ok(None),
                 StreamStep::Deadline => return Err(self.give_up("deadline")),
                 StreamStep::Broken(reason) => {
-                    self.exchange.observe_failure(&self.chosen, None);
-                    let failed = self.chosen.id.clone();
+                    let failed = self.watch.chosen.id.clone();
+                    self.exchange.observe_failure(&self.watch.chosen, None);
                     self.tried.avoid.push(failed);
                     reason
                 }
-                StreamStep::Silent => match self.find_fault().await {
-                    None => continue,
-                    Some(failed) => {
+                StreamStep::Silent => match self.watch.judge_silence().await {
+                    SilenceVerdict::Waiting => continue,
+                    SilenceVerdict::Lost(failed) => {
                         self.tried.avoid.push(failed);
                         "silent"
                     }
@@ -109,8 +92,7 @@
     }
 
     async fn step(&mut self) -> StreamStep {
-        let silence = self.heard + self.silence();
-        let limit = silence.min(self.exchange.deadline);
+        let limit = self.watch.ask_at().min(self.exchange.deadline);
         match tokio::time::timeout_at(limit.into(), self.body.frame()).await {
             Err(_) if Instant::now() >= self.exchange.deadline => StreamStep::Deadline,
             Err(_) => StreamStep::Silent,
@@ -122,7 +104,7 @@
     }
 
     fn take(&mut self, frame: Frame<Bytes>) -> StreamStep {
-        self.heard = Instant::now();
+        self.watch.observe_sound(Instant::now());
         let Ok(data) = frame.into_data() else {
             return StreamStep::Events(Bytes::new());
         };
@@ -132,50 +114,9 @@
         }
     }
 
-    fn silence(&self) -> Duration {
-        let gap = self.exchange.matched.route.gap_aim.unwrap_or_default();
-        gap.mul_f64(SILENCE_GAPS).max(LEAST_SILENCE)
-    }
-
-    /// The engine that holds the stream up, if one does.
-    async fn find_fault(&mut self) -> Option<TargetId> {
-        let now = Instant::now();
-        if let Some(gone) = self.gone_engine(now) {
-            return Some(gone);
-        }
-        let id = self.chosen.id.clone();
-        let tables = self.exchange.tables.clone();
-        let report = fetch_report(&tables, &id, self.chosen.address, now).await;
-        // Asked again only after another silence.
-        self.heard = Instant::now();
-        let failed = match report {
-            Err(()) => Some(id),
-            Ok(report) => {
-                let own = &self.exchange.outgoing.id;
-                let mut stalled = report.stalled.iter();
-                let stalled = stalled.find(|(request, _)| request == own);
-                stalled.and_then(|(_, address)| self.chosen.at(*address))
-            }
-        };
-        if let Some(failed) = &failed {
-            tables.fleet.lock().observe_silence(failed, Instant::now());
-        }
-        failed
-    }
-
-    /// An engine of the path that is known to be gone or out.
-    fn gone_engine(&self, now: Instant) -> Option<TargetId> {
-        let path = self.chosen.path.as_ref()?;
-        let fleet = self.exchange.tables.fleet.lock();
-        let gone = |id: &TargetId| fleet.get(id).is_none_or(|state| state.is_out(now));
-        let mut hops = path.hops.iter();
-        hops.find(|hop| gone(&hop.target))
-            .map(|hop| hop.target.clone())
-    }
-
     /// Goes on at another path after the last event that was passed on.
     async fn reopen(&mut self, reason: &str) -> std::io::Result<()> {
-        self.guard = None;
+        self.watch.release();
         self.events.drop_partial();
         let exchange = self.exchange.clone();
         let route = &exchange.matched.route;
@@ -189,48 +130,31 @@
             if !allowed {
                 return Err(self.give_up(reason));
             }
-            let Ok((chosen, guard)) = exchange.choose(&self.tried.avoid) else {
+            let Ok((chosen, guard)) = exchange.choose(&self.tried.avoid, true) else {
                 return Err(self.give_up("no path left"));
             };
             let last = self.events.last_id().map(str::to_owned);
-            let deadline = exchange.deadline;
-            let sent = attempt::send(
-                &exchange.outgoing,
-                &chosen,
-                last.as_deref(),
-                deadline,
-                deadline,
-            );
             log::info!(
                 request:% = exchange.outgoing.id,
                 reason:% = reason,
-                from:% = self.chosen.id,
+                from:% = self.watch.chosen.id,
                 to:% = chosen.id,
                 after_event:% = last.as_deref().unwrap_or("none");
                 "resumed"
             );
-            match sent.await {
+            let mut watch = PathWatch::open(exchange.clone(), chosen, guard, now);
+            match watch.send(last.as_deref(), exchange.deadline).await {
                 Ok(response) if response.status().is_success() => {
                     self.body = response.into_body();
-                    self.chosen = chosen;
-                    self.guard = Some(guard);
-                    self.heard = Instant::now();
+                    self.watch = watch;
+                    self.watch.observe_sound(Instant::now());
                     return Ok(());
                 }
                 Ok(_) => {
-                    exchange.observe_failure(&chosen, None);
-                    self.tried.count(&chosen, true);
-                }
-                Err(failure) => {
-                    exchange.observe_failure(&chosen, Some(&failure));
-                    self.tried.count(
-                        &chosen,
-                        failure.verdict != crate::verdict::RunVerdict::NotRun,
-                    );
-                    if let Some(at) = failure.at.and_then(|at| chosen.at(at)) {
-                        self.tried.avoid_instead(at);
-                    }
+                    exchange.observe_failure(&watch.chosen, None);
+                    self.tried.count(&watch.chosen, true);
                 }
+                Err(failure) => exchange.note_failure(&watch.chosen, &failure, &mut self.tried),
             }
         }
     }
@@ -239,7 +163,7 @@
         log::info!(
             request:% = self.exchange.outgoing.id,
             reason:% = reason,
-            target:% = self.chosen.id,
+            target:% = self.watch.chosen.id,
             after_event:% = self.events.last_id().unwrap_or("none");
             "stream cut"
         );
