Plan fast engines as the way of all requests and slow ones as second holders

Cause: chains mixed all kinds by memory. A request holds memory for as long as it runs, so a slow engine on every path cost room on all others, and zones with one copy had no whole path after the loss of an engine.

Ruled out: equal chains (what stood), less or more room by the share of free memory alone.

Change: candidates of one form, the fastest engines in whole chains and the others where layers are missed most after a loss, are compared by the rate that a zone carries with all engines and without the one missed most.

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -80,10 +80,8 @@
     chosen: &ChosenTarget,
     last_event: Option<&str>,
     deadline: Instant,
-) -> Result<
-    impl Future<Output = Result<Response<Incoming>, AttemptFailure>> + use<>,
-    AttemptFailure,
-> {
+) -> Result<impl Future<Output = Result<Response<Incoming>, AttemptFailure>> + use<>, AttemptFailure>
+{
     let now = Instant::now();
     let left = deadline.saturating_duration_since(now);
     let connected = socket::connect(chosen.address, CONNECT_LIMIT.min(left)).await;
--- a/src/forward/watch.rs
+++ b/src/forward/watch.rs
@@ -170,7 +170,8 @@
         let fleet = self.exchange.tables.fleet.lock();
         let gone = |id: &TargetId| fleet.get(id).is_none_or(|state| state.is_silent(now));
         let mut hops = path.hops.iter();
-        hops.find(|hop| gone(&hop.target)).map(|hop| hop.target.clone())
+        hops.find(|hop| gone(&hop.target))
+            .map(|hop| hop.target.clone())
     }
 
     /// Puts other engines in the place of `failed`.
@@ -210,7 +211,9 @@
         let model = exchange.service.engine.as_ref()?;
         let fleet = exchange.tables.fleet.lock();
         let members = fleet.members(&exchange.service.name)?;
-        let zone = fleet.get(&self.chosen.id).map(|state| state.entry.zone.clone());
+        let zone = fleet
+            .get(&self.chosen.id)
+            .map(|state| state.entry.zone.clone());
         let query = PathQuery {
             model,
             size: exchange.size,
--- a/src/placing.rs
+++ b/src/placing.rs
@@ -1,6 +1,7 @@
 //! Which engine holds which layers. Pure: from the engines that are seen to
 //! the ranges that they should hold, the same on every host that sees the same.
 
+mod estimate;
 mod first;
 mod mend;
 mod plan;
--- a/src/placing/first.rs
+++ b/src/placing/first.rs
@@ -2,31 +2,82 @@
 
 use crate::fleet::LayerRange;
 use crate::ingress::EngineModel;
+use crate::placing::estimate::{HeldRange, plan_worth};
+use crate::placing::mend::neediest_range;
 use crate::placing::{EngineView, PlannedRange};
 
-/// Part of a zone's memory that stays free for requests. A copy of the weights
-/// more gives a spare, and takes room for requests.
-const LEAST_CACHE_SHARE: f64 = 0.30;
+/// Most copies of the weights that whole chains are made of. More would leave
+/// no room for requests on the accelerators of today.
+const MOST_CHAINS: usize = 4;
 
-/// Copies of the weights that leave room for requests, at least one.
-fn copies(model: &EngineModel, memory_mb: f64) -> usize {
-    let weights_mb = model.layer_mb * f64::from(model.layers);
-    let copies = memory_mb * (1.0 - LEAST_CACHE_SHARE) / weights_mb;
-    (copies.floor() as usize).max(1)
+/// Tries plans of one kind and keeps the one that carries most: the fastest
+/// engines make up whole chains, each of which holds every layer once; the
+/// others stand by where they are missed most.
+///
+/// A request holds memory for as long as it runs, so that slow engines in the
+/// way of all requests cost room everywhere. As second holders they are a
+/// spare and take what is too much.
+pub(super) fn plan_empty(model: &EngineModel, engines: &[EngineView]) -> Vec<PlannedRange> {
+    let mut sorted = engines.to_vec();
+    sorted.sort_by(|one, other| {
+        let pace = one.kind.pace.total_cmp(&other.kind.pace);
+        let memory = other.kind.memory_mb.total_cmp(&one.kind.memory_mb);
+        pace.then(memory).then_with(|| one.id.cmp(&other.id))
+    });
+    let tries =
+        (1..=sorted.len()).flat_map(|fast| (1..=MOST_CHAINS).map(move |chains| (fast, chains)));
+    let mut best = (f64::NEG_INFINITY, Vec::new());
+    for (fast, chains) in tries {
+        let planned = plan_with(model, &sorted, fast, chains);
+        let worth = plan_worth(model, &held_ranges(&planned));
+        if worth > best.0 {
+            best = (worth, planned);
+        }
+    }
+    let ranges = best.1.into_iter();
+    let ranges = ranges.filter_map(|engine| {
+        let layers = engine.layers?;
+        Some(PlannedRange {
+            id: engine.id,
+            layers,
+        })
+    });
+    ranges.collect()
 }
 
-/// Parts the engines into chains of equal memory, each of which holds every
-/// layer once, and gives each engine of a chain layers by its memory: every
-/// request of a chain passes all its engines, so the room for requests should
-/// run out on all at the same time.
-pub(super) fn plan_empty(model: &EngineModel, engines: &[EngineView]) -> Vec<PlannedRange> {
-    let memory = engines
-        .iter()
-        .map(|engine| engine.kind.memory_mb)
-        .sum::<f64>();
-    let chains = split(engines, copies(model, memory));
-    let planned = chains.iter().flat_map(|chain| plan_chain(model, chain));
-    planned.collect()
+/// The engines with ranges: the first `fast` in `chains` chains, the others
+/// one after the other where they are missed most.
+fn plan_with(
+    model: &EngineModel,
+    sorted: &[EngineView],
+    fast: usize,
+    chains: usize,
+) -> Vec<EngineView> {
+    let mut engines = sorted.to_vec();
+    let parts = split(&sorted[..fast], chains);
+    let planned = parts.iter().flat_map(|chain| plan_chain(model, chain));
+    for range in planned {
+        if let Some(engine) = engines.iter_mut().find(|engine| engine.id == range.id) {
+            engine.layers = Some(range.layers);
+        }
+    }
+    for index in 0..engines.len() {
+        if engines[index].layers.is_none() {
+            engines[index].layers = Some(neediest_range(model, &engines, index));
+        }
+    }
+    engines
+}
+
+fn held_ranges(engines: &[EngineView]) -> Vec<HeldRange> {
+    let held = engines.iter().filter_map(|engine| {
+        let layers = engine.layers?;
+        Some(HeldRange {
+            kind: engine.kind,
+            layers,
+        })
+    });
+    held.collect()
 }
 
 /// Largest first, each to the chain with the least memory so far.
--- a/src/placing/mend.rs
+++ b/src/placing/mend.rs
@@ -2,12 +2,17 @@
 
 use crate::fleet::LayerRange;
 use crate::ingress::EngineModel;
+use crate::placing::estimate::HeldRange;
 use crate::placing::{EngineView, PlannedRange};
 
 /// Part of an engine's memory that its layers may take when it is given a new
 /// range: what is left holds the requests that pass it.
 const MOST_WEIGHTS_SHARE: f64 = 0.75;
 
+/// Requests for which a layer's room is worth half of what it can be worth. A
+/// zone of a dozen engines carries about a hundred at once.
+const HALF_WORTH_REQUESTS: f64 = 50.0;
+
 /// Gives empty engines the range that is most in need, and closes holes by
 /// widening neighbours.
 pub(super) fn plan_changes(model: &EngineModel, engines: &[EngineView]) -> Vec<PlannedRange> {
@@ -41,45 +46,78 @@
     planned
 }
 
-/// Room for requests at each layer, over all its holders, in tokens.
-fn layer_room(model: &EngineModel, engines: &[EngineView]) -> Vec<f64> {
-    let mut room = vec![0.0; model.layers as usize];
+/// Room for requests at one layer, in tokens.
+#[derive(Debug, Clone, Copy, Default)]
+struct LayerRoom {
+    /// Over all holders.
+    whole: f64,
+    /// On the holder with the most.
+    largest: f64,
+}
+
+impl LayerRoom {
+    fn add(self, room: f64) -> Self {
+        Self {
+            whole: self.whole + room,
+            largest: self.largest.max(room),
+        }
+    }
+
+    /// What the room is worth, with all holders and without the largest: it
+    /// grows fast up to the room of `usual` requests and slowly beyond.
+    fn benefit(self, usual: f64) -> f64 {
+        let worth = |room: f64| room / (room + usual);
+        worth(self.whole) + worth(self.whole - self.largest)
+    }
+}
+
+fn layer_rooms(model: &EngineModel, engines: &[EngineView]) -> Vec<LayerRoom> {
+    let mut rooms = vec![LayerRoom::default(); model.layers as usize];
     for engine in engines {
         let Some(layers) = engine.layers else {
             continue;
         };
-        let width = layers.width().max(1);
-        let each = model.cache_room(engine.kind, layers.width()) / f64::from(width);
+        let held = HeldRange {
+            kind: engine.kind,
+            layers,
+        };
         // A full engine still holds its layers, which is worth something.
-        for slot in room
-            .iter_mut()
-            .take(layers.to as usize)
-            .skip(layers.from as usize)
-        {
-            *slot += each.max(1.0);
+        let room = held.room(model).max(1.0);
+        for slot in &mut rooms[layers.from as usize..layers.to as usize] {
+            *slot = slot.add(room);
         }
     }
-    room
+    rooms
 }
 
-/// The range in which the engine helps the layers with the least room most.
-fn neediest_range(model: &EngineModel, engines: &[EngineView], index: usize) -> LayerRange {
-    let room = layer_room(model, engines);
+/// The range in which an engine helps the layers with the least room most.
+pub(super) fn neediest_range(
+    model: &EngineModel,
+    engines: &[EngineView],
+    index: usize,
+) -> LayerRange {
+    let rooms = layer_rooms(model, engines);
     let kind = engines[index].kind;
-    let most = model.most_layers(kind);
-    let usual = (f64::from(most) * MOST_WEIGHTS_SHARE).ceil() as u32;
-    let usual = usual.clamp(1, model.layers);
-    let widths = [usual / 2, usual * 3 / 4, usual, most];
-    let mut best = (f64::NEG_INFINITY, LayerRange { from: 0, to: usual });
-    for width in widths {
-        let width = width.clamp(1, most.max(1));
-        let added = model.cache_room(kind, width) / f64::from(width);
-        for from in 0..=model.layers - width {
-            let layers = LayerRange {
-                from,
-                to: from + width,
-            };
-            let gain = range_gain(&room, layers, added.max(1.0));
+    let most = model.most_layers(kind).max(1);
+    let usual = f64::from(model.usual_prompt + model.usual_answer) * HALF_WORTH_REQUESTS;
+    let mut best = (f64::NEG_INFINITY, LayerRange { from: 0, to: most });
+    for width in 1..=most {
+        let range = |from| LayerRange {
+            from,
+            to: from + width,
+        };
+        let added = HeldRange {
+            kind,
+            layers: range(0),
+        }
+        .room(model)
+        .max(1.0);
+        for layers in (0..=model.layers - width).map(range) {
+            let touched = &rooms[layers.from as usize..layers.to as usize];
+            let gains = touched
+                .iter()
+                .map(|room| room.add(added).benefit(usual) - room.benefit(usual));
+            let gain = gains.sum::<f64>();
             if gain > best.0 + 1e-9 {
                 best = (gain, layers);
             }
@@ -88,18 +126,6 @@
     best.1
 }
 
-/// How much better off the layers are with `added` tokens more in a range. The
-/// benefit of room falls with what is there: a layer without holder counts
-/// above all.
-fn range_gain(room: &[f64], layers: LayerRange, added: f64) -> f64 {
-    let benefit = |room: f64| (room + 1.0).ln();
-    let range = &room[layers.from as usize..layers.to as usize];
-    range
-        .iter()
-        .map(|room| benefit(room + added) - benefit(*room))
-        .sum()
-}
-
 fn first_hole(model: &EngineModel, engines: &[EngineView]) -> Option<u32> {
     let held = |layer: u32| {
         let mut ranges = engines.iter().filter_map(|engine| engine.layers);
