Close holes by spare engines and neighbours, and move a spare where it carries more

Change: the plan tries the moves of engines whose layers others hold too and the widening of neighbours, keeps what closes all holes, and takes one move more if the zone then carries a quarter more. Tests of the planner, of paths and of the small decisions, the two of the holes seen failing first.

--- a/src/entry/placing.rs
+++ b/src/entry/placing.rs
@@ -13,7 +13,7 @@
 use crate::forward::{ServingTables, ask, fetch_report};
 use crate::ids::TargetId;
 use crate::ids::ZoneId;
-use crate::ingress::IngressConfiguration;
+use crate::ingress::{EngineModel, IngressConfiguration};
 use crate::placing::{EngineView, PlannedRange, plan_zone};
 use crate::platform::{names, order};
 
@@ -40,6 +40,8 @@
     tables: Arc<ServingTables>,
     desk: Arc<PeerDesk>,
     given: FastMap<TargetId, GivenOrder>,
+    /// Views of zones that needed no change when last looked at.
+    settled: FastMap<ZoneId, Vec<EngineView>>,
     known: usize,
     first_seen: Option<Instant>,
     changed_at: Instant,
@@ -56,6 +58,7 @@
         tables,
         desk,
         given: FastMap::default(),
+        settled: FastMap::default(),
         known: 0,
         first_seen: None,
         changed_at: Instant::now(),
@@ -73,16 +76,11 @@
         let Some(configuration) = configuration else {
             return;
         };
-        let (planned, known, placed) = {
+        let (known, placed) = {
             let fleet = self.tables.fleet.lock();
             let engines = fleet.targets().filter(|state| state.entry.kind.is_some());
-            let engines = engines.collect::<Vec<_>>();
-            let placed = engines.iter().any(|state| state.entry.layers.is_some());
-            (
-                self.plan(&configuration, &fleet, now),
-                engines.len(),
-                placed,
-            )
+            let layers = engines.map(|state| state.entry.layers).collect::<Vec<_>>();
+            (layers.len(), layers.iter().any(Option::is_some))
         };
         if known != self.known {
             self.known = known;
@@ -94,6 +92,11 @@
         }
         self.given
             .retain(|_, order| now < order.at + ORDER_PATIENCE);
+        let planned = {
+            let tables = self.tables.clone();
+            let fleet = tables.fleet.lock();
+            self.plan(&configuration, &fleet, now)
+        };
         self.give_orders(planned, now).await;
     }
 
@@ -106,7 +109,7 @@
     }
 
     fn plan(
-        &self,
+        &mut self,
         configuration: &IngressConfiguration,
         fleet: &FleetTable,
         now: Instant,
@@ -141,8 +144,27 @@
             }
             let names = zones.keys().map(|zone| (*zone).clone()).collect::<Vec<_>>();
             zones.retain(|zone, _| self.desk.places_zone(zone, &names, now));
-            let plans = zones.values().flat_map(|engines| plan_zone(model, engines));
-            planned.extend(plans);
+            for (zone, engines) in zones {
+                planned.extend(self.plan_zone(model, zone, engines));
+            }
+        }
+        planned
+    }
+
+    /// Plans a zone anew only when something has changed: a plan takes
+    /// milliseconds of the processor's share.
+    fn plan_zone(
+        &mut self,
+        model: &EngineModel,
+        zone: &ZoneId,
+        engines: Vec<EngineView>,
+    ) -> Vec<PlannedRange> {
+        if self.settled.get(zone) == Some(&engines) {
+            return Vec::new();
+        }
+        let planned = plan_zone(model, &engines);
+        if planned.is_empty() {
+            self.settled.insert(zone.clone(), engines);
         }
         planned
     }
--- a/src/placing.rs
+++ b/src/placing.rs
@@ -4,6 +4,8 @@
 mod estimate;
 mod first;
 mod mend;
+mod need;
 mod plan;
 
+pub use estimate::{HeldRange, plan_worth};
 pub use plan::{EngineView, PlannedRange, plan_zone};
--- a/src/placing/estimate.rs
+++ b/src/placing/estimate.rs
@@ -2,6 +2,7 @@
 
 use crate::fleet::LayerRange;
 use crate::ingress::{AcceleratorKind, EngineModel};
+use crate::placing::EngineView;
 
 /// Time that a token step takes in all, in times of the engines' own work:
 /// a request waits for the rest of the pass that an engine is in.
@@ -9,12 +10,26 @@
 
 /// An engine and its range, as far as they count here.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub(super) struct HeldRange {
-    pub(super) kind: AcceleratorKind,
-    pub(super) layers: LayerRange,
+pub struct HeldRange {
+    /// The engine's kind.
+    pub kind: AcceleratorKind,
+    /// The layers that it holds.
+    pub layers: LayerRange,
 }
 
 impl HeldRange {
+    /// The engines that hold something.
+    pub(super) fn all(engines: &[EngineView]) -> Vec<Self> {
+        let held = engines.iter().filter_map(|engine| {
+            let layers = engine.layers?;
+            Some(Self {
+                kind: engine.kind,
+                layers,
+            })
+        });
+        held.collect()
+    }
+
     /// Room for requests at each of its layers, in tokens.
     pub(super) fn room(&self, model: &EngineModel) -> f64 {
         let width = self.layers.width().max(1);
@@ -24,7 +39,7 @@
 
 /// Requests a second that a zone carries, plus what is left of that after the
 /// loss of the engine that is missed most.
-pub(super) fn plan_worth(model: &EngineModel, held: &[HeldRange]) -> f64 {
+pub fn plan_worth(model: &EngineModel, held: &[HeldRange]) -> f64 {
     let whole = carried_rate(model, held, None);
     let losses = (0..held.len()).map(|lost| carried_rate(model, held, Some(lost)));
     whole + losses.fold(f64::INFINITY, f64::min).min(whole)
--- a/src/placing/first.rs
+++ b/src/placing/first.rs
@@ -3,7 +3,7 @@
 use crate::fleet::LayerRange;
 use crate::ingress::EngineModel;
 use crate::placing::estimate::{HeldRange, plan_worth};
-use crate::placing::mend::neediest_range;
+use crate::placing::need::neediest_range;
 use crate::placing::{EngineView, PlannedRange};
 
 /// Most copies of the weights that whole chains are made of. More would leave
@@ -29,7 +29,7 @@
     let mut best = (f64::NEG_INFINITY, Vec::new());
     for (fast, chains) in tries {
         let planned = plan_with(model, &sorted, fast, chains);
-        let worth = plan_worth(model, &held_ranges(&planned));
+        let worth = plan_worth(model, &HeldRange::all(&planned));
         if worth > best.0 {
             best = (worth, planned);
         }
@@ -69,17 +69,6 @@
     engines
 }
 
-fn held_ranges(engines: &[EngineView]) -> Vec<HeldRange> {
-    let held = engines.iter().filter_map(|engine| {
-        let layers = engine.layers?;
-        Some(HeldRange {
-            kind: engine.kind,
-            layers,
-        })
-    });
-    held.collect()
-}
-
 /// Largest first, each to the chain with the least memory so far.
 fn split(engines: &[EngineView], chains: usize) -> Vec<Vec<&EngineView>> {
     let mut sorted = engines.iter().collect::<Vec<_>>();
--- a/src/placing/mend.rs
+++ b/src/placing/mend.rs
@@ -2,160 +2,186 @@
 
 use crate::fleet::LayerRange;
 use crate::ingress::EngineModel;
-use crate::placing::estimate::HeldRange;
+use crate::placing::estimate::{HeldRange, plan_worth};
+use crate::placing::need::neediest_range;
 use crate::placing::{EngineView, PlannedRange};
 
-/// Part of an engine's memory that its layers may take when it is given a new
-/// range: what is left holds the requests that pass it.
-const MOST_WEIGHTS_SHARE: f64 = 0.75;
+/// Part of an engine's memory that its layers may take when it is widened:
+/// what is left holds the requests that pass it.
+const WIDENED_SHARE: f64 = 0.75;
+/// The same where a layer would otherwise have no holder at all: room for a
+/// few requests is better than none.
+const STRETCHED_SHARE: f64 = 0.92;
+/// How much more a zone has to carry after a move for it to be worth the load,
+/// which takes seconds and a share of the weights store.
+const LEAST_GAIN: f64 = 1.25;
+/// Moves in one plan, to close holes.
+const MOST_MOVES: usize = 12;
 
-/// Requests for which a layer's room is worth half of what it can be worth. A
-/// zone of a dozen engines carries about a hundred at once.
-const HALF_WORTH_REQUESTS: f64 = 50.0;
-
-/// Gives empty engines the range that is most in need, and closes holes by
-/// widening neighbours.
+/// Gives empty engines the range that is most in need; closes holes and makes
+/// up for losses by moving engines that are a spare and widening neighbours.
 pub(super) fn plan_changes(model: &EngineModel, engines: &[EngineView]) -> Vec<PlannedRange> {
-    let mut engines = engines.to_vec();
-    let mut planned = Vec::new();
-    let mut empty = (0..engines.len()).filter(|index| engines[*index].layers.is_none());
-    let mut empty = empty.by_ref().collect::<Vec<_>>();
+    let mut changed = engines.to_vec();
+    fill_empty(model, &mut changed);
+    let closed = [WIDENED_SHARE, STRETCHED_SHARE]
+        .into_iter()
+        .find_map(|share| close_holes(model, &changed, share));
+    // Half a mend only takes room from what still works.
+    let mut changed = closed.unwrap_or(changed);
+    if let Some(better) = improve(model, &changed) {
+        changed = better;
+    }
+    let pairs = engines.iter().zip(changed);
+    let planned = pairs.filter(|(before, after)| before.layers != after.layers);
+    let planned = planned.filter_map(|(_, engine)| {
+        let layers = engine.layers?;
+        Some(PlannedRange {
+            id: engine.id,
+            layers,
+        })
+    });
+    planned.collect()
+}
+
+/// Largest first.
+fn fill_empty(model: &EngineModel, engines: &mut [EngineView]) {
+    let empty = (0..engines.len()).filter(|index| engines[*index].layers.is_none());
+    let mut empty = empty.collect::<Vec<_>>();
     empty.sort_by(|one, other| {
         let memory = |index: &usize| engines[*index].kind.memory_mb;
         memory(other).total_cmp(&memory(one))
     });
     for index in empty {
-        let layers = neediest_range(model, &engines, index);
-        engines[index].layers = Some(layers);
-        planned.push(PlannedRange {
-            id: engines[index].id.clone(),
-            layers,
-        });
-    }
-    while let Some(hole) = first_hole(model, &engines) {
-        let Some((index, layers)) = widened_neighbour(model, &engines, hole) else {
-            break;
-        };
-        engines[index].layers = Some(layers);
-        let id = engines[index].id.clone();
-        match planned.iter_mut().find(|range| range.id == id) {
-            Some(range) => range.layers = layers,
-            None => planned.push(PlannedRange { id, layers }),
-        }
+        engines[index].layers = Some(neediest_range(model, engines, index));
     }
-    planned
-}
-
-/// Room for requests at one layer, in tokens.
-#[derive(Debug, Clone, Copy, Default)]
-struct LayerRoom {
-    /// Over all holders.
-    whole: f64,
-    /// On the holder with the most.
-    largest: f64,
 }
 
-impl LayerRoom {
-    fn add(self, room: f64) -> Self {
-        Self {
-            whole: self.whole + room,
-            largest: self.largest.max(room),
+/// The engines after all holes are closed; `None` if some cannot be.
+fn close_holes(
+    model: &EngineModel,
+    engines: &[EngineView],
+    widened_share: f64,
+) -> Option<Vec<EngineView>> {
+    let mut engines = engines.to_vec();
+    let mut holes = hole_count(model, &engines);
+    for _ in 0..MOST_MOVES {
+        if holes == 0 {
+            break;
+        }
+        let moves = spare_moves(model, &engines);
+        let moves = moves
+            .into_iter()
+            .chain(widenings(model, &engines, widened_share));
+        let options = moves.map(|moved| {
+            let left = hole_count(model, &moved);
+            (left, worth(model, &moved), moved)
+        });
+        let best = options.min_by(|one, other| {
+            let worth = other.1.total_cmp(&one.1);
+            one.0.cmp(&other.0).then(worth)
+        });
+        match best {
+            Some((left, _, moved)) if left < holes => {
+                holes = left;
+                engines = moved;
+            }
+            _ => return None,
         }
     }
+    (holes == 0).then_some(engines)
+}
 
-    /// What the room is worth, with all holders and without the largest: it
-    /// grows fast up to the room of `usual` requests and slowly beyond.
-    fn benefit(self, usual: f64) -> f64 {
-        let worth = |room: f64| room / (room + usual);
-        worth(self.whole) + worth(self.whole - self.largest)
-    }
+/// The engines after the one move that lets the zone carry clearly more.
+fn improve(model: &EngineModel, engines: &[EngineView]) -> Option<Vec<EngineView>> {
+    let now = worth(model, engines);
+    let options = spare_moves(model, engines).into_iter().map(|moved| {
+        let worth = worth(model, &moved);
+        (worth, moved)
+    });
+    let best = options.max_by(|one, other| one.0.total_cmp(&other.0))?;
+    (best.0 > now * LEAST_GAIN && now > 0.0).then_some(best.1)
 }
 
-fn layer_rooms(model: &EngineModel, engines: &[EngineView]) -> Vec<LayerRoom> {
-    let mut rooms = vec![LayerRoom::default(); model.layers as usize];
-    for engine in engines {
-        let Some(layers) = engine.layers else {
-            continue;
+/// Each way to move an engine, whose layers others hold too, to where it is
+/// missed most.
+fn spare_moves(model: &EngineModel, engines: &[EngineView]) -> Vec<Vec<EngineView>> {
+    let is_spare = |index: &usize| {
+        let Some(layers) = engines[*index].layers else {
+            return false;
         };
-        let held = HeldRange {
-            kind: engine.kind,
-            layers,
-        };
-        // A full engine still holds its layers, which is worth something.
-        let room = held.room(model).max(1.0);
-        for slot in &mut rooms[layers.from as usize..layers.to as usize] {
-            *slot = slot.add(room);
-        }
-    }
-    rooms
+        let others = engines
+            .iter()
+            .enumerate()
+            .filter(|(other, _)| other != index);
+        let others = others
+            .filter_map(|(_, engine)| engine.layers)
+            .collect::<Vec<_>>();
+        (layers.from..layers.to).all(|layer| others.iter().any(|range| range.contains(layer)))
+    };
+    let spares = (0..engines.len()).filter(is_spare);
+    let moves = spares.map(|index| {
+        let mut moved = engines.to_vec();
+        moved[index].layers = None;
+        moved[index].layers = Some(neediest_range(model, &moved, index));
+        moved
+    });
+    moves.filter(|moved| moved != engines).collect()
 }
 
-/// The range in which an engine helps the layers with the least room most.
-pub(super) fn neediest_range(
-    model: &EngineModel,
-    engines: &[EngineView],
-    index: usize,
-) -> LayerRange {
-    let rooms = layer_rooms(model, engines);
-    let kind = engines[index].kind;
-    let most = model.most_layers(kind).max(1);
-    let usual = f64::from(model.usual_prompt + model.usual_answer) * HALF_WORTH_REQUESTS;
-    let mut best = (f64::NEG_INFINITY, LayerRange { from: 0, to: most });
-    for width in 1..=most {
-        let range = |from| LayerRange {
-            from,
-            to: from + width,
-        };
-        let added = HeldRange {
-            kind,
-            layers: range(0),
-        }
-        .room(model)
-        .max(1.0);
-        for layers in (0..=model.layers - width).map(range) {
-            let touched = &rooms[layers.from as usize..layers.to as usize];
-            let gains = touched
-                .iter()
-                .map(|room| room.add(added).benefit(usual) - room.benefit(usual));
-            let gain = gains.sum::<f64>();
-            if gain > best.0 + 1e-9 {
-                best = (gain, layers);
+/// Each way to widen an engine into the hole beside it.
+fn widenings(model: &EngineModel, engines: &[EngineView], share: f64) -> Vec<Vec<EngineView>> {
+    let mut options = Vec::new();
+    for hole in holes(model, engines) {
+        for (index, engine) in engines.iter().enumerate() {
+            let Some(layers) = engine.layers else {
+                continue;
+            };
+            let most = (engine.kind.memory_mb * share / model.layer_mb) as u32;
+            let free = most.saturating_sub(layers.width()).min(hole.width());
+            let widened = match layers {
+                LayerRange { from, to } if to == hole.from => LayerRange {
+                    from,
+                    to: to + free,
+                },
+                LayerRange { from, to } if from == hole.to => LayerRange {
+                    from: from - free,
+                    to,
+                },
+                _ => continue,
+            };
+            if free > 0 {
+                let mut moved = engines.to_vec();
+                moved[index].layers = Some(widened);
+                options.push(moved);
             }
         }
     }
-    best.1
+    options
 }
 
-fn first_hole(model: &EngineModel, engines: &[EngineView]) -> Option<u32> {
+/// Runs of layers without holder.
+fn holes(model: &EngineModel, engines: &[EngineView]) -> Vec<LayerRange> {
     let held = |layer: u32| {
         let mut ranges = engines.iter().filter_map(|engine| engine.layers);
         ranges.any(|range| range.contains(layer))
     };
-    (0..model.layers).find(|layer| !held(*layer))
+    let mut holes: Vec<LayerRange> = Vec::new();
+    for layer in (0..model.layers).filter(|layer| !held(*layer)) {
+        match holes.last_mut() {
+            Some(hole) if hole.to == layer => hole.to += 1,
+            _ => holes.push(LayerRange {
+                from: layer,
+                to: layer + 1,
+            }),
+        }
+    }
+    holes
 }
 
-/// The engine beside a hole that can take its first layer, with the most room
-/// per layer left after that.
-fn widened_neighbour(
-    model: &EngineModel,
-    engines: &[EngineView],
-    hole: u32,
-) -> Option<(usize, LayerRange)> {
-    let widened = |(index, engine): (usize, &EngineView)| {
-        let range = engine.layers?;
-        let layers = match range {
-            LayerRange { from, to } if to == hole => LayerRange { from, to: to + 1 },
-            LayerRange { from, to } if from == hole + 1 => LayerRange { from: hole, to },
-            _ => return None,
-        };
-        let weights_mb = f64::from(layers.width()) * model.layer_mb;
-        if weights_mb > engine.kind.memory_mb * MOST_WEIGHTS_SHARE {
-            return None;
-        }
-        let room = model.cache_room(engine.kind, layers.width()) / f64::from(layers.width());
-        Some((room, index, layers))
-    };
-    let options = engines.iter().enumerate().filter_map(widened);
-    let best = options.max_by(|one, other| one.0.total_cmp(&other.0));
-    best.map(|(_, index, layers)| (index, layers))
+fn hole_count(model: &EngineModel, engines: &[EngineView]) -> u32 {
+    holes(model, engines).iter().map(|hole| hole.width()).sum()
+}
+
+fn worth(model: &EngineModel, engines: &[EngineView]) -> f64 {
+    plan_worth(model, &HeldRange::all(engines))
 }
--- /dev/null
+++ b/tests/entry_decisions.rs
@@ -0,0 +1,235 @@
+//! Small decisions of an entry host: events, refusals, known hosts, log lines.
+
+use std::io::Write;
+use std::sync::mpsc;
+use std::time::{Duration, Instant};
+
+use jackdawwick::admission::OverloadGauge;
+use jackdawwick::forward::EventSplitter;
+use jackdawwick::logging::BoundedWriter;
+use jackdawwick::membership::GossipTable;
+use jackdawwick::peer::{HostView, KnownHost};
+use proptest::prelude::*;
+
+/// Symptom: a caller gets half an event and then a whole one. Sequence: an
+/// engine breaks off in the middle of an event, the stream goes on elsewhere.
+/// Cause: bytes were passed on as they came.
+#[test]
+fn half_an_event_is_held_back() {
+    let mut splitter = EventSplitter::default();
+    let whole = splitter
+        .push(b"id: 1\ndata: a\n\nid: 2\nda")
+        .expect("no overflow");
+    assert_eq!(whole.as_deref(), Some(&b"id: 1\ndata: a\n\n"[..]));
+    assert_eq!(splitter.last_id(), Some("1"));
+    assert!(splitter.is_partial());
+    splitter.drop_partial();
+    let next = splitter.push(b"id: 2\ndata: b\n\n").expect("no overflow");
+    assert_eq!(next.as_deref(), Some(&b"id: 2\ndata: b\n\n"[..]));
+    assert_eq!(splitter.last_id(), Some("2"));
+}
+
+#[test]
+fn an_endless_event_is_an_error() {
+    let mut splitter = EventSplitter::default();
+    let pushed = (0..200).try_for_each(|_| splitter.push(&[b'x'; 1024]).map(|_| ()));
+    assert!(pushed.is_err());
+}
+
+proptest! {
+    /// However the bytes are cut, whole events come out in order.
+    #[test]
+    fn cuts_do_not_matter(count in 1_usize..20, cuts in prop::collection::vec(1_usize..40, 1..60)) {
+        let text = (0..count).map(|id| format!("id: {id}\ndata: {}\n\n", "t".repeat(id % 7)));
+        let text = text.collect::<String>();
+        let mut splitter = EventSplitter::default();
+        let mut rest = text.as_bytes();
+        let mut seen = Vec::new();
+        let mut cuts = cuts.iter().cycle();
+        while !rest.is_empty() {
+            let cut = (*cuts.next().expect("endless")).min(rest.len());
+            let (part, tail) = rest.split_at(cut);
+            rest = tail;
+            if let Some(events) = splitter.push(part).expect("no overflow") {
+                prop_assert!(events.ends_with(b"\n\n"));
+                seen.extend_from_slice(&events);
+            }
+        }
+        prop_assert_eq!(seen, text.as_bytes());
+        let last = (count - 1).to_string();
+        prop_assert_eq!(splitter.last_id(), Some(last.as_str()));
+    }
+
+    #[test]
+    fn any_bytes_are_taken_without_panic(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
+        let mut splitter = EventSplitter::default();
+        let _ = splitter.push(&bytes);
+    }
+}
+
+#[test]
+fn refused_callers_come_back_later_the_more_are_refused() {
+    let now = Instant::now();
+    let mut gauge = OverloadGauge::default();
+    for _ in 0..50 {
+        gauge.count_start(now);
+    }
+    let first = gauge.count_refusal(now, 0.0);
+    for _ in 0..100 {
+        gauge.count_refusal(now, 0.0);
+    }
+    let later = gauge.count_refusal(now, 0.0);
+    assert!(later > first * 2);
+    assert!(later <= Duration::from_secs(5));
+    let jittered = gauge.count_refusal(now, 1.0);
+    assert!(jittered > later);
+    let calm = now + Duration::from_secs(60);
+    for _ in 0..50 {
+        gauge.count_start(calm);
+    }
+    assert!(gauge.count_refusal(calm, 0.0) < later);
+}
+
+fn view(host: &str, zone: &str, port: u16, sequence: u64) -> HostView {
+    HostView {
+        host: host.into(),
+        zone: zone.into(),
+        address: ([10, 0, 0, 1], port).into(),
+        incarnation: 1,
+        sequence,
+        configuration_version: 0,
+        zone_wide: false,
+        uses: Vec::new(),
+        hosts: Vec::new(),
+    }
+}
+
+fn table(seeds: &[u16]) -> GossipTable {
+    let seeds = seeds.iter().map(|port| ([10, 0, 0, 1], *port).into());
+    GossipTable::new(
+        "b".into(),
+        "z".into(),
+        ([10, 0, 0, 1], 2).into(),
+        seeds.collect(),
+    )
+}
+
+#[test]
+fn seeds_are_called_until_they_are_known_and_never_oneself() {
+    let now = Instant::now();
+    let mut table = table(&[1, 2]);
+    assert_eq!(table.due_calls(now), [([10, 0, 0, 1], 1).into()]);
+    assert!(table.due_calls(now).is_empty());
+    assert!(table.observe_view(&view("a", "z", 1, 1), now));
+    let later = now + Duration::from_millis(100);
+    assert!(table.due_calls(later).is_empty());
+}
+
+#[test]
+fn hosts_become_known_through_others() {
+    let now = Instant::now();
+    let mut table = table(&[]);
+    let mut told = view("a", "z", 1, 1);
+    told.hosts = vec![KnownHost {
+        host: "c".into(),
+        zone: "z".into(),
+        address: ([10, 0, 0, 1], 3).into(),
+        incarnation: 4,
+        silent: Duration::from_millis(100),
+    }];
+    table.observe_view(&told, now);
+    let live = table.live_hosts("z", now);
+    assert_eq!(
+        live.iter().map(|host| &**host).collect::<Vec<_>>(),
+        ["a", "b", "c"]
+    );
+}
+
+/// Symptom: two hosts order the same engines about. Sequence: the first host
+/// of a zone dies. Cause: the dead host still counts as the first.
+#[test]
+fn silent_hosts_no_longer_count_as_live() {
+    let now = Instant::now();
+    let mut table = table(&[]);
+    table.observe_view(&view("a", "z", 1, 1), now);
+    assert_eq!(table.live_hosts("z", now).len(), 2);
+    let later = now + Duration::from_secs(3);
+    assert_eq!(
+        table
+            .live_hosts("z", later)
+            .iter()
+            .map(|host| &**host)
+            .collect::<Vec<_>>(),
+        ["b"]
+    );
+    assert_eq!(table.live_count(later), 1);
+}
+
+/// Symptom: loads of a moment ago come back. Sequence: two views of a host
+/// cross on the way. Cause: the later one to arrive was believed.
+#[test]
+fn an_overtaken_view_is_no_news() {
+    let now = Instant::now();
+    let mut table = table(&[]);
+    assert!(table.observe_view(&view("a", "z", 1, 5), now));
+    assert!(!table.observe_view(&view("a", "z", 1, 4), now));
+    let mut restarted = view("a", "z", 1, 1);
+    restarted.incarnation = 2;
+    assert!(table.observe_view(&restarted, now));
+    assert!(!table.observe_view(&view("a", "z", 1, 6), now));
+}
+
+/// A writer that takes nothing until it is told to.
+struct StuckWriter {
+    go_on: mpsc::Receiver<()>,
+    written: mpsc::Sender<Vec<u8>>,
+}
+
+impl Write for StuckWriter {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        let _ = self.go_on.recv();
+        let _ = self.written.send(bytes.to_vec());
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Symptom: a host stops answering. Sequence: whoever reads its log stops
+/// reading, the pipe fills up. Cause: log lines were written by the thread
+/// that serves requests.
+#[test]
+fn a_log_reader_that_does_not_read_blocks_nothing() {
+    let (go_on_sender, go_on) = mpsc::channel();
+    let (written, lines) = mpsc::channel();
+    let mut writer = BoundedWriter::spawn(StuckWriter { go_on, written });
+    for line in 0..100_000 {
+        writeln!(writer, "{line}").expect("never fails");
+    }
+    drop(writer);
+    drop(go_on_sender);
+    let text = lines.iter().flatten().collect::<Vec<_>>();
+    let text = String::from_utf8(text).expect("text");
+    assert!(text.starts_with("0\n"));
+    assert!(text.lines().count() < 10_000);
+}
+
+/// A storm of decisions is bounded, and what was left out is counted.
+#[test]
+fn lines_left_out_are_counted() {
+    let (go_on_sender, go_on) = mpsc::channel();
+    let (written, lines) = mpsc::channel();
+    drop(go_on_sender);
+    let mut writer = BoundedWriter::spawn(StuckWriter { go_on, written });
+    for line in 0..5_000 {
+        writeln!(writer, "{line}").expect("never fails");
+    }
+    std::thread::sleep(Duration::from_millis(30));
+    writeln!(writer, "last").expect("never fails");
+    drop(writer);
+    let text = lines.iter().flatten().collect::<Vec<_>>();
+    let text = String::from_utf8(text).expect("text");
+    assert!(text.contains("lines left out"));
+}
--- /dev/null
+++ b/tests/paths.rs
@@ -0,0 +1,300 @@
+//! Paths over engines: every layer once and in order, the least loaded first.
+
+use std::time::{Duration, Instant};
+
+use jackdawwick::collections::FastMap;
+use jackdawwick::fleet::{
+    EnginePath, FleetTable, LayerRange, PathQuery, RequestSize, TargetEntry, UseSource,
+    choose_path, repair_path,
+};
+use jackdawwick::ids::TargetId;
+use jackdawwick::ingress::{AcceleratorKind, EngineModel};
+use jackdawwick::peer::TargetUse;
+use proptest::prelude::*;
+
+const SIZE: RequestSize = RequestSize {
+    prompt: 760,
+    answer: 200,
+};
+
+fn model() -> EngineModel {
+    let kind = |memory_mb, pace, read_factor| AcceleratorKind {
+        memory_mb,
+        pace,
+        read_factor,
+    };
+    let kinds = [
+        ("fast".into(), kind(72_000.0, 2.4, 3.2)),
+        ("slow".into(), kind(21_600.0, 16.0, 8.2)),
+    ];
+    EngineModel {
+        layers: 80,
+        layer_mb: 1750.0,
+        kv_token_bytes: 918_000.0,
+        step_ms: 1.02,
+        per_request_ms: 0.007,
+        per_context_k_ms: 0.0096,
+        read_per_s: 105_000.0,
+        stride: 3,
+        load_s: 14.0,
+        usual_prompt: 774,
+        usual_answer: 203,
+        kinds: kinds.into_iter().collect::<FastMap<_, _>>(),
+    }
+}
+
+fn engine(index: usize, zone: &str, kind: &str, from: u32, to: u32) -> TargetEntry {
+    TargetEntry {
+        id: format!("i-{index}").into(),
+        service: "model".into(),
+        address: format!("10.0.0.{}:80", index + 1)
+            .parse()
+            .expect("an address"),
+        zone: zone.into(),
+        draining: false,
+        kind: Some(kind.into()),
+        layers: Some(LayerRange { from, to }),
+    }
+}
+
+fn fleet(entries: impl IntoIterator<Item = TargetEntry>) -> FleetTable {
+    let mut fleet = FleetTable::default();
+    for entry in entries {
+        fleet.observe_entry(entry);
+    }
+    fleet
+}
+
+fn choose(
+    fleet: &FleetTable,
+    model: &EngineModel,
+    avoid: &[TargetId],
+    now: Instant,
+) -> Option<EnginePath> {
+    let query = PathQuery {
+        model,
+        size: SIZE,
+        zone: "near",
+        avoid,
+    };
+    choose_path(fleet.members("model")?, query, now, || 0.5)
+}
+
+fn tiles(path: &EnginePath, layers: u32) -> bool {
+    let mut next = 0;
+    let follows = path.hops.iter().all(|hop| {
+        let fits = hop.layers.from == next && hop.layers.to > hop.layers.from;
+        next = hop.layers.to;
+        fits
+    });
+    let mut ids = path.hops.iter().map(|hop| &hop.target).collect::<Vec<_>>();
+    ids.sort();
+    ids.dedup();
+    follows && next == layers && ids.len() == path.hops.len()
+}
+
+#[test]
+fn the_own_zone_comes_first_and_another_one_serves_when_it_is_incomplete() {
+    let model = model();
+    let now = Instant::now();
+    let mut fleet = fleet([
+        engine(0, "near", "fast", 0, 40),
+        engine(1, "near", "fast", 40, 80),
+        engine(2, "far", "fast", 0, 40),
+        engine(3, "far", "fast", 40, 80),
+    ]);
+    let path = choose(&fleet, &model, &[], now).expect("a path");
+    assert_eq!(&*path.hops[0].target, "i-0");
+    fleet.remove("i-1");
+    let path = choose(&fleet, &model, &[], now).expect("a path");
+    assert_eq!(&*path.hops[0].target, "i-2");
+}
+
+#[test]
+fn layers_are_joined_across_zones_only_when_no_zone_is_whole() {
+    let model = model();
+    let now = Instant::now();
+    let fleet = fleet([
+        engine(0, "near", "fast", 0, 40),
+        engine(1, "far", "fast", 40, 80),
+    ]);
+    let path = choose(&fleet, &model, &[], now).expect("a path");
+    assert!(tiles(&path, 80));
+}
+
+#[test]
+fn leaving_silent_and_avoided_engines_are_left_out() {
+    let model = model();
+    let now = Instant::now();
+    let mut leaving = engine(1, "near", "fast", 40, 80);
+    leaving.draining = true;
+    let mut fleet = fleet([engine(0, "near", "fast", 0, 40), leaving]);
+    assert!(choose(&fleet, &model, &[], now).is_none());
+    fleet.observe_entry(engine(1, "near", "fast", 40, 80));
+    assert!(choose(&fleet, &model, &["i-0".into()], now).is_none());
+    fleet.observe_silence("i-1", now);
+    assert!(choose(&fleet, &model, &[], now).is_none());
+    assert!(choose(&fleet, &model, &[], now + Duration::from_secs(4)).is_some());
+}
+
+/// Symptom: engines refuse for want of memory although others have room.
+/// Sequence: several hosts send to the same engines at once. Cause: each
+/// counted its own requests only.
+#[test]
+fn requests_of_other_hosts_fill_an_engine_too() {
+    let model = model();
+    let now = Instant::now();
+    let mut fleet = fleet([
+        engine(0, "near", "fast", 0, 40),
+        engine(1, "near", "fast", 40, 80),
+    ]);
+    assert!(!choose(&fleet, &model, &[], now).expect("a path").full);
+    let uses = vec![TargetUse {
+        target: "i-1".into(),
+        requests: 4,
+        reserved: 40.0 * 4_000.0,
+    }];
+    fleet.observe_uses(UseSource::Host("other".into()), uses, now);
+    assert!(choose(&fleet, &model, &[], now).expect("a path").full);
+    fleet.observe_uses(UseSource::Host("other".into()), Vec::new(), now);
+    assert!(!choose(&fleet, &model, &[], now).expect("a path").full);
+}
+
+/// Symptom: all requests of a path start over when one engine dies. Sequence:
+/// the second engine falls silent. Cause: the whole path was given up, with
+/// what the first engine had read.
+#[test]
+fn a_repair_keeps_the_engines_that_are_well() {
+    let model = model();
+    let now = Instant::now();
+    let fleet = fleet([
+        engine(0, "near", "fast", 0, 30),
+        engine(1, "near", "fast", 30, 60),
+        engine(2, "near", "fast", 60, 80),
+        engine(3, "near", "slow", 30, 42),
+        engine(4, "near", "slow", 40, 50),
+        engine(5, "near", "slow", 50, 60),
+    ]);
+    let path = choose(&fleet, &model, &[], now).expect("a path");
+    let position = path
+        .hops
+        .iter()
+        .position(|hop| &*hop.target == "i-1")
+        .expect("a hop");
+    let query = PathQuery {
+        model: &model,
+        size: SIZE,
+        zone: "near",
+        avoid: &[],
+    };
+    let members = fleet.members("model").expect("members");
+    let repaired = repair_path(members, query, &path, position, now, || 0.5).expect("a path");
+    assert!(tiles(&repaired, 80));
+    assert_eq!(repaired.hops.first(), path.hops.first());
+    assert_eq!(repaired.hops.last(), path.hops.last());
+    assert!(repaired.hops.iter().all(|hop| &*hop.target != "i-1"));
+}
+
+/// Serves 400 requests that never end, one after the other, and tells how many
+/// found a place before an engine was full.
+fn placed<F>(fleet: &mut FleetTable, model: &EngineModel, now: Instant, mut choose_next: F) -> usize
+where
+    F: FnMut(&FleetTable, usize) -> Option<EnginePath>,
+{
+    let room = |fleet: &FleetTable, id: &str| {
+        let state = fleet.get(id).expect("an engine");
+        let kind = model.kinds[state.entry.kind.as_deref().expect("a kind")];
+        let width = state.entry.layers.expect("layers").width();
+        model.cache_room(kind, width) - state.all_reserved()
+    };
+    let mut count = 0;
+    for turn in 0..400 {
+        let Some(path) = choose_next(fleet, turn) else {
+            break;
+        };
+        let full = path
+            .hops
+            .iter()
+            .any(|hop| room(fleet, &hop.target) < f64::from(hop.layers.width()) * SIZE.tokens());
+        if full {
+            break;
+        }
+        for hop in &path.hops {
+            fleet.observe_start(&hop.target, hop.layers.width(), SIZE);
+        }
+        count += 1;
+    }
+    let _ = now;
+    count
+}
+
+/// Two chains of unequal room: turns without regard to load stop at the
+/// smaller one's end, the choice by cost fills both.
+#[test]
+fn the_choice_places_more_requests_than_turns_do() {
+    let model = model();
+    let now = Instant::now();
+    let entries = || {
+        [
+            engine(0, "near", "fast", 0, 27),
+            engine(1, "near", "fast", 27, 54),
+            engine(2, "near", "fast", 54, 80),
+            engine(3, "near", "fast", 0, 38),
+            engine(4, "near", "fast", 38, 76),
+            engine(5, "near", "slow", 70, 80),
+        ]
+    };
+    let chain = |first: usize| {
+        let ranges = match first {
+            0 => [(0, 0, 27), (1, 27, 54), (2, 54, 80)],
+            _ => [(3, 0, 38), (4, 38, 76), (5, 76, 80)],
+        };
+        let hops = ranges.map(|(index, from, to)| {
+            let entry = engine(index, "near", "fast", from, to);
+            jackdawwick::fleet::PathHop {
+                target: entry.id,
+                address: entry.address,
+                layers: LayerRange { from, to },
+            }
+        });
+        EnginePath {
+            hops: hops.to_vec(),
+            cost_ms: 0.0,
+            full: false,
+        }
+    };
+    let turns = placed(&mut fleet(entries()), &model, now, |_, turn| {
+        Some(chain(turn % 2))
+    });
+    let chosen = placed(&mut fleet(entries()), &model, now, |fleet, _| {
+        choose(fleet, &model, &[], now).filter(|path| !path.full)
+    });
+    assert!(chosen > turns, "by cost {chosen}, by turns {turns}");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(200))]
+
+    #[test]
+    fn every_path_runs_every_layer_once(
+        ranges in prop::collection::vec((0_u32..80, 1_u32..41, any::<bool>()), 1..16),
+        draw in 0.0..1.0,
+    ) {
+        let model = model();
+        let entries = ranges.iter().enumerate().map(|(index, (from, width, near))| {
+            let zone = if *near { "near" } else { "far" };
+            engine(index, zone, "fast", *from, (from + width).min(80))
+        });
+        let fleet = fleet(entries);
+        let covered = (0..80).all(|layer| {
+            fleet.targets().any(|state| state.entry.layers.is_some_and(|range| range.contains(layer)))
+        });
+        let query = PathQuery { model: &model, size: SIZE, zone: "near", avoid: &[] };
+        let members = fleet.members("model").expect("members");
+        let path = choose_path(members, query, Instant::now(), || draw);
+        prop_assert_eq!(path.is_some(), covered);
+        if let Some(path) = path {
+            prop_assert!(tiles(&path, 80));
+        }
+    }
+}
--- /dev/null
+++ b/tests/placing.rs
@@ -0,0 +1,238 @@
+//! The planner: no engine is given more than it holds, every layer has a
+//! holder, and the plan carries more than naive ones.
+
+use jackdawwick::collections::FastMap;
+use jackdawwick::fleet::LayerRange;
+use jackdawwick::ingress::{AcceleratorKind, EngineModel};
+use jackdawwick::placing::{EngineView, HeldRange, plan_worth, plan_zone};
+use proptest::prelude::*;
+
+const FAST: AcceleratorKind = AcceleratorKind {
+    memory_mb: 72_000.0,
+    pace: 2.4,
+    read_factor: 3.2,
+};
+const USUAL: AcceleratorKind = AcceleratorKind {
+    memory_mb: 43_200.0,
+    pace: 5.6,
+    read_factor: 2.7,
+};
+const SLOW: AcceleratorKind = AcceleratorKind {
+    memory_mb: 21_600.0,
+    pace: 16.0,
+    read_factor: 8.2,
+};
+
+fn model() -> EngineModel {
+    EngineModel {
+        layers: 80,
+        layer_mb: 1750.0,
+        kv_token_bytes: 918_000.0,
+        step_ms: 1.02,
+        per_request_ms: 0.007,
+        per_context_k_ms: 0.0096,
+        read_per_s: 105_000.0,
+        stride: 3,
+        load_s: 14.0,
+        usual_prompt: 774,
+        usual_answer: 203,
+        kinds: FastMap::default(),
+    }
+}
+
+fn engines(kinds: &[(AcceleratorKind, usize)]) -> Vec<EngineView> {
+    let kinds = kinds
+        .iter()
+        .flat_map(|(kind, count)| std::iter::repeat_n(*kind, *count));
+    let engines = kinds.enumerate().map(|(index, kind)| EngineView {
+        id: format!("i-{index:02}").into(),
+        kind,
+        layers: None,
+    });
+    engines.collect()
+}
+
+/// Carries the plan out.
+fn apply(model: &EngineModel, engines: &mut [EngineView]) -> usize {
+    let planned = plan_zone(model, engines);
+    for range in &planned {
+        let engine = engines.iter_mut().find(|engine| engine.id == range.id);
+        engine.expect("a known engine").layers = Some(range.layers);
+    }
+    planned.len()
+}
+
+fn holders(engines: &[EngineView], layer: u32) -> usize {
+    let ranges = engines.iter().filter_map(|engine| engine.layers);
+    ranges.filter(|range| range.contains(layer)).count()
+}
+
+fn worth(model: &EngineModel, engines: &[EngineView]) -> f64 {
+    let held = engines.iter().filter_map(|engine| {
+        Some(HeldRange {
+            kind: engine.kind,
+            layers: engine.layers?,
+        })
+    });
+    plan_worth(model, &held.collect::<Vec<_>>())
+}
+
+#[test]
+fn a_zone_without_layers_is_covered_at_once_and_then_left_alone() {
+    let model = model();
+    let mut engines = engines(&[(FAST, 1), (USUAL, 6), (SLOW, 5)]);
+    apply(&model, &mut engines);
+    assert!((0..model.layers).all(|layer| holders(&engines, layer) > 0));
+    assert_eq!(apply(&model, &mut engines), 0);
+}
+
+/// Symptom: after one engine died, all requests of the zone were refused until
+/// it was back. Sequence: an engine ends for good. Cause: its layers had no
+/// second holder.
+#[test]
+fn where_memory_allows_any_engine_may_be_lost() {
+    let model = model();
+    let mut engines = engines(&[(FAST, 1), (USUAL, 6), (SLOW, 5)]);
+    apply(&model, &mut engines);
+    for lost in 0..engines.len() {
+        let mut left = engines.clone();
+        left.remove(lost);
+        assert!(
+            (0..model.layers).all(|layer| holders(&left, layer) > 0),
+            "lost {lost}"
+        );
+    }
+}
+
+/// Symptom: a layer stays without holder, the zone serves nothing. Sequence:
+/// the only holder of some layers ends, no engine comes in its place. Cause:
+/// nobody widens the ranges beside the hole.
+#[test]
+fn a_hole_is_closed_by_its_neighbours() {
+    let model = model();
+    let mut engines = engines(&[(FAST, 2), (USUAL, 2), (SLOW, 5)]);
+    apply(&model, &mut engines);
+    let range = |from, to| Some(LayerRange { from, to });
+    for (engine, layers) in
+        engines
+            .iter_mut()
+            .zip([range(0, 26), range(26, 50), range(50, 64), range(64, 80)])
+    {
+        engine.layers = layers;
+    }
+    engines.truncate(4);
+    engines.remove(2);
+    apply(&model, &mut engines);
+    assert!((0..model.layers).all(|layer| holders(&engines, layer) > 0));
+}
+
+/// Symptom: an engine that restarted stays empty. Sequence: an engine crashes
+/// and comes back under a new id, without layers. Cause: only the first plan
+/// gave out ranges.
+#[test]
+fn an_empty_engine_takes_what_is_missing() {
+    let model = model();
+    let mut engines = engines(&[(USUAL, 5)]);
+    apply(&model, &mut engines);
+    let lost = engines[1].layers.expect("a range");
+    engines[1].layers = None;
+    apply(&model, &mut engines);
+    let taken = engines[1].layers.expect("a range");
+    assert!(taken.from <= lost.from && lost.to <= taken.to);
+}
+
+/// Each engine an equal part, round and round: the simplest plan that covers.
+fn equal_ranges(model: &EngineModel, engines: &mut [EngineView]) {
+    let width = engines
+        .iter()
+        .map(|engine| model.most_layers(engine.kind))
+        .min()
+        .unwrap_or(1);
+    let mut from = 0;
+    for engine in engines {
+        let to = (from + width).min(model.layers);
+        engine.layers = Some(LayerRange { from, to });
+        from = if to == model.layers { 0 } else { to };
+    }
+}
+
+/// Whole copies of the weights by kind, each engine in proportion to memory.
+fn copies_by_kind(model: &EngineModel, engines: &mut [EngineView], count: usize) {
+    for chain in engines.chunks_mut(count) {
+        let memory = chain
+            .iter()
+            .map(|engine| engine.kind.memory_mb)
+            .sum::<f64>();
+        let mut from = 0.0;
+        for engine in chain {
+            let to = from + f64::from(model.layers) * engine.kind.memory_mb / memory;
+            let most = model.most_layers(engine.kind);
+            let range = LayerRange {
+                from: from.round() as u32,
+                to: (to.round() as u32).min(from.round() as u32 + most),
+            };
+            engine.layers = Some(range);
+            from = to;
+        }
+    }
+}
+
+#[test]
+fn the_plan_carries_more_than_naive_ones() {
+    let model = model();
+    for kinds in [
+        [(FAST, 1), (USUAL, 6), (SLOW, 5)],
+        [(FAST, 2), (USUAL, 2), (SLOW, 5)],
+        [(FAST, 1), (USUAL, 3), (SLOW, 8)],
+    ] {
+        let mut planned = engines(&kinds);
+        apply(&model, &mut planned);
+        let mut equal = engines(&kinds);
+        equal_ranges(&model, &mut equal);
+        let mut copies = engines(&kinds);
+        copies_by_kind(&model, &mut copies, 6);
+        let best = worth(&model, &planned);
+        assert!(best > 0.0);
+        assert!(best >= worth(&model, &equal));
+        assert!(best >= worth(&model, &copies));
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(24))]
+
+    /// An engine that is ordered to hold more than its memory crashes.
+    #[test]
+    fn no_engine_is_given_more_than_it_holds(
+        fast in 0_usize..3, usual in 0_usize..5, slow in 0_usize..6, lost in 0_usize..12,
+    ) {
+        let model = model();
+        let mut engines = engines(&[(FAST, fast), (USUAL, usual), (SLOW, slow)]);
+        apply(&model, &mut engines);
+        if !engines.is_empty() {
+            let lost = lost % engines.len();
+            engines[lost].layers = None;
+        }
+        apply(&model, &mut engines);
+        for engine in &engines {
+            let layers = engine.layers.expect("a range");
+            prop_assert!(layers.width() <= model.most_layers(engine.kind));
+            prop_assert!(layers.from < layers.to && layers.to <= model.layers);
+        }
+    }
+
+    /// Two hosts that see the same engines plan the same.
+    #[test]
+    fn the_order_of_the_engines_does_not_matter(fast in 0_usize..3, usual in 0_usize..5, slow in 0_usize..4) {
+        let model = model();
+        let engines = engines(&[(FAST, fast), (USUAL, usual), (SLOW, slow)]);
+        let mut turned = engines.clone();
+        turned.reverse();
+        let sorted = |engines: &[EngineView]| {
+            let mut planned = plan_zone(&model, engines);
+            planned.sort_by(|one, other| one.id.cmp(&other.id));
+            planned
+        };
+        prop_assert_eq!(sorted(&engines), sorted(&turned));
+    }
+}
