Test the data path over loopback against targets that fail

Change: a target that does byte for byte what a test says; 17 cases: headers, lengths that could be read two ways, lost, foreign, unproven and cut answers, streams that break within an event, stall or lose their caller.

--- /dev/null
+++ b/tests/forwarding/main.rs
@@ -0,0 +1,369 @@
+//! The data path against targets that fail in every way they can.
+
+mod host;
+mod stub_target;
+
+use std::time::Duration;
+
+use host::{TestHost, request};
+use stub_target::{SeenRequest, Step, StubTarget, answer, chunk, event, last_chunk, stream_head};
+use tokio::io::AsyncWriteExt;
+
+const REPORT: &str = "GET /jackdawwick/report";
+const ORDER: &str = "POST /jackdawwick/order";
+
+fn json(body: &str) -> Step {
+    Step::Write(format!(
+        "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    ))
+}
+
+fn not_executed() -> Step {
+    Step::Write(
+        "HTTP/1.1 503 Service Unavailable\r\nx-jackdawwick-not-executed: 1\r\n\
+         content-length: 0\r\n\r\n"
+            .to_owned(),
+    )
+}
+
+async fn sound() -> StubTarget {
+    StubTarget::spawn(|seen| vec![answer(seen.id(), "200 OK", "fine")]).await
+}
+
+#[tokio::test]
+async fn a_target_gets_the_request_and_only_this_hosts_own_headers() {
+    let target = sound().await;
+    let host = TestHost::open();
+    host.add_plain("i-1", target.address);
+    let extra = "X-Jackdawwick-Tenant: forged\r\nX-Jackdawwick-Target-Instance: forged\r\n\
+                 X-Jackdawwick-Urgency-Class: 0\r\nX-Own: kept\r\nContent-Length: 4\r\n";
+    let mut stream = host.connect().await;
+    let text = request("POST", "/unsafe/a?b=c", extra) + "body";
+    stream.write_all(text.as_bytes()).await.expect("sent");
+    let mut seen = target.seen();
+    while seen.is_empty() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+        seen = target.seen();
+    }
+    let seen = &seen[0];
+    assert!(seen.head.starts_with("POST /unsafe/a?b=c HTTP/1.1"));
+    assert_eq!(seen.body, b"body");
+    assert_eq!(seen.id(), "r1");
+    assert_eq!(seen.header("x-jackdawwick-tenant"), Some("org"));
+    assert_eq!(seen.header("x-jackdawwick-target-instance"), Some("i-1"));
+    assert_eq!(seen.header("x-jackdawwick-urgency-class"), None);
+    assert_eq!(seen.header("authorization"), None);
+    assert_eq!(seen.header("x-own"), Some("kept"));
+    let left = seen
+        .header("x-jackdawwick-deadline-ms")
+        .and_then(|left| left.parse::<u64>().ok());
+    assert!(left.is_some_and(|left| left <= 3000));
+}
+
+#[tokio::test]
+async fn what_no_configuration_allows_is_rejected() {
+    let host = TestHost::open();
+    let unknown = host.call("GET", "/other/", "").await;
+    assert_eq!(unknown.status(), 404);
+    let mut stream = host.connect().await;
+    let text = request("GET", "/safe/", "").replace("k1", "k9");
+    stream.write_all(text.as_bytes()).await.expect("sent");
+    let mut bytes = Vec::new();
+    let _ = tokio::io::AsyncReadExt::read_to_end(&mut stream, &mut bytes).await;
+    assert!(String::from_utf8_lossy(&bytes).starts_with("HTTP/1.1 401"));
+}
+
+#[tokio::test]
+async fn without_a_target_the_caller_is_told_when_to_come_back() {
+    let host = TestHost::open();
+    let answer = host.call("GET", "/safe/", "").await;
+    assert_eq!(answer.status(), 503);
+    assert!(answer.header("retry-after").is_some());
+    assert!(answer.text.contains("\"verdict\":\"not_run\""));
+}
+
+#[tokio::test]
+async fn a_body_over_the_limit_is_refused() {
+    let target = sound().await;
+    let host = TestHost::open();
+    host.add_plain("i-1", target.address);
+    let mut stream = host.connect().await;
+    let text = request("POST", "/unsafe/", "Content-Length: 5000\r\n") + &"x".repeat(5000);
+    stream.write_all(text.as_bytes()).await.expect("sent");
+    let mut bytes = Vec::new();
+    let _ = tokio::io::AsyncReadExt::read_to_end(&mut stream, &mut bytes).await;
+    assert!(String::from_utf8_lossy(&bytes).starts_with("HTTP/1.1 413"));
+    assert!(target.seen().is_empty());
+}
+
+/// Symptom: one caller gets another's answer, or one request becomes two.
+/// Sequence: a head is sent that two programs read differently. Cause: both
+/// lengths, or a length and chunks, were accepted.
+#[tokio::test]
+async fn ambiguous_lengths_reach_no_target() {
+    let target = sound().await;
+    let host = TestHost::open();
+    host.add_plain("i-1", target.address);
+    for extra in [
+        "Content-Length: 4\r\nContent-Length: 5\r\n",
+        "Content-Length: 4\r\nTransfer-Encoding: xchunked\r\n",
+        "Transfer-Encoding: chunked, identity\r\n",
+        "Content-Length: -1\r\n",
+    ] {
+        let mut stream = host.connect().await;
+        let text = request("POST", "/unsafe/", extra) + "bodyGET /unsafe/ HTTP/1.1\r\n\r\n";
+        stream.write_all(text.as_bytes()).await.expect("sent");
+        let mut bytes = Vec::new();
+        let _ = tokio::io::AsyncReadExt::read_to_end(&mut stream, &mut bytes).await;
+        let text = String::from_utf8_lossy(&bytes);
+        assert!(
+            text.is_empty() || text.starts_with("HTTP/1.1 4"),
+            "{extra:?} got {text:?}"
+        );
+    }
+    assert!(target.seen().is_empty());
+}
+
+/// Symptom: a charge is made twice. Sequence: a target runs a non-idempotent
+/// request and its answer is lost. Cause: the request was sent once more.
+#[tokio::test]
+async fn a_non_idempotent_request_is_never_sent_twice() {
+    let broken = StubTarget::spawn(|_| vec![Step::Reset]).await;
+    let other = StubTarget::spawn(|_| vec![Step::Reset]).await;
+    let host = TestHost::open();
+    host.add_plain("i-1", broken.address);
+    host.add_plain("i-2", other.address);
+    let answer = host.call("POST", "/unsafe/", "Content-Length: 0\r\n").await;
+    assert_eq!(answer.status(), 502);
+    assert!(answer.text.contains("\"verdict\":\"may_have_run\""));
+    assert_eq!(broken.seen().len() + other.seen().len(), 1);
+}
+
+#[tokio::test]
+async fn a_refused_request_goes_to_another_target_whatever_its_kind() {
+    let full = StubTarget::spawn(|_| vec![not_executed()]).await;
+    let host = TestHost::open();
+    host.add_plain("i-1", full.address);
+    let answer = host.call("POST", "/unsafe/", "Content-Length: 0\r\n").await;
+    assert_eq!(answer.status(), 503);
+    let sound = sound().await;
+    host.add_plain("i-2", sound.address);
+    for _ in 0..4 {
+        let answer = host.call("POST", "/unsafe/", "Content-Length: 0\r\n").await;
+        assert_eq!(answer.status(), 200);
+    }
+}
+
+#[tokio::test]
+async fn an_idempotent_request_survives_a_lost_answer() {
+    let broken = StubTarget::spawn(|_| vec![Step::Reset]).await;
+    let sound = sound().await;
+    let host = TestHost::open();
+    host.add_plain("i-1", broken.address);
+    host.add_plain("i-2", sound.address);
+    for _ in 0..4 {
+        assert_eq!(host.call("GET", "/safe/", "").await.status(), 200);
+    }
+}
+
+/// Symptom: a caller gets an answer that is not its own. Sequence: a target
+/// sends the answer of an earlier request. Cause: answers were matched by
+/// their order on the connection.
+#[tokio::test]
+async fn an_answer_with_another_id_is_not_passed_on() {
+    let crossed = StubTarget::spawn(|_| vec![answer("r0", "200 OK", "foreign")]).await;
+    let host = TestHost::open();
+    host.add_plain("i-1", crossed.address);
+    let answer = host.call("POST", "/unsafe/", "Content-Length: 0\r\n").await;
+    assert_eq!(answer.status(), 502);
+    assert!(!answer.text.contains("foreign"));
+}
+
+#[tokio::test]
+async fn an_answer_without_proof_or_cut_short_is_not_passed_on() {
+    let unproven = |seen: &SeenRequest| {
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nx-jackdawwick-attempt-id: {}\r\ncontent-length: 2\r\n\r\nno",
+            seen.id()
+        );
+        vec![Step::Write(head)]
+    };
+    let short = |seen: &SeenRequest| {
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nx-jackdawwick-attempt-id: {}\r\n\
+             x-jackdawwick-server-seal: s\r\ncontent-length: 9\r\n\r\nno",
+            seen.id()
+        );
+        vec![Step::Write(head)]
+    };
+    for target in [
+        StubTarget::spawn(unproven).await,
+        StubTarget::spawn(short).await,
+    ] {
+        let host = TestHost::open();
+        host.add_plain("i-1", target.address);
+        let answer = host.call("POST", "/unsafe/", "Content-Length: 0\r\n").await;
+        assert_eq!(answer.status(), 502);
+    }
+}
+
+#[tokio::test]
+async fn a_targets_own_failure_comes_through_with_its_proof() {
+    let failing = StubTarget::spawn(|seen| vec![answer(seen.id(), "500 Oops", "sorry")]).await;
+    let host = TestHost::open();
+    host.add_plain("i-1", failing.address);
+    let answer = host.call("POST", "/unsafe/", "Content-Length: 0\r\n").await;
+    assert_eq!(answer.status(), 500);
+    assert_eq!(answer.header("x-jackdawwick-server-seal"), Some("s"));
+}
+
+/// Bytes after a whole answer belong to no request.
+#[tokio::test]
+async fn surplus_bytes_reach_nobody() {
+    let noisy = StubTarget::spawn(|seen| {
+        vec![
+            answer(seen.id(), "200 OK", "fine"),
+            answer(seen.id(), "200 OK", "again"),
+        ]
+    })
+    .await;
+    let host = TestHost::open();
+    host.add_plain("i-1", noisy.address);
+    for _ in 0..3 {
+        let answer = host.call("GET", "/safe/", "").await;
+        assert_eq!(answer.status(), 200);
+        assert!(answer.text.ends_with("fine"));
+    }
+}
+
+#[tokio::test]
+async fn a_path_names_its_engines_and_layers() {
+    let engine =
+        StubTarget::spawn(|seen| vec![stream_head(seen.id()), event(1), event(2), last_chunk()])
+            .await;
+    let host = TestHost::open();
+    host.add_engine("i-1", engine.address, 0, 50);
+    host.add_engine("i-2", "127.0.0.1:9".parse().expect("an address"), 50, 80);
+    let answer = host.call("POST", "/stream/", "Content-Length: 0\r\n").await;
+    assert_eq!(answer.event_ids(), [1, 2]);
+    assert!(answer.is_whole_stream());
+    let path = format!("{}=0-50,127.0.0.1:9=50-80", engine.address);
+    assert_eq!(
+        engine.seen()[0].header("x-jackdawwick-hop-count"),
+        Some(path.as_str())
+    );
+}
+
+/// Symptom: an answer ends in the middle, or events come twice. Sequence: an
+/// engine breaks off within an event. Cause: the stream was not taken up at
+/// another engine after the last whole event.
+#[tokio::test]
+async fn a_broken_stream_goes_on_elsewhere_after_the_last_whole_event() {
+    let breaking = StubTarget::spawn(|seen| match seen.header("last-event-id") {
+        None => vec![
+            stream_head(seen.id()),
+            event(1),
+            event(2),
+            chunk("id: 3\nda"),
+            Step::Reset,
+        ],
+        Some(_) => vec![not_executed()],
+    })
+    .await;
+    let resuming = StubTarget::spawn(|seen| match seen.header("last-event-id") {
+        Some("2") => vec![stream_head(seen.id()), event(3), event(4), last_chunk()],
+        _ => vec![not_executed()],
+    })
+    .await;
+    let host = TestHost::open();
+    host.add_engine("i-1", breaking.address, 0, 80);
+    let serving = host.call("POST", "/stream/", "Content-Length: 0\r\n");
+    let adding = async {
+        while breaking.seen().is_empty() {
+            tokio::task::yield_now().await;
+        }
+        host.add_engine("i-2", resuming.address, 0, 80);
+    };
+    let (answer, ()) = tokio::join!(serving, adding);
+    assert_eq!(answer.event_ids(), [1, 2, 3, 4]);
+    assert!(answer.is_whole_stream());
+}
+
+#[tokio::test]
+async fn a_stream_that_cannot_go_on_does_not_look_whole() {
+    let breaking =
+        StubTarget::spawn(|seen| vec![stream_head(seen.id()), event(1), Step::Reset]).await;
+    let host = TestHost::open();
+    host.add_engine("i-1", breaking.address, 0, 80);
+    let answer = host.call("POST", "/stream/", "Content-Length: 0\r\n").await;
+    assert_eq!(answer.event_ids(), [1]);
+    assert!(!answer.is_whole_stream());
+}
+
+/// Symptom: streams stand still for two seconds and end. Sequence: an engine
+/// in the middle of the path dies. Cause: nobody asked the first engine whom
+/// it waits for, or moved the request.
+#[tokio::test]
+async fn a_stalled_stream_is_moved_to_another_engine() {
+    let dead = "127.0.0.1:9";
+    let first = StubTarget::spawn(move |seen| match seen.head.as_str() {
+        head if head.starts_with(REPORT) => {
+            vec![json(&format!(
+                r#"{{"stalled":[{{"id":"r1","address":"{dead}"}}]}}"#
+            ))]
+        }
+        head if head.starts_with(ORDER) => vec![json("{}")],
+        _ => vec![
+            stream_head(seen.id()),
+            event(1),
+            Step::Wait(Duration::from_millis(1200)),
+            event(2),
+            last_chunk(),
+        ],
+    })
+    .await;
+    let host = TestHost::open();
+    host.add_engine("i-1", first.address, 0, 50);
+    host.add_engine("i-2", dead.parse().expect("an address"), 50, 80);
+    let serving = host.call("POST", "/stream/", "Content-Length: 0\r\n");
+    let adding = async {
+        while first.seen().is_empty() {
+            tokio::task::yield_now().await;
+        }
+        host.add_engine("i-3", "127.0.0.1:10".parse().expect("an address"), 50, 80);
+    };
+    let (answer, ()) = tokio::join!(serving, adding);
+    assert_eq!(answer.event_ids(), [1, 2]);
+    let seen = first.seen();
+    let orders = seen
+        .iter()
+        .filter(|seen| seen.head.starts_with(ORDER))
+        .collect::<Vec<_>>();
+    assert_eq!(orders.len(), 1);
+    let order = String::from_utf8_lossy(&orders[0].body).into_owned();
+    assert!(order.contains("\"operation\":\"repath\""));
+    assert!(order.contains("127.0.0.1:10=50-80"));
+}
+
+/// Symptom: engines work for callers that have left. Sequence: a caller closes
+/// its connection in the middle of a stream. Cause: the engine's connection
+/// stayed open.
+#[tokio::test]
+async fn a_callers_leaving_reaches_the_engine() {
+    let engine = StubTarget::spawn(|seen| vec![stream_head(seen.id()), event(1), Step::Hold]).await;
+    let host = TestHost::open();
+    host.add_engine("i-1", engine.address, 0, 80);
+    let mut stream = host.connect().await;
+    let text = request("POST", "/stream/", "Content-Length: 0\r\n");
+    stream.write_all(text.as_bytes()).await.expect("sent");
+    let mut part = [0; 64];
+    let read = tokio::io::AsyncReadExt::read(&mut stream, &mut part).await;
+    assert!(read.is_ok_and(|read| read > 0));
+    drop(stream);
+    while engine.closed() == 0 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let fleet = host.tables.fleet.lock();
+    assert_eq!(fleet.get("i-1").map(|state| state.in_flight), Some(0));
+}
