Count and log what touches a request or changes a belief

Cause: a complaint could be followed by refusals only, and nothing was counted on the platform.

Change: one line for each route chosen, answer, refusal, failed attempt, move, resume and cut, with the request's id and what decided it; counters by reason and histograms on port 9464, for which the deploy file asks.

--- a/src/entry/configuring.rs
+++ b/src/entry/configuring.rs
@@ -1,7 +1,7 @@
 //! Follows the operators' configuration.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::entry::log_copy::LogCopy;
 use crate::ids::LogOffset;
@@ -20,7 +20,13 @@
     let mut next: Option<LogOffset> = None;
     let mut lost = false;
     loop {
+        let started = Instant::now();
         let read = read_on(&mut reader, next).await;
+        // A read that waits for a change says nothing about the store's time.
+        let answered = read.is_ok();
+        if next.is_none() || !answered {
+            copy.note_call("configuration", started.elapsed(), answered);
+        }
         match read {
             Ok(read) => {
                 if std::mem::take(&mut lost) {
--- a/src/entry/following.rs
+++ b/src/entry/following.rs
@@ -36,10 +36,14 @@
         missing: None,
     };
     loop {
+        let started = Instant::now();
         let read = match follower.next {
             None => reader.newest(names::TARGET_TOPIC).await,
             Some(next) => reader.read(names::TARGET_TOPIC, next, Duration::ZERO).await,
         };
+        follower
+            .copy
+            .note_call("targets", started.elapsed(), read.is_ok());
         follower.take(read, Instant::now());
         tokio::time::sleep(pause).await;
     }
--- a/src/entry/log_copy.rs
+++ b/src/entry/log_copy.rs
@@ -1,7 +1,7 @@
 //! What was last read from the platform's log, kept to pass on.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use parking_lot::Mutex;
@@ -38,6 +38,11 @@
         }
     }
 
+    /// Counts a call to the log service.
+    pub(super) fn note_call(&self, topic: &'static str, took: Duration, answered: bool) {
+        self.tables.metrics.store_called(topic, took, answered);
+    }
+
     /// What a peer is given.
     pub(super) fn snapshot(&self) -> HostSnapshot {
         let kept = self.kept.lock();
--- a/src/entry/peering.rs
+++ b/src/entry/peering.rs
@@ -107,11 +107,6 @@
         first.as_ref() == Some(&self.host)
     }
 
-    /// Live entry hosts, this one among them.
-    pub(super) fn live_count(&self, now: Instant) -> usize {
-        self.gossip.lock().live_count(now)
-    }
-
     fn answer(&self, view: &HostView, now: Instant) -> HostView {
         self.hear(view, now);
         self.own_view(view.zone != self.zone, now)
--- a/src/entry/placing.rs
+++ b/src/entry/placing.rs
@@ -220,6 +220,11 @@
         answer:? = answer.as_ref().map(|(status, _)| status.as_u16());
         "order given"
     );
+    tables.metrics.ordered(match answer {
+        Ok((StatusCode::OK | StatusCode::ACCEPTED, _)) => "accepted",
+        Ok(_) => "refused",
+        Err(_) => "unanswered",
+    });
     match answer {
         Ok((StatusCode::OK | StatusCode::ACCEPTED, _)) => Some(layers),
         // May have been accepted, or may be carried out later.
--- a/src/entry/readiness.rs
+++ b/src/entry/readiness.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -12,11 +12,17 @@
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
 
 use crate::fleet::{PathQuery, RequestSize, choose_path};
 use crate::forward::ServingTables;
 use crate::platform::names;
 
+/// Path under which the metrics are served.
+const METRICS_PATH: &str = "/metrics";
+/// Pause after a failed accept, for instance while descriptors are used up.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
 /// Whether callers can be served: a configuration is in force and some service
 /// has a target, or engines that hold every layer.
 pub(super) fn is_ready(tables: &ServingTables, now: Instant) -> bool {
@@ -50,43 +56,68 @@
         .any(|service| served(service))
 }
 
-/// Answers on `address`, for ever.
-pub(super) async fn answer_readiness(
-    tables: Arc<ServingTables>,
-    address: SocketAddr,
-) -> io::Result<()> {
+/// Answers the balancer on `address`, for ever.
+///
+/// # Errors
+///
+/// If the address cannot be listened on.
+pub(super) fn answer_readiness(tables: Arc<ServingTables>, address: SocketAddr) -> io::Result<()> {
+    answer_questions(address, move |path| match path {
+        names::READY_PATH if is_ready(&tables, Instant::now()) => (StatusCode::OK, String::new()),
+        names::READY_PATH => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
+        _ => (StatusCode::NOT_FOUND, String::new()),
+    })
+}
+
+/// Serves the metrics on `address`, for ever.
+///
+/// # Errors
+///
+/// If the address cannot be listened on.
+pub(super) fn answer_metrics(tables: Arc<ServingTables>, address: SocketAddr) -> io::Result<()> {
+    answer_questions(address, move |path| match path {
+        METRICS_PATH => (StatusCode::OK, tables.metrics.encode()),
+        _ => (StatusCode::NOT_FOUND, String::new()),
+    })
+}
+
+/// Answers each question by a function of its path.
+fn answer_questions<F>(address: SocketAddr, answer: F) -> io::Result<()>
+where
+    F: Fn(&str) -> (StatusCode, String) + Send + Sync + 'static,
+{
     let listener = crate::forward::socket::bind(address)?;
+    let answer = Arc::new(answer);
     tokio::spawn(async move {
         loop {
-            let Ok((stream, _)) = listener.accept().await else {
-                tokio::time::sleep(std::time::Duration::from_millis(20)).await;
-                continue;
-            };
-            let tables = tables.clone();
-            tokio::spawn(async move {
-                let service = service_fn(|request| answer(tables.clone(), request));
-                let served = hyper::server::conn::http1::Builder::new()
-                    .serve_connection(TokioIo::new(stream), service)
-                    .await;
-                if let Err(error) = served {
-                    log::debug!("a readiness connection ended: {error}");
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    tokio::spawn(answer_connection(stream, answer.clone()));
+                }
+                Err(error) => {
+                    log::warn!(error:% = error; "cannot take a connection");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
                 }
-            });
+            }
         }
     });
     Ok(())
 }
 
-async fn answer(
-    tables: Arc<ServingTables>,
-    request: Request<Incoming>,
-) -> Result<Response<Full<Bytes>>, Infallible> {
-    let status = match request.uri().path() {
-        names::READY_PATH if is_ready(&tables, Instant::now()) => StatusCode::OK,
-        names::READY_PATH => StatusCode::SERVICE_UNAVAILABLE,
-        _ => StatusCode::NOT_FOUND,
-    };
-    let mut response = Response::new(Full::default());
-    *response.status_mut() = status;
-    Ok(response)
+async fn answer_connection<F>(stream: TcpStream, answer: Arc<F>)
+where
+    F: Fn(&str) -> (StatusCode, String),
+{
+    let service = service_fn(|request: Request<Incoming>| {
+        let (status, text) = answer(request.uri().path());
+        let mut response = Response::new(Full::new(Bytes::from(text)));
+        *response.status_mut() = status;
+        async { Ok::<_, Infallible>(response) }
+    });
+    let served = hyper::server::conn::http1::Builder::new()
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+    if let Err(error) = served {
+        log::debug!("a question's connection ended: {error}");
+    }
 }
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -1,5 +1,6 @@
 //! An entry host from start to stop.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -11,7 +12,7 @@
 use crate::entry::following::follow_targets;
 use crate::entry::log_copy::LogCopy;
 use crate::entry::placing::keep_placed;
-use crate::entry::readiness::answer_readiness;
+use crate::entry::readiness::{answer_metrics, answer_readiness};
 use crate::entry::{EntryBounds, EntrySettings, peering};
 use crate::forward::{ServingTables, serve};
 use crate::peer::PeerError;
@@ -22,6 +23,8 @@
 /// How long the log service may take: it answers in 4 ms when it is well, and
 /// slow answers of a quarter of a second still count.
 const STORE_LIMIT: Duration = Duration::from_millis(1500);
+/// Port of the metrics; `deploy/system.toml` names the same.
+const METRICS_PORT: u16 = 9464;
 /// Part of the retries that all hosts may send which this host takes for its
 /// own requests; the rest covers unevenness.
 const OWN_RATIO_SHARE: f64 = 0.8;
@@ -60,7 +63,12 @@
     let tables = ServingTables::new(settings.zone.clone(), budget(settings.bounds));
     let tables = Arc::new(tables);
     spawn_workers(&tables, &settings)?;
-    answer_readiness(tables.clone(), settings.readiness).await?;
+    answer_readiness(tables.clone(), settings.readiness)?;
+    let metrics = SocketAddr::new(settings.readiness.ip(), METRICS_PORT);
+    if let Err(error) = answer_metrics(tables.clone(), metrics) {
+        // Serving callers matters more than being measured.
+        log::warn!(address:% = metrics, error:% = error; "metrics are not served");
+    }
     let serving = serve(tables.clone(), settings.callers)?;
     wait_for_stop(&mut terminate, &mut hangup).await;
     log::info!(in_flight = tables.in_flight.load(Ordering::Relaxed); "stopping");
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -59,6 +59,21 @@
     Unproven,
 }
 
+impl FailureCause {
+    /// The name used in metrics and logs.
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            Self::Connect => "connect",
+            Self::Broken => "broken",
+            Self::Timeout => "timeout",
+            Self::Refused => "refused",
+            Self::WrongLayers => "wrong_layers",
+            Self::ForeignAnswer => "foreign_answer",
+            Self::Unproven => "unproven",
+        }
+    }
+}
+
 impl AttemptFailure {
     pub(super) fn new(verdict: RunVerdict, cause: FailureCause) -> Self {
         Self {
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -20,7 +20,7 @@
 use crate::fleet::RequestSize;
 use crate::ids::TargetId;
 use crate::ingress::{MatchedRequest, RequestKind, ServiceSpec, match_request};
-use crate::platform::names;
+use crate::platform::{names, order};
 use crate::reason::RefusalReason;
 use crate::verdict::RunVerdict;
 
@@ -48,6 +48,10 @@
     pub(super) matched: MatchedRequest,
     pub(super) service: Arc<ServiceSpec>,
     pub(super) size: RequestSize,
+    /// Version of the configuration that matched it.
+    pub(super) configuration: u64,
+    /// When its head had come.
+    pub(super) arrived: Instant,
     /// The earlier of the caller's deadline and the route's timeout.
     pub(super) deadline: Instant,
 }
@@ -61,13 +65,14 @@
     let (parts, body) = request.into_parts();
     let head = CallerHead::read(&parts, arrived);
     let counted = CountedRequest::open(tables.clone());
-    let opened = open(tables, parts, body, &head, arrived).await;
-    let mut response = match opened {
-        Err(refusal) => refuse(&head.id, refusal, arrived),
-        Ok(exchange) => match carry(Arc::new(exchange), counted).await {
-            Ok(response) => response,
-            Err(refusal) => refuse(&head.id, refusal, arrived),
-        },
+    let opened = open(tables.clone(), parts, body, &head, arrived).await;
+    let carried = match opened {
+        Err(refusal) => Err(refusal),
+        Ok(exchange) => carry(Arc::new(exchange), counted).await,
+    };
+    let mut response = match carried {
+        Ok(response) => response,
+        Err(refusal) => refuse(&tables, &head.id, refusal, arrived),
     };
     if !response.headers().contains_key(names::ATTEMPT_ID)
         && let Ok(id) = HeaderValue::from_str(&head.id)
@@ -77,15 +82,24 @@
     response
 }
 
-fn refuse(id: &str, refusal: Refusal, arrived: Instant) -> Response<AnswerBody> {
+fn refuse(
+    tables: &ServingTables,
+    id: &str,
+    refusal: Refusal,
+    arrived: Instant,
+) -> Response<AnswerBody> {
+    let configuration = tables.configuration.load();
     log::info!(
         request:% = id,
         status = refusal.status.as_u16(),
         reason:% = refusal.reason.name(),
         verdict:? = refusal.verdict,
+        retry_after_ms = refusal.retry_after.map_or(0, |after| after.as_millis() as u64),
+        configuration = configuration.as_ref().map_or(0, |known| known.version),
         after_ms = arrived.elapsed().as_millis() as u64;
         "refused"
     );
+    tables.metrics.refused(refusal.reason);
     refusal.into_response(id)
 }
 
@@ -150,6 +164,8 @@
     }
     tables.count_request(&service.name);
     Ok(Exchange {
+        configuration: configuration.version,
+        arrived,
         outgoing: OutgoingRequest {
             id: head.id.clone(),
             method: parts.method,
@@ -214,6 +230,7 @@
                 }
                 Ok(response) => {
                     exchange.observe_success(&watch.chosen, started.elapsed());
+                    exchange.note_answer(&watch.chosen, response.status().as_u16());
                     return Ok(response);
                 }
                 Err(failure) => failure,
@@ -284,10 +301,41 @@
             return Err(Refusal::not_run(RefusalReason::NoRoom, after));
         }
         self.tables.count_start(now);
+        self.note_route(&chosen, avoid.len());
         let guard = InFlightGuard::open(self.tables.clone(), chosen.parts(), chosen.size);
         Ok((chosen, guard))
     }
 
+    /// One line on where a request goes, and what decided that.
+    fn note_route(&self, chosen: &ChosenTarget, tried: usize) {
+        let path = chosen.path.as_ref();
+        log::info!(
+            request:% = self.outgoing.id,
+            route:% = self.matched.route.name,
+            configuration = self.configuration,
+            organisation:% = self.matched.organisation.as_deref().unwrap_or("none"),
+            target:% = chosen.id,
+            path:% = path.map(order::path_value).unwrap_or_default(),
+            cost_ms = path.map_or(0, |path| path.cost_ms as u64),
+            tokens = chosen.size.tokens() as u64,
+            tried = tried;
+            "routed"
+        );
+    }
+
+    /// One line on a whole answer.
+    pub(super) fn note_answer(&self, chosen: &ChosenTarget, status: u16) {
+        let took = self.arrived.elapsed();
+        log::info!(
+            request:% = self.outgoing.id,
+            target:% = chosen.id,
+            status = status,
+            after_ms = took.as_millis() as u64;
+            "answered"
+        );
+        self.tables.metrics.answered(status, took);
+    }
+
     /// Until when an attempt may take to the head of its answer.
     fn head_limit(&self, sent: u32, now: Instant) -> Instant {
         let route = &self.matched.route;
@@ -375,10 +423,15 @@
             _ => fleet.observe_failure(&id, now),
         };
         drop(fleet);
+        let name = cause.map_or("answered_failure", FailureCause::name);
+        self.tables.metrics.attempt_failed(name);
+        if out.is_some() {
+            self.tables.metrics.ejected(name);
+        }
         log::info!(
             request:% = self.outgoing.id,
             target:% = id,
-            cause:? = cause,
+            cause:% = name,
             out_ms = out.map_or(0, |out| out.saturating_duration_since(now).as_millis() as u64);
             "attempt failed"
         );
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -23,6 +23,8 @@
     _counted: CountedRequest,
     tried: TriedTargets,
     body: Incoming,
+    /// Status that the caller was given.
+    status: u16,
     events: EventSplitter,
 }
 
@@ -40,6 +42,7 @@
         _counted: counted,
         tried,
         body,
+        status: head.status.as_u16(),
         events: EventSplitter::default(),
     };
     let frames = stream::unfold(Some(relay), |relay| async move {
@@ -71,7 +74,10 @@
         loop {
             let reason = match self.step().await {
                 StreamStep::Events(events) => return Ok(Some(events)),
-                StreamStep::End => return Ok(None),
+                StreamStep::End => {
+                    self.exchange.note_answer(&self.watch.chosen, self.status);
+                    return Ok(None);
+                }
                 StreamStep::Deadline => return Err(self.give_up("deadline")),
                 StreamStep::Broken(reason) => {
                     let failed = self.watch.chosen.id.clone();
@@ -104,7 +110,13 @@
     }
 
     fn take(&mut self, frame: Frame<Bytes>) -> StreamStep {
-        self.watch.observe_sound(Instant::now());
+        let now = Instant::now();
+        let metrics = &self.exchange.tables.metrics;
+        match self.events.last_id() {
+            None => metrics.first_event(now.saturating_duration_since(self.exchange.arrived)),
+            Some(_) => metrics.next_event(self.watch.silence(now)),
+        }
+        self.watch.observe_sound(now);
         let Ok(data) = frame.into_data() else {
             return StreamStep::Events(Bytes::new());
         };
@@ -134,6 +146,7 @@
                 return Err(self.give_up("no path left"));
             };
             let last = self.events.last_id().map(str::to_owned);
+            exchange.tables.metrics.repaired("resumed");
             log::info!(
                 request:% = exchange.outgoing.id,
                 reason:% = reason,
@@ -160,8 +173,10 @@
     }
 
     fn give_up(&self, reason: &str) -> std::io::Error {
+        self.exchange.tables.metrics.repaired("cut");
         log::info!(
             request:% = self.exchange.outgoing.id,
+            after_ms = self.exchange.arrived.elapsed().as_millis() as u64,
             reason:% = reason,
             target:% = self.watch.chosen.id,
             after_event:% = self.events.last_id().unwrap_or("none");
--- a/src/forward/tables.rs
+++ b/src/forward/tables.rs
@@ -13,6 +13,7 @@
 use crate::ids::TargetId;
 use crate::ids::{ServiceId, ZoneId};
 use crate::ingress::IngressConfiguration;
+use crate::metrics::ServingMetrics;
 use crate::retry::{BudgetSettings, RetryBudget};
 
 /// A report and the moment at which it came; one question at a time.
@@ -25,6 +26,8 @@
 pub struct ServingTables {
     /// The availability zone of this host.
     pub zone: ZoneId,
+    /// Counters and histograms.
+    pub metrics: ServingMetrics,
     /// The configuration in force, once one is known.
     pub configuration: ArcSwapOption<IngressConfiguration>,
     /// The targets.
@@ -48,6 +51,7 @@
     pub fn new(zone: ZoneId, budget_settings: BudgetSettings) -> Self {
         Self {
             zone,
+            metrics: ServingMetrics::default(),
             configuration: ArcSwapOption::empty(),
             fleet: Mutex::default(),
             draining: AtomicBool::new(false),
--- a/src/forward/watch.rs
+++ b/src/forward/watch.rs
@@ -77,6 +77,11 @@
         self.ask_at = now + silence_limit(&self.exchange);
     }
 
+    /// Time since something was last heard.
+    pub(super) fn silence(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.heard)
+    }
+
     /// When to ask what is wrong, if nothing comes until then.
     pub(super) fn ask_at(&self) -> Instant {
         self.ask_at
@@ -160,6 +165,7 @@
             }
         };
         if let Some(failed) = &failed {
+            tables.metrics.ejected("silent");
             tables.fleet.lock().observe_silence(failed, Instant::now());
         }
         failed
@@ -235,6 +241,9 @@
             return false;
         };
         let answer = ask(address, request, MOVE_LIMIT).await;
+        let done = matches!(answer, Ok((StatusCode::OK | StatusCode::ACCEPTED, _)));
+        let done = if done { "moved" } else { "move_refused" };
+        self.exchange.tables.metrics.repaired(done);
         log::info!(
             request:% = id,
             silent_ms = self.heard.elapsed().as_millis() as u64,
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -7,7 +7,9 @@
 mod commands;
 mod labels;
 mod queries;
+mod serving;
 mod set;
 
 pub use labels::{AppendOutcome, ClaimResult, DropCause, RequestKind, RequestOutcome};
+pub use serving::ServingMetrics;
 pub use set::MetricSet;
--- /dev/null
+++ b/src/metrics/serving.rs
@@ -0,0 +1,192 @@
+//! The metrics of an entry host on the users' platform.
+
+use std::time::Duration;
+
+use prometheus_client::encoding::text;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::{Registry, Unit};
+
+use super::labels::{CauseLabel, ReasonLabel};
+use super::set::{PREFIX, latency_histogram};
+use crate::reason::RefusalReason;
+
+/// Counters and histograms of one entry host. Every label value is a name in
+/// the code, so that the number of series is bounded.
+#[derive(Debug)]
+pub struct ServingMetrics {
+    registry: Registry,
+    answers: Family<CauseLabel, Counter>,
+    refusals: Family<ReasonLabel, Counter>,
+    failures: Family<CauseLabel, Counter>,
+    ejections: Family<CauseLabel, Counter>,
+    repairs: Family<CauseLabel, Counter>,
+    orders: Family<CauseLabel, Counter>,
+    store_errors: Family<CauseLabel, Counter>,
+    first_event: Histogram,
+    between_events: Histogram,
+    whole_request: Histogram,
+    store_call: Histogram,
+}
+
+impl Default for ServingMetrics {
+    fn default() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix(PREFIX),
+            answers: Family::default(),
+            refusals: Family::default(),
+            failures: Family::default(),
+            ejections: Family::default(),
+            repairs: Family::default(),
+            orders: Family::default(),
+            store_errors: Family::default(),
+            first_event: latency_histogram(),
+            between_events: latency_histogram(),
+            whole_request: latency_histogram(),
+            store_call: latency_histogram(),
+        };
+        metrics.register_counters();
+        metrics.register_times();
+        for reason in RefusalReason::ALL.map(RefusalReason::name) {
+            drop(metrics.refusals.get_or_create(&ReasonLabel { reason }));
+        }
+        metrics
+    }
+}
+
+impl ServingMetrics {
+    fn register_counters(&mut self) {
+        let families = [
+            (
+                "answers",
+                "Answers of targets passed on, by status class",
+                &self.answers,
+            ),
+            (
+                "attempt_failures",
+                "Attempts without a usable answer, by cause",
+                &self.failures,
+            ),
+            (
+                "ejections",
+                "Targets taken out for a while, by cause",
+                &self.ejections,
+            ),
+            (
+                "repairs",
+                "Requests moved, resumed or cut, by what was done",
+                &self.repairs,
+            ),
+            ("orders", "Orders to engines by answer", &self.orders),
+            (
+                "store_errors",
+                "Failed calls to the log service, by topic",
+                &self.store_errors,
+            ),
+        ];
+        for (name, help, family) in families {
+            self.registry.register(name, help, family.clone());
+        }
+        let refusals = self.refusals.clone();
+        self.registry
+            .register("refusals", "Refusals by reason", refusals);
+    }
+
+    fn register_times(&mut self) {
+        let times = [
+            (
+                "first_event",
+                "Time from a stream's head to its first event",
+                &self.first_event,
+            ),
+            (
+                "between_events",
+                "Time between two events of a stream",
+                &self.between_events,
+            ),
+            (
+                "request",
+                "Time from a request's head to its whole answer",
+                &self.whole_request,
+            ),
+            (
+                "store_call",
+                "Time of an answered call to the log service",
+                &self.store_call,
+            ),
+        ];
+        for (name, help, histogram) in times {
+            self.registry
+                .register_with_unit(name, help, Unit::Seconds, histogram.clone());
+        }
+    }
+
+    /// Counts an answer of a target that was passed on, by its status.
+    pub fn answered(&self, status: u16, took: Duration) {
+        let cause = match status {
+            200..300 => "success",
+            400..500 => "client_error",
+            _ => "server_error",
+        };
+        count(&self.answers, cause);
+        self.whole_request.observe(took.as_secs_f64());
+    }
+
+    /// Counts a refusal.
+    pub fn refused(&self, reason: RefusalReason) {
+        let reason = reason.name();
+        self.refusals.get_or_create(&ReasonLabel { reason }).inc();
+    }
+
+    /// Counts an attempt without a usable answer.
+    pub fn attempt_failed(&self, cause: &'static str) {
+        count(&self.failures, cause);
+    }
+
+    /// Counts a target that is taken out for a while.
+    pub fn ejected(&self, cause: &'static str) {
+        count(&self.ejections, cause);
+    }
+
+    /// Counts a request that was moved, resumed or cut.
+    pub fn repaired(&self, done: &'static str) {
+        count(&self.repairs, done);
+    }
+
+    /// Counts an order to an engine.
+    pub fn ordered(&self, answer: &'static str) {
+        count(&self.orders, answer);
+    }
+
+    /// Observes a call to the log service.
+    pub fn store_called(&self, topic: &'static str, took: Duration, answered: bool) {
+        match answered {
+            true => self.store_call.observe(took.as_secs_f64()),
+            false => count(&self.store_errors, topic),
+        }
+    }
+
+    /// Observes the first event of a stream.
+    pub fn first_event(&self, waited: Duration) {
+        self.first_event.observe(waited.as_secs_f64());
+    }
+
+    /// Observes a further event of a stream.
+    pub fn next_event(&self, waited: Duration) {
+        self.between_events.observe(waited.as_secs_f64());
+    }
+
+    /// All metrics in the OpenMetrics text format.
+    pub fn encode(&self) -> String {
+        let mut text = String::new();
+        match text::encode(&mut text, &self.registry) {
+            Ok(()) => text,
+            Err(error) => format!("# {error}\n"),
+        }
+    }
+}
+
+fn count(family: &Family<CauseLabel, Counter>, cause: &'static str) {
+    family.get_or_create(&CauseLabel { cause }).inc();
+}
--- a/src/metrics/set.rs
+++ b/src/metrics/set.rs
@@ -15,7 +15,7 @@
 use crate::reason::{RefusalReason, RetryReason};
 
 /// Prefix of every metric.
-const PREFIX: &str = "jackdawwick";
+pub(super) const PREFIX: &str = "jackdawwick";
 /// Lowest bucket bound of the latency histograms, in seconds.
 const LOWEST_BUCKET: f64 = 0.001;
 /// Ratio between neighbouring bucket bounds.
@@ -69,7 +69,7 @@
     }
 }
 
-fn latency_histogram() -> Histogram {
+pub(super) fn latency_histogram() -> Histogram {
     Histogram::new(exponential_buckets(
         LOWEST_BUCKET,
         BUCKET_FACTOR,
--- a/src/platform/configuration_record.rs
+++ b/src/platform/configuration_record.rs
@@ -109,7 +109,7 @@
     read_x: f64,
 }
 
-#[derive(Deserialize)]
+#[derive(Deserialize, Clone, Copy)]
 struct LimitsBody {
     max_header_bytes: usize,
     max_body_bytes: usize,
--- a/tests/forwarding/main.rs
+++ b/tests/forwarding/main.rs
@@ -288,7 +288,10 @@
     let (answer, ()) = tokio::join!(serving, adding);
     assert_eq!(answer.event_ids(), [1, 2, 3, 4]);
     assert_eq!(answer.text.matches("id: 3\ndata: t3\n\n").count(), 1);
-    assert!(!answer.text.contains("daid"), "half an event was joined to a whole one");
+    assert!(
+        !answer.text.contains("daid"),
+        "half an event was joined to a whole one"
+    );
     assert!(answer.is_whole_stream());
 }
 
