Keep retries within every window, and leave refusing engines alone for longer

Change: each host counts its requests and retries of the last ten seconds and keeps to its part of the bound, a third of it in the first window after a start; the pause of a refusing engine doubles up to 4.8 s; an answer clears all engines of its path.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -9,6 +9,7 @@
 mod placing;
 mod readiness;
 mod relaying;
+mod retry_share;
 mod run;
 mod settings;
 
--- /dev/null
+++ b/src/entry/retry_share.rs
@@ -0,0 +1,59 @@
+//! Divides the retries that the platform allows over the entry hosts.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::entry::EntryBounds;
+use crate::entry::peering::PeerDesk;
+use crate::forward::ServingTables;
+use crate::retry::WindowSettings;
+
+/// Hosts that the slack is divided among until others are known.
+const FEWEST_HOSTS: usize = 12;
+/// Part of the allowed retries that is used: hosts count each other a little
+/// late.
+const USED_SHARE: f64 = 0.9;
+/// Part of that in the first window after a start: the process before this one
+/// may have used its part already.
+const START_SHARE: f64 = 0.3;
+/// Pause between two counts of the hosts, and time after a start in which
+/// they become known.
+const COUNT_PAUSE: Duration = Duration::from_secs(1);
+const SETTLE_TIME: Duration = Duration::from_secs(3);
+
+/// This host's part right after its start.
+pub(super) fn first_share(bounds: EntryBounds) -> WindowSettings {
+    share(bounds, FEWEST_HOSTS, START_SHARE)
+}
+
+fn share(bounds: EntryBounds, hosts: usize, part: f64) -> WindowSettings {
+    WindowSettings {
+        window: bounds.retry_window,
+        ratio: bounds.retry_ratio * USED_SHARE,
+        slack: bounds.retry_slack * USED_SHARE * part / hosts as f64,
+    }
+}
+
+/// Keeps this host's part in line with the hosts that are known, for ever. A
+/// host that hears nobody still counts those heard of lately.
+pub(super) async fn share_retries(
+    tables: Arc<ServingTables>,
+    desk: Arc<PeerDesk>,
+    bounds: EntryBounds,
+) {
+    let started = Instant::now();
+    loop {
+        tokio::time::sleep(COUNT_PAUSE).await;
+        let age = started.elapsed();
+        let known = desk.known_count();
+        let hosts = match known {
+            2.. if age >= SETTLE_TIME => known,
+            _ => known.max(FEWEST_HOSTS),
+        };
+        let part = match age >= bounds.retry_window {
+            true => 1.0,
+            false => START_SHARE,
+        };
+        tables.set_budget(share(bounds, hosts, part));
+    }
+}
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -12,29 +12,21 @@
 use crate::entry::configuring::follow_configuration;
 use crate::entry::following::follow_targets;
 use crate::entry::log_copy::LogCopy;
-use crate::entry::peering::PeerDesk;
 use crate::entry::placing::keep_placed;
 use crate::entry::readiness::{answer_metrics, answer_readiness};
 use crate::entry::relaying::follow_lead;
-use crate::entry::{EntryBounds, EntrySettings, peering};
+use crate::entry::retry_share::{first_share, share_retries};
+use crate::entry::{EntrySettings, peering};
 use crate::forward::{ServingTables, serve};
 use crate::peer::PeerError;
 use crate::platform::host_settings::{SettingsError, read_settings};
 use crate::platform::log_calls::LogReader;
-use crate::retry::BudgetSettings;
 
 /// How long the log service may take: it answers in 4 ms when it is well, and
 /// slow answers of a quarter of a second still count.
 const STORE_LIMIT: Duration = Duration::from_millis(1500);
 /// Port of the metrics; `deploy/system.toml` names the same.
 const METRICS_PORT: u16 = 9464;
-/// Part of the retries that all hosts may send which this host takes for its
-/// own requests; the rest covers unevenness.
-const OWN_RATIO_SHARE: f64 = 0.8;
-/// Hosts that the slack is divided among until others are known.
-const FEWEST_HOSTS: usize = 12;
-/// Part of the slack that is used: hosts count each other a little late.
-const SLACK_SHARE: f64 = 0.8;
 /// Time that is left to the platform before it would kill the process.
 const STOP_MARGIN: Duration = Duration::from_millis(400);
 /// The balancer asks once a second and needs two misses; callers that it sends
@@ -65,7 +57,7 @@
     let mut hangup = signal(SignalKind::hangup())?;
     let settings = read_settings(&path)?;
     log::info!(host:% = settings.host, zone:% = settings.zone; "starting");
-    let tables = ServingTables::new(settings.zone.clone(), budget(settings.bounds, FEWEST_HOSTS));
+    let tables = ServingTables::new(settings.zone.clone(), first_share(settings.bounds));
     let tables = Arc::new(tables);
     spawn_workers(&tables, &settings)?;
     answer_readiness(tables.clone(), settings.readiness)?;
@@ -83,32 +75,6 @@
     Ok(())
 }
 
-/// This host's part of the retries that all `hosts` may send.
-fn budget(bounds: EntryBounds, hosts: usize) -> BudgetSettings {
-    BudgetSettings {
-        fraction: bounds.retry_ratio * OWN_RATIO_SHARE,
-        burst: bounds.retry_slack * SLACK_SHARE / hosts as f64,
-    }
-}
-
-/// Keeps this host's part of the retries in line with the hosts that are
-/// known. A host that hears nobody still counts those heard of lately.
-async fn share_budget(tables: Arc<ServingTables>, desk: Arc<PeerDesk>, bounds: EntryBounds) {
-    const PAUSE: Duration = Duration::from_secs(1);
-    let started = Instant::now();
-    loop {
-        tokio::time::sleep(PAUSE).await;
-        let known = desk.known_count();
-        let settled = Instant::now() >= started + 3 * PAUSE;
-        let hosts = if settled && known > 1 {
-            known
-        } else {
-            known.max(FEWEST_HOSTS)
-        };
-        tables.set_budget(budget(bounds, hosts));
-    }
-}
-
 fn spawn_workers(tables: &Arc<ServingTables>, settings: &EntrySettings) -> Result<(), EntryError> {
     let reader = || LogReader::open(settings.store, STORE_LIMIT);
     let copy = Arc::new(LogCopy::new(tables.clone()));
@@ -124,7 +90,7 @@
         handle,
         direct,
     ));
-    tokio::spawn(share_budget(tables.clone(), desk.clone(), settings.bounds));
+    tokio::spawn(share_retries(tables.clone(), desk.clone(), settings.bounds));
     tokio::spawn(keep_placed(tables.clone(), desk, settings.heartbeat));
     Ok(())
 }
--- a/src/fleet/table.rs
+++ b/src/fleet/table.rs
@@ -21,6 +21,9 @@
 /// How long a target that refused for want of room is left alone: about the
 /// time after which hosts know each other's requests.
 const FULL_PAUSE: Duration = Duration::from_millis(300);
+/// Doublings of that pause while refusals follow each other: an engine that
+/// drains refuses everything too, and while the log is away nobody is told.
+const MOST_FULL_DOUBLINGS: u32 = 4;
 /// How long a target that does not answer at all stays out.
 const SILENT_EJECTION: Duration = Duration::from_secs(3);
 
@@ -46,6 +49,8 @@
     pub failures: u32,
     /// Takes nothing before this moment.
     pub out_until: Option<Instant>,
+    /// Refusals in a row.
+    pub refusals: u32,
     /// Refused for want of room; takes nothing before this moment.
     pub full_until: Option<Instant>,
     /// Does not answer, or other engines wait for it, until this moment.
@@ -66,6 +71,7 @@
             remote_reserved: 0.0,
             failures: 0,
             out_until: None,
+            refusals: 0,
             full_until: None,
             silent_until: None,
             answer_s: 0.0,
@@ -298,6 +304,8 @@
             state.failures = 0;
             state.out_until = None;
             state.silent_until = None;
+            state.refusals = 0;
+            state.full_until = None;
             state.answer_s += WEIGHT * (took.as_secs_f64() - state.answer_s);
         }
     }
@@ -325,7 +333,9 @@
     /// the retries.
     pub fn observe_full(&mut self, id: &str, now: Instant) {
         if let Some(state) = self.get_mut(id) {
-            state.full_until = Some(now + FULL_PAUSE);
+            let doublings = state.refusals.min(MOST_FULL_DOUBLINGS);
+            state.refusals += 1;
+            state.full_until = Some(now + FULL_PAUSE * 2_u32.pow(doublings));
         }
     }
 
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -162,7 +162,7 @@
             HeaderValue::from(u16::from(matched.priority.min(9))),
         );
     }
-    tables.count_request(&service.name);
+    tables.count_request(&service.name, arrived);
     Ok(Exchange {
         configuration: configuration.version,
         arrived,
@@ -361,7 +361,7 @@
             && route.kind.is_repeatable()
             && tried.sent + 1 < route.max_attempts
             && Instant::now() < self.deadline
-            && self.tables.spend_retry(&self.service.name)
+            && self.tables.spend_retry(&self.service.name, Instant::now())
     }
 
     /// Whether the request may be sent once more.
@@ -378,7 +378,7 @@
         allowed
             && attempts_left
             && now < self.deadline
-            && (free || self.tables.spend_retry(&self.service.name))
+            && (free || self.tables.spend_retry(&self.service.name, Instant::now()))
     }
 
     /// Puts down a failed attempt, and whom the next one avoids.
@@ -398,7 +398,9 @@
 
     pub(super) fn observe_success(&self, chosen: &ChosenTarget, took: Duration) {
         let mut fleet = self.tables.fleet.lock();
-        fleet.observe_success(&chosen.id, took);
+        for (id, _) in chosen.parts() {
+            fleet.observe_success(&id, took);
+        }
     }
 
     /// Puts down who failed; `None` stands for a failure that the target
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -138,7 +138,7 @@
             let allowed = route.kind.is_repeatable()
                 && self.tried.sent < route.max_attempts
                 && now < exchange.deadline
-                && exchange.tables.spend_retry(&exchange.service.name);
+                && exchange.tables.spend_retry(&exchange.service.name, now);
             if !allowed {
                 return Err(self.give_up(reason));
             }
--- a/src/forward/tables.rs
+++ b/src/forward/tables.rs
@@ -14,7 +14,7 @@
 use crate::ids::{ServiceId, ZoneId};
 use crate::ingress::IngressConfiguration;
 use crate::metrics::ServingMetrics;
-use crate::retry::{BudgetSettings, RetryBudget};
+use crate::retry::{WindowBudget, WindowSettings};
 
 /// A report and the moment at which it came; one question at a time.
 pub(super) type ReportCell =
@@ -41,14 +41,14 @@
     /// Requests answered since the start; tells a drain that callers left.
     pub answered: AtomicUsize,
     overload: Mutex<OverloadGauge>,
-    budgets: Mutex<FastMap<ServiceId, RetryBudget>>,
-    budget_settings: Mutex<BudgetSettings>,
+    budgets: Mutex<FastMap<ServiceId, WindowBudget>>,
+    budget_settings: Mutex<WindowSettings>,
     reports: Mutex<FastMap<TargetId, ReportCell>>,
 }
 
 impl ServingTables {
     /// Empty tables for a host of an availability zone.
-    pub fn new(zone: ZoneId, budget_settings: BudgetSettings) -> Self {
+    pub fn new(zone: ZoneId, budget_settings: WindowSettings) -> Self {
         Self {
             zone,
             metrics: ServingMetrics::default(),
@@ -71,27 +71,24 @@
     }
 
     /// A request for a service has come; it earns a part of a retry.
-    pub(super) fn count_request(&self, service: &ServiceId) {
+    pub(super) fn count_request(&self, service: &ServiceId, now: Instant) {
         let settings = *self.budget_settings.lock();
         let mut budgets = self.budgets.lock();
-        let budget = budgets.entry(service.clone());
-        budget
-            .or_insert_with(|| RetryBudget::new(settings))
-            .request_started();
+        let budget = budgets.entry(service.clone()).or_default();
+        budget.count_request(settings, now);
     }
 
     /// Sets this host's part of the retries.
-    pub fn set_budget(&self, settings: BudgetSettings) {
+    pub fn set_budget(&self, settings: WindowSettings) {
         *self.budget_settings.lock() = settings;
-        for budget in self.budgets.lock().values_mut() {
-            budget.set_settings(settings);
-        }
     }
 
     /// Takes one retry from a service's budget, if there is one.
-    pub(super) fn spend_retry(&self, service: &ServiceId) -> bool {
+    pub(super) fn spend_retry(&self, service: &ServiceId, now: Instant) -> bool {
+        let settings = *self.budget_settings.lock();
         let mut budgets = self.budgets.lock();
-        budgets.get_mut(service).is_some_and(RetryBudget::spend)
+        let budget = budgets.get_mut(service);
+        budget.is_some_and(|budget| budget.spend(settings, now))
     }
 
     /// A request found a place.
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -3,7 +3,9 @@
 mod backoff;
 mod budget;
 mod outlier;
+mod window;
 
 pub use backoff::{BackoffSettings, backoff_delay};
 pub use budget::{BudgetSettings, RetryBudget};
 pub use outlier::{EjectionSettings, TargetHealth};
+pub use window::{WindowBudget, WindowSettings};
--- a/src/retry/budget.rs
+++ b/src/retry/budget.rs
@@ -40,12 +40,6 @@
         }
     }
 
-    /// Changes the limits; what is saved beyond the new burst is lost.
-    pub fn set_settings(&mut self, settings: BudgetSettings) {
-        self.settings = settings;
-        self.saved = self.saved.min(settings.burst);
-    }
-
     /// Counts a request, which earns a part of a retry.
     pub fn request_started(&mut self) {
         let earned = self.saved + self.settings.fraction;
--- a/tests/entry_decisions.rs
+++ b/tests/entry_decisions.rs
@@ -9,6 +9,7 @@
 use jackdawwick::logging::BoundedWriter;
 use jackdawwick::membership::GossipTable;
 use jackdawwick::peer::{HostView, KnownHost};
+use jackdawwick::retry::{WindowBudget, WindowSettings};
 use proptest::prelude::*;
 
 /// Symptom: a caller gets half an event and then a whole one. Sequence: an
@@ -90,6 +91,35 @@
     assert!(gauge.count_refusal(calm, 0.0) < later);
 }
 
+/// Symptom: the platform counts more retries than it allows. Sequence: an
+/// engine is lost, all hosts send its requests once more. Cause: the bound was
+/// kept on average and not within each window.
+#[test]
+fn retries_stay_within_the_bound_of_every_window() {
+    let settings = WindowSettings {
+        window: Duration::from_secs(10),
+        ratio: 0.2,
+        slack: 5.0,
+    };
+    let start = Instant::now();
+    let mut budget = WindowBudget::new();
+    let mut spent = Vec::new();
+    for tick in 0..600_u32 {
+        let now = start + Duration::from_millis(100) * tick;
+        budget.count_request(settings, now);
+        if budget.spend(settings, now) {
+            spent.push(now);
+        }
+    }
+    for at in &spent {
+        let window = spent
+            .iter()
+            .filter(|other| **other >= *at && **other < *at + settings.window);
+        assert!(window.count() <= 25);
+    }
+    assert!(spent.len() > 120);
+}
+
 fn view(host: &str, zone: &str, port: u16, sequence: u64) -> HostView {
     HostView {
         host: host.into(),
--- a/tests/forwarding/host.rs
+++ b/tests/forwarding/host.rs
@@ -6,7 +6,7 @@
 use jackdawwick::fleet::{LayerRange, TargetEntry};
 use jackdawwick::forward::{ServingHandle, ServingTables, serve};
 use jackdawwick::platform::configuration_record::parse_configuration;
-use jackdawwick::retry::BudgetSettings;
+use jackdawwick::retry::WindowSettings;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -50,9 +50,10 @@
 
 impl TestHost {
     pub(crate) fn open() -> Self {
-        let budget = BudgetSettings {
-            fraction: 0.2,
-            burst: 20.0,
+        let budget = WindowSettings {
+            window: std::time::Duration::from_secs(10),
+            ratio: 0.2,
+            slack: 20.0,
         };
         let tables = Arc::new(ServingTables::new("z".into(), budget));
         let configuration = parse_configuration(configuration().as_bytes());
