Add a model of engines that hand requests on, and a tool that compares plans

Change: passes, strides, reading in chunks, memory and preemption, links and pipes, stalls and orders as a module without clock or network; `plans` plays a load against three plans and three rules and prints a table and a plot.

--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -19,9 +19,12 @@
 pub mod load;
 mod load_gauge;
 pub mod operator;
+pub mod pipeline;
 pub mod platform;
+
 mod record_list;
 pub mod reference;
 mod refusal;
 pub mod service;
 pub mod slopes;
+pub mod trial;
--- /dev/null
+++ b/standins/src/pipeline.rs
@@ -0,0 +1,16 @@
+//! A model of engines that hold layer ranges and hand requests on along a
+//! path: passes, strides, reading in chunks, memory and preemption, links and
+//! pipes, stalls and orders. No network and no clock: time is an argument.
+//!
+//! The stand-in engines run it in real time behind HTTP ([`crate::engine_farm`]);
+//! the experiment tool runs it as fast as it goes.
+
+mod engine;
+mod request;
+mod settings;
+mod world;
+
+pub use engine::EngineIndex;
+pub use request::{PathPart, RequestSettings};
+pub use settings::WorldSettings;
+pub use world::{EngineStatus, PipelineWorld, SubmitError, WorldEvent};
--- /dev/null
+++ b/standins/src/pipeline/engine.rs
@@ -0,0 +1,45 @@
+//! One engine of the model.
+
+use std::time::Duration;
+
+use jackdawwick::fleet::LayerRange;
+use jackdawwick::ingress::{AcceleratorKind, EngineModel};
+
+/// Index of an engine in its world.
+pub type EngineIndex = usize;
+
+#[derive(Debug, Clone)]
+pub(super) struct SimEngine {
+    pub(super) zone: String,
+    pub(super) kind: AcceleratorKind,
+    pub(super) layers: Option<LayerRange>,
+    /// Layers being loaded, and when they are there.
+    pub(super) loading: Option<(LayerRange, Duration)>,
+    pub(super) alive: bool,
+    /// Refuses what is new.
+    pub(super) draining: bool,
+    /// Requests ready for the next pass.
+    pub(super) ready: Vec<String>,
+    /// Requests in the pass under way, with the tokens that each reads.
+    pub(super) pass: Option<Vec<(String, f64)>>,
+    /// Requests that wait for memory.
+    pub(super) parked: Vec<String>,
+    pub(super) used: f64,
+    pub(super) orders: u64,
+    /// Factor on all times, for an engine that is slow.
+    pub(super) slowness: f64,
+    /// Grows at each death: passes under way before are void.
+    pub(super) life: u64,
+}
+
+impl SimEngine {
+    pub(super) fn room(&self, model: &EngineModel) -> f64 {
+        let held = self.layers.map_or(0, LayerRange::width);
+        model.cache_room(self.kind, held)
+    }
+
+    pub(super) fn holds(&self, layers: LayerRange) -> bool {
+        let held = self.layers.filter(|_| self.alive);
+        held.is_some_and(|held| held.from <= layers.from && layers.to <= held.to)
+    }
+}
--- /dev/null
+++ b/standins/src/pipeline/settings.rs
@@ -0,0 +1,89 @@
+//! Figures of the modelled fleet.
+
+use std::time::Duration;
+
+use jackdawwick::collections::FastMap;
+use jackdawwick::ingress::{AcceleratorKind, EngineModel};
+
+/// Figures that all engines share.
+#[derive(Debug, Clone)]
+pub struct WorldSettings {
+    /// How the engines work.
+    pub model: EngineModel,
+    /// Most prompt tokens read in one step.
+    pub chunk: f64,
+    /// Time that a million pairs of a token and an earlier one add to reading,
+    /// in milliseconds.
+    pub pairs_per_m_ms: f64,
+    /// Bytes handed on for a token.
+    pub token_bytes: f64,
+    /// Rate of an engine's own link, in megabits a second.
+    pub link_mbps: f64,
+    /// Rate of the pipe that all share between two zones.
+    pub pipe_mbps: f64,
+    /// One-way delay within a zone, and between zones.
+    pub near_delay: Duration,
+    /// One-way delay between zones.
+    pub far_delay: Duration,
+    /// How long work waits for an engine that is gone.
+    pub stall: Duration,
+    /// Age of what a report tells.
+    pub report_lag: Duration,
+}
+
+impl Default for WorldSettings {
+    /// A model of 80 layers on three kinds of accelerators.
+    fn default() -> Self {
+        let kind = |memory_mb, pace, read_factor| AcceleratorKind {
+            memory_mb,
+            pace,
+            read_factor,
+        };
+        let kinds = [
+            ("a100".into(), kind(72_000.0, 2.4, 3.2)),
+            ("l40s".into(), kind(43_200.0, 5.6, 2.7)),
+            ("l4".into(), kind(21_600.0, 16.0, 8.2)),
+        ];
+        Self {
+            model: EngineModel {
+                layers: 80,
+                layer_mb: 1750.0,
+                kv_token_bytes: 918_000.0,
+                step_ms: 1.02,
+                per_request_ms: 0.007_14,
+                per_context_k_ms: 0.009_56,
+                read_per_s: 105_000.0,
+                stride: 3,
+                load_s: 14.0,
+                usual_prompt: 774,
+                usual_answer: 203,
+                kinds: kinds.into_iter().collect::<FastMap<_, _>>(),
+            },
+            chunk: 512.0,
+            pairs_per_m_ms: 0.309,
+            token_bytes: 45_900.0,
+            link_mbps: 400_000.0,
+            pipe_mbps: 18_000.0,
+            near_delay: Duration::from_micros(200),
+            far_delay: Duration::from_micros(500),
+            stall: Duration::from_secs(2),
+            report_lag: Duration::from_millis(200),
+        }
+    }
+}
+
+impl WorldSettings {
+    /// Time to hand `tokens` on, over one link.
+    pub(super) fn link_time(&self, tokens: f64) -> Duration {
+        transfer(tokens * self.token_bytes, self.link_mbps)
+    }
+
+    /// Time to hand `tokens` on, over the pipe between two zones.
+    pub(super) fn pipe_time(&self, tokens: f64) -> Duration {
+        transfer(tokens * self.token_bytes, self.pipe_mbps)
+    }
+}
+
+fn transfer(bytes: f64, mbps: f64) -> Duration {
+    Duration::from_secs_f64(bytes * 8.0 / (mbps * 1e6))
+}
