--- a/src/entry/configuring.rs
+++ b/src/entry/configuring.rs
@@ -10,9 +10,12 @@
 use crate::platform::log_calls::{KeyedRead, LogError, LogReader};
 use crate::platform::names;
 
-/// How long a read waits for a change. Shorter than the time after which idle
-/// connections go silent in firewalls; each return costs one call.
-const READ_WAIT: Duration = Duration::from_secs(10);
+/// How long a read waits for a change. A connection can go silent for good
+/// without a reset; with a wait of ten seconds a host, and all that follow it,
+/// served an old configuration for as long. With this and the time limit of a
+/// call, that is noticed after 1.2 s; a configuration has to be in force within
+/// two.
+const READ_WAIT: Duration = Duration::from_millis(600);
 /// Pause after a failed read: a configuration has to be in force within two
 /// seconds of the store's return.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
--- a/src/entry/following.rs
+++ b/src/entry/following.rs
@@ -15,6 +15,9 @@
 /// target must be known. Every heartbeat is a record, so a read that waits
 /// for the next one would return 30 times a second with 36 engines.
 const READS_PER_DRAIN: u32 = 3;
+/// Longest pause between two reads: others rely on this host, and have to
+/// notice within a second that it has lost the log.
+const LONGEST_PAUSE: Duration = Duration::from_millis(600);
 
 /// What the follower of heartbeats remembers.
 struct TargetFollower {
@@ -32,7 +35,7 @@
     drain: Duration,
     mut direct: watch::Receiver<bool>,
 ) {
-    let pause = drain / READS_PER_DRAIN;
+    let pause = (drain / READS_PER_DRAIN).min(LONGEST_PAUSE);
     let mut follower = TargetFollower {
         copy,
         next: None,
--- a/src/entry/log_copy.rs
+++ b/src/entry/log_copy.rs
@@ -40,9 +40,9 @@
     changes: VecDeque<(TargetId, Option<Bytes>)>,
     /// Number of the first change that is kept.
     first_change: u64,
-    /// When the targets were last read without trouble.
+    /// When each topic was last read without trouble.
     targets_read: Option<Instant>,
-    configuration_lost: bool,
+    configuration_read: Option<Instant>,
 }
 
 impl KeptRecords {
@@ -73,18 +73,21 @@
         self.tables
             .metrics
             .store_called(topic.name(), took, answered);
+        if !answered {
+            return;
+        }
         let mut kept = self.kept.lock();
         match topic {
-            LogTopic::Configuration => kept.configuration_lost = !answered,
-            LogTopic::Targets if answered => kept.targets_read = Some(now),
-            LogTopic::Targets => {}
+            LogTopic::Configuration => kept.configuration_read = Some(now),
+            LogTopic::Targets => kept.targets_read = Some(now),
         }
     }
 
     /// Whether the log was read without trouble within `age`.
     pub(super) fn is_fresh(&self, age: Duration, now: Instant) -> bool {
         let kept = self.kept.lock();
-        !kept.configuration_lost && kept.targets_read.is_some_and(|at| now < at + age)
+        let mut reads = [kept.configuration_read, kept.targets_read].into_iter();
+        reads.all(|read| read.is_some_and(|at| now < at + age))
     }
 
     /// Whether an answer to a question would hold anything that is news.
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -24,7 +24,7 @@
 
 /// How long the log service may take: it answers in 4 ms when it is well, and
 /// slow answers of a quarter of a second still count.
-const STORE_LIMIT: Duration = Duration::from_millis(1500);
+const STORE_LIMIT: Duration = Duration::from_millis(600);
 /// Port of the metrics; `deploy/system.toml` names the same.
 const METRICS_PORT: u16 = 9464;
 /// Time that is left to the platform before it would kill the process.
