--- /dev/null
+++ b/tests/log_reader.rs
@@ -0,0 +1,155 @@
+//! The reader of the platform's log: its formats, and a service that fails.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use jackdawwick::platform::log_calls::{LogError, LogReader};
+use proptest::prelude::*;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
+const LIMIT: Duration = Duration::from_millis(150);
+
+/// Answers the requests of each connection in turn; a connection whose answers
+/// are used up goes silent and stays open.
+async fn spawn_log(connections: Vec<Vec<Vec<u8>>>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        for answers in connections {
+            let Ok((mut stream, _)) = listener.accept().await else {
+                return;
+            };
+            tokio::spawn(async move {
+                let mut part = [0; 4096];
+                for answer in answers {
+                    if !matches!(stream.read(&mut part).await, Ok(1..)) {
+                        return;
+                    }
+                    let _ = stream.write_all(&answer).await;
+                }
+                while matches!(stream.read(&mut part).await, Ok(1..)) {}
+            });
+        }
+    });
+    address
+}
+
+fn answer(status: &str, body: &[u8]) -> Vec<u8> {
+    let head = format!(
+        "HTTP/1.1 {status}\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    [head.as_bytes(), body].concat()
+}
+
+fn record(key: &str, value: &[u8]) -> Vec<u8> {
+    let length = u32::try_from(1 + key.len() + value.len()).expect("short");
+    let key_length = u8::try_from(key.len()).expect("short");
+    [
+        &length.to_be_bytes()[..],
+        &[key_length],
+        key.as_bytes(),
+        value,
+    ]
+    .concat()
+}
+
+fn read_body(end: u64, first: u64, records: &[Vec<u8>]) -> Vec<u8> {
+    [
+        &end.to_be_bytes()[..],
+        &first.to_be_bytes(),
+        &records.concat(),
+    ]
+    .concat()
+}
+
+#[tokio::test]
+async fn records_are_read_with_their_keys_and_dropped_keys_have_no_value() {
+    let body = read_body(7, 2, &[record("a", b"one"), record("b", b"")]);
+    let address = spawn_log(vec![vec![answer("200 OK", &body)]]).await;
+    let mut reader = LogReader::open(address, LIMIT);
+    let read = reader
+        .read("keyed.servers", 5, Duration::ZERO)
+        .await
+        .expect("records");
+    assert_eq!(read.next, 7);
+    assert_eq!(read.records[0].value.as_deref(), Some(&b"one"[..]));
+    assert_eq!(
+        (read.records[1].key.as_str(), &read.records[1].value),
+        ("b", &None)
+    );
+}
+
+#[tokio::test]
+async fn the_newest_of_each_key_come_page_by_page() {
+    let first =
+        br#"{"items":[{"key":"a","value":"b25l","offset":4}],"has_more":true,"end_offset":6}"#;
+    let second =
+        br#"{"items":[{"key":"b","value":"dHdv","offset":7}],"has_more":false,"end_offset":9}"#;
+    let pages = vec![answer("200 OK", first), answer("200 OK", second)];
+    let mut reader = LogReader::open(spawn_log(vec![pages]).await, LIMIT);
+    let read = reader.newest("keyed.op").await.expect("records");
+    // Going on from the first page's end misses nothing that later pages lack.
+    assert_eq!(read.next, 6);
+    assert_eq!(read.records.len(), 2);
+    assert_eq!(read.records[1].value.as_deref(), Some(&b"two"[..]));
+}
+
+#[tokio::test]
+async fn deleted_history_is_told_either_way() {
+    let gone = answer("410 Gone", br#"{"first_offset":9}"#);
+    let skipped = answer("200 OK", &read_body(12, 9, &[]));
+    for answers in [vec![gone], vec![skipped]] {
+        let mut reader = LogReader::open(spawn_log(vec![answers]).await, LIMIT);
+        let read = reader.read("keyed.op", 5, Duration::ZERO).await;
+        assert_eq!(read, Err(LogError::Deleted));
+    }
+}
+
+/// Symptom: a host serves an old configuration for ten seconds after a cut has
+/// healed. Sequence: the connection to the log goes silent without a reset, new
+/// ones work. Cause: the host waited on the old one for as long as a read may
+/// wait, and used it again.
+#[tokio::test]
+async fn a_silent_connection_is_left_after_the_time_limit() {
+    let body = read_body(6, 0, &[record("config", b"{}")]);
+    let silent = vec![answer("200 OK", &read_body(5, 0, &[]))];
+    let sound = vec![answer("200 OK", &body)];
+    let mut reader = LogReader::open(spawn_log(vec![silent, sound]).await, LIMIT);
+    let wait = Duration::from_millis(50);
+    assert!(reader.read("keyed.op", 5, wait).await.is_ok());
+    let lost = reader.read("keyed.op", 5, wait).await;
+    assert!(matches!(lost, Err(LogError::NoAnswer(_))), "{lost:?}");
+    let read = reader
+        .read("keyed.op", 5, wait)
+        .await
+        .expect("a new connection");
+    assert_eq!(read.records.len(), 1);
+}
+
+#[tokio::test]
+async fn refusals_carry_their_status() {
+    let busy = vec![answer("503 Busy", b"")];
+    let mut reader = LogReader::open(spawn_log(vec![busy]).await, LIMIT);
+    assert_eq!(reader.newest("keyed.op").await, Err(LogError::Status(503)));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
+    /// Whatever the service sends, it is records or an error, never a panic.
+    #[test]
+    fn any_bytes_are_judged(bytes in prop::collection::vec(any::<u8>(), 0..120)) {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = runtime.expect("a runtime");
+        let read = runtime.block_on(async {
+            let address = spawn_log(vec![vec![answer("200 OK", &bytes)]]).await;
+            let mut reader = LogReader::open(address, LIMIT);
+            reader.read("keyed.op", 0, Duration::ZERO).await
+        });
+        if let Ok(read) = read {
+            prop_assert!(read.records.len() * 5 <= bytes.len());
+        }
+    }
+}
