--- a/src/forward.rs
+++ b/src/forward.rs
@@ -7,6 +7,7 @@
 mod answer;
 mod attempt;
 mod choice;
+mod conduct;
 mod events;
 mod exchange;
 mod head;
--- /dev/null
+++ b/src/forward/conduct.rs
@@ -0,0 +1,201 @@
+//! Where the attempts of one request go, whether there is another, and what is
+//! noted of each.
+
+use std::time::Instant;
+
+use http::Response;
+use hyper::body::Incoming;
+
+use super::answer::{AnswerBody, Refusal};
+use super::attempt::{AttemptFailure, FailureCause};
+use super::choice::{self, ChosenTarget};
+use super::exchange::{Exchange, NO_ROUTE_RETRY, TriedTargets};
+use super::tables::InFlightGuard;
+use crate::ids::TargetId;
+use crate::ingress::RequestKind;
+use crate::platform::order;
+use crate::reason::RefusalReason;
+use crate::verdict::RunVerdict;
+
+/// Time that a repeatable request leaves to its last attempt, as a part of
+/// what is left.
+const FIRST_ATTEMPT_SHARE: f64 = 0.5;
+/// How long a stream's first attempt may take to its head, in times of the
+/// route's aim. Callers of streams wait four times the aim at least.
+const STREAM_HEAD_AIMS: f64 = 2.4;
+
+impl Exchange {
+    /// Chooses where the next attempt goes, and counts it there. `started`
+    /// tells whether the caller has a part of the answer.
+    pub(super) fn choose(
+        &self,
+        avoid: &[TargetId],
+        started: bool,
+    ) -> Result<(ChosenTarget, InFlightGuard), Refusal> {
+        let now = Instant::now();
+        let chosen = {
+            let fleet = self.tables.fleet.lock();
+            let zone = &self.tables.zone;
+            choice::choose(
+                &fleet,
+                &self.service,
+                zone,
+                self.size,
+                avoid,
+                now,
+                rand::random,
+            )
+        };
+        let no_route = || Refusal::not_run(RefusalReason::NoRoute, NO_ROUTE_RETRY);
+        let chosen = chosen.ok_or_else(no_route)?;
+        let full = chosen.path.as_ref().is_some_and(|path| path.full);
+        // A stream that has begun goes on even if it has to wait for room:
+        // to cut it would waste what was done, and its caller starts over.
+        if full && !started {
+            let after = self.tables.count_refusal(now);
+            return Err(Refusal::not_run(RefusalReason::NoRoom, after));
+        }
+        self.tables.count_start(now);
+        self.note_route(&chosen, avoid.len());
+        let guard = InFlightGuard::open(self.tables.clone(), chosen.parts(), chosen.size);
+        Ok((chosen, guard))
+    }
+
+    /// One line on where a request goes, and what decided that.
+    pub(super) fn note_route(&self, chosen: &ChosenTarget, tried: usize) {
+        let path = chosen.path.as_ref();
+        log::info!(
+            request:% = self.outgoing.id,
+            route:% = self.matched.route.name,
+            configuration = self.configuration,
+            organisation:% = self.matched.organisation.as_deref().unwrap_or("none"),
+            target_id:% = chosen.id,
+            path:% = path.map(order::path_value).unwrap_or_default(),
+            cost_ms = path.map_or(0, |path| path.cost_ms as u64),
+            tokens = chosen.size.tokens() as u64,
+            tried = tried;
+            "routed"
+        );
+    }
+
+    /// One line on a whole answer.
+    pub(super) fn note_answer(&self, chosen: &ChosenTarget, status: u16) {
+        let took = self.arrived.elapsed();
+        log::info!(
+            request:% = self.outgoing.id,
+            target_id:% = chosen.id,
+            status = status,
+            after_ms = took.as_millis() as u64;
+            "answered"
+        );
+        self.tables.metrics.answered(status, took);
+    }
+
+    /// Until when an attempt may take to the head of its answer.
+    pub(super) fn head_limit(&self, sent: u32, now: Instant) -> Instant {
+        let route = &self.matched.route;
+        let last = sent + 1 >= route.max_attempts;
+        let left = self.deadline.saturating_duration_since(now);
+        match route.kind {
+            RequestKind::Idempotent if !last => now + left.mul_f64(FIRST_ATTEMPT_SHARE),
+            RequestKind::ResumableStream if !last => {
+                now + left.min(route.latency_aim.mul_f64(STREAM_HEAD_AIMS))
+            }
+            _ => self.deadline,
+        }
+    }
+
+    pub(super) fn is_stream(&self, response: &Response<Incoming>) -> bool {
+        self.matched.route.kind.is_stream() && response.status().is_success()
+    }
+
+    /// Whether a failure that a target itself answered may be tried elsewhere.
+    pub(super) fn may_fail_over(
+        &self,
+        response: &Response<AnswerBody>,
+        tried: &TriedTargets,
+    ) -> bool {
+        let route = &self.matched.route;
+        response.status().is_server_error()
+            && route.kind.is_repeatable()
+            && tried.sent + 1 < route.max_attempts
+            && Instant::now() < self.deadline
+            && self.tables.spend_retry(&self.service.name, Instant::now())
+    }
+
+    /// Whether the request may be sent once more.
+    pub(super) fn may_retry(
+        &self,
+        failure: &AttemptFailure,
+        tried: &TriedTargets,
+        now: Instant,
+    ) -> bool {
+        let route = &self.matched.route;
+        let allowed = failure.verdict == RunVerdict::NotRun || route.kind.is_repeatable();
+        let attempts_left = tried.sent < route.max_attempts && tried.avoid.len() < 6;
+        let free = failure.cause == FailureCause::Connect;
+        allowed
+            && attempts_left
+            && now < self.deadline
+            && (free || self.tables.spend_retry(&self.service.name, Instant::now()))
+    }
+
+    /// Puts down a failed attempt, and whom the next one avoids.
+    pub(super) fn note_failure(
+        &self,
+        chosen: &ChosenTarget,
+        failure: &AttemptFailure,
+        tried: &mut TriedTargets,
+    ) {
+        self.observe_failure(chosen, Some(failure));
+        tried.count(chosen, failure.cause != FailureCause::Connect);
+        tried.may_have_run |= failure.verdict != RunVerdict::NotRun;
+        if let Some(at) = failure.at.and_then(|at| chosen.at(at)) {
+            tried.avoid_instead(at);
+        }
+    }
+
+    pub(super) fn observe_success(&self, chosen: &ChosenTarget) {
+        let mut fleet = self.tables.fleet.lock();
+        for (id, _) in chosen.parts() {
+            fleet.observe_success(&id);
+        }
+    }
+
+    /// Puts down who failed; `None` stands for a failure that the target
+    /// itself answered.
+    pub(super) fn observe_failure(&self, chosen: &ChosenTarget, failure: Option<&AttemptFailure>) {
+        let now = Instant::now();
+        let at = failure
+            .and_then(|failure| failure.at)
+            .and_then(|at| chosen.at(at));
+        let id = at.unwrap_or_else(|| chosen.id.clone());
+        let cause = failure.map(|failure| failure.cause);
+        let mut fleet = self.tables.fleet.lock();
+        let out = match cause {
+            // A full engine is no faulty one.
+            Some(FailureCause::Refused) => {
+                fleet.observe_full(&id, now);
+                None
+            }
+            Some(FailureCause::Connect) => {
+                fleet.observe_silence(&id, now);
+                fleet.get(&id).and_then(|state| state.out_until)
+            }
+            _ => fleet.observe_failure(&id, now),
+        };
+        drop(fleet);
+        let name = cause.map_or("answered_failure", FailureCause::name);
+        self.tables.metrics.attempt_failed(name);
+        if out.is_some() {
+            self.tables.metrics.ejected(name);
+        }
+        log::info!(
+            request:% = self.outgoing.id,
+            target_id:% = id,
+            cause:% = name,
+            out_ms = out.map_or(0, |out| out.saturating_duration_since(now).as_millis() as u64);
+            "attempt failed"
+        );
+    }
+}
--- a/standins/src/pipeline.rs
+++ b/standins/src/pipeline.rs
@@ -6,6 +6,9 @@
 //! the experiment tool runs it as fast as it goes.
 
 mod engine;
+mod intake;
+mod memory;
+mod passes;
 mod request;
 mod settings;
 mod world;
--- /dev/null
+++ b/standins/src/pipeline/intake.rs
@@ -0,0 +1,139 @@
+//! Requests that come, change their path, or leave.
+
+use std::time::Duration;
+
+use super::request::{PathPart, RequestPhase, RequestSettings, SimRequest};
+use super::world::{PipelineWorld, SubmitError};
+
+impl PipelineWorld {
+    /// Takes a request in.
+    ///
+    /// # Errors
+    ///
+    /// If the path is none, or an engine of it cannot take the request.
+    pub fn submit(&mut self, request: RequestSettings, now: Duration) -> Result<(), SubmitError> {
+        self.check_path(&request.path)?;
+        for part in &request.path {
+            let need = request.prompt * f64::from(part.layers.width());
+            let state = &self.engines[part.engine];
+            if state.used + need > state.room(&self.settings.model) {
+                return Err(SubmitError::NoRoom(part.engine));
+            }
+        }
+        self.sequence += 1;
+        let parts = request.path.len();
+        let id = request.id.clone();
+        self.requests.insert(
+            request.id,
+            SimRequest {
+                path: request.path,
+                prompt: request.prompt,
+                answer: request.answer,
+                made: 0.0,
+                phase: RequestPhase::Reading {
+                    left: request.prompt,
+                },
+                hop: 0,
+                held: vec![0.0; parts],
+                epoch: self.sequence,
+                order: self.sequence,
+                stalled: None,
+                unread: vec![true; parts],
+            },
+        );
+        self.arrive(&id, now);
+        Ok(())
+    }
+
+    pub(super) fn check_path(&self, path: &[PathPart]) -> Result<(), SubmitError> {
+        let mut seen = path.iter().map(|part| part.engine).collect::<Vec<_>>();
+        seen.sort_unstable();
+        seen.dedup();
+        if path.is_empty() || seen.len() < path.len() {
+            return Err(SubmitError::BadPath);
+        }
+        for part in path {
+            let state = &self.engines[part.engine];
+            if !state.alive || state.draining {
+                return Err(SubmitError::NoRoom(part.engine));
+            }
+            if !state.holds(part.layers) {
+                return Err(SubmitError::WrongLayers(part.engine));
+            }
+        }
+        Ok(())
+    }
+
+    /// Takes a running request over another path with the same first part.
+    ///
+    /// # Errors
+    ///
+    /// If there is no such request, or a new part cannot take it.
+    pub fn repath(
+        &mut self,
+        id: &str,
+        path: Vec<PathPart>,
+        now: Duration,
+    ) -> Result<(), SubmitError> {
+        let Some(request) = self.requests.get(id) else {
+            return Err(SubmitError::Unknown);
+        };
+        if path.first() != request.path.first() {
+            return Err(SubmitError::BadPath);
+        }
+        let old = request.path.clone();
+        let context = request.context();
+        let fresh = path
+            .iter()
+            .filter(|part| !old.contains(part))
+            .copied()
+            .collect::<Vec<_>>();
+        self.check_path(&fresh)?;
+        for part in &fresh {
+            let state = &self.engines[part.engine];
+            let need = context * f64::from(part.layers.width());
+            if state.used + need > state.room(&self.settings.model) {
+                return Err(SubmitError::NoRoom(part.engine));
+            }
+        }
+        self.release_where(id, |part| !path.contains(part));
+        self.sequence += 1;
+        let sequence = self.sequence;
+        let Some(request) = self.requests.get_mut(id) else {
+            return Err(SubmitError::Unknown);
+        };
+        let kept = |part: &PathPart| request.path.iter().position(|old| old == part);
+        let held = path
+            .iter()
+            .map(|part| kept(part).map_or(0.0, |old| request.held[old]));
+        let held = held.collect::<Vec<_>>();
+        let unread = path
+            .iter()
+            .map(|part| kept(part).is_none_or(|old| request.unread[old]));
+        let unread = unread.collect::<Vec<_>>();
+        request.held = held;
+        request.unread = unread;
+        request.path = path;
+        request.epoch = sequence;
+        request.stalled = None;
+        request.hop = 0;
+        request.phase = match request.is_begun() {
+            true => RequestPhase::Writing,
+            false => RequestPhase::Reading {
+                left: request.prompt,
+            },
+        };
+        self.forget(id);
+        self.arrive(id, now);
+        Ok(())
+    }
+
+    /// The caller has left.
+    pub fn cancel(&mut self, id: &str, now: Duration) {
+        self.release_where(id, |_| true);
+        self.forget(id);
+        if self.requests.remove(id).is_some() {
+            self.unpark_all(now);
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/pipeline/memory.rs
@@ -0,0 +1,124 @@
+//! Memory of engines: who has room, and who yields.
+
+use std::time::Duration;
+
+use super::engine::EngineIndex;
+use super::request::{PathPart, RequestPhase};
+use super::world::PipelineWorld;
+
+impl PipelineWorld {
+    /// A request reaches the engine of its part.
+    pub(super) fn arrive(&mut self, id: &str, now: Duration) {
+        let Some(request) = self.requests.get_mut(id) else {
+            return;
+        };
+        let part = request.part();
+        let hop = request.hop;
+        if !self.engines[part.engine].alive {
+            self.stall(id, now);
+            return;
+        }
+        let mut need = request.context();
+        if request.unread[hop] {
+            request.phase = RequestPhase::Reading { left: need };
+        } else if matches!(request.phase, RequestPhase::Writing) {
+            need += f64::from(self.settings.model.stride);
+        }
+        let need = need * f64::from(part.layers.width());
+        let more = need - request.held[hop];
+        if self.engines[part.engine].used + more
+            > self.engines[part.engine].room(&self.settings.model)
+        {
+            self.park(id, part.engine);
+            return;
+        }
+        if let Some(request) = self.requests.get_mut(id) {
+            request.held[hop] = need;
+        }
+        let engine = &mut self.engines[part.engine];
+        engine.used += more;
+        engine.ready.push(id.to_owned());
+        self.start_pass(part.engine, now);
+    }
+
+    /// No memory is left: the newest request yields, which may be this one.
+    pub(super) fn park(&mut self, id: &str, engine: EngineIndex) {
+        let order = |id: &String| self.requests.get(id).map(|request| request.order);
+        let own = order(&id.to_owned());
+        let ready = self.engines[engine].ready.iter();
+        let newest = ready
+            .filter(|other| order(other) > own)
+            .max_by_key(|other| order(other));
+        let newest = newest.cloned();
+        self.engines[engine].parked.push(id.to_owned());
+        if let Some(newest) = newest {
+            self.engines[engine].ready.retain(|other| *other != newest);
+            self.engines[engine].parked.push(newest.clone());
+            self.yield_memory(&newest, engine);
+        } else {
+            self.yield_memory(id, engine);
+        }
+    }
+
+    pub(super) fn yield_memory(&mut self, id: &str, engine: EngineIndex) {
+        let Some(request) = self.requests.get_mut(id) else {
+            return;
+        };
+        let hop = request.hop;
+        self.engines[engine].used -= std::mem::take(&mut request.held[hop]);
+        request.unread[hop] = true;
+    }
+
+    pub(super) fn unpark_all(&mut self, now: Duration) {
+        for engine in 0..self.engines.len() {
+            self.unpark(engine, now);
+        }
+    }
+
+    /// Oldest first, as far as memory goes.
+    pub(super) fn unpark(&mut self, engine: EngineIndex, now: Duration) {
+        let mut parked = std::mem::take(&mut self.engines[engine].parked);
+        parked.sort_by_key(|id| self.requests.get(id).map(|request| request.order));
+        let mut rest = Vec::new();
+        for id in parked {
+            let Some(request) = self.requests.get(&id) else {
+                continue;
+            };
+            let need = request.context() * f64::from(request.part().layers.width());
+            let state = &self.engines[engine];
+            if rest.is_empty() && state.used + need <= state.room(&self.settings.model) {
+                self.arrive(&id, now);
+            } else {
+                rest.push(id);
+            }
+        }
+        self.engines[engine].parked.extend(rest);
+    }
+
+    /// Gives back the memory of the parts that `gone` names.
+    pub(super) fn release_where<F>(&mut self, id: &str, gone: F)
+    where
+        F: Fn(&PathPart) -> bool,
+    {
+        let Some(request) = self.requests.get_mut(id) else {
+            return;
+        };
+        for (part, held) in request.path.iter().zip(&mut request.held) {
+            let engine = &mut self.engines[part.engine];
+            if gone(part) {
+                engine.used = (engine.used - std::mem::take(held)).max(0.0);
+            }
+        }
+    }
+
+    /// Takes a request out of every engine's lists.
+    pub(super) fn forget(&mut self, id: &str) {
+        for engine in &mut self.engines {
+            engine.ready.retain(|other| other != id);
+            engine.parked.retain(|other| other != id);
+            if let Some(pass) = &mut engine.pass {
+                pass.retain(|(other, _)| other != id);
+            }
+        }
+    }
+}
--- a/standins/src/pipeline/world.rs
+++ b/standins/src/pipeline/world.rs
@@ -8,7 +8,7 @@
 use jackdawwick::fleet::LayerRange;
 
 use super::engine::{EngineIndex, SimEngine};
-use super::request::{PathPart, RequestPhase, RequestSettings, SimRequest};
+use super::request::SimRequest;
 use super::settings::WorldSettings;
 
 /// What callers see of the model.
@@ -72,7 +72,7 @@
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-enum Action {
+pub(super) enum Action {
     Arrive { id: String, epoch: u64 },
     EndPass { engine: EngineIndex, life: u64 },
     EndLoad { engine: EngineIndex, life: u64 },
@@ -82,13 +82,13 @@
 /// Engines and requests.
 #[derive(Debug)]
 pub struct PipelineWorld {
-    settings: WorldSettings,
-    engines: Vec<SimEngine>,
-    requests: BTreeMap<String, SimRequest>,
-    agenda: BinaryHeap<Reverse<(Duration, u64, Action)>>,
-    pipes: FastMap<(String, String), Duration>,
-    events: Vec<WorldEvent>,
-    sequence: u64,
+    pub(super) settings: WorldSettings,
+    pub(super) engines: Vec<SimEngine>,
+    pub(super) requests: BTreeMap<String, SimRequest>,
+    pub(super) agenda: BinaryHeap<Reverse<(Duration, u64, Action)>>,
+    pub(super) pipes: FastMap<(String, String), Duration>,
+    pub(super) events: Vec<WorldEvent>,
+    pub(super) sequence: u64,
 }
 
 impl PipelineWorld {
@@ -225,137 +225,6 @@
         state.slowness = 1.0;
     }
 
-    /// Takes a request in.
-    ///
-    /// # Errors
-    ///
-    /// If the path is none, or an engine of it cannot take the request.
-    pub fn submit(&mut self, request: RequestSettings, now: Duration) -> Result<(), SubmitError> {
-        self.check_path(&request.path)?;
-        for part in &request.path {
-            let need = request.prompt * f64::from(part.layers.width());
-            let state = &self.engines[part.engine];
-            if state.used + need > state.room(&self.settings.model) {
-                return Err(SubmitError::NoRoom(part.engine));
-            }
-        }
-        self.sequence += 1;
-        let parts = request.path.len();
-        let id = request.id.clone();
-        self.requests.insert(
-            request.id,
-            SimRequest {
-                path: request.path,
-                prompt: request.prompt,
-                answer: request.answer,
-                made: 0.0,
-                phase: RequestPhase::Reading {
-                    left: request.prompt,
-                },
-                hop: 0,
-                held: vec![0.0; parts],
-                epoch: self.sequence,
-                order: self.sequence,
-                stalled: None,
-                unread: vec![true; parts],
-            },
-        );
-        self.arrive(&id, now);
-        Ok(())
-    }
-
-    fn check_path(&self, path: &[PathPart]) -> Result<(), SubmitError> {
-        let mut seen = path.iter().map(|part| part.engine).collect::<Vec<_>>();
-        seen.sort_unstable();
-        seen.dedup();
-        if path.is_empty() || seen.len() < path.len() {
-            return Err(SubmitError::BadPath);
-        }
-        for part in path {
-            let state = &self.engines[part.engine];
-            if !state.alive || state.draining {
-                return Err(SubmitError::NoRoom(part.engine));
-            }
-            if !state.holds(part.layers) {
-                return Err(SubmitError::WrongLayers(part.engine));
-            }
-        }
-        Ok(())
-    }
-
-    /// Takes a running request over another path with the same first part.
-    ///
-    /// # Errors
-    ///
-    /// If there is no such request, or a new part cannot take it.
-    pub fn repath(
-        &mut self,
-        id: &str,
-        path: Vec<PathPart>,
-        now: Duration,
-    ) -> Result<(), SubmitError> {
-        let Some(request) = self.requests.get(id) else {
-            return Err(SubmitError::Unknown);
-        };
-        if path.first() != request.path.first() {
-            return Err(SubmitError::BadPath);
-        }
-        let old = request.path.clone();
-        let context = request.context();
-        let fresh = path
-            .iter()
-            .filter(|part| !old.contains(part))
-            .copied()
-            .collect::<Vec<_>>();
-        self.check_path(&fresh)?;
-        for part in &fresh {
-            let state = &self.engines[part.engine];
-            let need = context * f64::from(part.layers.width());
-            if state.used + need > state.room(&self.settings.model) {
-                return Err(SubmitError::NoRoom(part.engine));
-            }
-        }
-        self.release_where(id, |part| !path.contains(part));
-        self.sequence += 1;
-        let sequence = self.sequence;
-        let Some(request) = self.requests.get_mut(id) else {
-            return Err(SubmitError::Unknown);
-        };
-        let kept = |part: &PathPart| request.path.iter().position(|old| old == part);
-        let held = path
-            .iter()
-            .map(|part| kept(part).map_or(0.0, |old| request.held[old]));
-        let held = held.collect::<Vec<_>>();
-        let unread = path
-            .iter()
-            .map(|part| kept(part).is_none_or(|old| request.unread[old]));
-        let unread = unread.collect::<Vec<_>>();
-        request.held = held;
-        request.unread = unread;
-        request.path = path;
-        request.epoch = sequence;
-        request.stalled = None;
-        request.hop = 0;
-        request.phase = match request.is_begun() {
-            true => RequestPhase::Writing,
-            false => RequestPhase::Reading {
-                left: request.prompt,
-            },
-        };
-        self.forget(id);
-        self.arrive(id, now);
-        Ok(())
-    }
-
-    /// The caller has left.
-    pub fn cancel(&mut self, id: &str, now: Duration) {
-        self.release_where(id, |_| true);
-        self.forget(id);
-        if self.requests.remove(id).is_some() {
-            self.unpark_all(now);
-        }
-    }
-
     /// When something happens next.
     pub fn next_time(&self) -> Option<Duration> {
         self.agenda.peek().map(|Reverse((at, ..))| *at)
@@ -384,255 +253,18 @@
         std::mem::take(&mut self.events)
     }
 
-    fn is_current(&self, id: &str, epoch: u64) -> bool {
+    pub(super) fn is_current(&self, id: &str, epoch: u64) -> bool {
         self.requests
             .get(id)
             .is_some_and(|request| request.epoch == epoch)
     }
 
-    fn schedule(&mut self, at: Duration, action: Action) {
+    pub(super) fn schedule(&mut self, at: Duration, action: Action) {
         self.sequence += 1;
         self.agenda.push(Reverse((at, self.sequence, action)));
     }
 
-    /// A request reaches the engine of its part.
-    fn arrive(&mut self, id: &str, now: Duration) {
-        let Some(request) = self.requests.get_mut(id) else {
-            return;
-        };
-        let part = request.part();
-        let hop = request.hop;
-        if !self.engines[part.engine].alive {
-            self.stall(id, now);
-            return;
-        }
-        let mut need = request.context();
-        if request.unread[hop] {
-            request.phase = RequestPhase::Reading { left: need };
-        } else if matches!(request.phase, RequestPhase::Writing) {
-            need += f64::from(self.settings.model.stride);
-        }
-        let need = need * f64::from(part.layers.width());
-        let more = need - request.held[hop];
-        if self.engines[part.engine].used + more
-            > self.engines[part.engine].room(&self.settings.model)
-        {
-            self.park(id, part.engine);
-            return;
-        }
-        if let Some(request) = self.requests.get_mut(id) {
-            request.held[hop] = need;
-        }
-        let engine = &mut self.engines[part.engine];
-        engine.used += more;
-        engine.ready.push(id.to_owned());
-        self.start_pass(part.engine, now);
-    }
-
-    /// No memory is left: the newest request yields, which may be this one.
-    fn park(&mut self, id: &str, engine: EngineIndex) {
-        let order = |id: &String| self.requests.get(id).map(|request| request.order);
-        let own = order(&id.to_owned());
-        let ready = self.engines[engine].ready.iter();
-        let newest = ready
-            .filter(|other| order(other) > own)
-            .max_by_key(|other| order(other));
-        let newest = newest.cloned();
-        self.engines[engine].parked.push(id.to_owned());
-        if let Some(newest) = newest {
-            self.engines[engine].ready.retain(|other| *other != newest);
-            self.engines[engine].parked.push(newest.clone());
-            self.yield_memory(&newest, engine);
-        } else {
-            self.yield_memory(id, engine);
-        }
-    }
-
-    fn yield_memory(&mut self, id: &str, engine: EngineIndex) {
-        let Some(request) = self.requests.get_mut(id) else {
-            return;
-        };
-        let hop = request.hop;
-        self.engines[engine].used -= std::mem::take(&mut request.held[hop]);
-        request.unread[hop] = true;
-    }
-
-    fn unpark_all(&mut self, now: Duration) {
-        for engine in 0..self.engines.len() {
-            self.unpark(engine, now);
-        }
-    }
-
-    /// Oldest first, as far as memory goes.
-    fn unpark(&mut self, engine: EngineIndex, now: Duration) {
-        let mut parked = std::mem::take(&mut self.engines[engine].parked);
-        parked.sort_by_key(|id| self.requests.get(id).map(|request| request.order));
-        let mut rest = Vec::new();
-        for id in parked {
-            let Some(request) = self.requests.get(&id) else {
-                continue;
-            };
-            let need = request.context() * f64::from(request.part().layers.width());
-            let state = &self.engines[engine];
-            if rest.is_empty() && state.used + need <= state.room(&self.settings.model) {
-                self.arrive(&id, now);
-            } else {
-                rest.push(id);
-            }
-        }
-        self.engines[engine].parked.extend(rest);
-    }
-
-    fn start_pass(&mut self, engine: EngineIndex, now: Duration) {
-        let state = &self.engines[engine];
-        if !state.alive || state.pass.is_some() || state.ready.is_empty() {
-            return;
-        }
-        let (jobs, took) = self.plan_pass(engine);
-        let state = &mut self.engines[engine];
-        state.ready.clear();
-        state.pass = Some(jobs);
-        let life = state.life;
-        self.schedule(now + took, Action::EndPass { engine, life });
-    }
-
-    /// What each request of the next pass reads, and how long the pass takes.
-    fn plan_pass(&self, engine: EngineIndex) -> (Vec<(String, f64)>, Duration) {
-        let state = &self.engines[engine];
-        let model = &self.settings.model;
-        let layers = f64::from(model.layers);
-        let stride = f64::from(model.stride);
-        let requests = state
-            .ready
-            .iter()
-            .filter_map(|id| Some((id, self.requests.get(id)?)));
-        let requests = requests.collect::<Vec<_>>();
-        let writes = requests
-            .iter()
-            .any(|(_, request)| matches!(request.phase, RequestPhase::Writing));
-        let mut chunk = self.settings.chunk * if writes { stride } else { 1.0 };
-        let mut step_share = 0.0_f64;
-        let mut step_ms = 0.0;
-        let mut read_ms = 0.0;
-        let mut jobs = Vec::with_capacity(requests.len());
-        for (id, request) in requests {
-            let share = f64::from(request.part().layers.width()) / layers;
-            match request.phase {
-                RequestPhase::Writing => {
-                    step_share = step_share.max(share);
-                    let context_ms =
-                        request.context() / 1000.0 * model.per_context_k_ms * state.kind.pace;
-                    step_ms += (model.per_request_ms * state.kind.read_factor + context_ms) * share;
-                    jobs.push((id.clone(), 0.0));
-                }
-                RequestPhase::Reading { left } => {
-                    let read = left.min(chunk);
-                    chunk -= read;
-                    let pairs = read * request.context() / 1e6 * self.settings.pairs_per_m_ms;
-                    let tokens_ms = read / model.read_per_s * 1000.0;
-                    read_ms += (tokens_ms + pairs) * state.kind.read_factor * share;
-                    jobs.push((id.clone(), read));
-                }
-            }
-        }
-        step_ms += model.step_ms * state.kind.pace * step_share;
-        let total_ms = (step_ms * stride + read_ms) * state.slowness;
-        (jobs, Duration::from_secs_f64(total_ms.max(0.01) / 1000.0))
-    }
-
-    fn end_pass(&mut self, engine: EngineIndex, now: Duration) {
-        let jobs = self.engines[engine].pass.take().unwrap_or_default();
-        for (id, read) in jobs {
-            self.end_turn(&id, read, engine, now);
-        }
-        self.unpark(engine, now);
-        self.start_pass(engine, now);
-    }
-
-    /// A request's part in a pass is over.
-    fn end_turn(&mut self, id: &str, read: f64, engine: EngineIndex, now: Duration) {
-        let Some(request) = self.requests.get_mut(id) else {
-            return;
-        };
-        if request.part().engine != engine {
-            return;
-        }
-        let hop = request.hop;
-        let tokens = match request.phase {
-            RequestPhase::Reading { left } if left - read > 0.5 => {
-                request.phase = RequestPhase::Reading { left: left - read };
-                self.engines[engine].ready.push(id.to_owned());
-                return;
-            }
-            RequestPhase::Reading { .. } => {
-                request.unread[hop] = false;
-                request.context()
-            }
-            RequestPhase::Writing => f64::from(self.settings.model.stride),
-        };
-        if hop + 1 < request.path.len() {
-            request.hop += 1;
-            request.phase = match request.unread[hop + 1] {
-                true => RequestPhase::Reading {
-                    left: request.context(),
-                },
-                false => RequestPhase::Writing,
-            };
-            self.travel(id, engine, tokens, now);
-            return;
-        }
-        request.made += match request.phase {
-            RequestPhase::Reading { .. } => 1.0,
-            RequestPhase::Writing => f64::from(self.settings.model.stride),
-        };
-        request.phase = RequestPhase::Writing;
-        request.hop = 0;
-        let (made, last) = (request.made, request.made >= request.answer);
-        self.events.push(WorldEvent::Event {
-            id: id.to_owned(),
-            made,
-            last,
-        });
-        if last {
-            self.cancel(id, now);
-        } else {
-            self.travel(id, engine, 1.0, now);
-        }
-    }
-
-    /// Sends what an engine made to the request's next part.
-    fn travel(&mut self, id: &str, from: EngineIndex, tokens: f64, now: Duration) {
-        let Some(request) = self.requests.get(id) else {
-            return;
-        };
-        let (to, epoch) = (request.part().engine, request.epoch);
-        let zones = (
-            self.engines[from].zone.clone(),
-            self.engines[to].zone.clone(),
-        );
-        let mut at = now + self.settings.link_time(tokens);
-        if zones.0 == zones.1 {
-            at += self.settings.near_delay;
-        } else {
-            let pair = if zones.0 < zones.1 {
-                zones
-            } else {
-                (zones.1, zones.0)
-            };
-            let free = self.pipes.entry(pair).or_default();
-            *free = at.max(*free) + self.settings.pipe_time(tokens);
-            at = *free + self.settings.far_delay;
-        }
-        self.schedule(
-            at,
-            Action::Arrive {
-                id: id.to_owned(),
-                epoch,
-            },
-        );
-    }
-
-    fn end_load(&mut self, engine: EngineIndex, now: Duration) {
+    pub(super) fn end_load(&mut self, engine: EngineIndex, now: Duration) {
         let state = &mut self.engines[engine];
         if let Some((layers, done)) = state.loading
             && done <= now
@@ -642,7 +274,7 @@
         }
     }
 
-    fn stall(&mut self, id: &str, now: Duration) {
+    pub(super) fn stall(&mut self, id: &str, now: Duration) {
         let Some(request) = self.requests.get_mut(id) else {
             return;
         };
@@ -658,7 +290,7 @@
         );
     }
 
-    fn end_stall(&mut self, id: &str) {
+    pub(super) fn end_stall(&mut self, id: &str) {
         let Some(request) = self.requests.get(id) else {
             return;
         };
@@ -676,31 +308,4 @@
         self.release_where(id, |_| true);
         self.requests.remove(id);
     }
-
-    /// Gives back the memory of the parts that `gone` names.
-    fn release_where<F>(&mut self, id: &str, gone: F)
-    where
-        F: Fn(&PathPart) -> bool,
-    {
-        let Some(request) = self.requests.get_mut(id) else {
-            return;
-        };
-        for (part, held) in request.path.iter().zip(&mut request.held) {
-            let engine = &mut self.engines[part.engine];
-            if gone(part) {
-                engine.used = (engine.used - std::mem::take(held)).max(0.0);
-            }
-        }
-    }
-
-    /// Takes a request out of every engine's lists.
-    fn forget(&mut self, id: &str) {
-        for engine in &mut self.engines {
-            engine.ready.retain(|other| other != id);
-            engine.parked.retain(|other| other != id);
-            if let Some(pass) = &mut engine.pass {
-                pass.retain(|(other, _)| other != id);
-            }
-        }
-    }
 }
