--- a/src/forward.rs
+++ b/src/forward.rs
@@ -1,6 +1,6 @@
 //! The data path: requests of callers go on to targets, answers come back.
 //!
-//! [`serve`] takes connections, `exchange` carries one request, [`relay`] one
+//! [`serve`] takes connections, `exchange` carries one request, `relay` one
 //! stream. Decisions are taken by [`crate::ingress`], [`crate::fleet`] and
 //! [`crate::retry`].
 
--- a/src/forward/probe.rs
+++ b/src/forward/probe.rs
@@ -64,7 +64,7 @@
     }
 }
 
-/// An engine's report, not older than [`REPORT_AGE`]; callers that ask at the
+/// An engine's report, not older than 150 ms; callers that ask at the
 /// same time share one question.
 ///
 /// # Errors
--- a/standins/src/pipeline.rs
+++ b/standins/src/pipeline.rs
@@ -2,8 +2,8 @@
 //! path: passes, strides, reading in chunks, memory and preemption, links and
 //! pipes, stalls and orders. No network and no clock: time is an argument.
 //!
-//! The stand-in engines run it in real time behind HTTP ([`crate::engine_farm`]);
-//! the experiment tool runs it as fast as it goes.
+//! The experiment tool ([`crate::trial`]) runs it as fast as it goes. Stand-in
+//! engines behind HTTP are to run it in real time; they do not yet.
 
 mod engine;
 mod intake;
