Do not say NotRun for want of a second target after a first may have run

Cause: when an attempt had been sent and lost, or its target failed, and no other target was left, the caller got 503 with the verdict not_run: the refusal of the choice did not know of the attempt. Found by reading; seen in a test before the change (503 in place of 502).

Change: such a refusal becomes 502 with may_have_run; a target's own failure is passed on when nobody else can be asked.

--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -206,9 +206,14 @@
     counted: CountedRequest,
 ) -> Result<Response<AnswerBody>, Refusal> {
     let mut tried = TriedTargets::default();
+    let mut failed_answer = None;
     loop {
         let started = Instant::now();
-        let (chosen, guard) = exchange.choose(&tried.avoid, false)?;
+        let (chosen, guard) = match exchange.choose(&tried.avoid, false) {
+            Ok(chosen) => chosen,
+            // Nobody else is left: the answer of the target that failed stands.
+            Err(refusal) => return failed_answer.ok_or(refusal.after(&tried)),
+        };
         let limit = exchange.head_limit(tried.sent, started);
         let mut watch = PathWatch::open(exchange.clone(), chosen, guard, started);
         let failure = match watch.send(None, limit).await {
@@ -220,6 +225,8 @@
                 Ok(response) if exchange.may_fail_over(&response, &tried) => {
                     exchange.observe_failure(&watch.chosen, None);
                     tried.count(&watch.chosen, true);
+                    tried.may_have_run = true;
+                    failed_answer = Some(response);
                     continue;
                 }
                 Ok(response) => {
@@ -239,6 +246,19 @@
     }
 }
 
+impl Refusal {
+    /// The refusal of a request for which targets were tried before.
+    ///
+    /// A caller that is told `NotRun` may send a charge again; after an attempt
+    /// that may have run, the lack of another target does not make that true.
+    fn after(self, tried: &TriedTargets) -> Self {
+        match tried.may_have_run {
+            true => Self::may_have_run(StatusCode::BAD_GATEWAY, self.reason),
+            false => self,
+        }
+    }
+}
+
 /// Targets that were tried for one request.
 #[derive(Debug, Default)]
 pub(super) struct TriedTargets {
--- a/tests/forwarding/main.rs
+++ b/tests/forwarding/main.rs
@@ -167,6 +167,26 @@
     }
 }
 
+/// Symptom: a caller is told that its request has not run, and it has.
+/// Sequence: the only target loses the answer, or fails after running; no other
+/// is left for the second attempt. Cause: the refusal for want of a target did
+/// not know of the first attempt.
+#[tokio::test]
+async fn no_target_left_does_not_mean_not_run() {
+    let broken = StubTarget::spawn(|_| vec![Step::Reset]).await;
+    let host = TestHost::open();
+    host.add_plain("i-1", broken.address);
+    let lost = host.call("GET", "/safe/", "").await;
+    assert_eq!(lost.status(), 502);
+    assert!(lost.text.contains("\"verdict\":\"may_have_run\""));
+    let failing = StubTarget::spawn(|seen| vec![answer(seen.id(), "500 Oops", "sorry")]).await;
+    let host = TestHost::open();
+    host.add_plain("i-1", failing.address);
+    let failed = host.call("GET", "/safe/", "").await;
+    assert_eq!(failed.status(), 500);
+    assert_eq!(failed.header("x-jackdawwick-server-seal"), Some("s"));
+}
+
 /// Symptom: a caller gets an answer that is not its own. Sequence: a target
 /// sends the answer of an earlier request. Cause: answers were matched by
 /// their order on the connection.
