Drop two queries that nothing calls, and one set-up that stood twice

Cause: FleetTable::ids and FleetTable::zones lost their last callers when the log copy and the gossip took over; two tests of the follower of heartbeats opened the same host line by line.

Change: both queries gone; the tests share spawn_follower and keep their assertions. No behaviour changes.

--- a/src/fleet/table.rs
+++ b/src/fleet/table.rs
@@ -194,11 +194,6 @@
         self.services.values().flat_map(BTreeMap::values)
     }
 
-    /// Ids of all targets.
-    pub fn ids(&self) -> Vec<TargetId> {
-        self.service_of.keys().cloned().collect()
-    }
-
     /// A target by its id.
     pub fn get(&self, id: &str) -> Option<&TargetState> {
         let service = self.service_of.get(id)?;
@@ -384,17 +379,4 @@
             state.entry.layers = layers;
         }
     }
-
-    /// Availability zones that a service has usable targets in.
-    pub fn zones(&self, service: &str, now: Instant) -> Vec<ZoneId> {
-        let members = self.members(service);
-        let states = members.into_iter().flat_map(BTreeMap::values);
-        let usable = states.filter(|state| state.is_usable(now));
-        let mut zones = usable
-            .map(|state| state.entry.zone.clone())
-            .collect::<Vec<_>>();
-        zones.sort();
-        zones.dedup();
-        zones
-    }
 }
--- a/tests/log_reader.rs
+++ b/tests/log_reader.rs
@@ -158,6 +158,24 @@
         .into_bytes()
 }
 
+/// Follows a log that gives these answers, for as long as the sender says so.
+async fn spawn_follower(
+    answers: Vec<Vec<u8>>,
+    drain: Duration,
+) -> (Arc<ServingTables>, tokio::sync::watch::Sender<bool>) {
+    let reader = LogReader::open(spawn_log(vec![answers]).await, LIMIT);
+    let budget = WindowSettings {
+        window: LIMIT,
+        ratio: 0.0,
+        slack: 0.0,
+    };
+    let tables = Arc::new(ServingTables::new("z".into(), budget));
+    let copy = Arc::new(LogCopy::new(tables.clone()));
+    let (direct, reads) = tokio::sync::watch::channel(true);
+    tokio::spawn(follow_targets(copy, reader, drain, reads));
+    (tables, direct)
+}
+
 async fn until<F>(holds: F)
 where
     F: Fn() -> bool,
@@ -180,21 +198,8 @@
     let first = vec![answer("200 OK", &all), answer("503 Busy", b"")];
     let later = vec![answer("200 OK", &lapsed), answer("200 OK", &left)];
     let answers = [first, later].concat();
-    let reader = LogReader::open(spawn_log(vec![answers]).await, LIMIT);
-    let budget = WindowSettings {
-        window: LIMIT,
-        ratio: 0.0,
-        slack: 0.0,
-    };
-    let tables = Arc::new(ServingTables::new("z".into(), budget));
-    let copy = Arc::new(LogCopy::new(tables.clone()));
-    let (_direct, reads) = tokio::sync::watch::channel(true);
-    tokio::spawn(follow_targets(
-        copy,
-        reader,
-        Duration::from_millis(60),
-        reads,
-    ));
+    let drain = Duration::from_millis(60);
+    let (tables, _direct) = spawn_follower(answers, drain).await;
     let known = |id: &str| tables.fleet.lock().get(id).is_some();
     let limit = Duration::from_secs(2);
     let seen = tokio::time::timeout(limit, until(|| known("b"))).await;
@@ -216,21 +221,8 @@
     let all = newest_body(&[("a", heartbeat(1)), ("b", heartbeat(2))]);
     let left = newest_body(&[("a", heartbeat(1))]);
     let answers = vec![answer("200 OK", &all), answer("200 OK", &left)];
-    let reader = LogReader::open(spawn_log(vec![answers]).await, LIMIT);
-    let budget = WindowSettings {
-        window: LIMIT,
-        ratio: 0.0,
-        slack: 0.0,
-    };
-    let tables = Arc::new(ServingTables::new("z".into(), budget));
-    let copy = Arc::new(LogCopy::new(tables.clone()));
-    let (direct, reads) = tokio::sync::watch::channel(true);
-    tokio::spawn(follow_targets(
-        copy,
-        reader,
-        Duration::from_millis(600),
-        reads,
-    ));
+    let drain = Duration::from_millis(600);
+    let (tables, direct) = spawn_follower(answers, drain).await;
     let known = |id: &str| tables.fleet.lock().get(id).is_some();
     let limit = Duration::from_secs(2);
     let seen = tokio::time::timeout(limit, until(|| known("b"))).await;
