Add a randomized soak over processes, links and the log service

Change: the stand-ins get a soak: entry hosts as processes, links that are delayed, reset, silent or cut one way, a log service that is dead, busy, slow or forgets, targets that crash, leave or spoil answers, SIGTERM, SIGKILL, SIGSTOP and SIGHUP, all drawn from a seed; callers keep connections open until the process is gone; a checker judges what callers and targets saw. The daemon says where it listens, as its settings may name port 0.

--- a/src/entry/peering.rs
+++ b/src/entry/peering.rs
@@ -98,6 +98,11 @@
 }
 
 impl PeerDesk {
+    /// Where peers reach this host.
+    pub(super) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Whether this host orders the engines of a zone about: the first live
     /// host of the zone by name; where none lives, the first of all zones.
     pub(super) fn places_zone(&self, zone: &str, zones: &[ZoneId], now: Instant) -> bool {
--- a/src/entry/readiness.rs
+++ b/src/entry/readiness.rs
@@ -61,7 +61,10 @@
 /// # Errors
 ///
 /// If the address cannot be listened on.
-pub(super) fn answer_readiness(tables: Arc<ServingTables>, address: SocketAddr) -> io::Result<()> {
+pub(super) fn answer_readiness(
+    tables: Arc<ServingTables>,
+    address: SocketAddr,
+) -> io::Result<SocketAddr> {
     answer_questions(address, move |path| match path {
         names::READY_PATH if is_ready(&tables, Instant::now()) => (StatusCode::OK, String::new()),
         names::READY_PATH => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
@@ -74,19 +77,23 @@
 /// # Errors
 ///
 /// If the address cannot be listened on.
-pub(super) fn answer_metrics(tables: Arc<ServingTables>, address: SocketAddr) -> io::Result<()> {
+pub(super) fn answer_metrics(
+    tables: Arc<ServingTables>,
+    address: SocketAddr,
+) -> io::Result<SocketAddr> {
     answer_questions(address, move |path| match path {
         METRICS_PATH => (StatusCode::OK, tables.metrics.encode()),
         _ => (StatusCode::NOT_FOUND, String::new()),
     })
 }
 
-/// Answers each question by a function of its path.
-fn answer_questions<F>(address: SocketAddr, answer: F) -> io::Result<()>
+/// Answers each question by a function of its path; gives the address in use.
+fn answer_questions<F>(address: SocketAddr, answer: F) -> io::Result<SocketAddr>
 where
     F: Fn(&str) -> (StatusCode, String) + Send + Sync + 'static,
 {
     let listener = crate::forward::socket::bind(address)?;
+    let address = listener.local_addr()?;
     let answer = Arc::new(answer);
     tokio::spawn(async move {
         loop {
@@ -101,7 +108,7 @@
             }
         }
     });
-    Ok(())
+    Ok(address)
 }
 
 async fn answer_connection<F>(stream: TcpStream, answer: Arc<F>)
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -63,14 +63,19 @@
     log::info!(host:% = settings.host, zone:% = settings.zone; "starting");
     let tables = ServingTables::new(settings.zone.clone(), first_share(settings.bounds));
     let tables = Arc::new(tables);
-    spawn_workers(&tables, &settings)?;
-    answer_readiness(tables.clone(), settings.readiness)?;
+    let peers = spawn_workers(&tables, &settings)?;
+    let readiness = answer_readiness(tables.clone(), settings.readiness)?;
     let metrics = SocketAddr::new(settings.readiness.ip(), METRICS_PORT);
     if let Err(error) = answer_metrics(tables.clone(), metrics) {
         // Serving callers matters more than being measured.
         log::warn!(address:% = metrics, error:% = error; "metrics are not served");
     }
     let serving = serve(tables.clone(), settings.callers)?;
+    // The settings may say port 0.
+    log::info!(
+        callers:% = serving.address, readiness:% = readiness, peers:% = peers;
+        "listening"
+    );
     wait_for_stop(&mut terminate, &mut hangup).await;
     log::info!(in_flight = tables.in_flight.load(Ordering::Relaxed); "stopping");
     drain(&tables, settings.bounds.grace).await;
@@ -79,7 +84,11 @@
     Ok(())
 }
 
-fn spawn_workers(tables: &Arc<ServingTables>, settings: &EntrySettings) -> Result<(), EntryError> {
+/// Starts what keeps the tables up to date; gives the address for peers.
+fn spawn_workers(
+    tables: &Arc<ServingTables>,
+    settings: &EntrySettings,
+) -> Result<SocketAddr, EntryError> {
     let reader = || LogReader::open(settings.store, STORE_LIMIT);
     let copy = Arc::new(LogCopy::new(tables.clone()));
     let (direct, reads) = watch::channel(true);
@@ -95,8 +104,9 @@
         direct,
     ));
     tokio::spawn(share_retries(tables.clone(), desk.clone(), settings.bounds));
+    let address = desk.address();
     tokio::spawn(keep_placed(tables.clone(), desk, settings.heartbeat));
-    Ok(())
+    Ok(address)
 }
 
 /// A changed settings file needs nothing: addresses and bounds stay for the
--- /dev/null
+++ b/standins/src/bin/soak.rs
@@ -0,0 +1,100 @@
+//! Runs the randomized soak over a range of seeds.
+
+use std::io::Write;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::{Arg, ArgAction, Command, value_parser};
+use standins::command_line::{count, number, number_arg};
+use standins::soak::{CallOutcome, SoakReport, SoakSettings, run_soak};
+
+fn main() -> std::io::Result<ExitCode> {
+    let matches = Command::new("soak")
+        .about("Runs entry hosts as processes under faults and checks what they promise")
+        .arg(number_arg("first-seed", "1"))
+        .arg(number_arg("seeds", "1"))
+        .arg(number_arg("seconds", "20"))
+        .arg(number_arg("hosts", "4"))
+        .arg(number_arg("callers", "16"))
+        .arg(
+            Arg::new("program")
+                .long("program")
+                .default_value("target/release/jackdawwickd")
+                .value_parser(value_parser!(PathBuf)),
+        )
+        .arg(
+            Arg::new("folder")
+                .long("folder")
+                .default_value("target/soak")
+                .help("Where settings and logs go; kept for seeds that broke a promise")
+                .value_parser(value_parser!(PathBuf)),
+        )
+        .arg(
+            Arg::new("untimed")
+                .long("untimed")
+                .action(ArgAction::SetTrue)
+                .help("Leave out promises that are bounded by times"),
+        )
+        .get_matches();
+    let path = |name: &str| {
+        matches
+            .get_one::<PathBuf>(name)
+            .cloned()
+            .unwrap_or_default()
+    };
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()?;
+    let first = number(&matches, "first-seed");
+    let mut failed = Vec::new();
+    for seed in first..first + number(&matches, "seeds") {
+        let folder = path("folder").join(format!("seed-{seed}"));
+        std::fs::create_dir_all(&folder)?;
+        let report = runtime.block_on(run_soak(SoakSettings {
+            seed,
+            length: Duration::from_secs(number(&matches, "seconds")),
+            hosts: count(&matches, "hosts"),
+            callers: count(&matches, "callers"),
+            program: path("program"),
+            folder: folder.clone(),
+            timed: !matches.get_flag("untimed"),
+        }))?;
+        writeln!(std::io::stdout(), "{}", line(seed, &report))?;
+        match report.broken.is_empty() {
+            true => std::fs::remove_dir_all(&folder)?,
+            false => keep(&folder, &report, &mut failed, seed)?,
+        }
+    }
+    writeln!(std::io::stdout(), "seeds that broke a promise: {failed:?}")?;
+    Ok(ExitCode::from(u8::from(!failed.is_empty())))
+}
+
+fn line(seed: u64, report: &SoakReport) -> String {
+    let answered = |range: std::ops::Range<u16>| {
+        report.count(
+            |ended| matches!(ended, CallOutcome::Answered { status, .. } if range.contains(&status)),
+        )
+    };
+    format!(
+        "seed {seed}: {} faults, {} calls, {} served, {} refused or failed, {} cut, {} left; broken: {:?}",
+        report.faults,
+        report.history.calls.len(),
+        answered(200..300),
+        answered(300..600),
+        report.count(|ended| ended == CallOutcome::Cut),
+        report.count(|ended| ended == CallOutcome::Abandoned),
+        report.broken,
+    )
+}
+
+fn keep(
+    folder: &Path,
+    report: &SoakReport,
+    failed: &mut Vec<u64>,
+    seed: u64,
+) -> std::io::Result<()> {
+    failed.push(seed);
+    std::fs::write(folder.join("history.txt"), format!("{:#?}", report.history))
+}
--- a/standins/src/http_server.rs
+++ b/standins/src/http_server.rs
@@ -42,12 +42,15 @@
 
     /// A whole number from the query string.
     pub fn query_number(&self, name: &str) -> Option<u64> {
-        let mut pairs = self
-            .query
-            .split('&')
-            .filter_map(|pair| pair.split_once('='));
+        self.query_text(name)?.parse().ok()
+    }
+
+    /// A value from the query string, still encoded.
+    pub fn query_text(&self, name: &str) -> Option<&str> {
+        let pairs = self.query.split('&');
+        let mut pairs = pairs.filter_map(|pair| pair.split_once('='));
         let (_, value) = pairs.find(|(key, _)| *key == name)?;
-        value.parse().ok()
+        Some(value)
     }
 
     /// Text of a header, if it is there and readable.
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -27,4 +27,5 @@
 mod refusal;
 pub mod service;
 pub mod slopes;
+pub mod soak;
 pub mod trial;
--- /dev/null
+++ b/standins/src/soak/callers.rs
@@ -0,0 +1,232 @@
+//! Callers that keep their connections open and note how each call ends.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{Method, Request, header};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use jackdawwick::platform::names;
+use parking_lot::Mutex;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use tokio::net::TcpStream;
+
+use super::answers::{plain_body, stream_body};
+use super::configuration::{API_KEY, CALLED_HOST};
+use super::history::{CallKind, CallOutcome, CallRecord, SoakHistory};
+
+/// How long a connection may take.
+const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+/// How long a caller waits for a plain answer, and for a stream.
+const PLAIN_DEADLINE: Duration = Duration::from_secs(4);
+const STREAM_DEADLINE: Duration = Duration::from_secs(8);
+/// Pause after a connection that could not be opened or broke.
+const BROKEN_PAUSE: Duration = Duration::from_millis(100);
+
+/// An entry host as its callers reach it.
+#[derive(Debug)]
+pub(super) struct HostFront {
+    pub(super) address: SocketAddr,
+    /// The balancer gives it new connections.
+    pub(super) ready: AtomicBool,
+}
+
+/// What all callers share.
+#[derive(Debug)]
+pub(super) struct CallerDesk {
+    pub(super) fronts: Vec<HostFront>,
+    pub(super) history: Mutex<SoakHistory>,
+    pub(super) stopped: AtomicBool,
+    next_id: AtomicU64,
+}
+
+impl CallerDesk {
+    pub(super) fn new(fronts: Vec<SocketAddr>) -> Self {
+        let fronts = fronts.into_iter().map(|address| HostFront {
+            address,
+            ready: AtomicBool::new(false),
+        });
+        Self {
+            fronts: fronts.collect(),
+            history: Mutex::default(),
+            stopped: AtomicBool::new(false),
+            next_id: AtomicU64::new(1),
+        }
+    }
+
+    pub(super) fn draw_id(&self) -> String {
+        let number = self.next_id.fetch_add(1, Ordering::Relaxed);
+        format!("call-{number:08}")
+    }
+
+    pub(super) fn is_stopped(&self) -> bool {
+        self.stopped.load(Ordering::Relaxed)
+    }
+
+    /// A host in rotation; any if none is.
+    fn draw_host(&self, random: &mut StdRng) -> usize {
+        let ready = |index: &usize| self.fronts[*index].ready.load(Ordering::Relaxed);
+        let hosts = (0..self.fronts.len()).filter(ready).collect::<Vec<_>>();
+        match hosts.as_slice() {
+            [] => random.random_range(0..self.fronts.len()),
+            hosts => hosts[random.random_range(0..hosts.len())],
+        }
+    }
+}
+
+/// A connection to an entry host.
+pub(super) type CallerConnection = SendRequest<Full<Bytes>>;
+
+/// Opens a connection; `None` if there is none in time.
+pub(super) async fn connect(address: SocketAddr) -> Option<CallerConnection> {
+    let connected = tokio::time::timeout(CONNECT_LIMIT, TcpStream::connect(address)).await;
+    let stream = connected.ok()?.ok()?;
+    let _ = stream.set_nodelay(true);
+    let shaken = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
+    let (sender, connection) = shaken.ok()?;
+    tokio::spawn(async move {
+        if let Err(error) = connection.await {
+            log::debug!("a caller's connection ended: {error}");
+        }
+    });
+    Some(sender)
+}
+
+/// Calls until told to stop.
+pub(super) async fn keep_calling(desk: Arc<CallerDesk>, seed: u64) {
+    let mut random = StdRng::seed_from_u64(seed);
+    while !desk.is_stopped() {
+        let host = desk.draw_host(&mut random);
+        let calls = random.random_range(1..40);
+        if let Some(connection) = connect(desk.fronts[host].address).await {
+            call_in_turn(&desk, connection, host, calls, &mut random).await;
+        }
+        tokio::time::sleep(BROKEN_PAUSE).await;
+    }
+}
+
+/// Uses a connection until it is closed or `calls` are made.
+async fn call_in_turn(
+    desk: &CallerDesk,
+    mut connection: CallerConnection,
+    host: usize,
+    calls: u32,
+    random: &mut StdRng,
+) {
+    for _ in 0..calls {
+        if desk.is_stopped() {
+            return;
+        }
+        let kind = match random.random_range(0..10) {
+            0..4 => CallKind::Idempotent,
+            4..7 => CallKind::NonIdempotent,
+            _ => CallKind::Stream,
+        };
+        let record = call(desk, &mut connection, host, kind).await;
+        let goes_on = matches!(record.outcome, CallOutcome::Answered { .. });
+        desk.history.lock().calls.push(record);
+        if !goes_on || connection.is_closed() {
+            return;
+        }
+        let pause = Duration::from_millis(random.random_range(5..40));
+        tokio::time::sleep(pause).await;
+    }
+}
+
+/// Makes one call of a kind.
+pub(super) async fn call(
+    desk: &CallerDesk,
+    connection: &mut CallerConnection,
+    host: usize,
+    kind: CallKind,
+) -> CallRecord {
+    let id = desk.draw_id();
+    let (method, path, deadline) = match kind {
+        CallKind::Idempotent => (Method::GET, "/read/one", PLAIN_DEADLINE),
+        CallKind::NonIdempotent => (Method::POST, "/charge/one", PLAIN_DEADLINE),
+        CallKind::Stream => (Method::POST, "/draft/one", STREAM_DEADLINE),
+    };
+    let request = build_request(&id, method, path, deadline);
+    let sent = Instant::now();
+    let answered = tokio::time::timeout(deadline, exchange(connection, request)).await;
+    let outcome = match answered {
+        Err(_) => CallOutcome::Abandoned,
+        Ok(None) => CallOutcome::Cut,
+        Ok(Some(answer)) => judge(&id, kind, &answer),
+    };
+    CallRecord {
+        id,
+        kind,
+        host,
+        sent,
+        ended: Instant::now(),
+        outcome,
+    }
+}
+
+/// A complete answer.
+#[derive(Debug)]
+pub(super) struct WholeAnswer {
+    pub(super) status: u16,
+    id: Option<String>,
+    sealed: bool,
+    body: Bytes,
+}
+
+fn judge(id: &str, kind: CallKind, answer: &WholeAnswer) -> CallOutcome {
+    let expected = match kind {
+        CallKind::Stream => stream_body(id),
+        CallKind::Idempotent | CallKind::NonIdempotent => plain_body(id),
+    };
+    let own_body = !(200..300).contains(&answer.status) || answer.body == expected.as_bytes();
+    CallOutcome::Answered {
+        status: answer.status,
+        sealed: answer.sealed,
+        own: own_body && answer.id.as_deref() == Some(id),
+    }
+}
+
+pub(super) fn build_request(
+    id: &str,
+    method: Method,
+    path: &str,
+    deadline: Duration,
+) -> Option<Request<Full<Bytes>>> {
+    let body = match method {
+        Method::POST => Bytes::from_static(b"prompt"),
+        _ => Bytes::new(),
+    };
+    let request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header(header::HOST, CALLED_HOST)
+        .header(header::AUTHORIZATION, format!("Bearer {API_KEY}"))
+        .header(names::ATTEMPT_ID, id)
+        .header(names::TOKEN_COUNTS, "20,60")
+        .header(names::DEADLINE_MS, deadline.as_millis().to_string())
+        .body(Full::new(body));
+    request.ok()
+}
+
+/// Sends a request and reads the whole answer; `None` if it is cut.
+pub(super) async fn exchange(
+    connection: &mut CallerConnection,
+    request: Option<Request<Full<Bytes>>>,
+) -> Option<WholeAnswer> {
+    connection.ready().await.ok()?;
+    let response = connection.send_request(request?).await.ok()?;
+    let (head, body) = response.into_parts();
+    let body = body.collect().await.ok()?.to_bytes();
+    let id = head.headers.get(names::ATTEMPT_ID);
+    Some(WholeAnswer {
+        status: head.status.as_u16(),
+        id: id.and_then(|id| id.to_str().ok()).map(str::to_owned),
+        sealed: head.headers.contains_key(names::SERVER_SEAL),
+        body,
+    })
+}
--- /dev/null
+++ b/standins/src/soak/configuration.rs
@@ -0,0 +1,101 @@
+//! What the soak's operators publish, and the settings of its hosts.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use serde_json::json;
+
+/// Log topic of the configuration, and its key there.
+pub(super) const CONFIGURATION: (&str, &str) = ("keyed.op", "config");
+/// Log topic of the targets.
+pub(super) const TARGETS: &str = "keyed.servers";
+/// Host that callers name.
+pub(super) const CALLED_HOST: &str = "soak.example";
+/// Key with which callers call.
+pub(super) const API_KEY: &str = "soak-key";
+/// Service of plain targets, and of engines.
+pub(super) const PLAIN_SERVICE: &str = "plain";
+pub(super) const ENGINE_SERVICE: &str = "engines";
+/// Layers of the model.
+pub(super) const LAYERS: u32 = 8;
+/// Pause between two heartbeats of a target.
+pub(super) const HEARTBEAT_MS: u64 = 400;
+/// Time for which a request that depends on a dead engine stalls.
+pub(super) const STALL_MS: u64 = 2000;
+/// Time within which a stopping process has to end.
+pub(super) const GRACE_S: u64 = 6;
+
+/// Path prefix under which a version of the configuration shows.
+pub(super) fn version_prefix(version: u64) -> String {
+    format!("/version-{version}/")
+}
+
+fn route(name: &str, prefix: &str, kind: &str, service: &str) -> serde_json::Value {
+    json!({
+        "name": name, "host": CALLED_HOST, "path_prefix": prefix, "kind": kind,
+        "service": service, "timeout_ms": 6000, "target_latency_ms": 500,
+        "gap_aim_ms": 200, "max_attempts": 2, "priority": 1,
+        "stream_resume": kind == "streaming",
+    })
+}
+
+/// A configuration: the lasting routes, and one for each of the last three
+/// versions.
+pub(super) fn configuration(version: u64) -> Bytes {
+    let lasting = [
+        route("read", "/read/", "safe", PLAIN_SERVICE),
+        route("charge", "/charge/", "unsafe", PLAIN_SERVICE),
+        route("draft", "/draft/", "streaming", ENGINE_SERVICE),
+    ];
+    let kept = version.saturating_sub(2)..=version;
+    let shown = kept.map(|shown| {
+        let prefix = version_prefix(shown);
+        route(&format!("version-{shown}"), &prefix, "safe", PLAIN_SERVICE)
+    });
+    let engine = json!({
+        "layers": LAYERS, "layer_mb": 100.0, "kv_token_bytes": 1000.0, "step_ms": 0.5,
+        "per_seq_ms": 0.01, "context_per_k": 0.01, "read_per_s": 100_000.0, "stride": 3,
+        "models": [{"load_s": 0.5}], "usual": {"prompt": 100, "answer": 60},
+        "kind_list": [
+            {"name": "fast", "mb": 700.0, "pace": 1.0, "read_x": 1.0},
+            {"name": "slow", "mb": 500.0, "pace": 3.0, "read_x": 2.0},
+        ],
+    });
+    let body = json!({
+        "version": version,
+        "routes": lasting.into_iter().chain(shown).collect::<Vec<_>>(),
+        "services": [
+            {"name": PLAIN_SERVICE, "health_path": "/health"},
+            {"name": ENGINE_SERVICE, "health_path": "/health", "engine": engine},
+        ],
+        "tenants": [{"name": "soak", "api_keys": [API_KEY]}],
+        "limits": {
+            "max_header_bytes": 16384, "max_body_bytes": 65536,
+            "header_timeout_ms": 5000, "idle_timeout_ms": 8000,
+        },
+    });
+    body.to_string().into()
+}
+
+/// The settings file of a host; it listens on ports of its own choice.
+pub(super) fn host_settings(
+    name: &str,
+    zone: &str,
+    index: usize,
+    log: SocketAddr,
+    seeds: &[SocketAddr],
+) -> String {
+    // Each host's metrics have an address of their own.
+    let questions = format!("127.0.1.{}:0", index + 1);
+    let body = json!({
+        "node": name, "zone": zone, "seeds": seeds, "heartbeat_ms": HEARTBEAT_MS,
+        "listen": {"front": "127.0.0.1:0", "control": "127.0.0.1:0", "ready": questions},
+        "provider": {"address": log},
+        "limits": {"memory_mb": 260},
+        "bounds": {
+            "drain_ms": 2000, "grace_s": GRACE_S, "stall_ms": STALL_MS,
+            "retry_budget_ratio": 0.2, "budget_window_s": 10, "budget_slack": 200,
+        },
+    });
+    body.to_string()
+}
--- /dev/null
+++ b/standins/src/soak/engines.rs
@@ -0,0 +1,249 @@
+//! Engines that each hold a range of layers, as far as the soak needs them.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use serde::Deserialize;
+use serde_json::json;
+
+use super::configuration::LAYERS;
+use super::history::RunRecord;
+
+/// How a target misbehaves towards each of its requests.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) enum TargetFault {
+    /// Not at all.
+    #[default]
+    None,
+    /// Runs it and closes the connection in place of an answer.
+    LosesAnswers,
+    /// Answers with the id of another request.
+    AnswersOthers,
+    /// Breaks off in the middle of the body.
+    BreaksOff,
+    /// Says that it has not run it.
+    Refuses,
+    /// Answers 500 at once.
+    Fails,
+}
+
+/// What is true of a target now.
+#[derive(Debug, Clone, Default)]
+pub(super) struct TargetState {
+    pub(super) id: String,
+    pub(super) layers: Option<(u32, u32)>,
+    /// Orders accepted since its start.
+    pub(super) orders: u64,
+    /// It loads layers.
+    pub(super) busy: bool,
+    pub(super) draining: bool,
+    /// Neither dead nor cut off.
+    pub(super) reachable: bool,
+    pub(super) fault: TargetFault,
+}
+
+/// The targets by their addresses, and what they ran.
+#[derive(Debug, Default)]
+pub(super) struct TargetWorld {
+    pub(super) states: Mutex<HashMap<SocketAddr, TargetState>>,
+    /// Streams that run, by the call's id and the first engine.
+    paths: Mutex<HashMap<(String, SocketAddr), RunningPath>>,
+    pub(super) runs: Mutex<Vec<RunRecord>>,
+}
+
+/// The path of a stream that runs.
+#[derive(Debug, Clone)]
+struct RunningPath {
+    parts: Vec<PathPart>,
+    /// Tells a stream from one that was resumed in its place.
+    number: u64,
+}
+
+/// One engine of a path and its layers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct PathPart {
+    pub(super) address: SocketAddr,
+    pub(super) from: u32,
+    pub(super) to: u32,
+}
+
+/// Reads a path as it stands in the header and in orders.
+pub(super) fn parse_path(text: &str) -> Option<Vec<PathPart>> {
+    let parts = text.split(',').map(|part| {
+        let (address, range) = part.split_once('=')?;
+        let (from, to) = range.split_once('-')?;
+        Some(PathPart {
+            address: address.parse().ok()?,
+            from: from.parse().ok()?,
+            to: to.parse().ok()?,
+        })
+    });
+    parts.collect()
+}
+
+/// Whether the parts are every layer once, in order.
+pub(super) fn is_whole(path: &[PathPart]) -> bool {
+    let mut next = 0;
+    for part in path {
+        if part.from != next || part.to <= part.from {
+            return false;
+        }
+        next = part.to;
+    }
+    next == LAYERS
+}
+
+impl TargetWorld {
+    pub(super) fn state(&self, address: SocketAddr) -> TargetState {
+        let states = self.states.lock();
+        states.get(&address).cloned().unwrap_or_default()
+    }
+
+    pub(super) fn update<U>(&self, address: SocketAddr, update: U)
+    where
+        U: FnOnce(&mut TargetState),
+    {
+        if let Some(state) = self.states.lock().get_mut(&address) {
+            update(state);
+        }
+    }
+
+    /// The first engine of a path that cannot take its part.
+    pub(super) fn unable(&self, path: &[PathPart]) -> Option<SocketAddr> {
+        let able = |part: &&PathPart| {
+            let state = self.state(part.address);
+            let held = state
+                .layers
+                .is_some_and(|(from, to)| from <= part.from && part.to <= to);
+            state.reachable && !state.draining && held
+        };
+        path.iter()
+            .find(|part| !able(part))
+            .map(|part| part.address)
+    }
+
+    /// A stream begins; gives its number.
+    pub(super) fn begin(&self, id: &str, parts: Vec<PathPart>) -> u64 {
+        let number = self.runs.lock().len() as u64;
+        if let Some(first) = parts.first() {
+            let key = (id.to_owned(), first.address);
+            self.paths.lock().insert(key, RunningPath { parts, number });
+        }
+        number
+    }
+
+    /// A stream is over.
+    pub(super) fn end(&self, id: &str, number: u64) {
+        let mut paths = self.paths.lock();
+        paths.retain(|(other, _), path| other != id || path.number != number);
+    }
+
+    /// The engine that a running stream waits for.
+    pub(super) fn stalled_at(&self, id: &str, number: u64) -> Option<SocketAddr> {
+        let parts = {
+            let paths = self.paths.lock();
+            let mut paths = paths.iter();
+            let found = paths.find(|((other, _), path)| other == id && path.number == number)?;
+            found.1.parts.clone()
+        };
+        let mut addresses = parts.iter().map(|part| part.address);
+        addresses.find(|address| !self.state(*address).reachable)
+    }
+
+    /// The report of an engine.
+    pub(super) fn report(&self, address: SocketAddr) -> serde_json::Value {
+        let state = self.state(address);
+        let running = self.paths.lock().clone().into_iter();
+        let own = running.filter(|((_, first), _)| *first == address);
+        let stalled = own.filter_map(|((id, _), path)| {
+            let at = self.stalled_at(&id, path.number)?;
+            Some(json!({"id": id, "address": at}))
+        });
+        let layers = state
+            .layers
+            .map(|(from, to)| json!({"from": from, "to": to}));
+        json!({
+            "busy": state.busy, "sequence": state.orders, "running": 0, "queue_depth": 0,
+            "kv_used": 0, "kv_total": 1_000_000, "pace": 1.0, "layers": layers,
+            "stalled": stalled.collect::<Vec<_>>(),
+        })
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(tag = "operation", rename_all = "lowercase")]
+enum OrderBody {
+    Place {
+        from: u32,
+        to: u32,
+        expected: Option<u64>,
+    },
+    Repath {
+        id: String,
+        path: String,
+    },
+}
+
+/// Carries an order out; gives the status and the body of the answer.
+pub(super) fn take_order(
+    world: &Arc<TargetWorld>,
+    address: SocketAddr,
+    body: &[u8],
+) -> (u16, serde_json::Value) {
+    match serde_json::from_slice::<OrderBody>(body) {
+        Ok(OrderBody::Place { from, to, expected }) => {
+            let state = world.state(address);
+            match expected {
+                Some(expected) if expected != state.orders => (409, json!({})),
+                _ if state.busy => (409, json!({})),
+                _ => {
+                    tokio::spawn(load_layers(world.clone(), address, (from, to)));
+                    (202, json!({}))
+                }
+            }
+        }
+        Ok(OrderBody::Repath { id, path }) => move_stream(world, address, &id, &path),
+        Err(error) => (400, json!({"error": error.to_string()})),
+    }
+}
+
+async fn load_layers(world: Arc<TargetWorld>, address: SocketAddr, layers: (u32, u32)) {
+    const LOAD_TIME: Duration = Duration::from_millis(150);
+    let id = world.state(address).id;
+    world.update(address, |state| {
+        state.orders += 1;
+        state.busy = true;
+    });
+    tokio::time::sleep(LOAD_TIME).await;
+    world.update(address, |state| {
+        // A restart meanwhile leaves the engine empty.
+        if state.id == id {
+            state.layers = Some(layers);
+            state.busy = false;
+        }
+    });
+}
+
+fn move_stream(
+    world: &TargetWorld,
+    address: SocketAddr,
+    id: &str,
+    path: &str,
+) -> (u16, serde_json::Value) {
+    let Some(path) = parse_path(path).filter(|path| is_whole(path)) else {
+        return (400, json!({}));
+    };
+    if let Some(unable) = world.unable(&path) {
+        return (409, json!({"address": unable}));
+    }
+    match world.paths.lock().get_mut(&(id.to_owned(), address)) {
+        Some(running) => {
+            running.parts = path;
+            (202, json!({}))
+        }
+        None => (404, json!({})),
+    }
+}
--- /dev/null
+++ b/standins/src/soak/host.rs
@@ -0,0 +1,158 @@
+//! An entry host as a process of its own.
+
+use std::fs::File;
+use std::io::{self, BufRead, BufReader, Write};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, ChildStdout, Command, Stdio};
+use std::time::Duration;
+
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use serde::Deserialize;
+use tokio::sync::watch;
+
+use super::configuration::host_settings;
+use super::link::FaultLink;
+
+/// Where a process listens.
+#[derive(Debug, Clone, Copy, Deserialize)]
+pub(super) struct ListenLine {
+    callers: SocketAddr,
+    pub(super) readiness: SocketAddr,
+    peers: SocketAddr,
+}
+
+/// One entry host over several lives of its process.
+#[derive(Debug)]
+pub(super) struct SoakHost {
+    pub(super) name: String,
+    zone: String,
+    index: usize,
+    program: PathBuf,
+    folder: PathBuf,
+    /// The way of callers to it.
+    pub(super) front: FaultLink,
+    /// Its way to the log service.
+    pub(super) log: FaultLink,
+    /// The way of other hosts that know it as a seed only.
+    pub(super) seed: FaultLink,
+    child: Option<Child>,
+    /// Lives of the process so far.
+    pub(super) incarnation: u32,
+    /// Where the present process listens.
+    pub(super) listening: watch::Receiver<Option<ListenLine>>,
+}
+
+impl SoakHost {
+    /// Opens the links of a host; its process is started by [`Self::start`].
+    ///
+    /// # Errors
+    ///
+    /// If no port can be listened on.
+    pub(super) async fn open(
+        index: usize,
+        zone: &str,
+        log: SocketAddr,
+        program: &Path,
+        folder: &Path,
+    ) -> io::Result<Self> {
+        Ok(Self {
+            name: format!("host-{index}"),
+            zone: zone.to_owned(),
+            index,
+            program: program.to_owned(),
+            folder: folder.to_owned(),
+            front: FaultLink::open(None).await?,
+            log: FaultLink::open(Some(log)).await?,
+            seed: FaultLink::open(None).await?,
+            child: None,
+            incarnation: 0,
+            listening: watch::channel(None).1,
+        })
+    }
+
+    /// Starts a new process and waits until it listens.
+    ///
+    /// # Errors
+    ///
+    /// If it cannot be started or ends before it listens.
+    pub(super) async fn start(&mut self, seeds: &[SocketAddr]) -> io::Result<()> {
+        const LISTEN_LIMIT: Duration = Duration::from_secs(10);
+        let settings = self.folder.join(format!("{}.json", self.name));
+        let text = host_settings(&self.name, &self.zone, self.index, self.log.address, seeds);
+        std::fs::write(&settings, text)?;
+        self.incarnation += 1;
+        let log = format!("{}.{}.log", self.name, self.incarnation);
+        let mut child = Command::new(&self.program)
+            .arg("--platform")
+            .env(jackdawwick::platform::names::SETTINGS_VARIABLE, &settings)
+            .stdout(Stdio::piped())
+            .stderr(File::create(self.folder.join(format!("{log}.err")))?)
+            .spawn()?;
+        let (sender, mut listening) = watch::channel(None);
+        if let Some(output) = child.stdout.take() {
+            let file = File::create(self.folder.join(log))?;
+            std::thread::spawn(move || keep_lines(output, file, &sender));
+        }
+        self.child = Some(child);
+        self.listening = listening.clone();
+        let waited = listening.wait_for(Option::is_some);
+        let line = match tokio::time::timeout(LISTEN_LIMIT, waited).await {
+            Ok(Ok(line)) => *line,
+            _ => None,
+        };
+        let line =
+            line.ok_or_else(|| io::Error::other(format!("{} does not listen", self.name)))?;
+        self.front.lead_to(Some(line.callers));
+        self.seed.lead_to(Some(line.peers));
+        Ok(())
+    }
+
+    /// Whether the process runs.
+    pub(super) fn is_running(&mut self) -> bool {
+        let child = self.child.as_mut();
+        child.is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+    }
+
+    /// Sends a signal to the process, if it runs.
+    pub(super) fn signal(&mut self, signal: Signal) {
+        if !self.is_running() {
+            return;
+        }
+        let id = self.child.as_ref().map(|child| child.id().cast_signed());
+        if let Some(Err(error)) = id.map(|id| kill(Pid::from_raw(id), signal)) {
+            log::warn!("{}: {signal} failed: {error}", self.name);
+        }
+    }
+
+    /// Takes what is left of an ended process; `true` if it ended well.
+    pub(super) fn reap(&mut self) -> Option<bool> {
+        let status = self.child.as_mut()?.try_wait().ok()??;
+        self.child = None;
+        Some(status.success())
+    }
+}
+
+impl Drop for SoakHost {
+    fn drop(&mut self) {
+        if let Some(child) = &mut self.child {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+/// Keeps a process's lines in a file and tells where it listens.
+fn keep_lines(output: ChildStdout, mut file: File, sender: &watch::Sender<Option<ListenLine>>) {
+    for line in BufReader::new(output).lines().map_while(Result::ok) {
+        if line.contains("\"listening\"")
+            && let Ok(listening) = serde_json::from_str::<ListenLine>(&line)
+        {
+            sender.send_replace(Some(listening));
+        }
+        if writeln!(file, "{line}").is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/soak/link.rs
@@ -0,0 +1,174 @@
+//! A TCP link between two sides of the soak that can misbehave.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+/// Bytes that are passed on at a time.
+const CHUNK_BYTES: usize = 16 * 1024;
+
+/// What a link does to what passes it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LinkFault {
+    /// Passes everything on.
+    None,
+    /// Holds each piece for so long.
+    Delay(Duration),
+    /// Resets every connection, and new ones at once.
+    Reset,
+    /// Passes nothing on in either direction, and closes nothing.
+    Silent,
+    /// Passes nothing on towards the server.
+    CutTowards,
+    /// Passes nothing on towards the client.
+    CutBack,
+}
+
+impl LinkFault {
+    fn holds(self, way: LinkWay) -> bool {
+        match self {
+            Self::Silent => true,
+            Self::CutTowards => way == LinkWay::Towards,
+            Self::CutBack => way == LinkWay::Back,
+            Self::None | Self::Delay(_) | Self::Reset => false,
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LinkWay {
+    Towards,
+    Back,
+}
+
+/// A running link; dropping it resets its connections.
+#[derive(Debug)]
+pub struct FaultLink {
+    /// Where clients connect.
+    pub address: SocketAddr,
+    fault: watch::Sender<LinkFault>,
+    server: watch::Sender<Option<SocketAddr>>,
+    task: JoinHandle<()>,
+}
+
+impl FaultLink {
+    /// Opens a link to a server that may be named later.
+    ///
+    /// # Errors
+    ///
+    /// If no port can be listened on.
+    pub async fn open(server: Option<SocketAddr>) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let fault = watch::Sender::new(LinkFault::None);
+        let server = watch::Sender::new(server);
+        let task = tokio::spawn(accept_all(listener, fault.subscribe(), server.subscribe()));
+        Ok(Self {
+            address,
+            fault,
+            server,
+            task,
+        })
+    }
+
+    /// Leads new connections to `server`; with `None` they are reset.
+    pub fn lead_to(&self, server: Option<SocketAddr>) {
+        self.server.send_replace(server);
+    }
+
+    /// Switches to a fault, or back to none.
+    pub fn set(&self, fault: LinkFault) {
+        self.fault.send_replace(fault);
+    }
+}
+
+impl Drop for FaultLink {
+    fn drop(&mut self) {
+        self.fault.send_replace(LinkFault::Reset);
+        self.task.abort();
+    }
+}
+
+async fn accept_all(
+    listener: TcpListener,
+    faults: watch::Receiver<LinkFault>,
+    servers: watch::Receiver<Option<SocketAddr>>,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((client, _)) => {
+                let server = *servers.borrow();
+                tokio::spawn(carry(client, server, faults.clone()));
+            }
+            Err(error) => {
+                log::warn!("a link cannot take a connection: {error}");
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+async fn carry(
+    client: TcpStream,
+    server: Option<SocketAddr>,
+    mut faults: watch::Receiver<LinkFault>,
+) {
+    // A reset is what a closed port and a killed process give.
+    let _ = client.set_zero_linger();
+    let Some(server) = server else { return };
+    if *faults.borrow() == LinkFault::Reset {
+        return;
+    }
+    // A link that passes nothing takes connections and carries nothing.
+    let passes = |fault: &LinkFault| !fault.holds(LinkWay::Towards);
+    if faults.wait_for(passes).await.is_err() {
+        return;
+    }
+    let Ok(far) = TcpStream::connect(server).await else {
+        return;
+    };
+    let _ = (
+        client.set_nodelay(true),
+        far.set_nodelay(true),
+        far.set_zero_linger(),
+    );
+    let (client_read, client_write) = client.into_split();
+    let (far_read, far_write) = far.into_split();
+    let towards = pump(client_read, far_write, LinkWay::Towards, faults.clone());
+    let back = pump(far_read, client_write, LinkWay::Back, faults.clone());
+    tokio::select! {
+        _ = async { tokio::try_join!(towards, back) } => {}
+        // Ends as well when the link is dropped.
+        _ = faults.wait_for(|fault| *fault == LinkFault::Reset) => {}
+    }
+}
+
+async fn pump(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    way: LinkWay,
+    mut faults: watch::Receiver<LinkFault>,
+) -> io::Result<()> {
+    let mut chunk = vec![0; CHUNK_BYTES];
+    loop {
+        let count = from.read(&mut chunk).await?;
+        let gone = |_| io::Error::from(io::ErrorKind::ConnectionReset);
+        let fault = *faults
+            .wait_for(|fault| !fault.holds(way))
+            .await
+            .map_err(gone)?;
+        if let LinkFault::Delay(delay) = fault {
+            tokio::time::sleep(delay).await;
+        }
+        if count == 0 {
+            return to.shutdown().await;
+        }
+        to.write_all(&chunk[..count]).await?;
+    }
+}
--- /dev/null
+++ b/standins/src/soak/log_service.rs
@@ -0,0 +1,164 @@
+//! A log service with keyed topics of one partition each, in memory.
+
+use std::collections::{BTreeMap, HashMap};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::StatusCode;
+use parking_lot::Mutex;
+use serde_json::json;
+use tokio::sync::Notify;
+
+use crate::faults::FaultSwitch;
+use crate::http_server::{CallOutcome, HttpServer, ServedCall};
+
+/// How the service misbehaves.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) struct LogFaults {
+    /// Refuses connections.
+    pub(super) dead: bool,
+    /// Answers 503.
+    pub(super) busy: bool,
+    /// Waits before each answer.
+    pub(super) delay: Duration,
+}
+
+#[derive(Debug, Default)]
+struct Partition {
+    /// Offset of the first record that is kept.
+    first: u64,
+    records: Vec<(String, Option<Bytes>)>,
+    newest: BTreeMap<String, (u64, Bytes)>,
+}
+
+impl Partition {
+    fn end(&self) -> u64 {
+        self.first + self.records.len() as u64
+    }
+}
+
+/// The topics, shared with the service.
+#[derive(Debug, Default)]
+pub(super) struct LogTopics {
+    partitions: Mutex<HashMap<String, Partition>>,
+    news: Notify,
+}
+
+impl LogTopics {
+    /// Appends a record; without a value its key is dropped.
+    pub(super) fn append(&self, topic: &str, key: &str, value: Option<Bytes>) {
+        let mut partitions = self.partitions.lock();
+        let partition = partitions.entry(topic.to_owned()).or_default();
+        let offset = partition.end();
+        match &value {
+            Some(value) => {
+                let newest = (offset, value.clone());
+                partition.newest.insert(key.to_owned(), newest);
+            }
+            None => {
+                partition.newest.remove(key);
+            }
+        }
+        partition.records.push((key.to_owned(), value));
+        drop(partitions);
+        self.news.notify_waiters();
+    }
+
+    /// Forgets every record but the newest of each key.
+    pub(super) fn forget_history(&self) {
+        for partition in self.partitions.lock().values_mut() {
+            partition.first = partition.end();
+            partition.records.clear();
+        }
+    }
+
+    /// `None` if `from` is no longer kept.
+    fn read(&self, topic: &str, from: u64) -> Option<(bool, Bytes)> {
+        let partitions = self.partitions.lock();
+        let partition = partitions.get(topic)?;
+        let skipped = usize::try_from(from.checked_sub(partition.first)?).ok()?;
+        let mut bytes = Vec::new();
+        bytes.extend(partition.end().to_be_bytes());
+        bytes.extend(partition.first.to_be_bytes());
+        let records = partition.records.get(skipped..).unwrap_or_default();
+        for (key, value) in records {
+            let value = value.as_deref().unwrap_or_default();
+            let length = (1 + key.len() + value.len()) as u32;
+            bytes.extend(length.to_be_bytes());
+            bytes.push(key.len() as u8);
+            bytes.extend(key.as_bytes());
+            bytes.extend(value);
+        }
+        Some((!records.is_empty(), bytes.into()))
+    }
+
+    fn newest(&self, topic: &str) -> serde_json::Value {
+        use base64::Engine;
+        use base64::engine::general_purpose::STANDARD;
+        let partitions = self.partitions.lock();
+        let partition = partitions.get(topic);
+        let newest = partition.iter().flat_map(|partition| &partition.newest);
+        let items = newest.map(|(key, (offset, value))| {
+            json!({"key": key, "value": STANDARD.encode(value), "offset": offset})
+        });
+        json!({
+            "items": items.collect::<Vec<_>>(),
+            "has_more": false,
+            "end_offset": partition.map_or(0, Partition::end),
+        })
+    }
+}
+
+/// Serves the topics over HTTP.
+///
+/// # Errors
+///
+/// If no port can be listened on.
+pub(super) async fn serve_log(
+    topics: Arc<LogTopics>,
+    faults: FaultSwitch<LogFaults>,
+) -> io::Result<HttpServer> {
+    let switch = faults.clone();
+    let handler = move |call| answer(topics.clone(), switch.get(), call);
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    HttpServer::bind(address, faults, |faults| faults.dead, handler).await
+}
+
+async fn answer(topics: Arc<LogTopics>, faults: LogFaults, call: ServedCall) -> CallOutcome {
+    tokio::time::sleep(faults.delay).await;
+    let topic = call.query_text("topic").unwrap_or_default().to_owned();
+    match call.path().as_slice() {
+        _ if faults.busy => CallOutcome::empty(StatusCode::SERVICE_UNAVAILABLE),
+        ["jackdawwick", "log-newest"] => CallOutcome::ok(&topics.newest(&topic)),
+        ["jackdawwick", "log-read"] => {
+            let from = call.query_number("from").unwrap_or(0);
+            let wait = Duration::from_millis(call.query_number("wait_ms").unwrap_or(0));
+            read_when_there(&topics, &topic, from, wait).await
+        }
+        _ => CallOutcome::empty(StatusCode::NOT_FOUND),
+    }
+}
+
+async fn read_when_there(
+    topics: &LogTopics,
+    topic: &str,
+    from: u64,
+    wait: Duration,
+) -> CallOutcome {
+    let until = tokio::time::Instant::now() + wait;
+    loop {
+        let news = topics.news.notified();
+        let Some((found, body)) = topics.read(topic, from) else {
+            return CallOutcome::empty(StatusCode::GONE);
+        };
+        if found || tokio::time::timeout_at(until, news).await.is_err() {
+            return CallOutcome::Answer {
+                status: StatusCode::OK,
+                body,
+            };
+        }
+    }
+}
