Log how evenly a stream reached its caller

Change: first_event_ms and longest_pause_ms on the line of a whole stream; the histograms are fed from the same place.

--- a/src/forward.rs
+++ b/src/forward.rs
@@ -15,6 +15,7 @@
 mod relay;
 mod serve;
 pub mod socket;
+mod stream_times;
 mod tables;
 mod watch;
 
--- a/src/forward/conduct.rs
+++ b/src/forward/conduct.rs
@@ -10,6 +10,7 @@
 use super::attempt::{AttemptFailure, FailureCause};
 use super::choice::{self, ChosenTarget};
 use super::exchange::{Exchange, NO_ROUTE_RETRY, TriedTargets};
+use super::stream_times::StreamTimes;
 use super::tables::InFlightGuard;
 use crate::ids::TargetId;
 use crate::ingress::RequestKind;
@@ -79,13 +80,22 @@
     }
 
     /// One line on a whole answer.
-    pub(super) fn note_answer(&self, chosen: &ChosenTarget, status: u16) {
+    pub(super) fn note_answer(
+        &self,
+        chosen: &ChosenTarget,
+        status: u16,
+        times: Option<StreamTimes>,
+    ) {
         let took = self.arrived.elapsed();
+        let (first, longest) =
+            times.map_or_else(Default::default, |times| (times.first(), times.longest()));
         log::info!(
             request:% = self.outgoing.id,
             target_id:% = chosen.id,
             status = status,
-            after_ms = took.as_millis() as u64;
+            after_ms = took.as_millis() as u64,
+            first_event_ms = first.as_millis() as u64,
+            longest_pause_ms = longest.as_millis() as u64;
             "answered"
         );
         self.tables.metrics.answered(status, took);
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -231,7 +231,7 @@
                 }
                 Ok(response) => {
                     exchange.observe_success(&watch.chosen);
-                    exchange.note_answer(&watch.chosen, response.status().as_u16());
+                    exchange.note_answer(&watch.chosen, response.status().as_u16(), None);
                     return Ok(response);
                 }
                 Err(failure) => failure,
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -14,6 +14,7 @@
 use super::events::EventSplitter;
 use super::exchange::{CountedRequest, Exchange, TriedTargets};
 use super::head::forwarded;
+use super::stream_times::StreamTimes;
 use super::watch::{PathWatch, SilenceVerdict};
 
 /// A stream under way.
@@ -26,6 +27,7 @@
     /// Status that the caller was given.
     status: u16,
     events: EventSplitter,
+    times: StreamTimes,
 }
 
 /// The answer to the caller whose events follow.
@@ -36,6 +38,7 @@
     response: Response<Incoming>,
 ) -> Response<AnswerBody> {
     let (head, body) = response.into_parts();
+    let arrived = watch.exchange.arrived;
     let relay = StreamRelay {
         exchange: watch.exchange.clone(),
         watch,
@@ -44,6 +47,7 @@
         body,
         status: head.status.as_u16(),
         events: EventSplitter::default(),
+        times: StreamTimes::new(arrived),
     };
     let frames = stream::unfold(Some(relay), |relay| async move {
         let mut relay = relay?;
@@ -75,7 +79,9 @@
             let reason = match self.step().await {
                 StreamStep::Events(events) => return Ok(Some(events)),
                 StreamStep::End => {
-                    self.exchange.note_answer(&self.watch.chosen, self.status);
+                    let chosen = &self.watch.chosen;
+                    self.exchange
+                        .note_answer(chosen, self.status, Some(self.times));
                     return Ok(None);
                 }
                 StreamStep::Deadline => return Err(self.give_up("deadline")),
@@ -112,9 +118,9 @@
     fn take(&mut self, frame: Frame<Bytes>) -> StreamStep {
         let now = Instant::now();
         let metrics = &self.exchange.tables.metrics;
-        match self.events.last_id() {
-            None => metrics.first_event(now.saturating_duration_since(self.exchange.arrived)),
-            Some(_) => metrics.next_event(self.watch.silence(now)),
+        match self.times.observe(now) {
+            None => metrics.first_event(self.times.first()),
+            Some(pause) => metrics.next_event(pause),
         }
         self.watch.observe_sound(now);
         let Ok(data) = frame.into_data() else {
--- /dev/null
+++ b/src/forward/stream_times.rs
@@ -0,0 +1,50 @@
+//! How evenly a stream reached its caller.
+
+use std::time::{Duration, Instant};
+
+/// Times between the events of a stream, over all paths that it took.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct StreamTimes {
+    arrived: Instant,
+    first: Option<Duration>,
+    last: Instant,
+    longest: Duration,
+}
+
+impl StreamTimes {
+    /// Of a stream whose request arrived then.
+    pub(super) fn new(arrived: Instant) -> Self {
+        Self {
+            arrived,
+            first: None,
+            last: arrived,
+            longest: Duration::ZERO,
+        }
+    }
+
+    /// Events are passed on; gives the time since those before.
+    pub(super) fn observe(&mut self, now: Instant) -> Option<Duration> {
+        let pause = now.saturating_duration_since(self.last);
+        self.last = now;
+        match self.first {
+            None => {
+                self.first = Some(now.saturating_duration_since(self.arrived));
+                None
+            }
+            Some(_) => {
+                self.longest = self.longest.max(pause);
+                Some(pause)
+            }
+        }
+    }
+
+    /// Time from the request to its first event; zero if there was none.
+    pub(super) fn first(&self) -> Duration {
+        self.first.unwrap_or_default()
+    }
+
+    /// Longest pause between two events.
+    pub(super) fn longest(&self) -> Duration {
+        self.longest
+    }
+}
--- a/src/forward/watch.rs
+++ b/src/forward/watch.rs
@@ -77,11 +77,6 @@
         self.ask_at = now + silence_limit(&self.exchange);
     }
 
-    /// Time since something was last heard.
-    pub(super) fn silence(&self, now: Instant) -> Duration {
-        now.saturating_duration_since(self.heard)
-    }
-
     /// When to ask what is wrong, if nothing comes until then.
     pub(super) fn ask_at(&self) -> Instant {
         self.ask_at
