--- a/standins/src/soak/history.rs
+++ b/standins/src/soak/history.rs
@@ -31,6 +31,8 @@
     NoConnection,
     /// The caller left at its deadline.
     Abandoned,
+    /// A look at the configuration in force, judged as a [`ProbeRecord`].
+    Look,
 }
 
 /// One call of a caller.
--- a/standins/src/soak/probe.rs
+++ b/standins/src/soak/probe.rs
@@ -102,8 +102,7 @@
         host,
         sent,
         ended: answered,
-        // Judged as a look only.
-        outcome: CallOutcome::Abandoned,
+        outcome: CallOutcome::Look,
     });
     // A host without any configuration says 503: it takes no side.
     if let Some(status) = status.filter(|status| *status != 503) {
