Let two more hosts of a zone stand in for the one that reads the log

Change: hosts ask the first three live hosts by name in turn; the second and third read as soon as those before them cannot, all others after two rounds without help. A host that has lost the log says so at once and sends nothing.

--- a/src/entry/peering.rs
+++ b/src/entry/peering.rs
@@ -155,9 +155,10 @@
             .observe_uses(source, view.uses.clone(), now);
     }
 
-    /// The host that reads the log for this zone; `None` if it is this one.
-    pub(super) fn lead(&self, now: Instant) -> Option<(HostId, SocketAddr)> {
-        self.gossip.lock().lead(now)
+    /// Hosts that read the log for this zone, the first one where it can;
+    /// empty if this one is the first.
+    pub(super) fn leads(&self, now: Instant, most: usize) -> Vec<(HostId, SocketAddr)> {
+        self.gossip.lock().leads(now, most)
     }
 
     /// Entry hosts heard of lately, this one among them.
@@ -170,14 +171,21 @@
     async fn answer_follow(&self, question: FollowQuestion) -> FollowAnswer {
         let known = question.incarnation == self.incarnation;
         let news = self.copy.news.notified();
-        if known && !self.copy.has_news(question) {
+        // Without the log there will be no news: the other host looks for one
+        // that has it.
+        let fresh = self.copy.is_fresh(FRESH_AGE, Instant::now());
+        if known && fresh && !self.copy.has_news(question) {
             // Either way there is something to say.
             let _ = tokio::time::timeout(FOLLOW_HOLD, news).await;
         }
-        let now = Instant::now();
+        let fresh = self.copy.is_fresh(FRESH_AGE, Instant::now());
+        if !fresh && question.incarnation != 0 {
+            // The asking host has targets, and would not take these.
+            return FollowAnswer::default();
+        }
         FollowAnswer {
             incarnation: self.incarnation,
-            fresh: self.copy.is_fresh(FRESH_AGE, now),
+            fresh,
             remote: self.tables.fleet.lock().remote_uses(),
             ..self.copy.answer(question, known)
         }
--- a/src/entry/relaying.rs
+++ b/src/entry/relaying.rs
@@ -1,5 +1,6 @@
 //! Follows the log through the host that reads it for the zone.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -19,8 +20,17 @@
 pub(super) const FOLLOW_HOLD: Duration = Duration::from_millis(500);
 /// How much longer an answer may take before this host reads the log itself.
 const ANSWER_LIMIT: Duration = Duration::from_millis(400);
-/// Pause before the next question where the answer did not help.
+/// Pause before the next round of questions where no answer helped.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// Hosts of a zone that read the log themselves where those before them
+/// cannot. The log turned away about a third of the hosts where it turned away
+/// any, so that three in a row are cut off one time in thirty; with every host
+/// reading as soon as the first is cut off, 26 hosts of a zone made 4,500 calls
+/// in place of 1,100 in a minute.
+const MOST_READERS: usize = 3;
+/// Rounds without help after which any other host reads for itself. The next
+/// reader has read the log within 20 ms of noticing that it has to.
+const PATIENT_ROUNDS: u32 = 2;
 
 struct RelayFollower {
     tables: Arc<ServingTables>,
@@ -45,28 +55,20 @@
         question: FollowQuestion::default(),
         lead: None,
     };
+    let mut failed_rounds = 0;
     loop {
-        let Some((host, address)) = desk.lead(Instant::now()) else {
-            follower.switch(&direct, None);
-            tokio::time::sleep(RETRY_PAUSE).await;
-            continue;
-        };
-        let question = follower.next_question();
-        let answer = handle
-            .follow(address, question, FOLLOW_HOLD + ANSWER_LIMIT)
-            .await;
-        match answer {
-            Ok(answer) => {
-                let fresh = answer.fresh;
-                follower.take(answer, Instant::now());
-                follower.switch(&direct, Some(host).filter(|_| fresh));
-                if !fresh {
-                    tokio::time::sleep(RETRY_PAUSE).await;
-                }
+        let leads = desk.leads(Instant::now(), MOST_READERS);
+        let is_reader = leads.len() < MOST_READERS;
+        match follower.ask_in_turn(&handle, leads).await {
+            Some(host) => {
+                failed_rounds = 0;
+                follower.switch(&direct, Some(host));
             }
-            Err(error) => {
-                log::debug!("{host} does not pass the log on: {error}");
-                follower.switch(&direct, None);
+            None => {
+                failed_rounds += 1;
+                if is_reader || failed_rounds >= PATIENT_ROUNDS {
+                    follower.switch(&direct, None);
+                }
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
         }
@@ -74,6 +76,30 @@
 }
 
 impl RelayFollower {
+    /// Asks the hosts one after the other until one has the log; gives that
+    /// one.
+    async fn ask_in_turn(
+        &mut self,
+        handle: &PeerHandle,
+        leads: Vec<(HostId, SocketAddr)>,
+    ) -> Option<HostId> {
+        for (host, address) in leads {
+            let question = self.next_question();
+            let limit = FOLLOW_HOLD + ANSWER_LIMIT;
+            match handle.follow(address, question, limit).await {
+                Ok(answer) => {
+                    let fresh = answer.fresh;
+                    self.take(answer, Instant::now());
+                    if fresh {
+                        return Some(host);
+                    }
+                }
+                Err(error) => log::debug!("{host} does not pass the log on: {error}"),
+            }
+        }
+        None
+    }
+
     fn next_question(&self) -> FollowQuestion {
         FollowQuestion {
             configuration_version: self.copy.configuration_version(),
--- a/src/membership/gossip.rs
+++ b/src/membership/gossip.rs
@@ -252,14 +252,19 @@
     /// reads the log for the others and exchanges with other zones, so that
     /// both cost the same however many hosts a zone has.
     pub fn is_lead(&self, now: Instant) -> bool {
-        self.lead(now).is_none()
+        self.leads(now, 1).is_empty()
     }
 
-    /// The host that speaks for this zone; `None` if it is this one.
-    pub fn lead(&self, now: Instant) -> Option<(HostId, SocketAddr)> {
-        let first = self.live_hosts(&self.zone, now).into_iter().next()?;
-        let member = self.members.get(&first)?;
-        Some((first, member.address))
+    /// The first live hosts of this zone by name, up to this one and at most
+    /// `most`: the first speaks for the zone, the next ones where it cannot.
+    pub fn leads(&self, now: Instant, most: usize) -> Vec<(HostId, SocketAddr)> {
+        let hosts = self.live_hosts(&self.zone, now).into_iter();
+        let before = hosts.take_while(|host| *host != self.host).take(most);
+        let known = before.filter_map(|host| {
+            let address = self.members.get(&host)?.address;
+            Some((host, address))
+        });
+        known.collect()
     }
 
     /// Hosts that were heard of lately, live or not, this one among them.
--- a/tests/entry_decisions.rs
+++ b/tests/entry_decisions.rs
@@ -195,6 +195,32 @@
     assert_eq!(table.live_count(later), 1);
 }
 
+/// Symptom: calls to the log grow fourfold for as long as one host is cut off
+/// from it. Sequence: the first host of a zone loses the log, all others read
+/// it themselves. Cause: nobody stood in for the first host.
+#[test]
+fn a_few_hosts_stand_in_for_the_first_in_the_order_of_names() {
+    let now = Instant::now();
+    let mut table = GossipTable::new(
+        "d".into(),
+        "z".into(),
+        ([10, 0, 0, 1], 4).into(),
+        Vec::new(),
+    );
+    for (port, host) in (1..).zip(["a", "b", "c"]) {
+        table.observe_view(&view(host, "z", port, 1), now);
+    }
+    table.observe_view(&view("e", "z", 5, 1), now);
+    table.observe_view(&view("0", "y", 6, 1), now);
+    let names = |most| {
+        let leads = table.leads(now, most).into_iter();
+        leads.map(|(host, _)| host.to_string()).collect::<Vec<_>>()
+    };
+    assert_eq!(names(2), ["a", "b"]);
+    assert_eq!(names(9), ["a", "b", "c"]);
+    assert!(!table.is_lead(now));
+}
+
 /// Symptom: loads of a moment ago come back. Sequence: two views of a host
 /// cross on the way. Cause: the later one to arrive was believed.
 #[test]
