Notice ended engines by an idle connection, and move past all that fail

Cause: a request is connected to the first engine of its path only; the end of a later one showed after 350 ms of silence, over the longest pause that callers are promised (200 ms). Besides, a move that an engine refused was not tried over another one, and of several lost engines one was replaced at a time. Change: one idle connection to each later engine in use, reopened when the engine closes it; refused or silent twice, the engine is lost and all that passes it is moved at once. A move replaces every engine that is known to be gone; one that refuses is passed by in the next order, five in all.

--- /dev/null
+++ b/src/forward/liveness.rs
@@ -0,0 +1,185 @@
+//! Notices within milliseconds that the process of an engine has ended.
+//!
+//! A request depends on every engine of its path but is connected to the first
+//! one only. When a later one crashes nothing comes any more, and that shows
+//! after 350 ms of silence at the earliest, which is over the longest pause of
+//! 200 to 250 ms that callers are promised. A crash closes the connections of
+//! the process, though: one idle connection to each engine in use tells at
+//! once, and the requests are moved while their callers notice nothing.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use parking_lot::Mutex;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+use super::socket;
+use super::tables::ServingTables;
+use crate::collections::{FastMap, FastSet};
+use crate::fleet::EnginePath;
+use crate::ids::TargetId;
+
+/// How long a connection may take: a thousand times the delay of a link.
+const CONNECT_LIMIT: Duration = Duration::from_millis(250);
+/// Tries without an answer after which an engine counts as lost. One lost
+/// packet alone delays a connection by a second.
+const SILENT_TRIES: u32 = 2;
+/// Shortest life of a connection that the engine closed for being idle. Where
+/// they live shorter the engine has too many, and watching it costs more than
+/// it tells.
+const LEAST_LIFE: Duration = Duration::from_secs(1);
+/// Pause after a connection that lived shorter.
+const CROWDED_PAUSE: Duration = Duration::from_secs(5);
+
+/// The engines that are watched, and whom to tell.
+#[derive(Debug, Default)]
+pub(super) struct LivenessTable {
+    connected: Mutex<FastSet<TargetId>>,
+    waiting: Mutex<FastMap<TargetId, Vec<Arc<Notify>>>>,
+}
+
+/// Waits for word that one of the engines that a request depends on is lost.
+#[derive(Debug)]
+pub(super) struct LivenessGuard {
+    tables: Arc<ServingTables>,
+    engines: Vec<TargetId>,
+    lost: Arc<Notify>,
+}
+
+impl LivenessGuard {
+    /// Watches the engines of a path after the first: that one's end shows on
+    /// the request's own connection.
+    pub(super) fn open(tables: Arc<ServingTables>, path: Option<&EnginePath>) -> Self {
+        let lost = Arc::new(Notify::new());
+        let later = path.iter().flat_map(|path| path.hops.iter().skip(1));
+        let later = later.collect::<Vec<_>>();
+        for hop in &later {
+            tables.liveness.add(&hop.target, &lost);
+            watch_engine(&tables, &hop.target, hop.address);
+        }
+        Self {
+            engines: later.into_iter().map(|hop| hop.target.clone()).collect(),
+            tables,
+            lost,
+        }
+    }
+
+    /// Waits until an engine is lost; does not end before.
+    pub(super) async fn lost(&self) {
+        self.lost.notified().await;
+    }
+}
+
+impl Drop for LivenessGuard {
+    fn drop(&mut self) {
+        for engine in &self.engines {
+            self.tables.liveness.remove(engine, &self.lost);
+        }
+    }
+}
+
+impl LivenessTable {
+    fn add(&self, target: &TargetId, waiting: &Arc<Notify>) {
+        let mut table = self.waiting.lock();
+        table
+            .entry(target.clone())
+            .or_default()
+            .push(waiting.clone());
+    }
+
+    fn remove(&self, target: &TargetId, waiting: &Arc<Notify>) {
+        let mut table = self.waiting.lock();
+        let Some(others) = table.get_mut(target) else {
+            return;
+        };
+        if let Some(index) = others.iter().position(|one| Arc::ptr_eq(one, waiting)) {
+            others.swap_remove(index);
+        }
+        if others.is_empty() {
+            table.remove(target);
+        }
+    }
+
+    /// Tells all that depend on a target that it is lost.
+    fn tell_lost(&self, target: &str) {
+        let waiting = self.waiting.lock().get(target).cloned();
+        for one in waiting.iter().flatten() {
+            // A request that is being moved at this moment hears of it after.
+            one.notify_one();
+        }
+    }
+
+    fn is_needed(&self, target: &str) -> bool {
+        self.waiting.lock().contains_key(target)
+    }
+}
+
+/// Sees to it that a connection to an engine is open while requests pass it.
+fn watch_engine(tables: &Arc<ServingTables>, target: &TargetId, address: SocketAddr) {
+    let new = tables.liveness.connected.lock().insert(target.clone());
+    if new {
+        tokio::spawn(watch(tables.clone(), target.clone(), address));
+    }
+}
+
+/// How a connection that tells of an engine's life came to its end.
+enum LivenessEnd {
+    /// The engine answers still.
+    Alive,
+    /// Its process has ended, or nothing can reach it.
+    Lost,
+}
+
+async fn watch(tables: Arc<ServingTables>, target: TargetId, address: SocketAddr) {
+    while tables.liveness.is_needed(&target) {
+        let opened = Instant::now();
+        if let LivenessEnd::Lost = follow(address).await {
+            tell_lost(&tables, &target);
+            break;
+        }
+        if opened.elapsed() < LEAST_LIFE {
+            tokio::time::sleep(CROWDED_PAUSE).await;
+        }
+    }
+    tables.liveness.connected.lock().remove(&target);
+}
+
+/// Connects, waits for the end of the connection, and looks whether the engine
+/// still takes connections.
+async fn follow(address: SocketAddr) -> LivenessEnd {
+    let mut tries = 0;
+    let mut stream = loop {
+        match socket::connect(address, CONNECT_LIMIT).await {
+            Ok(stream) => break stream,
+            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                return LivenessEnd::Lost;
+            }
+            Err(_) if tries + 1 < SILENT_TRIES => tries += 1,
+            Err(_) => return LivenessEnd::Lost,
+        }
+    };
+    read_to_end(&mut stream).await;
+    LivenessEnd::Alive
+}
+
+async fn read_to_end(stream: &mut TcpStream) {
+    let mut part = [0; 256];
+    while matches!(stream.read(&mut part).await, Ok(1..)) {}
+}
+
+fn tell_lost(tables: &ServingTables, target: &TargetId) {
+    let known = {
+        let mut fleet = tables.fleet.lock();
+        fleet.observe_silence(target, Instant::now());
+        fleet.get(target).is_some()
+    };
+    if known {
+        tables.metrics.ejected("ended");
+        log::info!(target_id:% = target; "target takes no connections");
+    }
+    tables.liveness.tell_lost(target);
+}
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -69,6 +69,7 @@
     End,
     Broken(&'static str),
     Silent,
+    EngineLost,
     Deadline,
 }
 
@@ -84,6 +85,10 @@
                         .note_answer(chosen, self.status, Some(self.times));
                     return Ok(None);
                 }
+                StreamStep::EngineLost => {
+                    self.watch.judge_loss().await;
+                    continue;
+                }
                 StreamStep::Deadline => return Err(self.give_up("deadline")),
                 StreamStep::Broken(reason) => {
                     let failed = self.watch.chosen.id.clone();
@@ -105,7 +110,11 @@
 
     async fn step(&mut self) -> StreamStep {
         let limit = self.watch.ask_at().min(self.exchange.deadline);
-        match tokio::time::timeout_at(limit.into(), self.body.frame()).await {
+        let step = tokio::select! {
+            step = tokio::time::timeout_at(limit.into(), self.body.frame()) => step,
+            () = self.watch.engine_lost() => return StreamStep::EngineLost,
+        };
+        match step {
             Err(_) if Instant::now() >= self.exchange.deadline => StreamStep::Deadline,
             Err(_) => StreamStep::Silent,
             Ok(Some(Ok(frame))) => self.take(frame),
--- a/src/forward/tables.rs
+++ b/src/forward/tables.rs
@@ -7,6 +7,7 @@
 use arc_swap::ArcSwapOption;
 use parking_lot::Mutex;
 
+use super::liveness::LivenessTable;
 use crate::admission::OverloadGauge;
 use crate::collections::FastMap;
 use crate::fleet::{EngineReport, FleetTable, TargetLoad};
@@ -46,6 +47,7 @@
     budgets: Mutex<FastMap<ServiceId, WindowBudget>>,
     budget_settings: Mutex<WindowSettings>,
     reports: Mutex<FastMap<TargetId, ReportCell>>,
+    pub(super) liveness: LivenessTable,
 }
 
 impl ServingTables {
@@ -65,6 +67,7 @@
             budgets: Mutex::default(),
             budget_settings: Mutex::new(budget_settings),
             reports: Mutex::default(),
+            liveness: LivenessTable::default(),
         }
     }
 
--- a/src/forward/watch.rs
+++ b/src/forward/watch.rs
@@ -12,9 +12,10 @@
 use super::attempt::{self, AttemptFailure, FailureCause};
 use super::choice::ChosenTarget;
 use super::exchange::Exchange;
+use super::liveness::LivenessGuard;
 use super::probe::{ask, fetch_report};
 use super::tables::InFlightGuard;
-use crate::fleet::{EnginePath, PathQuery, repair_path};
+use crate::fleet::{EnginePath, PathHop, PathQuery, repair_path};
 use crate::ids::TargetId;
 use crate::platform::{names, order};
 use crate::verdict::RunVerdict;
@@ -29,14 +30,17 @@
 const ASK_PAUSE: Duration = Duration::from_millis(150);
 /// How long the first engine may take to accept a new path.
 const MOVE_LIMIT: Duration = Duration::from_millis(400);
-/// Moves of one request at the most: each reads its tokens again somewhere.
-const MOST_MOVES: u32 = 3;
+/// Orders to move one request at the most: each that is done reads its tokens
+/// again somewhere, and each is priced. An engine that refuses for want of room
+/// has a neighbour that takes it, or none does.
+const MOST_MOVES: u32 = 5;
 
 /// A request on its target or path.
 pub(super) struct PathWatch {
     pub(super) exchange: Arc<Exchange>,
     pub(super) chosen: ChosenTarget,
     guard: Option<InFlightGuard>,
+    liveness: LivenessGuard,
     /// When something was last heard of the request.
     heard: Instant,
     /// When the next question may be asked.
@@ -61,8 +65,10 @@
         now: Instant,
     ) -> Self {
         let silence = silence_limit(&exchange);
+        let liveness = LivenessGuard::open(exchange.tables.clone(), chosen.path.as_ref());
         Self {
             exchange,
+            liveness,
             chosen,
             guard: Some(guard),
             heard: now,
@@ -85,6 +91,11 @@
         self.ask_at = now + silence_limit(&self.exchange);
     }
 
+    /// Waits until an engine of the path is lost; does not end before.
+    pub(super) async fn engine_lost(&self) {
+        self.liveness.lost().await;
+    }
+
     /// When to ask what is wrong, if nothing comes until then.
     pub(super) fn ask_at(&self) -> Instant {
         self.ask_at
@@ -121,7 +132,14 @@
         tokio::pin!(head);
         loop {
             let pause = self.ask_at.min(limit);
-            match tokio::time::timeout_at(pause.into(), &mut head).await {
+            let step = tokio::select! {
+                step = tokio::time::timeout_at(pause.into(), &mut head) => step,
+                () = self.engine_lost() => {
+                    self.judge_loss().await;
+                    continue;
+                }
+            };
+            match step {
                 Ok(answer) => return answer,
                 Err(_) if Instant::now() >= limit => return Err(timed_out),
                 Err(_) => match self.judge_silence().await {
@@ -136,6 +154,18 @@
         }
     }
 
+    /// Moves the request away from engines that have just ended. What cannot
+    /// be moved now is judged again once it has fallen silent.
+    pub(super) async fn judge_loss(&mut self) {
+        let Some(path) = self.chosen.path.clone() else {
+            return;
+        };
+        let lost = self.gone_engines(&path.hops[1..], Instant::now());
+        if let Some(lost) = lost.first() {
+            self.move_away(lost).await;
+        }
+    }
+
     /// Finds out what a silence means, and moves the request if an engine
     /// after the first is at fault.
     pub(super) async fn judge_silence(&mut self) -> SilenceVerdict {
@@ -153,7 +183,7 @@
     /// The engine that holds the request up, if one does.
     async fn find_fault(&self, now: Instant) -> Option<TargetId> {
         let path = self.chosen.path.as_ref()?;
-        if let Some(gone) = self.gone_engine(path, now) {
+        if let Some(gone) = self.gone_engines(&path.hops, now).into_iter().next() {
             return Some(gone);
         }
         let id = &self.chosen.id;
@@ -208,16 +238,16 @@
         }
     }
 
-    /// An engine of the path that is known to be gone or silent.
-    fn gone_engine(&self, path: &EnginePath, now: Instant) -> Option<TargetId> {
+    /// The engines among these that are known to be gone or silent.
+    fn gone_engines(&self, hops: &[PathHop], now: Instant) -> Vec<TargetId> {
         let fleet = self.exchange.tables.fleet.lock();
         let gone = |id: &TargetId| fleet.get(id).is_none_or(|state| state.is_silent(now));
-        let mut hops = path.hops.iter();
-        hops.find(|hop| gone(&hop.target))
-            .map(|hop| hop.target.clone())
+        let hops = hops.iter().map(|hop| &hop.target);
+        hops.filter(|id| gone(id)).cloned().collect()
     }
 
-    /// Puts other engines in the place of `failed`.
+    /// Puts other engines in the place of `failed` and of all others that are
+    /// gone; an engine that refuses its part is passed by in the next try.
     ///
     /// The first engine holds the connection and cannot be replaced so. The
     /// request keeps what all other engines have read, and it is no new
@@ -227,29 +257,37 @@
         let Some(path) = self.chosen.path.clone() else {
             return false;
         };
-        let position = path.hops.iter().position(|hop| hop.target == *failed);
-        let Some(position) = position.filter(|position| *position > 0) else {
-            return false;
-        };
-        if self.moves >= MOST_MOVES {
-            return false;
-        }
-        self.moves += 1;
-        let Some(repaired) = self.repair(&path, position) else {
-            return false;
-        };
-        let moved = self.order_move(&repaired).await;
-        if moved {
-            self.chosen.path = Some(repaired);
-            let loads = self.chosen.loads_after(&path);
-            let tables = self.exchange.tables.clone();
-            self.guard = Some(InFlightGuard::open(tables, loads));
-            self.observe_sound(Instant::now());
+        let mut failing = self.gone_engines(&path.hops, Instant::now());
+        failing.push(failed.clone());
+        while self.moves < MOST_MOVES {
+            self.moves += 1;
+            let Some(repaired) = self.repair(&path, &failing) else {
+                return false;
+            };
+            match self.order_move(&repaired).await {
+                MoveAnswer::Done => {
+                    self.take_path(repaired, &path);
+                    return true;
+                }
+                MoveAnswer::Refused(Some(engine)) => failing.push(engine),
+                MoveAnswer::Refused(None) | MoveAnswer::Unanswered => return false,
+            }
         }
-        moved
+        false
+    }
+
+    /// The request goes on over `repaired`.
+    fn take_path(&mut self, repaired: EnginePath, before: &EnginePath) {
+        let tables = self.exchange.tables.clone();
+        self.liveness = LivenessGuard::open(tables.clone(), Some(&repaired));
+        self.chosen.path = Some(repaired);
+        let loads = self.chosen.loads_after(before);
+        self.guard = Some(InFlightGuard::open(tables, loads));
+        self.observe_sound(Instant::now());
     }
 
-    fn repair(&self, path: &EnginePath, position: usize) -> Option<EnginePath> {
+    /// The path with other engines in the place of all that are `failing`.
+    fn repair(&self, path: &EnginePath, failing: &[TargetId]) -> Option<EnginePath> {
         let exchange = &self.exchange;
         let model = exchange.service.engine.as_ref()?;
         let fleet = exchange.tables.fleet.lock();
@@ -261,12 +299,24 @@
             model,
             size: exchange.size,
             zone: zone.as_deref().unwrap_or(&exchange.tables.zone),
-            avoid: &[],
+            avoid: failing,
         };
-        repair_path(members, query, path, position, Instant::now(), rand::random)
+        let now = Instant::now();
+        let mut repaired = path.clone();
+        loop {
+            let mut hops = repaired.hops.iter();
+            match hops.position(|hop| failing.contains(&hop.target)) {
+                None => return Some(repaired),
+                Some(0) => return None,
+                Some(position) => {
+                    let draw = rand::random;
+                    repaired = repair_path(members, query, &repaired, position, now, draw)?;
+                }
+            }
+        }
     }
 
-    async fn order_move(&self, path: &EnginePath) -> bool {
+    async fn order_move(&self, path: &EnginePath) -> MoveAnswer {
         let id = &self.exchange.outgoing.id;
         let address = self.chosen.address;
         let request = Request::post(names::ORDER_PATH)
@@ -275,7 +325,7 @@
             .header(names::TARGET_INSTANCE, &*self.chosen.id)
             .body(Full::new(Bytes::from(order::repath_body(id, path))));
         let Ok(request) = request else {
-            return false;
+            return MoveAnswer::Unanswered;
         };
         let answer = ask(address, request, MOVE_LIMIT).await;
         let done = matches!(answer, Ok((StatusCode::OK | StatusCode::ACCEPTED, _)));
@@ -289,27 +339,30 @@
             "moved"
         );
         match answer {
-            Ok((StatusCode::OK | StatusCode::ACCEPTED, _)) => true,
-            Ok((_, body)) => {
-                self.note_refusing(&body);
-                false
-            }
-            Err(_) => false,
+            Ok((StatusCode::OK | StatusCode::ACCEPTED, _)) => MoveAnswer::Done,
+            Ok((_, body)) => MoveAnswer::Refused(self.note_refusing(&body)),
+            Err(_) => MoveAnswer::Unanswered,
         }
     }
 
     /// The engine that could not take the request over.
-    fn note_refusing(&self, body: &[u8]) {
-        let Some(address) = order::refusing_engine(body) else {
-            return;
-        };
+    fn note_refusing(&self, body: &[u8]) -> Option<TargetId> {
+        let address = order::refusing_engine(body)?;
         let mut fleet = self.exchange.tables.fleet.lock();
-        if let Some(id) = fleet.id_at(&self.exchange.service.name, address) {
-            fleet.observe_failure(&id, Instant::now());
-        }
+        let id = fleet.id_at(&self.exchange.service.name, address)?;
+        fleet.observe_failure(&id, Instant::now());
+        Some(id)
     }
 }
 
+/// What the first engine says to a new path.
+enum MoveAnswer {
+    Done,
+    /// An engine of the path cannot take its part: this one, if it is named.
+    Refused(Option<TargetId>),
+    Unanswered,
+}
+
 fn silence_limit(exchange: &Exchange) -> Duration {
     let gap = exchange.matched.route.gap_aim.unwrap_or_default();
     gap.mul_f64(SILENCE_GAPS).max(LEAST_SILENCE)
