--- a/src/forward/liveness.rs
+++ b/src/forward/liveness.rs
@@ -126,44 +126,37 @@
     }
 }
 
-/// How a connection that tells of an engine's life came to its end.
-enum LivenessEnd {
-    /// The engine answers still.
-    Alive,
-    /// Its process has ended, or nothing can reach it.
-    Lost,
-}
-
 async fn watch(tables: Arc<ServingTables>, target: TargetId, address: SocketAddr) {
+    let mut crowded = false;
     while tables.liveness.is_needed(&target) {
-        let opened = Instant::now();
-        if let LivenessEnd::Lost = follow(address).await {
+        let Some(mut stream) = connect(address).await else {
             tell_lost(&tables, &target);
             break;
-        }
-        if opened.elapsed() < LEAST_LIFE {
+        };
+        if crowded {
+            drop(stream);
             tokio::time::sleep(CROWDED_PAUSE).await;
+            crowded = false;
+            continue;
         }
+        let opened = Instant::now();
+        read_to_end(&mut stream).await;
+        crowded = opened.elapsed() < LEAST_LIFE;
     }
     tables.liveness.connected.lock().remove(&target);
 }
 
-/// Connects, waits for the end of the connection, and looks whether the engine
-/// still takes connections.
-async fn follow(address: SocketAddr) -> LivenessEnd {
-    let mut tries = 0;
-    let mut stream = loop {
+/// A connection to an engine; `None` if its process has ended, or nothing can
+/// reach it.
+async fn connect(address: SocketAddr) -> Option<TcpStream> {
+    for _ in 0..SILENT_TRIES {
         match socket::connect(address, CONNECT_LIMIT).await {
-            Ok(stream) => break stream,
-            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
-                return LivenessEnd::Lost;
-            }
-            Err(_) if tries + 1 < SILENT_TRIES => tries += 1,
-            Err(_) => return LivenessEnd::Lost,
+            Ok(stream) => return Some(stream),
+            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => return None,
+            Err(error) => log::debug!("{address} is not reached: {error}"),
         }
-    };
-    read_to_end(&mut stream).await;
-    LivenessEnd::Alive
+    }
+    None
 }
 
 async fn read_to_end(stream: &mut TcpStream) {
