Doubt a read of the log only after an outage in which entries can lapse

Cause, by reading: the host is the second of its zone by name and reads the log while the first is turned away; after any failed read, even one lost answer, it took what the next read dropped for entries that may come back and kept it for 2.5 s. Entries lapse after three heartbeats without a word, so that an outage of less than two of them lapses nothing. Change: the first read after a loss is doubted only if the last good one is two heartbeats old; after following another host, as old as that one's could be. Test, seen failing: one_lost_answer_is_no_outage.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -14,7 +14,7 @@
 mod run;
 mod settings;
 
-pub use following::follow_targets;
+pub use following::{TargetPace, follow_targets};
 pub use kept_records::KeptRecords;
 pub use log_copy::LogCopy;
 pub use run::run_entry;
--- a/src/entry/following.rs
+++ b/src/entry/following.rs
@@ -7,6 +7,7 @@
 
 use crate::entry::log_copy::{LogCopy, LogTopic};
 use crate::entry::missing::{MissingTargets, drop_unlisted};
+use crate::entry::peering::FRESH_AGE;
 use crate::ids::LogOffset;
 use crate::platform::log_calls::{KeyedRead, LogError, LogReader};
 use crate::platform::names;
@@ -19,11 +20,29 @@
 /// notice within a second that it has lost the log.
 const LONGEST_PAUSE: Duration = Duration::from_millis(600);
 
+/// Heartbeats for which the log has to be out of reach before entries can have
+/// lapsed for that alone: they lapse after three without a word, and the last
+/// one may have been written just before.
+const LAPSING_HEARTBEATS: u32 = 2;
+
+/// How fast targets and their entries change.
+#[derive(Debug, Clone, Copy)]
+pub struct TargetPace {
+    /// Time within which a leaving target has to be known.
+    pub drain: Duration,
+    /// Time between two heartbeats of a target.
+    pub heartbeat: Duration,
+}
+
 /// What the follower of heartbeats remembers.
 struct TargetFollower {
     copy: Arc<LogCopy>,
     next: Option<LogOffset>,
     lost: bool,
+    /// When the log was last read without trouble.
+    read_at: Option<Instant>,
+    /// How long it has to be out of reach for entries to lapse.
+    lapse: Duration,
     history_lost: bool,
     missing: MissingTargets,
 }
@@ -32,14 +51,16 @@
 pub async fn follow_targets(
     copy: Arc<LogCopy>,
     mut reader: LogReader,
-    drain: Duration,
+    pace: TargetPace,
     mut direct: watch::Receiver<bool>,
 ) {
-    let pause = (drain / READS_PER_DRAIN).min(LONGEST_PAUSE);
+    let pause = (pace.drain / READS_PER_DRAIN).min(LONGEST_PAUSE);
     let mut follower = TargetFollower {
         copy,
         next: None,
         lost: false,
+        read_at: None,
+        lapse: pace.heartbeat * LAPSING_HEARTBEATS,
         history_lost: false,
         missing: MissingTargets::default(),
     };
@@ -53,9 +74,14 @@
             follower.missing = MissingTargets::default();
             follower.lost = false;
         }
+        let followed = !*direct.borrow();
         if direct.wait_for(|direct| *direct).await.is_err() {
             return;
         }
+        if followed {
+            // What the other host passed on was so old at most.
+            follower.read_at = Instant::now().checked_sub(FRESH_AGE);
+        }
         let started = Instant::now();
         let read = match follower.next {
             None => reader.newest(names::TARGET_TOPIC).await,
@@ -97,10 +123,14 @@
         // What the first read after an outage says is gone may have lapsed only
         // because nobody could write. Whoever goes after that is gone at once: a
         // host that was cut off alone has to know a leaving target as early as
-        // all others.
-        let back = std::mem::take(&mut self.lost);
-        if back {
-            log::info!(next = read.next; "targets: log reached again");
+        // all others. Nothing lapses in the time of one lost answer: to doubt a
+        // read for that alone kept a target for three seconds after it left.
+        let before = self.read_at.replace(now);
+        let gap = before.map_or(Duration::MAX, |at| now.saturating_duration_since(at));
+        let regained = std::mem::take(&mut self.lost);
+        let back = regained && gap >= self.lapse;
+        if regained {
+            log::info!(next = read.next, doubted = back; "targets: log reached again");
         }
         if self.next.is_none() {
             let listed = read.records.iter().map(|record| record.key.as_str());
--- a/src/entry/peering.rs
+++ b/src/entry/peering.rs
@@ -22,7 +22,7 @@
 const TICK: Duration = Duration::from_millis(125);
 /// Age up to which what this host has read from the log is good enough for
 /// others: reads come every 0.6 s and may take half a second.
-const FRESH_AGE: Duration = Duration::from_millis(1100);
+pub(super) const FRESH_AGE: Duration = Duration::from_millis(1100);
 /// How long a peer may take to answer: delays are below a millisecond; a host
 /// whose share of the processor is used up comes back within 100 ms.
 const CALL_TIMEOUT: Duration = Duration::from_millis(600);
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -10,7 +10,7 @@
 use tokio::sync::watch;
 
 use crate::entry::configuring::follow_configuration;
-use crate::entry::following::follow_targets;
+use crate::entry::following::{TargetPace, follow_targets};
 use crate::entry::log_copy::LogCopy;
 use crate::entry::placing::keep_placed;
 use crate::entry::readiness::{answer_metrics, answer_readiness};
@@ -93,8 +93,11 @@
     let copy = Arc::new(LogCopy::new(tables.clone()));
     let (direct, reads) = watch::channel(true);
     tokio::spawn(follow_configuration(copy.clone(), reader(), reads.clone()));
-    let drain = settings.bounds.drain;
-    tokio::spawn(follow_targets(copy.clone(), reader(), drain, reads));
+    let pace = TargetPace {
+        drain: settings.bounds.drain,
+        heartbeat: settings.heartbeat,
+    };
+    tokio::spawn(follow_targets(copy.clone(), reader(), pace, reads));
     let (desk, handle) = peering::spawn(settings, settings.peers, tables.clone(), copy.clone())?;
     tokio::spawn(follow_lead(
         tables.clone(),
--- a/tests/log_reader.rs
+++ b/tests/log_reader.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use jackdawwick::entry::{LogCopy, follow_targets};
+use jackdawwick::entry::{LogCopy, TargetPace, follow_targets};
 use jackdawwick::forward::ServingTables;
 use jackdawwick::platform::log_calls::{LogError, LogReader};
 use jackdawwick::retry::WindowSettings;
@@ -13,6 +13,10 @@
 use tokio::net::TcpListener;
 
 const LIMIT: Duration = Duration::from_millis(150);
+const USUAL_PACE: TargetPace = TargetPace {
+    drain: Duration::from_millis(600),
+    heartbeat: Duration::from_millis(1200),
+};
 
 /// Answers the requests of each connection in turn; a connection whose answers
 /// are used up goes silent and stays open.
@@ -161,7 +165,7 @@
 /// Follows a log that gives these answers, for as long as the sender says so.
 async fn spawn_follower(
     answers: Vec<Vec<u8>>,
-    drain: Duration,
+    pace: TargetPace,
 ) -> (Arc<ServingTables>, tokio::sync::watch::Sender<bool>) {
     let reader = LogReader::open(spawn_log(vec![answers]).await, LIMIT);
     let budget = WindowSettings {
@@ -172,7 +176,7 @@
     let tables = Arc::new(ServingTables::new("z".into(), budget));
     let copy = Arc::new(LogCopy::new(tables.clone()));
     let (direct, reads) = tokio::sync::watch::channel(true);
-    tokio::spawn(follow_targets(copy, reader, drain, reads));
+    tokio::spawn(follow_targets(copy, reader, pace, reads));
     (tables, direct)
 }
 
@@ -198,8 +202,12 @@
     let first = vec![answer("200 OK", &all), answer("503 Busy", b"")];
     let later = vec![answer("200 OK", &lapsed), answer("200 OK", &left)];
     let answers = [first, later].concat();
-    let drain = Duration::from_millis(60);
-    let (tables, _direct) = spawn_follower(answers, drain).await;
+    let pace = TargetPace {
+        drain: Duration::from_millis(60),
+        // The outage of one read lasts longer than two of these.
+        heartbeat: Duration::from_millis(10),
+    };
+    let (tables, _direct) = spawn_follower(answers, pace).await;
     let known = |id: &str| tables.fleet.lock().get(id).is_some();
     let limit = Duration::from_secs(2);
     let seen = tokio::time::timeout(limit, until(|| known("b"))).await;
@@ -212,6 +220,29 @@
     );
 }
 
+/// Symptom: requests reach a target three seconds after it left (a hunted day;
+/// the cause was read). Sequence: one answer of the log is lost, the next read
+/// tells that a target left. Cause: entries were taken to have lapsed, which
+/// they do only after three heartbeats without a word.
+#[tokio::test]
+async fn one_lost_answer_is_no_outage() {
+    let all = newest_body(&[("a", heartbeat(1)), ("b", heartbeat(2))]);
+    let left = read_body(3, 0, &[record("b", b"")]);
+    let answers = vec![
+        answer("200 OK", &all),
+        answer("503 Busy", b""),
+        answer("200 OK", &left),
+    ];
+    let (tables, _direct) = spawn_follower(answers, USUAL_PACE).await;
+    let known = |id: &str| tables.fleet.lock().get(id).is_some();
+    let limit = Duration::from_secs(2);
+    let seen = tokio::time::timeout(limit, until(|| known("b"))).await;
+    assert!(seen.is_ok(), "the targets never showed up");
+    let gone = tokio::time::timeout(limit, until(|| !known("b"))).await;
+    assert!(gone.is_ok(), "a target that left was kept");
+    assert!(known("a"));
+}
+
 /// Symptom: one request reaches a target after it has left (seen once, on a
 /// hunted day). Sequence: the host that read the log for others dies, a target
 /// leaves, the others begin to read for themselves. Cause: what their first
@@ -221,8 +252,7 @@
     let all = newest_body(&[("a", heartbeat(1)), ("b", heartbeat(2))]);
     let left = newest_body(&[("a", heartbeat(1))]);
     let answers = vec![answer("200 OK", &all), answer("200 OK", &left)];
-    let drain = Duration::from_millis(600);
-    let (tables, direct) = spawn_follower(answers, drain).await;
+    let (tables, direct) = spawn_follower(answers, USUAL_PACE).await;
     let known = |id: &str| tables.fleet.lock().get(id).is_some();
     let limit = Duration::from_secs(2);
     let seen = tokio::time::timeout(limit, until(|| known("b"))).await;
@@ -248,8 +278,7 @@
         answer("503 Busy", b""),
         answer("200 OK", &left),
     ];
-    let drain = Duration::from_millis(600);
-    let (tables, direct) = spawn_follower(answers, drain).await;
+    let (tables, direct) = spawn_follower(answers, USUAL_PACE).await;
     let known = |id: &str| tables.fleet.lock().get(id).is_some();
     let limit = Duration::from_secs(2);
     let seen = tokio::time::timeout(limit, until(|| known("b"))).await;
