Let one type say how a target spoils answers, and one pair of waits serve a test file

No behaviour changes, the tests keep their assertions and bounds, and a seed draws the same faults. The reader's tests: 10 passed.

--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -24,6 +24,7 @@
 mod target;
 
 pub use check::{BrokenPromise, broken_promises};
+pub use engines::TargetFault;
 pub use history::{
     CallKind, CallOutcome, CallRecord, Disturbance, DisturbanceScope, ProbeRecord, RunRecord,
     SoakHistory, TargetDeparture,
--- a/standins/src/soak/engines.rs
+++ b/standins/src/soak/engines.rs
@@ -14,7 +14,7 @@
 
 /// How a target misbehaves towards each of its requests.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub(super) enum TargetFault {
+pub enum TargetFault {
     /// Not at all.
     #[default]
     None,
--- a/standins/src/soak/faults.rs
+++ b/standins/src/soak/faults.rs
@@ -13,7 +13,6 @@
 use super::plan::{FaultAction, PlannedFault};
 use super::probe::Published;
 use super::run::{HostDown, LOOK_PAUSE, STOP_SLACK, SoakRun};
-use super::target::is_engine;
 
 /// How long a target serves on after it said that it leaves.
 const LEAVING_TIME: Duration = Duration::from_secs(4);
@@ -125,7 +124,7 @@
             }
             FaultAction::TargetSpoils(target, spoiled) => {
                 self.disturb(DisturbanceScope::Target, false, lasts);
-                self.targets[target].update(|state| state.fault = spoiled.fault());
+                self.targets[target].update(|state| state.fault = spoiled);
                 self.end_after(lasts, FaultEnd::HealTarget(target));
             }
             FaultAction::TargetCrash(target) => {
@@ -234,9 +233,6 @@
     async fn replace(&mut self, target: usize) -> io::Result<()> {
         self.targets[target].lapse();
         let place = self.targets[target].place.clone();
-        if is_engine(&place) {
-            log::info!("an empty engine starts in {}", place.zone);
-        }
         self.targets[target] = self.new_target(place).await?;
         Ok(())
     }
--- a/standins/src/soak/plan.rs
+++ b/standins/src/soak/plan.rs
@@ -42,38 +42,11 @@
     /// A target says that it leaves; another starts at once.
     TargetLeaves(usize),
     /// A target spoils its answers.
-    TargetSpoils(usize, SpoiledAnswer),
+    TargetSpoils(usize, TargetFault),
     /// A new version of the configuration.
     Publish,
 }
 
-/// How a target spoils its answers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum SpoiledAnswer {
-    /// Lost after the run.
-    Lost,
-    /// Those of other requests.
-    Other,
-    /// Broken off.
-    Broken,
-    /// Refused.
-    Refused,
-    /// Failed.
-    Failed,
-}
-
-impl SpoiledAnswer {
-    pub(super) fn fault(self) -> TargetFault {
-        match self {
-            Self::Lost => TargetFault::LosesAnswers,
-            Self::Other => TargetFault::AnswersOthers,
-            Self::Broken => TargetFault::BreaksOff,
-            Self::Refused => TargetFault::Refuses,
-            Self::Failed => TargetFault::Fails,
-        }
-    }
-}
-
 /// A fault, when it begins and how long it lasts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PlannedFault {
@@ -142,12 +115,12 @@
     }
 }
 
-fn draw_spoiled(random: &mut StdRng) -> SpoiledAnswer {
+fn draw_spoiled(random: &mut StdRng) -> TargetFault {
     match random.random_range(0..5) {
-        0 => SpoiledAnswer::Lost,
-        1 => SpoiledAnswer::Other,
-        2 => SpoiledAnswer::Broken,
-        3 => SpoiledAnswer::Refused,
-        _ => SpoiledAnswer::Failed,
+        0 => TargetFault::LosesAnswers,
+        1 => TargetFault::AnswersOthers,
+        2 => TargetFault::BreaksOff,
+        3 => TargetFault::Refuses,
+        _ => TargetFault::Fails,
     }
 }
--- a/standins/src/soak/target.rs
+++ b/standins/src/soak/target.rs
@@ -20,7 +20,7 @@
 use tokio::task::JoinHandle;
 
 use super::answers::{event_count, event_text, plain_body};
-use super::configuration::{ENGINE_SERVICE, HEARTBEAT_MS, STALL_MS, TARGETS};
+use super::configuration::{HEARTBEAT_MS, STALL_MS, TARGETS};
 use super::engines::{
     PathPart, TargetFault, TargetState, TargetWorld, is_whole, parse_path, take_order,
 };
@@ -384,8 +384,3 @@
     }
     response
 }
-
-/// Whether a place is an engine's.
-pub(super) fn is_engine(place: &TargetPlace) -> bool {
-    place.service == ENGINE_SERVICE
-}
--- a/tests/log_reader.rs
+++ b/tests/log_reader.rs
@@ -189,6 +189,24 @@
     }
 }
 
+/// Bound on what comes within milliseconds; below the time for which an entry
+/// that may come back is kept.
+const WAIT_LIMIT: Duration = Duration::from_secs(2);
+
+fn is_known(tables: &ServingTables, id: &str) -> bool {
+    tables.fleet.lock().get(id).is_some()
+}
+
+async fn wait_until_known(tables: &ServingTables, id: &str) {
+    let seen = tokio::time::timeout(WAIT_LIMIT, until(|| is_known(tables, id))).await;
+    assert!(seen.is_ok(), "the targets never showed up");
+}
+
+async fn wait_until_gone(tables: &ServingTables, id: &str) {
+    let gone = tokio::time::timeout(WAIT_LIMIT, until(|| !is_known(tables, id))).await;
+    assert!(gone.is_ok(), "a target that left was kept");
+}
+
 /// Symptom: requests reach a target two seconds after it had said that it
 /// leaves. Sequence: a host is cut off from the log, comes back, and a target
 /// leaves a second later. Cause: for as long as lapsed entries may come back,
@@ -208,14 +226,10 @@
         heartbeat: Duration::from_millis(10),
     };
     let (tables, _direct) = spawn_follower(answers, pace).await;
-    let known = |id: &str| tables.fleet.lock().get(id).is_some();
-    let limit = Duration::from_secs(2);
-    let seen = tokio::time::timeout(limit, until(|| known("b"))).await;
-    assert!(seen.is_ok(), "the targets never showed up");
-    let gone = tokio::time::timeout(limit, until(|| !known("b"))).await;
-    assert!(gone.is_ok(), "a target that left was kept");
+    wait_until_known(&tables, "b").await;
+    wait_until_gone(&tables, "b").await;
     assert!(
-        known("a"),
+        is_known(&tables, "a"),
         "an entry that lapsed in the outage was dropped at once"
     );
 }
@@ -234,13 +248,9 @@
         answer("200 OK", &left),
     ];
     let (tables, _direct) = spawn_follower(answers, USUAL_PACE).await;
-    let known = |id: &str| tables.fleet.lock().get(id).is_some();
-    let limit = Duration::from_secs(2);
-    let seen = tokio::time::timeout(limit, until(|| known("b"))).await;
-    assert!(seen.is_ok(), "the targets never showed up");
-    let gone = tokio::time::timeout(limit, until(|| !known("b"))).await;
-    assert!(gone.is_ok(), "a target that left was kept");
-    assert!(known("a"));
+    wait_until_known(&tables, "b").await;
+    wait_until_gone(&tables, "b").await;
+    assert!(is_known(&tables, "a"));
 }
 
 /// Symptom: one request reaches a target after it has left (seen once, on a
@@ -253,16 +263,12 @@
     let left = newest_body(&[("a", heartbeat(1))]);
     let answers = vec![answer("200 OK", &all), answer("200 OK", &left)];
     let (tables, direct) = spawn_follower(answers, USUAL_PACE).await;
-    let known = |id: &str| tables.fleet.lock().get(id).is_some();
-    let limit = Duration::from_secs(2);
-    let seen = tokio::time::timeout(limit, until(|| known("b"))).await;
-    assert!(seen.is_ok(), "the targets never showed up");
+    wait_until_known(&tables, "b").await;
     direct.send(false).expect("a reader");
     tokio::time::sleep(Duration::from_millis(300)).await;
     direct.send(true).expect("a reader");
-    let gone = tokio::time::timeout(limit, until(|| !known("b"))).await;
-    assert!(gone.is_ok(), "a target that left was kept");
-    assert!(known("a"));
+    wait_until_gone(&tables, "b").await;
+    assert!(is_known(&tables, "a"));
 }
 
 /// Symptom: requests reach a target that left, for 2.5 s (found by reading).
@@ -279,17 +285,13 @@
         answer("200 OK", &left),
     ];
     let (tables, direct) = spawn_follower(answers, USUAL_PACE).await;
-    let known = |id: &str| tables.fleet.lock().get(id).is_some();
-    let limit = Duration::from_secs(2);
-    let seen = tokio::time::timeout(limit, until(|| known("b"))).await;
-    assert!(seen.is_ok(), "the targets never showed up");
+    wait_until_known(&tables, "b").await;
     tokio::time::sleep(Duration::from_millis(300)).await;
     direct.send(false).expect("a reader");
     tokio::time::sleep(Duration::from_millis(300)).await;
     direct.send(true).expect("a reader");
-    let gone = tokio::time::timeout(limit, until(|| !known("b"))).await;
-    assert!(gone.is_ok(), "a target that left was kept");
-    assert!(known("a"));
+    wait_until_gone(&tables, "b").await;
+    assert!(is_known(&tables, "a"));
 }
 
 proptest! {
