Tell the starts of a target apart, and pass over records of other writers

Cause: an engine may now start again under its id (`born` tells one start from another), and entries may come from other writers. The id alone named a target everywhere, so requests, failures, pace, fullness, orders and layers of a start that had ended were taken to be those of the next one; an entry without a state or with an unknown one was taken as ready; one that became unreadable left the engine before it in use.

Ruled out: resetting the state of the target in place. Requests and questions that were under way would have counted against the new start when they ended.

Change: the id of a target inside the project is that of one start; the platform's id stands on the wire only. A late record of an earlier start is passed over, unless three in a row say that the clock was set back. What ran on a start that ended is moved at once. A report of another start is none. An entry needs every field that targets always write; one that does not read names no target, the others hold; a counter and one line an id tell of it. Keys are escaped in the questions for further pages of the log.

Fixtures of heartbeats in three test files gained the fields that are now required.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -13,9 +13,11 @@
 mod retry_share;
 mod run;
 mod settings;
+mod target_starts;
 
 pub use following::{TargetPace, follow_targets};
 pub use kept_records::KeptRecords;
 pub use log_copy::LogCopy;
 pub use run::run_entry;
 pub use settings::{EntryBounds, EntrySettings};
+pub use target_starts::{StartVerdict, TargetStarts};
--- a/src/entry/kept_records.rs
+++ b/src/entry/kept_records.rs
@@ -92,6 +92,11 @@
         known
     }
 
+    /// Whether a target is known to have left.
+    pub fn has_left(&self, id: &str) -> bool {
+        self.left.contains_key(id)
+    }
+
     /// Targets that are kept and not among `listed`, which covers the log up
     /// to `read_to`. What stands later in the log is not expected there.
     pub fn unlisted<'a, I>(&self, listed: I, read_to: LogOffset) -> Vec<TargetId>
--- a/src/entry/log_copy.rs
+++ b/src/entry/log_copy.rs
@@ -8,6 +8,8 @@
 use tokio::sync::Notify;
 
 use crate::entry::kept_records::KeptRecords;
+use crate::entry::target_starts::{StartVerdict, TargetStarts};
+use crate::fleet::TargetEntry;
 use crate::forward::ServingTables;
 use crate::ids::{LogOffset, TargetId};
 use crate::peer::{FollowAnswer, FollowQuestion};
@@ -32,6 +34,7 @@
 struct CopiedLog {
     configuration: Option<Bytes>,
     targets: KeptRecords,
+    starts: TargetStarts,
     /// When each topic was last read without trouble.
     targets_read: Option<Instant>,
     configuration_read: Option<Instant>,
@@ -101,6 +104,8 @@
         let parsed = match parse_configuration(value) {
             Ok(parsed) => parsed,
             Err(error) => {
+                let topic = LogTopic::Configuration.name();
+                self.tables.metrics.unreadable_record(topic);
                 log::error!(error:% = error, source:% = source; "configuration cannot be read");
                 return;
             }
@@ -126,45 +131,68 @@
     }
 
     /// Takes in a target's record, unless something later is known of it.
-    pub(super) fn observe_target(&self, id: &str, offset: LogOffset, value: &[u8]) {
+    pub fn observe_target(&self, id: &str, offset: LogOffset, value: &[u8]) {
         if !self.kept.lock().targets.is_news(id, offset) {
             return;
         }
         let entry = match parse_target(id, value) {
             Ok(entry) => entry,
-            Err(error) => {
-                log::error!(target_id:% = id, error:% = error; "entry cannot be read");
+            Err(error) => return self.drop_unreadable(id, offset, &error),
+        };
+        let mut kept = self.kept.lock();
+        match kept.starts.observe(id, &entry) {
+            StartVerdict::Current => {}
+            StartVerdict::Replaces(before) => {
+                drop(kept);
+                self.forget_start(&before);
+                log::info!(before:% = before, target_id:% = entry.id; "target started again");
+                kept = self.kept.lock();
+            }
+            StartVerdict::Ended => {
+                log::info!(target_id:% = entry.id, offset = offset; "record of an ended start");
                 return;
             }
-        };
-        let (draining, layers, address) = (entry.draining, entry.layers, entry.address);
-        let id = entry.id.clone();
-        let changed = self.tables.fleet.lock().observe_entry(entry);
+        }
+        let changed = self.tables.fleet.lock().observe_entry(entry.clone());
         let value = Bytes::copy_from_slice(value);
-        let mut kept = self.kept.lock();
-        kept.targets.observe(&id, offset, value, changed);
+        kept.targets.observe(&id.into(), offset, value, changed);
         drop(kept);
-        if !changed {
-            return;
+        if changed {
+            note_target(&entry, offset);
+        }
+    }
+
+    /// A record that another writer left under a target's id names no target.
+    ///
+    /// Told once for each id: a writer that goes on would fill the log lines.
+    fn drop_unreadable(&self, id: &str, offset: LogOffset, error: &str) {
+        let topic = LogTopic::Targets.name();
+        self.tables.metrics.unreadable_record(topic);
+        let first = !self.kept.lock().targets.has_left(id);
+        self.remove_target(id, offset, "entry cannot be read");
+        if first {
+            log::warn!(target_id:% = id, offset = offset, error:% = error; "entry cannot be read");
         }
-        let layers = layers.map_or("none".to_owned(), |layers| {
-            format!("{}-{}", layers.from, layers.to)
-        });
-        log::info!(
-            target_id:% = id, address:% = address, draining = draining, layers:% = layers,
-            offset = offset;
-            "target"
-        );
     }
 
     /// A target is gone, as the record at `offset` says.
-    pub(super) fn remove_target(&self, id: &str, offset: LogOffset, reason: &str) {
-        if !self.kept.lock().targets.remove(id, offset) {
+    pub fn remove_target(&self, id: &str, offset: LogOffset, reason: &str) {
+        let mut kept = self.kept.lock();
+        if !kept.targets.remove(id, offset) {
             return;
         }
-        self.tables.fleet.lock().remove(id);
-        self.tables.forget_target(id);
-        log::info!(target_id:% = id, reason:% = reason, offset = offset; "target gone");
+        let start = kept.starts.remove(id).unwrap_or_else(|| id.into());
+        drop(kept);
+        self.tables.fleet.lock().remove(&start);
+        self.tables.forget_target(&start);
+        log::info!(target_id:% = start, reason:% = reason, offset = offset; "target gone");
+    }
+
+    /// A start of a target has ended; what ran there is moved at once.
+    fn forget_start(&self, start: &TargetId) {
+        self.tables.fleet.lock().remove(start);
+        self.tables.forget_target(start);
+        self.tables.tell_lost(start);
     }
 
     /// Whether any target is known.
@@ -187,6 +215,18 @@
     }
 }
 
+/// One line on what a target newly says of itself.
+fn note_target(entry: &TargetEntry, offset: LogOffset) {
+    let layers = entry.layers.map_or("none".to_owned(), |layers| {
+        format!("{}-{}", layers.from, layers.to)
+    });
+    log::info!(
+        target_id:% = entry.id, address:% = entry.address, draining = entry.draining,
+        layers:% = layers, offset = offset;
+        "target"
+    );
+}
+
 /// Which part of the log a call was about.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum LogTopic {
--- a/src/entry/placing.rs
+++ b/src/entry/placing.rs
@@ -15,6 +15,7 @@
 use crate::ids::ZoneId;
 use crate::ingress::{EngineModel, IngressConfiguration};
 use crate::placing::{EngineView, PlannedRange, plan_zone};
+use crate::platform::target_record::platform_id;
 use crate::platform::{names, order};
 
 /// Pause between two looks at the plan.
@@ -207,7 +208,7 @@
     let request = Request::post(names::ORDER_PATH)
         .header(http::header::HOST, address.to_string())
         .header(http::header::CONTENT_TYPE, "application/json")
-        .header(names::TARGET_INSTANCE, &**id)
+        .header(names::TARGET_INSTANCE, platform_id(id))
         .body(Full::new(Bytes::from(body)))
         .ok()?;
     let answer = ask(address, request, ORDER_LIMIT).await;
--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -30,8 +30,10 @@
 /// A target as its newest heartbeat tells.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TargetEntry {
-    /// Id of this life of the target: a restart draws a new one.
+    /// Id of this start of the target: another start has another one.
     pub id: TargetId,
+    /// When it started, in milliseconds since the Unix epoch, if it tells.
+    pub started_ms: Option<u64>,
     /// The service that it belongs to.
     pub service: ServiceId,
     /// Where it listens.
@@ -50,6 +52,8 @@
 /// milliseconds old when it arrives.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EngineReport {
+    /// When it started, in milliseconds since the Unix epoch, if it tells.
+    pub started_ms: Option<u64>,
     /// An order is being carried out.
     pub order_busy: bool,
     /// Orders accepted since the engine started.
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -13,6 +13,7 @@
 use super::choice::ChosenTarget;
 use super::head::number_value;
 use super::socket;
+use crate::platform::target_record::platform_id;
 use crate::platform::{names, order};
 use crate::verdict::RunVerdict;
 
@@ -135,7 +136,7 @@
     headers.insert(names::DEADLINE_MS, number_value(left));
     let path = chosen.path.as_ref().map(order::path_value);
     let named = [
-        (names::TARGET_INSTANCE, Some(&*chosen.id)),
+        (names::TARGET_INSTANCE, Some(platform_id(&chosen.id))),
         (names::ENGINE_PATH, path.as_deref()),
         (names::LAST_EVENT_ID, last_event),
     ];
--- a/src/forward/liveness.rs
+++ b/src/forward/liveness.rs
@@ -105,7 +105,7 @@
     }
 
     /// Tells all that depend on a target that it is lost.
-    fn tell_lost(&self, target: &str) {
+    pub(super) fn tell_lost(&self, target: &str) {
         let waiting = self.waiting.lock().get(target).cloned();
         for one in waiting.iter().flatten() {
             // A request that is being moved at this moment hears of it after.
--- a/src/forward/probe.rs
+++ b/src/forward/probe.rs
@@ -81,7 +81,9 @@
     match &*kept {
         Some((at, report)) if now.saturating_duration_since(*at) < REPORT_AGE => report.clone(),
         _ => {
-            let report = ask_report(address).await.map(Arc::new).map_err(|error| {
+            let report = ask_report(address).await;
+            let report = report.and_then(|report| same_start(target, report));
+            let report = report.map(Arc::new).map_err(|error| {
                 log::info!(target_id:% = target, address:% = address, error:% = error; "no report");
             });
             *kept = Some((Instant::now(), report.clone()));
@@ -90,6 +92,16 @@
     }
 }
 
+/// A report of another start of the engine says nothing of this one, and that
+/// this one has ended.
+fn same_start(target: &TargetId, report: EngineReport) -> Result<EngineReport, String> {
+    let reporting = target_record::start_id(target_record::platform_id(target), report.started_ms);
+    match report.started_ms.is_none() || reporting == *target {
+        true => Ok(report),
+        false => Err(format!("it has started again as {reporting}")),
+    }
+}
+
 async fn ask_report(address: SocketAddr) -> Result<EngineReport, String> {
     let request = Request::get(names::REPORT_PATH).header(http::header::HOST, address.to_string());
     let request = request
--- a/src/forward/tables.rs
+++ b/src/forward/tables.rs
@@ -120,6 +120,11 @@
             .clone()
     }
 
+    /// Tells all requests that pass a target that it has ended.
+    pub fn tell_lost(&self, target: &str) {
+        self.liveness.tell_lost(target);
+    }
+
     /// Forgets what was kept about a target that is gone.
     pub fn forget_target(&self, target: &str) {
         self.reports.lock().remove(target);
--- a/src/forward/watch.rs
+++ b/src/forward/watch.rs
@@ -17,6 +17,7 @@
 use super::tables::InFlightGuard;
 use crate::fleet::{EnginePath, PathHop, PathQuery, repair_path};
 use crate::ids::TargetId;
+use crate::platform::target_record::platform_id;
 use crate::platform::{names, order};
 use crate::verdict::RunVerdict;
 
@@ -322,7 +323,7 @@
         let request = Request::post(names::ORDER_PATH)
             .header(http::header::HOST, address.to_string())
             .header(http::header::CONTENT_TYPE, "application/json")
-            .header(names::TARGET_INSTANCE, &*self.chosen.id)
+            .header(names::TARGET_INSTANCE, platform_id(&self.chosen.id))
             .body(Full::new(Bytes::from(order::repath_body(id, path))));
         let Ok(request) = request else {
             return MoveAnswer::Unanswered;
--- a/src/metrics/serving.rs
+++ b/src/metrics/serving.rs
@@ -24,6 +24,7 @@
     repairs: Family<CauseLabel, Counter>,
     orders: Family<CauseLabel, Counter>,
     store_errors: Family<CauseLabel, Counter>,
+    unreadable: Family<CauseLabel, Counter>,
     first_event: Histogram,
     between_events: Histogram,
     whole_request: Histogram,
@@ -41,6 +42,7 @@
             repairs: Family::default(),
             orders: Family::default(),
             store_errors: Family::default(),
+            unreadable: Family::default(),
             first_event: latency_histogram(),
             between_events: latency_histogram(),
             whole_request: latency_histogram(),
@@ -84,6 +86,11 @@
                 "Failed calls to the log service, by topic",
                 &self.store_errors,
             ),
+            (
+                "unreadable_records",
+                "Records of the log that were passed over, by topic",
+                &self.unreadable,
+            ),
         ];
         for (name, help, family) in families {
             self.registry.register(name, help, family.clone());
@@ -159,6 +166,11 @@
         count(&self.orders, answer);
     }
 
+    /// Counts a record of a topic that cannot be read.
+    pub fn unreadable_record(&self, topic: &'static str) {
+        count(&self.unreadable, topic);
+    }
+
     /// Observes a call to the log service.
     pub fn store_called(&self, topic: &'static str, took: Duration, answered: bool) {
         match answered {
--- a/src/platform/log_calls.rs
+++ b/src/platform/log_calls.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use http::{Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
+use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
 use serde::Deserialize;
 
 use crate::forward::socket;
@@ -105,7 +106,7 @@
         loop {
             let from = after
                 .as_ref()
-                .map(|key| format!("&after={key}"))
+                .map(|key| format!("&after={}", utf8_percent_encode(key, NON_ALPHANUMERIC)))
                 .unwrap_or_default();
             let path = format!("/jackdawwick/log-newest?topic={topic}&part=0{from}");
             let bytes = self.get(&path, Duration::ZERO).await?;
--- a/src/platform/target_record.rs
+++ b/src/platform/target_record.rs
@@ -3,20 +3,47 @@
 use serde::Deserialize;
 
 use crate::fleet::{EngineReport, LayerRange, TargetEntry};
+use crate::ids::TargetId;
 
+/// Between the platform's id of a target and the time of its start in a
+/// [`TargetId`].
+const START_SEPARATOR: char = '@';
+
+/// A heartbeat's value. Every field that targets always write is required,
+/// used here or not: a value that lacks one is another writer's, and names no
+/// target.
 #[derive(Deserialize)]
 struct TargetBody {
     service: String,
     address: std::net::SocketAddr,
     zone: String,
-    #[serde(default)]
-    state: String,
+    #[serde(rename = "version")]
+    _software: String,
+    #[serde(rename = "slots")]
+    _slots: u64,
+    #[serde(rename = "cold_remaining_ms")]
+    _cold_remaining: f64,
+    /// Counts heartbeats. The report's field of the same name counts orders.
+    #[serde(rename = "sequence")]
+    _heartbeats: u64,
+    state: TargetCondition,
     #[serde(default)]
     kind: Option<String>,
     #[serde(default)]
     layers: Option<LayersBody>,
     #[serde(default)]
     models: Vec<ModelBody>,
+    /// Unix millisecond of the target's start; not written by all targets.
+    #[serde(default)]
+    born: Option<u64>,
+}
+
+/// What a target says of its readiness; any other word is another writer's.
+#[derive(Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "lowercase")]
+enum TargetCondition {
+    Ready,
+    Draining,
 }
 
 #[derive(Deserialize, Clone, Copy)]
@@ -56,6 +83,9 @@
     models: Vec<ModelBody>,
     #[serde(default)]
     stalled: Vec<StalledBody>,
+    /// Unix millisecond of the engine's start; not written by all engines.
+    #[serde(default)]
+    born: Option<u64>,
 }
 
 #[derive(Deserialize)]
@@ -74,12 +104,16 @@
     let mut deserializer = serde_json::Deserializer::from_slice(value);
     let body: TargetBody =
         serde_path_to_error::deserialize(&mut deserializer).map_err(|error| error.to_string())?;
+    if id.contains(START_SEPARATOR) {
+        return Err(format!("id: holds a {START_SEPARATOR}"));
+    }
     Ok(TargetEntry {
-        id: id.into(),
+        id: start_id(id, body.born),
+        started_ms: body.born,
         service: body.service.into(),
         address: body.address,
         zone: body.zone.into(),
-        draining: body.state == "draining",
+        draining: body.state == TargetCondition::Draining,
         kind: body.kind.map(Into::into),
         layers: held_layers(body.layers, &body.models),
     })
@@ -96,6 +130,7 @@
         serde_path_to_error::deserialize(&mut deserializer).map_err(|error| error.to_string())?;
     let stalled = body.stalled.into_iter();
     Ok(EngineReport {
+        started_ms: body.born,
         order_busy: body.busy,
         order_sequence: body.sequence,
         running: body.running,
@@ -110,6 +145,24 @@
     })
 }
 
+/// Id of one start of a target.
+///
+/// A target may start again under the id that it had, and then holds and knows
+/// nothing of before. With the time of the start in the id, requests, failures,
+/// orders and loads of the start before can touch nothing of the new one.
+pub fn start_id(id: &str, born: Option<u64>) -> TargetId {
+    match born {
+        Some(born) => format!("{id}{START_SEPARATOR}{born}").into(),
+        None => id.into(),
+    }
+}
+
+/// The platform's id of a target, which does not tell its starts apart.
+pub fn platform_id(target: &str) -> &str {
+    let parts = target.split_once(START_SEPARATOR);
+    parts.map_or(target, |(id, _)| id)
+}
+
 fn held_layers(own: Option<LayersBody>, models: &[ModelBody]) -> Option<LayerRange> {
     let listed = models.first().and_then(|model| model.layers);
     let layers = own.or(listed)?;
--- a/standins/src/soak/target.rs
+++ b/standins/src/soak/target.rs
@@ -153,6 +153,7 @@
     let body = json!({
         "service": place.service, "address": address, "zone": place.zone, "kind": place.kind,
         "state": if state.draining { "draining" } else { "ready" }, "layers": layers,
+        "version": "v1", "slots": 64, "cold_remaining_ms": 0, "sequence": 1,
     });
     topics.append(TARGETS, &state.id, Some(body.to_string().into()));
 }
--- a/standins/src/trial/fleet.rs
+++ b/standins/src/trial/fleet.rs
@@ -67,6 +67,7 @@
     let port = u16::try_from(engine).unwrap_or(u16::MAX);
     TargetEntry {
         id: id_of(engine),
+        started_ms: None,
         service: SERVICE.into(),
         address: ([127, 0, 0, 1], port).into(),
         zone: zone.into(),
--- a/tests/forwarding/host.rs
+++ b/tests/forwarding/host.rs
@@ -74,6 +74,7 @@
     fn add(&self, id: &str, service: &str, address: SocketAddr, layers: Option<LayerRange>) {
         self.tables.fleet.lock().observe_entry(TargetEntry {
             id: id.into(),
+            started_ms: None,
             service: service.into(),
             address,
             zone: "z".into(),
--- a/tests/ingress.rs
+++ b/tests/ingress.rs
@@ -102,16 +102,17 @@
 #[test]
 fn a_heartbeat_tells_layers_wherever_they_stand() {
     let own = br#"{"service":"s","address":"10.0.0.1:80","zone":"z","state":"ready",
-        "kind":"fast","layers":{"from":3,"to":9}}"#;
+        "version":"v","slots":4,"cold_remaining_ms":0,"sequence":1,"kind":"fast","layers":{"from":3,"to":9}}"#;
     let entry = parse_target("i-1", own).expect("an entry");
     assert_eq!(entry.layers, Some(LayerRange { from: 3, to: 9 }));
     assert!(!entry.draining);
     let listed = br#"{"service":"s","address":"10.0.0.1:80","zone":"z","state":"draining",
-        "models":[{"name":"m","layers":{"from":0,"to":4}}]}"#;
+        "version":"v","slots":4,"cold_remaining_ms":0,"sequence":1,"models":[{"name":"m","layers":{"from":0,"to":4}}]}"#;
     let entry = parse_target("i-1", listed).expect("an entry");
     assert_eq!(entry.layers, Some(LayerRange { from: 0, to: 4 }));
     assert!(entry.draining);
-    let none = br#"{"service":"s","address":"10.0.0.1:80","zone":"z","models":[]}"#;
+    let none = br#"{"service":"s","address":"10.0.0.1:80","zone":"z","state":"ready",
+        "version":"v","slots":4,"cold_remaining_ms":0,"sequence":1,"models":[],"layers":null}"#;
     assert_eq!(parse_target("i-1", none).expect("an entry").layers, None);
 }
 
--- a/tests/log_reader.rs
+++ b/tests/log_reader.rs
@@ -145,7 +145,8 @@
 
 fn heartbeat(port: u16) -> Vec<u8> {
     let body = serde_json::json!({
-        "service": "s", "address": format!("10.0.0.1:{port}"), "zone": "z", "state": "ready"
+        "service": "s", "address": format!("10.0.0.1:{port}"), "zone": "z", "state": "ready",
+        "version": "v", "slots": 4, "cold_remaining_ms": 0, "sequence": 1
     });
     body.to_string().into_bytes()
 }
--- a/tests/paths.rs
+++ b/tests/paths.rs
@@ -46,6 +46,7 @@
 fn engine(index: usize, zone: &str, kind: &str, from: u32, to: u32) -> TargetEntry {
     TargetEntry {
         id: format!("i-{index}").into(),
+        started_ms: None,
         service: "model".into(),
         address: format!("10.0.0.{}:80", index + 1)
             .parse()
--- /dev/null
+++ b/tests/target_starts.rs
@@ -0,0 +1,245 @@
+//! Targets that start again under their id, and records of other writers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use jackdawwick::entry::{LogCopy, StartVerdict, TargetStarts};
+use jackdawwick::fleet::{RequestSize, TargetEntry};
+use jackdawwick::forward::{InFlightGuard, ServingTables};
+use jackdawwick::platform::configuration_record::parse_configuration;
+use jackdawwick::platform::target_record::{parse_report, parse_target, platform_id};
+use jackdawwick::retry::WindowSettings;
+use proptest::prelude::*;
+use serde_json::{Value, json};
+
+fn heartbeat(born: Option<u64>) -> Value {
+    let mut body = json!({
+        "service": "s", "address": "10.0.0.1:80", "zone": "z", "state": "ready", "kind": "fast",
+        "version": "v", "slots": 4, "cold_remaining_ms": 0, "sequence": 1,
+        "layers": {"from": 0, "to": 8}
+    });
+    if let Some(born) = born {
+        body["born"] = born.into();
+    }
+    body
+}
+
+fn entry(born: u64) -> TargetEntry {
+    let value = heartbeat(Some(born)).to_string();
+    parse_target("i-1", value.as_bytes()).expect("an entry")
+}
+
+fn open_copy() -> (Arc<ServingTables>, LogCopy) {
+    let budget = WindowSettings {
+        window: Duration::from_secs(1),
+        ratio: 0.0,
+        slack: 0.0,
+    };
+    let tables = Arc::new(ServingTables::new("z".into(), budget));
+    (tables.clone(), LogCopy::new(tables))
+}
+
+fn observe(copy: &LogCopy, id: &str, offset: u64, value: &Value) {
+    copy.observe_target(id, offset, value.to_string().as_bytes());
+}
+
+fn known_ids(tables: &ServingTables) -> Vec<String> {
+    let fleet = tables.fleet.lock();
+    let ids = fleet.targets().map(|state| state.entry.id.to_string());
+    ids.collect()
+}
+
+#[test]
+fn the_platform_is_told_the_id_without_the_start() {
+    let entry = entry(1_700_000_000_000);
+    assert_eq!(platform_id(&entry.id), "i-1");
+    assert_ne!(&*entry.id, "i-1");
+}
+
+/// Symptom: an engine that started again is left alone, or counted as busy.
+/// Sequence: it fails, crashes with requests on it, and starts under its id.
+/// Cause: what was known of the start before was taken to be true of the new.
+#[test]
+fn a_new_start_has_no_requests_failures_or_layers_of_the_one_before() {
+    let (tables, copy) = open_copy();
+    let now = Instant::now();
+    observe(&copy, "i-1", 4, &heartbeat(Some(100)));
+    let before = entry(100).id;
+    let size = RequestSize {
+        prompt: 10,
+        answer: 10,
+    };
+    let guard = InFlightGuard::open(tables.clone(), vec![(before.clone(), size.load(8))]);
+    {
+        let mut fleet = tables.fleet.lock();
+        fleet.observe_silence(&before, now);
+        fleet.observe_pace(&before, 8.0, now);
+        fleet.observe_full(&before, now);
+    }
+    let mut empty = heartbeat(Some(900));
+    empty["layers"] = Value::Null;
+    observe(&copy, "i-1", 9, &empty);
+    let fleet = tables.fleet.lock();
+    assert!(fleet.get(&before).is_none(), "the start before is kept");
+    let state = fleet.get(&entry(900).id).expect("the new start");
+    assert_eq!(state.entry.layers, None);
+    assert_eq!(state.load().requests, 0);
+    assert!(state.is_usable(now) && !state.is_full(now));
+    assert!((state.pace(now) - 1.0).abs() < f64::EPSILON);
+    drop(fleet);
+    // What ends only now was never on the new start.
+    drop(guard);
+    let fleet = tables.fleet.lock();
+    let state = fleet.get(&entry(900).id).expect("the new start");
+    assert_eq!(state.load().requests, 0);
+}
+
+/// Symptom: requests are sent over layers that nobody holds. Sequence: an
+/// engine starts again; a heartbeat of before, under way when it crashed, is
+/// written after the first one of the new start. Cause: the newest record won.
+#[test]
+fn a_late_record_of_the_start_before_is_passed_over() {
+    let (tables, copy) = open_copy();
+    observe(&copy, "i-1", 4, &heartbeat(Some(900)));
+    observe(&copy, "i-1", 5, &heartbeat(Some(100)));
+    assert_eq!(known_ids(&tables), [entry(900).id.to_string()]);
+}
+
+/// Symptom: an engine is never used again. Sequence: its clock is set back,
+/// then it starts again. Cause: its new start looks older than the one before.
+#[test]
+fn a_start_with_a_clock_set_back_is_believed_in_the_end() {
+    let mut starts = TargetStarts::default();
+    assert_eq!(starts.observe("i-1", &entry(900)), StartVerdict::Current);
+    assert_eq!(starts.observe("i-1", &entry(100)), StartVerdict::Ended);
+    assert_eq!(starts.observe("i-1", &entry(900)), StartVerdict::Current);
+    let verdicts = (0..3).map(|_| starts.observe("i-1", &entry(100)));
+    let verdicts = verdicts.collect::<Vec<_>>();
+    let replaces = StartVerdict::Replaces(entry(900).id);
+    assert_eq!(
+        verdicts,
+        [StartVerdict::Ended, StartVerdict::Ended, replaces]
+    );
+}
+
+#[test]
+fn a_target_that_leaves_takes_its_newest_start_along() {
+    let (tables, copy) = open_copy();
+    observe(&copy, "i-1", 4, &heartbeat(Some(100)));
+    observe(&copy, "i-1", 5, &heartbeat(Some(900)));
+    copy.remove_target("i-1", 6, "entry dropped");
+    assert!(known_ids(&tables).is_empty());
+}
+
+/// Symptom: a host without targets, or requests to what is no engine.
+/// Sequence: something other than an engine writes an entry. Cause: fields
+/// that are missing, of another type or with words that nobody knows.
+#[test]
+fn a_record_of_another_writer_names_no_target_and_the_others_hold() {
+    let (tables, copy) = open_copy();
+    observe(&copy, "i-1", 0, &heartbeat(None));
+    let mut alien = vec![b"\xff\xfe".to_vec(), b"null".to_vec()];
+    alien.push("[".repeat(100_000).into_bytes());
+    alien.push(heartbeat(None).to_string().as_bytes()[..40].to_vec());
+    let required = [
+        "service", "address", "zone", "state", "version", "slots", "sequence",
+    ];
+    for field in required {
+        let mut missing = heartbeat(None);
+        missing.as_object_mut().expect("fields").remove(field);
+        alien.push(missing.to_string().into_bytes());
+    }
+    let odd = [
+        ("service", json!([1])),
+        ("address", json!("nowhere")),
+        ("slots", json!("many")),
+        ("state", json!("asleep")),
+        ("born", json!("yesterday")),
+        ("born", json!(12.5)),
+        ("born", json!(-1)),
+        ("layers", json!({"from": -1, "to": 3})),
+        ("kind", json!(7)),
+    ];
+    for (field, word) in odd {
+        let mut value = heartbeat(None);
+        value[field] = word;
+        alien.push(value.to_string().into_bytes());
+    }
+    for (offset, bytes) in (1..).zip(&alien) {
+        copy.observe_target(&format!("x-{offset}"), offset, bytes);
+        assert_eq!(known_ids(&tables), ["i-1"], "after record {offset}");
+    }
+    let whole = heartbeat(None).to_string();
+    copy.observe_target("i@2", 100, whole.as_bytes());
+    assert_eq!(known_ids(&tables), ["i-1"]);
+}
+
+#[test]
+fn an_entry_that_becomes_unreadable_names_no_target_until_the_next_heartbeat() {
+    let (tables, copy) = open_copy();
+    observe(&copy, "i-1", 0, &heartbeat(Some(100)));
+    copy.observe_target("i-1", 1, b"{}");
+    assert!(known_ids(&tables).is_empty());
+    observe(&copy, "i-1", 2, &heartbeat(Some(100)));
+    assert_eq!(known_ids(&tables).len(), 1);
+}
+
+/// Any JSON, up to a depth that real writers could reach.
+fn any_json() -> impl Strategy<Value = Value> {
+    let leaf = prop_oneof![
+        Just(Value::Null),
+        any::<bool>().prop_map(Value::from),
+        any::<i64>().prop_map(Value::from),
+        any::<f64>().prop_map(Value::from),
+        "[a-z0-9.:@-]{0,12}".prop_map(Value::from),
+    ];
+    leaf.prop_recursive(3, 16, 4, |inner| {
+        let list = prop::collection::vec(inner.clone(), 0..4).prop_map(Value::from);
+        let table = prop::collection::btree_map("[a-z_]{1,8}", inner, 0..4);
+        prop_oneof![
+            list,
+            table.prop_map(|table| Value::Object(table.into_iter().collect()))
+        ]
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(256))]
+
+    /// Whatever stands in the place of one field, the record is an entry or an
+    /// error, and another target's entry stays.
+    #[test]
+    fn any_field_of_a_heartbeat_may_be_anything(
+        field in 0_usize..11,
+        word in any_json(),
+    ) {
+        let (tables, copy) = open_copy();
+        observe(&copy, "i-1", 0, &heartbeat(Some(100)));
+        let mut value = heartbeat(Some(100));
+        let names = value.as_object().expect("fields").keys().cloned().collect::<Vec<_>>();
+        value[&names[field]] = word;
+        observe(&copy, "i-2", 1, &value);
+        prop_assert!(known_ids(&tables).contains(&entry(100).id.to_string()));
+        let _ = parse_report(value.to_string().as_bytes());
+        let _ = parse_configuration(value.to_string().as_bytes());
+    }
+
+    #[test]
+    fn any_bytes_are_an_entry_or_an_error(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        let (tables, copy) = open_copy();
+        observe(&copy, "i-1", 0, &heartbeat(Some(100)));
+        copy.observe_target("i-2", 1, &bytes);
+        let _ = parse_report(&bytes);
+        let _ = parse_configuration(&bytes);
+        prop_assert_eq!(known_ids(&tables).len(), 1);
+    }
+}
+
+#[test]
+fn a_report_tells_the_start() {
+    let report = parse_report(br#"{"born": 77}"#).expect("a report");
+    assert_eq!(report.started_ms, Some(77));
+    let address = "10.0.0.1:80".parse::<SocketAddr>().expect("an address");
+    assert_eq!(entry(1).address, address);
+}
