Ask a host only for changes by the number that it gave itself

The third host of a zone followed the second while the first had lost the log, then the first again, which had dropped the engine 0.3 s before. Starts of hosts are told apart by the microsecond of their clocks; both had the same, so the first host took the number of the second one's changes for its own, and the third host never heard of the drop.

Ruled out: a late read (the first host dropped the engine within 0.6 s), a lost answer (the question was held for 0.5 s as one with nothing new).

Change: the cursor of a following host knows whose number it has; another host is asked for its whole list, which it gives only if it has the log.

The test asks one host with the number of another; the code before had no cursor that could tell them apart.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -2,6 +2,7 @@
 //! callers and keeps the engines' layers in place.
 
 mod configuring;
+mod follow_cursor;
 mod following;
 mod kept_records;
 mod log_copy;
@@ -15,6 +16,7 @@
 mod settings;
 mod target_starts;
 
+pub use follow_cursor::FollowCursor;
 pub use following::{TargetPace, follow_targets};
 pub use kept_records::KeptRecords;
 pub use log_copy::LogCopy;
--- a/src/entry/relaying.rs
+++ b/src/entry/relaying.rs
@@ -6,13 +6,14 @@
 
 use tokio::sync::watch;
 
+use crate::entry::follow_cursor::FollowCursor;
 use crate::entry::log_copy::LogCopy;
 use crate::entry::missing::drop_unlisted;
 use crate::entry::peering::PeerDesk;
 use crate::fleet::UseSource;
 use crate::forward::ServingTables;
 use crate::ids::HostId;
-use crate::peer::{FollowAnswer, FollowQuestion, PeerHandle, TargetChange};
+use crate::peer::{FollowAnswer, PeerHandle, TargetChange};
 
 /// How long the reading host keeps a question that has no news: a leaving
 /// target is known after this and the pause of its reads, well within two
@@ -37,7 +38,7 @@
 struct RelayFollower {
     tables: Arc<ServingTables>,
     copy: Arc<LogCopy>,
-    question: FollowQuestion,
+    cursor: FollowCursor,
     lead: Option<HostId>,
     /// When a question was first asked that did not help.
     without_log_since: Option<Instant>,
@@ -56,7 +57,7 @@
     let mut follower = RelayFollower {
         tables,
         copy,
-        question: FollowQuestion::default(),
+        cursor: FollowCursor::default(),
         lead: None,
         without_log_since: None,
     };
@@ -82,7 +83,8 @@
         direct: &watch::Sender<bool>,
     ) -> bool {
         for (host, address) in leads {
-            let question = self.next_question();
+            let version = self.copy.configuration_version();
+            let question = self.cursor.question(&host, version);
             let asked = Instant::now();
             let limit = FOLLOW_HOLD + ANSWER_LIMIT;
             let answer = handle.follow(address, question, limit).await;
@@ -90,7 +92,7 @@
             match answer {
                 Ok(answer) => {
                     let fresh = answer.fresh;
-                    self.take(answer, now);
+                    self.take(&host, answer, now);
                     if fresh {
                         self.without_log_since = None;
                         self.switch(direct, Some(host));
@@ -116,14 +118,7 @@
         since.is_some_and(|since| now >= since + PATIENCE)
     }
 
-    fn next_question(&self) -> FollowQuestion {
-        FollowQuestion {
-            configuration_version: self.copy.configuration_version(),
-            ..self.question
-        }
-    }
-
-    fn take(&mut self, answer: FollowAnswer, now: Instant) {
+    fn take(&mut self, host: &HostId, answer: FollowAnswer, now: Instant) {
         if let Some(configuration) = &answer.configuration {
             self.copy.apply_configuration(configuration, "peer");
         }
@@ -148,8 +143,7 @@
             }
         }
         self.copy.advance(answer.read_to);
-        self.question.incarnation = answer.incarnation;
-        self.question.from = answer.next;
+        self.cursor.advance(host, answer.incarnation, answer.next);
     }
 
     fn switch(&mut self, direct: &watch::Sender<bool>, lead: Option<HostId>) {
@@ -159,7 +153,7 @@
         }
         if lead.is_none() {
             // Reading directly goes past what the other host has counted.
-            self.question = FollowQuestion::default();
+            self.cursor = FollowCursor::default();
         }
         let reads = lead.is_none();
         self.lead = lead;
--- a/src/peer/view.rs
+++ b/src/peer/view.rs
@@ -71,7 +71,8 @@
 pub struct FollowQuestion {
     /// Version of the configuration that the asking host has; 0 if none.
     pub configuration_version: u64,
-    /// Incarnation of the host that gave `from`; 0 at the first question.
+    /// Incarnation of the host that gave `from`; 0 at the first question, the
+    /// largest number where another host gave it.
     pub incarnation: IncarnationId,
     /// Change of targets to go on from, as the last answer said.
     pub from: u64,
--- a/tests/log_reader.rs
+++ b/tests/log_reader.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use jackdawwick::entry::{LogCopy, TargetPace, follow_targets};
+use jackdawwick::entry::{FollowCursor, LogCopy, TargetPace, follow_targets};
 use jackdawwick::forward::ServingTables;
 use jackdawwick::platform::log_calls::{LogError, LogReader};
 use jackdawwick::retry::WindowSettings;
@@ -295,6 +295,24 @@
     assert!(is_known(&tables, "a"));
 }
 
+/// Symptom: requests reach a target 2.9 s after it left. Sequence: a host
+/// follows the second host of its zone, then the first one again, which had
+/// just dropped the target; both had started in the same microsecond. Cause:
+/// the first host took the number of the second one's changes for its own.
+#[test]
+fn the_number_of_one_hosts_changes_is_not_asked_of_another() {
+    let mut cursor = FollowCursor::default();
+    let (first, second) = ("a".into(), "b".into());
+    assert_eq!(cursor.question(&second, 3).incarnation, 0);
+    cursor.advance(&second, 7, 41);
+    assert_eq!(cursor.question(&second, 3).from, 41);
+    let asked = cursor.question(&first, 3);
+    assert_ne!(asked.incarnation, 7);
+    // Not the first question: the asking host has targets.
+    assert_ne!(asked.incarnation, 0);
+    assert_eq!((asked.from, asked.configuration_version), (0, 3));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(64))]
 
