Plan a zone anew whose missing layers no single change brings back

Change: after 2.5 s with layers missing the zone is planned as if empty; ranges are exchanged among engines of one kind so that each keeps what it can.

The first assertion of the test is the code before: no order.

--- a/src/entry/placing.rs
+++ b/src/entry/placing.rs
@@ -14,7 +14,7 @@
 use crate::ids::TargetId;
 use crate::ids::ZoneId;
 use crate::ingress::{EngineModel, IngressConfiguration};
-use crate::placing::{EngineView, PlannedRange, plan_zone};
+use crate::placing::{ANEW_PATIENCE, EngineView, PlannedRange, has_holes, plan_zone};
 use crate::platform::target_record::platform_id;
 use crate::platform::{names, order};
 
@@ -37,12 +37,22 @@
     at: Instant,
 }
 
+/// A zone for which no order was due.
+#[derive(Debug, PartialEq)]
+struct SettledZone {
+    engines: Vec<EngineView>,
+    /// Whether it lacked layers for so long that it may be planned anew.
+    overdue: bool,
+}
+
 struct PlacingWorker {
     tables: Arc<ServingTables>,
     desk: Arc<PeerDesk>,
     given: FastMap<TargetId, GivenOrder>,
     /// Views of zones that needed no change when last looked at.
-    settled: FastMap<ZoneId, Vec<EngineView>>,
+    settled: FastMap<ZoneId, SettledZone>,
+    /// Since when zones have lacked layers.
+    holed_since: FastMap<ZoneId, Instant>,
     known: usize,
     first_seen: Option<Instant>,
     changed_at: Instant,
@@ -60,6 +70,7 @@
         desk,
         given: FastMap::default(),
         settled: FastMap::default(),
+        holed_since: FastMap::default(),
         known: 0,
         first_seen: None,
         changed_at: Instant::now(),
@@ -146,7 +157,7 @@
             let names = zones.keys().map(|zone| (*zone).clone()).collect::<Vec<_>>();
             zones.retain(|zone, _| self.desk.places_zone(zone, &names, now));
             for (zone, engines) in zones {
-                planned.extend(self.plan_zone(model, zone, engines));
+                planned.extend(self.plan_zone(model, zone, engines, now));
             }
         }
         planned
@@ -159,17 +170,37 @@
         model: &EngineModel,
         zone: &ZoneId,
         engines: Vec<EngineView>,
+        now: Instant,
     ) -> Vec<PlannedRange> {
-        if self.settled.get(zone) == Some(&engines) {
+        let holed_for = self.holed_for(model, zone, &engines, now);
+        let overdue = holed_for >= ANEW_PATIENCE;
+        let zone_view = SettledZone { engines, overdue };
+        if self.settled.get(zone) == Some(&zone_view) {
             return Vec::new();
         }
-        let planned = plan_zone(model, &engines);
+        let planned = plan_zone(model, &zone_view.engines, holed_for);
         if planned.is_empty() {
-            self.settled.insert(zone.clone(), engines);
+            self.settled.insert(zone.clone(), zone_view);
         }
         planned
     }
 
+    /// For how long a zone has lacked layers.
+    fn holed_for(
+        &mut self,
+        model: &EngineModel,
+        zone: &ZoneId,
+        engines: &[EngineView],
+        now: Instant,
+    ) -> Duration {
+        if !has_holes(model, engines) {
+            self.holed_since.remove(zone);
+            return Duration::ZERO;
+        }
+        let since = *self.holed_since.entry(zone.clone()).or_insert(now);
+        now.saturating_duration_since(since)
+    }
+
     async fn give_orders(&mut self, planned: Vec<PlannedRange>, now: Instant) {
         let orders = planned.into_iter().map(|range| {
             let tables = self.tables.clone();
--- a/src/placing.rs
+++ b/src/placing.rs
@@ -9,4 +9,5 @@
 mod plan;
 
 pub use estimate::{HeldRange, plan_worth};
-pub use plan::{EngineView, PlannedRange, plan_zone};
+pub use mend::ANEW_PATIENCE;
+pub use plan::{EngineView, PlannedRange, has_holes, plan_zone};
--- a/src/placing/best_range.rs
+++ b/src/placing/best_range.rs
@@ -77,7 +77,7 @@
 }
 
 /// The layers that two ranges have in common; empty where there are none.
-fn shared(one: LayerRange, other: LayerRange) -> LayerRange {
+pub(super) fn shared(one: LayerRange, other: LayerRange) -> LayerRange {
     let from = one.from.max(other.from);
     LayerRange {
         from,
--- a/src/placing/mend.rs
+++ b/src/placing/mend.rs
@@ -1,8 +1,12 @@
 //! Changes to a zone whose engines hold layers already.
 
+use std::time::Duration;
+
+use crate::fleet::LayerRange;
 use crate::ingress::EngineModel;
-use crate::placing::best_range::{HORIZON_S, LoadCost, RangeChange, best_range, load_time};
+use crate::placing::best_range::{HORIZON_S, LoadCost, RangeChange, best_range, load_time, shared};
 use crate::placing::figure::ZoneFigure;
+use crate::placing::first::plan_empty;
 use crate::placing::{EngineView, PlannedRange};
 
 /// How much more a zone has to carry after an engine changes its layers for
@@ -14,12 +18,21 @@
 const MOST_SWEEPS: usize = 4;
 /// Least gain for which an engine that is not ordered yet is placed anew.
 const SETTLED_GAIN: f64 = 1.002;
+/// How long a zone that cannot be mended otherwise lacks layers before it is
+/// planned anew. An engine that crashed is back, empty, within about a second
+/// of its entry's end; to load most layers of the zone anew before that lowered
+/// the mean worth of five days with faults from 0.747 to 0.740 (40 plays).
+pub const ANEW_PATIENCE: Duration = Duration::from_millis(2500);
 /// Changes of engines that hold layers in one plan, to close holes.
 const MOST_MOVES: usize = 12;
 
 /// Gives empty engines the range in which they help most; closes holes, or
 /// makes one change that lets the zone carry clearly more.
-pub(super) fn plan_changes(model: &EngineModel, engines: &[EngineView]) -> Vec<PlannedRange> {
+pub(super) fn plan_changes(
+    model: &EngineModel,
+    engines: &[EngineView],
+    holed_for: Duration,
+) -> Vec<PlannedRange> {
     let mut changed = engines.to_vec();
     fill_empty(model, &mut changed);
     if let Some(rearranged) = rearrange(model, engines, &changed) {
@@ -27,7 +40,12 @@
     }
     if hole_count(model, &changed) > 0 {
         // Half a mend only takes room from what still works.
-        changed = close_holes(model, &changed).unwrap_or(changed);
+        let closed = close_holes(model, &changed);
+        let closed = match closed {
+            None if holed_for >= ANEW_PATIENCE => plan_anew(model, &changed),
+            closed => closed,
+        };
+        changed = closed.unwrap_or(changed);
     } else if let Some(change) = best_change(model, &changed) {
         changed[change.engine].layers = Some(change.layers);
     }
@@ -137,6 +155,46 @@
     None
 }
 
+/// The engines as if none held anything yet; `None` if that leaves holes too.
+///
+/// A zone that lost two large engines for good cannot be made whole by one
+/// change after the other, each better than the one before. It served nothing
+/// for the rest of the day, although its engines had room for ninety requests.
+fn plan_anew(model: &EngineModel, engines: &[EngineView]) -> Option<Vec<EngineView>> {
+    let mut anew = engines.to_vec();
+    for engine in &mut anew {
+        engine.layers = None;
+    }
+    let planned = plan_empty(model, &anew);
+    for range in planned {
+        if let Some(engine) = anew.iter_mut().find(|engine| engine.id == range.id) {
+            engine.layers = Some(range.layers);
+        }
+    }
+    keep_ranges(engines, &mut anew);
+    (hole_count(model, &anew) == 0).then_some(anew)
+}
+
+/// Exchanges ranges between engines of one kind, so that each keeps as much of
+/// what it holds as can be.
+fn keep_ranges(engines: &[EngineView], anew: &mut [EngineView]) {
+    let kept = |engine: usize, layers: Option<LayerRange>| {
+        let held = engines[engine].layers.zip(layers);
+        held.map_or(0, |(held, wanted)| shared(held, wanted).width())
+    };
+    for one in 0..anew.len() {
+        for other in one + 1..anew.len() {
+            let (first, second) = (anew[one].layers, anew[other].layers);
+            let as_planned = kept(one, first) + kept(other, second);
+            let exchanged = kept(one, second) + kept(other, first);
+            if anew[one].kind == anew[other].kind && exchanged > as_planned {
+                anew[one].layers = second;
+                anew[other].layers = first;
+            }
+        }
+    }
+}
+
 /// The one change that lets the zone carry clearly more.
 fn best_change(model: &EngineModel, engines: &[EngineView]) -> Option<RangeChange> {
     let changes = 0..engines.len();
@@ -145,6 +203,6 @@
     (best.gain > LEAST_GAIN).then_some(best)
 }
 
-fn hole_count(model: &EngineModel, engines: &[EngineView]) -> usize {
+pub(super) fn hole_count(model: &EngineModel, engines: &[EngineView]) -> usize {
     ZoneFigure::of(model, engines, None).holes()
 }
--- a/src/placing/plan.rs
+++ b/src/placing/plan.rs
@@ -1,5 +1,7 @@
 //! The plan of one availability zone.
 
+use std::time::Duration;
+
 use crate::fleet::LayerRange;
 use crate::ids::TargetId;
 use crate::ingress::{AcceleratorKind, EngineModel};
@@ -30,11 +32,22 @@
 ///
 /// Engines that hold layers already are left alone as long as every layer has
 /// a holder: a load takes seconds and its share of the weights store.
-pub fn plan_zone(model: &EngineModel, engines: &[EngineView]) -> Vec<PlannedRange> {
+///
+/// `holed_for` says for how long the zone has lacked layers.
+pub fn plan_zone(
+    model: &EngineModel,
+    engines: &[EngineView],
+    holed_for: Duration,
+) -> Vec<PlannedRange> {
     let mut engines = engines.to_vec();
     engines.sort_by(|one, other| one.id.cmp(&other.id));
     match engines.iter().any(|engine| engine.layers.is_some()) {
         false => first::plan_empty(model, &engines),
-        true => mend::plan_changes(model, &engines),
+        true => mend::plan_changes(model, &engines, holed_for),
     }
 }
+
+/// Whether a zone lacks layers, or has no useful room for some.
+pub fn has_holes(model: &EngineModel, engines: &[EngineView]) -> bool {
+    mend::hole_count(model, engines) > 0
+}
--- a/standins/src/trial/plans.rs
+++ b/standins/src/trial/plans.rs
@@ -1,5 +1,7 @@
 //! Plans that are compared.
 
+use std::time::Duration;
+
 use jackdawwick::fleet::LayerRange;
 use jackdawwick::ingress::{AcceleratorKind, EngineModel};
 use jackdawwick::placing::{EngineView, plan_zone};
@@ -48,7 +50,7 @@
         kind: *kind,
         layers: None,
     });
-    let planned = plan_zone(model, &views.collect::<Vec<_>>());
+    let planned = plan_zone(model, &views.collect::<Vec<_>>(), Duration::ZERO);
     let range = |index: usize| planned.iter().find(|range| range.id == id(index));
     let ranges = (0..engines.len()).map(|index| range(index).map(|range| range.layers));
     ranges.collect()
--- a/tests/placing.rs
+++ b/tests/placing.rs
@@ -1,10 +1,12 @@
 //! The planner: no engine is given more than it holds, every layer has a
 //! holder, and the plan carries more than naive ones.
 
+use std::time::Duration;
+
 use jackdawwick::collections::FastMap;
 use jackdawwick::fleet::LayerRange;
 use jackdawwick::ingress::{AcceleratorKind, EngineModel};
-use jackdawwick::placing::{EngineView, HeldRange, plan_worth, plan_zone};
+use jackdawwick::placing::{ANEW_PATIENCE, EngineView, HeldRange, plan_worth, plan_zone};
 use proptest::prelude::*;
 
 const FAST: AcceleratorKind = AcceleratorKind {
@@ -54,7 +56,7 @@
 
 /// Carries the plan out.
 fn apply(model: &EngineModel, engines: &mut [EngineView]) -> usize {
-    let planned = plan_zone(model, engines);
+    let planned = plan_zone(model, engines, ANEW_PATIENCE);
     for range in &planned {
         let engine = engines.iter_mut().find(|engine| engine.id == range.id);
         engine.expect("a known engine").layers = Some(range.layers);
@@ -225,6 +227,30 @@
     assert!(room / 977.0 > 15.0, "room for {} requests", room / 977.0);
 }
 
+/// Symptom: a zone serves nothing for the rest of a day, other zones are late.
+/// Sequence: a fast and a usual engine are lost for good. Cause: no single
+/// change made the zone better, so that none was made.
+#[test]
+fn a_zone_that_lost_two_large_engines_is_planned_anew() {
+    let model = model();
+    let mut engines = small_zone();
+    engines.remove(2);
+    engines.remove(0);
+    let slow = [(50, 61), (58, 69), (69, 80), (50, 61), (61, 72)];
+    for (engine, (from, to)) in engines[2..].iter_mut().zip(slow) {
+        engine.layers = Some(LayerRange { from, to });
+    }
+    let early = plan_zone(&model, &engines, Duration::ZERO);
+    assert!(early.is_empty(), "planned anew before engines can be back");
+    apply(&model, &mut engines);
+    let least = least_room(&model, &engines);
+    assert!(least > 15.0, "room for {least} requests");
+    for _ in 0..3 {
+        apply(&model, &mut engines);
+    }
+    assert_eq!(apply(&model, &mut engines), 0, "orders at rest");
+}
+
 /// The same: an engine that was widened is narrowed when an empty one comes.
 #[test]
 fn a_widened_engine_and_an_empty_one_are_placed_together() {
@@ -328,7 +354,7 @@
         let mut turned = engines.clone();
         turned.reverse();
         let sorted = |engines: &[EngineView]| {
-            let mut planned = plan_zone(&model, engines);
+            let mut planned = plan_zone(&model, engines, Duration::ZERO);
             planned.sort_by(|one, other| one.id.cmp(&other.id));
             planned
         };
