Hold one lock at a time where records of targets are taken in

Cause, found by reading the change: a record of a target was taken in with the lock of the copy held while that of the targets was waited for; the thread that answers peers took them in the reverse order.

Change: each lock is let go before the next one is taken, on both sides. The new test hung (5 s) on the code before and passes after.

--- a/src/entry/log_copy.rs
+++ b/src/entry/log_copy.rs
@@ -139,14 +139,13 @@
             Ok(entry) => entry,
             Err(error) => return self.drop_unreadable(id, offset, &error),
         };
-        let mut kept = self.kept.lock();
-        match kept.starts.observe(id, &entry) {
+        // One lock at a time: the thread that answers peers takes both too.
+        let verdict = self.kept.lock().starts.observe(id, &entry);
+        match verdict {
             StartVerdict::Current => {}
             StartVerdict::Replaces(before) => {
-                drop(kept);
                 self.forget_start(&before);
                 log::info!(before:% = before, target_id:% = entry.id; "target started again");
-                kept = self.kept.lock();
             }
             StartVerdict::Ended => {
                 log::info!(target_id:% = entry.id, offset = offset; "record of an ended start");
@@ -155,6 +154,7 @@
         }
         let changed = self.tables.fleet.lock().observe_entry(entry.clone());
         let value = Bytes::copy_from_slice(value);
+        let mut kept = self.kept.lock();
         kept.targets.observe(&id.into(), offset, value, changed);
         drop(kept);
         if changed {
--- a/src/entry/peering.rs
+++ b/src/entry/peering.rs
@@ -183,10 +183,12 @@
             // The asking host has targets, and would not take these.
             return FollowAnswer::default();
         }
+        // Taken first, so that its lock is not held while the copy's is taken.
+        let remote = self.tables.fleet.lock().remote_uses();
         FollowAnswer {
             incarnation: self.incarnation,
             fresh,
-            remote: self.tables.fleet.lock().remote_uses(),
+            remote,
             ..self.copy.answer(question, known)
         }
     }
--- a/tests/target_starts.rs
+++ b/tests/target_starts.rs
@@ -236,6 +236,31 @@
     }
 }
 
+/// Symptom: a host hangs for good (found by reading). Sequence: it takes a record
+/// in while another thread answers a peer. Cause: one held the lock of the copy
+/// and waited for that of the targets, the other the reverse.
+#[test]
+fn no_lock_is_held_while_another_is_waited_for() {
+    let (tables, copy) = open_copy();
+    let copy = Arc::new(copy);
+    observe(&copy, "i-1", 4, &heartbeat(Some(100)));
+    let fleet = tables.fleet.lock();
+    let writer = copy.clone();
+    let writing = std::thread::spawn(move || observe(&writer, "i-1", 5, &heartbeat(Some(100))));
+    std::thread::sleep(Duration::from_millis(50));
+    let (done, waiting) = std::sync::mpsc::channel();
+    let reading = std::thread::spawn(move || {
+        // Old news: only the copy is asked.
+        observe(&copy, "i-1", 1, &heartbeat(Some(100)));
+        done.send(())
+    });
+    let answered = waiting.recv_timeout(Duration::from_secs(5));
+    drop(fleet);
+    writing.join().expect("a writer");
+    assert!(answered.is_ok(), "the copy's lock was held");
+    reading.join().expect("a reader").expect("a receiver");
+}
+
 #[test]
 fn a_report_tells_the_start() {
     let report = parse_report(br#"{"born": 77}"#).expect("a report");
