--- a/src/placing/plan.rs
+++ b/src/placing/plan.rs
@@ -30,8 +30,9 @@
 /// Ranges to order, for the engines of one availability zone; engines that are
 /// to stay as they are do not appear.
 ///
-/// Engines that hold layers already are left alone as long as every layer has
-/// a holder: a load takes seconds and its share of the weights store.
+/// Engines that hold layers already change them only to close a hole, or where
+/// the zone then carries clearly more: a load takes seconds and its share of the
+/// weights store.
 ///
 /// `holed_for` says for how long the zone has lacked layers.
 pub fn plan_zone(
