Keep the planner alive when an entry tells of layers outside of the model

Cause, found by reading the change: the layers that two ranges have in common were an empty range at the larger start, also where that lies outside of the model; the sums are indexed by it, and the planner's task ended with a panic, so that no engine was ordered any more on that host.

Change: the empty range lies within the range that is judged. The test ended with the index out of bounds before and passes after. Ranges that overlap are judged as before, and what an empty range is worth does not depend on where it lies.

Beside it, without change of behaviour: the worth of a zone over the time of a change stood twice as a formula and is one function; a figure of the zone that was worked out twice is worked out once.

--- a/src/placing/best_range.rs
+++ b/src/placing/best_range.rs
@@ -7,7 +7,7 @@
 
 /// Time over which a change has to pay, in seconds. A zone that lost engines
 /// was short of room for 10 to 20 s on the days that were traced.
-pub(super) const HORIZON_S: f64 = 20.0;
+const HORIZON_S: f64 = 20.0;
 /// Time from an order until its engine is used again, besides the load itself,
 /// in seconds: half a heartbeat and the pauses of two hosts.
 const ORDER_S: f64 = 1.0;
@@ -59,8 +59,7 @@
             let gain = match (cost, engine.layers) {
                 (LoadCost::Counted, Some(held)) => {
                     let during = figure.worth(shared(held, layers));
-                    let out = (load_time(model, held, layers) / HORIZON_S).min(1.0);
-                    (after * (1.0 - out) + during * out) / now
+                    over_horizon(model, held, layers, during, after) / now
                 }
                 _ => after / now,
             };
@@ -76,9 +75,24 @@
     best.filter(|best| engine.layers != Some(best.layers))
 }
 
-/// The layers that two ranges have in common; empty where there are none.
+/// Mean worth of a zone over the horizon in which an engine changes its layers:
+/// `during` until it holds them, `after` from then on.
+pub(super) fn over_horizon(
+    model: &EngineModel,
+    held: LayerRange,
+    wanted: LayerRange,
+    during: f64,
+    after: f64,
+) -> f64 {
+    let out = (load_time(model, held, wanted) / HORIZON_S).min(1.0);
+    after * (1.0 - out) + during * out
+}
+
+/// The layers that two ranges have in common. Empty where there are none, and
+/// within `other` also then: what an engine says that it holds may lie outside
+/// of the model, and the planner would end with an index out of bounds.
 pub(super) fn shared(one: LayerRange, other: LayerRange) -> LayerRange {
-    let from = one.from.max(other.from);
+    let from = one.from.max(other.from).min(other.to);
     LayerRange {
         from,
         to: one.to.min(other.to).max(from),
@@ -86,7 +100,7 @@
 }
 
 /// Seconds until an engine that holds some layers holds others.
-pub(super) fn load_time(model: &EngineModel, held: LayerRange, wanted: LayerRange) -> f64 {
+fn load_time(model: &EngineModel, held: LayerRange, wanted: LayerRange) -> f64 {
     let kept = shared(held, wanted).width();
     let new = wanted.width() - kept;
     let drain_s = if kept < held.width() { DRAIN_S } else { 0.0 };
--- a/src/placing/mend.rs
+++ b/src/placing/mend.rs
@@ -4,7 +4,7 @@
 
 use crate::ingress::EngineModel;
 use crate::placing::anew::{ANEW_PATIENCE, plan_anew};
-use crate::placing::best_range::{HORIZON_S, LoadCost, RangeChange, best_range, load_time};
+use crate::placing::best_range::{LoadCost, RangeChange, best_range, over_horizon};
 use crate::placing::figure::{ZoneFigure, hole_count};
 use crate::placing::fill::fill_empty;
 use crate::placing::{EngineView, PlannedRange};
@@ -66,38 +66,35 @@
     if engines.iter().all(|engine| engine.layers.is_some()) {
         return None;
     }
-    let scarcest = ZoneFigure::of(model, filled, None).scarcest_layer();
-    let now = ZoneFigure::of(model, filled, None).worth();
+    let zone = ZoneFigure::of(model, filled, None);
+    let (scarcest, now) = (zone.scarcest_layer(), zone.worth());
     let holds = |engine: &EngineView| engine.layers.is_some_and(|held| held.contains(scarcest));
     let holders = (0..engines.len()).filter(|index| holds(&engines[*index]));
     let options = holders.map(|index| {
         let mut option = engines.to_vec();
         option[index].layers = None;
         fill_empty(model, &mut option);
-        let gain = rearranged_gain(model, engines, &option, index, now);
-        (gain, option)
+        let worth = rearranged_worth(model, engines, &option, index);
+        (worth / now, option)
     });
     let best = options.max_by(|one, other| one.0.total_cmp(&other.0))?;
     (best.0 > LEAST_GAIN).then_some(best.1)
 }
 
-/// Worth of an option in which one engine holds other layers than before, in
-/// times of `now`, with what is missing until it does.
-fn rearranged_gain(
+/// Worth of an option in which one engine holds other layers than before, with
+/// what is missing until it does.
+fn rearranged_worth(
     model: &EngineModel,
     engines: &[EngineView],
     option: &[EngineView],
     index: usize,
-    now: f64,
 ) -> f64 {
     let after = ZoneFigure::of(model, option, None).worth();
     let during = ZoneFigure::of(model, option, Some(index)).worth();
-    let out = match (engines[index].layers, option[index].layers) {
-        (Some(held), Some(wanted)) => load_time(model, held, wanted) / HORIZON_S,
-        _ => 0.0,
-    };
-    let out = out.min(1.0);
-    (after * (1.0 - out) + during * out) / now
+    match (engines[index].layers, option[index].layers) {
+        (Some(held), Some(wanted)) => over_horizon(model, held, wanted, during, after),
+        _ => after,
+    }
 }
 
 /// The engines after all holes are closed; `None` if some cannot be.
--- a/tests/placing.rs
+++ b/tests/placing.rs
@@ -251,6 +251,18 @@
     assert_eq!(apply(&model, &mut engines), 0, "orders at rest");
 }
 
+/// Symptom: no engine is ordered any more (found by reading). Sequence: an entry
+/// tells of layers that the model does not have. Cause: the planner ended with an
+/// index out of bounds.
+#[test]
+fn layers_outside_of_the_model_end_no_planner() {
+    let model = model();
+    let mut engines = small_zone();
+    engines[8].layers = Some(LayerRange { from: 100, to: 120 });
+    apply(&model, &mut engines);
+    assert!((0..model.layers).all(|layer| holders(&engines, layer) > 0));
+}
+
 /// The same: an engine that was widened is narrowed when an empty one comes.
 #[test]
 fn a_widened_engine_and_an_empty_one_are_placed_together() {
