Show which attempts are one request, and whether an engine ended under them

Cause: the lines of an incident cannot tell whether attempts with different ids are the same request, nor whether an engine whose connections break has ended or only broke off; both are needed to tell its hypotheses apart.

Change: a key of method, host, path, organisation and body in the line on where a request goes; a connection is tried once for each target whose connections break, and one line written where it is refused. No decision changes.

Ruled out: the report of an engine for the same question; plain targets have none.

--- a/src/forward.rs
+++ b/src/forward.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod choice;
 mod conduct;
+mod ended;
 mod events;
 mod exchange;
 mod head;
--- a/src/forward/conduct.rs
+++ b/src/forward/conduct.rs
@@ -68,6 +68,7 @@
         let path = chosen.path.as_ref();
         log::info!(
             request:% = self.outgoing.id,
+            key:% = format_args!("{:016x}", self.key),
             route:% = self.matched.route.name,
             configuration = self.configuration,
             organisation:% = self.matched.organisation.as_deref().unwrap_or("none"),
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -18,9 +18,10 @@
 use super::tables::ServingTables;
 use super::watch::PathWatch;
 use crate::fleet::RequestSize;
-use crate::ids::TargetId;
+use crate::ids::{RequestKey, TargetId};
 use crate::ingress::{MatchedRequest, ServiceSpec, match_request};
 use crate::platform::names;
+use crate::poison::{RequestIdentity, request_key};
 use crate::reason::RefusalReason;
 use crate::verdict::RunVerdict;
 
@@ -41,6 +42,8 @@
     pub(super) outgoing: OutgoingRequest,
     pub(super) matched: MatchedRequest,
     pub(super) service: Arc<ServiceSpec>,
+    /// What all attempts of the request share, whichever host they reach.
+    pub(super) key: RequestKey,
     pub(super) size: RequestSize,
     /// Version of the configuration that matched it.
     pub(super) configuration: u64,
@@ -139,6 +142,14 @@
         return Err(Refusal::not_run(RefusalReason::Draining, DRAINING_RETRY));
     }
     let body = read_body(body, configuration.limits.body_bytes).await?;
+    let target = parts.uri.path_and_query();
+    let key = request_key(RequestIdentity {
+        method: parts.method.as_str(),
+        host: &head.host,
+        path: target.map_or(path, |target| target.as_str()),
+        organisation: matched.organisation.as_deref(),
+        body: &body,
+    });
     let timeout = arrived + matched.route.timeout;
     let mut headers = forwarded(&parts.headers);
     if let Some(organisation) = &matched.organisation
@@ -179,6 +190,7 @@
         }),
         matched,
         service,
+        key,
         tables,
     })
 }
@@ -239,6 +251,9 @@
             Err(failure) => failure,
         };
         watch.release();
+        if failure.cause == FailureCause::Broken {
+            watch.note_break().await;
+        }
         exchange.note_failure(&watch.chosen, &failure, &mut tried);
         if !exchange.may_retry(&failure, &tried, Instant::now()) {
             return Err(final_refusal(&failure, &tried));
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -91,6 +91,7 @@
                 }
                 StreamStep::Deadline => return Err(self.give_up("deadline")),
                 StreamStep::Broken(reason) => {
+                    self.watch.note_break().await;
                     let failed = self.watch.chosen.id.clone();
                     self.exchange.observe_failure(&self.watch.chosen, None);
                     self.tried.avoid.push(failed);
--- a/src/forward/tables.rs
+++ b/src/forward/tables.rs
@@ -7,6 +7,7 @@
 use arc_swap::ArcSwapOption;
 use parking_lot::Mutex;
 
+use super::ended::EndCell;
 use super::liveness::LivenessTable;
 use crate::admission::OverloadGauge;
 use crate::collections::FastMap;
@@ -47,6 +48,7 @@
     budgets: Mutex<FastMap<ServiceId, WindowBudget>>,
     budget_settings: Mutex<WindowSettings>,
     reports: Mutex<FastMap<TargetId, ReportCell>>,
+    ends: Mutex<FastMap<TargetId, EndCell>>,
     pub(super) liveness: LivenessTable,
 }
 
@@ -67,6 +69,7 @@
             budgets: Mutex::default(),
             budget_settings: Mutex::new(budget_settings),
             reports: Mutex::default(),
+            ends: Mutex::default(),
             liveness: LivenessTable::default(),
         }
     }
@@ -120,6 +123,11 @@
             .clone()
     }
 
+    pub(super) fn end_cell(&self, target: &TargetId) -> EndCell {
+        let mut ends = self.ends.lock();
+        ends.entry(target.clone()).or_default().clone()
+    }
+
     /// Tells all requests that pass a target that it has ended.
     pub fn tell_lost(&self, target: &str) {
         self.liveness.tell_lost(target);
@@ -128,6 +136,7 @@
     /// Forgets what was kept about a target that is gone.
     pub fn forget_target(&self, target: &str) {
         self.reports.lock().remove(target);
+        self.ends.lock().remove(target);
     }
 }
 
--- a/src/forward/watch.rs
+++ b/src/forward/watch.rs
@@ -11,6 +11,7 @@
 
 use super::attempt::{self, AttemptFailure, FailureCause};
 use super::choice::ChosenTarget;
+use super::ended::has_ended;
 use super::exchange::Exchange;
 use super::liveness::LivenessGuard;
 use super::probe::{ask, fetch_report};
@@ -102,6 +103,20 @@
         self.ask_at
     }
 
+    /// The connection to the target broke: one line if its process has ended.
+    pub(super) async fn note_break(&self) {
+        let broke = Instant::now();
+        let (target, address) = (&self.chosen.id, self.chosen.address);
+        if has_ended(&self.exchange.tables, target, address, broke).await {
+            log::info!(
+                request:% = self.exchange.outgoing.id,
+                key:% = format_args!("{:016x}", self.exchange.key),
+                target_id:% = target;
+                "target ended under a request"
+            );
+        }
+    }
+
     /// No longer counts the request on its targets.
     pub(super) fn release(&mut self) {
         self.guard = None;
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -4,6 +4,9 @@
 
 /// Identifies one request of a caller, unique across the whole system.
 pub type RequestId = Arc<str>;
+/// What all attempts of one request share, alike on all hosts: see
+/// [`crate::poison::request_key`].
+pub type RequestKey = u64;
 /// The settings' name of one host of this system.
 pub type HostId = Arc<str>;
 /// A daemon's life on a host: a new one is drawn at each start.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -56,6 +56,7 @@
 pub mod peer_capnp;
 pub mod placing;
 pub mod platform;
+pub mod poison;
 pub mod reason;
 pub mod reconcile;
 pub mod records;
