Refuse a request at once that three targets ended under

Cause: each attempt was judged by itself. A host remembered of a failed attempt which engine to leave alone, and nothing of the request, so that it went to the next engine when its caller came back, or when the host itself took the stream up again.

Change: poison::PoisonTable holds the targets whose processes ended as a request began to run there, by a key of method, host, path, organisation and body. The third one makes it poison: it is refused with 502 and the verdict that it may have run, before every attempt, resume and move. An end is proved by a refused connection; a target that ran the request for two seconds, or answered it, clears it. At most 512 requests are remembered.

Other hosts are not told yet.

--- a/src/forward.rs
+++ b/src/forward.rs
@@ -10,6 +10,7 @@
 mod conduct;
 mod ended;
 mod events;
+mod evidence;
 mod exchange;
 mod head;
 mod lateness;
--- a/src/forward/answer.rs
+++ b/src/forward/answer.rs
@@ -51,6 +51,13 @@
         }
     }
 
+    /// Targets crashed as they began to run the request, this attempt of it or an
+    /// earlier one: it may have run. No time to come back is given, since it would
+    /// be refused again.
+    pub fn poison() -> Self {
+        Self::may_have_run(StatusCode::BAD_GATEWAY, RefusalReason::PoisonRequest)
+    }
+
     /// The configuration does not allow the request.
     pub fn rejected(reason: RejectReason) -> Self {
         let (status, reason) = match reason {
--- a/src/forward/conduct.rs
+++ b/src/forward/conduct.rs
@@ -35,6 +35,9 @@
         started: bool,
     ) -> Result<(ChosenTarget, InFlightGuard), Refusal> {
         let now = Instant::now();
+        if self.is_poison(now) {
+            return Err(Refusal::poison());
+        }
         let chosen = {
             let fleet = self.tables.fleet.lock();
             let zone = &self.tables.zone;
@@ -88,6 +91,7 @@
         status: u16,
         times: Option<StreamTimes>,
     ) {
+        self.note_survival(Instant::now());
         let took = self.arrived.elapsed();
         let (first, longest) =
             times.map_or_else(Default::default, |times| (times.first(), times.longest()));
--- a/src/forward/ended.rs
+++ b/src/forward/ended.rs
@@ -38,7 +38,11 @@
         Some((at, false)) if at >= broke => false,
         _ => {
             let ended = refuses_connections(address).await;
-            *last = Some((Instant::now(), ended));
+            let now = Instant::now();
+            *last = Some((now, ended));
+            if ended {
+                tables.fleet.lock().observe_process_end(target, now);
+            }
             ended
         }
     }
--- /dev/null
+++ b/src/forward/evidence.rs
@@ -0,0 +1,49 @@
+//! What is noted of a request and the targets that ended under it.
+
+use std::time::Instant;
+
+use super::exchange::Exchange;
+use crate::fleet::target_key;
+use crate::ids::TargetId;
+use crate::poison::{PoisonVerdict, RunStart};
+
+impl Exchange {
+    /// Whether the request is refused, since targets do not survive it.
+    pub(super) fn is_poison(&self, now: Instant) -> bool {
+        self.tables.poison.lock().is_poison(self.key, now)
+    }
+
+    /// The process of a target has ended while it had the request.
+    pub(super) fn note_end(&self, target: &TargetId, start: &RunStart, now: Instant) {
+        if !start.is_suspect(target, now) {
+            return;
+        }
+        let verdict = {
+            let mut poison = self.tables.poison.lock();
+            poison.observe_end(self.key, target_key(target), now)
+        };
+        self.tables.metrics.ended_under_request(verdict.name());
+        log::info!(
+            request:% = self.outgoing.id,
+            key:% = format_args!("{:016x}", self.key),
+            target_id:% = target,
+            verdict:% = verdict.name();
+            "target ended under a request"
+        );
+        if verdict == PoisonVerdict::Poison {
+            self.tables.poison_news.notify_waiters();
+        }
+    }
+
+    /// The targets ran the request and live on.
+    pub(super) fn note_survival(&self, now: Instant) {
+        let cleared = self.tables.poison.lock().observe_survival(self.key, now);
+        if cleared {
+            log::info!(
+                request:% = self.outgoing.id,
+                key:% = format_args!("{:016x}", self.key);
+                "targets survived a suspected request"
+            );
+        }
+    }
+}
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -150,6 +150,9 @@
         organisation: matched.organisation.as_deref(),
         body: &body,
     });
+    if tables.poison.lock().is_poison(key, arrived) {
+        return Err(Refusal::poison());
+    }
     let timeout = arrived + matched.route.timeout;
     let mut headers = forwarded(&parts.headers);
     if let Some(organisation) = &matched.organisation
--- a/src/forward/liveness.rs
+++ b/src/forward/liveness.rs
@@ -129,9 +129,12 @@
 async fn watch(tables: Arc<ServingTables>, target: TargetId, address: SocketAddr) {
     let mut crowded = false;
     while tables.liveness.is_needed(&target) {
-        let Some(mut stream) = connect(address).await else {
-            tell_lost(&tables, &target);
-            break;
+        let mut stream = match connect(address).await {
+            Ok(stream) => stream,
+            Err(loss) => {
+                tell_lost(&tables, &target, loss);
+                break;
+            }
         };
         if crowded {
             drop(stream);
@@ -146,17 +149,27 @@
     tables.liveness.connected.lock().remove(&target);
 }
 
-/// A connection to an engine; `None` if its process has ended, or nothing can
-/// reach it.
-async fn connect(address: SocketAddr) -> Option<TcpStream> {
+/// How an engine that takes no connections was lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum EngineLoss {
+    /// Its process has ended.
+    Ended,
+    /// Nothing can reach it.
+    Silent,
+}
+
+/// A connection to an engine.
+async fn connect(address: SocketAddr) -> Result<TcpStream, EngineLoss> {
     for _ in 0..SILENT_TRIES {
         match socket::connect(address, CONNECT_LIMIT).await {
-            Ok(stream) => return Some(stream),
-            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => return None,
+            Ok(stream) => return Ok(stream),
+            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                return Err(EngineLoss::Ended);
+            }
             Err(error) => log::debug!("{address} is not reached: {error}"),
         }
     }
-    None
+    Err(EngineLoss::Silent)
 }
 
 async fn read_to_end(stream: &mut TcpStream) {
@@ -164,10 +177,14 @@
     while matches!(stream.read(&mut part).await, Ok(1..)) {}
 }
 
-fn tell_lost(tables: &ServingTables, target: &TargetId) {
+fn tell_lost(tables: &ServingTables, target: &TargetId, loss: EngineLoss) {
     let known = {
         let mut fleet = tables.fleet.lock();
-        fleet.observe_silence(target, Instant::now());
+        let now = Instant::now();
+        match loss {
+            EngineLoss::Ended => fleet.observe_process_end(target, now),
+            EngineLoss::Silent => fleet.observe_silence(target, now),
+        }
         fleet.get(target).is_some()
     };
     if known {
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -158,8 +158,9 @@
             if !allowed {
                 return Err(self.give_up(reason));
             }
-            let Ok((chosen, guard)) = exchange.choose(&self.tried.avoid, true) else {
-                return Err(self.give_up("no path left"));
+            let (chosen, guard) = match exchange.choose(&self.tried.avoid, true) {
+                Ok(chosen) => chosen,
+                Err(refusal) => return Err(self.give_up(refusal.reason.name())),
             };
             let last = self.events.last_id().map(str::to_owned);
             exchange.tables.metrics.repaired("resumed");
--- a/src/forward/tables.rs
+++ b/src/forward/tables.rs
@@ -6,6 +6,7 @@
 
 use arc_swap::ArcSwapOption;
 use parking_lot::Mutex;
+use tokio::sync::Notify;
 
 use super::ended::EndCell;
 use super::liveness::LivenessTable;
@@ -16,6 +17,7 @@
 use crate::ids::{ServiceId, ZoneId};
 use crate::ingress::IngressConfiguration;
 use crate::metrics::ServingMetrics;
+use crate::poison::PoisonTable;
 use crate::retry::{WindowBudget, WindowSettings};
 
 /// A report and the moment at which it came; one question at a time.
@@ -50,6 +52,10 @@
     reports: Mutex<FastMap<TargetId, ReportCell>>,
     ends: Mutex<FastMap<TargetId, EndCell>>,
     pub(super) liveness: LivenessTable,
+    /// Requests that targets ended under.
+    pub poison: Mutex<PoisonTable>,
+    /// Told when a request is found to be poison.
+    pub poison_news: Notify,
 }
 
 impl ServingTables {
@@ -71,6 +77,8 @@
             reports: Mutex::default(),
             ends: Mutex::default(),
             liveness: LivenessTable::default(),
+            poison: Mutex::default(),
+            poison_news: Notify::new(),
         }
     }
 
--- a/src/forward/watch.rs
+++ b/src/forward/watch.rs
@@ -20,6 +20,7 @@
 use crate::ids::TargetId;
 use crate::platform::target_record::platform_id;
 use crate::platform::{names, order};
+use crate::poison::RunStart;
 use crate::verdict::RunVerdict;
 
 /// Shortest silence after which a request asks what is wrong. Reports lag by
@@ -48,6 +49,7 @@
     /// When the next question may be asked.
     ask_at: Instant,
     moves: u32,
+    start: RunStart,
 }
 
 /// What a silence means.
@@ -76,6 +78,7 @@
             heard: now,
             ask_at: now + silence,
             moves: 0,
+            start: RunStart::default(),
         }
     }
 
@@ -85,6 +88,10 @@
             guard.observe_read();
         }
         self.observe_sound(now);
+        self.start.observe_event(now);
+        if self.start.has_survived(now) {
+            self.exchange.note_survival(now);
+        }
     }
 
     /// Something came from the target.
@@ -103,17 +110,12 @@
         self.ask_at
     }
 
-    /// The connection to the target broke: one line if its process has ended.
+    /// The connection to the target broke; it is noted if its process has ended.
     pub(super) async fn note_break(&self) {
         let broke = Instant::now();
         let (target, address) = (&self.chosen.id, self.chosen.address);
         if has_ended(&self.exchange.tables, target, address, broke).await {
-            log::info!(
-                request:% = self.exchange.outgoing.id,
-                key:% = format_args!("{:016x}", self.exchange.key),
-                target_id:% = target;
-                "target ended under a request"
-            );
+            self.exchange.note_end(target, &self.start, broke);
         }
     }
 
@@ -275,6 +277,11 @@
         };
         let mut failing = self.gone_engines(&path.hops, Instant::now());
         failing.push(failed.clone());
+        self.note_ends(&failing);
+        if self.exchange.is_poison(Instant::now()) {
+            // Each engine that takes its part over would crash in its turn.
+            return false;
+        }
         while self.moves < MOST_MOVES {
             self.moves += 1;
             let Some(repaired) = self.repair(&path, &failing) else {
@@ -292,10 +299,25 @@
         false
     }
 
+    /// Notes those among these engines whose processes have ended.
+    fn note_ends(&self, engines: &[TargetId]) {
+        let now = Instant::now();
+        let has_ended = |id: &&TargetId| {
+            let fleet = self.exchange.tables.fleet.lock();
+            fleet.get(id).is_some_and(|state| state.ended)
+        };
+        for engine in engines.iter().filter(has_ended) {
+            self.exchange.note_end(engine, &self.start, now);
+        }
+    }
+
     /// The request goes on over `repaired`.
     fn take_path(&mut self, repaired: EnginePath, before: &EnginePath) {
         let tables = self.exchange.tables.clone();
         self.liveness = LivenessGuard::open(tables.clone(), Some(&repaired));
+        let kept = repaired.hops.iter().map(|hop| hop.target.clone());
+        let kept = kept.filter(|target| before.hops.iter().any(|hop| hop.target == *target));
+        self.start.observe_move(kept.collect::<Vec<_>>());
         self.chosen.path = Some(repaired);
         let loads = self.chosen.loads_after(before);
         self.guard = Some(InFlightGuard::open(tables, loads));
--- a/src/metrics/serving.rs
+++ b/src/metrics/serving.rs
@@ -25,6 +25,7 @@
     orders: Family<CauseLabel, Counter>,
     store_errors: Family<CauseLabel, Counter>,
     unreadable: Family<CauseLabel, Counter>,
+    ends_under_requests: Family<CauseLabel, Counter>,
     first_event: Histogram,
     between_events: Histogram,
     whole_request: Histogram,
@@ -43,6 +44,7 @@
             orders: Family::default(),
             store_errors: Family::default(),
             unreadable: Family::default(),
+            ends_under_requests: Family::default(),
             first_event: latency_histogram(),
             between_events: latency_histogram(),
             whole_request: latency_histogram(),
@@ -91,6 +93,11 @@
                 "Records of the log that were passed over, by topic",
                 &self.unreadable,
             ),
+            (
+                "ends_under_requests",
+                "Targets that ended as a request began to run there, by what it is then",
+                &self.ends_under_requests,
+            ),
         ];
         for (name, help, family) in families {
             self.registry.register(name, help, family.clone());
@@ -171,6 +178,11 @@
         count(&self.unreadable, topic);
     }
 
+    /// Counts a target that ended as a request began to run there.
+    pub fn ended_under_request(&self, verdict: &'static str) {
+        count(&self.ends_under_requests, verdict);
+    }
+
     /// Observes a call to the log service.
     pub fn store_called(&self, topic: &'static str, took: Duration, answered: bool) {
         match answered {
--- /dev/null
+++ b/src/poison/note.rs
@@ -0,0 +1,40 @@
+//! What hosts tell each other of poison requests.
+
+use std::time::Duration;
+
+use crate::ids::{IncarnationId, RequestKey, TargetKey};
+
+/// Something that one host saw of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PoisonNote {
+    /// The request.
+    pub request: RequestKey,
+    /// What became of it.
+    pub event: PoisonEvent,
+    /// Time since then.
+    pub age: Duration,
+}
+
+/// What became of a request on a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PoisonEvent {
+    /// The process of this target ended as the request began to run there.
+    Ended(TargetKey),
+    /// A target ran it and lives on: nothing from before speaks against it.
+    Survived,
+}
+
+/// The notes that a host has for another one, and what it has heard of that one's.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct PoisonListing {
+    /// Version of the speaker's table from which on changes are listed.
+    pub from: u64,
+    /// Version up to which they are.
+    pub to: u64,
+    /// The notes of the records that changed in between.
+    pub notes: Vec<PoisonNote>,
+    /// The start of the listener whose listings were taken in up to `seen_to`.
+    pub seen_incarnation: IncarnationId,
+    /// Version of that start's table; 0 if nothing was taken in.
+    pub seen_to: u64,
+}
--- a/src/reason.rs
+++ b/src/reason.rs
@@ -43,11 +43,13 @@
     CallerGone,
     /// No engine has room for the request.
     NoRoom,
+    /// Targets crashed as they began to run the request.
+    PoisonRequest,
 }
 
 impl RefusalReason {
     /// Every reason, for registering one counter each.
-    pub const ALL: [Self; 17] = [
+    pub const ALL: [Self; 18] = [
         Self::CapacityUsedUp,
         Self::QueueFull,
         Self::DeadlineUnreachable,
@@ -65,6 +67,7 @@
         Self::TargetFailed,
         Self::CallerGone,
         Self::NoRoom,
+        Self::PoisonRequest,
     ];
 
     /// The name used in metrics, logs and bodies.
@@ -87,6 +90,7 @@
             Self::TargetFailed => "target_failed",
             Self::CallerGone => "caller_gone",
             Self::NoRoom => "no_room",
+            Self::PoisonRequest => "poison_request",
         }
     }
 }
--- a/tests/forwarding/moves.rs
+++ b/tests/forwarding/moves.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use jackdawwick::poison::{RequestIdentity, request_key};
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
@@ -196,3 +197,36 @@
     assert_eq!(orders.len(), 2, "{orders:?}");
     assert!(orders[1].contains(&format!("{}=50-80", other.address)));
 }
+
+/// Symptom: engines in the middle of paths end one after the other. Sequence: the
+/// first engine waits for one that has ended under the request; the host moves the
+/// request to the next holder of its layers, which ends too. Cause: a move did not
+/// ask whether the request is poison.
+#[tokio::test]
+async fn a_poison_request_is_moved_no_further() {
+    let first = pausing_engine("", |_| vec![json("{}")]).await;
+    let ending = IdleEngine::spawn().await;
+    let other = IdleEngine::spawn().await;
+    let host = TestHost::open();
+    host.add_engine("i-1", first.address, 0, 50);
+    host.add_engine("i-2", ending.address, 50, 80);
+    let key = request_key(RequestIdentity {
+        method: "POST",
+        host: "a.example",
+        path: "/stream/",
+        organisation: Some("org"),
+        body: b"",
+    });
+    let now = std::time::Instant::now();
+    for target in [1, 2] {
+        host.tables.poison.lock().observe_end(key, target, now);
+    }
+    let answer = call_and(&host, &first, async {
+        host.add_engine("i-3", other.address, 50, 80);
+        end(ending).await;
+    });
+    let answer = answer.await;
+    assert!(!answer.is_whole_stream(), "{}", answer.text);
+    assert_eq!(ordered_paths(&first), Vec::<String>::new());
+    assert!(host.tables.poison.lock().is_poison(key, now));
+}
--- a/tests/forwarding/poison.rs
+++ b/tests/forwarding/poison.rs
@@ -1,13 +1,16 @@
 //! Requests under which engines end.
 
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Instant;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::host::TestHost;
+use crate::stub_target::{Step, StubTarget, event, last_chunk, stream_head};
 
 /// Path of the request that engines do not survive.
 const POISON: &str = "/stream/poison";
@@ -68,9 +71,9 @@
 }
 
 /// Engines that each hold every layer, known to the host.
-async fn spawn_engines(host: &TestHost, count: usize) -> Vec<FragileEngine> {
+async fn spawn_engines(host: &TestHost, numbers: Range<usize>) -> Vec<FragileEngine> {
     let mut engines = Vec::new();
-    for number in 0..count {
+    for number in numbers {
         let engine = FragileEngine::spawn().await;
         host.add_engine(&format!("i-{number}"), engine.address, 0, 80);
         engines.push(engine);
@@ -102,7 +105,7 @@
 #[tokio::test]
 async fn a_request_that_crashed_three_engines_reaches_no_fourth() {
     let host = TestHost::open();
-    let engines = spawn_engines(&host, 6).await;
+    let engines = spawn_engines(&host, 0..6).await;
     // The second attempt of the first call is the host's own.
     for _ in 0..2 {
         host.call("POST", POISON, "Content-Length: 0\r\n").await;
@@ -116,3 +119,44 @@
     let served = host.call("POST", SOUND, "Content-Length: 0\r\n").await;
     assert!(served.is_whole_stream(), "{}", served.text);
 }
+
+/// Symptom: a draft is refused for a day because the rack on which it ran lost its
+/// power. Sequence: two engines end under it, the third one answers it; two more end
+/// under the same draft an hour later. Cause: what ended counted, what answered did not.
+#[tokio::test]
+async fn a_request_that_an_engine_answers_is_served_again() {
+    let host = TestHost::open();
+    let survivor =
+        StubTarget::spawn(|seen| vec![stream_head(seen.id()), event(1), last_chunk()]).await;
+    let lost = spawn_engines(&host, 0..2).await;
+    host.call("POST", POISON, "Content-Length: 0\r\n").await;
+    assert_eq!(ended(&lost), 2);
+    host.add_engine("i-9", survivor.address, 0, 80);
+    let served = host.call("POST", POISON, "Content-Length: 0\r\n").await;
+    assert!(served.is_whole_stream(), "{}", served.text);
+    // The survivor is out of rotation while two more engines end.
+    let now = Instant::now();
+    host.tables.fleet.lock().observe_silence("i-9", now);
+    let more = spawn_engines(&host, 2..4).await;
+    host.call("POST", POISON, "Content-Length: 0\r\n").await;
+    assert_eq!(ended(&more), 2);
+    host.tables.fleet.lock().observe_success("i-9");
+    let served = host.call("POST", POISON, "Content-Length: 0\r\n").await;
+    assert!(served.is_whole_stream(), "{}", served.text);
+}
+
+/// Symptom: callers are refused for a day after a fault of the network. Sequence:
+/// engines reset the connections of a request, attempt after attempt, and live on.
+/// Cause: a broken connection was taken for the end of its engine.
+#[tokio::test]
+async fn an_engine_that_breaks_off_and_lives_is_no_proof() {
+    let host = TestHost::open();
+    for number in 0..5 {
+        let breaking = StubTarget::spawn(|seen| vec![stream_head(seen.id()), Step::Reset]).await;
+        host.add_engine(&format!("i-{number}"), breaking.address, 0, 80);
+    }
+    for _ in 0..3 {
+        let answer = host.call("POST", POISON, "Content-Length: 0\r\n").await;
+        assert!(!answer.text.contains("poison_request"), "{}", answer.text);
+    }
+}
--- a/tests/poison.rs
+++ b/tests/poison.rs
@@ -1,7 +1,13 @@
 //! Poison requests: which attempts are the same request, and what hosts conclude
-//! from the engines that ended under them.
+//! from the targets that ended under them.
 
-use jackdawwick::poison::{RequestIdentity, request_key};
+use std::time::{Duration, Instant};
+
+use jackdawwick::ids::RequestKey;
+use jackdawwick::poison::{
+    PoisonEvent, PoisonNote, PoisonTable, PoisonVerdict, RequestIdentity, RunStart, request_key,
+};
+use proptest::prelude::*;
 
 const DRAFT: RequestIdentity<'_> = RequestIdentity {
     method: "POST",
@@ -10,6 +16,29 @@
     organisation: Some("acme"),
     body: b"select",
 };
+/// Most requests that a table remembers, as its memory is worked out from.
+const MOST_RECORDS: usize = 512;
+
+fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn ended(request: RequestKey, target: u64, age: Duration) -> PoisonNote {
+    PoisonNote {
+        request,
+        event: PoisonEvent::Ended(target),
+        age,
+    }
+}
+
+/// A table in which three targets ended under a request.
+fn table_with_poison(request: RequestKey, now: Instant) -> PoisonTable {
+    let mut table = PoisonTable::default();
+    for target in 1..=3 {
+        table.observe_end(request, target, now);
+    }
+    table
+}
 
 #[test]
 fn attempts_with_the_same_caller_path_and_body_share_a_key() {
@@ -54,3 +83,136 @@
         assert_ne!(request_key(other), request_key(DRAFT), "{other:?}");
     }
 }
+
+#[test]
+fn the_third_target_that_ends_under_a_request_proves_it() {
+    let now = Instant::now();
+    let mut table = PoisonTable::default();
+    assert_eq!(table.observe_end(7, 1, now), PoisonVerdict::Suspect(1));
+    assert_eq!(table.observe_end(7, 2, now), PoisonVerdict::Suspect(2));
+    // Seen once more, by another attempt that ran there.
+    assert_eq!(table.observe_end(7, 2, now), PoisonVerdict::Suspect(2));
+    assert!(!table.is_poison(7, now));
+    assert_eq!(table.observe_end(7, 3, now), PoisonVerdict::Poison);
+    assert!(table.is_poison(7, now));
+    assert!(!table.is_poison(8, now));
+}
+
+/// Symptom: a request that nothing is wrong with is refused for a day. Sequence: it
+/// runs on three engines that are lost for other reasons, within an hour, and is
+/// answered in between. Cause: an answer was no reason to drop the suspicion.
+#[test]
+fn an_answer_clears_a_request_of_what_came_before() {
+    let now = Instant::now();
+    let mut table = PoisonTable::default();
+    table.observe_end(7, 1, now);
+    table.observe_end(7, 2, now + seconds(1));
+    assert!(table.observe_survival(7, now + seconds(2)));
+    let last = table.observe_end(7, 3, now + seconds(3));
+    assert_eq!(last, PoisonVerdict::Suspect(1));
+    // Late word of an end before the answer, from another host.
+    let refused = table.merge(
+        &[ended(7, 4, seconds(3)), ended(7, 5, seconds(3))],
+        now + seconds(4),
+    );
+    assert!(refused.is_empty());
+    assert!(!table.is_poison(7, now + seconds(4)));
+}
+
+#[test]
+fn a_request_is_refused_for_a_day_and_suspected_for_an_hour() {
+    let now = Instant::now();
+    let hour = seconds(3600);
+    let table = table_with_poison(7, now);
+    assert!(table.is_poison(7, now + 23 * hour));
+    assert!(!table.is_poison(7, now + 24 * hour));
+}
+
+/// Symptom: a request that is refused reaches engines again, and crashes them.
+/// Sequence: a large zone loses its power, and every request that had just begun
+/// there is a suspect. Cause: the table is bounded, and the newest records pushed out
+/// the older ones, whatever they said.
+#[test]
+fn a_flood_of_suspects_pushes_out_no_proof() {
+    let now = Instant::now();
+    let mut table = table_with_poison(7, now);
+    table.observe_end(8, 1, now);
+    table.observe_end(8, 2, now);
+    for request in 100..10_000 {
+        table.observe_end(request, 9, now + seconds(1));
+        assert!(table.len() <= MOST_RECORDS);
+    }
+    assert!(table.is_poison(7, now + seconds(2)));
+    let third = table.observe_end(8, 3, now + seconds(2));
+    assert_eq!(third, PoisonVerdict::Poison);
+}
+
+/// Symptom: long drafts are refused after a rack has lost its power. Sequence: a
+/// draft runs for seconds on an engine that is lost, is taken up at the next one and
+/// runs there for seconds too. Cause: whatever had the request when it ended counted.
+#[test]
+fn targets_that_ran_a_request_for_seconds_did_not_end_of_it() {
+    let now = Instant::now();
+    let (first, second) = ("i-1".into(), "i-2".into());
+    let mut start = RunStart::default();
+    assert!(start.is_suspect(&first, now + seconds(9)), "it never began");
+    start.observe_event(now);
+    assert!(start.is_suspect(&first, now + Duration::from_millis(500)));
+    assert!(!start.has_survived(now + seconds(1)));
+    assert!(!start.is_suspect(&first, now + seconds(2)));
+    assert!(start.has_survived(now + seconds(2)));
+    assert!(!start.has_survived(now + seconds(3)), "told once");
+    // The next engine begins to run it; the first one goes on.
+    start.observe_move([first.clone()]);
+    assert!(start.is_suspect(&second, now + seconds(3)));
+    assert!(!start.is_suspect(&first, now + seconds(3)));
+}
+
+fn any_note() -> impl Strategy<Value = PoisonNote> {
+    let event = prop_oneof![
+        6 => (1..6_u64).prop_map(PoisonEvent::Ended),
+        1 => Just(PoisonEvent::Survived),
+    ];
+    (1..4_u64, event, 0..20_u64).prop_map(|(request, event, age)| PoisonNote {
+        request,
+        event,
+        // Moments that differ do so by more than messages take.
+        age: seconds(age * 10),
+    })
+}
+
+proptest! {
+    /// Hosts that hear the same notes refuse the same requests, in whatever order
+    /// and however often they hear them: a naive version looks at all notes at once.
+    #[test]
+    fn hosts_conclude_the_same_from_the_same_notes(
+        notes in proptest::collection::vec(any_note(), 0..24),
+        seed in any::<u64>(),
+    ) {
+        let now = Instant::now() + seconds(1000);
+        let mut shuffled = notes.clone();
+        shuffled.extend(notes.clone());
+        let places = shuffled.len().max(1) as u64;
+        for place in 0..shuffled.len() {
+            let other = (seed.rotate_left(place as u32 * 7) % places) as usize;
+            shuffled.swap(place, other);
+        }
+        let mut table = PoisonTable::default();
+        table.merge(&shuffled, now);
+        for request in 1..4 {
+            let of = notes.iter().filter(|note| note.request == request);
+            let survived = of.clone().filter(|note| note.event == PoisonEvent::Survived);
+            let survived = survived.map(|note| note.age).min();
+            let mut targets = of
+                .filter(|note| survived.is_none_or(|age| note.age < age))
+                .filter_map(|note| match note.event {
+                    PoisonEvent::Ended(target) => Some(target),
+                    PoisonEvent::Survived => None,
+                })
+                .collect::<Vec<_>>();
+            targets.sort_unstable();
+            targets.dedup();
+            prop_assert_eq!(table.is_poison(request, now), targets.len() >= 3);
+        }
+    }
+}
