--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -171,6 +171,22 @@
   counts @14 :List(ZoneCount);
   seenScope @15 :UseScope;
   # Scope of the view whose list was taken in last.
+  poison @16 :PoisonListing;
+}
+
+struct PoisonListing {
+  # What targets did to requests that are suspected of crashing them.
+  from @0 :UInt64;
+  to @1 :UInt64;
+  # Changes after "from" and up to "to" are listed.
+  seenTo @2 :UInt64;
+  # The listings of the host that is spoken to are known up to here.
+  requests @3 :List(UInt64);
+  # Keys of requests, one place of each list a note.
+  targets @4 :List(UInt64);
+  # The target that ended; 0 if the request was survived.
+  agesMs @5 :List(UInt32);
+  # Time since then; the largest number stands for all longer times.
 }
 
 struct TargetChange {
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -10,6 +10,7 @@
 mod missing;
 mod peering;
 mod placing;
+mod poison_log;
 mod readiness;
 mod relaying;
 mod retry_share;
--- a/src/entry/peering.rs
+++ b/src/entry/peering.rs
@@ -8,6 +8,7 @@
 
 use crate::entry::EntrySettings;
 use crate::entry::log_copy::LogCopy;
+use crate::entry::poison_log::note_poison;
 use crate::fleet::{UseScope, UseSource};
 use crate::forward::{ServingTables, socket};
 use crate::ids::{HostId, IncarnationId, ZoneId};
@@ -120,7 +121,8 @@
     fn answer(&self, view: &HostView, now: Instant) -> HostView {
         self.hear(view, now);
         let answer = self.gossip.lock().answer_view(view, now);
-        self.complete(answer, Some(&view.host), view.zone == self.zone)
+        let answer = self.complete(answer, Some(&view.host), view.zone == self.zone);
+        self.add_poison(answer, view.address, now)
     }
 
     fn question(&self, address: SocketAddr, now: Instant) -> HostView {
@@ -128,7 +130,8 @@
         let is_neighbour = gossip.is_neighbour(address);
         let question = gossip.open_view(address, now);
         drop(gossip);
-        self.complete(question, None, is_neighbour)
+        let question = self.complete(question, None, is_neighbour);
+        self.add_poison(question, address, now)
     }
 
     /// Adds what this host tells of requests and of its configuration.
@@ -145,11 +148,29 @@
         }
     }
 
+    /// Adds what the host at an address has not heard yet of requests that targets
+    /// ended under.
+    fn add_poison(&self, view: HostView, listener: SocketAddr, now: Instant) -> HostView {
+        let poison = self.tables.poison.lock().listing_for(listener, now);
+        HostView { poison, ..view }
+    }
+
+    fn hear_poison(&self, view: &HostView, now: Instant) {
+        let refused = self.tables.poison.lock().take_listing(
+            view.address,
+            view.incarnation,
+            &view.poison,
+            now,
+        );
+        note_poison(&self.tables, &refused, &view.host);
+    }
+
     fn hear(&self, view: &HostView, now: Instant) {
         let news = self.gossip.lock().observe_view(view, now);
         if !news {
             return;
         }
+        self.hear_poison(view, now);
         let source = UseSource::of(view.scope, &view.host, &view.zone, &self.zone);
         if let Some(source) = source {
             let mut fleet = self.tables.fleet.lock();
--- a/src/membership/gossip/views.rs
+++ b/src/membership/gossip/views.rs
@@ -8,10 +8,11 @@
 use crate::ids::HostId;
 use crate::membership::gossip_member::{DEAD_AFTER, GossipMember};
 use crate::peer::{HostListing, HostView, KnownHost, SeenListing, ZoneCount};
+use crate::poison::PoisonListing;
 
 impl GossipTable {
-    /// What to say to the host at an address; the requests and the version of
-    /// the configuration are left to the caller.
+    /// What to say to the host at an address; the requests, those that targets ended
+    /// under and the version of the configuration are left to the caller.
     pub fn open_view(&mut self, address: SocketAddr, now: Instant) -> HostView {
         let mut known = self.members.iter();
         let callee = known.find(|(_, member)| member.address == address);
@@ -82,6 +83,7 @@
             listing,
             seen,
             counts,
+            poison: PoisonListing::default(),
         }
     }
 
--- a/src/peer/convert/view.rs
+++ b/src/peer/convert/view.rs
@@ -11,6 +11,10 @@
     ZoneCount,
 };
 use crate::peer_capnp as wire;
+use crate::poison::{PoisonEvent, PoisonListing, PoisonNote};
+
+/// Stands for a request that was survived, in the place of a target's key.
+const SURVIVED: u64 = 0;
 
 /// Encodes a host's view.
 pub(in crate::peer) fn write_view(mut builder: wire::host_view::Builder<'_>, view: &HostView) {
@@ -39,6 +43,7 @@
         entry.set_strength(known.strength);
         entry.set_silent_ms(milliseconds(known.silent));
     }
+    write_poison(builder.reborrow().init_poison(), &view.poison);
     let mut counts = builder.init_counts(length(view.counts.len()));
     for (index, count) in (0..).zip(&view.counts) {
         let mut entry = counts.reborrow().get(index);
@@ -75,6 +80,7 @@
             scope: read_scope(reader.get_seen_scope()?),
         },
         counts: counts.collect::<capnp::Result<_>>()?,
+        poison: read_poison(reader.get_poison()?)?,
     })
 }
 
@@ -155,6 +161,59 @@
     Ok(uses.collect())
 }
 
+/// One list for each field, as in [`write_uses`].
+fn write_poison(mut builder: wire::poison_listing::Builder<'_>, listing: &PoisonListing) {
+    builder.set_from(listing.from);
+    builder.set_to(listing.to);
+    builder.set_seen_to(listing.seen_to);
+    let count = length(listing.notes.len());
+    if count == 0 {
+        return;
+    }
+    let mut requests = builder.reborrow().init_requests(count);
+    for (index, note) in (0..).zip(&listing.notes) {
+        requests.set(index, note.request);
+    }
+    let mut targets = builder.reborrow().init_targets(count);
+    for (index, note) in (0..).zip(&listing.notes) {
+        let target = match note.event {
+            PoisonEvent::Ended(target) => target,
+            PoisonEvent::Survived => SURVIVED,
+        };
+        targets.set(index, target);
+    }
+    let mut ages = builder.init_ages_ms(count);
+    for (index, note) in (0..).zip(&listing.notes) {
+        ages.set(
+            index,
+            u32::try_from(milliseconds(note.age)).unwrap_or(u32::MAX),
+        );
+    }
+}
+
+fn read_poison(reader: wire::poison_listing::Reader<'_>) -> capnp::Result<PoisonListing> {
+    let requests = reader.get_requests()?;
+    let (targets, ages) = (reader.get_targets()?, reader.get_ages_ms()?);
+    if targets.len() != requests.len() || ages.len() != requests.len() {
+        let text = "the lists of notes differ in length";
+        return Err(capnp::Error::failed(text.to_owned()));
+    }
+    let notes = (0..requests.len()).map(|index| PoisonNote {
+        request: requests.get(index),
+        event: match targets.get(index) {
+            SURVIVED => PoisonEvent::Survived,
+            target => PoisonEvent::Ended(target),
+        },
+        age: Duration::from_millis(ages.get(index).into()),
+    });
+    Ok(PoisonListing {
+        from: reader.get_from(),
+        to: reader.get_to(),
+        notes: notes.collect(),
+        seen_to: reader.get_seen_to(),
+    })
+}
+
 /// Encodes a question for what is read from the log.
 pub(in crate::peer) fn write_follow_question(
     mut builder: wire::follow_question::Builder<'_>,
--- a/src/peer/view.rs
+++ b/src/peer/view.rs
@@ -8,6 +8,7 @@
 
 use crate::fleet::{TargetUse, UseScope, ZoneUses};
 use crate::ids::{HostId, HostStrength, IncarnationId, LogOffset, TargetId, ZoneId};
+use crate::poison::PoisonListing;
 
 /// A host's statement about itself, requests on targets, and the hosts that it
 /// knows.
@@ -37,6 +38,8 @@
     pub seen: SeenListing,
     /// Hosts of each zone that were heard of lately.
     pub counts: Vec<ZoneCount>,
+    /// What is known of requests that targets ended under.
+    pub poison: PoisonListing,
 }
 
 /// Known hosts whose entries changed after one version of the speaker's table
--- a/src/peer_capnp.rs
+++ b/src/peer_capnp.rs
@@ -5030,11 +5030,19 @@
         pub fn get_seen_scope(self) -> ::core::result::Result<crate::peer_capnp::UseScope,::capnp::NotInSchema> {
             ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(15))
         }
+        #[inline]
+        pub fn get_poison(self) -> ::capnp::Result<crate::peer_capnp::poison_listing::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(6), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_poison(&self) -> bool {
+            !self.reader.get_pointer_field(6).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 8, pointers: 6 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 8, pointers: 7 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5260,6 +5268,22 @@
         pub fn set_seen_scope(&mut self, value: crate::peer_capnp::UseScope)  {
             self.builder.set_data_field::<u16>(15, value as u16);
         }
+        #[inline]
+        pub fn get_poison(self) -> ::capnp::Result<crate::peer_capnp::poison_listing::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(6), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_poison(&mut self, value: crate::peer_capnp::poison_listing::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(6), value, false)
+        }
+        #[inline]
+        pub fn init_poison(self, ) -> crate::peer_capnp::poison_listing::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(6), 0)
+        }
+        #[inline]
+        pub fn has_poison(&self) -> bool {
+            !self.builder.is_pointer_field_null(6)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -5272,138 +5296,148 @@
         pub fn get_uses(&self) -> crate::peer_capnp::target_uses::Pipeline {
             ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(3))
         }
+        pub fn get_poison(&self) -> crate::peer_capnp::poison_listing::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(6))
+        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 274] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 289] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(43, 126, 184, 187, 224, 209, 11, 253),
             ::capnp::word(11, 0, 0, 0, 1, 0, 8, 0),
             ::capnp::word(136, 151, 230, 179, 164, 245, 193, 210),
-            ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 135, 3, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 191, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 72, 111, 115, 116, 86),
             ::capnp::word(105, 101, 119, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(205, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(209, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(213, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(217, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(225, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(224, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 1, 0, 0, 170, 0, 0, 0),
+            ::capnp::word(233, 1, 0, 0, 170, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(245, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(225, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(253, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(1, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(224, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(5, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(25, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(33, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 2, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(41, 2, 0, 0, 130, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(49, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(53, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(48, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(73, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(104, 111, 115, 116, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5549,6 +5583,14 @@
             ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 111, 105, 115, 111, 110, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(140, 157, 158, 178, 39, 84, 99, 230),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -5568,6 +5610,7 @@
                 13 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 14 => <::capnp::struct_list::Owned<crate::peer_capnp::zone_count::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 15 => <crate::peer_capnp::UseScope as ::capnp::introspect::Introspect>::introspect(),
+                16 => <crate::peer_capnp::poison_listing::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5581,13 +5624,398 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,5,14,0,9,3,10,11,7,12,15,13,4,6,8,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,5,14,0,9,3,10,11,16,7,12,15,13,4,6,8,1];
         pub(crate) const TYPE_ID: u64 = 0xfd0b_d1e0_bbb8_7e2b;
     }
 }
 
+pub mod poison_listing {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_from(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_to(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_seen_to(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn get_requests(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u64>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_requests(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_targets(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u64>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_targets(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_ages_ms(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u32>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_ages_ms(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 3 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_from(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_from(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_to(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_to(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_seen_to(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_seen_to(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
+        #[inline]
+        pub fn get_requests(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u64>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_requests(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_requests(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u64> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+        }
+        #[inline]
+        pub fn has_requests(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_targets(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u64>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_targets(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        }
+        #[inline]
+        pub fn init_targets(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u64> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+        }
+        #[inline]
+        pub fn has_targets(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_ages_ms(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u32>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_ages_ms(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u32>>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+        }
+        #[inline]
+        pub fn init_ages_ms(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u32> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+        }
+        #[inline]
+        pub fn has_ages_ms(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 121] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(140, 157, 158, 178, 39, 84, 99, 230),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(136, 151, 230, 179, 164, 245, 193, 210),
+            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 80, 111, 105, 115, 111),
+            ::capnp::word(110, 76, 105, 115, 116, 105, 110, 103),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 111, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 101, 110, 84, 111, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 113, 117, 101, 115, 116, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 97, 114, 103, 101, 116, 115, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 115, 77, 115, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
+                4 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
+                5 => <::capnp::primitive_list::Owned<u32> as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,0,3,2,4,1];
+        pub(crate) const TYPE_ID: u64 = 0xe663_5427_b29e_9d8c;
+    }
+}
+
 pub mod target_change {
     #[derive(Copy, Clone)]
     pub struct Owned(());
--- a/src/poison.rs
+++ b/src/poison.rs
@@ -16,6 +16,7 @@
 mod note;
 mod run_start;
 mod spread;
+mod survivors;
 mod table;
 
 pub use key::{RequestIdentity, request_key};
--- a/src/poison/key.rs
+++ b/src/poison/key.rs
@@ -23,7 +23,7 @@
 /// The key of a request, alike on all hosts and in every version of the program.
 ///
 /// Eight bytes of a cryptographic hash: a caller cannot make a request that is
-/// taken for another organisation's. With 512 keys remembered, one of 10^16
+/// taken for another organisation's. With 256 keys remembered, one of 10^16
 /// requests is taken for another one by chance.
 pub fn request_key(identity: RequestIdentity<'_>) -> RequestKey {
     let parts = [
--- a/src/poison/note.rs
+++ b/src/poison/note.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::ids::{IncarnationId, RequestKey, TargetKey};
+use crate::ids::{RequestKey, TargetKey};
 
 /// Something that one host saw of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -33,8 +33,6 @@
     pub to: u64,
     /// The notes of the records that changed in between.
     pub notes: Vec<PoisonNote>,
-    /// The start of the listener whose listings were taken in up to `seen_to`.
-    pub seen_incarnation: IncarnationId,
-    /// Version of that start's table; 0 if nothing was taken in.
+    /// Version of the listener's table up to which its listings were taken in.
     pub seen_to: u64,
 }
--- a/src/poison/spread.rs
+++ b/src/poison/spread.rs
@@ -7,10 +7,11 @@
 use super::table::PoisonTable;
 use crate::ids::{IncarnationId, RequestKey};
 
-/// Notes in one listing at the most: 20 bytes each, 2.5 KB, four times a second
-/// while there is news, which is under half of what a host may spend on control. A
-/// full table has reached a host that starts after five exchanges.
-const MOST_NOTES: usize = 128;
+/// Notes in one listing at the most: 20 bytes each, four times a second in both
+/// directions, 10 KB a second while there is ever more news, under half of what a
+/// host may spend on control. A full table has reached a host that starts after some
+/// five exchanges, 1.3 s.
+const MOST_NOTES: usize = 64;
 /// How long a host that says nothing is remembered. One that comes back later is
 /// told everything again.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(60);
@@ -42,7 +43,6 @@
             from,
             to: self.version,
             notes: Vec::new(),
-            seen_incarnation: peer.map_or(0, |peer| peer.incarnation),
             seen_to: peer.map_or(0, |peer| peer.heard_to),
         };
         let mut listed_to = from;
@@ -58,35 +58,33 @@
         listing
     }
 
-    /// Takes in what a host at an address lists; gives the requests that are refused
-    /// from now on. `own` and `other` are the starts of this host and of that one.
+    /// Takes in what a start of the host at an address lists; gives the requests that
+    /// are refused from now on.
+    ///
+    /// A host that starts again knows nothing, and counts its versions anew. What the
+    /// other one goes by is from before for one exchange: it lists from a version that
+    /// this start has not heard up to, which is then not taken for heard, and the next
+    /// listing begins where this one says.
     pub fn take_listing(
         &mut self,
         address: SocketAddr,
-        other: IncarnationId,
+        incarnation: IncarnationId,
         listing: &PoisonListing,
-        own: IncarnationId,
         now: Instant,
     ) -> Vec<RequestKey> {
         self.peers.retain(|_, peer| now < peer.at + FORGOTTEN_AFTER);
         let fresh = PeerProgress {
-            incarnation: other,
+            incarnation,
             heard_to: 0,
             told_to: 0,
             at: now,
         };
         let peer = self.peers.entry(address).or_insert(fresh);
-        if peer.incarnation != other {
+        if peer.incarnation != incarnation {
             *peer = fresh;
         }
         peer.at = now;
-        // A start that has heard nothing of this one begins anew.
-        peer.told_to = match listing.seen_incarnation == own {
-            true => listing.seen_to,
-            false => 0,
-        };
-        // Notes are true by themselves, also where some before them are missing; only
-        // the version may not be passed over.
+        peer.told_to = listing.seen_to;
         if listing.from <= peer.heard_to {
             peer.heard_to = peer.heard_to.max(listing.to);
         }
--- a/src/poison/table.rs
+++ b/src/poison/table.rs
@@ -5,6 +5,7 @@
 
 use super::note::{PoisonEvent, PoisonNote};
 use super::spread::PeerProgress;
+use super::survivors::RecentSurvivors;
 use crate::collections::FastMap;
 use crate::ids::{RequestKey, TargetKey};
 
@@ -16,10 +17,24 @@
 /// comes a second time, so that three are met by chance by few; and three is what
 /// the operators of the engines bear.
 const PROOFS: usize = 3;
-/// How long a request is refused after the last target that ended under it. A caller
-/// that repeats it for a day costs nothing meanwhile; software and weights of engines
-/// are replaced within days, and three targets more are what it costs to find out.
-const POISON_LAPSE: Duration = Duration::from_secs(24 * 3600);
+/// Different targets that are remembered of a request.
+const MOST_ENDS: usize = PROOFS + REFUSALS.len() - 1;
+/// How long a request is refused after the last target that ended under it, by how
+/// many ended beyond those that prove it.
+///
+/// Proofs can err: a service that loses all its targets, three times in an hour, takes
+/// along a request that all callers send alike. One that was refused for good would
+/// never show that nothing is wrong with it. So it is tried again, ever more rarely: a
+/// poison request takes down three targets more in the first day, and one a week then.
+const REFUSALS: [Duration; 4] = [
+    Duration::from_secs(600),
+    Duration::from_secs(3600),
+    Duration::from_secs(24 * 3600),
+    POISON_LAPSE,
+];
+/// How long it is remembered that a request is poison: software and weights of engines
+/// are replaced within weeks.
+const POISON_LAPSE: Duration = Duration::from_secs(7 * 24 * 3600);
 /// How long targets that ended under a request speak against it: callers come again
 /// within seconds, and those that a person sends again within the hour.
 const SUSPECT_LAPSE: Duration = Duration::from_secs(3600);
@@ -27,9 +42,9 @@
 /// before may still be on its way, which takes seconds, or a cut zone's minutes.
 const SURVIVED_LAPSE: Duration = Duration::from_secs(600);
 /// Most requests that are remembered. An engine takes 192 requests at once, so that
-/// two crashes in a row fit beside the requests that are refused. A record takes
-/// some 120 bytes: 61 KB in all, whatever the size of the fleet.
-const MOST_RECORDS: usize = 512;
+/// all that ran on one fit beside 64 requests that are refused. A record takes some
+/// 120 bytes: 31 KB in all, whatever the size of the fleet.
+const MOST_RECORDS: usize = 256;
 /// A later moment counts as the same one within this time: the age of a note grows
 /// by its time on the way, and two hosts would tell each other the same news for ever.
 const SAME_MOMENT: Duration = Duration::from_secs(2);
@@ -37,6 +52,8 @@
 /// What a table knows of a request that a target ended under.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PoisonVerdict {
+    /// A target ran it a moment ago and lives on: nothing speaks against it.
+    Survived,
     /// So many different targets have ended under it.
     Suspect(usize),
     /// It is refused from now on.
@@ -47,6 +64,7 @@
     /// The name used in metrics and logs.
     pub fn name(self) -> &'static str {
         match self {
+            Self::Survived => "survived",
             Self::Suspect(_) => "suspect",
             Self::Poison => "poison",
         }
@@ -63,15 +81,15 @@
 /// What is known of one request.
 #[derive(Debug, Clone, Default)]
 pub(super) struct PoisonRecord {
-    /// Different targets, the last ones to end, as many as prove that the request is
-    /// poison: those before them could only fall to a later survival.
+    /// Different targets, the last ones to end.
     ends: Vec<TargetEnd>,
     /// When a target last ran it and lived on.
     survived: Option<Instant>,
     /// Version of the table at its last change.
     pub(super) changed: u64,
-    /// Whether the platform's log says that it is poison.
-    in_log: bool,
+    /// Targets that the platform's log names; none if it does not say that the request
+    /// is poison.
+    in_log: usize,
 }
 
 /// What is known of requests that targets ended under.
@@ -85,6 +103,7 @@
     /// Grows with each change of a record.
     pub(super) version: u64,
     pub(super) peers: FastMap<SocketAddr, PeerProgress>,
+    survivors: RecentSurvivors,
 }
 
 /// What the platform's log has to say of a request, and does not yet.
@@ -92,8 +111,8 @@
 pub struct LogChange {
     /// The request.
     pub request: RequestKey,
-    /// What proves that it is poison; empty if it is none after all.
-    pub notes: Vec<PoisonNote>,
+    /// The targets that ended under it; empty if the log has to forget it.
+    pub ends: Vec<PoisonNote>,
 }
 
 impl PoisonTable {
@@ -110,6 +129,9 @@
         target: TargetKey,
         now: Instant,
     ) -> PoisonVerdict {
+        if self.survivors.contains(request, now) {
+            return PoisonVerdict::Survived;
+        }
         self.note(request, PoisonEvent::Ended(target), now, now);
         let record = self.records.get(&request);
         match record.map_or(0, |record| record.ends.len()) {
@@ -120,6 +142,7 @@
 
     /// A target ran a request and lives on. Says whether anything spoke against it.
     pub fn observe_survival(&mut self, request: RequestKey, now: Instant) -> bool {
+        self.survivors.insert(request, now);
         let record = self.records.get(&request);
         let suspected = record.is_some_and(|record| !record.ends.is_empty());
         if suspected {
@@ -163,7 +186,9 @@
         if self.records.len() < MOST_RECORDS {
             return;
         }
-        self.records.retain(|_, record| !record.has_lapsed(now));
+        // What the log still says has to be taken back there first.
+        self.records
+            .retain(|_, record| record.in_log > 0 || !record.has_lapsed(now));
         if self.records.len() < MOST_RECORDS {
             return;
         }
@@ -174,8 +199,8 @@
         }
     }
 
-    /// Whether the platform's log says of a request that it is poison.
-    pub fn set_in_log(&mut self, request: RequestKey, in_log: bool) {
+    /// How many targets the platform's log names that ended under a request.
+    pub fn set_in_log(&mut self, request: RequestKey, in_log: usize) {
         if let Some(record) = self.records.get_mut(&request) {
             record.in_log = in_log;
         }
@@ -184,12 +209,12 @@
     /// What the platform's log has to be told.
     pub fn log_changes(&self, now: Instant) -> Vec<LogChange> {
         let records = self.records.iter();
-        let behind = records.filter(|(_, record)| record.is_poison(now) != record.in_log);
+        let behind = records.filter(|(_, record)| record.wanted_in_log(now) != record.in_log);
         let changes = behind.map(|(request, record)| LogChange {
             request: *request,
-            notes: match record.is_poison(now) {
-                true => record.notes(*request, now),
-                false => Vec::new(),
+            ends: match record.wanted_in_log(now) {
+                0 => Vec::new(),
+                _ => record.end_notes(*request, now).collect(),
             },
         });
         changes.collect()
@@ -213,7 +238,19 @@
     }
 
     fn is_poison(&self, now: Instant) -> bool {
-        self.ends.len() >= PROOFS && !self.has_lapsed(now)
+        let beyond = self.ends.len().checked_sub(PROOFS);
+        let refused_for = beyond.and_then(|beyond| REFUSALS.get(beyond));
+        let last = self.ends.iter().map(|end| end.at).max();
+        let until = refused_for.zip(last);
+        until.is_some_and(|(refused_for, last)| now < last + *refused_for)
+    }
+
+    /// Targets that the platform's log has to name.
+    fn wanted_in_log(&self, now: Instant) -> usize {
+        match self.ends.len() {
+            ends @ PROOFS.. if !self.has_lapsed(now) => ends,
+            _ => 0,
+        }
     }
 
     fn has_lapsed(&self, now: Instant) -> bool {
@@ -234,7 +271,7 @@
             .iter()
             .position(|known| known.target == end.target);
         let place = match same {
-            None if self.ends.len() < PROOFS => {
+            None if self.ends.len() < MOST_ENDS => {
                 self.ends.push(end);
                 return true;
             }
@@ -266,15 +303,25 @@
         true
     }
 
+    /// All that there is to tell of the request.
     pub(super) fn notes(&self, request: RequestKey, now: Instant) -> Vec<PoisonNote> {
-        let note = |event, at| PoisonNote {
+        let survived = self.survived.map(|at| PoisonNote {
             request,
-            event,
+            event: PoisonEvent::Survived,
             age: now.saturating_duration_since(at),
-        };
-        let ends = self.ends.iter();
-        let ends = ends.map(|end| note(PoisonEvent::Ended(end.target), end.at));
-        let survived = self.survived.map(|at| note(PoisonEvent::Survived, at));
-        ends.chain(survived).collect()
+        });
+        self.end_notes(request, now).chain(survived).collect()
+    }
+
+    fn end_notes(
+        &self,
+        request: RequestKey,
+        now: Instant,
+    ) -> impl Iterator<Item = PoisonNote> + use<'_> {
+        self.ends.iter().map(move |end| PoisonNote {
+            request,
+            event: PoisonEvent::Ended(end.target),
+            age: now.saturating_duration_since(end.at),
+        })
     }
 }
--- a/tests/entry_decisions.rs
+++ b/tests/entry_decisions.rs
@@ -10,6 +10,7 @@
 use jackdawwick::logging::BoundedWriter;
 use jackdawwick::membership::GossipTable;
 use jackdawwick::peer::{HostListing, HostView, KnownHost, SeenListing};
+use jackdawwick::poison::PoisonListing;
 use jackdawwick::retry::{WindowBudget, WindowSettings};
 use proptest::prelude::*;
 
@@ -178,6 +179,7 @@
         listing: HostListing::default(),
         seen: SeenListing::default(),
         counts: Vec::new(),
+        poison: PoisonListing::default(),
     }
 }
 
--- a/tests/entry_peers.rs
+++ b/tests/entry_peers.rs
@@ -10,6 +10,7 @@
     self, EntryHandlers, FollowAnswer, FollowQuestion, HostListing, HostView, KnownHost,
     PeerHandle, PeerSettings, SeenListing, ZoneCount,
 };
+use jackdawwick::poison::{PoisonEvent, PoisonListing, PoisonNote};
 
 fn loopback(port: u16) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], port))
@@ -33,6 +34,12 @@
             scope: UseScope::Group,
         },
         counts: Vec::new(),
+        poison: PoisonListing {
+            from: 3,
+            to: 5,
+            notes: Vec::new(),
+            seen_to: 4,
+        },
     }
 }
 
@@ -58,6 +65,17 @@
     }
 }
 
+fn noted(number: u64) -> PoisonNote {
+    PoisonNote {
+        request: u64::MAX - number,
+        event: match number {
+            0 => PoisonEvent::Survived,
+            _ => PoisonEvent::Ended(target_key(&format!("i-{number:08}"))),
+        },
+        age: Duration::from_secs(3600 * number),
+    }
+}
+
 fn remote_uses() -> FollowAnswer {
     FollowAnswer {
         incarnation: 5,
@@ -93,6 +111,10 @@
             zone: "vake".into(),
             hosts: 39,
         }],
+        poison: PoisonListing {
+            notes: (0..3).map(noted).collect(),
+            ..view("").poison
+        },
         ..view("front-saburtalo-1")
     };
     let address = callee.local_address();
@@ -146,6 +168,15 @@
         },
         ..view("front-saburtalo-1")
     };
+    let with_notes = HostView {
+        poison: PoisonListing {
+            notes: (0..ITEMS as u64).map(noted).collect(),
+            ..view("").poison
+        },
+        ..view("front-saburtalo-1")
+    };
+    let by_note = (exchange_bytes(&with_notes).await - empty) / both_ways;
+    assert!(by_note <= 20, "{by_note}");
     let by_use = (exchange_bytes(&with_uses).await - empty) / both_ways;
     let by_host = (exchange_bytes(&with_hosts).await - empty) / both_ways;
     assert!((400..=840).contains(&empty), "{empty}");
--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -249,3 +249,110 @@
     fleet.play(Duration::from_secs(3));
     all_agree_on_who_lives(&fleet, &zone);
 }
+
+/// Time until something that one host knows has reached every other one of its zone,
+/// and every host of the other zones: two reports, an exchange of speakers, one
+/// between zones, and the same again there.
+const KNOWN_IN_ZONE: Duration = Duration::from_millis(750);
+const KNOWN_EVERYWHERE: Duration = Duration::from_millis(2000);
+/// Target that ended first, second and third.
+const LOST: [u64; 3] = [11, 12, 13];
+
+/// Live hosts that do not refuse a request.
+fn unaware(fleet: &SimFleet, request: u64) -> Vec<String> {
+    let hosts = fleet.hosts.iter().filter(|host| host.lives);
+    let unaware = hosts.filter(|host| !host.poison.is_poison(request, fleet.now));
+    unaware.map(|host| host.name.to_string()).collect()
+}
+
+/// Symptom: a request under which three engines ended goes on to crash others.
+/// Sequence: its caller comes back at another host each time; each host sees one
+/// engine end. Cause: what a host had seen of a request stayed with it.
+#[test]
+fn what_three_hosts_saw_is_refused_by_all() {
+    let mut fleet = settled(5, 80, 4);
+    let zone = fleet.live_in(&zone_name(1));
+    let elsewhere = fleet.live_in(&zone_name(3));
+    for (place, target) in [zone[70], zone[20], elsewhere[50]].into_iter().zip(LOST) {
+        let now = fleet.now;
+        fleet.hosts[place].poison.observe_end(7, target, now);
+    }
+    fleet.play(KNOWN_EVERYWHERE);
+    assert_eq!(unaware(&fleet, 7), Vec::<String>::new());
+    assert_eq!(unaware(&fleet, 8).len(), 400);
+}
+
+/// Symptom: a request that is refused everywhere crashes engines again. Sequence: a
+/// host starts again and remembers nothing; the request comes to it. Cause: what a
+/// host had told another one counted as known to its next start.
+#[test]
+fn a_host_that_starts_again_hears_what_is_refused() {
+    let mut fleet = settled(3, 40, 4);
+    let zone = fleet.live_in(&zone_name(1));
+    let now = fleet.now;
+    for target in LOST {
+        fleet.hosts[zone[5]].poison.observe_end(7, target, now);
+    }
+    // Speakers start anew too, and then have nothing to tell each other at first.
+    for place in [zone[0], zone[1], zone[2], zone[30]] {
+        fleet.play(KNOWN_EVERYWHERE);
+        fleet.restart(place);
+    }
+    fleet.play(KNOWN_EVERYWHERE);
+    assert_eq!(unaware(&fleet, 7), Vec::<String>::new());
+}
+
+/// A zone that is cut off refuses what it knows of, and hears the rest afterwards.
+#[test]
+fn a_zone_that_is_cut_off_refuses_what_it_has_seen() {
+    let mut fleet = settled(3, 40, 4);
+    let cut = zone_name(2);
+    let inside = fleet.live_in(&cut);
+    let outside = fleet.live_in(&zone_name(0));
+    fleet.cut.push(cut.as_str().into());
+    let now = fleet.now;
+    for target in LOST {
+        fleet.hosts[inside[9]].poison.observe_end(7, target, now);
+        fleet.hosts[outside[9]].poison.observe_end(8, target, now);
+    }
+    fleet.play(KNOWN_IN_ZONE);
+    let refused = |fleet: &SimFleet, request| {
+        let known = inside.iter().map(|place| &fleet.hosts[*place]);
+        known
+            .filter(|host| host.poison.is_poison(request, fleet.now))
+            .count()
+    };
+    assert_eq!((refused(&fleet, 7), refused(&fleet, 8)), (40, 0));
+    fleet.cut.clear();
+    fleet.play(Duration::from_secs(6));
+    assert_eq!(unaware(&fleet, 7), Vec::<String>::new());
+    assert_eq!(unaware(&fleet, 8), Vec::<String>::new());
+}
+
+/// Everything that ran on crashed engines is a suspect: ten engines a second with
+/// 60 requests each, seen by all hosts of a zone.
+#[test]
+fn what_a_host_pays_for_suspects_is_bounded() {
+    let pays = |hosts_each: usize| {
+        let mut fleet = settled(2, hosts_each, 40);
+        let zone = fleet.live_in(&zone_name(1));
+        fleet.count_anew();
+        for second in 0..COUNTED.as_secs() {
+            for number in 0..600 {
+                let now = fleet.now;
+                let place = zone[number % zone.len()];
+                let (request, target) = (second * 600 + number as u64, number as u64 / 60);
+                fleet.hosts[place].poison.observe_end(request, target, now);
+            }
+            fleet.play(Duration::from_secs(1));
+        }
+        let now = fleet.now;
+        let hosts = fleet.hosts.iter();
+        let ordinary = hosts.filter(|host| !host.gossip.is_speaker(now));
+        let bytes = ordinary.map(|host| host.bytes / COUNTED.as_secs() as usize);
+        bytes.max().unwrap_or(0)
+    };
+    let (small, large) = (pays(20), pays(80));
+    assert!(large <= HOST_BYTES_PER_S, "a host pays {large} B/s");
+    assert!(large <= small + small / 10, "{small} B/s grow to {large}");
+}
