Keep poison requests in the platform's log

Cause: when all hosts start again, nobody remembers what is refused, and three engines more are lost to each poison request.

Change: the hosts that read the log for their zones write a record a poison request, the targets that ended under it with the times, to a keyed topic, and read it: one read of ten seconds at a time, besides the newest records at a start. A record that has lapsed, or whose request was survived after all, is dropped. LogReader appends too now, and is named LogClient. The stand-in of the log service takes appends; engines of the soak can be made to crash.

--- a/src/entry/configuring.rs
+++ b/src/entry/configuring.rs
@@ -9,7 +9,7 @@
 use crate::entry::log_copy::{LogCopy, LogTopic};
 use crate::entry::log_duty::wait_to_read;
 use crate::ids::LogOffset;
-use crate::platform::log_calls::{KeyedRead, LogError, LogReader};
+use crate::platform::log_calls::{KeyedRead, LogClient, LogError};
 use crate::platform::names;
 
 /// How long a read waits for a change. A connection can go silent for good
@@ -28,7 +28,7 @@
 /// ever.
 pub(super) async fn follow_configuration(
     copy: Arc<LogCopy>,
-    mut reader: LogReader,
+    mut reader: LogClient,
     mut duty: watch::Receiver<LogDuty>,
 ) {
     let mut next: Option<LogOffset> = None;
@@ -73,7 +73,7 @@
     }
 }
 
-async fn read_on(reader: &mut LogReader, next: Option<LogOffset>) -> Result<KeyedRead, LogError> {
+async fn read_on(reader: &mut LogClient, next: Option<LogOffset>) -> Result<KeyedRead, LogError> {
     match next {
         None => reader.newest(names::CONFIGURATION_TOPIC).await,
         Some(next) => {
--- a/src/entry/following.rs
+++ b/src/entry/following.rs
@@ -11,7 +11,7 @@
 use crate::entry::missing::{MissingTargets, drop_unlisted};
 use crate::entry::peering::FRESH_AGE;
 use crate::ids::LogOffset;
-use crate::platform::log_calls::{KeyedRead, LogError, LogReader};
+use crate::platform::log_calls::{KeyedRead, LogClient, LogError};
 use crate::platform::names;
 
 /// Pause between two reads, in parts of the time within which a leaving
@@ -53,7 +53,7 @@
 /// Keeps the table of targets up to date while it is this host's duty, for ever.
 pub async fn follow_targets(
     copy: Arc<LogCopy>,
-    mut reader: LogReader,
+    mut reader: LogClient,
     pace: TargetPace,
     mut duty: watch::Receiver<LogDuty>,
 ) {
--- a/src/entry/poison_log.rs
+++ b/src/entry/poison_log.rs
@@ -1,12 +1,149 @@
-//! Poison requests as other hosts tell of them.
+//! Keeps poison requests in the platform's log, so that they outlive a restart of all
+//! hosts, and are known in a zone that reaches the log and no other zone.
 
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime};
+
+use tokio::sync::watch;
+
+use crate::entry::LogDuty;
+use crate::entry::log_duty::wait_to_read;
 use crate::forward::ServingTables;
-use crate::ids::RequestKey;
+use crate::ids::{LogOffset, RequestKey};
+use crate::platform::log_calls::{KeyedRead, KeyedRecord, LogClient};
+use crate::platform::{names, poison_record};
+use crate::poison::LogChange;
+
+/// How long a read waits for a record. Records are rare; each read is priced, and a
+/// connection that went silent is noticed after this.
+const READ_WAIT: Duration = Duration::from_secs(10);
+/// Pause after a failed call: hosts that started anew have to know what is refused
+/// within three seconds of the log's return.
+const RETRY_PAUSE: Duration = Duration::from_millis(600);
+/// How long a host waits before it writes what another one may be writing: the readers
+/// of all zones hear of a poison request within 1.3 s of each other, and a record that
+/// one has written reaches the others within milliseconds.
+const WRITE_PAUSE: Duration = Duration::from_millis(1500);
+
+/// Takes in what the log says of poison requests while reading it is this host's duty,
+/// for ever.
+pub(super) async fn follow_poison(
+    tables: Arc<ServingTables>,
+    mut client: LogClient,
+    mut duty: watch::Receiver<LogDuty>,
+) {
+    let mut next: Option<LogOffset> = None;
+    let mut failures = 0;
+    loop {
+        if !duty.borrow().is_reader() {
+            next = None;
+        }
+        let Some(current) = wait_to_read(&mut duty).await else {
+            return;
+        };
+        let read = match next {
+            None => client.newest(names::POISON_TOPIC).await,
+            Some(next) => client.read(names::POISON_TOPIC, next, READ_WAIT).await,
+        };
+        match read {
+            Ok(read) => {
+                failures = 0;
+                take_records(&tables, &read);
+                next = Some(read.next);
+                // What this host has to write, it knows only now.
+                tables.poison_news.notify_waiters();
+            }
+            Err(error) => {
+                // Where the history is gone the newest records are read.
+                next = None;
+                if failures == 0 {
+                    log::warn!(error:% = error; "poison requests: log lost");
+                }
+                failures += 1;
+                tokio::time::sleep(current.retry_pause(RETRY_PAUSE, failures)).await;
+            }
+        }
+    }
+}
+
+fn take_records(tables: &ServingTables, read: &KeyedRead) {
+    for record in &read.records {
+        if let Err(error) = take_record(tables, record) {
+            tables.metrics.unreadable_record("poison");
+            log::warn!(key:% = record.key, error:% = error; "poison request cannot be read");
+        }
+    }
+}
+
+fn take_record(tables: &ServingTables, record: &KeyedRecord) -> Result<(), String> {
+    let request = poison_record::parse_key(&record.key)?;
+    let notes = match &record.value {
+        None => Vec::new(),
+        Some(value) => poison_record::parse_poison(request, value, SystemTime::now())?,
+    };
+    let mut poison = tables.poison.lock();
+    let refused = poison.merge(&notes, Instant::now());
+    poison.set_in_log(request, notes.len());
+    drop(poison);
+    note_poison(tables, &refused, "log");
+    Ok(())
+}
+
+/// Writes to the log what it has to say of poison requests and does not, while reading
+/// it is this host's duty, for ever.
+pub(super) async fn write_poison(
+    tables: Arc<ServingTables>,
+    mut client: LogClient,
+    mut duty: watch::Receiver<LogDuty>,
+) {
+    loop {
+        let news = tables.poison_news.notified();
+        if tables.poison.lock().log_changes(Instant::now()).is_empty() {
+            news.await;
+        }
+        if wait_to_read(&mut duty).await.is_none() {
+            return;
+        }
+        // Not all readers at the same moment.
+        tokio::time::sleep(WRITE_PAUSE.mul_f64(rand::random())).await;
+        let changes = tables.poison.lock().log_changes(Instant::now());
+        for change in changes {
+            if let Err(error) = write_change(&tables, &mut client, &change).await {
+                log::warn!(
+                    key:% = poison_record::record_key(change.request), error:% = error;
+                    "poison request is not in the log yet"
+                );
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn write_change(
+    tables: &ServingTables,
+    client: &mut LogClient,
+    change: &LogChange,
+) -> Result<(), String> {
+    let key = poison_record::record_key(change.request);
+    let value = match change.ends.as_slice() {
+        [] => None,
+        ends => Some(poison_record::poison_value(ends, SystemTime::now())?),
+    };
+    let appended = client.append(names::POISON_TOPIC, &key, value.as_deref());
+    appended.await.map_err(|error| error.to_string())?;
+    let named = change.ends.len();
+    tables.poison.lock().set_in_log(change.request, named);
+    log::info!(key:% = key, targets = named; "poison request written to the log");
+    Ok(())
+}
 
 /// One line a request that is refused from now on, on word of `source`.
 pub(super) fn note_poison(tables: &ServingTables, refused: &[RequestKey], source: &str) {
     for request in refused {
-        log::info!(key:% = format_args!("{request:016x}"), source:% = source; "poison request");
+        log::info!(
+            key:% = poison_record::record_key(*request), source:% = source;
+            "poison request"
+        );
     }
     if !refused.is_empty() {
         tables.poison_news.notify_waiters();
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -13,6 +13,7 @@
 use crate::entry::following::{TargetPace, follow_targets};
 use crate::entry::log_copy::LogCopy;
 use crate::entry::placing::keep_placed;
+use crate::entry::poison_log::{follow_poison, write_poison};
 use crate::entry::readiness::{answer_metrics, answer_readiness};
 use crate::entry::relaying::follow_lead;
 use crate::entry::retry_share::{first_share, share_retries};
@@ -20,7 +21,7 @@
 use crate::forward::{ServingTables, serve};
 use crate::peer::PeerError;
 use crate::platform::host_settings::{SettingsError, read_settings};
-use crate::platform::log_calls::{CallLimits, LogReader};
+use crate::platform::log_calls::{CallLimits, LogClient};
 
 /// How long the log service may take. It answers in 4 ms when it is well, and
 /// slow answers of a quarter of a second still count.
@@ -100,19 +101,21 @@
     tables: &Arc<ServingTables>,
     settings: &EntrySettings,
 ) -> Result<SocketAddr, EntryError> {
-    let reader = || LogReader::open(settings.store, STORE_LIMITS);
+    let client = || LogClient::open(settings.store, STORE_LIMITS);
     let copy = Arc::new(LogCopy::new(tables.clone()));
     let first = match settings.is_first_start {
         true => LogDuty::Follows,
         false => LogDuty::Reads,
     };
     let (duty, reads) = watch::channel(first);
-    tokio::spawn(follow_configuration(copy.clone(), reader(), reads.clone()));
+    tokio::spawn(follow_configuration(copy.clone(), client(), reads.clone()));
     let pace = TargetPace {
         drain: settings.bounds.drain,
         heartbeat: settings.heartbeat,
     };
-    tokio::spawn(follow_targets(copy.clone(), reader(), pace, reads));
+    tokio::spawn(follow_targets(copy.clone(), client(), pace, reads.clone()));
+    tokio::spawn(follow_poison(tables.clone(), client(), reads.clone()));
+    tokio::spawn(write_poison(tables.clone(), client(), reads));
     let (desk, handle) = peering::spawn(settings, settings.peers, tables.clone(), copy.clone())?;
     tokio::spawn(follow_lead(
         tables.clone(),
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -13,5 +13,6 @@
 pub mod log_tail;
 pub mod names;
 pub mod order;
+pub mod poison_record;
 pub mod target_record;
 pub mod wire;
--- a/src/platform/log_calls.rs
+++ b/src/platform/log_calls.rs
@@ -1,5 +1,4 @@
-//! Reading calls to the platform's log service: one connection, one call at a
-//! time.
+//! Calls to the platform's log service: one connection, one call at a time.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -58,9 +57,9 @@
     pub records: Vec<KeyedRecord>,
 }
 
-/// A client that follows keyed topics of the log.
+/// A client of keyed topics of the log.
 #[derive(Debug)]
-pub struct LogReader {
+pub struct LogClient {
     address: SocketAddr,
     connection: Option<hyper::client::conn::http1::SendRequest<Full<Bytes>>>,
     limits: CallLimits,
@@ -77,6 +76,13 @@
     pub newest: Duration,
 }
 
+/// One call, as it is sent.
+struct LogCall {
+    method: Method,
+    path: String,
+    body: Bytes,
+}
+
 #[derive(Deserialize)]
 struct NewestBody {
     items: Vec<ItemBody>,
@@ -93,8 +99,8 @@
     offset: LogOffset,
 }
 
-impl LogReader {
-    /// Opens a reader; it connects at its first call.
+impl LogClient {
+    /// Opens a client; it connects at its first call.
     pub fn open(address: SocketAddr, limits: CallLimits) -> Self {
         Self {
             address,
@@ -120,7 +126,7 @@
                 .map(|key| format!("&after={}", utf8_percent_encode(key, NON_ALPHANUMERIC)))
                 .unwrap_or_default();
             let path = format!("/jackdawwick/log-newest?topic={topic}&part=0{from}");
-            let bytes = self.get(&path, self.limits.newest).await?;
+            let bytes = self.get(path, self.limits.newest).await?;
             let body: NewestBody = serde_json::from_slice(&bytes)
                 .map_err(|error| LogError::Malformed(error.to_string()))?;
             next.get_or_insert(body.end_offset);
@@ -152,12 +158,42 @@
         let wait_ms = wait.as_millis();
         let path =
             format!("/jackdawwick/log-read?topic={topic}&part=0&from={from}&wait_ms={wait_ms}");
-        let bytes = self.get(&path, self.limits.answer + wait).await?;
+        let bytes = self.get(path, self.limits.answer + wait).await?;
         decode_records(from, &bytes)
     }
 
-    async fn get(&mut self, path: &str, limit: Duration) -> Result<Bytes, LogError> {
-        let result = tokio::time::timeout(limit, self.exchange(path)).await;
+    /// Appends a record of a key; without a value the key is dropped. The call may
+    /// have been done although it fails: a record that comes twice says the same.
+    ///
+    /// # Errors
+    ///
+    /// As the call fails.
+    pub async fn append(
+        &mut self,
+        topic: &str,
+        key: &str,
+        value: Option<&[u8]>,
+    ) -> Result<(), LogError> {
+        let record = encode_keyed(key, value.unwrap_or_default())?;
+        let call = LogCall {
+            method: Method::POST,
+            path: format!("/jackdawwick/log-append?topic={topic}&part=0"),
+            body: record.into(),
+        };
+        self.call(call, self.limits.answer).await.map(|_| ())
+    }
+
+    async fn get(&mut self, path: String, limit: Duration) -> Result<Bytes, LogError> {
+        let call = LogCall {
+            method: Method::GET,
+            path,
+            body: Bytes::new(),
+        };
+        self.call(call, limit).await
+    }
+
+    async fn call(&mut self, call: LogCall, limit: Duration) -> Result<Bytes, LogError> {
+        let result = tokio::time::timeout(limit, self.exchange(call)).await;
         let result = result.unwrap_or_else(|_| Err(LogError::NoAnswer("timeout".to_owned())));
         // A connection on which an answer was lost gives nothing more.
         if matches!(result, Err(LogError::NoAnswer(_) | LogError::Malformed(_))) {
@@ -166,7 +202,7 @@
         result
     }
 
-    async fn exchange(&mut self, path: &str) -> Result<Bytes, LogError> {
+    async fn exchange(&mut self, call: LogCall) -> Result<Bytes, LogError> {
         if self
             .connection
             .as_ref()
@@ -180,10 +216,10 @@
         };
         sender.ready().await.map_err(no_answer)?;
         let request = Request::builder()
-            .method(Method::GET)
-            .uri(path)
+            .method(call.method)
+            .uri(call.path)
             .header(http::header::HOST, self.address.to_string())
-            .body(Full::new(Bytes::new()))
+            .body(Full::new(call.body))
             .map_err(|error| LogError::Malformed(error.to_string()))?;
         let response = sender.send_request(request).await.map_err(no_answer)?;
         let status = response.status();
@@ -258,6 +294,20 @@
     })
 }
 
+/// Encodes one record: 4 bytes of length, 1 byte of the key's length, the key, the
+/// value.
+fn encode_keyed(key: &str, value: &[u8]) -> Result<Vec<u8>, LogError> {
+    let too_long = |_| LogError::Malformed("the record is too long".to_owned());
+    let key_length = u8::try_from(key.len()).map_err(too_long)?;
+    let length = u32::try_from(1 + key.len() + value.len()).map_err(too_long)?;
+    let mut record = Vec::with_capacity(5 + key.len() + value.len());
+    record.extend_from_slice(&length.to_be_bytes());
+    record.push(key_length);
+    record.extend_from_slice(key.as_bytes());
+    record.extend_from_slice(value);
+    Ok(record)
+}
+
 fn split_number(bytes: &[u8]) -> Option<(u64, &[u8])> {
     let (number, rest) = bytes.split_first_chunk::<8>()?;
     Some((u64::from_be_bytes(*number), rest))
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -41,6 +41,8 @@
 pub const CONFIGURATION_KEY: &str = "config";
 /// Log topic of the targets' heartbeats.
 pub const TARGET_TOPIC: &str = "keyed.servers";
+/// Log topic of poison requests; the project's own.
+pub const POISON_TOPIC: &str = "keyed.poison";
 
 /// Variable that holds the path of the settings file.
 pub const SETTINGS_VARIABLE: &str = "JACKDAWWICK_SETTINGS";
--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -19,6 +19,7 @@
 mod link;
 mod log_service;
 mod plan;
+mod poison;
 mod probe;
 mod run;
 mod target;
@@ -31,4 +32,5 @@
 };
 pub use link::{FaultLink, LinkFault};
 pub use plan::{FaultAction, PlannedFault, draw_faults};
+pub use poison::{PoisonReport, play_poison};
 pub use run::{SoakReport, SoakSettings, run_soak};
--- a/standins/src/soak/callers.rs
+++ b/standins/src/soak/callers.rs
@@ -178,6 +178,13 @@
     body: Bytes,
 }
 
+impl WholeAnswer {
+    /// Whether the body holds a word.
+    pub(super) fn says(&self, word: &str) -> bool {
+        String::from_utf8_lossy(&self.body).contains(word)
+    }
+}
+
 fn judge(id: &str, kind: CallKind, answer: &WholeAnswer) -> CallOutcome {
     let expected = match kind {
         CallKind::Stream => stream_body(id),
--- a/standins/src/soak/engines.rs
+++ b/standins/src/soak/engines.rs
@@ -43,6 +43,8 @@
     /// Neither dead nor cut off.
     pub(super) reachable: bool,
     pub(super) fault: TargetFault,
+    /// It has begun to run a request that it does not survive.
+    pub(super) poisoned: bool,
 }
 
 /// The targets by their addresses, and what they ran.
--- a/standins/src/soak/faults.rs
+++ b/standins/src/soak/faults.rs
@@ -42,6 +42,7 @@
             while let Some(fault) = faults.next_if(|fault| fault.at <= passed) {
                 self.begin(fault.action, fault.lasts).await?;
             }
+            self.end_poisoned();
             self.end_due(Instant::now()).await?;
             self.tend_hosts(Instant::now()).await?;
             tokio::time::sleep(LOOK_PAUSE).await;
@@ -60,7 +61,7 @@
         });
     }
 
-    fn end_after(&mut self, lasts: Duration, end: FaultEnd) {
+    pub(super) fn end_after(&mut self, lasts: Duration, end: FaultEnd) {
         self.ends.push((Instant::now() + lasts, end));
     }
 
@@ -189,7 +190,7 @@
         self.published.send_replace(Published { version, at });
     }
 
-    async fn end_due(&mut self, now: Instant) -> io::Result<()> {
+    pub(super) async fn end_due(&mut self, now: Instant) -> io::Result<()> {
         let due = self.ends.extract_if(.., |(at, _)| *at <= now);
         let due = due.map(|(_, end)| end).collect::<Vec<_>>();
         for end in due {
--- a/standins/src/soak/link.rs
+++ b/standins/src/soak/link.rs
@@ -82,6 +82,12 @@
         self.server.send_replace(server);
     }
 
+    /// Resets its connections and takes no more: its port is closed.
+    pub fn close(&self) {
+        self.fault.send_replace(LinkFault::Reset);
+        self.task.abort();
+    }
+
     /// Switches to a fault, or back to none.
     pub fn set(&self, fault: LinkFault) {
         self.fault.send_replace(fault);
@@ -90,8 +96,7 @@
 
 impl Drop for FaultLink {
     fn drop(&mut self) {
-        self.fault.send_replace(LinkFault::Reset);
-        self.task.abort();
+        self.close();
     }
 }
 
--- a/standins/src/soak/log_service.rs
+++ b/standins/src/soak/log_service.rs
@@ -78,7 +78,8 @@
     /// `None` if `from` is no longer kept.
     fn read(&self, topic: &str, from: u64) -> Option<(bool, Bytes)> {
         let partitions = self.partitions.lock();
-        let partition = partitions.get(topic)?;
+        let empty = Partition::default();
+        let partition = partitions.get(topic).unwrap_or(&empty);
         let skipped = usize::try_from(from.checked_sub(partition.first)?).ok()?;
         let mut bytes = Vec::new();
         bytes.extend(partition.end().to_be_bytes());
@@ -133,6 +134,13 @@
     match call.path().as_slice() {
         _ if faults.busy => CallOutcome::empty(StatusCode::SERVICE_UNAVAILABLE),
         ["jackdawwick", "log-newest"] => CallOutcome::ok(&topics.newest(&topic)),
+        ["jackdawwick", "log-append"] => match decode_record(&call.body) {
+            Some((key, value)) => {
+                topics.append(&topic, &key, value);
+                CallOutcome::ok(&json!({"offset": 0, "end_offset": 0}))
+            }
+            None => CallOutcome::empty(StatusCode::BAD_REQUEST),
+        },
         ["jackdawwick", "log-read"] => {
             let from = call.query_number("from").unwrap_or(0);
             let wait = Duration::from_millis(call.query_number("wait_ms").unwrap_or(0));
@@ -142,6 +150,18 @@
     }
 }
 
+/// The key and the value of the one record of an append: 4 bytes of length, 1 byte of
+/// the key's length, the key, the value.
+fn decode_record(body: &Bytes) -> Option<(String, Option<Bytes>)> {
+    let (length, record) = body.split_first_chunk::<4>()?;
+    let whole = u32::from_be_bytes(*length) as usize == record.len();
+    let (key_length, rest) = record.split_first()?;
+    let (key, value) = rest.split_at_checked(usize::from(*key_length))?;
+    let key = String::from_utf8(key.to_vec()).ok()?;
+    let value = (!value.is_empty()).then(|| Bytes::copy_from_slice(value));
+    whole.then_some((key, value))
+}
+
 async fn read_when_there(
     topics: &LogTopics,
     topic: &str,
--- /dev/null
+++ b/standins/src/soak/poison.rs
@@ -0,0 +1,130 @@
+//! A request that engines do not survive, sent again and again.
+
+use std::io;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use http::Method;
+use nix::sys::signal::Signal;
+
+use super::callers::{CallerDesk, build_request, connect, exchange};
+use super::faults::FaultEnd;
+use super::run::{LOOK_PAUSE, SoakRun, SoakSettings};
+
+/// Path of the request that engines do not survive.
+pub(super) const POISON_PATH: &str = "/draft/poison";
+/// How long an engine takes to crash: the request has begun to run then.
+pub(super) const CRASH_TIME: Duration = Duration::from_millis(60);
+/// Time after which another engine takes the place of one that crashed.
+const REPLACED_AFTER: Duration = Duration::from_millis(1500);
+/// How long a caller waits for an answer.
+const DEADLINE: Duration = Duration::from_secs(4);
+/// Time within which all hosts refuse what any of them has found out, also after a
+/// start of all of them.
+const KNOWN_EVERYWHERE: Duration = Duration::from_secs(3);
+/// How long it may take until the request is refused at first.
+const FIRST_REFUSAL: Duration = Duration::from_secs(30);
+
+/// What became of a request that engines do not survive.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct PoisonReport {
+    /// Engines that crashed until it was refused.
+    pub crashed: usize,
+    /// Hosts that refuse it.
+    pub refused_by: usize,
+    /// Hosts that refuse it after all were killed and started again.
+    pub refused_after_restart: usize,
+    /// Engines that crashed after it was refused.
+    pub crashed_later: usize,
+}
+
+/// Sends a request that engines do not survive to one host after the other, until it is
+/// refused; asks all hosts, kills them, and asks them again.
+///
+/// # Errors
+///
+/// If processes or sockets cannot be set up.
+pub async fn play_poison(settings: SoakSettings) -> io::Result<PoisonReport> {
+    let mut run = SoakRun::open(settings).await?;
+    if !run.wait_until_served().await {
+        return Err(io::Error::other("the hosts do not serve"));
+    }
+    let until = Instant::now() + FIRST_REFUSAL;
+    for host in (0..run.hosts.len()).cycle() {
+        if run.is_refused_by(host).await? || Instant::now() >= until {
+            break;
+        }
+    }
+    let crashed = run.crashed;
+    run.tend(KNOWN_EVERYWHERE).await?;
+    let refused_by = run.ask_all().await?;
+    for host in &mut run.hosts {
+        host.host.signal(Signal::SIGKILL);
+    }
+    for host in 0..run.hosts.len() {
+        run.take_down(host, true, Duration::ZERO);
+    }
+    run.heal_all().await?;
+    run.tend(KNOWN_EVERYWHERE).await?;
+    let refused_after_restart = run.ask_all().await?;
+    run.tend(CRASH_TIME * 2).await?;
+    Ok(PoisonReport {
+        crashed,
+        refused_by,
+        refused_after_restart,
+        crashed_later: run.crashed - crashed,
+    })
+}
+
+/// Whether a host refuses the request.
+async fn is_refused(desk: Arc<CallerDesk>, host: usize) -> bool {
+    let Some(mut connection) = connect(desk.fronts[host].address).await else {
+        return false;
+    };
+    let request = build_request(&desk.draw_id(), Method::POST, POISON_PATH, DEADLINE);
+    let answer = exchange(&mut connection, request).await;
+    answer.is_some_and(|answer| answer.status == 502 && answer.says("poison_request"))
+}
+
+impl SoakRun {
+    /// Hosts that refuse the request.
+    async fn ask_all(&mut self) -> io::Result<usize> {
+        let mut refusing = 0;
+        for host in 0..self.hosts.len() {
+            refusing += usize::from(self.is_refused_by(host).await?);
+        }
+        Ok(refusing)
+    }
+
+    /// Sends the request to a host, whose engines may crash meanwhile.
+    async fn is_refused_by(&mut self, host: usize) -> io::Result<bool> {
+        let asked = tokio::spawn(is_refused(self.desk.clone(), host));
+        while !asked.is_finished() {
+            self.tend(LOOK_PAUSE).await?;
+        }
+        asked.await.map_err(io::Error::other)
+    }
+
+    /// Lets some time pass, and replaces engines that crash meanwhile.
+    async fn tend(&mut self, time: Duration) -> io::Result<()> {
+        let until = Instant::now() + time;
+        while Instant::now() < until {
+            self.end_poisoned();
+            self.end_due(Instant::now()).await?;
+            tokio::time::sleep(LOOK_PAUSE.min(time)).await;
+        }
+        Ok(())
+    }
+
+    /// Ends the engines that have begun to run the request.
+    pub(super) fn end_poisoned(&mut self) {
+        for index in 0..self.targets.len() {
+            if !self.targets[index].take_poisoned() {
+                continue;
+            }
+            self.targets[index].end();
+            self.crashed += 1;
+            self.end_after(REPLACED_AFTER, FaultEnd::Replace(index));
+        }
+    }
+}
--- a/standins/src/soak/run.rs
+++ b/standins/src/soak/run.rs
@@ -106,6 +106,8 @@
     pub(super) ends: Vec<(Instant, FaultEnd)>,
     pub(super) disturbances: Vec<Disturbance>,
     pub(super) own_ends: Vec<String>,
+    /// Engines that did not survive a request.
+    pub(super) crashed: usize,
 }
 
 /// Runs the soak once.
@@ -166,7 +168,7 @@
 }
 
 impl SoakRun {
-    async fn open(settings: SoakSettings) -> io::Result<Self> {
+    pub(super) async fn open(settings: SoakSettings) -> io::Result<Self> {
         let topics = Arc::new(LogTopics::default());
         let log_faults = FaultSwitch::new(LogFaults::default());
         let log = serve_log(topics.clone(), log_faults.clone()).await?;
@@ -204,6 +206,7 @@
             ends: Vec::new(),
             disturbances: Vec::new(),
             own_ends: Vec::new(),
+            crashed: 0,
         };
         for place in target_places() {
             let target = run.new_target(place).await?;
@@ -260,7 +263,7 @@
     }
 
     /// Waits until every host is ready and answers a call of each kind.
-    async fn wait_until_served(&mut self) -> bool {
+    pub(super) async fn wait_until_served(&mut self) -> bool {
         let until = Instant::now() + RECOVERY_LIMIT;
         for index in 0..self.hosts.len() {
             while !self.is_served(index).await {
@@ -338,7 +341,7 @@
         Ok(())
     }
 
-    async fn heal_all(&mut self) -> io::Result<()> {
+    pub(super) async fn heal_all(&mut self) -> io::Result<()> {
         let ends = std::mem::take(&mut self.ends);
         for (_, end) in ends {
             match end {
--- a/standins/src/soak/target.rs
+++ b/standins/src/soak/target.rs
@@ -27,6 +27,7 @@
 use super::history::RunRecord;
 use super::link::FaultLink;
 use super::log_service::LogTopics;
+use super::poison::{CRASH_TIME, POISON_PATH};
 
 /// Time that a plain answer takes.
 const PLAIN_TIME: Duration = Duration::from_millis(15);
@@ -116,6 +117,20 @@
         self.link.set(super::link::LinkFault::Reset);
     }
 
+    /// Its process ends: its port takes no connections any more.
+    pub(super) fn end(&self) {
+        self.update(|state| state.reachable = false);
+        self.tasks.iter().for_each(JoinHandle::abort);
+        self.link.close();
+    }
+
+    /// Whether it has begun to run a request that it does not survive; told once.
+    pub(super) fn take_poisoned(&self) -> bool {
+        let mut poisoned = false;
+        self.update(|state| poisoned = std::mem::take(&mut state.poisoned));
+        poisoned
+    }
+
     /// Its entry is dropped from the log.
     pub(super) fn lapse(&self) {
         self.topics.append(TARGETS, &self.id, None);
@@ -208,6 +223,11 @@
             Ok(json_answer(status, &body))
         }
         _ => {
+            if parts.uri.path() == POISON_PATH {
+                tokio::time::sleep(CRASH_TIME).await;
+                world.update(address, |state| state.poisoned = true);
+                return std::future::pending().await;
+            }
             let id = text(names::ATTEMPT_ID).unwrap_or_default();
             let path = text(names::ENGINE_PATH).as_deref().and_then(parse_path);
             let last = text(names::LAST_EVENT_ID).and_then(|last| last.parse().ok());
--- a/tests/log_reader.rs
+++ b/tests/log_reader.rs
@@ -6,7 +6,7 @@
 
 use jackdawwick::entry::{FollowCursor, LogCopy, LogDuty, TargetPace, follow_targets};
 use jackdawwick::forward::ServingTables;
-use jackdawwick::platform::log_calls::{CallLimits, LogError, LogReader};
+use jackdawwick::platform::log_calls::{CallLimits, LogClient, LogError};
 use jackdawwick::retry::WindowSettings;
 use proptest::prelude::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -80,7 +80,7 @@
 async fn records_are_read_with_their_keys_and_dropped_keys_have_no_value() {
     let body = read_body(7, 2, &[record("a", b"one"), record("b", b"")]);
     let address = spawn_log(vec![vec![answer("200 OK", &body)]]).await;
-    let mut reader = LogReader::open(address, LIMIT);
+    let mut reader = LogClient::open(address, LIMIT);
     let read = reader
         .read("keyed.servers", 5, Duration::ZERO)
         .await
@@ -100,7 +100,7 @@
     let second =
         br#"{"items":[{"key":"b","value":"dHdv","offset":7}],"has_more":false,"end_offset":9}"#;
     let pages = vec![answer("200 OK", first), answer("200 OK", second)];
-    let mut reader = LogReader::open(spawn_log(vec![pages]).await, LIMIT);
+    let mut reader = LogClient::open(spawn_log(vec![pages]).await, LIMIT);
     let read = reader.newest("keyed.op").await.expect("records");
     // Going on from the first page's end misses nothing that later pages lack.
     assert_eq!(read.next, 6);
@@ -113,7 +113,7 @@
     let gone = answer("410 Gone", br#"{"first_offset":9}"#);
     let skipped = answer("200 OK", &read_body(12, 9, &[]));
     for answers in [vec![gone], vec![skipped]] {
-        let mut reader = LogReader::open(spawn_log(vec![answers]).await, LIMIT);
+        let mut reader = LogClient::open(spawn_log(vec![answers]).await, LIMIT);
         let read = reader.read("keyed.op", 5, Duration::ZERO).await;
         assert_eq!(read, Err(LogError::Deleted));
     }
@@ -128,7 +128,7 @@
     let body = read_body(6, 0, &[record("config", b"{}")]);
     let silent = vec![answer("200 OK", &read_body(5, 0, &[]))];
     let sound = vec![answer("200 OK", &body)];
-    let mut reader = LogReader::open(spawn_log(vec![silent, sound]).await, LIMIT);
+    let mut reader = LogClient::open(spawn_log(vec![silent, sound]).await, LIMIT);
     let wait = Duration::from_millis(50);
     assert!(reader.read("keyed.op", 5, wait).await.is_ok());
     let lost = reader.read("keyed.op", 5, wait).await;
@@ -143,7 +143,7 @@
 #[tokio::test]
 async fn refusals_carry_their_status() {
     let busy = vec![answer("503 Busy", b"")];
-    let mut reader = LogReader::open(spawn_log(vec![busy]).await, LIMIT);
+    let mut reader = LogClient::open(spawn_log(vec![busy]).await, LIMIT);
     assert_eq!(reader.newest("keyed.op").await, Err(LogError::Status(503)));
 }
 
@@ -172,7 +172,7 @@
     answers: Vec<Vec<u8>>,
     pace: TargetPace,
 ) -> (Arc<ServingTables>, tokio::sync::watch::Sender<LogDuty>) {
-    let reader = LogReader::open(spawn_log(vec![answers]).await, LIMIT);
+    let reader = LogClient::open(spawn_log(vec![answers]).await, LIMIT);
     let budget = WindowSettings {
         window: LIMIT.answer,
         ratio: 0.0,
@@ -327,7 +327,7 @@
         let runtime = runtime.expect("a runtime");
         let read = runtime.block_on(async {
             let address = spawn_log(vec![vec![answer("200 OK", &bytes)]]).await;
-            let mut reader = LogReader::open(address, LIMIT);
+            let mut reader = LogClient::open(address, LIMIT);
             reader.read("keyed.op", 0, Duration::ZERO).await
         });
         if let Ok(read) = read {
@@ -371,7 +371,7 @@
         newest: Duration::from_secs(20),
         ..LIMIT
     };
-    let mut reader = LogReader::open(address, limits);
+    let mut reader = LogClient::open(address, limits);
     let read = reader.newest("keyed.op").await.expect("records");
     assert_eq!(read.records.len(), 1);
 }
