Hold only the end of a first engine, as a request begins, against the request

What ran for up to two seconds counted, and so did each engine of a path: one that lost three at once had its three proofs from one run.

Change: the first event of a request came less than half a second ago, or none did; and only the first engine of its path counts, which begins to run a request before all others. Engines in the middle of a path are no proof any more, so that they need no flag for it.

The test that a poison request is moved no further proved the request by the end of a later engine; it now has it proved by other hosts while the request runs, which is what the check in a move is for.

--- a/src/fleet/table.rs
+++ b/src/fleet/table.rs
@@ -57,8 +57,6 @@
     pub full_until: Option<Instant>,
     /// Does not answer, or other engines wait for it, until this moment.
     pub silent_until: Option<Instant>,
-    /// Whether its process is known to have ended.
-    pub ended: bool,
     /// What it last said of its speed, and when; over 1 when it is slow.
     pub pace: Option<(f64, Instant)>,
     /// When it was last asked for its speed.
@@ -78,7 +76,6 @@
             refusals: 0,
             full_until: None,
             silent_until: None,
-            ended: false,
             pace: None,
             pace_asked: None,
         }
@@ -324,7 +321,6 @@
             state.failures = 0;
             state.out_until = None;
             state.silent_until = None;
-            state.ended = false;
             state.refusals = 0;
             state.full_until = None;
         }
@@ -368,14 +364,6 @@
         }
     }
 
-    /// Nothing listens at a target's address any more.
-    pub fn observe_process_end(&mut self, id: &str, now: Instant) {
-        self.observe_silence(id, now);
-        if let Some(state) = self.get_mut(id) {
-            state.ended = true;
-        }
-    }
-
     /// An engine holds other layers than its heartbeat says.
     pub fn observe_layers(&mut self, id: &str, layers: Option<LayerRange>) {
         if let Some(state) = self.get_mut(id) {
--- a/src/forward/ended.rs
+++ b/src/forward/ended.rs
@@ -41,7 +41,7 @@
             let now = Instant::now();
             *last = Some((now, ended));
             if ended {
-                tables.fleet.lock().observe_process_end(target, now);
+                tables.fleet.lock().observe_silence(target, now);
             }
             ended
         }
--- a/src/forward/evidence.rs
+++ b/src/forward/evidence.rs
@@ -13,9 +13,9 @@
         self.tables.poison.lock().is_poison(self.key, now)
     }
 
-    /// The process of a target has ended while it had the request.
+    /// The process of the target that was sent the request has ended.
     pub(super) fn note_end(&self, target: &TargetId, start: &RunStart, now: Instant) {
-        if !start.is_suspect(target, now) {
+        if !start.is_suspect(now) {
             return;
         }
         let verdict = {
--- a/src/forward/liveness.rs
+++ b/src/forward/liveness.rs
@@ -129,12 +129,9 @@
 async fn watch(tables: Arc<ServingTables>, target: TargetId, address: SocketAddr) {
     let mut crowded = false;
     while tables.liveness.is_needed(&target) {
-        let mut stream = match connect(address).await {
-            Ok(stream) => stream,
-            Err(loss) => {
-                tell_lost(&tables, &target, loss);
-                break;
-            }
+        let Some(mut stream) = connect(address).await else {
+            tell_lost(&tables, &target);
+            break;
         };
         if crowded {
             drop(stream);
@@ -149,27 +146,17 @@
     tables.liveness.connected.lock().remove(&target);
 }
 
-/// How an engine that takes no connections was lost.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum EngineLoss {
-    /// Its process has ended.
-    Ended,
-    /// Nothing can reach it.
-    Silent,
-}
-
-/// A connection to an engine.
-async fn connect(address: SocketAddr) -> Result<TcpStream, EngineLoss> {
+/// A connection to an engine; `None` if its process has ended, or nothing can
+/// reach it.
+async fn connect(address: SocketAddr) -> Option<TcpStream> {
     for _ in 0..SILENT_TRIES {
         match socket::connect(address, CONNECT_LIMIT).await {
-            Ok(stream) => return Ok(stream),
-            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
-                return Err(EngineLoss::Ended);
-            }
+            Ok(stream) => return Some(stream),
+            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => return None,
             Err(error) => log::debug!("{address} is not reached: {error}"),
         }
     }
-    Err(EngineLoss::Silent)
+    None
 }
 
 async fn read_to_end(stream: &mut TcpStream) {
@@ -177,14 +164,10 @@
     while matches!(stream.read(&mut part).await, Ok(1..)) {}
 }
 
-fn tell_lost(tables: &ServingTables, target: &TargetId, loss: EngineLoss) {
+fn tell_lost(tables: &ServingTables, target: &TargetId) {
     let known = {
         let mut fleet = tables.fleet.lock();
-        let now = Instant::now();
-        match loss {
-            EngineLoss::Ended => fleet.observe_process_end(target, now),
-            EngineLoss::Silent => fleet.observe_silence(target, now),
-        }
+        fleet.observe_silence(target, Instant::now());
         fleet.get(target).is_some()
     };
     if known {
--- a/src/forward/watch.rs
+++ b/src/forward/watch.rs
@@ -277,7 +277,6 @@
         };
         let mut failing = self.gone_engines(&path.hops, Instant::now());
         failing.push(failed.clone());
-        self.note_ends(&failing);
         if self.exchange.is_poison(Instant::now()) {
             // Each engine that takes its part over would crash in its turn.
             return false;
@@ -299,25 +298,10 @@
         false
     }
 
-    /// Notes those among these engines whose processes have ended.
-    fn note_ends(&self, engines: &[TargetId]) {
-        let now = Instant::now();
-        let has_ended = |id: &&TargetId| {
-            let fleet = self.exchange.tables.fleet.lock();
-            fleet.get(id).is_some_and(|state| state.ended)
-        };
-        for engine in engines.iter().filter(has_ended) {
-            self.exchange.note_end(engine, &self.start, now);
-        }
-    }
-
     /// The request goes on over `repaired`.
     fn take_path(&mut self, repaired: EnginePath, before: &EnginePath) {
         let tables = self.exchange.tables.clone();
         self.liveness = LivenessGuard::open(tables.clone(), Some(&repaired));
-        let kept = repaired.hops.iter().map(|hop| hop.target.clone());
-        let kept = kept.filter(|target| before.hops.iter().any(|hop| hop.target == *target));
-        self.start.observe_move(kept.collect::<Vec<_>>());
         self.chosen.path = Some(repaired);
         let loads = self.chosen.loads_after(before);
         self.guard = Some(InFlightGuard::open(tables, loads));
--- a/standins/src/soak/poison.rs
+++ b/standins/src/soak/poison.rs
@@ -54,6 +54,8 @@
         if run.is_refused_by(host).await? || Instant::now() >= until {
             break;
         }
+        // What this host saw is known to the next one.
+        run.tend(KNOWN_EVERYWHERE).await?;
     }
     let crashed = run.crashed;
     run.tend(KNOWN_EVERYWHERE).await?;
