Count engines that end before they answer, and let only a run clear a request

Cause, found by reading: a stream that was taken up at an engine which ended before its head was not noted, and any answer cleared a request, also a failure at once or a stream that ended before its first event, which an engine that never began to run it gives too. Either way a poison request reaches more engines than it may.

Change: a failed attempt is noted where it is sent, for a first attempt and for one that takes a stream up; only a success, of a stream one with an event, clears a request.

Two tests, failing before (two engines end in place of one).

--- a/src/entry/poison_log.rs
+++ b/src/entry/poison_log.rs
@@ -12,7 +12,7 @@
 use crate::ids::{LogOffset, RequestKey};
 use crate::platform::log_calls::{KeyedRead, KeyedRecord, LogClient};
 use crate::platform::{names, poison_record};
-use crate::poison::LogChange;
+use crate::poison::{LogChange, key_text};
 
 /// How long a read waits for a record. Records are rare; each read is priced, and a
 /// connection that went silent is noticed after this.
@@ -110,7 +110,7 @@
         for change in changes {
             if let Err(error) = write_change(&tables, &mut client, &change).await {
                 log::warn!(
-                    key:% = poison_record::record_key(change.request), error:% = error;
+                    key:% = key_text(change.request), error:% = error;
                     "poison request is not in the log yet"
                 );
                 tokio::time::sleep(RETRY_PAUSE).await;
@@ -124,7 +124,7 @@
     client: &mut LogClient,
     change: &LogChange,
 ) -> Result<(), String> {
-    let key = poison_record::record_key(change.request);
+    let key = key_text(change.request);
     let value = match change.ends.as_slice() {
         [] => None,
         ends => Some(poison_record::poison_value(ends, SystemTime::now())?),
@@ -141,7 +141,7 @@
 pub(super) fn note_poison(tables: &ServingTables, refused: &[RequestKey], source: &str) {
     for request in refused {
         log::info!(
-            key:% = poison_record::record_key(*request), source:% = source;
+            key:% = key_text(*request), source:% = source;
             "poison request"
         );
     }
--- a/src/forward/conduct.rs
+++ b/src/forward/conduct.rs
@@ -16,6 +16,7 @@
 use crate::ids::TargetId;
 use crate::ingress::RequestKind;
 use crate::platform::order;
+use crate::poison::key_text;
 use crate::reason::RefusalReason;
 use crate::verdict::RunVerdict;
 
@@ -71,7 +72,7 @@
         let path = chosen.path.as_ref();
         log::info!(
             request:% = self.outgoing.id,
-            key:% = format_args!("{:016x}", self.key),
+            key:% = key_text(self.key),
             route:% = self.matched.route.name,
             configuration = self.configuration,
             organisation:% = self.matched.organisation.as_deref().unwrap_or("none"),
@@ -91,7 +92,11 @@
         status: u16,
         times: Option<StreamTimes>,
     ) {
-        self.note_survival(Instant::now());
+        // A failure, or a stream without an event, may stand for a run that never began.
+        let has_begun = times.is_none_or(|times| times.has_begun());
+        if has_begun && (200..300).contains(&status) {
+            self.note_survival(Instant::now());
+        }
         let took = self.arrived.elapsed();
         let (first, longest) =
             times.map_or_else(Default::default, |times| (times.first(), times.longest()));
--- a/src/forward/evidence.rs
+++ b/src/forward/evidence.rs
@@ -5,7 +5,7 @@
 use super::exchange::Exchange;
 use crate::fleet::target_key;
 use crate::ids::TargetId;
-use crate::poison::{PoisonVerdict, RunStart};
+use crate::poison::{PoisonVerdict, RunStart, key_text};
 
 impl Exchange {
     /// Whether the request is refused, since targets do not survive it.
@@ -25,7 +25,7 @@
         self.tables.metrics.ended_under_request(verdict.name());
         log::info!(
             request:% = self.outgoing.id,
-            key:% = format_args!("{:016x}", self.key),
+            key:% = key_text(self.key),
             target_id:% = target,
             verdict:% = verdict.name();
             "target ended under a request"
@@ -41,7 +41,7 @@
         if cleared {
             log::info!(
                 request:% = self.outgoing.id,
-                key:% = format_args!("{:016x}", self.key);
+                key:% = key_text(self.key);
                 "targets survived a suspected request"
             );
         }
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -249,14 +249,14 @@
                     exchange.note_answer(&watch.chosen, response.status().as_u16(), None);
                     return Ok(response);
                 }
-                Err(failure) => failure,
+                Err(failure) => {
+                    watch.note_failure(&failure).await;
+                    failure
+                }
             },
             Err(failure) => failure,
         };
         watch.release();
-        if failure.cause == FailureCause::Broken {
-            watch.note_break().await;
-        }
         exchange.note_failure(&watch.chosen, &failure, &mut tried);
         if !exchange.may_retry(&failure, &tried, Instant::now()) {
             return Err(final_refusal(&failure, &tried));
--- a/src/forward/stream_times.rs
+++ b/src/forward/stream_times.rs
@@ -38,6 +38,11 @@
         }
     }
 
+    /// Whether an event came.
+    pub(super) fn has_begun(&self) -> bool {
+        self.first.is_some()
+    }
+
     /// Time from the request to its first event; zero if there was none.
     pub(super) fn first(&self) -> Duration {
         self.first.unwrap_or_default()
--- a/src/forward/watch.rs
+++ b/src/forward/watch.rs
@@ -110,6 +110,13 @@
         self.ask_at
     }
 
+    /// Notes a failed attempt if the process of its target has ended.
+    pub(super) async fn note_failure(&self, failure: &AttemptFailure) {
+        if failure.cause == FailureCause::Broken {
+            self.note_break().await;
+        }
+    }
+
     /// The connection to the target broke; it is noted if its process has ended.
     pub(super) async fn note_break(&self) {
         let broke = Instant::now();
@@ -133,7 +140,11 @@
         let exchange = self.exchange.clone();
         let deadline = exchange.deadline;
         let sent = attempt::send(&exchange.outgoing, &self.chosen, last_event, deadline).await;
-        self.await_head(sent?, limit).await
+        let head = self.await_head(sent?, limit).await;
+        if let Err(failure) = &head {
+            self.note_failure(failure).await;
+        }
+        head
     }
 
     /// Waits for the head of an answer until `limit`. Meanwhile the request is
--- a/src/platform/poison_record.rs
+++ b/src/platform/poison_record.rs
@@ -22,16 +22,11 @@
     at_ms: u64,
 }
 
-/// The key of a request's record.
-pub fn record_key(request: RequestKey) -> String {
-    format!("{request:016x}")
-}
-
 /// The request whose record has this key.
 ///
 /// # Errors
 ///
-/// If the key is none that [`record_key`] writes; the text says why.
+/// If the key is no [`key_text`](crate::poison::key_text); the text says why.
 pub fn parse_key(key: &str) -> Result<RequestKey, String> {
     RequestKey::from_str_radix(key, 16).map_err(|error| error.to_string())
 }
--- a/src/poison.rs
+++ b/src/poison.rs
@@ -19,7 +19,7 @@
 mod survivors;
 mod table;
 
-pub use key::{RequestIdentity, request_key};
+pub use key::{RequestIdentity, key_text, request_key};
 pub use note::{PoisonEvent, PoisonListing, PoisonNote};
 pub use run_start::RunStart;
 pub use table::{LogChange, PoisonTable, PoisonVerdict};
--- a/src/poison/key.rs
+++ b/src/poison/key.rs
@@ -20,6 +20,11 @@
     pub body: &'a [u8],
 }
 
+/// A key as it stands in log lines and records.
+pub fn key_text(request: RequestKey) -> String {
+    format!("{request:016x}")
+}
+
 /// The key of a request, alike on all hosts and in every version of the program.
 ///
 /// Eight bytes of a cryptographic hash: a caller cannot make a request that is
--- a/tests/forwarding/poison.rs
+++ b/tests/forwarding/poison.rs
@@ -10,7 +10,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::host::TestHost;
-use crate::stub_target::{Step, StubTarget, event, last_chunk, stream_head};
+use crate::stub_target::{SeenRequest, Step, StubTarget, answer, event, last_chunk, stream_head};
 
 /// Path of the request that engines do not survive.
 const POISON: &str = "/stream/poison";
@@ -24,15 +24,22 @@
     ended: Arc<AtomicBool>,
 }
 
+/// When a fragile engine ends.
+#[derive(Clone, Copy, PartialEq)]
+enum EndsAfter {
+    Head,
+    Request,
+}
+
 impl FragileEngine {
-    async fn spawn() -> Self {
+    async fn spawn(ends_after: EndsAfter) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
         let ended = Arc::new(AtomicBool::new(false));
         let flag = ended.clone();
         tokio::spawn(async move {
             while let Ok((mut stream, _)) = listener.accept().await {
-                if serve(&mut stream).await.is_none() {
+                if serve(&mut stream, ends_after).await.is_none() {
                     drop(listener);
                     flag.store(true, Ordering::Relaxed);
                     return;
@@ -48,7 +55,7 @@
 }
 
 /// Answers one request; `None` if the engine does not survive it.
-async fn serve(stream: &mut TcpStream) -> Option<()> {
+async fn serve(stream: &mut TcpStream, ends_after: EndsAfter) -> Option<()> {
     let mut part = [0; 4096];
     let read = stream.read(&mut part).await.unwrap_or(0);
     let head = String::from_utf8_lossy(&part[..read]).into_owned();
@@ -60,6 +67,9 @@
         "HTTP/1.1 200 OK\r\nx-jackdawwick-attempt-id: {id}\r\nx-jackdawwick-server-seal: s\r\n\
          content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
     );
+    if head.contains(POISON) && ends_after == EndsAfter::Request {
+        return None;
+    }
     let _ = stream.write_all(started.as_bytes()).await;
     if head.contains(POISON) {
         return None;
@@ -74,7 +84,7 @@
 async fn spawn_engines(host: &TestHost, numbers: Range<usize>) -> Vec<FragileEngine> {
     let mut engines = Vec::new();
     for number in numbers {
-        let engine = FragileEngine::spawn().await;
+        let engine = FragileEngine::spawn(EndsAfter::Head).await;
         host.add_engine(&format!("i-{number}"), engine.address, 0, 80);
         engines.push(engine);
     }
@@ -160,3 +170,46 @@
         assert!(!answer.text.contains("poison_request"), "{}", answer.text);
     }
 }
+
+/// Symptom: a request crashes more engines than three. Sequence: a stream breaks with its
+/// engine and is taken up at another one, which ends before it answers at all. Cause: only
+/// the end of an engine that had answered was noted there.
+#[tokio::test]
+async fn an_engine_that_ends_before_it_answers_counts_as_well() {
+    let host = TestHost::open();
+    let first = FragileEngine::spawn(EndsAfter::Head).await;
+    host.add_engine("i-1", first.address, 0, 80);
+    let second = FragileEngine::spawn(EndsAfter::Request).await;
+    host.add_engine("i-2", second.address, 0, 80);
+    // Dearer, so that the request is taken up there.
+    let now = Instant::now();
+    host.tables.fleet.lock().observe_pace("i-2", 50.0, now);
+    host.call("POST", POISON, "Content-Length: 0\r\n").await;
+    assert!(first.has_ended() && second.has_ended());
+    let third = spawn_engines(&host, 3..5).await;
+    host.call("POST", POISON, "Content-Length: 0\r\n").await;
+    assert_eq!(ended(&third), 1);
+}
+
+/// Symptom: a request goes on to crash engines after three have ended. Sequence: between
+/// two crashes an engine answers it with a failure at once, or with a stream that ends
+/// before its first event. Cause: whatever was answered cleared the request; an engine
+/// that never began to run it has not survived it.
+#[tokio::test]
+async fn an_answer_without_a_run_clears_nothing() {
+    let failing = |seen: &SeenRequest| vec![answer(seen.id(), "500 Oops", "sorry")];
+    let empty = |seen: &SeenRequest| vec![stream_head(seen.id()), last_chunk()];
+    for script in [failing as fn(&SeenRequest) -> Vec<Step>, empty] {
+        let host = TestHost::open();
+        spawn_engines(&host, 0..2).await;
+        host.call("POST", POISON, "Content-Length: 0\r\n").await;
+        let answering = StubTarget::spawn(script).await;
+        host.add_engine("i-9", answering.address, 0, 80);
+        host.call("POST", POISON, "Content-Length: 0\r\n").await;
+        assert_eq!(answering.seen().len(), 1);
+        host.tables.fleet.lock().remove("i-9");
+        let third = spawn_engines(&host, 3..5).await;
+        host.call("POST", POISON, "Content-Length: 0\r\n").await;
+        assert_eq!(ended(&third), 1);
+    }
+}
