--- a/src/forward.rs
+++ b/src/forward.rs
@@ -15,6 +15,7 @@
 mod head;
 mod lateness;
 mod liveness;
+mod moving;
 mod probe;
 mod relay;
 mod serve;
--- /dev/null
+++ b/src/forward/moving.rs
@@ -0,0 +1,145 @@
+//! Moves a running request to other engines.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::Full;
+
+use super::liveness::LivenessGuard;
+use super::probe::ask;
+use super::tables::InFlightGuard;
+use super::watch::PathWatch;
+use crate::fleet::{EnginePath, PathQuery, repair_path};
+use crate::ids::TargetId;
+use crate::platform::target_record::platform_id;
+use crate::platform::{names, order};
+
+/// How long the first engine may take to accept a new path.
+const MOVE_LIMIT: Duration = Duration::from_millis(400);
+/// Orders to move one request at the most: each that is done reads its tokens
+/// again somewhere, and each is priced. An engine that refuses for want of room
+/// has a neighbour that takes it, or none does.
+const MOST_MOVES: u32 = 5;
+
+impl PathWatch {
+    /// Puts other engines in the place of `failed` and of all others that are
+    /// gone; an engine that refuses its part is passed by in the next try.
+    ///
+    /// The first engine holds the connection and cannot be replaced so. The
+    /// request keeps what all other engines have read, and it is no new
+    /// arrival: the retry budget of a few hundred would be used up by the
+    /// requests of one lost engine.
+    pub(super) async fn move_away(&mut self, failed: &TargetId) -> bool {
+        let Some(path) = self.chosen.path.clone() else {
+            return false;
+        };
+        let mut failing = self.gone_engines(&path.hops, Instant::now());
+        failing.push(failed.clone());
+        if self.exchange.is_poison(Instant::now()) {
+            // Each engine that takes its part over would crash in its turn.
+            return false;
+        }
+        while self.moves < MOST_MOVES {
+            self.moves += 1;
+            let Some(repaired) = self.repair(&path, &failing) else {
+                return false;
+            };
+            match self.order_move(&repaired).await {
+                MoveAnswer::Done => {
+                    self.take_path(repaired, &path);
+                    return true;
+                }
+                MoveAnswer::Refused(Some(engine)) => failing.push(engine),
+                MoveAnswer::Refused(None) | MoveAnswer::Unanswered => return false,
+            }
+        }
+        false
+    }
+
+    /// The request goes on over `repaired`.
+    fn take_path(&mut self, repaired: EnginePath, before: &EnginePath) {
+        let tables = self.exchange.tables.clone();
+        self.liveness = LivenessGuard::open(tables.clone(), Some(&repaired));
+        self.chosen.path = Some(repaired);
+        let loads = self.chosen.loads_after(before);
+        self.guard = Some(InFlightGuard::open(tables, loads));
+        self.observe_sound(Instant::now());
+    }
+
+    /// The path with other engines in the place of all that are `failing`.
+    fn repair(&self, path: &EnginePath, failing: &[TargetId]) -> Option<EnginePath> {
+        let exchange = &self.exchange;
+        let model = exchange.service.engine.as_ref()?;
+        let fleet = exchange.tables.fleet.lock();
+        let members = fleet.members(&exchange.service.name)?;
+        let zone = fleet
+            .get(&self.chosen.id)
+            .map(|state| state.entry.zone.clone());
+        let query = PathQuery {
+            model,
+            size: exchange.size,
+            zone: zone.as_deref().unwrap_or(&exchange.tables.zone),
+            avoid: failing,
+        };
+        let now = Instant::now();
+        let mut repaired = path.clone();
+        loop {
+            let mut hops = repaired.hops.iter();
+            match hops.position(|hop| failing.contains(&hop.target)) {
+                None => return Some(repaired),
+                Some(0) => return None,
+                Some(position) => {
+                    let draw = rand::random;
+                    repaired = repair_path(members, query, &repaired, position, now, draw)?;
+                }
+            }
+        }
+    }
+
+    async fn order_move(&self, path: &EnginePath) -> MoveAnswer {
+        let id = &self.exchange.outgoing.id;
+        let address = self.chosen.address;
+        let request = Request::post(names::ORDER_PATH)
+            .header(http::header::HOST, address.to_string())
+            .header(http::header::CONTENT_TYPE, "application/json")
+            .header(names::TARGET_INSTANCE, platform_id(&self.chosen.id))
+            .body(Full::new(Bytes::from(order::repath_body(id, path))));
+        let Ok(request) = request else {
+            return MoveAnswer::Unanswered;
+        };
+        let answer = ask(address, request, MOVE_LIMIT).await;
+        let done = matches!(answer, Ok((StatusCode::OK | StatusCode::ACCEPTED, _)));
+        let done = if done { "moved" } else { "move_refused" };
+        self.exchange.tables.metrics.repaired(done);
+        log::info!(
+            request:% = id,
+            silent_ms = self.heard.elapsed().as_millis() as u64,
+            path:% = order::path_value(path),
+            answer:? = answer.as_ref().map(|(status, _)| status.as_u16());
+            "moved"
+        );
+        match answer {
+            Ok((StatusCode::OK | StatusCode::ACCEPTED, _)) => MoveAnswer::Done,
+            Ok((_, body)) => MoveAnswer::Refused(self.note_refusing(&body)),
+            Err(_) => MoveAnswer::Unanswered,
+        }
+    }
+
+    /// The engine that could not take the request over.
+    fn note_refusing(&self, body: &[u8]) -> Option<TargetId> {
+        let address = order::refusing_engine(body)?;
+        let mut fleet = self.exchange.tables.fleet.lock();
+        let id = fleet.id_at(&self.exchange.service.name, address)?;
+        fleet.observe_failure(&id, Instant::now());
+        Some(id)
+    }
+}
+
+/// What the first engine says to a new path.
+enum MoveAnswer {
+    Done,
+    /// An engine of the path cannot take its part: this one, if it is named.
+    Refused(Option<TargetId>),
+    Unanswered,
+}
--- a/src/poison.rs
+++ b/src/poison.rs
@@ -14,6 +14,7 @@
 
 mod key;
 mod note;
+mod record;
 mod run_start;
 mod spread;
 mod survivors;
--- a/tests/forwarding/moves.rs
+++ b/tests/forwarding/moves.rs
@@ -112,6 +112,37 @@
     }
 }
 
+/// A host that was called, what the caller got, and the engine that came.
+struct EndedPath {
+    host: TestHost,
+    answer: CallerAnswer,
+    spare: SocketAddr,
+}
+
+/// Calls a stream over two engines. While it runs `meanwhile` does, another holder of the
+/// second one's layers comes, and the second one ends.
+async fn call_while_an_engine_ends<F>(first: &StubTarget, meanwhile: F) -> EndedPath
+where
+    F: FnOnce(&TestHost),
+{
+    let ending = IdleEngine::spawn().await;
+    let spare = IdleEngine::spawn().await;
+    let host = TestHost::open();
+    host.add_engine("i-1", first.address, 0, 50);
+    host.add_engine("i-2", ending.address, 50, 80);
+    let answer = call_and(&host, first, async {
+        meanwhile(&host);
+        host.add_engine("i-3", spare.address, 50, 80);
+        end(ending).await;
+    });
+    let answer = answer.await;
+    EndedPath {
+        host,
+        answer,
+        spare: spare.address,
+    }
+}
+
 fn refused_by(engine: SocketAddr) -> Vec<Step> {
     let body = format!(r#"{{"address":"{engine}"}}"#);
     let length = body.len();
@@ -150,19 +181,11 @@
 #[tokio::test]
 async fn a_stream_is_moved_as_soon_as_an_engine_of_its_path_ends() {
     let first = pausing_engine("", |_| vec![json("{}")]).await;
-    let ending = IdleEngine::spawn().await;
-    let other = IdleEngine::spawn().await;
-    let host = TestHost::open();
-    host.add_engine("i-1", first.address, 0, 50);
-    host.add_engine("i-2", ending.address, 50, 80);
-    let answer = call_and(&host, &first, async {
-        host.add_engine("i-3", other.address, 50, 80);
-        end(ending).await;
-    });
-    assert_eq!(answer.await.event_ids(), [1, 2]);
+    let path = call_while_an_engine_ends(&first, |_| ()).await;
+    assert_eq!(path.answer.event_ids(), [1, 2]);
     let orders = ordered_paths(&first);
     assert_eq!(orders.len(), 1);
-    assert!(orders[0].contains(&format!("{}=50-80", other.address)));
+    assert!(orders[0].contains(&format!("{}=50-80", path.spare)));
 }
 
 /// Symptom: a stream is cut although an engine with room holds the lost layers.
@@ -205,17 +228,9 @@
 #[tokio::test]
 async fn the_loss_of_a_later_engine_is_not_held_against_a_request() {
     let first = pausing_engine("", |_| vec![json("{}")]).await;
-    let ending = IdleEngine::spawn().await;
-    let other = IdleEngine::spawn().await;
-    let host = TestHost::open();
-    host.add_engine("i-1", first.address, 0, 50);
-    host.add_engine("i-2", ending.address, 50, 80);
-    let answer = call_and(&host, &first, async {
-        host.add_engine("i-3", other.address, 50, 80);
-        end(ending).await;
-    });
-    assert_eq!(answer.await.event_ids(), [1, 2]);
-    assert!(host.tables.poison.lock().is_empty());
+    let path = call_while_an_engine_ends(&first, |_| ()).await;
+    assert_eq!(path.answer.event_ids(), [1, 2]);
+    assert!(path.host.tables.poison.lock().is_empty());
 }
 
 /// Symptom: a request that is refused everywhere goes on to crash engines. Sequence: it
@@ -225,11 +240,6 @@
 #[tokio::test]
 async fn a_poison_request_is_moved_no_further() {
     let first = pausing_engine("", |_| vec![json("{}")]).await;
-    let ending = IdleEngine::spawn().await;
-    let other = IdleEngine::spawn().await;
-    let host = TestHost::open();
-    host.add_engine("i-1", first.address, 0, 50);
-    host.add_engine("i-2", ending.address, 50, 80);
     let key = request_key(RequestIdentity {
         method: "POST",
         host: "a.example",
@@ -237,15 +247,13 @@
         organisation: Some("org"),
         body: b"",
     });
-    let answer = call_and(&host, &first, async {
+    let path = call_while_an_engine_ends(&first, |host| {
         let now = std::time::Instant::now();
         for target in 1..=3 {
             host.tables.poison.lock().observe_end(key, target, now);
         }
-        host.add_engine("i-3", other.address, 50, 80);
-        end(ending).await;
     });
-    let answer = answer.await;
+    let answer = path.await.answer;
     assert!(!answer.is_whole_stream(), "{}", answer.text);
     assert_eq!(ordered_paths(&first), Vec::<String>::new());
 }
