Read poison requests from the log once a host has been a reader for a second

Cause: after a start of all hosts each reads the log for itself until it knows another one, and read the poison requests too; hosts that follow hear of them from their peers.

The process test in which all hosts are killed passes.

--- a/src/entry/poison_log.rs
+++ b/src/entry/poison_log.rs
@@ -20,6 +20,10 @@
 /// Pause after a failed call: hosts that started anew have to know what is refused
 /// within three seconds of the log's return.
 const RETRY_PAUSE: Duration = Duration::from_millis(600);
+/// How long a host has to be a reader before it reads. After a start of all hosts each
+/// reads the log for itself until it knows another one, within a second; what is refused
+/// has to be known after three.
+const SETTLED: Duration = Duration::from_secs(1);
 /// How long a host waits before it writes what another one may be writing: the readers
 /// of all zones hear of a poison request within 1.3 s of each other, and a record that
 /// one has written reaches the others within milliseconds.
@@ -41,6 +45,12 @@
         let Some(current) = wait_to_read(&mut duty).await else {
             return;
         };
+        if next.is_none() {
+            tokio::time::sleep(SETTLED).await;
+            if !duty.borrow().is_reader() {
+                continue;
+            }
+        }
         let read = match next {
             None => client.newest(names::POISON_TOPIC).await,
             Some(next) => client.read(names::POISON_TOPIC, next, READ_WAIT).await,
