Let a stream that can go on nowhere else wait for its engine

Engines give up themselves what waits for a dead one.

Change: without another attempt, and unless the request is poison, a silence ends nothing.

Failing first: a_stream_without_another_attempt_waits_for_its_engine.

--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -99,6 +99,7 @@
                 }
                 StreamStep::Silent => match self.watch.judge_silence().await {
                     SilenceVerdict::Waiting => continue,
+                    SilenceVerdict::Lost(_) if self.has_only_this() => continue,
                     SilenceVerdict::Lost(failed) => {
                         self.tried.avoid.push(failed);
                         "silent"
@@ -142,6 +143,18 @@
         }
     }
 
+    /// Whether the stream can go on nowhere else.
+    ///
+    /// What is known of an engine that fell silent may be wrong: one that leaves takes no
+    /// connections any more and serves on what passes it. To cut the stream gains nobody
+    /// anything; engines give up what waits for a dead one after two seconds themselves.
+    fn has_only_this(&self) -> bool {
+        let route = &self.exchange.matched.route;
+        let attempts_left = self.tried.sent + 1 < route.max_attempts;
+        let may_reopen = route.kind.is_repeatable() && attempts_left;
+        !may_reopen && !self.exchange.is_poison(Instant::now())
+    }
+
     /// Goes on at another path after the last event that was passed on.
     async fn reopen(&mut self, reason: &str) -> std::io::Result<()> {
         self.watch.release();
--- a/tests/forwarding/host.rs
+++ b/tests/forwarding/host.rs
@@ -120,12 +120,15 @@
             "service": service, "max_attempts": 2, "stream_resume": kind == "streaming"
         })
     };
+    let mut once = route("/once/", "streaming", "model");
+    once["max_attempts"] = 1.into();
     let configuration = serde_json::json!({
         "version": 1,
         "routes": [
             route("/safe/", "safe", "plain"),
             route("/unsafe/", "unsafe", "plain"),
             route("/stream/", "streaming", "model"),
+            once,
         ],
         "services": [
             {"name": "plain", "health_path": "/health"},
--- a/tests/forwarding/moves.rs
+++ b/tests/forwarding/moves.rs
@@ -221,6 +221,24 @@
     assert!(orders[1].contains(&format!("{}=50-80", other.address)));
 }
 
+/// Symptom: streams are cut around planned work though their engines go on. Sequence: an
+/// engine that leaves takes no connections any more and still serves what passes it; the
+/// next event comes after half a second; nobody takes over, and the attempts of the request
+/// are used up. Cause: a silence was judged by what is known of the engine, and the stream
+/// was cut for want of another attempt, before the engine itself had given it up.
+#[tokio::test]
+async fn a_stream_without_another_attempt_waits_for_its_engine() {
+    let first = pausing_engine("", |_| vec![json("{}")]).await;
+    let ending = IdleEngine::spawn().await;
+    let host = TestHost::open();
+    host.add_engine("i-1", first.address, 0, 50);
+    host.add_engine("i-2", ending.address, 50, 80);
+    let serving = host.call("POST", "/once/", "Content-Length: 0\r\n");
+    let (answer, ()) = bounded(async { tokio::join!(serving, end(ending)) }).await;
+    assert_eq!(answer.event_ids(), [1, 2]);
+    assert!(answer.is_whole_stream());
+}
+
 /// Symptom: a healthy request is refused for ten minutes. Sequence: three engines in the
 /// middle of its paths are lost, one attempt after the other. Cause: whichever engine of
 /// a path ended was held against the request, though the first one, which begins to run
