Do not take an engine that leaves for lost

Change: a first engine that refuses connections while the request's stands is waited for; a request is moved away from a later engine that is gone if it can be, and is lost only if the first engine reports that it waits for it.

Ruled out: the mend of poison requests; the same code stood before it.

Failing first: a_stream_stays_with_a_first_engine_that_leaves. The test that a poison request is moved no further now has the first engine report that it waits, so that the stream is lost and not merely silent.

--- a/src/forward.rs
+++ b/src/forward.rs
@@ -7,8 +7,8 @@
 mod answer;
 mod attempt;
 mod choice;
+mod closed;
 mod conduct;
-mod ended;
 mod events;
 mod evidence;
 mod exchange;
--- a/src/forward/closed.rs
+++ b/src/forward/closed.rs
@@ -1,4 +1,4 @@
-//! Tells whether the process of a target has ended, or only a connection to it.
+//! Tells whether a target takes connections.
 
 use std::io;
 use std::net::SocketAddr;
@@ -12,38 +12,38 @@
 /// takes longer tells nothing.
 const CONNECT_LIMIT: Duration = Duration::from_millis(250);
 
-/// When a target was last asked for a connection, and whether it had ended; one
-/// question at a time.
+/// When a target was last asked for a connection, and whether it refused; one question
+/// at a time.
 ///
-/// All requests of a target break at the same moment: it is asked once, and all
-/// hear the answer.
-pub(super) type EndCell = Arc<tokio::sync::Mutex<Option<(Instant, bool)>>>;
+/// All requests of a target break or fall silent at the same moment: it is asked once,
+/// and all hear the answer.
+pub(super) type ClosedCell = Arc<tokio::sync::Mutex<Option<(Instant, bool)>>>;
 
-/// Whether nothing listens any more at the address of a target whose connection
-/// broke at `broke`.
+/// Whether nothing listens any more at the address of a target, as of `since` or later.
 ///
-/// A connection that breaks says little: targets reset connections that are too
-/// many, break off answers and lose their links. The system refuses a connection
-/// only where no process listens.
-pub(super) async fn has_ended(
+/// A connection that breaks says little by itself: targets reset connections that are too
+/// many, break off answers and lose their links. The system refuses a connection only
+/// where no process listens. So a target whose connection broke has ended if it is closed;
+/// one whose connection stands leaves, and serves on what it has.
+pub(super) async fn is_closed(
     tables: &ServingTables,
     target: &TargetId,
     address: SocketAddr,
-    broke: Instant,
+    since: Instant,
 ) -> bool {
-    let cell = tables.end_cell(target);
+    let cell = tables.closed_cell(target);
     let mut last = cell.lock().await;
     match *last {
         Some((_, true)) => true,
-        Some((at, false)) if at >= broke => false,
+        Some((at, false)) if at >= since => false,
         _ => {
-            let ended = refuses_connections(address).await;
+            let closed = refuses_connections(address).await;
             let now = Instant::now();
-            *last = Some((now, ended));
-            if ended {
+            *last = Some((now, closed));
+            if closed {
                 tables.fleet.lock().observe_silence(target, now);
             }
-            ended
+            closed
         }
     }
 }
--- a/src/forward/tables.rs
+++ b/src/forward/tables.rs
@@ -8,7 +8,7 @@
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
-use super::ended::EndCell;
+use super::closed::ClosedCell;
 use super::liveness::LivenessTable;
 use crate::admission::OverloadGauge;
 use crate::collections::FastMap;
@@ -50,7 +50,7 @@
     budgets: Mutex<FastMap<ServiceId, WindowBudget>>,
     budget_settings: Mutex<WindowSettings>,
     reports: Mutex<FastMap<TargetId, ReportCell>>,
-    ends: Mutex<FastMap<TargetId, EndCell>>,
+    closed: Mutex<FastMap<TargetId, ClosedCell>>,
     pub(super) liveness: LivenessTable,
     /// Requests that targets ended under.
     pub poison: Mutex<PoisonTable>,
@@ -75,7 +75,7 @@
             budgets: Mutex::default(),
             budget_settings: Mutex::new(budget_settings),
             reports: Mutex::default(),
-            ends: Mutex::default(),
+            closed: Mutex::default(),
             liveness: LivenessTable::default(),
             poison: Mutex::default(),
             poison_news: Notify::new(),
@@ -131,9 +131,9 @@
             .clone()
     }
 
-    pub(super) fn end_cell(&self, target: &TargetId) -> EndCell {
-        let mut ends = self.ends.lock();
-        ends.entry(target.clone()).or_default().clone()
+    pub(super) fn closed_cell(&self, target: &TargetId) -> ClosedCell {
+        let mut closed = self.closed.lock();
+        closed.entry(target.clone()).or_default().clone()
     }
 
     /// Tells all requests that pass a target that it has ended.
@@ -144,7 +144,7 @@
     /// Forgets what was kept about a target that is gone.
     pub fn forget_target(&self, target: &str) {
         self.reports.lock().remove(target);
-        self.ends.lock().remove(target);
+        self.closed.lock().remove(target);
     }
 }
 
--- a/src/forward/watch.rs
+++ b/src/forward/watch.rs
@@ -9,7 +9,7 @@
 
 use super::attempt::{self, AttemptFailure, FailureCause};
 use super::choice::ChosenTarget;
-use super::ended::has_ended;
+use super::closed::is_closed;
 use super::exchange::Exchange;
 use super::liveness::LivenessGuard;
 use super::probe::fetch_report;
@@ -111,7 +111,7 @@
     pub(super) async fn note_break(&self) {
         let broke = Instant::now();
         let (target, address) = (&self.chosen.id, self.chosen.address);
-        if has_ended(&self.exchange.tables, target, address, broke).await {
+        if is_closed(&self.exchange.tables, target, address, broke).await {
             self.exchange.note_end(target, &self.start, broke);
         }
     }
@@ -176,38 +176,53 @@
     /// Moves the request away from engines that have just ended. What cannot
     /// be moved now is judged again once it has fallen silent.
     pub(super) async fn judge_loss(&mut self) {
-        let Some(path) = self.chosen.path.clone() else {
-            return;
-        };
-        let lost = self.gone_engines(&path.hops[1..], Instant::now());
-        if let Some(lost) = lost.first() {
-            self.move_away(lost).await;
+        if let Some(lost) = self.gone_later_engine(Instant::now()) {
+            self.move_away(&lost).await;
         }
     }
 
     /// Finds out what a silence means, and moves the request if an engine
     /// after the first is at fault.
+    ///
+    /// An engine that is known to be gone may be leaving: it takes no connections any
+    /// more, or has no entry, and serves on what passes it. So the request is moved away
+    /// from it if it can be, and is lost only if the first engine says that it stands
+    /// still: streams were cut around planned work whose engines served them to the end.
     pub(super) async fn judge_silence(&mut self) -> SilenceVerdict {
         let now = Instant::now();
         self.ask_at = now + ASK_PAUSE;
-        let Some(failed) = self.find_fault(now).await else {
-            return SilenceVerdict::Waiting;
+        let gone = self.gone_later_engine(now);
+        let is_moved = match &gone {
+            Some(gone) => self.move_away(gone).await,
+            None => false,
         };
-        match self.move_away(&failed).await {
-            true => SilenceVerdict::Waiting,
-            false => SilenceVerdict::Lost(failed),
+        if is_moved {
+            return SilenceVerdict::Waiting;
         }
+        match self.find_fault(now).await {
+            None => SilenceVerdict::Waiting,
+            Some(failed) if gone.is_some() => SilenceVerdict::Lost(failed),
+            Some(failed) => match self.move_away(&failed).await {
+                true => SilenceVerdict::Waiting,
+                false => SilenceVerdict::Lost(failed),
+            },
+        }
+    }
+
+    /// An engine after the first that is known to be gone or silent.
+    fn gone_later_engine(&self, now: Instant) -> Option<TargetId> {
+        let hops = self.chosen.path.as_ref()?.hops.get(1..)?;
+        self.gone_engines(hops, now).into_iter().next()
     }
 
-    /// The engine that holds the request up, if one does.
+    /// The engine that holds the request up, as the first one reports.
     async fn find_fault(&self, now: Instant) -> Option<TargetId> {
         let path = self.chosen.path.as_ref()?;
-        if let Some(gone) = self.gone_engines(&path.hops, now).into_iter().next() {
-            return Some(gone);
-        }
         let id = &self.chosen.id;
         let tables = &self.exchange.tables;
         let failed = match fetch_report(tables, id, self.chosen.address, now).await {
+            // It takes no connections, and this request's stands: it leaves, and serves on.
+            Err(()) if is_closed(tables, id, self.chosen.address, now).await => None,
             Err(()) => Some(id.clone()),
             Ok(report) => {
                 let own = &self.exchange.outgoing.id;
--- a/tests/forwarding/stub_target.rs
+++ b/tests/forwarding/stub_target.rs
@@ -112,6 +112,15 @@
     }
 }
 
+/// Answers the one request of a connection, by its id.
+pub(crate) async fn serve_once<F>(stream: TcpStream, steps: F)
+where
+    F: Fn(&str) -> Vec<Step>,
+{
+    let script = |seen: &SeenRequest| steps(seen.id());
+    serve(stream, &script, &Mutex::default(), &Mutex::default()).await;
+}
+
 async fn serve<F>(
     mut stream: TcpStream,
     script: &F,
