Judge whether an engine takes connections as of the moment asked about

Cause, found by reading: that an engine had once refused a connection counted from then on. A cut that refuses connections heals; a later reset would count as the engine's end, and a first engine that goes dark be waited for as one that leaves.

Change: an answer counts for what happened up to it. Failing first: an_engine_that_takes_connections_again_has_not_ended.

--- a/src/forward/closed.rs
+++ b/src/forward/closed.rs
@@ -24,7 +24,8 @@
 /// A connection that breaks says little by itself: targets reset connections that are too
 /// many, break off answers and lose their links. The system refuses a connection only
 /// where no process listens. So a target whose connection broke has ended if it is closed;
-/// one whose connection stands leaves, and serves on what it has.
+/// one whose connection stands leaves, and serves on what it has. What was found before
+/// `since` does not count: a cut that refuses connections heals.
 pub(super) async fn is_closed(
     tables: &ServingTables,
     target: &TargetId,
@@ -34,8 +35,7 @@
     let cell = tables.closed_cell(target);
     let mut last = cell.lock().await;
     match *last {
-        Some((_, true)) => true,
-        Some((at, false)) if at >= since => false,
+        Some((at, closed)) if at >= since => closed,
         _ => {
             let closed = refuses_connections(address).await;
             let now = Instant::now();
--- a/tests/forwarding/poison.rs
+++ b/tests/forwarding/poison.rs
@@ -10,7 +10,9 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::host::TestHost;
-use crate::stub_target::{SeenRequest, Step, StubTarget, answer, event, last_chunk, stream_head};
+use crate::stub_target::{
+    SeenRequest, Step, StubTarget, answer, event, last_chunk, serve_once, stream_head,
+};
 
 /// Path of the request that engines do not survive.
 const POISON: &str = "/stream/poison";
@@ -213,3 +215,32 @@
         assert_eq!(ended(&third), 1);
     }
 }
+
+/// Symptom: a healthy request is refused after a cut has healed. Sequence: a cut refuses
+/// connections to three engines for a moment, and their requests break; later others of
+/// their connections are reset, while they live on. Cause: that an engine had refused a
+/// connection once counted from then on.
+#[tokio::test]
+async fn an_engine_that_takes_connections_again_has_not_ended() {
+    let host = TestHost::open();
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    host.add_engine("i-1", address, 0, 80);
+    let cut = tokio::spawn(async move {
+        let (stream, _) = listener.accept().await.expect("a connection");
+        drop((listener, stream));
+    });
+    host.call("POST", SOUND, "Content-Length: 0\r\n").await;
+    cut.await.expect("it was cut");
+    assert_eq!(host.tables.poison.lock().len(), 1);
+    let healed = TcpListener::bind(address).await.expect("the port again");
+    host.tables.fleet.lock().observe_success("i-1");
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = healed.accept().await {
+            let steps = |id: &str| vec![stream_head(id), Step::Reset];
+            serve_once(stream, steps).await;
+        }
+    });
+    host.call("POST", POISON, "Content-Length: 0\r\n").await;
+    assert_eq!(host.tables.poison.lock().len(), 1);
+}
