Show which targets are kept although the log lists them no more

What callers saw: a request sent to a target 3.3 s after the log had acknowledged that it leaves. Lines could not tell a host that keeps what may have lapsed from one that had not heard. Added: a line for each target that is kept, for how long the log was away, and whether the end of a target was read or told. No logic is changed.

--- a/src/entry/following.rs
+++ b/src/entry/following.rs
@@ -134,7 +134,11 @@
         let regained = std::mem::take(&mut self.failures) > 0;
         let back = regained && gap >= self.lapse;
         if regained {
-            log::info!(next = read.next, doubted = back; "targets: log reached again");
+            let away_ms = before.map_or(0, |_| gap.as_millis());
+            log::info!(
+                next = read.next, doubted = back, away_ms = away_ms;
+                "targets: log reached again"
+            );
         }
         if self.next.is_none() {
             let listed = read.records.iter().map(|record| record.key.as_str());
--- a/src/entry/missing.rs
+++ b/src/entry/missing.rs
@@ -32,9 +32,12 @@
     /// The record at `offset` says that a target is gone.
     pub(super) fn expect(&mut self, id: &str, offset: LogOffset, now: Instant) {
         let until = now + RETURN_GRACE;
-        self.missing
-            .entry(TargetId::from(id))
-            .or_insert(MissingTarget { until, offset });
+        let added = MissingTarget { until, offset };
+        if self.missing.contains_key(id) {
+            return;
+        }
+        self.missing.insert(TargetId::from(id), added);
+        log::info!(target_id:% = id, offset = offset; "target kept, its entry may have lapsed");
     }
 
     /// Whatever is known and not among `listed`, which covers the log up to
--- a/src/entry/relaying.rs
+++ b/src/entry/relaying.rs
@@ -192,7 +192,7 @@
         for TargetChange { id, offset, value } in &answer.targets {
             match value {
                 Some(value) => self.copy.observe_target(id, *offset, value),
-                None => self.copy.remove_target(id, *offset, "entry dropped"),
+                None => self.copy.remove_target(id, *offset, "gone at another host"),
             }
         }
         self.copy.advance(answer.read_to);
