--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -12,6 +12,7 @@
 mod callers;
 mod check;
 mod configuration;
+mod departure;
 mod engines;
 mod faults;
 mod history;
@@ -25,6 +26,7 @@
 mod target;
 
 pub use check::{BrokenPromise, broken_promises};
+pub use departure::{DepartureReport, play_departure_during_cut, play_departure_unread};
 pub use engines::TargetFault;
 pub use history::{
     CallKind, CallOutcome, CallRecord, Disturbance, DisturbanceScope, ProbeRecord, RunRecord,
--- a/standins/src/soak/callers.rs
+++ b/standins/src/soak/callers.rs
@@ -64,6 +64,11 @@
         format!("call-{number:08}")
     }
 
+    /// Tells all callers to stop.
+    pub(super) fn stop(&self) {
+        self.stopped.store(true, Ordering::Relaxed);
+    }
+
     pub(super) fn is_stopped(&self) -> bool {
         self.stopped.load(Ordering::Relaxed)
     }
--- a/standins/src/soak/run.rs
+++ b/standins/src/soak/run.rs
@@ -3,7 +3,6 @@
 use std::io;
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use nix::sys::signal::Signal;
@@ -129,7 +128,7 @@
     run.make_faults(faults).await?;
     run.heal_all().await?;
     let recovered = recovered_first && run.wait_until_served().await;
-    run.desk.stopped.store(true, Ordering::Relaxed);
+    run.desk.stop();
     for task in tasks {
         if let Err(error) = task.await {
             log::error!("a caller failed: {error}");
--- a/standins/src/soak/target.rs
+++ b/standins/src/soak/target.rs
@@ -55,7 +55,8 @@
     pub(super) link: FaultLink,
     world: Arc<TargetWorld>,
     topics: Arc<LogTopics>,
-    tasks: Vec<JoinHandle<()>>,
+    serving: JoinHandle<()>,
+    beating: JoinHandle<()>,
 }
 
 impl Target {
@@ -91,7 +92,8 @@
             link,
             world,
             topics,
-            tasks: vec![serving, beating],
+            serving,
+            beating,
         })
     }
 
@@ -112,7 +114,7 @@
     /// Ends without a word; its entry lapses after three heartbeats.
     pub(super) fn crash(&self) {
         self.update(|state| state.reachable = false);
-        self.tasks.iter().for_each(JoinHandle::abort);
+        self.abort();
         self.link.lead_to(None);
         self.link.set(super::link::LinkFault::Reset);
     }
@@ -120,10 +122,15 @@
     /// Its process ends: its port takes no connections any more.
     pub(super) fn end(&self) {
         self.update(|state| state.reachable = false);
-        self.tasks.iter().for_each(JoinHandle::abort);
+        self.abort();
         self.link.close();
     }
 
+    fn abort(&self) {
+        self.serving.abort();
+        self.beating.abort();
+    }
+
     /// Whether it has begun to run a request that it does not survive; told once.
     pub(super) fn take_poisoned(&self) -> bool {
         let mut poisoned = false;
@@ -131,6 +138,19 @@
         poisoned
     }
 
+    /// Writes nothing more, and its entry is dropped from the log; it goes on serving.
+    pub(super) fn leave(&self) {
+        self.beating.abort();
+        self.lapse();
+    }
+
+    /// Its entry is back in the log.
+    pub(super) fn return_to_log(&mut self) {
+        let place = self.place.clone();
+        let (world, topics) = (self.world.clone(), self.topics.clone());
+        self.beating = tokio::spawn(write_heartbeats(place, self.link.address, world, topics));
+    }
+
     /// Its entry is dropped from the log.
     pub(super) fn lapse(&self) {
         self.topics.append(TARGETS, &self.id, None);
@@ -139,7 +159,7 @@
 
 impl Drop for Target {
     fn drop(&mut self) {
-        self.tasks.iter().for_each(JoinHandle::abort);
+        self.abort();
     }
 }
 
--- /dev/null
+++ b/standins/tests/departures.rs
@@ -0,0 +1,57 @@
+//! Targets that leave while entry hosts are without the log, against real processes.
+
+mod support;
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use standins::soak::{
+    DepartureReport, SoakSettings, play_departure_during_cut, play_departure_unread,
+};
+use support::{TestResult, eventually};
+
+/// Four hosts in two zones, and a folder for their settings and lines.
+async fn four_hosts() -> Result<(SoakSettings, tempfile::TempDir), support::TestError> {
+    let program = PathBuf::from(env!("CARGO_BIN_EXE_soak"));
+    let program = program.with_file_name("jackdawwickd");
+    let folder = tempfile::tempdir()?;
+    eventually("the program is built", || async { program.exists() }).await?;
+    let settings = SoakSettings {
+        seed: 1,
+        length: Duration::ZERO,
+        hosts: 4,
+        callers: 0,
+        program,
+        folder: folder.path().to_owned(),
+        timed: false,
+    };
+    Ok((settings, folder))
+}
+
+fn is_late_for_nobody(report: &DepartureReport) -> bool {
+    report.late_runs == 0 && report.runs_before > 0 && report.unanswered == 0
+}
+
+/// Symptom: a host sends requests to a target for as long as it has lost the log, though
+/// its neighbours know that the target left. Sequence: the first host of a zone loses the
+/// log alone; a target leaves.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_host_that_lost_the_log_hears_from_its_neighbours_who_leaves() -> TestResult {
+    let (settings, _folder) = four_hosts().await?;
+    let report = play_departure_unread(settings).await?;
+    assert!(is_late_for_nobody(&report), "{report:?}");
+    Ok(())
+}
+
+/// Symptom: a request reaches a target 3.3 s after the log had acknowledged that it
+/// leaves. Sequence: all hosts of a zone are without the log; a target of another zone
+/// leaves, whose hosts had the log all the while; the log is back. The targets of the cut
+/// zone, whose entries lapsed, live, and have to be used on.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn who_left_during_a_cut_gets_nothing_after_it_and_who_lapsed_is_kept() -> TestResult {
+    let (settings, _folder) = four_hosts().await?;
+    let report = play_departure_during_cut(settings).await?;
+    assert!(is_late_for_nobody(&report), "{report:?}");
+    assert!(report.runs_on_lapsed > 0, "{report:?}");
+    Ok(())
+}
--- a/tests/log_reader.rs
+++ b/tests/log_reader.rs
@@ -299,6 +299,23 @@
     assert!(is_known(&tables, "a"));
 }
 
+/// Symptom: all hosts send requests to a target for 3.2 s after its entry was dropped.
+/// Sequence: the log forgets its history while a target leaves; nothing else is wrong.
+#[tokio::test]
+async fn a_log_that_forgets_its_history_was_not_away() {
+    let all = newest_body(&[("a", heartbeat(1)), ("b", heartbeat(2))]);
+    let left = newest_body(&[("a", heartbeat(1))]);
+    let answers = vec![
+        answer("200 OK", &all),
+        answer("410 Gone", br#"{"first_offset":2}"#),
+        answer("200 OK", &left),
+    ];
+    let (tables, _direct) = spawn_follower(answers, USUAL_PACE).await;
+    wait_until_known(&tables, "b").await;
+    wait_until_gone(&tables, "b").await;
+    assert!(is_known(&tables, "a"));
+}
+
 /// Symptom: requests reach a target 2.9 s after it left. Sequence: a host
 /// follows the second host of its zone, then the first one again, which had
 /// just dropped the target; both had started in the same microsecond. Cause:
