Let a host that lost the log alone hear of it from its neighbours

What callers saw: a host sent requests to targets for 6 to 9 s after they had left, which refused them; the requests took a turn more or came back refused. Cause: the log can turn some hosts away and serve the others. A host asks those of its zone that come before it in the order of duties; nobody comes before the first, which went on trying to read while the next one read for the zone. Ruled out: the doubt after an outage (it begins when the log is back). Change: a host without the log and with nobody to follow asks a neighbour, stays with one that has it and takes in what it tells. It goes on trying to read, and does not count as having the log. Why it holds: the reader that stands in never follows a host that only heard, so that no two hosts feed each other.

--- a/src/entry/peering.rs
+++ b/src/entry/peering.rs
@@ -194,6 +194,11 @@
         self.gossip.lock().leads(now, most)
     }
 
+    /// The other live hosts of this zone.
+    pub(super) fn neighbours(&self, now: Instant) -> Vec<(HostId, SocketAddr)> {
+        self.gossip.lock().neighbours(now)
+    }
+
     /// The host to which this one reports.
     pub(super) fn speaker(&self, now: Instant) -> Option<(HostId, SocketAddr)> {
         let gossip = self.gossip.lock();
--- a/src/entry/relaying.rs
+++ b/src/entry/relaying.rs
@@ -10,7 +10,7 @@
 use crate::entry::follow_cursor::FollowCursor;
 use crate::entry::log_continuity::LogGap;
 use crate::entry::log_copy::LogCopy;
-use crate::entry::peering::PeerDesk;
+use crate::entry::peering::{FRESH_AGE, PeerDesk};
 use crate::forward::ServingTables;
 use crate::ids::HostId;
 use crate::peer::{FollowAnswer, FollowQuestion, PeerHandle, TargetChange};
@@ -55,6 +55,10 @@
     lead: Option<HostId>,
     /// Whether this host is one of the first of its zone.
     reads_for_others: bool,
+    /// A neighbour that had the log when this host had nobody to follow.
+    listened_to: Option<HostId>,
+    /// Neighbours that were asked in turn.
+    neighbours_asked: usize,
     /// When other zones' requests were last heard.
     remote_at: Option<Instant>,
     /// When a question was first asked that did not help.
@@ -78,6 +82,8 @@
         cursor: FollowCursor::default(),
         lead: None,
         reads_for_others: false,
+        listened_to: None,
+        neighbours_asked: 0,
         remote_at: None,
         without_log_since: None,
     };
@@ -94,13 +100,17 @@
             None => RELAY_HOLD,
         };
         let sources = sources(speaker, leads);
+        let asked = sources.len();
         if follower.ask_in_turn(&handle, sources, hold, &duty).await {
             continue;
         }
         if follower.reads_for_others || follower.is_impatient(Instant::now()) {
             follower.switch(&duty, None);
         }
-        tokio::time::sleep(RETRY_PAUSE).await;
+        let neighbours = desk.neighbours(Instant::now());
+        if !follower.listen(&handle, &neighbours, asked).await {
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
     }
 }
 
@@ -181,6 +191,57 @@
         }
     }
 
+    /// Hears from a neighbour that has the log what this host, which has nobody to follow,
+    /// cannot read; says whether one has it.
+    ///
+    /// The log can turn away some hosts and serve the others. One that reads for its zone
+    /// asks none of those that come after it, and sent requests to targets that left for as
+    /// long as it was turned away. It goes on trying to read, and does not count as having
+    /// the log: those that read in its place would follow it and stop.
+    async fn listen(
+        &mut self,
+        handle: &PeerHandle,
+        neighbours: &[(HostId, SocketAddr)],
+        asked: usize,
+    ) -> bool {
+        if self.copy.age(Instant::now()) < FRESH_AGE {
+            return false;
+        }
+        let Some((host, address)) = self.next_neighbour(neighbours, asked) else {
+            return false;
+        };
+        let has_log = self
+            .ask(handle, &host, address, FOLLOW_HOLD)
+            .await
+            .is_some();
+        if !has_log {
+            self.listened_to = None;
+        } else if self.listened_to.as_ref() != Some(&host) {
+            log::info!(host:% = host; "log heard of from a neighbour");
+            self.listened_to = Some(host);
+        }
+        has_log
+    }
+
+    /// The neighbour that had the log last time, else the next one that was not `asked`
+    /// already, in turn.
+    fn next_neighbour(
+        &mut self,
+        neighbours: &[(HostId, SocketAddr)],
+        asked: usize,
+    ) -> Option<(HostId, SocketAddr)> {
+        let known = self.listened_to.as_ref();
+        let known = neighbours.iter().find(|(host, _)| Some(host) == known);
+        if let Some(known) = known {
+            return Some(known.clone());
+        }
+        let others = neighbours
+            .get(asked..)
+            .filter(|others| !others.is_empty())?;
+        self.neighbours_asked += 1;
+        others.get(self.neighbours_asked % others.len()).cloned()
+    }
+
     /// Whether no host has had the log for too long.
     fn is_impatient(&self, now: Instant) -> bool {
         let since = self.without_log_since;
--- a/src/membership/gossip.rs
+++ b/src/membership/gossip.rs
@@ -264,7 +264,20 @@
     pub fn leads(&self, now: Instant, most: usize) -> Vec<(HostId, SocketAddr)> {
         let hosts = self.live_hosts(&self.zone, now).into_iter();
         let before = hosts.take_while(|host| *host != self.host).take(most);
-        let known = before.filter_map(|host| {
+        self.with_addresses(before)
+    }
+
+    /// The other live hosts of this zone, in the order of their duties.
+    pub fn neighbours(&self, now: Instant) -> Vec<(HostId, SocketAddr)> {
+        let hosts = self.live_hosts(&self.zone, now).into_iter();
+        self.with_addresses(hosts.filter(|host| *host != self.host))
+    }
+
+    fn with_addresses<H>(&self, hosts: H) -> Vec<(HostId, SocketAddr)>
+    where
+        H: Iterator<Item = HostId>,
+    {
+        let known = hosts.filter_map(|host| {
             let address = self.members.get(&host)?.address;
             Some((host, address))
         });
--- a/standins/tests/departures.rs
+++ b/standins/tests/departures.rs
@@ -34,7 +34,10 @@
 
 /// Symptom: a host sends requests to a target for as long as it has lost the log, though
 /// its neighbours know that the target left. Sequence: the first host of a zone loses the
-/// log alone; a target leaves.
+/// log alone; a target leaves. Cause: hosts ask only those of their zone that come before
+/// them for the log, and nobody comes before the first. Evidence: played days on which the
+/// log turned that host away: it had no line on a target that left until the log was back,
+/// 6 to 9 s later.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_host_that_lost_the_log_hears_from_its_neighbours_who_leaves() -> TestResult {
     let (settings, _folder) = four_hosts().await?;
