Part judging of dropped entries, and what other hosts tell, from asking and copying

Moved without a change of behaviour: entry::log_copy::dropping, and entry::relayed_log; TargetFollower and RelayedLog can be driven without a network. Tests of log, records, views and departures pass as before.

--- a/src/entry/following.rs
+++ b/src/entry/following.rs
@@ -37,8 +37,9 @@
     pub heartbeat: Duration,
 }
 
-/// What the follower of heartbeats remembers.
-struct TargetFollower {
+/// What is taken from the reads of the targets' log.
+#[derive(Debug)]
+pub struct TargetFollower {
     copy: Arc<LogCopy>,
     next: Option<LogOffset>,
     /// Failed reads in a row.
@@ -53,17 +54,10 @@
     mut duty: watch::Receiver<LogDuty>,
 ) {
     let pause = (pace.drain / READS_PER_DRAIN).min(LONGEST_PAUSE);
-    copy.set_lapse(pace.heartbeat * LAPSING_HEARTBEATS);
-    let mut follower = TargetFollower {
-        copy,
-        next: None,
-        failures: 0,
-    };
+    let mut follower = TargetFollower::open(copy, pace);
     loop {
         if !duty.borrow().is_reader() {
-            // What was read before is old by the time it is needed again.
-            follower.next = None;
-            follower.failures = 0;
+            follower.forget_place();
         }
         let Some(current) = wait_to_read(&mut duty).await else {
             return;
@@ -91,7 +85,29 @@
 }
 
 impl TargetFollower {
-    fn take(&mut self, read: Result<KeyedRead, LogError>, now: Instant) {
+    /// A follower that has read nothing yet; what it reads goes into the copy.
+    pub fn open(copy: Arc<LogCopy>, pace: TargetPace) -> Self {
+        copy.set_lapse(pace.heartbeat * LAPSING_HEARTBEATS);
+        Self {
+            copy,
+            next: None,
+            failures: 0,
+        }
+    }
+
+    /// Where to read on; `None` for the newest record of each target.
+    pub fn next(&self) -> Option<LogOffset> {
+        self.next
+    }
+
+    /// Another host is followed: what was read before is old by the time it is needed again.
+    pub fn forget_place(&mut self) {
+        self.next = None;
+        self.failures = 0;
+    }
+
+    /// Takes in what a read gave.
+    pub fn take(&mut self, read: Result<KeyedRead, LogError>, now: Instant) {
         match read {
             Ok(read) => self.take_records(&read, now),
             // The log was there all the while: whatever the newest records lack has left.
@@ -106,7 +122,6 @@
                 self.failures += 1;
             }
         }
-        self.copy.drop_due(now);
     }
 
     /// Pause until the next read, where the last one took so long.
@@ -148,5 +163,6 @@
             }
         }
         self.copy.advance(read.next);
+        self.copy.drop_due(now);
     }
 }
--- a/src/entry/log_copy.rs
+++ b/src/entry/log_copy.rs
@@ -1,5 +1,7 @@
 //! What was last read from the platform's log, kept to pass on.
 
+mod dropping;
+
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -7,14 +9,14 @@
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
-use crate::entry::doubted::{DoubtedTargets, SettledTarget};
+use crate::entry::doubted::DoubtedTargets;
 use crate::entry::kept_records::KeptRecords;
-use crate::entry::log_continuity::{LogContinuity, LogGap};
+use crate::entry::log_continuity::LogContinuity;
 use crate::entry::target_starts::{StartVerdict, TargetStarts};
 use crate::fleet::TargetEntry;
 use crate::forward::ServingTables;
-use crate::ids::{LogOffset, TargetId, ZoneId};
-use crate::peer::{FollowAnswer, FollowQuestion, LogAges};
+use crate::ids::{LogOffset, TargetId};
+use crate::peer::{FollowAnswer, FollowQuestion};
 use crate::platform::configuration_record::parse_configuration;
 use crate::platform::target_record::parse_target;
 
@@ -81,31 +83,6 @@
         kept.targets_read = kept.targets_read.max(Some(read));
     }
 
-    /// Sets the time without the log after which entries of targets may have lapsed.
-    pub(super) fn set_lapse(&self, lapse: Duration) {
-        self.kept.lock().continuity.set_lapse(lapse);
-    }
-
-    /// This host has what stood in the log of targets at that moment; gives the gap that
-    /// ended with it, if there was one and reads failed in it.
-    pub(super) fn observe_read(&self, read: Instant, was_lost: bool) -> Option<LogGap> {
-        let mut kept = self.kept.lock();
-        let gap = kept.continuity.observe_read(read, was_lost)?;
-        kept.doubted.extend(gap);
-        Some(gap)
-    }
-
-    /// Since when this host has had the log of targets.
-    pub(super) fn log_ages(&self, now: Instant) -> Option<LogAges> {
-        self.kept.lock().continuity.ages(now)
-    }
-
-    /// A host of a zone tells since when it has had the log of targets.
-    pub(super) fn observe_word(&self, zone: &ZoneId, ages: LogAges, now: Instant) {
-        self.kept.lock().continuity.observe_word(zone, ages, now);
-        self.drop_disproved();
-    }
-
     /// Time since all of the log was last read without trouble, by whomever.
     pub(super) fn age(&self, now: Instant) -> Duration {
         let kept = self.kept.lock();
@@ -247,123 +224,11 @@
         self.tables.tell_lost(start);
     }
 
-    /// Whether a target is known.
-    pub(super) fn knows(&self, id: &str) -> bool {
-        self.kept.lock().starts.newest(id).is_some()
-    }
-
     /// Whether any target is known.
     pub(super) fn has_targets(&self) -> bool {
         !self.kept.lock().targets.is_empty()
     }
 
-    /// The record at `offset` says that a target's entry was dropped. Read after a gap, it
-    /// may have lapsed in it; without one, or where hosts of its zone had the log, it left.
-    pub fn take_drop(&self, id: &str, offset: LogOffset, gap: Option<LogGap>) {
-        if self.kept.lock().doubted.gap(id).is_some() {
-            // Judged by the gap in which it was missed, not by this one.
-            return;
-        }
-        let Some((gap, zone)) = gap.zip(self.zone_of(id)) else {
-            return self.remove_target(id, offset, "entry dropped");
-        };
-        let mut kept = self.kept.lock();
-        if kept.continuity.had_log(&zone, gap) {
-            drop(kept);
-            return self.remove_target(id, offset, "others had the log");
-        }
-        kept.targets.mark_dropped(id, offset);
-        kept.doubted.doubt(id, zone.clone(), offset, gap);
-        drop(kept);
-        log::info!(
-            target_id:% = id, zone:% = zone, offset = offset;
-            "target kept, its entry may have lapsed"
-        );
-    }
-
-    /// A list of the log's newest records up to `read_to` lacks whatever is known besides
-    /// `listed`.
-    pub(super) fn take_list<'a, I>(&self, listed: I, read_to: LogOffset, gap: Option<LogGap>)
-    where
-        I: Iterator<Item = &'a str>,
-    {
-        let unlisted = self.kept.lock().targets.unlisted(listed, read_to);
-        for id in unlisted {
-            self.take_drop(&id, read_to.saturating_sub(1), gap);
-        }
-    }
-
-    /// The same for the list of a host that has had the log since `first`, now and then at
-    /// least. It lists what it doubts itself. What it has dropped since `first` it has
-    /// judged; what was gone before it never knew, and is judged here.
-    pub(super) fn take_judged_list<'a, I>(
-        &self,
-        listed: I,
-        read_to: LogOffset,
-        gap: Option<LogGap>,
-        first: Instant,
-    ) where
-        I: Iterator<Item = &'a str>,
-    {
-        let unlisted = self.kept.lock().targets.unlisted(listed, read_to);
-        for id in unlisted {
-            let missed = self.kept.lock().doubted.gap(&id).or(gap);
-            let from = missed.map(|gap| gap.from);
-            match from {
-                Some(from) if from.is_none_or(|from| from < first) => {
-                    self.take_drop(&id, read_to.saturating_sub(1), gap);
-                }
-                _ => self.remove_target(&id, read_to.saturating_sub(1), "gone at another host"),
-            }
-        }
-    }
-
-    fn zone_of(&self, id: &str) -> Option<ZoneId> {
-        let start = self.kept.lock().starts.newest(id).cloned()?;
-        let fleet = self.tables.fleet.lock();
-        fleet.get(&start).map(|state| state.entry.zone.clone())
-    }
-
-    /// Drops the targets that are known by now not to have lapsed.
-    fn drop_disproved(&self) {
-        let mut kept = self.kept.lock();
-        let CopiedLog {
-            doubted,
-            continuity,
-            ..
-        } = &mut *kept;
-        let settled = doubted.take_disproved(continuity);
-        drop(kept);
-        self.drop_settled(&settled);
-    }
-
-    /// Drops the targets that may have lapsed and did not come back in time.
-    pub(super) fn drop_due(&self, now: Instant) {
-        let mut kept = self.kept.lock();
-        let CopiedLog {
-            doubted,
-            continuity,
-            ..
-        } = &mut *kept;
-        let settled = doubted.take_due(continuity, now);
-        drop(kept);
-        self.drop_settled(&settled);
-    }
-
-    fn drop_settled(&self, settled: &[SettledTarget]) {
-        for target in settled {
-            self.remove_target(&target.id, target.offset, target.reason);
-        }
-        if !settled.is_empty() {
-            self.tell_news();
-        }
-    }
-
-    /// When the next target that may have lapsed is to be dropped.
-    pub(super) fn next_due(&self) -> Option<Instant> {
-        self.kept.lock().doubted.next_due()
-    }
-
     /// The log of targets is covered up to `read_to`.
     pub(super) fn advance(&self, read_to: LogOffset) {
         let mut kept = self.kept.lock();
--- a/src/entry/relaying.rs
+++ b/src/entry/relaying.rs
@@ -7,25 +7,19 @@
 use tokio::sync::watch;
 
 use crate::entry::LogDuty;
-use crate::entry::follow_cursor::FollowCursor;
-use crate::entry::log_continuity::LogGap;
 use crate::entry::log_copy::LogCopy;
 use crate::entry::peering::{FRESH_AGE, PeerDesk};
+use crate::entry::relayed_log::RelayedLog;
 use crate::forward::ServingTables;
 use crate::ids::HostId;
-use crate::peer::{FollowAnswer, FollowQuestion, PeerHandle, TargetChange};
+use crate::peer::PeerHandle;
 
 /// How long a question that has no news is kept. News end it, so that this only
 /// bounds how long the silence of the other host goes unnoticed.
 const FOLLOW_HOLD: Duration = Duration::from_millis(500);
-/// Shortest time for which a question is kept.
-const LEAST_HOLD: Duration = Duration::from_millis(20);
 /// The same for the question of a host that passes the log on: what it has must
 /// not be older than a read and this when others ask for it.
 const RELAY_HOLD: Duration = Duration::from_millis(200);
-/// Pause between two lists of other zones' requests: 200 targets are 4 KB, and
-/// their engines are used only for what the own zone cannot take.
-const REMOTE_PAUSE: Duration = Duration::from_secs(1);
 /// How much longer an answer may take before this host reads the log itself.
 const ANSWER_LIMIT: Duration = Duration::from_millis(400);
 /// Pause before the next round of questions where no answer helped.
@@ -49,9 +43,8 @@
 const FIRST_START_PATIENCE: Duration = Duration::from_millis(1500);
 
 struct RelayFollower {
-    tables: Arc<ServingTables>,
     copy: Arc<LogCopy>,
-    cursor: FollowCursor,
+    log: RelayedLog,
     lead: Option<HostId>,
     /// Whether this host is one of the first of its zone.
     reads_for_others: bool,
@@ -59,8 +52,6 @@
     listened_to: Option<HostId>,
     /// Neighbours that were asked in turn.
     neighbours_asked: usize,
-    /// When other zones' requests were last heard.
-    remote_at: Option<Instant>,
     /// When a question was first asked that did not help.
     without_log_since: Option<Instant>,
 }
@@ -77,14 +68,12 @@
     is_first_start: bool,
 ) {
     let mut follower = RelayFollower {
-        tables,
+        log: RelayedLog::open(tables, copy.clone()),
         copy,
-        cursor: FollowCursor::default(),
         lead: None,
         reads_for_others: false,
         listened_to: None,
         neighbours_asked: 0,
-        remote_at: None,
         without_log_since: None,
     };
     if is_first_start {
@@ -167,21 +156,13 @@
         address: SocketAddr,
         hold: Duration,
     ) -> Option<Duration> {
-        let version = self.copy.configuration_version();
-        // A doubt ends on time, also where there is no news.
-        let due = self.copy.next_due();
-        let due = due.map(|due| due.saturating_duration_since(Instant::now()));
-        let hold = due.map_or(hold, |due| hold.min(due.max(LEAST_HOLD)));
-        let question = FollowQuestion {
-            hold,
-            wants_remote: self.wants_remote(Instant::now()),
-            ..self.cursor.question(host, version)
-        };
+        let question = self.log.question(host, hold, Instant::now());
+        let hold = question.hold;
         let answer = handle.follow(address, question, hold + ANSWER_LIMIT).await;
         match answer {
             Ok(answer) => {
                 let age = answer.fresh.then_some(answer.age);
-                self.take(host, answer, Instant::now());
+                self.log.take(host, answer, Instant::now());
                 age
             }
             Err(error) => {
@@ -248,61 +229,6 @@
         since.is_some_and(|since| now >= since + PATIENCE)
     }
 
-    fn wants_remote(&self, now: Instant) -> bool {
-        self.remote_at.is_none_or(|at| now >= at + REMOTE_PAUSE)
-    }
-
-    fn take(&mut self, host: &HostId, mut answer: FollowAnswer, now: Instant) {
-        if let Some(configuration) = &answer.configuration {
-            self.copy.apply_configuration(configuration, "peer");
-        }
-        if !answer.remote.is_empty() {
-            self.remote_at = Some(now);
-            let remote = std::mem::take(&mut answer.remote);
-            self.tables.fleet.lock().observe_remote(remote, now);
-        }
-        // A host that has lost the log may be behind this one.
-        if !answer.fresh && self.copy.has_targets() {
-            return;
-        }
-        let read = answer.log.and_then(|log| now.checked_sub(log.read));
-        let gap = read.and_then(|read| self.copy.observe_read(read, true));
-        if answer.whole {
-            let listed = answer.targets.iter().map(|change| &*change.id);
-            let first = answer.log.and_then(|log| now.checked_sub(log.first));
-            let first = first.unwrap_or(now);
-            self.copy
-                .take_judged_list(listed, answer.read_to, gap, first);
-        }
-        for change in &answer.targets {
-            self.take_change(change, gap, now);
-        }
-        self.copy.drop_due(now);
-        self.copy.advance(answer.read_to);
-        self.cursor.advance(host, answer.incarnation, answer.next);
-    }
-
-    fn take_change(&self, change: &TargetChange, gap: Option<LogGap>, now: Instant) {
-        let TargetChange { id, offset, .. } = change;
-        let is_new = !self.copy.knows(id);
-        match &change.value {
-            Some(value) => self.copy.observe_target(id, *offset, value),
-            None => self.copy.remove_target(id, *offset, "gone at another host"),
-        }
-        // The other host may doubt what this one has no reason to: each judges by what it
-        // has missed itself. One that hears of the target for the first time cannot.
-        if let Some(dropped_at) = change.dropped_at {
-            let gap = match is_new {
-                true => Some(LogGap {
-                    from: None,
-                    until: now,
-                }),
-                false => gap,
-            };
-            self.copy.take_drop(id, dropped_at, gap);
-        }
-    }
-
     fn switch(&mut self, duty: &watch::Sender<LogDuty>, lead: Option<HostId>) {
         if self.lead != lead {
             let name = lead.as_deref().unwrap_or("the log itself");
@@ -310,7 +236,7 @@
         }
         if lead.is_none() && self.lead.is_some() {
             // Reading directly goes past what the other host has counted.
-            self.cursor = FollowCursor::default();
+            self.log.forget_places();
         }
         let current = match (&lead, self.reads_for_others) {
             (Some(_), _) => LogDuty::Follows,
