Keep who lives through overlapping outages, cuts and restarts

What callers saw: nothing yet; found by playing the mend in memory against what it promises. Hosts dropped sound targets, whose requests then broke and whose layers were missing for up to two seconds. Cause: a doubt was tied to one outage. Entries can lapse over two outages with a moment between, or when the log is back already; they come back late where a second cut falls into their return; a host told by its neighbour had what stood in the log up to a second before; and records of an outage were read after a neighbour had told of its end. Ruled out: the game itself, whose first two findings were its own (targets that came back later than the platform says). Change: a gap counts from the last read of a run in which each target could write; reads belong to a gap for as long as entries can lapse in it; a doubt begins anew with each break, and ends by what the log held when its time was over.

--- a/src/entry/doubted.rs
+++ b/src/entry/doubted.rs
@@ -12,9 +12,6 @@
 /// return.
 const RETURN_GRACE: Duration = Duration::from_millis(2200);
 
-/// Age up to which what a host has of the log speaks for a target's absence.
-const CURRENT_AGE: Duration = Duration::from_millis(1100);
-
 #[derive(Debug)]
 struct DoubtedTarget {
     zone: ZoneId,
@@ -24,8 +21,10 @@
 }
 
 impl DoubtedTarget {
-    fn due(&self) -> Instant {
-        self.gap.until + RETURN_GRACE
+    /// When its time is over. It begins anew with each break: nobody could come back then.
+    fn due(&self, continuity: &LogContinuity) -> Instant {
+        let run_since = continuity.run_since();
+        run_since.map_or(self.gap.until, |since| since.max(self.gap.until)) + RETURN_GRACE
     }
 }
 
@@ -66,8 +65,7 @@
         self.targets.remove(id);
     }
 
-    /// The log was away once more: nobody could come back meanwhile, so that the time for
-    /// it begins anew.
+    /// The log was away once more, long enough for entries to lapse in it.
     pub fn extend(&mut self, gap: LogGap) {
         for target in self.targets.values_mut() {
             target.gap.until = gap.until;
@@ -75,8 +73,9 @@
     }
 
     /// When the next doubt ends by itself.
-    pub fn next_due(&self) -> Option<Instant> {
-        self.targets.values().map(DoubtedTarget::due).min()
+    pub fn next_due(&self, continuity: &LogContinuity) -> Option<Instant> {
+        let dues = self.targets.values().map(|target| target.due(continuity));
+        dues.min()
     }
 
     /// Takes the targets that cannot have lapsed, as others had the log all the while.
@@ -87,14 +86,16 @@
         )
     }
 
-    /// Takes the targets whose time to come back is over, if the log is current.
-    pub fn take_due(&mut self, continuity: &LogContinuity, now: Instant) -> Vec<SettledTarget> {
-        let read = continuity.last_read();
-        // While the log cannot be read nobody can come back.
-        if read.is_none_or(|read| now >= read + CURRENT_AGE) {
+    /// Takes the targets that were not back when their time was over, as the log stood then.
+    ///
+    /// What a host read before says nothing of a target that comes back last: one that is
+    /// told by another host hears of it up to a second later, and nobody comes back while
+    /// the log is away again.
+    pub fn take_due(&mut self, continuity: &LogContinuity) -> Vec<SettledTarget> {
+        let Some(read) = continuity.last_read() else {
             return Vec::new();
-        }
-        self.take(|target| now >= target.due(), "missing")
+        };
+        self.take(|target| read >= target.due(continuity), "missing")
     }
 
     fn take<F>(&mut self, is_settled: F, reason: &'static str) -> Vec<SettledTarget>
--- a/src/entry/following.rs
+++ b/src/entry/following.rs
@@ -6,6 +6,7 @@
 use tokio::sync::watch;
 
 use crate::entry::LogDuty;
+use crate::entry::log_continuity::LogGap;
 use crate::entry::log_copy::{LogCopy, LogTopic};
 use crate::entry::log_duty::wait_to_read;
 use crate::ids::LogOffset;
@@ -42,6 +43,8 @@
 pub struct TargetFollower {
     copy: Arc<LogCopy>,
     next: Option<LogOffset>,
+    /// When the log was read up to there.
+    read_at: Option<Instant>,
     /// Failed reads in a row.
     failures: u32,
 }
@@ -91,6 +94,7 @@
         Self {
             copy,
             next: None,
+            read_at: None,
             failures: 0,
         }
     }
@@ -103,6 +107,7 @@
     /// Another host is followed: what was read before is old by the time it is needed again.
     pub fn forget_place(&mut self) {
         self.next = None;
+        self.read_at = None;
         self.failures = 0;
     }
 
@@ -155,6 +160,11 @@
             let listed = read.records.iter().map(|record| record.key.as_str());
             self.copy.take_list(listed, read.next, gap);
         }
+        // The records since the last own read cover a gap also where a neighbour told of the
+        // log in between.
+        let before = self.read_at.replace(now);
+        let is_covered = |gap: &LogGap| before.is_some_and(|before| gap.until > before);
+        let gap = gap.or_else(|| self.copy.last_gap().filter(is_covered));
         self.next = Some(read.next);
         for record in &read.records {
             match &record.value {
@@ -163,6 +173,6 @@
             }
         }
         self.copy.advance(read.next);
-        self.copy.drop_due(now);
+        self.copy.drop_due();
     }
 }
--- a/src/entry/log_continuity.rs
+++ b/src/entry/log_continuity.rs
@@ -15,6 +15,10 @@
     pub until: Instant,
 }
 
+/// Distance of two reads that another host tells of from which on it, or the way to it, was
+/// lost in between: readers read every 0.6 s.
+const TOLD_DISTANCE: Duration = Duration::from_millis(1100);
+
 /// A time in which the log was read again and again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct LogSpan {
@@ -22,6 +26,21 @@
     read: Instant,
 }
 
+/// This host's own reads.
+#[derive(Debug, Clone, Copy)]
+struct OwnReads {
+    /// The first read ever.
+    first: Instant,
+    /// The reads since the last gap.
+    span: LogSpan,
+    /// Since when no read failed for long.
+    run_since: Instant,
+    /// The last read of a run in which each target could write.
+    steady: Instant,
+    /// The last gap.
+    gap: Option<LogGap>,
+}
+
 /// Since when this host, and the hosts of each zone, have had the log without a break.
 ///
 /// Targets that cannot write for three heartbeats lose their entries and live. A host that
@@ -33,9 +52,7 @@
 pub struct LogContinuity {
     /// Time without the log after which entries may have lapsed.
     lapse: Duration,
-    /// When this host first had the log.
-    first: Option<Instant>,
-    own: Option<LogSpan>,
+    own: Option<OwnReads>,
     zones: FastMap<ZoneId, LogSpan>,
 }
 
@@ -45,49 +62,86 @@
         self.lapse = lapse;
     }
 
-    /// This host has what stood in the log at that moment, read by itself or passed on by a
-    /// host of its zone. Gives the gap that ends with this read, if there is one and reads
-    /// were tried in it in vain: a host that merely stood still has no outage to doubt.
+    /// This host has read the log itself. Gives the gap in which entries that this read
+    /// lacks may have lapsed: the one that ends with it, if reads were tried in vain (a host
+    /// that merely stood still has no outage to doubt).
+    ///
+    /// An entry lapses three heartbeats after the last one, which came up to one before the
+    /// log was away. After a gap shorter than that it can lapse when the log is back, so that
+    /// later reads belong to the gap for as long.
+    ///
+    /// The log can be away twice with a moment between: a target whose heartbeat does not
+    /// fall into that moment has no chance to write from the first outage on, and loses its
+    /// entry in the second one, however short that is. Both are one gap then.
     pub fn observe_read(&mut self, read: Instant, was_lost: bool) -> Option<LogGap> {
-        let Some(own) = &mut self.own else {
-            self.first = Some(read);
-            self.own = Some(LogSpan { since: read, read });
-            return None;
-        };
-        if read <= own.read {
-            return None;
+        let lapse = self.lapse;
+        let own = self.own.get_or_insert(OwnReads {
+            first: read,
+            span: LogSpan { since: read, read },
+            run_since: read,
+            steady: read,
+            gap: None,
+        });
+        let distance = read.saturating_duration_since(own.span.read);
+        own.span.read = own.span.read.max(read);
+        // Entries lapse after two heartbeats at the earliest: half of that is one.
+        let breaks = distance >= lapse || (was_lost && distance >= lapse / 2);
+        if !breaks {
+            if read.saturating_duration_since(own.run_since) >= lapse / 2 {
+                own.steady = read.max(own.steady);
+            }
+            let lasts = |gap: &LogGap| gap.from.is_some_and(|from| read < from + lapse * 2);
+            return own.gap.filter(lasts);
         }
-        let from = std::mem::replace(&mut own.read, read);
-        if read - from < self.lapse {
+        own.run_since = read;
+        if read.saturating_duration_since(own.steady) < lapse {
             return None;
         }
-        own.since = read;
-        was_lost.then_some(LogGap {
-            from: Some(from),
+        own.span.since = read;
+        own.gap = was_lost.then_some(LogGap {
+            from: Some(own.steady),
             until: read,
-        })
+        });
+        own.gap
+    }
+
+    /// The last gap of this host.
+    pub fn last_gap(&self) -> Option<LogGap> {
+        self.own.and_then(|own| own.gap)
+    }
+
+    /// Another host of the zone tells what stood in the log at that moment; as with an own
+    /// read.
+    pub fn observe_told(&mut self, read: Instant) -> Option<LogGap> {
+        let before = self.last_read();
+        let was_lost = before.is_some_and(|before| read >= before + TOLD_DISTANCE);
+        self.observe_read(read, was_lost)
     }
 
     /// How long ago this host began to have the log without a break, and when it last did.
     pub fn ages(&self, now: Instant) -> Option<LogAges> {
         self.own.map(|own| LogAges {
-            since: now.saturating_duration_since(own.since),
-            read: now.saturating_duration_since(own.read),
+            since: now.saturating_duration_since(own.span.since),
+            read: now.saturating_duration_since(own.span.read),
         })
     }
 
     /// How long ago this host first had the log, and last had it.
     pub fn followed(&self, now: Instant) -> Option<FollowedLog> {
-        let (first, own) = self.first.zip(self.own)?;
-        Some(FollowedLog {
-            first: now.saturating_duration_since(first),
-            read: now.saturating_duration_since(own.read),
+        self.own.map(|own| FollowedLog {
+            first: now.saturating_duration_since(own.first),
+            read: now.saturating_duration_since(own.span.read),
         })
     }
 
+    /// Since when this host has had the log without a break, however short.
+    pub fn run_since(&self) -> Option<Instant> {
+        self.own.map(|own| own.run_since)
+    }
+
     /// When this host last had the log.
     pub fn last_read(&self) -> Option<Instant> {
-        self.own.map(|own| own.read)
+        self.own.map(|own| own.span.read)
     }
 
     /// A host of a zone tells since when it has had the log.
--- a/src/entry/log_copy.rs
+++ b/src/entry/log_copy.rs
@@ -99,12 +99,7 @@
     }
 
     /// What the asking host does not have yet.
-    pub(super) fn answer(
-        &self,
-        question: FollowQuestion,
-        known: bool,
-        now: Instant,
-    ) -> FollowAnswer {
+    pub fn answer(&self, question: FollowQuestion, known: bool, now: Instant) -> FollowAnswer {
         let version = self.configuration_version();
         let kept = self.kept.lock();
         let changes = match known {
--- a/src/entry/log_copy/dropping.rs
+++ b/src/entry/log_copy/dropping.rs
@@ -14,8 +14,8 @@
         self.kept.lock().continuity.set_lapse(lapse);
     }
 
-    /// This host has what stood in the log of targets at that moment; gives the gap that
-    /// ended with it, if there was one and reads failed in it.
+    /// This host has read the log of targets; gives the gap that ended with it, if there was
+    /// one and reads failed in it.
     pub(in crate::entry) fn observe_read(&self, read: Instant, was_lost: bool) -> Option<LogGap> {
         let mut kept = self.kept.lock();
         let gap = kept.continuity.observe_read(read, was_lost)?;
@@ -23,13 +23,26 @@
         Some(gap)
     }
 
+    /// The last gap in which this host did not have the log of targets.
+    pub(in crate::entry) fn last_gap(&self) -> Option<LogGap> {
+        self.kept.lock().continuity.last_gap()
+    }
+
+    /// The same where another host of the zone tells what stood there.
+    pub(in crate::entry) fn observe_told(&self, read: Instant) -> Option<LogGap> {
+        let mut kept = self.kept.lock();
+        let gap = kept.continuity.observe_told(read)?;
+        kept.doubted.extend(gap);
+        Some(gap)
+    }
+
     /// Since when this host has had the log of targets.
-    pub(in crate::entry) fn log_ages(&self, now: Instant) -> Option<LogAges> {
+    pub fn log_ages(&self, now: Instant) -> Option<LogAges> {
         self.kept.lock().continuity.ages(now)
     }
 
     /// A host of a zone tells since when it has had the log of targets.
-    pub(in crate::entry) fn observe_word(&self, zone: &ZoneId, ages: LogAges, now: Instant) {
+    pub fn observe_word(&self, zone: &ZoneId, ages: LogAges, now: Instant) {
         self.kept.lock().continuity.observe_word(zone, ages, now);
         self.drop_disproved();
     }
@@ -124,14 +137,14 @@
     }
 
     /// Drops the targets that may have lapsed and did not come back in time.
-    pub(in crate::entry) fn drop_due(&self, now: Instant) {
+    pub(in crate::entry) fn drop_due(&self) {
         let mut kept = self.kept.lock();
         let CopiedLog {
             doubted,
             continuity,
             ..
         } = &mut *kept;
-        let settled = doubted.take_due(continuity, now);
+        let settled = doubted.take_due(continuity);
         drop(kept);
         self.drop_settled(&settled);
     }
@@ -146,7 +159,8 @@
     }
 
     /// When the next target that may have lapsed is to be dropped.
-    pub(in crate::entry) fn next_due(&self) -> Option<Instant> {
-        self.kept.lock().doubted.next_due()
+    pub fn next_due(&self) -> Option<Instant> {
+        let kept = self.kept.lock();
+        kept.doubted.next_due(&kept.continuity)
     }
 }
--- a/src/entry/relayed_log.rs
+++ b/src/entry/relayed_log.rs
@@ -75,7 +75,7 @@
             return;
         }
         let read = answer.log.and_then(|log| now.checked_sub(log.read));
-        let gap = read.and_then(|read| self.copy.observe_read(read, true));
+        let gap = read.and_then(|read| self.copy.observe_told(read));
         if answer.whole {
             let listed = answer.targets.iter().map(|change| &*change.id);
             let first = answer.log.and_then(|log| now.checked_sub(log.first));
@@ -86,7 +86,7 @@
         for change in &answer.targets {
             self.take_change(change, gap, now);
         }
-        self.copy.drop_due(now);
+        self.copy.drop_due();
         self.copy.advance(answer.read_to);
         self.cursor.advance(host, answer.incarnation, answer.next);
     }
@@ -101,12 +101,13 @@
         // The other host may doubt what this one has no reason to: each judges by what it
         // has missed itself. One that hears of the target for the first time cannot.
         if let Some(dropped_at) = change.dropped_at {
+            let unknown = LogGap {
+                from: None,
+                until: now,
+            };
             let gap = match is_new {
-                true => Some(LogGap {
-                    from: None,
-                    until: now,
-                }),
-                false => gap,
+                true => Some(unknown),
+                false => gap.or_else(|| self.copy.last_gap()),
             };
             self.copy.take_drop(id, dropped_at, gap);
         }
--- /dev/null
+++ b/tests/leaving_fleet/main.rs
@@ -0,0 +1,89 @@
+//! Entry hosts, targets and a log in memory, under random cuts, outages and restarts: who
+//! left gets nothing more, and who lives is kept.
+
+mod log;
+mod world;
+
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use world::{Fault, FaultKind, World, draw_faults};
+
+/// Length of a run, in milliseconds.
+const LENGTH_MS: u64 = 40_000;
+/// Drawn runs; the variable `LEAVING_SEEDS` asks for more by hand.
+const SEEDS: u64 = 100;
+/// Drawn runs that broke a promise once: entries that lapsed over two outages (165), a second
+/// outage while entries came back (204), an entry that lapsed when the log was back already
+/// (217), a host that dropped what its neighbour had not read yet (120), and records of an
+/// outage read after a neighbour had told of its end (373).
+const FAILED_SEEDS: [u64; 5] = [120, 165, 204, 217, 373];
+
+fn play(seed: u64, faults: Vec<Fault>) -> Vec<String> {
+    let mut world = World::open(seed, faults);
+    let mut broken = Vec::new();
+    while world.now_ms < LENGTH_MS {
+        world.step();
+        broken.extend(world.broken());
+        if broken.len() > 3 {
+            break;
+        }
+    }
+    broken
+}
+
+fn fault(kind: FaultKind, from_ms: u64, until_ms: u64) -> Fault {
+    Fault {
+        kind,
+        from_ms,
+        until_ms,
+    }
+}
+
+/// The days of the incident, one by one, with targets that leave all the while.
+#[test]
+fn each_way_of_losing_the_log_keeps_both_promises() {
+    let kinds = [
+        FaultKind::ZoneCut(0),
+        FaultKind::HostCut(0),
+        FaultKind::HostCut(1),
+        FaultKind::TurnedAway(0),
+        FaultKind::TurnedAway(1),
+        FaultKind::LogDown,
+    ];
+    for kind in kinds {
+        for length_ms in (300..8000).step_by(700) {
+            let faults = vec![fault(kind, 12_000, 12_000 + length_ms)];
+            let broken = play(length_ms, faults);
+            assert!(broken.is_empty(), "{kind:?} for {length_ms} ms: {broken:?}");
+        }
+    }
+}
+
+/// Two in a row, with every pause between them.
+#[test]
+fn an_outage_before_the_last_one_is_over_drops_nobody_that_lives() {
+    for pause_ms in (100..3000).step_by(300) {
+        let second = 17_000 + pause_ms;
+        let faults = vec![
+            fault(FaultKind::LogDown, 12_000, 17_000),
+            fault(FaultKind::LogDown, second, second + 5000),
+        ];
+        let broken = play(pause_ms, faults);
+        assert!(broken.is_empty(), "pause of {pause_ms} ms: {broken:?}");
+    }
+}
+
+/// Cuts, outages, trims and restarts that overlap as they like.
+#[test]
+fn random_faults_break_neither_promise() {
+    let asked = std::env::var("LEAVING_SEEDS").ok();
+    let asked = asked.and_then(|text| text.parse().ok());
+    let seeds = 0..asked.unwrap_or(SEEDS);
+    for seed in seeds.chain(FAILED_SEEDS) {
+        let mut random = StdRng::seed_from_u64(seed);
+        let faults = draw_faults(&mut random);
+        let broken = play(seed, faults.clone());
+        assert!(broken.is_empty(), "seed {seed}, {faults:?}: {broken:?}");
+    }
+}
--- a/tests/log_continuity.rs
+++ b/tests/log_continuity.rs
@@ -105,17 +105,15 @@
     let gap = story.read_again(16_000);
     let mut doubted = DoubtedTargets::default();
     doubted.doubt("a", zone("own"), 7, gap);
-    let due = doubted.next_due().expect("a doubt");
+    let due = doubted.next_due(&story.continuity).expect("a doubt");
     assert!(due > gap.until + RETURN_TIME);
     assert!(due + Duration::from_millis(600) < gap.until + CONTACT_TIME);
-    story.read_from_to(16_600, 18_400);
-    assert!(
-        doubted
-            .take_due(&story.continuity, due - Duration::from_millis(1))
-            .is_empty()
-    );
-    assert_eq!(doubted.take_due(&story.continuity, due).len(), 1);
-    assert_eq!(doubted.next_due(), None);
+    story.read_from_to(16_600, 17_800);
+    story.read_from_to(18_199, 18_199);
+    assert!(doubted.take_due(&story.continuity).is_empty());
+    assert_eq!(story.continuity.observe_read(due, false), None);
+    assert_eq!(doubted.take_due(&story.continuity).len(), 1);
+    assert_eq!(doubted.next_due(&story.continuity), None);
 }
 
 /// Symptom: sound targets are dropped, and with them all requests that they run. Sequence:
@@ -128,15 +126,13 @@
     let mut doubted = DoubtedTargets::default();
     doubted.doubt("a", zone("own"), 7, first);
     // Without the log no doubt ends.
-    let later = story.at(19_500);
-    assert!(doubted.take_due(&story.continuity, later).is_empty());
+    assert!(doubted.take_due(&story.continuity).is_empty());
     let second = story.read_again(20_000);
     doubted.extend(second);
-    let now = story.at(20_000);
-    assert!(doubted.take_due(&story.continuity, now).is_empty());
+    assert!(doubted.take_due(&story.continuity).is_empty());
     assert!(
         doubted
-            .next_due()
+            .next_due(&story.continuity)
             .is_some_and(|due| due > second.until + RETURN_TIME)
     );
     // Hosts that had the log through the first outage only prove nothing.
