Tell a log that is lost from a question that came late

What another host tells of the log is as old as its last read, 0.6 s apart; a follower that passes one over saw 1.2 s between two, and took them for a break, which begins doubts anew.

--- a/src/entry/log_continuity.rs
+++ b/src/entry/log_continuity.rs
@@ -15,27 +15,27 @@
     pub until: Instant,
 }
 
-/// Distance of two reads that another host tells of from which on it, or the way to it, was
-/// lost in between: readers read every 0.6 s.
-const TOLD_DISTANCE: Duration = Duration::from_millis(1100);
+/// Distance of two moments at which the log was read, as another host tells them, from which
+/// on it was lost in between. Readers read every 0.6 s, and one read may be passed over.
+const TOLD_DISTANCE: Duration = Duration::from_millis(1500);
 
-/// A time in which the log was read again and again.
+/// A time through which the log was read without a gap.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct LogSpan {
     since: Instant,
     read: Instant,
 }
 
-/// This host's own reads.
+/// What this host has had of the log.
 #[derive(Debug, Clone, Copy)]
 struct OwnReads {
     /// The first read ever.
     first: Instant,
-    /// The reads since the last gap.
+    /// From the end of the last gap, or the first read, to the last read.
     span: LogSpan,
-    /// Since when no read failed for long.
+    /// Since when no read has been missed for as long as a heartbeat.
     run_since: Instant,
-    /// The last read of a run in which each target could write.
+    /// The last read of a run that was long enough for each target to write in it.
     steady: Instant,
     /// The last gap.
     gap: Option<LogGap>,
@@ -84,11 +84,12 @@
         });
         let distance = read.saturating_duration_since(own.span.read);
         own.span.read = own.span.read.max(read);
-        // Entries lapse after two heartbeats at the earliest: half of that is one.
-        let breaks = distance >= lapse || (was_lost && distance >= lapse / 2);
+        // Entries lapse after two heartbeats without the log at the earliest.
+        let heartbeat = lapse / 2;
+        let breaks = distance >= lapse || (was_lost && distance >= heartbeat);
         if !breaks {
-            if read.saturating_duration_since(own.run_since) >= lapse / 2 {
-                own.steady = read.max(own.steady);
+            if read.saturating_duration_since(own.run_since) >= heartbeat {
+                own.steady = own.steady.max(read);
             }
             let lasts = |gap: &LogGap| gap.from.is_some_and(|from| read < from + lapse * 2);
             return own.gap.filter(lasts);
@@ -134,7 +135,7 @@
         })
     }
 
-    /// Since when this host has had the log without a break, however short.
+    /// Since when this host has had the log without a break of a heartbeat or more.
     pub fn run_since(&self) -> Option<Instant> {
         self.own.map(|own| own.run_since)
     }
--- a/tests/entry_peers.rs
+++ b/tests/entry_peers.rs
@@ -7,7 +7,7 @@
 use futures::FutureExt;
 use jackdawwick::fleet::{TargetLoad, TargetUse, UseScope, ZoneUses, target_key};
 use jackdawwick::peer::{
-    self, EntryHandlers, FollowAnswer, FollowQuestion, HostListing, HostView, KnownHost,
+    self, EntryHandlers, FollowAnswer, FollowQuestion, HostListing, HostView, KnownHost, LogAges,
     PeerHandle, PeerSettings, SeenListing, ZoneCount,
 };
 use jackdawwick::poison::{PoisonEvent, PoisonListing, PoisonNote};
@@ -34,7 +34,10 @@
             scope: UseScope::Group,
         },
         counts: Vec::new(),
-        log: None,
+        log: Some(LogAges {
+            since: Duration::from_secs(90_000),
+            read: Duration::from_millis(640),
+        }),
         poison: PoisonListing {
             from: 3,
             to: 5,
