Refuse who waits, once a drain has taken too long, before places come free

Cause: when the time for draining is over, streams are cut and leave their places; the one who waits is given a place and told to end at the same moment, and which of the two it took was drawn. It then began to run and was cut. Ruled out: the test's wait of 0.2 s (the request stood in the queue: no engine had it).

--- a/src/daemon/admitting.rs
+++ b/src/daemon/admitting.rs
@@ -83,11 +83,14 @@
     );
     core.admission_changed.notify_one();
     let told = tokio::select! {
-        told = waiter => told,
-        // Nothing will be started any more.
+        // First, since streams that end with the drain leave their places to whoever waits:
+        // a request that took one would be cut as it starts, and its caller be told that it
+        // may have run.
+        biased;
         () = core.drain_over.cancelled() => {
             return Err(refusal(slot.request.clone(), RefusalReason::Draining, IDLE_TICK));
         }
+        told = waiter => told,
     };
     match told {
         Ok(AdmissionDecision::Refuse {
