--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -15,6 +15,7 @@
 mod departure;
 mod engines;
 mod faults;
+mod heartbeats;
 mod history;
 mod host;
 mod link;
--- a/standins/src/soak/target.rs
+++ b/standins/src/soak/target.rs
@@ -20,10 +20,11 @@
 use tokio::task::JoinHandle;
 
 use super::answers::{event_count, event_text, plain_body};
-use super::configuration::{HEARTBEAT_MS, STALL_MS, TARGETS};
+use super::configuration::{STALL_MS, TARGETS};
 use super::engines::{
     PathPart, TargetFault, TargetState, TargetWorld, is_whole, parse_path, take_order,
 };
+use super::heartbeats::{write_heartbeat, write_heartbeats};
 use super::history::RunRecord;
 use super::link::FaultLink;
 use super::log_service::LogTopics;
@@ -163,36 +164,6 @@
     }
 }
 
-async fn write_heartbeats(
-    place: TargetPlace,
-    address: SocketAddr,
-    world: Arc<TargetWorld>,
-    topics: Arc<LogTopics>,
-) {
-    loop {
-        write_heartbeat(&place, address, &world, &topics);
-        tokio::time::sleep(Duration::from_millis(HEARTBEAT_MS)).await;
-    }
-}
-
-fn write_heartbeat(
-    place: &TargetPlace,
-    address: SocketAddr,
-    world: &TargetWorld,
-    topics: &LogTopics,
-) {
-    let state = world.state(address);
-    let layers = state
-        .layers
-        .map(|(from, to)| json!({"from": from, "to": to}));
-    let body = json!({
-        "service": place.service, "address": address, "zone": place.zone, "kind": place.kind,
-        "state": if state.draining { "draining" } else { "ready" }, "layers": layers,
-        "version": "v1", "slots": 64, "cold_remaining_ms": 0, "sequence": 1,
-    });
-    topics.append(TARGETS, &state.id, Some(body.to_string().into()));
-}
-
 async fn accept_all(listener: TcpListener, world: Arc<TargetWorld>, address: SocketAddr) {
     while let Ok((stream, _)) = listener.accept().await {
         tokio::spawn(serve_connection(stream, world.clone(), address));
--- /dev/null
+++ b/tests/leaving_fleet/faults.rs
@@ -0,0 +1,59 @@
+//! What goes wrong in a run.
+
+use rand::RngExt;
+use rand::rngs::StdRng;
+
+use super::world::{HOSTS, STEP_MS, ZONES};
+
+/// What goes wrong.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum FaultKind {
+    /// A zone has neither the log nor the other zone; its targets cannot write.
+    ZoneCut(usize),
+    /// A host has neither the log nor other hosts.
+    HostCut(usize),
+    /// The log serves a host not.
+    TurnedAway(usize),
+    /// The log serves nobody, and no target can write.
+    LogDown,
+    /// The log forgets its history.
+    Trim,
+    /// A host starts again and knows nothing.
+    Restart(usize),
+}
+
+/// A fault and its time.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Fault {
+    pub(crate) kind: FaultKind,
+    pub(crate) from_ms: u64,
+    pub(crate) until_ms: u64,
+}
+
+/// Up to five faults, some of them at the same time.
+pub(crate) fn draw_faults(random: &mut StdRng) -> Vec<Fault> {
+    let count = random.random_range(1..6);
+    let mut faults = Vec::new();
+    for _ in 0..count {
+        let from_ms = random.random_range(6_000..24_000);
+        let host = random.random_range(0..HOSTS);
+        let kind = match random.random_range(0..6) {
+            0 => FaultKind::ZoneCut(host % ZONES),
+            1 => FaultKind::HostCut(host),
+            2 => FaultKind::TurnedAway(host),
+            3 => FaultKind::LogDown,
+            4 => FaultKind::Trim,
+            _ => FaultKind::Restart(host),
+        };
+        let length_ms = match kind {
+            FaultKind::Trim | FaultKind::Restart(_) => STEP_MS,
+            _ => random.random_range(300..8000),
+        };
+        faults.push(Fault {
+            kind,
+            from_ms,
+            until_ms: from_ms + length_ms,
+        });
+    }
+    faults
+}
--- a/tests/leaving_fleet/main.rs
+++ b/tests/leaving_fleet/main.rs
@@ -1,13 +1,17 @@
 //! Entry hosts, targets and a log in memory, under random cuts, outages and restarts: who
 //! left gets nothing more, and who lives is kept.
 
+mod faults;
+mod host;
 mod log;
+mod promises;
 mod world;
 
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
-use world::{Fault, FaultKind, World, draw_faults};
+use faults::{Fault, FaultKind, draw_faults};
+use world::World;
 
 /// Length of a run, in milliseconds.
 const LENGTH_MS: u64 = 40_000;
--- /dev/null
+++ b/tests/leaving_fleet/promises.rs
@@ -0,0 +1,82 @@
+//! The two promises: who left is gone, and who lives is known.
+
+use super::faults::FaultKind;
+use super::world::{DRAIN_MS, HEARTBEAT_MS, HOSTS, READ_PAUSE_MS, RETURN_MS, SimTarget, World};
+
+/// A host has to have been undisturbed for so long to be held to the first promise.
+const CONTACT_MS: u64 = 3000;
+
+impl World {
+    /// What is wrong now.
+    pub(crate) fn broken(&self) -> Vec<String> {
+        let mut broken = Vec::new();
+        for host in 0..HOSTS {
+            for target in &self.targets {
+                let known = self.hosts[host].knows(&target.name);
+                let story = format!("{} ms: host {host}, {}", self.now_ms, target.name);
+                if known && self.must_be_gone(host, target) {
+                    broken.push(format!("{story} left at {:?}", target.left_ms));
+                }
+                if !known && self.must_be_known(host, target) {
+                    broken.push(format!("{story} lives"));
+                }
+            }
+        }
+        broken
+    }
+
+    fn must_be_gone(&self, host: usize, target: &SimTarget) -> bool {
+        let Some(left_ms) = target.left_ms else {
+            return false;
+        };
+        let since = self.now_ms.saturating_sub(CONTACT_MS);
+        let disturbed = self.was_on_since(since, |kind| self.disturbs(kind, host));
+        !disturbed && self.now_ms > left_ms + DRAIN_MS
+    }
+
+    /// Whether a fault keeps a host from the log, or ends it.
+    fn disturbs(&self, kind: FaultKind, host: usize) -> bool {
+        match kind {
+            FaultKind::LogDown => true,
+            FaultKind::ZoneCut(cut) => cut == self.hosts[host].zone,
+            FaultKind::HostCut(cut) | FaultKind::TurnedAway(cut) | FaultKind::Restart(cut) => {
+                cut == host
+            }
+            FaultKind::Trim => false,
+        }
+    }
+
+    /// When a fault of a kind lasted last; 0 if none did.
+    fn last_trouble_ms<F>(&self, wanted: F) -> u64
+    where
+        F: Fn(FaultKind) -> bool,
+    {
+        let begun = self
+            .faults
+            .iter()
+            .filter(|fault| fault.from_ms <= self.now_ms);
+        let ends = begun.filter(|fault| wanted(fault.kind));
+        let ends = ends.map(|fault| fault.until_ms.min(self.now_ms));
+        ends.max().unwrap_or(0)
+    }
+
+    fn must_be_known(&self, host: usize, target: &SimTarget) -> bool {
+        // Before the first heartbeats are in nobody is known.
+        let settled = self.now_ms > 2 * HEARTBEAT_MS;
+        let zone = self.hosts[host].zone;
+        // A host drops the entries of another zone that is cut off, and has them back a
+        // while after it can read again and they are there.
+        let zone_trouble_ms = self.last_trouble_ms(|kind| match kind {
+            FaultKind::ZoneCut(cut) => cut == target.zone && zone != target.zone,
+            _ => false,
+        });
+        let own_trouble_ms = self.last_trouble_ms(|kind| self.disturbs(kind, host));
+        let back_ms = zone_trouble_ms.max(own_trouble_ms) + RETURN_MS + 2 * READ_PAUSE_MS;
+        let away = zone_trouble_ms > 0 && self.now_ms < back_ms;
+        // A host that starts again finds what the log, or another host, lists.
+        let restart_ms = self.last_trouble_ms(|kind| kind == FaultKind::Restart(host));
+        let log_ms = restart_ms.max(own_trouble_ms) + RETURN_MS + 2 * READ_PAUSE_MS;
+        let started = restart_ms > 0 && self.now_ms < log_ms;
+        settled && target.left_ms.is_none() && !away && !started
+    }
+}
--- a/tests/leaving_fleet/world.rs
+++ b/tests/leaving_fleet/world.rs
@@ -1,187 +1,56 @@
 //! Two zones of two hosts and some targets each, step by step.
 
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use jackdawwick::entry::{LogCopy, RelayedLog, TargetFollower, TargetPace};
-use jackdawwick::forward::ServingTables;
-use jackdawwick::ids::HostId;
-use jackdawwick::peer::{FollowAnswer, FollowQuestion};
+use jackdawwick::peer::FollowAnswer;
 use jackdawwick::platform::log_calls::LogError;
-use jackdawwick::retry::WindowSettings;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+use super::faults::{Fault, FaultKind};
+use super::host::{SimHost, zone_name};
 use super::log::MemoryLog;
 
-const ZONES: usize = 2;
-const HOSTS: usize = 4;
+pub(super) const ZONES: usize = 2;
+pub(super) const HOSTS: usize = 4;
 const TARGETS: usize = 8;
-const STEP_MS: u64 = 20;
-const HEARTBEAT_MS: u64 = 1200;
+pub(super) const STEP_MS: u64 = 20;
+pub(super) const HEARTBEAT_MS: u64 = 1200;
 /// Silence after which an entry lapses: three heartbeats, and a moment for the last one
 /// to arrive.
 const LAPSE_MS: u64 = 3 * HEARTBEAT_MS + 100;
 /// Entries that lapsed are back within this time of the log's return.
-const RETURN_MS: u64 = 1900;
-const READ_PAUSE_MS: u64 = 600;
+pub(super) const RETURN_MS: u64 = 1900;
+pub(super) const READ_PAUSE_MS: u64 = 600;
 const FOLLOW_PAUSE_MS: u64 = 200;
 const NEIGHBOUR_WORD_MS: u64 = 200;
 const FAR_WORD_MS: u64 = 500;
-/// Age up to which a host counts as having the log.
-const FRESH_MS: u64 = 1100;
 /// Time without the log after which a host that follows reads for itself.
 const PATIENCE_MS: u64 = 600;
 /// A target that left may be used for so long.
-const DRAIN_MS: u64 = 2000;
-/// A host has to have been undisturbed for so long to be held to that.
-const CONTACT_MS: u64 = 3000;
+pub(super) const DRAIN_MS: u64 = 2000;
 
-/// What goes wrong.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum FaultKind {
-    /// A zone has neither the log nor the other zone; its targets cannot write.
-    ZoneCut(usize),
-    /// A host has neither the log nor other hosts.
-    HostCut(usize),
-    /// The log serves a host not.
-    TurnedAway(usize),
-    /// The log serves nobody, and no target can write.
-    LogDown,
-    /// The log forgets its history.
-    Trim,
-    /// A host starts again and knows nothing.
-    Restart(usize),
-}
-
-/// A fault and its time.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Fault {
-    pub(crate) kind: FaultKind,
-    pub(crate) from_ms: u64,
-    pub(crate) until_ms: u64,
-}
-
-/// Up to five faults, some of them at the same time.
-pub(crate) fn draw_faults(random: &mut StdRng) -> Vec<Fault> {
-    let count = random.random_range(1..6);
-    let mut faults = Vec::new();
-    for _ in 0..count {
-        let from_ms = random.random_range(6_000..24_000);
-        let host = random.random_range(0..HOSTS);
-        let kind = match random.random_range(0..6) {
-            0 => FaultKind::ZoneCut(host % ZONES),
-            1 => FaultKind::HostCut(host),
-            2 => FaultKind::TurnedAway(host),
-            3 => FaultKind::LogDown,
-            4 => FaultKind::Trim,
-            _ => FaultKind::Restart(host),
-        };
-        let length_ms = match kind {
-            FaultKind::Trim | FaultKind::Restart(_) => STEP_MS,
-            _ => random.random_range(300..8000),
-        };
-        faults.push(Fault {
-            kind,
-            from_ms,
-            until_ms: from_ms + length_ms,
-        });
-    }
-    faults
-}
-
-struct SimTarget {
-    name: String,
-    zone: usize,
+/// A target, and when it leaves.
+pub(super) struct SimTarget {
+    pub(super) name: String,
+    pub(super) zone: usize,
     phase_ms: u64,
     wrote_ms: u64,
     /// Since when it can write; it takes a while to do so again.
     can_write_ms: Option<u64>,
     leaves_ms: u64,
     /// When the log acknowledged that it left.
-    left_ms: Option<u64>,
-}
-
-struct SimHost {
-    name: HostId,
-    zone: usize,
-    tables: Arc<ServingTables>,
-    copy: Arc<LogCopy>,
-    follower: TargetFollower,
-    relayed: RelayedLog,
-    /// Whom it follows: the first host of its zone.
-    follows: bool,
-    read_ms: Option<u64>,
-    next_read_ms: u64,
-    next_ask_ms: u64,
-    incarnation: u64,
-}
-
-impl SimHost {
-    fn open(index: usize, incarnation: u64) -> Self {
-        let budget = WindowSettings {
-            window: Duration::from_secs(1),
-            ratio: 0.0,
-            slack: 0.0,
-        };
-        let zone = index % ZONES;
-        let tables = Arc::new(ServingTables::new(zone_name(zone).into(), budget));
-        let copy = Arc::new(LogCopy::new(tables.clone()));
-        let pace = TargetPace {
-            drain: Duration::from_millis(DRAIN_MS),
-            heartbeat: Duration::from_millis(HEARTBEAT_MS),
-        };
-        Self {
-            name: format!("host-{index}").as_str().into(),
-            zone,
-            follower: TargetFollower::open(copy.clone(), pace),
-            relayed: RelayedLog::open(tables.clone(), copy.clone()),
-            tables,
-            copy,
-            follows: false,
-            read_ms: None,
-            next_read_ms: 0,
-            next_ask_ms: 0,
-            incarnation,
-        }
-    }
-
-    fn knows(&self, target: &str) -> bool {
-        self.tables.fleet.lock().get(target).is_some()
-    }
-
-    fn is_fresh(&self, now_ms: u64) -> bool {
-        self.read_ms.is_some_and(|read| now_ms < read + FRESH_MS)
-    }
-
-    fn answer(&self, question: FollowQuestion, now_ms: u64, now: Instant) -> FollowAnswer {
-        let known = question.incarnation == self.incarnation;
-        FollowAnswer {
-            incarnation: self.incarnation,
-            fresh: self.is_fresh(now_ms),
-            age: self.age(now_ms),
-            ..self.copy.answer(question, known, now)
-        }
-    }
-
-    fn age(&self, now_ms: u64) -> Duration {
-        let read = self.read_ms.unwrap_or(0);
-        Duration::from_millis(now_ms - read)
-    }
-}
-
-fn zone_name(zone: usize) -> &'static str {
-    ["near", "far"][zone]
+    pub(super) left_ms: Option<u64>,
 }
 
 /// Everything, at one moment.
 pub(crate) struct World {
     start: Instant,
     pub(crate) now_ms: u64,
-    faults: Vec<Fault>,
+    pub(super) faults: Vec<Fault>,
     log: MemoryLog,
-    targets: Vec<SimTarget>,
-    hosts: Vec<SimHost>,
+    pub(super) targets: Vec<SimTarget>,
+    pub(super) hosts: Vec<SimHost>,
     starts: u64,
 }
 
@@ -226,7 +95,7 @@
     }
 
     /// Whether a fault lasted at any time from a moment until now.
-    fn was_on_since<F>(&self, since_ms: u64, wanted: F) -> bool
+    pub(super) fn was_on_since<F>(&self, since_ms: u64, wanted: F) -> bool
     where
         F: Fn(FaultKind) -> bool,
     {
@@ -432,79 +301,6 @@
             self.hosts[listener].copy.observe_word(&zone, ages, now);
         }
     }
-
-    /// What is wrong now.
-    pub(crate) fn broken(&self) -> Vec<String> {
-        let mut broken = Vec::new();
-        for host in 0..HOSTS {
-            for target in &self.targets {
-                let known = self.hosts[host].knows(&target.name);
-                let story = format!("{} ms: host {host}, {}", self.now_ms, target.name);
-                if known && self.must_be_gone(host, target) {
-                    broken.push(format!("{story} left at {:?}", target.left_ms));
-                }
-                if !known && self.must_be_known(host, target) {
-                    broken.push(format!("{story} lives"));
-                }
-            }
-        }
-        broken
-    }
-
-    fn must_be_gone(&self, host: usize, target: &SimTarget) -> bool {
-        let Some(left_ms) = target.left_ms else {
-            return false;
-        };
-        let since = self.now_ms.saturating_sub(CONTACT_MS);
-        let disturbed = self.was_on_since(since, |kind| self.disturbs(kind, host));
-        !disturbed && self.now_ms > left_ms + DRAIN_MS
-    }
-
-    /// Whether a fault keeps a host from the log, or ends it.
-    fn disturbs(&self, kind: FaultKind, host: usize) -> bool {
-        match kind {
-            FaultKind::LogDown => true,
-            FaultKind::ZoneCut(cut) => cut == self.hosts[host].zone,
-            FaultKind::HostCut(cut) | FaultKind::TurnedAway(cut) | FaultKind::Restart(cut) => {
-                cut == host
-            }
-            FaultKind::Trim => false,
-        }
-    }
-
-    /// When a fault of a kind lasted last; 0 if none did.
-    fn last_trouble_ms<F>(&self, wanted: F) -> u64
-    where
-        F: Fn(FaultKind) -> bool,
-    {
-        let begun = self
-            .faults
-            .iter()
-            .filter(|fault| fault.from_ms <= self.now_ms);
-        let ends = begun.filter(|fault| wanted(fault.kind));
-        let ends = ends.map(|fault| fault.until_ms.min(self.now_ms));
-        ends.max().unwrap_or(0)
-    }
-
-    fn must_be_known(&self, host: usize, target: &SimTarget) -> bool {
-        // Before the first heartbeats are in nobody is known.
-        let settled = self.now_ms > 2 * HEARTBEAT_MS;
-        let zone = self.hosts[host].zone;
-        // A host drops the entries of another zone that is cut off, and has them back a
-        // while after it can read again and they are there.
-        let zone_trouble_ms = self.last_trouble_ms(|kind| match kind {
-            FaultKind::ZoneCut(cut) => cut == target.zone && zone != target.zone,
-            _ => false,
-        });
-        let own_trouble_ms = self.last_trouble_ms(|kind| self.disturbs(kind, host));
-        let back_ms = zone_trouble_ms.max(own_trouble_ms) + RETURN_MS + 2 * READ_PAUSE_MS;
-        let away = zone_trouble_ms > 0 && self.now_ms < back_ms;
-        // A host that starts again finds what the log, or another host, lists.
-        let restart_ms = self.last_trouble_ms(|kind| kind == FaultKind::Restart(host));
-        let log_ms = restart_ms.max(own_trouble_ms) + RETURN_MS + 2 * READ_PAUSE_MS;
-        let started = restart_ms > 0 && self.now_ms < log_ms;
-        settled && target.left_ms.is_none() && !away && !started
-    }
 }
 
 fn heartbeat(index: usize, zone: usize) -> Vec<u8> {
