Plan large zones in parts of 64 engines, and look at equal engines once

Cause: the first plan of a zone of 1,000 engines takes 33.9 s of a whole core (measured beside other work; 333: 5.0 s, 99: 1.2 s), and the planning host has half of one. At 100 hosts, 998 engines, 967 orders were given, one an engine: the 698 loads of weights that were counted are the first ones, given after callers had come. So nothing was moved again; ruled out with that are several plans of one zone and mending of what is sound.

Change: a zone of more than 64 engines is dealt into parts with like shares of each kind, and each distinct mix is planned once. Engines of one kind that hold the same count as one case where a change is looked for, sums of layers are kept instead of added up anew for each loss, and an engine like one that was found best as it is is not looked at again; these three give the same plans as before.

Not mended by it: at 300 the busiest host has 42% of a core, 101 MB, 9.3 MB a second, and callers are served 30 s after all were killed.

The test that engines of like parts hold the same failed before with 92 cases.

--- /dev/null
+++ b/benches/decisions.rs
@@ -0,0 +1,151 @@
+//! Time of the decisions whose cost grows with a zone: its plans, and the choice
+//! of a path among its engines.
+
+use std::time::{Duration, Instant};
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use jackdawwick::collections::FastMap;
+use jackdawwick::fleet::{FleetTable, PathQuery, RequestSize, TargetEntry, choose_path};
+use jackdawwick::ingress::{AcceleratorKind, EngineModel};
+use jackdawwick::placing::{EngineView, plan_zone};
+
+/// Sizes of zones, in engines.
+const ZONES: [usize; 4] = [38, 96, 333, 1000];
+/// Of 20 engines, how many are of the fast and of the usual kind.
+const KINDS: [(&str, usize); 3] = [("fast", 2), ("usual", 7), ("slow", 11)];
+
+fn kind(name: &str) -> AcceleratorKind {
+    let (memory_mb, pace, read_factor) = match name {
+        "fast" => (72_000.0, 2.4, 3.2),
+        "usual" => (43_200.0, 5.6, 2.7),
+        _ => (21_600.0, 16.0, 8.2),
+    };
+    AcceleratorKind {
+        memory_mb,
+        pace,
+        read_factor,
+    }
+}
+
+fn model() -> EngineModel {
+    let kinds = KINDS.iter().map(|(name, _)| ((*name).into(), kind(name)));
+    EngineModel {
+        layers: 80,
+        layer_mb: 1750.0,
+        kv_token_bytes: 590_000.0,
+        step_ms: 1.02,
+        per_request_ms: 0.004_59,
+        per_context_k_ms: 0.006_15,
+        read_per_s: 164_000.0,
+        stride: 5,
+        load_s: 14.0,
+        usual_prompt: 774,
+        usual_answer: 203,
+        kinds: kinds.collect::<FastMap<_, _>>(),
+    }
+}
+
+fn kind_name(index: usize) -> &'static str {
+    let mut place = index % 20;
+    for (name, count) in KINDS {
+        if place < count {
+            return name;
+        }
+        place -= count;
+    }
+    KINDS[2].0
+}
+
+fn engines(count: usize) -> Vec<EngineView> {
+    let engines = (0..count).map(|index| EngineView {
+        id: format!("i-{index:04}").into(),
+        kind: kind(kind_name(index)),
+        layers: None,
+    });
+    engines.collect()
+}
+
+fn planned(count: usize) -> Vec<EngineView> {
+    let model = model();
+    let mut engines = engines(count);
+    for range in plan_zone(&model, &engines, Duration::ZERO) {
+        let engine = engines.iter_mut().find(|engine| engine.id == range.id);
+        engine.expect("a known engine").layers = Some(range.layers);
+    }
+    engines
+}
+
+fn plans(criterion: &mut Criterion) {
+    let model = model();
+    let mut group = criterion.benchmark_group("plan");
+    group.sample_size(10);
+    for count in ZONES {
+        let empty = engines(count);
+        group.bench_function(BenchmarkId::new("first", count), |bencher| {
+            bencher.iter(|| plan_zone(&model, &empty, Duration::ZERO));
+        });
+        let whole = planned(count);
+        group.bench_function(BenchmarkId::new("at rest", count), |bencher| {
+            bencher.iter(|| plan_zone(&model, &whole, Duration::ZERO));
+        });
+        let mut lacking = whole.clone();
+        lacking.remove(0);
+        group.bench_function(BenchmarkId::new("after a loss", count), |bencher| {
+            bencher.iter(|| plan_zone(&model, &lacking, Duration::ZERO));
+        });
+        let mut emptied = whole.clone();
+        for engine in &mut emptied[..4] {
+            engine.layers = None;
+        }
+        group.bench_function(BenchmarkId::new("four empty", count), |bencher| {
+            bencher.iter(|| plan_zone(&model, &emptied, Duration::ZERO));
+        });
+    }
+    group.finish();
+}
+
+fn fleet(zones: usize, each: usize) -> FleetTable {
+    let mut fleet = FleetTable::default();
+    for (index, engine) in planned(each).into_iter().enumerate() {
+        for zone in 0..zones {
+            let [high, low] = (index as u16).to_be_bytes();
+            fleet.observe_entry(TargetEntry {
+                id: format!("{}-{zone}", engine.id).as_str().into(),
+                started_ms: None,
+                service: "engines".into(),
+                address: ([10, zone as u8, high, low], 1000).into(),
+                zone: format!("zone-{zone}").as_str().into(),
+                draining: false,
+                kind: Some(kind_name(index).into()),
+                layers: engine.layers,
+            });
+        }
+    }
+    fleet
+}
+
+fn paths(criterion: &mut Criterion) {
+    let model = model();
+    let mut group = criterion.benchmark_group("path");
+    for each in ZONES {
+        let fleet = fleet(3, each);
+        let members = fleet.members("engines").expect("engines");
+        let now = Instant::now();
+        let query = PathQuery {
+            model: &model,
+            size: RequestSize {
+                prompt: 774,
+                answer: 203,
+            },
+            zone: "zone-0",
+            avoid: &[],
+        };
+        group.bench_function(BenchmarkId::new("three zones of", each), |bencher| {
+            bencher.iter(|| choose_path(members, query, now, rand::random));
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, plans, paths);
+criterion_main!(benches);
--- a/src/placing.rs
+++ b/src/placing.rs
@@ -8,6 +8,7 @@
 mod fill;
 mod first;
 mod mend;
+mod parts;
 mod plan;
 
 pub use anew::ANEW_PATIENCE;
--- a/src/placing/best_range.rs
+++ b/src/placing/best_range.rs
@@ -36,6 +36,27 @@
     Counted,
 }
 
+/// One of each set of engines that are of one kind and hold the same: what holds
+/// for one of them holds for all.
+pub(super) fn one_of_each(
+    engines: &[EngineView],
+    indexes: impl Iterator<Item = usize>,
+) -> Vec<usize> {
+    let mut chosen: Vec<usize> = Vec::new();
+    for index in indexes {
+        let is_alike = |other: &usize| are_equal(&engines[*other], &engines[index]);
+        if !chosen.iter().any(is_alike) {
+            chosen.push(index);
+        }
+    }
+    chosen
+}
+
+/// Whether two engines are of one kind and hold the same.
+pub(super) fn are_equal(one: &EngineView, other: &EngineView) -> bool {
+    one.kind == other.kind && one.layers == other.layers
+}
+
 /// The best range for an engine; `None` where it should stay as it is.
 pub(super) fn best_range(
     model: &EngineModel,
@@ -47,9 +68,10 @@
     let zone = ZoneFigure::of(model, engines, None);
     let others = ZoneFigure::of(model, engines, Some(index)).sharing_steps_of(&zone);
     let now = zone.worth();
+    let without = others.run_totals();
     let mut best: Option<RangeChange> = None;
     for width in 1..=model.most_layers(engine.kind) {
-        let figure = others.with_width(engine.kind, width);
+        let figure = others.with_width(engine.kind, width, &without);
         for from in 0..=model.layers - width {
             let layers = LayerRange {
                 from,
--- a/src/placing/figure.rs
+++ b/src/placing/figure.rs
@@ -4,7 +4,7 @@
 use crate::fleet::LayerRange;
 use crate::ingress::{AcceleratorKind, EngineModel};
 use crate::placing::EngineView;
-use crate::placing::estimate::WAIT_FACTOR;
+use crate::placing::estimate::{WAIT_FACTOR, usual_tokens};
 
 /// Exponent of the mean that stands for the layer with the least room. A hard
 /// minimum gives no sign of whether a change goes the right way while another
@@ -199,21 +199,38 @@
         self.rate(totals.fold(RunTotal::default(), RunTotal::plus))
     }
 
-    /// The zone with one more holder of so many layers, wherever they lie.
-    pub(super) fn with_width(&self, kind: AcceleratorKind, width: u32) -> WidthFigure<'_> {
-        let holder = HolderFigure::of(self.model, kind, width);
-        let mut without = vec![RunTotal::default()];
-        let mut with = vec![RunTotal::default()];
+    /// What the layers have up to each of them.
+    pub(super) fn run_totals(&self) -> RunTotals {
+        self.totals_of(|layer| *layer)
+    }
+
+    fn totals_of<F>(&self, change: F) -> RunTotals
+    where
+        F: Fn(&LayerSum) -> LayerSum,
+    {
+        let mut so_far = RunTotal::default();
+        let mut totals = Vec::with_capacity(self.layers.len() + 1);
+        totals.push(so_far);
         for layer in &self.layers {
-            let before = RunTotal::of(self, layer);
-            let after = RunTotal::of(self, &layer.with(holder));
-            without.push(without[without.len() - 1].plus(before));
-            with.push(with[with.len() - 1].plus(after));
+            so_far = so_far.plus(RunTotal::of(self, &change(layer)));
+            totals.push(so_far);
         }
+        RunTotals(totals)
+    }
+
+    /// The zone with one more holder of so many layers, wherever they lie;
+    /// `without` are the totals of this zone.
+    pub(super) fn with_width<'b>(
+        &'b self,
+        kind: AcceleratorKind,
+        width: u32,
+        without: &'b RunTotals,
+    ) -> WidthFigure<'b> {
+        let holder = HolderFigure::of(self.model, kind, width);
         WidthFigure {
             zone: self,
             without,
-            with,
+            with: self.totals_of(|layer| layer.with(holder)),
         }
     }
 
@@ -226,31 +243,36 @@
     }
 }
 
+/// What the layers of a zone have up to each of them, none first.
+#[derive(Debug)]
+pub(super) struct RunTotals(Vec<RunTotal>);
+
+impl RunTotals {
+    fn all(&self) -> RunTotal {
+        self.0[self.0.len() - 1]
+    }
+
+    fn within(&self, range: LayerRange) -> RunTotal {
+        self.0[range.to as usize].minus(self.0[range.from as usize])
+    }
+}
+
 /// A zone with one more holder of a fixed width.
 #[derive(Debug)]
 pub(super) struct WidthFigure<'a> {
     zone: &'a ZoneFigure<'a>,
-    /// Totals up to each layer, without and with the holder.
-    without: Vec<RunTotal>,
-    with: Vec<RunTotal>,
+    without: &'a RunTotals,
+    with: RunTotals,
 }
 
 impl WidthFigure<'_> {
     /// The zone's worth where the holder has these layers.
     pub(super) fn worth(&self, range: LayerRange) -> f64 {
-        let (from, to) = (range.from as usize, range.to as usize);
-        let all = self.without[self.without.len() - 1];
-        let replaced = self.without[to].minus(self.without[from]);
-        let added = self.with[to].minus(self.with[from]);
-        self.zone.rate(all.minus(replaced).plus(added))
+        let others = self.without.all().minus(self.without.within(range));
+        self.zone.rate(others.plus(self.with.within(range)))
     }
 }
 
-/// Tokens of a usual request at its end.
-fn usual_tokens(model: &EngineModel) -> f64 {
-    f64::from(model.usual_prompt + model.usual_answer).max(1.0)
-}
-
 /// Layers of a zone without holder, or with too little room to count.
 pub(super) fn hole_count(model: &EngineModel, engines: &[EngineView]) -> usize {
     ZoneFigure::of(model, engines, None).holes()
--- a/src/placing/fill.rs
+++ b/src/placing/fill.rs
@@ -2,7 +2,7 @@
 
 use crate::ingress::EngineModel;
 use crate::placing::EngineView;
-use crate::placing::best_range::{LoadCost, best_range};
+use crate::placing::best_range::{LoadCost, are_equal, best_range};
 
 /// Rounds over the engines that may be placed freely: bounds the time of a
 /// plan. What is left is found by the next look.
@@ -63,15 +63,25 @@
 /// Gives each of these engines in turn the range in which it helps most, until
 /// none can do better elsewhere.
 pub(super) fn settle(model: &EngineModel, engines: &mut [EngineView], free: &[usize]) {
+    // Engines that are best as they are, one of each set of equal ones, as long
+    // as no other one changes.
+    let mut settled: Vec<usize> = Vec::new();
     for _ in 0..MOST_SWEEPS {
         let mut changed = false;
         for index in free.iter().copied() {
+            let is_alike = |other: &usize| are_equal(&engines[*other], &engines[index]);
+            if settled.iter().any(is_alike) {
+                continue;
+            }
             let best = best_range(model, engines, index, LoadCost::Free);
             let is_empty = engines[index].layers.is_none();
-            let best = best.filter(|best| is_empty || best.gain > SETTLED_GAIN);
-            if let Some(best) = best {
-                engines[index].layers = Some(best.layers);
-                changed = true;
+            match best.filter(|best| is_empty || best.gain > SETTLED_GAIN) {
+                Some(best) => {
+                    engines[index].layers = Some(best.layers);
+                    settled.clear();
+                    changed = true;
+                }
+                None => settled.push(index),
             }
         }
         if !changed {
--- a/src/placing/first.rs
+++ b/src/placing/first.rs
@@ -4,6 +4,7 @@
 use crate::ingress::EngineModel;
 use crate::placing::estimate::{HeldRange, plan_worth};
 use crate::placing::fill::{fill_empty, fill_roughly, settle};
+use crate::placing::parts::plan_parts;
 use crate::placing::{EngineView, PlannedRange};
 
 /// Most copies of the weights that whole chains are made of. More would leave
@@ -25,15 +26,8 @@
 /// way of all requests cost room everywhere. As second holders they are a
 /// spare and take what is too much.
 pub(super) fn plan_empty(model: &EngineModel, engines: &[EngineView]) -> Vec<PlannedRange> {
-    let mut sorted = engines.to_vec();
-    sorted.sort_by(|one, other| {
-        let pace = one.kind.pace.total_cmp(&other.kind.pace);
-        let memory = other.kind.memory_mb.total_cmp(&one.kind.memory_mb);
-        pace.then(memory).then_with(|| one.id.cmp(&other.id))
-    });
-    let planned = best_plan(model, &sorted);
-    let ranges = planned.into_iter();
-    let ranges = ranges.filter_map(|engine| {
+    let planned = plan_parts(model, engines).into_iter();
+    let ranges = planned.filter_map(|engine| {
         let layers = engine.layers?;
         Some(PlannedRange {
             id: engine.id,
@@ -43,9 +37,20 @@
     ranges.collect()
 }
 
+/// The fastest first, of equal ones those with the most memory.
+pub(super) fn sorted_by_pace(engines: &[EngineView]) -> Vec<EngineView> {
+    let mut sorted = engines.to_vec();
+    sorted.sort_by(|one, other| {
+        let pace = one.kind.pace.total_cmp(&other.kind.pace);
+        let memory = other.kind.memory_mb.total_cmp(&one.kind.memory_mb);
+        pace.then(memory).then_with(|| one.id.cmp(&other.id))
+    });
+    sorted
+}
+
 /// The best of the plans: all are compared roughly, and the best of these again
 /// as they would be made.
-fn best_plan(model: &EngineModel, sorted: &[EngineView]) -> Vec<EngineView> {
+pub(super) fn best_plan(model: &EngineModel, sorted: &[EngineView]) -> Vec<EngineView> {
     let worth = |planned: &[EngineView]| plan_worth(model, &HeldRange::all(planned));
     let all = (0..sorted.len()).collect::<Vec<_>>();
     let finalists = (1..=MOST_CHAINS).flat_map(|chains| rough_best(model, sorted, chains));
--- /dev/null
+++ b/tests/placing_parts.rs
@@ -0,0 +1,125 @@
+//! Zones of many engines, which are planned in parts.
+
+mod placing_support;
+
+use std::collections::BTreeSet;
+
+use jackdawwick::ingress::{AcceleratorKind, EngineModel};
+use jackdawwick::placing::EngineView;
+use placing_support::{FAST, SLOW, USUAL, apply, engines, holders, model, worth};
+
+/// What a plan in parts may carry less than one of the whole zone.
+const PARTS_LOSS: f64 = 0.04;
+
+fn is_whole(model: &EngineModel, zone: &[EngineView]) -> bool {
+    (0..model.layers).all(|layer| holders(zone, layer) > 0)
+}
+
+fn planned(kinds: &[(AcceleratorKind, usize)]) -> Vec<EngineView> {
+    let mut zone = engines(kinds);
+    apply(&model(), &mut zone);
+    zone
+}
+
+/// Guards against decisions whose time grows with a zone: engines of like parts hold
+/// the same, so that there are no more cases to look at than in one part.
+#[test]
+fn like_parts_hold_the_same() {
+    let part = planned(&[(FAST, 6), (USUAL, 21), (SLOW, 36)]);
+    let zone = planned(&[(FAST, 24), (USUAL, 84), (SLOW, 144)]);
+    assert!(cases(&zone) <= cases(&part), "{} cases", cases(&zone));
+    let model = model();
+    let (alone, together) = (worth(&model, &part), worth(&model, &zone));
+    assert!(together >= 4.0 * alone, "{together} of four times {alone}");
+}
+
+/// Kinds with each of their ranges.
+fn cases(zone: &[EngineView]) -> usize {
+    let ranges = zone.iter().filter_map(|engine| {
+        let range = engine.layers?;
+        Some((engine.kind.memory_mb as u64, range))
+    });
+    ranges.collect::<BTreeSet<_>>().len()
+}
+
+/// Guards against parts that are worse than the whole where kinds do not go round.
+/// The figures are those of plans of the whole zone.
+#[test]
+fn uneven_parts_carry_almost_what_a_plan_of_the_whole_does() {
+    let model = model();
+    for ((fast, usual, slow), whole) in WHOLE_PLANS {
+        let zone = planned(&[(FAST, fast), (USUAL, usual), (SLOW, slow)]);
+        let carried = worth(&model, &zone);
+        let least = whole * (1.0 - PARTS_LOSS);
+        assert!(carried >= least, "{fast}, {usual}, {slow}: {carried}");
+    }
+}
+
+/// Fast, usual and slow engines of a zone, and what a plan of the whole carries.
+const WHOLE_PLANS: [((usize, usize, usize), f64); 4] = [
+    ((1, 30, 19), 287.07),
+    ((6, 21, 33), 328.70),
+    ((8, 30, 58), 478.52),
+    ((9, 33, 57), 524.02),
+];
+
+/// Guards against orders at rest: each engine of a part lies in the plan of the
+/// whole zone too, and a plan that was made is left alone.
+#[test]
+fn a_zone_in_parts_is_left_alone_at_rest_and_after_a_loss() {
+    let model = model();
+    let mut zone = planned(&[(FAST, 8), (USUAL, 30), (SLOW, 58)]);
+    assert_eq!(apply(&model, &mut zone), 0, "orders at rest");
+    for lost in [0, 20, 60] {
+        let mut left = zone.clone();
+        left.remove(lost);
+        assert!(is_whole(&model, &left), "without {lost}");
+        assert_eq!(apply(&model, &mut left), 0, "orders without {lost}");
+    }
+}
+
+/// Guards against a zone that stays without layers: a part that shrank, to nothing
+/// but its slow engines, is made up for by the others.
+#[test]
+fn a_part_that_shrank_leaves_no_hole() {
+    let model = model();
+    let mut zone = planned(&[(FAST, 4), (USUAL, 30), (SLOW, 66)]);
+    let mut place = 0;
+    zone.retain(|engine| {
+        place += 1;
+        engine.kind == SLOW || place % 3 != 0
+    });
+    apply(&model, &mut zone);
+    assert!(is_whole(&model, &zone));
+}
+
+/// Guards against parts that cannot hold the weights: so many engines hold them
+/// twice only together.
+#[test]
+fn engines_of_little_memory_are_planned_as_one_zone() {
+    let model = model();
+    let small = AcceleratorKind {
+        memory_mb: 7_200.0,
+        ..SLOW
+    };
+    let zone = planned(&[(small, 70)]);
+    assert!(is_whole(&model, &zone));
+}
+
+/// Guards against a zone that is planned from its beginning once more: its planner
+/// ended with a part of the orders given.
+#[test]
+fn a_plan_that_was_half_ordered_is_gone_on_from() {
+    let model = model();
+    let mut zone = planned(&[(FAST, 4), (USUAL, 16), (SLOW, 36)]);
+    for engine in zone.iter_mut().step_by(3) {
+        engine.layers = None;
+    }
+    let ordered = zone.clone();
+    apply(&model, &mut zone);
+    assert!(is_whole(&model, &zone));
+    for (before, after) in ordered.iter().zip(&zone) {
+        assert!(before.layers.is_none() || before.layers == after.layers);
+        assert!(after.layers.is_some());
+    }
+}
