--- a/src/placing/best_range.rs
+++ b/src/placing/best_range.rs
@@ -36,15 +36,15 @@
     Counted,
 }
 
-/// One of each set of engines that are of one kind and hold the same: what holds
-/// for one of them holds for all.
-pub(super) fn one_of_each(
+/// One of each set of interchangeable engines, in order: what is best for one of them
+/// is best for all.
+pub(super) fn distinct_engines(
     engines: &[EngineView],
     indexes: impl Iterator<Item = usize>,
 ) -> Vec<usize> {
     let mut chosen: Vec<usize> = Vec::new();
     for index in indexes {
-        let is_alike = |other: &usize| are_equal(&engines[*other], &engines[index]);
+        let is_alike = |other: &usize| are_interchangeable(&engines[*other], &engines[index]);
         if !chosen.iter().any(is_alike) {
             chosen.push(index);
         }
@@ -53,7 +53,7 @@
 }
 
 /// Whether two engines are of one kind and hold the same.
-pub(super) fn are_equal(one: &EngineView, other: &EngineView) -> bool {
+pub(super) fn are_interchangeable(one: &EngineView, other: &EngineView) -> bool {
     one.kind == other.kind && one.layers == other.layers
 }
 
--- a/src/placing/fill.rs
+++ b/src/placing/fill.rs
@@ -2,7 +2,7 @@
 
 use crate::ingress::EngineModel;
 use crate::placing::EngineView;
-use crate::placing::best_range::{LoadCost, are_equal, best_range};
+use crate::placing::best_range::{LoadCost, are_interchangeable, best_range};
 
 /// Rounds over the engines that may be placed freely: bounds the time of a
 /// plan. What is left is found by the next look.
@@ -69,7 +69,7 @@
     for _ in 0..MOST_SWEEPS {
         let mut changed = false;
         for index in free.iter().copied() {
-            let is_alike = |other: &usize| are_equal(&engines[*other], &engines[index]);
+            let is_alike = |other: &usize| are_interchangeable(&engines[*other], &engines[index]);
             if settled.iter().any(is_alike) {
                 continue;
             }
--- a/src/placing/mend.rs
+++ b/src/placing/mend.rs
@@ -4,7 +4,9 @@
 
 use crate::ingress::EngineModel;
 use crate::placing::anew::{ANEW_PATIENCE, plan_anew};
-use crate::placing::best_range::{LoadCost, RangeChange, best_range, one_of_each, over_horizon};
+use crate::placing::best_range::{
+    LoadCost, RangeChange, best_range, distinct_engines, over_horizon,
+};
 use crate::placing::figure::{ZoneFigure, hole_count};
 use crate::placing::fill::fill_empty;
 use crate::placing::{EngineView, PlannedRange};
@@ -70,7 +72,7 @@
     let (scarcest, now) = (zone.scarcest_layer(), zone.worth());
     let holds = |engine: &EngineView| engine.layers.is_some_and(|held| held.contains(scarcest));
     let holders = (0..engines.len()).filter(|index| holds(&engines[*index]));
-    let options = one_of_each(engines, holders).into_iter().map(|index| {
+    let options = distinct_engines(engines, holders).into_iter().map(|index| {
         let mut option = engines.to_vec();
         option[index].layers = None;
         fill_empty(model, &mut option);
@@ -112,7 +114,7 @@
 
 /// The one change that lets the zone carry clearly more.
 fn best_change(model: &EngineModel, engines: &[EngineView]) -> Option<RangeChange> {
-    let changes = one_of_each(engines, 0..engines.len()).into_iter();
+    let changes = distinct_engines(engines, 0..engines.len()).into_iter();
     let changes = changes.filter_map(|index| best_range(model, engines, index, LoadCost::Counted));
     let best = changes.max_by(|one, other| one.gain.total_cmp(&other.gain))?;
     (best.gain > LEAST_GAIN).then_some(best)
--- a/src/placing/parts.rs
+++ b/src/placing/parts.rs
@@ -4,7 +4,7 @@
 use crate::placing::EngineView;
 use crate::placing::first::{best_plan, sorted_by_pace};
 
-/// Most engines of a part. The time of a plan grows with the cube of its engines.
+/// Most engines of a part. The time of a plan grows faster than its engines.
 pub(super) const PART_ENGINES: usize = 64;
 /// Least memory of a part, in copies of the weights: with fewer, a part has no
 /// second holder of its layers, or no room for requests.
