Give a cost the place of its engine, and name a generic

Pairs of a place and a cost become one type, and distinct_engines names its generic with a where clause, as the house style asks.

--- a/src/fleet/path.rs
+++ b/src/fleet/path.rs
@@ -182,6 +182,8 @@
 /// Cost of an engine for a request, apart from the layers.
 #[derive(Debug, Clone, Copy)]
 struct EngineCost {
+    /// Place among the engines that the path is chosen from.
+    engine: usize,
     range: LayerRange,
     hop_ms: f64,
     layer_ms: f64,
@@ -189,6 +191,7 @@
 }
 
 fn engine_cost(
+    engine: usize,
     state: &TargetState,
     query: PathQuery<'_>,
     now: Instant,
@@ -219,6 +222,7 @@
         unread / layers * kind.read_factor * state.pace(now) * 1000.0 / model.read_per_s.max(1.0);
     let crowding = filled.min(1.0).powi(4) * pass_ms;
     Some(EngineCost {
+        engine,
         range,
         hop_ms: (HOP_MS
             + 0.5 * pass_ms
@@ -244,10 +248,9 @@
     D: FnMut() -> f64,
 {
     let costs = engines.iter().enumerate();
-    let costs =
-        costs.filter_map(|(index, state)| Some((index, engine_cost(state, query, now, draw())?)));
+    let costs = costs.filter_map(|(engine, state)| engine_cost(engine, state, query, now, draw()));
     let costs = undominated(costs.collect());
-    let ranges = costs.iter().map(|(_, cost)| cost.range);
+    let ranges = costs.iter().map(|cost| cost.range);
     let mut bounds = ranges
         .flat_map(|range| [range.from, range.to])
         .collect::<Vec<_>>();
@@ -263,7 +266,7 @@
         if !so_far.is_finite() {
             continue;
         }
-        for (place, (_, cost)) in costs.iter().enumerate() {
+        for (place, cost) in costs.iter().enumerate() {
             if !cost.range.contains(bounds[here]) {
                 continue;
             }
@@ -298,9 +301,9 @@
     }
     hops.reverse();
     let hops = join_repeated(hops);
-    let full = hops.iter().any(|(place, _)| costs[*place].1.full);
+    let full = hops.iter().any(|(place, _)| costs[*place].full);
     let hops = hops.into_iter().map(|(place, layers)| {
-        let entry = &engines[costs[place].0].entry;
+        let entry = &engines[costs[place].engine].entry;
         PathHop {
             target: entry.id.clone(),
             address: entry.address,
@@ -319,16 +322,15 @@
 ///
 /// Of a zone of hundreds of engines, many hold the same; the time of a choice
 /// then grows with the ranges that are held, not with the engines.
-fn undominated(mut costs: Vec<(usize, EngineCost)>) -> Vec<(usize, EngineCost)> {
-    costs.sort_by(|(_, one), (_, other)| {
+fn undominated(mut costs: Vec<EngineCost>) -> Vec<EngineCost> {
+    costs.sort_by(|one, other| {
         let range = one.range.cmp(&other.range);
         let hop = one.hop_ms.total_cmp(&other.hop_ms);
-        range
-            .then(hop)
-            .then(one.layer_ms.total_cmp(&other.layer_ms))
+        let layer = one.layer_ms.total_cmp(&other.layer_ms);
+        range.then(hop).then(layer)
     });
     let mut least: Option<EngineCost> = None;
-    costs.retain(|(_, cost)| {
+    costs.retain(|cost| {
         let same_range = least.filter(|least| least.range == cost.range);
         let undercuts = same_range.is_none_or(|least| cost.layer_ms < least.layer_ms);
         if undercuts {
--- a/src/placing/best_range.rs
+++ b/src/placing/best_range.rs
@@ -38,10 +38,10 @@
 
 /// One of each set of interchangeable engines, in order: what is best for one of them
 /// is best for all.
-pub(super) fn distinct_engines(
-    engines: &[EngineView],
-    indexes: impl Iterator<Item = usize>,
-) -> Vec<usize> {
+pub(super) fn distinct_engines<I>(engines: &[EngineView], indexes: I) -> Vec<usize>
+where
+    I: Iterator<Item = usize>,
+{
     let mut chosen: Vec<usize> = Vec::new();
     for index in indexes {
         let is_alike = |other: &usize| are_interchangeable(&engines[*other], &engines[index]);
