Read the limit that a target names, and log when it changes

Change: the header of each answer is read before its body; a line and a counter where a target names, changes or ends its limit, and where it says something unusable. Later is by when the request was sent and when its answer had come: where the order of two answers is open, the lower rate stands. Nothing is decided by it yet. Tests: tests/permits.

--- a/src/forward.rs
+++ b/src/forward.rs
@@ -14,6 +14,7 @@
 mod exchange;
 mod head;
 mod lateness;
+mod limits;
 mod liveness;
 mod moving;
 mod probe;
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt: a connection to a target, the request, the head of its answer.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -13,6 +14,7 @@
 use super::choice::ChosenTarget;
 use super::head::number_value;
 use super::socket;
+use super::tables::ServingTables;
 use crate::platform::target_record::platform_id;
 use crate::platform::{names, order};
 use crate::verdict::RunVerdict;
@@ -92,6 +94,7 @@
 /// an earlier request or a close by the target can cross the request, and a
 /// non-idempotent one could not be sent again.
 pub(super) async fn send(
+    tables: Arc<ServingTables>,
     outgoing: &OutgoingRequest,
     chosen: &ChosenTarget,
     last_event: Option<&str>,
@@ -111,12 +114,16 @@
             log::debug!("connection to a target ended: {error}");
         }
     });
-    let request = build(outgoing, chosen, last_event, deadline, Instant::now());
-    let id = outgoing.id.clone();
+    let sent = Instant::now();
+    let request = build(outgoing, chosen, last_event, deadline, sent);
+    let (id, target) = (outgoing.id.clone(), chosen.id.clone());
     Ok(async move {
         let answer = sender.send_request(request).await;
         let broken = |_| AttemptFailure::new(RunVerdict::MayHaveRun, FailureCause::Broken);
-        check(&id, answer.map_err(broken)?)
+        let answer = answer.map_err(broken)?;
+        let (status, headers) = (answer.status(), answer.headers());
+        tables.observe_limit(&target, status, headers, sent, Instant::now());
+        check(&id, answer)
     })
 }
 
--- /dev/null
+++ b/src/forward/limits.rs
@@ -0,0 +1,72 @@
+//! What the answers of targets say of their limits.
+
+use std::time::Instant;
+
+use http::{HeaderMap, StatusCode};
+
+use super::tables::ServingTables;
+use crate::fleet::target_key;
+use crate::ids::TargetId;
+use crate::permits::{LimitChange, LimitObservation, RateLimit};
+use crate::platform::limit_header::{NamedRate, named_rate};
+use crate::platform::names;
+
+impl ServingTables {
+    /// Takes in what the head of an answer says of its target's limit; `sent` is
+    /// when the request was.
+    pub(super) fn observe_limit(
+        &self,
+        target: &TargetId,
+        status: StatusCode,
+        headers: &HeaderMap,
+        sent: Instant,
+        now: Instant,
+    ) {
+        let rate = match named_rate(headers) {
+            // Another target at the same address may have sent it.
+            _ if status == StatusCode::MISDIRECTED_REQUEST => return,
+            // Only what the target itself made says that there is no limit.
+            NamedRate::Absent if !headers.contains_key(names::SERVER_SEAL) => return,
+            NamedRate::Absent => None,
+            NamedRate::PerSecond(named) => match RateLimit::new(named) {
+                None => return self.note_unusable_limit(target, headers),
+                rate => rate,
+            },
+            NamedRate::Unreadable => return self.note_unusable_limit(target, headers),
+        };
+        let observation = LimitObservation {
+            rate,
+            sent,
+            heard: now,
+        };
+        let change = self.limits.lock().observe(target_key(target), observation);
+        if let Some(change) = change {
+            self.note_limit_change(target, change, "answer");
+        }
+    }
+
+    /// One line where a target begins or ceases to limit its requests.
+    pub(super) fn note_limit_change(&self, target: &str, change: LimitChange, source: &str) {
+        let (name, per_second) = match change {
+            LimitChange::Named(rate) => ("named", Some(rate.per_second())),
+            LimitChange::Ended => ("ended", None),
+        };
+        self.metrics.limit_said(name);
+        log::info!(
+            target_id:% = target,
+            change:% = name,
+            per_second:? = per_second,
+            source:% = source;
+            "target limit"
+        );
+    }
+
+    fn note_unusable_limit(&self, target: &TargetId, headers: &HeaderMap) {
+        self.metrics.limit_said("unusable");
+        log::warn!(
+            target_id:% = target,
+            value:? = headers.get(names::SERVER_LIMIT);
+            "unusable limit"
+        );
+    }
+}
--- a/src/forward/tables.rs
+++ b/src/forward/tables.rs
@@ -12,11 +12,12 @@
 use super::liveness::LivenessTable;
 use crate::admission::OverloadGauge;
 use crate::collections::FastMap;
-use crate::fleet::{EngineReport, FleetTable, TargetLoad};
+use crate::fleet::{EngineReport, FleetTable, TargetLoad, target_key};
 use crate::ids::TargetId;
 use crate::ids::{ServiceId, ZoneId};
 use crate::ingress::IngressConfiguration;
 use crate::metrics::ServingMetrics;
+use crate::permits::LimitTable;
 use crate::poison::PoisonTable;
 use crate::retry::{WindowBudget, WindowSettings};
 
@@ -52,6 +53,8 @@
     reports: Mutex<FastMap<TargetId, ReportCell>>,
     closed: Mutex<FastMap<TargetId, ClosedCell>>,
     pub(super) liveness: LivenessTable,
+    /// The limits that targets have named.
+    pub limits: Mutex<LimitTable>,
     /// Requests that targets ended under.
     pub poison: Mutex<PoisonTable>,
     /// Told when a request is found to be poison.
@@ -77,6 +80,7 @@
             reports: Mutex::default(),
             closed: Mutex::default(),
             liveness: LivenessTable::default(),
+            limits: Mutex::default(),
             poison: Mutex::default(),
             poison_news: Notify::new(),
         }
@@ -145,6 +149,7 @@
     pub fn forget_target(&self, target: &str) {
         self.reports.lock().remove(target);
         self.closed.lock().remove(target);
+        self.limits.lock().forget(target_key(target));
     }
 }
 
--- a/src/forward/watch.rs
+++ b/src/forward/watch.rs
@@ -129,7 +129,15 @@
     ) -> Result<Response<Incoming>, AttemptFailure> {
         let exchange = self.exchange.clone();
         let deadline = exchange.deadline;
-        let sent = attempt::send(&exchange.outgoing, &self.chosen, last_event, deadline).await;
+        let tables = exchange.tables.clone();
+        let sent = attempt::send(
+            tables,
+            &exchange.outgoing,
+            &self.chosen,
+            last_event,
+            deadline,
+        )
+        .await;
         let head = self.await_head(sent?, limit).await;
         if let Err(failure) = &head {
             self.note_failure(failure).await;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -54,6 +54,7 @@
 )]
 #[rustfmt::skip]
 pub mod peer_capnp;
+pub mod permits;
 pub mod placing;
 pub mod platform;
 pub mod poison;
--- a/src/metrics/serving.rs
+++ b/src/metrics/serving.rs
@@ -26,6 +26,7 @@
     store_errors: Family<CauseLabel, Counter>,
     unreadable: Family<CauseLabel, Counter>,
     ends_under_requests: Family<CauseLabel, Counter>,
+    limits: Family<CauseLabel, Counter>,
     first_event: Histogram,
     between_events: Histogram,
     whole_request: Histogram,
@@ -45,6 +46,7 @@
             store_errors: Family::default(),
             unreadable: Family::default(),
             ends_under_requests: Family::default(),
+            limits: Family::default(),
             first_event: latency_histogram(),
             between_events: latency_histogram(),
             whole_request: latency_histogram(),
@@ -98,6 +100,11 @@
                 "Targets that ended as a request began to run there, by what it is then",
                 &self.ends_under_requests,
             ),
+            (
+                "target_limits",
+                "Limits that targets named, by what was said",
+                &self.limits,
+            ),
         ];
         for (name, help, family) in families {
             self.registry.register(name, help, family.clone());
@@ -183,6 +190,12 @@
         count(&self.ends_under_requests, verdict);
     }
 
+    /// Counts an answer that changes what is known of a target's limit, or says
+    /// something unusable of it.
+    pub fn limit_said(&self, what: &'static str) {
+        count(&self.limits, what);
+    }
+
     /// Observes a call to the log service.
     pub fn store_called(&self, topic: &'static str, took: Duration, answered: bool) {
         match answered {
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -9,6 +9,7 @@
 pub mod configuration_record;
 pub mod error;
 pub mod host_settings;
+pub mod limit_header;
 pub mod log_calls;
 pub mod log_tail;
 pub mod names;
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -25,6 +25,8 @@
 pub const LENGTH_HINT: &str = "x-jackdawwick-length-hint";
 /// The engine at fault, in a refusal along a path.
 pub const AT_SERVER: &str = "at-server";
+/// Requests a second that the target takes from all machines together.
+pub const SERVER_LIMIT: &str = "server-limit";
 /// Last event that the caller of a stream has.
 pub const LAST_EVENT_ID: &str = "last-event-id";
 
--- /dev/null
+++ b/tests/permits/main.rs
@@ -0,0 +1,109 @@
+//! What targets say of their limits, in whatever order it comes.
+
+use std::time::{Duration, Instant};
+
+use http::HeaderMap;
+use http::header::HeaderValue;
+use jackdawwick::permits::{LimitChange, LimitObservation, LimitTable, RateLimit};
+use jackdawwick::platform::limit_header::{NamedRate, named_rate};
+
+const TARGET: u64 = 7;
+
+fn rate(per_second: f64) -> RateLimit {
+    RateLimit::new(per_second).expect("a valid rate")
+}
+
+/// An answer that came between two moments, in milliseconds.
+fn answer(start: Instant, per_second: Option<f64>, sent: u64, heard: u64) -> LimitObservation {
+    LimitObservation {
+        rate: per_second.map(rate),
+        sent: start + Duration::from_millis(sent),
+        heard: start + Duration::from_millis(heard),
+    }
+}
+
+fn headers(values: &[&str]) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    for value in values {
+        let value = HeaderValue::from_str(value).expect("a header value");
+        headers.append("server-limit", value);
+    }
+    headers
+}
+
+#[test]
+fn a_limit_is_one_decimal_number() {
+    assert_eq!(named_rate(&headers(&[])), NamedRate::Absent);
+    assert_eq!(named_rate(&headers(&[" 6.4 "])), NamedRate::PerSecond(6.4));
+    assert_eq!(named_rate(&headers(&["0"])), NamedRate::PerSecond(0.0));
+    assert_eq!(named_rate(&headers(&["1e9"])), NamedRate::PerSecond(1e9));
+    for unreadable in [&[""][..], &["few"], &["6,4"], &["1", "2"]] {
+        assert_eq!(named_rate(&headers(unreadable)), NamedRate::Unreadable);
+    }
+}
+
+#[test]
+fn a_rate_is_finite_and_not_negative() {
+    for unusable in [-1.0, f64::INFINITY, f64::NAN] {
+        assert_eq!(RateLimit::new(unusable), None);
+    }
+    assert_eq!(rate(0.0).per_second(), 0.0);
+}
+
+#[test]
+fn a_limit_is_named_changed_and_ended_by_later_answers() {
+    let start = Instant::now();
+    let mut table = LimitTable::default();
+    assert_eq!(table.observe(TARGET, answer(start, None, 0, 5)), None);
+    let named = table.observe(TARGET, answer(start, Some(6.0), 10, 20));
+    assert_eq!(named, Some(LimitChange::Named(rate(6.0))));
+    assert_eq!(
+        table.observe(TARGET, answer(start, Some(6.0), 15, 25)),
+        None
+    );
+    let raised = table.observe(TARGET, answer(start, Some(9.0), 30, 40));
+    assert_eq!(raised, Some(LimitChange::Named(rate(9.0))));
+    let ended = table.observe(TARGET, answer(start, None, 50, 60));
+    assert_eq!(ended, Some(LimitChange::Ended));
+    assert_eq!(table.limit(TARGET), None);
+}
+
+/// Guards against an overtaken answer that lifts a limit.
+#[test]
+fn an_answer_that_may_be_older_does_not_lift_a_limit() {
+    let start = Instant::now();
+    let mut table = LimitTable::default();
+    table.observe(TARGET, answer(start, Some(6.0), 10, 20));
+    assert_eq!(table.observe(TARGET, answer(start, None, 15, 90)), None);
+    assert_eq!(
+        table.observe(TARGET, answer(start, Some(9.0), 19, 90)),
+        None
+    );
+    assert_eq!(table.limit(TARGET), Some(rate(6.0)));
+    let lowered = table.observe(TARGET, answer(start, Some(2.0), 0, 95));
+    assert_eq!(lowered, Some(LimitChange::Named(rate(2.0))));
+}
+
+/// Guards against a limit that comes back with an answer from before its end.
+#[test]
+fn an_answer_from_before_the_end_of_a_limit_does_not_name_it_again() {
+    let start = Instant::now();
+    let mut table = LimitTable::default();
+    table.observe(TARGET, answer(start, Some(6.0), 0, 5));
+    table.observe(TARGET, answer(start, None, 50, 60));
+    assert_eq!(
+        table.observe(TARGET, answer(start, Some(6.0), 10, 40)),
+        None
+    );
+    assert_eq!(table.limit(TARGET), None);
+}
+
+#[test]
+fn another_start_of_a_target_begins_without_a_limit() {
+    let start = Instant::now();
+    let mut table = LimitTable::default();
+    table.observe(TARGET, answer(start, Some(6.0), 10, 20));
+    assert_eq!(table.limit(TARGET + 1), None);
+    table.forget(TARGET);
+    assert_eq!(table.limit(TARGET), None);
+}
