Add a failing test: a target's limit holds for all hosts together

Stand-in targets name limits; the check of the rule is standins::check::NamedLimit, shown to tell a limit that is kept from one that each host keeps by itself.

--- a/standins/src/check.rs
+++ b/standins/src/check.rs
@@ -8,6 +8,7 @@
 mod keys;
 mod layers;
 mod leaving;
+mod limits;
 mod refusals;
 
 use std::fmt;
@@ -18,6 +19,7 @@
 pub use keys::check_at_most_once;
 pub use layers::check_layers;
 pub use leaving::check_leaving;
+pub use limits::{LimitBreach, NamedLimit};
 pub use refusals::check_not_run;
 
 /// The promises that are checked.
--- /dev/null
+++ b/standins/src/check/limits.rs
@@ -0,0 +1,65 @@
+//! A target that limits its rate of requests gets no more than that from all
+//! hosts together.
+
+use std::time::{Duration, Instant};
+
+/// Any span of this length counts.
+const WINDOW: Duration = Duration::from_secs(4);
+/// Time from the first naming of a limit until it has to be kept.
+const KEPT_AFTER: Duration = Duration::from_secs(3);
+/// What may come beyond the limit: a part of it, and requests besides.
+const EXCESS_FACTOR: f64 = 1.5;
+const EXCESS_REQUESTS: f64 = 5.0;
+
+/// A limit, from its first naming to its end.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct NamedLimit {
+    /// Requests a second.
+    pub per_second: f64,
+    /// When the target first named it.
+    pub from: Instant,
+    /// When it named it last.
+    pub until: Instant,
+}
+
+/// More requests in a window than a limit allows.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct LimitBreach {
+    /// End of the window.
+    pub at: Instant,
+    /// Requests that came in it.
+    pub arrived: usize,
+    /// Requests that the limit allows in it.
+    pub allowed: f64,
+}
+
+impl NamedLimit {
+    /// Requests that it allows in any window.
+    pub fn allowed(&self) -> f64 {
+        EXCESS_FACTOR * self.per_second * WINDOW.as_secs_f64() + EXCESS_REQUESTS
+    }
+
+    /// The worst breach by requests that came at these moments, in order of time.
+    /// Windows that end while the limit has to be kept count, also what came in
+    /// them before the limit was named.
+    pub fn worst_breach(&self, arrivals: &[Instant]) -> Option<LimitBreach> {
+        let judged = self.from + KEPT_AFTER..=self.until;
+        let mut worst: Option<LimitBreach> = None;
+        let mut oldest = 0;
+        for (newest, at) in arrivals.iter().enumerate() {
+            while arrivals[oldest] + WINDOW <= *at {
+                oldest += 1;
+            }
+            let arrived = newest + 1 - oldest;
+            let breaks = judged.contains(at) && arrived as f64 > self.allowed();
+            if breaks && worst.is_none_or(|worst| arrived > worst.arrived) {
+                worst = Some(LimitBreach {
+                    at: *at,
+                    arrived,
+                    allowed: self.allowed(),
+                });
+            }
+        }
+        worst
+    }
+}
--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -18,6 +18,7 @@
 mod heartbeats;
 mod history;
 mod host;
+mod limit;
 mod link;
 mod log_service;
 mod plan;
@@ -33,6 +34,7 @@
     CallKind, CallOutcome, CallRecord, Disturbance, DisturbanceScope, ProbeRecord, RunRecord,
     SoakHistory, TargetDeparture,
 };
+pub use limit::{LimitReport, play_limit};
 pub use link::{FaultLink, LinkFault};
 pub use plan::{FaultAction, PlannedFault, draw_faults};
 pub use poison::{PoisonReport, play_poison};
--- a/standins/src/soak/engines.rs
+++ b/standins/src/soak/engines.rs
@@ -43,6 +43,8 @@
     /// Neither dead nor cut off.
     pub(super) reachable: bool,
     pub(super) fault: TargetFault,
+    /// The limit that it names in its answers, as written.
+    pub(super) limit: Option<String>,
     /// It has begun to run a request that it does not survive.
     pub(super) poisoned: bool,
 }
--- a/standins/src/soak/target.rs
+++ b/standins/src/soak/target.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use futures::stream;
+use http::header::HeaderValue;
 use http::{Request, Response, StatusCode};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
@@ -204,7 +205,7 @@
     };
     let body = body.collect().await.map_err(|_| LostAnswer)?.to_bytes();
     let state = world.state(address);
-    match parts.uri.path() {
+    let mut response = match parts.uri.path() {
         _ if text(names::TARGET_INSTANCE).is_some_and(|id| id != state.id) => {
             Ok(refusal(421, address))
         }
@@ -224,7 +225,12 @@
             let last = text(names::LAST_EVENT_ID).and_then(|last| last.parse().ok());
             run(world, address, id, path, last.unwrap_or(0)).await
         }
+    }?;
+    let limit = state.limit.map(HeaderValue::try_from);
+    if let Some(Ok(limit)) = limit {
+        response.headers_mut().insert(names::SERVER_LIMIT, limit);
     }
+    Ok(response)
 }
 
 async fn run(
@@ -390,8 +396,8 @@
 fn refusal(status: u16, at: SocketAddr) -> Response<TargetBody> {
     let mut response = json_answer(status, &json!({}));
     let headers = response.headers_mut();
-    headers.insert(names::NOT_EXECUTED, http::HeaderValue::from_static("1"));
-    if let Ok(at) = http::HeaderValue::from_str(&at.to_string()) {
+    headers.insert(names::NOT_EXECUTED, HeaderValue::from_static("1"));
+    if let Ok(at) = HeaderValue::from_str(&at.to_string()) {
         headers.insert(names::AT_SERVER, at);
     }
     response
--- /dev/null
+++ b/standins/tests/limits.rs
@@ -0,0 +1,57 @@
+//! Targets that name a limit, against entry hosts as processes; and the check of
+//! what they get.
+
+mod support;
+
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use standins::check::NamedLimit;
+use standins::soak::{SoakSettings, play_limit};
+use support::{TestResult, eventually};
+
+const HOSTS: usize = 6;
+
+/// Arrivals `gap_ms` apart.
+fn steady(from: Instant, count: u32, gap_ms: u64) -> Vec<Instant> {
+    let gap = Duration::from_millis(gap_ms);
+    (0..count).map(|number| from + gap * number).collect()
+}
+
+#[test]
+fn the_check_tells_a_limit_that_is_kept_from_one_that_each_host_keeps_by_itself() {
+    let from = Instant::now();
+    let limit = NamedLimit {
+        per_second: 5.0,
+        from,
+        until: from + Duration::from_secs(20),
+    };
+    assert_eq!(limit.allowed(), 35.0);
+    assert_eq!(limit.worst_breach(&steady(from, 100, 200)), None);
+    let copied = limit.worst_breach(&steady(from, 600, 33));
+    let copied = copied.expect("a breach");
+    assert!(copied.arrived > 100, "{copied:?}");
+    // Before the limit has to be kept nothing is judged.
+    assert_eq!(limit.worst_breach(&steady(from, 80, 33)), None);
+}
+
+/// Guards against a limit that is named to each host and kept by none for all.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_limit_holds_for_all_hosts_together() -> TestResult {
+    let program = PathBuf::from(env!("CARGO_BIN_EXE_soak"));
+    let program = program.with_file_name("jackdawwickd");
+    let folder = tempfile::tempdir()?;
+    eventually("the program is built", || async { program.exists() }).await?;
+    let report = play_limit(SoakSettings {
+        seed: 1,
+        length: Duration::ZERO,
+        hosts: HOSTS,
+        callers: 0,
+        program,
+        folder: folder.path().to_owned(),
+        timed: false,
+    })
+    .await?;
+    assert_eq!(report.breach, None, "{report:?}");
+    Ok(())
+}
