--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -176,6 +176,56 @@
   # Time since when the host has had the log of targets without a break.
   logReadMs @18 :UInt32;
   # Time since it last had it. Both are 0 if it never had.
+  limits @19 :LimitListing;
+}
+
+struct LimitListing {
+  # Changes of the limits that targets name.
+  from @0 :UInt64;
+  to @1 :UInt64;
+  # Changes after "from" and up to "to" are listed.
+  seenTo @2 :UInt64;
+  # The listings of the host that is spoken to are known up to here.
+  words @3 :List(LimitWord);
+}
+
+struct LimitWord {
+  target @0 :UInt64;
+  # Hash of the target's id, alike on all hosts.
+  perSecond @1 :Float64;
+  # Requests; below 0 if the target no longer names a limit.
+  sentAgeMs @2 :UInt32;
+  # Time since the request was sent whose answer said so.
+  heardAgeMs @3 :UInt32;
+  # Time since the answer came. The largest number stands for all longer times.
+}
+
+struct PermitQuestion {
+  host @0 :Text;
+  zone @1 :Text;
+  # Of the target.
+  limit @2 :LimitWord;
+  wanted @3 :UInt32;
+  # Permits; 0 if the host only tells what it sent.
+  patienceMs @4 :UInt32;
+  # How long its requests can wait.
+  unpermitted @5 :List(UInt16);
+  # Requests that it sent without permits, by half seconds of age, newest first.
+}
+
+struct PermitAnswer {
+  union {
+    granted :group {
+      permits @0 :UInt32;
+      delayUs @1 :UInt32;
+      # Time until the first permit may be used.
+      spacingUs @2 :UInt32;
+      # Time from each to the next one.
+    }
+    withheldMs @3 :UInt32;
+    # Time after which the host may ask again.
+    unlimited @4 :Void;
+  }
 }
 
 struct PoisonListing {
@@ -247,4 +297,5 @@
   claimOutcome @2 (call :PeerCall) -> (reply :PeerCallReply);
   exchange @3 (view :HostView) -> (view :HostView);
   follow @4 (question :FollowQuestion) -> (answer :FollowAnswer);
+  permit @5 (question :PermitQuestion) -> (answer :PermitAnswer);
 }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -10,6 +10,7 @@
 mod log_copy;
 mod log_duty;
 mod peering;
+mod permitting;
 mod placing;
 mod poison_log;
 mod readiness;
--- a/src/entry/peering.rs
+++ b/src/entry/peering.rs
@@ -17,6 +17,7 @@
     self, EntryHandlers, FollowAnswer, FollowQuestion, HostView, PeerError, PeerHandle,
     PeerSettings,
 };
+use crate::permits::PermitQuestion;
 
 /// Pause between two looks at who is to be called.
 const TICK: Duration = Duration::from_millis(125);
@@ -84,12 +85,14 @@
     };
     let answering = desk.clone();
     let passing = desk.clone();
+    let issuing = desk.clone();
     let handlers = EntryHandlers {
         exchange: Arc::new(move |view| answering.answer(&view, Instant::now())),
         follow: Arc::new(move |question| {
             let desk = passing.clone();
             Box::pin(async move { desk.answer_follow(question).await })
         }),
+        permit: Arc::new(move |question| issuing.issue_permits(&question, Instant::now())),
     };
     let handle = peer::spawn_on(listener, limits, handlers)?;
     tokio::spawn(call_peers(desk.clone(), handle.clone()));
@@ -122,7 +125,8 @@
         self.hear(view, now);
         let answer = self.gossip.lock().answer_view(view, now);
         let answer = self.complete(answer, Some(&view.host), view.zone == self.zone, now);
-        self.add_poison(answer, view.address, now)
+        let answer = self.add_poison(answer, view.address, now);
+        self.add_limits(answer, view.address, now)
     }
 
     fn question(&self, address: SocketAddr, now: Instant) -> HostView {
@@ -131,7 +135,8 @@
         let question = gossip.open_view(address, now);
         drop(gossip);
         let question = self.complete(question, None, is_neighbour, now);
-        self.add_poison(question, address, now)
+        let question = self.add_poison(question, address, now);
+        self.add_limits(question, address, now)
     }
 
     /// Adds what this host tells of requests and of the log.
@@ -162,6 +167,24 @@
         HostView { poison, ..view }
     }
 
+    /// Adds what the host at an address has not heard yet of limits.
+    fn add_limits(&self, view: HostView, listener: SocketAddr, now: Instant) -> HostView {
+        let limits = self.tables.limits.lock().listing_for(listener, now);
+        HostView { limits, ..view }
+    }
+
+    fn hear_limits(&self, view: &HostView, now: Instant) {
+        let changes = self.tables.limits.lock().take_listing(
+            view.address,
+            view.incarnation,
+            &view.limits,
+            now,
+        );
+        for (target, change) in changes {
+            self.tables.hear_limit_change(target, change, &view.host);
+        }
+    }
+
     fn hear_poison(&self, view: &HostView, now: Instant) {
         let refused = self.tables.poison.lock().take_listing(
             view.address,
@@ -178,6 +201,7 @@
             return;
         }
         self.hear_poison(view, now);
+        self.hear_limits(view, now);
         if let Some(log) = view.log {
             self.copy.observe_word(&view.zone, log, now);
         }
@@ -207,6 +231,32 @@
         Some((host, address))
     }
 
+    /// Where the permits for a target are handed out; `None` while this host may not
+    /// know.
+    pub(super) fn permit_address(
+        &self,
+        question: &PermitQuestion,
+        now: Instant,
+    ) -> Option<SocketAddr> {
+        let gossip = self.gossip.lock();
+        let host = gossip.permit_host(&question.zone, question.limit.target, now)?;
+        match host == self.host {
+            true => Some(self.address),
+            false => gossip.address_of(&host),
+        }
+    }
+
+    /// The part of a zone's limits that the hosts which this one takes to be alive hand
+    /// out.
+    pub(super) fn permit_part(&self, zone: &str, now: Instant) -> f64 {
+        self.gossip.lock().permit_part(zone, now)
+    }
+
+    /// What the data path works with.
+    pub(super) fn tables(&self) -> &ServingTables {
+        &self.tables
+    }
+
     /// Entry hosts heard of lately, this one among them.
     pub(super) fn known_count(&self) -> usize {
         self.gossip.lock().known_count()
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -12,6 +12,7 @@
 use crate::entry::configuring::follow_configuration;
 use crate::entry::following::{TargetPace, follow_targets};
 use crate::entry::log_copy::LogCopy;
+use crate::entry::permitting::permit_source;
 use crate::entry::placing::keep_placed;
 use crate::entry::poison_log::{follow_poison, write_poison};
 use crate::entry::readiness::{answer_metrics, answer_readiness};
@@ -73,7 +74,11 @@
     let mut hangup = signal(SignalKind::hangup())?;
     let settings = read_settings(&path)?;
     log::info!(host:% = settings.host, zone:% = settings.zone; "starting");
-    let tables = ServingTables::new(settings.zone.clone(), first_share(settings.bounds));
+    let tables = ServingTables::new(
+        settings.host.clone(),
+        settings.zone.clone(),
+        first_share(settings.bounds),
+    );
     let tables = Arc::new(tables);
     let peers = spawn_workers(&tables, &settings)?;
     let readiness = answer_readiness(tables.clone(), settings.readiness)?;
@@ -117,6 +122,7 @@
     tokio::spawn(follow_poison(tables.clone(), client(), reads.clone()));
     tokio::spawn(write_poison(tables.clone(), client(), reads));
     let (desk, handle) = peering::spawn(settings, settings.peers, tables.clone(), copy.clone())?;
+    tables.set_permit_source(permit_source(desk.clone(), handle.clone()));
     tokio::spawn(follow_lead(
         tables.clone(),
         copy,
--- a/src/fleet/path.rs
+++ b/src/fleet/path.rs
@@ -28,7 +28,8 @@
 /// hundred milliseconds late; without it all would choose the same engines in
 /// that time.
 const COST_SPREAD: f64 = 0.3;
-/// What a millisecond of reading before the first event counts, in
+/// What a millisecond of reading before the first event, or of waiting for a permit,
+/// counts, in
 /// milliseconds an event. After the loss of an engine all that passed it is
 /// read again elsewhere, 60 requests of 1,000 tokens at once, and whatever is
 /// sent there meanwhile waits for some 300 ms more of its aim of 500 ms.
@@ -220,6 +221,7 @@
     let unread = load.unread + f64::from(query.size.prompt) * f64::from(range.width());
     let read_ms =
         unread / layers * kind.read_factor * state.pace(now) * 1000.0 / model.read_per_s.max(1.0);
+    let wait_ms = state.permit_wait(now).as_secs_f64() * 1000.0;
     let crowding = filled.min(1.0).powi(4) * pass_ms;
     Some(EngineCost {
         engine,
@@ -227,7 +229,7 @@
         hop_ms: (HOP_MS
             + 0.5 * pass_ms
             + crowding
-            + READ_SHARE * read_ms
+            + READ_SHARE * (read_ms + wait_ms)
             + if full { FULL_MS } else { 0.0 })
             * (1.0 + COST_SPREAD * draw),
         layer_ms: stride * step_ms / layers,
--- a/src/fleet/pick.rs
+++ b/src/fleet/pick.rs
@@ -9,6 +9,10 @@
 /// requests in flight: a crossing takes about a millisecond, a request 30.
 const ZONE_PENALTY: f64 = 1.0;
 
+/// Requests that a place takes one after the other in a second: what a second of waiting
+/// for a permit counts, in requests in flight.
+const REQUESTS_PER_S: f64 = 30.0;
+
 /// Picks the target with the fewest requests, the availability
 /// zone's own first; `avoid` was tried already and comes last. Targets that are
 /// out are taken only when no other is left.
@@ -29,7 +33,8 @@
             ZONE_PENALTY
         };
         let out = if state.is_out(now) { 1e6 } else { 0.0 };
-        f64::from(state.load().requests) + far + out
+        let wait = state.permit_wait(now).as_secs_f64() * REQUESTS_PER_S;
+        f64::from(state.load().requests) + far + out + wait
     };
     let mut best = Vec::new();
     let mut least = f64::INFINITY;
--- a/src/fleet/table.rs
+++ b/src/fleet/table.rs
@@ -55,6 +55,8 @@
     pub refusals: u32,
     /// Refused for want of room; takes nothing before this moment.
     pub full_until: Option<Instant>,
+    /// Limits its rate; there is no permit for it before this moment.
+    pub withheld_until: Option<Instant>,
     /// Does not answer, or other engines wait for it, until this moment.
     pub silent_until: Option<Instant>,
     /// What it last said of its speed, and when; over 1 when it is slow.
@@ -75,6 +77,7 @@
             out_until: None,
             refusals: 0,
             full_until: None,
+            withheld_until: None,
             silent_until: None,
             pace: None,
             pace_asked: None,
@@ -110,6 +113,12 @@
         self.full_until.is_some_and(|until| now < until)
     }
 
+    /// Time until there may be a permit to send to it.
+    pub fn permit_wait(&self, now: Instant) -> Duration {
+        let until = self.withheld_until.unwrap_or(now);
+        until.saturating_duration_since(now)
+    }
+
     /// Whether the target was put out because of failures.
     pub fn is_out(&self, now: Instant) -> bool {
         self.out_until.is_some_and(|until| now < until)
@@ -355,6 +364,35 @@
         }
     }
 
+    /// A target limits its rate, and there is no permit for it before `until`.
+    pub fn observe_withheld(&mut self, id: &str, until: Instant) {
+        if let Some(state) = self.get_mut(id) {
+            state.withheld_until = state.withheld_until.max(Some(until));
+        }
+    }
+
+    /// A target no longer limits its rate.
+    pub fn observe_unlimited(&mut self, id: &str) {
+        if let Some(state) = self.get_mut(id) {
+            state.withheld_until = None;
+        }
+    }
+
+    /// Time until there may be permits to send to all of these targets.
+    pub fn longest_wait<'a, I>(&self, targets: I, now: Instant) -> Duration
+    where
+        I: Iterator<Item = &'a TargetId>,
+    {
+        let states = targets.filter_map(|id| self.get(id));
+        let waits = states.map(|state| state.permit_wait(now));
+        waits.max().unwrap_or_default()
+    }
+
+    /// Id of the target with a key.
+    pub fn id_of(&self, key: TargetKey) -> Option<&TargetId> {
+        self.id_of.get(&key)
+    }
+
     /// A target does not answer at all.
     pub fn observe_silence(&mut self, id: &str, now: Instant) {
         if let Some(state) = self.get_mut(id) {
--- a/src/forward/choice.rs
+++ b/src/forward/choice.rs
@@ -23,6 +23,13 @@
 }
 
 impl ChosenTarget {
+    /// The targets that the request passes.
+    pub(super) fn ids(&self) -> impl Iterator<Item = &TargetId> {
+        let hops = self.path.iter().flat_map(|path| &path.hops);
+        let single = self.path.is_none().then_some(&self.id);
+        single.into_iter().chain(hops.map(|hop| &hop.target))
+    }
+
     /// The targets and what the request asks of each.
     pub(super) fn loads(&self) -> Vec<(TargetId, TargetLoad)> {
         match &self.path {
--- a/src/forward/conduct.rs
+++ b/src/forward/conduct.rs
@@ -28,13 +28,13 @@
 const STREAM_HEAD_AIMS: f64 = 2.4;
 
 impl Exchange {
-    /// Chooses where the next attempt goes, and counts it there. `started`
-    /// tells whether the caller has a part of the answer.
+    /// Chooses where the next attempt goes. `started` tells whether the caller has
+    /// a part of the answer.
     pub(super) fn choose(
         &self,
         avoid: &[TargetId],
         started: bool,
-    ) -> Result<(ChosenTarget, InFlightGuard), Refusal> {
+    ) -> Result<ChosenTarget, Refusal> {
         let now = Instant::now();
         if self.is_poison(now) {
             return Err(Refusal::poison());
@@ -61,10 +61,19 @@
             let after = self.tables.count_refusal(now);
             return Err(Refusal::not_run(RefusalReason::NoRoom, after));
         }
-        self.tables.count_start(now);
-        self.note_route(&chosen, avoid.len());
+        Ok(chosen)
+    }
+
+    /// Counts the next attempt where it goes, `tried` others before.
+    pub(super) fn commit(
+        &self,
+        chosen: ChosenTarget,
+        tried: usize,
+    ) -> (ChosenTarget, InFlightGuard) {
+        self.tables.count_start(Instant::now());
+        self.note_route(&chosen, tried);
         let guard = InFlightGuard::open(self.tables.clone(), chosen.loads());
-        Ok((chosen, guard))
+        (chosen, guard)
     }
 
     /// One line on where a request goes, and what decided that.
--- a/src/forward/limits.rs
+++ b/src/forward/limits.rs
@@ -1,12 +1,13 @@
 //! What the answers of targets say of their limits.
 
+use std::sync::Arc;
 use std::time::Instant;
 
 use http::{HeaderMap, StatusCode};
 
 use super::tables::ServingTables;
 use crate::fleet::target_key;
-use crate::ids::TargetId;
+use crate::ids::{HostId, TargetId, TargetKey};
 use crate::permits::{LimitChange, LimitObservation, RateLimit};
 use crate::platform::limit_header::{NamedRate, named_rate};
 use crate::platform::names;
@@ -15,7 +16,7 @@
     /// Takes in what the head of an answer says of its target's limit; `sent` is
     /// when the request was.
     pub(super) fn observe_limit(
-        &self,
+        self: &Arc<Self>,
         target: &TargetId,
         status: StatusCode,
         headers: &HeaderMap,
@@ -41,12 +42,36 @@
         };
         let change = self.limits.lock().observe(target_key(target), observation);
         if let Some(change) = change {
-            self.note_limit_change(target, change, "answer");
+            self.take_limit_change(target, change, "answer");
+        }
+    }
+
+    /// Another host told of a change of a target's limit.
+    pub fn hear_limit_change(
+        self: &Arc<Self>,
+        target: TargetKey,
+        change: LimitChange,
+        host: &HostId,
+    ) {
+        let id = self.fleet.lock().id_of(target).cloned();
+        if let Some(id) = id {
+            self.take_limit_change(&id, change, host);
+        }
+    }
+
+    fn take_limit_change(self: &Arc<Self>, target: &TargetId, change: LimitChange, source: &str) {
+        self.note_limit_change(target, change, source);
+        match change {
+            LimitChange::Ended => self.fleet.lock().observe_unlimited(target),
+            LimitChange::Named(_) => {
+                let (tables, target) = (self.clone(), target.clone());
+                tokio::spawn(async move { tables.tell_sends(&target).await });
+            }
         }
     }
 
     /// One line where a target begins or ceases to limit its requests.
-    pub(super) fn note_limit_change(&self, target: &str, change: LimitChange, source: &str) {
+    fn note_limit_change(&self, target: &str, change: LimitChange, source: &str) {
         let (name, per_second) = match change {
             LimitChange::Named(rate) => ("named", Some(rate.per_second())),
             LimitChange::Ended => ("ended", None),
--- a/src/forward/moving.rs
+++ b/src/forward/moving.rs
@@ -17,6 +17,8 @@
 
 /// How long the first engine may take to accept a new path.
 const MOVE_LIMIT: Duration = Duration::from_millis(400);
+/// How long a request that is moved waits for a permit: callers notice the pause.
+const PERMIT_WAIT: Duration = Duration::from_millis(100);
 /// Orders to move one request at the most: each that is done reads its tokens
 /// again somewhere, and each is priced. An engine that refuses for want of room
 /// has a neighbour that takes it, or none does.
@@ -41,10 +43,15 @@
             return false;
         }
         while self.moves < MOST_MOVES {
-            self.moves += 1;
             let Some(repaired) = self.repair(&path, &failing) else {
                 return false;
             };
+            let withheld = self.withheld_from(&repaired, &path).await;
+            if !withheld.is_empty() {
+                failing.extend(withheld);
+                continue;
+            }
+            self.moves += 1;
             match self.order_move(&repaired).await {
                 MoveAnswer::Done => {
                     self.take_path(repaired, &path);
@@ -57,6 +64,16 @@
         false
     }
 
+    /// The engines that the request would newly pass and may not be sent to in time.
+    async fn withheld_from(&self, repaired: &EnginePath, before: &EnginePath) -> Vec<TargetId> {
+        let is_new = |id: &&TargetId| !before.hops.iter().any(|hop| hop.target == **id);
+        let new = || repaired.hops.iter().map(|hop| &hop.target).filter(is_new);
+        match self.exchange.permit(new(), PERMIT_WAIT).await {
+            Ok(()) => Vec::new(),
+            Err(_) => self.exchange.withheld_among(new()),
+        }
+    }
+
     /// The request goes on over `repaired`.
     fn take_path(&mut self, repaired: EnginePath, before: &EnginePath) {
         let tables = self.exchange.tables.clone();
--- a/src/forward/tables.rs
+++ b/src/forward/tables.rs
@@ -1,7 +1,8 @@
 //! What the data path shares with the workers that keep it up to date.
 
-use std::sync::Arc;
+use std::fmt;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwapOption;
@@ -10,14 +11,15 @@
 
 use super::closed::ClosedCell;
 use super::liveness::LivenessTable;
+use super::permitting::PermitSource;
 use crate::admission::OverloadGauge;
 use crate::collections::FastMap;
 use crate::fleet::{EngineReport, FleetTable, TargetLoad, target_key};
 use crate::ids::TargetId;
-use crate::ids::{ServiceId, ZoneId};
+use crate::ids::{HostId, ServiceId, ZoneId};
 use crate::ingress::IngressConfiguration;
 use crate::metrics::ServingMetrics;
-use crate::permits::LimitTable;
+use crate::permits::{LimitTable, PermitIssuer, PermitPool};
 use crate::poison::PoisonTable;
 use crate::retry::{WindowBudget, WindowSettings};
 
@@ -27,8 +29,9 @@
 
 /// Shared state of the data path. No lock is held across an await, and never
 /// two at once.
-#[derive(Debug)]
 pub struct ServingTables {
+    /// The name of this host.
+    pub host: HostId,
     /// The availability zone of this host.
     pub zone: ZoneId,
     /// Counters and histograms.
@@ -55,6 +58,10 @@
     pub(super) liveness: LivenessTable,
     /// The limits that targets have named.
     pub limits: Mutex<LimitTable>,
+    /// The permits that this host holds, and those that it hands out.
+    pub(super) permits: Mutex<PermitPool>,
+    pub(super) issuer: Mutex<PermitIssuer>,
+    pub(super) permit_source: OnceLock<PermitSource>,
     /// Requests that targets ended under.
     pub poison: Mutex<PoisonTable>,
     /// Told when a request is found to be poison.
@@ -63,8 +70,9 @@
 
 impl ServingTables {
     /// Empty tables for a host of an availability zone.
-    pub fn new(zone: ZoneId, budget_settings: WindowSettings) -> Self {
+    pub fn new(host: HostId, zone: ZoneId, budget_settings: WindowSettings) -> Self {
         Self {
+            host,
             zone,
             metrics: ServingMetrics::default(),
             configuration: ArcSwapOption::empty(),
@@ -81,6 +89,9 @@
             closed: Mutex::default(),
             liveness: LivenessTable::default(),
             limits: Mutex::default(),
+            permits: Mutex::default(),
+            issuer: Mutex::default(),
+            permit_source: OnceLock::new(),
             poison: Mutex::default(),
             poison_news: Notify::new(),
         }
@@ -150,6 +161,14 @@
         self.reports.lock().remove(target);
         self.closed.lock().remove(target);
         self.limits.lock().forget(target_key(target));
+        self.permits.lock().forget(target_key(target));
+    }
+}
+
+impl fmt::Debug for ServingTables {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut debug = formatter.debug_struct("ServingTables");
+        debug.field("zone", &self.zone).finish_non_exhaustive()
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -68,5 +68,6 @@
 pub mod routing;
 pub mod run;
 pub mod shares;
+pub mod spread;
 pub mod target;
 pub mod verdict;
--- a/src/membership/gossip.rs
+++ b/src/membership/gossip.rs
@@ -13,10 +13,11 @@
 use std::time::{Duration, Instant};
 
 use crate::collections::FastMap;
-use crate::ids::{HostId, HostStrength, IncarnationId, ZoneId};
+use crate::ids::{HostId, HostStrength, IncarnationId, TargetKey, ZoneId};
 use crate::membership::duty::{DutyCandidate, rank_hosts, speaker_count};
 use crate::membership::gossip_member::{DEAD_AFTER, GossipMember};
 use crate::peer::{HostView, KnownHost};
+use crate::permits::{issued_part, issuing_host};
 
 /// Silence after which a host is forgotten. Hosts are replaced at other
 /// addresses, so that a table that only grows would be called for ever.
@@ -29,6 +30,11 @@
 /// those that take over one after the other.
 const KNOWN_ELSEWHERE: usize = 4;
 
+/// Time after its start in which a host hears of the others, and after which one that
+/// hears of nobody is taken to be alone.
+const JOIN_TIME: Duration = Duration::from_secs(1);
+const LONE_JOIN_TIME: Duration = Duration::from_secs(3);
+
 /// The other entry hosts that are known.
 #[derive(Debug)]
 pub struct GossipTable {
@@ -267,6 +273,36 @@
         self.with_addresses(before)
     }
 
+    /// The host that hands out the permits for a target of a zone, this one or another;
+    /// where the zone has no live host, the first of all zones. `None` while this host
+    /// may not know the others.
+    pub fn permit_host(&self, zone: &str, target: TargetKey, now: Instant) -> Option<HostId> {
+        if !self.has_joined(now) {
+            return None;
+        }
+        let chosen = issuing_host(target, &self.live_hosts(zone, now));
+        Some(chosen.unwrap_or_else(|| self.first_of_all(now)))
+    }
+
+    /// The part of a zone's limits that the live hosts of the zone hand out.
+    pub fn permit_part(&self, zone: &str, now: Instant) -> f64 {
+        let is_own = usize::from(*self.zone == *zone);
+        let members = self.members.values();
+        let known = members.filter(|member| *member.zone == *zone).count() + is_own;
+        match self.live_hosts(zone, now).len() {
+            0 => issued_part(self.live_count(now), self.known_count()),
+            live => issued_part(live, known),
+        }
+    }
+
+    /// Whether this host has been up for long enough to have heard of the others.
+    fn has_joined(&self, now: Instant) -> bool {
+        let heard = self.members.values().any(|member| member.is_live(now));
+        let time = if heard { JOIN_TIME } else { LONE_JOIN_TIME };
+        self.first_seed_call
+            .is_some_and(|first| now >= first + time)
+    }
+
     /// The other live hosts of this zone, in the order of their duties.
     pub fn neighbours(&self, now: Instant) -> Vec<(HostId, SocketAddr)> {
         let hosts = self.live_hosts(&self.zone, now).into_iter();
--- a/src/membership/gossip/views.rs
+++ b/src/membership/gossip/views.rs
@@ -8,6 +8,7 @@
 use crate::ids::HostId;
 use crate::membership::gossip_member::{DEAD_AFTER, GossipMember};
 use crate::peer::{HostListing, HostView, KnownHost, SeenListing, ZoneCount};
+use crate::permits::LimitListing;
 use crate::poison::PoisonListing;
 
 impl GossipTable {
@@ -85,6 +86,7 @@
             counts,
             log: None,
             poison: PoisonListing::default(),
+            limits: LimitListing::default(),
         }
     }
 
--- a/src/metrics/serving.rs
+++ b/src/metrics/serving.rs
@@ -27,6 +27,7 @@
     unreadable: Family<CauseLabel, Counter>,
     ends_under_requests: Family<CauseLabel, Counter>,
     limits: Family<CauseLabel, Counter>,
+    permits: Family<CauseLabel, Counter>,
     first_event: Histogram,
     between_events: Histogram,
     whole_request: Histogram,
@@ -47,6 +48,7 @@
             unreadable: Family::default(),
             ends_under_requests: Family::default(),
             limits: Family::default(),
+            permits: Family::default(),
             first_event: latency_histogram(),
             between_events: latency_histogram(),
             whole_request: latency_histogram(),
@@ -105,6 +107,11 @@
                 "Limits that targets named, by what was said",
                 &self.limits,
             ),
+            (
+                "permits",
+                "Questions for permits to send to targets with limits, by answer",
+                &self.permits,
+            ),
         ];
         for (name, help, family) in families {
             self.registry.register(name, help, family.clone());
@@ -196,6 +203,11 @@
         count(&self.limits, what);
     }
 
+    /// Counts a question for permits, or a request that was refused for want of one.
+    pub fn permit(&self, answer: &'static str) {
+        count(&self.permits, answer);
+    }
+
     /// Observes a call to the log service.
     pub fn store_called(&self, topic: &'static str, took: Duration, answered: bool) {
         match answered {
--- a/src/peer/convert.rs
+++ b/src/peer/convert.rs
@@ -1,6 +1,7 @@
 //! Translation between the messages of peers and their encoding.
 
 mod claim;
+mod permits;
 mod view;
 
 use std::net::SocketAddr;
@@ -8,6 +9,9 @@
 use std::time::Duration;
 
 pub(super) use claim::{read_outcome, read_question, write_outcome, write_question};
+pub(super) use permits::{
+    read_permit_answer, read_permit_question, write_permit_answer, write_permit_question,
+};
 pub(super) use view::{
     read_follow_answer, read_follow_question, read_view, write_follow_answer,
     write_follow_question, write_view,
@@ -43,6 +47,11 @@
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
+/// Up to 49 days; the largest number stands for all longer times.
+fn short_milliseconds(time: Duration) -> u32 {
+    u32::try_from(milliseconds(time)).unwrap_or(u32::MAX)
+}
+
 /// Zero stands for "none": no lease record has offset zero in this encoding,
 /// because offsets are written with one added.
 fn write_offset(offset: Option<LogOffset>) -> u64 {
--- /dev/null
+++ b/src/peer/convert/permits.rs
@@ -0,0 +1,136 @@
+//! Conversions of what hosts tell and ask each other about limits of targets.
+
+use std::time::Duration;
+
+use super::{length, short_milliseconds, text};
+use crate::peer_capnp as wire;
+use crate::permits::{LimitListing, LimitWord, PermitAnswer, PermitQuestion, RateLimit};
+use crate::spread::ListingBounds;
+
+/// Stands for a limit that is over, in the place of its rate.
+const NO_LIMIT: f64 = -1.0;
+
+/// Encodes words on limits.
+pub(super) fn write_limits(mut builder: wire::limit_listing::Builder<'_>, listing: &LimitListing) {
+    builder.set_from(listing.bounds.from);
+    builder.set_to(listing.bounds.to);
+    builder.set_seen_to(listing.bounds.seen_to);
+    if listing.words.is_empty() {
+        return;
+    }
+    let mut words = builder.init_words(length(listing.words.len()));
+    for (index, word) in (0..).zip(&listing.words) {
+        write_word(words.reborrow().get(index), word);
+    }
+}
+
+/// Decodes words on limits.
+pub(super) fn read_limits(reader: wire::limit_listing::Reader<'_>) -> capnp::Result<LimitListing> {
+    Ok(LimitListing {
+        bounds: ListingBounds {
+            from: reader.get_from(),
+            to: reader.get_to(),
+            seen_to: reader.get_seen_to(),
+        },
+        words: reader.get_words()?.iter().map(read_word).collect(),
+    })
+}
+
+fn write_word(mut builder: wire::limit_word::Builder<'_>, word: &LimitWord) {
+    builder.set_target(word.target);
+    builder.set_per_second(word.rate.map_or(NO_LIMIT, RateLimit::per_second));
+    builder.set_sent_age_ms(short_milliseconds(word.sent_age));
+    builder.set_heard_age_ms(short_milliseconds(word.heard_age));
+}
+
+fn read_word(reader: wire::limit_word::Reader<'_>) -> LimitWord {
+    LimitWord {
+        target: reader.get_target(),
+        rate: RateLimit::new(reader.get_per_second()),
+        sent_age: Duration::from_millis(reader.get_sent_age_ms().into()),
+        heard_age: Duration::from_millis(reader.get_heard_age_ms().into()),
+    }
+}
+
+/// Encodes a question for permits.
+pub(in crate::peer) fn write_permit_question(
+    mut builder: wire::permit_question::Builder<'_>,
+    question: &PermitQuestion,
+) {
+    builder.set_host(&*question.host);
+    builder.set_zone(&*question.zone);
+    write_word(builder.reborrow().init_limit(), &question.limit);
+    builder.set_wanted(question.wanted);
+    builder.set_patience_ms(short_milliseconds(question.patience));
+    let mut unpermitted = builder.init_unpermitted(length(question.unpermitted.len()));
+    for (index, sends) in (0..).zip(&question.unpermitted) {
+        unpermitted.set(index, *sends);
+    }
+}
+
+/// Decodes a question for permits.
+///
+/// # Errors
+/// If a text is not UTF-8.
+pub(in crate::peer) fn read_permit_question(
+    reader: wire::permit_question::Reader<'_>,
+) -> capnp::Result<PermitQuestion> {
+    Ok(PermitQuestion {
+        host: text(reader.get_host())?,
+        zone: text(reader.get_zone())?,
+        limit: read_word(reader.get_limit()?),
+        wanted: reader.get_wanted(),
+        patience: Duration::from_millis(reader.get_patience_ms().into()),
+        unpermitted: reader.get_unpermitted()?.iter().collect(),
+    })
+}
+
+/// Encodes the answer to a question for permits.
+pub(in crate::peer) fn write_permit_answer(
+    mut builder: wire::permit_answer::Builder<'_>,
+    answer: PermitAnswer,
+) {
+    match answer {
+        PermitAnswer::Granted {
+            permits,
+            delay,
+            spacing,
+        } => {
+            let mut granted = builder.init_granted();
+            granted.set_permits(permits);
+            granted.set_delay_us(short_microseconds(delay));
+            granted.set_spacing_us(short_microseconds(spacing));
+        }
+        PermitAnswer::Withheld { retry_after } => {
+            builder.set_withheld_ms(short_milliseconds(retry_after));
+        }
+        PermitAnswer::Unlimited => builder.set_unlimited(()),
+    }
+}
+
+/// Decodes the answer to a question for permits.
+///
+/// # Errors
+/// If the answer is of a kind that this version does not know.
+pub(in crate::peer) fn read_permit_answer(
+    reader: wire::permit_answer::Reader<'_>,
+) -> capnp::Result<PermitAnswer> {
+    use wire::permit_answer::Which;
+    let microseconds = |count: u32| Duration::from_micros(count.into());
+    Ok(match reader.which()? {
+        Which::Granted(granted) => PermitAnswer::Granted {
+            permits: granted.get_permits(),
+            delay: microseconds(granted.get_delay_us()),
+            spacing: microseconds(granted.get_spacing_us()),
+        },
+        Which::WithheldMs(withheld) => PermitAnswer::Withheld {
+            retry_after: Duration::from_millis(withheld.into()),
+        },
+        Which::Unlimited(()) => PermitAnswer::Unlimited,
+    })
+}
+
+/// Up to 71 minutes; the largest number stands for all longer times.
+fn short_microseconds(time: Duration) -> u32 {
+    u32::try_from(time.as_micros()).unwrap_or(u32::MAX)
+}
--- a/src/peer/convert/view.rs
+++ b/src/peer/convert/view.rs
@@ -4,14 +4,17 @@
 
 use bytes::Bytes;
 
-use super::{address, length, milliseconds, text};
+use super::permits::{read_limits, write_limits};
+use super::{address, length, milliseconds, short_milliseconds, text};
 use crate::fleet::{TargetLoad, TargetUse, UseScope, ZoneUses};
 use crate::peer::view::{
     FollowAnswer, FollowQuestion, FollowedLog, HostListing, HostView, KnownHost, LogAges,
     SeenListing, TargetChange, ZoneCount,
 };
 use crate::peer_capnp as wire;
+use crate::permits::LimitListing;
 use crate::poison::{PoisonEvent, PoisonListing, PoisonNote};
+use crate::spread::ListingBounds;
 
 /// Stands for a request that was survived, in the place of a target's key.
 const SURVIVED: u64 = 0;
@@ -46,6 +49,9 @@
     builder.set_log_since_ms(view.log.map_or(0, |log| short_milliseconds(log.since)));
     builder.set_log_read_ms(view.log.map_or(0, |log| short_milliseconds(log.read)));
     write_poison(builder.reborrow().init_poison(), &view.poison);
+    if view.limits != LimitListing::default() {
+        write_limits(builder.reborrow().init_limits(), &view.limits);
+    }
     let mut counts = builder.init_counts(length(view.counts.len()));
     for (index, count) in (0..).zip(&view.counts) {
         let mut entry = counts.reborrow().get(index);
@@ -85,6 +91,7 @@
         log: read_ages(reader.get_log_since_ms(), reader.get_log_read_ms())
             .map(|(since, read)| LogAges { since, read }),
         poison: read_poison(reader.get_poison()?)?,
+        limits: read_limits(reader.get_limits()?)?,
     })
 }
 
@@ -173,9 +180,9 @@
 
 /// One list for each field, as in [`write_uses`].
 fn write_poison(mut builder: wire::poison_listing::Builder<'_>, listing: &PoisonListing) {
-    builder.set_from(listing.from);
-    builder.set_to(listing.to);
-    builder.set_seen_to(listing.seen_to);
+    builder.set_from(listing.bounds.from);
+    builder.set_to(listing.bounds.to);
+    builder.set_seen_to(listing.bounds.seen_to);
     let count = length(listing.notes.len());
     if count == 0 {
         return;
@@ -198,11 +205,6 @@
     }
 }
 
-/// Up to 49 days; the largest number stands for all longer times.
-fn short_milliseconds(time: Duration) -> u32 {
-    u32::try_from(milliseconds(time)).unwrap_or(u32::MAX)
-}
-
 fn read_poison(reader: wire::poison_listing::Reader<'_>) -> capnp::Result<PoisonListing> {
     let requests = reader.get_requests()?;
     let (targets, ages) = (reader.get_targets()?, reader.get_ages_ms()?);
@@ -219,10 +221,12 @@
         age: Duration::from_millis(ages.get(index).into()),
     });
     Ok(PoisonListing {
-        from: reader.get_from(),
-        to: reader.get_to(),
+        bounds: ListingBounds {
+            from: reader.get_from(),
+            to: reader.get_to(),
+            seen_to: reader.get_seen_to(),
+        },
         notes: notes.collect(),
-        seen_to: reader.get_seen_to(),
     })
 }
 
--- a/src/peer/handle.rs
+++ b/src/peer/handle.rs
@@ -15,6 +15,7 @@
 use super::traffic::PeerTraffic;
 use super::view::{FollowAnswer, FollowQuestion, HostView};
 use super::worker::{self, AnswerSender, PeerCommand};
+use crate::permits::{PermitAnswer, PermitQuestion};
 
 /// Calls that may wait for the thread of the RPC library.
 const COMMAND_CAPACITY: usize = 1024;
@@ -181,6 +182,26 @@
         .await
     }
 
+    /// Asks an entry host for permits; waits up to `wait` for the answer.
+    ///
+    /// # Errors
+    /// No connection, no answer in time, or the call failed.
+    pub async fn permit(
+        &self,
+        address: SocketAddr,
+        question: PermitQuestion,
+        wait: Duration,
+    ) -> Result<PermitAnswer, PeerError> {
+        let question = Box::new(question);
+        self.ask(|answer| PeerCommand::Permit {
+            address,
+            question,
+            wait,
+            answer,
+        })
+        .await
+    }
+
     /// Closes all connections and waits until the thread has let go of them.
     pub async fn shutdown(&self) {
         let (done, ended) = oneshot::channel();
--- a/src/peer/handlers.rs
+++ b/src/peer/handlers.rs
@@ -9,6 +9,7 @@
     ClaimOutcome, ClaimQuestion, PeerHeartbeat, PeerReply, RecordsQuestion, RelayedRange,
 };
 use super::view::{FollowAnswer, FollowQuestion, HostView};
+use crate::permits::{PermitAnswer, PermitQuestion};
 
 /// Functions that answer incoming calls.
 ///
@@ -41,6 +42,8 @@
     pub exchange: Arc<dyn Fn(HostView) -> HostView + Send + Sync>,
     /// Passes on what is read from the platform's log; waits a little for news.
     pub follow: Arc<dyn Fn(FollowQuestion) -> BoxFuture<'static, FollowAnswer> + Send + Sync>,
+    /// Hands out permits for a target.
+    pub permit: Arc<dyn Fn(PermitQuestion) -> PermitAnswer + Send + Sync>,
 }
 
 /// Which calls a listener answers.
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -94,6 +94,17 @@
         convert::write_follow_answer(results.get().init_answer(), &answer);
         Ok(())
     }
+
+    async fn permit(
+        self: CapabilityRc<Self>,
+        params: peer::PermitParams,
+        mut results: peer::PermitResults,
+    ) -> capnp::Result<()> {
+        let question = convert::read_permit_question(params.get()?.get_question()?)?;
+        let answer = (self.handlers.entry()?.permit)(question);
+        convert::write_permit_answer(results.get().init_answer(), answer);
+        Ok(())
+    }
 }
 
 /// Bounds on what is read from a peer: a longer message fails its connection
--- a/src/peer/worker.rs
+++ b/src/peer/worker.rs
@@ -22,6 +22,7 @@
 use super::traffic::PeerTraffic;
 use super::view::{FollowAnswer, FollowQuestion, HostView};
 use crate::peer_capnp::peer;
+use crate::permits::{PermitAnswer, PermitQuestion};
 
 /// Where the answer to a command goes.
 pub(super) type AnswerSender<T> = oneshot::Sender<Result<T, PeerError>>;
@@ -60,6 +61,13 @@
         wait: Duration,
         answer: AnswerSender<FollowAnswer>,
     },
+    /// Ask an entry host for permits.
+    Permit {
+        address: SocketAddr,
+        question: Box<PermitQuestion>,
+        wait: Duration,
+        answer: AnswerSender<PermitAnswer>,
+    },
     /// End the thread.
     Shutdown { done: oneshot::Sender<()> },
 }
@@ -178,6 +186,20 @@
                 .await;
             finish(table, called, answer);
         }
+        PeerCommand::Permit {
+            address,
+            question,
+            wait,
+            answer,
+        } => {
+            let link = table.link(address);
+            let called = link
+                .call(CallLimit::KeepLink(wait), |client| {
+                    send_permit(client, &question)
+                })
+                .await;
+            finish(table, called, answer);
+        }
         PeerCommand::Shutdown { .. } => {}
     }
 }
@@ -239,3 +261,13 @@
     let response = request.send().promise;
     async move { convert::read_follow_answer(response.await?.get()?.get_answer()?) }
 }
+
+fn send_permit(
+    client: &peer::Client,
+    question: &PermitQuestion,
+) -> impl Future<Output = capnp::Result<PermitAnswer>> + use<> {
+    let mut request = client.permit_request();
+    convert::write_permit_question(request.get().init_question(), question);
+    let response = request.send().promise;
+    async move { convert::read_permit_answer(response.await?.get()?.get_answer()?) }
+}
--- a/src/peer_capnp.rs
+++ b/src/peer_capnp.rs
@@ -5046,11 +5046,19 @@
         pub fn get_log_read_ms(self) -> u32 {
             self.reader.get_data_field::<u32>(17)
         }
+        #[inline]
+        pub fn get_limits(self) -> ::capnp::Result<crate::peer_capnp::limit_listing::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(7), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_limits(&self) -> bool {
+            !self.reader.get_pointer_field(7).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 9, pointers: 7 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 9, pointers: 8 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5308,6 +5316,22 @@
         pub fn set_log_read_ms(&mut self, value: u32)  {
             self.builder.set_data_field::<u32>(17, value);
         }
+        #[inline]
+        pub fn get_limits(self) -> ::capnp::Result<crate::peer_capnp::limit_listing::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(7), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_limits(&mut self, value: crate::peer_capnp::limit_listing::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(7), value, false)
+        }
+        #[inline]
+        pub fn init_limits(self, ) -> crate::peer_capnp::limit_listing::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(7), 0)
+        }
+        #[inline]
+        pub fn has_limits(&self) -> bool {
+            !self.builder.is_pointer_field_null(7)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -5323,159 +5347,169 @@
         pub fn get_poison(&self) -> crate::peer_capnp::poison_listing::Pipeline {
             ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(6))
         }
+        pub fn get_limits(&self) -> crate::peer_capnp::limit_listing::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(7))
+        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 321] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 336] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(43, 126, 184, 187, 224, 209, 11, 253),
             ::capnp::word(11, 0, 0, 0, 1, 0, 9, 0),
             ::capnp::word(136, 151, 230, 179, 164, 245, 193, 210),
-            ::capnp::word(7, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 47, 4, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 103, 4, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 72, 111, 115, 116, 86),
             ::capnp::word(105, 101, 119, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(76, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(80, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(33, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(37, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(41, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(45, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(53, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 2, 0, 0, 170, 0, 0, 0),
+            ::capnp::word(61, 2, 0, 0, 170, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(73, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(81, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(76, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(85, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(80, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(89, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(109, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(92, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(89, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(117, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 2, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(125, 2, 0, 0, 130, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(133, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(137, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(157, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(165, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(17, 0, 0, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(169, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(18, 0, 0, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(177, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(19, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 19, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(185, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(180, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(104, 111, 115, 116, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5647,6 +5681,14 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 109, 105, 116, 115, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(32, 122, 239, 90, 236, 72, 25, 183),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -5669,6 +5711,7 @@
                 16 => <crate::peer_capnp::poison_listing::Owned as ::capnp::introspect::Introspect>::introspect(),
                 17 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 18 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                19 => <crate::peer_capnp::limit_listing::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5682,14 +5725,14 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,5,14,0,9,3,10,11,18,17,16,7,12,15,13,4,6,8,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,5,14,0,9,3,19,10,11,18,17,16,7,12,15,13,4,6,8,1];
         pub(crate) const TYPE_ID: u64 = 0xfd0b_d1e0_bbb8_7e2b;
     }
 }
 
-pub mod poison_listing {
+pub mod limit_listing {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -5763,34 +5806,18 @@
             self.reader.get_data_field::<u64>(2)
         }
         #[inline]
-        pub fn get_requests(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u64>> {
+        pub fn get_words(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::limit_word::Owned>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_requests(&self) -> bool {
+        pub fn has_words(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
-        #[inline]
-        pub fn get_targets(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u64>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn has_targets(&self) -> bool {
-            !self.reader.get_pointer_field(1).is_null()
-        }
-        #[inline]
-        pub fn get_ages_ms(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u32>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn has_ages_ms(&self) -> bool {
-            !self.reader.get_pointer_field(2).is_null()
-        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 3 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 1 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5865,53 +5892,21 @@
             self.builder.set_data_field::<u64>(2, value);
         }
         #[inline]
-        pub fn get_requests(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u64>> {
+        pub fn get_words(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::limit_word::Owned>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_requests(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>) -> ::capnp::Result<()> {
+        pub fn set_words(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::limit_word::Owned>) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
         }
         #[inline]
-        pub fn init_requests(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u64> {
+        pub fn init_words(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::limit_word::Owned> {
             ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
         }
         #[inline]
-        pub fn has_requests(&self) -> bool {
+        pub fn has_words(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
-        #[inline]
-        pub fn get_targets(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u64>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn set_targets(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
-        }
-        #[inline]
-        pub fn init_targets(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u64> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
-        }
-        #[inline]
-        pub fn has_targets(&self) -> bool {
-            !self.builder.is_pointer_field_null(1)
-        }
-        #[inline]
-        pub fn get_ages_ms(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u32>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn set_ages_ms(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u32>>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
-        }
-        #[inline]
-        pub fn init_ages_ms(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u32> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
-        }
-        #[inline]
-        pub fn has_ages_ms(&self) -> bool {
-            !self.builder.is_pointer_field_null(2)
-        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -5923,67 +5918,52 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 121] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 81] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(140, 157, 158, 178, 39, 84, 99, 230),
+            ::capnp::word(32, 122, 239, 90, 236, 72, 25, 183),
             ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(136, 151, 230, 179, 164, 245, 193, 210),
-            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
-            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 80, 111, 105, 115, 111),
-            ::capnp::word(110, 76, 105, 115, 116, 105, 110, 103),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 112, 58, 76, 105, 109, 105, 116),
+            ::capnp::word(76, 105, 115, 116, 105, 110, 103, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(101, 0, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 0, 0, 0, 74, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 0, 0, 0, 66, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -6008,38 +5988,13 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(114, 101, 113, 117, 101, 115, 116, 115),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 97, 114, 103, 101, 116, 115, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 103, 101, 115, 77, 115, 0, 0),
+            ::capnp::word(119, 111, 114, 100, 115, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(189, 192, 56, 98, 117, 233, 208, 137),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
@@ -6051,9 +6006,7 @@
                 0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                3 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
-                4 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
-                5 => <::capnp::primitive_list::Owned<u32> as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::struct_list::Owned<crate::peer_capnp::limit_word::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -6067,14 +6020,14 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,0,3,2,4,1];
-        pub(crate) const TYPE_ID: u64 = 0xe663_5427_b29e_9d8c;
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1,3];
+        pub(crate) const TYPE_ID: u64 = 0xb719_48ec_5aef_7a20;
     }
 }
 
-pub mod target_change {
+pub mod limit_word {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -6127,7 +6080,7 @@
         }
     }
 
-    impl <'a,> Reader<'a,>  {
+    impl <> Reader<'_,>  {
         pub fn reborrow(&self) -> Reader<'_,> {
             Self { .. *self }
         }
@@ -6136,34 +6089,26 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_id(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn has_id(&self) -> bool {
-            !self.reader.get_pointer_field(0).is_null()
-        }
-        #[inline]
-        pub fn get_value(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        pub fn get_target(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn has_value(&self) -> bool {
-            !self.reader.get_pointer_field(1).is_null()
+        pub fn get_per_second(self) -> f64 {
+            self.reader.get_data_field::<f64>(1)
         }
         #[inline]
-        pub fn get_offset(self) -> u64 {
-            self.reader.get_data_field::<u64>(0)
+        pub fn get_sent_age_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(4)
         }
         #[inline]
-        pub fn get_dropped_at(self) -> u64 {
-            self.reader.get_data_field::<u64>(1)
+        pub fn get_heard_age_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(5)
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 0 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -6214,52 +6159,36 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_id(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn set_id(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
-        }
-        #[inline]
-        pub fn init_id(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(0).init_text(size)
-        }
-        #[inline]
-        pub fn has_id(&self) -> bool {
-            !self.builder.is_pointer_field_null(0)
-        }
-        #[inline]
-        pub fn get_value(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        pub fn get_target(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn set_value(&mut self, value: ::capnp::data::Reader<'_>)  {
-            self.builder.reborrow().get_pointer_field(1).set_data(value);
+        pub fn set_target(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn init_value(self, size: u32) -> ::capnp::data::Builder<'a> {
-            self.builder.get_pointer_field(1).init_data(size)
+        pub fn get_per_second(self) -> f64 {
+            self.builder.get_data_field::<f64>(1)
         }
         #[inline]
-        pub fn has_value(&self) -> bool {
-            !self.builder.is_pointer_field_null(1)
+        pub fn set_per_second(&mut self, value: f64)  {
+            self.builder.set_data_field::<f64>(1, value);
         }
         #[inline]
-        pub fn get_offset(self) -> u64 {
-            self.builder.get_data_field::<u64>(0)
+        pub fn get_sent_age_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(4)
         }
         #[inline]
-        pub fn set_offset(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(0, value);
+        pub fn set_sent_age_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(4, value);
         }
         #[inline]
-        pub fn get_dropped_at(self) -> u64 {
-            self.builder.get_data_field::<u64>(1)
+        pub fn get_heard_age_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(5)
         }
         #[inline]
-        pub fn set_dropped_at(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(1, value);
+        pub fn set_heard_age_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(5, value);
         }
     }
 
@@ -6272,92 +6201,94 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 80] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(31, 80, 71, 169, 208, 84, 28, 137),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(189, 192, 56, 98, 117, 233, 208, 137),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(136, 151, 230, 179, 164, 245, 193, 210),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 84, 97, 114, 103, 101),
-            ::capnp::word(116, 67, 104, 97, 110, 103, 101, 0),
+            ::capnp::word(110, 112, 58, 76, 105, 109, 105, 116),
+            ::capnp::word(87, 111, 114, 100, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 0, 0, 0, 50, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(101, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(2, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(109, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(3, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 97, 114, 103, 101, 116, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(118, 97, 108, 117, 101, 0, 0, 0),
-            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 114, 83, 101, 99, 111, 110),
+            ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(111, 102, 102, 115, 101, 116, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 110, 116, 65, 103, 101, 77),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 114, 111, 112, 112, 101, 100, 65),
-            ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 101, 97, 114, 100, 65, 103, 101),
+            ::capnp::word(77, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
-                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <f64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -6373,12 +6304,12 @@
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,0,2,1];
-        pub(crate) const TYPE_ID: u64 = 0x891c_54d0_a947_501f;
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,1,2,0];
+        pub(crate) const TYPE_ID: u64 = 0x89d0_e975_6238_c0bd;
     }
 }
 
-pub mod zone_uses {
+pub mod permit_question {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -6440,26 +6371,50 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_zone(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+        pub fn get_host(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_zone(&self) -> bool {
+        pub fn has_host(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_uses(self) -> ::capnp::Result<crate::peer_capnp::target_uses::Reader<'a>> {
+        pub fn get_zone(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_uses(&self) -> bool {
+        pub fn has_zone(&self) -> bool {
             !self.reader.get_pointer_field(1).is_null()
         }
+        #[inline]
+        pub fn get_limit(self) -> ::capnp::Result<crate::peer_capnp::limit_word::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_limit(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
+        #[inline]
+        pub fn get_wanted(self) -> u32 {
+            self.reader.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn get_patience_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn get_unpermitted(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u16>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_unpermitted(&self) -> bool {
+            !self.reader.get_pointer_field(3).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 4 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -6510,37 +6465,85 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_zone(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+        pub fn get_host(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_zone(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+        pub fn set_host(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
         }
         #[inline]
-        pub fn init_zone(self, size: u32) -> ::capnp::text::Builder<'a> {
+        pub fn init_host(self, size: u32) -> ::capnp::text::Builder<'a> {
             self.builder.get_pointer_field(0).init_text(size)
         }
         #[inline]
-        pub fn has_zone(&self) -> bool {
+        pub fn has_host(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn get_uses(self) -> ::capnp::Result<crate::peer_capnp::target_uses::Builder<'a>> {
+        pub fn get_zone(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_uses(&mut self, value: crate::peer_capnp::target_uses::Reader<'_>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        pub fn set_zone(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
         }
         #[inline]
-        pub fn init_uses(self, ) -> crate::peer_capnp::target_uses::Builder<'a> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
+        pub fn init_zone(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(1).init_text(size)
         }
         #[inline]
-        pub fn has_uses(&self) -> bool {
+        pub fn has_zone(&self) -> bool {
             !self.builder.is_pointer_field_null(1)
         }
+        #[inline]
+        pub fn get_limit(self) -> ::capnp::Result<crate::peer_capnp::limit_word::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_limit(&mut self, value: crate::peer_capnp::limit_word::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+        }
+        #[inline]
+        pub fn init_limit(self, ) -> crate::peer_capnp::limit_word::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), 0)
+        }
+        #[inline]
+        pub fn has_limit(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
+        #[inline]
+        pub fn get_wanted(self) -> u32 {
+            self.builder.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn set_wanted(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(0, value);
+        }
+        #[inline]
+        pub fn get_patience_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn set_patience_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(1, value);
+        }
+        #[inline]
+        pub fn get_unpermitted(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u16>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_unpermitted(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u16>>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
+        }
+        #[inline]
+        pub fn init_unpermitted(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u16> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
+        }
+        #[inline]
+        pub fn has_unpermitted(&self) -> bool {
+            !self.builder.is_pointer_field_null(3)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -6550,43 +6553,80 @@
         }
     }
     impl Pipeline  {
-        pub fn get_uses(&self) -> crate::peer_capnp::target_uses::Pipeline {
-            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(1))
+        pub fn get_limit(&self) -> crate::peer_capnp::limit_word::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(2))
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 114] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(233, 160, 93, 126, 136, 139, 80, 180),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(216, 189, 240, 109, 24, 105, 210, 237),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(136, 151, 230, 179, 164, 245, 193, 210),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 87, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 90, 111, 110, 101, 85),
-            ::capnp::word(115, 101, 115, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 112, 58, 80, 101, 114, 109, 105),
+            ::capnp::word(116, 81, 117, 101, 115, 116, 105, 111),
+            ::capnp::word(110, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(169, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(177, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 111, 115, 116, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(122, 111, 110, 101, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -6595,19 +6635,53 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 115, 101, 115, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 109, 105, 116, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 52, 116, 232, 150, 189, 147, 253),
+            ::capnp::word(189, 192, 56, 98, 117, 233, 208, 137),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 97, 110, 116, 101, 100, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 97, 116, 105, 101, 110, 99, 101),
+            ::capnp::word(77, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 110, 112, 101, 114, 109, 105, 116),
+            ::capnp::word(116, 101, 100, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <crate::peer_capnp::target_uses::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <crate::peer_capnp::limit_word::Owned as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <::capnp::primitive_list::Owned<u16> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -6621,14 +6695,16 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
-        pub(crate) const TYPE_ID: u64 = 0xb450_8b88_7e5d_a0e9;
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,4,5,3,1];
+        pub(crate) const TYPE_ID: u64 = 0xedd2_6918_6df0_bdd8;
     }
 }
 
-pub mod follow_question {
+pub mod permit_answer {
+    pub use self::Which::{Granted,WithheldMs,Unlimited};
+
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -6681,7 +6757,7 @@
         }
     }
 
-    impl <> Reader<'_,>  {
+    impl <'a,> Reader<'a,>  {
         pub fn reborrow(&self) -> Reader<'_,> {
             Self { .. *self }
         }
@@ -6690,30 +6766,31 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_configuration_version(self) -> u64 {
-            self.reader.get_data_field::<u64>(0)
-        }
-        #[inline]
-        pub fn get_incarnation(self) -> u64 {
-            self.reader.get_data_field::<u64>(1)
-        }
-        #[inline]
-        pub fn get_from(self) -> u64 {
-            self.reader.get_data_field::<u64>(2)
-        }
-        #[inline]
-        pub fn get_hold_ms(self) -> u32 {
-            self.reader.get_data_field::<u32>(6)
-        }
-        #[inline]
-        pub fn get_wants_remote(self) -> bool {
-            self.reader.get_bool_field(224)
+        pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
+            match self.reader.get_data_field::<u16>(6) {
+                0 => {
+                    ::core::result::Result::Ok(Granted(
+                        self.reader.into()
+                    ))
+                }
+                1 => {
+                    ::core::result::Result::Ok(WithheldMs(
+                        self.reader.get_data_field::<u32>(2)
+                    ))
+                }
+                2 => {
+                    ::core::result::Result::Ok(Unlimited(
+                        ()
+                    ))
+                }
+                x => ::core::result::Result::Err(::capnp::NotInSchema(x))
+            }
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 0 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -6764,44 +6841,42 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_configuration_version(self) -> u64 {
-            self.builder.get_data_field::<u64>(0)
-        }
-        #[inline]
-        pub fn set_configuration_version(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(0, value);
-        }
-        #[inline]
-        pub fn get_incarnation(self) -> u64 {
-            self.builder.get_data_field::<u64>(1)
-        }
-        #[inline]
-        pub fn set_incarnation(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(1, value);
-        }
-        #[inline]
-        pub fn get_from(self) -> u64 {
-            self.builder.get_data_field::<u64>(2)
-        }
-        #[inline]
-        pub fn set_from(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(2, value);
-        }
-        #[inline]
-        pub fn get_hold_ms(self) -> u32 {
-            self.builder.get_data_field::<u32>(6)
+        pub fn init_granted(self, ) -> crate::peer_capnp::permit_answer::granted::Builder<'a> {
+            self.builder.set_data_field::<u16>(6, 0);
+            self.builder.set_data_field::<u32>(0, 0u32);
+            self.builder.set_data_field::<u32>(1, 0u32);
+            self.builder.set_data_field::<u32>(2, 0u32);
+            self.builder.into()
         }
         #[inline]
-        pub fn set_hold_ms(&mut self, value: u32)  {
-            self.builder.set_data_field::<u32>(6, value);
+        pub fn set_withheld_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u16>(6, 1);
+            self.builder.set_data_field::<u32>(2, value);
         }
         #[inline]
-        pub fn get_wants_remote(self) -> bool {
-            self.builder.get_bool_field(224)
+        pub fn set_unlimited(&mut self, _value: ())  {
+            self.builder.set_data_field::<u16>(6, 2);
         }
         #[inline]
-        pub fn set_wants_remote(&mut self, value: bool)  {
-            self.builder.set_bool_field(224, value);
+        pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
+            match self.builder.get_data_field::<u16>(6) {
+                0 => {
+                    ::core::result::Result::Ok(Granted(
+                        self.builder.into()
+                    ))
+                }
+                1 => {
+                    ::core::result::Result::Ok(WithheldMs(
+                        self.builder.get_data_field::<u32>(2)
+                    ))
+                }
+                2 => {
+                    ::core::result::Result::Ok(Unlimited(
+                        ()
+                    ))
+                }
+                x => ::core::result::Result::Err(::capnp::NotInSchema(x))
+            }
         }
     }
 
@@ -6814,112 +6889,70 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 97] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 57] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(157, 5, 99, 25, 151, 57, 177, 209),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(127, 108, 183, 22, 83, 9, 227, 184),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(136, 151, 230, 179, 164, 245, 193, 210),
-            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
-            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 3, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 70, 111, 108, 108, 111),
-            ::capnp::word(119, 81, 117, 101, 115, 116, 105, 111),
-            ::capnp::word(110, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 112, 58, 80, 101, 114, 109, 105),
+            ::capnp::word(116, 65, 110, 115, 119, 101, 114, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 170, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(244, 35, 248, 219, 201, 49, 229, 152),
+            ::capnp::word(69, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(1, 0, 254, 255, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(4, 0, 0, 0, 224, 0, 0, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 98, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(99, 111, 110, 102, 105, 103, 117, 114),
-            ::capnp::word(97, 116, 105, 111, 110, 86, 101, 114),
-            ::capnp::word(115, 105, 111, 110, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
-            ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(53, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(52, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(103, 114, 97, 110, 116, 101, 100, 0),
+            ::capnp::word(119, 105, 116, 104, 104, 101, 108, 100),
+            ::capnp::word(77, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 111, 108, 100, 77, 115, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 110, 108, 105, 109, 105, 116, 101),
+            ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(119, 97, 110, 116, 115, 82, 101, 109),
-            ::capnp::word(111, 116, 101, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                4 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                0 => <crate::peer_capnp::permit_answer::granted::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <() as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -6933,135 +6966,374 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,3,1,4];
-        pub(crate) const TYPE_ID: u64 = 0xd1b1_3997_1963_059d;
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1];
+        pub(crate) const TYPE_ID: u64 = 0xb8e3_0953_16b7_6c7f;
     }
-}
+    pub enum Which<A0> {
+        Granted(A0),
+        WithheldMs(u32),
+        Unlimited(()),
+    }
+    pub type WhichReader<'a,> = Which<crate::peer_capnp::permit_answer::granted::Reader<'a>>;
+    pub type WhichBuilder<'a,> = Which<crate::peer_capnp::permit_answer::granted::Builder<'a>>;
 
-pub mod follow_answer {
-    #[derive(Copy, Clone)]
-    pub struct Owned(());
-    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
-    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+    pub mod granted {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
 
-    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
-    impl <> ::core::marker::Copy for Reader<'_,>  {}
-    impl <> ::core::clone::Clone for Reader<'_,>  {
-        fn clone(&self) -> Self { *self }
-    }
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
 
-    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
-        const TYPE_ID: u64 = _private::TYPE_ID;
-    }
-    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
-        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
-            Self { reader,  }
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
         }
-    }
 
-    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
-        fn from(reader: Reader<'a,>) -> Self {
-            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
         }
-    }
 
-    impl <> ::core::fmt::Debug for Reader<'_,>  {
-        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
-            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
         }
-    }
 
-    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
-        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
         }
-    }
 
-    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
-        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
-            self.reader
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
         }
-    }
 
-    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
-        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
-            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
         }
-    }
 
-    impl <'a,> Reader<'a,>  {
-        pub fn reborrow(&self) -> Reader<'_,> {
-            Self { .. *self }
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_permits(self) -> u32 {
+                self.reader.get_data_field::<u32>(0)
+            }
+            #[inline]
+            pub fn get_delay_us(self) -> u32 {
+                self.reader.get_data_field::<u32>(1)
+            }
+            #[inline]
+            pub fn get_spacing_us(self) -> u32 {
+                self.reader.get_data_field::<u32>(2)
+            }
         }
 
-        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-            self.reader.total_size()
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
         }
-        #[inline]
-        pub fn get_incarnation(self) -> u64 {
-            self.reader.get_data_field::<u64>(0)
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
         }
-        #[inline]
-        pub fn get_fresh(self) -> bool {
-            self.reader.get_bool_field(64)
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
         }
-        #[inline]
-        pub fn get_configuration(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
         }
-        #[inline]
-        pub fn has_configuration(&self) -> bool {
-            !self.reader.get_pointer_field(0).is_null()
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
         }
-        #[inline]
-        pub fn get_whole(self) -> bool {
-            self.reader.get_bool_field(65)
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_permits(self) -> u32 {
+                self.builder.get_data_field::<u32>(0)
+            }
+            #[inline]
+            pub fn set_permits(&mut self, value: u32)  {
+                self.builder.set_data_field::<u32>(0, value);
+            }
+            #[inline]
+            pub fn get_delay_us(self) -> u32 {
+                self.builder.get_data_field::<u32>(1)
+            }
+            #[inline]
+            pub fn set_delay_us(&mut self, value: u32)  {
+                self.builder.set_data_field::<u32>(1, value);
+            }
+            #[inline]
+            pub fn get_spacing_us(self) -> u32 {
+                self.builder.get_data_field::<u32>(2)
+            }
+            #[inline]
+            pub fn set_spacing_us(&mut self, value: u32)  {
+                self.builder.set_data_field::<u32>(2, value);
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(244, 35, 248, 219, 201, 49, 229, 152),
+                ::capnp::word(24, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(127, 108, 183, 22, 83, 9, 227, 184),
+                ::capnp::word(0, 0, 7, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 80, 101, 114, 109, 105),
+                ::capnp::word(116, 65, 110, 115, 119, 101, 114, 46),
+                ::capnp::word(103, 114, 97, 110, 116, 101, 100, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(112, 101, 114, 109, 105, 116, 115, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(100, 101, 108, 97, 121, 85, 115, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 112, 97, 99, 105, 110, 103, 85),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2];
+            pub(crate) const TYPE_ID: u64 = 0x98e5_31c9_dbf8_23f4;
+        }
+    }
+}
+
+pub mod poison_listing {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
         }
         #[inline]
-        pub fn get_targets(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::target_change::Owned>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        pub fn get_from(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn has_targets(&self) -> bool {
-            !self.reader.get_pointer_field(1).is_null()
+        pub fn get_to(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn get_next(self) -> u64 {
+        pub fn get_seen_to(self) -> u64 {
             self.reader.get_data_field::<u64>(2)
         }
         #[inline]
-        pub fn get_remote(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::zone_uses::Owned>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        pub fn get_requests(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u64>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_remote(&self) -> bool {
-            !self.reader.get_pointer_field(2).is_null()
+        pub fn has_requests(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_read_to(self) -> u64 {
-            self.reader.get_data_field::<u64>(3)
+        pub fn get_targets(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u64>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
-        pub fn get_age_ms(self) -> u64 {
-            self.reader.get_data_field::<u64>(4)
+        pub fn has_targets(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
         }
         #[inline]
-        pub fn get_log_first_ms(self) -> u32 {
-            self.reader.get_data_field::<u32>(3)
+        pub fn get_ages_ms(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u32>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
         }
         #[inline]
-        pub fn get_log_read_ms(self) -> u32 {
-            self.reader.get_data_field::<u32>(10)
+        pub fn has_ages_ms(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 6, pointers: 3 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 3 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7112,55 +7384,55 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_incarnation(self) -> u64 {
+        pub fn get_from(self) -> u64 {
             self.builder.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn set_incarnation(&mut self, value: u64)  {
+        pub fn set_from(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn get_fresh(self) -> bool {
-            self.builder.get_bool_field(64)
+        pub fn get_to(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn set_fresh(&mut self, value: bool)  {
-            self.builder.set_bool_field(64, value);
+        pub fn set_to(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
         }
         #[inline]
-        pub fn get_configuration(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        pub fn get_seen_to(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
         }
         #[inline]
-        pub fn set_configuration(&mut self, value: ::capnp::data::Reader<'_>)  {
-            self.builder.reborrow().get_pointer_field(0).set_data(value);
+        pub fn set_seen_to(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
         }
         #[inline]
-        pub fn init_configuration(self, size: u32) -> ::capnp::data::Builder<'a> {
-            self.builder.get_pointer_field(0).init_data(size)
+        pub fn get_requests(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u64>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_configuration(&self) -> bool {
-            !self.builder.is_pointer_field_null(0)
-        }
+        pub fn set_requests(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
         #[inline]
-        pub fn get_whole(self) -> bool {
-            self.builder.get_bool_field(65)
+        pub fn init_requests(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u64> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
         }
         #[inline]
-        pub fn set_whole(&mut self, value: bool)  {
-            self.builder.set_bool_field(65, value);
+        pub fn has_requests(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn get_targets(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::target_change::Owned>> {
+        pub fn get_targets(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u64>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_targets(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::target_change::Owned>) -> ::capnp::Result<()> {
+        pub fn set_targets(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
         }
         #[inline]
-        pub fn init_targets(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::target_change::Owned> {
+        pub fn init_targets(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u64> {
             ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
         }
         #[inline]
@@ -7168,61 +7440,21 @@
             !self.builder.is_pointer_field_null(1)
         }
         #[inline]
-        pub fn get_next(self) -> u64 {
-            self.builder.get_data_field::<u64>(2)
-        }
-        #[inline]
-        pub fn set_next(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(2, value);
-        }
-        #[inline]
-        pub fn get_remote(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::zone_uses::Owned>> {
+        pub fn get_ages_ms(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u32>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_remote(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::zone_uses::Owned>) -> ::capnp::Result<()> {
+        pub fn set_ages_ms(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u32>>) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
         }
         #[inline]
-        pub fn init_remote(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::zone_uses::Owned> {
+        pub fn init_ages_ms(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u32> {
             ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
         }
         #[inline]
-        pub fn has_remote(&self) -> bool {
+        pub fn has_ages_ms(&self) -> bool {
             !self.builder.is_pointer_field_null(2)
         }
-        #[inline]
-        pub fn get_read_to(self) -> u64 {
-            self.builder.get_data_field::<u64>(3)
-        }
-        #[inline]
-        pub fn set_read_to(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(3, value);
-        }
-        #[inline]
-        pub fn get_age_ms(self) -> u64 {
-            self.builder.get_data_field::<u64>(4)
-        }
-        #[inline]
-        pub fn set_age_ms(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(4, value);
-        }
-        #[inline]
-        pub fn get_log_first_ms(self) -> u32 {
-            self.builder.get_data_field::<u32>(3)
-        }
-        #[inline]
-        pub fn set_log_first_ms(&mut self, value: u32)  {
-            self.builder.set_data_field::<u32>(3, value);
-        }
-        #[inline]
-        pub fn get_log_read_ms(self) -> u32 {
-            self.builder.get_data_field::<u32>(10)
-        }
-        #[inline]
-        pub fn set_log_read_ms(&mut self, value: u32)  {
-            self.builder.set_data_field::<u32>(10, value);
-        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -7234,103 +7466,68 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 194] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 121] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(0, 221, 239, 127, 25, 71, 230, 170),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 6, 0),
+            ::capnp::word(140, 157, 158, 178, 39, 84, 99, 230),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(136, 151, 230, 179, 164, 245, 193, 210),
             ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 111, 2, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 87, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 70, 111, 108, 108, 111),
-            ::capnp::word(119, 65, 110, 115, 119, 101, 114, 0),
+            ::capnp::word(110, 112, 58, 80, 111, 105, 115, 111),
+            ::capnp::word(110, 76, 105, 115, 116, 105, 110, 103),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 64, 0, 0, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 65, 0, 0, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 1, 0, 0, 42, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(85, 1, 0, 0, 58, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 1, 0, 0, 58, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 4, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 1, 0, 0, 50, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(9, 0, 0, 0, 3, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 1, 0, 0, 90, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(10, 0, 0, 0, 10, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
-            ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -7338,111 +7535,68 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(102, 114, 101, 115, 104, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 111, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(99, 111, 110, 102, 105, 103, 117, 114),
-            ::capnp::word(97, 116, 105, 111, 110, 0, 0, 0),
-            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 101, 110, 84, 111, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(119, 104, 111, 108, 101, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 113, 117, 101, 115, 116, 115),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 97, 114, 103, 101, 116, 115, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(31, 80, 71, 169, 208, 84, 28, 137),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(110, 101, 120, 116, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(114, 101, 109, 111, 116, 101, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 160, 93, 126, 136, 139, 80, 180),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 97, 114, 103, 101, 116, 115, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(114, 101, 97, 100, 84, 111, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 111, 103, 70, 105, 114, 115, 116),
-            ::capnp::word(77, 115, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 115, 77, 115, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 111, 103, 82, 101, 97, 100, 77),
-            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                1 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                2 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
-                3 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                4 => <::capnp::struct_list::Owned<crate::peer_capnp::target_change::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                6 => <::capnp::struct_list::Owned<crate::peer_capnp::zone_uses::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                7 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                8 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                9 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                10 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
+                4 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
+                5 => <::capnp::primitive_list::Owned<u32> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
