--- /dev/null
+++ b/standins/tests/limit_division/world.rs
@@ -0,0 +1,253 @@
+//! Hosts and limited targets in memory, with a simulated clock: what each host knows
+//! of the others comes late, and calls between them are lost.
+
+use std::time::{Duration, Instant};
+
+use jackdawwick::ids::HostId;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use standins::check::NamedLimit;
+
+use super::ways::{Division, SendVerdict, Way};
+
+const STEP: Duration = Duration::from_millis(5);
+/// Time until a host hears of another's end, and of its start: at least, at most.
+const END_HEARD: (u64, u64) = (1500, 2100);
+const START_HEARD: (u64, u64) = (100, 600);
+/// Time until a host that was told nothing by a target hears of its limit from others.
+const LIMIT_HEARD: (u64, u64) = (100, 700);
+/// Time from a request's arrival until the head of its answer is with the host.
+const HEAD_TIME: (u64, u64) = (50, 400);
+
+/// What a game is played with.
+#[derive(Debug, Clone)]
+pub(crate) struct Game {
+    pub(crate) way: Way,
+    pub(crate) hosts: usize,
+    pub(crate) targets: usize,
+    /// Requests a second that each target limits itself to.
+    pub(crate) per_second: f64,
+    /// Requests a second of all hosts, in times of all limits.
+    pub(crate) demand: f64,
+    /// Part of the calls between hosts that is lost.
+    pub(crate) loss: f64,
+    /// Hosts end and start, are cut off from each other, and demand moves.
+    pub(crate) trouble: bool,
+    pub(crate) seed: u64,
+}
+
+/// What a game came to.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Outcome {
+    /// Targets that got more than their limit allows in some window.
+    pub(crate) breaches: usize,
+    /// Most that a target got in a window, as a part of what is allowed.
+    pub(crate) worst: f64,
+    /// Part of the limits that was used from when they have to be kept.
+    pub(crate) used: f64,
+    pub(crate) served: usize,
+    pub(crate) refused: usize,
+    /// Calls between hosts for the sake of limits, by all hosts.
+    pub(crate) calls: usize,
+    /// Most calls that one host answered.
+    pub(crate) busiest: usize,
+}
+
+/// What a host knows and when.
+pub(crate) struct World {
+    pub(crate) now: Instant,
+    pub(crate) names: Vec<HostId>,
+    /// When each host ended, or last started.
+    pub(crate) alive: Vec<bool>,
+    changed: Vec<Instant>,
+    /// Delay with which a change of each host is heard, drawn at the change.
+    delay: Vec<Duration>,
+    /// Hosts on the other side of a partition.
+    pub(crate) cut: Vec<bool>,
+    cut_since: Option<Instant>,
+    pub(crate) loss: f64,
+    pub(crate) random: StdRng,
+}
+
+impl World {
+    fn draw(&mut self, range: (u64, u64)) -> Duration {
+        Duration::from_millis(self.random.random_range(range.0..=range.1))
+    }
+
+    /// Whether one host takes another one to be alive. Each hears of a change at a
+    /// moment of its own.
+    pub(crate) fn believes_alive(&self, host: usize, other: usize) -> bool {
+        let spread = ((host * 31 + other * 17) % 7) as f64 / 7.0;
+        let heard = self.changed[other] + self.delay[other].mul_f64(0.4 + 0.6 * spread);
+        let alive = self.alive[other] == (self.now >= heard);
+        let apart = self.cut[host] != self.cut[other];
+        let cut_known = self
+            .cut_since
+            .is_some_and(|since| self.now >= since + Duration::from_millis(END_HEARD.0));
+        host == other || (alive && !(apart && cut_known))
+    }
+
+    /// Whether a call from one host to another is answered.
+    pub(crate) fn reaches(&mut self, host: usize, other: usize) -> bool {
+        let lost = self.random.random_bool(self.loss);
+        host == other || (self.alive[other] && self.cut[host] == self.cut[other] && !lost)
+    }
+
+    fn change(&mut self, host: usize, alive: bool) {
+        self.alive[host] = alive;
+        self.changed[host] = self.now;
+        self.delay[host] = self.draw(if alive { START_HEARD } else { END_HEARD });
+    }
+}
+
+/// Plays 20 seconds of a limit that is named after 3.
+pub(crate) fn play(game: &Game) -> Outcome {
+    let start = Instant::now();
+    let names = (0..game.hosts).map(|host| format!("host-{host:03}").as_str().into());
+    let mut world = World {
+        now: start,
+        names: names.collect(),
+        alive: vec![true; game.hosts],
+        changed: vec![start - Duration::from_secs(60); game.hosts],
+        delay: vec![Duration::ZERO; game.hosts],
+        cut: vec![false; game.hosts],
+        cut_since: None,
+        loss: game.loss,
+        random: StdRng::seed_from_u64(game.seed),
+    };
+    let mut division = Division::new(game);
+    let limit = NamedLimit {
+        per_second: game.per_second,
+        from: start + Duration::from_secs(3),
+        until: start + Duration::from_secs(23),
+    };
+    let mut arrivals = vec![Vec::new(); game.targets];
+    let mut known = vec![vec![None::<Instant>; game.targets]; game.hosts];
+    let mut told = vec![vec![false; game.targets]; game.hosts];
+    let mut outcome = Outcome::default();
+    let whole = game.demand * game.per_second * game.targets as f64;
+    while world.now < limit.until {
+        world.now += STEP;
+        let now = world.now;
+        if game.trouble {
+            make_trouble(&mut world, &mut division, start);
+        }
+        division.exchange(&mut world, limit.per_second);
+        let weights = weights(game, now - start);
+        let sum = weights.iter().sum::<f64>();
+        for (host, known) in known.iter().enumerate() {
+            for (target, known) in known.iter().enumerate() {
+                if !told[host][target] && known.is_some_and(|at| now >= at) {
+                    told[host][target] = true;
+                    division.tell_sends(&mut world, host, target, limit.per_second);
+                }
+            }
+        }
+        for host in 0..game.hosts {
+            let mean = whole * weights[host] / sum * STEP.as_secs_f64();
+            let count = mean as usize + usize::from(world.random.random_bool(mean.fract()));
+            for _ in 0..count.min(if world.alive[host] { usize::MAX } else { 0 }) {
+                let mut served = false;
+                // Tries of a request at one target after the other.
+                let first = world.random.random_range(0..game.targets);
+                for target in (0..game.targets)
+                    .cycle()
+                    .skip(first)
+                    .take(2.min(game.targets))
+                {
+                    let limited = known[host][target].is_some_and(|at| now >= at);
+                    let verdict = match limited {
+                        true => division.ask(&mut world, host, target, limit.per_second),
+                        false => division.send_freely(host, target, now),
+                    };
+                    let SendVerdict::At(at) = verdict else {
+                        continue;
+                    };
+                    arrivals[target].push(at);
+                    served = true;
+                    if at >= limit.from {
+                        let heard = at + world.draw(HEAD_TIME);
+                        hear_limit(&mut known, &mut world, host, target, heard);
+                    }
+                    break;
+                }
+                outcome.served += usize::from(served);
+                outcome.refused += usize::from(!served);
+            }
+        }
+    }
+    judge(&mut arrivals, limit, &mut outcome);
+    (outcome.calls, outcome.busiest) = division.calls();
+    outcome
+}
+
+/// The host that is told of a limit knows it, and the others a while later.
+fn hear_limit(
+    known: &mut [Vec<Option<Instant>>],
+    world: &mut World,
+    host: usize,
+    target: usize,
+    heard: Instant,
+) {
+    let is_first = known.iter().all(|known| known[target].is_none());
+    let earlier = |known: Option<Instant>, at: Instant| Some(known.map_or(at, |was| was.min(at)));
+    known[host][target] = earlier(known[host][target], heard);
+    if !is_first {
+        return;
+    }
+    for other in known.iter_mut() {
+        let at = heard + world.draw(LIMIT_HEARD);
+        other[target] = earlier(other[target], at);
+    }
+}
+
+/// Part of the callers that each host has; they move once a second if there is trouble.
+fn weights(game: &Game, passed: Duration) -> Vec<f64> {
+    let turn = match game.trouble {
+        true => passed.as_secs() as usize,
+        false => 0,
+    };
+    let weight = |host: usize| 1.0 / (1.0 + ((host + turn * 3) % game.hosts) as f64);
+    (0..game.hosts).map(weight).collect()
+}
+
+/// A host ends every two seconds and starts again after one; from 10 to 15 s a third
+/// of the hosts is cut off from the others.
+fn make_trouble(world: &mut World, division: &mut Division, start: Instant) {
+    let passed = (world.now - start).as_millis();
+    let hosts = world.names.len();
+    if passed.is_multiple_of(2000) {
+        let host = world.random.random_range(0..hosts);
+        world.change(host, false);
+    }
+    if passed % 2000 == 1000 {
+        for host in 0..hosts {
+            if !world.alive[host] {
+                world.change(host, true);
+                division.restart(host);
+            }
+        }
+    }
+    if passed == 10_000 || passed == 15_000 {
+        let cut = passed == 10_000;
+        world.cut_since = cut.then_some(world.now);
+        for host in 0..hosts / 3 {
+            world.cut[host] = cut;
+        }
+    }
+}
+
+fn judge(arrivals: &mut [Vec<Instant>], limit: NamedLimit, outcome: &mut Outcome) {
+    let kept_from = limit.from + Duration::from_secs(4);
+    let could = limit.per_second * (limit.until - kept_from).as_secs_f64();
+    for arrivals in arrivals.iter_mut() {
+        arrivals.sort_unstable();
+        outcome.breaches += usize::from(limit.worst_breach(arrivals).is_some());
+        let most = limit.most_in_window(arrivals) as f64 / limit.allowed();
+        outcome.worst = outcome.worst.max(most);
+        let kept = arrivals.iter();
+        let kept = kept.filter(|at| (kept_from..limit.until).contains(*at));
+        outcome.used += kept.count() as f64 / could;
+    }
+    outcome.used /= arrivals.len() as f64;
+}
--- a/standins/tests/limits.rs
+++ b/standins/tests/limits.rs
@@ -53,5 +53,6 @@
     })
     .await?;
     assert_eq!(report.breach, None, "{report:?}");
+    assert_eq!(report.unanswered, 0, "{report:?}");
     Ok(())
 }
--- a/tests/entry_peers.rs
+++ b/tests/entry_peers.rs
@@ -10,7 +10,9 @@
     self, EntryHandlers, FollowAnswer, FollowQuestion, HostListing, HostView, KnownHost, LogAges,
     PeerHandle, PeerSettings, SeenListing, ZoneCount,
 };
+use jackdawwick::permits::{LimitListing, LimitWord, PermitAnswer, PermitQuestion, RateLimit};
 use jackdawwick::poison::{PoisonEvent, PoisonListing, PoisonNote};
+use jackdawwick::spread::ListingBounds;
 
 fn loopback(port: u16) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], port))
@@ -39,11 +41,14 @@
             read: Duration::from_millis(640),
         }),
         poison: PoisonListing {
-            from: 3,
-            to: 5,
+            bounds: ListingBounds {
+                from: 3,
+                to: 5,
+                seen_to: 4,
+            },
             notes: Vec::new(),
-            seen_to: 4,
         },
+        limits: LimitListing::default(),
     }
 }
 
@@ -91,11 +96,36 @@
     }
 }
 
+fn word(number: u64) -> LimitWord {
+    LimitWord {
+        target: 1 << 60 | number,
+        rate: RateLimit::new(6.3).filter(|_| number > 0),
+        sent_age: Duration::from_millis(70),
+        heard_age: Duration::from_millis(20),
+    }
+}
+
+/// The answer tells what was asked.
+fn answer_permit(question: &PermitQuestion) -> PermitAnswer {
+    match question.wanted {
+        0 => PermitAnswer::Unlimited,
+        1 => PermitAnswer::Withheld {
+            retry_after: question.patience,
+        },
+        wanted => PermitAnswer::Granted {
+            permits: wanted + u32::from(question.unpermitted[0]),
+            delay: question.limit.heard_age,
+            spacing: Duration::from_micros(158_730),
+        },
+    }
+}
+
 /// A host that answers each view with the same view.
 fn spawn() -> PeerHandle {
     let handlers = EntryHandlers {
         exchange: Arc::new(|view| view),
         follow: Arc::new(|_| async { remote_uses() }.boxed()),
+        permit: Arc::new(|question| answer_permit(&question)),
     };
     peer::spawn(PeerSettings::new(loopback(0)), handlers).expect("a free port")
 }
@@ -119,6 +149,10 @@
             notes: (0..3).map(noted).collect(),
             ..view("").poison
         },
+        limits: LimitListing {
+            bounds: view("").poison.bounds,
+            words: (0..3).map(word).collect(),
+        },
         ..view("front-saburtalo-1")
     };
     let address = callee.local_address();
@@ -132,6 +166,27 @@
     callee.shutdown().await;
 }
 
+#[tokio::test]
+async fn permits_are_asked_for_and_answered() {
+    let (caller, callee) = (spawn(), spawn());
+    let question = |wanted| PermitQuestion {
+        host: "front-saburtalo-1".into(),
+        zone: "saburtalo".into(),
+        limit: word(1),
+        wanted,
+        patience: Duration::from_millis(125),
+        unpermitted: vec![4, 0, 2],
+    };
+    for wanted in 0..3 {
+        let address = callee.local_address();
+        let wait = Duration::from_secs(20);
+        let answer = caller.permit(address, question(wanted), wait).await;
+        assert_eq!(answer.expect("an answer"), answer_permit(&question(wanted)));
+    }
+    caller.shutdown().await;
+    callee.shutdown().await;
+}
+
 /// Bytes on the wire of one view and the same view as its answer.
 async fn exchange_bytes(view: &HostView) -> u64 {
     const CALLS: u64 = 16;
@@ -179,6 +234,15 @@
         },
         ..view("front-saburtalo-1")
     };
+    let with_limits = HostView {
+        limits: LimitListing {
+            bounds: view("").poison.bounds,
+            words: (0..ITEMS as u64).map(word).collect(),
+        },
+        ..view("front-saburtalo-1")
+    };
+    let by_word = (exchange_bytes(&with_limits).await - empty) / both_ways;
+    assert!(by_word <= 28, "{by_word}");
     let by_note = (exchange_bytes(&with_notes).await - empty) / both_ways;
     assert!(by_note <= 20, "{by_note}");
     let by_use = (exchange_bytes(&with_uses).await - empty) / both_ways;
--- a/tests/forwarding/host.rs
+++ b/tests/forwarding/host.rs
@@ -55,7 +55,7 @@
             ratio: 0.2,
             slack: 20.0,
         };
-        let tables = Arc::new(ServingTables::new("z".into(), budget));
+        let tables = Arc::new(ServingTables::new("h".into(), "z".into(), budget));
         let configuration = parse_configuration(configuration().as_bytes());
         let configuration = Arc::new(configuration.expect("a valid configuration"));
         tables.configuration.store(Some(configuration));
--- a/tests/forwarding/main.rs
+++ b/tests/forwarding/main.rs
@@ -1,6 +1,7 @@
 //! The data path against targets that fail in every way they can.
 
 mod host;
+mod limits;
 mod moves;
 mod poison;
 mod stub_target;
--- a/tests/leaving_fleet/host.rs
+++ b/tests/leaving_fleet/host.rs
@@ -38,7 +38,11 @@
             slack: 0.0,
         };
         let zone = index % ZONES;
-        let tables = Arc::new(ServingTables::new(zone_name(zone).into(), budget));
+        let tables = Arc::new(ServingTables::new(
+            "h".into(),
+            zone_name(zone).into(),
+            budget,
+        ));
         let copy = Arc::new(LogCopy::new(tables.clone()));
         let pace = TargetPace {
             drain: Duration::from_millis(DRAIN_MS),
--- a/tests/log_reader.rs
+++ b/tests/log_reader.rs
@@ -178,7 +178,7 @@
         ratio: 0.0,
         slack: 0.0,
     };
-    let tables = Arc::new(ServingTables::new("z".into(), budget));
+    let tables = Arc::new(ServingTables::new("h".into(), "z".into(), budget));
     let copy = Arc::new(LogCopy::new(tables.clone()));
     let (direct, reads) = tokio::sync::watch::channel(LogDuty::Reads);
     tokio::spawn(follow_targets(copy, reader, pace, reads));
--- a/tests/target_starts.rs
+++ b/tests/target_starts.rs
@@ -36,7 +36,7 @@
         ratio: 0.0,
         slack: 0.0,
     };
-    let tables = Arc::new(ServingTables::new("z".into(), budget));
+    let tables = Arc::new(ServingTables::new("h".into(), "z".into(), budget));
     (tables.clone(), LogCopy::new(tables))
 }
 
