Pass questions for permits on to the host that answers them, and let the soak name limits

Change: a host that is asked and does not hand out the permits itself passes the question on, once. A limit that a question tells of is taken in like any other. What a request sends to targets without limits is counted when it is sent. The soak lets targets name limits, and its check finds a limit that each host keeps by itself; hosts that were disturbed are excused.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -211,6 +211,8 @@
   # How long its requests can wait.
   unpermitted @5 :List(UInt16);
   # Requests that it sent without permits, by half seconds of age, newest first.
+  relayed @6 :Bool;
+  # Whether another host than the asking one passes it on.
 }
 
 struct PermitAnswer {
--- a/src/entry/peering.rs
+++ b/src/entry/peering.rs
@@ -1,7 +1,7 @@
 //! Exchanges views with the other entry hosts.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant, SystemTime};
 
 use parking_lot::Mutex;
@@ -46,6 +46,8 @@
     tables: Arc<ServingTables>,
     copy: Arc<LogCopy>,
     gossip: Mutex<GossipTable>,
+    /// Calls other hosts, once the desk can answer them.
+    handle: OnceLock<PeerHandle>,
 }
 
 /// Starts answering and calling peers.
@@ -75,6 +77,7 @@
         incarnation,
         tables,
         copy,
+        handle: OnceLock::new(),
     });
     let limits = PeerSettings {
         connect_timeout: CONNECT_TIMEOUT,
@@ -92,9 +95,10 @@
             let desk = passing.clone();
             Box::pin(async move { desk.answer_follow(question).await })
         }),
-        permit: Arc::new(move |question| issuing.issue_permits(&question, Instant::now())),
+        permit: Arc::new(move |question| issuing.clone().ask_permit(question)),
     };
     let handle = peer::spawn_on(listener, limits, handlers)?;
+    desk.handle.get_or_init(|| handle.clone());
     tokio::spawn(call_peers(desk.clone(), handle.clone()));
     Ok((desk, handle))
 }
@@ -252,8 +256,18 @@
         self.gossip.lock().permit_part(zone, now)
     }
 
+    /// The name of this host.
+    pub(super) fn host(&self) -> &HostId {
+        &self.host
+    }
+
+    /// Calls other hosts.
+    pub(super) fn handle(&self) -> Option<&PeerHandle> {
+        self.handle.get()
+    }
+
     /// What the data path works with.
-    pub(super) fn tables(&self) -> &ServingTables {
+    pub(super) fn tables(&self) -> &Arc<ServingTables> {
         &self.tables
     }
 
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -122,7 +122,7 @@
     tokio::spawn(follow_poison(tables.clone(), client(), reads.clone()));
     tokio::spawn(write_poison(tables.clone(), client(), reads));
     let (desk, handle) = peering::spawn(settings, settings.peers, tables.clone(), copy.clone())?;
-    tables.set_permit_source(permit_source(desk.clone(), handle.clone()));
+    tables.set_permit_source(permit_source(desk.clone()));
     tokio::spawn(follow_lead(
         tables.clone(),
         copy,
--- a/src/forward/limits.rs
+++ b/src/forward/limits.rs
@@ -28,6 +28,7 @@
             _ if status == StatusCode::MISDIRECTED_REQUEST => return,
             // Only what the target itself made says that there is no limit.
             NamedRate::Absent if !headers.contains_key(names::SERVER_SEAL) => return,
+            NamedRate::Absent if self.limits.lock().is_empty() => return,
             NamedRate::Absent => None,
             NamedRate::PerSecond(named) => match RateLimit::new(named) {
                 None => return self.note_unusable_limit(target, headers),
--- a/src/forward/permitting.rs
+++ b/src/forward/permitting.rs
@@ -108,27 +108,19 @@
     where
         I: Iterator<Item = &'a TargetId>,
     {
-        let limited = self.tables.limited_among(targets);
-        if limited.is_empty() {
-            return Ok(());
-        }
+        let (limited, free) = self.tables.divide_by_limit(targets);
         let asked = limited.iter().map(|id| self.tables.permit(id, wait));
         let (permits, withheld) = split(join_all(asked).await);
-        if withheld.is_empty() {
-            let from = permits.iter().map(|permit| permit.from).max();
-            let now = Instant::now();
-            tokio::time::sleep_until(from.unwrap_or(now).max(now).into()).await;
-            return Ok(());
+        if !withheld.is_empty() {
+            self.tables.give_back(permits);
+            return Err(self.tables.note_withheld(withheld, Instant::now()));
         }
-        self.tables.give_back(permits);
-        let now = Instant::now();
-        let mut fleet = self.tables.fleet.lock();
-        let mut retry_after = Duration::ZERO;
-        for target in withheld {
-            fleet.observe_withheld(&target.id, now + target.retry_after);
-            retry_after = retry_after.max(target.retry_after);
+        let from = permits.iter().map(|permit| permit.from).max();
+        if let Some(from) = from.filter(|from| *from > Instant::now()) {
+            tokio::time::sleep_until(from.into()).await;
         }
-        Err(retry_after)
+        self.tables.count_unpermitted(&free, Instant::now());
+        Ok(())
     }
 }
 
@@ -152,26 +144,53 @@
         }
     }
 
-    /// The targets that limit their rate; a request to each of the others is counted.
-    fn limited_among<'a, I>(&self, targets: I) -> Vec<TargetId>
+    /// The targets that limit their rate, and the keys of the others.
+    fn divide_by_limit<'a, I>(&self, targets: I) -> (Vec<TargetId>, Vec<TargetKey>)
     where
         I: Iterator<Item = &'a TargetId>,
     {
-        let now = Instant::now();
-        let (limited, free) = {
-            let limits = self.limits.lock();
-            let is_limited = |id: &&TargetId| limits.limit(target_key(id)).is_some();
-            targets.partition::<Vec<_>, _>(is_limited)
+        let known = {
+            let fleet = self.fleet.lock();
+            let known = targets.filter_map(|id| Some((id, fleet.get(id)?.key)));
+            known.collect::<Vec<_>>()
         };
+        let limits = self.limits.lock();
+        let mut limited = Vec::new();
+        let mut free = Vec::new();
+        for (id, key) in known {
+            match limits.limit(key) {
+                Some(_) => limited.push(id.clone()),
+                None => free.push(key),
+            }
+        }
+        (limited, free)
+    }
+
+    /// Requests are sent to targets that name no limit.
+    fn count_unpermitted(&self, targets: &[TargetKey], now: Instant) {
         let mut pool = self.permits.lock();
-        for id in free {
-            pool.count_unpermitted(target_key(id), now);
+        for target in targets {
+            pool.count_unpermitted(*target, now);
         }
-        limited.into_iter().cloned().collect()
+    }
+
+    /// There are no permits for these targets for a while; gives the longest time.
+    fn note_withheld(&self, withheld: Vec<WithheldTarget>, now: Instant) -> Duration {
+        let mut fleet = self.fleet.lock();
+        let mut longest = Duration::ZERO;
+        for target in withheld {
+            fleet.observe_withheld(&target.id, now + target.retry_after);
+            longest = longest.max(target.retry_after);
+        }
+        longest
     }
 
     /// A permit for a target that may be used within `wait`.
-    async fn permit(&self, id: &TargetId, wait: Duration) -> Result<HeldPermit, WithheldTarget> {
+    async fn permit(
+        self: &Arc<Self>,
+        id: &TargetId,
+        wait: Duration,
+    ) -> Result<HeldPermit, WithheldTarget> {
         let target = target_key(id);
         let take = || {
             let from = self.permits.lock().take(target, wait, Instant::now())?;
@@ -207,7 +226,7 @@
 
     /// Tells the host that hands out the permits for a target what was sent there before
     /// its limit was known.
-    pub(super) async fn tell_sends(&self, id: &TargetId) {
+    pub(super) async fn tell_sends(self: &Arc<Self>, id: &TargetId) {
         let question = self.permit_question(id, Duration::ZERO);
         let sends = question.filter(|question| !question.unpermitted.is_empty());
         if let Some(question) = sends {
@@ -232,10 +251,11 @@
             wanted: pool.wanted(target, now),
             patience,
             unpermitted: pool.unpermitted(target, now),
+            relayed: false,
         })
     }
 
-    async fn ask_permit(&self, question: PermitQuestion) -> PermitAnswer {
+    async fn ask_permit(self: &Arc<Self>, question: PermitQuestion) -> PermitAnswer {
         match self.permit_source.get() {
             Some(source) => source(question).await,
             None => self.issue_permits(&question, 1.0, Instant::now()),
@@ -244,17 +264,18 @@
 
     /// Hands out permits for a target, of which this host may hand out a part.
     pub fn issue_permits(
-        &self,
+        self: &Arc<Self>,
         question: &PermitQuestion,
         part: f64,
         now: Instant,
     ) -> PermitAnswer {
         let target = question.limit.target;
-        let limit = {
-            let mut limits = self.limits.lock();
-            limits.observe(target, question.limit.observation(now));
-            limits.limit(target)
-        };
+        let told = question.limit.observation(now);
+        let change = self.limits.lock().observe(target, told);
+        if let Some(change) = change {
+            self.hear_limit_change(target, change, &question.host);
+        }
+        let limit = self.limits.lock().limit(target);
         match limit {
             None => PermitAnswer::Unlimited,
             Some(limit) => self.issuer.lock().answer(question, limit, part, now),
--- a/src/peer/convert/permits.rs
+++ b/src/peer/convert/permits.rs
@@ -62,6 +62,7 @@
     write_word(builder.reborrow().init_limit(), &question.limit);
     builder.set_wanted(question.wanted);
     builder.set_patience_ms(short_milliseconds(question.patience));
+    builder.set_relayed(question.relayed);
     let mut unpermitted = builder.init_unpermitted(length(question.unpermitted.len()));
     for (index, sends) in (0..).zip(&question.unpermitted) {
         unpermitted.set(index, *sends);
@@ -82,6 +83,7 @@
         wanted: reader.get_wanted(),
         patience: Duration::from_millis(reader.get_patience_ms().into()),
         unpermitted: reader.get_unpermitted()?.iter().collect(),
+        relayed: reader.get_relayed(),
     })
 }
 
--- a/src/peer/handlers.rs
+++ b/src/peer/handlers.rs
@@ -42,8 +42,8 @@
     pub exchange: Arc<dyn Fn(HostView) -> HostView + Send + Sync>,
     /// Passes on what is read from the platform's log; waits a little for news.
     pub follow: Arc<dyn Fn(FollowQuestion) -> BoxFuture<'static, FollowAnswer> + Send + Sync>,
-    /// Hands out permits for a target.
-    pub permit: Arc<dyn Fn(PermitQuestion) -> PermitAnswer + Send + Sync>,
+    /// Hands out permits for a target, or passes the question on.
+    pub permit: Arc<dyn Fn(PermitQuestion) -> BoxFuture<'static, PermitAnswer> + Send + Sync>,
 }
 
 /// Which calls a listener answers.
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -101,7 +101,7 @@
         mut results: peer::PermitResults,
     ) -> capnp::Result<()> {
         let question = convert::read_permit_question(params.get()?.get_question()?)?;
-        let answer = (self.handlers.entry()?.permit)(question);
+        let answer = (self.handlers.entry()?.permit)(question).await;
         convert::write_permit_answer(results.get().init_answer(), answer);
         Ok(())
     }
--- a/src/peer_capnp.rs
+++ b/src/peer_capnp.rs
@@ -6410,11 +6410,15 @@
         pub fn has_unpermitted(&self) -> bool {
             !self.reader.get_pointer_field(3).is_null()
         }
+        #[inline]
+        pub fn get_relayed(self) -> bool {
+            self.reader.get_bool_field(64)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 4 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 4 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -6544,6 +6548,14 @@
         pub fn has_unpermitted(&self) -> bool {
             !self.builder.is_pointer_field_null(3)
         }
+        #[inline]
+        pub fn get_relayed(self) -> bool {
+            self.builder.get_bool_field(64)
+        }
+        #[inline]
+        pub fn set_relayed(&mut self, value: bool)  {
+            self.builder.set_bool_field(64, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -6558,17 +6570,17 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 114] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 129] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(216, 189, 240, 109, 24, 105, 210, 237),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(136, 151, 230, 179, 164, 245, 193, 210),
             ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 143, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -6576,49 +6588,56 @@
             ::capnp::word(116, 81, 117, 101, 115, 116, 105, 111),
             ::capnp::word(110, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(197, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(205, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 64, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(229, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(104, 111, 115, 116, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -6673,6 +6692,14 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 108, 97, 121, 101, 100, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -6682,6 +6709,7 @@
                 3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 5 => <::capnp::primitive_list::Owned<u16> as ::capnp::introspect::Introspect>::introspect(),
+                6 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -6695,9 +6723,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,4,5,3,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,4,6,5,3,1];
         pub(crate) const TYPE_ID: u64 = 0xedd2_6918_6df0_bdd8;
     }
 }
--- a/src/permits/question.rs
+++ b/src/permits/question.rs
@@ -20,6 +20,8 @@
     pub patience: Duration,
     /// What it sent without permits, by half seconds of age, the newest first.
     pub unpermitted: Vec<u16>,
+    /// Whether another host passes it on: it is passed on once at the most.
+    pub relayed: bool,
 }
 
 /// The answer to a [`PermitQuestion`].
--- a/src/permits/table.rs
+++ b/src/permits/table.rs
@@ -109,6 +109,11 @@
         self.records.get(&target)?.observation.rate
     }
 
+    /// Whether no target has named a limit.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
     /// What is known of a target's limit, as told to another host.
     pub fn word(&self, target: TargetKey, now: Instant) -> Option<LimitWord> {
         let observation = self.records.get(&target)?.observation;
--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -32,7 +32,7 @@
 pub use engines::TargetFault;
 pub use history::{
     CallKind, CallOutcome, CallRecord, Disturbance, DisturbanceScope, ProbeRecord, RunRecord,
-    SoakHistory, TargetDeparture,
+    SoakHistory, TargetDeparture, TargetLimit,
 };
 pub use limit::{LimitReport, play_limit};
 pub use link::{FaultLink, LinkFault};
--- a/standins/src/soak/check.rs
+++ b/standins/src/soak/check.rs
@@ -36,6 +36,8 @@
     LostAtStop(String),
     /// A target got a call long after it said that it leaves.
     SentToLeaving(String),
+    /// A target got more calls than the limit that it named allows.
+    OverLimit(String, usize),
     /// A host went back behind a version that it had served.
     Regressed(usize, u64),
     /// A version was not in force in time.
@@ -62,6 +64,7 @@
     if timed {
         broken.extend(lost_at_stop(history));
         broken.extend(sent_to_leaving(history));
+        broken.extend(over_limits(history));
         broken.extend(late_versions(history));
     }
     broken
@@ -215,3 +218,24 @@
     late.map(|probe| BrokenPromise::LateVersion(probe.host, probe.version))
         .collect()
 }
+
+/// Calls of hosts that were sound for a while before count; the others are excused.
+fn over_limits(history: &SoakHistory) -> Vec<BrokenPromise> {
+    let calls = calls_by_id(history);
+    let is_sound = |id: &str, at: Instant| {
+        let host = calls.get(id).map(|call| call.host);
+        host.is_some_and(|host| is_in_touch(history, host, before(at, CONTACT), at))
+    };
+    let over = history.limits.iter().filter_map(|limited| {
+        let runs = history.runs.iter();
+        let runs = runs.filter(|run| run.target == limited.target && is_sound(&run.id, run.at));
+        let mut arrivals = runs.map(|run| run.at).collect::<Vec<_>>();
+        arrivals.sort_unstable();
+        let breach = limited.limit.worst_breach(&arrivals)?;
+        Some(BrokenPromise::OverLimit(
+            limited.target.clone(),
+            breach.arrived,
+        ))
+    });
+    over.collect()
+}
--- a/standins/src/soak/faults.rs
+++ b/standins/src/soak/faults.rs
@@ -7,15 +7,18 @@
 
 use super::configuration::{CONFIGURATION, GRACE_S, HEARTBEAT_MS, configuration};
 use super::engines::TargetFault;
-use super::history::{Disturbance, DisturbanceScope, TargetDeparture};
+use super::history::{Disturbance, DisturbanceScope, TargetDeparture, TargetLimit};
 use super::link::LinkFault;
 use super::log_service::LogFaults;
 use super::plan::{FaultAction, PlannedFault};
 use super::probe::Published;
 use super::run::{HostDown, LOOK_PAUSE, STOP_SLACK, SoakRun};
+use crate::check::NamedLimit;
 
 /// How long a target serves on after it said that it leaves.
 const LEAVING_TIME: Duration = Duration::from_secs(4);
+/// How long a target names a limit at least: it has to be kept after 3 s.
+const LIMIT_TIME: Duration = Duration::from_secs(5);
 /// What a fault still touches after its end.
 const AFTERMATH: Duration = Duration::from_millis(300);
 
@@ -28,6 +31,7 @@
     HealSeed(usize),
     HealService,
     HealTarget(usize),
+    LiftLimit(usize),
     Replace(usize),
     Left,
     StopNext(usize),
@@ -135,6 +139,7 @@
                 self.end_after(lasts, FaultEnd::Replace(target));
             }
             FaultAction::TargetLeaves(target) => self.leave(target).await?,
+            FaultAction::TargetLimits(target, per_second) => self.limit(target, per_second, lasts),
             FaultAction::Publish => self.publish(),
         }
         Ok(())
@@ -182,6 +187,27 @@
         Ok(())
     }
 
+    /// A target names a limit for a while, unless it names one already.
+    fn limit(&mut self, index: usize, per_second: u32, lasts: Duration) {
+        let target = &self.targets[index];
+        if self.world.state(target.link.address).limit.is_some() {
+            return;
+        }
+        target.update(|state| state.limit = Some(per_second.to_string()));
+        let from = Instant::now();
+        let lasts = lasts + LIMIT_TIME;
+        let limit = NamedLimit {
+            per_second: per_second.into(),
+            from,
+            until: from + lasts,
+        };
+        self.desk.history.lock().limits.push(TargetLimit {
+            target: target.id.clone(),
+            limit,
+        });
+        self.end_after(lasts, FaultEnd::LiftLimit(index));
+    }
+
     fn publish(&mut self) {
         let version = self.published.borrow().version + 1;
         let value = Some(configuration(version));
@@ -210,6 +236,7 @@
             FaultEnd::HealSeed(host) => self.hosts[host].host.seed.set(LinkFault::None),
             FaultEnd::HealService => self.log_faults.set(LogFaults::default()),
             FaultEnd::HealTarget(target) => self.heal_target(target),
+            FaultEnd::LiftLimit(target) => self.targets[target].update(|state| state.limit = None),
             FaultEnd::Replace(target) => self.replace(target).await?,
             FaultEnd::Left => {
                 if !self.leaving.is_empty() {
--- a/standins/src/soak/history.rs
+++ b/standins/src/soak/history.rs
@@ -2,6 +2,8 @@
 
 use std::time::Instant;
 
+use crate::check::NamedLimit;
+
 /// Kind of a call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CallKind {
@@ -74,6 +76,15 @@
     pub at: Instant,
 }
 
+/// A limit that a target named.
+#[derive(Debug, Clone)]
+pub struct TargetLimit {
+    /// The target.
+    pub target: String,
+    /// The limit, and when it was named.
+    pub limit: NamedLimit,
+}
+
 /// One look at which configuration a host has in force.
 #[derive(Debug, Clone, Copy)]
 pub struct ProbeRecord {
@@ -126,6 +137,8 @@
     pub runs: Vec<RunRecord>,
     /// Targets that left.
     pub departures: Vec<TargetDeparture>,
+    /// Limits that targets named.
+    pub limits: Vec<TargetLimit>,
     /// Looks at the configuration in force.
     pub probes: Vec<ProbeRecord>,
     /// What was made to misbehave, and when.
--- a/standins/src/soak/plan.rs
+++ b/standins/src/soak/plan.rs
@@ -43,6 +43,8 @@
     TargetLeaves(usize),
     /// A target spoils its answers.
     TargetSpoils(usize, TargetFault),
+    /// A target limits its rate to so many requests a second.
+    TargetLimits(usize, u32),
     /// A new version of the configuration.
     Publish,
 }
@@ -84,7 +86,7 @@
     let host = random.random_range(0..hosts);
     let target = random.random_range(0..targets);
     let link = draw_link(random);
-    match random.random_range(0..24) {
+    match random.random_range(0..26) {
         0 | 1 => FaultAction::Kill(host),
         2 | 3 => FaultAction::Stop(host),
         4 => FaultAction::StopEach,
@@ -101,6 +103,7 @@
         18 => FaultAction::TargetCrash(target),
         19 => FaultAction::TargetLeaves(target),
         20 | 21 => FaultAction::TargetSpoils(target, draw_spoiled(random)),
+        24 | 25 => FaultAction::TargetLimits(target, random.random_range(40..80)),
         _ => FaultAction::Publish,
     }
 }
--- a/standins/tests/limit_division/ways.rs
+++ b/standins/tests/limit_division/ways.rs
@@ -244,6 +244,7 @@
             wanted,
             patience: PATIENCE,
             unpermitted: self.pools[host].unpermitted(key, now),
+            relayed: false,
         };
         let hosts = 0..world.names.len();
         let live = hosts.filter(|other| world.believes_alive(issuer, *other));
--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -6,10 +6,11 @@
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
+use standins::check::NamedLimit;
 use standins::soak::{
     BrokenPromise, CallKind, CallOutcome, CallRecord, Disturbance, DisturbanceScope, FaultLink,
-    LinkFault, ProbeRecord, RunRecord, SoakHistory, SoakSettings, TargetDeparture, broken_promises,
-    draw_faults, run_soak,
+    LinkFault, ProbeRecord, RunRecord, SoakHistory, SoakSettings, TargetDeparture, TargetLimit,
+    broken_promises, draw_faults, run_soak,
 };
 use support::{TestResult, eventually};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -177,6 +178,27 @@
     assert_eq!(story.broken(), []);
 }
 
+#[test]
+fn a_limit_that_each_host_keeps_by_itself_is_found_unless_the_host_was_cut_off() {
+    let mut story = Story::new();
+    story.history.limits.push(TargetLimit {
+        target: "one".into(),
+        limit: NamedLimit {
+            per_second: 2.0,
+            from: story.at(5000),
+            until: story.at(12_000),
+        },
+    });
+    for call in 0..50 {
+        let (id, at) = (format!("call-{call}"), 6000 + 100 * call);
+        story.call(&id, CallKind::Idempotent, at, at + 20, SERVED);
+        story.run(&id, "one", at + 5);
+    }
+    assert_eq!(story.broken(), [BrokenPromise::OverLimit("one".into(), 40)]);
+    story.disturb(DisturbanceScope::Host(0), false, 5000, 11_000);
+    assert_eq!(story.broken(), []);
+}
+
 #[test]
 fn a_host_that_falls_behind_or_stays_behind_is_found() {
     let mut story = Story::new();
--- a/tests/entry_peers.rs
+++ b/tests/entry_peers.rs
@@ -112,6 +112,7 @@
         1 => PermitAnswer::Withheld {
             retry_after: question.patience,
         },
+        wanted if !question.relayed => panic!("{wanted} permits, not relayed"),
         wanted => PermitAnswer::Granted {
             permits: wanted + u32::from(question.unpermitted[0]),
             delay: question.limit.heard_age,
@@ -125,7 +126,7 @@
     let handlers = EntryHandlers {
         exchange: Arc::new(|view| view),
         follow: Arc::new(|_| async { remote_uses() }.boxed()),
-        permit: Arc::new(|question| answer_permit(&question)),
+        permit: Arc::new(|question| async move { answer_permit(&question) }.boxed()),
     };
     peer::spawn(PeerSettings::new(loopback(0)), handlers).expect("a free port")
 }
@@ -176,6 +177,7 @@
         wanted,
         patience: Duration::from_millis(125),
         unpermitted: vec![4, 0, 2],
+        relayed: true,
     };
     for wanted in 0..3 {
         let address = callee.local_address();
--- a/tests/fleet_in_memory/mod.rs
+++ b/tests/fleet_in_memory/mod.rs
@@ -1,6 +1,8 @@
 //! Entry hosts in memory, with a simulated clock and without a network: each is
 //! its table of hosts and its table of targets, and a call is a function call.
 
+#![allow(dead_code, reason = "each test uses a part of it")]
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
