--- a/src/permits/issuer.rs
+++ b/src/permits/issuer.rs
@@ -22,7 +22,7 @@
 /// Shortest time after which a host may ask again.
 const LEAST_PAUSE: Duration = Duration::from_millis(50);
 /// Questions a permit while more hosts want some than there are.
-const QUESTIONS_PER_PERMIT: f64 = 4.0;
+const QUESTIONS_PER_PERMIT: f64 = 2.0;
 /// Time from the first question about a target to its first permit: other hosts tell
 /// meanwhile what they have sent there.
 const FIRST_PAUSE: Duration = Duration::from_secs(1);
--- a/src/permits/pool.rs
+++ b/src/permits/pool.rs
@@ -12,7 +12,7 @@
 /// target, and one that is used later would come on top of those of its time.
 const HELD_FOR: Duration = Duration::from_millis(250);
 /// Time for which a host fetches permits at once, as the inverse of a part of a second.
-const FETCHES_PER_S: u32 = 16;
+const FETCHES_PER_S: u32 = 6;
 
 /// Permits for one target, and what was sent there.
 #[derive(Debug)]
--- a/tests/entry_peers.rs
+++ b/tests/entry_peers.rs
@@ -167,10 +167,8 @@
     callee.shutdown().await;
 }
 
-#[tokio::test]
-async fn permits_are_asked_for_and_answered() {
-    let (caller, callee) = (spawn(), spawn());
-    let question = |wanted| PermitQuestion {
+fn permit_question(wanted: u32) -> PermitQuestion {
+    PermitQuestion {
         host: "front-saburtalo-1".into(),
         zone: "saburtalo".into(),
         limit: word(1),
@@ -178,13 +176,25 @@
         patience: Duration::from_millis(125),
         unpermitted: vec![4, 0, 2],
         relayed: true,
-    };
+    }
+}
+
+#[tokio::test]
+async fn permits_are_asked_for_and_answered() {
+    const WAIT: Duration = Duration::from_secs(20);
+    let (caller, callee) = (spawn(), spawn());
+    let address = callee.local_address();
     for wanted in 0..3 {
-        let address = callee.local_address();
-        let wait = Duration::from_secs(20);
-        let answer = caller.permit(address, question(wanted), wait).await;
-        assert_eq!(answer.expect("an answer"), answer_permit(&question(wanted)));
+        let question = permit_question(wanted);
+        let answer = caller.permit(address, question.clone(), WAIT).await;
+        assert_eq!(answer.expect("an answer"), answer_permit(&question));
     }
+    let count = || caller.traffic().sent_bytes() + caller.traffic().received_bytes();
+    let before = count();
+    let answer = caller.permit(address, permit_question(2), WAIT).await;
+    answer.expect("an answer");
+    let bytes = count() - before;
+    assert!(bytes <= 500, "{bytes}");
     caller.shutdown().await;
     callee.shutdown().await;
 }
