--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -224,7 +224,7 @@
     let mut failed_answer = None;
     loop {
         let started = Instant::now();
-        let (chosen, guard) = match exchange.place(&tried.avoid, false).await {
+        let (chosen, guard) = match exchange.choose_permitted(&tried.avoid, false).await {
             Ok(chosen) => chosen,
             // Nobody else is left: the answer of the target that failed stands.
             Err(refusal) => return failed_answer.ok_or(refusal.after(&tried)),
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -171,7 +171,7 @@
             if !allowed {
                 return Err(self.give_up(reason));
             }
-            let (chosen, guard) = match exchange.place(&self.tried.avoid, true).await {
+            let (chosen, guard) = match exchange.choose_permitted(&self.tried.avoid, true).await {
                 Ok(chosen) => chosen,
                 Err(refusal) => return Err(self.give_up(refusal.reason.name())),
             };
--- a/src/forward/tables.rs
+++ b/src/forward/tables.rs
@@ -11,7 +11,7 @@
 
 use super::closed::ClosedCell;
 use super::liveness::LivenessTable;
-use super::permitting::PermitSource;
+use super::permits::PermitSource;
 use crate::admission::OverloadGauge;
 use crate::collections::FastMap;
 use crate::fleet::{EngineReport, FleetTable, TargetLoad, target_key};
--- a/src/permits/pool.rs
+++ b/src/permits/pool.rs
@@ -11,7 +11,7 @@
 /// How long a permit may be used. One that nobody needs in that time is lost to the
 /// target, and one that is used later would come on top of those of its time.
 const HELD_FOR: Duration = Duration::from_millis(250);
-/// Time for which a host fetches permits at once, as the inverse of a part of a second.
+/// How often a second a host that sends much asks for permits.
 const FETCHES_PER_S: u32 = 6;
 
 /// Permits for one target, and what was sent there.
--- a/src/permits/sends.rs
+++ b/src/permits/sends.rs
@@ -59,7 +59,7 @@
         counts.slots.iter().copied().map(u32::from).sum()
     }
 
-    /// Requests of the last half second or two.
+    /// Requests of the last half second to second.
     pub fn recent(&self, now: Instant) -> u32 {
         let mut counts = *self;
         counts.move_on(now);
