Let one permit besides the one that is due be saved up, so that low limits are used up

Cause: with nothing saved up, the time from when a permit is due until a host that was sent away comes back is lost; the lower the limit, the longer. Seen by a new game in memory in which targets lower their limits.

--- a/src/permits/issuer.rs
+++ b/src/permits/issuer.rs
@@ -8,7 +8,8 @@
 use crate::collections::FastMap;
 use crate::ids::{HostId, TargetKey};
 
-/// Permits that may be saved up, as time at the limit; one at the least.
+/// Permits that may be saved up, as time at the limit; one besides that which is due at
+/// the least: hosts that were sent away come back a little later than it is.
 const SAVED_TIME: Duration = Duration::from_millis(250);
 /// Rate at which even a target that takes less, or nothing, is sent requests:
 /// only its answers tell that its limit is over.
@@ -130,7 +131,7 @@
 
     /// When the next permit may be used.
     fn next_start(&self, spacing: Duration, now: Instant) -> Instant {
-        let saved = SAVED_TIME.saturating_sub(spacing);
+        let saved = SAVED_TIME.max(spacing);
         let start = self.due.checked_sub(saved).unwrap_or(now);
         start.max(self.opened + FIRST_PAUSE).max(now)
     }
--- a/standins/tests/limit_division/main.rs
+++ b/standins/tests/limit_division/main.rs
@@ -15,6 +15,7 @@
         per_second: 6.4,
         demand: 2.9,
         loss: 0.0,
+        lowered: false,
         trouble: false,
         seed,
     }
@@ -30,9 +31,12 @@
 /// Guards against a limit that is exceeded by all hosts together, or not used.
 #[test]
 fn a_limit_that_is_handed_out_is_kept_and_used() {
-    for hosts in [8, 84, 300] {
+    for (hosts, per_second) in [(8, 2.0), (8, 6.4), (84, 2.0), (84, 6.4), (300, 6.4)] {
         for seed in 0..4 {
-            let outcome = play(&game(Way::Issued, hosts, seed));
+            let outcome = play(&Game {
+                per_second,
+                ..game(Way::Issued, hosts, seed)
+            });
             assert_eq!(
                 outcome.breaches, 0,
                 "{hosts} hosts, seed {seed}: {outcome:?}"
@@ -65,6 +69,27 @@
     }
 }
 
+/// Guards against what was promised under a limit that is lower now.
+#[test]
+fn a_limit_that_is_lowered_is_kept_and_used() {
+    for hosts in [8, 84] {
+        for seed in 0..seeds() {
+            let outcome = play(&Game {
+                lowered: true,
+                ..game(Way::Issued, hosts, seed)
+            });
+            assert_eq!(
+                outcome.breaches, 0,
+                "{hosts} hosts, seed {seed}: {outcome:?}"
+            );
+            assert!(
+                outcome.used >= 0.9,
+                "{hosts} hosts, seed {seed}: {outcome:?}"
+            );
+        }
+    }
+}
+
 /// Seeds of each game; `LIMIT_SEEDS` names another number.
 fn seeds() -> u64 {
     let asked = std::env::var("LIMIT_SEEDS").ok();
--- a/standins/tests/limit_division/ways.rs
+++ b/standins/tests/limit_division/ways.rs
@@ -112,17 +112,12 @@
     }
 
     /// A request to a limited target.
-    pub(crate) fn ask(
-        &mut self,
-        world: &mut World,
-        host: usize,
-        target: usize,
-        limit: f64,
-    ) -> SendVerdict {
+    pub(crate) fn ask(&mut self, world: &mut World, host: usize, target: usize) -> SendVerdict {
+        let limit = world.believed_limit(host);
         self.asked[host][target] += 1.0;
         let now = world.now;
         let rate = match self.way {
-            Way::Issued => return self.ask_issuer(world, host, target, limit),
+            Way::Issued => return self.ask_issuer(world, host, target),
             Way::Copied => limit,
             Way::Equal => {
                 let hosts = 0..world.names.len();
@@ -142,7 +137,7 @@
     }
 
     /// Hosts tell each other what they had to send, a little late; some words are lost.
-    pub(crate) fn exchange(&mut self, world: &mut World, _limit: f64) {
+    pub(crate) fn exchange(&mut self, world: &mut World) {
         let due = self
             .exchanged
             .is_none_or(|at| world.now >= at + EXCHANGE_PAUSE);
@@ -174,20 +169,14 @@
     }
 
     /// A host hears of a limit, and tells what it sent before.
-    pub(crate) fn tell_sends(&mut self, world: &mut World, host: usize, target: usize, limit: f64) {
+    pub(crate) fn tell_sends(&mut self, world: &mut World, host: usize, target: usize) {
         let unpermitted = self.pools[host].unpermitted(target as u64, world.now);
         if self.way == Way::Issued && !unpermitted.is_empty() {
-            self.question(world, host, target, limit, 0);
+            self.question(world, host, target, 0);
         }
     }
 
-    fn ask_issuer(
-        &mut self,
-        world: &mut World,
-        host: usize,
-        target: usize,
-        limit: f64,
-    ) -> SendVerdict {
+    fn ask_issuer(&mut self, world: &mut World, host: usize, target: usize) -> SendVerdict {
         let (now, key) = (world.now, target as u64);
         if let Some(from) = self.pools[host].take(key, PATIENCE, now) {
             return SendVerdict::At(from.max(now));
@@ -200,7 +189,7 @@
             return SendVerdict::Withheld;
         }
         let wanted = self.pools[host].wanted(key, now);
-        let answer = self.question(world, host, target, limit, wanted);
+        let answer = self.question(world, host, target, wanted);
         self.pools[host].put(key, answer, now + ROUND_TRIP);
         if let PermitAnswer::Withheld { retry_after } = answer {
             self.withheld.insert((host, target), now + retry_after);
@@ -216,7 +205,6 @@
         world: &mut World,
         host: usize,
         target: usize,
-        limit: f64,
         wanted: u32,
     ) -> PermitAnswer {
         let (now, key) = (world.now, target as u64);
@@ -237,7 +225,7 @@
             zone: "z".into(),
             limit: LimitWord {
                 target: key,
-                rate: RateLimit::new(limit),
+                rate: RateLimit::new(world.believed_limit(host)),
                 sent_age: Duration::ZERO,
                 heard_age: Duration::ZERO,
             },
@@ -249,6 +237,8 @@
         let hosts = 0..world.names.len();
         let live = hosts.filter(|other| world.believes_alive(issuer, *other));
         let part = issued_part(live.count(), world.names.len());
+        // Whoever has heard of the lower limit tells the other with the question.
+        let limit = world.believed_limit(host).min(world.believed_limit(issuer));
         let limit = RateLimit::new(limit).expect("a valid rate");
         self.issuers[issuer].answer(&question, limit, part, now)
     }
--- a/standins/tests/limit_division/world.rs
+++ b/standins/tests/limit_division/world.rs
@@ -31,6 +31,8 @@
     pub(crate) demand: f64,
     /// Part of the calls between hosts that is lost.
     pub(crate) loss: f64,
+    /// Targets name half of their limits from the middle on.
+    pub(crate) lowered: bool,
     /// Hosts end and start, are cut off from each other, and demand moves.
     pub(crate) trouble: bool,
     pub(crate) seed: u64,
@@ -66,6 +68,10 @@
     pub(crate) cut: Vec<bool>,
     cut_since: Option<Instant>,
     pub(crate) loss: f64,
+    /// The limits that targets name, the first from 3 s on.
+    limits: Vec<NamedLimit>,
+    /// Delay with which each host hears that the limit is another one.
+    change_heard: Vec<Duration>,
     pub(crate) random: StdRng,
 }
 
@@ -87,6 +93,13 @@
         host == other || (alive && !(apart && cut_known))
     }
 
+    /// The limit that a host takes targets to name.
+    pub(crate) fn believed_limit(&self, host: usize) -> f64 {
+        let heard = |limit: &&NamedLimit| self.now >= limit.from + self.change_heard[host];
+        let last = self.limits.iter().rfind(heard);
+        last.unwrap_or(&self.limits[0]).per_second
+    }
+
     /// Whether a call from one host to another is answered.
     pub(crate) fn reaches(&mut self, host: usize, other: usize) -> bool {
         let lost = self.random.random_bool(self.loss);
@@ -103,6 +116,8 @@
 /// Plays 20 seconds of a limit that is named after 3.
 pub(crate) fn play(game: &Game) -> Outcome {
     let start = Instant::now();
+    let limits = limits(game, start);
+    let end = start + Duration::from_secs(23);
     let names = (0..game.hosts).map(|host| format!("host-{host:03}").as_str().into());
     let mut world = World {
         now: start,
@@ -113,33 +128,33 @@
         cut: vec![false; game.hosts],
         cut_since: None,
         loss: game.loss,
+        change_heard: vec![Duration::ZERO; game.hosts],
+        limits: limits.clone(),
         random: StdRng::seed_from_u64(game.seed),
     };
+    for host in 0..game.hosts {
+        world.change_heard[host] = world.draw(LIMIT_HEARD);
+    }
     let mut division = Division::new(game);
-    let limit = NamedLimit {
-        per_second: game.per_second,
-        from: start + Duration::from_secs(3),
-        until: start + Duration::from_secs(23),
-    };
     let mut arrivals = vec![Vec::new(); game.targets];
     let mut known = vec![vec![None::<Instant>; game.targets]; game.hosts];
     let mut told = vec![vec![false; game.targets]; game.hosts];
     let mut outcome = Outcome::default();
     let whole = game.demand * game.per_second * game.targets as f64;
-    while world.now < limit.until {
+    while world.now < end {
         world.now += STEP;
         let now = world.now;
         if game.trouble {
             make_trouble(&mut world, &mut division, start);
         }
-        division.exchange(&mut world, limit.per_second);
+        division.exchange(&mut world);
         let weights = weights(game, now - start);
         let sum = weights.iter().sum::<f64>();
         for (host, known) in known.iter().enumerate() {
             for (target, known) in known.iter().enumerate() {
                 if !told[host][target] && known.is_some_and(|at| now >= at) {
                     told[host][target] = true;
-                    division.tell_sends(&mut world, host, target, limit.per_second);
+                    division.tell_sends(&mut world, host, target);
                 }
             }
         }
@@ -157,7 +172,7 @@
                 {
                     let limited = known[host][target].is_some_and(|at| now >= at);
                     let verdict = match limited {
-                        true => division.ask(&mut world, host, target, limit.per_second),
+                        true => division.ask(&mut world, host, target),
                         false => division.send_freely(host, target, now),
                     };
                     let SendVerdict::At(at) = verdict else {
@@ -165,7 +180,7 @@
                     };
                     arrivals[target].push(at);
                     served = true;
-                    if at >= limit.from {
+                    if at >= limits[0].from {
                         let heard = at + world.draw(HEAD_TIME);
                         hear_limit(&mut known, &mut world, host, target, heard);
                     }
@@ -176,11 +191,27 @@
             }
         }
     }
-    judge(&mut arrivals, limit, &mut outcome);
+    judge(&mut arrivals, &limits, &mut outcome);
     (outcome.calls, outcome.busiest) = division.calls();
     outcome
 }
 
+/// One limit for 20 seconds, or two for ten each.
+fn limits(game: &Game, start: Instant) -> Vec<NamedLimit> {
+    let limit = |per_second, from, until| NamedLimit {
+        per_second,
+        from: start + Duration::from_secs(from),
+        until: start + Duration::from_secs(until),
+    };
+    match game.lowered {
+        false => vec![limit(game.per_second, 3, 23)],
+        true => vec![
+            limit(game.per_second, 3, 13),
+            limit(game.per_second / 2.0, 13, 23),
+        ],
+    }
+}
+
 /// The host that is told of a limit knows it, and the others a while later.
 fn hear_limit(
     known: &mut [Vec<Option<Instant>>],
@@ -237,17 +268,19 @@
     }
 }
 
-fn judge(arrivals: &mut [Vec<Instant>], limit: NamedLimit, outcome: &mut Outcome) {
-    let kept_from = limit.from + Duration::from_secs(4);
-    let could = limit.per_second * (limit.until - kept_from).as_secs_f64();
-    for arrivals in arrivals.iter_mut() {
+fn judge(arrivals: &mut [Vec<Instant>], limits: &[NamedLimit], outcome: &mut Outcome) {
+    let count = (arrivals.len() * limits.len()) as f64;
+    for arrivals in arrivals {
         arrivals.sort_unstable();
-        outcome.breaches += usize::from(limit.worst_breach(arrivals).is_some());
-        let most = limit.most_in_window(arrivals) as f64 / limit.allowed();
-        outcome.worst = outcome.worst.max(most);
-        let kept = arrivals.iter();
-        let kept = kept.filter(|at| (kept_from..limit.until).contains(*at));
-        outcome.used += kept.count() as f64 / could;
+        for limit in limits {
+            let kept_from = limit.from + Duration::from_secs(4);
+            let could = limit.per_second * (limit.until - kept_from).as_secs_f64();
+            let kept = arrivals.iter();
+            let kept = kept.filter(|at| (kept_from..limit.until).contains(*at));
+            let most = limit.most_in_window(arrivals) as f64 / limit.allowed();
+            outcome.breaches += usize::from(limit.worst_breach(arrivals).is_some());
+            outcome.worst = outcome.worst.max(most);
+            outcome.used += kept.count() as f64 / could / count;
+        }
     }
-    outcome.used /= arrivals.len() as f64;
 }
