Look at the targets of a request once, where it is sent

Cause, by reading the change again: each request took the lock of the targets twice and looked each of its engines up twice, once for the wait for permits and once for limits, although nearly none passes a target with a limit. Change: one look gives the limited targets, the keys of the others and the wait. What nothing outside uses is no longer public, and the key of a target that is gone is worked out once. A comment on the hosts that hand out permits said that other zones know them, which tests/permit_duty.rs shows to be wrong. Decisions are the same; processor time was not measured. Tests: forwarding 37, permits 6, permit_duty 4, limit_division 5, all pass unchanged.

--- a/src/fleet/table.rs
+++ b/src/fleet/table.rs
@@ -378,16 +378,6 @@
         }
     }
 
-    /// Time until there may be permits to send to all of these targets.
-    pub fn longest_wait<'a, I>(&self, targets: I, now: Instant) -> Duration
-    where
-        I: Iterator<Item = &'a TargetId>,
-    {
-        let states = targets.filter_map(|id| self.get(id));
-        let waits = states.map(|state| state.permit_wait(now));
-        waits.max().unwrap_or_default()
-    }
-
     /// Id of the target with a key.
     pub fn id_of(&self, key: TargetKey) -> Option<&TargetId> {
         self.id_of.get(&key)
--- a/src/forward/moving.rs
+++ b/src/forward/moving.rs
@@ -68,9 +68,11 @@
     async fn withheld_from(&self, repaired: &EnginePath, before: &EnginePath) -> Vec<TargetId> {
         let is_new = |id: &&TargetId| !before.hops.iter().any(|hop| hop.target == **id);
         let new = || repaired.hops.iter().map(|hop| &hop.target).filter(is_new);
-        match self.exchange.permit(new(), PERMIT_WAIT).await {
+        let exchange = &self.exchange;
+        let targets = exchange.tables.passed_targets(new(), Instant::now());
+        match exchange.permit(&targets, PERMIT_WAIT).await {
             Ok(()) => Vec::new(),
-            Err(_) => self.exchange.withheld_among(new()),
+            Err(_) => exchange.withheld_among(new()),
         }
     }
 
--- a/src/forward/permits.rs
+++ b/src/forward/permits.rs
@@ -32,6 +32,17 @@
     pub(super) from: Instant,
 }
 
+/// The targets that a request is about to be sent to.
+#[derive(Debug, Default)]
+pub(super) struct PassedTargets {
+    /// Those that limit their rate.
+    pub(super) limited: Vec<TargetId>,
+    /// Keys of the others.
+    pub(super) free: Vec<TargetKey>,
+    /// Time until there may be permits for all of them, as far as this host knows.
+    pub(super) wait: Duration,
+}
+
 impl ServingTables {
     /// Sets whom this host asks for permits. Without it, it hands them out itself.
     pub fn set_permit_source(&self, source: PermitSource) {
@@ -40,26 +51,29 @@
         }
     }
 
-    /// The targets that limit their rate, and the keys of the others.
-    pub(super) fn divide_by_limit<'a, I>(&self, targets: I) -> (Vec<TargetId>, Vec<TargetKey>)
+    /// Looks at the targets that a request is about to be sent to.
+    pub(super) fn passed_targets<'a, I>(&self, targets: I, now: Instant) -> PassedTargets
     where
         I: Iterator<Item = &'a TargetId>,
     {
+        let mut passed = PassedTargets::default();
         let known = {
             let fleet = self.fleet.lock();
-            let known = targets.filter_map(|id| Some((id, fleet.get(id)?.key)));
+            let known = targets.filter_map(|id| {
+                let state = fleet.get(id)?;
+                passed.wait = passed.wait.max(state.permit_wait(now));
+                Some((id, state.key))
+            });
             known.collect::<Vec<_>>()
         };
         let limits = self.limits.lock();
-        let mut limited = Vec::new();
-        let mut free = Vec::new();
         for (id, key) in known {
             match limits.limit(key) {
-                Some(_) => limited.push(id.clone()),
-                None => free.push(key),
+                Some(_) => passed.limited.push(id.clone()),
+                None => passed.free.push(key),
             }
         }
-        (limited, free)
+        passed
     }
 
     /// Requests are sent to targets that name no limit.
--- a/src/forward/permitting.rs
+++ b/src/forward/permitting.rs
@@ -7,7 +7,7 @@
 use super::answer::Refusal;
 use super::choice::ChosenTarget;
 use super::exchange::Exchange;
-use super::permits::{HeldPermit, WithheldTarget};
+use super::permits::{HeldPermit, PassedTargets, WithheldTarget};
 use super::tables::InFlightGuard;
 use crate::ids::TargetId;
 use crate::permits::permit_patience;
@@ -41,18 +41,18 @@
             };
             let now = Instant::now();
             let longest = self.longest_wait(started, now);
-            let wait = self.tables.fleet.lock().longest_wait(chosen.ids(), now);
-            let withheld = match wait {
-                _ if wait > longest => Err(wait),
+            let targets = self.tables.passed_targets(chosen.ids(), now);
+            let withheld = match targets.wait {
+                wait if wait > longest => Err(wait),
                 // What is cheapest although it has to be waited for has no substitute.
-                Duration::ZERO => self.permit(chosen.ids(), SHORT_WAIT.min(longest)).await,
-                _ => self.permit(chosen.ids(), longest).await,
+                Duration::ZERO => self.permit(&targets, SHORT_WAIT.min(longest)).await,
+                _ => self.permit(&targets, longest).await,
             };
             let Err(withheld) = withheld else {
                 return Ok(self.commit(chosen, avoid.len()));
             };
             retry_after = Some(retry_after.map_or(withheld, |after| after.min(withheld)));
-            if !wait.is_zero() {
+            if !targets.wait.is_zero() {
                 passed.extend(self.withheld_among(chosen.ids()));
             }
         }
@@ -89,12 +89,13 @@
 
     /// Waits until a request may be sent to targets, at most for `wait`; else gives the
     /// time after which it may be tried again.
-    pub(super) async fn permit<'a, I>(&self, targets: I, wait: Duration) -> Result<(), Duration>
-    where
-        I: Iterator<Item = &'a TargetId>,
-    {
-        let (limited, free) = self.tables.divide_by_limit(targets);
-        let asked = limited.iter().map(|id| self.tables.permit(id, wait));
+    pub(super) async fn permit(
+        &self,
+        targets: &PassedTargets,
+        wait: Duration,
+    ) -> Result<(), Duration> {
+        let limited = targets.limited.iter();
+        let asked = limited.map(|id| self.tables.permit(id, wait));
         let (permits, withheld) = split(join_all(asked).await);
         if !withheld.is_empty() {
             self.tables.give_back(permits);
@@ -104,7 +105,7 @@
         if let Some(from) = from.filter(|from| *from > Instant::now()) {
             tokio::time::sleep_until(from.into()).await;
         }
-        self.tables.count_unpermitted(&free, Instant::now());
+        self.tables.count_unpermitted(&targets.free, Instant::now());
         Ok(())
     }
 }
--- a/src/forward/tables.rs
+++ b/src/forward/tables.rs
@@ -160,8 +160,9 @@
     pub fn forget_target(&self, target: &str) {
         self.reports.lock().remove(target);
         self.closed.lock().remove(target);
-        self.limits.lock().forget(target_key(target));
-        self.permits.lock().forget(target_key(target));
+        let key = target_key(target);
+        self.limits.lock().forget(key);
+        self.permits.lock().forget(key);
     }
 }
 
--- a/src/permits.rs
+++ b/src/permits.rs
@@ -23,12 +23,11 @@
 mod sends;
 mod table;
 
-pub use duty::{ISSUING_HOSTS, issued_part, issuing_host};
+pub use duty::{issued_part, issuing_host};
 pub use issuer::PermitIssuer;
 pub use observation::LimitObservation;
 pub use patience::permit_patience;
 pub use pool::PermitPool;
 pub use question::{PermitAnswer, PermitQuestion};
 pub use rate::RateLimit;
-pub use sends::{SEND_WINDOW, SendCounts};
 pub use table::{LimitChange, LimitListing, LimitTable, LimitWord};
--- a/src/permits/duty.rs
+++ b/src/permits/duty.rs
@@ -3,8 +3,8 @@
 use crate::ids::{HostId, TargetKey};
 use crate::rendezvous::top_ranked;
 
-/// Hosts of a zone that share the duty: those that other zones know.
-pub const ISSUING_HOSTS: usize = 4;
+/// Hosts of a zone that share the duty.
+const ISSUING_HOSTS: usize = 4;
 /// Seed of the hash that spreads targets over them.
 const DUTY_SEED: u64 = 0x7065_726d;
 /// Part of the known hosts that has to live for the whole limit to be handed out.
--- a/src/permits/sends.rs
+++ b/src/permits/sends.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 /// Span over which a target's requests are counted.
-pub const SEND_WINDOW: Duration = Duration::from_secs(4);
+pub(super) const SEND_WINDOW: Duration = Duration::from_secs(4);
 /// Resolution of the counts.
 const SLOT: Duration = Duration::from_millis(500);
 /// Slots of a window, and the one that is not over yet.
@@ -11,7 +11,7 @@
 
 /// Requests of the last [`SEND_WINDOW`], by half seconds of age.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct SendCounts {
+pub(super) struct SendCounts {
     /// When the newest slot began.
     newest: Instant,
     /// The newest slot first.
@@ -20,7 +20,7 @@
 
 impl SendCounts {
     /// Nothing was sent.
-    pub fn new(now: Instant) -> Self {
+    pub(super) fn new(now: Instant) -> Self {
         Self {
             newest: now,
             slots: [0; SLOTS],
@@ -28,7 +28,7 @@
     }
 
     /// Counts by age, the newest first, as another host told them a moment ago.
-    pub fn from_ages(ages: &[u16], now: Instant) -> Self {
+    pub(super) fn from_ages(ages: &[u16], now: Instant) -> Self {
         let mut counts = Self::new(now);
         let slots = counts.slots.iter_mut();
         for (slot, told) in slots.zip(ages) {
@@ -38,7 +38,7 @@
     }
 
     /// Counts by age, the newest first, without the empty ones at the end.
-    pub fn ages(&self, now: Instant) -> Vec<u16> {
+    pub(super) fn ages(&self, now: Instant) -> Vec<u16> {
         let mut counts = *self;
         counts.move_on(now);
         let used = counts.slots.iter().rposition(|slot| *slot > 0);
@@ -46,28 +46,28 @@
     }
 
     /// Requests are sent now.
-    pub fn count(&mut self, requests: u32, now: Instant) {
+    pub(super) fn count(&mut self, requests: u32, now: Instant) {
         self.move_on(now);
         let requests = u16::try_from(requests).unwrap_or(u16::MAX);
         self.slots[0] = self.slots[0].saturating_add(requests);
     }
 
     /// Requests of the last window.
-    pub fn total(&self, now: Instant) -> u32 {
+    pub(super) fn total(&self, now: Instant) -> u32 {
         let mut counts = *self;
         counts.move_on(now);
         counts.slots.iter().copied().map(u32::from).sum()
     }
 
     /// Requests of the last half second to second.
-    pub fn recent(&self, now: Instant) -> u32 {
+    pub(super) fn recent(&self, now: Instant) -> u32 {
         let mut counts = *self;
         counts.move_on(now);
         counts.slots[..2].iter().copied().map(u32::from).sum()
     }
 
     /// Time until the oldest requests that count no longer do.
-    pub fn until_next_lapse(&self, now: Instant) -> Duration {
+    pub(super) fn until_next_lapse(&self, now: Instant) -> Duration {
         let passed = now.saturating_duration_since(self.newest);
         SLOT - (passed - SLOT * whole_slots(passed))
     }
