Make the calls to peers in one place

Cause, by reading the change again: with the sixth kind of call the same four lines stood six times: find the link, call within a limit, count, pass the answer on. Change: one function does it; each kind says its limit and what it sends. Limits and counters are as before. Tests: entry_peers 3, peer_rpc 6, pass unchanged.

--- a/src/peer/worker.rs
+++ b/src/peer/worker.rs
@@ -128,24 +128,16 @@
             beat,
             answer,
         } => {
-            let link = table.link(address);
-            let called = link
-                .call(CallLimit::CloseLink, |client| send_heartbeat(client, &beat))
-                .await;
-            finish(table, called, answer);
+            let send = |client: &peer::Client| send_heartbeat(client, &beat);
+            call(table, address, CallLimit::CloseLink, send, answer).await;
         }
         PeerCommand::Records {
             address,
             question,
             answer,
         } => {
-            let link = table.link(address);
-            let called = link
-                .call(CallLimit::CloseLink, |client| {
-                    send_records(client, &question)
-                })
-                .await;
-            finish(table, called, answer);
+            let send = |client: &peer::Client| send_records(client, &question);
+            call(table, address, CallLimit::CloseLink, send, answer).await;
         }
         PeerCommand::ClaimOutcome {
             address,
@@ -153,24 +145,16 @@
             wait,
             answer,
         } => {
-            let link = table.link(address);
-            let called = link
-                .call(CallLimit::KeepLink(wait), |client| {
-                    send_question(client, &question)
-                })
-                .await;
-            finish(table, called, answer);
+            let send = |client: &peer::Client| send_question(client, &question);
+            call(table, address, CallLimit::KeepLink(wait), send, answer).await;
         }
         PeerCommand::Exchange {
             address,
             view,
             answer,
         } => {
-            let link = table.link(address);
-            let called = link
-                .call(CallLimit::CloseLink, |client| send_view(client, &view))
-                .await;
-            finish(table, called, answer);
+            let send = |client: &peer::Client| send_view(client, &view);
+            call(table, address, CallLimit::CloseLink, send, answer).await;
         }
         PeerCommand::Follow {
             address,
@@ -178,13 +162,8 @@
             wait,
             answer,
         } => {
-            let link = table.link(address);
-            let called = link
-                .call(CallLimit::KeepLink(wait), |client| {
-                    send_follow(client, question)
-                })
-                .await;
-            finish(table, called, answer);
+            let send = |client: &peer::Client| send_follow(client, question);
+            call(table, address, CallLimit::KeepLink(wait), send, answer).await;
         }
         PeerCommand::Permit {
             address,
@@ -192,19 +171,25 @@
             wait,
             answer,
         } => {
-            let link = table.link(address);
-            let called = link
-                .call(CallLimit::KeepLink(wait), |client| {
-                    send_permit(client, &question)
-                })
-                .await;
-            finish(table, called, answer);
+            let send = |client: &peer::Client| send_permit(client, &question);
+            call(table, address, CallLimit::KeepLink(wait), send, answer).await;
         }
         PeerCommand::Shutdown { .. } => {}
     }
 }
 
-fn finish<T>(table: &LinkTable, called: Result<T, PeerError>, answer: AnswerSender<T>) {
+/// Makes one call, counts it, and passes its answer on.
+async fn call<F, R, T>(
+    table: &LinkTable,
+    address: SocketAddr,
+    limit: CallLimit,
+    send: F,
+    answer: AnswerSender<T>,
+) where
+    F: FnOnce(&peer::Client) -> R,
+    R: Future<Output = capnp::Result<T>>,
+{
+    let called = table.link(address).call(limit, send).await;
     table.traffic().count_call(called.is_err());
     // The asker may have gone away; then nobody needs the answer.
     let _ = answer.send(called);
