Take the model of the path tests from that of the plans' tests

Cause, by reading the change again: the model of engines and two accelerators stood twice, figure by figure. Change: one definition; the tests keep their assertions. paths, placing, placing_parts pass.

--- a/tests/paths.rs
+++ b/tests/paths.rs
@@ -1,5 +1,7 @@
 //! Paths over engines: every layer once and in order, the least loaded first.
 
+mod placing_support;
+
 use std::time::{Duration, Instant};
 
 use jackdawwick::collections::FastMap;
@@ -8,7 +10,8 @@
     UseSource, choose_path, repair_path, target_key,
 };
 use jackdawwick::ids::TargetId;
-use jackdawwick::ingress::{AcceleratorKind, EngineModel};
+use jackdawwick::ingress::EngineModel;
+use placing_support::{FAST, SLOW};
 use proptest::prelude::*;
 
 const SIZE: RequestSize = RequestSize {
@@ -17,28 +20,10 @@
 };
 
 fn model() -> EngineModel {
-    let kind = |memory_mb, pace, read_factor| AcceleratorKind {
-        memory_mb,
-        pace,
-        read_factor,
-    };
-    let kinds = [
-        ("fast".into(), kind(72_000.0, 2.4, 3.2)),
-        ("slow".into(), kind(21_600.0, 16.0, 8.2)),
-    ];
+    let kinds = [("fast".into(), FAST), ("slow".into(), SLOW)];
     EngineModel {
-        layers: 80,
-        layer_mb: 1750.0,
-        kv_token_bytes: 918_000.0,
-        step_ms: 1.02,
-        per_request_ms: 0.007,
-        per_context_k_ms: 0.0096,
-        read_per_s: 105_000.0,
-        stride: 3,
-        load_s: 14.0,
-        usual_prompt: 774,
-        usual_answer: 203,
         kinds: kinds.into_iter().collect::<FastMap<_, _>>(),
+        ..placing_support::model()
     }
 }
 
--- a/tests/placing_support/mod.rs
+++ b/tests/placing_support/mod.rs
@@ -1,4 +1,6 @@
-//! Zones of engines to plan, and what a plan gives them.
+//! A model and its accelerators, zones of engines to plan, and what a plan gives them.
+
+#![allow(dead_code, reason = "each test uses a part of it")]
 
 use jackdawwick::collections::FastMap;
 use jackdawwick::ingress::{AcceleratorKind, EngineModel};
