--- a/standins/tests/departures.rs
+++ b/standins/tests/departures.rs
@@ -2,31 +2,12 @@
 
 mod support;
 
-use std::path::PathBuf;
-use std::time::Duration;
+use standins::soak::{DepartureReport, play_departure_during_cut, play_departure_unread};
+use support::TestResult;
+use support::soaks::soak_settings;
 
-use standins::soak::{
-    DepartureReport, SoakSettings, play_departure_during_cut, play_departure_unread,
-};
-use support::{TestResult, eventually};
-
-/// Four hosts in two zones, and a folder for their settings and lines.
-async fn four_hosts() -> Result<(SoakSettings, tempfile::TempDir), support::TestError> {
-    let program = PathBuf::from(env!("CARGO_BIN_EXE_soak"));
-    let program = program.with_file_name("jackdawwickd");
-    let folder = tempfile::tempdir()?;
-    eventually("the program is built", || async { program.exists() }).await?;
-    let settings = SoakSettings {
-        seed: 1,
-        length: Duration::ZERO,
-        hosts: 4,
-        callers: 0,
-        program,
-        folder: folder.path().to_owned(),
-        timed: false,
-    };
-    Ok((settings, folder))
-}
+/// In two zones.
+const HOSTS: usize = 4;
 
 fn is_late_for_nobody(report: &DepartureReport) -> bool {
     report.late_runs == 0 && report.runs_before > 0 && report.unanswered == 0
@@ -40,7 +21,7 @@
 /// 6 to 9 s later.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_host_that_lost_the_log_hears_from_its_neighbours_who_leaves() -> TestResult {
-    let (settings, _folder) = four_hosts().await?;
+    let (settings, _folder) = soak_settings(HOSTS).await?;
     let report = play_departure_unread(settings).await?;
     assert!(is_late_for_nobody(&report), "{report:?}");
     Ok(())
@@ -56,7 +37,7 @@
 /// that left with sixteen that lapsed, and dropped the five 3.02 s later.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn who_left_during_a_cut_gets_nothing_after_it_and_who_lapsed_is_kept() -> TestResult {
-    let (settings, _folder) = four_hosts().await?;
+    let (settings, _folder) = soak_settings(HOSTS).await?;
     let report = play_departure_during_cut(settings).await?;
     assert!(is_late_for_nobody(&report), "{report:?}");
     assert!(report.runs_on_lapsed > 0, "{report:?}");
--- a/standins/tests/limits.rs
+++ b/standins/tests/limits.rs
@@ -3,12 +3,12 @@
 
 mod support;
 
-use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
 use standins::check::NamedLimit;
-use standins::soak::{SoakSettings, play_limit};
-use support::{TestResult, eventually};
+use standins::soak::play_limit;
+use support::TestResult;
+use support::soaks::soak_settings;
 
 const HOSTS: usize = 6;
 
@@ -38,20 +38,8 @@
 /// Guards against a limit that is named to each host and kept by none for all.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_limit_holds_for_all_hosts_together() -> TestResult {
-    let program = PathBuf::from(env!("CARGO_BIN_EXE_soak"));
-    let program = program.with_file_name("jackdawwickd");
-    let folder = tempfile::tempdir()?;
-    eventually("the program is built", || async { program.exists() }).await?;
-    let report = play_limit(SoakSettings {
-        seed: 1,
-        length: Duration::ZERO,
-        hosts: HOSTS,
-        callers: 0,
-        program,
-        folder: folder.path().to_owned(),
-        timed: false,
-    })
-    .await?;
+    let (settings, _folder) = soak_settings(HOSTS).await?;
+    let report = play_limit(settings).await?;
     assert_eq!(report.breach, None, "{report:?}");
     assert_eq!(report.unanswered, 0, "{report:?}");
     Ok(())
--- a/standins/tests/poison.rs
+++ b/standins/tests/poison.rs
@@ -2,11 +2,9 @@
 
 mod support;
 
-use std::path::PathBuf;
-use std::time::Duration;
-
-use standins::soak::{PoisonReport, SoakSettings, play_poison};
-use support::{TestResult, eventually};
+use standins::soak::{PoisonReport, play_poison};
+use support::TestResult;
+use support::soaks::soak_settings;
 
 const HOSTS: usize = 4;
 
@@ -16,20 +14,8 @@
 /// Cause: what a host had seen of a request stayed with its process.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_poison_request_is_refused_by_all_hosts_and_after_a_start_of_all() -> TestResult {
-    let program = PathBuf::from(env!("CARGO_BIN_EXE_soak"));
-    let program = program.with_file_name("jackdawwickd");
-    let folder = tempfile::tempdir()?;
-    eventually("the program is built", || async { program.exists() }).await?;
-    let report = play_poison(SoakSettings {
-        seed: 1,
-        length: Duration::ZERO,
-        hosts: HOSTS,
-        callers: 0,
-        program,
-        folder: folder.path().to_owned(),
-        timed: false,
-    })
-    .await?;
+    let (settings, _folder) = soak_settings(HOSTS).await?;
+    let report = play_poison(settings).await?;
     let expected = PoisonReport {
         crashed: 3,
         refused_by: HOSTS,
--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -3,7 +3,6 @@
 
 mod support;
 
-use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
 use standins::check::NamedLimit;
@@ -12,7 +11,8 @@
     LinkFault, ProbeRecord, RunRecord, SoakHistory, SoakSettings, TargetDeparture, TargetLimit,
     broken_promises, draw_faults, run_soak,
 };
-use support::{TestResult, eventually};
+use support::TestResult;
+use support::soaks::soak_settings;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -271,18 +271,12 @@
 /// that is not bounded by a time.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_short_soak_breaks_no_promise() -> TestResult {
-    let program = PathBuf::from(env!("CARGO_BIN_EXE_soak"));
-    let program = program.with_file_name("jackdawwickd");
-    let folder = tempfile::tempdir()?;
-    eventually("the program is built", || async { program.exists() }).await?;
+    let (settings, _folder) = soak_settings(3).await?;
     let report = run_soak(SoakSettings {
         seed: 11,
         length: Duration::from_secs(6),
-        hosts: 3,
         callers: 8,
-        program,
-        folder: folder.path().to_owned(),
-        timed: false,
+        ..settings
     })
     .await?;
     assert_eq!(report.broken, []);
--- a/standins/tests/support/mod.rs
+++ b/standins/tests/support/mod.rs
@@ -9,6 +9,7 @@
 pub mod configuration;
 pub mod forwarder;
 pub mod hosts;
+pub mod soaks;
 
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
--- /dev/null
+++ b/standins/tests/support/soaks.rs
@@ -0,0 +1,27 @@
+//! Settings of games with entry hosts as processes.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use standins::soak::SoakSettings;
+use tempfile::TempDir;
+
+use super::{TestError, eventually};
+
+/// Settings of a game with so many hosts and nothing drawn; its files go with the folder.
+pub async fn soak_settings(hosts: usize) -> Result<(SoakSettings, TempDir), TestError> {
+    let program = PathBuf::from(env!("CARGO_BIN_EXE_soak"));
+    let program = program.with_file_name("jackdawwickd");
+    let folder = tempfile::tempdir()?;
+    eventually("the program is built", || async { program.exists() }).await?;
+    let settings = SoakSettings {
+        seed: 1,
+        length: Duration::ZERO,
+        hosts,
+        callers: 0,
+        program,
+        folder: folder.path().to_owned(),
+        timed: false,
+    };
+    Ok((settings, folder))
+}
