--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -5,6 +5,7 @@
 mod load;
 mod path;
 mod pick;
+mod state;
 mod table;
 mod uses;
 
@@ -12,5 +13,6 @@
 pub use load::{RequestSize, TargetLoad};
 pub use path::{EnginePath, PathHop, PathQuery, choose_path, repair_path};
 pub use pick::choose_target;
-pub use table::{FleetTable, ServiceMembers, TargetState};
+pub use state::TargetState;
+pub use table::{FleetTable, ServiceMembers};
 pub use uses::{TargetUse, UseScope, UseSource, ZoneUses, target_key};
