--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -14,6 +14,7 @@
 mod configuration;
 mod departure;
 mod engines;
+mod event_stream;
 mod faults;
 mod heartbeats;
 mod history;
--- /dev/null
+++ b/standins/src/soak/event_stream.rs
@@ -0,0 +1,104 @@
+//! A stream of events over a path of engines.
+
+use std::io;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+
+use super::answers::{event_count, event_text};
+use super::configuration::STALL_MS;
+use super::engines::{PathPart, TargetWorld};
+use super::target::TargetBody;
+
+/// Pause between two events of a stream.
+const EVENT_PAUSE: Duration = Duration::from_millis(20);
+/// Pause between two looks at a path that stalls.
+const STALL_LOOK: Duration = Duration::from_millis(20);
+
+/// A stream under way.
+struct EventStream {
+    world: Arc<TargetWorld>,
+    id: String,
+    number: u64,
+    next: u64,
+    course: StreamCourse,
+}
+
+/// How a stream goes on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum StreamCourse {
+    Sound,
+    /// Breaks off in the middle of its next fifth event.
+    BreaksSoon,
+    Broken,
+}
+
+impl Drop for EventStream {
+    fn drop(&mut self) {
+        self.world.end(&self.id, self.number);
+    }
+}
+
+pub(super) fn stream_events(
+    world: Arc<TargetWorld>,
+    id: String,
+    path: Vec<PathPart>,
+    last_event: u64,
+    course: StreamCourse,
+) -> TargetBody {
+    let number = world.begin(&id, path);
+    let events = EventStream {
+        world,
+        id,
+        number,
+        next: last_event + 1,
+        course,
+    };
+    let frames = stream::unfold(Some(events), |events| async move {
+        let mut events = events?;
+        match events.produce().await {
+            Ok(Some(text)) => Some((Ok(Frame::data(text)), Some(events))),
+            Ok(None) => None,
+            Err(error) => Some((Err(error), None)),
+        }
+    });
+    StreamBody::new(frames).boxed_unsync()
+}
+
+impl EventStream {
+    async fn produce(&mut self) -> io::Result<Option<Bytes>> {
+        if self.course == StreamCourse::Broken {
+            return Err(io::Error::other("breaks off"));
+        }
+        if self.next > event_count(&self.id) {
+            return Ok(None);
+        }
+        tokio::time::sleep(EVENT_PAUSE).await;
+        self.wait_for_path().await?;
+        let text = event_text(&self.id, self.next);
+        if self.course == StreamCourse::BreaksSoon && self.next.is_multiple_of(5) {
+            self.course = StreamCourse::Broken;
+            let half = text.len() / 2;
+            return Ok(Some(Bytes::from(text).slice(..half)));
+        }
+        self.next += 1;
+        Ok(Some(text.into()))
+    }
+
+    /// A stream stalls while an engine of its path is dead, and is cut off
+    /// after a while.
+    async fn wait_for_path(&self) -> io::Result<()> {
+        let until = Instant::now() + Duration::from_millis(STALL_MS);
+        while self.world.stalled_at(&self.id, self.number).is_some() {
+            if Instant::now() >= until {
+                return Err(io::Error::other("stalled"));
+            }
+            tokio::time::sleep(STALL_LOOK).await;
+        }
+        Ok(())
+    }
+}
--- a/standins/src/soak/target.rs
+++ b/standins/src/soak/target.rs
@@ -20,11 +20,12 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
 
-use super::answers::{event_count, event_text, plain_body};
-use super::configuration::{STALL_MS, TARGETS};
+use super::answers::plain_body;
+use super::configuration::TARGETS;
 use super::engines::{
     PathPart, TargetFault, TargetState, TargetWorld, is_whole, parse_path, take_order,
 };
+use super::event_stream::{StreamCourse, stream_events};
 use super::heartbeats::{write_heartbeat, write_heartbeats};
 use super::history::RunRecord;
 use super::link::FaultLink;
@@ -33,13 +34,9 @@
 
 /// Time that a plain answer takes.
 const PLAIN_TIME: Duration = Duration::from_millis(15);
-/// Pause between two events of a stream.
-const EVENT_PAUSE: Duration = Duration::from_millis(20);
-/// Pause between two looks at a path that stalls.
-const STALL_LOOK: Duration = Duration::from_millis(20);
 
 /// Answer of a target.
-type TargetBody = UnsyncBoxBody<Bytes, io::Error>;
+pub(super) type TargetBody = UnsyncBoxBody<Bytes, io::Error>;
 
 /// What a target is, for as long as it lives.
 #[derive(Debug, Clone)]
@@ -296,90 +293,6 @@
     StreamBody::new(stream::iter(frames)).boxed_unsync()
 }
 
-/// A stream under way.
-struct EventStream {
-    world: Arc<TargetWorld>,
-    id: String,
-    number: u64,
-    next: u64,
-    course: StreamCourse,
-}
-
-/// How a stream goes on.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum StreamCourse {
-    Sound,
-    /// Breaks off in the middle of its next fifth event.
-    BreaksSoon,
-    Broken,
-}
-
-impl Drop for EventStream {
-    fn drop(&mut self) {
-        self.world.end(&self.id, self.number);
-    }
-}
-
-fn stream_events(
-    world: Arc<TargetWorld>,
-    id: String,
-    path: Vec<PathPart>,
-    last_event: u64,
-    course: StreamCourse,
-) -> TargetBody {
-    let number = world.begin(&id, path);
-    let events = EventStream {
-        world,
-        id,
-        number,
-        next: last_event + 1,
-        course,
-    };
-    let frames = stream::unfold(Some(events), |events| async move {
-        let mut events = events?;
-        match events.produce().await {
-            Ok(Some(text)) => Some((Ok(Frame::data(text)), Some(events))),
-            Ok(None) => None,
-            Err(error) => Some((Err(error), None)),
-        }
-    });
-    StreamBody::new(frames).boxed_unsync()
-}
-
-impl EventStream {
-    async fn produce(&mut self) -> io::Result<Option<Bytes>> {
-        if self.course == StreamCourse::Broken {
-            return Err(io::Error::other("breaks off"));
-        }
-        if self.next > event_count(&self.id) {
-            return Ok(None);
-        }
-        tokio::time::sleep(EVENT_PAUSE).await;
-        self.wait_for_path().await?;
-        let text = event_text(&self.id, self.next);
-        if self.course == StreamCourse::BreaksSoon && self.next.is_multiple_of(5) {
-            self.course = StreamCourse::Broken;
-            let half = text.len() / 2;
-            return Ok(Some(Bytes::from(text).slice(..half)));
-        }
-        self.next += 1;
-        Ok(Some(text.into()))
-    }
-
-    /// A stream stalls while an engine of its path is dead, and is cut off
-    /// after a while.
-    async fn wait_for_path(&self) -> io::Result<()> {
-        let until = Instant::now() + Duration::from_millis(STALL_MS);
-        while self.world.stalled_at(&self.id, self.number).is_some() {
-            if Instant::now() >= until {
-                return Err(io::Error::other("stalled"));
-            }
-            tokio::time::sleep(STALL_LOOK).await;
-        }
-        Ok(())
-    }
-}
-
 fn whole(bytes: Bytes) -> TargetBody {
     Full::new(bytes)
         .map_err(|never: Infallible| match never {})
