--- a/standins/tests/limit_division/main.rs
+++ b/standins/tests/limit_division/main.rs
@@ -5,7 +5,7 @@
 mod world;
 
 use ways::Way;
-use world::{Game, play};
+use world::{Game, Outcome, play};
 
 fn game(way: Way, hosts: usize, seed: u64) -> Game {
     Game {
@@ -28,23 +28,28 @@
     assert_eq!(outcome.breaches, 3, "{outcome:?}");
 }
 
+/// Plays a game in which every limit has to be kept.
+fn play_kept(game: &Game) -> Outcome {
+    let outcome = play(game);
+    assert_eq!(outcome.breaches, 0, "{game:?}: {outcome:?}");
+    outcome
+}
+
+/// Plays a game in which every limit has to be kept, and used while there is work.
+fn play_used(game: &Game) {
+    let outcome = play_kept(game);
+    assert!(outcome.used >= 0.9, "{game:?}: {outcome:?}");
+}
+
 /// Guards against a limit that is exceeded by all hosts together, or not used.
 #[test]
 fn a_limit_that_is_handed_out_is_kept_and_used() {
     for (hosts, per_second) in [(8, 2.0), (8, 6.4), (84, 2.0), (84, 6.4), (300, 6.4)] {
         for seed in 0..4 {
-            let outcome = play(&Game {
+            play_used(&Game {
                 per_second,
                 ..game(Way::Issued, hosts, seed)
             });
-            assert_eq!(
-                outcome.breaches, 0,
-                "{hosts} hosts, seed {seed}: {outcome:?}"
-            );
-            assert!(
-                outcome.used >= 0.9,
-                "{hosts} hosts, seed {seed}: {outcome:?}"
-            );
         }
     }
 }
@@ -55,16 +60,12 @@
 fn a_limit_is_kept_through_ends_starts_cuts_and_lost_calls() {
     for (hosts, per_second) in [(3, 20.0), (8, 0.5), (8, 6.4), (24, 50.0), (84, 6.4)] {
         for seed in 0..seeds() {
-            let outcome = play(&Game {
+            play_kept(&Game {
                 per_second,
                 loss: 0.05,
                 trouble: true,
                 ..game(Way::Issued, hosts, seed)
             });
-            assert_eq!(
-                outcome.breaches, 0,
-                "{hosts} hosts, seed {seed}: {outcome:?}"
-            );
         }
     }
 }
@@ -74,18 +75,10 @@
 fn a_limit_that_is_lowered_is_kept_and_used() {
     for hosts in [8, 84] {
         for seed in 0..seeds() {
-            let outcome = play(&Game {
+            play_used(&Game {
                 lowered: true,
                 ..game(Way::Issued, hosts, seed)
             });
-            assert_eq!(
-                outcome.breaches, 0,
-                "{hosts} hosts, seed {seed}: {outcome:?}"
-            );
-            assert!(
-                outcome.used >= 0.9,
-                "{hosts} hosts, seed {seed}: {outcome:?}"
-            );
         }
     }
 }
