Show the pauses that targets request with refusals

Whether a 503 names a pause, which one, and whether the host knows of it when it sends was not to be seen in lines or counters. Retry-After of a refusal (429 or 503) is read and kept at the target; no decision uses it yet. Lines 'target requests a pause', 'unusable pause' and 'sent during a pause' (with what is left of this host's own pause and its refusals, 0 after a success), counter jackdawwick_target_pauses.

Renamed: platform::limit_header to number_header, LimitHeader to NumberHeader, LimitHeader::PerSecond to NumberHeader::Number, parse_limit_header to parse_number_header (which takes the name of the header).

--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -30,6 +30,8 @@
     pub refusals: u32,
     /// End of the pause after a refusal for lack of capacity.
     pub full_until: Option<Instant>,
+    /// End of the pause that the target requested with its last refusal.
+    pub paused_until: Option<Instant>,
     /// Time before which there is no permit for the target, which limits its rate.
     pub withheld_until: Option<Instant>,
     /// Time until which the target counts as silent: it does not respond, or other
@@ -53,6 +55,7 @@
             ejected_until: None,
             refusals: 0,
             full_until: None,
+            paused_until: None,
             withheld_until: None,
             silent_until: None,
             pace: None,
@@ -89,6 +92,12 @@
         self.full_until.is_some_and(|until| now < until)
     }
 
+    /// Returns the time for which the target still wants no requests of this host.
+    pub fn pause(&self, now: Instant) -> Duration {
+        let until = self.paused_until.unwrap_or(now);
+        until.saturating_duration_since(now)
+    }
+
     /// Returns the time until there may be a permit to send to the target.
     pub fn permit_wait(&self, now: Instant) -> Duration {
         let until = self.withheld_until.unwrap_or(now);
--- a/src/fleet/table.rs
+++ b/src/fleet/table.rs
@@ -273,6 +273,13 @@
         }
     }
 
+    /// Records that a target wants no requests of this host until `until`.
+    pub fn observe_pause(&mut self, id: &str, until: Instant) {
+        if let Some(state) = self.get_mut(id) {
+            state.paused_until = state.paused_until.max(Some(until));
+        }
+    }
+
     /// Records that a target limits its rate and that there is no permit for it before
     /// `until`.
     pub fn observe_withheld(&mut self, id: &str, until: Instant) {
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -123,7 +123,9 @@
         let broken = |_| AttemptFailure::new(RunVerdict::MayHaveRun, FailureCause::Broken);
         let response = response.map_err(broken)?;
         let (status, headers) = (response.status(), response.headers());
-        tables.observe_limit(&target, status, headers, sent, Instant::now());
+        let now = Instant::now();
+        tables.observe_limit(&target, status, headers, sent, now);
+        tables.observe_pause(&target, status, headers, now);
         check_response(&id, response)
     })
 }
--- a/src/forward/attempt_policy.rs
+++ b/src/forward/attempt_policy.rs
@@ -74,6 +74,8 @@
     ) -> (ChosenTarget, InFlightGuard) {
         self.tables.count_start(Instant::now());
         self.log_route(&chosen, tried);
+        self.tables
+            .record_sends_during_pause(&self.outgoing.id, chosen.ids(), tried);
         let guard = InFlightGuard::open(self.tables.clone(), chosen.loads());
         (chosen, guard)
     }
--- a/src/forward/limits.rs
+++ b/src/forward/limits.rs
@@ -9,8 +9,8 @@
 use crate::fleet::target_key;
 use crate::ids::{HostId, TargetId, TargetKey};
 use crate::permits::{LimitChange, LimitObservation, RateLimit};
-use crate::platform::limit_header::{LimitHeader, parse_limit_header};
 use crate::platform::names;
+use crate::platform::number_header::{NumberHeader, parse_number_header};
 
 impl ServingTables {
     /// Records the limit that the head of a response names. `sent` is when the request
@@ -23,18 +23,18 @@
         sent: Instant,
         now: Instant,
     ) {
-        let rate = match parse_limit_header(headers) {
+        let rate = match parse_number_header(headers, names::SERVER_LIMIT) {
             // Another target at the same address may have sent it.
             _ if status == StatusCode::MISDIRECTED_REQUEST => return,
             // Only a response of the target itself shows that there is no limit.
-            LimitHeader::Absent if !headers.contains_key(names::SERVER_SEAL) => return,
-            LimitHeader::Absent if self.limits.lock().is_empty() => return,
-            LimitHeader::Absent => None,
-            LimitHeader::PerSecond(named) => match RateLimit::new(named) {
+            NumberHeader::Absent if !headers.contains_key(names::SERVER_SEAL) => return,
+            NumberHeader::Absent if self.limits.lock().is_empty() => return,
+            NumberHeader::Absent => None,
+            NumberHeader::Number(named) => match RateLimit::new(named) {
                 None => return self.record_unusable_limit(target, headers),
                 rate => rate,
             },
-            LimitHeader::Unreadable => return self.record_unusable_limit(target, headers),
+            NumberHeader::Unreadable => return self.record_unusable_limit(target, headers),
         };
         let observation = LimitObservation {
             rate,
--- a/src/metrics/serving.rs
+++ b/src/metrics/serving.rs
@@ -27,6 +27,7 @@
     unreadable_records: Family<CauseLabel, Counter>,
     ends_under_requests: Family<CauseLabel, Counter>,
     target_limits: Family<CauseLabel, Counter>,
+    target_pauses: Family<CauseLabel, Counter>,
     permits: Family<CauseLabel, Counter>,
     first_event: Histogram,
     between_events: Histogram,
@@ -48,6 +49,7 @@
             unreadable_records: Family::default(),
             ends_under_requests: Family::default(),
             target_limits: Family::default(),
+            target_pauses: Family::default(),
             permits: Family::default(),
             first_event: latency_histogram(),
             between_events: latency_histogram(),
@@ -107,6 +109,11 @@
                 "Reports of rate limits by targets, by kind",
                 &self.target_limits,
             ),
+            (
+                "target_pauses",
+                "Pauses that targets request with refusals, and requests sent during one, by kind",
+                &self.target_pauses,
+            ),
             (
                 "permits",
                 "Requests for permits to send to targets with limits, by reply",
@@ -204,6 +211,12 @@
         count(&self.target_limits, kind);
     }
 
+    /// Counts a pause that a target requested, an unusable one, or a request that was sent
+    /// during one.
+    pub fn pause_observed(&self, kind: &'static str) {
+        count(&self.target_pauses, kind);
+    }
+
     /// Counts a request for permits by its reply, or a caller's request that was refused
     /// because no permit was available.
     pub fn permit_requested(&self, reply: &'static str) {
--- a/tests/forwarding/main.rs
+++ b/tests/forwarding/main.rs
@@ -3,6 +3,7 @@
 mod host;
 mod limits;
 mod moves;
+mod pauses;
 mod poison;
 mod stub_target;
 
--- a/tests/permits/main.rs
+++ b/tests/permits/main.rs
@@ -5,7 +5,8 @@
 use http::HeaderMap;
 use http::header::HeaderValue;
 use jackdawwick::permits::{LimitChange, LimitObservation, LimitTable, RateLimit};
-use jackdawwick::platform::limit_header::{LimitHeader, parse_limit_header};
+use jackdawwick::platform::names;
+use jackdawwick::platform::number_header::{NumberHeader, parse_number_header};
 
 const TARGET: u64 = 7;
 
@@ -34,23 +35,26 @@
 
 #[test]
 fn a_limit_is_one_decimal_number() {
-    assert_eq!(parse_limit_header(&headers(&[])), LimitHeader::Absent);
     assert_eq!(
-        parse_limit_header(&headers(&[" 6.4 "])),
-        LimitHeader::PerSecond(6.4)
+        parse_number_header(&headers(&[]), names::SERVER_LIMIT),
+        NumberHeader::Absent
     );
     assert_eq!(
-        parse_limit_header(&headers(&["0"])),
-        LimitHeader::PerSecond(0.0)
+        parse_number_header(&headers(&[" 6.4 "]), names::SERVER_LIMIT),
+        NumberHeader::Number(6.4)
     );
     assert_eq!(
-        parse_limit_header(&headers(&["1e9"])),
-        LimitHeader::PerSecond(1e9)
+        parse_number_header(&headers(&["0"]), names::SERVER_LIMIT),
+        NumberHeader::Number(0.0)
+    );
+    assert_eq!(
+        parse_number_header(&headers(&["1e9"]), names::SERVER_LIMIT),
+        NumberHeader::Number(1e9)
     );
     for unreadable in [&[""][..], &["few"], &["6,4"], &["1", "2"]] {
         assert_eq!(
-            parse_limit_header(&headers(unreadable)),
-            LimitHeader::Unreadable
+            parse_number_header(&headers(unreadable), names::SERVER_LIMIT),
+            NumberHeader::Unreadable
         );
     }
 }
