Send nothing to a target during the pause that it requests

Callers saw refusals for eight seconds: engines refused everything with 503 and Retry-After: 3, and hosts went on sending to them, each refusal at the cost of a retry. A host tried the target again after its own pause (0.3 s, doubled), which a success of an earlier request set back, which paths without another choice passed over, and which plain targets never had.

Change: one parser of the statements in a target's response (platform::target_notice); the pause is kept at the target (TargetState::paused_until), the longest one counts, and only its end ends it, also while the log does not list the target (RetainedStatements). The choice of targets, paths and repairs leaves paused ones out, and attempt::send checks again at the moment of sending, which first, further and resumed attempts all pass. Where a refusal names another engine at fault, both pause. A request with no other choice waits for a pause that ends within its time (the time that it may wait for a permit), else it is refused at once: new reason targets_paused, 503, not run, Retry-After from the first end and the requests refused. A pause is no failure, no lack of room and no reason to be not ready. Values that are not a time are passed over with a line; none lasts over an hour.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -139,6 +139,7 @@
             },
             zone: "zone-0",
             avoid: &[],
+            max_pause: Duration::ZERO,
         };
         group.bench_function(BenchmarkId::new("three zones of", each), |bencher| {
             bencher.iter(|| choose_path(members, query, now, rand::random));
--- a/src/admission/overload.rs
+++ b/src/admission/overload.rs
@@ -45,6 +45,19 @@
         wait.mul_f64(1.0 + MAX_JITTER * random)
     }
 
+    /// Counts a request that was refused because all targets pause, the first of them for
+    /// `pause`, and returns its Retry-After; `random` is a random number from 0 to 1.
+    ///
+    /// Callers come back after the end of that pause, spread over the time that it takes
+    /// to start as many requests as were refused.
+    pub fn count_paused_refusal(&mut self, pause: Duration, now: Instant, random: f64) -> Duration {
+        self.decay(now);
+        self.refused += 1.0;
+        let excess = self.refused / self.started.max(1.0);
+        let spread = DECAY_TIME.mul_f64(excess).min(MAX_RETRY_AFTER);
+        pause + spread.mul_f64(random)
+    }
+
     fn decay(&mut self, now: Instant) {
         let elapsed = self.updated_at.map(|at| now.saturating_duration_since(at));
         let elapsed = elapsed.unwrap_or_default().as_secs_f64();
--- a/src/entry/readiness.rs
+++ b/src/entry/readiness.rs
@@ -46,6 +46,8 @@
                 size,
                 zone: &tables.zone,
                 avoid: &[],
+                // A service whose targets all pause is short of capacity, not lost.
+                max_pause: Duration::MAX,
             };
             choose_path(members, query, now, || 0.0).is_some()
         }),
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -6,6 +6,7 @@
 mod path;
 mod pick;
 mod state;
+mod statements;
 mod table;
 mod usage;
 
--- a/src/fleet/path.rs
+++ b/src/fleet/path.rs
@@ -1,7 +1,7 @@
 //! The choice of a path: engines whose ranges cover every layer once, in order.
 
 use std::collections::BTreeMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::fleet::{LayerRange, RequestSize, ServiceMembers, TargetState};
 use crate::ids::TargetId;
@@ -26,7 +26,7 @@
 /// in the meantime.
 const COST_SPREAD: f64 = 0.3;
 /// Cost of a millisecond of prompt processing before the first event, or of waiting for a
-/// permit, in milliseconds per event. After the loss of an engine, its requests are
+/// permit or for the end of a pause, in milliseconds per event. After the loss of an engine, its requests are
 /// prefilled elsewhere, such as 60 requests of 1,000 tokens at once; a request sent to
 /// the same engine then waits for some 300 ms of its latency aim of 500 ms.
 const PREFILL_WEIGHT: f64 = 0.3;
@@ -67,6 +67,8 @@
     pub zone: &'a str,
     /// Engines not to use.
     pub avoid: &'a [TargetId],
+    /// Longest pause of an engine that may be used. Zero for a request that is sent now.
+    pub max_pause: Duration,
 }
 
 /// Chooses the cheapest path within one availability zone, or across zones if no zone has
@@ -161,6 +163,7 @@
 ) -> Vec<&'a TargetState> {
     let usable = |state: &&TargetState| {
         state.is_usable(now)
+            && state.pause(now) <= query.max_pause
             && state.entry.layers.is_some()
             && !query.avoid.contains(&state.entry.id)
     };
@@ -219,7 +222,8 @@
     let unread = load.unread + f64::from(query.size.prompt) * f64::from(range.width());
     let read_ms =
         unread / layers * kind.read_factor * state.pace(now) * 1000.0 / model.read_per_s.max(1.0);
-    let wait_ms = state.permit_wait(now).as_secs_f64() * 1000.0;
+    let wait = state.permit_wait(now).max(state.pause(now));
+    let wait_ms = wait.as_secs_f64() * 1000.0;
     let crowding_ms = fill_level.min(1.0).powi(4) * pass_ms;
     Some(EngineCost {
         engine,
--- a/src/fleet/pick.rs
+++ b/src/fleet/pick.rs
@@ -1,6 +1,6 @@
 //! The choice of a target of a plain service.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::fleet::{ServiceMembers, TargetState};
 use crate::ids::TargetId;
@@ -10,20 +10,22 @@
 const ZONE_PENALTY: f64 = 1.0;
 
 /// Requests that one slot serves in a second: the cost of a second of waiting for a
-/// permit, in requests in flight.
+/// permit or for the end of a pause, in requests in flight.
 const REQUESTS_PER_S: f64 = 30.0;
 
 /// Chooses the target with the fewest requests, preferring the host's own availability
-/// zone. Targets in `avoid` and draining targets are left out; ejected targets are chosen
-/// only if no other is left. `draw` is a random number from 0 to 1, which breaks ties.
+/// zone. Targets in `avoid`, draining targets and those whose pause is longer than
+/// `max_pause` are left out; ejected targets are chosen only if no other is left. `draw` is a random number from 0 to 1, which breaks ties.
 pub fn choose_target(
     members: &ServiceMembers,
     zone: &str,
     avoid: &[TargetId],
+    max_pause: Duration,
     now: Instant,
     draw: f64,
 ) -> Option<TargetId> {
-    let accepts_work = |state: &&TargetState| !state.entry.draining;
+    let accepts_work =
+        |state: &&TargetState| !state.entry.draining && state.pause(now) <= max_pause;
     let untried = |state: &&TargetState| !avoid.contains(&state.entry.id);
     let candidates = members.values().filter(accepts_work).filter(untried);
     let cost = |state: &TargetState| {
@@ -33,7 +35,8 @@
             ZONE_PENALTY
         };
         let out = if state.is_ejected(now) { 1e6 } else { 0.0 };
-        let wait = state.permit_wait(now).as_secs_f64() * REQUESTS_PER_S;
+        let wait = state.permit_wait(now).max(state.pause(now));
+        let wait = wait.as_secs_f64() * REQUESTS_PER_S;
         f64::from(state.load().requests) + far + out + wait
     };
     let mut best = Vec::new();
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -30,7 +30,7 @@
     pub refusals: u32,
     /// End of the pause after a refusal for lack of capacity.
     pub full_until: Option<Instant>,
-    /// End of the pause that the target requested with its last refusal.
+    /// End of the last of the pauses that the target has requested. Only time ends them.
     pub paused_until: Option<Instant>,
     /// Time before which there is no permit for the target, which limits its rate.
     pub withheld_until: Option<Instant>,
@@ -92,7 +92,8 @@
         self.full_until.is_some_and(|until| now < until)
     }
 
-    /// Returns the time for which the target still wants no requests of this host.
+    /// Returns the time for which the target still wants no requests of this host. No
+    /// request is sent to it in this time, whatever the alternatives.
     pub fn pause(&self, now: Instant) -> Duration {
         let until = self.paused_until.unwrap_or(now);
         until.saturating_duration_since(now)
--- a/src/fleet/table.rs
+++ b/src/fleet/table.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use crate::collections::FastMap;
+use crate::fleet::statements::RetainedStatements;
 use crate::fleet::usage::UsageTable;
 use crate::fleet::{LayerRange, TargetEntry, TargetLoad, TargetState};
 use crate::fleet::{TargetUsage, UsageScope, UsageSource, ZoneUsage};
@@ -40,6 +41,8 @@
     service_of: FastMap<TargetId, ServiceId>,
     id_of: FastMap<TargetKey, TargetId>,
     usage: UsageTable,
+    /// What removed targets have stated, for the case that the log lists them again.
+    statements: RetainedStatements,
 }
 
 impl FleetTable {
@@ -56,7 +59,8 @@
                 true
             }
             None => {
-                let state = TargetState::new(entry);
+                let mut state = TargetState::new(entry);
+                self.statements.restore(&mut state);
                 self.id_of.insert(state.key, id.clone());
                 members.insert(id, state);
                 true
@@ -64,11 +68,12 @@
         }
     }
 
-    /// Removes a target for good.
+    /// Removes a target. If the log lists it again, what it has stated is still in effect.
     pub fn remove(&mut self, id: &str) -> Option<TargetState> {
         let service = self.service_of.remove(id)?;
         let state = self.services.get_mut(&service)?.remove(id)?;
         self.id_of.remove(&state.key);
+        self.statements.retain(&state);
         Some(state)
     }
 
@@ -216,9 +221,10 @@
         let Some(state) = self.get_mut(id) else {
             return false;
         };
-        let due = state
-            .pace_requested
-            .is_none_or(|at| now >= at + PACE_REQUEST_INTERVAL);
+        let due = state.pause(now).is_zero()
+            && state
+                .pace_requested
+                .is_none_or(|at| now >= at + PACE_REQUEST_INTERVAL);
         if due {
             state.pace_requested = Some(now);
         }
@@ -273,7 +279,37 @@
         }
     }
 
-    /// Records that a target wants no requests of this host until `until`.
+    /// Returns the first of these targets that must not be sent a request now.
+    pub fn find_unavailable<'a, I>(&self, mut ids: I, now: Instant) -> Option<&'a TargetId>
+    where
+        I: Iterator<Item = &'a TargetId>,
+    {
+        let is_available = |id: &TargetId| {
+            let state = self.get(id);
+            state.is_none_or(|state| state.pause(now).is_zero())
+        };
+        ids.find(|id| !is_available(id))
+    }
+
+    /// Returns the longest pause of these targets.
+    pub fn longest_pause<'a, I>(&self, ids: I, now: Instant) -> Duration
+    where
+        I: Iterator<Item = &'a TargetId>,
+    {
+        let states = ids.filter_map(|id| self.get(id));
+        let pauses = states.map(|state| state.pause(now));
+        pauses.max().unwrap_or_default()
+    }
+
+    /// Returns the targets of a service that have requested a pause.
+    pub fn paused(&self, service: &str, now: Instant) -> impl Iterator<Item = &TargetState> {
+        let members = self.members(service).into_iter();
+        let states = members.flat_map(BTreeMap::values);
+        states.filter(move |state| !state.pause(now).is_zero())
+    }
+
+    /// Records that a target wants no requests of this host until `until`. Pauses that it
+    /// requested before remain in effect.
     pub fn observe_pause(&mut self, id: &str, until: Instant) {
         if let Some(state) = self.get_mut(id) {
             state.paused_until = state.paused_until.max(Some(until));
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -14,6 +14,7 @@
 mod lateness;
 mod limits;
 mod liveness;
+mod notices;
 mod pauses;
 mod permit_wait;
 mod permits;
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::header::{self, HeaderValue};
+use http::header::HeaderValue;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -14,8 +14,10 @@
 
 use super::choice::ChosenTarget;
 use super::head::number_value;
+use super::notices::ObservedExchange;
 use super::socket;
 use super::tables::ServingTables;
+use crate::platform::target_notice::{TargetNotice, parse_notice};
 use crate::platform::target_record::platform_id;
 use crate::platform::{names, order};
 use crate::verdict::RunVerdict;
@@ -42,6 +44,8 @@
     pub(super) cause: FailureCause,
     /// Address of the engine at fault, if the target named another engine.
     pub(super) at: Option<SocketAddr>,
+    /// End of the pause that the target requested, if it refused the request.
+    pub(super) paused_until: Option<Instant>,
 }
 
 /// Kind of failure.
@@ -55,6 +59,8 @@
     Timeout,
     #[error("refused by the target")]
     Refused,
+    #[error("a target wants no requests now")]
+    Paused,
     #[error("the engine does not hold its layers")]
     WrongLayers,
     #[error("answer of another request")]
@@ -71,6 +77,7 @@
             Self::Broken => "broken",
             Self::Timeout => "timeout",
             Self::Refused => "refused",
+            Self::Paused => "paused",
             Self::WrongLayers => "wrong_layers",
             Self::ForeignAnswer => "foreign_answer",
             Self::Unproven => "unproven",
@@ -84,8 +91,14 @@
             verdict,
             cause,
             at: None,
+            paused_until: None,
         }
     }
+
+    /// Returns whether the request was sent to the target.
+    pub(super) fn was_sent(&self) -> bool {
+        !matches!(self.cause, FailureCause::Connect | FailureCause::Paused)
+    }
 }
 
 /// Connects and returns a future that sends the request and waits for the head of the
@@ -116,17 +129,31 @@
         }
     });
     let sent = Instant::now();
+    tables.check_available(chosen, sent)?;
     let request = build_request(outgoing, chosen, last_event, deadline, sent);
     let (id, target) = (outgoing.id.clone(), chosen.id.clone());
     Ok(async move {
         let response = sender.send_request(request).await;
         let broken = |_| AttemptFailure::new(RunVerdict::MayHaveRun, FailureCause::Broken);
         let response = response.map_err(broken)?;
+        let exchange = ObservedExchange {
+            target: &target,
+            request: &id,
+            sent,
+            received: Instant::now(),
+        };
         let (status, headers) = (response.status(), response.headers());
-        let now = Instant::now();
-        tables.observe_limit(&target, status, headers, sent, now);
-        tables.observe_pause(&target, status, headers, now);
-        check_response(&id, response)
+        let notice = parse_notice(headers);
+        let paused_until = tables.observe_notice(exchange, status, &notice, headers);
+        match failure_cause(&id, status, &notice) {
+            None => Ok(response),
+            Some((verdict, cause)) => Err(AttemptFailure {
+                verdict,
+                cause,
+                at: notice.at_fault,
+                paused_until,
+            }),
+        }
     })
 }
 
@@ -158,28 +185,22 @@
     request
 }
 
-/// Accepts a response only if it belongs to this request and was made by the target
-/// itself.
-fn check_response(
+/// Returns why a response may not be passed on; `None` if it belongs to this request and
+/// was made by the target itself.
+fn failure_cause(
     id: &str,
-    response: Response<Incoming>,
-) -> Result<Response<Incoming>, AttemptFailure> {
-    let headers = response.headers();
-    let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
-    let at = text(names::AT_SERVER).and_then(|value| value.trim().parse().ok());
-    let refused = text(names::NOT_EXECUTED).is_some();
-    let failure = |verdict, cause| Err(AttemptFailure { verdict, cause, at });
-    match response.status() {
-        StatusCode::MISDIRECTED_REQUEST => failure(RunVerdict::NotRun, FailureCause::WrongLayers),
-        _ if refused => failure(RunVerdict::NotRun, FailureCause::Refused),
-        _ if text(names::ATTEMPT_ID) != Some(id) => {
-            failure(RunVerdict::MayHaveRun, FailureCause::ForeignAnswer)
+    status: StatusCode,
+    notice: &TargetNotice<'_>,
+) -> Option<(RunVerdict, FailureCause)> {
+    match status {
+        StatusCode::MISDIRECTED_REQUEST => Some((RunVerdict::NotRun, FailureCause::WrongLayers)),
+        _ if notice.not_executed => Some((RunVerdict::NotRun, FailureCause::Refused)),
+        _ if notice.attempt != Some(id) => {
+            Some((RunVerdict::MayHaveRun, FailureCause::ForeignAnswer))
         }
-        _ if text(names::SERVER_SEAL).is_none()
-            || headers.contains_key(header::CONTENT_ENCODING) =>
-        {
-            failure(RunVerdict::MayHaveRun, FailureCause::Unproven)
+        _ if !notice.sealed || notice.encoded => {
+            Some((RunVerdict::MayHaveRun, FailureCause::Unproven))
         }
-        _ => Ok(response),
+        _ => None,
     }
 }
--- a/src/forward/attempt_policy.rs
+++ b/src/forward/attempt_policy.rs
@@ -1,13 +1,13 @@
 //! Selects targets for the attempts of one request, decides about retries, and records
 //! the result of each attempt.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use http::Response;
 use hyper::body::Incoming;
 
 use super::attempt::{AttemptFailure, FailureCause};
-use super::choice::{self, ChosenTarget};
+use super::choice::{self, ChoiceQuery, ChosenTarget};
 use super::exchange::{Exchange, NO_ROUTE_RETRY, TriedTargets};
 use super::lateness::ResponseLateness;
 use super::response::{Refusal, ResponseBody};
@@ -40,19 +40,7 @@
         if self.is_poison(now) {
             return Err(Refusal::poison());
         }
-        let chosen = {
-            let fleet = self.tables.fleet.lock();
-            let zone = &self.tables.zone;
-            choice::choose(
-                &fleet,
-                &self.service,
-                zone,
-                self.size,
-                avoid,
-                now,
-                rand::random,
-            )
-        };
+        let chosen = self.choose_with_pause(avoid, Duration::ZERO, now);
         let no_route = || Refusal::not_run(RefusalReason::NoRoute, NO_ROUTE_RETRY);
         let chosen = chosen.ok_or_else(no_route)?;
         let full = chosen.path.as_ref().is_some_and(|path| path.full);
@@ -65,6 +53,25 @@
         Ok(chosen)
     }
 
+    /// Selects the target or path of an attempt that can wait for the end of pauses up to
+    /// `max_pause`.
+    pub(super) fn choose_with_pause(
+        &self,
+        avoid: &[TargetId],
+        max_pause: Duration,
+        now: Instant,
+    ) -> Option<ChosenTarget> {
+        let query = ChoiceQuery {
+            service: &self.service,
+            zone: &self.tables.zone,
+            size: self.size,
+            avoid,
+            max_pause,
+        };
+        let fleet = self.tables.fleet.lock();
+        choice::choose(&fleet, query, now, rand::random)
+    }
+
     /// Counts the next attempt on its targets. `tried` is the number of targets that were
     /// tried before.
     pub(super) fn commit(
@@ -74,8 +81,6 @@
     ) -> (ChosenTarget, InFlightGuard) {
         self.tables.count_start(Instant::now());
         self.log_route(&chosen, tried);
-        self.tables
-            .record_sends_during_pause(&self.outgoing.id, chosen.ids(), tried);
         let guard = InFlightGuard::open(self.tables.clone(), chosen.loads());
         (chosen, guard)
     }
@@ -83,6 +88,7 @@
     /// Logs the target of an attempt and the facts that decided on it.
     pub(super) fn log_route(&self, chosen: &ChosenTarget, tried: usize) {
         let path = chosen.path.as_ref();
+        let paused = self.tables.paused_names(&self.service.name, Instant::now());
         log::info!(
             request:% = self.outgoing.id,
             key:% = key_text(self.key),
@@ -93,7 +99,8 @@
             path:% = path.map(order::path_value).unwrap_or_default(),
             cost_ms = path.map_or(0, |path| path.cost_ms as u64),
             tokens = chosen.size.tokens() as u64,
-            tried = tried;
+            tried = tried,
+            paused:% = paused;
             "routed"
         );
     }
@@ -170,7 +177,7 @@
         let route = &self.matched.route;
         let allowed = failure.verdict == RunVerdict::NotRun || route.kind.is_repeatable();
         let attempts_left = tried.sent < route.max_attempts && tried.avoid.len() < 6;
-        let free = failure.cause == FailureCause::Connect;
+        let free = !failure.was_sent();
         allowed
             && attempts_left
             && now < self.deadline
@@ -185,7 +192,7 @@
         tried: &mut TriedTargets,
     ) {
         self.observe_failure(chosen, Some(failure));
-        tried.count(chosen, failure.cause != FailureCause::Connect);
+        tried.count(chosen, failure.was_sent());
         tried.may_have_run |= failure.verdict != RunVerdict::NotRun;
         if let Some(at) = failure.at.and_then(|at| chosen.target_at(at)) {
             tried.avoid_instead(at);
@@ -210,11 +217,17 @@
         let cause = failure.map(|failure| failure.cause);
         let mut fleet = self.tables.fleet.lock();
         let ejected_until = match cause {
-            // A full engine is not faulty.
+            // A full engine is not faulty. If the responding engine names another one at
+            // fault, the pause is in effect for both: the first one requested it, and the
+            // other one would refuse further requests, each of which costs a retry.
             Some(FailureCause::Refused) => {
-                fleet.observe_full(&id, now);
+                match failure.and_then(|failure| failure.paused_until) {
+                    Some(until) => fleet.observe_pause(&id, until),
+                    None => fleet.observe_full(&id, now),
+                }
                 None
             }
+            Some(FailureCause::Paused) => None,
             Some(FailureCause::Connect) => {
                 fleet.observe_silence(&id, now);
                 fleet.get(&id).and_then(|state| state.ejected_until)
--- a/src/forward/choice.rs
+++ b/src/forward/choice.rs
@@ -1,7 +1,7 @@
 //! Selects the target or path of an attempt.
 
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::fleet::{
     EnginePath, FleetTable, PathQuery, RequestSize, TargetLoad, choose_path, choose_target,
@@ -82,24 +82,40 @@
     route.services.last()
 }
 
-/// Selects a target of a service, or a path over its engines, avoiding the targets in
-/// `avoid`.
+/// What a choice has to consider besides the targets.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct ChoiceQuery<'a> {
+    pub(super) service: &'a ServiceSpec,
+    /// The availability zone of this host.
+    pub(super) zone: &'a str,
+    pub(super) size: RequestSize,
+    /// Targets not to use.
+    pub(super) avoid: &'a [TargetId],
+    /// Longest pause of a target that may be chosen; zero for a request that is sent now.
+    pub(super) max_pause: Duration,
+}
+
+/// Selects a target of a service, or a path over its engines.
 pub(super) fn choose<D>(
     fleet: &FleetTable,
-    service: &ServiceSpec,
-    zone: &str,
-    size: RequestSize,
-    avoid: &[TargetId],
+    query: ChoiceQuery<'_>,
     now: Instant,
     mut draw: D,
 ) -> Option<ChosenTarget>
 where
     D: FnMut() -> f64,
 {
+    let ChoiceQuery {
+        service,
+        zone,
+        size,
+        avoid,
+        max_pause,
+    } = query;
     let members = fleet.members(&service.name)?;
     match &service.engine {
         None => {
-            let id = choose_target(members, zone, avoid, now, draw())?;
+            let id = choose_target(members, zone, avoid, max_pause, now, draw())?;
             let address = members.get(&id)?.entry.address;
             let size = RequestSize {
                 prompt: 0,
@@ -118,6 +134,7 @@
                 size,
                 zone,
                 avoid,
+                max_pause,
             };
             let path = choose_path(members, query, now, draw)?;
             let first = path.hops.first()?;
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -314,6 +314,7 @@
         verdict: RunVerdict::MayHaveRun,
         cause,
         at: None,
+        paused_until: None,
     };
     let body = tokio::time::timeout_at(deadline.into(), body.collect()).await;
     let body = body
--- a/src/forward/limits.rs
+++ b/src/forward/limits.rs
@@ -3,14 +3,15 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use http::{HeaderMap, StatusCode};
+use http::HeaderMap;
 
 use super::tables::ServingTables;
 use crate::fleet::target_key;
 use crate::ids::{HostId, TargetId, TargetKey};
 use crate::permits::{LimitChange, LimitObservation, RateLimit};
 use crate::platform::names;
-use crate::platform::number_header::{NumberHeader, parse_number_header};
+use crate::platform::number_header::NumberHeader;
+use crate::platform::target_notice::TargetNotice;
 
 impl ServingTables {
     /// Records the limit that the head of a response names. `sent` is when the request
@@ -18,16 +19,14 @@
     pub(super) fn observe_limit(
         self: &Arc<Self>,
         target: &TargetId,
-        status: StatusCode,
+        notice: &TargetNotice<'_>,
         headers: &HeaderMap,
         sent: Instant,
         now: Instant,
     ) {
-        let rate = match parse_number_header(headers, names::SERVER_LIMIT) {
-            // Another target at the same address may have sent it.
-            _ if status == StatusCode::MISDIRECTED_REQUEST => return,
+        let rate = match notice.limit {
             // Only a response of the target itself shows that there is no limit.
-            NumberHeader::Absent if !headers.contains_key(names::SERVER_SEAL) => return,
+            NumberHeader::Absent if !notice.sealed => return,
             NumberHeader::Absent if self.limits.lock().is_empty() => return,
             NumberHeader::Absent => None,
             NumberHeader::Number(named) => match RateLimit::new(named) {
--- /dev/null
+++ b/src/forward/notices.rs
@@ -0,0 +1,56 @@
+//! Applies what targets state about themselves in the heads of their responses.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use http::{HeaderMap, StatusCode};
+
+use super::tables::ServingTables;
+use crate::ids::TargetId;
+use crate::platform::target_notice::TargetNotice;
+
+/// A request to a target whose response has begun.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct ObservedExchange<'a> {
+    pub(super) target: &'a TargetId,
+    /// Id of the attempt.
+    pub(super) request: &'a str,
+    /// When the request was sent.
+    pub(super) sent: Instant,
+    /// When the head of the response was received.
+    pub(super) received: Instant,
+}
+
+impl ServingTables {
+    /// Applies the statements in the head of a response. Returns the end of the pause that
+    /// the target requests, if it requests one.
+    pub(super) fn observe_notice(
+        self: &Arc<Self>,
+        exchange: ObservedExchange<'_>,
+        status: StatusCode,
+        notice: &TargetNotice<'_>,
+        headers: &HeaderMap,
+    ) -> Option<Instant> {
+        if !is_own_statement(notice, exchange.request, status) {
+            return None;
+        }
+        let ObservedExchange {
+            target,
+            sent,
+            received,
+            ..
+        } = exchange;
+        self.observe_limit(target, notice, headers, sent, received);
+        self.observe_pause(exchange, status, notice, headers)
+    }
+}
+
+/// Returns whether the statements of a response are those of the target that the request
+/// was sent to. Another start of the target, or another target at its address, responds
+/// with status 421; a response to another request may have been delayed.
+///
+/// Refusals need no seal: they are acted on even if they state nothing else.
+fn is_own_statement(notice: &TargetNotice<'_>, request: &str, status: StatusCode) -> bool {
+    let is_own_request = notice.attempt.is_none_or(|attempt| attempt == request);
+    status != StatusCode::MISDIRECTED_REQUEST && is_own_request
+}
--- a/src/forward/pauses.rs
+++ b/src/forward/pauses.rs
@@ -1,79 +1,169 @@
 //! Pauses that targets request: a target that refuses a request may state for how long it
 //! wants no further ones from this host.
+//!
+//! A pause holds until its end, whatever happens in the meantime, and no request is sent
+//! during it: the choice of targets leaves paused ones out, and
+//! [`ServingTables::check_available`] checks again at the moment of sending.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use http::{HeaderMap, StatusCode, header};
 
+use super::attempt::{AttemptFailure, FailureCause};
+use super::choice::ChosenTarget;
+use super::exchange::Exchange;
+use super::notices::ObservedExchange;
+use super::response::Refusal;
 use super::tables::ServingTables;
 use crate::ids::TargetId;
-use crate::platform::number_header::{NumberHeader, parse_number_header};
+use crate::platform::number_header::NumberHeader;
+use crate::platform::target_notice::TargetNotice;
+use crate::reason::RefusalReason;
+use crate::verdict::RunVerdict;
+
+/// Longest pause that a target can request. A target that states an absurd time, such as
+/// 1e9 seconds, is tried again after this one.
+const MAX_PAUSE: Duration = Duration::from_secs(3600);
+/// Largest part of a pause that is added to it, so that the hosts that a target refused
+/// together do not return together.
+const MAX_JITTER: f64 = 0.1;
+/// Largest number of paused targets that a log line names.
+const MAX_NAMES: usize = 4;
+/// Longest time over which requests are spread that wait for the end of a pause.
+const MAX_SPREAD: Duration = Duration::from_millis(100);
+/// Longest jitter.
+const MAX_JITTER_TIME: Duration = Duration::from_secs(1);
 
 impl ServingTables {
-    /// Records the pause that the head of a response requests.
+    /// Records the pause that the head of a response requests, and returns its end.
     pub(super) fn observe_pause(
-        &self,
-        target: &TargetId,
+        self: &Arc<Self>,
+        exchange: ObservedExchange<'_>,
         status: StatusCode,
+        notice: &TargetNotice<'_>,
         headers: &HeaderMap,
-        now: Instant,
-    ) {
-        let pause = match parse_number_header(headers, header::RETRY_AFTER.as_str()) {
+    ) -> Option<Instant> {
+        let requested = match notice.retry_after {
             // Other responses with this header do not concern further requests.
-            _ if !is_refusal(status) => return,
-            NumberHeader::Absent => return,
-            NumberHeader::Number(seconds) => Duration::try_from_secs_f64(seconds).ok(),
+            _ if !is_refusal(status) => return None,
+            NumberHeader::Absent => return None,
+            NumberHeader::Number(seconds) => usable_pause(seconds),
             NumberHeader::Unreadable => None,
         };
-        let Some(until) = pause.and_then(|pause| now.checked_add(pause)) else {
-            return self.record_unusable_pause(target, headers);
+        let Some(pause) = requested else {
+            self.record_unusable_pause(exchange, headers);
+            return None;
         };
+        let until = exchange.received + pause + jitter(pause, rand::random());
         self.metrics.pause_observed("requested");
         log::info!(
-            target_id:% = target,
-            pause_ms = until.saturating_duration_since(now).as_millis() as u64;
+            target_id:% = exchange.target,
+            request:% = exchange.request,
+            value:? = headers.get(header::RETRY_AFTER),
+            pause_ms = pause.as_millis() as u64;
             "target requests a pause"
         );
-        self.fleet.lock().observe_pause(target, until);
+        self.fleet.lock().observe_pause(exchange.target, until);
+        self.log_end(exchange.target, until);
+        Some(until)
     }
 
     /// Logs and counts a pause that is not a time.
-    fn record_unusable_pause(&self, target: &TargetId, headers: &HeaderMap) {
+    fn record_unusable_pause(&self, exchange: ObservedExchange<'_>, headers: &HeaderMap) {
         self.metrics.pause_observed("unusable");
         log::warn!(
-            target_id:% = target,
+            target_id:% = exchange.target,
+            request:% = exchange.request,
             value:? = headers.get(header::RETRY_AFTER);
             "unusable pause"
         );
     }
 
-    /// Logs and counts the targets that a request is sent to during a pause that they
-    /// requested. `refusals` is 0 if a success has ended this host's own pause.
-    pub(super) fn record_sends_during_pause<'a, I>(&self, request: &str, targets: I, tried: usize)
-    where
-        I: Iterator<Item = &'a TargetId>,
-    {
+    /// Logs the end of a pause, unless the target requests a longer one before.
+    fn log_end(self: &Arc<Self>, target: &TargetId, until: Instant) {
+        let (tables, target) = (self.clone(), target.clone());
+        tokio::spawn(async move {
+            tokio::time::sleep_until(until.into()).await;
+            let last = tables.fleet.lock().get(&target)?.paused_until;
+            if last == Some(until) {
+                tables.metrics.pause_observed("ended");
+                log::info!(target_id:% = target; "pause ended");
+            }
+            Some(())
+        });
+    }
+
+    /// Returns the ids of the targets of a service that are left out for a pause, at most
+    /// four.
+    pub(super) fn paused_names(&self, service: &str, now: Instant) -> String {
+        let fleet = self.fleet.lock();
+        let paused = fleet.paused(service, now).take(MAX_NAMES);
+        let names = paused.map(|state| &*state.entry.id).collect::<Vec<_>>();
+        names.join(",")
+    }
+
+    /// Checks that no target of an attempt has requested a pause since it was chosen.
+    ///
+    /// # Errors
+    ///
+    /// If one has; the request must not be sent there.
+    pub(super) fn check_available(
+        &self,
+        chosen: &ChosenTarget,
+        now: Instant,
+    ) -> Result<(), AttemptFailure> {
+        let fleet = self.fleet.lock();
+        let Some(id) = fleet.find_unavailable(chosen.ids(), now) else {
+            return Ok(());
+        };
+        let failure = AttemptFailure::new(RunVerdict::NotRun, FailureCause::Paused);
+        Err(AttemptFailure {
+            at: fleet.get(id).map(|state| state.entry.address),
+            ..failure
+        })
+    }
+}
+
+impl Exchange {
+    /// Waits until the first pause ends that leaves the request without a choice.
+    /// `refusal` says why there is none.
+    ///
+    /// # Errors
+    ///
+    /// If no pause is the reason, or none ends in time.
+    pub(super) async fn await_pause(
+        &self,
+        excluded: &[TargetId],
+        started: bool,
+        refusal: Refusal,
+    ) -> Result<(), Refusal> {
         let now = Instant::now();
-        for id in targets {
-            let known = self.fleet.lock().get(id).map(|state| {
-                let own = state
-                    .full_until
-                    .map(|until| until.saturating_duration_since(now));
-                (state.pause(now), own.unwrap_or_default(), state.refusals)
-            });
-            let Some((left, own, refusals)) = known.filter(|(left, ..)| !left.is_zero()) else {
-                continue;
-            };
-            self.metrics.pause_observed("ignored");
-            log::info!(
-                request:% = request,
-                target_id:% = id,
-                tried = tried,
-                left_ms = left.as_millis() as u64,
-                own_pause_ms = own.as_millis() as u64,
-                refusals = refusals;
-                "sent during a pause"
-            );
+        let chosen = match refusal.reason {
+            RefusalReason::NoRoute | RefusalReason::NoRoom => {
+                self.choose_with_pause(excluded, Duration::MAX, now)
+            }
+            _ => None,
+        };
+        let has_room = |chosen: &ChosenTarget| chosen.path.as_ref().is_none_or(|path| !path.full);
+        let Some(chosen) = chosen.filter(has_room) else {
+            return Err(refusal);
+        };
+        let pause = self.tables.fleet.lock().longest_pause(chosen.ids(), now);
+        let longest = self.longest_wait(started, now);
+        match longest.checked_sub(pause) {
+            Some(slack) => {
+                // Requests that wait for the same target are not sent at the same moment.
+                let spread = slack.min(MAX_SPREAD).mul_f64(rand::random());
+                tokio::time::sleep(pause + spread).await;
+                Ok(())
+            }
+            // Other targets are left, which will have room again.
+            None if refusal.reason == RefusalReason::NoRoom => Err(refusal),
+            None => {
+                let after = self.tables.count_paused_refusal(pause, now);
+                Err(Refusal::not_run(RefusalReason::TargetsPaused, after))
+            }
         }
     }
 }
@@ -84,3 +174,14 @@
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
     )
 }
+
+/// Returns the pause of a number of seconds; `None` if it is not a time.
+fn usable_pause(seconds: f64) -> Option<Duration> {
+    let is_time = seconds.is_finite() && seconds >= 0.0;
+    is_time.then(|| Duration::from_secs_f64(seconds.min(MAX_PAUSE.as_secs_f64())))
+}
+
+/// Returns the jitter of a pause. `draw` is from 0 to 1.
+fn jitter(pause: Duration, draw: f64) -> Duration {
+    pause.mul_f64(MAX_JITTER * draw).min(MAX_JITTER_TIME)
+}
--- a/src/forward/permit_wait.rs
+++ b/src/forward/permit_wait.rs
@@ -36,7 +36,10 @@
         for _ in 0..MAX_CHOICES {
             let chosen = match self.choose(&excluded, started) {
                 Ok(chosen) => chosen,
-                Err(refusal) if retry_after.is_none() => return Err(refusal),
+                Err(refusal) if retry_after.is_none() => {
+                    self.await_pause(&excluded, started, refusal).await?;
+                    continue;
+                }
                 Err(_) => break,
             };
             let now = Instant::now();
@@ -80,8 +83,9 @@
         targets.filter(is_withheld).cloned().collect()
     }
 
-    /// Returns how long the request can wait for a permit without missing its deadline.
-    fn longest_wait(&self, started: bool, now: Instant) -> Duration {
+    /// Returns how long the request can wait for a permit, or for the end of a pause,
+    /// without missing its deadline.
+    pub(super) fn longest_wait(&self, started: bool, now: Instant) -> Duration {
         let matched = &self.matched;
         let aim = matched.route.latency_aim;
         let longest = match started {
--- a/src/forward/repath.rs
+++ b/src/forward/repath.rs
@@ -51,12 +51,6 @@
                 continue;
             }
             self.moves += 1;
-            let new = repaired.hops.iter().map(|hop| &hop.target);
-            let new = new.filter(|id| !path.hops.iter().any(|hop| hop.target == **id));
-            let request = &self.exchange.outgoing.id;
-            self.exchange
-                .tables
-                .record_sends_during_pause(request, new, self.moves as usize);
             match self.send_move_order(&repaired).await {
                 MoveResult::Done => {
                     self.switch_path(repaired, &path);
@@ -109,6 +103,7 @@
             size: exchange.size,
             zone: zone.as_deref().unwrap_or(&exchange.tables.zone),
             avoid: failing,
+            max_pause: Duration::ZERO,
         };
         let now = Instant::now();
         let mut repaired = path.clone();
--- a/src/forward/tables.rs
+++ b/src/forward/tables.rs
@@ -138,6 +138,13 @@
         self.overload.lock().count_refusal(now, rand::random())
     }
 
+    /// Records that a request found all targets paused, the first of them for `pause`, and
+    /// returns when its caller should come back.
+    pub(super) fn count_paused_refusal(&self, pause: Duration, now: Instant) -> Duration {
+        let mut overload = self.overload.lock();
+        overload.count_paused_refusal(pause, now, rand::random())
+    }
+
     pub(super) fn report_cell(&self, target: &TargetId) -> ReportCell {
         self.reports
             .lock()
--- a/src/metrics/serving.rs
+++ b/src/metrics/serving.rs
@@ -111,7 +111,7 @@
             ),
             (
                 "target_pauses",
-                "Pauses that targets request with refusals, and requests sent during one, by kind",
+                "Pauses that targets request with refusals, by kind",
                 &self.target_pauses,
             ),
             (
@@ -211,8 +211,7 @@
         count(&self.target_limits, kind);
     }
 
-    /// Counts a pause that a target requested, an unusable one, or a request that was sent
-    /// during one.
+    /// Counts a pause that a target requested or that ended, or an unusable one.
     pub fn pause_observed(&self, kind: &'static str) {
         count(&self.target_pauses, kind);
     }
--- a/src/reason.rs
+++ b/src/reason.rs
@@ -47,11 +47,13 @@
     PoisonRequest,
     /// The targets limit their request rate, and the limit is reached.
     NoPermit,
+    /// All targets have requested a pause.
+    TargetsPaused,
 }
 
 impl RefusalReason {
     /// All reasons, for registering one counter each.
-    pub const ALL: [Self; 19] = [
+    pub const ALL: [Self; 20] = [
         Self::CapacityUsedUp,
         Self::QueueFull,
         Self::DeadlineUnreachable,
@@ -71,6 +73,7 @@
         Self::NoRoom,
         Self::PoisonRequest,
         Self::NoPermit,
+        Self::TargetsPaused,
     ];
 
     /// Returns the name used in metrics, logs and response bodies.
@@ -95,6 +98,7 @@
             Self::NoRoom => "no_room",
             Self::PoisonRequest => "poison_request",
             Self::NoPermit => "no_permit",
+            Self::TargetsPaused => "targets_paused",
         }
     }
 }
--- a/standins/src/trial/run.rs
+++ b/standins/src/trial/run.rs
@@ -205,6 +205,7 @@
             size: expected,
             zone,
             avoid: &[],
+            max_pause: Duration::ZERO,
         };
         let members = self.fleet.table.members(SERVICE)?;
         let rng = &mut self.rng;
