Send nothing new to a target that states that it is leaving

A target that leaves says so in all its responses (Server-Leaving: 1). The header went on to the caller and nothing else: until the log listed the target as draining, or while the log was away, the host that had passed it on sent it further requests.

Change: the statement is kept at the target (TargetState::states_leaving) and counts like draining in its heartbeat, for the choice of targets, paths and repairs, the check at the moment of sending and the plan of the zone. A heartbeat, a list that lags or an entry that returns does not undo it; another start of the target has another id and begins without it. It is read from responses of any status but 421, from reports of the same start and from replies to orders. What runs on the target goes on. Line and counter (jackdawwick_target_departures).

Renamed: FailureCause::Paused to Unavailable. call_target returns TargetReply, with headers.

--- a/src/entry/placement.rs
+++ b/src/entry/placement.rs
@@ -185,7 +185,7 @@
         // so that plans without them would differ between hosts and their orders would undo
         // each other.
         let members = members.flat_map(|members| members.values());
-        for state in members.filter(|state| !state.entry.draining) {
+        for state in members.filter(|state| !state.is_leaving()) {
             let kind = state.entry.kind.as_deref();
             let Some(kind) = kind.and_then(|kind| model.kinds.get(kind)) else {
                 continue;
@@ -336,22 +336,26 @@
         .body(Full::new(Bytes::from(body)))
         .ok()?;
     let response = call_target(address, request, ORDER_TIMEOUT).await;
+    if let Ok(reply) = &response {
+        tables.observe_order_reply(id, reply);
+    }
+    let status = response.as_ref().map(|reply| reply.status);
     log::info!(
         target_id:% = id,
         from = layers.from,
         to = layers.to,
         held:? = report.layers,
         expected = report.order_sequence,
-        answer:? = response.as_ref().map(|(status, _)| status.as_u16());
+        answer:? = status.map(|status| status.as_u16());
         "order given"
     );
-    tables.metrics.order_sent(match response {
-        Ok((StatusCode::OK | StatusCode::ACCEPTED, _)) => "accepted",
+    tables.metrics.order_sent(match status {
+        Ok(StatusCode::OK | StatusCode::ACCEPTED) => "accepted",
         Ok(_) => "refused",
         Err(_) => "unanswered",
     });
-    match response {
-        Ok((StatusCode::OK | StatusCode::ACCEPTED, _)) => Some(layers),
+    match status {
+        Ok(StatusCode::OK | StatusCode::ACCEPTED) => Some(layers),
         // The order may have been accepted, or may still be executed.
         Err(_) => Some(layers),
         Ok(_) => None,
--- a/src/fleet/pick.rs
+++ b/src/fleet/pick.rs
@@ -14,7 +14,7 @@
 const REQUESTS_PER_S: f64 = 30.0;
 
 /// Chooses the target with the fewest requests, preferring the host's own availability
-/// zone. Targets in `avoid`, draining targets and those whose pause is longer than
+/// zone. Targets in `avoid`, leaving targets and those whose pause is longer than
 /// `max_pause` are left out; ejected targets are chosen only if no other is left. `draw` is a random number from 0 to 1, which breaks ties.
 pub fn choose_target(
     members: &ServiceMembers,
@@ -24,8 +24,7 @@
     now: Instant,
     draw: f64,
 ) -> Option<TargetId> {
-    let accepts_work =
-        |state: &&TargetState| !state.entry.draining && state.pause(now) <= max_pause;
+    let accepts_work = |state: &&TargetState| !state.is_leaving() && state.pause(now) <= max_pause;
     let untried = |state: &&TargetState| !avoid.contains(&state.entry.id);
     let candidates = members.values().filter(accepts_work).filter(untried);
     let cost = |state: &TargetState| {
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -32,6 +32,9 @@
     pub full_until: Option<Instant>,
     /// End of the last of the pauses that the target has requested. Only time ends them.
     pub paused_until: Option<Instant>,
+    /// Whether the target has stated in a response that it is leaving. It never returns
+    /// under the same id, so nothing resets this.
+    pub states_leaving: bool,
     /// Time before which there is no permit for the target, which limits its rate.
     pub withheld_until: Option<Instant>,
     /// Time until which the target counts as silent: it does not respond, or other
@@ -56,6 +59,7 @@
             refusals: 0,
             full_until: None,
             paused_until: None,
+            states_leaving: false,
             withheld_until: None,
             silent_until: None,
             pace: None,
@@ -71,9 +75,14 @@
         load
     }
 
-    /// Returns whether the target may get work.
+    /// Returns whether the target may get work, apart from a pause.
     pub fn is_usable(&self, now: Instant) -> bool {
-        !self.entry.draining && !self.is_ejected(now)
+        !self.is_leaving() && !self.is_ejected(now)
+    }
+
+    /// Returns whether the target is leaving, by its heartbeat or by a response.
+    pub fn is_leaving(&self) -> bool {
+        self.entry.draining || self.states_leaving
     }
 
     /// Returns whether the target is assumed to be dead or cut off.
--- a/src/fleet/statements.rs
+++ b/src/fleet/statements.rs
@@ -1,47 +1,61 @@
 //! Statements of targets that this host no longer knows.
 
+use std::collections::VecDeque;
 use std::time::Instant;
 
 use crate::collections::FastMap;
 use crate::fleet::TargetState;
 use crate::ids::TargetId;
 
-/// Maximum number of targets that are remembered; an entry takes about 80 bytes.
+/// Maximum number of targets that are remembered; an entry takes about 150 bytes.
 const MAX_ENTRIES: usize = 4096;
 
-/// Pauses that removed targets had requested.
+/// What a target has stated about itself.
+#[derive(Debug, Clone, Copy)]
+struct TargetStatement {
+    paused_until: Option<Instant>,
+    states_leaving: bool,
+}
+
+/// What removed targets had stated about themselves.
 ///
 /// The entry of a target that cannot reach the log expires while the target is alive, and
-/// returns with the same id. Without this table the host would forget the pause and send
-/// requests again.
+/// returns with the same id. Without this table the host would forget the statements and
+/// send requests again.
 #[derive(Debug, Default)]
 pub(super) struct RetainedStatements {
-    paused_until: FastMap<TargetId, Instant>,
+    statements: FastMap<TargetId, TargetStatement>,
+    /// The targets in the order in which they were removed.
+    removed: VecDeque<TargetId>,
 }
 
 impl RetainedStatements {
     /// Keeps what a target has stated that is being removed.
     pub(super) fn retain(&mut self, state: &TargetState) {
-        let Some(until) = state.paused_until else {
-            return;
+        let statement = TargetStatement {
+            paused_until: state.paused_until,
+            states_leaving: state.states_leaving,
         };
-        self.make_room();
-        self.paused_until.insert(state.entry.id.clone(), until);
+        if statement.paused_until.is_none() && !statement.states_leaving {
+            return;
+        }
+        let id = state.entry.id.clone();
+        if self.statements.insert(id.clone(), statement).is_none() {
+            self.removed.push_back(id);
+        }
+        if self.removed.len() > MAX_ENTRIES
+            && let Some(oldest) = self.removed.pop_front()
+        {
+            self.statements.remove(&oldest);
+        }
     }
 
     /// Applies what a target had stated before it was removed.
-    pub(super) fn restore(&mut self, state: &mut TargetState) {
-        state.paused_until = self.paused_until.remove(&state.entry.id);
-    }
-
-    /// Removes the pause that ends first if the table is full.
-    fn make_room(&mut self) {
-        if self.paused_until.len() < MAX_ENTRIES {
+    pub(super) fn restore(&self, state: &mut TargetState) {
+        let Some(statement) = self.statements.get(&state.entry.id) else {
             return;
-        }
-        let first = self.paused_until.iter().min_by_key(|(_, until)| **until);
-        if let Some(id) = first.map(|(id, _)| id.clone()) {
-            self.paused_until.remove(&id);
-        }
+        };
+        state.paused_until = statement.paused_until;
+        state.states_leaving = statement.states_leaving;
     }
 }
--- a/src/fleet/table.rs
+++ b/src/fleet/table.rs
@@ -286,11 +286,18 @@
     {
         let is_available = |id: &TargetId| {
             let state = self.get(id);
-            state.is_none_or(|state| state.pause(now).is_zero())
+            state.is_none_or(|state| !state.is_leaving() && state.pause(now).is_zero())
         };
         ids.find(|id| !is_available(id))
     }
 
+    /// Records that a target has stated that it is leaving, and returns whether that was
+    /// unknown.
+    pub fn observe_leaving(&mut self, id: &str) -> bool {
+        let state = self.get_mut(id);
+        state.is_some_and(|state| !std::mem::replace(&mut state.states_leaving, true))
+    }
+
     /// Returns the longest pause of these targets.
     pub fn longest_pause<'a, I>(&self, ids: I, now: Instant) -> Duration
     where
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -32,7 +32,7 @@
 pub use events::EventSplitter;
 pub use exchange::handle_request;
 pub use permits::PermitSource;
-pub use probe::{call_target, fetch_report};
+pub use probe::{TargetReply, call_target, fetch_report};
 pub use response::{Refusal, ResponseBody};
 pub use serve::{ServingHandle, serve};
 pub use tables::{InFlightGuard, ServingTables};
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -59,8 +59,8 @@
     Timeout,
     #[error("refused by the target")]
     Refused,
-    #[error("a target wants no requests now")]
-    Paused,
+    #[error("a target pauses or is leaving")]
+    Unavailable,
     #[error("the engine does not hold its layers")]
     WrongLayers,
     #[error("answer of another request")]
@@ -77,7 +77,7 @@
             Self::Broken => "broken",
             Self::Timeout => "timeout",
             Self::Refused => "refused",
-            Self::Paused => "paused",
+            Self::Unavailable => "unavailable",
             Self::WrongLayers => "wrong_layers",
             Self::ForeignAnswer => "foreign_answer",
             Self::Unproven => "unproven",
@@ -97,7 +97,10 @@
 
     /// Returns whether the request was sent to the target.
     pub(super) fn was_sent(&self) -> bool {
-        !matches!(self.cause, FailureCause::Connect | FailureCause::Paused)
+        !matches!(
+            self.cause,
+            FailureCause::Connect | FailureCause::Unavailable
+        )
     }
 }
 
--- a/src/forward/attempt_policy.rs
+++ b/src/forward/attempt_policy.rs
@@ -227,7 +227,7 @@
                 }
                 None
             }
-            Some(FailureCause::Paused) => None,
+            Some(FailureCause::Unavailable) => None,
             Some(FailureCause::Connect) => {
                 fleet.observe_silence(&id, now);
                 fleet.get(&id).and_then(|state| state.ejected_until)
--- a/src/forward/notices.rs
+++ b/src/forward/notices.rs
@@ -5,9 +5,10 @@
 
 use http::{HeaderMap, StatusCode};
 
+use super::probe::TargetReply;
 use super::tables::ServingTables;
 use crate::ids::TargetId;
-use crate::platform::target_notice::TargetNotice;
+use crate::platform::target_notice::{TargetNotice, parse_notice};
 
 /// A request to a target whose response has begun.
 #[derive(Debug, Clone, Copy)]
@@ -41,8 +42,25 @@
             ..
         } = exchange;
         self.observe_limit(target, notice, headers, sent, received);
+        self.observe_leaving(target, notice);
         self.observe_pause(exchange, status, notice, headers)
     }
+
+    /// Applies the statements in the response to an order.
+    pub fn observe_order_reply(&self, target: &TargetId, reply: &TargetReply) {
+        if reply.status != StatusCode::MISDIRECTED_REQUEST {
+            self.observe_leaving(target, &parse_notice(&reply.headers));
+        }
+    }
+
+    /// Records a target that states that it is leaving. It gets no further requests of this
+    /// host, whatever the log says, and continues those that it runs.
+    pub(super) fn observe_leaving(&self, target: &TargetId, notice: &TargetNotice<'_>) {
+        if notice.leaving && self.fleet.lock().observe_leaving(target) {
+            self.metrics.departure_observed("response");
+            log::info!(target_id:% = target; "target states that it is leaving");
+        }
+    }
 }
 
 /// Returns whether the statements of a response are those of the target that the request
--- a/src/forward/pauses.rs
+++ b/src/forward/pauses.rs
@@ -103,7 +103,8 @@
         names.join(",")
     }
 
-    /// Checks that no target of an attempt has requested a pause since it was chosen.
+    /// Checks that no target of an attempt has requested a pause, or stated that it is
+    /// leaving, since it was chosen.
     ///
     /// # Errors
     ///
@@ -117,7 +118,7 @@
         let Some(id) = fleet.find_unavailable(chosen.ids(), now) else {
             return Ok(());
         };
-        let failure = AttemptFailure::new(RunVerdict::NotRun, FailureCause::Paused);
+        let failure = AttemptFailure::new(RunVerdict::NotRun, FailureCause::Unavailable);
         Err(AttemptFailure {
             at: fleet.get(id).map(|state| state.entry.address),
             ..failure
--- a/src/forward/probe.rs
+++ b/src/forward/probe.rs
@@ -5,13 +5,14 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{Request, StatusCode};
+use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::rt::TokioIo;
 
 use crate::fleet::EngineReport;
 use crate::forward::{ServingTables, socket};
 use crate::ids::TargetId;
+use crate::platform::target_notice::parse_notice;
 use crate::platform::{names, target_record};
 
 /// Largest body of a response, in bytes.
@@ -23,6 +24,17 @@
 /// report waits for no slot.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// A target's response to a short request.
+#[derive(Debug, Clone)]
+pub struct TargetReply {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+}
+
 /// Sends a request to a target on a new connection and reads the response.
 ///
 /// # Errors
@@ -32,7 +44,7 @@
     address: SocketAddr,
     request: Request<Full<Bytes>>,
     limit: Duration,
-) -> Result<(StatusCode, Bytes), String> {
+) -> Result<TargetReply, String> {
     let call = async {
         let stream = socket::connect(address, limit)
             .await
@@ -42,12 +54,14 @@
         let exchange = async {
             let response = sender.send_request(request).await;
             let response = response.map_err(|error| error.to_string())?;
-            let status = response.status();
-            let body = Limited::new(response.into_body(), MAX_BODY_BYTES)
-                .collect()
-                .await;
+            let (head, body) = response.into_parts();
+            let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
             let body = body.map_err(|error| error.to_string())?;
-            Ok((status, body.to_bytes()))
+            Ok(TargetReply {
+                status: head.status,
+                headers: head.headers,
+                body: body.to_bytes(),
+            })
         };
         tokio::pin!(exchange);
         tokio::select! {
@@ -81,8 +95,7 @@
     match &*cached {
         Some((at, report)) if now.saturating_duration_since(*at) < MAX_REPORT_AGE => report.clone(),
         _ => {
-            let report = request_report(address).await;
-            let report = report.and_then(|report| same_start(target, report));
+            let report = request_report(tables, target, address).await;
             let report = report.map(Arc::new).map_err(|error| {
                 log::info!(
                     target_id:% = target, address:% = address, error:% = error;
@@ -105,14 +118,21 @@
     }
 }
 
-async fn request_report(address: SocketAddr) -> Result<EngineReport, String> {
+async fn request_report(
+    tables: &ServingTables,
+    target: &TargetId,
+    address: SocketAddr,
+) -> Result<EngineReport, String> {
     let request = Request::get(names::REPORT_PATH).header(http::header::HOST, address.to_string());
     let request = request
         .body(Full::default())
         .map_err(|error| error.to_string())?;
-    let (status, body) = call_target(address, request, REPORT_TIMEOUT).await?;
-    match status {
-        StatusCode::OK => target_record::parse_report(&body),
-        status => Err(format!("status {status}")),
-    }
+    let reply = call_target(address, request, REPORT_TIMEOUT).await?;
+    let report = match reply.status {
+        StatusCode::OK => target_record::parse_report(&reply.body)?,
+        status => return Err(format!("status {status}")),
+    };
+    let report = same_start(target, report)?;
+    tables.observe_leaving(target, &parse_notice(&reply.headers));
+    Ok(report)
 }
--- a/src/forward/repath.rs
+++ b/src/forward/repath.rs
@@ -132,19 +132,27 @@
             return MoveResult::NoReply;
         };
         let response = call_target(address, request, MOVE_TIMEOUT).await;
-        let done = matches!(response, Ok((StatusCode::OK | StatusCode::ACCEPTED, _)));
-        let done = if done { "moved" } else { "move_refused" };
+        let status = response.as_ref().map(|reply| reply.status);
+        let is_done = matches!(status, Ok(StatusCode::OK | StatusCode::ACCEPTED));
+        let done = if is_done { "moved" } else { "move_refused" };
         self.exchange.tables.metrics.repaired(done);
         log::info!(
             request:% = id,
             silent_ms = self.last_progress.elapsed().as_millis() as u64,
             path:% = order::path_value(path),
-            response:? = response.as_ref().map(|(status, _)| status.as_u16());
+            response:? = status.map(|status| status.as_u16());
             "moved"
         );
         match response {
-            Ok((StatusCode::OK | StatusCode::ACCEPTED, _)) => MoveResult::Done,
-            Ok((_, body)) => MoveResult::Refused(self.record_refusing_engine(&body)),
+            Ok(reply) => {
+                self.exchange
+                    .tables
+                    .observe_order_reply(&self.chosen.id, &reply);
+                match is_done {
+                    true => MoveResult::Done,
+                    false => MoveResult::Refused(self.record_refusing_engine(&reply.body)),
+                }
+            }
             Err(_) => MoveResult::NoReply,
         }
     }
--- a/src/metrics/serving.rs
+++ b/src/metrics/serving.rs
@@ -28,6 +28,7 @@
     ends_under_requests: Family<CauseLabel, Counter>,
     target_limits: Family<CauseLabel, Counter>,
     target_pauses: Family<CauseLabel, Counter>,
+    target_departures: Family<CauseLabel, Counter>,
     permits: Family<CauseLabel, Counter>,
     first_event: Histogram,
     between_events: Histogram,
@@ -50,6 +51,7 @@
             ends_under_requests: Family::default(),
             target_limits: Family::default(),
             target_pauses: Family::default(),
+            target_departures: Family::default(),
             permits: Family::default(),
             first_event: latency_histogram(),
             between_events: latency_histogram(),
@@ -114,6 +116,11 @@
                 "Pauses that targets request with refusals, by kind",
                 &self.target_pauses,
             ),
+            (
+                "target_departures",
+                "Targets found to be leaving before the log lists them as such, by sign",
+                &self.target_departures,
+            ),
             (
                 "permits",
                 "Requests for permits to send to targets with limits, by reply",
@@ -216,6 +223,11 @@
         count(&self.target_pauses, kind);
     }
 
+    /// Counts a target that is found to be leaving by another sign than the log.
+    pub fn departure_observed(&self, sign: &'static str) {
+        count(&self.target_departures, sign);
+    }
+
     /// Counts a request for permits by its reply, or a caller's request that was refused
     /// because no permit was available.
     pub fn permit_requested(&self, reply: &'static str) {
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -26,6 +26,10 @@
 pub const AT_SERVER: &str = "at-server";
 /// Limit of the target on requests per second from all hosts together.
 pub const SERVER_LIMIT: &str = "server-limit";
+/// Set to [`LEAVING`] by a target that is leaving.
+pub const SERVER_LEAVING: &str = "server-leaving";
+/// Value of [`SERVER_LEAVING`].
+pub const LEAVING: &str = "1";
 /// Id of the last event that the caller of a stream received.
 pub const LAST_EVENT_ID: &str = "last-event-id";
 
--- a/src/platform/target_notice.rs
+++ b/src/platform/target_notice.rs
@@ -25,6 +25,8 @@
     /// Time in seconds for which the target wants no requests of this host, if the
     /// response is a refusal.
     pub retry_after: NumberHeader,
+    /// Whether the target states that it is leaving.
+    pub leaving: bool,
 }
 
 /// Parses the statements in the head of a response.
@@ -38,5 +40,6 @@
         at_fault: text(names::AT_SERVER).and_then(|value| value.trim().parse().ok()),
         limit: parse_number_header(headers, names::SERVER_LIMIT),
         retry_after: parse_number_header(headers, header::RETRY_AFTER.as_str()),
+        leaving: text(names::SERVER_LEAVING).map(str::trim) == Some(names::LEAVING),
     }
 }
--- a/tests/forwarding/main.rs
+++ b/tests/forwarding/main.rs
@@ -1,6 +1,7 @@
 //! Tests the data path against targets that fail in various ways.
 
 mod host;
+mod leaving;
 mod limits;
 mod moves;
 mod pauses;
