Play pauses and leaving targets over processes and in the soak

Targets of the soak refuse with a pause (TargetFault::RequestsPause), and state that they leave in their responses while their heartbeats stop; attempts are recorded by host and target. Faults of the log excuse nothing, a disturbance of the host does. The random soak draws these statements from a stream of its own, so that the seeds draw the same other faults as before.

--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -26,6 +26,7 @@
 mod probe;
 mod responses;
 mod run;
+mod statement;
 mod target;
 
 pub use check::{Violation, find_violations};
@@ -34,11 +35,12 @@
 };
 pub use engines::TargetFault;
 pub use history::{
-    CallKind, CallOutcome, CallRecord, Disturbance, DisturbanceScope, ProbeRecord, RunRecord,
-    SoakHistory, TargetDeparture, TargetLimit,
+    AttemptRecord, CallKind, CallOutcome, CallRecord, Disturbance, DisturbanceScope, ProbeRecord,
+    RunRecord, SoakHistory, TargetDeparture, TargetLimit,
 };
 pub use limit::{LimitReport, run_rate_limit};
 pub use link::{FaultLink, LinkFault};
-pub use plan::{FaultAction, PlannedFault, draw_faults};
+pub use plan::{FaultAction, PlannedFault, draw_faults, draw_statements};
 pub use poison::{PoisonReport, run_poison_request};
 pub use run::{SoakReport, SoakSettings, run_soak};
+pub use statement::{StatementReport, run_leaving_statement, run_requested_pause};
--- a/standins/src/soak/check.rs
+++ b/standins/src/soak/check.rs
@@ -4,11 +4,15 @@
 use std::time::{Duration, Instant};
 
 use super::history::{
-    CallKind, CallOutcome, CallRecord, Disturbance, DisturbanceScope, SoakHistory,
+    AttemptRecord, CallKind, CallOutcome, CallRecord, Disturbance, DisturbanceScope, SoakHistory,
 };
 
 /// Time after which a leaving target receives no new calls.
 const LEAVING_BOUND: Duration = Duration::from_secs(2);
+/// Time for which calls may still be on their way to a target after it has requested a
+/// pause, and the number of calls that may reach it from then until the end of the pause.
+const PAUSE_SLACK: Duration = Duration::from_millis(500);
+const MAX_CALLS_IN_PAUSE: usize = 2;
 /// Time after which a published configuration is active.
 const ACTIVATION_BOUND: Duration = Duration::from_secs(2);
 /// Time after which a host that served a version may no longer fall behind it.
@@ -38,6 +42,12 @@
     LostAtShutdown(String),
     /// A target received a call too long after it had announced that it leaves.
     SentToLeaving(String),
+    /// A target received more than two calls from a host during a pause that it had
+    /// requested from the host.
+    SentDuringPause(String, usize),
+    /// A target received a call from a host too long after it had stated to the host that
+    /// it leaves.
+    SentAfterStatement(String),
     /// A target received more calls than its advertised limit allows.
     OverLimit(String, usize),
     /// A host went back to a version before one that it had served.
@@ -65,6 +75,8 @@
     if timed {
         violations.extend(lost_at_shutdown(history));
         violations.extend(sent_to_leaving(history));
+        violations.extend(sent_during_pause(history));
+        violations.extend(sent_after_statement(history));
         violations.extend(over_limits(history));
         violations.extend(late_versions(history));
     }
@@ -209,6 +221,75 @@
         .collect()
 }
 
+/// Returns the attempts of each host at each target.
+fn attempts_by_host(history: &SoakHistory) -> HashMap<(usize, &str), Vec<&AttemptRecord>> {
+    let calls = calls_by_id(history);
+    let mut attempts = HashMap::<(usize, &str), Vec<&AttemptRecord>>::new();
+    for attempt in &history.attempts {
+        if let Some(call) = calls.get(attempt.id.as_str()) {
+            let key = (call.host, attempt.target.as_str());
+            attempts.entry(key).or_default().push(attempt);
+        }
+    }
+    attempts
+}
+
+/// Returns whether the process and the links of a host were undisturbed from `from` to
+/// `until`. Faults of the log are no excuse.
+fn is_process_undisturbed(
+    history: &SoakHistory,
+    host: usize,
+    from: Instant,
+    until: Instant,
+) -> bool {
+    let mut disturbances = history.disturbances.iter();
+    !disturbances.any(|disturbance| {
+        disturbance.scope == DisturbanceScope::Host(host) && overlaps(disturbance, from, until)
+    })
+}
+
+/// Finds targets that received calls in a pause, each pause for itself.
+pub(super) fn sent_during_pause(history: &SoakHistory) -> Vec<Violation> {
+    let attempts = attempts_by_host(history).into_iter();
+    let worst = attempts.filter_map(|((host, target), attempts)| {
+        let pausing = attempts.iter().filter_map(|attempt| {
+            let pause = attempt.pause?;
+            Some((attempt.responded, attempt.responded + pause))
+        });
+        let counts = pausing.map(|(from, until)| {
+            let during = |attempt: &&&AttemptRecord| {
+                attempt.arrived > from + PAUSE_SLACK && attempt.arrived < until
+            };
+            match is_process_undisturbed(history, host, from, until) {
+                true => attempts.iter().filter(during).count(),
+                false => 0,
+            }
+        });
+        let worst = counts.max().filter(|count| *count > MAX_CALLS_IN_PAUSE)?;
+        Some(Violation::SentDuringPause(target.to_owned(), worst))
+    });
+    worst.collect()
+}
+
+/// Finds calls that were sent to a target after it had stated that it leaves.
+pub(super) fn sent_after_statement(history: &SoakHistory) -> Vec<Violation> {
+    let calls = calls_by_id(history);
+    let mut violations = Vec::new();
+    for ((host, _), attempts) in attempts_by_host(history) {
+        let stated = attempts.iter().filter(|attempt| attempt.leaving);
+        let Some(stated) = stated.map(|attempt| attempt.responded).min() else {
+            continue;
+        };
+        let late = attempts.iter().filter(|attempt| {
+            let sent = calls.get(attempt.id.as_str()).map(|call| call.sent);
+            sent.is_some_and(|sent| sent > stated + LEAVING_BOUND)
+                && is_process_undisturbed(history, host, stated, attempt.arrived)
+        });
+        violations.extend(late.map(|attempt| Violation::SentAfterStatement(attempt.id.clone())));
+    }
+    violations
+}
+
 fn late_versions(history: &SoakHistory) -> Vec<Violation> {
     let late = history.probes.iter().filter(|probe| {
         !probe.active
--- a/standins/src/soak/engines.rs
+++ b/standins/src/soak/engines.rs
@@ -10,7 +10,7 @@
 use serde_json::json;
 
 use super::configuration::LAYERS;
-use super::history::RunRecord;
+use super::history::{AttemptRecord, RunRecord};
 
 /// Fault that a target shows on each of its requests.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -28,6 +28,8 @@
     Refuses,
     /// Responds with status 500 at once.
     Fails,
+    /// Refuses the request as not run and requests a pause of this length.
+    RequestsPause(Duration),
 }
 
 /// Current state of a target.
@@ -39,6 +41,7 @@
     pub(super) orders: u64,
     /// Whether it is loading layers.
     pub(super) busy: bool,
+    /// Whether it is leaving; its responses state so.
     pub(super) draining: bool,
     /// Whether it is alive and its link passes data.
     pub(super) reachable: bool,
@@ -56,6 +59,7 @@
     /// Running streams, by the id of the call and the first engine.
     paths: Mutex<HashMap<(String, SocketAddr), RunningPath>>,
     pub(super) runs: Mutex<Vec<RunRecord>>,
+    pub(super) attempts: Mutex<Vec<AttemptRecord>>,
 }
 
 /// Path of a running stream.
--- a/standins/src/soak/faults.rs
+++ b/standins/src/soak/faults.rs
@@ -13,6 +13,7 @@
 use super::plan::{FaultAction, PlannedFault};
 use super::probe::Published;
 use super::run::{HostDown, POLL_INTERVAL, STOP_SLACK, SoakRun};
+use super::target::Target;
 use crate::check::AdvertisedLimit;
 
 /// How long a target keeps serving after it announced that it leaves.
@@ -139,6 +140,18 @@
                 self.end_after(duration, FaultEnd::Replace(target));
             }
             FaultAction::TargetLeaves(target) => self.leave(target).await?,
+            FaultAction::TargetPauses(target, pause) => {
+                self.record_disturbance(DisturbanceScope::Target, false, duration);
+                let fault = TargetFault::RequestsPause(pause);
+                self.targets[target].update(|state| state.fault = fault);
+                self.end_after(duration, FaultEnd::HealTarget(target));
+            }
+            FaultAction::TargetStatesLeaving(target) => {
+                let old = self.replace_leaving(target).await?;
+                old.state_leaving();
+                self.leaving.push(old);
+                self.end_after(DRAIN_TIME, FaultEnd::Departed);
+            }
             FaultAction::TargetLimits(target, per_second) => {
                 self.start_limiting(target, per_second, duration);
             }
@@ -175,9 +188,14 @@
         }
     }
 
-    async fn leave(&mut self, index: usize) -> io::Result<()> {
+    /// Starts a target in place of one that is about to leave, which is returned.
+    async fn replace_leaving(&mut self, index: usize) -> io::Result<Target> {
         let new = self.new_target(self.targets[index].spec.clone()).await?;
-        let old = std::mem::replace(&mut self.targets[index], new);
+        Ok(std::mem::replace(&mut self.targets[index], new))
+    }
+
+    async fn leave(&mut self, index: usize) -> io::Result<()> {
+        let old = self.replace_leaving(index).await?;
         old.drain();
         let departure = TargetDeparture {
             target: old.id.clone(),
--- a/standins/src/soak/history.rs
+++ b/standins/src/soak/history.rs
@@ -1,6 +1,6 @@
 //! History of what callers, targets and the soak itself recorded.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::check::AdvertisedLimit;
 
@@ -68,6 +68,23 @@
     pub layers_covered: bool,
 }
 
+/// An attempt of a call that reached a target, whether or not the target ran it.
+#[derive(Debug, Clone)]
+pub struct AttemptRecord {
+    /// Id of the call.
+    pub id: String,
+    /// Id of the target.
+    pub target: String,
+    /// When the call arrived.
+    pub arrived: Instant,
+    /// When the target responded.
+    pub responded: Instant,
+    /// The pause that the response requests.
+    pub pause: Option<Duration>,
+    /// Whether the response states that the target is leaving.
+    pub leaving: bool,
+}
+
 /// A target that announced that it leaves.
 #[derive(Debug, Clone)]
 pub struct TargetDeparture {
@@ -136,6 +153,8 @@
     pub calls: Vec<CallRecord>,
     /// Runs, as targets saw them.
     pub runs: Vec<RunRecord>,
+    /// Attempts, as targets saw them.
+    pub attempts: Vec<AttemptRecord>,
     /// Targets that left.
     pub departures: Vec<TargetDeparture>,
     /// Limits that targets advertised.
--- a/standins/src/soak/plan.rs
+++ b/standins/src/soak/plan.rs
@@ -43,6 +43,11 @@
     TargetLeaves(usize),
     /// A target returns faulty responses.
     TargetMisbehaves(usize, TargetFault),
+    /// A target refuses every request and requests a pause with each refusal.
+    TargetPauses(usize, Duration),
+    /// A target states in its responses that it is leaving, while its heartbeats do not;
+    /// another one starts at once.
+    TargetStatesLeaving(usize),
     /// A target limits its rate, in requests per second.
     TargetLimits(usize, u32),
     /// Publishes a new version of the configuration.
@@ -127,3 +132,27 @@
         _ => TargetFault::Fails,
     }
 }
+
+/// Draws what targets state in their responses in a run of `length`: pauses, and that they
+/// are leaving. The seed draws the same other faults as without them.
+pub fn draw_statements(seed: u64, length: Duration, targets: usize) -> Vec<PlannedFault> {
+    const STREAM: u64 = 0x7061_7573;
+    let mut random = StdRng::seed_from_u64(seed ^ STREAM);
+    let mut statements = Vec::new();
+    let mut at = random.random_range(0.0..3.0);
+    while at < length.as_secs_f64() {
+        let target = random.random_range(0..targets);
+        let pause = Duration::from_secs_f64(random.random_range(0.3..4.0));
+        let action = match random.random_bool(0.7) {
+            true => FaultAction::TargetPauses(target, pause),
+            false => FaultAction::TargetStatesLeaving(target),
+        };
+        statements.push(PlannedFault {
+            at: Duration::from_secs_f64(at),
+            duration: Duration::from_secs_f64(random.random_range(0.5..6.0)),
+            action,
+        });
+        at += random.random_range(1.0..5.0);
+    }
+    statements
+}
--- a/standins/src/soak/run.rs
+++ b/standins/src/soak/run.rs
@@ -17,7 +17,7 @@
 use super::history::{CallKind, CallOutcome, Disturbance, SoakHistory};
 use super::host::SoakHost;
 use super::log_service::{LogFaults, LogTopics, serve_log};
-use super::plan::draw_faults;
+use super::plan::{draw_faults, draw_statements};
 use super::probe::{HostProcess, Published, balance, is_ready, probe_versions};
 use super::target::{Target, TargetSpec};
 use crate::faults::FaultSwitch;
@@ -118,12 +118,11 @@
     let mut run = SoakRun::open(settings).await?;
     let started = run.wait_until_served().await;
     let tasks = run.spawn_callers();
-    let faults = draw_faults(
-        run.settings.seed,
-        run.settings.length,
-        run.hosts.len(),
-        run.targets.len(),
-    );
+    let SoakSettings { seed, length, .. } = run.settings;
+    let (hosts, targets) = (run.hosts.len(), run.targets.len());
+    let mut faults = draw_faults(seed, length, hosts, targets);
+    faults.extend(draw_statements(seed, length, targets));
+    faults.sort_by_key(|fault| fault.at);
     let count = faults.len();
     run.inject_faults(faults).await?;
     run.heal_all().await?;
@@ -137,6 +136,7 @@
     run.stop_all().await;
     let mut history = std::mem::take(&mut *run.context.history.lock());
     history.runs = std::mem::take(&mut *run.registry.runs.lock());
+    history.attempts = std::mem::take(&mut *run.registry.attempts.lock());
     history.disturbances = run.disturbances;
     history.unexpected_exits = run.unexpected_exits;
     history.recovered = recovered;
--- a/standins/src/soak/target.rs
+++ b/standins/src/soak/target.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use futures::stream;
-use http::header::HeaderValue;
+use http::header::{self, HeaderValue};
 use http::{Request, Response, StatusCode};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
@@ -27,7 +27,7 @@
 };
 use super::event_stream::{StreamBehavior, stream_events};
 use super::heartbeats::{write_heartbeat, write_heartbeats};
-use super::history::RunRecord;
+use super::history::{AttemptRecord, RunRecord};
 use super::link::FaultLink;
 use super::log_service::LogTopics;
 use super::poison::{CRASH_TIME, POISON_PATH};
@@ -103,6 +103,13 @@
         write_heartbeat(&self.spec, self.link.address, &self.registry, &self.topics);
     }
 
+    /// States in all further responses that the target is leaving, and stops its
+    /// heartbeats without changing its entry in the log.
+    pub(super) fn state_leaving(&self) {
+        self.heartbeat_task.abort();
+        self.update(|state| state.draining = true);
+    }
+
     /// Changes the state of the target.
     pub(super) fn update<U>(&self, update: U)
     where
@@ -229,9 +236,25 @@
             let id = text(names::ATTEMPT_ID).unwrap_or_default();
             let path = text(names::ENGINE_PATH).as_deref().and_then(parse_path);
             let last = text(names::LAST_EVENT_ID).and_then(|last| last.parse().ok());
-            run(registry, address, id, path, last.unwrap_or(0)).await
+            let arrived = Instant::now();
+            let response = run(registry, address, id.clone(), path, last.unwrap_or(0)).await;
+            registry.attempts.lock().push(AttemptRecord {
+                id,
+                target: state.id.clone(),
+                arrived,
+                responded: Instant::now(),
+                pause: response.as_ref().ok().and_then(requested_pause),
+                leaving: response.is_ok() && state.draining,
+            });
+            response
         }
     }?;
+    if state.draining {
+        let leaving = HeaderValue::from_static(names::LEAVING);
+        response
+            .headers_mut()
+            .insert(names::SERVER_LEAVING, leaving);
+    }
     let limit = state.limit.map(HeaderValue::try_from);
     if let Some(Ok(limit)) = limit {
         response.headers_mut().insert(names::SERVER_LIMIT, limit);
@@ -250,8 +273,10 @@
     if let Some(unavailable) = path.as_ref().and_then(|path| registry.unavailable(path)) {
         return Ok(refusal(503, unavailable));
     }
-    if state.fault == TargetFault::Refuses {
-        return Ok(refusal(503, address));
+    match state.fault {
+        TargetFault::Refuses => return Ok(refusal(503, address)),
+        TargetFault::RequestsPause(pause) => return Ok(pausing_refusal(pause, address)),
+        _ => {}
     }
     registry.runs.lock().push(RunRecord {
         id: id.clone(),
@@ -327,3 +352,19 @@
     }
     response
 }
+
+/// Creates a refusal that requests a pause.
+fn pausing_refusal(pause: Duration, at: SocketAddr) -> Response<TargetBody> {
+    let mut response = refusal(503, at);
+    let seconds = format!("{:.3}", pause.as_secs_f64());
+    if let Ok(seconds) = HeaderValue::from_str(&seconds) {
+        response.headers_mut().insert(header::RETRY_AFTER, seconds);
+    }
+    response
+}
+
+/// Returns the pause that a response requests.
+fn requested_pause(response: &Response<TargetBody>) -> Option<Duration> {
+    let value = response.headers().get(header::RETRY_AFTER)?.to_str().ok()?;
+    Duration::try_from_secs_f64(value.parse().ok()?).ok()
+}
--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -7,9 +7,9 @@
 
 use standins::check::AdvertisedLimit;
 use standins::soak::{
-    CallKind, CallOutcome, CallRecord, Disturbance, DisturbanceScope, FaultLink, LinkFault,
-    ProbeRecord, RunRecord, SoakHistory, SoakSettings, TargetDeparture, TargetLimit, Violation,
-    draw_faults, find_violations, run_soak,
+    AttemptRecord, CallKind, CallOutcome, CallRecord, Disturbance, DisturbanceScope, FaultLink,
+    LinkFault, ProbeRecord, RunRecord, SoakHistory, SoakSettings, TargetDeparture, TargetLimit,
+    Violation, draw_faults, draw_statements, find_violations, run_soak,
 };
 use support::TestResult;
 use support::soaks::soak_settings;
@@ -69,6 +69,19 @@
         });
     }
 
+    /// Adds a call that is sent to target `one` and responded to at once.
+    fn attempt(&mut self, id: &str, at: u64, pause: Option<u64>, leaving: bool) {
+        self.call(id, CallKind::Idempotent, at, at + 5, REFUSED);
+        self.history.attempts.push(AttemptRecord {
+            id: id.to_owned(),
+            target: "one".to_owned(),
+            arrived: self.at(at),
+            responded: self.at(at),
+            pause: pause.map(Duration::from_millis),
+            leaving,
+        });
+    }
+
     fn disturb(&mut self, scope: DisturbanceScope, planned: bool, from: u64, until: u64) {
         self.history.disturbances.push(Disturbance {
             scope,
@@ -205,6 +218,43 @@
     assert_eq!(builder.violations(), []);
 }
 
+#[test]
+fn calls_in_a_pause_are_found_for_each_pause_and_host_unless_the_host_was_disturbed() {
+    let mut builder = HistoryBuilder::new();
+    builder.attempt("first", 1000, Some(3000), false);
+    // A shorter pause does not end a longer one, and calls on their way do not count.
+    builder.attempt("shorter", 1400, Some(100), false);
+    for (index, at) in [1600, 2500, 3900].into_iter().enumerate() {
+        builder.attempt(&format!("late-{index}"), at, None, false);
+    }
+    builder.attempt("after", 4100, None, false);
+    assert_eq!(
+        builder.violations(),
+        [Violation::SentDuringPause("one".into(), 3)]
+    );
+    builder.disturb(DisturbanceScope::Log, false, 900, 5000);
+    assert_eq!(builder.violations().len(), 1);
+    builder.disturb(DisturbanceScope::Host(1), false, 900, 5000);
+    assert_eq!(builder.violations().len(), 1);
+    builder.disturb(DisturbanceScope::Host(0), false, 2000, 2100);
+    assert_eq!(builder.violations(), []);
+}
+
+#[test]
+fn a_call_after_the_statement_of_a_leaving_target_is_found_also_while_the_log_is_away() {
+    let mut builder = HistoryBuilder::new();
+    builder.attempt("first", 1000, None, true);
+    builder.attempt("in-time", 2900, None, true);
+    builder.attempt("late", 3100, None, false);
+    builder.disturb(DisturbanceScope::Log, false, 900, 5000);
+    assert_eq!(
+        builder.violations(),
+        [Violation::SentAfterStatement("late".into())]
+    );
+    builder.disturb(DisturbanceScope::Host(0), true, 2000, 2100);
+    assert_eq!(builder.violations(), []);
+}
+
 #[test]
 fn a_host_that_falls_behind_or_stays_behind_is_found() {
     let mut builder = HistoryBuilder::new();
@@ -234,6 +284,8 @@
     let length = Duration::from_secs(30);
     assert_eq!(draw_faults(5, length, 4, 9), draw_faults(5, length, 4, 9));
     assert_ne!(draw_faults(5, length, 4, 9), draw_faults(6, length, 4, 9));
+    assert_eq!(draw_statements(5, length, 9), draw_statements(5, length, 9));
+    assert_ne!(draw_statements(5, length, 9), draw_statements(6, length, 9));
 }
 
 /// Starts a server that echoes what it receives.
--- /dev/null
+++ b/standins/tests/statements.rs
@@ -0,0 +1,34 @@
+//! Targets that request pauses or state that they are leaving, with entry hosts as
+//! processes.
+
+mod support;
+
+use standins::soak::{run_leaving_statement, run_requested_pause};
+use support::TestResult;
+use support::soaks::soak_settings;
+
+const HOSTS: usize = 6;
+
+/// Guards against hosts that send requests to targets during a pause, and against targets
+/// that get none after it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn targets_receive_nothing_during_a_pause_and_requests_after_it() -> TestResult {
+    let (settings, _folder) = soak_settings(HOSTS).await?;
+    let report = run_requested_pause(settings).await?;
+    assert_eq!(report.violations, [], "{report:?}");
+    assert_eq!(report.unsuccessful, 0, "{report:?}");
+    assert!(report.before > 0 && report.after > 0, "{report:?}");
+    Ok(())
+}
+
+/// Guards against hosts that send new requests to a target which states that it is
+/// leaving while the log is away, and against calls that are lost with it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn targets_receive_nothing_after_they_state_that_they_leave() -> TestResult {
+    let (settings, _folder) = soak_settings(HOSTS).await?;
+    let report = run_leaving_statement(settings).await?;
+    assert_eq!(report.violations, [], "{report:?}");
+    assert_eq!(report.unsuccessful, 0, "{report:?}");
+    assert!(report.before > 0, "{report:?}");
+    Ok(())
+}
