Count statements in the soak only if they reached the host

The host has 'no report from engine: timeout' and three attempts ended by timeout there, and no line that the target states anything: the responses that were counted as statements never arrived. The rule counts what the host has received.

A response counts only if the target's link passes data when it is sent.

--- a/standins/src/soak/history.rs
+++ b/standins/src/soak/history.rs
@@ -79,9 +79,9 @@
     pub arrived: Instant,
     /// When the target responded.
     pub responded: Instant,
-    /// The pause that the response requests.
+    /// The pause that the response requests, if the response reached the host.
     pub pause: Option<Duration>,
-    /// Whether the response states that the target is leaving.
+    /// Whether the response states that the target is leaving, and reached the host.
     pub leaving: bool,
 }
 
--- a/standins/src/soak/target.rs
+++ b/standins/src/soak/target.rs
@@ -238,13 +238,16 @@
             let last = text(names::LAST_EVENT_ID).and_then(|last| last.parse().ok());
             let arrived = Instant::now();
             let response = run(registry, address, id.clone(), path, last.unwrap_or(0)).await;
+            // A host cannot act on a response that its link to the target holds back.
+            let delivered = response.as_ref().ok();
+            let delivered = delivered.filter(|_| registry.state(address).reachable);
             registry.attempts.lock().push(AttemptRecord {
                 id,
                 target: state.id.clone(),
                 arrived,
                 responded: Instant::now(),
-                pause: response.as_ref().ok().and_then(requested_pause),
-                leaving: response.is_ok() && state.draining,
+                pause: delivered.and_then(requested_pause),
+                leaving: delivered.is_some() && state.draining,
             });
             response
         }
