Give the true reason when short pauses leave a request without a choice

Callers saw: a stream whose engine broke off was cut, and a request refused, with no_permit and a Retry-After of 0 although no target limited its rate. Cause, found while reading: each wait for the end of a pause used one of the six choices that are made for permits; after six short pauses the loop ended as if permits had been withheld, also before the time that the request may wait was used up.

Change: waiting for pauses is a loop of its own (choose_after_pauses), bounded by that time; a request that was withheld a permit waits for no pause, as before.

--- a/src/forward/pauses.rs
+++ b/src/forward/pauses.rs
@@ -127,13 +127,32 @@
 }
 
 impl Exchange {
+    /// Selects the target or path of the next attempt, and waits for pauses to end if they
+    /// leave no choice. `allowance` is the time that the request may spend on that, and is
+    /// reduced by the time spent.
+    pub(super) async fn choose_after_pauses(
+        &self,
+        excluded: &[TargetId],
+        started: bool,
+        allowance: &mut Duration,
+    ) -> Result<ChosenTarget, Refusal> {
+        loop {
+            let refusal = match self.choose(excluded, started) {
+                Ok(chosen) => return Ok(chosen),
+                Err(refusal) => refusal,
+            };
+            let waited = self.await_pause(excluded, *allowance, refusal).await?;
+            *allowance = allowance.saturating_sub(waited);
+        }
+    }
+
     /// Waits until the first pause ends that leaves the request without a choice, and
     /// returns how long that took. `refusal` says why there is none.
     ///
     /// # Errors
     ///
     /// If no pause is the reason, or none ends within `longest`.
-    pub(super) async fn await_pause(
+    async fn await_pause(
         &self,
         excluded: &[TargetId],
         longest: Duration,
--- a/src/forward/permit_wait.rs
+++ b/src/forward/permit_wait.rs
@@ -35,15 +35,12 @@
         let mut retry_after: Option<Duration> = None;
         let mut pause_allowance = self.longest_wait(started, Instant::now());
         for _ in 0..MAX_CHOICES {
-            let chosen = match self.choose(&excluded, started) {
+            let chosen = self
+                .choose_after_pauses(&excluded, started, &mut pause_allowance)
+                .await;
+            let chosen = match chosen {
                 Ok(chosen) => chosen,
-                Err(refusal) if retry_after.is_none() => {
-                    let waited = self
-                        .await_pause(&excluded, pause_allowance, refusal)
-                        .await?;
-                    pause_allowance = pause_allowance.saturating_sub(waited);
-                    continue;
-                }
+                Err(refusal) if retry_after.is_none() => return Err(refusal),
                 Err(_) => break,
             };
             let now = Instant::now();
@@ -63,6 +60,7 @@
                 return Ok(self.commit(chosen, avoid.len()));
             };
             retry_after = Some(retry_after.map_or(withheld, |after| after.min(withheld)));
+            pause_allowance = Duration::ZERO;
             if !targets.wait.is_zero() {
                 excluded.extend(self.withheld_targets(chosen.ids()));
             }
--- a/tests/forwarding/pauses.rs
+++ b/tests/forwarding/pauses.rs
@@ -10,7 +10,7 @@
 use parking_lot::Mutex;
 
 use super::host::TestHost;
-use super::stub_target::{SeenRequest, Step, StubTarget, response};
+use super::stub_target::{SeenRequest, Step, StubTarget, event, response, stream_head};
 
 /// Creates the refusal of a request that did not run, with more header lines.
 fn refusal(seen: &SeenRequest, status: &str, headers: &str) -> Vec<Step> {
@@ -260,6 +260,36 @@
     assert_eq!(target.seen().len(), 0);
 }
 
+/// Guards against a stream that is cut for want of a permit, of which it needs none, after
+/// several short pauses.
+#[tokio::test]
+async fn a_stream_that_finds_only_paused_engines_is_not_cut_for_want_of_a_permit() {
+    let first = StubTarget::spawn(|seen| vec![stream_head(seen.id()), event(1), Step::Reset]).await;
+    let host = TestHost::open();
+    host.add_engine("i-1", first.address, 0, 80);
+    let tables = host.tables.clone();
+    let refusals = tokio::spawn(async move {
+        loop {
+            let until = Instant::now() + Duration::from_millis(40);
+            tables.fleet.lock().observe_pause("i-2", until);
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    });
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    host.add_engine("i-2", ([127, 0, 0, 1], 9).into(), 0, 80);
+    host.call("GET", "/stream/", "").await;
+    refusals.abort();
+    let metrics = host.tables.metrics.encode();
+    assert!(
+        metrics.contains("repairs_total{cause=\"cut\"}"),
+        "{metrics}"
+    );
+    assert!(
+        !metrics.contains("permits_total{cause=\"refused\"}"),
+        "{metrics}"
+    );
+}
+
 /// Guards against a pause that is forgotten because the response arrives while the log
 /// does not list the target.
 #[tokio::test]
