Name the remaining pause and say what the comments about pauses left open

Read as a newcomer: 'pause' of a target read like an action; the jitter's two constants stood apart; a comment on refusals without a seal gave no reason; two doc comments (which attempts cost no retry, which address a failure names) were true before the change only.

Renamed: TargetState::pause to remaining_pause, RetainedStatements::removed to order. No behaviour changes; tests/forwarding, pause_model and paths passed.

--- a/src/fleet/path.rs
+++ b/src/fleet/path.rs
@@ -163,7 +163,7 @@
 ) -> Vec<&'a TargetState> {
     let usable = |state: &&TargetState| {
         state.is_usable(now)
-            && state.pause(now) <= query.max_pause
+            && state.remaining_pause(now) <= query.max_pause
             && state.entry.layers.is_some()
             && !query.avoid.contains(&state.entry.id)
     };
@@ -222,7 +222,7 @@
     let unread = load.unread + f64::from(query.size.prompt) * f64::from(range.width());
     let read_ms =
         unread / layers * kind.read_factor * state.pace(now) * 1000.0 / model.read_per_s.max(1.0);
-    let wait = state.permit_wait(now).max(state.pause(now));
+    let wait = state.permit_wait(now).max(state.remaining_pause(now));
     let wait_ms = wait.as_secs_f64() * 1000.0;
     let crowding_ms = fill_level.min(1.0).powi(4) * pass_ms;
     Some(EngineCost {
--- a/src/fleet/pick.rs
+++ b/src/fleet/pick.rs
@@ -25,7 +25,8 @@
     now: Instant,
     draw: f64,
 ) -> Option<TargetId> {
-    let accepts_work = |state: &&TargetState| !state.is_leaving() && state.pause(now) <= max_pause;
+    let accepts_work =
+        |state: &&TargetState| !state.is_leaving() && state.remaining_pause(now) <= max_pause;
     let untried = |state: &&TargetState| !avoid.contains(&state.entry.id);
     let candidates = members.values().filter(accepts_work).filter(untried);
     let cost = |state: &TargetState| {
@@ -35,7 +36,7 @@
             ZONE_PENALTY
         };
         let out = if state.is_ejected(now) { 1e6 } else { 0.0 };
-        let wait = state.permit_wait(now).max(state.pause(now));
+        let wait = state.permit_wait(now).max(state.remaining_pause(now));
         let wait = wait.as_secs_f64() * REQUESTS_PER_S;
         f64::from(state.load().requests) + far + out + wait
     };
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -103,7 +103,7 @@
 
     /// Returns the time for which the target still wants no requests of this host. No
     /// request is sent to it in this time, whatever the alternatives.
-    pub fn pause(&self, now: Instant) -> Duration {
+    pub fn remaining_pause(&self, now: Instant) -> Duration {
         let until = self.paused_until.unwrap_or(now);
         until.saturating_duration_since(now)
     }
--- a/src/fleet/statements.rs
+++ b/src/fleet/statements.rs
@@ -25,8 +25,8 @@
 #[derive(Debug, Default)]
 pub(super) struct RetainedStatements {
     statements: FastMap<TargetId, TargetStatement>,
-    /// The targets in the order in which they were removed.
-    removed: VecDeque<TargetId>,
+    /// The targets in the order in which they were added.
+    order: VecDeque<TargetId>,
 }
 
 impl RetainedStatements {
@@ -42,13 +42,13 @@
         *self.statement(&state.entry.id) = statement;
     }
 
-    /// Returns the statement of a target that the log does not list now, to which a late
-    /// response may add.
+    /// Returns the statement of a target that is not listed now, for a response that arrives
+    /// late to add to it.
     pub(super) fn statement(&mut self, id: &str) -> &mut TargetStatement {
         let id = TargetId::from(id);
         if !self.statements.contains_key(&id) {
             self.make_room();
-            self.removed.push_back(id.clone());
+            self.order.push_back(id.clone());
         }
         self.statements.entry(id).or_default()
     }
@@ -62,12 +62,12 @@
         state.states_leaving = statement.states_leaving;
     }
 
-    /// Forgets the target that was removed first if the table is full.
+    /// Forgets the target that was added first if the table is full.
     fn make_room(&mut self) {
-        if self.removed.len() < MAX_ENTRIES {
+        if self.order.len() < MAX_ENTRIES {
             return;
         }
-        if let Some(oldest) = self.removed.pop_front() {
+        if let Some(oldest) = self.order.pop_front() {
             self.statements.remove(&oldest);
         }
     }
--- a/src/fleet/table.rs
+++ b/src/fleet/table.rs
@@ -223,7 +223,7 @@
         let Some(state) = self.get_mut(id) else {
             return false;
         };
-        let due = state.pause(now).is_zero()
+        let due = state.remaining_pause(now).is_zero()
             && state
                 .pace_requested
                 .is_none_or(|at| now >= at + PACE_REQUEST_INTERVAL);
@@ -289,7 +289,7 @@
     {
         let is_available = |id: &TargetId| {
             let state = self.get(id);
-            state.is_some_and(|state| !state.is_leaving() && state.pause(now).is_zero())
+            state.is_some_and(|state| !state.is_leaving() && state.remaining_pause(now).is_zero())
         };
         ids.find(|id| !is_available(id))
     }
@@ -310,17 +310,17 @@
         I: Iterator<Item = &'a TargetId>,
     {
         let states = ids.filter_map(|id| self.get(id));
-        let pauses = states.map(|state| state.pause(now));
+        let pauses = states.map(|state| state.remaining_pause(now));
         pauses.max().unwrap_or_default()
     }
 
     /// Returns the targets of a service that have requested a pause.
     pub fn paused(&self, service: &str, now: Instant) -> impl Iterator<Item = &TargetState> {
-        // Each request asks for them, and usually there are none.
+        // Every request calls this function, and usually no target pauses.
         let is_possible = self.last_pause_end.is_some_and(|end| now < end);
         let members = self.members(service).filter(|_| is_possible).into_iter();
         let states = members.flat_map(BTreeMap::values);
-        states.filter(move |state| !state.pause(now).is_zero())
+        states.filter(move |state| !state.remaining_pause(now).is_zero())
     }
 
     /// Records that a target wants no requests of this host until `until`. Pauses that it
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -42,7 +42,8 @@
 pub(super) struct AttemptFailure {
     pub(super) verdict: RunVerdict,
     pub(super) cause: FailureCause,
-    /// Address of the engine at fault, if the target named another engine.
+    /// Address of the engine at fault, if the target named another one, or if an engine was
+    /// found unavailable before the request was sent.
     pub(super) at: Option<SocketAddr>,
     /// End of the pause that the target requested, if it refused the request.
     pub(super) paused_until: Option<Instant>,
--- a/src/forward/attempt_policy.rs
+++ b/src/forward/attempt_policy.rs
@@ -166,8 +166,8 @@
             && self.tables.spend_retry(&self.service.name, Instant::now())
     }
 
-    /// Returns whether the request may be sent once more, and spends a retry unless no
-    /// connection was made.
+    /// Returns whether the request may be sent once more, and spends a retry unless the
+    /// failed attempt sent nothing.
     pub(super) fn may_retry(
         &self,
         failure: &AttemptFailure,
--- a/src/forward/notices.rs
+++ b/src/forward/notices.rs
@@ -67,7 +67,8 @@
 /// was sent to. Another start of the target, or another target at its address, responds
 /// with status 421; a response to another request may have been delayed.
 ///
-/// Refusals need no seal: they are acted on even if they state nothing else.
+/// The seal is not required, since targets may refuse a request without one. The request
+/// names its target, so any other target responds with 421.
 fn is_own_statement(notice: &TargetNotice<'_>, request: &str, status: StatusCode) -> bool {
     let is_own_request = notice.attempt.is_none_or(|attempt| attempt == request);
     status != StatusCode::MISDIRECTED_REQUEST && is_own_request
--- a/src/forward/pauses.rs
+++ b/src/forward/pauses.rs
@@ -25,15 +25,15 @@
 /// Longest pause that a target can request. A target that states an absurd time, such as
 /// 1e9 seconds, is tried again after this one.
 const MAX_PAUSE: Duration = Duration::from_secs(3600);
-/// Largest part of a pause that is added to it, so that the hosts that a target refused
-/// together do not return together.
+/// Largest part of a pause that is added to it, and the longest time that is: hosts that a
+/// target refused together must not return together.
 const MAX_JITTER: f64 = 0.1;
+const MAX_JITTER_TIME: Duration = Duration::from_secs(1);
+/// Longest time over which the requests of a host that wait for the same pause are spread
+/// after its end.
+const MAX_SPREAD: Duration = Duration::from_millis(100);
 /// Largest number of paused targets that a log line names.
 const MAX_NAMES: usize = 4;
-/// Longest time over which requests are spread that wait for the end of a pause.
-const MAX_SPREAD: Duration = Duration::from_millis(100);
-/// Longest jitter.
-const MAX_JITTER_TIME: Duration = Duration::from_secs(1);
 
 impl ServingTables {
     /// Records the pause that the head of a response requests, and returns its end.
@@ -80,7 +80,8 @@
         );
     }
 
-    /// Logs the end of a pause, unless the target requests a longer one before.
+    /// Waits for the end of a pause and logs it, unless the target has requested a later end
+    /// by then.
     fn log_end(self: &Arc<Self>, target: &TargetId, until: Instant) {
         let (tables, target) = (self.clone(), target.clone());
         tokio::spawn(async move {
@@ -95,7 +96,7 @@
     }
 
     /// Returns the ids of the targets of a service that are left out for a pause, at most
-    /// four.
+    /// [`MAX_NAMES`], separated by commas.
     pub(super) fn paused_names(&self, service: &str, now: Instant) -> String {
         let fleet = self.fleet.lock();
         let paused = fleet.paused(service, now).take(MAX_NAMES);
@@ -200,7 +201,7 @@
     )
 }
 
-/// Returns the pause of a number of seconds; `None` if it is not a time.
+/// Converts the seconds of a pause, bounded by [`MAX_PAUSE`]; `None` if they are not a time.
 fn usable_pause(seconds: f64) -> Option<Duration> {
     let is_time = seconds.is_finite() && seconds >= 0.0;
     is_time.then(|| Duration::from_secs_f64(seconds.min(MAX_PAUSE.as_secs_f64())))
--- a/tests/forwarding/pauses.rs
+++ b/tests/forwarding/pauses.rs
@@ -24,7 +24,7 @@
 fn pause(host: &TestHost, id: &str) -> Duration {
     let fleet = host.tables.fleet.lock();
     let state = fleet.get(id).expect("a known target");
-    state.pause(Instant::now())
+    state.remaining_pause(Instant::now())
 }
 
 /// Guards against pauses that are missed, or taken from responses that request none.
