Share what the tests of statements repeated

Read as a newcomer: three ways to add a header line to a stub's response, two stubs that always succeed, and callers, their end and the start of a run written three times in the soak (departures, limits, statements).

Now stub_target::with_header, healthy_target, callers::call_host and stop_callers, SoakRun::open_served.

--- a/standins/src/soak/callers.rs
+++ b/standins/src/soak/callers.rs
@@ -1,5 +1,6 @@
 //! Callers that keep their connections open and record the outcome of each call.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -15,10 +16,12 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
 
 use super::configuration::{API_KEY, CALLED_HOST};
 use super::history::{CallKind, CallOutcome, CallRecord, SoakHistory};
 use super::responses::{plain_body, stream_body};
+use super::run::POLL_INTERVAL;
 
 /// Timeout of opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -143,6 +146,46 @@
     }
 }
 
+/// Calls one host, with a pause after each call, until the callers are stopped.
+pub(super) async fn call_host(
+    context: Arc<CallerContext>,
+    host: usize,
+    kind: CallKind,
+    pause: Duration,
+) -> Vec<CallRecord> {
+    let mut records = Vec::new();
+    while !context.is_stopped() {
+        let Some(mut connection) = connect(context.fronts[host].address).await else {
+            tokio::time::sleep(POLL_INTERVAL).await;
+            continue;
+        };
+        while !context.is_stopped() && !connection.is_closed() {
+            records.push(call(&context, &mut connection, host, kind).await);
+            if !pause.is_zero() {
+                tokio::time::sleep(pause).await;
+            }
+        }
+    }
+    records
+}
+
+/// Stops callers and returns what they recorded.
+///
+/// # Errors
+///
+/// If the task of a caller failed.
+pub(super) async fn stop_callers(
+    context: &CallerContext,
+    callers: Vec<JoinHandle<Vec<CallRecord>>>,
+) -> io::Result<Vec<CallRecord>> {
+    context.stop();
+    let mut records = Vec::new();
+    for caller in callers {
+        records.extend(caller.await.map_err(io::Error::other)?);
+    }
+    Ok(records)
+}
+
 /// Sends one call of a kind and records its outcome.
 pub(super) async fn call(
     context: &CallerContext,
--- a/standins/src/soak/departure.rs
+++ b/standins/src/soak/departure.rs
@@ -1,16 +1,15 @@
 //! Targets that leave while entry hosts cannot read the log.
 
 use std::io;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use tokio::task::JoinHandle;
 
-use super::callers::{CallerContext, call, connect};
+use super::callers::{call_host, stop_callers};
 use super::configuration::HEARTBEAT_MS;
 use super::history::{CallKind, CallOutcome, CallRecord};
 use super::link::LinkFault;
-use super::run::{POLL_INTERVAL, SoakRun, SoakSettings};
+use super::run::{SoakRun, SoakSettings};
 
 /// Time after which a leaving target receives no new requests, from the moment at which
 /// the host can know that it leaves.
@@ -41,22 +40,6 @@
     pub unsuccessful: usize,
 }
 
-/// Calls a host without pauses until the callers are stopped.
-async fn call_host(context: Arc<CallerContext>, host: usize) -> Vec<CallRecord> {
-    let mut records = Vec::new();
-    while !context.is_stopped() {
-        let Some(mut connection) = connect(context.fronts[host].address).await else {
-            tokio::time::sleep(POLL_INTERVAL).await;
-            continue;
-        };
-        while !context.is_stopped() && !connection.is_closed() {
-            let record = call(&context, &mut connection, host, CallKind::Idempotent).await;
-            records.push(record);
-        }
-    }
-    records
-}
-
 /// Cuts the first host of a zone off from the log while a target leaves without
 /// announcing it. The other host of the zone keeps reading the log.
 ///
@@ -66,14 +49,14 @@
 pub async fn run_departure_with_host_cut_off(
     settings: SoakSettings,
 ) -> io::Result<DepartureReport> {
-    let run = open(settings).await?;
+    let run = SoakRun::open_served(settings).await?;
     let callers = spawn_callers(&run, 0);
     run.hosts[0].host.log.set(LinkFault::Blackhole);
     tokio::time::sleep(OUTAGE_TIME).await;
     let left = Instant::now();
     run.targets[LOCAL_TARGETS[1]].leave_silently();
     tokio::time::sleep(DRAIN_BOUND + OBSERVATION_TIME).await;
-    let records = stop_callers(&run, callers).await?;
+    let records = stop_callers(&run.context, callers).await?;
     Ok(report(&run, &records, LOCAL_TARGETS[1], left, left..left))
 }
 
@@ -87,7 +70,7 @@
 pub async fn run_departure_during_log_outage(
     settings: SoakSettings,
 ) -> io::Result<DepartureReport> {
-    let mut run = open(settings).await?;
+    let mut run = SoakRun::open_served(settings).await?;
     let callers = spawn_callers(&run, 0);
     let is_cut = |index: &usize| index.is_multiple_of(2);
     let cut = (0..run.hosts.len()).filter(is_cut).collect::<Vec<_>>();
@@ -109,35 +92,16 @@
         run.targets[target].return_to_log();
     }
     tokio::time::sleep(DRAIN_BOUND + OBSERVATION_TIME).await;
-    let records = stop_callers(&run, callers).await?;
+    let records = stop_callers(&run.context, callers).await?;
     Ok(report(&run, &records, REMOTE_TARGET, back, back..returned))
 }
 
-async fn open(settings: SoakSettings) -> io::Result<SoakRun> {
-    let mut run = SoakRun::open(settings).await?;
-    match run.wait_until_served().await {
-        true => Ok(run),
-        false => Err(io::Error::other("the hosts do not serve requests")),
-    }
-}
-
 fn spawn_callers(run: &SoakRun, host: usize) -> Vec<JoinHandle<Vec<CallRecord>>> {
-    let spawn = |_| tokio::spawn(call_host(run.context.clone(), host));
+    let (kind, pause) = (CallKind::Idempotent, Duration::ZERO);
+    let spawn = |_| tokio::spawn(call_host(run.context.clone(), host, kind, pause));
     (0..CALLERS).map(spawn).collect()
 }
 
-async fn stop_callers(
-    run: &SoakRun,
-    callers: Vec<JoinHandle<Vec<CallRecord>>>,
-) -> io::Result<Vec<CallRecord>> {
-    run.context.stop();
-    let mut records = Vec::new();
-    for caller in callers {
-        records.extend(caller.await.map_err(io::Error::other)?);
-    }
-    Ok(records)
-}
-
 fn report(
     run: &SoakRun,
     records: &[CallRecord],
--- a/standins/src/soak/limit.rs
+++ b/standins/src/soak/limit.rs
@@ -6,7 +6,7 @@
 
 use tokio::task::JoinHandle;
 
-use super::callers::{CallerContext, call, connect};
+use super::callers::{CallerContext, call, connect, stop_callers};
 use super::history::{CallKind, CallOutcome, CallRecord};
 use super::run::{SoakRun, SoakSettings};
 use crate::check::AdvertisedLimit;
@@ -88,10 +88,7 @@
 ///
 /// If processes or sockets cannot be set up.
 pub async fn run_rate_limit(settings: SoakSettings) -> io::Result<LimitReport> {
-    let mut run = SoakRun::open(settings).await?;
-    if !run.wait_until_served().await {
-        return Err(io::Error::other("the hosts do not serve requests"));
-    }
+    let run = SoakRun::open_served(settings).await?;
     let callers = spawn_callers(&run);
     tokio::time::sleep(UNLIMITED_TIME).await;
     let from = Instant::now();
@@ -102,11 +99,7 @@
         from,
         until: Instant::now(),
     };
-    run.context.stop();
-    let mut records = Vec::new();
-    for caller in callers {
-        records.extend(caller.await.map_err(io::Error::other)?);
-    }
+    let records = stop_callers(&run.context, callers).await?;
     let arrivals = arrivals(&run);
     let enforced_from = from + LIMITED_TIME / 3;
     let kept = arrivals
--- a/standins/src/soak/run.rs
+++ b/standins/src/soak/run.rs
@@ -167,6 +167,19 @@
 }
 
 impl SoakRun {
+    /// Starts a run and waits until all hosts serve.
+    ///
+    /// # Errors
+    ///
+    /// If processes or sockets cannot be set up, or a host does not serve.
+    pub(super) async fn open_served(settings: SoakSettings) -> io::Result<Self> {
+        let mut run = Self::open(settings).await?;
+        match run.wait_until_served().await {
+            true => Ok(run),
+            false => Err(io::Error::other("the hosts do not serve requests")),
+        }
+    }
+
     pub(super) async fn open(settings: SoakSettings) -> io::Result<Self> {
         let topics = Arc::new(LogTopics::default());
         let log_faults = FaultSwitch::new(LogFaults::default());
--- a/standins/src/soak/statement.rs
+++ b/standins/src/soak/statement.rs
@@ -2,17 +2,16 @@
 //! processes send requests to them.
 
 use std::io;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use tokio::task::JoinHandle;
 
-use super::callers::{CallerContext, call, connect};
+use super::callers::{call_host, stop_callers};
 use super::check::{Violation, sent_after_statement, sent_during_pause};
 use super::engines::TargetFault;
 use super::history::{CallKind, CallOutcome, CallRecord};
 use super::log_service::LogFaults;
-use super::run::{POLL_INTERVAL, SoakRun, SoakSettings};
+use super::run::{SoakRun, SoakSettings};
 
 /// Callers of each kind of call at each host, and the pause between two calls of each.
 const CALLERS: usize = 2;
@@ -51,7 +50,7 @@
 ///
 /// If processes or sockets cannot be set up.
 pub async fn run_requested_pause(settings: SoakSettings) -> io::Result<StatementReport> {
-    let run = open(settings).await?;
+    let run = SoakRun::open_served(settings).await?;
     let callers = spawn_callers(&run);
     tokio::time::sleep(CALM_TIME).await;
     let from = Instant::now();
@@ -75,7 +74,7 @@
 ///
 /// If processes or sockets cannot be set up.
 pub async fn run_leaving_statement(settings: SoakSettings) -> io::Result<StatementReport> {
-    let run = open(settings).await?;
+    let run = SoakRun::open_served(settings).await?;
     let callers = spawn_callers(&run);
     tokio::time::sleep(CALM_TIME).await;
     run.log_faults.set(LogFaults {
@@ -92,35 +91,11 @@
     report(run, callers, from, until).await
 }
 
-async fn open(settings: SoakSettings) -> io::Result<SoakRun> {
-    let mut run = SoakRun::open(settings).await?;
-    match run.wait_until_served().await {
-        true => Ok(run),
-        false => Err(io::Error::other("the hosts do not serve requests")),
-    }
-}
-
-/// Calls one host until the callers are stopped.
-async fn call_host(context: Arc<CallerContext>, host: usize, kind: CallKind) -> Vec<CallRecord> {
-    let mut records = Vec::new();
-    while !context.is_stopped() {
-        let Some(mut connection) = connect(context.fronts[host].address).await else {
-            tokio::time::sleep(POLL_INTERVAL).await;
-            continue;
-        };
-        while !context.is_stopped() && !connection.is_closed() {
-            records.push(call(&context, &mut connection, host, kind).await);
-            tokio::time::sleep(CALL_PAUSE).await;
-        }
-    }
-    records
-}
-
 fn spawn_callers(run: &SoakRun) -> Vec<JoinHandle<Vec<CallRecord>>> {
     let mut callers = Vec::new();
     for host in 0..run.hosts.len() {
         for kind in [CallKind::Idempotent, CallKind::Stream] {
-            let spawn = |_| tokio::spawn(call_host(run.context.clone(), host, kind));
+            let spawn = |_| tokio::spawn(call_host(run.context.clone(), host, kind, CALL_PAUSE));
             callers.extend((0..CALLERS).map(spawn));
         }
     }
@@ -133,11 +108,7 @@
     from: Instant,
     until: Instant,
 ) -> io::Result<StatementReport> {
-    run.context.stop();
-    let mut records = Vec::new();
-    for caller in callers {
-        records.extend(caller.await.map_err(io::Error::other)?);
-    }
+    let records = stop_callers(&run.context, callers).await?;
     let mut history = std::mem::take(&mut *run.context.history.lock());
     history.calls.extend(records.iter().cloned());
     history.attempts = std::mem::take(&mut *run.registry.attempts.lock());
--- a/tests/forwarding/leaving.rs
+++ b/tests/forwarding/leaving.rs
@@ -7,17 +7,11 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 use super::host::{TestHost, request};
-use super::stub_target::{SeenRequest, Step, StubTarget, event, last_chunk, response, stream_head};
+use super::stub_target::{
+    SeenRequest, Step, StubTarget, event, last_chunk, response, stream_head, with_header,
+};
 use super::{ORDER, REPORT, json, not_executed};
 
-/// Adds a header line to a step that writes a head.
-fn with_header(step: Step, line: &str) -> Step {
-    let Step::Write(text) = step else {
-        return step;
-    };
-    Step::Write(text.replacen("\r\n", &format!("\r\n{line}\r\n"), 1))
-}
-
 async fn spawn_stating(line: &'static str, status: &'static str) -> StubTarget {
     StubTarget::spawn(move |seen| vec![with_header(response(seen.id(), status, "fine"), line)])
         .await
--- a/tests/forwarding/limits.rs
+++ b/tests/forwarding/limits.rs
@@ -9,19 +9,15 @@
 use jackdawwick::permits::PermitReply;
 
 use super::host::TestHost;
-use super::stub_target::{SeenRequest, Step, StubTarget, response};
+use super::stub_target::{SeenRequest, Step, StubTarget, response, with_header};
 
 /// Creates a response that names a limit, unless `limit` is empty.
 fn limited(seen: &SeenRequest, status: &str, limit: &str) -> Vec<Step> {
-    let Step::Write(text) = response(seen.id(), status, "fine") else {
-        return Vec::new();
-    };
-    let header = match limit {
-        "" => String::new(),
-        limit => format!("server-limit: {limit}\r\n"),
-    };
-    let text = text.replacen("content-length", &format!("{header}content-length"), 1);
-    vec![Step::Write(text)]
+    let response = response(seen.id(), status, "fine");
+    vec![match limit {
+        "" => response,
+        limit => with_header(response, &format!("server-limit: {limit}")),
+    }]
 }
 
 async fn spawn_limited(limit: &'static str) -> StubTarget {
--- a/tests/forwarding/pauses.rs
+++ b/tests/forwarding/pauses.rs
@@ -9,8 +9,11 @@
 use jackdawwick::permits::PermitReply;
 use parking_lot::Mutex;
 
+use super::healthy_target;
 use super::host::TestHost;
-use super::stub_target::{SeenRequest, Step, StubTarget, event, response, stream_head};
+use super::stub_target::{
+    SeenRequest, Step, StubTarget, event, response, stream_head, with_header,
+};
 
 /// Creates the refusal of a request that did not run, with more header lines.
 fn refusal(seen: &SeenRequest, status: &str, headers: &str) -> Vec<Step> {
@@ -122,10 +125,6 @@
     StubTarget::spawn(move |seen| refusal(seen, "503 Service Unavailable", headers)).await
 }
 
-async fn spawn_healthy() -> StubTarget {
-    StubTarget::spawn(|seen| vec![response(seen.id(), "200 OK", "fine")]).await
-}
-
 /// Guards against statements that are taken from another target at the address, or from
 /// the response to another request.
 #[tokio::test]
@@ -184,7 +183,7 @@
 async fn requests_go_to_another_target_during_a_pause() {
     let (pausing, healthy) = (
         spawn_pausing("retry-after: 3\r\n").await,
-        spawn_healthy().await,
+        healthy_target().await,
     );
     let host = TestHost::open();
     host.add_plain("i-1", pausing.address);
@@ -240,7 +239,7 @@
 /// requests begin new ones.
 #[tokio::test]
 async fn a_request_waits_for_pauses_no_longer_than_for_one() {
-    let target = spawn_healthy().await;
+    let target = healthy_target().await;
     let host = TestHost::open();
     host.add_plain("i-1", target.address);
     let tables = host.tables.clone();
@@ -333,16 +332,9 @@
 /// Guards against a request that was chosen before a pause began and is sent during it.
 #[tokio::test]
 async fn a_request_that_waited_for_a_permit_is_not_sent_during_a_pause() {
-    let limit = "server-limit: 10\r\n";
-    let target = StubTarget::spawn(move |seen| {
-        let Step::Write(text) = response(seen.id(), "200 OK", "fine") else {
-            return Vec::new();
-        };
-        vec![Step::Write(text.replacen(
-            "content-length",
-            &format!("{limit}content-length"),
-            1,
-        ))]
+    let target = StubTarget::spawn(|seen| {
+        let response = response(seen.id(), "200 OK", "fine");
+        vec![with_header(response, "server-limit: 10")]
     })
     .await;
     let host = TestHost::open();
--- a/tests/forwarding/stub_target.rs
+++ b/tests/forwarding/stub_target.rs
@@ -56,6 +56,14 @@
     ))
 }
 
+/// Adds a header line to a step that writes a head.
+pub(crate) fn with_header(step: Step, line: &str) -> Step {
+    match step {
+        Step::Write(text) => Step::Write(text.replacen("\r\n", &format!("\r\n{line}\r\n"), 1)),
+        step => step,
+    }
+}
+
 pub(crate) fn chunk(text: &str) -> Step {
     Step::Write(format!("{:x}\r\n{text}\r\n", text.len()))
 }
