--- a/src/forward/liveness.rs
+++ b/src/forward/liveness.rs
@@ -29,7 +29,8 @@
 /// packet delays a connection by a second.
 const MAX_CONNECT_ATTEMPTS: u32 = 2;
 /// Shortest lifetime of a connection that an engine may close for being idle. An engine
-/// that closes them sooner has too many, and watching it costs more than it is worth.
+/// that closes connections sooner has too many of them, and watching it costs more than it
+/// is worth.
 const MIN_CONNECTION_LIFETIME: Duration = Duration::from_secs(1);
 /// Pause after a connection that lived shorter.
 const SHORT_LIVED_PAUSE: Duration = Duration::from_secs(5);
