Separate calls that ran out of attempts from calls that were lost

Played again 86 times at a load of 6 to 16 with the calls printed, it failed once, with two streams of one host: at 740 ms after the statement this host had had no response of the leaving engine, sent both there and was refused, and sent them to the other engine of the zone, which had changed its layers 200 ms before on the orders that followed the statement. The log is away in this game, so the host could know neither. The route allows two attempts, the host may not send a third, and its refusal (503, not run) is true.

Change: the report lists unsuccessful calls with their outcomes, and sets apart those that a stating target and as many targets as the route allows refused, that none ran and that the host refused without a seal. The test requires that no other call is unsuccessful; the game of pauses requires that none is at all. Which host may send a call to a leaving target at all is checked as before, by the statements that it has received, so at most the calls in flight when a host learns of it can be set apart.

--- a/standins/src/soak/history.rs
+++ b/standins/src/soak/history.rs
@@ -39,7 +39,7 @@
 }
 
 /// One call of a caller.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CallRecord {
     /// Unique id of the call.
     pub id: String,
--- a/standins/src/soak/statement.rs
+++ b/standins/src/soak/statement.rs
@@ -1,6 +1,7 @@
 //! Targets that state something about themselves in their responses while entry hosts as
 //! processes send requests to them.
 
+use std::collections::BTreeSet;
 use std::io;
 use std::time::{Duration, Instant};
 
@@ -8,8 +9,9 @@
 
 use super::callers::{call_host, stop_callers};
 use super::check::{Violation, sent_after_statement, sent_during_pause};
+use super::configuration::MAX_ATTEMPTS;
 use super::engines::TargetFault;
-use super::history::{CallKind, CallOutcome, CallRecord};
+use super::history::{CallKind, CallOutcome, CallRecord, SoakHistory};
 use super::log_service::LogFaults;
 use super::run::{SoakRun, SoakSettings};
 
@@ -37,8 +39,11 @@
     pub during: usize,
     /// Requests that they received after they had stopped to refuse.
     pub after: usize,
-    /// Calls without a successful response.
-    pub unsuccessful: usize,
+    /// Calls without a successful response that hosts could have sent to another target.
+    pub unsuccessful: Vec<CallRecord>,
+    /// Calls that a stating target and as many others refused as a call may be sent to, and
+    /// that the host refused as not run.
+    pub exhausted: Vec<CallRecord>,
     /// All calls.
     pub calls: usize,
 }
@@ -109,21 +114,24 @@
     until: Instant,
 ) -> io::Result<StatementReport> {
     let records = stop_callers(&run.context, callers).await?;
+    let calls = records.len();
     let mut history = std::mem::take(&mut *run.context.history.lock());
     history.calls.extend(records.iter().cloned());
+    history.runs = std::mem::take(&mut *run.registry.runs.lock());
     history.attempts = std::mem::take(&mut *run.registry.attempts.lock());
-    let ids = STATING_TARGETS.map(|target| &run.targets[target].id);
+    let ids = STATING_TARGETS.map(|target| run.targets[target].id.as_str());
     let own = history.attempts.iter();
-    let own = own.filter(|attempt| ids.contains(&&attempt.target));
+    let own = own.filter(|attempt| ids.contains(&attempt.target.as_str()));
     let arrivals = own.map(|attempt| attempt.arrived).collect::<Vec<_>>();
     let count = |during: &dyn Fn(Instant) -> bool| {
         let arrivals = arrivals.iter();
         arrivals.filter(|at| during(**at)).count()
     };
     let is_successful = |outcome| matches!(outcome, CallOutcome::Completed { status: 200, .. });
-    let unsuccessful = records
-        .iter()
+    let failed = records
+        .into_iter()
         .filter(|record| !is_successful(record.outcome));
+    let (exhausted, unsuccessful) = failed.partition(|call| is_exhausted(call, &history, &ids));
     let mut violations = sent_during_pause(&history);
     violations.extend(sent_after_statement(&history));
     Ok(StatementReport {
@@ -131,7 +139,26 @@
         before: count(&|at| at < from),
         during: count(&|at| (from..until).contains(&at)),
         after: count(&|at| at >= until),
-        unsuccessful: unsuccessful.count(),
-        calls: records.len(),
+        unsuccessful,
+        exhausted,
+        calls,
     })
 }
+
+/// Returns whether a host refused a call as not run after as many targets had refused it
+/// as it may be sent to, one of `stating` among them, and none had run it.
+fn is_exhausted(call: &CallRecord, history: &SoakHistory, stating: &[&str]) -> bool {
+    let attempts = history.attempts.iter();
+    let own = attempts.filter(|attempt| attempt.id == call.id);
+    let targets = own.map(|attempt| attempt.target.as_str());
+    let targets = targets.collect::<BTreeSet<_>>();
+    let refused = CallOutcome::Completed {
+        status: 503,
+        sealed: false,
+        matching: true,
+    };
+    call.outcome == refused
+        && targets.len() == MAX_ATTEMPTS
+        && targets.iter().any(|target| stating.contains(target))
+        && history.runs.iter().all(|run| run.id != call.id)
+}
