Let no decision depend on the order of a hash map

Cause: the load that other hosts report for a target was added up in the order of a hash map of its sources, whose hasher is seeded per process. Ruled out before: the wording of the code.

Change: UsageTable keeps its sources in a BTreeMap. Maps that are only looked up, or whose results are sorted, stay.

--- a/src/entry/kept_records.rs
+++ b/src/entry/kept_records.rs
@@ -139,7 +139,8 @@
     }
 
     /// Returns the known targets that are missing from `listed`, a list that covers the log
-    /// up to `read_to`. Targets with later records are not expected in it.
+    /// up to `read_to`, in the order of their ids. Targets with later records are not
+    /// expected in it.
     pub fn unlisted<'a, I>(&self, listed: I, read_to: LogOffset) -> Vec<TargetId>
     where
         I: Iterator<Item = &'a str>,
@@ -149,7 +150,9 @@
             .targets
             .iter()
             .filter(|(id, kept)| kept.offset < read_to && !listed.contains(&***id));
-        missing.map(|(id, _)| id.clone()).collect()
+        let mut missing = missing.map(|(id, _)| id.clone()).collect::<Vec<_>>();
+        missing.sort_unstable();
+        missing
     }
 
     /// Records that the log is covered up to `read_to`.
@@ -175,7 +178,7 @@
         kept.then(|| self.changes.iter().skip(skipped).cloned().collect())
     }
 
-    /// Returns every known target as a change.
+    /// Returns every known target as a change, in the order of the records in the log.
     pub fn all(&self) -> Vec<TargetChange> {
         let kept = self.targets.iter().map(|(id, kept)| TargetChange {
             id: id.clone(),
@@ -183,7 +186,9 @@
             value: Some(kept.value.clone()),
             dropped_at: kept.dropped_at,
         });
-        kept.collect()
+        let mut kept = kept.collect::<Vec<_>>();
+        kept.sort_unstable_by(|one, other| (one.offset, &one.id).cmp(&(other.offset, &other.id)));
+        kept
     }
 
     /// Returns the number of the next change.
--- a/src/entry/placement.rs
+++ b/src/entry/placement.rs
@@ -1,5 +1,6 @@
 //! Keeps the layers on the engines as planned.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -178,8 +179,8 @@
         service: &ServiceSpec,
         model: &EngineModel,
         fleet: &FleetTable,
-    ) -> FastMap<ZoneId, Vec<EngineView>> {
-        let mut zones = FastMap::<ZoneId, Vec<EngineView>>::default();
+    ) -> BTreeMap<ZoneId, Vec<EngineView>> {
+        let mut zones = BTreeMap::<ZoneId, Vec<EngineView>>::new();
         let members = fleet.members(&service.name).into_iter();
         // Ejected engines are included: each host ejects engines by its own observations,
         // so that plans without them would differ between hosts and their orders would undo
--- a/src/entry/suspect_targets.rs
+++ b/src/entry/suspect_targets.rs
@@ -104,6 +104,7 @@
         self.extract(|target| read >= target.due(continuity), "missing")
     }
 
+    /// Removes and returns the targets that `is_confirmed` accepts, in the order of their ids.
     fn extract<F>(&mut self, is_confirmed: F, reason: &'static str) -> Vec<ConfirmedRemoval>
     where
         F: Fn(&SuspectTarget) -> bool,
@@ -114,6 +115,8 @@
             offset: target.offset,
             reason,
         });
-        removals.collect()
+        let mut removals = removals.collect::<Vec<_>>();
+        removals.sort_unstable_by(|one, other| one.id.cmp(&other.id));
+        removals
     }
 }
--- a/src/fleet/table.rs
+++ b/src/fleet/table.rs
@@ -37,7 +37,7 @@
 /// All known targets.
 #[derive(Debug, Default)]
 pub struct FleetTable {
-    services: FastMap<ServiceId, ServiceMembers>,
+    services: BTreeMap<ServiceId, ServiceMembers>,
     service_of: FastMap<TargetId, ServiceId>,
     id_of: FastMap<TargetKey, TargetId>,
     usage: UsageTable,
--- a/src/fleet/usage.rs
+++ b/src/fleet/usage.rs
@@ -1,5 +1,6 @@
 //! The load of requests on targets, as entry hosts report it to each other.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use crate::collections::FastMap;
@@ -59,7 +60,7 @@
 }
 
 /// Where a report of other hosts' requests comes from.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub enum UsageSource {
     /// A host of this zone, for itself.
     Host(HostId),
@@ -121,7 +122,8 @@
 /// The last report of each source.
 #[derive(Debug, Default)]
 pub(super) struct UsageTable {
-    sources: FastMap<UsageSource, SourceUsage>,
+    /// Ordered, since sums of loads depend on the order in their last bits.
+    sources: BTreeMap<UsageSource, SourceUsage>,
 }
 
 impl UsageTable {
--- a/src/ingress/configuration.rs
+++ b/src/ingress/configuration.rs
@@ -1,5 +1,6 @@
 //! The configuration that operators publish, in typed form.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,7 +15,7 @@
     /// Routes by host name; within a host the longest prefix comes first.
     pub routes: FastMap<Box<str>, Vec<Arc<RouteRule>>>,
     /// Services that routes lead to.
-    pub services: FastMap<ServiceId, Arc<ServiceSpec>>,
+    pub services: BTreeMap<ServiceId, Arc<ServiceSpec>>,
     /// Holders of the API keys; `None` if callers need no key.
     pub keys: Option<FastMap<Box<str>, KeyHolder>>,
     /// Limits on what a caller may send.
--- a/src/membership/gossip.rs
+++ b/src/membership/gossip.rs
@@ -43,7 +43,7 @@
     /// Sequence number of the last view that this host sent.
     sequence: u64,
     /// Number of hosts of each other zone, as reported by hosts of those zones.
-    counts: FastMap<ZoneId, u32>,
+    counts: BTreeMap<ZoneId, u32>,
     first_seed_call: Option<Instant>,
     last_seed_call: Option<Instant>,
     last_probe: Option<Instant>,
@@ -69,7 +69,7 @@
             members: BTreeMap::new(),
             version: 1,
             sequence: 0,
-            counts: FastMap::default(),
+            counts: BTreeMap::new(),
             first_seed_call: None,
             last_seed_call: None,
             last_probe: None,
@@ -209,7 +209,7 @@
     /// and which are advertised to other zones, and forgets hosts that have been silent
     /// for long.
     fn sweep(&mut self, now: Instant) {
-        let mut zones = FastMap::<ZoneId, Vec<HostId>>::default();
+        let mut zones = BTreeMap::<ZoneId, Vec<HostId>>::new();
         for (host, member) in &self.members {
             zones
                 .entry(member.zone.clone())
--- a/src/poison/table.rs
+++ b/src/poison/table.rs
@@ -156,7 +156,8 @@
         }
     }
 
-    /// Returns the changes that have to be written to the platform's log.
+    /// Returns the changes that have to be written to the platform's log, in the order of
+    /// the keys of their requests.
     pub fn log_changes(&self, now: Instant) -> Vec<LogChange> {
         let records = self.records.iter();
         let behind = records.filter(|(_, record)| record.required_in_log(now) != record.in_log);
@@ -167,7 +168,9 @@
                 _ => record.end_evidence(*request, now).collect(),
             },
         });
-        changes.collect()
+        let mut changes = changes.collect::<Vec<_>>();
+        changes.sort_unstable_by_key(|change| change.request);
+        changes
     }
 
     /// Returns the number of remembered requests.
