--- a/src/admission/overload.rs
+++ b/src/admission/overload.rs
@@ -45,8 +45,9 @@
         wait.mul_f64(1.0 + MAX_JITTER * random)
     }
 
-    /// Counts a request that was refused because all targets pause, the first of them for
-    /// `pause`, and returns its Retry-After; `random` is a random number from 0 to 1.
+    /// Counts a request that was refused because all targets pause, and returns its
+    /// Retry-After. `pause` is the time until the first target is available again, `random`
+    /// a random number from 0 to 1.
     ///
     /// Callers come back after the end of that pause, spread over the time that it takes
     /// to start as many requests as were refused.
--- a/src/fleet/path.rs
+++ b/src/fleet/path.rs
@@ -27,8 +27,9 @@
 const COST_SPREAD: f64 = 0.3;
 /// Cost of a millisecond of prompt processing before the first event, or of waiting for a
 /// permit or for the end of a pause, in milliseconds per event. After the loss of an
-/// engine, its requests are prefilled elsewhere, such as 60 requests of 1,000 tokens at once; a request sent to
-/// the same engine then waits for some 300 ms of its latency aim of 500 ms.
+/// engine, its requests are prefilled elsewhere, such as 60 requests of 1,000 tokens at
+/// once; a request sent to the same engine then waits for some 300 ms of its latency aim
+/// of 500 ms.
 const PREFILL_WEIGHT: f64 = 0.3;
 /// Cost of an engine whose memory is full, in milliseconds per event. Such an engine is
 /// used only if no other path exists.
--- a/src/forward/tables.rs
+++ b/src/forward/tables.rs
@@ -138,8 +138,8 @@
         self.overload.lock().count_refusal(now, rand::random())
     }
 
-    /// Records that a request found all targets paused, the first of them for `pause`, and
-    /// returns when its caller should come back.
+    /// Records that a request found all targets paused, and returns when its caller should
+    /// come back. `pause` is the time until the first target is available again.
     pub(super) fn count_paused_refusal(&self, pause: Duration, now: Instant) -> Duration {
         let mut overload = self.overload.lock();
         overload.count_paused_refusal(pause, now, rand::random())
--- a/standins/src/soak/statement.rs
+++ b/standins/src/soak/statement.rs
@@ -41,8 +41,10 @@
     pub after: usize,
     /// Calls without a successful response that hosts could have sent to another target.
     pub unsuccessful: Vec<CallRecord>,
-    /// Calls that a stating target and as many others refused as a call may be sent to, and
-    /// that the host refused as not run.
+    /// Calls that the host refused as not run after as many targets had refused them as a
+    /// call may be sent to, one of them a stating target. A host that cannot read the log
+    /// may send a call to a target whose statement it has not received, and then to an
+    /// engine that has changed its layers.
     pub exhausted: Vec<CallRecord>,
     /// All calls.
     pub calls: usize,
--- a/standins/tests/statements.rs
+++ b/standins/tests/statements.rs
@@ -9,8 +9,7 @@
 
 const HOSTS: usize = 6;
 
-/// Guards against hosts that send requests to targets during a pause, and against targets
-/// that get none after it.
+/// Guards against requests to targets during a pause, and against none after it.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn targets_receive_nothing_during_a_pause_and_requests_after_it() -> TestResult {
     let (settings, _folder) = soak_settings(HOSTS).await?;
@@ -22,10 +21,7 @@
     Ok(())
 }
 
-/// Guards against hosts that send new requests to a target which states that it is
-/// leaving while the log is away, and against calls that are lost with it. A host that has
-/// not received the statement yet may send a call there and then to an engine that has
-/// changed its layers meanwhile, which the host cannot know without the log.
+/// Guards against new requests to a leaving target while the log is away, and lost calls.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn targets_receive_nothing_after_they_state_that_they_leave() -> TestResult {
     let (settings, _folder) = soak_settings(HOSTS).await?;
--- a/tests/equal_decisions.rs
+++ b/tests/equal_decisions.rs
@@ -32,7 +32,8 @@
     }
 }
 
-/// Returns the load on a target that each of several hosts and zones has reported.
+/// Returns the loads on a target that several hosts of its zone, and several other zones,
+/// have reported, each summed.
 fn reported_load(sources: impl Iterator<Item = u32>) -> (TargetLoad, TargetLoad) {
     let now = Instant::now();
     let mut fleet = FleetTable::default();
@@ -56,8 +57,7 @@
     (target.near, target.remote)
 }
 
-/// Guards against loads that differ in their last bits by the order in which reports are
-/// added up, and decide between engines that are otherwise equal.
+/// Guards against sums of loads that differ in their last bits between processes.
 #[test]
 fn reported_loads_do_not_depend_on_the_order_of_reports() {
     let first = reported_load(0..HOSTS);
--- a/tests/forwarding/leaving.rs
+++ b/tests/forwarding/leaving.rs
@@ -22,8 +22,7 @@
     fleet.get(id).is_some_and(|state| state.states_leaving)
 }
 
-/// Guards against a target that gets new requests after it has stated that it is leaving,
-/// while the log does not list it as draining.
+/// Guards against new requests to a target that only its responses show to be leaving.
 #[tokio::test]
 async fn a_target_receives_nothing_after_it_states_that_it_is_leaving() {
     for status in ["200 OK", "500 Internal Server Error"] {
@@ -44,8 +43,7 @@
     }
 }
 
-/// Guards against targets that are left out although they do not state that they are
-/// leaving, or because of a statement of another target or to another request.
+/// Guards against targets that are left out though they have not stated that they are leaving.
 #[tokio::test]
 async fn other_values_and_other_targets_do_not_count() {
     let cases = [
@@ -66,8 +64,7 @@
     }
 }
 
-/// Guards against a statement that a heartbeat or a return to the log undoes: the log lags
-/// behind, or the target cannot write to it. Another start of the target is not leaving.
+/// Guards against a statement that a late heartbeat or a return to the log undoes.
 #[tokio::test]
 async fn neither_a_heartbeat_nor_a_return_to_the_log_undoes_the_statement() {
     let leaving = spawn_stating("server-leaving: 1", "200 OK").await;
@@ -86,8 +83,7 @@
     assert_eq!(host.call("GET", "/unsafe/", "").await.status(), 200);
 }
 
-/// Guards against a statement that is missed because the response is a refusal or the head
-/// of a stream, and against streams that are broken off as their engine begins to leave.
+/// Guards against missed statements in refusals and heads of streams, and cut streams.
 #[tokio::test]
 async fn a_stream_on_a_leaving_engine_ends_there() {
     let refuses = Arc::new(AtomicBool::new(false));
@@ -126,8 +122,7 @@
     assert!(states_leaving(&host, "i-1"));
 }
 
-/// Guards against a running request that is moved to an engine which has stated that it is
-/// leaving, and against a statement in a report that is missed.
+/// Guards against moves to a leaving engine, and missed statements in reports.
 #[tokio::test]
 async fn a_stalled_stream_is_not_moved_to_a_leaving_engine() {
     let stalled_at = "127.0.0.1:9";
--- a/tests/forwarding/pauses.rs
+++ b/tests/forwarding/pauses.rs
@@ -105,16 +105,14 @@
     during.count()
 }
 
-/// Guards against plain targets that are tried again although the pause that they
-/// requested has not ended.
+/// Guards against plain targets that are tried again before the end of their pause.
 #[tokio::test]
 async fn a_plain_target_receives_nothing_during_the_pause_that_it_requests() {
     let add = |host: &TestHost, address| host.add_plain("i-1", address);
     assert_eq!(count_during_pause("/safe/", add).await, 0);
 }
 
-/// Guards against engines that are tried again although the pause that they requested has
-/// not ended.
+/// Guards against engines that are tried again before the end of their pause.
 #[tokio::test]
 async fn an_engine_receives_nothing_during_the_pause_that_it_requests() {
     let add = |host: &TestHost, address| host.add_engine("i-1", address, 0, 80);
@@ -125,8 +123,7 @@
     StubTarget::spawn(move |seen| refusal(seen, "503 Service Unavailable", headers)).await
 }
 
-/// Guards against statements that are taken from another target at the address, or from
-/// the response to another request.
+/// Guards against statements of another target at the address, or to another request.
 #[tokio::test]
 async fn a_pause_of_another_response_is_not_in_effect() {
     let target = StubTarget::spawn(|_| {
@@ -143,8 +140,7 @@
     assert!(pause(&host, "i-1").is_zero());
 }
 
-/// Guards against a pause that ends with the success of a request that was sent before,
-/// or with a refusal that requests a shorter one.
+/// Guards against a pause that an earlier request's success or a shorter pause ends.
 #[tokio::test]
 async fn only_its_end_ends_a_pause() {
     let received = Arc::new(AtomicUsize::new(0));
@@ -194,8 +190,7 @@
     assert!(pausing.seen().len() <= 1);
 }
 
-/// Guards against requests that wait until their deadline, or are sent to a target as a
-/// last resort, while all targets pause.
+/// Guards against requests that are sent, or wait until their deadline, while all pause.
 #[tokio::test]
 async fn while_all_targets_pause_a_request_is_refused_at_once_with_a_retry_after() {
     for (path, is_plain) in [("/unsafe/", true), ("/stream/", false)] {
@@ -235,8 +230,7 @@
     assert_eq!(target.seen().len(), 2);
 }
 
-/// Guards against requests that wait for one pause after the other, while refusals of other
-/// requests begin new ones.
+/// Guards against requests that wait for one pause after the other.
 #[tokio::test]
 async fn a_request_waits_for_pauses_no_longer_than_for_one() {
     let target = healthy_target().await;
@@ -259,8 +253,7 @@
     assert_eq!(target.seen().len(), 0);
 }
 
-/// Guards against a stream that is cut for want of a permit, of which it needs none, after
-/// several short pauses.
+/// Guards against a stream that is cut after several short pauses.
 #[tokio::test]
 async fn a_stream_that_finds_only_paused_engines_is_not_cut_for_want_of_a_permit() {
     let first = StubTarget::spawn(|seen| vec![stream_head(seen.id()), event(1), Step::Reset]).await;
@@ -289,8 +282,7 @@
     );
 }
 
-/// Guards against a pause that is forgotten because the response arrives while the log
-/// does not list the target.
+/// Guards against a pause in a response that arrives while the log does not list its target.
 #[tokio::test]
 async fn a_pause_that_an_unlisted_target_requests_is_in_effect_when_it_returns() {
     let target = StubTarget::spawn(|seen| {
@@ -311,8 +303,7 @@
     assert_eq!(target.seen().len(), 1);
 }
 
-/// Guards against a pause that is taken only from the engine that responds: the one at
-/// fault would refuse further requests too.
+/// Guards against a pause that is kept for the responding engine alone.
 #[tokio::test]
 async fn a_pause_holds_for_the_responding_engine_and_the_one_at_fault() {
     let first = StubTarget::spawn(|seen| {
--- a/tests/paths.rs
+++ b/tests/paths.rs
@@ -156,8 +156,7 @@
     assert!(choose(&fleet, &model, &[], now + Duration::from_secs(4)).is_some());
 }
 
-/// Guards against engines that get requests during a pause because no other engine holds
-/// their layers, or because a running request is moved to them.
+/// Guards against pausing engines in paths without an alternative, and in moves.
 #[test]
 fn engines_that_pause_are_left_out_of_paths_and_repairs() {
     let model = model();
