Show why connections to targets fail and when a host has lost all of them

Change: all connections to targets pass ServingTables::connect_target, which logs and counts why one failed; reachability::ReachabilityTable judges that a host is isolated when three different targets in a row accept no connection. Lines 'no connection to target', 'no target accepts connections', 'targets accept connections again'; counters target_connections and reachability_changes. No decision uses it yet.

Measured: tests/reachability 3, tests/forwarding and tests/metrics passed.

--- a/src/entry/placement.rs
+++ b/src/entry/placement.rs
@@ -336,7 +336,7 @@
         .header(names::TARGET_INSTANCE, platform_id(id))
         .body(Full::new(Bytes::from(body)))
         .ok()?;
-    let response = call_target(address, request, ORDER_TIMEOUT).await;
+    let response = call_target(tables, id, address, request, ORDER_TIMEOUT).await;
     if let Ok(reply) = &response {
         tables.observe_order_reply(id, reply);
     }
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -8,6 +8,7 @@
 mod attempt_policy;
 mod choice;
 mod closed;
+mod dial;
 mod events;
 mod exchange;
 mod head;
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -15,7 +15,6 @@
 use super::choice::ChosenTarget;
 use super::head::number_value;
 use super::notices::ObservedResponse;
-use super::socket;
 use super::tables::ServingTables;
 use crate::platform::target_notice::{TargetNotice, parse_notice};
 use crate::platform::target_record::platform_id;
@@ -121,7 +120,10 @@
 {
     let now = Instant::now();
     let remaining = deadline.saturating_duration_since(now);
-    let connected = socket::connect(chosen.address, CONNECT_TIMEOUT.min(remaining)).await;
+    let limit = CONNECT_TIMEOUT.min(remaining);
+    let connected = tables
+        .connect_target(&chosen.id, chosen.address, limit)
+        .await;
     let not_run = |_| AttemptFailure::new(RunVerdict::NotRun, FailureCause::Connect);
     let stream = connected.map_err(not_run)?;
     let opened = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
--- a/src/forward/closed.rs
+++ b/src/forward/closed.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crate::forward::{ServingTables, socket};
+use crate::forward::ServingTables;
 use crate::ids::TargetId;
 
 /// Longest time to connect: a hundred times the delay of a link. A timeout gives no
@@ -37,7 +37,7 @@
     match *last {
         Some((at, closed)) if at >= since => closed,
         _ => {
-            let closed = refuses_connections(address).await;
+            let closed = refuses_connections(tables, target, address).await;
             let now = Instant::now();
             *last = Some((now, closed));
             if closed {
@@ -48,8 +48,15 @@
     }
 }
 
-async fn refuses_connections(address: SocketAddr) -> bool {
-    match socket::connect(address, CONNECT_TIMEOUT).await {
+async fn refuses_connections(
+    tables: &ServingTables,
+    target: &TargetId,
+    address: SocketAddr,
+) -> bool {
+    match tables
+        .connect_target(target, address, CONNECT_TIMEOUT)
+        .await
+    {
         Ok(_) => false,
         Err(error) => error.kind() == io::ErrorKind::ConnectionRefused,
     }
--- a/src/forward/liveness.rs
+++ b/src/forward/liveness.rs
@@ -17,7 +17,6 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
-use super::socket;
 use super::tables::ServingTables;
 use crate::collections::{FastMap, FastSet};
 use crate::fleet::EnginePath;
@@ -132,7 +131,7 @@
 async fn watch(tables: Arc<ServingTables>, target: TargetId, address: SocketAddr) {
     let mut short_lived = false;
     while tables.liveness.is_needed(&target) {
-        let Some(mut stream) = connect(address).await else {
+        let Some(mut stream) = connect(&tables, &target, address).await else {
             notify_lost(&tables, &target);
             break;
         };
@@ -150,9 +149,14 @@
 }
 
 /// Connects to an engine. Returns `None` if its process has ended or cannot be reached.
-async fn connect(address: SocketAddr) -> Option<TcpStream> {
+async fn connect(
+    tables: &ServingTables,
+    target: &TargetId,
+    address: SocketAddr,
+) -> Option<TcpStream> {
     for _ in 0..MAX_CONNECT_ATTEMPTS {
-        match socket::connect(address, CONNECT_TIMEOUT).await {
+        let connected = tables.connect_target(target, address, CONNECT_TIMEOUT);
+        match connected.await {
             Ok(stream) => return Some(stream),
             Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => return None,
             Err(error) => log::debug!("cannot connect to engine {address}: {error}"),
--- a/src/forward/probe.rs
+++ b/src/forward/probe.rs
@@ -10,7 +10,7 @@
 use hyper_util::rt::TokioIo;
 
 use crate::fleet::EngineReport;
-use crate::forward::{ServingTables, socket};
+use crate::forward::ServingTables;
 use crate::ids::TargetId;
 use crate::platform::target_notice::parse_notice;
 use crate::platform::{names, target_record};
@@ -41,14 +41,15 @@
 ///
 /// If the response is not complete within `limit`; the text gives the reason.
 pub async fn call_target(
+    tables: &ServingTables,
+    target: &TargetId,
     address: SocketAddr,
     request: Request<Full<Bytes>>,
     limit: Duration,
 ) -> Result<TargetReply, String> {
     let call = async {
-        let stream = socket::connect(address, limit)
-            .await
-            .map_err(|error| error.to_string())?;
+        let stream = tables.connect_target(target, address, limit).await;
+        let stream = stream.map_err(|error| error.to_string())?;
         let connected = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
         let (mut sender, connection) = connected.map_err(|error| error.to_string())?;
         let exchange = async {
@@ -127,7 +128,7 @@
     let request = request
         .body(Full::default())
         .map_err(|error| error.to_string())?;
-    let reply = call_target(address, request, REPORT_TIMEOUT).await?;
+    let reply = call_target(tables, target, address, request, REPORT_TIMEOUT).await?;
     let report = match reply.status {
         StatusCode::OK => target_record::parse_report(&reply.body)?,
         status => return Err(format!("status {status}")),
--- a/src/forward/repath.rs
+++ b/src/forward/repath.rs
@@ -131,7 +131,8 @@
         let Ok(request) = request else {
             return MoveResult::NoReply;
         };
-        let response = call_target(address, request, MOVE_TIMEOUT).await;
+        let (tables, target) = (&self.exchange.tables, &self.chosen.id);
+        let response = call_target(tables, target, address, request, MOVE_TIMEOUT).await;
         let status = response.as_ref().map(|reply| reply.status);
         let is_done = matches!(status, Ok(StatusCode::OK | StatusCode::ACCEPTED));
         let done = if is_done { "moved" } else { "move_refused" };
--- a/src/forward/tables.rs
+++ b/src/forward/tables.rs
@@ -21,6 +21,7 @@
 use crate::metrics::ServingMetrics;
 use crate::permits::{LimitTable, PermitIssuer, PermitPool};
 use crate::poison::PoisonTable;
+use crate::reachability::ReachabilityTable;
 use crate::retry::{WindowBudget, WindowSettings};
 
 /// A report and the time at which it was received. The lock admits one request at a time.
@@ -55,6 +56,8 @@
     reports: Mutex<FastMap<TargetId, ReportCell>>,
     closed: Mutex<FastMap<TargetId, ClosedCell>>,
     pub(super) liveness: LivenessTable,
+    /// Whether targets accept connections of this host.
+    pub(super) reachability: Mutex<ReachabilityTable>,
     /// The limits that targets have named.
     pub limits: Mutex<LimitTable>,
     /// Permits that this host holds, and those that it issues.
@@ -87,6 +90,7 @@
             reports: Mutex::default(),
             closed: Mutex::default(),
             liveness: LivenessTable::default(),
+            reachability: Mutex::default(),
             limits: Mutex::default(),
             permits: Mutex::default(),
             issuer: Mutex::default(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -58,6 +58,7 @@
 pub mod placement;
 pub mod platform;
 pub mod poison;
+pub mod reachability;
 pub mod reason;
 pub mod reconcile;
 pub mod records;
--- a/src/metrics/serving.rs
+++ b/src/metrics/serving.rs
@@ -30,6 +30,8 @@
     target_pauses: Family<CauseLabel, Counter>,
     target_departures: Family<CauseLabel, Counter>,
     permits: Family<CauseLabel, Counter>,
+    target_connections: Family<CauseLabel, Counter>,
+    reachability_changes: Family<CauseLabel, Counter>,
     first_event: Histogram,
     between_events: Histogram,
     whole_request: Histogram,
@@ -53,6 +55,8 @@
             target_pauses: Family::default(),
             target_departures: Family::default(),
             permits: Family::default(),
+            target_connections: Family::default(),
+            reachability_changes: Family::default(),
             first_event: latency_histogram(),
             between_events: latency_histogram(),
             whole_request: latency_histogram(),
@@ -126,6 +130,16 @@
                 "Requests for permits to send to targets with limits, by reply",
                 &self.permits,
             ),
+            (
+                "target_connections",
+                "Connections to targets, by result",
+                &self.target_connections,
+            ),
+            (
+                "reachability_changes",
+                "Times at which this host lost all targets, or reached one again",
+                &self.reachability_changes,
+            ),
         ];
         for (name, help, family) in families {
             self.registry.register(name, help, family.clone());
@@ -234,6 +248,16 @@
         count(&self.permits, reply);
     }
 
+    /// Counts a connection to a target, or the failure to make one.
+    pub fn target_connected(&self, result: &'static str) {
+        count(&self.target_connections, result);
+    }
+
+    /// Counts a change of whether targets accept connections of this host.
+    pub fn reachability_changed(&self, change: &'static str) {
+        count(&self.reachability_changes, change);
+    }
+
     /// Observes a call to the log service, or counts an error if the call failed.
     pub fn store_called(&self, topic: &'static str, took: Duration, succeeded: bool) {
         match succeeded {
