Add failing tests: hosts that lose their links to all targets serve callers

Change: in the soak's harness each host can have links of its own to the targets (SoakSettings::separate_links), at an address of its own that the log shows to it alone. A host can lose them (LinkLoss): packets are dropped by a socket filter, so that nothing is acknowledged and no connection is established; connections are reset and new ones refused; or open ones live on and new ones are refused. run_partition cuts four of six hosts and counts calls, none of them repeated, from 3 s on. The hosts have a control address each and an internal port, which the daemon does not read yet.

--- a/standins/src/bin/soak.rs
+++ b/standins/src/bin/soak.rs
@@ -59,6 +59,7 @@
             callers: count(&matches, "callers"),
             program: path("program"),
             folder: folder.clone(),
+            separate_links: false,
             timed: !matches.get_flag("untimed"),
         }))?;
         writeln!(std::io::stdout(), "{}", line(seed, &report))?;
--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -18,9 +18,11 @@
 mod heartbeats;
 mod history;
 mod host;
+mod host_link;
 mod limit;
 mod link;
 mod log_service;
+mod partition;
 mod plan;
 mod poison;
 mod probe;
@@ -38,8 +40,10 @@
     AttemptRecord, CallKind, CallOutcome, CallRecord, Disturbance, DisturbanceScope, ProbeRecord,
     RunRecord, SoakHistory, TargetDeparture, TargetLimit,
 };
+pub use host_link::LinkLoss;
 pub use limit::{LimitReport, run_rate_limit};
 pub use link::{FaultLink, LinkFault};
+pub use partition::{PartitionReport, ServedShare, run_partition};
 pub use plan::{FaultAction, PlannedFault, draw_faults, draw_statements};
 pub use poison::{PoisonReport, run_poison_request};
 pub use run::{SoakReport, SoakSettings, run_soak};
--- a/standins/src/soak/configuration.rs
+++ b/standins/src/soak/configuration.rs
@@ -87,12 +87,16 @@
     index: usize,
     log: SocketAddr,
     seeds: &[SocketAddr],
+    internal_port: u16,
 ) -> String {
-    // The readiness and metrics of each host have an address of their own.
+    // The readiness and metrics of each host have an address of their own, and so does what
+    // it serves to other hosts, which all use the same internal port.
     let readiness = format!("127.0.1.{}:0", index + 1);
+    let control = format!("127.0.2.{}:0", index + 1);
     let body = json!({
         "node": name, "zone": zone, "seeds": seeds, "heartbeat_ms": HEARTBEAT_MS,
-        "listen": {"front": "127.0.0.1:0", "control": "127.0.0.1:0", "ready": readiness},
+        "listen": {"front": "127.0.0.1:0", "control": control, "ready": readiness},
+        "internal_ports": [internal_port, internal_port],
         "provider": {"address": log},
         "limits": {"memory_mb": 260},
         "bounds": {
--- a/standins/src/soak/engines.rs
+++ b/standins/src/soak/engines.rs
@@ -1,7 +1,7 @@
 //! Engines that each hold a range of layers, with the features that the soak needs.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -78,13 +78,18 @@
     pub(super) to: u32,
 }
 
+/// Address of all targets. A host with links of its own knows them under another address
+/// and the same ports.
+pub(super) const TARGET_IP: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
+
 /// Parses a path as written in the header and in orders.
 pub(super) fn parse_path(text: &str) -> Option<Vec<PathPart>> {
     let parts = text.split(',').map(|part| {
         let (address, range) = part.split_once('=')?;
         let (from, to) = range.split_once('-')?;
+        let address = address.parse::<SocketAddr>().ok()?;
         Some(PathPart {
-            address: address.parse().ok()?,
+            address: SocketAddr::new(TARGET_IP, address.port()),
             from: from.parse().ok()?,
             to: to.parse().ok()?,
         })
--- a/standins/src/soak/host.rs
+++ b/standins/src/soak/host.rs
@@ -13,6 +13,7 @@
 use tokio::sync::watch;
 
 use super::configuration::host_settings;
+use super::host_link::LinkLoss;
 use super::link::FaultLink;
 
 /// Addresses on which a process listens.
@@ -38,6 +39,8 @@
     /// Link from other hosts that know this host only as a seed.
     pub(super) seed: FaultLink,
     child: Option<Child>,
+    /// How the host has lost its own links to the targets, if it has some.
+    pub(super) target_links: watch::Sender<Option<LinkLoss>>,
     /// Number of processes started so far.
     pub(super) incarnation: u32,
     /// Addresses on which the current process listens.
@@ -66,6 +69,7 @@
             front: FaultLink::open(None).await?,
             log: FaultLink::open(Some(log)).await?,
             seed: FaultLink::open(None).await?,
+            target_links: watch::Sender::new(None),
             child: None,
             incarnation: 0,
             listening: watch::channel(None).1,
@@ -77,10 +81,21 @@
     /// # Errors
     ///
     /// If it cannot be started or ends before it listens.
-    pub(super) async fn start(&mut self, seeds: &[SocketAddr]) -> io::Result<()> {
+    pub(super) async fn start(
+        &mut self,
+        seeds: &[SocketAddr],
+        internal_port: u16,
+    ) -> io::Result<()> {
         const LISTEN_TIMEOUT: Duration = Duration::from_secs(10);
         let settings = self.folder.join(format!("{}.json", self.name));
-        let text = host_settings(&self.name, &self.zone, self.index, self.log.address, seeds);
+        let text = host_settings(
+            &self.name,
+            &self.zone,
+            self.index,
+            self.log.address,
+            seeds,
+            internal_port,
+        );
         std::fs::write(&settings, text)?;
         self.incarnation += 1;
         let log = format!("{}.{}.log", self.name, self.incarnation);
--- a/standins/src/soak/log_service.rs
+++ b/standins/src/soak/log_service.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,6 +12,8 @@
 use serde_json::json;
 use tokio::sync::Notify;
 
+use super::configuration::TARGETS;
+use super::engines::TARGET_IP;
 use crate::faults::FaultSwitch;
 use crate::http_server::{CallOutcome, HttpServer, ServedCall};
 
@@ -76,7 +78,7 @@
     }
 
     /// Reads records from an offset; returns `None` if the offset is no longer retained.
-    fn read(&self, topic: &str, from: u64) -> Option<(bool, Bytes)> {
+    fn read(&self, topic: &str, from: u64, targets: IpAddr) -> Option<(bool, Bytes)> {
         let partitions = self.partitions.lock();
         let empty = Partition::default();
         let partition = partitions.get(topic).unwrap_or(&empty);
@@ -86,6 +88,7 @@
         bytes.extend(partition.first.to_be_bytes());
         let records = partition.records.get(skipped..).unwrap_or_default();
         for (key, value) in records {
+            let value = value.as_ref().map(|value| localized(topic, value, targets));
             let value = value.as_deref().unwrap_or_default();
             let length = (1 + key.len() + value.len()) as u32;
             bytes.extend(length.to_be_bytes());
@@ -96,13 +99,14 @@
         Some((!records.is_empty(), bytes.into()))
     }
 
-    fn newest(&self, topic: &str) -> serde_json::Value {
+    fn newest(&self, topic: &str, targets: IpAddr) -> serde_json::Value {
         use base64::Engine;
         use base64::engine::general_purpose::STANDARD;
         let partitions = self.partitions.lock();
         let partition = partitions.get(topic);
         let newest = partition.iter().flat_map(|partition| &partition.newest);
         let items = newest.map(|(key, (offset, value))| {
+            let value = localized(topic, value, targets);
             json!({"key": key, "value": STANDARD.encode(value), "offset": offset})
         });
         json!({
@@ -113,7 +117,18 @@
     }
 }
 
-/// Serves the topics over HTTP.
+/// Returns a record as a host sees it that reaches the targets at the address `targets`.
+fn localized(topic: &str, value: &Bytes, targets: IpAddr) -> Bytes {
+    match (topic, std::str::from_utf8(value)) {
+        (TARGETS, Ok(text)) if targets != TARGET_IP => {
+            let (own, local) = (format!("\"{TARGET_IP}:"), format!("\"{targets}:"));
+            text.replace(&own, &local).into()
+        }
+        _ => value.clone(),
+    }
+}
+
+/// Serves the topics over HTTP to hosts that reach the targets at the address `targets`.
 ///
 /// # Errors
 ///
@@ -121,19 +136,25 @@
 pub(super) async fn serve_log(
     topics: Arc<LogTopics>,
     faults: FaultSwitch<LogFaults>,
+    targets: IpAddr,
 ) -> io::Result<HttpServer> {
     let switch = faults.clone();
-    let handler = move |call| respond(topics.clone(), switch.get(), call);
+    let handler = move |call| respond(topics.clone(), switch.get(), targets, call);
     let address = SocketAddr::from(([127, 0, 0, 1], 0));
     HttpServer::bind(address, faults, |faults| faults.offline, handler).await
 }
 
-async fn respond(topics: Arc<LogTopics>, faults: LogFaults, call: ServedCall) -> CallOutcome {
+async fn respond(
+    topics: Arc<LogTopics>,
+    faults: LogFaults,
+    targets: IpAddr,
+    call: ServedCall,
+) -> CallOutcome {
     tokio::time::sleep(faults.delay).await;
     let topic = call.query_text("topic").unwrap_or_default().to_owned();
     match call.path().as_slice() {
         _ if faults.busy => CallOutcome::empty(StatusCode::SERVICE_UNAVAILABLE),
-        ["jackdawwick", "log-newest"] => CallOutcome::ok(&topics.newest(&topic)),
+        ["jackdawwick", "log-newest"] => CallOutcome::ok(&topics.newest(&topic, targets)),
         ["jackdawwick", "log-append"] => match decode_record(&call.body) {
             Some((key, value)) => {
                 topics.append(&topic, &key, value);
@@ -144,7 +165,7 @@
         ["jackdawwick", "log-read"] => {
             let from = call.query_number("from").unwrap_or(0);
             let wait = Duration::from_millis(call.query_number("wait_ms").unwrap_or(0));
-            read_or_wait(&topics, &topic, from, wait).await
+            read_or_wait(&topics, &topic, from, wait, targets).await
         }
         _ => CallOutcome::empty(StatusCode::NOT_FOUND),
     }
@@ -162,11 +183,17 @@
     whole.then_some((key, value))
 }
 
-async fn read_or_wait(topics: &LogTopics, topic: &str, from: u64, wait: Duration) -> CallOutcome {
+async fn read_or_wait(
+    topics: &LogTopics,
+    topic: &str,
+    from: u64,
+    wait: Duration,
+    targets: IpAddr,
+) -> CallOutcome {
     let until = tokio::time::Instant::now() + wait;
     loop {
         let updates = topics.updates.notified();
-        let Some((found, body)) = topics.read(topic, from) else {
+        let Some((found, body)) = topics.read(topic, from, targets) else {
             return CallOutcome::empty(StatusCode::GONE);
         };
         if found || tokio::time::timeout_at(until, updates).await.is_err() {
--- a/standins/src/soak/run.rs
+++ b/standins/src/soak/run.rs
@@ -1,6 +1,7 @@
 //! One run of the soak, from its seed to its report.
 
 use std::io;
+use std::net::IpAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -12,7 +13,7 @@
 use super::callers::{CallerContext, call, call_until_stopped, connect};
 use super::check::{Violation, find_violations};
 use super::configuration::{CONFIGURATION, ENGINE_SERVICE, GRACE_S, PLAIN_SERVICE, configuration};
-use super::engines::TargetRegistry;
+use super::engines::{TARGET_IP, TargetRegistry};
 use super::faults::FaultEnd;
 use super::history::{CallKind, CallOutcome, Disturbance, SoakHistory};
 use super::host::SoakHost;
@@ -48,6 +49,8 @@
     pub folder: PathBuf,
     /// Whether guarantees with a time bound are checked.
     pub timed: bool,
+    /// Whether each host has an availability zone and links to the targets of its own.
+    pub separate_links: bool,
 }
 
 /// Result of a run.
@@ -98,7 +101,9 @@
     pub(super) started_targets: usize,
     pub(super) topics: Arc<LogTopics>,
     pub(super) log_faults: FaultSwitch<LogFaults>,
-    _log: HttpServer,
+    _logs: Vec<HttpServer>,
+    /// Internal port of all hosts.
+    internal_port: u16,
     pub(super) registry: Arc<TargetRegistry>,
     pub(super) context: Arc<CallerContext>,
     pub(super) published: watch::Sender<Published>,
@@ -147,6 +152,20 @@
     })
 }
 
+/// Returns the address at which a host reaches the targets.
+fn target_ip(settings: &SoakSettings, index: usize) -> IpAddr {
+    match (settings.separate_links, u8::try_from(index + 1)) {
+        (true, Ok(number)) => IpAddr::from([127, 0, 3, number]),
+        _ => TARGET_IP,
+    }
+}
+
+/// Returns a port that is free at the moment.
+fn free_port() -> io::Result<u16> {
+    let listener = std::net::TcpListener::bind(("127.0.2.1", 0))?;
+    Ok(listener.local_addr()?.port())
+}
+
 fn zone_name(index: usize) -> String {
     format!("zone-{}", index % 2)
 }
@@ -183,12 +202,22 @@
     pub(super) async fn open(settings: SoakSettings) -> io::Result<Self> {
         let topics = Arc::new(LogTopics::default());
         let log_faults = FaultSwitch::new(LogFaults::default());
-        let log = serve_log(topics.clone(), log_faults.clone()).await?;
+        let mut logs = Vec::new();
         let mut hosts = Vec::new();
         for index in 0..settings.hosts {
-            let zone = zone_name(index);
+            let zone = match settings.separate_links {
+                true => format!("zone-{index}"),
+                false => zone_name(index),
+            };
+            let log = serve_log(
+                topics.clone(),
+                log_faults.clone(),
+                target_ip(&settings, index),
+            );
+            let log = log.await?;
             let (program, folder) = (&settings.program, &settings.folder);
             let host = SoakHost::open(index, &zone, log.local_addr(), program, folder).await?;
+            logs.push(log);
             hosts.push(RunHost {
                 host,
                 process: watch::Sender::new(HostProcess::default()),
@@ -211,7 +240,8 @@
             started_targets: 0,
             topics,
             log_faults,
-            _log: log,
+            _logs: logs,
+            internal_port: free_port()?,
             registry: Arc::default(),
             context,
             published: watch::Sender::new(first),
@@ -233,14 +263,22 @@
     pub(super) async fn new_target(&mut self, spec: TargetSpec) -> io::Result<Target> {
         self.started_targets += 1;
         let id = format!("target-{}", self.started_targets);
-        Target::spawn(spec, id, self.registry.clone(), self.topics.clone()).await
+        let target = Target::spawn(spec, id, self.registry.clone(), self.topics.clone());
+        let mut target = target.await?;
+        for (index, run) in self.hosts.iter().enumerate() {
+            let ip = target_ip(&self.settings, index);
+            if ip != TARGET_IP {
+                target.open_host_link(ip, run.host.target_links.subscribe())?;
+            }
+        }
+        Ok(target)
     }
 
     async fn start_host(&mut self, index: usize) -> io::Result<()> {
         let seeds = self.hosts.iter().take(3);
         let seeds = seeds.map(|host| host.host.seed.address).collect::<Vec<_>>();
         let run = &mut self.hosts[index];
-        run.host.start(&seeds).await?;
+        run.host.start(&seeds, self.internal_port).await?;
         let listening = *run.host.listening.borrow();
         run.process.send_replace(HostProcess {
             incarnation: run.host.incarnation,
--- a/standins/src/soak/target.rs
+++ b/standins/src/soak/target.rs
@@ -2,7 +2,7 @@
 
 use std::convert::Infallible;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -18,6 +18,7 @@
 use jackdawwick::platform::names;
 use serde_json::json;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 use super::configuration::TARGETS;
@@ -28,6 +29,7 @@
 use super::event_stream::{StreamBehavior, stream_events};
 use super::heartbeats::{write_heartbeat, write_heartbeats};
 use super::history::{AttemptRecord, RunRecord};
+use super::host_link::{HostLink, LinkLoss};
 use super::link::FaultLink;
 use super::log_service::LogTopics;
 use super::poison::{CRASH_TIME, POISON_PATH};
@@ -53,6 +55,8 @@
     pub(super) spec: TargetSpec,
     pub(super) id: String,
     pub(super) link: FaultLink,
+    /// Links of hosts that have their own.
+    host_links: Vec<HostLink>,
     registry: Arc<TargetRegistry>,
     topics: Arc<LogTopics>,
     server_task: JoinHandle<()>,
@@ -90,6 +94,7 @@
             spec,
             id,
             link,
+            host_links: Vec::new(),
             registry,
             topics,
             server_task,
@@ -97,6 +102,22 @@
         })
     }
 
+    /// Opens a link of one host, which reaches the target at the address `ip`.
+    ///
+    /// # Errors
+    ///
+    /// If the address cannot be listened on.
+    pub(super) fn open_host_link(
+        &mut self,
+        ip: IpAddr,
+        loss: watch::Receiver<Option<LinkLoss>>,
+    ) -> io::Result<()> {
+        let address = SocketAddr::new(ip, self.link.address.port());
+        let link = HostLink::open(address, self.link.address, loss)?;
+        self.host_links.push(link);
+        Ok(())
+    }
+
     /// Announces that the target leaves; it keeps serving.
     pub(super) fn drain(&self) {
         self.update(|state| state.draining = true);
--- a/standins/tests/support/soaks.rs
+++ b/standins/tests/support/soaks.rs
@@ -23,6 +23,7 @@
         program,
         folder: folder.path().to_owned(),
         timed: false,
+        separate_links: false,
     };
     Ok((settings, folder))
 }
