Send requests through other hosts where a host has lost its links to targets

Callers of hosts that had lost their links to all targets got 503 no_route at once for as long as the cut lasted, and in between, whenever the ejections of 3 s ended, a round of failed connections; readiness failed and passed by turns, so that the balancer sent callers back.

Cause: a host decided by what it reaches itself. Each failed connection was held against the target, until all targets were ejected, although other hosts reached them and were in reach. Evidence: every target of every zone failed at the five hosts within 40 ms and at none of the other three, each time the ejections ended, while the log and the other hosts answered.

Change: reachability::ReachabilityTable tells a lost link from a lost target. Three different targets in a row that accept no connection make a host isolated; a target that another host reaches and this one does not is blocked for this host alone. In both cases an attempt goes through a gateway: another host, of the own zone first, by requests in flight and the last proof (gateway::GatewayTable), which connects to the target and passes one request and its response on (forward::gateway_server, HTTP/1.1 on the first internal port). The host that received a request decides everything about it: route, configuration, target, permits, retries, attempts; a gateway only connects, so no request passes two. It names why it cannot help before anything is sent (unknown host, isolated, draining, not ready, busy, unknown target, paused or leaving), and the next one is tried. A gateway that breaks after the request was sent means that it may have run. Ejections end when a host finds itself isolated; probes of its own (two targets twice a second) end the isolation after two successes, never a time that runs out. Reports, orders and moves go the same way. A stream whose link falls silent is resumed through a gateway.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -3,6 +3,7 @@
 
 mod configuration_follower;
 mod follow_cursor;
+mod gateway_peers;
 mod kept_records;
 mod log_continuity;
 mod log_copy;
--- /dev/null
+++ b/src/entry/gateway_peers.rs
@@ -0,0 +1,48 @@
+//! The other entry hosts as gateways, and this host as one of theirs.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+use crate::entry::peer_exchange::{PeerState, call_peer};
+use crate::forward::{GatewayPeers, ServingTables, probe_targets, serve_gateway};
+use crate::gateway::GatewayCandidate;
+use crate::ids::HostId;
+
+/// Serves other hosts as a gateway on `address`, and uses those that do. All hosts listen
+/// on the same port.
+pub(super) fn spawn(tables: &Arc<ServingTables>, peers: &Arc<PeerState>, address: SocketAddr) {
+    let members = peers.clone();
+    let is_member = Arc::new(move |ip| members.is_member_ip(ip));
+    match serve_gateway(tables.clone(), address, is_member) {
+        Ok(gateway) => log::info!(gateway:% = gateway.address; "listening to other hosts"),
+        // The host itself serves callers without it.
+        Err(error) => log::warn!(address:% = address, error:% = error; "no gateway is served"),
+    }
+    let known = peers.clone();
+    let unknowing = peers.clone();
+    tables.set_gateway_peers(GatewayPeers {
+        source: address.ip(),
+        candidates: Arc::new(move |now| candidates(&known, address.port(), now)),
+        introduce: Arc::new(move |host| introduce(&unknowing, host)),
+    });
+    tokio::spawn(probe_targets(tables.clone()));
+}
+
+fn candidates(peers: &PeerState, port: u16, now: Instant) -> Vec<GatewayCandidate> {
+    let live = peers.live_members(now).into_iter();
+    let candidates = live.map(|(host, zone, address)| GatewayCandidate {
+        host,
+        zone,
+        address: SocketAddr::new(address.ip(), port),
+    });
+    candidates.collect()
+}
+
+/// Exchanges views with a host of another zone, which does not know every host of this one.
+fn introduce(peers: &Arc<PeerState>, host: &HostId) {
+    let (Some(address), Some(handle)) = (peers.address_of(host), peers.handle()) else {
+        return;
+    };
+    tokio::spawn(call_peer(peers.clone(), handle.clone(), address));
+}
--- a/src/entry/peer_exchange.rs
+++ b/src/entry/peer_exchange.rs
@@ -1,6 +1,6 @@
 //! Exchange of views with the other entry hosts.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant, SystemTime};
 
@@ -267,6 +267,24 @@
         &self.tables
     }
 
+    /// Returns the other live hosts of all zones, with their zones and addresses.
+    pub(super) fn live_members(&self, now: Instant) -> Vec<(HostId, ZoneId, SocketAddr)> {
+        let gossip = self.gossip.lock();
+        let live = gossip.live_members(now);
+        live.map(|(host, zone, address)| (host.clone(), zone.clone(), address))
+            .collect()
+    }
+
+    /// Returns whether another entry host uses an IP address.
+    pub(super) fn is_member_ip(&self, ip: IpAddr) -> bool {
+        self.gossip.lock().is_member_ip(ip)
+    }
+
+    /// Returns the address on which another host listens to peers.
+    pub(super) fn address_of(&self, host: &HostId) -> Option<SocketAddr> {
+        self.gossip.lock().address_of(host)
+    }
+
     /// Returns the number of entry hosts of all zones that are not forgotten yet, live or
     /// not, including this one.
     pub(super) fn known_count(&self) -> usize {
@@ -336,7 +354,7 @@
     }
 }
 
-async fn call_peer(state: Arc<PeerState>, handle: PeerHandle, address: SocketAddr) {
+pub(super) async fn call_peer(state: Arc<PeerState>, handle: PeerHandle, address: SocketAddr) {
     let request = state.build_view(address, Instant::now());
     let view = match handle.exchange(address, request).await {
         Ok(view) => view,
--- a/src/entry/placement.rs
+++ b/src/entry/placement.rs
@@ -314,7 +314,7 @@
 /// Orders an engine to hold `layers`, unless it already holds them or is executing an
 /// order. Returns the layers that the engine is assumed to hold from now on.
 async fn issue_order(
-    tables: &ServingTables,
+    tables: &Arc<ServingTables>,
     id: &TargetId,
     layers: LayerRange,
     now: Instant,
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -18,7 +18,7 @@
 use crate::entry::relay_follower::follow_leader;
 use crate::entry::retry_share::{first_share, share_retries};
 use crate::entry::target_follower::{TargetTiming, follow_targets};
-use crate::entry::{EntrySettings, LogRole, peer_exchange};
+use crate::entry::{EntrySettings, LogRole, gateway_peers, peer_exchange};
 use crate::forward::{ServingTables, serve};
 use crate::peer::PeerError;
 use crate::platform::host_settings::{SettingsError, read_settings};
@@ -137,6 +137,9 @@
     let (peer_state, handle) =
         peer_exchange::spawn(settings, settings.peers, tables.clone(), copy.clone())?;
     tables.set_permit_source(permit_source(peer_state.clone()));
+    if let Some(address) = settings.gateway {
+        gateway_peers::spawn(tables, &peer_state, address);
+    }
     tokio::spawn(follow_leader(
         tables.clone(),
         copy,
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -67,6 +67,13 @@
         }
     }
 
+    /// Ends the ejection of the target.
+    pub(super) fn readmit(&mut self) {
+        self.failures = 0;
+        self.ejected_until = None;
+        self.silent_until = None;
+    }
+
     /// Returns the load of the requests of all hosts, as far as they are known.
     pub fn load(&self) -> TargetLoad {
         let mut load = self.own;
--- a/src/fleet/table.rs
+++ b/src/fleet/table.rs
@@ -243,9 +243,7 @@
     /// Records that a target responded as it should.
     pub fn observe_success(&mut self, id: &str) {
         if let Some(state) = self.get_mut(id) {
-            state.failures = 0;
-            state.ejected_until = None;
-            state.silent_until = None;
+            state.readmit();
             state.refusals = 0;
             state.full_until = None;
         }
@@ -363,6 +361,22 @@
         }
     }
 
+    /// Ends the ejection of a target that other hosts reach.
+    pub fn readmit(&mut self, id: &str) {
+        if let Some(state) = self.get_mut(id) {
+            state.readmit();
+        }
+    }
+
+    /// Ends all ejections: this host has lost its own links, so that its failures say
+    /// nothing about the targets.
+    pub fn readmit_all(&mut self) {
+        let members = self.services.values_mut();
+        for state in members.flat_map(BTreeMap::values_mut) {
+            state.readmit();
+        }
+    }
+
     /// Records the layers that an engine holds, which may differ from its last heartbeat.
     pub fn observe_layers(&mut self, id: &str, layers: Option<LayerRange>) {
         if let Some(state) = self.get_mut(id) {
--- a/src/forward/attempt_policy.rs
+++ b/src/forward/attempt_policy.rs
@@ -17,6 +17,7 @@
 use crate::ingress::RequestKind;
 use crate::platform::order;
 use crate::poison::key_text;
+use crate::reachability::TargetWay;
 use crate::reason::RefusalReason;
 use crate::verdict::RunVerdict;
 
@@ -176,7 +177,7 @@
     ) -> bool {
         let route = &self.matched.route;
         let allowed = failure.verdict == RunVerdict::NotRun || route.kind.is_repeatable();
-        let attempts_left = tried.sent < route.max_attempts && tried.avoid.len() < 6;
+        let attempts_left = tried.sent < route.max_attempts && tried.len() < 6;
         let free = !failure.was_sent();
         allowed
             && attempts_left
@@ -184,6 +185,13 @@
             && (free || self.tables.spend_retry(&self.service.name, Instant::now()))
     }
 
+    /// Returns the targets that the next attempt avoids.
+    pub(super) fn avoided(&self, tried: &TriedTargets) -> Vec<TargetId> {
+        let lost = tried.unconnected.iter();
+        let lost = lost.filter(|id| self.tables.way(id) == TargetWay::Direct);
+        tried.avoid.iter().chain(lost).cloned().collect()
+    }
+
     /// Records a failed attempt, and the target that the next one avoids.
     pub(super) fn record_failure(
         &self,
@@ -192,7 +200,10 @@
         tried: &mut TriedTargets,
     ) {
         self.observe_failure(chosen, Some(failure));
-        tried.count(chosen, failure.was_sent());
+        match failure.cause {
+            FailureCause::Connect => tried.unconnected.push(chosen.id.clone()),
+            _ => tried.count(chosen, failure.was_sent()),
+        }
         tried.may_have_run |= failure.verdict != RunVerdict::NotRun;
         if let Some(at) = failure.at.and_then(|at| chosen.target_at(at)) {
             tried.avoid_instead(at);
@@ -227,8 +238,11 @@
                 }
                 None
             }
-            Some(FailureCause::Unavailable) => None,
-            Some(FailureCause::Connect) => {
+            // The target is not at fault.
+            Some(
+                FailureCause::Unavailable | FailureCause::NoGateway | FailureCause::GatewayBroken,
+            ) => None,
+            Some(FailureCause::Connect | FailureCause::Unreachable) => {
                 fleet.observe_silence(&id, now);
                 fleet.get(&id).and_then(|state| state.ejected_until)
             }
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -107,7 +107,7 @@
 }
 
 impl InFlightRequest {
-    fn open(tables: Arc<ServingTables>) -> Self {
+    pub(super) fn open(tables: Arc<ServingTables>) -> Self {
         tables.in_flight.fetch_add(1, Ordering::Relaxed);
         Self { tables }
     }
@@ -224,7 +224,7 @@
     let mut failed_response = None;
     loop {
         let started = Instant::now();
-        let (chosen, guard) = match exchange.choose_permitted(&tried.avoid, false).await {
+        let (chosen, guard) = match exchange.choose_permitted(&tried, false).await {
             Ok(chosen) => chosen,
             // No other target is left: the response of the target that failed is
             // returned.
@@ -284,6 +284,9 @@
 pub(super) struct TriedTargets {
     /// Targets that later attempts avoid.
     pub(super) avoid: Vec<TargetId>,
+    /// Targets to which this host could not connect. They are avoided unless gateways turn
+    /// out to reach them.
+    pub(super) unconnected: Vec<TargetId>,
     /// Attempts that reached a target.
     pub(super) sent: u32,
     /// Whether one of these attempts may have run.
@@ -296,6 +299,11 @@
         self.sent += u32::from(sent);
     }
 
+    /// Returns the number of targets that were tried.
+    pub(super) fn len(&self) -> usize {
+        self.avoid.len() + self.unconnected.len()
+    }
+
     /// Avoids `at`, the engine of the path that was at fault, instead of the first
     /// engine, which may be used again.
     pub(super) fn avoid_instead(&mut self, at: TargetId) {
--- /dev/null
+++ b/src/forward/gateway_link.rs
@@ -0,0 +1,311 @@
+//! Sends requests to targets through other hosts where this host's own links are lost.
+
+use std::fmt;
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::header::{HeaderMap, HeaderValue};
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+use super::socket;
+use super::tables::ServingTables;
+use crate::gateway::{GatewayCandidate, GatewayResult, PROBE_HEADER, RESULT_HEADER, TARGET_HEADER};
+use crate::ids::{HostId, TargetId};
+use crate::reachability::TargetWay;
+
+/// Timeout of a connection to a gateway: a hundred times the delay of a link.
+const GATEWAY_CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+/// Timeout of a probe through a gateway, which connects to the target meanwhile.
+const GATEWAY_PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+/// Largest number of gateways that are tried for one request.
+const MAX_GATEWAYS: usize = 4;
+/// Largest number of gateways that are asked whether they reach a target.
+const MAX_WITNESSES: usize = 3;
+
+/// The other hosts as far as gateways are concerned.
+pub struct GatewayPeers {
+    /// Address from which this host connects to gateways, and by which they know it.
+    pub source: IpAddr,
+    /// Returns the live hosts that may serve as gateways.
+    pub candidates: Arc<dyn Fn(Instant) -> Vec<GatewayCandidate> + Send + Sync>,
+    /// Makes this host known to a host that does not know it.
+    pub introduce: Arc<dyn Fn(&HostId) + Send + Sync>,
+}
+
+impl fmt::Debug for GatewayPeers {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut debug = formatter.debug_struct("GatewayPeers");
+        debug.field("source", &self.source).finish_non_exhaustive()
+    }
+}
+
+/// Counts a request on its gateway until it is dropped.
+#[derive(Debug)]
+pub(super) struct GatewayUse {
+    tables: Arc<ServingTables>,
+    pub(super) host: HostId,
+}
+
+impl Drop for GatewayUse {
+    fn drop(&mut self) {
+        self.tables.gateways.lock().observe_end(&self.host);
+    }
+}
+
+/// A connection over which one request is sent to a target.
+#[derive(Debug)]
+pub(super) struct TargetLink {
+    pub(super) stream: TcpStream,
+    /// The gateway, unless the connection leads to the target itself.
+    pub(super) gateway: Option<GatewayUse>,
+}
+
+/// Whether other hosts reach a target to which this one could not connect.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum PeerWitness {
+    /// Another host reaches it.
+    Reaches,
+    /// Another host finds that no process listens there.
+    FindsClosed,
+    /// Another host does not reach it either.
+    CannotReach,
+    /// No other host could tell.
+    Unknown,
+}
+
+impl ServingTables {
+    /// Sets the hosts that may serve as gateways. Without them this host uses none.
+    pub fn set_gateway_peers(&self, peers: GatewayPeers) {
+        if self.gateway_peers.set(peers).is_err() {
+            log::error!("gateway peers are already set");
+        }
+    }
+
+    /// Connects to a target within `limit`: over this host's own link, or to a gateway if
+    /// that link is lost.
+    ///
+    /// # Errors
+    ///
+    /// If no connection is established in time; nothing has been sent then.
+    pub(super) async fn open_link(
+        self: &Arc<Self>,
+        target: &TargetId,
+        address: SocketAddr,
+        limit: Duration,
+    ) -> io::Result<TargetLink> {
+        if self.way(target) == TargetWay::Gateway
+            && let Some(link) = self.open_gateway(&mut Vec::new()).await
+        {
+            return Ok(link);
+        }
+        let direct = |stream| TargetLink {
+            stream,
+            gateway: None,
+        };
+        let error = match self.connect_target(target, address, limit).await {
+            Ok(stream) => return Ok(direct(stream)),
+            Err(error) => error,
+        };
+        match error.kind() {
+            // This failure was the last evidence that was missing.
+            _ if self.way(target) == TargetWay::Gateway => {}
+            // Another target may be tried before other hosts have failed to connect too.
+            io::ErrorKind::TimedOut => {
+                let (tables, target) = (self.clone(), target.clone());
+                tokio::spawn(async move { tables.ask_peers(&target).await });
+            }
+            _ => {
+                self.ask_peers(target).await;
+            }
+        }
+        match self.way(target) {
+            TargetWay::Gateway => self.open_gateway(&mut Vec::new()).await.ok_or(error),
+            TargetWay::Direct => Err(error),
+        }
+    }
+
+    /// Connects to the best gateway that is not in `tried`, to which it is added.
+    pub(super) async fn open_gateway(
+        self: &Arc<Self>,
+        tried: &mut Vec<HostId>,
+    ) -> Option<TargetLink> {
+        let peers = self.gateway_peers.get()?;
+        let candidates = (peers.candidates)(Instant::now());
+        while tried.len() < MAX_GATEWAYS {
+            let chosen = {
+                let mut gateways = self.gateways.lock();
+                gateways.retain(&candidates);
+                gateways.choose(&candidates, &self.zone, tried, Instant::now(), rand::random)
+            };
+            let Some(chosen) = chosen else {
+                break;
+            };
+            tried.push(chosen.host.clone());
+            let connected =
+                socket::connect_from(peers.source, chosen.address, GATEWAY_CONNECT_TIMEOUT).await;
+            match connected {
+                Ok(stream) => {
+                    self.gateways.lock().observe_start(&chosen.host);
+                    let gateway = GatewayUse {
+                        tables: self.clone(),
+                        host: chosen.host,
+                    };
+                    return Some(TargetLink {
+                        stream,
+                        gateway: Some(gateway),
+                    });
+                }
+                Err(error) => {
+                    self.metrics.gateway_used("unconnected");
+                    log::info!(gateway:% = chosen.host, error:% = error; "no connection to gateway");
+                    let mut gateways = self.gateways.lock();
+                    gateways.observe_failure(&chosen.host, Instant::now());
+                }
+            }
+        }
+        self.metrics.gateway_used("none_left");
+        None
+    }
+
+    /// Records the result that a gateway stated instead of passing a request on.
+    pub(super) fn observe_gateway_result(&self, gateway: &HostId, result: GatewayResult) {
+        self.metrics.gateway_used(result.name());
+        let now = Instant::now();
+        self.gateways.lock().observe_result(gateway, result, now);
+        if result == GatewayResult::UnknownHost
+            && let Some(peers) = self.gateway_peers.get()
+        {
+            (peers.introduce)(gateway);
+        }
+    }
+
+    /// Records that a gateway passed a target's response on.
+    pub(super) fn observe_gateway_response(&self, gateway: &HostId) {
+        self.metrics.gateway_used("passed_on");
+        let now = Instant::now();
+        self.gateways.lock().observe_proof(gateway, now);
+    }
+
+    /// Records the response to a short request through a gateway.
+    ///
+    /// # Errors
+    ///
+    /// If the gateway created the response itself; the text names its result.
+    pub(super) fn observe_gateway(
+        &self,
+        gateway: &HostId,
+        response: &Response<Incoming>,
+    ) -> Result<(), String> {
+        match stated_result(response) {
+            None => {
+                self.observe_gateway_response(gateway);
+                Ok(())
+            }
+            Some(result) => {
+                self.observe_gateway_result(gateway, result);
+                Err(format!("gateway {gateway}: {}", result.name()))
+            }
+        }
+    }
+
+    /// Records that the connection to a gateway broke.
+    pub(super) fn observe_gateway_break(&self, gateway: &HostId) {
+        self.metrics.gateway_used("broken_connection");
+        let now = Instant::now();
+        self.gateways.lock().observe_failure(gateway, now);
+    }
+
+    /// Asks other hosts whether they reach a target to which this host could not connect.
+    /// If one does, the target counts as blocked for this host, and not as ejected.
+    pub(super) async fn ask_peers(self: &Arc<Self>, target: &TargetId) -> PeerWitness {
+        let mut tried = Vec::new();
+        while tried.len() < MAX_WITNESSES {
+            let Some(link) = self.open_gateway(&mut tried).await else {
+                return PeerWitness::Unknown;
+            };
+            let result = self.probe_gateway(link, target).await;
+            let witness = match result {
+                Some(GatewayResult::Reachable) => {
+                    self.block(target, tried.last());
+                    PeerWitness::Reaches
+                }
+                Some(GatewayResult::Refused) => PeerWitness::FindsClosed,
+                Some(GatewayResult::Unreachable | GatewayResult::Unavailable) => {
+                    PeerWitness::CannotReach
+                }
+                _ => continue,
+            };
+            return witness;
+        }
+        PeerWitness::Unknown
+    }
+
+    fn block(&self, target: &TargetId, witness: Option<&HostId>) {
+        let now = Instant::now();
+        let is_new = self.reachability.lock().observe_blocked(target, now);
+        self.fleet.lock().readmit(target);
+        if is_new {
+            self.metrics.reachability_changed("blocked");
+            let witness = witness.map_or("", |host| host);
+            log::warn!(target_id:% = target, reached_by:% = witness; "only other hosts reach target");
+        }
+    }
+
+    async fn probe_gateway(&self, link: TargetLink, target: &TargetId) -> Option<GatewayResult> {
+        let gateway = link.gateway?;
+        let mut request = Request::new(Full::default());
+        request
+            .headers_mut()
+            .insert(PROBE_HEADER, HeaderValue::from_static("1"));
+        mark_target(request.headers_mut(), target);
+        let exchange = async {
+            let mut sender = handshake(link.stream).await?;
+            sender.send_request(request).await
+        };
+        let result = match tokio::time::timeout(GATEWAY_PROBE_TIMEOUT, exchange).await {
+            Ok(Ok(response)) => stated_result(&response),
+            Ok(Err(_)) | Err(_) => None,
+        };
+        match result {
+            Some(result) => self.observe_gateway_result(&gateway.host, result),
+            None => self.observe_gateway_break(&gateway.host),
+        }
+        result
+    }
+}
+
+/// Addresses a request that is sent through a gateway to a target.
+pub(super) fn mark_target(headers: &mut HeaderMap, target: &TargetId) {
+    if let Ok(target) = HeaderValue::from_str(target) {
+        headers.insert(TARGET_HEADER, target);
+    }
+}
+
+/// Returns the result that a gateway stated in a response that it created itself.
+pub(super) fn stated_result(response: &Response<Incoming>) -> Option<GatewayResult> {
+    let name = response.headers().get(RESULT_HEADER)?.to_str().ok()?;
+    GatewayResult::from_name(name)
+}
+
+/// Starts HTTP on a connection.
+///
+/// # Errors
+///
+/// If the connection is closed.
+pub(super) async fn handshake(stream: TcpStream) -> hyper::Result<SendRequest<Full<Bytes>>> {
+    let (sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
+    tokio::spawn(async move {
+        if let Err(error) = connection.await {
+            log::debug!("connection to target failed: {error}");
+        }
+    });
+    Ok(sender)
+}
--- /dev/null
+++ b/src/forward/gateway_server.rs
@@ -0,0 +1,445 @@
+//! Passes requests of other entry hosts on to targets that they do not reach themselves.
+//!
+//! Serves hosts of the fleet alone, one request a connection, with bounds on connections,
+//! requests, their heads and bodies, and the time that each may take. A request goes to the
+//! target over this host's own link, and never through another gateway.
+
+use std::convert::Infallible;
+use std::fmt;
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures::stream;
+use http::header::{self, HeaderMap, HeaderValue};
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited, StreamBody};
+use hyper::body::{Body, Frame, Incoming};
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::task::JoinHandle;
+
+use super::exchange::InFlightRequest;
+use super::gateway_link::handshake;
+use super::head::{forwarded, number_value};
+use super::notices::ObservedResponse;
+use super::response::{ResponseBody, whole_body};
+use super::socket;
+use super::tables::ServingTables;
+use crate::gateway::{GatewayResult, PROBE_HEADER, RESULT_HEADER, TARGET_HEADER};
+use crate::ids::TargetId;
+use crate::platform::target_notice::parse_notice;
+use crate::platform::{names, order};
+
+/// Largest number of open connections of other hosts. Each costs two file descriptors, of
+/// which small hosts have 4,100.
+const MAX_CONNECTIONS: usize = 768;
+/// Largest number of requests that are passed on at a time.
+const MAX_REQUESTS: usize = 512;
+/// Largest head of a request, in bytes: that of a caller and the headers of this system.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Largest body of a request while no configuration sets a limit, in bytes.
+const MAX_BODY_BYTES: usize = 1024 * 1024;
+/// Timeouts of the head and of the body of a request, which hosts send at once.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(2);
+const BODY_TIMEOUT: Duration = Duration::from_secs(3);
+/// Timeout of a connection to a target.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time for a request without a deadline, and longest time for any request. Streams take
+/// up to 20 s.
+const DEFAULT_TIME: Duration = Duration::from_secs(30);
+const MAX_TIME: Duration = Duration::from_secs(300);
+/// Time that a request may take beyond its deadline, at which the other host ends it.
+const DEADLINE_MARGIN: Duration = Duration::from_secs(1);
+/// Pause after a failed accept, for instance while file descriptors are used up.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Returns whether an address belongs to a host of the fleet.
+pub type MemberCheck = Arc<dyn Fn(IpAddr) -> bool + Send + Sync>;
+
+/// A running gateway.
+#[derive(Debug)]
+pub struct GatewayHandle {
+    /// Address that the gateway listens on.
+    pub address: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl GatewayHandle {
+    /// Stops accepting connections; open ones continue.
+    pub fn stop(&self) {
+        self.task.abort();
+    }
+}
+
+struct GatewayServer {
+    tables: Arc<ServingTables>,
+    is_member: MemberCheck,
+    connections: Arc<Semaphore>,
+    slots: Arc<Semaphore>,
+}
+
+impl fmt::Debug for GatewayServer {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("GatewayServer")
+            .finish_non_exhaustive()
+    }
+}
+
+/// Serves other hosts on `address`.
+///
+/// # Errors
+///
+/// If the address cannot be used.
+pub fn serve_gateway(
+    tables: Arc<ServingTables>,
+    address: SocketAddr,
+    is_member: MemberCheck,
+) -> io::Result<GatewayHandle> {
+    let listener = socket::bind(address)?;
+    let address = listener.local_addr()?;
+    let server = GatewayServer {
+        tables,
+        is_member,
+        connections: Arc::new(Semaphore::new(MAX_CONNECTIONS)),
+        slots: Arc::new(Semaphore::new(MAX_REQUESTS)),
+    };
+    let task = tokio::spawn(accept_all(Arc::new(server), listener));
+    Ok(GatewayHandle { address, task })
+}
+
+async fn accept_all(server: Arc<GatewayServer>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => match server.connections.clone().try_acquire_owned() {
+                Ok(permit) => {
+                    tokio::spawn(serve_connection(server.clone(), stream, peer.ip(), permit));
+                }
+                Err(_) => server.tables.metrics.gateway_served("connection_limit"),
+            },
+            Err(error) => {
+                log::warn!(error:% = error; "cannot accept a connection of another host");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(
+    server: Arc<GatewayServer>,
+    stream: TcpStream,
+    source: IpAddr,
+    _permit: OwnedSemaphorePermit,
+) {
+    if let Err(error) = socket::prepare(&stream) {
+        log::debug!("cannot configure the connection of another host: {error}");
+        return;
+    }
+    let service = service_fn(|request| {
+        let server = server.clone();
+        async move { Ok::<_, Infallible>(server.handle(source, request).await) }
+    });
+    let served = hyper::server::conn::http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(MAX_HEAD_BYTES)
+        .keep_alive(false)
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+    if let Err(error) = served {
+        log::debug!("connection of another host failed: {error}");
+    }
+}
+
+/// A request of another host.
+#[derive(Debug)]
+struct PassedRequest {
+    source: IpAddr,
+    id: String,
+    target: TargetId,
+    address: SocketAddr,
+    arrived: Instant,
+    /// Time at which the request is given up.
+    until: Instant,
+}
+
+impl GatewayServer {
+    async fn handle<B>(&self, source: IpAddr, request: Request<B>) -> Response<ResponseBody>
+    where
+        B: Body<Data = Bytes, Error = hyper::Error>,
+    {
+        let id = text(request.headers(), names::ATTEMPT_ID).unwrap_or_default();
+        let id = id.to_owned();
+        match self.try_handle(source, request).await {
+            Ok(response) => response,
+            Err(result) => {
+                self.tables.metrics.gateway_served(result.name());
+                if result != GatewayResult::Reachable {
+                    log::info!(
+                        request:% = id, from:% = source, result:% = result.name();
+                        "request not passed on"
+                    );
+                }
+                result_response(result)
+            }
+        }
+    }
+
+    /// Passes a request on, and returns the target's response.
+    ///
+    /// # Errors
+    ///
+    /// What this host states instead, if the request was a probe, could not be passed on or
+    /// got no response.
+    async fn try_handle<B>(
+        &self,
+        source: IpAddr,
+        request: Request<B>,
+    ) -> Result<Response<ResponseBody>, GatewayResult>
+    where
+        B: Body<Data = Bytes, Error = hyper::Error>,
+    {
+        let slot = self.admit(source)?;
+        let (mut parts, body) = request.into_parts();
+        let passed = self.read_head(source, &parts.headers)?;
+        if parts.headers.contains_key(PROBE_HEADER) {
+            self.connect(&passed).await?;
+            return Err(GatewayResult::Reachable);
+        }
+        let body = self.read_body(body).await?;
+        let stream = self.connect(&passed).await?;
+        self.check_available(&passed, &parts.headers)?;
+        let sent = Instant::now();
+        prepare_headers(&mut parts.headers, sent.duration_since(passed.arrived));
+        let request = Request::from_parts(parts, Full::new(body));
+        let in_flight = InFlightRequest::open(self.tables.clone());
+        let sending = async {
+            let mut sender = handshake(stream).await?;
+            sender.send_request(request).await
+        };
+        let response = match tokio::time::timeout_at(passed.until.into(), sending).await {
+            Ok(Ok(response)) => response,
+            Ok(Err(_)) | Err(_) => return Err(GatewayResult::Broken),
+        };
+        self.observe_response(&passed, sent, &response);
+        let (head, body) = response.into_parts();
+        let body = RelayedBody {
+            body,
+            until: passed.until,
+            _in_flight: in_flight,
+            _slot: slot,
+        };
+        let mut response = Response::new(body.into_response_body());
+        *response.status_mut() = head.status;
+        *response.headers_mut() = forwarded(&head.headers);
+        response.headers_mut().remove(RESULT_HEADER);
+        Ok(response)
+    }
+
+    /// Returns a slot for a request, if this host can help the one that sent it.
+    fn admit(&self, source: IpAddr) -> Result<OwnedSemaphorePermit, GatewayResult> {
+        if !(self.is_member)(source) {
+            return Err(GatewayResult::UnknownHost);
+        }
+        if self.tables.is_draining() {
+            return Err(GatewayResult::Draining);
+        }
+        if self.tables.configuration.load().is_none() {
+            return Err(GatewayResult::NotReady);
+        }
+        if self.tables.is_isolated() {
+            return Err(GatewayResult::Isolated);
+        }
+        let slot = self.slots.clone().try_acquire_owned();
+        slot.map_err(|_| GatewayResult::Busy)
+    }
+
+    fn read_head(
+        &self,
+        source: IpAddr,
+        headers: &HeaderMap,
+    ) -> Result<PassedRequest, GatewayResult> {
+        let target = text(headers, TARGET_HEADER).ok_or(GatewayResult::Malformed)?;
+        let address = {
+            let fleet = self.tables.fleet.lock();
+            let state = fleet.get(target).ok_or(GatewayResult::UnknownTarget)?;
+            state.entry.address
+        };
+        let arrived = Instant::now();
+        let time = deadline(headers).map_or(DEFAULT_TIME, |time| time + DEADLINE_MARGIN);
+        Ok(PassedRequest {
+            source,
+            id: text(headers, names::ATTEMPT_ID)
+                .unwrap_or_default()
+                .to_owned(),
+            target: target.into(),
+            address,
+            arrived,
+            until: arrived + time.min(MAX_TIME),
+        })
+    }
+
+    async fn read_body<B>(&self, body: B) -> Result<Bytes, GatewayResult>
+    where
+        B: Body<Data = Bytes, Error = hyper::Error>,
+    {
+        let configuration = self.tables.configuration.load();
+        let limit = configuration
+            .as_ref()
+            .map_or(MAX_BODY_BYTES, |known| known.limits.body_bytes);
+        let collected = Limited::new(body, limit).collect();
+        match tokio::time::timeout(BODY_TIMEOUT, collected).await {
+            Ok(Ok(body)) => Ok(body.to_bytes()),
+            Ok(Err(_)) | Err(_) => Err(GatewayResult::Malformed),
+        }
+    }
+
+    async fn connect(&self, passed: &PassedRequest) -> Result<TcpStream, GatewayResult> {
+        let connected = self
+            .tables
+            .connect_target(&passed.target, passed.address, CONNECT_TIMEOUT);
+        let failure = match connected.await {
+            Ok(stream) => return Ok(stream),
+            Err(error) => error.kind(),
+        };
+        match failure {
+            // This host may have lost its own links without knowing it yet.
+            _ if self.tables.reachability.lock().is_doubtful() => Err(GatewayResult::Isolated),
+            io::ErrorKind::ConnectionRefused => Err(GatewayResult::Refused),
+            _ => Err(GatewayResult::Unreachable),
+        }
+    }
+
+    /// Checks that no target of the request pauses or is leaving, as this host knows.
+    fn check_available(
+        &self,
+        passed: &PassedRequest,
+        headers: &HeaderMap,
+    ) -> Result<(), GatewayResult> {
+        if passed.id.is_empty() {
+            // Reports and orders go to leaving targets too.
+            return Ok(());
+        }
+        let hops = text(headers, names::ENGINE_PATH).map_or_else(Vec::new, order::path_addresses);
+        let fleet = self.tables.fleet.lock();
+        let on_path = fleet
+            .targets()
+            .filter(|state| hops.contains(&state.entry.address));
+        let mut targets = on_path.map(|state| &state.entry.id).chain([&passed.target]);
+        match fleet.find_unavailable(&mut targets, Instant::now()) {
+            None => Ok(()),
+            Some(_) => Err(GatewayResult::Unavailable),
+        }
+    }
+
+    /// Applies what the target states in its response, which this host has seen as well.
+    fn observe_response(
+        &self,
+        passed: &PassedRequest,
+        sent: Instant,
+        response: &Response<Incoming>,
+    ) {
+        let (status, headers) = (response.status(), response.headers());
+        if !passed.id.is_empty() {
+            let observed = ObservedResponse {
+                target: &passed.target,
+                request: &passed.id,
+                sent,
+                received: Instant::now(),
+            };
+            let notice = parse_notice(headers);
+            self.tables
+                .observe_notice(observed, status, &notice, headers);
+        }
+        self.tables.metrics.gateway_served("passed_on");
+        log::info!(
+            request:% = passed.id,
+            from:% = passed.source,
+            target_id:% = passed.target,
+            status = status.as_u16(),
+            after_ms = passed.arrived.elapsed().as_millis() as u64;
+            "request passed on"
+        );
+    }
+}
+
+/// The body of a target's response on its way to another host.
+struct RelayedBody {
+    body: Incoming,
+    until: Instant,
+    _in_flight: InFlightRequest,
+    _slot: OwnedSemaphorePermit,
+}
+
+impl RelayedBody {
+    /// Returns a body that ends in an error if the target's does, so that the other host
+    /// never takes a truncated response for a complete one.
+    fn into_response_body(self) -> ResponseBody {
+        let frames = stream::unfold(Some(self), |relayed| async move {
+            let mut relayed = relayed?;
+            match relayed.next().await {
+                Ok(Some(data)) => Some((Ok(Frame::data(data)), Some(relayed))),
+                Ok(None) => None,
+                Err(error) => Some((Err(error), None)),
+            }
+        });
+        StreamBody::new(frames).boxed_unsync()
+    }
+
+    async fn next(&mut self) -> io::Result<Option<Bytes>> {
+        match tokio::time::timeout_at(self.until.into(), self.body.frame()).await {
+            Err(_) => Err(io::Error::from(io::ErrorKind::TimedOut)),
+            Ok(None) => Ok(None),
+            Ok(Some(Ok(frame))) => Ok(Some(frame.into_data().unwrap_or_default())),
+            Ok(Some(Err(error))) => Err(io::Error::other(error)),
+        }
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+/// Returns the time that is left for a request.
+fn deadline(headers: &HeaderMap) -> Option<Duration> {
+    let left = text(headers, names::DEADLINE_MS)?.parse().ok()?;
+    Some(Duration::from_millis(left))
+}
+
+/// Removes the headers that concern the connection to this host, and takes the time that
+/// the request spent here off its deadline.
+fn prepare_headers(headers: &mut HeaderMap, spent: Duration) {
+    for name in [
+        header::CONNECTION.as_str(),
+        header::CONTENT_LENGTH.as_str(),
+        header::TRANSFER_ENCODING.as_str(),
+        TARGET_HEADER,
+    ] {
+        headers.remove(name);
+    }
+    if let Some(left) = deadline(headers) {
+        let left = left.saturating_sub(spent).as_millis().max(1);
+        headers.insert(names::DEADLINE_MS, number_value(left));
+    }
+}
+
+/// Creates the response that states a result.
+fn result_response(result: GatewayResult) -> Response<ResponseBody> {
+    let mut response = Response::new(whole_body(Bytes::new()));
+    *response.status_mut() = match result {
+        GatewayResult::Reachable => StatusCode::NO_CONTENT,
+        GatewayResult::UnknownHost => StatusCode::FORBIDDEN,
+        GatewayResult::Malformed => StatusCode::BAD_REQUEST,
+        GatewayResult::Broken => StatusCode::BAD_GATEWAY,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    response
+        .headers_mut()
+        .insert(RESULT_HEADER, HeaderValue::from_static(result.name()));
+    response
+}
--- a/src/forward/permit_wait.rs
+++ b/src/forward/permit_wait.rs
@@ -5,7 +5,7 @@
 use futures::future::join_all;
 
 use super::choice::ChosenTarget;
-use super::exchange::Exchange;
+use super::exchange::{Exchange, TriedTargets};
 use super::permits::{AttemptTargets, HeldPermit, WithheldTarget};
 use super::response::Refusal;
 use super::tables::InFlightGuard;
@@ -28,10 +28,10 @@
     /// sent there. `started` is true if the caller already has a part of the response.
     pub(super) async fn choose_permitted(
         &self,
-        avoid: &[TargetId],
+        tried: &TriedTargets,
         started: bool,
     ) -> Result<(ChosenTarget, InFlightGuard), Refusal> {
-        let mut excluded = avoid.to_vec();
+        let mut excluded = self.avoided(tried);
         let mut retry_after: Option<Duration> = None;
         let mut pause_allowance = self.longest_wait(started, Instant::now());
         for _ in 0..MAX_CHOICES {
@@ -57,7 +57,7 @@
                 _ => self.acquire_permits(&targets, longest).await,
             };
             let Err(withheld) = withheld else {
-                return Ok(self.commit(chosen, avoid.len()));
+                return Ok(self.commit(chosen, tried.len()));
             };
             retry_after = Some(retry_after.map_or(withheld, |after| after.min(withheld)));
             pause_allowance = Duration::ZERO;
--- a/src/forward/probe.rs
+++ b/src/forward/probe.rs
@@ -9,6 +9,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::rt::TokioIo;
 
+use super::gateway_link::mark_target;
 use crate::fleet::EngineReport;
 use crate::forward::ServingTables;
 use crate::ids::TargetId;
@@ -35,26 +36,33 @@
     pub body: Bytes,
 }
 
-/// Sends a request to a target on a new connection and reads the response.
+/// Sends a request to a target on a new connection and reads the response. A host that has
+/// lost its link to the target sends it through a gateway.
 ///
 /// # Errors
 ///
 /// If the response is not complete within `limit`; the text gives the reason.
 pub async fn call_target(
-    tables: &ServingTables,
+    tables: &Arc<ServingTables>,
     target: &TargetId,
     address: SocketAddr,
-    request: Request<Full<Bytes>>,
+    mut request: Request<Full<Bytes>>,
     limit: Duration,
 ) -> Result<TargetReply, String> {
     let call = async {
-        let stream = tables.connect_target(target, address, limit).await;
-        let stream = stream.map_err(|error| error.to_string())?;
-        let connected = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
+        let link = tables.open_link(target, address, limit).await;
+        let link = link.map_err(|error| error.to_string())?;
+        if link.gateway.is_some() {
+            mark_target(request.headers_mut(), target);
+        }
+        let connected = hyper::client::conn::http1::handshake(TokioIo::new(link.stream)).await;
         let (mut sender, connection) = connected.map_err(|error| error.to_string())?;
         let exchange = async {
             let response = sender.send_request(request).await;
             let response = response.map_err(|error| error.to_string())?;
+            if let Some(gateway) = &link.gateway {
+                tables.observe_gateway(&gateway.host, &response)?;
+            }
             let (head, body) = response.into_parts();
             let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
             let body = body.map_err(|error| error.to_string())?;
@@ -86,7 +94,7 @@
 ///
 /// If the engine does not report in time.
 pub async fn fetch_report(
-    tables: &ServingTables,
+    tables: &Arc<ServingTables>,
     target: &TargetId,
     address: SocketAddr,
     now: Instant,
@@ -120,7 +128,7 @@
 }
 
 async fn request_report(
-    tables: &ServingTables,
+    tables: &Arc<ServingTables>,
     target: &TargetId,
     address: SocketAddr,
 ) -> Result<EngineReport, String> {
--- a/src/forward/socket.rs
+++ b/src/forward/socket.rs
@@ -1,7 +1,7 @@
 //! Sockets that detect an unresponsive peer.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use socket2::{SockRef, TcpKeepalive};
@@ -31,6 +31,24 @@
     Ok(stream)
 }
 
+/// Connects like [`connect`], from the address `source`.
+///
+/// # Errors
+///
+/// If the connection is not established in time; nothing has been sent then.
+pub async fn connect_from(
+    source: IpAddr,
+    address: SocketAddr,
+    limit: Duration,
+) -> io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    socket.bind(SocketAddr::new(source, 0))?;
+    let connected = tokio::time::timeout(limit, socket.connect(address)).await;
+    let stream = connected.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    prepare(&stream)?;
+    Ok(stream)
+}
+
 /// Configures a connection to send small messages at once and to detect an unresponsive
 /// peer.
 ///
--- a/src/forward/tables.rs
+++ b/src/forward/tables.rs
@@ -10,11 +10,13 @@
 use tokio::sync::Notify;
 
 use super::closed::ClosedCell;
+use super::gateway_link::GatewayPeers;
 use super::liveness::LivenessTable;
 use super::permits::PermitSource;
 use crate::admission::OverloadGauge;
 use crate::collections::FastMap;
 use crate::fleet::{EngineReport, FleetTable, TargetLoad, target_key};
+use crate::gateway::GatewayTable;
 use crate::ids::TargetId;
 use crate::ids::{HostId, ServiceId, ZoneId};
 use crate::ingress::IngressConfiguration;
@@ -58,6 +60,9 @@
     pub(super) liveness: LivenessTable,
     /// Whether targets accept connections of this host.
     pub(super) reachability: Mutex<ReachabilityTable>,
+    /// The gateways that this host has used.
+    pub(super) gateways: Mutex<GatewayTable>,
+    pub(super) gateway_peers: OnceLock<GatewayPeers>,
     /// The limits that targets have named.
     pub limits: Mutex<LimitTable>,
     /// Permits that this host holds, and those that it issues.
@@ -91,6 +96,8 @@
             closed: Mutex::default(),
             liveness: LivenessTable::default(),
             reachability: Mutex::default(),
+            gateways: Mutex::default(),
+            gateway_peers: OnceLock::new(),
             limits: Mutex::default(),
             permits: Mutex::default(),
             issuer: Mutex::default(),
@@ -171,6 +178,7 @@
     pub fn forget_target(&self, target: &str) {
         self.reports.lock().remove(target);
         self.closed.lock().remove(target);
+        self.reachability.lock().forget(target);
         let key = target_key(target);
         self.limits.lock().forget(key);
         self.permits.lock().forget(key);
--- a/src/forward/watch.rs
+++ b/src/forward/watch.rs
@@ -7,16 +7,18 @@
 use http::Response;
 use hyper::body::Incoming;
 
-use super::attempt::{self, AttemptFailure, FailureCause};
+use super::attempt::{self, AttemptFailure, AttemptResponse, FailureCause};
 use super::choice::ChosenTarget;
 use super::closed::is_closed;
 use super::exchange::Exchange;
+use super::gateway_link::{GatewayUse, PeerWitness};
 use super::liveness::LivenessGuard;
 use super::probe::fetch_report;
 use super::tables::InFlightGuard;
 use crate::fleet::{EnginePath, PathHop};
 use crate::ids::TargetId;
 use crate::poison::RunStart;
+use crate::reachability::TargetWay;
 use crate::verdict::RunVerdict;
 
 /// Shortest silence after which a request is checked. Reports lag by 200 ms, and passes
@@ -29,6 +31,10 @@
 /// first report that shows the fault is used.
 const CHECK_INTERVAL: Duration = Duration::from_millis(150);
 
+/// Silence after which a stream over a lost link is resumed through a gateway. Links can
+/// refuse new connections and carry the open ones on.
+const LOST_LINK_SILENCE: Duration = Duration::from_millis(600);
+
 /// A request that runs on a target or path.
 pub(super) struct PathWatch {
     pub(super) exchange: Arc<Exchange>,
@@ -40,6 +46,8 @@
     /// When the next check is due.
     check_at: Instant,
     pub(super) moves: u32,
+    /// The gateway through which the request runs.
+    gateway: Option<GatewayUse>,
     start: RunStart,
 }
 
@@ -69,6 +77,7 @@
             last_progress: now,
             check_at: now + silence,
             moves: 0,
+            gateway: None,
             start: RunStart::default(),
         }
     }
@@ -139,11 +148,16 @@
             deadline,
         )
         .await;
-        let head = self.await_head(sent?, limit).await;
-        if let Err(failure) = &head {
-            self.record_failure(failure).await;
+        match self.await_head(sent?, limit).await {
+            Ok(AttemptResponse { response, gateway }) => {
+                self.gateway = gateway;
+                Ok(response)
+            }
+            Err(failure) => {
+                self.record_failure(&failure).await;
+                Err(failure)
+            }
         }
-        head
     }
 
     /// Waits for the head of a response until `limit`, and moves the request away from
@@ -152,9 +166,9 @@
         &mut self,
         head: F,
         limit: Instant,
-    ) -> Result<Response<Incoming>, AttemptFailure>
+    ) -> Result<AttemptResponse, AttemptFailure>
     where
-        F: Future<Output = Result<Response<Incoming>, AttemptFailure>>,
+        F: Future<Output = Result<AttemptResponse, AttemptFailure>>,
     {
         let timed_out = AttemptFailure::new(RunVerdict::MayHaveRun, FailureCause::Timeout);
         tokio::pin!(head);
@@ -209,6 +223,7 @@
             return SilenceVerdict::Waiting;
         }
         match self.find_faulty_engine(now).await {
+            None if self.has_lost_link(now).await => SilenceVerdict::Lost(self.chosen.id.clone()),
             None => SilenceVerdict::Waiting,
             Some(failed) if unavailable.is_some() => SilenceVerdict::Lost(failed),
             Some(failed) => match self.move_away(&failed).await {
@@ -218,6 +233,19 @@
         }
     }
 
+    /// Returns whether the request runs over a link that this host has lost, which shows in
+    /// no report of the target. Other hosts have to reach the target: one that is shutting
+    /// down accepts no connections and completes the requests that pass it.
+    async fn has_lost_link(&self, now: Instant) -> bool {
+        let silent = now.saturating_duration_since(self.last_progress);
+        let tables = &self.exchange.tables;
+        self.exchange.matched.route.kind.is_stream()
+            && self.gateway.is_none()
+            && silent >= LOST_LINK_SILENCE
+            && tables.way(&self.chosen.id) == TargetWay::Gateway
+            && tables.ask_peers(&self.chosen.id).await == PeerWitness::Reaches
+    }
+
     /// Returns an engine after the first that is known to be removed or silent.
     fn unavailable_later_engine(&self, now: Instant) -> Option<TargetId> {
         let hops = self.chosen.path.as_ref()?.hops.get(1..)?;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod entry;
 pub mod fleet;
 pub mod forward;
+pub mod gateway;
 pub mod ids;
 pub mod ingress;
 pub mod journal;
--- a/src/membership/gossip/roles.rs
+++ b/src/membership/gossip/roles.rs
@@ -1,6 +1,6 @@
 //! Live hosts, as one host sees them, and the roles that hosts have for others.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 
 use super::GossipTable;
@@ -128,6 +128,24 @@
         known.collect()
     }
 
+    /// Returns the other live hosts of all zones, with their zones and addresses.
+    pub fn live_members(
+        &self,
+        now: Instant,
+    ) -> impl Iterator<Item = (&HostId, &ZoneId, SocketAddr)> {
+        let live = self
+            .members
+            .iter()
+            .filter(move |(_, member)| member.is_live(now));
+        live.map(|(host, member)| (host, &member.zone, member.address))
+    }
+
+    /// Returns whether another host uses an IP address.
+    pub fn is_member_ip(&self, ip: IpAddr) -> bool {
+        let mut members = self.members.values();
+        members.any(|member| member.address.ip() == ip)
+    }
+
     /// Returns the address on which another host listens to peers.
     pub fn address_of(&self, host: &HostId) -> Option<SocketAddr> {
         Some(self.members.get(host)?.address)
--- a/src/metrics/serving.rs
+++ b/src/metrics/serving.rs
@@ -32,6 +32,8 @@
     permits: Family<CauseLabel, Counter>,
     target_connections: Family<CauseLabel, Counter>,
     reachability_changes: Family<CauseLabel, Counter>,
+    gateway_uses: Family<CauseLabel, Counter>,
+    gateway_requests: Family<CauseLabel, Counter>,
     first_event: Histogram,
     between_events: Histogram,
     whole_request: Histogram,
@@ -57,6 +59,8 @@
             permits: Family::default(),
             target_connections: Family::default(),
             reachability_changes: Family::default(),
+            gateway_uses: Family::default(),
+            gateway_requests: Family::default(),
             first_event: latency_histogram(),
             between_events: latency_histogram(),
             whole_request: latency_histogram(),
@@ -140,6 +144,16 @@
                 "Times at which this host lost all targets, or reached one again",
                 &self.reachability_changes,
             ),
+            (
+                "gateway_uses",
+                "Requests that this host sent through other hosts, by result",
+                &self.gateway_uses,
+            ),
+            (
+                "gateway_requests",
+                "Requests of other hosts that this host was to pass on, by result",
+                &self.gateway_requests,
+            ),
         ];
         for (name, help, family) in families {
             self.registry.register(name, help, family.clone());
@@ -258,6 +272,16 @@
         count(&self.reachability_changes, change);
     }
 
+    /// Counts a request that this host sent through another host.
+    pub fn gateway_used(&self, result: &'static str) {
+        count(&self.gateway_uses, result);
+    }
+
+    /// Counts a request that this host was to pass on for another host.
+    pub fn gateway_served(&self, result: &'static str) {
+        count(&self.gateway_requests, result);
+    }
+
     /// Observes a call to the log service, or counts an error if the call failed.
     pub fn store_called(&self, topic: &'static str, took: Duration, succeeded: bool) {
         match succeeded {
--- a/src/platform/host_settings.rs
+++ b/src/platform/host_settings.rs
@@ -26,6 +26,9 @@
     node: String,
     zone: String,
     listen: FastMap<String, SocketAddr>,
+    /// First and last of the ports that entry hosts may use among themselves.
+    #[serde(default)]
+    internal_ports: Vec<u16>,
     #[serde(default)]
     seeds: Vec<SocketAddr>,
     #[serde(default = "default_beat")]
@@ -106,12 +109,15 @@
         let missing = || SettingsError::Parse(format!("listen.{name}: missing"));
         body.listen.get(name).copied().ok_or_else(missing)
     };
+    let peers = address("control")?;
+    let gateway_port = body.internal_ports.first().copied();
     Ok(EntrySettings {
         host: body.node.into(),
         zone: body.zone.into(),
         callers: address("front")?,
         readiness: address("ready")?,
-        peers: address("control")?,
+        peers,
+        gateway: gateway_port.map(|port| SocketAddr::new(peers.ip(), port)),
         seeds: body.seeds,
         store: body.provider.address,
         is_first_start: body.bootstrap,
--- a/src/platform/order.rs
+++ b/src/platform/order.rs
@@ -60,6 +60,15 @@
     body.ok().and_then(|body| body.address)
 }
 
+/// Returns the addresses of the engines in the header value of a path. Parts that are
+/// malformed are left out.
+pub fn path_addresses(value: &str) -> Vec<SocketAddr> {
+    let parts = value.split(',').filter_map(|part| part.split_once('='));
+    parts
+        .filter_map(|(address, _)| address.trim().parse().ok())
+        .collect()
+}
+
 /// Returns the header value for the engines of a path and their layers.
 pub fn path_value(path: &EnginePath) -> String {
     let hops = path.hops.iter().map(|hop| {
