Take a refused connection for the end of a target only if other hosts agree

Callers could be refused a healthy request as poison: in the incident three hosts that had lost their links noted 'target ended under a request' seven times, although no target had ended, and hosts tell each other of such evidence; three targets make a request poison for the whole fleet. For the same reason requests were moved away from engines that served them.

A connection that breaks and a port that refuses the next one were taken for the end of the target's process; the loss of the host's own links looks alike.

Change: closed::is_closed and the watch of engines (liveness) ask other hosts before they hold it against a target; where this host's link is lost, only their answer counts, and engines are not watched.

--- a/src/forward/closed.rs
+++ b/src/forward/closed.rs
@@ -5,8 +5,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crate::forward::ServingTables;
+use super::gateway_link::PeerWitness;
+use super::tables::ServingTables;
 use crate::ids::TargetId;
+use crate::reachability::TargetWay;
 
 /// Longest time to connect: a hundred times the delay of a link. A timeout gives no
 /// information.
@@ -25,9 +27,10 @@
 /// refuses a connection only where no process listens. If the port is closed, a target
 /// whose connection broke has ended, while one whose connection is still open is shutting
 /// down and completes its running requests. Results from before `since` do not count,
-/// since a network fault that refuses connections can heal.
+/// since a network fault that refuses connections can heal. Such a fault may also concern this
+/// host alone, so that another host is asked.
 pub(super) async fn is_closed(
-    tables: &ServingTables,
+    tables: &Arc<ServingTables>,
     target: &TargetId,
     address: SocketAddr,
     since: Instant,
@@ -48,16 +51,25 @@
     }
 }
 
+/// Returns whether the host of a target refuses connections. Where this host's own link is
+/// lost, or may be, other hosts have to agree.
 async fn refuses_connections(
-    tables: &ServingTables,
+    tables: &Arc<ServingTables>,
     target: &TargetId,
     address: SocketAddr,
 ) -> bool {
-    match tables
-        .connect_target(target, address, CONNECT_TIMEOUT)
-        .await
-    {
-        Ok(_) => false,
-        Err(error) => error.kind() == io::ErrorKind::ConnectionRefused,
+    if tables.way(target) == TargetWay::Direct {
+        let connected = tables
+            .connect_target(target, address, CONNECT_TIMEOUT)
+            .await;
+        let error = connected.err().map(|error| error.kind());
+        if error != Some(io::ErrorKind::ConnectionRefused) {
+            return false;
+        }
+    }
+    match tables.ask_peers(target).await {
+        PeerWitness::FindsClosed => true,
+        PeerWitness::Reaches | PeerWitness::CannotReach => false,
+        PeerWitness::Unknown => tables.way(target) == TargetWay::Direct,
     }
 }
--- a/src/forward/liveness.rs
+++ b/src/forward/liveness.rs
@@ -17,10 +17,12 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
+use super::gateway_link::PeerWitness;
 use super::tables::ServingTables;
 use crate::collections::{FastMap, FastSet};
 use crate::fleet::EnginePath;
 use crate::ids::TargetId;
+use crate::reachability::TargetWay;
 
 /// Longest time to connect: a thousand times the delay of a link.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -131,8 +133,14 @@
 async fn watch(tables: Arc<ServingTables>, target: TargetId, address: SocketAddr) {
     let mut short_lived = false;
     while tables.liveness.is_needed(&target) {
+        if tables.way(&target) == TargetWay::Gateway {
+            // The engine's end does not show on a connection to a gateway.
+            break;
+        }
         let Some(mut stream) = connect(&tables, &target, address).await else {
-            notify_lost(&tables, &target);
+            if tables.ask_peers(&target).await != PeerWitness::Reaches && !tables.is_isolated() {
+                notify_lost(&tables, &target);
+            }
             break;
         };
         if short_lived {
--- a/tests/forwarding/gateway.rs
+++ b/tests/forwarding/gateway.rs
@@ -246,6 +246,47 @@
     assert!(refused.header("retry-after").is_some());
 }
 
+/// Guards against requests that are declared poison because a host lost its own links.
+#[tokio::test]
+async fn a_target_that_others_reach_has_not_ended_under_a_request() {
+    let breaks = |seen: &SeenRequest| match seen.header("last-event-id") {
+        None => vec![stream_head(seen.id()), event(1), Step::Reset],
+        Some(_) => vec![stream_head(seen.id()), event(2), last_chunk()],
+    };
+    let target = StubTarget::spawn(breaks).await;
+    let gateway = TestGateway::open();
+    let (host, _) = host_with(&[&gateway]);
+    for (id, closes) in [("i-1", true), ("i-2", false)] {
+        let address = match closes {
+            true => break_after_one_connection(target.address).await,
+            false => closed_address().await,
+        };
+        host.add_engine(id, address, 0, 80);
+        gateway.host.add_engine(id, target.address, 0, 80);
+    }
+    let served = host.call("POST", "/stream/a", "").await;
+    assert_eq!(served.event_ids(), [1, 2], "{}", served.text);
+    let metrics = host.tables.metrics.encode();
+    assert!(!metrics.contains("ends_under_requests_total{"), "{metrics}");
+}
+
+/// Returns an address that leads to a target for one connection and is closed afterwards.
+async fn break_after_one_connection(target: SocketAddr) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        let Ok((mut host, _)) = listener.accept().await else {
+            return;
+        };
+        drop(listener);
+        let mut target = TcpStream::connect(target).await.expect("the target");
+        let _ = tokio::io::copy_bidirectional(&mut host, &mut target).await;
+        let socket = socket2::SockRef::from(&host);
+        socket.set_linger(Some(Duration::ZERO)).expect("linger");
+    });
+    address
+}
+
 /// Guards against engines that work on after the caller has left.
 #[tokio::test]
 async fn a_caller_that_leaves_closes_the_connection_at_the_target() {
