Resume streams over a lost link at the same target, and let a gateway check its own links

And a gateway that had lost its links without knowing it yet said of a sound target that nothing listens there.

Cause: a stream that stalls or breaks on a lost link was held against its target; the word of a gateway was taken without proof that its links work.

Change: where this host's link is lost and others reach the target, the stream is resumed through a gateway at any target, the same one included, and nothing is held against it (SilenceVerdict::LostLink, FailureCause::LostLink). A gateway that cannot connect tries another target before it says so. An isolation ends after four probes in a row, so that a host which reaches a few targets does not change by turns; four targets are probed in a round. Failures at blocked targets stay evidence until a success. The soak cuts links where hosts have their own (--separate-links).

--- a/src/entry/readiness.rs
+++ b/src/entry/readiness.rs
@@ -12,6 +12,7 @@
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
 use tokio::net::TcpStream;
 
 use crate::fleet::{PathQuery, RequestSize, choose_path};
@@ -23,15 +24,34 @@
 /// Pause after a failed accept, for instance when file descriptors are exhausted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Returns whether callers can be served: there is a configuration, and some service has a
+/// Why callers cannot be served.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub(super) enum UnreadyCause {
+    /// No configuration is known.
+    #[error("no configuration")]
+    Configuration,
+    /// The process is shutting down.
+    #[error("shutting down")]
+    ShuttingDown,
+    /// No service has a usable target.
+    #[error("no usable target")]
+    Targets,
+    /// The same, and this host has lost its own links to targets.
+    #[error("no usable target, own links lost")]
+    Links,
+}
+
+/// Checks that callers can be served: there is a configuration, and some service has a
 /// usable target or engines that hold every layer.
-pub(super) fn is_ready(tables: &ServingTables, now: Instant) -> bool {
+///
+/// # Errors
+///
+/// If they cannot.
+pub(super) fn check_ready(tables: &ServingTables, now: Instant) -> Result<(), UnreadyCause> {
     let configuration = tables.configuration.load();
-    let Some(configuration) = configuration.as_ref() else {
-        return false;
-    };
+    let configuration = configuration.as_ref().ok_or(UnreadyCause::Configuration)?;
     if tables.is_draining() {
-        return false;
+        return Err(UnreadyCause::ShuttingDown);
     }
     let fleet = tables.fleet.lock();
     let is_served = |service: &crate::ingress::ServiceSpec| match &service.engine {
@@ -52,10 +72,31 @@
             choose_path(members, query, now, || 0.0).is_some()
         }),
     };
-    configuration
-        .services
-        .values()
-        .any(|service| is_served(service))
+    let mut services = configuration.services.values();
+    let is_served = services.any(|service| is_served(service));
+    drop(fleet);
+    match is_served {
+        true => Ok(()),
+        false if tables.is_isolated() => Err(UnreadyCause::Links),
+        false => Err(UnreadyCause::Targets),
+    }
+}
+
+fn respond_ready(
+    tables: &ServingTables,
+    last: &Mutex<Option<UnreadyCause>>,
+) -> (StatusCode, String) {
+    let cause = check_ready(tables, Instant::now()).err();
+    let before = std::mem::replace(&mut *last.lock(), cause);
+    match cause {
+        Some(cause) if before != Some(cause) => log::warn!(cause:% = cause; "not ready"),
+        None if before.is_some() => log::info!("ready"),
+        _ => {}
+    }
+    match cause {
+        None => (StatusCode::OK, String::new()),
+        Some(cause) => (StatusCode::SERVICE_UNAVAILABLE, cause.to_string()),
+    }
 }
 
 /// Serves readiness checks on `address`, forever; returns the bound address.
@@ -67,9 +108,9 @@
     tables: Arc<ServingTables>,
     address: SocketAddr,
 ) -> io::Result<SocketAddr> {
+    let last = Mutex::new(Some(UnreadyCause::Configuration));
     serve_paths(address, move |path| match path {
-        names::READY_PATH if is_ready(&tables, Instant::now()) => (StatusCode::OK, String::new()),
-        names::READY_PATH => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
+        names::READY_PATH => respond_ready(&tables, &last),
         _ => (StatusCode::NOT_FOUND, String::new()),
     })
 }
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -76,6 +76,8 @@
     NoGateway,
     #[error("connection to the gateway broke")]
     GatewayBroken,
+    #[error("this host has lost the link to the target")]
+    LostLink,
 }
 
 impl FailureCause {
@@ -93,6 +95,7 @@
             Self::Unreachable => "unreachable",
             Self::NoGateway => "no_gateway",
             Self::GatewayBroken => "gateway_broken",
+            Self::LostLink => "lost_link",
         }
     }
 }
--- a/src/forward/attempt_policy.rs
+++ b/src/forward/attempt_policy.rs
@@ -202,6 +202,8 @@
         self.observe_failure(chosen, Some(failure));
         match failure.cause {
             FailureCause::Connect => tried.unconnected.push(chosen.id.clone()),
+            // The same target may be reached through a gateway.
+            FailureCause::LostLink | FailureCause::GatewayBroken => tried.sent += 1,
             _ => tried.count(chosen, failure.was_sent()),
         }
         tried.may_have_run |= failure.verdict != RunVerdict::NotRun;
@@ -240,7 +242,10 @@
             }
             // The target is not at fault.
             Some(
-                FailureCause::Unavailable | FailureCause::NoGateway | FailureCause::GatewayBroken,
+                FailureCause::Unavailable
+                | FailureCause::NoGateway
+                | FailureCause::GatewayBroken
+                | FailureCause::LostLink,
             ) => None,
             Some(FailureCause::Connect | FailureCause::Unreachable) => {
                 fleet.observe_silence(&id, now);
--- a/src/forward/dial.rs
+++ b/src/forward/dial.rs
@@ -28,7 +28,7 @@
     }
 
     /// Returns whether no target accepts connections of this host.
-    pub(super) fn is_isolated(&self) -> bool {
+    pub fn is_isolated(&self) -> bool {
         self.reachability.lock().is_isolated()
     }
 
--- a/src/forward/gateway_server.rs
+++ b/src/forward/gateway_server.rs
@@ -19,6 +19,7 @@
 use hyper::body::{Body, Frame, Incoming};
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use rand::seq::IteratorRandom;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::task::JoinHandle;
@@ -308,13 +309,36 @@
             Err(error) => error.kind(),
         };
         match failure {
-            // This host may have lost its own links without knowing it yet.
-            _ if self.tables.reachability.lock().is_doubtful() => Err(GatewayResult::Isolated),
+            _ if !self.reaches_another(&passed.target).await => Err(GatewayResult::Isolated),
             io::ErrorKind::ConnectionRefused => Err(GatewayResult::Refused),
             _ => Err(GatewayResult::Unreachable),
         }
     }
 
+    /// Returns whether this host reaches another target than the one that it just failed to
+    /// connect to. It may have lost its own links without knowing it yet, and its word would
+    /// be held against a target that others reach.
+    async fn reaches_another(&self, failed: &TargetId) -> bool {
+        if self.tables.reachability.lock().is_doubtful() {
+            return false;
+        }
+        let other = {
+            let fleet = self.tables.fleet.lock();
+            let now = Instant::now();
+            let others = fleet
+                .targets()
+                .filter(|state| state.entry.id != *failed && state.is_usable(now));
+            others
+                .choose(&mut rand::rng())
+                .map(|state| (state.entry.id.clone(), state.entry.address))
+        };
+        let Some((id, address)) = other else {
+            return true;
+        };
+        let connected = self.tables.connect_target(&id, address, CONNECT_TIMEOUT);
+        connected.await.is_ok()
+    }
+
     /// Checks that no target of the request pauses or is leaving, as this host knows.
     fn check_available(
         &self,
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -92,13 +92,17 @@
                 StreamStep::Deadline => return Err(self.cut("deadline")),
                 StreamStep::Broken(reason) => {
                     self.watch.record_break().await;
-                    let failed = self.watch.chosen.id.clone();
-                    self.exchange.observe_failure(&self.watch.chosen, None);
-                    self.tried.avoid.push(failed);
+                    if !self.watch.has_lost_link() {
+                        let failed = self.watch.chosen.id.clone();
+                        self.exchange.observe_failure(&self.watch.chosen, None);
+                        self.tried.avoid.push(failed);
+                    }
                     reason
                 }
                 StreamStep::Silent => match self.watch.handle_silence().await {
                     SilenceVerdict::Waiting => continue,
+                    SilenceVerdict::LostLink if self.has_no_alternative() => continue,
+                    SilenceVerdict::LostLink => "link lost",
                     SilenceVerdict::Lost(_) if self.has_no_alternative() => continue,
                     SilenceVerdict::Lost(failed) => {
                         self.tried.avoid.push(failed);
--- a/src/forward/watch.rs
+++ b/src/forward/watch.rs
@@ -58,6 +58,8 @@
     Waiting,
     /// The request cannot continue on its path because of this target.
     Lost(TargetId),
+    /// This host has lost the link over which the request runs; others reach the target.
+    LostLink,
 }
 
 impl PathWatch {
@@ -186,6 +188,10 @@
                 Err(_) if Instant::now() >= limit => return Err(timed_out),
                 Err(_) => match self.handle_silence().await {
                     SilenceVerdict::Waiting => {}
+                    SilenceVerdict::LostLink => {
+                        let (verdict, cause) = (RunVerdict::MayHaveRun, FailureCause::LostLink);
+                        return Err(AttemptFailure::new(verdict, cause));
+                    }
                     SilenceVerdict::Lost(failed) => {
                         let fleet = self.exchange.tables.fleet.lock();
                         let at = fleet.get(&failed).map(|state| state.entry.address);
@@ -223,7 +229,7 @@
             return SilenceVerdict::Waiting;
         }
         match self.find_faulty_engine(now).await {
-            None if self.has_lost_link(now).await => SilenceVerdict::Lost(self.chosen.id.clone()),
+            None if self.is_cut_off(now).await => SilenceVerdict::LostLink,
             None => SilenceVerdict::Waiting,
             Some(failed) if unavailable.is_some() => SilenceVerdict::Lost(failed),
             Some(failed) => match self.move_away(&failed).await {
@@ -233,16 +239,21 @@
         }
     }
 
-    /// Returns whether the request runs over a link that this host has lost, which shows in
-    /// no report of the target. Other hosts have to reach the target: one that is shutting
+    /// Returns whether the request was sent over a link that this host has lost since.
+    pub(super) fn has_lost_link(&self) -> bool {
+        let way = self.exchange.tables.way(&self.chosen.id);
+        self.gateway.is_none() && way == TargetWay::Gateway
+    }
+
+    /// Returns whether a silent stream is cut off from its target, which shows in no
+    /// report of the target. Other hosts have to reach the target: one that is shutting
     /// down accepts no connections and completes the requests that pass it.
-    async fn has_lost_link(&self, now: Instant) -> bool {
+    async fn is_cut_off(&self, now: Instant) -> bool {
         let silent = now.saturating_duration_since(self.last_progress);
         let tables = &self.exchange.tables;
         self.exchange.matched.route.kind.is_stream()
-            && self.gateway.is_none()
             && silent >= LOST_LINK_SILENCE
-            && tables.way(&self.chosen.id) == TargetWay::Gateway
+            && self.has_lost_link()
             && tables.ask_peers(&self.chosen.id).await == PeerWitness::Reaches
     }
 
--- a/src/reachability.rs
+++ b/src/reachability.rs
@@ -19,11 +19,14 @@
 /// Age after which a failure no longer counts. On a host with little traffic, targets that
 /// crash hours apart would add up.
 const EVIDENCE_AGE: Duration = Duration::from_secs(5);
-/// Probes in a row that have to succeed before a link counts as restored.
+/// Probes in a row that have to succeed before the link to a target counts as restored.
 const REQUIRED_PROOFS: u32 = 2;
+/// Probes in a row that have to succeed before an isolation ends. A host that reaches a few
+/// of the targets would otherwise be isolated and restored by turns.
+const ISOLATION_PROOFS: u32 = 4;
 /// Interval between two rounds of probes over lost links, and the targets of a round.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
-const PROBED_TARGETS: usize = 2;
+const PROBED_TARGETS: usize = 4;
 
 /// How a host sends a request to a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -108,7 +111,7 @@
             return unblocked;
         };
         self.proofs += 1;
-        if self.proofs < REQUIRED_PROOFS {
+        if self.proofs < ISOLATION_PROOFS {
             return None;
         }
         self.isolated_since = None;
@@ -143,8 +146,13 @@
         if self.is_isolated() {
             return None;
         }
+        let blocked = &self.blocked;
+        let is_valid = |id: &TargetId, at: Instant| {
+            // Other hosts reach a blocked target, so that it is not down.
+            blocked.contains_key(id) || now < at + EVIDENCE_AGE
+        };
         self.failed
-            .retain(|(id, at)| id != target && now < *at + EVIDENCE_AGE);
+            .retain(|(id, at)| id != target && is_valid(id, *at));
         self.failed.push((target.clone(), now));
         let targets = self.failed.len();
         if targets < ISOLATING_TARGETS.min(known.max(MIN_TARGETS)) {
--- a/standins/src/bin/soak.rs
+++ b/standins/src/bin/soak.rs
@@ -36,6 +36,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Skip guarantees with a time bound"),
         )
+        .arg(
+            Arg::new("separate-links")
+                .long("separate-links")
+                .action(ArgAction::SetTrue)
+                .help("Give each host links of its own to the targets, and cut them"),
+        )
         .get_matches();
     let path = |name: &str| {
         matches
@@ -59,7 +65,7 @@
             callers: count(&matches, "callers"),
             program: path("program"),
             folder: folder.clone(),
-            separate_links: false,
+            separate_links: matches.get_flag("separate-links"),
             timed: !matches.get_flag("untimed"),
         }))?;
         writeln!(std::io::stdout(), "{}", line(seed, &report))?;
--- a/standins/src/soak/faults.rs
+++ b/standins/src/soak/faults.rs
@@ -30,6 +30,7 @@
     HealFront(usize),
     HealLog(usize),
     HealSeed(usize),
+    HealLinks(usize),
     HealService,
     HealTarget(usize),
     LiftLimit(usize),
@@ -100,6 +101,11 @@
                 self.hosts[host].host.log.set(fault);
                 self.end_after(duration, FaultEnd::HealLog(host));
             }
+            FaultAction::HostLinks(host, loss) => {
+                self.record_disturbance(DisturbanceScope::Host(host), false, duration);
+                self.hosts[host].host.target_links.send_replace(Some(loss));
+                self.end_after(duration, FaultEnd::HealLinks(host));
+            }
             FaultAction::SeedLink(host, fault) => {
                 self.record_disturbance(DisturbanceScope::Host(host), false, duration);
                 self.hosts[host].host.seed.set(fault);
@@ -254,6 +260,9 @@
             FaultEnd::HealFront(host) => self.hosts[host].host.front.set(LinkFault::None),
             FaultEnd::HealLog(host) => self.hosts[host].host.log.set(LinkFault::None),
             FaultEnd::HealSeed(host) => self.hosts[host].host.seed.set(LinkFault::None),
+            FaultEnd::HealLinks(host) => {
+                self.hosts[host].host.target_links.send_replace(None);
+            }
             FaultEnd::HealService => self.log_faults.set(LogFaults::default()),
             FaultEnd::HealTarget(target) => self.heal_target(target),
             FaultEnd::LiftLimit(target) => self.targets[target].update(|state| state.limit = None),
--- a/standins/src/soak/plan.rs
+++ b/standins/src/soak/plan.rs
@@ -6,6 +6,7 @@
 use rand::{RngExt, SeedableRng};
 
 use super::engines::TargetFault;
+use super::host_link::LinkLoss;
 use super::link::LinkFault;
 
 /// Something that is disturbed.
@@ -50,6 +51,8 @@
     TargetStatesLeaving(usize),
     /// A target limits its rate, in requests per second.
     TargetLimits(usize, u32),
+    /// A host loses its links to all targets; it has links of its own.
+    HostLinks(usize, LinkLoss),
     /// Publishes a new version of the configuration.
     Publish,
 }
@@ -156,3 +159,30 @@
     }
     statements
 }
+
+/// Draws losses of the links between hosts and targets in a run of `length`, of some, most
+/// or all hosts at a time.
+pub(super) fn draw_link_losses(seed: u64, length: Duration, hosts: usize) -> Vec<PlannedFault> {
+    const STREAM: u64 = 0x6c69_6e6b;
+    let mut random = StdRng::seed_from_u64(seed ^ STREAM);
+    let mut losses = Vec::new();
+    let mut at = random.random_range(0.0..2.0);
+    while at < length.as_secs_f64() {
+        let duration = Duration::from_secs_f64(random.random_range(0.5..5.0));
+        let loss = match random.random_range(0..3) {
+            0 => LinkLoss::Silent,
+            1 => LinkLoss::Reset,
+            _ => LinkLoss::NewRefused,
+        };
+        let share = random.random_range(0.2..1.0);
+        for host in (0..hosts).filter(|_| random.random_bool(share)) {
+            losses.push(PlannedFault {
+                at: Duration::from_secs_f64(at),
+                duration,
+                action: FaultAction::HostLinks(host, loss),
+            });
+        }
+        at += random.random_range(2.0..6.0);
+    }
+    losses
+}
--- a/standins/src/soak/run.rs
+++ b/standins/src/soak/run.rs
@@ -18,7 +18,7 @@
 use super::history::{CallKind, CallOutcome, Disturbance, SoakHistory};
 use super::host::SoakHost;
 use super::log_service::{LogFaults, LogTopics, serve_log};
-use super::plan::{draw_faults, draw_statements};
+use super::plan::{draw_faults, draw_link_losses, draw_statements};
 use super::probe::{HostProcess, Published, balance, is_ready, probe_versions};
 use super::target::{Target, TargetSpec};
 use crate::faults::FaultSwitch;
@@ -127,6 +127,9 @@
     let (hosts, targets) = (run.hosts.len(), run.targets.len());
     let mut faults = draw_faults(seed, length, hosts, targets);
     faults.extend(draw_statements(seed, length, targets));
+    if run.settings.separate_links {
+        faults.extend(draw_link_losses(seed, length, hosts));
+    }
     faults.sort_by_key(|fault| fault.at);
     let count = faults.len();
     run.inject_faults(faults).await?;
--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -346,3 +346,20 @@
     assert!(report.count(|ended| ended == SERVED) > 100);
     Ok(())
 }
+
+/// Runs entry hosts as processes that lose their links to the targets beside other faults.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_short_soak_with_lost_links_has_no_violations() -> TestResult {
+    let (settings, _folder) = soak_settings(4).await?;
+    let report = run_soak(SoakSettings {
+        seed: 12,
+        length: Duration::from_secs(6),
+        callers: 8,
+        separate_links: true,
+        ..settings
+    })
+    .await?;
+    assert_eq!(report.violations, []);
+    assert!(report.count(|ended| ended == SERVED) > 100);
+    Ok(())
+}
--- a/tests/reachability.rs
+++ b/tests/reachability.rs
@@ -16,7 +16,7 @@
 }
 
 #[test]
-fn three_different_targets_in_a_row_isolate_a_host_and_two_successes_end_it() {
+fn three_different_targets_in_a_row_isolate_a_host_and_four_successes_end_it() {
     let now = Instant::now();
     let mut table = ReachabilityTable::default();
     assert_eq!(table.observe_failed(&target(1), KNOWN, now), None);
@@ -25,8 +25,10 @@
     assert_eq!(change, Some(ReachabilityChange::Isolated { targets: 3 }));
     assert_eq!(table.way("t9"), TargetWay::Gateway);
     assert_eq!(table.observe_failed(&target(4), KNOWN, now), None);
-    assert_eq!(table.observe_connected(&target(1), now + ms(600)), None);
-    let change = table.observe_connected(&target(2), now + ms(700));
+    for index in 1..4 {
+        assert_eq!(table.observe_connected(&target(index), now + ms(600)), None);
+    }
+    let change = table.observe_connected(&target(4), now + ms(700));
     assert_eq!(
         change,
         Some(ReachabilityChange::Restored { after: ms(700) })
@@ -103,10 +105,11 @@
     for tick in 0..40 {
         probed.extend(table.due_probes(known.iter(), now + ms(tick * 50)));
     }
-    assert_eq!(probed.len(), 8);
+    assert_eq!(probed.len(), 16);
     assert!(known.iter().all(|id| probed.contains(id)));
-    table.observe_connected(&known[0], now + ms(2100));
-    table.observe_connected(&known[1], now + ms(2100));
+    for id in &known {
+        table.observe_connected(id, now + ms(2100));
+    }
     assert_eq!(table.due_probes(known.iter(), now + ms(3000)), []);
 }
 
