--- a/src/forward/gateway_link.rs
+++ b/src/forward/gateway_link.rs
@@ -68,6 +68,11 @@
     pub(super) gateway: Option<GatewayUse>,
 }
 
+/// When other hosts were last asked about a target, and what they said. The lock admits one
+/// request at a time, which serves all that wait for it: all requests of a target break at
+/// the same moment.
+pub(super) type WitnessCell = Arc<tokio::sync::Mutex<Option<(Instant, PeerWitness)>>>;
+
 /// Whether other hosts reach a target to which this one could not connect.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum PeerWitness {
@@ -226,6 +231,20 @@
     /// Asks other hosts whether they reach a target to which this host could not connect.
     /// If one does, the target counts as blocked for this host, and not as ejected.
     pub(super) async fn ask_peers(self: &Arc<Self>, target: &TargetId) -> PeerWitness {
+        let since = Instant::now();
+        let cell = self.witness_cell(target);
+        let mut last = cell.lock().await;
+        match *last {
+            Some((at, witness)) if at >= since => witness,
+            _ => {
+                let witness = self.ask_gateways(target).await;
+                *last = Some((Instant::now(), witness));
+                witness
+            }
+        }
+    }
+
+    async fn ask_gateways(self: &Arc<Self>, target: &TargetId) -> PeerWitness {
         let mut tried = Vec::new();
         while tried.len() < MAX_WITNESSES {
             let Some(link) = self.open_gateway(&mut tried).await else {
--- a/src/forward/gateway_server.rs
+++ b/src/forward/gateway_server.rs
@@ -38,9 +38,9 @@
 
 /// Largest number of open connections of other hosts. Each costs two file descriptors, of
 /// which small hosts have 4,100.
-const MAX_CONNECTIONS: usize = 768;
+const MAX_CONNECTIONS: usize = 512;
 /// Largest number of requests that are passed on at a time.
-const MAX_REQUESTS: usize = 512;
+const MAX_REQUESTS: usize = 256;
 /// Largest head of a request, in bytes: that of a caller and the headers of this system.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Largest body of a request while no configuration sets a limit, in bytes.
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -92,11 +92,7 @@
                 StreamStep::Deadline => return Err(self.cut("deadline")),
                 StreamStep::Broken(reason) => {
                     self.watch.record_break().await;
-                    if !self.watch.has_lost_link() {
-                        let failed = self.watch.chosen.id.clone();
-                        self.exchange.observe_failure(&self.watch.chosen, None);
-                        self.tried.avoid.push(failed);
-                    }
+                    self.record_break();
                     reason
                 }
                 StreamStep::Silent => match self.watch.handle_silence().await {
@@ -114,6 +110,18 @@
         }
     }
 
+    /// Holds a broken connection against the target, unless it was this host's link, or a
+    /// gateway's, that broke.
+    fn record_break(&mut self) {
+        if self.watch.has_lost_link() {
+            return;
+        }
+        if !self.watch.uses_gateway() {
+            self.exchange.observe_failure(&self.watch.chosen, None);
+        }
+        self.tried.avoid.push(self.watch.chosen.id.clone());
+    }
+
     async fn step(&mut self) -> StreamStep {
         let limit = self.watch.check_at().min(self.exchange.deadline);
         let step = tokio::select! {
--- a/src/forward/tables.rs
+++ b/src/forward/tables.rs
@@ -10,7 +10,7 @@
 use tokio::sync::Notify;
 
 use super::closed::ClosedCell;
-use super::gateway_link::GatewayPeers;
+use super::gateway_link::{GatewayPeers, WitnessCell};
 use super::liveness::LivenessTable;
 use super::permits::PermitSource;
 use crate::admission::OverloadGauge;
@@ -63,6 +63,7 @@
     /// The gateways that this host has used.
     pub(super) gateways: Mutex<GatewayTable>,
     pub(super) gateway_peers: OnceLock<GatewayPeers>,
+    witnesses: Mutex<FastMap<TargetId, WitnessCell>>,
     /// The limits that targets have named.
     pub limits: Mutex<LimitTable>,
     /// Permits that this host holds, and those that it issues.
@@ -98,6 +99,7 @@
             reachability: Mutex::default(),
             gateways: Mutex::default(),
             gateway_peers: OnceLock::new(),
+            witnesses: Mutex::default(),
             limits: Mutex::default(),
             permits: Mutex::default(),
             issuer: Mutex::default(),
@@ -169,6 +171,11 @@
         closed.entry(target.clone()).or_default().clone()
     }
 
+    pub(super) fn witness_cell(&self, target: &TargetId) -> WitnessCell {
+        let mut witnesses = self.witnesses.lock();
+        witnesses.entry(target.clone()).or_default().clone()
+    }
+
     /// Notifies all requests that pass a target that it has ended.
     pub fn notify_lost(&self, target: &str) {
         self.liveness.notify_lost(target);
@@ -178,6 +185,7 @@
     pub fn forget_target(&self, target: &str) {
         self.reports.lock().remove(target);
         self.closed.lock().remove(target);
+        self.witnesses.lock().remove(target);
         self.reachability.lock().forget(target);
         let key = target_key(target);
         self.limits.lock().forget(key);
--- a/src/forward/watch.rs
+++ b/src/forward/watch.rs
@@ -239,6 +239,11 @@
         }
     }
 
+    /// Returns whether the request runs through a gateway.
+    pub(super) fn uses_gateway(&self) -> bool {
+        self.gateway.is_some()
+    }
+
     /// Returns whether the request was sent over a link that this host has lost since.
     pub(super) fn has_lost_link(&self) -> bool {
         let way = self.exchange.tables.way(&self.chosen.id);
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::headers::GatewayResult;
-use crate::collections::FastMap;
+use crate::collections::{FastMap, FastSet};
 use crate::ids::{HostId, ZoneId};
 
 /// Cost of a gateway in another availability zone, in requests in flight.
@@ -17,6 +17,9 @@
 /// Time for which a gateway is avoided that did not accept a connection, or broke one.
 const FAILURE_AVOIDANCE: Duration = Duration::from_secs(1);
 
+/// Number of hosts that are no candidates and are kept.
+const MAX_FORMER_HOSTS: usize = 64;
+
 /// A host that may serve as a gateway.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct GatewayCandidate {
@@ -121,13 +124,15 @@
         state.last_proof = None;
     }
 
-    /// Forgets hosts that are no longer candidates and have no request in flight.
+    /// Forgets hosts that are no longer candidates and have no request in flight, once
+    /// there are many.
     pub fn retain(&mut self, candidates: &[GatewayCandidate]) {
-        let is_candidate = |host: &HostId| {
-            let mut known = candidates.iter();
-            known.any(|candidate| candidate.host == *host)
-        };
+        if self.states.len() <= candidates.len() + MAX_FORMER_HOSTS {
+            return;
+        }
+        let known = candidates.iter().map(|candidate| &candidate.host);
+        let known = known.collect::<FastSet<_>>();
         self.states
-            .retain(|host, state| state.in_flight > 0 || is_candidate(host));
+            .retain(|host, state| state.in_flight > 0 || known.contains(host));
     }
 }
