--- a/tests/forwarding/gateway.rs
+++ b/tests/forwarding/gateway.rs
@@ -287,6 +287,49 @@
     address
 }
 
+/// Guards against a stream that is cut because its link fell silent, although its target is
+/// sound, reached by others and the only one.
+#[tokio::test]
+async fn a_silent_stream_over_a_lost_link_continues_at_the_same_target() {
+    let report = r#"{"models":[],"busy":false,"sequence":1,"queue_depth":0,"running":1}"#;
+    let target = StubTarget::spawn(move |seen| {
+        let id = seen.id();
+        match seen.header("last-event-id") {
+            _ if seen.head.starts_with(crate::REPORT) => vec![crate::json(report)],
+            None => vec![stream_head(id), event(1), Step::Hold],
+            Some(_) => vec![stream_head(id), event(2), last_chunk()],
+        }
+    });
+    let target = target.await;
+    let gateway = TestGateway::open();
+    let (host, _) = host_with(&[&gateway]);
+    let link = break_after_one_connection(target.address).await;
+    host.add_engine("i-1", link, 0, 80);
+    gateway.host.add_engine("i-1", target.address, 0, 80);
+    let served = host.call("POST", "/stream/a", "").await;
+    assert_eq!(served.event_ids(), [1, 2], "{}", served.text);
+    assert!(served.is_whole_stream());
+}
+
+/// Guards against a target that counts as closed by the word of a host without links.
+#[tokio::test]
+async fn a_gateway_that_reaches_no_other_target_says_nothing_about_this_one() {
+    let gateway = TestGateway::open();
+    for id in ["i-1", "i-2"] {
+        gateway.host.add_plain(id, closed_address().await);
+    }
+    let probe = "GET / HTTP/1.1\r\njackdawwick-gateway-target: i-1\r\n\
+                 jackdawwick-gateway-probe: 1\r\n\r\n";
+    let cut_off = send_raw(&gateway, probe.as_bytes()).await;
+    assert!(cut_off.contains("isolated"), "{cut_off}");
+    let target = healthy_target().await;
+    let sound = TestGateway::open();
+    sound.host.add_plain("i-1", closed_address().await);
+    sound.host.add_plain("i-2", target.address);
+    let refused = send_raw(&sound, probe.as_bytes()).await;
+    assert!(refused.contains("result: refused"), "{refused}");
+}
+
 /// Guards against engines that work on after the caller has left.
 #[tokio::test]
 async fn a_caller_that_leaves_closes_the_connection_at_the_target() {
