Let a stream that may not be resumed wait on a link that fell silent

Callers would get 502 for a stream of a route without resumption when its host had lost the links for new connections and the engine paused before its first event, although the open connection works on. Found by reading.

Cause: a silent stream on a lost link was given up after 0.6 s, to be sent through a gateway, whether or not it may be sent again.

Change: only streams that may be resumed are taken from their link.

Measured: a_stream_that_may_not_be_resumed_waits_on_its_link fails before (502 after 0.6 s) and passes; tests/forwarding 69 passed.

--- a/src/forward/watch.rs
+++ b/src/forward/watch.rs
@@ -256,7 +256,9 @@
     async fn is_cut_off(&self, now: Instant) -> bool {
         let silent = now.saturating_duration_since(self.last_progress);
         let tables = &self.exchange.tables;
-        self.exchange.matched.route.kind.is_stream()
+        let kind = self.exchange.matched.route.kind;
+        kind.is_stream()
+            && kind.is_repeatable()
             && silent >= LOST_LINK_SILENCE
             && self.has_lost_link()
             && tables.ask_peers(&self.chosen.id).await == PeerWitness::Reaches
--- a/tests/forwarding/gateway.rs
+++ b/tests/forwarding/gateway.rs
@@ -19,6 +19,9 @@
 
 const LOCALHOST: IpAddr = IpAddr::V4(std::net::Ipv4Addr::LOCALHOST);
 
+/// A report of an engine that stalls no request.
+const REPORT_BODY: &str = r#"{"models":[],"busy":false,"sequence":1,"queue_depth":0,"running":1}"#;
+
 /// A host that reaches the targets, and serves others as a gateway.
 struct TestGateway {
     host: TestHost,
@@ -291,11 +294,10 @@
 /// sound, reached by others and the only one.
 #[tokio::test]
 async fn a_silent_stream_over_a_lost_link_continues_at_the_same_target() {
-    let report = r#"{"models":[],"busy":false,"sequence":1,"queue_depth":0,"running":1}"#;
     let target = StubTarget::spawn(move |seen| {
         let id = seen.id();
         match seen.header("last-event-id") {
-            _ if seen.head.starts_with(crate::REPORT) => vec![crate::json(report)],
+            _ if seen.head.starts_with(crate::REPORT) => vec![crate::json(REPORT_BODY)],
             None => vec![stream_head(id), event(1), Step::Hold],
             Some(_) => vec![stream_head(id), event(2), last_chunk()],
         }
@@ -311,6 +313,32 @@
     assert!(served.is_whole_stream());
 }
 
+/// Guards against a stream that is given up for silence though it may not be sent again.
+#[tokio::test]
+async fn a_stream_that_may_not_be_resumed_waits_on_its_link() {
+    let target = StubTarget::spawn(|seen| {
+        let id = seen.id();
+        match seen.head.starts_with(crate::REPORT) {
+            true => vec![crate::json(REPORT_BODY)],
+            false => vec![
+                Step::Wait(Duration::from_millis(1200)),
+                stream_head(id),
+                event(1),
+                last_chunk(),
+            ],
+        }
+    });
+    let target = target.await;
+    let gateway = TestGateway::open();
+    let (host, _) = host_with(&[&gateway]);
+    let link = break_after_one_connection(target.address).await;
+    host.add_engine("i-1", link, 0, 80);
+    gateway.host.add_engine("i-1", target.address, 0, 80);
+    let served = host.call("POST", "/fixed/a", "").await;
+    assert_eq!(served.event_ids(), [1], "{}", served.text);
+    assert!(served.is_whole_stream());
+}
+
 /// Guards against a target that counts as closed by the word of a host without links.
 #[tokio::test]
 async fn a_gateway_that_reaches_no_other_target_says_nothing_about_this_one() {
--- a/tests/forwarding/host.rs
+++ b/tests/forwarding/host.rs
@@ -122,6 +122,8 @@
     };
     let mut once = route("/once/", "streaming", "model");
     once["max_attempts"] = 1.into();
+    let mut fixed = route("/fixed/", "streaming", "model");
+    fixed["stream_resume"] = false.into();
     let configuration = serde_json::json!({
         "version": 1,
         "routes": [
@@ -129,6 +131,7 @@
             route("/unsafe/", "unsafe", "plain"),
             route("/stream/", "streaming", "model"),
             once,
+            fixed,
         ],
         "services": [
             {"name": "plain", "health_path": "/health"},
