Word comments and test names on gateways in the usual terms

Cause: read once more as a newcomer.

Change: comments, and the names of two tests: results_about_the_target_say_nothing_against_the_gateway to results_about_the_target_do_not_exclude_the_gateway, a_gateway_that_reaches_no_other_target_says_nothing_about_this_one to a_gateway_that_reaches_no_other_target_reports_itself_isolated.

--- a/src/forward/gateway_server.rs
+++ b/src/forward/gateway_server.rs
@@ -316,8 +316,8 @@
     }
 
     /// Returns whether this host reaches another target than the one that it just failed to
-    /// connect to. It may have lost its own links without knowing it yet, and its word would
-    /// be held against a target that others reach.
+    /// connect to. It may have lost its own links without knowing it yet, and its result would
+    /// eject a target that others reach.
     async fn reaches_another(&self, failed: &TargetId) -> bool {
         if self.tables.reachability.lock().is_doubtful() {
             return false;
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -110,8 +110,8 @@
         }
     }
 
-    /// Holds a broken connection against the target, unless it was this host's link, or a
-    /// gateway's, that broke.
+    /// Records a broken connection as a failure of the target, unless this host has lost the
+    /// link. Behind a gateway, the gateway may have failed as well.
     fn record_break(&mut self) {
         if self.watch.has_lost_link() {
             return;
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -10,8 +10,8 @@
 /// Cost of a gateway in another availability zone, in requests in flight.
 const ZONE_PENALTY: f64 = 4.0;
 /// Cost of a gateway that has not reached a target for this host lately, and the time
-/// after which a proof is outdated. When a whole zone is cut off, most of its hosts would
-/// be asked in vain.
+/// after which a proof is outdated. When a whole zone is cut off, requests to most of its
+/// hosts fail.
 const UNPROVEN_PENALTY: f64 = 2.0;
 const PROOF_AGE: Duration = Duration::from_secs(5);
 /// Time for which a gateway is avoided that did not accept a connection, or broke one.
--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -77,8 +77,8 @@
         Self::ALL.into_iter().find(|result| result.name() == name)
     }
 
-    /// Returns for how long to avoid a gateway with this result; `None` if the result says
-    /// nothing against the gateway.
+    /// Returns for how long to avoid a gateway with this result; `None` if the result is no
+    /// reason to.
     pub(super) fn avoidance(self) -> Option<Duration> {
         match self {
             Self::Isolated | Self::Draining => Some(Duration::from_secs(2)),
--- a/tests/forwarding/gateway.rs
+++ b/tests/forwarding/gateway.rs
@@ -369,9 +369,9 @@
     assert!(served.is_whole_stream());
 }
 
-/// Guards against a target that counts as closed by the word of a host without links.
+/// Guards against a target that counts as closed because a gateway has lost its links.
 #[tokio::test]
-async fn a_gateway_that_reaches_no_other_target_says_nothing_about_this_one() {
+async fn a_gateway_that_reaches_no_other_target_reports_itself_isolated() {
     let gateway = TestGateway::open();
     for id in ["i-1", "i-2"] {
         gateway.host.add_plain(id, closed_address().await);
--- a/tests/gateway_choice.rs
+++ b/tests/gateway_choice.rs
@@ -42,7 +42,7 @@
     assert!(choose(&table, &[], now).is_some_and(|host| host.starts_with('a')));
 }
 
-/// Guards against asking hosts again and again that are cut off as well.
+/// Guards against repeated requests to hosts that are cut off as well.
 #[test]
 fn hosts_that_are_isolated_are_avoided_for_a_while_and_proven_ones_preferred() {
     let now = Instant::now();
@@ -61,7 +61,7 @@
 }
 
 #[test]
-fn results_about_the_target_say_nothing_against_the_gateway() {
+fn results_about_the_target_do_not_exclude_the_gateway() {
     let now = Instant::now();
     let mut table = GatewayTable::default();
     for result in [
