Keep the proofs of a blocked target when other hosts are asked about it again

Requests could go through gateways for longer than the loss of a link lasted: while a stream was silent, other hosts were asked about its target every 150 ms, and each answer set the successful probes back to none and the time of the loss to now. Found by reading.

Cause: ReachabilityTable::observe_blocked replaced what was known of a blocked target.

Change: it adds the target only if it was not blocked.

Measured: a_repeated_witness_resets_neither_the_proofs_nor_the_time_of_the_loss fails before and passes; tests/reachability 7 passed.

--- a/src/reachability.rs
+++ b/src/reachability.rs
@@ -165,11 +165,13 @@
     /// Records that another host reaches a target to which this one could not connect.
     /// Returns whether that was unknown.
     pub fn observe_blocked(&mut self, target: &TargetId, now: Instant) -> bool {
-        let blocked = BlockedTarget {
+        let is_new = !self.blocked.contains_key(target);
+        let blocked = self.blocked.entry(target.clone());
+        blocked.or_insert(BlockedTarget {
             since: now,
             proofs: 0,
-        };
-        self.blocked.insert(target.clone(), blocked).is_none()
+        });
+        is_new
     }
 
     /// Forgets a target that has left.
--- a/tests/reachability.rs
+++ b/tests/reachability.rs
@@ -92,6 +92,21 @@
     assert_eq!(table.way("t1"), TargetWay::Direct);
 }
 
+/// Guards against a target that stays blocked because other hosts are asked about it again.
+#[test]
+fn a_repeated_witness_resets_neither_the_proofs_nor_the_time_of_the_loss() {
+    let now = Instant::now();
+    let mut table = ReachabilityTable::default();
+    table.observe_blocked(&target(1), now);
+    table.observe_connected(&target(1), now + ms(100));
+    table.observe_blocked(&target(1), now + ms(200));
+    let change = table.observe_connected(&target(1), now + ms(300));
+    assert_eq!(
+        change,
+        Some(ReachabilityChange::Unblocked { after: ms(300) })
+    );
+}
+
 #[test]
 fn probes_are_rare_rotate_and_stop_with_the_loss() {
     let now = Instant::now();
