Hold one lock at a time when probes are due

Cause: ServingTables states that no two of its locks are held at once; due_probes took that of reachability while it held that of the targets. No other place takes them the other way round, so nothing could block yet. Found by reading.

Change: the ids of the targets are copied first, and only while links are lost (ReachabilityTable::has_lost_links).

--- a/src/forward/dial.rs
+++ b/src/forward/dial.rs
@@ -89,9 +89,16 @@
     }
 
     fn due_probes(&self, now: Instant) -> Vec<(TargetId, SocketAddr)> {
+        if !self.reachability.lock().has_lost_links() {
+            return Vec::new();
+        }
+        let known = {
+            let fleet = self.fleet.lock();
+            let ids = fleet.targets().map(|state| state.entry.id.clone());
+            ids.collect::<Vec<_>>()
+        };
+        let due = self.reachability.lock().due_probes(known.iter(), now);
         let fleet = self.fleet.lock();
-        let known = fleet.targets().map(|state| &state.entry.id);
-        let due = self.reachability.lock().due_probes(known, now);
         let addresses = due.into_iter().filter_map(|id| {
             let address = fleet.get(&id)?.entry.address;
             Some((id, address))
--- a/src/reachability.rs
+++ b/src/reachability.rs
@@ -174,6 +174,11 @@
         is_new
     }
 
+    /// Returns whether links to targets are lost, so that some are to be probed.
+    pub fn has_lost_links(&self) -> bool {
+        self.is_isolated() || !self.blocked.is_empty()
+    }
+
     /// Forgets a target that has left.
     pub fn forget(&mut self, target: &str) {
         self.blocked.remove(target);
