Send reports and orders through the next gateway too

A stream could be taken from a sound engine at a host that had lost its links: reports and orders went through one gateway, and where that one was cut off as well the report counted as missing and the engine as silent. Orders of a planner were lost in the same way. Found by reading.

Cause: the way of a request through gateways stood twice. Attempts went on to the next gateway, the short requests of forward::probe did not, and did not note a gateway that broke either.

Change: one module, forward::target_link, connects and sends for both (TargetLink::open in ServingTables::open_link, TargetLink::send); the deadline of an attempt is refreshed by its caller. A gateway that got no response of the target logs 'request passed on without a response' in place of 'request not passed on', which was not true. Renamed: AttemptResponse to TargetResponse, the line 'not passed on by gateway' to 'no response through gateway'. A further test states that a gateway uses no gateway itself.

--- a/src/forward.rs
+++ b/src/forward.rs
@@ -30,6 +30,7 @@
 pub mod socket;
 mod stream_times;
 mod tables;
+mod target_link;
 mod watch;
 
 pub use dial::probe_targets;
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -7,18 +7,16 @@
 
 use bytes::Bytes;
 use http::header::HeaderValue;
-use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use http::{HeaderMap, Method, Request, StatusCode, Uri};
 use http_body_util::Full;
-use hyper::body::Incoming;
-use hyper::client::conn::http1::SendRequest;
 
 use super::choice::ChosenTarget;
-use super::gateway_link::{GatewayUse, handshake, mark_target, stated_result};
 use super::head::number_value;
 use super::notices::ObservedResponse;
 use super::tables::ServingTables;
+use super::target_link::{LinkFailure, TargetResponse};
 use crate::gateway::GatewayResult;
-use crate::ids::{HostId, TargetId};
+use crate::ids::TargetId;
 use crate::platform::target_notice::{TargetNotice, parse_notice};
 use crate::platform::target_record::platform_id;
 use crate::platform::{names, order};
@@ -122,13 +120,6 @@
     }
 }
 
-/// The head of a target's response, and the gateway that passed it on.
-#[derive(Debug)]
-pub(super) struct AttemptResponse {
-    pub(super) response: Response<Incoming>,
-    pub(super) gateway: Option<GatewayUse>,
-}
-
 /// Connects and returns a future that sends the request and waits for the head of the
 /// response.
 ///
@@ -141,14 +132,13 @@
     chosen: &ChosenTarget,
     last_event: Option<&str>,
     deadline: Instant,
-) -> Result<impl Future<Output = Result<AttemptResponse, AttemptFailure>> + use<>, AttemptFailure> {
+) -> Result<impl Future<Output = Result<TargetResponse, AttemptFailure>> + use<>, AttemptFailure> {
     let now = Instant::now();
     let remaining = deadline.saturating_duration_since(now);
     let limit = CONNECT_TIMEOUT.min(remaining);
     let link = tables.open_link(&chosen.id, chosen.address, limit).await;
     let not_run = || AttemptFailure::new(RunVerdict::NotRun, FailureCause::Connect);
     let link = link.map_err(|_| not_run())?;
-    let sender = handshake(link.stream).await.map_err(|_| not_run())?;
     let sent = Instant::now();
     tables.check_available(chosen, sent)?;
     let request = build_request(outgoing, chosen, last_event, deadline, sent);
@@ -157,13 +147,14 @@
         id: outgoing.id.clone(),
         target: chosen.id.clone(),
         sent,
-        deadline,
     };
     Ok(async move {
-        match link.gateway {
-            None => attempt.send_directly(sender, request).await,
-            Some(gateway) => attempt.send_through(gateway, sender, request).await,
-        }
+        let refresh = |headers: &mut HeaderMap| {
+            headers.insert(names::DEADLINE_MS, remaining_ms(deadline, Instant::now()));
+        };
+        let (tables, target) = (&attempt.tables, &attempt.target);
+        let response = link.send(tables, target, request, refresh).await;
+        attempt.accept(response.map_err(attempt_failure)?)
     })
 }
 
@@ -174,91 +165,25 @@
     id: String,
     target: TargetId,
     sent: Instant,
-    deadline: Instant,
 }
 
 impl SentAttempt {
-    async fn send_directly(
-        self,
-        mut sender: SendRequest<Full<Bytes>>,
-        request: Request<Full<Bytes>>,
-    ) -> Result<AttemptResponse, AttemptFailure> {
-        let response = sender.send_request(request).await;
-        let broken = |_| AttemptFailure::new(RunVerdict::MayHaveRun, FailureCause::Broken);
-        self.accept(response.map_err(broken)?, None)
-    }
-
-    /// Sends the request through a gateway, and through the next one as long as gateways
-    /// state that they did not pass it on.
-    async fn send_through(
-        self,
-        mut gateway: GatewayUse,
-        mut sender: SendRequest<Full<Bytes>>,
-        mut request: Request<Full<Bytes>>,
-    ) -> Result<AttemptResponse, AttemptFailure> {
-        mark_target(request.headers_mut(), &self.target);
-        let mut tried = vec![gateway.host.clone()];
-        loop {
-            log::info!(
-                request:% = self.id, target_id:% = self.target, gateway:% = gateway.host;
-                "sent through gateway"
-            );
-            let response = match sender.send_request(request.clone()).await {
-                Ok(response) => response,
-                Err(error) => {
-                    log::debug!("gateway {} failed: {error}", gateway.host);
-                    self.tables.observe_gateway_break(&gateway.host);
-                    let cause = FailureCause::GatewayBroken;
-                    return Err(AttemptFailure::new(RunVerdict::MayHaveRun, cause));
-                }
-            };
-            let Some(result) = stated_result(&response) else {
-                self.tables.observe_gateway_response(&gateway.host);
-                return self.accept(response, Some(gateway));
-            };
-            self.tables.observe_gateway_result(&gateway.host, result);
-            log::info!(
-                request:% = self.id, gateway:% = gateway.host, result:% = result.name();
-                "not passed on by gateway"
-            );
-            if let Some(failure) = gateway_failure(result) {
-                return Err(failure);
-            }
-            (gateway, sender) = self.next_gateway(&mut tried).await?;
-            let left = remaining_ms(self.deadline, Instant::now());
-            request.headers_mut().insert(names::DEADLINE_MS, left);
-        }
-    }
-
-    async fn next_gateway(
-        &self,
-        tried: &mut Vec<HostId>,
-    ) -> Result<(GatewayUse, SendRequest<Full<Bytes>>), AttemptFailure> {
-        let none = || AttemptFailure::new(RunVerdict::NotRun, FailureCause::NoGateway);
-        let link = self.tables.open_gateway(tried).await.ok_or_else(none)?;
-        let sender = handshake(link.stream).await.map_err(|_| none())?;
-        Ok((link.gateway.ok_or_else(none)?, sender))
-    }
-
     /// Returns the response if it belongs to this request and was made by the target.
-    fn accept(
-        self,
-        response: Response<Incoming>,
-        gateway: Option<GatewayUse>,
-    ) -> Result<AttemptResponse, AttemptFailure> {
+    fn accept(&self, response: TargetResponse) -> Result<TargetResponse, AttemptFailure> {
         let observed = ObservedResponse {
             target: &self.target,
             request: &self.id,
             sent: self.sent,
             received: Instant::now(),
         };
-        let (status, headers) = (response.status(), response.headers());
+        let head = &response.response;
+        let (status, headers) = (head.status(), head.headers());
         let notice = parse_notice(headers);
         let paused_until = self
             .tables
             .observe_notice(observed, status, &notice, headers);
         match failure_cause(&self.id, status, &notice) {
-            None => Ok(AttemptResponse { response, gateway }),
+            None => Ok(response),
             Some((verdict, cause)) => Err(AttemptFailure {
                 verdict,
                 cause,
@@ -269,25 +194,20 @@
     }
 }
 
-/// Returns the failure that a gateway's result stands for; `None` if another gateway may
-/// pass the request on.
-fn gateway_failure(result: GatewayResult) -> Option<AttemptFailure> {
-    let (verdict, cause) = match result {
-        GatewayResult::Refused | GatewayResult::Unreachable => {
-            (RunVerdict::NotRun, FailureCause::Unreachable)
+/// Returns the failure of an attempt that got no response of its target.
+fn attempt_failure(failure: LinkFailure) -> AttemptFailure {
+    let (verdict, cause) = match failure {
+        LinkFailure::Broken | LinkFailure::Stated(GatewayResult::Broken) => {
+            (RunVerdict::MayHaveRun, FailureCause::Broken)
+        }
+        LinkFailure::GatewayBroken => (RunVerdict::MayHaveRun, FailureCause::GatewayBroken),
+        LinkFailure::Stated(GatewayResult::Unavailable) => {
+            (RunVerdict::NotRun, FailureCause::Unavailable)
         }
-        GatewayResult::Unavailable => (RunVerdict::NotRun, FailureCause::Unavailable),
-        GatewayResult::Broken => (RunVerdict::MayHaveRun, FailureCause::Broken),
-        GatewayResult::Reachable
-        | GatewayResult::UnknownTarget
-        | GatewayResult::UnknownHost
-        | GatewayResult::NotReady
-        | GatewayResult::Isolated
-        | GatewayResult::Draining
-        | GatewayResult::Busy
-        | GatewayResult::Malformed => return None,
+        LinkFailure::Stated(_) => (RunVerdict::NotRun, FailureCause::Unreachable),
+        LinkFailure::NoGateway => (RunVerdict::NotRun, FailureCause::NoGateway),
     };
-    Some(AttemptFailure::new(verdict, cause))
+    AttemptFailure::new(verdict, cause)
 }
 
 fn build_request(
--- a/src/forward/gateway_link.rs
+++ b/src/forward/gateway_link.rs
@@ -12,14 +12,12 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
 
 use super::socket;
 use super::tables::ServingTables;
+use super::target_link::handshake;
 use crate::gateway::{GatewayCandidate, GatewayResult, PROBE_HEADER, RESULT_HEADER, TARGET_HEADER};
 use crate::ids::{HostId, TargetId};
-use crate::reachability::TargetWay;
 
 /// Timeout of a connection to a gateway: a hundred times the delay of a link.
 const GATEWAY_CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
@@ -60,12 +58,11 @@
     }
 }
 
-/// A connection over which one request is sent to a target.
+/// A connection to a gateway, for one request.
 #[derive(Debug)]
-pub(super) struct TargetLink {
-    pub(super) stream: TcpStream,
-    /// The gateway, unless the connection leads to the target itself.
-    pub(super) gateway: Option<GatewayUse>,
+pub(super) struct GatewayLink {
+    pub(super) sender: SendRequest<Full<Bytes>>,
+    pub(super) gateway: GatewayUse,
 }
 
 /// When other hosts were last asked about a target, and what they said. The lock admits one
@@ -94,54 +91,11 @@
         }
     }
 
-    /// Connects to a target within `limit`: over this host's own link, or to a gateway if
-    /// that link is lost.
-    ///
-    /// # Errors
-    ///
-    /// If no connection is established in time; nothing has been sent then.
-    pub(super) async fn open_link(
-        self: &Arc<Self>,
-        target: &TargetId,
-        address: SocketAddr,
-        limit: Duration,
-    ) -> io::Result<TargetLink> {
-        if self.way(target) == TargetWay::Gateway
-            && let Some(link) = self.open_gateway(&mut Vec::new()).await
-        {
-            return Ok(link);
-        }
-        let direct = |stream| TargetLink {
-            stream,
-            gateway: None,
-        };
-        let error = match self.connect_target(target, address, limit).await {
-            Ok(stream) => return Ok(direct(stream)),
-            Err(error) => error,
-        };
-        match error.kind() {
-            // This failure was the last evidence that was missing.
-            _ if self.way(target) == TargetWay::Gateway => {}
-            // Another target may be tried before other hosts have failed to connect too.
-            io::ErrorKind::TimedOut => {
-                let (tables, target) = (self.clone(), target.clone());
-                tokio::spawn(async move { tables.ask_peers(&target).await });
-            }
-            _ => {
-                self.ask_peers(target).await;
-            }
-        }
-        match self.way(target) {
-            TargetWay::Gateway => self.open_gateway(&mut Vec::new()).await.ok_or(error),
-            TargetWay::Direct => Err(error),
-        }
-    }
-
     /// Connects to the best gateway that is not in `tried`, to which it is added.
     pub(super) async fn open_gateway(
         self: &Arc<Self>,
         tried: &mut Vec<HostId>,
-    ) -> Option<TargetLink> {
+    ) -> Option<GatewayLink> {
         let peers = self.gateway_peers.get()?;
         let candidates = (peers.candidates)(Instant::now());
         while tried.len() < MAX_GATEWAYS {
@@ -154,19 +108,14 @@
                 break;
             };
             tried.push(chosen.host.clone());
-            let connected =
-                socket::connect_from(peers.source, chosen.address, GATEWAY_CONNECT_TIMEOUT).await;
-            match connected {
-                Ok(stream) => {
+            match connect(peers.source, chosen.address).await {
+                Ok(sender) => {
                     self.gateways.lock().observe_start(&chosen.host);
                     let gateway = GatewayUse {
                         tables: self.clone(),
                         host: chosen.host,
                     };
-                    return Some(TargetLink {
-                        stream,
-                        gateway: Some(gateway),
-                    });
+                    return Some(GatewayLink { sender, gateway });
                 }
                 Err(error) => {
                     self.metrics.gateway_used("unconnected");
@@ -199,28 +148,6 @@
         self.gateways.lock().observe_proof(gateway, now);
     }
 
-    /// Records the response to a short request through a gateway.
-    ///
-    /// # Errors
-    ///
-    /// If the gateway created the response itself; the text names its result.
-    pub(super) fn observe_gateway(
-        &self,
-        gateway: &HostId,
-        response: &Response<Incoming>,
-    ) -> Result<(), String> {
-        match stated_result(response) {
-            None => {
-                self.observe_gateway_response(gateway);
-                Ok(())
-            }
-            Some(result) => {
-                self.observe_gateway_result(gateway, result);
-                Err(format!("gateway {gateway}: {}", result.name()))
-            }
-        }
-    }
-
     /// Records that the connection to a gateway broke.
     pub(super) fn observe_gateway_break(&self, gateway: &HostId) {
         self.metrics.gateway_used("broken_connection");
@@ -278,24 +205,24 @@
         }
     }
 
-    async fn probe_gateway(&self, link: TargetLink, target: &TargetId) -> Option<GatewayResult> {
-        let gateway = link.gateway?;
+    async fn probe_gateway(
+        &self,
+        mut link: GatewayLink,
+        target: &TargetId,
+    ) -> Option<GatewayResult> {
         let mut request = Request::new(Full::default());
         request
             .headers_mut()
             .insert(PROBE_HEADER, HeaderValue::from_static("1"));
         mark_target(request.headers_mut(), target);
-        let exchange = async {
-            let mut sender = handshake(link.stream).await?;
-            sender.send_request(request).await
-        };
+        let exchange = link.sender.send_request(request);
         let result = match tokio::time::timeout(GATEWAY_PROBE_TIMEOUT, exchange).await {
             Ok(Ok(response)) => stated_result(&response),
             Ok(Err(_)) | Err(_) => None,
         };
         match result {
-            Some(result) => self.observe_gateway_result(&gateway.host, result),
-            None => self.observe_gateway_break(&gateway.host),
+            Some(result) => self.observe_gateway_result(&link.gateway.host, result),
+            None => self.observe_gateway_break(&link.gateway.host),
         }
         result
     }
@@ -314,17 +241,7 @@
     GatewayResult::from_name(name)
 }
 
-/// Starts HTTP on a connection.
-///
-/// # Errors
-///
-/// If the connection is closed.
-pub(super) async fn handshake(stream: TcpStream) -> hyper::Result<SendRequest<Full<Bytes>>> {
-    let (sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
-    tokio::spawn(async move {
-        if let Err(error) = connection.await {
-            log::debug!("connection to target failed: {error}");
-        }
-    });
-    Ok(sender)
+async fn connect(source: IpAddr, address: SocketAddr) -> io::Result<SendRequest<Full<Bytes>>> {
+    let stream = socket::connect_from(source, address, GATEWAY_CONNECT_TIMEOUT).await?;
+    handshake(stream).await.map_err(io::Error::other)
 }
--- a/src/forward/gateway_server.rs
+++ b/src/forward/gateway_server.rs
@@ -25,12 +25,12 @@
 use tokio::task::JoinHandle;
 
 use super::exchange::InFlightRequest;
-use super::gateway_link::handshake;
 use super::head::{forwarded, number_value};
 use super::notices::ObservedResponse;
 use super::response::{ResponseBody, whole_body};
 use super::socket;
 use super::tables::ServingTables;
+use super::target_link::handshake;
 use crate::gateway::{GatewayResult, PROBE_HEADER, RESULT_HEADER, TARGET_HEADER};
 use crate::ids::TargetId;
 use crate::platform::target_notice::parse_notice;
@@ -180,11 +180,16 @@
             Ok(response) => response,
             Err(result) => {
                 self.tables.metrics.gateway_served(result.name());
-                if result != GatewayResult::Reachable {
-                    log::info!(
+                match result {
+                    GatewayResult::Reachable => {}
+                    GatewayResult::Broken => log::info!(
+                        request:% = id, from:% = source;
+                        "request passed on without a response"
+                    ),
+                    _ => log::info!(
                         request:% = id, from:% = source, result:% = result.name();
                         "request not passed on"
-                    );
+                    ),
                 }
                 result_response(result)
             }
--- a/src/forward/probe.rs
+++ b/src/forward/probe.rs
@@ -7,9 +7,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper_util::rt::TokioIo;
 
-use super::gateway_link::mark_target;
 use crate::fleet::EngineReport;
 use crate::forward::ServingTables;
 use crate::ids::TargetId;
@@ -46,40 +44,22 @@
     tables: &Arc<ServingTables>,
     target: &TargetId,
     address: SocketAddr,
-    mut request: Request<Full<Bytes>>,
+    request: Request<Full<Bytes>>,
     limit: Duration,
 ) -> Result<TargetReply, String> {
     let call = async {
         let link = tables.open_link(target, address, limit).await;
         let link = link.map_err(|error| error.to_string())?;
-        if link.gateway.is_some() {
-            mark_target(request.headers_mut(), target);
-        }
-        let connected = hyper::client::conn::http1::handshake(TokioIo::new(link.stream)).await;
-        let (mut sender, connection) = connected.map_err(|error| error.to_string())?;
-        let exchange = async {
-            let response = sender.send_request(request).await;
-            let response = response.map_err(|error| error.to_string())?;
-            if let Some(gateway) = &link.gateway {
-                tables.observe_gateway(&gateway.host, &response)?;
-            }
-            let (head, body) = response.into_parts();
-            let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
-            let body = body.map_err(|error| error.to_string())?;
-            Ok(TargetReply {
-                status: head.status,
-                headers: head.headers,
-                body: body.to_bytes(),
-            })
-        };
-        tokio::pin!(exchange);
-        tokio::select! {
-            result = &mut exchange => result,
-            ended = connection => match ended {
-                Ok(()) => exchange.await,
-                Err(error) => Err(error.to_string()),
-            },
-        }
+        let response = link.send(tables, target, request, |_| ()).await;
+        let response = response.map_err(|error| error.to_string())?;
+        let (head, body) = response.response.into_parts();
+        let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
+        let body = body.map_err(|error| error.to_string())?;
+        Ok(TargetReply {
+            status: head.status,
+            headers: head.headers,
+            body: body.to_bytes(),
+        })
     };
     match tokio::time::timeout(limit, call).await {
         Ok(result) => result,
--- a/src/forward/watch.rs
+++ b/src/forward/watch.rs
@@ -7,7 +7,7 @@
 use http::Response;
 use hyper::body::Incoming;
 
-use super::attempt::{self, AttemptFailure, AttemptResponse, FailureCause};
+use super::attempt::{self, AttemptFailure, FailureCause};
 use super::choice::ChosenTarget;
 use super::closed::is_closed;
 use super::exchange::Exchange;
@@ -15,6 +15,7 @@
 use super::liveness::LivenessGuard;
 use super::probe::fetch_report;
 use super::tables::InFlightGuard;
+use super::target_link::TargetResponse;
 use crate::fleet::{EnginePath, PathHop};
 use crate::ids::TargetId;
 use crate::poison::RunStart;
@@ -151,7 +152,7 @@
         )
         .await;
         match self.await_head(sent?, limit).await {
-            Ok(AttemptResponse { response, gateway }) => {
+            Ok(TargetResponse { response, gateway }) => {
                 self.gateway = gateway;
                 Ok(response)
             }
@@ -168,9 +169,9 @@
         &mut self,
         head: F,
         limit: Instant,
-    ) -> Result<AttemptResponse, AttemptFailure>
+    ) -> Result<TargetResponse, AttemptFailure>
     where
-        F: Future<Output = Result<AttemptResponse, AttemptFailure>>,
+        F: Future<Output = Result<TargetResponse, AttemptFailure>>,
     {
         let timed_out = AttemptFailure::new(RunVerdict::MayHaveRun, FailureCause::Timeout);
         tokio::pin!(head);
--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -77,6 +77,14 @@
         Self::ALL.into_iter().find(|result| result.name() == name)
     }
 
+    /// Returns whether the result is about the target, so that another gateway is not asked.
+    pub fn is_about_target(self) -> bool {
+        matches!(
+            self,
+            Self::Refused | Self::Unreachable | Self::Unavailable | Self::Broken
+        )
+    }
+
     /// Returns for how long to avoid a gateway with this result; `None` if the result is no
     /// reason to.
     pub(super) fn avoidance(self) -> Option<Duration> {
--- a/tests/forwarding/gateway.rs
+++ b/tests/forwarding/gateway.rs
@@ -5,8 +5,9 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-use jackdawwick::forward::{GatewayHandle, GatewayPeers, serve_gateway};
+use jackdawwick::forward::{GatewayHandle, GatewayPeers, fetch_report, serve_gateway};
 use jackdawwick::gateway::GatewayCandidate;
+use jackdawwick::ids::TargetId;
 use proptest::prelude::*;
 use proptest::test_runner::{RngSeed, TestRunner};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -46,6 +47,34 @@
     }
 }
 
+/// Returns what a gateway states in place of a target's response.
+fn stated(result: &str) -> Step {
+    let status = match result {
+        "reachable" => "204 No Content",
+        _ => "503 Service Unavailable",
+    };
+    Step::Write(format!(
+        "HTTP/1.1 {status}\r\njackdawwick-gateway-result: {result}\r\ncontent-length: 0\r\n\r\n"
+    ))
+}
+
+/// Opens a gateway that takes itself for sound when it is asked, and responds to requests
+/// with these steps.
+async fn misjudging_gateway<F>(steps: F) -> StubTarget
+where
+    F: Fn() -> Vec<Step> + Send + Sync + 'static,
+{
+    StubTarget::spawn(move |seen| match is_probe(seen) {
+        true => vec![stated("reachable")],
+        false => steps(),
+    })
+    .await
+}
+
+fn is_probe(seen: &SeenRequest) -> bool {
+    seen.header("jackdawwick-gateway-probe").is_some()
+}
+
 /// Returns an address at which connections are refused.
 async fn closed_address() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
@@ -220,13 +249,7 @@
 async fn an_unsafe_request_whose_gateway_breaks_is_sent_nowhere_else() {
     let target = healthy_target().await;
     let sound = TestGateway::open();
-    let is_probe = |seen: &SeenRequest| seen.header("jackdawwick-gateway-probe").is_some();
-    let reachable = "HTTP/1.1 204 No Content\r\njackdawwick-gateway-result: reachable\r\n\r\n";
-    let broken = StubTarget::spawn(move |seen| match is_probe(seen) {
-        true => vec![Step::Write(reachable.to_owned())],
-        false => vec![Step::Reset],
-    });
-    let broken = broken.await;
+    let broken = misjudging_gateway(|| vec![Step::Reset]).await;
     let (host, _) = host_with_addresses(vec![broken.address, sound.handle.address]);
     add_blocked(&host, &[&sound], "i-1", &target).await;
     let unsafe_call = host.call("GET", "/unsafe/a", "").await;
@@ -241,20 +264,7 @@
     const DELAY: Duration = Duration::from_millis(900);
     let target = healthy_target().await;
     let sound = TestGateway::open();
-    let slow = StubTarget::spawn(|seen| {
-        let is_probe = seen.header("jackdawwick-gateway-probe").is_some();
-        let (status, result) = match is_probe {
-            true => ("204 No Content", "reachable"),
-            false => ("503 Service Unavailable", "isolated"),
-        };
-        let text = format!(
-            "HTTP/1.1 {status}\r\njackdawwick-gateway-result: {result}\r\n\
-             content-length: 0\r\n\r\n"
-        );
-        let delay = if is_probe { Duration::ZERO } else { DELAY };
-        vec![Step::Wait(delay), Step::Write(text)]
-    });
-    let slow = slow.await;
+    let slow = misjudging_gateway(|| vec![Step::Wait(DELAY), stated("isolated")]).await;
     let (host, _) = host_with_addresses(vec![slow.address, sound.handle.address]);
     add_blocked(&host, &[&sound], "i-1", &target).await;
     let served = host.call("GET", "/unsafe/a", "").await;
@@ -265,6 +275,58 @@
     assert!(left.is_some_and(|left| left <= 3000 - 900), "{left:?}");
 }
 
+/// Guards against a sound engine that counts as silent because one gateway was cut off.
+#[tokio::test]
+async fn a_report_that_one_gateway_does_not_pass_on_is_requested_through_the_next() {
+    let target = StubTarget::spawn(|_| vec![crate::json(REPORT_BODY)]).await;
+    let sound = TestGateway::open();
+    let cut_off = misjudging_gateway(|| vec![stated("isolated")]).await;
+    let (host, _) = host_with_addresses(vec![cut_off.address, sound.handle.address]);
+    let (id, closed) = (TargetId::from("i-1"), closed_address().await);
+    host.add_engine(&id, closed, 0, 80);
+    sound.host.add_engine(&id, target.address, 0, 80);
+    let was_asked = || cut_off.seen().iter().any(|seen| !is_probe(seen));
+    let until = Instant::now() + Duration::from_secs(5);
+    let report = loop {
+        let report = fetch_report(&host.tables, &id, closed, Instant::now()).await;
+        if was_asked() {
+            break report;
+        }
+        assert!(Instant::now() < until, "no gateway is used");
+        // A result is shared for 150 ms; meanwhile the gateways are asked about the target.
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    };
+    assert!(report.is_ok());
+}
+
+/// Guards against requests that pass from one host to the next.
+#[tokio::test]
+async fn a_gateway_uses_no_gateway_itself() {
+    let target = healthy_target().await;
+    let (first, second) = (TestGateway::open(), TestGateway::open());
+    let address = second.handle.address;
+    first.host.tables.set_gateway_peers(GatewayPeers {
+        source: LOCALHOST,
+        candidates: Arc::new(move |_| {
+            vec![GatewayCandidate {
+                host: "second".into(),
+                zone: "z".into(),
+                address,
+            }]
+        }),
+        introduce: Arc::new(|_| {}),
+    });
+    let (host, _) = host_with(&[&first]);
+    host.add_plain("i-1", closed_address().await);
+    first.host.add_plain("i-1", closed_address().await);
+    second.host.add_plain("i-1", target.address);
+    // The gateway itself serves its callers through the second one.
+    assert_eq!(first.host.call("GET", "/unsafe/a", "").await.status(), 200);
+    let refused = host.call("GET", "/unsafe/b", "").await;
+    assert_eq!(refused.status(), 503, "{}", refused.text);
+    assert_eq!(target.seen().len(), 1);
+}
+
 /// Guards against a host without help that says of a request that it may have run.
 #[tokio::test]
 async fn a_request_that_no_host_can_pass_on_is_refused_as_not_run() {
