Let other hosts tell a silent engine from a link that drops packets

A stream could be cut, or taken from a sound engine, at a host that had lost its link to that engine alone: packets are dropped, so the engine gives no report and takes no connection, which refuses nothing either, and it was held silent and ejected. Found by reading.

Cause: without a report only a refused connection made the host ask others; a dropped packet did not.

Change: when an engine gives no report, other hosts are asked while this one tries to connect; if one reaches the engine, the stream is resumed through a gateway. What others say is waited for 100 ms at most, asked for 0.9 s at most, and applied when it comes (ServingTables::start_asking).

--- a/src/forward/gateway_link.rs
+++ b/src/forward/gateway_link.rs
@@ -12,6 +12,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
+use tokio::task::JoinHandle;
 
 use super::socket;
 use super::tables::ServingTables;
@@ -28,6 +29,13 @@
 /// Largest number of gateways that are asked whether they reach a target.
 const MAX_WITNESSES: usize = 3;
 
+/// Longest time for which a request waits for what other hosts say about a target. Link
+/// delays are below a millisecond, and a host that has used up its CPU quota resumes
+/// within 100 ms.
+const WITNESS_WAIT: Duration = Duration::from_millis(100);
+/// Longest time for asking other hosts about a target.
+const MAX_ASKING_TIME: Duration = Duration::from_millis(900);
+
 /// The other hosts as far as gateways are concerned.
 pub struct GatewayPeers {
     /// Address from which this host connects to gateways, and by which they know it.
@@ -155,16 +163,37 @@
         self.gateways.lock().observe_failure(gateway, now);
     }
 
-    /// Asks other hosts whether they reach a target to which this host could not connect.
-    /// If one does, the target counts as blocked for this host, and not as ejected.
+    /// Asks other hosts whether they reach a target to which this host could not connect,
+    /// and waits for the answer for [`WITNESS_WAIT`]. If one does, the target counts as
+    /// blocked for this host, and not as ejected.
     pub(super) async fn ask_peers(self: &Arc<Self>, target: &TargetId) -> PeerWitness {
+        let asking = self.start_asking(target);
+        match tokio::time::timeout(WITNESS_WAIT, asking).await {
+            Ok(Ok(witness)) => witness,
+            Ok(Err(error)) => {
+                log::error!("asking other hosts about a target failed: {error}");
+                PeerWitness::Unknown
+            }
+            Err(_) => PeerWitness::Unknown,
+        }
+    }
+
+    /// Asks like [`Self::ask_peers`], in the background: the answer is applied when it comes.
+    pub(super) fn start_asking(self: &Arc<Self>, target: &TargetId) -> JoinHandle<PeerWitness> {
+        let (tables, target) = (self.clone(), target.clone());
         let since = Instant::now();
+        tokio::spawn(async move { tables.ask_once(&target, since).await })
+    }
+
+    async fn ask_once(self: &Arc<Self>, target: &TargetId, since: Instant) -> PeerWitness {
         let cell = self.witness_cell(target);
         let mut last = cell.lock().await;
         match *last {
             Some((at, witness)) if at >= since => witness,
             _ => {
-                let witness = self.ask_gateways(target).await;
+                let asking = self.ask_gateways(target);
+                let asked = tokio::time::timeout(MAX_ASKING_TIME, asking).await;
+                let witness = asked.unwrap_or(PeerWitness::Unknown);
                 *last = Some((Instant::now(), witness));
                 witness
             }
@@ -178,18 +207,15 @@
                 return PeerWitness::Unknown;
             };
             let result = self.probe_gateway(link, target).await;
-            let witness = match result {
+            return match result {
                 Some(GatewayResult::Reachable) => {
                     self.block(target, tried.last());
                     PeerWitness::Reaches
                 }
                 Some(GatewayResult::Refused) => PeerWitness::FindsClosed,
-                Some(GatewayResult::Unreachable | GatewayResult::Unavailable) => {
-                    PeerWitness::CannotReach
-                }
+                Some(GatewayResult::Unreachable) => PeerWitness::CannotReach,
                 _ => continue,
             };
-            return witness;
         }
         PeerWitness::Unknown
     }
--- a/src/forward/watch.rs
+++ b/src/forward/watch.rs
@@ -278,10 +278,7 @@
         let id = &self.chosen.id;
         let tables = &self.exchange.tables;
         let failed = match fetch_report(tables, id, self.chosen.address, now).await {
-            // The port is closed and this request's connection is open: the engine is
-            // shutting down and completes the request.
-            Err(()) if is_closed(tables, id, self.chosen.address, now).await => None,
-            Err(()) => Some(id.clone()),
+            Err(()) => self.find_silent_target(now).await,
             Ok(report) => {
                 let own = &self.exchange.outgoing.id;
                 let mut stalled = report.stalled.iter();
@@ -302,6 +299,19 @@
         }
     }
 
+    /// Returns the first engine, which gives no report, if it is at fault.
+    async fn find_silent_target(&self, now: Instant) -> Option<TargetId> {
+        let (id, tables) = (&self.chosen.id, &self.exchange.tables);
+        tables.start_asking(id);
+        if is_closed(tables, id, self.chosen.address, now).await {
+            // This request's connection is open: the engine is shutting down and completes
+            // the request.
+            return None;
+        }
+        let is_sound = self.has_lost_link() && tables.ask_peers(id).await == PeerWitness::Reaches;
+        (!is_sound).then(|| id.clone())
+    }
+
     /// Requests the pace of the engines of the path.
     ///
     /// One slow engine in the middle stalls all requests that pass it, while the first
--- a/tests/forwarding/gateway.rs
+++ b/tests/forwarding/gateway.rs
@@ -386,18 +386,37 @@
 /// sound, reached by others and the only one.
 #[tokio::test]
 async fn a_silent_stream_over_a_lost_link_continues_at_the_same_target() {
-    let target = StubTarget::spawn(move |seen| {
+    let target = stream_with_a_silent_connection().await;
+    let link = break_after_one_connection(target.address).await;
+    check_stream_continues(&target, link).await;
+}
+
+/// Guards against the same where new connections are not refused but hang.
+#[tokio::test]
+async fn a_stream_whose_link_drops_packets_continues_at_the_same_target() {
+    let target = stream_with_a_silent_connection().await;
+    let link = drop_packets_after_one_connection(target.address).await;
+    check_stream_continues(&target, link).await;
+}
+
+/// Spawns an engine whose stream falls silent after one event on its first connection.
+async fn stream_with_a_silent_connection() -> StubTarget {
+    StubTarget::spawn(|seen| {
         let id = seen.id();
         match seen.header("last-event-id") {
             _ if seen.head.starts_with(crate::REPORT) => vec![crate::json(REPORT_BODY)],
             None => vec![stream_head(id), event(1), Step::Hold],
             Some(_) => vec![stream_head(id), event(2), last_chunk()],
         }
-    });
-    let target = target.await;
+    })
+    .await
+}
+
+/// Checks that a stream at a host that reaches its only engine at `link` continues there
+/// through a gateway.
+async fn check_stream_continues(target: &StubTarget, link: SocketAddr) {
     let gateway = TestGateway::open();
     let (host, _) = host_with(&[&gateway]);
-    let link = break_after_one_connection(target.address).await;
     host.add_engine("i-1", link, 0, 80);
     gateway.host.add_engine("i-1", target.address, 0, 80);
     let served = host.call("POST", "/stream/a", "").await;
@@ -405,6 +424,25 @@
     assert!(served.is_whole_stream());
 }
 
+/// Returns an address that leads to a target for one connection, and at which no further
+/// one is established.
+async fn drop_packets_after_one_connection(target: SocketAddr) -> SocketAddr {
+    const RETURN_CONSTANT: u16 = 0x06;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        let Ok((mut host, _)) = listener.accept().await else {
+            return;
+        };
+        let socket = socket2::SockRef::from(&listener);
+        let drop_all = socket2::SockFilter::new(RETURN_CONSTANT, 0, 0, 0);
+        socket.attach_filter(&[drop_all]).expect("a filter");
+        let mut target = TcpStream::connect(target).await.expect("the target");
+        let _ = tokio::io::copy_bidirectional(&mut host, &mut target).await;
+    });
+    address
+}
+
 /// Guards against a stream that is given up for silence though it may not be sent again.
 #[tokio::test]
 async fn a_stream_that_may_not_be_resumed_waits_on_its_link() {
