Do not let requests wait for other hosts while a target is left to try

Found by reading; the aim is that no request is slower than without gateways.

Cause: open_link asked before it reported the failure.

--- a/src/forward/attempt_policy.rs
+++ b/src/forward/attempt_policy.rs
@@ -3,12 +3,14 @@
 
 use std::time::{Duration, Instant};
 
+use futures::future::join_all;
 use http::Response;
 use hyper::body::Incoming;
 
 use super::attempt::{AttemptFailure, FailureCause};
 use super::choice::{self, ChoiceQuery, ChosenTarget};
 use super::exchange::{Exchange, NO_ROUTE_RETRY, TriedTargets};
+use super::gateway_link::PeerWitness;
 use super::lateness::ResponseLateness;
 use super::response::{Refusal, ResponseBody};
 use super::stream_times::StreamTimes;
@@ -192,6 +194,32 @@
         tried.avoid.iter().chain(lost).cloned().collect()
     }
 
+    /// Selects the target or path of the next attempt like [`Self::choose_permitted`]. If
+    /// none is left, asks other hosts about the targets to which this host could not
+    /// connect.
+    pub(super) async fn choose_reachable(
+        &self,
+        tried: &TriedTargets,
+        started: bool,
+    ) -> Result<(ChosenTarget, InFlightGuard), Refusal> {
+        loop {
+            match self.choose_permitted(tried, started).await {
+                Err(_) if self.finds_lost_link(tried).await => {}
+                chosen => return chosen,
+            }
+        }
+    }
+
+    /// Returns whether another host reaches one of the targets to which this host could not
+    /// connect, so that the request may be sent there through it.
+    async fn finds_lost_link(&self, tried: &TriedTargets) -> bool {
+        let lost = tried.unconnected.iter();
+        let lost = lost.filter(|id| self.tables.way(id) == TargetWay::Direct);
+        let asked = lost.map(|id| self.tables.ask_peers(id));
+        let witnesses = join_all(asked).await;
+        witnesses.contains(&PeerWitness::Reaches) && Instant::now() < self.deadline
+    }
+
     /// Records a failed attempt, and the target that the next one avoids.
     pub(super) fn record_failure(
         &self,
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -224,7 +224,7 @@
     let mut failed_response = None;
     loop {
         let started = Instant::now();
-        let (chosen, guard) = match exchange.choose_permitted(&tried, false).await {
+        let (chosen, guard) = match exchange.choose_reachable(&tried, false).await {
             Ok(chosen) => chosen,
             // No other target is left: the response of the target that failed is
             // returned.
--- a/src/forward/liveness.rs
+++ b/src/forward/liveness.rs
@@ -158,7 +158,7 @@
 
 /// Connects to an engine. Returns `None` if its process has ended or cannot be reached.
 async fn connect(
-    tables: &ServingTables,
+    tables: &Arc<ServingTables>,
     target: &TargetId,
     address: SocketAddr,
 ) -> Option<TcpStream> {
@@ -167,7 +167,11 @@
         match connected.await {
             Ok(stream) => return Some(stream),
             Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => return None,
-            Err(error) => log::debug!("cannot connect to engine {address}: {error}"),
+            Err(error) => {
+                log::debug!("cannot connect to engine {address}: {error}");
+                // Other hosts may need as long to find out.
+                tables.start_asking(target);
+            }
         }
     }
     None
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -184,7 +184,7 @@
             if !allowed {
                 return Err(self.cut(reason));
             }
-            let (chosen, guard) = match exchange.choose_permitted(&self.tried, true).await {
+            let (chosen, guard) = match exchange.choose_reachable(&self.tried, true).await {
                 Ok(chosen) => chosen,
                 Err(refusal) => return Err(self.cut(refusal.reason.name())),
             };
--- a/src/forward/target_link.rs
+++ b/src/forward/target_link.rs
@@ -76,24 +76,16 @@
             Ok(stream) => return TargetLink::direct(stream).await,
             Err(error) => error,
         };
-        match error.kind() {
-            // This failure was the last evidence that was missing.
-            _ if self.way(target) == TargetWay::Gateway => {}
-            // Another target may be tried before other hosts have failed to connect too.
-            io::ErrorKind::TimedOut => {
-                let (tables, target) = (self.clone(), target.clone());
-                tokio::spawn(async move { tables.ask_peers(&target).await });
-            }
-            _ => {
-                self.ask_peers(target).await;
-            }
-        }
         match self.way(target) {
             TargetWay::Gateway => {
                 let link = self.open_gateway(&mut Vec::new()).await;
                 link.map(TargetLink::from).ok_or(error)
             }
-            TargetWay::Direct => Err(error),
+            TargetWay::Direct => {
+                // The request may try another target meanwhile.
+                self.start_asking(target);
+                Err(error)
+            }
         }
     }
 }
--- a/tests/forwarding/gateway.rs
+++ b/tests/forwarding/gateway.rs
@@ -299,6 +299,26 @@
     assert!(report.is_ok());
 }
 
+/// Guards against requests that wait for frozen hosts when a target is down.
+#[tokio::test]
+async fn a_request_at_a_target_that_is_down_does_not_wait_for_other_hosts() {
+    let target = healthy_target().await;
+    let mut gateways = Vec::new();
+    for _ in 0..4 {
+        gateways.push(StubTarget::spawn(|_| vec![Step::Hold]).await);
+    }
+    let addresses = gateways.iter().map(|gateway| gateway.address);
+    let (host, _) = host_with_addresses(addresses.collect());
+    host.add_plain("i-1", closed_address().await);
+    host.add_plain("i-2", target.address);
+    for _ in 0..8 {
+        let call = host.call("GET", "/unsafe/a", "");
+        let served = tokio::time::timeout(Duration::from_millis(300), call).await;
+        assert_eq!(served.expect("the request does not wait").status(), 200);
+        host.tables.fleet.lock().readmit("i-1");
+    }
+}
+
 /// Guards against requests that pass from one host to the next.
 #[tokio::test]
 async fn a_gateway_uses_no_gateway_itself() {
