Play some, most and all hosts of a zone without links, beside faulty targets

Cause: over processes only four of six hosts lost their links, each in a zone of its own, and all targets were sound; in memory, parts of a zone came up by chance.

Change: run_partition takes a plan: one host, most, or all hosts of a zone, which share their links then and pass the log on to each other (LinkScope in place of the flag separate_links); beside it a plain target and an engine crash and another engine falls silent for a second. In the harness only.

--- a/standins/src/bin/soak.rs
+++ b/standins/src/bin/soak.rs
@@ -7,7 +7,7 @@
 
 use clap::{Arg, ArgAction, Command, value_parser};
 use standins::command_line::{count, number, number_arg};
-use standins::soak::{CallOutcome, SoakReport, SoakSettings, run_soak};
+use standins::soak::{CallOutcome, LinkScope, SoakReport, SoakSettings, run_soak};
 
 fn main() -> std::io::Result<ExitCode> {
     let matches = Command::new("soak")
@@ -65,7 +65,10 @@
             callers: count(&matches, "callers"),
             program: path("program"),
             folder: folder.clone(),
-            separate_links: matches.get_flag("separate-links"),
+            links: match matches.get_flag("separate-links") {
+                true => LinkScope::Host,
+                false => LinkScope::Fleet,
+            },
             timed: !matches.get_flag("untimed"),
         }))?;
         writeln!(std::io::stdout(), "{}", line(seed, &report))?;
--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -43,8 +43,8 @@
 pub use host_link::LinkLoss;
 pub use limit::{LimitReport, run_rate_limit};
 pub use link::{FaultLink, LinkFault};
-pub use partition::{PartitionReport, ServedShare, run_partition};
+pub use partition::{IsolatedHosts, PartitionPlan, PartitionReport, ServedShare, run_partition};
 pub use plan::{FaultAction, PlannedFault, draw_faults, draw_statements};
 pub use poison::{PoisonReport, run_poison_request};
-pub use run::{SoakReport, SoakSettings, run_soak};
+pub use run::{LinkScope, SoakReport, SoakSettings, run_soak};
 pub use statement::{StatementReport, run_leaving_statement, run_requested_pause};
--- a/standins/src/soak/partition.rs
+++ b/standins/src/soak/partition.rs
@@ -11,7 +11,9 @@
 use super::check::{Violation, find_violations};
 use super::history::{CallKind, CallOutcome, CallRecord};
 use super::host_link::LinkLoss;
-use super::run::{SoakRun, SoakSettings};
+use super::link::LinkFault;
+use super::run::{LinkScope, SoakRun, SoakSettings};
+use super::target::Target;
 
 /// Pause of a caller between two calls.
 const CALL_PAUSE: Duration = Duration::from_millis(60);
@@ -22,8 +24,12 @@
 /// How long callers are observed after that time, and after the links are back.
 const OBSERVATION_TIME: Duration = Duration::from_secs(6);
 const RETURN_TIME: Duration = Duration::from_secs(4);
-/// Hosts that keep their links.
+/// Hosts that keep their links when most lose them.
 const CONNECTED_HOSTS: usize = 2;
+/// A plain target and an engine that crash, and an engine that falls silent, by index among
+/// three plain targets and six engines.
+const CRASHED_TARGETS: [usize; 2] = [1, 4];
+const SILENT_TARGET: usize = 5;
 
 /// Calls of some hosts in one period. No call is repeated by its caller.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -59,29 +65,69 @@
     pub after: ServedShare,
 }
 
-/// Lets all hosts but two lose their links to all targets for a while.
+/// Hosts that lose their links.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum IsolatedHosts {
+    /// One host.
+    One,
+    /// All hosts but two.
+    Most,
+    /// All hosts of one availability zone of two.
+    Zone,
+}
+
+/// What happens in a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PartitionPlan {
+    /// How the links are lost.
+    pub loss: LinkLoss,
+    /// By which hosts.
+    pub hosts: IsolatedHosts,
+    /// Whether a plain target and an engine crash at the same moment, and another engine
+    /// falls silent for a second later.
+    pub faulty_targets: bool,
+}
+
+/// Lets hosts lose their links to all targets for a while.
 ///
 /// # Errors
 ///
 /// If processes or sockets cannot be set up.
-pub async fn run_partition(settings: SoakSettings, loss: LinkLoss) -> io::Result<PartitionReport> {
-    let run = SoakRun::open_served(SoakSettings {
-        separate_links: true,
-        ..settings
-    })
-    .await?;
-    let isolated = run.hosts.len().saturating_sub(CONNECTED_HOSTS);
+pub async fn run_partition(
+    settings: SoakSettings,
+    plan: PartitionPlan,
+) -> io::Result<PartitionReport> {
+    let links = match plan.hosts {
+        IsolatedHosts::One | IsolatedHosts::Most => LinkScope::Host,
+        IsolatedHosts::Zone => LinkScope::Zone,
+    };
+    let run = SoakRun::open_served(SoakSettings { links, ..settings }).await?;
+    let hosts = run.hosts.len();
+    let is_isolated = |host: usize| match plan.hosts {
+        IsolatedHosts::One => host == 0,
+        IsolatedHosts::Most => host < hosts.saturating_sub(CONNECTED_HOSTS),
+        IsolatedHosts::Zone => host.is_multiple_of(2),
+    };
     let callers = spawn_callers(&run);
     tokio::time::sleep(CALM_TIME).await;
     let set = |loss| {
-        for host in &run.hosts[..isolated] {
-            host.host.target_links.send_replace(loss);
+        for (index, host) in run.hosts.iter().enumerate() {
+            if is_isolated(index) {
+                host.host.target_links.send_replace(loss);
+            }
         }
     };
-    set(Some(loss));
+    set(Some(plan.loss));
+    if plan.faulty_targets {
+        run.targets[CRASHED_TARGETS[0]].crash();
+        run.targets[CRASHED_TARGETS[1]].crash();
+    }
     tokio::time::sleep(ADAPTATION_TIME).await;
     let observed = Instant::now();
-    tokio::time::sleep(OBSERVATION_TIME).await;
+    if plan.faulty_targets {
+        silence(&run.targets[SILENT_TARGET]).await;
+    }
+    tokio::time::sleep(OBSERVATION_TIME.saturating_sub(observed.elapsed())).await;
     let back = Instant::now();
     set(None);
     tokio::time::sleep(RETURN_TIME).await;
@@ -92,8 +138,8 @@
         served_share(own.filter(|call| sent.contains(&call.sent)))
     };
     let shares = (
-        count(&|host| host < isolated, observed..back),
-        count(&|host| host >= isolated, observed..back),
+        count(&is_isolated, observed..back),
+        count(&|host| !is_isolated(host), observed..back),
         count(&|_| true, back..ended),
     );
     let mut history = std::mem::take(&mut *run.context.history.lock());
@@ -108,6 +154,14 @@
     })
 }
 
+/// Lets a target fall silent for a second and go on.
+async fn silence(target: &Target) {
+    const SILENCE: Duration = Duration::from_secs(1);
+    target.link.set(LinkFault::Blackhole);
+    tokio::time::sleep(SILENCE).await;
+    target.link.set(LinkFault::None);
+}
+
 fn spawn_callers(run: &SoakRun) -> Vec<JoinHandle<Vec<CallRecord>>> {
     let kinds = [
         CallKind::Idempotent,
--- a/standins/src/soak/run.rs
+++ b/standins/src/soak/run.rs
@@ -29,9 +29,23 @@
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(30);
 /// Interval of polling while waiting for a condition.
 pub(super) const POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Number of availability zones, unless each host has its own.
+const ZONES: usize = 2;
 /// Time that a stopping process may take beyond its grace period.
 pub(super) const STOP_SLACK: Duration = Duration::from_secs(1);
 
+/// Hosts that share their links to the targets, and lose them together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LinkScope {
+    /// All hosts; no host can lose them.
+    Fleet,
+    /// The hosts of an availability zone.
+    Zone,
+    /// Each host has links and an availability zone of its own: hosts of a zone pass the
+    /// addresses of targets on to each other.
+    Host,
+}
+
 /// Settings of a run.
 #[derive(Debug, Clone)]
 pub struct SoakSettings {
@@ -49,8 +63,8 @@
     pub folder: PathBuf,
     /// Whether guarantees with a time bound are checked.
     pub timed: bool,
-    /// Whether each host has an availability zone and links to the targets of its own.
-    pub separate_links: bool,
+    /// Which hosts share their links to the targets.
+    pub links: LinkScope,
 }
 
 /// Result of a run.
@@ -127,7 +141,7 @@
     let (hosts, targets) = (run.hosts.len(), run.targets.len());
     let mut faults = draw_faults(seed, length, hosts, targets);
     faults.extend(draw_statements(seed, length, targets));
-    if run.settings.separate_links {
+    if run.settings.links != LinkScope::Fleet {
         faults.extend(draw_link_losses(seed, length, hosts));
     }
     faults.sort_by_key(|fault| fault.at);
@@ -157,10 +171,14 @@
 
 /// Returns the address at which a host reaches the targets.
 fn target_ip(settings: &SoakSettings, index: usize) -> IpAddr {
-    match (settings.separate_links, u8::try_from(index + 1)) {
-        (true, Ok(number)) => IpAddr::from([127, 0, 3, number]),
-        _ => TARGET_IP,
-    }
+    let scope = match settings.links {
+        LinkScope::Fleet => return TARGET_IP,
+        LinkScope::Zone => index % ZONES,
+        LinkScope::Host => index,
+    };
+    // More hosts than one byte counts would share links.
+    let number = u8::try_from(scope + 1).unwrap_or(u8::MAX);
+    IpAddr::from([127, 0, 3, number])
 }
 
 /// Returns a port that is free at the moment.
@@ -170,7 +188,7 @@
 }
 
 fn zone_name(index: usize) -> String {
-    format!("zone-{}", index % 2)
+    format!("zone-{}", index % ZONES)
 }
 
 /// Returns three plain targets, and three engines in each zone.
@@ -208,9 +226,9 @@
         let mut logs = Vec::new();
         let mut hosts = Vec::new();
         for index in 0..settings.hosts {
-            let zone = match settings.separate_links {
-                true => format!("zone-{index}"),
-                false => zone_name(index),
+            let zone = match settings.links {
+                LinkScope::Host => format!("zone-{index}"),
+                LinkScope::Fleet | LinkScope::Zone => zone_name(index),
             };
             let log = serve_log(
                 topics.clone(),
@@ -268,11 +286,14 @@
         let id = format!("target-{}", self.started_targets);
         let target = Target::spawn(spec, id, self.registry.clone(), self.topics.clone());
         let mut target = target.await?;
-        for (index, run) in self.hosts.iter().enumerate() {
+        let scopes = match self.settings.links {
+            LinkScope::Fleet => 0,
+            LinkScope::Zone => ZONES.min(self.hosts.len()),
+            LinkScope::Host => self.hosts.len(),
+        };
+        for (index, run) in self.hosts[..scopes].iter().enumerate() {
             let ip = target_ip(&self.settings, index);
-            if ip != TARGET_IP {
-                target.open_host_link(ip, run.host.target_links.subscribe())?;
-            }
+            target.open_host_link(ip, run.host.target_links.subscribe())?;
         }
         Ok(target)
     }
--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -8,8 +8,8 @@
 use standins::check::AdvertisedLimit;
 use standins::soak::{
     AttemptRecord, CallKind, CallOutcome, CallRecord, Disturbance, DisturbanceScope, FaultLink,
-    LinkFault, ProbeRecord, RunRecord, SoakHistory, SoakSettings, TargetDeparture, TargetLimit,
-    Violation, draw_faults, draw_statements, find_violations, run_soak,
+    LinkFault, LinkScope, ProbeRecord, RunRecord, SoakHistory, SoakSettings, TargetDeparture,
+    TargetLimit, Violation, draw_faults, draw_statements, find_violations, run_soak,
 };
 use support::TestResult;
 use support::soaks::soak_settings;
@@ -355,7 +355,7 @@
         seed: 12,
         length: Duration::from_secs(6),
         callers: 8,
-        separate_links: true,
+        links: LinkScope::Host,
         ..settings
     })
     .await?;
--- a/standins/tests/support/soaks.rs
+++ b/standins/tests/support/soaks.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use standins::soak::SoakSettings;
+use standins::soak::{LinkScope, SoakSettings};
 use tempfile::TempDir;
 
 use super::{TestError, eventually};
@@ -23,7 +23,7 @@
         program,
         folder: folder.path().to_owned(),
         timed: false,
-        separate_links: false,
+        links: LinkScope::Fleet,
     };
     Ok((settings, folder))
 }
--- a/tests/gateway_model.rs
+++ b/tests/gateway_model.rs
@@ -382,6 +382,39 @@
     assert_eq!(failures(Strategy::Gateways), []);
 }
 
+/// Guards against some, most or all hosts of a zone that serve nobody without links, beside
+/// a target that is down and one that is silent for a second.
+#[test]
+fn any_part_of_a_zone_serves_callers_beside_targets_that_are_down_or_silent() {
+    let hosts_of_zone = (0..HOSTS).step_by(ZONES).collect::<Vec<_>>();
+    for part in 1..=hosts_of_zone.len() {
+        for state in [LinkState::Refuses, LinkState::Silent] {
+            let cut = &hosts_of_zone[..part];
+            let mut game = Game::new(Strategy::Gateways, 5, Instant::now());
+            game.play(Duration::from_secs(2), Duration::ZERO, |_| false);
+            game.cut(cut, state);
+            game.down.insert(1);
+            let is_cut = |host: usize| cut.contains(&host);
+            game.play(ADAPTATION, Duration::ZERO, is_cut);
+            let before = game.links.clone();
+            for links in &mut game.links {
+                links[2] = LinkState::Silent;
+            }
+            let (silent, others) = game.play(Duration::from_secs(1), Duration::ZERO, is_cut);
+            assert!(
+                keeps_rule(silent, others),
+                "{part} {state:?}: {silent:?}, {others:?}"
+            );
+            game.links = before;
+            let (isolated, others) = game.play(Duration::from_secs(6), Duration::ZERO, is_cut);
+            assert!(
+                keeps_rule(isolated, others),
+                "{part} {state:?}: {isolated:?}, {others:?}"
+            );
+        }
+    }
+}
+
 #[test]
 fn the_game_finds_hosts_that_keep_to_their_own_links() {
     assert!(failures(Strategy::OwnLinks).len() > 40);
