Choose the gateways' port in entry and not in the platform's folder

Cause: src/platform decides nothing, but parse_settings took the first internal port for the gateways.

Change: EntrySettings::internal_ports holds what the settings file says, and entry::gateway_peers takes the first one. Renamed: EntrySettings::gateway to internal_ports. A line 'no internal ports: no gateways' when there are none.

--- a/src/entry/gateway_peers.rs
+++ b/src/entry/gateway_peers.rs
@@ -4,14 +4,20 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use crate::entry::EntrySettings;
 use crate::entry::peer_exchange::{PeerState, call_peer};
 use crate::forward::{GatewayPeers, ServingTables, probe_targets, serve_gateway};
 use crate::gateway::GatewayCandidate;
 use crate::ids::HostId;
 
-/// Serves other hosts as a gateway on `address`, and uses those that do. All hosts listen
-/// on the same port.
-pub(super) fn spawn(tables: &Arc<ServingTables>, peers: &Arc<PeerState>, address: SocketAddr) {
+/// Serves other hosts as a gateway on the first internal port, which is the same on all
+/// hosts, and uses those that do. Does nothing without internal ports.
+pub(super) fn spawn(tables: &Arc<ServingTables>, peers: &Arc<PeerState>, settings: &EntrySettings) {
+    let Some(port) = settings.internal_ports.first() else {
+        log::info!("no internal ports: no gateways");
+        return;
+    };
+    let address = SocketAddr::new(settings.peers.ip(), *port);
     let members = peers.clone();
     let is_member = Arc::new(move |ip| members.is_member_ip(ip));
     match serve_gateway(tables.clone(), address, is_member) {
@@ -19,12 +25,12 @@
         // The host itself serves callers without it.
         Err(error) => log::warn!(address:% = address, error:% = error; "no gateway is served"),
     }
-    let known = peers.clone();
-    let unknowing = peers.clone();
+    let live = peers.clone();
+    let introducing = peers.clone();
     tables.set_gateway_peers(GatewayPeers {
         source: address.ip(),
-        candidates: Arc::new(move |now| candidates(&known, address.port(), now)),
-        introduce: Arc::new(move |host| introduce(&unknowing, host)),
+        candidates: Arc::new(move |now| candidates(&live, address.port(), now)),
+        introduce: Arc::new(move |host| introduce(&introducing, host)),
     });
     tokio::spawn(probe_targets(tables.clone()));
 }
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -137,9 +137,7 @@
     let (peer_state, handle) =
         peer_exchange::spawn(settings, settings.peers, tables.clone(), copy.clone())?;
     tables.set_permit_source(permit_source(peer_state.clone()));
-    if let Some(address) = settings.gateway {
-        gateway_peers::spawn(tables, &peer_state, address);
-    }
+    gateway_peers::spawn(tables, &peer_state, settings);
     tokio::spawn(follow_leader(
         tables.clone(),
         copy,
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -18,9 +18,9 @@
     pub readiness: SocketAddr,
     /// Address that other entry hosts connect to.
     pub peers: SocketAddr,
-    /// Address on which this host passes requests of other entry hosts on, and whose port is
-    /// the same on all hosts; `None` if no port is free for it.
-    pub gateway: Option<SocketAddr>,
+    /// First and last of the ports that entry hosts may use among themselves, the same on
+    /// all hosts; empty if there are none.
+    pub internal_ports: Vec<u16>,
     /// Addresses of some entry hosts, which may be outdated.
     pub seeds: Vec<SocketAddr>,
     /// Address of the log service.
--- a/src/platform/host_settings.rs
+++ b/src/platform/host_settings.rs
@@ -109,15 +109,13 @@
         let missing = || SettingsError::Parse(format!("listen.{name}: missing"));
         body.listen.get(name).copied().ok_or_else(missing)
     };
-    let peers = address("control")?;
-    let gateway_port = body.internal_ports.first().copied();
     Ok(EntrySettings {
         host: body.node.into(),
         zone: body.zone.into(),
         callers: address("front")?,
         readiness: address("ready")?,
-        peers,
-        gateway: gateway_port.map(|port| SocketAddr::new(peers.ip(), port)),
+        peers: address("control")?,
+        internal_ports: body.internal_ports,
         seeds: body.seeds,
         store: body.provider.address,
         is_first_start: body.bootstrap,
