--- a/src/forward/liveness.rs
+++ b/src/forward/liveness.rs
@@ -169,7 +169,7 @@
             Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => return None,
             Err(error) => {
                 log::debug!("cannot connect to engine {address}: {error}");
-                // Other hosts may need as long to find out.
+                // A gateway that gets no answer either needs as long as the next attempt.
                 tables.start_asking(target);
             }
         }
--- a/src/forward/tables.rs
+++ b/src/forward/tables.rs
@@ -62,7 +62,9 @@
     pub(super) reachability: Mutex<ReachabilityTable>,
     /// The gateways that this host has used.
     pub(super) gateways: Mutex<GatewayTable>,
+    /// The hosts that may serve as gateways; unset on a host that uses none.
     pub(super) gateway_peers: OnceLock<GatewayPeers>,
+    /// What other hosts last said about targets.
     witnesses: Mutex<FastMap<TargetId, WitnessCell>>,
     /// The limits that targets have named.
     pub limits: Mutex<LimitTable>,
--- a/tests/forwarding/gateway.rs
+++ b/tests/forwarding/gateway.rs
@@ -58,7 +58,7 @@
     ))
 }
 
-/// Opens a gateway that takes itself for sound when it is asked, and responds to requests
+/// Opens a gateway that says of every target that it reaches it, and responds to requests
 /// with these steps.
 async fn misjudging_gateway<F>(steps: F) -> StubTarget
 where
