Show which parts of prompts the requests on an ended engine had

Cause: lines named whole requests alone, so that it could not be seen whether requests on engines that ended share a part of their prompts, nor whether that part was survived elsewhere.

Change: platform::prompt_parts parses the header; routed and target ended under a request list the ids of the shared parts (parts). No change of logic.

--- a/src/forward/attempt_policy.rs
+++ b/src/forward/attempt_policy.rs
@@ -102,6 +102,7 @@
             path:% = path.map(order::path_value).unwrap_or_default(),
             cost_ms = path.map_or(0, |path| path.cost_ms as u64),
             tokens = chosen.size.tokens() as u64,
+            parts:% = self.prompt_parts.join(","),
             tried = tried,
             paused:% = paused;
             "routed"
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -12,7 +12,7 @@
 
 use super::attempt::{AttemptFailure, FailureCause, OutgoingRequest};
 use super::choice::{self, ChosenTarget};
-use super::head::{CallerHead, forwarded, request_size};
+use super::head::{CallerHead, forwarded, request_size, shared_parts};
 use super::relay;
 use super::response::{Refusal, ResponseBody, whole_body};
 use super::tables::ServingTables;
@@ -44,6 +44,8 @@
     pub(super) service: Arc<ServiceSpec>,
     /// Key that all attempts of the request share on all hosts.
     pub(super) key: RequestKey,
+    /// Ids of the parts of the prompt that other requests may share.
+    pub(super) prompt_parts: Vec<String>,
     pub(super) size: RequestSize,
     /// Version of the configuration that matched the request.
     pub(super) configuration: u64,
@@ -170,6 +172,10 @@
             HeaderValue::from(u16::from(matched.priority.min(9))),
         );
     }
+    let prompt_parts = match service.engine {
+        Some(_) => shared_parts(&parts.headers),
+        None => Vec::new(),
+    };
     tables.count_request(&service.name, arrived);
     Ok(Exchange {
         configuration: configuration.version,
@@ -194,6 +200,7 @@
         matched,
         service,
         key,
+        prompt_parts,
         tables,
     })
 }
--- a/src/forward/head.rs
+++ b/src/forward/head.rs
@@ -8,6 +8,7 @@
 use crate::fleet::RequestSize;
 use crate::ingress::EngineModel;
 use crate::platform::names;
+use crate::platform::prompt_parts::parse_shared_parts;
 
 /// Parts of a caller's head that routing and limits depend on.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -113,6 +114,20 @@
     }
 }
 
+/// Maximum number of shared parts of a prompt that are told apart, a bound on the work and
+/// the memory that one request takes. Further parts are ignored.
+const MAX_SHARED_PARTS: usize = 32;
+
+/// Returns the ids of the parts of the prompt that other requests may share, in their order.
+pub(super) fn shared_parts(headers: &HeaderMap) -> Vec<String> {
+    let parts = parse_shared_parts(headers);
+    let ids = parts.iter().take(MAX_SHARED_PARTS).map(|part| {
+        let digits = part.id.trim_start_matches('0');
+        digits.to_ascii_lowercase()
+    });
+    ids.collect()
+}
+
 /// Converts a number to a header value.
 pub(super) fn number_value(number: u128) -> HeaderValue {
     let number = u64::try_from(number).unwrap_or(u64::MAX);
--- a/src/forward/poison_evidence.rs
+++ b/src/forward/poison_evidence.rs
@@ -26,6 +26,7 @@
         log::info!(
             request:% = self.outgoing.id,
             key:% = key_text(self.key),
+            parts:% = self.prompt_parts.join(","),
             target_id:% = target,
             verdict:% = verdict.name();
             "target ended under a request"
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -16,6 +16,7 @@
 pub mod number_header;
 pub mod order;
 pub mod poison_record;
+pub mod prompt_parts;
 pub mod target_notice;
 pub mod target_record;
 pub mod wire;
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -14,6 +14,8 @@
 pub const NOT_EXECUTED: &str = "x-jackdawwick-not-executed";
 /// Number of prompt tokens and maximum number of response tokens.
 pub const TOKEN_COUNTS: &str = "x-jackdawwick-token-counts";
+/// Parts of the prompt in their order, each with its length.
+pub const PROMPT_PREFIX: &str = "x-jackdawwick-prompt-prefix";
 /// Priority of the request at an engine, 0 to 9; lower is more urgent.
 pub const URGENCY_CLASS: &str = "x-jackdawwick-urgency-class";
 /// Version of the weights that the request requires.
