Add a failing test: a part of prompts that crashes engines reaches no further engine

Change: the soak's engines end on a part of the prompt, and run_poison_part sends such requests to four hosts as processes, no two alike, beside sound ones with the same first part and caller. Its bounds are the users': three requests with the part after hosts had time to tell each other, half of the usual share of sound ones served.

--- a/standins/src/soak/callers.rs
+++ b/standins/src/soak/callers.rs
@@ -7,7 +7,8 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{Method, Request, header};
+use http::header::{self, HeaderValue};
+use http::{Method, Request};
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
@@ -247,6 +248,15 @@
     }
 }
 
+/// Builds a stream's request with a body of its own, whose prompt has the parts of `prefix`.
+pub(super) fn build_draft(id: &str, prefix: &str) -> Option<Request<Full<Bytes>>> {
+    let mut request = build_request(id, Method::POST, "/draft/one", STREAM_DEADLINE)?;
+    let prefix = HeaderValue::from_str(prefix).ok()?;
+    request.headers_mut().insert(names::PROMPT_PREFIX, prefix);
+    *request.body_mut() = Full::new(Bytes::from(format!("prompt of {id}")));
+    Some(request)
+}
+
 pub(super) fn build_request(
     id: &str,
     method: Method,
--- a/standins/src/soak/engines.rs
+++ b/standins/src/soak/engines.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
 use serde::Deserialize;
@@ -60,6 +60,8 @@
     paths: Mutex<HashMap<(String, SocketAddr), RunningPath>>,
     pub(super) runs: Mutex<Vec<RunRecord>>,
     pub(super) attempts: Mutex<Vec<AttemptRecord>>,
+    /// When engines began to run requests that crash them.
+    pub(super) poison_arrivals: Mutex<Vec<Instant>>,
 }
 
 /// Path of a running stream.
--- a/standins/src/soak/event_stream.rs
+++ b/standins/src/soak/event_stream.rs
@@ -35,6 +35,8 @@
     /// Ends in the middle of the next event whose number is a multiple of five.
     TruncatesSoon,
     Truncated,
+    /// Sends no event.
+    NeverStarts,
 }
 
 impl Drop for EventStream {
@@ -74,6 +76,9 @@
         if self.behavior == StreamBehavior::Truncated {
             return Err(io::Error::other("stream truncated"));
         }
+        if self.behavior == StreamBehavior::NeverStarts {
+            return std::future::pending().await;
+        }
         if self.next > event_count(&self.id) {
             return Ok(None);
         }
--- a/standins/src/soak/poison.rs
+++ b/standins/src/soak/poison.rs
@@ -57,7 +57,7 @@
         // The next host has to know what this host observed.
         run.run_for(PROPAGATION_TIME).await?;
     }
-    let crashed = run.crashed;
+    let crashed = run.crashes.len();
     run.run_for(PROPAGATION_TIME).await?;
     let refused_by = run.count_refusing_hosts().await?;
     for host in &mut run.hosts {
@@ -74,7 +74,7 @@
         crashed,
         refused_by,
         refused_after_restart,
-        crashed_later: run.crashed - crashed,
+        crashed_later: run.crashes.len() - crashed,
     })
 }
 
@@ -110,7 +110,7 @@
     }
 
     /// Waits and replaces engines that crash meanwhile.
-    async fn run_for(&mut self, time: Duration) -> io::Result<()> {
+    pub(super) async fn run_for(&mut self, time: Duration) -> io::Result<()> {
         let until = Instant::now() + time;
         while Instant::now() < until {
             self.stop_crashed_engines();
@@ -127,7 +127,7 @@
                 continue;
             }
             self.targets[index].exit();
-            self.crashed += 1;
+            self.crashes.push(Instant::now());
             self.end_after(REPLACEMENT_DELAY, FaultEnd::Replace(index));
         }
     }
--- a/standins/src/soak/run.rs
+++ b/standins/src/soak/run.rs
@@ -124,8 +124,8 @@
     pub(super) scheduled_ends: Vec<(Instant, FaultEnd)>,
     pub(super) disturbances: Vec<Disturbance>,
     pub(super) unexpected_exits: Vec<String>,
-    /// Number of engines that a request crashed.
-    pub(super) crashed: usize,
+    /// When requests crashed engines.
+    pub(super) crashes: Vec<Instant>,
 }
 
 /// Runs the soak once.
@@ -269,7 +269,7 @@
             scheduled_ends: Vec::new(),
             disturbances: Vec::new(),
             unexpected_exits: Vec::new(),
-            crashed: 0,
+            crashes: Vec::new(),
         };
         for spec in target_specs() {
             let target = run.new_target(spec).await?;
--- a/standins/src/soak/target.rs
+++ b/standins/src/soak/target.rs
@@ -33,6 +33,7 @@
 use super::link::FaultLink;
 use super::log_service::LogTopics;
 use super::poison::{CRASH_TIME, POISON_PATH};
+use super::poison_part::has_poison_part;
 use super::responses::plain_body;
 
 /// Time that a plain response takes.
@@ -258,7 +259,13 @@
             let path = text(names::ENGINE_PATH).as_deref().and_then(parse_path);
             let last = text(names::LAST_EVENT_ID).and_then(|last| last.parse().ok());
             let arrived = Instant::now();
-            let response = run(registry, address, id.clone(), path, last.unwrap_or(0)).await;
+            let call = TargetCall {
+                id: id.clone(),
+                path,
+                last_event: last.unwrap_or(0),
+                crashes_engines: has_poison_part(&parts.headers),
+            };
+            let response = run(registry, address, call).await;
             // A host cannot act on a response that its link to the target holds back.
             let delivered = response.as_ref().ok();
             let delivered = delivered.filter(|_| registry.state(address).reachable);
@@ -286,13 +293,24 @@
     Ok(response)
 }
 
-async fn run(
-    registry: &Arc<TargetRegistry>,
-    address: SocketAddr,
+/// A call as a target received it.
+#[derive(Debug)]
+struct TargetCall {
     id: String,
+    /// The engines that it passes; `None` for a plain call.
     path: Option<Vec<PathPart>>,
+    /// Id of the last event that its caller has.
     last_event: u64,
+    /// Whether it crashes each engine that begins to run it.
+    crashes_engines: bool,
+}
+
+async fn run(
+    registry: &Arc<TargetRegistry>,
+    address: SocketAddr,
+    call: TargetCall,
 ) -> Result<Response<TargetBody>, DroppedResponse> {
+    let TargetCall { id, path, .. } = call;
     let state = registry.state(address);
     if let Some(unavailable) = path.as_ref().and_then(|path| registry.unavailable(path)) {
         return Ok(refusal(503, unavailable));
@@ -335,15 +353,26 @@
         }
         (Some(path), fault) => {
             let behavior = match fault {
+                _ if call.crashes_engines => {
+                    registry.poison_arrivals.lock().push(Instant::now());
+                    tokio::spawn(crash_soon(registry.clone(), address));
+                    StreamBehavior::NeverStarts
+                }
                 TargetFault::TruncatesBody => StreamBehavior::TruncatesSoon,
                 _ => StreamBehavior::Complete,
             };
-            let events = stream_events(registry.clone(), id, path, last_event, behavior);
+            let events = stream_events(registry.clone(), id, path, call.last_event, behavior);
             sealed(200, events)
         }
     }
 }
 
+/// Marks an engine as crashed once a request has begun to run on it.
+async fn crash_soon(registry: Arc<TargetRegistry>, address: SocketAddr) {
+    tokio::time::sleep(CRASH_TIME).await;
+    registry.update(address, |state| state.poisoned = true);
+}
+
 /// Returns a body of which only a part arrives before the connection breaks.
 fn truncated_body(text: String) -> TargetBody {
     let half = Bytes::from(text).slice(..4);
