Refuse requests with a part of prompts under which targets ended

Cause: evidence was filed under the narrowest name, the request itself, while what ended engines was a part that many requests share; no request reached three ends.

A part is held responsible if two targets ended under two different requests with it, none has survived it since, and most targets that ended meanwhile ended under it; one that was survived before needs three moments a second apart. Ends under one organisation count against that organisation alone. Until other hosts had a second to say that they saw the part survive, requests with it wait, and a request under which a target has just ended waits before it is sent to another one. A request that was not sent is refused with 503, verdict not run. Evidence travels and is kept in the log as that on requests: same messages, records and table.

Why it works: every end names the guilty part, while sound parts on the same engine differ from end to end and are cleared by what survives.

--- a/src/entry/poison_log.rs
+++ b/src/entry/poison_log.rs
@@ -9,7 +9,7 @@
 use crate::entry::LogRole;
 use crate::entry::log_role::wait_for_reader_role;
 use crate::forward::ServingTables;
-use crate::ids::{LogOffset, RequestKey};
+use crate::ids::{LogOffset, SuspectKey};
 use crate::platform::log_calls::{KeyedRead, KeyedRecord, LogClient};
 use crate::platform::{names, poison_record};
 use crate::poison::{LogChange, key_text};
@@ -85,14 +85,14 @@
 }
 
 fn apply_record(tables: &ServingTables, record: &KeyedRecord) -> Result<(), String> {
-    let request = poison_record::parse_key(&record.key)?;
+    let suspect = poison_record::parse_key(&record.key)?;
     let evidence = match &record.value {
         None => Vec::new(),
-        Some(value) => poison_record::parse_poison(request, value, SystemTime::now())?,
+        Some(value) => poison_record::parse_poison(suspect, value, SystemTime::now())?,
     };
     let mut poison = tables.poison.lock();
     let refused = poison.merge(&evidence, Instant::now());
-    poison.set_in_log(request, evidence.len());
+    poison.set_in_log(suspect, evidence.len());
     drop(poison);
     log_refused(tables, &refused, "log");
     Ok(())
@@ -119,7 +119,7 @@
         for change in changes {
             if let Err(error) = write_change(&tables, &mut client, &change).await {
                 log::warn!(
-                    key:% = key_text(change.request), error:% = error;
+                    key:% = key_text(change.suspect), error:% = error;
                     "poison request not written to the log yet"
                 );
                 tokio::time::sleep(RETRY_PAUSE).await;
@@ -133,7 +133,7 @@
     client: &mut LogClient,
     change: &LogChange,
 ) -> Result<(), String> {
-    let key = key_text(change.request);
+    let key = key_text(change.suspect);
     let value = match change.ends.as_slice() {
         [] => None,
         ends => Some(poison_record::poison_value(ends, SystemTime::now())?),
@@ -141,16 +141,16 @@
     let appended = client.append(names::POISON_TOPIC, &key, value.as_deref());
     appended.await.map_err(|error| error.to_string())?;
     let named = change.ends.len();
-    tables.poison.lock().set_in_log(change.request, named);
+    tables.poison.lock().set_in_log(change.suspect, named);
     log::info!(key:% = key, targets = named; "poison request written to the log");
     Ok(())
 }
 
 /// Logs the requests that are refused from now on because of evidence from `source`.
-pub(super) fn log_refused(tables: &ServingTables, refused: &[RequestKey], source: &str) {
-    for request in refused {
+pub(super) fn log_refused(tables: &ServingTables, refused: &[SuspectKey], source: &str) {
+    for suspect in refused {
         log::info!(
-            key:% = key_text(*request), source:% = source;
+            key:% = key_text(*suspect), source:% = source;
             "poison request"
         );
     }
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -76,6 +76,8 @@
     GatewayBroken,
     #[error("this host has lost the link to the target")]
     LostLink,
+    #[error("targets crash under the request")]
+    Poison,
 }
 
 impl FailureCause {
@@ -94,6 +96,7 @@
             Self::NoGateway => "no_gateway",
             Self::GatewayBroken => "gateway_broken",
             Self::LostLink => "lost_link",
+            Self::Poison => "poison",
         }
     }
 }
@@ -116,6 +119,7 @@
                 | FailureCause::Unavailable
                 | FailureCause::Unreachable
                 | FailureCause::NoGateway
+                | FailureCause::Poison
         )
     }
 }
--- a/src/forward/attempt_policy.rs
+++ b/src/forward/attempt_policy.rs
@@ -40,9 +40,8 @@
         started: bool,
     ) -> Result<ChosenTarget, Refusal> {
         let now = Instant::now();
-        if self.is_poison(now) {
-            return Err(Refusal::poison());
-        }
+        self.tables
+            .check_poison(&self.suspects, &self.outgoing.id, now)?;
         let chosen = self.choose_with_pause(avoid, Duration::ZERO, now);
         let no_route = || Refusal::not_run(RefusalReason::NoRoute, NO_ROUTE_RETRY);
         let chosen = chosen.ok_or_else(no_route)?;
@@ -94,7 +93,7 @@
         let paused = self.tables.paused_names(&self.service.name, Instant::now());
         log::info!(
             request:% = self.outgoing.id,
-            key:% = key_text(self.key),
+            key:% = key_text(self.suspects.request),
             route:% = self.matched.route.name,
             configuration = self.configuration,
             organisation:% = self.matched.organisation.as_deref().unwrap_or("none"),
@@ -119,7 +118,10 @@
         // After a failure, or a stream without an event, the run may never have begun.
         let has_begun = times.is_none_or(|times| times.has_begun());
         if has_begun && (200..300).contains(&status) {
-            self.record_survival(Instant::now());
+            let now = Instant::now();
+            let began = times.map_or(now, |times| self.arrived + times.first());
+            self.record_survival(now);
+            self.record_part_survival(began, now);
         }
         let took = self.arrived.elapsed();
         let (first, longest) =
@@ -203,6 +205,7 @@
         tried: &TriedTargets,
         started: bool,
     ) -> Result<(ChosenTarget, InFlightGuard), Refusal> {
+        self.wait_for_evidence(tried.sent > 0).await;
         loop {
             match self.choose_permitted(tried, started).await {
                 Err(_) if self.finds_lost_link(tried).await => {}
@@ -274,7 +277,8 @@
                 FailureCause::Unavailable
                 | FailureCause::NoGateway
                 | FailureCause::GatewayBroken
-                | FailureCause::LostLink,
+                | FailureCause::LostLink
+                | FailureCause::Poison,
             ) => None,
             Some(FailureCause::Connect | FailureCause::Unreachable) => {
                 fleet.observe_silence(&id, now);
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -18,10 +18,10 @@
 use super::tables::ServingTables;
 use super::watch::PathWatch;
 use crate::fleet::RequestSize;
-use crate::ids::{RequestKey, TargetId};
+use crate::ids::TargetId;
 use crate::ingress::{MatchedRequest, ServiceSpec, match_request};
 use crate::platform::names;
-use crate::poison::{RequestIdentity, request_key};
+use crate::poison::{RequestIdentity, RequestSuspects, organisation_hash, part_key, request_key};
 use crate::reason::RefusalReason;
 use crate::verdict::RunVerdict;
 
@@ -42,8 +42,8 @@
     pub(super) outgoing: OutgoingRequest,
     pub(super) matched: MatchedRequest,
     pub(super) service: Arc<ServiceSpec>,
-    /// Key that all attempts of the request share on all hosts.
-    pub(super) key: RequestKey,
+    /// What may be the cause if a target ends under the request.
+    pub(super) suspects: RequestSuspects,
     /// Ids of the parts of the prompt that other requests may share.
     pub(super) prompt_parts: Vec<String>,
     pub(super) size: RequestSize,
@@ -152,9 +152,19 @@
         organisation: matched.organisation.as_deref(),
         body: &body,
     });
-    if tables.poison.lock().is_poison(key, arrived) {
-        return Err(Refusal::poison());
-    }
+    let prompt_parts = match service.engine {
+        Some(_) => shared_parts(&parts.headers),
+        None => Vec::new(),
+    };
+    let part_keys = prompt_parts
+        .iter()
+        .map(|part| part_key(&service.name, part));
+    let suspects = RequestSuspects {
+        request: key,
+        organisation: organisation_hash(matched.organisation.as_deref()),
+        parts: part_keys.collect(),
+    };
+    tables.check_poison(&suspects, &head.id, arrived)?;
     let timeout = arrived + matched.route.timeout;
     let mut headers = forwarded(&parts.headers);
     if let Some(organisation) = &matched.organisation
@@ -172,10 +182,6 @@
             HeaderValue::from(u16::from(matched.priority.min(9))),
         );
     }
-    let prompt_parts = match service.engine {
-        Some(_) => shared_parts(&parts.headers),
-        None => Vec::new(),
-    };
     tables.count_request(&service.name, arrived);
     Ok(Exchange {
         configuration: configuration.version,
@@ -199,7 +205,7 @@
         }),
         matched,
         service,
-        key,
+        suspects,
         prompt_parts,
         tables,
     })
--- a/src/forward/head.rs
+++ b/src/forward/head.rs
@@ -118,14 +118,17 @@
 /// the memory that one request takes. Further parts are ignored.
 const MAX_SHARED_PARTS: usize = 32;
 
-/// Returns the ids of the parts of the prompt that other requests may share, in their order.
+/// Returns the ids of the parts of the prompt that other requests may share, in their order
+/// and each once.
 pub(super) fn shared_parts(headers: &HeaderMap) -> Vec<String> {
-    let parts = parse_shared_parts(headers);
-    let ids = parts.iter().take(MAX_SHARED_PARTS).map(|part| {
-        let digits = part.id.trim_start_matches('0');
-        digits.to_ascii_lowercase()
-    });
-    ids.collect()
+    let mut ids: Vec<String> = Vec::new();
+    for part in parse_shared_parts(headers) {
+        let id = part.id.trim_start_matches('0').to_ascii_lowercase();
+        if ids.len() < MAX_SHARED_PARTS && !ids.contains(&id) {
+            ids.push(id);
+        }
+    }
+    ids
 }
 
 /// Converts a number to a header value.
--- a/src/forward/response.rs
+++ b/src/forward/response.rs
@@ -58,6 +58,18 @@
         Self::may_have_run(StatusCode::BAD_GATEWAY, RefusalReason::PoisonRequest)
     }
 
+    /// Creates the refusal of a request with a part of a prompt under which targets crashed.
+    /// The request itself has not run. It has no `Retry-After`, since it would be refused
+    /// again.
+    pub fn poison_part() -> Self {
+        Self {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            verdict: RunVerdict::NotRun,
+            reason: RefusalReason::PoisonRequest,
+            retry_after: None,
+        }
+    }
+
     /// Creates the refusal of a request that the configuration does not allow.
     pub fn rejected(reason: RejectReason) -> Self {
         let (status, reason) = match reason {
--- a/src/forward/watch.rs
+++ b/src/forward/watch.rs
@@ -95,6 +95,9 @@
         if self.start.has_survived(now) {
             self.exchange.record_survival(now);
         }
+        if let Some(began) = self.start.survived_parts_since(now) {
+            self.exchange.record_part_survival(began, now);
+        }
     }
 
     /// Records progress, which postpones the next check.
@@ -151,7 +154,13 @@
             deadline,
         )
         .await;
-        match self.await_head(sent?, limit).await {
+        let sent = sent?;
+        // Nothing has been sent yet.
+        if exchange.is_poison(Instant::now()) {
+            let (verdict, cause) = (RunVerdict::NotRun, FailureCause::Poison);
+            return Err(AttemptFailure::new(verdict, cause));
+        }
+        match self.await_head(sent, limit).await {
             Ok(TargetResponse { response, gateway }) => {
                 self.gateway = gateway;
                 Ok(response)
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -7,6 +7,12 @@
 /// Key shared by all attempts of a request and equal on all hosts: see
 /// [`crate::poison::request_key`].
 pub type RequestKey = u64;
+/// Key of a part that the prompts of requests share, equal on all hosts: see
+/// [`crate::poison::part_key`].
+pub type PartKey = u64;
+/// Key of what may crash targets: a [`RequestKey`] or a [`PartKey`], which differ in their
+/// first bit.
+pub type SuspectKey = u64;
 /// The settings' name of one host of this system.
 pub type HostId = Arc<str>;
 /// Identifies one run of a daemon on a host; a new one is drawn at each start.
--- a/src/peer/convert/view.rs
+++ b/src/peer/convert/view.rs
@@ -189,7 +189,7 @@
     }
     let mut requests = builder.reborrow().init_requests(count);
     for (index, item) in (0..).zip(&delta.evidence) {
-        requests.set(index, item.request);
+        requests.set(index, item.suspect);
     }
     let mut targets = builder.reborrow().init_targets(count);
     for (index, item) in (0..).zip(&delta.evidence) {
@@ -213,7 +213,7 @@
         return Err(capnp::Error::failed(text.to_owned()));
     }
     let evidence = (0..requests.len()).map(|index| PoisonEvidence {
-        request: requests.get(index),
+        suspect: requests.get(index),
         event: match targets.get(index) {
             SURVIVED => PoisonEvent::Survived,
             target => PoisonEvent::Ended(target),
--- a/src/platform/poison_record.rs
+++ b/src/platform/poison_record.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{RequestKey, TargetKey};
+use crate::ids::SuspectKey;
 use crate::poison::{PoisonEvent, PoisonEvidence};
 
 /// Value of a record.
@@ -17,7 +17,8 @@
 /// A target that ended when the request began to run on it.
 #[derive(Serialize, Deserialize)]
 struct EndBody {
-    target: TargetKey,
+    /// As in [`PoisonEvent::Ended`].
+    target: u64,
     /// Unix time in milliseconds, by the clock of the host that wrote the record.
     at_ms: u64,
 }
@@ -28,8 +29,8 @@
 ///
 /// Fails if the key was not made by [`key_text`](crate::poison::key_text); the text gives
 /// the reason.
-pub fn parse_key(key: &str) -> Result<RequestKey, String> {
-    RequestKey::from_str_radix(key, 16).map_err(|error| error.to_string())
+pub fn parse_key(key: &str) -> Result<SuspectKey, String> {
+    SuspectKey::from_str_radix(key, 16).map_err(|error| error.to_string())
 }
 
 /// Returns the value of the record for a refused request.
@@ -57,13 +58,13 @@
 ///
 /// Fails if the value is not in this format; the text gives the reason.
 pub fn parse_poison(
-    request: RequestKey,
+    suspect: SuspectKey,
     value: &[u8],
     now: SystemTime,
 ) -> Result<Vec<PoisonEvidence>, String> {
     let body = serde_json::from_slice::<PoisonBody>(value).map_err(|error| error.to_string())?;
     let evidence = body.ends.into_iter().map(|end| PoisonEvidence {
-        request,
+        suspect,
         event: PoisonEvent::Ended(end.target),
         // The clocks of hosts differ; a time in the future counts as age zero.
         age: Duration::from_millis(unix_ms(now).saturating_sub(end.at_ms)),
--- a/src/poison/delta.rs
+++ b/src/poison/delta.rs
@@ -6,7 +6,7 @@
 
 use super::evidence::PoisonDelta;
 use super::table::PoisonTable;
-use crate::ids::{IncarnationId, RequestKey};
+use crate::ids::{IncarnationId, SuspectKey};
 
 /// Maximum number of evidence items in one delta. At 20 bytes each, four times a second in
 /// both directions, a steady stream of updates costs 10 KB a second, under half of the
@@ -25,8 +25,8 @@
         updates.sort_unstable_by_key(|(_, record)| record.changed);
         let mut evidence = Vec::new();
         let mut listed_to = bounds.from;
-        for (request, record) in updates {
-            let record_evidence = record.evidence(*request, now);
+        for (suspect, record) in updates {
+            let record_evidence = record.evidence(*suspect, now);
             if evidence.len() + record_evidence.len() > MAX_DELTA_EVIDENCE {
                 bounds.to = listed_to;
                 break;
@@ -38,14 +38,14 @@
     }
 
     /// Applies a delta from the host at `address`, which runs as `incarnation`, and returns
-    /// the requests that are refused from now on.
+    /// the requests and parts that are refused from now on.
     pub fn apply_delta(
         &mut self,
         address: SocketAddr,
         incarnation: IncarnationId,
         delta: &PoisonDelta,
         now: Instant,
-    ) -> Vec<RequestKey> {
+    ) -> Vec<SuspectKey> {
         self.progress
             .observe(address, incarnation, delta.bounds, now);
         self.merge(&delta.evidence, now)
--- a/src/poison/evidence.rs
+++ b/src/poison/evidence.rs
@@ -1,26 +1,27 @@
-//! Evidence on poison requests that hosts exchange.
+//! Evidence on requests and parts of prompts that may crash targets, as hosts exchange it.
 
 use std::time::Duration;
 
 use crate::delta_sync::DeltaBounds;
-use crate::ids::{RequestKey, TargetKey};
+use crate::ids::SuspectKey;
 
-/// An observation of a request by one host.
+/// An observation of a request, or of a part of its prompt, by one host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PoisonEvidence {
-    /// The request.
-    pub request: RequestKey,
+    /// The request or part.
+    pub suspect: SuspectKey,
     /// What was observed.
     pub event: PoisonEvent,
     /// Time since the observation.
     pub age: Duration,
 }
 
-/// Outcome of a request on a target.
+/// Outcome of a request, or of one with a part, on a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PoisonEvent {
-    /// The process of this target ended as the request began to run there.
-    Ended(TargetKey),
+    /// The process of a target ended as the request began to run there. The number is the
+    /// target's key for a request, and an [`EndSource`](super::EndSource) for a part.
+    Ended(u64),
     /// A target ran the request and stayed up, which cancels all earlier evidence.
     Survived,
 }
--- a/src/poison/key.rs
+++ b/src/poison/key.rs
@@ -1,10 +1,14 @@
-//! Keys that identify the attempts of one request.
+//! Keys that identify the attempts of one request, and the parts that prompts share.
 
 use sha2::{Digest, Sha256};
 
-use crate::ids::RequestKey;
+use super::end_source::OrganisationHash;
+use crate::ids::{PartKey, RequestKey, SuspectKey};
 
-/// The parts of a request that are equal in all of its attempts. Attempt ids and deadlines
+/// Bit that tells the keys of parts from those of requests.
+const PART_BIT: u64 = 1 << 63;
+
+/// The fields of a request that are equal in all of its attempts. Attempt ids and deadlines
 /// differ and are left out.
 #[derive(Debug, Clone, Copy)]
 pub struct RequestIdentity<'a> {
@@ -21,8 +25,8 @@
 }
 
 /// Formats a key as in log lines and records.
-pub fn key_text(request: RequestKey) -> String {
-    format!("{request:016x}")
+pub fn key_text(suspect: SuspectKey) -> String {
+    format!("{suspect:016x}")
 }
 
 /// Returns the key of a request, which is equal on all hosts and in all versions of the
@@ -39,13 +43,33 @@
         identity.organisation.unwrap_or_default().as_bytes(),
         identity.body,
     ];
-    let hash = parts.iter().fold(Sha256::new(), |hash, part| {
-        // The length prefix keeps the end of one part from being read as the start of the
+    hash_fields(&parts) & !PART_BIT
+}
+
+/// Returns the key of a part of the prompts for a service, which is equal on all hosts and in
+/// all versions of the program. The model of another service may run the same part.
+pub fn part_key(service: &str, part: &str) -> PartKey {
+    hash_fields(&[service.as_bytes(), part.as_bytes()]) | PART_BIT
+}
+
+/// Returns whether a key is that of a part.
+pub fn is_part(suspect: SuspectKey) -> bool {
+    suspect & PART_BIT != 0
+}
+
+/// Returns the hash of an organisation's name.
+pub fn organisation_hash(organisation: Option<&str>) -> OrganisationHash {
+    hash_fields(&[organisation.unwrap_or_default().as_bytes()]) as OrganisationHash
+}
+
+fn hash_fields(fields: &[&[u8]]) -> u64 {
+    let hash = fields.iter().fold(Sha256::new(), |hash, field| {
+        // The length prefix keeps the end of one field from being read as the start of the
         // next.
-        hash.chain_update((part.len() as u64).to_le_bytes())
-            .chain_update(part)
+        hash.chain_update((field.len() as u64).to_le_bytes())
+            .chain_update(field)
     });
     let digest = hash.finalize();
-    let first = digest.iter().take(size_of::<RequestKey>());
+    let first = digest.iter().take(size_of::<u64>());
     first.fold(0, |key, byte| (key << 8) | u64::from(*byte))
 }
--- /dev/null
+++ b/src/poison/part_rule.rs
@@ -0,0 +1,226 @@
+//! Decides which part of a prompt crashes targets.
+//!
+//! All requests on a target break with it, and each has parts that sound requests share. A
+//! part is held responsible if nothing with it has survived since targets began to end, and
+//! most targets that ended meanwhile had a request with it.
+
+use std::time::{Duration, Instant};
+
+use super::end_source::{EndSource, OrganisationHash};
+use super::recent_ends::RecentEnds;
+use super::record::{PoisonRecord, TargetEnd};
+
+/// Number of ends, of different targets under different requests, that prove a part which no
+/// target is known to have survived.
+const ENDS_OF_UNKNOWN_PART: usize = 2;
+/// Number of moments at which targets have to end under a part that was survived before.
+/// Engines of one rack end at one moment.
+const MOMENTS_OF_KNOWN_PART: usize = 3;
+/// Time between two ends from which they are different moments.
+const MOMENT_SPACING: Duration = Duration::from_secs(1);
+/// A part is held responsible only if more than one of this number of the targets that ended
+/// meanwhile ended under it: of few ends most, of more ends fewer, since several parts may be
+/// at fault at a time.
+const TARGETS_PER_FEW_ENDS: usize = 2;
+const TARGETS_PER_END: usize = 3;
+/// Time by which the ends of one crash may be observed apart.
+const OBSERVATION_SPREAD: Duration = Duration::from_millis(500);
+/// Time in which hosts that have seen a part survive tell the others.
+pub(super) const CLEARANCE_TIME: Duration = Duration::from_secs(1);
+/// The same for a part that was survived before: a run that has begun since shows it after a
+/// second, and then hosts have to tell each other.
+const KNOWN_CLEARANCE_TIME: Duration = Duration::from_secs(2);
+/// Time after which another end is the result of another try, rather than of a request that
+/// was sent before all hosts knew.
+const TRY_SPACING: Duration = Duration::from_secs(300);
+
+/// The conclusion on a part.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum PartVerdict {
+    /// Requests with it may be sent.
+    Sound,
+    /// Requests with it wait: by this time it is either cleared or refused.
+    Pending(Instant),
+    /// Requests with it are refused.
+    Poison,
+}
+
+/// The ends that count against a part.
+#[derive(Debug, Default)]
+struct EndSeries {
+    ends: Vec<(EndSource, Instant)>,
+}
+
+impl EndSeries {
+    /// Returns the ends, in order of time.
+    fn new<I>(ends: I) -> Self
+    where
+        I: Iterator<Item = (EndSource, Instant)>,
+    {
+        let mut ends = ends.collect::<Vec<_>>();
+        ends.sort_by_key(|(_, at)| *at);
+        Self { ends }
+    }
+
+    /// Returns the number of ends that are independent of each other, among the first
+    /// `length`. A request that is resumed on one target after the other, and several
+    /// requests on one target, count once.
+    fn independent(&self, length: usize) -> usize {
+        let ends = &self.ends[..length];
+        let targets = count_distinct(ends.iter().map(|(source, _)| source.target));
+        let requests = count_distinct(ends.iter().map(|(source, _)| source.request));
+        targets.min(requests)
+    }
+
+    /// Returns when the number of independent ends reached `count`.
+    fn reached(&self, count: usize) -> Option<Instant> {
+        let length = (1..=self.ends.len()).find(|length| self.independent(*length) >= count)?;
+        self.ends.get(length - 1).map(|(_, at)| *at)
+    }
+
+    /// Returns the moments at which targets ended.
+    fn moments(&self, spacing: Duration) -> Vec<Instant> {
+        let mut moments: Vec<Instant> = Vec::new();
+        for (_, at) in &self.ends {
+            if moments.last().is_none_or(|last| *at >= *last + spacing) {
+                moments.push(*at);
+            }
+        }
+        moments
+    }
+
+    fn has_several_organisations(&self) -> bool {
+        count_distinct(self.ends.iter().map(|(source, _)| source.organisation)) > 1
+    }
+
+    /// Returns whether most targets that ended meanwhile ended under the part.
+    fn explains(&self, recent: &RecentEnds) -> bool {
+        let (Some((_, first)), Some((_, last))) = (self.ends.first(), self.ends.last()) else {
+            return false;
+        };
+        let from = first.checked_sub(OBSERVATION_SPREAD).unwrap_or(*first);
+        let total = recent.count_between(from, *last + OBSERVATION_SPREAD);
+        let ends = self.independent(self.ends.len());
+        let targets_per_end = match ends {
+            0..=ENDS_OF_UNKNOWN_PART => TARGETS_PER_FEW_ENDS,
+            _ => TARGETS_PER_END,
+        };
+        targets_per_end * ends > total
+    }
+}
+
+fn count_distinct<T, I>(items: I) -> usize
+where
+    T: Ord,
+    I: Iterator<Item = T>,
+{
+    let mut items = items.collect::<Vec<_>>();
+    items.sort_unstable();
+    items.dedup();
+    items.len()
+}
+
+impl PoisonRecord {
+    /// Returns the conclusion on a part, for requests of an organisation.
+    ///
+    /// Targets that ended under the requests of one organisation count against its requests
+    /// alone, so that no organisation can have another's requests refused.
+    pub(super) fn part_verdict(
+        &self,
+        organisation: OrganisationHash,
+        recent: &RecentEnds,
+        now: Instant,
+    ) -> PartVerdict {
+        let all = EndSeries::new(self.sources());
+        let own = self.sources();
+        let own = EndSeries::new(own.filter(|(source, _)| source.organisation == organisation));
+        let verdicts = [
+            Some(&own),
+            Some(&all).filter(|all| all.has_several_organisations()),
+        ];
+        let verdicts = verdicts.into_iter().flatten();
+        let verdicts = verdicts.map(|series| self.series_verdict(series, recent, now));
+        verdicts.fold(PartVerdict::Sound, PartVerdict::or)
+    }
+
+    /// Returns whether requests of any organisation with the part are refused.
+    pub(super) fn is_poison_part(&self, recent: &RecentEnds, now: Instant) -> bool {
+        self.sources().any(|(source, _)| {
+            self.part_verdict(source.organisation, recent, now) == PartVerdict::Poison
+        })
+    }
+
+    /// Returns the number of ends that the platform's log has to list for a part. A part that
+    /// was refused stays in the log until it expires or is survived.
+    pub(super) fn required_part_in_log(&self, recent: &RecentEnds, now: Instant) -> usize {
+        let was_refused = self.in_log > 0 && !self.has_expired(now);
+        match was_refused || self.is_poison_part(recent, now) {
+            true => self.ends.len(),
+            false => 0,
+        }
+    }
+
+    /// Returns until when a request with the part, under which a target has just ended,
+    /// should wait before it is sent to another one.
+    pub(super) fn unproven_until(&self, now: Instant) -> Option<Instant> {
+        let last = self.ends.iter().map(|end| end.at).max()?;
+        let until = last + CLEARANCE_TIME;
+        (self.survived.is_none() && now < until).then_some(until)
+    }
+
+    fn sources(&self) -> impl Iterator<Item = (EndSource, Instant)> + use<'_> {
+        let source = |end: &TargetEnd| (EndSource::from_bits(end.target), end.at);
+        self.ends.iter().map(source)
+    }
+
+    fn series_verdict(&self, series: &EndSeries, recent: &RecentEnds, now: Instant) -> PartVerdict {
+        let decided = match self.survived {
+            None => {
+                let reached = series.reached(ENDS_OF_UNKNOWN_PART);
+                reached.map(|at| at + CLEARANCE_TIME)
+            }
+            Some(_) => {
+                let moments = series.moments(MOMENT_SPACING);
+                let reached = moments.get(MOMENTS_OF_KNOWN_PART - 1);
+                let proved = series.reached(MOMENTS_OF_KNOWN_PART);
+                let reached = reached
+                    .zip(proved)
+                    .map(|(moment, proved)| proved.max(*moment));
+                reached.map(|at| at + KNOWN_CLEARANCE_TIME)
+            }
+        };
+        let tries = series.moments(TRY_SPACING);
+        let last = series.ends.last().map(|(_, at)| *at);
+        match decided.zip(last) {
+            Some(_) if !series.explains(recent) => PartVerdict::Sound,
+            Some((decided, _)) if now < decided && self.survived.is_none() => {
+                PartVerdict::Pending(decided)
+            }
+            Some((decided, last)) if now >= decided && now < last + refusal_time(tries.len()) => {
+                PartVerdict::Poison
+            }
+            _ => PartVerdict::Sound,
+        }
+    }
+}
+
+impl PartVerdict {
+    /// Returns the stricter of two verdicts.
+    pub(super) fn or(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::Poison, _) | (_, Self::Poison) => Self::Poison,
+            (Self::Pending(first), Self::Pending(second)) => Self::Pending(first.max(second)),
+            (Self::Pending(until), Self::Sound) | (Self::Sound, Self::Pending(until)) => {
+                Self::Pending(until)
+            }
+            (Self::Sound, Self::Sound) => Self::Sound,
+        }
+    }
+}
+
+/// Returns for how long a part is refused after this number of tries ended a target.
+fn refusal_time(tries: usize) -> Duration {
+    let times = super::record::REFUSAL_TIMES;
+    let index = tries.saturating_sub(1).min(times.len() - 1);
+    times[index]
+}
--- a/src/poison/record.rs
+++ b/src/poison/record.rs
@@ -1,9 +1,11 @@
-//! The evidence on one request.
+//! The evidence on one request, or on one part of prompts.
 
 use std::time::{Duration, Instant};
 
+use super::end_source::short_target;
 use super::evidence::{PoisonEvent, PoisonEvidence};
-use crate::ids::{RequestKey, TargetKey};
+use super::key::is_part;
+use crate::ids::SuspectKey;
 
 /// Number of different targets that must end under a request before it is refused.
 ///
@@ -14,6 +16,10 @@
 pub(super) const ENDS_TO_REFUSE: usize = 3;
 /// Maximum number of different targets that are remembered for a request.
 const MAX_ENDS: usize = ENDS_TO_REFUSE + REFUSAL_TIMES.len() - 1;
+/// Maximum number of ends that are remembered for a part, and of one target among them: many
+/// requests on a target may have the same part.
+const MAX_PART_ENDS: usize = 8;
+const MAX_PART_ENDS_OF_TARGET: usize = 2;
 /// Time for which a request is refused after the last target that ended under it, indexed
 /// by the number of targets beyond [`ENDS_TO_REFUSE`].
 ///
@@ -22,7 +28,7 @@
 /// refused forever can never be cleared. It is therefore tried again at growing
 /// intervals: a poison request takes down three more targets on the first day and one a
 /// week after that.
-const REFUSAL_TIMES: [Duration; 4] = [
+pub(super) const REFUSAL_TIMES: [Duration; 4] = [
     Duration::from_secs(600),
     Duration::from_secs(3600),
     Duration::from_secs(24 * 3600),
@@ -45,17 +51,18 @@
 /// A target that ended as a request began to run there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct TargetEnd {
-    pub(super) target: TargetKey,
+    /// The target's key for a request, an [`EndSource`](super::EndSource) for a part.
+    pub(super) target: u64,
     pub(super) at: Instant,
 }
 
-/// The evidence on one request.
+/// The evidence on one request, or on one part of prompts.
 #[derive(Debug, Clone, Default)]
 pub(super) struct PoisonRecord {
     /// The most recent ends, one per target.
     pub(super) ends: Vec<TargetEnd>,
     /// When a target last survived the request.
-    survived: Option<Instant>,
+    pub(super) survived: Option<Instant>,
     /// Version of the table at the last change of this record.
     pub(super) changed: u64,
     /// Number of targets that the platform's log names; 0 if the log does not list the
@@ -89,21 +96,30 @@
         let expiry = match self.ends.len() {
             0 => SURVIVED_EXPIRY,
             ENDS_TO_REFUSE.. => POISON_EXPIRY,
+            _ if self.in_log > 0 => POISON_EXPIRY,
             _ => SUSPECT_EXPIRY,
         };
         self.last().is_none_or(|last| now >= last + expiry)
     }
 
-    pub(super) fn observe_end(&mut self, end: TargetEnd) -> bool {
+    /// Adds an end; returns whether the record has changed.
+    pub(super) fn observe_end(&mut self, suspect: SuspectKey, end: TargetEnd) -> bool {
         if self.survived.is_some_and(|survived| end.at <= survived) {
             return false;
         }
+        let max_ends = match is_part(suspect) {
+            true => MAX_PART_ENDS,
+            false => MAX_ENDS,
+        };
+        if is_part(suspect) && self.has_enough_ends_of(end.target) {
+            return false;
+        }
         let same = self
             .ends
             .iter()
             .position(|known| known.target == end.target);
         let index = match same {
-            None if self.ends.len() < MAX_ENDS => {
+            None if self.ends.len() < max_ends => {
                 self.ends.push(end);
                 return true;
             }
@@ -120,6 +136,22 @@
         }
     }
 
+    /// Returns whether no further end of the same target under a part is remembered.
+    fn has_enough_ends_of(&self, source: u64) -> bool {
+        let target = short_target(source);
+        let same = self.ends.iter();
+        let same = same.filter(|end| short_target(end.target) == target);
+        same.clone().count() >= MAX_PART_ENDS_OF_TARGET
+            && !same.into_iter().any(|end| end.target == source)
+    }
+
+    /// Returns what the ends are identified by, in a fixed order.
+    pub(super) fn sorted_sources(&self) -> Vec<u64> {
+        let mut sources = self.ends.iter().map(|end| end.target).collect::<Vec<_>>();
+        sources.sort_unstable();
+        sources
+    }
+
     fn oldest_end(&self) -> Option<usize> {
         let ends = self.ends.iter().enumerate();
         let oldest = ends.min_by_key(|(_, end)| end.at);
@@ -127,10 +159,10 @@
     }
 
     pub(super) fn observe_survival(&mut self, at: Instant) -> bool {
-        if self
+        let is_known = self
             .survived
-            .is_some_and(|known| at <= known + TIME_TOLERANCE)
-        {
+            .is_some_and(|known| at <= known + TIME_TOLERANCE);
+        if is_known && self.ends.iter().all(|end| end.at > at) {
             return false;
         }
         self.survived = Some(at);
@@ -138,23 +170,23 @@
         true
     }
 
-    /// Returns all evidence on the request.
-    pub(super) fn evidence(&self, request: RequestKey, now: Instant) -> Vec<PoisonEvidence> {
+    /// Returns all evidence.
+    pub(super) fn evidence(&self, suspect: SuspectKey, now: Instant) -> Vec<PoisonEvidence> {
         let survived = self.survived.map(|at| PoisonEvidence {
-            request,
+            suspect,
             event: PoisonEvent::Survived,
             age: now.saturating_duration_since(at),
         });
-        self.end_evidence(request, now).chain(survived).collect()
+        self.end_evidence(suspect, now).chain(survived).collect()
     }
 
     pub(super) fn end_evidence(
         &self,
-        request: RequestKey,
+        suspect: SuspectKey,
         now: Instant,
     ) -> impl Iterator<Item = PoisonEvidence> + use<'_> {
         self.ends.iter().map(move |end| PoisonEvidence {
-            request,
+            suspect,
             event: PoisonEvent::Ended(end.target),
             age: now.saturating_duration_since(end.at),
         })
--- a/src/poison/run_start.rs
+++ b/src/poison/run_start.rs
@@ -16,6 +16,10 @@
 /// suspected nor cleared.
 const SURVIVAL_TIME: Duration = Duration::from_secs(2);
 
+/// Time since the first event of a request after which its target has survived the parts of
+/// its prompt.
+const PART_SURVIVAL_TIME: Duration = Duration::from_secs(1);
+
 /// Tracks since when a request runs on the first target of its path.
 ///
 /// Only the first target counts: it begins to run a request before the others of the path
@@ -27,6 +31,7 @@
 pub struct RunStart {
     first_event: Option<Instant>,
     survival_reported: bool,
+    part_survival_reported: bool,
 }
 
 impl RunStart {
@@ -41,6 +46,15 @@
             .is_none_or(|first| now < first + SUSPECT_TIME)
     }
 
+    /// Returns when the target began to run the request, once, when it has survived the parts
+    /// of the prompt.
+    pub fn survived_parts_since(&mut self, now: Instant) -> Option<Instant> {
+        let began = self.first_event?;
+        let survived = now >= began + PART_SURVIVAL_TIME;
+        let is_new = survived && !std::mem::replace(&mut self.part_survival_reported, true);
+        is_new.then_some(began)
+    }
+
     /// Returns `true` once, when the target has survived the request.
     pub fn has_survived(&mut self, now: Instant) -> bool {
         let survived = self
--- a/src/poison/survivors.rs
+++ b/src/poison/survivors.rs
@@ -1,25 +1,35 @@
-//! Requests that targets survived recently.
+//! What targets survived recently.
 
 use std::time::{Duration, Instant};
 
-use crate::ids::RequestKey;
+use crate::ids::SuspectKey;
 
-/// Time for which a survived request is not suspected. Requests that many callers send
-/// alike, for a status or a price list, come several times a second.
-const RECENT_TIME: Duration = Duration::from_secs(10);
-/// Number of remembered requests, 24 KB. A request replaces the one that has the same slot:
-/// at 100 other requests a second, a hundred of them evict a given request in a tenth of
-/// the cases, and its next response restores it.
-const SLOTS: usize = 1024;
+/// Number of remembered keys, 96 KB.
+const SLOTS: usize = 4096;
+/// Maximum weight of a key: the number of other keys that it outlasts in its slot.
+const MAX_WEIGHT: u8 = 15;
+/// Time after which a key loses its slot to any other one.
+const RETENTION_TIME: Duration = Duration::from_secs(60);
 
-/// A fixed-size cache of the requests that were survived recently.
+/// A key and when a target that has survived it began to run it.
+#[derive(Debug, Clone, Copy)]
+struct SurvivorSlot {
+    key: SuspectKey,
+    at: Instant,
+    weight: u8,
+}
+
+/// A fixed-size cache of the requests and parts that were survived recently.
+///
+/// A target that ends makes every request suspect that it has just begun, and every part of
+/// its prompt. Without this cache, the loss of all targets of a service at once could refuse
+/// a request that all callers send alike, to all of them.
 ///
-/// A target that ends makes every request suspect that it has just begun. Without this
-/// cache, the loss of all targets of a service at once could refuse a request that all
-/// callers send alike, to all of them.
+/// A key that is survived again and again keeps its slot, so that a flood of keys that come
+/// once does not evict it.
 #[derive(Debug)]
 pub(super) struct RecentSurvivors {
-    slots: Vec<Option<(RequestKey, Instant)>>,
+    slots: Vec<Option<SurvivorSlot>>,
 }
 
 impl Default for RecentSurvivors {
@@ -31,18 +41,30 @@
 }
 
 impl RecentSurvivors {
-    pub(super) fn insert(&mut self, request: RequestKey, now: Instant) {
-        if let Some(slot) = self.slots.get_mut(slot_of(request)) {
-            *slot = Some((request, now));
+    /// Records that a target survived a run that began at `at`.
+    pub(super) fn insert(&mut self, key: SuspectKey, at: Instant) {
+        let Some(slot) = self.slots.get_mut(slot_of(key)) else {
+            return;
+        };
+        match slot {
+            Some(known) if known.key == key => {
+                known.at = known.at.max(at);
+                known.weight = (known.weight + 1).min(MAX_WEIGHT);
+            }
+            Some(known) if known.weight > 1 && at < known.at + RETENTION_TIME => {
+                known.weight -= 1;
+            }
+            _ => *slot = Some(SurvivorSlot { key, at, weight: 1 }),
         }
     }
 
-    pub(super) fn contains(&self, request: RequestKey, now: Instant) -> bool {
-        let slot = self.slots.get(slot_of(request)).copied().flatten();
-        slot.is_some_and(|(survivor, at)| survivor == request && now < at + RECENT_TIME)
+    /// Returns when a target that survived the key last began to run it, if it is remembered.
+    pub(super) fn last(&self, key: SuspectKey) -> Option<Instant> {
+        let slot = self.slots.get(slot_of(key)).copied().flatten();
+        slot.filter(|slot| slot.key == key).map(|slot| slot.at)
     }
 }
 
-fn slot_of(request: RequestKey) -> usize {
-    (request % SLOTS as RequestKey) as usize
+fn slot_of(key: SuspectKey) -> usize {
+    (key % SLOTS as SuspectKey) as usize
 }
--- a/src/poison/table.rs
+++ b/src/poison/table.rs
@@ -1,18 +1,24 @@
 //! The table of targets that ended under requests, which decides what is refused.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+use super::end_source::short_target;
 use super::evidence::{PoisonEvent, PoisonEvidence};
+use super::key::is_part;
+use super::recent_ends::RecentEnds;
 use super::record::{ENDS_TO_REFUSE, PoisonRecord, TargetEnd};
 use super::survivors::RecentSurvivors;
 use crate::collections::FastMap;
 use crate::delta_sync::DeltaProgress;
-use crate::ids::{RequestKey, TargetKey};
+use crate::ids::{RequestKey, SuspectKey, TargetKey};
 
-/// Maximum number of remembered requests. An engine takes 192 requests at once, so that all
-/// that ran on one fit beside 64 refused requests. A record takes about 120 bytes, 31 KB in
-/// all, whatever the size of the fleet.
+/// Maximum number of remembered requests, and of remembered parts. An engine takes 192
+/// requests at once, so that all that ran on one fit beside 64 refused requests. A record
+/// takes about 150 bytes, 77 KB in all, whatever the size of the fleet.
 const MAX_RECORDS: usize = 256;
+/// Time for which a survived request is not suspected. Requests that many callers send
+/// alike, for a status or a price list, come several times a second.
+const RECENT_TIME: Duration = Duration::from_secs(10);
 
 /// The conclusion on a request after a target ended under it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -36,25 +42,26 @@
     }
 }
 
-/// The evidence on requests that targets ended under.
+/// The evidence on requests and parts of prompts that targets ended under.
 ///
 /// A record is a set of targets and a moment before which no evidence counts. Hosts that
 /// merge each other's evidence, in any order and more than once, arrive at the same record
 /// without further coordination.
 #[derive(Debug, Default)]
 pub struct PoisonTable {
-    pub(super) records: FastMap<RequestKey, PoisonRecord>,
+    pub(super) records: FastMap<SuspectKey, PoisonRecord>,
     /// Incremented with each change of a record.
     pub(super) version: u64,
     pub(super) progress: DeltaProgress,
-    survivors: RecentSurvivors,
+    pub(super) survivors: RecentSurvivors,
+    pub(super) recent: RecentEnds,
 }
 
 /// A change that the platform's log lacks.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LogChange {
     /// The request.
-    pub request: RequestKey,
+    pub suspect: SuspectKey,
     /// The targets that ended under it; empty if the log has to drop the request.
     pub ends: Vec<PoisonEvidence>,
 }
@@ -66,6 +73,15 @@
         record.is_some_and(|record| record.is_poison(now))
     }
 
+    /// Returns whether requests are refused for a request's or part's evidence.
+    fn is_refused(&self, suspect: SuspectKey, now: Instant) -> bool {
+        let record = self.records.get(&suspect);
+        record.is_some_and(|record| match is_part(suspect) {
+            true => record.is_poison_part(&self.recent, now),
+            false => record.is_poison(now),
+        })
+    }
+
     /// Records that the process of a target ended as a request began to run there.
     pub fn observe_end(
         &mut self,
@@ -73,7 +89,8 @@
         target: TargetKey,
         now: Instant,
     ) -> PoisonVerdict {
-        if self.survivors.contains(request, now) {
+        let survived = self.survivors.last(request);
+        if survived.is_some_and(|at| now < at + RECENT_TIME) {
             return PoisonVerdict::Survived;
         }
         self.observe(request, PoisonEvent::Ended(target), now, now);
@@ -96,31 +113,45 @@
         suspected
     }
 
-    /// Merges evidence from other hosts or the log and returns the requests that are
-    /// refused from now on.
-    pub fn merge(&mut self, evidence: &[PoisonEvidence], now: Instant) -> Vec<RequestKey> {
+    /// Merges evidence from other hosts or the log and returns the requests and parts
+    /// that are refused from now on.
+    pub fn merge(&mut self, evidence: &[PoisonEvidence], now: Instant) -> Vec<SuspectKey> {
         let mut refused = Vec::new();
         for item in evidence {
-            let before = self.is_poison(item.request, now);
+            let before = self.is_refused(item.suspect, now);
             let at = now.checked_sub(item.age).unwrap_or(now);
-            self.observe(item.request, item.event, at, now);
-            if !before && self.is_poison(item.request, now) {
-                refused.push(item.request);
+            self.observe(item.suspect, item.event, at, now);
+            if !before && self.is_refused(item.suspect, now) {
+                refused.push(item.suspect);
             }
         }
         refused
     }
 
-    fn observe(&mut self, request: RequestKey, event: PoisonEvent, at: Instant, now: Instant) {
-        if !self.records.contains_key(&request) {
-            self.make_room(now);
+    pub(super) fn observe(
+        &mut self,
+        suspect: SuspectKey,
+        event: PoisonEvent,
+        at: Instant,
+        now: Instant,
+    ) {
+        if !self.records.contains_key(&suspect) {
+            self.make_room(is_part(suspect), now);
         }
-        let record = self.records.entry(request).or_default();
+        let known_survival = match event {
+            PoisonEvent::Ended(_) if is_part(suspect) => self.survivors.last(suspect),
+            _ => None,
+        };
+        if let PoisonEvent::Ended(target) = event {
+            self.recent.observe(short_target(target), at);
+        }
+        let record = self.records.entry(suspect).or_default();
+        let survival_changed = known_survival.is_some_and(|at| record.observe_survival(at));
         let changed = match event {
-            PoisonEvent::Ended(target) => record.observe_end(TargetEnd { target, at }),
+            PoisonEvent::Ended(target) => record.observe_end(suspect, TargetEnd { target, at }),
             PoisonEvent::Survived => record.observe_survival(at),
         };
-        if changed {
+        if changed || survival_changed {
             self.version += 1;
             record.changed = self.version;
         }
@@ -129,56 +160,66 @@
     /// Removes expired records and, if that is not enough, the one with the least evidence:
     /// a flood of requests that ran on one lost engine must not evict those that are
     /// refused.
-    fn make_room(&mut self, now: Instant) {
-        if self.records.len() < MAX_RECORDS {
+    fn make_room(&mut self, of_parts: bool, now: Instant) {
+        let is_of_kind = |suspect: SuspectKey| is_part(suspect) == of_parts;
+        let count = |records: &FastMap<SuspectKey, PoisonRecord>| {
+            let kept = records.keys().filter(|suspect| is_of_kind(**suspect));
+            kept.count()
+        };
+        if self.records.len() < MAX_RECORDS || count(&self.records) < MAX_RECORDS {
             return;
         }
         // A record that the log still lists has to be removed from the log first.
         self.records
             .retain(|_, record| record.in_log > 0 || !record.has_expired(now));
-        if self.records.len() < MAX_RECORDS {
+        if count(&self.records) < MAX_RECORDS {
             return;
         }
         let priority = |record: &PoisonRecord| (record.ends.len(), record.changed);
-        let least = self
-            .records
-            .iter()
-            .min_by_key(|(_, record)| priority(record));
-        if let Some(request) = least.map(|(request, _)| *request) {
-            self.records.remove(&request);
+        let of_kind = self.records.iter().filter(|(key, _)| is_of_kind(**key));
+        let least = of_kind.min_by_key(|(_, record)| priority(record));
+        if let Some(suspect) = least.map(|(suspect, _)| *suspect) {
+            self.records.remove(&suspect);
         }
     }
 
-    /// Sets the number of targets that the platform's log names for a request.
-    pub fn set_in_log(&mut self, request: RequestKey, in_log: usize) {
-        if let Some(record) = self.records.get_mut(&request) {
+    /// Sets the number of targets that the platform's log names for a request or part.
+    pub fn set_in_log(&mut self, suspect: SuspectKey, in_log: usize) {
+        if let Some(record) = self.records.get_mut(&suspect) {
             record.in_log = in_log;
         }
     }
 
     /// Returns the changes that have to be written to the platform's log, in the order of
-    /// the keys of their requests.
+    /// the keys.
     pub fn log_changes(&self, now: Instant) -> Vec<LogChange> {
         let records = self.records.iter();
-        let behind = records.filter(|(_, record)| record.required_in_log(now) != record.in_log);
-        let changes = behind.map(|(request, record)| LogChange {
-            request: *request,
-            ends: match record.required_in_log(now) {
+        let required = records.map(|(suspect, record)| {
+            let required = match is_part(*suspect) {
+                true => record.required_part_in_log(&self.recent, now),
+                false => record.required_in_log(now),
+            };
+            (suspect, record, required)
+        });
+        let behind = required.filter(|(_, record, required)| *required != record.in_log);
+        let changes = behind.map(|(suspect, record, required)| LogChange {
+            suspect: *suspect,
+            ends: match required {
                 0 => Vec::new(),
-                _ => record.end_evidence(*request, now).collect(),
+                _ => record.end_evidence(*suspect, now).collect(),
             },
         });
         let mut changes = changes.collect::<Vec<_>>();
-        changes.sort_unstable_by_key(|change| change.request);
+        changes.sort_unstable_by_key(|change| change.suspect);
         changes
     }
 
-    /// Returns the number of remembered requests.
+    /// Returns the number of remembered requests and parts.
     pub fn len(&self) -> usize {
         self.records.len()
     }
 
-    /// Returns whether there is no evidence on any request.
+    /// Returns whether there is no evidence.
     pub fn is_empty(&self) -> bool {
         self.records.is_empty()
     }
--- a/tests/entry_peers.rs
+++ b/tests/entry_peers.rs
@@ -77,7 +77,7 @@
 
 fn evidence_item(number: u64) -> PoisonEvidence {
     PoisonEvidence {
-        request: u64::MAX - number,
+        suspect: u64::MAX - number,
         event: match number {
             0 => PoisonEvent::Survived,
             _ => PoisonEvent::Ended(target_key(&format!("i-{number:08}"))),
--- a/tests/poison.rs
+++ b/tests/poison.rs
@@ -27,7 +27,7 @@
 
 fn ended(request: RequestKey, target: u64, age: Duration) -> PoisonEvidence {
     PoisonEvidence {
-        request,
+        suspect: request,
         event: PoisonEvent::Ended(target),
         age,
     }
@@ -287,7 +287,7 @@
         1 => Just(PoisonEvent::Survived),
     ];
     (1..4_u64, event, 0..20_u64).prop_map(|(request, event, age)| PoisonEvidence {
-        request,
+        suspect: request,
         event,
         // Distinct moments differ by more than the tolerance for transit times.
         age: seconds(age * 10),
@@ -313,7 +313,7 @@
         let mut table = PoisonTable::default();
         table.merge(&shuffled, now);
         for request in 1..4 {
-            let of_request = evidence.iter().filter(|item| item.request == request);
+            let of_request = evidence.iter().filter(|item| item.suspect == request);
             let survived = of_request.clone().filter(|item| item.event == PoisonEvent::Survived);
             let survived = survived.map(|item| item.age).min();
             let mut targets = of_request
