Do not take the end of a crashed target's connection for the end of its response

Callers got a stream that looked complete although its engine had crashed between two events, or a plain response cut short with status 200, where the target sends neither a length nor chunks; and the end cleared the evidence against the request that ended the engine.

Cause: such a response ends with its connection, and the system closes the connections of a crashed process in the same way.

Change: at such an end the target's port is asked. If nobody listens and the target did not state that it was leaving, the stream is resumed after its last event and a plain response fails as one that may have run; both count as an end under the request. A gateway asks before it ends its own chunks. A target that is alive has sent a complete response, which is sent once.

Also in tests/poison_parts_model: a rate of one request a second.

--- a/src/forward.rs
+++ b/src/forward.rs
@@ -26,6 +26,7 @@
 mod relay;
 mod repath;
 mod response;
+mod response_end;
 mod serve;
 pub mod socket;
 mod stream_times;
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -15,6 +15,7 @@
 use super::head::{CallerHead, forwarded, request_size, shared_parts};
 use super::relay;
 use super::response::{Refusal, ResponseBody, whole_body};
+use super::response_end::ends_with_connection;
 use super::tables::ServingTables;
 use super::watch::PathWatch;
 use crate::fleet::RequestSize;
@@ -250,7 +251,7 @@
                 exchange.observe_success(&watch.chosen);
                 return Ok(relay::open(watch, in_flight_request, tried, response));
             }
-            Ok(response) => match read_whole(response, exchange.deadline).await {
+            Ok(response) => match read_response(&watch, response).await {
                 Ok(response) if exchange.may_fail_over(&response, &tried) => {
                     exchange.observe_failure(&watch.chosen, None);
                     tried.count(&watch.chosen, true);
@@ -325,6 +326,22 @@
     }
 }
 
+/// Reads a complete response of the target of `watch`.
+async fn read_response(
+    watch: &PathWatch,
+    response: Response<Incoming>,
+) -> Result<Response<ResponseBody>, AttemptFailure> {
+    let ends_with_connection = ends_with_connection(response.headers());
+    let response = read_whole(response, watch.exchange.deadline).await?;
+    match ends_with_connection && watch.has_crashed().await {
+        true => {
+            let (verdict, cause) = (RunVerdict::MayHaveRun, FailureCause::Broken);
+            Err(AttemptFailure::new(verdict, cause))
+        }
+        false => Ok(response),
+    }
+}
+
 /// Reads a complete response, so that a truncated one is never passed on.
 async fn read_whole(
     response: Response<Incoming>,
--- a/src/forward/gateway_server.rs
+++ b/src/forward/gateway_server.rs
@@ -28,6 +28,7 @@
 use super::head::{forwarded, number_value};
 use super::notices::ObservedResponse;
 use super::response::{ResponseBody, whole_body};
+use super::response_end::{ends_with_connection, has_crashed};
 use super::socket;
 use super::tables::ServingTables;
 use super::target_link::handshake;
@@ -234,8 +235,14 @@
         };
         self.observe_response(&passed, sent, &response);
         let (head, body) = response.into_parts();
+        let unframed = ends_with_connection(&head.headers).then(|| UnframedSource {
+            tables: self.tables.clone(),
+            target: passed.target.clone(),
+            address: passed.address,
+        });
         let body = RelayedBody {
             body,
+            unframed,
             until: passed.until,
             _in_flight: in_flight,
             _slot: slot,
@@ -400,11 +407,26 @@
 /// The body of a target's response on its way to another host.
 struct RelayedBody {
     body: Incoming,
+    /// The target, if the end of the body is the end of its connection.
+    unframed: Option<UnframedSource>,
     until: Instant,
     _in_flight: InFlightRequest,
     _slot: OwnedSemaphorePermit,
 }
 
+/// The target of a response without length and chunks.
+struct UnframedSource {
+    tables: Arc<ServingTables>,
+    target: TargetId,
+    address: SocketAddr,
+}
+
+impl UnframedSource {
+    async fn has_crashed(&self) -> bool {
+        has_crashed(&self.tables, &self.target, self.address).await
+    }
+}
+
 impl RelayedBody {
     /// Returns a body that ends in an error if the target's does, so that the other host
     /// never takes a truncated response for a complete one.
@@ -423,7 +445,12 @@
     async fn next(&mut self) -> io::Result<Option<Bytes>> {
         match tokio::time::timeout_at(self.until.into(), self.body.frame()).await {
             Err(_) => Err(io::Error::from(io::ErrorKind::TimedOut)),
-            Ok(None) => Ok(None),
+            Ok(None) => match self.unframed.take() {
+                Some(source) if source.has_crashed().await => {
+                    Err(io::Error::from(io::ErrorKind::UnexpectedEof))
+                }
+                _ => Ok(None),
+            },
             Ok(Some(Ok(frame))) => Ok(Some(frame.into_data().unwrap_or_default())),
             Ok(Some(Err(error))) => Err(io::Error::other(error)),
         }
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -14,6 +14,7 @@
 use super::exchange::{Exchange, InFlightRequest, TriedTargets};
 use super::head::forwarded;
 use super::response::ResponseBody;
+use super::response_end::ends_with_connection;
 use super::stream_times::StreamTimes;
 use super::watch::{PathWatch, SilenceVerdict};
 
@@ -24,6 +25,8 @@
     _in_flight: InFlightRequest,
     tried: TriedTargets,
     body: Incoming,
+    /// Whether the end of the body is the end of its connection.
+    ends_with_connection: bool,
     /// Status that was sent to the caller.
     status: u16,
     events: EventSplitter,
@@ -45,6 +48,7 @@
         _in_flight: in_flight,
         tried,
         body,
+        ends_with_connection: ends_with_connection(&head.headers),
         status: head.status.as_u16(),
         events: EventSplitter::default(),
         times: StreamTimes::new(arrived),
@@ -79,6 +83,11 @@
         loop {
             let reason = match self.step().await {
                 StreamStep::Events(events) => return Ok(Some(events)),
+                StreamStep::End if self.ends_with_connection && self.watch.has_crashed().await => {
+                    self.watch.record_break().await;
+                    self.record_break();
+                    "target ended"
+                }
                 StreamStep::End => {
                     let chosen = &self.watch.chosen;
                     self.exchange
@@ -201,6 +210,7 @@
             let mut watch = PathWatch::open(exchange.clone(), chosen, guard, now);
             match watch.send(last.as_deref(), exchange.deadline).await {
                 Ok(response) if response.status().is_success() => {
+                    self.ends_with_connection = ends_with_connection(response.headers());
                     self.body = response.into_body();
                     self.watch = watch;
                     self.watch.observe_progress(Instant::now());
--- a/src/forward/watch.rs
+++ b/src/forward/watch.rs
@@ -14,6 +14,7 @@
 use super::gateway_link::{GatewayUse, PeerWitness};
 use super::liveness::LivenessGuard;
 use super::probe::fetch_report;
+use super::response_end::has_crashed;
 use super::tables::InFlightGuard;
 use super::target_link::TargetResponse;
 use crate::fleet::{EnginePath, PathHop};
@@ -132,6 +133,13 @@
         }
     }
 
+    /// Returns whether the target has crashed at the end of a response that ends with its
+    /// connection. Behind a gateway, the gateway decides.
+    pub(super) async fn has_crashed(&self) -> bool {
+        let (target, address) = (&self.chosen.id, self.chosen.address);
+        !self.uses_gateway() && has_crashed(&self.exchange.tables, target, address).await
+    }
+
     /// Stops counting the request on its targets.
     pub(super) fn release(&mut self) {
         self.guard = None;
--- a/tests/forwarding/gateway.rs
+++ b/tests/forwarding/gateway.rs
@@ -24,15 +24,15 @@
 const REPORT_BODY: &str = r#"{"models":[],"busy":false,"sequence":1,"queue_depth":0,"running":1}"#;
 
 /// A host that reaches the targets, and serves others as a gateway.
-struct TestGateway {
-    host: TestHost,
+pub(crate) struct TestGateway {
+    pub(crate) host: TestHost,
     handle: GatewayHandle,
     /// Whether it knows the host that sends to it.
     knows: Arc<AtomicBool>,
 }
 
 impl TestGateway {
-    fn open() -> Self {
+    pub(crate) fn open() -> Self {
         let host = TestHost::open();
         let knows = Arc::new(AtomicBool::new(true));
         let known = knows.clone();
@@ -83,7 +83,7 @@
 
 /// Opens a host that uses these gateways, and returns it with the number of times that it
 /// introduced itself to one.
-fn host_with(gateways: &[&TestGateway]) -> (TestHost, Arc<AtomicUsize>) {
+pub(crate) fn host_with(gateways: &[&TestGateway]) -> (TestHost, Arc<AtomicUsize>) {
     let addresses = gateways.iter().map(|gateway| gateway.handle.address);
     host_with_addresses(addresses.collect())
 }
@@ -111,7 +111,12 @@
 }
 
 /// Adds a plain target that only the gateways reach.
-async fn add_blocked(host: &TestHost, gateways: &[&TestGateway], id: &str, target: &StubTarget) {
+pub(crate) async fn add_blocked(
+    host: &TestHost,
+    gateways: &[&TestGateway],
+    id: &str,
+    target: &StubTarget,
+) {
     host.add_plain(id, closed_address().await);
     for gateway in gateways {
         gateway.host.add_plain(id, target.address);
--- a/tests/forwarding/main.rs
+++ b/tests/forwarding/main.rs
@@ -8,6 +8,7 @@
 mod pauses;
 mod poison;
 mod stub_target;
+mod unframed;
 
 use std::sync::atomic::Ordering;
 use std::time::Duration;
--- /dev/null
+++ b/tests/forwarding/unframed.rs
@@ -0,0 +1,132 @@
+//! Tests responses without a length and without chunks, which end with their connections.
+
+use std::net::SocketAddr;
+
+use tokio::net::TcpListener;
+
+use crate::gateway::{TestGateway, add_blocked, host_with};
+use crate::host::TestHost;
+use crate::stub_target::{SeenRequest, Step, StubTarget, serve_once};
+
+fn write(text: &str) -> Step {
+    Step::Write(text.to_owned())
+}
+
+fn unframed_head(id: &str) -> Step {
+    write(&format!(
+        "HTTP/1.1 200 OK\r\nx-jackdawwick-attempt-id: {id}\r\nx-jackdawwick-server-seal: s\r\n\r\n"
+    ))
+}
+
+fn unframed_event(id: u32) -> Step {
+    write(&format!("id: {id}\ndata: t{id}\n\n"))
+}
+
+/// Spawns a target that closes the connection of its first request in order, as its process
+/// ends.
+async fn spawn_ending<F>(steps: F) -> SocketAddr
+where
+    F: Fn(&str) -> Vec<Step> + Send + Sync + 'static,
+{
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        let (stream, _) = listener.accept().await.expect("a connection");
+        drop(listener);
+        serve_once(stream, steps).await;
+    });
+    address
+}
+
+/// Spawns an engine that sends the second of two events to who has the first.
+async fn spawn_second_engine() -> StubTarget {
+    StubTarget::spawn(|seen: &SeenRequest| {
+        let mut steps = vec![unframed_head(seen.id())];
+        if seen.header("last-event-id").is_none() {
+            steps.push(unframed_event(1));
+        }
+        steps.push(unframed_event(2));
+        steps
+    })
+    .await
+}
+
+/// Guards against a stream that looks complete because its engine crashed between two events.
+#[tokio::test]
+async fn a_stream_whose_engine_ends_between_events_is_resumed() {
+    for last in [unframed_event(1), write("id: 1\ndata: t1\n\nid: 2\nda")] {
+        let host = TestHost::open();
+        let steps = move |id: &str| vec![unframed_head(id), last.clone()];
+        host.add_engine("i-1", spawn_ending(steps).await, 0, 80);
+        let second = spawn_second_engine().await;
+        host.add_engine("i-2", second.address, 0, 80);
+        // `i-2` costs more, so that it is the second choice.
+        let now = std::time::Instant::now();
+        host.tables.fleet.lock().observe_pace("i-2", 50.0, now);
+        let served = host.call("POST", "/stream/a", "").await;
+        assert_eq!(served.event_ids(), [1, 2], "{}", served.text);
+        assert!(served.is_whole_stream(), "{}", served.text);
+        let seen = second.seen();
+        let resumed = seen.iter().map(|seen| seen.header("last-event-id"));
+        assert_eq!(resumed.collect::<Vec<_>>(), [Some("1")]);
+    }
+}
+
+/// Guards against evidence that a crash clears, because its end of the stream looks complete.
+#[tokio::test]
+async fn a_request_under_which_an_engine_ended_has_not_been_survived() {
+    let host = TestHost::open();
+    let steps = |id: &str| vec![unframed_head(id), unframed_event(1)];
+    host.add_engine("i-1", spawn_ending(steps).await, 0, 80);
+    host.call("POST", "/stream/a", "").await;
+    assert_eq!(host.tables.poison.lock().len(), 1);
+}
+
+/// Guards against a complete response that is sent again because it has no length.
+#[tokio::test]
+async fn an_unframed_response_of_a_live_target_is_complete() {
+    let host = TestHost::open();
+    let engine = spawn_second_engine().await;
+    host.add_engine("i-1", engine.address, 0, 80);
+    let other = spawn_second_engine().await;
+    host.add_engine("i-2", other.address, 0, 80);
+    let served = host.call("POST", "/stream/a", "").await;
+    assert_eq!(served.event_ids(), [1, 2], "{}", served.text);
+    assert!(served.is_whole_stream(), "{}", served.text);
+    assert_eq!(engine.seen().len() + other.seen().len(), 1);
+    let plain = StubTarget::spawn(|seen| vec![unframed_head(seen.id()), write("fine")]).await;
+    host.add_plain("i-3", plain.address);
+    let served = host.call("GET", "/unsafe/a", "").await;
+    assert_eq!(served.status(), 200, "{}", served.text);
+    assert!(served.text.ends_with("fine"), "{}", served.text);
+    assert_eq!(plain.seen().len(), 1);
+}
+
+/// Guards against a truncated plain response that looks complete.
+#[tokio::test]
+async fn an_unframed_response_of_a_target_that_ended_is_not_complete() {
+    let host = TestHost::open();
+    let steps = |id: &str| vec![unframed_head(id), write("fi")];
+    host.add_plain("i-1", spawn_ending(steps).await);
+    let cut = host.call("GET", "/unsafe/a", "").await;
+    assert_eq!(cut.status(), 502, "{}", cut.text);
+}
+
+/// Guards against a response that is cut off and looks complete after a gateway, which adds
+/// chunks.
+#[tokio::test]
+async fn an_unframed_response_is_judged_by_the_gateway() {
+    let gateway = TestGateway::open();
+    let (host, _) = host_with(&[&gateway]);
+    let whole = StubTarget::spawn(|seen| vec![unframed_head(seen.id()), write("fine")]).await;
+    add_blocked(&host, &[&gateway], "i-1", &whole).await;
+    let served = host.call("GET", "/unsafe/a", "").await;
+    assert_eq!(served.status(), 200, "{}", served.text);
+    assert_eq!(whole.seen().len(), 1);
+    let steps = |id: &str| vec![unframed_head(id), write("fi")];
+    let ending = spawn_ending(steps).await;
+    gateway.host.tables.fleet.lock().remove("i-1");
+    gateway.host.add_plain("i-1", ending);
+    let cut = host.call("GET", "/unsafe/a", "").await;
+    assert_eq!(cut.status(), 502, "{}", cut.text);
+}
--- a/tests/poison_parts_model.rs
+++ b/tests/poison_parts_model.rs
@@ -376,7 +376,7 @@
 /// part that they share.
 #[test]
 fn guilty_part_reaches_no_engine_once_hosts_have_told_each_other() {
-    let rates = [0.3, 2.0, 4.0];
+    let rates = [0.3, 1.0, 2.0, 4.0];
     for guilty_rate in rates {
         let plan = GamePlan {
             guilty_rate,
