Close new connections unread while most of a zone's lead to one overloaded host

While a balancer sends most new connections of a zone to one host, that host reads more requests than it can serve.

Cause: connections were accepted without a bound, and nothing looked at what a host carries.

Change: the tick of the exchanges measures by how much tasks run late; above 50 ms, and while the host has more requests than the others of its zone together, new connections are closed before a request is read (admission::ConnectionGate), so that callers come back to other hosts. Readiness is left alone: hosts would drop out one after the other.

Links that are full without tasks running late are not noticed.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -7,6 +7,7 @@
 
 mod bucket;
 mod commands;
+mod connection_gate;
 mod drain;
 mod estimate;
 mod organisation;
@@ -17,6 +18,7 @@
 mod table;
 mod ticket;
 
+pub use connection_gate::{ConnectionGate, ZoneLoad};
 pub use overload::OverloadGauge;
 pub use settings::AdmissionSettings;
 pub use table::AdmissionTable;
--- a/src/entry/peer_exchange.rs
+++ b/src/entry/peer_exchange.rs
@@ -223,6 +223,13 @@
         self.gossip.lock().neighbours(now)
     }
 
+    /// Returns the number of other live hosts of this zone.
+    fn neighbour_count(&self, now: Instant) -> usize {
+        let gossip = self.gossip.lock();
+        let live = gossip.live_members(now);
+        live.filter(|(_, zone, _)| **zone == self.zone).count()
+    }
+
     /// Returns the host to which this one reports.
     pub(super) fn aggregator(&self, now: Instant) -> Option<(HostId, SocketAddr)> {
         let gossip = self.gossip.lock();
@@ -340,8 +347,11 @@
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut aggregator = None;
     loop {
-        ticks.tick().await;
+        let due_at = ticks.tick().await;
         let now = Instant::now();
+        let neighbours = state.neighbour_count(now);
+        let lag = now.saturating_duration_since(due_at.into_std());
+        state.tables.observe_lag(lag, neighbours);
         let due = state.gossip.lock().due_calls(now);
         let reports_to = state.gossip.lock().reports_to(now);
         if reports_to != aggregator {
--- a/src/forward/serve.rs
+++ b/src/forward/serve.rs
@@ -52,9 +52,11 @@
 async fn accept_all(tables: Arc<ServingTables>, listener: TcpListener) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
+            Ok((stream, _)) if tables.admits_connection() => {
                 tokio::spawn(serve_connection(tables.clone(), stream));
             }
+            // Closed before a request is read, so that the caller comes back elsewhere.
+            Ok((stream, _)) => drop(stream),
             Err(error) => {
                 log::warn!(error:% = error; "cannot accept a caller connection");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
--- a/src/forward/tables.rs
+++ b/src/forward/tables.rs
@@ -13,9 +13,9 @@
 use super::gateway_link::{GatewayPeers, WitnessCell};
 use super::liveness::LivenessTable;
 use super::permits::PermitSource;
-use crate::admission::OverloadGauge;
+use crate::admission::{ConnectionGate, OverloadGauge, ZoneLoad};
 use crate::collections::FastMap;
-use crate::fleet::{EngineReport, FleetTable, TargetLoad, target_key};
+use crate::fleet::{EngineReport, FleetTable, TargetLoad, TargetState, target_key};
 use crate::gateway::GatewayTable;
 use crate::ids::TargetId;
 use crate::ids::{HostId, ServiceId, ZoneId};
@@ -53,6 +53,9 @@
     /// Number of requests completed since the start.
     pub completed: AtomicUsize,
     overload: Mutex<OverloadGauge>,
+    gate: Mutex<ConnectionGate>,
+    /// Number of other live hosts of the zone.
+    neighbours: AtomicUsize,
     budgets: Mutex<FastMap<ServiceId, WindowBudget>>,
     budget_settings: Mutex<WindowSettings>,
     reports: Mutex<FastMap<TargetId, ReportCell>>,
@@ -93,6 +96,8 @@
             in_flight: AtomicUsize::new(0),
             completed: AtomicUsize::new(0),
             overload: Mutex::default(),
+            gate: Mutex::default(),
+            neighbours: AtomicUsize::new(0),
             budgets: Mutex::default(),
             budget_settings: Mutex::new(budget_settings),
             reports: Mutex::default(),
@@ -160,6 +165,35 @@
         overload.count_paused_refusal(pause, now, rand::random())
     }
 
+    /// Records by how much a task of this host ran late, and the number of other live hosts of
+    /// the zone.
+    pub fn observe_lag(&self, lag: Duration, neighbours: usize) {
+        self.neighbours.store(neighbours, Ordering::Relaxed);
+        self.gate.lock().observe_lag(lag);
+    }
+
+    /// Returns whether a new connection of a caller is accepted.
+    pub(super) fn admits_connection(&self) -> bool {
+        let gate = self.gate.lock().clone();
+        let is_admitted = gate.admits(|| self.zone_load());
+        if !is_admitted {
+            let load = self.zone_load();
+            self.metrics.connection_closed_unread();
+            log::info!(own = load.own, others = load.others; "connection closed unread");
+        }
+        is_admitted
+    }
+
+    fn zone_load(&self) -> ZoneLoad {
+        let fleet = self.fleet.lock();
+        let sum = |of: &dyn Fn(&TargetState) -> u32| fleet.targets().map(of).sum();
+        ZoneLoad {
+            own: sum(&|state| state.own.requests),
+            others: sum(&|state| state.near.requests),
+            hosts: self.neighbours.load(Ordering::Relaxed),
+        }
+    }
+
     pub(super) fn report_cell(&self, target: &TargetId) -> ReportCell {
         self.reports
             .lock()
--- a/src/metrics/serving.rs
+++ b/src/metrics/serving.rs
@@ -34,6 +34,7 @@
     reachability_changes: Family<CauseLabel, Counter>,
     gateway_uses: Family<CauseLabel, Counter>,
     gateway_requests: Family<CauseLabel, Counter>,
+    closed_unread: Family<CauseLabel, Counter>,
     first_event: Histogram,
     between_events: Histogram,
     whole_request: Histogram,
@@ -61,6 +62,7 @@
             reachability_changes: Family::default(),
             gateway_uses: Family::default(),
             gateway_requests: Family::default(),
+            closed_unread: Family::default(),
             first_event: latency_histogram(),
             between_events: latency_histogram(),
             whole_request: latency_histogram(),
@@ -154,6 +156,11 @@
                 "Requests of other hosts that this host was to pass on, by result",
                 &self.gateway_requests,
             ),
+            (
+                "connections_closed_unread",
+                "Connections of callers closed before a request was read, by cause",
+                &self.closed_unread,
+            ),
         ];
         for (name, help, family) in families {
             self.registry.register(name, help, family.clone());
@@ -282,6 +289,12 @@
         count(&self.gateway_requests, result);
     }
 
+    /// Counts a connection that was closed before a request was read, since the host is
+    /// overloaded.
+    pub fn connection_closed_unread(&self) {
+        count(&self.closed_unread, "overloaded");
+    }
+
     /// Observes a call to the log service, or counts an error if the call failed.
     pub fn store_called(&self, topic: &'static str, took: Duration, succeeded: bool) {
         match succeeded {
