Write a refused part to the log when it is proved, not with the next evidence

Cause: a part is refused a second after the end that proves it; the writer waited for new evidence, which does not come any more once the part is refused.

Change: the writer checks twice a second what the log lacks.

--- a/src/entry/poison_log.rs
+++ b/src/entry/poison_log.rs
@@ -28,6 +28,9 @@
 /// readers of all zones receive a poison request within 1.3 s of each other, and a record
 /// that one has written reaches the others within milliseconds.
 const WRITE_PAUSE: Duration = Duration::from_millis(1500);
+/// Interval at which a change that comes from the passage of time is noticed: a part is
+/// refused a second after the end that proves it.
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Applies the poison requests in the log while this host is a reader; runs forever.
 pub(super) async fn follow_poison(
@@ -108,7 +111,8 @@
     loop {
         let updates = tables.poison_updates.notified();
         if tables.poison.lock().log_changes(Instant::now()).is_empty() {
-            updates.await;
+            let _ = tokio::time::timeout(CHECK_INTERVAL, updates).await;
+            continue;
         }
         if wait_for_reader_role(&mut role).await.is_none() {
             return;
--- a/standins/src/soak/poison.rs
+++ b/standins/src/soak/poison.rs
@@ -60,13 +60,7 @@
     let crashed = run.crashes.len();
     run.run_for(PROPAGATION_TIME).await?;
     let refused_by = run.count_refusing_hosts().await?;
-    for host in &mut run.hosts {
-        host.host.signal(Signal::SIGKILL);
-    }
-    for host in 0..run.hosts.len() {
-        run.take_down(host, true, Duration::ZERO);
-    }
-    run.heal_all().await?;
+    run.restart_all().await?;
     run.run_for(PROPAGATION_TIME).await?;
     let refused_after_restart = run.count_refusing_hosts().await?;
     run.run_for(CRASH_TIME * 2).await?;
@@ -90,6 +84,17 @@
 }
 
 impl SoakRun {
+    /// Kills all hosts at once and starts them again.
+    pub(super) async fn restart_all(&mut self) -> io::Result<()> {
+        for host in &mut self.hosts {
+            host.host.signal(Signal::SIGKILL);
+        }
+        for host in 0..self.hosts.len() {
+            self.take_down(host, true, Duration::ZERO);
+        }
+        self.heal_all().await
+    }
+
     /// Returns the number of hosts that refuse the request.
     async fn count_refusing_hosts(&mut self) -> io::Result<usize> {
         let mut refusing = 0;
--- a/standins/src/soak/poison_part.rs
+++ b/standins/src/soak/poison_part.rs
@@ -77,11 +77,8 @@
         .collect();
     run.run_for(CALM_TIME).await?;
     let begun = Instant::now();
-    let poison = tokio::spawn(send_poison(context.clone()));
-    run.run_for(ENDS_TIME + 2 * CONTACT_TIME + OBSERVATION_TIME)
-        .await?;
+    send_poison_for(&mut run, ENDS_TIME + 2 * CONTACT_TIME + OBSERVATION_TIME).await?;
     context.stop();
-    poison.await.map_err(io::Error::other)?;
     let calls = join_calls(sound).await?;
     let noticed = run.crashes.iter().take(ENDS_TO_NOTICE).max().copied();
     let noticed = noticed.unwrap_or(begun);
@@ -105,6 +102,30 @@
     })
 }
 
+/// Sends requests with the part until hosts refuse it, kills and restarts all hosts, and sends
+/// more; returns the number of engines that ended before and after.
+///
+/// # Errors
+///
+/// If processes or sockets cannot be set up.
+pub async fn run_poison_part_restart(settings: SoakSettings) -> io::Result<(usize, usize)> {
+    let mut run = SoakRun::open_served(settings).await?;
+    send_poison_for(&mut run, ENDS_TIME).await?;
+    let ended = run.crashes.len();
+    run.restart_all().await?;
+    run.run_for(CONTACT_TIME).await?;
+    send_poison_for(&mut run, CONTACT_TIME).await?;
+    Ok((ended, run.crashes.len() - ended))
+}
+
+/// Sends requests with the part while the run goes on.
+async fn send_poison_for(run: &mut SoakRun, time: Duration) -> io::Result<()> {
+    let poison = tokio::spawn(send_poison(run.context.clone()));
+    run.run_for(time).await?;
+    poison.abort();
+    Ok(())
+}
+
 async fn join_calls(callers: Vec<JoinHandle<Vec<SoundCall>>>) -> io::Result<Vec<SoundCall>> {
     let mut calls = Vec::new();
     for caller in callers {
--- a/standins/tests/poison_parts.rs
+++ b/standins/tests/poison_parts.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use standins::soak::run_poison_part;
+use standins::soak::{run_poison_part, run_poison_part_restart};
 use support::TestResult;
 use support::soaks::soak_settings;
 
@@ -24,3 +24,13 @@
     assert_eq!(report.falsely_refused, 0, "{report:?}");
     Ok(())
 }
+
+/// Guards against a part that ends engines again because all hosts have forgotten it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_refused_part_stays_refused_after_a_start_of_all_hosts() -> TestResult {
+    let (settings, _folder) = soak_settings(HOSTS).await?;
+    let (before, after) = run_poison_part_restart(settings).await?;
+    assert!(before >= 2, "{before} engines ended");
+    assert_eq!(after, 0, "{before} engines ended before");
+    Ok(())
+}
