--- /dev/null
+++ b/tests/poison_parts.rs
@@ -0,0 +1,193 @@
+//! Decisions on parts of prompts under which targets end.
+
+use std::time::{Duration, Instant};
+
+use http::HeaderMap;
+use http::header::HeaderValue;
+use jackdawwick::platform::names;
+use jackdawwick::platform::prompt_parts::parse_shared_parts;
+use jackdawwick::poison::{EndSource, PoisonJudgement, PoisonTable, RequestSuspects, part_key};
+
+/// Time after which a part under which two targets ended is refused.
+const DECIDED: Duration = Duration::from_millis(1100);
+/// Maximum number of parts that a table remembers, on which its memory budget rests.
+const MAX_PARTS: usize = 256;
+
+fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+/// Returns a request of an organisation, whose prompt has some parts.
+fn request(number: u64, organisation: u16, parts: &[&str]) -> RequestSuspects {
+    RequestSuspects {
+        // Short keys would share their first bits.
+        request: number << 40,
+        organisation,
+        parts: parts.iter().map(|part| part_key("engines", part)).collect(),
+    }
+}
+
+fn target(number: u64) -> u64 {
+    number << 40
+}
+
+fn is_refused(table: &PoisonTable, suspects: &RequestSuspects, now: Instant) -> bool {
+    let judgement = table.judge(suspects, now);
+    matches!(judgement, PoisonJudgement::Part(_))
+}
+
+/// Returns a table in which two targets ended under two requests with these parts.
+fn table_with_ends(parts: &[&str], now: Instant) -> PoisonTable {
+    let mut table = PoisonTable::default();
+    for number in 1..=2 {
+        table.observe_request_end(&request(number, 1, parts), target(number), now);
+    }
+    table
+}
+
+#[test]
+fn a_part_is_refused_once_hosts_had_time_to_clear_it() {
+    let now = Instant::now();
+    let table = table_with_ends(&["route", "bad"], now);
+    let other = request(9, 1, &["route", "bad"]);
+    assert!(matches!(
+        table.judge(&other, now),
+        PoisonJudgement::Pending(_)
+    ));
+    assert!(is_refused(&table, &other, now + DECIDED));
+    let moved = request(9, 1, &["bad", "route", "more"]);
+    assert!(is_refused(&table, &moved, now + DECIDED));
+}
+
+/// Guards against a sound first part that is refused with the guilty part after it.
+#[test]
+fn a_part_that_was_survived_since_is_sound() {
+    let now = Instant::now();
+    let mut table = table_with_ends(&["route", "bad"], now);
+    let sound = request(9, 1, &["route", "good"]);
+    let began = now + Duration::from_millis(100);
+    table.observe_part_survival(&sound, began, now + DECIDED);
+    assert!(!is_refused(&table, &sound, now + DECIDED));
+    assert!(is_refused(
+        &table,
+        &request(10, 1, &["route", "bad"]),
+        now + DECIDED
+    ));
+}
+
+/// Guards against the refusal of each of two parts of which one is sound, if all targets ended
+/// under requests with both.
+#[test]
+fn parts_that_came_together_are_refused_together() {
+    let now = Instant::now();
+    let table = table_with_ends(&["one", "two"], now);
+    let later = now + DECIDED;
+    assert!(is_refused(&table, &request(9, 1, &["two", "one"]), later));
+    assert!(!is_refused(&table, &request(9, 1, &["one", "good"]), later));
+    assert!(!is_refused(&table, &request(9, 1, &["two"]), later));
+}
+
+/// Guards against a caller that has another organisation's part refused.
+#[test]
+fn ends_under_one_organisation_count_against_it_alone() {
+    let now = Instant::now();
+    let mut table = table_with_ends(&["shared"], now);
+    let later = now + DECIDED;
+    assert!(is_refused(&table, &request(9, 1, &["shared"]), later));
+    assert!(!is_refused(&table, &request(9, 2, &["shared"]), later));
+    table.observe_request_end(&request(3, 2, &["shared"]), target(3), later);
+    assert!(is_refused(
+        &table,
+        &request(9, 3, &["shared"]),
+        later + DECIDED
+    ));
+}
+
+/// Guards against a rare part that is refused because its only request ran on two targets.
+#[test]
+fn one_request_on_several_targets_proves_nothing() {
+    let now = Instant::now();
+    let mut table = PoisonTable::default();
+    for number in 1..=4 {
+        table.observe_request_end(&request(1, 1, &["rare"]), target(number), now);
+    }
+    assert!(!is_refused(
+        &table,
+        &request(2, 1, &["rare"]),
+        now + DECIDED
+    ));
+}
+
+/// Guards against a common part that is refused because a rack was lost: it was survived
+/// before, and all targets ended at one moment.
+#[test]
+fn a_known_part_is_not_refused_for_ends_at_one_moment() {
+    let now = Instant::now();
+    let mut table = PoisonTable::default();
+    table.observe_part_survival(&request(1, 1, &["common"]), now, now);
+    for number in 1..=6 {
+        let at = now + seconds(10);
+        table.observe_request_end(&request(number, 1, &["common"]), target(number), at);
+    }
+    let common = request(9, 1, &["common"]);
+    assert!(!is_refused(&table, &common, now + seconds(13)));
+    // It may become guilty later.
+    for number in 7..=8 {
+        let at = now + seconds(10 + number);
+        table.observe_request_end(&request(number, 1, &["common"]), target(number), at);
+    }
+    assert!(is_refused(&table, &common, now + seconds(21)));
+}
+
+/// Guards against a flood of parts that evicts a refused one, or what clears a common one.
+#[test]
+fn a_flood_of_parts_evicts_neither_proofs_nor_survivals() {
+    let now = Instant::now();
+    let mut table = table_with_ends(&["bad"], now);
+    let common = request(1, 1, &["common"]);
+    for _ in 0..10 {
+        table.observe_part_survival(&common, now, now);
+    }
+    for number in 0..10_000 {
+        let flood = request(100 + number, 1, &[&format!("flood-{number}")]);
+        table.observe_request_end(&flood, target(9), now + seconds(1));
+        table.observe_part_survival(&flood, now + seconds(2), now + seconds(3));
+        assert!(table.len() <= 2 * MAX_PARTS);
+    }
+    let later = now + seconds(4);
+    assert!(is_refused(&table, &request(9, 1, &["bad"]), later));
+    for number in 20..22 {
+        table.observe_request_end(&request(number, 1, &["common"]), target(number), later);
+    }
+    assert!(!is_refused(&table, &common, later + DECIDED));
+}
+
+#[test]
+fn sources_keep_target_request_and_organisation_apart() {
+    let source = EndSource::new(u64::MAX - 5, 77 << 40, 9);
+    assert_eq!(EndSource::from_bits(source.to_bits()), source);
+}
+
+#[test]
+fn headers_are_parsed_and_malformed_entries_left_out() {
+    let ids = |value: &str| {
+        let mut headers = HeaderMap::new();
+        let value = HeaderValue::from_str(value).expect("a value");
+        headers.append(names::PROMPT_PREFIX, value);
+        let parts = parse_shared_parts(&headers);
+        parts
+            .iter()
+            .map(|part| part.id.to_owned())
+            .collect::<Vec<_>>()
+    };
+    assert_eq!(
+        ids("5c1e07a2:800,91bd3f06:410,e4402b7d:250"),
+        ["5c1e07a2", "91bd3f06"]
+    );
+    assert_eq!(ids(" A:1 , 0b:2,c:3"), ["A", "0b"]);
+    assert_eq!(ids("a:1"), [""; 0]);
+    assert_eq!(ids("x:1,:2,a,b:-1,a:1:2,c:5,d:1"), ["c"]);
+    assert_eq!(ids(",,,"), [""; 0]);
+    let many = vec!["a:1"; 10_000].join(",");
+    assert_eq!(ids(&many).len(), 9_999);
+}
