--- a/src/forward/poison_evidence.rs
+++ b/src/forward/poison_evidence.rs
@@ -1,5 +1,5 @@
-//! Records targets that ended under a request, and requests that targets survived, and
-//! refuses requests by that evidence.
+//! Records which requests targets ended under and which they survived, and refuses or delays
+//! requests by that evidence.
 
 use std::time::{Duration, Instant};
 
--- a/src/poison/table.rs
+++ b/src/poison/table.rs
@@ -60,9 +60,9 @@
 /// A change that the platform's log lacks.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LogChange {
-    /// The request.
+    /// The request or part.
     pub suspect: SuspectKey,
-    /// The targets that ended under it; empty if the log has to drop the request.
+    /// The ends under it; empty if the log has to drop it.
     pub ends: Vec<PoisonEvidence>,
 }
 
