Close the port of a stand-in's link before its connections are reset

Cause: FaultLink::close reset the connections first and aborted the task that holds the port, which takes effect later. A host whose connection broke asked the port, found it open and noted no end.

Change: the task that holds the port is told to close; it drops the port, then resets the connections. In the stand-in alone.

--- a/standins/src/soak/link.rs
+++ b/standins/src/soak/link.rs
@@ -8,7 +8,6 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::task::JoinHandle;
 
 /// Bytes that are forwarded at a time.
 const CHUNK_BYTES: usize = 16 * 1024;
@@ -54,7 +53,7 @@
     pub address: SocketAddr,
     fault: watch::Sender<LinkFault>,
     server: watch::Sender<Option<SocketAddr>>,
-    task: JoinHandle<()>,
+    closed: watch::Sender<bool>,
 }
 
 impl FaultLink {
@@ -68,12 +67,19 @@
         let address = listener.local_addr()?;
         let fault = watch::Sender::new(LinkFault::None);
         let server = watch::Sender::new(server);
-        let task = tokio::spawn(accept_all(listener, fault.subscribe(), server.subscribe()));
+        let closed = watch::Sender::new(false);
+        let port = LinkPort {
+            listener,
+            fault: fault.clone(),
+            server: server.subscribe(),
+            closed: closed.subscribe(),
+        };
+        tokio::spawn(port.accept_all());
         Ok(Self {
             address,
             fault,
             server,
-            task,
+            closed,
         })
     }
 
@@ -82,10 +88,10 @@
         self.server.send_replace(server);
     }
 
-    /// Resets all connections and closes the port.
+    /// Closes the port, and then resets all connections, as the system does when a process
+    /// ends.
     pub fn close(&self) {
-        self.fault.send_replace(LinkFault::Reset);
-        self.task.abort();
+        self.closed.send_replace(true);
     }
 
     /// Switches to a fault, or back to none.
@@ -100,22 +106,36 @@
     }
 }
 
-async fn accept_all(
+/// The port of a link.
+struct LinkPort {
     listener: TcpListener,
-    faults: watch::Receiver<LinkFault>,
-    servers: watch::Receiver<Option<SocketAddr>>,
-) {
-    loop {
-        match listener.accept().await {
-            Ok((client, _)) => {
-                let server = *servers.borrow();
-                tokio::spawn(relay(client, server, faults.clone()));
-            }
-            Err(error) => {
-                log::warn!("link cannot accept a connection: {error}");
-                tokio::time::sleep(Duration::from_millis(20)).await;
+    fault: watch::Sender<LinkFault>,
+    server: watch::Receiver<Option<SocketAddr>>,
+    closed: watch::Receiver<bool>,
+}
+
+impl LinkPort {
+    /// Accepts connections until the link is closed.
+    async fn accept_all(mut self) {
+        loop {
+            let accepted = tokio::select! {
+                biased;
+                _ = self.closed.wait_for(|closed| *closed) => break,
+                accepted = self.listener.accept() => accepted,
+            };
+            match accepted {
+                Ok((client, _)) => {
+                    let server = *self.server.borrow();
+                    tokio::spawn(relay(client, server, self.fault.subscribe()));
+                }
+                Err(error) => {
+                    log::warn!("link cannot accept a connection: {error}");
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
             }
         }
+        drop(self.listener);
+        self.fault.send_replace(LinkFault::Reset);
     }
 }
 
