--- a/tests/poison_parts.rs
+++ b/tests/poison_parts.rs
@@ -59,7 +59,7 @@
     assert!(is_refused(&table, &moved, now + DECIDED));
 }
 
-/// Guards against a sound first part that is refused with the guilty part after it.
+/// Guards against a sound first part that is refused with the poison part after it.
 #[test]
 fn a_part_that_was_survived_since_is_sound() {
     let now = Instant::now();
@@ -131,7 +131,7 @@
     }
     let common = request(9, 1, &["common"]);
     assert!(!is_refused(&table, &common, now + seconds(13)));
-    // It may become guilty later.
+    // It may become poison later.
     for number in 7..=8 {
         let at = now + seconds(10 + number);
         table.observe_request_end(&request(number, 1, &["common"]), target(number), at);
--- a/tests/poison_parts_model.rs
+++ b/tests/poison_parts_model.rs
@@ -14,9 +14,9 @@
 const STEP: Duration = Duration::from_millis(125);
 /// Time in which hosts tell each other what they observed.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
-/// Requests with a guilty part that may reach engines later than that after the fifth end.
+/// Requests with a poison part that may reach engines later than that after the fifth end.
 const MAX_LATE: usize = 3;
-/// Time from the start of a run to its first event, to the end of its engine if it is guilty,
+/// Time from the start of a run to its first event, to the end of its engine if it is poison,
 /// and to the end of the run.
 const FIRST_EVENT: Duration = Duration::from_millis(250);
 const CRASH: Duration = Duration::from_millis(125);
@@ -50,9 +50,9 @@
     engines_each: usize,
     /// Sound requests a second.
     sound_rate: f64,
-    /// Requests a second with each of the guilty parts.
-    guilty_rate: f64,
-    guilty_parts: usize,
+    /// Requests a second with each of the poison parts.
+    poison_rate: f64,
+    poison_parts: usize,
     /// Engines that end for other reasons each second, for eight seconds.
     plain_ends: f64,
     filing: Filing,
@@ -67,8 +67,8 @@
     hosts_each: 3,
     engines_each: 4,
     sound_rate: 40.0,
-    guilty_rate: 2.0,
-    guilty_parts: 1,
+    poison_rate: 2.0,
+    poison_parts: 1,
     plain_ends: 0.0,
     filing: Filing::Parts,
     holds: true,
@@ -78,9 +78,9 @@
 /// What a game shows.
 #[derive(Debug, Default, Clone, PartialEq)]
 struct GameResult {
-    /// Engines that ended under guilty parts.
+    /// Engines that ended under poison parts.
     ended: usize,
-    /// Requests with a guilty part that reached engines later than the contact time after the
+    /// Requests with a poison part that reached engines later than the contact time after the
     /// fifth end.
     late: usize,
     /// Sound requests, those that were refused for a part, and those that waited.
@@ -97,7 +97,7 @@
 struct Call {
     host: usize,
     suspects: RequestSuspects,
-    is_guilty: bool,
+    is_poison: bool,
     was_sent: bool,
     /// Sendings that are left to its host.
     attempts: usize,
@@ -127,8 +127,8 @@
     engines: Vec<Engine>,
     runs: Vec<Run>,
     waiting: Vec<Call>,
-    guilty_ends: Vec<Instant>,
-    guilty_sends: Vec<Instant>,
+    poison_ends: Vec<Instant>,
+    poison_sends: Vec<Instant>,
     sound_calls: Vec<(Instant, bool)>,
     result: GameResult,
 }
@@ -151,44 +151,44 @@
             engines,
             runs: Vec::new(),
             waiting: Vec::new(),
-            guilty_ends: Vec::new(),
-            guilty_sends: Vec::new(),
+            poison_ends: Vec::new(),
+            poison_sends: Vec::new(),
             sound_calls: Vec::new(),
             result: GameResult::default(),
         }
     }
 
-    /// Plays ten calm seconds, then sends requests with guilty parts for twenty.
+    /// Plays ten calm seconds, then sends requests with poison parts for twenty.
     fn play(mut self) -> GameResult {
         let began = self.fleet.now;
-        let guilty_from = began + Duration::from_secs(10);
-        let ended = guilty_from + Duration::from_secs(20);
+        let poison_from = began + Duration::from_secs(10);
+        let ended = poison_from + Duration::from_secs(20);
         while self.fleet.now < ended {
             self.fleet.run_for(STEP);
             let now = self.fleet.now;
             self.finish_runs(now);
             let rate = self.plan.sound_rate;
             self.arrive(rate, None, now);
-            if now >= guilty_from {
-                for part in 0..self.plan.guilty_parts {
-                    self.arrive(self.plan.guilty_rate, Some(part), now);
+            if now >= poison_from {
+                for part in 0..self.plan.poison_parts {
+                    self.arrive(self.plan.poison_rate, Some(part), now);
                 }
-                if now < guilty_from + Duration::from_secs(8) {
+                if now < poison_from + Duration::from_secs(8) {
                     self.end_plainly(now);
                 }
             }
             self.send_waiting(now);
         }
-        self.summarise(guilty_from)
+        self.summarise(poison_from)
     }
 
-    fn summarise(mut self, guilty_from: Instant) -> GameResult {
-        let fifth = self.guilty_ends.get(4).copied();
+    fn summarise(mut self, poison_from: Instant) -> GameResult {
+        let fifth = self.poison_ends.get(4).copied();
         let late = |at: &&Instant| fifth.is_some_and(|fifth| **at > fifth + CONTACT_TIME);
-        self.result.ended = self.guilty_ends.len();
-        self.result.late = self.guilty_sends.iter().filter(late).count();
-        let noticed = self.guilty_ends.iter().take(5).max().copied();
-        let from = noticed.unwrap_or(guilty_from) + 2 * CONTACT_TIME;
+        self.result.ended = self.poison_ends.len();
+        self.result.late = self.poison_sends.iter().filter(late).count();
+        let noticed = self.poison_ends.iter().take(5).max().copied();
+        let from = noticed.unwrap_or(poison_from) + 2 * CONTACT_TIME;
         let after = self.sound_calls.iter().filter(|(at, _)| *at >= from);
         self.result.after = after.clone().count();
         self.result.begun_after = after.filter(|(_, begun)| *begun).count();
@@ -201,14 +201,14 @@
         whole as usize + usize::from(self.random.random::<f64>() < expected - whole)
     }
 
-    fn arrive(&mut self, rate: f64, guilty: Option<usize>, now: Instant) {
+    fn arrive(&mut self, rate: f64, poison: Option<usize>, now: Instant) {
         for _ in 0..self.draw(rate) {
             let host = self.random.random_range(0..self.fleet.hosts.len());
             let route = format!("route-{}", self.random.random_range(0..3));
             // Frequent parts and rare ones.
             let subject = (SUBJECTS as f64).powf(self.random.random::<f64>()) as usize;
-            let guilty_id = guilty.map(|part| format!("guilty-{part}"));
-            let ids = match (guilty_id, self.random.random_bool(0.5)) {
+            let poison_id = poison.map(|part| format!("poison-{part}"));
+            let ids = match (poison_id, self.random.random_bool(0.5)) {
                 (None, _) => vec![route, format!("subject-{subject}")],
                 (Some(id), true) => vec![route, id],
                 (Some(id), false) => vec![id, format!("subject-{subject}")],
@@ -216,13 +216,13 @@
             let call = Call {
                 host,
                 suspects: self.suspects(&ids),
-                is_guilty: guilty.is_some(),
+                is_poison: poison.is_some(),
                 was_sent: false,
                 attempts: 2,
                 was_held: false,
                 arrived: now,
             };
-            self.result.sound += usize::from(!call.is_guilty);
+            self.result.sound += usize::from(!call.is_poison);
             self.waiting.push(call);
         }
     }
@@ -252,11 +252,11 @@
             match judgement {
                 PoisonJudgement::Request | PoisonJudgement::Part(_) => {
                     let is_part = matches!(judgement, PoisonJudgement::Part(_));
-                    self.result.refused += usize::from(is_part && !call.is_guilty);
+                    self.result.refused += usize::from(is_part && !call.is_poison);
                     self.record_sound(&call, false);
                 }
                 _ if is_held && self.plan.holds => {
-                    self.result.held += usize::from(!call.was_held && !call.is_guilty);
+                    self.result.held += usize::from(!call.was_held && !call.is_poison);
                     call.was_held = true;
                     self.waiting.push(call);
                 }
@@ -266,7 +266,7 @@
     }
 
     fn record_sound(&mut self, call: &Call, is_begun: bool) {
-        if !call.is_guilty && !call.was_sent {
+        if !call.is_poison && !call.was_sent {
             self.sound_calls.push((call.arrived, is_begun));
         }
     }
@@ -282,8 +282,8 @@
         if up.is_empty() {
             return;
         }
-        if call.is_guilty {
-            self.guilty_sends.push(now);
+        if call.is_poison {
+            self.poison_sends.push(now);
         }
         let engine = up[self.random.random_range(0..up.len())];
         self.runs.push(Run {
@@ -295,11 +295,11 @@
     }
 
     fn finish_runs(&mut self, now: Instant) {
-        let guilty = self.runs.iter();
-        let guilty = guilty.filter(|run| run.call.is_guilty && now >= run.sent + CRASH);
-        for engine in guilty.map(|run| run.engine).collect::<Vec<_>>() {
+        let poison = self.runs.iter();
+        let poison = poison.filter(|run| run.call.is_poison && now >= run.sent + CRASH);
+        for engine in poison.map(|run| run.engine).collect::<Vec<_>>() {
             if self.end_engine(engine, now) {
-                self.guilty_ends.push(now);
+                self.poison_ends.push(now);
             }
         }
         for run in &mut self.runs {
@@ -375,22 +375,22 @@
 /// Guards against requests of which no two are alike, and that end engine after engine by a
 /// part that they share.
 #[test]
-fn guilty_part_reaches_no_engine_once_hosts_have_told_each_other() {
+fn poison_part_reaches_no_engine_once_hosts_have_told_each_other() {
     let rates = [0.3, 1.0, 2.0, 4.0];
-    for guilty_rate in rates {
+    for poison_rate in rates {
         let plan = GamePlan {
-            guilty_rate,
+            poison_rate,
             ..SMALL
         };
         check(&play_seeds(plan, 0..10), plan);
     }
 }
 
-/// Guards against two guilty parts of which each hides the other.
+/// Guards against two poison parts of which each hides the other.
 #[test]
-fn two_guilty_parts_are_told_apart() {
+fn two_poison_parts_are_told_apart() {
     let plan = GamePlan {
-        guilty_parts: 2,
+        poison_parts: 2,
         ..SMALL
     };
     for result in play_seeds(plan, 0..10) {
@@ -404,7 +404,7 @@
 #[test]
 fn engines_that_end_for_other_reasons_prove_nothing() {
     let plan = GamePlan {
-        guilty_rate: 0.0,
+        poison_rate: 0.0,
         plain_ends: 3.0,
         ..SMALL
     };
@@ -466,21 +466,21 @@
             (
                 "parts, 4 a second",
                 GamePlan {
-                    guilty_rate: 4.0,
+                    poison_rate: 4.0,
                     ..base
                 },
             ),
             (
                 "parts, 0.3 a second",
                 GamePlan {
-                    guilty_rate: 0.3,
+                    poison_rate: 0.3,
                     ..base
                 },
             ),
             (
-                "parts, two guilty",
+                "parts, two poison",
                 GamePlan {
-                    guilty_parts: 2,
+                    poison_parts: 2,
                     ..base
                 },
             ),
@@ -501,7 +501,7 @@
             (
                 "parts, crashes alone",
                 GamePlan {
-                    guilty_rate: 0.0,
+                    poison_rate: 0.0,
                     plain_ends: 3.0,
                     ..base
                 },
