Test that a refusal for a part says truly whether the request was sent

Cause: that 'not run' is true was checked for whole requests alone.

Change: two tests over loopback: a request that reached no target is refused with 503, not run and no time to come back, and sound ones pass with their list unchanged; one whose target broke before the part was refused gets 502, may have run, and is sent nowhere else.

--- a/tests/forwarding/poison.rs
+++ b/tests/forwarding/poison.rs
@@ -4,8 +4,9 @@
 use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+use jackdawwick::poison::{RequestSuspects, organisation_hash, part_key};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -231,3 +232,68 @@
     host.call("POST", POISON, "Content-Length: 0\r\n").await;
     assert_eq!(host.tables.poison.lock().len(), 1);
 }
+
+/// Header of a request whose prompt has a poison part between two others.
+const POISON_PARTS: &str =
+    "Content-Length: 0\r\nX-Jackdawwick-Prompt-Prefix: 5a:40,badd:300,f1:50\r\n";
+
+/// Records two targets that ended under different requests with the poison part, long enough
+/// ago for it to be refused.
+fn prove_poison_part(host: &TestHost) {
+    let ended = Instant::now() - Duration::from_secs(2);
+    let mut poison = host.tables.poison.lock();
+    for number in 1..=2_u64 {
+        let suspects = RequestSuspects {
+            request: number << 40,
+            organisation: organisation_hash(Some("org")),
+            parts: vec![part_key("model", "badd")],
+        };
+        poison.observe_request_end(&suspects, number << 40, ended);
+    }
+}
+
+/// Guards against a refusal that promises more or less than is true: a request that reached no
+/// target has not run, one of which an attempt was sent may have run.
+#[tokio::test]
+async fn a_refusal_for_a_part_states_whether_the_request_was_sent() {
+    let host = TestHost::open();
+    let engine =
+        StubTarget::spawn(|seen| vec![stream_head(seen.id()), event(1), last_chunk()]).await;
+    host.add_engine("i-1", engine.address, 0, 80);
+    prove_poison_part(&host);
+    let refused = host.call("POST", "/stream/a", POISON_PARTS).await;
+    assert_eq!(refused.status(), 503, "{}", refused.text);
+    assert!(refused.text.contains("\"verdict\":\"not_run\""));
+    assert!(refused.text.contains("\"reason\":\"poison_request\""));
+    assert_eq!(refused.header("retry-after"), None);
+    assert_eq!(engine.seen().len(), 0);
+    let sound = POISON_PARTS.replace("badd", "600d");
+    let served = host.call("POST", "/stream/a", &sound).await;
+    assert!(served.is_whole_stream(), "{}", served.text);
+    let seen = engine.seen();
+    let parts = seen[0].header("x-jackdawwick-prompt-prefix");
+    assert_eq!(parts, Some("5a:40,600d:300,f1:50"));
+}
+
+/// Guards against a request that is called not run although an engine broke under it before the
+/// part was refused, and that is sent to another one.
+#[tokio::test]
+async fn a_request_in_flight_is_not_sent_again_once_its_part_is_refused() {
+    let host = TestHost::open();
+    let broken = |_: &SeenRequest| vec![Step::Wait(Duration::from_millis(300)), Step::Reset];
+    let (first, second) = (
+        StubTarget::spawn(broken).await,
+        StubTarget::spawn(broken).await,
+    );
+    host.add_engine("i-1", first.address, 0, 80);
+    host.add_engine("i-2", second.address, 0, 80);
+    let call = host.call("POST", "/stream/a", POISON_PARTS);
+    let proof = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        prove_poison_part(&host);
+    };
+    let (refused, ()) = tokio::join!(call, proof);
+    assert_eq!(refused.status(), 502, "{}", refused.text);
+    assert!(refused.text.contains("\"verdict\":\"may_have_run\""));
+    assert_eq!(first.seen().len() + second.seen().len(), 1);
+}
