Give the report of a restart a type

Cause: run_poison_part_restart returned a bare pair of numbers.

Change: PoisonPartRestartReport in the stand-ins.

Measured: a_refused_part_stays_refused_after_a_start_of_all_hosts passed.

--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -47,6 +47,8 @@
 pub use partition::{IsolatedHosts, PartitionPlan, PartitionReport, ServedShare, run_partition};
 pub use plan::{FaultAction, PlannedFault, draw_faults, draw_statements};
 pub use poison::{PoisonReport, run_poison_request};
-pub use poison_part::{PoisonPartReport, run_poison_part, run_poison_part_restart};
+pub use poison_part::{
+    PoisonPartReport, PoisonPartRestartReport, run_poison_part, run_poison_part_restart,
+};
 pub use run::{LinkScope, SoakReport, SoakSettings, run_soak};
 pub use statement::{StatementReport, run_leaving_statement, run_requested_pause};
--- a/standins/src/soak/poison_part.rs
+++ b/standins/src/soak/poison_part.rs
@@ -49,6 +49,15 @@
     pub falsely_refused: usize,
 }
 
+/// Engines that ended before and after all hosts were killed and started again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PoisonPartRestartReport {
+    /// Before.
+    pub ended_before: usize,
+    /// After.
+    pub ended_after: usize,
+}
+
 /// A sound call and its outcome.
 #[derive(Debug, Clone, Copy)]
 struct SoundCall {
@@ -103,19 +112,24 @@
 }
 
 /// Sends requests with the part until hosts refuse it, kills and restarts all hosts, and sends
-/// more; returns the number of engines that ended before and after.
+/// more.
 ///
 /// # Errors
 ///
 /// If processes or sockets cannot be set up.
-pub async fn run_poison_part_restart(settings: SoakSettings) -> io::Result<(usize, usize)> {
+pub async fn run_poison_part_restart(
+    settings: SoakSettings,
+) -> io::Result<PoisonPartRestartReport> {
     let mut run = SoakRun::open_served(settings).await?;
     send_poison_for(&mut run, ENDS_TIME).await?;
-    let ended = run.crashes.len();
+    let ended_before = run.crashes.len();
     run.restart_all().await?;
     run.run_for(CONTACT_TIME).await?;
     send_poison_for(&mut run, CONTACT_TIME).await?;
-    Ok((ended, run.crashes.len() - ended))
+    Ok(PoisonPartRestartReport {
+        ended_before,
+        ended_after: run.crashes.len() - ended_before,
+    })
 }
 
 /// Sends requests with the part while the run goes on.
--- a/standins/tests/poison_parts.rs
+++ b/standins/tests/poison_parts.rs
@@ -29,8 +29,8 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_refused_part_stays_refused_after_a_start_of_all_hosts() -> TestResult {
     let (settings, _folder) = soak_settings(HOSTS).await?;
-    let (before, after) = run_poison_part_restart(settings).await?;
-    assert!(before >= 2, "{before} engines ended");
-    assert_eq!(after, 0, "{before} engines ended before");
+    let report = run_poison_part_restart(settings).await?;
+    assert!(report.ended_before >= 2, "{report:?}");
+    assert_eq!(report.ended_after, 0, "{report:?}");
     Ok(())
 }
