Correct the sizes and meanings in comments on records of parts

Cause: the cache of survivals was said to take 96 KB and a record 150 bytes; the fields come to 128 KB, and to 64 bytes and 24 for each end. Three comments spoke of requests where parts are meant as well.

Measured: sizes by the fields alone.

--- a/src/poison/record.rs
+++ b/src/poison/record.rs
@@ -21,7 +21,8 @@
 const MAX_PART_ENDS: usize = 8;
 const MAX_PART_ENDS_OF_TARGET: usize = 2;
 /// Time for which a request is refused after the last target that ended under it, indexed
-/// by the number of targets beyond [`ENDS_TO_REFUSE`].
+/// by the number of targets beyond [`ENDS_TO_REFUSE`]. For a part, indexed by the number of
+/// further tries that ended a target.
 ///
 /// The evidence can be wrong: a service that loses all its targets three times in an hour
 /// makes a request that all callers send alike look like poison, and a request that is
@@ -59,9 +60,9 @@
 /// The evidence on one request, or on one part of prompts.
 #[derive(Debug, Clone, Default)]
 pub(super) struct PoisonRecord {
-    /// The most recent ends, one per target.
+    /// The most recent ends: one per target for a request, one per source for a part.
     pub(super) ends: Vec<TargetEnd>,
-    /// When a target last survived the request.
+    /// When a target that survived the request or part last began to run it.
     pub(super) survived: Option<Instant>,
     /// Version of the table at the last change of this record.
     pub(super) changed: u64,
--- a/src/poison/survivors.rs
+++ b/src/poison/survivors.rs
@@ -4,7 +4,7 @@
 
 use crate::ids::SuspectKey;
 
-/// Number of remembered keys, 96 KB.
+/// Number of remembered keys, 128 KB.
 const SLOTS: usize = 4096;
 /// Maximum weight of a key: the number of other keys that it outlasts in its slot.
 const MAX_WEIGHT: u8 = 15;
--- a/src/poison/table.rs
+++ b/src/poison/table.rs
@@ -14,7 +14,7 @@
 
 /// Maximum number of remembered requests, and of remembered parts. An engine takes 192
 /// requests at once, so that all that ran on one fit beside 64 refused requests. A record
-/// takes about 150 bytes, 77 KB in all, whatever the size of the fleet.
+/// takes 64 bytes and 24 for each end, at most 131 KB in all, whatever the size of the fleet.
 const MAX_RECORDS: usize = 256;
 /// Time for which a survived request is not suspected. Requests that many callers send
 /// alike, for a status or a price list, come several times a second.
