Name what ends of targets are identified by, and give results of connection games a type

TargetEnd::target is TargetEnd::source, since for a part it holds the target, the request and the organisation; play() of tests/connection_gate returns GameResult in place of a tuple. No behaviour changes.

--- a/src/poison/judgement.rs
+++ b/src/poison/judgement.rs
@@ -4,6 +4,7 @@
 
 use super::end_source::{EndSource, OrganisationHash};
 use super::evidence::PoisonEvent;
+use super::key::is_part;
 use super::part_rule::PartVerdict;
 use super::record::PoisonRecord;
 use super::table::{PoisonTable, PoisonVerdict};
@@ -114,7 +115,7 @@
         let sources = record.sorted_sources();
         let others = self.records.iter();
         let mut group = others.filter(|(key, other)| {
-            super::key::is_part(**key)
+            is_part(**key)
                 && other.ends.len() == record.ends.len()
                 && other.sorted_sources() == sources
         });
--- a/src/poison/part_rule.rs
+++ b/src/poison/part_rule.rs
@@ -8,7 +8,7 @@
 
 use super::end_source::{EndSource, OrganisationHash};
 use super::recent_ends::RecentEnds;
-use super::record::{PoisonRecord, TargetEnd};
+use super::record::{PoisonRecord, REFUSAL_TIMES, TargetEnd};
 
 /// Number of ends, of different targets under different requests, that prove a part which no
 /// target is known to have survived.
@@ -169,7 +169,7 @@
     }
 
     fn sources(&self) -> impl Iterator<Item = (EndSource, Instant)> + use<'_> {
-        let source = |end: &TargetEnd| (EndSource::from_bits(end.target), end.at);
+        let source = |end: &TargetEnd| (EndSource::from_bits(end.source), end.at);
         self.ends.iter().map(source)
     }
 
@@ -220,7 +220,6 @@
 
 /// Returns for how long a part is refused after this number of tries ended a target.
 fn refusal_time(tries: usize) -> Duration {
-    let times = super::record::REFUSAL_TIMES;
-    let index = tries.saturating_sub(1).min(times.len() - 1);
-    times[index]
+    let index = tries.saturating_sub(1).min(REFUSAL_TIMES.len() - 1);
+    REFUSAL_TIMES[index]
 }
--- a/src/poison/record.rs
+++ b/src/poison/record.rs
@@ -53,7 +53,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct TargetEnd {
     /// The target's key for a request, an [`EndSource`](super::EndSource) for a part.
-    pub(super) target: u64,
+    pub(super) source: u64,
     pub(super) at: Instant,
 }
 
@@ -112,13 +112,13 @@
             true => MAX_PART_ENDS,
             false => MAX_ENDS,
         };
-        if is_part(suspect) && self.has_enough_ends_of(end.target) {
+        if is_part(suspect) && self.has_enough_ends_of(end.source) {
             return false;
         }
         let same = self
             .ends
             .iter()
-            .position(|known| known.target == end.target);
+            .position(|known| known.source == end.source);
         let index = match same {
             None if self.ends.len() < max_ends => {
                 self.ends.push(end);
@@ -141,14 +141,14 @@
     fn has_enough_ends_of(&self, source: u64) -> bool {
         let target = short_target(source);
         let same = self.ends.iter();
-        let same = same.filter(|end| short_target(end.target) == target);
+        let same = same.filter(|end| short_target(end.source) == target);
         same.clone().count() >= MAX_PART_ENDS_OF_TARGET
-            && !same.into_iter().any(|end| end.target == source)
+            && !same.into_iter().any(|end| end.source == source)
     }
 
     /// Returns what the ends are identified by, in a fixed order.
     pub(super) fn sorted_sources(&self) -> Vec<u64> {
-        let mut sources = self.ends.iter().map(|end| end.target).collect::<Vec<_>>();
+        let mut sources = self.ends.iter().map(|end| end.source).collect::<Vec<_>>();
         sources.sort_unstable();
         sources
     }
@@ -188,7 +188,7 @@
     ) -> impl Iterator<Item = PoisonEvidence> + use<'_> {
         self.ends.iter().map(move |end| PoisonEvidence {
             suspect,
-            event: PoisonEvent::Ended(end.target),
+            event: PoisonEvent::Ended(end.source),
             age: now.saturating_duration_since(end.at),
         })
     }
--- a/src/poison/table.rs
+++ b/src/poison/table.rs
@@ -142,13 +142,13 @@
             PoisonEvent::Ended(_) if is_part(suspect) => self.survivors.last(suspect),
             _ => None,
         };
-        if let PoisonEvent::Ended(target) = event {
-            self.recent.observe(short_target(target), at);
+        if let PoisonEvent::Ended(source) = event {
+            self.recent.observe(short_target(source), at);
         }
         let record = self.records.entry(suspect).or_default();
         let survival_changed = known_survival.is_some_and(|at| record.observe_survival(at));
         let changed = match event {
-            PoisonEvent::Ended(target) => record.observe_end(suspect, TargetEnd { target, at }),
+            PoisonEvent::Ended(source) => record.observe_end(suspect, TargetEnd { source, at }),
             PoisonEvent::Survived => record.observe_survival(at),
         };
         if changed || survival_changed {
--- a/tests/connection_gate.rs
+++ b/tests/connection_gate.rs
@@ -59,12 +59,20 @@
     }
 }
 
-/// Plays calm and concentrated connections; returns what was served in each. `lost` counts
-/// callers that no host took.
-fn play(hosts: usize, has_gate: bool, seed: u64) -> (Served, Served, usize) {
+/// What a game shows.
+#[derive(Debug, Default, Clone, Copy)]
+struct GameResult {
+    calm: Served,
+    concentrated: Served,
+    /// Callers that no host took.
+    lost: usize,
+}
+
+/// Plays calm and then concentrated connections.
+fn play(hosts: usize, has_gate: bool, seed: u64) -> GameResult {
     let mut random = StdRng::seed_from_u64(seed);
     let mut hosts = vec![Host::default(); hosts];
-    let (mut calm, mut concentrated, mut lost) = (Served::default(), Served::default(), 0);
+    let mut result = GameResult::default();
     let observed_from = CALM_STEPS + ADAPTATION_STEPS;
     for step in 0..observed_from + OBSERVATION_STEPS {
         let is_calm = step < CALM_STEPS;
@@ -84,7 +92,7 @@
             });
             match taker {
                 Some(taker) => hosts[taker].queue.push_back((step, REQUEST_WORK)),
-                None => lost += 1,
+                None => result.lost += 1,
             }
         }
         for host in &mut hosts {
@@ -95,8 +103,8 @@
             host.running.retain(|end| step < *end);
             for read in process(host) {
                 let counted = match read {
-                    read if (ADAPTATION_STEPS..CALM_STEPS).contains(&read) => &mut calm,
-                    read if read >= observed_from => &mut concentrated,
+                    read if (ADAPTATION_STEPS..CALM_STEPS).contains(&read) => &mut result.calm,
+                    read if read >= observed_from => &mut result.concentrated,
                     _ => continue,
                 };
                 counted.read += 1;
@@ -105,7 +113,7 @@
             }
         }
     }
-    (calm, concentrated, lost)
+    result
 }
 
 fn zone_load(hosts: &[Host], own: usize) -> ZoneLoad {
@@ -140,14 +148,17 @@
 fn host_that_gets_most_connections_serves_what_it_reads() {
     for hosts in [3, 8, 39] {
         for seed in 0..10 {
-            let (calm, concentrated, lost) = play(hosts, true, seed);
+            let result = play(hosts, true, seed);
+            let GameResult {
+                calm, concentrated, ..
+            } = result;
             assert!(calm.read > 20 && concentrated.read > 20);
             let bound = 0.75 * calm.share();
             assert!(
                 concentrated.share() >= bound,
                 "{hosts} {seed} {concentrated:?}"
             );
-            assert_eq!(lost, 0, "{hosts} {seed}");
+            assert_eq!(result.lost, 0, "{hosts} {seed}");
         }
     }
 }
@@ -155,7 +166,9 @@
 /// Shows that the games find a host without a gate.
 #[test]
 fn games_find_a_host_that_takes_all_connections() {
-    let (calm, concentrated, _) = play(8, false, 1);
+    let GameResult {
+        calm, concentrated, ..
+    } = play(8, false, 1);
     assert!(
         concentrated.share() < 0.75 * calm.share(),
         "{concentrated:?}"
