Add the types that the parts of load management share, and count slots in the cost of a path

An engine runs at most the declared slots at once as the first of their paths, and more requests wait there before their first event. A path now names its expected time to the first event, with that wait.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -30,6 +30,7 @@
 fn model() -> EngineModel {
     let kinds = KINDS.iter().map(|(name, _)| ((*name).into(), kind(name)));
     EngineModel {
+        slots: 192,
         layers: 80,
         layer_mb: 1750.0,
         kv_token_bytes: 590_000.0,
@@ -140,6 +141,7 @@
             zone: "zone-0",
             avoid: &[],
             max_pause: Duration::ZERO,
+            preferred_zone: None,
         };
         group.bench_function(BenchmarkId::new("three zones of", each), |bencher| {
             bencher.iter(|| choose_path(members, query, now, rand::random));
--- a/src/entry/readiness.rs
+++ b/src/entry/readiness.rs
@@ -68,6 +68,7 @@
                 avoid: &[],
                 // A service whose targets all pause is short of capacity, not lost.
                 max_pause: Duration::MAX,
+                preferred_zone: None,
             };
             choose_path(members, query, now, || 0.0).is_some()
         }),
--- a/src/fleet/path.rs
+++ b/src/fleet/path.rs
@@ -53,6 +53,9 @@
     pub hops: Vec<PathHop>,
     /// Expected cost, in milliseconds per event.
     pub cost_ms: f64,
+    /// Expected time to the first event, in milliseconds: waiting for a slot of the first
+    /// engine, for permits and pauses, and processing of the prompt.
+    pub first_event_ms: f64,
     /// Whether an engine on it has no memory left for the request.
     pub full: bool,
 }
@@ -70,6 +73,8 @@
     pub avoid: &'a [TargetId],
     /// Longest pause of an engine that may be used. Zero for a request that is sent now.
     pub max_pause: Duration,
+    /// Another availability zone whose paths cost nothing extra for this request.
+    pub preferred_zone: Option<&'a str>,
 }
 
 /// Chooses the cheapest path within one availability zone, or across zones if no zone has
@@ -153,6 +158,7 @@
     Some(EnginePath {
         hops,
         cost_ms: path.cost_ms,
+        first_event_ms: part.first_event_ms,
         full: part.full,
     })
 }
@@ -190,6 +196,8 @@
     hop_ms: f64,
     /// Cost of each layer that the engine runs, in milliseconds per event.
     layer_ms: f64,
+    /// Time that the engine adds until the first event, in milliseconds.
+    first_event_ms: f64,
     full: bool,
 }
 
@@ -225,6 +233,10 @@
         unread / layers * kind.read_factor * state.pace(now) * 1000.0 / model.read_per_s.max(1.0);
     let wait = state.permit_wait(now).max(state.remaining_pause(now));
     let wait_ms = wait.as_secs_f64() * 1000.0;
+    let slot_wait_ms = match range.from {
+        0 => slot_wait_ms(model, others),
+        _ => 0.0,
+    };
     let crowding_ms = fill_level.min(1.0).powi(4) * pass_ms;
     Some(EngineCost {
         engine,
@@ -232,14 +244,23 @@
         hop_ms: (HOP_MS
             + 0.5 * pass_ms
             + crowding_ms
-            + PREFILL_WEIGHT * (read_ms + wait_ms)
+            + PREFILL_WEIGHT * (read_ms + wait_ms + slot_wait_ms)
             + if full { FULL_ENGINE_MS } else { 0.0 })
             * (1.0 + COST_SPREAD * draw),
         layer_ms: stride * step_ms / layers,
+        first_event_ms: pass_ms + read_ms + wait_ms + slot_wait_ms,
         full,
     })
 }
 
+/// Returns the time for which one more request waits for a slot of the first engine of its
+/// path, which has `requests` already, in milliseconds.
+fn slot_wait_ms(model: &EngineModel, requests: f64) -> f64 {
+    let slots = f64::from(model.slots);
+    let ends_needed = (requests + 1.0 - slots).max(0.0);
+    ends_needed / slots * model.usual_response_ms()
+}
+
 /// Finds the cheapest path through the layers of `span`. The nodes are the boundaries of
 /// the engines' ranges.
 fn cheapest<D>(
@@ -308,6 +329,8 @@
     hops.reverse();
     let hops = merge_repeated(hops);
     let full = hops.iter().any(|(index, _)| costs[*index].full);
+    let first_event_ms = hops.iter().map(|(index, _)| costs[*index].first_event_ms);
+    let first_event_ms = first_event_ms.sum();
     let hops = hops.into_iter().map(|(index, layers)| {
         let entry = &engines[costs[index].engine].entry;
         PathHop {
@@ -319,6 +342,7 @@
     Some(EnginePath {
         hops: hops.collect(),
         cost_ms,
+        first_event_ms,
         full,
     })
 }
--- a/src/forward/choice.rs
+++ b/src/forward/choice.rs
@@ -135,6 +135,7 @@
                 zone,
                 avoid,
                 max_pause,
+                preferred_zone: None,
             };
             let path = choose_path(members, query, now, draw)?;
             let first = path.hops.first()?;
--- a/src/forward/repath.rs
+++ b/src/forward/repath.rs
@@ -104,6 +104,7 @@
             zone: zone.as_deref().unwrap_or(&exchange.tables.zone),
             avoid: failing,
             max_pause: Duration::ZERO,
+            preferred_zone: None,
         };
         let now = Instant::now();
         let mut repaired = path.clone();
--- a/src/forward/tables.rs
+++ b/src/forward/tables.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
-use arc_swap::ArcSwapOption;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
@@ -14,6 +14,7 @@
 use super::liveness::LivenessTable;
 use super::permits::PermitSource;
 use crate::admission::{ConnectionGate, OverloadGauge, ZoneLoad};
+use crate::capacity::CapacityView;
 use crate::collections::FastMap;
 use crate::fleet::{EngineReport, FleetTable, TargetLoad, TargetState, target_key};
 use crate::gateway::GatewayTable;
@@ -40,6 +41,8 @@
     pub metrics: ServingMetrics,
     /// The configuration in effect, once one is known.
     pub configuration: ArcSwapOption<IngressConfiguration>,
+    /// Capacity and demand of all services, as last computed.
+    pub capacity: ArcSwap<CapacityView>,
     /// The targets.
     pub fleet: Mutex<FleetTable>,
     /// Set once the process is shutting down.
@@ -89,6 +92,7 @@
             zone,
             metrics: ServingMetrics::default(),
             configuration: ArcSwapOption::empty(),
+            capacity: ArcSwap::default(),
             fleet: Mutex::default(),
             draining: AtomicBool::new(false),
             closing: AtomicBool::new(false),
--- a/src/ingress/configuration.rs
+++ b/src/ingress/configuration.rs
@@ -126,6 +126,8 @@
 /// Costs and sizes of a model engine, as declared.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EngineModel {
+    /// Most requests that an engine runs at once as the first engine of their paths.
+    pub slots: u32,
     /// Number of layers of the model.
     pub layers: u32,
     /// Size of a layer's weights, in megabytes.
@@ -165,6 +167,13 @@
 }
 
 impl EngineModel {
+    /// Returns the time of a usual response on a path of the slowest kind, in milliseconds.
+    pub fn usual_response_ms(&self) -> f64 {
+        let paces = self.kinds.values().map(|kind| kind.pace);
+        let slowest = paces.fold(1.0, f64::max);
+        f64::from(self.usual_answer) * self.step_ms * slowest
+    }
+
     /// Returns the most layers that an accelerator can hold.
     pub fn max_layers(&self, kind: AcceleratorKind) -> u32 {
         let layers = (kind.memory_mb / self.layer_mb).floor();
--- a/src/platform/configuration_record.rs
+++ b/src/platform/configuration_record.rs
@@ -69,6 +69,9 @@
 
 #[derive(Deserialize)]
 struct EngineBody {
+    /// Requests that an engine runs at once as the first of their paths.
+    #[serde(default = "default_slots")]
+    slots: u32,
     #[serde(default)]
     layers: u32,
     #[serde(default)]
@@ -87,6 +90,10 @@
     kind_list: Vec<KindBody>,
 }
 
+fn default_slots() -> u32 {
+    u32::MAX
+}
+
 fn default_stride() -> u32 {
     1
 }
@@ -219,6 +226,7 @@
     });
     let usual = body.usual.as_ref();
     Some(EngineModel {
+        slots: body.slots.max(1),
         layers: body.layers,
         layer_mb: body.layer_mb,
         kv_token_bytes: body.kv_token_bytes,
--- a/standins/src/pipeline/settings.rs
+++ b/standins/src/pipeline/settings.rs
@@ -46,6 +46,7 @@
         ];
         Self {
             model: EngineModel {
+                slots: 192,
                 layers: 80,
                 layer_mb: 1750.0,
                 kv_token_bytes: 918_000.0,
--- a/standins/src/trial/run.rs
+++ b/standins/src/trial/run.rs
@@ -206,6 +206,7 @@
             zone,
             avoid: &[],
             max_pause: Duration::ZERO,
+            preferred_zone: None,
         };
         let members = self.fleet.table.members(SERVICE)?;
         let rng = &mut self.rng;
--- a/tests/paths.rs
+++ b/tests/paths.rs
@@ -62,6 +62,7 @@
         zone: "near",
         avoid,
         max_pause: Duration::ZERO,
+        preferred_zone: None,
     };
     choose_path(fleet.members("model")?, query, now, || 0.5)
 }
@@ -176,6 +177,7 @@
         zone: "near",
         avoid: &avoid,
         max_pause: Duration::ZERO,
+        preferred_zone: None,
     };
     let repair = |now| {
         let members = fleet.members("model").expect("members");
@@ -290,6 +292,7 @@
         zone: "near",
         avoid: &[],
         max_pause: Duration::ZERO,
+        preferred_zone: None,
     };
     let members = fleet.members("model").expect("members");
     let repaired = repair_path(members, query, &path, position, now, || 0.5).expect("a path");
@@ -368,6 +371,7 @@
         EnginePath {
             hops: hops.to_vec(),
             cost_ms: 0.0,
+            first_event_ms: 0.0,
             full: false,
         }
     };
@@ -400,7 +404,7 @@
         let covered = (0..80).all(|layer| {
             fleet.targets().any(|state| state.entry.layers.is_some_and(|range| range.contains(layer)))
         });
-        let query = PathQuery { model: &model, size: SIZE, zone: "near", avoid: &[], max_pause: Duration::ZERO };
+        let query = PathQuery { model: &model, size: SIZE, zone: "near", avoid: &[], max_pause: Duration::ZERO , preferred_zone: None,};
         let members = fleet.members("model").expect("members");
         let path = choose_path(members, query, Instant::now(), || draw);
         prop_assert_eq!(path.is_some(), covered);
--- a/tests/pause_model.rs
+++ b/tests/pause_model.rs
@@ -189,6 +189,7 @@
             zone: "near",
             avoid: &[],
             max_pause: Duration::ZERO,
+            preferred_zone: None,
         };
         let members = self.fleet.members("model").expect("engines");
         let path = choose_path(members, query, now, || 0.5);
--- a/tests/placement_support/mod.rs
+++ b/tests/placement_support/mod.rs
@@ -25,6 +25,7 @@
 
 pub(crate) fn model() -> EngineModel {
     EngineModel {
+        slots: 192,
         layers: 80,
         layer_mb: 1750.0,
         kv_token_bytes: 918_000.0,
