--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -12,8 +12,9 @@
 
 pub use entry::{EngineReport, LayerRange, TargetEntry};
 pub use load::{RequestSize, TargetLoad};
+pub(crate) use path::MEMORY_OVERCOMMIT;
 pub use path::{EnginePath, PathHop, PathQuery, choose_path, repair_path};
 pub use pick::choose_target;
 pub use state::TargetState;
 pub use table::{FleetTable, ServiceMembers};
-pub use usage::{TargetUsage, UsageScope, UsageSource, ZoneUsage, target_key};
+pub use usage::{SourceTable, TargetUsage, UsageScope, UsageSource, ZoneUsage, target_key};
--- a/src/fleet/path.rs
+++ b/src/fleet/path.rs
@@ -20,7 +20,7 @@
 /// its whole response only at its end, and half of it on average. If the requests still
 /// do not fit, the newest one is prefilled again, which makes it late but does not lose
 /// it.
-const MEMORY_OVERCOMMIT: f64 = 1.2;
+pub(crate) const MEMORY_OVERCOMMIT: f64 = 1.2;
 /// Random part of an engine's cost. Hosts learn of each other's requests some hundred
 /// milliseconds late; without the random part, all of them would choose the same engines
 /// in the meantime.
--- a/src/fleet/usage.rs
+++ b/src/fleet/usage.rs
@@ -114,26 +114,79 @@
 
 /// The last report of a source and when it arrived.
 #[derive(Debug)]
-struct SourceUsage {
+struct SourceReport<R> {
     at: Instant,
-    usage: Vec<TargetUsage>,
+    report: R,
 }
 
 /// The last report of each source.
-#[derive(Debug, Default)]
-pub(super) struct UsageTable {
+#[derive(Debug)]
+pub struct SourceTable<R> {
     /// Ordered, since sums of loads depend on the order in their last bits.
-    sources: BTreeMap<UsageSource, SourceUsage>,
+    sources: BTreeMap<UsageSource, SourceReport<R>>,
 }
 
-impl UsageTable {
+impl<R> Default for SourceTable<R> {
+    fn default() -> Self {
+        Self {
+            sources: BTreeMap::new(),
+        }
+    }
+}
+
+impl<R> SourceTable<R> {
     /// Records a report in place of the previous one of the source, and drops those that
     /// it replaces or that expired.
-    pub(super) fn observe(&mut self, source: UsageSource, usage: Vec<TargetUsage>, now: Instant) {
+    pub fn observe(&mut self, source: UsageSource, report: R, now: Instant) {
         self.sources.retain(|earlier, report| {
             now < report.at + earlier.lifetime() && !source.replaces(earlier)
         });
-        self.sources.insert(source, SourceUsage { at: now, usage });
+        self.sources
+            .insert(source, SourceReport { at: now, report });
+    }
+
+    /// Drops the report of a source.
+    pub fn remove(&mut self, source: &UsageSource) {
+        self.sources.remove(source);
+    }
+
+    /// Returns the reports that have not expired, by source, with the time since each
+    /// arrived.
+    pub fn live(&self, now: Instant) -> impl Iterator<Item = (&UsageSource, &R, Duration)> {
+        let sources = self.sources.iter();
+        let aged = sources.map(move |(source, report)| {
+            let age = now.saturating_duration_since(report.at);
+            (source, &report.report, age)
+        });
+        aged.filter(|(source, _, age)| *age < source.lifetime())
+    }
+
+    /// Returns the report of a source and the time since it arrived, unless it has expired.
+    pub fn get(&self, source: &UsageSource, now: Instant) -> Option<(&R, Duration)> {
+        let mut live = self.live(now);
+        let found = live.find(|(found, ..)| *found == source);
+        found.map(|(_, report, age)| (report, age))
+    }
+
+    /// Returns all reports by source, also those that have expired since the last
+    /// [`Self::observe`].
+    fn all(&self) -> impl Iterator<Item = (&UsageSource, &R)> {
+        let sources = self.sources.iter();
+        sources.map(|(source, report)| (source, &report.report))
+    }
+}
+
+/// The last reported load of each source.
+#[derive(Debug, Default)]
+pub(super) struct UsageTable {
+    sources: SourceTable<Vec<TargetUsage>>,
+}
+
+impl UsageTable {
+    /// Records a report in place of the previous one of the source, and drops those that
+    /// it replaces or that expired.
+    pub(super) fn observe(&mut self, source: UsageSource, usage: Vec<TargetUsage>, now: Instant) {
+        self.sources.observe(source, usage, now);
     }
 
     /// Drops the sums of the aggregator of this zone.
@@ -143,8 +196,8 @@
 
     /// Returns all reports by source.
     pub(super) fn all(&self) -> impl Iterator<Item = (&UsageSource, &[TargetUsage])> {
-        let sources = self.sources.iter();
-        sources.map(|(source, report)| (source, report.usage.as_slice()))
+        let all = self.sources.all();
+        all.map(|(source, usage)| (source, usage.as_slice()))
     }
 
     /// Returns the load of the hosts that report to this one, summed by target.
@@ -161,27 +214,24 @@
 
     /// Returns the load that a host of this zone last reported, by target.
     pub(super) fn reported_by(&self, host: &HostId) -> FastMap<TargetKey, TargetLoad> {
-        let own = [
-            UsageSource::Host(host.clone()),
-            UsageSource::Group(host.clone()),
-        ];
-        let report = own.iter().filter_map(|source| self.sources.get(source));
-        let usage = report.flat_map(|report| report.usage.iter());
+        let is_own = |source: &UsageSource| match source {
+            UsageSource::Host(source) | UsageSource::Group(source) => source == host,
+            _ => false,
+        };
+        let reports = self.all().filter(|(source, _)| is_own(source));
+        let usage = reports.flat_map(|(_, usage)| usage);
         usage.map(|used| (used.key, used.load)).collect()
     }
 
     /// Returns what other zones last reported.
     pub(super) fn remote(&self) -> Vec<ZoneUsage> {
-        let remote = self
-            .sources
-            .iter()
-            .filter_map(|(source, report)| match source {
-                UsageSource::Zone(zone) => Some(ZoneUsage {
-                    zone: zone.clone(),
-                    usage: report.usage.clone(),
-                }),
-                _ => None,
-            });
+        let remote = self.all().filter_map(|(source, usage)| match source {
+            UsageSource::Zone(zone) => Some(ZoneUsage {
+                zone: zone.clone(),
+                usage: usage.to_vec(),
+            }),
+            _ => None,
+        });
         remote.collect()
     }
 }
--- a/src/forward/attempt_policy.rs
+++ b/src/forward/attempt_policy.rs
@@ -50,6 +50,8 @@
         // would waste the work done, and its caller would start over.
         if full && !started {
             let after = self.tables.count_refusal(now);
+            let (service, priority) = (&self.service.name, self.matched.priority);
+            self.tables.count_capacity_refusal(service, priority, now);
             return Err(Refusal::not_run(RefusalReason::NoRoom, after));
         }
         Ok(chosen)
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -184,6 +184,8 @@
         );
     }
     tables.count_request(&service.name, arrived);
+    let organisation = matched.organisation.as_deref();
+    tables.count_arrival(&service.name, matched.priority, organisation, arrived);
     Ok(Exchange {
         configuration: configuration.version,
         arrived,
--- a/src/forward/tables.rs
+++ b/src/forward/tables.rs
@@ -14,7 +14,7 @@
 use super::liveness::LivenessTable;
 use super::permits::PermitSource;
 use crate::admission::{ConnectionGate, OverloadGauge, ZoneLoad};
-use crate::capacity::CapacityView;
+use crate::capacity::{CapacityView, DemandTable};
 use crate::collections::FastMap;
 use crate::fleet::{EngineReport, FleetTable, TargetLoad, TargetState, target_key};
 use crate::gateway::GatewayTable;
@@ -43,6 +43,8 @@
     pub configuration: ArcSwapOption<IngressConfiguration>,
     /// Capacity and demand of all services, as last computed.
     pub capacity: ArcSwap<CapacityView>,
+    /// Demand of the callers of this host, and of other hosts as they report it.
+    pub demand: Mutex<DemandTable>,
     /// The targets.
     pub fleet: Mutex<FleetTable>,
     /// Set once the process is shutting down.
@@ -93,6 +95,7 @@
             metrics: ServingMetrics::default(),
             configuration: ArcSwapOption::empty(),
             capacity: ArcSwap::default(),
+            demand: Mutex::default(),
             fleet: Mutex::default(),
             draining: AtomicBool::new(false),
             closing: AtomicBool::new(false),
@@ -138,6 +141,32 @@
         budget.count_request(settings, now);
     }
 
+    /// Counts the arrival of a request, whether or not it is refused later.
+    pub fn count_arrival(
+        &self,
+        service: &ServiceId,
+        priority: u8,
+        organisation: Option<&str>,
+        now: Instant,
+    ) {
+        let mut demand = self.demand.lock();
+        demand
+            .own
+            .count_arrival(service, priority, organisation, now);
+    }
+
+    /// Counts a request that was refused for want of capacity.
+    pub fn count_capacity_refusal(&self, service: &ServiceId, priority: u8, now: Instant) {
+        let mut demand = self.demand.lock();
+        demand.own.count_capacity_refusal(service, priority, now);
+    }
+
+    /// Sets the number of requests that wait at this host to be started.
+    pub fn set_waiting(&self, service: &ServiceId, priority: u8, waiting: u32, now: Instant) {
+        let mut demand = self.demand.lock();
+        demand.own.set_waiting(service, priority, waiting, now);
+    }
+
     /// Sets this host's share of the retries.
     pub fn set_budget(&self, settings: WindowSettings) {
         *self.budget_settings.lock() = settings;
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -28,6 +28,11 @@
 pub type TargetId = Arc<str>;
 /// Short key of a target's id, equal on all hosts: see [`crate::fleet::target_key`].
 pub type TargetKey = u64;
+/// Short key of a service's name, equal on all hosts: see [`crate::capacity::service_key`].
+pub type ServiceKey = u64;
+/// Short key of an organisation's name, equal on all hosts: see
+/// [`crate::capacity::organisation_key`].
+pub type OrganisationKey = u64;
 /// Name of a declared model.
 pub type ModelId = Arc<str>;
 /// Name of a version of a model.
