--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -177,6 +177,35 @@
   logReadMs @18 :UInt32;
   # Time since it last had it. Both are 0 if it never had.
   limits @19 :LimitListing;
+  demand @20 :DemandListing;
+  # Demand of callers, of the hosts that "scope" names.
+  ended @21 :EndedListing;
+}
+
+struct DemandListing {
+  # Demand of the callers of some hosts.
+  services @0 :List(UInt64);
+  # One place of this list and the next four a pair of a service and a priority. Hash of the
+  # service's name, alike on all hosts.
+  priorities @1 :List(UInt8);
+  arrivals @2 :List(Float32);
+  # Requests that arrive in a second, refused ones included.
+  refusals @3 :List(Float32);
+  # Requests that are refused in a second for want of capacity.
+  waiting @4 :List(UInt16);
+  organisations @5 :List(UInt64);
+  # One place of this list and the next two an organisation. Hash of its name.
+  places @6 :List(UInt8);
+  # Place of the organisation's service and priority in the lists above.
+  organisationArrivals @7 :List(Float32);
+  ageMs @8 :UInt32;
+  # Age of the oldest count.
+}
+
+struct EndedListing {
+  # Targets that some host found ended.
+  keys @0 :List(UInt64);
+  agesMs @1 :List(UInt16);
 }
 
 struct LimitListing {
@@ -258,6 +287,10 @@
 struct ZoneUses {
   zone @0 :Text;
   uses @1 :TargetUses;
+  demand @2 :DemandListing;
+  # Demand of the callers of the zone's hosts.
+  demandKnownMs @3 :UInt32;
+  # Time since the first host of the recipient's zone received the demand.
 }
 
 struct FollowQuestion {
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -1,6 +1,7 @@
 //! An entry host: reads the platform's log, serves callers and places layers on the
 //! engines.
 
+mod capacity_refresh;
 mod configuration_follower;
 mod follow_cursor;
 mod gateway_peers;
--- a/src/entry/peer_exchange.rs
+++ b/src/entry/peer_exchange.rs
@@ -6,6 +6,7 @@
 
 use parking_lot::Mutex;
 
+use crate::capacity::DemandReport;
 use crate::entry::EntrySettings;
 use crate::entry::log_copy::LogCopy;
 use crate::entry::poison_log::log_refused;
@@ -126,6 +127,7 @@
         self.receive(view, now);
         let reply = self.gossip.lock().reply_view(view, now);
         let reply = self.complete(reply, Some(&view.host), view.zone == self.zone, now);
+        let reply = self.add_demand(reply, Some(&view.host), view.zone == self.zone, now);
         let reply = self.add_poison(reply, view.address, now);
         self.add_limits(reply, view.address, now)
     }
@@ -136,6 +138,7 @@
         let request = gossip.request_view(address, now);
         drop(gossip);
         let request = self.complete(request, None, is_neighbour, now);
+        let request = self.add_demand(request, None, is_neighbour, now);
         let request = self.add_poison(request, address, now);
         self.add_limits(request, address, now)
     }
@@ -161,6 +164,27 @@
         }
     }
 
+    /// Adds the demand of callers and the targets that hosts found ended.
+    fn add_demand(
+        &self,
+        view: HostView,
+        recipient: Option<&HostId>,
+        is_neighbour: bool,
+        now: Instant,
+    ) -> HostView {
+        let demand = match view.scope {
+            // The demand of a single host is of no use to another zone.
+            UsageScope::Host if !is_neighbour => DemandReport::default(),
+            scope => self.tables.demand.lock().report(scope, recipient, now),
+        };
+        let ended = self.tables.fleet.lock().ended_targets(now);
+        HostView {
+            demand,
+            ended,
+            ..view
+        }
+    }
+
     /// Adds the poison evidence that the host at an address has not received yet.
     fn add_poison(&self, view: HostView, recipient: SocketAddr, now: Instant) -> HostView {
         let poison = self.tables.poison.lock().delta_for(recipient, now);
@@ -202,13 +226,17 @@
         }
         self.receive_poison(view, now);
         self.receive_limits(view, now);
+        self.tables.observe_ended(&view.ended, &view.host, now);
         if let Some(log) = view.log {
             self.copy.observe_ages(&view.zone, log, now);
         }
         let source = UsageSource::of(view.scope, &view.host, &view.zone, &self.zone);
         if let Some(source) = source {
             let mut fleet = self.tables.fleet.lock();
-            fleet.observe_usage(source, view.usage.clone(), now);
+            fleet.observe_usage(source.clone(), view.usage.clone(), now);
+            drop(fleet);
+            let mut demand = self.tables.demand.lock();
+            demand.observe(source, view.demand.clone(), now);
         }
     }
 
@@ -302,6 +330,7 @@
     fn log_aggregator(&self, reports_to: Option<&HostId>) {
         if reports_to.is_none() {
             self.tables.fleet.lock().forget_neighbours();
+            self.tables.demand.lock().forget_neighbours();
         }
         let name = reports_to.map_or("nobody, speaks for the zone", |host| host);
         log::info!(speaker:% = name; "reports to");
@@ -332,11 +361,16 @@
             true => self.tables.fleet.lock().remote_usage(),
             false => Vec::new(),
         };
+        let remote_demand = match request.wants_remote {
+            true => self.tables.demand.lock().remote(now),
+            false => Vec::new(),
+        };
         FollowReply {
             incarnation: self.incarnation,
             fresh,
             age,
             remote,
+            remote_demand,
             ..self.copy.reply(request, known, now)
         }
     }
--- a/src/entry/relayed_log.rs
+++ b/src/entry/relayed_log.rs
@@ -68,6 +68,10 @@
             let remote = std::mem::take(&mut reply.remote);
             self.tables.fleet.lock().observe_remote(remote, now);
         }
+        if !reply.remote_demand.is_empty() {
+            let demand = std::mem::take(&mut reply.remote_demand);
+            self.tables.demand.lock().observe_remote(demand, now);
+        }
         // A host that has lost the log may be behind this one.
         if !reply.fresh && self.copy.has_targets() {
             return;
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -9,6 +9,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 
+use crate::entry::capacity_refresh::refresh_capacity;
 use crate::entry::configuration_follower::follow_configuration;
 use crate::entry::log_copy::LogCopy;
 use crate::entry::permit_requests::permit_source;
@@ -151,6 +152,7 @@
         peer_state.clone(),
         settings.bounds,
     ));
+    tokio::spawn(refresh_capacity(tables.clone(), peer_state.clone()));
     let address = peer_state.address();
     tokio::spawn(run_placement(
         tables.clone(),
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -1,6 +1,7 @@
 //! The state of the targets as this host knows it, and the choice of engines for a
 //! request. Pure: the current time is passed as an argument.
 
+mod ended;
 mod entry;
 mod load;
 mod path;
@@ -10,6 +11,7 @@
 mod table;
 mod usage;
 
+pub use ended::EndedTarget;
 pub use entry::{EngineReport, LayerRange, TargetEntry};
 pub use load::{RequestSize, TargetLoad};
 pub(crate) use path::MEMORY_OVERCOMMIT;
--- a/src/fleet/path.rs
+++ b/src/fleet/path.rs
@@ -31,8 +31,8 @@
 /// once; a request sent to the same engine then waits for some 300 ms of its latency aim
 /// of 500 ms.
 const PREFILL_WEIGHT: f64 = 0.3;
-/// Cost of an engine whose memory is full, in milliseconds per event. Such an engine is
-/// used only if no other path exists.
+/// Cost of an engine whose memory is full, or that other hosts found ended, in milliseconds
+/// per event. Such an engine is used only if no other path exists.
 const FULL_ENGINE_MS: f64 = 1e4;
 
 /// One engine of a path and the layers that it runs.
@@ -113,7 +113,7 @@
         }
     }
     match best {
-        Some(path) if !path.full => Some(path),
+        Some(path) if !path.full && !has_ended(&path, members, now) => Some(path),
         found => cheapest(&engines, query, whole, now, &mut draw)
             .map(|mut path| {
                 path.cost_ms += REMOTE_ZONE_MS;
@@ -150,7 +150,7 @@
     let local = local.filter(|state| *state.entry.zone == *query.zone);
     let local = local.collect::<Vec<_>>();
     let part = match cheapest(&local, query, span, now, &mut draw) {
-        Some(part) if !part.full => Some(part),
+        Some(part) if !part.full && !has_ended(&part, members, now) => Some(part),
         found => cheapest(&engines, query, span, now, &mut draw).or(found),
     }?;
     let mut hops = path.hops.clone();
@@ -163,6 +163,12 @@
     })
 }
 
+/// Returns whether other hosts found an engine of a path ended.
+fn has_ended(path: &EnginePath, members: &ServiceMembers, now: Instant) -> bool {
+    let mut states = path.hops.iter().filter_map(|hop| members.get(&hop.target));
+    states.any(|state| state.is_reported_ended(now))
+}
+
 fn usable_engines<'a>(
     members: &'a ServiceMembers,
     query: PathQuery<'_>,
@@ -228,6 +234,8 @@
     let need = query.size.tokens() * f64::from(range.width());
     let fill_level = (load.reserved + need) / (capacity * MEMORY_OVERCOMMIT).max(1.0);
     let full = fill_level > 1.0 || state.is_full(now);
+    // Not `full`, since a request whose every path is full is refused.
+    let avoided = full || state.is_reported_ended(now);
     let unread = load.unread + f64::from(query.size.prompt) * f64::from(range.width());
     let read_ms =
         unread / layers * kind.read_factor * state.pace(now) * 1000.0 / model.read_per_s.max(1.0);
@@ -245,7 +253,7 @@
             + 0.5 * pass_ms
             + crowding_ms
             + PREFILL_WEIGHT * (read_ms + wait_ms + slot_wait_ms)
-            + if full { FULL_ENGINE_MS } else { 0.0 })
+            + if avoided { FULL_ENGINE_MS } else { 0.0 })
             * (1.0 + COST_SPREAD * draw),
         layer_ms: stride * step_ms / layers,
         first_event_ms: pass_ms + read_ms + wait_ms + slot_wait_ms,
--- a/src/fleet/pick.rs
+++ b/src/fleet/pick.rs
@@ -9,6 +9,10 @@
 /// takes about a millisecond, a request 30.
 const ZONE_PENALTY: f64 = 1.0;
 
+/// Cost of a target that other hosts found ended, in requests in flight: it is used before an
+/// ejected one, and after all others.
+const ENDED_COST: f64 = 1e5;
+
 /// Requests that one slot serves in a second: the cost of a second of waiting for a
 /// permit or for the end of a pause, in requests in flight.
 const REQUESTS_PER_S: f64 = 30.0;
@@ -36,9 +40,14 @@
             ZONE_PENALTY
         };
         let out = if state.is_ejected(now) { 1e6 } else { 0.0 };
+        let ended = if state.is_reported_ended(now) {
+            ENDED_COST
+        } else {
+            0.0
+        };
         let wait = state.permit_wait(now).max(state.remaining_pause(now));
         let wait = wait.as_secs_f64() * REQUESTS_PER_S;
-        f64::from(state.load().requests) + far + out + wait
+        f64::from(state.load().requests) + far + out + ended + wait
     };
     let mut best = Vec::new();
     let mut least = f64::INFINITY;
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -30,6 +30,10 @@
     pub refusals: u32,
     /// End of the pause after a refusal for lack of capacity.
     pub full_until: Option<Instant>,
+    /// When the target last responded as it should.
+    pub last_success: Option<Instant>,
+    /// Time until which the target is avoided because another host found it ended.
+    pub ended_until: Option<Instant>,
     /// End of the last of the pauses that the target has requested. Only time ends them.
     pub paused_until: Option<Instant>,
     /// Whether the target has stated in a response that it is leaving. It never returns
@@ -58,6 +62,8 @@
             ejected_until: None,
             refusals: 0,
             full_until: None,
+            last_success: None,
+            ended_until: None,
             paused_until: None,
             states_leaving: false,
             withheld_until: None,
@@ -108,6 +114,12 @@
         self.full_until.is_some_and(|until| now < until)
     }
 
+    /// Returns whether another host has just found the target ended. It is used only if
+    /// there is no other way, since it may have been out of that host's reach only.
+    pub fn is_reported_ended(&self, now: Instant) -> bool {
+        self.ended_until.is_some_and(|until| now < until)
+    }
+
     /// Returns the time for which the target still wants no requests of this host. No
     /// request is sent to it in this time, whatever the alternatives.
     pub fn remaining_pause(&self, now: Instant) -> Duration {
--- a/src/fleet/table.rs
+++ b/src/fleet/table.rs
@@ -5,9 +5,10 @@
 use std::time::{Duration, Instant};
 
 use crate::collections::FastMap;
+use crate::fleet::ended::{ENDED_PAUSE, EndedTargets};
 use crate::fleet::statements::RetainedStatements;
 use crate::fleet::usage::UsageTable;
-use crate::fleet::{LayerRange, TargetEntry, TargetLoad, TargetState};
+use crate::fleet::{EndedTarget, LayerRange, TargetEntry, TargetLoad, TargetState};
 use crate::fleet::{TargetUsage, UsageScope, UsageSource, ZoneUsage};
 use crate::ids::{HostId, ServiceId, TargetId, TargetKey};
 
@@ -41,6 +42,7 @@
     service_of: FastMap<TargetId, ServiceId>,
     id_of: FastMap<TargetKey, TargetId>,
     usage: UsageTable,
+    ended: EndedTargets,
     /// What removed targets have stated, for the case that the log lists them again.
     statements: RetainedStatements,
     /// End of the last pause that any target has requested.
@@ -241,12 +243,59 @@
     }
 
     /// Records that a target responded as it should.
-    pub fn observe_success(&mut self, id: &str) {
-        if let Some(state) = self.get_mut(id) {
-            state.readmit();
-            state.refusals = 0;
-            state.full_until = None;
+    pub fn observe_success(&mut self, id: &str, now: Instant) {
+        let Some(state) = self.get_mut(id) else {
+            return;
+        };
+        state.readmit();
+        state.refusals = 0;
+        state.full_until = None;
+        state.ended_until = None;
+        state.last_success = Some(now);
+        let key = state.key;
+        self.ended.forget(key);
+    }
+
+    /// Records that this host found a target ended, for other hosts. Returns whether the
+    /// target is known and had not been reported.
+    ///
+    /// Without the report, each host finds out at the cost of an attempt, of which a
+    /// request has two.
+    pub fn report_ended(&mut self, id: &str, now: Instant) -> bool {
+        let key = self.get(id).map(|state| state.key);
+        key.is_some_and(|key| self.ended.observe(key, now, now))
+    }
+
+    /// Returns the targets that this host or another one recently found ended.
+    pub fn ended_targets(&self, now: Instant) -> Vec<EndedTarget> {
+        self.ended.reports(now)
+    }
+
+    /// Records which targets another host found ended or has heard to have ended. Returns
+    /// those that are avoided because of it.
+    ///
+    /// A target that has responded to this host since is not avoided, and the report is not
+    /// passed on.
+    pub fn observe_ended(&mut self, reports: &[EndedTarget], now: Instant) -> Vec<TargetId> {
+        let mut avoided = Vec::new();
+        for report in reports {
+            let Some(at) = now.checked_sub(report.age) else {
+                continue;
+            };
+            let id = self.id_of.get(&report.key).cloned();
+            let state = id.as_ref().and_then(|id| self.get(id));
+            let has_responded = state.is_some_and(|state| state.last_success >= Some(at));
+            if has_responded || !self.ended.observe(report.key, at, now) {
+                continue;
+            }
+            if let Some(id) = id
+                && let Some(state) = self.get_mut(&id)
+            {
+                state.ended_until = state.ended_until.max(Some(at + ENDED_PAUSE));
+                avoided.push(id);
+            }
         }
+        avoided
     }
 
     /// Records that a target failed a request; returns the end of its ejection, if it is
--- a/src/forward/attempt_policy.rs
+++ b/src/forward/attempt_policy.rs
@@ -247,9 +247,10 @@
     }
 
     pub(super) fn observe_success(&self, chosen: &ChosenTarget) {
+        let now = Instant::now();
         let mut fleet = self.tables.fleet.lock();
         for (id, _) in chosen.loads() {
-            fleet.observe_success(&id);
+            fleet.observe_success(&id, now);
         }
     }
 
@@ -289,6 +290,14 @@
             _ => fleet.observe_failure(&id, now),
         };
         drop(fleet);
+        match cause {
+            Some(FailureCause::Connect | FailureCause::Unreachable) => {
+                self.tables.report_ended(&id, now);
+            }
+            // The engine that responded names another one of the path.
+            Some(FailureCause::Refused) if id != chosen.id => self.tables.report_ended(&id, now),
+            _ => {}
+        }
         let name = cause.map_or("answered_failure", FailureCause::name);
         self.tables.metrics.attempt_failed(name);
         if ejected_until.is_some() {
--- a/src/forward/closed.rs
+++ b/src/forward/closed.rs
@@ -45,6 +45,7 @@
             *last = Some((now, closed));
             if closed {
                 tables.fleet.lock().observe_silence(target, now);
+                tables.report_ended(target, now);
             }
             closed
         }
--- a/src/forward/liveness.rs
+++ b/src/forward/liveness.rs
@@ -183,11 +183,13 @@
 }
 
 fn notify_lost(tables: &ServingTables, target: &TargetId) {
+    let now = Instant::now();
     let known = {
         let mut fleet = tables.fleet.lock();
-        fleet.observe_silence(target, Instant::now());
+        fleet.observe_silence(target, now);
         fleet.get(target).is_some()
     };
+    tables.report_ended(target, now);
     if known {
         tables.metrics.ejected("ended");
         log::info!(target_id:% = target; "target takes no connections");
--- a/src/forward/tables.rs
+++ b/src/forward/tables.rs
@@ -16,7 +16,7 @@
 use crate::admission::{ConnectionGate, OverloadGauge, ZoneLoad};
 use crate::capacity::{CapacityView, DemandTable};
 use crate::collections::FastMap;
-use crate::fleet::{EngineReport, FleetTable, TargetLoad, TargetState, target_key};
+use crate::fleet::{EndedTarget, EngineReport, FleetTable, TargetLoad, TargetState, target_key};
 use crate::gateway::GatewayTable;
 use crate::ids::TargetId;
 use crate::ids::{HostId, ServiceId, ZoneId};
@@ -24,7 +24,7 @@
 use crate::metrics::ServingMetrics;
 use crate::permits::{LimitTable, PermitIssuer, PermitPool};
 use crate::poison::PoisonTable;
-use crate::reachability::ReachabilityTable;
+use crate::reachability::{ReachabilityTable, TargetWay};
 use crate::retry::{WindowBudget, WindowSettings};
 
 /// A report and the time at which it was received. The lock admits one request at a time.
@@ -167,6 +167,31 @@
         demand.own.set_waiting(service, priority, waiting, now);
     }
 
+    /// Reports to other hosts that a target accepts no connections or was named at fault.
+    /// A host that has lost its own links knows nothing about the target.
+    pub(super) fn report_ended(&self, target: &TargetId, now: Instant) {
+        if self.is_isolated() || self.way(target) == TargetWay::Gateway {
+            return;
+        }
+        let is_new = self.fleet.lock().report_ended(target, now);
+        if is_new {
+            self.metrics.end_reported("own");
+            log::info!(target_id:% = target; "target reported as ended");
+        }
+    }
+
+    /// Records which targets another host reports as ended.
+    pub fn observe_ended(&self, reports: &[EndedTarget], source: &HostId, now: Instant) {
+        if reports.is_empty() {
+            return;
+        }
+        let avoided = self.fleet.lock().observe_ended(reports, now);
+        for target in avoided {
+            self.metrics.end_reported("received");
+            log::info!(target_id:% = target, source:% = source; "target ended at other hosts");
+        }
+    }
+
     /// Sets this host's share of the retries.
     pub fn set_budget(&self, settings: WindowSettings) {
         *self.budget_settings.lock() = settings;
--- a/src/membership/gossip/views.rs
+++ b/src/membership/gossip/views.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::GossipTable;
+use crate::capacity::DemandReport;
 use crate::fleet::UsageScope;
 use crate::ids::HostId;
 use crate::membership::gossip_member::{DEAD_AFTER, GossipMember};
@@ -88,6 +89,8 @@
             log: None,
             poison: PoisonDelta::default(),
             limits: LimitDelta::default(),
+            demand: DemandReport::default(),
+            ended: Vec::new(),
         }
     }
 
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -4,6 +4,7 @@
 //! series of these sets exist from the start: a reason that has never occurred is
 //! reported as 0 instead of a missing series.
 
+mod capacity_gauges;
 mod commands;
 mod labels;
 mod queries;
--- a/src/metrics/serving.rs
+++ b/src/metrics/serving.rs
@@ -8,12 +8,15 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Registry, Unit};
 
+use super::capacity_gauges::CapacityGauges;
 use super::labels::{CauseLabel, ReasonLabel};
 use super::set::{PREFIX, latency_histogram};
+use crate::capacity::CapacityView;
 use crate::reason::RefusalReason;
 
-/// Counters and histograms of one entry host. Every label value is a constant in the
-/// code, so that the number of series is bounded.
+/// Counters, gauges and histograms of one entry host. Every label value is a constant in the
+/// code, so that the number of series is bounded; the gauges of capacity name the services,
+/// zones and priorities of the last view only.
 #[derive(Debug)]
 pub struct ServingMetrics {
     registry: Registry,
@@ -35,6 +38,8 @@
     gateway_uses: Family<CauseLabel, Counter>,
     gateway_requests: Family<CauseLabel, Counter>,
     closed_unread: Family<CauseLabel, Counter>,
+    end_reports: Family<CauseLabel, Counter>,
+    capacity: CapacityGauges,
     first_event: Histogram,
     between_events: Histogram,
     whole_request: Histogram,
@@ -63,6 +68,8 @@
             gateway_uses: Family::default(),
             gateway_requests: Family::default(),
             closed_unread: Family::default(),
+            end_reports: Family::default(),
+            capacity: CapacityGauges::default(),
             first_event: latency_histogram(),
             between_events: latency_histogram(),
             whole_request: latency_histogram(),
@@ -70,6 +77,7 @@
         };
         metrics.register_counters();
         metrics.register_times();
+        metrics.capacity.register(&mut metrics.registry);
         for reason in RefusalReason::ALL.map(RefusalReason::name) {
             drop(metrics.refusals.get_or_create(&ReasonLabel { reason }));
         }
@@ -161,6 +169,11 @@
                 "Connections of callers closed before a request was read, by cause",
                 &self.closed_unread,
             ),
+            (
+                "end_reports",
+                "Targets reported to other hosts as ended, or reported by them, by source",
+                &self.end_reports,
+            ),
         ];
         for (name, help, family) in families {
             self.registry.register(name, help, family.clone());
@@ -295,6 +308,16 @@
         count(&self.closed_unread, "overloaded");
     }
 
+    /// Counts a report that a target has ended, by its source.
+    pub fn end_reported(&self, source: &'static str) {
+        count(&self.end_reports, source);
+    }
+
+    /// Sets the gauges of capacity and demand.
+    pub fn capacity_known(&self, view: &CapacityView) {
+        self.capacity.set(view);
+    }
+
     /// Observes a call to the log service, or counts an error if the call failed.
     pub fn store_called(&self, topic: &'static str, took: Duration, succeeded: bool) {
         match succeeded {
--- a/src/peer/convert.rs
+++ b/src/peer/convert.rs
@@ -1,6 +1,7 @@
 //! Conversion between peer messages and their Cap'n Proto encoding.
 
 mod claim;
+mod demand;
 mod permits;
 mod view;
 
--- a/src/peer/convert/view.rs
+++ b/src/peer/convert/view.rs
@@ -1,11 +1,14 @@
 //! Encoding of the calls between entry hosts.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use bytes::Bytes;
 
+use super::demand::{read_demand, read_ended, write_demand, write_ended};
 use super::permits::{read_limits, write_limits};
 use super::{address, length, milliseconds, short_milliseconds, text};
+use crate::capacity::ZoneDemand;
 use crate::delta_sync::DeltaBounds;
 use crate::fleet::{TargetLoad, TargetUsage, UsageScope, ZoneUsage};
 use crate::peer::view::{
@@ -52,6 +55,12 @@
     if view.limits != LimitDelta::default() {
         write_limits(builder.reborrow().init_limits(), &view.limits);
     }
+    if !view.demand.is_empty() {
+        write_demand(builder.reborrow().init_demand(), &view.demand);
+    }
+    if !view.ended.is_empty() {
+        write_ended(builder.reborrow().init_ended(), &view.ended);
+    }
     let mut counts = builder.init_counts(length(view.counts.len()));
     for (index, count) in (0..).zip(&view.counts) {
         let mut entry = counts.reborrow().get(index);
@@ -92,6 +101,8 @@
             .map(|(since, read)| LogAges { since, read }),
         poison: read_poison(reader.get_poison()?)?,
         limits: read_limits(reader.get_limits()?)?,
+        demand: read_demand(reader.get_demand()?)?,
+        ended: read_ended(reader.get_ended()?)?,
     })
 }
 
@@ -278,11 +289,22 @@
         entry.set_value(change.value.as_deref().unwrap_or_default());
         entry.set_dropped_at(change.dropped_at.unwrap_or(0));
     }
-    let mut remote = builder.init_remote(length(reply.remote.len()));
-    for (index, zone) in (0..).zip(&reply.remote) {
+    let zones = reply.remote.iter().map(|remote| &remote.zone);
+    let zones = zones.chain(reply.remote_demand.iter().map(|remote| &remote.zone));
+    let zones = zones.collect::<BTreeSet<_>>();
+    let mut remote = builder.init_remote(length(zones.len()));
+    for (index, zone) in (0..).zip(zones) {
         let mut entry = remote.reborrow().get(index);
-        entry.set_zone(&*zone.zone);
-        write_usage(entry.init_uses(), &zone.usage);
+        entry.set_zone(&**zone);
+        let usage = reply.remote.iter().find(|remote| remote.zone == *zone);
+        if let Some(usage) = usage {
+            write_usage(entry.reborrow().init_uses(), &usage.usage);
+        }
+        let mut demand = reply.remote_demand.iter();
+        if let Some(demand) = demand.find(|remote| remote.zone == *zone) {
+            entry.set_demand_known_ms(short_milliseconds(demand.known_for));
+            write_demand(entry.init_demand(), &demand.demand);
+        }
     }
 }
 
@@ -301,12 +323,22 @@
             dropped_at: Some(entry.get_dropped_at()).filter(|offset| *offset > 0),
         })
     });
-    let remote = reader.get_remote()?.iter().map(|entry| {
+    let zones = reader.get_remote()?;
+    let remote = zones.iter().filter(|entry| entry.has_uses());
+    let remote = remote.map(|entry| {
         Ok(ZoneUsage {
             zone: text(entry.get_zone())?,
             usage: read_usage(entry.get_uses()?)?,
         })
     });
+    let remote_demand = zones.iter().filter(|entry| entry.has_demand());
+    let remote_demand = remote_demand.map(|entry| {
+        Ok(ZoneDemand {
+            zone: text(entry.get_zone())?,
+            demand: read_demand(entry.get_demand()?)?,
+            known_for: Duration::from_millis(entry.get_demand_known_ms().into()),
+        })
+    });
     Ok(FollowReply {
         incarnation: reader.get_incarnation(),
         fresh: reader.get_fresh(),
@@ -316,6 +348,7 @@
         targets: targets.collect::<capnp::Result<_>>()?,
         next: reader.get_next(),
         remote: remote.collect::<capnp::Result<_>>()?,
+        remote_demand: remote_demand.collect::<capnp::Result<_>>()?,
         read_to: reader.get_read_to(),
         log: read_ages(reader.get_log_first_ms(), reader.get_log_read_ms())
             .map(|(first, read)| FollowedLog { first, read }),
--- a/src/peer/view.rs
+++ b/src/peer/view.rs
@@ -5,7 +5,8 @@
 
 use bytes::Bytes;
 
-use crate::fleet::{TargetUsage, UsageScope, ZoneUsage};
+use crate::capacity::{DemandReport, ZoneDemand};
+use crate::fleet::{EndedTarget, TargetUsage, UsageScope, ZoneUsage};
 use crate::ids::{HostId, HostWeight, IncarnationId, LogOffset, TargetId, ZoneId};
 use crate::permits::LimitDelta;
 use crate::poison::PoisonDelta;
@@ -45,6 +46,10 @@
     pub poison: PoisonDelta,
     /// Limits that targets have stated.
     pub limits: LimitDelta,
+    /// Demand of the callers of the hosts that `scope` names.
+    pub demand: DemandReport,
+    /// Targets that some host recently found ended.
+    pub ended: Vec<EndedTarget>,
 }
 
 /// Known hosts whose entries changed after one version of the sender's table and up to
@@ -140,6 +145,8 @@
     pub next: u64,
     /// Usage of targets by other zones' hosts.
     pub remote: Vec<ZoneUsage>,
+    /// Demand of the callers of other zones' hosts.
+    pub remote_demand: Vec<ZoneDemand>,
     /// Offset up to which the replying host has covered the log of targets.
     pub read_to: LogOffset,
     /// How much of the log of targets the host has; `None` if it never had the log.
--- a/src/peer_capnp.rs
+++ b/src/peer_capnp.rs
@@ -5054,11 +5054,27 @@
         pub fn has_limits(&self) -> bool {
             !self.reader.get_pointer_field(7).is_null()
         }
+        #[inline]
+        pub fn get_demand(self) -> ::capnp::Result<crate::peer_capnp::demand_listing::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(8), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_demand(&self) -> bool {
+            !self.reader.get_pointer_field(8).is_null()
+        }
+        #[inline]
+        pub fn get_ended(self) -> ::capnp::Result<crate::peer_capnp::ended_listing::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(9), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_ended(&self) -> bool {
+            !self.reader.get_pointer_field(9).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 9, pointers: 8 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 9, pointers: 10 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5332,6 +5348,38 @@
         pub fn has_limits(&self) -> bool {
             !self.builder.is_pointer_field_null(7)
         }
+        #[inline]
+        pub fn get_demand(self) -> ::capnp::Result<crate::peer_capnp::demand_listing::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(8), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_demand(&mut self, value: crate::peer_capnp::demand_listing::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(8), value, false)
+        }
+        #[inline]
+        pub fn init_demand(self, ) -> crate::peer_capnp::demand_listing::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(8), 0)
+        }
+        #[inline]
+        pub fn has_demand(&self) -> bool {
+            !self.builder.is_pointer_field_null(8)
+        }
+        #[inline]
+        pub fn get_ended(self) -> ::capnp::Result<crate::peer_capnp::ended_listing::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(9), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_ended(&mut self, value: crate::peer_capnp::ended_listing::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(9), value, false)
+        }
+        #[inline]
+        pub fn init_ended(self, ) -> crate::peer_capnp::ended_listing::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(9), 0)
+        }
+        #[inline]
+        pub fn has_ended(&self) -> bool {
+            !self.builder.is_pointer_field_null(9)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -5350,166 +5398,186 @@
         pub fn get_limits(&self) -> crate::peer_capnp::limit_listing::Pipeline {
             ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(7))
         }
+        pub fn get_demand(&self) -> crate::peer_capnp::demand_listing::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(8))
+        }
+        pub fn get_ended(&self) -> crate::peer_capnp::ended_listing::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(9))
+        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 336] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 366] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(43, 126, 184, 187, 224, 209, 11, 253),
             ::capnp::word(11, 0, 0, 0, 1, 0, 9, 0),
             ::capnp::word(136, 151, 230, 179, 164, 245, 193, 210),
-            ::capnp::word(8, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(10, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 103, 4, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 215, 4, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 72, 111, 115, 116, 86),
             ::capnp::word(105, 101, 119, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(80, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(88, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(89, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(93, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(97, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(101, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(109, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 2, 0, 0, 170, 0, 0, 0),
+            ::capnp::word(117, 2, 0, 0, 170, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(129, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(137, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(85, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(141, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(92, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(89, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(145, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(84, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(140, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(165, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(164, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(173, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 2, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(181, 2, 0, 0, 130, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(189, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(193, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(213, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(221, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(17, 0, 0, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(225, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(224, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(18, 0, 0, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(233, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(19, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 19, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(241, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 0, 0, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 20, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(245, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(240, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(21, 0, 0, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 21, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(249, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(244, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(104, 111, 115, 116, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5571,147 +5639,975 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 99, 111, 112, 101, 0, 0, 0),
-            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 133, 33, 238, 105, 209, 79, 225),
+            ::capnp::word(115, 99, 111, 112, 101, 0, 0, 0),
+            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 133, 33, 238, 105, 209, 79, 225),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 115, 101, 115, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 52, 116, 232, 150, 189, 147, 253),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 111, 115, 116, 115, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(205, 148, 0, 156, 221, 32, 132, 188),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 115, 116, 101, 100, 70, 114),
+            ::capnp::word(111, 109, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 115, 116, 101, 100, 84, 111),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 101, 110, 73, 110, 99, 97),
+            ::capnp::word(114, 110, 97, 116, 105, 111, 110, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 101, 110, 84, 111, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 117, 110, 116, 115, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(222, 232, 60, 236, 44, 16, 83, 144),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 101, 110, 83, 99, 111, 112),
+            ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 133, 33, 238, 105, 209, 79, 225),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 111, 105, 115, 111, 110, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(140, 157, 158, 178, 39, 84, 99, 230),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 111, 103, 83, 105, 110, 99, 101),
+            ::capnp::word(77, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 111, 103, 82, 101, 97, 100, 77),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 109, 105, 116, 115, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(32, 122, 239, 90, 236, 72, 25, 183),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 101, 109, 97, 110, 100, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(129, 156, 94, 155, 146, 72, 200, 212),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 110, 100, 101, 100, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 110, 160, 28, 134, 7, 160, 178),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                6 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                7 => <crate::peer_capnp::UseScope as ::capnp::introspect::Introspect>::introspect(),
+                8 => <crate::peer_capnp::target_uses::Owned as ::capnp::introspect::Introspect>::introspect(),
+                9 => <::capnp::struct_list::Owned<crate::peer_capnp::known_host::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                10 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                11 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                12 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                13 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                14 => <::capnp::struct_list::Owned<crate::peer_capnp::zone_count::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                15 => <crate::peer_capnp::UseScope as ::capnp::introspect::Introspect>::introspect(),
+                16 => <crate::peer_capnp::poison_listing::Owned as ::capnp::introspect::Introspect>::introspect(),
+                17 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                18 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                19 => <crate::peer_capnp::limit_listing::Owned as ::capnp::introspect::Introspect>::introspect(),
+                20 => <crate::peer_capnp::demand_listing::Owned as ::capnp::introspect::Introspect>::introspect(),
+                21 => <crate::peer_capnp::ended_listing::Owned as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,5,14,20,21,0,9,3,19,10,11,18,17,16,7,12,15,13,4,6,8,1];
+        pub(crate) const TYPE_ID: u64 = 0xfd0b_d1e0_bbb8_7e2b;
+    }
+}
+
+pub mod demand_listing {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_services(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u64>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_services(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_priorities(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u8>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_priorities(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_arrivals(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,f32>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_arrivals(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
+        #[inline]
+        pub fn get_refusals(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,f32>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_refusals(&self) -> bool {
+            !self.reader.get_pointer_field(3).is_null()
+        }
+        #[inline]
+        pub fn get_waiting(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u16>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_waiting(&self) -> bool {
+            !self.reader.get_pointer_field(4).is_null()
+        }
+        #[inline]
+        pub fn get_organisations(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u64>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(5), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_organisations(&self) -> bool {
+            !self.reader.get_pointer_field(5).is_null()
+        }
+        #[inline]
+        pub fn get_places(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u8>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(6), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_places(&self) -> bool {
+            !self.reader.get_pointer_field(6).is_null()
+        }
+        #[inline]
+        pub fn get_organisation_arrivals(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,f32>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(7), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_organisation_arrivals(&self) -> bool {
+            !self.reader.get_pointer_field(7).is_null()
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(0)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 8 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_services(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u64>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_services(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_services(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u64> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+        }
+        #[inline]
+        pub fn has_services(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_priorities(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u8>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_priorities(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u8>>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        }
+        #[inline]
+        pub fn init_priorities(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u8> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+        }
+        #[inline]
+        pub fn has_priorities(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_arrivals(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,f32>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_arrivals(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<f32>>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+        }
+        #[inline]
+        pub fn init_arrivals(self, size: u32) -> ::capnp::primitive_list::Builder<'a,f32> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+        }
+        #[inline]
+        pub fn has_arrivals(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
+        #[inline]
+        pub fn get_refusals(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,f32>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_refusals(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<f32>>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
+        }
+        #[inline]
+        pub fn init_refusals(self, size: u32) -> ::capnp::primitive_list::Builder<'a,f32> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
+        }
+        #[inline]
+        pub fn has_refusals(&self) -> bool {
+            !self.builder.is_pointer_field_null(3)
+        }
+        #[inline]
+        pub fn get_waiting(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u16>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_waiting(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u16>>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(4), value, false)
+        }
+        #[inline]
+        pub fn init_waiting(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u16> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(4), size)
+        }
+        #[inline]
+        pub fn has_waiting(&self) -> bool {
+            !self.builder.is_pointer_field_null(4)
+        }
+        #[inline]
+        pub fn get_organisations(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u64>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(5), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_organisations(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(5), value, false)
+        }
+        #[inline]
+        pub fn init_organisations(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u64> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(5), size)
+        }
+        #[inline]
+        pub fn has_organisations(&self) -> bool {
+            !self.builder.is_pointer_field_null(5)
+        }
+        #[inline]
+        pub fn get_places(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u8>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(6), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_places(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u8>>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(6), value, false)
+        }
+        #[inline]
+        pub fn init_places(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u8> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(6), size)
+        }
+        #[inline]
+        pub fn has_places(&self) -> bool {
+            !self.builder.is_pointer_field_null(6)
+        }
+        #[inline]
+        pub fn get_organisation_arrivals(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,f32>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(7), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_organisation_arrivals(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<f32>>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(7), value, false)
+        }
+        #[inline]
+        pub fn init_organisation_arrivals(self, size: u32) -> ::capnp::primitive_list::Builder<'a,f32> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(7), size)
+        }
+        #[inline]
+        pub fn has_organisation_arrivals(&self) -> bool {
+            !self.builder.is_pointer_field_null(7)
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn set_age_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(0, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 192] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(129, 156, 94, 155, 146, 72, 200, 212),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(136, 151, 230, 179, 164, 245, 193, 210),
+            ::capnp::word(8, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 255, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 68, 101, 109, 97, 110),
+            ::capnp::word(100, 76, 105, 115, 116, 105, 110, 103),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(5, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(53, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(121, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(141, 1, 0, 0, 170, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(169, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(164, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(115, 101, 114, 118, 105, 99, 101, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 114, 105, 111, 114, 105, 116, 105),
+            ::capnp::word(101, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 114, 114, 105, 118, 97, 108, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 102, 117, 115, 97, 108, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 97, 105, 116, 105, 110, 103, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(111, 114, 103, 97, 110, 105, 115, 97),
+            ::capnp::word(116, 105, 111, 110, 115, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 108, 97, 99, 101, 115, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(111, 114, 103, 97, 110, 105, 115, 97),
+            ::capnp::word(116, 105, 111, 110, 65, 114, 114, 105),
+            ::capnp::word(118, 97, 108, 115, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::primitive_list::Owned<u8> as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::primitive_list::Owned<f32> as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::primitive_list::Owned<f32> as ::capnp::introspect::Introspect>::introspect(),
+                4 => <::capnp::primitive_list::Owned<u16> as ::capnp::introspect::Introspect>::introspect(),
+                5 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
+                6 => <::capnp::primitive_list::Owned<u8> as ::capnp::introspect::Introspect>::introspect(),
+                7 => <::capnp::primitive_list::Owned<f32> as ::capnp::introspect::Introspect>::introspect(),
+                8 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[8,2,7,5,6,1,3,0,4];
+        pub(crate) const TYPE_ID: u64 = 0xd4c8_4892_9b5e_9c81;
+    }
+}
+
+pub mod ended_listing {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_keys(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u64>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_keys(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_ages_ms(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u16>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_ages_ms(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_keys(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u64>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_keys(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_keys(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u64> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+        }
+        #[inline]
+        pub fn has_keys(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_ages_ms(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u16>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_ages_ms(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u16>>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        }
+        #[inline]
+        pub fn init_ages_ms(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u16> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+        }
+        #[inline]
+        pub fn has_ages_ms(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 55] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(9, 110, 160, 28, 134, 7, 160, 178),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(136, 151, 230, 179, 164, 245, 193, 210),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 69, 110, 100, 101, 100),
+            ::capnp::word(76, 105, 115, 116, 105, 110, 103, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 115, 101, 115, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 52, 116, 232, 150, 189, 147, 253),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(61, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 111, 115, 116, 115, 0, 0, 0),
+            ::capnp::word(56, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(107, 101, 121, 115, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 148, 0, 156, 221, 32, 132, 188),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 105, 115, 116, 101, 100, 70, 114),
-            ::capnp::word(111, 109, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 105, 115, 116, 101, 100, 84, 111),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 101, 101, 110, 73, 110, 99, 97),
-            ::capnp::word(114, 110, 97, 116, 105, 111, 110, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 101, 101, 110, 84, 111, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(99, 111, 117, 110, 116, 115, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(222, 232, 60, 236, 44, 16, 83, 144),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 115, 77, 115, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 101, 101, 110, 83, 99, 111, 112),
-            ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 133, 33, 238, 105, 209, 79, 225),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 111, 105, 115, 111, 110, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 157, 158, 178, 39, 84, 99, 230),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 111, 103, 83, 105, 110, 99, 101),
-            ::capnp::word(77, 115, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 111, 103, 82, 101, 97, 100, 77),
-            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 105, 109, 105, 116, 115, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 122, 239, 90, 236, 72, 25, 183),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                6 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                7 => <crate::peer_capnp::UseScope as ::capnp::introspect::Introspect>::introspect(),
-                8 => <crate::peer_capnp::target_uses::Owned as ::capnp::introspect::Introspect>::introspect(),
-                9 => <::capnp::struct_list::Owned<crate::peer_capnp::known_host::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                10 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                11 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                12 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                13 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                14 => <::capnp::struct_list::Owned<crate::peer_capnp::zone_count::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                15 => <crate::peer_capnp::UseScope as ::capnp::introspect::Introspect>::introspect(),
-                16 => <crate::peer_capnp::poison_listing::Owned as ::capnp::introspect::Introspect>::introspect(),
-                17 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                18 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                19 => <crate::peer_capnp::limit_listing::Owned as ::capnp::introspect::Introspect>::introspect(),
+                0 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::primitive_list::Owned<u16> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5725,10 +6621,10 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,5,14,0,9,3,19,10,11,18,17,16,7,12,15,13,4,6,8,1];
-        pub(crate) const TYPE_ID: u64 = 0xfd0b_d1e0_bbb8_7e2b;
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+        pub(crate) const TYPE_ID: u64 = 0xb2a0_0786_1ca0_6e09;
     }
 }
 
@@ -8026,11 +8922,23 @@
         pub fn has_uses(&self) -> bool {
             !self.reader.get_pointer_field(1).is_null()
         }
+        #[inline]
+        pub fn get_demand(self) -> ::capnp::Result<crate::peer_capnp::demand_listing::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_demand(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
+        #[inline]
+        pub fn get_demand_known_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(0)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 3 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -8112,6 +9020,30 @@
         pub fn has_uses(&self) -> bool {
             !self.builder.is_pointer_field_null(1)
         }
+        #[inline]
+        pub fn get_demand(self) -> ::capnp::Result<crate::peer_capnp::demand_listing::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_demand(&mut self, value: crate::peer_capnp::demand_listing::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+        }
+        #[inline]
+        pub fn init_demand(self, ) -> crate::peer_capnp::demand_listing::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), 0)
+        }
+        #[inline]
+        pub fn has_demand(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
+        #[inline]
+        pub fn get_demand_known_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn set_demand_known_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(0, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -8124,40 +9056,57 @@
         pub fn get_uses(&self) -> crate::peer_capnp::target_uses::Pipeline {
             ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(1))
         }
+        pub fn get_demand(&self) -> crate::peer_capnp::demand_listing::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(2))
+        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(233, 160, 93, 126, 136, 139, 80, 180),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(136, 151, 230, 179, 164, 245, 193, 210),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 90, 111, 110, 101, 85),
             ::capnp::word(115, 101, 115, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(101, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(122, 111, 110, 101, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -8174,11 +9123,30 @@
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 101, 109, 97, 110, 100, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(129, 156, 94, 155, 146, 72, 200, 212),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 101, 109, 97, 110, 100, 75, 110),
+            ::capnp::word(111, 119, 110, 77, 115, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <crate::peer_capnp::target_uses::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <crate::peer_capnp::demand_listing::Owned as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -8192,9 +9160,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,1,0];
         pub(crate) const TYPE_ID: u64 = 0xb450_8b88_7e5d_a0e9;
     }
 }
--- a/tests/entry_peers.rs
+++ b/tests/entry_peers.rs
@@ -6,8 +6,11 @@
 use std::time::Duration;
 
 use futures::FutureExt;
+use jackdawwick::capacity::{
+    DemandReport, OrganisationRate, PriorityRate, ZoneDemand, organisation_key, service_key,
+};
 use jackdawwick::delta_sync::DeltaBounds;
-use jackdawwick::fleet::{TargetLoad, TargetUsage, UsageScope, ZoneUsage, target_key};
+use jackdawwick::fleet::{EndedTarget, TargetLoad, TargetUsage, UsageScope, ZoneUsage, target_key};
 use jackdawwick::peer::{
     self, EntryHandlers, FollowReply, FollowRequest, HostListing, HostView, KnownHost, LogAges,
     PeerHandle, PeerSettings, SeenListing, ZoneCount,
@@ -50,6 +53,8 @@
             evidence: Vec::new(),
         },
         limits: LimitDelta::default(),
+        demand: DemandReport::default(),
+        ended: Vec::new(),
     }
 }
 
@@ -86,6 +91,32 @@
     }
 }
 
+/// Returns a report of some priorities of one service, and of organisations.
+fn demand(priorities: u8, organisations: u8) -> DemandReport {
+    let service = service_key("model");
+    let priorities = (0..priorities).map(|priority| PriorityRate {
+        service,
+        priority,
+        arrivals_per_s: 47.5,
+        refused_per_s: 0.25,
+        waiting: 3,
+    });
+    let organisations = (0..organisations).map(|number| OrganisationRate {
+        organisation: organisation_key(Some(&format!("organisation-{number}"))),
+        service,
+        priority: number % 2,
+        arrivals_per_s: 1.5,
+    });
+    DemandReport::new(priorities, organisations, Duration::from_millis(375))
+}
+
+fn ended(number: u64) -> EndedTarget {
+    EndedTarget {
+        key: target_key(&format!("i-{number:08}")),
+        age: Duration::from_millis(100 * number),
+    }
+}
+
 fn remote_usage() -> FollowReply {
     FollowReply {
         incarnation: 5,
@@ -93,6 +124,11 @@
             zone: "vake".into(),
             usage: vec![used(1), used(2)],
         }],
+        remote_demand: vec![ZoneDemand {
+            zone: "didube".into(),
+            demand: demand(3, 5),
+            known_for: Duration::from_millis(750),
+        }],
         ..FollowReply::default()
     }
 }
@@ -155,6 +191,8 @@
             bounds: view("").poison.bounds,
             records: (0..3).map(limit_record).collect(),
         },
+        demand: demand(3, 5),
+        ended: (0..3).map(ended).collect(),
         ..view("front-saburtalo-1")
     };
     let address = callee.local_address();
@@ -254,6 +292,18 @@
         },
         ..view("front-saburtalo-1")
     };
+    let with_demand = HostView {
+        demand: demand(16, 16),
+        ..view("front-saburtalo-1")
+    };
+    let with_ended = HostView {
+        ended: (0..ITEMS as u64).map(ended).collect(),
+        ..view("front-saburtalo-1")
+    };
+    let by_demand = (exchange_bytes(&with_demand).await - empty) / 2;
+    assert!((500..700).contains(&by_demand), "{by_demand}");
+    let by_ended = (exchange_bytes(&with_ended).await - empty) / both_ways;
+    assert!(by_ended <= 13, "{by_ended}");
     let by_limit = (exchange_bytes(&with_limits).await - empty) / both_ways;
     assert!(by_limit <= 28, "{by_limit}");
     let by_evidence = (exchange_bytes(&with_evidence).await - empty) / both_ways;
--- a/tests/fleet_in_memory/mod.rs
+++ b/tests/fleet_in_memory/mod.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use jackdawwick::capacity::DemandTable;
 use jackdawwick::fleet::{FleetTable, TargetEntry, TargetLoad, UsageSource};
 use jackdawwick::ids::{HostId, HostWeight, IncarnationId, ZoneId};
 use jackdawwick::membership::GossipTable;
@@ -25,6 +26,10 @@
 pub(crate) const LISTED_BYTES: usize = 120;
 pub(crate) const COUNT_BYTES: usize = 40;
 pub(crate) const EVIDENCE_BYTES: usize = 20;
+pub(crate) const DEMAND_BYTES: usize = 88;
+pub(crate) const PRIORITY_BYTES: usize = 20;
+pub(crate) const ORGANISATION_BYTES: usize = 14;
+pub(crate) const ENDED_BYTES: usize = 11;
 
 /// Weights of the hosts with half a core, and of the others.
 pub(crate) const HEAVY: HostWeight = 8;
@@ -37,6 +42,7 @@
     pub(crate) gossip: GossipTable,
     pub(crate) fleet: FleetTable,
     pub(crate) poison: PoisonTable,
+    pub(crate) demand: DemandTable,
     incarnation: IncarnationId,
     weight: HostWeight,
     pub(crate) alive: bool,
@@ -118,6 +124,7 @@
                 gossip: gossip.with_identity(index as u64 + 1, weight),
                 fleet,
                 poison: PoisonTable::default(),
+                demand: DemandTable::default(),
                 incarnation: index as u64 + 1,
                 weight,
                 alive: true,
@@ -158,6 +165,7 @@
         let gossip = GossipTable::new(name, zone, host.address, seeds);
         host.gossip = gossip.with_identity(host.incarnation, host.weight);
         host.poison = PoisonTable::default();
+        host.demand = DemandTable::default();
         host.reports = true;
     }
 
@@ -204,6 +212,7 @@
         let reports = self.hosts[index].gossip.reports_to(now).is_some();
         if self.hosts[index].reports && !reports {
             self.hosts[index].fleet.forget_neighbours();
+            self.hosts[index].demand.forget_neighbours();
         }
         self.hosts[index].reports = reports;
         for address in due {
@@ -249,9 +258,13 @@
         let host = &self.hosts[index];
         let usage = host.fleet.usage(view.scope, listener);
         let poison = host.poison.delta_for(address, self.now);
+        let demand = host.demand.report(view.scope, listener, self.now);
+        let ended = host.fleet.ended_targets(self.now);
         HostView {
             usage,
             poison,
+            demand,
+            ended,
             ..view
         }
     }
@@ -264,9 +277,12 @@
         }
         host.poison
             .apply_delta(view.address, view.incarnation, &view.poison, now);
+        host.fleet.observe_ended(&view.ended, now);
         let source = UsageSource::of(view.scope, &view.host, &view.zone, &host.zone);
         if let Some(source) = source {
-            host.fleet.observe_usage(source, view.usage.clone(), now);
+            host.fleet
+                .observe_usage(source.clone(), view.usage.clone(), now);
+            host.demand.observe(source, view.demand.clone(), now);
         }
     }
 }
@@ -278,4 +294,8 @@
         + LISTED_BYTES * view.listing.hosts.len()
         + COUNT_BYTES * view.counts.len()
         + EVIDENCE_BYTES * view.poison.evidence.len()
+        + DEMAND_BYTES
+        + PRIORITY_BYTES * view.demand.priorities.len()
+        + ORGANISATION_BYTES * view.demand.organisations.len()
+        + ENDED_BYTES * view.ended.len()
 }
--- a/tests/forwarding/poison.rs
+++ b/tests/forwarding/poison.rs
@@ -140,7 +140,10 @@
     let more = spawn_engines(&host, 2..4).await;
     host.call("POST", POISON, "Content-Length: 0\r\n").await;
     assert_eq!(ended(&more), 2);
-    host.tables.fleet.lock().observe_success("i-9");
+    host.tables
+        .fleet
+        .lock()
+        .observe_success("i-9", Instant::now());
     let served = host.call("POST", POISON, "Content-Length: 0\r\n").await;
     assert!(served.is_whole_stream(), "{}", served.text);
 }
@@ -222,7 +225,10 @@
     cut.await.expect("the connection was cut");
     assert_eq!(host.tables.poison.lock().len(), 1);
     let healed = TcpListener::bind(address).await.expect("the port again");
-    host.tables.fleet.lock().observe_success("i-1");
+    host.tables
+        .fleet
+        .lock()
+        .observe_success("i-1", Instant::now());
     tokio::spawn(async move {
         while let Ok((stream, _)) = healed.accept().await {
             let steps = |id: &str| vec![stream_head(id), Step::Reset];
--- a/tests/pause_model.rs
+++ b/tests/pause_model.rs
@@ -130,7 +130,7 @@
             }
             Step::Success(index) => {
                 for id in ids(index) {
-                    self.fleet.observe_success(&id);
+                    self.fleet.observe_success(&id, now);
                     if let Some(state) = self.fleet.get_mut(&id)
                         && self.version == Version::EndsPauseWithSuccess
                     {
