Decide by rank which requests of a service start, and let the most urgent wait for room

A path that is full refused the most urgent request like the least urgent one, and no capacity was kept for the urgent: the route of priority 0 was served worst.

Requests of an engine service whose callers have two or more priorities are decided about when their path has been chosen. A less urgent rank starts while the expected first event is well within the objective of the ranks above it and while headroom, sized by their arrivals within the delay of views, stays free; each rank has a floor. The most urgent rank waits for room for an eighth of its objective, in a bounded queue. Other services take the same code path and the same random draws as before.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -15,6 +15,7 @@
 mod queries;
 mod select;
 mod settings;
+pub mod start;
 mod table;
 mod ticket;
 
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -4,6 +4,7 @@
 //! [`crate::ingress`], [`crate::fleet`] and [`crate::retry`] decide about routes, targets
 //! and retries.
 
+mod admission_wait;
 mod attempt;
 mod attempt_policy;
 mod choice;
--- a/src/forward/attempt_policy.rs
+++ b/src/forward/attempt_policy.rs
@@ -48,6 +48,13 @@
         let full = chosen.path.as_ref().is_some_and(|path| path.full);
         // A stream that has begun continues even if it has to wait for room: cutting it
         // would waste the work done, and its caller would start over.
+        let decided = match started {
+            true => None,
+            false => self.decide_start(&chosen, now),
+        };
+        if let Some(decided) = decided {
+            return decided.map(|()| chosen);
+        }
         if full && !started {
             let after = self.tables.count_refusal(now);
             return Err(Refusal::not_run(RefusalReason::NoRoom, after));
@@ -81,7 +88,9 @@
         chosen: ChosenTarget,
         tried: usize,
     ) -> (ChosenTarget, InFlightGuard) {
-        self.tables.count_start(Instant::now());
+        let now = Instant::now();
+        self.tables.count_start(now);
+        self.record_start(now);
         self.log_route(&chosen, tried);
         let guard = InFlightGuard::open(self.tables.clone(), chosen.loads());
         (chosen, guard)
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -9,7 +9,9 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use parking_lot::Mutex;
 
+use super::admission_wait::StartProgress;
 use super::attempt::{AttemptFailure, FailureCause, OutgoingRequest};
 use super::choice::{self, ChosenTarget};
 use super::head::{CallerHead, forwarded, request_size, shared_parts};
@@ -54,6 +56,8 @@
     pub(super) arrived: Instant,
     /// The earlier of the caller's deadline and the route's timeout.
     pub(super) deadline: Instant,
+    /// What has been decided about its start.
+    pub(super) start: Mutex<StartProgress>,
 }
 
 /// Handles a caller's request and returns its response.
@@ -187,6 +191,7 @@
     Ok(Exchange {
         configuration: configuration.version,
         arrived,
+        start: Mutex::default(),
         outgoing: OutgoingRequest {
             id: head.id.clone(),
             method: parts.method,
@@ -234,6 +239,7 @@
     exchange: Arc<Exchange>,
     in_flight_request: InFlightRequest,
 ) -> Result<Response<ResponseBody>, Refusal> {
+    exchange.record_arrival();
     let mut tried = TriedTargets::default();
     let mut failed_response = None;
     loop {
--- a/src/forward/pauses.rs
+++ b/src/forward/pauses.rs
@@ -161,6 +161,8 @@
     ) -> Result<Duration, Refusal> {
         let now = Instant::now();
         let chosen = match refusal.reason {
+            // A request that is held back for more urgent ones gains nothing from a pause's end.
+            _ if self.is_held() => None,
             RefusalReason::NoRoute | RefusalReason::NoRoom if self.has_paused_target(now) => {
                 self.choose_with_pause(excluded, Duration::MAX, now)
             }
--- a/src/forward/permit_wait.rs
+++ b/src/forward/permit_wait.rs
@@ -36,7 +36,7 @@
         let mut pause_allowance = self.longest_wait(started, Instant::now());
         for _ in 0..MAX_CHOICES {
             let chosen = self
-                .choose_after_pauses(&excluded, started, &mut pause_allowance)
+                .choose_after_wait(&excluded, started, &mut pause_allowance)
                 .await;
             let chosen = match chosen {
                 Ok(chosen) => chosen,
--- a/src/forward/tables.rs
+++ b/src/forward/tables.rs
@@ -13,6 +13,7 @@
 use super::gateway_link::{GatewayPeers, WitnessCell};
 use super::liveness::LivenessTable;
 use super::permits::PermitSource;
+use crate::admission::start::StartTable;
 use crate::admission::{ConnectionGate, OverloadGauge, ZoneLoad};
 use crate::capacity::CapacityView;
 use crate::collections::FastMap;
@@ -56,6 +57,8 @@
     /// Number of requests completed since the start.
     pub completed: AtomicUsize,
     overload: Mutex<OverloadGauge>,
+    /// Ranks of services, and the requests that wait to start.
+    pub(super) start: Mutex<StartTable>,
     gate: Mutex<ConnectionGate>,
     /// Number of other live hosts of the zone.
     neighbours: AtomicUsize,
@@ -100,6 +103,7 @@
             in_flight: AtomicUsize::new(0),
             completed: AtomicUsize::new(0),
             overload: Mutex::default(),
+            start: Mutex::default(),
             gate: Mutex::default(),
             neighbours: AtomicUsize::new(0),
             budgets: Mutex::default(),
--- a/src/metrics/serving.rs
+++ b/src/metrics/serving.rs
@@ -35,6 +35,7 @@
     gateway_uses: Family<CauseLabel, Counter>,
     gateway_requests: Family<CauseLabel, Counter>,
     closed_unread: Family<CauseLabel, Counter>,
+    start_decisions: Family<CauseLabel, Counter>,
     first_event: Histogram,
     between_events: Histogram,
     whole_request: Histogram,
@@ -63,6 +64,7 @@
             gateway_uses: Family::default(),
             gateway_requests: Family::default(),
             closed_unread: Family::default(),
+            start_decisions: Family::default(),
             first_event: latency_histogram(),
             between_events: latency_histogram(),
             whole_request: latency_histogram(),
@@ -161,6 +163,11 @@
                 "Connections of callers closed before a request was read, by cause",
                 &self.closed_unread,
             ),
+            (
+                "start_decisions",
+                "Decisions about requests of services with several priorities, by result",
+                &self.start_decisions,
+            ),
         ];
         for (name, help, family) in families {
             self.registry.register(name, help, family.clone());
@@ -295,6 +302,11 @@
         count(&self.closed_unread, "overloaded");
     }
 
+    /// Counts a decision about the start of a request whose service has several priorities.
+    pub fn start_decided(&self, result: &'static str) {
+        count(&self.start_decisions, result);
+    }
+
     /// Observes a call to the log service, or counts an error if the call failed.
     pub fn store_called(&self, topic: &'static str, took: Duration, succeeded: bool) {
         match succeeded {
--- a/tests/forwarding/main.rs
+++ b/tests/forwarding/main.rs
@@ -7,6 +7,7 @@
 mod moves;
 mod pauses;
 mod poison;
+mod starts;
 mod stub_target;
 mod unframed;
 
