--- a/src/metrics/serving.rs
+++ b/src/metrics/serving.rs
@@ -40,6 +40,7 @@
     closed_unread: Family<CauseLabel, Counter>,
     end_reports: Family<CauseLabel, Counter>,
     capacity: CapacityGauges,
+    start_decisions: Family<CauseLabel, Counter>,
     first_event: Histogram,
     between_events: Histogram,
     whole_request: Histogram,
@@ -70,6 +71,7 @@
             closed_unread: Family::default(),
             end_reports: Family::default(),
             capacity: CapacityGauges::default(),
+            start_decisions: Family::default(),
             first_event: latency_histogram(),
             between_events: latency_histogram(),
             whole_request: latency_histogram(),
@@ -174,6 +176,11 @@
                 "Targets reported to other hosts as ended, or reported by them, by source",
                 &self.end_reports,
             ),
+            (
+                "start_decisions",
+                "Decisions about requests of services with several priorities, by result",
+                &self.start_decisions,
+            ),
         ];
         for (name, help, family) in families {
             self.registry.register(name, help, family.clone());
@@ -318,6 +325,11 @@
         self.capacity.set(view);
     }
 
+    /// Counts a decision about the start of a request whose service has several priorities.
+    pub fn start_decided(&self, result: &'static str) {
+        count(&self.start_decisions, result);
+    }
+
     /// Observes a call to the log service, or counts an error if the call failed.
     pub fn store_called(&self, topic: &'static str, took: Duration, succeeded: bool) {
         match succeeded {
