Send a share of a full zone's requests to zones with room

Cause: a path in another zone costs a fixed 70 ms per event, whatever the zones' utilisation, so that requests wait for slots in one zone while another has free ones.

Change: balance::target_flows computes the shares of all zones from ServingTables::capacity, the same way on all hosts; balance::BalanceTable follows them in steps each 250 ms. A request that is drawn takes the paths of its preferred zone as those of its own. Without a current view, up to a utilisation of 0.85 and within the dead band nothing is drawn and paths are chosen as before.

Methods are not compared yet.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -21,6 +21,7 @@
 mod suspect_targets;
 mod target_follower;
 mod target_starts;
+mod zone_balance;
 
 pub use follow_cursor::FollowCursor;
 pub use kept_records::KeptRecords;
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -18,6 +18,7 @@
 use crate::entry::relay_follower::follow_leader;
 use crate::entry::retry_share::{first_share, share_retries};
 use crate::entry::target_follower::{TargetTiming, follow_targets};
+use crate::entry::zone_balance::balance_zones;
 use crate::entry::{EntrySettings, LogRole, gateway_peers, peer_exchange};
 use crate::forward::{ServingTables, serve};
 use crate::peer::PeerError;
@@ -151,6 +152,7 @@
         peer_state.clone(),
         settings.bounds,
     ));
+    tokio::spawn(balance_zones(tables.clone()));
     let address = peer_state.address();
     tokio::spawn(run_placement(
         tables.clone(),
--- a/src/fleet/path.rs
+++ b/src/fleet/path.rs
@@ -78,7 +78,8 @@
 }
 
 /// Chooses the cheapest path within one availability zone, or across zones if no zone has
-/// a complete path. `draw` returns random numbers from 0 to 1.
+/// a complete path. The preferred zone, if there is one, takes the place of the own one,
+/// whose paths then cost nothing extra either. `draw` returns random numbers from 0 to 1.
 pub fn choose_path<D>(
     members: &ServiceMembers,
     query: PathQuery<'_>,
@@ -93,8 +94,9 @@
         from: 0,
         to: query.model.layers,
     };
+    let home = query.preferred_zone.unwrap_or(query.zone);
     let local = engines.iter().copied();
-    let local = local.filter(|state| *state.entry.zone == *query.zone);
+    let local = local.filter(|state| *state.entry.zone == *home);
     let local = local.collect::<Vec<_>>();
     let mut best = cheapest(&local, query, whole, now, &mut draw);
     if best
@@ -103,11 +105,13 @@
     {
         return best;
     }
-    for zone in remote_zones(&engines, query.zone) {
-        let Some(mut path) = cheapest(&zone, query, whole, now, &mut draw) else {
+    for (zone, zone_engines) in remote_zones(&engines, home) {
+        let Some(mut path) = cheapest(&zone_engines, query, whole, now, &mut draw) else {
             continue;
         };
-        path.cost_ms += REMOTE_ZONE_MS;
+        if **zone != *query.zone {
+            path.cost_ms += REMOTE_ZONE_MS;
+        }
         if best.as_ref().is_none_or(|best| path.cost_ms < best.cost_ms) {
             best = Some(path);
         }
@@ -177,13 +181,16 @@
     members.values().filter(usable).collect()
 }
 
-/// Returns the engines of each other availability zone, in the order of the zones' names.
-fn remote_zones<'a>(engines: &[&'a TargetState], own: &str) -> Vec<Vec<&'a TargetState>> {
+/// Returns the engines of each availability zone but `home`, by the zones' names.
+fn remote_zones<'a>(
+    engines: &[&'a TargetState],
+    home: &str,
+) -> BTreeMap<&'a ZoneId, Vec<&'a TargetState>> {
     let mut zones = BTreeMap::<&ZoneId, Vec<&TargetState>>::new();
-    for engine in engines.iter().filter(|state| *state.entry.zone != *own) {
+    for engine in engines.iter().filter(|state| *state.entry.zone != *home) {
         zones.entry(&engine.entry.zone).or_default().push(engine);
     }
-    zones.into_values().collect()
+    zones
 }
 
 /// The cost of an engine for a request, for any of its layers.
--- a/src/forward/attempt_policy.rs
+++ b/src/forward/attempt_policy.rs
@@ -63,12 +63,17 @@
         max_pause: Duration,
         now: Instant,
     ) -> Option<ChosenTarget> {
+        let (service, zone) = (&self.service.name, &self.tables.zone);
+        let balance = self.tables.balance.load();
+        // One draw serves all attempts, so that a retry does not undo the choice of a zone.
+        let draw = || *self.zone_draw.get_or_init(rand::random);
         let query = ChoiceQuery {
             service: &self.service,
-            zone: &self.tables.zone,
+            zone,
             size: self.size,
             avoid,
             max_pause,
+            preferred_zone: balance.preferred_zone(service, zone, now, draw),
         };
         let fleet = self.tables.fleet.lock();
         choice::choose(&fleet, query, now, rand::random)
@@ -82,11 +87,23 @@
         tried: usize,
     ) -> (ChosenTarget, InFlightGuard) {
         self.tables.count_start(Instant::now());
+        self.count_zone(&chosen);
         self.log_route(&chosen, tried);
         let guard = InFlightGuard::open(self.tables.clone(), chosen.loads());
         (chosen, guard)
     }
 
+    /// Counts why an attempt goes to another zone, or stays although it was drawn for one.
+    fn count_zone(&self, chosen: &ChosenTarget) {
+        let metrics = &self.tables.metrics;
+        match &chosen.preferred_zone {
+            Some(preferred) if chosen.zone == *preferred => metrics.zone_chosen("drawn"),
+            Some(_) => metrics.zone_chosen("drawn_elsewhere"),
+            None if chosen.zone != self.tables.zone => metrics.zone_chosen("cheaper"),
+            None => {}
+        }
+    }
+
     /// Logs the target of an attempt and the facts that decided on it.
     pub(super) fn log_route(&self, chosen: &ChosenTarget, tried: usize) {
         let path = chosen.path.as_ref();
@@ -100,6 +117,8 @@
             target_id:% = chosen.id,
             path:% = path.map(order::path_value).unwrap_or_default(),
             cost_ms = path.map_or(0, |path| path.cost_ms as u64),
+            zone:% = chosen.zone,
+            preferred_zone:% = chosen.preferred_zone.as_deref().unwrap_or("none"),
             tokens = chosen.size.tokens() as u64,
             parts:% = self.prompt_parts.join(","),
             tried = tried,
--- a/src/forward/choice.rs
+++ b/src/forward/choice.rs
@@ -6,7 +6,7 @@
 use crate::fleet::{
     EnginePath, FleetTable, PathQuery, RequestSize, TargetLoad, choose_path, choose_target,
 };
-use crate::ids::TargetId;
+use crate::ids::{TargetId, ZoneId};
 use crate::ingress::{RouteRule, ServiceShare, ServiceSpec};
 
 /// The target, or the path of engines, of one attempt.
@@ -20,6 +20,10 @@
     pub(super) path: Option<EnginePath>,
     /// Size that is counted while the request is in flight.
     pub(super) size: RequestSize,
+    /// The availability zone of the target that receives the request.
+    pub(super) zone: ZoneId,
+    /// The other zone that the request was drawn for.
+    pub(super) preferred_zone: Option<ZoneId>,
 }
 
 impl ChosenTarget {
@@ -93,6 +97,8 @@
     pub(super) avoid: &'a [TargetId],
     /// Longest pause of a target that may be chosen; zero for a request that is sent now.
     pub(super) max_pause: Duration,
+    /// The other availability zone that the request was drawn for.
+    pub(super) preferred_zone: Option<&'a ZoneId>,
 }
 
 /// Selects a target of a service, or a path over its engines.
@@ -111,12 +117,14 @@
         size,
         avoid,
         max_pause,
+        preferred_zone,
     } = query;
     let members = fleet.members(&service.name)?;
     match &service.engine {
         None => {
             let id = choose_target(members, zone, avoid, max_pause, now, draw())?;
-            let address = members.get(&id)?.entry.address;
+            let entry = &members.get(&id)?.entry;
+            let (address, zone) = (entry.address, entry.zone.clone());
             let size = RequestSize {
                 prompt: 0,
                 answer: 0,
@@ -126,6 +134,8 @@
                 address,
                 path: None,
                 size,
+                zone,
+                preferred_zone: None,
             })
         }
         Some(model) => {
@@ -135,7 +145,7 @@
                 zone,
                 avoid,
                 max_pause,
-                preferred_zone: None,
+                preferred_zone: preferred_zone.map(AsRef::as_ref),
             };
             let path = choose_path(members, query, now, draw)?;
             let first = path.hops.first()?;
@@ -143,6 +153,8 @@
                 id: first.target.clone(),
                 address: first.address,
                 size,
+                zone: members.get(&first.target)?.entry.zone.clone(),
+                preferred_zone: preferred_zone.cloned(),
                 path: Some(path),
             })
         }
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -1,7 +1,7 @@
 //! Handles one request of a caller, from its head to the response.
 
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -48,6 +48,9 @@
     /// Ids of the parts of the prompt that other requests may share.
     pub(super) prompt_parts: Vec<String>,
     pub(super) size: RequestSize,
+    /// Random number from 0 to 1 that decides whether the request is sent to another zone;
+    /// set once this host's zone sends requests away.
+    pub(super) zone_draw: OnceLock<f64>,
     /// Version of the configuration that matched the request.
     pub(super) configuration: u64,
     /// When the head of the request was received.
@@ -208,6 +211,7 @@
         service,
         suspects,
         prompt_parts,
+        zone_draw: OnceLock::new(),
         tables,
     })
 }
--- a/src/forward/tables.rs
+++ b/src/forward/tables.rs
@@ -14,6 +14,7 @@
 use super::liveness::LivenessTable;
 use super::permits::PermitSource;
 use crate::admission::{ConnectionGate, OverloadGauge, ZoneLoad};
+use crate::balance::{BalanceEvent, BalanceTable};
 use crate::capacity::CapacityView;
 use crate::collections::FastMap;
 use crate::fleet::{EngineReport, FleetTable, TargetLoad, TargetState, target_key};
@@ -43,6 +44,8 @@
     pub configuration: ArcSwapOption<IngressConfiguration>,
     /// Capacity and demand of all services, as last computed.
     pub capacity: ArcSwap<CapacityView>,
+    /// The shares of the zones' requests that go to other zones.
+    pub balance: ArcSwap<BalanceTable>,
     /// The targets.
     pub fleet: Mutex<FleetTable>,
     /// Set once the process is shutting down.
@@ -93,6 +96,7 @@
             metrics: ServingMetrics::default(),
             configuration: ArcSwapOption::empty(),
             capacity: ArcSwap::default(),
+            balance: ArcSwap::default(),
             fleet: Mutex::default(),
             draining: AtomicBool::new(false),
             closing: AtomicBool::new(false),
@@ -198,6 +202,21 @@
         }
     }
 
+    /// Moves the shares of the zones' requests one step towards those that the capacity
+    /// calls for, and sets the metrics. Returns what to report; only one task may call it.
+    pub fn update_balance(&self, now: Instant) -> Vec<BalanceEvent> {
+        let mut balance = BalanceTable::clone(&self.balance.load());
+        let events = balance.update(&self.capacity.load(), &self.zone, now);
+        let flows = balance.services();
+        let flows =
+            flows.flat_map(|(service, flows)| flows.iter().map(move |flow| (service, flow)));
+        let sent = flows.filter(|(_, flow)| flow.from == self.zone);
+        let sent = sent.map(|(service, flow)| (&**service, &*flow.to, flow.share));
+        self.metrics.set_zone_shares(sent);
+        self.balance.store(Arc::new(balance));
+        events
+    }
+
     pub(super) fn report_cell(&self, target: &TargetId) -> ReportCell {
         self.reports
             .lock()
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod admission;
 pub mod api;
 pub mod auth;
+pub mod balance;
 pub mod capacity;
 pub mod claims;
 pub mod cli;
--- a/src/metrics/labels.rs
+++ b/src/metrics/labels.rs
@@ -171,3 +171,10 @@
     pub(super) stream: &'static str,
     pub(super) outcome: &'static str,
 }
+
+/// A service and an availability zone that gets its requests.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct ZoneLabels {
+    pub(super) service: String,
+    pub(super) zone: String,
+}
--- a/src/metrics/serving.rs
+++ b/src/metrics/serving.rs
@@ -1,19 +1,22 @@
 //! The metrics of an entry host on the users' platform.
 
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use prometheus_client::encoding::text;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Registry, Unit};
 
-use super::labels::{CauseLabel, ReasonLabel};
+use super::labels::{CauseLabel, ReasonLabel, ZoneLabels};
 use super::set::{PREFIX, latency_histogram};
 use crate::reason::RefusalReason;
 
-/// Counters and histograms of one entry host. Every label value is a constant in the
-/// code, so that the number of series is bounded.
+/// Counters and histograms of one entry host. Label values are constants in the
+/// code, so that the number of series is bounded; only the shares of zones name services
+/// and zones, as declared, and have a series while requests are sent.
 #[derive(Debug)]
 pub struct ServingMetrics {
     registry: Registry,
@@ -35,6 +38,8 @@
     gateway_uses: Family<CauseLabel, Counter>,
     gateway_requests: Family<CauseLabel, Counter>,
     closed_unread: Family<CauseLabel, Counter>,
+    zone_choices: Family<CauseLabel, Counter>,
+    zone_shares: Family<ZoneLabels, Gauge<f64, AtomicU64>>,
     first_event: Histogram,
     between_events: Histogram,
     whole_request: Histogram,
@@ -63,6 +68,8 @@
             gateway_uses: Family::default(),
             gateway_requests: Family::default(),
             closed_unread: Family::default(),
+            zone_choices: Family::default(),
+            zone_shares: Family::default(),
             first_event: latency_histogram(),
             between_events: latency_histogram(),
             whole_request: latency_histogram(),
@@ -161,6 +168,11 @@
                 "Connections of callers closed before a request was read, by cause",
                 &self.closed_unread,
             ),
+            (
+                "zone_choices",
+                "Attempts that were sent to another zone, or drawn for one, by cause",
+                &self.zone_choices,
+            ),
         ];
         for (name, help, family) in families {
             self.registry.register(name, help, family.clone());
@@ -168,6 +180,9 @@
         let refusals = self.refusals.clone();
         self.registry
             .register("refusals", "Refusals by reason", refusals);
+        let shares = self.zone_shares.clone();
+        let help = "Share of the requests of this host's zone that goes to another zone";
+        self.registry.register("zone_share", help, shares);
     }
 
     fn register_times(&mut self) {
@@ -295,6 +310,24 @@
         count(&self.closed_unread, "overloaded");
     }
 
+    /// Counts an attempt that goes to another zone or was drawn for one.
+    pub fn zone_chosen(&self, cause: &'static str) {
+        count(&self.zone_choices, cause);
+    }
+
+    /// Replaces the shares of the requests that go to other zones, by service and zone.
+    pub fn set_zone_shares<'a, I>(&self, shares: I)
+    where
+        I: Iterator<Item = (&'a str, &'a str, f64)>,
+    {
+        self.zone_shares.clear();
+        for (service, zone, share) in shares {
+            let (service, zone) = (service.to_owned(), zone.to_owned());
+            let labels = ZoneLabels { service, zone };
+            self.zone_shares.get_or_create(&labels).set(share);
+        }
+    }
+
     /// Observes a call to the log service, or counts an error if the call failed.
     pub fn store_called(&self, topic: &'static str, took: Duration, succeeded: bool) {
         match succeeded {
