--- a/src/metrics/serving.rs
+++ b/src/metrics/serving.rs
@@ -1,22 +1,24 @@
 //! The metrics of an entry host on the users' platform.
 
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use prometheus_client::encoding::text;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Registry, Unit};
 
 use super::capacity_gauges::CapacityGauges;
-use super::labels::{CauseLabel, ReasonLabel};
+use super::labels::{CauseLabel, ReasonLabel, ZoneLabels};
 use super::set::{PREFIX, latency_histogram};
 use crate::capacity::CapacityView;
 use crate::reason::RefusalReason;
 
-/// Counters, gauges and histograms of one entry host. Every label value is a constant in the
-/// code, so that the number of series is bounded; the gauges of capacity name the services,
-/// zones and priorities of the last view only.
+/// Counters, gauges and histograms of one entry host. Label values are constants in the code,
+/// so that the number of series is bounded; only the gauges of capacity and the shares of
+/// zones name the services, zones and priorities of the last view.
 #[derive(Debug)]
 pub struct ServingMetrics {
     registry: Registry,
@@ -41,6 +43,8 @@
     end_reports: Family<CauseLabel, Counter>,
     capacity: CapacityGauges,
     start_decisions: Family<CauseLabel, Counter>,
+    zone_choices: Family<CauseLabel, Counter>,
+    zone_shares: Family<ZoneLabels, Gauge<f64, AtomicU64>>,
     first_event: Histogram,
     between_events: Histogram,
     whole_request: Histogram,
@@ -72,6 +76,8 @@
             end_reports: Family::default(),
             capacity: CapacityGauges::default(),
             start_decisions: Family::default(),
+            zone_choices: Family::default(),
+            zone_shares: Family::default(),
             first_event: latency_histogram(),
             between_events: latency_histogram(),
             whole_request: latency_histogram(),
@@ -181,6 +187,11 @@
                 "Decisions about requests of services with several priorities, by result",
                 &self.start_decisions,
             ),
+            (
+                "zone_choices",
+                "Attempts that were sent to another zone, or drawn for one, by cause",
+                &self.zone_choices,
+            ),
         ];
         for (name, help, family) in families {
             self.registry.register(name, help, family.clone());
@@ -188,6 +199,9 @@
         let refusals = self.refusals.clone();
         self.registry
             .register("refusals", "Refusals by reason", refusals);
+        let shares = self.zone_shares.clone();
+        let help = "Share of the requests of this host's zone that goes to another zone";
+        self.registry.register("zone_share", help, shares);
     }
 
     fn register_times(&mut self) {
@@ -330,6 +344,24 @@
         count(&self.start_decisions, result);
     }
 
+    /// Counts an attempt that goes to another zone or was drawn for one.
+    pub fn zone_chosen(&self, cause: &'static str) {
+        count(&self.zone_choices, cause);
+    }
+
+    /// Replaces the shares of the requests that go to other zones, by service and zone.
+    pub fn set_zone_shares<'a, I>(&self, shares: I)
+    where
+        I: Iterator<Item = (&'a str, &'a str, f64)>,
+    {
+        self.zone_shares.clear();
+        for (service, zone, share) in shares {
+            let (service, zone) = (service.to_owned(), zone.to_owned());
+            let labels = ZoneLabels { service, zone };
+            self.zone_shares.get_or_create(&labels).set(share);
+        }
+    }
+
     /// Observes a call to the log service, or counts an error if the call failed.
     pub fn store_called(&self, topic: &'static str, took: Duration, succeeded: bool) {
         match succeeded {
