--- a/src/forward/admission_wait.rs
+++ b/src/forward/admission_wait.rs
@@ -11,6 +11,7 @@
     HoldReason, PathOutlook, StartContext, StartDecision, StartRequest, StartVerdict, WaitTicket,
     WaitingRequest, current_priority, decide,
 };
+use crate::capacity::organisation_key;
 use crate::ids::{ServiceId, TargetId};
 use crate::reason::RefusalReason;
 
@@ -61,9 +62,15 @@
         }
     }
 
-    /// Counts a refusal for want of capacity.
-    fn record_capacity_refusal(&self, reason: HoldReason) {
-        self.tables.metrics.start_decided(reason.name());
+    /// Counts a refusal for want of capacity. `reason` is `None` for a service whose
+    /// requests all have the same priority.
+    pub(super) fn record_capacity_refusal(&self, reason: Option<HoldReason>) {
+        if let Some(reason) = reason {
+            self.tables.metrics.start_decided(reason.name());
+        }
+        let service = &self.service.name;
+        self.tables
+            .count_capacity_refusal(service, self.matched.priority, Instant::now());
     }
 
     /// Returns whether the last choice was held back by a decision about starts.
@@ -103,7 +110,7 @@
         let left = self.deadline.saturating_duration_since(self.arrived);
         let request = StartRequest {
             priority,
-            organisation: u64::from(self.suspects.organisation),
+            organisation: organisation_key(self.matched.organisation.as_deref()),
             objective: self.matched.route.latency_aim,
             age: now.saturating_duration_since(self.arrived),
             left: self.deadline.saturating_duration_since(now),
@@ -163,7 +170,7 @@
 
     /// Logs and counts a refusal, and returns it with the time to come back.
     fn refuse_start(&self, held: HeldStart, reason: HoldReason, now: Instant) -> Refusal {
-        self.record_capacity_refusal(reason);
+        self.record_capacity_refusal(Some(reason));
         self.log_held("start refused", held, reason, Duration::ZERO);
         let left = self.deadline.saturating_duration_since(now);
         let honoured = left.mul_f64(HONOURED_SHARE);
@@ -224,11 +231,11 @@
         let waiting = WaitingRequest {
             service: self.service.name.clone(),
             priority: held.priority,
-            organisation: u64::from(self.suspects.organisation),
+            organisation: organisation_key(self.matched.organisation.as_deref()),
             objective_at: self.arrived + self.matched.route.latency_aim,
             deadline: self.deadline,
         };
-        let Some(waiting) = WaitingStart::open(&self.tables, waiting) else {
+        let Some(mut waiting) = WaitingStart::open(&self.tables, waiting) else {
             return Err(self.refuse_start(held, HoldReason::QueueFull, Instant::now()));
         };
         self.tables.metrics.start_decided("wait");
@@ -266,24 +273,35 @@
     tables: Arc<ServingTables>,
     ticket: WaitTicket,
     service: ServiceId,
+    priority: u8,
     organisation: u64,
 }
 
 impl WaitingStart {
     fn open(tables: &Arc<ServingTables>, request: WaitingRequest) -> Option<Self> {
         let (service, organisation) = (request.service.clone(), request.organisation);
+        let priority = request.priority;
         let ticket = tables.start.lock().queue.add(request)?;
+        record_waiting(tables, &service, priority);
         Some(Self {
             tables: tables.clone(),
             ticket,
             service,
+            priority,
             organisation,
         })
     }
 
-    fn set_priority(&self, priority: u8) {
+    fn set_priority(&mut self, priority: u8) {
+        let before = std::mem::replace(&mut self.priority, priority);
+        if before == priority {
+            return;
+        }
         let mut start = self.tables.start.lock();
         start.queue.set_priority(self.ticket, priority);
+        drop(start);
+        record_waiting(&self.tables, &self.service, before);
+        record_waiting(&self.tables, &self.service, priority);
     }
 
     fn is_next(&self, now: Instant) -> bool {
@@ -300,5 +318,16 @@
 impl Drop for WaitingStart {
     fn drop(&mut self) {
         self.tables.start.lock().queue.remove(self.ticket);
+        record_waiting(&self.tables, &self.service, self.priority);
     }
 }
+
+/// Reports the number of waiting requests after a change.
+fn record_waiting(tables: &ServingTables, service: &ServiceId, priority: u8) {
+    let start = tables.start.lock();
+    let (all, same) = (start.queue.len(), start.queue.count(service, priority));
+    drop(start);
+    tables.metrics.starts_waiting(all);
+    let same = u32::try_from(same).unwrap_or(u32::MAX);
+    tables.set_waiting(service, priority, same, Instant::now());
+}
--- a/src/forward/attempt_policy.rs
+++ b/src/forward/attempt_policy.rs
@@ -56,6 +56,7 @@
             return decided.map(|()| chosen);
         }
         if full && !started {
+            self.record_capacity_refusal(None);
             let after = self.tables.count_refusal(now);
             let (service, priority) = (&self.service.name, self.matched.priority);
             self.tables.count_capacity_refusal(service, priority, now);
@@ -128,6 +129,7 @@
             target_id:% = chosen.id,
             path:% = path.map(order::path_value).unwrap_or_default(),
             cost_ms = path.map_or(0, |path| path.cost_ms as u64),
+            expected_ms = path.map_or(0, |path| path.first_event_ms as u64),
             zone:% = chosen.zone,
             preferred_zone:% = chosen.preferred_zone.as_deref().unwrap_or("none"),
             tokens = chosen.size.tokens() as u64,
--- a/src/metrics/serving.rs
+++ b/src/metrics/serving.rs
@@ -45,6 +45,7 @@
     start_decisions: Family<CauseLabel, Counter>,
     zone_choices: Family<CauseLabel, Counter>,
     zone_shares: Family<ZoneLabels, Gauge<f64, AtomicU64>>,
+    starts_waiting: Gauge,
     first_event: Histogram,
     between_events: Histogram,
     whole_request: Histogram,
@@ -78,6 +79,7 @@
             start_decisions: Family::default(),
             zone_choices: Family::default(),
             zone_shares: Family::default(),
+            starts_waiting: Gauge::default(),
             first_event: latency_histogram(),
             between_events: latency_histogram(),
             whole_request: latency_histogram(),
@@ -202,6 +204,9 @@
         let shares = self.zone_shares.clone();
         let help = "Share of the requests of this host's zone that goes to another zone";
         self.registry.register("zone_share", help, shares);
+        let waiting = self.starts_waiting.clone();
+        let help = "Requests that wait for room before they start";
+        self.registry.register("starts_waiting", help, waiting);
     }
 
     fn register_times(&mut self) {
@@ -362,6 +367,11 @@
         }
     }
 
+    /// Sets the number of requests that wait for room before they start.
+    pub fn starts_waiting(&self, waiting: usize) {
+        self.starts_waiting.set(waiting as i64);
+    }
+
     /// Observes a call to the log service, or counts an error if the call failed.
     pub fn store_called(&self, topic: &'static str, took: Duration, succeeded: bool) {
         match succeeded {
