--- a/tests/capacity.rs
+++ b/tests/capacity.rs
@@ -90,10 +90,7 @@
     assert!(one_of_each > 1.0, "{one_of_each}");
     assert!((one_of_each - by_memory(&model, 40)).abs() < 1e-6);
     assert_eq!(concurrent(&model, &zone, now), one_of_each);
-    let few_slots = EngineModel {
-        slots: 5,
-        ..model.clone()
-    };
+    let few_slots = EngineModel { slots: 5, ..model };
     assert_eq!(concurrent(&few_slots, &zone, now), 5.0);
     // Slots bound only the first engines of paths.
     zone.observe_entry(engine("d", "z", "fast", 0, 40));
@@ -338,7 +335,6 @@
     let (host, aggregator) = (most(false), most(true));
     assert!(host <= 22_000, "{host} B/s");
     assert!(aggregator <= 16 * 22_000, "{aggregator} B/s");
-    println!("control traffic: {host} B/s a host, {aggregator} B/s an aggregator");
 }
 
 /// Chooses a path on a host, without the random part of costs, and returns whether it
--- a/tests/forwarding/main.rs
+++ b/tests/forwarding/main.rs
@@ -1,5 +1,6 @@
 //! Tests the data path against targets that fail in various ways.
 
+mod ended;
 mod gateway;
 mod host;
 mod leaving;
