--- a/tests/entry_decisions.rs
+++ b/tests/entry_decisions.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use jackdawwick::admission::OverloadGauge;
+use jackdawwick::capacity::DemandReport;
 use jackdawwick::fleet::UsageScope;
 use jackdawwick::forward::EventSplitter;
 use jackdawwick::logging::BoundedWriter;
@@ -179,6 +180,8 @@
         log: None,
         poison: PoisonDelta::default(),
         limits: LimitDelta::default(),
+        demand: DemandReport::default(),
+        ended: Vec::new(),
     }
 }
 
