Hold less urgent requests back while a more urgent one waits on the host

A less urgent request could take the room that came free between two tries of a waiting request. Without more urgent demand the headroom no longer refuses in a zone that is over its capacity.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -198,6 +198,7 @@
         ranks: &ranks,
         zone: Some(&zone),
         floor_due: false,
+        waiting_above: false,
     };
     criterion.bench_function("start of a request", |bencher| {
         bencher.iter(|| decide(&request, path, context));
--- a/src/admission/start/decision.rs
+++ b/src/admission/start/decision.rs
@@ -67,6 +67,8 @@
     pub zone: Option<&'a ZoneCapacity>,
     /// Whether the floor of the request's rank requires a start.
     pub floor_due: bool,
+    /// Whether a request of a more urgent rank waits on this host.
+    pub waiting_above: bool,
 }
 
 /// Why a request is not started at once.
@@ -150,7 +152,8 @@
         false if is_free => (StartVerdict::Start, false),
         false => {
             let is_late = limit.is_some_and(|limit| path.first_event > limit);
-            let is_short = free.is_some_and(|free| free < headroom);
+            let is_short =
+                context.waiting_above || free.is_some_and(|free| headroom > 0.0 && free < headroom);
             match (is_late, is_short) {
                 (false, false) => (StartVerdict::Start, false),
                 _ if context.floor_due => (StartVerdict::Start, true),
--- a/src/admission/start/queue.rs
+++ b/src/admission/start/queue.rs
@@ -81,6 +81,12 @@
         self.waiting.is_empty()
     }
 
+    /// Returns whether a request of a more urgent priority waits for a service.
+    pub fn waits_above(&self, service: &str, priority: u8) -> bool {
+        let mut waiting = self.waiting.values();
+        waiting.any(|request| *request.service == *service && request.priority < priority)
+    }
+
     /// Returns the number of requests that wait for a service with a priority.
     pub fn count(&self, service: &str, priority: u8) -> usize {
         let waiting = self.waiting.values();
--- a/src/forward/admission_wait.rs
+++ b/src/forward/admission_wait.rs
@@ -167,6 +167,7 @@
             ranks: start.ranks(service)?,
             zone,
             floor_due: start.is_floor_due(service, request.priority),
+            waiting_above: start.queue.waits_above(service, request.priority),
         };
         Some(decide(request, outlook, context))
     }
--- a/tests/admission_start.rs
+++ b/tests/admission_start.rs
@@ -83,6 +83,7 @@
         ranks: &ranks(),
         zone: Some(view.zone),
         floor_due: view.floors.is_due(priority),
+        waiting_above: false,
     };
     decide(&request, outlook, context).verdict == StartVerdict::Start
 }
@@ -345,6 +346,7 @@
             ranks: &ranks(),
             zone: Some(&zone),
             floor_due: false,
+            waiting_above: false,
         };
         decide(&request, outlook, context).verdict
     };
@@ -369,6 +371,7 @@
     let less_urgent = queue.add(waiting(1, 3, 1)).expect("room");
     let large = [9, 8, 7].map(|left| queue.add(waiting(0, 1, left)).expect("room"));
     let small = queue.add(waiting(0, 2, 10)).expect("room");
+    assert!(queue.waits_above("model", 1) && !queue.waits_above("model", 0));
     let mut order = Vec::new();
     while let Some(ticket) = queue.next("model", now) {
         queue.remove(ticket);
@@ -400,7 +403,7 @@
     let overall = f64::from(400 + started) / 800.0;
     let share = f64::from(started) / 400.0;
     assert!((0.25 * overall..0.45 * overall).contains(&share), "{share}");
-    let verdict = |priority, first_event_ms| {
+    let verdict = |priority, first_event_ms, waiting_above| {
         let request = StartRequest {
             priority,
             organisation: 0,
@@ -418,6 +421,7 @@
             ranks: &ranks(),
             zone: None,
             floor_due: false,
+            waiting_above,
         };
         decide(&request, outlook, context).verdict
     };
@@ -428,7 +432,10 @@
         (2, 260, false),
     ];
     for (priority, first_event_ms, starts) in limits {
-        let is_started = verdict(priority, first_event_ms) == StartVerdict::Start;
+        let is_started = verdict(priority, first_event_ms, false) == StartVerdict::Start;
         assert_eq!(is_started, starts, "{priority} {first_event_ms}");
     }
+    // A less urgent request does not take the room that a waiting one is tried for next.
+    assert!(matches!(verdict(1, 100, true), StartVerdict::Refuse(_)));
+    assert_eq!(verdict(0, 100, true), StartVerdict::Start);
 }
