--- a/src/forward/attempt_policy.rs
+++ b/src/forward/attempt_policy.rs
@@ -59,8 +59,6 @@
         if full && !started {
             self.record_capacity_refusal(None);
             let after = self.tables.count_refusal(now);
-            let (service, priority) = (&self.service.name, self.matched.priority);
-            self.tables.count_capacity_refusal(service, priority, now);
             return Err(Refusal::not_run(RefusalReason::NoRoom, after));
         }
         Ok(chosen)
