Keep more ends of the few parts that are under suspicion

A record keeps eight ends, two of a target; those are of four targets, less than the third of the ended ones that the rule asks for.

Change: up to eight parts that no target survived keep 24 ends. That is 3 KB more at the most; a record still fits into one view of 64 pieces of evidence, and a host that keeps eight ends merges what fits.

--- a/src/poison/table.rs
+++ b/src/poison/table.rs
@@ -16,6 +16,8 @@
 /// requests at once, so that all that ran on one fit beside 64 refused requests. A record
 /// takes 64 bytes and 24 for each end, at most 131 KB in all, whatever the size of the fleet.
 const MAX_RECORDS: usize = 256;
+/// Maximum number of parts of which more ends are remembered than of others, 3 KB in all.
+pub(super) const MAX_LONG_RECORDS: usize = 8;
 /// Time for which a survived request is not suspected. Requests that many callers send
 /// alike, for a status or a price list, come several times a second.
 const RECENT_TIME: Duration = Duration::from_secs(10);
@@ -145,10 +147,13 @@
         if let PoisonEvent::Ended(source) = event {
             self.recent.observe(short_target(source), at);
         }
+        let may_grow = self.may_grow(suspect);
         let record = self.records.entry(suspect).or_default();
         let survival_changed = known_survival.is_some_and(|at| record.observe_survival(at));
         let changed = match event {
-            PoisonEvent::Ended(source) => record.observe_end(suspect, TargetEnd { source, at }),
+            PoisonEvent::Ended(source) => {
+                record.observe_end(suspect, TargetEnd { source, at }, may_grow)
+            }
             PoisonEvent::Survived => record.observe_survival(at),
         };
         if changed || survival_changed {
@@ -157,6 +162,18 @@
         }
     }
 
+    /// Returns whether the record of a part may hold more ends than most.
+    fn may_grow(&self, suspect: SuspectKey) -> bool {
+        match self.records.get(&suspect) {
+            Some(record) if record.is_long() => true,
+            Some(record) if record.is_full() => {
+                let long = self.records.values().filter(|record| record.is_long());
+                long.count() < MAX_LONG_RECORDS
+            }
+            _ => false,
+        }
+    }
+
     /// Removes expired records and, if that is not enough, the one with the least evidence:
     /// a flood of requests that ran on one lost engine must not evict those that are
     /// refused.
