Wait for a survival before parts are judged after a start

Cause: hosts that all start again remember no survival.

Change: until a host has heard of any survival, and for a second after the first one, requests with a part under which two targets ended go on waiting, for three seconds at the most, if one of these targets broke several requests. They are not sent meanwhile, so no further engine ends. Where a survival is known already, nothing changes.

--- a/src/poison/table.rs
+++ b/src/poison/table.rs
@@ -57,6 +57,8 @@
     pub(super) progress: DeltaProgress,
     pub(super) survivors: RecentSurvivors,
     pub(super) recent: RecentEnds,
+    /// When this host first observed a survival, or heard of one.
+    pub(super) first_survival: Option<Instant>,
 }
 
 /// A change that the platform's log lacks.
@@ -79,7 +81,7 @@
     fn is_refused(&self, suspect: SuspectKey, now: Instant) -> bool {
         let record = self.records.get(&suspect);
         record.is_some_and(|record| match is_part(suspect) {
-            true => record.is_poison_part(&self.recent, now),
+            true => record.is_poison_part(self.part_context(), now),
             false => record.is_poison(now),
         })
     }
@@ -107,6 +109,7 @@
     /// it.
     pub fn observe_survival(&mut self, request: RequestKey, now: Instant) -> bool {
         self.survivors.insert(request, now);
+        self.first_survival.get_or_insert(now);
         let record = self.records.get(&request);
         let suspected = record.is_some_and(|record| !record.ends.is_empty());
         if suspected {
@@ -144,6 +147,9 @@
             PoisonEvent::Ended(_) if is_part(suspect) => self.survivors.last(suspect),
             _ => None,
         };
+        if event == PoisonEvent::Survived {
+            self.first_survival.get_or_insert(now);
+        }
         if let PoisonEvent::Ended(source) = event {
             self.recent.observe(short_target(source), at);
         }
@@ -213,7 +219,7 @@
         let records = self.records.iter();
         let required = records.map(|(suspect, record)| {
             let required = match is_part(*suspect) {
-                true => record.required_part_in_log(&self.recent, now),
+                true => record.required_part_in_log(self.part_context(), now),
                 false => record.required_in_log(now),
             };
             (suspect, record, required)
