Do not refuse a part whose ends other suspected parts explain

Change: a part is not refused if each of its targets ended under another unsurvived part with more ends, or with two if it has two itself. The next end tells which it is.

--- a/src/poison/part_rule.rs
+++ b/src/poison/part_rule.rs
@@ -73,6 +73,21 @@
 }
 
 impl PartContext<'_> {
+    /// Returns the ends of the other parts that no target is known to have survived and under
+    /// which several ended. Parts that cannot be told apart from the one of `record` are left
+    /// out.
+    fn other_suspects(&self, record: &PoisonRecord) -> Vec<EndSeries> {
+        let sources = record.sorted_sources();
+        let parts = self.records.iter().filter(|(key, other)| {
+            is_part(**key) && other.survived.is_none() && other.ends.len() >= ENDS_OF_UNKNOWN_PART
+        });
+        let others = parts.filter(|(_, other)| other.sorted_sources() != sources);
+        let others = others.map(|(_, other)| EndSeries::new(other.sources()));
+        others
+            .filter(|other| other.independent(other.ends.len()) >= ENDS_OF_UNKNOWN_PART)
+            .collect()
+    }
+
     /// Returns whether a target of a series broke several requests, so that its end says less
     /// about each of them.
     fn has_crowded_target(&self, series: &EndSeries) -> bool {
@@ -150,6 +165,10 @@
         count_distinct(self.ends.iter().map(|(source, _)| source.organisation)) > 1
     }
 
+    fn has_target(&self, target: u32) -> bool {
+        self.ends.iter().any(|(source, _)| source.target == target)
+    }
+
     /// Returns whether most targets that ended meanwhile ended under the part.
     fn explains(&self, recent: &RecentEnds) -> bool {
         let (Some((_, first)), Some((_, last))) = (self.ends.first(), self.ends.last()) else {
@@ -164,6 +183,19 @@
         };
         targets_per_end * ends > meanwhile
     }
+
+    /// Returns whether each target also ended under another suspected part that has more ends,
+    /// or two if this one has two. Then a further end tells which part it is.
+    fn is_explained_by(&self, others: &[EndSeries]) -> bool {
+        let ends = self.independent(self.ends.len());
+        let stronger = others.iter().filter(|other| {
+            let other_ends = other.independent(other.ends.len());
+            other_ends > ends || (other_ends == ends && ends <= ENDS_OF_UNKNOWN_PART)
+        });
+        let stronger = stronger.collect::<Vec<_>>();
+        let mut targets = self.ends.iter().map(|(source, _)| source.target);
+        targets.all(|target| stronger.iter().any(|other| other.has_target(target)))
+    }
 }
 
 fn count_distinct<T, I>(items: I) -> usize
@@ -256,11 +288,13 @@
             return PartVerdict::Sound;
         };
         let is_known = self.survived.is_some();
+        let others = context.other_suspects(self);
         let refused_for = refusal_time(series.moments(TRY_SPACING).len());
         match now {
             _ if !series.explains(context.recent) => PartVerdict::Sound,
             _ if now < decided && !is_known => PartVerdict::Pending(decided),
             _ if now < decided || now >= last + refused_for => PartVerdict::Sound,
+            _ if series.is_explained_by(&others) => PartVerdict::Sound,
             _ => PartVerdict::Poison,
         }
     }
