Count unexplained ends before those of a part

Cause: only targets that ended between the first and the last end under a part count against it.

Change: targets that ended in the five seconds before count, too, unless they ended under the part or under another suspected one.

--- a/src/poison/part_rule.rs
+++ b/src/poison/part_rule.rs
@@ -27,6 +27,10 @@
 /// at fault at a time.
 const TARGETS_PER_FEW_ENDS: usize = 2;
 const TARGETS_PER_END: usize = 3;
+/// Time before the first end under a part in which targets that ended without it count, too,
+/// unless they ended under another suspected part. While a target a second ends for other
+/// reasons, two of them break requests with the same rare part by chance.
+const UNEXPLAINED_TIME: Duration = Duration::from_secs(5);
 /// Time by which the ends of one crash may be observed apart.
 const OBSERVATION_SPREAD: Duration = Duration::from_millis(500);
 /// Time in which hosts that have seen a part survive tell the others.
@@ -169,19 +173,24 @@
         self.ends.iter().any(|(source, _)| source.target == target)
     }
 
-    /// Returns whether most targets that ended meanwhile ended under the part.
-    fn explains(&self, recent: &RecentEnds) -> bool {
+    /// Returns whether most targets that ended meanwhile, or shortly before and under no other
+    /// suspected part, ended under this one.
+    fn explains(&self, others: &[EndSeries], recent: &RecentEnds) -> bool {
         let (Some((_, first)), Some((_, last))) = (self.ends.first(), self.ends.last()) else {
             return false;
         };
         let from = first.checked_sub(OBSERVATION_SPREAD).unwrap_or(*first);
         let meanwhile = recent.within(from..=*last + OBSERVATION_SPREAD).count();
+        let before_from = first.checked_sub(UNEXPLAINED_TIME).unwrap_or(*first);
+        let before = recent.within(before_from..from).filter(|target| {
+            !self.has_target(*target) && !others.iter().any(|other| other.has_target(*target))
+        });
         let ends = self.independent(self.ends.len());
         let targets_per_end = match ends {
             0..=ENDS_OF_UNKNOWN_PART => TARGETS_PER_FEW_ENDS,
             _ => TARGETS_PER_END,
         };
-        targets_per_end * ends > meanwhile
+        targets_per_end * ends > meanwhile + before.count()
     }
 
     /// Returns whether each target also ended under another suspected part that has more ends,
@@ -291,7 +300,7 @@
         let others = context.other_suspects(self);
         let refused_for = refusal_time(series.moments(TRY_SPACING).len());
         match now {
-            _ if !series.explains(context.recent) => PartVerdict::Sound,
+            _ if !series.explains(&others, context.recent) => PartVerdict::Sound,
             _ if now < decided && !is_known => PartVerdict::Pending(decided),
             _ if now < decided || now >= last + refused_for => PartVerdict::Sound,
             _ if series.is_explained_by(&others) => PartVerdict::Sound,
