--- a/src/poison/record.rs
+++ b/src/poison/record.rs
@@ -20,8 +20,8 @@
 /// requests on a target may have the same part.
 const MAX_PART_ENDS: usize = 8;
 const MAX_PART_ENDS_OF_TARGET: usize = 2;
-/// Maximum number of ends of a part that no target survived. Eight are of four targets, which
-/// are not a third of those that two poison parts can end before they are told apart. Only
+/// Maximum number of ends of a part that no target survived. Eight may be of four targets,
+/// less than a third of those that two poison parts can end before they are told apart. Only
 /// [`MAX_LONG_RECORDS`](super::table::MAX_LONG_RECORDS) parts have more than the others.
 const MAX_SUSPECTED_PART_ENDS: usize = 24;
 /// Time for which a request is refused after the last target that ended under it, indexed
