Count slots at the first layer when a zone is planned

An engine runs at most the declared slots at once as the first of its paths.

The planner now counts an engine at the first layer with the lesser of memory and slots. Plans of six zones that are short of memory are the same as before, by hash.

The trials of plans know both fleets, and simulated engines have slots. The line "zone planned" has a reason.

--- a/src/entry/placement.rs
+++ b/src/entry/placement.rs
@@ -15,7 +15,9 @@
 use crate::ids::TargetId;
 use crate::ids::ZoneId;
 use crate::ingress::{EngineModel, IngressConfiguration, ServiceSpec};
-use crate::placement::{EngineView, PlannedRange, REPLAN_DELAY, has_uncovered_layers, plan_zone};
+use crate::placement::{
+    EngineView, PlanReason, PlannedRange, REPLAN_DELAY, has_uncovered_layers, plan_zone,
+};
 use crate::platform::target_record::platform_id;
 use crate::platform::{names, order};
 
@@ -233,6 +235,7 @@
     /// of the host for that long, while engines are being lost.
     async fn plan(&mut self, task: PlanningTask) -> Vec<PlannedRange> {
         let (service, engines) = (task.service.clone(), task.snapshot.engines.clone());
+        let reason = PlanReason::of(&engines, task.uncovered_for);
         let started = Instant::now();
         let planned = tokio::task::spawn_blocking(move || {
             let model = service.engine.as_ref();
@@ -247,6 +250,7 @@
         log::info!(
             zone:% = task.zone,
             engines = task.snapshot.engines.len(),
+            reason = reason.as_str(),
             holed_ms = task.uncovered_for.as_millis() as u64,
             changes = planned.len(),
             took_ms = started.elapsed().as_millis() as u64;
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -15,5 +15,5 @@
 mod zone_estimate;
 
 pub use estimate::{HeldRange, plan_score};
-pub use plan::{EngineView, PlannedRange, has_uncovered_layers, plan_zone};
+pub use plan::{EngineView, PlanReason, PlannedRange, has_uncovered_layers, plan_zone};
 pub use replan::REPLAN_DELAY;
--- a/src/placement/estimate.rs
+++ b/src/placement/estimate.rs
@@ -44,13 +44,15 @@
 /// that remains after the loss of the most critical engine.
 pub fn plan_score(model: &EngineModel, held: &[HeldRange]) -> f64 {
     let mut layers = vec![LayerTotal::default(); model.layers as usize];
+    let mut starts = 0.0;
     for range in held {
         let share = HolderContribution::of(model, range);
+        starts += share.starts;
         for layer in layers_of(&mut layers, range.layers) {
             layer.add(share);
         }
     }
-    let whole = throughput(model, &layers);
+    let whole = throughput(model, &layers, starts);
     let mut lowest = whole;
     for range in distinct(held) {
         let share = HolderContribution::of(model, range);
@@ -58,7 +60,7 @@
         for layer in layers_of(&mut left, range.layers) {
             layer.remove(share);
         }
-        lowest = lowest.min(throughput(model, &left));
+        lowest = lowest.min(throughput(model, &left, starts - share.starts));
     }
     whole + lowest
 }
@@ -67,6 +69,8 @@
 #[derive(Debug, Clone, Copy)]
 struct HolderContribution {
     capacity: f64,
+    /// Tokens of the requests that can begin at the engine.
+    starts: f64,
     step_ms: f64,
     request_time_ms: f64,
 }
@@ -75,8 +79,13 @@
     fn of(model: &EngineModel, range: &HeldRange) -> Self {
         let kind = range.kind;
         let context_ms = model.per_context_k_ms * usual_tokens(model) / 1000.0 * kind.pace;
+        let capacity = range.capacity(model);
         Self {
-            capacity: range.capacity(model),
+            capacity,
+            starts: match range.layers.contains(0) {
+                true => start_capacity(model, capacity),
+                false => 0.0,
+            },
             step_ms: model.step_ms * kind.pace,
             request_time_ms: model.per_request_ms * kind.read_factor + context_ms,
         }
@@ -131,11 +140,12 @@
 /// Returns the throughput in requests of usual size a second with all cache memory in
 /// use.
 ///
-/// The layer with the least capacity limits the number of concurrent requests. Their
+/// The layer with the least capacity limits the number of concurrent requests; at the
+/// first layer, `starts` limits it as well, which includes the slots. Their
 /// steps are distributed over the holders of each layer in proportion to capacity, and a
 /// step takes longer the more requests share it.
-fn throughput(model: &EngineModel, layers: &[LayerTotal]) -> f64 {
-    let mut lowest = f64::INFINITY;
+fn throughput(model: &EngineModel, layers: &[LayerTotal], starts: f64) -> f64 {
+    let mut lowest = starts.max(0.0);
     let mut step_ms = 0.0;
     let mut request_ms = 0.0;
     for layer in layers {
@@ -153,6 +163,13 @@
     requests / answer_s
 }
 
+/// Returns the tokens of the requests that can begin at an engine with this capacity at
+/// its first layer. An engine runs at most [`EngineModel::slots`] requests at once as the
+/// first of their paths, whatever memory it has.
+pub(super) fn start_capacity(model: &EngineModel, capacity: f64) -> f64 {
+    capacity.min(f64::from(model.slots) * usual_tokens(model))
+}
+
 /// Returns the number of tokens of a usual request at its end.
 pub(super) fn usual_tokens(model: &EngineModel) -> f64 {
     f64::from(model.usual_prompt + model.usual_answer).max(1.0)
--- a/src/placement/plan.rs
+++ b/src/placement/plan.rs
@@ -27,6 +27,42 @@
     pub layers: LayerRange,
 }
 
+/// Why a zone is planned.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PlanReason {
+    /// No engine holds layers.
+    FirstPlan,
+    /// Layers have no holder, or one with too little capacity.
+    UncoveredLayers,
+    /// Engines without layers can be placed.
+    EmptyEngines,
+    /// The engines or their layers changed.
+    ChangedEngines,
+}
+
+impl PlanReason {
+    /// Returns why a zone with these engines is planned; `uncovered_for` is the time for
+    /// which it has had uncovered layers.
+    pub fn of(engines: &[EngineView], uncovered_for: Duration) -> Self {
+        match engines.iter().all(|engine| engine.layers.is_none()) {
+            true => Self::FirstPlan,
+            false if !uncovered_for.is_zero() => Self::UncoveredLayers,
+            false if engines.iter().any(|engine| engine.layers.is_none()) => Self::EmptyEngines,
+            false => Self::ChangedEngines,
+        }
+    }
+
+    /// Returns the name used in log lines.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::FirstPlan => "first_plan",
+            Self::UncoveredLayers => "uncovered_layers",
+            Self::EmptyEngines => "empty_engines",
+            Self::ChangedEngines => "changed_engines",
+        }
+    }
+}
+
 /// Returns the ranges to order for the engines of one availability zone; engines whose
 /// range stays do not appear.
 ///
--- a/src/placement/zone_estimate.rs
+++ b/src/placement/zone_estimate.rs
@@ -6,7 +6,7 @@
 use crate::fleet::LayerRange;
 use crate::ingress::{AcceleratorKind, EngineModel};
 use crate::placement::EngineView;
-use crate::placement::estimate::{WAIT_FACTOR, usual_tokens};
+use crate::placement::estimate::{WAIT_FACTOR, start_capacity, usual_tokens};
 
 /// Exponent of the power mean that approximates the capacity of the layer with the least.
 /// A hard minimum does not change, and so gives no direction, while another layer is
@@ -24,6 +24,9 @@
 /// Pace assumed for a layer without a holder. It is slower than any kind, since a zone
 /// would otherwise look faster the more layers it lacks.
 const UNCOVERED_PACE: f64 = 20.0;
+/// Exponent of the factor by which missing slots reduce the number of concurrent requests.
+/// Below 1, so that memory still gives the search a direction while slots are the limit.
+const SLOT_EXPONENT: f64 = 0.9;
 /// Time of one more engine on a path, in milliseconds per event: 0.2 ms each way within
 /// the availability zone and the wait for the next pass.
 const HOP_MS: f64 = 2.0;
@@ -89,6 +92,23 @@
     }
 }
 
+/// Sums over the engines at which paths can begin, in tokens.
+#[derive(Debug, Clone, Copy, Default)]
+struct StartTotal {
+    /// Capacity by memory and by slots.
+    capacity: f64,
+    /// Capacity of the engine with the most.
+    largest: f64,
+}
+
+impl StartTotal {
+    fn with(mut self, capacity: f64) -> Self {
+        self.capacity += capacity;
+        self.largest = self.largest.max(capacity);
+        self
+    }
+}
+
 /// Sums over a range of layers.
 #[derive(Debug, Clone, Copy, Default)]
 struct RangeTotal {
@@ -136,6 +156,7 @@
 pub(super) struct ZoneEstimate<'a> {
     model: &'a EngineModel,
     layers: Vec<LayerTotal>,
+    starts: StartTotal,
     /// Requests that share each step.
     requests: f64,
     /// Capacity under which a layer counts as uncovered, in usual requests.
@@ -154,8 +175,12 @@
         let held = held.filter(|(index, _)| Some(*index) != emptied);
         let held = held.filter_map(|(_, engine)| Some((engine.kind, engine.layers?)));
         let mut layers = vec![LayerTotal::default(); model.layers as usize];
+        let mut starts = StartTotal::default();
         for (kind, range) in held {
             let holder = HolderEstimate::of(model, kind, range.width());
+            if range.contains(0) {
+                starts = starts.with(start_capacity(model, holder.capacity));
+            }
             let within = layers.iter_mut().take(range.to as usize);
             for layer in within.skip(range.from as usize) {
                 *layer = layer.with(holder);
@@ -164,6 +189,7 @@
         let mut built = Self {
             model,
             layers,
+            starts,
             requests: 0.0,
             min_capacity: min_capacity(model, engines),
         };
@@ -171,11 +197,32 @@
         built
     }
 
-    /// Returns the number of usual requests that fit in memory at once.
+    /// Returns the number of usual requests that fit in memory and slots at once.
     fn concurrent_requests(&self) -> f64 {
         let needs = self.layers.iter();
         let needs = needs.map(|layer| RangeTotal::of(self, layer).inverse_sum);
-        power_mean(needs.sum(), self.layers.len())
+        let by_memory = power_mean(needs.sum(), self.layers.len());
+        let first = self.layers.first().copied().unwrap_or_default();
+        self.within_slots(by_memory, self.starts.capacity, first.capacity)
+    }
+
+    /// Returns `by_memory`, the requests that fit in memory, reduced to those that can
+    /// begin. The power mean over the layers does not show slots: it hides a shortage of
+    /// one layer out of 80.
+    ///
+    /// `starts` is the capacity at the first layer by memory and slots, `memory` that by
+    /// memory alone. Where the slots reduce no engine, the two are the same and the result
+    /// is `by_memory` itself.
+    fn within_slots(&self, by_memory: f64, starts: f64, memory: f64) -> f64 {
+        if starts >= memory {
+            return by_memory;
+        }
+        let requests = |tokens: f64| (tokens / usual_tokens(self.model)).max(self.min_capacity);
+        let needed = requests(memory).min(by_memory);
+        match requests(starts) / needed {
+            share if share < 1.0 => by_memory * share.powf(SLOT_EXPONENT),
+            _ => by_memory,
+        }
     }
 
     /// Uses the number of requests that share a step in `other`.
@@ -207,7 +254,9 @@
     pub(super) fn score(&self) -> f64 {
         let totals = self.layers.iter();
         let totals = totals.map(|layer| RangeTotal::of(self, layer));
-        self.rate(totals.fold(RangeTotal::default(), RangeTotal::plus))
+        let total = totals.fold(RangeTotal::default(), RangeTotal::plus);
+        let first = self.layers.first().copied().unwrap_or_default();
+        self.rate(total, self.starts, first)
     }
 
     /// Returns the prefix sums over the layers.
@@ -238,17 +287,27 @@
         without: &'b PrefixSums,
     ) -> WidthEstimate<'b> {
         let holder = HolderEstimate::of(self.model, kind, width);
+        let first = self.layers.first().copied().unwrap_or_default();
+        let starts = start_capacity(self.model, holder.capacity);
         WidthEstimate {
             zone: self,
             without,
             with: self.prefix_sums_with(|layer| layer.with(holder)),
+            without_first: (self.starts, first),
+            with_first: (self.starts.with(starts), first.with(holder)),
         }
     }
 
-    fn rate(&self, total: RangeTotal) -> f64 {
+    fn rate(&self, total: RangeTotal, starts: StartTotal, first: LayerTotal) -> f64 {
         let layers = self.layers.len();
-        let requests =
-            power_mean(total.inverse_sum, layers) + power_mean(total.spare_inverse_sum, layers);
+        let whole = power_mean(total.inverse_sum, layers);
+        let spare = power_mean(total.spare_inverse_sum, layers);
+        let requests = self.within_slots(whole, starts.capacity, first.capacity)
+            + self.within_slots(
+                spare,
+                starts.capacity - starts.largest,
+                first.capacity - first.largest,
+            );
         let token_ms = (total.time_ms / f64::from(self.model.layers)).max(f64::MIN_POSITIVE);
         let answer = f64::from(self.model.usual_answer.max(1));
         requests / (token_ms * answer / 1000.0)
@@ -275,13 +334,21 @@
     zone: &'a ZoneEstimate<'a>,
     without: &'a PrefixSums,
     with: PrefixSums,
+    /// Sums at the first layer without and with the holder.
+    without_first: (StartTotal, LayerTotal),
+    with_first: (StartTotal, LayerTotal),
 }
 
 impl WidthEstimate<'_> {
     /// Returns the score of the zone if the holder has these layers.
     pub(super) fn score(&self, range: LayerRange) -> f64 {
         let others = self.without.all().minus(self.without.within(range));
-        self.zone.rate(others.plus(self.with.within(range)))
+        let (starts, first) = match range.contains(0) {
+            true => self.with_first,
+            false => self.without_first,
+        };
+        let total = others.plus(self.with.within(range));
+        self.zone.rate(total, starts, first)
     }
 }
 
--- a/standins/src/bin/plans.rs
+++ b/standins/src/bin/plans.rs
@@ -1,12 +1,14 @@
 //! Compares layer plans and routing rules on simulated engines.
 
 use std::io::Write;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use clap::{Arg, Command, value_parser};
 use standins::command_line::{number, number_arg};
-use standins::pipeline::SimulationSettings;
-use standins::trial::{PlanKind, RoutingRule, TrialSettings, ZoneEngines, plot_rows, run_trial};
+use standins::trial::{
+    FleetSettings, PlanKind, RoutingRule, TrialSettings, ZoneEngines, plot_rows, run_trial,
+    zone_ranges,
+};
 
 fn main() -> std::io::Result<()> {
     let matches = Command::new("plans")
@@ -18,27 +20,49 @@
                 .long("zone")
                 .action(clap::ArgAction::Append)
                 .value_parser(value_parser!(String))
-                .default_values([
-                    "a100=1,l40s=6,l4=5",
-                    "a100=2,l40s=2,l4=5",
-                    "a100=1,l40s=3,l4=8",
-                ])
-                .help("Engines of a zone as KIND=COUNT,...; once for each zone"),
+                .help("Engines of a zone as KIND=COUNT,... instead of the fleet's; once for each zone"),
         )
         .arg(
             Arg::new("rate")
                 .long("rate")
                 .action(clap::ArgAction::Append)
                 .value_parser(value_parser!(f64))
-                .default_values(["60", "90", "130"])
-                .help("Requests per second over all zones; once for each trial"),
+                .help("Requests per second over all zones instead of the fleet's; once for each trial"),
+        )
+        .arg(
+            Arg::new("fleet")
+                .long("fleet")
+                .value_parser(FleetSettings::NAMES)
+                .default_value("default")
+                .help("Engines and demand"),
+        )
+        .arg(
+            Arg::new("cost-only")
+                .long("cost-only")
+                .action(clap::ArgAction::SetTrue)
+                .help("Compare only the plans of the planner, with the routing of the daemon"),
+        )
+        .arg(
+            Arg::new("show")
+                .long("show")
+                .action(clap::ArgAction::SetTrue)
+                .help("Print the planned ranges"),
         )
         .get_matches();
-    let zones = matches.get_many::<String>("zone").unwrap_or_default();
-    let zones = zones
-        .enumerate()
-        .map(|(index, text)| parse_zone(index, text));
-    let zones = zones.collect::<Vec<_>>();
+    let name = matches.get_one::<String>("fleet");
+    let fleet = name.and_then(|name| FleetSettings::named(name));
+    let fleet = fleet.expect("the parser accepts only known fleets");
+    let zones = match matches.get_many::<String>("zone") {
+        None => fleet.zones,
+        Some(zones) => {
+            let zones = zones.enumerate();
+            zones.map(|(index, text)| parse_zone(index, text)).collect()
+        }
+    };
+    let rates = match matches.get_many::<f64>("rate") {
+        None => vec![fleet.per_s],
+        Some(rates) => rates.copied().collect(),
+    };
     let mut out = std::io::stdout().lock();
     let mut bars = Vec::new();
     writeln!(
@@ -46,14 +70,29 @@
         "{:12} {:18} {:>5} on time   late refused  cut  first50 first95 pause95",
         "plan", "rule", "a s"
     )?;
-    for rate in matches.get_many::<f64>("rate").unwrap_or_default() {
-        for plan in PlanKind::ALL {
-            for rule in RoutingRule::ALL {
+    if matches.get_flag("show") {
+        for plan in [PlanKind::Planned, PlanKind::PlannedByMemory] {
+            for zone in &zones {
+                let started = Instant::now();
+                let ranges = zone_ranges(&fleet.simulation.model, zone, plan);
+                let took_ms = started.elapsed().as_millis();
+                let (plan, zone) = (plan.name(), &zone.zone);
+                writeln!(out, "{plan} {zone}: {ranges} ({took_ms} ms)")?;
+            }
+        }
+    }
+    let (plans, rules) = match matches.get_flag("cost-only") {
+        true => (&PlanKind::ALL[..2], &RoutingRule::ALL[..1]),
+        false => (&PlanKind::ALL[..], &RoutingRule::ALL[..]),
+    };
+    for rate in &rates {
+        for plan in plans {
+            for rule in rules {
                 let mut figures = run_trial(&TrialSettings {
-                    simulation: SimulationSettings::default(),
+                    simulation: fleet.simulation.clone(),
                     zones: zones.clone(),
-                    plan,
-                    rule,
+                    plan: *plan,
+                    rule: *rule,
                     per_s: *rate,
                     length: Duration::from_secs(number(&matches, "seconds")),
                     seed: number(&matches, "seed"),
--- a/standins/src/pipeline/engine.rs
+++ b/standins/src/pipeline/engine.rs
@@ -1,5 +1,6 @@
 //! One simulated engine.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use jackdawwick::fleet::LayerRange;
@@ -24,6 +25,8 @@
     pub(super) pass: Option<Vec<(String, f64)>>,
     /// Requests that wait for memory.
     pub(super) parked: Vec<String>,
+    /// Requests that wait for a slot, oldest first.
+    pub(super) queued: VecDeque<String>,
     pub(super) used: f64,
     pub(super) orders: u64,
     /// Factor on the duration of passes, for a slow engine.
--- a/standins/src/pipeline/intake.rs
+++ b/standins/src/pipeline/intake.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::engine::EngineIndex;
 use super::request::{PathPart, RequestPhase, RequestSettings, SimRequest};
 use super::simulation::{PipelineSimulation, SubmitError};
 
@@ -23,6 +24,8 @@
         self.sequence += 1;
         let parts = request.path.len();
         let id = request.id.clone();
+        let first = request.path[0].engine;
+        let queued = self.started_at(first) >= self.settings.model.slots as usize;
         self.requests.insert(
             request.id,
             SimRequest {
@@ -33,6 +36,7 @@
                 phase: RequestPhase::Prefill {
                     left: request.prompt,
                 },
+                queued,
                 hop: 0,
                 held: vec![0.0; parts],
                 epoch: self.sequence,
@@ -41,10 +45,32 @@
                 unread: vec![true; parts],
             },
         );
-        self.arrive(&id, now);
+        match queued {
+            true => self.engines[first].queued.push_back(id),
+            false => self.arrive(&id, now),
+        }
         Ok(())
     }
 
+    /// Returns the number of requests that occupy a slot of an engine.
+    fn started_at(&self, engine: EngineIndex) -> usize {
+        let started = self.requests.values();
+        let started = started.filter(|request| !request.queued && request.path[0].engine == engine);
+        started.count()
+    }
+
+    /// Starts requests that wait for a slot of an engine, oldest first.
+    pub(super) fn start_queued(&mut self, engine: EngineIndex, now: Duration) {
+        while self.started_at(engine) < self.settings.model.slots as usize
+            && let Some(id) = self.engines[engine].queued.pop_front()
+        {
+            if let Some(request) = self.requests.get_mut(&id) {
+                request.queued = false;
+                self.arrive(&id, now);
+            }
+        }
+    }
+
     pub(super) fn check_path(&self, path: &[PathPart]) -> Result<(), SubmitError> {
         let mut seen = path.iter().map(|part| part.engine).collect::<Vec<_>>();
         seen.sort_unstable();
@@ -132,7 +158,8 @@
     pub fn cancel(&mut self, id: &str, now: Duration) {
         self.release_where(id, |_| true);
         self.remove_from_engines(id);
-        if self.requests.remove(id).is_some() {
+        if let Some(request) = self.requests.remove(id) {
+            self.start_queued(request.path[0].engine, now);
             self.unpark_all(now);
         }
     }
--- a/standins/src/pipeline/memory.rs
+++ b/standins/src/pipeline/memory.rs
@@ -118,6 +118,7 @@
         for engine in &mut self.engines {
             engine.ready.retain(|queued| queued != id);
             engine.parked.retain(|queued| queued != id);
+            engine.queued.retain(|queued| queued != id);
             if let Some(pass) = &mut engine.pass {
                 pass.retain(|(queued, _)| queued != id);
             }
--- a/standins/src/pipeline/request.rs
+++ b/standins/src/pipeline/request.rs
@@ -44,6 +44,8 @@
     pub(super) answer: f64,
     pub(super) generated: f64,
     pub(super) phase: RequestPhase,
+    /// Whether the request waits for a slot of its first engine.
+    pub(super) queued: bool,
     /// Index of the part at which the request is or to which it is being transferred.
     pub(super) hop: usize,
     /// Memory that the engine of each part holds for the request.
--- a/standins/src/pipeline/simulation.rs
+++ b/standins/src/pipeline/simulation.rs
@@ -1,7 +1,7 @@
 //! The state of all engines and requests, advanced by events.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use std::time::Duration;
 
 use jackdawwick::collections::FastMap;
@@ -134,6 +134,7 @@
             ready: Vec::new(),
             pass: None,
             parked: Vec::new(),
+            queued: VecDeque::new(),
             used: 0.0,
             orders: 0,
             slow_factor: 1.0,
@@ -234,6 +235,7 @@
         let mut waiting = in_pass.into_iter().map(|(id, _)| id).collect::<Vec<_>>();
         waiting.append(&mut state.ready);
         waiting.append(&mut state.parked);
+        waiting.extend(state.queued.drain(..));
         for id in waiting {
             self.stall(&id, now);
         }
@@ -273,7 +275,7 @@
                     self.end_load(engine, at);
                 }
                 Action::EndStall { id, epoch } if self.is_current(&id, epoch) => {
-                    self.end_stall(&id);
+                    self.end_stall(&id, at);
                 }
                 _ => {}
             }
@@ -318,7 +320,7 @@
         );
     }
 
-    pub(super) fn end_stall(&mut self, id: &str) {
+    pub(super) fn end_stall(&mut self, id: &str, now: Duration) {
         let Some(request) = self.requests.get(id) else {
             return;
         };
@@ -333,7 +335,9 @@
             },
         };
         self.events.push(event);
+        let first = request.path[0].engine;
         self.release_where(id, |_| true);
         self.requests.remove(id);
+        self.start_queued(first, now);
     }
 }
--- a/standins/src/trial.rs
+++ b/standins/src/trial.rs
@@ -3,10 +3,12 @@
 
 mod figures;
 mod fleet;
+mod fleets;
 mod plans;
 mod run;
 
 pub use figures::{TrialFigures, plot_rows};
 pub use fleet::ZoneEngines;
-pub use plans::PlanKind;
+pub use fleets::FleetSettings;
+pub use plans::{PlanKind, zone_ranges};
 pub use run::{RoutingRule, TrialSettings, run_trial};
--- a/standins/src/trial/plans.rs
+++ b/standins/src/trial/plans.rs
@@ -6,11 +6,15 @@
 use jackdawwick::ingress::{AcceleratorKind, EngineModel};
 use jackdawwick::placement::{EngineView, plan_zone};
 
+use crate::trial::ZoneEngines;
+
 /// Rule that assigns layers to the engines of a zone.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PlanKind {
     /// The planner of the daemon.
     Planned,
+    /// The planner of the daemon without a limit of slots.
+    PlannedByMemory,
     /// Equal ranges, repeated over all layers.
     EqualRanges,
     /// Complete copies over the engines in turn, with widths by memory.
@@ -19,12 +23,18 @@
 
 impl PlanKind {
     /// All plans.
-    pub const ALL: [Self; 3] = [Self::Planned, Self::EqualRanges, Self::Copies];
+    pub const ALL: [Self; 4] = [
+        Self::Planned,
+        Self::PlannedByMemory,
+        Self::EqualRanges,
+        Self::Copies,
+    ];
 
     /// Returns the name used in tables.
     pub fn name(self) -> &'static str {
         match self {
             Self::Planned => "planned",
+            Self::PlannedByMemory => "by memory",
             Self::EqualRanges => "equal ranges",
             Self::Copies => "copies",
         }
@@ -37,12 +47,33 @@
     ) -> Vec<Option<LayerRange>> {
         match self {
             Self::Planned => planned(model, engines),
+            Self::PlannedByMemory => {
+                let model = EngineModel {
+                    slots: u32::MAX,
+                    ..model.clone()
+                };
+                planned(&model, engines)
+            }
             Self::EqualRanges => equal_ranges(model, engines),
             Self::Copies => copies(model, engines),
         }
     }
 }
 
+/// Returns the ranges of a plan of one zone as text.
+pub fn zone_ranges(model: &EngineModel, zone: &ZoneEngines, plan: PlanKind) -> String {
+    let kinds = zone.kinds.iter();
+    let kinds = kinds.flat_map(|(kind, count)| std::iter::repeat_n(kind.as_str(), *count));
+    let kinds = kinds.collect::<Vec<_>>();
+    let accelerators = kinds.iter().map(|kind| model.kinds[*kind]);
+    let ranges = plan.ranges(model, &accelerators.collect::<Vec<_>>());
+    let texts = kinds.iter().zip(ranges).map(|(kind, range)| match range {
+        Some(range) => format!("{kind}[{},{})", range.from, range.to),
+        None => format!("{kind} empty"),
+    });
+    texts.collect::<Vec<_>>().join(" ")
+}
+
 fn planned(model: &EngineModel, engines: &[AcceleratorKind]) -> Vec<Option<LayerRange>> {
     let id = |index: usize| format!("i-{index:04}").into();
     let views = engines.iter().enumerate().map(|(index, kind)| EngineView {
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -335,3 +335,44 @@
         );
     }
 }
+
+/// Zones in which slots bind less than memory: fast, usual and slow engines, and a hash of
+/// the plan of the planner that counted memory alone.
+const MEMORY_BOUND_ZONES: [((usize, usize, usize), u64); 6] = [
+    ((1, 6, 5), 0x30e3_19f7_9564_1b28),
+    ((2, 2, 5), 0x7ae8_d8d9_8a12_3c38),
+    ((1, 3, 8), 0x0e6a_bf24_85eb_4bcf),
+    ((4, 6, 14), 0xe2db_b28c_8a18_4019),
+    ((2, 19, 17), 0x7c1e_037a_2962_6301),
+    ((6, 8, 21), 0xa0ba_1ce4_4eaf_0670),
+];
+
+/// Returns an FNV-1a hash of the ranges of a zone.
+fn ranges_hash(engines: &[EngineView]) -> u64 {
+    let bounds = engines.iter().flat_map(|engine| {
+        let range = engine.layers.expect("a range");
+        [range.from, range.to]
+    });
+    bounds.fold(0xcbf2_9ce4_8422_2325, |hash, bound| {
+        (hash ^ u64::from(bound)).wrapping_mul(0x0100_0000_01b3)
+    })
+}
+
+/// Guards against other plans where slots are not the limit: each change of a plan reloads
+/// engines when a new version takes over.
+#[test]
+fn zones_that_are_short_of_memory_keep_their_plans() {
+    let limited = model();
+    let unlimited = EngineModel {
+        slots: u32::MAX,
+        ..limited.clone()
+    };
+    for ((fast, usual, slow), hash) in MEMORY_BOUND_ZONES {
+        for model in [&limited, &unlimited] {
+            let mut zone = engines(&[(FAST, fast), (USUAL, usual), (SLOW, slow)]);
+            apply(model, &mut zone);
+            let slots = model.slots;
+            assert_eq!(ranges_hash(&zone), hash, "{fast}, {usual}, {slow}: {slots}");
+        }
+    }
+}
