--- a/standins/src/trial/fleets.rs
+++ b/standins/src/trial/fleets.rs
@@ -107,7 +107,6 @@
 
 fn with_model(model: EngineModel) -> SimulationSettings {
     SimulationSettings {
-        // The size of a token's activations does not depend on the cache.
         model,
         ..SimulationSettings::default()
     }
