Order requests by organisation first and then by route, and only where routes differ

The organisation's priority now goes first, the route's second; engines are told the rank; decisions about starts are made only where the routes of a service have different priorities.

--- a/src/admission/start/ranks.rs
+++ b/src/admission/start/ranks.rs
@@ -1,9 +1,13 @@
 //! The priorities that callers of one service have, and their latency objectives.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
-use crate::ingress::IngressConfiguration;
+use crate::ingress::{
+    CombinedPriority, IngressConfiguration, RouteRule, combined_priority,
+    has_same_organisation_priority,
+};
 
 /// One priority of a service and the shortest latency objective of its routes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -22,7 +26,7 @@
 
 impl ServiceRanks {
     /// Returns the priorities that the configuration declares for a service, or `None` if
-    /// all its requests have the same one.
+    /// all its routes have the same one.
     pub fn declared(configuration: &IngressConfiguration, service: &str) -> Option<Self> {
         let mut objectives = BTreeMap::<u8, Duration>::new();
         let mut add = |priority: u8, objective: Duration| {
@@ -30,17 +34,24 @@
             *shortest = objective.min(*shortest);
         };
         let holders = configuration.keys.iter().flat_map(|keys| keys.values());
-        let overrides = holders.map(|holder| holder.priority).collect::<Vec<_>>();
-        for route in configuration.routes.values().flatten() {
-            if !route.services.iter().any(|part| *part.service == *service) {
-                continue;
-            }
-            let has_own = route.public || overrides.is_empty() || overrides.contains(&None);
-            if has_own {
-                add(route.priority, route.latency_aim);
+        let mut organisations = holders.map(|holder| holder.priority).collect::<Vec<_>>();
+        organisations.sort_unstable();
+        organisations.dedup();
+        let leads_there =
+            |route: &&Arc<RouteRule>| route.services.iter().any(|part| *part.service == *service);
+        let routes = configuration.routes.values().flatten();
+        let routes = routes.filter(leads_there).collect::<Vec<_>>();
+        let first = routes.first()?.priority;
+        if routes.iter().all(|route| route.priority == first) {
+            return None;
+        }
+        for route in routes {
+            if route.public || organisations.is_empty() {
+                add(combined_priority(None, route.priority), route.latency_aim);
             }
-            for priority in overrides.iter().flatten() {
-                add(*priority, route.latency_aim);
+            for organisation in &organisations {
+                let priority = combined_priority(*organisation, route.priority);
+                add(priority, route.latency_aim);
             }
         }
         let ranks = objectives.into_iter();
@@ -57,15 +68,27 @@
     }
 
     /// Returns the number of more urgent ranks.
-    pub fn position(&self, priority: u8) -> usize {
+    pub fn order(&self, priority: CombinedPriority) -> usize {
         let more_urgent = |rank: &&RankObjective| rank.priority < priority;
         self.ranks.iter().take_while(more_urgent).count()
     }
 
-    /// Returns the shortest latency objective of the more urgent ranks.
-    pub fn urgent_objective(&self, priority: u8) -> Option<Duration> {
-        let more_urgent = &self.ranks[..self.position(priority)];
-        more_urgent.iter().map(|rank| rank.objective).min()
+    /// Returns the number of more urgent ranks of organisations of the same priority.
+    pub fn position(&self, priority: CombinedPriority) -> usize {
+        self.above(priority).count()
+    }
+
+    /// Returns the shortest latency objective of the more urgent ranks of organisations of
+    /// the same priority.
+    pub fn urgent_objective(&self, priority: CombinedPriority) -> Option<Duration> {
+        self.above(priority).map(|rank| rank.objective).min()
+    }
+
+    fn above(&self, priority: CombinedPriority) -> impl Iterator<Item = &RankObjective> {
+        let ranks = self.ranks.iter();
+        ranks.filter(move |rank| {
+            rank.priority < priority && has_same_organisation_priority(rank.priority, priority)
+        })
     }
 }
 
@@ -75,11 +98,11 @@
     configuration: &IngressConfiguration,
     route: &str,
     organisation: Option<&str>,
-) -> Option<u8> {
+) -> Option<CombinedPriority> {
     let mut holders = configuration.keys.iter().flat_map(|keys| keys.values());
     let holder = holders.find(|holder| organisation == Some(&*holder.organisation));
     let mut routes = configuration.routes.values().flatten();
     let route = routes.find(|rule| *rule.name == *route)?;
-    let own = holder.and_then(|holder| holder.priority);
-    Some(own.unwrap_or(route.priority))
+    let organisation = holder.and_then(|holder| holder.priority);
+    Some(combined_priority(organisation, route.priority))
 }
--- a/src/forward/admission_wait.rs
+++ b/src/forward/admission_wait.rs
@@ -13,6 +13,7 @@
 };
 use crate::capacity::organisation_key;
 use crate::ids::{ServiceId, TargetId};
+use crate::ingress::{IngressConfiguration, MatchedRequest};
 use crate::reason::RefusalReason;
 
 /// Time between two attempts to find room for a waiting request. Four attempts fit into an
@@ -27,6 +28,9 @@
 /// callers it is shortened for do not come back together.
 const MIN_HONOURED: f64 = 0.6;
 
+/// Last class of urgency that engines know.
+const MAX_URGENCY_CLASS: u8 = 9;
+
 /// What has been decided about the start of one request.
 #[derive(Debug, Default)]
 pub(super) struct StartProgress {
@@ -70,7 +74,7 @@
         }
         let service = &self.service.name;
         self.tables
-            .count_capacity_refusal(service, self.matched.priority, Instant::now());
+            .count_capacity_refusal(service, self.matched.combined, Instant::now());
     }
 
     /// Returns whether the last choice was held back for more urgent requests, although its
@@ -101,11 +105,11 @@
         drop(start);
         // Only a later configuration can differ from what the request was matched with.
         if configuration.version == self.configuration {
-            return Some(self.matched.priority);
+            return Some(self.matched.combined);
         }
         let organisation = self.matched.organisation.as_deref();
         let current = current_priority(configuration, &self.matched.route.name, organisation);
-        Some(current.unwrap_or(self.matched.priority))
+        Some(current.unwrap_or(self.matched.combined))
     }
 
     /// Starts the request on a path, or keeps the decision not to, which
@@ -282,6 +286,25 @@
     }
 }
 
+impl ServingTables {
+    /// Returns the class in which an engine admits a request: its rank where the routes of
+    /// the service have different priorities.
+    pub(super) fn urgency_class(
+        &self,
+        configuration: &IngressConfiguration,
+        service: &ServiceId,
+        matched: &MatchedRequest,
+    ) -> u8 {
+        let mut start = self.start.lock();
+        start.observe_configuration(configuration);
+        let order = start
+            .ranks(service)
+            .map(|ranks| ranks.order(matched.combined));
+        let order = order.and_then(|order| u8::try_from(order).ok());
+        order.unwrap_or(matched.priority).min(MAX_URGENCY_CLASS)
+    }
+}
+
 /// Keeps a request in the queue until it is dropped, as it is when its caller leaves.
 #[derive(Debug)]
 struct WaitingStart {
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -185,14 +185,12 @@
         .as_ref()
         .map(|model| request_size(&parts.headers, model));
     if service.engine.is_some() {
-        headers.insert(
-            names::URGENCY_CLASS,
-            HeaderValue::from(u16::from(matched.priority.min(9))),
-        );
+        let class = tables.urgency_class(&configuration, &service.name, &matched);
+        headers.insert(names::URGENCY_CLASS, HeaderValue::from(u16::from(class)));
     }
     tables.count_request(&service.name, arrived);
     let organisation = matched.organisation.as_deref();
-    tables.count_arrival(&service.name, matched.priority, organisation, arrived);
+    tables.count_arrival(&service.name, matched.combined, organisation, arrived);
     Ok(Exchange {
         configuration: configuration.version,
         arrived,
--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -8,4 +8,7 @@
     AcceleratorKind, CallerLimits, EngineModel, IngressConfiguration, KeyHolder, RequestKind,
     RouteRule, ServiceShare, ServiceSpec,
 };
-pub use matching::{MatchedRequest, RejectReason, match_request};
+pub use matching::{
+    CombinedPriority, MatchedRequest, RejectReason, combined_priority,
+    has_same_organisation_priority, match_request,
+};
--- a/src/ingress/matching.rs
+++ b/src/ingress/matching.rs
@@ -14,6 +14,30 @@
     pub organisation: Option<OrganisationId>,
     /// Priority of the request, 0 first.
     pub priority: u8,
+    /// Priority among the requests of its service.
+    pub combined: CombinedPriority,
+}
+
+/// Priority of a request among those of its service, 0 first: the tens are the priority of
+/// its organisation, the ones that of its route.
+pub type CombinedPriority = u8;
+
+/// Priority of an organisation that declares none: that of a request without an urgency
+/// class at an engine.
+const DEFAULT_PRIORITY: u8 = 5;
+/// Largest priority that is told from others.
+const MAX_PRIORITY: u8 = 9;
+
+/// Returns the priority of a route's requests of an organisation. The organisation's own
+/// priority goes first; within it, the routes of a service keep theirs.
+pub fn combined_priority(organisation: Option<u8>, route: u8) -> CombinedPriority {
+    let organisation = organisation.unwrap_or(DEFAULT_PRIORITY);
+    organisation.min(MAX_PRIORITY) * 10 + route.min(MAX_PRIORITY)
+}
+
+/// Returns whether two priorities belong to organisations of the same priority.
+pub fn has_same_organisation_priority(left: CombinedPriority, right: CombinedPriority) -> bool {
+    left / 10 == right / 10
 }
 
 /// Why the configuration does not allow a request.
@@ -45,11 +69,13 @@
     match holder {
         Some(holder) => Ok(MatchedRequest {
             priority: holder.priority.unwrap_or(route.priority),
+            combined: combined_priority(holder.priority, route.priority),
             organisation: Some(holder.organisation.clone()),
             route,
         }),
         None if route.public || configuration.keys.is_none() => Ok(MatchedRequest {
             priority: route.priority,
+            combined: combined_priority(None, route.priority),
             organisation: None,
             route,
         }),
