Follow the review of load management: cut-off zones, retries, ranks and reports

- A zone without a report had demand of age 0 and full capacity, so that 3 s after it was cut off others sent requests there; its age is now 3 s.
- A retry was drawn for the same other zone as the attempt that failed there.
- A returning request could start while a new one of the rank above was refused.
- Demand of the host's own zone counts for the headroom in the zone of a path.
- An engine that requests a pause was reported as ended.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -200,6 +200,7 @@
     let context = StartContext {
         ranks: &ranks,
         zone: Some(&zone),
+        home: None,
         floor_due: false,
         waiting_above: false,
     };
--- a/src/admission/start/decision.rs
+++ b/src/admission/start/decision.rs
@@ -5,6 +5,7 @@
 use super::fairness::exceeds_fair_share;
 use super::ranks::ServiceRanks;
 use crate::capacity::ZoneCapacity;
+use crate::ingress::CombinedPriority;
 
 /// Part of the objective of the more urgent ranks that the expected first event of the
 /// first less urgent rank may take. Hosts learn of each other's requests up to a second
@@ -33,8 +34,8 @@
 /// A request that asks to start.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct StartRequest {
-    /// Its priority, 0 first.
-    pub priority: u8,
+    /// Its priority among the requests of its service, 0 first.
+    pub priority: CombinedPriority,
     /// Hash of the name of its organisation.
     pub organisation: u64,
     /// Latency objective of its route.
@@ -65,6 +66,9 @@
     pub ranks: &'a ServiceRanks,
     /// The zone of the path, if there is a current view.
     pub zone: Option<&'a ZoneCapacity>,
+    /// The zone of this host, if there is a current view. Its callers count too, since their
+    /// requests may go to the zone of the path.
+    pub home: Option<&'a ZoneCapacity>,
     /// Whether the floor of the request's rank requires a start.
     pub floor_due: bool,
     /// Whether a request of a more urgent rank waits on this host.
@@ -143,7 +147,7 @@
     let rank = context.ranks.position(request.priority);
     let headroom = context
         .zone
-        .map_or(0.0, |zone| headroom(request, rank, zone));
+        .map_or(0.0, |zone| headroom(request, rank, zone, context.home));
     let free = context.zone.map(|zone| zone.concurrent - zone.in_flight);
     let limit = expected_limit(request, rank, context);
     let is_free = request.is_admitted || rank == 0;
@@ -188,14 +192,14 @@
 }
 
 /// Returns the longest expected time to the first event with which a less urgent request
-/// starts; `None` if no more urgent requests arrive.
+/// starts; `None` if no more urgent requests are known to arrive.
 fn expected_limit(
     request: &StartRequest,
     rank: usize,
     context: StartContext<'_>,
 ) -> Option<Duration> {
-    let is_unneeded = |zone: &ZoneCapacity| urgent_arrivals(request, zone) <= 0.0;
-    if context.zone.is_some_and(is_unneeded) {
+    let zone = context.zone?;
+    if arrivals_above(request.priority, zone, context.home) <= 0.0 {
         return None;
     }
     let objective = context.ranks.urgent_objective(request.priority)?;
@@ -208,32 +212,70 @@
     Some(objective.mul_f64(share + returning))
 }
 
-/// Returns the requests for which room is kept for the ranks above: those that arrive
-/// before all hosts know that one more has started.
-fn headroom(request: &StartRequest, rank: usize, zone: &ZoneCapacity) -> f64 {
+/// Returns the requests for which room is kept for the ranks above.
+fn headroom(
+    request: &StartRequest,
+    rank: usize,
+    zone: &ZoneCapacity,
+    home: Option<&ZoneCapacity>,
+) -> f64 {
     if rank == 0 {
         return 0.0;
     }
-    let rate = urgent_arrivals(request, zone);
-    let delay = VIEW_DELAY + zone.demand_age;
-    let expected = rate * delay.as_secs_f64();
-    let burst = BURST_DEVIATIONS * expected.sqrt();
-    let returning = match request.is_returning {
-        true => RETURNING_FACTOR,
-        false => 1.0,
-    };
+    let own = expected_arrivals(request.priority, zone, home);
     let fairness = match exceeds_fair_share(zone, request.priority, request.organisation) {
         true => UNFAIR_FACTOR,
         false => 1.0,
     };
-    let headroom = (expected + burst) * returning * fairness;
+    let headroom = match request.is_returning {
+        true => {
+            // A returning request goes before new ones of its rank, not of the rank above.
+            let next = rank_above(request.priority, zone, home);
+            let above = next.map_or(0.0, |next| expected_arrivals(next, zone, home));
+            (own * RETURNING_FACTOR).max(above)
+        }
+        false => own * fairness,
+    };
     headroom.min(zone.concurrent.max(0.0) * MAX_HEADROOM)
 }
 
-/// Returns the more urgent requests that arrive in a second.
-fn urgent_arrivals(request: &StartRequest, zone: &ZoneCapacity) -> f64 {
-    let above = zone.demand.iter();
-    let above = above.filter(|demand| demand.priority < request.priority);
-    let rate = above.map(|demand| demand.arrivals_per_s).sum::<f64>();
+/// Returns the more urgent requests that arrive before all hosts know that one more has
+/// started, with the usual variation.
+fn expected_arrivals(
+    priority: CombinedPriority,
+    zone: &ZoneCapacity,
+    home: Option<&ZoneCapacity>,
+) -> f64 {
+    let rate = arrivals_above(priority, zone, home);
+    let delay = VIEW_DELAY + zone.demand_age;
+    let expected = rate * delay.as_secs_f64();
+    expected + BURST_DEVIATIONS * expected.sqrt()
+}
+
+/// Returns the more urgent requests that arrive in a second, in the zone that has more of
+/// them.
+fn arrivals_above(
+    priority: CombinedPriority,
+    zone: &ZoneCapacity,
+    home: Option<&ZoneCapacity>,
+) -> f64 {
+    let rate = |zone: &ZoneCapacity| {
+        let above = zone.demand.iter();
+        let above = above.filter(|demand| demand.priority < priority);
+        above.map(|demand| demand.arrivals_per_s).sum::<f64>()
+    };
+    let rate = rate(zone).max(home.map_or(0.0, rate));
     rate.max(0.0)
 }
+
+/// Returns the next more urgent priority with demand.
+fn rank_above(
+    priority: CombinedPriority,
+    zone: &ZoneCapacity,
+    home: Option<&ZoneCapacity>,
+) -> Option<CombinedPriority> {
+    let zones = [Some(zone), home].into_iter().flatten();
+    let demand = zones.flat_map(|zone| &zone.demand);
+    let above = demand.filter(|demand| demand.priority < priority);
+    above.map(|demand| demand.priority).max()
+}
--- a/src/capacity/estimate.rs
+++ b/src/capacity/estimate.rs
@@ -1,7 +1,7 @@
 //! Computes the capacity of zones from the state of their engines.
 
 use std::collections::BTreeMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::{
     CapacityView, OrganisationDemand, PriorityDemand, ServiceCapacity, ZoneCapacity, ZoneDemand,
@@ -11,6 +11,10 @@
 use crate::ids::{ServiceId, ServiceKey, ZoneId};
 use crate::ingress::EngineModel;
 
+/// Age of the demand of a zone of which there is no report: that of reports that expire. A
+/// zone that is cut off must not be taken for one without callers.
+const NO_REPORT_AGE: Duration = Duration::from_secs(3);
+
 /// Builds the view of services from the state of the engines and the demand of the zones.
 ///
 /// Only services with an engine model are in it: nothing declares how many requests the
@@ -80,7 +84,7 @@
         unread: 0.0,
         demand: Vec::new(),
         organisations: Vec::new(),
-        demand_age: Default::default(),
+        demand_age: NO_REPORT_AGE,
     }
 }
 
@@ -150,17 +154,20 @@
             unread: load.unread / width,
         };
         let held = range.from as usize..(range.to as usize).min(self.layers.len());
-        for layer in self.layers.get_mut(held).into_iter().flatten() {
-            layer.concurrent += sum.concurrent;
-            layer.prompt_per_s += sum.prompt_per_s;
-            layer.unread += sum.unread;
-        }
         // Every path begins at layer 0, and only its first engine gives it a slot.
+        let starts = by_memory.min(f64::from(model.slots));
         if let (0, Some(first)) = (range.from, self.layers.first_mut()) {
-            let by_slots = f64::from(model.slots);
-            first.concurrent += by_memory.min(by_slots) - by_memory;
+            first.concurrent += starts;
             self.in_flight += f64::from(load.requests);
         }
+        let held = self.layers.get_mut(held).into_iter().flatten();
+        for (layer, index) in held.zip(range.from..) {
+            if index > 0 {
+                layer.concurrent += sum.concurrent;
+            }
+            layer.prompt_per_s += sum.prompt_per_s;
+            layer.unread += sum.unread;
+        }
     }
 
     fn capacity(&self, zone: &ZoneId) -> ZoneCapacity {
--- a/src/capacity/view.rs
+++ b/src/capacity/view.rs
@@ -58,7 +58,7 @@
     pub demand: Vec<PriorityDemand>,
     /// The largest organisations among the callers of its hosts.
     pub organisations: Vec<OrganisationDemand>,
-    /// Age of the oldest report that the demand is made of.
+    /// Age of the oldest report that the demand is made of; 3 s if there is no report.
     pub demand_age: Duration,
 }
 
--- a/src/forward/attempt_policy.rs
+++ b/src/forward/attempt_policy.rs
@@ -74,15 +74,20 @@
     ) -> Option<ChosenTarget> {
         let (service, zone) = (&self.service.name, &self.tables.zone);
         let balance = self.tables.balance.load();
-        // One draw serves all attempts, so that a retry does not undo the choice of a zone.
+        // One draw serves all choices of the first attempt. After a failure the other zone may
+        // be cut off.
         let draw = || *self.zone_draw.get_or_init(rand::random);
+        let preferred_zone = match avoid.is_empty() {
+            true => balance.preferred_zone(service, zone, now, draw),
+            false => None,
+        };
         let query = ChoiceQuery {
             service: &self.service,
             zone,
             size: self.size,
             avoid,
             max_pause,
-            preferred_zone: balance.preferred_zone(service, zone, now, draw),
+            preferred_zone,
         };
         let fleet = self.tables.fleet.lock();
         choice::choose(&fleet, query, now, rand::random)
@@ -319,12 +324,16 @@
             _ => fleet.observe_failure(&id, now),
         };
         drop(fleet);
+        let is_paused = failure.is_some_and(|failure| failure.paused_until.is_some());
         match cause {
             Some(FailureCause::Connect | FailureCause::Unreachable) => {
                 self.tables.report_ended(&id, now);
             }
-            // The engine that responded names another one of the path.
-            Some(FailureCause::Refused) if id != chosen.id => self.tables.report_ended(&id, now),
+            // The engine that responded names another one of the path. One that requests a
+            // pause has not ended.
+            Some(FailureCause::Refused) if id != chosen.id && !is_paused => {
+                self.tables.report_ended(&id, now);
+            }
             _ => {}
         }
         let name = cause.map_or("answered_failure", FailureCause::name);
