--- a/src/poison/recent_ends.rs
+++ b/src/poison/recent_ends.rs
@@ -1,7 +1,6 @@
 //! Targets that ended recently, under whatever request.
 
 use std::collections::VecDeque;
-use std::ops::RangeBounds;
 use std::time::Instant;
 
 /// Maximum number of remembered targets, 2 KB. The loss of a zone exceeds it, during which
@@ -26,13 +25,9 @@
         self.ends.push_back((target, at));
     }
 
-    /// Returns the targets that ended in a period.
-    pub(super) fn within<R>(&self, period: R) -> impl Iterator<Item = u32>
-    where
-        R: RangeBounds<Instant>,
-    {
+    /// Returns the number of targets that ended in a period.
+    pub(super) fn count_between(&self, from: Instant, to: Instant) -> usize {
         let ends = self.ends.iter();
-        let within = ends.filter(move |(_, at)| period.contains(at));
-        within.map(|(target, _)| *target)
+        ends.filter(|(_, at)| (from..=to).contains(at)).count()
     }
 }
