Keep the capacity of a zone whose demand is old

Its capacity and requests in flight come from the targets and stay; only its arrivals are not used, and the headroom takes at most a second for the way of reports.

--- a/src/admission/start/decision.rs
+++ b/src/admission/start/decision.rs
@@ -16,6 +16,11 @@
 /// Time until a start appears in the reports of its host. The age of the reports comes on
 /// top. With 750 ms the least urgent rank was on time 0.07 less often in the simulation.
 const VIEW_DELAY: Duration = Duration::from_millis(250);
+/// Longest time that reports take on their way. Older demand is that of a zone whose reports
+/// are lost, and does not tell how late hosts know of a start.
+const MAX_REPORT_DELAY: Duration = Duration::from_secs(1);
+/// Age from which the demand of a zone says nothing about the present.
+const MAX_DEMAND_AGE: Duration = Duration::from_secs(2);
 /// Standard deviations of the arrivals in that time that the headroom covers. Arrivals are
 /// Poisson, so that their variance is their mean.
 const BURST_DEVIATIONS: f64 = 2.0;
@@ -247,7 +252,7 @@
     home: Option<&ZoneCapacity>,
 ) -> f64 {
     let rate = arrivals_above(priority, zone, home);
-    let delay = VIEW_DELAY + zone.demand_age;
+    let delay = VIEW_DELAY + zone.demand_age.min(MAX_REPORT_DELAY);
     let expected = rate * delay.as_secs_f64();
     expected + BURST_DEVIATIONS * expected.sqrt()
 }
@@ -260,6 +265,9 @@
     home: Option<&ZoneCapacity>,
 ) -> f64 {
     let rate = |zone: &ZoneCapacity| {
+        if zone.demand_age >= MAX_DEMAND_AGE {
+            return 0.0;
+        }
         let above = zone.demand.iter();
         let above = above.filter(|demand| demand.priority < priority);
         above.map(|demand| demand.arrivals_per_s).sum::<f64>()
--- a/src/forward/admission_wait.rs
+++ b/src/forward/admission_wait.rs
@@ -11,7 +11,7 @@
     HoldReason, PathOutlook, StartContext, StartDecision, StartRequest, StartVerdict, WaitTicket,
     WaitingRequest, current_priority, decide,
 };
-use crate::capacity::{ZoneCapacity, organisation_key};
+use crate::capacity::organisation_key;
 use crate::ids::{ServiceId, TargetId};
 use crate::ingress::{IngressConfiguration, MatchedRequest};
 use crate::reason::RefusalReason;
@@ -28,8 +28,6 @@
 /// callers it is shortened for do not come back together.
 const MIN_HONOURED: f64 = 0.6;
 
-/// Age from which the demand of a zone says nothing about the present.
-const MAX_DEMAND_AGE: Duration = Duration::from_secs(2);
 /// Last class of urgency that engines know.
 const MAX_URGENCY_CLASS: u8 = 9;
 
@@ -171,14 +169,13 @@
         drop(fleet);
         let view = self.tables.capacity.load();
         let capacity = view.service(service, now);
-        let is_known = |zone: &&ZoneCapacity| zone.demand_age < MAX_DEMAND_AGE;
         let zone = capacity.and_then(|capacity| capacity.zone(zone.as_deref()?));
         let home = capacity.and_then(|capacity| capacity.zone(&self.tables.zone));
         let start = self.tables.start.lock();
         let context = StartContext {
             ranks: start.ranks(service)?,
-            zone: zone.filter(is_known),
-            home: home.filter(is_known),
+            zone,
+            home,
             floor_due: start.is_floor_due(service, request.priority),
             waiting_above: start.queue.waits_above(service, request.priority),
         };
