--- a/src/poison/judgement.rs
+++ b/src/poison/judgement.rs
@@ -85,6 +85,7 @@
         began: Instant,
         now: Instant,
     ) -> bool {
+        self.first_survival.get_or_insert(now);
         let mut suspected = false;
         for part in &suspects.parts {
             self.survivors.insert(*part, began);
@@ -101,7 +102,7 @@
         let Some(record) = self.records.get(&part) else {
             return PartVerdict::Sound;
         };
-        match record.part_verdict(suspects.organisation, &self.recent, now) {
+        match record.part_verdict(suspects.organisation, self.part_context(), now) {
             PartVerdict::Sound => PartVerdict::Sound,
             _ if !self.has_whole_group(record, &suspects.parts) => PartVerdict::Sound,
             verdict => verdict,
--- a/src/poison/part_rule.rs
+++ b/src/poison/part_rule.rs
@@ -7,8 +7,12 @@
 use std::time::{Duration, Instant};
 
 use super::end_source::{EndSource, OrganisationHash};
+use super::key::is_part;
 use super::recent_ends::RecentEnds;
 use super::record::{PoisonRecord, REFUSAL_TIMES, TargetEnd};
+use super::table::PoisonTable;
+use crate::collections::FastMap;
+use crate::ids::SuspectKey;
 
 /// Number of ends, of different targets under different requests, that prove a part which no
 /// target is known to have survived.
@@ -23,6 +27,10 @@
 /// at fault at a time.
 const TARGETS_PER_FEW_ENDS: usize = 2;
 const TARGETS_PER_END: usize = 3;
+/// Time before the first end under a part in which targets that ended without it count, too,
+/// unless they ended under another suspected part. While a target a second ends for other
+/// reasons, two of them break requests with the same rare part by chance.
+const UNEXPLAINED_TIME: Duration = Duration::from_secs(5);
 /// Time by which the ends of one crash may be observed apart.
 const OBSERVATION_SPREAD: Duration = Duration::from_millis(500);
 /// Time in which hosts that have seen a part survive tell the others.
@@ -30,6 +38,10 @@
 /// The same for a part that was survived before: a run that has begun since shows it after a
 /// second, and then hosts have to tell each other.
 const KNOWN_CLEARANCE_TIME: Duration = Duration::from_secs(2);
+/// Maximum time for which the decision on a part waits until the host has heard of a survival
+/// and other hosts had time to report theirs. Hosts that started together remember none, and a
+/// run that began after the start survives its parts after 1.2 s at the earliest.
+const START_CLEARANCE_TIME: Duration = Duration::from_secs(3);
 /// Time after which another end is the result of another try, rather than of a request that
 /// was sent before all hosts knew.
 const TRY_SPACING: Duration = Duration::from_secs(300);
@@ -45,6 +57,70 @@
     Poison,
 }
 
+/// What the decision on a part takes into account besides its own record.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct PartContext<'a> {
+    records: &'a FastMap<SuspectKey, PoisonRecord>,
+    recent: &'a RecentEnds,
+    /// When the host first heard of a survival.
+    first_survival: Option<Instant>,
+}
+
+impl PoisonTable {
+    pub(super) fn part_context(&self) -> PartContext<'_> {
+        PartContext {
+            records: &self.records,
+            recent: &self.recent,
+            first_survival: self.first_survival,
+        }
+    }
+}
+
+impl PartContext<'_> {
+    /// Returns the ends of the other parts that no target is known to have survived and under
+    /// which several ended. Parts that cannot be told apart from the one of `record` are left
+    /// out.
+    fn other_suspects(&self, record: &PoisonRecord) -> Vec<EndSeries> {
+        let sources = record.sorted_sources();
+        let parts = self.records.iter().filter(|(key, other)| {
+            is_part(**key) && other.survived.is_none() && other.ends.len() >= ENDS_OF_UNKNOWN_PART
+        });
+        let others = parts.filter(|(_, other)| other.sorted_sources() != sources);
+        let others = others.map(|(_, other)| EndSeries::new(other.sources()));
+        others
+            .filter(|other| other.independent(other.ends.len()) >= ENDS_OF_UNKNOWN_PART)
+            .collect()
+    }
+
+    /// Returns whether a target of a series broke several requests, so that its end says less
+    /// about each of them.
+    fn has_crowded_target(&self, series: &EndSeries) -> bool {
+        let parts = self.records.iter().filter(|(key, _)| is_part(**key));
+        let sources = parts.flat_map(|(_, record)| record.sources());
+        let sources = sources.map(|(source, _)| source).collect::<Vec<_>>();
+        let mut targets = series.ends.iter().map(|(source, _)| source.target);
+        targets.any(|target| {
+            let of_target = sources.iter().filter(|source| source.target == target);
+            count_distinct(of_target.map(|source| source.request)) > 1
+        })
+    }
+
+    /// Returns when a part that no target is known to have survived is refused, if enough
+    /// targets had ended under it by `reached`.
+    fn decided_at(&self, series: &EndSeries, reached: Instant) -> Instant {
+        let regular = reached + CLEARANCE_TIME;
+        let latest = reached + START_CLEARANCE_TIME;
+        let informed = match self.first_survival {
+            None => latest,
+            Some(at) => latest.min(at + CLEARANCE_TIME),
+        };
+        match informed > regular && self.has_crowded_target(series) {
+            true => informed,
+            false => regular,
+        }
+    }
+}
+
 /// The ends that count against a part.
 #[derive(Debug, Default)]
 struct EndSeries {
@@ -93,19 +169,41 @@
         count_distinct(self.ends.iter().map(|(source, _)| source.organisation)) > 1
     }
 
-    /// Returns whether most targets that ended meanwhile ended under the part.
-    fn explains(&self, recent: &RecentEnds) -> bool {
+    fn has_target(&self, target: u32) -> bool {
+        self.ends.iter().any(|(source, _)| source.target == target)
+    }
+
+    /// Returns whether most targets that ended meanwhile, or shortly before and under no other
+    /// suspected part, ended under this one.
+    fn explains(&self, others: &[EndSeries], recent: &RecentEnds) -> bool {
         let (Some((_, first)), Some((_, last))) = (self.ends.first(), self.ends.last()) else {
             return false;
         };
         let from = first.checked_sub(OBSERVATION_SPREAD).unwrap_or(*first);
-        let total = recent.count_between(from, *last + OBSERVATION_SPREAD);
+        let meanwhile = recent.within(from..=*last + OBSERVATION_SPREAD).count();
+        let before_from = first.checked_sub(UNEXPLAINED_TIME).unwrap_or(*first);
+        let before = recent.within(before_from..from).filter(|target| {
+            !self.has_target(*target) && !others.iter().any(|other| other.has_target(*target))
+        });
         let ends = self.independent(self.ends.len());
         let targets_per_end = match ends {
             0..=ENDS_OF_UNKNOWN_PART => TARGETS_PER_FEW_ENDS,
             _ => TARGETS_PER_END,
         };
-        targets_per_end * ends > total
+        targets_per_end * ends > meanwhile + before.count()
+    }
+
+    /// Returns whether each target also ended under another suspected part that has more ends,
+    /// or two if this one has two. Then a further end tells which part it is.
+    fn is_explained_by(&self, others: &[EndSeries]) -> bool {
+        let ends = self.independent(self.ends.len());
+        let stronger = others.iter().filter(|other| {
+            let other_ends = other.independent(other.ends.len());
+            other_ends > ends || (other_ends == ends && ends <= ENDS_OF_UNKNOWN_PART)
+        });
+        let stronger = stronger.collect::<Vec<_>>();
+        let mut targets = self.ends.iter().map(|(source, _)| source.target);
+        targets.all(|target| stronger.iter().any(|other| other.has_target(target)))
     }
 }
 
@@ -128,7 +226,7 @@
     pub(super) fn part_verdict(
         &self,
         organisation: OrganisationHash,
-        recent: &RecentEnds,
+        context: PartContext<'_>,
         now: Instant,
     ) -> PartVerdict {
         let all = EndSeries::new(self.sources());
@@ -139,22 +237,22 @@
             Some(&all).filter(|all| all.has_several_organisations()),
         ];
         let verdicts = verdicts.into_iter().flatten();
-        let verdicts = verdicts.map(|series| self.series_verdict(series, recent, now));
+        let verdicts = verdicts.map(|series| self.series_verdict(series, context, now));
         verdicts.fold(PartVerdict::Sound, PartVerdict::or)
     }
 
     /// Returns whether requests of any organisation with the part are refused.
-    pub(super) fn is_poison_part(&self, recent: &RecentEnds, now: Instant) -> bool {
+    pub(super) fn is_poison_part(&self, context: PartContext<'_>, now: Instant) -> bool {
         self.sources().any(|(source, _)| {
-            self.part_verdict(source.organisation, recent, now) == PartVerdict::Poison
+            self.part_verdict(source.organisation, context, now) == PartVerdict::Poison
         })
     }
 
     /// Returns the number of ends that the platform's log has to list for a part. A part that
     /// was refused stays in the log until it expires or is survived.
-    pub(super) fn required_part_in_log(&self, recent: &RecentEnds, now: Instant) -> usize {
+    pub(super) fn required_part_in_log(&self, context: PartContext<'_>, now: Instant) -> usize {
         let was_refused = self.in_log > 0 && !self.has_expired(now);
-        match was_refused || self.is_poison_part(recent, now) {
+        match was_refused || self.is_poison_part(context, now) {
             true => self.ends.len(),
             false => 0,
         }
@@ -173,11 +271,16 @@
         self.ends.iter().map(source)
     }
 
-    fn series_verdict(&self, series: &EndSeries, recent: &RecentEnds, now: Instant) -> PartVerdict {
+    fn series_verdict(
+        &self,
+        series: &EndSeries,
+        context: PartContext<'_>,
+        now: Instant,
+    ) -> PartVerdict {
         let decided = match self.survived {
             None => {
                 let reached = series.reached(ENDS_OF_UNKNOWN_PART);
-                reached.map(|at| at + CLEARANCE_TIME)
+                reached.map(|at| context.decided_at(series, at))
             }
             Some(_) => {
                 let moments = series.moments(MOMENT_SPACING);
@@ -189,17 +292,19 @@
                 reached.map(|at| at + KNOWN_CLEARANCE_TIME)
             }
         };
-        let tries = series.moments(TRY_SPACING);
         let last = series.ends.last().map(|(_, at)| *at);
-        match decided.zip(last) {
-            Some(_) if !series.explains(recent) => PartVerdict::Sound,
-            Some((decided, _)) if now < decided && self.survived.is_none() => {
-                PartVerdict::Pending(decided)
-            }
-            Some((decided, last)) if now >= decided && now < last + refusal_time(tries.len()) => {
-                PartVerdict::Poison
-            }
-            _ => PartVerdict::Sound,
+        let Some((decided, last)) = decided.zip(last) else {
+            return PartVerdict::Sound;
+        };
+        let is_known = self.survived.is_some();
+        let others = context.other_suspects(self);
+        let refused_for = refusal_time(series.moments(TRY_SPACING).len());
+        match now {
+            _ if !series.explains(&others, context.recent) => PartVerdict::Sound,
+            _ if now < decided && !is_known => PartVerdict::Pending(decided),
+            _ if now < decided || now >= last + refused_for => PartVerdict::Sound,
+            _ if series.is_explained_by(&others) => PartVerdict::Sound,
+            _ => PartVerdict::Poison,
         }
     }
 }
--- a/src/poison/recent_ends.rs
+++ b/src/poison/recent_ends.rs
@@ -1,6 +1,7 @@
 //! Targets that ended recently, under whatever request.
 
 use std::collections::VecDeque;
+use std::ops::RangeBounds;
 use std::time::Instant;
 
 /// Maximum number of remembered targets, 2 KB. The loss of a zone exceeds it, during which
@@ -25,9 +26,13 @@
         self.ends.push_back((target, at));
     }
 
-    /// Returns the number of targets that ended in a period.
-    pub(super) fn count_between(&self, from: Instant, to: Instant) -> usize {
+    /// Returns the targets that ended in a period.
+    pub(super) fn within<R>(&self, period: R) -> impl Iterator<Item = u32>
+    where
+        R: RangeBounds<Instant>,
+    {
         let ends = self.ends.iter();
-        ends.filter(|(_, at)| (from..=to).contains(at)).count()
+        let within = ends.filter(move |(_, at)| period.contains(at));
+        within.map(|(target, _)| *target)
     }
 }
--- a/src/poison/record.rs
+++ b/src/poison/record.rs
@@ -20,6 +20,10 @@
 /// requests on a target may have the same part.
 const MAX_PART_ENDS: usize = 8;
 const MAX_PART_ENDS_OF_TARGET: usize = 2;
+/// Maximum number of ends of a part that no target survived. Eight may be of four targets,
+/// less than a third of those that two poison parts can end before they are told apart. Only
+/// [`MAX_LONG_RECORDS`](super::table::MAX_LONG_RECORDS) parts have more than the others.
+const MAX_SUSPECTED_PART_ENDS: usize = 24;
 /// Time for which a request is refused after the last target that ended under it, indexed
 /// by the number of targets beyond [`ENDS_TO_REFUSE`]. For a part, indexed by the number of
 /// further tries that ended a target.
@@ -103,12 +107,29 @@
         self.last().is_none_or(|last| now >= last + expiry)
     }
 
-    /// Adds an end; returns whether the record has changed.
-    pub(super) fn observe_end(&mut self, suspect: SuspectKey, end: TargetEnd) -> bool {
+    /// Returns whether the record holds as many ends as most parts may have.
+    pub(super) fn is_full(&self) -> bool {
+        self.ends.len() >= MAX_PART_ENDS
+    }
+
+    /// Returns whether the record holds more ends than that.
+    pub(super) fn is_long(&self) -> bool {
+        self.ends.len() > MAX_PART_ENDS
+    }
+
+    /// Adds an end; returns whether the record has changed. `may_grow` states whether a part
+    /// that no target survived may have more ends than others.
+    pub(super) fn observe_end(
+        &mut self,
+        suspect: SuspectKey,
+        end: TargetEnd,
+        may_grow: bool,
+    ) -> bool {
         if self.survived.is_some_and(|survived| end.at <= survived) {
             return false;
         }
         let max_ends = match is_part(suspect) {
+            true if may_grow && self.survived.is_none() => MAX_SUSPECTED_PART_ENDS,
             true => MAX_PART_ENDS,
             false => MAX_ENDS,
         };
--- a/src/poison/table.rs
+++ b/src/poison/table.rs
@@ -16,6 +16,8 @@
 /// requests at once, so that all that ran on one fit beside 64 refused requests. A record
 /// takes 64 bytes and 24 for each end, at most 131 KB in all, whatever the size of the fleet.
 const MAX_RECORDS: usize = 256;
+/// Maximum number of parts of which more ends are remembered than of others, 3 KB in all.
+pub(super) const MAX_LONG_RECORDS: usize = 8;
 /// Time for which a survived request is not suspected. Requests that many callers send
 /// alike, for a status or a price list, come several times a second.
 const RECENT_TIME: Duration = Duration::from_secs(10);
@@ -55,6 +57,8 @@
     pub(super) progress: DeltaProgress,
     pub(super) survivors: RecentSurvivors,
     pub(super) recent: RecentEnds,
+    /// When this host first observed a survival, or heard of one.
+    pub(super) first_survival: Option<Instant>,
 }
 
 /// A change that the platform's log lacks.
@@ -77,7 +81,7 @@
     fn is_refused(&self, suspect: SuspectKey, now: Instant) -> bool {
         let record = self.records.get(&suspect);
         record.is_some_and(|record| match is_part(suspect) {
-            true => record.is_poison_part(&self.recent, now),
+            true => record.is_poison_part(self.part_context(), now),
             false => record.is_poison(now),
         })
     }
@@ -105,6 +109,7 @@
     /// it.
     pub fn observe_survival(&mut self, request: RequestKey, now: Instant) -> bool {
         self.survivors.insert(request, now);
+        self.first_survival.get_or_insert(now);
         let record = self.records.get(&request);
         let suspected = record.is_some_and(|record| !record.ends.is_empty());
         if suspected {
@@ -142,13 +147,19 @@
             PoisonEvent::Ended(_) if is_part(suspect) => self.survivors.last(suspect),
             _ => None,
         };
+        if event == PoisonEvent::Survived {
+            self.first_survival.get_or_insert(now);
+        }
         if let PoisonEvent::Ended(source) = event {
             self.recent.observe(short_target(source), at);
         }
+        let may_grow = self.may_grow(suspect);
         let record = self.records.entry(suspect).or_default();
         let survival_changed = known_survival.is_some_and(|at| record.observe_survival(at));
         let changed = match event {
-            PoisonEvent::Ended(source) => record.observe_end(suspect, TargetEnd { source, at }),
+            PoisonEvent::Ended(source) => {
+                record.observe_end(suspect, TargetEnd { source, at }, may_grow)
+            }
             PoisonEvent::Survived => record.observe_survival(at),
         };
         if changed || survival_changed {
@@ -157,6 +168,18 @@
         }
     }
 
+    /// Returns whether the record of a part may hold more ends than most.
+    fn may_grow(&self, suspect: SuspectKey) -> bool {
+        match self.records.get(&suspect) {
+            Some(record) if record.is_long() => true,
+            Some(record) if record.is_full() => {
+                let long = self.records.values().filter(|record| record.is_long());
+                long.count() < MAX_LONG_RECORDS
+            }
+            _ => false,
+        }
+    }
+
     /// Removes expired records and, if that is not enough, the one with the least evidence:
     /// a flood of requests that ran on one lost engine must not evict those that are
     /// refused.
@@ -196,7 +219,7 @@
         let records = self.records.iter();
         let required = records.map(|(suspect, record)| {
             let required = match is_part(*suspect) {
-                true => record.required_part_in_log(&self.recent, now),
+                true => record.required_part_in_log(self.part_context(), now),
                 false => record.required_in_log(now),
             };
             (suspect, record, required)
