Write at most eight ends of a part to the log

The required number of ends was that of the host's own record, 8 or up to 24, so that two hosts wrote each other's record again without end: 80 writes in 80 rounds of the new test, one now.

--- a/src/poison/part_rule.rs
+++ b/src/poison/part_rule.rs
@@ -9,7 +9,7 @@
 use super::end_source::{EndSource, OrganisationHash};
 use super::key::is_part;
 use super::recent_ends::RecentEnds;
-use super::record::{PoisonRecord, REFUSAL_TIMES, TargetEnd};
+use super::record::{MAX_PART_ENDS, PoisonRecord, REFUSAL_TIMES, TargetEnd};
 use super::table::PoisonTable;
 use crate::collections::FastMap;
 use crate::ids::SuspectKey;
@@ -250,10 +250,13 @@
 
     /// Returns the number of ends that the platform's log has to list for a part. A part that
     /// was refused stays in the log until it expires or is survived.
+    ///
+    /// The log lists no more ends than each host remembers of a part. Otherwise hosts that
+    /// remember fewer would write the record again each time that others have written it.
     pub(super) fn required_part_in_log(&self, context: PartContext<'_>, now: Instant) -> usize {
         let was_refused = self.in_log > 0 && !self.has_expired(now);
         match was_refused || self.is_poison_part(context, now) {
-            true => self.ends.len(),
+            true => self.ends.len().min(MAX_PART_ENDS),
             false => 0,
         }
     }
--- a/src/poison/record.rs
+++ b/src/poison/record.rs
@@ -18,7 +18,7 @@
 const MAX_ENDS: usize = ENDS_TO_REFUSE + REFUSAL_TIMES.len() - 1;
 /// Maximum number of ends that are remembered for a part, and of one target among them: many
 /// requests on a target may have the same part.
-const MAX_PART_ENDS: usize = 8;
+pub(super) const MAX_PART_ENDS: usize = 8;
 const MAX_PART_ENDS_OF_TARGET: usize = 2;
 /// Maximum number of ends of a part that no target survived. Eight may be of four targets,
 /// less than a third of those that two poison parts can end before they are told apart. Only
@@ -202,7 +202,20 @@
         self.end_evidence(suspect, now).chain(survived).collect()
     }
 
-    pub(super) fn end_evidence(
+    /// Returns the evidence of the newest ends, at most `count`.
+    pub(super) fn newest_end_evidence(
+        &self,
+        suspect: SuspectKey,
+        count: usize,
+        now: Instant,
+    ) -> Vec<PoisonEvidence> {
+        let mut evidence = self.end_evidence(suspect, now).collect::<Vec<_>>();
+        evidence.sort_by_key(|item| item.age);
+        evidence.truncate(count);
+        evidence
+    }
+
+    fn end_evidence(
         &self,
         suspect: SuspectKey,
         now: Instant,
--- a/src/poison/table.rs
+++ b/src/poison/table.rs
@@ -229,7 +229,7 @@
             suspect: *suspect,
             ends: match required {
                 0 => Vec::new(),
-                _ => record.end_evidence(*suspect, now).collect(),
+                _ => record.newest_end_evidence(*suspect, required, now),
             },
         });
         let mut changes = changes.collect::<Vec<_>>();
--- a/tests/poison_parts.rs
+++ b/tests/poison_parts.rs
@@ -162,6 +162,40 @@
     assert!(!is_refused(&table, &common, later + DECIDED));
 }
 
+/// Guards against two hosts that overwrite each other's record in the log without end, because
+/// one of them remembers more ends of the part than the other.
+#[test]
+fn hosts_that_remember_different_numbers_of_ends_write_a_part_once() {
+    let now = Instant::now();
+    let bad = part_key("engines", "bad");
+    let mut long = PoisonTable::default();
+    for number in 1..=24 {
+        long.observe_request_end(&request(number, 1, &["bad"]), target(number), now);
+    }
+    // As many parts as may have more ends than others.
+    let mut short = PoisonTable::default();
+    for number in 0..80 {
+        let part = format!("other-{}", number / 10);
+        let other = request(100 + number, 1, &[&part]);
+        short.observe_request_end(&other, target(100 + number), now);
+    }
+    let mut hosts = [long, short];
+    let later = now + DECIDED;
+    let mut writes = 0;
+    for round in 0..80 {
+        let changes = hosts[round % 2].log_changes(later);
+        let Some(change) = changes.iter().find(|change| change.suspect == bad) else {
+            continue;
+        };
+        writes += 1;
+        for host in &mut hosts {
+            host.merge(&change.ends, later);
+            host.set_in_log(bad, change.ends.len());
+        }
+    }
+    assert_eq!(writes, 1);
+}
+
 #[test]
 fn sources_keep_target_request_and_organisation_apart() {
     let source = EndSource::new(u64::MAX - 5, 77 << 40, 9);
