--- a/src/poison.rs
+++ b/src/poison.rs
@@ -24,6 +24,7 @@
 mod record;
 mod run_start;
 mod survivors;
+mod suspect_index;
 mod table;
 
 pub use end_source::{EndSource, OrganisationHash};
--- a/src/poison/judgement.rs
+++ b/src/poison/judgement.rs
@@ -4,7 +4,6 @@
 
 use super::end_source::{EndSource, OrganisationHash};
 use super::evidence::PoisonEvent;
-use super::key::is_part;
 use super::part_rule::PartVerdict;
 use super::record::PoisonRecord;
 use super::table::{PoisonTable, PoisonVerdict};
@@ -113,13 +112,8 @@
     /// `record`, because all targets ended under requests that had all of them. One of them
     /// alone is not refused.
     fn has_whole_group(&self, record: &PoisonRecord, parts: &[PartKey]) -> bool {
-        let sources = record.sorted_sources();
-        let others = self.records.iter();
-        let mut group = others.filter(|(key, other)| {
-            is_part(**key)
-                && other.ends.len() == record.ends.len()
-                && other.sorted_sources() == sources
-        });
-        group.all(|(key, _)| parts.contains(key))
+        let index = self.part_context().index();
+        let mut group = index.group(&record.sorted_sources()).iter();
+        group.all(|key| parts.contains(key))
     }
 }
--- a/src/poison/part_rule.rs
+++ b/src/poison/part_rule.rs
@@ -7,12 +7,10 @@
 use std::time::{Duration, Instant};
 
 use super::end_source::{EndSource, OrganisationHash};
-use super::key::is_part;
 use super::recent_ends::RecentEnds;
 use super::record::{MAX_PART_ENDS, PoisonRecord, REFUSAL_TIMES, TargetEnd};
+use super::suspect_index::SuspectIndex;
 use super::table::PoisonTable;
-use crate::collections::FastMap;
-use crate::ids::SuspectKey;
 
 /// Number of ends, of different targets under different requests, that prove a part which no
 /// target is known to have survived.
@@ -60,49 +58,30 @@
 /// What the decision on a part takes into account besides its own record.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct PartContext<'a> {
-    records: &'a FastMap<SuspectKey, PoisonRecord>,
-    recent: &'a RecentEnds,
-    /// When the host first heard of a survival.
-    first_survival: Option<Instant>,
+    table: &'a PoisonTable,
 }
 
 impl PoisonTable {
     pub(super) fn part_context(&self) -> PartContext<'_> {
-        PartContext {
-            records: &self.records,
-            recent: &self.recent,
-            first_survival: self.first_survival,
-        }
+        PartContext { table: self }
     }
 }
 
-impl PartContext<'_> {
-    /// Returns the ends of the other parts that no target is known to have survived and under
-    /// which several ended. Parts that cannot be told apart from the one of `record` are left
-    /// out.
-    fn other_suspects(&self, record: &PoisonRecord) -> Vec<EndSeries> {
-        let sources = record.sorted_sources();
-        let parts = self.records.iter().filter(|(key, other)| {
-            is_part(**key) && other.survived.is_none() && other.ends.len() >= ENDS_OF_UNKNOWN_PART
-        });
-        let others = parts.filter(|(_, other)| other.sorted_sources() != sources);
-        let others = others.map(|(_, other)| EndSeries::new(other.sources()));
-        others
-            .filter(|other| other.independent(other.ends.len()) >= ENDS_OF_UNKNOWN_PART)
-            .collect()
+impl<'a> PartContext<'a> {
+    /// Returns the index of all parts, which is built on the first use after a change.
+    pub(super) fn index(&self) -> &'a SuspectIndex {
+        let table = self.table;
+        table
+            .index
+            .get_or_init(|| SuspectIndex::new(&table.records))
     }
 
     /// Returns whether a target of a series broke several requests, so that its end says less
     /// about each of them.
     fn has_crowded_target(&self, series: &EndSeries) -> bool {
-        let parts = self.records.iter().filter(|(key, _)| is_part(**key));
-        let sources = parts.flat_map(|(_, record)| record.sources());
-        let sources = sources.map(|(source, _)| source).collect::<Vec<_>>();
+        let index = self.index();
         let mut targets = series.ends.iter().map(|(source, _)| source.target);
-        targets.any(|target| {
-            let of_target = sources.iter().filter(|source| source.target == target);
-            count_distinct(of_target.map(|source| source.request)) > 1
-        })
+        targets.any(|target| index.is_crowded(target))
     }
 
     /// Returns when a part that no target is known to have survived is refused, if enough
@@ -110,7 +89,7 @@
     fn decided_at(&self, series: &EndSeries, reached: Instant) -> Instant {
         let regular = reached + CLEARANCE_TIME;
         let latest = reached + START_CLEARANCE_TIME;
-        let informed = match self.first_survival {
+        let informed = match self.table.first_survival {
             None => latest,
             Some(at) => latest.min(at + CLEARANCE_TIME),
         };
@@ -175,35 +154,62 @@
 
     /// Returns whether most targets that ended meanwhile, or shortly before and under no other
     /// suspected part, ended under this one.
-    fn explains(&self, others: &[EndSeries], recent: &RecentEnds) -> bool {
+    fn explains(&self, others: &OtherSuspects<'_>, recent: &RecentEnds) -> bool {
         let (Some((_, first)), Some((_, last))) = (self.ends.first(), self.ends.last()) else {
             return false;
         };
-        let from = first.checked_sub(OBSERVATION_SPREAD).unwrap_or(*first);
-        let meanwhile = recent.within(from..=*last + OBSERVATION_SPREAD).count();
-        let before_from = first.checked_sub(UNEXPLAINED_TIME).unwrap_or(*first);
-        let before = recent.within(before_from..from).filter(|target| {
-            !self.has_target(*target) && !others.iter().any(|other| other.has_target(*target))
-        });
         let ends = self.independent(self.ends.len());
         let targets_per_end = match ends {
             0..=ENDS_OF_UNKNOWN_PART => TARGETS_PER_FEW_ENDS,
             _ => TARGETS_PER_END,
         };
-        targets_per_end * ends > meanwhile + before.count()
+        let from = first.checked_sub(OBSERVATION_SPREAD).unwrap_or(*first);
+        let meanwhile = recent.within(from..=*last + OBSERVATION_SPREAD).count();
+        let allowed = (targets_per_end * ends).saturating_sub(meanwhile);
+        if allowed == 0 {
+            return false;
+        };
+        let before_from = first.checked_sub(UNEXPLAINED_TIME).unwrap_or(*first);
+        let before = recent.within(before_from..from);
+        let before = before.filter(|target| !self.has_target(*target));
+        let before = before.collect::<Vec<_>>();
+        if before.len() < allowed {
+            return true;
+        }
+        let before = before.into_iter();
+        let unexplained =
+            before.filter(|target| !others.have_target(*target, ENDS_OF_UNKNOWN_PART));
+        unexplained.count() < allowed
     }
 
     /// Returns whether each target also ended under another suspected part that has more ends,
     /// or two if this one has two. Then a further end tells which part it is.
-    fn is_explained_by(&self, others: &[EndSeries]) -> bool {
+    fn is_explained_by(&self, others: &OtherSuspects<'_>) -> bool {
         let ends = self.independent(self.ends.len());
-        let stronger = others.iter().filter(|other| {
-            let other_ends = other.independent(other.ends.len());
-            other_ends > ends || (other_ends == ends && ends <= ENDS_OF_UNKNOWN_PART)
-        });
-        let stronger = stronger.collect::<Vec<_>>();
+        let min_ends = match ends {
+            0..=ENDS_OF_UNKNOWN_PART => ends,
+            _ => ends + 1,
+        };
         let mut targets = self.ends.iter().map(|(source, _)| source.target);
-        targets.all(|target| stronger.iter().any(|other| other.has_target(target)))
+        targets.all(|target| others.have_target(target, min_ends))
+    }
+}
+
+/// The other parts that no target is known to have survived and under which several ended.
+/// Parts that cannot be told apart from the judged one are left out.
+struct OtherSuspects<'a> {
+    context: PartContext<'a>,
+    /// Sorted sources of the judged part.
+    sources: Vec<u64>,
+    /// Ends after this moment do not count.
+    until: Instant,
+}
+
+impl OtherSuspects<'_> {
+    /// Returns whether a target ended under one with at least `min_ends` independent ends.
+    fn have_target(&self, target: u32, min_ends: usize) -> bool {
+        let index = self.context.index();
+        index.has_ended_under_other(target, &self.sources, min_ends, self.until)
     }
 }
 
@@ -243,8 +249,12 @@
 
     /// Returns whether requests of any organisation with the part are refused.
     pub(super) fn is_poison_part(&self, context: PartContext<'_>, now: Instant) -> bool {
-        self.sources().any(|(source, _)| {
-            self.part_verdict(source.organisation, context, now) == PartVerdict::Poison
+        let organisations = self.sources().map(|(source, _)| source.organisation);
+        let mut organisations = organisations.collect::<Vec<_>>();
+        organisations.sort_unstable();
+        organisations.dedup();
+        organisations.into_iter().any(|organisation| {
+            self.part_verdict(organisation, context, now) == PartVerdict::Poison
         })
     }
 
@@ -300,10 +310,14 @@
             return PartVerdict::Sound;
         };
         let is_known = self.survived.is_some();
-        let others = context.other_suspects(self);
+        let others = OtherSuspects {
+            context,
+            sources: self.sorted_sources(),
+            until: now,
+        };
         let refused_for = refusal_time(series.moments(TRY_SPACING).len());
         match now {
-            _ if !series.explains(&others, context.recent) => PartVerdict::Sound,
+            _ if !series.explains(&others, &context.table.recent) => PartVerdict::Sound,
             _ if now < decided && !is_known => PartVerdict::Pending(decided),
             _ if now < decided || now >= last + refused_for => PartVerdict::Sound,
             _ if series.is_explained_by(&others) => PartVerdict::Sound,
--- a/src/poison/record.rs
+++ b/src/poison/record.rs
@@ -158,6 +158,18 @@
         }
     }
 
+    /// Returns whether the record lists an observation, so that it changes nothing.
+    pub(super) fn lists(&self, event: PoisonEvent, at: Instant) -> bool {
+        let limit = at.checked_sub(TIME_TOLERANCE).unwrap_or(at);
+        match event {
+            PoisonEvent::Ended(source) => {
+                let mut ends = self.ends.iter();
+                ends.any(|end| end.source == source && end.at >= limit)
+            }
+            PoisonEvent::Survived => false,
+        }
+    }
+
     /// Returns whether no further end of the same target under a part is remembered.
     fn has_enough_ends_of(&self, source: u64) -> bool {
         let target = short_target(source);
--- a/src/poison/table.rs
+++ b/src/poison/table.rs
@@ -1,5 +1,6 @@
 //! The table of targets that ended under requests, which decides what is refused.
 
+use std::sync::OnceLock;
 use std::time::{Duration, Instant};
 
 use super::end_source::short_target;
@@ -8,7 +9,8 @@
 use super::recent_ends::RecentEnds;
 use super::record::{ENDS_TO_REFUSE, PoisonRecord, TargetEnd};
 use super::survivors::RecentSurvivors;
-use crate::collections::FastMap;
+use super::suspect_index::SuspectIndex;
+use crate::collections::{FastMap, FastSet};
 use crate::delta_sync::DeltaProgress;
 use crate::ids::{RequestKey, SuspectKey, TargetKey};
 
@@ -59,6 +61,8 @@
     pub(super) recent: RecentEnds,
     /// When this host first observed a survival, or heard of one.
     pub(super) first_survival: Option<Instant>,
+    /// Built when a decision first needs it after a record of a part has changed.
+    pub(super) index: OnceLock<SuspectIndex>,
 }
 
 /// A change that the platform's log lacks.
@@ -121,25 +125,38 @@
     /// Merges evidence from other hosts or the log and returns the requests and parts
     /// that are refused from now on.
     pub fn merge(&mut self, evidence: &[PoisonEvidence], now: Instant) -> Vec<SuspectKey> {
-        let mut refused = Vec::new();
+        let at = |item: &PoisonEvidence| now.checked_sub(item.age).unwrap_or(now);
+        let mut refused_before = FastMap::default();
         for item in evidence {
-            let before = self.is_refused(item.suspect, now);
-            let at = now.checked_sub(item.age).unwrap_or(now);
-            self.observe(item.suspect, item.event, at, now);
-            if !before && self.is_refused(item.suspect, now) {
-                refused.push(item.suspect);
+            let record = self.records.get(&item.suspect);
+            let is_known = record.is_some_and(|record| record.lists(item.event, at(item)));
+            if !is_known && !refused_before.contains_key(&item.suspect) {
+                let refused = self.is_refused(item.suspect, now);
+                refused_before.insert(item.suspect, refused);
             }
         }
-        refused
+        let mut changed = Vec::new();
+        let mut listed = FastSet::default();
+        for item in evidence {
+            let has_changed = self.observe(item.suspect, item.event, at(item), now);
+            if has_changed && listed.insert(item.suspect) {
+                changed.push(item.suspect);
+            }
+        }
+        changed.retain(|suspect| {
+            refused_before.get(suspect) != Some(&true) && self.is_refused(*suspect, now)
+        });
+        changed
     }
 
+    /// Adds an observation; returns whether the record of the request or part has changed.
     pub(super) fn observe(
         &mut self,
         suspect: SuspectKey,
         event: PoisonEvent,
         at: Instant,
         now: Instant,
-    ) {
+    ) -> bool {
         if !self.records.contains_key(&suspect) {
             self.make_room(is_part(suspect), now);
         }
@@ -165,7 +182,11 @@
         if changed || survival_changed {
             self.version += 1;
             record.changed = self.version;
+            if is_part(suspect) {
+                self.index.take();
+            }
         }
+        changed || survival_changed
     }
 
     /// Returns whether the record of a part may hold more ends than most.
@@ -192,6 +213,7 @@
         if self.records.len() < MAX_RECORDS || count(&self.records) < MAX_RECORDS {
             return;
         }
+        self.index.take();
         // A record that the log still lists has to be removed from the log first.
         self.records
             .retain(|_, record| record.in_log > 0 || !record.has_expired(now));
--- a/tests/poison_parts.rs
+++ b/tests/poison_parts.rs
@@ -6,7 +6,9 @@
 use http::header::HeaderValue;
 use jackdawwick::platform::names;
 use jackdawwick::platform::prompt_parts::parse_shared_parts;
-use jackdawwick::poison::{EndSource, PoisonJudgement, PoisonTable, RequestSuspects, part_key};
+use jackdawwick::poison::{
+    EndSource, PoisonEvent, PoisonEvidence, PoisonJudgement, PoisonTable, RequestSuspects, part_key,
+};
 
 /// Time after which a part under which two targets ended is refused.
 const DECIDED: Duration = Duration::from_millis(1100);
@@ -225,3 +227,44 @@
     let many = vec!["a:1"; 10_000].join(",");
     assert_eq!(ids(&many).len(), 9_999);
 }
+
+/// Prints the time of decisions beside a full table; run with `--ignored --nocapture`.
+#[test]
+#[ignore = "measures, checks nothing"]
+#[expect(clippy::print_stderr, reason = "the figures are its result")]
+fn time_of_decisions_beside_a_full_table() {
+    let now = Instant::now();
+    let mut table = PoisonTable::default();
+    let mut names = Vec::new();
+    for part in 0..256_u64 {
+        let name = format!("part-{part}");
+        for end in 0..4 {
+            let number = part * 4 + end;
+            let suspects = request(number + 1, 1, &[&name]);
+            table.observe_request_end(&suspects, target(number % 16 + 1), now);
+        }
+        names.push(name);
+    }
+    let later = now + DECIDED;
+    let start = Instant::now();
+    for (number, name) in (5000..).zip(&names) {
+        table.judge(&request(number, 1, &[name]), later);
+    }
+    eprintln!("decision: {:?}", start.elapsed() / 256);
+    let start = Instant::now();
+    table.log_changes(later);
+    eprintln!("log_changes: {:?}", start.elapsed());
+    let pieces = names
+        .iter()
+        .take(64)
+        .zip(1..)
+        .map(|(name, number)| PoisonEvidence {
+            suspect: part_key("engines", name),
+            event: PoisonEvent::Ended(EndSource::new(target(50), number << 40, 1).to_bits()),
+            age: Duration::ZERO,
+        });
+    let pieces = pieces.collect::<Vec<_>>();
+    let start = Instant::now();
+    table.merge(&pieces, later);
+    eprintln!("merge: {:?}", start.elapsed());
+}
