Wait for survivals of parts and ignore suspects that come later

The success of a request without parts ended the wait after a start of all hosts. A refused part was sent again once suspects with the same targets were seen a minute later; only ends up to its own last one count now.

--- a/src/poison/judgement.rs
+++ b/src/poison/judgement.rs
@@ -84,7 +84,9 @@
         began: Instant,
         now: Instant,
     ) -> bool {
-        self.first_survival.get_or_insert(now);
+        if !suspects.parts.is_empty() {
+            self.first_survival.get_or_insert(now);
+        }
         let mut suspected = false;
         for part in &suspects.parts {
             self.survivors.insert(*part, began);
--- a/src/poison/part_rule.rs
+++ b/src/poison/part_rule.rs
@@ -201,7 +201,7 @@
     context: PartContext<'a>,
     /// Sorted sources of the judged part.
     sources: Vec<u64>,
-    /// Ends after this moment do not count.
+    /// Ends after this moment do not count: later suspects explain no earlier ends.
     until: Instant,
 }
 
@@ -313,7 +313,7 @@
         let others = OtherSuspects {
             context,
             sources: self.sorted_sources(),
-            until: now,
+            until: last + OBSERVATION_SPREAD,
         };
         let refused_for = refusal_time(series.moments(TRY_SPACING).len());
         match now {
--- a/src/poison/table.rs
+++ b/src/poison/table.rs
@@ -59,7 +59,7 @@
     pub(super) progress: DeltaProgress,
     pub(super) survivors: RecentSurvivors,
     pub(super) recent: RecentEnds,
-    /// When this host first observed a survival, or heard of one.
+    /// When this host first observed the survival of a part, or heard of one.
     pub(super) first_survival: Option<Instant>,
     /// Built when a decision first needs it after a record of a part has changed.
     pub(super) index: OnceLock<SuspectIndex>,
@@ -113,7 +113,6 @@
     /// it.
     pub fn observe_survival(&mut self, request: RequestKey, now: Instant) -> bool {
         self.survivors.insert(request, now);
-        self.first_survival.get_or_insert(now);
         let record = self.records.get(&request);
         let suspected = record.is_some_and(|record| !record.ends.is_empty());
         if suspected {
@@ -164,7 +163,7 @@
             PoisonEvent::Ended(_) if is_part(suspect) => self.survivors.last(suspect),
             _ => None,
         };
-        if event == PoisonEvent::Survived {
+        if event == PoisonEvent::Survived && is_part(suspect) {
             self.first_survival.get_or_insert(now);
         }
         if let PoisonEvent::Ended(source) = event {
--- a/tests/poison_parts.rs
+++ b/tests/poison_parts.rs
@@ -198,6 +198,47 @@
     assert_eq!(writes, 1);
 }
 
+/// Guards against a start of all hosts after which the wait for a survival of a part ends with
+/// the first success of a request that has none.
+#[test]
+fn survivals_of_plain_requests_do_not_end_the_wait_after_a_start() {
+    let now = Instant::now();
+    let mut table = PoisonTable::default();
+    let plain = request(50, 1, &[]);
+    table.observe_part_survival(&plain, now, now);
+    table.observe_survival(plain.request, now);
+    let survival = PoisonEvidence {
+        suspect: request(51, 1, &[]).request,
+        event: PoisonEvent::Survived,
+        age: Duration::ZERO,
+    };
+    table.merge(&[survival], now);
+    for number in 1..=4 {
+        let broken = request(number, 1, &["part"]);
+        table.observe_request_end(&broken, target(number % 2 + 1), now);
+    }
+    assert!(matches!(
+        table.judge(&request(9, 1, &["part"]), now + DECIDED),
+        PoisonJudgement::Pending(_)
+    ));
+}
+
+/// Guards against a refused part that is sent again because other suspects, under which the
+/// same targets end, are seen a minute later.
+#[test]
+fn a_refused_part_is_not_released_by_later_suspects() {
+    let now = Instant::now();
+    let mut table = table_with_ends(&["bad"], now);
+    let bad = request(9, 1, &["bad"]);
+    assert!(is_refused(&table, &bad, now + DECIDED));
+    let later = now + seconds(60);
+    for number in 1..=3 {
+        let other = request(20 + number, 1, &["other"]);
+        table.observe_request_end(&other, target(number), later);
+    }
+    assert!(is_refused(&table, &bad, later + DECIDED));
+}
+
 #[test]
 fn sources_keep_target_request_and_organisation_apart() {
     let source = EndSource::new(u64::MAX - 5, 77 << 40, 9);
