--- a/tests/poison_parts.rs
+++ b/tests/poison_parts.rs
@@ -6,7 +6,9 @@
 use http::header::HeaderValue;
 use jackdawwick::platform::names;
 use jackdawwick::platform::prompt_parts::parse_shared_parts;
-use jackdawwick::poison::{EndSource, PoisonJudgement, PoisonTable, RequestSuspects, part_key};
+use jackdawwick::poison::{
+    EndSource, PoisonEvent, PoisonEvidence, PoisonJudgement, PoisonTable, RequestSuspects, part_key,
+};
 
 /// Time after which a part under which two targets ended is refused.
 const DECIDED: Duration = Duration::from_millis(1100);
@@ -162,6 +164,81 @@
     assert!(!is_refused(&table, &common, later + DECIDED));
 }
 
+/// Guards against two hosts that overwrite each other's record in the log without end, because
+/// one of them remembers more ends of the part than the other.
+#[test]
+fn hosts_that_remember_different_numbers_of_ends_write_a_part_once() {
+    let now = Instant::now();
+    let bad = part_key("engines", "bad");
+    let mut long = PoisonTable::default();
+    for number in 1..=24 {
+        long.observe_request_end(&request(number, 1, &["bad"]), target(number), now);
+    }
+    // As many parts as may have more ends than others.
+    let mut short = PoisonTable::default();
+    for number in 0..80 {
+        let part = format!("other-{}", number / 10);
+        let other = request(100 + number, 1, &[&part]);
+        short.observe_request_end(&other, target(100 + number), now);
+    }
+    let mut hosts = [long, short];
+    let later = now + DECIDED;
+    let mut writes = 0;
+    for round in 0..80 {
+        let changes = hosts[round % 2].log_changes(later);
+        let Some(change) = changes.iter().find(|change| change.suspect == bad) else {
+            continue;
+        };
+        writes += 1;
+        for host in &mut hosts {
+            host.merge(&change.ends, later);
+            host.set_in_log(bad, change.ends.len());
+        }
+    }
+    assert_eq!(writes, 1);
+}
+
+/// Guards against a start of all hosts after which the wait for a survival of a part ends with
+/// the first success of a request that has none.
+#[test]
+fn survivals_of_plain_requests_do_not_end_the_wait_after_a_start() {
+    let now = Instant::now();
+    let mut table = PoisonTable::default();
+    let plain = request(50, 1, &[]);
+    table.observe_part_survival(&plain, now, now);
+    table.observe_survival(plain.request, now);
+    let survival = PoisonEvidence {
+        suspect: request(51, 1, &[]).request,
+        event: PoisonEvent::Survived,
+        age: Duration::ZERO,
+    };
+    table.merge(&[survival], now);
+    for number in 1..=4 {
+        let broken = request(number, 1, &["part"]);
+        table.observe_request_end(&broken, target(number % 2 + 1), now);
+    }
+    assert!(matches!(
+        table.judge(&request(9, 1, &["part"]), now + DECIDED),
+        PoisonJudgement::Pending(_)
+    ));
+}
+
+/// Guards against a refused part that is sent again because other suspects, under which the
+/// same targets end, are seen a minute later.
+#[test]
+fn a_refused_part_is_not_released_by_later_suspects() {
+    let now = Instant::now();
+    let mut table = table_with_ends(&["bad"], now);
+    let bad = request(9, 1, &["bad"]);
+    assert!(is_refused(&table, &bad, now + DECIDED));
+    let later = now + seconds(60);
+    for number in 1..=3 {
+        let other = request(20 + number, 1, &["other"]);
+        table.observe_request_end(&other, target(number), later);
+    }
+    assert!(is_refused(&table, &bad, later + DECIDED));
+}
+
 #[test]
 fn sources_keep_target_request_and_organisation_apart() {
     let source = EndSource::new(u64::MAX - 5, 77 << 40, 9);
@@ -191,3 +268,44 @@
     let many = vec!["a:1"; 10_000].join(",");
     assert_eq!(ids(&many).len(), 9_999);
 }
+
+/// Prints the time of decisions beside a full table; run with `--ignored --nocapture`.
+#[test]
+#[ignore = "measures, checks nothing"]
+#[expect(clippy::print_stderr, reason = "the figures are its result")]
+fn time_of_decisions_beside_a_full_table() {
+    let now = Instant::now();
+    let mut table = PoisonTable::default();
+    let mut names = Vec::new();
+    for part in 0..256_u64 {
+        let name = format!("part-{part}");
+        for end in 0..4 {
+            let number = part * 4 + end;
+            let suspects = request(number + 1, 1, &[&name]);
+            table.observe_request_end(&suspects, target(number % 16 + 1), now);
+        }
+        names.push(name);
+    }
+    let later = now + DECIDED;
+    let start = Instant::now();
+    for (number, name) in (5000..).zip(&names) {
+        table.judge(&request(number, 1, &[name]), later);
+    }
+    eprintln!("decision: {:?}", start.elapsed() / 256);
+    let start = Instant::now();
+    table.log_changes(later);
+    eprintln!("log_changes: {:?}", start.elapsed());
+    let pieces = names
+        .iter()
+        .take(64)
+        .zip(1..)
+        .map(|(name, number)| PoisonEvidence {
+            suspect: part_key("engines", name),
+            event: PoisonEvent::Ended(EndSource::new(target(50), number << 40, 1).to_bits()),
+            age: Duration::ZERO,
+        });
+    let pieces = pieces.collect::<Vec<_>>();
+    let start = Instant::now();
+    table.merge(&pieces, later);
+    eprintln!("merge: {:?}", start.elapsed());
+}
