--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -189,11 +189,8 @@
         headers.insert(names::URGENCY_CLASS, HeaderValue::from(u16::from(class)));
     }
     tables.count_request(&service.name, arrived);
-    // Plain services would use up the places of a report, and nothing reads their demand.
-    if service.engine.is_some() {
-        let organisation = matched.organisation.as_deref();
-        tables.count_arrival(&service.name, matched.combined, organisation, arrived);
-    }
+    let organisation = matched.organisation.as_deref();
+    tables.count_arrival(&service.name, matched.combined, organisation, arrived);
     Ok(Exchange {
         configuration: configuration.version,
         arrived,
