--- a/src/entry.rs
+++ b/src/entry.rs
@@ -1,6 +1,7 @@
 //! An entry host: reads the platform's log, serves callers and places layers on the
 //! engines.
 
+mod capacity_refresh;
 mod configuration_follower;
 mod follow_cursor;
 mod gateway_peers;
@@ -21,6 +22,7 @@
 mod suspect_targets;
 mod target_follower;
 mod target_starts;
+mod zone_balance;
 
 pub use follow_cursor::FollowCursor;
 pub use kept_records::KeptRecords;
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -9,6 +9,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 
+use crate::entry::capacity_refresh::refresh_capacity;
 use crate::entry::configuration_follower::follow_configuration;
 use crate::entry::log_copy::LogCopy;
 use crate::entry::permit_requests::permit_source;
@@ -18,6 +19,7 @@
 use crate::entry::relay_follower::follow_leader;
 use crate::entry::retry_share::{first_share, share_retries};
 use crate::entry::target_follower::{TargetTiming, follow_targets};
+use crate::entry::zone_balance::balance_zones;
 use crate::entry::{EntrySettings, LogRole, gateway_peers, peer_exchange};
 use crate::forward::{ServingTables, serve};
 use crate::peer::PeerError;
@@ -151,6 +153,8 @@
         peer_state.clone(),
         settings.bounds,
     ));
+    tokio::spawn(refresh_capacity(tables.clone(), peer_state.clone()));
+    tokio::spawn(balance_zones(tables.clone()));
     let address = peer_state.address();
     tokio::spawn(run_placement(
         tables.clone(),
--- a/src/fleet/path.rs
+++ b/src/fleet/path.rs
@@ -20,7 +20,7 @@
 /// its whole response only at its end, and half of it on average. If the requests still
 /// do not fit, the newest one is prefilled again, which makes it late but does not lose
 /// it.
-const MEMORY_OVERCOMMIT: f64 = 1.2;
+pub(crate) const MEMORY_OVERCOMMIT: f64 = 1.2;
 /// Random part of an engine's cost. Hosts learn of each other's requests some hundred
 /// milliseconds late; without the random part, all of them would choose the same engines
 /// in the meantime.
@@ -31,8 +31,13 @@
 /// once; a request sent to the same engine then waits for some 300 ms of its latency aim
 /// of 500 ms.
 const PREFILL_WEIGHT: f64 = 0.3;
-/// Cost of an engine whose memory is full, in milliseconds per event. Such an engine is
-/// used only if no other path exists.
+/// Part of an engine's slots that requests may take before a choice learns of them, at most:
+/// what a zone of 88 hosts sends to one first engine in half a second. The slots of an engine
+/// are taken to be scarce from the rest on, and each choice assumes a random part of it, so
+/// that hosts with the same late view do not all choose the same engine.
+const SLOT_SPREAD: f64 = 0.25;
+/// Cost of an engine whose memory is full, or that other hosts found ended, in milliseconds
+/// per event. Such an engine is used only if no other path exists.
 const FULL_ENGINE_MS: f64 = 1e4;
 
 /// One engine of a path and the layers that it runs.
@@ -78,7 +83,8 @@
 }
 
 /// Chooses the cheapest path within one availability zone, or across zones if no zone has
-/// a complete path. `draw` returns random numbers from 0 to 1.
+/// a complete path. Paths of the preferred zone, if there is one, cost nothing extra. `draw`
+/// returns random numbers from 0 to 1.
 pub fn choose_path<D>(
     members: &ServiceMembers,
     query: PathQuery<'_>,
@@ -97,23 +103,23 @@
     let local = local.filter(|state| *state.entry.zone == *query.zone);
     let local = local.collect::<Vec<_>>();
     let mut best = cheapest(&local, query, whole, now, &mut draw);
-    if best
-        .as_ref()
-        .is_some_and(|local| local.cost_ms <= REMOTE_ZONE_MS)
-    {
+    let is_cheap = |path: &EnginePath| path.cost_ms <= REMOTE_ZONE_MS;
+    if query.preferred_zone.is_none() && best.as_ref().is_some_and(is_cheap) {
         return best;
     }
-    for zone in remote_zones(&engines, query.zone) {
-        let Some(mut path) = cheapest(&zone, query, whole, now, &mut draw) else {
+    for (zone, engines) in remote_zones(&engines, query.zone) {
+        let Some(mut path) = cheapest(&engines, query, whole, now, &mut draw) else {
             continue;
         };
-        path.cost_ms += REMOTE_ZONE_MS;
+        if query.preferred_zone != Some(zone) {
+            path.cost_ms += REMOTE_ZONE_MS;
+        }
         if best.as_ref().is_none_or(|best| path.cost_ms < best.cost_ms) {
             best = Some(path);
         }
     }
     match best {
-        Some(path) if !path.full => Some(path),
+        Some(path) if !path.full && !has_ended(&path, members, now) => Some(path),
         found => cheapest(&engines, query, whole, now, &mut draw)
             .map(|mut path| {
                 path.cost_ms += REMOTE_ZONE_MS;
@@ -150,7 +156,7 @@
     let local = local.filter(|state| *state.entry.zone == *query.zone);
     let local = local.collect::<Vec<_>>();
     let part = match cheapest(&local, query, span, now, &mut draw) {
-        Some(part) if !part.full => Some(part),
+        Some(part) if !part.full && !has_ended(&part, members, now) => Some(part),
         found => cheapest(&engines, query, span, now, &mut draw).or(found),
     }?;
     let mut hops = path.hops.clone();
@@ -163,6 +169,12 @@
     })
 }
 
+/// Returns whether other hosts found an engine of a path ended.
+fn has_ended(path: &EnginePath, members: &ServiceMembers, now: Instant) -> bool {
+    let mut states = path.hops.iter().filter_map(|hop| members.get(&hop.target));
+    states.any(|state| state.is_reported_ended(now))
+}
+
 fn usable_engines<'a>(
     members: &'a ServiceMembers,
     query: PathQuery<'_>,
@@ -177,13 +189,16 @@
     members.values().filter(usable).collect()
 }
 
-/// Returns the engines of each other availability zone, in the order of the zones' names.
-fn remote_zones<'a>(engines: &[&'a TargetState], own: &str) -> Vec<Vec<&'a TargetState>> {
+/// Returns the engines of each other availability zone, by the zones' names.
+fn remote_zones<'a>(
+    engines: &[&'a TargetState],
+    own: &str,
+) -> BTreeMap<&'a ZoneId, Vec<&'a TargetState>> {
     let mut zones = BTreeMap::<&ZoneId, Vec<&TargetState>>::new();
     for engine in engines.iter().filter(|state| *state.entry.zone != *own) {
         zones.entry(&engine.entry.zone).or_default().push(engine);
     }
-    zones.into_values().collect()
+    zones
 }
 
 /// The cost of an engine for a request, for any of its layers.
@@ -228,14 +243,20 @@
     let need = query.size.tokens() * f64::from(range.width());
     let fill_level = (load.reserved + need) / (capacity * MEMORY_OVERCOMMIT).max(1.0);
     let full = fill_level > 1.0 || state.is_full(now);
+    // Not `full`, since a request whose every path is full is refused.
+    let avoided = full || state.is_reported_ended(now);
     let unread = load.unread + f64::from(query.size.prompt) * f64::from(range.width());
     let read_ms =
         unread / layers * kind.read_factor * state.pace(now) * 1000.0 / model.read_per_s.max(1.0);
     let wait = state.permit_wait(now).max(state.remaining_pause(now));
     let wait_ms = wait.as_secs_f64() * 1000.0;
-    let slot_wait_ms = match range.from {
-        0 => slot_wait_ms(model, others),
-        _ => 0.0,
+    let unseen = f64::from(model.slots) * SLOT_SPREAD * draw;
+    let (slot_wait_ms, expected_slot_wait_ms) = match range.from {
+        0 => (
+            slot_wait_ms(model, others),
+            slot_wait_ms(model, others + unseen),
+        ),
+        _ => (0.0, 0.0),
     };
     let crowding_ms = fill_level.min(1.0).powi(4) * pass_ms;
     Some(EngineCost {
@@ -244,8 +265,9 @@
         hop_ms: (HOP_MS
             + 0.5 * pass_ms
             + crowding_ms
-            + PREFILL_WEIGHT * (read_ms + wait_ms + slot_wait_ms)
-            + if full { FULL_ENGINE_MS } else { 0.0 })
+            + PREFILL_WEIGHT * (read_ms + wait_ms)
+            + expected_slot_wait_ms
+            + if avoided { FULL_ENGINE_MS } else { 0.0 })
             * (1.0 + COST_SPREAD * draw),
         layer_ms: stride * step_ms / layers,
         first_event_ms: pass_ms + read_ms + wait_ms + slot_wait_ms,
--- a/src/forward/attempt_policy.rs
+++ b/src/forward/attempt_policy.rs
@@ -40,15 +40,24 @@
         started: bool,
     ) -> Result<ChosenTarget, Refusal> {
         let now = Instant::now();
+        self.clear_hold();
         self.tables
             .check_poison(&self.suspects, &self.outgoing.id, now)?;
         let chosen = self.choose_with_pause(avoid, Duration::ZERO, now);
         let no_route = || Refusal::not_run(RefusalReason::NoRoute, NO_ROUTE_RETRY);
         let chosen = chosen.ok_or_else(no_route)?;
         let full = chosen.path.as_ref().is_some_and(|path| path.full);
+        let decided = match started {
+            true => None,
+            false => self.decide_start(&chosen, now),
+        };
+        if let Some(decided) = decided {
+            return decided.map(|()| chosen);
+        }
         // A stream that has begun continues even if it has to wait for room: cutting it
         // would waste the work done, and its caller would start over.
         if full && !started {
+            self.record_capacity_refusal(None);
             let after = self.tables.count_refusal(now);
             return Err(Refusal::not_run(RefusalReason::NoRoom, after));
         }
@@ -63,12 +72,22 @@
         max_pause: Duration,
         now: Instant,
     ) -> Option<ChosenTarget> {
+        let (service, zone) = (&self.service.name, &self.tables.zone);
+        let balance = self.tables.balance.load();
+        // One draw serves all choices of the first attempt. After a failure the other zone may
+        // be cut off.
+        let draw = || *self.zone_draw.get_or_init(rand::random);
+        let preferred_zone = match avoid.is_empty() {
+            true => balance.preferred_zone(service, zone, now, draw),
+            false => None,
+        };
         let query = ChoiceQuery {
             service: &self.service,
-            zone: &self.tables.zone,
+            zone,
             size: self.size,
             avoid,
             max_pause,
+            preferred_zone,
         };
         let fleet = self.tables.fleet.lock();
         choice::choose(&fleet, query, now, rand::random)
@@ -81,12 +100,26 @@
         chosen: ChosenTarget,
         tried: usize,
     ) -> (ChosenTarget, InFlightGuard) {
-        self.tables.count_start(Instant::now());
+        let now = Instant::now();
+        self.tables.count_start(now);
+        self.record_start(now);
+        self.count_zone(&chosen);
         self.log_route(&chosen, tried);
         let guard = InFlightGuard::open(self.tables.clone(), chosen.loads());
         (chosen, guard)
     }
 
+    /// Counts why an attempt goes to another zone, or stays although it was drawn for one.
+    fn count_zone(&self, chosen: &ChosenTarget) {
+        let metrics = &self.tables.metrics;
+        match &chosen.preferred_zone {
+            Some(preferred) if chosen.zone == *preferred => metrics.zone_chosen("drawn"),
+            Some(_) => metrics.zone_chosen("drawn_elsewhere"),
+            None if chosen.zone != self.tables.zone => metrics.zone_chosen("cheaper"),
+            None => {}
+        }
+    }
+
     /// Logs the target of an attempt and the facts that decided on it.
     pub(super) fn log_route(&self, chosen: &ChosenTarget, tried: usize) {
         let path = chosen.path.as_ref();
@@ -100,6 +133,9 @@
             target_id:% = chosen.id,
             path:% = path.map(order::path_value).unwrap_or_default(),
             cost_ms = path.map_or(0, |path| path.cost_ms as u64),
+            expected_ms = path.map_or(0, |path| path.first_event_ms as u64),
+            zone:% = chosen.zone,
+            preferred_zone:% = chosen.preferred_zone.as_deref().unwrap_or("none"),
             tokens = chosen.size.tokens() as u64,
             parts:% = self.prompt_parts.join(","),
             tried = tried,
@@ -245,9 +281,10 @@
     }
 
     pub(super) fn observe_success(&self, chosen: &ChosenTarget) {
+        let now = Instant::now();
         let mut fleet = self.tables.fleet.lock();
         for (id, _) in chosen.loads() {
-            fleet.observe_success(&id);
+            fleet.observe_success(&id, now);
         }
     }
 
@@ -287,6 +324,18 @@
             _ => fleet.observe_failure(&id, now),
         };
         drop(fleet);
+        let is_paused = failure.is_some_and(|failure| failure.paused_until.is_some());
+        match cause {
+            Some(FailureCause::Connect | FailureCause::Unreachable) => {
+                self.tables.report_ended(&id, now);
+            }
+            // The engine that responded names another one of the path. One that requests a
+            // pause has not ended.
+            Some(FailureCause::Refused) if id != chosen.id && !is_paused => {
+                self.tables.report_ended(&id, now);
+            }
+            _ => {}
+        }
         let name = cause.map_or("answered_failure", FailureCause::name);
         self.tables.metrics.attempt_failed(name);
         if ejected_until.is_some() {
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -1,7 +1,7 @@
 //! Handles one request of a caller, from its head to the response.
 
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -9,7 +9,9 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use parking_lot::Mutex;
 
+use super::admission_wait::StartProgress;
 use super::attempt::{AttemptFailure, FailureCause, OutgoingRequest};
 use super::choice::{self, ChosenTarget};
 use super::head::{CallerHead, forwarded, request_size, shared_parts};
@@ -48,12 +50,17 @@
     /// Ids of the parts of the prompt that other requests may share.
     pub(super) prompt_parts: Vec<String>,
     pub(super) size: RequestSize,
+    /// Random number from 0 to 1 that decides whether the request is sent to another zone;
+    /// set once this host's zone sends requests away.
+    pub(super) zone_draw: OnceLock<f64>,
     /// Version of the configuration that matched the request.
     pub(super) configuration: u64,
     /// When the head of the request was received.
     pub(super) arrived: Instant,
     /// The earlier of the caller's deadline and the route's timeout.
     pub(super) deadline: Instant,
+    /// What has been decided about its start.
+    pub(super) start: Mutex<StartProgress>,
 }
 
 /// Handles a caller's request and returns its response.
@@ -178,15 +185,16 @@
         .as_ref()
         .map(|model| request_size(&parts.headers, model));
     if service.engine.is_some() {
-        headers.insert(
-            names::URGENCY_CLASS,
-            HeaderValue::from(u16::from(matched.priority.min(9))),
-        );
+        let class = tables.urgency_class(&configuration, &service.name, &matched);
+        headers.insert(names::URGENCY_CLASS, HeaderValue::from(u16::from(class)));
     }
     tables.count_request(&service.name, arrived);
+    let organisation = matched.organisation.as_deref();
+    tables.count_arrival(&service.name, matched.combined, organisation, arrived);
     Ok(Exchange {
         configuration: configuration.version,
         arrived,
+        start: Mutex::default(),
         outgoing: OutgoingRequest {
             id: head.id.clone(),
             method: parts.method,
@@ -208,6 +216,7 @@
         service,
         suspects,
         prompt_parts,
+        zone_draw: OnceLock::new(),
         tables,
     })
 }
@@ -234,6 +243,7 @@
     exchange: Arc<Exchange>,
     in_flight_request: InFlightRequest,
 ) -> Result<Response<ResponseBody>, Refusal> {
+    exchange.record_arrival();
     let mut tried = TriedTargets::default();
     let mut failed_response = None;
     loop {
--- a/src/forward/tables.rs
+++ b/src/forward/tables.rs
@@ -13,10 +13,12 @@
 use super::gateway_link::{GatewayPeers, WitnessCell};
 use super::liveness::LivenessTable;
 use super::permits::PermitSource;
+use crate::admission::start::StartTable;
 use crate::admission::{ConnectionGate, OverloadGauge, ZoneLoad};
-use crate::capacity::CapacityView;
+use crate::balance::{BalanceEvent, BalanceTable};
+use crate::capacity::{CapacityView, DemandTable};
 use crate::collections::FastMap;
-use crate::fleet::{EngineReport, FleetTable, TargetLoad, TargetState, target_key};
+use crate::fleet::{EndedTarget, EngineReport, FleetTable, TargetLoad, TargetState, target_key};
 use crate::gateway::GatewayTable;
 use crate::ids::TargetId;
 use crate::ids::{HostId, ServiceId, ZoneId};
@@ -24,7 +26,7 @@
 use crate::metrics::ServingMetrics;
 use crate::permits::{LimitTable, PermitIssuer, PermitPool};
 use crate::poison::PoisonTable;
-use crate::reachability::ReachabilityTable;
+use crate::reachability::{ReachabilityTable, TargetWay};
 use crate::retry::{WindowBudget, WindowSettings};
 
 /// A report and the time at which it was received. The lock admits one request at a time.
@@ -43,6 +45,10 @@
     pub configuration: ArcSwapOption<IngressConfiguration>,
     /// Capacity and demand of all services, as last computed.
     pub capacity: ArcSwap<CapacityView>,
+    /// Demand of the callers of this host, and of other hosts as they report it.
+    pub demand: Mutex<DemandTable>,
+    /// The shares of the zones' requests that go to other zones.
+    pub balance: ArcSwap<BalanceTable>,
     /// The targets.
     pub fleet: Mutex<FleetTable>,
     /// Set once the process is shutting down.
@@ -56,6 +62,8 @@
     /// Number of requests completed since the start.
     pub completed: AtomicUsize,
     overload: Mutex<OverloadGauge>,
+    /// Ranks of services, and the requests that wait to start.
+    pub(super) start: Mutex<StartTable>,
     gate: Mutex<ConnectionGate>,
     /// Number of other live hosts of the zone.
     neighbours: AtomicUsize,
@@ -93,6 +101,8 @@
             metrics: ServingMetrics::default(),
             configuration: ArcSwapOption::empty(),
             capacity: ArcSwap::default(),
+            demand: Mutex::default(),
+            balance: ArcSwap::default(),
             fleet: Mutex::default(),
             draining: AtomicBool::new(false),
             closing: AtomicBool::new(false),
@@ -100,6 +110,7 @@
             in_flight: AtomicUsize::new(0),
             completed: AtomicUsize::new(0),
             overload: Mutex::default(),
+            start: Mutex::default(),
             gate: Mutex::default(),
             neighbours: AtomicUsize::new(0),
             budgets: Mutex::default(),
@@ -138,6 +149,57 @@
         budget.count_request(settings, now);
     }
 
+    /// Counts the arrival of a request, whether or not it is refused later.
+    pub fn count_arrival(
+        &self,
+        service: &ServiceId,
+        priority: u8,
+        organisation: Option<&str>,
+        now: Instant,
+    ) {
+        let mut demand = self.demand.lock();
+        demand
+            .own
+            .count_arrival(service, priority, organisation, now);
+    }
+
+    /// Counts a request that was refused for want of capacity.
+    pub fn count_capacity_refusal(&self, service: &ServiceId, priority: u8, now: Instant) {
+        let mut demand = self.demand.lock();
+        demand.own.count_capacity_refusal(service, priority, now);
+    }
+
+    /// Sets the number of requests that wait at this host to be started.
+    pub fn set_waiting(&self, service: &ServiceId, priority: u8, waiting: u32, now: Instant) {
+        let mut demand = self.demand.lock();
+        demand.own.set_waiting(service, priority, waiting, now);
+    }
+
+    /// Reports to other hosts that a target accepts no connections or was named at fault.
+    /// A host that has lost its own links knows nothing about the target.
+    pub(super) fn report_ended(&self, target: &TargetId, now: Instant) {
+        if self.is_isolated() || self.way(target) == TargetWay::Gateway {
+            return;
+        }
+        let is_new = self.fleet.lock().report_ended(target, now);
+        if is_new {
+            self.metrics.end_reported("own");
+            log::info!(target_id:% = target; "target reported as ended");
+        }
+    }
+
+    /// Records which targets another host reports as ended.
+    pub fn observe_ended(&self, reports: &[EndedTarget], source: &HostId, now: Instant) {
+        if reports.is_empty() {
+            return;
+        }
+        let avoided = self.fleet.lock().observe_ended(reports, now);
+        for target in avoided {
+            self.metrics.end_reported("received");
+            log::info!(target_id:% = target, source:% = source; "target ended at other hosts");
+        }
+    }
+
     /// Sets this host's share of the retries.
     pub fn set_budget(&self, settings: WindowSettings) {
         *self.budget_settings.lock() = settings;
@@ -198,6 +260,21 @@
         }
     }
 
+    /// Moves the shares of the zones' requests one step towards those that the capacity
+    /// calls for, and sets the metrics. Returns what to report; only one task may call it.
+    pub fn update_balance(&self, now: Instant) -> Vec<BalanceEvent> {
+        let mut balance = BalanceTable::clone(&self.balance.load());
+        let events = balance.update(&self.capacity.load(), &self.zone, now);
+        let flows = balance.services();
+        let flows =
+            flows.flat_map(|(service, flows)| flows.iter().map(move |flow| (service, flow)));
+        let sent = flows.filter(|(_, flow)| flow.from == self.zone);
+        let sent = sent.map(|(service, flow)| (&**service, &*flow.to, flow.share));
+        self.metrics.set_zone_shares(sent);
+        self.balance.store(Arc::new(balance));
+        events
+    }
+
     pub(super) fn report_cell(&self, target: &TargetId) -> ReportCell {
         self.reports
             .lock()
--- a/src/metrics/serving.rs
+++ b/src/metrics/serving.rs
@@ -1,19 +1,24 @@
 //! The metrics of an entry host on the users' platform.
 
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use prometheus_client::encoding::text;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Registry, Unit};
 
-use super::labels::{CauseLabel, ReasonLabel};
+use super::capacity_gauges::CapacityGauges;
+use super::labels::{CauseLabel, ReasonLabel, ZoneLabels};
 use super::set::{PREFIX, latency_histogram};
+use crate::capacity::CapacityView;
 use crate::reason::RefusalReason;
 
-/// Counters and histograms of one entry host. Every label value is a constant in the
-/// code, so that the number of series is bounded.
+/// Counters, gauges and histograms of one entry host. Label values are constants in the code,
+/// so that the number of series is bounded; only the gauges of capacity and the shares of
+/// zones name the services, zones and priorities of the last view.
 #[derive(Debug)]
 pub struct ServingMetrics {
     registry: Registry,
@@ -35,6 +40,12 @@
     gateway_uses: Family<CauseLabel, Counter>,
     gateway_requests: Family<CauseLabel, Counter>,
     closed_unread: Family<CauseLabel, Counter>,
+    end_reports: Family<CauseLabel, Counter>,
+    capacity: CapacityGauges,
+    start_decisions: Family<CauseLabel, Counter>,
+    zone_choices: Family<CauseLabel, Counter>,
+    zone_shares: Family<ZoneLabels, Gauge<f64, AtomicU64>>,
+    starts_waiting: Gauge,
     first_event: Histogram,
     between_events: Histogram,
     whole_request: Histogram,
@@ -63,6 +74,12 @@
             gateway_uses: Family::default(),
             gateway_requests: Family::default(),
             closed_unread: Family::default(),
+            end_reports: Family::default(),
+            capacity: CapacityGauges::default(),
+            start_decisions: Family::default(),
+            zone_choices: Family::default(),
+            zone_shares: Family::default(),
+            starts_waiting: Gauge::default(),
             first_event: latency_histogram(),
             between_events: latency_histogram(),
             whole_request: latency_histogram(),
@@ -70,6 +87,7 @@
         };
         metrics.register_counters();
         metrics.register_times();
+        metrics.capacity.register(&mut metrics.registry);
         for reason in RefusalReason::ALL.map(RefusalReason::name) {
             drop(metrics.refusals.get_or_create(&ReasonLabel { reason }));
         }
@@ -161,6 +179,21 @@
                 "Connections of callers closed before a request was read, by cause",
                 &self.closed_unread,
             ),
+            (
+                "end_reports",
+                "Targets reported to other hosts as ended, or reported by them, by source",
+                &self.end_reports,
+            ),
+            (
+                "start_decisions",
+                "Decisions about requests of services with several priorities, by result",
+                &self.start_decisions,
+            ),
+            (
+                "zone_choices",
+                "Attempts that were sent to another zone, or drawn for one, by cause",
+                &self.zone_choices,
+            ),
         ];
         for (name, help, family) in families {
             self.registry.register(name, help, family.clone());
@@ -168,6 +201,12 @@
         let refusals = self.refusals.clone();
         self.registry
             .register("refusals", "Refusals by reason", refusals);
+        let shares = self.zone_shares.clone();
+        let help = "Share of the requests of this host's zone that goes to another zone";
+        self.registry.register("zone_share", help, shares);
+        let waiting = self.starts_waiting.clone();
+        let help = "Requests that wait for room before they start";
+        self.registry.register("starts_waiting", help, waiting);
     }
 
     fn register_times(&mut self) {
@@ -295,6 +334,44 @@
         count(&self.closed_unread, "overloaded");
     }
 
+    /// Counts a report that a target has ended, by its source.
+    pub fn end_reported(&self, source: &'static str) {
+        count(&self.end_reports, source);
+    }
+
+    /// Sets the gauges of capacity and demand.
+    pub fn capacity_known(&self, view: &CapacityView) {
+        self.capacity.set(view);
+    }
+
+    /// Counts a decision about the start of a request whose service has several priorities.
+    pub fn start_decided(&self, result: &'static str) {
+        count(&self.start_decisions, result);
+    }
+
+    /// Counts an attempt that goes to another zone or was drawn for one.
+    pub fn zone_chosen(&self, cause: &'static str) {
+        count(&self.zone_choices, cause);
+    }
+
+    /// Replaces the shares of the requests that go to other zones, by service and zone.
+    pub fn set_zone_shares<'a, I>(&self, shares: I)
+    where
+        I: Iterator<Item = (&'a str, &'a str, f64)>,
+    {
+        self.zone_shares.clear();
+        for (service, zone, share) in shares {
+            let (service, zone) = (service.to_owned(), zone.to_owned());
+            let labels = ZoneLabels { service, zone };
+            self.zone_shares.get_or_create(&labels).set(share);
+        }
+    }
+
+    /// Sets the number of requests that wait for room before they start.
+    pub fn starts_waiting(&self, waiting: usize) {
+        self.starts_waiting.set(waiting as i64);
+    }
+
     /// Observes a call to the log service, or counts an error if the call failed.
     pub fn store_called(&self, topic: &'static str, took: Duration, succeeded: bool) {
         match succeeded {
--- a/src/poison/record.rs
+++ b/src/poison/record.rs
@@ -18,8 +18,12 @@
 const MAX_ENDS: usize = ENDS_TO_REFUSE + REFUSAL_TIMES.len() - 1;
 /// Maximum number of ends that are remembered for a part, and of one target among them: many
 /// requests on a target may have the same part.
-const MAX_PART_ENDS: usize = 8;
+pub(super) const MAX_PART_ENDS: usize = 8;
 const MAX_PART_ENDS_OF_TARGET: usize = 2;
+/// Maximum number of ends of a part that no target survived. Eight may be of four targets,
+/// less than a third of those that two poison parts can end before they are told apart. Only
+/// [`MAX_LONG_RECORDS`](super::table::MAX_LONG_RECORDS) parts have more than the others.
+const MAX_SUSPECTED_PART_ENDS: usize = 24;
 /// Time for which a request is refused after the last target that ended under it, indexed
 /// by the number of targets beyond [`ENDS_TO_REFUSE`]. For a part, indexed by the number of
 /// further tries that ended a target.
@@ -103,12 +107,29 @@
         self.last().is_none_or(|last| now >= last + expiry)
     }
 
-    /// Adds an end; returns whether the record has changed.
-    pub(super) fn observe_end(&mut self, suspect: SuspectKey, end: TargetEnd) -> bool {
+    /// Returns whether the record holds as many ends as most parts may have.
+    pub(super) fn is_full(&self) -> bool {
+        self.ends.len() >= MAX_PART_ENDS
+    }
+
+    /// Returns whether the record holds more ends than that.
+    pub(super) fn is_long(&self) -> bool {
+        self.ends.len() > MAX_PART_ENDS
+    }
+
+    /// Adds an end; returns whether the record has changed. `may_grow` states whether a part
+    /// that no target survived may have more ends than others.
+    pub(super) fn observe_end(
+        &mut self,
+        suspect: SuspectKey,
+        end: TargetEnd,
+        may_grow: bool,
+    ) -> bool {
         if self.survived.is_some_and(|survived| end.at <= survived) {
             return false;
         }
         let max_ends = match is_part(suspect) {
+            true if may_grow && self.survived.is_none() => MAX_SUSPECTED_PART_ENDS,
             true => MAX_PART_ENDS,
             false => MAX_ENDS,
         };
@@ -137,6 +158,18 @@
         }
     }
 
+    /// Returns whether the record lists an observation, so that it changes nothing.
+    pub(super) fn lists(&self, event: PoisonEvent, at: Instant) -> bool {
+        let limit = at.checked_sub(TIME_TOLERANCE).unwrap_or(at);
+        match event {
+            PoisonEvent::Ended(source) => {
+                let mut ends = self.ends.iter();
+                ends.any(|end| end.source == source && end.at >= limit)
+            }
+            PoisonEvent::Survived => false,
+        }
+    }
+
     /// Returns whether no further end of the same target under a part is remembered.
     fn has_enough_ends_of(&self, source: u64) -> bool {
         let target = short_target(source);
@@ -181,7 +214,20 @@
         self.end_evidence(suspect, now).chain(survived).collect()
     }
 
-    pub(super) fn end_evidence(
+    /// Returns the evidence of the newest ends, at most `count`.
+    pub(super) fn newest_end_evidence(
+        &self,
+        suspect: SuspectKey,
+        count: usize,
+        now: Instant,
+    ) -> Vec<PoisonEvidence> {
+        let mut evidence = self.end_evidence(suspect, now).collect::<Vec<_>>();
+        evidence.sort_by_key(|item| item.age);
+        evidence.truncate(count);
+        evidence
+    }
+
+    fn end_evidence(
         &self,
         suspect: SuspectKey,
         now: Instant,
--- a/src/poison/table.rs
+++ b/src/poison/table.rs
@@ -1,5 +1,6 @@
 //! The table of targets that ended under requests, which decides what is refused.
 
+use std::sync::OnceLock;
 use std::time::{Duration, Instant};
 
 use super::end_source::short_target;
@@ -8,7 +9,8 @@
 use super::recent_ends::RecentEnds;
 use super::record::{ENDS_TO_REFUSE, PoisonRecord, TargetEnd};
 use super::survivors::RecentSurvivors;
-use crate::collections::FastMap;
+use super::suspect_index::SuspectIndex;
+use crate::collections::{FastMap, FastSet};
 use crate::delta_sync::DeltaProgress;
 use crate::ids::{RequestKey, SuspectKey, TargetKey};
 
@@ -16,6 +18,8 @@
 /// requests at once, so that all that ran on one fit beside 64 refused requests. A record
 /// takes 64 bytes and 24 for each end, at most 131 KB in all, whatever the size of the fleet.
 const MAX_RECORDS: usize = 256;
+/// Maximum number of parts of which more ends are remembered than of others, 3 KB in all.
+pub(super) const MAX_LONG_RECORDS: usize = 8;
 /// Time for which a survived request is not suspected. Requests that many callers send
 /// alike, for a status or a price list, come several times a second.
 const RECENT_TIME: Duration = Duration::from_secs(10);
@@ -55,6 +59,10 @@
     pub(super) progress: DeltaProgress,
     pub(super) survivors: RecentSurvivors,
     pub(super) recent: RecentEnds,
+    /// When this host first observed the survival of a part, or heard of one.
+    pub(super) first_survival: Option<Instant>,
+    /// Built when a decision first needs it after a record of a part has changed.
+    pub(super) index: OnceLock<SuspectIndex>,
 }
 
 /// A change that the platform's log lacks.
@@ -77,7 +85,7 @@
     fn is_refused(&self, suspect: SuspectKey, now: Instant) -> bool {
         let record = self.records.get(&suspect);
         record.is_some_and(|record| match is_part(suspect) {
-            true => record.is_poison_part(&self.recent, now),
+            true => record.is_poison_part(self.part_context(), now),
             false => record.is_poison(now),
         })
     }
@@ -116,25 +124,38 @@
     /// Merges evidence from other hosts or the log and returns the requests and parts
     /// that are refused from now on.
     pub fn merge(&mut self, evidence: &[PoisonEvidence], now: Instant) -> Vec<SuspectKey> {
-        let mut refused = Vec::new();
+        let at = |item: &PoisonEvidence| now.checked_sub(item.age).unwrap_or(now);
+        let mut refused_before = FastMap::default();
         for item in evidence {
-            let before = self.is_refused(item.suspect, now);
-            let at = now.checked_sub(item.age).unwrap_or(now);
-            self.observe(item.suspect, item.event, at, now);
-            if !before && self.is_refused(item.suspect, now) {
-                refused.push(item.suspect);
+            let record = self.records.get(&item.suspect);
+            let is_known = record.is_some_and(|record| record.lists(item.event, at(item)));
+            if !is_known && !refused_before.contains_key(&item.suspect) {
+                let refused = self.is_refused(item.suspect, now);
+                refused_before.insert(item.suspect, refused);
             }
         }
-        refused
+        let mut changed = Vec::new();
+        let mut listed = FastSet::default();
+        for item in evidence {
+            let has_changed = self.observe(item.suspect, item.event, at(item), now);
+            if has_changed && listed.insert(item.suspect) {
+                changed.push(item.suspect);
+            }
+        }
+        changed.retain(|suspect| {
+            refused_before.get(suspect) != Some(&true) && self.is_refused(*suspect, now)
+        });
+        changed
     }
 
+    /// Adds an observation; returns whether the record of the request or part has changed.
     pub(super) fn observe(
         &mut self,
         suspect: SuspectKey,
         event: PoisonEvent,
         at: Instant,
         now: Instant,
-    ) {
+    ) -> bool {
         if !self.records.contains_key(&suspect) {
             self.make_room(is_part(suspect), now);
         }
@@ -142,18 +163,40 @@
             PoisonEvent::Ended(_) if is_part(suspect) => self.survivors.last(suspect),
             _ => None,
         };
+        if event == PoisonEvent::Survived && is_part(suspect) {
+            self.first_survival.get_or_insert(now);
+        }
         if let PoisonEvent::Ended(source) = event {
             self.recent.observe(short_target(source), at);
         }
+        let may_grow = self.may_grow(suspect);
         let record = self.records.entry(suspect).or_default();
         let survival_changed = known_survival.is_some_and(|at| record.observe_survival(at));
         let changed = match event {
-            PoisonEvent::Ended(source) => record.observe_end(suspect, TargetEnd { source, at }),
+            PoisonEvent::Ended(source) => {
+                record.observe_end(suspect, TargetEnd { source, at }, may_grow)
+            }
             PoisonEvent::Survived => record.observe_survival(at),
         };
         if changed || survival_changed {
             self.version += 1;
             record.changed = self.version;
+            if is_part(suspect) {
+                self.index.take();
+            }
+        }
+        changed || survival_changed
+    }
+
+    /// Returns whether the record of a part may hold more ends than most.
+    fn may_grow(&self, suspect: SuspectKey) -> bool {
+        match self.records.get(&suspect) {
+            Some(record) if record.is_long() => true,
+            Some(record) if record.is_full() => {
+                let long = self.records.values().filter(|record| record.is_long());
+                long.count() < MAX_LONG_RECORDS
+            }
+            _ => false,
         }
     }
 
@@ -169,6 +212,7 @@
         if self.records.len() < MAX_RECORDS || count(&self.records) < MAX_RECORDS {
             return;
         }
+        self.index.take();
         // A record that the log still lists has to be removed from the log first.
         self.records
             .retain(|_, record| record.in_log > 0 || !record.has_expired(now));
@@ -196,7 +240,7 @@
         let records = self.records.iter();
         let required = records.map(|(suspect, record)| {
             let required = match is_part(*suspect) {
-                true => record.required_part_in_log(&self.recent, now),
+                true => record.required_part_in_log(self.part_context(), now),
                 false => record.required_in_log(now),
             };
             (suspect, record, required)
@@ -206,7 +250,7 @@
             suspect: *suspect,
             ends: match required {
                 0 => Vec::new(),
-                _ => record.end_evidence(*suspect, now).collect(),
+                _ => record.newest_end_evidence(*suspect, required, now),
             },
         });
         let mut changes = changes.collect::<Vec<_>>();
--- a/tests/forwarding/main.rs
+++ b/tests/forwarding/main.rs
@@ -1,5 +1,6 @@
 //! Tests the data path against targets that fail in various ways.
 
+mod ended;
 mod gateway;
 mod host;
 mod leaving;
@@ -7,6 +8,7 @@
 mod moves;
 mod pauses;
 mod poison;
+mod starts;
 mod stub_target;
 mod unframed;
 
