--- a/src/admission/start/decision.rs
+++ b/src/admission/start/decision.rs
@@ -87,7 +87,7 @@
     PathFull,
     /// The expected first event would endanger the objective of more urgent ranks.
     ExpectedLate,
-    /// The free capacity is kept for more urgent ranks.
+    /// The free capacity is kept for more urgent ranks, or a more urgent request waits for it.
     Headroom,
     /// The host holds as many waiting requests as it may.
     QueueFull,
@@ -155,10 +155,10 @@
         .map_or(0.0, |zone| headroom(request, rank, zone, context.home));
     let free = context.zone.map(|zone| zone.concurrent - zone.in_flight);
     let limit = expected_limit(request, rank, context);
-    let is_free = request.is_admitted || rank == 0;
+    let skips_headroom = request.is_admitted || rank == 0;
     let (verdict, by_floor) = match path.full {
         true => (hold_full(request, rank), false),
-        false if is_free => (StartVerdict::Start, false),
+        false if skips_headroom => (StartVerdict::Start, false),
         false => {
             let is_late = limit.is_some_and(|limit| path.first_event > limit);
             let is_short =
--- a/src/admission/start/queue.rs
+++ b/src/admission/start/queue.rs
@@ -31,7 +31,7 @@
     pub deadline: Instant,
 }
 
-/// Waiting requests by rank, then organisation, then deadline.
+/// Waiting requests by rank, then organisation, then latency objective and deadline.
 #[derive(Debug, Clone, Default)]
 pub struct StartQueue {
     waiting: BTreeMap<WaitTicket, WaitingRequest>,
--- a/src/fleet/path.rs
+++ b/src/fleet/path.rs
@@ -32,9 +32,9 @@
 /// of 500 ms.
 const PREFILL_WEIGHT: f64 = 0.3;
 /// Part of an engine's slots that requests may take before a choice learns of them, at most:
-/// what a zone of 88 hosts sends to one first engine in half a second. The slots of an engine
-/// are taken to be scarce from the rest on, and each choice assumes a random part of it, so
-/// that hosts with the same late view do not all choose the same engine.
+/// what a zone of 88 hosts sends to one first engine in half a second. The wait for a slot
+/// counts from 0.75 of the slots on, and each choice adds a random part of the other quarter,
+/// so that hosts with the same late view do not all choose the same engine.
 const SLOT_SPREAD: f64 = 0.25;
 /// Cost of an engine whose memory is full, or that other hosts found ended, in milliseconds
 /// per event. Such an engine is used only if no other path exists.
--- a/src/forward/admission_wait.rs
+++ b/src/forward/admission_wait.rs
@@ -16,7 +16,7 @@
 use crate::ingress::{IngressConfiguration, MatchedRequest};
 use crate::reason::RefusalReason;
 
-/// Time between two attempts to find room for a waiting request. Four attempts fit into an
+/// Time between two attempts to find room for a waiting request. Five attempts fit into an
 /// eighth of an objective of 500 ms.
 const RETRY_INTERVAL: Duration = Duration::from_millis(12);
 /// Part of the route's timeout below which the time that a caller has left shows that it
