--- a/src/admission/start.rs
+++ b/src/admission/start.rs
@@ -1,7 +1,8 @@
-//! Decides which requests of a service whose callers have different priorities start, wait
+//! Decides which requests of a service whose routes have different priorities start, wait
 //! or are refused.
 //!
-//! The most urgent rank starts whenever a path has room. A less urgent rank starts while
+//! A rank is the priority of the organisation first and that of the route second. Among
+//! organisations of one priority, the most urgent rank starts whenever a path has room. A less urgent rank starts while
 //! the expected first event of its path is well within the objective of the ranks above
 //! it, and while headroom for their demand stays free. [`RankFloors`] keeps any rank from
 //! being refused altogether, and [`StartQueue`] orders the requests that wait.
--- a/src/capacity/demand_counter.rs
+++ b/src/capacity/demand_counter.rs
@@ -95,7 +95,7 @@
         }
     }
 
-    /// Counts a request that was refused for want of capacity.
+    /// Counts a request that was refused for lack of capacity.
     pub fn count_capacity_refusal(&mut self, service: &ServiceId, priority: u8, now: Instant) {
         let part = self.part(now);
         let service = self.key(service);
--- a/src/capacity/demand_report.rs
+++ b/src/capacity/demand_report.rs
@@ -34,7 +34,7 @@
     pub priority: u8,
     /// Requests that arrive in a second, refused ones included.
     pub arrivals_per_s: f64,
-    /// Requests that are refused in a second for want of capacity.
+    /// Requests that are refused in a second for lack of capacity.
     pub refused_per_s: f64,
     /// Requests that wait to be started.
     pub waiting: u32,
--- a/src/fleet/ended.rs
+++ b/src/fleet/ended.rs
@@ -7,15 +7,15 @@
 /// Age at which a report is no longer passed on.
 const REPORT_LIFETIME: Duration = Duration::from_secs(2);
 /// Most targets that are reported. An end takes down three or four targets at a time, and
-/// a report takes ten bytes.
+/// a report takes 13 bytes.
 const MAX_REPORTS: usize = 32;
 /// Difference of their moments up to which two reports of a target are the same one. A
 /// report gets younger by the time that a message takes, at most 0.6 s, and must not be
 /// renewed by the hosts that return it.
 const SAME_REPORT: Duration = Duration::from_millis(600);
 /// Time for which a target that other hosts found ended is avoided, from that moment.
-/// Hosts learn of it within about half a second, and the log lists it no more, or lists
-/// its next start, soon after.
+/// Hosts learn of it within about half a second. Soon after, the log no longer lists the
+/// target, or lists its next start.
 pub(super) const ENDED_PAUSE: Duration = Duration::from_secs(1);
 
 /// A target that a host found ended.
--- a/src/forward/admission_wait.rs
+++ b/src/forward/admission_wait.rs
@@ -66,7 +66,7 @@
         }
     }
 
-    /// Counts a refusal for want of capacity. `reason` is `None` for a service whose
+    /// Counts a refusal for lack of capacity. `reason` is `None` for a service whose
     /// requests all have the same priority.
     pub(super) fn record_capacity_refusal(&self, reason: Option<HoldReason>) {
         if let Some(reason) = reason {
--- a/src/forward/tables.rs
+++ b/src/forward/tables.rs
@@ -163,7 +163,7 @@
             .count_arrival(service, priority, organisation, now);
     }
 
-    /// Counts a request that was refused for want of capacity.
+    /// Counts a request that was refused for lack of capacity.
     pub fn count_capacity_refusal(&self, service: &ServiceId, priority: u8, now: Instant) {
         let mut demand = self.demand.lock();
         demand.own.count_capacity_refusal(service, priority, now);
--- a/src/metrics/capacity_gauges.rs
+++ b/src/metrics/capacity_gauges.rs
@@ -71,7 +71,7 @@
             ),
             (
                 "demand_refusals_per_second",
-                "Requests that a zone's hosts refuse in a second for want of capacity",
+                "Requests that a zone's hosts refuse in a second for lack of capacity",
                 &self.refusals,
             ),
             (
