Show what each host may retry, what it has spent and how many hosts it counts

Cause: no line or metric told whether repeats beyond the bound come from restarts, from a divisor that is too small, or from attempts that no budget counts.

Change: the budgets of services move from the tables to forward::retry_budgets; lines share of retries and no retry left; counter retry_decisions; gauges retries_spent, retries_allowed and retry_hosts. No change of logic.

--- a/src/entry/retry_share.rs
+++ b/src/entry/retry_share.rs
@@ -42,9 +42,11 @@
     bounds: EntryBounds,
 ) {
     let started = Instant::now();
+    let mut last_share = None;
     loop {
         tokio::time::sleep(COUNT_INTERVAL).await;
-        let age = started.elapsed();
+        let now = Instant::now();
+        let age = now.saturating_duration_since(started);
         let known = peer_state.known_count();
         let hosts = match known {
             2.. if age >= SETTLE_TIME => known,
@@ -54,6 +56,18 @@
             true => 1.0,
             false => START_SHARE,
         };
-        tables.set_budget(share(bounds, hosts, part));
+        let next_share = share(bounds, hosts, part);
+        tables.set_budget(next_share);
+        tables.metrics.set_retry_hosts(hosts);
+        tables.metrics.set_retry_usage(&tables.retry_usage(now));
+        if last_share.replace(next_share) != Some(next_share) {
+            log::info!(
+                hosts = hosts,
+                known = known,
+                slack = next_share.slack,
+                age_ms = age.as_millis() as u64;
+                "share of retries"
+            );
+        }
     }
 }
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -28,6 +28,7 @@
 mod repath;
 mod response;
 mod response_end;
+mod retry_budgets;
 mod serve;
 pub mod socket;
 mod stream_times;
--- a/src/forward/tables.rs
+++ b/src/forward/tables.rs
@@ -13,6 +13,7 @@
 use super::gateway_link::{GatewayPeers, WitnessCell};
 use super::liveness::LivenessTable;
 use super::permits::PermitSource;
+use super::retry_budgets::RetryBudgets;
 use crate::admission::start::StartTable;
 use crate::admission::{ConnectionGate, OverloadGauge, ZoneLoad};
 use crate::balance::{BalanceEvent, BalanceTable};
@@ -27,7 +28,7 @@
 use crate::permits::{LimitTable, PermitIssuer, PermitPool};
 use crate::poison::PoisonTable;
 use crate::reachability::{ReachabilityTable, TargetWay};
-use crate::retry::{WindowBudget, WindowSettings};
+use crate::retry::WindowSettings;
 
 /// A report and the time at which it was received. The lock admits one request at a time.
 pub(super) type ReportCell =
@@ -67,8 +68,7 @@
     gate: Mutex<ConnectionGate>,
     /// Number of other live hosts of the zone.
     neighbours: AtomicUsize,
-    budgets: Mutex<FastMap<ServiceId, WindowBudget>>,
-    budget_settings: Mutex<WindowSettings>,
+    pub(super) retries: RetryBudgets,
     reports: Mutex<FastMap<TargetId, ReportCell>>,
     closed: Mutex<FastMap<TargetId, ClosedCell>>,
     pub(super) liveness: LivenessTable,
@@ -113,8 +113,7 @@
             start: Mutex::default(),
             gate: Mutex::default(),
             neighbours: AtomicUsize::new(0),
-            budgets: Mutex::default(),
-            budget_settings: Mutex::new(budget_settings),
+            retries: RetryBudgets::new(budget_settings),
             reports: Mutex::default(),
             closed: Mutex::default(),
             liveness: LivenessTable::default(),
@@ -141,14 +140,6 @@
         self.ending.load(Ordering::Relaxed) || (is_stream && self.closing.load(Ordering::Relaxed))
     }
 
-    /// Counts a request for a service, which adds a part of a retry to its budget.
-    pub(super) fn count_request(&self, service: &ServiceId, now: Instant) {
-        let settings = *self.budget_settings.lock();
-        let mut budgets = self.budgets.lock();
-        let budget = budgets.entry(service.clone()).or_default();
-        budget.count_request(settings, now);
-    }
-
     /// Counts the arrival of a request, whether or not it is refused later.
     pub fn count_arrival(
         &self,
@@ -200,19 +191,6 @@
         }
     }
 
-    /// Sets this host's share of the retries.
-    pub fn set_budget(&self, settings: WindowSettings) {
-        *self.budget_settings.lock() = settings;
-    }
-
-    /// Takes one retry from a service's budget, if there is one.
-    pub(super) fn spend_retry(&self, service: &ServiceId, now: Instant) -> bool {
-        let settings = *self.budget_settings.lock();
-        let mut budgets = self.budgets.lock();
-        let budget = budgets.get_mut(service);
-        budget.is_some_and(|budget| budget.spend(settings, now))
-    }
-
     /// Records that a request found a target with room.
     pub(super) fn count_start(&self, now: Instant) {
         self.overload.lock().count_start(now);
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -8,6 +8,7 @@
 mod commands;
 mod labels;
 mod queries;
+mod retry_gauges;
 mod serving;
 mod set;
 
--- a/src/metrics/serving.rs
+++ b/src/metrics/serving.rs
@@ -12,13 +12,16 @@
 
 use super::capacity_gauges::CapacityGauges;
 use super::labels::{CauseLabel, ReasonLabel, ZoneLabels};
+use super::retry_gauges::RetryGauges;
 use super::set::{PREFIX, latency_histogram};
 use crate::capacity::CapacityView;
+use crate::ids::ServiceId;
 use crate::reason::RefusalReason;
+use crate::retry::WindowUsage;
 
 /// Counters, gauges and histograms of one entry host. Label values are constants in the code,
-/// so that the number of series is bounded; only the gauges of capacity and the shares of
-/// zones name the services, zones and priorities of the last view.
+/// so that the number of series is bounded; only the gauges of capacity, of retries and of the
+/// shares of zones name the services, zones and priorities of the last view.
 #[derive(Debug)]
 pub struct ServingMetrics {
     registry: Registry,
@@ -44,6 +47,8 @@
     capacity: CapacityGauges,
     start_decisions: Family<CauseLabel, Counter>,
     zone_choices: Family<CauseLabel, Counter>,
+    retry_decisions: Family<CauseLabel, Counter>,
+    retries: RetryGauges,
     zone_shares: Family<ZoneLabels, Gauge<f64, AtomicU64>>,
     starts_waiting: Gauge,
     first_event: Histogram,
@@ -78,6 +83,8 @@
             capacity: CapacityGauges::default(),
             start_decisions: Family::default(),
             zone_choices: Family::default(),
+            retry_decisions: Family::default(),
+            retries: RetryGauges::default(),
             zone_shares: Family::default(),
             starts_waiting: Gauge::default(),
             first_event: latency_histogram(),
@@ -88,6 +95,7 @@
         metrics.register_counters();
         metrics.register_times();
         metrics.capacity.register(&mut metrics.registry);
+        metrics.retries.register(&mut metrics.registry);
         for reason in RefusalReason::ALL.map(RefusalReason::name) {
             drop(metrics.refusals.get_or_create(&ReasonLabel { reason }));
         }
@@ -194,6 +202,11 @@
                 "Attempts that were sent to another zone, or drawn for one, by cause",
                 &self.zone_choices,
             ),
+            (
+                "retry_decisions",
+                "Retries that the budget of their service granted or denied",
+                &self.retry_decisions,
+            ),
         ];
         for (name, help, family) in families {
             self.registry.register(name, help, family.clone());
@@ -367,6 +380,22 @@
         }
     }
 
+    /// Counts a decision of a retry budget.
+    pub fn retry_decided(&self, is_granted: bool) {
+        let cause = if is_granted { "granted" } else { "denied" };
+        count(&self.retry_decisions, cause);
+    }
+
+    /// Sets what the retry budgets of services hold.
+    pub fn set_retry_usage(&self, usage: &[(ServiceId, WindowUsage)]) {
+        self.retries.set_usage(usage);
+    }
+
+    /// Sets the number of hosts among which the retries are divided.
+    pub fn set_retry_hosts(&self, hosts: usize) {
+        self.retries.set_hosts(hosts);
+    }
+
     /// Sets the number of requests that wait for room before they start.
     pub fn starts_waiting(&self, waiting: usize) {
         self.starts_waiting.set(waiting as i64);
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -8,4 +8,4 @@
 pub use backoff::{BackoffSettings, backoff_delay};
 pub use budget::{BudgetSettings, RetryBudget};
 pub use outlier::{EjectionSettings, TargetHealth};
-pub use window::{WindowBudget, WindowSettings};
+pub use window::{WindowBudget, WindowSettings, WindowUsage};
--- a/src/retry/window.rs
+++ b/src/retry/window.rs
@@ -14,6 +14,17 @@
     pub slack: f64,
 }
 
+/// What a [`WindowBudget`] has counted in the last window.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct WindowUsage {
+    /// Requests that earn retries.
+    pub requests: usize,
+    /// Retries that were spent.
+    pub spent: usize,
+    /// Retries that may be spent in all.
+    pub allowed: f64,
+}
+
 /// Requests and retries of the last window.
 ///
 /// The platform counts the retries of all hosts within any ten seconds. When each host
@@ -44,15 +55,25 @@
     /// Spends one retry; returns `false` if the window has none left.
     #[must_use]
     pub fn spend(&mut self, settings: WindowSettings, now: Instant) -> bool {
-        remove_expired(&mut self.requests, settings.window, now);
-        remove_expired(&mut self.retries, settings.window, now);
-        let earned = settings.ratio * self.requests.len() as f64;
-        if self.retries.len() as f64 + 1.0 > earned + settings.slack {
+        let usage = self.usage(settings, now);
+        if usage.spent as f64 + 1.0 > usage.allowed {
             return false;
         }
         self.retries.push_back(now);
         true
     }
+
+    /// Returns what the window holds, without what has expired.
+    pub fn usage(&mut self, settings: WindowSettings, now: Instant) -> WindowUsage {
+        remove_expired(&mut self.requests, settings.window, now);
+        remove_expired(&mut self.retries, settings.window, now);
+        let earned = settings.ratio * self.requests.len() as f64;
+        WindowUsage {
+            requests: self.requests.len(),
+            spent: self.retries.len(),
+            allowed: earned + settings.slack,
+        }
+    }
 }
 
 impl Default for WindowBudget {
