Move the division of retries among hosts to a decision of its own

Cause: what a host may retry was computed within the task that counts hosts, so that no test could play it.

Change: retry::RetryShare decides from the count of hosts and the time; entry::retry_share only passes both on. The bounds of the settings are one type, RetryBounds. No change of logic.

--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -17,7 +17,7 @@
 use crate::entry::poison_log::{follow_poison, write_poison};
 use crate::entry::readiness::{serve_metrics, serve_readiness};
 use crate::entry::relay_follower::follow_leader;
-use crate::entry::retry_share::{first_share, share_retries};
+use crate::entry::retry_share::share_retries;
 use crate::entry::target_follower::{TargetTiming, follow_targets};
 use crate::entry::zone_balance::balance_zones;
 use crate::entry::{EntrySettings, LogRole, gateway_peers, peer_exchange};
@@ -25,6 +25,7 @@
 use crate::peer::PeerError;
 use crate::platform::host_settings::{SettingsError, read_settings};
 use crate::platform::log_calls::{CallTimeouts, LogClient};
+use crate::retry::RetryShare;
 
 /// Timeouts of calls to the log service. It responds in 4 ms when healthy, and slow
 /// responses of a quarter of a second still count.
@@ -76,13 +77,14 @@
     let mut hangup = signal(SignalKind::hangup())?;
     let settings = read_settings(&path)?;
     log::info!(host:% = settings.host, zone:% = settings.zone; "starting");
+    let share = RetryShare::new(settings.bounds.retries, Instant::now());
     let tables = ServingTables::new(
         settings.host.clone(),
         settings.zone.clone(),
-        first_share(settings.bounds),
+        share.settings(),
     );
     let tables = Arc::new(tables);
-    let peers = spawn_workers(&tables, &settings)?;
+    let peers = spawn_workers(&tables, &settings, share)?;
     let readiness = serve_readiness(tables.clone(), settings.readiness)?;
     let metrics = SocketAddr::new(settings.readiness.ip(), METRICS_PORT);
     if let Err(error) = serve_metrics(tables.clone(), metrics) {
@@ -107,6 +109,7 @@
 fn spawn_workers(
     tables: &Arc<ServingTables>,
     settings: &EntrySettings,
+    share: RetryShare,
 ) -> Result<SocketAddr, EntryError> {
     let client = || LogClient::open(settings.store, LOG_TIMEOUTS);
     let copy = Arc::new(LogCopy::new(tables.clone()));
@@ -148,11 +151,7 @@
         role,
         settings.is_first_start,
     ));
-    tokio::spawn(share_retries(
-        tables.clone(),
-        peer_state.clone(),
-        settings.bounds,
-    ));
+    tokio::spawn(share_retries(tables.clone(), peer_state.clone(), share));
     tokio::spawn(refresh_capacity(tables.clone(), peer_state.clone()));
     tokio::spawn(balance_zones(tables.clone()));
     let address = peer_state.address();
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::ids::{HostId, ZoneId};
+use crate::retry::RetryBounds;
 
 /// Settings of one entry host.
 #[derive(Debug, Clone, PartialEq)]
@@ -48,10 +49,6 @@
     pub grace: Duration,
     /// How long work waits for a lost engine.
     pub stall: Duration,
-    /// Retries that each request earns, over all hosts.
-    pub retry_ratio: f64,
-    /// Time over which retries are counted.
-    pub retry_window: Duration,
-    /// Retries allowed beyond the earned ones, over all hosts.
-    pub retry_slack: f64,
+    /// Retries of each service, over all hosts.
+    pub retries: RetryBounds,
 }
--- a/src/platform/host_settings.rs
+++ b/src/platform/host_settings.rs
@@ -9,6 +9,7 @@
 
 use crate::collections::FastMap;
 use crate::entry::{EntryBounds, EntrySettings};
+use crate::retry::RetryBounds;
 
 /// Reason why the settings cannot be used.
 #[derive(Debug, thiserror::Error)]
@@ -127,9 +128,11 @@
             drain: body.bounds.drain_ms,
             grace: body.bounds.grace_s,
             stall: body.bounds.stall_ms,
-            retry_ratio: body.bounds.retry_budget_ratio,
-            retry_window: body.bounds.budget_window_s,
-            retry_slack: body.bounds.budget_slack,
+            retries: RetryBounds {
+                window: body.bounds.budget_window_s,
+                ratio: body.bounds.retry_budget_ratio,
+                slack: body.bounds.budget_slack,
+            },
         },
     })
 }
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -3,9 +3,11 @@
 mod backoff;
 mod budget;
 mod outlier;
+mod share;
 mod window;
 
 pub use backoff::{BackoffSettings, backoff_delay};
 pub use budget::{BudgetSettings, RetryBudget};
 pub use outlier::{EjectionSettings, TargetHealth};
+pub use share::{RetryBounds, RetryShare};
 pub use window::{WindowBudget, WindowSettings, WindowUsage};
