Add failing tests: repeats of all hosts stay within the bound of every window

Callers saw nothing; targets got more repeats than the operators allow whenever hosts were killed while targets failed.

Change: tests/retry_budget_model.rs plays a fleet in memory with the real table of hosts, shares and budgets, and checks every sliding window.

--- a/tests/fleet_in_memory/mod.rs
+++ b/tests/fleet_in_memory/mod.rs
@@ -62,6 +62,8 @@
     failing_calls: Vec<(Instant, usize, SocketAddr)>,
     /// Zones that are cut off from all others.
     pub(crate) partitioned: Vec<ZoneId>,
+    /// Hosts that are cut off from all others, by index.
+    pub(crate) isolated: Vec<usize>,
 }
 
 fn target(zone: &str, number: usize) -> TargetEntry {
@@ -142,6 +144,7 @@
             hosts,
             failing_calls: Vec::new(),
             partitioned: Vec::new(),
+            isolated: Vec::new(),
         }
     }
 
@@ -229,7 +232,8 @@
         let (from, to) = (&self.hosts[caller], &self.hosts[callee]);
         let partitioned = from.zone != to.zone
             && (self.partitioned.contains(&from.zone) || self.partitioned.contains(&to.zone));
-        to.alive && !partitioned
+        let isolated = self.isolated.contains(&caller) || self.isolated.contains(&callee);
+        to.alive && !partitioned && !isolated
     }
 
     fn exchange(&mut self, caller: usize, callee: usize) {
--- /dev/null
+++ b/tests/retry_budget_model.rs
@@ -0,0 +1,549 @@
+//! Games of a fleet in memory whose targets fail a part of the requests, so that hosts send
+//! more of them once more than the platform allows. Counts what arrives at the targets over
+//! all hosts and processes, in each sliding window.
+
+mod fleet_in_memory;
+
+use std::time::{Duration, Instant};
+
+use fleet_in_memory::{SimFleet, zone_name};
+use jackdawwick::retry::{RetryBounds, RetryShare, WindowBudget};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+/// Step of a game: the interval of the exchanges between hosts.
+const STEP: Duration = Duration::from_millis(125);
+/// Steps in a second and in a window.
+const SECOND: usize = 8;
+const WINDOW: usize = 10 * SECOND;
+/// Steps until all hosts know each other.
+const LEAD: usize = 6 * SECOND;
+/// Age of the first processes when the first request comes: their first window is over.
+const FIRST_AGE: Duration = Duration::from_secs(20);
+/// Steps between two counts of the hosts.
+const COUNT_STEPS: usize = SECOND;
+/// Longest time from the decision to retry to the arrival at a target, in steps: a target
+/// that is silent is given up after 250 ms.
+const MAX_DELAY: usize = 3;
+/// Steps for which a frozen host stands still.
+const FREEZE: usize = 4 * SECOND;
+
+const BOUNDS: RetryBounds = RetryBounds {
+    window: Duration::from_secs(10),
+    ratio: 0.2,
+    slack: 0.0,
+};
+
+/// A fleet and its load.
+#[derive(Debug, Clone, Copy)]
+struct FleetPlan {
+    zones: usize,
+    hosts_each: usize,
+    /// Requests a second, of all hosts.
+    rate: f64,
+    /// Retries allowed in each window beyond the earned ones.
+    slack: f64,
+}
+
+const EIGHT: FleetPlan = FleetPlan {
+    zones: 2,
+    hosts_each: 4,
+    rate: 90.0,
+    slack: 200.0,
+};
+const SIXTY: FleetPlan = FleetPlan {
+    zones: 3,
+    hosts_each: 20,
+    rate: 350.0,
+    slack: 306.0,
+};
+const LARGE: FleetPlan = FleetPlan {
+    zones: 5,
+    hosts_each: 39,
+    rate: 600.0,
+    slack: 574.0,
+};
+const LARGEST: FleetPlan = FleetPlan {
+    zones: 5,
+    hosts_each: 60,
+    rate: 900.0,
+    slack: 1000.0,
+};
+
+/// What happens at a step of a game.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum GameEvent {
+    /// A share of the hosts is killed and starts again after some steps.
+    Kill {
+        share: f64,
+        down: usize,
+    },
+    /// A zone is cut off from the others, or joins them again.
+    Cut {
+        zone: usize,
+    },
+    Heal,
+    /// A share of the hosts is cut off from all others, until the cut is healed.
+    Isolate {
+        share: f64,
+    },
+    /// A share of the hosts stands still.
+    Freeze {
+        share: f64,
+    },
+    /// The load changes to this multiple.
+    Load {
+        factor: f64,
+    },
+}
+
+/// One process of a host.
+struct SimProcess {
+    share: RetryShare,
+    budget: WindowBudget,
+}
+
+impl SimProcess {
+    fn new(bounds: RetryBounds, now: Instant) -> Self {
+        Self {
+            share: RetryShare::new(bounds, now),
+            budget: WindowBudget::new(),
+        }
+    }
+}
+
+struct SimHost {
+    process: SimProcess,
+    /// Share of the load.
+    weight: f64,
+    /// Requests that are due.
+    due: f64,
+    /// Step of the last start.
+    started: usize,
+    down_until: Option<usize>,
+    frozen_until: usize,
+}
+
+struct Game {
+    plan: FleetPlan,
+    bounds: RetryBounds,
+    fleet: SimFleet,
+    hosts: Vec<SimHost>,
+    rng: StdRng,
+    /// Whether hosts know the number of hosts from their start on.
+    knows_size: bool,
+    /// Share of the requests that fail once.
+    failing: f64,
+    load: f64,
+    /// Requests, and arrivals of retries, by step.
+    requests: Vec<u32>,
+    arrivals: Vec<u32>,
+}
+
+/// The fullest window of a game.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct FullWindow {
+    first_step: usize,
+    arrivals: u32,
+    allowed: f64,
+}
+
+impl Game {
+    fn open(plan: FleetPlan, seed: u64) -> Self {
+        let fleet = SimFleet::new(plan.zones, plan.hosts_each, 1);
+        let mut rng = StdRng::seed_from_u64(seed);
+        let bounds = RetryBounds {
+            slack: plan.slack,
+            ..BOUNDS
+        };
+        let weights = fleet.hosts.iter().map(|_| rng.random_range(0.5..1.5));
+        let weights = weights.collect::<Vec<f64>>();
+        let total = weights.iter().sum::<f64>();
+        let hosts = weights.into_iter().map(|weight| SimHost {
+            process: SimProcess::new(bounds, fleet.now),
+            weight: weight / total,
+            due: 0.0,
+            started: 0,
+            down_until: None,
+            frozen_until: 0,
+        });
+        let mut game = Self {
+            plan,
+            bounds,
+            hosts: hosts.collect(),
+            fleet,
+            rng,
+            knows_size: false,
+            failing: 0.0,
+            load: 0.0,
+            requests: Vec::new(),
+            arrivals: Vec::new(),
+        };
+        let first_start = game.fleet.now + STEP * LEAD as u32 - FIRST_AGE;
+        for host in &mut game.hosts {
+            host.process = SimProcess::new(bounds, first_start);
+        }
+        game.run(LEAD, |_| None);
+        game.forget_traffic();
+        game.load = 1.0;
+        game
+    }
+
+    fn forget_traffic(&mut self) {
+        self.requests.clear();
+        self.arrivals.clear();
+    }
+
+    /// Plays the given number of steps; `events` returns what happens at each.
+    fn run<E>(&mut self, steps: usize, events: E)
+    where
+        E: Fn(usize) -> Option<GameEvent>,
+    {
+        for step in 0..steps {
+            if let Some(event) = events(step) {
+                self.apply(event);
+            }
+            self.step();
+        }
+    }
+
+    fn apply(&mut self, event: GameEvent) {
+        let step = self.requests.len();
+        let chosen = |rng: &mut StdRng, share: f64| rng.random_bool(share);
+        match event {
+            GameEvent::Kill { share, down } => {
+                for index in 0..self.hosts.len() {
+                    if chosen(&mut self.rng, share) {
+                        self.hosts[index].down_until = Some(step + down);
+                        self.fleet.hosts[index].alive = false;
+                    }
+                }
+            }
+            GameEvent::Cut { zone } => {
+                self.fleet.partitioned.push(zone_name(zone).as_str().into());
+            }
+            GameEvent::Heal => {
+                self.fleet.partitioned.clear();
+                self.fleet.isolated.clear();
+            }
+            GameEvent::Isolate { share } => {
+                for index in 0..self.hosts.len() {
+                    if chosen(&mut self.rng, share) {
+                        self.fleet.isolated.push(index);
+                    }
+                }
+            }
+            GameEvent::Freeze { share } => {
+                for index in 0..self.hosts.len() {
+                    if chosen(&mut self.rng, share) {
+                        self.hosts[index].frozen_until = step + FREEZE;
+                    }
+                }
+            }
+            GameEvent::Load { factor } => self.load = factor,
+        }
+    }
+
+    fn step(&mut self) {
+        self.fleet.run_for(STEP);
+        let step = self.requests.len();
+        self.requests.push(0);
+        for index in 0..self.hosts.len() {
+            self.start_due(index, step);
+            self.count_hosts(index, step);
+            self.send_requests(index, step);
+        }
+    }
+
+    fn start_due(&mut self, index: usize, step: usize) {
+        let host = &mut self.hosts[index];
+        if host.down_until.is_some_and(|until| until <= step) {
+            host.down_until = None;
+            host.process = SimProcess::new(self.bounds, self.fleet.now);
+            host.started = step;
+            self.fleet.restart(index);
+            self.fleet.hosts[index].alive = true;
+            self.observe_size(index);
+        }
+    }
+
+    fn count_hosts(&mut self, index: usize, step: usize) {
+        let age = step.saturating_sub(self.hosts[index].started);
+        if age > 0 && age.is_multiple_of(COUNT_STEPS) && self.fleet.hosts[index].alive {
+            self.observe_size(index);
+        }
+    }
+
+    fn observe_size(&mut self, index: usize) {
+        let known = match self.knows_size {
+            true => self.hosts.len(),
+            false => self.fleet.hosts[index].gossip.known_count(),
+        };
+        let process = &mut self.hosts[index].process;
+        process.share.observe(known, self.fleet.now);
+    }
+
+    /// Sends the requests of one step. Each that fails is sent once more if its host may.
+    fn send_requests(&mut self, index: usize, step: usize) {
+        let now = self.fleet.now;
+        let host = &mut self.hosts[index];
+        let is_up = host.down_until.is_none() && host.frozen_until <= step;
+        host.due += self.plan.rate * self.load * host.weight * STEP.as_secs_f64();
+        let count = host.due as u32;
+        host.due -= f64::from(count);
+        // Callers send requests whether or not the host takes them.
+        self.requests[step] += count;
+        if !is_up {
+            return;
+        }
+        let settings = host.process.share.settings();
+        for _ in 0..count {
+            host.process.budget.count_request(settings, now);
+            if !self.rng.random_bool(self.failing) {
+                continue;
+            }
+            if host.process.budget.spend(settings, now) {
+                let at = step + self.rng.random_range(0..=MAX_DELAY);
+                self.arrivals.resize(self.arrivals.len().max(at + 1), 0);
+                self.arrivals[at] += 1;
+            }
+        }
+    }
+
+    /// Returns what arrives in the window from a step on, and what is allowed: the requests
+    /// count of this window, the one before it, or the one half a window before it.
+    fn window(&self, first: usize) -> FullWindow {
+        let sum = |counts: &[u32], from: usize| {
+            let to = (from + WINDOW).min(counts.len());
+            counts.get(from..to).map_or(0, |counts| counts.iter().sum())
+        };
+        let earlier = [0, WINDOW / 2, WINDOW].into_iter();
+        let requests = earlier.filter_map(|by| Some(sum(&self.requests, first.checked_sub(by)?)));
+        let requests = requests.max().unwrap_or(0);
+        FullWindow {
+            first_step: first,
+            arrivals: sum(&self.arrivals, first),
+            allowed: self.bounds.ratio * f64::from(requests) + self.bounds.slack,
+        }
+    }
+
+    /// Returns the window that is nearest to its bound or the furthest beyond it.
+    fn fullest(&self) -> FullWindow {
+        let windows = (0..self.arrivals.len()).map(|first| self.window(first));
+        let part = |window: &FullWindow| f64::from(window.arrivals) / window.allowed;
+        let fullest = windows.max_by(|left, right| part(left).total_cmp(&part(right)));
+        fullest.expect("a game has steps")
+    }
+
+    /// Returns the part of what is allowed that is used in the window from a step on.
+    fn used(&self, first: usize) -> f64 {
+        let window = self.window(first);
+        f64::from(window.arrivals) / window.allowed
+    }
+
+    fn assert_bound(&self, name: &str) {
+        let fullest = self.fullest();
+        assert!(
+            f64::from(fullest.arrivals) <= fullest.allowed,
+            "{name}: {fullest:?}"
+        );
+    }
+}
+
+/// Plays `seconds` in which nine in ten requests fail.
+fn play<E>(plan: FleetPlan, seed: u64, seconds: usize, events: E) -> Game
+where
+    E: Fn(usize) -> Option<GameEvent>,
+{
+    let mut game = Game::open(plan, seed);
+    game.failing = 0.9;
+    game.run(seconds * SECOND, events);
+    game
+}
+
+/// Kills all hosts at the given seconds.
+fn kill_all_at(seconds: &[usize]) -> impl Fn(usize) -> Option<GameEvent> {
+    let steps = seconds.iter().map(|second| second * SECOND);
+    let steps = steps.collect::<Vec<_>>();
+    move |step| {
+        steps.contains(&step).then_some(GameEvent::Kill {
+            share: 1.0,
+            down: 2,
+        })
+    }
+}
+
+/// Returns a game in which nothing has failed for a window, so that hosts may send many
+/// repeats at once, and then nine in ten requests fail.
+fn open_after_calm(plan: FleetPlan, seed: u64) -> Game {
+    let mut game = Game::open(plan, seed);
+    game.run(WINDOW, |_| None);
+    game.failing = 0.9;
+    game
+}
+
+/// Guards against processes that spend what their predecessors spent in the same window.
+#[test]
+fn repeats_stay_within_the_bound_when_hosts_start_again() {
+    for plan in [EIGHT, SIXTY] {
+        for seconds in [[4, 7, 10], [5, 10, 15], [3, 4, 5]] {
+            let mut game = open_after_calm(plan, 1);
+            game.knows_size = true;
+            game.run(20 * SECOND, kill_all_at(&seconds));
+            game.assert_bound(&format!("{} hosts, {seconds:?}", game.hosts.len()));
+        }
+    }
+}
+
+/// Guards against a slack that is divided among fewer hosts than there are.
+#[test]
+fn repeats_stay_within_the_bound_when_all_hosts_start_under_load() {
+    for plan in [SIXTY, LARGE] {
+        let mut game = Game::open(plan, 2);
+        game.failing = 0.9;
+        game.load = 8.0;
+        game.run(SECOND, kill_all_at(&[0]));
+        game.load = 0.3;
+        game.run(11 * SECOND, |_| None);
+        game.assert_bound(&format!("{} hosts", game.hosts.len()));
+    }
+}
+
+/// Guards against both at once, as when all hosts are killed while targets fail.
+#[test]
+fn repeats_stay_within_the_bound_when_all_hosts_start_again_under_load() {
+    for plan in [EIGHT, SIXTY] {
+        let mut game = open_after_calm(plan, 3);
+        game.run(20 * SECOND, kill_all_at(&[5, 9]));
+        game.assert_bound(&format!("{} hosts", game.hosts.len()));
+    }
+}
+
+/// Guards against hosts that start behind a cut and count only those on their side.
+#[test]
+fn repeats_stay_within_the_bound_when_hosts_start_behind_a_cut() {
+    let events = |step| match step {
+        8 => Some(GameEvent::Cut { zone: 0 }),
+        9 => Some(GameEvent::Cut { zone: 1 }),
+        10 => Some(GameEvent::Cut { zone: 2 }),
+        16 => Some(GameEvent::Kill {
+            share: 0.8,
+            down: 8,
+        }),
+        160 => Some(GameEvent::Heal),
+        _ => None,
+    };
+    for seed in 0..2 {
+        let game = play(SIXTY, seed, 24, events);
+        game.assert_bound("three zones");
+    }
+    let events = |step| match step {
+        8 => Some(GameEvent::Isolate { share: 0.4 }),
+        16 => Some(GameEvent::Kill {
+            share: 0.8,
+            down: 8,
+        }),
+        160 => Some(GameEvent::Heal),
+        _ => None,
+    };
+    for seed in 0..2 {
+        let game = play(SIXTY, seed, 24, events);
+        game.assert_bound("single hosts");
+    }
+}
+
+/// Guards against a bound that is kept by giving up retries that callers need.
+#[test]
+fn three_quarters_of_the_allowed_repeats_are_used_when_no_host_starts() {
+    for plan in [EIGHT, SIXTY] {
+        let game = play(plan, 3, 30, |_| None);
+        for second in 0..20 {
+            let used = game.used(second * SECOND);
+            assert!(used >= 0.75, "{} hosts: {used}", game.hosts.len());
+        }
+    }
+}
+
+/// Guards against hosts that give up all retries while the fleet starts again and again.
+#[test]
+fn half_of_the_allowed_repeats_are_used_during_a_series_of_starts() {
+    let kills = |step: usize| {
+        let is_due = step >= SECOND && step % (3 * SECOND) == 0;
+        is_due.then_some(GameEvent::Kill {
+            share: 0.4,
+            down: 4,
+        })
+    };
+    for plan in [EIGHT, SIXTY] {
+        let game = play(plan, 4, 40, kills);
+        let used = (10..30).map(|second| game.used(second * SECOND));
+        let used = used.sum::<f64>() / 20.0;
+        assert!(used >= 0.5, "{} hosts: {used}", game.hosts.len());
+        game.assert_bound(&format!("{} hosts", game.hosts.len()));
+    }
+}
+
+/// Draws what happens in a game.
+fn draw_events(rng: &mut StdRng, plan: FleetPlan, steps: usize) -> Vec<Option<GameEvent>> {
+    let mut events = vec![None; steps];
+    for step in (0..steps).step_by(SECOND) {
+        events[step] = match rng.random_range(0..14) {
+            0 => Some(GameEvent::Kill {
+                share: 1.0,
+                down: rng.random_range(1..2 * SECOND),
+            }),
+            1 | 2 => Some(GameEvent::Kill {
+                share: rng.random_range(0.1..0.9),
+                down: rng.random_range(1..4 * SECOND),
+            }),
+            3 => Some(GameEvent::Cut {
+                zone: rng.random_range(0..plan.zones),
+            }),
+            4 => Some(GameEvent::Isolate {
+                share: rng.random_range(0.0..0.4),
+            }),
+            5 => Some(GameEvent::Freeze {
+                share: rng.random_range(0.0..0.5),
+            }),
+            6 => Some(GameEvent::Heal),
+            7 => Some(GameEvent::Load {
+                factor: rng.random_range(0.1..2.5),
+            }),
+            _ => None,
+        };
+    }
+    events
+}
+
+fn play_random(plan: FleetPlan, seed: u64, seconds: usize) -> Game {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let events = draw_events(&mut rng, plan, seconds * SECOND);
+    play(plan, seed, seconds, |step| events[step])
+}
+
+/// Guards against any order of kills, cuts, freezes and changes of the load that lets the
+/// repeats of all hosts exceed the bound.
+#[test]
+fn repeats_stay_within_the_bound_under_random_faults() {
+    for seed in 0..6 {
+        for plan in [EIGHT, SIXTY] {
+            let game = play_random(plan, seed, 40);
+            game.assert_bound(&format!("{} hosts, seed {seed}", game.hosts.len()));
+        }
+    }
+}
+
+/// The long run of the same games.
+#[test]
+#[ignore = "takes minutes; run by hand"]
+fn repeats_stay_within_the_bound_under_random_faults_over_many_seeds() {
+    for seed in 0..40 {
+        for plan in [EIGHT, SIXTY, LARGE, LARGEST] {
+            let game = play_random(plan, seed, 40);
+            let fullest = game.fullest();
+            let part = f64::from(fullest.arrivals) / fullest.allowed;
+            println!("{} hosts, seed {seed}: {part:.3}", game.hosts.len());
+            game.assert_bound(&format!("{} hosts, seed {seed}", game.hosts.len()));
+        }
+    }
+}
