Let a process spend only what accrues since its start

Targets got more repeats than the operators allow when hosts were killed while targets failed.

Cause: a budget lived in one process. A host that started again had a new one beside what its predecessor had spent in the same ten seconds, 0.3 of its slack and 0.18 of each request, however often it started.

Change: a window budget knows when its process started. In its first window a process spends at most 0.7 of its share, as it accrues by requests and time; later at most 0.3 of the share beyond what accrues evenly. A predecessor's last burst and what its successors may spend then fit into one window, whenever it ended and however many there were, and nobody has to remember anything. Fractions of a retry are rounded by a draw of each budget, so that small shares add up over many hosts. START_SHARE goes.

--- a/src/forward/retry_budgets.rs
+++ b/src/forward/retry_budgets.rs
@@ -17,13 +17,22 @@
     budgets: Mutex<FastMap<ServiceId, ServiceBudget>>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct ServiceBudget {
     window: WindowBudget,
     /// Whether the last retry was denied.
     is_denied: bool,
 }
 
+impl ServiceBudget {
+    fn new() -> Self {
+        Self {
+            window: WindowBudget::new(rand::random()),
+            is_denied: false,
+        }
+    }
+}
+
 impl RetryBudgets {
     pub(super) fn new(settings: WindowSettings) -> Self {
         Self {
@@ -38,7 +47,8 @@
     pub(super) fn count_request(&self, service: &ServiceId, now: Instant) {
         let settings = *self.retries.settings.lock();
         let mut budgets = self.retries.budgets.lock();
-        let budget = budgets.entry(service.clone()).or_default();
+        let budget = budgets.entry(service.clone());
+        let budget = budget.or_insert_with(ServiceBudget::new);
         budget.window.count_request(settings, now);
     }
 
--- a/src/retry/share.rs
+++ b/src/retry/share.rs
@@ -9,9 +9,6 @@
 const MIN_HOSTS: usize = 12;
 /// Fraction of the allowed retries that is used, as hosts count each other with a delay.
 const USED_SHARE: f64 = 0.9;
-/// Fraction of this host's share in the first window after a start: the previous process
-/// may have used its share already.
-const START_SHARE: f64 = 0.3;
 /// Time after a start within which the other hosts become known.
 const SETTLE_TIME: Duration = Duration::from_secs(3);
 
@@ -32,7 +29,6 @@
     bounds: RetryBounds,
     started: Instant,
     hosts: usize,
-    settings: WindowSettings,
 }
 
 impl RetryShare {
@@ -42,7 +38,6 @@
             bounds,
             started,
             hosts: MIN_HOSTS,
-            settings: settings(bounds, MIN_HOSTS, START_SHARE),
         }
     }
 
@@ -53,11 +48,6 @@
             2.. if age >= SETTLE_TIME => known,
             _ => known.max(MIN_HOSTS),
         };
-        let part = match age >= self.bounds.window {
-            true => 1.0,
-            false => START_SHARE,
-        };
-        self.settings = settings(self.bounds, self.hosts, part);
     }
 
     /// Returns the number of hosts among which the retries are divided.
@@ -67,14 +57,11 @@
 
     /// Returns the limits of this host's budgets.
     pub fn settings(&self) -> WindowSettings {
-        self.settings
-    }
-}
-
-fn settings(bounds: RetryBounds, hosts: usize, part: f64) -> WindowSettings {
-    WindowSettings {
-        window: bounds.window,
-        ratio: bounds.ratio * USED_SHARE,
-        slack: bounds.slack * USED_SHARE * part / hosts as f64,
+        WindowSettings {
+            window: self.bounds.window,
+            ratio: self.bounds.ratio * USED_SHARE,
+            slack: self.bounds.slack * USED_SHARE / self.hosts as f64,
+            opened: self.started,
+        }
     }
 }
--- a/src/retry/window.rs
+++ b/src/retry/window.rs
@@ -3,6 +3,16 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+/// Fraction of the allowed retries that accrues evenly over a window; the rest may be spent
+/// at once. A process in its first window has the former alone.
+const STEADY_SHARE: f64 = 0.7;
+/// Time after which the rounding of a budget changes, so that a host with a small share is
+/// not left without retries for good.
+const ROUNDING_PERIOD: Duration = Duration::from_secs(60);
+/// Step of the rounding from period to period: multiples of the golden ratio are spread
+/// evenly between 0 and 1.
+const ROUNDING_STEP: f64 = 0.618_033_988_749_895;
+
 /// Limits of a [`WindowBudget`].
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct WindowSettings {
@@ -12,6 +22,8 @@
     pub ratio: f64,
     /// Retries allowed in each window beyond the earned ones.
     pub slack: f64,
+    /// Start of the process. What earlier processes of the host have spent is unknown.
+    pub opened: Instant,
 }
 
 /// What a [`WindowBudget`] has counted in the last window.
@@ -27,22 +39,27 @@
 
 /// Requests and retries of the last window.
 ///
-/// The platform counts the retries of all hosts within any ten seconds. When each host
-/// keeps to its share of that bound, the sum does too, without coordination. A token bucket
-/// that only requests fill would allow less: after the loss of one engine it stays empty
-/// for up to a minute.
+/// The platform counts the retries of all hosts, and of all processes of a host, within any
+/// window. When the processes of each host together keep to the host's share of that bound,
+/// the sum does too, without coordination. A process therefore spends at most
+/// `1 - STEADY_SHARE` of its share beyond what accrues evenly, and one that may have had a
+/// predecessor within the window only what accrues since its own start: both together stay
+/// within the share, at whatever moment the predecessor ended and however many there were.
 #[derive(Debug, Clone)]
 pub struct WindowBudget {
     requests: VecDeque<Instant>,
     retries: VecDeque<Instant>,
+    rounding: f64,
 }
 
 impl WindowBudget {
-    /// Creates a budget without history.
-    pub fn new() -> Self {
+    /// Creates a budget without history. `rounding`, drawn from 0 to 1, decides whether a
+    /// fraction of a retry counts as a whole one; over many hosts the fractions add up.
+    pub fn new(rounding: f64) -> Self {
         Self {
             requests: VecDeque::new(),
             retries: VecDeque::new(),
+            rounding,
         }
     }
 
@@ -52,34 +69,63 @@
         self.requests.push_back(now);
     }
 
-    /// Spends one retry; returns `false` if the window has none left.
+    /// Spends one retry; returns `false` if none is left.
     #[must_use]
     pub fn spend(&mut self, settings: WindowSettings, now: Instant) -> bool {
         let usage = self.usage(settings, now);
-        if usage.spent as f64 + 1.0 > usage.allowed {
-            return false;
+        let rounding = self.rounding_at(settings, now);
+        let next = (usage.spent + 1) as f64;
+        let is_allowed =
+            next <= usage.allowed + rounding && self.is_spread(settings, rounding, now);
+        if is_allowed {
+            self.retries.push_back(now);
         }
-        self.retries.push_back(now);
-        true
+        is_allowed
     }
 
     /// Returns what the window holds, without what has expired.
     pub fn usage(&mut self, settings: WindowSettings, now: Instant) -> WindowUsage {
         remove_expired(&mut self.requests, settings.window, now);
         remove_expired(&mut self.retries, settings.window, now);
-        let earned = settings.ratio * self.requests.len() as f64;
+        let earned = self.earned(settings);
+        let age = now.saturating_duration_since(settings.opened);
+        let allowed = match age >= settings.window {
+            true => earned + settings.slack,
+            false => STEADY_SHARE * (earned + settings.slack * fraction(age, settings.window)),
+        };
         WindowUsage {
             requests: self.requests.len(),
             spent: self.retries.len(),
-            allowed: earned + settings.slack,
+            allowed,
         }
     }
-}
 
-impl Default for WindowBudget {
-    fn default() -> Self {
-        Self::new()
+    fn earned(&self, settings: WindowSettings) -> f64 {
+        settings.ratio * self.requests.len() as f64
+    }
+
+    /// Returns whether one more retry keeps the latest ones, however many of them, within
+    /// what may be spent at once and what has accrued since the first of them.
+    fn is_spread(&self, settings: WindowSettings, rounding: f64, now: Instant) -> bool {
+        let share = self.earned(settings) + settings.slack;
+        let latest = self.retries.iter().rev();
+        let spans = latest.map(|at| now.saturating_duration_since(*at));
+        let spans = std::iter::once(Duration::ZERO).chain(spans);
+        spans.zip(1_u32..).all(|(span, spent)| {
+            let accrued = STEADY_SHARE * fraction(span, settings.window);
+            f64::from(spent) <= (1.0 - STEADY_SHARE + accrued) * share + rounding
+        })
     }
+
+    fn rounding_at(&self, settings: WindowSettings, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(settings.opened);
+        let periods = age.as_secs() / ROUNDING_PERIOD.as_secs();
+        (self.rounding + ROUNDING_STEP * periods as f64).fract()
+    }
+}
+
+fn fraction(time: Duration, window: Duration) -> f64 {
+    time.as_secs_f64() / window.as_secs_f64()
 }
 
 fn remove_expired(moments: &mut VecDeque<Instant>, window: Duration, now: Instant) {
--- a/tests/forwarding/host.rs
+++ b/tests/forwarding/host.rs
@@ -54,6 +54,7 @@
             window: std::time::Duration::from_secs(10),
             ratio: 0.2,
             slack: 20.0,
+            opened: std::time::Instant::now() - std::time::Duration::from_secs(10),
         };
         let tables = Arc::new(ServingTables::new("h".into(), "z".into(), budget));
         let configuration = parse_configuration(configuration().as_bytes());
--- a/tests/leaving_fleet/host.rs
+++ b/tests/leaving_fleet/host.rs
@@ -36,6 +36,7 @@
             window: Duration::from_secs(1),
             ratio: 0.0,
             slack: 0.0,
+            opened: Instant::now(),
         };
         let zone = index % ZONES;
         let tables = Arc::new(ServingTables::new(
--- a/tests/log_reader.rs
+++ b/tests/log_reader.rs
@@ -176,6 +176,7 @@
         window: LIMIT.response,
         ratio: 0.0,
         slack: 0.0,
+        opened: std::time::Instant::now(),
     };
     let tables = Arc::new(ServingTables::new("h".into(), "z".into(), budget));
     let copy = Arc::new(LogCopy::new(tables.clone()));
--- a/tests/target_starts.rs
+++ b/tests/target_starts.rs
@@ -35,6 +35,7 @@
         window: Duration::from_secs(1),
         ratio: 0.0,
         slack: 0.0,
+        opened: Instant::now(),
     };
     let tables = Arc::new(ServingTables::new("h".into(), "z".into(), budget));
     (tables.clone(), LogCopy::new(tables))
