Take no share of the retry slack until the number of hosts is known

Targets got more repeats than the operators allow when hosts started behind a cut.

Cause: the slack of a service is divided among the hosts that a host counts. In its first second a host counted twelve, and after three seconds those that it knew, however few: each side of a cut, and each single cut-off host, took the slack of the whole fleet.

A count is complete if the host knows hosts of each availability zone in which targets are listed or between which the configuration declares delays, and any other host unless it is its own only seed. Until then a host has what its own requests earn and no slack. MIN_HOSTS goes.

--- a/src/entry/peer_exchange.rs
+++ b/src/entry/peer_exchange.rs
@@ -7,6 +7,7 @@
 use parking_lot::Mutex;
 
 use crate::capacity::DemandReport;
+use crate::collections::FastSet;
 use crate::entry::EntrySettings;
 use crate::entry::log_copy::LogCopy;
 use crate::entry::poison_log::log_refused;
@@ -321,9 +322,16 @@
     }
 
     /// Returns the number of entry hosts of all zones that are not forgotten yet, live or
-    /// not, including this one.
-    pub(super) fn known_count(&self) -> usize {
-        self.gossip.lock().known_count()
+    /// not, including this one; `None` if there may be others.
+    pub(super) fn complete_count(&self) -> Option<usize> {
+        let configuration = self.tables.configuration.load_full()?;
+        let zones = {
+            let fleet = self.tables.fleet.lock();
+            let targets = fleet.targets().map(|state| state.entry.zone.clone());
+            targets.collect::<FastSet<_>>()
+        };
+        let zones = zones.union(&configuration.zones);
+        self.gossip.lock().complete_count(zones)
     }
 
     /// Logs that this host reports to another aggregator than before.
--- a/src/entry/retry_share.rs
+++ b/src/entry/retry_share.rs
@@ -10,8 +10,8 @@
 /// Interval between two counts of the hosts.
 const COUNT_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Adjusts this host's share to the number of known hosts; runs forever. An isolated host
-/// still counts the hosts that it has not forgotten.
+/// Adjusts this host's share to the number of hosts; runs forever. An isolated host still
+/// counts the hosts that it has not forgotten.
 pub(super) async fn share_retries(
     tables: Arc<ServingTables>,
     peer_state: Arc<PeerState>,
@@ -21,17 +21,20 @@
     loop {
         tokio::time::sleep(COUNT_INTERVAL).await;
         let now = Instant::now();
-        let known = peer_state.known_count();
-        share.observe(known, now);
+        let counted = peer_state.complete_count();
+        share.observe(counted, now);
         let next_settings = share.settings();
         tables.set_budget(next_settings);
-        tables.metrics.set_retry_hosts(share.hosts());
+        let hosts = share.hosts().unwrap_or(0);
+        tables.metrics.set_retry_hosts(hosts);
         tables.metrics.set_retry_usage(&tables.retry_usage(now));
         if last_settings.replace(next_settings) != Some(next_settings) {
+            let age = now.saturating_duration_since(next_settings.opened);
             log::info!(
-                hosts = share.hosts(),
-                known = known,
-                slack = next_settings.slack;
+                hosts = hosts,
+                counted = counted.unwrap_or(0),
+                slack = next_settings.slack,
+                age_ms = age.as_millis() as u64;
                 "share of retries"
             );
         }
--- a/src/ingress/configuration.rs
+++ b/src/ingress/configuration.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::collections::FastMap;
-use crate::ids::{OrganisationId, ServiceId};
+use crate::collections::{FastMap, FastSet};
+use crate::ids::{OrganisationId, ServiceId, ZoneId};
 
 /// One accepted version of everything that operators declare.
 #[derive(Debug, Clone, Default)]
@@ -16,6 +16,8 @@
     pub routes: FastMap<Box<str>, Vec<Arc<RouteRule>>>,
     /// Services that routes lead to.
     pub services: BTreeMap<ServiceId, Arc<ServiceSpec>>,
+    /// Availability zones between which delays are declared.
+    pub zones: FastSet<ZoneId>,
     /// Holders of the API keys; `None` if callers need no key.
     pub keys: Option<FastMap<Box<str>, KeyHolder>>,
     /// Limits on what a caller may send.
--- a/src/membership/gossip/roles.rs
+++ b/src/membership/gossip/roles.rs
@@ -154,6 +154,25 @@
     /// Returns the number of hosts of all zones that are not forgotten yet, live or not,
     /// including this one.
     pub fn known_count(&self) -> usize {
+        self.known_counts().into_values().sum()
+    }
+
+    /// Returns the number of known hosts like [`Self::known_count`], unless this host has
+    /// heard of no other one or of none in one of `zones`, as after a start behind a cut.
+    pub fn complete_count<'a, Z>(&self, zones: Z) -> Option<usize>
+    where
+        Z: IntoIterator<Item = &'a ZoneId>,
+    {
+        let is_only_seed = self.seeds.iter().all(|seed| *seed == self.own_address);
+        if self.members.is_empty() && !is_only_seed {
+            return None;
+        }
+        let counts = self.known_counts();
+        let knows_all = zones.into_iter().all(|zone| counts.contains_key(zone));
+        knows_all.then(|| counts.into_values().sum())
+    }
+
+    fn known_counts(&self) -> FastMap<&ZoneId, usize> {
         let mut counts = FastMap::<&ZoneId, usize>::default();
         for member in self.members.values() {
             *counts.entry(&member.zone).or_default() += 1;
@@ -163,7 +182,7 @@
             let count = counts.entry(zone).or_default();
             *count = (*count).max(*reported as usize);
         }
-        counts.values().sum()
+        counts
     }
 
     /// Returns whether an address belongs to another host of this zone.
--- a/src/platform/configuration_record.rs
+++ b/src/platform/configuration_record.rs
@@ -5,7 +5,8 @@
 
 use serde::Deserialize;
 
-use crate::collections::FastMap;
+use crate::collections::{FastMap, FastSet};
+use crate::ids::ZoneId;
 use crate::ingress::{
     AcceleratorKind, CallerLimits, EngineModel, IngressConfiguration, KeyHolder, RequestKind,
     RouteRule, ServiceShare, ServiceSpec,
@@ -87,6 +88,8 @@
     models: Vec<ModelBody>,
     usual: Option<UsualBody>,
     #[serde(default)]
+    delays: Vec<DelayBody>,
+    #[serde(default)]
     kind_list: Vec<KindBody>,
 }
 
@@ -103,6 +106,13 @@
     load_s: Option<f64>,
 }
 
+/// The declared delay between two availability zones, of which only the names are used.
+#[derive(Deserialize)]
+struct DelayBody {
+    from: String,
+    to: String,
+}
+
 #[derive(Deserialize)]
 struct UsualBody {
     prompt: f64,
@@ -149,6 +159,7 @@
     for rules in routes.values_mut() {
         rules.sort_by_key(|rule| std::cmp::Reverse(rule.path_prefix.len()));
     }
+    let zones = declared_zones(&body.services);
     let services = body.services.into_iter().map(convert_service);
     Ok(IngressConfiguration {
         version: body.version,
@@ -156,11 +167,22 @@
         services: services
             .map(|service| (service.name.clone(), Arc::new(service)))
             .collect(),
+        zones,
         keys: body.tenants.map(convert_keys),
         limits: body.limits.map_or_else(Default::default, convert_limits),
     })
 }
 
+/// Returns the availability zones between which delays are declared.
+fn declared_zones(services: &[ServiceBody]) -> FastSet<ZoneId> {
+    let engines = services
+        .iter()
+        .filter_map(|service| service.engine.as_ref());
+    let delays = engines.flat_map(|engine| &engine.delays);
+    let zones = delays.flat_map(|delay| [&delay.from, &delay.to]);
+    zones.map(|zone| zone.as_str().into()).collect()
+}
+
 fn convert_route(body: RouteBody) -> RouteRule {
     let kind = match (body.kind.as_str(), body.stream_resume) {
         ("safe", _) => RequestKind::Idempotent,
--- a/src/retry/share.rs
+++ b/src/retry/share.rs
@@ -2,15 +2,11 @@
 
 use std::time::{Duration, Instant};
 
-use super::WindowSettings;
+use super::{FleetSize, WindowSettings};
 
-/// Minimum number of hosts among which the slack is divided until the other hosts are
-/// known.
-const MIN_HOSTS: usize = 12;
-/// Fraction of the allowed retries that is used, as hosts count each other with a delay.
+/// Fraction of the allowed retries that is used: retries reach their targets later than they
+/// are spent, and hosts count each other with a delay.
 const USED_SHARE: f64 = 0.9;
-/// Time after a start within which the other hosts become known.
-const SETTLE_TIME: Duration = Duration::from_secs(3);
 
 /// Retries that the platform allows for one service, over all hosts.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -23,45 +19,46 @@
     pub slack: f64,
 }
 
-/// This host's share of the allowed retries.
+/// This host's share of the allowed retries: what its own requests earn, and a part of the
+/// slack once the number of hosts is known.
 #[derive(Debug, Clone)]
 pub struct RetryShare {
     bounds: RetryBounds,
-    started: Instant,
-    hosts: usize,
+    opened: Instant,
+    size: FleetSize,
 }
 
 impl RetryShare {
-    /// Creates the share of a process that started at `started` and knows no other host.
-    pub fn new(bounds: RetryBounds, started: Instant) -> Self {
+    /// Creates the share of a process that started at `opened`.
+    pub fn new(bounds: RetryBounds, opened: Instant) -> Self {
         Self {
             bounds,
-            started,
-            hosts: MIN_HOSTS,
+            opened,
+            size: FleetSize::default(),
         }
     }
 
-    /// Adjusts the share to the number of known hosts.
-    pub fn observe(&mut self, known: usize, now: Instant) {
-        let age = now.saturating_duration_since(self.started);
-        self.hosts = match known {
-            2.. if age >= SETTLE_TIME => known,
-            _ => known.max(MIN_HOSTS),
-        };
+    /// Applies a count of the hosts of the fleet; `None` if it may be incomplete.
+    pub fn observe(&mut self, counted: Option<usize>, now: Instant) {
+        self.size.observe(counted, now);
     }
 
-    /// Returns the number of hosts among which the retries are divided.
-    pub fn hosts(&self) -> usize {
-        self.hosts
+    /// Returns the number of hosts among which the slack is divided; `None` while it is
+    /// unknown and this host takes no slack.
+    pub fn hosts(&self) -> Option<usize> {
+        self.size.hosts()
     }
 
     /// Returns the limits of this host's budgets.
     pub fn settings(&self) -> WindowSettings {
+        let slack = self
+            .hosts()
+            .map_or(0.0, |hosts| self.bounds.slack / hosts as f64);
         WindowSettings {
             window: self.bounds.window,
             ratio: self.bounds.ratio * USED_SHARE,
-            slack: self.bounds.slack * USED_SHARE / self.hosts as f64,
-            opened: self.started,
+            slack: slack * USED_SHARE,
+            opened: self.opened,
         }
     }
 }
--- a/tests/retry_budget_model.rs
+++ b/tests/retry_budget_model.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use fleet_in_memory::{SimFleet, zone_name};
+use jackdawwick::ids::ZoneId;
 use jackdawwick::retry::{RetryBounds, RetryShare, WindowBudget};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -275,12 +276,16 @@
     }
 
     fn observe_size(&mut self, index: usize) {
-        let known = match self.knows_size {
-            true => self.hosts.len(),
-            false => self.fleet.hosts[index].gossip.known_count(),
+        let counted = match self.knows_size {
+            true => Some(self.hosts.len()),
+            false => {
+                let zones = (0..self.plan.zones).map(|zone| zone_name(zone).as_str().into());
+                let zones = zones.collect::<Vec<ZoneId>>();
+                self.fleet.hosts[index].gossip.complete_count(&zones)
+            }
         };
         let process = &mut self.hosts[index].process;
-        process.share.observe(known, self.fleet.now);
+        process.share.observe(counted, self.fleet.now);
     }
 
     /// Sends the requests of one step. Each that fails is sent once more if its host may.
