Count in the soak what targets receive again, over all hosts and starts

Cause: the soak checked no bound on repeats, so that neither its seeds nor its long runs could show that processes which start again exceed it together.

--- a/standins/src/soak/check.rs
+++ b/standins/src/soak/check.rs
@@ -1,8 +1,9 @@
 //! Checks the guarantees on a history.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
+use super::configuration::{RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW};
 use super::history::{
     AttemptRecord, CallKind, CallOutcome, CallRecord, Disturbance, DisturbanceScope, SoakHistory,
 };
@@ -24,6 +25,22 @@
 /// this time the host has read the call.
 const CLOSE_RACE_TIME: Duration = Duration::from_millis(200);
 
+/// Calls that reached the targets of a service again in one window, and the allowed number.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RepeatWindow {
+    /// Arrivals beyond the first one of their call.
+    pub arrivals: usize,
+    /// The number that the bound allows.
+    pub allowed: usize,
+}
+
+impl RepeatWindow {
+    /// Returns whether the bound is exceeded.
+    pub fn is_exceeded(&self) -> bool {
+        self.arrivals > self.allowed
+    }
+}
+
 /// A violated guarantee, with the call, target or host that is affected.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Violation {
@@ -50,6 +67,8 @@
     SentAfterStatement(String),
     /// A target received more calls than its advertised limit allows.
     OverLimit(String, usize),
+    /// Targets of a service received more calls again, in one window, than the bound allows.
+    TooManyRepeats(RepeatWindow),
     /// A host went back to a version before one that it had served.
     Regressed(usize, u64),
     /// A version was not active in time.
@@ -67,6 +86,13 @@
     violations.extend(wrong_runs(history));
     violations.extend(wrong_responses(history));
     violations.extend(regressions(history));
+    let windows =
+        [CallKind::Idempotent, CallKind::Stream].map(|kind| fullest_window(history, kind));
+    let exceeded = windows
+        .into_iter()
+        .flatten()
+        .filter(|window| window.is_exceeded());
+    violations.extend(exceeded.map(Violation::TooManyRepeats));
     let ends = history.unexpected_exits.iter().cloned();
     violations.extend(ends.map(Violation::UnexpectedExit));
     if !history.recovered {
@@ -83,6 +109,44 @@
     violations
 }
 
+/// Returns the window in which the targets of the service of `kind` received most calls
+/// again, compared with what is allowed. Calls that were sent in this window, in the one
+/// before it or in the one half a window before it earn repeats.
+pub(super) fn fullest_window(history: &SoakHistory, kind: CallKind) -> Option<RepeatWindow> {
+    let calls = calls_by_id(history);
+    let is_stream = |kind| kind == CallKind::Stream;
+    let of_service = |id: &str| {
+        let call = calls.get(id);
+        call.is_some_and(|call| is_stream(call.kind) == is_stream(kind))
+    };
+    let sent = history.calls.iter().filter(|call| of_service(&call.id));
+    let mut sent = sent.map(|call| call.sent).collect::<Vec<_>>();
+    sent.sort_unstable();
+    let mut attempts = history.attempts.iter().collect::<Vec<_>>();
+    attempts.sort_by_key(|attempt| attempt.arrived);
+    let mut known = HashSet::new();
+    let repeats = attempts
+        .into_iter()
+        .filter(|attempt| of_service(&attempt.id) && !known.insert(attempt.id.as_str()));
+    let repeats = repeats.map(|attempt| attempt.arrived).collect::<Vec<_>>();
+    let count = |moments: &[Instant], from: Instant| {
+        let before = |end: Instant| moments.partition_point(|at| *at < end);
+        before(from + RETRY_WINDOW) - before(from)
+    };
+    let windows = repeats.iter().map(|from| {
+        let earlier = [Duration::ZERO, RETRY_WINDOW / 2, RETRY_WINDOW];
+        let earlier = earlier.into_iter().filter_map(|by| from.checked_sub(by));
+        let earning = earlier.map(|from| count(&sent, from)).max();
+        let allowed = RETRY_RATIO * earning.unwrap_or(0) as f64 + RETRY_SLACK;
+        RepeatWindow {
+            arrivals: count(&repeats, *from),
+            allowed: allowed as usize,
+        }
+    });
+    let part = |window: &RepeatWindow| window.arrivals as f64 / window.allowed as f64;
+    windows.max_by(|left, right| part(left).total_cmp(&part(right)))
+}
+
 fn calls_by_id(history: &SoakHistory) -> HashMap<&str, &CallRecord> {
     let calls = history.calls.iter();
     calls.map(|call| (call.id.as_str(), call)).collect()
--- a/standins/src/soak/configuration.rs
+++ b/standins/src/soak/configuration.rs
@@ -1,6 +1,7 @@
 //! Configuration that the soak publishes, and the settings of its hosts.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use serde_json::json;
@@ -25,6 +26,12 @@
 /// Grace period within which a process has to exit after SIGTERM.
 pub(super) const GRACE_S: u64 = 6;
 
+/// Bound on the calls that reach targets of a service again, over all hosts: a ratio of the
+/// calls and a slack, in each window.
+pub(super) const RETRY_RATIO: f64 = 0.2;
+pub(super) const RETRY_WINDOW: Duration = Duration::from_secs(10);
+pub(super) const RETRY_SLACK: f64 = 200.0;
+
 /// Number of targets to which a request may be sent.
 pub(super) const MAX_ATTEMPTS: usize = 2;
 
@@ -101,7 +108,8 @@
         "limits": {"memory_mb": 260},
         "bounds": {
             "drain_ms": 2000, "grace_s": GRACE_S, "stall_ms": STALL_MS,
-            "retry_budget_ratio": 0.2, "budget_window_s": 10, "budget_slack": 200,
+            "retry_budget_ratio": RETRY_RATIO, "budget_slack": RETRY_SLACK,
+            "budget_window_s": RETRY_WINDOW.as_secs(),
         },
     });
     body.to_string()
