--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -27,13 +27,13 @@
 mod poison;
 mod poison_part;
 mod probe;
-mod repeats;
 mod responses;
+mod retries;
 mod run;
 mod statement;
 mod target;
 
-pub use check::{RepeatWindow, Violation, find_violations};
+pub use check::{RetryWindow, Violation, find_violations};
 pub use departure::{
     DepartureReport, run_departure_during_log_outage, run_departure_with_host_cut_off,
 };
@@ -51,6 +51,6 @@
 pub use poison_part::{
     PoisonPartReport, PoisonPartRestartReport, run_poison_part, run_poison_part_restart,
 };
-pub use repeats::{RepeatReport, run_failures_over_restarts};
+pub use retries::{RetryReport, run_failures_over_restarts};
 pub use run::{LinkScope, SoakReport, SoakSettings, run_soak};
 pub use statement::{StatementReport, run_leaving_statement, run_requested_pause};
--- a/standins/src/soak/check.rs
+++ b/standins/src/soak/check.rs
@@ -27,14 +27,14 @@
 
 /// Calls that reached the targets of a service again in one window, and the allowed number.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct RepeatWindow {
+pub struct RetryWindow {
     /// Arrivals beyond the first one of their call.
     pub arrivals: usize,
     /// The number that the bound allows.
     pub allowed: usize,
 }
 
-impl RepeatWindow {
+impl RetryWindow {
     /// Returns whether the bound is exceeded.
     pub fn is_exceeded(&self) -> bool {
         self.arrivals > self.allowed
@@ -68,7 +68,7 @@
     /// A target received more calls than its advertised limit allows.
     OverLimit(String, usize),
     /// Targets of a service received more calls again, in one window, than the bound allows.
-    TooManyRepeats(RepeatWindow),
+    TooManyRetries(RetryWindow),
     /// A host went back to a version before one that it had served.
     Regressed(usize, u64),
     /// A version was not active in time.
@@ -92,7 +92,7 @@
         .into_iter()
         .flatten()
         .filter(|window| window.is_exceeded());
-    violations.extend(exceeded.map(Violation::TooManyRepeats));
+    violations.extend(exceeded.map(Violation::TooManyRetries));
     let ends = history.unexpected_exits.iter().cloned();
     violations.extend(ends.map(Violation::UnexpectedExit));
     if !history.recovered {
@@ -111,8 +111,8 @@
 
 /// Returns the window in which the targets of the service of `kind` received most calls
 /// again, compared with what is allowed. Calls that were sent in this window, in the one
-/// before it or in the one half a window before it earn repeats.
-pub(super) fn fullest_window(history: &SoakHistory, kind: CallKind) -> Option<RepeatWindow> {
+/// before it or in the one half a window before it earn retries.
+pub(super) fn fullest_window(history: &SoakHistory, kind: CallKind) -> Option<RetryWindow> {
     let calls = calls_by_id(history);
     let is_stream = |kind| kind == CallKind::Stream;
     let of_service = |id: &str| {
@@ -125,25 +125,25 @@
     let mut attempts = history.attempts.iter().collect::<Vec<_>>();
     attempts.sort_by_key(|attempt| attempt.arrived);
     let mut known = HashSet::new();
-    let repeats = attempts
+    let retries = attempts
         .into_iter()
         .filter(|attempt| of_service(&attempt.id) && !known.insert(attempt.id.as_str()));
-    let repeats = repeats.map(|attempt| attempt.arrived).collect::<Vec<_>>();
+    let retries = retries.map(|attempt| attempt.arrived).collect::<Vec<_>>();
     let count = |moments: &[Instant], from: Instant| {
         let before = |end: Instant| moments.partition_point(|at| *at < end);
         before(from + RETRY_WINDOW) - before(from)
     };
-    let windows = repeats.iter().map(|from| {
+    let windows = retries.iter().map(|from| {
         let earlier = [Duration::ZERO, RETRY_WINDOW / 2, RETRY_WINDOW];
         let earlier = earlier.into_iter().filter_map(|by| from.checked_sub(by));
         let earning = earlier.map(|from| count(&sent, from)).max();
         let allowed = RETRY_RATIO * earning.unwrap_or(0) as f64 + RETRY_SLACK;
-        RepeatWindow {
-            arrivals: count(&repeats, *from),
+        RetryWindow {
+            arrivals: count(&retries, *from),
             allowed: allowed as usize,
         }
     });
-    let part = |window: &RepeatWindow| window.arrivals as f64 / window.allowed as f64;
+    let part = |window: &RetryWindow| window.arrivals as f64 / window.allowed as f64;
     windows.max_by(|left, right| part(left).total_cmp(&part(right)))
 }
 
--- a/standins/src/soak/repeats.rs
+++ b/standins/src/soak/retries.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::callers::{call_host, stop_callers};
-use super::check::{RepeatWindow, fullest_window};
+use super::check::{RetryWindow, fullest_window};
 use super::configuration::{PLAIN_SERVICE, RETRY_WINDOW};
 use super::engines::TargetFault;
 use super::history::CallKind;
@@ -15,16 +15,16 @@
 const CALLERS: usize = 3;
 const CALL_PAUSE: Duration = Duration::from_millis(10);
 /// How long targets fail before each start of all hosts: longer than hosts need to send all
-/// repeats that they saved in a window without failures.
+/// retries that they saved in a window without failures.
 const FAILING_TIME: Duration = Duration::from_secs(3);
 /// Number of starts of all hosts, within one window.
 const RESTARTS: usize = 2;
 
 /// What targets received again.
 #[derive(Debug, Clone, PartialEq)]
-pub struct RepeatReport {
+pub struct RetryReport {
     /// The fullest window.
-    pub fullest: Option<RepeatWindow>,
+    pub fullest: Option<RetryWindow>,
     /// Number of calls.
     pub calls: usize,
 }
@@ -35,7 +35,7 @@
 /// # Errors
 ///
 /// If processes or sockets cannot be set up.
-pub async fn run_failures_over_restarts(settings: SoakSettings) -> io::Result<RepeatReport> {
+pub async fn run_failures_over_restarts(settings: SoakSettings) -> io::Result<RetryReport> {
     let mut run = SoakRun::open_served(settings).await?;
     let hosts = (0..run.hosts.len() * CALLERS).map(|index| index % run.hosts.len());
     let callers = hosts.map(|host| {
@@ -58,7 +58,7 @@
     let mut history = std::mem::take(&mut *run.context.history.lock());
     history.calls.extend(records);
     history.attempts = std::mem::take(&mut *run.registry.attempts.lock());
-    Ok(RepeatReport {
+    Ok(RetryReport {
         fullest: fullest_window(&history, CallKind::Idempotent),
         calls: history.calls.len(),
     })
--- a/tests/retry_budget_model.rs
+++ b/tests/retry_budget_model.rs
@@ -380,7 +380,7 @@
 }
 
 /// Returns a game in which nothing has failed for a window, so that hosts may send many
-/// repeats at once, and then nine in ten requests fail.
+/// retries at once, and then nine in ten requests fail.
 fn open_after_calm(plan: FleetPlan, seed: u64) -> Game {
     let mut game = Game::open(plan, seed);
     game.run(WINDOW, |_| None);
@@ -390,7 +390,7 @@
 
 /// Guards against processes that spend what their predecessors spent in the same window.
 #[test]
-fn repeats_stay_within_the_bound_when_hosts_start_again() {
+fn retries_stay_within_the_bound_when_hosts_start_again() {
     for plan in [EIGHT, SIXTY] {
         for seconds in [[4, 7, 10], [5, 10, 15], [3, 4, 5]] {
             let mut game = open_after_calm(plan, 1);
@@ -403,7 +403,7 @@
 
 /// Guards against a slack that is divided among fewer hosts than there are.
 #[test]
-fn repeats_stay_within_the_bound_when_all_hosts_start_under_load() {
+fn retries_stay_within_the_bound_when_all_hosts_start_under_load() {
     for plan in [SIXTY, LARGE] {
         let mut game = Game::open(plan, 2);
         game.failing = 0.9;
@@ -417,7 +417,7 @@
 
 /// Guards against both at once, as when all hosts are killed while targets fail.
 #[test]
-fn repeats_stay_within_the_bound_when_all_hosts_start_again_under_load() {
+fn retries_stay_within_the_bound_when_all_hosts_start_again_under_load() {
     for plan in [EIGHT, SIXTY] {
         let mut game = open_after_calm(plan, 3);
         game.run(20 * SECOND, kill_all_at(&[5, 9]));
@@ -427,7 +427,7 @@
 
 /// Guards against hosts that start behind a cut and count only those on their side.
 #[test]
-fn repeats_stay_within_the_bound_when_hosts_start_behind_a_cut() {
+fn retries_stay_within_the_bound_when_hosts_start_behind_a_cut() {
     let events = |step| match step {
         8 => Some(GameEvent::Cut { zone: 0 }),
         9 => Some(GameEvent::Cut { zone: 1 }),
@@ -460,7 +460,7 @@
 
 /// Guards against a bound that is kept by giving up retries that callers need.
 #[test]
-fn three_quarters_of_the_allowed_repeats_are_used_when_no_host_starts() {
+fn three_quarters_of_the_allowed_retries_are_used_when_no_host_starts() {
     for plan in [EIGHT, SIXTY] {
         let game = play(plan, 3, 30, |_| None);
         for second in 0..20 {
@@ -472,7 +472,7 @@
 
 /// Guards against hosts that give up all retries while the fleet starts again and again.
 #[test]
-fn half_of_the_allowed_repeats_are_used_during_a_series_of_starts() {
+fn half_of_the_allowed_retries_are_used_during_a_series_of_starts() {
     let kills = |step: usize| {
         let is_due = step >= SECOND && step.is_multiple_of(3 * SECOND);
         is_due.then_some(GameEvent::Kill {
@@ -528,9 +528,9 @@
 }
 
 /// Guards against any order of kills, cuts, freezes and changes of the load that lets the
-/// repeats of all hosts exceed the bound.
+/// retries of all hosts exceed the bound.
 #[test]
-fn repeats_stay_within_the_bound_under_random_faults() {
+fn retries_stay_within_the_bound_under_random_faults() {
     for seed in 0..6 {
         for plan in [EIGHT, SIXTY] {
             let game = play_random(plan, seed, 40);
@@ -543,7 +543,7 @@
 #[test]
 #[ignore = "takes minutes; run by hand"]
 #[expect(clippy::print_stdout, reason = "the figures are what the run is for")]
-fn repeats_stay_within_the_bound_under_random_faults_over_many_seeds() {
+fn retries_stay_within_the_bound_under_random_faults_over_many_seeds() {
     for seed in 0..40 {
         for plan in [EIGHT, SIXTY, LARGE, LARGEST] {
             let game = play_random(plan, seed, 40);
