Show that the soak finds retries beyond the bound of a window

Cause: each check of the soak has a history that breaks its promise, but for the new one.

Measured: the first is found (300 of 259 allowed, in the window from the first retry on), the second is not.

--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -8,8 +8,9 @@
 use standins::check::AdvertisedLimit;
 use standins::soak::{
     AttemptRecord, CallKind, CallOutcome, CallRecord, Disturbance, DisturbanceScope, FaultLink,
-    LinkFault, LinkScope, ProbeRecord, RunRecord, SoakHistory, SoakSettings, TargetDeparture,
-    TargetLimit, Violation, draw_faults, draw_statements, find_violations, run_soak,
+    LinkFault, LinkScope, ProbeRecord, RetryWindow, RunRecord, SoakHistory, SoakSettings,
+    TargetDeparture, TargetLimit, Violation, draw_faults, draw_statements, find_violations,
+    run_soak,
 };
 use support::TestResult;
 use support::soaks::soak_settings;
@@ -194,6 +195,31 @@
     assert_eq!(builder.violations(), []);
 }
 
+#[test]
+fn retries_of_all_hosts_beyond_the_bound_of_a_window_are_found() {
+    let violations = |gap_ms: u64| {
+        let mut builder = HistoryBuilder::new();
+        for call in 0..300 {
+            let (id, at) = (format!("call-{call}"), gap_ms * call);
+            builder.attempt(&id, at, None, false);
+            let first = builder.history.attempts.last().expect("an attempt").clone();
+            builder.history.attempts.push(AttemptRecord {
+                target: "two".into(),
+                arrived: first.arrived + Duration::from_millis(1),
+                ..first
+            });
+        }
+        builder.violations()
+    };
+    // The fullest window begins with the first retry, after the first of the 300 calls.
+    let exceeded = RetryWindow {
+        arrivals: 300,
+        allowed: 259,
+    };
+    assert_eq!(violations(30), [Violation::TooManyRetries(exceeded)]);
+    assert_eq!(violations(60), []);
+}
+
 #[test]
 fn a_limit_that_each_host_applies_separately_is_found_unless_the_host_was_disturbed() {
     let mut builder = HistoryBuilder::new();
