Word two comments of the retry model for newcomers

Cause: the read-through found a sentence that could be read two ways, and one that rests on the tests before it.

Change: comments of tests/retry_budget_model.rs only.

--- a/tests/retry_budget_model.rs
+++ b/tests/retry_budget_model.rs
@@ -1,6 +1,6 @@
-//! Games of a fleet in memory whose targets fail a part of the requests, so that hosts send
-//! more of them once more than the platform allows. Counts what arrives at the targets over
-//! all hosts and processes, in each sliding window.
+//! Games of a fleet in memory whose targets fail many requests, so that hosts want to send
+//! more retries than the platform allows. The retries that arrive at the targets are counted
+//! over all hosts and processes and compared with the bound in each sliding window.
 
 mod fleet_in_memory;
 
@@ -415,7 +415,8 @@
     }
 }
 
-/// Guards against both at once, as when all hosts are killed while targets fail.
+/// Guards against hosts that start with a new budget and too small a divisor at once, when all
+/// of them are killed while targets fail.
 #[test]
 fn retries_stay_within_the_bound_when_all_hosts_start_again_under_load() {
     for plan in [EIGHT, SIXTY] {
