Show why a target is silent under a request, and what a cut stream lacked

Calls to targets now say whether a connection was established; the line silence and the counter jackdawwick_silences name the cause and the outcome; the line stream cut names what denied another attempt. No decision has changed.

--- a/src/forward.rs
+++ b/src/forward.rs
@@ -42,7 +42,7 @@
 pub use gateway_link::GatewayPeers;
 pub use gateway_server::{GatewayHandle, MemberCheck, serve_gateway};
 pub use permits::PermitSource;
-pub use probe::{TargetReply, call_target, fetch_report};
+pub use probe::{CallFailure, TargetReply, call_target, fetch_report};
 pub use response::{Refusal, ResponseBody};
 pub use serve::{ServingHandle, serve};
 pub use tables::{InFlightGuard, ServingTables};
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -17,6 +17,7 @@
 use super::response_end::ends_with_connection;
 use super::stream_times::StreamTimes;
 use super::watch::{PathWatch, SilenceVerdict};
+use crate::silence::SilenceCause;
 
 /// A running stream.
 struct StreamRelay {
@@ -98,7 +99,7 @@
                     self.watch.handle_lost_engine().await;
                     continue;
                 }
-                StreamStep::Deadline => return Err(self.cut("deadline")),
+                StreamStep::Deadline => return Err(self.cut("deadline", "none")),
                 StreamStep::Broken(reason) => {
                     self.watch.record_break().await;
                     self.record_break();
@@ -186,16 +187,21 @@
         self.tried.sent += 1;
         loop {
             let now = Instant::now();
-            let allowed = route.kind.is_repeatable()
-                && self.tried.sent < route.max_attempts
-                && now < exchange.deadline
-                && exchange.tables.spend_retry(&exchange.service.name, now);
-            if !allowed {
-                return Err(self.cut(reason));
+            let denied = if !route.kind.is_repeatable() || self.tried.sent >= route.max_attempts {
+                Some("no_attempt")
+            } else if now >= exchange.deadline {
+                Some("no_time")
+            } else if !exchange.tables.spend_retry(&exchange.service.name, now) {
+                Some("no_retry")
+            } else {
+                None
+            };
+            if let Some(denied) = denied {
+                return Err(self.cut(reason, denied));
             }
             let (chosen, guard) = match exchange.choose_reachable(&self.tried, true).await {
                 Ok(chosen) => chosen,
-                Err(refusal) => return Err(self.cut(refusal.reason.name())),
+                Err(refusal) => return Err(self.cut(reason, refusal.reason.name())),
             };
             let last = self.events.last_id().map(str::to_owned);
             exchange.tables.metrics.repaired("resumed");
@@ -225,12 +231,18 @@
         }
     }
 
-    fn cut(&self, reason: &str) -> std::io::Error {
+    fn cut(&self, reason: &str, denied: &str) -> std::io::Error {
+        if let Some(cause) = self.watch.silence() {
+            self.watch.log_silence(cause, "cut", Instant::now());
+        }
         self.exchange.tables.metrics.repaired("cut");
         log::info!(
             request:% = self.exchange.outgoing.id,
             after_ms = self.exchange.arrived.elapsed().as_millis() as u64,
             reason:% = reason,
+            denied:% = denied,
+            cause:% = self.watch.silence().map_or("none", SilenceCause::name),
+            silent_ms = self.watch.last_progress.elapsed().as_millis() as u64,
             target_id:% = self.watch.chosen.id,
             after_event:% = self.events.last_id().unwrap_or("none");
             "stream cut"
--- a/src/forward/tables.rs
+++ b/src/forward/tables.rs
@@ -13,6 +13,7 @@
 use super::gateway_link::{GatewayPeers, WitnessCell};
 use super::liveness::LivenessTable;
 use super::permits::PermitSource;
+use super::probe::CallFailure;
 use super::retry_budgets::RetryBudgets;
 use crate::admission::start::StartTable;
 use crate::admission::{ConnectionGate, OverloadGauge, ZoneLoad};
@@ -32,7 +33,7 @@
 
 /// A report and the time at which it was received. The lock admits one request at a time.
 pub(super) type ReportCell =
-    Arc<tokio::sync::Mutex<Option<(Instant, Result<Arc<EngineReport>, ()>)>>>;
+    Arc<tokio::sync::Mutex<Option<(Instant, Result<Arc<EngineReport>, CallFailure>)>>>;
 
 /// Shared state of the data path. No lock is held across an await, and no two at once.
 pub struct ServingTables {
--- a/src/forward/watch.rs
+++ b/src/forward/watch.rs
@@ -13,7 +13,7 @@
 use super::exchange::Exchange;
 use super::gateway_link::{GatewayUse, PeerWitness};
 use super::liveness::LivenessGuard;
-use super::probe::fetch_report;
+use super::probe::{CallFailure, fetch_report};
 use super::response_end::has_crashed;
 use super::tables::InFlightGuard;
 use super::target_link::TargetResponse;
@@ -21,6 +21,7 @@
 use crate::ids::TargetId;
 use crate::poison::RunStart;
 use crate::reachability::TargetWay;
+use crate::silence::SilenceCause;
 use crate::verdict::RunVerdict;
 
 /// Shortest silence after which a request is checked. Reports lag by 200 ms, and passes
@@ -51,6 +52,8 @@
     /// The gateway through which the request runs.
     gateway: Option<GatewayUse>,
     start: RunStart,
+    /// What the last check of the current silence found.
+    silence: Option<SilenceCause>,
 }
 
 /// Result of a check of a silent request.
@@ -83,6 +86,7 @@
             moves: 0,
             gateway: None,
             start: RunStart::default(),
+            silence: None,
         }
     }
 
@@ -103,6 +107,9 @@
 
     /// Records progress, which postpones the next check.
     pub(super) fn observe_progress(&mut self, now: Instant) {
+        if let Some(cause) = self.silence.take() {
+            self.log_silence(cause, "ended", now);
+        }
         self.last_progress = now;
         self.check_at = now + silence_limit(&self.exchange);
     }
@@ -246,7 +253,12 @@
         if is_moved {
             return SilenceVerdict::Waiting;
         }
-        match self.find_faulty_engine(now).await {
+        let (cause, failed) = self.find_faulty_engine(now).await;
+        let before = self.silence.replace(cause);
+        if before != Some(cause) {
+            self.log_silence(cause, "found", Instant::now());
+        }
+        match failed {
             None if self.is_cut_off(now).await => SilenceVerdict::LostLink,
             None => SilenceVerdict::Waiting,
             Some(failed) if unavailable.is_some() => SilenceVerdict::Lost(failed),
@@ -257,6 +269,25 @@
         }
     }
 
+    /// Logs and counts what was found about a silence, and what became of it.
+    pub(super) fn log_silence(&self, cause: SilenceCause, action: &'static str, now: Instant) {
+        let silent = now.saturating_duration_since(self.last_progress);
+        self.exchange.tables.metrics.silence(cause, action);
+        log::info!(
+            request:% = self.exchange.outgoing.id,
+            target_id:% = self.chosen.id,
+            cause:% = cause.name(),
+            action:% = action,
+            silent_ms = silent.as_millis() as u64;
+            "silence"
+        );
+    }
+
+    /// Returns what the last check of the current silence found, if there was one.
+    pub(super) fn silence(&self) -> Option<SilenceCause> {
+        self.silence
+    }
+
     /// Returns whether the request runs through a gateway.
     pub(super) fn uses_gateway(&self) -> bool {
         self.gateway.is_some()
@@ -288,45 +319,57 @@
         self.unavailable_engines(hops, now).into_iter().next()
     }
 
-    /// Returns the engine that stalls the request, according to the report of the first
-    /// engine.
-    async fn find_faulty_engine(&self, now: Instant) -> Option<TargetId> {
-        let path = self.chosen.path.as_ref()?;
+    /// Returns why the request is silent, and the engine that stalls it, according to the
+    /// report of the first engine.
+    async fn find_faulty_engine(&self, now: Instant) -> (SilenceCause, Option<TargetId>) {
+        let Some(path) = self.chosen.path.as_ref() else {
+            return (SilenceCause::Working, None);
+        };
         let id = &self.chosen.id;
         let tables = &self.exchange.tables;
-        let failed = match fetch_report(tables, id, self.chosen.address, now).await {
-            Err(()) => self.find_silent_target(now).await,
+        let (cause, failed) = match fetch_report(tables, id, self.chosen.address, now).await {
+            Err(failure) => self.find_silent_target(&failure, now).await,
             Ok(report) => {
                 let own = &self.exchange.outgoing.id;
                 let mut stalled = report.stalled.iter();
                 let stalled = stalled.find(|(request, _)| request == own);
-                stalled.and_then(|(_, address)| self.chosen.target_at(*address))
+                match stalled.and_then(|(_, address)| self.chosen.target_at(*address)) {
+                    Some(stalled) => (SilenceCause::Stalled, Some(stalled)),
+                    None => (SilenceCause::Working, None),
+                }
             }
         };
-        match failed {
+        match &failed {
             Some(failed) => {
                 tables.metrics.ejected("silent");
-                tables.fleet.lock().observe_silence(&failed, Instant::now());
-                Some(failed)
-            }
-            None => {
-                self.update_paces(path, now).await;
-                None
+                tables.fleet.lock().observe_silence(failed, Instant::now());
             }
+            None => self.update_paces(path, now).await,
         }
+        (cause, failed)
     }
 
-    /// Returns the first engine, which gives no report, if it is at fault.
-    async fn find_silent_target(&self, now: Instant) -> Option<TargetId> {
+    /// Returns why the first engine gave no report, and the engine if it is at fault.
+    async fn find_silent_target(
+        &self,
+        failure: &CallFailure,
+        now: Instant,
+    ) -> (SilenceCause, Option<TargetId>) {
         let (id, tables) = (&self.chosen.id, &self.exchange.tables);
         tables.start_asking(id);
         if is_closed(tables, id, self.chosen.address, now).await {
             // This request's connection is open: the engine is shutting down and completes
             // the request.
-            return None;
+            return (SilenceCause::Closing, None);
+        }
+        if self.has_lost_link() && tables.ask_peers(id).await == PeerWitness::Reaches {
+            return (SilenceCause::LostLink, None);
         }
-        let is_sound = self.has_lost_link() && tables.ask_peers(id).await == PeerWitness::Reaches;
-        (!is_sound).then(|| id.clone())
+        let cause = match failure {
+            CallFailure::Unconnected(_) => SilenceCause::Unreachable,
+            CallFailure::NoAnswer | CallFailure::Unusable(_) => SilenceCause::Still,
+        };
+        (cause, Some(id.clone()))
     }
 
     /// Requests the pace of the engines of the path.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -72,5 +72,6 @@
 pub mod routing;
 pub mod run;
 pub mod shares;
+pub mod silence;
 pub mod target;
 pub mod verdict;
--- a/src/metrics/labels.rs
+++ b/src/metrics/labels.rs
@@ -161,6 +161,12 @@
     pub(super) cause: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct SilenceLabels {
+    pub(super) cause: &'static str,
+    pub(super) action: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(super) struct ClaimLabel {
     pub(super) result: &'static str,
--- a/src/metrics/serving.rs
+++ b/src/metrics/serving.rs
@@ -11,13 +11,14 @@
 use prometheus_client::registry::{Registry, Unit};
 
 use super::capacity_gauges::CapacityGauges;
-use super::labels::{CauseLabel, ReasonLabel, ZoneLabels};
+use super::labels::{CauseLabel, ReasonLabel, SilenceLabels, ZoneLabels};
 use super::retry_gauges::RetryGauges;
 use super::set::{PREFIX, latency_histogram};
 use crate::capacity::CapacityView;
 use crate::ids::ServiceId;
 use crate::reason::RefusalReason;
 use crate::retry::WindowUsage;
+use crate::silence::SilenceCause;
 
 /// Counters, gauges and histograms of one entry host. Label values are constants in the code,
 /// so that the number of series is bounded; only the gauges of capacity, of retries and of the
@@ -49,6 +50,7 @@
     zone_choices: Family<CauseLabel, Counter>,
     retry_decisions: Family<CauseLabel, Counter>,
     retries: RetryGauges,
+    silences: Family<SilenceLabels, Counter>,
     zone_shares: Family<ZoneLabels, Gauge<f64, AtomicU64>>,
     starts_waiting: Gauge,
     first_event: Histogram,
@@ -85,6 +87,7 @@
             zone_choices: Family::default(),
             retry_decisions: Family::default(),
             retries: RetryGauges::default(),
+            silences: Family::default(),
             zone_shares: Family::default(),
             starts_waiting: Gauge::default(),
             first_event: latency_histogram(),
@@ -214,6 +217,9 @@
         let refusals = self.refusals.clone();
         self.registry
             .register("refusals", "Refusals by reason", refusals);
+        let silences = self.silences.clone();
+        let help = "Silences of targets under requests, by cause and by what became of them";
+        self.registry.register("silences", help, silences);
         let shares = self.zone_shares.clone();
         let help = "Share of the requests of this host's zone that goes to another zone";
         self.registry.register("zone_share", help, shares);
@@ -386,6 +392,14 @@
         count(&self.retry_decisions, cause);
     }
 
+    /// Counts a silence of a target under a request: when its cause is found, and what became
+    /// of it.
+    pub fn silence(&self, cause: SilenceCause, action: &'static str) {
+        let cause = cause.name();
+        let labels = SilenceLabels { cause, action };
+        self.silences.get_or_create(&labels).inc();
+    }
+
     /// Sets what the retry budgets of services hold.
     pub fn set_retry_usage(&self, usage: &[(ServiceId, WindowUsage)]) {
         self.retries.set_usage(usage);
