Add failing tests over processes: requests end while their target stands still

Tests in one process showed it; none showed it with processes, gateways, signals and configurations that come meanwhile.

Change: a target of the soak can stand still as under SIGSTOP: it accepts connections, sends neither events nor reports nor heartbeats, and goes on with all it held. Paths wait for a later engine that stands still, and the first one reports so. Runs can have a fleet of one path and a smaller bound on retries. Each test publishes a configuration every 150 ms and checks that every call that was read whole got its response, once and in order, or a true "not run".

--- a/standins/src/bin/soak.rs
+++ b/standins/src/bin/soak.rs
@@ -7,7 +7,9 @@
 
 use clap::{Arg, ArgAction, Command, value_parser};
 use standins::command_line::{count, number, number_arg};
-use standins::soak::{CallOutcome, LinkScope, SoakReport, SoakSettings, run_soak};
+use standins::soak::{
+    CallOutcome, LinkScope, RetryBound, SoakReport, SoakSettings, TargetFleet, run_soak,
+};
 
 fn main() -> std::io::Result<ExitCode> {
     let matches = Command::new("soak")
@@ -70,6 +72,8 @@
                 false => LinkScope::Fleet,
             },
             timed: !matches.get_flag("untimed"),
+            targets: TargetFleet::Several,
+            retries: RetryBound::default(),
         }))?;
         writeln!(std::io::stdout(), "{}", line(seed, &report))?;
         match report.violations.is_empty() {
--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -30,14 +30,16 @@
 mod responses;
 mod retries;
 mod run;
+mod silence;
 mod statement;
 mod target;
 
 pub use check::{RetryWindow, Violation, find_violations};
+pub use configuration::RetryBound;
 pub use departure::{
     DepartureReport, run_departure_during_log_outage, run_departure_with_host_cut_off,
 };
-pub use engines::TargetFault;
+pub use engines::{PathPosition, TargetFault};
 pub use history::{
     AttemptRecord, CallKind, CallOutcome, CallRecord, Disturbance, DisturbanceScope, ProbeRecord,
     RunRecord, SoakHistory, TargetDeparture, TargetLimit,
@@ -52,5 +54,6 @@
     PoisonPartReport, PoisonPartRestartReport, run_poison_part, run_poison_part_restart,
 };
 pub use retries::{RetryReport, run_failures_over_restarts};
-pub use run::{LinkScope, SoakReport, SoakSettings, run_soak};
+pub use run::{LinkScope, SoakReport, SoakSettings, TargetFleet, run_soak};
+pub use silence::{SilenceDisruption, SilencePlan, SilenceReport, UnansweredCall, run_silence};
 pub use statement::{StatementReport, run_leaving_statement, run_requested_pause};
--- a/standins/src/soak/callers.rs
+++ b/standins/src/soak/callers.rs
@@ -153,6 +153,17 @@
     host: usize,
     kind: CallKind,
     pause: Duration,
+) -> Vec<CallRecord> {
+    call_host_within(context, host, kind, pause, deadline_of(kind)).await
+}
+
+/// Calls one host like [`call_host`], with a deadline for each call.
+pub(super) async fn call_host_within(
+    context: Arc<CallerContext>,
+    host: usize,
+    kind: CallKind,
+    pause: Duration,
+    deadline: Duration,
 ) -> Vec<CallRecord> {
     let mut records = Vec::new();
     while !context.is_stopped() {
@@ -161,7 +172,7 @@
             continue;
         };
         while !context.is_stopped() && !connection.is_closed() {
-            records.push(call(&context, &mut connection, host, kind).await);
+            records.push(call_within(&context, &mut connection, host, kind, deadline).await);
             if !pause.is_zero() {
                 tokio::time::sleep(pause).await;
             }
@@ -187,22 +198,43 @@
     Ok(records)
 }
 
+/// Returns the usual deadline of a call.
+fn deadline_of(kind: CallKind) -> Duration {
+    match kind {
+        CallKind::Idempotent | CallKind::NonIdempotent => PLAIN_DEADLINE,
+        CallKind::Stream => STREAM_DEADLINE,
+    }
+}
+
 /// Sends one call of a kind and records its outcome.
 pub(super) async fn call(
     context: &CallerContext,
     connection: &mut CallerConnection,
     host: usize,
     kind: CallKind,
+) -> CallRecord {
+    let deadline = deadline_of(kind);
+    call_within(context, connection, host, kind, deadline).await
+}
+
+/// Sends one call like [`call`], with a deadline.
+pub(super) async fn call_within(
+    context: &CallerContext,
+    connection: &mut CallerConnection,
+    host: usize,
+    kind: CallKind,
+    deadline: Duration,
 ) -> CallRecord {
     let id = context.allocate_id();
-    let (method, path, deadline) = match kind {
-        CallKind::Idempotent => (Method::GET, "/read/one", PLAIN_DEADLINE),
-        CallKind::NonIdempotent => (Method::POST, "/charge/one", PLAIN_DEADLINE),
-        CallKind::Stream => (Method::POST, "/draft/one", STREAM_DEADLINE),
+    let (method, path) = match kind {
+        CallKind::Idempotent => (Method::GET, "/read/one"),
+        CallKind::NonIdempotent => (Method::POST, "/charge/one"),
+        CallKind::Stream => (Method::POST, "/draft/one"),
     };
     let request = build_request(&id, method, path, deadline);
     let sent = Instant::now();
     let result = tokio::time::timeout(deadline, exchange(connection, request)).await;
+    let not_run = matches!(&result, Ok(Some(response)) if response.body_contains("\"not_run\""));
     let outcome = match result {
         Err(_) => CallOutcome::TimedOut,
         Ok(None) => CallOutcome::Interrupted,
@@ -215,6 +247,7 @@
         sent,
         ended: Instant::now(),
         outcome,
+        not_run,
     }
 }
 
--- a/standins/src/soak/check.rs
+++ b/standins/src/soak/check.rs
@@ -23,7 +23,7 @@
 const UNDISTURBED_TIME: Duration = Duration::from_secs(3);
 /// A caller may lose a call that it sends while its connection is being closed. After
 /// this time the host has read the call.
-const CLOSE_RACE_TIME: Duration = Duration::from_millis(200);
+pub(super) const CLOSE_RACE_TIME: Duration = Duration::from_millis(200);
 
 /// Calls that reached the targets of a service again in one window, and the allowed number.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/standins/src/soak/configuration.rs
+++ b/standins/src/soak/configuration.rs
@@ -32,6 +32,25 @@
 pub(super) const RETRY_WINDOW: Duration = Duration::from_secs(10);
 pub(super) const RETRY_SLACK: f64 = 200.0;
 
+/// Bound on the calls that reach targets of a service again: a ratio of the calls and a
+/// slack, in each window of [`RETRY_WINDOW`].
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RetryBound {
+    /// Retries for each call.
+    pub ratio: f64,
+    /// Retries that are allowed besides.
+    pub slack: f64,
+}
+
+impl Default for RetryBound {
+    fn default() -> Self {
+        Self {
+            ratio: RETRY_RATIO,
+            slack: RETRY_SLACK,
+        }
+    }
+}
+
 /// Number of targets to which a request may be sent.
 pub(super) const MAX_ATTEMPTS: usize = 2;
 
@@ -95,6 +114,7 @@
     log: SocketAddr,
     seeds: &[SocketAddr],
     internal_port: u16,
+    retries: RetryBound,
 ) -> String {
     // The readiness and metrics of each host have an address of their own, and so does what
     // it serves to other hosts, which all use the same internal port.
@@ -108,7 +128,7 @@
         "limits": {"memory_mb": 260},
         "bounds": {
             "drain_ms": 2000, "grace_s": GRACE_S, "stall_ms": STALL_MS,
-            "retry_budget_ratio": RETRY_RATIO, "budget_slack": RETRY_SLACK,
+            "retry_budget_ratio": retries.ratio, "budget_slack": retries.slack,
             "budget_window_s": RETRY_WINDOW.as_secs(),
         },
     });
--- a/standins/src/soak/engines.rs
+++ b/standins/src/soak/engines.rs
@@ -45,6 +45,8 @@
     pub(super) draining: bool,
     /// Whether it is alive and its link passes data.
     pub(super) reachable: bool,
+    /// Whether it stands still: it is alive, accepts connections and sends nothing.
+    pub(super) still: bool,
     pub(super) fault: TargetFault,
     /// Limit that it advertises in its responses, as written in the header.
     pub(super) limit: Option<String>,
@@ -72,6 +74,15 @@
     number: u64,
 }
 
+/// Where an engine is in a path.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PathPosition {
+    /// It receives the requests and sends the events.
+    First,
+    /// It works for the first one.
+    Later,
+}
+
 /// One engine of a path and its layers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct PathPart {
@@ -156,16 +167,49 @@
         paths.retain(|(other, _), path| other != id || path.number != number);
     }
 
-    /// Returns the first unreachable engine of a running stream, for which it waits.
+    /// Returns the first engine of a running stream that responds to no other, for which the
+    /// stream waits.
     pub(super) fn stalled_at(&self, id: &str, number: u64) -> Option<SocketAddr> {
-        let parts = {
-            let paths = self.paths.lock();
-            let mut paths = paths.iter();
-            let found = paths.find(|((other, _), path)| other == id && path.number == number)?;
-            found.1.parts.clone()
+        let addresses = self.path_of(id, number);
+        let own = addresses.first().copied();
+        let is_stalling = |address: &SocketAddr| {
+            let state = self.state(*address);
+            !state.reachable || (state.still && own != Some(*address))
+        };
+        addresses.into_iter().find(is_stalling)
+    }
+
+    /// Returns whether the first engine of a running stream, which sends its events, stands
+    /// still.
+    pub(super) fn stands_still(&self, id: &str, number: u64) -> bool {
+        let addresses = self.path_of(id, number);
+        addresses
+            .first()
+            .is_some_and(|address| self.state(*address).still)
+    }
+
+    /// Returns the engines of a running stream.
+    fn path_of(&self, id: &str, number: u64) -> Vec<SocketAddr> {
+        let paths = self.paths.lock();
+        let mut paths = paths.iter();
+        let found = paths.find(|((other, _), path)| other == id && path.number == number);
+        let parts = found.into_iter().flat_map(|(_, path)| &path.parts);
+        parts.map(|part| part.address).collect()
+    }
+
+    /// Returns the ids of the streams whose paths have an engine at `position`.
+    pub(super) fn streams_at(&self, address: SocketAddr, position: PathPosition) -> Vec<String> {
+        let paths = self.paths.lock();
+        let passes = |path: &RunningPath| {
+            let mut addresses = path.parts.iter().map(|part| part.address);
+            let first = addresses.next();
+            match position {
+                PathPosition::First => first == Some(address),
+                PathPosition::Later => addresses.any(|other| other == address),
+            }
         };
-        let mut addresses = parts.iter().map(|part| part.address);
-        addresses.find(|address| !self.state(*address).reachable)
+        let passing = paths.iter().filter(|(_, path)| passes(path));
+        passing.map(|((id, _), _)| id.clone()).collect()
     }
 
     /// Returns the report of an engine.
--- a/standins/src/soak/event_stream.rs
+++ b/standins/src/soak/event_stream.rs
@@ -94,8 +94,12 @@
         Ok(Some(text.into()))
     }
 
-    /// Waits while an engine of the path is dead; fails after the stall time.
+    /// Waits while the own engine stands still, and while an engine of the path gives no
+    /// response; fails after the stall time of the latter.
     async fn wait_for_path(&self) -> io::Result<()> {
+        while self.registry.stands_still(&self.id, self.number) {
+            tokio::time::sleep(STALL_POLL_INTERVAL).await;
+        }
         let until = Instant::now() + Duration::from_millis(STALL_MS);
         while self.registry.stalled_at(&self.id, self.number).is_some() {
             if Instant::now() >= until {
--- a/standins/src/soak/faults.rs
+++ b/standins/src/soak/faults.rs
@@ -234,7 +234,7 @@
         self.end_after(duration, FaultEnd::LiftLimit(index));
     }
 
-    fn publish(&mut self) {
+    pub(super) fn publish(&mut self) {
         let version = self.published.borrow().version + 1;
         let value = Some(configuration(version));
         self.topics.append(CONFIGURATION.0, CONFIGURATION.1, value);
--- a/standins/src/soak/history.rs
+++ b/standins/src/soak/history.rs
@@ -53,6 +53,8 @@
     pub ended: Instant,
     /// How it ended.
     pub outcome: CallOutcome,
+    /// Whether the response says that the call has not run.
+    pub not_run: bool,
 }
 
 /// A call that a target began to run.
--- a/standins/src/soak/host.rs
+++ b/standins/src/soak/host.rs
@@ -12,7 +12,7 @@
 use serde::Deserialize;
 use tokio::sync::watch;
 
-use super::configuration::host_settings;
+use super::configuration::{RetryBound, host_settings};
 use super::host_link::LinkLoss;
 use super::link::FaultLink;
 
@@ -32,6 +32,7 @@
     index: usize,
     program: PathBuf,
     folder: PathBuf,
+    retries: RetryBound,
     /// Link from callers to the host.
     pub(super) front: FaultLink,
     /// Link from the host to the log service.
@@ -59,6 +60,7 @@
         log: SocketAddr,
         program: &Path,
         folder: &Path,
+        retries: RetryBound,
     ) -> io::Result<Self> {
         Ok(Self {
             name: format!("host-{index}"),
@@ -66,6 +68,7 @@
             index,
             program: program.to_owned(),
             folder: folder.to_owned(),
+            retries,
             front: FaultLink::open(None).await?,
             log: FaultLink::open(Some(log)).await?,
             seed: FaultLink::open(None).await?,
@@ -95,6 +98,7 @@
             self.log.address,
             seeds,
             internal_port,
+            self.retries,
         );
         std::fs::write(&settings, text)?;
         self.incarnation += 1;
@@ -124,6 +128,16 @@
         Ok(())
     }
 
+    /// Returns the log of the current process.
+    ///
+    /// # Errors
+    ///
+    /// If it cannot be read.
+    pub(super) fn log_text(&self) -> io::Result<String> {
+        let log = format!("{}.{}.log", self.name, self.incarnation);
+        std::fs::read_to_string(self.folder.join(log))
+    }
+
     /// Returns whether the process runs.
     pub(super) fn is_running(&mut self) -> bool {
         let child = self.child.as_mut();
--- a/standins/src/soak/probe.rs
+++ b/standins/src/soak/probe.rs
@@ -109,6 +109,7 @@
         sent,
         ended: received,
         outcome: CallOutcome::Probe,
+        not_run: false,
     });
     // A host without any configuration responds with 503, which shows nothing about a
     // version.
--- a/standins/src/soak/run.rs
+++ b/standins/src/soak/run.rs
@@ -12,7 +12,9 @@
 
 use super::callers::{CallerContext, call, call_until_stopped, connect};
 use super::check::{Violation, find_violations};
-use super::configuration::{CONFIGURATION, ENGINE_SERVICE, GRACE_S, PLAIN_SERVICE, configuration};
+use super::configuration::{
+    CONFIGURATION, ENGINE_SERVICE, GRACE_S, PLAIN_SERVICE, RetryBound, configuration,
+};
 use super::engines::{TARGET_IP, TargetRegistry};
 use super::faults::FaultEnd;
 use super::history::{CallKind, CallOutcome, Disturbance, SoakHistory};
@@ -46,6 +48,15 @@
     Host,
 }
 
+/// Targets that a run starts with.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TargetFleet {
+    /// Three plain targets, and three engines in each zone.
+    Several,
+    /// One plain target, and as many engines as one path needs.
+    OnePath,
+}
+
 /// Settings of a run.
 #[derive(Debug, Clone)]
 pub struct SoakSettings {
@@ -65,6 +76,10 @@
     pub timed: bool,
     /// Which hosts share their links to the targets.
     pub links: LinkScope,
+    /// Targets at the start.
+    pub targets: TargetFleet,
+    /// Bound on retries in the settings of the hosts.
+    pub retries: RetryBound,
 }
 
 /// Result of a run.
@@ -191,16 +206,21 @@
     format!("zone-{}", index % ZONES)
 }
 
-/// Returns three plain targets, and three engines in each zone.
-fn target_specs() -> Vec<TargetSpec> {
-    let plain = (0..3).map(|index| TargetSpec {
+/// Returns the targets of a fleet. The engines of one path are in one zone, since the
+/// layers are placed zone by zone.
+fn target_specs(fleet: TargetFleet) -> Vec<TargetSpec> {
+    let (plain, engines, zones) = match fleet {
+        TargetFleet::Several => (3, 6, ZONES),
+        TargetFleet::OnePath => (1, 2, 1),
+    };
+    let plain = (0..plain).map(|index| TargetSpec {
         service: PLAIN_SERVICE,
-        zone: zone_name(index),
+        zone: zone_name(index % zones),
         kind: None,
     });
-    let engines = (0..6).map(|index| TargetSpec {
+    let engines = (0..engines).map(|index| TargetSpec {
         service: ENGINE_SERVICE,
-        zone: zone_name(index),
+        zone: zone_name(index % zones),
         kind: Some(if index < 4 { "fast" } else { "slow" }),
     });
     plain.chain(engines).collect()
@@ -237,7 +257,9 @@
             );
             let log = log.await?;
             let (program, folder) = (&settings.program, &settings.folder);
-            let host = SoakHost::open(index, &zone, log.local_addr(), program, folder).await?;
+            let retries = settings.retries;
+            let host =
+                SoakHost::open(index, &zone, log.local_addr(), program, folder, retries).await?;
             logs.push(log);
             hosts.push(RunHost {
                 host,
@@ -271,7 +293,7 @@
             unexpected_exits: Vec::new(),
             crashes: Vec::new(),
         };
-        for spec in target_specs() {
+        for spec in target_specs(run.settings.targets) {
             let target = run.new_target(spec).await?;
             run.targets.push(target);
         }
--- a/standins/src/soak/target.rs
+++ b/standins/src/soak/target.rs
@@ -30,7 +30,7 @@
 use super::heartbeats::{write_heartbeat, write_heartbeats};
 use super::history::{AttemptRecord, RunRecord};
 use super::host_link::{HostLink, LinkLoss};
-use super::link::FaultLink;
+use super::link::{FaultLink, LinkFault};
 use super::log_service::LogTopics;
 use super::poison::{CRASH_TIME, POISON_PATH};
 use super::poison_part::has_poison_part;
@@ -132,6 +132,19 @@
         self.update(|state| state.draining = true);
     }
 
+    /// Stops the target as SIGSTOP stops a process: connections are accepted, nothing is
+    /// sent on any of them, and no heartbeat is written.
+    pub(super) fn stand_still(&self) {
+        self.link.set(LinkFault::Blackhole);
+        self.update(|state| state.still = true);
+    }
+
+    /// Continues after [`Self::stand_still`] with everything that the target held.
+    pub(super) fn go_on(&self) {
+        self.update(|state| state.still = false);
+        self.link.set(LinkFault::None);
+    }
+
     /// Changes the state of the target.
     pub(super) fn update<U>(&self, update: U)
     where
@@ -146,7 +159,7 @@
         self.update(|state| state.reachable = false);
         self.abort();
         self.link.set_server(None);
-        self.link.set(super::link::LinkFault::Reset);
+        self.link.set(LinkFault::Reset);
     }
 
     /// Ends the process of the target, so that its port accepts no more connections.
--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -58,6 +58,7 @@
             sent: self.at(from),
             ended: self.at(until),
             outcome,
+            not_run: outcome == REFUSED,
         });
     }
 
--- a/standins/tests/support/soaks.rs
+++ b/standins/tests/support/soaks.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use standins::soak::{LinkScope, SoakSettings};
+use standins::soak::{LinkScope, RetryBound, SoakSettings, TargetFleet};
 use tempfile::TempDir;
 
 use super::{TestError, eventually};
@@ -24,6 +24,8 @@
         folder: folder.path().to_owned(),
         timed: false,
         links: LinkScope::Fleet,
+        targets: TargetFleet::Several,
+        retries: RetryBound::default(),
     };
     Ok((settings, folder))
 }
