Test calls that may run once, gateways and stops while targets stand still

Cause: the tests over processes covered streams that can be resumed, and one length of the silence. What may run once, whole responses through a gateway, and calls whose host is stopped take other ways through the code.

Change: plans say how long a target stands still; callers can send streams that may run once, and checks count their runs as those of other calls that may. A call at a stopped host counts as read if a target ran it or the host's log names it, so that refused connections do not count.

--- a/standins/src/soak/callers.rs
+++ b/standins/src/soak/callers.rs
@@ -202,7 +202,7 @@
 fn deadline_of(kind: CallKind) -> Duration {
     match kind {
         CallKind::Idempotent | CallKind::NonIdempotent => PLAIN_DEADLINE,
-        CallKind::Stream => STREAM_DEADLINE,
+        CallKind::Stream | CallKind::StreamOnce => STREAM_DEADLINE,
     }
 }
 
@@ -230,6 +230,7 @@
         CallKind::Idempotent => (Method::GET, "/read/one"),
         CallKind::NonIdempotent => (Method::POST, "/charge/one"),
         CallKind::Stream => (Method::POST, "/draft/one"),
+        CallKind::StreamOnce => (Method::POST, "/draft-once/one"),
     };
     let request = build_request(&id, method, path, deadline);
     let sent = Instant::now();
@@ -269,7 +270,7 @@
 
 fn classify_response(id: &str, kind: CallKind, response: &CompleteResponse) -> CallOutcome {
     let expected = match kind {
-        CallKind::Stream => stream_body(id),
+        CallKind::Stream | CallKind::StreamOnce => stream_body(id),
         CallKind::Idempotent | CallKind::NonIdempotent => plain_body(id),
     };
     let body_matches =
--- a/standins/src/soak/check.rs
+++ b/standins/src/soak/check.rs
@@ -114,10 +114,9 @@
 /// before it or in the one half a window before it earn retries.
 pub(super) fn fullest_window(history: &SoakHistory, kind: CallKind) -> Option<RetryWindow> {
     let calls = calls_by_id(history);
-    let is_stream = |kind| kind == CallKind::Stream;
     let of_service = |id: &str| {
         let call = calls.get(id);
-        call.is_some_and(|call| is_stream(call.kind) == is_stream(kind))
+        call.is_some_and(|call| call.kind.is_stream() == kind.is_stream())
     };
     let sent = history.calls.iter().filter(|call| of_service(&call.id));
     let mut sent = sent.map(|call| call.sent).collect::<Vec<_>>();
@@ -167,7 +166,7 @@
     }
     for (id, count) in counts {
         let call = calls.get(id);
-        let once = call.is_some_and(|call| call.kind == CallKind::NonIdempotent);
+        let once = call.is_some_and(|call| !call.kind.is_repeatable());
         if once && count > 1 {
             violations.push(Violation::RanTwice(id.to_owned()));
         }
--- a/standins/src/soak/configuration.rs
+++ b/standins/src/soak/configuration.rs
@@ -71,10 +71,13 @@
 /// Returns a configuration with the fixed routes and one route for each of the last three
 /// versions.
 pub(super) fn configuration(version: u64) -> Bytes {
+    let mut once = route("draft-once", "/draft-once/", "streaming", ENGINE_SERVICE);
+    once["stream_resume"] = json!(false);
     let lasting = [
         route("read", "/read/", "safe", PLAIN_SERVICE),
         route("charge", "/charge/", "unsafe", PLAIN_SERVICE),
         route("draft", "/draft/", "streaming", ENGINE_SERVICE),
+        once,
     ];
     let kept = version.saturating_sub(2)..=version;
     let shown = kept.map(|shown| {
--- a/standins/src/soak/history.rs
+++ b/standins/src/soak/history.rs
@@ -13,6 +13,20 @@
     NonIdempotent,
     /// A stream that may be resumed.
     Stream,
+    /// A stream that may run at most once.
+    StreamOnce,
+}
+
+impl CallKind {
+    /// Returns whether the response is a stream.
+    pub fn is_stream(self) -> bool {
+        matches!(self, Self::Stream | Self::StreamOnce)
+    }
+
+    /// Returns whether the call may run more than once.
+    pub fn is_repeatable(self) -> bool {
+        matches!(self, Self::Idempotent | Self::Stream)
+    }
 }
 
 /// How a call ended for its caller.
--- a/standins/src/soak/silence.rs
+++ b/standins/src/soak/silence.rs
@@ -19,13 +19,10 @@
 /// Callers at each host, and the pause of each between two calls.
 const CALLERS: usize = 8;
 const CALL_PAUSE: Duration = Duration::from_millis(50);
-/// Deadlines of streams and of whole responses. Half of the latter is shorter than the
-/// silence of a plain target.
+/// Deadlines of streams and of whole responses. A host that waits for half of the latter has
+/// given up before a silence of 1.5 s ends.
 const STREAM_DEADLINE: Duration = Duration::from_secs(6);
 const PLAIN_DEADLINE: Duration = Duration::from_millis(2500);
-/// How long an engine and a plain target stand still.
-const ENGINE_SILENCE: Duration = Duration::from_millis(1200);
-const PLAIN_SILENCE: Duration = Duration::from_millis(1500);
 /// Interval of the configurations.
 const CHANGE_INTERVAL: Duration = Duration::from_millis(150);
 /// How long targets fail, so that retries are used up.
@@ -64,6 +61,8 @@
     pub kind: CallKind,
     /// Where the engine that stands still is in the paths of streams.
     pub position: PathPosition,
+    /// How long a target stands still.
+    pub silence: Duration,
     /// Whether there is another target.
     pub targets: TargetFleet,
     /// Whether targets fail before, until no retry is left.
@@ -110,27 +109,22 @@
     until: Instant,
     /// Streams that ran on it.
     running: Vec<String>,
+    /// When a host received SIGTERM meanwhile.
+    stopped: Option<Instant>,
 }
 
 impl SilencePlan {
     fn service(&self) -> &'static str {
-        match self.kind {
-            CallKind::Stream => ENGINE_SERVICE,
-            CallKind::Idempotent | CallKind::NonIdempotent => PLAIN_SERVICE,
-        }
-    }
-
-    fn silence(&self) -> Duration {
-        match self.kind {
-            CallKind::Stream => ENGINE_SILENCE,
-            CallKind::Idempotent | CallKind::NonIdempotent => PLAIN_SILENCE,
+        match self.kind.is_stream() {
+            true => ENGINE_SERVICE,
+            false => PLAIN_SERVICE,
         }
     }
 
     fn deadline(&self) -> Duration {
-        match self.kind {
-            CallKind::Stream => STREAM_DEADLINE,
-            CallKind::Idempotent | CallKind::NonIdempotent => PLAIN_DEADLINE,
+        match self.kind.is_stream() {
+            true => STREAM_DEADLINE,
+            false => PLAIN_DEADLINE,
         }
     }
 
@@ -194,8 +188,22 @@
     calls.retain(|call| call.sent >= sound_since);
     let ran = history.runs.iter().map(|ran| ran.id.as_str());
     let ran = ran.collect::<HashSet<_>>();
+    let stopped = standstills.iter().find_map(|still| still.stopped);
+    let stopped_log = run.hosts[DISTURBED_HOST].host.log_text()?;
+    let was_read = |call: &CallRecord| {
+        let is_stopped = call.host == DISTURBED_HOST;
+        ran.contains(call.id.as_str())
+            || match stopped.filter(|stopped| is_stopped && call.sent >= *stopped) {
+                Some(_) => stopped_log.contains(&call.id),
+                None => call.ended > call.sent + CLOSE_RACE_TIME,
+            }
+    };
     let mut unanswered = BTreeMap::new();
-    for end in calls.iter().filter_map(|call| unanswered_end(call, &ran)) {
+    let ends = calls
+        .iter()
+        .filter(|call| !is_refused(call, &ran))
+        .filter_map(|call| find_fault(call.outcome, || was_read(call)));
+    for end in ends {
         *unanswered.entry(end).or_default() += 1;
     }
     let refused = calls.iter().filter(|call| is_refused(call, &ran));
@@ -241,12 +249,16 @@
     let running = run.registry.streams_at(target.link.address, plan.position);
     let id = target.id.clone();
     run.publish_for(DISRUPTION_DELAY).await?;
+    let mut stopped = None;
     match plan.disruption {
         SilenceDisruption::None => {}
         SilenceDisruption::TargetLeaves => run.targets[index].drain(),
-        SilenceDisruption::HostStops => run.take_down(DISTURBED_HOST, false, Duration::MAX / 4),
+        SilenceDisruption::HostStops => {
+            stopped = Some(Instant::now());
+            run.take_down(DISTURBED_HOST, false, Duration::MAX / 4);
+        }
     }
-    let rest = plan.silence().saturating_sub(DISRUPTION_DELAY);
+    let rest = plan.silence.saturating_sub(DISRUPTION_DELAY);
     run.publish_for(rest).await?;
     let until = Instant::now();
     run.targets[index].go_on();
@@ -254,6 +266,7 @@
         target: id,
         until,
         running,
+        stopped,
     })
 }
 
@@ -272,11 +285,12 @@
     own.max_by_key(load).unwrap_or_default()
 }
 
-/// Returns how a call ended if it was read whole and got neither its response nor a
-/// refusal.
-fn unanswered_end(call: &CallRecord, ran: &HashSet<&str>) -> Option<UnansweredCall> {
-    let was_read = ran.contains(call.id.as_str()) || call.ended > call.sent + CLOSE_RACE_TIME;
-    match call.outcome {
+/// Returns how a call ended that was not refused, unless it got its response or was not read.
+fn find_fault<F>(outcome: CallOutcome, was_read: F) -> Option<UnansweredCall>
+where
+    F: FnOnce() -> bool,
+{
+    match outcome {
         CallOutcome::Completed {
             status: 200,
             sealed: true,
@@ -285,9 +299,8 @@
         | CallOutcome::NoConnection
         | CallOutcome::Probe => None,
         CallOutcome::Completed { status: 200, .. } => Some(UnansweredCall::WrongResponse),
-        CallOutcome::Completed { .. } if is_refused(call, ran) => None,
         CallOutcome::Completed { status, .. } => Some(UnansweredCall::Failed(status)),
-        CallOutcome::Interrupted => was_read.then_some(UnansweredCall::Cut),
+        CallOutcome::Interrupted => was_read().then_some(UnansweredCall::Cut),
         CallOutcome::TimedOut => Some(UnansweredCall::TimedOut),
     }
 }
