Check that a second run of a stream that may run once is found

The soak's checks know streams that may run once since the tests of targets that stand still; no test showed that a second run of one counts.

--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -133,6 +133,18 @@
     assert_eq!(builder.violations(), [Violation::RanTwice("a".into())]);
 }
 
+#[test]
+fn a_second_run_of_a_stream_that_may_run_once_is_found() {
+    let mut builder = HistoryBuilder::new();
+    builder.call("a", CallKind::StreamOnce, 0, 20, SERVED);
+    builder.call("b", CallKind::Stream, 0, 20, SERVED);
+    for id in ["a", "b"] {
+        builder.run(id, "one", 5);
+        builder.run(id, "two", 9);
+    }
+    assert_eq!(builder.violations(), [Violation::RanTwice("a".into())]);
+}
+
 #[test]
 fn a_refused_call_that_runs_later_is_found() {
     let mut builder = HistoryBuilder::new();
