--- a/standins/src/soak/configuration.rs
+++ b/standins/src/soak/configuration.rs
@@ -33,7 +33,7 @@
 pub(super) const RETRY_SLACK: f64 = 200.0;
 
 /// Bound on the calls that reach targets of a service again: a ratio of the calls and a
-/// slack, in each window of [`RETRY_WINDOW`].
+/// slack, in each window of 10 s.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryBound {
     /// Retries for each call.
