Keep an attempt whose target is silent until another one delivers

Cause: a check that found no report gave the running attempt up first, and asked for a retry, a target and room afterwards. Whatever was missing, the response was cut, although the target went on.

Attempts beside a running one use half of what a host may spend, so that requests that broke off keep the rest. A target that goes on is used again at once. A target that accepts connections is no longer taken for one that this host has lost its link to.

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -74,8 +74,6 @@
     NoGateway,
     #[error("connection to the gateway broke")]
     GatewayBroken,
-    #[error("this host has lost the link to the target")]
-    LostLink,
     #[error("targets crash under the request")]
     Poison,
 }
@@ -95,7 +93,6 @@
             Self::Unreachable => "unreachable",
             Self::NoGateway => "no_gateway",
             Self::GatewayBroken => "gateway_broken",
-            Self::LostLink => "lost_link",
             Self::Poison => "poison",
         }
     }
--- a/src/forward/attempt_policy.rs
+++ b/src/forward/attempt_policy.rs
@@ -12,6 +12,7 @@
 use super::exchange::{Exchange, NO_ROUTE_RETRY, TriedTargets};
 use super::gateway_link::PeerWitness;
 use super::lateness::ResponseLateness;
+use super::race::{AttemptRace, MAX_TRIED};
 use super::response::{Refusal, ResponseBody};
 use super::stream_times::StreamTimes;
 use super::tables::InFlightGuard;
@@ -21,14 +22,14 @@
 use crate::poison::key_text;
 use crate::reachability::TargetWay;
 use crate::reason::RefusalReason;
+use crate::silence::SilenceLimits;
 use crate::verdict::RunVerdict;
 
-/// Part of the remaining time that an attempt of an idempotent request may take if it is
-/// not the last one.
+/// Part of an idempotent request's time after which another attempt is made beside one that
+/// has not responded.
 const FIRST_ATTEMPT_SHARE: f64 = 0.5;
-/// Longest time to the head of a stream's response for an attempt that is not the last
-/// one, in multiples of the route's latency aim. Callers of streams wait at least four
-/// times the aim.
+/// Time to the head of a stream's response after which another attempt is made, in multiples
+/// of the route's latency aim. Callers of streams wait at least four times the aim.
 const STREAM_HEAD_FACTOR: f64 = 2.4;
 
 impl Exchange {
@@ -175,31 +176,51 @@
         self.tables.metrics.response_forwarded(status, took);
     }
 
-    /// Returns the deadline for the head of the response of an attempt.
-    pub(super) fn head_deadline(&self, sent: u32, now: Instant) -> Instant {
+    /// Returns the durations of silence after which another attempt is made.
+    pub(super) fn silence_limits(&self) -> SilenceLimits {
         let route = &self.matched.route;
-        let last = sent + 1 >= route.max_attempts;
-        let left = self.deadline.saturating_duration_since(now);
+        let (aim, gap) = (route.latency_aim, route.gap_aim);
         match route.kind {
-            RequestKind::Idempotent if !last => now + left.mul_f64(FIRST_ATTEMPT_SHARE),
-            RequestKind::ResumableStream if !last => {
-                now + left.min(route.latency_aim.mul_f64(STREAM_HEAD_FACTOR))
+            RequestKind::Idempotent | RequestKind::NonIdempotent => {
+                let time = self.deadline.saturating_duration_since(self.arrived);
+                SilenceLimits::of_response(time.mul_f64(FIRST_ATTEMPT_SHARE))
+            }
+            RequestKind::ResumableStream | RequestKind::Stream => {
+                SilenceLimits::of_stream(aim, gap, aim.mul_f64(STREAM_HEAD_FACTOR))
             }
-            _ => self.deadline,
         }
     }
 
+    /// Returns whether most engines of the service are silent, as far as this host knows.
+    pub(super) fn is_silence_widespread(&self, now: Instant) -> bool {
+        let fleet = self.tables.fleet.lock();
+        let members = fleet.members(&self.service.name);
+        members.is_some_and(|members| {
+            let silent = members.values().filter(|state| state.is_silent(now));
+            silent.count() * 2 > members.len()
+        })
+    }
+
     pub(super) fn is_stream(&self, response: &Response<Incoming>) -> bool {
         self.matched.route.kind.is_stream() && response.status().is_success()
     }
 
-    /// Returns whether a failure that a target itself returned may be retried elsewhere,
-    /// and spends a retry if so.
-    pub(super) fn may_fail_over(
+    /// Returns whether the request goes on after the response of one attempt: a failure that
+    /// the target itself returned, while another attempt is open or may be made.
+    pub(super) fn goes_on_after(
         &self,
         response: &Response<ResponseBody>,
-        tried: &TriedTargets,
+        race: &AttemptRace,
     ) -> bool {
+        match race.is_open() {
+            true => response.status().is_server_error(),
+            false => self.may_fail_over(response, &race.tried),
+        }
+    }
+
+    /// Returns whether a failure that a target itself returned may be retried elsewhere,
+    /// and spends a retry if so.
+    fn may_fail_over(&self, response: &Response<ResponseBody>, tried: &TriedTargets) -> bool {
         let route = &self.matched.route;
         response.status().is_server_error()
             && route.kind.is_repeatable()
@@ -218,7 +239,7 @@
     ) -> bool {
         let route = &self.matched.route;
         let allowed = failure.verdict == RunVerdict::NotRun || route.kind.is_repeatable();
-        let attempts_left = tried.sent < route.max_attempts && tried.len() < 6;
+        let attempts_left = tried.sent < route.max_attempts && tried.len() < MAX_TRIED;
         let free = !failure.was_sent();
         allowed
             && attempts_left
@@ -271,7 +292,7 @@
         match failure.cause {
             FailureCause::Connect => tried.unconnected.push(chosen.id.clone()),
             // The same target may be reached through a gateway.
-            FailureCause::LostLink | FailureCause::GatewayBroken => tried.sent += 1,
+            FailureCause::GatewayBroken => tried.sent += 1,
             _ => tried.count(chosen, failure.was_sent()),
         }
         tried.may_have_run |= failure.verdict != RunVerdict::NotRun;
@@ -314,7 +335,6 @@
                 FailureCause::Unavailable
                 | FailureCause::NoGateway
                 | FailureCause::GatewayBroken
-                | FailureCause::LostLink
                 | FailureCause::Poison,
             ) => None,
             Some(FailureCause::Connect | FailureCause::Unreachable) => {
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -15,11 +15,10 @@
 use super::attempt::{AttemptFailure, FailureCause, OutgoingRequest};
 use super::choice::{self, ChosenTarget};
 use super::head::{CallerHead, forwarded, request_size, shared_parts};
+use super::race::{AttemptRace, RaceEvent, RaceSide};
 use super::relay;
 use super::response::{Refusal, ResponseBody, whole_body};
-use super::response_end::ends_with_connection;
 use super::tables::ServingTables;
-use super::watch::PathWatch;
 use crate::fleet::RequestSize;
 use crate::ids::TargetId;
 use crate::ingress::{MatchedRequest, ServiceSpec, match_request};
@@ -244,47 +243,67 @@
     in_flight_request: InFlightRequest,
 ) -> Result<Response<ResponseBody>, Refusal> {
     exchange.record_arrival();
-    let mut tried = TriedTargets::default();
+    let mut race = AttemptRace::new(exchange.clone());
     let mut failed_response = None;
     loop {
-        let started = Instant::now();
-        let (chosen, guard) = match exchange.choose_reachable(&tried, false).await {
-            Ok(chosen) => chosen,
-            // No other target is left: the response of the target that failed is
-            // returned.
-            Err(refusal) => return failed_response.ok_or(refusal.after(&tried)),
-        };
-        let limit = exchange.head_deadline(tried.sent, started);
-        let mut watch = PathWatch::open(exchange.clone(), chosen, guard, started);
-        let failure = match watch.send(None, limit).await {
-            Ok(response) if exchange.is_stream(&response) => {
-                exchange.observe_success(&watch.chosen);
-                return Ok(relay::open(watch, in_flight_request, tried, response));
+        if !race.is_open() {
+            let tried = &race.tried;
+            match exchange.choose_reachable(tried, false).await {
+                Ok((chosen, guard)) => race.open_first(chosen, guard),
+                // No other target is left: the response of the target that failed is
+                // returned.
+                Err(refusal) => return failed_response.ok_or(refusal.after(tried)),
             }
-            Ok(response) => match read_response(&watch, response).await {
-                Ok(response) if exchange.may_fail_over(&response, &tried) => {
-                    exchange.observe_failure(&watch.chosen, None);
-                    tried.count(&watch.chosen, true);
-                    tried.may_have_run = true;
+        }
+        match race.next().await {
+            RaceEvent::Head(side, head) => {
+                race.keep(side);
+                if let Some(first) = race.get(RaceSide::First) {
+                    exchange.observe_success(&first.watch.chosen);
+                }
+                return Ok(relay::open(race, in_flight_request, head));
+            }
+            RaceEvent::Whole(side, response) => {
+                let Some(attempt) = race.take(side) else {
+                    continue;
+                };
+                let chosen = &attempt.watch.chosen;
+                if exchange.goes_on_after(&response, &race) {
+                    exchange.observe_failure(chosen, None);
+                    race.tried.count(chosen, true);
+                    race.tried.may_have_run = true;
                     failed_response = Some(response);
                     continue;
                 }
-                Ok(response) => {
-                    exchange.observe_success(&watch.chosen);
-                    exchange.record_response(&watch.chosen, response.status().as_u16(), None);
-                    return Ok(response);
+                exchange.observe_success(chosen);
+                exchange.record_response(chosen, response.status().as_u16(), None);
+                return Ok(response);
+            }
+            RaceEvent::Failed(side, failure) => {
+                let Some(attempt) = race.take(side) else {
+                    continue;
+                };
+                attempt.watch.record_failure(&failure).await;
+                exchange.record_failure(&attempt.watch.chosen, &failure, &mut race.tried);
+                drop(attempt);
+                if !race.is_open() && !exchange.may_retry(&failure, &race.tried, Instant::now()) {
+                    return Err(final_refusal(&failure, &race.tried));
                 }
-                Err(failure) => {
-                    watch.record_failure(&failure).await;
-                    failure
+            }
+            RaceEvent::Poison => {
+                race.tried.may_have_run = true;
+                return Err(Refusal::poison().after(&race.tried));
+            }
+            RaceEvent::Deadline => {
+                let timed_out = AttemptFailure::new(RunVerdict::MayHaveRun, FailureCause::Timeout);
+                if let Some(attempt) = race.take(RaceSide::First) {
+                    let chosen = &attempt.watch.chosen;
+                    exchange.record_failure(chosen, &timed_out, &mut race.tried);
                 }
-            },
-            Err(failure) => failure,
-        };
-        watch.release();
-        exchange.record_failure(&watch.chosen, &failure, &mut tried);
-        if !exchange.may_retry(&failure, &tried, Instant::now()) {
-            return Err(final_refusal(&failure, &tried));
+                return Err(final_refusal(&timed_out, &race.tried));
+            }
+            // Only a stream that has begun has events, and it is relayed from its head on.
+            RaceEvent::Events(..) | RaceEvent::End(_) | RaceEvent::Broken(..) => {}
         }
     }
 }
@@ -304,7 +323,7 @@
 }
 
 /// Targets that were tried for one request.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct TriedTargets {
     /// Targets that later attempts avoid.
     pub(super) avoid: Vec<TargetId>,
@@ -336,24 +355,8 @@
     }
 }
 
-/// Reads a complete response of the target of `watch`.
-async fn read_response(
-    watch: &PathWatch,
-    response: Response<Incoming>,
-) -> Result<Response<ResponseBody>, AttemptFailure> {
-    let ends_with_connection = ends_with_connection(response.headers());
-    let response = read_whole(response, watch.exchange.deadline).await?;
-    match ends_with_connection && watch.has_crashed().await {
-        true => {
-            let (verdict, cause) = (RunVerdict::MayHaveRun, FailureCause::Broken);
-            Err(AttemptFailure::new(verdict, cause))
-        }
-        false => Ok(response),
-    }
-}
-
 /// Reads a complete response, so that a truncated one is never passed on.
-async fn read_whole(
+pub(super) async fn read_whole(
     response: Response<Incoming>,
     deadline: Instant,
 ) -> Result<Response<ResponseBody>, AttemptFailure> {
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -8,51 +8,41 @@
 use futures::stream;
 use http::Response;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::Frame;
 
-use super::events::EventSplitter;
-use super::exchange::{Exchange, InFlightRequest, TriedTargets};
-use super::head::forwarded;
+use super::attempt::AttemptFailure;
+use super::choice::ChosenTarget;
+use super::exchange::{Exchange, InFlightRequest};
+use super::open_attempt::OpenAttempt;
+use super::race::{AttemptRace, RaceEvent, RaceSide};
 use super::response::ResponseBody;
-use super::response_end::ends_with_connection;
 use super::stream_times::StreamTimes;
-use super::watch::{PathWatch, SilenceVerdict};
 use crate::silence::SilenceCause;
 
 /// A running stream.
 struct StreamRelay {
     exchange: Arc<Exchange>,
-    watch: PathWatch,
+    race: AttemptRace,
     _in_flight: InFlightRequest,
-    tried: TriedTargets,
-    body: Incoming,
-    /// Whether the end of the body is the end of its connection.
-    ends_with_connection: bool,
     /// Status that was sent to the caller.
     status: u16,
-    events: EventSplitter,
     times: StreamTimes,
 }
 
-/// Creates the response to the caller, whose body relays the events.
+/// Creates the response to the caller, whose body relays the events. The first attempt of
+/// `race` has returned `head`.
 pub(super) fn open(
-    watch: PathWatch,
+    mut race: AttemptRace,
     in_flight: InFlightRequest,
-    tried: TriedTargets,
-    response: Response<Incoming>,
+    head: Response<()>,
 ) -> Response<ResponseBody> {
-    let (head, body) = response.into_parts();
-    let arrived = watch.exchange.arrived;
+    race.is_answering = true;
     let relay = StreamRelay {
-        exchange: watch.exchange.clone(),
-        watch,
+        exchange: race.exchange.clone(),
+        times: StreamTimes::new(race.exchange.arrived),
+        race,
         _in_flight: in_flight,
-        tried,
-        body,
-        ends_with_connection: ends_with_connection(&head.headers),
-        status: head.status.as_u16(),
-        events: EventSplitter::default(),
-        times: StreamTimes::new(arrived),
+        status: head.status().as_u16(),
     };
     let frames = stream::unfold(Some(relay), |relay| async move {
         let mut relay = relay?;
@@ -62,189 +52,189 @@
             Err(error) => Some((Err(error), None)),
         }
     });
-    let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
-    *response.status_mut() = head.status;
-    *response.headers_mut() = forwarded(&head.headers);
-    response
-}
-
-/// What happened on the target's side of a stream.
-enum StreamStep {
-    Events(Bytes),
-    End,
-    Broken(&'static str),
-    Silent,
-    EngineLost,
-    Deadline,
+    head.map(|()| StreamBody::new(frames).boxed_unsync())
 }
 
 impl StreamRelay {
     /// Returns the next events, or `None` at the end of the stream.
     async fn next(&mut self) -> std::io::Result<Option<Bytes>> {
         loop {
-            let reason = match self.step().await {
-                StreamStep::Events(events) => return Ok(Some(events)),
-                StreamStep::End if self.ends_with_connection && self.watch.has_crashed().await => {
-                    self.watch.record_break().await;
-                    self.record_break();
-                    "target ended"
-                }
-                StreamStep::End => {
-                    let chosen = &self.watch.chosen;
-                    self.exchange
-                        .record_response(chosen, self.status, Some(self.times));
-                    return Ok(None);
+            match self.race.next().await {
+                RaceEvent::Events(side, events) => {
+                    self.race.keep(side);
+                    self.observe_events();
+                    return Ok(Some(events));
                 }
-                StreamStep::EngineLost => {
-                    self.watch.handle_lost_engine().await;
-                    continue;
+                RaceEvent::End(side) if self.has_crashed(side).await => {
+                    self.handle_break(side, "target ended").await?;
                 }
-                StreamStep::Deadline => return Err(self.cut("deadline", "none")),
-                StreamStep::Broken(reason) => {
-                    self.watch.record_break().await;
-                    self.record_break();
-                    reason
+                RaceEvent::End(side) => {
+                    self.race.keep(side);
+                    self.record_response();
+                    return Ok(None);
                 }
-                StreamStep::Silent => match self.watch.handle_silence().await {
-                    SilenceVerdict::Waiting => continue,
-                    SilenceVerdict::LostLink if self.has_no_alternative() => continue,
-                    SilenceVerdict::LostLink => "link lost",
-                    SilenceVerdict::Lost(_) if self.has_no_alternative() => continue,
-                    SilenceVerdict::Lost(failed) => {
-                        self.tried.avoid.push(failed);
-                        "silent"
-                    }
-                },
-            };
-            self.resume(reason).await?;
+                RaceEvent::Head(side, _) => self.observe_success(side),
+                RaceEvent::Broken(side, reason) => self.handle_break(side, reason).await?,
+                RaceEvent::Failed(side, failure) => self.handle_failure(side, &failure).await?,
+                RaceEvent::Whole(side, _) => self.handle_failed_response(side).await?,
+                RaceEvent::Poison => return Err(self.cut("silent", "poison_request")),
+                RaceEvent::Deadline => return Err(self.cut("deadline", "no_time")),
+            }
         }
     }
 
-    /// Records a broken connection as a failure of the target, unless this host has lost the
-    /// link. Behind a gateway, the gateway may have failed as well.
-    fn record_break(&mut self) {
-        if self.watch.has_lost_link() {
-            return;
+    fn observe_events(&mut self) {
+        let first = self.race.get(RaceSide::First);
+        if let Some(last) = first.and_then(OpenAttempt::last_event) {
+            self.race.last_event = Some(last.to_owned());
         }
-        if !self.watch.uses_gateway() {
-            self.exchange.observe_failure(&self.watch.chosen, None);
+        let metrics = &self.exchange.tables.metrics;
+        match self.times.observe(Instant::now()) {
+            None => metrics.first_event(self.times.first()),
+            Some(pause) => metrics.next_event(pause),
         }
-        self.tried.avoid.push(self.watch.chosen.id.clone());
     }
 
-    async fn step(&mut self) -> StreamStep {
-        let limit = self.watch.check_at().min(self.exchange.deadline);
-        let step = tokio::select! {
-            step = tokio::time::timeout_at(limit.into(), self.body.frame()) => step,
-            () = self.watch.engine_lost() => return StreamStep::EngineLost,
-        };
-        match step {
-            Err(_) if Instant::now() >= self.exchange.deadline => StreamStep::Deadline,
-            Err(_) => StreamStep::Silent,
-            Ok(Some(Ok(frame))) => self.handle_frame(frame),
-            Ok(Some(Err(_))) => StreamStep::Broken("connection broke"),
-            Ok(None) if self.events.is_partial() => StreamStep::Broken("ended within an event"),
-            Ok(None) => StreamStep::End,
+    fn observe_success(&self, side: RaceSide) {
+        if let Some(attempt) = self.race.get(side) {
+            self.exchange.observe_success(&attempt.watch.chosen);
         }
     }
 
-    fn handle_frame(&mut self, frame: Frame<Bytes>) -> StreamStep {
-        let now = Instant::now();
-        let metrics = &self.exchange.tables.metrics;
-        match self.times.observe(now) {
-            None => metrics.first_event(self.times.first()),
-            Some(pause) => metrics.next_event(pause),
+    async fn has_crashed(&mut self, side: RaceSide) -> bool {
+        match self.race.get_mut(side) {
+            Some(attempt) => attempt.has_crashed().await,
+            None => false,
+        }
+    }
+
+    fn record_response(&self) {
+        if let Some(first) = self.race.get(RaceSide::First) {
+            let (chosen, times) = (&first.watch.chosen, Some(self.times));
+            self.exchange.record_response(chosen, self.status, times);
         }
-        self.watch.observe_event(now);
-        let Ok(data) = frame.into_data() else {
-            return StreamStep::Events(Bytes::new());
+    }
+
+    /// Records that the stream of an attempt broke off, and continues without it.
+    async fn handle_break(&mut self, side: RaceSide, reason: &str) -> std::io::Result<()> {
+        let Some(mut attempt) = self.race.take(side) else {
+            return Ok(());
         };
-        match self.events.push(&data) {
-            Ok(events) => StreamStep::Events(events.unwrap_or_default()),
-            Err(_) => StreamStep::Broken("oversized event"),
+        attempt.watch.end_silence("broke");
+        attempt.watch.record_break().await;
+        self.record_break(&attempt);
+        self.race.tried.sent += 1;
+        self.continue_without(attempt, reason).await
+    }
+
+    /// Records a broken connection as a failure of the target, unless this host has lost the
+    /// link. Behind a gateway, the gateway may have failed as well.
+    fn record_break(&mut self, attempt: &OpenAttempt) {
+        let watch = &attempt.watch;
+        if watch.has_lost_link() {
+            return;
+        }
+        if !watch.uses_gateway() {
+            self.exchange.observe_failure(&watch.chosen, None);
         }
+        self.race.tried.avoid.push(watch.chosen.id.clone());
+    }
+
+    /// Records that an attempt gave no response, and continues without it.
+    async fn handle_failure(
+        &mut self,
+        side: RaceSide,
+        failure: &AttemptFailure,
+    ) -> std::io::Result<()> {
+        let Some(attempt) = self.race.take(side) else {
+            return Ok(());
+        };
+        attempt.watch.record_failure(failure).await;
+        let chosen = &attempt.watch.chosen;
+        self.exchange
+            .record_failure(chosen, failure, &mut self.race.tried);
+        self.continue_without(attempt, failure.cause.name()).await
     }
 
-    /// Returns whether the stream cannot continue anywhere else.
-    ///
-    /// An engine that is known to be silent may be shutting down: it accepts no
-    /// connections but completes the requests that pass it. Cutting the stream would gain
-    /// nothing, as engines abort requests that wait for a dead engine after two seconds
-    /// by themselves.
-    fn has_no_alternative(&self) -> bool {
-        let route = &self.exchange.matched.route;
-        let attempts_left = self.tried.sent + 1 < route.max_attempts;
-        let may_resume = route.kind.is_repeatable() && attempts_left;
-        !may_resume && !self.exchange.is_poison(Instant::now())
+    /// Records that an attempt to resume the stream returned a failure of the target, and
+    /// continues without it.
+    async fn handle_failed_response(&mut self, side: RaceSide) -> std::io::Result<()> {
+        let Some(attempt) = self.race.take(side) else {
+            return Ok(());
+        };
+        self.exchange.observe_failure(&attempt.watch.chosen, None);
+        self.race.tried.count(&attempt.watch.chosen, true);
+        self.continue_without(attempt, "answered_failure").await
     }
 
-    /// Continues on another path after the last event that was passed on.
-    async fn resume(&mut self, reason: &str) -> std::io::Result<()> {
-        self.watch.release();
-        self.events.drop_partial();
+    /// Continues on the attempt that is left, or on a new one after the last event that was
+    /// passed on.
+    async fn continue_without(&mut self, lost: OpenAttempt, reason: &str) -> std::io::Result<()> {
+        let from = &lost.watch.chosen.clone();
+        drop(lost);
+        if self.race.is_open() {
+            return Ok(());
+        }
+        if let Some(denied) = self.denied_resumption() {
+            return Err(self.cut_without(from, reason, denied));
+        }
         let exchange = self.exchange.clone();
-        let route = &exchange.matched.route;
-        self.tried.sent += 1;
-        loop {
-            let now = Instant::now();
-            let denied = if !route.kind.is_repeatable() || self.tried.sent >= route.max_attempts {
-                Some("no_attempt")
-            } else if now >= exchange.deadline {
-                Some("no_time")
-            } else if !exchange.tables.spend_retry(&exchange.service.name, now) {
-                Some("no_retry")
-            } else {
-                None
-            };
-            if let Some(denied) = denied {
-                return Err(self.cut(reason, denied));
-            }
-            let (chosen, guard) = match exchange.choose_reachable(&self.tried, true).await {
-                Ok(chosen) => chosen,
-                Err(refusal) => return Err(self.cut(reason, refusal.reason.name())),
-            };
-            let last = self.events.last_id().map(str::to_owned);
-            exchange.tables.metrics.repaired("resumed");
-            log::info!(
-                request:% = exchange.outgoing.id,
-                reason:% = reason,
-                from:% = self.watch.chosen.id,
-                to:% = chosen.id,
-                after_event:% = last.as_deref().unwrap_or("none");
-                "resumed"
-            );
-            let mut watch = PathWatch::open(exchange.clone(), chosen, guard, now);
-            match watch.send(last.as_deref(), exchange.deadline).await {
-                Ok(response) if response.status().is_success() => {
-                    self.ends_with_connection = ends_with_connection(response.headers());
-                    self.body = response.into_body();
-                    self.watch = watch;
-                    self.watch.observe_progress(Instant::now());
-                    return Ok(());
-                }
-                Ok(_) => {
-                    exchange.observe_failure(&watch.chosen, None);
-                    self.tried.count(&watch.chosen, true);
-                }
-                Err(failure) => exchange.record_failure(&watch.chosen, &failure, &mut self.tried),
+        match exchange.choose_reachable(&self.race.tried, true).await {
+            Ok((chosen, guard)) => {
+                self.race.open_first(chosen, guard);
+                self.race.log_resumed(reason, from);
+                Ok(())
             }
+            Err(refusal) => Err(self.cut_without(from, reason, refusal.reason.name())),
+        }
+    }
+
+    /// Returns why the stream may not be sent to another target, or spends a retry.
+    fn denied_resumption(&self) -> Option<&'static str> {
+        let exchange = &self.exchange;
+        let route = &exchange.matched.route;
+        let now = Instant::now();
+        match () {
+            () if !route.kind.is_repeatable() => Some("no_attempt"),
+            () if self.race.tried.sent >= route.max_attempts => Some("no_attempt"),
+            () if now >= exchange.deadline => Some("no_time"),
+            () if !exchange.tables.spend_retry(&exchange.service.name, now) => Some("no_retry"),
+            () => None,
         }
     }
 
-    fn cut(&self, reason: &str, denied: &str) -> std::io::Error {
-        if let Some(cause) = self.watch.silence() {
-            self.watch.log_silence(cause, "cut", Instant::now());
+    fn cut(&mut self, reason: &str, denied: &str) -> std::io::Error {
+        match self.race.take(RaceSide::First) {
+            Some(mut first) => {
+                let cause = first.watch.silence();
+                first.watch.end_silence("cut");
+                self.log_cut(&first.watch.chosen, cause, reason, denied)
+            }
+            None => std::io::Error::other(reason.to_owned()),
         }
+    }
+
+    fn cut_without(&self, from: &ChosenTarget, reason: &str, denied: &str) -> std::io::Error {
+        self.log_cut(from, None, reason, denied)
+    }
+
+    fn log_cut(
+        &self,
+        chosen: &ChosenTarget,
+        cause: Option<SilenceCause>,
+        reason: &str,
+        denied: &str,
+    ) -> std::io::Error {
         self.exchange.tables.metrics.repaired("cut");
         log::info!(
             request:% = self.exchange.outgoing.id,
             after_ms = self.exchange.arrived.elapsed().as_millis() as u64,
             reason:% = reason,
             denied:% = denied,
-            cause:% = self.watch.silence().map_or("none", SilenceCause::name),
-            silent_ms = self.watch.last_progress.elapsed().as_millis() as u64,
-            target_id:% = self.watch.chosen.id,
-            after_event:% = self.events.last_id().unwrap_or("none");
+            cause:% = cause.map_or("none", SilenceCause::name),
+            silent_ms = self.times.since_last(Instant::now()).as_millis() as u64,
+            target_id:% = chosen.id,
+            after_event:% = self.race.last_event.as_deref().unwrap_or("none");
             "stream cut"
         );
         std::io::Error::other(reason.to_owned())
--- a/src/forward/retry_budgets.rs
+++ b/src/forward/retry_budgets.rs
@@ -81,6 +81,20 @@
         is_granted
     }
 
+    /// Returns whether a service's budget has a retry to spare for an attempt beside one that
+    /// may go on.
+    pub(super) fn has_spare_retry(&self, service: &ServiceId, now: Instant) -> bool {
+        let settings = *self.retries.settings.lock();
+        let mut budgets = self.retries.budgets.lock();
+        let budget = budgets.get_mut(service);
+        budget.is_some_and(|budget| budget.window.has_spare(settings, now))
+    }
+
+    /// Takes a retry that the service's budget has to spare, if there is one.
+    pub(super) fn spend_spare_retry(&self, service: &ServiceId, now: Instant) -> bool {
+        self.has_spare_retry(service, now) && self.spend_retry(service, now)
+    }
+
     /// Returns what the budget of each service holds.
     pub fn retry_usage(&self, now: Instant) -> Vec<(ServiceId, WindowUsage)> {
         let settings = *self.retries.settings.lock();
--- a/src/forward/stream_times.rs
+++ b/src/forward/stream_times.rs
@@ -38,6 +38,11 @@
         }
     }
 
+    /// Returns the time since the last events, or since the request if there were none.
+    pub(super) fn since_last(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.last)
+    }
+
     /// Returns whether an event was passed on.
     pub(super) fn has_begun(&self) -> bool {
         self.first.is_some()
--- a/src/forward/watch.rs
+++ b/src/forward/watch.rs
@@ -1,13 +1,10 @@
-//! Watches a request on its path and finds the engine that stalls it. The request is then
+//! Watches an attempt on its path and finds the engine that stalls it. The attempt is then
 //! moved (`repath`).
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use http::Response;
-use hyper::body::Incoming;
-
-use super::attempt::{self, AttemptFailure, FailureCause};
+use super::attempt::{AttemptFailure, FailureCause};
 use super::choice::ChosenTarget;
 use super::closed::is_closed;
 use super::exchange::Exchange;
@@ -16,13 +13,11 @@
 use super::probe::{CallFailure, fetch_report};
 use super::response_end::has_crashed;
 use super::tables::InFlightGuard;
-use super::target_link::TargetResponse;
 use crate::fleet::{EnginePath, PathHop};
 use crate::ids::TargetId;
 use crate::poison::RunStart;
 use crate::reachability::TargetWay;
 use crate::silence::SilenceCause;
-use crate::verdict::RunVerdict;
 
 /// Shortest silence after which a request is checked. Reports lag by 200 ms, and passes
 /// of a loaded engine take up to about 100 ms.
@@ -38,7 +33,7 @@
 /// refuse new connections and carry the open ones on.
 const LOST_LINK_SILENCE: Duration = Duration::from_millis(600);
 
-/// A request that runs on a target or path.
+/// An attempt that runs on a target or path.
 pub(super) struct PathWatch {
     pub(super) exchange: Arc<Exchange>,
     pub(super) chosen: ChosenTarget,
@@ -52,19 +47,22 @@
     /// The gateway through which the request runs.
     gateway: Option<GatewayUse>,
     start: RunStart,
-    /// What the last check of the current silence found.
-    silence: Option<SilenceCause>,
+    /// What the last check of the current silence found, and what was decided.
+    silence: Option<(SilenceFinding, &'static str)>,
 }
 
-/// Result of a check of a silent request.
+/// What a check of a silent attempt found.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(super) enum SilenceVerdict {
-    /// The request continues; no fault is known.
-    Waiting,
-    /// The request cannot continue on its path because of this target.
-    Lost(TargetId),
-    /// This host has lost the link over which the request runs; others reach the target.
-    LostLink,
+pub(super) struct SilenceFinding {
+    pub(super) cause: SilenceCause,
+    /// The target at fault, if one is known: the first engine of the path or a later one.
+    pub(super) failed: Option<TargetId>,
+}
+
+impl SilenceFinding {
+    fn new(cause: SilenceCause, failed: Option<TargetId>) -> Self {
+        Self { cause, failed }
+    }
 }
 
 impl PathWatch {
@@ -107,8 +105,12 @@
 
     /// Records progress, which postpones the next check.
     pub(super) fn observe_progress(&mut self, now: Instant) {
-        if let Some(cause) = self.silence.take() {
-            self.log_silence(cause, "ended", now);
+        if let Some((finding, _)) = self.silence.take() {
+            self.log_silence(finding.cause, "ended", now);
+            if let Some(failed) = &finding.failed {
+                // It has not ended, so that new requests need not avoid it.
+                self.exchange.tables.fleet.lock().readmit(failed);
+            }
         }
         self.last_progress = now;
         self.check_at = now + silence_limit(&self.exchange);
@@ -147,86 +149,6 @@
         !self.uses_gateway() && has_crashed(&self.exchange.tables, target, address).await
     }
 
-    /// Stops counting the request on its targets.
-    pub(super) fn release(&mut self) {
-        self.guard = None;
-    }
-
-    /// Sends the request and waits for the head of the response until `limit`.
-    pub(super) async fn send(
-        &mut self,
-        last_event: Option<&str>,
-        limit: Instant,
-    ) -> Result<Response<Incoming>, AttemptFailure> {
-        let exchange = self.exchange.clone();
-        let deadline = exchange.deadline;
-        let tables = exchange.tables.clone();
-        let sent = attempt::send(
-            tables,
-            &exchange.outgoing,
-            &self.chosen,
-            last_event,
-            deadline,
-        )
-        .await;
-        let sent = sent?;
-        // Nothing has been sent yet.
-        if exchange.is_poison(Instant::now()) {
-            let (verdict, cause) = (RunVerdict::NotRun, FailureCause::Poison);
-            return Err(AttemptFailure::new(verdict, cause));
-        }
-        match self.await_head(sent, limit).await {
-            Ok(TargetResponse { response, gateway }) => {
-                self.gateway = gateway;
-                Ok(response)
-            }
-            Err(failure) => {
-                self.record_failure(&failure).await;
-                Err(failure)
-            }
-        }
-    }
-
-    /// Waits for the head of a response until `limit`, and moves the request away from
-    /// engines that stall it.
-    async fn await_head<F>(
-        &mut self,
-        head: F,
-        limit: Instant,
-    ) -> Result<TargetResponse, AttemptFailure>
-    where
-        F: Future<Output = Result<TargetResponse, AttemptFailure>>,
-    {
-        let timed_out = AttemptFailure::new(RunVerdict::MayHaveRun, FailureCause::Timeout);
-        tokio::pin!(head);
-        loop {
-            let pause = self.check_at.min(limit);
-            let step = tokio::select! {
-                step = tokio::time::timeout_at(pause.into(), &mut head) => step,
-                () = self.engine_lost() => {
-                    self.handle_lost_engine().await;
-                    continue;
-                }
-            };
-            match step {
-                Ok(response) => return response,
-                Err(_) if Instant::now() >= limit => return Err(timed_out),
-                Err(_) => match self.handle_silence().await {
-                    SilenceVerdict::Waiting => {}
-                    SilenceVerdict::LostLink => {
-                        let (verdict, cause) = (RunVerdict::MayHaveRun, FailureCause::LostLink);
-                        return Err(AttemptFailure::new(verdict, cause));
-                    }
-                    SilenceVerdict::Lost(failed) => {
-                        let fleet = self.exchange.tables.fleet.lock();
-                        let at = fleet.get(&failed).map(|state| state.entry.address);
-                        return Err(AttemptFailure { at, ..timed_out });
-                    }
-                },
-            }
-        }
-    }
-
     /// Moves the request away from engines that have just ended. If it cannot be moved
     /// now, it is checked again once it is silent.
     pub(super) async fn handle_lost_engine(&mut self) {
@@ -235,42 +157,48 @@
         }
     }
 
-    /// Checks a silent request, and moves it if an engine after the first is at fault.
+    /// Sets the time of the next check, should nothing arrive before.
+    pub(super) fn begin_check(&mut self, now: Instant) {
+        self.check_at = now + CHECK_INTERVAL;
+    }
+
+    /// Moves a silent attempt away from later engines that are at fault, and returns whether
+    /// it was moved. The first engine carries out the order.
     ///
     /// An engine that is known to be unavailable may be shutting down: it accepts no
     /// connections or has no entry, but completes the requests that pass it. The request
-    /// is therefore moved away from it if possible, and is lost only if the first engine
-    /// reports that it is stalled. Otherwise streams would be cut during planned
-    /// maintenance although their engines serve them to the end.
-    pub(super) async fn handle_silence(&mut self) -> SilenceVerdict {
-        let now = Instant::now();
-        self.check_at = now + CHECK_INTERVAL;
-        let unavailable = self.unavailable_later_engine(now);
-        let is_moved = match &unavailable {
-            Some(unavailable) => self.move_away(unavailable).await,
-            None => false,
-        };
-        if is_moved {
-            return SilenceVerdict::Waiting;
+    /// is therefore moved away from it if possible, and stays where it is otherwise.
+    pub(super) async fn repair_silent(&mut self, finding: &SilenceFinding) -> bool {
+        match finding.cause {
+            SilenceCause::Still | SilenceCause::Unreachable | SilenceCause::Closing => false,
+            SilenceCause::Working | SilenceCause::Stalled | SilenceCause::LostLink => {
+                let unavailable = self.unavailable_later_engine(Instant::now());
+                match unavailable.or_else(|| finding.failed.clone()) {
+                    Some(failed) => self.move_away(&failed).await,
+                    None => false,
+                }
+            }
         }
-        let (cause, failed) = self.find_faulty_engine(now).await;
-        let before = self.silence.replace(cause);
-        if before != Some(cause) {
-            self.log_silence(cause, "found", Instant::now());
+    }
+
+    /// Notes what was found about the current silence and what was decided, and logs it
+    /// unless it is as before.
+    pub(super) fn note_silence(&mut self, finding: &SilenceFinding, action: &'static str) {
+        let noted = Some((finding.clone(), action));
+        if self.silence != noted {
+            self.log_silence(finding.cause, action, Instant::now());
+            self.silence = noted;
         }
-        match failed {
-            None if self.is_cut_off(now).await => SilenceVerdict::LostLink,
-            None => SilenceVerdict::Waiting,
-            Some(failed) if unavailable.is_some() => SilenceVerdict::Lost(failed),
-            Some(failed) => match self.move_away(&failed).await {
-                true => SilenceVerdict::Waiting,
-                false => SilenceVerdict::Lost(failed),
-            },
+    }
+
+    /// Logs and counts the end of the current silence, if there is one.
+    pub(super) fn end_silence(&mut self, action: &'static str) {
+        if let Some((finding, _)) = self.silence.take() {
+            self.log_silence(finding.cause, action, Instant::now());
         }
     }
 
-    /// Logs and counts what was found about a silence, and what became of it.
-    pub(super) fn log_silence(&self, cause: SilenceCause, action: &'static str, now: Instant) {
+    fn log_silence(&self, cause: SilenceCause, action: &'static str, now: Instant) {
         let silent = now.saturating_duration_since(self.last_progress);
         self.exchange.tables.metrics.silence(cause, action);
         log::info!(
@@ -285,7 +213,12 @@
 
     /// Returns what the last check of the current silence found, if there was one.
     pub(super) fn silence(&self) -> Option<SilenceCause> {
-        self.silence
+        self.silence.as_ref().map(|(finding, _)| finding.cause)
+    }
+
+    /// Sets the gateway through which the response comes.
+    pub(super) fn set_gateway(&mut self, gateway: Option<GatewayUse>) {
+        self.gateway = gateway;
     }
 
     /// Returns whether the request runs through a gateway.
@@ -319,57 +252,61 @@
         self.unavailable_engines(hops, now).into_iter().next()
     }
 
-    /// Returns why the request is silent, and the engine that stalls it, according to the
-    /// report of the first engine.
-    async fn find_faulty_engine(&self, now: Instant) -> (SilenceCause, Option<TargetId>) {
+    /// Finds out why nothing arrives, by the report of the first engine.
+    pub(super) async fn find_cause(&self, now: Instant) -> SilenceFinding {
         let Some(path) = self.chosen.path.as_ref() else {
-            return (SilenceCause::Working, None);
+            return SilenceFinding::new(SilenceCause::Working, None);
         };
         let id = &self.chosen.id;
         let tables = &self.exchange.tables;
-        let (cause, failed) = match fetch_report(tables, id, self.chosen.address, now).await {
+        let finding = match fetch_report(tables, id, self.chosen.address, now).await {
             Err(failure) => self.find_silent_target(&failure, now).await,
             Ok(report) => {
                 let own = &self.exchange.outgoing.id;
                 let mut stalled = report.stalled.iter();
                 let stalled = stalled.find(|(request, _)| request == own);
                 match stalled.and_then(|(_, address)| self.chosen.target_at(*address)) {
-                    Some(stalled) => (SilenceCause::Stalled, Some(stalled)),
-                    None => (SilenceCause::Working, None),
+                    Some(stalled) => SilenceFinding::new(SilenceCause::Stalled, Some(stalled)),
+                    None => SilenceFinding::new(SilenceCause::Working, None),
                 }
             }
         };
-        match &failed {
+        match &finding.failed {
             Some(failed) => {
                 tables.metrics.ejected("silent");
                 tables.fleet.lock().observe_silence(failed, Instant::now());
             }
+            None if self.is_cut_off(now).await => {
+                return SilenceFinding::new(SilenceCause::LostLink, None);
+            }
             None => self.update_paces(path, now).await,
         }
-        (cause, failed)
+        finding
     }
 
-    /// Returns why the first engine gave no report, and the engine if it is at fault.
-    async fn find_silent_target(
-        &self,
-        failure: &CallFailure,
-        now: Instant,
-    ) -> (SilenceCause, Option<TargetId>) {
+    /// Finds out why the first engine gave no report.
+    async fn find_silent_target(&self, failure: &CallFailure, now: Instant) -> SilenceFinding {
         let (id, tables) = (&self.chosen.id, &self.exchange.tables);
+        if matches!(failure, CallFailure::NoAnswer) {
+            // Behind a gateway, the gateway may be the one that stands still.
+            let is_direct = tables.way(id) == TargetWay::Direct;
+            let failed = is_direct.then(|| id.clone());
+            return SilenceFinding::new(SilenceCause::Still, failed);
+        }
         tables.start_asking(id);
         if is_closed(tables, id, self.chosen.address, now).await {
             // This request's connection is open: the engine is shutting down and completes
             // the request.
-            return (SilenceCause::Closing, None);
+            return SilenceFinding::new(SilenceCause::Closing, None);
         }
         if self.has_lost_link() && tables.ask_peers(id).await == PeerWitness::Reaches {
-            return (SilenceCause::LostLink, None);
+            return SilenceFinding::new(SilenceCause::Working, None);
         }
         let cause = match failure {
             CallFailure::Unconnected(_) => SilenceCause::Unreachable,
             CallFailure::NoAnswer | CallFailure::Unusable(_) => SilenceCause::Still,
         };
-        (cause, Some(id.clone()))
+        SilenceFinding::new(cause, Some(id.clone()))
     }
 
     /// Requests the pace of the engines of the path.
--- a/src/retry/window.rs
+++ b/src/retry/window.rs
@@ -6,6 +6,9 @@
 /// Fraction of the allowed retries that accrues evenly over a window; the rest may be spent
 /// at once. A process in its first window has the former alone.
 const STEADY_SHARE: f64 = 0.7;
+/// Part of what may be spent that attempts beside a running one use. The rest is for requests
+/// that would fail without a retry.
+const SPARE_SHARE: f64 = 0.5;
 /// Time after which the rounding of a budget changes, so that a host with a small share is
 /// not left without retries for good.
 const ROUNDING_PERIOD: Duration = Duration::from_secs(60);
@@ -72,17 +75,26 @@
     /// Spends one retry; returns `false` if none is left.
     #[must_use]
     pub fn spend(&mut self, settings: WindowSettings, now: Instant) -> bool {
-        let usage = self.usage(settings, now);
-        let rounding = self.rounding_at(settings, now);
-        let next = (usage.spent + 1) as f64;
-        let is_allowed =
-            next <= usage.allowed + rounding && self.is_spread(settings, rounding, now);
+        let is_allowed = self.has_left(settings, 1.0, now);
         if is_allowed {
             self.retries.push_back(now);
         }
         is_allowed
     }
 
+    /// Returns whether a retry is to spare for a request that may succeed without it.
+    pub fn has_spare(&mut self, settings: WindowSettings, now: Instant) -> bool {
+        self.has_left(settings, SPARE_SHARE, now)
+    }
+
+    /// Returns whether one more retry keeps to `part` of what may be spent.
+    fn has_left(&mut self, settings: WindowSettings, part: f64, now: Instant) -> bool {
+        let usage = self.usage(settings, now);
+        let rounding = self.rounding_at(settings, now);
+        let next = (usage.spent + 1) as f64;
+        next <= part * usage.allowed + rounding && self.is_spread(settings, part, rounding, now)
+    }
+
     /// Returns what the window holds, without what has expired.
     pub fn usage(&mut self, settings: WindowSettings, now: Instant) -> WindowUsage {
         remove_expired(&mut self.requests, settings.window, now);
@@ -105,9 +117,9 @@
     }
 
     /// Returns whether one more retry keeps the latest ones, however many of them, within
-    /// what may be spent at once and what has accrued since the first of them.
-    fn is_spread(&self, settings: WindowSettings, rounding: f64, now: Instant) -> bool {
-        let share = self.earned(settings) + settings.slack;
+    /// `part` of what may be spent at once and what has accrued since the first of them.
+    fn is_spread(&self, settings: WindowSettings, part: f64, rounding: f64, now: Instant) -> bool {
+        let share = part * (self.earned(settings) + settings.slack);
         let latest = self.retries.iter().rev();
         let spans = latest.map(|at| now.saturating_duration_since(*at));
         let spans = std::iter::once(Duration::ZERO).chain(spans);
