Send attempts beside a silent one only where there is room, within half of the retries

An attempt beside a running one went to engines without room, as the continuation of a cut stream does, and took retries that requests whose target has ended need. Such attempts now need room, and half of what a host may spend is kept for requests that would fail without a retry; a request whose target has accepted no connections for as long as one may stand still counts as such.

--- a/src/forward/admission_wait.rs
+++ b/src/forward/admission_wait.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use super::attempt_policy::AttemptPurpose;
 use super::choice::ChosenTarget;
 use super::exchange::Exchange;
 use super::response::Refusal;
@@ -218,10 +219,10 @@
     pub(super) async fn choose_after_wait(
         &self,
         excluded: &[TargetId],
-        started: bool,
+        purpose: AttemptPurpose,
         allowance: &mut Duration,
     ) -> Result<ChosenTarget, Refusal> {
-        let first = self.choose_after_pauses(excluded, started, allowance).await;
+        let first = self.choose_after_pauses(excluded, purpose, allowance).await;
         let held = match &first {
             Err(refusal) if refusal.reason == RefusalReason::NoRoom => self.start.lock().held,
             _ => None,
@@ -270,7 +271,7 @@
             if !waiting.is_next(now) {
                 continue;
             }
-            let chosen = self.choose(excluded, false);
+            let chosen = self.choose(excluded, AttemptPurpose::Start);
             let held = self.start.lock().held;
             let verdict = held.map(|held| (held, held.decision.verdict));
             match (chosen, verdict) {
--- a/src/forward/attempt_policy.rs
+++ b/src/forward/attempt_policy.rs
@@ -32,13 +32,23 @@
 /// of the route's latency aim. Callers of streams wait at least four times the aim.
 const STREAM_HEAD_FACTOR: f64 = 2.4;
 
+/// What an attempt is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum AttemptPurpose {
+    /// The response starts, or starts over.
+    Start,
+    /// The response continues after a part that the caller has.
+    Resume,
+    /// Another attempt runs and may go on.
+    Beside,
+}
+
 impl Exchange {
-    /// Selects the target or path of the next attempt. `started` is true if the caller
-    /// already has a part of the response.
+    /// Selects the target or path of the next attempt.
     pub(super) fn choose(
         &self,
         avoid: &[TargetId],
-        started: bool,
+        purpose: AttemptPurpose,
     ) -> Result<ChosenTarget, Refusal> {
         let now = Instant::now();
         self.clear_hold();
@@ -48,21 +58,26 @@
         let no_route = || Refusal::not_run(RefusalReason::NoRoute, NO_ROUTE_RETRY);
         let chosen = chosen.ok_or_else(no_route)?;
         let full = chosen.path.as_ref().is_some_and(|path| path.full);
-        let decided = match started {
-            true => None,
-            false => self.decide_start(&chosen, now),
+        let decided = match purpose {
+            AttemptPurpose::Start => self.decide_start(&chosen, now),
+            AttemptPurpose::Resume | AttemptPurpose::Beside => None,
         };
         if let Some(decided) = decided {
             return decided.map(|()| chosen);
         }
-        // A stream that has begun continues even if it has to wait for room: cutting it
-        // would waste the work done, and its caller would start over.
-        if full && !started {
-            self.record_capacity_refusal(None);
-            let after = self.tables.count_refusal(now);
-            return Err(Refusal::not_run(RefusalReason::NoRoom, after));
+        match purpose {
+            AttemptPurpose::Start if full => {
+                self.record_capacity_refusal(None);
+                let after = self.tables.count_refusal(now);
+                Err(Refusal::not_run(RefusalReason::NoRoom, after))
+            }
+            AttemptPurpose::Beside if full => {
+                Err(Refusal::not_run(RefusalReason::NoRoom, Duration::ZERO))
+            }
+            // A stream that has begun continues even if it has to wait for room: cutting it
+            // would waste the work done, and its caller would start over.
+            _ => Ok(chosen),
         }
-        Ok(chosen)
     }
 
     /// Selects the target or path of an attempt that can wait for the end of pauses up to
@@ -260,11 +275,11 @@
     pub(super) async fn choose_reachable(
         &self,
         tried: &TriedTargets,
-        started: bool,
+        purpose: AttemptPurpose,
     ) -> Result<(ChosenTarget, InFlightGuard), Refusal> {
         self.wait_for_evidence(tried.sent > 0).await;
         loop {
-            match self.choose_permitted(tried, started).await {
+            match self.choose_permitted(tried, purpose).await {
                 Err(_) if self.finds_lost_link(tried).await => {}
                 chosen => return chosen,
             }
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -13,6 +13,7 @@
 
 use super::admission_wait::StartProgress;
 use super::attempt::{AttemptFailure, FailureCause, OutgoingRequest};
+use super::attempt_policy::AttemptPurpose;
 use super::choice::{self, ChosenTarget};
 use super::head::{CallerHead, forwarded, request_size, shared_parts};
 use super::race::{AttemptRace, RaceEvent, RaceSide};
@@ -248,7 +249,10 @@
     loop {
         if !race.is_open() {
             let tried = &race.tried;
-            match exchange.choose_reachable(tried, false).await {
+            match exchange
+                .choose_reachable(tried, AttemptPurpose::Start)
+                .await
+            {
                 Ok((chosen, guard)) => race.open_first(chosen, guard),
                 // No other target is left: the response of the target that failed is
                 // returned.
--- a/src/forward/pauses.rs
+++ b/src/forward/pauses.rs
@@ -11,6 +11,7 @@
 use http::{HeaderMap, StatusCode, header};
 
 use super::attempt::{AttemptFailure, FailureCause};
+use super::attempt_policy::AttemptPurpose;
 use super::choice::ChosenTarget;
 use super::exchange::Exchange;
 use super::notices::ObservedResponse;
@@ -134,11 +135,11 @@
     pub(super) async fn choose_after_pauses(
         &self,
         excluded: &[TargetId],
-        started: bool,
+        purpose: AttemptPurpose,
         allowance: &mut Duration,
     ) -> Result<ChosenTarget, Refusal> {
         loop {
-            let refusal = match self.choose(excluded, started) {
+            let refusal = match self.choose(excluded, purpose) {
                 Ok(chosen) => return Ok(chosen),
                 Err(refusal) => refusal,
             };
--- a/src/forward/permit_wait.rs
+++ b/src/forward/permit_wait.rs
@@ -4,6 +4,7 @@
 
 use futures::future::join_all;
 
+use super::attempt_policy::AttemptPurpose;
 use super::choice::ChosenTarget;
 use super::exchange::{Exchange, TriedTargets};
 use super::permits::{AttemptTargets, HeldPermit, WithheldTarget};
@@ -25,18 +26,18 @@
 
 impl Exchange {
     /// Selects the target or path of the next attempt, and waits until the request may be
-    /// sent there. `started` is true if the caller already has a part of the response.
+    /// sent there.
     pub(super) async fn choose_permitted(
         &self,
         tried: &TriedTargets,
-        started: bool,
+        purpose: AttemptPurpose,
     ) -> Result<(ChosenTarget, InFlightGuard), Refusal> {
         let mut excluded = self.avoided(tried);
         let mut retry_after: Option<Duration> = None;
-        let mut pause_allowance = self.longest_wait(started, Instant::now());
+        let mut pause_allowance = self.longest_wait(purpose, Instant::now());
         for _ in 0..MAX_CHOICES {
             let chosen = self
-                .choose_after_wait(&excluded, started, &mut pause_allowance)
+                .choose_after_wait(&excluded, purpose, &mut pause_allowance)
                 .await;
             let chosen = match chosen {
                 Ok(chosen) => chosen,
@@ -44,7 +45,7 @@
                 Err(_) => break,
             };
             let now = Instant::now();
-            let longest = self.longest_wait(started, now);
+            let longest = self.longest_wait(purpose, now);
             let targets = self.tables.attempt_targets(chosen.ids(), now);
             let withheld = match targets.wait {
                 wait if wait > longest => Err(wait),
@@ -87,12 +88,14 @@
 
     /// Returns how long the request can wait for a permit, or for the end of a pause,
     /// without missing its deadline.
-    pub(super) fn longest_wait(&self, started: bool, now: Instant) -> Duration {
+    pub(super) fn longest_wait(&self, purpose: AttemptPurpose, now: Instant) -> Duration {
         let matched = &self.matched;
         let aim = matched.route.latency_aim;
-        let longest = match started {
-            true => STREAM_WAIT,
-            false => max_permit_wait(matched.priority, aim, rand::random()),
+        let longest = match purpose {
+            AttemptPurpose::Resume => STREAM_WAIT,
+            AttemptPurpose::Start | AttemptPurpose::Beside => {
+                max_permit_wait(matched.priority, aim, rand::random())
+            }
         };
         longest.min(self.deadline.saturating_duration_since(now) / 2)
     }
--- a/src/forward/race.rs
+++ b/src/forward/race.rs
@@ -12,13 +12,15 @@
 use http::Response;
 
 use super::attempt::{AttemptFailure, FailureCause};
+use super::attempt_policy::AttemptPurpose;
 use super::choice::ChosenTarget;
 use super::exchange::{Exchange, TriedTargets};
 use super::open_attempt::{AttemptStep, OpenAttempt};
 use super::response::{Refusal, ResponseBody};
 use super::tables::InFlightGuard;
 use super::watch::SilenceFinding;
-use crate::silence::{SilenceCause, SilenceDecision, SilentRequest, decide};
+use crate::retry::RetryUse;
+use crate::silence::{SilenceCause, SilenceDecision, SilentRequest, decide, retry_use};
 use crate::verdict::RunVerdict;
 
 /// Result of the choice of a target for another attempt.
@@ -66,6 +68,8 @@
     beside: Option<OpenAttempt>,
     /// The choice of a target for an attempt beside the first.
     choice: Option<BoxFuture<'static, AttemptChoice>>,
+    /// What the attempt that is being prepared may spend.
+    retry_use: RetryUse,
 }
 
 impl AttemptRace {
@@ -78,6 +82,7 @@
             first: None,
             beside: None,
             choice: None,
+            retry_use: RetryUse::Spare,
         }
     }
 
@@ -214,7 +219,9 @@
         let Some(request) = request else {
             return false;
         };
-        let decision = decide(request, self.exchange.silence_limits());
+        let limits = self.exchange.silence_limits();
+        self.retry_use = retry_use(request, limits);
+        let decision = decide(request, limits);
         let action = match decision {
             SilenceDecision::Wait(reason) => reason.name(),
             SilenceDecision::End => return true,
@@ -256,7 +263,11 @@
     /// action for logs and metrics.
     fn accompany(&mut self, finding: &SilenceFinding, now: Instant) -> &'static str {
         let exchange = self.exchange.clone();
-        if !exchange.tables.has_spare_retry(&exchange.service.name, now) {
+        let retry_use = self.retry_use;
+        if !exchange
+            .tables
+            .has_retry(&exchange.service.name, retry_use, now)
+        {
             return "no_retry";
         }
         let first = self
@@ -268,17 +279,17 @@
         if finding.cause != SilenceCause::LostLink {
             tried.avoid.extend(finding.failed.clone().or(first));
         }
-        let is_answering = self.is_answering;
-        let choice = async move { exchange.choose_reachable(&tried, is_answering).await };
+        let purpose = AttemptPurpose::Beside;
+        let choice = async move { exchange.choose_reachable(&tried, purpose).await };
         self.choice = Some(Box::pin(choice));
         "accompanied"
     }
 
     fn open_beside(&mut self, chosen: AttemptChoice) {
-        let service = &self.exchange.service.name;
+        let (tables, service) = (&self.exchange.tables, &self.exchange.service.name);
         let now = Instant::now();
         let denied = match chosen {
-            Ok((chosen, guard)) if self.exchange.tables.spend_spare_retry(service, now) => {
+            Ok((chosen, guard)) if tables.spend_retry_as(service, self.retry_use, now) => {
                 self.beside = Some(self.open_attempt(chosen, guard));
                 return;
             }
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -11,6 +11,7 @@
 use hyper::body::Frame;
 
 use super::attempt::AttemptFailure;
+use super::attempt_policy::AttemptPurpose;
 use super::choice::ChosenTarget;
 use super::exchange::{Exchange, InFlightRequest};
 use super::open_attempt::OpenAttempt;
@@ -179,7 +180,10 @@
             return Err(self.cut_without(from, reason, denied));
         }
         let exchange = self.exchange.clone();
-        match exchange.choose_reachable(&self.race.tried, true).await {
+        match exchange
+            .choose_reachable(&self.race.tried, AttemptPurpose::Resume)
+            .await
+        {
             Ok((chosen, guard)) => {
                 self.race.open_first(chosen, guard);
                 self.race.log_resumed(reason, from);
--- a/src/forward/retry_budgets.rs
+++ b/src/forward/retry_budgets.rs
@@ -7,7 +7,7 @@
 use super::tables::ServingTables;
 use crate::collections::FastMap;
 use crate::ids::ServiceId;
-use crate::retry::{WindowBudget, WindowSettings, WindowUsage};
+use crate::retry::{RetryUse, WindowBudget, WindowSettings, WindowUsage};
 
 /// One budget for each service, with the same settings. The locks are taken in the order of
 /// the fields.
@@ -81,18 +81,22 @@
         is_granted
     }
 
-    /// Returns whether a service's budget has a retry to spare for an attempt beside one that
-    /// may go on.
-    pub(super) fn has_spare_retry(&self, service: &ServiceId, now: Instant) -> bool {
+    /// Returns whether a service's budget has a retry left for this use.
+    pub(super) fn has_retry(&self, service: &ServiceId, retry_use: RetryUse, now: Instant) -> bool {
         let settings = *self.retries.settings.lock();
         let mut budgets = self.retries.budgets.lock();
         let budget = budgets.get_mut(service);
-        budget.is_some_and(|budget| budget.window.has_spare(settings, now))
+        budget.is_some_and(|budget| budget.window.has_left(settings, retry_use, now))
     }
 
-    /// Takes a retry that the service's budget has to spare, if there is one.
-    pub(super) fn spend_spare_retry(&self, service: &ServiceId, now: Instant) -> bool {
-        self.has_spare_retry(service, now) && self.spend_retry(service, now)
+    /// Takes one retry from a service's budget, if one is left for this use.
+    pub(super) fn spend_retry_as(
+        &self,
+        service: &ServiceId,
+        retry_use: RetryUse,
+        now: Instant,
+    ) -> bool {
+        self.has_retry(service, retry_use, now) && self.spend_retry(service, now)
     }
 
     /// Returns what the budget of each service holds.
--- a/src/retry/window.rs
+++ b/src/retry/window.rs
@@ -16,6 +16,15 @@
 /// evenly between 0 and 1.
 const ROUNDING_STEP: f64 = 0.618_033_988_749_895;
 
+/// What a retry is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RetryUse {
+    /// The request would fail without it.
+    Replacement,
+    /// The request may succeed without it.
+    Spare,
+}
+
 /// Limits of a [`WindowBudget`].
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct WindowSettings {
@@ -75,20 +84,24 @@
     /// Spends one retry; returns `false` if none is left.
     #[must_use]
     pub fn spend(&mut self, settings: WindowSettings, now: Instant) -> bool {
-        let is_allowed = self.has_left(settings, 1.0, now);
+        let is_allowed = self.has_left(settings, RetryUse::Replacement, now);
         if is_allowed {
             self.retries.push_back(now);
         }
         is_allowed
     }
 
-    /// Returns whether a retry is to spare for a request that may succeed without it.
-    pub fn has_spare(&mut self, settings: WindowSettings, now: Instant) -> bool {
-        self.has_left(settings, SPARE_SHARE, now)
-    }
-
-    /// Returns whether one more retry keeps to `part` of what may be spent.
-    fn has_left(&mut self, settings: WindowSettings, part: f64, now: Instant) -> bool {
+    /// Returns whether a retry is left for this use.
+    pub fn has_left(
+        &mut self,
+        settings: WindowSettings,
+        retry_use: RetryUse,
+        now: Instant,
+    ) -> bool {
+        let part = match retry_use {
+            RetryUse::Replacement => 1.0,
+            RetryUse::Spare => SPARE_SHARE,
+        };
         let usage = self.usage(settings, now);
         let rounding = self.rounding_at(settings, now);
         let next = (usage.spent + 1) as f64;
--- a/src/silence.rs
+++ b/src/silence.rs
@@ -9,6 +9,8 @@
 
 use std::time::Duration;
 
+use crate::retry::RetryUse;
+
 /// What is known about a target that sends nothing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SilenceCause {
@@ -161,3 +163,15 @@
         _ => Accompany,
     }
 }
+
+/// Returns what an attempt beside a silent one may spend. A target that accepts no connections
+/// for as long as one may stand still has probably ended, and the request would fail without
+/// another attempt.
+pub fn retry_use(request: SilentRequest, limits: SilenceLimits) -> RetryUse {
+    match request.cause {
+        SilenceCause::Unreachable | SilenceCause::Stalled if request.silent >= limits.still => {
+            RetryUse::Replacement
+        }
+        _ => RetryUse::Spare,
+    }
+}
