Relay counts of hosts from higher to lower ranks only

Symptom: after hosts were added while views were late, some hosts kept dividing the slack of retries by too few hosts.

Cause: `GossipTable::observe_counts` took the count of another zone from any host of its own zone. An old count thus replaced a newer one and went round between the aggregators.

Evidence: hosts_that_are_added_are_counted_by_all_although_views_are_late failed before (known red), and of the tests in tests/host_counts.rs five of six did: 26 and 31 of 36 hosts were counted with views 125 ms on their way; removed hosts were still counted by some or too few left (24 and 25 of 26) with 250 ms; after the highest host had ended, and after a cut between zones, counts differed as well. A table took a lower rank's old count.

Change: the hosts of a zone state its count, and within another zone counts go from higher to lower ranks, which is a fixed order, so that no count can return to a host that has replaced it. A host that has no count takes one from any host of its zone: it may start while the other zone is cut off.

After: all of these pass, and large_fleet (13), membership (14), retry_budget_model (10) and fleet_size (5) in a debug build.

--- a/src/membership/gossip.rs
+++ b/src/membership/gossip.rs
@@ -15,6 +15,7 @@
 use crate::collections::FastMap;
 use crate::ids::{HostId, HostWeight, IncarnationId, ZoneId};
 use crate::membership::gossip_member::{DEAD_AFTER, GossipMember};
+use crate::membership::role::{RoleCandidate, compare_ranks};
 use crate::peer::{HostView, KnownHost};
 
 /// Silence after which a host is forgotten. Hosts are replaced at new addresses, so that
@@ -185,17 +186,34 @@
         }
     }
 
-    /// Applies the host counts of zones. The hosts of a zone know its count, and a host
-    /// of this zone relays the counts that it received.
+    /// Applies the host counts of other zones. The hosts of a zone know its count. Within
+    /// this zone counts go from higher to lower ranks only, so that an old count cannot
+    /// return to a host that has replaced it. A host that has no count takes any, because
+    /// it may start while the other zone is out of reach.
     fn observe_counts(&mut self, view: &HostView) {
+        let is_relay = view.zone == self.zone;
+        let is_outranked = is_relay && self.is_outranked_by(view);
         for count in &view.counts {
-            let knows = view.zone == self.zone || count.zone == view.zone;
+            let is_missing = is_relay && !self.counts.contains_key(&count.zone);
+            let knows = count.zone == view.zone || is_outranked || is_missing;
             if knows && count.zone != self.zone {
                 self.counts.insert(count.zone.clone(), count.hosts);
             }
         }
     }
 
+    fn is_outranked_by(&self, view: &HostView) -> bool {
+        let sender = RoleCandidate {
+            host: view.host.clone(),
+            weight: view.weight,
+        };
+        let own = RoleCandidate {
+            host: self.host.clone(),
+            weight: self.weight,
+        };
+        compare_ranks(&sender, &own).is_lt()
+    }
+
     /// Marks a host as suspect after a failed call, so that another one is called in its
     /// place for a while.
     pub fn observe_failed_call(&mut self, address: SocketAddr, now: Instant) {
--- a/src/membership/role.rs
+++ b/src/membership/role.rs
@@ -1,6 +1,6 @@
 //! Selects by capacity the hosts of an availability zone that work for the others.
 
-use std::cmp::Reverse;
+use std::cmp::{Ordering, Reverse};
 
 use crate::ids::{HostId, HostWeight};
 
@@ -40,10 +40,13 @@
 /// Ranking by name alone would let a host with an eighth of a core read the log, plan and
 /// aggregate for a zone of 39 hosts, even if three others have four times its capacity.
 pub fn rank_hosts(candidates: &mut [RoleCandidate]) {
-    candidates.sort_by(|left, right| {
-        let weight = Reverse(left.weight).cmp(&Reverse(right.weight));
-        weight.then_with(|| left.host.cmp(&right.host))
-    });
+    candidates.sort_by(compare_ranks);
+}
+
+/// Compares the ranks of two hosts. The higher rank is the lesser one.
+pub(crate) fn compare_ranks(left: &RoleCandidate, right: &RoleCandidate) -> Ordering {
+    let weight = Reverse(left.weight).cmp(&Reverse(right.weight));
+    weight.then_with(|| left.host.cmp(&right.host))
 }
 
 /// Returns how many hosts of a zone, taken from the head of the ranking, are aggregators.
