Ask a target again when a run has no repairs left

Symptom, by reading: a run of the own interface whose repairs are used up ended at the first timeout of a step, with `retry_budget_spent`, although its target may only have stood still for the length of the timeout and still held the session. Without another target it asked its target once more.

Cause: the run was given up before it was known that its target was lost.

Evidence: a_run_without_repairs_left_asks_its_target_again failed before: 0 of 4 tokens, RetryBudgetSpent.

Change: both cases send the step again within `resends_per_step`; the target returns the recorded outputs if it ran. The simulated faults include steps that time out, which they did not before.

--- a/src/run/machine/repair.rs
+++ b/src/run/machine/repair.rs
@@ -47,6 +47,9 @@
             StepRepair::Replace if self.has_repairs_left() => {
                 self.request_replacement(stage, failure.reason, Some(resends), decisions);
             }
+            StepRepair::Replace if self.may_ask_again(resends) => {
+                self.resend_step(resends, failure.reason, now, decisions);
+            }
             StepRepair::Reopen | StepRepair::Replace => {
                 self.give_up(RefusalReason::RetryBudgetSpent, decisions);
             }
@@ -73,6 +76,12 @@
         }
     }
 
+    /// Returns whether a target that failed may get the step again if no other one can be
+    /// used.
+    fn may_ask_again(&self, resends: u32) -> bool {
+        resends < self.limits.resends_per_step
+    }
+
     pub(super) fn has_repairs_left(&self) -> bool {
         self.attempt < self.limits.max_repairs
     }
@@ -146,7 +155,7 @@
                 self.stages[stage].is_leaving = false;
                 self.continue_pass(None, decisions);
             }
-            Some(resends) if resends < self.limits.resends_per_step => {
+            Some(resends) if self.may_ask_again(resends) => {
                 self.resend_step(resends, reason, now, decisions);
             }
             Some(_) => self.give_up(RefusalReason::NoRoute, decisions),
--- a/tests/run_model.rs
+++ b/tests/run_model.rs
@@ -38,6 +38,7 @@
         2 => Just(Fault::DieWithNeighbour),
         2 => Just(Fault::LoseOrder),
         3 => Just(Fault::LoseResponse),
+        2 => Just(Fault::TimeOut),
         3 => (1..8_u32).prop_map(Fault::Freeze),
         2 => Just(Fault::LoseSessions),
         1 => Just(Fault::LoseAllSessions),
@@ -123,6 +124,21 @@
     assert!(!simulation.order_seen);
 }
 
+/// Guards against a run that ends at a timeout of a target that goes on, because it may use
+/// no other one.
+#[test]
+fn a_run_without_repairs_left_asks_its_target_again() {
+    let limits = RunLimits {
+        max_repairs: 0,
+        ..limits(RecoveryMode::MoveCache, 1)
+    };
+    let script = BTreeMap::from([(1, Fault::TimeOut), (4, Fault::TimeOut)]);
+    let mut simulation = RunSimulation::new(2, vec![1, 2], 4, limits, script);
+    simulation.run();
+    let outcome = simulation.outcome.expect("the run ended");
+    assert_eq!((outcome.delivered, outcome.refusal), (4, None));
+}
+
 /// Returns the cost of a run: round trips (a cache move takes two), values sent in steps,
 /// positions run, and positions run that a prefix cache would not have saved.
 fn cost(mode: RecoveryMode, fault: Option<(u32, Fault)>) -> [u64; 4] {
--- a/tests/run_model/faults.rs
+++ b/tests/run_model/faults.rs
@@ -18,6 +18,8 @@
     DieWithNeighbour,
     LoseOrder,
     LoseResponse,
+    /// The target reads no order until the timeout.
+    TimeOut,
     Freeze(u32),
     LoseSessions,
     LoseAllSessions,
--- a/tests/run_model/simulation.rs
+++ b/tests/run_model/simulation.rs
@@ -292,7 +292,7 @@
                 engine.queued.push(QueuedOrder::Step(order.clone()));
                 lost()
             }
-            Some(Fault::LoseOrder) => lost(),
+            Some(Fault::LoseOrder | Fault::TimeOut) => lost(),
             Some(Fault::Refuse(refused)) => {
                 let refusal = TargetRefusal {
                     refused,
@@ -347,7 +347,7 @@
             position: order.position,
             failure: StepFailure {
                 reason,
-                timed_out: false,
+                timed_out: fault == Some(Fault::TimeOut),
                 verdict,
                 refusal,
             },
