Answer a request whose handling panics, and count panics

What callers saw: a request that had been read whole got neither an answer nor a refusal: its connection closed. No line and no metric of the host showed it, only the text that the runtime prints.

Cause: hyper polls the handling of a request and the body of its response in the task of the connection, so that a panic in either drops the connection.

Evidence: a source of permits that panics. Before, `a_request_whose_handling_panics_gets_a_500` failed with an empty response, and `a_stream_whose_relay_panics_is_cut_and_counted` for want of a count; both pass now.

Fix: the handling is caught and refused with 500, `may_have_run` and the new reason `internal_error`, since a target may have got the request. A panic in the body of a response becomes an error of the body, which cuts the response as before, now with the line `panicked` and the counter `jackdawwick_panics`.

--- a/src/forward.rs
+++ b/src/forward.rs
@@ -19,6 +19,7 @@
 mod limits;
 mod liveness;
 mod notices;
+mod panics;
 mod pauses;
 mod permit_wait;
 mod permits;
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -15,6 +15,7 @@
 use super::attempt::{AttemptFailure, FailureCause, OutgoingRequest};
 use super::choice::{self, ChosenTarget};
 use super::head::{CallerHead, forwarded, request_size, shared_parts};
+use super::panics::{catch_panic, guard_body};
 use super::relay;
 use super::response::{Refusal, ResponseBody, whole_body};
 use super::response_end::ends_with_connection;
@@ -72,13 +73,12 @@
     let (parts, body) = request.into_parts();
     let head = CallerHead::read(&parts, arrived);
     let in_flight_request = InFlightRequest::open(tables.clone());
-    let opened = open(tables.clone(), parts, body, &head, arrived).await;
-    let result = match opened {
-        Err(refusal) => Err(refusal),
-        Ok(exchange) => forward(Arc::new(exchange), in_flight_request).await,
+    let handled = async {
+        let exchange = open(tables.clone(), parts, body, &head, arrived).await?;
+        forward(Arc::new(exchange), in_flight_request).await
     };
-    let mut response = match result {
-        Ok(response) => response,
+    let mut response = match catch_panic(&tables, &head.id, Box::pin(handled)).await {
+        Ok(response) => response.map(|body| guard_body(tables.clone(), &head.id, body)),
         Err(refusal) => refuse(&tables, &head.id, refusal, arrived),
     };
     if !response.headers().contains_key(names::ATTEMPT_ID)
--- a/src/metrics/serving.rs
+++ b/src/metrics/serving.rs
@@ -44,6 +44,7 @@
     gateway_uses: Family<CauseLabel, Counter>,
     gateway_requests: Family<CauseLabel, Counter>,
     closed_unread: Family<CauseLabel, Counter>,
+    panics: Family<CauseLabel, Counter>,
     end_reports: Family<CauseLabel, Counter>,
     capacity: CapacityGauges,
     start_decisions: Family<CauseLabel, Counter>,
@@ -81,6 +82,7 @@
             gateway_uses: Family::default(),
             gateway_requests: Family::default(),
             closed_unread: Family::default(),
+            panics: Family::default(),
             end_reports: Family::default(),
             capacity: CapacityGauges::default(),
             start_decisions: Family::default(),
@@ -190,6 +192,11 @@
                 "Connections of callers closed before a request was read, by cause",
                 &self.closed_unread,
             ),
+            (
+                "panics",
+                "Requests whose handling panicked, by what was running",
+                &self.panics,
+            ),
             (
                 "end_reports",
                 "Targets reported to other hosts as ended, or reported by them, by source",
@@ -353,6 +360,11 @@
         count(&self.closed_unread, "overloaded");
     }
 
+    /// Counts a request whose handling panicked, by what was running.
+    pub fn panicked(&self, place: &'static str) {
+        count(&self.panics, place);
+    }
+
     /// Counts a report that a target has ended, by its source.
     pub fn end_reported(&self, source: &'static str) {
         count(&self.end_reports, source);
--- a/src/reason.rs
+++ b/src/reason.rs
@@ -49,11 +49,13 @@
     NoPermit,
     /// All targets have requested a pause.
     TargetsPaused,
+    /// The handling of the request panicked.
+    InternalError,
 }
 
 impl RefusalReason {
     /// All reasons, for registering one counter each.
-    pub const ALL: [Self; 20] = [
+    pub const ALL: [Self; 21] = [
         Self::CapacityUsedUp,
         Self::QueueFull,
         Self::DeadlineUnreachable,
@@ -74,6 +76,7 @@
         Self::PoisonRequest,
         Self::NoPermit,
         Self::TargetsPaused,
+        Self::InternalError,
     ];
 
     /// Returns the name used in metrics, logs and response bodies.
@@ -99,6 +102,7 @@
             Self::PoisonRequest => "poison_request",
             Self::NoPermit => "no_permit",
             Self::TargetsPaused => "targets_paused",
+            Self::InternalError => "internal_error",
         }
     }
 }
--- a/tests/forwarding/main.rs
+++ b/tests/forwarding/main.rs
@@ -11,6 +11,7 @@
 mod silence;
 mod starts;
 mod stub_target;
+mod unanswered;
 mod unframed;
 
 use std::sync::atomic::Ordering;
