Send the responses under way before a host's process ends

What callers saw: a request that had been read whole got only a part of its response, beside the shutdown of its host (SIGTERM).

Cause: `drain` ended the process as soon as no request was in flight, and a request stops counting when its whole response is handed to hyper. Bytes that wait for a slow caller were lost with the process. Connections without a request were dropped in the same way.

Evidence: `a_slow_caller_gets_its_whole_response_from_a_host_that_shuts_down`, a response of 24 MB read at about 3 MB/s.

Fix: once no request is in flight, connections are shut down by hyper: those without a request are closed, the others end with their response, and `drain` waits for all of them until the time at which it ended before. What is cut at the end of the grace time shows in a line.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -3,6 +3,7 @@
 
 mod capacity_refresh;
 mod configuration_follower;
+mod drain;
 mod follow_cursor;
 mod gateway_peers;
 mod kept_records;
@@ -24,6 +25,7 @@
 mod target_starts;
 mod zone_balance;
 
+pub use drain::drain;
 pub use follow_cursor::FollowCursor;
 pub use kept_records::KeptRecords;
 pub use log_continuity::{LogContinuity, LogGap};
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -11,6 +11,7 @@
 
 use crate::entry::capacity_refresh::refresh_capacity;
 use crate::entry::configuration_follower::follow_configuration;
+use crate::entry::drain::drain;
 use crate::entry::log_copy::LogCopy;
 use crate::entry::permit_requests::permit_source;
 use crate::entry::placement::run_placement;
@@ -43,15 +44,6 @@
 };
 /// Port of the metrics; `deploy/system.toml` names the same port.
 const METRICS_PORT: u16 = 9464;
-/// Time reserved before the platform would kill the process.
-const STOP_MARGIN: Duration = Duration::from_millis(400);
-/// Time before the end from which no new request is accepted: plain services respond in
-/// about 30 ms and nearly all within half a second. A request accepted 26 ms before the end
-/// is run and its response lost.
-const CLOSING_TIME: Duration = Duration::from_millis(700);
-/// Time in which the balancer takes this host out of rotation: it checks once a second and
-/// needs two failures. Callers that it sends until then are still served.
-const BALANCER_DELAY: Duration = Duration::from_millis(2600);
 
 /// Errors that keep an entry host from starting.
 #[derive(Debug, thiserror::Error)]
@@ -99,8 +91,7 @@
     );
     wait_for_stop(&mut terminate, &mut hangup).await;
     log::info!(in_flight = tables.in_flight.load(Ordering::Relaxed); "stopping");
-    drain(&tables, settings.bounds.grace).await;
-    serving.stop();
+    drain(&tables, serving, settings.bounds.grace).await;
     log::info!(in_flight = tables.in_flight.load(Ordering::Relaxed); "stopped");
     Ok(())
 }
@@ -173,25 +164,3 @@
         }
     }
 }
-
-/// Serves requests until the balancer sends no more, and finishes those in flight, at most
-/// until shortly before the process would be killed.
-async fn drain(tables: &ServingTables, grace: Duration) {
-    const PAUSE: Duration = Duration::from_millis(50);
-    let started = Instant::now();
-    tables.draining.store(true, Ordering::Relaxed);
-    let end = started + grace.saturating_sub(STOP_MARGIN);
-    while Instant::now() < end {
-        if Instant::now() >= started + BALANCER_DELAY {
-            tables.closing.store(true, Ordering::Relaxed);
-        }
-        if Instant::now() + CLOSING_TIME >= end {
-            tables.ending.store(true, Ordering::Relaxed);
-        }
-        let idle = tables.in_flight.load(Ordering::Relaxed) == 0;
-        if idle && Instant::now() >= started + BALANCER_DELAY {
-            return;
-        }
-        tokio::time::sleep(PAUSE).await;
-    }
-}
--- a/src/forward/serve.rs
+++ b/src/forward/serve.rs
@@ -3,14 +3,16 @@
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::header::{self, HeaderValue};
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 use super::exchange::handle_request;
 use super::socket;
@@ -27,13 +29,21 @@
 pub struct ServingHandle {
     /// Address that the listener is bound to.
     pub address: SocketAddr,
-    task: JoinHandle<()>,
+    connections: TaskTracker,
+    /// Cancelled to stop accepting connections and to close those without a request.
+    shutdown: CancellationToken,
 }
 
 impl ServingHandle {
-    /// Stops accepting connections; open ones continue.
-    pub fn stop(&self) {
-        self.task.abort();
+    /// Stops accepting connections, closes those without a request, and returns when the
+    /// responses of the others are sent, at most at `end`.
+    pub async fn shutdown(self, end: Instant) {
+        self.shutdown.cancel();
+        self.connections.close();
+        let closed = tokio::time::timeout_at(end.into(), self.connections.wait()).await;
+        if closed.is_err() {
+            log::warn!(connections = self.connections.len(); "connections cut by the shutdown");
+        }
     }
 }
 
@@ -45,15 +55,31 @@
 pub fn serve(tables: Arc<ServingTables>, address: SocketAddr) -> io::Result<ServingHandle> {
     let listener = socket::bind(address)?;
     let address = listener.local_addr()?;
-    let task = tokio::spawn(accept_all(tables, listener));
-    Ok(ServingHandle { address, task })
+    let connections = TaskTracker::new();
+    let shutdown = CancellationToken::new();
+    let accepted = accept_all(tables, listener, connections.clone(), shutdown.clone());
+    connections.spawn(accepted);
+    Ok(ServingHandle {
+        address,
+        connections,
+        shutdown,
+    })
 }
 
-async fn accept_all(tables: Arc<ServingTables>, listener: TcpListener) {
+async fn accept_all(
+    tables: Arc<ServingTables>,
+    listener: TcpListener,
+    connections: TaskTracker,
+    shutdown: CancellationToken,
+) {
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = shutdown.cancelled() => return,
+        };
+        match accepted {
             Ok((stream, _)) if tables.admits_connection() => {
-                tokio::spawn(serve_connection(tables.clone(), stream));
+                connections.spawn(serve_connection(tables.clone(), stream, shutdown.clone()));
             }
             // Closed before a request is read, so that the caller comes back elsewhere.
             Ok((stream, _)) => drop(stream),
@@ -65,7 +91,11 @@
     }
 }
 
-async fn serve_connection(tables: Arc<ServingTables>, stream: TcpStream) {
+async fn serve_connection(
+    tables: Arc<ServingTables>,
+    stream: TcpStream,
+    shutdown: CancellationToken,
+) {
     if let Err(error) = socket::prepare(&stream) {
         log::debug!("cannot configure caller connection: {error}");
         return;
@@ -88,12 +118,21 @@
             Ok::<_, Infallible>(response)
         }
     });
-    let served = hyper::server::conn::http1::Builder::new()
+    let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle + IDLE_MARGIN)
         .max_buf_size(limits.header_bytes.max(8192) * 2)
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    let served = tokio::select! {
+        // A request that has arrived is read before the connection is found idle.
+        biased;
+        served = connection.as_mut() => served,
+        () = shutdown.cancelled() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
     if let Err(error) = served {
         log::debug!("caller connection failed: {error}");
     }
--- a/tests/forwarding/host.rs
+++ b/tests/forwarding/host.rs
@@ -91,6 +91,14 @@
             .expect("a connection")
     }
 
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.serving.address
+    }
+
+    pub(crate) fn into_serving(self) -> ServingHandle {
+        self.serving
+    }
+
     /// Sends one request and reads until the connection closes.
     pub(crate) async fn call(&self, method: &str, path: &str, extra: &str) -> CallerResponse {
         let mut stream = self.connect().await;
--- a/tests/forwarding/main.rs
+++ b/tests/forwarding/main.rs
@@ -8,6 +8,7 @@
 mod moves;
 mod pauses;
 mod poison;
+mod shutdown;
 mod silence;
 mod starts;
 mod stub_target;
