--- a/src/forward/serve.rs
+++ b/src/forward/serve.rs
@@ -2,23 +2,25 @@
 
 use std::convert::Infallible;
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::header::{self, HeaderValue};
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
-use super::exchange::handle_request;
+use super::exchange::{handle_request, refuse_request};
+use super::idle_timer::IdleTimer;
 use super::socket;
 use super::tables::ServingTables;
 
-/// Time that an idle connection is kept beyond the configured timeout, so that a request
-/// that is in transit at that moment still finds it open.
-const IDLE_MARGIN: Duration = Duration::from_secs(1);
 /// Pause after a failed accept, for instance while file descriptors are used up.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -27,13 +29,21 @@
 pub struct ServingHandle {
     /// Address that the listener is bound to.
     pub address: SocketAddr,
-    task: JoinHandle<()>,
+    connections: TaskTracker,
+    /// Cancelled to stop accepting connections and to close those without a request.
+    shutdown: CancellationToken,
 }
 
 impl ServingHandle {
-    /// Stops accepting connections; open ones continue.
-    pub fn stop(&self) {
-        self.task.abort();
+    /// Stops accepting connections, closes those without a request, and returns when the
+    /// responses of the others are sent, at most at `end`.
+    pub async fn shutdown(self, end: Instant) {
+        self.shutdown.cancel();
+        self.connections.close();
+        let closed = tokio::time::timeout_at(end.into(), self.connections.wait()).await;
+        if closed.is_err() {
+            log::warn!(connections = self.connections.len(); "connections cut by the shutdown");
+        }
     }
 }
 
@@ -45,18 +55,38 @@
 pub fn serve(tables: Arc<ServingTables>, address: SocketAddr) -> io::Result<ServingHandle> {
     let listener = socket::bind(address)?;
     let address = listener.local_addr()?;
-    let task = tokio::spawn(accept_all(tables, listener));
-    Ok(ServingHandle { address, task })
+    let connections = TaskTracker::new();
+    let shutdown = CancellationToken::new();
+    let accepted = accept_all(tables, listener, connections.clone(), shutdown.clone());
+    connections.spawn(accepted);
+    Ok(ServingHandle {
+        address,
+        connections,
+        shutdown,
+    })
 }
 
-async fn accept_all(tables: Arc<ServingTables>, listener: TcpListener) {
+async fn accept_all(
+    tables: Arc<ServingTables>,
+    listener: TcpListener,
+    connections: TaskTracker,
+    shutdown: CancellationToken,
+) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) if tables.admits_connection() => {
-                tokio::spawn(serve_connection(tables.clone(), stream));
-            }
-            // Closed before a request is read, so that the caller comes back elsewhere.
-            Ok((stream, _)) => drop(stream),
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = shutdown.cancelled() => return,
+        };
+        match accepted {
+            Ok((stream, _)) => match admit(&tables, &stream) {
+                Some(admission) => {
+                    let served =
+                        serve_connection(tables.clone(), stream, admission, shutdown.clone());
+                    connections.spawn(served);
+                }
+                // Closed before a request is read, so that the caller comes back elsewhere.
+                None => tables.count_closed_unread(),
+            },
             Err(error) => {
                 log::warn!(error:% = error; "cannot accept a caller connection");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -65,7 +95,37 @@
     }
 }
 
-async fn serve_connection(tables: Arc<ServingTables>, stream: TcpStream) {
+/// What becomes of the requests of a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ConnectionAdmission {
+    Served,
+    /// The request is refused, and the connection closed after it.
+    Refused,
+}
+
+/// Decides about a new connection; `None` closes it.
+///
+/// A connection that an overloaded host accepts late may hold a whole request that its caller
+/// sent long before. It is refused, since a closed connection would leave its caller without
+/// an answer.
+fn admit(tables: &ServingTables, stream: &TcpStream) -> Option<ConnectionAdmission> {
+    if tables.admits_connection() {
+        return Some(ConnectionAdmission::Served);
+    }
+    let mut first = [MaybeUninit::uninit()];
+    // An error is that nothing has arrived, or that the connection has failed.
+    let has_arrived = SockRef::from(stream)
+        .peek(&mut first)
+        .is_ok_and(|read| read > 0);
+    has_arrived.then_some(ConnectionAdmission::Refused)
+}
+
+async fn serve_connection(
+    tables: Arc<ServingTables>,
+    stream: TcpStream,
+    admission: ConnectionAdmission,
+    shutdown: CancellationToken,
+) {
     if let Err(error) = socket::prepare(&stream) {
         log::debug!("cannot configure caller connection: {error}");
         return;
@@ -79,8 +139,11 @@
     let service = service_fn(|request| {
         let tables = tables.clone();
         async move {
-            let mut response = handle_request(tables.clone(), request).await;
-            if tables.is_draining() {
+            let mut response = match admission {
+                ConnectionAdmission::Served => handle_request(tables.clone(), request).await,
+                ConnectionAdmission::Refused => refuse_request(&tables, request).await,
+            };
+            if tables.is_draining() || admission == ConnectionAdmission::Refused {
                 // The caller opens its next connection to a host that keeps running.
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
@@ -88,12 +151,22 @@
             Ok::<_, Infallible>(response)
         }
     });
-    let served = hyper::server::conn::http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle + IDLE_MARGIN)
+    let timer = IdleTimer::open(tables.clone());
+    let connection = hyper::server::conn::http1::Builder::new()
+        .header_read_timeout(timer.first_limit)
+        .timer(timer)
         .max_buf_size(limits.header_bytes.max(8192) * 2)
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    let served = tokio::select! {
+        // A request that has arrived is read before the connection is found idle.
+        biased;
+        served = connection.as_mut() => served,
+        () = shutdown.cancelled() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
     if let Err(error) = served {
         log::debug!("caller connection failed: {error}");
     }
