Share the check of the retry bound between games

The check of what arrives in each sliding window against the bound is needed by another game. It moves from tests/retry_budget_model.rs to tests/retry_bound; the windows, the allowance and the assertion are the same.

--- a/tests/retry_budget_model.rs
+++ b/tests/retry_budget_model.rs
@@ -3,6 +3,7 @@
 //! over all hosts and processes and compared with the bound in each sliding window.
 
 mod fleet_in_memory;
+mod retry_bound;
 
 use std::time::{Duration, Instant};
 
@@ -11,6 +12,7 @@
 use jackdawwick::retry::{RetryBounds, RetryShare, WindowBudget};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use retry_bound::{FullWindow, RetryCounts};
 
 /// Step of a game: the interval of the exchanges between hosts.
 const STEP: Duration = Duration::from_millis(125);
@@ -150,17 +152,7 @@
     /// Share of the requests that fail once.
     failing: f64,
     load: f64,
-    /// Requests, and arrivals of retries, by step.
-    requests: Vec<u32>,
-    arrivals: Vec<u32>,
-}
-
-/// The fullest window of a game.
-#[derive(Debug, Clone, Copy, PartialEq)]
-struct FullWindow {
-    first_step: usize,
-    arrivals: u32,
-    allowed: f64,
+    counts: RetryCounts,
 }
 
 impl Game {
@@ -198,8 +190,7 @@
             knows_size: false,
             failing: 0.0,
             load: 0.0,
-            requests: Vec::new(),
-            arrivals: Vec::new(),
+            counts: RetryCounts::new(WINDOW, bounds),
         };
         let first_start = game.fleet.now + STEP * LEAD as u32 - FIRST_AGE;
         for host in &mut game.hosts {
@@ -214,16 +205,11 @@
             }
         }
         game.run(LEAD, |_| None);
-        game.forget_traffic();
+        game.counts.clear();
         game.load = 1.0;
         game
     }
 
-    fn forget_traffic(&mut self) {
-        self.requests.clear();
-        self.arrivals.clear();
-    }
-
     /// Plays the given number of steps; `events` returns what happens at each.
     fn run<E>(&mut self, steps: usize, events: E)
     where
@@ -238,7 +224,7 @@
     }
 
     fn apply(&mut self, event: GameEvent) {
-        let step = self.requests.len();
+        let step = self.counts.steps();
         let chosen = |rng: &mut StdRng, share: f64| rng.random_bool(share);
         match event {
             GameEvent::Kill { share, down } => {
@@ -298,9 +284,7 @@
 
     fn step(&mut self) {
         self.fleet.run_for(STEP);
-        let step = self.requests.len();
-        self.requests.push(0);
-        self.arrivals.push(0);
+        let step = self.counts.begin_step();
         for index in 0..self.hosts.len() {
             self.start_due(index, step);
             self.count_hosts(index, step);
@@ -352,12 +336,12 @@
         let count = host.due as u32;
         host.due -= f64::from(count);
         // Callers send requests whether or not the host takes them.
-        self.requests[step] += count;
+        self.counts.count_requests(count);
         if !is_up {
             return;
         }
         let arrived = host.sending.extract_if(.., |at| *at <= step);
-        self.arrivals[step] += arrived.count() as u32;
+        self.counts.count_arrivals(arrived.count() as u32);
         let settings = host.process.share.settings();
         for _ in 0..count {
             host.process.budget.count_request(settings, now);
@@ -372,44 +356,18 @@
         }
     }
 
-    /// Returns what arrives in the window from a step on, and what is allowed: the requests
-    /// count of this window, the one before it, or the one half a window before it.
-    fn window(&self, first: usize) -> FullWindow {
-        // A window may begin before the game.
-        let sum = |counts: &[u32], earlier: usize| {
-            let to = (first + WINDOW).saturating_sub(earlier).min(counts.len());
-            let from = first.saturating_sub(earlier).min(to);
-            counts[from..to].iter().sum::<u32>()
-        };
-        let requests = [0, WINDOW / 2, WINDOW].map(|earlier| sum(&self.requests, earlier));
-        let requests = requests.into_iter().max().unwrap_or(0);
-        FullWindow {
-            first_step: first,
-            arrivals: sum(&self.arrivals, 0),
-            allowed: self.bounds.ratio * f64::from(requests) + self.bounds.slack,
-        }
-    }
-
     /// Returns the window that is nearest to its bound or the furthest beyond it.
     fn fullest(&self) -> FullWindow {
-        let windows = (0..self.arrivals.len()).map(|first| self.window(first));
-        let part = |window: &FullWindow| f64::from(window.arrivals) / window.allowed;
-        let fullest = windows.max_by(|left, right| part(left).total_cmp(&part(right)));
-        fullest.expect("a game has steps")
+        self.counts.fullest()
     }
 
     /// Returns the part of what is allowed that is used in the window from a step on.
     fn used(&self, first: usize) -> f64 {
-        let window = self.window(first);
-        f64::from(window.arrivals) / window.allowed
+        self.counts.window(first).used()
     }
 
     fn assert_bound(&self, name: &str) {
-        let fullest = self.fullest();
-        assert!(
-            f64::from(fullest.arrivals) <= fullest.allowed,
-            "{name}: {fullest:?}"
-        );
+        self.counts.assert_bound(name);
     }
 }
 
@@ -660,8 +618,7 @@
     for seed in 0..40 {
         for plan in [EIGHT, SIXTY, LARGE, LARGEST] {
             let game = play_random(plan, seed, 40);
-            let fullest = game.fullest();
-            let part = f64::from(fullest.arrivals) / fullest.allowed;
+            let part = game.fullest().used();
             println!("{} hosts, seed {seed}: {part:.3}", game.hosts.len());
             game.assert_bound(&format!("{} hosts, seed {seed}", game.hosts.len()));
         }
