Make targets stand still in the soak, and judge responses that are cut

The soak stopped hosts and links, but no target fell silent and went on, and it judged a cut response only beside a planned stop. Requests that were given up for a silence were counted as interrupted and passed.

Two guarantees are new and hold without a time bound: no response is cut while its target lives, and no call that was read ends without a response. Excused are calls whose target ended or broke the connection, whose deadline passed, or whose host was killed or reached the end of its grace time. A reset link no longer passes on what it held.

A call that a stop cuts now breaks both the old guarantee and the new one; the test of this states both.

--- a/standins/src/bin/soak.rs
+++ b/standins/src/bin/soak.rs
@@ -42,6 +42,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Give each host links of its own to the targets, and cut them"),
         )
+        .arg(
+            Arg::new("standstills")
+                .long("standstills")
+                .action(ArgAction::SetTrue)
+                .help("Make targets stand still for up to 2 s and go on"),
+        )
         .get_matches();
     let path = |name: &str| {
         matches
@@ -69,6 +75,7 @@
                 true => LinkScope::Host,
                 false => LinkScope::Fleet,
             },
+            standstills: matches.get_flag("standstills"),
             timed: !matches.get_flag("untimed"),
         }))?;
         writeln!(std::io::stdout(), "{}", line(seed, &report))?;
@@ -88,12 +95,13 @@
         )
     };
     format!(
-        "seed {seed}: {} faults, {} calls, {} served, {} refused or failed, {} interrupted, {} timed out; violations: {:?}",
+        "seed {seed}: {} faults, {} calls, {} served, {} refused or failed, {} interrupted, {} unanswered, {} timed out; violations: {:?}",
         report.faults,
         report.history.calls.len(),
         with_status(200..300),
         with_status(300..600),
         report.count(|ended| ended == CallOutcome::Interrupted),
+        report.count(|ended| ended == CallOutcome::Unanswered),
         report.count(|ended| ended == CallOutcome::TimedOut),
         report.violations,
     )
--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -32,6 +32,7 @@
 mod run;
 mod statement;
 mod target;
+mod unfinished;
 
 pub use check::{RetryWindow, Violation, find_violations};
 pub use departure::{
@@ -39,14 +40,15 @@
 };
 pub use engines::TargetFault;
 pub use history::{
-    AttemptRecord, CallKind, CallOutcome, CallRecord, Disturbance, DisturbanceScope, ProbeRecord,
-    RunRecord, SoakHistory, TargetDeparture, TargetLimit,
+    AttemptRecord, CallKind, CallOutcome, CallRecord, ConnectionLoss, Disturbance,
+    DisturbanceScope, LossPeer, ProbeRecord, RunRecord, SoakHistory, TargetBreak, TargetDeparture,
+    TargetLimit,
 };
 pub use host_link::LinkLoss;
 pub use limit::{LimitReport, run_rate_limit};
 pub use link::{FaultLink, LinkFault};
 pub use partition::{IsolatedHosts, PartitionPlan, PartitionReport, ServedShare, run_partition};
-pub use plan::{FaultAction, PlannedFault, draw_faults, draw_statements};
+pub use plan::{FaultAction, PlannedFault, draw_faults, draw_standstills, draw_statements};
 pub use poison::{PoisonReport, run_poison_request};
 pub use poison_part::{
     PoisonPartReport, PoisonPartRestartReport, run_poison_part, run_poison_part_restart,
--- a/standins/src/soak/callers.rs
+++ b/standins/src/soak/callers.rs
@@ -27,7 +27,7 @@
 /// Timeout of opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Deadlines of a call with a plain response, and of one with a stream.
-const PLAIN_DEADLINE: Duration = Duration::from_secs(4);
+pub(super) const PLAIN_DEADLINE: Duration = Duration::from_secs(4);
 const STREAM_DEADLINE: Duration = Duration::from_secs(8);
 /// Delay after a connection that could not be opened or that broke.
 const RECONNECT_DELAY: Duration = Duration::from_millis(100);
@@ -202,11 +202,11 @@
     };
     let request = build_request(&id, method, path, deadline);
     let sent = Instant::now();
-    let result = tokio::time::timeout(deadline, exchange(connection, request)).await;
+    let result = tokio::time::timeout(deadline, read_response(connection, request)).await;
     let outcome = match result {
         Err(_) => CallOutcome::TimedOut,
-        Ok(None) => CallOutcome::Interrupted,
-        Ok(Some(response)) => classify_response(&id, kind, &response),
+        Ok(Err(broken)) => broken,
+        Ok(Ok(response)) => classify_response(&id, kind, &response),
     };
     CallRecord {
         id,
@@ -285,12 +285,24 @@
     connection: &mut CallerConnection,
     request: Option<Request<Full<Bytes>>>,
 ) -> Option<CompleteResponse> {
-    connection.ready().await.ok()?;
-    let response = connection.send_request(request?).await.ok()?;
-    let (head, body) = response.into_parts();
-    let body = body.collect().await.ok()?.to_bytes();
+    read_response(connection, request).await.ok()
+}
+
+/// Sends a request and reads the complete response; returns how the call ended if the
+/// connection breaks.
+async fn read_response(
+    connection: &mut CallerConnection,
+    request: Option<Request<Full<Bytes>>>,
+) -> Result<CompleteResponse, CallOutcome> {
+    let request = request.ok_or(CallOutcome::Unanswered)?;
+    let unanswered = |_| CallOutcome::Unanswered;
+    connection.ready().await.map_err(unanswered)?;
+    let response = connection.send_request(request).await;
+    let (head, body) = response.map_err(unanswered)?.into_parts();
+    let body = body.collect().await;
+    let body = body.map_err(|_| CallOutcome::Interrupted)?.to_bytes();
     let id = head.headers.get(names::ATTEMPT_ID);
-    Some(CompleteResponse {
+    Ok(CompleteResponse {
         status: head.status.as_u16(),
         id: id.and_then(|id| id.to_str().ok()).map(str::to_owned),
         sealed: head.headers.contains_key(names::SERVER_SEAL),
--- a/standins/src/soak/check.rs
+++ b/standins/src/soak/check.rs
@@ -7,6 +7,7 @@
 use super::history::{
     AttemptRecord, CallKind, CallOutcome, CallRecord, Disturbance, DisturbanceScope, SoakHistory,
 };
+use super::unfinished::unfinished_calls;
 
 /// Time after which a leaving target receives no new calls.
 const LEAVING_BOUND: Duration = Duration::from_secs(2);
@@ -23,7 +24,7 @@
 const UNDISTURBED_TIME: Duration = Duration::from_secs(3);
 /// A caller may lose a call that it sends while its connection is being closed. After
 /// this time the host has read the call.
-const CLOSE_RACE_TIME: Duration = Duration::from_millis(200);
+pub(super) const CLOSE_RACE_TIME: Duration = Duration::from_millis(200);
 
 /// Calls that reached the targets of a service again in one window, and the allowed number.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -55,6 +56,10 @@
     WrongLayers(String),
     /// A call ran that no caller sent.
     UnknownCall(String),
+    /// A response was cut while its target ran the call and its connection was open.
+    CutWhileTargetLived(String),
+    /// The connection of a call that the host had read ended without a response.
+    NoResponse(String),
     /// A shutdown by SIGTERM interrupted a call.
     LostAtShutdown(String),
     /// A target received a call too long after it had announced that it leaves.
@@ -85,6 +90,7 @@
     let mut violations = Vec::new();
     violations.extend(wrong_runs(history));
     violations.extend(wrong_responses(history));
+    violations.extend(unfinished_calls(history));
     violations.extend(regressions(history));
     let windows =
         [CallKind::Idempotent, CallKind::Stream].map(|kind| fullest_window(history, kind));
@@ -223,7 +229,7 @@
     violations
 }
 
-fn overlaps(disturbance: &Disturbance, from: Instant, until: Instant) -> bool {
+pub(super) fn overlaps(disturbance: &Disturbance, from: Instant, until: Instant) -> bool {
     disturbance.from <= until && disturbance.until >= from
 }
 
@@ -259,8 +265,10 @@
                 && disturbance.scope == DisturbanceScope::Host(call.host)
                 && overlaps(disturbance, call.sent, call.ended)
         });
-        call.outcome == CallOutcome::Interrupted
-            && read
+        matches!(
+            call.outcome,
+            CallOutcome::Interrupted | CallOutcome::Unanswered
+        ) && read
             && stopped
             && is_undisturbed(history, before(call.sent, UNDISTURBED_TIME), call.ended)
     });
--- a/standins/src/soak/configuration.rs
+++ b/standins/src/soak/configuration.rs
@@ -32,6 +32,9 @@
 pub(super) const RETRY_WINDOW: Duration = Duration::from_secs(10);
 pub(super) const RETRY_SLACK: f64 = 200.0;
 
+/// Timeout of the routes.
+pub(super) const ROUTE_TIMEOUT: Duration = Duration::from_secs(6);
+
 /// Number of targets to which a request may be sent.
 pub(super) const MAX_ATTEMPTS: usize = 2;
 
@@ -43,7 +46,7 @@
 fn route(name: &str, prefix: &str, kind: &str, service: &str) -> serde_json::Value {
     json!({
         "name": name, "host": CALLED_HOST, "path_prefix": prefix, "kind": kind,
-        "service": service, "timeout_ms": 6000, "target_latency_ms": 500,
+        "service": service, "timeout_ms": ROUTE_TIMEOUT.as_millis() as u64, "target_latency_ms": 500,
         "gap_aim_ms": 200, "max_attempts": MAX_ATTEMPTS, "priority": 1,
         "stream_resume": kind == "streaming",
     })
--- a/standins/src/soak/engines.rs
+++ b/standins/src/soak/engines.rs
@@ -10,7 +10,7 @@
 use serde_json::json;
 
 use super::configuration::LAYERS;
-use super::history::{AttemptRecord, RunRecord};
+use super::history::{AttemptRecord, RunRecord, TargetBreak};
 
 /// Fault that a target shows on each of its requests.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -45,6 +45,8 @@
     pub(super) draining: bool,
     /// Whether it is alive and its link passes data.
     pub(super) reachable: bool,
+    /// Whether its process stands still.
+    pub(super) still: bool,
     pub(super) fault: TargetFault,
     /// Limit that it advertises in its responses, as written in the header.
     pub(super) limit: Option<String>,
@@ -60,6 +62,7 @@
     paths: Mutex<HashMap<(String, SocketAddr), RunningPath>>,
     pub(super) runs: Mutex<Vec<RunRecord>>,
     pub(super) attempts: Mutex<Vec<AttemptRecord>>,
+    pub(super) breaks: Mutex<Vec<TargetBreak>>,
     /// When engines began to run requests that crash them.
     pub(super) poison_arrivals: Mutex<Vec<Instant>>,
 }
@@ -156,7 +159,29 @@
         paths.retain(|(other, _), path| other != id || path.number != number);
     }
 
-    /// Returns the first unreachable engine of a running stream, for which it waits.
+    /// Records that a target breaks the connection of a call.
+    pub(super) fn record_break(&self, id: &str) {
+        let (id, at) = (id.to_owned(), Instant::now());
+        self.breaks.lock().push(TargetBreak { id, at });
+    }
+
+    /// Records that a target breaks the connections of all calls that it runs.
+    pub(super) fn record_end(&self, address: SocketAddr) {
+        let target = self.state(address).id;
+        let runs = self.runs.lock().clone();
+        for run in runs.iter().filter(|run| run.target == target) {
+            self.record_break(&run.id);
+        }
+        let paths = self.paths.lock().clone();
+        for ((id, _), path) in paths {
+            if path.parts.iter().any(|part| part.address == address) {
+                self.record_break(&id);
+            }
+        }
+    }
+
+    /// Returns the first engine of a running stream that is unreachable or stands still,
+    /// for which the stream waits.
     pub(super) fn stalled_at(&self, id: &str, number: u64) -> Option<SocketAddr> {
         let parts = {
             let paths = self.paths.lock();
@@ -165,7 +190,10 @@
             found.1.parts.clone()
         };
         let mut addresses = parts.iter().map(|part| part.address);
-        addresses.find(|address| !self.state(*address).reachable)
+        addresses.find(|address| {
+            let state = self.state(*address);
+            state.still || !state.reachable
+        })
     }
 
     /// Returns the report of an engine.
--- a/standins/src/soak/event_stream.rs
+++ b/standins/src/soak/event_stream.rs
@@ -1,6 +1,7 @@
 //! A stream of events through a path of engines.
 
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -22,6 +23,8 @@
 /// A running stream.
 struct EventStream {
     registry: Arc<TargetRegistry>,
+    /// Address of the engine that sends the events.
+    address: SocketAddr,
     id: String,
     number: u64,
     next: u64,
@@ -47,6 +50,7 @@
 
 pub(super) fn stream_events(
     registry: Arc<TargetRegistry>,
+    address: SocketAddr,
     id: String,
     path: Vec<PathPart>,
     last_event: u64,
@@ -55,6 +59,7 @@
     let number = registry.begin_stream(&id, path);
     let events = EventStream {
         registry,
+        address,
         id,
         number,
         next: last_event + 1,
@@ -65,7 +70,10 @@
         match events.next_event().await {
             Ok(Some(text)) => Some((Ok(Frame::data(text)), Some(events))),
             Ok(None) => None,
-            Err(error) => Some((Err(error), None)),
+            Err(error) => {
+                events.registry.record_break(&events.id);
+                Some((Err(error), None))
+            }
         }
     });
     StreamBody::new(frames).boxed_unsync()
@@ -94,10 +102,15 @@
         Ok(Some(text.into()))
     }
 
-    /// Waits while an engine of the path is dead; fails after the stall time.
+    /// Waits while an engine of the path is dead or stands still; fails after the stall
+    /// time.
     async fn wait_for_path(&self) -> io::Result<()> {
-        let until = Instant::now() + Duration::from_millis(STALL_MS);
+        let stall_time = Duration::from_millis(STALL_MS);
+        let mut until = Instant::now() + stall_time;
         while self.registry.stalled_at(&self.id, self.number).is_some() {
+            if self.registry.state(self.address).still {
+                until = Instant::now() + stall_time;
+            }
             if Instant::now() >= until {
                 return Err(io::Error::other("stalled"));
             }
--- a/standins/src/soak/faults.rs
+++ b/standins/src/soak/faults.rs
@@ -7,7 +7,10 @@
 
 use super::configuration::{CONFIGURATION, GRACE_S, HEARTBEAT_MS, configuration};
 use super::engines::TargetFault;
-use super::history::{Disturbance, DisturbanceScope, TargetDeparture, TargetLimit};
+use super::history::{
+    ConnectionLoss, Disturbance, DisturbanceScope, LossPeer, TargetDeparture, TargetLimit,
+};
+use super::host_link::LinkLoss;
 use super::link::LinkFault;
 use super::log_service::LogFaults;
 use super::plan::{FaultAction, PlannedFault};
@@ -67,6 +70,16 @@
         });
     }
 
+    /// Records that connections of a host may end from `from` to `until`.
+    pub(super) fn record_loss(&self, host: usize, peer: LossPeer, from: Instant, until: Instant) {
+        self.context.history.lock().losses.push(ConnectionLoss {
+            host,
+            peer,
+            from,
+            until,
+        });
+    }
+
     pub(super) fn end_after(&mut self, duration: Duration, end: FaultEnd) {
         self.scheduled_ends.push((Instant::now() + duration, end));
     }
@@ -93,6 +106,10 @@
             FaultAction::Hangup(host) => self.hosts[host].host.signal(Signal::SIGHUP),
             FaultAction::FrontLink(host, fault) => {
                 self.record_disturbance(DisturbanceScope::Host(host), false, duration);
+                if fault == LinkFault::Reset {
+                    let now = Instant::now();
+                    self.record_loss(host, LossPeer::Callers, now, now + duration + SETTLE_TIME);
+                }
                 self.hosts[host].host.front.set(fault);
                 self.end_after(duration, FaultEnd::HealFront(host));
             }
@@ -103,6 +120,10 @@
             }
             FaultAction::HostLinks(host, loss) => {
                 self.record_disturbance(DisturbanceScope::Host(host), false, duration);
+                if loss == LinkLoss::Reset {
+                    let now = Instant::now();
+                    self.record_loss(host, LossPeer::Targets, now, now + duration + SETTLE_TIME);
+                }
                 self.hosts[host].host.target_links.send_replace(Some(loss));
                 self.end_after(duration, FaultEnd::HealLinks(host));
             }
@@ -130,6 +151,9 @@
             FaultAction::TargetLink(target, fault) => {
                 self.record_disturbance(DisturbanceScope::Target, false, duration);
                 let reachable = matches!(fault, LinkFault::None | LinkFault::Delay(_));
+                if fault == LinkFault::Reset {
+                    self.registry.record_end(self.targets[target].link.address);
+                }
                 self.targets[target].link.set(fault);
                 self.targets[target].update(|state| state.reachable = reachable);
                 self.end_after(duration, FaultEnd::HealTarget(target));
@@ -161,6 +185,10 @@
             FaultAction::TargetLimits(target, per_second) => {
                 self.start_limiting(target, per_second, duration);
             }
+            FaultAction::TargetStandsStill(target) => {
+                self.record_disturbance(DisturbanceScope::Target, false, duration);
+                self.targets[target].stand_still(duration);
+            }
             FaultAction::Publish => self.publish(),
         }
         Ok(())
@@ -177,7 +205,10 @@
             Signal::SIGTERM
         });
         let now = Instant::now();
-        run.down = Some(HostDown {
+        if killed {
+            self.record_loss(index, LossPeer::Callers, now, now + STOP_SLACK);
+        }
+        self.hosts[index].down = Some(HostDown {
             since: now,
             start_at: now + duration,
             killed,
--- a/standins/src/soak/heartbeats.rs
+++ b/standins/src/soak/heartbeats.rs
@@ -19,7 +19,9 @@
     topics: Arc<LogTopics>,
 ) {
     loop {
-        write_heartbeat(&spec, address, &registry, &topics);
+        if !registry.state(address).still {
+            write_heartbeat(&spec, address, &registry, &topics);
+        }
         tokio::time::sleep(Duration::from_millis(HEARTBEAT_MS)).await;
     }
 }
--- a/standins/src/soak/history.rs
+++ b/standins/src/soak/history.rs
@@ -28,8 +28,10 @@
         /// this id.
         matching: bool,
     },
-    /// The connection ended before the complete response.
+    /// The connection ended in the middle of the response.
     Interrupted,
+    /// The connection ended before a response began.
+    Unanswered,
     /// No connection could be opened.
     NoConnection,
     /// The caller gave up at its deadline.
@@ -85,6 +87,38 @@
     pub leaving: bool,
 }
 
+/// A call whose target ended, or broke the connection itself, while it ran the call.
+#[derive(Debug, Clone)]
+pub struct TargetBreak {
+    /// Id of the call.
+    pub id: String,
+    /// When the target ended or broke the connection.
+    pub at: Instant,
+}
+
+/// A period in which connections of a host end for a reason outside the host, or at the
+/// end of its grace period.
+#[derive(Debug, Clone, Copy)]
+pub struct ConnectionLoss {
+    /// Index of the host.
+    pub host: usize,
+    /// Which connections end.
+    pub peer: LossPeer,
+    /// When the first of them may end.
+    pub from: Instant,
+    /// When the last of them may end.
+    pub until: Instant,
+}
+
+/// Peers of the connections that a host loses.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LossPeer {
+    /// Callers.
+    Callers,
+    /// Targets.
+    Targets,
+}
+
 /// A target that announced that it leaves.
 #[derive(Debug, Clone)]
 pub struct TargetDeparture {
@@ -155,6 +189,10 @@
     pub runs: Vec<RunRecord>,
     /// Attempts, as targets saw them.
     pub attempts: Vec<AttemptRecord>,
+    /// Calls that targets broke.
+    pub breaks: Vec<TargetBreak>,
+    /// Connections that hosts lost.
+    pub losses: Vec<ConnectionLoss>,
     /// Targets that left.
     pub departures: Vec<TargetDeparture>,
     /// Limits that targets advertised.
--- a/standins/src/soak/link.rs
+++ b/standins/src/soak/link.rs
@@ -32,10 +32,10 @@
 impl LinkFault {
     fn holds(self, direction: LinkDirection) -> bool {
         match self {
-            Self::Blackhole => true,
+            Self::Blackhole | Self::Reset => true,
             Self::BlockToServer => direction == LinkDirection::ToServer,
             Self::BlockToClient => direction == LinkDirection::ToClient,
-            Self::None | Self::Delay(_) | Self::Reset => false,
+            Self::None | Self::Delay(_) => false,
         }
     }
 }
@@ -94,6 +94,11 @@
         self.closed.send_replace(true);
     }
 
+    /// Returns the present fault.
+    pub(super) fn fault(&self) -> LinkFault {
+        *self.fault.borrow()
+    }
+
     /// Switches to a fault, or back to none.
     pub fn set(&self, fault: LinkFault) {
         self.fault.send_replace(fault);
--- a/standins/src/soak/plan.rs
+++ b/standins/src/soak/plan.rs
@@ -51,6 +51,8 @@
     TargetStatesLeaving(usize),
     /// A target limits its rate, in requests per second.
     TargetLimits(usize, u32),
+    /// A target stands still and goes on after the duration.
+    TargetStandsStill(usize),
     /// A host loses its links to all targets; it has links of its own.
     HostLinks(usize, LinkLoss),
     /// Publishes a new version of the configuration.
@@ -160,6 +162,61 @@
     statements
 }
 
+/// Draws standstills of targets in a run of `length`: of one target, of one in series or of
+/// nearly all at once. Beside them the configuration changes in series, and in half of the
+/// runs most targets fail requests, so that hosts use up their retries.
+pub fn draw_standstills(seed: u64, length: Duration, targets: usize) -> Vec<PlannedFault> {
+    const STREAM: u64 = 0x7374_696c;
+    const SHORTEST: f64 = 0.3;
+    const LONGEST: f64 = 2.0;
+    let mut random = StdRng::seed_from_u64(seed ^ STREAM);
+    let mut faults = Vec::new();
+    let mut add = |at: f64, duration: f64, action: FaultAction| {
+        faults.push(PlannedFault {
+            at: Duration::from_secs_f64(at),
+            duration: Duration::from_secs_f64(duration),
+            action,
+        });
+    };
+    let end = length.as_secs_f64();
+    let failing = if random.random_bool(0.5) { 0.7 } else { 0.0 };
+    for target in 0..targets {
+        let fails = FaultAction::TargetMisbehaves(target, TargetFault::Fails);
+        if random.random_bool(failing) {
+            add(0.5, end * 0.7, fails);
+        }
+    }
+    let mut at = random.random_range(0.5..2.0);
+    while at < end {
+        let target = random.random_range(0..targets);
+        match random.random_range(0..3) {
+            0 => add(
+                at,
+                random.random_range(SHORTEST..LONGEST),
+                FaultAction::TargetStandsStill(target),
+            ),
+            1 => {
+                for _ in 0..3 {
+                    let duration = random.random_range(SHORTEST..LONGEST);
+                    add(at, duration, FaultAction::TargetStandsStill(target));
+                    at += duration + random.random_range(0.05..0.5);
+                }
+            }
+            _ => {
+                let duration = random.random_range(SHORTEST..LONGEST);
+                for target in (0..targets).filter(|_| random.random_bool(0.85)) {
+                    add(at, duration, FaultAction::TargetStandsStill(target));
+                }
+            }
+        }
+        for change in 0..3 {
+            add(at + 0.4 * f64::from(change), 0.0, FaultAction::Publish);
+        }
+        at += random.random_range(0.8..3.0);
+    }
+    faults
+}
+
 /// Draws losses of the links between hosts and targets in a run of `length`, of some, most
 /// or all hosts at a time.
 pub(super) fn draw_link_losses(seed: u64, length: Duration, hosts: usize) -> Vec<PlannedFault> {
--- a/standins/src/soak/run.rs
+++ b/standins/src/soak/run.rs
@@ -15,10 +15,10 @@
 use super::configuration::{CONFIGURATION, ENGINE_SERVICE, GRACE_S, PLAIN_SERVICE, configuration};
 use super::engines::{TARGET_IP, TargetRegistry};
 use super::faults::FaultEnd;
-use super::history::{CallKind, CallOutcome, Disturbance, SoakHistory};
+use super::history::{CallKind, CallOutcome, Disturbance, LossPeer, SoakHistory};
 use super::host::SoakHost;
 use super::log_service::{LogFaults, LogTopics, serve_log};
-use super::plan::{draw_faults, draw_link_losses, draw_statements};
+use super::plan::{draw_faults, draw_link_losses, draw_standstills, draw_statements};
 use super::probe::{HostProcess, Published, balance, is_ready, probe_versions};
 use super::target::{Target, TargetSpec};
 use crate::faults::FaultSwitch;
@@ -34,6 +34,10 @@
 /// Time that a stopping process may take beyond its grace period.
 pub(super) const STOP_SLACK: Duration = Duration::from_secs(1);
 
+/// Time before the end of its grace period in which a stopping process may end
+/// connections.
+const GRACE_MARGIN: Duration = Duration::from_millis(500);
+
 /// Hosts that share their links to the targets, and lose them together.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LinkScope {
@@ -65,6 +69,8 @@
     pub timed: bool,
     /// Which hosts share their links to the targets.
     pub links: LinkScope,
+    /// Whether targets stand still beside the other faults.
+    pub standstills: bool,
 }
 
 /// Result of a run.
@@ -144,6 +150,9 @@
     if run.settings.links != LinkScope::Fleet {
         faults.extend(draw_link_losses(seed, length, hosts));
     }
+    if run.settings.standstills {
+        faults.extend(draw_standstills(seed, length, targets));
+    }
     faults.sort_by_key(|fault| fault.at);
     let count = faults.len();
     run.inject_faults(faults).await?;
@@ -159,6 +168,7 @@
     let mut history = std::mem::take(&mut *run.context.history.lock());
     history.runs = std::mem::take(&mut *run.registry.runs.lock());
     history.attempts = std::mem::take(&mut *run.registry.attempts.lock());
+    history.breaks = std::mem::take(&mut *run.registry.breaks.lock());
     history.disturbances = run.disturbances;
     history.unexpected_exits = run.unexpected_exits;
     history.recovered = recovered;
@@ -382,8 +392,9 @@
     pub(super) async fn supervise_hosts(&mut self, now: Instant) -> io::Result<()> {
         let grace = Duration::from_secs(GRACE_S) + STOP_SLACK;
         for index in 0..self.hosts.len() {
+            let ended = self.hosts[index].host.reap();
+            self.record_grace_end(index, now, ended.is_some());
             let run = &mut self.hosts[index];
-            let ended = run.host.reap();
             let name = format!("{} process {}", run.host.name, run.host.incarnation);
             match (run.down, ended) {
                 (None, Some(_)) => {
@@ -418,6 +429,22 @@
         Ok(())
     }
 
+    /// Records that a host ended connections because its grace period was over.
+    fn record_grace_end(&self, index: usize, now: Instant, exited: bool) {
+        let Some(down) = self.hosts[index].down.filter(|down| !down.killed) else {
+            return;
+        };
+        let end = down.since + Duration::from_secs(GRACE_S);
+        if now + GRACE_MARGIN >= end && (exited || now > end + STOP_SLACK) {
+            self.record_loss(
+                index,
+                LossPeer::Callers,
+                end - GRACE_MARGIN,
+                now + STOP_SLACK,
+            );
+        }
+    }
+
     pub(super) async fn heal_all(&mut self) -> io::Result<()> {
         let scheduled_ends = std::mem::take(&mut self.scheduled_ends);
         for (_, end) in scheduled_ends {
--- a/standins/src/soak/target.rs
+++ b/standins/src/soak/target.rs
@@ -30,7 +30,7 @@
 use super::heartbeats::{write_heartbeat, write_heartbeats};
 use super::history::{AttemptRecord, RunRecord};
 use super::host_link::{HostLink, LinkLoss};
-use super::link::FaultLink;
+use super::link::{FaultLink, LinkFault};
 use super::log_service::LogTopics;
 use super::poison::{CRASH_TIME, POISON_PATH};
 use super::poison_part::has_poison_part;
@@ -56,6 +56,8 @@
     pub(super) spec: TargetSpec,
     pub(super) id: String,
     pub(super) link: FaultLink,
+    /// Link inside the target, which holds all bytes while its process stands still.
+    process: Arc<FaultLink>,
     /// Links of hosts that have their own.
     host_links: Vec<HostLink>,
     registry: Arc<TargetRegistry>,
@@ -77,7 +79,8 @@
         topics: Arc<LogTopics>,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let link = FaultLink::open(Some(listener.local_addr()?)).await?;
+        let process = Arc::new(FaultLink::open(Some(listener.local_addr()?)).await?);
+        let link = FaultLink::open(Some(process.address)).await?;
         let state = TargetState {
             id: id.clone(),
             reachable: true,
@@ -95,6 +98,7 @@
             spec,
             id,
             link,
+            process,
             host_links: Vec::new(),
             registry,
             topics,
@@ -146,7 +150,24 @@
         self.update(|state| state.reachable = false);
         self.abort();
         self.link.set_server(None);
-        self.link.set(super::link::LinkFault::Reset);
+        self.link.set(LinkFault::Reset);
+        self.process.set(LinkFault::Reset);
+    }
+
+    /// Makes the process of the target stand still for a time, and go on with all bytes
+    /// that were held.
+    pub(super) fn stand_still(&self, time: Duration) {
+        let (process, registry) = (self.process.clone(), self.registry.clone());
+        let address = self.link.address;
+        process.set(LinkFault::Blackhole);
+        registry.update(address, |state| state.still = true);
+        tokio::spawn(async move {
+            tokio::time::sleep(time).await;
+            registry.update(address, |state| state.still = false);
+            if process.fault() == LinkFault::Blackhole {
+                process.set(LinkFault::None);
+            }
+        });
     }
 
     /// Ends the process of the target, so that its port accepts no more connections.
@@ -157,6 +178,7 @@
     }
 
     fn abort(&self) {
+        self.registry.record_end(self.link.address);
         self.server_task.abort();
         self.heartbeat_task.abort();
     }
@@ -193,6 +215,7 @@
 impl Drop for Target {
     fn drop(&mut self) {
         self.abort();
+        self.process.set(LinkFault::Reset);
     }
 }
 
@@ -268,7 +291,10 @@
             let response = run(registry, address, call).await;
             // A host cannot act on a response that its link to the target holds back.
             let delivered = response.as_ref().ok();
-            let delivered = delivered.filter(|_| registry.state(address).reachable);
+            let delivered = delivered.filter(|_| {
+                let state = registry.state(address);
+                state.reachable && !state.still
+            });
             registry.attempts.lock().push(AttemptRecord {
                 id,
                 target: state.id.clone(),
@@ -340,6 +366,7 @@
     match (path, state.fault) {
         (_, TargetFault::DropsResponse) => {
             tokio::time::sleep(PLAIN_TIME).await;
+            registry.record_break(&id);
             Err(DroppedResponse)
         }
         (_, TargetFault::Fails) => sealed(500, full_body(Bytes::from_static(b"failed"))),
@@ -347,7 +374,10 @@
             tokio::time::sleep(PLAIN_TIME).await;
             let text = plain_body(&id);
             match fault {
-                TargetFault::TruncatesBody => sealed(200, truncated_body(text)),
+                TargetFault::TruncatesBody => {
+                    registry.record_break(&id);
+                    sealed(200, truncated_body(text))
+                }
                 _ => sealed(200, full_body(text.into())),
             }
         }
@@ -361,7 +391,14 @@
                 TargetFault::TruncatesBody => StreamBehavior::TruncatesSoon,
                 _ => StreamBehavior::Complete,
             };
-            let events = stream_events(registry.clone(), id, path, call.last_event, behavior);
+            let events = stream_events(
+                registry.clone(),
+                address,
+                id,
+                path,
+                call.last_event,
+                behavior,
+            );
             sealed(200, events)
         }
     }
--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -7,10 +7,10 @@
 
 use standins::check::AdvertisedLimit;
 use standins::soak::{
-    AttemptRecord, CallKind, CallOutcome, CallRecord, Disturbance, DisturbanceScope, FaultLink,
-    LinkFault, LinkScope, ProbeRecord, RetryWindow, RunRecord, SoakHistory, SoakSettings,
-    TargetDeparture, TargetLimit, Violation, draw_faults, draw_statements, find_violations,
-    run_soak,
+    AttemptRecord, CallKind, CallOutcome, CallRecord, ConnectionLoss, Disturbance,
+    DisturbanceScope, FaultLink, LinkFault, LinkScope, LossPeer, ProbeRecord, RetryWindow,
+    RunRecord, SoakHistory, SoakSettings, TargetBreak, TargetDeparture, TargetLimit, Violation,
+    draw_faults, draw_standstills, draw_statements, find_violations, run_soak,
 };
 use support::TestResult;
 use support::soaks::soak_settings;
@@ -83,6 +83,20 @@
         });
     }
 
+    fn break_call(&mut self, id: &str, at: u64) {
+        let (id, at) = (id.to_owned(), self.at(at));
+        self.history.breaks.push(TargetBreak { id, at });
+    }
+
+    fn lose(&mut self, host: usize, peer: LossPeer, from: u64, until: u64) {
+        self.history.losses.push(ConnectionLoss {
+            host,
+            peer,
+            from: self.at(from),
+            until: self.at(until),
+        });
+    }
+
     fn disturb(&mut self, scope: DisturbanceScope, planned: bool, from: u64, until: u64) {
         self.history.disturbances.push(Disturbance {
             scope,
@@ -173,14 +187,104 @@
     builder.call("a", CallKind::Stream, 5000, 5500, CallOutcome::Interrupted);
     builder.run("a", "one", 5010);
     builder.disturb(DisturbanceScope::Host(0), true, 5200, 9000);
-    assert_eq!(
-        builder.violations(),
-        [Violation::LostAtShutdown("a".into())]
-    );
+    let found = [
+        Violation::CutWhileTargetLived("a".into()),
+        Violation::LostAtShutdown("a".into()),
+    ];
+    assert_eq!(builder.violations(), found);
+    builder.lose(0, LossPeer::Callers, 5400, 6400);
     builder.disturb(DisturbanceScope::Host(0), false, 5400, 9000);
     assert_eq!(builder.violations(), []);
 }
 
+#[test]
+fn a_response_that_is_cut_while_its_target_lives_is_found() {
+    let cut = |change: fn(&mut HistoryBuilder)| {
+        let mut builder = HistoryBuilder::new();
+        builder.call("a", CallKind::Stream, 1000, 1900, CallOutcome::Interrupted);
+        builder.run("a", "one", 1010);
+        change(&mut builder);
+        builder.violations()
+    };
+    let found = [Violation::CutWhileTargetLived("a".into())];
+    assert_eq!(cut(|_| {}), found);
+    // Neither a pause of the host, a loss at another host, the end of a target after the
+    // call, nor the end of an attempt that another one replaced allows the cut.
+    assert_eq!(
+        cut(|builder| {
+            builder.disturb(DisturbanceScope::Host(0), false, 1000, 1900);
+            builder.lose(1, LossPeer::Callers, 1000, 1900);
+            builder.lose(0, LossPeer::Callers, 2000, 2100);
+            builder.break_call("b", 1500);
+            builder.break_call("a", 1950);
+        }),
+        found
+    );
+    assert_eq!(
+        cut(|builder| {
+            builder.break_call("a", 1400);
+            builder.run("a", "two", 1450);
+        }),
+        found
+    );
+    assert_eq!(cut(|builder| builder.break_call("a", 1899)), []);
+    assert_eq!(
+        cut(|builder| builder.lose(0, LossPeer::Targets, 1800, 2500)),
+        []
+    );
+    assert_eq!(
+        cut(|builder| builder.lose(0, LossPeer::Callers, 1800, 2500)),
+        []
+    );
+    assert_eq!(
+        cut(|builder| builder.history.calls[0].ended = builder.at(7000)),
+        []
+    );
+}
+
+#[test]
+fn a_call_that_was_read_and_gets_no_response_is_found() {
+    let unanswered = |until: u64, change: fn(&mut HistoryBuilder)| {
+        let mut builder = HistoryBuilder::new();
+        builder.call("a", CallKind::Stream, 1000, until, CallOutcome::Unanswered);
+        change(&mut builder);
+        builder.violations()
+    };
+    let found = [Violation::NoResponse("a".into())];
+    assert_eq!(unanswered(1199, |_| {}), []);
+    assert_eq!(unanswered(1201, |_| {}), found);
+    assert_eq!(
+        unanswered(1100, |builder| builder.run("a", "one", 1050)),
+        found
+    );
+    // A host answers also if its target fails, or if its links to targets are lost.
+    assert_eq!(
+        unanswered(1100, |builder| {
+            builder.run("a", "one", 1050);
+            builder.break_call("a", 1090);
+            builder.lose(0, LossPeer::Targets, 1000, 1100);
+            builder.disturb(DisturbanceScope::Host(0), false, 1000, 1900);
+        }),
+        found
+    );
+    // A paused host may not have read the call.
+    assert_eq!(
+        unanswered(3000, |builder| {
+            builder.disturb(DisturbanceScope::Host(0), false, 1000, 1900);
+        }),
+        []
+    );
+    assert_eq!(
+        unanswered(3000, |builder| builder.lose(
+            0,
+            LossPeer::Callers,
+            2000,
+            2100
+        )),
+        []
+    );
+}
+
 #[test]
 fn a_late_send_to_a_leaving_target_is_found_unless_the_host_was_disturbed() {
     let mut builder = HistoryBuilder::new();
@@ -312,6 +416,9 @@
     assert_ne!(draw_faults(5, length, 4, 9), draw_faults(6, length, 4, 9));
     assert_eq!(draw_statements(5, length, 9), draw_statements(5, length, 9));
     assert_ne!(draw_statements(5, length, 9), draw_statements(6, length, 9));
+    let standstills = draw_standstills(5, length, 9);
+    assert_eq!(standstills, draw_standstills(5, length, 9));
+    assert_ne!(standstills, draw_standstills(6, length, 9));
 }
 
 /// Starts a server that echoes what it receives.
@@ -389,3 +496,21 @@
     assert!(report.count(|ended| ended == SERVED) > 100);
     Ok(())
 }
+
+/// Runs entry hosts as processes whose targets stand still for up to 2 s and go on, while
+/// the configuration changes and most targets fail.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_short_soak_with_targets_that_stand_still_has_no_violations() -> TestResult {
+    let (settings, _folder) = soak_settings(4).await?;
+    let report = run_soak(SoakSettings {
+        seed: 4,
+        length: Duration::from_secs(8),
+        callers: 16,
+        standstills: true,
+        ..settings
+    })
+    .await?;
+    assert_eq!(report.violations, []);
+    assert!(report.count(|ended| ended == SERVED) > 100);
+    Ok(())
+}
--- a/standins/tests/support/soaks.rs
+++ b/standins/tests/support/soaks.rs
@@ -24,6 +24,7 @@
         folder: folder.path().to_owned(),
         timed: false,
         links: LinkScope::Fleet,
+        standstills: false,
     };
     Ok((settings, folder))
 }
