Judge the simulation of lost links by what targets and links ended

Its history lacked the calls that crashed targets broke and the links that were reset, so that the guarantee about cut responses blamed the host.

--- a/standins/src/soak/faults.rs
+++ b/standins/src/soak/faults.rs
@@ -24,7 +24,7 @@
 /// Minimum time for which a target advertises a limit, which has to be kept after 3 s.
 const MIN_LIMIT_TIME: Duration = Duration::from_secs(5);
 /// How long a fault may have effects after its end.
-const SETTLE_TIME: Duration = Duration::from_millis(300);
+pub(super) const SETTLE_TIME: Duration = Duration::from_millis(300);
 
 /// Action that ends a fault.
 #[derive(Debug, Clone, Copy)]
--- a/standins/src/soak/partition.rs
+++ b/standins/src/soak/partition.rs
@@ -9,7 +9,8 @@
 
 use super::callers::{call_host, stop_callers};
 use super::check::{Violation, find_violations};
-use super::history::{CallKind, CallOutcome, CallRecord};
+use super::faults::SETTLE_TIME;
+use super::history::{CallKind, CallOutcome, CallRecord, LossPeer};
 use super::host_link::LinkLoss;
 use super::link::LinkFault;
 use super::run::{LinkScope, SoakRun, SoakSettings};
@@ -117,6 +118,7 @@
             }
         }
     };
+    let lost = Instant::now();
     set(Some(plan.loss));
     if plan.faulty_targets {
         run.targets[CRASHED_TARGETS[0]].crash();
@@ -130,6 +132,11 @@
     tokio::time::sleep(OBSERVATION_TIME.saturating_sub(observed.elapsed())).await;
     let back = Instant::now();
     set(None);
+    if plan.loss == LinkLoss::Reset {
+        for host in (0..hosts).filter(|host| is_isolated(*host)) {
+            run.record_loss(host, LossPeer::Targets, lost, back + SETTLE_TIME);
+        }
+    }
     tokio::time::sleep(RETURN_TIME).await;
     let ended = Instant::now();
     let records = stop_callers(&run.context, callers).await?;
@@ -145,6 +152,7 @@
     let mut history = std::mem::take(&mut *run.context.history.lock());
     history.calls.extend(records);
     history.runs = std::mem::take(&mut *run.registry.runs.lock());
+    history.breaks = std::mem::take(&mut *run.registry.breaks.lock());
     history.recovered = true;
     Ok(PartitionReport {
         violations: find_violations(&history, false),
