--- a/src/forward.rs
+++ b/src/forward.rs
@@ -7,6 +7,7 @@
 mod admission_wait;
 mod attempt;
 mod attempt_policy;
+mod attempt_use;
 mod choice;
 mod closed;
 mod dial;
--- a/src/forward/attempt_policy.rs
+++ b/src/forward/attempt_policy.rs
@@ -206,14 +206,10 @@
         }
     }
 
-    /// Returns whether most engines of the service are silent, as far as this host knows.
-    pub(super) fn is_silence_widespread(&self, now: Instant) -> bool {
-        let fleet = self.tables.fleet.lock();
-        let members = fleet.members(&self.service.name);
-        members.is_some_and(|members| {
-            let silent = members.values().filter(|state| state.is_silent(now));
-            silent.count() * 2 > members.len()
-        })
+    /// Returns whether most targets of the service that this host uses stand still.
+    pub(super) fn is_silence_widespread(&self) -> bool {
+        let silences = self.tables.silences.lock();
+        silences.is_widespread(&self.service.name)
     }
 
     pub(super) fn is_stream(&self, response: &Response<Incoming>) -> bool {
--- a/src/forward/race.rs
+++ b/src/forward/race.rs
@@ -211,6 +211,7 @@
         let Some(attempt) = self.get_mut(side) else {
             return false;
         };
+        attempt.watch.observe_silence(&finding);
         if attempt.watch.repair_silent(&finding).await || side == RaceSide::Beside {
             return false;
         }
@@ -220,7 +221,7 @@
             return false;
         };
         let limits = self.exchange.silence_limits();
-        self.retry_use = retry_use(request, limits);
+        self.retry_use = retry_use(finding.cause);
         let decision = decide(request, limits);
         let action = match decision {
             SilenceDecision::Wait(reason) => reason.name(),
@@ -255,7 +256,7 @@
             has_attempts: self.tried.sent + 1 < route.max_attempts && self.tried.len() < MAX_TRIED,
             is_accompanied: self.beside.is_some() || self.choice.is_some(),
             is_poison: exchange.is_poison(now),
-            is_widespread: exchange.is_silence_widespread(now),
+            is_widespread: exchange.is_silence_widespread(),
         })
     }
 
--- a/src/forward/tables.rs
+++ b/src/forward/tables.rs
@@ -30,6 +30,7 @@
 use crate::poison::PoisonTable;
 use crate::reachability::{ReachabilityTable, TargetWay};
 use crate::retry::WindowSettings;
+use crate::silence::SilenceTable;
 
 /// A report and the time at which it was received. The lock admits one request at a time.
 pub(super) type ReportCell =
@@ -73,6 +74,8 @@
     reports: Mutex<FastMap<TargetId, ReportCell>>,
     closed: Mutex<FastMap<TargetId, ClosedCell>>,
     pub(super) liveness: LivenessTable,
+    /// The targets on which this host runs attempts, and which of them are silent.
+    pub(super) silences: Mutex<SilenceTable>,
     /// Whether targets accept connections of this host.
     pub(super) reachability: Mutex<ReachabilityTable>,
     /// The gateways that this host has used.
@@ -118,6 +121,7 @@
             reports: Mutex::default(),
             closed: Mutex::default(),
             liveness: LivenessTable::default(),
+            silences: Mutex::default(),
             reachability: Mutex::default(),
             gateways: Mutex::default(),
             gateway_peers: OnceLock::new(),
--- a/src/forward/watch.rs
+++ b/src/forward/watch.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use super::attempt::{AttemptFailure, FailureCause};
+use super::attempt_use::AttemptUse;
 use super::choice::ChosenTarget;
 use super::closed::is_closed;
 use super::exchange::Exchange;
@@ -49,6 +50,7 @@
     start: RunStart,
     /// What the last check of the current silence found, and what was decided.
     silence: Option<(SilenceFinding, &'static str)>,
+    attempt_use: AttemptUse,
 }
 
 /// What a check of a silent attempt found.
@@ -73,6 +75,8 @@
         now: Instant,
     ) -> Self {
         let silence = silence_limit(&exchange);
+        let (tables, service) = (exchange.tables.clone(), &exchange.service.name);
+        let attempt_use = AttemptUse::open(tables, service, &chosen.id);
         let liveness = LivenessGuard::open(exchange.tables.clone(), chosen.path.as_ref());
         Self {
             exchange,
@@ -85,6 +89,7 @@
             gateway: None,
             start: RunStart::default(),
             silence: None,
+            attempt_use,
         }
     }
 
@@ -105,6 +110,7 @@
 
     /// Records progress, which postpones the next check.
     pub(super) fn observe_progress(&mut self, now: Instant) {
+        self.attempt_use.set_silent(false);
         if let Some((finding, _)) = self.silence.take() {
             self.log_silence(finding.cause, "ended", now);
             if let Some(failed) = &finding.failed {
@@ -181,6 +187,12 @@
         }
     }
 
+    /// Records what was found about the current silence.
+    pub(super) fn observe_silence(&mut self, finding: &SilenceFinding) {
+        let is_still = finding.cause == SilenceCause::Still;
+        self.attempt_use.set_silent(is_still);
+    }
+
     /// Notes what was found about the current silence and what was decided, and logs it
     /// unless it is as before.
     pub(super) fn note_silence(&mut self, finding: &SilenceFinding, action: &'static str) {
--- a/src/silence.rs
+++ b/src/silence.rs
@@ -7,9 +7,12 @@
 //! requests of a target fall silent at once, so such attempts wait for evidence and take
 //! only a part of the retries.
 
+mod table;
+
 use std::time::Duration;
 
 use crate::retry::RetryUse;
+pub use table::SilenceTable;
 
 /// What is known about a target that sends nothing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -100,7 +103,7 @@
     pub is_accompanied: bool,
     /// Whether targets crash under the request, so that it is sent to none.
     pub is_poison: bool,
-    /// Whether most targets of the service are silent, as far as this host knows.
+    /// Whether most targets of the service that this host uses stand still.
     pub is_widespread: bool,
 }
 
@@ -164,14 +167,13 @@
     }
 }
 
-/// Returns what an attempt beside a silent one may spend. A target that accepts no connections
-/// for as long as one may stand still has probably ended, and the request would fail without
-/// another attempt.
-pub fn retry_use(request: SilentRequest, limits: SilenceLimits) -> RetryUse {
-    match request.cause {
-        SilenceCause::Unreachable | SilenceCause::Stalled if request.silent >= limits.still => {
+/// Returns what an attempt beside a silent one may spend. A request would probably fail without
+/// another attempt if its target is out of reach, or waits for an engine that is.
+pub fn retry_use(cause: SilenceCause) -> RetryUse {
+    match cause {
+        SilenceCause::Unreachable | SilenceCause::Stalled | SilenceCause::LostLink => {
             RetryUse::Replacement
         }
-        _ => RetryUse::Spare,
+        SilenceCause::Working | SilenceCause::Still | SilenceCause::Closing => RetryUse::Spare,
     }
 }
