Let a run return to targets that only timed out

Symptom, in the simulated run: a run of the own interface whose target stands still for one timeout is moved to the only other holder of the layers, which refuses it; the run ends with `no_route`, although the first target goes on.

Cause: a target that timed out was left for the rest of the run, before it was known that another one takes the stage.

Evidence: a_run_returns_to_a_target_that_timed_out_if_no_other_one_takes_it failed before (1 of 4 tokens, NoRoute).

Change: once no other target is left, those that failed by a timeout alone may be chosen again. Each return is a repair, so that the number of repairs and the deadline bound them; a second test counts the steps. A run whose targets all hang now ends with `retry_budget_spent` or at its deadline, where it ended with `no_route` after two timeouts of the last one.

--- a/src/run/machine.rs
+++ b/src/run/machine.rs
@@ -47,6 +47,8 @@
     phase: RunPhase,
     /// Targets that failed during this run.
     excluded: Vec<TargetId>,
+    /// Those among them that failed by a timeout alone and may have gone on since.
+    timed_out: Vec<TargetId>,
     order_counts: OrderCounts,
     dropped: u64,
 }
@@ -98,6 +100,7 @@
             pass: ForwardPass::default(),
             phase: RunPhase::Idle,
             excluded: Vec::new(),
+            timed_out: Vec::new(),
             order_counts: OrderCounts::new(plan.already_delivered > 0),
             dropped: 0,
             jitter: SmallRng::seed_from_u64(limits.jitter_seed),
--- a/src/run/machine/repair.rs
+++ b/src/run/machine/repair.rs
@@ -45,6 +45,10 @@
                 self.continue_pass(Some(failure.reason), decisions);
             }
             StepRepair::Replace if self.has_repairs_left() => {
+                let target = &self.stages[stage].target;
+                if failure.timed_out && !self.timed_out.contains(target) {
+                    self.timed_out.push(target.clone());
+                }
                 self.request_replacement(stage, failure.reason, Some(resends), decisions);
             }
             StepRepair::Replace if self.may_ask_again(resends) => {
@@ -158,10 +162,24 @@
             Some(resends) if self.may_ask_again(resends) => {
                 self.resend_step(resends, reason, now, decisions);
             }
+            Some(_) if self.readmit_timed_out(stage) => match self.has_repairs_left() {
+                true => self.request_replacement(stage, reason, resends, decisions),
+                false => self.give_up(RefusalReason::RetryBudgetSpent, decisions),
+            },
             Some(_) => self.give_up(RefusalReason::NoRoute, decisions),
         }
     }
 
+    /// Allows targets that timed out to be chosen again, except that of `stage`, which has
+    /// failed just now. Returns whether there are any.
+    fn readmit_timed_out(&mut self, stage: StageIndex) -> bool {
+        let target = &self.stages[stage].target;
+        let others = |id: &mut TargetId| id != target;
+        let readmitted = self.timed_out.extract_if(.., others).collect::<Vec<_>>();
+        self.excluded.retain(|id| !readmitted.contains(id));
+        !readmitted.is_empty()
+    }
+
     /// Returns whether the KV cache can be moved to the new target. A move is attempted
     /// only if the old target itself has just responded: an export from a dead or frozen
     /// target would cost a whole timeout before the replay that is needed anyway.
--- a/tests/run_model.rs
+++ b/tests/run_model.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use jackdawwick::reason::RefusalReason;
 use jackdawwick::run::{RecoveryMode, RunLimits};
 use jackdawwick::target::wire::TargetRefusalKind;
 use jackdawwick::verdict::RunVerdict;
@@ -139,6 +140,42 @@
     assert_eq!((outcome.delivered, outcome.refusal), (4, None));
 }
 
+/// Guards against a run that ends because the only other target refuses it, although the first
+/// one goes on after a timeout.
+#[test]
+fn a_run_returns_to_a_target_that_timed_out_if_no_other_one_takes_it() {
+    let refusal = Fault::Refuse(TargetRefusalKind::Overloaded);
+    let script = BTreeMap::from([(1, Fault::TimeOut), (2, refusal), (3, refusal)]);
+    let limits = limits(RecoveryMode::MoveCache, 1);
+    let mut simulation = RunSimulation::new(1, vec![1, 2], 4, limits, script);
+    simulation.holders = vec!["first-0".into(), "other".into()];
+    simulation.run();
+    let outcome = simulation.outcome.expect("the run ended");
+    assert_eq!((outcome.delivered, outcome.refusal), (4, None));
+}
+
+/// Guards against a run that goes back and forth between targets that time out until its
+/// repairs are used up many times over.
+#[test]
+fn a_run_between_targets_that_time_out_ends_with_its_repairs() {
+    let script = (1..100).map(|step| (step, Fault::TimeOut)).collect();
+    let limits = RunLimits {
+        max_repairs: 5,
+        ..limits(RecoveryMode::MoveCache, 1)
+    };
+    let mut simulation = RunSimulation::new(1, vec![1, 2], 4, limits, script);
+    simulation.holders = vec!["first-0".into(), "other".into()];
+    simulation.run();
+    let outcome = simulation.outcome.expect("the run ended");
+    assert_eq!(outcome.refusal, Some(RefusalReason::RetryBudgetSpent));
+    // Each repair is one step, and each target may be asked once more.
+    assert!(
+        simulation.sends <= 2 * (1 + 5),
+        "{} steps",
+        simulation.sends
+    );
+}
+
 /// Returns the cost of a run: round trips (a cache move takes two), values sent in steps,
 /// positions run, and positions run that a prefix cache would not have saved.
 fn cost(mode: RecoveryMode, fault: Option<(u32, Fault)>) -> [u64; 4] {
--- a/tests/run_model/simulation.rs
+++ b/tests/run_model/simulation.rs
@@ -45,6 +45,8 @@
     accepted_inputs: Vec<Vec<u64>>,
     fail_moves: bool,
     pub(crate) has_spares: bool,
+    /// The targets among which replacements are chosen; each is a new one if there are none.
+    pub(crate) holders: Vec<TargetId>,
     /// Sessions that ended or were given up, and the target of each session.
     closed: BTreeSet<String>,
     owners: BTreeMap<String, TargetId>,
@@ -96,6 +98,7 @@
             accepted_inputs: vec![Vec::new(); stages],
             fail_moves: false,
             has_spares: true,
+            holders: Vec::new(),
             closed: BTreeSet::new(),
             owners: BTreeMap::new(),
             last_step: (String::new(), 0, 0),
@@ -190,9 +193,15 @@
             } => {
                 let name: TargetId = format!("spare-{stage}-{}", self.engines.len()).into();
                 assert!(!excluded.contains(&name));
-                let target = self.has_spares.then_some(name);
+                let target = match self.holders.is_empty() {
+                    true => self.has_spares.then_some(name),
+                    false => {
+                        let mut holders = self.holders.iter();
+                        holders.find(|id| !excluded.contains(id)).cloned()
+                    }
+                };
                 for name in target.iter() {
-                    self.engines.insert(name.clone(), ModelEngine::default());
+                    self.engines.entry(name.clone()).or_default();
                 }
                 let event = RunEvent::ReplacementChosen { stage, target };
                 self.pending_events.push_back((event, None));
