Ignore a deadline that is not a number

What callers saw: a request with `X-Jackdawwick-Deadline-Ms: NaN` got neither an answer nor a refusal; its connection closed.

Cause: Rust parses `NaN` as a number, `clamp` keeps it, and its conversion to a duration panics. The head is read outside of what catches panics of a request, as its id is part of the refusal.

Evidence: `a_request_with_an_unusable_deadline_is_served` failed with an empty response for `NaN`; it passes now, also for infinite, negative and unreadable values.

Fix: such a value is passed over, as any other text that is no number.

--- a/src/forward/head.rs
+++ b/src/forward/head.rs
@@ -30,6 +30,7 @@
             value.to_str().ok()
         };
         let wait = text(names::DEADLINE_MS).and_then(|value| value.trim().parse::<f64>().ok());
+        let wait = wait.filter(|wait| !wait.is_nan());
         let authority = parts.uri.authority().map(http::uri::Authority::as_str);
         let bearer = |value: &str| {
             let (scheme, key) = value.split_once(' ')?;
--- a/tests/forwarding/unanswered.rs
+++ b/tests/forwarding/unanswered.rs
@@ -7,7 +7,9 @@
 use jackdawwick::fleet::target_key;
 use jackdawwick::permits::PermitReply;
 
-use super::host::TestHost;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+use super::host::{TestHost, request};
 use super::stub_target::{Step, StubTarget, event, last_chunk, response, stream_head, with_header};
 
 fn has_limit(host: &TestHost, id: &str) -> bool {
@@ -87,3 +89,22 @@
     assert!(!cut.is_whole_stream());
     assert_eq!(host.tables.in_flight.load(Ordering::Relaxed), 0);
 }
+
+/// Guards against a panic over a deadline that is no number.
+#[tokio::test]
+async fn a_request_with_an_unusable_deadline_is_served() {
+    let target = super::healthy_target().await;
+    let host = TestHost::open();
+    host.add_plain("i-1", target.address);
+    for deadline in ["NaN", "inf", "-inf", "-1", "1e999", "soon"] {
+        let text = request("GET", "/safe/", "").replace("4000", deadline);
+        let mut stream = host.connect().await;
+        stream.write_all(text.as_bytes()).await.expect("sent");
+        let mut response = String::new();
+        let read = stream.read_to_string(&mut response).await;
+        assert!(
+            read.is_ok() && response.starts_with("HTTP/1.1 "),
+            "{deadline}"
+        );
+    }
+}
