Show connections of callers that fail under a request

What callers saw: a connection that ended without a whole response. The host showed it in a line at debug level without the request's id, or not at all.

Cause: what hyper returns for a connection was logged without what was running on it.

Evidence: `a_connection_that_fails_under_a_request_is_counted`: a caller that leaves, a stream that is cut, and an idle connection that is reset. None showed before (the counter did not exist); the first two count once each now, and the third does not.

Change: each connection follows its last request until hyper has the whole body of its response; a failure before that is logged with the request's id and counted by its cause in `jackdawwick_connection_failures`. Failures of idle connections stay at debug level.

--- a/src/forward.rs
+++ b/src/forward.rs
@@ -9,6 +9,7 @@
 mod attempt_policy;
 mod choice;
 mod closed;
+mod connection_phase;
 mod dial;
 mod events;
 mod exchange;
--- /dev/null
+++ b/src/forward/connection_phase.rs
@@ -0,0 +1,99 @@
+//! Follows the last request of a caller's connection, so that a connection that fails under
+//! a request shows in a line.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use http::Response;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame, SizeHint};
+use parking_lot::Mutex;
+
+use super::response::ResponseBody;
+use super::tables::ServingTables;
+
+/// The request of a connection that has no complete response yet.
+#[derive(Debug, Clone, Default)]
+pub(super) struct ConnectionPhase {
+    open_request: Arc<Mutex<Option<String>>>,
+}
+
+impl ConnectionPhase {
+    /// Records that the head of a request was read.
+    pub(super) fn observe_request(&self, id: &str) {
+        *self.open_request.lock() = Some(id.to_owned());
+    }
+
+    /// Follows a response until hyper has its whole body.
+    pub(super) fn follow(&self, response: Response<ResponseBody>) -> Response<ResponseBody> {
+        response.map(|body| {
+            let followed = FollowedBody {
+                body,
+                phase: self.clone(),
+            };
+            followed.observe_end();
+            followed.boxed_unsync()
+        })
+    }
+
+    /// Logs and counts the failure of the connection, if it left a request without a complete
+    /// response.
+    pub(super) fn record_failure(&self, tables: &ServingTables, error: &hyper::Error) {
+        let Some(id) = self.open_request.lock().take() else {
+            log::debug!("caller connection failed: {error}");
+            return;
+        };
+        let cause = match error {
+            // The caller has left, or ended its side within a body.
+            error if error.is_incomplete_message() => "caller_closed",
+            error if error.is_user() => "response_cut",
+            _ => "connection",
+        };
+        tables.metrics.connection_failed(cause);
+        log::info!(
+            request:% = id, cause:% = cause, error:% = error;
+            "connection failed under a request"
+        );
+    }
+}
+
+struct FollowedBody {
+    body: ResponseBody,
+    phase: ConnectionPhase,
+}
+
+impl FollowedBody {
+    fn observe_end(&self) {
+        if self.body.is_end_stream() {
+            self.phase.open_request.lock().take();
+        }
+    }
+}
+
+impl Body for FollowedBody {
+    type Data = Bytes;
+    type Error = std::io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        let polled = Pin::new(&mut self.body).poll_frame(context);
+        match &polled {
+            Poll::Ready(None) => drop(self.phase.open_request.lock().take()),
+            Poll::Ready(Some(Ok(_))) => self.observe_end(),
+            Poll::Ready(Some(Err(_))) | Poll::Pending => {}
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/src/forward/serve.rs
+++ b/src/forward/serve.rs
@@ -8,7 +8,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use http::Request;
 use http::header::{self, HeaderValue};
+use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
@@ -16,10 +18,12 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use super::connection_phase::ConnectionPhase;
 use super::exchange::{handle_request, refuse_request};
 use super::idle_timer::IdleTimer;
 use super::socket;
 use super::tables::ServingTables;
+use crate::platform::names;
 
 /// Pause after a failed accept, for instance while file descriptors are used up.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -136,8 +140,11 @@
         .as_ref()
         .map(|known| known.limits);
     let limits = limits.unwrap_or_default();
-    let service = service_fn(|request| {
-        let tables = tables.clone();
+    let phase = ConnectionPhase::default();
+    let service = service_fn(|request: Request<Incoming>| {
+        let (tables, phase) = (tables.clone(), phase.clone());
+        let id = request.headers().get(names::ATTEMPT_ID);
+        phase.observe_request(id.and_then(|id| id.to_str().ok()).unwrap_or_default());
         async move {
             let mut response = match admission {
                 ConnectionAdmission::Served => handle_request(tables.clone(), request).await,
@@ -148,7 +155,7 @@
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(phase.follow(response))
         }
     });
     let timer = IdleTimer::open(tables.clone());
@@ -168,6 +175,6 @@
         }
     };
     if let Err(error) = served {
-        log::debug!("caller connection failed: {error}");
+        phase.record_failure(&tables, &error);
     }
 }
--- a/src/metrics/serving.rs
+++ b/src/metrics/serving.rs
@@ -45,6 +45,7 @@
     gateway_requests: Family<CauseLabel, Counter>,
     closed_unread: Family<CauseLabel, Counter>,
     panics: Family<CauseLabel, Counter>,
+    connection_failures: Family<CauseLabel, Counter>,
     end_reports: Family<CauseLabel, Counter>,
     capacity: CapacityGauges,
     start_decisions: Family<CauseLabel, Counter>,
@@ -83,6 +84,7 @@
             gateway_requests: Family::default(),
             closed_unread: Family::default(),
             panics: Family::default(),
+            connection_failures: Family::default(),
             end_reports: Family::default(),
             capacity: CapacityGauges::default(),
             start_decisions: Family::default(),
@@ -197,6 +199,11 @@
                 "Requests whose handling panicked, by what was running",
                 &self.panics,
             ),
+            (
+                "connection_failures",
+                "Connections of callers that failed under a request, by cause",
+                &self.connection_failures,
+            ),
             (
                 "end_reports",
                 "Targets reported to other hosts as ended, or reported by them, by source",
@@ -365,6 +372,11 @@
         count(&self.panics, place);
     }
 
+    /// Counts a connection of a caller that failed before its request had a whole response.
+    pub fn connection_failed(&self, cause: &'static str) {
+        count(&self.connection_failures, cause);
+    }
+
     /// Counts a report that a target has ended, by its source.
     pub fn end_reported(&self, source: &'static str) {
         count(&self.end_reports, source);
--- a/tests/forwarding/unanswered.rs
+++ b/tests/forwarding/unanswered.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
 
 use futures::FutureExt;
 use jackdawwick::fleet::target_key;
@@ -108,3 +109,50 @@
         );
     }
 }
+
+fn failures(host: &TestHost, cause: &str) -> usize {
+    let start = format!("jackdawwick_connection_failures_total{{cause=\"{cause}\"}} ");
+    let text = host.tables.metrics.encode();
+    let count = text
+        .lines()
+        .find_map(|line| line.strip_prefix(&start)?.parse().ok());
+    count.unwrap_or(0)
+}
+
+/// Guards against connections that end under a request without a trace.
+#[tokio::test]
+async fn a_connection_that_fails_under_a_request_is_counted() {
+    let target = StubTarget::spawn(|_| vec![Step::Hold]).await;
+    let engine =
+        StubTarget::spawn(|seen| vec![stream_head(seen.id()), event(1), Step::Reset]).await;
+    let host = TestHost::open();
+    host.add_plain("i-1", target.address);
+    host.add_engine("i-2", engine.address, 0, 80);
+    let mut idle = host.connect().await;
+    let text = request("GET", "/other/", "").replace("Connection: close\r\n", "");
+    idle.write_all(text.as_bytes()).await.expect("sent");
+    idle.read_exact(&mut [0; 12]).await.expect("a response");
+    let socket = socket2::SockRef::from(&idle);
+    socket.set_linger(Some(Duration::ZERO)).expect("linger");
+    drop(idle);
+    let cut = host.call("GET", "/once/", "").await;
+    assert!(!cut.is_whole_stream());
+    assert_eq!(failures(&host, "response_cut"), 1);
+    let mut leaving = host.connect().await;
+    let text = request("GET", "/unsafe/", "");
+    leaving.write_all(text.as_bytes()).await.expect("sent");
+    while target.seen().is_empty() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    drop(leaving);
+    let until = Instant::now() + Duration::from_secs(5);
+    while failures(&host, "caller_closed") == 0 && Instant::now() < until {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    assert_eq!(failures(&host, "caller_closed"), 1);
+    assert_eq!(
+        failures(&host, "connection"),
+        0,
+        "the idle connection counts"
+    );
+}
