Limit the times of a configuration, so that none panics

What callers would see: all later configurations without effect on the hosts that read the log, as the task that follows it has ended without a line. Not seen; found while looking for panics beside a change of the configuration.

Cause: a time of more than 1.8e22 ms panics when it is converted to a duration.

Evidence: `a_huge_time_is_limited` panicked in `parse_configuration`, and passes now.

Fix: times are limited to a year, which sums of times bear.

--- a/src/platform/configuration_record.rs
+++ b/src/platform/configuration_record.rs
@@ -290,6 +290,9 @@
     }
 }
 
+/// Converts milliseconds to a duration of at most a year, so that sums of times do not
+/// overflow.
 fn milliseconds(value: f64) -> Duration {
-    Duration::from_secs_f64((value / 1000.0).max(0.0))
+    const YEAR_MS: f64 = 365.0 * 86_400_000.0;
+    Duration::from_secs_f64(value.clamp(0.0, YEAR_MS) / 1000.0)
 }
--- a/tests/ingress.rs
+++ b/tests/ingress.rs
@@ -131,3 +131,22 @@
     let error = parse_settings(r#"{"node":"a","zone":"z","listen":{}}"#);
     assert!(error.expect_err("an error").to_string().contains("bounds"));
 }
+
+/// Guards against a panic that ends the task which follows the configuration.
+#[test]
+fn a_huge_time_is_limited() {
+    let text = serde_json::json!({
+        "version": 8,
+        "routes": [{"name": "r", "host": "a.example", "path_prefix": "/", "kind": "safe",
+                    "timeout_ms": 1e300, "service": "plain"}],
+        "services": [{"name": "plain", "health_path": "/health"}],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 4096,
+                   "header_timeout_ms": 3000, "idle_timeout_ms": -1e300}
+    });
+    let configuration = parse_configuration(text.to_string().as_bytes()).expect("a configuration");
+    let matched = match_request(&configuration, "a.example", "/", None).expect("a route");
+    let now = std::time::Instant::now();
+    assert!(now.checked_add(2 * matched.route.timeout).is_some());
+    assert!(matched.route.timeout > Duration::from_secs(86_400));
+    assert_eq!(configuration.limits.idle, Duration::ZERO);
+}
