--- a/src/forward.rs
+++ b/src/forward.rs
@@ -10,6 +10,7 @@
 mod attempt_use;
 mod choice;
 mod closed;
+mod connection_phase;
 mod dial;
 mod events;
 mod exchange;
--- a/tests/forwarding/unanswered.rs
+++ b/tests/forwarding/unanswered.rs
@@ -2,12 +2,15 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
 
 use futures::FutureExt;
 use jackdawwick::fleet::target_key;
 use jackdawwick::permits::PermitReply;
 
-use super::host::TestHost;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+use super::host::{TestHost, request};
 use super::stub_target::{Step, StubTarget, event, last_chunk, response, stream_head, with_header};
 
 fn has_limit(host: &TestHost, id: &str) -> bool {
@@ -87,3 +90,69 @@
     assert!(!cut.is_whole_stream());
     assert_eq!(host.tables.in_flight.load(Ordering::Relaxed), 0);
 }
+
+/// Guards against a panic over a deadline that is no number.
+#[tokio::test]
+async fn a_request_with_an_unusable_deadline_is_served() {
+    let target = super::healthy_target().await;
+    let host = TestHost::open();
+    host.add_plain("i-1", target.address);
+    for deadline in ["NaN", "inf", "-inf", "-1", "1e999", "soon"] {
+        let text = request("GET", "/safe/", "").replace("4000", deadline);
+        let mut stream = host.connect().await;
+        stream.write_all(text.as_bytes()).await.expect("sent");
+        let mut response = String::new();
+        let read = stream.read_to_string(&mut response).await;
+        assert!(
+            read.is_ok() && response.starts_with("HTTP/1.1 "),
+            "{deadline}"
+        );
+    }
+}
+
+fn failures(host: &TestHost, cause: &str) -> usize {
+    let start = format!("jackdawwick_connection_failures_total{{cause=\"{cause}\"}} ");
+    let text = host.tables.metrics.encode();
+    let count = text
+        .lines()
+        .find_map(|line| line.strip_prefix(&start)?.parse().ok());
+    count.unwrap_or(0)
+}
+
+/// Guards against connections that end under a request without a trace.
+#[tokio::test]
+async fn a_connection_that_fails_under_a_request_is_counted() {
+    let target = StubTarget::spawn(|_| vec![Step::Hold]).await;
+    let engine =
+        StubTarget::spawn(|seen| vec![stream_head(seen.id()), event(1), Step::Reset]).await;
+    let host = TestHost::open();
+    host.add_plain("i-1", target.address);
+    host.add_engine("i-2", engine.address, 0, 80);
+    let mut idle = host.connect().await;
+    let text = request("GET", "/other/", "").replace("Connection: close\r\n", "");
+    idle.write_all(text.as_bytes()).await.expect("sent");
+    idle.read_exact(&mut [0; 12]).await.expect("a response");
+    let socket = socket2::SockRef::from(&idle);
+    socket.set_linger(Some(Duration::ZERO)).expect("linger");
+    drop(idle);
+    let cut = host.call("GET", "/once/", "").await;
+    assert!(!cut.is_whole_stream());
+    assert_eq!(failures(&host, "response_cut"), 1);
+    let mut leaving = host.connect().await;
+    let text = request("GET", "/unsafe/", "");
+    leaving.write_all(text.as_bytes()).await.expect("sent");
+    while target.seen().is_empty() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    drop(leaving);
+    let until = Instant::now() + Duration::from_secs(5);
+    while failures(&host, "caller_closed") == 0 && Instant::now() < until {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    assert_eq!(failures(&host, "caller_closed"), 1);
+    assert_eq!(
+        failures(&host, "connection"),
+        0,
+        "the idle connection counts"
+    );
+}
