Judge a cut response by the last run that did not fail

A target that responds with a failure now gives the host nothing to continue with and breaks nothing; of a reset link only the moment of the reset counts; a reset link of a later engine is not an end of the stream. Three of the self-tests' histories are new.

--- a/standins/src/soak/engines.rs
+++ b/standins/src/soak/engines.rs
@@ -165,13 +165,18 @@
         self.breaks.lock().push(TargetBreak { id, at });
     }
 
-    /// Records that a target breaks the connections of all calls that it runs.
-    pub(super) fn record_end(&self, address: SocketAddr) {
+    /// Records that the connections of a target end.
+    pub(super) fn record_reset(&self, address: SocketAddr) {
         let target = self.state(address).id;
         let runs = self.runs.lock().clone();
         for run in runs.iter().filter(|run| run.target == target) {
             self.record_break(&run.id);
         }
+    }
+
+    /// Records that a target ends, and with it the calls whose path it is part of.
+    pub(super) fn record_end(&self, address: SocketAddr) {
+        self.record_reset(address);
         let paths = self.paths.lock().clone();
         for ((id, _), path) in paths {
             if path.parts.iter().any(|part| part.address == address) {
--- a/standins/src/soak/faults.rs
+++ b/standins/src/soak/faults.rs
@@ -152,7 +152,8 @@
                 self.record_disturbance(DisturbanceScope::Target, false, duration);
                 let reachable = matches!(fault, LinkFault::None | LinkFault::Delay(_));
                 if fault == LinkFault::Reset {
-                    self.registry.record_end(self.targets[target].link.address);
+                    self.registry
+                        .record_reset(self.targets[target].link.address);
                 }
                 self.targets[target].link.set(fault);
                 self.targets[target].update(|state| state.reachable = reachable);
--- a/standins/src/soak/history.rs
+++ b/standins/src/soak/history.rs
@@ -68,6 +68,8 @@
     pub at: Instant,
     /// Whether the engines of its path held every layer once, in order.
     pub layers_covered: bool,
+    /// Whether the target responds with a failure, or not at all.
+    pub failed: bool,
 }
 
 /// An attempt of a call that reached a target, whether or not the target ran it.
--- a/standins/src/soak/target.rs
+++ b/standins/src/soak/target.rs
@@ -350,6 +350,10 @@
         id: id.clone(),
         target: state.id.clone(),
         at: Instant::now(),
+        failed: matches!(
+            state.fault,
+            TargetFault::Fails | TargetFault::WrongRequestId | TargetFault::DropsResponse
+        ),
         layers_covered: path.as_ref().is_none_or(|path| covers_all_layers(path)),
     });
     let echoed = match state.fault {
@@ -366,7 +370,6 @@
     match (path, state.fault) {
         (_, TargetFault::DropsResponse) => {
             tokio::time::sleep(PLAIN_TIME).await;
-            registry.record_break(&id);
             Err(DroppedResponse)
         }
         (_, TargetFault::Fails) => sealed(500, full_body(Bytes::from_static(b"failed"))),
--- a/standins/src/soak/unfinished.rs
+++ b/standins/src/soak/unfinished.rs
@@ -8,31 +8,42 @@
 use super::configuration::ROUTE_TIMEOUT;
 use super::history::{CallKind, CallOutcome, CallRecord, DisturbanceScope, LossPeer, SoakHistory};
 
+/// Time in which all connections of a lost link are reset.
+const RESET_TIME: Duration = Duration::from_millis(100);
+
 /// Finds calls without a complete response although nothing but the host could end them:
 /// neither their target, their caller, their deadline nor the end of the host's process.
 pub(super) fn unfinished_calls(history: &SoakHistory) -> Vec<Violation> {
-    let runs = history.runs.iter().map(|run| (run.id.as_str(), run.at));
-    let runs = moments_by_call(runs);
+    // A run that failed gave the host nothing to continue with.
+    let runs = history.runs.iter().filter(|run| !run.failed);
+    let runs = moments_by_call(runs.map(|run| (run.id.as_str(), run.at)));
+    let ran = history.runs.iter().map(|run| run.id.as_str());
+    let ran = ran.collect::<HashSet<_>>();
     let breaks = history.breaks.iter();
     let breaks = moments_by_call(breaks.map(|broken| (broken.id.as_str(), broken.at)));
     let attempts = history.attempts.iter().map(|attempt| attempt.id.as_str());
     let attempts = attempts.collect::<HashSet<_>>();
     let found = history.calls.iter().filter_map(|call| {
         let id = call.id.as_str();
-        if loses_connections(history, call, LossPeer::Callers) {
+        let mut losses = history.losses.iter();
+        if losses.any(|loss| {
+            loss.peer == LossPeer::Callers
+                && loss.host == call.host
+                && loss.from <= call.ended
+                && loss.until >= call.sent
+        }) {
             return None;
         }
         match call.outcome {
             CallOutcome::Interrupted => {
-                let ran = last_before(&runs, call);
-                let broken = last_before(&breaks, call).is_some_and(|at| Some(at) >= ran);
-                let ended = broken
-                    || call.ended >= call.sent + timeout(call.kind)
-                    || loses_connections(history, call, LossPeer::Targets);
+                let last = last_before(&runs, call);
+                let broken = last_before(&breaks, call).max(last_loss(history, call));
+                let ended = broken.is_some_and(|at| Some(at) >= last)
+                    || call.ended >= call.sent + timeout(call.kind);
                 (!ended).then(|| Violation::CutWhileTargetLived(call.id.clone()))
             }
             CallOutcome::Unanswered => {
-                let passed_on = runs.contains_key(id) || attempts.contains(id);
+                let passed_on = ran.contains(id) || attempts.contains(id);
                 let read = passed_on || was_read(history, call);
                 read.then(|| Violation::NoResponse(call.id.clone()))
             }
@@ -68,14 +79,13 @@
     }
 }
 
-fn loses_connections(history: &SoakHistory, call: &CallRecord, peer: LossPeer) -> bool {
-    let mut losses = history.losses.iter();
-    losses.any(|loss| {
-        loss.host == call.host
-            && loss.peer == peer
-            && loss.from <= call.ended
-            && loss.until >= call.sent
-    })
+/// Returns by when connections to targets had ended last during a call. Each host counts,
+/// as a call may pass through any of them.
+fn last_loss(history: &SoakHistory, call: &CallRecord) -> Option<Instant> {
+    let losses = history.losses.iter().filter(|loss| {
+        loss.peer == LossPeer::Targets && (call.sent..=call.ended).contains(&loss.from)
+    });
+    losses.map(|loss| loss.from + RESET_TIME).max()
 }
 
 /// Returns whether the host of a call that reached no target has read it: its process and
--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -67,6 +67,7 @@
             target: target.to_owned(),
             at: self.at(at),
             layers_covered: true,
+            failed: false,
         });
     }
 
@@ -227,9 +228,25 @@
         }),
         found
     );
+    assert_eq!(
+        cut(|builder| {
+            builder.lose(0, LossPeer::Targets, 900, 2500);
+            builder.run("a", "two", 1450);
+            builder.history.runs[1].failed = true;
+        }),
+        found
+    );
     assert_eq!(cut(|builder| builder.break_call("a", 1899)), []);
     assert_eq!(
-        cut(|builder| builder.lose(0, LossPeer::Targets, 1800, 2500)),
+        cut(|builder| {
+            builder.break_call("a", 1400);
+            builder.run("a", "two", 1450);
+            builder.history.runs[1].failed = true;
+        }),
+        []
+    );
+    assert_eq!(
+        cut(|builder| builder.lose(1, LossPeer::Targets, 1800, 2500)),
         []
     );
     assert_eq!(
