--- a/src/reason.rs
+++ b/src/reason.rs
@@ -49,11 +49,15 @@
     NoPermit,
     /// All targets have requested a pause.
     TargetsPaused,
+    /// The handling of the request panicked.
+    InternalError,
+    /// The host's tasks run late while other hosts of its zone have fewer requests.
+    HostOverloaded,
 }
 
 impl RefusalReason {
     /// All reasons, for registering one counter each.
-    pub const ALL: [Self; 20] = [
+    pub const ALL: [Self; 22] = [
         Self::CapacityUsedUp,
         Self::QueueFull,
         Self::DeadlineUnreachable,
@@ -74,6 +78,8 @@
         Self::PoisonRequest,
         Self::NoPermit,
         Self::TargetsPaused,
+        Self::InternalError,
+        Self::HostOverloaded,
     ];
 
     /// Returns the name used in metrics, logs and response bodies.
@@ -99,6 +105,8 @@
             Self::PoisonRequest => "poison_request",
             Self::NoPermit => "no_permit",
             Self::TargetsPaused => "targets_paused",
+            Self::InternalError => "internal_error",
+            Self::HostOverloaded => "host_overloaded",
         }
     }
 }
