Draw the hosts that are killed or cut off alike for all silence rules

The games of one seed drew killed hosts from the choices of targets, which differ with the rule, so that games with restarts were not comparable. The long run plays on three threads.

--- a/tests/silence_model/game.rs
+++ b/tests/silence_model/game.rs
@@ -105,6 +105,8 @@
     pub(crate) ended: Vec<SimStream>,
     failing: f64,
     traffic: StdRng,
+    /// Draws hosts for faults, alike for all rules.
+    victims: StdRng,
     choices: StdRng,
     pub(crate) counts: RetryCounts,
     /// Retries that were spent beside a running attempt, and of these, those whose stream
@@ -156,6 +158,7 @@
             ended: Vec::new(),
             failing: 0.0,
             traffic: StdRng::seed_from_u64(seed ^ 0x7aff),
+            victims: StdRng::seed_from_u64(seed ^ 0xdead),
             choices,
             counts: RetryCounts::new(10 * SECOND, bounds),
             beside: 0,
@@ -220,7 +223,7 @@
                 steps,
             } => {
                 for host in &mut self.hosts {
-                    if self.choices.random_bool(share) {
+                    if self.victims.random_bool(share) {
                         host.cut_until[engine] = step + steps;
                     }
                 }
@@ -228,7 +231,7 @@
             Fault::Fail { share } => self.failing = share,
             Fault::Kill { share } => {
                 for host in 0..self.hosts.len() {
-                    if self.choices.random_bool(share) {
+                    if self.victims.random_bool(share) {
                         self.kill(host);
                     }
                 }
--- a/tests/silence_model/main.rs
+++ b/tests/silence_model/main.rs
@@ -95,33 +95,60 @@
     }
 }
 
-/// Plays games of all kinds under all rules.
-#[expect(clippy::print_stdout, reason = "the figures are what the run is for")]
-fn play_seeds(plan: FleetPlan) {
-    let rules = [
-        ("give up", SilenceRule::GiveUp),
-        ("uniform", SilenceRule::Accompany(RuleSettings::UNIFORM)),
-        ("by cause", RULE),
-    ];
-    let mut sums = vec![GameSummary::default(); FaultKind::ALL.len() * rules.len()];
-    for seed in 0..40 {
-        let drawn = seed as usize % (FaultKind::ALL.len() - 1);
-        for number in [drawn, FaultKind::ALL.len() - 1] {
+/// Threads that play games at the same time in the long run.
+const WORKERS: u64 = 3;
+
+/// Rules of the long run.
+const RULES: [(&str, SilenceRule); 3] = [
+    ("give up", SilenceRule::GiveUp),
+    ("uniform", SilenceRule::Accompany(RuleSettings::UNIFORM)),
+    ("by cause", RULE),
+];
+
+/// Plays two kinds of games for each of these seeds, under all rules. Returns the sums of each
+/// kind and rule.
+fn play_some<S>(plan: FleetPlan, seeds: S) -> Vec<GameSummary>
+where
+    S: Iterator<Item = u64>,
+{
+    let mixed = FaultKind::ALL.len() - 1;
+    let mut sums = vec![GameSummary::default(); FaultKind::ALL.len() * RULES.len()];
+    for seed in seeds {
+        for number in [seed as usize % mixed, mixed] {
             let kind = FaultKind::ALL[number];
-            for (column, (name, rule)) in rules.iter().enumerate() {
-                let game = Game::play(plan, *rule, kind, seed);
-                if *rule != SilenceRule::GiveUp {
+            for (column, (name, rule)) in RULES.into_iter().enumerate() {
+                let game = Game::play(plan, rule, kind, seed);
+                if rule != SilenceRule::GiveUp {
                     let name = format!("{} hosts, {kind:?}, {name}, seed {seed}", plan.hosts);
                     check(&game, &name);
                 }
-                let sum = &mut sums[number * rules.len() + column];
-                *sum = std::mem::take(sum).add(GameSummary::of(&game));
+                let sum = &mut sums[number * RULES.len() + column];
+                *sum = sum.add(GameSummary::of(&game));
             }
         }
     }
+    sums
+}
+
+#[expect(clippy::print_stdout, reason = "the figures are what the run is for")]
+fn play_seeds(plan: FleetPlan) {
+    let sums = std::thread::scope(|scope| {
+        let workers = (0..WORKERS).map(|first| {
+            let seeds = (first..40).step_by(WORKERS as usize);
+            scope.spawn(move || play_some(plan, seeds))
+        });
+        let workers = workers.collect::<Vec<_>>();
+        let sums = workers.into_iter().map(|worker| worker.join());
+        let sums = sums.map(|sums| sums.expect("a worker completes"));
+        let added = sums.reduce(|left, right| {
+            let pairs = left.into_iter().zip(right);
+            pairs.map(|(left, right)| left.add(right)).collect()
+        });
+        added.expect("there are workers")
+    });
     for (number, sum) in sums.iter().enumerate() {
-        let kind = FaultKind::ALL[number / rules.len()];
-        let (name, _) = rules[number % rules.len()];
+        let kind = FaultKind::ALL[number / RULES.len()];
+        let (name, _) = RULES[number % RULES.len()];
         println!("{} hosts, {kind:?}, {name}: {sum}", plan.hosts);
     }
 }
