--- a/tests/silence_model/game.rs
+++ b/tests/silence_model/game.rs
@@ -3,14 +3,16 @@
 
 use std::time::{Duration, Instant};
 
-use jackdawwick::retry::{RetryBounds, RetryShare, WindowBudget, WindowSettings};
-use jackdawwick::silence::{SilenceCause, SilenceDecision, SilenceLimits, SilentRequest, decide};
+use jackdawwick::retry::{RetryBounds, RetryShare, RetryUse, WindowBudget};
+use jackdawwick::silence::{
+    SilenceCause, SilenceDecision, SilenceLimits, SilentRequest, decide, retry_use,
+};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
 use crate::engines::{EngineState, Fault, FaultKind, SimEngine, draw_faults};
 use crate::retry_bound::RetryCounts;
-use crate::rules::{RuleSettings, SilenceRule, Spread};
+use crate::rules::{BudgetRule, RuleSettings, SilenceRule, Spread};
 use crate::streams::{LostEngine, Outcome, SimAttempt, SimDial, SimStream};
 
 /// Step of a game.
@@ -592,20 +594,14 @@
             return false;
         }
         let host = stream.host;
-        self.spend(host, 1.0) && self.choose_and_dial(index)
+        self.spend(host, RetryUse::Replacement) && self.choose_and_dial(index)
     }
 
-    /// Spends a retry if this part of the budget has one left.
-    fn spend(&mut self, host: usize, part: f64) -> bool {
+    /// Spends a retry if one is left for this use.
+    fn spend(&mut self, host: usize, retry_use: RetryUse) -> bool {
         let host = &mut self.hosts[host];
         let settings = host.share.settings();
-        let spare = WindowSettings {
-            ratio: settings.ratio * part,
-            slack: settings.slack * part,
-            ..settings
-        };
-        let has_left = part >= 1.0 || host.budget.clone().spend(spare, self.now);
-        has_left && host.budget.spend(settings, self.now)
+        host.budget.has_left(settings, retry_use, self.now) && host.budget.spend(settings, self.now)
     }
 
     fn check_silence(&mut self, index: usize) {
@@ -705,12 +701,15 @@
             SilenceDecision::End => self.end(index, Outcome::CutSilent),
             SilenceDecision::Accompany => {
                 let host = stream.host;
-                let part = match cause {
-                    SilenceCause::Unreachable | SilenceCause::LostLink => rule.urgent,
-                    _ => rule.spare,
+                let retry_use = match rule.budget {
+                    BudgetRule::Product => retry_use(request, stream.limits),
+                    BudgetRule::OutOfReach => match cause {
+                        SilenceCause::Unreachable | SilenceCause::LostLink => RetryUse::Replacement,
+                        _ => RetryUse::Spare,
+                    },
                 };
                 if self.choose_and_dial(index) {
-                    if self.spend(host, part) {
+                    if self.spend(host, retry_use) {
                         self.beside += 1;
                     } else {
                         self.streams[index].dial = None;
--- a/tests/silence_model/main.rs
+++ b/tests/silence_model/main.rs
@@ -14,7 +14,7 @@
 use rules::{RuleSettings, SilenceRule};
 use summary::GameSummary;
 
-const RULE: SilenceRule = SilenceRule::Accompany(RuleSettings::BY_CAUSE);
+const RULE: SilenceRule = SilenceRule::Accompany(RuleSettings::PRODUCT);
 
 fn check(game: &Game, name: &str) {
     let given_up = game.given_up.first();
@@ -35,12 +35,11 @@
     }
 }
 
-/// The same with one part of the budget for all causes.
+/// The same in a larger fleet.
 #[test]
 fn no_request_is_ended_while_its_engine_would_go_on_and_few_retries_are_left() {
-    let rule = SilenceRule::Accompany(RuleSettings::UNIFORM);
     for kind in [FaultKind::Spent, FaultKind::Mixed] {
-        let game = Game::play(SIXTY, rule, kind, 1);
+        let game = Game::play(SIXTY, RULE, kind, 1);
         check(&game, &format!("60 hosts, {kind:?}"));
     }
 }
@@ -85,13 +84,20 @@
 /// that gives their streams up.
 #[test]
 fn as_many_streams_of_dark_engines_complete_as_if_they_were_given_up() {
-    for kind in [FaultKind::Dark, FaultKind::Spent] {
+    let games = [
+        (EIGHT, FaultKind::Dark),
+        (EIGHT, FaultKind::Spent),
+        (SIXTY, FaultKind::Dark),
+    ];
+    for (plan, kind) in games {
         let [before, now] = [SilenceRule::GiveUp, RULE].map(|rule| {
-            let games = (0..4).map(|seed| GameSummary::of(&Game::play(EIGHT, rule, kind, seed)));
+            let games = (0..3).map(|seed| GameSummary::of(&Game::play(plan, rule, kind, seed)));
             games.fold(GameSummary::default(), GameSummary::add)
         });
         let share = |summary: GameSummary| summary.dark_complete as f64 / summary.dark as f64;
-        assert!(share(now) >= share(before), "{kind:?}: {before:?}, {now:?}");
+        let (now, before) = (share(now), share(before));
+        let hosts = plan.hosts;
+        assert!(now >= before, "{hosts} hosts, {kind:?}: {now}, {before}");
     }
 }
 
@@ -101,8 +107,8 @@
 /// Rules of the long run.
 const RULES: [(&str, SilenceRule); 3] = [
     ("give up", SilenceRule::GiveUp),
-    ("uniform", SilenceRule::Accompany(RuleSettings::UNIFORM)),
-    ("by cause", RULE),
+    ("product", RULE),
+    ("by cause", SilenceRule::Accompany(RuleSettings::BY_CAUSE)),
 ];
 
 /// Plays two kinds of games for each of these seeds, under all rules. Returns the sums of each
--- a/tests/silence_model/rules.rs
+++ b/tests/silence_model/rules.rs
@@ -18,28 +18,28 @@
     Accompany(RuleSettings),
 }
 
+/// Which attempts beside a running one may spend all retries that are left.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum BudgetRule {
+    /// Those that the product allows to.
+    Product,
+    /// Those beside targets that accept no connections of this host, from the first check on.
+    OutOfReach,
+}
+
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct RuleSettings {
     pub(crate) spread: Spread,
-    /// Part of the budget that attempts beside a running one may spend.
-    pub(crate) spare: f64,
-    /// The same for targets that accept no connections of this host.
-    pub(crate) urgent: f64,
+    pub(crate) budget: BudgetRule,
 }
 
 impl RuleSettings {
-    /// One part of the budget for all causes, and a silence that is widespread once most
-    /// targets of the service are known to be silent.
-    pub(crate) const UNIFORM: Self = Self {
+    pub(crate) const PRODUCT: Self = Self {
         spread: Spread::Members,
-        spare: 0.5,
-        urgent: 0.5,
+        budget: BudgetRule::Product,
     };
-    /// The whole budget for targets out of reach, and a silence that is widespread once most
-    /// targets in use are silent.
     pub(crate) const BY_CAUSE: Self = Self {
         spread: Spread::InUse,
-        urgent: 1.0,
-        ..Self::UNIFORM
+        budget: BudgetRule::OutOfReach,
     };
 }
