Reuse the retry of an attempt that sent nothing, and play the product's rules in the game

An attempt beside a silent one that could not connect had spent its retry, and the next one spent another, although nothing had arrived at a target.

--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -275,7 +275,7 @@
                 .choose_reachable(tried, AttemptPurpose::Start)
                 .await
             {
-                Ok((chosen, guard)) => race.open_first(chosen, guard),
+                Ok((chosen, guard)) => race.open_first(chosen, guard, false),
                 // No other target is left: the response of the target that failed is
                 // returned.
                 Err(refusal) => return failed_response.ok_or(refusal.after(tried)),
@@ -310,7 +310,7 @@
                     continue;
                 };
                 attempt.watch.record_failure(&failure).await;
-                exchange.record_failure(&attempt.watch.chosen, &failure, &mut race.tried);
+                race.record_failure(&attempt, &failure);
                 drop(attempt);
                 if !race.is_open() && !exchange.may_retry(&failure, &race.tried, Instant::now()) {
                     return Err(final_refusal(&failure, &race.tried));
--- a/src/forward/open_attempt.rs
+++ b/src/forward/open_attempt.rs
@@ -28,6 +28,8 @@
     stage: AttemptStage,
     /// Whether its target was reported for sending no head in time.
     pub(super) is_late: bool,
+    /// Whether a retry was spent on it.
+    pub(super) is_paid: bool,
 }
 
 enum AttemptStage {
@@ -104,6 +106,7 @@
             watch: PathWatch::open(exchange, chosen, guard, now),
             stage: AttemptStage::Sending(Box::pin(sending)),
             is_late: false,
+            is_paid: false,
         }
     }
 
--- a/src/forward/race.rs
+++ b/src/forward/race.rs
@@ -70,6 +70,8 @@
     choice: Option<BoxFuture<'static, AttemptChoice>>,
     /// What the attempt that is being prepared may spend.
     retry_use: RetryUse,
+    /// Whether a retry was spent on an attempt that then sent nothing.
+    has_unused_retry: bool,
 }
 
 impl AttemptRace {
@@ -83,12 +85,15 @@
             beside: None,
             choice: None,
             retry_use: RetryUse::Spare,
+            has_unused_retry: false,
         }
     }
 
-    /// Starts the attempt that the request relies on.
-    pub(super) fn open_first(&mut self, chosen: ChosenTarget, guard: InFlightGuard) {
-        let attempt = self.open_attempt(chosen, guard);
+    /// Starts the attempt that the request relies on. `is_paid` says whether a retry was
+    /// spent on it.
+    pub(super) fn open_first(&mut self, chosen: ChosenTarget, guard: InFlightGuard, is_paid: bool) {
+        let mut attempt = self.open_attempt(chosen, guard);
+        attempt.is_paid = is_paid;
         self.first = Some(attempt);
     }
 
@@ -286,12 +291,32 @@
         "accompanied"
     }
 
-    fn open_beside(&mut self, chosen: AttemptChoice) {
+    fn has_retry(&self, now: Instant) -> bool {
         let (tables, service) = (&self.exchange.tables, &self.exchange.service.name);
+        self.has_unused_retry || tables.has_retry(service, self.retry_use, now)
+    }
+
+    /// Spends a retry for an attempt, unless one is left of an attempt that sent nothing.
+    pub(super) fn spend_retry(&mut self, now: Instant) -> bool {
+        let (tables, service) = (&self.exchange.tables, &self.exchange.service.name);
+        std::mem::take(&mut self.has_unused_retry) || tables.spend_retry(service, now)
+    }
+
+    /// Records an attempt that gave no response.
+    pub(super) fn record_failure(&mut self, attempt: &OpenAttempt, failure: &AttemptFailure) {
+        let chosen = &attempt.watch.chosen;
+        self.exchange
+            .record_failure(chosen, failure, &mut self.tried);
+        self.has_unused_retry |= attempt.is_paid && !failure.was_sent();
+    }
+
+    fn open_beside(&mut self, chosen: AttemptChoice) {
         let now = Instant::now();
         let denied = match chosen {
-            Ok((chosen, guard)) if tables.spend_retry_as(service, self.retry_use, now) => {
-                self.beside = Some(self.open_attempt(chosen, guard));
+            Ok((chosen, guard)) if self.has_retry(now) && self.spend_retry(now) => {
+                let mut attempt = self.open_attempt(chosen, guard);
+                attempt.is_paid = true;
+                self.beside = Some(attempt);
                 return;
             }
             Ok(_) => "no_retry",
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -151,9 +151,7 @@
             return Ok(());
         };
         attempt.watch.record_failure(failure).await;
-        let chosen = &attempt.watch.chosen;
-        self.exchange
-            .record_failure(chosen, failure, &mut self.race.tried);
+        self.race.record_failure(&attempt, failure);
         self.continue_without(attempt, failure.cause.name()).await
     }
 
@@ -185,7 +183,7 @@
             .await
         {
             Ok((chosen, guard)) => {
-                self.race.open_first(chosen, guard);
+                self.race.open_first(chosen, guard, true);
                 self.race.log_resumed(reason, from);
                 Ok(())
             }
@@ -194,7 +192,7 @@
     }
 
     /// Returns why the stream may not be sent to another target, or spends a retry.
-    fn denied_resumption(&self) -> Option<&'static str> {
+    fn denied_resumption(&mut self) -> Option<&'static str> {
         let exchange = &self.exchange;
         let route = &exchange.matched.route;
         let now = Instant::now();
@@ -202,7 +200,7 @@
             () if !route.kind.is_repeatable() => Some("no_attempt"),
             () if self.race.tried.sent >= route.max_attempts => Some("no_attempt"),
             () if now >= exchange.deadline => Some("no_time"),
-            () if !exchange.tables.spend_retry(&exchange.service.name, now) => Some("no_retry"),
+            () if !self.race.spend_retry(now) => Some("no_retry"),
             () => None,
         }
     }
--- a/src/forward/retry_budgets.rs
+++ b/src/forward/retry_budgets.rs
@@ -89,16 +89,6 @@
         budget.is_some_and(|budget| budget.window.has_left(settings, retry_use, now))
     }
 
-    /// Takes one retry from a service's budget, if one is left for this use.
-    pub(super) fn spend_retry_as(
-        &self,
-        service: &ServiceId,
-        retry_use: RetryUse,
-        now: Instant,
-    ) -> bool {
-        self.has_retry(service, retry_use, now) && self.spend_retry(service, now)
-    }
-
     /// Returns what the budget of each service holds.
     pub fn retry_usage(&self, now: Instant) -> Vec<(ServiceId, WindowUsage)> {
         let settings = *self.retries.settings.lock();
--- a/tests/silence_model/game.rs
+++ b/tests/silence_model/game.rs
@@ -12,7 +12,7 @@
 
 use crate::engines::{EngineState, Fault, FaultKind, SimEngine, draw_faults};
 use crate::retry_bound::RetryCounts;
-use crate::rules::{BudgetRule, RuleSettings, SilenceRule, Spread};
+use crate::rules::SilenceRule;
 use crate::streams::{LostEngine, Outcome, SimAttempt, SimDial, SimStream};
 
 /// Step of a game.
@@ -651,7 +651,7 @@
     fn handle_silence(&mut self, index: usize, slot: usize, cause: SilenceCause) {
         match self.rule {
             SilenceRule::GiveUp => self.give_up(index, slot, cause),
-            SilenceRule::Accompany(settings) => self.accompany(index, slot, cause, settings),
+            SilenceRule::Accompany => self.accompany(index, slot, cause),
         }
     }
 
@@ -681,7 +681,7 @@
         }
     }
 
-    fn accompany(&mut self, index: usize, slot: usize, cause: SilenceCause, rule: RuleSettings) {
+    fn accompany(&mut self, index: usize, slot: usize, cause: SilenceCause) {
         let stream = &self.streams[index];
         let attempt = &stream.attempts[slot];
         let silent = STEP * (self.step - attempt.progress) as u32;
@@ -693,23 +693,15 @@
             has_attempts: stream.runs.len() < MAX_ATTEMPTS,
             is_accompanied: stream.attempts.len() > 1 || stream.dial.is_some(),
             is_poison: false,
-            is_widespread: cause == SilenceCause::Still
-                && self.is_widespread(stream.host, rule.spread),
+            is_widespread: cause == SilenceCause::Still && self.is_widespread(stream.host),
         };
         match decide(request, stream.limits) {
             SilenceDecision::Wait(_) => {}
             SilenceDecision::End => self.end(index, Outcome::CutSilent),
             SilenceDecision::Accompany => {
                 let host = stream.host;
-                let retry_use = match rule.budget {
-                    BudgetRule::Product => retry_use(request, stream.limits),
-                    BudgetRule::OutOfReach => match cause {
-                        SilenceCause::Unreachable | SilenceCause::LostLink => RetryUse::Replacement,
-                        _ => RetryUse::Spare,
-                    },
-                };
                 if self.choose_and_dial(index) {
-                    if self.spend(host, retry_use) {
+                    if self.spend(host, retry_use(cause)) {
                         self.beside += 1;
                     } else {
                         self.streams[index].dial = None;
@@ -719,31 +711,24 @@
         }
     }
 
-    fn is_widespread(&self, host: usize, spread: Spread) -> bool {
-        match spread {
-            Spread::Members => {
-                let silent = &self.hosts[host].silent_until;
-                let silent = silent.iter().filter(|until| **until > self.step);
-                silent.count() * 2 > self.plan.engines
-            }
-            Spread::InUse => {
-                let own = self.streams.iter().filter(|stream| stream.host == host);
-                let attempts = own.flat_map(|stream| {
-                    let limit = stream.silence_limit;
-                    let attempts = stream.attempts.iter();
-                    attempts.map(move |attempt| (attempt, limit))
-                });
-                let mut latest = vec![None; self.plan.engines];
-                for (attempt, limit) in attempts {
-                    let is_silent = self.step - attempt.progress >= limit;
-                    let all = latest[attempt.engine].get_or_insert(true);
-                    *all &= is_silent;
-                }
-                let used = latest.iter().flatten();
-                let silent = used.clone().filter(|is_silent| **is_silent);
-                used.clone().count() >= MIN_SAMPLE && silent.count() * 2 > used.count()
-            }
-        }
+    /// Returns whether more than half of the targets on which a host runs requests have sent
+    /// nothing for as long as it takes to check them.
+    fn is_widespread(&self, host: usize) -> bool {
+        let own = self.streams.iter().filter(|stream| stream.host == host);
+        let attempts = own.flat_map(|stream| {
+            let limit = stream.silence_limit;
+            let attempts = stream.attempts.iter();
+            attempts.map(move |attempt| (attempt, limit))
+        });
+        let mut latest = vec![None; self.plan.engines];
+        for (attempt, limit) in attempts {
+            let is_silent = self.step - attempt.progress >= limit;
+            let all = latest[attempt.engine].get_or_insert(true);
+            *all &= is_silent;
+        }
+        let used = latest.iter().flatten();
+        let silent = used.clone().filter(|is_silent| **is_silent);
+        used.clone().count() >= MIN_SAMPLE && silent.count() * 2 > used.count()
     }
 
     fn end(&mut self, index: usize, outcome: Outcome) {
--- a/tests/silence_model/main.rs
+++ b/tests/silence_model/main.rs
@@ -11,10 +11,10 @@
 
 use engines::{Fault, FaultKind};
 use game::{EIGHT, FleetPlan, Game, LARGEST, SECOND, SIXTY};
-use rules::{RuleSettings, SilenceRule};
+use rules::SilenceRule;
 use summary::GameSummary;
 
-const RULE: SilenceRule = SilenceRule::Accompany(RuleSettings::PRODUCT);
+const RULE: SilenceRule = SilenceRule::Accompany;
 
 fn check(game: &Game, name: &str) {
     let given_up = game.given_up.first();
@@ -105,11 +105,7 @@
 const WORKERS: u64 = 3;
 
 /// Rules of the long run.
-const RULES: [(&str, SilenceRule); 3] = [
-    ("give up", SilenceRule::GiveUp),
-    ("product", RULE),
-    ("by cause", SilenceRule::Accompany(RuleSettings::BY_CAUSE)),
-];
+const RULES: [(&str, SilenceRule); 2] = [("give up", SilenceRule::GiveUp), ("product", RULE)];
 
 /// Plays two kinds of games for each of these seeds, under all rules. Returns the sums of each
 /// kind and rule.
