--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -283,9 +283,8 @@
         }
         match race.next().await {
             RaceEvent::Head(side, head) => {
-                race.keep(side);
-                if let Some(first) = race.get(RaceSide::First) {
-                    exchange.observe_success(&first.watch.chosen);
+                if let Some(attempt) = race.get(side) {
+                    exchange.observe_success(&attempt.watch.chosen);
                 }
                 return Ok(relay::open(race, in_flight_request, head));
             }
@@ -313,7 +312,7 @@
                 race.record_failure(&attempt, &failure);
                 drop(attempt);
                 if !race.is_open() && !exchange.may_retry(&failure, &race.tried, Instant::now()) {
-                    return Err(final_refusal(&failure, &race.tried));
+                    return failed_response.ok_or(final_refusal(&failure, &race.tried));
                 }
             }
             RaceEvent::Poison => {
@@ -322,11 +321,13 @@
             }
             RaceEvent::Deadline => {
                 let timed_out = AttemptFailure::new(RunVerdict::MayHaveRun, FailureCause::Timeout);
-                if let Some(attempt) = race.take(RaceSide::First) {
+                if let Some(attempt) = race.take(RaceSide::First)
+                    && !attempt.is_late
+                {
                     let chosen = &attempt.watch.chosen;
                     exchange.record_failure(chosen, &timed_out, &mut race.tried);
                 }
-                return Err(final_refusal(&timed_out, &race.tried));
+                return failed_response.ok_or(final_refusal(&timed_out, &race.tried));
             }
             // Only a stream that has begun has events, and it is relayed from its head on.
             RaceEvent::Events(..) | RaceEvent::End(_) | RaceEvent::Broken(..) => {}
--- a/src/forward/open_attempt.rs
+++ b/src/forward/open_attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt of a request while it runs on its target.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Instant;
 
 use bytes::Bytes;
@@ -30,6 +31,7 @@
     pub(super) is_late: bool,
     /// Whether a retry was spent on it.
     pub(super) is_paid: bool,
+    is_sent: Arc<AtomicBool>,
 }
 
 enum AttemptStage {
@@ -101,15 +103,27 @@
         last_event: Option<String>,
         now: Instant,
     ) -> Self {
-        let sending = send(exchange.clone(), chosen.clone(), last_event);
+        let is_sent = Arc::new(AtomicBool::new(false));
+        let sending = send(
+            exchange.clone(),
+            chosen.clone(),
+            last_event,
+            is_sent.clone(),
+        );
         Self {
             watch: PathWatch::open(exchange, chosen, guard, now),
             stage: AttemptStage::Sending(Box::pin(sending)),
             is_late: false,
             is_paid: false,
+            is_sent,
         }
     }
 
+    /// Returns whether the request may have reached the target.
+    pub(super) fn is_sent(&self) -> bool {
+        self.is_sent.load(Ordering::Relaxed)
+    }
+
     /// Returns whether the head of the response has arrived.
     pub(super) fn has_begun(&self) -> bool {
         !matches!(self.stage, AttemptStage::Sending(_))
@@ -129,7 +143,9 @@
         loop {
             let deadline = self.watch.exchange.deadline;
             let check_at = self.watch.check_at().min(deadline);
+            // What has arrived counts, also if this host was paused and a check is due.
             let event = tokio::select! {
+                biased;
                 event = self.stage.next() => event,
                 () = self.watch.engine_lost() => return AttemptStep::EngineLost,
                 () = tokio::time::sleep_until(check_at.into()) => {
@@ -140,7 +156,11 @@
                     self.watch.begin_check(now);
                     // The target may respond while it is being checked.
                     tokio::select! {
+                        biased;
                         event = self.stage.next() => event,
+                        () = tokio::time::sleep_until(deadline.into()) => {
+                            return AttemptStep::Deadline;
+                        }
                         finding = self.watch.find_cause(now) => {
                             return AttemptStep::Silent(finding);
                         }
@@ -245,11 +265,13 @@
     }
 }
 
-/// Sends the request and waits for the head of the response.
+/// Sends the request and waits for the head of the response. Sets `is_sent` before anything is
+/// sent.
 async fn send(
     exchange: Arc<Exchange>,
     chosen: ChosenTarget,
     last_event: Option<String>,
+    is_sent: Arc<AtomicBool>,
 ) -> Result<TargetResponse, AttemptFailure> {
     let connecting = attempt::send(
         exchange.tables.clone(),
@@ -264,5 +286,6 @@
         let (verdict, cause) = (RunVerdict::NotRun, FailureCause::Poison);
         return Err(AttemptFailure::new(verdict, cause));
     }
+    is_sent.store(true, Ordering::Relaxed);
     sending.await
 }
--- a/src/forward/race.rs
+++ b/src/forward/race.rs
@@ -20,12 +20,21 @@
 use super::tables::InFlightGuard;
 use super::watch::SilenceFinding;
 use crate::retry::RetryUse;
-use crate::silence::{SilenceCause, SilenceDecision, SilentRequest, decide, retry_use};
+use crate::silence::{SilenceCause, SilenceDecision, SilentRequest, WaitReason, decide, retry_use};
 use crate::verdict::RunVerdict;
 
 /// Result of the choice of a target for another attempt.
 type AttemptChoice = Result<(ChosenTarget, InFlightGuard), Refusal>;
 
+/// The choice of a target for an attempt beside a silent one.
+struct PendingChoice {
+    choosing: BoxFuture<'static, AttemptChoice>,
+    since: Instant,
+    finding: SilenceFinding,
+    /// What the attempt may spend.
+    retry_use: RetryUse,
+}
+
 /// Which attempt something has happened to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum RaceSide {
@@ -66,10 +75,7 @@
     pub(super) is_answering: bool,
     first: Option<OpenAttempt>,
     beside: Option<OpenAttempt>,
-    /// The choice of a target for an attempt beside the first.
-    choice: Option<BoxFuture<'static, AttemptChoice>>,
-    /// What the attempt that is being prepared may spend.
-    retry_use: RetryUse,
+    choice: Option<PendingChoice>,
     /// Whether a retry was spent on an attempt that then sent nothing.
     has_unused_retry: bool,
 }
@@ -84,7 +90,6 @@
             first: None,
             beside: None,
             choice: None,
-            retry_use: RetryUse::Spare,
             has_unused_retry: false,
         }
     }
@@ -154,8 +159,12 @@
             RaceSide::Beside => "replaced",
         };
         closed.watch.end_silence(action);
-        self.tried.count(&closed.watch.chosen, true);
-        self.tried.may_have_run = true;
+        if closed.is_sent() {
+            self.tried.count(&closed.watch.chosen, true);
+            self.tried.may_have_run = true;
+        } else {
+            self.has_unused_retry |= closed.is_paid;
+        }
         if side == RaceSide::Beside && self.is_answering {
             self.log_resumed("silent", &closed.watch.chosen);
         }
@@ -183,8 +192,9 @@
                 step = step_of(&mut self.first) => (RaceSide::First, step),
                 step = step_of(&mut self.beside) => (RaceSide::Beside, step),
                 chosen = choice_of(&mut self.choice) => {
-                    self.choice = None;
-                    self.open_beside(chosen);
+                    if let Some(choice) = self.choice.take() {
+                        self.open_beside(chosen, &choice);
+                    }
                     continue;
                 }
             };
@@ -217,7 +227,12 @@
             return false;
         };
         attempt.watch.observe_silence(&finding);
-        if attempt.watch.repair_silent(&finding).await || side == RaceSide::Beside {
+        if attempt.watch.repair_silent(&finding).await {
+            return false;
+        }
+        if side == RaceSide::Beside {
+            let action = WaitReason::Accompanied.name();
+            attempt.watch.note_silence(&finding, action);
             return false;
         }
         let now = Instant::now();
@@ -226,7 +241,6 @@
             return false;
         };
         let limits = self.exchange.silence_limits();
-        self.retry_use = retry_use(finding.cause);
         let decision = decide(request, limits);
         let action = match decision {
             SilenceDecision::Wait(reason) => reason.name(),
@@ -242,23 +256,28 @@
     fn silent_request(&mut self, cause: SilenceCause, now: Instant) -> Option<SilentRequest> {
         let exchange = self.exchange.clone();
         let limits = exchange.silence_limits();
+        let route = &exchange.matched.route;
+        let is_repeatable = route.kind.is_repeatable();
+        // The first attempt counts as well.
+        let sent = self.tried.sent + 1;
+        let has_attempts = sent < route.max_attempts && self.tried.len() < MAX_TRIED;
         let first = self.first.as_mut()?;
         let silent = now.saturating_duration_since(first.watch.last_progress);
         let has_begun = first.has_begun();
-        if cause == SilenceCause::Working && !has_begun && silent >= limits.head && !first.is_late {
+        let is_late = cause == SilenceCause::Working && !has_begun && silent >= limits.head;
+        // A request that has to wait for its response may take its whole time.
+        if is_late && is_repeatable && has_attempts && !first.is_late {
             first.is_late = true;
             let (verdict, cause) = (RunVerdict::MayHaveRun, FailureCause::Timeout);
             let failure = AttemptFailure::new(verdict, cause);
             exchange.observe_failure(&first.watch.chosen, Some(&failure));
         }
-        let route = &exchange.matched.route;
         Some(SilentRequest {
             cause,
             silent,
             has_begun,
-            is_repeatable: route.kind.is_repeatable(),
-            // The first attempt counts as well.
-            has_attempts: self.tried.sent + 1 < route.max_attempts && self.tried.len() < MAX_TRIED,
+            is_repeatable,
+            has_attempts,
             is_accompanied: self.beside.is_some() || self.choice.is_some(),
             is_poison: exchange.is_poison(now),
             is_widespread: exchange.is_silence_widespread(),
@@ -269,31 +288,34 @@
     /// action for logs and metrics.
     fn accompany(&mut self, finding: &SilenceFinding, now: Instant) -> &'static str {
         let exchange = self.exchange.clone();
-        let retry_use = self.retry_use;
-        if !exchange
-            .tables
-            .has_retry(&exchange.service.name, retry_use, now)
-        {
+        let retry_use = retry_use(finding.cause);
+        if !self.has_retry(retry_use, now) {
             return "no_retry";
         }
-        let first = self
-            .first
-            .as_ref()
-            .map(|first| first.watch.chosen.id.clone());
         let mut tried = self.tried.clone();
         tried.sent += 1;
         if finding.cause != SilenceCause::LostLink {
-            tried.avoid.extend(finding.failed.clone().or(first));
+            // Two runs of a request on the same first engine cannot be told apart there.
+            let first = self.first.as_ref();
+            tried
+                .avoid
+                .extend(first.map(|first| first.watch.chosen.id.clone()));
+            tried.avoid.extend(finding.failed.clone());
         }
         let purpose = AttemptPurpose::Beside;
-        let choice = async move { exchange.choose_reachable(&tried, purpose).await };
-        self.choice = Some(Box::pin(choice));
+        let choosing = async move { exchange.choose_reachable(&tried, purpose).await };
+        self.choice = Some(PendingChoice {
+            choosing: Box::pin(choosing),
+            since: now,
+            finding: finding.clone(),
+            retry_use,
+        });
         "accompanied"
     }
 
-    fn has_retry(&self, now: Instant) -> bool {
+    fn has_retry(&self, retry_use: RetryUse, now: Instant) -> bool {
         let (tables, service) = (&self.exchange.tables, &self.exchange.service.name);
-        self.has_unused_retry || tables.has_retry(service, self.retry_use, now)
+        self.has_unused_retry || tables.has_retry(service, retry_use, now)
     }
 
     /// Spends a retry for an attempt, unless one is left of an attempt that sent nothing.
@@ -310,10 +332,16 @@
         self.has_unused_retry |= attempt.is_paid && !failure.was_sent();
     }
 
-    fn open_beside(&mut self, chosen: AttemptChoice) {
+    fn open_beside(&mut self, chosen: AttemptChoice, choice: &PendingChoice) {
         let now = Instant::now();
+        let first = self.first.as_ref();
+        if first.is_some_and(|first| first.watch.last_progress > choice.since) {
+            return;
+        }
         let denied = match chosen {
-            Ok((chosen, guard)) if self.has_retry(now) && self.spend_retry(now) => {
+            Ok((chosen, guard))
+                if self.has_retry(choice.retry_use, now) && self.spend_retry(now) =>
+            {
                 let mut attempt = self.open_attempt(chosen, guard);
                 attempt.is_paid = true;
                 self.beside = Some(attempt);
@@ -323,7 +351,7 @@
             Err(refusal) => refusal.reason.name(),
         };
         if let Some(first) = &mut self.first {
-            first.watch.end_silence(denied);
+            first.watch.note_silence(&choice.finding, denied);
         }
     }
 }
@@ -338,9 +366,9 @@
     }
 }
 
-async fn choice_of(choice: &mut Option<BoxFuture<'static, AttemptChoice>>) -> AttemptChoice {
+async fn choice_of(choice: &mut Option<PendingChoice>) -> AttemptChoice {
     match choice {
-        Some(choice) => choice.await,
+        Some(choice) => (&mut choice.choosing).await,
         None => std::future::pending().await,
     }
 }
--- a/src/forward/repath.rs
+++ b/src/forward/repath.rs
@@ -86,6 +86,7 @@
         self.chosen.path = Some(repaired);
         let loads = self.chosen.loads_after_move(before);
         self.guard = Some(InFlightGuard::open(tables, loads));
+        self.end_silence("moved");
         self.observe_progress(Instant::now());
     }
 
--- a/src/forward/watch.rs
+++ b/src/forward/watch.rs
@@ -74,7 +74,7 @@
         guard: InFlightGuard,
         now: Instant,
     ) -> Self {
-        let silence = silence_limit(&exchange);
+        let silence = silence_limit(&exchange).min(exchange.silence_limits().head);
         let (tables, service) = (exchange.tables.clone(), &exchange.service.name);
         let attempt_use = AttemptUse::open(tables, service, &chosen.id);
         let liveness = LivenessGuard::open(exchange.tables.clone(), chosen.path.as_ref());
@@ -113,9 +113,9 @@
         self.attempt_use.set_silent(false);
         if let Some((finding, _)) = self.silence.take() {
             self.log_silence(finding.cause, "ended", now);
-            if let Some(failed) = &finding.failed {
+            if finding.failed.as_ref() == Some(&self.chosen.id) {
                 // It has not ended, so that new requests need not avoid it.
-                self.exchange.tables.fleet.lock().readmit(failed);
+                self.exchange.tables.fleet.lock().readmit(&self.chosen.id);
             }
         }
         self.last_progress = now;
@@ -300,10 +300,7 @@
     async fn find_silent_target(&self, failure: &CallFailure, now: Instant) -> SilenceFinding {
         let (id, tables) = (&self.chosen.id, &self.exchange.tables);
         if matches!(failure, CallFailure::NoAnswer) {
-            // Behind a gateway, the gateway may be the one that stands still.
-            let is_direct = tables.way(id) == TargetWay::Direct;
-            let failed = is_direct.then(|| id.clone());
-            return SilenceFinding::new(SilenceCause::Still, failed);
+            return SilenceFinding::new(SilenceCause::Still, self.failed_if_direct());
         }
         tables.start_asking(id);
         if is_closed(tables, id, self.chosen.address, now).await {
@@ -318,7 +315,15 @@
             CallFailure::Unconnected(_) => SilenceCause::Unreachable,
             CallFailure::NoAnswer | CallFailure::Unusable(_) => SilenceCause::Still,
         };
-        SilenceFinding::new(cause, Some(id.clone()))
+        SilenceFinding::new(cause, self.failed_if_direct())
+    }
+
+    /// Returns the first engine as the one at fault, unless it was asked through a gateway, which
+    /// may be at fault itself.
+    fn failed_if_direct(&self) -> Option<TargetId> {
+        let id = &self.chosen.id;
+        let is_direct = self.exchange.tables.way(id) == TargetWay::Direct;
+        is_direct.then(|| id.clone())
     }
 
     /// Requests the pace of the engines of the path.
--- a/src/silence.rs
+++ b/src/silence.rs
@@ -168,12 +168,13 @@
 }
 
 /// Returns what an attempt beside a silent one may spend. A request would probably fail without
-/// another attempt if its target is out of reach, or waits for an engine that is.
+/// another attempt if its target is out of reach.
 pub fn retry_use(cause: SilenceCause) -> RetryUse {
     match cause {
-        SilenceCause::Unreachable | SilenceCause::Stalled | SilenceCause::LostLink => {
-            RetryUse::Replacement
-        }
-        SilenceCause::Working | SilenceCause::Still | SilenceCause::Closing => RetryUse::Spare,
+        SilenceCause::Unreachable | SilenceCause::LostLink => RetryUse::Replacement,
+        SilenceCause::Working
+        | SilenceCause::Still
+        | SilenceCause::Closing
+        | SilenceCause::Stalled => RetryUse::Spare,
     }
 }
