--- a/tests/forwarding/silence.rs
+++ b/tests/forwarding/silence.rs
@@ -239,3 +239,50 @@
         assert_eq!(other.seen().len(), 1);
     }
 }
+
+/// Guards against a target that is avoided because a request that has to wait for it takes long.
+#[tokio::test]
+async fn a_long_response_that_may_not_be_repeated_is_no_failure_of_its_target() {
+    let late = StubTarget::spawn(|seen| {
+        let pause = Step::Wait(Duration::from_millis(1900));
+        vec![pause, response(seen.id(), "200 OK", "fine")]
+    })
+    .await;
+    let host = TestHost::open();
+    host.add_plain("i-1", late.address);
+    let calls = [0, 1].map(|_| host.call("POST", "/unsafe/", "Content-Length: 0\r\n"));
+    let checking = async {
+        tokio::time::sleep(Duration::from_millis(1800)).await;
+        let fleet = host.tables.fleet.lock();
+        let state = fleet.get("i-1");
+        state.is_some_and(|state| state.is_usable(Instant::now()))
+    };
+    let (responses, is_usable) = tokio::join!(futures::future::join_all(calls), checking);
+    assert!(responses.iter().all(|response| response.status() == 200));
+    assert!(is_usable);
+}
+
+/// Guards against a failure of a target that is replaced by one of the host.
+#[tokio::test]
+async fn the_failure_that_a_target_returned_is_passed_on_if_the_other_attempt_breaks() {
+    let failing = StubTarget::spawn(|seen| {
+        let pause = Step::Wait(Duration::from_millis(1700));
+        vec![pause, response(seen.id(), "500 Oops", "sorry")]
+    })
+    .await;
+    let other = StubTarget::spawn(|_| vec![Step::Wait(Duration::from_millis(600)), Step::Reset]);
+    let other = other.await;
+    let host = TestHost::open();
+    host.add_plain("i-1", failing.address);
+    let serving = host.call("GET", "/safe/", "");
+    let adding = async {
+        while failing.seen().is_empty() {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+        host.add_plain("i-2", other.address);
+    };
+    let (response, ()) = tokio::join!(serving, adding);
+    assert_eq!(response.status(), 500, "{}", response.text);
+    assert!(response.text.ends_with("sorry"), "{}", response.text);
+    assert_eq!(other.seen().len(), 1);
+}
