--- a/src/forward/race.rs
+++ b/src/forward/race.rs
@@ -265,8 +265,10 @@
         let silent = now.saturating_duration_since(first.watch.last_progress);
         let has_begun = first.has_begun();
         let is_late = cause == SilenceCause::Working && !has_begun && silent >= limits.head;
-        // A request that has to wait for its response may take its whole time.
-        if is_late && is_repeatable && has_attempts && !first.is_late {
+        // A whole response may take all the time of a request that has to wait for it; the head
+        // of a stream is late by the objective of its route.
+        let is_limited = is_repeatable && (has_attempts || route.kind.is_stream());
+        if is_late && is_limited && !first.is_late {
             first.is_late = true;
             let (verdict, cause) = (RunVerdict::MayHaveRun, FailureCause::Timeout);
             let failure = AttemptFailure::new(verdict, cause);
