--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -13,13 +13,14 @@
 
 use super::admission_wait::StartProgress;
 use super::attempt::{AttemptFailure, FailureCause, OutgoingRequest};
+use super::attempt_policy::AttemptPurpose;
 use super::choice::{self, ChosenTarget};
 use super::head::{CallerHead, forwarded, request_size, shared_parts};
+use super::panics::{catch_panic, guard_body};
+use super::race::{AttemptRace, RaceEvent, RaceSide};
 use super::relay;
 use super::response::{Refusal, ResponseBody, whole_body};
-use super::response_end::ends_with_connection;
 use super::tables::ServingTables;
-use super::watch::PathWatch;
 use crate::fleet::RequestSize;
 use crate::ids::TargetId;
 use crate::ingress::{MatchedRequest, ServiceSpec, match_request};
@@ -34,9 +35,9 @@
 /// `Retry-After` of a request that arrives before the configuration: a start takes about
 /// a second.
 const NOT_READY_RETRY: Duration = Duration::from_secs(1);
-/// `Retry-After` of a request that a stopping host refuses: short, since the caller's
-/// next connection leads to another host.
-const DRAINING_RETRY: Duration = Duration::from_millis(50);
+/// `Retry-After` of a request that a stopping or overloaded host refuses: short, since the
+/// caller's next connection leads to another host.
+const OTHER_HOST_RETRY: Duration = Duration::from_millis(50);
 
 /// State that the attempts of one request share.
 #[derive(Debug)]
@@ -72,13 +73,12 @@
     let (parts, body) = request.into_parts();
     let head = CallerHead::read(&parts, arrived);
     let in_flight_request = InFlightRequest::open(tables.clone());
-    let opened = open(tables.clone(), parts, body, &head, arrived).await;
-    let result = match opened {
-        Err(refusal) => Err(refusal),
-        Ok(exchange) => forward(Arc::new(exchange), in_flight_request).await,
+    let handled = async {
+        let exchange = open(tables.clone(), parts, body, &head, arrived).await?;
+        forward(Arc::new(exchange), in_flight_request).await
     };
-    let mut response = match result {
-        Ok(response) => response,
+    let mut response = match catch_panic(&tables, &head.id, Box::pin(handled)).await {
+        Ok(response) => response.map(|body| guard_body(tables.clone(), &head.id, body)),
         Err(refusal) => refuse(&tables, &head.id, refusal, arrived),
     };
     if !response.headers().contains_key(names::ATTEMPT_ID)
@@ -89,6 +89,28 @@
     response
 }
 
+/// Reads a request and refuses it, since this host is overloaded and others are not.
+pub(super) async fn refuse_request(
+    tables: &ServingTables,
+    request: Request<Incoming>,
+) -> Response<ResponseBody> {
+    let arrived = Instant::now();
+    let (parts, body) = request.into_parts();
+    let head = CallerHead::read(&parts, arrived);
+    let limits = tables
+        .configuration
+        .load()
+        .as_ref()
+        .map(|known| known.limits);
+    let limit = limits.unwrap_or_default().body_bytes;
+    // A connection that is closed with unread bytes may lose the response.
+    let refusal = match read_body(body, limit).await {
+        Ok(_) => Refusal::not_run(RefusalReason::HostOverloaded, OTHER_HOST_RETRY),
+        Err(malformed) => malformed,
+    };
+    refuse(tables, &head.id, refusal, arrived)
+}
+
 fn refuse(
     tables: &ServingTables,
     id: &str,
@@ -149,7 +171,7 @@
     let service =
         service.ok_or_else(|| Refusal::not_run(RefusalReason::NoRoute, NO_ROUTE_RETRY))?;
     if tables.is_too_late(matched.route.kind.is_stream()) {
-        return Err(Refusal::not_run(RefusalReason::Draining, DRAINING_RETRY));
+        return Err(Refusal::not_run(RefusalReason::Draining, OTHER_HOST_RETRY));
     }
     let body = read_body(body, configuration.limits.body_bytes).await?;
     let target = parts.uri.path_and_query();
@@ -244,47 +266,71 @@
     in_flight_request: InFlightRequest,
 ) -> Result<Response<ResponseBody>, Refusal> {
     exchange.record_arrival();
-    let mut tried = TriedTargets::default();
+    let mut race = AttemptRace::new(exchange.clone());
     let mut failed_response = None;
     loop {
-        let started = Instant::now();
-        let (chosen, guard) = match exchange.choose_reachable(&tried, false).await {
-            Ok(chosen) => chosen,
-            // No other target is left: the response of the target that failed is
-            // returned.
-            Err(refusal) => return failed_response.ok_or(refusal.after(&tried)),
-        };
-        let limit = exchange.head_deadline(tried.sent, started);
-        let mut watch = PathWatch::open(exchange.clone(), chosen, guard, started);
-        let failure = match watch.send(None, limit).await {
-            Ok(response) if exchange.is_stream(&response) => {
-                exchange.observe_success(&watch.chosen);
-                return Ok(relay::open(watch, in_flight_request, tried, response));
+        if !race.is_open() {
+            let tried = &race.tried;
+            match exchange
+                .choose_reachable(tried, AttemptPurpose::Start)
+                .await
+            {
+                Ok((chosen, guard)) => race.open_first(chosen, guard, false),
+                // No other target is left: the response of the target that failed is
+                // returned.
+                Err(refusal) => return failed_response.ok_or(refusal.after(tried)),
+            }
+        }
+        match race.next().await {
+            RaceEvent::Head(side, head) => {
+                if let Some(attempt) = race.get(side) {
+                    exchange.observe_success(&attempt.watch.chosen);
+                }
+                return Ok(relay::open(race, in_flight_request, head));
             }
-            Ok(response) => match read_response(&watch, response).await {
-                Ok(response) if exchange.may_fail_over(&response, &tried) => {
-                    exchange.observe_failure(&watch.chosen, None);
-                    tried.count(&watch.chosen, true);
-                    tried.may_have_run = true;
+            RaceEvent::Whole(side, response) => {
+                let Some(attempt) = race.take(side) else {
+                    continue;
+                };
+                let chosen = &attempt.watch.chosen;
+                if exchange.goes_on_after(&response, &race) {
+                    exchange.observe_failure(chosen, None);
+                    race.tried.count(chosen, true);
+                    race.tried.may_have_run = true;
                     failed_response = Some(response);
                     continue;
                 }
-                Ok(response) => {
-                    exchange.observe_success(&watch.chosen);
-                    exchange.record_response(&watch.chosen, response.status().as_u16(), None);
-                    return Ok(response);
+                exchange.observe_success(chosen);
+                exchange.record_response(chosen, response.status().as_u16(), None);
+                return Ok(response);
+            }
+            RaceEvent::Failed(side, failure) => {
+                let Some(attempt) = race.take(side) else {
+                    continue;
+                };
+                attempt.watch.record_failure(&failure).await;
+                race.record_failure(&attempt, &failure);
+                drop(attempt);
+                if !race.is_open() && !exchange.may_retry(&failure, &race.tried, Instant::now()) {
+                    return failed_response.ok_or(final_refusal(&failure, &race.tried));
                 }
-                Err(failure) => {
-                    watch.record_failure(&failure).await;
-                    failure
+            }
+            RaceEvent::Poison => {
+                race.tried.may_have_run = true;
+                return Err(Refusal::poison().after(&race.tried));
+            }
+            RaceEvent::Deadline => {
+                let timed_out = AttemptFailure::new(RunVerdict::MayHaveRun, FailureCause::Timeout);
+                if let Some(attempt) = race.take(RaceSide::First)
+                    && !attempt.is_late
+                {
+                    let chosen = &attempt.watch.chosen;
+                    exchange.record_failure(chosen, &timed_out, &mut race.tried);
                 }
-            },
-            Err(failure) => failure,
-        };
-        watch.release();
-        exchange.record_failure(&watch.chosen, &failure, &mut tried);
-        if !exchange.may_retry(&failure, &tried, Instant::now()) {
-            return Err(final_refusal(&failure, &tried));
+                return failed_response.ok_or(final_refusal(&timed_out, &race.tried));
+            }
+            // Only a stream that has begun has events, and it is relayed from its head on.
+            RaceEvent::Events(..) | RaceEvent::End(_) | RaceEvent::Broken(..) => {}
         }
     }
 }
@@ -304,7 +350,7 @@
 }
 
 /// Targets that were tried for one request.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct TriedTargets {
     /// Targets that later attempts avoid.
     pub(super) avoid: Vec<TargetId>,
@@ -336,24 +382,8 @@
     }
 }
 
-/// Reads a complete response of the target of `watch`.
-async fn read_response(
-    watch: &PathWatch,
-    response: Response<Incoming>,
-) -> Result<Response<ResponseBody>, AttemptFailure> {
-    let ends_with_connection = ends_with_connection(response.headers());
-    let response = read_whole(response, watch.exchange.deadline).await?;
-    match ends_with_connection && watch.has_crashed().await {
-        true => {
-            let (verdict, cause) = (RunVerdict::MayHaveRun, FailureCause::Broken);
-            Err(AttemptFailure::new(verdict, cause))
-        }
-        false => Ok(response),
-    }
-}
-
 /// Reads a complete response, so that a truncated one is never passed on.
-async fn read_whole(
+pub(super) async fn read_whole(
     response: Response<Incoming>,
     deadline: Instant,
 ) -> Result<Response<ResponseBody>, AttemptFailure> {
--- a/src/silence.rs
+++ b/src/silence.rs
@@ -7,8 +7,13 @@
 //! requests of a target fall silent at once, so such attempts wait for evidence and take
 //! only a part of the retries.
 
+mod table;
+
 use std::time::Duration;
 
+use crate::retry::RetryUse;
+pub use table::SilenceTable;
+
 /// What is known about a target that sends nothing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SilenceCause {
@@ -98,7 +103,7 @@
     pub is_accompanied: bool,
     /// Whether targets crash under the request, so that it is sent to none.
     pub is_poison: bool,
-    /// Whether most targets of the service are silent, as far as this host knows.
+    /// Whether most targets of the service that this host uses stand still.
     pub is_widespread: bool,
 }
 
@@ -161,3 +166,15 @@
         _ => Accompany,
     }
 }
+
+/// Returns what an attempt beside a silent one may spend. A request would probably fail without
+/// another attempt if its target is out of reach.
+pub fn retry_use(cause: SilenceCause) -> RetryUse {
+    match cause {
+        SilenceCause::Unreachable | SilenceCause::LostLink => RetryUse::Replacement,
+        SilenceCause::Working
+        | SilenceCause::Still
+        | SilenceCause::Closing
+        | SilenceCause::Stalled => RetryUse::Spare,
+    }
+}
--- a/standins/src/soak/check.rs
+++ b/standins/src/soak/check.rs
@@ -7,6 +7,7 @@
 use super::history::{
     AttemptRecord, CallKind, CallOutcome, CallRecord, Disturbance, DisturbanceScope, SoakHistory,
 };
+use super::unfinished::unfinished_calls;
 
 /// Time after which a leaving target receives no new calls.
 const LEAVING_BOUND: Duration = Duration::from_secs(2);
@@ -55,6 +56,10 @@
     WrongLayers(String),
     /// A call ran that no caller sent.
     UnknownCall(String),
+    /// A response was cut while its target ran the call and its connection was open.
+    CutWhileTargetLived(String),
+    /// The connection of a call that the host had read ended without a response.
+    NoResponse(String),
     /// A shutdown by SIGTERM interrupted a call.
     LostAtShutdown(String),
     /// A target received a call too long after it had announced that it leaves.
@@ -85,6 +90,7 @@
     let mut violations = Vec::new();
     violations.extend(wrong_runs(history));
     violations.extend(wrong_responses(history));
+    violations.extend(unfinished_calls(history));
     violations.extend(regressions(history));
     let windows =
         [CallKind::Idempotent, CallKind::Stream].map(|kind| fullest_window(history, kind));
@@ -222,7 +228,7 @@
     violations
 }
 
-fn overlaps(disturbance: &Disturbance, from: Instant, until: Instant) -> bool {
+pub(super) fn overlaps(disturbance: &Disturbance, from: Instant, until: Instant) -> bool {
     disturbance.from <= until && disturbance.until >= from
 }
 
@@ -258,8 +264,10 @@
                 && disturbance.scope == DisturbanceScope::Host(call.host)
                 && overlaps(disturbance, call.sent, call.ended)
         });
-        call.outcome == CallOutcome::Interrupted
-            && read
+        matches!(
+            call.outcome,
+            CallOutcome::Interrupted | CallOutcome::Unanswered
+        ) && read
             && stopped
             && is_undisturbed(history, before(call.sent, UNDISTURBED_TIME), call.ended)
     });
--- a/standins/src/soak/engines.rs
+++ b/standins/src/soak/engines.rs
@@ -10,7 +10,7 @@
 use serde_json::json;
 
 use super::configuration::LAYERS;
-use super::history::{AttemptRecord, RunRecord};
+use super::history::{AttemptRecord, RunRecord, TargetBreak};
 
 /// Fault that a target shows on each of its requests.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -62,6 +62,7 @@
     paths: Mutex<HashMap<(String, SocketAddr), RunningPath>>,
     pub(super) runs: Mutex<Vec<RunRecord>>,
     pub(super) attempts: Mutex<Vec<AttemptRecord>>,
+    pub(super) breaks: Mutex<Vec<TargetBreak>>,
     /// When engines began to run requests that crash them.
     pub(super) poison_arrivals: Mutex<Vec<Instant>>,
 }
@@ -167,34 +168,46 @@
         paths.retain(|(other, _), path| other != id || path.number != number);
     }
 
-    /// Returns the first engine of a running stream that responds to no other, for which the
-    /// stream waits.
-    pub(super) fn stalled_at(&self, id: &str, number: u64) -> Option<SocketAddr> {
-        let addresses = self.path_of(id, number);
-        let own = addresses.first().copied();
-        let is_stalling = |address: &SocketAddr| {
-            let state = self.state(*address);
-            !state.reachable || (state.still && own != Some(*address))
-        };
-        addresses.into_iter().find(is_stalling)
+    /// Records that a target breaks the connection of a call.
+    pub(super) fn record_break(&self, id: &str) {
+        let (id, at) = (id.to_owned(), Instant::now());
+        self.breaks.lock().push(TargetBreak { id, at });
     }
 
-    /// Returns whether the first engine of a running stream, which sends its events, stands
-    /// still.
-    pub(super) fn stands_still(&self, id: &str, number: u64) -> bool {
-        let addresses = self.path_of(id, number);
-        addresses
-            .first()
-            .is_some_and(|address| self.state(*address).still)
+    /// Records that the connections of a target end.
+    pub(super) fn record_reset(&self, address: SocketAddr) {
+        let target = self.state(address).id;
+        let runs = self.runs.lock().clone();
+        for run in runs.iter().filter(|run| run.target == target) {
+            self.record_break(&run.id);
+        }
     }
 
-    /// Returns the engines of a running stream.
-    fn path_of(&self, id: &str, number: u64) -> Vec<SocketAddr> {
-        let paths = self.paths.lock();
-        let mut paths = paths.iter();
-        let found = paths.find(|((other, _), path)| other == id && path.number == number);
-        let parts = found.into_iter().flat_map(|(_, path)| &path.parts);
-        parts.map(|part| part.address).collect()
+    /// Records that a target ends, and with it the calls whose path it is part of.
+    pub(super) fn record_end(&self, address: SocketAddr) {
+        self.record_reset(address);
+        let paths = self.paths.lock().clone();
+        for ((id, _), path) in paths {
+            if path.parts.iter().any(|part| part.address == address) {
+                self.record_break(&id);
+            }
+        }
+    }
+
+    /// Returns the first engine of a running stream that gives the one that sends its events
+    /// no response, as it is unreachable or stands still.
+    pub(super) fn stalled_at(&self, id: &str, number: u64) -> Option<SocketAddr> {
+        let (sender, parts) = {
+            let paths = self.paths.lock();
+            let mut paths = paths.iter();
+            let found = paths.find(|((other, _), path)| other == id && path.number == number)?;
+            (found.0.1, found.1.parts.clone())
+        };
+        let mut addresses = parts.iter().map(|part| part.address);
+        addresses.find(|address| {
+            let state = self.state(*address);
+            !state.reachable || (state.still && *address != sender)
+        })
     }
 
     /// Returns the ids of the streams whose paths have an engine at `position`.
--- a/standins/src/soak/faults.rs
+++ b/standins/src/soak/faults.rs
@@ -1,13 +1,17 @@
 //! Injects the planned faults and ends them.
 
 use std::io;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use nix::sys::signal::Signal;
 
 use super::configuration::{CONFIGURATION, GRACE_S, HEARTBEAT_MS, configuration};
 use super::engines::TargetFault;
-use super::history::{Disturbance, DisturbanceScope, TargetDeparture, TargetLimit};
+use super::history::{
+    ConnectionLoss, Disturbance, DisturbanceScope, LossPeer, TargetDeparture, TargetLimit,
+};
+use super::host_link::LinkLoss;
 use super::link::LinkFault;
 use super::log_service::LogFaults;
 use super::plan::{FaultAction, PlannedFault};
@@ -21,7 +25,7 @@
 /// Minimum time for which a target advertises a limit, which has to be kept after 3 s.
 const MIN_LIMIT_TIME: Duration = Duration::from_secs(5);
 /// How long a fault may have effects after its end.
-const SETTLE_TIME: Duration = Duration::from_millis(300);
+pub(super) const SETTLE_TIME: Duration = Duration::from_millis(300);
 
 /// Action that ends a fault.
 #[derive(Debug, Clone, Copy)]
@@ -34,6 +38,8 @@
     HealService,
     HealTarget(usize),
     LiftLimit(usize),
+    /// Ends the standstill of the target behind an address, which may be leaving by then.
+    GoOn(SocketAddr),
     Replace(usize),
     Departed,
     StopNext(usize),
@@ -67,6 +73,16 @@
         });
     }
 
+    /// Records that connections of a host may end from `from` to `until`.
+    pub(super) fn record_loss(&self, host: usize, peer: LossPeer, from: Instant, until: Instant) {
+        self.context.history.lock().losses.push(ConnectionLoss {
+            host,
+            peer,
+            from,
+            until,
+        });
+    }
+
     pub(super) fn end_after(&mut self, duration: Duration, end: FaultEnd) {
         self.scheduled_ends.push((Instant::now() + duration, end));
     }
@@ -93,6 +109,10 @@
             FaultAction::Hangup(host) => self.hosts[host].host.signal(Signal::SIGHUP),
             FaultAction::FrontLink(host, fault) => {
                 self.record_disturbance(DisturbanceScope::Host(host), false, duration);
+                if fault == LinkFault::Reset {
+                    let now = Instant::now();
+                    self.record_loss(host, LossPeer::Callers, now, now + duration + SETTLE_TIME);
+                }
                 self.hosts[host].host.front.set(fault);
                 self.end_after(duration, FaultEnd::HealFront(host));
             }
@@ -103,6 +123,10 @@
             }
             FaultAction::HostLinks(host, loss) => {
                 self.record_disturbance(DisturbanceScope::Host(host), false, duration);
+                if loss == LinkLoss::Reset {
+                    let now = Instant::now();
+                    self.record_loss(host, LossPeer::Targets, now, now + duration + SETTLE_TIME);
+                }
                 self.hosts[host].host.target_links.send_replace(Some(loss));
                 self.end_after(duration, FaultEnd::HealLinks(host));
             }
@@ -130,6 +154,10 @@
             FaultAction::TargetLink(target, fault) => {
                 self.record_disturbance(DisturbanceScope::Target, false, duration);
                 let reachable = matches!(fault, LinkFault::None | LinkFault::Delay(_));
+                if fault == LinkFault::Reset {
+                    self.registry
+                        .record_reset(self.targets[target].link.address);
+                }
                 self.targets[target].link.set(fault);
                 self.targets[target].update(|state| state.reachable = reachable);
                 self.end_after(duration, FaultEnd::HealTarget(target));
@@ -161,6 +189,12 @@
             FaultAction::TargetLimits(target, per_second) => {
                 self.start_limiting(target, per_second, duration);
             }
+            FaultAction::TargetStandsStill(target) => {
+                self.record_disturbance(DisturbanceScope::Target, false, duration);
+                self.targets[target].stand_still();
+                let address = self.targets[target].link.address;
+                self.end_after(duration, FaultEnd::GoOn(address));
+            }
             FaultAction::Publish => self.publish(),
         }
         Ok(())
@@ -177,7 +211,10 @@
             Signal::SIGTERM
         });
         let now = Instant::now();
-        run.down = Some(HostDown {
+        if killed {
+            self.record_loss(index, LossPeer::Callers, now, now + STOP_SLACK);
+        }
+        self.hosts[index].down = Some(HostDown {
             since: now,
             start_at: now + duration,
             killed,
@@ -266,6 +303,12 @@
             FaultEnd::HealService => self.log_faults.set(LogFaults::default()),
             FaultEnd::HealTarget(target) => self.heal_target(target),
             FaultEnd::LiftLimit(target) => self.targets[target].update(|state| state.limit = None),
+            FaultEnd::GoOn(address) => {
+                let mut targets = self.targets.iter().chain(&self.leaving);
+                if let Some(target) = targets.find(|target| target.link.address == address) {
+                    target.go_on();
+                }
+            }
             FaultEnd::Replace(target) => self.replace(target).await?,
             FaultEnd::Departed => {
                 if !self.leaving.is_empty() {
--- a/standins/src/soak/silence.rs
+++ b/standins/src/soak/silence.rs
@@ -12,7 +12,7 @@
 use super::check::{CLOSE_RACE_TIME, Violation, find_violations};
 use super::configuration::{ENGINE_SERVICE, PLAIN_SERVICE, RetryBound};
 use super::engines::{PathPosition, TargetFault};
-use super::history::{CallKind, CallOutcome, CallRecord, RunRecord, SoakHistory};
+use super::history::{CallKind, CallOutcome, CallRecord, LossPeer, RunRecord, SoakHistory};
 use super::host_link::LinkLoss;
 use super::run::{LinkScope, SoakRun, SoakSettings, TargetFleet};
 
@@ -78,6 +78,8 @@
 pub enum UnansweredCall {
     /// The response was cut.
     Cut,
+    /// The connection ended without a response.
+    NoResponse,
     /// The response has this status, and is no true statement that the call has not run.
     Failed(u16),
     /// The response is not the one of the call.
@@ -162,6 +164,13 @@
     if plan.uses_gateway {
         let links = &run.hosts[DISTURBED_HOST].host.target_links;
         links.send_replace(Some(LinkLoss::Reset));
+        let lost = Instant::now();
+        run.record_loss(
+            DISTURBED_HOST,
+            LossPeer::Targets,
+            lost,
+            lost + ADAPTATION_TIME,
+        );
         run.publish_for(ADAPTATION_TIME).await?;
     }
     if plan.spends_retries {
@@ -181,6 +190,7 @@
     let mut history = SoakHistory {
         runs: std::mem::take(&mut *run.registry.runs.lock()),
         attempts: std::mem::take(&mut *run.registry.attempts.lock()),
+        breaks: std::mem::take(&mut *run.registry.breaks.lock()),
         recovered: true,
         ..history
     };
@@ -300,7 +310,8 @@
         | CallOutcome::Probe => None,
         CallOutcome::Completed { status: 200, .. } => Some(UnansweredCall::WrongResponse),
         CallOutcome::Completed { status, .. } => Some(UnansweredCall::Failed(status)),
-        CallOutcome::Interrupted => was_read().then_some(UnansweredCall::Cut),
+        CallOutcome::Interrupted => Some(UnansweredCall::Cut),
+        CallOutcome::Unanswered => was_read().then_some(UnansweredCall::NoResponse),
         CallOutcome::TimedOut => Some(UnansweredCall::TimedOut),
     }
 }
--- a/standins/src/soak/target.rs
+++ b/standins/src/soak/target.rs
@@ -56,6 +56,8 @@
     pub(super) spec: TargetSpec,
     pub(super) id: String,
     pub(super) link: FaultLink,
+    /// Link inside the target, which holds all bytes while its process stands still.
+    process: FaultLink,
     /// Links of hosts that have their own.
     host_links: Vec<HostLink>,
     registry: Arc<TargetRegistry>,
@@ -77,7 +79,8 @@
         topics: Arc<LogTopics>,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let link = FaultLink::open(Some(listener.local_addr()?)).await?;
+        let process = FaultLink::open(Some(listener.local_addr()?)).await?;
+        let link = FaultLink::open(Some(process.address)).await?;
         let state = TargetState {
             id: id.clone(),
             reachable: true,
@@ -95,6 +98,7 @@
             spec,
             id,
             link,
+            process,
             host_links: Vec::new(),
             registry,
             topics,
@@ -135,14 +139,17 @@
     /// Stops the target as SIGSTOP stops a process: connections are accepted, nothing is
     /// sent on any of them, and no heartbeat is written.
     pub(super) fn stand_still(&self) {
-        self.link.set(LinkFault::Blackhole);
+        self.process.set(LinkFault::Blackhole);
         self.update(|state| state.still = true);
     }
 
-    /// Continues after [`Self::stand_still`] with everything that the target held.
+    /// Continues after [`Self::stand_still`] with everything that the target held, unless its
+    /// process has ended.
     pub(super) fn go_on(&self) {
         self.update(|state| state.still = false);
-        self.link.set(LinkFault::None);
+        if self.process.fault() == LinkFault::Blackhole {
+            self.process.set(LinkFault::None);
+        }
     }
 
     /// Changes the state of the target.
@@ -160,6 +167,7 @@
         self.abort();
         self.link.set_server(None);
         self.link.set(LinkFault::Reset);
+        self.process.set(LinkFault::Reset);
     }
 
     /// Ends the process of the target, so that its port accepts no more connections.
@@ -170,6 +178,7 @@
     }
 
     fn abort(&self) {
+        self.registry.record_end(self.link.address);
         self.server_task.abort();
         self.heartbeat_task.abort();
     }
@@ -281,7 +290,10 @@
             let response = run(registry, address, call).await;
             // A host cannot act on a response that its link to the target holds back.
             let delivered = response.as_ref().ok();
-            let delivered = delivered.filter(|_| registry.state(address).reachable);
+            let delivered = delivered.filter(|_| {
+                let state = registry.state(address);
+                state.reachable && !state.still
+            });
             registry.attempts.lock().push(AttemptRecord {
                 id,
                 target: state.id.clone(),
@@ -337,6 +349,10 @@
         id: id.clone(),
         target: state.id.clone(),
         at: Instant::now(),
+        failed: matches!(
+            state.fault,
+            TargetFault::Fails | TargetFault::WrongRequestId | TargetFault::DropsResponse
+        ),
         layers_covered: path.as_ref().is_none_or(|path| covers_all_layers(path)),
     });
     let echoed = match state.fault {
@@ -360,7 +376,10 @@
             tokio::time::sleep(PLAIN_TIME).await;
             let text = plain_body(&id);
             match fault {
-                TargetFault::TruncatesBody => sealed(200, truncated_body(text)),
+                TargetFault::TruncatesBody => {
+                    registry.record_break(&id);
+                    sealed(200, truncated_body(text))
+                }
                 _ => sealed(200, full_body(text.into())),
             }
         }
@@ -374,7 +393,14 @@
                 TargetFault::TruncatesBody => StreamBehavior::TruncatesSoon,
                 _ => StreamBehavior::Complete,
             };
-            let events = stream_events(registry.clone(), id, path, call.last_event, behavior);
+            let events = stream_events(
+                registry.clone(),
+                address,
+                id,
+                path,
+                call.last_event,
+                behavior,
+            );
             sealed(200, events)
         }
     }
--- a/standins/tests/support/soaks.rs
+++ b/standins/tests/support/soaks.rs
@@ -26,6 +26,7 @@
         links: LinkScope::Fleet,
         targets: TargetFleet::Several,
         retries: RetryBound::default(),
+        standstills: false,
     };
     Ok((settings, folder))
 }
--- a/tests/forwarding/main.rs
+++ b/tests/forwarding/main.rs
@@ -2,15 +2,21 @@
 
 mod ended;
 mod gateway;
+mod gateway_silence;
 mod host;
+mod idle;
 mod leaving;
 mod limits;
+mod links;
 mod moves;
+mod overload;
 mod pauses;
 mod poison;
+mod shutdown;
 mod silence;
 mod starts;
 mod stub_target;
+mod unanswered;
 mod unframed;
 
 use std::sync::atomic::Ordering;
