Name hedges and unresponsive targets by the terms of the field

RaceSide -> AttemptRole RaceSide::First -> AttemptRole::Primary RaceSide::Beside -> AttemptRole::Hedge open_first -> open_primary open_beside -> open_hedge accompany -> choose_hedge AttemptPurpose::Beside -> AttemptPurpose::Hedge SilenceDecision::Accompany -> SilenceDecision::Hedge WaitReason::Accompanied -> WaitReason::Hedged is_accompanied -> is_hedged SilenceCause::Still -> SilenceCause::Unresponsive SilenceLimits::still -> SilenceLimits::unresponsive AttemptUse -> SilenceGuard PathWatch::silence -> PathWatch::silence_cause PathWatch::observe_silence -> PathWatch::mark_unresponsive

--- a/src/forward.rs
+++ b/src/forward.rs
@@ -7,7 +7,6 @@
 mod admission_wait;
 mod attempt;
 mod attempt_policy;
-mod attempt_use;
 mod choice;
 mod closed;
 mod connection_phase;
@@ -36,6 +35,7 @@
 mod response_end;
 mod retry_budgets;
 mod serve;
+mod silence_guard;
 pub mod socket;
 mod stream_times;
 mod tables;
--- a/src/forward/attempt_policy.rs
+++ b/src/forward/attempt_policy.rs
@@ -25,8 +25,8 @@
 use crate::silence::SilenceLimits;
 use crate::verdict::RunVerdict;
 
-/// Part of an idempotent request's time after which another attempt is made beside one that
-/// has not responded.
+/// Part of an idempotent request's time after which a hedge is made for an attempt that has not
+/// responded.
 const FIRST_ATTEMPT_SHARE: f64 = 0.5;
 /// Time to the head of a stream's response after which another attempt is made, in multiples
 /// of the route's latency aim. Callers of streams wait at least four times the aim.
@@ -39,8 +39,8 @@
     Start,
     /// The response continues after a part that the caller has.
     Resume,
-    /// Another attempt runs and may go on.
-    Beside,
+    /// Another attempt runs, whose target is silent.
+    Hedge,
 }
 
 impl Exchange {
@@ -60,7 +60,7 @@
         let full = chosen.path.as_ref().is_some_and(|path| path.full);
         let decided = match purpose {
             AttemptPurpose::Start => self.decide_start(&chosen, now),
-            AttemptPurpose::Resume | AttemptPurpose::Beside => None,
+            AttemptPurpose::Resume | AttemptPurpose::Hedge => None,
         };
         if let Some(decided) = decided {
             return decided.map(|()| chosen);
@@ -71,7 +71,7 @@
                 let after = self.tables.count_refusal(now);
                 Err(Refusal::not_run(RefusalReason::NoRoom, after))
             }
-            AttemptPurpose::Beside if full => {
+            AttemptPurpose::Hedge if full => {
                 Err(Refusal::not_run(RefusalReason::NoRoom, Duration::ZERO))
             }
             // A stream that has begun continues even if it has to wait for room: cutting it
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -17,7 +17,7 @@
 use super::choice::{self, ChosenTarget};
 use super::head::{CallerHead, forwarded, request_size, shared_parts};
 use super::panics::{catch_panic, guard_body};
-use super::race::{AttemptRace, RaceEvent, RaceSide};
+use super::race::{AttemptRace, AttemptRole, RaceEvent};
 use super::relay;
 use super::response::{Refusal, ResponseBody, whole_body};
 use super::tables::ServingTables;
@@ -275,21 +275,21 @@
                 .choose_reachable(tried, AttemptPurpose::Start)
                 .await
             {
-                Ok((chosen, guard)) => race.open_first(chosen, guard, false),
+                Ok((chosen, guard)) => race.open_primary(chosen, guard, false),
                 // No other target is left: the response of the target that failed is
                 // returned.
                 Err(refusal) => return failed_response.ok_or(refusal.after(tried)),
             }
         }
         match race.next().await {
-            RaceEvent::Head(side, head) => {
-                if let Some(attempt) = race.get(side) {
+            RaceEvent::Head(role, head) => {
+                if let Some(attempt) = race.get(role) {
                     exchange.observe_success(&attempt.watch.chosen);
                 }
                 return Ok(relay::open(race, in_flight_request, head));
             }
-            RaceEvent::Whole(side, response) => {
-                let Some(attempt) = race.take(side) else {
+            RaceEvent::Whole(role, response) => {
+                let Some(attempt) = race.take(role) else {
                     continue;
                 };
                 let chosen = &attempt.watch.chosen;
@@ -304,8 +304,8 @@
                 exchange.record_response(chosen, response.status().as_u16(), None);
                 return Ok(response);
             }
-            RaceEvent::Failed(side, failure) => {
-                let Some(attempt) = race.take(side) else {
+            RaceEvent::Failed(role, failure) => {
+                let Some(attempt) = race.take(role) else {
                     continue;
                 };
                 attempt.watch.record_failure(&failure).await;
@@ -321,7 +321,7 @@
             }
             RaceEvent::Deadline => {
                 let timed_out = AttemptFailure::new(RunVerdict::MayHaveRun, FailureCause::Timeout);
-                if let Some(attempt) = race.take(RaceSide::First)
+                if let Some(attempt) = race.take(AttemptRole::Primary)
                     && !attempt.is_late
                 {
                     let chosen = &attempt.watch.chosen;
--- a/src/forward/permit_wait.rs
+++ b/src/forward/permit_wait.rs
@@ -93,7 +93,7 @@
         let aim = matched.route.latency_aim;
         let longest = match purpose {
             AttemptPurpose::Resume => STREAM_WAIT,
-            AttemptPurpose::Start | AttemptPurpose::Beside => {
+            AttemptPurpose::Start | AttemptPurpose::Hedge => {
                 max_permit_wait(matched.priority, aim, rand::random())
             }
         };
--- a/src/forward/race.rs
+++ b/src/forward/race.rs
@@ -1,8 +1,8 @@
-//! The open attempts of one request: the first one, and one that is made beside it while its
-//! target is silent.
+//! The open attempts of one request: the primary one, and a hedge that is made while the target of
+//! the primary one is silent.
 //!
 //! An attempt that runs is left only for another one that delivers. [`crate::silence`] decides
-//! when another one is made.
+//! when a hedge is made.
 
 use std::sync::Arc;
 use std::time::Instant;
@@ -23,10 +23,13 @@
 use crate::silence::{SilenceCause, SilenceDecision, SilentRequest, WaitReason, decide, retry_use};
 use crate::verdict::RunVerdict;
 
+/// Largest number of targets that are tried for one request, sent or not.
+pub(super) const MAX_TRIED: usize = 6;
+
 /// Result of the choice of a target for another attempt.
 type AttemptChoice = Result<(ChosenTarget, InFlightGuard), Refusal>;
 
-/// The choice of a target for an attempt beside a silent one.
+/// The choice of a target for a hedge.
 struct PendingChoice {
     choosing: BoxFuture<'static, AttemptChoice>,
     since: Instant,
@@ -35,29 +38,29 @@
     retry_use: RetryUse,
 }
 
-/// Which attempt something has happened to.
+/// What an open attempt is for its request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum RaceSide {
+pub(super) enum AttemptRole {
     /// The attempt that the request relies on.
-    First,
-    /// The attempt beside it.
-    Beside,
+    Primary,
+    /// A further attempt, made while the target of the primary one is silent.
+    Hedge,
 }
 
 /// What has happened to the attempts of a request.
 pub(super) enum RaceEvent {
     /// A stream has begun; its head, without a body.
-    Head(RaceSide, Response<()>),
+    Head(AttemptRole, Response<()>),
     /// A whole response.
-    Whole(RaceSide, Response<ResponseBody>),
+    Whole(AttemptRole, Response<ResponseBody>),
     /// Complete events of a stream.
-    Events(RaceSide, Bytes),
+    Events(AttemptRole, Bytes),
     /// A stream is complete.
-    End(RaceSide),
+    End(AttemptRole),
     /// A stream broke off.
-    Broken(RaceSide, &'static str),
+    Broken(AttemptRole, &'static str),
     /// An attempt gave no response.
-    Failed(RaceSide, AttemptFailure),
+    Failed(AttemptRole, AttemptFailure),
     /// Targets crash under the request, and its target is silent.
     Poison,
     /// The deadline has passed.
@@ -73,8 +76,9 @@
     pub(super) last_event: Option<String>,
     /// Whether the caller has a part of the response.
     pub(super) is_answering: bool,
-    first: Option<OpenAttempt>,
-    beside: Option<OpenAttempt>,
+    primary: Option<OpenAttempt>,
+    hedge: Option<OpenAttempt>,
+    /// The choice of a target for a hedge that is to be made.
     choice: Option<PendingChoice>,
     /// Whether a retry was spent on an attempt that then sent nothing.
     has_unused_retry: bool,
@@ -87,8 +91,8 @@
             tried: TriedTargets::default(),
             last_event: None,
             is_answering: false,
-            first: None,
-            beside: None,
+            primary: None,
+            hedge: None,
             choice: None,
             has_unused_retry: false,
         }
@@ -96,10 +100,15 @@
 
     /// Starts the attempt that the request relies on. `is_paid` says whether a retry was
     /// spent on it.
-    pub(super) fn open_first(&mut self, chosen: ChosenTarget, guard: InFlightGuard, is_paid: bool) {
+    pub(super) fn open_primary(
+        &mut self,
+        chosen: ChosenTarget,
+        guard: InFlightGuard,
+        is_paid: bool,
+    ) {
         let mut attempt = self.open_attempt(chosen, guard);
         attempt.is_paid = is_paid;
-        self.first = Some(attempt);
+        self.primary = Some(attempt);
     }
 
     fn open_attempt(&self, chosen: ChosenTarget, guard: InFlightGuard) -> OpenAttempt {
@@ -107,30 +116,29 @@
         OpenAttempt::open(exchange, chosen, guard, last_event, Instant::now())
     }
 
-    /// Returns the attempt on one side, if it is open.
-    pub(super) fn get(&self, side: RaceSide) -> Option<&OpenAttempt> {
-        match side {
-            RaceSide::First => self.first.as_ref(),
-            RaceSide::Beside => self.beside.as_ref(),
+    /// Returns the attempt in a role, if it is open.
+    pub(super) fn get(&self, role: AttemptRole) -> Option<&OpenAttempt> {
+        match role {
+            AttemptRole::Primary => self.primary.as_ref(),
+            AttemptRole::Hedge => self.hedge.as_ref(),
         }
     }
 
-    /// Returns the attempt on one side, mutably, if it is open.
-    pub(super) fn get_mut(&mut self, side: RaceSide) -> Option<&mut OpenAttempt> {
-        match side {
-            RaceSide::First => self.first.as_mut(),
-            RaceSide::Beside => self.beside.as_mut(),
+    /// Returns the attempt in a role, mutably, if it is open.
+    pub(super) fn get_mut(&mut self, role: AttemptRole) -> Option<&mut OpenAttempt> {
+        match role {
+            AttemptRole::Primary => self.primary.as_mut(),
+            AttemptRole::Hedge => self.hedge.as_mut(),
         }
     }
 
-    /// Takes the attempt on one side out of the race. The other one, if there is one, becomes
-    /// the first.
-    pub(super) fn take(&mut self, side: RaceSide) -> Option<OpenAttempt> {
-        let taken = match side {
-            RaceSide::First => std::mem::replace(&mut self.first, self.beside.take()),
-            RaceSide::Beside => self.beside.take(),
+    /// Takes an attempt out of the race. A hedge becomes the primary attempt if that one is taken.
+    pub(super) fn take(&mut self, role: AttemptRole) -> Option<OpenAttempt> {
+        let taken = match role {
+            AttemptRole::Primary => std::mem::replace(&mut self.primary, self.hedge.take()),
+            AttemptRole::Hedge => self.hedge.take(),
         };
-        if side == RaceSide::First {
+        if role == AttemptRole::Primary {
             self.choice = None;
         }
         taken
@@ -138,25 +146,25 @@
 
     /// Returns whether an attempt is open.
     pub(super) fn is_open(&self) -> bool {
-        self.first.is_some()
+        self.primary.is_some()
     }
 
-    /// Relies on the attempt on one side, which has delivered, and closes the other one.
-    pub(super) fn keep(&mut self, side: RaceSide) {
+    /// Makes an attempt that has delivered the primary one, and closes the other one.
+    pub(super) fn keep(&mut self, role: AttemptRole) {
         self.choice = None;
-        let closed = match side {
-            RaceSide::First => self.beside.take(),
-            RaceSide::Beside => {
-                let beside = self.beside.take();
-                std::mem::replace(&mut self.first, beside)
+        let closed = match role {
+            AttemptRole::Primary => self.hedge.take(),
+            AttemptRole::Hedge => {
+                let hedge = self.hedge.take();
+                std::mem::replace(&mut self.primary, hedge)
             }
         };
         let Some(mut closed) = closed else {
             return;
         };
-        let action = match side {
-            RaceSide::First => "outrun",
-            RaceSide::Beside => "replaced",
+        let action = match role {
+            AttemptRole::Primary => "overtaken",
+            AttemptRole::Hedge => "replaced",
         };
         closed.watch.end_silence(action);
         if closed.is_sent() {
@@ -165,14 +173,17 @@
         } else {
             self.has_unused_retry |= closed.is_paid;
         }
-        if side == RaceSide::Beside && self.is_answering {
+        if role == AttemptRole::Hedge && self.is_answering {
             self.log_resumed("silent", &closed.watch.chosen);
         }
     }
 
-    /// Logs that the stream continues on the first attempt.
+    /// Logs that the stream continues on the primary attempt.
     pub(super) fn log_resumed(&self, reason: &str, from: &ChosenTarget) {
-        let to = self.first.as_ref().map(|first| &*first.watch.chosen.id);
+        let to = self
+            .primary
+            .as_ref()
+            .map(|primary| &*primary.watch.chosen.id);
         self.exchange.tables.metrics.repaired("resumed");
         log::info!(
             request:% = self.exchange.outgoing.id,
@@ -185,53 +196,52 @@
     }
 
     /// Waits for the next event of any attempt. Meanwhile, attempts are moved away from lost
-    /// engines, and another one is made beside a silent one.
+    /// engines, and a hedge is made for a silent one.
     pub(super) async fn next(&mut self) -> RaceEvent {
         loop {
-            let (side, step) = tokio::select! {
-                step = step_of(&mut self.first) => (RaceSide::First, step),
-                step = step_of(&mut self.beside) => (RaceSide::Beside, step),
+            let (role, step) = tokio::select! {
+                step = step_of(&mut self.primary) => (AttemptRole::Primary, step),
+                step = step_of(&mut self.hedge) => (AttemptRole::Hedge, step),
                 chosen = choice_of(&mut self.choice) => {
                     if let Some(choice) = self.choice.take() {
-                        self.open_beside(chosen, &choice);
+                        self.open_hedge(chosen, &choice);
                     }
                     continue;
                 }
             };
             return match step {
                 AttemptStep::EngineLost => {
-                    if let Some(attempt) = self.get_mut(side) {
+                    if let Some(attempt) = self.get_mut(role) {
                         attempt.watch.handle_lost_engine().await;
                     }
                     continue;
                 }
-                AttemptStep::Silent(finding) => match self.handle_silence(side, finding).await {
+                AttemptStep::Silent(finding) => match self.handle_silence(role, finding).await {
                     true => RaceEvent::Poison,
                     false => continue,
                 },
-                AttemptStep::Head(head) => RaceEvent::Head(side, head),
-                AttemptStep::Whole(response) => RaceEvent::Whole(side, response),
-                AttemptStep::Events(events) => RaceEvent::Events(side, events),
-                AttemptStep::End => RaceEvent::End(side),
-                AttemptStep::Broken(reason) => RaceEvent::Broken(side, reason),
-                AttemptStep::Failed(failure) => RaceEvent::Failed(side, failure),
+                AttemptStep::Head(head) => RaceEvent::Head(role, head),
+                AttemptStep::Whole(response) => RaceEvent::Whole(role, response),
+                AttemptStep::Events(events) => RaceEvent::Events(role, events),
+                AttemptStep::End => RaceEvent::End(role),
+                AttemptStep::Broken(reason) => RaceEvent::Broken(role, reason),
+                AttemptStep::Failed(failure) => RaceEvent::Failed(role, failure),
                 AttemptStep::Deadline => RaceEvent::Deadline,
             };
         }
     }
 
-    /// Moves a silent attempt, or makes another one beside it. Returns whether the request is
-    /// to end.
-    async fn handle_silence(&mut self, side: RaceSide, finding: SilenceFinding) -> bool {
-        let Some(attempt) = self.get_mut(side) else {
+    /// Moves a silent attempt, or makes a hedge. Returns whether the request is to end.
+    async fn handle_silence(&mut self, role: AttemptRole, finding: SilenceFinding) -> bool {
+        let Some(attempt) = self.get_mut(role) else {
             return false;
         };
-        attempt.watch.observe_silence(&finding);
+        attempt.watch.mark_unresponsive(&finding);
         if attempt.watch.repair_silent(&finding).await {
             return false;
         }
-        if side == RaceSide::Beside {
-            let action = WaitReason::Accompanied.name();
+        if role == AttemptRole::Hedge {
+            let action = WaitReason::Hedged.name();
             attempt.watch.note_silence(&finding, action);
             return false;
         }
@@ -245,10 +255,10 @@
         let action = match decision {
             SilenceDecision::Wait(reason) => reason.name(),
             SilenceDecision::End => return true,
-            SilenceDecision::Accompany => self.accompany(&finding, now),
+            SilenceDecision::Hedge => self.choose_hedge(&finding, now),
         };
-        if let Some(first) = &mut self.first {
-            first.watch.note_silence(&finding, action);
+        if let Some(primary) = &mut self.primary {
+            primary.watch.note_silence(&finding, action);
         }
         false
     }
@@ -258,21 +268,21 @@
         let limits = exchange.silence_limits();
         let route = &exchange.matched.route;
         let is_repeatable = route.kind.is_repeatable();
-        // The first attempt counts as well.
+        // The primary attempt counts as well.
         let sent = self.tried.sent + 1;
         let has_attempts = sent < route.max_attempts && self.tried.len() < MAX_TRIED;
-        let first = self.first.as_mut()?;
-        let silent = now.saturating_duration_since(first.watch.last_progress);
-        let has_begun = first.has_begun();
+        let primary = self.primary.as_mut()?;
+        let silent = now.saturating_duration_since(primary.watch.last_progress);
+        let has_begun = primary.has_begun();
         let is_late = cause == SilenceCause::Working && !has_begun && silent >= limits.head;
         // A whole response may take all the time of a request that has to wait for it; the head
         // of a stream is late by the objective of its route.
         let is_limited = is_repeatable && (has_attempts || route.kind.is_stream());
-        if is_late && is_limited && !first.is_late {
-            first.is_late = true;
+        if is_late && is_limited && !primary.is_late {
+            primary.is_late = true;
             let (verdict, cause) = (RunVerdict::MayHaveRun, FailureCause::Timeout);
             let failure = AttemptFailure::new(verdict, cause);
-            exchange.observe_failure(&first.watch.chosen, Some(&failure));
+            exchange.observe_failure(&primary.watch.chosen, Some(&failure));
         }
         Some(SilentRequest {
             cause,
@@ -280,15 +290,15 @@
             has_begun,
             is_repeatable,
             has_attempts,
-            is_accompanied: self.beside.is_some() || self.choice.is_some(),
+            is_hedged: self.hedge.is_some() || self.choice.is_some(),
             is_poison: exchange.is_poison(now),
             is_widespread: exchange.is_silence_widespread(),
         })
     }
 
-    /// Starts to choose a target for another attempt, if a retry is left for it. Returns the
-    /// action for logs and metrics.
-    fn accompany(&mut self, finding: &SilenceFinding, now: Instant) -> &'static str {
+    /// Starts to choose a target for a hedge, if a retry is left for it. Returns the action for
+    /// logs and metrics.
+    fn choose_hedge(&mut self, finding: &SilenceFinding, now: Instant) -> &'static str {
         let exchange = self.exchange.clone();
         let retry_use = retry_use(finding.cause);
         if !self.has_retry(retry_use, now) {
@@ -298,13 +308,13 @@
         tried.sent += 1;
         if finding.cause != SilenceCause::LostLink {
             // Two runs of a request on the same first engine cannot be told apart there.
-            let first = self.first.as_ref();
+            let primary = self.primary.as_ref();
             tried
                 .avoid
-                .extend(first.map(|first| first.watch.chosen.id.clone()));
+                .extend(primary.map(|primary| primary.watch.chosen.id.clone()));
             tried.avoid.extend(finding.failed.clone());
         }
-        let purpose = AttemptPurpose::Beside;
+        let purpose = AttemptPurpose::Hedge;
         let choosing = async move { exchange.choose_reachable(&tried, purpose).await };
         self.choice = Some(PendingChoice {
             choosing: Box::pin(choosing),
@@ -312,7 +322,7 @@
             finding: finding.clone(),
             retry_use,
         });
-        "accompanied"
+        "hedged"
     }
 
     fn has_retry(&self, retry_use: RetryUse, now: Instant) -> bool {
@@ -334,10 +344,10 @@
         self.has_unused_retry |= attempt.is_paid && !failure.was_sent();
     }
 
-    fn open_beside(&mut self, chosen: AttemptChoice, choice: &PendingChoice) {
+    fn open_hedge(&mut self, chosen: AttemptChoice, choice: &PendingChoice) {
         let now = Instant::now();
-        let first = self.first.as_ref();
-        if first.is_some_and(|first| first.watch.last_progress > choice.since) {
+        let primary = self.primary.as_ref();
+        if primary.is_some_and(|primary| primary.watch.last_progress > choice.since) {
             return;
         }
         let denied = match chosen {
@@ -346,21 +356,18 @@
             {
                 let mut attempt = self.open_attempt(chosen, guard);
                 attempt.is_paid = true;
-                self.beside = Some(attempt);
+                self.hedge = Some(attempt);
                 return;
             }
             Ok(_) => "no_retry",
             Err(refusal) => refusal.reason.name(),
         };
-        if let Some(first) = &mut self.first {
-            first.watch.note_silence(&choice.finding, denied);
+        if let Some(primary) = &mut self.primary {
+            primary.watch.note_silence(&choice.finding, denied);
         }
     }
 }
 
-/// Largest number of targets that are tried for one request, sent or not.
-pub(super) const MAX_TRIED: usize = 6;
-
 async fn step_of(attempt: &mut Option<OpenAttempt>) -> AttemptStep {
     match attempt {
         Some(attempt) => attempt.step().await,
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -15,7 +15,7 @@
 use super::choice::ChosenTarget;
 use super::exchange::{Exchange, InFlightRequest};
 use super::open_attempt::OpenAttempt;
-use super::race::{AttemptRace, RaceEvent, RaceSide};
+use super::race::{AttemptRace, AttemptRole, RaceEvent};
 use super::response::ResponseBody;
 use super::stream_times::StreamTimes;
 use crate::silence::SilenceCause;
@@ -61,23 +61,23 @@
     async fn next(&mut self) -> std::io::Result<Option<Bytes>> {
         loop {
             match self.race.next().await {
-                RaceEvent::Events(side, events) => {
-                    self.race.keep(side);
+                RaceEvent::Events(role, events) => {
+                    self.race.keep(role);
                     self.observe_events();
                     return Ok(Some(events));
                 }
-                RaceEvent::End(side) if self.has_crashed(side).await => {
-                    self.handle_break(side, "target ended").await?;
+                RaceEvent::End(role) if self.has_crashed(role).await => {
+                    self.handle_break(role, "target ended").await?;
                 }
-                RaceEvent::End(side) => {
-                    self.race.keep(side);
+                RaceEvent::End(role) => {
+                    self.race.keep(role);
                     self.record_response();
                     return Ok(None);
                 }
-                RaceEvent::Head(side, _) => self.observe_success(side),
-                RaceEvent::Broken(side, reason) => self.handle_break(side, reason).await?,
-                RaceEvent::Failed(side, failure) => self.handle_failure(side, &failure).await?,
-                RaceEvent::Whole(side, _) => self.handle_failed_response(side).await?,
+                RaceEvent::Head(role, _) => self.observe_success(role),
+                RaceEvent::Broken(role, reason) => self.handle_break(role, reason).await?,
+                RaceEvent::Failed(role, failure) => self.handle_failure(role, &failure).await?,
+                RaceEvent::Whole(role, _) => self.handle_failed_response(role).await?,
                 RaceEvent::Poison => return Err(self.cut("silent", "poison_request")),
                 RaceEvent::Deadline => return Err(self.cut("deadline", "no_time")),
             }
@@ -85,8 +85,8 @@
     }
 
     fn observe_events(&mut self) {
-        let first = self.race.get(RaceSide::First);
-        if let Some(last) = first.and_then(OpenAttempt::last_event) {
+        let primary = self.race.get(AttemptRole::Primary);
+        if let Some(last) = primary.and_then(OpenAttempt::last_event) {
             self.race.last_event = Some(last.to_owned());
         }
         let metrics = &self.exchange.tables.metrics;
@@ -96,29 +96,29 @@
         }
     }
 
-    fn observe_success(&self, side: RaceSide) {
-        if let Some(attempt) = self.race.get(side) {
+    fn observe_success(&self, role: AttemptRole) {
+        if let Some(attempt) = self.race.get(role) {
             self.exchange.observe_success(&attempt.watch.chosen);
         }
     }
 
-    async fn has_crashed(&mut self, side: RaceSide) -> bool {
-        match self.race.get_mut(side) {
+    async fn has_crashed(&mut self, role: AttemptRole) -> bool {
+        match self.race.get_mut(role) {
             Some(attempt) => attempt.has_crashed().await,
             None => false,
         }
     }
 
     fn record_response(&self) {
-        if let Some(first) = self.race.get(RaceSide::First) {
-            let (chosen, times) = (&first.watch.chosen, Some(self.times));
+        if let Some(primary) = self.race.get(AttemptRole::Primary) {
+            let (chosen, times) = (&primary.watch.chosen, Some(self.times));
             self.exchange.record_response(chosen, self.status, times);
         }
     }
 
     /// Records that the stream of an attempt broke off, and continues without it.
-    async fn handle_break(&mut self, side: RaceSide, reason: &str) -> std::io::Result<()> {
-        let Some(mut attempt) = self.race.take(side) else {
+    async fn handle_break(&mut self, role: AttemptRole, reason: &str) -> std::io::Result<()> {
+        let Some(mut attempt) = self.race.take(role) else {
             return Ok(());
         };
         attempt.watch.end_silence("broke");
@@ -144,10 +144,10 @@
     /// Records that an attempt gave no response, and continues without it.
     async fn handle_failure(
         &mut self,
-        side: RaceSide,
+        role: AttemptRole,
         failure: &AttemptFailure,
     ) -> std::io::Result<()> {
-        let Some(attempt) = self.race.take(side) else {
+        let Some(attempt) = self.race.take(role) else {
             return Ok(());
         };
         attempt.watch.record_failure(failure).await;
@@ -157,8 +157,8 @@
 
     /// Records that an attempt to resume the stream returned a failure of the target, and
     /// continues without it.
-    async fn handle_failed_response(&mut self, side: RaceSide) -> std::io::Result<()> {
-        let Some(attempt) = self.race.take(side) else {
+    async fn handle_failed_response(&mut self, role: AttemptRole) -> std::io::Result<()> {
+        let Some(attempt) = self.race.take(role) else {
             return Ok(());
         };
         self.exchange.observe_failure(&attempt.watch.chosen, None);
@@ -183,7 +183,7 @@
             .await
         {
             Ok((chosen, guard)) => {
-                self.race.open_first(chosen, guard, true);
+                self.race.open_primary(chosen, guard, true);
                 self.race.log_resumed(reason, from);
                 Ok(())
             }
@@ -206,11 +206,11 @@
     }
 
     fn cut(&mut self, reason: &str, denied: &str) -> std::io::Error {
-        match self.race.take(RaceSide::First) {
-            Some(mut first) => {
-                let cause = first.watch.silence();
-                first.watch.end_silence("cut");
-                self.log_cut(&first.watch.chosen, cause, reason, denied)
+        match self.race.take(AttemptRole::Primary) {
+            Some(mut primary) => {
+                let cause = primary.watch.silence_cause();
+                primary.watch.end_silence("cut");
+                self.log_cut(&primary.watch.chosen, cause, reason, denied)
             }
             None => std::io::Error::other(reason.to_owned()),
         }
--- a/src/forward/attempt_use.rs
+++ b/src/forward/silence_guard.rs
@@ -7,13 +7,13 @@
 
 /// An attempt in the table of silences until it is dropped.
 #[derive(Debug)]
-pub(super) struct AttemptUse {
+pub(super) struct SilenceGuard {
     tables: Arc<ServingTables>,
     target: TargetId,
     is_silent: bool,
 }
 
-impl AttemptUse {
+impl SilenceGuard {
     pub(super) fn open(tables: Arc<ServingTables>, service: &ServiceId, target: &TargetId) -> Self {
         tables.silences.lock().observe_start(service, target);
         Self {
@@ -33,7 +33,7 @@
     }
 }
 
-impl Drop for AttemptUse {
+impl Drop for SilenceGuard {
     fn drop(&mut self) {
         let mut silences = self.tables.silences.lock();
         silences.observe_end(&self.target, self.is_silent);
--- a/src/forward/watch.rs
+++ b/src/forward/watch.rs
@@ -1,11 +1,10 @@
-//! Watches an attempt on its path and finds the engine that stalls it. The attempt is then
-//! moved (`repath`).
+//! Watches an attempt on its path, and finds out why it is silent and which engine stalls it.
+//! The attempt is then moved (`repath`) or hedged (`race`).
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use super::attempt::{AttemptFailure, FailureCause};
-use super::attempt_use::AttemptUse;
 use super::choice::ChosenTarget;
 use super::closed::is_closed;
 use super::exchange::Exchange;
@@ -13,6 +12,7 @@
 use super::liveness::LivenessGuard;
 use super::probe::{CallFailure, fetch_report};
 use super::response_end::has_crashed;
+use super::silence_guard::SilenceGuard;
 use super::tables::InFlightGuard;
 use crate::fleet::{EnginePath, PathHop};
 use crate::ids::TargetId;
@@ -50,7 +50,7 @@
     start: RunStart,
     /// What the last check of the current silence found, and what was decided.
     silence: Option<(SilenceFinding, &'static str)>,
-    attempt_use: AttemptUse,
+    silence_guard: SilenceGuard,
 }
 
 /// What a check of a silent attempt found.
@@ -76,7 +76,7 @@
     ) -> Self {
         let silence = silence_limit(&exchange).min(exchange.silence_limits().head);
         let (tables, service) = (exchange.tables.clone(), &exchange.service.name);
-        let attempt_use = AttemptUse::open(tables, service, &chosen.id);
+        let silence_guard = SilenceGuard::open(tables, service, &chosen.id);
         let liveness = LivenessGuard::open(exchange.tables.clone(), chosen.path.as_ref());
         Self {
             exchange,
@@ -89,7 +89,7 @@
             gateway: None,
             start: RunStart::default(),
             silence: None,
-            attempt_use,
+            silence_guard,
         }
     }
 
@@ -110,7 +110,7 @@
 
     /// Records progress, which postpones the next check.
     pub(super) fn observe_progress(&mut self, now: Instant) {
-        self.attempt_use.set_silent(false);
+        self.silence_guard.set_silent(false);
         if let Some((finding, _)) = self.silence.take() {
             self.log_silence(finding.cause, "ended", now);
             if finding.failed.as_ref() == Some(&self.chosen.id) {
@@ -176,7 +176,7 @@
     /// is therefore moved away from it if possible, and stays where it is otherwise.
     pub(super) async fn repair_silent(&mut self, finding: &SilenceFinding) -> bool {
         match finding.cause {
-            SilenceCause::Still | SilenceCause::Unreachable | SilenceCause::Closing => false,
+            SilenceCause::Unresponsive | SilenceCause::Unreachable | SilenceCause::Closing => false,
             SilenceCause::Working | SilenceCause::Stalled | SilenceCause::LostLink => {
                 let unavailable = self.unavailable_later_engine(Instant::now());
                 match unavailable.or_else(|| finding.failed.clone()) {
@@ -187,10 +187,10 @@
         }
     }
 
-    /// Records what was found about the current silence.
-    pub(super) fn observe_silence(&mut self, finding: &SilenceFinding) {
-        let is_still = finding.cause == SilenceCause::Still;
-        self.attempt_use.set_silent(is_still);
+    /// Records whether the target does not respond.
+    pub(super) fn mark_unresponsive(&mut self, finding: &SilenceFinding) {
+        let is_unresponsive = finding.cause == SilenceCause::Unresponsive;
+        self.silence_guard.set_silent(is_unresponsive);
     }
 
     /// Notes what was found about the current silence and what was decided, and logs it
@@ -224,7 +224,7 @@
     }
 
     /// Returns what the last check of the current silence found, if there was one.
-    pub(super) fn silence(&self) -> Option<SilenceCause> {
+    pub(super) fn silence_cause(&self) -> Option<SilenceCause> {
         self.silence.as_ref().map(|(finding, _)| finding.cause)
     }
 
@@ -300,7 +300,7 @@
     async fn find_silent_target(&self, failure: &CallFailure, now: Instant) -> SilenceFinding {
         let (id, tables) = (&self.chosen.id, &self.exchange.tables);
         if matches!(failure, CallFailure::NoAnswer) {
-            return SilenceFinding::new(SilenceCause::Still, self.failed_if_direct());
+            return SilenceFinding::new(SilenceCause::Unresponsive, self.failed_if_direct());
         }
         tables.start_asking(id);
         if is_closed(tables, id, self.chosen.address, now).await {
@@ -313,7 +313,7 @@
         }
         let cause = match failure {
             CallFailure::Unconnected(_) => SilenceCause::Unreachable,
-            CallFailure::NoAnswer | CallFailure::Unusable(_) => SilenceCause::Still,
+            CallFailure::NoAnswer | CallFailure::Unusable(_) => SilenceCause::Unresponsive,
         };
         SilenceFinding::new(cause, self.failed_if_direct())
     }
--- a/src/retry/window.rs
+++ b/src/retry/window.rs
@@ -6,7 +6,7 @@
 /// Fraction of the allowed retries that accrues evenly over a window; the rest may be spent
 /// at once. A process in its first window has the former alone.
 const STEADY_SHARE: f64 = 0.7;
-/// Part of what may be spent that attempts beside a running one use. The rest is for requests
+/// Part of what may be spent that hedges of running attempts use. The rest is for requests
 /// that would fail without a retry.
 const SPARE_SHARE: f64 = 0.5;
 /// Time after which the rounding of a budget changes, so that a host with a small share is
--- a/tests/forwarding/silence.rs
+++ b/tests/forwarding/silence.rs
@@ -87,9 +87,9 @@
     assert!(response.is_whole_stream(), "{}", response.text);
 }
 
-/// Guards against a stream that is cut because the attempt beside a silent one fails.
+/// Guards against a stream that is cut because its hedge fails.
 #[tokio::test]
-async fn a_stream_continues_after_an_attempt_beside_it_has_failed() {
+async fn a_stream_continues_after_its_hedge_has_failed() {
     for failing in [vec![not_executed()], vec![Step::Reset]] {
         let still = still_engine(Duration::from_millis(1800)).await;
         let host = TestHost::open();
@@ -130,11 +130,11 @@
     assert!(response.is_whole_stream(), "{}", response.text);
     let resumed = other.seen().into_iter();
     let mut resumed = resumed.filter(|seen| !seen.head.starts_with(REPORT));
-    let resumed = resumed.next().expect("an attempt beside the first");
+    let resumed = resumed.next().expect("a hedge");
     assert_eq!(resumed.header("last-event-id"), Some("1"));
 }
 
-/// Guards against an attempt beside a silent one that takes over although the first one went on.
+/// Guards against a hedge that takes over although the first attempt went on.
 #[tokio::test]
 async fn a_stream_that_goes_on_keeps_its_engine_and_the_other_attempt_is_closed() {
     let still = still_engine(Duration::from_millis(1900)).await;
@@ -215,7 +215,7 @@
     assert_eq!(late.seen().len(), 1);
 }
 
-/// Guards against a whole response that is lost because the attempt beside it fails.
+/// Guards against a whole response that is lost because its hedge fails.
 #[tokio::test]
 async fn an_idempotent_request_gets_the_first_response_of_two_attempts() {
     for other in [Step::Reset, Step::Hold] {
--- a/tests/silence_model/decisions.rs
+++ b/tests/silence_model/decisions.rs
@@ -9,13 +9,13 @@
 use proptest::test_runner::RngSeed;
 
 const LIMITS: SilenceLimits = SilenceLimits {
-    still: Duration::from_millis(1300),
+    unresponsive: Duration::from_millis(1300),
     head: Duration::from_millis(2400),
 };
 
 const CAUSES: [SilenceCause; 6] = [
     SilenceCause::Working,
-    SilenceCause::Still,
+    SilenceCause::Unresponsive,
     SilenceCause::Unreachable,
     SilenceCause::Closing,
     SilenceCause::Stalled,
@@ -30,7 +30,7 @@
         has_begun: true,
         is_repeatable: true,
         has_attempts: true,
-        is_accompanied: false,
+        is_hedged: false,
         is_poison: false,
         is_widespread: false,
     }
@@ -38,24 +38,24 @@
 
 #[test]
 fn each_cause_has_its_silence() {
-    use SilenceCause::{Closing, LostLink, Stalled, Still, Unreachable, Working};
-    use SilenceDecision::{Accompany, Wait};
+    use SilenceCause::{Closing, LostLink, Stalled, Unreachable, Unresponsive, Working};
+    use SilenceDecision::{Hedge, Wait};
     let no_fault = Wait(WaitReason::NoFault);
     let short = Wait(WaitReason::Short);
     // Before and after the limit of a target that stands still, and after that of the head.
     let table = [
         (Working, true, [no_fault, no_fault, no_fault]),
-        (Working, false, [short, short, Accompany]),
-        (Still, true, [short, Accompany, Accompany]),
-        (Still, false, [short, Accompany, Accompany]),
-        (Unreachable, true, [Accompany; 3]),
-        (Unreachable, false, [Accompany; 3]),
+        (Working, false, [short, short, Hedge]),
+        (Unresponsive, true, [short, Hedge, Hedge]),
+        (Unresponsive, false, [short, Hedge, Hedge]),
+        (Unreachable, true, [Hedge; 3]),
+        (Unreachable, false, [Hedge; 3]),
         (Closing, true, [no_fault; 3]),
         (Closing, false, [no_fault; 3]),
-        (Stalled, true, [Accompany; 3]),
-        (Stalled, false, [Accompany; 3]),
-        (LostLink, true, [Accompany; 3]),
-        (LostLink, false, [Accompany; 3]),
+        (Stalled, true, [Hedge; 3]),
+        (Stalled, false, [Hedge; 3]),
+        (LostLink, true, [Hedge; 3]),
+        (LostLink, false, [Hedge; 3]),
     ];
     for (cause, has_begun, expected) in table {
         let decisions = [1299, 1300, 2400].map(|silent| {
@@ -73,7 +73,7 @@
 }
 
 #[test]
-fn a_widespread_silence_holds_back_attempts_beside_targets_that_stand_still_only() {
+fn a_widespread_silence_holds_back_hedges_for_unresponsive_targets_only() {
     for cause in CAUSES {
         let alone = stream(cause, 2000);
         let spread = SilentRequest {
@@ -81,7 +81,7 @@
             ..alone
         };
         let expected = match cause {
-            SilenceCause::Still => SilenceDecision::Wait(WaitReason::Widespread),
+            SilenceCause::Unresponsive => SilenceDecision::Wait(WaitReason::Widespread),
             _ => decide(alone, LIMITS),
         };
         assert_eq!(decide(spread, LIMITS), expected, "{cause:?}");
@@ -108,14 +108,14 @@
 fn limits_of_streams_leave_an_attempt_time_before_the_caller_gives_up() {
     let ms = Duration::from_millis;
     let head = ms(960);
-    let still = |aim, gap| SilenceLimits::of_stream(ms(aim), gap, head).still;
-    assert_eq!(still(100, None), ms(1300));
-    assert_eq!(still(400, Some(ms(150))), ms(1300));
+    let unresponsive = |aim, gap| SilenceLimits::of_stream(ms(aim), gap, head).unresponsive;
+    assert_eq!(unresponsive(100, None), ms(1300));
+    assert_eq!(unresponsive(400, Some(ms(150))), ms(1300));
     // Callers who wait longer do not make targets stand still for longer.
-    assert_eq!(still(2000, None), ms(1500));
-    assert_eq!(still(100, Some(ms(1000))), ms(1500));
+    assert_eq!(unresponsive(2000, None), ms(1500));
+    assert_eq!(unresponsive(100, Some(ms(1000))), ms(1500));
     let response = SilenceLimits::of_response(ms(700));
-    assert_eq!((response.still, response.head), (ms(700), ms(700)));
+    assert_eq!((response.unresponsive, response.head), (ms(700), ms(700)));
 }
 
 fn requests() -> impl Strategy<Value = SilentRequest> {
@@ -126,7 +126,7 @@
             has_begun,
             is_repeatable,
             has_attempts,
-            is_accompanied,
+            is_hedged,
             is_poison,
             is_widespread,
         ] = flags;
@@ -134,7 +134,7 @@
             has_begun,
             is_repeatable,
             has_attempts,
-            is_accompanied,
+            is_hedged,
             is_poison,
             is_widespread,
             ..stream(cause, silent_ms)
@@ -145,8 +145,8 @@
 fn limits() -> impl Strategy<Value = SilenceLimits> {
     let ms = Duration::from_millis;
     let limits = (0..4000_u64, 0..4000_u64);
-    limits.prop_map(move |(still, head)| SilenceLimits {
-        still: ms(still),
+    limits.prop_map(move |(unresponsive, head)| SilenceLimits {
+        unresponsive: ms(unresponsive),
         head: ms(head),
     })
 }
@@ -155,7 +155,7 @@
 fn rank(decision: SilenceDecision) -> u8 {
     match decision {
         SilenceDecision::Wait(_) => 0,
-        SilenceDecision::Accompany => 1,
+        SilenceDecision::Hedge => 1,
         SilenceDecision::End => 2,
     }
 }
@@ -171,7 +171,7 @@
     /// Guards against a request that is repeated although it may not be, or ended for a
     /// silence alone.
     #[test]
-    fn nothing_ends_without_poison_and_nothing_runs_beside_what_may_not_be_repeated(
+    fn nothing_ends_without_poison_and_nothing_is_hedged_that_may_not_be_repeated(
         request in requests(),
         limits in limits(),
     ) {
@@ -179,9 +179,9 @@
         if decision == SilenceDecision::End {
             prop_assert!(request.is_poison);
         }
-        if decision == SilenceDecision::Accompany {
+        if decision == SilenceDecision::Hedge {
             prop_assert!(request.is_repeatable && request.has_attempts);
-            prop_assert!(!request.is_accompanied && !request.is_poison);
+            prop_assert!(!request.is_hedged && !request.is_poison);
         }
     }
 
@@ -208,12 +208,12 @@
         let held_back = [
             SilentRequest { is_repeatable: false, ..request },
             SilentRequest { has_attempts: false, ..request },
-            SilentRequest { is_accompanied: true, ..request },
+            SilentRequest { is_hedged: true, ..request },
             SilentRequest { is_widespread: true, ..request },
         ];
         for held_back in held_back {
-            let is_started = decide(held_back, limits) == SilenceDecision::Accompany;
-            prop_assert!(!is_started || decide(request, limits) == SilenceDecision::Accompany);
+            let is_started = decide(held_back, limits) == SilenceDecision::Hedge;
+            prop_assert!(!is_started || decide(request, limits) == SilenceDecision::Hedge);
         }
     }
 }
--- a/tests/silence_model/game.rs
+++ b/tests/silence_model/game.rs
@@ -111,9 +111,9 @@
     victims: StdRng,
     choices: StdRng,
     pub(crate) counts: RetryCounts,
-    /// Retries that were spent beside a running attempt, and of these, those whose stream
+    /// Retries that were spent on hedges, and of these, those whose stream
     /// went on first.
-    pub(crate) beside: usize,
+    pub(crate) hedges: usize,
     pub(crate) useless: usize,
     /// Requests that the host ended although their engine would have gone on.
     pub(crate) given_up: Vec<String>,
@@ -163,7 +163,7 @@
             victims: StdRng::seed_from_u64(seed ^ 0xdead),
             choices,
             counts: RetryCounts::new(10 * SECOND, bounds),
-            beside: 0,
+            hedges: 0,
             useless: 0,
             given_up: Vec::new(),
         }
@@ -638,7 +638,7 @@
             _ if self.is_cut(host, engine) && is_known && is_reached => SilenceCause::LostLink,
             _ if self.is_cut(host, engine) => SilenceCause::Unreachable,
             EngineState::Dark { .. } => SilenceCause::Unreachable,
-            EngineState::Still { .. } | EngineState::Stopped { .. } => SilenceCause::Still,
+            EngineState::Still { .. } | EngineState::Stopped { .. } => SilenceCause::Unresponsive,
             EngineState::Running | EngineState::Crashed { .. } => SilenceCause::Working,
         };
         match cause {
@@ -651,7 +651,7 @@
     fn handle_silence(&mut self, index: usize, slot: usize, cause: SilenceCause) {
         match self.rule {
             SilenceRule::GiveUp => self.give_up(index, slot, cause),
-            SilenceRule::Accompany => self.accompany(index, slot, cause),
+            SilenceRule::Hedge => self.hedge(index, slot, cause),
         }
     }
 
@@ -661,7 +661,7 @@
         let has_begun = stream.passed > 0;
         let has_alternative = stream.is_repeatable && stream.runs.len() < MAX_ATTEMPTS;
         let is_lost = match cause {
-            SilenceCause::Still | SilenceCause::Unreachable => true,
+            SilenceCause::Unresponsive | SilenceCause::Unreachable => true,
             SilenceCause::LostLink => self.step - attempt.progress >= OLD_LINK_SILENCE,
             _ => false,
         };
@@ -681,7 +681,7 @@
         }
     }
 
-    fn accompany(&mut self, index: usize, slot: usize, cause: SilenceCause) {
+    fn hedge(&mut self, index: usize, slot: usize, cause: SilenceCause) {
         let stream = &self.streams[index];
         let attempt = &stream.attempts[slot];
         let silent = STEP * (self.step - attempt.progress) as u32;
@@ -691,18 +691,18 @@
             has_begun: stream.passed > 0,
             is_repeatable: stream.is_repeatable,
             has_attempts: stream.runs.len() < MAX_ATTEMPTS,
-            is_accompanied: stream.attempts.len() > 1 || stream.dial.is_some(),
+            is_hedged: stream.attempts.len() > 1 || stream.dial.is_some(),
             is_poison: false,
-            is_widespread: cause == SilenceCause::Still && self.is_widespread(stream.host),
+            is_widespread: cause == SilenceCause::Unresponsive && self.is_widespread(stream.host),
         };
         match decide(request, stream.limits) {
             SilenceDecision::Wait(_) => {}
             SilenceDecision::End => self.end(index, Outcome::CutSilent),
-            SilenceDecision::Accompany => {
+            SilenceDecision::Hedge => {
                 let host = stream.host;
                 if self.choose_and_dial(index) {
                     if self.spend(host, retry_use(cause)) {
-                        self.beside += 1;
+                        self.hedges += 1;
                     } else {
                         self.streams[index].dial = None;
                     }
--- a/tests/silence_model/main.rs
+++ b/tests/silence_model/main.rs
@@ -14,7 +14,7 @@
 use rules::SilenceRule;
 use summary::GameSummary;
 
-const RULE: SilenceRule = SilenceRule::Accompany;
+const RULE: SilenceRule = SilenceRule::Hedge;
 
 fn check(game: &Game, name: &str) {
     let given_up = game.given_up.first();
--- a/tests/silence_model/rules.rs
+++ b/tests/silence_model/rules.rs
@@ -6,5 +6,5 @@
     /// It gives an attempt up at the first check that finds its target silent.
     GiveUp,
     /// It keeps an attempt until another one delivers.
-    Accompany,
+    Hedge,
 }
--- a/tests/silence_model/summary.rs
+++ b/tests/silence_model/summary.rs
@@ -17,7 +17,7 @@
     pub(crate) failed: usize,
     pub(crate) refused: usize,
     pub(crate) retries: usize,
-    pub(crate) beside: usize,
+    pub(crate) hedges: usize,
     pub(crate) useless: usize,
     pub(crate) given_up: usize,
     /// Streams of engines that went dark or stopped, and those of them that completed.
@@ -47,7 +47,7 @@
             failed: self.failed + other.failed,
             refused: self.refused + other.refused,
             retries: self.retries + other.retries,
-            beside: self.beside + other.beside,
+            hedges: self.hedges + other.hedges,
             useless: self.useless + other.useless,
             given_up: self.given_up + other.given_up,
             dark: self.dark + other.dark,
@@ -66,7 +66,7 @@
     pub(crate) fn of(game: &Game) -> Self {
         let mut summary = Self {
             requests: game.ended.len(),
-            beside: game.beside,
+            hedges: game.hedges,
             useless: game.useless,
             given_up: game.given_up.len(),
             fullest: game.counts.fullest().used(),
@@ -116,7 +116,7 @@
             formatter,
             "{} requests, {} complete, {} of them with a pause above 1 s, {} cut as silent, {} \
              cut as broken, {} given up, {} left, {} at the deadline, {} failed, {} refused, {} \
-             retries, {} beside, {} of them useless, {:.2} of the bound, dark {} of {}, stopped \
+             retries, {} hedges, {} of them useless, {:.2} of the bound, dark {} of {}, stopped \
              {} of {}, repeated after {waited:.2} s, at most {:.2} s",
             self.requests,
             self.complete,
@@ -129,7 +129,7 @@
             self.failed,
             self.refused,
             self.retries,
-            self.beside,
+            self.hedges,
             self.useless,
             self.fullest,
             self.dark_complete,
