--- a/src/forward/attempt_policy.rs
+++ b/src/forward/attempt_policy.rs
@@ -12,6 +12,7 @@
 use super::exchange::{Exchange, NO_ROUTE_RETRY, TriedTargets};
 use super::gateway_link::PeerWitness;
 use super::lateness::ResponseLateness;
+use super::race::{AttemptRace, MAX_TRIED};
 use super::response::{Refusal, ResponseBody};
 use super::stream_times::StreamTimes;
 use super::tables::InFlightGuard;
@@ -21,23 +22,33 @@
 use crate::poison::key_text;
 use crate::reachability::TargetWay;
 use crate::reason::RefusalReason;
+use crate::silence::SilenceLimits;
 use crate::verdict::RunVerdict;
 
-/// Part of the remaining time that an attempt of an idempotent request may take if it is
-/// not the last one.
+/// Part of an idempotent request's time after which another attempt is made beside one that
+/// has not responded.
 const FIRST_ATTEMPT_SHARE: f64 = 0.5;
-/// Longest time to the head of a stream's response for an attempt that is not the last
-/// one, in multiples of the route's latency aim. Callers of streams wait at least four
-/// times the aim.
+/// Time to the head of a stream's response after which another attempt is made, in multiples
+/// of the route's latency aim. Callers of streams wait at least four times the aim.
 const STREAM_HEAD_FACTOR: f64 = 2.4;
 
+/// What an attempt is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum AttemptPurpose {
+    /// The response starts, or starts over.
+    Start,
+    /// The response continues after a part that the caller has.
+    Resume,
+    /// Another attempt runs and may go on.
+    Beside,
+}
+
 impl Exchange {
-    /// Selects the target or path of the next attempt. `started` is true if the caller
-    /// already has a part of the response.
+    /// Selects the target or path of the next attempt.
     pub(super) fn choose(
         &self,
         avoid: &[TargetId],
-        started: bool,
+        purpose: AttemptPurpose,
     ) -> Result<ChosenTarget, Refusal> {
         let now = Instant::now();
         self.clear_hold();
@@ -47,21 +58,26 @@
         let no_route = || Refusal::not_run(RefusalReason::NoRoute, NO_ROUTE_RETRY);
         let chosen = chosen.ok_or_else(no_route)?;
         let full = chosen.path.as_ref().is_some_and(|path| path.full);
-        let decided = match started {
-            true => None,
-            false => self.decide_start(&chosen, now),
+        let decided = match purpose {
+            AttemptPurpose::Start => self.decide_start(&chosen, now),
+            AttemptPurpose::Resume | AttemptPurpose::Beside => None,
         };
         if let Some(decided) = decided {
             return decided.map(|()| chosen);
         }
-        // A stream that has begun continues even if it has to wait for room: cutting it
-        // would waste the work done, and its caller would start over.
-        if full && !started {
-            self.record_capacity_refusal(None);
-            let after = self.tables.count_refusal(now);
-            return Err(Refusal::not_run(RefusalReason::NoRoom, after));
+        match purpose {
+            AttemptPurpose::Start if full => {
+                self.record_capacity_refusal(None);
+                let after = self.tables.count_refusal(now);
+                Err(Refusal::not_run(RefusalReason::NoRoom, after))
+            }
+            AttemptPurpose::Beside if full => {
+                Err(Refusal::not_run(RefusalReason::NoRoom, Duration::ZERO))
+            }
+            // A stream that has begun continues even if it has to wait for room: cutting it
+            // would waste the work done, and its caller would start over.
+            _ => Ok(chosen),
         }
-        Ok(chosen)
     }
 
     /// Selects the target or path of an attempt that can wait for the end of pauses up to
@@ -175,31 +191,47 @@
         self.tables.metrics.response_forwarded(status, took);
     }
 
-    /// Returns the deadline for the head of the response of an attempt.
-    pub(super) fn head_deadline(&self, sent: u32, now: Instant) -> Instant {
+    /// Returns the durations of silence after which another attempt is made.
+    pub(super) fn silence_limits(&self) -> SilenceLimits {
         let route = &self.matched.route;
-        let last = sent + 1 >= route.max_attempts;
-        let left = self.deadline.saturating_duration_since(now);
+        let (aim, gap) = (route.latency_aim, route.gap_aim);
         match route.kind {
-            RequestKind::Idempotent if !last => now + left.mul_f64(FIRST_ATTEMPT_SHARE),
-            RequestKind::ResumableStream if !last => {
-                now + left.min(route.latency_aim.mul_f64(STREAM_HEAD_FACTOR))
+            RequestKind::Idempotent | RequestKind::NonIdempotent => {
+                let time = self.deadline.saturating_duration_since(self.arrived);
+                SilenceLimits::of_response(time.mul_f64(FIRST_ATTEMPT_SHARE))
+            }
+            RequestKind::ResumableStream | RequestKind::Stream => {
+                SilenceLimits::of_stream(aim, gap, aim.mul_f64(STREAM_HEAD_FACTOR))
             }
-            _ => self.deadline,
         }
     }
 
+    /// Returns whether most targets of the service that this host uses stand still.
+    pub(super) fn is_silence_widespread(&self) -> bool {
+        let silences = self.tables.silences.lock();
+        silences.is_widespread(&self.service.name)
+    }
+
     pub(super) fn is_stream(&self, response: &Response<Incoming>) -> bool {
         self.matched.route.kind.is_stream() && response.status().is_success()
     }
 
-    /// Returns whether a failure that a target itself returned may be retried elsewhere,
-    /// and spends a retry if so.
-    pub(super) fn may_fail_over(
+    /// Returns whether the request goes on after the response of one attempt: a failure that
+    /// the target itself returned, while another attempt is open or may be made.
+    pub(super) fn goes_on_after(
         &self,
         response: &Response<ResponseBody>,
-        tried: &TriedTargets,
+        race: &AttemptRace,
     ) -> bool {
+        match race.is_open() {
+            true => response.status().is_server_error(),
+            false => self.may_fail_over(response, &race.tried),
+        }
+    }
+
+    /// Returns whether a failure that a target itself returned may be retried elsewhere,
+    /// and spends a retry if so.
+    fn may_fail_over(&self, response: &Response<ResponseBody>, tried: &TriedTargets) -> bool {
         let route = &self.matched.route;
         response.status().is_server_error()
             && route.kind.is_repeatable()
@@ -218,7 +250,7 @@
     ) -> bool {
         let route = &self.matched.route;
         let allowed = failure.verdict == RunVerdict::NotRun || route.kind.is_repeatable();
-        let attempts_left = tried.sent < route.max_attempts && tried.len() < 6;
+        let attempts_left = tried.sent < route.max_attempts && tried.len() < MAX_TRIED;
         let free = !failure.was_sent();
         allowed
             && attempts_left
@@ -239,11 +271,11 @@
     pub(super) async fn choose_reachable(
         &self,
         tried: &TriedTargets,
-        started: bool,
+        purpose: AttemptPurpose,
     ) -> Result<(ChosenTarget, InFlightGuard), Refusal> {
         self.wait_for_evidence(tried.sent > 0).await;
         loop {
-            match self.choose_permitted(tried, started).await {
+            match self.choose_permitted(tried, purpose).await {
                 Err(_) if self.finds_lost_link(tried).await => {}
                 chosen => return chosen,
             }
@@ -271,7 +303,7 @@
         match failure.cause {
             FailureCause::Connect => tried.unconnected.push(chosen.id.clone()),
             // The same target may be reached through a gateway.
-            FailureCause::LostLink | FailureCause::GatewayBroken => tried.sent += 1,
+            FailureCause::GatewayBroken => tried.sent += 1,
             _ => tried.count(chosen, failure.was_sent()),
         }
         tried.may_have_run |= failure.verdict != RunVerdict::NotRun;
@@ -314,7 +346,6 @@
                 FailureCause::Unavailable
                 | FailureCause::NoGateway
                 | FailureCause::GatewayBroken
-                | FailureCause::LostLink
                 | FailureCause::Poison,
             ) => None,
             Some(FailureCause::Connect | FailureCause::Unreachable) => {
--- a/src/forward/retry_budgets.rs
+++ b/src/forward/retry_budgets.rs
@@ -7,7 +7,7 @@
 use super::tables::ServingTables;
 use crate::collections::FastMap;
 use crate::ids::ServiceId;
-use crate::retry::{WindowBudget, WindowSettings, WindowUsage};
+use crate::retry::{RetryUse, WindowBudget, WindowSettings, WindowUsage};
 
 /// One budget for each service, with the same settings. The locks are taken in the order of
 /// the fields.
@@ -81,6 +81,14 @@
         is_granted
     }
 
+    /// Returns whether a service's budget has a retry left for this use.
+    pub(super) fn has_retry(&self, service: &ServiceId, retry_use: RetryUse, now: Instant) -> bool {
+        let settings = *self.retries.settings.lock();
+        let mut budgets = self.retries.budgets.lock();
+        let budget = budgets.get_mut(service);
+        budget.is_some_and(|budget| budget.window.has_left(settings, retry_use, now))
+    }
+
     /// Returns what the budget of each service holds.
     pub fn retry_usage(&self, now: Instant) -> Vec<(ServiceId, WindowUsage)> {
         let settings = *self.retries.settings.lock();
--- a/standins/src/soak/configuration.rs
+++ b/standins/src/soak/configuration.rs
@@ -51,6 +51,9 @@
     }
 }
 
+/// Timeout of the routes.
+pub(super) const ROUTE_TIMEOUT: Duration = Duration::from_secs(6);
+
 /// Number of targets to which a request may be sent.
 pub(super) const MAX_ATTEMPTS: usize = 2;
 
@@ -62,7 +65,7 @@
 fn route(name: &str, prefix: &str, kind: &str, service: &str) -> serde_json::Value {
     json!({
         "name": name, "host": CALLED_HOST, "path_prefix": prefix, "kind": kind,
-        "service": service, "timeout_ms": 6000, "target_latency_ms": 500,
+        "service": service, "timeout_ms": ROUTE_TIMEOUT.as_millis() as u64, "target_latency_ms": 500,
         "gap_aim_ms": 200, "max_attempts": MAX_ATTEMPTS, "priority": 1,
         "stream_resume": kind == "streaming",
     })
