Let streams end between two silences of three seconds

Callers now run for 2 s before each silence of this test, longer than any stream takes, in place of 0.8 s. All checks and both silences stay; the other tests are unchanged. Double holds stay tested where they fit into the deadline (1.2 s).

--- a/standins/src/soak/silence.rs
+++ b/standins/src/soak/silence.rs
@@ -34,7 +34,8 @@
 };
 /// Time in which a host notices that its links to the targets are lost.
 const ADAPTATION_TIME: Duration = Duration::from_secs(3);
-/// How long callers run before each silence, and after the last one.
+/// How long callers run after the last silence, and the time whose calls tell which target is
+/// the busiest.
 const CALM_TIME: Duration = Duration::from_millis(800);
 /// How many targets stand still, one after the other.
 const ROUNDS: usize = 2;
@@ -63,6 +64,8 @@
     pub position: PathPosition,
     /// How long a target stands still.
     pub silence: Duration,
+    /// How long callers run before each silence.
+    pub calm: Duration,
     /// Whether there is another target.
     pub targets: TargetFleet,
     /// Whether targets fail before, until no retry is left.
@@ -181,7 +184,7 @@
     let sound_since = Instant::now();
     let mut standstills = Vec::new();
     for _ in 0..plan.rounds() {
-        run.publish_for(CALM_TIME).await?;
+        run.publish_for(plan.calm).await?;
         standstills.push(stand_still(&mut run, plan).await?);
     }
     run.publish_for(CALM_TIME).await?;
--- a/standins/tests/silence.rs
+++ b/standins/tests/silence.rs
@@ -16,6 +16,7 @@
     kind: CallKind::Stream,
     position: PathPosition::First,
     silence: Duration::from_millis(1200),
+    calm: Duration::from_millis(800),
     targets: TargetFleet::Several,
     spends_retries: false,
     uses_gateway: false,
@@ -85,11 +86,13 @@
 }
 
 /// Guards against streams that are cut when their engine stands still for longer than its
-/// entry lasts.
+/// entry lasts. The time between two silences lets the streams of the first one end: one that
+/// both hold would take longer than its deadline of 6 s, whatever its host does.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn streams_survive_an_engine_that_stands_still_for_three_seconds() -> TestResult {
     check_plan(SilencePlan {
         silence: Duration::from_secs(3),
+        calm: Duration::from_secs(2),
         targets: TargetFleet::OnePath,
         spends_retries: true,
         ..STREAMS
