--- a/tests/forwarding/silence.rs
+++ b/tests/forwarding/silence.rs
@@ -37,6 +37,20 @@
     .await
 }
 
+/// Spawns an engine that stands still before the head of a stream.
+async fn engine_still_before_its_first_event() -> StubTarget {
+    StubTarget::spawn(|seen| match seen.head.starts_with(REPORT) {
+        true => vec![Step::Hold],
+        false => vec![
+            Step::Wait(Duration::from_millis(1500)),
+            stream_head(seen.id()),
+            event(1),
+            last_chunk(),
+        ],
+    })
+    .await
+}
+
 /// Spawns an engine that resumes streams with the steps that `resumed` returns.
 async fn resuming_engine<F>(resumed: F) -> StubTarget
 where
@@ -160,16 +174,7 @@
 /// Guards against a request that fails because its engine stands still before its first event.
 #[tokio::test]
 async fn a_stream_without_a_retry_waits_for_its_first_event() {
-    let still = StubTarget::spawn(|seen| match seen.head.starts_with(REPORT) {
-        true => vec![Step::Hold],
-        false => vec![
-            Step::Wait(Duration::from_millis(1500)),
-            stream_head(seen.id()),
-            event(1),
-            last_chunk(),
-        ],
-    })
-    .await;
+    let still = engine_still_before_its_first_event().await;
     let host = TestHost::open();
     host.add_engine("i-1", still.address, 0, 80);
     spend_all_retries(&host);
@@ -182,16 +187,7 @@
 /// Guards against a stream that may run once and fails because its engine stands still.
 #[tokio::test]
 async fn a_stream_that_may_run_once_waits_for_its_first_event() {
-    let still = StubTarget::spawn(|seen| match seen.head.starts_with(REPORT) {
-        true => vec![Step::Hold],
-        false => vec![
-            Step::Wait(Duration::from_millis(1500)),
-            stream_head(seen.id()),
-            event(1),
-            last_chunk(),
-        ],
-    })
-    .await;
+    let still = engine_still_before_its_first_event().await;
     let host = TestHost::open();
     host.add_engine("i-1", still.address, 0, 80);
     let response = host.call("POST", "/fixed/", "Content-Length: 0\r\n").await;
