Type what becomes of a silence, and log a hedge once it is made or denied

The same state was named silent in one file and unresponsive in the next.

Change: SilenceAction names them; a hedge is noted once it is open or denied. SilenceGuard::set_silent -> set_unresponsive SilenceTable::set_silent -> set_unresponsive

--- a/src/forward/race.rs
+++ b/src/forward/race.rs
@@ -20,7 +20,9 @@
 use super::tables::InFlightGuard;
 use super::watch::SilenceFinding;
 use crate::retry::RetryUse;
-use crate::silence::{SilenceCause, SilenceDecision, SilentRequest, WaitReason, decide, retry_use};
+use crate::silence::{
+    SilenceAction, SilenceCause, SilenceDecision, SilentRequest, WaitReason, decide, retry_use,
+};
 use crate::verdict::RunVerdict;
 
 /// Largest number of targets that are tried for one request, sent or not.
@@ -163,8 +165,8 @@
             return;
         };
         let action = match role {
-            AttemptRole::Primary => "overtaken",
-            AttemptRole::Hedge => "replaced",
+            AttemptRole::Primary => SilenceAction::Overtaken,
+            AttemptRole::Hedge => SilenceAction::Replaced,
         };
         closed.watch.end_silence(action);
         if closed.is_sent() {
@@ -241,7 +243,7 @@
             return false;
         }
         if role == AttemptRole::Hedge {
-            let action = WaitReason::Hedged.name();
+            let action = SilenceAction::Waiting(WaitReason::Hedged);
             attempt.watch.note_silence(&finding, action);
             return false;
         }
@@ -253,14 +255,21 @@
         let limits = self.exchange.silence_limits();
         let decision = decide(request, limits);
         let action = match decision {
-            SilenceDecision::Wait(reason) => reason.name(),
+            // Noted once it is made or denied.
+            SilenceDecision::Wait(WaitReason::Hedged) => return false,
+            SilenceDecision::Wait(reason) => SilenceAction::Waiting(reason),
             SilenceDecision::End => return true,
-            SilenceDecision::Hedge => self.choose_hedge(&finding, now),
+            SilenceDecision::Hedge if self.choose_hedge(&finding, now) => return false,
+            SilenceDecision::Hedge => SilenceAction::NoRetry,
         };
+        self.note_silence(&finding, action);
+        false
+    }
+
+    fn note_silence(&mut self, finding: &SilenceFinding, action: SilenceAction) {
         if let Some(primary) = &mut self.primary {
-            primary.watch.note_silence(&finding, action);
+            primary.watch.note_silence(finding, action);
         }
-        false
     }
 
     fn silent_request(&mut self, cause: SilenceCause, now: Instant) -> Option<SilentRequest> {
@@ -296,13 +305,12 @@
         })
     }
 
-    /// Starts to choose a target for a hedge, if a retry is left for it. Returns the action for
-    /// logs and metrics.
-    fn choose_hedge(&mut self, finding: &SilenceFinding, now: Instant) -> &'static str {
+    /// Starts to choose a target for a hedge. Returns whether a retry is left for it.
+    fn choose_hedge(&mut self, finding: &SilenceFinding, now: Instant) -> bool {
         let exchange = self.exchange.clone();
         let retry_use = retry_use(finding.cause);
         if !self.has_retry(retry_use, now) {
-            return "no_retry";
+            return false;
         }
         let mut tried = self.tried.clone();
         tried.sent += 1;
@@ -322,7 +330,7 @@
             finding: finding.clone(),
             retry_use,
         });
-        "hedged"
+        true
     }
 
     fn has_retry(&self, retry_use: RetryUse, now: Instant) -> bool {
@@ -350,21 +358,19 @@
         if primary.is_some_and(|primary| primary.watch.last_progress > choice.since) {
             return;
         }
-        let denied = match chosen {
+        let action = match chosen {
             Ok((chosen, guard))
                 if self.has_retry(choice.retry_use, now) && self.spend_retry(now) =>
             {
                 let mut attempt = self.open_attempt(chosen, guard);
                 attempt.is_paid = true;
                 self.hedge = Some(attempt);
-                return;
+                SilenceAction::Hedged
             }
-            Ok(_) => "no_retry",
-            Err(refusal) => refusal.reason.name(),
+            Ok(_) => SilenceAction::NoRetry,
+            Err(refusal) => SilenceAction::Refused(refusal.reason),
         };
-        if let Some(primary) = &mut self.primary {
-            primary.watch.note_silence(&choice.finding, denied);
-        }
+        self.note_silence(&choice.finding, action);
     }
 }
 
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -18,7 +18,7 @@
 use super::race::{AttemptRace, AttemptRole, RaceEvent};
 use super::response::ResponseBody;
 use super::stream_times::StreamTimes;
-use crate::silence::SilenceCause;
+use crate::silence::{SilenceAction, SilenceCause};
 
 /// A running stream.
 struct StreamRelay {
@@ -121,7 +121,7 @@
         let Some(mut attempt) = self.race.take(role) else {
             return Ok(());
         };
-        attempt.watch.end_silence("broke");
+        attempt.watch.end_silence(SilenceAction::Broke);
         attempt.watch.record_break().await;
         self.record_break(&attempt);
         self.race.tried.sent += 1;
@@ -209,7 +209,7 @@
         match self.race.take(AttemptRole::Primary) {
             Some(mut primary) => {
                 let cause = primary.watch.silence_cause();
-                primary.watch.end_silence("cut");
+                primary.watch.end_silence(SilenceAction::Cut);
                 self.log_cut(&primary.watch.chosen, cause, reason, denied)
             }
             None => std::io::Error::other(reason.to_owned()),
--- a/src/forward/repath.rs
+++ b/src/forward/repath.rs
@@ -14,6 +14,7 @@
 use crate::ids::TargetId;
 use crate::platform::target_record::platform_id;
 use crate::platform::{names, order};
+use crate::silence::SilenceAction;
 
 /// Longest time for the first engine to accept a new path.
 const MOVE_TIMEOUT: Duration = Duration::from_millis(400);
@@ -86,7 +87,7 @@
         self.chosen.path = Some(repaired);
         let loads = self.chosen.loads_after_move(before);
         self.guard = Some(InFlightGuard::open(tables, loads));
-        self.end_silence("moved");
+        self.end_silence(SilenceAction::Moved);
         self.observe_progress(Instant::now());
     }
 
--- a/src/forward/silence_guard.rs
+++ b/src/forward/silence_guard.rs
@@ -10,7 +10,7 @@
 pub(super) struct SilenceGuard {
     tables: Arc<ServingTables>,
     target: TargetId,
-    is_silent: bool,
+    is_unresponsive: bool,
 }
 
 impl SilenceGuard {
@@ -19,16 +19,16 @@
         Self {
             tables,
             target: target.clone(),
-            is_silent: false,
+            is_unresponsive: false,
         }
     }
 
-    /// Records whether the target stands still.
-    pub(super) fn set_silent(&mut self, is_silent: bool) {
-        if self.is_silent != is_silent {
-            self.is_silent = is_silent;
+    /// Records whether the target does not respond.
+    pub(super) fn set_unresponsive(&mut self, is_unresponsive: bool) {
+        if self.is_unresponsive != is_unresponsive {
+            self.is_unresponsive = is_unresponsive;
             let mut silences = self.tables.silences.lock();
-            silences.set_silent(&self.target, is_silent);
+            silences.set_unresponsive(&self.target, is_unresponsive);
         }
     }
 }
@@ -36,6 +36,6 @@
 impl Drop for SilenceGuard {
     fn drop(&mut self) {
         let mut silences = self.tables.silences.lock();
-        silences.observe_end(&self.target, self.is_silent);
+        silences.observe_end(&self.target, self.is_unresponsive);
     }
 }
--- a/src/forward/tables.rs
+++ b/src/forward/tables.rs
@@ -74,7 +74,7 @@
     reports: Mutex<FastMap<TargetId, ReportCell>>,
     closed: Mutex<FastMap<TargetId, ClosedCell>>,
     pub(super) liveness: LivenessTable,
-    /// The targets on which this host runs attempts, and which of them are silent.
+    /// The targets on which this host runs attempts, and which of them do not respond.
     pub(super) silences: Mutex<SilenceTable>,
     /// Whether targets accept connections of this host.
     pub(super) reachability: Mutex<ReachabilityTable>,
--- a/src/forward/watch.rs
+++ b/src/forward/watch.rs
@@ -18,7 +18,7 @@
 use crate::ids::TargetId;
 use crate::poison::RunStart;
 use crate::reachability::TargetWay;
-use crate::silence::SilenceCause;
+use crate::silence::{SilenceAction, SilenceCause};
 
 /// Shortest silence after which a request is checked. Reports lag by 200 ms, and passes
 /// of a loaded engine take up to about 100 ms.
@@ -48,8 +48,8 @@
     /// The gateway through which the request runs.
     gateway: Option<GatewayUse>,
     start: RunStart,
-    /// What the last check of the current silence found, and what was decided.
-    silence: Option<(SilenceFinding, &'static str)>,
+    /// The current silence, once a check has found its cause.
+    silence: Option<KnownSilence>,
     silence_guard: SilenceGuard,
 }
 
@@ -61,6 +61,13 @@
     pub(super) failed: Option<TargetId>,
 }
 
+/// A silence, and what was last decided about it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct KnownSilence {
+    finding: SilenceFinding,
+    action: SilenceAction,
+}
+
 impl SilenceFinding {
     fn new(cause: SilenceCause, failed: Option<TargetId>) -> Self {
         Self { cause, failed }
@@ -110,9 +117,9 @@
 
     /// Records progress, which postpones the next check.
     pub(super) fn observe_progress(&mut self, now: Instant) {
-        self.silence_guard.set_silent(false);
-        if let Some((finding, _)) = self.silence.take() {
-            self.log_silence(finding.cause, "ended", now);
+        self.silence_guard.set_unresponsive(false);
+        if let Some(KnownSilence { finding, .. }) = self.silence.take() {
+            self.log_silence(finding.cause, SilenceAction::Ended, now);
             if finding.failed.as_ref() == Some(&self.chosen.id) {
                 // It has not ended, so that new requests need not avoid it.
                 self.exchange.tables.fleet.lock().readmit(&self.chosen.id);
@@ -190,34 +197,40 @@
     /// Records whether the target does not respond.
     pub(super) fn mark_unresponsive(&mut self, finding: &SilenceFinding) {
         let is_unresponsive = finding.cause == SilenceCause::Unresponsive;
-        self.silence_guard.set_silent(is_unresponsive);
+        self.silence_guard.set_unresponsive(is_unresponsive);
     }
 
     /// Notes what was found about the current silence and what was decided, and logs it
     /// unless it is as before.
-    pub(super) fn note_silence(&mut self, finding: &SilenceFinding, action: &'static str) {
-        let noted = Some((finding.clone(), action));
-        if self.silence != noted {
-            self.log_silence(finding.cause, action, Instant::now());
-            self.silence = noted;
+    pub(super) fn note_silence(&mut self, finding: &SilenceFinding, action: SilenceAction) {
+        let finding = finding.clone();
+        let known = Some(KnownSilence { finding, action });
+        if self.silence != known {
+            self.silence = known;
+            self.log_known_silence(action);
         }
     }
 
     /// Logs and counts the end of the current silence, if there is one.
-    pub(super) fn end_silence(&mut self, action: &'static str) {
-        if let Some((finding, _)) = self.silence.take() {
-            self.log_silence(finding.cause, action, Instant::now());
+    pub(super) fn end_silence(&mut self, action: SilenceAction) {
+        self.log_known_silence(action);
+        self.silence = None;
+    }
+
+    fn log_known_silence(&self, action: SilenceAction) {
+        if let Some(known) = &self.silence {
+            self.log_silence(known.finding.cause, action, Instant::now());
         }
     }
 
-    fn log_silence(&self, cause: SilenceCause, action: &'static str, now: Instant) {
+    fn log_silence(&self, cause: SilenceCause, action: SilenceAction, now: Instant) {
         let silent = now.saturating_duration_since(self.last_progress);
         self.exchange.tables.metrics.silence(cause, action);
         log::info!(
             request:% = self.exchange.outgoing.id,
             target_id:% = self.chosen.id,
             cause:% = cause.name(),
-            action:% = action,
+            action:% = action.name(),
             silent_ms = silent.as_millis() as u64;
             "silence"
         );
@@ -225,7 +238,7 @@
 
     /// Returns what the last check of the current silence found, if there was one.
     pub(super) fn silence_cause(&self) -> Option<SilenceCause> {
-        self.silence.as_ref().map(|(finding, _)| finding.cause)
+        self.silence.as_ref().map(|known| known.finding.cause)
     }
 
     /// Sets the gateway through which the response comes.
--- a/src/metrics/serving.rs
+++ b/src/metrics/serving.rs
@@ -18,7 +18,7 @@
 use crate::ids::ServiceId;
 use crate::reason::RefusalReason;
 use crate::retry::WindowUsage;
-use crate::silence::SilenceCause;
+use crate::silence::{SilenceAction, SilenceCause};
 
 /// Counters, gauges and histograms of one entry host. Label values are constants in the code,
 /// so that the number of series is bounded; only the gauges of capacity, of retries and of the
@@ -418,8 +418,8 @@
 
     /// Counts a silence of a target under a request: when its cause is found, and what became
     /// of it.
-    pub fn silence(&self, cause: SilenceCause, action: &'static str) {
-        let cause = cause.name();
+    pub fn silence(&self, cause: SilenceCause, action: SilenceAction) {
+        let (cause, action) = (cause.name(), action.name());
         let labels = SilenceLabels { cause, action };
         self.silences.get_or_create(&labels).inc();
     }
--- a/src/silence.rs
+++ b/src/silence.rs
@@ -11,6 +11,7 @@
 
 use std::time::Duration;
 
+use crate::reason::RefusalReason;
 use crate::retry::RetryUse;
 pub use table::SilenceTable;
 
@@ -153,6 +154,49 @@
     }
 }
 
+/// What was decided about a silence, or what became of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SilenceAction {
+    /// The attempt continues alone.
+    Waiting(WaitReason),
+    /// A hedge was to be made, and the retry budget has nothing left for it.
+    NoRetry,
+    /// A hedge was to be made, and no target may get it.
+    Refused(RefusalReason),
+    /// A hedge was made.
+    Hedged,
+    /// The attempt was moved to other engines.
+    Moved,
+    /// The target went on.
+    Ended,
+    /// Another attempt delivered first.
+    Replaced,
+    /// The attempt was a hedge, and the primary attempt delivered first.
+    Overtaken,
+    /// The connection broke.
+    Broke,
+    /// The response was cut.
+    Cut,
+}
+
+impl SilenceAction {
+    /// Returns the name used in metrics and logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Waiting(reason) => reason.name(),
+            Self::NoRetry => "no_retry",
+            Self::Refused(reason) => reason.name(),
+            Self::Hedged => "hedged",
+            Self::Moved => "moved",
+            Self::Ended => "ended",
+            Self::Replaced => "replaced",
+            Self::Overtaken => "overtaken",
+            Self::Broke => "broke",
+            Self::Cut => "cut",
+        }
+    }
+}
+
 /// Decides about a request whose target has sent nothing for a while.
 pub fn decide(request: SilentRequest, limits: SilenceLimits) -> SilenceDecision {
     use SilenceDecision::{End, Hedge, Wait};
--- a/src/silence/table.rs
+++ b/src/silence/table.rs
@@ -1,10 +1,9 @@
-//! The targets on which a host runs attempts, and which of them are silent.
+//! The targets on which a host runs attempts, and which of them do not respond.
 
 use crate::collections::FastMap;
 use crate::ids::{ServiceId, TargetId};
 
-/// Fewest targets in use from which on a silence may count as widespread: of two, one may
-/// have ended.
+/// Fewest targets in use from which on a silence may be widespread: of two, one may have ended.
 const MIN_TARGETS: usize = 3;
 
 /// Attempts on one target, as the first of their paths.
@@ -12,7 +11,7 @@
 struct TargetUse {
     service: ServiceId,
     attempts: u32,
-    silent: u32,
+    unresponsive: u32,
 }
 
 /// The attempts of a host by target.
@@ -28,40 +27,42 @@
         let used = used.or_insert_with(|| TargetUse {
             service: service.clone(),
             attempts: 0,
-            silent: 0,
+            unresponsive: 0,
         });
         used.attempts += 1;
     }
 
-    /// Records that an attempt ended, which was silent or not.
-    pub fn observe_end(&mut self, target: &TargetId, was_silent: bool) {
+    /// Records that an attempt ended.
+    pub fn observe_end(&mut self, target: &TargetId, was_unresponsive: bool) {
         let Some(used) = self.targets.get_mut(target) else {
             return;
         };
         used.attempts = used.attempts.saturating_sub(1);
-        used.silent = used.silent.saturating_sub(u32::from(was_silent));
+        used.unresponsive = used
+            .unresponsive
+            .saturating_sub(u32::from(was_unresponsive));
         if used.attempts == 0 {
             self.targets.remove(target);
         }
     }
 
-    /// Records that an attempt has become silent, or has progressed after a silence.
-    pub fn set_silent(&mut self, target: &TargetId, is_silent: bool) {
+    /// Records that the target of an attempt does not respond, or responds again.
+    pub fn set_unresponsive(&mut self, target: &TargetId, is_unresponsive: bool) {
         if let Some(used) = self.targets.get_mut(target) {
-            used.silent = match is_silent {
-                true => used.silent + 1,
-                false => used.silent.saturating_sub(1),
+            used.unresponsive = match is_unresponsive {
+                true => used.unresponsive + 1,
+                false => used.unresponsive.saturating_sub(1),
             };
         }
     }
 
-    /// Returns whether most targets of a service that are in use are silent, so that another
-    /// attempt would probably be silent as well.
+    /// Returns whether most targets of a service that are in use do not respond, so that another
+    /// attempt would probably wait as well.
     pub fn is_widespread(&self, service: &str) -> bool {
         let used = self.targets.values();
         let used = used.filter(|used| *used.service == *service);
-        let silent = used.clone().filter(|used| used.silent > 0).count();
+        let unresponsive = used.clone().filter(|used| used.unresponsive > 0).count();
         let used = used.count();
-        used >= MIN_TARGETS && silent * 2 > used
+        used >= MIN_TARGETS && unresponsive * 2 > used
     }
 }
--- a/tests/silence_table.rs
+++ b/tests/silence_table.rs
@@ -12,15 +12,15 @@
 }
 
 #[test]
-fn a_silence_is_widespread_once_most_targets_in_use_are_silent() {
+fn a_silence_is_widespread_once_most_targets_in_use_do_not_respond() {
     let mut table = table_of(&["a", "a", "b", "c"]);
-    table.set_silent(&"a".into(), true);
-    table.set_silent(&"a".into(), true);
+    table.set_unresponsive(&"a".into(), true);
+    table.set_unresponsive(&"a".into(), true);
     assert!(!table.is_widespread("model"));
-    table.set_silent(&"b".into(), true);
+    table.set_unresponsive(&"b".into(), true);
     assert!(table.is_widespread("model"));
     assert!(!table.is_widespread("other"));
-    table.set_silent(&"b".into(), false);
+    table.set_unresponsive(&"b".into(), false);
     assert!(!table.is_widespread("model"));
 }
 
@@ -28,16 +28,16 @@
 #[test]
 fn the_silence_of_one_of_two_targets_is_not_widespread() {
     let mut table = table_of(&["a", "b"]);
-    table.set_silent(&"a".into(), true);
-    table.set_silent(&"b".into(), true);
+    table.set_unresponsive(&"a".into(), true);
+    table.set_unresponsive(&"b".into(), true);
     assert!(!table.is_widespread("model"));
 }
 
 #[test]
-fn attempts_that_ended_silent_no_longer_count() {
+fn attempts_that_ended_no_longer_count() {
     let mut table = table_of(&["a", "b", "c"]);
-    table.set_silent(&"a".into(), true);
-    table.set_silent(&"b".into(), true);
+    table.set_unresponsive(&"a".into(), true);
+    table.set_unresponsive(&"b".into(), true);
     assert!(table.is_widespread("model"));
     table.observe_end(&"b".into(), true);
     table.observe_start(&"model".into(), &"b".into());
