Keep a request under which targets crash while its own target only is out of reach

Cause: a request under which targets crash ended at the first connection that its target did not accept, although its own connection was open and the target may go on.

Change: it waits like others; a connection that ends still ends it, and one that waits for a later engine still ends, since moving it would crash the next engine.

--- a/src/silence.rs
+++ b/src/silence.rs
@@ -119,7 +119,7 @@
     Wait(WaitReason),
     /// A hedge is made while this attempt continues.
     Hedge,
-    /// The request ends: targets crash under it, and this one may have.
+    /// The request ends: targets crash under it, and its target waits for one that has.
     End,
 }
 
@@ -202,7 +202,7 @@
     use SilenceDecision::{End, Hedge, Wait};
     let SilentRequest { cause, silent, .. } = request;
     match cause {
-        SilenceCause::Unreachable | SilenceCause::Stalled if request.is_poison => End,
+        SilenceCause::Stalled if request.is_poison => End,
         _ if !request.is_repeatable => Wait(WaitReason::NotRepeatable),
         _ if request.is_hedged => Wait(WaitReason::Hedged),
         _ if !request.has_attempts || request.is_poison => Wait(WaitReason::NoAttempt),
