Test a silent stream whose service is removed

The incident's second hypothesis, a configuration that drops what a request runs on, had been played with changes of all kinds, and not by itself. The stream keeps its engine: the test passes on this code and is a guard.

--- a/tests/forwarding/silence.rs
+++ b/tests/forwarding/silence.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use jackdawwick::ingress::IngressConfiguration;
 use jackdawwick::retry::WindowSettings;
 
 use crate::host::TestHost;
@@ -282,3 +283,25 @@
     assert!(response.text.ends_with("sorry"), "{}", response.text);
     assert_eq!(other.seen().len(), 1);
 }
+
+/// Guards against a stream that ends because its service is removed while its engine stands still.
+#[tokio::test]
+async fn a_silent_stream_outlasts_the_removal_of_its_service() {
+    let still = still_engine(STANDSTILL).await;
+    let host = TestHost::open();
+    host.add_engine("i-1", still.address, 0, 80);
+    let serving = host.call("POST", "/stream/", "Content-Length: 0\r\n");
+    let removing = async {
+        while still.seen().is_empty() {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+        let configuration = IngressConfiguration {
+            version: 2,
+            ..IngressConfiguration::default()
+        };
+        host.tables.configuration.store(Some(configuration.into()));
+    };
+    let (response, ()) = tokio::join!(serving, removing);
+    assert_eq!(response.event_ids(), [1, 2]);
+    assert!(response.is_whole_stream(), "{}", response.text);
+}
