End the hosts of a soak that is stopped by a signal

Cause: a soak by hand had been ended by SIGTERM, which left three of its hosts running. They asked the address of the soak's log, which the kernel gave to a target of the test. Evidence: the three were still there, started in the second in which the soak was ended; a listener on their log's port got 30 requests in 6 s (log-newest of three topics, no id), the rate and the form of those in the failed test. That the port was the same is inferred.

Change: the soak drops its hosts on SIGTERM and SIGINT.

--- a/standins/src/bin/soak.rs
+++ b/standins/src/bin/soak.rs
@@ -10,6 +10,7 @@
 use standins::soak::{
     CallOutcome, LinkScope, RetryBound, SoakReport, SoakSettings, TargetFleet, run_soak,
 };
+use tokio::signal::unix::{SignalKind, signal};
 
 fn main() -> std::io::Result<ExitCode> {
     let matches = Command::new("soak")
@@ -66,7 +67,7 @@
     for seed in first..first + number(&matches, "seeds") {
         let folder = path("folder").join(format!("seed-{seed}"));
         std::fs::create_dir_all(&folder)?;
-        let report = runtime.block_on(run_soak(SoakSettings {
+        let report = runtime.block_on(run_until_terminated(SoakSettings {
             seed,
             length: Duration::from_secs(number(&matches, "seconds")),
             hosts: count(&matches, "hosts"),
@@ -92,6 +93,18 @@
     Ok(ExitCode::from(u8::from(!failed.is_empty())))
 }
 
+/// Runs a soak. A signal to stop ends it together with its hosts, which would otherwise go on
+/// calling addresses that other programs may use by then.
+async fn run_until_terminated(settings: SoakSettings) -> std::io::Result<SoakReport> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        report = run_soak(settings) => report,
+        _ = terminate.recv() => Err(std::io::ErrorKind::Interrupted.into()),
+        _ = interrupt.recv() => Err(std::io::ErrorKind::Interrupted.into()),
+    }
+}
+
 fn line(seed: u64, report: &SoakReport) -> String {
     let with_status = |range: std::ops::Range<u16>| {
         report.count(
