review: a stream cut short by a leaving engine looks complete

What callers see: an engine that has announced that it leaves is gone two seconds later (scale_in, spot). Streams of it without a length and without chunks reach their callers as complete 200 answers with the engine's seal, though half of their events are missing; nothing is resumed (ORDER).

Cause: has_crashed in forward::response_end does not ask whether the process has ended if the engine is leaving or unknown, so that the end of its connection counts as the end of its answer.

--- /dev/null
+++ b/review/cases/src/cases.rs
@@ -0,0 +1,15 @@
+//! The cases.
+
+mod cut_short;
+mod old_copy;
+
+use std::io;
+
+/// Plays a case; returns whether its rule held.
+pub fn play(name: &str, folder: &str, has_trouble: bool) -> io::Result<bool> {
+    match name {
+        "cut-short" => cut_short::play(folder, has_trouble),
+        "old-copy" => old_copy::play(folder, has_trouble),
+        _ => Err(io::Error::other("no such case")),
+    }
+}
--- /dev/null
+++ b/review/cases/src/site.rs
@@ -0,0 +1,138 @@
+//! A small deployment: a store, engines of one plain service, and entry hosts of one zone.
+
+use std::io;
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use crate::http::{Answer, Connection};
+use crate::processes::{Arrival, Daemon, DaemonSpec, Engine, EngineSpec, free_port, wait_ready};
+use crate::record::Record;
+use crate::store::{CONFIGURATION, Store};
+
+pub const HOST: &str = "ficu95.example";
+pub const KEY: &str = "n2ctnfzs989anu6wsjnb";
+pub const SERVICE: &str = "ledger-app";
+
+/// The configuration: one route of each kind to the service.
+pub const CONFIGURATION_BODY: &str = r#"{"version":7,"routes":[
+{"name":"r-read","host":"ficu95.example","path_prefix":"/read/","kind":"safe","timeout_ms":6000,"target_latency_ms":150,"priority":2,"service":"ledger-app","max_attempts":2,"public":false,"sticky":false,"stream_resume":false},
+{"name":"r-charge","host":"ficu95.example","path_prefix":"/charge/","kind":"unsafe","timeout_ms":6000,"target_latency_ms":150,"priority":2,"service":"ledger-app","max_attempts":1,"public":false,"sticky":false,"stream_resume":false},
+{"name":"r-stream","host":"ficu95.example","path_prefix":"/stream/","kind":"streaming","timeout_ms":20000,"target_latency_ms":500,"gap_aim_ms":200,"priority":1,"service":"ledger-app","max_attempts":2,"public":false,"sticky":false,"stream_resume":true}],
+"services":[{"name":"ledger-app","health_path":"/health","max_connections":110,"protocol":"h1","tls":false}],
+"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+"tenants":[{"name":"hule930","api_keys":["n2ctnfzs989anu6wsjnb"],"priority":1}]}"#;
+
+pub struct Site {
+    pub store: Arc<Store>,
+    pub engines: Vec<Engine>,
+    pub daemons: Vec<Daemon>,
+    pub arrivals: Arc<Mutex<Vec<Arrival>>>,
+    pub record: Record,
+    folder: PathBuf,
+}
+
+impl Site {
+    /// Starts everything and waits until callers can be served.
+    pub fn open(engines: &[EngineSpec], daemons: usize) -> io::Result<Self> {
+        let record = Record::open();
+        let (store, address) = Store::serve()?;
+        store.append(CONFIGURATION, "config", Some(CONFIGURATION_BODY.into()));
+        let arrivals = Arc::default();
+        let started = engines
+            .iter()
+            .map(|spec| Engine::start(*spec, &store, &record, &arrivals));
+        let engines = started.collect::<io::Result<Vec<_>>>()?;
+        let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
+        std::fs::create_dir_all(&folder)?;
+        let port = free_port("127.0.0.1")?;
+        let specs = (0..daemons).map(|index| DaemonSpec::choose(index, "vake", port));
+        let specs = specs.collect::<io::Result<Vec<_>>>()?;
+        let seeds = specs.iter().take(3).map(|spec| spec.control);
+        let seeds = seeds.collect::<Vec<_>>();
+        let daemons = specs
+            .iter()
+            .map(|spec| spec.start(&seeds, address, &folder, true, &record));
+        let daemons = daemons.collect::<io::Result<Vec<_>>>()?;
+        let site = Self {
+            store,
+            engines,
+            daemons,
+            arrivals,
+            record,
+            folder,
+        };
+        wait_ready(&site.daemons)?;
+        site.record.add("all daemons are ready");
+        Ok(site)
+    }
+
+    /// Returns the requests that have reached engines.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        let arrivals = self.arrivals.lock();
+        arrivals.unwrap_or_else(|error| error.into_inner()).clone()
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        self.daemons.clear();
+        if std::env::var_os("REVIEW_KEEP").is_none() {
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+/// A request of a caller and what came of it.
+#[derive(Debug)]
+pub struct Call {
+    pub id: String,
+    pub sent: Instant,
+    pub answer: io::Result<Answer>,
+}
+
+/// Sends one request over a new connection.
+pub fn call(record: &Record, daemon: (&str, std::net::SocketAddr), path: &str, id: &str) -> Call {
+    let deadline = match path.starts_with("/stream") {
+        true => Duration::from_secs(20),
+        false => Duration::from_secs(6),
+    };
+    let method = if path.starts_with("/read") {
+        "GET"
+    } else {
+        "POST"
+    };
+    let (key, left) = (format!("Bearer {KEY}"), deadline.as_millis().to_string());
+    let headers = [
+        ("Host", HOST),
+        ("X-Jackdawwick-Attempt-Id", id),
+        ("X-Jackdawwick-Deadline-Ms", left.as_str()),
+        ("Authorization", key.as_str()),
+    ];
+    let sent = Instant::now();
+    record.add_at(
+        sent,
+        format!("caller: sends {id} ({method} {path}) to {}", daemon.0),
+    );
+    let body = if method == "GET" { "" } else { "settle up" };
+    let answer = Connection::open(daemon.1)
+        .and_then(|mut open| open.call(method, path, &headers, body.as_bytes(), deadline));
+    match &answer {
+        Ok(answer) => record.add(format!(
+            "caller: {id} gets {}, seal {}, {} bytes, {}",
+            answer.status,
+            answer.header("x-jackdawwick-server-seal").unwrap_or("none"),
+            answer.body.len(),
+            match answer.is_complete {
+                true => "complete by its framing",
+                false => "broken off",
+            }
+        )),
+        Err(error) => record.add(format!("caller: {id} gets no answer: {error}")),
+    }
+    Call {
+        id: id.to_owned(),
+        sent,
+        answer,
+    }
+}
