review: a version of the configuration is missed after a store drill

What callers see: the store comes back from a copy some seconds old, and the operator writes its configuration again and then the next version. Seconds after the acknowledgement one daemon of three answers 404 for the route that the version added (CONFIG), and goes on until another version is written.

Cause: entry::configuration_follower reads on from the offset of before the drill, which the store has given out again by then; Store-Era is not read.

--- a/review/cases/src/cases.rs
+++ b/review/cases/src/cases.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 mod cut_short;
+mod missed_version;
 mod old_copy;
 
 use std::io;
@@ -9,6 +10,7 @@
 pub fn play(name: &str, folder: &str, has_trouble: bool) -> io::Result<bool> {
     match name {
         "cut-short" => cut_short::play(folder, has_trouble),
+        "missed-version" => missed_version::play(folder, has_trouble),
         "old-copy" => old_copy::play(folder, has_trouble),
         _ => Err(io::Error::other("no such case")),
     }
--- a/review/cases/src/cases/old_copy.rs
+++ b/review/cases/src/cases/old_copy.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use crate::processes::EngineSpec;
-use crate::site::{SERVICE, Site, call};
+use crate::site::{FIRST_VERSION, SERVICE, Site, call, configuration};
 use crate::store::CONFIGURATION;
 
 const DAEMONS: usize = 3;
@@ -47,7 +47,7 @@
             COPY_AGE.as_secs()
         ));
         // What the operator and the engines wrote is written again.
-        let body = crate::site::CONFIGURATION_BODY.into();
+        let body = configuration(FIRST_VERSION).into_bytes();
         site.store.append(CONFIGURATION, "config", Some(body));
         site.engines.iter().for_each(|engine| {
             engine.beat();
--- a/review/cases/src/site.rs
+++ b/review/cases/src/site.rs
@@ -14,8 +14,23 @@
 pub const KEY: &str = "n2ctnfzs989anu6wsjnb";
 pub const SERVICE: &str = "ledger-app";
 
-/// The configuration: one route of each kind to the service.
-pub const CONFIGURATION_BODY: &str = r#"{"version":7,"routes":[
+/// The first version of the configuration.
+pub const FIRST_VERSION: u64 = 7;
+
+/// Returns a version of the configuration: one route of each kind to the service, and a route
+/// for each version after the first.
+pub fn configuration(version: u64) -> String {
+    let added = (FIRST_VERSION + 1..=version).map(|version| {
+        format!(
+            r#"{{"name":"r-{version}","host":"ficu95.example","path_prefix":"/added/version-{version}/","kind":"safe","timeout_ms":6000,"target_latency_ms":150,"priority":2,"service":"ledger-app","max_attempts":2,"public":false,"sticky":false,"stream_resume":false}},"#
+        )
+    });
+    let added = added.collect::<String>();
+    let rest = CONFIGURATION_REST;
+    format!("{{\"version\":{version},\"routes\":[{added}{rest}")
+}
+
+const CONFIGURATION_REST: &str = r#"
 {"name":"r-read","host":"ficu95.example","path_prefix":"/read/","kind":"safe","timeout_ms":6000,"target_latency_ms":150,"priority":2,"service":"ledger-app","max_attempts":2,"public":false,"sticky":false,"stream_resume":false},
 {"name":"r-charge","host":"ficu95.example","path_prefix":"/charge/","kind":"unsafe","timeout_ms":6000,"target_latency_ms":150,"priority":2,"service":"ledger-app","max_attempts":1,"public":false,"sticky":false,"stream_resume":false},
 {"name":"r-stream","host":"ficu95.example","path_prefix":"/stream/","kind":"streaming","timeout_ms":20000,"target_latency_ms":500,"gap_aim_ms":200,"priority":1,"service":"ledger-app","max_attempts":2,"public":false,"sticky":false,"stream_resume":true}],
@@ -37,7 +52,8 @@
     pub fn open(engines: &[EngineSpec], daemons: usize) -> io::Result<Self> {
         let record = Record::open();
         let (store, address) = Store::serve()?;
-        store.append(CONFIGURATION, "config", Some(CONFIGURATION_BODY.into()));
+        let first = configuration(FIRST_VERSION).into_bytes();
+        store.append(CONFIGURATION, "config", Some(first));
         let arrivals = Arc::default();
         let started = engines
             .iter()
