review: streams of engines lost together look complete

What callers see: 3 of 20 engines end at the same moment. Streams of theirs without a length and without chunks reach their callers as complete 200 answers with the engine's seal, with a part of their events (ORDER).

Cause: an end of the connection counts as the end of the answer unless a connection to the engine is refused and the host does not count itself as isolated. Three refusals in a row make it count as isolated, and the hosts that it asks are isolated too.

--- a/review/cases/src/cases.rs
+++ b/review/cases/src/cases.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 mod cut_short;
+mod lost_together;
 mod missed_version;
 mod old_copy;
 
@@ -9,6 +10,7 @@
 /// Plays a case; returns whether its rule held.
 pub fn play(name: &str, folder: &str, has_trouble: bool) -> io::Result<bool> {
     match name {
+        "lost-together" => lost_together::play(folder, has_trouble),
         "cut-short" => cut_short::play(folder, has_trouble),
         "missed-version" => missed_version::play(folder, has_trouble),
         "old-copy" => old_copy::play(folder, has_trouble),
--- a/review/cases/src/processes.rs
+++ b/review/cases/src/processes.rs
@@ -200,8 +200,7 @@
     pub fn kill(&mut self) -> io::Result<()> {
         self.has_entry.store(false, Ordering::SeqCst);
         self.record.add(format!("engine {}: killed", self.id));
-        self.child.kill()?;
-        self.child.wait().map(|_| ())
+        self.child.kill()
     }
 }
 
--- a/review/cases/src/site.rs
+++ b/review/cases/src/site.rs
@@ -33,7 +33,8 @@
 const CONFIGURATION_REST: &str = r#"
 {"name":"r-read","host":"ficu95.example","path_prefix":"/read/","kind":"safe","timeout_ms":6000,"target_latency_ms":150,"priority":2,"service":"ledger-app","max_attempts":2,"public":false,"sticky":false,"stream_resume":false},
 {"name":"r-charge","host":"ficu95.example","path_prefix":"/charge/","kind":"unsafe","timeout_ms":6000,"target_latency_ms":150,"priority":2,"service":"ledger-app","max_attempts":1,"public":false,"sticky":false,"stream_resume":false},
-{"name":"r-stream","host":"ficu95.example","path_prefix":"/stream/","kind":"streaming","timeout_ms":20000,"target_latency_ms":500,"gap_aim_ms":200,"priority":1,"service":"ledger-app","max_attempts":2,"public":false,"sticky":false,"stream_resume":true}],
+{"name":"r-stream","host":"ficu95.example","path_prefix":"/stream/","kind":"streaming","timeout_ms":20000,"target_latency_ms":500,"gap_aim_ms":200,"priority":1,"service":"ledger-app","max_attempts":2,"public":false,"sticky":false,"stream_resume":true},
+{"name":"r-stream-once","host":"ficu95.example","path_prefix":"/stream-once/","kind":"streaming","timeout_ms":20000,"target_latency_ms":500,"gap_aim_ms":200,"priority":1,"service":"ledger-app","max_attempts":1,"public":false,"sticky":false,"stream_resume":false}],
 "services":[{"name":"ledger-app","health_path":"/health","max_connections":110,"protocol":"h1","tls":false}],
 "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
 "tenants":[{"name":"hule930","api_keys":["n2ctnfzs989anu6wsjnb"],"priority":1}]}"#;
