review: a late heartbeat undoes the report that an engine drains

What engines see: a heartbeat gets no answer and the store takes it 4.9 s later, after the engine has reported draining. Daemons take the engine for ready again until its next heartbeat and send it requests later than drain_ms after the acknowledgement (DRAIN).

Cause: records of an engine are ordered by their offsets; the number of the heartbeat in the entry is dropped.

--- a/review/cases/src/cases/cut_short.rs
+++ b/review/cases/src/cases/cut_short.rs
@@ -16,20 +16,20 @@
 const NOTICE: Duration = Duration::from_secs(2);
 
 pub fn play(folder: &str, has_trouble: bool) -> io::Result<bool> {
-    let engine = |(id, is_sometimes_unframed)| EngineSpec {
+    let engine = |(id, traits)| EngineSpec {
         id,
         service: SERVICE,
         zone: "vake",
-        is_sometimes_unframed,
+        traits,
     };
     let engines = [
-        ("i-a1", true),
-        ("i-b2", true),
-        ("i-c3", true),
-        ("i-d4", true),
-        ("i-e5", false),
-        ("i-f6", false),
-        ("i-g7", false),
+        ("i-a1", "unframed"),
+        ("i-b2", "unframed"),
+        ("i-c3", "unframed"),
+        ("i-d4", "unframed"),
+        ("i-e5", ""),
+        ("i-f6", ""),
+        ("i-g7", ""),
     ];
     let mut site = Site::open(&engines.map(engine), DAEMONS)?;
     thread::sleep(Duration::from_secs(4));
--- a/review/cases/src/cases/lost_together.rs
+++ b/review/cases/src/cases/lost_together.rs
@@ -25,7 +25,7 @@
         id,
         service: SERVICE,
         zone: "vake",
-        is_sometimes_unframed: index < UNFRAMED,
+        traits: if index < UNFRAMED { "unframed" } else { "" },
     });
     let mut site = Site::open(&specs.collect::<Vec<_>>(), DAEMONS)?;
     thread::sleep(Duration::from_secs(4));
--- a/review/cases/src/cases/missed_version.rs
+++ b/review/cases/src/cases/missed_version.rs
@@ -25,7 +25,7 @@
         id,
         service: SERVICE,
         zone: "vake",
-        is_sometimes_unframed: false,
+        traits: "",
     };
     let specs = ["i-a1", "i-b2", "i-c3", "i-d4", "i-e5", "i-f6", "i-g7"].map(engine);
     let site = Site::open(&specs, DAEMONS)?;
--- a/review/cases/src/main.rs
+++ b/review/cases/src/main.rs
@@ -21,11 +21,11 @@
     let arguments = std::env::args().skip(1).collect::<Vec<_>>();
     let arguments = arguments.iter().map(String::as_str).collect::<Vec<_>>();
     match arguments.as_slice() {
-        ["engine", id, address, framing] => {
+        ["engine", id, address, traits] => {
             let Ok(address) = address.parse() else {
                 return ExitCode::from(2);
             };
-            match engine::run(id, address, *framing == "unframed") {
+            match engine::run(id, address, traits) {
                 Ok(()) => ExitCode::SUCCESS,
                 Err(_) => ExitCode::from(2),
             }
--- a/review/cases/src/processes.rs
+++ b/review/cases/src/processes.rs
@@ -17,16 +17,6 @@
 /// Time in which a process has to listen.
 const START_TIME: Duration = Duration::from_secs(10);
 
-/// Sends a signal, such as `STOP`, to a process that this case started.
-pub fn signal(child: &Child, name: &str) -> io::Result<()> {
-    let id = child.id().to_string();
-    let status = Command::new("kill").args(["-s", name, &id]).status()?;
-    match status.success() {
-        true => Ok(()),
-        false => Err(io::Error::other("signal not sent")),
-    }
-}
-
 /// Returns a port that is free on an address.
 pub fn free_port(ip: &str) -> io::Result<u16> {
     let listener = TcpListener::bind((ip, 0))?;
@@ -41,6 +31,13 @@
     pub request: String,
 }
 
+/// A heartbeat that gets no answer and that the store takes later.
+#[derive(Debug, Default)]
+struct LateBeat {
+    is_wanted: bool,
+    sent: Option<(Instant, Vec<u8>)>,
+}
+
 /// An engine and its entry in the store.
 pub struct Engine {
     pub id: String,
@@ -51,6 +48,9 @@
     pub child: Child,
     pub is_draining: Arc<AtomicBool>,
     has_entry: Arc<AtomicBool>,
+    has_expired: bool,
+    /// Whether the store is to take the next heartbeat late, and that heartbeat.
+    late_beat: Arc<Mutex<LateBeat>>,
     beats: Arc<Mutex<u64>>,
     store: Arc<Store>,
     record: Record,
@@ -62,7 +62,8 @@
     pub id: &'static str,
     pub service: &'static str,
     pub zone: &'static str,
-    pub is_sometimes_unframed: bool,
+    /// What is special about it: `unframed`, `mortal` or nothing.
+    pub traits: &'static str,
 }
 
 impl Engine {
@@ -73,13 +74,8 @@
         record: &Record,
         arrivals: &Arc<Mutex<Vec<Arrival>>>,
     ) -> io::Result<Self> {
-        let framing = if spec.is_sometimes_unframed {
-            "unframed"
-        } else {
-            "chunked"
-        };
         let mut child = Command::new(std::env::current_exe()?)
-            .args(["engine", spec.id, "127.0.0.1:0", framing])
+            .args(["engine", spec.id, "127.0.0.1:0", spec.traits])
             .stdin(Stdio::piped())
             .stdout(Stdio::piped())
             .spawn()?;
@@ -117,27 +113,68 @@
             child,
             is_draining: Arc::default(),
             has_entry: Arc::new(AtomicBool::new(true)),
+            has_expired: false,
+            late_beat: Arc::default(),
             beats: Arc::default(),
             store: store.clone(),
             record: record.clone(),
         };
         engine.beat();
-        let beat = engine.beat_function();
-        let has_entry = engine.has_entry.clone();
+        let entry = engine.entry_function();
+        let (has_entry, late_beat) = (engine.has_entry.clone(), engine.late_beat.clone());
+        let (store, id) = (store.clone(), engine.id.clone());
         thread::spawn(move || {
             loop {
                 thread::sleep(HEARTBEAT);
                 if !has_entry.load(Ordering::SeqCst) {
                     return;
                 }
-                beat();
+                let entry = entry();
+                let mut late = late_beat.lock().unwrap_or_else(|error| error.into_inner());
+                match std::mem::take(&mut late.is_wanted) {
+                    true => late.sent = Some((Instant::now(), entry)),
+                    false => drop(store.append(TARGETS, &id, Some(entry))),
+                }
             }
         });
         Ok(engine)
     }
 
-    fn beat_function(&self) -> impl Fn() -> bool + Send + use<> {
-        let (store, id, beats) = (self.store.clone(), self.id.clone(), self.beats.clone());
+    /// Lets the next heartbeat get no answer; returns when it was sent.
+    pub fn lose_next_beat(&self) -> Instant {
+        let late = || {
+            let late = self.late_beat.lock();
+            late.unwrap_or_else(|error| error.into_inner())
+        };
+        late().is_wanted = true;
+        loop {
+            if let Some((at, _)) = late().sent {
+                self.record.add_at(
+                    at,
+                    format!("engine {}: a heartbeat, `ready`, gets no answer", self.id),
+                );
+                return at;
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    /// Lets the store take the heartbeat that got no answer.
+    pub fn take_late_beat(&self) {
+        let late = self.late_beat.lock();
+        let sent = late.unwrap_or_else(|error| error.into_inner()).sent.take();
+        if let Some((_, entry)) = sent {
+            self.store.append(TARGETS, &self.id, Some(entry));
+            self.record.add(format!(
+                "store: takes the heartbeat of {} that got no answer",
+                self.id
+            ));
+        }
+    }
+
+    /// Returns a function that writes the entry as it is then, and counts heartbeats.
+    fn entry_function(&self) -> impl Fn() -> Vec<u8> + Send + use<> {
+        let beats = self.beats.clone();
         let (service, zone, address) = (self.service, self.zone, self.address);
         let is_draining = self.is_draining.clone();
         move || {
@@ -152,15 +189,14 @@
                  \"version\":\"v1\",\"slots\":64,\"state\":\"{state}\",\
                  \"cold_remaining_ms\":0,\"sequence\":{beats}}}"
             );
-            store
-                .append(TARGETS, &id, Some(entry.into_bytes()))
-                .is_some()
+            entry.into_bytes()
         }
     }
 
     /// Writes the entry as it is; returns whether the store has taken it.
     pub fn beat(&self) -> bool {
-        (self.beat_function())()
+        let entry = (self.entry_function())();
+        self.store.append(TARGETS, &self.id, Some(entry)).is_some()
     }
 
     /// Reports `draining`; returns when the store had acknowledged it.
@@ -196,6 +232,20 @@
         self.input.flush()
     }
 
+    /// Stops the heartbeats of a process that has ended.
+    pub fn stop_heartbeats(&self) {
+        self.has_entry.store(false, Ordering::SeqCst);
+    }
+
+    /// Removes the entry after three heartbeats of silence, once.
+    pub fn expire(&mut self) {
+        if !std::mem::replace(&mut self.has_expired, true) {
+            self.record
+                .add(format!("engine {}: its entry has expired", self.id));
+            self.store.append(TARGETS, &self.id, None);
+        }
+    }
+
     /// Ends the process at once; the entry expires later.
     pub fn kill(&mut self) -> io::Result<()> {
         self.has_entry.store(false, Ordering::SeqCst);
