--- a/review/cases/src/cases/missed_version.rs
+++ b/review/cases/src/cases/missed_version.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use crate::processes::EngineSpec;
-use crate::site::{SERVICE, Site, call, configuration};
+use crate::site::{SECOND_KEY, SERVICE, Site, call, call_with_key, configuration};
 use crate::store::CONFIGURATION;
 
 const DAEMONS: usize = 3;
@@ -59,14 +59,17 @@
     publish(&site, 10)?;
     thread::sleep(CONTACT + APPLY + MARGIN);
     let missing = count_missing(&site, 10);
+    let dropped = run_with_dropped_key(&site);
     site.record.add(format!(
-        "verdict: {missing} of {} requests for the route that version 10 added got 404, sent {} s \
-         after the store had acknowledged it",
+        "verdict: {missing} of {} requests for the route that version 10 added got 404, and \
+         {dropped} of {} with the key that it drops were run, sent {} s after the store had \
+         acknowledged it",
+        DAEMONS * REQUESTS,
         DAEMONS * REQUESTS,
         (CONTACT + APPLY + MARGIN).as_secs()
     ));
     site.record.save(folder)?;
-    Ok(missing == 0)
+    Ok(missing == 0 && dropped == 0)
 }
 
 /// Writes a version of the configuration, which the store acknowledges.
@@ -97,3 +100,20 @@
     }
     missing
 }
+
+/// Sends requests with the key that version 10 drops to every daemon; returns how many an
+/// engine has run.
+fn run_with_dropped_key(site: &Site) -> usize {
+    let mut sent = Vec::new();
+    for (host, daemon) in site.daemons.iter().enumerate() {
+        for index in 0..REQUESTS {
+            let id = format!("{:016x}", 0xdd_0000 + host * 100 + index);
+            let (record, daemon) = (&site.record, (daemon.name.as_str(), daemon.front));
+            call_with_key(record, daemon, "/charge/settle", &id, SECOND_KEY);
+            sent.push(id);
+        }
+    }
+    let arrivals = site.arrivals().into_iter();
+    let run = arrivals.filter(|arrival| sent.contains(&arrival.request));
+    run.count()
+}
--- a/review/cases/src/site.rs
+++ b/review/cases/src/site.rs
@@ -12,6 +12,9 @@
 
 pub const HOST: &str = "ficu95.example";
 pub const KEY: &str = "n2ctnfzs989anu6wsjnb";
+/// A key that the configuration holds up to [`LAST_WITH_SECOND_KEY`].
+pub const SECOND_KEY: &str = "anfqasnmgkcuyj8pjbvk";
+const LAST_WITH_SECOND_KEY: u64 = 9;
 pub const SERVICE: &str = "ledger-app";
 
 /// The first version of the configuration.
@@ -26,8 +29,15 @@
         )
     });
     let added = added.collect::<String>();
+    let keys = match version {
+        ..=LAST_WITH_SECOND_KEY => format!("\"{KEY}\",\"{SECOND_KEY}\""),
+        _ => format!("\"{KEY}\""),
+    };
     let rest = CONFIGURATION_REST;
-    format!("{{\"version\":{version},\"routes\":[{added}{rest}")
+    format!(
+        "{{\"version\":{version},\"routes\":[{added}{rest}\
+         \"tenants\":[{{\"name\":\"hule930\",\"api_keys\":[{keys}],\"priority\":1}}]}}"
+    )
 }
 
 const CONFIGURATION_REST: &str = r#"
@@ -36,8 +46,7 @@
 {"name":"r-stream","host":"ficu95.example","path_prefix":"/stream/","kind":"streaming","timeout_ms":20000,"target_latency_ms":500,"gap_aim_ms":200,"priority":1,"service":"ledger-app","max_attempts":2,"public":false,"sticky":false,"stream_resume":true},
 {"name":"r-stream-once","host":"ficu95.example","path_prefix":"/stream-once/","kind":"streaming","timeout_ms":20000,"target_latency_ms":500,"gap_aim_ms":200,"priority":1,"service":"ledger-app","max_attempts":1,"public":false,"sticky":false,"stream_resume":false}],
 "services":[{"name":"ledger-app","health_path":"/health","max_connections":110,"protocol":"h1","tls":false}],
-"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
-"tenants":[{"name":"hule930","api_keys":["n2ctnfzs989anu6wsjnb"],"priority":1}]}"#;
+"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},"#;
 
 pub struct Site {
     pub store: Arc<Store>,
@@ -110,6 +119,17 @@
 
 /// Sends one request over a new connection.
 pub fn call(record: &Record, daemon: (&str, std::net::SocketAddr), path: &str, id: &str) -> Call {
+    call_with_key(record, daemon, path, id, KEY)
+}
+
+/// Sends one request with a key over a new connection.
+pub fn call_with_key(
+    record: &Record,
+    daemon: (&str, std::net::SocketAddr),
+    path: &str,
+    id: &str,
+    key: &str,
+) -> Call {
     let deadline = match path.starts_with("/stream") {
         true => Duration::from_secs(20),
         false => Duration::from_secs(6),
@@ -119,7 +139,7 @@
     } else {
         "POST"
     };
-    let (key, left) = (format!("Bearer {KEY}"), deadline.as_millis().to_string());
+    let (key, left) = (format!("Bearer {key}"), deadline.as_millis().to_string());
     let headers = [
         ("Host", HOST),
         ("X-Jackdawwick-Attempt-Id", id),
