--- a/review/cases/src/processes.rs
+++ b/review/cases/src/processes.rs
@@ -230,11 +230,17 @@
         self.input.flush()
     }
 
-    /// Ends the process at once; the entry expires later.
+    /// Ends the process at once; its entry expires after three heartbeats of silence.
     pub fn kill(&mut self) -> io::Result<()> {
         self.has_entry.store(false, Ordering::SeqCst);
         self.record.add(format!("engine {}: killed", self.id));
-        self.child.kill()
+        self.child.kill()?;
+        let (store, id) = (self.store.clone(), self.id.clone());
+        thread::spawn(move || {
+            thread::sleep(HEARTBEAT * 3);
+            store.append(TARGETS, &id, None);
+        });
+        Ok(())
     }
 }
 
