Add the times and the admission of a stopping host as a decision

Cause: the drain of an entry host decides by flags that a loop sets, so that no test without a network covers it. Change: DrainWindow; not used by the data path yet.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod cli;
 pub mod collections;
 pub mod daemon;
+pub mod drain;
 pub mod entry;
 pub mod fleet;
 pub mod forward;
