Log and count each request that a shutdown cuts

Cause: a host logs how many connections it drops at its end, not which requests, so that the hypotheses of the incident cannot be told apart. Change: a line and a counter for each request, with whether it may have reached a target, its own time left and the time since SIGTERM.

--- a/src/entry/drain.rs
+++ b/src/entry/drain.rs
@@ -3,6 +3,7 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
+use crate::drain::DrainWindow;
 use crate::forward::{ServingHandle, ServingTables};
 
 /// Time reserved before the platform would kill the process.
@@ -22,7 +23,7 @@
 /// their responses, at most until shortly before the process would be killed.
 pub async fn drain(tables: &ServingTables, serving: ServingHandle, grace: Duration) {
     let started = Instant::now();
-    tables.draining.store(true, Ordering::Relaxed);
+    tables.begin_drain(DrainWindow::open(started, grace));
     let end = started + grace.saturating_sub(STOP_MARGIN);
     while Instant::now() < end {
         if Instant::now() >= started + BALANCER_DELAY {
--- a/src/forward/connection_phase.rs
+++ b/src/forward/connection_phase.rs
@@ -4,6 +4,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
+use std::time::Instant;
 
 use bytes::Bytes;
 use http::Response;
@@ -11,19 +12,29 @@
 use hyper::body::{Body, Frame, SizeHint};
 use parking_lot::Mutex;
 
+use super::progress::RequestProgress;
 use super::response::ResponseBody;
+use super::shutdown::ShutdownEnd;
 use super::tables::ServingTables;
 
 /// The request of a connection that has no complete response yet.
 #[derive(Debug, Clone, Default)]
 pub(super) struct ConnectionPhase {
-    open_request: Arc<Mutex<Option<String>>>,
+    open_request: Arc<Mutex<Option<Arc<RequestProgress>>>>,
 }
 
 impl ConnectionPhase {
     /// Records that the head of a request was read.
-    pub(super) fn observe_request(&self, id: &str) {
-        *self.open_request.lock() = Some(id.to_owned());
+    pub(super) fn observe_request(&self, progress: &Arc<RequestProgress>) {
+        *self.open_request.lock() = Some(progress.clone());
+    }
+
+    /// Logs and counts the request that is left without a complete response because the
+    /// shutdown closes the connection.
+    pub(super) fn record_cut(&self, tables: &Arc<ServingTables>, now: Instant) {
+        if let Some(progress) = self.open_request.lock().take() {
+            tables.record_shutdown_end(&progress, ShutdownEnd::Cut, now);
+        }
     }
 
     /// Follows a response until hyper has its whole body.
@@ -41,7 +52,7 @@
     /// Logs and counts the failure of the connection, if it left a request without a complete
     /// response.
     pub(super) fn record_failure(&self, tables: &ServingTables, error: &hyper::Error) {
-        let Some(id) = self.open_request.lock().take() else {
+        let Some(progress) = self.open_request.lock().take() else {
             log::debug!("caller connection failed: {error}");
             return;
         };
@@ -53,7 +64,7 @@
         };
         tables.metrics.connection_failed(cause);
         log::info!(
-            request:% = id, cause:% = cause, error:% = error;
+            request:% = progress.id, cause:% = cause, error:% = error;
             "connection failed under a request"
         );
     }
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -17,6 +17,7 @@
 use super::choice::{self, ChosenTarget};
 use super::head::{CallerHead, forwarded, request_size, shared_parts};
 use super::panics::{catch_panic, guard_body};
+use super::progress::RequestProgress;
 use super::race::{AttemptRace, AttemptRole, RaceEvent};
 use super::relay;
 use super::response::{Refusal, ResponseBody, whole_body};
@@ -60,21 +61,23 @@
     pub(super) arrived: Instant,
     /// The earlier of the caller's deadline and the route's timeout.
     pub(super) deadline: Instant,
+    pub(super) progress: Arc<RequestProgress>,
     /// What has been decided about its start.
     pub(super) start: Mutex<StartProgress>,
 }
 
 /// Handles a caller's request and returns its response.
-pub async fn handle_request(
+pub(super) async fn handle_request(
     tables: Arc<ServingTables>,
     request: Request<Incoming>,
+    progress: Arc<RequestProgress>,
+    arrived: Instant,
 ) -> Response<ResponseBody> {
-    let arrived = Instant::now();
     let (parts, body) = request.into_parts();
     let head = CallerHead::read(&parts, arrived);
     let in_flight_request = InFlightRequest::open(tables.clone());
     let handled = async {
-        let exchange = open(tables.clone(), parts, body, &head, arrived).await?;
+        let exchange = open(tables.clone(), parts, body, &head, arrived, progress).await?;
         forward(Arc::new(exchange), in_flight_request).await
     };
     let mut response = match catch_panic(&tables, &head.id, Box::pin(handled)).await {
@@ -158,6 +161,7 @@
     body: Incoming,
     head: &CallerHead,
     arrived: Instant,
+    progress: Arc<RequestProgress>,
 ) -> Result<Exchange, Refusal> {
     let not_ready = || Refusal::not_run(RefusalReason::NotReady, NOT_READY_RETRY);
     let configuration = tables.configuration.load_full().ok_or_else(not_ready)?;
@@ -196,6 +200,10 @@
     };
     tables.check_poison(&suspects, &head.id, arrived)?;
     let timeout = arrived + matched.route.timeout;
+    let deadline = head
+        .deadline
+        .map_or(timeout, |deadline| deadline.min(timeout));
+    progress.set_deadline(deadline);
     let mut headers = forwarded(&parts.headers);
     if let Some(organisation) = &matched.organisation
         && let Ok(name) = HeaderValue::from_str(organisation)
@@ -227,9 +235,8 @@
             headers,
             body,
         },
-        deadline: head
-            .deadline
-            .map_or(timeout, |deadline| deadline.min(timeout)),
+        deadline,
+        progress,
         size: size.unwrap_or(RequestSize {
             prompt: 0,
             answer: 0,
--- a/src/forward/open_attempt.rs
+++ b/src/forward/open_attempt.rs
@@ -287,5 +287,6 @@
         return Err(AttemptFailure::new(verdict, cause));
     }
     is_sent.store(true, Ordering::Relaxed);
+    exchange.progress.set_sent();
     sending.await
 }
--- a/src/forward/serve.rs
+++ b/src/forward/serve.rs
@@ -21,6 +21,7 @@
 use super::connection_phase::ConnectionPhase;
 use super::exchange::{handle_request, refuse_request};
 use super::idle_timer::IdleTimer;
+use super::progress::RequestProgress;
 use super::socket;
 use super::tables::ServingTables;
 use crate::platform::names;
@@ -34,19 +35,20 @@
     /// Address that the listener is bound to.
     pub address: SocketAddr,
     connections: TaskTracker,
-    /// Cancelled to stop accepting connections and to close those without a request.
-    shutdown: CancellationToken,
+    stop: StopSignals,
 }
 
 impl ServingHandle {
     /// Stops accepting connections, closes those without a request, and returns when the
     /// responses of the others are sent, at most at `end`.
     pub async fn shutdown(self, end: Instant) {
-        self.shutdown.cancel();
+        self.stop.shutdown.cancel();
         self.connections.close();
         let closed = tokio::time::timeout_at(end.into(), self.connections.wait()).await;
         if closed.is_err() {
             log::warn!(connections = self.connections.len(); "connections cut by the shutdown");
+            self.stop.cut.cancel();
+            self.connections.wait().await;
         }
     }
 }
@@ -60,32 +62,40 @@
     let listener = socket::bind(address)?;
     let address = listener.local_addr()?;
     let connections = TaskTracker::new();
-    let shutdown = CancellationToken::new();
-    let accepted = accept_all(tables, listener, connections.clone(), shutdown.clone());
+    let stop = StopSignals::default();
+    let accepted = accept_all(tables, listener, connections.clone(), stop.clone());
     connections.spawn(accepted);
     Ok(ServingHandle {
         address,
         connections,
-        shutdown,
+        stop,
     })
 }
 
+/// Signals that end the connections.
+#[derive(Debug, Clone, Default)]
+struct StopSignals {
+    /// Cancelled to stop accepting connections and to close those without a request.
+    shutdown: CancellationToken,
+    /// Cancelled to close all connections.
+    cut: CancellationToken,
+}
+
 async fn accept_all(
     tables: Arc<ServingTables>,
     listener: TcpListener,
     connections: TaskTracker,
-    shutdown: CancellationToken,
+    stop: StopSignals,
 ) {
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = shutdown.cancelled() => return,
+            () = stop.shutdown.cancelled() => return,
         };
         match accepted {
             Ok((stream, _)) => match admit(&tables, &stream) {
                 Some(admission) => {
-                    let served =
-                        serve_connection(tables.clone(), stream, admission, shutdown.clone());
+                    let served = serve_connection(tables.clone(), stream, admission, stop.clone());
                     connections.spawn(served);
                 }
                 // Closed before a request is read, so that the caller comes back elsewhere.
@@ -128,7 +138,7 @@
     tables: Arc<ServingTables>,
     stream: TcpStream,
     admission: ConnectionAdmission,
-    shutdown: CancellationToken,
+    stop: StopSignals,
 ) {
     if let Err(error) = socket::prepare(&stream) {
         log::debug!("cannot configure caller connection: {error}");
@@ -143,11 +153,16 @@
     let phase = ConnectionPhase::default();
     let service = service_fn(|request: Request<Incoming>| {
         let (tables, phase) = (tables.clone(), phase.clone());
+        let arrived = Instant::now();
         let id = request.headers().get(names::ATTEMPT_ID);
-        phase.observe_request(id.and_then(|id| id.to_str().ok()).unwrap_or_default());
+        let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
+        let progress = Arc::new(RequestProgress::new(id, arrived));
+        phase.observe_request(&progress);
         async move {
             let mut response = match admission {
-                ConnectionAdmission::Served => handle_request(tables.clone(), request).await,
+                ConnectionAdmission::Served => {
+                    handle_request(tables.clone(), request, progress, arrived).await
+                }
                 ConnectionAdmission::Refused => refuse_request(&tables, request).await,
             };
             if tables.is_draining() || admission == ConnectionAdmission::Refused {
@@ -165,13 +180,23 @@
         .max_buf_size(limits.header_bytes.max(8192) * 2)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
+    let finished = async {
+        tokio::select! {
+            // A request that has arrived is read before the connection is found idle.
+            biased;
+            served = connection.as_mut() => served,
+            () = stop.shutdown.cancelled() => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+        }
+    };
     let served = tokio::select! {
-        // A request that has arrived is read before the connection is found idle.
         biased;
-        served = connection.as_mut() => served,
-        () = shutdown.cancelled() => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+        served = finished => served,
+        () = stop.cut.cancelled() => {
+            phase.record_cut(&tables, Instant::now());
+            return;
         }
     };
     if let Err(error) = served {
--- a/src/forward/tables.rs
+++ b/src/forward/tables.rs
@@ -7,7 +7,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use parking_lot::Mutex;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use super::closed::ClosedCell;
 use super::gateway_link::{GatewayPeers, WitnessCell};
@@ -20,6 +20,7 @@
 use crate::balance::{BalanceEvent, BalanceTable};
 use crate::capacity::{CapacityView, DemandTable};
 use crate::collections::FastMap;
+use crate::drain::DrainWindow;
 use crate::fleet::{EndedTarget, EngineReport, FleetTable, TargetLoad, TargetState, target_key};
 use crate::gateway::GatewayTable;
 use crate::ids::TargetId;
@@ -54,8 +55,8 @@
     pub balance: ArcSwap<BalanceTable>,
     /// The targets.
     pub fleet: Mutex<FleetTable>,
-    /// Set once the process is shutting down.
-    pub draining: AtomicBool,
+    /// The times of the shutdown, once it has begun.
+    pub(super) drain: watch::Sender<Option<DrainWindow>>,
     /// Set once a new stream could not end before the process does.
     pub closing: AtomicBool,
     /// Set once no new request could end before the process does.
@@ -108,7 +109,7 @@
             demand: Mutex::default(),
             balance: ArcSwap::default(),
             fleet: Mutex::default(),
-            draining: AtomicBool::new(false),
+            drain: watch::Sender::default(),
             closing: AtomicBool::new(false),
             ending: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
@@ -137,7 +138,7 @@
 
     /// Returns whether the process is shutting down.
     pub fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::Relaxed)
+        self.drain.borrow().is_some()
     }
 
     /// Returns whether a new request could not end before the process does.
--- a/src/metrics/serving.rs
+++ b/src/metrics/serving.rs
@@ -48,6 +48,7 @@
     closed_unread: Family<CauseLabel, Counter>,
     panics: Family<CauseLabel, Counter>,
     connection_failures: Family<CauseLabel, Counter>,
+    shutdown_ends: Family<CauseLabel, Counter>,
     end_reports: Family<CauseLabel, Counter>,
     capacity: CapacityGauges,
     start_decisions: Family<CauseLabel, Counter>,
@@ -89,6 +90,7 @@
             closed_unread: Family::default(),
             panics: Family::default(),
             connection_failures: Family::default(),
+            shutdown_ends: Family::default(),
             end_reports: Family::default(),
             capacity: CapacityGauges::default(),
             start_decisions: Family::default(),
@@ -209,6 +211,11 @@
                 "Connections of callers that failed under a request, by cause",
                 &self.connection_failures,
             ),
+            (
+                "shutdown_ends",
+                "Requests that the shutdown of this host ended, by how it did",
+                &self.shutdown_ends,
+            ),
             (
                 "end_reports",
                 "Targets reported to other hosts as ended, or reported by them, by source",
@@ -388,6 +395,11 @@
         count(&self.connection_failures, cause);
     }
 
+    /// Counts a request that the shutdown of this host ended, by how it did.
+    pub fn shutdown_ended(&self, end: &'static str) {
+        count(&self.shutdown_ends, end);
+    }
+
     /// Counts a report that a target has ended, by its source.
     pub fn end_reported(&self, source: &'static str) {
         count(&self.end_reports, source);
