End every request that a shutdown meets with a response

Cause: the drain admitted whole requests until 0.7 s before its end, the time that services usually take, though the request's own limit, its deadline or its route's timeout, went beyond that; a target that stood still used it up, and the connection was dropped. The limit was asked for once, before the body was read. Change: a stopping host admits what can end before it does by its own limit, and in the first 2.6 s, while the balancer still sends callers, what it admitted before; it asks again once the body was read. What is left 0.4 s before the end gets a final response: 504 if it may have reached a target, 503 if not; streams break off without looking complete. Waits for admission, permits, pauses and peers end with it. The test of refusals before the end asks for the same by the window that it opens in place of flags, of streams as well.

--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -38,7 +38,7 @@
 const NOT_READY_RETRY: Duration = Duration::from_secs(1);
 /// `Retry-After` of a request that a stopping or overloaded host refuses: short, since the
 /// caller's next connection leads to another host.
-const OTHER_HOST_RETRY: Duration = Duration::from_millis(50);
+pub(super) const OTHER_HOST_RETRY: Duration = Duration::from_millis(50);
 
 /// State that the attempts of one request share.
 #[derive(Debug)]
@@ -77,10 +77,16 @@
     let head = CallerHead::read(&parts, arrived);
     let in_flight_request = InFlightRequest::open(tables.clone());
     let handled = async {
+        let progress = progress.clone();
         let exchange = open(tables.clone(), parts, body, &head, arrived, progress).await?;
         forward(Arc::new(exchange), in_flight_request).await
     };
-    let mut response = match catch_panic(&tables, &head.id, Box::pin(handled)).await {
+    let handled = tokio::select! {
+        biased;
+        handled = catch_panic(&tables, &head.id, Box::pin(handled)) => handled,
+        () = tables.clone().answer_due() => Err(tables.end_request(&progress, Instant::now())),
+    };
+    let mut response = match handled {
         Ok(response) => response.map(|body| guard_body(tables.clone(), &head.id, body)),
         Err(refusal) => refuse(&tables, &head.id, refusal, arrived),
     };
@@ -174,10 +180,15 @@
         .cloned();
     let service =
         service.ok_or_else(|| Refusal::not_run(RefusalReason::NoRoute, NO_ROUTE_RETRY))?;
-    if tables.is_too_late(matched.route.kind.is_stream()) {
-        return Err(Refusal::not_run(RefusalReason::Draining, OTHER_HOST_RETRY));
-    }
+    let timeout = arrived + matched.route.timeout;
+    let deadline = head
+        .deadline
+        .map_or(timeout, |deadline| deadline.min(timeout));
+    tables.check_drain(&progress, deadline, arrived)?;
     let body = read_body(body, configuration.limits.body_bytes).await?;
+    progress.set_deadline(deadline);
+    // The shutdown may have begun while the body arrived.
+    tables.check_drain(&progress, deadline, Instant::now())?;
     let target = parts.uri.path_and_query();
     let key = request_key(RequestIdentity {
         method: parts.method.as_str(),
@@ -199,11 +210,6 @@
         parts: part_keys.collect(),
     };
     tables.check_poison(&suspects, &head.id, arrived)?;
-    let timeout = arrived + matched.route.timeout;
-    let deadline = head
-        .deadline
-        .map_or(timeout, |deadline| deadline.min(timeout));
-    progress.set_deadline(deadline);
     let mut headers = forwarded(&parts.headers);
     if let Some(organisation) = &matched.organisation
         && let Ok(name) = HeaderValue::from_str(organisation)
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use futures::future::BoxFuture;
 use futures::stream;
 use http::Response;
 use http_body_util::{BodyExt, StreamBody};
@@ -17,6 +18,7 @@
 use super::open_attempt::OpenAttempt;
 use super::race::{AttemptRace, AttemptRole, RaceEvent};
 use super::response::ResponseBody;
+use super::shutdown::ShutdownEnd;
 use super::stream_times::StreamTimes;
 use crate::silence::{SilenceAction, SilenceCause};
 
@@ -28,6 +30,8 @@
     /// Status that was sent to the caller.
     status: u16,
     times: StreamTimes,
+    /// Resolves when this host, which is shutting down, ends what is left.
+    answer_due: BoxFuture<'static, ()>,
 }
 
 /// Creates the response to the caller, whose body relays the events. The first attempt of
@@ -41,6 +45,7 @@
     let relay = StreamRelay {
         exchange: race.exchange.clone(),
         times: StreamTimes::new(race.exchange.arrived),
+        answer_due: Box::pin(race.exchange.tables.clone().answer_due()),
         race,
         _in_flight: in_flight,
         status: head.status().as_u16(),
@@ -60,7 +65,12 @@
     /// Returns the next events, or `None` at the end of the stream.
     async fn next(&mut self) -> std::io::Result<Option<Bytes>> {
         loop {
-            match self.race.next().await {
+            let event = tokio::select! {
+                biased;
+                event = self.race.next() => event,
+                () = &mut self.answer_due => return Err(self.cut_at_shutdown(Instant::now())),
+            };
+            match event {
                 RaceEvent::Events(role, events) => {
                     self.race.keep(role);
                     self.observe_events();
@@ -205,6 +215,15 @@
         }
     }
 
+    fn cut_at_shutdown(&mut self, now: Instant) -> std::io::Error {
+        let exchange = &self.exchange;
+        let end = ShutdownEnd::Cut;
+        exchange
+            .tables
+            .record_shutdown_end(&exchange.progress, end, now);
+        self.cut("shutdown", "no_time")
+    }
+
     fn cut(&mut self, reason: &str, denied: &str) -> std::io::Error {
         match self.race.take(AttemptRole::Primary) {
             Some(mut primary) => {
--- a/src/forward/response.rs
+++ b/src/forward/response.rs
@@ -8,6 +8,7 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
 
+use super::exchange::OTHER_HOST_RETRY;
 use crate::ingress::RejectReason;
 use crate::platform::names;
 use crate::reason::RefusalReason;
@@ -41,6 +42,12 @@
         }
     }
 
+    /// Creates the refusal of a request that another host can serve, since this one is
+    /// shutting down.
+    pub(super) fn draining() -> Self {
+        Self::not_run(RefusalReason::Draining, OTHER_HOST_RETRY)
+    }
+
     /// Creates the refusal of a request that a target may have run before it failed.
     pub fn may_have_run(status: StatusCode, reason: RefusalReason) -> Self {
         Self {
--- a/src/forward/shutdown.rs
+++ b/src/forward/shutdown.rs
@@ -1,15 +1,23 @@
 //! Ends and records the requests that meet the shutdown of this host.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+use http::StatusCode;
 
 use super::progress::RequestProgress;
+use super::response::Refusal;
 use super::tables::ServingTables;
 use crate::drain::DrainWindow;
+use crate::reason::RefusalReason;
 
 /// How the shutdown ended a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum ShutdownEnd {
+    /// It was not admitted.
+    Refused,
+    /// It got a final response before its target's.
+    Answered,
     /// Its connection was closed.
     Cut,
 }
@@ -17,6 +25,8 @@
 impl ShutdownEnd {
     fn name(self) -> &'static str {
         match self {
+            Self::Refused => "refused",
+            Self::Answered => "answered",
             Self::Cut => "cut",
         }
     }
@@ -33,6 +43,49 @@
         self.drain.send_replace(Some(window));
     }
 
+    /// Returns once the requests that are left get their final response. Never returns while
+    /// this host is not shutting down.
+    pub(super) async fn answer_due(self: Arc<Self>) {
+        let mut drain = self.drain.subscribe();
+        let window = match drain.wait_for(Option::is_some).await {
+            Ok(window) => *window,
+            Err(_) => None,
+        };
+        match window {
+            Some(window) => tokio::time::sleep_until(window.answer_at().into()).await,
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Refuses a request that may outlast this host, if it is shutting down.
+    pub(super) fn check_drain(
+        self: &Arc<Self>,
+        progress: &RequestProgress,
+        deadline: Instant,
+        now: Instant,
+    ) -> Result<(), Refusal> {
+        match self.drain_window() {
+            Some(window) if !window.admits(deadline, now) => {
+                self.record_shutdown_end(progress, ShutdownEnd::Refused, now);
+                Err(Refusal::draining())
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// Returns the final response of a request that is left at the end of the shutdown.
+    pub(super) fn end_request(
+        self: &Arc<Self>,
+        progress: &RequestProgress,
+        now: Instant,
+    ) -> Refusal {
+        self.record_shutdown_end(progress, ShutdownEnd::Answered, now);
+        match progress.is_sent() {
+            true => Refusal::may_have_run(StatusCode::GATEWAY_TIMEOUT, RefusalReason::Draining),
+            false => Refusal::draining(),
+        }
+    }
+
     /// Logs and counts a request that the shutdown ends.
     pub(super) fn record_shutdown_end(
         self: &Arc<Self>,
@@ -41,7 +94,7 @@
         now: Instant,
     ) {
         let stopping = self.drain_window().map(|window| window.age(now));
-        let millis = |time: std::time::Duration| time.as_millis() as u64;
+        let millis = |time: Duration| time.as_millis() as u64;
         self.metrics.shutdown_ended(end.name());
         log::info!(
             request:% = progress.id,
--- a/src/forward/tables.rs
+++ b/src/forward/tables.rs
@@ -1,7 +1,7 @@
 //! State that the data path shares with the tasks that keep it up to date.
 
 use std::fmt;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
@@ -57,10 +57,6 @@
     pub fleet: Mutex<FleetTable>,
     /// The times of the shutdown, once it has begun.
     pub(super) drain: watch::Sender<Option<DrainWindow>>,
-    /// Set once a new stream could not end before the process does.
-    pub closing: AtomicBool,
-    /// Set once no new request could end before the process does.
-    pub ending: AtomicBool,
     /// Requests in flight.
     pub in_flight: AtomicUsize,
     /// Number of requests completed since the start.
@@ -110,8 +106,6 @@
             balance: ArcSwap::default(),
             fleet: Mutex::default(),
             drain: watch::Sender::default(),
-            closing: AtomicBool::new(false),
-            ending: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
             completed: AtomicUsize::new(0),
             overload: Mutex::default(),
@@ -141,11 +135,6 @@
         self.drain.borrow().is_some()
     }
 
-    /// Returns whether a new request could not end before the process does.
-    pub(super) fn is_too_late(&self, is_stream: bool) -> bool {
-        self.ending.load(Ordering::Relaxed) || (is_stream && self.closing.load(Ordering::Relaxed))
-    }
-
     /// Counts the arrival of a request, whether or not it is refused later.
     pub fn count_arrival(
         &self,
--- a/tests/forwarding/gateway.rs
+++ b/tests/forwarding/gateway.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
+use jackdawwick::drain::DrainWindow;
 use jackdawwick::forward::{GatewayHandle, GatewayPeers, fetch_report, serve_gateway};
 use jackdawwick::gateway::GatewayCandidate;
 use jackdawwick::ids::TargetId;
@@ -235,7 +236,10 @@
                 }
                 first.host.call("GET", "/unsafe/own", "").await;
             }
-            "draining" => first.host.tables.draining.store(true, Ordering::Relaxed),
+            "draining" => {
+                let window = DrainWindow::open(Instant::now(), Duration::from_secs(8));
+                first.host.tables.begin_drain(window);
+            }
             "not_ready" => first.host.tables.configuration.store(None),
             _ => drop(first.host.tables.fleet.lock().remove("i-1")),
         }
--- a/tests/forwarding/main.rs
+++ b/tests/forwarding/main.rs
@@ -20,9 +20,10 @@
 mod unframed;
 
 use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use host::{TestHost, request};
+use jackdawwick::drain::DrainWindow;
 use stub_target::{SeenRequest, Step, StubTarget, chunk, event, last_chunk, response, stream_head};
 use tokio::io::AsyncWriteExt;
 
@@ -184,22 +185,26 @@
     }
 }
 
-/// Guards against a charge whose response is lost during planned maintenance: callers
-/// still reach a stopping host when few hosts of the zone are left, and a request arrives
-/// milliseconds before the process ends. Streams are refused earlier than other requests.
+/// Guards against a charge whose response is lost during planned maintenance, because a
+/// stopping host admits a request that may outlast it.
 #[tokio::test]
 async fn a_host_about_to_stop_refuses_new_requests() {
     let target = healthy_target().await;
     let host = TestHost::open();
     host.add_plain("i-1", target.address);
-    host.tables.closing.store(true, Ordering::Relaxed);
+    let began = Instant::now() - Duration::from_secs(3);
+    let long = DrainWindow::open(began, Duration::from_secs(9));
+    host.tables.begin_drain(long);
     let plain = host.call("POST", "/unsafe/", "Content-Length: 0\r\n").await;
-    let stream = host.call("POST", "/stream/", "Content-Length: 0\r\n").await;
-    assert_eq!((plain.status(), stream.status()), (200, 503));
-    host.tables.ending.store(true, Ordering::Relaxed);
-    let late = host.call("POST", "/unsafe/", "Content-Length: 0\r\n").await;
-    assert_eq!(late.status(), 503);
-    assert!(late.text.contains("\"reason\":\"draining\""));
+    assert_eq!(plain.status(), 200);
+    // The timeout of the routes is 3 s.
+    let short = DrainWindow::open(began, Duration::from_millis(6300));
+    host.tables.begin_drain(short);
+    for path in ["/unsafe/", "/stream/"] {
+        let late = host.call("POST", path, "Content-Length: 0\r\n").await;
+        assert_eq!(late.status(), 503, "{path}");
+        assert!(late.text.contains("\"reason\":\"draining\""), "{path}");
+    }
     assert_eq!(target.seen().len(), 1);
 }
 
--- a/tests/forwarding/shutdown.rs
+++ b/tests/forwarding/shutdown.rs
@@ -37,11 +37,15 @@
 
     /// Shuts down in another thread, which returns the time that it took.
     fn shut_down(self) -> thread::JoinHandle<Duration> {
+        self.shut_down_within(GRACE)
+    }
+
+    fn shut_down_within(self, grace: Duration) -> thread::JoinHandle<Duration> {
         thread::spawn(move || {
             let began = Instant::now();
             let tables = Arc::clone(&self.host.tables);
             let serving = self.host.into_serving();
-            self.runtime.block_on(drain(&tables, serving, GRACE));
+            self.runtime.block_on(drain(&tables, serving, grace));
             let took = began.elapsed();
             self.runtime.shutdown_background();
             took
@@ -140,3 +144,48 @@
     let took = process.shut_down().join().expect("a shutdown");
     assert!(took < IDLE_SHUTDOWN, "{took:?}");
 }
+
+/// Guards against requests that a stopping host leaves without a response because their
+/// targets stand still at its end.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_on_silent_targets_get_a_final_response_at_the_end_of_the_grace_time() {
+    let silent = StubTarget::spawn(|_| vec![Step::Wait(Duration::from_secs(8))]).await;
+    let engine = StubTarget::spawn(|seen| {
+        let pause = Step::Wait(Duration::from_secs(8));
+        vec![stream_head(seen.id()), event(1), pause, last_chunk()]
+    })
+    .await;
+    let process = ProcessHost::open();
+    process.host.add_plain("i-1", silent.address);
+    process.host.add_engine("i-2", engine.address, 0, 80);
+    let mut callers = Vec::new();
+    for (method, path) in [("POST", "/unsafe/"), ("GET", "/safe/"), ("GET", "/fixed/")] {
+        let mut stream = process.host.connect().await;
+        send(&mut stream, &request(method, path, "")).await;
+        callers.push((path, stream));
+    }
+    let mut unread = process.host.connect().await;
+    send(
+        &mut unread,
+        &request("POST", "/unsafe/", "Content-Length: 9\r\n"),
+    )
+    .await;
+    callers.push(("body", unread));
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let thread = process.shut_down_within(Duration::from_millis(1200));
+    for (path, mut stream) in callers {
+        let mut text = String::new();
+        // The reset of a cut stream comes after what was sent.
+        let _ = stream.read_to_string(&mut text).await;
+        match path {
+            "/fixed/" => assert!(
+                text.contains("id: 1\n") && !text.ends_with("0\r\n\r\n"),
+                "{text}"
+            ),
+            "body" => assert!(text.starts_with("HTTP/1.1 503"), "{text}"),
+            _ => assert!(text.starts_with("HTTP/1.1 504"), "{path}: {text}"),
+        }
+    }
+    let took = thread.join().expect("a shutdown");
+    assert!(took < Duration::from_millis(1200), "{took:?}");
+}
