Test the decision of a stopping host against silent targets

Cause: the drain's decision had no test without a network. Change: eight tests over all grace times, limits and moments; that requests which fit are admitted, that none is admitted which may outlast the host, that nobody is refused in the balancer's time who was served before.

--- /dev/null
+++ b/tests/drain.rs
@@ -0,0 +1,214 @@
+//! Tests which requests a stopping host admits, and when those that are left are ended.
+
+use std::time::{Duration, Instant};
+
+use jackdawwick::drain::DrainWindow;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+/// Grace times of deployments, and some that are too short for a request, in milliseconds.
+const GRACES: [u64; 11] = [0, 1, 150, 300, 400, 1000, 1150, 3000, 5000, 8000, 30_000];
+/// Times from the arrival of a request to its own limit, in milliseconds.
+const LIMITS: [u64; 10] = [0, 30, 400, 700, 1100, 1200, 2500, 5000, 20_000, 60_000];
+/// Time in which the balancer still sends callers to a stopping host.
+const BALANCER_TIME: Duration = Duration::from_millis(2600);
+/// Time in which plain services respond.
+const USUAL_TIME: Duration = Duration::from_millis(700);
+/// Part of the grace time in which no response is awaited.
+const STOP_TIME: Duration = Duration::from_millis(400);
+/// Shortest grace time in which a response can be awaited.
+const SHORTEST_GRACE: Duration = Duration::from_millis(500);
+/// Least time for the final responses to be written out.
+const WRITE_TIME: Duration = Duration::from_millis(100);
+const STEP: Duration = Duration::from_millis(50);
+
+/// A request at a moment of a shutdown.
+#[derive(Debug)]
+struct DrainCase {
+    window: DrainWindow,
+    grace: Duration,
+    /// Time since the signal.
+    age: Duration,
+    now: Instant,
+    deadline: Instant,
+}
+
+impl DrainCase {
+    fn is_admitted(&self) -> bool {
+        self.window.admits(self.deadline, self.now)
+    }
+}
+
+/// Returns requests of all limits at all moments, until after the host would be killed.
+fn all_cases() -> impl Iterator<Item = DrainCase> {
+    let began = Instant::now();
+    GRACES.into_iter().flat_map(move |grace| {
+        let grace = Duration::from_millis(grace);
+        let window = DrainWindow::open(began, grace);
+        let last = (grace + SHORTEST_GRACE).as_millis() / STEP.as_millis();
+        (0..=last as u32).flat_map(move |step| {
+            LIMITS.into_iter().map(move |limit| DrainCase {
+                window,
+                grace,
+                age: STEP * step,
+                now: began + STEP * step,
+                deadline: began + STEP * step + Duration::from_millis(limit),
+            })
+        })
+    })
+}
+
+/// Guards against a silent target whose request is cut while its own limit is not reached.
+#[test]
+fn after_the_balancer_time_no_request_is_admitted_that_may_outlast_the_host() {
+    for case in all_cases().filter(|case| case.age >= BALANCER_TIME) {
+        let outlasts = case.deadline > case.window.answer_at();
+        assert!(!(outlasts && case.is_admitted()), "{case:?}");
+    }
+}
+
+/// Guards against a request that is run although its response can no longer be awaited.
+#[test]
+fn no_request_is_admitted_once_the_final_responses_are_due() {
+    for case in all_cases() {
+        let is_due = case.now >= case.window.answer_at();
+        assert!(!(is_due && case.is_admitted()), "{case:?}");
+    }
+}
+
+/// Guards against callers that the balancer still sends to the host and that it refuses.
+#[test]
+fn in_the_balancer_time_each_request_is_admitted_that_usually_ends() {
+    let is_early = |case: &DrainCase| {
+        case.age < BALANCER_TIME && case.age + USUAL_TIME + STOP_TIME < case.grace
+    };
+    for case in all_cases().filter(is_early) {
+        assert!(case.is_admitted(), "{case:?}");
+    }
+}
+
+/// Guards against a host that refuses what it has the time to serve.
+#[test]
+fn a_request_whose_limit_the_host_outlasts_is_admitted() {
+    let fits = |case: &DrainCase| {
+        case.now < case.window.answer_at() && case.deadline <= case.window.answer_at()
+    };
+    for case in all_cases().filter(fits) {
+        assert!(case.is_admitted(), "{case:?}");
+    }
+}
+
+/// Guards against final responses that are not written out before the process is killed.
+#[test]
+fn responses_are_due_before_connections_are_closed_and_these_before_the_kill() {
+    let began = Instant::now();
+    for grace in GRACES.map(Duration::from_millis) {
+        let window = DrainWindow::open(began, grace);
+        let (answer_at, close_at) = (window.answer_at(), window.close_at());
+        assert!(began <= answer_at && answer_at <= close_at, "{grace:?}");
+        assert!(close_at <= began + grace, "{grace:?}");
+        if grace >= SHORTEST_GRACE {
+            assert!(answer_at + WRITE_TIME <= close_at, "{grace:?}");
+            assert!(close_at + WRITE_TIME <= began + grace, "{grace:?}");
+        }
+    }
+}
+
+/// Guards against a host that stops under a request, or while callers are still sent to it.
+#[test]
+fn a_host_stops_once_it_is_idle_after_the_balancer_time_or_when_responses_are_due() {
+    for case in all_cases() {
+        let (window, now) = (case.window, case.now);
+        let is_due = now >= window.answer_at();
+        assert_eq!(window.may_stop(1, now), is_due, "{case:?}");
+        let is_left = case.age >= BALANCER_TIME;
+        assert_eq!(window.may_stop(0, now), is_due || is_left, "{case:?}");
+    }
+}
+
+/// A request during a shutdown; times in milliseconds.
+#[derive(Debug, Clone)]
+struct DrainRequest {
+    /// Time of the arrival since the signal.
+    arrival: u64,
+    limit: u64,
+    /// Time to the response of the target, which may exceed every limit.
+    response: u64,
+}
+
+/// Returns when each admitted request ends, if the host stops as its window says.
+fn simulate(window: DrainWindow, began: Instant, requests: &[DrainRequest]) -> Vec<Instant> {
+    let mut ends: Vec<Instant> = Vec::new();
+    let mut now = began;
+    let mut next = 0;
+    let running = |ends: &[Instant], now| ends.iter().filter(|end| **end > now).count();
+    while !window.may_stop(running(&ends, now), now) {
+        while let Some(request) = requests.get(next)
+            && began + Duration::from_millis(request.arrival) <= now
+        {
+            let deadline = now + Duration::from_millis(request.limit);
+            if window.admits(deadline, now) {
+                let response = now + Duration::from_millis(request.response);
+                ends.push(response.min(deadline).min(window.answer_at()));
+            }
+            next += 1;
+        }
+        now += Duration::from_millis(1);
+    }
+    assert!(running(&ends, now) == 0, "stopped with requests in flight");
+    ends
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 150,
+        rng_seed: RngSeed::Fixed(65),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against a target that falls silent at some point of the grace time and makes
+    /// the host drop a request.
+    #[test]
+    fn each_admitted_request_ends_before_its_connection_is_closed(
+        grace in prop_oneof![prop::sample::select(GRACES.to_vec()), 0..10_000_u64],
+        requests in prop::collection::vec(
+            (0..10_000_u64, prop::sample::select(LIMITS.to_vec()), prop_oneof![
+                1..700_u64,
+                Just(1300),
+                Just(u64::from(u32::MAX)),
+            ]),
+            0..60,
+        ),
+    ) {
+        let began = Instant::now();
+        let window = DrainWindow::open(began, Duration::from_millis(grace));
+        let requests = requests.into_iter();
+        let requests = requests.map(|(arrival, limit, response)| DrainRequest {
+            arrival,
+            limit,
+            response,
+        });
+        let mut requests = requests.collect::<Vec<_>>();
+        requests.sort_by_key(|request| request.arrival);
+        for end in simulate(window, began, &requests) {
+            prop_assert!(end < window.close_at(), "{:?}", end - began);
+        }
+    }
+
+    /// Guards against a window that panics on times far from its own.
+    #[test]
+    fn a_window_decides_about_each_grace_time_and_moment(
+        grace in 0..100_000_u64,
+        before in 0..5_000_u64,
+        age in 0..200_000_u64,
+        limit in 0..100_000_u64,
+    ) {
+        let now = Instant::now() + Duration::from_millis(age);
+        let began = Instant::now() + Duration::from_millis(before);
+        let window = DrainWindow::open(began, Duration::from_millis(grace));
+        let is_admitted = window.admits(now + Duration::from_millis(limit), now);
+        prop_assert!(!is_admitted || now < window.answer_at());
+        prop_assert!(!is_admitted || !window.may_stop(1, now));
+    }
+}
