Test over processes that silent targets leave no call unanswered at a shutdown

Cause: no test over processes stops a host while its targets are silent late in the grace time and callers keep their connections. Change: one host and one target as processes, twelve callers and sixty kept connections, configurations beside it; both kinds of whole requests, a second SIGTERM, and a grace time below the route's timeout.

--- a/standins/src/bin/soak.rs
+++ b/standins/src/bin/soak.rs
@@ -8,7 +8,8 @@
 use clap::{Arg, ArgAction, Command, value_parser};
 use standins::command_line::{count, number, number_arg};
 use standins::soak::{
-    CallOutcome, LinkScope, RetryBound, SoakReport, SoakSettings, TargetFleet, run_soak,
+    CallOutcome, LinkScope, RetryBound, ServingTimes, SoakReport, SoakSettings, TargetFleet,
+    run_soak,
 };
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -82,6 +83,7 @@
             timed: !matches.get_flag("untimed"),
             targets: TargetFleet::Several,
             retries: RetryBound::default(),
+            times: ServingTimes::default(),
         }))?;
         writeln!(std::io::stdout(), "{}", line(seed, &report))?;
         match report.violations.is_empty() {
--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -31,13 +31,14 @@
 mod responses;
 mod retries;
 mod run;
+mod shutdown;
 mod silence;
 mod statement;
 mod target;
 mod unfinished;
 
 pub use check::{RetryWindow, Violation, find_violations};
-pub use configuration::RetryBound;
+pub use configuration::{RetryBound, ServingTimes};
 pub use departure::{
     DepartureReport, run_departure_during_log_outage, run_departure_with_host_cut_off,
 };
@@ -59,5 +60,6 @@
 };
 pub use retries::{RetryReport, run_failures_over_restarts};
 pub use run::{LinkScope, SoakReport, SoakSettings, TargetFleet, run_soak};
+pub use shutdown::{ShutdownPlan, ShutdownReport, run_shutdown};
 pub use silence::{SilenceDisruption, SilencePlan, SilenceReport, UnansweredCall, run_silence};
 pub use statement::{StatementReport, run_leaving_statement, run_requested_pause};
--- a/standins/src/soak/configuration.rs
+++ b/standins/src/soak/configuration.rs
@@ -23,9 +23,6 @@
 pub(super) const HEARTBEAT_MS: u64 = 400;
 /// Time for which a request that depends on a dead engine may stall.
 pub(super) const STALL_MS: u64 = 2000;
-/// Grace period within which a process has to exit after SIGTERM.
-pub(super) const GRACE_S: u64 = 6;
-
 /// Bound on the calls that reach targets of a service again, over all hosts: a ratio of the
 /// calls and a slack, in each window.
 pub(super) const RETRY_RATIO: f64 = 0.2;
@@ -51,9 +48,37 @@
     }
 }
 
-/// Timeout of the routes.
+/// Usual timeout of the routes.
 pub(super) const ROUTE_TIMEOUT: Duration = Duration::from_secs(6);
 
+/// Usual grace period of the hosts.
+const GRACE: Duration = Duration::from_secs(6);
+
+/// Times for which hosts serve.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ServingTimes {
+    /// Grace period within which a process has to exit after SIGTERM, in whole seconds.
+    pub grace: Duration,
+    /// Timeout of the routes.
+    pub route: Duration,
+}
+
+impl Default for ServingTimes {
+    fn default() -> Self {
+        Self {
+            grace: GRACE,
+            route: ROUTE_TIMEOUT,
+        }
+    }
+}
+
+/// Bounds in the settings of a host.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct HostBounds {
+    pub(super) retries: RetryBound,
+    pub(super) grace: Duration,
+}
+
 /// Number of targets to which a request may be sent.
 pub(super) const MAX_ATTEMPTS: usize = 2;
 
@@ -62,10 +87,16 @@
     format!("/version-{version}/")
 }
 
-fn route(name: &str, prefix: &str, kind: &str, service: &str) -> serde_json::Value {
+fn route(
+    name: &str,
+    prefix: &str,
+    kind: &str,
+    service: &str,
+    timeout: Duration,
+) -> serde_json::Value {
     json!({
         "name": name, "host": CALLED_HOST, "path_prefix": prefix, "kind": kind,
-        "service": service, "timeout_ms": ROUTE_TIMEOUT.as_millis() as u64, "target_latency_ms": 500,
+        "service": service, "timeout_ms": timeout.as_millis() as u64, "target_latency_ms": 500,
         "gap_aim_ms": 200, "max_attempts": MAX_ATTEMPTS, "priority": 1,
         "stream_resume": kind == "streaming",
     })
@@ -73,7 +104,10 @@
 
 /// Returns a configuration with the fixed routes and one route for each of the last three
 /// versions.
-pub(super) fn configuration(version: u64) -> Bytes {
+pub(super) fn configuration(version: u64, timeout: Duration) -> Bytes {
+    let route = |name: &str, prefix: &str, kind: &str, service: &str| {
+        route(name, prefix, kind, service, timeout)
+    };
     let mut once = route("draft-once", "/draft-once/", "streaming", ENGINE_SERVICE);
     once["stream_resume"] = json!(false);
     let lasting = [
@@ -120,7 +154,7 @@
     log: SocketAddr,
     seeds: &[SocketAddr],
     internal_port: u16,
-    retries: RetryBound,
+    bounds: HostBounds,
 ) -> String {
     // The readiness and metrics of each host have an address of their own, and so does what
     // it serves to other hosts, which all use the same internal port.
@@ -133,8 +167,8 @@
         "provider": {"address": log},
         "limits": {"memory_mb": 260},
         "bounds": {
-            "drain_ms": 2000, "grace_s": GRACE_S, "stall_ms": STALL_MS,
-            "retry_budget_ratio": retries.ratio, "budget_slack": retries.slack,
+            "drain_ms": 2000, "grace_s": bounds.grace.as_secs(), "stall_ms": STALL_MS,
+            "retry_budget_ratio": bounds.retries.ratio, "budget_slack": bounds.retries.slack,
             "budget_window_s": RETRY_WINDOW.as_secs(),
         },
     });
--- a/standins/src/soak/engines.rs
+++ b/standins/src/soak/engines.rs
@@ -30,6 +30,8 @@
     Fails,
     /// Refuses the request as not run and requests a pause of this length.
     RequestsPause(Duration),
+    /// Runs the request and responds at this moment or later.
+    AnswersFrom(Instant),
 }
 
 /// Current state of a target.
--- a/standins/src/soak/faults.rs
+++ b/standins/src/soak/faults.rs
@@ -6,7 +6,7 @@
 
 use nix::sys::signal::Signal;
 
-use super::configuration::{CONFIGURATION, GRACE_S, HEARTBEAT_MS, TARGETS, configuration};
+use super::configuration::{CONFIGURATION, HEARTBEAT_MS, TARGETS, configuration};
 use super::engines::TargetFault;
 use super::history::{
     ConnectionLoss, Disturbance, DisturbanceScope, LossPeer, TargetDeparture, TargetLimit,
@@ -94,7 +94,7 @@
 
     async fn inject(&mut self, action: FaultAction, duration: Duration) -> io::Result<()> {
         log::info!("injecting {action:?} for {duration:?}");
-        let stop_time = Duration::from_secs(GRACE_S) + STOP_SLACK;
+        let stop_time = self.settings.times.grace + STOP_SLACK;
         match action {
             FaultAction::Kill(host) => {
                 self.record_disturbance(DisturbanceScope::Host(host), false, duration + STOP_SLACK);
@@ -243,7 +243,7 @@
 
     fn stop_next(&mut self, host: usize) {
         const PAUSE: Duration = Duration::from_secs(1);
-        let stop_time = Duration::from_secs(GRACE_S) + STOP_SLACK;
+        let stop_time = self.settings.times.grace + STOP_SLACK;
         self.record_disturbance(DisturbanceScope::Host(host), true, stop_time);
         self.take_down(host, false, Duration::ZERO);
         if host + 1 < self.hosts.len() {
@@ -293,7 +293,7 @@
 
     pub(super) fn publish(&mut self) {
         let version = self.published.borrow().version + 1;
-        let value = Some(configuration(version));
+        let value = Some(configuration(version, self.settings.times.route));
         self.topics.append(CONFIGURATION.0, CONFIGURATION.1, value);
         let at = Instant::now();
         self.published.send_replace(Published { version, at });
@@ -356,7 +356,7 @@
         self.log_faults.set(LogFaults::default());
         self.topics.restore(copied);
         let version = self.published.borrow().version;
-        let value = Some(configuration(version));
+        let value = Some(configuration(version, self.settings.times.route));
         self.topics.append(CONFIGURATION.0, CONFIGURATION.1, value);
         let targets = self.targets.iter().chain(&self.leaving);
         let targets = targets.collect::<Vec<_>>();
--- a/standins/src/soak/host.rs
+++ b/standins/src/soak/host.rs
@@ -12,7 +12,7 @@
 use serde::Deserialize;
 use tokio::sync::watch;
 
-use super::configuration::{RetryBound, host_settings};
+use super::configuration::{HostBounds, host_settings};
 use super::host_link::LinkLoss;
 use super::link::FaultLink;
 
@@ -32,7 +32,7 @@
     index: usize,
     program: PathBuf,
     folder: PathBuf,
-    retries: RetryBound,
+    bounds: HostBounds,
     /// Link from callers to the host.
     pub(super) front: FaultLink,
     /// Link from the host to the log service.
@@ -60,7 +60,7 @@
         log: SocketAddr,
         program: &Path,
         folder: &Path,
-        retries: RetryBound,
+        bounds: HostBounds,
     ) -> io::Result<Self> {
         Ok(Self {
             name: format!("host-{index}"),
@@ -68,7 +68,7 @@
             index,
             program: program.to_owned(),
             folder: folder.to_owned(),
-            retries,
+            bounds,
             front: FaultLink::open(None).await?,
             log: FaultLink::open(Some(log)).await?,
             seed: FaultLink::open(None).await?,
@@ -98,7 +98,7 @@
             self.log.address,
             seeds,
             internal_port,
-            self.retries,
+            self.bounds,
         );
         std::fs::write(&settings, text)?;
         self.incarnation += 1;
--- a/standins/src/soak/run.rs
+++ b/standins/src/soak/run.rs
@@ -13,7 +13,8 @@
 use super::callers::{CallerContext, call, call_until_stopped, connect};
 use super::check::{Violation, find_violations};
 use super::configuration::{
-    CONFIGURATION, ENGINE_SERVICE, GRACE_S, PLAIN_SERVICE, RetryBound, configuration,
+    CONFIGURATION, ENGINE_SERVICE, HostBounds, PLAIN_SERVICE, RetryBound, ServingTimes,
+    configuration,
 };
 use super::engines::{TARGET_IP, TargetRegistry};
 use super::faults::FaultEnd;
@@ -86,6 +87,8 @@
     pub targets: TargetFleet,
     /// Bound on retries in the settings of the hosts.
     pub retries: RetryBound,
+    /// Times for which hosts serve.
+    pub times: ServingTimes,
     /// Whether targets stand still beside the other faults.
     pub standstills: bool,
 }
@@ -270,9 +273,12 @@
             );
             let log = log.await?;
             let (program, folder) = (&settings.program, &settings.folder);
-            let retries = settings.retries;
+            let bounds = HostBounds {
+                retries: settings.retries,
+                grace: settings.times.grace,
+            };
             let host =
-                SoakHost::open(index, &zone, log.local_addr(), program, folder, retries).await?;
+                SoakHost::open(index, &zone, log.local_addr(), program, folder, bounds).await?;
             logs.push(log);
             hosts.push(RunHost {
                 host,
@@ -287,7 +293,11 @@
             version: 1,
             at: Instant::now(),
         };
-        topics.append(CONFIGURATION.0, CONFIGURATION.1, Some(configuration(1)));
+        topics.append(
+            CONFIGURATION.0,
+            CONFIGURATION.1,
+            Some(configuration(1, settings.times.route)),
+        );
         let mut run = Self {
             settings,
             hosts,
@@ -415,7 +425,7 @@
     /// Restarts processes, and records those that exited unexpectedly or did not exit in
     /// time.
     pub(super) async fn supervise_hosts(&mut self, now: Instant) -> io::Result<()> {
-        let grace = Duration::from_secs(GRACE_S) + STOP_SLACK;
+        let grace = self.settings.times.grace + STOP_SLACK;
         for index in 0..self.hosts.len() {
             let ended = self.hosts[index].host.reap();
             self.record_grace_end(index, now, ended.is_some());
@@ -459,7 +469,7 @@
         let Some(down) = self.hosts[index].down.filter(|down| !down.killed) else {
             return;
         };
-        let end = down.since + Duration::from_secs(GRACE_S);
+        let end = down.since + self.settings.times.grace;
         if now + GRACE_MARGIN >= end && (exited || now > end + STOP_SLACK) {
             self.record_loss(
                 index,
@@ -490,7 +500,7 @@
         for index in 0..self.hosts.len() {
             self.take_down(index, false, Duration::MAX / 4);
         }
-        let until = Instant::now() + Duration::from_secs(GRACE_S) + STOP_SLACK;
+        let until = Instant::now() + self.settings.times.grace + STOP_SLACK;
         for run in &mut self.hosts {
             while run.host.is_running() && Instant::now() < until {
                 tokio::time::sleep(POLL_INTERVAL).await;
--- a/standins/src/soak/silence.rs
+++ b/standins/src/soak/silence.rs
@@ -299,7 +299,7 @@
 }
 
 /// Returns how a call ended that was not refused, unless it got its response or was not read.
-fn find_fault<F>(outcome: CallOutcome, was_read: F) -> Option<UnansweredCall>
+pub(super) fn find_fault<F>(outcome: CallOutcome, was_read: F) -> Option<UnansweredCall>
 where
     F: FnOnce() -> bool,
 {
@@ -320,7 +320,7 @@
 }
 
 /// Returns whether a call was truly refused as not run.
-fn is_refused(call: &CallRecord, ran: &HashSet<&str>) -> bool {
+pub(super) fn is_refused(call: &CallRecord, ran: &HashSet<&str>) -> bool {
     let has_status = matches!(
         call.outcome,
         CallOutcome::Completed {
@@ -359,7 +359,7 @@
 
 impl SoakRun {
     /// Publishes configurations for a while.
-    async fn publish_for(&mut self, time: Duration) -> io::Result<()> {
+    pub(super) async fn publish_for(&mut self, time: Duration) -> io::Result<()> {
         let until = Instant::now() + time;
         while Instant::now() < until {
             self.publish();
--- a/standins/src/soak/target.rs
+++ b/standins/src/soak/target.rs
@@ -360,6 +360,9 @@
         ),
         layers_covered: path.as_ref().is_none_or(|path| covers_all_layers(path)),
     });
+    if let TargetFault::AnswersFrom(from) = state.fault {
+        tokio::time::sleep_until(from.into()).await;
+    }
     let echoed = match state.fault {
         TargetFault::WrongRequestId => format!("{id}-other"),
         _ => id.clone(),
--- a/standins/tests/support/soaks.rs
+++ b/standins/tests/support/soaks.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use standins::soak::{LinkScope, RetryBound, SoakSettings, TargetFleet};
+use standins::soak::{LinkScope, RetryBound, ServingTimes, SoakSettings, TargetFleet};
 use tempfile::TempDir;
 
 use super::{TestError, eventually};
@@ -26,6 +26,7 @@
         links: LinkScope::Fleet,
         targets: TargetFleet::Several,
         retries: RetryBound::default(),
+        times: ServingTimes::default(),
         standstills: false,
     };
     Ok((settings, folder))
