--- a/tests/forwarding/main.rs
+++ b/tests/forwarding/main.rs
@@ -20,7 +20,6 @@
 mod unanswered;
 mod unframed;
 
-use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use host::{TestHost, request};
