Show that a transfer coding without chunks hides the end of a connection

Callers would see a 200 framed as whole with a short body, if a target ended within a body whose transfer coding is not chunked. Cause: any Transfer-Encoding counts as framing, so that the check for a crash is left out, while hyper reads such a body until its connection closes.

--- a/tests/forwarding/unframed.rs
+++ b/tests/forwarding/unframed.rs
@@ -6,7 +6,7 @@
 
 use crate::gateway::{TestGateway, add_blocked, host_with};
 use crate::host::TestHost;
-use crate::stub_target::{SeenRequest, Step, StubTarget, serve_once};
+use crate::stub_target::{SeenRequest, Step, StubTarget, serve_once, with_header};
 
 fn write(text: &str) -> Step {
     Step::Write(text.to_owned())
@@ -130,3 +130,39 @@
     let cut = host.call("GET", "/unsafe/a", "").await;
     assert_eq!(cut.status(), 502, "{}", cut.text);
 }
+
+/// Guards against a truncated response that looks complete because its head names a transfer
+/// coding without chunks, or a length that does not apply beside one.
+#[tokio::test]
+async fn only_chunks_mark_the_end_of_a_response_with_a_transfer_coding() {
+    let lines = [
+        "transfer-encoding: identity",
+        "transfer-encoding: chunk",
+        "transfer-encoding: chunked, identity",
+        "transfer-encoding: chunked\r\ntransfer-encoding: identity",
+        "content-length: 4\r\ntransfer-encoding: identity",
+    ];
+    for line in lines {
+        let head = move |id: &str| with_header(unframed_head(id), line);
+        let plain = move |id: &str| vec![head(id), write("fi")];
+        let host = TestHost::open();
+        host.add_plain("i-1", spawn_ending(plain).await);
+        let stream = move |id: &str| vec![head(id), unframed_event(1)];
+        host.add_engine("i-2", spawn_ending(stream).await, 0, 80);
+        let cut = host.call("GET", "/unsafe/a", "").await;
+        assert_eq!(cut.status(), 502, "{line}: {}", cut.text);
+        let cut = host.call("POST", "/once/a", "").await;
+        assert!(!cut.is_whole_stream(), "{line}: {}", cut.text);
+        let gateway = TestGateway::open();
+        let (host, _) = host_with(&[&gateway]);
+        let whole = StubTarget::spawn(move |seen| vec![head(seen.id()), write("fine")]).await;
+        add_blocked(&host, &[&gateway], "i-1", &whole).await;
+        let served = host.call("GET", "/unsafe/a", "").await;
+        assert_eq!(served.status(), 200, "{line}: {}", served.text);
+        let ending = spawn_ending(plain).await;
+        gateway.host.tables.fleet.lock().remove("i-1");
+        gateway.host.add_plain("i-1", ending);
+        let cut = host.call("GET", "/unsafe/a", "").await;
+        assert_eq!(cut.status(), 502, "{line}: {}", cut.text);
+    }
+}
