Ask a stopping host for a short request where it refuses long ones

Cause: the rewritten test of refusals before the end no longer showed that one and the same moment admits one request and refuses another, as it did before.

--- a/tests/forwarding/main.rs
+++ b/tests/forwarding/main.rs
@@ -25,7 +25,7 @@
 use host::{TestHost, request};
 use jackdawwick::drain::DrainWindow;
 use stub_target::{SeenRequest, Step, StubTarget, chunk, event, last_chunk, response, stream_head};
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 const REPORT: &str = "GET /jackdawwick/report";
 const ORDER: &str = "POST /jackdawwick/order";
@@ -206,6 +206,12 @@
         assert!(late.text.contains("\"reason\":\"draining\""), "{path}");
     }
     assert_eq!(target.seen().len(), 1);
+    let short = request("POST", "/unsafe/", "Content-Length: 0\r\n").replace("4000", "500");
+    let mut stream = host.connect().await;
+    stream.write_all(short.as_bytes()).await.expect("sent");
+    let mut text = String::new();
+    stream.read_to_string(&mut text).await.expect("a response");
+    assert!(text.starts_with("HTTP/1.1 200"), "{text}");
 }
 
 /// Guards against a caller that receives `not_run` although its request may have run: the
