--- a/src/forward/shutdown.rs
+++ b/src/forward/shutdown.rs
@@ -94,15 +94,18 @@
         now: Instant,
     ) {
         let stopping = self.drain_window().map(|window| window.age(now));
-        let millis = |time: Duration| time.as_millis() as u64;
+        let millis = |time: Option<Duration>| match time {
+            Some(time) => time.as_millis().to_string(),
+            None => "unknown".to_owned(),
+        };
         self.metrics.shutdown_ended(end.name());
         log::info!(
             request:% = progress.id,
             end:% = end.name(),
             is_sent = progress.is_sent(),
-            after_ms = millis(progress.age(now)),
-            left_ms:? = progress.left(now).map(millis),
-            stopping_ms:? = stopping.map(millis);
+            after_ms = progress.age(now).as_millis() as u64,
+            left_ms:% = millis(progress.left(now)),
+            stopping_ms:% = millis(stopping);
             "request ended by the shutdown"
         );
     }
