--- a/standins/src/soak/shutdown.rs
+++ b/standins/src/soak/shutdown.rs
@@ -24,10 +24,11 @@
 /// Callers that send one call after the other, and the pause of each between two calls.
 const CALLERS: usize = 12;
 const CALL_PAUSE: Duration = Duration::from_millis(10);
-/// Connections that were opened before the stop and are used once after it.
+/// Connections that are opened before the stop and used once after it.
 const KEPT_CONNECTIONS: u32 = 60;
-/// Interval at which they are used, from this long before the silence on.
+/// Time between the uses of two kept connections.
 const KEPT_INTERVAL: Duration = Duration::from_millis(20);
+/// Time before the silence at which the first kept connection is used.
 const KEPT_LEAD: Duration = Duration::from_millis(300);
 /// Time for which a caller waits for a response beyond the deadline of its call.
 const CALLER_SLACK: Duration = Duration::from_secs(1);
@@ -39,9 +40,9 @@
     pub kind: CallKind,
     /// Grace period and route timeout.
     pub times: ServingTimes,
-    /// When the host receives SIGTERM, and when a second one, from the start of the callers.
+    /// When the host receives SIGTERM, from the start of the callers.
     pub stop: Duration,
-    /// The second SIGTERM.
+    /// When the host receives SIGTERM again, from the start of the callers.
     pub second_stop: Option<Duration>,
     /// When the targets fall silent, from the start of the callers.
     pub silent_from: Duration,
@@ -56,7 +57,7 @@
     pub violations: Vec<Violation>,
     /// Calls that were sent between the stop and the end of the process.
     pub sent: usize,
-    /// Calls that reached a target from the begin of the silence on.
+    /// Calls that reached a target from the beginning of the silence on.
     pub held: usize,
     /// Calls that were read and have neither a response, a refusal nor a true status 504, by
     /// how they ended.
