--- a/standins/src/soak/engines.rs
+++ b/standins/src/soak/engines.rs
@@ -32,6 +32,8 @@
     RequestsPause(Duration),
     /// Runs the request and responds at this moment or later.
     AnswersFrom(Instant),
+    /// Runs the request and responds after this time.
+    AnswersAfter(Duration),
 }
 
 /// Current state of a target.
--- a/standins/src/soak/shutdown.rs
+++ b/standins/src/soak/shutdown.rs
@@ -24,6 +24,9 @@
 /// Callers that send one call after the other, and the pause of each between two calls.
 const CALLERS: usize = 12;
 const CALL_PAUSE: Duration = Duration::from_millis(10);
+/// Time that targets take before they are silent. With it calls are in flight at all times,
+/// without which the host would stop before the silence.
+const CALL_TIME: Duration = Duration::from_millis(100);
 /// Connections that are opened before the stop and used once after it.
 const KEPT_CONNECTIONS: u32 = 60;
 /// Time between the uses of two kept connections.
@@ -81,6 +84,9 @@
         ..settings
     })
     .await?;
+    if !plan.kind.is_stream() {
+        set_fault(&run, TargetFault::AnswersAfter(CALL_TIME));
+    }
     let started = Instant::now();
     let callers = spawn_callers(&run.context, plan, started);
     let mut events = vec![(plan.silent_from, ShutdownEvent::Silence)];
@@ -141,15 +147,17 @@
         ShutdownEvent::Silence if plan.kind.is_stream() => {
             run.targets.iter().for_each(|target| target.stand_still());
         }
-        ShutdownEvent::Silence => {
-            let fault = TargetFault::AnswersFrom(until);
-            let targets = run.targets.iter();
-            targets.for_each(|target| target.update(|state| state.fault = fault));
-        }
+        ShutdownEvent::Silence => set_fault(run, TargetFault::AnswersFrom(until)),
         ShutdownEvent::GoOn => run.targets.iter().for_each(|target| target.go_on()),
     }
 }
 
+fn set_fault(run: &SoakRun, fault: TargetFault) {
+    for target in &run.targets {
+        target.update(|state| state.fault = fault);
+    }
+}
+
 fn spawn_callers(
     context: &Arc<CallerContext>,
     plan: ShutdownPlan,
--- a/standins/src/soak/target.rs
+++ b/standins/src/soak/target.rs
@@ -360,8 +360,10 @@
         ),
         layers_covered: path.as_ref().is_none_or(|path| covers_all_layers(path)),
     });
-    if let TargetFault::AnswersFrom(from) = state.fault {
-        tokio::time::sleep_until(from.into()).await;
+    match state.fault {
+        TargetFault::AnswersFrom(from) => tokio::time::sleep_until(from.into()).await,
+        TargetFault::AnswersAfter(time) => tokio::time::sleep(time).await,
+        _ => {}
     }
     let echoed = match state.fault {
         TargetFault::WrongRequestId => format!("{id}-other"),
