Write the last log lines before an entry host ends

Cause: lines are queued for a thread that writes every 100 ms, and the process ended right after its connections were closed. Change: a handle asks the thread to write what is queued and waits for it, at most for 100 ms; the logger flushes each line, so that the writer's own flush still returns at once.

--- a/src/bin/jackdawwickd.rs
+++ b/src/bin/jackdawwickd.rs
@@ -3,6 +3,7 @@
 use std::io::Write;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use jackdawwick::daemon::{self, DaemonHandle};
 use jackdawwick::entry::run_entry;
@@ -10,6 +11,10 @@
 use jackdawwick::options::{DaemonOptions, StartupAction, plan_startup};
 use tokio::signal::unix::{SignalKind, signal};
 
+/// Longest time for which the end of an entry host waits for its last log lines: connections
+/// are closed 150 ms before the process would be killed.
+const LOG_FLUSH_LIMIT: Duration = Duration::from_millis(100);
+
 fn main() -> ExitCode {
     match plan_startup(std::env::args_os()) {
         StartupAction::Print(text) => print(&text),
@@ -50,9 +55,10 @@
 /// Runs the daemon as an entry host on the users' platform. It uses one thread, because
 /// an entry host gets a fraction of one core.
 fn run_on_platform(path: PathBuf) -> ExitCode {
-    if let Err(error) = logging::install_bounded() {
-        return fail(&error.to_string(), 1);
-    }
+    let flusher = match logging::install_bounded() {
+        Ok(flusher) => flusher,
+        Err(error) => return fail(&error.to_string(), 1),
+    };
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build();
@@ -60,7 +66,9 @@
         Ok(runtime) => runtime,
         Err(error) => return fail(&format!("cannot start the runtime: {error}"), 1),
     };
-    match runtime.block_on(run_entry(path)) {
+    let ended = runtime.block_on(run_entry(path));
+    flusher.flush(LOG_FLUSH_LIMIT);
+    match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => fail(&error.to_string(), 1),
     }
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -14,7 +14,7 @@
 
 use crate::options::{LogFormat, LogOptions};
 
-pub use bounded_writer::BoundedWriter;
+pub use bounded_writer::{BoundedWriter, LogFlusher};
 
 pub use slog_bridge::dropshot_logger;
 
@@ -33,18 +33,21 @@
 }
 
 /// Installs a JSON logger to standard output, through a bounded queue that never blocks.
+/// Returns the handle by which the last lines are written before the process ends.
 ///
 /// # Errors
 /// Returns an error if a logger is already installed.
-pub fn install_bounded() -> Result<(), SetLoggerError> {
+pub fn install_bounded() -> Result<LogFlusher, SetLoggerError> {
     let options = LogOptions {
         level: LevelFilter::Info,
         format: LogFormat::Json,
     };
-    let (level, logger) = logger_to(options, BoundedWriter::spawn(std::io::stdout()));
+    let writer = BoundedWriter::spawn(std::io::stdout());
+    let flusher = writer.flusher();
+    let (level, logger) = logger_to(options, writer);
     log::set_boxed_logger(logger)?;
     log::set_max_level(level);
-    Ok(())
+    Ok(flusher)
 }
 
 /// Returns a logger that writes to `writer`, and the level that it needs.
--- a/src/logging/bounded_writer.rs
+++ b/src/logging/bounded_writer.rs
@@ -2,6 +2,7 @@
 
 use std::io::{self, Write};
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::thread::Thread;
 use std::time::{Duration, Instant};
 
 /// Maximum number of queued lines; at about 200 bytes per line the queue stays below half
@@ -13,6 +14,14 @@
 /// Burst limit in lines; the loss of one engine affects some hundred requests.
 const BURST_LINES: f64 = 800.0;
 
+/// What is passed to the thread that writes.
+#[derive(Debug)]
+enum QueueEntry {
+    Line(Vec<u8>),
+    /// Asks for a notice once all lines before it are written.
+    Flush(SyncSender<()>),
+}
+
 /// Passes lines to a thread that writes them. When the queue is full or the rate limit is
 /// exceeded, lines are dropped and counted, and the count is written with the next line
 /// that fits.
@@ -21,7 +30,8 @@
 /// the log stops reading; all requests would stall at once.
 #[derive(Debug)]
 pub struct BoundedWriter {
-    queue: SyncSender<Vec<u8>>,
+    queue: SyncSender<QueueEntry>,
+    thread: Thread,
     line: Vec<u8>,
     dropped_lines: u64,
     allowance: f64,
@@ -34,10 +44,11 @@
     where
         W: Write + Send + 'static,
     {
-        let (queue, lines) = sync_channel(QUEUE_LINES);
-        std::thread::spawn(move || write_lines(&lines, output));
+        let (queue, entries) = sync_channel(QUEUE_LINES);
+        let writing = std::thread::spawn(move || write_lines(&entries, output));
         Self {
             queue,
+            thread: writing.thread().clone(),
             line: Vec::new(),
             dropped_lines: 0,
             allowance: BURST_LINES,
@@ -45,6 +56,14 @@
         }
     }
 
+    /// Returns a handle that waits until queued lines are written.
+    pub fn flusher(&self) -> LogFlusher {
+        LogFlusher {
+            queue: self.queue.clone(),
+            thread: self.thread.clone(),
+        }
+    }
+
     fn send_line(&mut self, now: Instant) {
         let mut line = std::mem::take(&mut self.line);
         let elapsed = now.saturating_duration_since(self.refilled_at);
@@ -62,13 +81,38 @@
                 format!("{{\"message\":\"lines left out\",\"count\":\"{count}\"}}\n").as_bytes(),
             );
         }
-        match self.queue.try_send(line) {
+        match self.queue.try_send(QueueEntry::Line(line)) {
             Ok(()) => self.dropped_lines = 0,
             Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => self.dropped_lines += 1,
         }
     }
 }
 
+/// Waits for the lines of a [`BoundedWriter`], which would be lost if the process ended
+/// before they are written.
+#[derive(Debug, Clone)]
+pub struct LogFlusher {
+    queue: SyncSender<QueueEntry>,
+    thread: Thread,
+}
+
+impl LogFlusher {
+    /// Returns whether all lines that are queued were written within `limit`. The reader of
+    /// the log may have stopped reading.
+    pub fn flush(&self, limit: Duration) -> bool {
+        let (written_sender, written) = sync_channel(1);
+        if self
+            .queue
+            .try_send(QueueEntry::Flush(written_sender))
+            .is_err()
+        {
+            return false;
+        }
+        self.thread.unpark();
+        written.recv_timeout(limit).is_ok()
+    }
+}
+
 impl Write for BoundedWriter {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
         self.line.extend_from_slice(bytes);
@@ -78,29 +122,50 @@
         Ok(bytes.len())
     }
 
+    /// Returns at once: the logger flushes each line, and [`LogFlusher`] waits.
     fn flush(&mut self) -> io::Result<()> {
         Ok(())
     }
 }
 
+/// Lines that are written at once.
+#[derive(Debug, Default)]
+struct LineBatch {
+    text: Vec<u8>,
+    /// Those that wait for the lines to be written.
+    waiting: Vec<SyncSender<()>>,
+}
+
+impl LineBatch {
+    fn add(&mut self, entry: QueueEntry) {
+        match entry {
+            QueueEntry::Line(line) => self.text.extend_from_slice(&line),
+            QueueEntry::Flush(written) => self.waiting.push(written),
+        }
+    }
+}
+
 /// Writes all queued lines at once, and returns when the output is closed.
-fn write_lines<W>(lines: &Receiver<Vec<u8>>, mut output: W)
+fn write_lines<W>(entries: &Receiver<QueueEntry>, mut output: W)
 where
     W: Write,
 {
-    /// Pause between two writes, so that lines are written in batches.
+    /// Pause between two writes, so that lines are written in batches. A flush ends it.
     const PAUSE: Duration = Duration::from_millis(100);
-    while let Ok(mut text) = lines.recv() {
-        while let Ok(line) = lines.try_recv() {
-            text.extend_from_slice(&line);
+    while let Ok(entry) = entries.recv() {
+        let mut batch = LineBatch::default();
+        batch.add(entry);
+        while let Ok(entry) = entries.try_recv() {
+            batch.add(entry);
         }
-        if output
-            .write_all(&text)
-            .and_then(|()| output.flush())
-            .is_err()
-        {
+        let written = output.write_all(&batch.text);
+        if written.and_then(|()| output.flush()).is_err() {
             return;
         }
-        std::thread::sleep(PAUSE);
+        for waiting in batch.waiting {
+            // Whoever waited may have stopped.
+            let _ = waiting.try_send(());
+        }
+        std::thread::park_timeout(PAUSE);
     }
 }
--- a/tests/entry_decisions.rs
+++ b/tests/entry_decisions.rs
@@ -346,3 +346,31 @@
     let text = String::from_utf8(text).expect("text");
     assert!(text.contains("lines left out"));
 }
+
+/// Guards against the last lines of a process, which are lost when it ends before they are
+/// written.
+#[test]
+fn a_flush_writes_the_queued_lines() {
+    let (release_sender, release) = mpsc::channel();
+    let (written, lines) = mpsc::channel();
+    drop(release_sender);
+    let mut writer = BoundedWriter::spawn(BlockedWriter { release, written });
+    writeln!(writer, "first").expect("never fails");
+    let first = lines.recv().expect("a line");
+    assert_eq!(first, b"first\n");
+    writeln!(writer, "last").expect("never fails");
+    assert!(writer.flusher().flush(Duration::from_secs(10)));
+    let rest = lines.try_iter().flatten().collect::<Vec<_>>();
+    assert_eq!(String::from_utf8_lossy(&rest), "last\n");
+}
+
+/// Guards against a process that cannot end because the reader of its log has stopped reading.
+#[test]
+fn a_flush_to_a_blocked_output_ends() {
+    let (release_sender, release) = mpsc::channel();
+    let (written, _lines) = mpsc::channel();
+    let mut writer = BoundedWriter::spawn(BlockedWriter { release, written });
+    writeln!(writer, "first").expect("never fails");
+    assert!(!writer.flusher().flush(Duration::from_millis(20)));
+    drop(release_sender);
+}
