Hold the ports at which tests of gateways expect refusals

Cause: closed_address named a port whose listener had been closed, so that another test of the same process could listen there. Tests of gateways failed now and then in whole runs of forwarding. Change: a bound socket that does not listen holds the port until the tests end.

--- a/tests/forwarding/gateway.rs
+++ b/tests/forwarding/gateway.rs
@@ -1,8 +1,8 @@
 //! Tests requests that pass another host on their way to a target.
 
 use std::net::{IpAddr, SocketAddr};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use jackdawwick::drain::DrainWindow;
@@ -12,7 +12,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::{RngSeed, TestRunner};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 use crate::host::TestHost;
 use crate::stub_target::{
@@ -77,10 +77,15 @@
     seen.header("jackdawwick-gateway-probe").is_some()
 }
 
-/// Returns an address at which connections are refused.
+/// Returns an address at which connections are refused. A socket that does not listen holds it
+/// until the tests end, so that no other test listens there.
 pub(crate) async fn closed_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    listener.local_addr().expect("an address")
+    static HELD: Mutex<Vec<TcpSocket>> = Mutex::new(Vec::new());
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind(([127, 0, 0, 1], 0).into()).expect("a port");
+    let address = socket.local_addr().expect("an address");
+    HELD.lock().expect("no panic").push(socket);
+    address
 }
 
 /// Opens a host that uses these gateways, and returns it with the number of times that it
