Read the log until suspect targets are due

After a restore or an outage of the log, a host kept using a target that had left beyond the bound. A suspicion ends by a read from its due time on, which never came, or late.

A host whose own reads succeed now goes on reading while it suspects targets, at most until they are due, and applies relayed changes meanwhile. The world of the test asks the same function before its hosts follow.

--- a/src/entry/log_copy.rs
+++ b/src/entry/log_copy.rs
@@ -43,6 +43,8 @@
     starts: TargetStarts,
     continuity: LogContinuity,
     suspects: SuspectTargets,
+    /// Whether this host reads the log of targets itself, and its last read succeeded.
+    reads_targets: bool,
     /// When each topic was last read successfully, by any host.
     targets_read: Option<Instant>,
     configuration_read: Option<Instant>,
--- a/src/entry/log_copy/dropping.rs
+++ b/src/entry/log_copy/dropping.rs
@@ -19,11 +19,24 @@
     /// it, if there was one and reads failed in it.
     pub(in crate::entry) fn observe_read(&self, read: Instant, was_lost: bool) -> Option<LogGap> {
         let mut state = self.state.lock();
+        state.reads_targets = true;
         let gap = state.continuity.observe_read(read, was_lost)?;
         state.suspects.extend(gap);
         Some(gap)
     }
 
+    /// Records that this host cannot read the log of targets, or no longer reads it itself.
+    pub(in crate::entry) fn end_own_reads(&self) {
+        self.state.lock().reads_targets = false;
+    }
+
+    /// Returns whether this host has to go on reading the log itself although another host
+    /// relays it: a host that relays may lose the log before the suspect targets are due.
+    pub fn needs_own_reads(&self) -> bool {
+        let state = self.state.lock();
+        state.reads_targets && !state.suspects.is_empty()
+    }
+
     /// Records that the log of targets was in an era when it was read; returns the gap that
     /// ends with the read if the log was restored since this host last had it.
     pub(in crate::entry) fn observe_restore(&self, era: LogEra, read: Instant) -> Option<LogGap> {
--- a/src/entry/relay_follower.rs
+++ b/src/entry/relay_follower.rs
@@ -53,6 +53,8 @@
     followed_neighbour: Option<HostId>,
     /// Number of neighbours tried, which selects the next one in rotation.
     neighbours_tried: usize,
+    /// Whether this host has read the log itself since it applied replies of a leader.
+    has_passed_replies: bool,
     /// When the first request without a useful reply was sent.
     without_log_since: Option<Instant>,
 }
@@ -74,6 +76,7 @@
         reads_for_others: false,
         followed_neighbour: None,
         neighbours_tried: 0,
+        has_passed_replies: false,
         without_log_since: None,
     };
     if is_first_start {
@@ -137,7 +140,10 @@
                 let now = Instant::now();
                 self.copy.record_relayed(age, now);
                 self.without_log_since = None;
-                self.set_leader(role, Some(host));
+                match self.leader {
+                    None if self.copy.needs_own_reads() => self.has_passed_replies = true,
+                    _ => self.set_leader(role, Some(host)),
+                }
                 return true;
             }
             let now = Instant::now();
@@ -241,7 +247,8 @@
             let name = leader.as_deref().unwrap_or("the log itself");
             log::info!(from:% = name; "log followed");
         }
-        if leader.is_none() && self.leader.is_some() {
+        let has_read = leader.is_some() && std::mem::take(&mut self.has_passed_replies);
+        if has_read || leader.is_none() && self.leader.is_some() {
             // Direct reads advance past the positions that other hosts have counted.
             self.log.reset_positions();
         }
--- a/src/entry/suspect_targets.rs
+++ b/src/entry/suspect_targets.rs
@@ -67,6 +67,11 @@
         self.targets.get(id).map(|target| target.gap)
     }
 
+    /// Returns whether no target is suspect.
+    pub fn is_empty(&self) -> bool {
+        self.targets.is_empty()
+    }
+
     /// Removes a target that has returned or is known to have left.
     pub fn forget(&mut self, id: &str) {
         self.targets.remove(id);
--- a/src/entry/target_follower.rs
+++ b/src/entry/target_follower.rs
@@ -118,6 +118,7 @@
         self.next = None;
         self.read_at = None;
         self.failures = 0;
+        self.copy.end_own_reads();
     }
 
     /// Applies the result of a read.
@@ -139,6 +140,7 @@
                     log::warn!(error:% = error; "targets: log lost");
                 }
                 self.failures += 1;
+                self.copy.end_own_reads();
             }
         }
     }
--- a/tests/leaving_fleet/host.rs
+++ b/tests/leaving_fleet/host.rs
@@ -24,6 +24,8 @@
     pub(super) relayed: RelayedLog,
     /// Whether it follows the leader of its zone.
     pub(super) follows: bool,
+    /// Whether it has read the log itself since it applied replies of the leader.
+    pub(super) has_passed_replies: bool,
     pub(super) read_ms: Option<u64>,
     pub(super) next_read_ms: u64,
     pub(super) next_ask_ms: u64,
@@ -57,6 +59,7 @@
             tables,
             copy,
             follows: false,
+            has_passed_replies: false,
             read_ms: None,
             next_read_ms: 0,
             next_ask_ms: 0,
--- a/tests/leaving_fleet/main.rs
+++ b/tests/leaving_fleet/main.rs
@@ -25,8 +25,12 @@
 /// after a neighbour had relayed the return (128).
 const FAILED_SEEDS: [u64; 6] = [120, 128, 165, 204, 217, 373];
 
+/// Seeds of restores beside other faults that once violated an invariant: hosts whose leader
+/// lost the log before the suspect targets were due (174, 277, 303, 428).
+const FAILED_RESTORE_SEEDS: [u64; 4] = [174, 277, 303, 428];
+
 /// Seeds of restores beside other faults that violate an invariant; see KNOWN-RED.txt.
-const RESTORE_SEEDS_KNOWN_RED: [u64; 10] = [50, 95, 164, 174, 216, 277, 303, 418, 428, 471];
+const RESTORE_SEEDS_KNOWN_RED: [u64; 6] = [50, 95, 164, 216, 418, 471];
 
 fn run_simulation(seed: u64, faults: Vec<Fault>) -> Vec<String> {
     let mut world = World::open(seed, faults);
@@ -130,7 +134,8 @@
 /// Runs restores of the log beside random partitions, outages, trims and restarts.
 #[test]
 fn both_invariants_hold_under_restores_beside_random_faults() {
-    run_restores((0..SEEDS).filter(|seed| !RESTORE_SEEDS_KNOWN_RED.contains(seed)));
+    let seeds = (0..SEEDS).chain(FAILED_RESTORE_SEEDS);
+    run_restores(seeds.filter(|seed| !RESTORE_SEEDS_KNOWN_RED.contains(seed)));
 }
 
 /// Runs the seeds of KNOWN-RED.txt, in which hosts follow one that was cut off or restarted
--- a/tests/leaving_fleet/world.rs
+++ b/tests/leaving_fleet/world.rs
@@ -269,12 +269,18 @@
         let age = reply.as_ref().map(|reply| reply.age);
         let is_current = reply.is_some_and(|reply| self.apply_reply(host, leader, reply));
         match age.filter(|_| is_current) {
+            Some(_) if !self.hosts[host].follows && self.hosts[host].copy.needs_own_reads() => {
+                self.hosts[host].has_passed_replies = true;
+            }
             Some(age) => {
                 let age = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
                 let state = &mut self.hosts[host];
                 state.read_ms = state.read_ms.max(now_ms.checked_sub(age));
                 state.follows = true;
                 state.follower.reset_position();
+                if std::mem::take(&mut state.has_passed_replies) {
+                    state.relayed.reset_positions();
+                }
             }
             None => {
                 let state = &mut self.hosts[host];
