--- a/src/entry/target_follower.rs
+++ b/src/entry/target_follower.rs
@@ -118,6 +118,7 @@
         self.next = None;
         self.read_at = None;
         self.failures = 0;
+        self.copy.end_own_reads();
     }
 
     /// Applies the result of a read.
@@ -137,6 +138,7 @@
             Err(error) => {
                 if self.failures == 0 {
                     log::warn!(error:% = error; "targets: log lost");
+                    self.copy.observe_failed_read(now);
                 }
                 self.failures += 1;
             }
