Read the rest of a refused request's body beside its response

A caller that was refused while it still sent its body saw a reset in place of the 503: the response closed the connection with unread bytes. That held for a stopping host (`draining`), for the final responses at the end of the grace time, and for a host without a configuration.

Cause: `open` refuses before the body is read, and hyper stops reading as soon as the body is dropped. Once the last response is written, its graceful shutdown also closes a connection whose body is still on its way.

Change: the refusal is sent at once, as before, and what is left of the body is read beside it, up to the limit of a body and for at most ten seconds. A connection that its last response closes is left to end by itself; the close before the kill still bounds it.

--- a/src/forward/connection_phase.rs
+++ b/src/forward/connection_phase.rs
@@ -1,13 +1,15 @@
 //! Follows the last request of a caller's connection, so that a connection that fails under
-//! a request shows in a line.
+//! a request shows in a line, and one that its last response closes is left to end.
 
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll};
 use std::time::Instant;
 
 use bytes::Bytes;
 use http::Response;
+use http::header::{self, HeaderValue};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, SizeHint};
 use parking_lot::Mutex;
@@ -21,6 +23,7 @@
 #[derive(Debug, Clone, Default)]
 pub(super) struct ConnectionPhase {
     open_request: Arc<Mutex<Option<Arc<RequestProgress>>>>,
+    is_closing: Arc<AtomicBool>,
 }
 
 impl ConnectionPhase {
@@ -29,6 +32,19 @@
         *self.open_request.lock() = Some(progress.clone());
     }
 
+    /// Makes a response the last one of the connection.
+    pub(super) fn close_after(&self, response: &mut Response<ResponseBody>) {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+        self.is_closing.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether the connection ends by itself, after its last response and the body of
+    /// the request.
+    pub(super) fn is_closing(&self) -> bool {
+        self.is_closing.load(Ordering::Relaxed)
+    }
+
     /// Logs and counts the request that is left without a complete response because the
     /// shutdown closes the connection.
     pub(super) fn record_cut(&self, tables: &Arc<ServingTables>, now: Instant) {
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -8,7 +8,7 @@
 use http::header::HeaderValue;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use parking_lot::Mutex;
 
 use super::admission_wait::StartProgress;
@@ -39,6 +39,9 @@
 /// `Retry-After` of a request that a stopping or overloaded host refuses: short, since the
 /// caller's next connection leads to another host.
 pub(super) const OTHER_HOST_RETRY: Duration = Duration::from_millis(50);
+/// Longest time for which the body of a refused request is read. A caller that sends for
+/// longer would keep a connection for nothing.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// State that the attempts of one request share.
 #[derive(Debug)]
@@ -74,12 +77,12 @@
     progress: Arc<RequestProgress>,
     arrived: Instant,
 ) -> Response<ResponseBody> {
-    let (parts, body) = request.into_parts();
+    let (parts, mut body) = request.into_parts();
     let head = CallerHead::read(&parts, arrived);
     let in_flight_request = InFlightRequest::open(tables.clone());
     let handled = async {
         let progress = progress.clone();
-        let exchange = open(tables.clone(), parts, body, &head, arrived, progress).await?;
+        let exchange = open(tables.clone(), parts, &mut body, &head, arrived, progress).await?;
         forward(Arc::new(exchange), in_flight_request).await
     };
     let handled = tokio::select! {
@@ -89,7 +92,10 @@
     };
     let mut response = match handled {
         Ok(response) => response.map(|body| guard_body(tables.clone(), &head.id, body)),
-        Err(refusal) => refuse(&tables, &head.id, refusal, arrived),
+        Err(refusal) => {
+            discard_rest(body, body_limit(&tables));
+            refuse(&tables, &head.id, refusal, arrived)
+        }
     };
     if !response.headers().contains_key(names::ATTEMPT_ID)
         && let Ok(id) = HeaderValue::from_str(&head.id)
@@ -105,19 +111,15 @@
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
     let arrived = Instant::now();
-    let (parts, body) = request.into_parts();
+    let (parts, mut body) = request.into_parts();
     let head = CallerHead::read(&parts, arrived);
-    let limits = tables
-        .configuration
-        .load()
-        .as_ref()
-        .map(|known| known.limits);
-    let limit = limits.unwrap_or_default().body_bytes;
+    let limit = body_limit(tables);
     // A connection that is closed with unread bytes may lose the response.
-    let refusal = match read_body(body, limit).await {
+    let refusal = match read_body(&mut body, limit).await {
         Ok(_) => Refusal::not_run(RefusalReason::HostOverloaded, OTHER_HOST_RETRY),
         Err(malformed) => malformed,
     };
+    discard_rest(body, limit);
     refuse(tables, &head.id, refusal, arrived)
 }
 
@@ -165,7 +167,7 @@
 async fn open(
     tables: Arc<ServingTables>,
     parts: http::request::Parts,
-    body: Incoming,
+    body: &mut Incoming,
     head: &CallerHead,
     arrived: Instant,
     progress: Arc<RequestProgress>,
@@ -257,7 +259,25 @@
     })
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
+/// Returns the largest body of a request, in bytes.
+fn body_limit(tables: &ServingTables) -> usize {
+    let configuration = tables.configuration.load();
+    let limits = configuration.as_ref().map(|known| known.limits);
+    limits.unwrap_or_default().body_bytes
+}
+
+/// Reads what is left of the body of a refused request, beside the response: a connection that
+/// is closed with unread bytes may lose it.
+fn discard_rest(body: Incoming, limit: usize) {
+    if body.is_end_stream() {
+        return;
+    }
+    let mut rest = Limited::new(body, limit);
+    let discarded = async move { while let Some(Ok(_)) = rest.frame().await {} };
+    tokio::spawn(tokio::time::timeout(DISCARD_TIMEOUT, discarded));
+}
+
+async fn read_body(body: &mut Incoming, limit: usize) -> Result<Bytes, Refusal> {
     let body = Limited::new(body, limit).collect().await;
     let malformed = |error: Box<dyn std::error::Error + Send + Sync>| {
         let status = match error.is::<http_body_util::LengthLimitError>() {
--- a/src/forward/serve.rs
+++ b/src/forward/serve.rs
@@ -9,7 +9,6 @@
 use std::time::{Duration, Instant};
 
 use http::Request;
-use http::header::{self, HeaderValue};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -167,8 +166,7 @@
             };
             if tables.is_draining() || admission == ConnectionAdmission::Refused {
                 // The caller opens its next connection to a host that keeps running.
-                let close = HeaderValue::from_static("close");
-                response.headers_mut().insert(header::CONNECTION, close);
+                phase.close_after(&mut response);
             }
             Ok::<_, Infallible>(phase.follow(response))
         }
@@ -186,7 +184,10 @@
             biased;
             served = connection.as_mut() => served,
             () = stop.shutdown.cancelled() => {
-                connection.as_mut().graceful_shutdown();
+                // After its last response hyper would close it with the body unread.
+                if !phase.is_closing() {
+                    connection.as_mut().graceful_shutdown();
+                }
                 connection.await
             }
         }
--- a/tests/forwarding/shutdown.rs
+++ b/tests/forwarding/shutdown.rs
@@ -5,10 +5,12 @@
 use std::time::{Duration, Instant};
 
 use jackdawwick::entry::drain;
+use jackdawwick::ingress::{CallerLimits, IngressConfiguration};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::runtime::Runtime;
 
+use super::healthy_target;
 use super::host::{TestHost, request};
 use super::stub_target::{Step, StubTarget, event, last_chunk, response, stream_head};
 
@@ -19,6 +21,17 @@
 /// Size of a response that no socket buffers take whole, in bytes.
 const LARGE_RESPONSE: usize = 24 << 20;
 
+/// Grace time after which requests are still admitted for a while, and that ends soon.
+const SHORT_GRACE: Duration = Duration::from_millis(1200);
+/// Grace time that outlasts the balancer's time.
+const MEDIUM_GRACE: Duration = Duration::from_millis(4500);
+/// Time after the signal at which the balancer sends no more.
+const LATE: Duration = Duration::from_millis(2700);
+/// Size of a body that no socket buffers take whole, in bytes.
+const LARGE_BODY: usize = 12 << 20;
+/// Time that requests may take, far longer than a shutdown.
+const LONG_LIMIT: Duration = Duration::from_secs(60);
+
 /// A host with its own runtime, which ends when the host has drained, as a process does.
 struct ProcessHost {
     runtime: Runtime,
@@ -35,6 +48,22 @@
         Self { runtime, host }
     }
 
+    /// Opens a host whose requests may be large and last long.
+    fn open_patient() -> Self {
+        let process = Self::open();
+        let configuration = process.host.tables.configuration.load_full();
+        let mut configuration = IngressConfiguration::clone(&configuration.expect("known"));
+        configuration.limits.body_bytes = 2 * LARGE_BODY;
+        for rule in configuration.routes.values_mut().flatten() {
+            let rule = Arc::make_mut(rule);
+            rule.timeout = LONG_LIMIT;
+            rule.latency_aim = LONG_LIMIT;
+        }
+        let tables = &process.host.tables;
+        tables.configuration.store(Some(Arc::new(configuration)));
+        process
+    }
+
     /// Shuts down in another thread, which returns the time that it took.
     fn shut_down(self) -> thread::JoinHandle<Duration> {
         self.shut_down_within(GRACE)
@@ -188,3 +217,106 @@
     let took = thread.join().expect("a shutdown");
     assert!(took < Duration::from_millis(1200), "{took:?}");
 }
+
+/// Returns a request that may take as long as its route allows.
+fn patient(method: &str, path: &str, extra: &str) -> String {
+    let text = request(method, path, extra);
+    let deadline = LONG_LIMIT.as_millis().to_string();
+    text.replace("-Ms: 4000", &format!("-Ms: {deadline}"))
+}
+
+fn large_head() -> String {
+    patient(
+        "POST",
+        "/unsafe/",
+        &format!("Content-Length: {LARGE_BODY}\r\n"),
+    )
+}
+
+async fn read_to_end(mut stream: TcpStream) -> String {
+    let mut bytes = Vec::new();
+    // A reset may come after what was sent.
+    let _ = stream.read_to_end(&mut bytes).await;
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+fn assert_whole_refusal(text: &str) {
+    assert!(text.starts_with("HTTP/1.1 503"), "{text}");
+    let (head, body) = text.split_once("\r\n\r\n").expect("a head");
+    assert!(head.contains("connection: close"), "{text}");
+    assert!(head.contains("retry-after: "), "{text}");
+    assert!(
+        head.contains(&format!("content-length: {}", body.len())),
+        "{text}"
+    );
+    assert!(body.contains("\"verdict\":\"not_run\""), "{text}");
+    assert!(body.contains("\"reason\":\"draining\""), "{text}");
+}
+
+/// Guards against a refusal that a reset destroys while the caller still sends its body.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_slow_body_at_a_stopping_host_gets_a_whole_refusal() {
+    let silent = StubTarget::spawn(|_| vec![Step::Wait(Duration::from_secs(8))]).await;
+    let process = ProcessHost::open_patient();
+    process.host.add_plain("i-1", silent.address);
+    let mut held = process.host.connect().await;
+    send(&mut held, &patient("POST", "/unsafe/", "")).await;
+    let mut stream = process.host.connect().await;
+    let thread = process.shut_down_within(MEDIUM_GRACE);
+    tokio::time::sleep(LATE).await;
+    send(&mut stream, &large_head()).await;
+    for piece in vec![b'x'; LARGE_BODY].chunks(LARGE_BODY / 24) {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        stream.write_all(piece).await.expect("a piece is read");
+    }
+    assert_whole_refusal(&read_to_end(stream).await);
+    assert!(read_to_end(held).await.starts_with("HTTP/1.1 504"));
+    let took = thread.join().expect("a shutdown");
+    assert!(took < MEDIUM_GRACE, "{took:?}");
+    assert_eq!(silent.seen().len(), 1);
+}
+
+/// Guards against a final response that a reset destroys while the body is on its way.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_body_on_its_way_when_final_responses_are_due_gets_a_whole_one() {
+    let target = healthy_target().await;
+    let process = ProcessHost::open_patient();
+    process.host.add_plain("i-1", target.address);
+    let mut stream = process.host.connect().await;
+    let body = vec![b'x'; 256 << 10];
+    let length = format!("Content-Length: {}\r\n", body.len());
+    send(&mut stream, &patient("POST", "/unsafe/", &length)).await;
+    let (first, rest) = body.split_at(4096);
+    stream.write_all(first).await.expect("sent");
+    let thread = process.shut_down_within(SHORT_GRACE);
+    let peeked = stream.peek(&mut [0; 1]).await;
+    assert_eq!(peeked.expect("a response"), 1);
+    for piece in rest.chunks(rest.len() / 8) {
+        stream.write_all(piece).await.expect("a piece is read");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    assert_whole_refusal(&read_to_end(stream).await);
+    let took = thread.join().expect("a shutdown");
+    assert!(took < SHORT_GRACE, "{took:?}");
+    assert!(target.seen().is_empty());
+}
+
+/// Guards against a refusal without a configuration that a reset destroys.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stopping_host_without_a_configuration_refuses_whole() {
+    let process = ProcessHost::open();
+    process.host.tables.configuration.store(None);
+    let mut stream = process.host.connect().await;
+    let thread = process.shut_down_within(SHORT_GRACE);
+    let body = vec![b'x'; CallerLimits::default().body_bytes];
+    let length = format!("Content-Length: {}\r\n", body.len());
+    send(&mut stream, &request("POST", "/unsafe/", &length)).await;
+    for piece in body.chunks(body.len() / 16) {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        stream.write_all(piece).await.expect("a piece is read");
+    }
+    let text = read_to_end(stream).await;
+    assert!(text.starts_with("HTTP/1.1 503"), "{text}");
+    assert!(text.contains("\"verdict\":\"not_run\""), "{text}");
+    thread.join().expect("a shutdown");
+}
