End the refusal of an overloaded host with its shutdown

A caller whose connection an overloaded host had accepted to refuse it, and that was still sending its body when the host stopped, got no response: the connection was cut shortly before the kill.

Cause: `refuse_request` waits for the body, hears nothing of the final responses, and does not count as in flight, so that the host may stop under it.

Change: it counts as in flight, and gets the final response (503, `draining`) with the others; what is left of the body is read beside it.

Seen failing before: the new test, no request in flight where it expects one (and with the count left out, no byte of a response). After: it passes, and so do the two tests of `forwarding/overload.rs`.

--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -107,20 +107,26 @@
 
 /// Reads a request and refuses it, since this host is overloaded and others are not.
 pub(super) async fn refuse_request(
-    tables: &ServingTables,
+    tables: Arc<ServingTables>,
     request: Request<Incoming>,
+    progress: Arc<RequestProgress>,
+    arrived: Instant,
 ) -> Response<ResponseBody> {
-    let arrived = Instant::now();
     let (parts, mut body) = request.into_parts();
     let head = CallerHead::read(&parts, arrived);
-    let limit = body_limit(tables);
-    // A connection that is closed with unread bytes may lose the response.
-    let refusal = match read_body(&mut body, limit).await {
-        Ok(_) => Refusal::not_run(RefusalReason::HostOverloaded, OTHER_HOST_RETRY),
-        Err(malformed) => malformed,
+    let limit = body_limit(&tables);
+    let _in_flight = InFlightRequest::open(tables.clone());
+    let refusal = tokio::select! {
+        biased;
+        // A connection that is closed with unread bytes may lose the response.
+        read = read_body(&mut body, limit) => match read {
+            Ok(_) => Refusal::not_run(RefusalReason::HostOverloaded, OTHER_HOST_RETRY),
+            Err(malformed) => malformed,
+        },
+        () = tables.clone().answer_due() => tables.end_request(&progress, Instant::now()),
     };
     discard_rest(body, limit);
-    refuse(tables, &head.id, refusal, arrived)
+    refuse(&tables, &head.id, refusal, arrived)
 }
 
 fn refuse(
--- a/src/forward/serve.rs
+++ b/src/forward/serve.rs
@@ -162,7 +162,9 @@
                 ConnectionAdmission::Served => {
                     handle_request(tables.clone(), request, progress, arrived).await
                 }
-                ConnectionAdmission::Refused => refuse_request(&tables, request).await,
+                ConnectionAdmission::Refused => {
+                    refuse_request(tables.clone(), request, progress, arrived).await
+                }
             };
             if tables.is_draining() || admission == ConnectionAdmission::Refused {
                 // The caller opens its next connection to a host that keeps running.
--- a/tests/forwarding/overload.rs
+++ b/tests/forwarding/overload.rs
@@ -12,7 +12,7 @@
 use super::stub_target::StubTarget;
 
 /// Opens a host that takes no new connections.
-fn open_overloaded(target: &StubTarget) -> (TestHost, Vec<InFlightGuard>) {
+pub(crate) fn open_overloaded(target: &StubTarget) -> (TestHost, Vec<InFlightGuard>) {
     let host = TestHost::open();
     host.add_plain("i-1", target.address);
     let load = TargetLoad {
--- a/tests/forwarding/shutdown.rs
+++ b/tests/forwarding/shutdown.rs
@@ -1,6 +1,8 @@
 //! Tests that the shutdown of a host cuts no response.
 
+use std::io::Write;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -12,6 +14,7 @@
 
 use super::healthy_target;
 use super::host::{TestHost, request};
+use super::overload::open_overloaded;
 use super::stub_target::{Step, StubTarget, event, last_chunk, response, stream_head};
 
 /// Grace time of a shutdown, far longer than requests take here.
@@ -301,6 +304,28 @@
     assert!(target.seen().is_empty());
 }
 
+/// Guards against a body of an overloaded host's caller that a shutdown cuts.
+#[tokio::test]
+async fn a_body_at_an_overloaded_host_gets_a_final_response_at_a_shutdown() {
+    let target = healthy_target().await;
+    let (host, _guards) = open_overloaded(&target);
+    // The host cannot accept the connection before the test awaits.
+    let mut stream = std::net::TcpStream::connect(host.address()).expect("a connection");
+    let text = request("POST", "/unsafe/", "Content-Length: 9\r\n");
+    stream.write_all(text.as_bytes()).expect("sent");
+    stream.set_nonblocking(true).expect("a mode");
+    let stream = TcpStream::from_std(stream).expect("a stream");
+    let tables = host.tables.clone();
+    let stopped = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        assert_eq!(tables.in_flight.load(Ordering::Relaxed), 1);
+        drain(&tables, host.into_serving(), SHORT_GRACE).await;
+    };
+    let (text, ()) = tokio::join!(read_to_end(stream), stopped);
+    assert_whole_refusal(&text);
+    assert!(target.seen().is_empty());
+}
+
 /// Guards against a refusal without a configuration that a reset destroys.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_stopping_host_without_a_configuration_refuses_whole() {
