Send nothing to a target that has no time to answer before this host ends

A caller of a non-idempotent request that had waited at a stopping host got 504 (`may_have_run`), although the request had never been sent when the final responses came near: it was sent, hedged or sent once more in the last tenths of a second, and its response could no longer be awaited.

Cause: the shutdown is asked when a request arrives and when its body is read. Waits for a pause, for room, a permit or a connection come after that.

Change: `DrainWindow::may_send` decides whether an attempt may start. It is asked where a target is chosen (first attempts, repeats, hedges, resumed streams) and again before the first byte, beside the check for poison. The caller gets a 503 (`not_run`) unless an earlier attempt may have run. A request whose own limit comes before the host's end is sent as at any other time, and so is each one in the time of the balancer, as before.

Seen failing before: the new test over sockets, 504 and `may_have_run` for a request whose wait ends 0.3 s before the final responses. After: it passes, and so do the tests of `forwarding/{shutdown,overload}.rs` and nine of `drain.rs`, three of them new.

--- a/src/drain.rs
+++ b/src/drain.rs
@@ -21,6 +21,10 @@
 /// second.
 const USUAL_TIME: Duration = Duration::from_millis(700);
 
+/// Time that an attempt needs for a response of a plain service: nearly all come within it.
+/// Shorter than [`USUAL_TIME`], so that an admitted request has time to find a target.
+const RESPONSE_TIME: Duration = Duration::from_millis(500);
+
 /// The times of a host that is shutting down.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct DrainWindow {
@@ -67,6 +71,21 @@
         }
     }
 
+    /// Returns whether an admitted request may be sent to a target, for the first time or once
+    /// more. `deadline` is the earlier of the caller's deadline and the route's timeout.
+    ///
+    /// A request that was never sent gets a refusal after which its caller may come back. One
+    /// that is sent and gets no response in time may have run.
+    pub fn may_send(&self, deadline: Instant, now: Instant) -> bool {
+        match () {
+            () if now >= self.answer_at => false,
+            () if deadline <= self.answer_at => true,
+            // The next connection of the caller may lead to this host again.
+            () if now < self.began + BALANCER_DELAY => true,
+            () => now + RESPONSE_TIME < self.answer_at,
+        }
+    }
+
     /// Returns whether the host may stop accepting connections.
     pub fn may_stop(&self, in_flight: usize, now: Instant) -> bool {
         let is_idle = in_flight == 0 && now >= self.began + BALANCER_DELAY;
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -76,6 +76,8 @@
     GatewayBroken,
     #[error("targets crash under the request")]
     Poison,
+    #[error("this host ends before a response can be awaited")]
+    Draining,
 }
 
 impl FailureCause {
@@ -94,6 +96,7 @@
             Self::NoGateway => "no_gateway",
             Self::GatewayBroken => "gateway_broken",
             Self::Poison => "poison",
+            Self::Draining => "draining",
         }
     }
 }
@@ -117,6 +120,7 @@
                 | FailureCause::Unreachable
                 | FailureCause::NoGateway
                 | FailureCause::Poison
+                | FailureCause::Draining
         )
     }
 }
--- a/src/forward/attempt_policy.rs
+++ b/src/forward/attempt_policy.rs
@@ -54,6 +54,7 @@
         self.clear_hold();
         self.tables
             .check_poison(&self.suspects, &self.outgoing.id, now)?;
+        self.check_send(now)?;
         let chosen = self.choose_with_pause(avoid, Duration::ZERO, now);
         let no_route = || Refusal::not_run(RefusalReason::NoRoute, NO_ROUTE_RETRY);
         let chosen = chosen.ok_or_else(no_route)?;
@@ -346,7 +347,8 @@
                 FailureCause::Unavailable
                 | FailureCause::NoGateway
                 | FailureCause::GatewayBroken
-                | FailureCause::Poison,
+                | FailureCause::Poison
+                | FailureCause::Draining,
             ) => None,
             Some(FailureCause::Connect | FailureCause::Unreachable) => {
                 fleet.observe_silence(&id, now);
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -21,6 +21,7 @@
 use super::race::{AttemptRace, AttemptRole, RaceEvent};
 use super::relay;
 use super::response::{Refusal, ResponseBody, whole_body};
+use super::shutdown::ShutdownEnd;
 use super::tables::ServingTables;
 use crate::fleet::RequestSize;
 use crate::ids::TargetId;
@@ -318,7 +319,12 @@
                 Ok((chosen, guard)) => race.open_primary(chosen, guard, false),
                 // No other target is left: the response of the target that failed is
                 // returned.
-                Err(refusal) => return failed_response.ok_or(refusal.after(tried)),
+                Err(refusal) => {
+                    return failed_response.ok_or_else(|| {
+                        exchange.record_unsent(&refusal, ShutdownEnd::Refused);
+                        refusal.after(tried)
+                    });
+                }
             }
         }
         match race.next().await {
--- a/src/forward/open_attempt.rs
+++ b/src/forward/open_attempt.rs
@@ -282,9 +282,14 @@
     );
     let sending = connecting.await?;
     // Nothing has been sent yet.
-    if exchange.is_poison(Instant::now()) {
-        let (verdict, cause) = (RunVerdict::NotRun, FailureCause::Poison);
-        return Err(AttemptFailure::new(verdict, cause));
+    let now = Instant::now();
+    let prevented = match () {
+        () if exchange.is_poison(now) => Some(FailureCause::Poison),
+        () if exchange.check_send(now).is_err() => Some(FailureCause::Draining),
+        () => None,
+    };
+    if let Some(cause) = prevented {
+        return Err(AttemptFailure::new(RunVerdict::NotRun, cause));
     }
     is_sent.store(true, Ordering::Relaxed);
     exchange.progress.set_sent();
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -197,7 +197,10 @@
                 self.race.log_resumed(reason, from);
                 Ok(())
             }
-            Err(refusal) => Err(self.cut_without(from, reason, refusal.reason.name())),
+            Err(refusal) => {
+                exchange.record_unsent(&refusal, ShutdownEnd::Cut);
+                Err(self.cut_without(from, reason, refusal.reason.name()))
+            }
         }
     }
 
--- a/src/forward/shutdown.rs
+++ b/src/forward/shutdown.rs
@@ -5,6 +5,7 @@
 
 use http::StatusCode;
 
+use super::exchange::Exchange;
 use super::progress::RequestProgress;
 use super::response::Refusal;
 use super::tables::ServingTables;
@@ -14,7 +15,7 @@
 /// How the shutdown ended a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum ShutdownEnd {
-    /// It was not admitted.
+    /// It was not admitted, or no longer sent to a target.
     Refused,
     /// It got a final response before its target's.
     Answered,
@@ -110,3 +111,22 @@
         );
     }
 }
+
+impl Exchange {
+    /// Refuses to send the request to a target if the shutdown of this host may leave it
+    /// without a response.
+    pub(super) fn check_send(&self, now: Instant) -> Result<(), Refusal> {
+        match self.tables.drain_window() {
+            Some(window) if !window.may_send(self.deadline, now) => Err(Refusal::draining()),
+            _ => Ok(()),
+        }
+    }
+
+    /// Records that the shutdown ends the request, if that is why it is sent to no target.
+    pub(super) fn record_unsent(&self, refusal: &Refusal, end: ShutdownEnd) {
+        if refusal.reason == RefusalReason::Draining {
+            self.tables
+                .record_shutdown_end(&self.progress, end, Instant::now());
+        }
+    }
+}
--- a/tests/drain.rs
+++ b/tests/drain.rs
@@ -20,6 +20,8 @@
 const SHORTEST_GRACE: Duration = Duration::from_millis(500);
 /// Least time for the final responses to be written out.
 const WRITE_TIME: Duration = Duration::from_millis(100);
+/// Time in which nearly all responses of plain services come.
+const RESPONSE_TIME: Duration = Duration::from_millis(500);
 const STEP: Duration = Duration::from_millis(50);
 
 /// A request at a moment of a shutdown.
@@ -37,6 +39,10 @@
     fn is_admitted(&self) -> bool {
         self.window.admits(self.deadline, self.now)
     }
+
+    fn may_be_sent(&self) -> bool {
+        self.window.may_send(self.deadline, self.now)
+    }
 }
 
 /// Returns requests of all limits at all moments, until after the host would be killed.
@@ -98,6 +104,41 @@
     }
 }
 
+/// Guards against a request that may have run although no response can be awaited.
+#[test]
+fn after_the_balancer_time_nothing_is_sent_that_its_target_has_no_time_to_answer() {
+    for case in all_cases().filter(|case| case.age >= BALANCER_TIME) {
+        let left = case.window.answer_at().saturating_duration_since(case.now);
+        let outlasts = case.deadline > case.window.answer_at();
+        assert!(
+            !(outlasts && left <= RESPONSE_TIME && case.may_be_sent()),
+            "{case:?}"
+        );
+    }
+}
+
+/// Guards against an admitted request that finds a target at once and is not sent.
+#[test]
+fn what_is_admitted_may_be_sent_for_a_while() {
+    for case in all_cases().filter(DrainCase::is_admitted) {
+        for wait in [0, 30, 199].map(Duration::from_millis) {
+            let now = case.now + wait;
+            let is_over = now >= case.window.answer_at();
+            let may_send = case.window.may_send(case.deadline, now);
+            assert!(is_over || may_send, "{case:?} after {wait:?}");
+        }
+    }
+}
+
+/// Guards against callers that the balancer still sends to the host and that it serves less.
+#[test]
+fn in_the_balancer_time_each_admitted_request_may_be_sent_until_responses_are_due() {
+    for case in all_cases().filter(|case| case.age < BALANCER_TIME) {
+        let is_due = case.now >= case.window.answer_at();
+        assert_eq!(case.may_be_sent(), !is_due, "{case:?}");
+    }
+}
+
 /// Guards against final responses that are not written out before the process is killed.
 #[test]
 fn responses_are_due_before_connections_are_closed_and_these_before_the_kill() {
--- a/tests/forwarding/shutdown.rs
+++ b/tests/forwarding/shutdown.rs
@@ -326,6 +326,25 @@
     assert!(target.seen().is_empty());
 }
 
+/// Guards against a request that is first sent when no response can be awaited any more.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_is_not_sent_just_before_the_final_responses() {
+    let silent = StubTarget::spawn(|_| vec![Step::Wait(Duration::from_secs(8))]).await;
+    let process = ProcessHost::open_patient();
+    process.host.add_plain("i-1", silent.address);
+    let mut stream = process.host.connect().await;
+    let tables = process.host.tables.clone();
+    let began = Instant::now();
+    let thread = process.shut_down_within(MEDIUM_GRACE);
+    // The pause ends 0.3 s before the final responses.
+    let until = began + MEDIUM_GRACE - Duration::from_millis(700);
+    tables.fleet.lock().observe_pause("i-1", until);
+    send(&mut stream, &patient("POST", "/unsafe/", "")).await;
+    assert_whole_refusal(&read_to_end(stream).await);
+    thread.join().expect("a shutdown");
+    assert!(silent.seen().is_empty());
+}
+
 /// Guards against a refusal without a configuration that a reset destroys.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_stopping_host_without_a_configuration_refuses_whole() {
