Let only a last chunked coding frame a response

A target that ended within a body with `transfer-encoding: identity` reached the caller as a whole 200: any transfer coding counted as framing, and so did a length beside one, so that the check for a crash was left out. The HTTP client reads such a body until its connection closes.

`ends_with_connection`, which the way to targets and the gateway share, now takes the last coding of the last header for framing, and a length only without a coding.

`unframed::only_chunks_mark_the_end_of_a_response_with_a_transfer_coding` failed before (200 in place of 502 with `transfer-encoding: identity`) and passes; the 11 tests of `unframed` and `early_end` pass.

--- a/src/forward/response_end.rs
+++ b/src/forward/response_end.rs
@@ -4,18 +4,26 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use http::HeaderMap;
-use http::header;
+use http::header::{self, HeaderMap, HeaderValue};
 
 use super::closed::is_closed;
 use super::tables::ServingTables;
 use crate::ids::TargetId;
 
 /// Returns whether the body of a response has neither a length nor chunks, so that its end
-/// is the end of its connection.
+/// is the end of its connection. Of several transfer codings the last one frames the body, and
+/// a length beside one does not apply.
 pub(super) fn ends_with_connection(headers: &HeaderMap) -> bool {
-    !headers.contains_key(header::CONTENT_LENGTH)
-        && !headers.contains_key(header::TRANSFER_ENCODING)
+    let mut codings = headers.get_all(header::TRANSFER_ENCODING).iter();
+    match codings.next_back() {
+        Some(codings) => !is_chunked(codings),
+        None => !headers.contains_key(header::CONTENT_LENGTH),
+    }
+}
+
+fn is_chunked(codings: &HeaderValue) -> bool {
+    let last = codings.as_bytes().rsplit(|byte| *byte == b',').next();
+    last.is_some_and(|coding| coding.trim_ascii().eq_ignore_ascii_case(b"chunked"))
 }
 
 /// Returns whether the process of a target has ended, although it did not state that it was
