Count an unframed response as complete only if its target is known to live

A response without length and chunks ends with its connection, and so does one whose target's process ends in the middle. The host took the end for the proper one - of every target that was leaving or had no entry, without a check; - if it counted itself as isolated, since several targets had ended at once, and no other host could tell; - if its probe was accepted in the moment in which the system closed the sockets of the process one after the other.

The response is complete if the target takes connections, or another host reaches it. Where the port is closed and the target is leaving, or nobody can tell, another open connection on which this host waits for bytes shows that the process lives; `PendingReads` counts these. Otherwise the response breaks off: a stream that may be resumed continues on another target, any other request gets 502. The way to targets and the gateway share the judgement.

A sound unframed response of a leaving target that takes no connections and has no other open one to this host breaks off as well: nothing tells it from a truncated one.

--- a/src/forward.rs
+++ b/src/forward.rs
@@ -25,6 +25,7 @@
 mod open_attempt;
 mod panics;
 mod pauses;
+mod pending_reads;
 mod permit_wait;
 mod permits;
 mod poison_evidence;
--- a/src/forward/closed.rs
+++ b/src/forward/closed.rs
@@ -14,13 +14,31 @@
 /// information.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// When a target was last probed, and whether it refused the connection. The lock admits
-/// one probe at a time.
+/// When a target was last probed, and what was found. The lock admits one probe at a time.
 ///
 /// All requests of a target break or stall at the same moment: one probe serves them all.
-pub(super) type ClosedCell = Arc<tokio::sync::Mutex<Option<(Instant, bool)>>>;
+pub(super) type PortCell = Arc<tokio::sync::Mutex<Option<(Instant, PortState)>>>;
 
-/// Returns whether nothing listens at the address of a target, as of `since` or later.
+/// Whether a process listens at the address of a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum PortState {
+    Listening,
+    Closed,
+    /// Neither this host nor another one could tell.
+    Unknown,
+}
+
+/// Returns whether nothing listens at the address of a target, as [`port_state`] finds.
+pub(super) async fn is_closed(
+    tables: &Arc<ServingTables>,
+    target: &TargetId,
+    address: SocketAddr,
+    since: Instant,
+) -> bool {
+    port_state(tables, target, address, since).await == PortState::Closed
+}
+
+/// Returns whether a process listens at the address of a target, as of `since` or later.
 ///
 /// A broken connection alone does not show that a process has ended: targets reset
 /// surplus connections, abort responses and lose their links. The operating system
@@ -29,48 +47,50 @@
 /// down and completes its running requests. Results from before `since` do not count,
 /// since a network fault that refuses connections can heal. Such a fault may also concern this
 /// host alone, so that another host is asked.
-pub(super) async fn is_closed(
+pub(super) async fn port_state(
     tables: &Arc<ServingTables>,
     target: &TargetId,
     address: SocketAddr,
     since: Instant,
-) -> bool {
-    let cell = tables.closed_cell(target);
+) -> PortState {
+    let cell = tables.port_cell(target);
     let mut last = cell.lock().await;
     match *last {
-        Some((at, closed)) if at >= since => closed,
+        Some((at, state)) if at >= since => state,
         _ => {
-            let closed = refuses_connections(tables, target, address).await;
+            let state = probe_port(tables, target, address).await;
             let now = Instant::now();
-            *last = Some((now, closed));
-            if closed {
+            *last = Some((now, state));
+            if state == PortState::Closed {
                 tables.fleet.lock().observe_silence(target, now);
                 tables.report_ended(target, now);
             }
-            closed
+            state
         }
     }
 }
 
-/// Returns whether the host of a target refuses connections. Where this host's own link is
-/// lost, or may be, other hosts have to agree.
-async fn refuses_connections(
+/// Connects to a target. Where this host's own link is lost, or may be, other hosts have to
+/// agree that the target refuses connections.
+async fn probe_port(
     tables: &Arc<ServingTables>,
     target: &TargetId,
     address: SocketAddr,
-) -> bool {
+) -> PortState {
     if tables.way(target) == TargetWay::Direct {
         let connected = tables
             .connect_target(target, address, CONNECT_TIMEOUT)
             .await;
-        let error = connected.err().map(|error| error.kind());
-        if error != Some(io::ErrorKind::ConnectionRefused) {
-            return false;
+        match connected.map_err(|error| error.kind()) {
+            Ok(_) => return PortState::Listening,
+            Err(io::ErrorKind::ConnectionRefused) => {}
+            Err(_) => return PortState::Unknown,
         }
     }
     match tables.ask_peers(target).await {
-        PeerWitness::FindsClosed => true,
-        PeerWitness::Reaches | PeerWitness::CannotReach => false,
-        PeerWitness::Unknown => tables.way(target) == TargetWay::Direct,
+        PeerWitness::FindsClosed => PortState::Closed,
+        PeerWitness::Reaches => PortState::Listening,
+        PeerWitness::Unknown if tables.way(target) == TargetWay::Direct => PortState::Closed,
+        PeerWitness::Unknown | PeerWitness::CannotReach => PortState::Unknown,
     }
 }
--- a/src/forward/gateway_link.rs
+++ b/src/forward/gateway_link.rs
@@ -13,6 +13,7 @@
 use tokio::task::JoinHandle;
 
 use super::head_limit::LinkSender;
+use super::pending_reads::PendingReads;
 use super::socket;
 use super::tables::ServingTables;
 use super::target_link::handshake;
@@ -268,5 +269,7 @@
 
 async fn connect(source: IpAddr, address: SocketAddr) -> io::Result<LinkSender> {
     let stream = socket::connect_from(source, address, GATEWAY_CONNECT_TIMEOUT).await?;
-    handshake(stream).await.map_err(io::Error::other)
+    // A gateway is no target, so that nothing is counted.
+    let reads = PendingReads::default();
+    handshake(stream, &reads).await.map_err(io::Error::other)
 }
--- a/src/forward/gateway_server.rs
+++ b/src/forward/gateway_server.rs
@@ -28,7 +28,7 @@
 use super::head::{forwarded, number_value};
 use super::notices::ObservedResponse;
 use super::response::{ResponseBody, whole_body};
-use super::response_end::{ends_with_connection, has_crashed};
+use super::response_end::{ends_with_connection, may_be_truncated};
 use super::socket;
 use super::tables::ServingTables;
 use super::target_link::handshake;
@@ -226,7 +226,8 @@
         let request = Request::from_parts(parts, Full::new(body));
         let in_flight = InFlightRequest::open(self.tables.clone());
         let sending = async {
-            let mut sender = handshake(stream).await?;
+            let reads = self.tables.pending_reads(&passed.target);
+            let mut sender = handshake(stream, &reads).await?;
             sender.send_request(request).await
         };
         let response = match tokio::time::timeout_at(passed.until.into(), sending).await {
@@ -422,8 +423,8 @@
 }
 
 impl UnframedSource {
-    async fn has_crashed(&self) -> bool {
-        has_crashed(&self.tables, &self.target, self.address).await
+    async fn may_be_truncated(&self) -> bool {
+        may_be_truncated(&self.tables, &self.target, self.address).await
     }
 }
 
@@ -446,7 +447,7 @@
         match tokio::time::timeout_at(self.until.into(), self.body.frame()).await {
             Err(_) => Err(io::Error::from(io::ErrorKind::TimedOut)),
             Ok(None) => match self.unframed.take() {
-                Some(source) if source.has_crashed().await => {
+                Some(source) if source.may_be_truncated().await => {
                     Err(io::Error::from(io::ErrorKind::UnexpectedEof))
                 }
                 _ => Ok(None),
--- a/src/forward/head_limit.rs
+++ b/src/forward/head_limit.rs
@@ -13,6 +13,8 @@
 use hyper::client::conn::http1::SendRequest;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+use super::pending_reads::{PendingReads, ReadMark};
+
 /// Maximum number of bytes up to the end of a head, in bytes, interim responses included.
 /// Without it a target that sends interim responses without end keeps this host's only
 /// thread busy, since each of them is complete.
@@ -22,6 +24,7 @@
 #[derive(Debug)]
 pub(super) struct HeadLimit<S> {
     stream: S,
+    mark: ReadMark,
     received: usize,
     is_head_complete: Arc<AtomicBool>,
 }
@@ -34,11 +37,13 @@
 }
 
 impl<S> HeadLimit<S> {
-    /// Limits a new connection; returns the flag that lifts the limit.
-    pub(super) fn new(stream: S) -> (Self, Arc<AtomicBool>) {
+    /// Limits a new connection, and counts it among those of its target; returns the flag that
+    /// lifts the limit.
+    pub(super) fn new(stream: S, reads: &PendingReads) -> (Self, Arc<AtomicBool>) {
         let is_head_complete = Arc::new(AtomicBool::new(false));
         let limit = Self {
             stream,
+            mark: reads.open(),
             received: 0,
             is_head_complete: is_head_complete.clone(),
         };
@@ -86,6 +91,7 @@
         let before = buffer.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
         self.received += buffer.filled().len() - before;
+        self.mark.set_pending(polled.is_pending());
         polled
     }
 }
--- a/src/forward/open_attempt.rs
+++ b/src/forward/open_attempt.rs
@@ -16,7 +16,7 @@
 use super::exchange::{Exchange, read_whole};
 use super::head::forwarded;
 use super::response::ResponseBody;
-use super::response_end::{ends_with_connection, has_crashed};
+use super::response_end::{ends_with_connection, may_be_truncated};
 use super::tables::InFlightGuard;
 use super::target_link::TargetResponse;
 use super::watch::{PathWatch, SilenceFinding};
@@ -221,9 +221,9 @@
         let is_direct = !self.watch.uses_gateway();
         async move {
             let response = read_whole(response, exchange.deadline).await?;
-            let may_have_crashed = ends_with_connection && is_direct;
-            match may_have_crashed
-                && has_crashed(&exchange.tables, &chosen.id, chosen.address).await
+            let is_unframed = ends_with_connection && is_direct;
+            match is_unframed
+                && may_be_truncated(&exchange.tables, &chosen.id, chosen.address).await
             {
                 true => {
                     let (verdict, cause) = (RunVerdict::MayHaveRun, FailureCause::Broken);
@@ -254,14 +254,13 @@
         }
     }
 
-    /// Returns whether the target has crashed at the end of a stream that ends with its
-    /// connection.
-    pub(super) async fn has_crashed(&mut self) -> bool {
+    /// Returns whether a stream that ended with its connection may be truncated.
+    pub(super) async fn may_be_truncated(&mut self) -> bool {
         let AttemptStage::Streaming(source) = &self.stage else {
             return false;
         };
         let ends_with_connection = source.ends_with_connection;
-        ends_with_connection && self.watch.has_crashed().await
+        ends_with_connection && self.watch.may_be_truncated().await
     }
 }
 
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -76,7 +76,7 @@
                     self.observe_events();
                     return Ok(Some(events));
                 }
-                RaceEvent::End(role) if self.has_crashed(role).await => {
+                RaceEvent::End(role) if self.may_be_truncated(role).await => {
                     self.handle_break(role, "target ended").await?;
                 }
                 RaceEvent::End(role) => {
@@ -112,9 +112,9 @@
         }
     }
 
-    async fn has_crashed(&mut self, role: AttemptRole) -> bool {
+    async fn may_be_truncated(&mut self, role: AttemptRole) -> bool {
         match self.race.get_mut(role) {
-            Some(attempt) => attempt.has_crashed().await,
+            Some(attempt) => attempt.may_be_truncated().await,
             None => false,
         }
     }
--- a/src/forward/tables.rs
+++ b/src/forward/tables.rs
@@ -9,9 +9,10 @@
 use parking_lot::Mutex;
 use tokio::sync::{Notify, watch};
 
-use super::closed::ClosedCell;
+use super::closed::PortCell;
 use super::gateway_link::{GatewayPeers, WitnessCell};
 use super::liveness::LivenessTable;
+use super::pending_reads::PendingReads;
 use super::permits::PermitSource;
 use super::probe::CallFailure;
 use super::retry_budgets::RetryBudgets;
@@ -69,7 +70,8 @@
     neighbours: AtomicUsize,
     pub(super) retries: RetryBudgets,
     reports: Mutex<FastMap<TargetId, ReportCell>>,
-    closed: Mutex<FastMap<TargetId, ClosedCell>>,
+    ports: Mutex<FastMap<TargetId, PortCell>>,
+    pending_reads: Mutex<FastMap<TargetId, PendingReads>>,
     pub(super) liveness: LivenessTable,
     /// The targets on which this host runs attempts, and which of them do not respond.
     pub(super) silences: Mutex<SilenceTable>,
@@ -114,7 +116,8 @@
             neighbours: AtomicUsize::new(0),
             retries: RetryBudgets::new(budget_settings),
             reports: Mutex::default(),
-            closed: Mutex::default(),
+            ports: Mutex::default(),
+            pending_reads: Mutex::default(),
             liveness: LivenessTable::default(),
             silences: Mutex::default(),
             reachability: Mutex::default(),
@@ -257,9 +260,14 @@
             .clone()
     }
 
-    pub(super) fn closed_cell(&self, target: &TargetId) -> ClosedCell {
-        let mut closed = self.closed.lock();
-        closed.entry(target.clone()).or_default().clone()
+    pub(super) fn port_cell(&self, target: &TargetId) -> PortCell {
+        let mut ports = self.ports.lock();
+        ports.entry(target.clone()).or_default().clone()
+    }
+
+    pub(super) fn pending_reads(&self, target: &TargetId) -> PendingReads {
+        let mut pending = self.pending_reads.lock();
+        pending.entry(target.clone()).or_default().clone()
     }
 
     pub(super) fn witness_cell(&self, target: &TargetId) -> WitnessCell {
@@ -275,7 +283,8 @@
     /// Removes the state of a target that has left.
     pub fn forget_target(&self, target: &str) {
         self.reports.lock().remove(target);
-        self.closed.lock().remove(target);
+        self.ports.lock().remove(target);
+        self.pending_reads.lock().retain(|_, reads| reads.is_used());
         self.witnesses.lock().remove(target);
         self.reachability.lock().forget(target);
         let key = target_key(target);
--- a/src/forward/target_link.rs
+++ b/src/forward/target_link.rs
@@ -16,6 +16,7 @@
 
 use super::gateway_link::{GatewayLink, GatewayUse, mark_target, stated_result};
 use super::head_limit::{HeadLimit, LinkSender};
+use super::pending_reads::PendingReads;
 use super::tables::ServingTables;
 use crate::gateway::GatewayResult;
 use crate::ids::TargetId;
@@ -73,7 +74,7 @@
             return Ok(link.into());
         }
         let error = match self.connect_target(target, address, limit).await {
-            Ok(stream) => return TargetLink::direct(stream).await,
+            Ok(stream) => return TargetLink::direct(stream, &self.pending_reads(target)).await,
             Err(error) => error,
         };
         match self.way(target) {
@@ -100,9 +101,9 @@
 }
 
 impl TargetLink {
-    async fn direct(stream: TcpStream) -> io::Result<Self> {
+    async fn direct(stream: TcpStream, reads: &PendingReads) -> io::Result<Self> {
         Ok(Self {
-            sender: handshake(stream).await.map_err(io::Error::other)?,
+            sender: handshake(stream, reads).await.map_err(io::Error::other)?,
             gateway: None,
         })
     }
@@ -196,13 +197,16 @@
     }
 }
 
-/// Starts HTTP on a connection.
+/// Starts HTTP on a connection, and counts it among those of its target.
 ///
 /// # Errors
 ///
 /// If the connection is closed.
-pub(super) async fn handshake(stream: TcpStream) -> hyper::Result<LinkSender> {
-    let (stream, is_head_complete) = HeadLimit::new(stream);
+pub(super) async fn handshake(
+    stream: TcpStream,
+    reads: &PendingReads,
+) -> hyper::Result<LinkSender> {
+    let (stream, is_head_complete) = HeadLimit::new(stream, reads);
     let (sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
     tokio::spawn(async move {
         if let Err(error) = connection.await {
--- a/src/forward/watch.rs
+++ b/src/forward/watch.rs
@@ -11,7 +11,7 @@
 use super::gateway_link::{GatewayUse, PeerWitness};
 use super::liveness::LivenessGuard;
 use super::probe::{CallFailure, fetch_report};
-use super::response_end::has_crashed;
+use super::response_end::may_be_truncated;
 use super::silence_guard::SilenceGuard;
 use super::tables::InFlightGuard;
 use crate::fleet::{EnginePath, PathHop};
@@ -155,11 +155,11 @@
         }
     }
 
-    /// Returns whether the target has crashed at the end of a response that ends with its
-    /// connection. Behind a gateway, the gateway decides.
-    pub(super) async fn has_crashed(&self) -> bool {
+    /// Returns whether a response that ended with its connection may be truncated. Behind a
+    /// gateway, the gateway decides.
+    pub(super) async fn may_be_truncated(&self) -> bool {
         let (target, address) = (&self.chosen.id, self.chosen.address);
-        !self.uses_gateway() && has_crashed(&self.exchange.tables, target, address).await
+        !self.uses_gateway() && may_be_truncated(&self.exchange.tables, target, address).await
     }
 
     /// Moves the request away from engines that have just ended. If it cannot be moved
--- a/tests/forwarding/early_end.rs
+++ b/tests/forwarding/early_end.rs
@@ -155,7 +155,7 @@
 }
 
 /// Opens a socket at which connections are refused.
-fn closed_socket() -> TcpSocket {
+pub(crate) fn closed_socket() -> TcpSocket {
     let socket = TcpSocket::new_v4().expect("a socket");
     socket.bind(([127, 0, 0, 1], 0).into()).expect("a port");
     socket
