Show what the targets of a cut head have read when its test fails

Cause: tests of cut heads failed beside other runs of the same tests; a non-idempotent request seemed to have been sent twice. Change: the assertion names the heads that the targets read.

--- a/tests/forwarding/early_end.rs
+++ b/tests/forwarding/early_end.rs
@@ -165,6 +165,7 @@
 struct CutTargets {
     host: TestHost,
     attempts: Arc<AtomicUsize>,
+    stubs: [StubTarget; 2],
     /// Keep the ports of closed addresses from being used by another test.
     _closed: [TcpSocket; 2],
     _gateway: Option<TestGateway>,
@@ -181,13 +182,14 @@
                 _ => whole_steps(seen),
             })
         };
-        let stubs = [stub().await.address, stub().await.address];
+        let stubs = [stub().await, stub().await];
+        let addresses = stubs.each_ref().map(|stub| stub.address);
         let gateway = match hop {
             CutHop::FromGatewayToTarget => Some(TestGateway::open()),
             CutHop::ToTarget | CutHop::ToGateway => None,
         };
         let host = match (hop, &gateway) {
-            (CutHop::ToGateway, _) => host_with_addresses(stubs.to_vec()).0,
+            (CutHop::ToGateway, _) => host_with_addresses(addresses.to_vec()).0,
             (_, Some(gateway)) => host_with(&[gateway]).0,
             (_, None) => TestHost::open(),
         };
@@ -196,8 +198,8 @@
             false => host.add_plain(id, address),
         };
         let closed = [closed_socket(), closed_socket()];
-        for (id, address, closed) in [("i-1", stubs[0], &closed[0]), ("i-2", stubs[1], &closed[1])]
-        {
+        let ids = ["i-1", "i-2"];
+        for ((id, address), closed) in ids.into_iter().zip(addresses).zip(&closed) {
             match hop {
                 CutHop::ToTarget => add(&host, id, address),
                 CutHop::FromGatewayToTarget | CutHop::ToGateway => {
@@ -211,11 +213,18 @@
         Self {
             host,
             attempts,
+            stubs,
             _closed: closed,
             _gateway: gateway,
         }
     }
 
+    /// Returns the heads of all requests that the targets have read.
+    fn seen_heads(&self) -> String {
+        let seen = self.stubs.iter().flat_map(StubTarget::seen);
+        seen.map(|seen| seen.head).collect::<Vec<_>>().join("\n")
+    }
+
     /// Sends a request on a new connection, or on one that has had a whole response.
     async fn call(&self, case: RequestCase, is_kept: bool) -> CallerResponse {
         if !is_kept {
@@ -291,7 +300,9 @@
             let targets = CutTargets::open(hop, case, cut_steps(head, end)).await;
             let served = targets.call(case, is_kept).await;
             let attempts = targets.attempts.load(Ordering::Relaxed);
-            let context = format!("{hop:?}, {name}, {end:?}, {}, kept {is_kept}", case.path);
+            let seen = targets.seen_heads();
+            let path = case.path;
+            let context = format!("{hop:?}, {name}, {end:?}, {path}, kept {is_kept}, seen {seen}");
             assert_retried_or_failed(&served, case, attempts, &context);
         });
         futures::future::join_all(calls).await;
