Begin no append in the last second of an operator's change

An operator whose change the platform had refused each time could get 504 with "may have run" in place of 503 with "not run": the call ended while the refusal of one more append was on its way. That append could not have helped the operator either, since its record has to be read back before the end.

The last append now begins a second before the end, so that its refusal arrives in time unless it takes longer. What hangs then still gives "may have run".

Seen failing before: `a_change_that_is_refused_slowly_is_reported_as_not_run` with refusals after 500, 600, 700 and 800 ms gave MayHaveRun, NotRun, MayHaveRun and MayHaveRun; now NotRun each time, and the six tests of configuration pass.

--- a/src/daemon/changes.rs
+++ b/src/daemon/changes.rs
@@ -1,7 +1,7 @@
 //! Appends operators' changes to the log and responds once their records are judged.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use uuid::Uuid;
 
@@ -18,6 +18,9 @@
 /// Maximum time that an operator's call waits for the change to be read back from the
 /// log.
 const JUDGEMENT_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time before the end of an operator's call from which no append begins. A refusal that
+/// arrived after the end could not tell the operator that the change was not written.
+const LAST_APPEND: Duration = Duration::from_secs(1);
 /// Pause before a change is appended again under the same id.
 const APPEND_RETRY: Duration = Duration::from_millis(250);
 
@@ -78,10 +81,11 @@
         return Err(change_refusal(RefusalReason::Malformed, RunVerdict::NotRun));
     };
     let mut verdict = RunVerdict::NotRun;
+    let last = Instant::now() + JUDGEMENT_TIMEOUT.saturating_sub(LAST_APPEND);
     let judged = tokio::time::timeout(JUDGEMENT_TIMEOUT, async {
         tokio::select! {
             judgement = wait_for_judgement(core, &id) => judgement,
-            () = keep_appending(core, &text, &mut verdict) => wait_for_judgement(core, &id).await,
+            () = keep_appending(core, &text, last, &mut verdict) => wait_for_judgement(core, &id).await,
         }
     })
     .await;
@@ -91,10 +95,10 @@
     }
 }
 
-/// Appends the record until an append is confirmed. Meanwhile `verdict` states whether
-/// the change may have taken effect.
-async fn keep_appending(core: &DaemonCore, text: &str, verdict: &mut RunVerdict) {
-    loop {
+/// Appends the record until an append is confirmed; the last one begins before `last`.
+/// Meanwhile `verdict` states whether the change may have taken effect.
+async fn keep_appending(core: &DaemonCore, text: &str, last: Instant, verdict: &mut RunVerdict) {
+    while Instant::now() < last {
         if let Ok(appended) = core.declaration_appends.submit(text.to_owned()) {
             // From here on the record may be stored even though no response has arrived.
             // If the operator's timeout expires during this append, a verdict of "not
