Answer "not run" at the end of a shutdown where each target stated so

A caller of a non-idempotent request got 504 (`may_have_run`) at the end of the grace time although the only target that had seen it stated that it did not run it: its true answer is 503, after which it may come back.

Cause: `RequestProgress::is_sent` is set with the first attempt and stays set.

Change: the progress counts the attempts that may have run. An attempt counts from before its first byte, also if it is given up, and no longer once its target, or a gateway, stated that it did not run.

Seen failing before: the new test with a target that refuses, 504 in place of 503. The second test, one target that refuses and one that is silent, passes before and after: 504.

--- a/src/forward/open_attempt.rs
+++ b/src/forward/open_attempt.rs
@@ -292,6 +292,10 @@
         return Err(AttemptFailure::new(RunVerdict::NotRun, cause));
     }
     is_sent.store(true, Ordering::Relaxed);
-    exchange.progress.set_sent();
-    sending.await
+    exchange.progress.observe_sent();
+    let response = sending.await;
+    if matches!(&response, Err(failure) if failure.verdict == RunVerdict::NotRun) {
+        exchange.progress.observe_not_run();
+    }
+    response
 }
--- a/src/forward/progress.rs
+++ b/src/forward/progress.rs
@@ -1,7 +1,7 @@
 //! What is known of a request until its response is complete.
 
 use std::sync::OnceLock;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 /// How far a request has come.
@@ -13,7 +13,9 @@
     /// The earlier of the caller's deadline and the route's timeout, once the request was
     /// read whole.
     deadline: OnceLock<Instant>,
-    is_sent: AtomicBool,
+    /// Attempts that may have reached a target, less those of which the target, or a gateway,
+    /// stated that they did not run.
+    may_have_run: AtomicU32,
 }
 
 impl RequestProgress {
@@ -22,7 +24,7 @@
             id: id.to_owned(),
             arrived,
             deadline: OnceLock::new(),
-            is_sent: AtomicBool::new(false),
+            may_have_run: AtomicU32::new(0),
         }
     }
 
@@ -32,14 +34,20 @@
         let _ = self.deadline.set(deadline);
     }
 
-    /// Records that the request may have reached a target.
-    pub(super) fn set_sent(&self) {
-        self.is_sent.store(true, Ordering::Relaxed);
+    /// Records that an attempt is sent. It counts until [`Self::observe_not_run`], also if it
+    /// is given up.
+    pub(super) fn observe_sent(&self) {
+        self.may_have_run.fetch_add(1, Ordering::Relaxed);
     }
 
-    /// Returns whether the request may have reached a target.
-    pub(super) fn is_sent(&self) -> bool {
-        self.is_sent.load(Ordering::Relaxed)
+    /// Records the statement that an attempt which was sent did not run and will not run.
+    pub(super) fn observe_not_run(&self) {
+        self.may_have_run.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    /// Returns whether a target may have run the request, or may still run it.
+    pub(super) fn may_have_run(&self) -> bool {
+        self.may_have_run.load(Ordering::Relaxed) > 0
     }
 
     /// Returns the time since the head of the request was read.
--- a/src/forward/shutdown.rs
+++ b/src/forward/shutdown.rs
@@ -81,7 +81,7 @@
         now: Instant,
     ) -> Refusal {
         self.record_shutdown_end(progress, ShutdownEnd::Answered, now);
-        match progress.is_sent() {
+        match progress.may_have_run() {
             true => Refusal::may_have_run(StatusCode::GATEWAY_TIMEOUT, RefusalReason::Draining),
             false => Refusal::draining(),
         }
@@ -103,7 +103,7 @@
         log::info!(
             request:% = progress.id,
             end:% = end.name(),
-            is_sent = progress.is_sent(),
+            is_sent = progress.may_have_run(),
             after_ms = progress.age(now).as_millis() as u64,
             left_ms:% = millis(progress.left(now)),
             stopping_ms:% = millis(stopping);
--- a/tests/forwarding/shutdown.rs
+++ b/tests/forwarding/shutdown.rs
@@ -12,10 +12,10 @@
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::runtime::Runtime;
 
-use super::healthy_target;
 use super::host::{TestHost, request};
 use super::overload::open_overloaded;
 use super::stub_target::{Step, StubTarget, event, last_chunk, response, stream_head};
+use super::{healthy_target, not_executed};
 
 /// Grace time of a shutdown, far longer than requests take here.
 const GRACE: Duration = Duration::from_secs(9);
@@ -345,6 +345,46 @@
     assert!(silent.seen().is_empty());
 }
 
+/// Guards against a 504 for a request whose target stated that it did not run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_that_its_target_did_not_run_is_refused_as_not_run() {
+    let refusing = StubTarget::spawn(|_| vec![not_executed()]).await;
+    let other = healthy_target().await;
+    let process = ProcessHost::open_patient();
+    process.host.add_plain("i-1", refusing.address);
+    process.host.add_plain("i-2", other.address);
+    let until = Instant::now() + LONG_LIMIT / 4;
+    let tables = process.host.tables.clone();
+    tables.fleet.lock().observe_pause("i-2", until);
+    let mut stream = process.host.connect().await;
+    send(&mut stream, &patient("POST", "/unsafe/", "")).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let thread = process.shut_down_within(SHORT_GRACE);
+    assert_whole_refusal(&read_to_end(stream).await);
+    thread.join().expect("a shutdown");
+    assert_eq!((refusing.seen().len(), other.seen().len()), (1, 0));
+}
+
+/// Guards against "not run" for a request that one target refused and another may have run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_that_one_of_its_targets_may_have_run_is_not_refused_as_not_run() {
+    let refusing = StubTarget::spawn(|_| vec![not_executed()]).await;
+    let silent = StubTarget::spawn(|_| vec![Step::Wait(Duration::from_secs(8))]).await;
+    let process = ProcessHost::open_patient();
+    process.host.add_plain("i-1", refusing.address);
+    process.host.add_plain("i-2", silent.address);
+    let mut stream = process.host.connect().await;
+    send(&mut stream, &patient("POST", "/unsafe/", "")).await;
+    while silent.seen().is_empty() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let thread = process.shut_down_within(SHORT_GRACE);
+    let text = read_to_end(stream).await;
+    assert!(text.starts_with("HTTP/1.1 504"), "{text}");
+    assert!(text.contains("\"verdict\":\"may_have_run\""), "{text}");
+    thread.join().expect("a shutdown");
+}
+
 /// Guards against a refusal without a configuration that a reset destroys.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_stopping_host_without_a_configuration_refuses_whole() {
