End what a stopping gateway relays with a true result

Cause: a gateway counted a request of another host as in flight only once its target was connected, and its host did not wait for the gateway's connections. A request whose body was still read, or whose target was silent, met the end of the process: the other host saw a broken connection and answered 502, also where nothing had been sent. Change: a request counts from its admission; the gateway's connections are tracked and waited for like those of callers, until the same end. When the final responses are due, a request that was not sent gets `draining`, so that another gateway is asked, one that was sent gets the new result `stopped` (may have run, no failure of the target, not sent again), and a relayed body breaks off; each has its line and counter. Connections that had arrived when the listener closes are still answered. `GatewayHandle::stop`, which nothing called, gives way to `shutdown`. A host that does not know `stopped` takes the 502 for a response without proof, which may have run. Measured: tests/forwarding/gateway_shutdown.rs, before the change: of five tests four failed (no response where `draining` is stated now; no response where `stopped` is stated now; a request whose body came 2.65 s after SIGTERM had no response; a slow host got 20,444,692 of 25,165,824 bytes, but its reader was too slow for the grace time, and failed after the change as well). The last one gave way to two tests of `shutdown` itself. After: the nine tests with `shutdown` in their name passed, three times.

--- a/src/entry/gateway_peers.rs
+++ b/src/entry/gateway_peers.rs
@@ -6,25 +6,37 @@
 
 use crate::entry::EntrySettings;
 use crate::entry::peer_exchange::{PeerState, call_peer};
-use crate::forward::{GatewayPeers, ServingTables, probe_targets, serve_gateway};
+use crate::forward::{GatewayHandle, GatewayPeers, ServingTables, probe_targets, serve_gateway};
 use crate::gateway::GatewayCandidate;
 use crate::ids::HostId;
 
 /// Serves other hosts as a gateway on the first internal port, which is the same on all
 /// hosts, and uses those that do. Does nothing without internal ports.
-pub(super) fn spawn(tables: &Arc<ServingTables>, peers: &Arc<PeerState>, settings: &EntrySettings) {
+///
+/// Returns the gateway that this host serves.
+pub(super) fn spawn(
+    tables: &Arc<ServingTables>,
+    peers: &Arc<PeerState>,
+    settings: &EntrySettings,
+) -> Option<GatewayHandle> {
     let Some(port) = settings.internal_ports.first() else {
         log::info!("no internal ports: no gateways");
-        return;
+        return None;
     };
     let address = SocketAddr::new(settings.peers.ip(), *port);
     let members = peers.clone();
     let is_member = Arc::new(move |ip| members.is_member_ip(ip));
-    match serve_gateway(tables.clone(), address, is_member) {
-        Ok(gateway) => log::info!(gateway:% = gateway.address; "listening to other hosts"),
+    let gateway = match serve_gateway(tables.clone(), address, is_member) {
+        Ok(gateway) => {
+            log::info!(gateway:% = gateway.address; "listening to other hosts");
+            Some(gateway)
+        }
         // The host itself serves callers without it.
-        Err(error) => log::warn!(address:% = address, error:% = error; "no gateway is served"),
-    }
+        Err(error) => {
+            log::warn!(address:% = address, error:% = error; "no gateway is served");
+            None
+        }
+    };
     let live = peers.clone();
     let introducing = peers.clone();
     tables.set_gateway_peers(GatewayPeers {
@@ -33,6 +45,7 @@
         introduce: Arc::new(move |host| introduce(&introducing, host)),
     });
     tokio::spawn(probe_targets(tables.clone()));
+    gateway
 }
 
 fn candidates(peers: &PeerState, port: u16, now: Instant) -> Vec<GatewayCandidate> {
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -22,7 +22,7 @@
 use crate::entry::target_follower::{TargetTiming, follow_targets};
 use crate::entry::zone_balance::balance_zones;
 use crate::entry::{EntrySettings, LogRole, gateway_peers, peer_exchange};
-use crate::forward::{ServingTables, serve};
+use crate::forward::{GatewayHandle, ServingTables, serve};
 use crate::peer::PeerError;
 use crate::platform::host_settings::{SettingsError, read_settings};
 use crate::platform::log_calls::{CallTimeouts, LogClient};
@@ -76,7 +76,7 @@
         share.settings(),
     );
     let tables = Arc::new(tables);
-    let peers = spawn_workers(&tables, &settings, share)?;
+    let (peers, gateway) = spawn_workers(&tables, &settings, share)?;
     let readiness = serve_readiness(tables.clone(), settings.readiness)?;
     let metrics = SocketAddr::new(settings.readiness.ip(), METRICS_PORT);
     if let Err(error) = serve_metrics(tables.clone(), metrics) {
@@ -91,17 +91,18 @@
     );
     wait_for_stop(&mut terminate, &mut hangup).await;
     log::info!(in_flight = tables.in_flight.load(Ordering::Relaxed); "stopping");
-    drain(&tables, serving, settings.bounds.grace).await;
+    drain(&tables, serving, gateway, settings.bounds.grace).await;
     log::info!(in_flight = tables.in_flight.load(Ordering::Relaxed); "stopped");
     Ok(())
 }
 
-/// Starts the tasks that keep the tables up to date; returns the address for peers.
+/// Starts the tasks that keep the tables up to date; returns the address for peers, and the
+/// gateway for them.
 fn spawn_workers(
     tables: &Arc<ServingTables>,
     settings: &EntrySettings,
     share: RetryShare,
-) -> Result<SocketAddr, EntryError> {
+) -> Result<(SocketAddr, Option<GatewayHandle>), EntryError> {
     let client = || LogClient::open(settings.store, LOG_TIMEOUTS);
     let copy = Arc::new(LogCopy::new(tables.clone()));
     let first = match settings.is_first_start {
@@ -139,7 +140,7 @@
     let (peer_state, handle) =
         peer_exchange::spawn(settings, settings.peers, tables.clone(), copy.clone())?;
     tables.set_permit_source(permit_source(peer_state.clone()));
-    gateway_peers::spawn(tables, &peer_state, settings);
+    let gateway = gateway_peers::spawn(tables, &peer_state, settings);
     tokio::spawn(follow_leader(
         tables.clone(),
         copy,
@@ -157,7 +158,7 @@
         peer_state,
         settings.heartbeat,
     ));
-    Ok(address)
+    Ok((address, gateway))
 }
 
 /// Waits for the signal to stop. A changed settings file is ignored: addresses and bounds
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -10,6 +10,7 @@
 mod choice;
 mod closed;
 mod connection_phase;
+mod connection_tasks;
 mod dial;
 mod events;
 mod exchange;
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -201,7 +201,9 @@
         LinkFailure::Broken | LinkFailure::Stated(GatewayResult::Broken) => {
             (RunVerdict::MayHaveRun, FailureCause::Broken)
         }
-        LinkFailure::GatewayBroken => (RunVerdict::MayHaveRun, FailureCause::GatewayBroken),
+        LinkFailure::GatewayBroken | LinkFailure::Stated(GatewayResult::Stopped) => {
+            (RunVerdict::MayHaveRun, FailureCause::GatewayBroken)
+        }
         LinkFailure::Stated(GatewayResult::Unavailable) => {
             (RunVerdict::NotRun, FailureCause::Unavailable)
         }
--- a/src/forward/gateway_server.rs
+++ b/src/forward/gateway_server.rs
@@ -12,6 +12,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use futures::future::BoxFuture;
 use futures::stream;
 use http::header::{self, HeaderMap, HeaderValue};
 use http::{Request, Response, StatusCode};
@@ -22,13 +23,16 @@
 use rand::seq::IteratorRandom;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
 
+use super::connection_tasks::ConnectionTasks;
 use super::exchange::InFlightRequest;
 use super::head::{forwarded, number_value};
 use super::notices::ObservedResponse;
+use super::progress::RequestProgress;
 use super::response::{ResponseBody, whole_body};
 use super::response_end::{ends_with_connection, has_crashed};
+use super::shutdown::ShutdownEnd;
 use super::socket;
 use super::tables::ServingTables;
 use super::target_link::handshake;
@@ -68,20 +72,21 @@
 pub struct GatewayHandle {
     /// Address that the gateway listens on.
     pub address: SocketAddr,
-    task: JoinHandle<()>,
+    connections: ConnectionTasks,
 }
 
 impl GatewayHandle {
-    /// Stops accepting connections; open ones continue.
-    pub fn stop(&self) {
-        self.task.abort();
+    /// Stops accepting connections, and returns when the responses of the open ones are sent,
+    /// at most at `end`.
+    pub async fn shutdown(self, end: Instant) {
+        self.connections.shutdown(end).await;
     }
 }
 
 struct GatewayServer {
     tables: Arc<ServingTables>,
     is_member: MemberCheck,
-    connections: Arc<Semaphore>,
+    places: Arc<Semaphore>,
     slots: Arc<Semaphore>,
 }
 
@@ -108,19 +113,36 @@
     let server = GatewayServer {
         tables,
         is_member,
-        connections: Arc::new(Semaphore::new(MAX_CONNECTIONS)),
+        places: Arc::new(Semaphore::new(MAX_CONNECTIONS)),
         slots: Arc::new(Semaphore::new(MAX_REQUESTS)),
     };
-    let task = tokio::spawn(accept_all(Arc::new(server), listener));
-    Ok(GatewayHandle { address, task })
+    let connections = ConnectionTasks::default();
+    connections.spawn(accept_all(Arc::new(server), listener, connections.clone()));
+    Ok(GatewayHandle {
+        address,
+        connections,
+    })
 }
 
-async fn accept_all(server: Arc<GatewayServer>, listener: TcpListener) {
+async fn accept_all(
+    server: Arc<GatewayServer>,
+    listener: TcpListener,
+    connections: ConnectionTasks,
+) {
+    let stop = connections.stop.clone();
     loop {
-        match listener.accept().await {
-            Ok((stream, peer)) => match server.connections.clone().try_acquire_owned() {
-                Ok(permit) => {
-                    tokio::spawn(serve_connection(server.clone(), stream, peer.ip(), permit));
+        let accepted = tokio::select! {
+            // Connections that have arrived are told that this host is shutting down.
+            biased;
+            accepted = listener.accept() => accepted,
+            () = stop.shutdown.cancelled() => return,
+        };
+        match accepted {
+            Ok((stream, peer)) => match server.places.clone().try_acquire_owned() {
+                Ok(place) => {
+                    let (server, cut) = (server.clone(), stop.cut.clone());
+                    let served = serve_connection(server, stream, peer.ip(), place);
+                    connections.spawn(until_cut(served, cut));
                 }
                 Err(_) => server.tables.metrics.gateway_served("connection_limit"),
             },
@@ -132,11 +154,22 @@
     }
 }
 
+async fn until_cut<F>(served: F, cut: CancellationToken)
+where
+    F: Future<Output = ()>,
+{
+    tokio::select! {
+        biased;
+        () = served => {}
+        () = cut.cancelled() => {}
+    }
+}
+
 async fn serve_connection(
     server: Arc<GatewayServer>,
     stream: TcpStream,
     source: IpAddr,
-    _permit: OwnedSemaphorePermit,
+    _place: OwnedSemaphorePermit,
 ) {
     if let Err(error) = socket::prepare(&stream) {
         log::debug!("cannot configure the connection of another host: {error}");
@@ -176,8 +209,14 @@
         B: Body<Data = Bytes, Error = hyper::Error>,
     {
         let id = text(request.headers(), names::ATTEMPT_ID).unwrap_or_default();
-        let id = id.to_owned();
-        match self.try_handle(source, request).await {
+        let progress = Arc::new(RequestProgress::new(id, Instant::now()));
+        let handled = tokio::select! {
+            biased;
+            handled = self.try_handle(source, request, &progress) => handled,
+            () = self.tables.clone().answer_due() => Err(self.end_request(&progress, Instant::now())),
+        };
+        let id = &progress.id;
+        match handled {
             Ok(response) => response,
             Err(result) => {
                 self.tables.metrics.gateway_served(result.name());
@@ -187,6 +226,8 @@
                         request:% = id, from:% = source;
                         "request passed on without a response"
                     ),
+                    // Its line says what the shutdown did.
+                    GatewayResult::Stopped => {}
                     _ => log::info!(
                         request:% = id, from:% = source, result:% = result.name();
                         "request not passed on"
@@ -207,11 +248,13 @@
         &self,
         source: IpAddr,
         request: Request<B>,
+        progress: &Arc<RequestProgress>,
     ) -> Result<Response<ResponseBody>, GatewayResult>
     where
         B: Body<Data = Bytes, Error = hyper::Error>,
     {
         let slot = self.admit(source)?;
+        let in_flight = InFlightRequest::open(self.tables.clone());
         let (mut parts, body) = request.into_parts();
         let passed = self.read_head(source, &parts.headers)?;
         if parts.headers.contains_key(PROBE_HEADER) {
@@ -219,14 +262,15 @@
             return Err(GatewayResult::Reachable);
         }
         let body = self.read_body(body).await?;
+        progress.set_deadline(passed.until);
         let stream = self.connect(&passed).await?;
         self.check_available(&passed, &parts.headers)?;
         let sent = Instant::now();
         prepare_headers(&mut parts.headers, sent.duration_since(passed.arrived));
         let request = Request::from_parts(parts, Full::new(body));
-        let in_flight = InFlightRequest::open(self.tables.clone());
         let sending = async {
             let mut sender = handshake(stream).await?;
+            progress.set_sent();
             sender.send_request(request).await
         };
         let response = match tokio::time::timeout_at(passed.until.into(), sending).await {
@@ -244,6 +288,9 @@
             body,
             unframed,
             until: passed.until,
+            answer_due: Box::pin(self.tables.clone().answer_due()),
+            tables: self.tables.clone(),
+            progress: progress.clone(),
             _in_flight: in_flight,
             _slot: slot,
         };
@@ -254,6 +301,16 @@
         Ok(response)
     }
 
+    /// Returns what this host states of a request that is left at the end of the shutdown.
+    fn end_request(&self, progress: &RequestProgress, now: Instant) -> GatewayResult {
+        self.tables
+            .record_shutdown_end(progress, ShutdownEnd::Answered, now);
+        match progress.is_sent() {
+            true => GatewayResult::Stopped,
+            false => GatewayResult::Draining,
+        }
+    }
+
     /// Returns a slot for a request, if this host can help the one that sent it.
     fn admit(&self, source: IpAddr) -> Result<OwnedSemaphorePermit, GatewayResult> {
         if !(self.is_member)(source) {
@@ -410,6 +467,9 @@
     /// The target, if the end of the body is the end of its connection.
     unframed: Option<UnframedSource>,
     until: Instant,
+    answer_due: BoxFuture<'static, ()>,
+    tables: Arc<ServingTables>,
+    progress: Arc<RequestProgress>,
     _in_flight: InFlightRequest,
     _slot: OwnedSemaphorePermit,
 }
@@ -443,7 +503,13 @@
     }
 
     async fn next(&mut self) -> io::Result<Option<Bytes>> {
-        match tokio::time::timeout_at(self.until.into(), self.body.frame()).await {
+        let read = tokio::time::timeout_at(self.until.into(), self.body.frame());
+        let read = tokio::select! {
+            biased;
+            read = read => read,
+            () = &mut self.answer_due => return Err(self.cut_at_shutdown(Instant::now())),
+        };
+        match read {
             Err(_) => Err(io::Error::from(io::ErrorKind::TimedOut)),
             Ok(None) => match self.unframed.take() {
                 Some(source) if source.has_crashed().await => {
@@ -455,6 +521,12 @@
             Ok(Some(Err(error))) => Err(io::Error::other(error)),
         }
     }
+
+    fn cut_at_shutdown(&self, now: Instant) -> io::Error {
+        self.tables
+            .record_shutdown_end(&self.progress, ShutdownEnd::Cut, now);
+        io::Error::other("shutdown")
+    }
 }
 
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
@@ -491,7 +563,7 @@
         GatewayResult::Reachable => StatusCode::NO_CONTENT,
         GatewayResult::UnknownHost => StatusCode::FORBIDDEN,
         GatewayResult::Malformed => StatusCode::BAD_REQUEST,
-        GatewayResult::Broken => StatusCode::BAD_GATEWAY,
+        GatewayResult::Broken | GatewayResult::Stopped => StatusCode::BAD_GATEWAY,
         _ => StatusCode::SERVICE_UNAVAILABLE,
     };
     response
--- a/src/forward/serve.rs
+++ b/src/forward/serve.rs
@@ -15,10 +15,9 @@
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
-use tokio_util::sync::CancellationToken;
-use tokio_util::task::TaskTracker;
 
 use super::connection_phase::ConnectionPhase;
+use super::connection_tasks::{ConnectionTasks, StopSignals};
 use super::exchange::{handle_request, refuse_request};
 use super::idle_timer::IdleTimer;
 use super::progress::RequestProgress;
@@ -34,22 +33,14 @@
 pub struct ServingHandle {
     /// Address that the listener is bound to.
     pub address: SocketAddr,
-    connections: TaskTracker,
-    stop: StopSignals,
+    connections: ConnectionTasks,
 }
 
 impl ServingHandle {
     /// Stops accepting connections, closes those without a request, and returns when the
     /// responses of the others are sent, at most at `end`.
     pub async fn shutdown(self, end: Instant) {
-        self.stop.shutdown.cancel();
-        self.connections.close();
-        let closed = tokio::time::timeout_at(end.into(), self.connections.wait()).await;
-        if closed.is_err() {
-            log::warn!(connections = self.connections.len(); "connections cut by the shutdown");
-            self.stop.cut.cancel();
-            self.connections.wait().await;
-        }
+        self.connections.shutdown(end).await;
     }
 }
 
@@ -61,32 +52,20 @@
 pub fn serve(tables: Arc<ServingTables>, address: SocketAddr) -> io::Result<ServingHandle> {
     let listener = socket::bind(address)?;
     let address = listener.local_addr()?;
-    let connections = TaskTracker::new();
-    let stop = StopSignals::default();
-    let accepted = accept_all(tables, listener, connections.clone(), stop.clone());
-    connections.spawn(accepted);
+    let connections = ConnectionTasks::default();
+    connections.spawn(accept_all(tables, listener, connections.clone()));
     Ok(ServingHandle {
         address,
         connections,
-        stop,
     })
 }
 
-/// Signals that end the connections.
-#[derive(Debug, Clone, Default)]
-struct StopSignals {
-    /// Cancelled to stop accepting connections and to close those without a request.
-    shutdown: CancellationToken,
-    /// Cancelled to close all connections.
-    cut: CancellationToken,
-}
-
 async fn accept_all(
     tables: Arc<ServingTables>,
     listener: TcpListener,
-    connections: TaskTracker,
-    stop: StopSignals,
+    connections: ConnectionTasks,
 ) {
+    let stop = connections.stop.clone();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
--- a/src/forward/target_link.rs
+++ b/src/forward/target_link.rs
@@ -46,7 +46,7 @@
     /// The connection to the gateway broke after the request was sent.
     #[error("connection to the gateway broke")]
     GatewayBroken,
-    /// A gateway gave this result, which is about the target.
+    /// A gateway gave this result, with which the attempt ends.
     #[error("gateway result: {}", .0.name())]
     Stated(GatewayResult),
     /// No gateway passed the request on.
@@ -186,7 +186,7 @@
                 request:% = id, gateway:% = gateway, result:% = result.name();
                 "no response through gateway"
             );
-            if result.is_about_target() {
+            if result.ends_attempt() {
                 return Err(LinkFailure::Stated(result));
             }
             let next = self.open_gateway(&mut tried).await;
--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -36,10 +36,12 @@
     Malformed,
     /// The request was sent, and the target's response did not arrive.
     Broken,
+    /// The request was sent, and the gateway shut down before the target's response.
+    Stopped,
 }
 
 impl GatewayResult {
-    const ALL: [Self; 12] = [
+    const ALL: [Self; 13] = [
         Self::Reachable,
         Self::Refused,
         Self::Unreachable,
@@ -52,6 +54,7 @@
         Self::Busy,
         Self::Malformed,
         Self::Broken,
+        Self::Stopped,
     ];
 
     /// Returns the name used in the header, metrics and logs.
@@ -69,6 +72,7 @@
             Self::Busy => "busy",
             Self::Malformed => "malformed",
             Self::Broken => "broken",
+            Self::Stopped => "stopped",
         }
     }
 
@@ -77,11 +81,12 @@
         Self::ALL.into_iter().find(|result| result.name() == name)
     }
 
-    /// Returns whether the result is about the target, so that another gateway is not asked.
-    pub fn is_about_target(self) -> bool {
+    /// Returns whether another gateway is not asked: the result is about the target, or the
+    /// request was sent.
+    pub fn ends_attempt(self) -> bool {
         matches!(
             self,
-            Self::Refused | Self::Unreachable | Self::Unavailable | Self::Broken
+            Self::Refused | Self::Unreachable | Self::Unavailable | Self::Broken | Self::Stopped
         )
     }
 
@@ -89,7 +94,7 @@
     /// reason to.
     pub(super) fn avoidance(self) -> Option<Duration> {
         match self {
-            Self::Isolated | Self::Draining => Some(Duration::from_secs(2)),
+            Self::Isolated | Self::Draining | Self::Stopped => Some(Duration::from_secs(2)),
             Self::Busy | Self::UnknownHost => Some(Duration::from_millis(200)),
             // The gateway may be a moment behind in reading the log.
             Self::UnknownTarget | Self::NotReady => Some(Duration::from_millis(500)),
--- a/tests/forwarding/main.rs
+++ b/tests/forwarding/main.rs
@@ -3,6 +3,7 @@
 mod early_end;
 mod ended;
 mod gateway;
+mod gateway_shutdown;
 mod gateway_silence;
 mod host;
 mod idle;
--- a/tests/forwarding/shutdown.rs
+++ b/tests/forwarding/shutdown.rs
@@ -45,7 +45,7 @@
             let began = Instant::now();
             let tables = Arc::clone(&self.host.tables);
             let serving = self.host.into_serving();
-            self.runtime.block_on(drain(&tables, serving, grace));
+            self.runtime.block_on(drain(&tables, serving, None, grace));
             let took = began.elapsed();
             self.runtime.shutdown_background();
             took
