End a call of the soak's callers with its connection

Cause: the trace of the idempotent call that timed out at a shutdown. Each of these calls was sent after its host had ended, had no line in the host's log and reached no target: its connection was reset as the caller sent. hyper's client may leave a request pending that it takes on one thread while its connection ends on another, so that the call lasted until its deadline. No call was held because the host had nothing in flight when a sample was taken after the balancer's time, and ended before the silence, as targets responded in a millisecond then. The host, its port and the links are not at fault: the link never connected to itself, and the system resets what lies in an accept queue. Change: a connection of a caller tells when its task has ended, and a call that has no response by then is unanswered. The report of a run names each call without a response: when it was sent, ended and reached a target, the lines of the host's log, and when the process ended. No check changes.

--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -37,6 +37,7 @@
 mod target;
 mod unfinished;
 
+pub use callers::count_calls_without_end;
 pub use check::{RetryWindow, Violation, find_violations};
 pub use configuration::{RetryBound, ServingTimes};
 pub use departure::{
@@ -60,6 +61,6 @@
 };
 pub use retries::{RetryReport, run_failures_over_restarts};
 pub use run::{LinkScope, SoakReport, SoakSettings, TargetFleet, run_soak};
-pub use shutdown::{ShutdownPlan, ShutdownReport, run_shutdown};
+pub use shutdown::{CallTrace, ShutdownPlan, ShutdownReport, run_shutdown};
 pub use silence::{SilenceDisruption, SilencePlan, SilenceReport, UnansweredCall, run_silence};
 pub use statement::{StatementReport, run_leaving_statement, run_requested_pause};
--- a/standins/src/soak/callers.rs
+++ b/standins/src/soak/callers.rs
@@ -2,21 +2,25 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use futures::FutureExt;
 use http::header::{self, HeaderValue};
-use http::{Method, Request};
+use http::{Method, Request, Response};
 use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use jackdawwick::platform::names;
 use parking_lot::Mutex;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 use super::configuration::{API_KEY, CALLED_HOST};
@@ -29,6 +33,8 @@
 /// Deadlines of a call with a plain response, and of one with a stream.
 pub(super) const PLAIN_DEADLINE: Duration = Duration::from_secs(4);
 const STREAM_DEADLINE: Duration = Duration::from_secs(8);
+/// Deadline of a call to a host that resets its connections.
+const RESET_DEADLINE: Duration = Duration::from_secs(1);
 /// Delay after a connection that could not be opened or that broke.
 const RECONNECT_DELAY: Duration = Duration::from_millis(100);
 
@@ -92,7 +98,32 @@
 }
 
 /// A connection to an entry host.
-pub(super) type CallerConnection = SendRequest<Full<Bytes>>;
+#[derive(Debug)]
+pub(super) struct CallerConnection {
+    sender: SendRequest<Full<Bytes>>,
+    /// Its sender is dropped when the connection has ended.
+    ended: watch::Receiver<()>,
+}
+
+impl CallerConnection {
+    pub(super) fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
+    /// Sends a request and waits for the head of the response; returns `None` if the
+    /// connection ends.
+    async fn send(&mut self, request: Request<Full<Bytes>>) -> Option<Response<Incoming>> {
+        self.sender.ready().await.ok()?;
+        let mut response = pin!(self.sender.send_request(request));
+        // hyper may leave a request pending that it takes while the connection ends.
+        let response = tokio::select! {
+            biased;
+            response = response.as_mut() => Some(response),
+            _ = self.ended.changed() => response.now_or_never(),
+        };
+        response?.ok()
+    }
+}
 
 /// Opens a connection; returns `None` if it fails or times out.
 pub(super) async fn connect(address: SocketAddr) -> Option<CallerConnection> {
@@ -101,12 +132,55 @@
     let _ = stream.set_nodelay(true);
     let connected_http = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
     let (sender, connection) = connected_http.ok()?;
+    let (is_open, ended) = watch::channel(());
     tokio::spawn(async move {
         if let Err(error) = connection.await {
             log::debug!("caller connection failed: {error}");
         }
+        drop(is_open);
     });
-    Some(sender)
+    Some(CallerConnection { sender, ended })
+}
+
+/// Calls a host that resets each connection, `calls` times from each of `callers` tasks, and
+/// returns how many calls lasted until their deadline.
+///
+/// # Errors
+///
+/// If no port can be listened on, or the task of a caller fails.
+pub async fn count_calls_without_end(callers: usize, calls: usize) -> io::Result<usize> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let context = Arc::new(CallerContext::new(vec![listener.local_addr()?]));
+    let host = tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let _ = stream.set_zero_linger();
+            tokio::spawn(async move { drop(stream) });
+        }
+    });
+    let limits = CallLimits {
+        deadline: RESET_DEADLINE,
+        slack: Duration::ZERO,
+    };
+    let tasks = (0..callers).map(|_| {
+        let context = context.clone();
+        tokio::spawn(async move {
+            let mut timed_out = 0;
+            for _ in 0..calls {
+                if let Some(mut connection) = connect(context.fronts[0].address).await {
+                    let kind = CallKind::Idempotent;
+                    let record = call_within(&context, &mut connection, 0, kind, limits).await;
+                    timed_out += usize::from(record.outcome == CallOutcome::TimedOut);
+                }
+            }
+            timed_out
+        })
+    });
+    let mut timed_out = 0;
+    for task in tasks.collect::<Vec<_>>() {
+        timed_out += task.await.map_err(io::Error::other)?;
+    }
+    host.abort();
+    Ok(timed_out)
 }
 
 /// Sends calls until the callers are stopped.
@@ -377,10 +451,8 @@
     request: Option<Request<Full<Bytes>>>,
 ) -> Result<CompleteResponse, CallOutcome> {
     let request = request.ok_or(CallOutcome::Unanswered)?;
-    let unanswered = |_| CallOutcome::Unanswered;
-    connection.ready().await.map_err(unanswered)?;
-    let response = connection.send_request(request).await;
-    let (head, body) = response.map_err(unanswered)?.into_parts();
+    let response = connection.send(request).await;
+    let (head, body) = response.ok_or(CallOutcome::Unanswered)?.into_parts();
     let body = body.collect().await;
     let body = body.map_err(|_| CallOutcome::Interrupted)?.to_bytes();
     let id = head.headers.get(names::ATTEMPT_ID);
--- a/standins/src/soak/shutdown.rs
+++ b/standins/src/soak/shutdown.rs
@@ -65,10 +65,31 @@
     /// Calls that were read and have neither a response, a refusal nor a true status 504, by
     /// how they ended.
     pub unanswered: BTreeMap<UnansweredCall, usize>,
+    /// What is known of these calls.
+    pub traces: Vec<CallTrace>,
+    /// When the process ended, from the stop.
+    pub ended: Duration,
     /// Whether the process ended in time and successfully.
     pub exited: bool,
 }
 
+/// What is known of a call without a response.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CallTrace {
+    /// Id of the call.
+    pub id: String,
+    /// How it ended.
+    pub end: UnansweredCall,
+    /// When it was sent, from the stop; zero if before.
+    pub sent: Duration,
+    /// When it ended, from the stop.
+    pub ended: Duration,
+    /// When it reached a target, from the stop; zero if before.
+    pub reached: Option<Duration>,
+    /// Lines of the host's log that name it.
+    pub lines: Vec<String>,
+}
+
 /// Stops a host and makes the targets silent while it drains.
 ///
 /// # Errors
@@ -123,11 +144,18 @@
     };
     history.calls.extend(calls.iter().cloned());
     let held = history.runs.iter().filter(|ran| ran.at >= silent);
+    let log = run.hosts[STOPPED_HOST].host.log_text()?;
+    let unanswered = find_unanswered(&calls, &history);
+    let traces = unanswered
+        .iter()
+        .map(|(call, end)| trace(call, *end, stopped, &history, &log));
     let sent = calls.iter().filter(|call| call.sent >= stopped);
     Ok(ShutdownReport {
         sent: sent.filter(|call| call.sent < ended).count(),
         held: held.count(),
-        unanswered: count_unanswered(&calls, &history),
+        traces: traces.collect(),
+        unanswered: count(&unanswered),
+        ended: ended.saturating_duration_since(stopped),
         violations: find_violations(&history, false),
         exited,
     })
@@ -198,21 +226,50 @@
     records
 }
 
-/// Counts the calls that were read and ended without a true statement of what became of them.
-fn count_unanswered(
-    calls: &[CallRecord],
+/// Finds the calls that were read and ended without a true statement of what became of them.
+fn find_unanswered<'calls>(
+    calls: &'calls [CallRecord],
     history: &SoakHistory,
-) -> BTreeMap<UnansweredCall, usize> {
+) -> Vec<(&'calls CallRecord, UnansweredCall)> {
     let ran = history.runs.iter().map(|ran| ran.id.as_str());
     let ran = ran.collect::<HashSet<_>>();
-    let mut unanswered = BTreeMap::new();
-    for call in calls.iter().filter(|call| !is_refused(call, &ran)) {
+    let unanswered = calls.iter().filter_map(|call| {
         let was_read =
             || ran.contains(call.id.as_str()) || call.ended > call.sent + CLOSE_RACE_TIME;
         match find_fault(call.outcome, was_read) {
-            None | Some(UnansweredCall::Failed(504)) => {}
-            Some(fault) => *unanswered.entry(fault).or_default() += 1,
+            _ if is_refused(call, &ran) => None,
+            None | Some(UnansweredCall::Failed(504)) => None,
+            Some(fault) => Some((call, fault)),
         }
+    });
+    unanswered.collect()
+}
+
+fn count(unanswered: &[(&CallRecord, UnansweredCall)]) -> BTreeMap<UnansweredCall, usize> {
+    let mut counts = BTreeMap::new();
+    for (_, fault) in unanswered {
+        *counts.entry(*fault).or_default() += 1;
+    }
+    counts
+}
+
+/// Collects what callers, targets and the host recorded of a call.
+fn trace(
+    call: &CallRecord,
+    end: UnansweredCall,
+    stopped: Instant,
+    history: &SoakHistory,
+    log: &str,
+) -> CallTrace {
+    let mut runs = history.runs.iter();
+    let reached = runs.find(|ran| ran.id == call.id);
+    let lines = log.lines().filter(|line| line.contains(&call.id));
+    CallTrace {
+        id: call.id.clone(),
+        end,
+        sent: call.sent.saturating_duration_since(stopped),
+        ended: call.ended.saturating_duration_since(stopped),
+        reached: reached.map(|ran| ran.at.saturating_duration_since(stopped)),
+        lines: lines.map(str::to_owned).collect(),
     }
-    unanswered
 }
