--- a/src/forward/gateway_server.rs
+++ b/src/forward/gateway_server.rs
@@ -271,7 +271,7 @@
         let sending = async {
             let reads = self.tables.pending_reads(&passed.target);
             let mut sender = handshake(stream, &reads).await?;
-            progress.set_sent();
+            progress.observe_sent();
             sender.send_request(request).await
         };
         let response = match tokio::time::timeout_at(passed.until.into(), sending).await {
@@ -306,7 +306,7 @@
     fn end_request(&self, progress: &RequestProgress, now: Instant) -> GatewayResult {
         self.tables
             .record_shutdown_end(progress, ShutdownEnd::Answered, now);
-        match progress.is_sent() {
+        match progress.may_have_run() {
             true => GatewayResult::Stopped,
             false => GatewayResult::Draining,
         }
--- a/tests/forwarding/shutdown.rs
+++ b/tests/forwarding/shutdown.rs
@@ -319,7 +319,7 @@
     let stopped = async {
         tokio::time::sleep(Duration::from_millis(100)).await;
         assert_eq!(tables.in_flight.load(Ordering::Relaxed), 1);
-        drain(&tables, host.into_serving(), SHORT_GRACE).await;
+        drain(&tables, host.into_serving(), None, SHORT_GRACE).await;
     };
     let (text, ()) = tokio::join!(read_to_end(stream), stopped);
     assert_whole_refusal(&text);
