Keep the closed ports of the gateway tests bound

`closed_address` released its port before a test used it, so that another test could listen there: requests meant for a refusing target reached a stranger's stub, and that stub counted a request of another test.

Seen in three runs of `forwarding` in a row beside a load of 20 to 25: 4, 2 and 5 tests failed, among them `a_request_that_no_host_can_pass_on_is_refused_as_not_run` each time (502 `may_have_run`) and tests of `early_end`. A few minutes and runs later the machine had 75,000 connections in TIME_WAIT for 28,000 local ports. The address now belongs to a socket that is bound and does not listen, for as long as the tests run.

After: five runs beside a load of 16 to 22; no test of `gateway` failed. Still failing there: tests of `early_end` and one of `gateway_silence` with `AddrInUse`, since no port was left; `unframed::an_unframed_response_is_judged_by_the_gateway` once (503 in place of 502 or 200); `an_engine_is_not_avoided_for_a_gateway_that_stands_still` in four of the five, which passes in five of five runs of its file alone. The last two are not traced.

--- a/tests/forwarding/gateway.rs
+++ b/tests/forwarding/gateway.rs
@@ -14,6 +14,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::early_end::closed_socket;
 use crate::host::TestHost;
 use crate::stub_target::{
     SeenRequest, Step, StubTarget, chunk, event, last_chunk, response, stream_head,
@@ -77,10 +78,13 @@
     seen.header("jackdawwick-gateway-probe").is_some()
 }
 
-/// Returns an address at which connections are refused.
-pub(crate) async fn closed_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    listener.local_addr().expect("an address")
+/// Returns an address at which connections are refused while the tests run.
+pub(crate) fn closed_address() -> SocketAddr {
+    let socket = closed_socket();
+    let address = socket.local_addr().expect("an address");
+    // The port stays bound, so that no other test listens on it.
+    std::mem::forget(socket);
+    address
 }
 
 /// Opens a host that uses these gateways, and returns it with the number of times that it
@@ -119,7 +123,7 @@
     id: &str,
     target: &StubTarget,
 ) {
-    host.add_plain(id, closed_address().await);
+    host.add_plain(id, closed_address());
     for gateway in gateways {
         gateway.host.add_plain(id, target.address);
     }
@@ -175,7 +179,7 @@
     let gateway = TestGateway::open();
     let (host, _) = host_with(&[&gateway]);
     for (id, target) in [("i-1", &one), ("i-2", &two)] {
-        host.add_engine(id, closed_address().await, 0, 80);
+        host.add_engine(id, closed_address(), 0, 80);
         gateway.host.add_engine(id, target.address, 0, 80);
     }
     let served = host.call("POST", "/stream/a", "").await;
@@ -232,7 +236,7 @@
             "isolated" => {
                 first.host.tables.fleet.lock().remove("i-1");
                 for id in ["i-1", "i-2", "i-3"] {
-                    first.host.add_plain(id, closed_address().await);
+                    first.host.add_plain(id, closed_address());
                 }
                 first.host.call("GET", "/unsafe/own", "").await;
             }
@@ -292,7 +296,7 @@
     let sound = TestGateway::open();
     let cut_off = misjudging_gateway(|| vec![stated("isolated")]).await;
     let (host, _) = host_with_addresses(vec![cut_off.address, sound.handle.address]);
-    let (id, closed) = (TargetId::from("i-1"), closed_address().await);
+    let (id, closed) = (TargetId::from("i-1"), closed_address());
     host.add_engine(&id, closed, 0, 80);
     sound.host.add_engine(&id, target.address, 0, 80);
     let was_asked = || cut_off.seen().iter().any(|seen| !is_probe(seen));
@@ -319,7 +323,7 @@
     }
     let addresses = gateways.iter().map(|gateway| gateway.address);
     let (host, _) = host_with_addresses(addresses.collect());
-    host.add_plain("i-1", closed_address().await);
+    host.add_plain("i-1", closed_address());
     host.add_plain("i-2", target.address);
     for _ in 0..8 {
         let call = host.call("GET", "/unsafe/a", "");
@@ -347,8 +351,8 @@
         introduce: Arc::new(|_| {}),
     });
     let (host, _) = host_with(&[&first]);
-    host.add_plain("i-1", closed_address().await);
-    first.host.add_plain("i-1", closed_address().await);
+    host.add_plain("i-1", closed_address());
+    first.host.add_plain("i-1", closed_address());
     second.host.add_plain("i-1", target.address);
     // The gateway itself serves its callers through the second one.
     assert_eq!(first.host.call("GET", "/unsafe/a", "").await.status(), 200);
@@ -363,8 +367,8 @@
     let gateway = TestGateway::open();
     let (host, _) = host_with(&[&gateway]);
     for id in ["i-1", "i-2", "i-3"] {
-        host.add_plain(id, closed_address().await);
-        gateway.host.add_plain(id, closed_address().await);
+        host.add_plain(id, closed_address());
+        gateway.host.add_plain(id, closed_address());
     }
     let refused = host.call("GET", "/unsafe/a", "").await;
     assert_eq!(refused.status(), 503, "{}", refused.text);
@@ -384,7 +388,7 @@
     for (id, closes) in [("i-1", true), ("i-2", false)] {
         let address = match closes {
             true => break_after_one_connection(target.address).await,
-            false => closed_address().await,
+            false => closed_address(),
         };
         host.add_engine(id, address, 0, 80);
         gateway.host.add_engine(id, target.address, 0, 80);
@@ -504,7 +508,7 @@
 async fn a_gateway_that_reaches_no_other_target_reports_itself_isolated() {
     let gateway = TestGateway::open();
     for id in ["i-1", "i-2"] {
-        gateway.host.add_plain(id, closed_address().await);
+        gateway.host.add_plain(id, closed_address());
     }
     let probe = "GET / HTTP/1.1\r\njackdawwick-gateway-target: i-1\r\n\
                  jackdawwick-gateway-probe: 1\r\n\r\n";
@@ -512,7 +516,7 @@
     assert!(cut_off.contains("isolated"), "{cut_off}");
     let target = healthy_target().await;
     let sound = TestGateway::open();
-    sound.host.add_plain("i-1", closed_address().await);
+    sound.host.add_plain("i-1", closed_address());
     sound.host.add_plain("i-2", target.address);
     let refused = send_raw(&sound, probe.as_bytes()).await;
     assert!(refused.contains("result: refused"), "{refused}");
@@ -524,7 +528,7 @@
     let target = StubTarget::spawn(|seen| vec![stream_head(seen.id()), event(1), Step::Hold]).await;
     let gateway = TestGateway::open();
     let (host, _) = host_with(&[&gateway]);
-    host.add_engine("i-1", closed_address().await, 0, 80);
+    host.add_engine("i-1", closed_address(), 0, 80);
     gateway.host.add_engine("i-1", target.address, 0, 80);
     let mut stream = host.connect().await;
     let request = crate::host::request("POST", "/stream/a", "");
@@ -650,7 +654,7 @@
     assert_eq!(target.seen().len(), 0);
     let served = runtime.block_on(async {
         let (host, _) = host_with(&[&gateway]);
-        host.add_plain("i-1", closed_address().await);
+        host.add_plain("i-1", closed_address());
         host.call("GET", "/unsafe/a", "").await
     });
     assert_eq!(served.status(), 200, "{}", served.text);
--- a/tests/forwarding/gateway_silence.rs
+++ b/tests/forwarding/gateway_silence.rs
@@ -31,7 +31,7 @@
     .await;
     let gateway = TestGateway::open();
     let (host, _) = host_with(&[&gateway]);
-    host.add_engine("i-1", closed_address().await, 0, 80);
+    host.add_engine("i-1", closed_address(), 0, 80);
     gateway.host.add_engine("i-1", still.address, 0, 80);
     let response = host.call("POST", "/stream/", "Content-Length: 0\r\n").await;
     assert_eq!(response.event_ids(), [1, 2], "{}", response.text);
@@ -57,7 +57,7 @@
     })
     .await;
     let (host, _) = host_with_addresses(vec![still.address, sound.handle.address]);
-    host.add_engine("i-1", closed_address().await, 0, 80);
+    host.add_engine("i-1", closed_address(), 0, 80);
     let serving = host.call("POST", "/stream/", "Content-Length: 0\r\n");
     let avoiding = async {
         // A success ends the avoidance, so that it shows only before the end.
