Close the connection that watches an engine once no request passes it

A host keeps an idle connection to each later engine of a path, whose end shows a crash at once. It waited for the engine to close it, also when no request passed the engine any more, and so kept one of the places that an engine has for connections of all hosts.

The connection is now closed a second after the last request.

Found with the records of the endless tests: in one run of eleven of the whole file a connection was left open that had been accepted 0.12 s after the start of the fault, had carried no request and was open at the end, more than 10 s later.

`the_connection_that_watches_an_engine_is_closed_once_no_request_passes_it` failed before (open 20 s after the stream) and passes.

--- a/src/forward/liveness.rs
+++ b/src/forward/liveness.rs
@@ -36,6 +36,13 @@
 /// Pause after a connection that lived shorter.
 const SHORT_LIVED_PAUSE: Duration = Duration::from_secs(5);
 
+/// Time without requests after which the connection to an engine is closed, so that it takes
+/// none of the places that the engine has for connections. Requests that follow each other
+/// sooner share the connection.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(1);
+/// Interval at which a connection is checked for requests.
+const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
 /// The engines that are watched, and the requests to notify.
 #[derive(Debug, Default)]
 pub(super) struct LivenessTable {
@@ -122,7 +129,7 @@
     }
 }
 
-/// Keeps a connection to an engine open while requests pass it.
+/// Keeps a connection to an engine open while requests pass it, and for [`MAX_IDLE_TIME`].
 fn watch_engine(tables: &Arc<ServingTables>, target: &TargetId, address: SocketAddr) {
     let new = tables.liveness.connected.lock().insert(target.clone());
     if new {
@@ -150,7 +157,10 @@
             continue;
         }
         let opened = Instant::now();
-        read_to_end(&mut stream).await;
+        tokio::select! {
+            () = read_to_end(&mut stream) => {}
+            () = unneeded(&tables, &target) => continue,
+        }
         short_lived = opened.elapsed() < MIN_CONNECTION_LIFETIME;
     }
     tables.liveness.connected.lock().remove(&target);
@@ -177,6 +187,17 @@
     None
 }
 
+/// Waits until no request has passed an engine for [`MAX_IDLE_TIME`].
+async fn unneeded(tables: &ServingTables, target: &TargetId) {
+    let mut needed = Instant::now();
+    while needed.elapsed() < MAX_IDLE_TIME {
+        tokio::time::sleep(IDLE_CHECK_INTERVAL).await;
+        if tables.liveness.is_needed(target) {
+            needed = Instant::now();
+        }
+    }
+}
+
 async fn read_to_end(stream: &mut TcpStream) {
     let mut buffer = [0; 256];
     while matches!(stream.read(&mut buffer).await, Ok(1..)) {}
--- a/tests/forwarding/moves.rs
+++ b/tests/forwarding/moves.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use jackdawwick::poison::{RequestIdentity, request_key};
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
@@ -308,3 +309,24 @@
     assert!(!response.is_whole_stream(), "{}", response.text);
     assert_eq!(ordered_paths(&first), Vec::<String>::new());
 }
+
+/// Guards against idle connections to engines that no request passes any more.
+#[tokio::test]
+async fn the_connection_that_watches_an_engine_is_closed_once_no_request_passes_it() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let first = pausing_engine("", |_| vec![]).await;
+    let host = TestHost::open();
+    host.add_engine("i-1", first.address, 0, 40);
+    host.add_engine("i-2", address, 40, 80);
+    let (mut watching, served) = bounded(async {
+        let served = host.call("POST", "/stream/", "Content-Length: 0\r\n");
+        let (accepted, served) = tokio::join!(listener.accept(), served);
+        (accepted.expect("a connection").0, served)
+    })
+    .await;
+    assert_eq!(served.event_ids(), [1, 2], "{}", served.text);
+    assert!(served.is_whole_stream(), "{}", served.text);
+    let closed = bounded(watching.read(&mut [0; 1])).await;
+    assert_eq!(closed.expect("an orderly end"), 0);
+}
