End calls to services when the drain timeout has passed

A daemon that was stopped waited for calls to services beyond `timing.drain_timeout`, up to the service's own time; a supervisor that kills first left their callers without a response.

Cause: generations and queued requests hear that the drain timeout has passed, calls do not.

Change: a call that a service may have run ends with `draining` and `may_have_run`, and a claimed one settles its key as such. No further target is tried; a call that was sent to none is `not_run`.

--- a/src/daemon/services.rs
+++ b/src/daemon/services.rs
@@ -110,13 +110,25 @@
     let mut verdict = RunVerdict::NotRun;
     let mut excluded = Vec::new();
     while excluded.len() < MAX_CALL_ATTEMPTS {
+        if core.drain_expired.is_cancelled() {
+            return Err(call_failure(call, RefusalReason::Draining, verdict));
+        }
         if !excluded.is_empty() && !core.tables.budget.lock().spend() {
             return Err(call_failure(call, RefusalReason::RetryBudgetSpent, verdict));
         }
         let Some(target) = choose_target(core, targets, &excluded) else {
             return Err(call_failure(call, RefusalReason::NoRoute, verdict));
         };
-        let failure = match send_call(core, call, &target).await {
+        let response = tokio::select! {
+            biased;
+            response = send_call(core, call, &target) => response,
+            () = core.drain_expired.cancelled() => {
+                core.tables.routes.write().step_abandoned(&target);
+                let verdict = RunVerdict::MayHaveRun;
+                return Err(call_failure(call, RefusalReason::Draining, verdict));
+            }
+        };
+        let failure = match response {
             Ok(response) => return Ok(service_response(response)),
             Err(failure) => failure,
         };
@@ -220,6 +232,7 @@
     let message = match reason {
         RefusalReason::NoRoute => "no usable target",
         RefusalReason::RetryBudgetSpent => "the target failed and no retry is left",
+        RefusalReason::Draining => "this entry host is shutting down",
         _ => "the service did not respond",
     };
     RefusalBody {
--- a/src/daemon/services/claimed.rs
+++ b/src/daemon/services/claimed.rs
@@ -118,7 +118,16 @@
             return Err(refusal_of(&response, &call.request));
         }
     };
-    let response = send(core, call, &target, connection).await;
+    let response = tokio::select! {
+        biased;
+        response = send(core, call, &target, connection) => response,
+        () = core.drain_expired.cancelled() => {
+            core.tables.routes.write().step_abandoned(&target);
+            let (verdict, status) = (RunVerdict::MayHaveRun, StatusCode::GATEWAY_TIMEOUT);
+            dispatched.finish(verdict, status.as_u16(), &[]);
+            return Err(call_failure(call, RefusalReason::Draining, verdict));
+        }
+    };
     finish(call, dispatched, response)
 }
 
@@ -133,6 +142,10 @@
 ) -> Result<(TargetId, SingleCall), RefusalBody> {
     let mut excluded = Vec::new();
     while excluded.len() < MAX_CALL_ATTEMPTS {
+        if core.drain_expired.is_cancelled() {
+            let (reason, verdict) = (RefusalReason::Draining, RunVerdict::NotRun);
+            return Err(call_failure(call, reason, verdict));
+        }
         if !excluded.is_empty() && !core.tables.budget.lock().spend() {
             let reason = RefusalReason::RetryBudgetSpent;
             return Err(call_failure(call, reason, RunVerdict::NotRun));
--- a/standins/tests/shutdown.rs
+++ b/standins/tests/shutdown.rs
@@ -4,16 +4,16 @@
 mod support;
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use http::StatusCode;
-use jackdawwick::api::wire::GenerateBody;
+use jackdawwick::api::wire::{GenerateBody, RefusalBody};
 use jackdawwick::lease::record::{LeaseBody, LeaseEntry};
 use jackdawwick::platform::wire::{AppendBody, HostList, ListedHost, ListedPhase};
 use jackdawwick::reason::RefusalReason;
 use jackdawwick::records::{JUDGING_RULES, LEASE_STREAM, LogRecord};
 use jackdawwick::verdict::RunVerdict;
-use standins::caller::{CallerClient, OutgoingCall};
+use standins::caller::{CallerClient, OutgoingCall, new_key};
 use standins::check::{
     GenerationHistory, RunHistory, TargetSteps, check_complete_responses, check_layers,
     check_single_response,
@@ -48,7 +48,7 @@
 struct SmallFleet {
     platform: PlatformServer,
     engines: Vec<(StageTarget, EngineServer)>,
-    _service: ServiceServer,
+    service: ServiceServer,
     daemons: Vec<DaemonProcess>,
 }
 
@@ -102,7 +102,7 @@
     let fleet = SmallFleet {
         platform,
         engines,
-        _service: service,
+        service,
         daemons,
     };
     for daemon in &fleet.daemons {
@@ -380,6 +380,40 @@
     Ok(())
 }
 
+/// Guards against a process that outlasts its drain timeout for a service, and is then killed
+/// under the calls.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_drain_that_takes_too_long_ends_calls_with_a_verdict() -> TestResult {
+    let mut fleet = start_fleet("300ms").await?;
+    let host = fleet.daemons[0].callers;
+    let key = new_key(SystemTime::now(), [1; 10]);
+    let calls = [None, Some(key)].map(|key| {
+        tokio::spawn(async move {
+            let call = OutgoingCall {
+                path: "artifacts/download",
+                body: "{}".into(),
+                key: key.as_deref(),
+            };
+            let caller = CallerClient::open(WIDE);
+            let request = call.key.map_or("repeatable", |_| "claimed");
+            caller.call_service(host, request, call).await
+        })
+    });
+    eventually("the calls run", || async {
+        fleet.service.record().len() == 2
+    })
+    .await?;
+    fleet.daemons[0].process.signal("TERM")?;
+    for call in calls {
+        let response = call.await??;
+        let refusal: RefusalBody = serde_json::from_slice(&response.body)?;
+        assert_eq!(refusal.reason, RefusalReason::Draining);
+        assert_eq!(refusal.verdict, RunVerdict::MayHaveRun);
+    }
+    assert_eq!(wait_for_exit(&mut fleet.daemons[0])?, Some(0));
+    Ok(())
+}
+
 /// Guards against a zone whose targets get no orders for a whole lease, because a process
 /// without requests in flight ends before it has released the lease. An idle lease holder
 /// gets SIGTERM.
