Test the whole decision of a shutdown about one request

The property follows a request from its arrival over waits and refused attempts to its end, for all grace times, limits and times of a target: none is taken or sent that can end after the host, none is refused that the host has the time to serve, and each one that is sent late has a target's usual time.

--- a/tests/drain.rs
+++ b/tests/drain.rs
@@ -173,8 +173,48 @@
     /// Time of the arrival since the signal.
     arrival: u64,
     limit: u64,
+    /// Time before each attempt: for the body, a permit, a pause, room, or a connection.
+    wait: u64,
     /// Time to the response of the target, which may exceed every limit.
     response: u64,
+    /// Attempts of which the target states that they did not run.
+    refused: u32,
+}
+
+/// What becomes of a request whose host is stopped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RequestEnd {
+    /// Refused on arrival.
+    Refused,
+    /// Refused as not run after its admission, at the latest at its own limit.
+    NotRun { at: Instant },
+    /// Sent for the last time at `sent`, and ended by its target, its own limit or the final
+    /// responses.
+    Sent { sent: Instant, at: Instant },
+}
+
+/// Returns what becomes of a request that is alone at its host.
+fn follow(window: DrainWindow, began: Instant, request: &DrainRequest) -> RequestEnd {
+    let arrival = began + Duration::from_millis(request.arrival);
+    let deadline = arrival + Duration::from_millis(request.limit);
+    if !window.admits(deadline, arrival) {
+        return RequestEnd::Refused;
+    }
+    let mut now = arrival;
+    for attempt in 0..=request.refused {
+        now += Duration::from_millis(request.wait);
+        if now >= deadline || !window.may_send(deadline, now) {
+            let at = now.min(deadline).min(window.answer_at());
+            return RequestEnd::NotRun { at };
+        }
+        if attempt == request.refused {
+            break;
+        }
+        now += Duration::from_millis(1);
+    }
+    let response = now + Duration::from_millis(request.response);
+    let at = response.min(deadline).min(window.answer_at());
+    RequestEnd::Sent { sent: now, at }
 }
 
 /// Returns when each admitted request ends, if the host stops as its window says.
@@ -227,7 +267,9 @@
         let requests = requests.map(|(arrival, limit, response)| DrainRequest {
             arrival,
             limit,
+            wait: 0,
             response,
+            refused: 0,
         });
         let mut requests = requests.collect::<Vec<_>>();
         requests.sort_by_key(|request| request.arrival);
@@ -251,4 +293,42 @@
         prop_assert!(!is_admitted || now < window.answer_at());
         prop_assert!(!is_admitted || !window.may_stop(1, now));
     }
+
+    /// Guards against requests that are taken or sent and can end after the host.
+    #[test]
+    fn no_request_is_taken_or_sent_that_can_end_after_the_host(
+        grace in prop_oneof![prop::sample::select(GRACES.to_vec()), 0..10_000_u64],
+        arrival in prop_oneof![0..10_000_u64, 0..2_600_u64],
+        limit in prop_oneof![prop::sample::select(LIMITS.to_vec()), 0..20_000_u64],
+        wait in prop_oneof![Just(0), 0..600_u64, 0..9_000_u64],
+        response in prop_oneof![1..500_u64, 1..2_000_u64, Just(u64::from(u32::MAX))],
+        refused in 0..3_u32,
+    ) {
+        let request = DrainRequest { arrival, limit, wait, response, refused };
+        let began = Instant::now();
+        let window = DrainWindow::open(began, Duration::from_millis(grace));
+        let kill = began + Duration::from_millis(grace);
+        let deadline = began + Duration::from_millis(arrival + limit);
+        let is_late = |at: Instant| at >= began + BALANCER_TIME;
+        match follow(window, began, &request) {
+            RequestEnd::Refused => {
+                // It may outlast the host, or no response can be awaited any more.
+                let at = began + Duration::from_millis(arrival);
+                let usual = at + USUAL_TIME + STOP_TIME;
+                prop_assert!(
+                    at >= window.answer_at()
+                        || deadline > window.answer_at() && (is_late(at) || usual >= kill)
+                );
+            }
+            RequestEnd::NotRun { at } => prop_assert!(at <= window.answer_at()),
+            RequestEnd::Sent { sent, at } => {
+                prop_assert!(sent < window.answer_at());
+                prop_assert!(at <= window.answer_at() && at < kill);
+                // A target that responds as usual is waited for, up to the request's own limit.
+                let response = sent + RESPONSE_TIME;
+                let is_awaited = response < window.answer_at() || deadline <= window.answer_at();
+                prop_assert!(!is_late(sent) || is_awaited);
+            }
+        }
+    }
 }
