Record the connections that the endless tests find open

It now holds, for each connection that hosts have not closed, when it was accepted, the first line of its request and when that arrived, the bytes written and the time of the close; the check that none is left is the same.

--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -42,7 +42,7 @@
 pub use departure::{
     DepartureReport, run_departure_during_log_outage, run_departure_with_host_cut_off,
 };
-pub use endless::{EndlessPart, EndlessPlan, EndlessReport, run_endless};
+pub use endless::{ConnectionRecord, EndlessPart, EndlessPlan, EndlessReport, run_endless};
 pub use engines::{PathPosition, TargetFault};
 pub use history::{
     AttemptRecord, CallKind, CallOutcome, CallRecord, ConnectionLoss, Disturbance,
--- a/standins/src/soak/endless.rs
+++ b/standins/src/soak/endless.rs
@@ -3,9 +3,9 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
+use parking_lot::Mutex;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
@@ -82,16 +82,68 @@
     /// Connections to the targets that hosts have opened.
     pub opened: usize,
     /// Those of them that hosts have not closed at the end.
-    pub left_open: usize,
+    pub left_open: Vec<ConnectionRecord>,
     /// Largest peak memory of a host, in bytes.
     pub peak_memory: u64,
 }
 
-/// Connections of hosts to targets without end.
-#[derive(Debug, Default)]
-struct ConnectionCount {
-    opened: AtomicUsize,
-    closed: AtomicUsize,
+/// A connection of a host to a target without end.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ConnectionRecord {
+    /// When it was accepted, after the start of the fault.
+    pub opened: Duration,
+    /// First line of its request; empty if there was none.
+    pub first_line: String,
+    /// When its request arrived, after the start of the fault.
+    pub requested: Option<Duration>,
+    /// Bytes of the response that were written.
+    pub written: usize,
+    /// When the host closed it, after the start of the fault.
+    pub closed: Option<Duration>,
+}
+
+/// Connections of hosts to targets without end, in the order of their start.
+#[derive(Debug, Clone)]
+struct ConnectionLog {
+    began: Instant,
+    records: Arc<Mutex<Vec<ConnectionRecord>>>,
+}
+
+impl ConnectionLog {
+    fn new(began: Instant) -> Self {
+        Self {
+            began,
+            records: Arc::default(),
+        }
+    }
+
+    /// Adds a connection and returns its index.
+    fn open(&self, now: Instant) -> usize {
+        let mut records = self.records.lock();
+        records.push(ConnectionRecord {
+            opened: now.duration_since(self.began),
+            first_line: String::new(),
+            requested: None,
+            written: 0,
+            closed: None,
+        });
+        records.len() - 1
+    }
+
+    fn observe_request(&self, connection: usize, request: &str, now: Instant) {
+        let mut records = self.records.lock();
+        let record = &mut records[connection];
+        record.first_line = request.lines().next().unwrap_or_default().to_owned();
+        record.requested = Some(now.duration_since(self.began));
+    }
+
+    fn observe_written(&self, connection: usize, bytes: usize) {
+        self.records.lock()[connection].written += bytes;
+    }
+
+    fn observe_close(&self, connection: usize, now: Instant) {
+        self.records.lock()[connection].closed = Some(now.duration_since(self.began));
+    }
 }
 
 impl EndlessPart {
@@ -132,24 +184,25 @@
     let run = SoakRun::open_served(settings).await?;
     let callers = spawn_callers(&run);
     tokio::time::sleep(ADAPTATION_TIME).await;
-    let count = Arc::new(ConnectionCount::default());
+    let began = Instant::now();
+    let connections = ConnectionLog::new(began);
     let mut servers = Vec::new();
     // Every other target, so that plain ones and engines of both zones are among them.
     let indices = (0..run.targets.len()).step_by(2).take(plan.targets);
     for index in indices {
-        let (address, server) = serve_endless(plan, count.clone()).await?;
+        let (address, server) = serve_endless(plan, connections.clone()).await?;
         run.targets[index].link.set_server(Some(address));
         run.targets[index].link.set(LinkFault::Reset);
         run.targets[index].link.set(LinkFault::None);
         servers.push(server);
     }
-    let began = Instant::now();
     tokio::time::sleep(ENDLESS_TIME).await;
     let records = stop_callers(&run.context, callers).await?;
     tokio::time::sleep(CLOSE_TIME).await;
     let peak_memory = peak_memory(&run)?;
-    let opened = count.opened.load(Ordering::Relaxed);
-    let left_open = opened - count.closed.load(Ordering::Relaxed);
+    let mut left_open = connections.records.lock().clone();
+    let opened = left_open.len();
+    left_open.retain(|connection| connection.closed.is_none());
     servers.iter().for_each(JoinHandle::abort);
     Ok(report(&run, records, began, |report| EndlessReport {
         opened,
@@ -184,7 +237,7 @@
         unfinished,
         adapted,
         opened: 0,
-        left_open: 0,
+        left_open: Vec::new(),
         peak_memory: 0,
     })
 }
@@ -221,19 +274,20 @@
 /// Serves every connection without end; returns the address of the server.
 async fn serve_endless(
     plan: EndlessPlan,
-    count: Arc<ConnectionCount>,
+    connections: ConnectionLog,
 ) -> io::Result<(SocketAddr, JoinHandle<()>)> {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let address = listener.local_addr()?;
     let server = tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
-            count.opened.fetch_add(1, Ordering::Relaxed);
-            let count = count.clone();
+            let connections = connections.clone();
+            let connection = connections.open(Instant::now());
             tokio::spawn(async move {
-                if let Err(error) = respond_endless(stream, plan).await {
+                let responding = respond_endless(stream, plan, &connections, connection);
+                if let Err(error) = responding.await {
                     log::debug!("endless response ended: {error}");
                 }
-                count.closed.fetch_add(1, Ordering::Relaxed);
+                connections.observe_close(connection, Instant::now());
             });
         }
     });
@@ -253,22 +307,29 @@
 }
 
 /// Responds to the first call of a connection until the host closes it.
-async fn respond_endless(mut stream: TcpStream, plan: EndlessPlan) -> io::Result<()> {
+async fn respond_endless(
+    mut stream: TcpStream,
+    plan: EndlessPlan,
+    connections: &ConnectionLog,
+    connection: usize,
+) -> io::Result<()> {
     let mut call = vec![0; WRITE_BYTES];
     let length = stream.read(&mut call).await?;
     if length == 0 {
         return Ok(());
     }
+    let call = String::from_utf8_lossy(&call[..length]);
+    connections.observe_request(connection, &call, Instant::now());
     let (first, repeated) = plan.part.bytes();
     if plan.part == EndlessPart::ProvenBody {
-        let head = proven_head(&String::from_utf8_lossy(&call[..length]));
-        stream.write_all(head.as_bytes()).await?;
+        stream.write_all(proven_head(&call).as_bytes()).await?;
     }
     stream.write_all(first.as_bytes()).await?;
     if plan.slow {
         loop {
             for byte in repeated.as_bytes() {
                 stream.write_all(&[*byte]).await?;
+                connections.observe_written(connection, 1);
                 tokio::time::sleep(BYTE_PAUSE).await;
             }
         }
@@ -276,5 +337,6 @@
     let block = repeated.repeat(WRITE_BYTES / repeated.len());
     loop {
         stream.write_all(block.as_bytes()).await?;
+        connections.observe_written(connection, block.len());
     }
 }
--- a/standins/tests/endless.rs
+++ b/standins/tests/endless.rs
@@ -23,7 +23,7 @@
     assert_eq!(report.violations, [], "{report:?}");
     assert_eq!(report.unfinished, 0, "{report:?}");
     assert!(report.opened > 0, "{report:?}");
-    assert_eq!(report.left_open, 0, "{report:?}");
+    assert_eq!(report.left_open, [], "{report:?}");
     assert!(report.peak_memory < MAX_MEMORY, "{report:?}");
     assert!(report.adapted.sent > 50, "{report:?}");
     assert!(report.adapted.share() > 0.9, "{report:?}");
