Cut heads of responses within the proof as well

The heads that end early lacked the last line that makes a response count: within the proof, and between its CR and LF.

--- a/tests/forwarding/early_end.rs
+++ b/tests/forwarding/early_end.rs
@@ -50,6 +50,14 @@
     ("the reason", "HTTP/1.1 200 O"),
     ("the CR of the status line", "HTTP/1.1 200 OK\r"),
     ("the status line", "HTTP/1.1 200 OK\r\n"),
+    (
+        "the proof",
+        "HTTP/1.1 200 OK\r\nx-jackdawwick-attempt-id: r1\r\nx-jackdawwick-server-seal: s",
+    ),
+    (
+        "the CR of the proof",
+        "HTTP/1.1 200 OK\r\nx-jackdawwick-attempt-id: r1\r\nx-jackdawwick-server-seal: s\r",
+    ),
     ("an interim response", "HTTP/1.1 100 Continue\r\n\r\n"),
     (
         "an interim response with marks",
