--- a/src/drain.rs
+++ b/src/drain.rs
@@ -20,9 +20,8 @@
 /// Time in which plain services usually respond: in about 30 ms, and nearly all within half a
 /// second.
 const USUAL_TIME: Duration = Duration::from_millis(700);
-
-/// Time that an attempt needs for a response of a plain service: nearly all come within it.
-/// Shorter than [`USUAL_TIME`], so that an admitted request has time to find a target.
+/// Time that a target needs to respond. Shorter than [`USUAL_TIME`], so that an admitted request
+/// has time to find a target.
 const RESPONSE_TIME: Duration = Duration::from_millis(500);
 
 /// The times of a host that is shutting down.
--- a/tests/forwarding/shutdown.rs
+++ b/tests/forwarding/shutdown.rs
@@ -24,7 +24,7 @@
 /// Size of a response that no socket buffers take whole, in bytes.
 const LARGE_RESPONSE: usize = 24 << 20;
 
-/// Grace time after which requests are still admitted for a while, and that ends soon.
+/// Grace time that ends within the balancer's time.
 const SHORT_GRACE: Duration = Duration::from_millis(1200);
 /// Grace time that outlasts the balancer's time.
 const MEDIUM_GRACE: Duration = Duration::from_millis(4500);
