--- a/standins/src/soak/callers.rs
+++ b/standins/src/soak/callers.rs
@@ -315,7 +315,7 @@
 }
 
 /// Returns the usual deadline of a call.
-fn deadline_of(kind: CallKind) -> Duration {
+pub(super) fn deadline_of(kind: CallKind) -> Duration {
     match kind {
         CallKind::Idempotent | CallKind::NonIdempotent => PLAIN_DEADLINE,
         CallKind::Stream | CallKind::StreamOnce => STREAM_DEADLINE,
--- a/standins/src/soak/history.rs
+++ b/standins/src/soak/history.rs
@@ -217,6 +217,8 @@
     pub limits: Vec<TargetLimit>,
     /// Probes for the active configuration.
     pub probes: Vec<ProbeRecord>,
+    /// Hosts whose last process has ended, and when.
+    pub ended_hosts: Vec<(usize, Instant)>,
     /// What was disturbed, and when.
     pub disturbances: Vec<Disturbance>,
     /// Processes that exited unexpectedly or did not exit when stopped.
@@ -224,3 +226,11 @@
     /// Whether every host served again after all faults had ended.
     pub recovered: bool,
 }
+
+impl SoakHistory {
+    /// Returns whether a call was sent after the last process of its host had ended.
+    pub(super) fn is_sent_after_end(&self, call: &CallRecord) -> bool {
+        let mut ended = self.ended_hosts.iter();
+        ended.any(|(host, at)| *host == call.host && call.sent > *at)
+    }
+}
--- a/standins/src/soak/unfinished.rs
+++ b/standins/src/soak/unfinished.rs
@@ -88,8 +88,8 @@
     losses.map(|loss| loss.from + RESET_TIME).max()
 }
 
-/// Returns whether the host of a call that reached no target has read it: its process and
-/// its links were undisturbed, and the connection lasted long enough.
+/// Returns whether the host of a call that reached no target has read it: its process ran, it
+/// and its links were undisturbed, and the connection lasted long enough.
 fn was_read(history: &SoakHistory, call: &CallRecord) -> bool {
     let mut disturbances = history.disturbances.iter();
     let disturbed = disturbances.any(|disturbance| {
@@ -97,5 +97,6 @@
             && disturbance.scope == DisturbanceScope::Host(call.host)
             && overlaps(disturbance, call.sent, call.ended)
     });
-    !disturbed && call.ended > call.sent + CLOSE_RACE_TIME
+    let is_late = history.is_sent_after_end(call);
+    !disturbed && !is_late && call.ended > call.sent + CLOSE_RACE_TIME
 }
