--- a/standins/src/soak/shutdown.rs
+++ b/standins/src/soak/shutdown.rs
@@ -67,7 +67,7 @@
 pub struct ShutdownReport {
     /// Violations of the guarantees without a time bound.
     pub violations: Vec<Violation>,
-    /// Calls that were sent between the stop of a host and the end of all.
+    /// Calls that were sent between the stop of a host and the end of the run.
     pub sent: usize,
     /// Calls that reached a target from the beginning of the silence on, and streams that ran
     /// when it began.
@@ -167,7 +167,7 @@
     let ends = history.ended_hosts.iter().map(|(_, at)| *at);
     let last_end = ends.max().unwrap_or(ended);
     Ok(ShutdownReport {
-        sent: sent.filter(|call| call.sent < last_end).count(),
+        sent: sent.filter(|call| call.sent < ended).count(),
         held,
         traces: traces.collect(),
         unanswered: count(&unanswered),
