Play retries that arrive later than they are counted

Cause: the games of the bound on retries drew delays of at most 0.4 s, each alone, and dropped what a killed host had sent. On real hosts retries wait together: for permits, connections and evidence before they are sent, and in the buffers of targets that stand still after that. Change: decision, sending and arrival are three moments; events hold all that targets get, or all that hosts send.

--- a/tests/retry_budget_model.rs
+++ b/tests/retry_budget_model.rs
@@ -25,9 +25,13 @@
 const FIRST_AGE: Duration = Duration::from_secs(20);
 /// Steps between two counts of the hosts.
 const COUNT_STEPS: usize = SECOND;
-/// Longest time from the decision to retry to the arrival at a target, in steps: a target
-/// that is silent is given up after 250 ms.
+/// Longest time from the decision to retry to the sending, in steps, unless all sending
+/// waits: a target that accepts no connection is given up after 250 ms.
 const MAX_DELAY: usize = 3;
+/// Steps from the arrival at a target to its response.
+const RESPONSE_STEPS: usize = 1;
+/// Number of targets among which retries are drawn.
+const TARGETS: usize = 32;
 /// Steps for which a frozen host stands still.
 const FREEZE: usize = 4 * SECOND;
 
@@ -104,6 +108,17 @@
     Fail {
         share: f64,
     },
+    /// A share of the targets stands still for some steps, and then reads all that it got.
+    Hold {
+        share: f64,
+        steps: usize,
+    },
+    /// A share of the hosts sends nothing for some steps, and then all that waits: attempts
+    /// wait for permits, pauses, connections and evidence.
+    Stall {
+        share: f64,
+        steps: usize,
+    },
     /// The load changes to this multiple.
     Load {
         factor: f64,
@@ -116,6 +131,22 @@
     budget: WindowBudget,
 }
 
+/// A retry that was decided.
+struct SimRetry {
+    /// Step from which on it may be sent.
+    send_at: usize,
+    target: usize,
+    stage: RetryStage,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RetryStage {
+    Waiting,
+    Sent,
+    /// It arrived at this step.
+    Arrived(usize),
+}
+
 impl SimProcess {
     fn new(bounds: RetryBounds, opened: Instant, rounding: f64) -> Self {
         Self {
@@ -137,8 +168,10 @@
     frozen_until: usize,
     /// Whether the host has not been added to the fleet yet.
     is_absent: bool,
-    /// Steps at which retries arrive, unless the host is frozen then or killed before.
-    sending: Vec<usize>,
+    /// Step until which nothing is sent.
+    stalled_until: usize,
+    /// Retries of the process that are not sent yet, or whose response is due.
+    retries: Vec<SimRetry>,
 }
 
 struct Game {
@@ -152,6 +185,10 @@
     /// Share of the requests that fail once.
     failing: f64,
     load: f64,
+    /// Step until which each target stands still.
+    held_until: [usize; TARGETS],
+    /// Targets of the retries that were sent by processes that have ended since.
+    orphaned: Vec<usize>,
     counts: RetryCounts,
 }
 
@@ -179,7 +216,8 @@
             down_until: None,
             frozen_until: 0,
             is_absent: false,
-            sending: Vec::new(),
+            stalled_until: 0,
+            retries: Vec::new(),
         });
         let mut game = Self {
             plan,
@@ -190,6 +228,8 @@
             knows_size: false,
             failing: 0.0,
             load: 0.0,
+            held_until: [0; TARGETS],
+            orphaned: Vec::new(),
             counts: RetryCounts::new(WINDOW, bounds),
         };
         let first_start = game.fleet.now + STEP * LEAD as u32 - FIRST_AGE;
@@ -247,6 +287,20 @@
                 }
             }
             GameEvent::Fail { share } => self.failing = share,
+            GameEvent::Hold { share, steps } => {
+                for until in &mut self.held_until {
+                    if chosen(&mut self.rng, share) {
+                        *until = step + steps;
+                    }
+                }
+            }
+            GameEvent::Stall { share, steps } => {
+                for host in &mut self.hosts {
+                    if chosen(&mut self.rng, share) {
+                        host.stalled_until = step + steps;
+                    }
+                }
+            }
             GameEvent::Cut { zone } => {
                 self.fleet.partitioned.push(zone_name(zone).as_str().into());
             }
@@ -278,7 +332,10 @@
             return;
         }
         host.down_until = Some(until);
-        host.sending.clear();
+        // What was sent still arrives.
+        let sent = host.retries.drain(..);
+        let sent = sent.filter(|retry| retry.stage == RetryStage::Sent);
+        self.orphaned.extend(sent.map(|retry| retry.target));
         self.fleet.hosts[index].alive = false;
     }
 
@@ -289,7 +346,34 @@
             self.start_due(index, step);
             self.count_hosts(index, step);
             self.send_requests(index, step);
+            self.advance_retries(index, step);
+        }
+        let held_until = self.held_until;
+        let arrived = self
+            .orphaned
+            .extract_if(.., |target| held_until[*target] <= step);
+        self.counts.count_arrivals(arrived.count() as u32);
+    }
+
+    /// Sends the retries of a host that are due, and lets those that were sent arrive.
+    fn advance_retries(&mut self, index: usize, step: usize) {
+        let host = &mut self.hosts[index];
+        let can_act = host.down_until.is_none() && host.frozen_until <= step;
+        let can_send = can_act && host.stalled_until <= step;
+        for retry in &mut host.retries {
+            if retry.stage == RetryStage::Waiting && can_send && retry.send_at <= step {
+                retry.stage = RetryStage::Sent;
+            }
+            if retry.stage == RetryStage::Sent && self.held_until[retry.target] <= step {
+                retry.stage = RetryStage::Arrived(step);
+                self.counts.count_arrivals(1);
+            }
         }
+        let is_answered = |retry: &SimRetry| match retry.stage {
+            RetryStage::Arrived(at) => can_act && at + RESPONSE_STEPS <= step,
+            RetryStage::Waiting | RetryStage::Sent => false,
+        };
+        host.retries.retain(|retry| !is_answered(retry));
     }
 
     fn start_due(&mut self, index: usize, step: usize) {
@@ -340,8 +424,6 @@
         if !is_up {
             return;
         }
-        let arrived = host.sending.extract_if(.., |at| *at <= step);
-        self.counts.count_arrivals(arrived.count() as u32);
         let settings = host.process.share.settings();
         for _ in 0..count {
             host.process.budget.count_request(settings, now);
@@ -351,8 +433,11 @@
             if !host.process.budget.spend(settings, now) {
                 continue;
             }
-            let at = step + self.rng.random_range(0..=MAX_DELAY);
-            host.sending.push(at);
+            host.retries.push(SimRetry {
+                send_at: step + self.rng.random_range(0..=MAX_DELAY),
+                target: self.rng.random_range(0..TARGETS),
+                stage: RetryStage::Waiting,
+            });
         }
     }
 
@@ -522,6 +607,72 @@
     }
 }
 
+/// Games in which retries arrive late together, by the event that holds them back. Each is
+/// played beside calm, starts, cuts and additions.
+fn assert_bound_when_late<E>(name: &str, late: E)
+where
+    E: Fn(usize) -> Option<GameEvent> + Copy,
+{
+    let kills = kill_all_at(&[5, 9, 14]);
+    let cut = |step| match step {
+        8 => Some(GameEvent::Cut { zone: 0 }),
+        16 => Some(GameEvent::Kill {
+            share: 0.8,
+            down: 8,
+        }),
+        160 => Some(GameEvent::Heal),
+        _ => None,
+    };
+    let add = |step| (step == 2 * SECOND).then_some(GameEvent::Add);
+    let beside: [(&str, &dyn Fn(usize) -> Option<GameEvent>); 4] = [
+        ("calm", &|_| None),
+        ("starts", &kills),
+        ("a cut", &cut),
+        ("additions", &add),
+    ];
+    for (trouble, events) in beside {
+        for (plan, seed) in [(EIGHT, 0), (EIGHT, 1), (SIXTY, 0)] {
+            let absent = if trouble == "additions" { 0.5 } else { 0.0 };
+            let mut game = Game::open_with_absent(plan, seed, absent, Duration::ZERO);
+            game.run(WINDOW, |_| None);
+            game.failing = 0.9;
+            game.run(30 * SECOND, |step| events(step).or_else(|| late(step)));
+            let hosts = game.hosts.len();
+            game.assert_bound(&format!("{name}, {trouble}, {hosts} hosts, seed {seed}"));
+        }
+    }
+}
+
+/// Guards against retries that leave the sender's window before targets that stand still have
+/// read them.
+#[test]
+fn retries_stay_within_the_bound_when_targets_read_them_late() {
+    for period in [9 * SECOND + 4, 13 * SECOND] {
+        for steps in [SECOND, 2 * SECOND] {
+            let hold = move |step: usize| {
+                let is_due = step % period == 0;
+                is_due.then_some(GameEvent::Hold { share: 1.0, steps })
+            };
+            assert_bound_when_late(&format!("held for {steps} of {period} steps"), hold);
+        }
+    }
+}
+
+/// Guards against retries that wait between the decision and the sending, and are sent together
+/// after they have left the window.
+#[test]
+fn retries_stay_within_the_bound_when_they_are_sent_late() {
+    for period in [10 * SECOND + 4, 13 * SECOND] {
+        for steps in [2 * SECOND, 5 * SECOND] {
+            let stall = move |step: usize| {
+                let is_due = step % period == 0;
+                is_due.then_some(GameEvent::Stall { share: 1.0, steps })
+            };
+            assert_bound_when_late(&format!("stalled for {steps} of {period} steps"), stall);
+        }
+    }
+}
+
 /// Guards against a bound that is kept by giving up retries that callers need.
 #[test]
 fn three_quarters_of_the_allowed_retries_are_used_when_no_host_starts() {
@@ -557,7 +708,7 @@
 fn draw_events(rng: &mut StdRng, plan: FleetPlan, steps: usize) -> Vec<Option<GameEvent>> {
     let mut events = vec![None; steps];
     for step in (0..steps).step_by(SECOND) {
-        events[step] = match rng.random_range(0..18) {
+        events[step] = match rng.random_range(0..22) {
             0 => Some(GameEvent::Kill {
                 share: 1.0,
                 down: rng.random_range(1..2 * SECOND),
@@ -582,6 +733,14 @@
             8 => Some(GameEvent::Add),
             9 => Some(GameEvent::Fail { share: 0.0 }),
             10 | 11 => Some(GameEvent::Fail { share: 0.9 }),
+            12 | 13 => Some(GameEvent::Hold {
+                share: rng.random_range(0.3..=1.0),
+                steps: rng.random_range(1..=2 * SECOND),
+            }),
+            14 | 15 => Some(GameEvent::Stall {
+                share: rng.random_range(0.3..=1.0),
+                steps: rng.random_range(1..=5 * SECOND),
+            }),
             _ => None,
         };
     }
