Log and count when retries are granted and sent

Change: a granted retry is a value that its attempt holds; lines 'retry granted' and 'retry sent', counter retry_grants. A retry is needed once an attempt has reached a target; one whose attempt sent nothing stays with the request. The budget counts as before.

--- a/src/forward.rs
+++ b/src/forward.rs
@@ -38,6 +38,7 @@
 mod response;
 mod response_end;
 mod retry_budgets;
+mod retry_grant;
 mod serve;
 mod shutdown;
 mod silence_guard;
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -78,6 +78,8 @@
     Poison,
     #[error("this host ends before a response can be awaited")]
     Draining,
+    #[error("the retry no longer fits its budget")]
+    NoRetry,
 }
 
 impl FailureCause {
@@ -97,6 +99,7 @@
             Self::GatewayBroken => "gateway_broken",
             Self::Poison => "poison",
             Self::Draining => "draining",
+            Self::NoRetry => "no_retry",
         }
     }
 }
@@ -121,6 +124,7 @@
                 | FailureCause::NoGateway
                 | FailureCause::Poison
                 | FailureCause::Draining
+                | FailureCause::NoRetry
         )
     }
 }
--- a/src/forward/attempt_policy.rs
+++ b/src/forward/attempt_policy.rs
@@ -12,7 +12,7 @@
 use super::exchange::{Exchange, NO_ROUTE_RETRY, TriedTargets};
 use super::gateway_link::PeerWitness;
 use super::lateness::ResponseLateness;
-use super::race::{AttemptRace, MAX_TRIED};
+use super::race::MAX_TRIED;
 use super::response::{Refusal, ResponseBody};
 use super::stream_times::StreamTimes;
 use super::tables::InFlightGuard;
@@ -217,32 +217,22 @@
         self.matched.route.kind.is_stream() && response.status().is_success()
     }
 
-    /// Returns whether the request goes on after the response of one attempt: a failure that
-    /// the target itself returned, while another attempt is open or may be made.
-    pub(super) fn goes_on_after(
+    /// Returns whether the route allows that a failure which a target itself returned is
+    /// retried elsewhere.
+    pub(super) fn may_fail_over(
         &self,
         response: &Response<ResponseBody>,
-        race: &AttemptRace,
+        tried: &TriedTargets,
+        now: Instant,
     ) -> bool {
-        match race.is_open() {
-            true => response.status().is_server_error(),
-            false => self.may_fail_over(response, &race.tried),
-        }
-    }
-
-    /// Returns whether a failure that a target itself returned may be retried elsewhere,
-    /// and spends a retry if so.
-    fn may_fail_over(&self, response: &Response<ResponseBody>, tried: &TriedTargets) -> bool {
         let route = &self.matched.route;
         response.status().is_server_error()
             && route.kind.is_repeatable()
             && tried.sent + 1 < route.max_attempts
-            && Instant::now() < self.deadline
-            && self.tables.spend_retry(&self.service.name, Instant::now())
+            && now < self.deadline
     }
 
-    /// Returns whether the request may be sent once more, and spends a retry unless the
-    /// failed attempt sent nothing.
+    /// Returns whether the route allows that the request is sent once more.
     pub(super) fn may_retry(
         &self,
         failure: &AttemptFailure,
@@ -252,11 +242,7 @@
         let route = &self.matched.route;
         let allowed = failure.verdict == RunVerdict::NotRun || route.kind.is_repeatable();
         let attempts_left = tried.sent < route.max_attempts && tried.len() < MAX_TRIED;
-        let free = !failure.was_sent();
-        allowed
-            && attempts_left
-            && now < self.deadline
-            && (free || self.tables.spend_retry(&self.service.name, Instant::now()))
+        allowed && attempts_left && now < self.deadline
     }
 
     /// Returns the targets that the next attempt avoids.
@@ -348,7 +334,8 @@
                 | FailureCause::NoGateway
                 | FailureCause::GatewayBroken
                 | FailureCause::Poison
-                | FailureCause::Draining,
+                | FailureCause::Draining
+                | FailureCause::NoRetry,
             ) => None,
             Some(FailureCause::Connect | FailureCause::Unreachable) => {
                 fleet.observe_silence(&id, now);
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -316,7 +316,7 @@
                 .choose_reachable(tried, AttemptPurpose::Start)
                 .await
             {
-                Ok((chosen, guard)) => race.open_primary(chosen, guard, false),
+                Ok((chosen, guard)) => race.open_primary(chosen, guard),
                 // No other target is left: the response of the target that failed is
                 // returned.
                 Err(refusal) => {
@@ -339,7 +339,7 @@
                     continue;
                 };
                 let chosen = &attempt.watch.chosen;
-                if exchange.goes_on_after(&response, &race) {
+                if race.goes_on_after(&response, Instant::now()) {
                     exchange.observe_failure(chosen, None);
                     race.tried.count(chosen, true);
                     race.tried.may_have_run = true;
@@ -357,7 +357,7 @@
                 attempt.watch.record_failure(&failure).await;
                 race.record_failure(&attempt, &failure);
                 drop(attempt);
-                if !race.is_open() && !exchange.may_retry(&failure, &race.tried, Instant::now()) {
+                if !race.is_open() && !race.may_retry(&failure, Instant::now()) {
                     return failed_response.ok_or(final_refusal(&failure, &race.tried));
                 }
             }
--- a/src/forward/open_attempt.rs
+++ b/src/forward/open_attempt.rs
@@ -17,6 +17,7 @@
 use super::head::forwarded;
 use super::response::ResponseBody;
 use super::response_end::{ends_with_connection, may_be_truncated};
+use super::retry_grant::RetryGrant;
 use super::tables::InFlightGuard;
 use super::target_link::TargetResponse;
 use super::watch::{PathWatch, SilenceFinding};
@@ -29,8 +30,8 @@
     stage: AttemptStage,
     /// Whether its target was reported for sending no head in time.
     pub(super) is_late: bool,
-    /// Whether a retry was spent on it.
-    pub(super) is_paid: bool,
+    /// The retry that it uses.
+    pub(super) grant: Option<Arc<RetryGrant>>,
     is_sent: Arc<AtomicBool>,
 }
 
@@ -100,6 +101,7 @@
         exchange: Arc<Exchange>,
         chosen: ChosenTarget,
         guard: InFlightGuard,
+        grant: Option<Arc<RetryGrant>>,
         last_event: Option<String>,
         now: Instant,
     ) -> Self {
@@ -108,13 +110,14 @@
             exchange.clone(),
             chosen.clone(),
             last_event,
+            grant.clone(),
             is_sent.clone(),
         );
         Self {
             watch: PathWatch::open(exchange, chosen, guard, now),
             stage: AttemptStage::Sending(Box::pin(sending)),
             is_late: false,
-            is_paid: false,
+            grant,
             is_sent,
         }
     }
@@ -173,7 +176,23 @@
         }
     }
 
+    /// Records what an event tells about the retry that the attempt uses.
+    fn update_grant(&self, event: &StageEvent, now: Instant) {
+        let Some(grant) = &self.grant else { return };
+        match event {
+            StageEvent::Responded(Ok(_)) => grant.settle(now),
+            StageEvent::Responded(Err(failure)) => match failure.cause {
+                // The gateway may have passed the request on just before.
+                FailureCause::GatewayBroken => {}
+                _ if failure.was_sent() => grant.settle(now),
+                _ => grant.reclaim(),
+            },
+            StageEvent::Read(_) | StageEvent::Frame(_) => {}
+        }
+    }
+
     fn handle(&mut self, event: StageEvent) -> Option<AttemptStep> {
+        self.update_grant(&event, Instant::now());
         match event {
             StageEvent::Responded(Ok(response)) => self.begin(response),
             StageEvent::Responded(Err(failure)) | StageEvent::Read(Err(failure)) => {
@@ -270,6 +289,7 @@
     exchange: Arc<Exchange>,
     chosen: ChosenTarget,
     last_event: Option<String>,
+    grant: Option<Arc<RetryGrant>>,
     is_sent: Arc<AtomicBool>,
 ) -> Result<TargetResponse, AttemptFailure> {
     let connecting = attempt::send(
@@ -285,6 +305,7 @@
     let prevented = match () {
         () if exchange.is_poison(now) => Some(FailureCause::Poison),
         () if exchange.check_send(now).is_err() => Some(FailureCause::Draining),
+        () if !grant.is_none_or(|grant| grant.send(&chosen.id, now)) => Some(FailureCause::NoRetry),
         () => None,
     };
     if let Some(cause) = prevented {
--- a/src/forward/race.rs
+++ b/src/forward/race.rs
@@ -17,6 +17,7 @@
 use super::exchange::{Exchange, TriedTargets};
 use super::open_attempt::{AttemptStep, OpenAttempt};
 use super::response::{Refusal, ResponseBody};
+use super::retry_grant::RetryGrant;
 use super::tables::InFlightGuard;
 use super::watch::SilenceFinding;
 use crate::retry::RetryUse;
@@ -82,8 +83,8 @@
     hedge: Option<OpenAttempt>,
     /// The choice of a target for a hedge that is to be made.
     choice: Option<PendingChoice>,
-    /// Whether a retry was spent on an attempt that then sent nothing.
-    has_unused_retry: bool,
+    /// A retry for the next attempt.
+    grant: Option<Arc<RetryGrant>>,
 }
 
 impl AttemptRace {
@@ -96,26 +97,28 @@
             primary: None,
             hedge: None,
             choice: None,
-            has_unused_retry: false,
+            grant: None,
         }
     }
 
-    /// Starts the attempt that the request relies on. `is_paid` says whether a retry was
-    /// spent on it.
-    pub(super) fn open_primary(
-        &mut self,
-        chosen: ChosenTarget,
-        guard: InFlightGuard,
-        is_paid: bool,
-    ) {
-        let mut attempt = self.open_attempt(chosen, guard);
-        attempt.is_paid = is_paid;
-        self.primary = Some(attempt);
+    /// Starts the attempt that the request relies on.
+    pub(super) fn open_primary(&mut self, chosen: ChosenTarget, guard: InFlightGuard) {
+        let grant = match self.tried.sent {
+            // The request has reached no target yet.
+            0 => None,
+            _ => self.grant.take(),
+        };
+        self.primary = Some(self.open_attempt(chosen, guard, grant));
     }
 
-    fn open_attempt(&self, chosen: ChosenTarget, guard: InFlightGuard) -> OpenAttempt {
+    fn open_attempt(
+        &self,
+        chosen: ChosenTarget,
+        guard: InFlightGuard,
+        grant: Option<Arc<RetryGrant>>,
+    ) -> OpenAttempt {
         let (exchange, last_event) = (self.exchange.clone(), self.last_event.clone());
-        OpenAttempt::open(exchange, chosen, guard, last_event, Instant::now())
+        OpenAttempt::open(exchange, chosen, guard, grant, last_event, Instant::now())
     }
 
     /// Returns the attempt in a role, if it is open.
@@ -173,7 +176,7 @@
             self.tried.count(&closed.watch.chosen, true);
             self.tried.may_have_run = true;
         } else {
-            self.has_unused_retry |= closed.is_paid;
+            self.keep_unused(&closed);
         }
         if role == AttemptRole::Hedge && self.is_answering {
             self.log_resumed("silent", &closed.watch.chosen);
@@ -335,13 +338,51 @@
 
     fn has_retry(&self, retry_use: RetryUse, now: Instant) -> bool {
         let (tables, service) = (&self.exchange.tables, &self.exchange.service.name);
-        self.has_unused_retry || tables.has_retry(service, retry_use, now)
+        self.grant.is_some() || tables.has_retry(service, retry_use, now)
     }
 
-    /// Spends a retry for an attempt, unless one is left of an attempt that sent nothing.
-    pub(super) fn spend_retry(&mut self, now: Instant) -> bool {
-        let (tables, service) = (&self.exchange.tables, &self.exchange.service.name);
-        std::mem::take(&mut self.has_unused_retry) || tables.spend_retry(service, now)
+    /// Obtains a retry for the next attempt, unless one is left of an attempt that sent
+    /// nothing. Returns whether there is one.
+    pub(super) fn obtain_retry(&mut self, retry_use: RetryUse, now: Instant) -> bool {
+        if self.grant.is_none() {
+            let exchange = &self.exchange;
+            let (service, request) = (&exchange.service.name, &exchange.outgoing.id);
+            let granted = exchange
+                .tables
+                .grant_retry(service, request, retry_use, now);
+            self.grant = granted.map(Arc::new);
+        }
+        self.grant.is_some()
+    }
+
+    /// Returns whether the request goes on after the response of one attempt: a failure that
+    /// the target itself returned, while another attempt is open or may be made. Obtains a
+    /// retry in the latter case.
+    pub(super) fn goes_on_after(
+        &mut self,
+        response: &Response<ResponseBody>,
+        now: Instant,
+    ) -> bool {
+        match self.is_open() {
+            true => response.status().is_server_error(),
+            false => {
+                self.exchange.may_fail_over(response, &self.tried, now)
+                    && self.obtain_retry(RetryUse::Replacement, now)
+            }
+        }
+    }
+
+    /// Returns whether the request may be sent once more. Obtains a retry, unless no attempt
+    /// has reached a target.
+    pub(super) fn may_retry(&mut self, failure: &AttemptFailure, now: Instant) -> bool {
+        self.exchange.may_retry(failure, &self.tried, now)
+            && (self.tried.sent == 0 || self.obtain_retry(RetryUse::Replacement, now))
+    }
+
+    /// Keeps the retry of an attempt that sent nothing for the next one.
+    fn keep_unused(&mut self, attempt: &OpenAttempt) {
+        let unused = attempt.grant.clone().filter(|grant| grant.is_unused());
+        self.grant = self.grant.take().or(unused);
     }
 
     /// Records an attempt that gave no response.
@@ -349,7 +390,7 @@
         let chosen = &attempt.watch.chosen;
         self.exchange
             .record_failure(chosen, failure, &mut self.tried);
-        self.has_unused_retry |= attempt.is_paid && !failure.was_sent();
+        self.keep_unused(attempt);
     }
 
     fn open_hedge(&mut self, chosen: AttemptChoice, choice: &PendingChoice) {
@@ -359,12 +400,9 @@
             return;
         }
         let action = match chosen {
-            Ok((chosen, guard))
-                if self.has_retry(choice.retry_use, now) && self.spend_retry(now) =>
-            {
-                let mut attempt = self.open_attempt(chosen, guard);
-                attempt.is_paid = true;
-                self.hedge = Some(attempt);
+            Ok((chosen, guard)) if self.obtain_retry(choice.retry_use, now) => {
+                let grant = self.grant.take();
+                self.hedge = Some(self.open_attempt(chosen, guard, grant));
                 SilenceAction::Hedged
             }
             Ok(_) => SilenceAction::NoRetry,
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -20,6 +20,7 @@
 use super::response::ResponseBody;
 use super::shutdown::ShutdownEnd;
 use super::stream_times::StreamTimes;
+use crate::retry::RetryUse;
 use crate::silence::{SilenceAction, SilenceCause};
 
 /// A running stream.
@@ -193,7 +194,7 @@
             .await
         {
             Ok((chosen, guard)) => {
-                self.race.open_primary(chosen, guard, true);
+                self.race.open_primary(chosen, guard);
                 self.race.log_resumed(reason, from);
                 Ok(())
             }
@@ -204,7 +205,7 @@
         }
     }
 
-    /// Returns why the stream may not be sent to another target, or spends a retry.
+    /// Returns why the stream may not be sent to another target, or obtains a retry.
     fn denied_resumption(&mut self) -> Option<&'static str> {
         let exchange = &self.exchange;
         let route = &exchange.matched.route;
@@ -213,7 +214,7 @@
             () if !route.kind.is_repeatable() => Some("no_attempt"),
             () if self.race.tried.sent >= route.max_attempts => Some("no_attempt"),
             () if now >= exchange.deadline => Some("no_time"),
-            () if !self.race.spend_retry(now) => Some("no_retry"),
+            () if !self.race.obtain_retry(RetryUse::Replacement, now) => Some("no_retry"),
             () => None,
         }
     }
--- a/src/forward/retry_budgets.rs
+++ b/src/forward/retry_budgets.rs
@@ -1,13 +1,15 @@
 //! The retry budgets of the services that this host forwards to.
 
+use std::sync::Arc;
 use std::time::Instant;
 
 use parking_lot::Mutex;
 
+use super::retry_grant::RetryGrant;
 use super::tables::ServingTables;
 use crate::collections::FastMap;
 use crate::ids::ServiceId;
-use crate::retry::{RetryUse, WindowBudget, WindowSettings, WindowUsage};
+use crate::retry::{GrantId, RetryUse, WindowBudget, WindowSettings, WindowUsage};
 
 /// One budget for each service, with the same settings. The locks are taken in the order of
 /// the fields.
@@ -57,28 +59,77 @@
         *self.retries.settings.lock() = settings;
     }
 
-    /// Takes one retry from a service's budget, if there is one.
-    pub(super) fn spend_retry(&self, service: &ServiceId, now: Instant) -> bool {
+    /// Takes one retry for a request from its service's budget, if there is one.
+    pub(super) fn grant_retry(
+        self: &Arc<Self>,
+        service: &ServiceId,
+        request: &str,
+        retry_use: RetryUse,
+        now: Instant,
+    ) -> Option<RetryGrant> {
         let settings = *self.retries.settings.lock();
         let mut budgets = self.retries.budgets.lock();
-        let Some(budget) = budgets.get_mut(service) else {
-            return false;
-        };
-        let is_granted = budget.window.spend(settings, now);
-        let was_denied = std::mem::replace(&mut budget.is_denied, !is_granted);
+        let budget = budgets.get_mut(service)?;
+        let granted = budget.window.grant(settings, retry_use, now);
+        let was_denied = std::mem::replace(&mut budget.is_denied, granted.is_none());
         let usage = budget.window.usage(settings, now);
         drop(budgets);
-        self.metrics.retry_decided(is_granted);
-        if !is_granted && !was_denied {
-            log::info!(
+        self.metrics.retry_decided(granted.is_some());
+        match granted {
+            Some(id) => log::info!(
+                request:% = request,
+                service:% = service,
+                grant = id,
+                retry_use:? = retry_use,
+                spent = usage.spent,
+                unsettled = usage.unsettled,
+                allowed = usage.allowed;
+                "retry granted"
+            ),
+            None if !was_denied => log::info!(
                 service:% = service,
                 requests = usage.requests,
                 spent = usage.spent,
+                unsettled = usage.unsettled,
                 allowed = usage.allowed;
                 "no retry left"
-            );
+            ),
+            None => {}
+        }
+        let (tables, service) = (self.clone(), service.clone());
+        granted.map(|id| RetryGrant::new(tables, service, request.to_owned(), id, now))
+    }
+
+    /// Returns whether a granted retry may be sent now, and counts it as sent if so.
+    pub(super) fn send_retry(&self, service: &ServiceId, id: GrantId, now: Instant) -> bool {
+        let settings = *self.retries.settings.lock();
+        let mut budgets = self.retries.budgets.lock();
+        let budget = budgets.get_mut(service);
+        budget.is_some_and(|budget| budget.window.send(id, settings, now))
+    }
+
+    /// Records that a retry that was sent has arrived by `now`.
+    pub(super) fn settle_retry(&self, service: &ServiceId, id: GrantId, now: Instant) {
+        self.update_budget(service, |window| window.settle(id, now));
+    }
+
+    /// Records that a retry that was sent has not arrived and never will.
+    pub(super) fn reclaim_retry(&self, service: &ServiceId, id: GrantId) {
+        self.update_budget(service, |window| window.reclaim(id));
+    }
+
+    /// Returns a retry that was not sent to its budget.
+    pub(super) fn release_retry(&self, service: &ServiceId, id: GrantId) {
+        self.update_budget(service, |window| window.release(id));
+    }
+
+    fn update_budget<U>(&self, service: &ServiceId, update: U)
+    where
+        U: FnOnce(&mut WindowBudget),
+    {
+        if let Some(budget) = self.retries.budgets.lock().get_mut(service) {
+            update(&mut budget.window);
         }
-        is_granted
     }
 
     /// Returns whether a service's budget has a retry left for this use.
--- a/src/metrics/serving.rs
+++ b/src/metrics/serving.rs
@@ -54,6 +54,7 @@
     start_decisions: Family<CauseLabel, Counter>,
     zone_choices: Family<CauseLabel, Counter>,
     retry_decisions: Family<CauseLabel, Counter>,
+    retry_ends: Family<CauseLabel, Counter>,
     retries: RetryGauges,
     silences: Family<SilenceLabels, Counter>,
     zone_shares: Family<ZoneLabels, Gauge<f64, AtomicU64>>,
@@ -96,6 +97,7 @@
             start_decisions: Family::default(),
             zone_choices: Family::default(),
             retry_decisions: Family::default(),
+            retry_ends: Family::default(),
             retries: RetryGauges::default(),
             silences: Family::default(),
             zone_shares: Family::default(),
@@ -236,6 +238,11 @@
                 "Retries that the budget of their service granted or denied",
                 &self.retry_decisions,
             ),
+            (
+                "retry_grants",
+                "Granted retries that were sent, withheld at the sending, never sent, known to have arrived, or left without a response",
+                &self.retry_ends,
+            ),
         ];
         for (name, help, family) in families {
             self.registry.register(name, help, family.clone());
@@ -439,6 +446,11 @@
         count(&self.retry_decisions, cause);
     }
 
+    /// Counts what became of a granted retry.
+    pub fn retry_ended(&self, cause: &'static str) {
+        count(&self.retry_ends, cause);
+    }
+
     /// Counts a silence of a target under a request: when its cause is found, and what became
     /// of it.
     pub fn silence(&self, cause: SilenceCause, action: SilenceAction) {
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -12,4 +12,4 @@
 pub use fleet_size::FleetSize;
 pub use outlier::{EjectionSettings, TargetHealth};
 pub use share::{RetryBounds, RetryShare};
-pub use window::{RetryUse, WindowBudget, WindowSettings, WindowUsage};
+pub use window::{GrantId, RetryUse, WindowBudget, WindowSettings, WindowUsage};
--- a/src/retry/window.rs
+++ b/src/retry/window.rs
@@ -16,6 +16,9 @@
 /// evenly between 0 and 1.
 const ROUNDING_STEP: f64 = 0.618_033_988_749_895;
 
+/// Number of a granted retry within its budget.
+pub type GrantId = u64;
+
 /// What a retry is for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RetryUse {
@@ -45,6 +48,8 @@
     pub requests: usize,
     /// Retries that were spent.
     pub spent: usize,
+    /// Those of them that may not have arrived yet.
+    pub unsettled: usize,
     /// Retries that may be spent in all.
     pub allowed: f64,
 }
@@ -61,6 +66,7 @@
 pub struct WindowBudget {
     requests: VecDeque<Instant>,
     retries: VecDeque<Instant>,
+    last_grant: GrantId,
     rounding: f64,
 }
 
@@ -71,6 +77,7 @@
         Self {
             requests: VecDeque::new(),
             retries: VecDeque::new(),
+            last_grant: 0,
             rounding,
         }
     }
@@ -81,16 +88,36 @@
         self.requests.push_back(now);
     }
 
-    /// Spends one retry; returns `false` if none is left.
+    /// Spends one retry; returns `None` if none is left for this use.
     #[must_use]
-    pub fn spend(&mut self, settings: WindowSettings, now: Instant) -> bool {
-        let is_allowed = self.has_left(settings, RetryUse::Replacement, now);
-        if is_allowed {
+    pub fn grant(
+        &mut self,
+        settings: WindowSettings,
+        retry_use: RetryUse,
+        now: Instant,
+    ) -> Option<GrantId> {
+        self.has_left(settings, retry_use, now).then(|| {
             self.retries.push_back(now);
-        }
-        is_allowed
+            self.last_grant += 1;
+            self.last_grant
+        })
     }
 
+    /// Returns whether a granted retry may be sent.
+    #[must_use]
+    pub fn send(&mut self, _id: GrantId, _settings: WindowSettings, _now: Instant) -> bool {
+        true
+    }
+
+    /// Records that a retry that was sent has arrived by `now`.
+    pub fn settle(&mut self, _id: GrantId, _now: Instant) {}
+
+    /// Records that a retry that was sent has not arrived and never will.
+    pub fn reclaim(&mut self, _id: GrantId) {}
+
+    /// Returns a retry that was not sent.
+    pub fn release(&mut self, _id: GrantId) {}
+
     /// Returns whether a retry is left for this use.
     pub fn has_left(
         &mut self,
@@ -121,6 +148,7 @@
         WindowUsage {
             requests: self.requests.len(),
             spent: self.retries.len(),
+            unsettled: 0,
             allowed,
         }
     }
--- a/tests/entry_decisions.rs
+++ b/tests/entry_decisions.rs
@@ -13,7 +13,7 @@
 use jackdawwick::peer::{HostListing, HostView, KnownHost, SeenListing};
 use jackdawwick::permits::LimitDelta;
 use jackdawwick::poison::PoisonDelta;
-use jackdawwick::retry::{WindowBudget, WindowSettings};
+use jackdawwick::retry::{RetryUse, WindowBudget, WindowSettings};
 use proptest::prelude::*;
 
 /// Guards against a caller that gets half an event and then a whole one, when an engine
@@ -151,7 +151,8 @@
     for tick in 0..600_u32 {
         let now = start + Duration::from_millis(100) * tick;
         budget.count_request(settings, now);
-        if budget.spend(settings, now) {
+        if let Some(id) = budget.grant(settings, RetryUse::Replacement, now) {
+            budget.settle(id, now);
             spent.push(now);
         }
     }
--- a/tests/retry_budget_model.rs
+++ b/tests/retry_budget_model.rs
@@ -9,7 +9,7 @@
 
 use fleet_in_memory::{SimFleet, zone_name};
 use jackdawwick::ids::ZoneId;
-use jackdawwick::retry::{RetryBounds, RetryShare, WindowBudget};
+use jackdawwick::retry::{RetryBounds, RetryShare, RetryUse, WindowBudget};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use retry_bound::{FullWindow, RetryCounts};
@@ -430,9 +430,10 @@
             if !self.rng.random_bool(self.failing) {
                 continue;
             }
-            if !host.process.budget.spend(settings, now) {
+            let replacement = RetryUse::Replacement;
+            let Some(_grant) = host.process.budget.grant(settings, replacement, now) else {
                 continue;
-            }
+            };
             host.retries.push(SimRetry {
                 send_at: step + self.rng.random_range(0..=MAX_DELAY),
                 target: self.rng.random_range(0..TARGETS),
--- a/tests/retry_window.rs
+++ b/tests/retry_window.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use jackdawwick::retry::{WindowBudget, WindowSettings};
+use jackdawwick::retry::{RetryUse, WindowBudget, WindowSettings};
 
 const WINDOW: Duration = Duration::from_secs(10);
 const MINUTE: Duration = Duration::from_secs(60);
@@ -18,9 +18,12 @@
 
 /// Spends as many retries as the budget allows at one moment.
 fn spend_all(budget: &mut WindowBudget, settings: WindowSettings, now: Instant) -> usize {
-    std::iter::repeat_with(|| budget.spend(settings, now))
-        .take_while(|is_spent| *is_spent)
-        .count()
+    let granted = std::iter::from_fn(|| {
+        let id = budget.grant(settings, RetryUse::Replacement, now)?;
+        budget.settle(id, now);
+        Some(id)
+    });
+    granted.count()
 }
 
 /// Guards against large fleets in which no host may retry since each has less than one retry.
--- a/tests/silence_model/game.rs
+++ b/tests/silence_model/game.rs
@@ -601,7 +601,12 @@
     fn spend(&mut self, host: usize, retry_use: RetryUse) -> bool {
         let host = &mut self.hosts[host];
         let settings = host.share.settings();
-        host.budget.has_left(settings, retry_use, self.now) && host.budget.spend(settings, self.now)
+        let granted = host.budget.grant(settings, retry_use, self.now);
+        // An attempt arrives at once or not at all.
+        if let Some(id) = granted {
+            host.budget.settle(id, self.now);
+        }
+        granted.is_some()
     }
 
     fn check_silence(&mut self, index: usize) {
