Count a retry until it can no longer arrive at its target

What callers and targets saw: more calls reached targets again within a window than the operators allow. Cause: a retry was counted when it was decided and left the sender's window a window later, while it waited for a permit, evidence, a connection or, sent, in the buffer of a target that stood still. A retry whose attempt sent nothing could be used in any later window. Class: a bound on arrivals kept by the times of decisions. Change: a granted retry counts until a window after the target's response, or after three seconds from its sending without one, and is looked at again when it is sent; one that is not sent is returned. Whatever arrives within a window is counted together when the last of it is granted.

--- a/src/retry/window.rs
+++ b/src/retry/window.rs
@@ -3,6 +3,8 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+use crate::collections::FastMap;
+
 /// Fraction of the allowed retries that accrues evenly over a window; the rest may be spent
 /// at once. A process in its first window has the former alone.
 const STEADY_SHARE: f64 = 0.7;
@@ -16,6 +18,10 @@
 /// evenly between 0 and 1.
 const ROUNDING_STEP: f64 = 0.618_033_988_749_895;
 
+/// Time from the sending after which a retry has arrived or never will: unacknowledged bytes end
+/// their connection by then, and a target that stands still for longer is not sound.
+const MAX_ARRIVAL_TIME: Duration = Duration::from_secs(3);
+
 /// Number of a granted retry within its budget.
 pub type GrantId = u64;
 
@@ -57,15 +63,24 @@
 /// Requests and retries of the last window.
 ///
 /// The platform counts the retries of all hosts, and of all processes of a host, within any
-/// window. When the processes of each host together keep to the host's share of that bound,
-/// the sum does too, without coordination. A process therefore spends at most
-/// `1 - STEADY_SHARE` of its share beyond what accrues evenly, and one that may have had a
-/// predecessor within the window only what accrues since its own start: both together stay
-/// within the share, at whatever moment the predecessor ended and however many there were.
+/// window at the targets. When the processes of each host together keep to the host's share
+/// of that bound, the sum does too, without coordination.
+///
+/// A granted retry counts until a window after the latest moment at which it can have
+/// arrived. Retries that arrive within one window are therefore counted together when the
+/// last of them is granted, however long each waits before it is sent, or at its target.
+///
+/// A process spends at most `1 - STEADY_SHARE` of its share beyond what accrues evenly, and
+/// one that may have had a predecessor within the window only what accrues since its own
+/// start: both together stay within the share, at whatever moment the predecessor ended and
+/// however many there were.
 #[derive(Debug, Clone)]
 pub struct WindowBudget {
     requests: VecDeque<Instant>,
-    retries: VecDeque<Instant>,
+    /// Granted retries that may not have arrived yet, with the moment of their sending.
+    unsettled: FastMap<GrantId, Option<Instant>>,
+    /// Latest moments at which the others can have arrived, in ascending order.
+    arrivals: VecDeque<Instant>,
     last_grant: GrantId,
     rounding: f64,
 }
@@ -76,7 +91,8 @@
     pub fn new(rounding: f64) -> Self {
         Self {
             requests: VecDeque::new(),
-            retries: VecDeque::new(),
+            unsettled: FastMap::default(),
+            arrivals: VecDeque::new(),
             last_grant: 0,
             rounding,
         }
@@ -88,7 +104,8 @@
         self.requests.push_back(now);
     }
 
-    /// Spends one retry; returns `None` if none is left for this use.
+    /// Grants one retry; returns `None` if none is left for this use. A grant has to be
+    /// released unless it is sent.
     #[must_use]
     pub fn grant(
         &mut self,
@@ -97,26 +114,43 @@
         now: Instant,
     ) -> Option<GrantId> {
         self.has_left(settings, retry_use, now).then(|| {
-            self.retries.push_back(now);
             self.last_grant += 1;
+            self.unsettled.insert(self.last_grant, None);
             self.last_grant
         })
     }
 
-    /// Returns whether a granted retry may be sent.
+    /// Returns whether a granted retry still fits the budget, and counts it as sent if so.
+    /// Otherwise it is released: what was allowed when it was granted may have expired while
+    /// it waited.
     #[must_use]
-    pub fn send(&mut self, _id: GrantId, _settings: WindowSettings, _now: Instant) -> bool {
-        true
+    pub fn send(&mut self, id: GrantId, settings: WindowSettings, now: Instant) -> bool {
+        let is_allowed = self.unsettled.contains_key(&id) && self.fits(settings, 0, 1.0, now);
+        match is_allowed {
+            true => self.unsettled.insert(id, Some(now)),
+            false => self.unsettled.remove(&id),
+        };
+        is_allowed
     }
 
     /// Records that a retry that was sent has arrived by `now`.
-    pub fn settle(&mut self, _id: GrantId, _now: Instant) {}
+    pub fn settle(&mut self, id: GrantId, now: Instant) {
+        if self.unsettled.remove(&id).is_some() {
+            self.count_arrival(now);
+        }
+    }
 
     /// Records that a retry that was sent has not arrived and never will.
-    pub fn reclaim(&mut self, _id: GrantId) {}
+    pub fn reclaim(&mut self, id: GrantId) {
+        if let Some(sent) = self.unsettled.get_mut(&id) {
+            *sent = None;
+        }
+    }
 
     /// Returns a retry that was not sent.
-    pub fn release(&mut self, _id: GrantId) {}
+    pub fn release(&mut self, id: GrantId) {
+        self.unsettled.remove(&id);
+    }
 
     /// Returns whether a retry is left for this use.
     pub fn has_left(
@@ -129,16 +163,14 @@
             RetryUse::Replacement => 1.0,
             RetryUse::Spare => SPARE_SHARE,
         };
-        let usage = self.usage(settings, now);
-        let rounding = self.rounding_at(settings, now);
-        let next = (usage.spent + 1) as f64;
-        next <= part * usage.allowed + rounding && self.is_spread(settings, part, rounding, now)
+        self.fits(settings, 1, part, now)
     }
 
     /// Returns what the window holds, without what has expired.
     pub fn usage(&mut self, settings: WindowSettings, now: Instant) -> WindowUsage {
+        self.settle_late(now);
         remove_expired(&mut self.requests, settings.window, now);
-        remove_expired(&mut self.retries, settings.window, now);
+        remove_expired(&mut self.arrivals, settings.window, now);
         let earned = self.earned(settings);
         let age = now.saturating_duration_since(settings.opened);
         let allowed = match age >= settings.window {
@@ -147,24 +179,57 @@
         };
         WindowUsage {
             requests: self.requests.len(),
-            spent: self.retries.len(),
-            unsettled: 0,
+            spent: self.unsettled.len() + self.arrivals.len(),
+            unsettled: self.unsettled.len(),
             allowed,
         }
     }
 
+    /// Settles retries that were sent too long ago to be on their way.
+    fn settle_late(&mut self, now: Instant) {
+        let late = self.unsettled.extract_if(|_, sent| {
+            sent.is_some_and(|sent| now.saturating_duration_since(sent) >= MAX_ARRIVAL_TIME)
+        });
+        let late = late.filter_map(|(_, sent)| Some(sent? + MAX_ARRIVAL_TIME));
+        for at in late.collect::<Vec<_>>() {
+            self.count_arrival(at);
+        }
+    }
+
+    fn count_arrival(&mut self, at: Instant) {
+        let index = self.arrivals.partition_point(|other| *other <= at);
+        self.arrivals.insert(index, at);
+    }
+
     fn earned(&self, settings: WindowSettings) -> f64 {
         settings.ratio * self.requests.len() as f64
     }
 
-    /// Returns whether one more retry keeps the latest ones, however many of them, within
+    /// Returns whether the budget holds `added` more retries within `part` of what may be
+    /// spent.
+    fn fits(&mut self, settings: WindowSettings, added: usize, part: f64, now: Instant) -> bool {
+        let usage = self.usage(settings, now);
+        let rounding = self.rounding_at(settings, now);
+        let spent = (usage.spent + added) as f64;
+        spent <= part * usage.allowed + rounding
+            && self.is_spread(settings, added, part, rounding, now)
+    }
+
+    /// Returns whether the latest retries with `added` more, however many of them, are within
     /// `part` of what may be spent at once and what has accrued since the first of them.
-    fn is_spread(&self, settings: WindowSettings, part: f64, rounding: f64, now: Instant) -> bool {
+    fn is_spread(
+        &self,
+        settings: WindowSettings,
+        added: usize,
+        part: f64,
+        rounding: f64,
+        now: Instant,
+    ) -> bool {
         let share = part * (self.earned(settings) + settings.slack);
-        let latest = self.retries.iter().rev();
+        let unsettled = std::iter::repeat_n(Duration::ZERO, added + self.unsettled.len());
+        let latest = self.arrivals.iter().rev();
         let spans = latest.map(|at| now.saturating_duration_since(*at));
-        let spans = std::iter::once(Duration::ZERO).chain(spans);
-        spans.zip(1_u32..).all(|(span, spent)| {
+        unsettled.chain(spans).zip(1_u32..).all(|(span, spent)| {
             let accrued = STEADY_SHARE * fraction(span, settings.window);
             f64::from(spent) <= (1.0 - STEADY_SHARE + accrued) * share + rounding
         })
