Run the soak with targets that fail half of the calls

Cause: few runs of the soak stood at the bound on retries, so that its check of the bound showed little. Runs of silences without another target have no retries at all: a retry that cannot be sent is returned now, so that few retries are never used up there.

--- a/standins/src/bin/soak.rs
+++ b/standins/src/bin/soak.rs
@@ -52,6 +52,15 @@
                 .action(ArgAction::SetTrue)
                 .help("Make targets stand still for up to 2 s and go on"),
         )
+        .arg(
+            Arg::new("half-fails")
+                .long("half-fails")
+                .action(ArgAction::SetTrue)
+                .help(
+                    "Make targets fail half of the calls, under a low bound on retries, beside \
+                     one kind of fault: the seed modulo 8 selects it",
+                ),
+        )
         .get_matches();
     let path = |name: &str| {
         matches
@@ -82,7 +91,11 @@
             standstills: matches.get_flag("standstills"),
             timed: !matches.get_flag("untimed"),
             targets: TargetFleet::Several,
-            retries: RetryBound::default(),
+            half_fails: matches.get_flag("half-fails"),
+            retries: match matches.get_flag("half-fails") {
+                true => RetryBound::SCARCE,
+                false => RetryBound::default(),
+            },
             times: ServingTimes::default(),
         }))?;
         writeln!(std::io::stdout(), "{}", line(seed, &report))?;
@@ -113,8 +126,10 @@
             |ended| matches!(ended, CallOutcome::Completed { status, .. } if range.contains(&status)),
         )
     };
+    let retries = report.retries.iter();
+    let retries = retries.map(|window| format!("{} of {}", window.arrivals, window.allowed));
     format!(
-        "seed {seed}: {} faults, {} calls, {} served, {} refused or failed, {} interrupted, {} unanswered, {} timed out; violations: {:?}",
+        "seed {seed}: {} faults, {} calls, {} served, {} refused or failed, {} interrupted, {} unanswered, {} timed out; retries: {}; violations: {:?}",
         report.faults,
         report.history.calls.len(),
         with_status(200..300),
@@ -122,6 +137,7 @@
         report.count(|ended| ended == CallOutcome::Interrupted),
         report.count(|ended| ended == CallOutcome::Unanswered),
         report.count(|ended| ended == CallOutcome::TimedOut),
+        retries.collect::<Vec<_>>().join(", "),
         report.violations,
     )
 }
--- a/standins/src/soak/check.rs
+++ b/standins/src/soak/check.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
-use super::configuration::{RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW};
+use super::configuration::RETRY_WINDOW;
 use super::history::{
     AttemptRecord, CallKind, CallOutcome, CallRecord, Disturbance, DisturbanceScope, SoakHistory,
 };
@@ -92,12 +92,8 @@
     violations.extend(wrong_responses(history));
     violations.extend(unfinished_calls(history));
     violations.extend(regressions(history));
-    let windows =
-        [CallKind::Idempotent, CallKind::Stream].map(|kind| fullest_window(history, kind));
-    let exceeded = windows
-        .into_iter()
-        .flatten()
-        .filter(|window| window.is_exceeded());
+    let windows = fullest_windows(history).into_iter();
+    let exceeded = windows.filter(RetryWindow::is_exceeded);
     violations.extend(exceeded.map(Violation::TooManyRetries));
     let ends = history.unexpected_exits.iter().cloned();
     violations.extend(ends.map(Violation::UnexpectedExit));
@@ -115,6 +111,13 @@
     violations
 }
 
+/// Returns the window of each service that is nearest to its bound, or the furthest beyond it.
+pub(super) fn fullest_windows(history: &SoakHistory) -> Vec<RetryWindow> {
+    let kinds = [CallKind::Idempotent, CallKind::Stream].into_iter();
+    let windows = kinds.filter_map(|kind| fullest_window(history, kind));
+    windows.collect()
+}
+
 /// Returns the window in which the targets of the service of `kind` received most calls
 /// again, compared with what is allowed. Calls that were sent in this window, in the one
 /// before it or in the one half a window before it earn retries.
@@ -142,10 +145,10 @@
         let earlier = [Duration::ZERO, RETRY_WINDOW / 2, RETRY_WINDOW];
         let earlier = earlier.into_iter().filter_map(|by| from.checked_sub(by));
         let earning = earlier.map(|from| count(&sent, from)).max();
-        let allowed = RETRY_RATIO * earning.unwrap_or(0) as f64 + RETRY_SLACK;
+        let allowed = history.retry_bound.allowed(earning.unwrap_or(0));
         RetryWindow {
             arrivals: count(&retries, *from),
-            allowed: allowed as usize,
+            allowed,
         }
     });
     let part = |window: &RetryWindow| window.arrivals as f64 / window.allowed as f64;
--- a/standins/src/soak/configuration.rs
+++ b/standins/src/soak/configuration.rs
@@ -25,9 +25,9 @@
 pub(super) const STALL_MS: u64 = 2000;
 /// Bound on the calls that reach targets of a service again, over all hosts: a ratio of the
 /// calls and a slack, in each window.
-pub(super) const RETRY_RATIO: f64 = 0.2;
+const RETRY_RATIO: f64 = 0.2;
 pub(super) const RETRY_WINDOW: Duration = Duration::from_secs(10);
-pub(super) const RETRY_SLACK: f64 = 200.0;
+const RETRY_SLACK: f64 = 200.0;
 
 /// Bound on the calls that reach targets of a service again: a ratio of the calls and a
 /// slack, in each window of 10 s.
@@ -48,6 +48,19 @@
     }
 }
 
+impl RetryBound {
+    /// Bound at which hosts lack retries throughout a run whose targets fail half of the calls.
+    pub const SCARCE: Self = Self {
+        ratio: RETRY_RATIO,
+        slack: 40.0,
+    };
+
+    /// Returns the number of retries that a window with these calls allows.
+    pub(super) fn allowed(self, calls: usize) -> usize {
+        (self.ratio * calls as f64 + self.slack) as usize
+    }
+}
+
 /// Usual timeout of the routes.
 pub(super) const ROUTE_TIMEOUT: Duration = Duration::from_secs(6);
 
--- a/standins/src/soak/engines.rs
+++ b/standins/src/soak/engines.rs
@@ -56,6 +56,8 @@
     /// Whether it stands still: it is alive, accepts connections and sends nothing.
     pub(super) still: bool,
     pub(super) fault: TargetFault,
+    /// Whether it fails every second call that it would run otherwise.
+    pub(super) half_fails: bool,
     /// Limit that it advertises in its responses, as written in the header.
     pub(super) limit: Option<String>,
     /// Whether it has begun to run a request that crashes it.
--- a/standins/src/soak/history.rs
+++ b/standins/src/soak/history.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use super::configuration::RetryBound;
 use crate::check::AdvertisedLimit;
 
 /// Kind of a call.
@@ -225,6 +226,8 @@
     pub unexpected_exits: Vec<String>,
     /// Whether every host served again after all faults had ended.
     pub recovered: bool,
+    /// Bound on calls that reach targets again.
+    pub retry_bound: RetryBound,
 }
 
 impl SoakHistory {
--- a/standins/src/soak/plan.rs
+++ b/standins/src/soak/plan.rs
@@ -75,6 +75,59 @@
     pub action: FaultAction,
 }
 
+/// The kind of faults to which a run is restricted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum SoakTrouble {
+    None,
+    /// Targets stand still.
+    Standstills,
+    /// Hosts are killed.
+    Kills,
+    /// Hosts are stopped and restarted, alone or in turn.
+    Stops,
+    /// Host processes are suspended.
+    Pauses,
+    /// Hosts lose their links to targets.
+    HostLinks,
+    /// Links to targets drop, delay or hold bytes, also in one direction, and targets crash.
+    TargetLinks,
+    /// All faults.
+    All,
+}
+
+impl SoakTrouble {
+    /// Returns the trouble of a seed: eight consecutive seeds have each one once.
+    pub(super) fn of_seed(seed: u64) -> Self {
+        match seed % 8 {
+            0 => Self::None,
+            1 => Self::Standstills,
+            2 => Self::Kills,
+            3 => Self::Stops,
+            4 => Self::Pauses,
+            5 => Self::HostLinks,
+            6 => Self::TargetLinks,
+            _ => Self::All,
+        }
+    }
+
+    /// Returns whether a fault belongs to the trouble.
+    pub(super) fn includes(self, action: FaultAction) -> bool {
+        match action {
+            FaultAction::TargetStandsStill(_) => matches!(self, Self::Standstills | Self::All),
+            FaultAction::Kill(_) => matches!(self, Self::Kills | Self::All),
+            FaultAction::Stop(_) | FaultAction::RollingRestart => {
+                matches!(self, Self::Stops | Self::All)
+            }
+            FaultAction::Pause(_) => matches!(self, Self::Pauses | Self::All),
+            FaultAction::HostLinks(..) => matches!(self, Self::HostLinks | Self::All),
+            FaultAction::TargetLink(..) | FaultAction::TargetCrash(_) => {
+                matches!(self, Self::TargetLinks | Self::All)
+            }
+            _ => self == Self::All,
+        }
+    }
+}
+
 /// Draws the faults of a run of `length`: on average one to three begin per second, and
 /// each lasts up to four seconds, so that they overlap. Quiet periods between them allow
 /// the check of the guarantees that hold only for undisturbed hosts.
--- a/standins/src/soak/retries.rs
+++ b/standins/src/soak/retries.rs
@@ -58,6 +58,7 @@
     let mut history = std::mem::take(&mut *run.context.history.lock());
     history.calls.extend(records);
     history.attempts = std::mem::take(&mut *run.registry.attempts.lock());
+    history.retry_bound = run.settings.retries;
     Ok(RetryReport {
         fullest: fullest_window(&history, CallKind::Idempotent),
         calls: history.calls.len(),
--- a/standins/src/soak/run.rs
+++ b/standins/src/soak/run.rs
@@ -11,7 +11,7 @@
 use tokio::task::JoinHandle;
 
 use super::callers::{CallerContext, call, call_until_stopped, connect};
-use super::check::{Violation, find_violations};
+use super::check::{RetryWindow, Violation, find_violations, fullest_windows};
 use super::configuration::{
     CONFIGURATION, ENGINE_SERVICE, HostBounds, PLAIN_SERVICE, RetryBound, ServingTimes,
     configuration,
@@ -22,7 +22,7 @@
 use super::host::SoakHost;
 use super::log_service::{LogFaults, LogTopics, serve_log};
 use super::plan::{
-    draw_faults, draw_link_losses, draw_log_losses, draw_standstills, draw_statements,
+    SoakTrouble, draw_faults, draw_link_losses, draw_log_losses, draw_standstills, draw_statements,
 };
 use super::probe::{HostProcess, Published, balance, is_ready, probe_versions};
 use super::target::{Target, TargetSpec};
@@ -91,6 +91,8 @@
     pub times: ServingTimes,
     /// Whether targets stand still beside the other faults.
     pub standstills: bool,
+    /// Whether targets fail half of the calls that reach them.
+    pub half_fails: bool,
 }
 
 /// Result of a run.
@@ -100,6 +102,8 @@
     pub violations: Vec<Violation>,
     /// Number of faults injected.
     pub faults: usize,
+    /// The window of each service that is nearest to the bound on retries.
+    pub retries: Vec<RetryWindow>,
     /// Everything that was recorded.
     pub history: SoakHistory,
 }
@@ -152,6 +156,8 @@
     pub(super) unexpected_exits: Vec<String>,
     /// When requests crashed engines.
     pub(super) crashes: Vec<Instant>,
+    /// Whether targets fail half of the calls now.
+    half_fails: bool,
 }
 
 /// Runs the soak once.
@@ -174,10 +180,16 @@
     if run.settings.standstills {
         faults.extend(draw_standstills(seed, length, targets));
     }
+    if run.settings.half_fails {
+        let trouble = SoakTrouble::of_seed(seed);
+        faults.retain(|fault| trouble.includes(fault.action));
+    }
     faults.sort_by_key(|fault| fault.at);
     let count = faults.len();
+    run.set_half_fails(run.settings.half_fails);
     run.inject_faults(faults).await?;
     run.heal_all().await?;
+    run.set_half_fails(false);
     let recovered = started && run.wait_until_served().await;
     run.context.stop();
     for task in tasks {
@@ -193,9 +205,11 @@
     history.disturbances = run.disturbances;
     history.unexpected_exits = run.unexpected_exits;
     history.recovered = recovered;
+    history.retry_bound = run.settings.retries;
     Ok(SoakReport {
         violations: find_violations(&history, run.settings.timed),
         faults: count,
+        retries: fullest_windows(&history),
         history,
     })
 }
@@ -315,6 +329,7 @@
             disturbances: Vec::new(),
             unexpected_exits: Vec::new(),
             crashes: Vec::new(),
+            half_fails: false,
         };
         for spec in target_specs(run.settings.targets) {
             let target = run.new_target(spec).await?;
@@ -331,6 +346,8 @@
         let id = format!("target-{}", self.started_targets);
         let target = Target::spawn(spec, id, self.registry.clone(), self.topics.clone());
         let mut target = target.await?;
+        let half_fails = self.half_fails;
+        target.update(|state| state.half_fails = half_fails);
         let scopes = match self.settings.links {
             LinkScope::Fleet => 0,
             LinkScope::Zone => ZONES.min(self.hosts.len()),
@@ -343,6 +360,13 @@
         Ok(target)
     }
 
+    fn set_half_fails(&mut self, half_fails: bool) {
+        self.half_fails = half_fails;
+        for target in &self.targets {
+            target.update(|state| state.half_fails = half_fails);
+        }
+    }
+
     async fn start_host(&mut self, index: usize) -> io::Result<()> {
         let seeds = self.hosts.iter().take(3);
         let seeds = seeds.map(|host| host.host.seed.address).collect::<Vec<_>>();
--- a/standins/src/soak/silence.rs
+++ b/standins/src/soak/silence.rs
@@ -32,6 +32,11 @@
     ratio: 0.02,
     slack: 6.0,
 };
+/// Retries for runs without another target, in which a retry that cannot be sent is not spent.
+const NO_RETRIES: RetryBound = RetryBound {
+    ratio: 0.0,
+    slack: 0.0,
+};
 /// Time in which a host notices that its links to the targets are lost.
 const ADAPTATION_TIME: Duration = Duration::from_secs(3);
 /// How long callers run after the last silence, and the time whose calls tell which target is
@@ -147,9 +152,10 @@
                 true => LinkScope::Host,
                 false => LinkScope::Fleet,
             },
-            retries: match self.spends_retries {
-                true => FEW_RETRIES,
-                false => RetryBound::default(),
+            retries: match (self.spends_retries, self.targets) {
+                (true, TargetFleet::Several) => FEW_RETRIES,
+                (true, TargetFleet::OnePath) => NO_RETRIES,
+                (false, _) => RetryBound::default(),
             },
             ..settings
         }
--- a/standins/src/soak/target.rs
+++ b/standins/src/soak/target.rs
@@ -341,7 +341,13 @@
     call: TargetCall,
 ) -> Result<Response<TargetBody>, DroppedResponse> {
     let TargetCall { id, path, .. } = call;
-    let state = registry.state(address);
+    let mut state = registry.state(address);
+    if state.half_fails
+        && state.fault == TargetFault::None
+        && registry.runs.lock().len().is_multiple_of(2)
+    {
+        state.fault = TargetFault::Fails;
+    }
     if let Some(unavailable) = path.as_ref().and_then(|path| registry.unavailable(path)) {
         return Ok(refusal(503, unavailable));
     }
--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -8,9 +8,9 @@
 use standins::check::AdvertisedLimit;
 use standins::soak::{
     AttemptRecord, CallKind, CallOutcome, CallRecord, ConnectionLoss, Disturbance,
-    DisturbanceScope, FaultLink, LinkFault, LinkScope, LossPeer, ProbeRecord, RetryWindow,
-    RunRecord, SoakHistory, SoakSettings, TargetBreak, TargetDeparture, TargetLimit, Violation,
-    draw_faults, draw_standstills, draw_statements, find_violations, run_soak,
+    DisturbanceScope, FaultLink, LinkFault, LinkScope, LossPeer, ProbeRecord, RetryBound,
+    RetryWindow, RunRecord, SoakHistory, SoakSettings, TargetBreak, TargetDeparture, TargetLimit,
+    Violation, draw_faults, draw_standstills, draw_statements, find_violations, run_soak,
 };
 use support::TestResult;
 use support::soaks::soak_settings;
@@ -544,3 +544,24 @@
     assert!(report.count(|ended| ended == SERVED) > 100);
     Ok(())
 }
+
+/// Guards against retries beyond their bound while hosts lack them throughout and targets that
+/// stand still read them late.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_short_soak_whose_targets_fail_half_of_the_calls_has_no_violations() -> TestResult {
+    let (settings, _folder) = soak_settings(4).await?;
+    let report = run_soak(SoakSettings {
+        seed: 1,
+        length: Duration::from_secs(16),
+        callers: 24,
+        links: LinkScope::Host,
+        standstills: true,
+        half_fails: true,
+        retries: RetryBound::SCARCE,
+        ..settings
+    })
+    .await?;
+    assert_eq!(report.violations, []);
+    assert!(report.count(|ended| ended == SERVED) > 100);
+    Ok(())
+}
--- a/standins/tests/support/soaks.rs
+++ b/standins/tests/support/soaks.rs
@@ -28,6 +28,7 @@
         retries: RetryBound::default(),
         times: ServingTimes::default(),
         standstills: false,
+        half_fails: false,
     };
     Ok((settings, folder))
 }
