Refuse entries that no target wrote, and read on after them

What operators saw elsewhere: one odd entry of another writer ended the readers of the list or stopped them. Cause: the decoder of entries checked types, not ranges; the decoders of the log gave up a whole read for one record. An engine whose layers lie beyond its model's holds none. A record without a whole key has an empty one, which its reader refuses; the records after it are read. A configuration with over 4,096 layers is refused.

--- a/src/capacity/estimate.rs
+++ b/src/capacity/estimate.rs
@@ -139,7 +139,8 @@
     fn add(&mut self, model: &EngineModel, state: &TargetState, now: Instant) {
         let kind = state.entry.kind.as_deref();
         let kind = kind.and_then(|kind| model.kinds.get(kind));
-        let (Some(range), Some(kind)) = (state.entry.layers, kind.copied()) else {
+        let held = state.entry.layers_of(model.layers);
+        let (Some(range), Some(kind)) = (held, kind.copied()) else {
             return;
         };
         let width = f64::from(range.width().max(1));
--- a/src/entry/placement.rs
+++ b/src/entry/placement.rs
@@ -197,7 +197,7 @@
             let engine = EngineView {
                 id: state.entry.id.clone(),
                 kind: *kind,
-                layers: ordered.or(state.entry.layers),
+                layers: ordered.or(state.entry.layers_of(model.layers)),
             };
             zones
                 .entry(state.entry.zone.clone())
--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -47,6 +47,14 @@
     pub layers: Option<LayerRange>,
 }
 
+impl TargetEntry {
+    /// Returns the layers that it holds of a model with this number of layers; `None` if they
+    /// are layers of another model.
+    pub fn layers_of(&self, model_layers: u32) -> Option<LayerRange> {
+        self.layers.filter(|range| range.to <= model_layers)
+    }
+}
+
 /// A heartbeat of a target, as read from the log.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TargetHeartbeat {
--- a/src/fleet/path.rs
+++ b/src/fleet/path.rs
@@ -183,7 +183,7 @@
     let usable = |state: &&TargetState| {
         state.is_usable(now)
             && state.remaining_pause(now) <= query.max_pause
-            && state.entry.layers.is_some()
+            && state.entry.layers_of(query.model.layers).is_some()
             && !query.avoid.contains(&state.entry.id)
     };
     members.values().filter(usable).collect()
@@ -223,7 +223,7 @@
     now: Instant,
     draw: f64,
 ) -> Option<EngineCost> {
-    let range = state.entry.layers?;
+    let range = state.entry.layers_of(query.model.layers)?;
     let kind = state.entry.kind.as_deref()?;
     let kind = *query.model.kinds.get(kind)?;
     let model = query.model;
--- a/src/platform/configuration_record.rs
+++ b/src/platform/configuration_record.rs
@@ -12,6 +12,10 @@
     RouteRule, ServiceShare, ServiceSpec,
 };
 
+/// Largest number of layers of a model: several times those of the largest models. Tables have a
+/// row for each.
+const MAX_LAYERS: u32 = 4096;
+
 #[derive(Deserialize)]
 struct ConfigurationBody {
     version: u64,
@@ -159,6 +163,16 @@
     for rules in routes.values_mut() {
         rules.sort_by_key(|rule| std::cmp::Reverse(rule.path_prefix.len()));
     }
+    let engines = body
+        .services
+        .iter()
+        .filter_map(|service| service.engine.as_ref());
+    if let Some(engine) = engines
+        .into_iter()
+        .find(|engine| engine.layers > MAX_LAYERS)
+    {
+        return Err(format!("layers: {} is over {MAX_LAYERS}", engine.layers));
+    }
     let zones = declared_zones(&body.services);
     let services = body.services.into_iter().map(convert_service);
     Ok(IngressConfiguration {
--- a/src/platform/log_calls.rs
+++ b/src/platform/log_calls.rs
@@ -158,7 +158,7 @@
             }
             after = body.items.last().map(|item| item.key.clone());
             for item in body.items {
-                records.push(decode_item(end.era, item)?);
+                records.push(decode_item(end.era, item));
             }
             if !body.has_more || after.is_none() {
                 break;
@@ -302,20 +302,18 @@
     era.ok_or_else(|| LogError::Malformed(format!("{} is not a number", names::STORE_ERA)))
 }
 
-fn decode_item(era: LogEra, item: ItemBody) -> Result<KeyedRecord, LogError> {
-    let decode = |text: String| {
-        STANDARD
-            .decode(text)
-            .map_err(|error| LogError::Malformed(error.to_string()))
-    };
-    Ok(KeyedRecord {
+/// Decodes an item of a page. A value that is not in base64 is kept as it is: its reader refuses
+/// it, and reads the others.
+fn decode_item(era: LogEra, item: ItemBody) -> KeyedRecord {
+    let decode = |text: String| STANDARD.decode(&text).unwrap_or_else(|_| text.into_bytes());
+    KeyedRecord {
         position: LogPosition {
             era,
             offset: item.offset,
         },
         key: item.key,
-        value: item.value.map(decode).transpose()?,
-    })
+        value: item.value.map(decode),
+    }
 }
 
 /// Decodes a read: the end offset and the first offset (8 bytes each, big-endian), then
@@ -341,9 +339,7 @@
             offset: from.offset + records.len() as u64,
             ..from
         };
-        records.push(
-            decode_keyed(position, record).ok_or_else(|| malformed("a record key is truncated"))?,
-        );
+        records.push(decode_keyed(position, record));
         rest = tail;
     }
     Ok(KeyedRead {
@@ -373,12 +369,16 @@
     Some((u64::from_be_bytes(*number), rest))
 }
 
-fn decode_keyed(position: LogPosition, record: &[u8]) -> Option<KeyedRecord> {
-    let (length, rest) = record.split_first()?;
-    let (key, value) = rest.split_at_checked(usize::from(*length))?;
-    Some(KeyedRecord {
+/// Decodes one record. One without a whole key has an empty key, which no entry has: it must
+/// not keep the records after it from being read.
+fn decode_keyed(position: LogPosition, record: &[u8]) -> KeyedRecord {
+    let parts = record
+        .split_first()
+        .and_then(|(length, rest)| rest.split_at_checked(usize::from(*length)));
+    let (key, value) = parts.unwrap_or((&[], record));
+    KeyedRecord {
         position,
         key: String::from_utf8_lossy(key).into_owned(),
         value: (!value.is_empty()).then(|| value.to_vec()),
-    })
+    }
 }
--- a/src/platform/target_record.rs
+++ b/src/platform/target_record.rs
@@ -1,10 +1,24 @@
 //! Formats of a target's heartbeat in the log and of an engine's report.
 
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
 use serde::Deserialize;
 
 use crate::fleet::{EngineReport, LayerRange, TargetEntry, TargetHeartbeat};
 use crate::ids::{HeartbeatNumber, TargetId};
 
+/// Largest number of layers that a range may end at: several times those of the largest models.
+const MAX_LAYERS: u32 = 4096;
+/// Largest heartbeat number: whole numbers are exact in JSON up to here. After a larger one
+/// each later heartbeat would look outdated.
+const MAX_NUMBER: u64 = 1 << 53;
+/// Latest start of a target, as Unix time in milliseconds: the end of the year 9999.
+const MAX_START_MS: u64 = 253_402_300_799_999;
+/// Largest factor by which an engine may be slower than its kind.
+const MAX_PACE: f64 = 1e6;
+/// Longest id of a target, in bytes.
+const MAX_ID_BYTES: usize = 128;
+
 /// Separator between the platform's id of a target and its start time in a [`TargetId`].
 const START_SEPARATOR: char = '@';
 
@@ -13,7 +27,7 @@
 #[derive(Deserialize)]
 struct TargetBody {
     service: String,
-    address: std::net::SocketAddr,
+    address: SocketAddr,
     zone: String,
     #[serde(rename = "version")]
     _software: String,
@@ -90,7 +104,7 @@
 struct StalledBody {
     id: String,
     /// Address of the engine that the request is waiting for.
-    address: std::net::SocketAddr,
+    address: SocketAddr,
 }
 
 /// Parses the value of a heartbeat record.
@@ -102,11 +116,10 @@
     let mut deserializer = serde_json::Deserializer::from_slice(value);
     let body: TargetBody =
         serde_path_to_error::deserialize(&mut deserializer).map_err(|error| error.to_string())?;
-    if id.contains(START_SEPARATOR) {
-        return Err(format!(
-            "id: contains the reserved character {START_SEPARATOR}"
-        ));
-    }
+    check_id(id)?;
+    check_address(body.address)?;
+    check_number("sequence", body.number, MAX_NUMBER)?;
+    check_start(body.born)?;
     let entry = TargetEntry {
         id: start_id(id, body.born),
         started_ms: body.born,
@@ -115,7 +128,7 @@
         zone: body.zone.into(),
         draining: body.state == TargetCondition::Draining,
         kind: body.kind.map(Into::into),
-        layers: held_layers(body.layers, &body.models),
+        layers: held_layers(body.layers, &body.models)?,
     };
     Ok(TargetHeartbeat {
         entry,
@@ -132,6 +145,16 @@
     let mut deserializer = serde_json::Deserializer::from_slice(value);
     let body: ReportBody =
         serde_path_to_error::deserialize(&mut deserializer).map_err(|error| error.to_string())?;
+    check_start(body.born)?;
+    let pace = body.pace.unwrap_or(1.0);
+    if !(pace > 0.0 && pace <= MAX_PACE) {
+        return Err(format!("pace: {pace} is not between 0 and {MAX_PACE}"));
+    }
+    for (field, value) in [("kv_used", body.kv_used), ("kv_total", body.kv_total)] {
+        if value < 0.0 {
+            return Err(format!("{field}: {value} is negative"));
+        }
+    }
     let stalled = body.stalled.into_iter();
     Ok(EngineReport {
         started_ms: body.born,
@@ -141,8 +164,8 @@
         queued: body.queue_depth,
         cache_used: body.kv_used,
         cache_total: body.kv_total,
-        pace: body.pace.unwrap_or(1.0),
-        layers: held_layers(body.layers, &body.models),
+        pace,
+        layers: held_layers(body.layers, &body.models)?,
         stalled: stalled
             .map(|stalled| (stalled.id, stalled.address))
             .collect(),
@@ -167,11 +190,52 @@
     parts.map_or(target, |(id, _)| id)
 }
 
-fn held_layers(own: Option<LayersBody>, models: &[ModelBody]) -> Option<LayerRange> {
+fn held_layers(
+    own: Option<LayersBody>,
+    models: &[ModelBody],
+) -> Result<Option<LayerRange>, String> {
     let listed = models.first().and_then(|model| model.layers);
-    let layers = own.or(listed)?;
-    (layers.from < layers.to).then_some(LayerRange {
-        from: layers.from,
-        to: layers.to,
-    })
+    let Some(LayersBody { from, to }) = own.or(listed) else {
+        return Ok(None);
+    };
+    check_number("layers", to.into(), MAX_LAYERS.into())?;
+    Ok((from < to).then_some(LayerRange { from, to }))
+}
+
+/// Checks that an id can stand in a header and in a line of a log.
+fn check_id(id: &str) -> Result<(), String> {
+    match () {
+        () if id.is_empty() => Err("id: empty".to_owned()),
+        () if id.len() > MAX_ID_BYTES => Err(format!("id: longer than {MAX_ID_BYTES} bytes")),
+        () if !id.bytes().all(|byte| byte.is_ascii_graphic()) => {
+            Err("id: contains a space or a character that is not printable ASCII".to_owned())
+        }
+        () if id.contains(START_SEPARATOR) => Err(format!(
+            "id: contains the reserved character {START_SEPARATOR}"
+        )),
+        () => Ok(()),
+    }
+}
+
+/// Checks that a process can listen on an address.
+fn check_address(address: SocketAddr) -> Result<(), String> {
+    let ip = address.ip();
+    let is_broadcast = ip == IpAddr::V4(Ipv4Addr::BROADCAST);
+    match address.port() == 0 || ip.is_unspecified() || ip.is_multicast() || is_broadcast {
+        true => Err(format!(
+            "address: {address} is not the address of a process"
+        )),
+        false => Ok(()),
+    }
+}
+
+fn check_start(born: Option<u64>) -> Result<(), String> {
+    check_number("born", born.unwrap_or(0), MAX_START_MS)
+}
+
+fn check_number(field: &str, value: u64, max: u64) -> Result<(), String> {
+    match value <= max {
+        true => Ok(()),
+        false => Err(format!("{field}: {value} is over {max}")),
+    }
 }
--- a/tests/log_reader.rs
+++ b/tests/log_reader.rs
@@ -98,6 +98,40 @@
     );
 }
 
+/// Guards against a record that another writer left without a whole key, which would keep the
+/// records after it from being read.
+#[tokio::test]
+async fn a_record_without_a_whole_key_does_not_hide_the_others() {
+    let odd = [
+        &0_u32.to_be_bytes()[..],
+        &3_u32.to_be_bytes(),
+        &[200, b'a', b'b'],
+    ];
+    let records = [record("a", b"1"), odd.concat(), record("b", b"2")];
+    let body = read_body(4, 0, &records);
+    let address = spawn_log(vec![vec![response("200 OK", &body)]]).await;
+    let mut client = LogClient::open(address, LIMIT);
+    let read = client.read("t", position(0), Duration::ZERO).await;
+    let read = read.expect("records");
+    let keys = read.records.iter().map(|record| record.key.as_str());
+    assert_eq!(keys.collect::<Vec<_>>(), ["a", "", "", "b"]);
+    assert_eq!(read.next, position(4));
+}
+
+/// Guards against a value that is not encoded as the others, which would keep its page from
+/// being read.
+#[tokio::test]
+async fn a_newest_value_that_cannot_be_decoded_does_not_hide_the_others() {
+    let body = br#"{"items":[{"key":"a","value":"***","offset":0},
+        {"key":"b","value":"Mg==","offset":1}],"end_offset":2}"#;
+    let address = spawn_log(vec![vec![response("200 OK", body)]]).await;
+    let mut client = LogClient::open(address, LIMIT);
+    let read = client.newest("t").await.expect("records");
+    let values = read.records.iter().map(|record| record.value.as_deref());
+    let values = values.collect::<Vec<_>>();
+    assert_eq!(values, [Some(&b"***"[..]), Some(&b"2"[..])]);
+}
+
 #[tokio::test]
 async fn newest_records_are_read_page_by_page() {
     let first =
