Read odd entries over processes, at a start and in a running fleet

Change: four hosts, some of which are told by others, read twenty odd entries, each alone, while they run and at starts; then all plain targets are replaced, which only hosts that read on know.

--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -16,6 +16,7 @@
 mod engines;
 mod event_stream;
 mod faults;
+mod foreign;
 mod heartbeats;
 mod history;
 mod host;
@@ -45,6 +46,7 @@
 };
 pub use endless::{ConnectionRecord, EndlessPart, EndlessPlan, EndlessReport, run_endless};
 pub use engines::{PathPosition, TargetFault};
+pub use foreign::{EntryMoment, ForeignReport, run_foreign_entries};
 pub use history::{
     AttemptRecord, CallKind, CallOutcome, CallRecord, ConnectionLoss, Disturbance,
     DisturbanceScope, LossPeer, ProbeRecord, RunRecord, SoakHistory, TargetBreak, TargetDeparture,
--- a/standins/src/soak/faults.rs
+++ b/standins/src/soak/faults.rs
@@ -381,7 +381,7 @@
         });
     }
 
-    async fn replace(&mut self, target: usize) -> io::Result<()> {
+    pub(super) async fn replace(&mut self, target: usize) -> io::Result<()> {
         self.targets[target].remove_from_log();
         let spec = self.targets[target].spec.clone();
         self.targets[target] = self.new_target(spec).await?;
