--- a/tests/retry_budget_model.rs
+++ b/tests/retry_budget_model.rs
@@ -119,6 +119,10 @@
         share: f64,
         steps: usize,
     },
+    /// All callers move to every second host, from the first or the second on.
+    Move {
+        first: usize,
+    },
     /// The load changes to this multiple.
     Load {
         factor: f64,
@@ -324,6 +328,13 @@
                 }
             }
             GameEvent::Load { factor } => self.load = factor,
+            GameEvent::Move { first } => {
+                let hosts = self.hosts.len();
+                for (index, host) in self.hosts.iter_mut().enumerate() {
+                    let is_chosen = index % 2 == first;
+                    host.weight = if is_chosen { 2.0 / hosts as f64 } else { 0.0 };
+                }
+            }
         }
     }
 
@@ -689,6 +700,27 @@
     }
 }
 
+/// Guards against hosts that spend what the requests of callers have earned who moved to other
+/// hosts, which earn the same again.
+#[test]
+fn retries_stay_within_the_bound_when_callers_move_to_other_hosts() {
+    for plan in [EIGHT, SIXTY] {
+        for period in [5 * SECOND, 8 * SECOND, 10 * SECOND] {
+            let mut game = Game::open(plan, 8);
+            game.apply(GameEvent::Move { first: 0 });
+            game.run(WINDOW, |_| None);
+            game.failing = 0.9;
+            game.run(30 * SECOND, |step| {
+                let first = (step / period + 1) % 2;
+                step.is_multiple_of(period)
+                    .then_some(GameEvent::Move { first })
+            });
+            let name = format!("{} hosts, each {period} steps", game.hosts.len());
+            game.assert_bound(&name);
+        }
+    }
+}
+
 /// Guards against a bound that is kept by giving up retries that callers need.
 #[test]
 fn three_quarters_of_the_allowed_retries_are_used_when_no_host_starts() {
