Use 0.95 of the allowed retries

Cause: a tenth was left for retries that arrive later than they are counted; they are counted until they arrive now. Change: USED_SHARE 0.9 to 0.95.

--- a/src/retry/share.rs
+++ b/src/retry/share.rs
@@ -4,9 +4,9 @@
 
 use super::{FleetSize, WindowSettings};
 
-/// Fraction of the allowed retries that is used: retries reach their targets later than they
-/// are spent, and hosts count each other with a delay.
-const USED_SHARE: f64 = 0.9;
+/// Fraction of the allowed retries that is used: hosts count each other, and the requests that
+/// earn retries, with a delay.
+const USED_SHARE: f64 = 0.95;
 
 /// Retries that the platform allows for one service, over all hosts.
 #[derive(Debug, Clone, Copy, PartialEq)]
