--- a/tests/retry_budget_model.rs
+++ b/tests/retry_budget_model.rs
@@ -647,7 +647,8 @@
         _ => None,
     };
     let add = |step| (step == 2 * SECOND).then_some(GameEvent::Add);
-    let beside: [(&str, &dyn Fn(usize) -> Option<GameEvent>); 4] = [
+    type Events<'a> = &'a dyn Fn(usize) -> Option<GameEvent>;
+    let beside: [(&str, Events<'_>); 4] = [
         ("calm", &|_| None),
         ("starts", &kills),
         ("a cut", &cut),
@@ -677,7 +678,7 @@
     for period in [9 * SECOND + 4, 13 * SECOND] {
         for steps in [SECOND, 2 * SECOND] {
             let hold = move |step: usize| {
-                let is_due = step % period == 0;
+                let is_due = step.is_multiple_of(period);
                 is_due.then_some(GameEvent::Hold { share: 1.0, steps })
             };
             assert_bound_when_late(&format!("held for {steps} of {period} steps"), hold);
@@ -692,7 +693,7 @@
     for period in [10 * SECOND + 4, 13 * SECOND] {
         for steps in [2 * SECOND, 5 * SECOND] {
             let stall = move |step: usize| {
-                let is_due = step % period == 0;
+                let is_due = step.is_multiple_of(period);
                 is_due.then_some(GameEvent::Stall { share: 1.0, steps })
             };
             assert_bound_when_late(&format!("stalled for {steps} of {period} steps"), stall);
