Return the retry of an unsent hedge while its request goes on

Cause: found by reading the diff: a hedge that sent nothing left its retry with the request, where it counted as under way until the request ended, up to 20 s for a stream. A few of them would keep others from all retries. Change: a retry that was not sent stays with the request only if no other attempt is open.

--- a/src/forward/race.rs
+++ b/src/forward/race.rs
@@ -103,11 +103,8 @@
 
     /// Starts the attempt that the request relies on.
     pub(super) fn open_primary(&mut self, chosen: ChosenTarget, guard: InFlightGuard) {
-        let grant = match self.tried.sent {
-            // The request has reached no target yet.
-            0 => None,
-            _ => self.grant.take(),
-        };
+        // The first attempt that reaches a target uses no retry.
+        let grant = self.grant.take().filter(|_| self.tried.sent > 0);
         self.primary = Some(self.open_attempt(chosen, guard, grant));
     }
 
@@ -175,8 +172,6 @@
         if closed.is_sent() {
             self.tried.count(&closed.watch.chosen, true);
             self.tried.may_have_run = true;
-        } else {
-            self.keep_unused(&closed);
         }
         if role == AttemptRole::Hedge && self.is_answering {
             self.log_resumed("silent", &closed.watch.chosen);
@@ -379,10 +374,13 @@
             && (self.tried.sent == 0 || self.obtain_retry(RetryUse::Replacement, now))
     }
 
-    /// Keeps the retry of an attempt that sent nothing for the next one.
+    /// Keeps the retry of an attempt that sent nothing for the next one. While another attempt
+    /// is open, it returns to the budget instead: the request may never need it.
     fn keep_unused(&mut self, attempt: &OpenAttempt) {
-        let unused = attempt.grant.clone().filter(|grant| grant.is_unused());
-        self.grant = self.grant.take().or(unused);
+        if !self.is_open() {
+            let unused = attempt.grant.clone().filter(|grant| grant.is_unused());
+            self.grant = self.grant.take().or(unused);
+        }
     }
 
     /// Records an attempt that gave no response.
