Log a retry that is not sent by a line of its own

Cause: read as a newcomer: the line 'retry sent' with is_allowed=false said the opposite of what happened, and the family retry_ends of the counter retry_grants counted retries that go on. Change: lines 'retry sent' and 'retry withheld'; retry_ends to retry_grants, retry_ended to count_retry_grant. Measured: compiles; no behaviour changes.

--- a/src/forward/retry_grant.rs
+++ b/src/forward/retry_grant.rs
@@ -52,21 +52,20 @@
     /// Returns whether the retry may be sent now, and counts it as sent if so.
     pub(super) fn send(&self, target: &TargetId, now: Instant) -> bool {
         let is_allowed = self.tables.send_retry(&self.service, self.id, now);
-        let (stage, cause) = match is_allowed {
+        let (stage, result) = match is_allowed {
             true => (GrantStage::Sent, "sent"),
             false => (GrantStage::Ended, "withheld"),
         };
         *self.stage.lock() = stage;
-        self.tables.metrics.retry_ended(cause);
+        self.tables.metrics.count_retry_grant(result);
         let waited = now.saturating_duration_since(self.granted);
         log::info!(
             request:% = self.request,
             service:% = self.service,
             target_id:% = target,
             grant = self.id,
-            waited_ms = waited.as_millis() as u64,
-            is_allowed = is_allowed;
-            "retry sent"
+            waited_ms = waited.as_millis() as u64;
+            "retry {result}"
         );
         is_allowed
     }
@@ -77,7 +76,7 @@
         if *stage == GrantStage::Sent {
             *stage = GrantStage::Ended;
             self.tables.settle_retry(&self.service, self.id, now);
-            self.tables.metrics.retry_ended("arrived");
+            self.tables.metrics.count_retry_grant("arrived");
         }
     }
 
@@ -98,7 +97,7 @@
 
 impl Drop for RetryGrant {
     fn drop(&mut self) {
-        let cause = match *self.stage.get_mut() {
+        let result = match *self.stage.get_mut() {
             GrantStage::Waiting => {
                 self.tables.release_retry(&self.service, self.id);
                 "unsent"
@@ -106,6 +105,6 @@
             GrantStage::Sent => "unanswered",
             GrantStage::Ended => return,
         };
-        self.tables.metrics.retry_ended(cause);
+        self.tables.metrics.count_retry_grant(result);
     }
 }
--- a/src/metrics/serving.rs
+++ b/src/metrics/serving.rs
@@ -54,7 +54,7 @@
     start_decisions: Family<CauseLabel, Counter>,
     zone_choices: Family<CauseLabel, Counter>,
     retry_decisions: Family<CauseLabel, Counter>,
-    retry_ends: Family<CauseLabel, Counter>,
+    retry_grants: Family<CauseLabel, Counter>,
     retries: RetryGauges,
     silences: Family<SilenceLabels, Counter>,
     zone_shares: Family<ZoneLabels, Gauge<f64, AtomicU64>>,
@@ -97,7 +97,7 @@
             start_decisions: Family::default(),
             zone_choices: Family::default(),
             retry_decisions: Family::default(),
-            retry_ends: Family::default(),
+            retry_grants: Family::default(),
             retries: RetryGauges::default(),
             silences: Family::default(),
             zone_shares: Family::default(),
@@ -241,7 +241,7 @@
             (
                 "retry_grants",
                 "Granted retries that were sent, withheld at the sending, never sent, known to have arrived, or left without a response",
-                &self.retry_ends,
+                &self.retry_grants,
             ),
         ];
         for (name, help, family) in families {
@@ -446,9 +446,9 @@
         count(&self.retry_decisions, cause);
     }
 
-    /// Counts what became of a granted retry.
-    pub fn retry_ended(&self, cause: &'static str) {
-        count(&self.retry_ends, cause);
+    /// Counts a granted retry that was sent or not, arrived, or got no response.
+    pub fn count_retry_grant(&self, result: &'static str) {
+        count(&self.retry_grants, result);
     }
 
     /// Counts a silence of a target under a request: when its cause is found, and what became
