Give the two questions about a further attempt two names

Cause: Exchange and AttemptRace both had may_retry, one of which takes a retry; a check was negated twice. Change: Exchange::may_retry to allows_retry, may_fail_over to allows_failover; is_some_and. Measured: compiles; no behaviour changes.

--- a/src/forward/attempt_policy.rs
+++ b/src/forward/attempt_policy.rs
@@ -219,7 +219,7 @@
 
     /// Returns whether the route allows that a failure which a target itself returned is
     /// retried elsewhere.
-    pub(super) fn may_fail_over(
+    pub(super) fn allows_failover(
         &self,
         response: &Response<ResponseBody>,
         tried: &TriedTargets,
@@ -233,7 +233,7 @@
     }
 
     /// Returns whether the route allows that the request is sent once more.
-    pub(super) fn may_retry(
+    pub(super) fn allows_retry(
         &self,
         failure: &AttemptFailure,
         tried: &TriedTargets,
--- a/src/forward/open_attempt.rs
+++ b/src/forward/open_attempt.rs
@@ -305,7 +305,9 @@
     let prevented = match () {
         () if exchange.is_poison(now) => Some(FailureCause::Poison),
         () if exchange.check_send(now).is_err() => Some(FailureCause::Draining),
-        () if !grant.is_none_or(|grant| grant.send(&chosen.id, now)) => Some(FailureCause::NoRetry),
+        () if grant.is_some_and(|grant| !grant.send(&chosen.id, now)) => {
+            Some(FailureCause::NoRetry)
+        }
         () => None,
     };
     if let Some(cause) = prevented {
--- a/src/forward/race.rs
+++ b/src/forward/race.rs
@@ -83,7 +83,7 @@
     hedge: Option<OpenAttempt>,
     /// The choice of a target for a hedge that is to be made.
     choice: Option<PendingChoice>,
-    /// A retry for the next attempt.
+    /// The retry that the next attempt uses, if it needs one.
     grant: Option<Arc<RetryGrant>>,
 }
 
@@ -361,7 +361,7 @@
         match self.is_open() {
             true => response.status().is_server_error(),
             false => {
-                self.exchange.may_fail_over(response, &self.tried, now)
+                self.exchange.allows_failover(response, &self.tried, now)
                     && self.obtain_retry(RetryUse::Replacement, now)
             }
         }
@@ -370,7 +370,7 @@
     /// Returns whether the request may be sent once more. Obtains a retry, unless no attempt
     /// has reached a target.
     pub(super) fn may_retry(&mut self, failure: &AttemptFailure, now: Instant) -> bool {
-        self.exchange.may_retry(failure, &self.tried, now)
+        self.exchange.allows_retry(failure, &self.tried, now)
             && (self.tried.sent == 0 || self.obtain_retry(RetryUse::Replacement, now))
     }
 
