Keep the largest number of layers in one place

Cause: MAX_LAYERS stood in two modules of the platform's formats; a doc comment of the budget did not say what retries under way count as; a kind of fault had no doc. Measured: compiles; no behaviour changes.

--- a/src/platform/configuration_record.rs
+++ b/src/platform/configuration_record.rs
@@ -11,10 +11,7 @@
     AcceleratorKind, CallerLimits, EngineModel, IngressConfiguration, KeyHolder, RequestKind,
     RouteRule, ServiceShare, ServiceSpec,
 };
-
-/// Largest number of layers of a model: several times those of the largest models. Tables have a
-/// row for each.
-const MAX_LAYERS: u32 = 4096;
+use crate::platform::target_record::MAX_LAYERS;
 
 #[derive(Deserialize)]
 struct ConfigurationBody {
@@ -167,10 +164,8 @@
         .services
         .iter()
         .filter_map(|service| service.engine.as_ref());
-    if let Some(engine) = engines
-        .into_iter()
-        .find(|engine| engine.layers > MAX_LAYERS)
-    {
+    let mut oversized = engines.filter(|engine| engine.layers > MAX_LAYERS);
+    if let Some(engine) = oversized.next() {
         return Err(format!("layers: {} is over {MAX_LAYERS}", engine.layers));
     }
     let zones = declared_zones(&body.services);
--- a/src/platform/target_record.rs
+++ b/src/platform/target_record.rs
@@ -7,8 +7,9 @@
 use crate::fleet::{EngineReport, LayerRange, TargetEntry, TargetHeartbeat};
 use crate::ids::{HeartbeatNumber, TargetId};
 
-/// Largest number of layers that a range may end at: several times those of the largest models.
-const MAX_LAYERS: u32 = 4096;
+/// Largest number of layers of a model: several times those of the largest ones. Tables have a
+/// row for each.
+pub(super) const MAX_LAYERS: u32 = 4096;
 /// Largest heartbeat number: whole numbers are exact in JSON up to here. After a larger one
 /// each later heartbeat would look outdated.
 const MAX_NUMBER: u64 = 1 << 53;
--- a/src/retry/window.rs
+++ b/src/retry/window.rs
@@ -17,7 +17,6 @@
 /// Step of the rounding from period to period: multiples of the golden ratio are spread
 /// evenly between 0 and 1.
 const ROUNDING_STEP: f64 = 0.618_033_988_749_895;
-
 /// Time from the sending after which a retry has arrived or never will: unacknowledged bytes end
 /// their connection by then, and a target that stands still for longer is not sound.
 const MAX_ARRIVAL_TIME: Duration = Duration::from_secs(3);
@@ -215,8 +214,9 @@
             && self.is_spread(settings, added, part, rounding, now)
     }
 
-    /// Returns whether the latest retries with `added` more, however many of them, are within
-    /// `part` of what may be spent at once and what has accrued since the first of them.
+    /// Returns whether the latest retries and `added` more, however many of them are taken, are
+    /// within `part` of what may be spent at once and what has accrued since the first of them
+    /// arrived. Those under way count as arriving now.
     fn is_spread(
         &self,
         settings: WindowSettings,
--- a/standins/src/soak/plan.rs
+++ b/standins/src/soak/plan.rs
@@ -78,6 +78,7 @@
 /// The kind of faults to which a run is restricted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum SoakTrouble {
+    /// No faults.
     None,
     /// Targets stand still.
     Standstills,
