--- a/tests/forwarding/silence.rs
+++ b/tests/forwarding/silence.rs
@@ -4,6 +4,7 @@
 
 use jackdawwick::ingress::IngressConfiguration;
 use jackdawwick::retry::WindowSettings;
+use tokio::net::TcpListener;
 
 use crate::host::TestHost;
 use crate::stub_target::{Step, StubTarget, event, last_chunk, response, stream_head};
@@ -124,6 +125,37 @@
     }
 }
 
+/// Guards against a retry that a long stream keeps from others after its hedge found no connection.
+#[tokio::test]
+async fn a_hedge_that_is_not_sent_returns_its_retry_while_its_stream_goes_on() {
+    let still = still_engine(Duration::from_millis(2500)).await;
+    let host = TestHost::open();
+    host.add_engine("i-1", still.address, 0, 80);
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let closed = listener.local_addr().expect("an address");
+    drop(listener);
+    let serving = host.call("POST", "/stream/", "Content-Length: 0\r\n");
+    let returned = async {
+        while still.seen().is_empty() {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+        host.add_engine("i-2", closed, 0, 80);
+        let unsent = "retry_grants_total{cause=\"unsent\"}";
+        let until = Instant::now() + STANDSTILL * 3;
+        while !host.tables.metrics.encode().contains(unsent) && Instant::now() < until {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+        let usage = host.tables.retry_usage(Instant::now());
+        let spent = usage.iter().map(|(_, usage)| usage.spent);
+        (Instant::now(), spent.sum::<usize>())
+    };
+    let served = async { (serving.await, Instant::now()) };
+    let ((response, ended), (returned, spent)) = tokio::join!(served, returned);
+    assert!(response.is_whole_stream(), "{}", response.text);
+    assert!(returned < ended);
+    assert_eq!(spent, 0);
+}
+
 /// Guards against events that are missing or come twice after two attempts of a stream ran at
 /// the same time.
 #[tokio::test]
