Show hosts whose memory callers and targets fill

Cause under test: what a host holds of bodies, responses and heads has no bound for the host as a whole, and is not what is counted.

Change: crowds of callers and targets against one host as a process with 64 MB and 256 descriptors in its settings (standins/tests/crowd.rs), one at a time. They check that the process lives, its peak memory, its descriptors and an ordinary request beside the crowd. Endless responses also come in chunks of one byte.

--- a/standins/src/bin/soak.rs
+++ b/standins/src/bin/soak.rs
@@ -8,8 +8,8 @@
 use clap::{Arg, ArgAction, Command, value_parser};
 use standins::command_line::{count, number, number_arg};
 use standins::soak::{
-    CallOutcome, LinkScope, RetryBound, ServingTimes, SoakReport, SoakSettings, TargetFleet,
-    run_soak,
+    CallOutcome, HostLimits, LinkScope, RetryBound, ServingTimes, SoakReport, SoakSettings,
+    TargetFleet, run_soak,
 };
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -97,6 +97,7 @@
                 false => RetryBound::default(),
             },
             times: ServingTimes::default(),
+            limits: HostLimits::default(),
         }))?;
         writeln!(std::io::stdout(), "{}", line(seed, &report))?;
         match report.violations.is_empty() {
--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -11,6 +11,7 @@
 mod callers;
 mod check;
 mod configuration;
+mod crowd;
 mod departure;
 mod endless;
 mod engines;
@@ -40,7 +41,8 @@
 
 pub use callers::count_calls_without_end;
 pub use check::{RetryWindow, Violation, find_violations};
-pub use configuration::{RetryBound, ServingTimes};
+pub use configuration::{HostLimits, RetryBound, ServingTimes};
+pub use crowd::{CrowdBody, CrowdPlan, CrowdReport, CrowdSide, run_crowd};
 pub use departure::{
     DepartureReport, run_departure_during_log_outage, run_departure_with_host_cut_off,
 };
--- a/standins/src/soak/configuration.rs
+++ b/standins/src/soak/configuration.rs
@@ -90,6 +90,28 @@
 pub(super) struct HostBounds {
     pub(super) retries: RetryBound,
     pub(super) grace: Duration,
+    pub(super) limits: HostLimits,
+}
+
+/// What one host has, and what its callers may send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HostLimits {
+    /// Memory of the host, in megabytes.
+    pub memory_mb: u64,
+    /// File descriptors of the host.
+    pub descriptors: usize,
+    /// Largest body of a request, in bytes.
+    pub body_bytes: usize,
+}
+
+impl Default for HostLimits {
+    fn default() -> Self {
+        Self {
+            memory_mb: 260,
+            descriptors: 4100,
+            body_bytes: 64 * 1024,
+        }
+    }
 }
 
 /// Number of targets to which a request may be sent.
@@ -117,7 +139,7 @@
 
 /// Returns a configuration with the fixed routes and one route for each of the last three
 /// versions.
-pub(super) fn configuration(version: u64, timeout: Duration) -> Bytes {
+pub(super) fn configuration(version: u64, timeout: Duration, limits: HostLimits) -> Bytes {
     let route = |name: &str, prefix: &str, kind: &str, service: &str| {
         route(name, prefix, kind, service, timeout)
     };
@@ -152,7 +174,7 @@
         ],
         "tenants": [{"name": "soak", "api_keys": [API_KEY]}],
         "limits": {
-            "max_header_bytes": 16384, "max_body_bytes": 65536,
+            "max_header_bytes": 16384, "max_body_bytes": limits.body_bytes,
             "header_timeout_ms": 5000, "idle_timeout_ms": 8000,
         },
     });
@@ -178,7 +200,9 @@
         "listen": {"front": "127.0.0.1:0", "control": control, "ready": readiness},
         "internal_ports": [internal_port, internal_port],
         "provider": {"address": log},
-        "limits": {"memory_mb": 260},
+        "limits": {
+            "memory_mb": bounds.limits.memory_mb, "max_fds": bounds.limits.descriptors,
+        },
         "bounds": {
             "drain_ms": 2000, "grace_s": bounds.grace.as_secs(), "stall_ms": STALL_MS,
             "retry_budget_ratio": bounds.retries.ratio, "budget_slack": bounds.retries.slack,
--- a/standins/src/soak/endless.rs
+++ b/standins/src/soak/endless.rs
@@ -55,6 +55,8 @@
     Body,
     /// A chunked body after the head of a response with the id and the proof.
     ProvenBody,
+    /// The same body in chunks of one byte.
+    ProvenBytes,
     /// Bytes that resemble no response.
     Noise,
 }
@@ -169,6 +171,7 @@
                 "10\r\naaaaaaaaaaaaaaaa\r\n",
             ),
             Self::ProvenBody => ("", "10\r\naaaaaaaaaaaaaaaa\r\n"),
+            Self::ProvenBytes => ("", "1\r\na\r\n"),
             Self::Body => (CHUNKED, "10\r\naaaaaaaaaaaaaaaa\r\n"),
             Self::Noise => ("", "\u{1}\u{2}noise"),
         }
@@ -321,7 +324,10 @@
     let call = String::from_utf8_lossy(&call[..length]);
     connections.observe_request(connection, &call, Instant::now());
     let (first, repeated) = plan.part.bytes();
-    if plan.part == EndlessPart::ProvenBody {
+    if matches!(
+        plan.part,
+        EndlessPart::ProvenBody | EndlessPart::ProvenBytes
+    ) {
         stream.write_all(proven_head(&call).as_bytes()).await?;
     }
     stream.write_all(first.as_bytes()).await?;
--- a/standins/src/soak/faults.rs
+++ b/standins/src/soak/faults.rs
@@ -293,7 +293,11 @@
 
     pub(super) fn publish(&mut self) {
         let version = self.published.borrow().version + 1;
-        let value = Some(configuration(version, self.settings.times.route));
+        let value = Some(configuration(
+            version,
+            self.settings.times.route,
+            self.settings.limits,
+        ));
         self.topics.append(CONFIGURATION.0, CONFIGURATION.1, value);
         let at = Instant::now();
         self.published.send_replace(Published { version, at });
@@ -356,7 +360,11 @@
         self.log_faults.set(LogFaults::default());
         self.topics.restore(copied);
         let version = self.published.borrow().version;
-        let value = Some(configuration(version, self.settings.times.route));
+        let value = Some(configuration(
+            version,
+            self.settings.times.route,
+            self.settings.limits,
+        ));
         self.topics.append(CONFIGURATION.0, CONFIGURATION.1, value);
         let targets = self.targets.iter().chain(&self.leaving);
         let targets = targets.collect::<Vec<_>>();
--- a/standins/src/soak/host.rs
+++ b/standins/src/soak/host.rs
@@ -167,6 +167,22 @@
         Ok(kilobytes * 1024)
     }
 
+    /// Returns the number of descriptors that the current process has open.
+    ///
+    /// # Errors
+    ///
+    /// If no process runs, or the system does not state it.
+    pub(super) fn descriptors(&self) -> io::Result<usize> {
+        let child = self.child.as_ref();
+        let id = child.map(Child::id).ok_or(io::ErrorKind::NotFound)?;
+        Ok(std::fs::read_dir(format!("/proc/{id}/fd"))?.count())
+    }
+
+    /// Returns the address on which the current process listens for callers.
+    pub(super) fn callers(&self) -> Option<SocketAddr> {
+        self.listening.borrow().map(|line| line.callers)
+    }
+
     /// Returns whether the process runs.
     pub(super) fn is_running(&mut self) -> bool {
         let child = self.child.as_mut();
--- a/standins/src/soak/run.rs
+++ b/standins/src/soak/run.rs
@@ -13,7 +13,7 @@
 use super::callers::{CallerContext, call, call_until_stopped, connect};
 use super::check::{RetryWindow, Violation, find_violations, fullest_windows};
 use super::configuration::{
-    CONFIGURATION, ENGINE_SERVICE, HostBounds, PLAIN_SERVICE, RetryBound, ServingTimes,
+    CONFIGURATION, ENGINE_SERVICE, HostBounds, HostLimits, PLAIN_SERVICE, RetryBound, ServingTimes,
     configuration,
 };
 use super::engines::{TARGET_IP, TargetRegistry};
@@ -89,6 +89,8 @@
     pub retries: RetryBound,
     /// Times for which hosts serve.
     pub times: ServingTimes,
+    /// What each host has, and what its callers may send.
+    pub limits: HostLimits,
     /// Whether targets stand still beside the other faults.
     pub standstills: bool,
     /// Whether targets fail half of the calls that reach them.
@@ -290,6 +292,7 @@
             let bounds = HostBounds {
                 retries: settings.retries,
                 grace: settings.times.grace,
+                limits: settings.limits,
             };
             let host =
                 SoakHost::open(index, &zone, log.local_addr(), program, folder, bounds).await?;
@@ -310,7 +313,7 @@
         topics.append(
             CONFIGURATION.0,
             CONFIGURATION.1,
-            Some(configuration(1, settings.times.route)),
+            Some(configuration(1, settings.times.route, settings.limits)),
         );
         let mut run = Self {
             settings,
--- a/standins/tests/endless.rs
+++ b/standins/tests/endless.rs
@@ -58,6 +58,7 @@
     body_without_proof_and_end: Body, false;
     slow_body_without_proof_and_end: Body, true;
     proven_body_without_end: ProvenBody, false;
+    proven_bytes_without_end: ProvenBytes, false;
     noise_without_end: Noise, false;
     slow_noise_without_end: Noise, true;
 }
--- a/standins/tests/support/soaks.rs
+++ b/standins/tests/support/soaks.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use standins::soak::{LinkScope, RetryBound, ServingTimes, SoakSettings, TargetFleet};
+use standins::soak::{HostLimits, LinkScope, RetryBound, ServingTimes, SoakSettings, TargetFleet};
 use tempfile::TempDir;
 
 use super::{TestError, eventually};
@@ -27,6 +27,7 @@
         targets: TargetFleet::Several,
         retries: RetryBound::default(),
         times: ServingTimes::default(),
+        limits: HostLimits::default(),
         standstills: false,
         half_fails: false,
     };
