--- a/src/api/proxy.rs
+++ b/src/api/proxy.rs
@@ -19,6 +19,8 @@
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
+use crate::buffer::BufferBudget;
+
 pub(super) use slots::{SLOT_HEADER, StreamSlots};
 
 /// Bounds that the proxy enforces.
@@ -37,6 +39,8 @@
     pub body_bytes: usize,
     /// Time in which a body must arrive.
     pub body_timeout: Duration,
+    /// Memory for the bodies of all requests, in bytes.
+    pub buffered_bytes: usize,
     /// Maximum time for which a caller may leave sent bytes unacknowledged.
     pub stall_timeout: Duration,
 }
@@ -50,6 +54,7 @@
             head_timeout: Duration::from_secs(10),
             body_bytes: 1 << 20,
             body_timeout: Duration::from_secs(10),
+            buffered_bytes: 64 << 20,
             stall_timeout: Duration::from_secs(30),
         }
     }
@@ -59,6 +64,8 @@
 #[derive(Debug, Clone)]
 pub(super) struct ProxyContext {
     pub(super) bounds: ApiBounds,
+    /// Memory for bodies of requests.
+    pub(super) budget: BufferBudget,
     /// Address of the HTTP library's listener.
     pub(super) inner: SocketAddr,
     pub(super) slots: StreamSlots,
--- a/src/api/proxy/connection.rs
+++ b/src/api/proxy/connection.rs
@@ -29,8 +29,12 @@
     let forwarder = Forwarder::new(context.inner, context.slots.clone());
     let bounds = context.bounds;
     let service = service_fn(|request: Request<Incoming>| async {
-        let response = match request_reader::read(request, &bounds).await {
-            Ok(request) => forwarder.forward(request).await,
+        let response = match request_reader::read(request, &bounds, &context.budget).await {
+            Ok(request) => {
+                // The HTTP library holds a copy until it has responded.
+                let _held = request.body().clone();
+                forwarder.forward(request).await
+            }
             Err(refusal) => refusal.into_response(),
         };
         Ok::<_, Infallible>(response)
--- a/src/api/proxy/request_reader.rs
+++ b/src/api/proxy/request_reader.rs
@@ -1,9 +1,11 @@
 //! Reads whole requests within the bounds.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use dropshot::Body;
 use http::{HeaderMap, HeaderName, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::{Body as _, Incoming};
 use uuid::Uuid;
 
@@ -11,6 +13,8 @@
 use crate::api::head::malformed;
 use crate::api::response::error_response;
 use crate::api::wire::{NON_IDEMPOTENT_HEADER, RefusalBody};
+use crate::buffer::{BufferBudget, CollectError, collect_body};
+use crate::reason::RefusalReason;
 
 /// Header with the request id.
 pub(super) const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
@@ -18,6 +22,10 @@
 /// closed while the caller is still sending.
 const DISCARD_FACTOR: usize = 4;
 
+/// Time after which a caller should retry when the memory for bodies is used up: bodies that
+/// stall make way after two seconds.
+const MEMORY_RETRY: Duration = Duration::from_secs(2);
+
 /// Headers that may occur only once. If one were repeated, two components could each use
 /// a different value of it.
 static SINGLE_HEADERS: [HeaderName; 4] = [
@@ -70,9 +78,10 @@
 pub(super) async fn read(
     request: Request<Incoming>,
     bounds: &ApiBounds,
+    budget: &BufferBudget,
 ) -> Result<Request<Full<Bytes>>, RequestRefusal> {
     let (mut parts, body) = request.into_parts();
-    let bytes = read_body(body, bounds).await?;
+    let bytes = read_body(body, bounds, budget).await?;
     check_duplicates(&parts.headers)?;
     for name in &HOP_BY_HOP_HEADERS {
         parts.headers.remove(name);
@@ -104,27 +113,41 @@
     }
 }
 
-async fn read_body(mut body: Incoming, bounds: &ApiBounds) -> Result<Bytes, RequestRefusal> {
-    let reading = Limited::new(&mut body, bounds.body_bytes).collect();
+async fn read_body(
+    mut body: Incoming,
+    bounds: &ApiBounds,
+    budget: &BufferBudget,
+) -> Result<Bytes, RequestRefusal> {
+    let reading = collect_body(&mut body, bounds.body_bytes, budget.open());
     let error = match tokio::time::timeout(bounds.body_timeout, reading).await {
-        Ok(Ok(collected)) => return Ok(collected.to_bytes()),
+        Ok(Ok(bytes)) => return Ok(bytes),
         Ok(Err(error)) => error,
-        Err(_) => {
-            return Err(RequestRefusal::new(
-                StatusCode::REQUEST_TIMEOUT,
-                "the body did not arrive in time",
-            ));
-        }
+        Err(_) => return Err(late_body()),
     };
-    if error.downcast_ref::<LengthLimitError>().is_none() {
-        return Err(RequestRefusal::new(
+    match error {
+        CollectError::TooLong => {
+            drain_body(body, bounds).await;
+            let message = format!("the body is longer than {} bytes", bounds.body_bytes);
+            Err(RequestRefusal::new(StatusCode::PAYLOAD_TOO_LARGE, &message))
+        }
+        CollectError::Body(_) => Err(RequestRefusal::new(
             StatusCode::BAD_REQUEST,
             "the body could not be read",
-        ));
+        )),
+        CollectError::Evicted => Err(late_body()),
+        CollectError::Denied => Err(RequestRefusal {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            body: RefusalBody::not_run(RefusalReason::NoMemory, "the memory for bodies is used up")
+                .retry_after(MEMORY_RETRY),
+        }),
     }
-    drain_body(body, bounds).await;
-    let message = format!("the body is longer than {} bytes", bounds.body_bytes);
-    Err(RequestRefusal::new(StatusCode::PAYLOAD_TOO_LARGE, &message))
+}
+
+fn late_body() -> RequestRefusal {
+    RequestRefusal::new(
+        StatusCode::REQUEST_TIMEOUT,
+        "the body did not arrive in time",
+    )
 }
 
 /// Reads and discards the rest of a body that is too long, within bounds. Closing the
--- a/src/api/server.rs
+++ b/src/api/server.rs
@@ -14,6 +14,7 @@
 use super::callers::{self, CallerContext};
 use super::operators;
 use super::proxy::{self, ApiBounds, ProxyContext, ProxyHandle, StreamSlots};
+use crate::buffer::BufferBudget;
 
 /// Address of the HTTP library's listener, which other hosts cannot reach.
 const INNER_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
@@ -147,6 +148,13 @@
     let address = settings.address;
     let context = ProxyContext {
         bounds: settings.bounds,
+        // One body of legal size always finds room.
+        budget: BufferBudget::new(
+            settings
+                .bounds
+                .buffered_bytes
+                .max(settings.bounds.body_bytes),
+        ),
         inner: server.local_addr(),
         slots,
     };
--- a/src/cli/client.rs
+++ b/src/cli/client.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
@@ -19,6 +19,7 @@
     AcceptedBody, ApplyBody, ConflictBody, ExplainView, ForceView, RefusalBody, ResourceView,
     StatusView,
 };
+use crate::buffer::collect_limited;
 use crate::ids::LogOffset;
 use crate::reason::RefusalReason;
 use crate::resources::{ResourceKey, ResourceKind};
@@ -198,15 +199,10 @@
             Err(error) => return Err(self.no_response(&with_causes(&error))),
         };
         let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
-        let body = body
-            .collect()
+        let body = collect_limited(response.into_body(), MAX_RESPONSE_BYTES)
             .await
             .map_err(|error| self.no_response(&error))?;
-        Ok(RawResponse {
-            status,
-            body: body.to_bytes(),
-        })
+        Ok(RawResponse { status, body })
     }
 
     fn encode<T>(&self, body: &T) -> Result<Bytes, CliError>
--- a/src/daemon/spawn.rs
+++ b/src/daemon/spawn.rs
@@ -383,6 +383,7 @@
             head_bytes: limits.max_header_bytes,
             head_count: limits.max_header_count,
             body_bytes: limits.max_body_bytes,
+            buffered_bytes: limits.max_buffered_bytes,
             ..ApiBounds::default()
         },
         ..ApiSettings::new(address, dropshot_logger())
--- a/src/entry/readiness.rs
+++ b/src/entry/readiness.rs
@@ -126,7 +126,7 @@
     address: SocketAddr,
 ) -> io::Result<SocketAddr> {
     serve_paths(address, move |path| match path {
-        METRICS_PATH => (StatusCode::OK, tables.metrics.encode()),
+        METRICS_PATH => (StatusCode::OK, tables.encode_metrics()),
         _ => (StatusCode::NOT_FOUND, String::new()),
     })
 }
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -9,6 +9,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 
+use crate::buffer::BufferPlan;
 use crate::entry::capacity_refresh::refresh_capacity;
 use crate::entry::configuration_follower::follow_configuration;
 use crate::entry::drain::drain;
@@ -70,10 +71,11 @@
     let settings = read_settings(&path)?;
     log::info!(host:% = settings.host, zone:% = settings.zone; "starting");
     let share = RetryShare::new(settings.bounds.retries, Instant::now());
-    let tables = ServingTables::new(
+    let tables = ServingTables::with_plan(
         settings.host.clone(),
         settings.zone.clone(),
         share.settings(),
+        BufferPlan::divide(settings.memory_mb << 20, settings.descriptors),
     );
     let tables = Arc::new(tables);
     let (peers, gateway) = spawn_workers(&tables, &settings, share)?;
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -32,6 +32,8 @@
     pub heartbeat: Duration,
     /// Memory limit of the process, in megabytes.
     pub memory_mb: u64,
+    /// Largest number of file descriptors of the process.
+    pub descriptors: usize,
     /// CPU quota of the host, in cores.
     pub cores: f64,
     /// Speed of the host's network link, in Mbit/s.
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -80,6 +80,8 @@
     Draining,
     #[error("the retry no longer fits its budget")]
     NoRetry,
+    #[error("other responses use the memory up")]
+    NoMemory,
 }
 
 impl FailureCause {
@@ -100,6 +102,7 @@
             Self::Poison => "poison",
             Self::Draining => "draining",
             Self::NoRetry => "no_retry",
+            Self::NoMemory => "no_memory",
         }
     }
 }
--- a/src/forward/attempt_policy.rs
+++ b/src/forward/attempt_policy.rs
@@ -335,7 +335,8 @@
                 | FailureCause::GatewayBroken
                 | FailureCause::Poison
                 | FailureCause::Draining
-                | FailureCause::NoRetry,
+                | FailureCause::NoRetry
+                | FailureCause::NoMemory,
             ) => None,
             Some(FailureCause::Connect | FailureCause::Unreachable) => {
                 fleet.observe_silence(&id, now);
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http::header::HeaderValue;
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use parking_lot::Mutex;
 
@@ -23,6 +23,7 @@
 use super::response::{Refusal, ResponseBody, whole_body};
 use super::shutdown::ShutdownEnd;
 use super::tables::ServingTables;
+use crate::buffer::{BufferBudget, CollectError, collect_body};
 use crate::fleet::RequestSize;
 use crate::ids::TargetId;
 use crate::ingress::{MatchedRequest, ServiceSpec, match_request};
@@ -82,8 +83,13 @@
     let head = CallerHead::read(&parts, arrived);
     let in_flight_request = InFlightRequest::open(tables.clone());
     let handled = async {
-        let progress = progress.clone();
-        let exchange = open(tables.clone(), parts, &mut body, &head, arrived, progress).await?;
+        let received = ReceivedRequest {
+            parts,
+            body: &mut body,
+            head: &head,
+            arrived,
+        };
+        let exchange = open(tables.clone(), received, progress.clone()).await?;
         forward(Arc::new(exchange), in_flight_request).await
     };
     let handled = tokio::select! {
@@ -117,12 +123,14 @@
     let head = CallerHead::read(&parts, arrived);
     let limit = body_limit(&tables);
     let _in_flight = InFlightRequest::open(tables.clone());
+    // A connection that is closed with unread bytes may lose the response.
+    let discarded = tokio::time::timeout(DISCARD_TIMEOUT, discard(&mut body, limit));
     let refusal = tokio::select! {
         biased;
-        // A connection that is closed with unread bytes may lose the response.
-        read = read_body(&mut body, limit) => match read {
-            Ok(_) => Refusal::not_run(RefusalReason::HostOverloaded, OTHER_HOST_RETRY),
-            Err(malformed) => malformed,
+        read = discarded => match read {
+            Ok(Ok(())) => Refusal::not_run(RefusalReason::HostOverloaded, OTHER_HOST_RETRY),
+            Ok(Err(error)) => unread(&error),
+            Err(_) => Refusal::timed_out(RefusalReason::BodyStalled),
         },
         () = tables.clone().answer_due() => tables.end_request(&progress, Instant::now()),
     };
@@ -171,14 +179,25 @@
     }
 }
 
-async fn open(
-    tables: Arc<ServingTables>,
+/// A request whose head has arrived.
+struct ReceivedRequest<'a> {
     parts: http::request::Parts,
-    body: &mut Incoming,
-    head: &CallerHead,
+    body: &'a mut Incoming,
+    head: &'a CallerHead,
     arrived: Instant,
+}
+
+async fn open(
+    tables: Arc<ServingTables>,
+    received: ReceivedRequest<'_>,
     progress: Arc<RequestProgress>,
 ) -> Result<Exchange, Refusal> {
+    let ReceivedRequest {
+        parts,
+        body,
+        head,
+        arrived,
+    } = received;
     let not_ready = || Refusal::not_run(RefusalReason::NotReady, NOT_READY_RETRY);
     let configuration = tables.configuration.load_full().ok_or_else(not_ready)?;
     let path = parts.uri.path();
@@ -195,7 +214,13 @@
         .deadline
         .map_or(timeout, |deadline| deadline.min(timeout));
     tables.check_drain(&progress, deadline, arrived)?;
-    let body = read_body(body, configuration.limits.body_bytes).await?;
+    // A longer body would never find room.
+    let limit = configuration
+        .limits
+        .body_bytes
+        .min(tables.request_budget.limit());
+    let body = collect_body(body, limit, tables.request_budget.open()).await;
+    let body = body.map_err(|error| unread(&error))?;
     progress.set_deadline(deadline);
     // The shutdown may have begun while the body arrived.
     tables.check_drain(&progress, deadline, Instant::now())?;
@@ -275,30 +300,43 @@
 
 /// Reads what is left of the body of a refused request, beside the response: a connection that
 /// is closed with unread bytes may lose it.
-fn discard_rest(body: Incoming, limit: usize) {
+fn discard_rest(mut body: Incoming, limit: usize) {
     if body.is_end_stream() {
         return;
     }
-    let mut rest = Limited::new(body, limit);
-    let discarded = async move { while let Some(Ok(_)) = rest.frame().await {} };
-    tokio::spawn(tokio::time::timeout(DISCARD_TIMEOUT, discarded));
+    tokio::spawn(async move {
+        let discarded = tokio::time::timeout(DISCARD_TIMEOUT, discard(&mut body, limit));
+        if !matches!(discarded.await, Ok(Ok(()))) {
+            log::debug!("the body of a refused request is not read to its end");
+        }
+    });
 }
 
-async fn read_body(body: &mut Incoming, limit: usize) -> Result<Bytes, Refusal> {
-    let body = Limited::new(body, limit).collect().await;
-    let malformed = |error: Box<dyn std::error::Error + Send + Sync>| {
-        let status = match error.is::<http_body_util::LengthLimitError>() {
-            true => StatusCode::PAYLOAD_TOO_LARGE,
-            false => StatusCode::BAD_REQUEST,
-        };
-        Refusal {
-            status,
-            verdict: RunVerdict::NotRun,
-            reason: RefusalReason::Malformed,
-            retry_after: None,
-        }
+/// Reads a body without keeping it.
+async fn discard(body: &mut Incoming, limit: usize) -> Result<(), CollectError<hyper::Error>> {
+    let mut left = limit;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(CollectError::Body)?;
+        let length = frame.data_ref().map_or(0, Bytes::len);
+        left = left.checked_sub(length).ok_or(CollectError::TooLong)?;
+    }
+    Ok(())
+}
+
+/// Returns the refusal of a request whose body was not read to its end.
+fn unread(error: &CollectError<hyper::Error>) -> Refusal {
+    let malformed = |status| Refusal {
+        status,
+        verdict: RunVerdict::NotRun,
+        reason: RefusalReason::Malformed,
+        retry_after: None,
     };
-    Ok(body.map_err(malformed)?.to_bytes())
+    match error {
+        CollectError::TooLong => malformed(StatusCode::PAYLOAD_TOO_LARGE),
+        CollectError::Body(_) => malformed(StatusCode::BAD_REQUEST),
+        CollectError::Denied => Refusal::not_run(RefusalReason::NoMemory, OTHER_HOST_RETRY),
+        CollectError::Evicted => Refusal::timed_out(RefusalReason::BodyStalled),
+    }
 }
 
 /// Sends the request to one target after another until one responds.
@@ -428,13 +466,14 @@
     }
 }
 
-/// Maximum size of a response that is passed on as a whole, in bytes: a quarter of the memory
-/// of the smallest hosts, which a body without end would fill within seconds.
+/// Maximum size of a response that is passed on as a whole, in bytes, and at most half of the
+/// memory for all of them.
 const MAX_WHOLE_BYTES: usize = 64 * 1024 * 1024;
 
 /// Reads a complete response, so that a truncated one is never passed on.
 pub(super) async fn read_whole(
     response: Response<Incoming>,
+    budget: &BufferBudget,
     deadline: Instant,
 ) -> Result<Response<ResponseBody>, AttemptFailure> {
     let (head, body) = response.into_parts();
@@ -444,15 +483,18 @@
         at: None,
         paused_until: None,
     };
-    let body = Limited::new(body, MAX_WHOLE_BYTES).collect();
+    let body = collect_body(body, MAX_WHOLE_BYTES.min(budget.limit() / 2), budget.open());
     let body = tokio::time::timeout_at(deadline.into(), body).await;
     let body = body
         .map_err(|_| failed(FailureCause::Timeout))?
         .map_err(|error| {
             log::debug!("response is not passed on: {error}");
-            failed(FailureCause::Broken)
+            match error {
+                CollectError::Body(_) | CollectError::TooLong => failed(FailureCause::Broken),
+                CollectError::Denied | CollectError::Evicted => failed(FailureCause::NoMemory),
+            }
         })?;
-    let mut response = Response::new(whole_body(body.to_bytes()));
+    let mut response = Response::new(whole_body(body));
     *response.status_mut() = head.status;
     *response.headers_mut() = forwarded(&head.headers);
     Ok(response)
--- a/src/forward/gateway_server.rs
+++ b/src/forward/gateway_server.rs
@@ -16,7 +16,7 @@
 use futures::stream;
 use http::header::{self, HeaderMap, HeaderValue};
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited, StreamBody};
+use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Body, Frame, Incoming};
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -36,14 +36,12 @@
 use super::socket;
 use super::tables::ServingTables;
 use super::target_link::handshake;
+use crate::buffer::{CollectError, collect_body};
 use crate::gateway::{GatewayResult, PROBE_HEADER, RESULT_HEADER, TARGET_HEADER};
 use crate::ids::TargetId;
 use crate::platform::target_notice::parse_notice;
 use crate::platform::{names, order};
 
-/// Largest number of open connections of other hosts. Each costs two file descriptors, of
-/// which small hosts have 4,100.
-const MAX_CONNECTIONS: usize = 512;
 /// Largest number of requests that are passed on at a time.
 const MAX_REQUESTS: usize = 256;
 /// Largest head of a request, in bytes: that of a caller and the headers of this system.
@@ -111,9 +109,9 @@
     let listener = socket::bind(address)?;
     let address = listener.local_addr()?;
     let server = GatewayServer {
+        places: Arc::new(Semaphore::new(tables.plan.gateway_connections)),
         tables,
         is_member,
-        places: Arc::new(Semaphore::new(MAX_CONNECTIONS)),
         slots: Arc::new(Semaphore::new(MAX_REQUESTS)),
     };
     let connections = ConnectionTasks::default();
@@ -363,10 +361,13 @@
         let limit = configuration
             .as_ref()
             .map_or(MAX_BODY_BYTES, |known| known.limits.body_bytes);
-        let collected = Limited::new(body, limit).collect();
+        let collected = collect_body(body, limit, self.tables.request_budget.open());
         match tokio::time::timeout(BODY_TIMEOUT, collected).await {
-            Ok(Ok(body)) => Ok(body.to_bytes()),
-            Ok(Err(_)) | Err(_) => Err(GatewayResult::Malformed),
+            Ok(Ok(body)) => Ok(body),
+            Ok(Err(CollectError::Denied | CollectError::Evicted)) => Err(GatewayResult::Busy),
+            Ok(Err(CollectError::TooLong | CollectError::Body(_))) | Err(_) => {
+                Err(GatewayResult::Malformed)
+            }
         }
     }
 
--- a/src/forward/head_limit.rs
+++ b/src/forward/head_limit.rs
@@ -15,10 +15,11 @@
 
 use super::pending_reads::{PendingReads, ReadMark};
 
-/// Maximum number of bytes up to the end of a head, in bytes, interim responses included.
+/// Maximum number of bytes up to the end of a head, in bytes, interim responses included, and
+/// size of the read buffer of a connection.
 /// Without it a target that sends interim responses without end keeps this host's only
 /// thread busy, since each of them is complete.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
+pub(super) const MAX_HEAD_BYTES: usize = 64 * 1024;
 
 /// A connection that fails when the head of a response is longer than [`MAX_HEAD_BYTES`].
 #[derive(Debug)]
--- a/src/forward/open_attempt.rs
+++ b/src/forward/open_attempt.rs
@@ -239,7 +239,12 @@
         // Behind a gateway, the gateway decides.
         let is_direct = !self.watch.uses_gateway();
         async move {
-            let response = read_whole(response, exchange.deadline).await?;
+            let response = read_whole(
+                response,
+                &exchange.tables.response_budget,
+                exchange.deadline,
+            )
+            .await?;
             let is_unframed = ends_with_connection && is_direct;
             match is_unframed
                 && may_be_truncated(&exchange.tables, &chosen.id, chosen.address).await
--- a/src/forward/probe.rs
+++ b/src/forward/probe.rs
@@ -6,8 +6,9 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 
+use crate::buffer::collect_limited;
 use crate::fleet::EngineReport;
 use crate::forward::ServingTables;
 use crate::ids::TargetId;
@@ -73,12 +74,12 @@
         let response = link.send(tables, target, request, |_| ()).await;
         let response = response.map_err(|error| unusable(&error))?;
         let (head, body) = response.response.into_parts();
-        let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
-        let body = body.map_err(|error| unusable(&*error))?;
+        let body = collect_limited(body, MAX_BODY_BYTES).await;
+        let body = body.map_err(|error| unusable(&error))?;
         Ok(TargetReply {
             status: head.status,
             headers: head.headers,
-            body: body.to_bytes(),
+            body,
         })
     };
     match tokio::time::timeout_at(until.into(), call).await {
--- a/src/forward/response.rs
+++ b/src/forward/response.rs
@@ -77,6 +77,17 @@
         }
     }
 
+    /// Creates the refusal of a request whose body has not arrived in time, so that it has not
+    /// run and will not run.
+    pub(super) fn timed_out(reason: RefusalReason) -> Self {
+        Self {
+            status: StatusCode::REQUEST_TIMEOUT,
+            verdict: RunVerdict::NotRun,
+            reason,
+            retry_after: None,
+        }
+    }
+
     /// Creates the refusal of a request that the configuration does not allow.
     pub fn rejected(reason: RejectReason) -> Self {
         let (status, reason) = match reason {
--- a/src/forward/tables.rs
+++ b/src/forward/tables.rs
@@ -19,6 +19,7 @@
 use crate::admission::start::StartTable;
 use crate::admission::{ConnectionGate, OverloadGauge, ZoneLoad};
 use crate::balance::{BalanceEvent, BalanceTable};
+use crate::buffer::{BufferBudget, BufferPlan};
 use crate::capacity::{CapacityView, DemandTable};
 use crate::collections::FastMap;
 use crate::drain::DrainWindow;
@@ -66,6 +67,11 @@
     /// Ranks of services, and the requests that wait to start.
     pub(super) start: Mutex<StartTable>,
     gate: Mutex<ConnectionGate>,
+    /// What this host may use for bytes of others.
+    pub(super) plan: BufferPlan,
+    /// Memory for bodies of requests, and for those of responses that are passed on whole.
+    pub(super) request_budget: BufferBudget,
+    pub(super) response_budget: BufferBudget,
     /// Number of other live hosts of the zone.
     neighbours: AtomicUsize,
     pub(super) retries: RetryBudgets,
@@ -96,9 +102,22 @@
 }
 
 impl ServingTables {
-    /// Creates empty tables for a host of an availability zone.
+    /// Creates empty tables for a host of an availability zone, with the usual memory.
     pub fn new(host: HostId, zone: ZoneId, budget_settings: WindowSettings) -> Self {
+        Self::with_plan(host, zone, budget_settings, BufferPlan::default())
+    }
+
+    /// Creates empty tables for a host that uses its memory as `plan` says.
+    pub fn with_plan(
+        host: HostId,
+        zone: ZoneId,
+        budget_settings: WindowSettings,
+        plan: BufferPlan,
+    ) -> Self {
         Self {
+            plan,
+            request_budget: BufferBudget::new(plan.request_bytes),
+            response_budget: BufferBudget::new(plan.response_bytes),
             host,
             zone,
             metrics: ServingMetrics::default(),
@@ -220,6 +239,15 @@
         gate.admits(|| self.zone_load())
     }
 
+    /// Returns the metrics as text.
+    pub fn encode_metrics(&self) -> String {
+        self.metrics.set_buffers(
+            self.request_budget.charged(),
+            self.response_budget.charged(),
+        );
+        self.metrics.encode()
+    }
+
     /// Counts a connection that is closed before a request is read.
     pub(super) fn count_closed_unread(&self) {
         let load = self.zone_load();
--- a/src/forward/target_link.rs
+++ b/src/forward/target_link.rs
@@ -15,7 +15,7 @@
 use tokio::net::TcpStream;
 
 use super::gateway_link::{GatewayLink, GatewayUse, mark_target, stated_result};
-use super::head_limit::{HeadLimit, LinkSender};
+use super::head_limit::{HeadLimit, LinkSender, MAX_HEAD_BYTES};
 use super::pending_reads::PendingReads;
 use super::tables::ServingTables;
 use crate::gateway::GatewayResult;
@@ -207,7 +207,10 @@
     reads: &PendingReads,
 ) -> hyper::Result<LinkSender> {
     let (stream, is_head_complete) = HeadLimit::new(stream, reads);
-    let (sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
+    let (sender, connection) = hyper::client::conn::http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await?;
     tokio::spawn(async move {
         if let Err(error) = connection.await {
             log::debug!("connection to a target or gateway failed: {error}");
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod api;
 pub mod auth;
 pub mod balance;
+pub mod buffer;
 pub mod capacity;
 pub mod claims;
 pub mod cli;
--- a/src/metrics/serving.rs
+++ b/src/metrics/serving.rs
@@ -60,6 +60,7 @@
     zone_shares: Family<ZoneLabels, Gauge<f64, AtomicU64>>,
     starts_waiting: Gauge,
     log_era: Gauge,
+    buffered_bytes: Family<CauseLabel, Gauge>,
     first_event: Histogram,
     between_events: Histogram,
     whole_request: Histogram,
@@ -103,6 +104,7 @@
             zone_shares: Family::default(),
             starts_waiting: Gauge::default(),
             log_era: Gauge::default(),
+            buffered_bytes: Family::default(),
             first_event: latency_histogram(),
             between_events: latency_histogram(),
             whole_request: latency_histogram(),
@@ -265,6 +267,9 @@
         let help = "Number of restores of the platform's log from an older copy";
         self.registry
             .register("log_era", help, self.log_era.clone());
+        let help = "Bytes of bodies that this host holds, without the first 16 KiB of each";
+        let buffered = self.buffered_bytes.clone();
+        self.registry.register("buffered_bytes", help, buffered);
     }
 
     fn register_times(&mut self) {
@@ -392,6 +397,16 @@
         count(&self.closed_unread, "overloaded");
     }
 
+    /// Sets the bytes that bodies hold.
+    pub fn set_buffers(&self, request_bytes: usize, response_bytes: usize) {
+        let value = |count| i64::try_from(count).unwrap_or(i64::MAX);
+        let bytes = [("request", request_bytes), ("response", response_bytes)];
+        for (cause, bytes) in bytes {
+            let label = CauseLabel { cause };
+            self.buffered_bytes.get_or_create(&label).set(value(bytes));
+        }
+    }
+
     /// Counts a request whose handling panicked, by what was running.
     pub fn panicked(&self, place: &'static str) {
         count(&self.panics, place);
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -5,12 +5,13 @@
 
 use bytes::Bytes;
 use http::{Method, Request, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use serde::de::DeserializeOwned;
 
+use crate::buffer::collect_limited;
 use crate::ids::LogOffset;
 use crate::platform::error::{AppendError, CallFailure, ReadError};
 use crate::platform::wire::{AppendBody, AppendResponse, HostList, ReadResponse};
@@ -167,10 +168,8 @@
         if status != StatusCode::OK {
             return Err(CallFailure::Status(status));
         }
-        Limited::new(response.into_body(), MAX_RESPONSE_BYTES)
-            .collect()
+        collect_limited(response.into_body(), MAX_RESPONSE_BYTES)
             .await
-            .map(http_body_util::Collected::to_bytes)
             .map_err(|error| CallFailure::Broken(error.to_string()))
     }
 }
--- a/src/platform/host_settings.rs
+++ b/src/platform/host_settings.rs
@@ -49,6 +49,9 @@
 #[derive(Deserialize)]
 struct LimitsBody {
     memory_mb: u64,
+    /// File descriptors of a process.
+    #[serde(default = "default_descriptors")]
+    max_fds: usize,
     #[serde(default = "default_cores")]
     cpu_share: f64,
     #[serde(default = "default_cores")]
@@ -57,6 +60,11 @@
     link_mbps: f64,
 }
 
+/// Returns the default number of file descriptors, that of the smallest usual host.
+fn default_descriptors() -> usize {
+    4100
+}
+
 fn default_cores() -> f64 {
     1.0
 }
@@ -122,6 +130,7 @@
         is_first_start: body.bootstrap,
         heartbeat: Duration::from_millis(body.heartbeat_ms),
         memory_mb: body.limits.memory_mb,
+        descriptors: body.limits.max_fds,
         cores: body.limits.cpu_share * body.limits.cores,
         link_mbps: body.limits.link_mbps,
         bounds: EntryBounds {
--- a/src/platform/log_calls.rs
+++ b/src/platform/log_calls.rs
@@ -7,10 +7,11 @@
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
 use http::{Method, Request, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
 use serde::Deserialize;
 
+use crate::buffer::collect_limited;
 use crate::forward::socket;
 use crate::ids::{LogEra, LogOffset, LogPosition};
 use crate::platform::names;
@@ -259,12 +260,8 @@
         let response = sender.send_request(request).await.map_err(no_response)?;
         let status = response.status();
         let era = decode_era(response.headers())?;
-        let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES)
-            .collect()
-            .await;
-        let bytes = body
-            .map_err(|error| LogError::NoResponse(error.to_string()))?
-            .to_bytes();
+        let body = collect_limited(response.into_body(), MAX_RESPONSE_BYTES).await;
+        let bytes = body.map_err(|error| LogError::NoResponse(error.to_string()))?;
         match status {
             StatusCode::OK => Ok(LogResponse { era, body: bytes }),
             StatusCode::GONE => Err(LogError::Deleted),
--- a/src/reason.rs
+++ b/src/reason.rs
@@ -53,11 +53,15 @@
     InternalError,
     /// The host's tasks run late while other hosts of its zone have fewer requests.
     HostOverloaded,
+    /// The host's memory for bodies is used up.
+    NoMemory,
+    /// The body of the request made no progress while others needed its place.
+    BodyStalled,
 }
 
 impl RefusalReason {
     /// All reasons, for registering one counter each.
-    pub const ALL: [Self; 22] = [
+    pub const ALL: [Self; 24] = [
         Self::CapacityUsedUp,
         Self::QueueFull,
         Self::DeadlineUnreachable,
@@ -80,6 +84,8 @@
         Self::TargetsPaused,
         Self::InternalError,
         Self::HostOverloaded,
+        Self::NoMemory,
+        Self::BodyStalled,
     ];
 
     /// Returns the name used in metrics, logs and response bodies.
@@ -107,6 +113,8 @@
             Self::TargetsPaused => "targets_paused",
             Self::InternalError => "internal_error",
             Self::HostOverloaded => "host_overloaded",
+            Self::NoMemory => "no_memory",
+            Self::BodyStalled => "body_stalled",
         }
     }
 }
--- a/src/target/transport.rs
+++ b/src/target/transport.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -16,6 +16,7 @@
 
 use super::TargetFailure;
 use super::wire::TargetRefusal;
+use crate::buffer::{CollectError, collect_limited};
 pub(super) use fresh::FreshConnection;
 
 /// How long an idle connection is kept.
@@ -109,9 +110,8 @@
     max_bytes: usize,
 ) -> Result<RawResponse, TargetFailure> {
     let (head, body) = response.into_parts();
-    let collected = Limited::new(body, max_bytes).collect().await;
-    let body = collected.map_err(|error| body_failure(error.as_ref()))?;
-    let body = body.to_bytes();
+    let collected = collect_limited(body, max_bytes).await;
+    let body = collected.map_err(|error| body_failure(&error))?;
     match refusal(head.status, &body) {
         Some(refusal) => Err(TargetFailure::Refused(refusal)),
         None => Ok(RawResponse {
@@ -139,10 +139,12 @@
     }
 }
 
-fn body_failure(error: &(dyn Error + Send + Sync + 'static)) -> TargetFailure {
-    match error.is::<http_body_util::LengthLimitError>() {
-        true => TargetFailure::Unusable(error.to_string()),
-        false => TargetFailure::ResponseLost(describe(error)),
+fn body_failure(error: &CollectError<hyper::Error>) -> TargetFailure {
+    match error {
+        CollectError::Body(error) => TargetFailure::ResponseLost(describe(error)),
+        CollectError::TooLong | CollectError::Denied | CollectError::Evicted => {
+            TargetFailure::Unusable(error.to_string())
+        }
     }
 }
 
--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -42,7 +42,7 @@
 pub use callers::count_calls_without_end;
 pub use check::{RetryWindow, Violation, find_violations};
 pub use configuration::{HostLimits, RetryBound, ServingTimes};
-pub use crowd::{CrowdBody, CrowdPlan, CrowdReport, CrowdSide, run_crowd};
+pub use crowd::{CrowdBody, CrowdPlan, CrowdReport, CrowdSide, run_crowds};
 pub use departure::{
     DepartureReport, run_departure_during_log_outage, run_departure_with_host_cut_off,
 };
--- a/standins/src/soak/crowd.rs
+++ b/standins/src/soak/crowd.rs
@@ -104,30 +104,68 @@
     responses: parking_lot::Mutex<Vec<String>>,
 }
 
-/// Lets a crowd send to the first host, and then sends ordinary requests beside it.
+/// Lets crowds send to the first host, one after the other, and sends ordinary requests beside
+/// each. The members of one leave before those of the next one come.
 ///
 /// # Errors
 ///
 /// If processes or sockets cannot be set up.
-pub async fn run_crowd(settings: SoakSettings, plan: CrowdPlan) -> io::Result<CrowdReport> {
+pub async fn run_crowds(settings: SoakSettings, plans: &[CrowdPlan]) -> io::Result<CrowdReport> {
     let mut run = SoakRun::open_served(settings).await?;
-    let log = Arc::new(CrowdLog::default());
-    let address = run.hosts[0].host.callers().ok_or(io::ErrorKind::NotFound)?;
-    let mut tasks = Vec::new();
-    if plan.side != CrowdSide::Callers {
-        tasks.extend(replace_targets(&run, plan, &log).await?);
+    let mut report = CrowdReport {
+        unexpected_exits: Vec::new(),
+        peak_memory: 0,
+        peak_descriptors: 0,
+        is_answered: true,
+        connected: 0,
+        sent: 0,
+        responses: Vec::new(),
+    };
+    for plan in plans {
+        let log = Arc::new(CrowdLog::default());
+        let tasks = spawn_crowd(&run, *plan, &log).await?;
+        observe_crowd(&mut run, plan.members, &log, &mut report).await;
+        tasks.iter().for_each(JoinHandle::abort);
+        report.connected += log.connected.load(Ordering::Relaxed);
+        report.sent += log.sent.load(Ordering::Relaxed);
+        report.responses.append(&mut log.responses.lock());
     }
+    report.peak_memory = run.hosts[0].host.peak_memory().unwrap_or(u64::MAX);
+    run.supervise_hosts(Instant::now()).await?;
+    report.unexpected_exits = std::mem::take(&mut run.unexpected_exits);
+    Ok(report)
+}
+
+async fn spawn_crowd(
+    run: &SoakRun,
+    plan: CrowdPlan,
+    log: &Arc<CrowdLog>,
+) -> io::Result<Vec<JoinHandle<()>>> {
+    let address = run.hosts[0].host.callers().ok_or(io::ErrorKind::NotFound)?;
+    let mut tasks = match plan.side {
+        CrowdSide::Callers => Vec::new(),
+        CrowdSide::Targets | CrowdSide::Readers => replace_targets(run, plan, log).await?,
+    };
     for member in 0..plan.members {
         tasks.push(tokio::spawn(run_caller(address, plan, member, log.clone())));
     }
+    Ok(tasks)
+}
+
+/// Waits until all members have sent what they can, and sends ordinary requests beside them.
+async fn observe_crowd(
+    run: &mut SoakRun,
+    members: usize,
+    log: &CrowdLog,
+    report: &mut CrowdReport,
+) {
     let until = Instant::now() + SEND_TIME;
-    let mut peak_descriptors = 0;
     let mut stay_until = None;
     // A process that has ended has no descriptors.
     while let Ok(open) = run.hosts[0].host.descriptors() {
-        peak_descriptors = peak_descriptors.max(open);
+        report.peak_descriptors = report.peak_descriptors.max(open);
         let now = Instant::now();
-        let is_finished = log.finished.load(Ordering::Relaxed) >= plan.members || now >= until;
+        let is_finished = log.finished.load(Ordering::Relaxed) >= members || now >= until;
         match stay_until {
             Some(until) if now >= until => break,
             Some(_) => {}
@@ -137,19 +175,7 @@
         tokio::time::sleep(POLL_INTERVAL).await;
     }
     let is_running = run.hosts[0].host.is_running();
-    let is_answered = is_running && run.wait_until_served().await;
-    let peak_memory = run.hosts[0].host.peak_memory().unwrap_or(u64::MAX);
-    run.supervise_hosts(Instant::now()).await?;
-    tasks.iter().for_each(JoinHandle::abort);
-    Ok(CrowdReport {
-        unexpected_exits: std::mem::take(&mut run.unexpected_exits),
-        peak_memory,
-        peak_descriptors,
-        is_answered,
-        connected: log.connected.load(Ordering::Relaxed),
-        sent: log.sent.load(Ordering::Relaxed),
-        responses: std::mem::take(&mut log.responses.lock()),
-    })
+    report.is_answered &= is_running && run.wait_until_served().await;
 }
 
 /// Replaces all plain targets but one by servers that respond as the plan says.
--- a/standins/tests/crowd.rs
+++ b/standins/tests/crowd.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use standins::soak::{
-    CrowdBody, CrowdPlan, CrowdReport, CrowdSide, HostLimits, ServingTimes, SoakSettings, run_crowd,
+    CrowdBody, CrowdPlan, CrowdReport, CrowdSide, HostLimits, ServingTimes, SoakSettings,
+    run_crowds,
 };
 use support::TestResult;
 use support::soaks::soak_settings;
@@ -25,27 +26,28 @@
 /// Crowds run one at a time.
 static TURN: Mutex<()> = Mutex::const_new(());
 
-async fn run(plan: CrowdPlan) -> Result<CrowdReport, support::TestError> {
+async fn run(plans: &[CrowdPlan]) -> Result<CrowdReport, support::TestError> {
     let _turn = TURN.lock().await;
     let (settings, _folder) = soak_settings(1).await?;
-    let times = match plan.body {
+    let is_small = |plan: &CrowdPlan| plan.body == CrowdBody::SmallChunks;
+    let times = match plans.iter().any(is_small) {
         // A host reads them slowly.
-        CrowdBody::SmallChunks => ServingTimes {
+        true => ServingTimes {
             route: LONG_ROUTE,
             ..settings.times
         },
-        _ => settings.times,
+        false => settings.times,
     };
     let settings = SoakSettings {
         limits: LIMITS,
         times,
         ..settings
     };
-    Ok(run_crowd(settings, plan).await?)
+    Ok(run_crowds(settings, plans).await?)
 }
 
-async fn check(plan: CrowdPlan) -> TestResult {
-    let report = run(plan).await?;
+async fn check(plans: &[CrowdPlan]) -> TestResult {
+    let report = run(plans).await?;
     assert_eq!(report.unexpected_exits, Vec::<String>::new(), "{report:?}");
     assert!(report.peak_memory < LIMITS.memory_mb << 20, "{report:?}");
     assert!(report.peak_descriptors < LIMITS.descriptors, "{report:?}");
@@ -58,12 +60,12 @@
     ($($name:ident: $side:ident, $body:ident, $members:literal, $bytes:expr;)*) => {$(
         #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
         async fn $name() -> TestResult {
-            check(CrowdPlan {
+            check(&[CrowdPlan {
                 side: CrowdSide::$side,
                 body: CrowdBody::$body,
                 members: $members,
                 bytes: $bytes,
-            })
+            }])
             .await
         }
     )*};
@@ -88,3 +90,29 @@
     targets_send_chunks_without_end: Targets, WithoutEnd, 16, 8 * MEBIBYTE;
     callers_read_no_responses: Readers, Whole, 64, 2 * MEBIBYTE;
 }
+
+/// Guards against memory, descriptors and places that a crowd used and that do not come back.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn crowds_come_one_after_the_other() -> TestResult {
+    let callers = |body, bytes| CrowdPlan {
+        side: CrowdSide::Callers,
+        body,
+        members: 32,
+        bytes,
+    };
+    let targets = |side, body, bytes| CrowdPlan {
+        side,
+        body,
+        members: 16,
+        bytes,
+    };
+    let plans = [
+        callers(CrowdBody::Whole, LIMITS.body_bytes),
+        targets(CrowdSide::Targets, CrowdBody::LargeChunks, 8 * MEBIBYTE),
+        callers(CrowdBody::LargeChunks, LIMITS.body_bytes),
+        callers(CrowdBody::Bytes, 4000),
+        targets(CrowdSide::Readers, CrowdBody::Whole, 2 * MEBIBYTE),
+        callers(CrowdBody::Whole, LIMITS.body_bytes),
+    ];
+    check(&plans).await
+}
--- a/tests/api/bounds.rs
+++ b/tests/api/bounds.rs
@@ -7,7 +7,9 @@
 };
 use http::{Method, StatusCode};
 use jackdawwick::api::wire::StreamEvent;
+use jackdawwick::reason::RefusalReason;
 use jackdawwick::verdict::RunVerdict;
+use tokio::io::AsyncWriteExt;
 use tokio::sync::mpsc;
 
 /// A caller that sends its whole body before it reads the response gets a 413. If the
@@ -30,6 +32,38 @@
     assert_eq!(reply.status, StatusCode::OK);
 }
 
+/// Guards against a host that holds more bodies than it has memory for, and against small calls
+/// that find no place beside large ones.
+#[tokio::test]
+async fn bodies_beyond_the_memory_for_them_are_refused() {
+    const BOUND: usize = 1 << 20;
+    let server = StubBackend::default()
+        .with_bounds(|bounds| bounds.buffered_bytes = BOUND)
+        .serve();
+    let padded = " ".repeat(BOUND - BODY.len()) + BODY;
+    let stalled = raw_head("/v1/generate", BOUND) + &padded[..BOUND - 1];
+    let mut first = server.connect().await;
+    first.write_all(stalled.as_bytes()).await.expect("sent");
+    // How much of the first body has arrived is not known.
+    let refused = async {
+        loop {
+            let reply = server.generate(&[BEARER], &padded).await;
+            match reply.status {
+                StatusCode::OK => tokio::task::yield_now().await,
+                _ => break reply,
+            }
+        }
+    };
+    let refused = in_time(refused).await;
+    assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(refused.refusal().verdict, RunVerdict::NotRun);
+    assert_eq!(refused.refusal().reason, RefusalReason::NoMemory);
+    assert_eq!(refused.header("retry-after"), "2");
+    let small = server.generate(&[BEARER], BODY).await;
+    assert_eq!(small.status, StatusCode::OK);
+    drop(first);
+}
+
 /// Callers that send nothing, half a head or half a body are disconnected. Without time
 /// limits on reading, such connections would pile up until no other caller is served.
 #[tokio::test]
--- /dev/null
+++ b/tests/buffers.rs
@@ -0,0 +1,237 @@
+//! Memory for bodies.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures::stream;
+use http_body_util::{Full, StreamBody};
+use hyper::body::Frame;
+use jackdawwick::buffer::{
+    BufferBudget, BufferPlan, BufferTable, CollectError, GrowDecision, HolderId, SMALL_BYTES,
+    collect_body, collect_limited,
+};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const LIMIT: usize = 1024 * 1024;
+const SECOND: Duration = Duration::from_secs(1);
+/// Longest pause in the growth of a body that keeps its memory.
+const PAUSE: Duration = Duration::from_millis(1900);
+
+/// A body whose frames are as given, without a length.
+fn frames(
+    parts: Vec<Bytes>,
+) -> StreamBody<impl futures::Stream<Item = Result<Frame<Bytes>, std::io::Error>>> {
+    StreamBody::new(stream::iter(
+        parts.into_iter().map(|part| Ok(Frame::data(part))),
+    ))
+}
+
+fn bytes_of(length: usize) -> Bytes {
+    Bytes::from(vec![b'a'; length])
+}
+
+/// Guards against small bodies that find no memory because large ones have used it up.
+#[test]
+fn small_bodies_get_memory_beside_large_ones() {
+    let now = Instant::now();
+    let mut table = BufferTable::new(LIMIT);
+    let large = table.open(now);
+    let granted = table.grow(large, LIMIT + SMALL_BYTES, now);
+    assert_eq!(granted, GrowDecision::Granted);
+    for _ in 0..1000 {
+        let small = table.open(now);
+        assert_eq!(table.grow(small, SMALL_BYTES, now), GrowDecision::Granted);
+    }
+    let other = table.open(now);
+    let denied = table.grow(other, SMALL_BYTES + 1, now);
+    assert_eq!(denied, GrowDecision::Denied);
+}
+
+/// Guards against bodies that never end and keep everybody else's memory, and against the
+/// end of those that make progress or are in use.
+#[test]
+fn the_body_that_has_paused_longest_makes_way() {
+    let start = Instant::now();
+    let mut table = BufferTable::new(LIMIT);
+    let part = LIMIT / 4 + SMALL_BYTES;
+    let bodies: Vec<HolderId> = (0..4).map(|_| table.open(start)).collect();
+    for body in &bodies {
+        assert_eq!(table.grow(*body, part, start), GrowDecision::Granted);
+    }
+    assert!(table.complete(bodies[0]));
+    let later = start + SECOND;
+    assert_eq!(table.grow(bodies[1], part, later), GrowDecision::Granted);
+    let new = table.open(later);
+    assert_eq!(table.grow(new, part, later), GrowDecision::Denied);
+    let now = start + 2 * SECOND;
+    let evicted = table.grow(new, part, now);
+    assert_eq!(evicted, GrowDecision::Evict(bodies[2]));
+    assert_eq!(table.grow(new, part, now), GrowDecision::Wait);
+    assert!(!table.complete(bodies[2]));
+    table.close(bodies[2]);
+    assert_eq!(table.grow(new, part, now), GrowDecision::Granted);
+    table.complete(new);
+    table.close(bodies[3]);
+    let mut denied = table.clone();
+    let last = denied.open(now);
+    assert_eq!(denied.grow(last, part, now), GrowDecision::Granted);
+    let another = denied.open(now);
+    assert_eq!(denied.grow(another, part, now), GrowDecision::Denied);
+}
+
+/// Guards against a body of which nothing that others hold would be enough, and which evicts
+/// them all the same.
+#[test]
+fn a_body_beyond_all_memory_evicts_nobody() {
+    let start = Instant::now();
+    let mut table = BufferTable::new(LIMIT);
+    let body = table.open(start);
+    table.grow(body, LIMIT, start);
+    let huge = table.open(start);
+    let denied = table.grow(huge, 2 * LIMIT, start + 10 * SECOND);
+    assert_eq!(denied, GrowDecision::Denied);
+    assert!(table.complete(body));
+}
+
+/// What happens to one of a few bodies.
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    Open,
+    Grow(usize, usize),
+    Complete(usize),
+    Close(usize),
+    Wait(Duration),
+}
+
+fn any_step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        2 => Just(Step::Open),
+        6 => (0..8_usize, 0..LIMIT).prop_map(|(body, bytes)| Step::Grow(body, bytes)),
+        2 => (0..8_usize).prop_map(Step::Complete),
+        3 => (0..8_usize).prop_map(Step::Close),
+        2 => (0..4000_u64).prop_map(|millis| Step::Wait(Duration::from_millis(millis))),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 500,
+        rng_seed: RngSeed::Fixed(71),
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against memory that is charged twice or never returned, in any order of events.
+    #[test]
+    fn charges_stay_under_the_limit_and_are_all_returned(
+        steps in prop::collection::vec(any_step(), 1..200)
+    ) {
+        let mut now = Instant::now();
+        let mut table = BufferTable::new(LIMIT);
+        // Each body, when it last grew, and whether it is complete.
+        let mut bodies: Vec<(HolderId, Instant, bool)> = Vec::new();
+        for step in steps {
+            match step {
+                Step::Open => bodies.push((table.open(now), now, false)),
+                Step::Grow(index, bytes) if index < bodies.len() => {
+                    match table.grow(bodies[index].0, bytes, now) {
+                        GrowDecision::Granted => bodies[index].1 = now,
+                        GrowDecision::Evict(id) => {
+                            let evicted = bodies.iter().find(|body| body.0 == id);
+                            let &(_, grown, complete) = evicted.expect("an open body");
+                            prop_assert!(!complete);
+                            prop_assert!(now - grown >= PAUSE);
+                        }
+                        GrowDecision::Wait | GrowDecision::Denied => {}
+                    }
+                }
+                Step::Complete(index) if index < bodies.len() => {
+                    bodies[index].2 |= table.complete(bodies[index].0);
+                }
+                Step::Close(index) if index < bodies.len() => {
+                    table.close(bodies.swap_remove(index).0);
+                }
+                Step::Wait(time) => now += time,
+                Step::Grow(..) | Step::Complete(_) | Step::Close(_) => {}
+            }
+            prop_assert!(table.charged() <= LIMIT);
+        }
+        for (body, ..) in bodies {
+            table.close(body);
+        }
+        prop_assert_eq!(table.charged(), 0);
+    }
+}
+
+/// Guards against a body of tiny frames, each of which keeps its read buffer.
+#[tokio::test]
+async fn frames_are_not_kept() {
+    let read_buffer = bytes_of(8192);
+    let parts = (0..1000).map(|at| read_buffer.slice(at..=at)).collect();
+    drop(read_buffer);
+    let budget = BufferBudget::new(LIMIT);
+    let body = collect_body(frames(parts), LIMIT, budget.open()).await;
+    assert_eq!(body.expect("a body").len(), 1000);
+}
+
+/// Guards against memory that is returned while a clone of the body is in use, or never.
+#[tokio::test]
+async fn memory_is_returned_with_the_last_clone() {
+    let budget = BufferBudget::new(LIMIT);
+    let body = collect_body(Full::new(bytes_of(LIMIT / 2)), LIMIT, budget.open()).await;
+    let body = body.expect("a body");
+    assert_eq!(budget.charged(), LIMIT / 2 - SMALL_BYTES);
+    let part = body.slice(7..8);
+    drop(body);
+    assert_eq!(budget.charged(), LIMIT / 2 - SMALL_BYTES);
+    drop(part);
+    assert_eq!(budget.charged(), 0);
+}
+
+/// Guards against a body over its limit of which a part is held, and against one that is refused
+/// although it fits.
+#[tokio::test]
+async fn lengths_are_checked_before_anything_is_held() {
+    let budget = BufferBudget::new(LIMIT);
+    let long = collect_body(Full::new(bytes_of(1001)), 1000, budget.open()).await;
+    assert!(matches!(long, Err(CollectError::TooLong)));
+    let parts = vec![bytes_of(600), bytes_of(401)];
+    let sent = collect_limited(frames(parts.clone()), 1000).await;
+    assert!(matches!(sent, Err(CollectError::TooLong)));
+    let whole = collect_limited(frames(parts), 1001).await;
+    assert_eq!(whole.expect("a body").len(), 1001);
+    let denied = collect_body(Full::new(bytes_of(2 * LIMIT)), 4 * LIMIT, budget.open()).await;
+    assert!(matches!(denied, Err(CollectError::Denied)));
+    assert_eq!(budget.charged(), 0);
+}
+
+/// Guards against a body that waits for its peer and keeps memory that another one was promised.
+#[tokio::test]
+async fn an_evicted_body_ends_and_the_other_one_goes_on() {
+    let budget = BufferBudget::new(LIMIT);
+    let parts = stream::iter([Ok::<_, std::io::Error>(Frame::data(bytes_of(LIMIT)))]);
+    let stalled = StreamBody::new(futures::StreamExt::chain(parts, stream::pending()));
+    let stalled = tokio::spawn(collect_body(Box::pin(stalled), 2 * LIMIT, budget.open()));
+    tokio::task::yield_now().await;
+    tokio::time::sleep(2 * SECOND).await;
+    let other = collect_body(Full::new(bytes_of(LIMIT)), LIMIT, budget.open()).await;
+    assert_eq!(other.expect("a body").len(), LIMIT);
+    let evicted = stalled.await.expect("no panic");
+    assert!(matches!(evicted, Err(CollectError::Evicted)));
+}
+
+/// Guards against a host that may hold more than it has: the parts of the plan together.
+#[test]
+fn the_plan_leaves_memory_and_descriptors_for_the_rest() {
+    for (memory, descriptors) in [(64_u64 << 20, 256), (160 << 20, 4100), (260 << 20, 4100)] {
+        let plan = BufferPlan::divide(memory, descriptors);
+        let parts = plan.request_bytes + plan.response_bytes + plan.head_bytes;
+        assert!(parts as u64 <= memory * 3 / 5);
+        // A connection to a target for each caller.
+        assert!(2 * plan.connections < descriptors - 200);
+        let heads = plan.caller_connections(32 * 1024) * 32 * 1024;
+        assert!(heads <= plan.head_bytes);
+    }
+    let usual = BufferPlan::default();
+    assert!(usual.request_bytes > 4 * 1024 * 1024 && usual.connections > 1000);
+}
--- a/tests/forwarding/host.rs
+++ b/tests/forwarding/host.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use jackdawwick::buffer::BufferPlan;
 use jackdawwick::fleet::{LayerRange, TargetEntry};
 use jackdawwick::forward::{ServingHandle, ServingTables, serve};
 use jackdawwick::platform::configuration_record::parse_configuration;
@@ -50,14 +51,20 @@
 
 impl TestHost {
     pub(crate) fn open() -> Self {
+        Self::open_with(BufferPlan::default(), 4096)
+    }
+
+    /// Opens a host with a plan for its memory and a limit for bodies.
+    pub(crate) fn open_with(plan: BufferPlan, body_bytes: usize) -> Self {
         let budget = WindowSettings {
             window: std::time::Duration::from_secs(10),
             ratio: 0.2,
             slack: 20.0,
             opened: std::time::Instant::now() - std::time::Duration::from_secs(10),
         };
-        let tables = Arc::new(ServingTables::new("h".into(), "z".into(), budget));
-        let configuration = parse_configuration(configuration().as_bytes());
+        let tables = ServingTables::with_plan("h".into(), "z".into(), budget, plan);
+        let tables = Arc::new(tables);
+        let configuration = parse_configuration(configuration(body_bytes).as_bytes());
         let configuration = Arc::new(configuration.expect("a valid configuration"));
         tables.configuration.store(Some(configuration));
         let serving = serve(tables.clone(), ([127, 0, 0, 1], 0).into()).expect("a port");
@@ -121,7 +128,7 @@
     )
 }
 
-fn configuration() -> String {
+fn configuration(body_bytes: usize) -> String {
     let route = |prefix: &str, kind: &str, service: &str| {
         serde_json::json!({
             "name": prefix, "host": "a.example", "path_prefix": prefix, "kind": kind,
@@ -151,7 +158,7 @@
                 "kind_list": [{"name": "fast", "mb": 80000.0, "pace": 2.0, "read_x": 3.0}]
             }}
         ],
-        "limits": {"max_header_bytes": 16384, "max_body_bytes": 4096,
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": body_bytes,
                    "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
         "tenants": [{"name": "org", "api_keys": ["k1"]}]
     });
