Bound the connections of callers and the time of a body

What callers saw: a host whose callers stopped within a head or a body kept them for as long as they stayed, 525 and 426 descriptors of 256 with 400 such callers, so that none is left for targets, the log or other callers.

Cause: connections of callers had no bound, and a body was awaited without a time; its deadline began after it.

At the limit the connection that has waited longest for its caller, and for a second at least, makes way: it is closed, or its request gets 408. Others are closed unread and counted. A body has until the deadline of its request, and gets 408 then, which is true: nothing was sent. Gauge caller_connections.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -8,6 +8,7 @@
 mod bucket;
 mod commands;
 mod connection_gate;
+mod connection_table;
 mod drain;
 mod estimate;
 mod organisation;
@@ -20,6 +21,7 @@
 mod ticket;
 
 pub use connection_gate::{ConnectionGate, ZoneLoad};
+pub use connection_table::{ConnectionDecision, ConnectionId, ConnectionTable};
 pub use overload::OverloadGauge;
 pub use settings::AdmissionSettings;
 pub use table::AdmissionTable;
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -7,6 +7,7 @@
 mod admission_wait;
 mod attempt;
 mod attempt_policy;
+mod caller_connections;
 mod choice;
 mod closed;
 mod connection_phase;
--- a/src/forward/connection_phase.rs
+++ b/src/forward/connection_phase.rs
@@ -14,22 +14,56 @@
 use hyper::body::{Body, Frame, SizeHint};
 use parking_lot::Mutex;
 
+use super::caller_connections::CallerConnection;
 use super::progress::RequestProgress;
 use super::response::ResponseBody;
 use super::shutdown::ShutdownEnd;
 use super::tables::ServingTables;
 
 /// The request of a connection that has no complete response yet.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub(super) struct ConnectionPhase {
+    /// The connection, among those of all callers.
+    connection: Arc<CallerConnection>,
     open_request: Arc<Mutex<Option<Arc<RequestProgress>>>>,
     is_closing: Arc<AtomicBool>,
 }
 
 impl ConnectionPhase {
-    /// Records that the head of a request was read.
-    pub(super) fn observe_request(&self, progress: &Arc<RequestProgress>) {
+    /// Follows a connection that was accepted.
+    pub(super) fn new(connection: CallerConnection) -> Self {
+        Self {
+            connection: Arc::new(connection),
+            open_request: Arc::default(),
+            is_closing: Arc::default(),
+        }
+    }
+
+    /// Records that the head of a request was read, and that its body is awaited.
+    pub(super) fn observe_head(&self, progress: &Arc<RequestProgress>, now: Instant) {
         *self.open_request.lock() = Some(progress.clone());
+        self.connection.observe_wait(now);
+    }
+
+    /// Records that a whole request was read.
+    pub(super) fn observe_body(&self) {
+        self.connection.observe_request();
+    }
+
+    /// Returns when the connection has to make way for another one.
+    pub(super) async fn replaced(&self) {
+        self.connection.replaced.cancelled().await;
+    }
+
+    /// Returns whether a request has no complete response.
+    pub(super) fn has_request(&self) -> bool {
+        self.open_request.lock().is_some()
+    }
+
+    fn observe_end(&self) {
+        if self.open_request.lock().take().is_some() {
+            self.connection.observe_wait(Instant::now());
+        }
     }
 
     /// Makes a response the last one of the connection.
@@ -94,7 +128,7 @@
 impl FollowedBody {
     fn observe_end(&self) {
         if self.body.is_end_stream() {
-            self.phase.open_request.lock().take();
+            self.phase.observe_end();
         }
     }
 }
@@ -109,7 +143,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
         let polled = Pin::new(&mut self.body).poll_frame(context);
         match &polled {
-            Poll::Ready(None) => drop(self.phase.open_request.lock().take()),
+            Poll::Ready(None) => self.phase.observe_end(),
             Poll::Ready(Some(Ok(_))) => self.observe_end(),
             Poll::Ready(Some(Err(_))) | Poll::Pending => {}
         }
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -15,6 +15,7 @@
 use super::attempt::{AttemptFailure, FailureCause, OutgoingRequest};
 use super::attempt_policy::AttemptPurpose;
 use super::choice::{self, ChosenTarget};
+use super::connection_phase::ConnectionPhase;
 use super::head::{CallerHead, forwarded, request_size, shared_parts};
 use super::panics::{catch_panic, guard_body};
 use super::progress::RequestProgress;
@@ -76,6 +77,7 @@
 pub(super) async fn handle_request(
     tables: Arc<ServingTables>,
     request: Request<Incoming>,
+    phase: &ConnectionPhase,
     progress: Arc<RequestProgress>,
     arrived: Instant,
 ) -> Response<ResponseBody> {
@@ -89,7 +91,7 @@
             head: &head,
             arrived,
         };
-        let exchange = open(tables.clone(), received, progress.clone()).await?;
+        let exchange = open(tables.clone(), received, phase, progress.clone()).await?;
         forward(Arc::new(exchange), in_flight_request).await
     };
     let handled = tokio::select! {
@@ -100,7 +102,10 @@
     let mut response = match handled {
         Ok(response) => response.map(|body| guard_body(tables.clone(), &head.id, body)),
         Err(refusal) => {
-            discard_rest(body, body_limit(&tables));
+            // A caller that has stalled sends nothing that would have to be read.
+            if refusal.status != StatusCode::REQUEST_TIMEOUT {
+                discard_rest(body, body_limit(&tables));
+            }
             refuse(&tables, &head.id, refusal, arrived)
         }
     };
@@ -116,6 +121,7 @@
 pub(super) async fn refuse_request(
     tables: Arc<ServingTables>,
     request: Request<Incoming>,
+    phase: &ConnectionPhase,
     progress: Arc<RequestProgress>,
     arrived: Instant,
 ) -> Response<ResponseBody> {
@@ -132,6 +138,7 @@
             Ok(Err(error)) => unread(&error),
             Err(_) => Refusal::timed_out(RefusalReason::BodyStalled),
         },
+        () = phase.replaced() => Refusal::timed_out(RefusalReason::BodyStalled),
         () = tables.clone().answer_due() => tables.end_request(&progress, Instant::now()),
     };
     discard_rest(body, limit);
@@ -190,6 +197,7 @@
 async fn open(
     tables: Arc<ServingTables>,
     received: ReceivedRequest<'_>,
+    phase: &ConnectionPhase,
     progress: Arc<RequestProgress>,
 ) -> Result<Exchange, Refusal> {
     let ReceivedRequest {
@@ -219,8 +227,17 @@
         .limits
         .body_bytes
         .min(tables.request_budget.limit());
-    let body = collect_body(body, limit, tables.request_budget.open()).await;
-    let body = body.map_err(|error| unread(&error))?;
+    let body = tokio::select! {
+        biased;
+        body = collect_body(body, limit, tables.request_budget.open()) => {
+            body.map_err(|error| unread(&error))?
+        }
+        () = tokio::time::sleep_until(deadline.into()) => {
+            return Err(Refusal::timed_out(RefusalReason::DeadlinePassed));
+        }
+        () = phase.replaced() => return Err(Refusal::timed_out(RefusalReason::BodyStalled)),
+    };
+    phase.observe_body();
     progress.set_deadline(deadline);
     // The shutdown may have begun while the body arrived.
     tables.check_drain(&progress, deadline, Instant::now())?;
--- a/src/forward/serve.rs
+++ b/src/forward/serve.rs
@@ -26,6 +26,8 @@
 
 /// Pause after a failed accept, for instance while file descriptors are used up.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Time for the refusal of a request whose connection makes way for another one.
+const REPLACED_TIME: Duration = Duration::from_millis(500);
 
 /// A running listener.
 #[derive(Debug)]
@@ -72,10 +74,16 @@
         };
         match accepted {
             Ok((stream, _)) => match admit(&tables, &stream) {
-                Some(admission) => {
-                    let served = serve_connection(tables.clone(), stream, admission, stop.clone());
-                    connections.spawn(served);
-                }
+                Some(admission) => match tables.open_connection(Instant::now()) {
+                    Some(connection) => {
+                        let phase = ConnectionPhase::new(connection);
+                        let tables = tables.clone();
+                        let served =
+                            serve_connection(tables, stream, admission, phase, stop.clone());
+                        connections.spawn(served);
+                    }
+                    None => tables.metrics.connection_refused(),
+                },
                 // Closed before a request is read, so that the caller comes back elsewhere.
                 None => tables.count_closed_unread(),
             },
@@ -116,33 +124,27 @@
     tables: Arc<ServingTables>,
     stream: TcpStream,
     admission: ConnectionAdmission,
+    phase: ConnectionPhase,
     stop: StopSignals,
 ) {
     if let Err(error) = socket::prepare(&stream) {
         log::debug!("cannot configure caller connection: {error}");
         return;
     }
-    let limits = tables
-        .configuration
-        .load()
-        .as_ref()
-        .map(|known| known.limits);
-    let limits = limits.unwrap_or_default();
-    let phase = ConnectionPhase::default();
     let service = service_fn(|request: Request<Incoming>| {
         let (tables, phase) = (tables.clone(), phase.clone());
         let arrived = Instant::now();
         let id = request.headers().get(names::ATTEMPT_ID);
         let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
         let progress = Arc::new(RequestProgress::new(id, arrived));
-        phase.observe_request(&progress);
+        phase.observe_head(&progress, arrived);
         async move {
             let mut response = match admission {
                 ConnectionAdmission::Served => {
-                    handle_request(tables.clone(), request, progress, arrived).await
+                    handle_request(tables.clone(), request, &phase, progress, arrived).await
                 }
                 ConnectionAdmission::Refused => {
-                    refuse_request(tables.clone(), request, progress, arrived).await
+                    refuse_request(tables.clone(), request, &phase, progress, arrived).await
                 }
             };
             if tables.is_draining() || admission == ConnectionAdmission::Refused {
@@ -156,7 +158,7 @@
     let connection = hyper::server::conn::http1::Builder::new()
         .header_read_timeout(timer.first_limit)
         .timer(timer)
-        .max_buf_size(limits.header_bytes.max(8192) * 2)
+        .max_buf_size(tables.read_buffer_bytes())
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     let finished = async {
@@ -173,9 +175,20 @@
             }
         }
     };
+    let replaced = async {
+        phase.replaced().await;
+        if phase.has_request() {
+            // Its refusal is sent first.
+            tokio::time::sleep(REPLACED_TIME).await;
+        }
+    };
     let served = tokio::select! {
         biased;
         served = finished => served,
+        () = replaced => {
+            tables.metrics.connection_replaced();
+            return;
+        }
         () = stop.cut.cancelled() => {
             phase.record_cut(&tables, Instant::now());
             return;
--- a/src/forward/tables.rs
+++ b/src/forward/tables.rs
@@ -9,6 +9,7 @@
 use parking_lot::Mutex;
 use tokio::sync::{Notify, watch};
 
+use super::caller_connections::{CallerConnection, CallerConnections};
 use super::closed::PortCell;
 use super::gateway_link::{GatewayPeers, WitnessCell};
 use super::liveness::LivenessTable;
@@ -39,6 +40,9 @@
 pub(super) type ReportCell =
     Arc<tokio::sync::Mutex<Option<(Instant, Result<Arc<EngineReport>, CallFailure>)>>>;
 
+/// Smallest half of a read buffer, in bytes.
+const MIN_READ_BUFFER: usize = 8 * 1024;
+
 /// Shared state of the data path. No lock is held across an await, and no two at once.
 pub struct ServingTables {
     /// The name of this host.
@@ -72,6 +76,7 @@
     /// Memory for bodies of requests, and for those of responses that are passed on whole.
     pub(super) request_budget: BufferBudget,
     pub(super) response_budget: BufferBudget,
+    connections: CallerConnections,
     /// Number of other live hosts of the zone.
     neighbours: AtomicUsize,
     pub(super) retries: RetryBudgets,
@@ -118,6 +123,7 @@
             plan,
             request_budget: BufferBudget::new(plan.request_bytes),
             response_budget: BufferBudget::new(plan.response_bytes),
+            connections: CallerConnections::default(),
             host,
             zone,
             metrics: ServingMetrics::default(),
@@ -239,11 +245,25 @@
         gate.admits(|| self.zone_load())
     }
 
+    /// Returns the read buffer of a caller's connection, in bytes, which holds its largest head.
+    pub(super) fn read_buffer_bytes(&self) -> usize {
+        let configuration = self.configuration.load();
+        let limits = configuration.as_ref().map(|known| known.limits);
+        limits.unwrap_or_default().header_bytes.max(MIN_READ_BUFFER) * 2
+    }
+
+    /// Adds a connection of a caller, unless there is no place for another one.
+    pub(super) fn open_connection(&self, now: Instant) -> Option<CallerConnection> {
+        let limit = self.plan.caller_connections(self.read_buffer_bytes());
+        self.connections.open(limit, now)
+    }
+
     /// Returns the metrics as text.
     pub fn encode_metrics(&self) -> String {
         self.metrics.set_buffers(
             self.request_budget.charged(),
             self.response_budget.charged(),
+            self.connections.len(),
         );
         self.metrics.encode()
     }
--- a/src/metrics/serving.rs
+++ b/src/metrics/serving.rs
@@ -61,6 +61,7 @@
     starts_waiting: Gauge,
     log_era: Gauge,
     buffered_bytes: Family<CauseLabel, Gauge>,
+    caller_connections: Gauge,
     first_event: Histogram,
     between_events: Histogram,
     whole_request: Histogram,
@@ -105,6 +106,7 @@
             starts_waiting: Gauge::default(),
             log_era: Gauge::default(),
             buffered_bytes: Family::default(),
+            caller_connections: Gauge::default(),
             first_event: latency_histogram(),
             between_events: latency_histogram(),
             whole_request: latency_histogram(),
@@ -270,6 +272,10 @@
         let help = "Bytes of bodies that this host holds, without the first 16 KiB of each";
         let buffered = self.buffered_bytes.clone();
         self.registry.register("buffered_bytes", help, buffered);
+        let help = "Open connections of callers";
+        let connections = self.caller_connections.clone();
+        self.registry
+            .register("caller_connections", help, connections);
     }
 
     fn register_times(&mut self) {
@@ -397,14 +403,26 @@
         count(&self.closed_unread, "overloaded");
     }
 
-    /// Sets the bytes that bodies hold.
-    pub fn set_buffers(&self, request_bytes: usize, response_bytes: usize) {
+    /// Counts a connection that was closed before a request was read, since all connections
+    /// are in use.
+    pub fn connection_refused(&self) {
+        count(&self.closed_unread, "connection_limit");
+    }
+
+    /// Counts a connection that made way for another one.
+    pub fn connection_replaced(&self) {
+        count(&self.closed_unread, "replaced");
+    }
+
+    /// Sets the bytes that bodies hold, and the number of callers' connections.
+    pub fn set_buffers(&self, request_bytes: usize, response_bytes: usize, connections: usize) {
         let value = |count| i64::try_from(count).unwrap_or(i64::MAX);
         let bytes = [("request", request_bytes), ("response", response_bytes)];
         for (cause, bytes) in bytes {
             let label = CauseLabel { cause };
             self.buffered_bytes.get_or_create(&label).set(value(bytes));
         }
+        self.caller_connections.set(value(connections));
     }
 
     /// Counts a request whose handling panicked, by what was running.
--- a/tests/buffers.rs
+++ b/tests/buffers.rs
@@ -1,4 +1,4 @@
-//! Memory for bodies.
+//! Memory for bodies, and connections of callers.
 
 use std::time::{Duration, Instant};
 
@@ -6,6 +6,7 @@
 use futures::stream;
 use http_body_util::{Full, StreamBody};
 use hyper::body::Frame;
+use jackdawwick::admission::{ConnectionDecision, ConnectionTable};
 use jackdawwick::buffer::{
     BufferBudget, BufferPlan, BufferTable, CollectError, GrowDecision, HolderId, SMALL_BYTES,
     collect_body, collect_limited,
@@ -235,3 +236,40 @@
     let usual = BufferPlan::default();
     assert!(usual.request_bytes > 4 * 1024 * 1024 && usual.connections > 1000);
 }
+
+/// Guards against connections that are closed under a request, or as soon as they are open, and
+/// against ones that stay although others need their place.
+#[test]
+fn the_connection_that_has_waited_longest_makes_way() {
+    let start = Instant::now();
+    let mut table = ConnectionTable::default();
+    let opened = |decision| match decision {
+        ConnectionDecision::Opened(id) => id,
+        decision => panic!("{decision:?}"),
+    };
+    let first = opened(table.open(3, start));
+    let second = opened(table.open(3, start));
+    let third = opened(table.open(3, start + SECOND));
+    assert_eq!(
+        table.open(3, start + SECOND / 2),
+        ConnectionDecision::Refused
+    );
+    table.observe_request(first);
+    let replaced = table.open(3, start + SECOND);
+    assert!(matches!(
+        replaced,
+        ConnectionDecision::Replaced { closed, .. } if closed == second
+    ));
+    // The first one waits again, for less time than the third one.
+    table.observe_wait(first, start + 2 * SECOND);
+    let replaced = table.open(3, start + 2 * SECOND);
+    let ConnectionDecision::Replaced { closed, opened } = replaced else {
+        panic!("{replaced:?}");
+    };
+    assert!(closed == third || closed < opened);
+    table.close(first);
+    table.close(first);
+    assert_eq!(table.len(), 2);
+    table.observe_wait(first, start);
+    assert_eq!(table.len(), 2);
+}
--- a/tests/forwarding/main.rs
+++ b/tests/forwarding/main.rs
@@ -1,5 +1,6 @@
 //! Tests the data path against targets that fail in various ways.
 
+mod bodies;
 mod early_end;
 mod ended;
 mod gateway;
