Limit what is read for one piece of a response's body

Cause: the HTTP library reads the size of a chunk without a bound while it is made of zeros, so that a target that sends nothing else keeps the only thread of a host busy (found by reading; suspected cause of chunk_size_without_end).

Change: a connection to a target or gateway fails once 256 KiB of a body have brought no piece of it, as it does for a head of 64 KiB.

--- a/src/forward/attempt_policy.rs
+++ b/src/forward/attempt_policy.rs
@@ -5,12 +5,12 @@
 
 use futures::future::join_all;
 use http::Response;
-use hyper::body::Incoming;
 
 use super::attempt::{AttemptFailure, FailureCause};
 use super::choice::{self, ChoiceQuery, ChosenTarget};
 use super::exchange::{Exchange, NO_ROUTE_RETRY, TriedTargets};
 use super::gateway_link::PeerWitness;
+use super::head_limit::TargetBody;
 use super::lateness::ResponseLateness;
 use super::race::MAX_TRIED;
 use super::response::{Refusal, ResponseBody};
@@ -213,7 +213,7 @@
         silences.is_widespread(&self.service.name)
     }
 
-    pub(super) fn is_stream(&self, response: &Response<Incoming>) -> bool {
+    pub(super) fn is_stream(&self, response: &Response<TargetBody>) -> bool {
         self.matched.route.kind.is_stream() && response.status().is_success()
     }
 
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -17,6 +17,7 @@
 use super::choice::{self, ChosenTarget};
 use super::connection_phase::ConnectionPhase;
 use super::head::{CallerHead, forwarded, request_size, shared_parts};
+use super::head_limit::TargetBody;
 use super::panics::{catch_panic, guard_body};
 use super::progress::RequestProgress;
 use super::race::{AttemptRace, AttemptRole, RaceEvent};
@@ -489,7 +490,7 @@
 
 /// Reads a complete response, so that a truncated one is never passed on.
 pub(super) async fn read_whole(
-    response: Response<Incoming>,
+    response: Response<TargetBody>,
     budget: &BufferBudget,
     deadline: Instant,
 ) -> Result<Response<ResponseBody>, AttemptFailure> {
--- a/src/forward/gateway_link.rs
+++ b/src/forward/gateway_link.rs
@@ -9,10 +9,9 @@
 use http::header::{HeaderMap, HeaderValue};
 use http::{Request, Response};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use tokio::task::JoinHandle;
 
-use super::head_limit::LinkSender;
+use super::head_limit::{LinkSender, TargetBody};
 use super::pending_reads::PendingReads;
 use super::socket;
 use super::tables::ServingTables;
@@ -262,7 +261,7 @@
 }
 
 /// Returns the result that a gateway stated in a response that it created itself.
-pub(super) fn stated_result(response: &Response<Incoming>) -> Option<GatewayResult> {
+pub(super) fn stated_result(response: &Response<TargetBody>) -> Option<GatewayResult> {
     let name = response.headers().get(RESULT_HEADER)?.to_str().ok()?;
     GatewayResult::from_name(name)
 }
--- a/src/forward/gateway_server.rs
+++ b/src/forward/gateway_server.rs
@@ -17,7 +17,7 @@
 use http::header::{self, HeaderMap, HeaderValue};
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, StreamBody};
-use hyper::body::{Body, Frame, Incoming};
+use hyper::body::{Body, Frame};
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use rand::seq::IteratorRandom;
@@ -28,6 +28,7 @@
 use super::connection_tasks::ConnectionTasks;
 use super::exchange::InFlightRequest;
 use super::head::{forwarded, number_value};
+use super::head_limit::TargetBody;
 use super::notices::ObservedResponse;
 use super::progress::RequestProgress;
 use super::response::{ResponseBody, whole_body};
@@ -437,7 +438,7 @@
         &self,
         passed: &PassedRequest,
         sent: Instant,
-        response: &Response<Incoming>,
+        response: &Response<TargetBody>,
     ) {
         let (status, headers) = (response.status(), response.headers());
         if !passed.id.is_empty() {
@@ -465,7 +466,7 @@
 
 /// The body of a target's response on its way to another host.
 struct RelayedBody {
-    body: Incoming,
+    body: TargetBody,
     /// The target, if the end of the body is the end of its connection.
     unframed: Option<UnframedSource>,
     until: Instant,
--- a/src/forward/open_attempt.rs
+++ b/src/forward/open_attempt.rs
@@ -8,13 +8,14 @@
 use futures::future::BoxFuture;
 use http::Response;
 use http_body_util::BodyExt;
-use hyper::body::{Frame, Incoming};
+use hyper::body::Frame;
 
 use super::attempt::{self, AttemptFailure, FailureCause};
 use super::choice::ChosenTarget;
 use super::events::EventSplitter;
 use super::exchange::{Exchange, read_whole};
 use super::head::forwarded;
+use super::head_limit::TargetBody;
 use super::response::ResponseBody;
 use super::response_end::{ends_with_connection, may_be_truncated};
 use super::retry_grant::RetryGrant;
@@ -48,7 +49,7 @@
 
 /// The body of a stream.
 struct EventSource {
-    body: Incoming,
+    body: TargetBody,
     events: EventSplitter,
     /// Whether the end of the body is the end of its connection.
     ends_with_connection: bool,
@@ -231,7 +232,7 @@
     /// Reads a response that is passed on as a whole.
     fn read(
         &self,
-        response: Response<Incoming>,
+        response: Response<TargetBody>,
     ) -> impl Future<Output = Result<Response<ResponseBody>, AttemptFailure>> + use<> {
         let ends_with_connection = ends_with_connection(response.headers());
         let exchange = self.watch.exchange.clone();
--- a/src/forward/target_link.rs
+++ b/src/forward/target_link.rs
@@ -10,12 +10,11 @@
 use http::header::HeaderMap;
 use http::{Request, Response};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
 use super::gateway_link::{GatewayLink, GatewayUse, mark_target, stated_result};
-use super::head_limit::{HeadLimit, LinkSender, MAX_HEAD_BYTES};
+use super::head_limit::{HeadLimit, LinkSender, MAX_HEAD_BYTES, TargetBody};
 use super::pending_reads::PendingReads;
 use super::tables::ServingTables;
 use crate::gateway::GatewayResult;
@@ -34,7 +33,7 @@
 /// The head of a target's response, and the gateway that passed it on.
 #[derive(Debug)]
 pub(super) struct TargetResponse {
-    pub(super) response: Response<Incoming>,
+    pub(super) response: Response<TargetBody>,
     pub(super) gateway: Option<GatewayUse>,
 }
 
@@ -206,7 +205,7 @@
     stream: TcpStream,
     reads: &PendingReads,
 ) -> hyper::Result<LinkSender> {
-    let (stream, is_head_complete) = HeadLimit::new(stream, reads);
+    let (stream, progress) = HeadLimit::new(stream, reads);
     let (sender, connection) = hyper::client::conn::http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
         .handshake(TokioIo::new(stream))
@@ -216,5 +215,5 @@
             log::debug!("connection to a target or gateway failed: {error}");
         }
     });
-    Ok(LinkSender::new(sender, is_head_complete))
+    Ok(LinkSender::new(sender, progress))
 }
