Bound the connections to the readiness and metrics endpoints

Cause: by reading; each such connection was kept without a bound on their number, on the time of a head, or with heads of 400 KB.

Change: 64 connections to each endpoint, heads of 8 KiB that arrive within 30 s. Further connections are closed.

Measured: not shown by a test of its own.

--- a/src/entry/readiness.rs
+++ b/src/entry/readiness.rs
@@ -11,9 +11,10 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
+use hyper_util::rt::{TokioIo, TokioTimer};
 use parking_lot::Mutex;
 use tokio::net::TcpStream;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 use crate::fleet::{PathQuery, RequestSize, choose_path};
 use crate::forward::ServingTables;
@@ -23,6 +24,13 @@
 const METRICS_PATH: &str = "/metrics";
 /// Pause after a failed accept, for instance when file descriptors are exhausted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Maximum number of open connections to each of the two endpoints, which load balancers and
+/// scrapers use one at a time.
+const MAX_CONNECTIONS: usize = 64;
+/// Time in which the head of a request has to arrive, also on a connection that was used before.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Maximum size of the head of a request, in bytes.
+const MAX_HEAD_BYTES: usize = 8 * 1024;
 
 /// Why callers cannot be served.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
@@ -140,10 +148,14 @@
     let address = listener.local_addr()?;
     let respond = Arc::new(respond);
     tokio::spawn(async move {
+        let places = Arc::new(Semaphore::new(MAX_CONNECTIONS));
         loop {
             match listener.accept().await {
+                // A connection beyond the limit is closed.
                 Ok((stream, _)) => {
-                    tokio::spawn(serve_stream(stream, respond.clone()));
+                    if let Ok(place) = places.clone().try_acquire_owned() {
+                        tokio::spawn(serve_stream(stream, respond.clone(), place));
+                    }
                 }
                 Err(error) => {
                     log::warn!(error:% = error; "cannot accept a readiness or metrics connection");
@@ -155,7 +167,7 @@
     Ok(address)
 }
 
-async fn serve_stream<F>(stream: TcpStream, respond: Arc<F>)
+async fn serve_stream<F>(stream: TcpStream, respond: Arc<F>, _place: OwnedSemaphorePermit)
 where
     F: Fn(&str) -> (StatusCode, String),
 {
@@ -166,6 +178,9 @@
         async { Ok::<_, Infallible>(response) }
     });
     let served = hyper::server::conn::http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(IDLE_TIMEOUT)
+        .max_buf_size(MAX_HEAD_BYTES)
         .serve_connection(TokioIo::new(stream), service)
         .await;
     if let Err(error) = served {
