Take an answer without a status of HTTP for none

What callers saw: answers whose status was 600 or 999 (and 101, which nobody had asked for) were passed on with the target's proof. Status 000 and 099 were not: the library refuses them, and the request counts as broken and as one that may have run, direct and through a gateway.

Change: a status outside 200 to 599 fails the attempt with invalid_status and the verdict may_have_run, whatever else the answer states.

Measured: tests/forwarding/status.rs failed on 600 and passes with fourteen odd status lines, direct, as the head of a stream, through a gateway and beside a sound target; on 000 it held before.

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -68,6 +68,8 @@
     ForeignAnswer,
     #[error("answer without proof, or encoded")]
     Unproven,
+    #[error("answer whose status is none of HTTP")]
+    InvalidStatus,
     #[error("neither this host nor a gateway reaches the target")]
     Unreachable,
     #[error("no gateway passed the request on")]
@@ -96,6 +98,7 @@
             Self::WrongLayers => "wrong_layers",
             Self::ForeignAnswer => "foreign_answer",
             Self::Unproven => "unproven",
+            Self::InvalidStatus => "invalid_status",
             Self::Unreachable => "unreachable",
             Self::NoGateway => "no_gateway",
             Self::GatewayBroken => "gateway_broken",
@@ -256,6 +259,12 @@
     number_value(deadline.saturating_duration_since(now).as_millis().max(1))
 }
 
+/// Returns whether a status is that of a final response in HTTP. The library also accepts statuses
+/// up to 999, and a switch of protocols that was not requested.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Returns why a response may not be passed on; `None` if it belongs to this request and
 /// was made by the target itself.
 fn failure_cause(
@@ -264,6 +273,7 @@
     notice: &TargetNotice<'_>,
 ) -> Option<(RunVerdict, FailureCause)> {
     match status {
+        _ if !is_final(status) => Some((RunVerdict::MayHaveRun, FailureCause::InvalidStatus)),
         StatusCode::MISDIRECTED_REQUEST => Some((RunVerdict::NotRun, FailureCause::WrongLayers)),
         _ if notice.not_executed => Some((RunVerdict::NotRun, FailureCause::Refused)),
         _ if notice.attempt != Some(id) => {
--- a/tests/forwarding/main.rs
+++ b/tests/forwarding/main.rs
@@ -18,6 +18,7 @@
 mod shutdown;
 mod silence;
 mod starts;
+mod status;
 mod stub_target;
 mod unanswered;
 mod unframed;
