Count only waiting connections against the memory for heads

Cause: the limit on all connections fell with the memory for heads, to 716 on hosts of 112 MB, though a connection whose request is served holds no incomplete head.

Change: ConnectionLimits has one number for all connections and one for those that wait for their callers.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -21,7 +21,7 @@
 mod ticket;
 
 pub use connection_gate::{ConnectionGate, ZoneLoad};
-pub use connection_table::{ConnectionDecision, ConnectionId, ConnectionTable};
+pub use connection_table::{ConnectionDecision, ConnectionId, ConnectionLimits, ConnectionTable};
 pub use overload::OverloadGauge;
 pub use settings::AdmissionSettings;
 pub use table::AdmissionTable;
--- a/src/admission/connection_table.rs
+++ b/src/admission/connection_table.rs
@@ -11,6 +11,15 @@
 /// Time for which a connection may wait for its caller before it makes way for another one.
 const MIN_WAIT: Duration = Duration::from_secs(1);
 
+/// How many connections may be open.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectionLimits {
+    /// All connections.
+    pub open: usize,
+    /// Those that wait for their callers, each of which may hold an incomplete head.
+    pub waiting: usize,
+}
+
 /// What becomes of a new connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ConnectionDecision {
@@ -51,9 +60,10 @@
         self.open.is_empty()
     }
 
-    /// Adds a connection, which waits for its first request, if at most `limit` are open then.
-    pub fn open(&mut self, limit: usize, now: Instant) -> ConnectionDecision {
-        let closed = match self.open.len() >= limit {
+    /// Adds a connection, which waits for its first request, if the limits allow one more.
+    pub fn open(&mut self, limits: ConnectionLimits, now: Instant) -> ConnectionDecision {
+        let is_full = self.open.len() >= limits.open || self.waiting.len() >= limits.waiting;
+        let closed = match is_full {
             false => None,
             true => match self.longest_waiting(now) {
                 None => return ConnectionDecision::Refused,
--- a/src/buffer/plan.rs
+++ b/src/buffer/plan.rs
@@ -1,5 +1,7 @@
 //! Divides the memory and the descriptors of a host.
 
+use crate::admission::ConnectionLimits;
+
 /// What a host may use for bytes of others.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct BufferPlan {
@@ -42,11 +44,13 @@
         }
     }
 
-    /// Returns the largest number of connections of callers of which each may hold `bytes` of an
-    /// incomplete head.
-    pub fn caller_connections(&self, bytes: usize) -> usize {
-        self.connections
-            .min((self.head_bytes / bytes.max(1)).max(1))
+    /// Returns the limits on connections of callers if each that waits for its caller may hold
+    /// `bytes` of an incomplete head.
+    pub fn caller_connections(&self, bytes: usize) -> ConnectionLimits {
+        ConnectionLimits {
+            open: self.connections,
+            waiting: (self.head_bytes / bytes.max(1)).max(1),
+        }
     }
 }
 
--- a/src/forward/caller_connections.rs
+++ b/src/forward/caller_connections.rs
@@ -6,7 +6,7 @@
 use parking_lot::Mutex;
 use tokio_util::sync::CancellationToken;
 
-use crate::admission::{ConnectionDecision, ConnectionId, ConnectionTable};
+use crate::admission::{ConnectionDecision, ConnectionId, ConnectionLimits, ConnectionTable};
 use crate::collections::FastMap;
 
 /// The open connections of callers.
@@ -32,11 +32,11 @@
 }
 
 impl CallerConnections {
-    /// Adds a connection, if at most `limit` are open then; tells another one to make way if
-    /// there is none left.
-    pub(super) fn open(&self, limit: usize, now: Instant) -> Option<CallerConnection> {
+    /// Adds a connection, if the limits allow one more; tells another one to make way if they
+    /// do not.
+    pub(super) fn open(&self, limits: ConnectionLimits, now: Instant) -> Option<CallerConnection> {
         let mut state = self.state.lock();
-        let id = match state.table.open(limit, now) {
+        let id = match state.table.open(limits, now) {
             ConnectionDecision::Opened(id) => id,
             ConnectionDecision::Replaced { opened, closed } => {
                 if let Some(replaced) = state.replaced.remove(&closed) {
--- a/src/forward/tables.rs
+++ b/src/forward/tables.rs
@@ -254,8 +254,8 @@
 
     /// Adds a connection of a caller, unless there is no place for another one.
     pub(super) fn open_connection(&self, now: Instant) -> Option<CallerConnection> {
-        let limit = self.plan.caller_connections(self.read_buffer_bytes());
-        self.connections.open(limit, now)
+        let limits = self.plan.caller_connections(self.read_buffer_bytes());
+        self.connections.open(limits, now)
     }
 
     /// Returns the metrics as text.
