Bound an event's search, probe responses and log lines

Found by walking through what a host does with foreign bytes.

Cause: an event that arrives byte by byte was searched from its beginning for each byte, 64 KiB squared for one event; responses to probes and orders, up to 1 MiB each, were held outside the memory for responses; the queue of the log takes 2,048 lines of any length, and ids of callers are in them.

Change: only new bytes are searched; probes read into the memory for responses; lines over 8 KiB are left out and counted.

--- a/src/forward/events.rs
+++ b/src/forward/events.rs
@@ -5,6 +5,9 @@
 /// Largest event that is buffered, in bytes; events usually have a few hundred.
 const MAX_EVENT_BYTES: usize = 64 * 1024;
 
+/// Longest end of an event, in bytes: two line ends of two bytes.
+const BOUNDARY_BYTES: usize = 4;
+
 /// Buffers the event that is still arriving.
 ///
 /// A target may fail in the middle of an event. Had the first half been passed on, events
@@ -22,8 +25,10 @@
     ///
     /// If an event exceeds the limit, so that the stream cannot be one of events.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Option<Bytes>, OversizedEvent> {
+        // What was there before holds no boundary, but may hold the beginning of one.
+        let searched = self.partial.len().saturating_sub(BOUNDARY_BYTES - 1);
         self.partial.extend_from_slice(bytes);
-        let Some(end) = last_boundary(&self.partial) else {
+        let Some(end) = last_boundary(&self.partial[searched..]).map(|end| searched + end) else {
             return match self.partial.len() > MAX_EVENT_BYTES {
                 true => Err(OversizedEvent),
                 false => Ok(None),
--- a/src/forward/probe.rs
+++ b/src/forward/probe.rs
@@ -8,7 +8,7 @@
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::Full;
 
-use crate::buffer::collect_limited;
+use crate::buffer::collect_body;
 use crate::fleet::EngineReport;
 use crate::forward::ServingTables;
 use crate::ids::TargetId;
@@ -74,7 +74,7 @@
         let response = link.send(tables, target, request, |_| ()).await;
         let response = response.map_err(|error| unusable(&error))?;
         let (head, body) = response.response.into_parts();
-        let body = collect_limited(body, MAX_BODY_BYTES).await;
+        let body = collect_body(body, MAX_BODY_BYTES, tables.response_budget.open()).await;
         let body = body.map_err(|error| unusable(&error))?;
         Ok(TargetReply {
             status: head.status,
--- a/src/logging/bounded_writer.rs
+++ b/src/logging/bounded_writer.rs
@@ -8,6 +8,9 @@
 /// Maximum number of queued lines; at about 200 bytes per line the queue stays below half
 /// a megabyte.
 const QUEUE_LINES: usize = 2048;
+/// Maximum size of a line, in bytes, with which the queue stays below 16 megabytes. Lines have
+/// names that callers and targets choose.
+const MAX_LINE_BYTES: usize = 8 * 1024;
 /// Average rate limit in lines per second: about ten times what a host writes on a day
 /// with faults, and below 1% of a core.
 const LINES_PER_S: f64 = 400.0;
@@ -22,8 +25,8 @@
     Flush(SyncSender<()>),
 }
 
-/// Passes lines to a thread that writes them. When the queue is full or the rate limit is
-/// exceeded, lines are dropped and counted, and the count is written with the next line
+/// Passes lines to a thread that writes them. When the queue is full, the rate limit is
+/// exceeded or a line is too long, lines are dropped and counted, and the count is written with the next line
 /// that fits.
 ///
 /// A direct write would block the threads that serve requests as soon as the reader of
@@ -70,7 +73,7 @@
         self.refilled_at = now;
         let refill = elapsed.as_secs_f64() * LINES_PER_S;
         self.allowance = (self.allowance + refill).min(BURST_LINES);
-        if self.allowance < 1.0 {
+        if self.allowance < 1.0 || line.len() > MAX_LINE_BYTES {
             self.dropped_lines += 1;
             return;
         }
--- a/tests/entry_decisions.rs
+++ b/tests/entry_decisions.rs
@@ -40,6 +40,23 @@
     assert!(pushed.is_err());
 }
 
+/// Guards against an event without end that arrives byte by byte and keeps the host busy, since
+/// all of it is searched for each byte.
+#[test]
+fn an_event_without_end_is_searched_once() {
+    let mut splitter = EventSplitter::default();
+    let pushed = (0..=64 * 1024).try_for_each(|_| splitter.push(b"x").map(|_| ()));
+    assert!(pushed.is_err());
+    let mut splitter = EventSplitter::default();
+    let mut events = Vec::new();
+    for byte in b"id: 1\r\ndata: a\r\n\r\nid: 2\ndata: b\n\n" {
+        events.extend(splitter.push(&[*byte]).expect("no overflow"));
+    }
+    let events = events.iter().map(|event| &event[..]);
+    let whole: [&[u8]; 2] = [b"id: 1\r\ndata: a\r\n\r\n", b"id: 2\ndata: b\n\n"];
+    assert_eq!(events.collect::<Vec<_>>(), whole);
+}
+
 proptest! {
     /// Whole events are returned in order, however the bytes are split.
     #[test]
@@ -348,6 +365,23 @@
     assert!(text.contains("lines left out"));
 }
 
+/// Guards against a queue of few lines that holds much memory, since callers choose what is in
+/// them.
+#[test]
+fn long_lines_are_left_out() {
+    let (release_sender, release) = mpsc::channel();
+    let (written, lines) = mpsc::channel();
+    drop(release_sender);
+    let mut writer = BoundedWriter::spawn(BlockedWriter { release, written });
+    writeln!(writer, "{}", "x".repeat(16 * 1024)).expect("never fails");
+    writeln!(writer, "last").expect("never fails");
+    drop(writer);
+    let text = lines.iter().flatten().collect::<Vec<_>>();
+    let text = String::from_utf8(text).expect("text");
+    assert!(text.starts_with("last\n"), "{}", text.len());
+    assert!(text.contains("lines left out"));
+}
+
 /// Guards against the last lines of a process, which are lost when it ends before they are
 /// written.
 #[test]
