--- a/standins/src/soak/crowd.rs
+++ b/standins/src/soak/crowd.rs
@@ -342,7 +342,7 @@
         return send_header(writer, plan, log).await;
     }
     writer.write_all(b"\r\n").await?;
-    let is_complete = plan.side == CrowdSide::Readers || member % COMPLETE_EVERY == 0;
+    let is_complete = plan.side == CrowdSide::Readers || member.is_multiple_of(COMPLETE_EVERY);
     let bytes = match plan.body {
         CrowdBody::AnnouncedOver => plan.bytes * EXCESS,
         CrowdBody::WithoutEnd => usize::MAX,
