--- a/tests/forwarding/bodies.rs
+++ b/tests/forwarding/bodies.rs
@@ -7,7 +7,7 @@
 use tokio::net::TcpStream;
 
 use crate::host::{TestHost, request};
-use crate::stub_target::{Step, StubTarget, response};
+use crate::stub_target::{Step, StubTarget, response, stream_head};
 
 const MEBIBYTE: usize = 1024 * 1024;
 /// A host with room for one body of a mebibyte, and for three connections of callers.
@@ -122,3 +122,25 @@
     let held = read_rest(busy).await;
     assert!(held.starts_with("HTTP/1.1 50"), "{held}");
 }
+
+/// Guards against a target that sends the size of a chunk without end, which the HTTP library reads
+/// for as long as it comes.
+#[tokio::test]
+async fn a_chunk_size_without_end_breaks_the_connection() {
+    let target = StubTarget::spawn(|seen| {
+        let zeros = "0".repeat(MEBIBYTE);
+        let Step::Write(head) = stream_head(seen.id()) else {
+            return Vec::new();
+        };
+        let head = head.replace("text/event-stream", "text/plain");
+        // Until the head is read, its own limit applies.
+        let pause = Step::Wait(Duration::from_millis(100));
+        vec![Step::Write(head), pause, Step::Write(zeros), Step::Hold]
+    });
+    let target = target.await;
+    let host = TestHost::open();
+    host.add_plain("i-1", target.address);
+    let broken = host.call("POST", "/unsafe/", "Content-Length: 0\r\n").await;
+    // At the deadline it would be 504.
+    assert_eq!(broken.status(), 502, "{}", broken.text);
+}
