--- a/src/buffer/collect.rs
+++ b/src/buffer/collect.rs
@@ -14,8 +14,8 @@
 
 /// Capacity of the first buffer of a body of unknown length, in bytes.
 const FIRST_BYTES: usize = 4 * 1024;
-/// Least growth of a buffer above [`SMALL_BYTES`], in bytes. Above four times of it, a buffer
-/// grows by a quarter.
+/// Least growth of a buffer above [`SMALL_BYTES`], in bytes; a larger buffer grows by a quarter of
+/// its capacity.
 const STEP_BYTES: usize = 64 * 1024;
 
 /// Why a body was not read to its end.
--- a/src/buffer/plan.rs
+++ b/src/buffer/plan.rs
@@ -17,9 +17,9 @@
     pub gateway_connections: usize,
 }
 
-/// Memory of the smallest usual host, in bytes.
+/// Memory of a host whose settings are not known, in bytes.
 const DEFAULT_MEMORY: u64 = 260 << 20;
-/// Descriptors of the smallest usual host.
+/// Descriptors of a host whose settings are not known.
 const DEFAULT_DESCRIPTORS: usize = 4100;
 /// Descriptors that the platform reserves for files.
 const FILE_DESCRIPTORS: usize = 200;
--- a/src/buffer/table.rs
+++ b/src/buffer/table.rs
@@ -7,7 +7,7 @@
 pub type HolderId = u64;
 
 /// Bytes of each body that the pool is not charged for, so that small bodies pass while large
-/// ones use the pool up. Their number is that of the connections.
+/// ones use the pool up. The number of such bodies is bounded by that of the connections.
 pub const SMALL_BYTES: usize = 16 * 1024;
 /// Time without growth after which an incomplete body has to give its memory back to others.
 const MAX_PAUSE: Duration = Duration::from_secs(2);
--- a/src/platform/host_settings.rs
+++ b/src/platform/host_settings.rs
@@ -60,7 +60,7 @@
     link_mbps: f64,
 }
 
-/// Returns the default number of file descriptors, that of the smallest usual host.
+/// Returns the default number of file descriptors.
 fn default_descriptors() -> usize {
     4100
 }
--- a/standins/src/soak/crowd.rs
+++ b/standins/src/soak/crowd.rs
@@ -99,7 +99,7 @@
 struct CrowdLog {
     connected: AtomicUsize,
     sent: AtomicUsize,
-    /// Members that have sent what they had to send, or can't go on.
+    /// Members that have sent what they had to send, or cannot go on.
     finished: AtomicUsize,
     responses: parking_lot::Mutex<Vec<String>>,
 }
