Serve no request on a connection that has made way

What callers saw: nothing yet; found by reading. At the limit of connections an idle connection is told to make way. If its next request arrived at that moment, it was sent to a target, and the connection was closed half a second later without a response.

Cause: the connection waits for the refusal of an incomplete body, and took a request that was being served for one.

Change: ConnectionTable::observe_request tells, under the lock under which connections make way, whether the connection is still open; if not, the request is refused with 503, which is true: nothing was sent.

The race itself was not shown over sockets.

--- a/src/admission/connection_table.rs
+++ b/src/admission/connection_table.rs
@@ -100,11 +100,16 @@
         self.waiting.insert((now, id));
     }
 
-    /// Records that a whole request of a connection is being served.
-    pub fn observe_request(&mut self, id: ConnectionId) {
-        if let Some(since) = self.open.get_mut(&id).and_then(Option::take) {
+    /// Records that a whole request of a connection was read. Returns whether it may be served:
+    /// a connection that has made way is about to be closed.
+    pub fn observe_request(&mut self, id: ConnectionId) -> bool {
+        let Some(state) = self.open.get_mut(&id) else {
+            return false;
+        };
+        if let Some(since) = state.take() {
             self.waiting.remove(&(since, id));
         }
+        true
     }
 
     /// Removes a connection.
--- a/src/forward/caller_connections.rs
+++ b/src/forward/caller_connections.rs
@@ -71,9 +71,9 @@
             .observe_wait(self.id, now);
     }
 
-    /// Records that a whole request was read.
-    pub(super) fn observe_request(&self) {
-        self.connections.state.lock().table.observe_request(self.id);
+    /// Records that a whole request was read; returns whether it may be served.
+    pub(super) fn observe_request(&self) -> bool {
+        self.connections.state.lock().table.observe_request(self.id)
     }
 }
 
--- a/src/forward/connection_phase.rs
+++ b/src/forward/connection_phase.rs
@@ -45,9 +45,10 @@
         self.connection.observe_wait(now);
     }
 
-    /// Records that a whole request was read.
-    pub(super) fn observe_body(&self) {
-        self.connection.observe_request();
+    /// Records that a whole request was read; returns whether it may be served. A connection that
+    /// makes way is closed, although its target may be at work.
+    pub(super) fn observe_body(&self) -> bool {
+        self.connection.observe_request()
     }
 
     /// Returns when the connection has to make way for another one.
--- a/src/forward/exchange.rs
+++ b/src/forward/exchange.rs
@@ -238,7 +238,12 @@
         }
         () = phase.replaced() => return Err(Refusal::timed_out(RefusalReason::BodyStalled)),
     };
-    phase.observe_body();
+    if !phase.observe_body() {
+        return Err(Refusal::not_run(
+            RefusalReason::HostOverloaded,
+            OTHER_HOST_RETRY,
+        ));
+    }
     progress.set_deadline(deadline);
     // The shutdown may have begun while the body arrived.
     tables.check_drain(&progress, deadline, Instant::now())?;
--- a/tests/buffers.rs
+++ b/tests/buffers.rs
@@ -304,3 +304,25 @@
         ConnectionDecision::Replaced { closed: 50, .. }
     ));
 }
+
+/// Guards against a request that is served although its connection has made way and is closed
+/// under it.
+#[test]
+fn a_request_that_crosses_the_end_of_its_connection_is_not_served() {
+    const LIMITS: ConnectionLimits = ConnectionLimits {
+        open: 1,
+        waiting: 1,
+    };
+    let start = Instant::now();
+    let mut table = ConnectionTable::default();
+    assert_eq!(table.open(LIMITS, start), ConnectionDecision::Opened(0));
+    let replaced = table.open(LIMITS, start + SECOND);
+    let expected = ConnectionDecision::Replaced {
+        opened: 1,
+        closed: 0,
+    };
+    assert_eq!(replaced, expected);
+    table.observe_wait(0, start + SECOND);
+    assert!(!table.observe_request(0));
+    assert!(table.observe_request(1));
+}
