--- a/standins/src/soak/crowd.rs
+++ b/standins/src/soak/crowd.rs
@@ -29,6 +29,8 @@
 const BYTE_PAUSE: Duration = Duration::from_millis(1);
 /// How many times the limit a body has that is far over it.
 const EXCESS: usize = 16;
+/// Bytes of an incomplete trailer.
+const TRAILER_BYTES: usize = 8 * 1024;
 /// Every fourth member sends its body to the end.
 const COMPLETE_EVERY: usize = 4;
 
@@ -54,6 +56,10 @@
     LargeChunks,
     /// In chunks of one byte, as fast as they are read.
     SmallChunks,
+    /// In chunks of one byte with extensions.
+    Extensions,
+    /// In one chunk, with trailers after it that stop before their end.
+    Trailers,
     /// With a length that is far over the limit.
     AnnouncedOver,
     /// In chunks without end.
@@ -104,13 +110,16 @@
     responses: parking_lot::Mutex<Vec<String>>,
 }
 
-/// Lets crowds send to the first host, one after the other, and sends ordinary requests beside
-/// each. The members of one leave before those of the next one come.
+/// Lets crowds send to the first host, and sends ordinary requests beside them. The crowds of one
+/// group come together; they leave before those of the next group come.
 ///
 /// # Errors
 ///
 /// If processes or sockets cannot be set up.
-pub async fn run_crowds(settings: SoakSettings, plans: &[CrowdPlan]) -> io::Result<CrowdReport> {
+pub async fn run_crowds(
+    settings: SoakSettings,
+    groups: &[Vec<CrowdPlan>],
+) -> io::Result<CrowdReport> {
     let mut run = SoakRun::open_served(settings).await?;
     let mut report = CrowdReport {
         unexpected_exits: Vec::new(),
@@ -121,10 +130,14 @@
         sent: 0,
         responses: Vec::new(),
     };
-    for plan in plans {
+    for group in groups {
         let log = Arc::new(CrowdLog::default());
-        let tasks = spawn_crowd(&run, *plan, &log).await?;
-        observe_crowd(&mut run, plan.members, &log, &mut report).await;
+        let mut tasks = Vec::new();
+        for plan in group {
+            tasks.extend(spawn_crowd(&run, *plan, &log).await?);
+        }
+        let members = group.iter().map(|plan| plan.members).sum();
+        observe_crowd(&mut run, members, &log, &mut report).await;
         tasks.iter().for_each(JoinHandle::abort);
         report.connected += log.connected.load(Ordering::Relaxed);
         report.sent += log.sent.load(Ordering::Relaxed);
@@ -289,9 +302,11 @@
     match plan.body {
         CrowdBody::Whole | CrowdBody::Bytes => format!("Content-Length: {}\r\n", plan.bytes),
         CrowdBody::AnnouncedOver => format!("Content-Length: {}\r\n", plan.bytes * EXCESS),
-        CrowdBody::LargeChunks | CrowdBody::SmallChunks | CrowdBody::WithoutEnd => {
-            "Transfer-Encoding: chunked\r\n".to_owned()
-        }
+        CrowdBody::LargeChunks
+        | CrowdBody::SmallChunks
+        | CrowdBody::Extensions
+        | CrowdBody::Trailers
+        | CrowdBody::WithoutEnd => "Transfer-Encoding: chunked\r\n".to_owned(),
         CrowdBody::Head => String::new(),
     }
 }
@@ -350,7 +365,7 @@
     };
     let size = match plan.body {
         CrowdBody::Bytes => 1,
-        CrowdBody::SmallChunks => SMALL_CHUNKS,
+        CrowdBody::SmallChunks | CrowdBody::Extensions => SMALL_CHUNKS,
         _ => LARGE_PIECE,
     };
     let whole = piece(plan.body, size);
@@ -368,9 +383,13 @@
         left -= length;
     }
     match plan.body {
-        CrowdBody::LargeChunks | CrowdBody::SmallChunks if is_complete => {
+        CrowdBody::LargeChunks | CrowdBody::SmallChunks | CrowdBody::Extensions if is_complete => {
             writer.write_all(b"0\r\n\r\n").await
         }
+        CrowdBody::Trailers => {
+            let trailers = format!("0\r\nX-Trailer: {}", "a".repeat(TRAILER_BYTES));
+            writer.write_all(trailers.as_bytes()).await
+        }
         _ => Ok(()),
     }
 }
@@ -379,7 +398,8 @@
 fn piece(body: CrowdBody, length: usize) -> Vec<u8> {
     match body {
         CrowdBody::SmallChunks => "1\r\na\r\n".repeat(length).into_bytes(),
-        CrowdBody::LargeChunks | CrowdBody::WithoutEnd => {
+        CrowdBody::Extensions => "1;extension=a\r\na\r\n".repeat(length).into_bytes(),
+        CrowdBody::LargeChunks | CrowdBody::Trailers | CrowdBody::WithoutEnd => {
             format!("{length:x}\r\n{}\r\n", "a".repeat(length)).into_bytes()
         }
         CrowdBody::Whole | CrowdBody::Bytes | CrowdBody::AnnouncedOver | CrowdBody::Head => {
