Show that late heartbeats bring a server back that has left

When the store carries out three heartbeats of a server late, after its entry was removed, all hosts send to it again: 39 to 45 non-idempotent requests within a second, 2.5 s after the bound of DRAIN, of which 4 to 7 are lost as it ends. The rule that takes three outdated heartbeats for a new numbering holds for servers that are known to have left.

--- a/review/harness-2/src/engine.rs
+++ b/review/harness-2/src/engine.rs
@@ -1,10 +1,10 @@
 //! Servers of a plain service, each with its entry in the store.
 
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::http::{Connection, Request};
 use crate::store::Store;
@@ -21,14 +21,20 @@
     pub service: String,
     pub zone: String,
     pub address: SocketAddr,
-    pub born: Option<u64>,
+    /// Unix millisecond of its start.
+    pub born: u128,
     pub draining: AtomicBool,
     /// Whether its writes reach the store.
     pub reaches_store: AtomicBool,
+    /// By how much the store carries out its writes late, and doesn't answer them.
+    pub late: Mutex<Option<Duration>>,
+    /// Number of such writes.
+    pub late_writes: AtomicU64,
     pub alive: AtomicBool,
     sequence: AtomicU64,
     last_write: Mutex<Instant>,
     listed: AtomicBool,
+    open: Mutex<Vec<TcpStream>>,
     store: Store,
 }
 
@@ -41,13 +47,16 @@
             service: service.to_owned(),
             zone: zone.to_owned(),
             address: listener.local_addr().expect("an address"),
-            born: None,
+            born: SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis()),
             draining: AtomicBool::new(false),
             reaches_store: AtomicBool::new(true),
+            late: Mutex::new(None),
+            late_writes: AtomicU64::new(0),
             alive: AtomicBool::new(true),
             sequence: AtomicU64::new(0),
             last_write: Mutex::new(Instant::now()),
             listed: AtomicBool::new(false),
+            open: Mutex::default(),
             store: store.clone(),
         });
         let serving = server.clone();
@@ -56,6 +65,9 @@
                 if !serving.alive.load(Ordering::Relaxed) {
                     return;
                 }
+                if let Ok(kept) = stream.try_clone() {
+                    serving.open.lock().expect("the connections").push(kept);
+                }
                 let (server, work) = (serving.clone(), work.clone());
                 thread::spawn(move || server.serve(stream, &work));
             }
@@ -64,7 +76,11 @@
         thread::spawn(move || {
             while beating.alive.load(Ordering::Relaxed) {
                 if beating.reaches_store.load(Ordering::Relaxed) {
-                    beating.write();
+                    let late = *beating.late.lock().expect("the delay");
+                    match late {
+                        None => beating.write(),
+                        Some(late) => beating.write_late(late),
+                    }
                 }
                 thread::sleep(beat);
             }
@@ -85,16 +101,43 @@
 
     /// Writes the entry as it is now.
     pub fn write(&self) {
+        self.put(&self.entry());
+    }
+
+    /// Writes the entry as it is now, which the store carries out after `late`.
+    fn write_late(self: &Arc<Self>, late: Duration) {
+        let (server, entry) = (self.clone(), self.entry());
+        self.late_writes.fetch_add(1, Ordering::Relaxed);
+        thread::spawn(move || {
+            thread::sleep(late);
+            server.put(&entry);
+        });
+    }
+
+    fn entry(&self) -> String {
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
         let state = if self.draining.load(Ordering::Relaxed) { "draining" } else { "ready" };
-        let text = format!(
+        format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":64,\
-\"state\":\"{state}\",\"cold_remaining_ms\":0,\"sequence\":{sequence}}}",
-            self.service, self.address, self.zone
-        );
+\"state\":\"{state}\",\"cold_remaining_ms\":0,\"sequence\":{sequence},\"born\":{}}}",
+            self.service, self.address, self.zone, self.born
+        )
+    }
+
+    fn put(&self, entry: &str) {
         *self.last_write.lock().expect("the moment") = Instant::now();
         self.listed.store(true, Ordering::Relaxed);
-        self.store.put("keyed.servers", &self.id, text.as_bytes());
+        self.store.put("keyed.servers", &self.id, entry.as_bytes());
+    }
+
+    /// Ends the process: nothing listens any more, and open connections are closed.
+    pub fn end(&self) {
+        self.alive.store(false, Ordering::Relaxed);
+        // Wakes the listener.
+        let _ = TcpStream::connect(self.address);
+        for stream in self.open.lock().expect("the connections").drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
     }
 
     pub fn is_listed(&self) -> bool {
@@ -110,6 +153,14 @@
 
     fn serve(&self, stream: TcpStream, work: &Work) {
         let mut connection = Connection::new(stream);
+        self.serve_requests(&mut connection, work);
+        let _ = connection.stream.shutdown(Shutdown::Both);
+        let port = connection.stream.peer_addr().ok();
+        let mut open = self.open.lock().expect("the connections");
+        open.retain(|kept| kept.peer_addr().ok() != port);
+    }
+
+    fn serve_requests(&self, connection: &mut Connection, work: &Work) {
         while let Ok(Some(request)) = connection.read_request() {
             let named = request.head.get("x-jackdawwick-target-instance");
             if named.is_some_and(|named| named != self.id) {
@@ -126,7 +177,7 @@
                 }
                 continue;
             }
-            if !work(self, &request, &mut connection) {
+            if !work(self, &request, connection) {
                 return;
             }
         }
