--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
-# A server that names a limit loses its entry in the store for a moment and comes back.
+# A server leaves, and the store carries out three of its earlier writes after that.
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
-exec "$here/../harness-2/run-case.sh" "$here" limit
+exec "$here/../harness-2/run-case.sh" "$here" late-entries
--- a/review/harness-2/src/hosts.rs
+++ b/review/harness-2/src/hosts.rs
@@ -119,6 +119,25 @@
         Ok(())
     }
 
+    /// Replaces a part of the settings file.
+    pub fn change_settings(&self, before: &str, after: &str) {
+        let text = fs::read_to_string(&self.settings).expect("the settings are read");
+        assert!(text.contains(before), "the settings have {before}");
+        fs::write(&self.settings, text.replace(before, after)).expect("the settings are written");
+    }
+
+    /// Returns the addresses of the seeds, in the format of the settings.
+    pub fn seeds(&self) -> String {
+        let text = fs::read_to_string(&self.settings).expect("the settings are read");
+        let (_, rest) = text.split_once("\"seeds\":[").expect("the settings have seeds");
+        rest.split(']').next().unwrap_or_default().to_owned()
+    }
+
+    /// Sets the addresses of the seeds.
+    pub fn set_seeds(&self, seeds: &str) {
+        self.change_settings(&format!("\"seeds\":[{}]", self.seeds()), &format!("\"seeds\":[{seeds}]"));
+    }
+
     pub fn signal(&self, number: i32) {
         if let Some(child) = &self.child {
             signal(child, number);
--- a/review/harness-2/src/store.rs
+++ b/review/harness-2/src/store.rs
@@ -1,7 +1,8 @@
 //! The platform's store: a log with keyed topics of one partition each.
 
 use std::collections::{BTreeMap, HashMap};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -18,16 +19,44 @@
 pub struct Store {
     pub address: SocketAddr,
     topics: Arc<(Mutex<HashMap<String, Topic>>, Condvar)>,
+    /// Whether its address is given up.
+    is_closed: Arc<AtomicBool>,
+    open: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 impl Store {
     pub fn start() -> Self {
+        Self::serve_topics(Arc::default())
+    }
+
+    /// Serves the same topics at a second address.
+    pub fn serve_also(&self) -> Self {
+        Self::serve_topics(self.topics.clone())
+    }
+
+    /// Gives this address up: nothing listens there any more.
+    pub fn close(&self) {
+        self.is_closed.store(true, Ordering::Relaxed);
+        // Wakes the listener.
+        let _ = TcpStream::connect(self.address);
+        for stream in self.open.lock().expect("the connections").drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    fn serve_topics(topics: Arc<(Mutex<HashMap<String, Topic>>, Condvar)>) -> Self {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port for the store");
         let address = listener.local_addr().expect("an address");
-        let store = Self { address, topics: Arc::default() };
+        let store = Self { address, topics, is_closed: Arc::default(), open: Arc::default() };
         let serving = store.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if serving.is_closed.load(Ordering::Relaxed) {
+                    return;
+                }
+                if let Ok(kept) = stream.try_clone() {
+                    serving.open.lock().expect("the connections").push(kept);
+                }
                 let store = serving.clone();
                 thread::spawn(move || store.serve(Connection::new(stream)));
             }
