--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# Builds the stand-ins that the scripts of the second review start. They use the standard library
-# alone, so that no network is needed.
+# Builds the stand-ins of the second review's scripts into the root's target/. They use the
+# standard library alone, so that no network is needed.
 set -eu
-cd "$(dirname "$0")/harness-2"
-cargo build --release --offline --locked
+cd "$(dirname "$0")/.."
+cargo build --release --locked --offline --manifest-path review/harness-2/Cargo.toml --target-dir target
--- a/review/harness-2/run-case.sh
+++ b/review/harness-2/run-case.sh
@@ -4,7 +4,7 @@
 REVIEW_CASE=$(cd "$1" && pwd) || exit 2
 REVIEW_ROOT=$(cd "$(dirname "$0")/../.." && pwd) || exit 2
 export REVIEW_CASE REVIEW_ROOT
-program="$REVIEW_ROOT/review/harness-2/target/release/$2"
+program="$REVIEW_ROOT/target/release/$2"
 if [ ! -x "$program" ] || [ ! -x "$REVIEW_ROOT/target/release/jackdawwickd" ]; then
     echo "build the program as the deploy file does, then run review/build-2.sh"
     exit 2
--- a/review/harness-2/src/bin/extra-refusal.rs
+++ b/review/harness-2/src/bin/extra-refusal.rs
@@ -35,7 +35,10 @@
             let is_faulty = index == 0 && is_faulty.load(Ordering::Relaxed);
             // It is full for a moment: the request is refused, and has not run.
             if is_faulty && number % 50 == 3 {
-                let headers = [("X-Jackdawwick-Attempt-Id", &*id), ("X-Jackdawwick-Not-Executed", "1")];
+                let headers = [
+                    ("X-Jackdawwick-Attempt-Id", &*id),
+                    ("X-Jackdawwick-Not-Executed", "1"),
+                ];
                 *refused.lock().expect("the refusal") = Some(id.clone());
                 return connection.respond(503, &headers, b"").is_ok();
             }
@@ -44,22 +47,46 @@
             thread::sleep(Duration::from_millis(60));
             // The second answer to the refused request comes late, where that of the next request
             // is expected. One answer of fifty.
-            let earlier = refused.lock().expect("the refusal").take_if(|_| number % 50 >= 7);
+            let earlier = refused
+                .lock()
+                .expect("the refusal")
+                .take_if(|_| number % 50 >= 7);
             if let Some(earlier) = earlier {
-                let headers = [("X-Jackdawwick-Attempt-Id", &*earlier), ("X-Jackdawwick-Not-Executed", "1")];
-                extra.lock().expect("the extra answers").push(format!("{earlier} to the connection of {id}"));
+                let headers = [
+                    ("X-Jackdawwick-Attempt-Id", &*earlier),
+                    ("X-Jackdawwick-Not-Executed", "1"),
+                ];
+                extra
+                    .lock()
+                    .expect("the extra answers")
+                    .push(format!("{earlier} to the connection of {id}"));
                 if connection.respond(503, &headers, b"").is_err() {
                     return false;
                 }
             }
-            let headers = [("X-Jackdawwick-Attempt-Id", &*id), ("X-Jackdawwick-Server-Seal", SEAL)];
+            let headers = [
+                ("X-Jackdawwick-Attempt-Id", &*id),
+                ("X-Jackdawwick-Server-Seal", SEAL),
+            ];
             connection.respond(200, &headers, b"booked").is_ok()
         });
-        Server::start(&store, "desk", &format!("i-desk-{index}"), "north", Duration::from_millis(1200), work);
+        Server::start(
+            &store,
+            "desk",
+            &format!("i-desk-{index}"),
+            "north",
+            Duration::from_millis(1200),
+            work,
+        );
     }
 
     let zones = vec!["north".to_owned(); 3];
-    let layout = Layout { store: store.address, zones, folder: folder.clone(), heartbeat_ms: 1200 };
+    let layout = Layout {
+        store: store.address,
+        zones,
+        folder: folder.clone(),
+        heartbeat_ms: 1200,
+    };
     let mut hosts = lay_out(&layout);
     for host in &mut hosts {
         host.start().expect("a host starts");
@@ -70,7 +97,10 @@
         exit(2);
     }
     thread::sleep(Duration::from_secs(4));
-    let fronts = hosts.iter().map(|host| host.front).collect::<Vec<SocketAddr>>();
+    let fronts = hosts
+        .iter()
+        .map(|host| host.front)
+        .collect::<Vec<SocketAddr>>();
     let attempts: Arc<Mutex<Vec<(String, Attempt)>>> = Arc::default();
     let begin = Instant::now();
     let clients = (0..12_usize).map(|client| {
@@ -92,7 +122,10 @@
                     let host = (client + tried) % fronts.len();
                     let attempt = send(host, fronts[host], &plan);
                     let promised = matches!(attempt.seen.status, 429 | 503 | 408 | 421);
-                    attempts.lock().expect("the attempts").push((booking.clone(), attempt));
+                    attempts
+                        .lock()
+                        .expect("the attempts")
+                        .push((booking.clone(), attempt));
                     if !promised {
                         break;
                     }
@@ -131,7 +164,10 @@
         ));
     }
     record.say(&format!("clients, by status: {statuses:?}"));
-    record.say(&format!("attempts that ran more than once: {twice} of {}", runs.len()));
+    record.say(&format!(
+        "attempts that ran more than once: {twice} of {}",
+        runs.len()
+    ));
     record.write();
     let _ = std::fs::remove_dir_all(folder);
     exit(i32::from(twice > 0));
--- a/review/harness-2/src/bin/fraction.rs
+++ b/review/harness-2/src/bin/fraction.rs
@@ -20,18 +20,37 @@
     let record = Record::default();
     let store = Store::start();
     let folder = folder();
-    let config = |version: u32| format!(r#"{{"version":{version},"routes":[{{"name":"r-desk","host":"review.example","path_prefix":"/desk/","kind":"safe","timeout_ms":1000,"target_latency_ms":400,"priority":1,"service":"desk","max_attempts":2,"public":false}}],"services":[{{"name":"desk","health_path":"/health","max_connections":600,"protocol":"h1","tls":false}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"hule930","api_keys":["n2ctnfzs989anu6wsjnb"],"priority":1}}]}}"#);
+    let config = |version: u32| {
+        format!(
+            r#"{{"version":{version},"routes":[{{"name":"r-desk","host":"review.example","path_prefix":"/desk/","kind":"safe","timeout_ms":1000,"target_latency_ms":400,"priority":1,"service":"desk","max_attempts":2,"public":false}}],"services":[{{"name":"desk","health_path":"/health","max_connections":600,"protocol":"h1","tls":false}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"hule930","api_keys":["n2ctnfzs989anu6wsjnb"],"priority":1}}]}}"#
+        )
+    };
     store.put("keyed.op", "config", config(7).as_bytes());
     let work: Work = Arc::new(|_, request, connection| {
         thread::sleep(Duration::from_millis(30));
-        let headers = [("X-Jackdawwick-Attempt-Id", attempt_id(request)), ("X-Jackdawwick-Server-Seal", SEAL)];
+        let headers = [
+            ("X-Jackdawwick-Attempt-Id", attempt_id(request)),
+            ("X-Jackdawwick-Server-Seal", SEAL),
+        ];
         connection.respond(200, &headers, b"done").is_ok()
     });
     for index in 0..3 {
-        Server::start(&store, "desk", &format!("i-desk-{index}"), "north", Duration::from_millis(1200), work.clone());
+        Server::start(
+            &store,
+            "desk",
+            &format!("i-desk-{index}"),
+            "north",
+            Duration::from_millis(1200),
+            work.clone(),
+        );
     }
     let zones = vec!["north".to_owned(); 3];
-    let layout = Layout { store: store.address, zones, folder: folder.clone(), heartbeat_ms: 1200 };
+    let layout = Layout {
+        store: store.address,
+        zones,
+        folder: folder.clone(),
+        heartbeat_ms: 1200,
+    };
     let mut hosts = lay_out(&layout);
     for host in &mut hosts {
         host.start().expect("a host starts");
@@ -42,7 +61,10 @@
         exit(2);
     }
     thread::sleep(Duration::from_secs(3));
-    let fronts = hosts.iter().map(|host| host.front).collect::<Vec<SocketAddr>>();
+    let fronts = hosts
+        .iter()
+        .map(|host| host.front)
+        .collect::<Vec<SocketAddr>>();
     let plan = Plan {
         method: "GET",
         path: "/desk/list".to_owned(),
@@ -87,8 +109,10 @@
     let attempts = load.stop(Duration::from_secs(3));
     for host in &hosts {
         let text = host.log_text();
-        let errors = text.lines().filter(|line| line.contains("cannot parse the settings"));
-        if let Some(line) = errors.last() {
+        let mut errors = text
+            .lines()
+            .filter(|line| line.contains("cannot parse the settings"));
+        if let Some(line) = errors.next_back() {
             record.line(&format!("{}: {line}", host.name));
         }
     }
@@ -106,7 +130,9 @@
             _ => None,
         };
         if let Some((all, served)) = part {
-            *statuses.entry((attempt.sent >= back, attempt.seen.status)).or_default() += 1;
+            *statuses
+                .entry((attempt.sent >= back, attempt.seen.status))
+                .or_default() += 1;
             *all += 1;
             *served += usize::from(attempt.seen.status == 200);
         }
--- a/review/harness-2/src/bin/late-entries.rs
+++ b/review/harness-2/src/bin/late-entries.rs
@@ -36,17 +36,35 @@
         let work: Work = Arc::new(move |_, request, connection| {
             let id = attempt_id(request).to_owned();
             if index == 0 {
-                arrivals.lock().expect("the arrivals").push((Instant::now(), id.clone()));
+                arrivals
+                    .lock()
+                    .expect("the arrivals")
+                    .push((Instant::now(), id.clone()));
             }
             thread::sleep(WORK);
-            let headers = [("X-Jackdawwick-Attempt-Id", &*id), ("X-Jackdawwick-Server-Seal", SEAL)];
+            let headers = [
+                ("X-Jackdawwick-Attempt-Id", &*id),
+                ("X-Jackdawwick-Server-Seal", SEAL),
+            ];
             connection.respond(200, &headers, b"done").is_ok()
         });
-        servers.push(Server::start(&store, "desk", &format!("i-desk-{index}"), "north", BEAT, work));
+        servers.push(Server::start(
+            &store,
+            "desk",
+            &format!("i-desk-{index}"),
+            "north",
+            BEAT,
+            work,
+        ));
     }
 
     let zones = vec!["north".to_owned(); 3];
-    let layout = Layout { store: store.address, zones, folder: folder.clone(), heartbeat_ms: 1200 };
+    let layout = Layout {
+        store: store.address,
+        zones,
+        folder: folder.clone(),
+        heartbeat_ms: 1200,
+    };
     let mut hosts = lay_out(&layout);
     for host in &mut hosts {
         host.start().expect("a host starts");
@@ -57,7 +75,10 @@
         exit(2);
     }
     thread::sleep(Duration::from_secs(4));
-    let fronts = hosts.iter().map(|host| host.front).collect::<Vec<SocketAddr>>();
+    let fronts = hosts
+        .iter()
+        .map(|host| host.front)
+        .collect::<Vec<SocketAddr>>();
     let plan = Plan {
         method: "POST",
         path: "/desk/book".to_owned(),
@@ -84,7 +105,9 @@
     *servers[0].late.lock().expect("the delay") = None;
     record.line("the store has lost the third answer, and loses no more");
     // The server leaves before the first of them is carried out, over contact_ms later.
-    thread::sleep((first + LATE - Duration::from_millis(100)).saturating_duration_since(Instant::now()));
+    thread::sleep(
+        (first + LATE - Duration::from_millis(100)).saturating_duration_since(Instant::now()),
+    );
     servers[0].unlist();
     let left = Instant::now();
     record.line("the store has acknowledged that the server is gone");
@@ -96,7 +119,10 @@
     let attempts = load.stop(Duration::from_secs(4));
     drop(hosts);
 
-    let sent = attempts.iter().map(|attempt| (&*attempt.id, attempt)).collect::<HashMap<_, _>>();
+    let sent = attempts
+        .iter()
+        .map(|attempt| (&*attempt.id, attempt))
+        .collect::<HashMap<_, _>>();
     let mut statuses = HashMap::<u16, usize>::new();
     for attempt in &attempts {
         *statuses.entry(attempt.seen.status).or_default() += 1;
@@ -111,7 +137,9 @@
     }
     let (mut late, mut lost) = (0, 0);
     for (at, id) in arrivals.lock().expect("the arrivals").iter() {
-        let Some(attempt) = sent.get(&**id) else { continue };
+        let Some(attempt) = sent.get(&**id) else {
+            continue;
+        };
         if attempt.sent < left + DRAIN {
             continue;
         }
--- a/review/harness-2/src/bin/moved-store.rs
+++ b/review/harness-2/src/bin/moved-store.rs
@@ -20,21 +20,46 @@
     let record = Record::default();
     let store = Store::start();
     let folder = folder();
-    let config = |version: u32, keys: &str| format!(r#"{{"version":{version},"routes":[{{"name":"r-desk","host":"review.example","path_prefix":"/desk/","kind":"unsafe","timeout_ms":1000,"target_latency_ms":400,"priority":1,"service":"desk","max_attempts":2,"public":false}}],"services":[{{"name":"desk","health_path":"/health","max_connections":600,"protocol":"h1","tls":false}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"hule930","api_keys":[{keys}],"priority":1}}]}}"#);
-    store.put("keyed.op", "config", config(7, r#""key-kept","key-dropped""#).as_bytes());
+    let config = |version: u32, keys: &str| {
+        format!(
+            r#"{{"version":{version},"routes":[{{"name":"r-desk","host":"review.example","path_prefix":"/desk/","kind":"unsafe","timeout_ms":1000,"target_latency_ms":400,"priority":1,"service":"desk","max_attempts":2,"public":false}}],"services":[{{"name":"desk","health_path":"/health","max_connections":600,"protocol":"h1","tls":false}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"hule930","api_keys":[{keys}],"priority":1}}]}}"#
+        )
+    };
+    store.put(
+        "keyed.op",
+        "config",
+        config(7, r#""key-kept","key-dropped""#).as_bytes(),
+    );
     let runs: Arc<Mutex<Vec<String>>> = Arc::default();
     for index in 0..3 {
         let runs = runs.clone();
         let work: Work = Arc::new(move |_, request, connection| {
-            runs.lock().expect("the runs").push(attempt_id(request).to_owned());
+            runs.lock()
+                .expect("the runs")
+                .push(attempt_id(request).to_owned());
             thread::sleep(Duration::from_millis(30));
-            let headers = [("X-Jackdawwick-Attempt-Id", attempt_id(request)), ("X-Jackdawwick-Server-Seal", SEAL)];
+            let headers = [
+                ("X-Jackdawwick-Attempt-Id", attempt_id(request)),
+                ("X-Jackdawwick-Server-Seal", SEAL),
+            ];
             connection.respond(200, &headers, b"done").is_ok()
         });
-        Server::start(&store, "desk", &format!("i-desk-{index}"), "north", Duration::from_millis(1200), work);
+        Server::start(
+            &store,
+            "desk",
+            &format!("i-desk-{index}"),
+            "north",
+            Duration::from_millis(1200),
+            work,
+        );
     }
     let zones = vec!["north".to_owned(); 3];
-    let layout = Layout { store: store.address, zones, folder: folder.clone(), heartbeat_ms: 1200 };
+    let layout = Layout {
+        store: store.address,
+        zones,
+        folder: folder.clone(),
+        heartbeat_ms: 1200,
+    };
     let mut hosts = lay_out(&layout);
     for host in &mut hosts {
         host.start().expect("a host starts");
@@ -45,7 +70,10 @@
         exit(2);
     }
     thread::sleep(Duration::from_secs(3));
-    let fronts = hosts.iter().map(|host| host.front).collect::<Vec<SocketAddr>>();
+    let fronts = hosts
+        .iter()
+        .map(|host| host.front)
+        .collect::<Vec<SocketAddr>>();
     let plan = |key: &str| Plan {
         method: "POST",
         path: "/desk/book".to_owned(),
--- a/review/harness-2/src/bin/stale-seeds.rs
+++ b/review/harness-2/src/bin/stale-seeds.rs
@@ -42,7 +42,10 @@
         let work: Work = Arc::new(move |_, request, connection| {
             if index == 0 {
                 let id = attempt_id(request).to_owned();
-                arrivals.lock().expect("the arrivals").push(Arrival { at: Instant::now(), id });
+                arrivals.lock().expect("the arrivals").push(Arrival {
+                    at: Instant::now(),
+                    id,
+                });
             }
             thread::sleep(WORK);
             let limit = LIMIT.to_string();
@@ -55,11 +58,23 @@
             }
             connection.respond(200, &headers, b"done").is_ok()
         });
-        servers.push(Server::start(&store, "desk", &format!("i-desk-{index}"), "north", BEAT, work));
+        servers.push(Server::start(
+            &store,
+            "desk",
+            &format!("i-desk-{index}"),
+            "north",
+            BEAT,
+            work,
+        ));
     }
 
     let zones = vec!["north".to_owned(); HOSTS];
-    let layout = Layout { store: store.address, zones, folder: folder.clone(), heartbeat_ms: 1200 };
+    let layout = Layout {
+        store: store.address,
+        zones,
+        folder: folder.clone(),
+        heartbeat_ms: 1200,
+    };
     let mut hosts = lay_out(&layout);
     let live = hosts.iter().map(|host| host.seeds()).collect::<Vec<_>>();
     if trouble() {
@@ -86,7 +101,10 @@
         exit(2);
     }
     thread::sleep(Duration::from_secs(5));
-    let fronts = hosts.iter().map(|host| host.front).collect::<Vec<SocketAddr>>();
+    let fronts = hosts
+        .iter()
+        .map(|host| host.front)
+        .collect::<Vec<SocketAddr>>();
     let plan = Plan {
         method: "GET",
         path: "/desk/list".to_owned(),
@@ -131,7 +149,10 @@
     };
     let arrivals = arrivals.lock().expect("the arrivals");
     let counted = arrivals.iter().filter(|arrival| {
-        let host = attempts.iter().find(|attempt| attempt.id == arrival.id).map(|attempt| attempt.host);
+        let host = attempts
+            .iter()
+            .find(|attempt| attempt.id == arrival.id)
+            .map(|attempt| attempt.host);
         let since = host.and_then(|host| passed_on[host]);
         let counts = since.is_some_and(|since| arrival.at >= since + Duration::from_millis(500))
             && arrival.at >= first_named + CONTACT;
@@ -144,11 +165,18 @@
     });
     let counted = counted.map(|arrival| arrival.at).collect::<Vec<_>>();
     let window = Duration::from_secs(4);
-    let most = counted.iter().map(|from| counted.iter().filter(|at| **at >= *from && **at < *from + window).count());
+    let most = counted.iter().map(|from| {
+        counted
+            .iter()
+            .filter(|at| **at >= *from && **at < *from + window)
+            .count()
+    });
     let most = most.max().unwrap_or(0);
     let bound = 1.5 * LIMIT * 4.0 + 5.0;
     record.say(&format!("clients: {served} served, {failed} not"));
-    record.say(&format!("most requests at the server in need within 4 s: {most}, bound {bound}"));
+    record.say(&format!(
+        "most requests at the server in need within 4 s: {most}, bound {bound}"
+    ));
     record.write();
     let _ = std::fs::remove_dir_all(folder);
     exit(i32::from(most as f64 > bound));
--- a/review/harness-2/src/engine.rs
+++ b/review/harness-2/src/engine.rs
@@ -40,14 +40,23 @@
 
 impl Server {
     /// Starts a server that writes its entry every `beat`.
-    pub fn start(store: &Store, service: &str, id: &str, zone: &str, beat: Duration, work: Work) -> Arc<Self> {
+    pub fn start(
+        store: &Store,
+        service: &str,
+        id: &str,
+        zone: &str,
+        beat: Duration,
+        work: Work,
+    ) -> Arc<Self> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port for a server");
         let server = Arc::new(Self {
             id: id.to_owned(),
             service: service.to_owned(),
             zone: zone.to_owned(),
             address: listener.local_addr().expect("an address"),
-            born: SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis()),
+            born: SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .map_or(0, |since| since.as_millis()),
             draining: AtomicBool::new(false),
             reaches_store: AtomicBool::new(true),
             late: Mutex::new(None),
@@ -116,7 +125,11 @@
 
     fn entry(&self) -> String {
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
-        let state = if self.draining.load(Ordering::Relaxed) { "draining" } else { "ready" };
+        let state = if self.draining.load(Ordering::Relaxed) {
+            "draining"
+        } else {
+            "ready"
+        };
         format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":64,\
 \"state\":\"{state}\",\"cold_remaining_ms\":0,\"sequence\":{sequence},\"born\":{}}}",
--- a/review/harness-2/src/hosts.rs
+++ b/review/harness-2/src/hosts.rs
@@ -21,7 +21,9 @@
 
 /// Sends a signal to a process that the script has started.
 pub fn signal(child: &Child, number: i32) {
-    let Ok(pid) = i32::try_from(child.id()) else { return };
+    let Ok(pid) = i32::try_from(child.id()) else {
+        return;
+    };
     // SAFETY: kill takes two numbers and touches no memory of this process.
     unsafe { kill(pid, number) };
 }
@@ -51,13 +53,27 @@
 /// Writes the settings of one host for each name of a zone, each at a loopback address of its own.
 pub fn lay_out(layout: &Layout) -> Vec<Host> {
     let pid = std::process::id();
-    let ip = |index: usize| Ipv4Addr::new(127, 10 + (pid % 200) as u8, (pid / 200 % 250) as u8, 10 + index as u8);
+    let ip = |index: usize| {
+        Ipv4Addr::new(
+            127,
+            10 + (pid % 200) as u8,
+            (pid / 200 % 250) as u8,
+            10 + index as u8,
+        )
+    };
     let first = ip(0);
-    let (front, ready, control, internal) =
-        (free_port(first), free_port(first), free_port(first), free_port(first));
+    let (front, ready, control, internal) = (
+        free_port(first),
+        free_port(first),
+        free_port(first),
+        free_port(first),
+    );
     let seeds = (0..layout.zones.len().min(3)).map(|index| format!("\"{}:{control}\"", ip(index)));
     let seeds = seeds.collect::<Vec<_>>().join(",");
-    let zones = layout.zones.iter().map(|zone| format!("\"{zone}\":\"region-a\""));
+    let zones = layout
+        .zones
+        .iter()
+        .map(|zone| format!("\"{zone}\":\"region-a\""));
     let mut zones = zones.collect::<Vec<_>>();
     zones.sort();
     zones.dedup();
@@ -106,7 +122,10 @@
 impl Host {
     pub fn start(&mut self) -> io::Result<()> {
         let root = root();
-        let log = fs::OpenOptions::new().create(true).append(true).open(&self.log)?;
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&self.log)?;
         let child = Command::new(root.join("target/release/jackdawwickd"))
             .arg("--platform")
             .current_dir(&root)
@@ -129,13 +148,18 @@
     /// Returns the addresses of the seeds, in the format of the settings.
     pub fn seeds(&self) -> String {
         let text = fs::read_to_string(&self.settings).expect("the settings are read");
-        let (_, rest) = text.split_once("\"seeds\":[").expect("the settings have seeds");
+        let (_, rest) = text
+            .split_once("\"seeds\":[")
+            .expect("the settings have seeds");
         rest.split(']').next().unwrap_or_default().to_owned()
     }
 
     /// Sets the addresses of the seeds.
     pub fn set_seeds(&self, seeds: &str) {
-        self.change_settings(&format!("\"seeds\":[{}]", self.seeds()), &format!("\"seeds\":[{seeds}]"));
+        self.change_settings(
+            &format!("\"seeds\":[{}]", self.seeds()),
+            &format!("\"seeds\":[{seeds}]"),
+        );
     }
 
     pub fn signal(&self, number: i32) {
@@ -157,7 +181,8 @@
         let Ok(mut connection) = Connection::connect(self.ready, limit) else {
             return false;
         };
-        let request = b"GET /jackdawwick/ready HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n";
+        let request =
+            b"GET /jackdawwick/ready HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n";
         exchange(&mut connection, request, limit).status == 200
     }
 
--- a/review/harness-2/src/http.rs
+++ b/review/harness-2/src/http.rs
@@ -14,7 +14,9 @@
 impl Head {
     pub fn get(&self, name: &str) -> Option<&str> {
         let mut headers = self.headers.iter();
-        headers.find(|(known, _)| known == name).map(|(_, value)| &**value)
+        headers
+            .find(|(known, _)| known == name)
+            .map(|(_, value)| &**value)
     }
 
     pub fn word(&self, index: usize) -> &str {
@@ -40,7 +42,9 @@
     pub fn query(&self, name: &str) -> Option<String> {
         let query = self.head.word(1).split_once('?')?.1;
         let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-        pairs.find(|(known, _)| *known == name).map(|(_, value)| decode(value))
+        pairs
+            .find(|(known, _)| *known == name)
+            .map(|(_, value)| decode(value))
     }
 }
 
@@ -70,7 +74,10 @@
 impl Connection {
     pub fn new(stream: TcpStream) -> Self {
         let _ = stream.set_nodelay(true);
-        Self { stream, buffer: Vec::new() }
+        Self {
+            stream,
+            buffer: Vec::new(),
+        }
     }
 
     pub fn connect(address: SocketAddr, limit: Duration) -> io::Result<Self> {
@@ -96,7 +103,10 @@
                 let headers = lines.filter_map(|line| line.split_once(':'));
                 let headers = headers
                     .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned()));
-                return Ok(Some(Head { first, headers: headers.collect() }));
+                return Ok(Some(Head {
+                    first,
+                    headers: headers.collect(),
+                }));
             }
             if !self.fill()? {
                 return Ok(None);
@@ -127,11 +137,15 @@
 
     /// Reads a body that has a length or comes in chunks; `None` if it has neither.
     pub fn read_body(&mut self, head: &Head, seen: &mut Vec<u8>) -> io::Result<Option<()>> {
-        if head.get("transfer-encoding").is_some_and(|coding| coding.contains("chunked")) {
+        if head
+            .get("transfer-encoding")
+            .is_some_and(|coding| coding.contains("chunked"))
+        {
             loop {
                 let line = self.read_line()?;
                 let size = line.split(';').next().unwrap_or("").trim();
-                let size = usize::from_str_radix(size, 16).map_err(|_| io::ErrorKind::InvalidData)?;
+                let size =
+                    usize::from_str_radix(size, 16).map_err(|_| io::ErrorKind::InvalidData)?;
                 if size == 0 {
                     while !self.read_line()?.is_empty() {}
                     return Ok(Some(()));
@@ -141,7 +155,10 @@
                 self.read_exact(2)?;
             }
         }
-        match head.get("content-length").and_then(|length| length.parse().ok()) {
+        match head
+            .get("content-length")
+            .and_then(|length| length.parse().ok())
+        {
             Some(length) => {
                 seen.extend(self.read_exact(length)?);
                 Ok(Some(()))
@@ -160,7 +177,12 @@
         Ok(Some(Request { head, body }))
     }
 
-    pub fn respond(&mut self, status: u16, headers: &[(&str, &str)], body: &[u8]) -> io::Result<()> {
+    pub fn respond(
+        &mut self,
+        status: u16,
+        headers: &[(&str, &str)],
+        body: &[u8],
+    ) -> io::Result<()> {
         let mut text = format!("HTTP/1.1 {status} Status\r\n");
         for (name, value) in headers {
             text.push_str(&format!("{name}: {value}\r\n"));
@@ -206,7 +228,9 @@
             return seen;
         }
     }
-    let left = until.saturating_duration_since(Instant::now()).max(Duration::from_millis(1));
+    let left = until
+        .saturating_duration_since(Instant::now())
+        .max(Duration::from_millis(1));
     let _ = connection.stream.set_read_timeout(Some(left));
     let head = seen.head.clone();
     let mut body = Vec::new();
--- a/review/harness-2/src/load.rs
+++ b/review/harness-2/src/load.rs
@@ -32,7 +32,11 @@
 
 /// Draws an id that no other attempt of this run has.
 pub fn new_id() -> String {
-    format!("{:08x}{:08x}", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed))
+    format!(
+        "{:08x}{:08x}",
+        std::process::id(),
+        NEXT.fetch_add(1, Ordering::Relaxed)
+    )
 }
 
 pub fn request_bytes(plan: &Plan, id: &str) -> Vec<u8> {
@@ -59,9 +63,18 @@
             let limit = Duration::from_millis(plan.deadline_ms + 500);
             exchange(&mut connection, &request_bytes(plan, &id), limit)
         }
-        Err(error) => Seen { error: format!("connect: {error}"), ..Seen::default() },
+        Err(error) => Seen {
+            error: format!("connect: {error}"),
+            ..Seen::default()
+        },
     };
-    Attempt { id, host, sent, ended: Instant::now(), seen }
+    Attempt {
+        id,
+        host,
+        sent,
+        ended: Instant::now(),
+        seen,
+    }
 }
 
 /// A running load.
@@ -80,8 +93,12 @@
             open: Arc::default(),
         };
         for (host, address) in fronts.iter().copied().enumerate() {
-            let (stop, attempts, open, plan) =
-                (load.stop.clone(), load.attempts.clone(), load.open.clone(), plan.clone());
+            let (stop, attempts, open, plan) = (
+                load.stop.clone(),
+                load.attempts.clone(),
+                load.open.clone(),
+                plan.clone(),
+            );
             thread::spawn(move || {
                 let start = Instant::now();
                 let mut number = 0_u32;
--- a/review/harness-2/src/record.rs
+++ b/review/harness-2/src/record.rs
@@ -14,14 +14,20 @@
 
 impl Default for Record {
     fn default() -> Self {
-        Self { start: Instant::now(), lines: Arc::default() }
+        Self {
+            start: Instant::now(),
+            lines: Arc::default(),
+        }
     }
 }
 
 impl Record {
     pub fn line(&self, text: &str) {
         let at = self.start.elapsed().as_millis();
-        self.lines.lock().expect("the lines").push((at, text.to_owned()));
+        self.lines
+            .lock()
+            .expect("the lines")
+            .push((at, text.to_owned()));
     }
 
     /// Adds a line and shows it.
@@ -33,8 +39,11 @@
     /// Writes `record.txt` into the folder of the case.
     pub fn write(&self) {
         let lines = self.lines.lock().expect("the lines");
-        let lines = lines.iter().map(|(at, text)| format!("{at:>7} ms  {text}\n"));
-        let folder = std::env::var("REVIEW_CASE").expect("REVIEW_CASE names the folder of the case");
+        let lines = lines
+            .iter()
+            .map(|(at, text)| format!("{at:>7} ms  {text}\n"));
+        let folder =
+            std::env::var("REVIEW_CASE").expect("REVIEW_CASE names the folder of the case");
         let path = PathBuf::from(folder).join("record.txt");
         fs::write(path, lines.collect::<String>()).expect("the record is written");
     }
--- a/review/harness-2/src/store.rs
+++ b/review/harness-2/src/store.rs
@@ -47,7 +47,12 @@
     fn serve_topics(topics: Arc<(Mutex<HashMap<String, Topic>>, Condvar)>) -> Self {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port for the store");
         let address = listener.local_addr().expect("an address");
-        let store = Self { address, topics, is_closed: Arc::default(), open: Arc::default() };
+        let store = Self {
+            address,
+            topics,
+            is_closed: Arc::default(),
+            open: Arc::default(),
+        };
         let serving = store.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -97,7 +102,10 @@
     fn serve(&self, mut connection: Connection) {
         while let Ok(Some(request)) = connection.read_request() {
             let (status, kind, body) = self.answer(&request);
-            if connection.respond(status, &[("Content-Type", kind)], &body).is_err() {
+            if connection
+                .respond(status, &[("Content-Type", kind)], &body)
+                .is_err()
+            {
                 return;
             }
         }
@@ -156,7 +164,10 @@
                 }
                 return Some(bytes);
             }
-            topics = changed.wait_timeout(topics, until - now).expect("the topics").0;
+            topics = changed
+                .wait_timeout(topics, until - now)
+                .expect("the topics")
+                .0;
         }
     }
 
@@ -181,7 +192,11 @@
         let group = byte(0) << 16 | byte(1) << 8 | byte(2);
         for place in 0..4 {
             let sign = SIGNS[(group >> (18 - 6 * place) & 63) as usize];
-            text.push(if place <= three.len() { sign as char } else { '=' });
+            text.push(if place <= three.len() {
+                sign as char
+            } else {
+                '='
+            });
         }
     }
     text
