Show that requests of legal size at once exceed the memory of a host

1,150 well-behaved clients send whole requests of 48 KB to a host of 112 MB within 2.5 s. Heads and the first 16 KB of bodies of requests that are served are charged to nobody, and connections are bounded by descriptors alone.

--- a/review/harness-2/src/engine.rs
+++ b/review/harness-2/src/engine.rs
@@ -34,6 +34,8 @@
     sequence: AtomicU64,
     last_write: Mutex<Instant>,
     listed: AtomicBool,
+    /// Whether `end` is to close its connections.
+    pub keeps_connections: AtomicBool,
     open: Mutex<Vec<TcpStream>>,
     store: Store,
 }
@@ -65,6 +67,7 @@
             sequence: AtomicU64::new(0),
             last_write: Mutex::new(Instant::now()),
             listed: AtomicBool::new(false),
+            keeps_connections: AtomicBool::new(true),
             open: Mutex::default(),
             store: store.clone(),
         });
@@ -74,7 +77,9 @@
                 if !serving.alive.load(Ordering::Relaxed) {
                     return;
                 }
-                if let Ok(kept) = stream.try_clone() {
+                if serving.keeps_connections.load(Ordering::Relaxed)
+                    && let Ok(kept) = stream.try_clone()
+                {
                     serving.open.lock().expect("the connections").push(kept);
                 }
                 let (server, work) = (serving.clone(), work.clone());
--- a/review/harness-2/src/hosts.rs
+++ b/review/harness-2/src/hosts.rs
@@ -194,6 +194,15 @@
         }
     }
 
+    /// Returns the memory of the process that no file backs, in kB.
+    pub fn memory_kb(&self) -> u64 {
+        let pid = self.child.as_ref().map_or(0, Child::id);
+        let text = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+        let line = text.lines().find(|line| line.starts_with("RssAnon:"));
+        let number = line.and_then(|line| line.split_whitespace().nth(1));
+        number.and_then(|number| number.parse().ok()).unwrap_or(0)
+    }
+
     pub fn log_text(&self) -> String {
         fs::read_to_string(&self.log).unwrap_or_default()
     }
