Keep a target that left out whatever its late heartbeats say

Cause: TargetStarts took three outdated heartbeats in ascending order for a target that numbers its heartbeats anew, also for a known start time and for a target that had left. The log executes writes without a response seconds late and in order, so that a series of them looks the same. The rule on starts that look earlier counted to three as well.

A count proves nothing; time does. Heartbeats of a start that names its start time never run backwards, and count only if they continue the numbers. All else that looks outdated (a target that was taken to have left and goes on, a restart without a start time, a start with an earlier clock) needs three records, the last of them written 15 s after the state that it contradicts, when no earlier write can still take effect. A start that was replaced does not return with a late record, although its clock was ahead. Readers mark all of these for hosts that follow, which until now never learnt of a start with an earlier clock.

Two tests asserted that three records alone are enough, which is the fault; they now assert the same return, and that there is none before the time has passed.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -294,7 +294,7 @@
   firstReturn @6 :UInt64;
   # First heartbeat by which a removed target can return; the largest number if it left.
   renumbered @7 :Bool;
-  # The target numbers its heartbeats anew since the record.
+  # The record is current although it looks outdated.
 }
 
 struct ZoneUses {
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -38,4 +38,4 @@
 pub use settings::{EntryBounds, EntrySettings};
 pub use suspect_targets::{ConfirmedRemoval, SuspectTargets};
 pub use target_follower::{TargetFollower, TargetTiming, follow_targets};
-pub use target_starts::{StartVerdict, TargetStarts};
+pub use target_starts::{RecordTime, StartVerdict, TargetStarts};
--- a/src/entry/kept_records.rs
+++ b/src/entry/kept_records.rs
@@ -22,8 +22,8 @@
     value: Bytes,
     /// Position at which the log dropped the entry, which may have expired.
     dropped_at: Option<LogPosition>,
-    /// Whether the target numbers its heartbeats anew since this record.
-    renumbered: bool,
+    /// Whether the record is current although it looks outdated.
+    reinstated: bool,
 }
 
 impl KeptRecord {
@@ -33,7 +33,7 @@
             position: self.position,
             value: Some(self.value.clone()),
             dropped_at: self.dropped_at,
-            renumbered: self.renumbered,
+            reinstated: self.reinstated,
             first_return: 0,
         }
     }
@@ -82,7 +82,7 @@
             position,
             value,
             dropped_at: None,
-            renumbered: false,
+            reinstated: false,
         };
         let change = kept.change(id.clone());
         let before = self.targets.insert(id.clone(), kept);
@@ -93,13 +93,13 @@
         }
     }
 
-    /// Records that a target numbers its heartbeats anew since its newest record, which
-    /// followers would otherwise ignore.
-    pub fn mark_renumbered(&mut self, id: &str) {
+    /// Records that the newest record of a target is current although it looks outdated, so
+    /// that followers would otherwise ignore it.
+    pub fn mark_reinstated(&mut self, id: &str) {
         let Some(kept) = self.targets.get_mut(id) else {
             return;
         };
-        kept.renumbered = true;
+        kept.reinstated = true;
         let change = kept.change(id.into());
         self.push_change(change);
     }
@@ -152,7 +152,7 @@
                 position,
                 value: None,
                 dropped_at: None,
-                renumbered: false,
+                reinstated: false,
                 first_return,
             });
         }
--- a/src/entry/log_copy.rs
+++ b/src/entry/log_copy.rs
@@ -12,7 +12,7 @@
 use crate::entry::kept_records::KeptRecords;
 use crate::entry::log_continuity::LogContinuity;
 use crate::entry::suspect_targets::SuspectTargets;
-use crate::entry::target_starts::{StartVerdict, TargetStarts};
+use crate::entry::target_starts::{RecordTime, StartVerdict, TargetStarts};
 use crate::fleet::{TargetEntry, TargetHeartbeat};
 use crate::forward::ServingTables;
 use crate::ids::{HeartbeatNumber, LogEra, LogPosition, TargetId};
@@ -202,14 +202,18 @@
     }
 
     /// Applies a target's record that another host relayed.
-    pub(super) fn observe_relayed(&self, change: &TargetChange, value: &[u8]) {
+    pub(super) fn observe_relayed(&self, change: &TargetChange, value: &[u8], now: Instant) {
         let TargetChange { id, position, .. } = change;
         let mut state = self.state.lock();
-        if change.renumbered && state.targets.is_newer(id, *position) {
-            state.starts.renumber(id);
+        if change.reinstated && state.targets.is_newer(id, *position) {
+            state.starts.reinstate(id);
         }
         drop(state);
-        self.observe_target(id, *position, value);
+        let time = RecordTime {
+            written_after: None,
+            read: now,
+        };
+        self.observe_target(id, *position, value, time);
     }
 
     /// Applies a target's record in the list of the newest records.
@@ -217,7 +221,13 @@
     /// If the target left before a restore of the log, the record may come from the older
     /// copy. Hosts that follow others do not know the last heartbeat of each target, so
     /// that only the next one shows that the target has returned.
-    pub(super) fn observe_listed(&self, id: &str, position: LogPosition, value: &[u8]) {
+    pub(super) fn observe_listed(
+        &self,
+        id: &str,
+        position: LogPosition,
+        value: &[u8],
+        time: RecordTime,
+    ) {
         let mut state = self.state.lock();
         if state.targets.is_newer(id, position)
             && state.targets.had_left_before(id, position)
@@ -227,11 +237,11 @@
             state.starts.remove(id, first_return);
         }
         drop(state);
-        self.observe_target(id, position, value);
+        self.observe_target(id, position, value, time);
     }
 
     /// Applies a target's record, unless a later one is known.
-    pub fn observe_target(&self, id: &str, position: LogPosition, value: &[u8]) {
+    pub fn observe_target(&self, id: &str, position: LogPosition, value: &[u8], time: RecordTime) {
         if !self.state.lock().targets.is_newer(id, position) {
             return;
         }
@@ -241,12 +251,15 @@
         };
         // Only one lock is held at a time: the thread that replies to peers takes both as
         // well.
-        let verdict = self.state.lock().starts.observe(id, &heartbeat);
+        let verdict = self.state.lock().starts.observe(id, &heartbeat, time);
         let TargetHeartbeat { entry, number } = heartbeat;
         match &verdict {
             StartVerdict::Current => {}
-            StartVerdict::Renumbered => {
-                log::info!(target_id:% = entry.id, number = number; "heartbeats numbered anew");
+            StartVerdict::Reinstated(replaced) => {
+                if let Some(replaced) = replaced {
+                    self.forget_start(replaced);
+                }
+                log::info!(target_id:% = entry.id, number = number; "target reinstated");
             }
             StartVerdict::Outdated => {
                 self.tables.metrics.late_heartbeat();
@@ -273,8 +286,8 @@
         let value = Bytes::copy_from_slice(value);
         let mut state = self.state.lock();
         state.targets.observe(&id.into(), position, value, changed);
-        if verdict == StartVerdict::Renumbered {
-            state.targets.mark_renumbered(id);
+        if matches!(verdict, StartVerdict::Reinstated(_)) {
+            state.targets.mark_reinstated(id);
         }
         state.suspects.forget(id);
         drop(state);
--- a/src/entry/log_copy/dropping.rs
+++ b/src/entry/log_copy/dropping.rs
@@ -106,11 +106,6 @@
         }
     }
 
-    /// Records that the log took the last heartbeat of a target after a moment.
-    pub(in crate::entry) fn set_written_after(&self, id: &str, moment: Instant) {
-        self.state.lock().starts.set_written_after(id, moment);
-    }
-
     /// Applies the record at `position`, by which a target's entry was dropped. After a gap
     /// the entry may have expired in it; without a gap, or if hosts of the target's zone
     /// had the log, the target left.
--- a/src/entry/relayed_log.rs
+++ b/src/entry/relayed_log.rs
@@ -103,7 +103,7 @@
         let id = &change.id;
         let is_new = !self.copy.knows(id);
         match &change.value {
-            Some(value) => self.copy.observe_relayed(change, value),
+            Some(value) => self.copy.observe_relayed(change, value, now),
             None => self.copy.remove_relayed(change),
         }
         // The other host may suspect a target that this host has no reason to suspect: each
--- a/src/entry/target_follower.rs
+++ b/src/entry/target_follower.rs
@@ -9,6 +9,7 @@
 use crate::entry::log_continuity::LogGap;
 use crate::entry::log_copy::{LogCopy, LogTopic};
 use crate::entry::log_role::wait_for_reader_role;
+use crate::entry::target_starts::RecordTime;
 use crate::ids::LogPosition;
 use crate::platform::log_calls::{KeyedRead, LogClient, LogError};
 use crate::platform::names;
@@ -177,7 +178,10 @@
             log::info!(next = read.next.offset, era = read.next.era, away_ms:? = away_ms; "targets: log reached again");
         }
         // The newest records may be of any age.
-        let written_after = self.next.and(self.read_at);
+        let time = RecordTime {
+            written_after: self.next.and(self.read_at),
+            read: now,
+        };
         let is_list = self.next.is_none();
         if is_list {
             let listed = read.records.iter().map(|record| record.key.as_str());
@@ -197,11 +201,8 @@
                         .apply_removal(key, position, self.entry_lifetime, now);
                 }
                 None => self.copy.apply_drop(key, position, gap),
-                Some(value) if is_list => self.copy.observe_listed(key, position, value),
-                Some(value) => self.copy.observe_target(key, position, value),
-            }
-            if let Some(moment) = written_after.filter(|_| record.value.is_some()) {
-                self.copy.set_written_after(key, moment);
+                Some(value) if is_list => self.copy.observe_listed(key, position, value, time),
+                Some(value) => self.copy.observe_target(key, position, value, time),
             }
         }
         self.copy.advance(read.next);
--- a/src/entry/target_starts.rs
+++ b/src/entry/target_starts.rs
@@ -7,15 +7,13 @@
 use crate::fleet::TargetHeartbeat;
 use crate::ids::{HeartbeatNumber, TargetId};
 
-/// Consecutive records of an earlier start after which that start counts as the running
-/// one. A heartbeat that is in flight when its target crashes can be written seconds late,
-/// between those of the new start; a target whose clock was set back before it restarted
-/// writes only records that look earlier.
-const MAX_EARLIER_RECORDS: u32 = 3;
-/// Consecutive outdated heartbeats in ascending order after which they count as current.
-/// Heartbeats that the log takes late come alone or between current ones; a target that
-/// restarts without a start time writes only heartbeats that look outdated.
-const MAX_OUTDATED_HEARTBEATS: u32 = 3;
+/// Consecutive records that a start which looks ended, or heartbeats that look outdated, need
+/// before they count as current. One record may be the last of a target that ends.
+const MIN_RECORDS: u32 = 3;
+/// Time after which no write from before a known record can still take effect: a target that
+/// leaves writes for up to three heartbeats after the last one that was read, and the log
+/// executes a write whose response was lost some seconds late.
+const LATE_WRITE_PERIOD: Duration = Duration::from_secs(15);
 /// Maximum number of targets that are remembered after their entries were removed; the
 /// oldest is forgotten first.
 const MAX_REMOVED: usize = 2048;
@@ -25,29 +23,47 @@
 pub enum StartVerdict {
     /// The known start, or the first one.
     Current,
-    /// The known start, whose heartbeats are numbered anew.
-    Renumbered,
     /// A new start, which replaces this one.
     Replaces(TargetId),
+    /// A start or heartbeat that looks outdated, written too late to be a late record. It
+    /// replaces this start, if it is another one.
+    Reinstated(Option<TargetId>),
     /// A late record of an earlier start, which has ended.
     Ended,
     /// A late record of the known start: a later heartbeat is known, or the target left.
     Outdated,
 }
 
+/// When a record was read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RecordTime {
+    /// Lower bound of when the log took the record; `None` if it is unknown.
+    pub written_after: Option<Instant>,
+    /// When the record was read.
+    pub read: Instant,
+}
+
 #[derive(Debug)]
 struct KnownStart {
     id: TargetId,
     started_ms: Option<u64>,
+    /// The start that this one replaced.
+    replaced: Option<TargetId>,
+    /// When the first record of this start was read.
+    known_since: Instant,
+    /// Number of the last current heartbeat.
+    newest: HeartbeatNumber,
     /// First heartbeat that is not outdated; the largest number if the target left.
     accepted_from: HeartbeatNumber,
+    /// When the last current heartbeat was read.
+    newest_read: Instant,
     draining: bool,
     /// Whether the target has an entry in the log.
     is_listed: bool,
     /// Lower bound of when the log took the last heartbeat.
     written_after: Option<Instant>,
-    /// Records of an earlier start since the last record of this start.
-    earlier_records: u32,
+    /// Records of an ended start since the last record of this start.
+    ended_records: u32,
     /// Outdated heartbeats in ascending order since the last current one, and the last of
     /// them.
     outdated_records: u32,
@@ -67,16 +83,29 @@
     removed: VecDeque<TargetId>,
 }
 
+impl RecordTime {
+    /// Returns whether the log took the record too long after `moment` for a write from
+    /// before it.
+    fn is_new_since(&self, moment: Instant) -> bool {
+        self.written_after
+            .is_some_and(|written| written >= moment + LATE_WRITE_PERIOD)
+    }
+}
+
 impl KnownStart {
-    fn new(heartbeat: &TargetHeartbeat) -> Self {
+    fn new(heartbeat: &TargetHeartbeat, time: RecordTime) -> Self {
         Self {
             id: heartbeat.entry.id.clone(),
             started_ms: heartbeat.entry.started_ms,
+            replaced: None,
+            known_since: time.read,
+            newest: heartbeat.number,
             accepted_from: heartbeat.number,
+            newest_read: time.read,
             draining: heartbeat.entry.draining,
             is_listed: true,
-            written_after: None,
-            earlier_records: 0,
+            written_after: time.written_after,
+            ended_records: 0,
             outdated_records: 0,
             last_outdated: 0,
         }
@@ -90,53 +119,88 @@
         }
     }
 
-    /// Counts an outdated heartbeat; returns whether the target numbers them anew.
-    fn count_outdated(&mut self, number: HeartbeatNumber) -> bool {
+    /// Returns whether an outdated heartbeat is current all the same: the target was taken to
+    /// have left and goes on, or it restarted without a start time and numbers its heartbeats
+    /// anew.
+    fn reinstates(&mut self, number: HeartbeatNumber, time: RecordTime) -> bool {
+        if self.started_ms.is_some() && number <= self.newest {
+            return false;
+        }
         self.outdated_records = match number >= self.last_outdated {
             true => self.outdated_records + 1,
             false => 1,
         };
         self.last_outdated = number;
-        self.outdated_records >= MAX_OUTDATED_HEARTBEATS
+        self.outdated_records >= MIN_RECORDS && time.is_new_since(self.newest_read)
+    }
+
+    /// Returns whether another start looks like one that had ended before this one began.
+    fn is_preceded_by(&self, start: &KnownStart) -> bool {
+        start.started_ms < self.started_ms || self.replaced.as_ref() == Some(&start.id)
+    }
+
+    /// Returns whether a record of a start that looks ended shows that it is the running one:
+    /// the clock of the target was set back before it restarted.
+    fn is_succeeded(&mut self, time: RecordTime) -> bool {
+        self.ended_records += 1;
+        self.ended_records >= MIN_RECORDS && time.is_new_since(self.known_since)
+    }
+
+    /// Applies a heartbeat of this start, with which `next` begins.
+    fn observe_heartbeat(
+        &mut self,
+        next: KnownStart,
+        heartbeat: &TargetHeartbeat,
+        time: RecordTime,
+    ) -> StartVerdict {
+        let is_outdated = self.is_outdated(heartbeat);
+        if is_outdated && !self.reinstates(heartbeat.number, time) {
+            return StartVerdict::Outdated;
+        }
+        *self = KnownStart {
+            replaced: self.replaced.take(),
+            known_since: self.known_since,
+            ..next
+        };
+        match is_outdated {
+            true => StartVerdict::Reinstated(None),
+            false => StartVerdict::Current,
+        }
+    }
+
+    /// Applies a record of another start.
+    fn observe_start(&mut self, start: KnownStart, time: RecordTime) -> StartVerdict {
+        let is_preceded = self.is_preceded_by(&start);
+        if is_preceded && !self.is_succeeded(time) {
+            return StartVerdict::Ended;
+        }
+        let before = std::mem::replace(self, start);
+        self.replaced = Some(before.id.clone());
+        let replaced = Some(before.id).filter(|_| before.is_listed);
+        match (is_preceded, replaced) {
+            (true, replaced) => StartVerdict::Reinstated(replaced),
+            (false, Some(replaced)) => StartVerdict::Replaces(replaced),
+            (false, None) => StartVerdict::Current,
+        }
     }
 }
 
 impl TargetStarts {
     /// Applies a record; `name` is the platform's id of its target.
-    pub fn observe(&mut self, name: &str, heartbeat: &TargetHeartbeat) -> StartVerdict {
-        let start = KnownStart::new(heartbeat);
+    pub fn observe(
+        &mut self,
+        name: &str,
+        heartbeat: &TargetHeartbeat,
+        time: RecordTime,
+    ) -> StartVerdict {
+        let start = KnownStart::new(heartbeat, time);
         let Some(known) = self.known.get_mut(name) else {
             self.known.insert(name.into(), start);
             return StartVerdict::Current;
         };
-        if known.id == start.id {
-            let is_outdated = known.is_outdated(heartbeat);
-            if is_outdated && !known.count_outdated(heartbeat.number) {
-                return StartVerdict::Outdated;
-            }
-            *known = start;
-            return match is_outdated {
-                true => StartVerdict::Renumbered,
-                false => StartVerdict::Current,
-            };
-        }
-        if start.started_ms < known.started_ms {
-            known.earlier_records += 1;
-            if known.earlier_records < MAX_EARLIER_RECORDS {
-                return StartVerdict::Ended;
-            }
-        }
-        let before = std::mem::replace(known, start);
-        match before.is_listed {
-            true => StartVerdict::Replaces(before.id),
-            false => StartVerdict::Current,
-        }
-    }
-
-    /// Records that the log took the last heartbeat of a target after a moment.
-    pub fn set_written_after(&mut self, name: &str, moment: Instant) {
-        if let Some(known) = self.known.get_mut(name).filter(|known| known.is_listed) {
-            known.written_after = Some(moment);
+        match known.id == start.id {
+            true => known.observe_heartbeat(start, heartbeat, time),
+            false => known.observe_start(start, time),
         }
     }
 
@@ -146,6 +210,7 @@
         for known in self.known.values_mut() {
             known.written_after = None;
             known.outdated_records = 0;
+            known.ended_records = 0;
         }
     }
 
@@ -188,9 +253,13 @@
         Some(id)
     }
 
-    /// Forgets how far the heartbeats of a target have come.
-    pub fn renumber(&mut self, name: &str) {
+    /// Forgets which start of a target is the running one and how far its heartbeats have
+    /// come, so that its next record is current.
+    pub fn reinstate(&mut self, name: &str) {
         if let Some(known) = self.known.get_mut(name) {
+            known.started_ms = None;
+            known.replaced = None;
+            known.newest = 0;
             known.accepted_from = 0;
             known.draining = false;
         }
--- a/src/peer/convert/view.rs
+++ b/src/peer/convert/view.rs
@@ -297,7 +297,7 @@
         entry.set_dropped_at(dropped_at.offset);
         entry.set_dropped_era(dropped_at.era);
         entry.set_first_return(change.first_return);
-        entry.set_renumbered(change.renumbered);
+        entry.set_renumbered(change.reinstated);
     }
     let zones = reply.remote.iter().map(|remote| &remote.zone);
     let zones = zones.chain(reply.remote_demand.iter().map(|remote| &remote.zone));
@@ -338,7 +338,7 @@
             },
             value: non_empty(entry.get_value()?),
             dropped_at: Some(dropped_at).filter(|at| *at > LogPosition::default()),
-            renumbered: entry.get_renumbered(),
+            reinstated: entry.get_renumbered(),
             first_return: entry.get_first_return(),
         })
     });
--- a/src/peer/view.rs
+++ b/src/peer/view.rs
@@ -177,8 +177,8 @@
     /// Position at which the log dropped the record, if the reporting host considers that
     /// the record may merely have expired.
     pub dropped_at: Option<LogPosition>,
-    /// Whether the target numbers its heartbeats anew since the record.
-    pub renumbered: bool,
+    /// Whether the record is current although it looks outdated.
+    pub reinstated: bool,
     /// First heartbeat by which a removed target can return; the largest number if it left.
     pub first_return: HeartbeatNumber,
 }
--- a/tests/kept_records.rs
+++ b/tests/kept_records.rs
@@ -94,7 +94,7 @@
             position: position(offset as u64),
             value: is_present.then(|| Bytes::from_static(b"ready")),
             dropped_at: None,
-            renumbered: false,
+            reinstated: false,
             first_return: 0,
         };
         let log = log.iter().enumerate().map(change).collect::<Vec<_>>();
--- a/tests/target_starts.rs
+++ b/tests/target_starts.rs
@@ -4,10 +4,13 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use jackdawwick::entry::{LogCopy, StartVerdict, TargetFollower, TargetStarts, TargetTiming};
+use jackdawwick::entry::{
+    LogCopy, RecordTime, RelayedLog, StartVerdict, TargetFollower, TargetStarts, TargetTiming,
+};
 use jackdawwick::fleet::{RequestSize, TargetEntry, TargetHeartbeat};
 use jackdawwick::forward::{InFlightGuard, ServingTables};
 use jackdawwick::ids::LogPosition;
+use jackdawwick::peer::FollowReply;
 use jackdawwick::platform::configuration_record::parse_configuration;
 use jackdawwick::platform::log_calls::{KeyedRead, KeyedRecord, LogError};
 use jackdawwick::platform::target_record::{parse_report, parse_target, platform_id};
@@ -52,7 +55,20 @@
 }
 
 fn observe(copy: &LogCopy, id: &str, offset: u64, value: &Value) {
-    copy.observe_target(id, position(offset), value.to_string().as_bytes());
+    let value = value.to_string();
+    copy.observe_target(id, position(offset), value.as_bytes(), read_now());
+}
+
+/// A record that the log took and this host read at `moment`.
+fn read_at(moment: Instant) -> RecordTime {
+    RecordTime {
+        written_after: Some(moment),
+        read: moment,
+    }
+}
+
+fn read_now() -> RecordTime {
+    read_at(Instant::now())
 }
 
 fn known_ids(tables: &ServingTables) -> Vec<String> {
@@ -121,16 +137,47 @@
 #[test]
 fn start_with_an_earlier_clock_is_accepted_after_three_records() {
     let mut starts = TargetStarts::default();
-    assert_eq!(starts.observe("i-1", &parsed(900)), StartVerdict::Current);
-    assert_eq!(starts.observe("i-1", &parsed(100)), StartVerdict::Ended);
-    assert_eq!(starts.observe("i-1", &parsed(900)), StartVerdict::Current);
-    let verdicts = (0..3).map(|_| starts.observe("i-1", &parsed(100)));
-    let verdicts = verdicts.collect::<Vec<_>>();
-    let replaces = StartVerdict::Replaces(entry(900).id);
+    let start = Instant::now();
+    let mut observe = |born, second| {
+        let time = read_at(start + Duration::from_secs(second));
+        starts.observe("i-1", &parsed(born), time)
+    };
+    assert_eq!(observe(900, 0), StartVerdict::Current);
+    assert_eq!(observe(100, 15), StartVerdict::Ended);
+    assert_eq!(observe(900, 16), StartVerdict::Current);
+    let verdicts = [observe(100, 17), observe(100, 18), observe(100, 19)];
+    let reinstated = StartVerdict::Reinstated(Some(entry(900).id));
     assert_eq!(
         verdicts,
-        [StartVerdict::Ended, StartVerdict::Ended, replaces]
+        [StartVerdict::Ended, StartVerdict::Ended, reinstated]
     );
+    // A late record of the start before, whose clock was ahead.
+    assert_eq!(observe(900, 20), StartVerdict::Ended);
+    assert_eq!(observe(100, 21), StartVerdict::Current);
+}
+
+/// Guards against requests to a start of an engine that has ended: the log takes a series of
+/// its heartbeats after those of the new start, which may itself have left.
+#[test]
+fn late_records_of_an_earlier_start_do_not_replace_the_running_one() {
+    for leaves in [false, true] {
+        let mut starts = TargetStarts::default();
+        let start = Instant::now();
+        starts.observe("i-1", &parsed(100), read_at(start));
+        starts.observe("i-1", &parsed(900), read_at(start));
+        if leaves {
+            starts.remove("i-1", u64::MAX);
+        }
+        for late_ms in [1_000, 2_200, 3_400, 4_600, 6_000] {
+            let time = read_at(start + Duration::from_millis(late_ms));
+            let verdict = starts.observe("i-1", &parsed(100), time);
+            assert_eq!(
+                verdict,
+                StartVerdict::Ended,
+                "leaves: {leaves}, {late_ms} ms"
+            );
+        }
+    }
 }
 
 #[test]
@@ -177,11 +224,11 @@
         foreign.push(value.to_string().into_bytes());
     }
     for (offset, bytes) in (1..).zip(&foreign) {
-        copy.observe_target(&format!("x-{offset}"), position(offset), bytes);
+        copy.observe_target(&format!("x-{offset}"), position(offset), bytes, read_now());
         assert_eq!(known_ids(&tables), ["i-1"], "after record {offset}");
     }
     let whole = heartbeat(None).to_string();
-    copy.observe_target("i@2", position(100), whole.as_bytes());
+    copy.observe_target("i@2", position(100), whole.as_bytes(), read_now());
     assert_eq!(known_ids(&tables), ["i-1"]);
 }
 
@@ -189,7 +236,7 @@
 fn unreadable_record_removes_its_target_until_the_next_heartbeat() {
     let (tables, copy) = open_copy();
     observe(&copy, "i-1", 0, &heartbeat(Some(100)));
-    copy.observe_target("i-1", position(1), b"{}");
+    copy.observe_target("i-1", position(1), b"{}", read_now());
     assert!(known_ids(&tables).is_empty());
     observe(&copy, "i-1", 2, &heartbeat(Some(100)));
     assert_eq!(known_ids(&tables).len(), 1);
@@ -221,6 +268,27 @@
     body
 }
 
+fn started_as(number: u64, state: &str) -> Value {
+    let mut body = numbered(number, state);
+    body["born"] = 100.into();
+    body
+}
+
+fn started(number: u64) -> Value {
+    started_as(number, "ready")
+}
+
+fn timing() -> TargetTiming {
+    TargetTiming {
+        drain: Duration::from_secs(2),
+        heartbeat: Duration::from_millis(1200),
+    }
+}
+
+fn is_known(tables: &ServingTables) -> bool {
+    !known_ids(tables).is_empty()
+}
+
 fn is_draining(tables: &ServingTables) -> Option<bool> {
     let fleet = tables.fleet.lock();
     fleet.get("i-1").map(|state| state.entry.draining)
@@ -256,17 +324,110 @@
 #[test]
 fn restart_without_a_start_time_is_accepted_after_three_heartbeats() {
     let (tables, copy) = open_copy();
-    observe(&copy, "i-1", 4, &numbered(70, "draining"));
-    for number in 1..3 {
-        observe(&copy, "i-1", 4 + number, &numbered(number, "ready"));
-        assert_eq!(is_draining(&tables), Some(true));
+    let start = Instant::now();
+    let observe = |second, number, state| {
+        let value = numbered(number, state).to_string();
+        let time = read_at(start + Duration::from_secs(second));
+        copy.observe_target("i-1", position(second), value.as_bytes(), time);
+    };
+    observe(4, 70, "draining");
+    // Within this time they may be late heartbeats of the start before.
+    for (second, number) in [(5, 1), (6, 2), (7, 3), (18, 14)] {
+        observe(second, number, "ready");
+        assert_eq!(is_draining(&tables), Some(true), "at {second} s");
     }
-    observe(&copy, "i-1", 8, &numbered(3, "ready"));
+    observe(19, 15, "ready");
     assert_eq!(is_draining(&tables), Some(false));
-    observe(&copy, "i-1", 9, &numbered(4, "draining"));
+    observe(20, 16, "draining");
     assert_eq!(is_draining(&tables), Some(true));
 }
 
+/// Guards against an engine that hosts which follow a reader of the log never use again: its
+/// clock is set back before it restarts.
+#[test]
+fn start_with_an_earlier_clock_reaches_hosts_that_follow() {
+    let (_, reader) = open_copy();
+    let reader = Arc::new(reader);
+    let mut follower = TargetFollower::open(reader.clone(), timing());
+    let (tables, copy) = open_copy();
+    let mut relayed = RelayedLog::open(tables.clone(), Arc::new(copy));
+    let start = Instant::now();
+    for second in 0..40 {
+        let now = start + Duration::from_secs(second);
+        let born = match second {
+            0..20 => 900,
+            _ => 100,
+        };
+        let record = ("i-1", Some(heartbeat(Some(born))));
+        follower.apply_read(read(second, &[record]), now);
+        let request = relayed.request(&"reader".into(), Duration::ZERO, now);
+        let reply = FollowReply {
+            incarnation: 1,
+            fresh: true,
+            ..reader.reply(request, request.incarnation == 1, now)
+        };
+        relayed.apply(&"reader".into(), reply, now);
+    }
+    assert_eq!(known_ids(&tables), [entry(100).id.to_string()]);
+}
+
+/// Guards against a target that is never used again: another writer dropped its entry, so
+/// that it was taken to have left, and it goes on.
+#[test]
+fn target_that_goes_on_after_its_removal_is_used_again() {
+    let (tables, copy) = open_copy();
+    let start = Instant::now();
+    let mut follower = TargetFollower::open(Arc::new(copy), timing());
+    let mut apply = |second, records: &[NamedRecord<'_>]| {
+        let now = start + Duration::from_secs(second);
+        follower.apply_read(read(second, records), now);
+    };
+    apply(0, &[]);
+    apply(1, &[("i-1", Some(started(7)))]);
+    apply(2, &[("i-1", None)]);
+    for second in 3..17 {
+        apply(second, &[("i-1", Some(started(6 + second)))]);
+        assert!(!is_known(&tables), "at {second} s");
+    }
+    apply(17, &[("i-1", Some(started(23)))]);
+    assert!(is_known(&tables));
+}
+
+/// Guards against requests to a target that left: the log takes a series of its heartbeats
+/// after the removal of its entry, or after its report that it is draining.
+#[test]
+fn series_of_late_heartbeats_does_not_undo_leaving_or_draining() {
+    for leaves in [true, false] {
+        let (tables, copy) = open_copy();
+        let start = Instant::now();
+        let mut follower = TargetFollower::open(Arc::new(copy), timing());
+        let mut apply = |at_ms, offset, records: &[NamedRecord<'_>]| {
+            let now = start + Duration::from_millis(at_ms);
+            follower.apply_read(read(offset, records), now);
+        };
+        apply(0, 0, &[]);
+        apply(600, 0, &[("i-1", Some(started(13)))]);
+        match leaves {
+            true => apply(1_200, 1, &[("i-1", None)]),
+            false => apply(1_200, 1, &[("i-1", Some(started_as(14, "draining")))]),
+        }
+        let is_usable = || {
+            let fleet = tables.fleet.lock();
+            fleet.targets().any(|state| !state.entry.draining)
+        };
+        assert!(!is_usable());
+        for (late, number) in (9..13).enumerate() {
+            let late = late as u64;
+            apply(
+                1_800 + 1_200 * late,
+                2 + late,
+                &[("i-1", Some(started(number)))],
+            );
+            assert!(!is_usable(), "leaves: {leaves}, heartbeat {number}");
+        }
+    }
+}
+
 /// Guards against late heartbeats that add up: each of them comes between current ones.
 #[test]
 fn late_heartbeats_between_current_ones_never_count() {
@@ -308,11 +469,7 @@
 #[test]
 fn older_copies_do_not_undo_draining_or_leaving() {
     let (tables, copy) = open_copy();
-    let timing = TargetTiming {
-        drain: Duration::from_secs(2),
-        heartbeat: Duration::from_millis(1200),
-    };
-    let mut follower = TargetFollower::open(Arc::new(copy), timing);
+    let mut follower = TargetFollower::open(Arc::new(copy), timing());
     let start = Instant::now();
     let at = |seconds| start + Duration::from_secs(seconds);
     let ready = || ("i-1", Some(numbered(7, "ready")));
@@ -385,7 +542,7 @@
     fn any_bytes_give_an_entry_or_an_error(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
         let (tables, copy) = open_copy();
         observe(&copy, "i-1", 0, &heartbeat(Some(100)));
-        copy.observe_target("i-2", position(1), &bytes);
+        copy.observe_target("i-2", position(1), &bytes, read_now());
         let _ = parse_report(&bytes);
         let _ = parse_configuration(&bytes);
         prop_assert_eq!(known_ids(&tables).len(), 1);
