Let hosts find each other in the log, and issue few permits until they have

Callers saw no failure; the target was in need and was sent four times what it takes.

Cause: hosts know others only from seeds that they read once, at their start. All three were outdated, so that each of the four hosts counted as joined after three seconds and took itself for the fleet: permit_share was 1 on all. The lines show it on each host: "reports to nobody", "share of retries" with counted=0 and hosts=0 for good (that rule has a guard), "target limit" from an answer, never from a host, and SIGHUP ends in "nothing to reload".

Now the leader of each zone, as it sees itself, registers in the topic keyed.hosts and reads it with long polls, so that hosts and groups of hosts without a live seed call each other: one write for each leader and six reads a minute. Registered hosts that cannot be reached for 25 s are removed, before their silence makes them unknown ones. The settings file is read again on SIGHUP and every two seconds: new seeds are called at once, other changes are named in a line, and a file that cannot be used changes nothing.

A host that knows no other, or none in a target's zone, issues no share until the log names it and no host that it does not know for two seconds; the issuer still lets a request pass every four seconds, since only an answer shows that a limit has ended. A host that is alone issues the whole limit 5 s after its start if the log can be read, 32 s if the log names a host that is gone, and keeps it through an outage of the log. The retry budget uses the same rule.

--- a/models/src/retry.rs
+++ b/models/src/retry.rs
@@ -452,7 +452,8 @@
             false => {
                 let zones = (0..self.plan.zones).map(|zone| zone_name(zone).as_str().into());
                 let zones = zones.collect::<Vec<ZoneId>>();
-                self.fleet.hosts[index].gossip.complete_count(&zones)
+                let now = self.fleet.now;
+                self.fleet.hosts[index].gossip.complete_count(&zones, now)
             }
         };
         let process = &mut self.hosts[index].process;
--- a/src/entry/log_copy.rs
+++ b/src/entry/log_copy.rs
@@ -80,7 +80,7 @@
         match topic {
             LogTopic::Configuration => state.configuration_read = Some(now),
             LogTopic::Targets => state.targets_read = Some(now),
-            LogTopic::PoisonRequests => {}
+            LogTopic::PoisonRequests | LogTopic::Hosts => {}
         }
     }
 
@@ -400,6 +400,8 @@
     Targets,
     /// The hosts' evidence on poison requests.
     PoisonRequests,
+    /// The registered entry hosts.
+    Hosts,
 }
 
 impl LogTopic {
@@ -408,6 +410,7 @@
             Self::Configuration => "configuration",
             Self::Targets => "targets",
             Self::PoisonRequests => "poison",
+            Self::Hosts => "hosts",
         }
     }
 }
--- a/src/entry/peer_exchange.rs
+++ b/src/entry/peer_exchange.rs
@@ -14,7 +14,7 @@
 use crate::fleet::{UsageScope, UsageSource};
 use crate::forward::{ServingTables, socket};
 use crate::ids::{HostId, IncarnationId, ZoneId};
-use crate::membership::{GossipTable, host_weight};
+use crate::membership::{GossipTable, HostRegistry, RegistryChange, host_weight};
 use crate::peer::{
     self, EntryHandlers, FollowReply, FollowRequest, HostView, PeerError, PeerHandle, PeerSettings,
 };
@@ -288,6 +288,29 @@
         self.gossip.lock().permit_share(zone, now)
     }
 
+    /// Returns whether this host is the leader of its zone.
+    pub(super) fn is_leader(&self, now: Instant) -> bool {
+        self.gossip.lock().is_leader(now)
+    }
+
+    /// Replaces the seeds.
+    pub(super) fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        self.gossip.lock().set_seeds(seeds);
+    }
+
+    /// Applies what was read of the hosts that the log names.
+    pub(super) fn update_registry<F>(&self, update: F)
+    where
+        F: FnOnce(&mut HostRegistry),
+    {
+        update(self.gossip.lock().registry());
+    }
+
+    /// Returns the changes that the log needs so that other groups of hosts find this one.
+    pub(super) fn registry_changes(&self, now: Instant) -> Vec<RegistryChange> {
+        self.gossip.lock().registry_changes(now)
+    }
+
     /// Returns the name of this host.
     pub(super) fn host(&self) -> &HostId {
         &self.host
@@ -323,7 +346,7 @@
 
     /// Returns the number of entry hosts of all zones that are not forgotten yet, live or
     /// not, including this one; `None` if there may be others.
-    pub(super) fn complete_count(&self) -> Option<usize> {
+    pub(super) fn complete_count(&self, now: Instant) -> Option<usize> {
         let configuration = self.tables.configuration.load_full()?;
         let zones = {
             let fleet = self.tables.fleet.lock();
@@ -331,7 +354,16 @@
             targets.collect::<FastSet<_>>()
         };
         let zones = zones.union(&configuration.zones);
-        self.gossip.lock().complete_count(zones)
+        self.gossip.lock().complete_count(zones, now)
+    }
+
+    /// Logs whether there may be hosts although this one knows no other.
+    fn log_unsure(&self, is_unsure: bool) {
+        self.tables.metrics.set_hosts_unknown(is_unsure);
+        match is_unsure {
+            true => log::warn!("no other host known, and there may be some: few permits issued"),
+            false => log::info!("other hosts known, or known to be none"),
+        }
     }
 
     /// Logs that this host reports to another aggregator than before.
@@ -388,6 +420,7 @@
     let mut ticks = tokio::time::interval(CALL_INTERVAL);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut aggregator = None;
+    let mut may_miss_all = false;
     loop {
         let due_at = ticks.tick().await;
         let now = Instant::now();
@@ -395,7 +428,13 @@
         let lag = now.saturating_duration_since(due_at.into_std());
         state.tables.observe_lag(lag, neighbours);
         let due = state.gossip.lock().due_calls(now);
-        let reports_to = state.gossip.lock().reports_to(now);
+        let (reports_to, is_unsure) = {
+            let gossip = state.gossip.lock();
+            (gossip.reports_to(now), gossip.may_miss_all(now))
+        };
+        if std::mem::replace(&mut may_miss_all, is_unsure) != is_unsure {
+            state.log_unsure(is_unsure);
+        }
         if reports_to != aggregator {
             state.log_aggregator(reports_to.as_ref());
             aggregator = reports_to;
--- a/src/entry/retry_share.rs
+++ b/src/entry/retry_share.rs
@@ -21,7 +21,7 @@
     loop {
         tokio::time::sleep(COUNT_INTERVAL).await;
         let now = Instant::now();
-        let counted = peer_state.complete_count();
+        let counted = peer_state.complete_count(now);
         share.observe(counted, now);
         let next_settings = share.settings();
         tables.set_budget(next_settings);
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -6,20 +6,23 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 
 use crate::buffer::BufferPlan;
 use crate::entry::capacity_refresh::refresh_capacity;
 use crate::entry::configuration_follower::follow_configuration;
 use crate::entry::drain::drain;
+use crate::entry::host_log::follow_hosts;
 use crate::entry::log_copy::LogCopy;
+use crate::entry::peer_exchange::PeerState;
 use crate::entry::permit_requests::permit_source;
 use crate::entry::placement::run_placement;
 use crate::entry::poison_log::{follow_poison, write_poison};
 use crate::entry::readiness::{serve_metrics, serve_readiness};
 use crate::entry::relay_follower::follow_leader;
 use crate::entry::retry_share::share_retries;
+use crate::entry::settings_watch::watch_settings;
 use crate::entry::target_follower::{TargetTiming, follow_targets};
 use crate::entry::zone_balance::balance_zones;
 use crate::entry::{EntrySettings, LogRole, gateway_peers, peer_exchange};
@@ -67,7 +70,7 @@
 /// If the settings are unusable or an address cannot be listened on.
 pub async fn run_entry(path: PathBuf) -> Result<(), EntryError> {
     let mut terminate = signal(SignalKind::terminate())?;
-    let mut hangup = signal(SignalKind::hangup())?;
+    let hangup = signal(SignalKind::hangup())?;
     let settings = read_settings(&path)?;
     log::info!(host:% = settings.host, zone:% = settings.zone; "starting");
     let share = RetryShare::new(settings.bounds.retries, Instant::now());
@@ -78,7 +81,7 @@
         BufferPlan::divide(settings.memory_mb << 20, settings.descriptors),
     );
     let tables = Arc::new(tables);
-    let (peers, gateway) = spawn_workers(&tables, &settings, share)?;
+    let (peer_state, gateway) = spawn_workers(&tables, &settings, share)?;
     let readiness = serve_readiness(tables.clone(), settings.readiness)?;
     let metrics = SocketAddr::new(settings.readiness.ip(), METRICS_PORT);
     if let Err(error) = serve_metrics(tables.clone(), metrics) {
@@ -88,23 +91,26 @@
     let serving = serve(tables.clone(), settings.callers)?;
     // The settings may specify port 0.
     log::info!(
-        callers:% = serving.address, readiness:% = readiness, peers:% = peers;
+        callers:% = serving.address, readiness:% = readiness, peers:% = peer_state.address();
         "listening"
     );
-    wait_for_stop(&mut terminate, &mut hangup).await;
+    let grace = settings.bounds.grace;
+    tokio::spawn(watch_settings(path, settings, peer_state, hangup));
+    // The receiver of a signal does not close while the process runs.
+    let _ = terminate.recv().await;
     log::info!(in_flight = tables.in_flight.load(Ordering::Relaxed); "stopping");
-    drain(&tables, serving, gateway, settings.bounds.grace).await;
+    drain(&tables, serving, gateway, grace).await;
     log::info!(in_flight = tables.in_flight.load(Ordering::Relaxed); "stopped");
     Ok(())
 }
 
-/// Starts the tasks that keep the tables up to date; returns the address for peers, and the
+/// Starts the tasks that keep the tables up to date; returns the state of the peers, and the
 /// gateway for them.
 fn spawn_workers(
     tables: &Arc<ServingTables>,
     settings: &EntrySettings,
     share: RetryShare,
-) -> Result<(SocketAddr, Option<GatewayHandle>), EntryError> {
+) -> Result<(Arc<PeerState>, Option<GatewayHandle>), EntryError> {
     let client = || LogClient::open(settings.store, LOG_TIMEOUTS);
     let copy = Arc::new(LogCopy::new(tables.clone()));
     let first = match settings.is_first_start {
@@ -142,6 +148,7 @@
     let (peer_state, handle) =
         peer_exchange::spawn(settings, settings.peers, tables.clone(), copy.clone())?;
     tables.set_permit_source(permit_source(peer_state.clone()));
+    tokio::spawn(follow_hosts(peer_state.clone(), copy.clone(), client()));
     let gateway = gateway_peers::spawn(tables, &peer_state, settings);
     tokio::spawn(follow_leader(
         tables.clone(),
@@ -154,22 +161,10 @@
     tokio::spawn(share_retries(tables.clone(), peer_state.clone(), share));
     tokio::spawn(refresh_capacity(tables.clone(), peer_state.clone()));
     tokio::spawn(balance_zones(tables.clone()));
-    let address = peer_state.address();
     tokio::spawn(run_placement(
         tables.clone(),
-        peer_state,
+        peer_state.clone(),
         settings.heartbeat,
     ));
-    Ok((address, gateway))
-}
-
-/// Waits for the signal to stop. A changed settings file is ignored: addresses and bounds
-/// are fixed for the life of a process.
-async fn wait_for_stop(terminate: &mut Signal, hangup: &mut Signal) {
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => return,
-            _ = hangup.recv() => log::info!("settings changed: nothing to reload"),
-        }
-    }
+    Ok((peer_state, gateway))
 }
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -42,6 +42,36 @@
     pub bounds: EntryBounds,
 }
 
+impl EntrySettings {
+    /// Returns the names of the settings that differ in `next` and are fixed while a process
+    /// runs.
+    pub fn fixed_keys_changed(&self, next: &Self) -> Vec<&'static str> {
+        let addresses = |settings: &Self| (settings.callers, settings.readiness, settings.peers);
+        let limits = |settings: &Self| {
+            let Self {
+                memory_mb,
+                descriptors,
+                cores,
+                link_mbps,
+                ..
+            } = settings;
+            (*memory_mb, *descriptors, *cores, *link_mbps)
+        };
+        let changes = [
+            ("node", self.host != next.host),
+            ("zone", self.zone != next.zone),
+            ("listen", addresses(self) != addresses(next)),
+            ("internal_ports", self.internal_ports != next.internal_ports),
+            ("provider", self.store != next.store),
+            ("heartbeat_ms", self.heartbeat != next.heartbeat),
+            ("limits", limits(self) != limits(next)),
+            ("bounds", self.bounds != next.bounds),
+        ];
+        let changed = changes.into_iter().filter(|(_, is_changed)| *is_changed);
+        changed.map(|(key, _)| key).collect()
+    }
+}
+
 /// Bounds on times and retries.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct EntryBounds {
--- a/src/membership/gossip.rs
+++ b/src/membership/gossip.rs
@@ -5,6 +5,7 @@
 //! changes from it. The traffic of a host does not grow with the number of hosts.
 
 mod calls;
+mod registry;
 mod roles;
 mod views;
 
@@ -15,6 +16,7 @@
 use crate::collections::FastMap;
 use crate::ids::{HostId, HostWeight, IncarnationId, ZoneId};
 use crate::membership::gossip_member::{DEAD_AFTER, GossipMember};
+use crate::membership::host_registry::{HostRegistry, RegisteredHost};
 use crate::membership::role::{RoleCandidate, compare_ranks};
 use crate::peer::{HostView, KnownHost};
 
@@ -38,6 +40,7 @@
     incarnation: IncarnationId,
     weight: HostWeight,
     seeds: Vec<SocketAddr>,
+    registry: HostRegistry,
     members: BTreeMap<HostId, GossipMember>,
     /// Incremented by each change of a member that other hosts have to receive.
     version: u64,
@@ -60,6 +63,11 @@
         seeds: Vec<SocketAddr>,
     ) -> Self {
         let others = seeds.into_iter().filter(|seed| *seed != own_address);
+        let registry = HostRegistry::new(RegisteredHost {
+            host: host.clone(),
+            zone: zone.clone(),
+            address: own_address,
+        });
         Self {
             host,
             zone,
@@ -67,6 +75,7 @@
             incarnation: 0,
             weight: 0,
             seeds: others.collect(),
+            registry,
             members: BTreeMap::new(),
             version: 1,
             sequence: 0,
--- a/src/membership/gossip/calls.rs
+++ b/src/membership/gossip/calls.rs
@@ -43,6 +43,7 @@
         due.extend(self.due_probe(now));
         due.extend(self.due_remote(now));
         due.extend(self.due_seeds(now));
+        due.extend(self.due_registered(now));
         due.sort_unstable();
         due.dedup();
         due.retain(|address| *address != self.own_address);
--- a/src/membership/gossip/roles.rs
+++ b/src/membership/gossip/roles.rs
@@ -88,14 +88,19 @@
 
     /// Returns the share of a zone's limits that the live hosts of the zone may issue,
     /// from 0 to 1. If the zone has no live host, returns the share of the live hosts of
-    /// all zones.
+    /// all zones. It is 0 while there may be hosts that this one has never heard of: each of
+    /// them may take itself for the only one.
     pub fn permit_share(&self, zone: &str, now: Instant) -> f64 {
         let is_own = usize::from(*self.zone == *zone);
         let members = self.members.values();
         let known = members.filter(|member| *member.zone == *zone).count() + is_own;
         match self.live_hosts(zone, now).len() {
-            0 => issued_share(self.live_count(now), self.known_count()),
-            live => issued_share(live, known),
+            _ if self.may_miss_hosts(zone, now) => 0.0,
+            0 => {
+                let known = self.known_count() + self.registry.unknown_count();
+                issued_share(self.live_count(now), known)
+            }
+            live => issued_share(live, known + self.registry.unknown_in(zone)),
         }
     }
 
@@ -157,14 +162,14 @@
         self.known_counts().into_values().sum()
     }
 
-    /// Returns the number of known hosts like [`Self::known_count`], unless this host has
-    /// heard of no other one or of none in one of `zones`, as after a start behind a cut.
-    pub fn complete_count<'a, Z>(&self, zones: Z) -> Option<usize>
+    /// Returns the number of known hosts like [`Self::known_count`], unless this host may be
+    /// alone without knowing it, or has heard of none in one of `zones`, as after a start
+    /// behind a cut.
+    pub fn complete_count<'a, Z>(&self, zones: Z, now: Instant) -> Option<usize>
     where
         Z: IntoIterator<Item = &'a ZoneId>,
     {
-        let is_only_seed = self.seeds.iter().all(|seed| *seed == self.own_address);
-        if self.members.is_empty() && !is_only_seed {
+        if self.may_miss_all(now) {
             return None;
         }
         let counts = self.known_counts();
--- a/src/metrics/serving.rs
+++ b/src/metrics/serving.rs
@@ -60,6 +60,7 @@
     zone_shares: Family<ZoneLabels, Gauge<f64, AtomicU64>>,
     starts_waiting: Gauge,
     log_era: Gauge,
+    hosts_unknown: Gauge,
     buffered_bytes: Family<CauseLabel, Gauge>,
     caller_connections: Gauge,
     first_event: Histogram,
@@ -105,6 +106,7 @@
             zone_shares: Family::default(),
             starts_waiting: Gauge::default(),
             log_era: Gauge::default(),
+            hosts_unknown: Gauge::default(),
             buffered_bytes: Family::default(),
             caller_connections: Gauge::default(),
             first_event: latency_histogram(),
@@ -269,6 +271,9 @@
         let help = "Number of restores of the platform's log from an older copy";
         self.registry
             .register("log_era", help, self.log_era.clone());
+        let help = "Whether there may be other entry hosts although this one knows none";
+        self.registry
+            .register("hosts_unknown", help, self.hosts_unknown.clone());
         let help = "Bytes of bodies that this host holds, without the first 16 KiB of each";
         let buffered = self.buffered_bytes.clone();
         self.registry.register("buffered_bytes", help, buffered);
@@ -517,6 +522,11 @@
         self.log_era.set(i64::try_from(era).unwrap_or(i64::MAX));
     }
 
+    /// Sets whether there may be other entry hosts although this one knows none.
+    pub fn set_hosts_unknown(&self, is_unknown: bool) {
+        self.hosts_unknown.set(i64::from(is_unknown));
+    }
+
     /// Observes a call to the log service, or counts an error if the call failed.
     pub fn store_called(&self, topic: &'static str, took: Duration, succeeded: bool) {
         match succeeded {
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -9,6 +9,7 @@
 pub mod client;
 pub mod configuration_record;
 pub mod error;
+pub mod host_record;
 pub mod host_settings;
 pub mod log_calls;
 pub mod log_tail;
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -53,6 +53,8 @@
 pub const TARGET_TOPIC: &str = "keyed.servers";
 /// Log topic of poison requests, defined by this project.
 pub const POISON_TOPIC: &str = "keyed.poison";
+/// Log topic of entry hosts, defined by this project.
+pub const HOST_TOPIC: &str = "keyed.hosts";
 
 /// Environment variable with the path of the settings file.
 pub const SETTINGS_VARIABLE: &str = "JACKDAWWICK_SETTINGS";
--- a/tests/fleet_size.rs
+++ b/tests/fleet_size.rs
@@ -65,8 +65,9 @@
 #[test]
 fn a_host_that_has_heard_of_no_other_has_no_complete_count() {
     let zones: [ZoneId; 1] = ["z".into()];
-    assert_eq!(table(&[1, 2]).complete_count(&zones), None);
-    assert_eq!(table(&[1]).complete_count(&zones), Some(1));
+    let now = Instant::now();
+    assert_eq!(table(&[1, 2]).complete_count(&zones, now), None);
+    assert_eq!(table(&[1]).complete_count(&zones, now), Some(1));
 }
 
 /// Guards against a host that starts in a zone that is cut off and does not miss the others.
@@ -77,5 +78,8 @@
         "read_per_s": 1, "delays": [{"from": "z", "to": "y", "delay_ms": 0.3}]}}]}"#;
     let configuration = parse_configuration(body.as_bytes()).expect("a valid configuration");
     assert_eq!(configuration.zones.len(), 2);
-    assert_eq!(table(&[1]).complete_count(&configuration.zones), None);
+    assert_eq!(
+        table(&[1]).complete_count(&configuration.zones, Instant::now()),
+        None
+    );
 }
--- a/tests/host_counts.rs
+++ b/tests/host_counts.rs
@@ -151,7 +151,7 @@
         let zone_b = "b".into();
         let own_zone = table.live_hosts("a", now).len();
         table
-            .complete_count([&zone_b])
+            .complete_count([&zone_b], now)
             .map(|count| count - own_zone)
     };
     // Without any count, one from a lower rank is better than none.
