Test over processes that outdated seeds do not multiply a limit

A soak whose hosts name seeds at which nothing listens (--outdated-seeds), and a test of the limit with it: six hosts in two zones, a target that names 8 requests a second.

--- a/standins/src/bin/soak.rs
+++ b/standins/src/bin/soak.rs
@@ -61,6 +61,14 @@
                      one kind of fault: the seed modulo 8 selects it",
                 ),
         )
+        .arg(
+            Arg::new("outdated-seeds")
+                .long("outdated-seeds")
+                .action(ArgAction::SetTrue)
+                .help(
+                    "Name seeds at which nothing listens, so that hosts find each other in the log",
+                ),
+        )
         .get_matches();
     let path = |name: &str| {
         matches
@@ -92,6 +100,7 @@
             timed: !matches.get_flag("untimed"),
             targets: TargetFleet::Several,
             half_fails: matches.get_flag("half-fails"),
+            outdated_seeds: matches.get_flag("outdated-seeds"),
             retries: match matches.get_flag("half-fails") {
                 true => RetryBound::SCARCE,
                 false => RetryBound::default(),
--- a/standins/src/soak/run.rs
+++ b/standins/src/soak/run.rs
@@ -1,7 +1,7 @@
 //! One run of the soak, from its seed to its report.
 
 use std::io;
-use std::net::IpAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -95,6 +95,8 @@
     pub standstills: bool,
     /// Whether targets fail half of the calls that reach them.
     pub half_fails: bool,
+    /// Whether the hosts' settings name seeds at which nothing listens.
+    pub outdated_seeds: bool,
 }
 
 /// Result of a run.
@@ -371,8 +373,14 @@
     }
 
     async fn start_host(&mut self, index: usize) -> io::Result<()> {
-        let seeds = self.hosts.iter().take(3);
-        let seeds = seeds.map(|host| host.host.seed.address).collect::<Vec<_>>();
+        let outdated = [7001, 7002, 7003].map(|port| SocketAddr::from(([127, 9, 9, 1], port)));
+        let seeds = match self.settings.outdated_seeds {
+            true => outdated.to_vec(),
+            false => {
+                let seeds = self.hosts.iter().take(3);
+                seeds.map(|host| host.host.seed.address).collect()
+            }
+        };
         let run = &mut self.hosts[index];
         run.host.start(&seeds, self.internal_port).await?;
         let listening = *run.host.listening.borrow();
--- a/standins/tests/limits.rs
+++ b/standins/tests/limits.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use standins::check::AdvertisedLimit;
-use standins::soak::run_rate_limit;
+use standins::soak::{SoakSettings, run_rate_limit};
 use support::TestResult;
 use support::soaks::soak_settings;
 
@@ -45,3 +45,18 @@
     assert_eq!(report.unsuccessful, 0, "{report:?}");
     Ok(())
 }
+
+/// Guards against hosts that each issue the whole limit of a target: the seeds in their
+/// settings are outdated, so that only the log tells them of each other.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_limit_holds_for_hosts_with_outdated_seeds() -> TestResult {
+    let (settings, _folder) = soak_settings(HOSTS).await?;
+    let report = run_rate_limit(SoakSettings {
+        outdated_seeds: true,
+        ..settings
+    })
+    .await?;
+    assert_eq!(report.violation, None, "{report:?}");
+    assert_eq!(report.unsuccessful, 0, "{report:?}");
+    Ok(())
+}
--- a/standins/tests/support/soaks.rs
+++ b/standins/tests/support/soaks.rs
@@ -30,6 +30,7 @@
         limits: HostLimits::default(),
         standstills: false,
         half_fails: false,
+        outdated_seeds: false,
     };
     Ok((settings, folder))
 }
