Keep the limit of a target whose entry expired

A target that cannot write for three heartbeats loses its entry and has it back a moment later, under the same start.

Cause: ServingTables::forget_target, called for each removal from the list, dropped the limit and what this host had sent there lately. Only the target itself ends its limit; pauses and statements of leaving were kept already. Now both go only with the start of a target that another one replaces, and are bounded: the table of limits keeps 4,096, and so does the pool of permits from now on.

limit_of_a_target_outlives_its_entry, with the former removal put back: failed, None in place of 4 a second; now it passes, with 22 of 22 in target_starts and 6 of 6 in permits.

--- a/src/entry/log_copy.rs
+++ b/src/entry/log_copy.rs
@@ -350,7 +350,7 @@
     /// once.
     fn forget_start(&self, start: &TargetId) {
         self.tables.fleet.lock().remove(start);
-        self.tables.forget_target(start);
+        self.tables.forget_start(start);
         self.tables.notify_lost(start);
     }
 
--- a/src/forward/tables.rs
+++ b/src/forward/tables.rs
@@ -328,13 +328,19 @@
         self.liveness.notify_lost(target);
     }
 
-    /// Removes the state of a target that has left.
+    /// Removes the state of a target without an entry in the log. Its limit stays: the entry
+    /// may have expired while the target goes on, and only the target ends its limit.
     pub fn forget_target(&self, target: &str) {
         self.reports.lock().remove(target);
         self.ports.lock().remove(target);
         self.pending_reads.lock().retain(|_, reads| reads.is_used());
         self.witnesses.lock().remove(target);
         self.reachability.lock().forget(target);
+    }
+
+    /// Removes the state of a start of a target that has ended.
+    pub fn forget_start(&self, target: &str) {
+        self.forget_target(target);
         let key = target_key(target);
         self.limits.lock().forget(key);
         self.permits.lock().forget(key);
--- a/src/permits/pool.rs
+++ b/src/permits/pool.rs
@@ -11,6 +11,9 @@
 /// How long a permit may be used. A permit that is not used in this time is lost, since
 /// using it later would add to the requests of that later time.
 const PERMIT_TTL: Duration = Duration::from_millis(250);
+/// Number of targets from which on those that were sent nothing lately are removed. Targets
+/// that left stay until then.
+const MAX_TARGETS: usize = 4096;
 /// Requests for permits per second of a host that sends much.
 const REQUESTS_PER_SECOND: u32 = 6;
 
@@ -23,6 +26,12 @@
     unpermitted: SendCounts,
 }
 
+impl TargetPermits {
+    fn is_used(&self, now: Instant) -> bool {
+        self.permitted.total(now) + self.unpermitted.total(now) > 0
+    }
+}
+
 /// Permits that a host holds.
 #[derive(Debug, Default)]
 pub struct PermitPool {
@@ -81,12 +90,15 @@
         }
     }
 
-    /// Removes a target that has left.
+    /// Removes a start of a target that has ended.
     pub fn forget(&mut self, target: TargetKey) {
         self.targets.remove(&target);
     }
 
     fn permits(&mut self, target: TargetKey, now: Instant) -> &mut TargetPermits {
+        if self.targets.len() >= MAX_TARGETS && !self.targets.contains_key(&target) {
+            self.targets.retain(|_, permits| permits.is_used(now));
+        }
         self.targets.entry(target).or_insert_with(|| TargetPermits {
             held: VecDeque::new(),
             permitted: SendCounts::new(now),
--- a/src/permits/table.rs
+++ b/src/permits/table.rs
@@ -163,7 +163,7 @@
         changes.collect()
     }
 
-    /// Removes a target that has left.
+    /// Removes a start of a target that has ended.
     pub fn forget(&mut self, target: TargetKey) {
         self.entries.remove(&target);
     }
--- a/tests/target_starts.rs
+++ b/tests/target_starts.rs
@@ -7,10 +7,11 @@
 use jackdawwick::entry::{
     LogCopy, RecordTime, RelayedLog, StartVerdict, TargetFollower, TargetStarts, TargetTiming,
 };
-use jackdawwick::fleet::{RequestSize, TargetEntry, TargetHeartbeat};
+use jackdawwick::fleet::{RequestSize, TargetEntry, TargetHeartbeat, target_key};
 use jackdawwick::forward::{InFlightGuard, ServingTables};
 use jackdawwick::ids::LogPosition;
 use jackdawwick::peer::FollowReply;
+use jackdawwick::permits::{LimitObservation, RateLimit};
 use jackdawwick::platform::configuration_record::parse_configuration;
 use jackdawwick::platform::log_calls::{KeyedRead, KeyedRecord, LogError};
 use jackdawwick::platform::target_record::{parse_report, parse_target, platform_id};
@@ -517,6 +518,32 @@
     }
 }
 
+/// Guards against a target over its limit: its entry expires for a moment, while it could not
+/// write, and every host forgets the limit with it.
+#[test]
+fn limit_of_a_target_outlives_its_entry() {
+    let (tables, copy) = open_copy();
+    let now = Instant::now();
+    let key = target_key(&entry(100).id);
+    let limit = || {
+        let limits = tables.limits.lock();
+        limits.limit(key).map(RateLimit::per_second)
+    };
+    observe(&copy, "i-1", 4, &started(7));
+    let observation = LimitObservation {
+        rate: RateLimit::new(4.0),
+        sent: now,
+        received: now,
+    };
+    tables.limits.lock().observe(key, observation);
+    copy.remove_target("i-1", position(5), "entry dropped");
+    observe(&copy, "i-1", 6, &started(8));
+    assert_eq!(limit(), Some(4.0));
+    // Another start has said nothing yet.
+    observe(&copy, "i-1", 7, &heartbeat(Some(900)));
+    assert_eq!(limit(), None);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(256))]
 
