--- a/standins/src/soak/endless.rs
+++ b/standins/src/soak/endless.rs
@@ -13,9 +13,10 @@
 use super::callers::{call_host_beyond_deadline, stop_callers};
 use super::check::{Violation, find_violations};
 use super::history::{CallKind, CallOutcome, CallRecord};
+use super::host_link::LinkLoss;
 use super::link::LinkFault;
 use super::partition::ServedShare;
-use super::run::{SoakRun, SoakSettings};
+use super::run::{LinkScope, SoakRun, SoakSettings};
 
 /// Callers of each kind at each host, and their pause between two calls.
 const CALLERS: usize = 6;
@@ -61,15 +62,33 @@
     Noise,
 }
 
+const ALL_PARTS: [EndlessPart; 12] = [
+    EndlessPart::StatusLine,
+    EndlessPart::HeaderLine,
+    EndlessPart::Headers,
+    EndlessPart::InterimResponses,
+    EndlessPart::ChunkSize,
+    EndlessPart::ChunkExtension,
+    EndlessPart::Trailers,
+    EndlessPart::FailureBody,
+    EndlessPart::Body,
+    EndlessPart::ProvenBody,
+    EndlessPart::ProvenBytes,
+    EndlessPart::Noise,
+];
+
 /// What happens in a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct EndlessPlan {
-    /// Where the bytes have no end.
-    pub part: EndlessPart,
+    /// Where the bytes have no end; `None` for all parts, one after the other.
+    pub part: Option<EndlessPart>,
     /// Whether the targets send one byte at a time.
     pub slow: bool,
     /// Number of targets, of three plain ones and six engines, in turn.
     pub targets: usize,
+    /// How the first host loses its own links to the targets at the same time, so that its
+    /// requests go through the other one.
+    pub loss: Option<LinkLoss>,
 }
 
 /// What callers, targets and processes recorded.
@@ -184,7 +203,11 @@
 ///
 /// If processes or sockets cannot be set up.
 pub async fn run_endless(settings: SoakSettings, plan: EndlessPlan) -> io::Result<EndlessReport> {
-    let run = SoakRun::open_served(settings).await?;
+    let links = match plan.loss {
+        Some(_) => LinkScope::Host,
+        None => settings.links,
+    };
+    let run = SoakRun::open_served(SoakSettings { links, ..settings }).await?;
     let callers = spawn_callers(&run);
     tokio::time::sleep(ADAPTATION_TIME).await;
     let began = Instant::now();
@@ -199,6 +222,7 @@
         run.targets[index].link.set(LinkFault::None);
         servers.push(server);
     }
+    run.hosts[0].host.target_links.send_replace(plan.loss);
     tokio::time::sleep(ENDLESS_TIME).await;
     let records = stop_callers(&run.context, callers).await?;
     tokio::time::sleep(CLOSE_TIME).await;
@@ -323,11 +347,9 @@
     }
     let call = String::from_utf8_lossy(&call[..length]);
     connections.observe_request(connection, &call, Instant::now());
-    let (first, repeated) = plan.part.bytes();
-    if matches!(
-        plan.part,
-        EndlessPart::ProvenBody | EndlessPart::ProvenBytes
-    ) {
+    let part = plan.part.unwrap_or(ALL_PARTS[connection % ALL_PARTS.len()]);
+    let (first, repeated) = part.bytes();
+    if matches!(part, EndlessPart::ProvenBody | EndlessPart::ProvenBytes) {
         stream.write_all(proven_head(&call).as_bytes()).await?;
     }
     stream.write_all(first.as_bytes()).await?;
--- a/standins/src/soak/shutdown.rs
+++ b/standins/src/soak/shutdown.rs
@@ -28,15 +28,14 @@
 /// Callers that send one call after the other, and the pause of each between two calls.
 const CALLERS: usize = 12;
 const CALL_PAUSE: Duration = Duration::from_millis(10);
-/// Time that targets take before they are silent. With it calls are in flight at all times,
-/// without which the host would stop before the silence.
-const CALL_TIME: Duration = Duration::from_millis(100);
 /// Connections that are opened before the stop and used once after it.
 const KEPT_CONNECTIONS: u32 = 60;
 /// Time between the uses of two kept connections.
 const KEPT_INTERVAL: Duration = Duration::from_millis(20);
 /// Time before the silence at which the first kept connection is used.
 const KEPT_LEAD: Duration = Duration::from_millis(300);
+/// Time after the last event for which configurations with the later times are published.
+const PUBLISH_TIME: Duration = Duration::from_secs(1);
 /// Time for which a caller waits for a response beyond the deadline of its call.
 const CALLER_SLACK: Duration = Duration::from_secs(1);
 
@@ -56,10 +55,16 @@
     pub hangup: Option<Duration>,
     /// Times of the configurations from the silence on.
     pub later_times: Option<ServingTimes>,
+    /// Time that targets take for a call while they are not silent. With it calls are in
+    /// flight at all times, without which the host would stop before the silence.
+    pub call_time: Duration,
     /// When the targets fall silent, from the start of the callers.
     pub silent_from: Duration,
-    /// How long they are silent.
+    /// How long they are silent; zero if they never are.
     pub silence: Duration,
+    /// When the kept connections are used again, from the start of the callers; `None` for
+    /// shortly before the silence.
+    pub kept_from: Option<Duration>,
 }
 
 /// What callers and targets recorded.
@@ -116,7 +121,7 @@
     })
     .await?;
     if !plan.kind.is_stream() {
-        set_fault(&run, TargetFault::AnswersAfter(CALL_TIME));
+        set_fault(&run, TargetFault::AnswersAfter(plan.call_time));
     }
     let started = Instant::now();
     let hosts = run.hosts.len();
@@ -126,6 +131,9 @@
             .await?;
         handle(&mut run, plan, event);
     }
+    if plan.later_times.is_some() {
+        run.publish_for(PUBLISH_TIME).await?;
+    }
     let silent = started + plan.silent_from;
     let stops = (0..hosts).map(|host| started + plan.stop_of(host));
     let stops = stops.collect::<Vec<_>>();
@@ -232,6 +240,7 @@
                 host.host.signal(Signal::SIGHUP);
             }
         }
+        ShutdownEvent::Silence if plan.silence.is_zero() => {}
         ShutdownEvent::Silence if plan.kind.is_stream() => {
             run.targets.iter().for_each(|target| target.stand_still());
         }
@@ -251,7 +260,8 @@
     plan: ShutdownPlan,
     started: Instant,
 ) -> Vec<JoinHandle<Vec<CallRecord>>> {
-    let first = plan.silent_from.saturating_sub(KEPT_LEAD);
+    let before_silence = plan.silent_from.saturating_sub(KEPT_LEAD);
+    let first = plan.kept_from.unwrap_or(before_silence);
     let mut callers = Vec::new();
     for host in 0..context.fronts.len() {
         callers.extend((0..KEPT_CONNECTIONS).map(|number| {
--- a/standins/tests/endless.rs
+++ b/standins/tests/endless.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use standins::soak::{EndlessPart, EndlessPlan, run_endless};
+use standins::soak::{EndlessPart, EndlessPlan, HostLimits, LinkLoss, SoakSettings, run_endless};
 use support::TestResult;
 use support::soaks::soak_settings;
 
@@ -15,9 +15,10 @@
 async fn check(part: EndlessPart, slow: bool) -> TestResult {
     let (settings, _folder) = soak_settings(HOSTS).await?;
     let plan = EndlessPlan {
-        part,
+        part: Some(part),
         slow,
         targets: TARGETS,
+        loss: None,
     };
     let report = run_endless(settings, plan).await?;
     assert_eq!(report.violations, [], "{report:?}");
@@ -62,3 +63,49 @@
     noise_without_end: Noise, false;
     slow_noise_without_end: Noise, true;
 }
+
+/// Memory of the smallest host, in megabytes.
+const SMALLEST_MEMORY_MB: u64 = 112;
+
+/// Runs all parts at once before hosts with little memory.
+async fn check_all_parts(slow: bool, loss: Option<LinkLoss>) -> TestResult {
+    let (settings, _folder) = soak_settings(HOSTS).await?;
+    let limits = HostLimits {
+        memory_mb: SMALLEST_MEMORY_MB,
+        ..settings.limits
+    };
+    let plan = EndlessPlan {
+        part: None,
+        slow,
+        targets: TARGETS,
+        loss,
+    };
+    let report = run_endless(SoakSettings { limits, ..settings }, plan).await?;
+    assert_eq!(report.violations, [], "{report:?}");
+    assert_eq!(report.unfinished, 0, "{report:?}");
+    assert!(report.opened > 12, "{report:?}");
+    assert_eq!(report.left_open, [], "{report:?}");
+    assert!(report.peak_memory < SMALLEST_MEMORY_MB << 20, "{report:?}");
+    assert!(report.adapted.sent > 50, "{report:?}");
+    assert!(report.adapted.share() > 0.9, "{report:?}");
+    Ok(())
+}
+
+/// Guards against a host that runs out of memory, and ends the requests of other callers,
+/// before several targets that respond without end in all ways at once.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn all_parts_without_end_leave_the_smallest_host_within_its_memory() -> TestResult {
+    check_all_parts(false, None).await
+}
+
+/// Guards against the same, a byte at a time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn all_slow_parts_without_end_leave_the_smallest_host_within_its_memory() -> TestResult {
+    check_all_parts(true, None).await
+}
+
+/// Guards against the same at a host that passes the requests of another one on.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn all_parts_without_end_leave_a_gateway_within_its_memory() -> TestResult {
+    check_all_parts(false, Some(LinkLoss::Silent)).await
+}
--- a/standins/tests/silent_targets.rs
+++ b/standins/tests/silent_targets.rs
@@ -19,8 +19,24 @@
     second_stop: None,
     hangup: None,
     later_times: None,
+    call_time: Duration::from_millis(100),
     silent_from: Duration::from_millis(6000),
     silence: Duration::from_millis(2100),
+    kept_from: None,
+};
+
+/// Calls to sound targets until the process is gone, among them those of connections that are
+/// used for the second time from 7.0 s to 8.2 s after SIGTERM.
+const LATE_CALLS: ShutdownPlan = ShutdownPlan {
+    later_times: Some(ServingTimes {
+        route: Duration::from_millis(400),
+        ..LATE_SILENCE.times
+    }),
+    call_time: Duration::from_millis(250),
+    silent_from: Duration::from_millis(500),
+    silence: Duration::ZERO,
+    kept_from: Some(Duration::from_millis(7400)),
+    ..LATE_SILENCE
 };
 const SHORT_GRACE: ShutdownPlan = ShutdownPlan {
     times: ServingTimes {
@@ -48,7 +64,7 @@
     let report = run_shutdown(settings, plan).await?;
     assert!(report.exited, "{report:?}");
     assert!(report.sent > 50, "{report:?}");
-    assert!(report.held > 0, "{report:?}");
+    assert!(report.held > 0 || plan.silence.is_zero(), "{report:?}");
     Ok(report)
 }
 
@@ -142,3 +158,40 @@
     })
     .await
 }
+
+/// Guards against calls that are taken on at the end of the grace period, in calm, and cut
+/// without a response.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn calls_at_the_end_of_the_grace_period_are_answered() -> TestResult {
+    let report = run(LATE_CALLS, 1).await?;
+    assert!(report.ended > Duration::from_secs(7), "{report:?}");
+    assert!(report.unanswered.is_empty(), "{report:?}");
+    assert_eq!(report.violations, [], "{report:?}");
+    Ok(())
+}
+
+/// Guards against the same where a call may last longer than the grace period.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn calls_that_may_outlast_the_grace_period_are_answered() -> TestResult {
+    check_all_answered(ShutdownPlan {
+        times: ServingTimes {
+            route: Duration::from_secs(20),
+            ..LATE_CALLS.times
+        },
+        later_times: None,
+        call_time: Duration::from_millis(400),
+        ..LATE_CALLS
+    })
+    .await
+}
+
+/// Guards against the same for streams.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn streams_at_the_end_of_the_grace_period_are_answered() -> TestResult {
+    check_all_answered(ShutdownPlan {
+        kind: CallKind::Stream,
+        later_times: None,
+        ..LATE_CALLS
+    })
+    .await
+}
