Read bounds that are fractions

Cause: drain_ms, stall_ms and heartbeat_ms were read as whole numbers, although the figures of the bounds may be fractions, as grace_s and budget_window_s were read. All are read as fractions now. A value that is no time is still refused, with its key.

--- a/src/platform/host_settings.rs
+++ b/src/platform/host_settings.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use serde::Deserialize;
-use serde_with::{DurationMilliSeconds, DurationSecondsWithFrac, serde_as};
+use serde_with::{DurationMilliSecondsWithFrac, DurationSecondsWithFrac, serde_as};
 
 use crate::collections::FastMap;
 use crate::entry::{EntryBounds, EntrySettings};
@@ -22,6 +22,7 @@
     Parse(String),
 }
 
+#[serde_as]
 #[derive(Deserialize)]
 struct SettingsBody {
     node: String,
@@ -33,7 +34,8 @@
     #[serde(default)]
     seeds: Vec<SocketAddr>,
     #[serde(default = "default_beat")]
-    heartbeat_ms: u64,
+    #[serde_as(as = "DurationMilliSecondsWithFrac<f64>")]
+    heartbeat_ms: Duration,
     #[serde(default)]
     bootstrap: bool,
     bounds: BoundsBody,
@@ -41,9 +43,9 @@
     limits: LimitsBody,
 }
 
-/// Returns the default interval between heartbeats, in milliseconds.
-fn default_beat() -> u64 {
-    1200
+/// Returns the default interval between heartbeats.
+fn default_beat() -> Duration {
+    Duration::from_millis(1200)
 }
 
 #[derive(Deserialize)]
@@ -79,14 +81,15 @@
     address: SocketAddr,
 }
 
+/// Bounds, whose figures may be fractions.
 #[serde_as]
 #[derive(Deserialize)]
 struct BoundsBody {
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "DurationMilliSecondsWithFrac<f64>")]
     drain_ms: Duration,
     #[serde_as(as = "DurationSecondsWithFrac<f64>")]
     grace_s: Duration,
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "DurationMilliSecondsWithFrac<f64>")]
     stall_ms: Duration,
     retry_budget_ratio: f64,
     #[serde_as(as = "DurationSecondsWithFrac<f64>")]
@@ -128,7 +131,7 @@
         seeds: body.seeds,
         store: body.provider.address,
         is_first_start: body.bootstrap,
-        heartbeat: Duration::from_millis(body.heartbeat_ms),
+        heartbeat: body.heartbeat_ms,
         memory_mb: body.limits.memory_mb,
         descriptors: body.limits.max_fds,
         cores: body.limits.cpu_share * body.limits.cores,
