--- a/tests/leaving_fleet/faults.rs
+++ b/tests/leaving_fleet/faults.rs
@@ -23,6 +23,8 @@
     /// At its end, the log is restored from a copy that is this old, in milliseconds; it is
     /// down until then.
     Restore(u64),
+    /// The log executes heartbeats this late, in milliseconds.
+    LateWrites(u64),
 }
 
 /// A fault with its start and end.
--- a/tests/leaving_fleet/main.rs
+++ b/tests/leaving_fleet/main.rs
@@ -12,7 +12,7 @@
 use rand::rngs::StdRng;
 
 use faults::{Fault, FaultKind, draw_faults, draw_restores};
-use world::World;
+use world::{HEARTBEAT_MS, World};
 
 /// Length of a run, in milliseconds.
 const LENGTH_MS: u64 = 40_000;
@@ -79,6 +79,32 @@
     }
 }
 
+/// Guards against a target that left and is used again because several of its heartbeats are
+/// executed late, in their order.
+#[test]
+fn late_heartbeats_bring_back_no_target_that_left() {
+    const FROM_MS: u64 = 12_000;
+    for delay_ms in [3400, 4800, 5800] {
+        // Each target has written again when it leaves, so that hosts know that it left.
+        for length_ms in (1200..delay_ms - HEARTBEAT_MS).step_by(200) {
+            let late = FaultKind::LateWrites(delay_ms);
+            let faults = vec![fault(late, FROM_MS, FROM_MS + length_ms)];
+            let mut world = World::open(delay_ms + length_ms, faults);
+            world.set_leaving(FROM_MS + delay_ms - 200);
+            let mut violations = Vec::new();
+            while world.now_ms < LENGTH_MS {
+                world.step();
+                violations.extend(world.violations());
+            }
+            assert!(
+                violations.is_empty(),
+                "{delay_ms} ms late for {length_ms} ms: {:?}",
+                violations.first()
+            );
+        }
+    }
+}
+
 /// Runs two outages in a row, with pauses of different lengths between them.
 #[test]
 fn consecutive_outages_drop_no_live_target() {
