Report changed settings against the running values, and keep log messages

The messages "heartbeats numbered anew", "target started again" and "settings changed" stay as operators filter by them. Settings that wait for the next start are named against the values that the process runs with, and an unchanged file is reported on SIGHUP alone.

Renames: HostRegistry's Acquaintance is HostPresence, GossipTable::registry is registry_mut, KnownStart::reinstates and is_succeeded are accepts_outdated and accepts_ended.

Run: target_starts, host_registry, leaving_fleet, fleet_size, host_settings, log_restore, kept_records and entry_decisions pass; clippy passes.

--- a/src/entry/host_log.rs
+++ b/src/entry/host_log.rs
@@ -61,7 +61,7 @@
             }
         };
         match result {
-            Ok(()) | Err(LogError::Restored(_)) => has_failed = false,
+            Ok(()) | Err(LogError::Restored(_) | LogError::Deleted) => has_failed = false,
             Err(error) => {
                 if !std::mem::replace(&mut has_failed, true) {
                     log::warn!(error:% = error; "hosts: log lost");
--- a/src/entry/log_copy.rs
+++ b/src/entry/log_copy.rs
@@ -255,11 +255,8 @@
         let TargetHeartbeat { entry, number } = heartbeat;
         match &verdict {
             StartVerdict::Current => {}
-            StartVerdict::Reinstated(replaced) => {
-                if let Some(replaced) = replaced {
-                    self.forget_start(replaced);
-                }
-                log::info!(target_id:% = entry.id, number = number; "target reinstated");
+            StartVerdict::Reinstated(None) => {
+                log::info!(target_id:% = entry.id, number = number; "heartbeats numbered anew");
             }
             StartVerdict::Outdated => {
                 self.tables.metrics.late_heartbeat();
@@ -270,7 +267,7 @@
                 );
                 return;
             }
-            StartVerdict::Replaces(before) => {
+            StartVerdict::Replaces(before) | StartVerdict::Reinstated(Some(before)) => {
                 self.forget_start(before);
                 log::info!(before:% = before, target_id:% = entry.id; "target started again");
             }
--- a/src/entry/peer_exchange.rs
+++ b/src/entry/peer_exchange.rs
@@ -303,7 +303,7 @@
     where
         F: FnOnce(&mut HostRegistry),
     {
-        update(self.gossip.lock().registry());
+        update(self.gossip.lock().registry_mut());
     }
 
     /// Returns the changes that the log needs so that other groups of hosts find this one.
@@ -420,7 +420,7 @@
     let mut ticks = tokio::time::interval(CALL_INTERVAL);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut aggregator = None;
-    let mut may_miss_all = false;
+    let mut was_unsure = false;
     loop {
         let due_at = ticks.tick().await;
         let now = Instant::now();
@@ -430,9 +430,9 @@
         let due = state.gossip.lock().due_calls(now);
         let (reports_to, is_unsure) = {
             let gossip = state.gossip.lock();
-            (gossip.reports_to(now), gossip.may_miss_all(now))
+            (gossip.reports_to(now), gossip.is_unsure(now))
         };
-        if std::mem::replace(&mut may_miss_all, is_unsure) != is_unsure {
+        if std::mem::replace(&mut was_unsure, is_unsure) != is_unsure {
             state.log_unsure(is_unsure);
         }
         if reports_to != aggregator {
--- a/src/entry/settings_watch.rs
+++ b/src/entry/settings_watch.rs
@@ -18,20 +18,16 @@
 /// be used changes nothing.
 pub(super) async fn watch_settings(
     path: PathBuf,
-    mut current: EntrySettings,
+    mut settings: EntrySettings,
     peer_state: Arc<PeerState>,
     mut hangup: Signal,
 ) {
     let mut last_text = None::<String>;
     loop {
-        tokio::select! {
-            _ = hangup.recv() => {
-                log::info!("SIGHUP: reading the settings again");
-                // Reports the state of the file even if it is unchanged.
-                last_text = None;
-            }
-            () = tokio::time::sleep(CHECK_INTERVAL) => {}
-        }
+        let is_requested = tokio::select! {
+            _ = hangup.recv() => true,
+            () = tokio::time::sleep(CHECK_INTERVAL) => false,
+        };
         let text = match std::fs::read_to_string(&path) {
             Ok(text) => text,
             Err(error) => {
@@ -40,27 +36,37 @@
                 continue;
             }
         };
-        if last_text.as_ref() == Some(&text) {
+        if last_text.as_ref() == Some(&text) && !is_requested {
             continue;
         }
         match parse_settings(&text) {
-            Ok(next) => {
-                apply(&mut current, next, &peer_state);
-            }
-            Err(error) => log::error!(error:% = error; "new settings refused, nothing changed"),
+            Ok(next) => apply(&mut settings, next, is_requested, &peer_state),
+            Err(error) => log::error!(error:% = error; "settings refused, nothing changed"),
         }
         last_text = Some(text);
     }
 }
 
-fn apply(current: &mut EntrySettings, next: EntrySettings, peer_state: &PeerState) {
-    if next.seeds != current.seeds {
-        log::info!(seeds:? = next.seeds; "new seeds");
-        peer_state.set_seeds(next.seeds.clone());
+/// Applies the seeds of `next` to the running host, and names what waits for its next start.
+fn apply(
+    settings: &mut EntrySettings,
+    next: EntrySettings,
+    is_requested: bool,
+    peer_state: &PeerState,
+) {
+    let waiting = settings.fixed_keys_changed(&next);
+    let has_new_seeds = next.seeds != settings.seeds;
+    match waiting.is_empty() {
+        true if has_new_seeds => log::info!(seeds:? = next.seeds; "settings changed"),
+        true if is_requested => log::info!("settings changed: nothing to reload"),
+        true => {}
+        false => log::warn!(
+            seeds:? = next.seeds, at_next_start:% = waiting.join(", ");
+            "settings changed"
+        ),
     }
-    let keys = current.fixed_keys_changed(&next);
-    if !keys.is_empty() {
-        log::warn!(keys:% = keys.join(", "); "changed settings take effect at the next start");
+    if has_new_seeds {
+        peer_state.set_seeds(next.seeds.clone());
+        settings.seeds = next.seeds;
     }
-    *current = next;
 }
--- a/src/entry/target_starts.rs
+++ b/src/entry/target_starts.rs
@@ -119,10 +119,10 @@
         }
     }
 
-    /// Returns whether an outdated heartbeat is current all the same: the target was taken to
-    /// have left and goes on, or it restarted without a start time and numbers its heartbeats
-    /// anew.
-    fn reinstates(&mut self, number: HeartbeatNumber, time: RecordTime) -> bool {
+    /// Counts an outdated heartbeat, and returns whether it is current all the same: the target
+    /// was taken to have left and goes on, or it restarted without a start time and numbers its
+    /// heartbeats anew.
+    fn accepts_outdated(&mut self, number: HeartbeatNumber, time: RecordTime) -> bool {
         if self.started_ms.is_some() && number <= self.newest {
             return false;
         }
@@ -139,9 +139,9 @@
         start.started_ms < self.started_ms || self.replaced.as_ref() == Some(&start.id)
     }
 
-    /// Returns whether a record of a start that looks ended shows that it is the running one:
-    /// the clock of the target was set back before it restarted.
-    fn is_succeeded(&mut self, time: RecordTime) -> bool {
+    /// Counts a record of a start that looks ended, and returns whether it is the running one
+    /// all the same: the clock of the target was set back before it restarted.
+    fn accepts_ended(&mut self, time: RecordTime) -> bool {
         self.ended_records += 1;
         self.ended_records >= MIN_RECORDS && time.is_new_since(self.known_since)
     }
@@ -154,7 +154,7 @@
         time: RecordTime,
     ) -> StartVerdict {
         let is_outdated = self.is_outdated(heartbeat);
-        if is_outdated && !self.reinstates(heartbeat.number, time) {
+        if is_outdated && !self.accepts_outdated(heartbeat.number, time) {
             return StartVerdict::Outdated;
         }
         *self = KnownStart {
@@ -171,7 +171,7 @@
     /// Applies a record of another start.
     fn observe_start(&mut self, start: KnownStart, time: RecordTime) -> StartVerdict {
         let is_preceded = self.is_preceded_by(&start);
-        if is_preceded && !self.is_succeeded(time) {
+        if is_preceded && !self.accepts_ended(time) {
             return StartVerdict::Ended;
         }
         let before = std::mem::replace(self, start);
--- a/src/membership/gossip/registry.rs
+++ b/src/membership/gossip/registry.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use super::GossipTable;
-use crate::membership::host_registry::{Acquaintance, HostRegistry, RegistryChange};
+use crate::membership::host_registry::{HostPresence, HostRegistry, RegistryChange};
 
 impl GossipTable {
     /// Replaces the seeds, which are called at once.
@@ -16,7 +16,7 @@
 
     /// Returns the hosts that the log names, as read while this host is the leader of its
     /// zone.
-    pub fn registry(&mut self) -> &mut HostRegistry {
+    pub fn registry_mut(&mut self) -> &mut HostRegistry {
         &mut self.registry
     }
 
@@ -35,9 +35,9 @@
         let members = &self.members;
         self.registry.sweep(
             |host| match members.get(host) {
-                None => Acquaintance::Unknown,
-                Some(member) if member.is_live(now) => Acquaintance::Live,
-                Some(_) => Acquaintance::Silent,
+                None => HostPresence::Unknown,
+                Some(member) if member.is_live(now) => HostPresence::Live,
+                Some(_) => HostPresence::Silent,
             },
             now,
         );
@@ -54,8 +54,14 @@
         (is_alone || !knows_zone) && !self.registry.is_complete(now)
     }
 
-    /// Returns whether this host may be alone without knowing it.
+    /// Returns whether there may be other hosts although this one has heard of none.
     pub fn may_miss_all(&self, now: Instant) -> bool {
         self.may_miss_hosts(&self.zone, now)
     }
+
+    /// Returns whether this host has looked for others long enough to have found them, and
+    /// may miss them all.
+    pub fn is_unsure(&self, now: Instant) -> bool {
+        self.has_joined(now) && self.may_miss_all(now)
+    }
 }
--- a/src/membership/gossip/roles.rs
+++ b/src/membership/gossip/roles.rs
@@ -105,7 +105,7 @@
     }
 
     /// Returns whether this host has been up long enough to know the others.
-    fn has_joined(&self, now: Instant) -> bool {
+    pub(super) fn has_joined(&self, now: Instant) -> bool {
         let knows_others = self.members.values().any(|member| member.is_live(now));
         let time = if knows_others {
             JOIN_TIME
--- a/src/membership/host_registry.rs
+++ b/src/membership/host_registry.rs
@@ -43,7 +43,7 @@
 
 /// What a host knows of a registered host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Acquaintance {
+pub(super) enum HostPresence {
     Live,
     /// Silent, and not yet forgotten.
     Silent,
@@ -54,7 +54,7 @@
 struct RegistryEntry {
     zone: ZoneId,
     address: SocketAddr,
-    acquaintance: Acquaintance,
+    presence: HostPresence,
     /// Since when the host has not been live.
     missing_since: Option<Instant>,
     /// Calls since then.
@@ -118,7 +118,7 @@
         let entry = RegistryEntry {
             zone: registered.zone,
             address: registered.address,
-            acquaintance: Acquaintance::Unknown,
+            presence: HostPresence::Unknown,
             missing_since: None,
             calls: 0,
             last_call: None,
@@ -143,14 +143,14 @@
     }
 
     /// Records which of the registered hosts this host knows.
-    pub(super) fn sweep<F>(&mut self, acquaintance: F, now: Instant)
+    pub(super) fn sweep<F>(&mut self, presence: F, now: Instant)
     where
-        F: Fn(&HostId) -> Acquaintance,
+        F: Fn(&HostId) -> HostPresence,
     {
         for (host, entry) in &mut self.others {
-            entry.acquaintance = acquaintance(host);
-            match entry.acquaintance {
-                Acquaintance::Live => {
+            entry.presence = presence(host);
+            match entry.presence {
+                HostPresence::Live => {
                     entry.missing_since = None;
                     entry.calls = 0;
                 }
@@ -165,7 +165,7 @@
 
     fn unknown(&self) -> impl Iterator<Item = &RegistryEntry> {
         let others = self.others.values();
-        others.filter(|entry| entry.acquaintance == Acquaintance::Unknown)
+        others.filter(|entry| entry.presence == HostPresence::Unknown)
     }
 
     /// Returns whether the hosts that this host knows are all there are.
@@ -196,7 +196,7 @@
         self.last_round = Some(now);
         let missing = self.others.values_mut();
         let mut missing = missing
-            .filter(|entry| entry.acquaintance != Acquaintance::Live)
+            .filter(|entry| entry.presence != HostPresence::Live)
             .collect::<Vec<_>>();
         // The sort is stable, so that hosts that were not called yet stay in their order.
         missing.sort_by_key(|entry| entry.last_call);
--- a/tests/host_registry.rs
+++ b/tests/host_registry.rs
@@ -97,7 +97,7 @@
         let host = &mut self.hosts[index];
         if !host.gossip.is_leader(now) {
             if host.leader_since.take().is_some() {
-                host.gossip.registry().clear();
+                host.gossip.registry_mut().clear();
             }
             return;
         }
@@ -106,7 +106,7 @@
             return;
         }
         let listed = self.log.values().cloned().collect();
-        host.gossip.registry().apply_list(listed);
+        host.gossip.registry_mut().apply_list(listed);
         for change in host.gossip.registry_changes(now) {
             self.writes += 1;
             match change {
