Hold a body again in the test of the memory for bodies

Cause: a body that has not grown for two seconds makes way for another one. If the second call comes later than that, it is served, and nothing fills the memory any more, so that the test calls on until its timeout.

The body is sent again after each call that was served. What is asserted is the same: a body beyond the memory is refused with no_memory, not run, and a small call is served.

--- a/tests/api/bounds.rs
+++ b/tests/api/bounds.rs
@@ -42,16 +42,21 @@
         .serve();
     let padded = " ".repeat(BOUND - BODY.len()) + BODY;
     let stalled = raw_head("/v1/generate", BOUND) + &padded[..BOUND - 1];
-    let mut first = server.connect().await;
-    first.write_all(stalled.as_bytes()).await.expect("sent");
-    // How much of the first body has arrived is not known.
+    let hold = async || {
+        let mut stream = server.connect().await;
+        stream.write_all(stalled.as_bytes()).await.expect("sent");
+        stream
+    };
+    let mut first = hold().await;
     let refused = async {
         loop {
             let reply = server.generate(&[BEARER], &padded).await;
-            match reply.status {
-                StatusCode::OK => tokio::task::yield_now().await,
-                _ => break reply,
+            if reply.status != StatusCode::OK {
+                break reply;
             }
+            // The first body has not arrived yet, or it made way, since it has not grown for
+            // two seconds.
+            first = hold().await;
         }
     };
     let refused = in_time(refused).await;
